Interfaces: packages, wire schema, error table, build, checks

Before: empty tree. Conclusion: the borders are headers with options, events and actions; the implementations follow a package each.

--- /dev/null
+++ b/cmake/Libraries.cmake
@@ -0,0 +1,17 @@
+# The libraries of the project, all from Debian's packages, behind one target.
+find_package(PkgConfig REQUIRED)
+find_package(Boost REQUIRED COMPONENTS log)
+find_package(yaml-cpp REQUIRED)
+find_package(nlohmann_json REQUIRED)
+find_package(prometheus-cpp REQUIRED COMPONENTS core)
+pkg_check_modules(CURL REQUIRED IMPORTED_TARGET libcurl)
+pkg_check_modules(MICROHTTPD REQUIRED IMPORTED_TARGET libmicrohttpd)
+pkg_check_modules(SODIUM REQUIRED IMPORTED_TARGET libsodium)
+pkg_check_modules(XXHASH REQUIRED IMPORTED_TARGET libxxhash)
+pkg_check_modules(CPPUNIT REQUIRED IMPORTED_TARGET cppunit)
+
+add_library(libraries INTERFACE)
+target_link_libraries(libraries INTERFACE
+  Boost::log yaml-cpp nlohmann_json::nlohmann_json prometheus-cpp::core
+  PkgConfig::CURL PkgConfig::MICROHTTPD PkgConfig::SODIUM PkgConfig::XXHASH
+  ev flatbuffers)
--- /dev/null
+++ b/include/dotterelshift/app/control_replica.h
@@ -0,0 +1,81 @@
+#ifndef DOTTERELSHIFT_APP_CONTROL_REPLICA_H_
+#define DOTTERELSHIFT_APP_CONTROL_REPLICA_H_
+
+#include <cstdint>     // for uint64_t
+#include <functional>  // for function
+#include <memory>      // for unique_ptr
+#include <string>      // for string
+#include <vector>      // for vector
+
+#include "dotterelshift/base/error.h"         // for ErrorKind
+#include "dotterelshift/loop/loop.h"          // for Loop
+#include "dotterelshift/peers/hub.h"          // for PeerInfo
+#include "dotterelshift/replication/node.h"   // for NodeOptions
+#include "dotterelshift/state/state.h"        // for State
+#include "dotterelshift/storage/log_store.h"  // for LogStoreOptions
+
+namespace dotterelshift::app {
+
+struct ControlReplicaOptions {
+  replication::NodeOptions node;
+  storage::LogStoreOptions store;
+  state::StateOptions state;
+  // Hosts of the first members, this one among them: used only when the folder
+  // is fresh. Empty: join an existing group as a replica that an operator's
+  // plan adds.
+  std::vector<std::string> first_members;
+  HostId self;
+  std::string self_address;
+  uint64_t snapshot_every_bytes = 256 << 20;  // of log
+};
+
+// Answers to one Propose(), in the order of its commands; or the reason why
+// none was accepted. kNotLeader and kNoQuorum from here mean "not accepted as
+// far as this replica knows": the same ids may be proposed again elsewhere.
+using ProposalCallback = std::function<void(
+    ErrorKind error, std::vector<wire::CommandAnswerT> answers)>;
+
+// Drives one replica: node, files and state together on the loop. Proposals of
+// one turn of the loop are committed as one batch with one sync.
+class ControlReplica {
+ public:
+  virtual ~ControlReplica() = default;
+
+  virtual void Propose(std::vector<wire::CommandT> commands,
+                       ProposalCallback callback) = 0;
+  // Calls back with kNone once a quorum has confirmed that this replica leads
+  // and all that was committed before the call is applied; else with kNotLeader
+  // or kNoQuorum.
+  virtual void ConfirmedRead(std::function<void(ErrorKind)> callback) = 0;
+  // A settlement handed over by an entry that cannot reach the leader; durable
+  // when this returns. Proposed to the leader as soon as there is one, then
+  // dropped.
+  virtual void Spool(const wire::SpoolT& spool) = 0;
+
+  virtual const state::State& GetState() const = 0;
+  virtual const replication::Node& GetNode() const = 0;
+  virtual bool Leads() const = 0;         // inside its lease
+  virtual HostId LeaderHost() const = 0;  // empty: not known
+
+  // A frame between replicas that came in by the hub.
+  virtual void OnFrame(const peers::PeerInfo& from,
+                       const wire::FrameT& frame) = 0;
+};
+
+struct ControlReplicaCallbacks {
+  // Sends to another replica's host; a failure to send is a lost message.
+  std::function<void(const HostId& host, const wire::FrameT& frame)> send;
+  // A committed batch has been applied (also while catching up).
+  std::function<void(const wire::CommandBatchT& batch,
+                     const std::vector<wire::CommandAnswerT>& answers)>
+      on_applied;
+  std::function<void()> on_leadership_changed;
+};
+
+std::unique_ptr<ControlReplica> MakeControlReplica(
+    loop::Loop& loop, const ControlReplicaOptions& options,
+    ControlReplicaCallbacks callbacks);
+
+}  // namespace dotterelshift::app
+
+#endif  // DOTTERELSHIFT_APP_CONTROL_REPLICA_H_
--- /dev/null
+++ b/include/dotterelshift/budget/ledger.h
@@ -0,0 +1,100 @@
+#ifndef DOTTERELSHIFT_BUDGET_LEDGER_H_
+#define DOTTERELSHIFT_BUDGET_LEDGER_H_
+
+#include <cstdint>   // for uint32_t
+#include <memory>    // for unique_ptr
+#include <optional>  // for optional
+#include <vector>    // for vector
+
+#include "dotterelshift/base/ids.h"                 // for BudgetId
+#include "dotterelshift/base/time.h"                // for Instant
+#include "dotterelshift/base/tokens.h"              // for Tokens
+#include "dotterelshift/wire/commands_generated.h"  // for GrantAnswerT, GrantWay
+
+namespace dotterelshift::budget {
+
+// A budget's place in one ledger; found once for each request, then used
+// without hashing.
+using BudgetHandle = uint32_t;
+
+// How a team wants its budgets held at the entries.
+struct HoldingPolicy {
+  wire::TeamPolicy policy = wire::TeamPolicy::OverspendFirst;
+  wire::GrantWay way = wire::GrantWay::Witnessed;
+  Duration partition = 60s;  // how long a cut-off entry should go on
+};
+
+struct LedgerOptions {
+  Tokens least_grant = 4096;
+  Duration idle_return =
+      10s;  // a remainder that nobody drew on for this long flows back
+  Duration ask_again =
+      250ms;  // an ask that has no answer is sent again, with the same id
+  Duration refusal_memory = 500ms;  // how long "nothing free" is believed
+                                    // before the leader is asked again
+};
+
+enum class ReserveResult {
+  kReserved,
+  kWait,       // more was asked for; try again when OnGrant or Settle frees
+               // something
+  kExhausted,  // control said that nothing is free and nothing comes back
+};
+
+// What an entry wants to tell control about one budget.
+struct GrantWish {
+  BudgetHandle budget = 0;
+  enum class Kind { kAsk, kReturn } kind = Kind::kAsk;
+  Tokens wanted = 0;   // ask: what the demand suggests; return: what flows back
+  Tokens minimum = 0;  // ask: below this it does not help
+};
+
+// What one entry holds of the budgets, and what is reserved of it. Never lets
+// reserved exceed held.
+class Ledger {
+ public:
+  virtual ~Ledger() = default;
+
+  // The handle of a budget, made at the first call; the policy of its team is
+  // taken over at each call.
+  virtual BudgetHandle Open(const BudgetId& budget,
+                            const HoldingPolicy& policy) = 0;
+  virtual const BudgetId& IdOf(BudgetHandle budget) const = 0;
+
+  // Reserves the worst case of an attempt.
+  virtual ReserveResult Reserve(BudgetHandle budget, Tokens worst_case,
+                                Instant now) = 0;
+
+  // Ends a reservation: `spent` leaves the holding, the rest of `reserved` can
+  // be reserved again. spent <= reserved.
+  virtual void Settle(BudgetHandle budget, Tokens reserved, Tokens spent,
+                      Instant now) = 0;
+
+  // Control's answer to an ask: tokens > 0 are held from now on.
+  virtual void OnGrant(BudgetHandle budget, const wire::GrantAnswerT& answer,
+                       Instant now) = 0;
+  // The leader asks for idle tokens back; the return is among the next wishes.
+  virtual void OnRecall(const BudgetId& budget, Tokens tokens, Instant now) = 0;
+
+  // Whether the leader is in reach: while it is not, nothing is asked and
+  // nothing flows back.
+  virtual void SetConnected(bool connected, Instant now) = 0;
+
+  // Asks and returns that are due. What is returned has left the holding when
+  // this returns.
+  virtual std::vector<GrantWish> TakeWishes(Instant now) = 0;
+  // All that is not reserved, for the shutdown.
+  virtual std::vector<GrantWish> ReturnAll(Instant now) = 0;
+
+  virtual Tokens Held(BudgetHandle budget) const = 0;
+  virtual Tokens Reserved(BudgetHandle budget) const = 0;
+  virtual Tokens DemandPerSecond(BudgetHandle budget, Instant now) const = 0;
+  virtual std::vector<BudgetHandle> All() const = 0;
+  virtual std::optional<Instant> NextDue() const = 0;
+};
+
+std::unique_ptr<Ledger> MakeLedger(const LedgerOptions& options = {});
+
+}  // namespace dotterelshift::budget
+
+#endif  // DOTTERELSHIFT_BUDGET_LEDGER_H_
--- /dev/null
+++ b/include/dotterelshift/directory/directory.h
@@ -0,0 +1,75 @@
+#ifndef DOTTERELSHIFT_DIRECTORY_DIRECTORY_H_
+#define DOTTERELSHIFT_DIRECTORY_DIRECTORY_H_
+
+#include <cstdint>        // for uint32_t
+#include <memory>         // for unique_ptr
+#include <optional>       // for optional
+#include <string>         // for string
+#include <unordered_map>  // for unordered_map
+#include <vector>         // for vector
+
+#include "dotterelshift/base/ids.h"               // for EndpointId
+#include "dotterelshift/base/time.h"              // for Instant
+#include "dotterelshift/wire/frames_generated.h"  // for EndpointRecordT
+
+namespace dotterelshift::directory {
+
+struct DirectoryOptions {
+  Duration silent_after = 3s;   // without news or own evidence: no new work
+  Duration forget_after = 60s;  // a record that stayed silent is dropped, but
+                                // its (incarnation, draining) is kept longer
+  Duration tombstone = 600s;
+};
+
+// An endpoint as this daemon knows it.
+struct Endpoint {
+  wire::EndpointRecordT record;
+  Instant last_news;      // newest announcement, minus its age on the way
+  Instant last_evidence;  // own successful answer or probe
+  bool usable = false;    // neither draining nor gone nor silent
+};
+
+// The endpoints that announced themselves, to this daemon or to another. Soft
+// state: records are versioned by (incarnation, sequence); draining and gone
+// are sticky for an incarnation, so late or crossed news never revives one.
+class Directory {
+ public:
+  explicit Directory(const DirectoryOptions& options = {})
+      : m_options(options) {}
+
+  // News from an endpoint itself or from another daemon. True when it is newer
+  // than what was known; it is then part of the next delta.
+  bool OnRecord(const wire::EndpointRecordT& record, Instant now);
+  // This daemon's own evidence: an answer came, or a connection was refused.
+  void OnAlive(const EndpointId& endpoint, Instant now);
+  void OnDead(const EndpointId& endpoint, uint64_t incarnation, Instant now);
+  // Lets silent records lapse. True when the set of usable endpoints changed.
+  bool OnTimer(Instant now);
+
+  // What changed since the last call, to be spread; and everything, for a
+  // daemon that has just come.
+  wire::DirectoryDeltaT TakeDelta(Instant now);
+  wire::DirectoryDeltaT Everything(Instant now) const;
+
+  const Endpoint* Find(const EndpointId& endpoint) const;
+  const std::unordered_map<EndpointId, Endpoint>& All() const {
+    return m_endpoints;
+  }
+  // Changes whenever the set of usable endpoints, or what they serve, does.
+  uint64_t Generation() const { return m_generation; }
+
+ private:
+  struct Tombstone {
+    uint64_t incarnation = 0;
+    Instant until;
+  };
+  DirectoryOptions m_options;
+  std::unordered_map<EndpointId, Endpoint> m_endpoints;
+  std::unordered_map<EndpointId, Tombstone> m_tombstones;
+  std::vector<EndpointId> m_changed;
+  uint64_t m_generation = 1;
+};
+
+}  // namespace dotterelshift::directory
+
+#endif  // DOTTERELSHIFT_DIRECTORY_DIRECTORY_H_
--- /dev/null
+++ b/include/dotterelshift/http/client.h
@@ -0,0 +1,60 @@
+#ifndef DOTTERELSHIFT_HTTP_CLIENT_H_
+#define DOTTERELSHIFT_HTTP_CLIENT_H_
+
+#include <cstdint>      // for uint64_t
+#include <functional>   // for function
+#include <memory>       // for unique_ptr
+#include <string>       // for string
+#include <string_view>  // for string_view
+
+#include "dotterelshift/base/time.h"    // for Duration
+#include "dotterelshift/http/server.h"  // for Headers
+
+namespace dotterelshift::http {
+
+// How a transfer ended.
+enum class TransferEnd {
+  kWhole,          // the answer's own end mark was seen
+  kNotSent,        // no byte of the request left this host
+  kCutBeforeHead,  // some of the request left, no head came back
+  kCut,            // the answer broke off after its head
+  kTimedOut,       // the time given ran out
+};
+
+struct ClientRequest {
+  std::string method = "POST";
+  std::string url;  // with an IP number, so that nothing is resolved
+  Headers headers;
+  std::string body;
+  Duration connect_timeout = 1s;
+  Duration total_timeout = 0s;  // 0: none
+};
+
+// What a transfer reports, on the loop's thread. None is called after Cancel().
+struct TransferCallbacks {
+  std::function<void(int status, const Headers& headers)> on_head;
+  // Returns false to pause the transfer until Resume(); the piece is taken all
+  // the same.
+  std::function<bool(std::string_view piece)> on_piece;
+  std::function<void(TransferEnd end)> on_end;
+};
+
+using TransferId = uint64_t;
+
+// An HTTP/1.1 client on the loop (libcurl multi); keeps connections to reuse.
+class Client {
+ public:
+  virtual ~Client() = default;
+  virtual TransferId Start(ClientRequest request,
+                           TransferCallbacks callbacks) = 0;
+  // Closes the transfer's connection; the other side sees the caller go.
+  virtual void Cancel(TransferId transfer) = 0;
+  virtual void Resume(TransferId transfer) = 0;
+  virtual size_t OpenTransfers() const = 0;
+};
+
+std::unique_ptr<Client> MakeClient(loop::Loop& loop);
+
+}  // namespace dotterelshift::http
+
+#endif  // DOTTERELSHIFT_HTTP_CLIENT_H_
--- /dev/null
+++ b/include/dotterelshift/loop/loop.h
@@ -0,0 +1,112 @@
+#ifndef DOTTERELSHIFT_LOOP_LOOP_H_
+#define DOTTERELSHIFT_LOOP_LOOP_H_
+
+#include <ev.h>  // for ev_io, ev_timer, ev_signal
+
+#include <functional>  // for function
+
+#include "dotterelshift/base/time.h"  // for Instant
+
+namespace dotterelshift::loop {
+
+// The one event loop of a process. Everything runs on the thread that calls
+// Run().
+class Loop {
+ public:
+  Loop();
+  ~Loop();
+  Loop(const Loop&) = delete;
+  Loop& operator=(const Loop&) = delete;
+
+  // Runs until Stop() is called from a callback.
+  void Run();
+  void Stop();
+
+  // The monotonic clock, read now.
+  Instant Now() const { return std::chrono::steady_clock::now(); }
+
+  // Milliseconds since 1970.
+  WallMs WallNow() const;
+
+  struct ev_loop* Raw() {
+    return m_loop;
+  }
+
+ private:
+  struct ev_loop* m_loop;
+};
+
+// Calls back while a descriptor is readable or writable. Does not own the
+// descriptor.
+class IoWatcher {
+ public:
+  using Callback = std::function<void(int events)>;
+  // `events` is EV_READ, EV_WRITE or both; 0 watches nothing until SetEvents().
+  IoWatcher(Loop& loop, int descriptor, int events, Callback callback);
+  ~IoWatcher();
+  IoWatcher(const IoWatcher&) = delete;
+  IoWatcher& operator=(const IoWatcher&) = delete;
+  void SetEvents(int events);
+
+ private:
+  static void OnEvent(struct ev_loop*, ev_io* watcher, int events);
+  Loop& m_loop;
+  ev_io m_watcher;
+  Callback m_callback;
+};
+
+// Calls back once at an instant. The callback may arm it again or destroy it.
+class Timer {
+ public:
+  using Callback = std::function<void()>;
+  Timer(Loop& loop, Callback callback);
+  ~Timer();
+  Timer(const Timer&) = delete;
+  Timer& operator=(const Timer&) = delete;
+  void ArmAt(Instant when);
+  void ArmIn(Duration delay);
+  void Cancel();
+
+ private:
+  static void OnEvent(struct ev_loop*, ev_timer* watcher, int events);
+  Loop& m_loop;
+  ev_timer m_watcher;
+  Callback m_callback;
+};
+
+// Calls back in each turn of the loop just before it waits, so that work of one
+// turn can be sent as a batch.
+class PrepareWatcher {
+ public:
+  using Callback = std::function<void()>;
+  PrepareWatcher(Loop& loop, Callback callback);
+  ~PrepareWatcher();
+  PrepareWatcher(const PrepareWatcher&) = delete;
+  PrepareWatcher& operator=(const PrepareWatcher&) = delete;
+
+ private:
+  static void OnEvent(struct ev_loop*, ev_prepare* watcher, int events);
+  Loop& m_loop;
+  ev_prepare m_watcher;
+  Callback m_callback;
+};
+
+// Calls back on the loop's thread when a signal arrives.
+class SignalWatcher {
+ public:
+  using Callback = std::function<void()>;
+  SignalWatcher(Loop& loop, int signal, Callback callback);
+  ~SignalWatcher();
+  SignalWatcher(const SignalWatcher&) = delete;
+  SignalWatcher& operator=(const SignalWatcher&) = delete;
+
+ private:
+  static void OnEvent(struct ev_loop*, ev_signal* watcher, int events);
+  Loop& m_loop;
+  ev_signal m_watcher;
+  Callback m_callback;
+};
+
+}  // namespace dotterelshift::loop
+
+#endif  // DOTTERELSHIFT_LOOP_LOOP_H_
--- /dev/null
+++ b/include/dotterelshift/plan/intent.h
@@ -0,0 +1,38 @@
+#ifndef DOTTERELSHIFT_PLAN_INTENT_H_
+#define DOTTERELSHIFT_PLAN_INTENT_H_
+
+#include <functional>   // for function
+#include <string>       // for string
+#include <string_view>  // for string_view
+#include <vector>       // for vector
+
+#include "dotterelshift/state/configuration.h"      // for KeyHash
+#include "dotterelshift/wire/commands_generated.h"  // for TeamT, ChangeT
+
+namespace dotterelshift::plan {
+
+// What an operator wants to be so. Only what an intent names is touched;
+// removal is said under `remove`.
+struct Intent {
+  std::vector<wire::TeamT> teams;
+  std::vector<wire::ApiKeyT> keys;  // hashed while they are read
+  std::vector<wire::BudgetT> budgets;
+  std::vector<wire::TopUpT> top_ups;
+  std::vector<wire::EndpointSetT> endpoint_sets;
+  std::vector<wire::ModelPlacementT> placements;
+  std::vector<wire::ChangeT>
+      removals;  // Remove..., RetireHolder, RemoveReplica
+  std::vector<wire::AddReplicaT> add_replicas;
+};
+
+using KeyHasher = std::function<state::KeyHash(std::string_view bearer_key)>;
+
+// Reads an intent from YAML. Throws Error(kBadIntent) whose text is "FILE:LINE:
+// what is wrong (expected form)" for unknown fields, wrong units, negative
+// amounts, overflow and duplicate names; `file` is only for that text.
+Intent ParseIntent(std::string_view yaml, const std::string& file,
+                   const KeyHasher& hash_key);
+
+}  // namespace dotterelshift::plan
+
+#endif  // DOTTERELSHIFT_PLAN_INTENT_H_
--- /dev/null
+++ b/include/dotterelshift/platform/metrics.h
@@ -0,0 +1,39 @@
+#ifndef DOTTERELSHIFT_PLATFORM_METRICS_H_
+#define DOTTERELSHIFT_PLATFORM_METRICS_H_
+
+#include <memory>       // for unique_ptr
+#include <string>       // for string
+#include <string_view>  // for string_view
+
+#include "dotterelshift/base/error.h"            // for ErrorKind
+#include "dotterelshift/base/time.h"             // for Duration
+#include "dotterelshift/serving/request_core.h"  // for RequestSummary
+
+namespace dotterelshift::platform {
+
+struct MetricsOptions {
+  size_t max_team_labels =
+      200;  // the busiest teams by name, the others together as "other"
+  size_t max_class_labels = 32;
+};
+
+// The counters and histograms of one daemon (prometheus-cpp's registry and text
+// form, no server of its own).
+class Metrics {
+ public:
+  virtual ~Metrics() = default;
+  virtual void OnFinished(const serving::RequestSummary& summary) = 0;
+  virtual void OnTokenGap(std::string_view request_class, Duration gap) = 0;
+  // A plain counter or gauge by name; the name is made at its first use.
+  virtual void SetCounter(std::string_view name, std::string_view help,
+                          double value) = 0;
+  virtual void SetGauge(std::string_view name, std::string_view help,
+                        double value) = 0;
+  virtual std::string Text() const = 0;
+};
+
+std::unique_ptr<Metrics> MakeMetrics(const MetricsOptions& options = {});
+
+}  // namespace dotterelshift::platform
+
+#endif  // DOTTERELSHIFT_PLATFORM_METRICS_H_
--- /dev/null
+++ b/include/dotterelshift/routing/router.h
@@ -0,0 +1,81 @@
+#ifndef DOTTERELSHIFT_ROUTING_ROUTER_H_
+#define DOTTERELSHIFT_ROUTING_ROUTER_H_
+
+#include <cstdint>   // for uint64_t
+#include <memory>    // for unique_ptr
+#include <optional>  // for optional
+#include <string>    // for string
+#include <vector>    // for vector
+
+#include "dotterelshift/base/ids.h"               // for EndpointId
+#include "dotterelshift/base/time.h"              // for Instant
+#include "dotterelshift/base/tokens.h"            // for Tokens
+#include "dotterelshift/directory/directory.h"    // for Directory
+#include "dotterelshift/state/configuration.h"    // for Configuration
+#include "dotterelshift/wire/frames_generated.h"  // for CacheEventT
+
+namespace dotterelshift::routing {
+
+// What a choice is made for.
+struct RouteQuery {
+  TeamId team;
+  std::string target;  // model (with adapter as "model:adapter") or service
+  bool service = false;
+  Tokens prompt_tokens = 0;
+  Tokens output_tokens = 0;
+  const std::vector<uint64_t>* prefix_hashes = nullptr;
+  const std::vector<EndpointId>* exclude =
+      nullptr;  // tried before by this request
+};
+
+enum class RouteOutcome {
+  kChosen,
+  kBusy,  // endpoints are there, all at their limit
+  kNone,  // no usable endpoint
+};
+
+struct RouteChoice {
+  RouteOutcome outcome = RouteOutcome::kNone;
+  EndpointId endpoint;
+  uint64_t incarnation = 0;
+  std::string address;
+  Duration expected_wait =
+      0s;  // for kBusy: how long until one is likely to be free
+};
+
+struct RouterOptions {
+  DataCentreId data_centre;  // of this entry
+  uint64_t seed = 1;
+  Duration far_penalty = 3ms;  // what another data centre costs
+};
+
+// Chooses endpoints and keeps what this entry knows of each: its own work in
+// flight, learned limits, lagged load reports, cached prefixes, and how slow it
+// is beside its kin. Policies are classes behind a concept (policy.h).
+class Router {
+ public:
+  virtual ~Router() = default;
+  virtual RouteChoice Choose(const RouteQuery& query, Instant now) = 0;
+  virtual void OnStarted(const EndpointId& endpoint, Tokens expected,
+                         Instant now) = 0;
+  virtual void OnFirstToken(const EndpointId& endpoint, Duration latency,
+                            Instant now) = 0;
+  virtual void OnTokens(const EndpointId& endpoint, Tokens tokens,
+                        Instant now) = 0;
+  virtual void OnRefused(const EndpointId& endpoint, Instant now) = 0;
+  virtual void OnEnded(const EndpointId& endpoint, Tokens expected, bool failed,
+                       Instant now) = 0;
+  virtual void OnCacheEvents(const std::vector<wire::CacheEventT>& events,
+                             Instant now) = 0;
+  // Called when the directory's generation or the configuration's version has
+  // changed.
+  virtual void Refresh(const directory::Directory& directory,
+                       const state::Configuration& configuration,
+                       Instant now) = 0;
+};
+
+std::unique_ptr<Router> MakeRouter(const RouterOptions& options);
+
+}  // namespace dotterelshift::routing
+
+#endif  // DOTTERELSHIFT_ROUTING_ROUTER_H_
--- /dev/null
+++ b/include/dotterelshift/state/configuration.h
@@ -0,0 +1,97 @@
+#ifndef DOTTERELSHIFT_STATE_CONFIGURATION_H_
+#define DOTTERELSHIFT_STATE_CONFIGURATION_H_
+
+#include <array>          // for array
+#include <cstdint>        // for uint64_t
+#include <optional>       // for optional
+#include <span>           // for span
+#include <string>         // for string
+#include <string_view>    // for string_view
+#include <unordered_map>  // for unordered_map
+#include <vector>         // for vector
+
+#include "dotterelshift/base/ids.h"                 // for TeamId
+#include "dotterelshift/wire/commands_generated.h"  // for ChangeT, TeamT
+
+namespace dotterelshift::state {
+
+// Keyed BLAKE2b of a bearer key. Only hashes are kept; they are compared in
+// constant time.
+using KeyHash = std::array<uint8_t, 32>;
+
+// The hash of a bearer key under the fleet's secret.
+KeyHash HashKey(std::string_view bearer_key, std::string_view fleet_secret);
+
+// What a team is refused or allowed to reach.
+enum class Reach { kAllowed, kUnknown, kOutOfReach };
+
+// The accepted configuration: teams, keys, budgets, endpoint sets and
+// placements. The same class on every daemon; a version counts the accepted
+// changes of it and only rises. Amounts of budgets are not part of it (see
+// state.h).
+class Configuration {
+ public:
+  uint64_t Version() const { return m_version; }
+
+  // Brings the configuration to `version` by a plan's changes. Changes that do
+  // not concern it (top-ups, replicas) count as versions and change nothing
+  // else.
+  void Apply(std::span<const wire::ChangeT> changes, uint64_t version);
+
+  // The whole configuration as changes to an empty one.
+  std::vector<wire::ChangeT> AsChanges() const;
+
+  // Null when there is no such thing. Pointers hold until the next Apply().
+  const wire::TeamT* FindTeam(const TeamId& id) const;
+  const wire::TeamT* FindTeamByKey(const KeyHash& hash) const;
+  const wire::BudgetT* FindBudget(const BudgetId& id) const;
+  const wire::EndpointSetT* FindEndpointSet(const std::string& id) const;
+  const wire::ModelPlacementT* FindPlacement(const ModelName& model) const;
+
+  // The ids of a team's budgets, in order; the first one is drawn on unless the
+  // caller names another.
+  std::vector<BudgetId> BudgetsOf(const TeamId& team) const;
+
+  // Whether the team may use the model (or plain service), by its endpoint
+  // sets.
+  Reach ReachOfModel(const TeamId& team, const ModelName& model) const;
+  Reach ReachOfService(const TeamId& team, const std::string& service) const;
+
+  // Whether the team may use this endpoint for this model or service.
+  bool MayUse(const TeamId& team, const EndpointId& endpoint,
+              const std::string& model_or_service) const;
+
+  const std::unordered_map<TeamId, wire::TeamT>& Teams() const {
+    return m_teams;
+  }
+  const std::unordered_map<BudgetId, wire::BudgetT>& Budgets() const {
+    return m_budgets;
+  }
+  const std::unordered_map<std::string, wire::EndpointSetT>& EndpointSets()
+      const {
+    return m_endpoint_sets;
+  }
+  const std::unordered_map<ModelName, wire::ModelPlacementT>& Placements()
+      const {
+    return m_placements;
+  }
+
+ private:
+  struct KeyHasher {
+    size_t operator()(const KeyHash& hash) const;
+  };
+  void ApplyOne(const wire::ChangeT& change);
+
+  uint64_t m_version = 0;
+  std::unordered_map<TeamId, wire::TeamT> m_teams;
+  std::unordered_map<std::string, wire::ApiKeyT> m_keys;
+  std::unordered_map<KeyHash, TeamId, KeyHasher> m_team_by_key;
+  std::unordered_map<BudgetId, wire::BudgetT> m_budgets;
+  std::unordered_map<TeamId, std::vector<BudgetId>> m_budgets_of_team;
+  std::unordered_map<std::string, wire::EndpointSetT> m_endpoint_sets;
+  std::unordered_map<ModelName, wire::ModelPlacementT> m_placements;
+};
+
+}  // namespace dotterelshift::state
+
+#endif  // DOTTERELSHIFT_STATE_CONFIGURATION_H_
--- /dev/null
+++ b/tools/fake_endpoint/main.cc
@@ -0,0 +1,1 @@
+int main() { return 0; }
