--- a/include/dotterelshift/state/configuration.h
+++ b/include/dotterelshift/state/configuration.h
@@ -3,6 +3,7 @@
 
 #include <array>          // for array
 #include <cstdint>        // for uint64_t
+#include <functional>     // for function
 #include <optional>       // for optional
 #include <span>           // for span
 #include <string>         // for string
@@ -31,6 +32,10 @@
 // state.h).
 class Configuration {
  public:
+  Configuration() = default;
+  Configuration(Configuration&&) = default;
+  Configuration& operator=(Configuration&&) = default;
+
   uint64_t Version() const { return m_version; }
 
   // Brings the configuration to `version` by a plan's changes. Changes that do
@@ -53,7 +58,8 @@
   std::vector<BudgetId> BudgetsOf(const TeamId& team) const;
 
   // Whether the team may use the model (or plain service), by its endpoint
-  // sets.
+  // sets. A set allows the models and services it names, on the endpoints it
+  // names; one that names no endpoint allows every endpoint.
   Reach ReachOfModel(const TeamId& team, const ModelName& model) const;
   Reach ReachOfService(const TeamId& team, const std::string& service) const;
 
@@ -80,14 +86,28 @@
   struct KeyHasher {
     size_t operator()(const KeyHash& hash) const;
   };
+  // Compares in constant time.
+  struct KeyEqual {
+    bool operator()(const KeyHash& a, const KeyHash& b) const;
+  };
+  using SetTest = std::function<bool(const wire::EndpointSetT&)>;
+  // Whether one of the team's sets passes the test.
+  bool AnySetOf(const TeamId& team, const SetTest& test) const;
   void ApplyOne(const wire::ChangeT& change);
+  void UpsertKey(const wire::ApiKeyT& key);
+  void RemoveKey(const std::string& id);
+  void UpsertBudget(const wire::BudgetT& budget);
+  void RemoveTeam(const TeamId& id);
 
   uint64_t m_version = 0;
   std::unordered_map<TeamId, wire::TeamT> m_teams;
   std::unordered_map<std::string, wire::ApiKeyT> m_keys;
-  std::unordered_map<KeyHash, TeamId, KeyHasher> m_team_by_key;
+  // Ids of keys by hash.
+  std::unordered_map<KeyHash, const std::string*, KeyHasher, KeyEqual>
+      m_key_by_hash;
   std::unordered_map<BudgetId, wire::BudgetT> m_budgets;
-  std::unordered_map<TeamId, std::vector<BudgetId>> m_budgets_of_team;
+  // Sorted by id; the strings are those of m_budgets.
+  std::unordered_map<TeamId, std::vector<const BudgetId*>> m_budgets_of_team;
   std::unordered_map<std::string, wire::EndpointSetT> m_endpoint_sets;
   std::unordered_map<ModelName, wire::ModelPlacementT> m_placements;
 };
