Peers: framed connections between daemons, proved by a keyed hash

Cause: every other package needs a way between daemons. Weighed: one connection for each direction (simple, twice the sockets) against one for each pair with a rule that both sides apply alone when dials cross; taken the second. Before: nothing. Conclusion: bad input closes its connection and counts, the process and other peers go on.

--- /dev/null
+++ b/src/dotterelshift/peers/hub.cc
@@ -0,0 +1,462 @@
+#include "dotterelshift/peers/hub.h"
+
+#include <fcntl.h>        // for O_NONBLOCK
+#include <netinet/tcp.h>  // for TCP_NODELAY
+#include <sys/socket.h>   // for socket
+#include <unistd.h>       // for close
+
+#include <algorithm>      // for min
+#include <array>          // for array
+#include <cerrno>         // for errno
+#include <map>            // for map
+#include <random>         // for mt19937_64
+#include <unordered_map>  // for unordered_map
+#include <utility>        // for move
+
+#include "dotterelshift/base/address.h"        // for ParseAddress
+#include "dotterelshift/base/error.h"          // for Error
+#include "dotterelshift/loop/loop.h"           // for Loop
+#include "dotterelshift/peers/frame_buffer.h"  // for FrameReader
+#include "dotterelshift/peers/handshake.h"     // for Handshake
+
+namespace dotterelshift::peers {
+namespace {
+
+constexpr size_t kReadBytes = 256 << 10;
+constexpr int kListenBacklog = 512;
+
+// Owns a socket.
+class Socket {
+ public:
+  explicit Socket(int descriptor) : m_descriptor(descriptor) {}
+  ~Socket() { close(m_descriptor); }
+  Socket(const Socket&) = delete;
+  Socket& operator=(const Socket&) = delete;
+  int Get() const { return m_descriptor; }
+
+ private:
+  int m_descriptor;
+};
+
+int NewTcpSocket() {
+  const int descriptor =
+      socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (descriptor < 0)
+    throw Error(ErrorKind::kInternal, "no socket can be made");
+  return descriptor;
+}
+
+void SetNoDelay(int descriptor) {
+  const int on = 1;
+  setsockopt(descriptor, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+}
+
+// One connection, from its first byte to its end.
+struct Connection {
+  Connection(int descriptor, bool dialled, const HubOptions& options)
+      : socket(descriptor),
+        dialled(dialled),
+        reader(options.max_frame_bytes),
+        handshake(options.fleet, options.secret, options.self) {}
+
+  Socket socket;
+  bool dialled;              // by this side
+  std::string dial_address;  // when dialled
+  bool connecting = false;
+  bool up = false;  // both sides proved
+  bool closed = false;
+  FrameReader reader;
+  Handshake handshake;
+  std::string out;
+  size_t out_sent = 0;
+  bool watching_writes = false;
+  Instant opened;
+  Instant last_in;
+  Instant last_out;
+  PeerInfo peer;
+  std::unique_ptr<loop::IoWatcher> watcher;
+
+  size_t Unsent() const { return out.size() - out_sent; }
+};
+using ConnectionPtr = std::shared_ptr<Connection>;
+
+// An address that a connection is kept to.
+struct DialTarget {
+  std::string address;
+  HostId host;  // whom was met there; empty: nobody yet
+  ConnectionPtr connection;
+  Duration delay{};
+  Instant next{};
+};
+
+class TcpHub : public Hub {
+ public:
+  TcpHub(loop::Loop& loop, const HubOptions& options, HubCallbacks callbacks)
+      : m_loop(loop),
+        m_options(options),
+        m_callbacks(std::move(callbacks)),
+        m_random(options.seed),
+        m_listener(NewTcpSocket()),
+        m_timer(loop, [this] { OnTimer(); }),
+        m_prepare(loop, [this] { FlushAll(); }) {
+    Listen();
+    for (const std::string& address : options.dial) Dial(address);
+    m_timer.ArmIn(0ms);
+  }
+
+  bool Send(const HostId& host, const wire::FrameT& frame) override {
+    const auto found = m_by_host.find(host);
+    if (found == m_by_host.end()) return false;
+    SendOn(*found->second, frame);
+    return !found->second->closed;
+  }
+
+  std::vector<PeerInfo> Peers() const override {
+    std::vector<PeerInfo> peers;
+    for (const auto& [host, connection] : m_by_host)
+      peers.push_back(connection->peer);
+    return peers;
+  }
+
+  void Dial(const std::string& address) override {
+    if (address == m_options.self.address) return;
+    if (!ParseAddress(address))
+      throw Error(ErrorKind::kBadSettings, "not an IP:port: " + address);
+    const bool known = std::ranges::any_of(
+        m_targets, [&](const DialTarget& t) { return t.address == address; });
+    if (!known)
+      m_targets.push_back(
+          {address, {}, nullptr, m_options.reconnect_least, m_loop.Now()});
+  }
+
+  uint16_t Port() const override { return m_port; }
+  const HubCounters& Counters() const override { return m_counters; }
+
+ private:
+  void Listen();
+  void OnAcceptable();
+  void OnTimer();
+  void DialDue(DialTarget& target, Instant now);
+  void CheckAge(const ConnectionPtr& connection, Instant now);
+  ConnectionPtr Adopt(int descriptor, bool dialled);
+  void OnEvents(const ConnectionPtr& connection, int events);
+  void OnConnected(const ConnectionPtr& connection);
+  void ReadFrom(const ConnectionPtr& connection);
+  bool OnFrame(const ConnectionPtr& connection, wire::FrameT frame);
+  bool OnHandshakeFrame(const ConnectionPtr& connection,
+                        const wire::FrameT& frame);
+  bool OnProved(const ConnectionPtr& connection);
+  bool Supersedes(const Connection& fresh, const Connection& standing) const;
+  void SendOn(Connection& connection, const wire::FrameT& frame);
+  void Flush(Connection& connection);
+  void FlushAll();
+  void Close(const ConnectionPtr& connection);
+  void Delay(DialTarget& target, Instant now);
+
+  loop::Loop& m_loop;
+  HubOptions m_options;
+  HubCallbacks m_callbacks;
+  HubCounters m_counters;
+  std::mt19937_64 m_random;
+  Socket m_listener;
+  uint16_t m_port = 0;
+  std::unique_ptr<loop::IoWatcher> m_accept_watcher;
+  loop::Timer m_timer;
+  loop::PrepareWatcher m_prepare;
+  FrameWriter m_writer;
+  std::vector<ConnectionPtr> m_connections;
+  std::unordered_map<HostId, ConnectionPtr> m_by_host;
+  std::vector<DialTarget> m_targets;
+  std::array<char, kReadBytes> m_read_buffer;
+};
+
+void TcpHub::Listen() {
+  const auto address =
+      MakeAddress(m_options.listen_address, m_options.listen_port);
+  if (!address)
+    throw Error(ErrorKind::kBadSettings,
+                "not an IP number: " + m_options.listen_address);
+  const int on = 1;
+  setsockopt(m_listener.Get(), SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+  sockaddr_in bound{};
+  socklen_t length = sizeof bound;
+  const auto* wanted = reinterpret_cast<const sockaddr*>(&*address);
+  if (bind(m_listener.Get(), wanted, sizeof *address) != 0 ||
+      listen(m_listener.Get(), kListenBacklog) != 0 ||
+      getsockname(m_listener.Get(), reinterpret_cast<sockaddr*>(&bound),
+                  &length) != 0) {
+    throw Error(ErrorKind::kBadSettings,
+                "cannot listen on " + m_options.listen_address + ":" +
+                    std::to_string(m_options.listen_port));
+  }
+  m_port = ntohs(bound.sin_port);
+  m_options.self.address =
+      m_options.listen_address + ":" + std::to_string(m_port);
+  m_accept_watcher = std::make_unique<loop::IoWatcher>(
+      m_loop, m_listener.Get(), EV_READ, [this](int) { OnAcceptable(); });
+}
+
+void TcpHub::OnAcceptable() {
+  while (true) {
+    const int descriptor = accept4(m_listener.Get(), nullptr, nullptr,
+                                   SOCK_NONBLOCK | SOCK_CLOEXEC);
+    if (descriptor < 0) return;
+    Adopt(descriptor, false);
+  }
+}
+
+ConnectionPtr TcpHub::Adopt(int descriptor, bool dialled) {
+  SetNoDelay(descriptor);
+  auto connection =
+      std::make_shared<Connection>(descriptor, dialled, m_options);
+  connection->opened = m_loop.Now();
+  connection->last_in = connection->opened;
+  connection->last_out = connection->opened;
+  ++m_counters.connections;
+  const std::weak_ptr<Connection> weak = connection;
+  connection->watcher = std::make_unique<loop::IoWatcher>(
+      m_loop, descriptor, EV_READ, [this, weak](int events) {
+        if (const ConnectionPtr held = weak.lock()) OnEvents(held, events);
+      });
+  m_connections.push_back(connection);
+  wire::FrameT hello;
+  hello.body.Set(wire::HelloT(connection->handshake.Hello()));
+  SendOn(*connection, hello);
+  return connection;
+}
+
+void TcpHub::DialDue(DialTarget& target, Instant now) {
+  if (target.connection != nullptr && target.connection->closed) {
+    target.connection.reset();
+    Delay(target, now);
+  }
+  if (target.connection != nullptr || now < target.next) return;
+  // The other side may have dialled us already.
+  if (!target.host.empty() && m_by_host.contains(target.host)) return;
+  for (const auto& [host, connection] : m_by_host) {
+    if (connection->peer.address == target.address) return;
+  }
+  const auto address = ParseAddress(target.address);
+  const int descriptor = NewTcpSocket();
+  const int result =
+      connect(descriptor, reinterpret_cast<const sockaddr*>(&*address),
+              sizeof *address);
+  if (result != 0 && errno != EINPROGRESS) {
+    close(descriptor);
+    Delay(target, now);
+    return;
+  }
+  target.connection = Adopt(descriptor, true);
+  target.connection->dial_address = target.address;
+  target.connection->connecting = true;
+  target.connection->watching_writes = true;
+  target.connection->watcher->SetEvents(EV_READ | EV_WRITE);
+}
+
+void TcpHub::Delay(DialTarget& target, Instant now) {
+  std::uniform_real_distribution<double> jitter(0.5, 1.0);
+  target.next = now + std::chrono::duration_cast<Duration>(target.delay *
+                                                           jitter(m_random));
+  target.delay = std::min(target.delay * 2, m_options.reconnect_most);
+}
+
+void TcpHub::OnTimer() {
+  const Instant now = m_loop.Now();
+  for (const ConnectionPtr& connection :
+       std::vector<ConnectionPtr>(m_connections))
+    CheckAge(connection, now);
+  std::erase_if(m_connections, [](const ConnectionPtr& connection) {
+    return connection->closed;
+  });
+  for (DialTarget& target : m_targets) DialDue(target, now);
+  m_timer.ArmIn(m_options.reconnect_least / 2);
+}
+
+void TcpHub::CheckAge(const ConnectionPtr& connection, Instant now) {
+  if (connection->closed) return;
+  const bool mute =
+      !connection->up && now - connection->opened > m_options.hello_timeout;
+  const bool silent =
+      connection->up && now - connection->last_in > m_options.silence_timeout;
+  if (mute || silent) {
+    Close(connection);
+    return;
+  }
+  if (connection->up &&
+      now - connection->last_out > m_options.silence_timeout / 4) {
+    FrameWriter::AppendSignOfLife(&connection->out);
+    connection->last_out = now;
+  }
+}
+
+void TcpHub::OnEvents(const ConnectionPtr& connection, int events) {
+  if ((events & EV_WRITE) != 0) {
+    if (connection->connecting) OnConnected(connection);
+    if (!connection->closed) Flush(*connection);
+    if (connection->closed) Close(connection);
+  }
+  if ((events & EV_READ) != 0 && !connection->closed) ReadFrom(connection);
+}
+
+void TcpHub::OnConnected(const ConnectionPtr& connection) {
+  int failure = 0;
+  socklen_t length = sizeof failure;
+  getsockopt(connection->socket.Get(), SOL_SOCKET, SO_ERROR, &failure, &length);
+  connection->connecting = false;
+  if (failure != 0) Close(connection);
+}
+
+void TcpHub::ReadFrom(const ConnectionPtr& connection) {
+  const ssize_t count = recv(connection->socket.Get(), m_read_buffer.data(),
+                             m_read_buffer.size(), 0);
+  if (count < 0 && (errno == EAGAIN || errno == EINTR)) return;
+  if (count <= 0) {
+    Close(connection);
+    return;
+  }
+  m_counters.bytes_in += count;
+  connection->last_in = m_loop.Now();
+  const std::string_view bytes(m_read_buffer.data(), count);
+  const ReadResult result =
+      connection->reader.Read(bytes, [&](wire::FrameT frame) {
+        return OnFrame(connection, std::move(frame));
+      });
+  if (result == ReadResult::kOversized) ++m_counters.oversized_frames;
+  if (result == ReadResult::kBad) ++m_counters.bad_frames;
+  if (result != ReadResult::kOk) Close(connection);
+}
+
+bool TcpHub::OnFrame(const ConnectionPtr& connection, wire::FrameT frame) {
+  ++m_counters.frames_in;
+  if (!connection->up) {
+    if (OnHandshakeFrame(connection, frame)) return true;
+    ++m_counters.refused_hellos;
+    Close(connection);
+    return false;
+  }
+  if (m_callbacks.on_frame)
+    m_callbacks.on_frame(connection->peer, std::move(frame));
+  return !connection->closed;
+}
+
+bool TcpHub::OnHandshakeFrame(const ConnectionPtr& connection,
+                              const wire::FrameT& frame) {
+  Handshake& handshake = connection->handshake;
+  if (const wire::HelloT* hello = frame.body.AsHello()) {
+    if (!handshake.TakeHello(*hello)) return false;
+    wire::FrameT answer;
+    answer.body.Set(handshake.Proof());
+    SendOn(*connection, answer);
+    return true;
+  }
+  const wire::HelloProofT* proof = frame.body.AsHelloProof();
+  if (proof == nullptr || !handshake.HasPeer() || !handshake.Proves(*proof))
+    return false;
+  return OnProved(connection);
+}
+
+// Of two connections between the same two hosts both sides keep the same one.
+bool TcpHub::Supersedes(const Connection& fresh,
+                        const Connection& standing) const {
+  if (fresh.peer.run.incarnation != standing.peer.run.incarnation) {
+    return fresh.peer.run.incarnation > standing.peer.run.incarnation;
+  }
+  // The same side has dialled again: it has seen the end of the standing one
+  // before us.
+  if (fresh.dialled == standing.dialled) return true;
+  const bool ours_goes_first = m_options.self.run.host < fresh.peer.run.host;
+  return fresh.dialled == ours_goes_first;
+}
+
+bool TcpHub::OnProved(const ConnectionPtr& connection) {
+  connection->peer = connection->handshake.Peer();
+  for (DialTarget& target : m_targets) {
+    if (target.connection != connection) continue;
+    target.host = connection->peer.run.host;
+    target.delay = m_options.reconnect_least;
+  }
+  const auto standing = m_by_host.find(connection->peer.run.host);
+  if (standing != m_by_host.end()) {
+    const ConnectionPtr old = standing->second;
+    if (!Supersedes(*connection, *old)) {
+      Close(connection);
+      return false;
+    }
+    Close(old);
+  }
+  connection->up = true;
+  m_by_host[connection->peer.run.host] = connection;
+  if (m_callbacks.on_up) m_callbacks.on_up(connection->peer);
+  return !connection->closed;
+}
+
+void TcpHub::SendOn(Connection& connection, const wire::FrameT& frame) {
+  if (connection.closed) return;
+  m_writer.Append(frame, &connection.out);
+  ++m_counters.frames_out;
+}
+
+// Sends what is there. A failure only marks the connection; FlushAll() closes
+// it, outside of any caller's loop.
+void TcpHub::Flush(Connection& connection) {
+  while (connection.Unsent() > 0) {
+    const char* data = connection.out.data() + connection.out_sent;
+    const ssize_t count =
+        send(connection.socket.Get(), data, connection.Unsent(), MSG_NOSIGNAL);
+    if (count < 0 && errno == EINTR) continue;
+    if (count < 0 && errno != EAGAIN) connection.closed = true;
+    if (count <= 0) break;
+    connection.out_sent += count;
+    m_counters.bytes_out += count;
+    connection.last_out = m_loop.Now();
+  }
+  if (connection.Unsent() == 0) {
+    connection.out.clear();
+    connection.out_sent = 0;
+  } else if (connection.out_sent > kReadBytes) {
+    connection.out.erase(0, connection.out_sent);
+    connection.out_sent = 0;
+  }
+  const bool wants_writes = connection.Unsent() > 0;
+  if (wants_writes != connection.watching_writes) {
+    connection.watching_writes = wants_writes;
+    connection.watcher->SetEvents(wants_writes ? EV_READ | EV_WRITE : EV_READ);
+  }
+}
+
+void TcpHub::FlushAll() {
+  for (size_t i = 0; i < m_connections.size(); ++i) {
+    const ConnectionPtr connection = m_connections[i];
+    const bool lost_before =
+        connection->closed && connection->watcher == nullptr;
+    if (lost_before || connection->connecting) continue;
+    if (!connection->closed && connection->Unsent() > 0 &&
+        !connection->watching_writes)
+      Flush(*connection);
+    if (connection->closed ||
+        connection->Unsent() > m_options.max_backlog_bytes)
+      Close(connection);
+  }
+}
+
+void TcpHub::Close(const ConnectionPtr& connection) {
+  if (connection->watcher == nullptr) return;
+  connection->closed = true;
+  connection->watcher.reset();
+  shutdown(connection->socket.Get(), SHUT_RDWR);
+  const auto standing = m_by_host.find(connection->peer.run.host);
+  if (connection->up && standing != m_by_host.end() &&
+      standing->second == connection) {
+    m_by_host.erase(standing);
+    if (m_callbacks.on_down) m_callbacks.on_down(connection->peer);
+  }
+}
+
+}  // namespace
+
+std::unique_ptr<Hub> MakeHub(loop::Loop& loop, const HubOptions& options,
+                             HubCallbacks callbacks) {
+  return std::make_unique<TcpHub>(loop, options, std::move(callbacks));
+}
+
+}  // namespace dotterelshift::peers
