Loop: prepare watchers have priorities

Cause: frames sent by a later prepare watcher of the same turn waited for the next timer (up to 25 ms). Before: order by registration; after: the hub flushes last. Conclusion: a frame leaves in the turn that made it.

--- a/include/dotterelshift/loop/loop.h
+++ b/include/dotterelshift/loop/loop.h
@@ -79,7 +79,9 @@
 class PrepareWatcher {
  public:
   using Callback = std::function<void()>;
-  PrepareWatcher(Loop& loop, Callback callback);
+  // Of several, those of a higher priority (EV_MINPRI to EV_MAXPRI) are called
+  // first.
+  PrepareWatcher(Loop& loop, Callback callback, int priority = 0);
   ~PrepareWatcher();
   PrepareWatcher(const PrepareWatcher&) = delete;
   PrepareWatcher& operator=(const PrepareWatcher&) = delete;
--- a/src/dotterelshift/loop/loop.cc
+++ b/src/dotterelshift/loop/loop.cc
@@ -69,9 +69,10 @@
   static_cast<Timer*>(watcher->data)->m_callback();
 }
 
-PrepareWatcher::PrepareWatcher(Loop& loop, Callback callback)
+PrepareWatcher::PrepareWatcher(Loop& loop, Callback callback, int priority)
     : m_loop(loop), m_watcher(), m_callback(std::move(callback)) {
   ev_prepare_init(&m_watcher, OnEvent);
+  ev_set_priority(&m_watcher, priority);
   m_watcher.data = this;
   ev_prepare_start(m_loop.Raw(), &m_watcher);
 }
--- a/src/dotterelshift/peers/frame_buffer.cc
+++ b/src/dotterelshift/peers/frame_buffer.cc
@@ -11,10 +11,10 @@
 constexpr flatbuffers::uoffset_t kMaxDepth = 16;
 constexpr flatbuffers::uoffset_t kMaxTables = 4'000'000;
 
-uint32_t LengthAt(std::string_view bytes) {
+uint32_t LengthAt(const std::string& bytes, size_t position) {
   uint32_t length = 0;
   for (size_t i = kLengthBytes; i > 0; --i)
-    length = length << 8 | static_cast<uint8_t>(bytes[i - 1]);
+    length = length << 8 | static_cast<uint8_t>(bytes[position + i - 1]);
   return length;
 }
 
@@ -30,8 +30,7 @@
   m_pending.append(bytes);
   size_t position = 0;
   while (m_pending.size() - position >= kLengthBytes) {
-    const uint32_t length =
-        LengthAt(std::string_view(m_pending).substr(position));
+    const uint32_t length = LengthAt(m_pending, position);
     if (length > m_max_frame_bytes) return ReadResult::kOversized;
     if (m_pending.size() - position - kLengthBytes < length) break;
     position += kLengthBytes;
--- a/src/dotterelshift/peers/hub.cc
+++ b/src/dotterelshift/peers/hub.cc
@@ -98,7 +98,8 @@
         m_random(options.seed),
         m_listener(NewTcpSocket()),
         m_timer(loop, [this] { OnTimer(); }),
-        m_prepare(loop, [this] { FlushAll(); }) {
+        m_prepare(
+            loop, [this] { FlushAll(); }, EV_MINPRI) {
     Listen();
     for (const std::string& address : options.dial) Dial(address);
     m_timer.ArmIn(0ms);
@@ -162,6 +163,8 @@
   uint16_t m_port = 0;
   std::unique_ptr<loop::IoWatcher> m_accept_watcher;
   loop::Timer m_timer;
+  // Last of all, so that what the other watchers of the turn have sent leaves
+  // in this turn.
   loop::PrepareWatcher m_prepare;
   FrameWriter m_writer;
   std::vector<ConnectionPtr> m_connections;
