State, ledger and planner: every command, grants with a standing part

A dead holder's grant is taken back only as far as it cannot have been spent: openings without a settlement and the standing part (what may be spent without an opening when cut off) count as lost until a spool or an operator's second retirement settles them. Schema: GrantAnswer.standing, ReturnGrant.standing,

OnOpeningRefused. State: KnowsTopUp. Configuration: FindKey.

--- a/include/dotterelshift/budget/ledger.h
+++ b/include/dotterelshift/budget/ledger.h
@@ -32,10 +32,17 @@
       250ms;  // an ask that has no answer is sent again, with the same id
   Duration refusal_memory = 500ms;  // how long "nothing free" is believed
                                     // before the leader is asked again
+  Duration cut_off_patience =
+      2s;  // refusals first: so long an interruption is waited out
 };
 
 enum class ReserveResult {
-  kReserved,
+  kReserved,          // have the opening committed before the attempt is
+                      // dispatched; whatever comes of it, end it by Settle()
+                      // and a wire::Settle with the same attempt
+  kReservedStanding,  // from the standing part: dispatch at once, without an
+                      // opening; end it by SettleStanding() and a wire::Settle
+                      // with witnessed = false
   kWait,       // more was asked for; try again when OnGrant or Settle frees
                // something
   kExhausted,  // control said that nothing is free and nothing comes back
@@ -47,10 +54,14 @@
   enum class Kind { kAsk, kReturn } kind = Kind::kAsk;
   Tokens wanted = 0;   // ask: what the demand suggests; return: what flows back
   Tokens minimum = 0;  // ask: below this it does not help
+  Tokens standing = 0;  // return: by how much the standing part shrinks with it
+  Tokens demand_per_second = 0;
 };
 
 // What one entry holds of the budgets, and what is reserved of it. Never lets
-// reserved exceed held.
+// reserved exceed held. Part of a holding may be standing: only as much as that
+// is ever spent without a committed opening, and control counts it as spent
+// when this run dies.
 class Ledger {
  public:
   virtual ~Ledger() = default;
@@ -70,6 +81,22 @@
   virtual void Settle(BudgetHandle budget, Tokens reserved, Tokens spent,
                       Instant now) = 0;
 
+  // The same for a reservation out of the standing part.
+  virtual void SettleStanding(BudgetHandle budget, Tokens reserved,
+                              Tokens spent, Instant now) = 0;
+
+  // An opening whose commit is in doubt because the leader went out of reach:
+  // true when the attempt may be dispatched all the same, as one that was
+  // reserved from the standing part.
+  virtual bool MoveToStanding(BudgetHandle budget, Tokens reserved,
+                              Instant now) = 0;
+
+  // Control refused the opening of an attempt: its reservation ends unspent,
+  // and what is not reserved leaves the holding, because control no longer
+  // counts it as this entry's.
+  virtual void OnOpeningRefused(BudgetHandle budget, Tokens reserved,
+                                Instant now) = 0;
+
   // Control's answer to an ask: tokens > 0 are held from now on.
   virtual void OnGrant(BudgetHandle budget, const wire::GrantAnswerT& answer,
                        Instant now) = 0;
@@ -88,6 +115,7 @@
 
   virtual Tokens Held(BudgetHandle budget) const = 0;
   virtual Tokens Reserved(BudgetHandle budget) const = 0;
+  virtual Tokens Standing(BudgetHandle budget) const = 0;
   virtual Tokens DemandPerSecond(BudgetHandle budget, Instant now) const = 0;
   virtual std::vector<BudgetHandle> All() const = 0;
   virtual std::optional<Instant> NextDue() const = 0;
--- a/include/dotterelshift/state/configuration.h
+++ b/include/dotterelshift/state/configuration.h
@@ -49,6 +49,7 @@
   // Null when there is no such thing. Pointers hold until the next Apply().
   const wire::TeamT* FindTeam(const TeamId& id) const;
   const wire::TeamT* FindTeamByKey(const KeyHash& hash) const;
+  const wire::ApiKeyT* FindKey(const std::string& id) const;
   const wire::BudgetT* FindBudget(const BudgetId& id) const;
   const wire::EndpointSetT* FindEndpointSet(const std::string& id) const;
   const wire::ModelPlacementT* FindPlacement(const ModelName& model) const;
--- a/include/dotterelshift/state/state.h
+++ b/include/dotterelshift/state/state.h
@@ -31,8 +31,11 @@
 // What one run of an entry holds of one budget.
 struct Holding {
   HostRun holder;
-  Tokens tokens = 0;  // granted, not yet settled or returned
-  Tokens opened = 0;  // of it: committed openings without a settlement
+  Tokens tokens = 0;    // granted, not yet settled or returned
+  Tokens opened = 0;    // of it: committed openings without a settlement
+  Tokens standing = 0;  // how much may have been spent without an opening
+  bool dead = false;    // a newer run or a retirement proved it gone: what is
+                        // left counts as lost
   Tokens demand_per_second = 0;
 };
 
@@ -67,8 +70,22 @@
   uint32_t quarantine_after = 3;  // distinct endpoints that died on a content
   WallMs quarantine_ms = 600'000;
   WallMs suspect_memory_ms = 3'600'000;
+  WallMs expired_key_ms = 30 * 24 * 3600 * 1000LL;  // how long the keys of aged
+                                                    // requests are recognised
+  WallMs plan_age_out_ms = 24 * 3600 * 1000LL;      // plans never confirmed
+  WallMs confirmed_plan_ms = 30 * 24 * 3600 * 1000LL;  // first answers of
+                                                       // confirmed plans
+  size_t changes_kept = 4096;  // of confirmed plans, for ChangesSince()
+  WallMs lease_ms = 2'000;     // GrantWay::ClockLease: silence after which the
+                               // unopened part may be given to others
+  int64_t days_kept = 400;     // of the reports
 };
 
+// A request key that an entry made up itself begins with this; a caller's key
+// may not. Nobody can send such a key again later, so it is not remembered
+// once its request has aged out.
+inline constexpr char kGeneratedKeyPrefix = '~';
+
 // The state that the log's commands make. Deterministic: the same batches give
 // the same state, answers and snapshot bytes on every replica. Knows no clock;
 // time comes as the stamp of a batch and never falls.
@@ -95,6 +112,8 @@
   virtual const BudgetAccount* FindAccount(const BudgetId& budget) const = 0;
   virtual std::vector<Holding> HoldingsOf(const BudgetId& budget) const = 0;
   virtual const wire::PlanT* FindPlan(const std::string& plan) const = 0;
+  // Whether a top-up of this id was counted before.
+  virtual bool KnowsTopUp(const std::string& top_up) const = 0;
   virtual std::vector<wire::OrderT> Orders() const = 0;
   virtual std::vector<wire::SuspectAnswerT> Quarantined(WallMs now) const = 0;
   struct HostEntry {
--- a/include/dotterelshift/wire/commands_generated.h
+++ b/include/dotterelshift/wire/commands_generated.h
@@ -3593,6 +3593,7 @@
   typedef ReturnGrant TableType;
   std::string budget{};
   int64_t tokens = 0;
+  int64_t standing = 0;
 };
 
 struct ReturnGrant FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -3601,7 +3602,8 @@
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_BUDGET = 4,
-    VT_TOKENS = 6
+    VT_TOKENS = 6,
+    VT_STANDING = 8
   };
   const flatbuffers::String *budget() const {
     return GetPointer<const flatbuffers::String *>(VT_BUDGET);
@@ -3609,11 +3611,15 @@
   int64_t tokens() const {
     return GetField<int64_t>(VT_TOKENS, 0);
   }
+  int64_t standing() const {
+    return GetField<int64_t>(VT_STANDING, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_BUDGET) &&
            verifier.VerifyString(budget()) &&
            VerifyField<int64_t>(verifier, VT_TOKENS, 8) &&
+           VerifyField<int64_t>(verifier, VT_STANDING, 8) &&
            verifier.EndTable();
   }
   ReturnGrantT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3631,6 +3637,9 @@
   void add_tokens(int64_t tokens) {
     fbb_.AddElement<int64_t>(ReturnGrant::VT_TOKENS, tokens, 0);
   }
+  void add_standing(int64_t standing) {
+    fbb_.AddElement<int64_t>(ReturnGrant::VT_STANDING, standing, 0);
+  }
   explicit ReturnGrantBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3645,8 +3654,10 @@
 inline flatbuffers::Offset<ReturnGrant> CreateReturnGrant(
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::String> budget = 0,
-    int64_t tokens = 0) {
+    int64_t tokens = 0,
+    int64_t standing = 0) {
   ReturnGrantBuilder builder_(_fbb);
+  builder_.add_standing(standing);
   builder_.add_tokens(tokens);
   builder_.add_budget(budget);
   return builder_.Finish();
@@ -3660,12 +3671,14 @@
 inline flatbuffers::Offset<ReturnGrant> CreateReturnGrantDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *budget = nullptr,
-    int64_t tokens = 0) {
+    int64_t tokens = 0,
+    int64_t standing = 0) {
   auto budget__ = budget ? _fbb.CreateString(budget) : 0;
   return dotterelshift::wire::CreateReturnGrant(
       _fbb,
       budget__,
-      tokens);
+      tokens,
+      standing);
 }
 
 flatbuffers::Offset<ReturnGrant> CreateReturnGrant(flatbuffers::FlatBufferBuilder &_fbb, const ReturnGrantT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -5043,6 +5056,7 @@
   int64_t tokens = 0;
   int64_t free = 0;
   int64_t elsewhere = 0;
+  int64_t standing = 0;
 };
 
 struct GrantAnswer FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -5053,7 +5067,8 @@
     VT_BUDGET = 4,
     VT_TOKENS = 6,
     VT_FREE = 8,
-    VT_ELSEWHERE = 10
+    VT_ELSEWHERE = 10,
+    VT_STANDING = 12
   };
   const flatbuffers::String *budget() const {
     return GetPointer<const flatbuffers::String *>(VT_BUDGET);
@@ -5067,6 +5082,9 @@
   int64_t elsewhere() const {
     return GetField<int64_t>(VT_ELSEWHERE, 0);
   }
+  int64_t standing() const {
+    return GetField<int64_t>(VT_STANDING, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_BUDGET) &&
@@ -5074,6 +5092,7 @@
            VerifyField<int64_t>(verifier, VT_TOKENS, 8) &&
            VerifyField<int64_t>(verifier, VT_FREE, 8) &&
            VerifyField<int64_t>(verifier, VT_ELSEWHERE, 8) &&
+           VerifyField<int64_t>(verifier, VT_STANDING, 8) &&
            verifier.EndTable();
   }
   GrantAnswerT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -5097,6 +5116,9 @@
   void add_elsewhere(int64_t elsewhere) {
     fbb_.AddElement<int64_t>(GrantAnswer::VT_ELSEWHERE, elsewhere, 0);
   }
+  void add_standing(int64_t standing) {
+    fbb_.AddElement<int64_t>(GrantAnswer::VT_STANDING, standing, 0);
+  }
   explicit GrantAnswerBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -5113,8 +5135,10 @@
     flatbuffers::Offset<flatbuffers::String> budget = 0,
     int64_t tokens = 0,
     int64_t free = 0,
-    int64_t elsewhere = 0) {
+    int64_t elsewhere = 0,
+    int64_t standing = 0) {
   GrantAnswerBuilder builder_(_fbb);
+  builder_.add_standing(standing);
   builder_.add_elsewhere(elsewhere);
   builder_.add_free(free);
   builder_.add_tokens(tokens);
@@ -5132,14 +5156,16 @@
     const char *budget = nullptr,
     int64_t tokens = 0,
     int64_t free = 0,
-    int64_t elsewhere = 0) {
+    int64_t elsewhere = 0,
+    int64_t standing = 0) {
   auto budget__ = budget ? _fbb.CreateString(budget) : 0;
   return dotterelshift::wire::CreateGrantAnswer(
       _fbb,
       budget__,
       tokens,
       free,
-      elsewhere);
+      elsewhere,
+      standing);
 }
 
 flatbuffers::Offset<GrantAnswer> CreateGrantAnswer(flatbuffers::FlatBufferBuilder &_fbb, const GrantAnswerT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -6556,6 +6582,7 @@
   (void)_resolver;
   { auto _e = budget(); if (_e) _o->budget = _e->str(); }
   { auto _e = tokens(); _o->tokens = _e; }
+  { auto _e = standing(); _o->standing = _e; }
 }
 
 inline flatbuffers::Offset<ReturnGrant> ReturnGrant::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ReturnGrantT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -6568,10 +6595,12 @@
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const ReturnGrantT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _budget = _o->budget.empty() ? 0 : _fbb.CreateString(_o->budget);
   auto _tokens = _o->tokens;
+  auto _standing = _o->standing;
   return dotterelshift::wire::CreateReturnGrant(
       _fbb,
       _budget,
-      _tokens);
+      _tokens,
+      _standing);
 }
 
 inline OpenAttemptT *OpenAttempt::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -7039,6 +7068,7 @@
   { auto _e = tokens(); _o->tokens = _e; }
   { auto _e = free(); _o->free = _e; }
   { auto _e = elsewhere(); _o->elsewhere = _e; }
+  { auto _e = standing(); _o->standing = _e; }
 }
 
 inline flatbuffers::Offset<GrantAnswer> GrantAnswer::Pack(flatbuffers::FlatBufferBuilder &_fbb, const GrantAnswerT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -7053,12 +7083,14 @@
   auto _tokens = _o->tokens;
   auto _free = _o->free;
   auto _elsewhere = _o->elsewhere;
+  auto _standing = _o->standing;
   return dotterelshift::wire::CreateGrantAnswer(
       _fbb,
       _budget,
       _tokens,
       _free,
-      _elsewhere);
+      _elsewhere,
+      _standing);
 }
 
 inline ClaimAnswerT *ClaimAnswer::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- /dev/null
+++ b/src/dotterelshift/state/apply_confirm_plan.cc
@@ -0,0 +1,159 @@
+#include <algorithm>  // for find
+
+#include "dotterelshift/state/apply.h"           // for Apply
+#include "dotterelshift/state/grants.h"          // for BuryRun
+#include "dotterelshift/state/plan_conflicts.h"  // for FindObstacle
+#include "dotterelshift/state/plan_orders.h"     // for AddOrders
+
+namespace dotterelshift::state {
+namespace {
+
+// Looks at budgets and top-ups of a plan before anything is changed: a plan is
+// carried out whole or not at all.
+class PlanCheck {
+ public:
+  explicit PlanCheck(const Tables& tables) : m_tables(tables) {}
+
+  // Empty when the change is in order, else what is wrong with it.
+  std::string Look(const wire::ChangeBodyUnion& body) {
+    if (body.type == wire::ChangeBody::UpsertBudget)
+      return LookAtBudget(*body.AsUpsertBudget()->budget);
+    if (body.type != wire::ChangeBody::TopUp) return "";
+    const wire::TopUpT& top_up = *body.AsTopUp();
+    if (m_tables.top_ups.contains(top_up.id)) return "";
+    if (top_up.id.empty()) return "a top-up has no id";
+    if (!m_ids.insert(top_up.id).second)
+      return "top-up " + top_up.id + " stands twice";
+    return LookAtAmount(top_up);
+  }
+
+ private:
+  // Its past spend belongs to the first team's reports.
+  std::string LookAtBudget(const wire::BudgetT& budget) {
+    m_made.insert(budget.id);
+    const auto account = m_tables.accounts.find(budget.id);
+    if (account == m_tables.accounts.end()) return "";
+    const TeamId& team = m_tables.team_names[account->second.team];
+    if (team == budget.team) return "";
+    return "budget " + budget.id + " is, or was, of team " + team;
+  }
+
+  std::string LookAtAmount(const wire::TopUpT& top_up) {
+    const auto account = m_tables.accounts.find(top_up.budget);
+    const bool known =
+        m_tables.configuration.FindBudget(top_up.budget) != nullptr ||
+        m_made.contains(top_up.budget);
+    if (!known) return "no budget " + top_up.budget;
+    if (top_up.tokens <= 0 || top_up.tokens > kMaxTokens)
+      return "top-up " + top_up.id + " is out of range";
+    Tokens& sum = m_sums[top_up.budget];
+    if (sum == 0 && account != m_tables.accounts.end())
+      sum = account->second.amounts.purchased;
+    sum += top_up.tokens;
+    if (sum > kMaxTokens) return "budget " + top_up.budget + " would overflow";
+    return "";
+  }
+
+  const Tables& m_tables;
+  std::set<std::string> m_made;
+  std::set<std::string> m_ids;
+  std::map<BudgetId, Tokens> m_sums;
+};
+
+std::string WrongWith(const Tables& tables, const wire::PlanT& plan) {
+  PlanCheck check(tables);
+  for (const auto& change : plan.changes) {
+    std::string wrong = check.Look(change->body);
+    if (!wrong.empty()) return wrong;
+  }
+  return "";
+}
+
+// The first retirement of a run that nothing proved dead shuts it out: its
+// commands are refused from now on and its grants are lost as far as it may
+// have spent them. Only a run known to be dead has its remainder freed.
+void Retire(Context& context, const wire::RetireHolderT& body) {
+  Tables& tables = context.tables;
+  const std::optional<RunNumber> run =
+      tables.FindRun({body.host, body.incarnation});
+  if (!run) return;
+  if (tables.runs[*run].dead)
+    RetireRun(tables, *run, context.stamp);
+  else
+    BuryRun(tables, *run, context.recover);
+}
+
+void MakeAccount(Tables& tables, const wire::BudgetT& budget) {
+  tables.accounts[budget.id].team = tables.TeamNumber(budget.team);
+}
+
+void CarryOut(Context& context, const wire::ChangeBodyUnion& body) {
+  Tables& tables = context.tables;
+  if (body.type == wire::ChangeBody::UpsertBudget)
+    MakeAccount(tables, *body.AsUpsertBudget()->budget);
+  if (body.type == wire::ChangeBody::RetireHolder)
+    Retire(context, *body.AsRetireHolder());
+  if (body.type != wire::ChangeBody::TopUp) return;
+  const wire::TopUpT& top_up = *body.AsTopUp();
+  if (!tables.top_ups.insert(top_up.id).second) return;
+  tables.accounts[top_up.budget].amounts.purchased += top_up.tokens;
+}
+
+// Keeps the newest confirmed plans whole, as many changes as the options say.
+void DropOldBodies(Tables& tables) {
+  size_t kept = 0;
+  for (auto entry = tables.plan_by_version.rbegin();
+       entry != tables.plan_by_version.rend(); ++entry) {
+    StoredPlan& stored = tables.plans.at(entry->second);
+    const bool newest = entry == tables.plan_by_version.rbegin();
+    kept += stored.plan.changes.size();
+    if (newest || kept <= tables.options.changes_kept) continue;
+    if (!stored.has_body) return;
+    stored.has_body = false;
+    stored.plan.changes.clear();
+    stored.plan.changes.shrink_to_fit();
+    stored.plan.effects.clear();
+    stored.plan.warnings.clear();
+  }
+}
+
+void Confirm(Context& context, StoredPlan& stored) {
+  Tables& tables = context.tables;
+  AddOrders(context, stored.plan);
+  std::vector<wire::ChangeT> changes;
+  changes.reserve(stored.plan.changes.size());
+  for (const auto& change : stored.plan.changes) changes.push_back(*change);
+  stored.version = tables.configuration.Version() + 1;
+  stored.confirmed = context.stamp;
+  tables.configuration.Apply(changes, stored.version);
+  for (const wire::ChangeT& change : changes) CarryOut(context, change.body);
+  tables.plan_by_version[stored.version] = stored.plan.id;
+  DropOldBodies(tables);
+}
+
+}  // namespace
+
+void Apply(Context& context, const wire::ConfirmPlanT& command,
+           wire::CommandAnswerT& answer) {
+  Tables& tables = context.tables;
+  const auto found = tables.plans.find(command.plan);
+  if (found == tables.plans.end())
+    return Refuse(answer, ErrorKind::kPlanUnknown, command.plan);
+  StoredPlan& stored = found->second;
+  if (stored.version == 0) {
+    const std::optional<PlanObstacle> obstacle =
+        FindObstacle(tables, stored.plan);
+    if (obstacle) return Refuse(answer, obstacle->kind, obstacle->detail);
+    std::string wrong = WrongWith(tables, stored.plan);
+    if (!wrong.empty())
+      return Refuse(answer, ErrorKind::kBadIntent, std::move(wrong));
+    if (!command.author.empty()) stored.plan.author = command.author;
+    Confirm(context, stored);
+  }
+  wire::PlanAnswerT body;
+  body.plan = command.plan;
+  body.version = stored.version;
+  Answer(answer, std::move(body));
+}
+
+}  // namespace dotterelshift::state
--- /dev/null
+++ b/src/dotterelshift/state/apply_request_grant.cc
@@ -0,0 +1,81 @@
+#include <algorithm>  // for clamp
+
+#include "dotterelshift/state/apply.h"   // for Apply
+#include "dotterelshift/state/grants.h"  // for GrantOf
+
+namespace dotterelshift::state {
+namespace {
+
+// Near the end of a budget a grant takes at most this part of what is free, so
+// that one holder does not keep the last of it from the others.
+constexpr Tokens kShareOfFree = 4;
+
+// Under a lease, a holder that has not been heard of gives up its unopened
+// part. No clock has to be trusted: its next opening is refused, and without
+// an opening it may not dispatch.
+void ReclaimLapsed(Context& context, Account& account) {
+  Tables& tables = context.tables;
+  const WallMs silent = context.stamp - tables.options.lease_ms;
+  for (Grant& grant : account.grants) {
+    if (grant.dead || grant.run == context.run) continue;
+    if (tables.runs[grant.run].heard > silent) continue;
+    const Tokens kept = std::min(grant.tokens, grant.Opened() + grant.standing);
+    account.amounts.granted -= grant.tokens - kept;
+    grant.tokens = kept;
+  }
+}
+
+Tokens SizeOf(const wire::RequestGrantT& command, Tokens free) {
+  if (free < command.minimum) return 0;
+  const Tokens share = std::max(command.minimum, free / kShareOfFree);
+  return std::min({std::max(command.wanted, command.minimum), share, free});
+}
+
+// By how much the part grows that the holder may spend without openings.
+Tokens StandingGrowth(const wire::TeamT& team, const Grant& grant) {
+  Tokens target = 0;
+  if (team.grant_way == wire::GrantWay::Unwitnessed) target = grant.tokens;
+  if (team.grant_way == wire::GrantWay::Witnessed) {
+    const Tokens seconds = team.partition_seconds;
+    const Tokens demand =
+        std::min(grant.demand_per_second, kMaxTokens / (seconds + 1));
+    target = std::min(grant.tokens - grant.Opened(), demand * seconds);
+  }
+  return std::max<Tokens>(0, target - grant.standing);
+}
+
+}  // namespace
+
+void Apply(Context& context, const wire::RequestGrantT& command,
+           wire::CommandAnswerT& answer) {
+  Tables& tables = context.tables;
+  Account* account = tables.FindAccount(command.budget);
+  const wire::BudgetT* budget = tables.configuration.FindBudget(command.budget);
+  if (account == nullptr || budget == nullptr)
+    return Refuse(answer, ErrorKind::kNoBudget, command.budget);
+  if (!IsAmount(command.wanted) || !IsAmount(command.minimum) ||
+      !IsAmount(command.demand_per_second))
+    return Refuse(answer, ErrorKind::kBadFrame, "amount out of range");
+  const wire::TeamT* team = tables.configuration.FindTeam(budget->team);
+  if (team == nullptr)
+    return Refuse(answer, ErrorKind::kNoBudget, command.budget);
+
+  const bool leased = team->grant_way == wire::GrantWay::ClockLease;
+  if (leased && account->amounts.Free() < command.wanted)
+    ReclaimLapsed(context, *account);
+  Grant& grant = GrantOf(*account, context.run);
+  wire::GrantAnswerT body;
+  body.budget = command.budget;
+  body.tokens = SizeOf(command, account->amounts.Free());
+  grant.tokens += body.tokens;
+  grant.demand_per_second = command.demand_per_second;
+  account->amounts.granted += body.tokens;
+  body.standing = StandingGrowth(*team, grant);
+  grant.standing += body.standing;
+  body.free = account->amounts.Free();
+  body.elsewhere = account->amounts.granted - grant.tokens;
+  DropIfEmpty(*account, context.run);
+  Answer(answer, std::move(body));
+}
+
+}  // namespace dotterelshift::state
--- /dev/null
+++ b/src/dotterelshift/state/apply_return_grant.cc
@@ -0,0 +1,29 @@
+#include <algorithm>  // for max, min
+
+#include "dotterelshift/state/apply.h"   // for Apply
+#include "dotterelshift/state/grants.h"  // for FindGrant
+
+namespace dotterelshift::state {
+
+void Apply(Context& context, const wire::ReturnGrantT& command,
+           wire::CommandAnswerT& answer) {
+  Account* account = context.tables.FindAccount(command.budget);
+  if (account == nullptr)
+    return Refuse(answer, ErrorKind::kNoBudget, command.budget);
+  Grant* grant = FindGrant(*account, context.run);
+  const Tokens unopened =
+      grant == nullptr ? 0 : grant->tokens - grant->Opened();
+  if (!IsAmount(command.tokens) || !IsAmount(command.standing))
+    return Refuse(answer, ErrorKind::kBadFrame, "amount out of range");
+  if (grant != nullptr) {
+    // Less may be there, when a lapsed lease took it back before.
+    const Tokens returned = std::min(command.tokens, unopened);
+    grant->tokens -= returned;
+    grant->standing = std::max<Tokens>(0, grant->standing - command.standing);
+    account->amounts.granted -= returned;
+    DropIfEmpty(*account, context.run);
+  }
+  Answer(answer, wire::DoneAnswerT());
+}
+
+}  // namespace dotterelshift::state
--- /dev/null
+++ b/src/dotterelshift/state/apply_store_plan.cc
@@ -0,0 +1,42 @@
+#include "dotterelshift/state/apply.h"  // for Apply
+
+namespace dotterelshift::state {
+namespace {
+
+// Plans that wait for their confirmation; beyond this the oldest go.
+constexpr size_t kMaxWaiting = 200;
+
+void DropOldestWaiting(Tables& tables) {
+  size_t waiting = 0;
+  auto oldest = tables.plans.end();
+  for (auto plan = tables.plans.begin(); plan != tables.plans.end(); ++plan) {
+    if (plan->second.version != 0) continue;
+    ++waiting;
+    const bool older = oldest == tables.plans.end() ||
+                       plan->second.stored < oldest->second.stored;
+    if (older) oldest = plan;
+  }
+  if (waiting > kMaxWaiting) tables.plans.erase(oldest);
+}
+
+}  // namespace
+
+// A plan that is stored already stays as it was: a resend changes nothing.
+void Apply(Context& context, const wire::StorePlanT& command,
+           wire::CommandAnswerT& answer) {
+  Tables& tables = context.tables;
+  if (command.plan == nullptr || command.plan->id.empty())
+    return Refuse(answer, ErrorKind::kBadFrame, "no plan");
+  StoredPlan fresh;
+  fresh.plan = *command.plan;
+  fresh.stored = context.stamp;
+  const auto place =
+      tables.plans.try_emplace(command.plan->id, std::move(fresh)).first;
+  wire::PlanAnswerT body;
+  body.plan = command.plan->id;
+  body.version = place->second.version;
+  DropOldestWaiting(tables);
+  Answer(answer, std::move(body));
+}
+
+}  // namespace dotterelshift::state
--- /dev/null
+++ b/src/dotterelshift/state/apply_suspect.cc
@@ -0,0 +1,48 @@
+#include "dotterelshift/state/apply.h"  // for Apply
+
+namespace dotterelshift::state {
+namespace {
+
+// A content that never was alone when its endpoints died needs this many times
+// the endpoints, because another request may be at fault.
+constexpr uint32_t kFactorInCompany = 2;
+
+// Contents beyond this are not taken up: bounded memory under a flood.
+constexpr size_t kMaxSuspects = 10'000;
+
+}  // namespace
+
+void Apply(Context& context, const wire::ReportSuspectT& command,
+           wire::CommandAnswerT& answer) {
+  Tables& tables = context.tables;
+  const StateOptions& options = tables.options;
+  const bool known = tables.suspects.contains(command.content_hash);
+  if (!known && tables.suspects.size() >= kMaxSuspects)
+    return Refuse(answer, ErrorKind::kOverloaded, "too many suspects");
+  Suspect& suspect = tables.suspects[command.content_hash];
+  const bool forgotten =
+      known && suspect.last + options.suspect_memory_ms < context.stamp;
+  if (forgotten) suspect = Suspect();
+  suspect.last = context.stamp;
+  suspect.alone = suspect.alone || command.alone;
+  const uint32_t limit =
+      options.quarantine_after * (suspect.alone ? 1 : kFactorInCompany);
+  const bool counts = suspect.endpoints.size() < limit;
+  if (counts) suspect.endpoints.insert(command.endpoint);
+  if (suspect.endpoints.size() >= limit)
+    suspect.quarantined_until = context.stamp + options.quarantine_ms;
+  wire::SuspectAnswerT body;
+  body.content_hash = command.content_hash;
+  body.endpoints = static_cast<uint32_t>(suspect.endpoints.size());
+  body.quarantined_until_ms = suspect.quarantined_until;
+  Answer(answer, body);
+}
+
+// Its content ran to the end: whatever it was near to, it is innocent.
+void Apply(Context& context, const wire::ClearSuspectT& command,
+           wire::CommandAnswerT& answer) {
+  context.tables.suspects.erase(command.content_hash);
+  Answer(answer, wire::DoneAnswerT());
+}
+
+}  // namespace dotterelshift::state
--- a/src/dotterelshift/state/configuration.cc
+++ b/src/dotterelshift/state/configuration.cc
@@ -206,6 +206,10 @@
   return FindTeam(m_keys.at(*found->second).team);
 }
 
+const wire::ApiKeyT* Configuration::FindKey(const std::string& id) const {
+  return Find(m_keys, id);
+}
+
 const wire::BudgetT* Configuration::FindBudget(const BudgetId& id) const {
   return Find(m_budgets, id);
 }
--- /dev/null
+++ b/src/dotterelshift/state/grants.cc
@@ -0,0 +1,79 @@
+#include "dotterelshift/state/grants.h"
+
+#include <algorithm>  // for find_if
+
+namespace dotterelshift::state {
+namespace {
+
+auto Place(Account& account, RunNumber run) {
+  return std::find_if(account.grants.begin(), account.grants.end(),
+                      [run](const Grant& grant) { return grant.run == run; });
+}
+
+// Openings of a retired run count as spent, worst case.
+void WriteOffOpenings(Tables& tables, Account& account, Grant& grant,
+                      WallMs stamp) {
+  const Tokens spent = std::min(grant.tokens, grant.Opened());
+  grant.tokens -= spent;
+  grant.openings.clear();
+  account.amounts.lost -= spent;
+  account.amounts.settled += spent;
+  if (spent > 0)
+    tables.DayOf(tables.team_names[account.team], stamp).spent += spent;
+}
+
+}  // namespace
+
+Grant* FindGrant(Account& account, RunNumber run) {
+  const auto found = Place(account, run);
+  return found == account.grants.end() ? nullptr : &*found;
+}
+
+Grant& GrantOf(Account& account, RunNumber run) {
+  Grant* found = FindGrant(account, run);
+  if (found != nullptr) return *found;
+  account.grants.emplace_back();
+  account.grants.back().run = run;
+  return account.grants.back();
+}
+
+void DropIfEmpty(Account& account, RunNumber run) {
+  const auto found = Place(account, run);
+  if (found == account.grants.end() || found->tokens > 0) return;
+  // The holder of a live standing part goes on to count with it.
+  const bool remembered = !found->openings.empty() || found->standing > 0;
+  if (found->dead || !remembered) account.grants.erase(found);
+}
+
+void BuryRun(Tables& tables, RunNumber run, RecoverGrant recover) {
+  tables.runs[run].dead = true;
+  for (auto& [budget, account] : tables.accounts) {
+    Grant* grant = FindGrant(account, run);
+    if (grant == nullptr || grant->dead) continue;
+    const Recovery recovery = recover(*grant);
+    account.amounts.granted -= grant->tokens;
+    account.amounts.lost += recovery.lost;
+    grant->tokens = recovery.lost;
+    grant->dead = true;
+    DropIfEmpty(account, run);
+  }
+}
+
+void FreeUncovered(Account& account, Grant& grant, RecoverGrant recover) {
+  const Recovery recovery = recover(grant);
+  account.amounts.lost -= recovery.freed;
+  grant.tokens = recovery.lost;
+}
+
+void RetireRun(Tables& tables, RunNumber run, WallMs stamp) {
+  for (auto& [budget, account] : tables.accounts) {
+    Grant* grant = FindGrant(account, run);
+    if (grant == nullptr || !grant->dead) continue;
+    WriteOffOpenings(tables, account, *grant, stamp);
+    account.amounts.lost -= grant->tokens;
+    grant->tokens = 0;
+    DropIfEmpty(account, run);
+  }
+}
+
+}  // namespace dotterelshift::state
--- /dev/null
+++ b/src/dotterelshift/state/plan_orders.h
@@ -0,0 +1,19 @@
+#ifndef DOTTERELSHIFT_STATE_PLAN_ORDERS_H_
+#define DOTTERELSHIFT_STATE_PLAN_ORDERS_H_
+
+#include "dotterelshift/state/tables.h"             // for Context
+#include "dotterelshift/wire/commands_generated.h"  // for PlanT
+
+namespace dotterelshift::state {
+
+// The orders that bring endpoints from one placement of a model to another;
+// either may be null. The fencing number and the id are set by AddOrders().
+std::vector<wire::OrderT> OrdersBetween(const wire::ModelPlacementT* before,
+                                        const wire::ModelPlacementT* after);
+
+// Adds the orders of a plan that is about to be confirmed.
+void AddOrders(Context& context, const wire::PlanT& plan);
+
+}  // namespace dotterelshift::state
+
+#endif  // DOTTERELSHIFT_STATE_PLAN_ORDERS_H_
--- /dev/null
+++ b/src/dotterelshift/state/state_test.cc
@@ -0,0 +1,424 @@
+#include "dotterelshift/state/state.h"
+
+#include <cppunit/extensions/HelperMacros.h>  // for CPPUNIT_TEST
+
+#include <string>  // for string
+
+#include "dotterelshift/base/error.h"           // for ErrorKind
+#include "dotterelshift/state/state_testing.h"  // for TestRun
+
+namespace dotterelshift::state {
+namespace {
+
+constexpr WallMs kDay = 86'400'000;
+constexpr WallMs kStart = 20'000 * kDay;
+
+bool Is(const wire::CommandAnswerT& answer, ErrorKind kind) {
+  return answer.error == static_cast<uint16_t>(kind);
+}
+
+Tokens Granted(const wire::CommandAnswerT& answer) {
+  const auto* body = answer.body.AsGrantAnswer();
+  return body == nullptr ? -1 : body->tokens;
+}
+
+bool FirstBill(const wire::CommandAnswerT& answer) {
+  const auto* body = answer.body.AsSettleAnswer();
+  CPPUNIT_ASSERT(body != nullptr);
+  return body->first_bill;
+}
+
+class StateTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(StateTest);
+  CPPUNIT_TEST(GrantsMoveBetweenColumns);
+  CPPUNIT_TEST(DeadHolderKeepsOnlyWhatItMayHaveSpent);
+  CPPUNIT_TEST(SpoolOfDeadHolderSettlesOnce);
+  CPPUNIT_TEST(RetirementTakesTwoSteps);
+  CPPUNIT_TEST(LapsedLeaseIsReclaimed);
+  CPPUNIT_TEST(RequestIsBilledOnce);
+  CPPUNIT_TEST(ResendGetsFirstAnswer);
+  CPPUNIT_TEST(ClaimTable);
+  CPPUNIT_TEST(AgedKeysAreRefused);
+  CPPUNIT_TEST(PlansOfEqualBase);
+  CPPUNIT_TEST(PlanIsCarriedOutWholeOrNotAtAll);
+  CPPUNIT_TEST(SuspectsAreQuarantined);
+  CPPUNIT_TEST(SnapshotRestoresEverything);
+  CPPUNIT_TEST(DamagedSnapshotChangesNothing);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void setUp() override {
+    m_state = MakeState(m_options);
+    m_operator = TestRun(m_state.get(), "control", 1);
+    m_entry = TestRun(m_state.get(), "entry", 1);
+    Set("p0", {wire::GrantWay::Witnessed, 10});
+  }
+
+  void tearDown() override {
+    const auto lines = m_state->Disagreements();
+    CPPUNIT_ASSERT_MESSAGE(lines.empty() ? "" : lines.front(), lines.empty());
+  }
+
+  void GrantsMoveBetweenColumns() {
+    CPPUNIT_ASSERT_EQUAL(Tokens{250}, Granted(Ask(m_entry, 600)));
+    CPPUNIT_ASSERT_EQUAL(Tokens{500}, Granted(Ask(m_entry, 500, 0, 500)));
+    CPPUNIT_ASSERT_EQUAL(Tokens{0}, Granted(Ask(m_entry, 500, 0, 500)));
+    CPPUNIT_ASSERT(Is(Open("k", 1, 800), ErrorKind::kBudgetUnavailable));
+    CPPUNIT_ASSERT(Is(Open("k", 1, 700), ErrorKind::kNone));
+    Settle("k", 1, 700, 100);
+    wire::ReturnGrantT give_back;
+    give_back.budget = "b";
+    give_back.tokens = 600;
+    m_entry.Send(give_back, kStart);
+    CheckAmounts({1000, 100, 100, 50, 0});
+    CPPUNIT_ASSERT(
+        Is(m_entry.Send(GrantAsk("none", 1), kStart), ErrorKind::kNoBudget));
+    CPPUNIT_ASSERT(
+        Is(m_entry.Send(GrantAsk("b", -1), kStart), ErrorKind::kBadFrame));
+  }
+
+  void DeadHolderKeepsOnlyWhatItMayHaveSpent() {
+    // 500 held, 10 s of 12 a second standing, 200 opened.
+    Ask(m_entry, 500, 12, 500);
+    Open("k", 1, 200);
+    CPPUNIT_ASSERT_EQUAL(Tokens{120}, m_state->HoldingsOf("b")[0].standing);
+    TestRun next(m_state.get(), "entry", 2);
+    next.Send(wire::RegisterHostT(), kStart);
+    CheckAmounts({1000, 0, 0, 0, 320});
+    CPPUNIT_ASSERT(Is(Ask(m_entry, 1), ErrorKind::kStaleIncarnation));
+    CPPUNIT_ASSERT_EQUAL(Tokens{680}, Granted(Ask(next, 680, 0, 680)));
+  }
+
+  void SpoolOfDeadHolderSettlesOnce() {
+    Ask(m_entry, 500, 12, 500);
+    Open("k", 1, 200);
+    const auto late = m_entry.Command(SettlementOf("b", "k", 1, 200, 50));
+    const auto unwitnessed =
+        m_entry.Command(SettlementOf("b", "u", 2, 100, 30, false));
+    TestRun next(m_state.get(), "entry", 2);
+    next.Send(wire::RegisterHostT(), kStart);
+    for (int times = 0; times < 2; ++times) {
+      CPPUNIT_ASSERT(FirstBill(m_entry.Resend(late, kStart)));
+      CPPUNIT_ASSERT(FirstBill(m_entry.Resend(unwitnessed, kStart)));
+      // The opening is settled; 90 of the standing part stay in doubt.
+      CheckAmounts({1000, 80, 80, 0, 90});
+    }
+  }
+
+  void RetirementTakesTwoSteps() {
+    Ask(m_entry, 500, 12, 500);
+    Open("k", 1, 200);
+    Retire("r1");
+    CheckAmounts({1000, 0, 0, 0, 320});
+    CPPUNIT_ASSERT(Is(Open("k2", 2, 1), ErrorKind::kStaleIncarnation));
+    Retire("r2");
+    CheckAmounts({1000, 200, 0, 0, 0});
+  }
+
+  void LapsedLeaseIsReclaimed() {
+    Set("p1", {wire::GrantWay::ClockLease, 10});
+    Ask(m_entry, 900, 50, 900);
+    TestRun other(m_state.get(), "other", 1);
+    const WallMs lapsed = kStart + m_options.lease_ms + 1;
+    CPPUNIT_ASSERT_EQUAL(Tokens{0}, Granted(Ask(other, 500, 0, 500)));
+    CPPUNIT_ASSERT_EQUAL(Tokens{500}, Granted(Ask(other, 500, 0, 500, lapsed)));
+    CPPUNIT_ASSERT(Is(Open("k", 1, 10), ErrorKind::kBudgetUnavailable));
+    CheckAmounts({1000, 0, 0, 500, 0});
+  }
+
+  void RequestIsBilledOnce() {
+    Ask(m_entry, 250);
+    TestRun other(m_state.get(), "other", 1);
+    Ask(other, 100);
+    CPPUNIT_ASSERT(FirstBill(Settle("k", 1, 10, 7)));
+    CPPUNIT_ASSERT(
+        !FirstBill(other.Send(SettlementOf("b", "k", 1, 10, 6), kStart)));
+    CPPUNIT_ASSERT(
+        FirstBill(Settle("k", 1, 10, 7)));  // the first attempt again
+    CPPUNIT_ASSERT_EQUAL(Tokens{13}, m_state->FindAccount("b")->settled);
+    CPPUNIT_ASSERT_EQUAL(Tokens{7}, m_state->FindAccount("b")->billed);
+    const auto days = m_state->Report("team", 0, 30'000);
+    CPPUNIT_ASSERT_EQUAL(uint64_t{1}, days.at(0).answered);
+    CPPUNIT_ASSERT_EQUAL(Tokens{13}, days.at(0).spent);
+    // An opening that its settlement overtook does not stay open.
+    CPPUNIT_ASSERT(Is(Open("k", 1, 10), ErrorKind::kResendTooOld));
+  }
+
+  void ResendGetsFirstAnswer() {
+    const auto ask = m_entry.Command(GrantAsk("b", 100));
+    CPPUNIT_ASSERT_EQUAL(Tokens{100}, Granted(m_entry.Resend(ask, kStart)));
+    CPPUNIT_ASSERT_EQUAL(Tokens{100}, Granted(m_entry.Resend(ask, kStart)));
+    CheckAmounts({1000, 0, 0, 100, 0});
+    for (size_t i = 0; i < m_options.answers_kept; ++i)
+      m_entry.Send(wire::RecordRefusalsT(), kStart);
+    CPPUNIT_ASSERT(Is(m_entry.Resend(ask, kStart), ErrorKind::kResendTooOld));
+    CheckAmounts({1000, 0, 0, 100, 0});
+  }
+
+  void ClaimTable() {
+    struct Row {
+      const char* name;
+      wire::Outcome outcome;
+      bool unknown;
+      bool settled;
+      bool dead;
+      uint64_t body;
+      wire::ClaimState resent;
+    };
+    using wire::ClaimState;
+    using wire::Outcome;
+    const Row rows[] = {
+        {"runs", Outcome::Answered, false, false, false, 1,
+         ClaimState::Running},
+        {"body", Outcome::Answered, false, false, false, 2,
+         ClaimState::BodyDiffers},
+        {"ran", Outcome::Answered, false, true, false, 1,
+         ClaimState::AlreadyRan},
+        {"failed", Outcome::Failed, false, true, false, 1,
+         ClaimState::AlreadyRan},
+        {"unknown", Outcome::Failed, true, true, false, 1,
+         ClaimState::OutcomeUnknown},
+        {"not run", Outcome::Refused, false, true, false, 1,
+         ClaimState::Granted},
+        {"holder died", Outcome::Answered, false, false, true, 1,
+         ClaimState::OutcomeUnknown},
+        {"ran, then died", Outcome::Answered, false, true, true, 1,
+         ClaimState::AlreadyRan},
+    };
+    TestRun other(m_state.get(), "other", 1);
+    Incarnation incarnation = 1;
+    for (const Row& row : rows) {
+      TestRun holder(m_state.get(), "holder", ++incarnation);
+      const auto claim = ClaimOf(row.name, 1, 7);
+      CPPUNIT_ASSERT_MESSAGE(
+          row.name, StateOf(holder.Send(claim, kStart)) == ClaimState::Granted);
+      wire::SettleT settle = SettlementOf("b", row.name, 7, 0, 0);
+      settle.outcome = row.outcome;
+      settle.unknown = row.unknown;
+      if (row.settled) holder.Send(settle, kStart);
+      if (row.dead)
+        TestRun(m_state.get(), "holder", ++incarnation)
+            .Send(wire::RegisterHostT(), kStart);
+      const auto answer = other.Send(ClaimOf(row.name, row.body, 9), kStart);
+      CPPUNIT_ASSERT_MESSAGE(row.name, StateOf(answer) == row.resent);
+    }
+  }
+
+  void AgedKeysAreRefused() {
+    Ask(m_entry, 250);
+    m_entry.Send(ClaimOf("claimed", 1, 1), kStart);
+    Settle("claimed", 1, 0, 0);
+    Settle("k", 2, 10, 10);
+    Settle("~made-up", 3, 10, 10);
+    const WallMs late = kStart + m_options.bill_age_out_ms + kDay;
+    m_entry.Send(wire::AgeOutT(), late);
+    const auto claim = m_entry.Send(ClaimOf("claimed", 1, 4), late);
+    CPPUNIT_ASSERT(StateOf(claim) == wire::ClaimState::Expired);
+    CPPUNIT_ASSERT(Is(claim, ErrorKind::kKeyExpired));
+    CPPUNIT_ASSERT(Is(Open("k", 5, 10), ErrorKind::kKeyExpired));
+    CPPUNIT_ASSERT(Is(Open("~made-up", 6, 10), ErrorKind::kNone));
+    CPPUNIT_ASSERT(Is(Open("fresh", 7, 10), ErrorKind::kNone));
+    CPPUNIT_ASSERT_EQUAL(Tokens{20}, m_state->FindAccount("b")->billed);
+  }
+
+  void PlansOfEqualBase() {
+    const uint64_t base = m_state->GetConfiguration().Version();
+    m_operator.Send(PlanOf("one", base, "awa", List(TeamChange("team"))),
+                    kStart);
+    m_operator.Send(PlanOf("two", base, "ben", List(TeamChange("team"))),
+                    kStart);
+    m_operator.Send(PlanOf("far", base, "ben", List(TeamChange("far"))),
+                    kStart);
+    CPPUNIT_ASSERT(Is(Confirm("one"), ErrorKind::kNone));
+    const auto second = Confirm("two");
+    CPPUNIT_ASSERT(Is(second, ErrorKind::kPlanConflict));
+    CPPUNIT_ASSERT(second.detail.find("awa") != std::string::npos);
+    CPPUNIT_ASSERT(second.detail.find("team team") != std::string::npos);
+    const auto far = Confirm("far");
+    CPPUNIT_ASSERT(Is(far, ErrorKind::kNone));
+    // Resent confirms get their first answers, whoever sends them.
+    CPPUNIT_ASSERT_EQUAL(base + 1, Confirm("one").body.AsPlanAnswer()->version);
+    CPPUNIT_ASSERT_EQUAL(base + 2, Confirm("far").body.AsPlanAnswer()->version);
+    m_operator.Send(PlanOf("three", base + 1, "cem", List(TeamChange("x"))),
+                    kStart);
+    m_operator.Send(PlanOf("four", base, "dia", List(TeamChange("x"))), kStart);
+    CPPUNIT_ASSERT(Is(Confirm("three"), ErrorKind::kNone));
+    const auto stale = Confirm("four");
+    CPPUNIT_ASSERT(Is(stale, ErrorKind::kPlanStale));
+    CPPUNIT_ASSERT(stale.detail.find("cem") != std::string::npos);
+    CPPUNIT_ASSERT(Is(Confirm("none"), ErrorKind::kPlanUnknown));
+    m_operator.Send(wire::AgeOutT(), kStart + 2 * kDay);
+    CPPUNIT_ASSERT(Is(Confirm("two"), ErrorKind::kPlanUnknown));
+    CPPUNIT_ASSERT_EQUAL(base + 1, Confirm("one").body.AsPlanAnswer()->version);
+  }
+
+  void PlanIsCarriedOutWholeOrNotAtAll() {
+    struct Row {
+      const char* name;
+      wire::ChangeT change;
+    };
+    Row rows[] = {
+        {"negative", TopUpChange("t1", "b", -5)},
+        {"zero", TopUpChange("t2", "b", 0)},
+        {"overflow", TopUpChange("t3", "b", kMaxTokens)},
+        {"no budget", TopUpChange("t4", "none", 5)},
+        {"no id", TopUpChange("", "b", 5)},
+        {"moved budget", BudgetChange("b", "other")},
+    };
+    const uint64_t base = m_state->GetConfiguration().Version();
+    for (Row& row : rows) {
+      const auto answer = Accept(
+          m_operator, *m_state, row.name,
+          List(TopUpChange(std::string("good") + row.name, "b", 5), row.change),
+          kStart);
+      CPPUNIT_ASSERT_MESSAGE(row.name, Is(answer, ErrorKind::kBadIntent));
+    }
+    CPPUNIT_ASSERT_EQUAL(base, m_state->GetConfiguration().Version());
+    // The same top-up in a second plan counts once.
+    for (const char* plan : {"x", "y"})
+      Accept(m_operator, *m_state, plan, List(TopUpChange("t", "b", 5)),
+             kStart);
+    CheckAmounts({1005, 0, 0, 0, 0});
+  }
+
+  void SuspectsAreQuarantined() {
+    const auto report = [this](uint64_t hash, const char* endpoint,
+                               bool alone) {
+      wire::ReportSuspectT body;
+      body.content_hash = hash;
+      body.endpoint = endpoint;
+      body.alone = alone;
+      m_entry.Send(body, kStart);
+    };
+    for (const char* endpoint : {"e1", "e1", "e1", "e2"})
+      report(1, endpoint, true);
+    CPPUNIT_ASSERT(m_state->Quarantined(kStart).empty());
+    report(1, "e3", true);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, m_state->Quarantined(kStart).size());
+    CPPUNIT_ASSERT(
+        m_state->Quarantined(kStart + m_options.quarantine_ms).empty());
+    for (const char* endpoint : {"e1", "e2", "e3", "e4", "e5"})
+      report(2, endpoint, false);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, m_state->Quarantined(kStart).size());
+    report(2, "e6", false);
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, m_state->Quarantined(kStart).size());
+    wire::ClearSuspectT clear;
+    clear.content_hash = 2;
+    m_entry.Send(clear, kStart);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, m_state->Quarantined(kStart).size());
+  }
+
+  void SnapshotRestoresEverything() {
+    Ask(m_entry, 200, 10);
+    Open("open", 1, 20);
+    m_entry.Send(ClaimOf("k", 1, 2), kStart);
+    Settle("k", 2, 10, 7);
+    Settle("k", 3, 10, 7);
+    m_entry.Send(wire::ReportSuspectT(), kStart);
+    Retire("r1");
+    const std::string bytes = m_state->Snapshot();
+    const auto copy = MakeState(m_options);
+    copy->Restore(bytes);
+    CPPUNIT_ASSERT(copy->Snapshot() == bytes);
+    CPPUNIT_ASSERT(copy->Disagreements().empty());
+    // Both go on alike.
+    TestRun left(m_state.get(), "entry", 2);
+    TestRun right(copy.get(), "entry", 2);
+    for (TestRun* run : {&left, &right}) Ask(*run, 100);
+    CPPUNIT_ASSERT(copy->Snapshot() == m_state->Snapshot());
+  }
+
+  void DamagedSnapshotChangesNothing() {
+    const std::string bytes = m_state->Snapshot();
+    for (const size_t length : {size_t{0}, size_t{3}, bytes.size() / 2}) {
+      try {
+        m_state->Restore(bytes.substr(0, length));
+        CPPUNIT_FAIL("a torn snapshot was taken");
+      } catch (const Error& error) {
+        CPPUNIT_ASSERT(error.Kind() == ErrorKind::kStorageDamaged);
+      }
+    }
+    CPPUNIT_ASSERT(m_state->Snapshot() == bytes);
+  }
+
+ private:
+  struct Way {
+    wire::GrantWay way;
+    uint32_t partition_seconds;
+  };
+
+  template <typename... Changes>
+  static std::vector<wire::ChangeT> List(Changes... changes) {
+    std::vector<wire::ChangeT> list;
+    (list.push_back(std::move(changes)), ...);
+    return list;
+  }
+
+  // The team with its budget of 1000 tokens.
+  void Set(const std::string& plan, const Way& way) {
+    const auto answer =
+        Accept(m_operator, *m_state, plan,
+               List(TeamChange("team", way.way, way.partition_seconds),
+                    BudgetChange("b", "team"), TopUpChange("t0", "b", 1000)),
+               kStart);
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(answer.detail, uint16_t{0}, answer.error);
+  }
+
+  static wire::CommandAnswerT Ask(TestRun& run, Tokens wanted,
+                                  Tokens demand = 0, Tokens minimum = 1,
+                                  WallMs stamp = kStart) {
+    return run.Send(GrantAsk("b", wanted, demand, minimum), stamp);
+  }
+  wire::CommandAnswerT Open(const std::string& key, AttemptId attempt,
+                            Tokens reserved) {
+    return m_entry.Send(OpeningOf("b", key, attempt, reserved), kStart);
+  }
+  wire::CommandAnswerT Settle(const std::string& key, AttemptId attempt,
+                              Tokens reserved, Tokens spent) {
+    return m_entry.Send(SettlementOf("b", key, attempt, reserved, spent),
+                        kStart);
+  }
+  wire::CommandAnswerT Confirm(const std::string& plan) {
+    return m_operator.Send(ConfirmOf(plan), kStart);
+  }
+  void Retire(const std::string& plan) {
+    wire::RetireHolderT body;
+    body.host = "entry";
+    body.incarnation = 1;
+    CPPUNIT_ASSERT(
+        Is(Accept(m_operator, *m_state, plan, List(ChangeOf(body)), kStart),
+           ErrorKind::kNone));
+  }
+  static wire::ClaimT ClaimOf(const std::string& key, uint64_t body_hash,
+                              AttemptId attempt) {
+    wire::ClaimT body;
+    body.team = "team";
+    body.request_key = key;
+    body.body_hash = body_hash;
+    body.attempt = attempt;
+    return body;
+  }
+  static wire::ClaimState StateOf(const wire::CommandAnswerT& answer) {
+    CPPUNIT_ASSERT(answer.body.AsClaimAnswer() != nullptr);
+    return answer.body.AsClaimAnswer()->state;
+  }
+
+  void CheckAmounts(const BudgetAccount& wanted) {
+    const BudgetAccount& amounts = *m_state->FindAccount("b");
+    CPPUNIT_ASSERT_EQUAL(wanted.purchased, amounts.purchased);
+    CPPUNIT_ASSERT_EQUAL(wanted.settled, amounts.settled);
+    CPPUNIT_ASSERT_EQUAL(wanted.billed, amounts.billed);
+    CPPUNIT_ASSERT_EQUAL(wanted.granted, amounts.granted);
+    CPPUNIT_ASSERT_EQUAL(wanted.lost, amounts.lost);
+  }
+
+  StateOptions m_options;
+  std::unique_ptr<State> m_state;
+  TestRun m_operator{nullptr, "", 0};
+  TestRun m_entry{nullptr, "", 0};
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(StateTest);
+
+}  // namespace
+}  // namespace dotterelshift::state
