--- /dev/null
+++ b/src/dotterelshift/base/yaml_reader.cc
@@ -0,0 +1,251 @@
+#include "dotterelshift/base/yaml_reader.h"
+
+#include <algorithm>  // for find, all_of
+#include <array>      // for array
+#include <charconv>   // for from_chars
+#include <set>        // for set
+
+namespace dotterelshift {
+namespace {
+
+constexpr size_t kMaxName = 128;
+
+bool IsLetterOrDigit(char c) {
+  return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') ||
+         (c >= '0' && c <= '9');
+}
+
+bool IsName(std::string_view text) {
+  constexpr std::string_view kAlso = "._:/@+-";
+  if (text.empty() || text.size() > kMaxName || !IsLetterOrDigit(text[0]))
+    return false;
+  return std::all_of(text.begin(), text.end(), [&](char c) {
+    return IsLetterOrDigit(c) || kAlso.find(c) != std::string_view::npos;
+  });
+}
+
+// One suffix of a number and what it multiplies by.
+struct Unit {
+  std::string_view suffix;
+  int64_t factor;
+};
+
+constexpr std::array kAmountUnits = {Unit{"", 1}, Unit{"k", 1'000},
+                                     Unit{"M", 1'000'000},
+                                     Unit{"G", 1'000'000'000}};
+constexpr std::array kTimeUnits = {
+    Unit{"h", 3'600'000'000'000}, Unit{"m", 60'000'000'000},
+    Unit{"s", 1'000'000'000}, Unit{"ms", 1'000'000}};
+
+// What became of reading a number with a unit.
+enum class Reading { kOk, kNotANumber, kBadUnit, kOverflow };
+
+Reading ReadNumber(std::string_view text, std::span<const Unit> units,
+                   int64_t* value) {
+  int64_t number = 0;
+  const char* end = text.data() + text.size();
+  const auto parsed = std::from_chars(text.data(), end, number);
+  if (parsed.ec == std::errc::result_out_of_range) return Reading::kOverflow;
+  if (parsed.ec != std::errc()) return Reading::kNotANumber;
+  const std::string_view suffix(parsed.ptr, end - parsed.ptr);
+  for (const Unit& unit : units) {
+    if (unit.suffix != suffix) continue;
+    return __builtin_mul_overflow(number, unit.factor, value)
+               ? Reading::kOverflow
+               : Reading::kOk;
+  }
+  return Reading::kBadUnit;
+}
+
+std::string JoinWords(std::span<const std::string_view> words) {
+  std::string joined;
+  for (std::string_view word : words) {
+    if (!joined.empty()) joined += ", ";
+    joined += word;
+  }
+  return joined;
+}
+
+// A value as a refusal shows it: short, and without control bytes.
+std::string Quoted(const std::string& text) {
+  constexpr size_t kShown = 60;
+  std::string shown = text.substr(0, kShown);
+  std::replace_if(
+      shown.begin(), shown.end(),
+      [](unsigned char c) { return c < ' ' || c == 0x7f; }, '?');
+  return "'" + shown + (text.size() > kShown ? "...'" : "'");
+}
+
+}  // namespace
+
+YAML::Node YamlSource::Parse(std::string_view text) const {
+  std::vector<YAML::Node> documents;
+  try {
+    documents = YAML::LoadAll(std::string(text));
+  } catch (const YAML::Exception& exception) {
+    RefuseLine(exception.mark.line + 1, "not valid YAML: " + exception.msg,
+               "a YAML map");
+  }
+  if (documents.size() > 1)
+    Refuse(documents[1], "a second document", "one document in a file");
+  return documents.empty() ? YAML::Node() : documents[0];
+}
+
+void YamlSource::Refuse(const YAML::Node& at, const std::string& what,
+                        const std::string& expected) const {
+  const int line = at.IsDefined() ? at.Mark().line : -1;
+  RefuseLine(line < 0 ? 1 : line + 1, what, expected);
+}
+
+void YamlSource::RefuseLine(int line, const std::string& what,
+                            const std::string& expected) const {
+  throw Error(m_kind, m_file + ":" + std::to_string(std::max(line, 1)) + ": " +
+                          what + " (expected " + expected + ")");
+}
+
+std::string YamlSource::Text(const YAML::Node& node,
+                             const std::string& what) const {
+  if (!node.IsScalar()) Refuse(node, what + " is not a text", "one value");
+  return node.Scalar();
+}
+
+std::string YamlSource::Name(const YAML::Node& node,
+                             const std::string& what) const {
+  std::string text = Text(node, what);
+  if (!IsName(text))
+    Refuse(node, what + " " + Quoted(text) + " is not a name",
+           "1 to 128 letters, digits and ._:/@+-, a letter or digit first");
+  return text;
+}
+
+bool YamlSource::Bool(const YAML::Node& node, const std::string& what) const {
+  constexpr std::array<std::string_view, 2> kWords = {"false", "true"};
+  return Word(node, what, kWords) == 1;
+}
+
+int64_t YamlSource::Number(const YAML::Node& node, const std::string& what,
+                           int64_t least, int64_t most, bool units) const {
+  const std::string text = Text(node, what);
+  const std::string expected = "a whole number from " + std::to_string(least) +
+                               " to " + std::to_string(most) +
+                               (units ? ", k, M or G allowed" : "");
+  const std::span<const Unit> allowed(kAmountUnits.data(),
+                                      units ? kAmountUnits.size() : 1);
+  int64_t value = 0;
+  switch (ReadNumber(text, allowed, &value)) {
+    case Reading::kNotANumber:
+      Refuse(node, what + " " + Quoted(text) + " is not a whole number",
+             expected);
+    case Reading::kBadUnit:
+      Refuse(node, what + " " + Quoted(text) + " has a wrong unit", expected);
+    case Reading::kOverflow:
+      Refuse(node, what + " " + Quoted(text) + " is too large", expected);
+    case Reading::kOk:
+      break;
+  }
+  if (value < 0 && least >= 0)
+    Refuse(node, what + " " + Quoted(text) + " is negative", expected);
+  if (value < least || value > most)
+    Refuse(node, what + " " + Quoted(text) + " is out of bounds", expected);
+  return value;
+}
+
+Duration YamlSource::Time(const YAML::Node& node, const std::string& what,
+                          Duration least, Duration most) const {
+  const std::string text = Text(node, what);
+  const std::string expected = "a time from " + FormatTime(least) + " to " +
+                               FormatTime(most) + " with ms, s, m or h";
+  int64_t value = 0;
+  switch (ReadNumber(text, kTimeUnits, &value)) {
+    case Reading::kNotANumber:
+      Refuse(node, what + " " + Quoted(text) + " is not a time", expected);
+    case Reading::kBadUnit:
+      Refuse(node, what + " " + Quoted(text) + " has a wrong unit", expected);
+    case Reading::kOverflow:
+      Refuse(node, what + " " + Quoted(text) + " is too large", expected);
+    case Reading::kOk:
+      break;
+  }
+  const Duration time(value);
+  if (time < 0s)
+    Refuse(node, what + " " + Quoted(text) + " is negative", expected);
+  if (time < least || time > most)
+    Refuse(node, what + " " + Quoted(text) + " is out of bounds", expected);
+  return time;
+}
+
+size_t YamlSource::Word(const YAML::Node& node, const std::string& what,
+                        std::span<const std::string_view> words) const {
+  const std::string text = Text(node, what);
+  const auto found = std::find(words.begin(), words.end(), text);
+  if (found == words.end())
+    Refuse(node, what + " " + Quoted(text) + " is not known",
+           "one of " + JoinWords(words));
+  return found - words.begin();
+}
+
+std::vector<std::string> YamlSource::Names(const YAML::Node& node,
+                                           const std::string& what) const {
+  std::vector<std::string> names;
+  for (const YAML::Node& item : Items(node, what)) {
+    std::string name = Name(item, what);
+    if (std::find(names.begin(), names.end(), name) != names.end())
+      Refuse(item, what + " names " + Quoted(name) + " twice",
+             "each name once");
+    names.push_back(std::move(name));
+  }
+  return names;
+}
+
+std::vector<YAML::Node> YamlSource::Items(const YAML::Node& node,
+                                          const std::string& what) const {
+  if (!node.IsSequence()) Refuse(node, what + " is not a list", "a list");
+  return {node.begin(), node.end()};
+}
+
+YamlMap::YamlMap(const YamlSource& source, const YAML::Node& node,
+                 std::string what, std::span<const std::string_view> allowed)
+    : m_source(source), m_node(node), m_what(std::move(what)) {
+  const std::string expected = "a map of " + JoinWords(allowed);
+  if (!node.IsMap()) source.Refuse(node, m_what + " is not a map", expected);
+  std::set<std::string> seen;
+  for (const auto& field : node) {
+    const std::string name = source.Text(field.first, "a key of " + m_what);
+    if (std::find(allowed.begin(), allowed.end(), name) == allowed.end()) {
+      source.Refuse(field.first,
+                    "unknown field " + Quoted(name) + " in " + m_what,
+                    expected);
+    }
+    if (!seen.insert(name).second) {
+      source.Refuse(field.first,
+                    "field " + Quoted(name) + " stands twice in " + m_what,
+                    "each field once");
+    }
+  }
+}
+
+bool YamlMap::Has(std::string_view field) const {
+  return m_node[std::string(field)].IsDefined();
+}
+
+YAML::Node YamlMap::At(std::string_view field) const {
+  const YAML::Node found = m_node[std::string(field)];
+  if (!found.IsDefined())
+    m_source.Refuse(m_node, m_what + " has no " + std::string(field),
+                    "the field " + std::string(field));
+  return found;
+}
+
+std::string YamlMap::Label(std::string_view field) const {
+  return m_what + "'s " + std::string(field);
+}
+
+std::string FormatTime(Duration duration) {
+  const int64_t value = duration.count();
+  for (const Unit& unit : kTimeUnits)
+    if (value != 0 && value % unit.factor == 0)
+      return std::to_string(value / unit.factor) + std::string(unit.suffix);
+  return std::to_string(ToMs(duration)) + "ms";
+}
+
+}  // namespace dotterelshift
