--- /dev/null
+++ b/src/dotterelshift/platform/log.cc
@@ -0,0 +1,97 @@
+#include "dotterelshift/platform/log.h"
+
+#include <boost/core/null_deleter.hpp>               // for null_deleter
+#include <boost/log/core.hpp>                        // for core
+#include <boost/log/sinks/sync_frontend.hpp>         // for synchronous_sink
+#include <boost/log/sinks/text_ostream_backend.hpp>  // for text_ostream_backend
+#include <boost/log/sources/record_ostream.hpp>      // for record_ostream
+#include <boost/log/sources/severity_logger.hpp>     // for severity_logger
+#include <boost/make_shared.hpp>                     // for make_shared
+#include <chrono>                                    // for system_clock
+#include <iostream>                                  // for clog
+#include <nlohmann/json.hpp>                         // for ordered_json
+
+namespace dotterelshift::platform {
+namespace {
+
+using Backend = boost::log::sinks::text_ostream_backend;
+using Sink = boost::log::sinks::synchronous_sink<Backend>;
+
+// What StartLog() set; without a sink nothing is written.
+struct LogSetup {
+  std::string host;
+  LogLevel least = LogLevel::kInfo;
+  boost::shared_ptr<Sink> sink;
+};
+
+LogSetup& Setup() {
+  static auto* const setup = new LogSetup;
+  return *setup;
+}
+
+std::string_view NameOf(LogLevel level) {
+  constexpr std::array<std::string_view, 3> kNames = {"info", "warning",
+                                                      "error"};
+  return kNames.at(static_cast<size_t>(level));
+}
+
+std::string UtcNow() {
+  const auto now = std::chrono::system_clock::now();
+  const int64_t ms = std::chrono::duration_cast<std::chrono::milliseconds>(
+                         now.time_since_epoch())
+                         .count();
+  const time_t seconds = ms / 1000;
+  tm parts{};
+  gmtime_r(&seconds, &parts);
+  std::array<char, 32> text{};
+  const size_t size =
+      strftime(text.data(), text.size(), "%Y-%m-%dT%H:%M:%S", &parts);
+  std::array<char, 8> fraction{};
+  std::snprintf(fraction.data(), fraction.size(), ".%03dZ",
+                static_cast<int>(ms % 1000));
+  return std::string(text.data(), size) + fraction.data();
+}
+
+std::string LineOf(LogLevel level, std::string_view event,
+                   std::initializer_list<LogField> fields) {
+  nlohmann::ordered_json line;
+  line["time"] = UtcNow();
+  line["level"] = NameOf(level);
+  line["host"] = Setup().host;
+  line["event"] = event;
+  for (const LogField& field : fields)
+    line[std::string(field.name)] = field.value;
+  // Bytes that are not UTF-8 are replaced: a log line never throws.
+  return line.dump(-1, ' ', false,
+                   nlohmann::ordered_json::error_handler_t::replace);
+}
+
+}  // namespace
+
+void StartLog(const std::string& host, LogLevel least) {
+  StartLog(host, least, std::clog);
+}
+
+void StartLog(const std::string& host, LogLevel least, std::ostream& stream) {
+  LogSetup& setup = Setup();
+  const auto core = boost::log::core::get();
+  if (setup.sink) core->remove_sink(setup.sink);
+  const auto backend = boost::make_shared<Backend>();
+  backend->add_stream(
+      boost::shared_ptr<std::ostream>(&stream, boost::null_deleter()));
+  backend->auto_flush(true);
+  setup.sink = boost::make_shared<Sink>(backend);
+  setup.host = host;
+  setup.least = least;
+  core->add_sink(setup.sink);
+}
+
+void Log(LogLevel level, std::string_view event,
+         std::initializer_list<LogField> fields) {
+  if (!Setup().sink || level < Setup().least) return;
+  static auto* const logger =
+      new boost::log::sources::severity_logger<LogLevel>;
+  BOOST_LOG_SEV(*logger, level) << LineOf(level, event, fields);
+}
+
+}  // namespace dotterelshift::platform
