--- /dev/null
+++ b/src/dotterelshift/ctl/arguments.h
@@ -0,0 +1,38 @@
+#ifndef DOTTERELSHIFT_CTL_ARGUMENTS_H_
+#define DOTTERELSHIFT_CTL_ARGUMENTS_H_
+
+#include <iosfwd>   // for ostream
+#include <string>   // for string
+#include <variant>  // for variant
+#include <vector>   // for vector
+
+#include "dotterelshift/ctl/ctl.h"  // for Verb, ExitCode
+
+namespace dotterelshift::ctl {
+
+enum class OutputForm { kTable, kJson, kCsv };
+
+// One command line, checked.
+struct Arguments {
+  Verb verb = Verb::kStatus;
+  std::vector<std::string> hosts;  // IP:port, tried in order
+  std::string key_file;
+  OutputForm output = OutputForm::kTable;
+  std::string file;    // plan: the intent; check-settings: the settings
+  std::string plan;    // confirm
+  std::string budget;  // budget: empty for all
+  std::string team;    // report
+  std::string from;
+  std::string to;
+  bool list = false;  // check-settings
+};
+
+// Reads a command line. Gives an exit code instead when there is nothing more
+// to do: the help has been written to `out`, or a fault to `err`.
+std::variant<Arguments, ExitCode> ParseArguments(
+    const std::vector<std::string>& arguments, std::ostream& out,
+    std::ostream& err);
+
+}  // namespace dotterelshift::ctl
+
+#endif  // DOTTERELSHIFT_CTL_ARGUMENTS_H_
--- /dev/null
+++ b/src/dotterelshift/ctl/output.cc
@@ -0,0 +1,261 @@
+#include "dotterelshift/ctl/output.h"
+
+#include <algorithm>          // for max
+#include <array>              // for array
+#include <iomanip>            // for setw
+#include <nlohmann/json.hpp>  // for ordered_json
+#include <ostream>            // for ostream
+
+#include "dotterelshift/settings/settings.h"  // for SettingTable
+
+namespace dotterelshift::ctl {
+namespace {
+
+using Row = std::vector<std::string>;
+
+// One value as a cell: lists joined, maps as their size.
+std::string CellOf(const Json& value) {
+  if (value.is_null()) return "-";
+  if (value.is_string()) return value.get<std::string>();
+  if (!value.is_array()) return value.dump();
+  std::string joined;
+  for (const Json& item : value) {
+    if (!joined.empty()) joined += ",";
+    joined += CellOf(item);
+  }
+  return joined.empty() ? "-" : joined;
+}
+
+// Columns as wide as their widest cell; the first row is the head.
+void WriteRows(const std::vector<Row>& rows, std::ostream& out) {
+  std::vector<size_t> widths(rows[0].size(), 0);
+  for (const Row& row : rows)
+    for (size_t i = 0; i < row.size(); ++i)
+      widths[i] = std::max(widths[i], row[i].size());
+  for (const Row& row : rows) {
+    std::string line;
+    for (size_t i = 0; i < row.size(); ++i) {
+      line += row[i];
+      line.append(widths[i] + 2 - row[i].size(), ' ');
+    }
+    line.erase(line.find_last_not_of(' ') + 1);
+    out << line << "\n";
+  }
+}
+
+// A list of maps of the same keys.
+void WriteList(const Json& list, std::ostream& out) {
+  if (list.empty()) {
+    out << "none\n";
+    return;
+  }
+  std::vector<Row> rows(1);
+  for (const auto& [key, value] : list[0].items()) rows[0].push_back(key);
+  for (const Json& item : list) {
+    Row& row = rows.emplace_back();
+    for (const std::string& key : rows[0])
+      row.push_back(CellOf(item.value(key, Json())));
+  }
+  WriteRows(rows, out);
+}
+
+void WriteFields(const Json& map, std::ostream& out,
+                 const std::string& before) {
+  for (const auto& [key, value] : map.items()) {
+    if (value.is_object()) {
+      out << before << key << ":\n";
+      WriteFields(value, out, before + "  ");
+    } else {
+      out << before << key << ": " << CellOf(value) << "\n";
+    }
+  }
+}
+
+void WriteLines(const char* title, const Json& lines, std::ostream& out) {
+  if (lines.empty()) return;
+  out << title << ":\n";
+  for (const Json& line : lines) out << "  " << CellOf(line) << "\n";
+}
+
+void WritePlan(const Json& plan, std::ostream& out) {
+  out << "plan " << CellOf(plan["plan"]) << " on version "
+      << CellOf(plan["base_version"]) << "\n";
+  if (plan["changes"].empty()) out << "nothing to change\n";
+  out << (plan["changes"].empty() ? "" : "changes:\n");
+  for (const Json& change : plan["changes"])
+    out << "  " << CellOf(change["kind"]) << " " << CellOf(change["subject"])
+        << "\n";
+  WriteLines("effects", plan["effects"], out);
+  WriteLines("warnings", plan["warnings"], out);
+}
+
+void WriteConfirmed(const Json& answer, std::ostream& out) {
+  out << "plan " << CellOf(answer["plan"]) << " is in force as version "
+      << CellOf(answer["version"]) << "\n";
+}
+
+// The budgets without their holders, who follow as a list of their own.
+void WriteBudgets(const Json& budgets, std::ostream& out) {
+  Json list = Json::array();
+  Json holders = Json::array();
+  for (Json budget : budgets) {
+    for (const Json& holder : budget["holders"]) {
+      Json row = {{"budget", budget["budget"]}};
+      row.update(holder);
+      holders.push_back(std::move(row));
+    }
+    budget.erase("holders");
+    list.push_back(std::move(budget));
+  }
+  WriteList(list, out);
+  if (holders.empty()) return;
+  out << "\nholders\n";
+  WriteList(holders, out);
+}
+
+constexpr std::array kDayMeasures = {"requests", "answered", "spent", "billed",
+                                     "wasted"};
+constexpr std::array kHistograms = {"first_token_ms", "total_ms"};
+
+uint64_t SumRefusals(const Json& day, const char* which) {
+  uint64_t sum = 0;
+  for (const auto& [kind, counts] : day["refusals"].items())
+    sum += counts[which].get<uint64_t>();
+  return sum;
+}
+
+// "<=50" and so on; the last bucket has no bound.
+std::string BucketName(const Json& bounds, size_t bucket) {
+  if (bucket < bounds.size()) return "<=" + bounds[bucket].dump();
+  return ">" + bounds.back().dump();
+}
+
+void WriteHistograms(const Json& report, std::ostream& out) {
+  const Json& bounds = report["time_buckets_ms"];
+  std::vector<Row> rows = {{"team", "day", "time", "class"}};
+  for (size_t i = 0; i <= bounds.size(); ++i)
+    rows[0].push_back(BucketName(bounds, i));
+  for (const Json& day : report["days"]) {
+    for (const char* name : kHistograms) {
+      for (const auto& [request_class, counts] : day[name].items()) {
+        Row& row = rows.emplace_back(
+            Row{CellOf(day["team"]), CellOf(day["day"]), name, request_class});
+        for (const Json& count : counts) row.push_back(CellOf(count));
+        row.resize(rows[0].size(), "0");
+      }
+    }
+  }
+  if (rows.size() == 1) return;
+  out << "\ntimes, in milliseconds\n";
+  WriteRows(rows, out);
+}
+
+void WriteRefusals(const Json& report, std::ostream& out) {
+  std::vector<Row> rows = {
+      {"team", "day", "refused", "with_budget_left", "without_budget_left"}};
+  for (const Json& day : report["days"]) {
+    for (const auto& [kind, counts] : day["refusals"].items()) {
+      rows.push_back({CellOf(day["team"]), CellOf(day["day"]), kind,
+                      CellOf(counts["with_budget_left"]),
+                      CellOf(counts["without_budget_left"])});
+    }
+  }
+  if (rows.size() == 1) return;
+  out << "\nrefusals by kind\n";
+  WriteRows(rows, out);
+}
+
+void WriteReport(const Json& report, std::ostream& out) {
+  out << "report from " << CellOf(report["from"]) << " to "
+      << CellOf(report["to"]) << "\n\n";
+  Json days = Json::array();
+  for (const Json& day : report["days"]) {
+    Json row = {{"team", day["team"]}, {"day", day["day"]}};
+    for (const char* measure : kDayMeasures) row[measure] = day[measure];
+    row["refused_with_budget_left"] = SumRefusals(day, "with_budget_left");
+    row["refused_without"] = SumRefusals(day, "without_budget_left");
+    days.push_back(std::move(row));
+  }
+  WriteList(days, out);
+  WriteRefusals(report, out);
+  WriteHistograms(report, out);
+  out << "\nbudgets, since they were made\n";
+  WriteBudgets(report["budgets"], out);
+  out << "\n";
+  WriteLines("DISAGREEMENTS", report["disagreements"], out);
+  if (report["disagreements"].empty()) out << "totals agree\n";
+}
+
+// One line of the CSV. Names hold neither commas nor quotes: the intent's
+// reader lets none in.
+void WriteCsvLine(const Json& team, const Json& day, const std::string& measure,
+                  const std::string& detail, const Json& value,
+                  std::ostream& out) {
+  out << CellOf(team) << "," << (day.is_null() ? "" : CellOf(day)) << ","
+      << measure << "," << detail << "," << CellOf(value) << "\n";
+}
+
+void WriteDayCsv(const Json& day, const Json& bounds, std::ostream& out) {
+  for (const char* measure : kDayMeasures)
+    WriteCsvLine(day["team"], day["day"], measure, "", day[measure], out);
+  for (const auto& [kind, counts] : day["refusals"].items()) {
+    for (const auto& [which, count] : counts.items())
+      WriteCsvLine(day["team"], day["day"], "refused_" + which, kind, count,
+                   out);
+  }
+  for (const char* name : kHistograms) {
+    for (const auto& [request_class, counts] : day[name].items()) {
+      for (size_t i = 0; i < counts.size(); ++i) {
+        WriteCsvLine(day["team"], day["day"], name,
+                     request_class + " " + BucketName(bounds, i), counts[i],
+                     out);
+      }
+    }
+  }
+}
+
+}  // namespace
+
+void WriteTable(Verb verb, const Json& answer, std::ostream& out) {
+  switch (verb) {
+    case Verb::kPlan:
+      return WritePlan(answer, out);
+    case Verb::kConfirm:
+      return WriteConfirmed(answer, out);
+    case Verb::kReport:
+      return WriteReport(answer, out);
+    case Verb::kBudget:
+      return WriteBudgets(answer, out);
+    case Verb::kStatus:
+      return WriteFields(answer, out, "");
+    case Verb::kEndpoints:
+    case Verb::kHosts:
+    case Verb::kOrders:
+      return WriteList(answer, out);
+    case Verb::kCheckSettings:
+      return;
+  }
+}
+
+void WriteReportCsv(const Json& report, std::ostream& out) {
+  constexpr std::array kBudgetMeasures = {
+      "bought", "spent", "billed", "wasted", "granted", "stranded", "free"};
+  out << "team,day,measure,detail,value\n";
+  for (const Json& day : report["days"])
+    WriteDayCsv(day, report["time_buckets_ms"], out);
+  for (const Json& budget : report["budgets"]) {
+    for (const char* measure : kBudgetMeasures)
+      WriteCsvLine(budget["team"], Json(), std::string("budget_") + measure,
+                   CellOf(budget["budget"]), budget[measure], out);
+  }
+}
+
+void WriteSettingTable(std::ostream& out) {
+  out << "| setting | unit | default | bounds | meaning "
+         "|\n|---|---|---|---|---|\n";
+  for (const settings::SettingRow& row : settings::SettingTable())
+    out << "| `" << row.name << "` | " << row.unit << " | " << row.default_value
+        << " | " << row.bounds << " | " << row.meaning << " |\n";
+}
+
+}  // namespace dotterelshift::ctl
