http: server on libmicrohttpd and client on libcurl, both on the loop

Cause: every daemon needs both sides of HTTP on its one loop. The server suspends what has nothing to do, watches the callers' ends by the edge (EPOLLRDHUP) on one descriptor of its own, so that a caller's going is seen while its connection is suspended, and ends what is received too slowly. The client never sends a request twice: curl would on a kept connection that turns out closed. Added to the header: ServerRefusal::kHeadTooLarge. Shown: 12 tests over loopback (whole, late, streamed, aborted, cancelled, paused, timed out, reused, server gone).

--- a/include/dotterelshift/http/client.h
+++ b/include/dotterelshift/http/client.h
@@ -10,6 +10,10 @@
 #include "dotterelshift/base/time.h"    // for Duration
 #include "dotterelshift/http/server.h"  // for Headers
 
+namespace dotterelshift::loop {
+class Loop;
+}
+
 namespace dotterelshift::http {
 
 // How a transfer ended.
@@ -42,6 +46,8 @@
 using TransferId = uint64_t;
 
 // An HTTP/1.1 client on the loop (libcurl multi); keeps connections to reuse.
+// No callback comes from within Start() or Resume(). A request is sent at most
+// once: a kept connection that turns out to be closed ends the transfer.
 class Client {
  public:
   virtual ~Client() = default;
--- a/include/dotterelshift/http/server.h
+++ b/include/dotterelshift/http/server.h
@@ -65,7 +65,12 @@
 
 // What a request that the server itself refuses is answered with (too large,
 // too slow, too many).
-enum class ServerRefusal { kBodyTooLarge, kTooManyConnections, kSlowCaller };
+enum class ServerRefusal {
+  kHeadTooLarge,
+  kBodyTooLarge,
+  kTooManyConnections,
+  kSlowCaller,
+};
 
 struct ServerOptions {
   std::string address = "127.0.0.1";  // an IP number
--- /dev/null
+++ b/src/dotterelshift/http/client.cc
@@ -0,0 +1,364 @@
+#include "dotterelshift/http/client.h"
+
+#include <curl/curl.h>  // for curl_multi_init
+
+#include <algorithm>      // for min
+#include <cctype>         // for tolower
+#include <charconv>       // for from_chars
+#include <cstring>        // for memcpy
+#include <unordered_map>  // for unordered_map
+#include <utility>        // for move
+#include <vector>         // for vector
+
+#include "dotterelshift/base/error.h"  // for Error
+#include "dotterelshift/loop/loop.h"   // for Loop
+
+namespace dotterelshift::http {
+namespace {
+
+// Connections kept for reuse.
+constexpr long kMaxIdleConnections = 4096;  // NOLINT(google-runtime-int)
+
+// An idle connection older than this is not used again: engines commonly close
+// theirs after five seconds, and a request sent into that close has an unknown
+// outcome.
+constexpr long kMaxIdleSeconds = 3;  // NOLINT(google-runtime-int)
+
+// Bytes read from a socket at a time; one such buffer for each open transfer.
+constexpr long kReadBuffer = 8 << 10;  // NOLINT(google-runtime-int)
+
+// Handles kept for the next transfers.
+constexpr size_t kMaxSpareHandles = 256;
+
+struct Transfer {
+  TransferId id = 0;
+  CURL* handle = nullptr;
+  curl_slist* header_list = nullptr;
+  ClientRequest request;
+  TransferCallbacks callbacks;
+  int status = 0;
+  Headers headers;
+  bool head_seen = false;
+  bool sent = false;       // the request may have left, in part or whole
+  bool cancelled = false;  // no callback any more; removed when curl has
+                           // returned
+};
+
+bool IsInterim(int status) { return status >= 100 && status < 200; }
+
+class CurlClient : public Client {
+ public:
+  explicit CurlClient(loop::Loop& loop)
+      : m_loop(loop),
+        m_timer(loop, [this] { Drive(CURL_SOCKET_TIMEOUT, 0); }),
+        m_later(loop, [this] { RunLater(); }) {
+    static const CURLcode kInitialized = curl_global_init(CURL_GLOBAL_DEFAULT);
+    m_multi = curl_multi_init();
+    if (kInitialized != CURLE_OK || m_multi == nullptr)
+      throw Error(ErrorKind::kInternal, "libcurl cannot be started");
+    curl_multi_setopt(m_multi, CURLMOPT_SOCKETFUNCTION, OnSocket);
+    curl_multi_setopt(m_multi, CURLMOPT_SOCKETDATA, this);
+    curl_multi_setopt(m_multi, CURLMOPT_TIMERFUNCTION, OnTimer);
+    curl_multi_setopt(m_multi, CURLMOPT_TIMERDATA, this);
+    curl_multi_setopt(m_multi, CURLMOPT_MAXCONNECTS, kMaxIdleConnections);
+    curl_multi_setopt(m_multi, CURLMOPT_PIPELINING, CURLPIPE_NOTHING);
+  }
+
+  ~CurlClient() override {
+    for (auto& [id, transfer] : m_transfers) Free(*transfer);
+    for (CURL* handle : m_spare) curl_easy_cleanup(handle);
+    curl_multi_cleanup(m_multi);
+  }
+
+  TransferId Start(ClientRequest request,
+                   TransferCallbacks callbacks) override {
+    auto transfer = std::make_unique<Transfer>();
+    transfer->id = ++m_last_id;
+    transfer->request = std::move(request);
+    transfer->callbacks = std::move(callbacks);
+    m_transfers.emplace(m_last_id, std::move(transfer));
+    // curl takes no new transfer from within its callbacks, and the caller
+    // expects no report before it has the number.
+    m_to_start.push_back(m_last_id);
+    m_later.ArmIn(0s);
+    return m_last_id;
+  }
+
+  void Cancel(TransferId id) override {
+    const auto found = m_transfers.find(id);
+    if (found == m_transfers.end()) return;
+    found->second->cancelled = true;
+    if (m_in_curl) {
+      m_to_remove.push_back(id);
+    } else {
+      Remove(id);
+    }
+  }
+
+  void Resume(TransferId id) override {
+    // Resuming hands over held pieces at once, so it waits for its own turn.
+    m_to_resume.push_back(id);
+    m_later.ArmIn(0s);
+  }
+
+  size_t OpenTransfers() const override { return m_transfers.size(); }
+
+ private:
+  // The callbacks of libcurl, with its types.
+  static int OnSocket(CURL*, curl_socket_t descriptor, int what, void* self,
+                      void*) {
+    static_cast<CurlClient*>(self)->Watch(descriptor, what);
+    return 0;
+  }
+
+  // NOLINTNEXTLINE(google-runtime-int): libcurl's type
+  static int OnTimer(CURLM*, long wait_ms, void* self) {
+    auto& client = *static_cast<CurlClient*>(self);
+    if (wait_ms < 0) {
+      client.m_timer.Cancel();
+    } else {
+      client.m_timer.ArmIn(std::chrono::milliseconds(wait_ms));
+    }
+    return 0;
+  }
+
+  static size_t OnHeader(char* data, size_t, size_t size, void* self) {
+    return OnHeaderLine(*static_cast<Transfer*>(self),
+                        std::string_view(data, size))
+               ? size
+               : 0;
+  }
+
+  static size_t OnData(char* data, size_t, size_t size, void* self) {
+    auto& transfer = *static_cast<Transfer*>(self);
+    if (transfer.cancelled) return 0;
+    const bool more = transfer.callbacks.on_piece(std::string_view(data, size));
+    if (transfer.cancelled) return 0;
+    if (!more) curl_easy_pause(transfer.handle, CURLPAUSE_RECV);
+    return size;
+  }
+
+  // Called before the request is sent. curl would send it a second time when a
+  // kept connection turns out to be closed; the first may have run, so no.
+  static int OnSending(void* self, char*, char*, int, int) {
+    auto& transfer = *static_cast<Transfer*>(self);
+    if (transfer.cancelled || std::exchange(transfer.sent, true))
+      return CURL_PREREQFUNC_ABORT;
+    return CURL_PREREQFUNC_OK;
+  }
+
+  static bool OnHeaderLine(Transfer& transfer, std::string_view line) {
+    if (transfer.cancelled) return false;
+    while (!line.empty() && (line.back() == '\r' || line.back() == '\n'))
+      line.remove_suffix(1);
+    if (line.starts_with("HTTP/")) {
+      transfer.headers.clear();
+      const size_t space = line.find(' ');
+      if (space == std::string_view::npos) return false;
+      std::from_chars(line.data() + space + 1, line.data() + line.size(),
+                      transfer.status);
+    } else if (!line.empty()) {
+      AddHeader(transfer, line);
+    } else if (!IsInterim(transfer.status) && !transfer.head_seen) {
+      transfer.head_seen = true;
+      transfer.callbacks.on_head(transfer.status, transfer.headers);
+    }
+    return !transfer.cancelled;
+  }
+
+  static void AddHeader(Transfer& transfer, std::string_view line) {
+    const size_t colon = line.find(':');
+    if (colon == std::string_view::npos) return;
+    std::string name(line.substr(0, colon));
+    for (char& c : name)
+      c = static_cast<char>(std::tolower(static_cast<unsigned char>(c)));
+    line.remove_prefix(colon + 1);
+    while (!line.empty() && line.front() == ' ') line.remove_prefix(1);
+    transfer.headers.emplace_back(std::move(name), std::string(line));
+  }
+
+  void Watch(curl_socket_t descriptor, int what) {
+    const int events = what == CURL_POLL_REMOVE
+                           ? 0
+                           : ((what & CURL_POLL_IN) != 0 ? EV_READ : 0) |
+                                 ((what & CURL_POLL_OUT) != 0 ? EV_WRITE : 0);
+    // Watchers stay with their descriptor's number: they are never destroyed
+    // while they call back.
+    auto& watcher = m_watchers[descriptor];
+    if (watcher) {
+      watcher->SetEvents(events);
+    } else if (events != 0) {
+      watcher = std::make_unique<loop::IoWatcher>(
+          m_loop, descriptor, events, [this, descriptor](int seen) {
+            Drive(descriptor,
+                  ((seen & EV_READ) != 0 ? CURL_CSELECT_IN : 0) |
+                      ((seen & EV_WRITE) != 0 ? CURL_CSELECT_OUT : 0));
+          });
+    }
+  }
+
+  void Drive(curl_socket_t descriptor, int events) {
+    int running = 0;
+    m_in_curl = true;
+    curl_multi_socket_action(m_multi, descriptor, events, &running);
+    m_in_curl = false;
+    RemoveCancelled();
+    TakeEnded();
+  }
+
+  // What had to wait until curl was not running.
+  void RunLater() {
+    for (const TransferId id : std::exchange(m_to_start, {})) Begin(id);
+    for (const TransferId id : std::exchange(m_to_resume, {})) {
+      const auto found = m_transfers.find(id);
+      if (found == m_transfers.end() || found->second->handle == nullptr)
+        continue;
+      m_in_curl = true;
+      curl_easy_pause(found->second->handle, CURLPAUSE_CONT);
+      m_in_curl = false;
+    }
+    RemoveCancelled();
+    TakeEnded();
+  }
+
+  void Begin(TransferId id) {
+    const auto found = m_transfers.find(id);
+    if (found == m_transfers.end()) return;
+    Transfer& transfer = *found->second;
+    transfer.handle = TakeHandle();
+    SetOptions(transfer);
+    m_in_curl = true;
+    const CURLMcode added = curl_multi_add_handle(m_multi, transfer.handle);
+    m_in_curl = false;
+    if (added != CURLM_OK)
+      throw Error(ErrorKind::kInternal, curl_multi_strerror(added));
+  }
+
+  CURL* TakeHandle() {
+    if (m_spare.empty()) return curl_easy_init();
+    CURL* handle = m_spare.back();
+    m_spare.pop_back();
+    return handle;
+  }
+
+  static void SetOptions(Transfer& transfer) {
+    CURL* handle = transfer.handle;
+    const ClientRequest& request = transfer.request;
+    curl_easy_setopt(handle, CURLOPT_PRIVATE, &transfer);
+    curl_easy_setopt(handle, CURLOPT_URL, request.url.c_str());
+    curl_easy_setopt(handle, CURLOPT_PATH_AS_IS, 1L);
+    curl_easy_setopt(handle, CURLOPT_PROTOCOLS_STR, "http");
+    curl_easy_setopt(handle, CURLOPT_PROXY, "");
+    curl_easy_setopt(handle, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(handle, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
+    curl_easy_setopt(handle, CURLOPT_BUFFERSIZE, kReadBuffer);
+    curl_easy_setopt(handle, CURLOPT_MAXAGE_CONN, kMaxIdleSeconds);
+    curl_easy_setopt(handle, CURLOPT_CONNECTTIMEOUT_MS,
+                     ToMs(request.connect_timeout));
+    if (request.total_timeout > 0s)
+      curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS,
+                       std::max<int64_t>(1, ToMs(request.total_timeout)));
+    curl_easy_setopt(handle, CURLOPT_PREREQFUNCTION, OnSending);
+    curl_easy_setopt(handle, CURLOPT_PREREQDATA, &transfer);
+    curl_easy_setopt(handle, CURLOPT_HEADERFUNCTION, OnHeader);
+    curl_easy_setopt(handle, CURLOPT_HEADERDATA, &transfer);
+    curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, OnData);
+    curl_easy_setopt(handle, CURLOPT_WRITEDATA, &transfer);
+    SetMethod(handle, request);
+    for (const auto& [name, value] : request.headers)
+      transfer.header_list = curl_slist_append(transfer.header_list,
+                                               (name + ": " + value).c_str());
+    // No waiting for the server's leave to send the body.
+    transfer.header_list = curl_slist_append(transfer.header_list, "Expect:");
+    curl_easy_setopt(handle, CURLOPT_HTTPHEADER, transfer.header_list);
+  }
+
+  static void SetMethod(CURL* handle, const ClientRequest& request) {
+    if (request.method == "GET" && request.body.empty()) {
+      curl_easy_setopt(handle, CURLOPT_HTTPGET, 1L);
+      return;
+    }
+    if (request.method == "HEAD") {
+      curl_easy_setopt(handle, CURLOPT_NOBODY, 1L);
+      return;
+    }
+    curl_easy_setopt(handle, CURLOPT_POST, 1L);
+    curl_easy_setopt(handle, CURLOPT_POSTFIELDS, request.body.data());
+    curl_easy_setopt(handle, CURLOPT_POSTFIELDSIZE_LARGE,
+                     static_cast<curl_off_t>(request.body.size()));
+    if (request.method != "POST")
+      curl_easy_setopt(handle, CURLOPT_CUSTOMREQUEST, request.method.c_str());
+  }
+
+  void TakeEnded() {
+    int left = 0;
+    while (const CURLMsg* message = curl_multi_info_read(m_multi, &left)) {
+      if (message->msg != CURLMSG_DONE) continue;
+      const CURLcode result = message->data.result;
+      Transfer* transfer = nullptr;
+      curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &transfer);
+      const TransferEnd end = EndOf(*transfer, result);
+      const auto callback = std::move(transfer->callbacks.on_end);
+      const bool cancelled = transfer->cancelled;
+      Remove(transfer->id);
+      if (!cancelled && callback) callback(end);
+    }
+  }
+
+  static TransferEnd EndOf(const Transfer& transfer, CURLcode result) {
+    if (result == CURLE_OK && transfer.head_seen) return TransferEnd::kWhole;
+    if (!transfer.sent) return TransferEnd::kNotSent;
+    if (result == CURLE_OPERATION_TIMEDOUT) return TransferEnd::kTimedOut;
+    return transfer.head_seen ? TransferEnd::kCut : TransferEnd::kCutBeforeHead;
+  }
+
+  void RemoveCancelled() {
+    for (const TransferId id : std::exchange(m_to_remove, {})) Remove(id);
+  }
+
+  void Remove(TransferId id) {
+    const auto found = m_transfers.find(id);
+    if (found == m_transfers.end()) return;
+    // Kept until its callbacks, one of which may be running, have returned.
+    const std::unique_ptr<Transfer> transfer = std::move(found->second);
+    m_transfers.erase(found);
+    Free(*transfer);
+  }
+
+  void Free(Transfer& transfer) {
+    if (transfer.handle != nullptr) {
+      m_in_curl = true;
+      curl_multi_remove_handle(m_multi, transfer.handle);
+      m_in_curl = false;
+      if (m_spare.size() < kMaxSpareHandles) {
+        curl_easy_reset(transfer.handle);
+        m_spare.push_back(transfer.handle);
+      } else {
+        curl_easy_cleanup(transfer.handle);
+      }
+    }
+    curl_slist_free_all(transfer.header_list);
+  }
+
+  loop::Loop& m_loop;
+  CURLM* m_multi = nullptr;
+  bool m_in_curl = false;
+  TransferId m_last_id = 0;
+  std::unordered_map<TransferId, std::unique_ptr<Transfer>> m_transfers;
+  std::unordered_map<curl_socket_t, std::unique_ptr<loop::IoWatcher>>
+      m_watchers;
+  std::vector<TransferId> m_to_start;
+  std::vector<TransferId> m_to_resume;
+  std::vector<TransferId> m_to_remove;
+  std::vector<CURL*> m_spare;
+  loop::Timer m_timer;
+  loop::Timer m_later;
+};
+
+}  // namespace
+
+std::unique_ptr<Client> MakeClient(loop::Loop& loop) {
+  return std::make_unique<CurlClient>(loop);
+}
+
+}  // namespace dotterelshift::http
--- /dev/null
+++ b/src/dotterelshift/http/http_test.cc
@@ -0,0 +1,242 @@
+#include <cppunit/extensions/HelperMacros.h>  // for CPPUNIT_TEST
+
+#include <string>  // for string
+
+#include "dotterelshift/http/client.h"  // for MakeClient
+#include "dotterelshift/http/server.h"  // for MakeServer
+#include "dotterelshift/loop/loop.h"    // for Loop
+
+namespace dotterelshift::http {
+namespace {
+
+// What a client saw of one transfer.
+struct Seen {
+  int status = 0;
+  Headers headers;
+  std::string body;
+  bool ended = false;
+  TransferEnd end = TransferEnd::kNotSent;
+};
+
+class HttpTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(HttpTest);
+  CPPUNIT_TEST(WholeAnswerAtOnce);
+  CPPUNIT_TEST(AnswerAfterTheHandlerReturned);
+  CPPUNIT_TEST(StreamArrivesPieceByPiece);
+  CPPUNIT_TEST(AbortIsSeenAsCut);
+  CPPUNIT_TEST(AbortBeforeHeadIsSeenAsCut);
+  CPPUNIT_TEST(RefusedConnectionIsNotSent);
+  CPPUNIT_TEST(CancelReachesASuspendedExchange);
+  CPPUNIT_TEST(CancelReachesAStream);
+  CPPUNIT_TEST(PausedTransferGoesOn);
+  CPPUNIT_TEST(TimedOutTransfer);
+  CPPUNIT_TEST(ConnectionsAreReused);
+  CPPUNIT_TEST(ExchangeOutlivesItsServer);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void WholeAnswerAtOnce() {
+    Serve([](const std::shared_ptr<Exchange>& exchange) {
+      const Request& request = exchange->GetRequest();
+      exchange->Answer(
+          201, {{"X-Test", "yes"}},
+          request.method + " " + request.path + " " + request.query + " " +
+              std::string(request.Header("x-name")) + " " + request.body);
+    });
+    Send("/a%2Fb?c=d", "body", {{"X-Name", "value"}});
+    RunUntilEnded();
+    CPPUNIT_ASSERT_EQUAL(201, m_seen.status);
+    CPPUNIT_ASSERT_EQUAL(std::string("POST /a%2Fb c=d value body"),
+                         m_seen.body);
+    CPPUNIT_ASSERT(m_seen.end == TransferEnd::kWhole);
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, m_server->OpenExchanges());
+  }
+
+  void AnswerAfterTheHandlerReturned() {
+    ServeKeeping();
+    Send("/", "x");
+    RunUntil([this] { return m_kept != nullptr; });
+    m_kept->Answer(200, {}, "late");
+    RunUntilEnded();
+    CPPUNIT_ASSERT_EQUAL(std::string("late"), m_seen.body);
+  }
+
+  void StreamArrivesPieceByPiece() {
+    ServeKeeping();
+    Send("/", "x");
+    RunUntil([this] { return m_kept != nullptr; });
+    m_kept->SendHead(200, {{"Content-Type", "text/event-stream"}});
+    std::string expected;
+    for (int i = 0; i < 20; ++i) {
+      const std::string piece = "piece " + std::to_string(i);
+      expected += piece;
+      m_kept->SendPiece(piece);
+      RunUntil([&] { return m_seen.body == expected; });
+      CPPUNIT_ASSERT(!m_seen.ended);
+      CPPUNIT_ASSERT_EQUAL(size_t{0}, m_kept->Backlog());
+    }
+    m_kept->Finish();
+    RunUntilEnded();
+    CPPUNIT_ASSERT_EQUAL(expected, m_seen.body);
+    CPPUNIT_ASSERT(m_seen.end == TransferEnd::kWhole);
+  }
+
+  void AbortIsSeenAsCut() {
+    ServeKeeping();
+    Send("/", "x");
+    RunUntil([this] { return m_kept != nullptr; });
+    m_kept->SendHead(200, {});
+    m_kept->SendPiece("begin");
+    RunUntil([this] { return m_seen.body == "begin"; });
+    m_kept->Abort();
+    RunUntilEnded();
+    CPPUNIT_ASSERT(m_seen.end == TransferEnd::kCut);
+  }
+
+  void AbortBeforeHeadIsSeenAsCut() {
+    Serve([](const std::shared_ptr<Exchange>& exchange) { exchange->Abort(); });
+    Send("/", "x");
+    RunUntilEnded();
+    CPPUNIT_ASSERT(m_seen.end == TransferEnd::kCutBeforeHead);
+  }
+
+  void RefusedConnectionIsNotSent() {
+    ServeKeeping();
+    m_port = m_server->Port();
+    m_server.reset();
+    Send("/", "x");
+    RunUntilEnded();
+    CPPUNIT_ASSERT(m_seen.end == TransferEnd::kNotSent);
+  }
+
+  void CancelReachesASuspendedExchange() {
+    ServeKeeping();
+    Send("/", "x");
+    RunUntil([this] { return m_kept != nullptr; });
+    m_client->Cancel(m_transfer);
+    RunUntil([this] { return m_gone > 0; });
+    RunUntil([this] { return m_server->OpenExchanges() == 0; });
+    CPPUNIT_ASSERT_EQUAL(1, m_gone);
+    CPPUNIT_ASSERT(!m_seen.ended);
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, m_client->OpenTransfers());
+  }
+
+  void CancelReachesAStream() {
+    ServeKeeping();
+    Send("/", "x");
+    RunUntil([this] { return m_kept != nullptr; });
+    m_kept->SendHead(200, {});
+    m_kept->SendPiece("begin");
+    RunUntil([this] { return !m_seen.body.empty(); });
+    m_client->Cancel(m_transfer);
+    RunUntil([this] { return m_gone > 0; });
+    RunUntil([this] { return m_server->OpenExchanges() == 0; });
+    m_kept->SendPiece("nobody reads this");
+    m_kept->Finish();
+    CPPUNIT_ASSERT_EQUAL(1, m_gone);
+  }
+
+  void PausedTransferGoesOn() {
+    const std::string body(1 << 20, 'x');
+    Serve([&body](const std::shared_ptr<Exchange>& exchange) {
+      exchange->Answer(200, {}, body);
+    });
+    m_pause_each_piece = true;
+    Send("/", "x");
+    RunUntilEnded();
+    CPPUNIT_ASSERT_EQUAL(body.size(), m_seen.body.size());
+    CPPUNIT_ASSERT(m_seen.end == TransferEnd::kWhole);
+  }
+
+  void TimedOutTransfer() {
+    ServeKeeping();
+    Send("/", "x", {}, 20ms);
+    RunUntilEnded();
+    CPPUNIT_ASSERT(m_seen.end == TransferEnd::kTimedOut);
+  }
+
+  void ConnectionsAreReused() {
+    Serve([](const std::shared_ptr<Exchange>& exchange) {
+      exchange->Answer(200, {}, "ok");
+    });
+    for (int i = 0; i < 50; ++i) {
+      m_seen = {};
+      Send("/", "x");
+      RunUntilEnded();
+      CPPUNIT_ASSERT_EQUAL(std::string("ok"), m_seen.body);
+    }
+  }
+
+  void ExchangeOutlivesItsServer() {
+    ServeKeeping();
+    Send("/", "x");
+    RunUntil([this] { return m_kept != nullptr; });
+    m_server.reset();
+    m_kept->Answer(200, {}, "nobody");
+    RunUntilEnded();
+    CPPUNIT_ASSERT(m_seen.end == TransferEnd::kCutBeforeHead);
+  }
+
+ private:
+  void Serve(Handler handler) {
+    m_server = MakeServer(m_loop, {}, std::move(handler));
+    m_port = m_server->Port();
+  }
+
+  // Keeps the exchange for the test to answer.
+  void ServeKeeping() {
+    Serve([this](const std::shared_ptr<Exchange>& exchange) {
+      m_kept = exchange;
+      exchange->OnGone([this] { ++m_gone; });
+    });
+  }
+
+  void Send(const std::string& path, const std::string& body,
+            const Headers& headers = {}, Duration timeout = 0s) {
+    ClientRequest request;
+    request.url = "http://127.0.0.1:" + std::to_string(m_port) + path;
+    request.headers = headers;
+    request.body = body;
+    request.total_timeout = timeout;
+    TransferCallbacks callbacks;
+    callbacks.on_head = [this](int status, const Headers& answered) {
+      m_seen.status = status;
+      m_seen.headers = answered;
+    };
+    callbacks.on_piece = [this](std::string_view piece) {
+      m_seen.body += piece;
+      if (m_pause_each_piece) m_client->Resume(m_transfer);
+      return !m_pause_each_piece;
+    };
+    callbacks.on_end = [this](TransferEnd end) {
+      m_seen.ended = true;
+      m_seen.end = end;
+    };
+    m_transfer = m_client->Start(std::move(request), std::move(callbacks));
+  }
+
+  // Turns the loop until the condition holds.
+  template <typename Condition>
+  void RunUntil(const Condition& condition) {
+    while (!condition()) ev_run(m_loop.Raw(), EVRUN_ONCE);
+  }
+
+  void RunUntilEnded() {
+    RunUntil([this] { return m_seen.ended; });
+  }
+
+  loop::Loop m_loop;
+  std::unique_ptr<Server> m_server;
+  std::unique_ptr<Client> m_client = MakeClient(m_loop);
+  uint16_t m_port = 0;
+  std::shared_ptr<Exchange> m_kept;
+  int m_gone = 0;
+  bool m_pause_each_piece = false;
+  Seen m_seen;
+  TransferId m_transfer = 0;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(HttpTest);
+
+}  // namespace
+}  // namespace dotterelshift::http
--- /dev/null
+++ b/src/dotterelshift/http/server.cc
@@ -0,0 +1,450 @@
+#include "dotterelshift/http/server.h"
+
+#include <arpa/inet.h>   // for inet_pton
+#include <microhttpd.h>  // for MHD_start_daemon
+#include <sys/epoll.h>   // for epoll_create1
+#include <sys/socket.h>  // for shutdown
+#include <unistd.h>      // for close
+
+#include <algorithm>      // for find_if
+#include <array>          // for array
+#include <cctype>         // for tolower
+#include <cerrno>         // for errno
+#include <charconv>       // for from_chars
+#include <cstring>        // for strerror
+#include <list>           // for list
+#include <unordered_set>  // for unordered_set
+#include <utility>        // for move
+
+#include "dotterelshift/base/error.h"     // for Error
+#include "dotterelshift/http/exchange.h"  // for MhdExchange
+#include "dotterelshift/loop/loop.h"      // for Loop
+
+namespace dotterelshift::http {
+namespace {
+
+// Memory of one connection in the library: bounds the head, and the block of an
+// answer that is written at once.
+constexpr size_t kConnectionMemory = 16 << 10;
+
+// Heads above this are refused in words; above the connection's memory the
+// library itself refuses them.
+constexpr size_t kMaxHeadBytes = 8 << 10;
+
+// Connections above the bound that are accepted to be refused in words.
+constexpr size_t kSpareConnections = 64;
+
+// A body past its bound is read and dropped up to this many times the bound, so
+// that its caller can read the refusal.
+constexpr size_t kDroppedBodies = 4;
+
+// The library's own state of one connection.
+struct Connection {
+  MHD_Connection* handle = nullptr;
+  int descriptor = -1;
+  bool over_limit = false;  // accepted only to be refused
+  bool caller_closed = false;
+  bool head_begun = false;
+  std::string uri;  // of the request being received, as it was sent
+  std::shared_ptr<MhdExchange> exchange;
+  size_t body_bytes = 0;
+  bool refused = false;
+  bool handed_over = false;  // to the handler
+
+  Instant receive_deadline;
+  bool receiving = false;
+  std::list<Connection*>::iterator position;  // while receiving
+};
+
+union Address {
+  sockaddr any;
+  sockaddr_in v4;
+  sockaddr_in6 v6;
+};
+
+// Reads an IP number; throws when it is none.
+Address ParseAddress(const std::string& text, uint16_t port) {
+  Address address{};
+  if (inet_pton(AF_INET, text.c_str(), &address.v4.sin_addr) == 1) {
+    address.v4.sin_family = AF_INET;
+    address.v4.sin_port = htons(port);
+  } else if (inet_pton(AF_INET6, text.c_str(), &address.v6.sin6_addr) == 1) {
+    address.v6.sin6_family = AF_INET6;
+    address.v6.sin6_port = htons(port);
+  } else {
+    throw Error(ErrorKind::kBadSettings, "not an IP number: " + text);
+  }
+  return address;
+}
+
+MHD_Result AddHeader(void* headers, MHD_ValueKind, const char* name,
+                     const char* value) {
+  std::string lower(name);
+  for (char& c : lower)
+    c = static_cast<char>(std::tolower(static_cast<unsigned char>(c)));
+  static_cast<Headers*>(headers)->emplace_back(std::move(lower),
+                                               value == nullptr ? "" : value);
+  return MHD_YES;
+}
+
+// The path stays as it was sent: what is escaped is the endpoint's to read.
+size_t KeepEscapes(void*, MHD_Connection*, char* text) {
+  return std::strlen(text);
+}
+
+class MhdServer : public Server {
+ public:
+  MhdServer(loop::Loop& loop, const ServerOptions& options, Handler handler)
+      : m_loop(loop),
+        m_options(options),
+        m_handler(std::move(handler)),
+        m_timer(loop, [this] { m_run_wanted = true; }),
+        m_receive_timer(loop, [this] { EndSlowOnes(); }),
+        m_prepare(loop, [this] { RunDaemon(); }) {
+    StartDaemon();
+    m_ends = epoll_create1(EPOLL_CLOEXEC);
+    const int ready =
+        MHD_get_daemon_info(m_daemon, MHD_DAEMON_INFO_EPOLL_FD)->epoll_fd;
+    m_daemon_watcher = std::make_unique<loop::IoWatcher>(
+        m_loop, ready, EV_READ, [this](int) { m_run_wanted = true; });
+    m_ends_watcher = std::make_unique<loop::IoWatcher>(
+        m_loop, m_ends, EV_READ, [this](int) { TakeEnds(); });
+  }
+
+  ~MhdServer() override {
+    m_daemon_watcher.reset();
+    m_ends_watcher.reset();
+    for (Connection* connection : m_connections) {
+      // Aborting resumes what is suspended, as stopping needs.
+      if (connection->exchange) {
+        connection->exchange->OnGone(nullptr);
+        connection->exchange->Abort();
+      }
+    }
+    MHD_stop_daemon(m_daemon);
+    if (m_ends >= 0) ::close(m_ends);
+  }
+
+  uint16_t Port() const override {
+    return MHD_get_daemon_info(m_daemon, MHD_DAEMON_INFO_BIND_PORT)->port;
+  }
+
+  size_t OpenExchanges() const override { return m_open; }
+
+  void StopAccepting() override {
+    const MHD_socket listening = MHD_quiesce_daemon(m_daemon);
+    if (listening != MHD_INVALID_SOCKET) ::close(listening);
+  }
+
+ private:
+  void StartDaemon() {
+    Address address = ParseAddress(m_options.address, m_options.port);
+    unsigned flags = MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME;
+    if (address.any.sa_family == AF_INET6) flags |= MHD_USE_IPv6;
+    const auto idle_seconds = static_cast<unsigned>(
+        std::chrono::ceil<std::chrono::seconds>(m_options.receive_timeout)
+            .count());
+    m_daemon = MHD_start_daemon(
+        flags, m_options.port, nullptr, nullptr, OnAccess, this,
+        MHD_OPTION_SOCK_ADDR, &address.any, MHD_OPTION_CONNECTION_LIMIT,
+        static_cast<unsigned>(m_options.max_connections + kSpareConnections),
+        MHD_OPTION_CONNECTION_MEMORY_LIMIT, kConnectionMemory,
+        MHD_OPTION_CONNECTION_TIMEOUT, idle_seconds + 1,
+        MHD_OPTION_NOTIFY_CONNECTION, OnConnection, this,
+        MHD_OPTION_NOTIFY_COMPLETED, OnCompleted, this,
+        MHD_OPTION_URI_LOG_CALLBACK, OnUri, this, MHD_OPTION_UNESCAPE_CALLBACK,
+        KeepEscapes, nullptr, MHD_OPTION_SIGPIPE_HANDLED_BY_APP, 1,
+        MHD_OPTION_END);
+    if (m_daemon == nullptr) {
+      throw Error(ErrorKind::kBadSettings, "cannot listen on " +
+                                               m_options.address + ":" +
+                                               std::to_string(m_options.port) +
+                                               ": " + std::strerror(errno));
+    }
+  }
+
+  // Has the library run before the loop waits, in this turn or the next one.
+  void WantRun() {
+    if (!std::exchange(m_run_wanted, true)) m_timer.ArmIn(0s);
+  }
+
+  // Runs the library while it asks for it, just before the loop waits.
+  void RunDaemon() {
+    if (!std::exchange(m_run_wanted, false)) return;
+    MHD_run(m_daemon);
+    MHD_UNSIGNED_LONG_LONG wait_ms = 0;
+    if (MHD_get_timeout(m_daemon, &wait_ms) == MHD_YES) {
+      m_timer.ArmIn(std::chrono::milliseconds(wait_ms));
+    } else {
+      m_timer.Cancel();
+    }
+  }
+
+  static Connection* Of(MHD_Connection* handle) {
+    const auto* info =
+        MHD_get_connection_info(handle, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
+    return info == nullptr ? nullptr
+                           : static_cast<Connection*>(info->socket_context);
+  }
+
+  static void OnConnection(void* self, MHD_Connection* handle, void** context,
+                           MHD_ConnectionNotificationCode code) {
+    auto& server = *static_cast<MhdServer*>(self);
+    if (code == MHD_CONNECTION_NOTIFY_STARTED) {
+      *context = server.Begin(handle);
+    } else {
+      server.End(static_cast<Connection*>(*context));
+      *context = nullptr;
+    }
+  }
+
+  Connection* Begin(MHD_Connection* handle) {
+    auto* connection = new Connection;
+    connection->handle = handle;
+    connection->descriptor =
+        MHD_get_connection_info(handle, MHD_CONNECTION_INFO_CONNECTION_FD)
+            ->connect_fd;
+    connection->over_limit = m_connections.size() >= m_options.max_connections;
+    m_connections.insert(connection);
+    StartReceiving(*connection);
+    // Only the caller's end is watched, once and by its edge; data is the
+    // library's.
+    epoll_event event{};
+    event.events = EPOLLRDHUP | EPOLLET;
+    event.data.ptr = connection;
+    epoll_ctl(m_ends, EPOLL_CTL_ADD, connection->descriptor, &event);
+    return connection;
+  }
+
+  void End(Connection* connection) {
+    StopReceiving(*connection);
+    epoll_ctl(m_ends, EPOLL_CTL_DEL, connection->descriptor, nullptr);
+    m_connections.erase(connection);
+    delete connection;
+  }
+
+  // Callers that have closed their side: an exchange in flight ends at once,
+  // also when the library does not read its connection.
+  void TakeEnds() {
+    std::array<epoll_event, 64> events;
+    const int count =
+        epoll_wait(m_ends, events.data(), static_cast<int>(events.size()), 0);
+    for (int i = 0; i < count; ++i) {
+      auto* connection = static_cast<Connection*>(events.at(i).data.ptr);
+      connection->caller_closed = true;
+      // Kept while its callbacks run.
+      const std::shared_ptr<MhdExchange> exchange = connection->exchange;
+      if (exchange && !connection->receiving) exchange->CallerGone();
+    }
+    m_run_wanted = true;
+  }
+
+  static void* OnUri(void*, const char* uri, MHD_Connection* handle) {
+    Connection* connection = Of(handle);
+    connection->uri = uri;
+    connection->head_begun = true;
+    return nullptr;
+  }
+
+  static MHD_Result OnAccess(void* self, MHD_Connection* handle, const char*,
+                             const char* method, const char*, const char* data,
+                             size_t* size, void** context) {
+    auto& server = *static_cast<MhdServer*>(self);
+    Connection& connection = *Of(handle);
+    if (*context == nullptr) {
+      *context = &connection;
+      return server.OnHead(connection, method);
+    }
+    if (*size > 0) {
+      const size_t taken = std::exchange(*size, 0);
+      return server.OnBody(connection, std::string_view(data, taken));
+    }
+    if (connection.receiving) return server.OnWhole(connection);
+    // What still comes of a request that was too slow is not handed over.
+    if (!connection.handed_over) return MHD_NO;
+    return connection.exchange->Continue();
+  }
+
+  MHD_Result OnHead(Connection& connection, const char* method) {
+    if (connection.over_limit)
+      return Refuse(connection, ServerRefusal::kTooManyConnections);
+    connection.exchange =
+        std::make_shared<MhdExchange>(connection.handle, [this] { WantRun(); });
+    ++m_open;
+    Request& request = connection.exchange->MutableRequest();
+    request.method = method;
+    const size_t mark = connection.uri.find('?');
+    request.path = connection.uri.substr(0, mark);
+    if (mark != std::string::npos)
+      request.query = connection.uri.substr(mark + 1);
+    MHD_get_connection_values(connection.handle, MHD_HEADER_KIND, AddHeader,
+                              &request.headers);
+    size_t head_bytes = connection.uri.size();
+    for (const auto& [name, value] : request.headers)
+      head_bytes += name.size() + value.size();
+    if (head_bytes > kMaxHeadBytes)
+      return Refuse(connection, ServerRefusal::kHeadTooLarge);
+    const std::string_view length = request.Header("content-length");
+    size_t announced = 0;
+    std::from_chars(length.data(), length.data() + length.size(), announced);
+    if (announced > m_options.max_body_bytes)
+      return Refuse(connection, ServerRefusal::kBodyTooLarge);
+    request.body.reserve(announced);
+    return MHD_YES;
+  }
+
+  MHD_Result OnBody(Connection& connection, std::string_view data) {
+    connection.body_bytes += data.size();
+    if (connection.body_bytes <= m_options.max_body_bytes) {
+      connection.exchange->MutableRequest().body.append(data);
+      return MHD_YES;
+    }
+    connection.exchange->MutableRequest().body.clear();
+    const bool hopeless =
+        connection.body_bytes > m_options.max_body_bytes * kDroppedBodies;
+    return hopeless ? MHD_NO : MHD_YES;
+  }
+
+  MHD_Result OnWhole(Connection& connection) {
+    StopReceiving(connection);
+    if (connection.body_bytes > m_options.max_body_bytes)
+      return Refuse(connection, ServerRefusal::kBodyTooLarge);
+    const std::shared_ptr<MhdExchange> exchange = connection.exchange;
+    if (connection.caller_closed) return MHD_NO;
+    connection.handed_over = true;
+    m_handler(exchange);
+    return exchange->Continue();
+  }
+
+  static void OnCompleted(void* self, MHD_Connection* handle, void** context,
+                          MHD_RequestTerminationCode code) {
+    if (*context == nullptr) return;
+    *context = nullptr;
+    static_cast<MhdServer*>(self)->Complete(
+        *Of(handle), code == MHD_REQUEST_TERMINATED_COMPLETED_OK);
+  }
+
+  void Complete(Connection& connection, bool whole) {
+    if (connection.exchange) {
+      --m_open;
+      std::exchange(connection.exchange, nullptr)->Detach(whole);
+    }
+    connection.uri.clear();
+    connection.head_begun = false;
+    connection.refused = false;
+    connection.handed_over = false;
+    connection.body_bytes = 0;
+    StopReceiving(connection);
+    StartReceiving(connection);
+  }
+
+  std::pair<int, std::string> RefusalOf(ServerRefusal refusal) const {
+    if (m_options.refusal) return m_options.refusal(refusal);
+    switch (refusal) {
+      case ServerRefusal::kBodyTooLarge:
+        return {MHD_HTTP_CONTENT_TOO_LARGE, ""};
+      case ServerRefusal::kHeadTooLarge:
+        return {MHD_HTTP_REQUEST_HEADER_FIELDS_TOO_LARGE, ""};
+      case ServerRefusal::kSlowCaller:
+        return {MHD_HTTP_REQUEST_TIMEOUT, ""};
+      case ServerRefusal::kTooManyConnections:
+        break;
+    }
+    return {MHD_HTTP_SERVICE_UNAVAILABLE, ""};
+  }
+
+  // Answers in the server's own name and closes the connection.
+  MHD_Result Refuse(Connection& connection, ServerRefusal refusal) {
+    connection.refused = true;
+    auto [status, body] = RefusalOf(refusal);
+    MHD_Response* response = MHD_create_response_from_buffer(
+        body.size(), body.data(), MHD_RESPMEM_MUST_COPY);
+    MHD_add_response_header(response, "Content-Type", "application/json");
+    MHD_add_response_header(response, "Connection", "close");
+    MHD_add_response_header(response, "Dotterelshift-Ran", "no");
+    if (refusal == ServerRefusal::kTooManyConnections)
+      MHD_add_response_header(response, "Retry-After", "1");
+    const MHD_Result queued = MHD_queue_response(
+        connection.handle, static_cast<unsigned>(status), response);
+    MHD_destroy_response(response);
+    return queued;
+  }
+
+  // A connection receives from its begin, or from the end of a request, until
+  // the next request is whole.
+  void StartReceiving(Connection& connection) {
+    connection.receive_deadline = m_loop.Now() + m_options.receive_timeout;
+    connection.receiving = true;
+    connection.position = m_receiving.insert(m_receiving.end(), &connection);
+    if (m_receiving.size() == 1)
+      m_receive_timer.ArmAt(connection.receive_deadline);
+  }
+
+  void StopReceiving(Connection& connection) {
+    if (!std::exchange(connection.receiving, false)) return;
+    m_receiving.erase(connection.position);
+  }
+
+  // All wait for the same time, so the oldest stands first.
+  void EndSlowOnes() {
+    const Instant now = m_loop.Now();
+    while (!m_receiving.empty() &&
+           m_receiving.front()->receive_deadline <= now) {
+      Connection& slow = *m_receiving.front();
+      StopReceiving(slow);
+      EndSlow(slow);
+    }
+    if (!m_receiving.empty())
+      m_receive_timer.ArmAt(m_receiving.front()->receive_deadline);
+  }
+
+  // The library does not answer a request that has not arrived whole: the
+  // refusal is written past it, on a connection that ends with it.
+  void EndSlow(Connection& slow) {
+    if (slow.head_begun && !slow.refused) {
+      const auto [status, body] = RefusalOf(ServerRefusal::kSlowCaller);
+      const std::string answer =
+          "HTTP/1.1 " + std::to_string(status) +
+          " Request Timeout\r\nConnection: close\r\nContent-Type: "
+          "application/json\r\nDotterelshift-Ran: no\r\nRetry-After: "
+          "1\r\nContent-Length: " +
+          std::to_string(body.size()) + "\r\n\r\n" + body;
+      [[maybe_unused]] const ssize_t sent =
+          ::send(slow.descriptor, answer.data(), answer.size(),
+                 MSG_NOSIGNAL | MSG_DONTWAIT);
+    }
+    ::shutdown(slow.descriptor, SHUT_RDWR);
+    m_run_wanted = true;
+  }
+
+  loop::Loop& m_loop;
+  const ServerOptions m_options;
+  const Handler m_handler;
+  MHD_Daemon* m_daemon = nullptr;
+  int m_ends = -1;
+  bool m_run_wanted = true;
+  size_t m_open = 0;
+  std::unordered_set<Connection*> m_connections;
+  std::list<Connection*> m_receiving;
+  std::unique_ptr<loop::IoWatcher> m_daemon_watcher;
+  std::unique_ptr<loop::IoWatcher> m_ends_watcher;
+  loop::Timer m_timer;
+  loop::Timer m_receive_timer;
+  loop::PrepareWatcher m_prepare;
+};
+
+}  // namespace
+
+std::string_view Request::Header(std::string_view name) const {
+  const auto found = std::ranges::find_if(
+      headers, [name](const auto& header) { return header.first == name; });
+  return found == headers.end() ? std::string_view() : found->second;
+}
+
+std::unique_ptr<Server> MakeServer(loop::Loop& loop,
+                                   const ServerOptions& options,
+                                   Handler handler) {
+  return std::make_unique<MhdServer>(loop, options, std::move(handler));
+}
+
+}  // namespace dotterelshift::http
