--- a/src/dotterelshift/http/client.cc
+++ b/src/dotterelshift/http/client.cc
@@ -52,9 +52,9 @@
       : m_loop(loop),
         m_timer(loop, [this] { Drive(CURL_SOCKET_TIMEOUT, 0); }),
         m_later(loop, [this] { RunLater(); }) {
-    static const CURLcode kInitialized = curl_global_init(CURL_GLOBAL_DEFAULT);
+    static const CURLcode initialized = curl_global_init(CURL_GLOBAL_DEFAULT);
     m_multi = curl_multi_init();
-    if (kInitialized != CURLE_OK || m_multi == nullptr)
+    if (initialized != CURLE_OK || m_multi == nullptr)
       throw Error(ErrorKind::kInternal, "libcurl cannot be started");
     curl_multi_setopt(m_multi, CURLMOPT_SOCKETFUNCTION, OnSocket);
     curl_multi_setopt(m_multi, CURLMOPT_SOCKETDATA, this);
@@ -265,9 +265,12 @@
     curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, OnData);
     curl_easy_setopt(handle, CURLOPT_WRITEDATA, &transfer);
     SetMethod(handle, request);
-    for (const auto& [name, value] : request.headers)
-      transfer.header_list = curl_slist_append(transfer.header_list,
-                                               (name + ": " + value).c_str());
+    std::string line;
+    for (const auto& [name, value] : request.headers) {
+      line.assign(name).append(": ").append(value);
+      transfer.header_list =
+          curl_slist_append(transfer.header_list, line.c_str());
+    }
     // No waiting for the server's leave to send the body.
     transfer.header_list = curl_slist_append(transfer.header_list, "Expect:");
     curl_easy_setopt(handle, CURLOPT_HTTPHEADER, transfer.header_list);
