Replication and storage: a node that elects, replicates and commits; a store of checksummed segments

The node is a template on its rules so that tests can break them one by one; it sends before it syncs and acknowledges only after. The store writes one block a Ready with one sync; a block's number and checksum tell a torn tail (cut) from a damaged middle (refused).

--- /dev/null
+++ b/src/dotterelshift/replication/node_test.cc
@@ -0,0 +1,76 @@
+#include "dotterelshift/replication/node.h"
+
+#include <cppunit/extensions/HelperMacros.h>  // for CPPUNIT_TEST
+
+#include <memory>  // for make_unique
+
+#include "dotterelshift/replication/membership.h"  // for WithMember
+
+namespace dotterelshift::replication {
+namespace {
+
+wire::ReplicaT VoterOf(ReplicaId id) {
+  wire::ReplicaT replica;
+  replica.id = id;
+  replica.host = "control-" + std::to_string(id);
+  replica.voter = true;
+  return replica;
+}
+
+RestoredLog NewGroup(ReplicaId self, std::vector<ReplicaId> voters) {
+  RestoredLog restored;
+  restored.self = self;
+  for (const ReplicaId id : voters)
+    restored.snapshot.membership =
+        WithMember(restored.snapshot.membership, VoterOf(id));
+  return restored;
+}
+
+class NodeTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(NodeTest);
+  CPPUNIT_TEST(GroupOfOneCommitsOnlyWhatIsSynced);
+  CPPUNIT_TEST(OneOfThreeDoesNotElectItself);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void GroupOfOneCommitsOnlyWhatIsSynced() {
+    const Instant now{};
+    const auto node = MakeNode({}, NewGroup(1, {1}), now);
+    CPPUNIT_ASSERT(node->TakeReady().hard_state.has_value());
+    CPPUNIT_ASSERT(node->Role() == NodeRole::kCandidate);
+    node->OnSynced(now);
+    CPPUNIT_ASSERT(node->Role() == NodeRole::kLeader);
+    const auto index = node->Propose("payload", now);
+    CPPUNIT_ASSERT(index == 2);
+    const Ready written = node->TakeReady();
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, written.append.size());
+    CPPUNIT_ASSERT(written.committed.empty());
+    CPPUNIT_ASSERT(node->TakeReady().committed.empty());
+    const auto token = node->ConfirmLeadership(now);
+    CPPUNIT_ASSERT(node->TakeReady().reads_confirmed.empty());
+    node->OnSynced(now);
+    const Ready applied = node->TakeReady();
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, applied.committed.size());
+    CPPUNIT_ASSERT(applied.reads_confirmed == std::vector{*token});
+    CPPUNIT_ASSERT(node->LeaseUntil() > now);
+  }
+
+  void OneOfThreeDoesNotElectItself() {
+    Instant now{};
+    const auto node = MakeNode({}, NewGroup(1, {1, 2, 3}), now);
+    for (int i = 0; i < 10; ++i) {
+      now = node->NextTimer();
+      node->OnTimer(now);
+      const Ready ready = node->TakeReady();
+      CPPUNIT_ASSERT_EQUAL(size_t{2}, ready.messages.size());
+      CPPUNIT_ASSERT(!ready.HasWrites());  // a pre-vote raises no term
+      CPPUNIT_ASSERT(!node->Propose("payload", now).has_value());
+    }
+    CPPUNIT_ASSERT_EQUAL(uint64_t{0}, node->Term());
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(NodeTest);
+
+}  // namespace
+}  // namespace dotterelshift::replication
--- /dev/null
+++ b/src/dotterelshift/replication/raft.h
@@ -0,0 +1,218 @@
+#ifndef DOTTERELSHIFT_REPLICATION_RAFT_H_
+#define DOTTERELSHIFT_REPLICATION_RAFT_H_
+
+#include <cstdint>   // for uint64_t
+#include <deque>     // for deque
+#include <map>       // for map
+#include <memory>    // for shared_ptr
+#include <optional>  // for optional
+#include <random>    // for mt19937_64
+#include <set>       // for set
+#include <string>    // for string
+#include <utility>   // for pair
+#include <vector>    // for vector
+
+#include "dotterelshift/replication/membership.h"  // for FindMember
+#include "dotterelshift/replication/node.h"        // for Node
+#include "dotterelshift/replication/raft_log.h"    // for RaftLog
+
+namespace dotterelshift::replication {
+
+// The rules whose breach the property tests must notice.
+struct StandardRules {
+  // A voter refuses a candidate whose log is behind its own.
+  static constexpr bool kCheckLogOnVote = true;
+  // Nothing is acknowledged before it is on disk.
+  static constexpr bool kAcknowledgeAfterSync = true;
+};
+
+// Bytes of appended entries that may be under way to one follower.
+inline constexpr size_t kMaxBytesInFlight = 16 << 20;
+
+// Entries before a snapshot that stay in memory for followers that are a little
+// behind.
+inline constexpr uint64_t kEntriesKeptForFollowers = 4096;
+
+// The most payload bytes that one Ready hands out to be applied.
+inline constexpr size_t kMaxBytesCommitted = 8 << 20;
+
+// A snapshot that is sent to followers.
+struct SnapshotSource {
+  SnapshotMeta meta;
+  std::shared_ptr<const std::string> bytes;
+  uint64_t checksum = 0;
+};
+
+// What the leader knows of one other replica.
+struct Progress {
+  enum class Mode { kProbe, kReplicate, kSnapshot };
+  Mode mode = Mode::kProbe;
+  uint64_t match = 0;  // known to be on the follower's disk
+  uint64_t next = 1;
+  bool probe_sent = false;
+  uint64_t acked_round = 0;
+  Instant acked_sent{};  // when the round acknowledged last was started
+  std::deque<std::pair<uint64_t, size_t>> in_flight;  // last index, bytes
+  size_t bytes_in_flight = 0;
+  std::shared_ptr<const SnapshotSource> snapshot;  // being sent
+  uint64_t snapshot_offset = 0;
+  bool piece_sent = false;
+};
+
+// The replica of the log behind MakeNode(). Its definitions are spread over
+// raft_events.h, raft_election.h, raft_append.h and raft_snapshot.h.
+template <typename Rules>
+class Raft final : public Node {
+ public:
+  Raft(const NodeOptions& options, RestoredLog restored, Instant now);
+
+  void OnMessage(const wire::FrameT& message, Instant now) override;
+  void OnTimer(Instant now) override;
+  Instant NextTimer() const override;
+  void OnSynced(Instant now) override;
+
+  std::optional<uint64_t> Propose(std::string payload, Instant now) override;
+  std::optional<uint64_t> ProposeMember(const wire::ReplicaT& replica,
+                                        bool remove, Instant now) override;
+  std::optional<uint64_t> ConfirmLeadership(Instant now) override;
+
+  void OnSnapshotMade(uint64_t last_index) override;
+  void SetSnapshotSource(const SnapshotMeta& meta,
+                         std::shared_ptr<const std::string> bytes) override;
+
+  Ready TakeReady() override;
+
+  NodeRole Role() const override { return m_role; }
+  uint64_t Term() const override { return m_hard_state.term; }
+  ReplicaId Leader() const override { return m_leader; }
+  uint64_t Commit() const override { return m_commit; }
+  const wire::MembershipT& Members() const override { return m_log.Members(); }
+  Instant LeaseUntil() const override;
+
+ private:
+  struct PendingRead {
+    uint64_t token = 0;
+    uint64_t round = 0;
+    uint64_t index = 0;
+  };
+  struct IncomingSnapshot {
+    SnapshotMeta meta;
+    uint64_t total = 0;
+    uint64_t checksum = 0;
+    std::string bytes;
+  };
+
+  // Elections (raft_election.h).
+  void ResetElectionDeadline(Instant now);
+  void Campaign(Instant now, bool pre_vote);
+  void CountVotes(Instant now);
+  void BecomeFollower(uint64_t term, ReplicaId leader, Instant now);
+  void BecomeLeader(Instant now);
+  bool HearsLeader(Instant now) const;
+  bool LogIsUpToDate(const wire::VoteRequestT& request) const;
+  void OnVoteRequest(const wire::VoteRequestT& request, Instant now);
+  void OnVoteReply(const wire::VoteReplyT& reply, Instant now);
+  void CheckQuorum(Instant now);
+
+  // Log replication (raft_append.h).
+  uint64_t AppendOwn(wire::LogEntryKind kind, std::vector<uint8_t> payload);
+  void TruncateFrom(uint64_t index);
+  void OnAppendRequest(const wire::AppendRequestT& request, Instant now);
+  bool StoreEntries(const wire::AppendRequestT& request);
+  void OnAppendReply(const wire::AppendReplyT& reply, Instant now);
+  void OnAcknowledged(Progress& progress, uint64_t match);
+  void NoteRound(Progress& progress, uint64_t round);
+  void StartRound(Instant now);
+  void SendAppends();
+  bool SendAppend(ReplicaId to, Progress& progress, bool even_if_empty);
+  void AdvanceCommit(Instant now);
+  void SyncProgressWithMembers(Instant now);
+  void PromoteLearners(Instant now);
+  bool MayChangeMembers() const;
+
+  // Snapshots (raft_snapshot.h).
+  void SendPiece(ReplicaId to, Progress& progress);
+  void OnSnapshotPiece(const wire::SnapshotPieceT& piece, Instant now);
+  void OnSnapshotReply(const wire::SnapshotReplyT& reply, Instant now);
+  void ReplyToPiece(ReplicaId to, uint64_t last_index, uint64_t next_offset,
+                    bool installed);
+  void Install();
+
+  // Of the voters' values (own included), the largest that a majority has
+  // reached.
+  template <typename Value, typename ValueOf>
+  Value MajorityValue(Value own, ValueOf value_of) const;
+
+  template <typename Body>
+  void Send(ReplicaId to, Body body) {
+    m_messages.emplace_back(to, MakeMessage(std::move(body)));
+  }
+  // Sends once all that was written up to now is on disk.
+  template <typename Body>
+  void SendAfterSync(ReplicaId to, Body body) {
+    auto& queue = Rules::kAcknowledgeAfterSync ? m_after_sync : m_messages;
+    queue.emplace_back(to, MakeMessage(std::move(body)));
+  }
+  template <typename Body>
+  static wire::FrameT MakeMessage(Body body) {
+    wire::FrameT frame;
+    frame.body.Set(std::move(body));
+    return frame;
+  }
+
+  void SetTerm(uint64_t term, ReplicaId voted_for);
+  uint64_t OwnMatch() const {
+    return Rules::kAcknowledgeAfterSync ? m_synced : m_log.LastIndex();
+  }
+  void TakeWrites(Ready& ready);
+  void TakeCommitted(Ready& ready);
+  void TakeReads(Ready& ready);
+
+  const NodeOptions m_options;
+  const ReplicaId m_self;
+  std::mt19937_64 m_random;
+  HardState m_hard_state;
+  RaftLog m_log;
+
+  NodeRole m_role = NodeRole::kFollower;
+  ReplicaId m_leader = 0;
+  Instant m_heard_leader;
+  Instant m_election_deadline;
+  Instant m_next_heartbeat;
+  std::set<ReplicaId> m_votes;
+
+  uint64_t m_commit = 0;
+  uint64_t m_handed_out = 0;  // committed entries given to the driver
+  uint64_t m_written = 0;     // entries given to the driver to be written
+  uint64_t m_synced = 0;      // entries on this replica's disk
+  bool m_sync_under_way = false;
+
+  std::map<ReplicaId, Progress> m_progress;
+  uint64_t m_term_start = 0;  // index of the first entry of this leader's term
+  uint64_t m_round = 0;
+  std::deque<std::pair<uint64_t, Instant>> m_rounds;
+  bool m_round_unsent = false;
+  std::vector<PendingRead> m_reads;
+  uint64_t m_last_token = 0;
+
+  std::shared_ptr<const SnapshotSource> m_snapshot;
+  std::optional<IncomingSnapshot> m_incoming;
+
+  // What the next Ready carries.
+  bool m_hard_state_changed = false;
+  std::optional<uint64_t> m_truncate_from;
+  std::optional<std::pair<SnapshotMeta, std::string>> m_install;
+  std::vector<std::pair<ReplicaId, wire::FrameT>> m_messages;
+  std::vector<std::pair<ReplicaId, wire::FrameT>> m_after_sync;
+  std::vector<std::pair<ReplicaId, wire::FrameT>> m_in_sync;
+  bool m_leadership_changed = false;
+};
+
+}  // namespace dotterelshift::replication
+
+#include "dotterelshift/replication/raft_append.h"    // IWYU pragma: export
+#include "dotterelshift/replication/raft_election.h"  // IWYU pragma: export
+#include "dotterelshift/replication/raft_events.h"    // IWYU pragma: export
+#include "dotterelshift/replication/raft_snapshot.h"  // IWYU pragma: export
+
+#endif  // DOTTERELSHIFT_REPLICATION_RAFT_H_
--- /dev/null
+++ b/src/dotterelshift/replication/raft_events.h
@@ -0,0 +1,205 @@
+#ifndef DOTTERELSHIFT_REPLICATION_RAFT_EVENTS_H_
+#define DOTTERELSHIFT_REPLICATION_RAFT_EVENTS_H_
+
+// The events of a replica and what they leave for the driver to do.
+
+#include <algorithm>   // for sort
+#include <functional>  // for greater
+
+#include "dotterelshift/replication/raft.h"  // for Raft
+
+namespace dotterelshift::replication {
+
+template <typename Rules>
+Raft<Rules>::Raft(const NodeOptions& options, RestoredLog restored, Instant now)
+    : m_options(options),
+      m_self(restored.self),
+      m_random(options.seed ^ restored.self),
+      m_hard_state(restored.hard_state),
+      m_log(restored.snapshot, std::move(restored.entries)),
+      // A replica that has just started may have promised its leader not to
+      // vote for another; it keeps that promise from now on.
+      m_heard_leader(now),
+      m_next_heartbeat(now),
+      m_commit(restored.snapshot.last_index),
+      m_handed_out(m_commit),
+      m_written(m_log.LastIndex()),
+      m_synced(m_log.LastIndex()) {
+  ResetElectionDeadline(now);
+  const bool alone = IsVoter(Members(), m_self) && VoterCount(Members()) == 1;
+  if (alone) Campaign(now, false);
+}
+
+template <typename Rules>
+void Raft<Rules>::OnMessage(const wire::FrameT& message, Instant now) {
+  const wire::FrameBodyUnion& body = message.body;
+  switch (body.type) {
+    case wire::FrameBody::VoteRequest:
+      return OnVoteRequest(*body.AsVoteRequest(), now);
+    case wire::FrameBody::VoteReply:
+      return OnVoteReply(*body.AsVoteReply(), now);
+    case wire::FrameBody::AppendRequest:
+      return OnAppendRequest(*body.AsAppendRequest(), now);
+    case wire::FrameBody::AppendReply:
+      return OnAppendReply(*body.AsAppendReply(), now);
+    case wire::FrameBody::SnapshotPiece:
+      return OnSnapshotPiece(*body.AsSnapshotPiece(), now);
+    case wire::FrameBody::SnapshotReply:
+      return OnSnapshotReply(*body.AsSnapshotReply(), now);
+    default:
+      return;  // not a message between replicas
+  }
+}
+
+template <typename Rules>
+void Raft<Rules>::OnTimer(Instant now) {
+  if (m_role == NodeRole::kLeader) {
+    if (now < m_next_heartbeat) return;
+    CheckQuorum(now);
+    if (m_role != NodeRole::kLeader) return;
+    m_next_heartbeat = now + m_options.heartbeat;
+    for (auto& [id, progress] : m_progress) {
+      progress.probe_sent = false;  // what was sent may be lost
+      progress.piece_sent = false;
+    }
+    PromoteLearners(now);
+    return StartRound(now);
+  }
+  if (now < m_election_deadline) return;
+  if (IsVoter(Members(), m_self)) return Campaign(now, true);
+  ResetElectionDeadline(now);
+}
+
+template <typename Rules>
+Instant Raft<Rules>::NextTimer() const {
+  return m_role == NodeRole::kLeader ? m_next_heartbeat : m_election_deadline;
+}
+
+template <typename Rules>
+void Raft<Rules>::OnSynced(Instant now) {
+  m_sync_under_way = false;
+  m_synced = std::min(m_written, m_log.LastIndex());
+  for (auto& message : m_in_sync) m_messages.push_back(std::move(message));
+  m_in_sync.clear();
+  if (m_role == NodeRole::kCandidate) CountVotes(now);
+  if (m_role == NodeRole::kLeader) AdvanceCommit(now);
+}
+
+template <typename Rules>
+std::optional<uint64_t> Raft<Rules>::Propose(std::string payload, Instant) {
+  if (m_role != NodeRole::kLeader) return std::nullopt;
+  return AppendOwn(wire::LogEntryKind::Batch,
+                   std::vector<uint8_t>(payload.begin(), payload.end()));
+}
+
+template <typename Rules>
+std::optional<uint64_t> Raft<Rules>::ProposeMember(
+    const wire::ReplicaT& replica, bool remove, Instant now) {
+  if (!MayChangeMembers()) return std::nullopt;
+  const wire::ReplicaT* member = FindMember(Members(), replica.id);
+  if (remove == (member == nullptr)) return std::nullopt;
+  const bool last_voter = remove && member->voter && VoterCount(Members()) == 1;
+  if (last_voter) return std::nullopt;
+  wire::ReplicaT learner = replica;
+  learner.voter = false;
+  const wire::MembershipT changed = remove
+                                        ? WithoutMember(Members(), replica.id)
+                                        : WithMember(Members(), learner);
+  const uint64_t index =
+      AppendOwn(wire::LogEntryKind::Membership, EncodeMembership(changed));
+  SyncProgressWithMembers(now);
+  return index;
+}
+
+template <typename Rules>
+std::optional<uint64_t> Raft<Rules>::ConfirmLeadership(Instant now) {
+  if (m_role != NodeRole::kLeader) return std::nullopt;
+  if (!m_round_unsent) StartRound(now);
+  m_reads.push_back(
+      {++m_last_token, m_round, std::max(m_commit, m_term_start)});
+  return m_last_token;
+}
+
+template <typename Rules>
+Instant Raft<Rules>::LeaseUntil() const {
+  if (m_role != NodeRole::kLeader || m_commit < m_term_start) return Instant{};
+  const bool alone = VoterCount(Members()) == 1 && IsVoter(Members(), m_self);
+  if (alone) return Instant::max();
+  const Instant confirmed = MajorityValue(
+      Instant::max(), [](const Progress& peer) { return peer.acked_sent; });
+  return confirmed + m_options.lease;
+}
+
+template <typename Rules>
+Ready Raft<Rules>::TakeReady() {
+  if (m_role == NodeRole::kLeader) SendAppends();
+  Ready ready;
+  TakeWrites(ready);
+  ready.messages = std::move(m_messages);
+  m_messages.clear();
+  TakeCommitted(ready);
+  TakeReads(ready);
+  ready.leadership_changed = std::exchange(m_leadership_changed, false);
+  return ready;
+}
+
+template <typename Rules>
+void Raft<Rules>::TakeWrites(Ready& ready) {
+  if (std::exchange(m_hard_state_changed, false))
+    ready.hard_state = m_hard_state;
+  ready.truncate_from = std::exchange(m_truncate_from, std::nullopt);
+  ready.install = std::exchange(m_install, std::nullopt);
+  for (uint64_t index = m_written + 1; index <= m_log.LastIndex(); ++index)
+    ready.append.push_back(m_log.At(index));
+  m_written = m_log.LastIndex();
+  m_sync_under_way = m_sync_under_way || ready.HasWrites();
+  auto& queue = m_sync_under_way ? m_in_sync : m_messages;
+  for (auto& message : m_after_sync) queue.push_back(std::move(message));
+  m_after_sync.clear();
+}
+
+template <typename Rules>
+void Raft<Rules>::TakeCommitted(Ready& ready) {
+  // A snapshot that is being installed is applied by this Ready itself.
+  size_t bytes = 0;
+  const uint64_t end = std::min(m_commit, OwnMatch());
+  while (m_handed_out < end && bytes < kMaxBytesCommitted) {
+    const wire::LogEntryT& entry = m_log.At(++m_handed_out);
+    bytes += entry.payload.size();
+    ready.committed.push_back(entry);
+  }
+}
+
+template <typename Rules>
+void Raft<Rules>::TakeReads(Ready& ready) {
+  if (m_reads.empty() || m_commit < m_term_start) return;
+  const uint64_t confirmed = MajorityValue(
+      m_round, [](const Progress& peer) { return peer.acked_round; });
+  std::erase_if(m_reads, [&](const PendingRead& read) {
+    if (read.round > confirmed || read.index > m_handed_out) return false;
+    ready.reads_confirmed.push_back(read.token);
+    return true;
+  });
+}
+
+template <typename Rules>
+template <typename Value, typename ValueOf>
+Value Raft<Rules>::MajorityValue(Value own, ValueOf value_of) const {
+  std::vector<Value> values;
+  for (const auto& replica : Members().replicas) {
+    if (!replica->voter) continue;
+    const auto peer = m_progress.find(replica->id);
+    if (replica->id == m_self)
+      values.push_back(own);
+    else
+      values.push_back(peer == m_progress.end() ? Value{}
+                                                : value_of(peer->second));
+  }
+  if (values.empty()) return Value{};
+  std::sort(values.begin(), values.end(), std::greater<>());
+  return values[values.size() / 2];
+}
+
+}  // namespace dotterelshift::replication
+
+#endif  // DOTTERELSHIFT_REPLICATION_RAFT_EVENTS_H_
--- /dev/null
+++ b/src/dotterelshift/storage/store_open.h
@@ -0,0 +1,172 @@
+#ifndef DOTTERELSHIFT_STORAGE_STORE_OPEN_H_
+#define DOTTERELSHIFT_STORAGE_STORE_OPEN_H_
+
+#include <algorithm>  // for sort
+#include <cerrno>     // for EWOULDBLOCK
+#include <random>     // for random_device
+
+#include "dotterelshift/base/error.h"     // for Error
+#include "dotterelshift/storage/store.h"  // for Store
+
+namespace dotterelshift::storage {
+
+template <FileSystem Files>
+OpenedStore Store<Files>::Open() {
+  Check(m_files.MakeFolder(m_options.folder), m_options.folder);
+  LockFolder();
+  const Listing listing = ListFolder();
+  OpenedStore opened;
+  LogRestorer restorer;
+  replication::SnapshotMeta meta;
+  opened.fresh = !listing.has_identity;
+  if (opened.fresh) {
+    // The identity is written last, so that a folder with an identity but
+    // without its log is known to have lost it.
+    if (!listing.snapshots.empty())
+      ThrowDamaged(m_options.folder, 0, "there are files but no identity");
+    for (const std::string& name : listing.segments)
+      Check(m_files.Remove(Path(name)), Path(name));
+    StartSegment();
+    MakeIdentity();
+  } else {
+    ReadIdentity();
+    ReadSnapshot(listing, &meta, &opened.snapshot);
+    ReadSegments(listing, &restorer);
+  }
+  bool lost_to_snapshot = false;
+  opened.log = restorer.Finish(m_options.folder, meta, &lost_to_snapshot);
+  opened.log.self = m_self;
+  m_hard_state = opened.log.hard_state;
+  if (lost_to_snapshot)
+    m_reset = std::make_unique<replication::SnapshotMeta>(opened.log.snapshot);
+  ReadSpool(&opened.spool);
+  return opened;
+}
+
+template <FileSystem Files>
+void Store<Files>::LockFolder() {
+  OpenFileAt(Path("lock"), &m_lock);
+  const int error = m_files.Lock(m_lock.descriptor);
+  if (error == EWOULDBLOCK)
+    throw Error(ErrorKind::kStorageFailed,
+                m_options.folder + " is in use by another process");
+  Check(error, m_lock.path);
+}
+
+template <FileSystem Files>
+typename Store<Files>::Listing Store<Files>::ListFolder() {
+  std::vector<std::string> names;
+  Check(m_files.List(m_options.folder, &names), m_options.folder);
+  std::sort(names.begin(), names.end());
+  Listing listing;
+  for (const std::string& name : names) {
+    if (name.starts_with("new-"))
+      Check(m_files.Remove(Path(name)), Path(name));
+    else if (name.starts_with("log-"))
+      listing.segments.push_back(name);
+    else if (name.starts_with("snapshot-"))
+      listing.snapshots.push_back(name);
+    listing.has_identity = listing.has_identity || name == "identity";
+  }
+  return listing;
+}
+
+template <FileSystem Files>
+std::string Store<Files>::ReadFile(const std::string& path) {
+  std::string content;
+  Check(m_files.Read(path, &content), path);
+  return content;
+}
+
+template <FileSystem Files>
+void Store<Files>::MakeIdentity() {
+  std::random_device random;
+  while (m_self == 0) m_self = static_cast<uint64_t>(random()) << 32 | random();
+  WriteWholeFile("identity", EncodeFileHeader(FileKind::kIdentity) +
+                                 EncodeBlock(1, EncodeIdentity(m_self)));
+}
+
+template <FileSystem Files>
+void Store<Files>::ReadIdentity() {
+  const std::string path = Path("identity");
+  const std::string content = ReadFile(path);
+  CheckFileHeader(path, content, FileKind::kIdentity);
+  const Blocks blocks = ReadBlocks(path, content, Tail::kWhole);
+  if (blocks.blocks.size() != 1)
+    ThrowDamaged(path, kFileHeaderBytes, "the identity is missing");
+  m_self = DecodeIdentity(path, blocks.blocks.front());
+}
+
+// Reads the newest snapshot. A crash may have left an older one beside it.
+template <FileSystem Files>
+void Store<Files>::ReadSnapshot(const Listing& listing,
+                                replication::SnapshotMeta* meta,
+                                std::string* bytes) {
+  if (listing.snapshots.empty()) return;
+  const std::string path = Path(listing.snapshots.back());
+  const std::string content = ReadFile(path);
+  CheckFileHeader(path, content, FileKind::kSnapshot);
+  const Blocks blocks = ReadBlocks(path, content, Tail::kWhole);
+  if (blocks.blocks.size() != 2)
+    ThrowDamaged(path, kFileHeaderBytes, "the snapshot is not whole");
+  *meta = DecodeSnapshotMeta(path, blocks.blocks[0]);
+  *bytes = std::string(blocks.blocks[1].payload);
+  m_has_snapshot = true;
+  m_snapshot_index = meta->last_index;
+  for (const std::string& name : listing.snapshots)
+    if (name != listing.snapshots.back())
+      Check(m_files.Remove(Path(name)), Path(name));
+}
+
+template <FileSystem Files>
+void Store<Files>::ReadSegments(const Listing& listing, LogRestorer* restorer) {
+  if (listing.segments.empty())
+    ThrowDamaged(m_options.folder, 0, "there is an identity but no log");
+  for (const std::string& name : listing.segments) {
+    const std::string path = Path(name);
+    const bool last = name == listing.segments.back();
+    const std::string content = ReadFile(path);
+    // The last segment may be one whose first write was cut short.
+    const bool unborn =
+        last && m_segments.size() > 0 && content.size() < kFileHeaderBytes;
+    if (unborn) {
+      Check(m_files.Remove(path), path);
+      continue;
+    }
+    CheckFileHeader(path, content, FileKind::kLog);
+    const Blocks blocks =
+        ReadBlocks(path, content, last ? Tail::kMayBeTorn : Tail::kWhole);
+    restorer->Add(path, blocks);
+    m_segments.push_back({path, blocks.good_bytes, restorer->LargestIndex()});
+  }
+  m_next_block = std::max<uint64_t>(1, restorer->NextSequence());
+  OpenFileAt(m_segments.back().path, &m_segment);
+  m_segment.bytes = m_segments.back().bytes;
+  Check(m_files.Truncate(m_segment.descriptor, m_segment.bytes),
+        m_segment.path);
+  Check(m_files.Sync(m_segment.descriptor), m_segment.path);
+}
+
+template <FileSystem Files>
+void Store<Files>::ReadSpool(std::vector<std::string>* records) {
+  const std::string path = Path("spool");
+  OpenFileAt(path, &m_spool);
+  const std::string content = ReadFile(path);
+  if (content.size() < kFileHeaderBytes) {
+    Check(m_files.Truncate(m_spool.descriptor, 0), path);
+    AppendAndSync(&m_spool, EncodeFileHeader(FileKind::kSpool));
+    return Check(m_files.SyncFolder(m_options.folder), m_options.folder);
+  }
+  CheckFileHeader(path, content, FileKind::kSpool);
+  const Blocks blocks = ReadBlocks(path, content, Tail::kMayBeTorn);
+  for (const Block& block : blocks.blocks) {
+    records->emplace_back(block.payload);
+    m_next_spool_block = block.sequence + 1;
+  }
+  m_spool.bytes = blocks.good_bytes;
+  Check(m_files.Truncate(m_spool.descriptor, m_spool.bytes), path);
+}
+
+}  // namespace dotterelshift::storage
+
+#endif  // DOTTERELSHIFT_STORAGE_STORE_OPEN_H_
