--- a/src/dotterelshift/storage/format.cc
+++ b/src/dotterelshift/storage/format.cc
@@ -86,11 +86,12 @@
                         XXH3_64bits(content.data(), kCheckedHeaderBytes);
   if (!good) ThrowDamaged(file, 0, "the file header is not valid");
   const auto version = Get<uint32_t>(content, 8);
-  if (version < kOldestFormatVersion || version > kFormatVersion)
+  if (version < kOldestFormatVersion || version > kFormatVersion) {
     ThrowDamaged(file, 8,
                  "format version " + std::to_string(version) +
                      " cannot be read; this program reads up to " +
                      std::to_string(kFormatVersion));
+  }
   return version;
 }
 
--- a/src/dotterelshift/storage/restore.cc
+++ b/src/dotterelshift/storage/restore.cc
@@ -75,10 +75,11 @@
   log.hard_state = m_hard_state;
   const uint64_t last = snapshot.last_index;
   *lost_to_snapshot = false;
-  if (m_has_base && m_base_index > last)
+  if (m_has_base && m_base_index > last) {
     ThrowDamaged(folder, 0,
                  "the entries before " + std::to_string(m_base_index + 1) +
                      " are in no file");
+  }
   if (m_has_base && m_base_index < last) {
     const uint64_t position = last - m_base_index;  // counted from 1
     const bool continues = position <= m_entries.size() &&
