--- a/include/dotterelshift/directory/directory.h
+++ b/include/dotterelshift/directory/directory.h
@@ -19,6 +19,7 @@
   Duration forget_after = 60s;  // a record that stayed silent is dropped, but
                                 // its (incarnation, draining) is kept longer
   Duration tombstone = 600s;
+  Duration dead_hold = 1s;  // own evidence of death outweighs news of others
 };
 
 // An endpoint as this daemon knows it.
@@ -26,7 +27,8 @@
   wire::EndpointRecordT record;
   Instant last_news;      // newest announcement, minus its age on the way
   Instant last_evidence;  // own successful answer or probe
-  bool usable = false;    // neither draining nor gone nor silent
+  Instant dead_until;     // a connection was refused: not used before this
+  bool usable = false;    // neither draining nor gone nor silent nor dead
 };
 
 // The endpoints that announced themselves, to this daemon or to another. Soft
@@ -51,6 +53,9 @@
   wire::DirectoryDeltaT TakeDelta(Instant now);
   wire::DirectoryDeltaT Everything(Instant now) const;
 
+  // The record with its age, as it is spread.
+  wire::EndpointRecordT AgedRecord(const Endpoint& endpoint, Instant now) const;
+
   const Endpoint* Find(const EndpointId& endpoint) const;
   const std::unordered_map<EndpointId, Endpoint>& All() const {
     return m_endpoints;
@@ -59,10 +64,20 @@
   uint64_t Generation() const { return m_generation; }
 
  private:
+  // What is kept of a forgotten record, so that late news cannot revive it.
   struct Tombstone {
     uint64_t incarnation = 0;
+    uint64_t sequence = 0;
+    bool draining = false;
+    bool gone = false;
     Instant until;
   };
+  // False when the record is older than what a tombstone remembers; else takes
+  // over its sticky marks.
+  bool PassTombstone(wire::EndpointRecordT* record);
+  bool IsUsable(const Endpoint& endpoint, Instant now) const;
+  void Judge(Endpoint* endpoint, Instant now);
+  void NoteChange(const EndpointId& endpoint);
   DirectoryOptions m_options;
   std::unordered_map<EndpointId, Endpoint> m_endpoints;
   std::unordered_map<EndpointId, Tombstone> m_tombstones;
--- /dev/null
+++ b/include/dotterelshift/routing/target.h
@@ -0,0 +1,34 @@
+#ifndef DOTTERELSHIFT_ROUTING_TARGET_H_
+#define DOTTERELSHIFT_ROUTING_TARGET_H_
+
+#include <string>       // for string
+#include <string_view>  // for string_view
+
+#include "dotterelshift/state/configuration.h"    // for Configuration
+#include "dotterelshift/wire/frames_generated.h"  // for EndpointRecordT
+
+namespace dotterelshift::routing {
+
+// A target is a model, a model with an adapter as "model:adapter", or a plain
+// service. Model names may hold colons themselves, so the whole name is tried
+// first.
+
+// "model" of "model:adapter"; the whole name when it holds no colon.
+std::string_view BaseModel(std::string_view target);
+
+// Whether the endpoint has the model (and the adapter) or the service.
+bool Serves(const wire::EndpointRecordT& record, const std::string& target,
+            bool service);
+
+// What the configuration says of a team and a target.
+state::Reach ReachOf(const state::Configuration& configuration,
+                     const TeamId& team, const std::string& target,
+                     bool service);
+
+// Whether the team may use this endpoint for the target.
+bool MayUse(const state::Configuration& configuration, const TeamId& team,
+            const EndpointId& endpoint, const std::string& target);
+
+}  // namespace dotterelshift::routing
+
+#endif  // DOTTERELSHIFT_ROUTING_TARGET_H_
--- /dev/null
+++ b/include/dotterelshift/serving/command_book.h
@@ -0,0 +1,70 @@
+#ifndef DOTTERELSHIFT_SERVING_COMMAND_BOOK_H_
+#define DOTTERELSHIFT_SERVING_COMMAND_BOOK_H_
+
+#include <cstdint>        // for uint64_t
+#include <memory>         // for unique_ptr
+#include <unordered_map>  // for unordered_map
+#include <utility>        // for move
+
+#include "dotterelshift/base/ids.h"                 // for RequestId
+#include "dotterelshift/budget/ledger.h"            // for BudgetHandle
+#include "dotterelshift/wire/commands_generated.h"  // for CommandT
+
+namespace dotterelshift::serving {
+
+// What an answer from control will be for.
+struct PendingCommand {
+  enum class Kind { kAsk, kReturn, kOpen, kSettle, kClaim, kNote };
+  Kind kind = Kind::kNote;
+  RequestId request = 0;
+  AttemptId attempt = 0;
+  budget::BudgetHandle budget = 0;
+  // Of an opening or a claim: what undoes it when its answer comes after the
+  // attempt has ended without it.
+  std::unique_ptr<wire::SettleT> undo;
+  // Of a settlement: itself, until it is answered, to be spooled.
+  std::unique_ptr<wire::CommandT> command;
+  bool spooling = false;  // has been given to be spooled
+  bool spooled = false;   // and is on a replica's disk
+};
+
+// Numbers the commands of one run and remembers what each open one is for. A
+// command is proposed once; the adapter resends it until it is answered.
+class CommandBook {
+ public:
+  explicit CommandBook(HostRun self) : m_self(std::move(self)) {}
+
+  // Gives the body an id and notes what it is for.
+  template <typename Body>
+  wire::CommandT Add(Body body, PendingCommand pending) {
+    wire::CommandT command;
+    command.id = std::make_unique<wire::CommandIdT>();
+    command.id->host = m_self.host;
+    command.id->incarnation = m_self.incarnation;
+    command.id->sequence = ++m_last_sequence;
+    command.body.Set(std::move(body));
+    m_pending.emplace(m_last_sequence, std::move(pending));
+    return command;
+  }
+
+  // The pending command with this id; null when it is not ours or answered.
+  PendingCommand* Find(const wire::CommandIdT& id);
+  PendingCommand* Find(uint64_t sequence);
+  void Erase(uint64_t sequence) { m_pending.erase(sequence); }
+
+  // Whether something is open that would be lost with this run. Settlements
+  // count until they are answered or spooled; the others only while control is
+  // in reach.
+  bool Owes(bool control_in_reach) const;
+  size_t size() const { return m_pending.size(); }
+  uint64_t LastSequence() const { return m_last_sequence; }
+
+ private:
+  HostRun m_self;
+  uint64_t m_last_sequence = 0;
+  std::unordered_map<uint64_t, PendingCommand> m_pending;
+};
+
+}  // namespace dotterelshift::serving
+
+#endif  // DOTTERELSHIFT_SERVING_COMMAND_BOOK_H_
--- /dev/null
+++ b/include/dotterelshift/serving/core.h
@@ -0,0 +1,203 @@
+#ifndef DOTTERELSHIFT_SERVING_CORE_H_
+#define DOTTERELSHIFT_SERVING_CORE_H_
+
+#include <memory>         // for unique_ptr
+#include <optional>       // for optional
+#include <set>            // for set
+#include <string>         // for string
+#include <unordered_map>  // for unordered_map
+#include <utility>        // for pair
+#include <vector>         // for vector
+
+#include "dotterelshift/quarantine/blocklist.h"   // for Blocklist
+#include "dotterelshift/quarantine/suspects.h"    // for Suspects
+#include "dotterelshift/serving/command_book.h"   // for CommandBook
+#include "dotterelshift/serving/refusal_tally.h"  // for RefusalTally
+#include "dotterelshift/serving/request.h"        // for Request, Attempt
+#include "dotterelshift/serving/request_core.h"   // for RequestCore
+#include "dotterelshift/serving/retry_budget.h"   // for RetryBudget
+#include "dotterelshift/serving/spend.h"          // for Spend
+
+namespace dotterelshift::serving {
+
+// The implementation of RequestCore. Its methods stand in files by what they
+// are about: request_core.cc (events, timers), arrival.cc (identity, queue,
+// choice), budget_wait.cc (reservations), dispatch.cc (claims, openings, start
+// of attempts), attempt_end.cc (pieces, ends, retries) and settlement.cc
+// (commands and their answers, ends of requests).
+class Core final : public RequestCore {
+ public:
+  Core(const RequestCoreOptions& options, const RequestCoreParts& parts);
+
+  void OnRequest(RequestId id, callers::CallerRequest caller_request,
+                 Instant now) override;
+  void OnCallerGone(RequestId id, Instant now) override;
+  void OnAttemptHead(AttemptId attempt, int status, Instant now) override;
+  PieceVerdict OnPiece(AttemptId id, const Piece& piece, Instant now) override;
+  void OnAttemptEnd(AttemptId id, AttemptEnd end, Instant now) override;
+  void OnAnswer(const wire::CommandAnswerT& answer, Instant now) override;
+  void OnSpooled(const wire::CommandIdT& id, Instant now) override;
+  void OnControlReach(ControlReach reach, Instant now) override;
+  void OnRecall(const wire::RecallT& recall, Instant now) override;
+  void OnQuarantine(const wire::QuarantinePushT& push, Instant now) override;
+  void OnRefresh(Instant now) override;
+  void StartDraining(Instant now) override;
+  bool Drained() const override;
+  void OnTimer(Instant now) override;
+  std::optional<Instant> NextTimer() const override;
+  const callers::CallerRequest* RequestOf(AttemptId id) const override;
+  std::vector<Action> TakeActions() override;
+  std::vector<RequestSummary> TakeSummaries() override;
+  const ServingCounters& Counters() const override { return m_counters; }
+  size_t OpenRequests() const override { return m_requests.size(); }
+
+ private:
+  // ---- request_core.cc
+  Request* FindRequest(RequestId id);
+  Request* FindByAttempt(AttemptId id);
+  void SetDue(Request* request, std::optional<Instant> due);
+  void OnDue(Request* request, Instant now);
+  // What every event ends with: starts what can start now, sends the ledger's
+  // wishes.
+  void Finally(Instant now);
+
+  // ---- arrival.cc
+  // The first reason against serving the request; kNone when there is none.
+  ErrorKind Identify(Request* request);
+  ErrorKind CheckReach(const Request& request) const;
+  void Enqueue(Request* request, Instant now);
+  // Has the request queued (again) before this event ends: the queue takes
+  // nothing while it is offering.
+  void EnqueueSoon(Request* request);
+  // Tries to start a queued request; false when it must stay in the queue.
+  bool TryStart(RequestId id, Instant now);
+  routing::RouteChoice Choose(const Request& request, Instant now);
+  void StandApart(Request* request, Instant now);
+  void ReleaseApart();
+  void OnNoChoice(Request* request, Instant now);
+
+  // ---- budget_wait.cc
+  // True when the worst case of one attempt is reserved; else the request
+  // waits or has been refused.
+  bool ReserveOrWait(Request* request, Instant now);
+  void WaitForTokens(Request* request, Instant now);
+  void RetryWaiters(Instant now);
+  void RefuseForBudget(Request* request, Instant now);
+  bool MayStillCome(const Request& request) const;
+  // Whether anything of the budget is left anywhere, as far as is known.
+  bool BudgetRemained(const Request& request) const;
+  // Whether control said that all that is left is less than the worst case.
+  bool IsExhausted(const Request& request) const;
+  void LeaveWaiters(const Request& request);
+  void GiveBack(const Request& request, Tokens reserved, Tokens spent,
+                Instant now);
+  void SendWishes(const std::vector<budget::GrantWish>& wishes, Instant now);
+
+  // ---- dispatch.cc
+  void BeginAttempt(Request* request, const routing::RouteChoice& choice,
+                    Instant now);
+  void ProposeClaim(Request* request, Instant now);
+  void OnClaim(Request* request, const wire::CommandAnswerT& answer,
+               Instant now);
+  void OpenOrDispatch(Request* request, Instant now);
+  void OnOpened(Request* request, const wire::CommandAnswerT& answer,
+                Instant now);
+  void OnWitnessLate(Request* request, Instant now);
+  void Dispatch(Request* request, Instant now);
+  bool ChooseAgain(Request* request, Instant now);
+
+  // ---- attempt_end.cc
+  void EndAttempt(Request* request, AttemptEnd end, Instant now);
+  void AfterFailure(Request* request, const Attempt& attempt, AttemptEnd end,
+                    Instant now);
+  bool MayRetry(const Request& request, AttemptEnd end, Instant now);
+  void NoteDeath(const Request& request, const Attempt& attempt, Instant now);
+  // Ends the running attempt by the entry's own will and fails the request.
+  void CancelAndFail(Request* request, ErrorKind kind, Instant now);
+  // Takes the attempt out of the router's and the suspects' books.
+  Attempt Detach(Request* request, bool failed, Instant now);
+  // Gives up an attempt that was never handed to an endpoint. A claim or an
+  // opening that is still on its way is undone when its answer comes.
+  void DropUnsentAttempt(Request* request, Instant now);
+
+  // ---- settlement.cc
+  struct Settlement {
+    Spend spend;
+    Tokens billed = 0;
+    wire::Outcome outcome = wire::Outcome::Failed;
+    bool last = true;
+    bool unknown = false;
+  };
+  void Settle(Request* request, const Attempt& attempt,
+              const Settlement& settlement, Instant now);
+  wire::SettleT SettleBody(const Request& request, AttemptId attempt) const;
+  void ReleaseClaim(Request* request);
+  template <typename Body>
+  uint64_t Propose(Body body, PendingCommand pending) {
+    Act(ProposeCommand{m_commands.Add(std::move(body), std::move(pending))});
+    return m_commands.LastSequence();
+  }
+  template <typename Wanted>
+  void Act(Wanted action) {
+    m_actions.emplace_back(std::in_place_type<Wanted>, std::move(action));
+  }
+  uint64_t ProposeSettle(wire::SettleT settle, RequestId request);
+  void Spool(uint64_t sequence);
+  void SpoolOpenSettlement(Request* request, Instant now);
+  void OnSettled(Request* request, const wire::CommandAnswerT& answer,
+                 Instant now);
+  void OnGrantAnswer(const PendingCommand& pending,
+                     const wire::CommandAnswerT& answer, Instant now);
+  void OnOpenAnswer(PendingCommand* pending, const wire::CommandAnswerT& answer,
+                    Instant now);
+  void OnClaimAnswer(PendingCommand* pending,
+                     const wire::CommandAnswerT& answer, Instant now);
+  void RecordRefusals();
+  void ReturnGrants(Instant now);
+
+  // Ends a request: whole, or with an error.
+  void Finish(Request* request, Instant now);
+  void Fail(Request* request, ErrorKind kind, Instant now,
+            int retry_after_seconds = 0, std::string detail = {});
+  // The kind that is true of this request: none that says "not run" after an
+  // endpoint may have run it.
+  static ErrorKind Truthful(const Request& request, ErrorKind kind);
+  void CountRefusal(const Request& request, ErrorKind kind, Instant now);
+  void Summarize(const Request& request, ErrorKind kind, Instant now);
+  void Forget(Request* request);
+
+  RequestCoreOptions m_options;
+  RequestCoreParts m_parts;
+  ControlReach m_reach = ControlReach::kNever;
+  bool m_draining = false;
+  bool m_wishes_due = false;
+  AttemptId m_last_attempt = 0;
+
+  std::unordered_map<RequestId, std::unique_ptr<Request>> m_requests;
+  std::unordered_map<AttemptId, RequestId> m_attempts;
+  std::set<std::pair<Instant, RequestId>> m_timers;
+  std::vector<RequestId> m_apart;
+  std::vector<RequestId> m_soon;  // to be queued before this event ends
+  // Who waits for tokens, in order of arrival, and where something was freed.
+  std::unordered_map<budget::BudgetHandle, std::vector<RequestId>> m_waiters;
+  std::set<budget::BudgetHandle> m_freed;
+  Instant m_next_reserve{};
+  // Control's last word on each budget: free and elsewhere.
+  std::unordered_map<budget::BudgetHandle, wire::GrantAnswerT> m_last_grant;
+
+  CommandBook m_commands;
+  RetryBudget m_retries;
+  RefusalTally m_refusals;
+  quarantine::Blocklist m_blocklist;
+  quarantine::Suspects m_suspects;
+
+  uint64_t m_directory_seen = 0;
+  uint64_t m_configuration_seen = 0;
+  std::vector<Action> m_actions;
+  std::vector<RequestSummary> m_summaries;
+  ServingCounters m_counters;
+};
+
+}  // namespace dotterelshift::serving
+
+#endif  // DOTTERELSHIFT_SERVING_CORE_H_
--- a/include/dotterelshift/serving/request_core.h
+++ b/include/dotterelshift/serving/request_core.h
@@ -102,6 +102,10 @@
       2s;  // how long the last piece waits for its bill, then it is spooled
   bool serve_when_cut_off =
       true;  // setting: go on with standing grants, or refuse
+  // How long a request waits for tokens that may still come, by its team's
+  // policy, within its deadline.
+  Duration budget_wait_overspend_first = 2s;
+  Duration budget_wait_refusals_first = 15s;
 };
 
 // What the core works with; all outlive it.
--- /dev/null
+++ b/src/dotterelshift/directory/directory_test.cc
@@ -0,0 +1,199 @@
+#include "dotterelshift/directory/directory.h"
+
+#include <cppunit/extensions/HelperMacros.h>  // for CPPUNIT_TEST
+
+#include <string>  // for string
+#include <vector>  // for vector
+
+namespace dotterelshift::directory {
+namespace {
+
+constexpr Instant kStart = Instant{} + 1000s;
+
+// One piece of news of endpoint "e", as it arrives.
+struct News {
+  uint64_t incarnation = 1;
+  uint64_t sequence = 1;
+  bool draining = false;
+  bool gone = false;
+  uint32_t age_ms = 0;
+  Duration wait = 0s;  // before it arrives
+};
+
+// What the directory should hold after all the news.
+struct Case {
+  std::string name;
+  std::vector<News> news;
+  bool last_is_new;
+  uint64_t incarnation;
+  uint64_t sequence;
+  bool usable;
+};
+
+const std::vector<Case> kCases = {
+    {"first news", {{1, 5}}, true, 1, 5, true},
+    {"doubled news", {{1, 5}, {1, 5}}, false, 1, 5, true},
+    {"crossed news", {{1, 6}, {1, 5}}, false, 1, 6, true},
+    {"older run after newer", {{2, 1}, {1, 99}}, false, 2, 1, true},
+    {"newer run with a lower sequence", {{1, 99}, {2, 1}}, true, 2, 1, true},
+    {"draining", {{1, 1}, {1, 2, true}}, true, 1, 2, false},
+    {"late news does not end draining",
+     {{1, 2, true}, {1, 1}},
+     false,
+     1,
+     2,
+     false},
+    {"newer news does not end draining",
+     {{1, 2, true}, {1, 3}},
+     true,
+     1,
+     3,
+     false},
+    {"late draining still counts", {{1, 3}, {1, 2, true}}, true, 1, 3, false},
+    {"a new run ends draining", {{1, 2, true}, {2, 1}}, true, 2, 1, true},
+    {"older run's draining says nothing",
+     {{2, 1}, {1, 9, true}},
+     false,
+     2,
+     1,
+     true},
+    {"gone is sticky", {{1, 1, false, true}, {1, 2}}, true, 1, 2, false},
+    {"too old on the way", {{1, 1, false, false, 3000}}, true, 1, 1, false},
+    {"silent, then heard",
+     {{1, 1}, {1, 2, false, false, 0, 10s}},
+     true,
+     1,
+     2,
+     true},
+    {"draining outlives being forgotten",
+     {{1, 2, true}, {1, 3, false, false, 0, 61s}},
+     true,
+     1,
+     3,
+     false},
+    {"a forgotten record is not revived by its own echo",
+     {{1, 2}, {1, 2, false, false, 0, 61s}},
+     false,
+     0,
+     0,
+     false},
+    {"a forgotten endpoint comes back by itself",
+     {{1, 2}, {1, 3, false, false, 0, 61s}},
+     true,
+     1,
+     3,
+     true},
+};
+
+wire::EndpointRecordT Record(const News& news) {
+  wire::EndpointRecordT record;
+  record.id = "e";
+  record.address = "127.0.0.1:1";
+  record.incarnation = news.incarnation;
+  record.sequence = news.sequence;
+  record.draining = news.draining;
+  record.gone = news.gone;
+  record.age_ms = news.age_ms;
+  return record;
+}
+
+class DirectoryTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(DirectoryTest);
+  CPPUNIT_TEST(NewsTable);
+  CPPUNIT_TEST(SilentEndpointGetsNoWork);
+  CPPUNIT_TEST(OwnEvidenceKeepsItUsable);
+  CPPUNIT_TEST(DeathOfAnOlderRunSaysNothing);
+  CPPUNIT_TEST(DeathHoldsAgainstNewsForAWhile);
+  CPPUNIT_TEST(DeltaCarriesOnlyWhatChanged);
+  CPPUNIT_TEST(GenerationIgnoresLoad);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void NewsTable() {
+    for (const Case& test : kCases) {
+      Directory directory;
+      Instant now = kStart;
+      bool is_new = false;
+      for (const News& news : test.news) {
+        now += news.wait;
+        directory.OnTimer(now);
+        is_new = directory.OnRecord(Record(news), now);
+      }
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(test.name, test.last_is_new, is_new);
+      const Endpoint* endpoint = directory.Find("e");
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(test.name, test.incarnation != 0,
+                                   endpoint != nullptr);
+      if (endpoint == nullptr) continue;
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(test.name, test.incarnation,
+                                   endpoint->record.incarnation);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(test.name, test.sequence,
+                                   endpoint->record.sequence);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(test.name, test.usable, endpoint->usable);
+    }
+  }
+
+  void SilentEndpointGetsNoWork() {
+    Directory directory;
+    directory.OnRecord(Record({}), kStart);
+    CPPUNIT_ASSERT(!directory.OnTimer(kStart + 2900ms));
+    CPPUNIT_ASSERT(directory.OnTimer(kStart + 3s));
+    CPPUNIT_ASSERT(!directory.Find("e")->usable);
+  }
+
+  void OwnEvidenceKeepsItUsable() {
+    Directory directory;
+    directory.OnRecord(Record({}), kStart);
+    directory.OnAlive("e", kStart + 2s);
+    directory.OnTimer(kStart + 4s);
+    CPPUNIT_ASSERT(directory.Find("e")->usable);
+  }
+
+  void DeathOfAnOlderRunSaysNothing() {
+    Directory directory;
+    directory.OnRecord(Record({.incarnation = 2}), kStart);
+    directory.OnDead("e", 1, kStart);
+    CPPUNIT_ASSERT(directory.Find("e")->usable);
+  }
+
+  void DeathHoldsAgainstNewsForAWhile() {
+    Directory directory;
+    directory.OnRecord(Record({}), kStart);
+    directory.OnDead("e", 1, kStart);
+    CPPUNIT_ASSERT(!directory.Find("e")->usable);
+    directory.OnRecord(Record({.sequence = 2}), kStart + 500ms);
+    CPPUNIT_ASSERT(!directory.Find("e")->usable);
+    directory.OnRecord(Record({.sequence = 3}), kStart + 1500ms);
+    CPPUNIT_ASSERT(directory.Find("e")->usable);
+  }
+
+  void DeltaCarriesOnlyWhatChanged() {
+    Directory directory;
+    directory.OnRecord(Record({}), kStart);
+    const wire::DirectoryDeltaT delta = directory.TakeDelta(kStart + 200ms);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, delta.records.size());
+    CPPUNIT_ASSERT_EQUAL(uint32_t{200}, delta.records[0]->age_ms);
+    directory.OnRecord(Record({}), kStart + 300ms);
+    CPPUNIT_ASSERT(directory.TakeDelta(kStart + 300ms).records.empty());
+    CPPUNIT_ASSERT_EQUAL(size_t{1},
+                         directory.Everything(kStart).records.size());
+  }
+
+  void GenerationIgnoresLoad() {
+    Directory directory;
+    directory.OnRecord(Record({}), kStart);
+    const uint64_t before = directory.Generation();
+    wire::EndpointRecordT record = Record({.sequence = 2});
+    record.running = 7;
+    directory.OnRecord(record, kStart);
+    CPPUNIT_ASSERT_EQUAL(before, directory.Generation());
+    record.sequence = 3;
+    record.slots = 64;
+    directory.OnRecord(record, kStart);
+    CPPUNIT_ASSERT(directory.Generation() > before);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(DirectoryTest);
+
+}  // namespace
+}  // namespace dotterelshift::directory
--- /dev/null
+++ b/src/dotterelshift/serving/arrival.cc
@@ -0,0 +1,210 @@
+#include <algorithm>  // for max, find
+#include <utility>    // for move
+
+#include "dotterelshift/routing/target.h"  // for ReachOf
+#include "dotterelshift/serving/core.h"    // for Core
+
+namespace dotterelshift::serving {
+namespace {
+
+// Work of this many tokens counts as one unit of a team's fair share.
+constexpr double kTokensPerUnit = 1024;
+
+// A request that was started before goes first within its team.
+constexpr int kRetryPriority = -100;
+
+// Whole seconds, rounded up, at least one: for Retry-After.
+int WaitSeconds(Duration wait) {
+  const int64_t seconds = (ToMs(wait) + 999) / 1000;
+  return static_cast<int>(std::max<int64_t>(1, seconds));
+}
+
+}  // namespace
+
+void Core::OnRequest(RequestId id, callers::CallerRequest caller_request,
+                     Instant now) {
+  auto owned = std::make_unique<Request>();
+  Request* request = owned.get();
+  request->id = id;
+  request->caller = std::move(caller_request);
+  request->arrived = now;
+  request->deadline = now + request->caller.deadline;
+  m_requests[id] = std::move(owned);
+
+  const ErrorKind refusal = Identify(request);
+  if (refusal != ErrorKind::kNone) {
+    Fail(request, refusal, now);
+  } else if (const auto blocked =
+                 m_blocklist.BlockedFor(request->caller.content_hash, now)) {
+    Fail(request, ErrorKind::kQuarantined, now, WaitSeconds(*blocked));
+  } else {
+    Enqueue(request, now);
+  }
+  Finally(now);
+}
+
+ErrorKind Core::Identify(Request* request) {
+  if (m_draining) return ErrorKind::kDraining;
+  if (m_reach == ControlReach::kNever) return ErrorKind::kNotReady;
+  const callers::CallerRequest& caller = request->caller;
+  const wire::TeamT* team =
+      m_parts.configuration->FindTeamByKey(caller.key_hash);
+  if (team == nullptr) return ErrorKind::kUnauthorized;
+  request->team = team->id;
+  request->request_class = team->request_class.empty() ? m_options.default_class
+                                                       : team->request_class;
+  request->weight = team->weight;
+  request->refusals_first = team->policy == wire::TeamPolicy::RefusalsFirst;
+  request->witnessed = team->grant_way == wire::GrantWay::Witnessed;
+  if (!caller.claimed_team.empty() && caller.claimed_team != team->id)
+    return ErrorKind::kWrongTeam;
+  if (!caller.idempotent && caller.idempotency_key.empty())
+    return ErrorKind::kKeyRequired;
+  const ErrorKind reach = CheckReach(*request);
+  if (reach != ErrorKind::kNone) return reach;
+
+  const std::vector<BudgetId> budgets =
+      m_parts.configuration->BudgetsOf(team->id);
+  if (budgets.empty()) return ErrorKind::kNoBudget;
+  request->budget_id = caller.budget.empty() ? budgets.front() : caller.budget;
+  if (std::find(budgets.begin(), budgets.end(), request->budget_id) ==
+      budgets.end())
+    return ErrorKind::kNoBudget;
+  budget::HoldingPolicy policy;
+  policy.policy = team->policy;
+  policy.way = team->grant_way;
+  policy.partition = std::chrono::seconds(team->partition_seconds);
+  request->budget = m_parts.ledger->Open(request->budget_id, policy);
+
+  const bool cut_off = m_reach == ControlReach::kCutOff;
+  if (cut_off && (!m_options.serve_when_cut_off || !caller.idempotent))
+    return ErrorKind::kNoQuorum;
+  request->key = caller.idempotency_key;
+  if (request->key.empty()) {
+    request->key = "~" + m_options.self.host + "." +
+                   std::to_string(m_options.self.incarnation) + "." +
+                   std::to_string(request->id);
+  }
+  return ErrorKind::kNone;
+}
+
+ErrorKind Core::CheckReach(const Request& request) const {
+  const bool service = request.IsService();
+  switch (routing::ReachOf(*m_parts.configuration, request.team,
+                           request.caller.target, service)) {
+    case state::Reach::kAllowed:
+      return ErrorKind::kNone;
+    case state::Reach::kOutOfReach:
+      return ErrorKind::kOutOfReach;
+    case state::Reach::kUnknown:
+      return service ? ErrorKind::kUnknownService : ErrorKind::kUnknownModel;
+  }
+  return ErrorKind::kInternal;
+}
+
+void Core::Enqueue(Request* request, Instant now) {
+  admission::Waiting waiting;
+  waiting.request = request->id;
+  waiting.team = request->team;
+  waiting.target = request->caller.target;
+  waiting.weight = request->weight;
+  waiting.priority =
+      request->attempts > 0 ? kRetryPriority : request->caller.priority;
+  waiting.cost =
+      std::max(1.0, static_cast<double>(request->WorstCase()) / kTokensPerUnit);
+  waiting.deadline = request->deadline;
+  if (!m_parts.queue->Push(waiting)) {
+    Fail(request, ErrorKind::kQueueFull, now);
+    return;
+  }
+  request->stage = Stage::kQueued;
+  SetDue(request, request->deadline);
+}
+
+void Core::EnqueueSoon(Request* request) {
+  request->stage = Stage::kArrived;
+  m_soon.push_back(request->id);
+}
+
+bool Core::TryStart(RequestId id, Instant now) {
+  Request* request = FindRequest(id);
+  if (request == nullptr || request->stage != Stage::kQueued) return true;
+  if (!m_suspects.MayStart(request->caller.content_hash)) {
+    StandApart(request, now);
+    return true;
+  }
+  const routing::RouteChoice choice = Choose(*request, now);
+  if (choice.outcome == routing::RouteOutcome::kBusy) {
+    if (now + choice.expected_wait < request->deadline) return false;
+    request->stage = Stage::kArrived;
+    Fail(request, ErrorKind::kOverloaded, now,
+         WaitSeconds(choice.expected_wait));
+    return true;
+  }
+  request->stage = Stage::kArrived;
+  if (choice.outcome == routing::RouteOutcome::kNone) {
+    OnNoChoice(request, now);
+  } else if (ReserveOrWait(request, now)) {
+    BeginAttempt(request, choice, now);
+  }
+  return true;
+}
+
+routing::RouteChoice Core::Choose(const Request& request, Instant now) {
+  std::vector<EndpointId> exclude = request.excluded;
+  if (m_suspects.IsSuspect(request.caller.content_hash)) {
+    const std::vector<EndpointId> occupied = m_suspects.Occupied();
+    exclude.insert(exclude.end(), occupied.begin(), occupied.end());
+  }
+  routing::RouteQuery query;
+  query.team = request.team;
+  query.target = request.caller.target;
+  query.service = request.IsService();
+  query.prompt_tokens = request.caller.prompt_bound;
+  query.output_tokens = request.caller.output_limit;
+  query.prefix_hashes = &request.caller.prefix_hashes;
+  query.exclude = &exclude;
+  return m_parts.router->Choose(query, now);
+}
+
+void Core::OnNoChoice(Request* request, Instant now) {
+  const bool suspect = m_suspects.IsSuspect(request->caller.content_hash);
+  if (suspect && !m_suspects.Occupied().empty()) {
+    StandApart(request, now);
+    return;
+  }
+  // An endpoint that refused for load may be asked again when there is no
+  // other.
+  if (request->last_failure == ErrorKind::kEndpointRefused &&
+      !request->excluded.empty()) {
+    request->excluded.clear();
+    const routing::RouteChoice choice = Choose(*request, now);
+    if (choice.outcome == routing::RouteOutcome::kChosen) {
+      if (ReserveOrWait(request, now)) BeginAttempt(request, choice, now);
+      return;
+    }
+  }
+  const bool tried = request->last_failure != ErrorKind::kNone;
+  Fail(request, tried ? request->last_failure : ErrorKind::kNoEndpoint, now);
+}
+
+void Core::StandApart(Request* request, Instant now) {
+  request->stage = Stage::kApart;
+  m_apart.push_back(request->id);
+  if (request->reserved > 0) {
+    GiveBack(*request, request->reserved, 0, now);
+    request->reserved = 0;
+  }
+  SetDue(request, request->deadline);
+}
+
+void Core::ReleaseApart() {
+  for (const RequestId id : m_apart) {
+    Request* request = FindRequest(id);
+    if (request == nullptr || request->stage != Stage::kApart) continue;
+    EnqueueSoon(request);
+  }
+  m_apart.clear();
+}
+
+}  // namespace dotterelshift::serving
--- /dev/null
+++ b/src/dotterelshift/serving/attempt_end.cc
@@ -0,0 +1,183 @@
+#include <algorithm>  // for max
+#include <utility>    // for move
+
+#include "dotterelshift/serving/core.h"  // for Core
+
+namespace dotterelshift::serving {
+namespace {
+
+// Whether no endpoint ran anything of an attempt with this end.
+bool NotRun(AttemptEnd end) {
+  return end == AttemptEnd::kNotSent || end == AttemptEnd::kRefusedBeforeRun;
+}
+
+ErrorKind FailureOf(AttemptEnd end, bool forwarded) {
+  switch (end) {
+    case AttemptEnd::kNotSent:
+      return ErrorKind::kNoEndpoint;
+    case AttemptEnd::kRefusedBeforeRun:
+      return ErrorKind::kEndpointRefused;
+    case AttemptEnd::kTimedOut:
+      return ErrorKind::kDeadlineWhileRunning;
+    case AttemptEnd::kDied:
+      return forwarded ? ErrorKind::kStreamCut : ErrorKind::kEndpointFailed;
+    case AttemptEnd::kWhole:
+    case AttemptEnd::kCallerError:
+      break;
+  }
+  return ErrorKind::kInternal;
+}
+
+}  // namespace
+
+void Core::OnAttemptHead(AttemptId /*attempt*/, int /*status*/,
+                         Instant /*now*/) {}
+
+PieceVerdict Core::OnPiece(AttemptId id, const Piece& piece, Instant now) {
+  Request* request = FindByAttempt(id);
+  if (request == nullptr || request->stage != Stage::kRunning) {
+    ++m_counters.late_pieces_dropped;
+    return PieceVerdict::kDrop;
+  }
+  Attempt& attempt = *request->attempt;
+  attempt.counted += piece.tokens;
+  if (piece.has_usage) {
+    attempt.has_usage = true;
+    attempt.usage_prompt = std::max(attempt.usage_prompt, piece.usage_prompt);
+    attempt.usage_output = std::max(attempt.usage_output, piece.usage_output);
+  }
+  const Tokens output = std::max(attempt.counted, attempt.usage_output);
+  if (!request->IsService() && output > request->caller.output_limit) {
+    CancelAndFail(request, ErrorKind::kOutputLimitReached, now);
+    Finally(now);
+    return PieceVerdict::kCut;
+  }
+  if (!attempt.has_piece) {
+    attempt.has_piece = true;
+    request->first_token = now - request->arrived;
+    m_parts.router->OnFirstToken(attempt.endpoint, now - attempt.started, now);
+  }
+  m_parts.router->OnTokens(attempt.endpoint, piece.tokens, now);
+  if (request->caller_gone) return PieceVerdict::kDrop;
+  request->forwarded = true;
+  return PieceVerdict::kForward;
+}
+
+void Core::OnAttemptEnd(AttemptId id, AttemptEnd end, Instant now) {
+  Request* request = FindByAttempt(id);
+  if (request == nullptr || request->stage != Stage::kRunning) return;
+  EndAttempt(request, end, now);
+  Finally(now);
+}
+
+Attempt Core::Detach(Request* request, bool failed, Instant now) {
+  Attempt attempt = std::move(*request->attempt);
+  request->attempt.reset();
+  m_attempts.erase(attempt.id);
+  m_parts.router->OnEnded(attempt.endpoint, request->WorstCase(), failed, now);
+  m_suspects.OnEnded(request->caller.content_hash, attempt.endpoint,
+                     attempt.alone);
+  ReleaseApart();
+  return attempt;
+}
+
+void Core::DropUnsentAttempt(Request* request, Instant now) {
+  PendingCommand* pending = m_commands.Find(request->awaited);
+  if (pending != nullptr) pending->request = 0;
+  const Attempt attempt = Detach(request, false, now);
+  Settlement settlement;
+  settlement.outcome = wire::Outcome::Refused;
+  settlement.last = false;
+  Settle(request, attempt, settlement, now);
+}
+
+void Core::EndAttempt(Request* request, AttemptEnd end, Instant now) {
+  const bool whole =
+      end == AttemptEnd::kWhole || end == AttemptEnd::kCallerError;
+  const bool failed = !whole && end != AttemptEnd::kRefusedBeforeRun;
+  const Attempt attempt = Detach(request, failed, now);
+  if (end == AttemptEnd::kRefusedBeforeRun)
+    m_parts.router->OnRefused(attempt.endpoint, now);
+  if (attempt.dispatched && !NotRun(end)) request->handed = true;
+  if (!whole) {
+    AfterFailure(request, attempt, end, now);
+    return;
+  }
+  m_retries.OnAnswered();
+  if (end == AttemptEnd::kWhole &&
+      m_suspects.OnAnswered(request->caller.content_hash)) {
+    wire::ClearSuspectT clear;
+    clear.content_hash = request->caller.content_hash;
+    Propose(clear, PendingCommand{});
+  }
+  Settlement settlement;
+  settlement.spend = SpendOf(*request, attempt, end);
+  settlement.outcome = wire::Outcome::Answered;
+  if (end == AttemptEnd::kWhole) settlement.billed = settlement.spend.spent;
+  request->stage = Stage::kSettling;
+  SetDue(request, now + m_options.settle_patience);
+  Settle(request, attempt, settlement, now);
+}
+
+void Core::AfterFailure(Request* request, const Attempt& attempt,
+                        AttemptEnd end, Instant now) {
+  const ErrorKind failure = FailureOf(end, request->forwarded);
+  request->last_failure = failure;
+  request->excluded.push_back(attempt.endpoint);
+  if (end == AttemptEnd::kDied) NoteDeath(*request, attempt, now);
+
+  const bool retry = MayRetry(*request, end, now);
+  Settlement settlement;
+  settlement.spend = SpendOf(*request, attempt, end);
+  settlement.outcome =
+      NotRun(end) ? wire::Outcome::Refused : wire::Outcome::Failed;
+  settlement.last = !retry;
+  settlement.unknown = !NotRun(end);
+  Settle(request, attempt, settlement, now);
+  if (!retry) {
+    Fail(request, failure, now);
+    return;
+  }
+  ++m_counters.retries;
+  SetDue(request, std::nullopt);
+  EnqueueSoon(request);
+}
+
+bool Core::MayRetry(const Request& request, AttemptEnd end, Instant now) {
+  if (request.caller_gone || request.forwarded) return false;
+  if (now >= request.deadline) return false;
+  if (request.attempts >= m_options.max_attempts) return false;
+  if (!NotRun(end) && !request.caller.idempotent) return false;
+  if (m_blocklist.BlockedFor(request.caller.content_hash, now)) return false;
+  // What was not even sent has loaded nobody.
+  if (end == AttemptEnd::kNotSent || m_retries.TryTake()) return true;
+  ++m_counters.retries_denied;
+  return false;
+}
+
+void Core::NoteDeath(const Request& request, const Attempt& attempt,
+                     Instant now) {
+  m_suspects.OnDeath(request.caller.content_hash, now);
+  wire::ReportSuspectT report;
+  report.content_hash = request.caller.content_hash;
+  report.endpoint = attempt.endpoint;
+  report.endpoint_incarnation = attempt.incarnation;
+  report.alone = attempt.alone;
+  Propose(std::move(report), PendingCommand{});
+}
+
+void Core::CancelAndFail(Request* request, ErrorKind kind, Instant now) {
+  Act(CancelAttempt{request->attempt->id});
+  const bool late = kind == ErrorKind::kDeadlineWhileRunning;
+  const Attempt attempt = Detach(request, late, now);
+  request->handed = true;
+  Settlement settlement;
+  settlement.spend = SpendOf(*request, attempt, AttemptEnd::kDied);
+  settlement.outcome = kind == ErrorKind::kCallerGone ? wire::Outcome::Cancelled
+                                                      : wire::Outcome::Failed;
+  settlement.unknown = kind != ErrorKind::kOutputLimitReached;
+  Settle(request, attempt, settlement, now);
+  Fail(request, kind, now);
+}
+
+}  // namespace dotterelshift::serving
--- /dev/null
+++ b/src/dotterelshift/serving/budget_wait.cc
@@ -0,0 +1,144 @@
+#include <algorithm>  // for find, min
+
+#include "dotterelshift/serving/core.h"  // for Core
+
+namespace dotterelshift::serving {
+namespace {
+
+// How often waiting requests look again although nothing was freed here.
+constexpr Duration kLookAgain = 100ms;
+
+}  // namespace
+
+bool Core::ReserveOrWait(Request* request, Instant now) {
+  if (request->reserved > 0) return true;
+  const Tokens worst_case = request->WorstCase();
+  m_wishes_due = true;
+  switch (m_parts.ledger->Reserve(request->budget, worst_case, now)) {
+    case budget::ReserveResult::kReserved:
+      request->reserved = worst_case;
+      return true;
+    case budget::ReserveResult::kWait:
+      WaitForTokens(request, now);
+      return false;
+    case budget::ReserveResult::kExhausted:
+      if (MayStillCome(*request)) {
+        WaitForTokens(request, now);
+      } else {
+        RefuseForBudget(request, now);
+      }
+      return false;
+  }
+  return false;
+}
+
+bool Core::MayStillCome(const Request& request) const {
+  // What other requests of this entry have reserved and will not need.
+  const Tokens held = m_parts.ledger->Held(request.budget);
+  const Tokens reserved = m_parts.ledger->Reserved(request.budget);
+  return reserved > 0 && held >= request.WorstCase();
+}
+
+void Core::WaitForTokens(Request* request, Instant now) {
+  const bool cut_off = m_reach != ControlReach::kConnected;
+  if (cut_off && !MayStillCome(*request) && !request->refusals_first) {
+    RefuseForBudget(request, now);
+    return;
+  }
+  if (!request->budget_until) {
+    const Duration patience = request->refusals_first
+                                  ? m_options.budget_wait_refusals_first
+                                  : m_options.budget_wait_overspend_first;
+    request->budget_until = std::min(request->deadline, now + patience);
+  }
+  if (*request->budget_until <= now) {
+    RefuseForBudget(request, now);
+    return;
+  }
+  request->stage = Stage::kBudget;
+  if (m_waiters.empty()) m_next_reserve = now + kLookAgain;
+  m_waiters[request->budget].push_back(request->id);
+  SetDue(request, request->budget_until);
+}
+
+void Core::RetryWaiters(Instant now) {
+  std::set<budget::BudgetHandle> freed;
+  freed.swap(m_freed);
+  m_next_reserve = now + kLookAgain;
+  for (const budget::BudgetHandle budget : freed) {
+    const auto it = m_waiters.find(budget);
+    if (it == m_waiters.end()) continue;
+    const std::vector<RequestId> waiters = std::move(it->second);
+    m_waiters.erase(it);
+    // In order of arrival; a smaller request may pass one that does not fit.
+    for (const RequestId id : waiters) {
+      Request* request = FindRequest(id);
+      if (request == nullptr || request->stage != Stage::kBudget) continue;
+      request->stage = Stage::kArrived;
+      if (ReserveOrWait(request, now)) EnqueueSoon(request);
+    }
+  }
+}
+
+void Core::LeaveWaiters(const Request& request) {
+  const auto it = m_waiters.find(request.budget);
+  if (it == m_waiters.end()) return;
+  std::erase(it->second, request.id);
+  if (it->second.empty()) m_waiters.erase(it);
+}
+
+void Core::RefuseForBudget(Request* request, Instant now) {
+  Fail(request,
+       IsExhausted(*request) ? ErrorKind::kBudgetExhausted
+                             : ErrorKind::kBudgetUnavailable,
+       now);
+}
+
+bool Core::IsExhausted(const Request& request) const {
+  if (m_reach != ControlReach::kConnected) return false;
+  const auto last = m_last_grant.find(request.budget);
+  if (last == m_last_grant.end()) return false;
+  const Tokens left = m_parts.ledger->Held(request.budget) + last->second.free +
+                      last->second.elsewhere;
+  return left < request.WorstCase();
+}
+
+bool Core::BudgetRemained(const Request& request) const {
+  if (m_parts.ledger->Held(request.budget) > 0) return true;
+  const auto last = m_last_grant.find(request.budget);
+  if (last == m_last_grant.end()) return true;
+  return last->second.free + last->second.elsewhere > 0;
+}
+
+void Core::GiveBack(const Request& request, Tokens reserved, Tokens spent,
+                    Instant now) {
+  m_parts.ledger->Settle(request.budget, reserved, spent, now);
+  m_wishes_due = true;
+  if (m_waiters.contains(request.budget)) m_freed.insert(request.budget);
+}
+
+void Core::SendWishes(const std::vector<budget::GrantWish>& wishes,
+                      Instant now) {
+  for (const budget::GrantWish& wish : wishes) {
+    PendingCommand pending;
+    pending.budget = wish.budget;
+    if (wish.kind == budget::GrantWish::Kind::kReturn) {
+      pending.kind = PendingCommand::Kind::kReturn;
+      wire::ReturnGrantT body;
+      body.budget = m_parts.ledger->IdOf(wish.budget);
+      body.tokens = wish.wanted;
+      Propose(std::move(body), std::move(pending));
+      continue;
+    }
+    pending.kind = PendingCommand::Kind::kAsk;
+    wire::RequestGrantT body;
+    body.budget = m_parts.ledger->IdOf(wish.budget);
+    body.wanted = wish.wanted;
+    body.minimum = wish.minimum;
+    body.held = m_parts.ledger->Held(wish.budget);
+    body.demand_per_second = m_parts.ledger->DemandPerSecond(wish.budget, now);
+    Propose(std::move(body), std::move(pending));
+  }
+}
+
+}  // namespace dotterelshift::serving
--- /dev/null
+++ b/src/dotterelshift/serving/dispatch.cc
@@ -0,0 +1,192 @@
+#include <algorithm>  // for min
+#include <utility>    // for move
+
+#include "dotterelshift/serving/core.h"  // for Core
+
+namespace dotterelshift::serving {
+namespace {
+
+// What a caller is told of a claim that was not granted to it.
+ErrorKind KindOf(wire::ClaimState state) {
+  switch (state) {
+    case wire::ClaimState::Granted:
+      return ErrorKind::kNone;
+    case wire::ClaimState::Running:
+      return ErrorKind::kAlreadyRunning;
+    case wire::ClaimState::AlreadyRan:
+      return ErrorKind::kAlreadyRan;
+    case wire::ClaimState::OutcomeUnknown:
+      return ErrorKind::kOutcomeUnknown;
+    case wire::ClaimState::Expired:
+      return ErrorKind::kKeyExpired;
+    case wire::ClaimState::BodyDiffers:
+      return ErrorKind::kKeyReused;
+  }
+  return ErrorKind::kInternal;
+}
+
+}  // namespace
+
+void Core::BeginAttempt(Request* request, const routing::RouteChoice& choice,
+                        Instant now) {
+  Attempt attempt;
+  attempt.id = ++m_last_attempt;
+  attempt.endpoint = choice.endpoint;
+  attempt.incarnation = choice.incarnation;
+  attempt.address = choice.address;
+  attempt.reserved = request->reserved;
+  request->reserved = 0;
+  attempt.alone =
+      m_suspects.OnStarted(request->caller.content_hash, attempt.endpoint);
+  m_parts.router->OnStarted(attempt.endpoint, request->WorstCase(), now);
+  m_attempts[attempt.id] = request->id;
+  request->attempt = std::move(attempt);
+  if (++request->attempts == 1) request->queue_wait = now - request->arrived;
+
+  if (!request->caller.idempotent && !request->claim_open) {
+    ProposeClaim(request, now);
+  } else {
+    OpenOrDispatch(request, now);
+  }
+}
+
+void Core::ProposeClaim(Request* request, Instant now) {
+  if (m_reach != ControlReach::kConnected) {
+    Fail(request, ErrorKind::kNoQuorum, now);
+    return;
+  }
+  wire::ClaimT claim;
+  claim.team = request->team;
+  claim.request_key = request->key;
+  claim.body_hash = request->caller.content_hash;
+  claim.attempt = request->attempt->id;
+
+  PendingCommand pending;
+  pending.kind = PendingCommand::Kind::kClaim;
+  pending.request = request->id;
+  pending.attempt = request->attempt->id;
+  pending.undo = std::make_unique<wire::SettleT>(
+      SettleBody(*request, request->attempt->id));
+  pending.undo->outcome = wire::Outcome::Refused;
+  pending.undo->witnessed = false;
+  request->awaited = Propose(std::move(claim), std::move(pending));
+  request->stage = Stage::kClaiming;
+  SetDue(request,
+         std::min(request->deadline, now + m_options.witness_patience));
+}
+
+void Core::OnClaim(Request* request, const wire::CommandAnswerT& answer,
+                   Instant now) {
+  const wire::ClaimAnswerT* claim = answer.body.AsClaimAnswer();
+  ErrorKind kind = ErrorKind::kNoQuorum;
+  if (answer.error == 0 && claim != nullptr) kind = KindOf(claim->state);
+  if (kind != ErrorKind::kNone) {
+    Fail(request, kind, now);
+    return;
+  }
+  request->claim_open = true;
+  request->claimed_by = request->attempt->id;
+  OpenOrDispatch(request, now);
+}
+
+void Core::OpenOrDispatch(Request* request, Instant now) {
+  if (m_reach == ControlReach::kCutOff) {
+    if (m_options.serve_when_cut_off && request->caller.idempotent) {
+      ++m_counters.unwitnessed_attempts;
+      Dispatch(request, now);
+    } else {
+      Fail(request, ErrorKind::kNoQuorum, now);
+    }
+    return;
+  }
+  if (!request->witnessed) {
+    Dispatch(request, now);
+    return;
+  }
+  const Attempt& attempt = *request->attempt;
+  wire::OpenAttemptT open;
+  open.budget = request->budget_id;
+  open.team = request->team;
+  open.request_key = request->key;
+  open.attempt = attempt.id;
+  open.reserved = attempt.reserved;
+
+  PendingCommand pending;
+  pending.kind = PendingCommand::Kind::kOpen;
+  pending.request = request->id;
+  pending.attempt = attempt.id;
+  pending.undo =
+      std::make_unique<wire::SettleT>(SettleBody(*request, attempt.id));
+  pending.undo->reserved = attempt.reserved;
+  pending.undo->outcome = wire::Outcome::Refused;
+  pending.undo->last_attempt = false;
+  request->awaited = Propose(std::move(open), std::move(pending));
+  request->stage = Stage::kOpening;
+  SetDue(request,
+         std::min(request->deadline, now + m_options.witness_patience));
+}
+
+void Core::OnOpened(Request* request, const wire::CommandAnswerT& answer,
+                    Instant now) {
+  if (answer.error != 0) {
+    Fail(request, ErrorKind::kNoQuorum, now);
+    return;
+  }
+  request->attempt->opened = true;
+  Dispatch(request, now);
+}
+
+void Core::OnWitnessLate(Request* request, Instant now) {
+  const bool may_fall_back =
+      request->stage == Stage::kOpening && m_reach == ControlReach::kCutOff &&
+      m_options.serve_when_cut_off && request->caller.idempotent;
+  if (may_fall_back && now < request->deadline) {
+    ++m_counters.unwitnessed_attempts;
+    Dispatch(request, now);
+    return;
+  }
+  Fail(request, ErrorKind::kNoQuorum, now);
+}
+
+void Core::Dispatch(Request* request, Instant now) {
+  const directory::Endpoint* endpoint =
+      m_parts.directory->Find(request->attempt->endpoint);
+  const bool usable =
+      endpoint != nullptr && endpoint->usable &&
+      endpoint->record.incarnation == request->attempt->incarnation;
+  // It may have left while the opening was on its way.
+  if (!usable && !ChooseAgain(request, now)) {
+    EndAttempt(request, AttemptEnd::kNotSent, now);
+    return;
+  }
+  Attempt& attempt = *request->attempt;
+  attempt.dispatched = true;
+  attempt.started = now;
+  request->stage = Stage::kRunning;
+  SetDue(request, request->deadline);
+  StartAttempt start;
+  start.attempt = attempt.id;
+  start.request = request->id;
+  start.endpoint = attempt.endpoint;
+  start.address = attempt.address;
+  start.time_left = request->deadline - now;
+  Act(std::move(start));
+}
+
+bool Core::ChooseAgain(Request* request, Instant now) {
+  Attempt& attempt = *request->attempt;
+  request->excluded.push_back(attempt.endpoint);
+  const routing::RouteChoice choice = Choose(*request, now);
+  if (choice.outcome != routing::RouteOutcome::kChosen) return false;
+  const uint64_t content = request->caller.content_hash;
+  m_parts.router->OnEnded(attempt.endpoint, request->WorstCase(), false, now);
+  m_suspects.OnEnded(content, attempt.endpoint, attempt.alone);
+  attempt.endpoint = choice.endpoint;
+  attempt.incarnation = choice.incarnation;
+  attempt.address = choice.address;
+  attempt.alone = m_suspects.OnStarted(content, attempt.endpoint);
+  m_parts.router->OnStarted(attempt.endpoint, request->WorstCase(), now);
+  return true;
+}
+
+}  // namespace dotterelshift::serving
--- /dev/null
+++ b/src/dotterelshift/serving/request_core.cc
@@ -0,0 +1,197 @@
+#include "dotterelshift/serving/request_core.h"
+
+#include <algorithm>  // for min
+
+#include "dotterelshift/serving/core.h"  // for Core
+
+namespace dotterelshift::serving {
+
+std::unique_ptr<RequestCore> MakeRequestCore(const RequestCoreOptions& options,
+                                             const RequestCoreParts& parts) {
+  return std::make_unique<Core>(options, parts);
+}
+
+Core::Core(const RequestCoreOptions& options, const RequestCoreParts& parts)
+    : m_options(options),
+      m_parts(parts),
+      m_commands(options.self),
+      m_retries(options.retry_ratio, options.retry_burst) {}
+
+Request* Core::FindRequest(RequestId id) {
+  const auto it = m_requests.find(id);
+  return it == m_requests.end() ? nullptr : it->second.get();
+}
+
+Request* Core::FindByAttempt(AttemptId id) {
+  const auto it = m_attempts.find(id);
+  return it == m_attempts.end() ? nullptr : FindRequest(it->second);
+}
+
+const callers::CallerRequest* Core::RequestOf(AttemptId id) const {
+  const auto attempt = m_attempts.find(id);
+  if (attempt == m_attempts.end()) return nullptr;
+  const auto request = m_requests.find(attempt->second);
+  return request == m_requests.end() ? nullptr : &request->second->caller;
+}
+
+void Core::OnCallerGone(RequestId id, Instant now) {
+  Request* request = FindRequest(id);
+  if (request == nullptr) return;
+  request->caller_gone = true;
+  const bool run_on =
+      request->stage == Stage::kSettling ||
+      (request->stage == Stage::kRunning && !request->caller.idempotent);
+  // Work that may not be repeated goes on to its end, so that a resend of its
+  // key can be told what became of it.
+  if (run_on) return;
+  if (request->stage == Stage::kRunning) {
+    CancelAndFail(request, ErrorKind::kCallerGone, now);
+  } else {
+    Fail(request, ErrorKind::kCallerGone, now);
+  }
+  Finally(now);
+}
+
+void Core::OnControlReach(ControlReach reach, Instant now) {
+  if (reach == m_reach) return;
+  m_reach = reach;
+  m_parts.ledger->SetConnected(reach == ControlReach::kConnected, now);
+  m_wishes_due = true;
+  Finally(now);
+}
+
+void Core::OnRecall(const wire::RecallT& recall, Instant now) {
+  m_parts.ledger->OnRecall(recall.budget, recall.tokens, now);
+  m_wishes_due = true;
+  Finally(now);
+}
+
+void Core::OnQuarantine(const wire::QuarantinePushT& push, Instant now) {
+  m_blocklist.OnPush(push, now);
+  std::vector<Request*> blocked;
+  for (const auto& [id, request] : m_requests) {
+    const bool waits = request->stage == Stage::kQueued ||
+                       request->stage == Stage::kBudget ||
+                       request->stage == Stage::kApart;
+    if (waits && m_blocklist.BlockedFor(request->caller.content_hash, now))
+      blocked.push_back(request.get());
+  }
+  for (Request* request : blocked) Fail(request, ErrorKind::kQuarantined, now);
+  Finally(now);
+}
+
+void Core::OnRefresh(Instant now) {
+  const uint64_t directory = m_parts.directory->Generation();
+  const uint64_t configuration = m_parts.configuration->Version();
+  if (directory != m_directory_seen || configuration != m_configuration_seen) {
+    m_directory_seen = directory;
+    m_configuration_seen = configuration;
+    m_parts.router->Refresh(*m_parts.directory, *m_parts.configuration, now);
+  }
+  Finally(now);
+}
+
+void Core::StartDraining(Instant now) {
+  m_draining = true;
+  Finally(now);
+}
+
+bool Core::Drained() const {
+  if (!m_draining || !m_requests.empty()) return false;
+  const bool connected = m_reach == ControlReach::kConnected;
+  if (connected && !m_refusals.empty()) return false;
+  return !m_commands.Owes(connected);
+}
+
+void Core::SetDue(Request* request, std::optional<Instant> due) {
+  if (request->due) m_timers.erase({*request->due, request->id});
+  request->due = due;
+  if (due) m_timers.insert({*due, request->id});
+}
+
+void Core::OnDue(Request* request, Instant now) {
+  SetDue(request, std::nullopt);
+  switch (request->stage) {
+    case Stage::kArrived:
+      break;
+    case Stage::kQueued:
+    case Stage::kApart:
+      Fail(request, ErrorKind::kDeadlineBeforeRun, now);
+      break;
+    case Stage::kBudget:
+      RefuseForBudget(request, now);
+      break;
+    case Stage::kClaiming:
+    case Stage::kOpening:
+      OnWitnessLate(request, now);
+      break;
+    case Stage::kRunning:
+      CancelAndFail(request, ErrorKind::kDeadlineWhileRunning, now);
+      break;
+    case Stage::kSettling:
+      SpoolOpenSettlement(request, now);
+      break;
+  }
+}
+
+void Core::OnTimer(Instant now) {
+  while (!m_timers.empty() && m_timers.begin()->first <= now)
+    OnDue(FindRequest(m_timers.begin()->second), now);
+  m_blocklist.OnTimer(now);
+  m_suspects.OnTimer(now);
+  const std::optional<Instant> ledger_due = m_parts.ledger->NextDue();
+  if (ledger_due && *ledger_due <= now) m_wishes_due = true;
+  if (!m_waiters.empty() && m_next_reserve <= now) {
+    for (const auto& [budget, waiters] : m_waiters) m_freed.insert(budget);
+  }
+  Finally(now);
+}
+
+std::optional<Instant> Core::NextTimer() const {
+  std::optional<Instant> next = m_parts.ledger->NextDue();
+  const auto consider = [&next](Instant when) {
+    next = next ? std::min(*next, when) : when;
+  };
+  if (!m_timers.empty()) consider(m_timers.begin()->first);
+  if (!m_waiters.empty()) consider(m_next_reserve);
+  const bool connected = m_reach == ControlReach::kConnected;
+  if (connected && !m_refusals.empty()) consider(m_refusals.Due());
+  return next;
+}
+
+void Core::Finally(Instant now) {
+  do {
+    std::vector<RequestId> soon;
+    soon.swap(m_soon);
+    for (const RequestId id : soon) {
+      Request* request = FindRequest(id);
+      if (request != nullptr) Enqueue(request, now);
+    }
+    m_parts.queue->Offer([this, now](const admission::Waiting& waiting) {
+      return TryStart(waiting.request, now);
+    });
+    if (!m_freed.empty()) RetryWaiters(now);
+  } while (!m_soon.empty() || !m_freed.empty());
+
+  const bool connected = m_reach == ControlReach::kConnected;
+  const bool flush = m_draining || m_refusals.Due() <= now;
+  if (connected && flush && !m_refusals.empty()) RecordRefusals();
+  if (m_draining && m_requests.empty()) ReturnGrants(now);
+  if (!m_wishes_due) return;
+  m_wishes_due = false;
+  SendWishes(m_parts.ledger->TakeWishes(now), now);
+}
+
+std::vector<Action> Core::TakeActions() {
+  std::vector<Action> actions;
+  actions.swap(m_actions);
+  return actions;
+}
+
+std::vector<RequestSummary> Core::TakeSummaries() {
+  std::vector<RequestSummary> summaries;
+  summaries.swap(m_summaries);
+  return summaries;
+}
+
+}  // namespace dotterelshift::serving
