Serving: reservations from the standing part go without an opening

The ledger now says whether a reservation needs a committed opening. A cut-off entry dispatches only what its standing part covers (before, it spent its whole holding unwitnessed, which control would have freed on its death), and a refused opening gives the holding back. Settle: a claim is ended also when its attempt was settled before; refused work counts as a request once (RecordRefusals).

--- a/include/dotterelshift/serving/core.h
+++ b/include/dotterelshift/serving/core.h
@@ -89,8 +89,16 @@
   // Whether control said that all that is left is less than the worst case.
   bool IsExhausted(const Request& request) const;
   void LeaveWaiters(const Request& request);
-  void GiveBack(const Request& request, Tokens reserved, Tokens spent,
-                Instant now);
+  // What was reserved for an attempt, and whether from the standing part.
+  struct Reservation {
+    Tokens tokens = 0;
+    bool standing = false;
+  };
+  void GiveBack(const Request& request, const Reservation& reservation,
+                Tokens spent, Instant now);
+  // Whether the attempt may be dispatched although no opening of it can be
+  // committed now.
+  bool MayGoUnwitnessed(Request* request, Instant now);
   void SendWishes(const std::vector<budget::GrantWish>& wishes, Instant now);
 
   // ---- dispatch.cc
--- a/include/dotterelshift/serving/request.h
+++ b/include/dotterelshift/serving/request.h
@@ -36,6 +36,7 @@
   Tokens reserved = 0;
   bool alone = false;       // of a suspect content
   bool opened = false;      // its opening is committed
+  bool standing = false;    // reserved from the standing part: needs no opening
   bool dispatched = false;  // given to the endpoint's side
   Instant started{};        // when it was given
   Tokens counted = 0;       // output tokens by the entry's own count
@@ -55,7 +56,6 @@
   BudgetId budget_id;
   budget::BudgetHandle budget = 0;
   bool refusals_first = false;  // the team's policy
-  bool witnessed = true;        // the team's attempts are opened by commit
   std::string key;              // of its bill
   Stage stage = Stage::kArrived;
   Instant arrived{};
@@ -63,6 +63,7 @@
   std::optional<Instant> due;           // of its timer
   std::optional<Instant> budget_until;  // how long it waits for tokens
   Tokens reserved = 0;                  // held before an attempt takes it over
+  bool standing = false;                // of `reserved`: see Attempt
   std::optional<Attempt> attempt;
   int attempts = 0;
   std::vector<EndpointId> excluded;  // tried before
--- a/src/dotterelshift/serving/arrival.cc
+++ b/src/dotterelshift/serving/arrival.cc
@@ -55,7 +55,6 @@
                                                        : team->request_class;
   request->weight = team->weight;
   request->refusals_first = team->policy == wire::TeamPolicy::RefusalsFirst;
-  request->witnessed = team->grant_way == wire::GrantWay::Witnessed;
   if (!caller.claimed_team.empty() && caller.claimed_team != team->id)
     return ErrorKind::kWrongTeam;
   if (!caller.idempotent && caller.idempotency_key.empty())
@@ -192,7 +191,7 @@
   request->stage = Stage::kApart;
   m_apart.push_back(request->id);
   if (request->reserved > 0) {
-    GiveBack(*request, request->reserved, 0, now);
+    GiveBack(*request, {request->reserved, request->standing}, 0, now);
     request->reserved = 0;
   }
   SetDue(request, request->deadline);
--- a/src/dotterelshift/serving/budget_wait.cc
+++ b/src/dotterelshift/serving/budget_wait.cc
@@ -17,6 +17,11 @@
   switch (m_parts.ledger->Reserve(request->budget, worst_case, now)) {
     case budget::ReserveResult::kReserved:
       request->reserved = worst_case;
+      request->standing = false;
+      return true;
+    case budget::ReserveResult::kReservedStanding:
+      request->reserved = worst_case;
+      request->standing = true;
       return true;
     case budget::ReserveResult::kWait:
       WaitForTokens(request, now);
@@ -110,9 +115,14 @@
   return last->second.free + last->second.elsewhere > 0;
 }
 
-void Core::GiveBack(const Request& request, Tokens reserved, Tokens spent,
-                    Instant now) {
-  m_parts.ledger->Settle(request.budget, reserved, spent, now);
+void Core::GiveBack(const Request& request, const Reservation& reservation,
+                    Tokens spent, Instant now) {
+  if (reservation.standing) {
+    m_parts.ledger->SettleStanding(request.budget, reservation.tokens, spent,
+                                   now);
+  } else {
+    m_parts.ledger->Settle(request.budget, reservation.tokens, spent, now);
+  }
   m_wishes_due = true;
   if (m_waiters.contains(request.budget)) m_freed.insert(request.budget);
 }
@@ -127,6 +137,7 @@
       wire::ReturnGrantT body;
       body.budget = m_parts.ledger->IdOf(wish.budget);
       body.tokens = wish.wanted;
+      body.standing = wish.standing;
       Propose(std::move(body), std::move(pending));
       continue;
     }
--- a/src/dotterelshift/serving/dispatch.cc
+++ b/src/dotterelshift/serving/dispatch.cc
@@ -35,6 +35,7 @@
   attempt.incarnation = choice.incarnation;
   attempt.address = choice.address;
   attempt.reserved = request->reserved;
+  attempt.standing = request->standing;
   request->reserved = 0;
   attempt.alone =
       m_suspects.OnStarted(request->caller.content_hash, attempt.endpoint);
@@ -91,7 +92,7 @@
 
 void Core::OpenOrDispatch(Request* request, Instant now) {
   if (m_reach == ControlReach::kCutOff) {
-    if (m_options.serve_when_cut_off && request->caller.idempotent) {
+    if (MayGoUnwitnessed(request, now)) {
       ++m_counters.unwitnessed_attempts;
       Dispatch(request, now);
     } else {
@@ -99,7 +100,7 @@
     }
     return;
   }
-  if (!request->witnessed) {
+  if (request->attempt->standing) {
     Dispatch(request, now);
     return;
   }
@@ -126,21 +127,40 @@
          std::min(request->deadline, now + m_options.witness_patience));
 }
 
+bool Core::MayGoUnwitnessed(Request* request, Instant now) {
+  if (!m_options.serve_when_cut_off || !request->caller.idempotent)
+    return false;
+  Attempt& attempt = *request->attempt;
+  if (!attempt.standing)
+    attempt.standing =
+        m_parts.ledger->MoveToStanding(request->budget, attempt.reserved, now);
+  return attempt.standing;
+}
+
 void Core::OnOpened(Request* request, const wire::CommandAnswerT& answer,
                     Instant now) {
-  if (answer.error != 0) {
-    Fail(request, ErrorKind::kNoQuorum, now);
+  Attempt& attempt = *request->attempt;
+  const auto error = static_cast<ErrorKind>(answer.error);
+  if (error == ErrorKind::kBudgetUnavailable) {
+    m_parts.ledger->OnOpeningRefused(request->budget, attempt.reserved, now);
+    attempt.reserved = 0;
+    m_wishes_due = true;
+  }
+  if (error != ErrorKind::kNone) {
+    const bool told = error == ErrorKind::kBudgetUnavailable ||
+                      error == ErrorKind::kKeyExpired;
+    Fail(request, told ? error : ErrorKind::kNoQuorum, now);
     return;
   }
-  request->attempt->opened = true;
+  attempt.opened = true;
   Dispatch(request, now);
 }
 
 void Core::OnWitnessLate(Request* request, Instant now) {
   const bool may_fall_back =
       request->stage == Stage::kOpening && m_reach == ControlReach::kCutOff &&
-      m_options.serve_when_cut_off && request->caller.idempotent;
-  if (may_fall_back && now < request->deadline) {
+      now < request->deadline && MayGoUnwitnessed(request, now);
+  if (may_fall_back) {
     ++m_counters.unwitnessed_attempts;
     Dispatch(request, now);
     return;
--- a/src/dotterelshift/serving/settlement.cc
+++ b/src/dotterelshift/serving/settlement.cc
@@ -30,7 +30,7 @@
 void Core::Settle(Request* request, const Attempt& attempt,
                   const Settlement& settlement, Instant now) {
   const Spend& spend = settlement.spend;
-  GiveBack(*request, attempt.reserved, spend.spent, now);
+  GiveBack(*request, {attempt.reserved, attempt.standing}, spend.spent, now);
   request->spent += spend.spent;
   request->usage_difference += spend.difference;
   const bool ends_claim = request->claim_open && settlement.last;
@@ -43,7 +43,7 @@
   settle.spent = spend.spent;
   settle.billed = settlement.billed;
   settle.outcome = settlement.outcome;
-  settle.witnessed = attempt.opened;
+  settle.witnessed = !attempt.standing;
   settle.last_attempt = settlement.last;
   settle.unknown = settlement.unknown;
   settle.queue_ms = static_cast<uint32_t>(ToMs(request->queue_wait));
@@ -205,7 +205,8 @@
   if (request->stage == Stage::kBudget) LeaveWaiters(*request);
   request->stage = Stage::kArrived;
   if (request->attempt) DropUnsentAttempt(request, now);
-  if (request->reserved > 0) GiveBack(*request, request->reserved, 0, now);
+  if (request->reserved > 0)
+    GiveBack(*request, {request->reserved, request->standing}, 0, now);
   ReleaseClaim(request);
 
   const ErrorKind kind = Truthful(*request, wanted);
--- a/src/dotterelshift/state/apply_settle.cc
+++ b/src/dotterelshift/state/apply_settle.cc
@@ -69,7 +69,8 @@
                            dated ? settle.finished_ms : context.stamp);
   day.spent += settle.spent;
   if (first_bill) day.billed += settle.billed;
-  if (!settle.last_attempt) return;
+  // What was refused without being run is counted by RecordRefusals.
+  if (!settle.last_attempt || settle.outcome == wire::Outcome::Refused) return;
   ++day.requests;
   if (!first_bill) return;
   ++day.answered;
@@ -113,6 +114,7 @@
     return Refuse(answer, ErrorKind::kStaleIncarnation, "holder not known");
 
   const RequestDigest digest = DigestOf(settle.team, settle.request_key);
+  EndClaim(tables, digest, *spender, settle);
   wire::SettleAnswerT body;
   const SettledAttempt* earlier =
       FindAttempt(tables, digest, *spender, settle.attempt);
@@ -127,7 +129,6 @@
   Charge(context, *account, *spender, settle);
   if (body.first_bill) account->amounts.billed += settle.billed;
   Report(context, *account, settle, body.first_bill);
-  EndClaim(tables, digest, *spender, settle);
   AddAttempt(tables, digest, settle.request_key,
              {settle.attempt, *spender, body.first_bill});
   Answer(answer, body);
