Orders: staged loads, one at a time to endpoints that do not check fencing

An endpoint that ignores fencing numbers gets an order only inside the lease, one in flight, and not before a new leader has waited out its predecessor's lease and the longest delivery (OrderOptions::lease, added). A lost answer is read from a later announcement; after max_sends without one the order is lost.

--- a/include/dotterelshift/orders/order_core.h
+++ b/include/dotterelshift/orders/order_core.h
@@ -17,7 +17,9 @@
   int loads_at_once = 2;  // what the weight store carries
   Duration longest_delivery =
       10s;  // after which an order on its way cannot arrive any more
-  Duration resend = 5s;
+  Duration resend = 5s;  // to an endpoint that checks fencing numbers
+  Duration lease = 3s;  // longest lease that a predecessor may still believe in
+  int max_sends = 20;   // then the order counts as lost
 };
 
 struct OrderAction {
@@ -36,6 +38,8 @@
  public:
   virtual ~OrderCore() = default;
   virtual void OnLeadership(bool leads, Instant now) = 0;
+  // What the endpoint said: Done or Refused end the order; Lost means that no
+  // answer came, and it may be sent again.
   virtual void OnResult(const std::string& order, wire::OrderState state,
                         const std::string& detail, Instant now) = 0;
   virtual std::vector<OrderAction> Decide(const state::State& state,
--- /dev/null
+++ b/src/dotterelshift/orders/order_core.cc
@@ -0,0 +1,215 @@
+#include "dotterelshift/orders/order_core.h"
+
+#include <algorithm>      // for any_of, find
+#include <set>            // for set
+#include <unordered_map>  // for unordered_map
+#include <utility>        // for move
+
+namespace dotterelshift::orders {
+namespace {
+
+bool IsOpen(const wire::OrderT& order) {
+  return order.state == wire::OrderState::Planned ||
+         order.state == wire::OrderState::Sent;
+}
+
+bool DrawsOnStore(const wire::OrderT& order) {
+  return order.kind == wire::OrderKind::LoadModel ||
+         order.kind == wire::OrderKind::LoadAdapter;
+}
+
+const wire::ModelStateT* ModelOn(const wire::EndpointRecordT& record,
+                                 const ModelName& model) {
+  for (const auto& state : record.models)
+    if (state->model == model) return state.get();
+  return nullptr;
+}
+
+// Whether the endpoint announces what the order wanted.
+bool IsObserved(const wire::OrderT& order,
+                const wire::EndpointRecordT& record) {
+  const wire::ModelStateT* model = ModelOn(record, order.model);
+  switch (order.kind) {
+    case wire::OrderKind::LoadModel:
+      return model != nullptr && model->version == order.version;
+    case wire::OrderKind::UnloadModel:
+      return model == nullptr;
+    case wire::OrderKind::LoadAdapter:
+      return model != nullptr &&
+             std::find(model->adapters.begin(), model->adapters.end(),
+                       order.argument) != model->adapters.end();
+    case wire::OrderKind::ChangeRole:
+      break;
+  }
+  return record.role == order.argument;
+}
+
+// What this leader knows of an order beyond the log.
+struct Flight {
+  int sends = 0;
+  Instant sent_at;
+  Instant not_before;        // of the next send
+  uint64_t incarnation = 0;  // of the endpoint when it was sent
+  std::optional<wire::OrderState> result;
+  std::string detail;
+};
+
+class Core : public OrderCore {
+ public:
+  explicit Core(const OrderOptions& options) : m_options(options) {}
+
+  void OnLeadership(bool leads, Instant now) override {
+    m_leads = leads;
+    m_flights.clear();
+    // What a predecessor sent while it believed in its lease has arrived by
+    // then, or never will.
+    m_quiet_until = now + m_options.lease + m_options.longest_delivery;
+  }
+
+  void OnResult(const std::string& order, wire::OrderState state,
+                const std::string& detail, Instant) override {
+    const auto found = m_flights.find(order);
+    if (found == m_flights.end()) return;
+    Flight& flight = found->second;
+    const bool final =
+        state == wire::OrderState::Done || state == wire::OrderState::Refused;
+    if (final) flight.result = state;
+    flight.detail = detail;
+  }
+
+  std::vector<OrderAction> Decide(const state::State& state,
+                                  const directory::Directory& directory,
+                                  Instant lease_until, Instant now) override {
+    std::vector<OrderAction> actions;
+    m_next_due.reset();
+    if (!m_leads) return actions;
+    const std::vector<wire::OrderT> orders = state.Orders();
+    ForgetEnded(orders);
+    int loads = 0;
+    for (const wire::OrderT& order : orders)
+      if (order.state == wire::OrderState::Sent && DrawsOnStore(order)) ++loads;
+    std::set<EndpointId> busy;
+    for (const wire::OrderT& order : orders) {
+      if (!IsOpen(order)) continue;
+      // An endpoint's orders go one after the other, as the plan gave them.
+      if (!busy.insert(order.endpoint).second) continue;
+      const directory::Endpoint* endpoint = directory.Find(order.endpoint);
+      if (RecordEnd(order, endpoint, now, &actions)) continue;
+      if (endpoint == nullptr || !endpoint->usable) continue;
+      if (!MaySend(order, *endpoint, lease_until, now)) continue;
+      const bool takes_slot = order.state == wire::OrderState::Planned &&
+                              DrawsOnStore(order) && !IsFlying(order.id);
+      if (takes_slot && loads >= m_options.loads_at_once) continue;
+      if (takes_slot) ++loads;
+      Send(order, *endpoint, now, &actions);
+    }
+    return actions;
+  }
+
+  std::optional<Instant> NextDue() const override { return m_next_due; }
+
+ private:
+  bool IsFlying(const std::string& order) const {
+    const auto found = m_flights.find(order);
+    return found != m_flights.end() && found->second.sends > 0;
+  }
+
+  void ForgetEnded(const std::vector<wire::OrderT>& orders) {
+    std::set<std::string> open;
+    for (const wire::OrderT& order : orders)
+      if (IsOpen(order)) open.insert(order.id);
+    std::erase_if(m_flights, [&](const auto& entry) {
+      return !open.contains(entry.first);
+    });
+  }
+
+  // Records the end of an order once it is known; true when there is nothing
+  // more to send.
+  bool RecordEnd(const wire::OrderT& order, const directory::Endpoint* endpoint,
+                 Instant now, std::vector<OrderAction>* actions) {
+    const auto found = m_flights.find(order.id);
+    if (found == m_flights.end()) return false;
+    Flight& flight = found->second;
+    // The answer was lost, but the endpoint has announced the effect since.
+    const bool observed = !flight.result && endpoint != nullptr &&
+                          endpoint->last_news > flight.sent_at &&
+                          IsObserved(order, endpoint->record);
+    if (observed) flight.result = wire::OrderState::Done;
+    const bool given_up = !flight.result &&
+                          flight.sends >= m_options.max_sends &&
+                          now >= flight.not_before;
+    if (given_up) flight.result = wire::OrderState::Lost;
+    if (!flight.result) return false;
+    Record(order, *flight.result, flight.detail, actions);
+    return true;
+  }
+
+  static void Record(const wire::OrderT& order, wire::OrderState state,
+                     const std::string& detail,
+                     std::vector<OrderAction>* actions) {
+    OrderAction action;
+    action.kind = OrderAction::Kind::kRecord;
+    action.order = order;
+    action.state = state;
+    action.detail = detail;
+    actions->push_back(std::move(action));
+  }
+
+  bool MaySend(const wire::OrderT& order, const directory::Endpoint& endpoint,
+               Instant lease_until, Instant now) {
+    const auto found = m_flights.find(order.id);
+    const bool restarted =
+        found != m_flights.end() &&
+        found->second.incarnation != endpoint.record.incarnation;
+    Instant earliest = Instant::min();
+    if (found != m_flights.end() && !restarted)
+      earliest = found->second.not_before;
+    if (!endpoint.record.checks_fencing) {
+      earliest = std::max(earliest, m_quiet_until);
+      // Not even a restart ends what is still on its way to this address.
+      if (found != m_flights.end())
+        earliest = std::max(earliest, found->second.not_before);
+      if (now >= lease_until) return false;
+    }
+    if (now >= earliest) return true;
+    DueBy(earliest);
+    return false;
+  }
+
+  void Send(const wire::OrderT& order, const directory::Endpoint& endpoint,
+            Instant now, std::vector<OrderAction>* actions) {
+    Flight& flight = m_flights[order.id];
+    ++flight.sends;
+    flight.sent_at = now;
+    flight.incarnation = endpoint.record.incarnation;
+    flight.not_before =
+        now + (endpoint.record.checks_fencing ? m_options.resend
+                                              : m_options.longest_delivery);
+    DueBy(flight.not_before);
+    if (order.state == wire::OrderState::Planned)
+      Record(order, wire::OrderState::Sent, "", actions);
+    OrderAction action;
+    action.kind = OrderAction::Kind::kSend;
+    action.order = order;
+    action.address = endpoint.record.address;
+    actions->push_back(std::move(action));
+  }
+
+  void DueBy(Instant when) {
+    if (!m_next_due || when < *m_next_due) m_next_due = when;
+  }
+
+  OrderOptions m_options;
+  bool m_leads = false;
+  Instant m_quiet_until;
+  std::unordered_map<std::string, Flight> m_flights;
+  std::optional<Instant> m_next_due;
+};
+
+}  // namespace
+
+std::unique_ptr<OrderCore> MakeOrderCore(const OrderOptions& options) {
+  return std::make_unique<Core>(options);
+}
+
+}  // namespace dotterelshift::orders
