Directory: spread of news over a bounded fan-out, small load reports, digests

Cause: every daemon sent every record, load included, on to every other one: at 380 daemons and 710 endpoints that cannot stay within 18 KB/s a daemon. Cache events are not spread: one costs about 72 bytes a copy, and a part of them is a gap, which routers must distrust.

--- a/include/dotterelshift/directory/directory.h
+++ b/include/dotterelshift/directory/directory.h
@@ -6,6 +6,7 @@
 #include <optional>       // for optional
 #include <string>         // for string
 #include <unordered_map>  // for unordered_map
+#include <unordered_set>  // for unordered_set
 #include <vector>         // for vector
 
 #include "dotterelshift/base/ids.h"               // for EndpointId
@@ -25,10 +26,27 @@
 // An endpoint as this daemon knows it.
 struct Endpoint {
   wire::EndpointRecordT record;
-  Instant last_news;      // newest announcement, minus its age on the way
-  Instant last_evidence;  // own successful answer or probe
-  Instant dead_until;     // a connection was refused: not used before this
-  bool usable = false;    // neither draining nor gone nor silent nor dead
+  Instant last_news;        // newest announcement, minus its age on the way
+  Instant last_evidence;    // own successful answer or probe
+  Instant dead_until;       // a connection was refused: not used before this
+  bool heard_here = false;  // it announces itself to this daemon alone
+  bool usable = false;      // neither draining nor gone nor silent nor dead
+};
+
+// What a piece of news changed.
+enum class News {
+  kOld,    // nothing: late, crossed or doubled
+  kLoad,   // its load, and that it lives
+  kOffer,  // what it offers, or whether it may be used
+};
+
+// The load of an endpoint without the rest of its record.
+struct LoadReport {
+  uint64_t sequence = 0;
+  uint32_t running = 0;
+  uint32_t waiting = 0;
+  uint32_t tokens_per_second = 0;
+  uint32_t age_ms = 0;
 };
 
 // The endpoints that announced themselves, to this daemon or to another. Soft
@@ -42,6 +60,17 @@
   // News from an endpoint itself or from another daemon. True when it is newer
   // than what was known; it is then part of the next delta.
   bool OnRecord(const wire::EndpointRecordT& record, Instant now);
+  // The same, telling what it changed.
+  News Take(const wire::EndpointRecordT& record, Instant now);
+  // A load report of a run that is known; kOld when it is not.
+  News TakeLoad(const EndpointId& endpoint, uint64_t incarnation,
+                const LoadReport& load, Instant now);
+  // Whether the endpoint announces itself to this daemon alone, so that its
+  // silence here is its silence.
+  void SetHeardHere(const EndpointId& endpoint, bool heard_here);
+  // How long the silence of an endpoint that others hear is borne: not less
+  // than the options say.
+  void SetSilenceOfOthers(Duration silence);
   // This daemon's own evidence: an answer came, or a connection was refused.
   void OnAlive(const EndpointId& endpoint, Instant now);
   void OnDead(const EndpointId& endpoint, uint64_t incarnation, Instant now);
@@ -77,11 +106,15 @@
   bool PassTombstone(wire::EndpointRecordT* record);
   bool IsUsable(const Endpoint& endpoint, Instant now) const;
   void Judge(Endpoint* endpoint, Instant now);
-  void NoteChange(const EndpointId& endpoint);
+  News Meet(wire::EndpointRecordT record, Instant now);
+  News Amend(Endpoint* endpoint, const wire::EndpointRecordT& late,
+             Instant now);
+  Duration SilenceOf(const Endpoint& endpoint) const;
   DirectoryOptions m_options;
   std::unordered_map<EndpointId, Endpoint> m_endpoints;
   std::unordered_map<EndpointId, Tombstone> m_tombstones;
-  std::vector<EndpointId> m_changed;
+  std::unordered_set<EndpointId> m_changed;
+  Duration m_silence_of_others = 0s;
   uint64_t m_generation = 1;
 };
 
--- a/include/dotterelshift/wire/frames_generated.h
+++ b/include/dotterelshift/wire/frames_generated.h
@@ -78,6 +78,8 @@
 struct EndpointRecordBuilder;
 struct EndpointRecordT;
 
+struct EndpointPulse;
+
 struct CacheEvent;
 struct CacheEventBuilder;
 struct CacheEventT;
@@ -613,6 +615,63 @@
 bool VerifyFrameBody(flatbuffers::Verifier &verifier, const void *obj, FrameBody type);
 bool VerifyFrameBodyVector(flatbuffers::Verifier &verifier, const flatbuffers::Vector<flatbuffers::Offset<void>> *values, const flatbuffers::Vector<FrameBody> *types);
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) EndpointPulse FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t key_;
+  uint32_t sequence_;
+  uint32_t tokens_per_second_;
+  uint16_t running_;
+  uint16_t waiting_;
+  uint16_t age_ms_;
+  int16_t padding0__;
+
+ public:
+  struct Traits;
+  EndpointPulse()
+      : key_(0),
+        sequence_(0),
+        tokens_per_second_(0),
+        running_(0),
+        waiting_(0),
+        age_ms_(0),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  EndpointPulse(uint64_t _key, uint32_t _sequence, uint32_t _tokens_per_second, uint16_t _running, uint16_t _waiting, uint16_t _age_ms)
+      : key_(flatbuffers::EndianScalar(_key)),
+        sequence_(flatbuffers::EndianScalar(_sequence)),
+        tokens_per_second_(flatbuffers::EndianScalar(_tokens_per_second)),
+        running_(flatbuffers::EndianScalar(_running)),
+        waiting_(flatbuffers::EndianScalar(_waiting)),
+        age_ms_(flatbuffers::EndianScalar(_age_ms)),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  uint64_t key() const {
+    return flatbuffers::EndianScalar(key_);
+  }
+  uint32_t sequence() const {
+    return flatbuffers::EndianScalar(sequence_);
+  }
+  uint32_t tokens_per_second() const {
+    return flatbuffers::EndianScalar(tokens_per_second_);
+  }
+  uint16_t running() const {
+    return flatbuffers::EndianScalar(running_);
+  }
+  uint16_t waiting() const {
+    return flatbuffers::EndianScalar(waiting_);
+  }
+  uint16_t age_ms() const {
+    return flatbuffers::EndianScalar(age_ms_);
+  }
+};
+FLATBUFFERS_STRUCT_END(EndpointPulse, 24);
+
+struct EndpointPulse::Traits {
+  using type = EndpointPulse;
+};
+
 struct HelloT : public flatbuffers::NativeTable {
   typedef Hello TableType;
   uint16_t protocol = 0;
@@ -1931,6 +1990,7 @@
   uint32_t waiting = 0;
   uint32_t tokens_per_second = 0;
   uint32_t age_ms = 0;
+  bool silent = false;
   EndpointRecordT() = default;
   EndpointRecordT(const EndpointRecordT &o);
   EndpointRecordT(EndpointRecordT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -1957,7 +2017,8 @@
     VT_RUNNING = 28,
     VT_WAITING = 30,
     VT_TOKENS_PER_SECOND = 32,
-    VT_AGE_MS = 34
+    VT_AGE_MS = 34,
+    VT_SILENT = 36
   };
   const flatbuffers::String *id() const {
     return GetPointer<const flatbuffers::String *>(VT_ID);
@@ -2007,6 +2068,9 @@
   uint32_t age_ms() const {
     return GetField<uint32_t>(VT_AGE_MS, 0);
   }
+  bool silent() const {
+    return GetField<uint8_t>(VT_SILENT, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_ID) &&
@@ -2033,6 +2097,7 @@
            VerifyField<uint32_t>(verifier, VT_WAITING, 4) &&
            VerifyField<uint32_t>(verifier, VT_TOKENS_PER_SECOND, 4) &&
            VerifyField<uint32_t>(verifier, VT_AGE_MS, 4) &&
+           VerifyField<uint8_t>(verifier, VT_SILENT, 1) &&
            verifier.EndTable();
   }
   EndpointRecordT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2092,6 +2157,9 @@
   void add_age_ms(uint32_t age_ms) {
     fbb_.AddElement<uint32_t>(EndpointRecord::VT_AGE_MS, age_ms, 0);
   }
+  void add_silent(bool silent) {
+    fbb_.AddElement<uint8_t>(EndpointRecord::VT_SILENT, static_cast<uint8_t>(silent), 0);
+  }
   explicit EndpointRecordBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2120,7 +2188,8 @@
     uint32_t running = 0,
     uint32_t waiting = 0,
     uint32_t tokens_per_second = 0,
-    uint32_t age_ms = 0) {
+    uint32_t age_ms = 0,
+    bool silent = false) {
   EndpointRecordBuilder builder_(_fbb);
   builder_.add_sequence(sequence);
   builder_.add_incarnation(incarnation);
@@ -2135,6 +2204,7 @@
   builder_.add_data_centre(data_centre);
   builder_.add_address(address);
   builder_.add_id(id);
+  builder_.add_silent(silent);
   builder_.add_gone(gone);
   builder_.add_checks_fencing(checks_fencing);
   builder_.add_draining(draining);
@@ -2163,7 +2233,8 @@
     uint32_t running = 0,
     uint32_t waiting = 0,
     uint32_t tokens_per_second = 0,
-    uint32_t age_ms = 0) {
+    uint32_t age_ms = 0,
+    bool silent = false) {
   auto id__ = id ? _fbb.CreateString(id) : 0;
   auto address__ = address ? _fbb.CreateString(address) : 0;
   auto data_centre__ = data_centre ? _fbb.CreateString(data_centre) : 0;
@@ -2187,7 +2258,8 @@
       running,
       waiting,
       tokens_per_second,
-      age_ms);
+      age_ms,
+      silent);
 }
 
 flatbuffers::Offset<EndpointRecord> CreateEndpointRecord(flatbuffers::FlatBufferBuilder &_fbb, const EndpointRecordT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -2316,6 +2388,9 @@
   typedef DirectoryDelta TableType;
   std::vector<std::unique_ptr<dotterelshift::wire::EndpointRecordT>> records{};
   std::vector<std::unique_ptr<dotterelshift::wire::CacheEventT>> cache_events{};
+  std::vector<dotterelshift::wire::EndpointPulse> pulses{};
+  uint64_t digest = 0;
+  bool pull = false;
   DirectoryDeltaT() = default;
   DirectoryDeltaT(const DirectoryDeltaT &o);
   DirectoryDeltaT(DirectoryDeltaT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -2328,7 +2403,10 @@
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_RECORDS = 4,
-    VT_CACHE_EVENTS = 6
+    VT_CACHE_EVENTS = 6,
+    VT_PULSES = 8,
+    VT_DIGEST = 10,
+    VT_PULL = 12
   };
   const flatbuffers::Vector<flatbuffers::Offset<dotterelshift::wire::EndpointRecord>> *records() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<dotterelshift::wire::EndpointRecord>> *>(VT_RECORDS);
@@ -2336,6 +2414,15 @@
   const flatbuffers::Vector<flatbuffers::Offset<dotterelshift::wire::CacheEvent>> *cache_events() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<dotterelshift::wire::CacheEvent>> *>(VT_CACHE_EVENTS);
   }
+  const flatbuffers::Vector<const dotterelshift::wire::EndpointPulse *> *pulses() const {
+    return GetPointer<const flatbuffers::Vector<const dotterelshift::wire::EndpointPulse *> *>(VT_PULSES);
+  }
+  uint64_t digest() const {
+    return GetField<uint64_t>(VT_DIGEST, 0);
+  }
+  bool pull() const {
+    return GetField<uint8_t>(VT_PULL, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_RECORDS) &&
@@ -2344,6 +2431,10 @@
            VerifyOffset(verifier, VT_CACHE_EVENTS) &&
            verifier.VerifyVector(cache_events()) &&
            verifier.VerifyVectorOfTables(cache_events()) &&
+           VerifyOffset(verifier, VT_PULSES) &&
+           verifier.VerifyVector(pulses()) &&
+           VerifyField<uint64_t>(verifier, VT_DIGEST, 8) &&
+           VerifyField<uint8_t>(verifier, VT_PULL, 1) &&
            verifier.EndTable();
   }
   DirectoryDeltaT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2361,6 +2452,15 @@
   void add_cache_events(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<dotterelshift::wire::CacheEvent>>> cache_events) {
     fbb_.AddOffset(DirectoryDelta::VT_CACHE_EVENTS, cache_events);
   }
+  void add_pulses(flatbuffers::Offset<flatbuffers::Vector<const dotterelshift::wire::EndpointPulse *>> pulses) {
+    fbb_.AddOffset(DirectoryDelta::VT_PULSES, pulses);
+  }
+  void add_digest(uint64_t digest) {
+    fbb_.AddElement<uint64_t>(DirectoryDelta::VT_DIGEST, digest, 0);
+  }
+  void add_pull(bool pull) {
+    fbb_.AddElement<uint8_t>(DirectoryDelta::VT_PULL, static_cast<uint8_t>(pull), 0);
+  }
   explicit DirectoryDeltaBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2375,10 +2475,16 @@
 inline flatbuffers::Offset<DirectoryDelta> CreateDirectoryDelta(
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<dotterelshift::wire::EndpointRecord>>> records = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<dotterelshift::wire::CacheEvent>>> cache_events = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<dotterelshift::wire::CacheEvent>>> cache_events = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const dotterelshift::wire::EndpointPulse *>> pulses = 0,
+    uint64_t digest = 0,
+    bool pull = false) {
   DirectoryDeltaBuilder builder_(_fbb);
+  builder_.add_digest(digest);
+  builder_.add_pulses(pulses);
   builder_.add_cache_events(cache_events);
   builder_.add_records(records);
+  builder_.add_pull(pull);
   return builder_.Finish();
 }
 
@@ -2390,13 +2496,20 @@
 inline flatbuffers::Offset<DirectoryDelta> CreateDirectoryDeltaDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     const std::vector<flatbuffers::Offset<dotterelshift::wire::EndpointRecord>> *records = nullptr,
-    const std::vector<flatbuffers::Offset<dotterelshift::wire::CacheEvent>> *cache_events = nullptr) {
+    const std::vector<flatbuffers::Offset<dotterelshift::wire::CacheEvent>> *cache_events = nullptr,
+    const std::vector<dotterelshift::wire::EndpointPulse> *pulses = nullptr,
+    uint64_t digest = 0,
+    bool pull = false) {
   auto records__ = records ? _fbb.CreateVector<flatbuffers::Offset<dotterelshift::wire::EndpointRecord>>(*records) : 0;
   auto cache_events__ = cache_events ? _fbb.CreateVector<flatbuffers::Offset<dotterelshift::wire::CacheEvent>>(*cache_events) : 0;
+  auto pulses__ = pulses ? _fbb.CreateVectorOfStructs<dotterelshift::wire::EndpointPulse>(*pulses) : 0;
   return dotterelshift::wire::CreateDirectoryDelta(
       _fbb,
       records__,
-      cache_events__);
+      cache_events__,
+      pulses__,
+      digest,
+      pull);
 }
 
 flatbuffers::Offset<DirectoryDelta> CreateDirectoryDelta(flatbuffers::FlatBufferBuilder &_fbb, const DirectoryDeltaT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -4214,7 +4327,8 @@
         running(o.running),
         waiting(o.waiting),
         tokens_per_second(o.tokens_per_second),
-        age_ms(o.age_ms) {
+        age_ms(o.age_ms),
+        silent(o.silent) {
   models.reserve(o.models.size());
   for (const auto &models_ : o.models) { models.emplace_back((models_) ? new dotterelshift::wire::ModelStateT(*models_) : nullptr); }
 }
@@ -4236,6 +4350,7 @@
   std::swap(waiting, o.waiting);
   std::swap(tokens_per_second, o.tokens_per_second);
   std::swap(age_ms, o.age_ms);
+  std::swap(silent, o.silent);
   return *this;
 }
 
@@ -4264,6 +4379,7 @@
   { auto _e = waiting(); _o->waiting = _e; }
   { auto _e = tokens_per_second(); _o->tokens_per_second = _e; }
   { auto _e = age_ms(); _o->age_ms = _e; }
+  { auto _e = silent(); _o->silent = _e; }
 }
 
 inline flatbuffers::Offset<EndpointRecord> EndpointRecord::Pack(flatbuffers::FlatBufferBuilder &_fbb, const EndpointRecordT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -4290,6 +4406,7 @@
   auto _waiting = _o->waiting;
   auto _tokens_per_second = _o->tokens_per_second;
   auto _age_ms = _o->age_ms;
+  auto _silent = _o->silent;
   return dotterelshift::wire::CreateEndpointRecord(
       _fbb,
       _id,
@@ -4307,7 +4424,8 @@
       _running,
       _waiting,
       _tokens_per_second,
-      _age_ms);
+      _age_ms,
+      _silent);
 }
 
 inline CacheEventT *CacheEvent::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -4348,7 +4466,10 @@
       _stored);
 }
 
-inline DirectoryDeltaT::DirectoryDeltaT(const DirectoryDeltaT &o) {
+inline DirectoryDeltaT::DirectoryDeltaT(const DirectoryDeltaT &o)
+      : pulses(o.pulses),
+        digest(o.digest),
+        pull(o.pull) {
   records.reserve(o.records.size());
   for (const auto &records_ : o.records) { records.emplace_back((records_) ? new dotterelshift::wire::EndpointRecordT(*records_) : nullptr); }
   cache_events.reserve(o.cache_events.size());
@@ -4358,6 +4479,9 @@
 inline DirectoryDeltaT &DirectoryDeltaT::operator=(DirectoryDeltaT o) FLATBUFFERS_NOEXCEPT {
   std::swap(records, o.records);
   std::swap(cache_events, o.cache_events);
+  std::swap(pulses, o.pulses);
+  std::swap(digest, o.digest);
+  std::swap(pull, o.pull);
   return *this;
 }
 
@@ -4372,6 +4496,9 @@
   (void)_resolver;
   { auto _e = records(); if (_e) { _o->records.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->records[_i] = std::unique_ptr<dotterelshift::wire::EndpointRecordT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = cache_events(); if (_e) { _o->cache_events.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->cache_events[_i] = std::unique_ptr<dotterelshift::wire::CacheEventT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = pulses(); if (_e) { _o->pulses.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->pulses[_i] = *_e->Get(_i); } } }
+  { auto _e = digest(); _o->digest = _e; }
+  { auto _e = pull(); _o->pull = _e; }
 }
 
 inline flatbuffers::Offset<DirectoryDelta> DirectoryDelta::Pack(flatbuffers::FlatBufferBuilder &_fbb, const DirectoryDeltaT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -4384,10 +4511,16 @@
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const DirectoryDeltaT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _records = _o->records.size() ? _fbb.CreateVector<flatbuffers::Offset<dotterelshift::wire::EndpointRecord>> (_o->records.size(), [](size_t i, _VectorArgs *__va) { return CreateEndpointRecord(*__va->__fbb, __va->__o->records[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _cache_events = _o->cache_events.size() ? _fbb.CreateVector<flatbuffers::Offset<dotterelshift::wire::CacheEvent>> (_o->cache_events.size(), [](size_t i, _VectorArgs *__va) { return CreateCacheEvent(*__va->__fbb, __va->__o->cache_events[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _pulses = _o->pulses.size() ? _fbb.CreateVectorOfStructs(_o->pulses) : 0;
+  auto _digest = _o->digest;
+  auto _pull = _o->pull;
   return dotterelshift::wire::CreateDirectoryDelta(
       _fbb,
       _records,
-      _cache_events);
+      _cache_events,
+      _pulses,
+      _digest,
+      _pull);
 }
 
 inline DirectoryPullT *DirectoryPull::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/src/dotterelshift/directory/directory.cc
+++ b/src/dotterelshift/directory/directory.cc
@@ -24,6 +24,17 @@
   return true;
 }
 
+// Whether two records say the same of whether the endpoint may be used.
+bool SameMarks(const wire::EndpointRecordT& a, const wire::EndpointRecordT& b) {
+  return a.incarnation == b.incarnation && a.draining == b.draining &&
+         a.gone == b.gone && a.silent == b.silent;
+}
+
+// When the news was first heard, by any daemon.
+Instant HeardAt(uint32_t age_ms, Instant now) {
+  return now - std::chrono::milliseconds(age_ms);
+}
+
 // Draining and gone hold for the whole incarnation.
 void KeepSticky(wire::EndpointRecordT* record, bool draining, bool gone) {
   record->draining = record->draining || draining;
@@ -46,34 +57,19 @@
 }
 
 bool Directory::OnRecord(const wire::EndpointRecordT& news, Instant now) {
+  return Take(news, now) != News::kOld;
+}
+
+News Directory::Take(const wire::EndpointRecordT& news, Instant now) {
   wire::EndpointRecordT record = news;
-  const Instant heard = now - std::chrono::milliseconds(record.age_ms);
   const auto it = m_endpoints.find(record.id);
-  if (it == m_endpoints.end()) {
-    if (!PassTombstone(&record)) return false;
-    Endpoint& endpoint = m_endpoints[record.id];
-    endpoint.last_news = heard;
-    endpoint.record = std::move(record);
-    ++m_generation;
-    Judge(&endpoint, now);
-    NoteChange(endpoint.record.id);
-    return true;
-  }
-
+  if (it == m_endpoints.end()) return Meet(std::move(record), now);
   Endpoint& endpoint = it->second;
   wire::EndpointRecordT& known = endpoint.record;
-  if (record.incarnation < known.incarnation) return false;
+  if (record.incarnation < known.incarnation) return News::kOld;
+  const Instant heard = HeardAt(record.age_ms, now);
   if (record.incarnation == known.incarnation) {
-    if (record.sequence <= known.sequence) {
-      // Late news changes nothing but what is sticky.
-      const bool adds =
-          (record.draining && !known.draining) || (record.gone && !known.gone);
-      if (!adds) return false;
-      KeepSticky(&known, record.draining, record.gone);
-      Judge(&endpoint, now);
-      NoteChange(known.id);
-      return true;
-    }
+    if (record.sequence <= known.sequence) return Amend(&endpoint, record, now);
     KeepSticky(&record, known.draining, known.gone);
     endpoint.last_news = std::max(endpoint.last_news, heard);
   } else {
@@ -81,11 +77,70 @@
     endpoint.last_evidence = {};
     endpoint.dead_until = {};
   }
-  if (!SameOffer(known, record)) ++m_generation;
+  const bool same_offer = SameOffer(known, record);
+  const bool same_marks = SameMarks(known, record);
+  if (!same_offer) ++m_generation;
   known = std::move(record);
   Judge(&endpoint, now);
-  NoteChange(known.id);
-  return true;
+  m_changed.insert(known.id);
+  return same_offer && same_marks ? News::kLoad : News::kOffer;
+}
+
+News Directory::Meet(wire::EndpointRecordT record, Instant now) {
+  if (!PassTombstone(&record)) return News::kOld;
+  Endpoint& endpoint = m_endpoints[record.id];
+  endpoint.last_news = HeardAt(record.age_ms, now);
+  endpoint.record = std::move(record);
+  ++m_generation;
+  Judge(&endpoint, now);
+  m_changed.insert(endpoint.record.id);
+  return News::kOffer;
+}
+
+// Late news changes nothing but the marks that it still brings.
+News Directory::Amend(Endpoint* endpoint, const wire::EndpointRecordT& late,
+                      Instant now) {
+  wire::EndpointRecordT& known = endpoint->record;
+  const bool silences =
+      late.silent && !known.silent && late.sequence == known.sequence;
+  const bool adds = (late.draining && !known.draining) ||
+                    (late.gone && !known.gone) || silences;
+  if (!adds) return News::kOld;
+  KeepSticky(&known, late.draining, late.gone);
+  known.silent = known.silent || silences;
+  Judge(endpoint, now);
+  m_changed.insert(known.id);
+  return News::kOffer;
+}
+
+News Directory::TakeLoad(const EndpointId& id, uint64_t incarnation,
+                         const LoadReport& load, Instant now) {
+  const auto it = m_endpoints.find(id);
+  if (it == m_endpoints.end()) return News::kOld;
+  Endpoint& endpoint = it->second;
+  wire::EndpointRecordT& known = endpoint.record;
+  const bool newer =
+      known.incarnation == incarnation && load.sequence > known.sequence;
+  if (!newer) return News::kOld;
+  const bool was_silent = known.silent;
+  known.sequence = load.sequence;
+  known.running = load.running;
+  known.waiting = load.waiting;
+  known.tokens_per_second = load.tokens_per_second;
+  known.silent = false;
+  endpoint.last_news = std::max(endpoint.last_news, HeardAt(load.age_ms, now));
+  Judge(&endpoint, now);
+  m_changed.insert(id);
+  return was_silent ? News::kOffer : News::kLoad;
+}
+
+void Directory::SetHeardHere(const EndpointId& id, bool heard_here) {
+  const auto it = m_endpoints.find(id);
+  if (it != m_endpoints.end()) it->second.heard_here = heard_here;
+}
+
+void Directory::SetSilenceOfOthers(Duration silence) {
+  m_silence_of_others = silence;
 }
 
 void Directory::OnAlive(const EndpointId& id, Instant now) {
@@ -164,10 +219,18 @@
 }
 
 bool Directory::IsUsable(const Endpoint& endpoint, Instant now) const {
-  if (endpoint.record.draining || endpoint.record.gone) return false;
+  const wire::EndpointRecordT& record = endpoint.record;
+  if (record.draining || record.gone) return false;
   if (now < endpoint.dead_until) return false;
-  const Instant heard = std::max(endpoint.last_news, endpoint.last_evidence);
-  return now - heard < m_options.silent_after;
+  const bool own_evidence =
+      now - endpoint.last_evidence < m_options.silent_after;
+  if (own_evidence) return true;
+  return !record.silent && now - endpoint.last_news < SilenceOf(endpoint);
+}
+
+Duration Directory::SilenceOf(const Endpoint& endpoint) const {
+  if (endpoint.heard_here) return m_options.silent_after;
+  return std::max(m_options.silent_after, m_silence_of_others);
 }
 
 void Directory::Judge(Endpoint* endpoint, Instant now) {
@@ -177,9 +240,4 @@
   ++m_generation;
 }
 
-void Directory::NoteChange(const EndpointId& id) {
-  if (std::find(m_changed.begin(), m_changed.end(), id) == m_changed.end())
-    m_changed.push_back(id);
-}
-
 }  // namespace dotterelshift::directory
--- /dev/null
+++ b/src/dotterelshift/directory/spread.cc
@@ -0,0 +1,293 @@
+#include "dotterelshift/directory/spread.h"
+
+#include <algorithm>  // for find, max, min
+#include <limits>     // for numeric_limits
+#include <string>     // for string
+#include <utility>    // for move
+
+#include "dotterelshift/directory/neighbours.h"  // for NeighboursOf
+
+namespace dotterelshift::directory {
+namespace {
+
+constexpr double kPulseBytes = sizeof(wire::EndpointPulse);
+
+// An endpoint that announced itself here so often in a row, and nowhere else
+// in between, is heard by this daemon alone.
+constexpr uint32_t kHeardHere = 3;
+
+// The silence of an endpoint that others hear is believed after this many
+// missed pulses.
+constexpr int kMissedPulses = 3;
+
+constexpr uint64_t kFnvStart = 14695981039346656037ULL;
+constexpr uint64_t kFnvPrime = 1099511628211ULL;
+
+void Mix(uint64_t* hash, uint64_t byte) {
+  *hash = (*hash ^ (byte & 0xff)) * kFnvPrime;
+}
+
+void MixNumber(uint64_t* hash, uint64_t number) {
+  for (int shift = 0; shift < 64; shift += 8) Mix(hash, number >> shift);
+}
+
+void MixText(uint64_t* hash, const std::string& text) {
+  for (const char letter : text) Mix(hash, static_cast<uint8_t>(letter));
+  Mix(hash, 0);
+}
+
+// A record without its load and its age.
+uint64_t DigestOf(const wire::EndpointRecordT& record) {
+  uint64_t hash = kFnvStart;
+  MixText(&hash, record.id);
+  MixNumber(&hash, record.incarnation);
+  MixText(&hash, record.address);
+  MixNumber(&hash, record.slots);
+  Mix(&hash, (record.draining ? 1 : 0) + (record.gone ? 2 : 0));
+  for (const auto& model : record.models) {
+    MixText(&hash, model->model);
+    MixText(&hash, model->version);
+    for (const std::string& adapter : model->adapters) MixText(&hash, adapter);
+  }
+  for (const std::string& service : record.services) MixText(&hash, service);
+  return hash;
+}
+
+uint16_t Narrow(uint64_t value) {
+  constexpr uint64_t kMost = std::numeric_limits<uint16_t>::max();
+  return static_cast<uint16_t>(std::min(value, kMost));
+}
+
+wire::EndpointPulse PulseOf(const wire::EndpointRecordT& record, uint64_t key) {
+  return {key,
+          static_cast<uint32_t>(record.sequence),
+          record.tokens_per_second,
+          Narrow(record.running),
+          Narrow(record.waiting),
+          Narrow(record.age_ms)};
+}
+
+// The whole number that a pulse gives the low half of, next to a known one.
+uint64_t WholeSequence(uint64_t known, uint32_t low) {
+  constexpr uint64_t kHalf = uint64_t{1} << 31;
+  constexpr uint64_t kWhole = uint64_t{1} << 32;
+  const uint64_t candidate = (known & ~(kWhole - 1)) | low;
+  if (candidate + kHalf < known) return candidate + kWhole;
+  if (candidate > known + kHalf && candidate >= kWhole)
+    return candidate - kWhole;
+  return candidate;
+}
+
+}  // namespace
+
+uint64_t PulseKey(const EndpointId& endpoint, uint64_t incarnation) {
+  uint64_t hash = kFnvStart;
+  MixText(&hash, endpoint);
+  MixNumber(&hash, incarnation);
+  return hash;
+}
+
+Spread::Spread(const SpreadOptions& options, Directory* directory)
+    : m_options(options), m_directory(directory) {
+  m_roster.insert(m_options.self);
+}
+
+void Spread::OnPeerUp(const HostId& host, Instant /*now*/) {
+  m_roster.insert(host);
+  m_peers[host] = {};
+  // It may have nothing yet: each side offers its digest in the next round.
+  m_next_digest = {};
+  ChooseNeighbours();
+}
+
+void Spread::OnPeerDown(const HostId& host, Instant /*now*/) {
+  m_roster.erase(host);
+  m_peers.erase(host);
+  ChooseNeighbours();
+}
+
+void Spread::ChooseNeighbours() {
+  m_neighbours = NeighboursOf(m_roster, m_options.self, m_options.fan_out);
+}
+
+Duration Spread::PulseInterval() const {
+  // Each pulse comes in, and goes out, about fan_out times.
+  const double copies =
+      2 * static_cast<double>(std::min(m_options.fan_out, m_neighbours.size()));
+  const double bytes =
+      static_cast<double>(m_directory->All().size()) * kPulseBytes * copies;
+  const std::chrono::duration<double> needed(bytes /
+                                             m_options.pulse_bytes_per_second);
+  return std::max(m_options.least_pulse,
+                  std::chrono::duration_cast<Duration>(needed));
+}
+
+News Spread::OnAnnounced(const wire::EndpointRecordT& record, Instant now) {
+  const News news = m_directory->Take(record, now);
+  if (news == News::kOld) return news;
+  Known& known = m_known[record.id];
+  ++known.heard_in_a_row;
+  m_directory->SetHeardHere(record.id, known.heard_in_a_row >= kHeardHere);
+  // A little early counts as due: announcements come about as often as pulses.
+  const Duration interval = PulseInterval() - m_options.round;
+  const bool due = now - known.last_pulse >= interval;
+  if (news == News::kOffer || due) Note(record.id, news, m_options.self, now);
+  return news;
+}
+
+bool Spread::OnDelta(const HostId& from, const wire::DirectoryDeltaT& delta,
+                     Instant now) {
+  bool any_news = false;
+  for (const auto& record : delta.records) {
+    if (record == nullptr) continue;
+    const News news = m_directory->Take(*record, now);
+    if (news == News::kOld) continue;
+    any_news = true;
+    Note(record->id, news, from, now);
+  }
+  TakePulses(from, delta, now, &any_news);
+  const auto peer = m_peers.find(from);
+  if (peer == m_peers.end()) return any_news;
+  if (delta.pull) peer->second.wants_all = true;
+  if (delta.digest != 0) CompareDigest(from, delta.digest, now);
+  return any_news;
+}
+
+void Spread::TakePulses(const HostId& from, const wire::DirectoryDeltaT& delta,
+                        Instant now, bool* any_news) {
+  for (const wire::EndpointPulse& pulse : delta.pulses) {
+    const auto id = m_by_key.find(pulse.key());
+    if (id == m_by_key.end()) continue;  // the digests will tell
+    const Endpoint* endpoint = m_directory->Find(id->second);
+    if (endpoint == nullptr) continue;
+    LoadReport load;
+    load.sequence = WholeSequence(endpoint->record.sequence, pulse.sequence());
+    load.running = pulse.running();
+    load.waiting = pulse.waiting();
+    load.tokens_per_second = pulse.tokens_per_second();
+    load.age_ms = pulse.age_ms();
+    const News news = m_directory->TakeLoad(
+        id->second, endpoint->record.incarnation, load, now);
+    if (news == News::kOld) continue;
+    *any_news = true;
+    Note(id->second, news, from, now);
+  }
+}
+
+void Spread::Note(const EndpointId& endpoint, News news, const HostId& from,
+                  Instant now) {
+  Known& known = m_known[endpoint];
+  const uint64_t incarnation = m_directory->Find(endpoint)->record.incarnation;
+  const uint64_t key = PulseKey(endpoint, incarnation);
+  if (known.key != key) {
+    m_by_key.erase(known.key);
+    known.key = key;
+    m_by_key[key] = endpoint;
+  }
+  known.last_pulse = now;
+  if (from != m_options.self) {
+    known.heard_in_a_row = 0;
+    m_directory->SetHeardHere(endpoint, false);
+  }
+  Pending& pending = m_pending[endpoint];
+  pending.whole = pending.whole || news == News::kOffer;
+  pending.from = from;
+}
+
+void Spread::CompareDigest(const HostId& from, uint64_t digest, Instant now) {
+  Neighbour& neighbour = m_peers[from];
+  const bool differs = digest != Digest();
+  // Twice in a row: news that is just on its way makes a difference, too. Who
+  // knows nothing asks at once.
+  const bool lasting = neighbour.differed || m_directory->All().empty();
+  neighbour.differed = differs;
+  if (!differs || !lasting) return;
+  const bool pulled_before = neighbour.pulled != Instant{};
+  if (pulled_before && now - neighbour.pulled < m_options.pull_again) return;
+  neighbour.pulled = now;
+  neighbour.ask_all = true;
+}
+
+uint64_t Spread::Digest() const {
+  uint64_t digest = 1;
+  for (const auto& [id, endpoint] : m_directory->All())
+    digest ^= DigestOf(endpoint.record);
+  return std::max<uint64_t>(digest, 1);
+}
+
+void Spread::TellSilence(Instant now) {
+  for (const auto& [id, endpoint] : m_directory->All()) {
+    const bool silent = endpoint.heard_here && !endpoint.usable &&
+                        !endpoint.record.silent && !endpoint.record.draining &&
+                        !endpoint.record.gone && now >= endpoint.dead_until;
+    if (!silent) continue;
+    wire::EndpointRecordT record = endpoint.record;
+    record.silent = true;
+    if (m_directory->Take(record, now) != News::kOld)
+      Note(record.id, News::kOffer, m_options.self, now);
+  }
+}
+
+std::vector<Outgoing> Spread::OnTimer(Instant now) {
+  if (now < m_next_round) return {};
+  m_next_round = now + m_options.round;
+  m_directory->SetSilenceOfOthers(kMissedPulses * PulseInterval());
+  m_directory->OnTimer(now);
+  TellSilence(now);
+  std::erase_if(m_known, [this](const auto& item) {
+    if (m_directory->Find(item.first) != nullptr) return false;
+    m_by_key.erase(item.second.key);
+    return true;
+  });
+
+  const bool with_digest = now >= m_next_digest;
+  if (with_digest) m_next_digest = now + m_options.digest_every;
+  std::vector<Outgoing> all;
+  for (const auto& [host, peer] : m_peers) {
+    const bool neighbour = std::find(m_neighbours.begin(), m_neighbours.end(),
+                                     host) != m_neighbours.end();
+    const bool asked = peer.wants_all || peer.ask_all;
+    if (!neighbour && !asked) continue;
+    Outgoing outgoing{host, DeltaFor(host, with_digest && neighbour, now)};
+    const wire::DirectoryDeltaT& delta = outgoing.delta;
+    const bool empty = delta.records.empty() && delta.pulses.empty() &&
+                       delta.digest == 0 && !delta.pull;
+    if (!empty) all.push_back(std::move(outgoing));
+  }
+  for (auto& [host, peer] : m_peers) {
+    peer.wants_all = false;
+    peer.ask_all = false;
+  }
+  m_pending.clear();
+  return all;
+}
+
+wire::DirectoryDeltaT Spread::DeltaFor(const HostId& host, bool with_digest,
+                                       Instant now) const {
+  const Neighbour& peer = m_peers.at(host);
+  wire::DirectoryDeltaT delta;
+  delta.pull = peer.ask_all;
+  if (with_digest) delta.digest = Digest();
+  if (peer.wants_all) {
+    wire::DirectoryDeltaT everything = m_directory->Everything(now);
+    delta.records = std::move(everything.records);
+    return delta;
+  }
+  if (std::find(m_neighbours.begin(), m_neighbours.end(), host) ==
+      m_neighbours.end())
+    return delta;
+  for (const auto& [id, pending] : m_pending) {
+    const Endpoint* endpoint = m_directory->Find(id);
+    if (endpoint == nullptr || pending.from == host) continue;
+    wire::EndpointRecordT record = m_directory->AgedRecord(*endpoint, now);
+    if (pending.whole) {
+      delta.records.push_back(
+          std::make_unique<wire::EndpointRecordT>(std::move(record)));
+    } else {
+      delta.pulses.push_back(PulseOf(record, m_known.at(id).key));
+    }
+  }
+  return delta;
+}
+
+}  // namespace dotterelshift::directory
