Routing: policies behind a concept, prefix index, outlier ejection

Round robin, least in flight, two choices by estimated wait, prefix affinity with bounded load, own data centre first.

--- /dev/null
+++ b/include/dotterelshift/routing/policy.h
@@ -0,0 +1,135 @@
+#ifndef DOTTERELSHIFT_ROUTING_POLICY_H_
+#define DOTTERELSHIFT_ROUTING_POLICY_H_
+
+#include <algorithm>  // for find
+#include <array>      // for array
+#include <concepts>   // for same_as
+#include <cstdint>    // for uint64_t
+#include <vector>     // for vector
+
+#include "dotterelshift/routing/prefix_index.h"  // for PrefixMatch
+#include "dotterelshift/routing/router.h"        // for RouteQuery
+#include "dotterelshift/routing/seat.h"          // for Seat
+
+namespace dotterelshift::routing {
+
+// A small, fast source of random numbers (xorshift64*); seeded, so that runs
+// repeat.
+class Random {
+ public:
+  explicit Random(uint64_t seed) : m_state(seed | 1) {}
+  // A number below `bound`.
+  size_t Below(size_t bound) {
+    m_state ^= m_state >> 12;
+    m_state ^= m_state << 25;
+    m_state ^= m_state >> 27;
+    const uint64_t high = (m_state * 0x2545F4914F6CDD1DULL) >> 32;
+    return static_cast<size_t>((high * bound) >> 32);
+  }
+
+ private:
+  uint64_t m_state;
+};
+
+// The endpoints that one choice is made among, and what the choice is for.
+struct Slate {
+  const std::vector<Seat*>* seats = nullptr;  // all that serve the target
+  const RouteQuery* query = nullptr;
+  const directory::Directory* directory = nullptr;
+  // The seats of `seats` that are thought to have this part of the prompt
+  // cached.
+  std::array<Seat*, PrefixMatch::kMost> holders{};
+  size_t holder_count = 0;
+  double cached_part = 0;
+  Duration far_penalty = 0s;
+  double first_token_ms = 0;  // the usual one, over all endpoints
+  Instant now{};
+
+  // Whether the seat may be chosen now.
+  bool Admits(const Seat& seat) const {
+    if (!seat.usable || seat.IsEjected(now) || !seat.HasRoom()) return false;
+    if (query->exclude == nullptr) return true;
+    const std::vector<EndpointId>& exclude = *query->exclude;
+    return std::find(exclude.begin(), exclude.end(), seat.id) == exclude.end();
+  }
+
+  // A random seat that may be chosen; after a few misses the next one in order.
+  // Null when there is none.
+  Seat* Sample(Random* random) const;
+
+  // The part of the prompt that the seat is thought to have cached.
+  double CachedPart(const Seat& seat) const;
+
+  // The expected time to the first token at the seat, in milliseconds: waiting
+  // for a slot, working through the prompt beside the others there, the way.
+  double Estimate(Seat* seat) const;
+};
+
+// A policy picks one of the admitted seats; null when none is.
+template <typename T>
+concept Policy = requires(T policy, const Slate& slate, Random* random) {
+  { policy.Pick(slate, random) } -> std::same_as<Seat*>;
+};
+
+// Each in turn, whatever its load.
+class RoundRobin {
+ public:
+  Seat* Pick(const Slate& slate, Random* random);
+
+ private:
+  size_t m_next = 0;
+};
+
+// The one with the fewest of this entry's requests.
+class LeastInFlight {
+ public:
+  Seat* Pick(const Slate& slate, Random* random);
+};
+
+// The better of two random ones by the expected time to the first token.
+class TwoChoices {
+ public:
+  Seat* Pick(const Slate& slate, Random* random);
+};
+
+// One that has the prompt's prefix cached, as long as its load is bounded by
+// that of others; else the better of two.
+class PrefixAffinity {
+ public:
+  Seat* Pick(const Slate& slate, Random* random);
+
+ private:
+  TwoChoices m_fallback;
+};
+
+// The inner policy among the endpoints of the own data centre while one of them
+// has a free slot, else among all.
+template <Policy Inner>
+class LocalFirst {
+ public:
+  Seat* Pick(const Slate& slate, Random* random) {
+    m_local.clear();
+    for (Seat* seat : *slate.seats) {
+      const bool free = seat->local && seat->Load(slate.now) < seat->slots;
+      if (free && slate.Admits(*seat)) m_local.push_back(seat);
+    }
+    if (m_local.empty()) return m_inner.Pick(slate, random);
+    Slate local = slate;
+    local.seats = &m_local;
+    return m_inner.Pick(local, random);
+  }
+
+ private:
+  Inner m_inner;
+  std::vector<Seat*> m_local;
+};
+
+static_assert(Policy<RoundRobin>);
+static_assert(Policy<LeastInFlight>);
+static_assert(Policy<TwoChoices>);
+static_assert(Policy<PrefixAffinity>);
+static_assert(Policy<LocalFirst<TwoChoices>>);
+
+}  // namespace dotterelshift::routing
+
+#endif  // DOTTERELSHIFT_ROUTING_POLICY_H_
--- /dev/null
+++ b/include/dotterelshift/routing/prefix_index.h
@@ -0,0 +1,77 @@
+#ifndef DOTTERELSHIFT_ROUTING_PREFIX_INDEX_H_
+#define DOTTERELSHIFT_ROUTING_PREFIX_INDEX_H_
+
+#include <array>          // for array
+#include <cstddef>        // for size_t
+#include <cstdint>        // for uint64_t
+#include <unordered_map>  // for unordered_map
+#include <vector>         // for vector
+
+namespace dotterelshift::routing {
+
+// A seat that is thought to have a prompt's leading blocks cached.
+struct PrefixHolder {
+  uint32_t seat = 0;
+  uint32_t epoch = 0;  // of the seat's cache when this was learned
+};
+
+// What was found for a prompt.
+struct PrefixMatch {
+  static constexpr size_t kMost = 4;
+  size_t blocks = 0;  // leading blocks that are cached; 0: nothing known
+  std::array<PrefixHolder, kMost> holders{};
+  size_t count = 0;
+};
+
+// Which seats hold which prompt prefixes: from the engines' cache events, which
+// come late and with gaps, and from what this entry sent where. A hint, never a
+// fact. A gap in a seat's events raises its epoch, and everything learned
+// before is not believed any more. Bounded: two generations of entries, of
+// which the older is dropped when the younger is full.
+class PrefixIndex {
+ public:
+  explicit PrefixIndex(size_t max_entries = 1 << 17)
+      : m_max_entries(max_entries) {}
+
+  // An event of a seat's engine, in the order of arrival.
+  void OnEvent(uint32_t seat, uint64_t incarnation, uint64_t sequence,
+               uint64_t prefix_hash, bool stored);
+  // This entry sends a prompt to the seat, whose engine will then cache it.
+  void OnSent(uint32_t seat, const std::vector<uint64_t>& prefix_hashes);
+  // The seat's engine has lost its cache, or what it said is not to be trusted.
+  void Distrust(uint32_t seat);
+  void Forget(uint32_t seat) { m_seats.erase(seat); }
+
+  // The holders of the longest known prefix.
+  PrefixMatch Find(const std::vector<uint64_t>& prefix_hashes) const;
+
+  size_t size() const { return m_young.size() + m_old.size(); }
+
+ private:
+  struct SeatCache {
+    uint64_t incarnation = 0;
+    uint64_t last_sequence = 0;  // 0: no event seen yet
+    uint32_t epoch = 0;
+  };
+  struct Holders {
+    std::array<PrefixHolder, PrefixMatch::kMost> list{};
+    uint8_t count = 0;
+    uint8_t next = 0;  // the one to be replaced when the list is full
+  };
+  using Entries = std::unordered_map<uint64_t, Holders>;
+
+  void Add(uint64_t prefix_hash, PrefixHolder holder);
+  void Remove(uint64_t prefix_hash, uint32_t seat);
+  bool IsBelieved(const PrefixHolder& holder) const;
+  void Collect(const Entries& entries, uint64_t prefix_hash,
+               PrefixMatch* match) const;
+
+  size_t m_max_entries;
+  Entries m_young;
+  Entries m_old;
+  std::unordered_map<uint32_t, SeatCache> m_seats;
+};
+
+}  // namespace dotterelshift::routing
+
+#endif  // DOTTERELSHIFT_ROUTING_PREFIX_INDEX_H_
--- a/include/dotterelshift/routing/router.h
+++ b/include/dotterelshift/routing/router.h
@@ -43,7 +43,20 @@
       0s;  // for kBusy: how long until one is likely to be free
 };
 
+// The policies that can choose (policy.h). The default was chosen by the
+// figures of bench/routing_bench.cc; docs/decisions/routing.md says why.
+enum class PolicyKind {
+  kRoundRobin,
+  kLeastInFlight,
+  kTwoChoices,
+  kLocalTwoChoices,
+  kPrefixAffinity,
+  kLocalPrefixAffinity,
+};
+
 struct RouterOptions {
+  PolicyKind policy = PolicyKind::kPrefixAffinity;
+  bool eject_outliers = true;
   DataCentreId data_centre;  // of this entry
   uint64_t seed = 1;
   Duration far_penalty = 3ms;  // what another data centre costs
--- /dev/null
+++ b/src/dotterelshift/routing/prefix_index.cc
@@ -0,0 +1,115 @@
+#include "dotterelshift/routing/prefix_index.h"
+
+#include <utility>  // for move
+
+namespace dotterelshift::routing {
+namespace {
+
+// Prompts are noted and looked up at 1, 2, 4, .. leading blocks only: a few
+// lookups a prompt, and a match is short by at most half.
+size_t DeepestStep(size_t blocks) {
+  size_t step = 1;
+  while (step * 2 <= blocks) step *= 2;
+  return step;
+}
+
+}  // namespace
+
+void PrefixIndex::OnEvent(uint32_t seat, uint64_t incarnation,
+                          uint64_t sequence, uint64_t prefix_hash,
+                          bool stored) {
+  SeatCache& cache = m_seats[seat];
+  if (incarnation < cache.incarnation) return;
+  if (incarnation > cache.incarnation) {
+    // A new run begins with an empty cache.
+    if (cache.incarnation != 0) ++cache.epoch;
+    cache.incarnation = incarnation;
+    cache.last_sequence = 0;
+  }
+  if (sequence <= cache.last_sequence) return;
+  const bool gap =
+      cache.last_sequence != 0 && sequence != cache.last_sequence + 1;
+  if (gap) ++cache.epoch;
+  cache.last_sequence = sequence;
+  if (stored) {
+    Add(prefix_hash, {seat, cache.epoch});
+  } else {
+    Remove(prefix_hash, seat);
+  }
+}
+
+void PrefixIndex::OnSent(uint32_t seat,
+                         const std::vector<uint64_t>& prefix_hashes) {
+  const uint32_t epoch = m_seats[seat].epoch;
+  for (size_t blocks = 1; blocks <= prefix_hashes.size(); blocks *= 2)
+    Add(prefix_hashes[blocks - 1], {seat, epoch});
+}
+
+void PrefixIndex::Distrust(uint32_t seat) { ++m_seats[seat].epoch; }
+
+PrefixMatch PrefixIndex::Find(
+    const std::vector<uint64_t>& prefix_hashes) const {
+  PrefixMatch match;
+  if (prefix_hashes.empty()) return match;
+  for (size_t blocks = DeepestStep(prefix_hashes.size()); blocks > 0;
+       blocks /= 2) {
+    Collect(m_young, prefix_hashes[blocks - 1], &match);
+    Collect(m_old, prefix_hashes[blocks - 1], &match);
+    if (match.count == 0) continue;
+    match.blocks = blocks;
+    return match;
+  }
+  return match;
+}
+
+void PrefixIndex::Add(uint64_t prefix_hash, PrefixHolder holder) {
+  if (m_young.size() >= m_max_entries / 2 && !m_young.contains(prefix_hash)) {
+    m_old = std::move(m_young);
+    m_young.clear();
+  }
+  Holders& holders = m_young[prefix_hash];
+  for (size_t i = 0; i < holders.count; ++i) {
+    if (holders.list[i].seat != holder.seat) continue;
+    holders.list[i].epoch = holder.epoch;
+    return;
+  }
+  if (holders.count < holders.list.size()) {
+    holders.list[holders.count++] = holder;
+    return;
+  }
+  holders.list[holders.next] = holder;
+  holders.next = static_cast<uint8_t>((holders.next + 1) % holders.list.size());
+}
+
+void PrefixIndex::Remove(uint64_t prefix_hash, uint32_t seat) {
+  for (Entries* entries : {&m_young, &m_old}) {
+    const auto it = entries->find(prefix_hash);
+    if (it == entries->end()) continue;
+    Holders& holders = it->second;
+    for (size_t i = 0; i < holders.count; ++i) {
+      if (holders.list[i].seat != seat) continue;
+      holders.list[i] = holders.list[--holders.count];
+      holders.next = 0;
+      break;
+    }
+    if (holders.count == 0) entries->erase(it);
+  }
+}
+
+bool PrefixIndex::IsBelieved(const PrefixHolder& holder) const {
+  const auto it = m_seats.find(holder.seat);
+  return it != m_seats.end() && it->second.epoch == holder.epoch;
+}
+
+void PrefixIndex::Collect(const Entries& entries, uint64_t prefix_hash,
+                          PrefixMatch* match) const {
+  const auto it = entries.find(prefix_hash);
+  if (it == entries.end()) return;
+  for (size_t i = 0; i < it->second.count; ++i) {
+    if (match->count == match->holders.size()) return;
+    const PrefixHolder& holder = it->second.list[i];
+    if (IsBelieved(holder)) match->holders[match->count++] = holder;
+  }
+}
+
+}  // namespace dotterelshift::routing
