--- /dev/null
+++ b/src/dotterelshift/callers/prompt.cc
@@ -0,0 +1,59 @@
+#include "dotterelshift/callers/prompt.h"
+
+#include <xxhash.h>  // for XXH64
+
+namespace dotterelshift::callers {
+namespace {
+
+// Length of the sequence that begins with a byte, 0 for none; and the bounds of
+// its second byte, which tell overlong forms and surrogates.
+struct Lead {
+  size_t length = 0;
+  uint8_t least = 0x80;
+  uint8_t most = 0xBF;
+};
+
+Lead LeadOf(uint8_t byte) {
+  if (byte < 0x80) return {1};
+  if (byte >= 0xC2 && byte <= 0xDF) return {2};
+  if (byte == 0xE0) return {3, 0xA0, 0xBF};
+  if (byte == 0xED) return {3, 0x80, 0x9F};
+  if (byte >= 0xE1 && byte <= 0xEF) return {3};
+  if (byte == 0xF0) return {4, 0x90, 0xBF};
+  if (byte >= 0xF1 && byte <= 0xF3) return {4};
+  if (byte == 0xF4) return {4, 0x80, 0x8F};
+  return {};
+}
+
+}  // namespace
+
+bool IsUtf8(std::string_view bytes) {
+  size_t i = 0;
+  while (i < bytes.size()) {
+    const Lead lead = LeadOf(static_cast<uint8_t>(bytes[i]));
+    if (lead.length == 0 || lead.length > bytes.size() - i) return false;
+    for (size_t k = 1; k < lead.length; ++k) {
+      const auto next = static_cast<uint8_t>(bytes[i + k]);
+      const uint8_t least = k == 1 ? lead.least : 0x80;
+      const uint8_t most = k == 1 ? lead.most : 0xBF;
+      if (next < least || next > most) return false;
+    }
+    i += lead.length;
+  }
+  return true;
+}
+
+std::vector<uint64_t> PrefixHashes(std::string_view model,
+                                   std::string_view text, size_t block_bytes,
+                                   size_t max_blocks) {
+  std::vector<uint64_t> hashes;
+  uint64_t hash = XXH64(model.data(), model.size(), 0);
+  while (text.size() >= block_bytes && hashes.size() < max_blocks) {
+    hash = XXH64(text.data(), block_bytes, hash);
+    hashes.push_back(hash);
+    text.remove_prefix(block_bytes);
+  }
+  return hashes;
+}
+
+}  // namespace dotterelshift::callers
