endpoints: attempts over HTTP, announcements and orders

Cause: serving needs an endpoint's bytes as whole events with their tokens, its usage and a true end. Whole events are handed over where they lie in the read buffer; only an event that is split is copied. JSON is parsed only where an event holds a usage.

--- /dev/null
+++ b/src/dotterelshift/endpoints/attempt_runner.cc
@@ -0,0 +1,249 @@
+#include "dotterelshift/endpoints/attempt_runner.h"
+
+#include <algorithm>      // for find_if
+#include <unordered_map>  // for unordered_map
+#include <utility>        // for move
+
+#include "dotterelshift/endpoints/event_stream.h"  // for EventStream
+
+namespace dotterelshift::endpoints {
+namespace {
+
+using callers::CallerRequest;
+using callers::RequestKind;
+using http::TransferEnd;
+using serving::AttemptEnd;
+using serving::Piece;
+
+constexpr std::string_view kEventStream = "text/event-stream";
+
+// One event of a stream may be this large; engines send far smaller ones.
+constexpr size_t kMaxEventBytes = 1 << 20;
+
+std::string_view HeaderOf(const http::Headers& headers, std::string_view name) {
+  const auto found = std::ranges::find_if(
+      headers, [name](const auto& header) { return header.first == name; });
+  return found == headers.end() ? std::string_view() : found->second;
+}
+
+// What the head of an answer makes of its body.
+enum class BodyKind { kNone, kStream, kWhole, kCallerError, kRefused, kFailed };
+
+struct Attempt {
+  http::TransferId transfer = 0;
+  RequestKind kind = RequestKind::kChat;
+  bool stream = false;
+  Tokens output_limit = 0;
+  BodyKind body = BodyKind::kNone;
+  int status = 0;
+  std::string content_type;
+  EventStream events;
+  std::string whole;
+
+  explicit Attempt(const CallerRequest& request)
+      : kind(request.kind),
+        stream(request.stream),
+        output_limit(request.output_limit),
+        events(request.wants_usage, kMaxEventBytes) {}
+};
+
+BodyKind BodyKindOf(const Attempt& attempt, int status,
+                    const http::Headers& headers) {
+  constexpr int kTooManyRequests = 429;
+  constexpr int kUnavailable = 503;
+  const bool not_run = HeaderOf(headers, "dotterelshift-ran") == "no";
+  if (status == kTooManyRequests || (status == kUnavailable && not_run))
+    return BodyKind::kRefused;
+  if (status >= 400 && status < 500) return BodyKind::kCallerError;
+  if (status < 200 || status >= 300) return BodyKind::kFailed;
+  if (!attempt.stream) return BodyKind::kWhole;
+  const bool events =
+      HeaderOf(headers, "content-type").starts_with(kEventStream);
+  return events ? BodyKind::kStream : BodyKind::kFailed;
+}
+
+http::ClientRequest RequestFor(const std::string& address,
+                               const CallerRequest& request) {
+  http::ClientRequest sent;
+  sent.method = request.method;
+  sent.url = "http://" + address + request.path;
+  sent.body = request.body;
+  if (!request.content_type.empty())
+    sent.headers.emplace_back("Content-Type", request.content_type);
+  if (!request.idempotency_key.empty()) {
+    sent.headers.emplace_back("Dotterelshift-Request-Key",
+                              request.idempotency_key);
+  }
+  return sent;
+}
+
+class HttpAttemptRunner : public AttemptRunner {
+ public:
+  HttpAttemptRunner(http::Client& client, const AttemptRunnerOptions& options,
+                    AttemptEvents events)
+      : m_client(client), m_options(options), m_events(std::move(events)) {}
+
+  ~HttpAttemptRunner() override {
+    for (const auto& [id, attempt] : m_attempts)
+      m_client.Cancel(attempt->transfer);
+  }
+
+  void Start(AttemptId id, const std::string& address,
+             const CallerRequest& request, Duration time_left) override {
+    auto attempt = std::make_shared<Attempt>(request);
+    http::ClientRequest sent = RequestFor(address, request);
+    sent.connect_timeout = m_options.connect_timeout;
+    sent.total_timeout = std::max<Duration>(time_left, 1ms);
+    http::TransferCallbacks callbacks;
+    // Each holds the attempt, which its own report may end.
+    callbacks.on_head = [this, id, attempt](int status,
+                                            const http::Headers& headers) {
+      OnHead(id, *attempt, status, headers);
+    };
+    callbacks.on_piece = [this, id, attempt](std::string_view bytes) {
+      return OnBytes(id, *attempt, bytes);
+    };
+    callbacks.on_end = [this, id, attempt](TransferEnd end) {
+      OnTransferEnd(id, *attempt, end);
+    };
+    attempt->transfer = m_client.Start(std::move(sent), std::move(callbacks));
+    m_attempts.emplace(id, std::move(attempt));
+  }
+
+  void Cancel(AttemptId id) override {
+    const auto node = m_attempts.extract(id);
+    if (!node.empty()) m_client.Cancel(node.mapped()->transfer);
+  }
+
+  void Resume(AttemptId id) override {
+    const auto found = m_attempts.find(id);
+    if (found != m_attempts.end()) m_client.Resume(found->second->transfer);
+  }
+
+  size_t Open() const override { return m_attempts.size(); }
+
+ private:
+  // A transfer may outlast its attempt, and the number be used again.
+  bool IsOpen(AttemptId id, const Attempt& attempt) const {
+    const auto found = m_attempts.find(id);
+    return found != m_attempts.end() && found->second.get() == &attempt;
+  }
+
+  void OnHead(AttemptId id, Attempt& attempt, int status,
+              const http::Headers& headers) {
+    attempt.status = status;
+    attempt.body = BodyKindOf(attempt, status, headers);
+    attempt.content_type = HeaderOf(headers, "content-type");
+    if (attempt.body == BodyKind::kRefused) {
+      Give(id, attempt, AttemptEnd::kRefusedBeforeRun);
+    } else if (attempt.body == BodyKind::kFailed) {
+      Give(id, attempt, AttemptEnd::kDied);
+    } else if (attempt.body == BodyKind::kStream) {
+      m_events.on_head(id, status, attempt.content_type);
+    }
+  }
+
+  bool OnBytes(AttemptId id, Attempt& attempt, std::string_view bytes) {
+    if (!IsOpen(id, attempt)) return true;
+    if (attempt.body == BodyKind::kStream) return OnEvents(id, attempt, bytes);
+    if (attempt.whole.size() + bytes.size() >
+        m_options.max_whole_answer_bytes) {
+      Give(id, attempt, AttemptEnd::kDied);
+      return true;
+    }
+    attempt.whole.append(bytes);
+    return true;
+  }
+
+  bool OnEvents(AttemptId id, Attempt& attempt, std::string_view bytes) {
+    bool more = true;
+    const auto state = attempt.events.Add(
+        bytes, [&](const Piece& piece, std::string_view whole_events) {
+          if (IsOpen(id, attempt))
+            more = m_events.on_piece(id, piece, whole_events);
+        });
+    if (!IsOpen(id, attempt)) return true;
+    if (state == EventStream::State::kBroken) {
+      Give(id, attempt, AttemptEnd::kDied);
+    } else if (state == EventStream::State::kEnded) {
+      // The transfer goes on to its own end, so that its connection is kept.
+      m_attempts.erase(id);
+      m_events.on_end(id, AttemptEnd::kWhole);
+      return true;
+    }
+    return more;
+  }
+
+  void OnTransferEnd(AttemptId id, Attempt& attempt, TransferEnd end) {
+    if (!IsOpen(id, attempt)) return;
+    const AttemptEnd result = EndOf(attempt, end);
+    const bool whole =
+        result == AttemptEnd::kWhole || result == AttemptEnd::kCallerError;
+    Piece piece;
+    if (whole && !ReadWhole(attempt, &piece)) {
+      Close(id, AttemptEnd::kDied);
+      return;
+    }
+    if (whole) {
+      m_events.on_head(id, attempt.status, attempt.content_type);
+      if (IsOpen(id, attempt)) m_events.on_piece(id, piece, attempt.whole);
+    }
+    Close(id, result);
+  }
+
+  static AttemptEnd EndOf(const Attempt& attempt, TransferEnd end) {
+    switch (end) {
+      case TransferEnd::kNotSent:
+        return AttemptEnd::kNotSent;
+      case TransferEnd::kTimedOut:
+        return AttemptEnd::kTimedOut;
+      case TransferEnd::kCutBeforeHead:
+      case TransferEnd::kCut:
+        return AttemptEnd::kDied;
+      case TransferEnd::kWhole:
+        break;
+    }
+    if (attempt.body == BodyKind::kCallerError) return AttemptEnd::kCallerError;
+    // A stream that reaches its transfer's end has not shown its end mark.
+    return attempt.body == BodyKind::kWhole ? AttemptEnd::kWhole
+                                            : AttemptEnd::kDied;
+  }
+
+  // Counts a whole answer; false when it is not what the protocol promises.
+  static bool ReadWhole(const Attempt& attempt, Piece* piece) {
+    if (attempt.body == BodyKind::kCallerError) return true;
+    if (attempt.kind == RequestKind::kService) {
+      piece->tokens = attempt.output_limit;
+      return true;
+    }
+    if (!ReadUsage(attempt.whole, piece)) return false;
+    if (!piece->has_usage) piece->tokens = EstimateTokens(attempt.whole);
+    return true;
+  }
+
+  // Ends an attempt before its transfer has ended.
+  void Give(AttemptId id, const Attempt& attempt, AttemptEnd end) {
+    m_client.Cancel(attempt.transfer);
+    Close(id, end);
+  }
+
+  void Close(AttemptId id, AttemptEnd end) {
+    if (m_attempts.erase(id) > 0) m_events.on_end(id, end);
+  }
+
+  http::Client& m_client;
+  const AttemptRunnerOptions m_options;
+  const AttemptEvents m_events;
+  std::unordered_map<AttemptId, std::shared_ptr<Attempt>> m_attempts;
+};
+
+}  // namespace
+
+std::unique_ptr<AttemptRunner> MakeAttemptRunner(
+    http::Client& client, const AttemptRunnerOptions& options,
+    AttemptEvents events) {
+  return std::make_unique<HttpAttemptRunner>(client, options,
+                                             std::move(events));
+}
+
+}  // namespace dotterelshift::endpoints
--- /dev/null
+++ b/src/dotterelshift/endpoints/event_stream.cc
@@ -0,0 +1,188 @@
+#include "dotterelshift/endpoints/event_stream.h"
+
+#include <algorithm>          // for clamp
+#include <array>              // for array
+#include <nlohmann/json.hpp>  // for json
+
+namespace dotterelshift::endpoints {
+namespace {
+
+using nlohmann::json;
+
+constexpr std::string_view kEndMark = "[DONE]";
+constexpr size_t kBytesPerToken = 4;
+
+// Fields whose text an engine generated. An event with text in any of them
+// holds at least one token.
+constexpr std::array<std::string_view, 5> kTextFields = {
+    "\"content\":", "\"text\":", "\"reasoning_content\":", "\"reasoning\":",
+    "\"arguments\":"};
+
+std::string_view TrimLeft(std::string_view text) {
+  const size_t begin = text.find_first_not_of(" \t");
+  return begin == std::string_view::npos ? std::string_view()
+                                         : text.substr(begin);
+}
+
+// Whether a field holds a text that is not empty. A quote inside a JSON string
+// is escaped, so the field's name with its quotes is only found as a name.
+bool HasText(std::string_view data, std::string_view field) {
+  size_t at = data.find(field);
+  while (at != std::string_view::npos) {
+    const std::string_view value = TrimLeft(data.substr(at + field.size()));
+    if (value.size() >= 2 && value[0] == '"' && value[1] != '"') return true;
+    at = data.find(field, at + field.size());
+  }
+  return false;
+}
+
+bool HasAnyText(std::string_view data) {
+  return std::ranges::any_of(kTextFields, [data](std::string_view field) {
+    return HasText(data, field);
+  });
+}
+
+// End of the first event in the bytes, behind its empty line; npos when the
+// event is not whole.
+size_t EndOfEvent(std::string_view bytes) {
+  size_t line = 0;
+  while (true) {
+    const size_t end = bytes.find('\n', line);
+    if (end == std::string_view::npos) return end;
+    const bool empty = end == line || (end == line + 1 && bytes[line] == '\r');
+    if (empty) return end + 1;
+    line = end + 1;
+  }
+}
+
+Tokens CountOf(const json& usage, const char* name) {
+  const auto found = usage.find(name);
+  if (found == usage.end() || !found->is_number_unsigned()) return 0;
+  return static_cast<Tokens>(
+      std::min<uint64_t>(found->get<uint64_t>(), kMaxTokens));
+}
+
+void SetUsage(const json& answer, serving::Piece* piece) {
+  const auto usage = answer.find("usage");
+  if (usage == answer.end() || !usage->is_object()) return;
+  piece->has_usage = true;
+  piece->usage_prompt = CountOf(*usage, "prompt_tokens");
+  piece->usage_output = CountOf(*usage, "completion_tokens");
+}
+
+size_t TextBytes(const json& value, bool generated) {
+  if (value.is_string())
+    return generated ? value.get_ref<const std::string&>().size() : 0;
+  size_t bytes = 0;
+  if (value.is_array())
+    for (const json& element : value) bytes += TextBytes(element, generated);
+  if (!value.is_object()) return bytes;
+  for (const auto& [name, field] : value.items()) {
+    const std::string quoted = '"' + name + "\":";
+    const bool text =
+        std::ranges::find(kTextFields, quoted) != kTextFields.end();
+    bytes += TextBytes(field, text);
+  }
+  return bytes;
+}
+
+}  // namespace
+
+EventStream::State EventStream::Add(std::string_view bytes, const Sink& sink) {
+  if (m_state != State::kOpen) return m_state;
+  size_t used = 0;
+  if (m_rest.empty()) {
+    // The usual case: whole events, handed over where they lie.
+    TakeEvents(bytes, sink, &used);
+    m_rest.assign(bytes.substr(used));
+  } else {
+    m_rest.append(bytes);
+    const std::string joined = std::move(m_rest);
+    TakeEvents(joined, sink, &used);
+    m_rest.assign(joined, used);
+  }
+  if (m_state == State::kOpen && m_rest.size() > m_max_event_bytes)
+    m_state = State::kBroken;
+  return m_state;
+}
+
+void EventStream::TakeEvents(std::string_view bytes, const Sink& sink,
+                             size_t* used) {
+  size_t run = 0;  // where the events not yet handed over begin
+  size_t at = 0;
+  serving::Piece piece;
+  const auto hand_over = [&](size_t end) {
+    if (end > run || piece.has_usage) sink(piece, bytes.substr(run, end - run));
+    piece = {};
+  };
+  while (m_state == State::kOpen) {
+    const size_t size = EndOfEvent(bytes.substr(at));
+    if (size == std::string_view::npos) break;
+    if (!ReadEvent(bytes.substr(at, size), &piece)) {
+      hand_over(at);
+      run = at + size;
+    }
+    at += size;
+  }
+  hand_over(m_state == State::kOpen ? at : run);
+  *used = at;
+}
+
+bool EventStream::ReadEvent(std::string_view event, serving::Piece* piece) {
+  bool forward = true;
+  while (!event.empty()) {
+    const size_t end = event.find('\n');
+    std::string_view line = event.substr(0, end);
+    event.remove_prefix(end + 1);
+    if (line.ends_with('\r')) line.remove_suffix(1);
+    if (line.starts_with("data:")) {
+      forward = ReadData(TrimLeft(line.substr(5)), piece) && forward;
+      continue;
+    }
+    const bool known = line.empty() || line.front() == ':' ||
+                       line.starts_with("event:") || line.starts_with("id:") ||
+                       line.starts_with("retry:");
+    if (!known) m_state = State::kBroken;
+  }
+  return forward && m_state == State::kOpen;
+}
+
+bool EventStream::ReadData(std::string_view data, serving::Piece* piece) {
+  if (data == kEndMark) {
+    m_state = State::kEnded;
+    return false;
+  }
+  if (!data.starts_with('{') || !data.ends_with('}') ||
+      data.starts_with("{\"error\"")) {
+    m_state = State::kBroken;
+    return false;
+  }
+  const bool text = HasAnyText(data);
+  if (text) ++piece->tokens;
+  // Most events name no usage, or a null one; only the others are parsed.
+  const size_t usage = data.find("\"usage\":");
+  if (usage == std::string_view::npos ||
+      TrimLeft(data.substr(usage + 8)).starts_with("null"))
+    return true;
+  if (!ReadUsage(data, piece)) {
+    m_state = State::kBroken;
+    return false;
+  }
+  return text || m_forward_usage || !piece->has_usage ||
+         data.find("\"finish_reason\":\"") != std::string_view::npos;
+}
+
+bool ReadUsage(std::string_view text, serving::Piece* piece) {
+  const json answer = json::parse(text, nullptr, false);
+  if (!answer.is_object()) return false;
+  SetUsage(answer, piece);
+  return true;
+}
+
+Tokens EstimateTokens(std::string_view text) {
+  const json answer = json::parse(text, nullptr, false);
+  const size_t bytes = TextBytes(answer, false);
+  return static_cast<Tokens>((bytes + kBytesPerToken - 1) / kBytesPerToken);
+}
+
+}  // namespace dotterelshift::endpoints
