platform: metrics with a bound on their labels

Cause: 37,000 teams may not become 37,000 series. The busiest teams are named and judged anew each 4,096 requests; one that loses its name is folded into "other", so that sums hold.

--- /dev/null
+++ b/src/dotterelshift/platform/team_series.cc
@@ -0,0 +1,137 @@
+#include "dotterelshift/platform/team_series.h"
+
+#include <algorithm>  // for min_element
+
+namespace dotterelshift::platform {
+namespace {
+
+// Requests after which the busiest teams are judged anew.
+constexpr uint64_t kRound = 4096;
+
+// An unnamed team takes a named one's place when it is this much busier, so
+// that two alike do not change places each round.
+constexpr uint64_t kMuchBusier = 2;
+
+// Unnamed teams that are counted, for each named one.
+constexpr size_t kCountedPerNamed = 4;
+
+constexpr auto kByRecent = [](const auto& a, const auto& b) {
+  return a.second.recent < b.second.recent;
+};
+
+constexpr auto kByCount = [](const auto& a, const auto& b) {
+  return a.second < b.second;
+};
+
+}  // namespace
+
+TeamSeries::TeamSeries(prometheus::Registry& registry, TimeFamilies& times,
+                       size_t max_teams)
+    : m_times(times),
+      m_requests(prometheus::BuildCounter()
+                     .Name("dotterelshift_requests_total")
+                     .Help("Finished requests by outcome.")
+                     .Register(registry)),
+      m_tokens(prometheus::BuildCounter()
+                   .Name("dotterelshift_tokens_spent_total")
+                   .Help("Tokens spent.")
+                   .Register(registry)),
+      m_max_teams(max_teams),
+      m_others(MakeSeries(std::string(kOther))) {}
+
+void TeamSeries::OnFinished(const serving::RequestSummary& summary) {
+  Series& series = SeriesOf(summary.team);
+  ++series.recent;
+  Observe(series.times, summary);
+  series.tokens->Increment(static_cast<double>(summary.spent));
+  const bool named = &series != &m_others;
+  RequestsOf(series, named ? summary.team : std::string(kOther), summary.error)
+      .Increment();
+  if (!named) CountUnnamed(summary.team);
+  if (++m_in_round >= kRound) EndRound();
+}
+
+TeamSeries::Series& TeamSeries::SeriesOf(const TeamId& team) {
+  const auto found = m_named.find(team);
+  if (found != m_named.end()) return found->second;
+  // A team may bear the label's name, or none when its key is not known.
+  if (m_named.size() >= m_max_teams || team.empty() || team == kOther)
+    return m_others;
+  return m_named.emplace(team, MakeSeries(team)).first->second;
+}
+
+TeamSeries::Series TeamSeries::MakeSeries(const std::string& label) {
+  Series series;
+  series.times = m_times.Add({{"team", label}});
+  series.tokens = &m_tokens.Add({{"team", label}});
+  return series;
+}
+
+prometheus::Counter& TeamSeries::RequestsOf(Series& series,
+                                            const std::string& label,
+                                            ErrorKind error) {
+  prometheus::Counter*& counter = series.requests[error];
+  if (counter == nullptr) {
+    const std::string_view outcome =
+        error == ErrorKind::kNone ? "answered" : RowOf(error).name;
+    counter =
+        &m_requests.Add({{"team", label}, {"outcome", std::string(outcome)}});
+  }
+  return *counter;
+}
+
+// Counts the busiest of the unnamed in bounded memory (space saving): a new one
+// takes the place, and the count, of the least.
+void TeamSeries::CountUnnamed(const TeamId& team) {
+  if (team.empty() || team == kOther) return;
+  const auto found = m_unnamed.find(team);
+  if (found != m_unnamed.end()) {
+    ++found->second;
+    return;
+  }
+  uint64_t count = 1;
+  if (m_unnamed.size() >= m_max_teams * kCountedPerNamed) {
+    if (m_unnamed.empty()) return;
+    const auto least = std::ranges::min_element(m_unnamed, kByCount);
+    count += least->second;
+    m_unnamed.erase(least);
+  }
+  m_unnamed.emplace(team, count);
+}
+
+void TeamSeries::EndRound() {
+  m_in_round = 0;
+  Promote();
+  for (auto& [team, series] : m_named) series.recent /= 2;
+  for (auto& [team, count] : m_unnamed) count /= 2;
+  std::erase_if(m_unnamed, [](const auto& team) { return team.second == 0; });
+}
+
+void TeamSeries::Promote() {
+  while (!m_unnamed.empty() && !m_named.empty()) {
+    const auto busiest = std::ranges::max_element(m_unnamed, kByCount);
+    const auto quietest = std::ranges::min_element(m_named, kByRecent);
+    const uint64_t count = busiest->second;
+    if (count <= quietest->second.recent * kMuchBusier) return;
+    const TeamId promoted = busiest->first;
+    Fold(quietest->first);
+    m_unnamed.erase(promoted);
+    m_named.emplace(promoted, MakeSeries(promoted)).first->second.recent =
+        count;
+  }
+}
+
+void TeamSeries::Fold(const TeamId& team) {
+  auto node = m_named.extract(team);
+  Series& series = node.mapped();
+  m_times.Fold(series.times, m_others.times);
+  m_others.tokens->Increment(series.tokens->Value());
+  m_tokens.Remove(series.tokens);
+  for (const auto& [error, counter] : series.requests) {
+    RequestsOf(m_others, std::string(kOther), error)
+        .Increment(counter->Value());
+    m_requests.Remove(counter);
+  }
+}
+
+}  // namespace dotterelshift::platform
--- /dev/null
+++ b/src/dotterelshift/platform/team_series.h
@@ -0,0 +1,52 @@
+#ifndef DOTTERELSHIFT_SRC_PLATFORM_TEAM_SERIES_H_
+#define DOTTERELSHIFT_SRC_PLATFORM_TEAM_SERIES_H_
+
+#include <cstdint>        // for uint64_t
+#include <string>         // for string
+#include <unordered_map>  // for unordered_map
+
+#include "dotterelshift/base/error.h"            // for ErrorKind
+#include "dotterelshift/base/ids.h"              // for TeamId
+#include "dotterelshift/platform/time_series.h"  // for Times
+
+namespace dotterelshift::platform {
+
+// The series labelled by team: the busiest teams by name, all others together.
+// Who is busiest is judged anew after each round of requests; a team that loses
+// its name leaves what it counted to the others, so sums over all teams hold.
+class TeamSeries {
+ public:
+  TeamSeries(prometheus::Registry& registry, TimeFamilies& times,
+             size_t max_teams);
+  void OnFinished(const serving::RequestSummary& summary);
+
+ private:
+  struct Series {
+    Times times;
+    prometheus::Counter* tokens = nullptr;
+    std::unordered_map<ErrorKind, prometheus::Counter*> requests;
+    uint64_t recent = 0;  // requests, halved after each round
+  };
+
+  Series& SeriesOf(const TeamId& team);
+  Series MakeSeries(const std::string& label);
+  prometheus::Counter& RequestsOf(Series& series, const std::string& label,
+                                  ErrorKind error);
+  void CountUnnamed(const TeamId& team);
+  void EndRound();
+  void Promote();
+  void Fold(const TeamId& team);
+
+  TimeFamilies& m_times;
+  prometheus::Family<prometheus::Counter>& m_requests;
+  prometheus::Family<prometheus::Counter>& m_tokens;
+  size_t m_max_teams;
+  uint64_t m_in_round = 0;
+  Series m_others;
+  std::unordered_map<TeamId, Series> m_named;
+  std::unordered_map<TeamId, uint64_t> m_unnamed;  // recent requests; bounded
+};
+
+}  // namespace dotterelshift::platform
+
+#endif  // DOTTERELSHIFT_SRC_PLATFORM_TEAM_SERIES_H_
