--- a/tools/fake_endpoint/announcer.h
+++ b/tools/fake_endpoint/announcer.h
@@ -19,7 +19,7 @@
 struct Load {
   Instant when;
   int running = 0;
-  int waiting = 0;
+  size_t waiting = 0;
 };
 
 // Tells the entries of the endpoint, with its load as it was some time ago and
--- a/tools/fake_endpoint/main.cc
+++ b/tools/fake_endpoint/main.cc
@@ -29,9 +29,9 @@
 struct Served {
   std::string key;
   std::string state = "waiting";  // running, whole, cut, cancelled
-  int prompt_tokens = 0;
-  int tokens = 0;  // written
-  int wanted = 0;
+  Tokens prompt_tokens = 0;
+  Tokens tokens = 0;  // written
+  Tokens wanted = 0;
   CallerRequest request;
   ExchangePtr exchange;
   std::unique_ptr<loop::Timer> timer;
@@ -49,7 +49,7 @@
         m_terminate(loop, SIGTERM, [this] { Drain(true); }) {
     if (!options.port_file.empty()) WritePort();
     m_announcer.Start([this] {
-      return Load{m_loop.Now(), m_running, int(m_queue.size())};
+      return Load{m_loop.Now(), m_running, m_queue.size()};
     });
   }
 
@@ -113,7 +113,7 @@
       Refuse(exchange, 503, "not now");
     } else if (!Offers(wanted)) {
       Refuse(exchange, 404, "not offered here");
-    } else if (int(m_queue.size()) >= m_options.max_waiting) {
+    } else if (m_queue.size() >= m_options.max_waiting) {
       Refuse(exchange, 429, "too many wait");
     } else {
       Enqueue(exchange, std::move(wanted));
@@ -124,10 +124,10 @@
     const int number = ++m_last;
     Served& served = m_served[number];
     served.key = exchange->GetRequest().Header("dotterelshift-request-key");
-    served.prompt_tokens = int(request.body.size() / 4);
+    served.prompt_tokens = static_cast<Tokens>(request.body.size() / 4);
     served.wanted = m_options.tokens;
     if (!m_options.ignore_limit)
-      served.wanted = std::min(served.wanted, int(request.output_limit));
+      served.wanted = std::min(served.wanted, request.output_limit);
     served.request = std::move(request);
     served.exchange = exchange;
     served.timer =
@@ -177,7 +177,7 @@
   }
 
   // Each token names its request, so that a crossed answer would show.
-  static std::string Token(const Served& served, int index) {
+  static std::string Token(const Served& served, Tokens index) {
     return (served.key.empty() ? "t" : served.key) + "-" +
            std::to_string(index) + " ";
   }
@@ -227,7 +227,7 @@
           .dump();
     }
     std::string text;
-    for (int i = 0; i < served.tokens; ++i) text += Token(served, i);
+    for (Tokens i = 0; i < served.tokens; ++i) text += Token(served, i);
     json answer = Chunk(served, text, "stop");
     if (served.request.kind == RequestKind::kChat) {
       answer["object"] = "chat.completion";
--- a/tools/fake_endpoint/options.h
+++ b/tools/fake_endpoint/options.h
@@ -5,7 +5,8 @@
 #include <string>   // for string
 #include <vector>   // for vector
 
-#include "dotterelshift/base/time.h"  // for Duration
+#include "dotterelshift/base/time.h"    // for Duration
+#include "dotterelshift/base/tokens.h"  // for Tokens
 
 namespace dotterelshift::fake {
 
@@ -23,11 +24,11 @@
   std::vector<std::string> services;
   bool checks_fencing = false;
 
-  int tokens = 16;  // of an answer, unless the request's limit is less
+  Tokens tokens = 16;  // of an answer, unless the request's limit is less
   Duration token_interval = 5ms;  // 0: all at once
   Duration first_token_delay = 0ms;
-  int slots = 64;          // requests that run at once; others wait
-  int max_waiting = 1024;  // past it: 429
+  int slots = 64;             // requests that run at once; others wait
+  size_t max_waiting = 1024;  // past it: 429
 
   int cut_after = -1;      // tokens; -1: never
   int cut_count = -1;      // requests that are cut; -1: all
