--- a/src/dotterelshift/app/member_changes.cc
+++ b/src/dotterelshift/app/member_changes.cc
@@ -69,7 +69,7 @@
     if (change.remove) {
       wire::RemoveReplicaT removal;
       removal.replica = change.replica.id;
-      stored->body.Set(std::move(removal));
+      stored->body.Set(removal);
     } else {
       wire::AddReplicaT addition;
       addition.replica = change.replica.id;
