--- a/include/dotterelshift/wire/snapshot_generated.h
+++ b/include/dotterelshift/wire/snapshot_generated.h
@@ -578,6 +578,7 @@
   std::string host{};
   uint64_t incarnation = 0;
   bool dead = false;
+  bool retired = false;
   int64_t heard_ms = 0;
 };
 
@@ -589,7 +590,8 @@
     VT_HOST = 4,
     VT_INCARNATION = 6,
     VT_DEAD = 8,
-    VT_HEARD_MS = 10
+    VT_RETIRED = 10,
+    VT_HEARD_MS = 12
   };
   const flatbuffers::String *host() const {
     return GetPointer<const flatbuffers::String *>(VT_HOST);
@@ -600,6 +602,9 @@
   bool dead() const {
     return GetField<uint8_t>(VT_DEAD, 0) != 0;
   }
+  bool retired() const {
+    return GetField<uint8_t>(VT_RETIRED, 0) != 0;
+  }
   int64_t heard_ms() const {
     return GetField<int64_t>(VT_HEARD_MS, 0);
   }
@@ -609,6 +614,7 @@
            verifier.VerifyString(host()) &&
            VerifyField<uint64_t>(verifier, VT_INCARNATION, 8) &&
            VerifyField<uint8_t>(verifier, VT_DEAD, 1) &&
+           VerifyField<uint8_t>(verifier, VT_RETIRED, 1) &&
            VerifyField<int64_t>(verifier, VT_HEARD_MS, 8) &&
            verifier.EndTable();
   }
@@ -630,6 +636,9 @@
   void add_dead(bool dead) {
     fbb_.AddElement<uint8_t>(RunRecord::VT_DEAD, static_cast<uint8_t>(dead), 0);
   }
+  void add_retired(bool retired) {
+    fbb_.AddElement<uint8_t>(RunRecord::VT_RETIRED, static_cast<uint8_t>(retired), 0);
+  }
   void add_heard_ms(int64_t heard_ms) {
     fbb_.AddElement<int64_t>(RunRecord::VT_HEARD_MS, heard_ms, 0);
   }
@@ -649,11 +658,13 @@
     flatbuffers::Offset<flatbuffers::String> host = 0,
     uint64_t incarnation = 0,
     bool dead = false,
+    bool retired = false,
     int64_t heard_ms = 0) {
   RunRecordBuilder builder_(_fbb);
   builder_.add_heard_ms(heard_ms);
   builder_.add_incarnation(incarnation);
   builder_.add_host(host);
+  builder_.add_retired(retired);
   builder_.add_dead(dead);
   return builder_.Finish();
 }
@@ -668,6 +679,7 @@
     const char *host = nullptr,
     uint64_t incarnation = 0,
     bool dead = false,
+    bool retired = false,
     int64_t heard_ms = 0) {
   auto host__ = host ? _fbb.CreateString(host) : 0;
   return dotterelshift::wire::CreateRunRecord(
@@ -675,6 +687,7 @@
       host__,
       incarnation,
       dead,
+      retired,
       heard_ms);
 }
 
@@ -1921,6 +1934,7 @@
   { auto _e = host(); if (_e) _o->host = _e->str(); }
   { auto _e = incarnation(); _o->incarnation = _e; }
   { auto _e = dead(); _o->dead = _e; }
+  { auto _e = retired(); _o->retired = _e; }
   { auto _e = heard_ms(); _o->heard_ms = _e; }
 }
 
@@ -1935,12 +1949,14 @@
   auto _host = _o->host.empty() ? 0 : _fbb.CreateString(_o->host);
   auto _incarnation = _o->incarnation;
   auto _dead = _o->dead;
+  auto _retired = _o->retired;
   auto _heard_ms = _o->heard_ms;
   return dotterelshift::wire::CreateRunRecord(
       _fbb,
       _host,
       _incarnation,
       _dead,
+      _retired,
       _heard_ms);
 }
 
--- a/src/dotterelshift/budget/ledger.cc
+++ b/src/dotterelshift/budget/ledger.cc
@@ -6,6 +6,8 @@
 #include <unordered_map>  // for unordered_map
 #include <utility>        // for move
 
+#include "dotterelshift/budget/grant_way.h"  // for WithWay
+
 namespace dotterelshift::budget {
 namespace {
 
@@ -24,6 +26,12 @@
   return std::chrono::duration<double>(duration).count();
 }
 
+bool GoesUnwitnessed(wire::GrantWay way, bool connected) {
+  return WithWay(way, [connected](auto policy) {
+    return decltype(policy)::GoesUnwitnessed(connected);
+  });
+}
+
 // Demand in tokens a second: an exponentially decaying average.
 class DemandMeter {
  public:
@@ -124,7 +132,7 @@
   bool MoveToStanding(BudgetHandle budget, Tokens reserved, Instant) override {
     Position& position = m_positions[budget];
     const bool may = position.standing >= reserved &&
-                     position.policy.way != wire::GrantWay::ClockLease;
+                     GoesUnwitnessed(position.policy.way, false);
     if (!may) return false;
     position.standing -= reserved;
     position.standing_reserved += reserved;
@@ -223,15 +231,7 @@
 
  private:
   bool MayGoUnwitnessed(const Position& position) const {
-    switch (position.policy.way) {
-      case wire::GrantWay::Unwitnessed:
-        return true;
-      case wire::GrantWay::Witnessed:
-        return !m_connected;
-      case wire::GrantWay::ClockLease:
-        break;
-    }
-    return false;
+    return GoesUnwitnessed(position.policy.way, m_connected);
   }
 
   // Marks a budget for the next TakeWishes().
--- a/src/dotterelshift/state/apply_request_grant.cc
+++ b/src/dotterelshift/state/apply_request_grant.cc
@@ -1,7 +1,8 @@
-#include <algorithm>  // for clamp
+#include <algorithm>  // for max, min
 
-#include "dotterelshift/state/apply.h"   // for Apply
-#include "dotterelshift/state/grants.h"  // for GrantOf
+#include "dotterelshift/budget/grant_way.h"  // for WithWay
+#include "dotterelshift/state/apply.h"       // for Apply
+#include "dotterelshift/state/grants.h"      // for GrantOf
 
 namespace dotterelshift::state {
 namespace {
@@ -33,17 +34,20 @@
 
 // By how much the part grows that the holder may spend without openings.
 Tokens StandingGrowth(const wire::TeamT& team, const Grant& grant) {
-  Tokens target = 0;
-  if (team.grant_way == wire::GrantWay::Unwitnessed) target = grant.tokens;
-  if (team.grant_way == wire::GrantWay::Witnessed) {
-    const Tokens seconds = team.partition_seconds;
-    const Tokens demand =
-        std::min(grant.demand_per_second, kMaxTokens / (seconds + 1));
-    target = std::min(grant.tokens - grant.Opened(), demand * seconds);
-  }
+  const budget::HoldingFacts facts{grant.tokens, grant.tokens - grant.Opened(),
+                                   grant.demand_per_second,
+                                   team.partition_seconds};
+  const Tokens target = budget::WithWay(team.grant_way, [&facts](auto policy) {
+    return decltype(policy)::StandingTarget(facts);
+  });
   return std::max<Tokens>(0, target - grant.standing);
 }
 
+bool Lapses(const wire::TeamT& team) {
+  return budget::WithWay(
+      team.grant_way, [](auto policy) { return decltype(policy)::Lapses(); });
+}
+
 }  // namespace
 
 void Apply(Context& context, const wire::RequestGrantT& command,
@@ -60,8 +64,7 @@
   if (team == nullptr)
     return Refuse(answer, ErrorKind::kNoBudget, command.budget);
 
-  const bool leased = team->grant_way == wire::GrantWay::ClockLease;
-  if (leased && account->amounts.Free() < command.wanted)
+  if (Lapses(*team) && account->amounts.Free() < command.wanted)
     ReclaimLapsed(context, *account);
   Grant& grant = GrantOf(*account, context.run);
   wire::GrantAnswerT body;
--- a/src/dotterelshift/state/apply_settle.cc
+++ b/src/dotterelshift/state/apply_settle.cc
@@ -25,13 +25,21 @@
   return true;
 }
 
+// What the settlement adds to the spend: the openings of a retired run were
+// written off in full before.
+Tokens Uncounted(const Tables& tables, RunNumber spender,
+                 const wire::SettleT& settle) {
+  const bool written_off = tables.runs[spender].retired && settle.witnessed;
+  return written_off ? 0 : settle.spent;
+}
+
 // Takes what was spent out of the holder's grant; of it, what the grant does
 // not cover comes out of the free part, and of that, what is not there shows
 // as overdrawn: only a faulty holder, or a retirement in error, gets so far.
 void Charge(Context& context, Account& account, RunNumber spender,
             const wire::SettleT& settle) {
   BudgetAccount& amounts = account.amounts;
-  Tokens rest = settle.spent;
+  Tokens rest = Uncounted(context.tables, spender, settle);
   Grant* grant = FindGrant(account, spender);
   if (grant != nullptr) {
     EndOpening(*grant, settle.attempt);
@@ -59,7 +67,7 @@
 }
 
 void Report(Context& context, const Account& account,
-            const wire::SettleT& settle, bool first_bill) {
+            const wire::SettleT& settle, Tokens spent, bool first_bill) {
   // A settlement may come late out of a spool: it counts on the day it
   // finished, but never on one that is still to come.
   const bool dated =
@@ -67,7 +75,7 @@
   TeamDay& day =
       context.tables.DayOf(context.tables.team_names[account.team],
                            dated ? settle.finished_ms : context.stamp);
-  day.spent += settle.spent;
+  day.spent += spent;
   if (first_bill) day.billed += settle.billed;
   // What was refused without being run is counted by RecordRefusals.
   if (!settle.last_attempt || settle.outcome == wire::Outcome::Refused) return;
@@ -128,7 +136,8 @@
   body.first_bill = billable && !IsBilled(tables, digest);
   Charge(context, *account, *spender, settle);
   if (body.first_bill) account->amounts.billed += settle.billed;
-  Report(context, *account, settle, body.first_bill);
+  Report(context, *account, settle, Uncounted(tables, *spender, settle),
+         body.first_bill);
   AddAttempt(tables, digest, settle.request_key,
              {settle.attempt, *spender, body.first_bill});
   Answer(answer, body);
--- a/src/dotterelshift/state/grants.cc
+++ b/src/dotterelshift/state/grants.cc
@@ -66,6 +66,7 @@
 }
 
 void RetireRun(Tables& tables, RunNumber run, WallMs stamp) {
+  tables.runs[run].retired = true;
   for (auto& [budget, account] : tables.accounts) {
     Grant* grant = FindGrant(account, run);
     if (grant == nullptr || !grant->dead) continue;
--- a/src/dotterelshift/state/snapshot.cc
+++ b/src/dotterelshift/state/snapshot.cc
@@ -79,6 +79,7 @@
     record->host = run.id.host;
     record->incarnation = run.id.incarnation;
     record->dead = run.dead;
+    record->retired = run.retired;
     record->heard_ms = run.heard;
     snapshot->runs.push_back(std::move(record));
   }
@@ -116,7 +117,8 @@
   for (const auto& record : snapshot.runs) {
     const HostRun run{record->host, record->incarnation};
     tables.run_numbers[run] = static_cast<RunNumber>(tables.runs.size());
-    tables.runs.push_back({run, record->dead, record->heard_ms});
+    tables.runs.push_back(
+        {run, record->dead, record->retired, record->heard_ms});
   }
   for (const auto& record : snapshot.hosts) {
     if (record->run >= tables.runs.size())
--- a/src/dotterelshift/state/state.cc
+++ b/src/dotterelshift/state/state.cc
@@ -181,7 +181,7 @@
       if (!newest.dead) BuryRun(m_tables, known->second.run, m_recover);
     }
     const auto number = static_cast<RunNumber>(m_tables.runs.size());
-    m_tables.runs.push_back({run, false, m_tables.last_stamp});
+    m_tables.runs.push_back({run, false, false, m_tables.last_stamp});
     m_tables.run_numbers[run] = number;
     Host fresh;
     fresh.run = number;
--- a/src/dotterelshift/state/tables.h
+++ b/src/dotterelshift/state/tables.h
@@ -52,7 +52,8 @@
 struct Run {
   HostRun id;
   bool dead = false;
-  WallMs heard = 0;  // stamp of its newest command
+  bool retired = false;  // its remainder was written off by an operator
+  WallMs heard = 0;      // stamp of its newest command
 };
 
 // An answer as it is kept for resends; what does not fit is in long_answers.
