--- /dev/null
+++ b/include/dotterelshift/app/control_link.h
@@ -0,0 +1,125 @@
+#ifndef DOTTERELSHIFT_APP_CONTROL_LINK_H_
+#define DOTTERELSHIFT_APP_CONTROL_LINK_H_
+
+#include <cstdint>   // for uint64_t
+#include <map>       // for map
+#include <memory>    // for unique_ptr
+#include <optional>  // for optional
+#include <string>    // for string
+#include <utility>   // for exchange, pair
+#include <vector>    // for vector
+
+#include "dotterelshift/base/ids.h"               // for HostRun
+#include "dotterelshift/base/time.h"              // for Instant
+#include "dotterelshift/serving/request_core.h"   // for ControlReach
+#include "dotterelshift/state/configuration.h"    // for Configuration
+#include "dotterelshift/wire/frames_generated.h"  // for FrameT
+
+namespace dotterelshift::app {
+
+struct ControlLinkOptions {
+  HostRun self;
+  Duration beat = 1s;            // to every control host in reach
+  Duration search_beat = 100ms;  // while no leader is known
+  Duration cut_off_after =
+      3s;  // since the last beat that a leader answered was sent
+  Duration resend_after =
+      1s;  // a command without an answer is sent again, with the same id
+  size_t commands_per_frame = 512;
+  size_t spool_copies = 2;
+};
+
+// An entry's side of its connections to control, as a core: finds the leader,
+// keeps commands until they are answered, follows the configuration, and says
+// how far control can be reached. A replica leads for us only once it has
+// answered a beat, which it does after a quorum confirmed it.
+class ControlLink {
+ public:
+  explicit ControlLink(const ControlLinkOptions& options)
+      : m_options(options) {}
+
+  void OnPeerUp(const HostId& host, Instant now);
+  void OnPeerDown(const HostId& host, Instant now);
+  // A frame of a control host. Frames of other kinds are passed over.
+  void OnFrame(const HostId& from, const wire::FrameT& frame, Instant now);
+  void OnTimer(Instant now);
+  Instant NextTimer() const { return m_next_beat; }
+
+  // Sends a command until it is answered; the answer is among TakeAnswers(),
+  // once.
+  void Propose(wire::CommandT command);
+  // Hands a settlement to control replicas in reach; the id is among
+  // TakeSpooled() once one of them stored it.
+  void Spool(wire::CommandT command);
+
+  // What the next beats tell the leader of our holdings.
+  void SetHoldings(std::vector<wire::BudgetHoldingT> holdings) {
+    m_holdings = std::move(holdings);
+  }
+
+  serving::ControlReach Reach() const { return m_reach; }
+  const HostId& Leader() const { return m_leader; }
+  const state::Configuration& GetConfiguration() const {
+    return m_configuration;
+  }
+  // True when nothing waits for an answer.
+  bool Idle() const { return m_unanswered.empty() && m_spooling.empty(); }
+
+  std::vector<std::pair<HostId, wire::FrameT>> TakeFrames(Instant now);
+  std::vector<wire::CommandAnswerT> TakeAnswers() {
+    return std::exchange(m_answers, {});
+  }
+  std::vector<wire::CommandIdT> TakeSpooled() {
+    return std::exchange(m_spooled, {});
+  }
+  std::vector<wire::RecallT> TakeRecalls() {
+    return std::exchange(m_recalls, {});
+  }
+  std::vector<wire::QuarantinePushT> TakeQuarantines() {
+    return std::exchange(m_quarantines, {});
+  }
+
+ private:
+  struct Unanswered {
+    wire::CommandT command;
+    Instant sent{};  // the epoch: not yet
+  };
+  void OnLeaderBeat(const HostId& from, const wire::LeaderBeatT& beat);
+  void OnAnswers(const wire::ProposeAnswersT& answers);
+  void OnSpoolStored(const wire::SpoolStoredT& stored);
+  void OnConfiguration(const wire::ConfigurationPushT& push);
+  void ForgetLeader(Instant now);
+  void UpdateReach(Instant now);
+  void SendBeats(Instant now);
+  void MarkOverdue(Instant now);
+  void SendCommands(Instant now);
+  void SendSpools(Instant now);
+
+  ControlLinkOptions m_options;
+  std::vector<HostId> m_hosts;  // control hosts in reach
+  HostId m_leader;              // empty: not known
+  uint64_t m_term = 0;
+  uint64_t m_beat_sequence = 0;
+  std::map<uint64_t, Instant>
+      m_beats_sent;  // by sequence, those not older than the answered one
+  Instant m_next_beat{};
+  std::optional<Instant> m_confirmed;  // when the newest answered beat was sent
+  serving::ControlReach m_reach = serving::ControlReach::kNever;
+  state::Configuration m_configuration;
+  uint64_t m_wanted_version = 0;  // the leader's, by its last beat
+  bool m_knows_wanted_version = false;
+  std::map<uint64_t, Unanswered> m_unanswered;  // by the id's sequence
+  std::map<uint64_t, Unanswered> m_spooling;
+  std::vector<uint64_t> m_unsent;  // sequences to be sent, or sent again
+  std::vector<uint64_t> m_unsent_spools;
+  std::vector<wire::BudgetHoldingT> m_holdings;
+  std::vector<std::pair<HostId, wire::FrameT>> m_frames;
+  std::vector<wire::CommandAnswerT> m_answers;
+  std::vector<wire::CommandIdT> m_spooled;
+  std::vector<wire::RecallT> m_recalls;
+  std::vector<wire::QuarantinePushT> m_quarantines;
+};
+
+}  // namespace dotterelshift::app
+
+#endif  // DOTTERELSHIFT_APP_CONTROL_LINK_H_
--- /dev/null
+++ b/include/dotterelshift/app/daemon.h
@@ -0,0 +1,33 @@
+#ifndef DOTTERELSHIFT_APP_DAEMON_H_
+#define DOTTERELSHIFT_APP_DAEMON_H_
+
+#include <memory>  // for unique_ptr
+
+#include "dotterelshift/base/ids.h"           // for Incarnation
+#include "dotterelshift/loop/loop.h"          // for Loop
+#include "dotterelshift/settings/settings.h"  // for Settings
+
+namespace dotterelshift::app {
+
+// One role, wired together on a loop.
+class Daemon {
+ public:
+  virtual ~Daemon() = default;
+  virtual uint16_t PeerPort() const = 0;
+  virtual uint16_t HttpPort() const = 0;
+  // Begins the graceful shutdown; the loop is stopped when it is done. A second
+  // call changes nothing.
+  virtual void Shutdown() = 0;
+};
+
+// Throw Error(kBadSettings) and the storage kinds.
+std::unique_ptr<Daemon> MakeEntry(loop::Loop& loop,
+                                  const settings::Settings& settings,
+                                  Incarnation incarnation);
+std::unique_ptr<Daemon> MakeControl(loop::Loop& loop,
+                                    const settings::Settings& settings,
+                                    Incarnation incarnation);
+
+}  // namespace dotterelshift::app
+
+#endif  // DOTTERELSHIFT_APP_DAEMON_H_
--- /dev/null
+++ b/src/dotterelshift/app/control.cc
@@ -0,0 +1,381 @@
+#include <map>      // for map
+#include <set>      // for set
+#include <string>   // for string
+#include <utility>  // for move
+
+#include "dotterelshift/app/control_replica.h"     // for ControlReplica
+#include "dotterelshift/app/daemon.h"              // for Daemon
+#include "dotterelshift/app/directory_exchange.h"  // for DirectoryExchange
+#include "dotterelshift/app/hub_options.h"         // for MakeHubOptions
+#include "dotterelshift/app/operator_backend.h"    // for MakeControlBackend
+#include "dotterelshift/app/server_refusal.h"      // for MakeServerRefusal
+#include "dotterelshift/callers/front.h"           // for AnswerError
+#include "dotterelshift/platform/log.h"            // for Log
+#include "dotterelshift/platform/metrics.h"        // for Metrics
+
+namespace dotterelshift::app {
+namespace {
+
+constexpr Duration kTick = 100ms;
+// How often the leader lets old bills and claims age out.
+constexpr Duration kAgeOutEvery = 60s;
+
+// The control role: one replica of the state, the entries that propose to it,
+// and the operators.
+class Control : public Daemon {
+ public:
+  Control(loop::Loop& loop, const settings::Settings& settings,
+          Incarnation incarnation);
+
+  uint16_t PeerPort() const override { return m_hub->Port(); }
+  uint16_t HttpPort() const override { return m_server->Port(); }
+  void Shutdown() override {
+    platform::Log(platform::LogLevel::kInfo, "shutdown_done");
+    m_loop.Stop();
+  }
+
+ private:
+  // An entry that is connected, and what it has told.
+  struct EntryPeer {
+    peers::PeerInfo info;
+    uint64_t version =
+        0;  // of the configuration that it has, or that is on its way
+    std::vector<wire::BudgetHoldingT> held;
+  };
+
+  http::ServerOptions ServerOptions() const;
+  peers::HubCallbacks HubCallbacks();
+  ControlReplicaCallbacks ReplicaCallbacks();
+  void OnExchange(std::shared_ptr<http::Exchange> exchange);
+  void OnPeerUp(const peers::PeerInfo& peer);
+  void OnPeerFrame(const peers::PeerInfo& peer, const wire::FrameT& frame);
+  void OnPropose(const peers::PeerInfo& peer, const wire::ProposeT& propose);
+  void OnBeat(const peers::PeerInfo& peer, const wire::EntryBeatT& beat);
+  void OnSpool(const peers::PeerInfo& peer, const wire::SpoolT& spool);
+  void SendHint(const HostId& host);
+  void OnApplied(const wire::CommandBatchT& batch,
+                 const std::vector<wire::CommandAnswerT>& answers);
+  void RecallFor(const wire::RequestGrantT& request, const HostId& asker,
+                 const wire::GrantAnswerT& answer);
+  void PushConfiguration(EntryPeer& entry);
+  void PushQuarantine(const HostId& host);
+  void OnTick();
+  std::unique_ptr<wire::CommandIdT> NextId();
+  void UpdateGauges();
+
+  loop::Loop& m_loop;
+  settings::Settings m_settings;
+  HostRun m_self;
+  std::string m_secret;
+  uint64_t m_sequence = 0;
+  DirectoryExchange m_directory;
+  std::unique_ptr<platform::Metrics> m_metrics;
+  std::unique_ptr<http::Server> m_server;
+  std::unique_ptr<peers::Hub> m_hub;
+  std::unique_ptr<ControlReplica> m_replica;
+  std::unique_ptr<OperatorBackend> m_backend;
+  std::unique_ptr<operators::Api> m_api;
+  std::map<HostId, EntryPeer> m_entries;
+  loop::Timer m_tick;
+  Instant m_next_age_out{};
+};
+
+Control::Control(loop::Loop& loop, const settings::Settings& settings,
+                 Incarnation incarnation)
+    : m_loop(loop),
+      m_settings(settings),
+      m_self{settings.host, incarnation},
+      m_secret(settings::ReadSecret(settings.secret_file)),
+      m_directory(loop, {[] {}, [](const std::vector<wire::CacheEventT>&) {}}),
+      m_metrics(platform::MakeMetrics()),
+      m_tick(loop, [this] { OnTick(); }) {
+  m_server = http::MakeServer(loop, ServerOptions(),
+                              [this](std::shared_ptr<http::Exchange> exchange) {
+                                OnExchange(std::move(exchange));
+                              });
+  m_hub = peers::MakeHub(
+      loop, MakeHubOptions(settings, m_secret, incarnation, m_server->Port()),
+      HubCallbacks());
+  m_directory.SetHub(m_hub.get());
+  ControlReplicaOptions options;
+  options.node.seed = incarnation;
+  options.store.folder = settings.data_folder;
+  options.first_members = settings.first_members;
+  options.self = settings.host;
+  options.self_address = settings.address + ":" + std::to_string(m_hub->Port());
+  m_replica = MakeControlReplica(loop, options, ReplicaCallbacks());
+  const std::string http_address =
+      settings.http_address + ":" + std::to_string(m_server->Port());
+  m_backend =
+      MakeControlBackend(loop, *m_hub, *m_replica, m_directory.GetDirectory(),
+                         http_address, m_self, [this] { return NextId(); });
+  operators::ApiOptions api;
+  api.fleet_secret = m_secret;
+  if (!settings.operator_key_file.empty())
+    api.keys = settings::ReadOperatorKeys(settings.operator_key_file);
+  m_api = operators::MakeApi(api, *m_backend);
+  m_tick.ArmIn(0ms);
+}
+
+http::ServerOptions Control::ServerOptions() const {
+  http::ServerOptions options;
+  options.address = m_settings.http_address;
+  options.port = m_settings.http_port;
+  options.refusal = MakeServerRefusal;
+  return options;
+}
+
+peers::HubCallbacks Control::HubCallbacks() {
+  peers::HubCallbacks callbacks;
+  callbacks.on_up = [this](const peers::PeerInfo& peer) { OnPeerUp(peer); };
+  callbacks.on_down = [this](const peers::PeerInfo& peer) {
+    m_entries.erase(peer.run.host);
+  };
+  callbacks.on_frame = [this](const peers::PeerInfo& peer,
+                              const wire::FrameT& frame) {
+    OnPeerFrame(peer, frame);
+  };
+  return callbacks;
+}
+
+ControlReplicaCallbacks Control::ReplicaCallbacks() {
+  ControlReplicaCallbacks callbacks;
+  callbacks.send = [this](const HostId& host, const wire::FrameT& frame) {
+    m_hub->Send(host, frame);
+  };
+  callbacks.on_applied = [this](
+                             const wire::CommandBatchT& batch,
+                             const std::vector<wire::CommandAnswerT>& answers) {
+    OnApplied(batch, answers);
+  };
+  callbacks.on_leadership_changed = [this] {
+    const bool leads = m_replica != nullptr && m_replica->Leads();
+    platform::Log(platform::LogLevel::kInfo, "leadership",
+                  {{"leads", leads ? "yes" : "no"}});
+  };
+  return callbacks;
+}
+
+void Control::OnExchange(std::shared_ptr<http::Exchange> exchange) {
+  const std::string& path = exchange->GetRequest().path;
+  if (path.starts_with("/operator/v1/")) {
+    m_api->Accept(std::move(exchange));
+  } else if (path == "/healthz") {
+    exchange->Answer(200, {{"content-type", "text/plain"}}, "ok\n");
+  } else if (path == "/readyz") {
+    const bool ready = m_replica->Leads() || !m_replica->LeaderHost().empty();
+    exchange->Answer(ready ? 200 : 503, {{"content-type", "text/plain"}},
+                     ready ? "ready\n" : "no leader\n");
+  } else if (path == "/metrics") {
+    UpdateGauges();
+    exchange->Answer(200, {{"content-type", "text/plain; version=0.0.4"}},
+                     m_metrics->Text());
+  } else {
+    callers::AnswerError(*exchange, ErrorKind::kUnknownPath, path);
+  }
+}
+
+void Control::OnPeerUp(const peers::PeerInfo& peer) {
+  m_directory.OnPeerUp(peer);
+  if (peer.role != wire::HostRole::Entry) return;
+  m_entries[peer.run.host].info = peer;
+  if (m_replica->Leads()) PushQuarantine(peer.run.host);
+}
+
+void Control::OnPeerFrame(const peers::PeerInfo& peer,
+                          const wire::FrameT& frame) {
+  if (m_directory.OnFrame(frame)) return;
+  if (const auto* propose = frame.body.AsPropose()) {
+    OnPropose(peer, *propose);
+  } else if (const auto* beat = frame.body.AsEntryBeat()) {
+    OnBeat(peer, *beat);
+  } else if (const auto* spool = frame.body.AsSpool()) {
+    OnSpool(peer, *spool);
+  } else if (peer.role == wire::HostRole::Control) {
+    m_replica->OnFrame(peer, frame);
+  }
+}
+
+void Control::OnPropose(const peers::PeerInfo& peer,
+                        const wire::ProposeT& propose) {
+  std::vector<wire::CommandT> commands;
+  for (const auto& command : propose.commands) {
+    // An entry speaks only for its own run.
+    const bool own = command != nullptr && command->id != nullptr &&
+                     command->id->host == peer.run.host &&
+                     command->id->incarnation == peer.run.incarnation;
+    if (own) commands.push_back(*command);
+  }
+  const HostId host = peer.run.host;
+  m_replica->Propose(
+      std::move(commands),
+      [this, host](ErrorKind error, std::vector<wire::CommandAnswerT> answers) {
+        if (error != ErrorKind::kNone) {
+          SendHint(host);
+          return;
+        }
+        wire::ProposeAnswersT reply;
+        for (wire::CommandAnswerT& answer : answers) {
+          reply.answers.push_back(
+              std::make_unique<wire::CommandAnswerT>(std::move(answer)));
+        }
+        m_hub->Send(host, peers::MakeFrame(std::move(reply)));
+      });
+}
+
+void Control::SendHint(const HostId& host) {
+  wire::LeaderHintT hint;
+  hint.host = m_replica->LeaderHost();
+  hint.term = m_replica->GetNode().Term();
+  m_hub->Send(host, peers::MakeFrame(std::move(hint)));
+}
+
+void Control::OnBeat(const peers::PeerInfo& peer,
+                     const wire::EntryBeatT& beat) {
+  const auto entry = m_entries.find(peer.run.host);
+  if (entry == m_entries.end()) return;
+  entry->second.version = beat.configuration_version;
+  entry->second.held.clear();
+  for (const auto& holding : beat.held) {
+    if (holding != nullptr) entry->second.held.push_back(*holding);
+  }
+  const HostId host = peer.run.host;
+  m_replica->ConfirmedRead(
+      [this, host, sequence = beat.sequence](ErrorKind error) {
+        if (error != ErrorKind::kNone) return;
+        const auto confirmed = m_entries.find(host);
+        if (confirmed == m_entries.end()) return;
+        PushConfiguration(confirmed->second);
+        wire::LeaderBeatT answer;
+        answer.sequence = sequence;
+        answer.term = m_replica->GetNode().Term();
+        answer.configuration_version =
+            m_replica->GetState().GetConfiguration().Version();
+        answer.stamp_ms = m_loop.WallNow();
+        m_hub->Send(host, peers::MakeFrame(std::move(answer)));
+      });
+}
+
+void Control::OnSpool(const peers::PeerInfo& peer, const wire::SpoolT& spool) {
+  m_replica->Spool(spool);
+  wire::SpoolStoredT stored;
+  for (const auto& command : spool.commands) {
+    if (command == nullptr || command->id == nullptr) continue;
+    stored.ids.push_back(std::make_unique<wire::CommandIdT>(*command->id));
+  }
+  m_hub->Send(peer.run.host, peers::MakeFrame(std::move(stored)));
+}
+
+void Control::OnApplied(const wire::CommandBatchT& batch,
+                        const std::vector<wire::CommandAnswerT>& answers) {
+  // While the folder is read at the start there is nobody to tell.
+  if (m_replica == nullptr || !m_replica->Leads()) return;
+  bool suspects = false;
+  for (size_t i = 0; i < answers.size(); ++i) {
+    const wire::CommandT& command = *batch.commands[i];
+    suspects = suspects || answers[i].body.AsSuspectAnswer() != nullptr;
+    const auto* request = command.body.AsRequestGrant();
+    const auto* grant = answers[i].body.AsGrantAnswer();
+    if (request != nullptr && grant != nullptr)
+      RecallFor(*request, command.id->host, *grant);
+  }
+  for (auto& [host, entry] : m_entries) {
+    PushConfiguration(entry);
+    if (suspects) PushQuarantine(host);
+  }
+}
+
+// Asks holders for what is idle when a request got less than it needs.
+void Control::RecallFor(const wire::RequestGrantT& request, const HostId& asker,
+                        const wire::GrantAnswerT& answer) {
+  if (answer.tokens >= request.minimum || answer.elsewhere == 0) return;
+  for (const state::Holding& holding :
+       m_replica->GetState().HoldingsOf(request.budget)) {
+    if (holding.holder.host == asker || holding.tokens <= holding.opened)
+      continue;
+    wire::RecallT recall;
+    recall.budget = request.budget;
+    recall.tokens = request.wanted;
+    m_hub->Send(holding.holder.host, peers::MakeFrame(std::move(recall)));
+  }
+}
+
+void Control::PushConfiguration(EntryPeer& entry) {
+  const state::State& state = m_replica->GetState();
+  const uint64_t version = state.GetConfiguration().Version();
+  if (entry.version >= version) return;
+  std::vector<wire::ChangeT> changes;
+  uint64_t from = entry.version;
+  if (from > 0) changes = state.ChangesSince(from);
+  if (changes.empty()) {
+    from = 0;
+    changes = state.GetConfiguration().AsChanges();
+  }
+  wire::ConfigurationPushT push;
+  push.term = m_replica->GetNode().Term();
+  push.commit_index = m_replica->GetNode().Commit();
+  push.from_version = from;
+  push.to_version = version;
+  for (wire::ChangeT& change : changes)
+    push.changes.push_back(std::make_unique<wire::ChangeT>(std::move(change)));
+  m_hub->Send(entry.info.run.host, peers::MakeFrame(std::move(push)));
+  entry.version = version;
+}
+
+void Control::PushQuarantine(const HostId& host) {
+  wire::QuarantinePushT push;
+  for (const wire::SuspectAnswerT& entry :
+       m_replica->GetState().Quarantined(m_loop.WallNow())) {
+    push.entries.push_back(std::make_unique<wire::SuspectAnswerT>(entry));
+  }
+  if (!push.entries.empty())
+    m_hub->Send(host, peers::MakeFrame(std::move(push)));
+}
+
+void Control::OnTick() {
+  const Instant now = m_loop.Now();
+  if (m_replica->Leads() && now >= m_next_age_out) {
+    m_next_age_out = now + kAgeOutEvery;
+    wire::CommandT command;
+    command.body.Set(wire::AgeOutT());
+    m_backend->Propose(std::move(command),
+                       [](ErrorKind, const wire::CommandAnswerT&) {});
+  }
+  m_tick.ArmIn(kTick);
+}
+
+std::unique_ptr<wire::CommandIdT> Control::NextId() {
+  auto id = std::make_unique<wire::CommandIdT>();
+  id->host = m_self.host;
+  id->incarnation = m_self.incarnation;
+  id->sequence = ++m_sequence;
+  return id;
+}
+
+void Control::UpdateGauges() {
+  const replication::Node& node = m_replica->GetNode();
+  const peers::HubCounters& hub = m_hub->Counters();
+  m_metrics->SetGauge("dotterelshift_leads",
+                      "1 while this replica leads inside its lease",
+                      m_replica->Leads());
+  m_metrics->SetGauge("dotterelshift_term", "Term of the log",
+                      static_cast<double>(node.Term()));
+  m_metrics->SetGauge("dotterelshift_commit_index", "Committed up to here",
+                      static_cast<double>(node.Commit()));
+  m_metrics->SetGauge("dotterelshift_entries_connected", "Entries connected",
+                      static_cast<double>(m_entries.size()));
+  m_metrics->SetCounter("dotterelshift_peer_bytes_in_total",
+                        "Bytes from other daemons", double(hub.bytes_in));
+  m_metrics->SetCounter("dotterelshift_peer_bytes_out_total",
+                        "Bytes to other daemons", double(hub.bytes_out));
+}
+
+}  // namespace
+
+std::unique_ptr<Daemon> MakeControl(loop::Loop& loop,
+                                    const settings::Settings& settings,
+                                    Incarnation incarnation) {
+  return std::make_unique<Control>(loop, settings, incarnation);
+}
+
+}  // namespace dotterelshift::app
--- /dev/null
+++ b/src/dotterelshift/app/control_link.cc
@@ -0,0 +1,200 @@
+#include "dotterelshift/app/control_link.h"
+
+#include <algorithm>  // for find
+#include <utility>    // for move
+
+#include "dotterelshift/peers/hub.h"  // for MakeFrame
+
+namespace dotterelshift::app {
+
+using peers::MakeFrame;
+using serving::ControlReach;
+
+void ControlLink::OnPeerUp(const HostId& host, Instant now) {
+  if (std::ranges::find(m_hosts, host) == m_hosts.end())
+    m_hosts.push_back(host);
+  m_next_beat = now;
+}
+
+void ControlLink::OnPeerDown(const HostId& host, Instant now) {
+  std::erase(m_hosts, host);
+  if (host == m_leader) ForgetLeader(now);
+}
+
+void ControlLink::ForgetLeader(Instant now) {
+  m_leader.clear();
+  m_next_beat = now;
+}
+
+void ControlLink::OnFrame(const HostId& from, const wire::FrameT& frame,
+                          Instant now) {
+  if (const auto* answers = frame.body.AsProposeAnswers()) {
+    OnAnswers(*answers);
+  } else if (const auto* beat = frame.body.AsLeaderBeat()) {
+    OnLeaderBeat(from, *beat);
+  } else if (frame.body.AsLeaderHint() != nullptr) {
+    if (from == m_leader) ForgetLeader(now);
+  } else if (const auto* push = frame.body.AsConfigurationPush()) {
+    OnConfiguration(*push);
+  } else if (const auto* recall = frame.body.AsRecall()) {
+    m_recalls.push_back(*recall);
+  } else if (const auto* quarantine = frame.body.AsQuarantinePush()) {
+    m_quarantines.push_back(*quarantine);
+  } else if (const auto* stored = frame.body.AsSpoolStored()) {
+    OnSpoolStored(*stored);
+  }
+  UpdateReach(now);
+}
+
+void ControlLink::OnLeaderBeat(const HostId& from,
+                               const wire::LeaderBeatT& beat) {
+  if (beat.term < m_term) return;
+  const auto sent = m_beats_sent.find(beat.sequence);
+  if (sent == m_beats_sent.end()) return;
+  m_confirmed = std::max(m_confirmed.value_or(sent->second), sent->second);
+  m_term = beat.term;
+  m_wanted_version = beat.configuration_version;
+  m_knows_wanted_version = true;
+  m_beats_sent.erase(m_beats_sent.begin(), sent);
+  if (m_leader == from) return;
+  // A new leader may not have what was on its way to the old one.
+  m_leader = from;
+  m_unsent.clear();
+  for (const auto& [sequence, waiting] : m_unanswered)
+    m_unsent.push_back(sequence);
+}
+
+void ControlLink::OnAnswers(const wire::ProposeAnswersT& answers) {
+  for (const auto& answer : answers.answers) {
+    if (answer == nullptr || answer->id == nullptr) continue;
+    if (m_unanswered.erase(answer->id->sequence) > 0)
+      m_answers.push_back(*answer);
+  }
+}
+
+void ControlLink::OnSpoolStored(const wire::SpoolStoredT& stored) {
+  for (const auto& id : stored.ids) {
+    if (id != nullptr && m_spooling.erase(id->sequence) > 0)
+      m_spooled.push_back(*id);
+  }
+}
+
+void ControlLink::OnConfiguration(const wire::ConfigurationPushT& push) {
+  const bool whole = push.from_version == 0;
+  if (push.to_version <= m_configuration.Version()) return;
+  // A gap: the next beat tells the leader our version, and it sends the rest.
+  if (!whole && push.from_version != m_configuration.Version()) return;
+  std::vector<wire::ChangeT> changes;
+  for (const auto& change : push.changes) {
+    if (change != nullptr) changes.push_back(*change);
+  }
+  if (whole) m_configuration = state::Configuration();
+  m_configuration.Apply(changes, push.to_version);
+}
+
+void ControlLink::UpdateReach(Instant now) {
+  const bool current =
+      m_knows_wanted_version && m_configuration.Version() >= m_wanted_version;
+  const bool fresh =
+      m_confirmed.has_value() && now - *m_confirmed < m_options.cut_off_after;
+  if (m_reach == ControlReach::kNever) {
+    if (fresh && current) m_reach = ControlReach::kConnected;
+    return;
+  }
+  m_reach = fresh ? ControlReach::kConnected : ControlReach::kCutOff;
+}
+
+void ControlLink::OnTimer(Instant now) {
+  UpdateReach(now);
+  if (now < m_next_beat) return;
+  MarkOverdue(now);
+  SendBeats(now);
+}
+
+void ControlLink::SendBeats(Instant now) {
+  const uint64_t sequence = ++m_beat_sequence;
+  m_beats_sent[sequence] = now;
+  while (now - m_beats_sent.begin()->second > m_options.cut_off_after)
+    m_beats_sent.erase(m_beats_sent.begin());
+  for (const HostId& host : m_hosts) {
+    wire::EntryBeatT beat;
+    beat.sequence = sequence;
+    beat.configuration_version = m_configuration.Version();
+    if (host == m_leader) {
+      for (const auto& holding : m_holdings)
+        beat.held.push_back(std::make_unique<wire::BudgetHoldingT>(holding));
+    }
+    m_frames.emplace_back(host, MakeFrame(std::move(beat)));
+  }
+  m_next_beat =
+      now + (m_leader.empty() ? m_options.search_beat : m_options.beat);
+}
+
+void ControlLink::Propose(wire::CommandT command) {
+  const uint64_t sequence = command.id->sequence;
+  m_unanswered[sequence].command = std::move(command);
+  m_unsent.push_back(sequence);
+}
+
+void ControlLink::Spool(wire::CommandT command) {
+  const uint64_t sequence = command.id->sequence;
+  m_spooling[sequence].command = std::move(command);
+  m_unsent_spools.push_back(sequence);
+}
+
+void ControlLink::MarkOverdue(Instant now) {
+  for (const auto& [sequence, waiting] : m_unanswered) {
+    if (waiting.sent != Instant{} &&
+        now - waiting.sent >= m_options.resend_after)
+      m_unsent.push_back(sequence);
+  }
+  for (const auto& [sequence, waiting] : m_spooling) {
+    if (waiting.sent != Instant{} &&
+        now - waiting.sent >= m_options.resend_after)
+      m_unsent_spools.push_back(sequence);
+  }
+}
+
+void ControlLink::SendCommands(Instant now) {
+  if (m_leader.empty()) return;
+  wire::ProposeT propose;
+  const auto send = [&] {
+    m_frames.emplace_back(m_leader, MakeFrame(std::move(propose)));
+    propose = {};
+  };
+  for (const uint64_t sequence : std::exchange(m_unsent, {})) {
+    const auto waiting = m_unanswered.find(sequence);
+    if (waiting == m_unanswered.end()) continue;
+    waiting->second.sent = now;
+    propose.commands.push_back(
+        std::make_unique<wire::CommandT>(waiting->second.command));
+    if (propose.commands.size() == m_options.commands_per_frame) send();
+  }
+  if (!propose.commands.empty()) send();
+}
+
+void ControlLink::SendSpools(Instant now) {
+  if (m_hosts.empty()) return;
+  wire::SpoolT spool;
+  for (const uint64_t sequence : std::exchange(m_unsent_spools, {})) {
+    const auto waiting = m_spooling.find(sequence);
+    if (waiting == m_spooling.end()) continue;
+    waiting->second.sent = now;
+    spool.commands.push_back(
+        std::make_unique<wire::CommandT>(waiting->second.command));
+  }
+  if (spool.commands.empty()) return;
+  for (size_t i = 0; i < std::min(m_options.spool_copies, m_hosts.size());
+       ++i) {
+    m_frames.emplace_back(m_hosts[i], MakeFrame(wire::SpoolT(spool)));
+  }
+}
+
+std::vector<std::pair<HostId, wire::FrameT>> ControlLink::TakeFrames(
+    Instant now) {
+  SendCommands(now);
+  SendSpools(now);
+  return std::exchange(m_frames, {});
+}
+
+}  // namespace dotterelshift::app
--- /dev/null
+++ b/src/dotterelshift/app/control_link_test.cc
@@ -0,0 +1,180 @@
+#include "dotterelshift/app/control_link.h"
+
+#include <cppunit/extensions/HelperMacros.h>  // for CPPUNIT_TEST
+
+#include "dotterelshift/peers/hub.h"  // for MakeFrame
+
+namespace dotterelshift::app {
+namespace {
+
+using peers::MakeFrame;
+using serving::ControlReach;
+
+// A link with a clock moved by hand and two control hosts, c1 and c2.
+class ControlLinkTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(ControlLinkTest);
+  CPPUNIT_TEST(ReadyOnlyWithTheCurrentConfiguration);
+  CPPUNIT_TEST(CommandsFollowTheLeaderUnderTheirFirstId);
+  CPPUNIT_TEST(EachAnswerComesOnce);
+  CPPUNIT_TEST(CutOffCountsFromTheSendingOfABeat);
+  CPPUNIT_TEST(VersionsNeverFall);
+  CPPUNIT_TEST(AnOlderTermDoesNotLead);
+  CPPUNIT_TEST(SpoolsGoToWhoIsInReach);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void setUp() override {
+    m_link = std::make_unique<ControlLink>(ControlLinkOptions());
+    m_link->OnPeerUp("c1", m_now);
+    m_link->OnPeerUp("c2", m_now);
+  }
+
+  void ReadyOnlyWithTheCurrentConfiguration() {
+    AnswerBeat("c1", 1, 2);
+    CPPUNIT_ASSERT(m_link->Reach() == ControlReach::kNever);
+    Push(0, 1);
+    CPPUNIT_ASSERT(m_link->Reach() == ControlReach::kNever);
+    Push(1, 2);
+    CPPUNIT_ASSERT(m_link->Reach() == ControlReach::kConnected);
+  }
+
+  void CommandsFollowTheLeaderUnderTheirFirstId() {
+    m_link->Propose(CommandOf(7));
+    CPPUNIT_ASSERT(TakeProposed("c1").empty());
+    AnswerBeat("c1", 1, 0);
+    CPPUNIT_ASSERT(TakeProposed("c1") == std::vector<uint64_t>{7});
+    m_link->OnPeerDown("c1", m_now);
+    m_link->Propose(CommandOf(8));
+    AnswerBeat("c2", 2, 0);
+    CPPUNIT_ASSERT(TakeProposed("c2") == (std::vector<uint64_t>{7, 8}));
+    // Without an answer they are sent again, not sooner than said.
+    m_now += 900ms;
+    m_link->OnTimer(m_now);
+    CPPUNIT_ASSERT(TakeProposed("c2").empty());
+    m_now += 1100ms;
+    m_link->OnTimer(m_now);
+    CPPUNIT_ASSERT(TakeProposed("c2") == (std::vector<uint64_t>{7, 8}));
+  }
+
+  void EachAnswerComesOnce() {
+    AnswerBeat("c1", 1, 0);
+    m_link->Propose(CommandOf(7));
+    wire::ProposeAnswersT answers;
+    answers.answers.push_back(std::make_unique<wire::CommandAnswerT>());
+    answers.answers[0]->id = IdOf(7);
+    const wire::FrameT frame = MakeFrame(std::move(answers));
+    m_link->OnFrame("c1", frame, m_now);
+    m_link->OnFrame("c1", frame, m_now);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, m_link->TakeAnswers().size());
+    CPPUNIT_ASSERT(m_link->Idle());
+  }
+
+  void CutOffCountsFromTheSendingOfABeat() {
+    const uint64_t sequence = NextBeat("c1");
+    m_now += 2900ms;
+    Answer("c1", sequence, 1, 0);
+    CPPUNIT_ASSERT(m_link->Reach() == ControlReach::kConnected);
+    m_now += 200ms;
+    m_link->OnTimer(m_now);
+    CPPUNIT_ASSERT(m_link->Reach() == ControlReach::kCutOff);
+    AnswerBeat("c2", 2, 0);
+    CPPUNIT_ASSERT(m_link->Reach() == ControlReach::kConnected);
+  }
+
+  void VersionsNeverFall() {
+    Push(0, 5);
+    Push(0, 4);
+    CPPUNIT_ASSERT_EQUAL(uint64_t{5}, m_link->GetConfiguration().Version());
+    Push(6, 7);  // a gap
+    CPPUNIT_ASSERT_EQUAL(uint64_t{5}, m_link->GetConfiguration().Version());
+    Push(5, 6);
+    CPPUNIT_ASSERT_EQUAL(uint64_t{6}, m_link->GetConfiguration().Version());
+  }
+
+  void AnOlderTermDoesNotLead() {
+    AnswerBeat("c2", 5, 0);
+    AnswerBeat("c1", 4, 0);
+    CPPUNIT_ASSERT_EQUAL(HostId("c2"), m_link->Leader());
+  }
+
+  void SpoolsGoToWhoIsInReach() {
+    m_link->OnPeerDown("c1", m_now);
+    m_link->Spool(CommandOf(3));
+    const auto frames = m_link->TakeFrames(m_now);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, frames.size());
+    CPPUNIT_ASSERT_EQUAL(HostId("c2"), frames[0].first);
+    wire::SpoolStoredT stored;
+    stored.ids.push_back(IdOf(3));
+    m_link->OnFrame("c2", MakeFrame(std::move(stored)), m_now);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, m_link->TakeSpooled().size());
+    CPPUNIT_ASSERT(m_link->Idle());
+  }
+
+ private:
+  static std::unique_ptr<wire::CommandIdT> IdOf(uint64_t sequence) {
+    auto id = std::make_unique<wire::CommandIdT>();
+    id->host = "e1";
+    id->incarnation = 1;
+    id->sequence = sequence;
+    return id;
+  }
+
+  static wire::CommandT CommandOf(uint64_t sequence) {
+    wire::CommandT command;
+    command.id = IdOf(sequence);
+    command.body.Set(wire::AgeOutT());
+    return command;
+  }
+
+  // Lets the next beat go out and returns its sequence as the host got it.
+  uint64_t NextBeat(const HostId& host) {
+    m_now = std::max(m_now, m_link->NextTimer());
+    m_link->OnTimer(m_now);
+    uint64_t sequence = 0;
+    for (const auto& [to, frame] : m_link->TakeFrames(m_now)) {
+      const auto* beat = frame.body.AsEntryBeat();
+      if (to == host && beat != nullptr) sequence = beat->sequence;
+    }
+    CPPUNIT_ASSERT(sequence > 0);
+    return sequence;
+  }
+
+  void Answer(const HostId& host, uint64_t sequence, uint64_t term,
+              uint64_t version) {
+    wire::LeaderBeatT answer;
+    answer.sequence = sequence;
+    answer.term = term;
+    answer.configuration_version = version;
+    m_link->OnFrame(host, MakeFrame(std::move(answer)), m_now);
+  }
+
+  void AnswerBeat(const HostId& host, uint64_t term, uint64_t version) {
+    Answer(host, NextBeat(host), term, version);
+  }
+
+  void Push(uint64_t from, uint64_t to) {
+    wire::ConfigurationPushT push;
+    push.from_version = from;
+    push.to_version = to;
+    m_link->OnFrame("c1", MakeFrame(std::move(push)), m_now);
+  }
+
+  std::vector<uint64_t> TakeProposed(const HostId& host) {
+    std::vector<uint64_t> sequences;
+    for (const auto& [to, frame] : m_link->TakeFrames(m_now)) {
+      const auto* propose = frame.body.AsPropose();
+      if (to != host || propose == nullptr) continue;
+      for (const auto& command : propose->commands)
+        sequences.push_back(command->id->sequence);
+    }
+    return sequences;
+  }
+
+  Instant m_now = Instant{} + 1000s;
+  std::unique_ptr<ControlLink> m_link;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ControlLinkTest);
+
+}  // namespace
+}  // namespace dotterelshift::app
--- /dev/null
+++ b/src/dotterelshift/app/directory_exchange.h
@@ -0,0 +1,49 @@
+#ifndef DOTTERELSHIFT_APP_DIRECTORY_EXCHANGE_H_
+#define DOTTERELSHIFT_APP_DIRECTORY_EXCHANGE_H_
+
+#include <functional>  // for function
+#include <vector>      // for vector
+
+#include "dotterelshift/directory/directory.h"  // for Directory
+#include "dotterelshift/http/server.h"          // for Exchange
+#include "dotterelshift/loop/loop.h"            // for Timer
+#include "dotterelshift/peers/hub.h"            // for Hub
+
+namespace dotterelshift::app {
+
+// Keeps this daemon's directory of endpoints in step with the other daemons,
+// and takes announcements in.
+class DirectoryExchange {
+ public:
+  struct Callbacks {
+    std::function<void()>
+        on_change;  // the set of usable endpoints, or what they report
+    std::function<void(const std::vector<wire::CacheEventT>&)> on_cache_events;
+  };
+  DirectoryExchange(loop::Loop& loop, Callbacks callbacks);
+
+  // The hub is made after this object, because its callbacks lead here.
+  void SetHub(peers::Hub* hub) { m_hub = hub; }
+
+  // POST /endpoint/v1/announce.
+  void OnAnnounce(http::Exchange& exchange);
+  void OnPeerUp(const peers::PeerInfo& peer);
+  // True when the frame was one of the directory's.
+  bool OnFrame(const wire::FrameT& frame);
+
+  directory::Directory& GetDirectory() { return m_directory; }
+
+ private:
+  void OnTimer();
+
+  loop::Loop& m_loop;
+  Callbacks m_callbacks;
+  peers::Hub* m_hub = nullptr;
+  directory::Directory m_directory;
+  std::vector<wire::CacheEventT> m_events_to_spread;
+  loop::Timer m_timer;
+};
+
+}  // namespace dotterelshift::app
+
+#endif  // DOTTERELSHIFT_APP_DIRECTORY_EXCHANGE_H_
--- /dev/null
+++ b/src/dotterelshift/app/request_traffic.cc
@@ -0,0 +1,172 @@
+#include "dotterelshift/app/request_traffic.h"
+
+#include <utility>  // for move
+#include <variant>  // for visit
+
+namespace dotterelshift::app {
+
+RequestTraffic::RequestTraffic(
+    loop::Loop& loop, const callers::FrontOptions& front_options,
+    const endpoints::AttemptRunnerOptions& runner_options,
+    serving::RequestCore& core, platform::Metrics& metrics, Callbacks callbacks)
+    : m_loop(loop),
+      m_core(core),
+      m_metrics(metrics),
+      m_callbacks(std::move(callbacks)),
+      m_client(http::MakeClient(loop)),
+      m_front(callers::MakeFront(front_options, MakeFrontEvents())),
+      m_runner(endpoints::MakeAttemptRunner(*m_client, runner_options,
+                                            MakeAttemptEvents())),
+      m_timer(loop, [this] {
+        m_timer_at = {};
+        m_core.OnTimer(m_loop.Now());
+        Pump();
+      }) {}
+
+callers::FrontEvents RequestTraffic::MakeFrontEvents() {
+  callers::FrontEvents events;
+  events.on_request = [this](RequestId request,
+                             callers::CallerRequest caller_request) {
+    m_core.OnRequest(request, std::move(caller_request), m_loop.Now());
+    Pump();
+  };
+  events.on_refused = [this](RequestId request,
+                             const callers::Refusal& refusal) {
+    serving::RequestSummary summary;
+    summary.request = request;
+    summary.error = refusal.kind;
+    m_metrics.OnFinished(summary);
+  };
+  events.on_gone = [this](RequestId request) {
+    m_core.OnCallerGone(request, m_loop.Now());
+    Forget(request);
+    Pump();
+  };
+  events.on_drained = [this](RequestId request) { OnDrained(request); };
+  return events;
+}
+
+endpoints::AttemptEvents RequestTraffic::MakeAttemptEvents() {
+  endpoints::AttemptEvents events;
+  events.on_head = [this](AttemptId attempt, int status,
+                          std::string_view content_type) {
+    const auto flight = m_flights.find(attempt);
+    if (flight == m_flights.end()) return;
+    flight->second.status = status;
+    flight->second.content_type = content_type;
+    m_core.OnAttemptHead(attempt, status, m_loop.Now());
+    Pump();
+  };
+  events.on_piece = [this](AttemptId attempt, const serving::Piece& piece,
+                           std::string_view bytes) {
+    return OnPiece(attempt, piece, bytes);
+  };
+  events.on_end = [this](AttemptId attempt, serving::AttemptEnd end) {
+    m_core.OnAttemptEnd(attempt, end, m_loop.Now());
+    Pump();
+  };
+  return events;
+}
+
+bool RequestTraffic::OnPiece(AttemptId attempt, const serving::Piece& piece,
+                             std::string_view bytes) {
+  const Instant now = m_loop.Now();
+  const serving::PieceVerdict verdict = m_core.OnPiece(attempt, piece, now);
+  bool go_on = true;
+  const auto found = m_flights.find(attempt);
+  if (verdict == serving::PieceVerdict::kForward && found != m_flights.end()) {
+    Flight& flight = found->second;
+    if (flight.streamed) {
+      SendHead(flight);
+      go_on = m_front->SendPiece(flight.request, bytes);
+      flight.paused = !go_on;
+    } else {
+      flight.held.append(bytes);
+    }
+  }
+  Pump();
+  return go_on;
+}
+
+void RequestTraffic::SendHead(Flight& flight) {
+  if (flight.head_sent) return;
+  flight.head_sent = true;
+  m_front->SendHead(flight.request, flight.status, flight.content_type);
+}
+
+void RequestTraffic::OnDrained(RequestId request) {
+  const auto attempt = m_attempt_of.find(request);
+  if (attempt == m_attempt_of.end()) return;
+  const auto flight = m_flights.find(attempt->second);
+  if (flight == m_flights.end() || !flight->second.paused) return;
+  flight->second.paused = false;
+  m_runner->Resume(attempt->second);
+}
+
+void RequestTraffic::Forget(RequestId request) {
+  const auto attempt = m_attempt_of.find(request);
+  if (attempt == m_attempt_of.end()) return;
+  m_flights.erase(attempt->second);
+  m_attempt_of.erase(attempt);
+}
+
+void RequestTraffic::CarryOut(serving::StartAttempt& start) {
+  const callers::CallerRequest* request = m_core.RequestOf(start.attempt);
+  if (request == nullptr) return;
+  Forget(start.request);
+  Flight& flight = m_flights[start.attempt];
+  flight.request = start.request;
+  flight.streamed = request->stream;
+  m_attempt_of[start.request] = start.attempt;
+  m_runner->Start(start.attempt, start.address, *request, start.time_left);
+}
+
+void RequestTraffic::CarryOut(const serving::CancelAttempt& cancel) {
+  m_runner->Cancel(cancel.attempt);
+  m_flights.erase(cancel.attempt);
+}
+
+void RequestTraffic::CarryOut(const serving::FinishAnswer& finish) {
+  const auto attempt = m_attempt_of.find(finish.request);
+  if (attempt != m_attempt_of.end()) {
+    const auto found = m_flights.find(attempt->second);
+    if (found != m_flights.end()) {
+      SendHead(found->second);
+      if (!found->second.held.empty())
+        m_front->SendPiece(finish.request, found->second.held);
+    }
+  }
+  m_front->Finish(finish.request);
+  Forget(finish.request);
+}
+
+void RequestTraffic::CarryOut(const serving::FailAnswer& fail) {
+  m_front->Fail(fail.request, fail.kind, fail.detail, fail.retry_after_seconds);
+  Forget(fail.request);
+}
+
+void RequestTraffic::CarryOut(serving::Action& action) {
+  std::visit([this](auto& chosen) { CarryOut(chosen); }, action);
+}
+
+void RequestTraffic::Pump() {
+  // An action may lead to an event, whose Pump() then leaves the rest to this
+  // one.
+  if (m_pumping) return;
+  m_pumping = true;
+  while (true) {
+    std::vector<serving::Action> actions = m_core.TakeActions();
+    if (actions.empty()) break;
+    for (serving::Action& action : actions) CarryOut(action);
+  }
+  for (const serving::RequestSummary& summary : m_core.TakeSummaries())
+    m_metrics.OnFinished(summary);
+  m_pumping = false;
+  const std::optional<Instant> next = m_core.NextTimer();
+  if (next.has_value() && *next != m_timer_at) {
+    m_timer_at = *next;
+    m_timer.ArmAt(*next);
+  }
+}
+
+}  // namespace dotterelshift::app
--- /dev/null
+++ b/src/dotterelshift/app/request_traffic.h
@@ -0,0 +1,89 @@
+#ifndef DOTTERELSHIFT_APP_REQUEST_TRAFFIC_H_
+#define DOTTERELSHIFT_APP_REQUEST_TRAFFIC_H_
+
+#include <functional>     // for function
+#include <memory>         // for unique_ptr
+#include <string>         // for string
+#include <unordered_map>  // for unordered_map
+
+#include "dotterelshift/callers/front.h"             // for Front
+#include "dotterelshift/endpoints/attempt_runner.h"  // for AttemptRunner
+#include "dotterelshift/http/client.h"               // for Client
+#include "dotterelshift/loop/loop.h"                 // for Loop
+#include "dotterelshift/platform/metrics.h"          // for Metrics
+#include "dotterelshift/serving/request_core.h"      // for RequestCore
+
+namespace dotterelshift::app {
+
+// Carries bytes between the callers' front and the endpoints' attempts as the
+// request core decides.
+class RequestTraffic {
+ public:
+  struct Callbacks {
+    std::function<void(wire::CommandT)> propose;
+    std::function<void(wire::CommandT)> spool;
+  };
+  RequestTraffic(loop::Loop& loop, const callers::FrontOptions& front_options,
+                 const endpoints::AttemptRunnerOptions& runner_options,
+                 serving::RequestCore& core, platform::Metrics& metrics,
+                 Callbacks callbacks);
+
+  void Accept(std::shared_ptr<http::Exchange> exchange) {
+    m_front->Accept(std::move(exchange));
+  }
+
+  // Carries out what the core wants; to be called after every event that
+  // reached the core from elsewhere.
+  void Pump();
+
+  size_t OpenAnswers() const { return m_front->Open(); }
+
+ private:
+  // The answer of one attempt on its way to the caller.
+  struct Flight {
+    RequestId request = 0;
+    int status = 0;
+    std::string content_type;
+    bool streamed = false;
+    bool head_sent = false;
+    bool paused = false;
+    std::string held;  // an answer that is not streamed waits here for its bill
+    Instant last_piece{};
+  };
+
+  callers::FrontEvents MakeFrontEvents();
+  endpoints::AttemptEvents MakeAttemptEvents();
+  bool OnPiece(AttemptId attempt, const serving::Piece& piece,
+               std::string_view bytes);
+  void OnDrained(RequestId request);
+  void SendHead(Flight& flight);
+  void Forget(RequestId request);
+  void CarryOut(serving::Action& action);
+  void CarryOut(serving::StartAttempt& start);
+  void CarryOut(const serving::CancelAttempt& cancel);
+  void CarryOut(const serving::FinishAnswer& finish);
+  void CarryOut(const serving::FailAnswer& fail);
+  void CarryOut(serving::ProposeCommand& propose) {
+    m_callbacks.propose(std::move(propose.command));
+  }
+  void CarryOut(serving::SpoolCommand& spool) {
+    m_callbacks.spool(std::move(spool.command));
+  }
+
+  loop::Loop& m_loop;
+  serving::RequestCore& m_core;
+  platform::Metrics& m_metrics;
+  Callbacks m_callbacks;
+  std::unique_ptr<http::Client> m_client;
+  std::unique_ptr<callers::Front> m_front;
+  std::unique_ptr<endpoints::AttemptRunner> m_runner;
+  std::unordered_map<AttemptId, Flight> m_flights;
+  std::unordered_map<RequestId, AttemptId> m_attempt_of;
+  loop::Timer m_timer;
+  Instant m_timer_at{};
+  bool m_pumping = false;
+};
+
+}  // namespace dotterelshift::app
+
+#endif  // DOTTERELSHIFT_APP_REQUEST_TRAFFIC_H_
