--- /dev/null
+++ b/bench/entry_bench.cc
@@ -0,0 +1,250 @@
+// Measures one entry daemon between a client and fake endpoints, beside the
+// same client straight at the endpoints: what it adds to the first token, short
+// requests a second, token events a second over many streams, memory. Usage:
+// entry_bench [latency|short|streams ...]
+#include <unistd.h>  // for sysconf
+
+#include <algorithm>   // for sort
+#include <cstdio>      // for printf
+#include <fstream>     // for ifstream
+#include <functional>  // for function
+#include <sstream>     // for istringstream
+#include <string>      // for string
+#include <vector>      // for vector
+
+#include "process/fleet.h"      // for Fleet
+#include "support/run_until.h"  // for RunUntil
+
+namespace {
+
+using namespace dotterelshift;  // NOLINT(google-build-using-namespace): one
+                                // short program
+
+constexpr int kEndpoints = 4;
+constexpr char kUnwitnessedKey[] = "key-unwitnessed";
+constexpr char kWitnessedKey[] = "key-witnessed";
+
+constexpr char kIntent[] = R"(
+teams:
+  - {id: plain, grant_way: unwitnessed, endpoint_sets: [all]}
+  - {id: strict, grant_way: witnessed, endpoint_sets: [all]}
+keys:
+  - {id: plain-1, team: plain, key: key-unwitnessed}
+  - {id: strict-1, team: strict, key: key-witnessed}
+budgets:
+  - {id: plain-b, team: plain}
+  - {id: strict-b, team: strict}
+top_ups:
+  - {id: t1, budget: plain-b, tokens: 100G}
+  - {id: t2, budget: strict-b, tokens: 100G}
+endpoint_sets:
+  - {id: all, endpoints: [f0, f1, f2, f3], models: [m]}
+)";
+
+struct Usage {
+  double cpu_seconds = 0;
+  double peak_mb = 0;
+};
+
+// Processor time and peak memory of a process so far.
+Usage UsageOf(pid_t pid) {
+  Usage usage;
+  std::ifstream stat("/proc/" + std::to_string(pid) + "/stat");
+  std::string text((std::istreambuf_iterator<char>(stat)), {});
+  std::istringstream fields(text.substr(text.rfind(')') + 2));
+  std::string skipped;
+  for (int i = 0; i < 11; ++i) fields >> skipped;
+  double user = 0;
+  double system = 0;
+  fields >> user >> system;
+  usage.cpu_seconds =
+      (user + system) / static_cast<double>(sysconf(_SC_CLK_TCK));
+  std::ifstream status("/proc/" + std::to_string(pid) + "/status");
+  for (std::string line; std::getline(status, line);) {
+    if (line.starts_with("VmHWM:"))
+      usage.peak_mb = std::stod(line.substr(6)) / 1024;
+  }
+  return usage;
+}
+
+double Percentile(std::vector<double> values, double share) {
+  if (values.empty()) return 0;
+  std::sort(values.begin(), values.end());
+  return values[std::min(
+      values.size() - 1,
+      static_cast<size_t>(share * static_cast<double>(values.size())))];
+}
+
+struct Target {
+  std::string name;
+  std::vector<std::string> addresses;
+  std::string key;
+};
+
+// What a run of many requests came to.
+struct RunResult {
+  size_t whole = 0;
+  size_t failed = 0;
+  size_t events = 0;
+  double seconds = 0;
+  std::vector<double> first_ms;
+};
+
+class Bench {
+ public:
+  Bench();
+  void Latency();
+  void Short();
+  void Streams();
+
+ private:
+  RunResult Run(const Target& target, size_t requests, size_t at_once,
+                const std::string& body);
+  void Report(const Target& target, const RunResult& result,
+              const Usage& before);
+
+  testing::Fleet m_fleet;
+  Target m_direct{"endpoints alone", {}, "none"};
+  Target m_plain{"entry, unwitnessed", {}, kUnwitnessedKey};
+  Target m_strict{"entry, witnessed", {}, kWitnessedKey};
+};
+
+Bench::Bench() {
+  m_fleet.StartControl("c1", {"c1"}, {});
+  m_fleet.StartEntry("e1", {m_fleet.PeerAddress("c1")});
+  for (int i = 0; i < kEndpoints; ++i) {
+    const std::string id = "f" + std::to_string(i);
+    m_fleet.StartEndpoint(
+        id, m_fleet.HttpAddress("e1"),
+        {"--model", "m", "--tokens-from-limit", "--slots", "4096"});
+    m_direct.addresses.push_back(m_fleet.HttpAddress(id));
+  }
+  m_plain.addresses = {m_fleet.HttpAddress("e1")};
+  m_strict.addresses = m_plain.addresses;
+  m_fleet.AwaitReady("e1");
+  const auto confirmed = m_fleet.PlanAndConfirm("c1", kIntent);
+  if (confirmed.status != 200) throw std::runtime_error(confirmed.body);
+  // Warm: holdings granted, connections open, every endpoint known.
+  Run(m_plain, 200, 8, R"({"model":"m","max_tokens":1,"messages":[]})");
+  Run(m_strict, 200, 8, R"({"model":"m","max_tokens":1,"messages":[]})");
+}
+
+RunResult Bench::Run(const Target& target, size_t requests, size_t at_once,
+                     const std::string& body) {
+  RunResult result;
+  size_t started = 0;
+  size_t ended = 0;
+  const Instant begin = m_fleet.GetLoop().Now();
+  std::function<void()> start = [&] {
+    const size_t number = started++;
+    const Instant sent = m_fleet.GetLoop().Now();
+    auto first = std::make_shared<bool>(true);
+    http::TransferCallbacks callbacks;
+    callbacks.on_piece = [&, sent, first](std::string_view piece) {
+      if (std::exchange(*first, false)) {
+        result.first_ms.push_back(std::chrono::duration<double, std::milli>(
+                                      m_fleet.GetLoop().Now() - sent)
+                                      .count());
+      }
+      for (size_t at = piece.find("data:"); at != std::string_view::npos;
+           at = piece.find("data:", at + 5)) {
+        ++result.events;
+      }
+      return true;
+    };
+    callbacks.on_head = [&](int status, const http::Headers&) {
+      result.failed += status == 200 ? 0 : 1;
+    };
+    callbacks.on_end = [&](http::TransferEnd end) {
+      ++ended;
+      result.whole += end == http::TransferEnd::kWhole ? 1 : 0;
+      if (started < requests) start();
+    };
+    http::ClientRequest request;
+    request.url = "http://" +
+                  target.addresses[number % target.addresses.size()] +
+                  "/v1/chat/completions";
+    request.headers = {{"authorization", "Bearer " + target.key},
+                       {"content-type", "application/json"}};
+    request.body = body;
+    m_fleet.GetClient().Start(std::move(request), callbacks);
+  };
+  while (started < std::min(requests, at_once)) start();
+  testing::RunUntil(m_fleet.GetLoop(), "all answers",
+                    [&] { return ended == requests; });
+  result.seconds =
+      std::chrono::duration<double>(m_fleet.GetLoop().Now() - begin).count();
+  return result;
+}
+
+void Bench::Report(const Target& target, const RunResult& result,
+                   const Usage& before) {
+  const Usage after = UsageOf(m_fleet.ProcessOf("e1").Pid());
+  const double cpu = after.cpu_seconds - before.cpu_seconds;
+  std::printf("%-20s %7zu whole %3zu failed  %8.0f requests/s  %9.0f events/s",
+              target.name.c_str(), result.whole, result.failed,
+              static_cast<double>(result.whole) / result.seconds,
+              static_cast<double>(result.events) / result.seconds);
+  if (cpu > 0.05) {
+    std::printf(
+        "  entry: %.2f s cpu, %8.0f requests and %9.0f events a core-second, "
+        "peak %.0f MB",
+        cpu, static_cast<double>(result.whole) / cpu,
+        static_cast<double>(result.events) / cpu, after.peak_mb);
+  }
+  std::printf("\n");
+}
+
+void Bench::Latency() {
+  constexpr size_t kRequests = 1000;
+  const std::string body =
+      R"({"model":"m","stream":true,"max_tokens":2,"messages":[]})";
+  std::printf("-- first token, one request at a time\n");
+  double direct = 0;
+  for (const Target* target : {&m_direct, &m_plain, &m_strict}) {
+    const RunResult result = Run(*target, kRequests, 1, body);
+    const double median = Percentile(result.first_ms, 0.5);
+    if (target == &m_direct) direct = median;
+    std::printf(
+        "%-20s median %.3f ms  p95 %.3f ms  added %.3f ms  (%zu whole)\n",
+        target->name.c_str(), median, Percentile(result.first_ms, 0.95),
+        median - direct, result.whole);
+  }
+}
+
+void Bench::Short() {
+  constexpr size_t kRequests = 40000;
+  constexpr size_t kAtOnce = 128;
+  const std::string body = R"({"model":"m","max_tokens":1,"messages":[]})";
+  std::printf("-- short requests, %zu at once\n", kAtOnce);
+  for (const Target* target : {&m_direct, &m_plain, &m_strict}) {
+    const Usage before = UsageOf(m_fleet.ProcessOf("e1").Pid());
+    Report(*target, Run(*target, kRequests, kAtOnce, body), before);
+  }
+}
+
+void Bench::Streams() {
+  constexpr size_t kStreams = 1000;
+  const std::string body =
+      R"({"model":"m","stream":true,"max_tokens":400,"messages":[]})";
+  std::printf("-- %zu streams at once, 400 tokens each\n", kStreams);
+  for (const Target* target : {&m_direct, &m_plain, &m_strict}) {
+    const Usage before = UsageOf(m_fleet.ProcessOf("e1").Pid());
+    Report(*target, Run(*target, kStreams * 2, kStreams, body), before);
+  }
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  const std::vector<std::string> wanted(argv + 1, argv + argc);
+  const auto want = [&](const std::string& name) {
+    return wanted.empty() ||
+           std::find(wanted.begin(), wanted.end(), name) != wanted.end();
+  };
+  Bench bench;
+  if (want("latency")) bench.Latency();
+  if (want("short")) bench.Short();
+  if (want("streams")) bench.Streams();
+  return 0;
+}
--- /dev/null
+++ b/tests/process/process.cc
@@ -0,0 +1,119 @@
+#include "process/process.h"
+
+#include <cppunit/TestAssert.h>  // for CPPUNIT_ASSERT
+#include <fcntl.h>               // for O_WRONLY
+#include <poll.h>                // for poll
+#include <spawn.h>               // for posix_spawn
+#include <sys/inotify.h>         // for inotify_init1
+#include <sys/wait.h>            // for waitpid
+#include <unistd.h>              // for close
+
+#include <csignal>     // for SIGKILL
+#include <cstdlib>     // for mkdtemp
+#include <filesystem>  // for remove_all
+#include <fstream>     // for ifstream
+#include <sstream>     // for ostringstream
+
+extern char** environ;
+
+namespace dotterelshift::testing {
+namespace {
+
+constexpr int kSignalStatus = 128;
+constexpr int kGuardMs = 60'000;
+// While nothing happens in the folder the writer is looked at this often.
+constexpr int kLookMs = 200;
+
+}  // namespace
+
+Process::Process(const std::vector<std::string>& arguments,
+                 const std::string& log_path) {
+  std::vector<char*> argv;
+  for (const std::string& argument : arguments)
+    argv.push_back(const_cast<char*>(argument.c_str()));
+  argv.push_back(nullptr);
+  posix_spawn_file_actions_t actions;
+  posix_spawn_file_actions_init(&actions);
+  constexpr int kFlags = O_WRONLY | O_CREAT | O_APPEND;
+  posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, log_path.c_str(),
+                                   kFlags, 0600);
+  posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+  const int result =
+      posix_spawn(&m_pid, argv[0], &actions, nullptr, argv.data(), environ);
+  posix_spawn_file_actions_destroy(&actions);
+  CPPUNIT_ASSERT_EQUAL_MESSAGE(arguments[0], 0, result);
+}
+
+Process::~Process() {
+  if (m_ended) return;
+  Signal(SIGCONT);
+  Signal(SIGKILL);
+  Wait();
+}
+
+void Process::Signal(int signal) const {
+  if (!m_ended) kill(m_pid, signal);
+}
+
+int Process::Reap(int options) {
+  if (m_ended) return m_status;
+  int status = 0;
+  if (waitpid(m_pid, &status, options) == m_pid) {
+    m_ended = true;
+    m_status = WIFEXITED(status) ? WEXITSTATUS(status)
+                                 : kSignalStatus + WTERMSIG(status);
+  }
+  return m_status;
+}
+
+bool Process::Ended() {
+  Reap(WNOHANG);
+  return m_ended;
+}
+
+int Process::Wait() { return Reap(0); }
+
+TemporaryFolder::TemporaryFolder() {
+  std::string pattern =
+      std::filesystem::temp_directory_path() / "dotterelshift-XXXXXX";
+  CPPUNIT_ASSERT(mkdtemp(pattern.data()) != nullptr);
+  m_path = pattern;
+}
+
+TemporaryFolder::~TemporaryFolder() {
+  std::error_code ignored;
+  std::filesystem::remove_all(m_path, ignored);
+}
+
+void WriteFile(const std::string& path, const std::string& text) {
+  std::ofstream file(path, std::ios::trunc);
+  file << text;
+  file.close();
+  CPPUNIT_ASSERT_MESSAGE(path, file.good());
+}
+
+std::string ReadFile(const std::string& path) {
+  const std::ifstream file(path);
+  std::ostringstream text;
+  if (file) text << file.rdbuf();
+  return text.str();
+}
+
+void AwaitFile(const std::string& folder, const std::string& name,
+               Process& writer) {
+  const int watch = inotify_init1(IN_CLOEXEC | IN_NONBLOCK);
+  inotify_add_watch(watch, folder.c_str(), IN_MOVED_TO | IN_CLOSE_WRITE);
+  int waited = 0;
+  while (ReadFile(folder + "/" + name).empty() && !writer.Ended() &&
+         waited < kGuardMs) {
+    pollfd ready{watch, POLLIN, 0};
+    if (poll(&ready, 1, kLookMs) == 0) waited += kLookMs;
+    char events[4096];
+    while (read(watch, events, sizeof events) > 0) continue;
+  }
+  close(watch);
+  CPPUNIT_ASSERT_MESSAGE(name + " never came",
+                         !ReadFile(folder + "/" + name).empty());
+}
+
+}  // namespace dotterelshift::testing
