--- a/src/dotterelshift/app/entry.cc
+++ b/src/dotterelshift/app/entry.cc
@@ -275,7 +275,6 @@
 void Entry::Refresh() {
   const Instant now = m_loop.Now();
   m_version = m_link.GetConfiguration().Version();
-  m_router->Refresh(m_directory.GetDirectory(), m_link.GetConfiguration(), now);
   m_core->OnRefresh(now);
   m_traffic->Pump();
 }
