--- a/src/dotterelshift/app/control.cc
+++ b/src/dotterelshift/app/control.cc
@@ -252,7 +252,7 @@
         answer.configuration_version =
             m_replica->GetState().GetConfiguration().Version();
         answer.stamp_ms = m_loop.WallNow();
-        m_hub->Send(host, peers::MakeFrame(std::move(answer)));
+        m_hub->Send(host, peers::MakeFrame(answer));
       });
 }
 
@@ -365,9 +365,11 @@
   m_metrics->SetGauge("dotterelshift_entries_connected", "Entries connected",
                       static_cast<double>(m_entries.size()));
   m_metrics->SetCounter("dotterelshift_peer_bytes_in_total",
-                        "Bytes from other daemons", double(hub.bytes_in));
+                        "Bytes from other daemons",
+                        static_cast<double>(hub.bytes_in));
   m_metrics->SetCounter("dotterelshift_peer_bytes_out_total",
-                        "Bytes to other daemons", double(hub.bytes_out));
+                        "Bytes to other daemons",
+                        static_cast<double>(hub.bytes_out));
 }
 
 }  // namespace
--- a/src/dotterelshift/app/control_link_test.cc
+++ b/src/dotterelshift/app/control_link_test.cc
@@ -145,7 +145,7 @@
     answer.sequence = sequence;
     answer.term = term;
     answer.configuration_version = version;
-    m_link->OnFrame(host, MakeFrame(std::move(answer)), m_now);
+    m_link->OnFrame(host, MakeFrame(answer), m_now);
   }
 
   void AnswerBeat(const HostId& host, uint64_t term, uint64_t version) {
--- a/src/dotterelshift/app/entry.cc
+++ b/src/dotterelshift/app/entry.cc
@@ -328,7 +328,8 @@
       {"dotterelshift_peer_refused_hellos_total", hub.refused_hellos},
   };
   for (const auto& [name, value] : counters)
-    m_metrics->SetCounter(name, "See docs/OPERATING.md", double(value));
+    m_metrics->SetCounter(name, "See docs/OPERATING.md",
+                          static_cast<double>(value));
 }
 
 void Entry::Shutdown() {
--- a/tests/process/link_proxy.cc
+++ b/tests/process/link_proxy.cc
@@ -75,7 +75,9 @@
     const int to =
         socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
     const auto address = ParseAddress(m_target);
-    connect(to, reinterpret_cast<const sockaddr*>(&*address), sizeof *address);
+    // Its outcome shows in the first event.
+    (void)connect(to, reinterpret_cast<const sockaddr*>(&*address),
+                  sizeof *address);
     auto link = std::make_shared<Link>();
     link->sides[0].descriptor = from;
     link->sides[1].descriptor = to;
--- a/tests/process/process.cc
+++ b/tests/process/process.cc
@@ -14,8 +14,6 @@
 #include <fstream>     // for ifstream
 #include <sstream>     // for ostringstream
 
-extern char** environ;
-
 namespace dotterelshift::testing {
 namespace {
 
@@ -29,6 +27,7 @@
 Process::Process(const std::vector<std::string>& arguments,
                  const std::string& log_path) {
   std::vector<char*> argv;
+  argv.reserve(arguments.size() + 1);
   for (const std::string& argument : arguments)
     argv.push_back(const_cast<char*>(argument.c_str()));
   argv.push_back(nullptr);
@@ -103,17 +102,16 @@
                Process& writer) {
   const int watch = inotify_init1(IN_CLOEXEC | IN_NONBLOCK);
   inotify_add_watch(watch, folder.c_str(), IN_MOVED_TO | IN_CLOSE_WRITE);
+  const std::string path = folder + "/" + name;
   int waited = 0;
-  while (ReadFile(folder + "/" + name).empty() && !writer.Ended() &&
-         waited < kGuardMs) {
+  while (ReadFile(path).empty() && !writer.Ended() && waited < kGuardMs) {
     pollfd ready{watch, POLLIN, 0};
     if (poll(&ready, 1, kLookMs) == 0) waited += kLookMs;
     char events[4096];
     while (read(watch, events, sizeof events) > 0) continue;
   }
   close(watch);
-  CPPUNIT_ASSERT_MESSAGE(name + " never came",
-                         !ReadFile(folder + "/" + name).empty());
+  CPPUNIT_ASSERT_MESSAGE(name + " never came", !ReadFile(path).empty());
 }
 
 }  // namespace dotterelshift::testing
