Serving: a drained entry asks for no more grants

Cause: once its last request had ended, a draining entry gave its grants back and the ledger, which had drawn within the last 10 s, asked for new ones at once; the answer went back again. scenarios/graceful_shutdown.yaml showed it: 1,730 commands of one idle entry in 9 s, never drained for longer than a round trip, and an exit in between would have left a grant with a dead run. Ruled out: resends of unanswered commands (their sequence numbers rose). Now the ledger counts as disconnected once it has given all back; the script ends drained.

--- a/src/dotterelshift/serving/settlement.cc
+++ b/src/dotterelshift/serving/settlement.cc
@@ -187,8 +187,10 @@
 }
 
 void Core::ReturnGrants(Instant now) {
-  if (m_reach == ControlReach::kConnected)
-    SendWishes(m_parts.ledger->ReturnAll(now), now);
+  if (m_reach != ControlReach::kConnected) return;
+  SendWishes(m_parts.ledger->ReturnAll(now), now);
+  // Nothing more is asked for: a grant would only go back again, and again.
+  m_parts.ledger->SetConnected(false, now);
 }
 
 void Core::Finish(Request* request, Instant now) {
