--- /dev/null
+++ b/tests/scenarios/control_host.h
@@ -0,0 +1,93 @@
+#ifndef DOTTERELSHIFT_TESTS_SCENARIOS_CONTROL_HOST_H_
+#define DOTTERELSHIFT_TESTS_SCENARIOS_CONTROL_HOST_H_
+
+#include <functional>  // for function
+#include <map>         // for map
+#include <memory>      // for unique_ptr
+#include <string>      // for string
+#include <vector>      // for vector
+
+#include "dotterelshift/replication/node.h"  // for Node
+#include "dotterelshift/state/state.h"       // for State
+#include "scenarios/network.h"               // for Network
+#include "scenarios/records.h"               // for Records
+
+namespace dotterelshift::scenarios {
+
+class ControlHost;
+
+// What a control host needs of the world.
+struct ControlLinks {
+  Network* network = nullptr;
+  Records* records = nullptr;
+  std::function<std::vector<ControlHost*>()> controls;
+  // An answer to a command, on its way to the host of its id.
+  std::function<void(const std::string& from, const wire::CommandAnswerT&)>
+      answer;
+  // The leader asks a holder for idle tokens.
+  std::function<void(const std::string& from, const HostRun& holder,
+                     const wire::RecallT&)>
+      recall;
+};
+
+// One control replica: the real node and state over a disk of the test's, which
+// lasts through kills.
+class ControlHost {
+ public:
+  ControlHost(std::string name, ReplicaId replica, ControlLinks links);
+
+  const std::string& Name() const { return m_name; }
+  ReplicaId Replica() const { return m_replica; }
+  bool Alive() const { return m_node != nullptr; }
+  bool Leads() const;
+  const state::State& GetState() const { return *m_state; }
+  const replication::Node& GetNode() const { return *m_node; }
+
+  void StartGroup(const wire::MembershipT& members);
+  void Start();
+  void Kill();
+  // Loses the disk; the next start is that of a new, empty replica.
+  void Wipe(ReplicaId replica);
+
+  void Tick();
+  void Propose(std::vector<wire::CommandT> commands);
+  void Spool(const wire::CommandT& command);
+  void ProposeMember(const wire::ReplicaT& replica, bool remove);
+  // Calls back once a quorum has confirmed that this one leads; perhaps never.
+  void ConfirmedRead(std::function<void()> callback);
+
+ private:
+  struct Disk {
+    replication::RestoredLog log;
+    std::string snapshot;
+    std::vector<wire::CommandT> spool;
+  };
+  ControlHost* FindReplica(ReplicaId replica) const;
+  void HandSpoolOn();
+  void Pump();
+  void ProposeWaiting();
+  bool CarryOut(const replication::Ready& ready);
+  void Write(const replication::Ready& ready);
+  void Apply(const wire::LogEntryT& entry);
+  void AnswerAll(const wire::CommandBatchT& batch,
+                 const std::vector<wire::CommandAnswerT>& answers);
+  void RecallFor(const wire::CommandT& command,
+                 const wire::CommandAnswerT& answer);
+  void MakeSnapshot();
+
+  std::string m_name;
+  ReplicaId m_replica;
+  ControlLinks m_links;
+  Disk m_disk;
+  std::unique_ptr<replication::Node> m_node;
+  std::unique_ptr<state::State> m_state;
+  uint64_t m_applied = 0;
+  uint64_t m_starts = 0;
+  Instant m_spool_due{};
+  std::vector<wire::CommandT> m_waiting;
+  std::map<uint64_t, std::function<void()>> m_reads;
+};
+
+}  // namespace dotterelshift::scenarios
+
+#endif  // DOTTERELSHIFT_TESTS_SCENARIOS_CONTROL_HOST_H_
--- /dev/null
+++ b/tests/scenarios/entry_host.h
@@ -0,0 +1,120 @@
+#ifndef DOTTERELSHIFT_TESTS_SCENARIOS_ENTRY_HOST_H_
+#define DOTTERELSHIFT_TESTS_SCENARIOS_ENTRY_HOST_H_
+
+#include <functional>  // for function
+#include <map>         // for map
+#include <memory>      // for unique_ptr
+#include <set>         // for set
+#include <string>      // for string
+#include <vector>      // for vector
+
+#include "dotterelshift/admission/fair_queue.h"  // for FairQueue
+#include "dotterelshift/budget/ledger.h"         // for Ledger
+#include "dotterelshift/directory/directory.h"   // for Directory
+#include "dotterelshift/routing/router.h"        // for Router
+#include "dotterelshift/serving/request_core.h"  // for RequestCore
+#include "scenarios/control_host.h"              // for ControlHost
+#include "scenarios/engine.h"                    // for Engine
+
+namespace dotterelshift::scenarios {
+
+class EntryHost;
+
+// What an entry needs of the world.
+struct EntryLinks {
+  Network* network = nullptr;
+  Records* records = nullptr;
+  std::function<std::vector<ControlHost*>()> controls;
+  std::function<std::vector<EntryHost*>()> entries;
+  std::function<Engine*(const EndpointId&)> engine;
+};
+
+// One entry: the real request core, ledger, router, queue and directory, and
+// what the daemon does around them in as few lines as will do.
+class EntryHost {
+ public:
+  EntryHost(std::string name, DataCentreId data_centre, bool serve_when_cut_off,
+            EntryLinks links);
+
+  const std::string& Name() const { return m_name; }
+  bool Alive() const { return m_core != nullptr; }
+  bool Drained() const { return m_core->Drained(); }
+  uint64_t Version() const { return m_configuration.Version(); }
+  serving::ControlReach Reach() const { return m_reach; }
+  bool Ready() const {
+    return Alive() && m_reach == serving::ControlReach::kConnected;
+  }
+  HostRun Self() const { return {m_name, m_incarnation}; }
+
+  void Start();
+  void Kill();
+  void Shutdown();
+  void Tick();
+
+  void OnRequest(const RequestRecord& record,
+                 const callers::CallerRequest& request);
+  void OnCallerGone(RequestId request);
+  void OnAnswer(const wire::CommandAnswerT& answer);
+  void OnRecall(const wire::RecallT& recall);
+  void OnAnnouncement(const wire::EndpointRecordT& record);
+  void OnHead(const Connection& connection, int status);
+  void OnPiece(const Connection& connection, RequestId from,
+               const serving::Piece& piece);
+  void OnEnd(const Connection& connection, serving::AttemptEnd end);
+  // The link to an endpoint has been cut: its connections break.
+  void OnCut(const EndpointId& endpoint);
+
+ private:
+  // A leader's beat, as an entry gets it back.
+  struct Beat {
+    Instant sent;
+    uint64_t version = 0;
+    std::vector<wire::ChangeT> changes;
+    bool whole = false;
+    std::vector<wire::SuspectAnswerT> quarantined;
+  };
+  bool Is(const Connection& connection) const;
+  void SendBeat();
+  void OnBeat(const Beat& beat);
+  static Beat BeatOf(const ControlHost& control, Instant sent,
+                     uint64_t version);
+  void SetReach(serving::ControlReach reach);
+  void Register();
+  void SendUnanswered();
+  void SpreadDirectory();
+  void Refresh();
+  // A replica has spooled a command.
+  void Acknowledge(const std::string& control, const wire::CommandIdT& id);
+  void CarryOutAll();
+  void CarryOut(const serving::StartAttempt& action);
+  void CarryOut(const serving::CancelAttempt& action);
+  void CarryOut(const serving::FinishAnswer& action);
+  void CarryOut(const serving::FailAnswer& action);
+  void CarryOut(const serving::ProposeCommand& action);
+  void CarryOut(const serving::SpoolCommand& action);
+
+  std::string m_name;
+  DataCentreId m_data_centre;
+  bool m_serve_when_cut_off;
+  EntryLinks m_links;
+  Incarnation m_incarnation = 0;
+  state::Configuration m_configuration;
+  directory::Directory m_directory;
+  std::unique_ptr<budget::Ledger> m_ledger;
+  std::unique_ptr<routing::Router> m_router;
+  std::unique_ptr<admission::FairQueue> m_queue;
+  std::unique_ptr<serving::RequestCore> m_core;
+  serving::ControlReach m_reach = serving::ControlReach::kNever;
+  Instant m_last_beat{};
+  Instant m_beat_due{};
+  Instant m_resend_due{};
+  Instant m_spread_due{};
+  uint64_t m_generation = 0;
+  std::map<uint64_t, wire::CommandT> m_unanswered;  // by sequence
+  std::map<AttemptId, EndpointId> m_endpoints;
+  std::map<AttemptId, RequestId> m_requests;
+};
+
+}  // namespace dotterelshift::scenarios
+
+#endif  // DOTTERELSHIFT_TESTS_SCENARIOS_ENTRY_HOST_H_
