Routing: the learned limit begins at what the endpoint says of itself

Cause: every endpoint began at 32 in flight from this entry, although it had announced 4,096 slots; 1,000 streams at once waited and 1,612 of 2,000 were refused with queue_full. Ruled out: the queue's bound (a larger one only makes them wait). Before: 17,204 events a second, 52,873 a core-second; after: 129,844 events a second, 214,973 a core-second, none refused (entry_bench streams, machine shared with other builds). Conclusion: the announced slots are the first limit; latency and refusals move it from there.

--- a/src/dotterelshift/routing/router.cc
+++ b/src/dotterelshift/routing/router.cc
@@ -118,6 +118,15 @@
     return it == m_seats.end() ? nullptr : &it->second;
   }
 
+  // What the endpoint says of itself is where learning begins.
+  static admission::ConcurrencyLimit FirstLimit(
+      const wire::EndpointRecordT& record) {
+    constexpr double kLeast = 1;
+    constexpr double kMost = 4096;
+    const double slots = std::clamp<double>(record.slots, kLeast, kMost);
+    return admission::ConcurrencyLimit(slots, kLeast, kMost);
+  }
+
   void Update(const directory::Endpoint& endpoint) {
     const wire::EndpointRecordT& record = endpoint.record;
     Seat& seat = m_seats[record.id];
@@ -128,6 +137,7 @@
       seat.failures = 0;
       seat.samples = 0;
       seat.ejected_until = {};
+      seat.limit = FirstLimit(record);
     }
     seat.id = record.id;
     seat.incarnation = record.incarnation;
