--- a/include/dotterelshift/callers/front.h
+++ b/include/dotterelshift/callers/front.h
@@ -5,6 +5,7 @@
 #include <memory>       // for shared_ptr, unique_ptr
 #include <string>       // for string
 #include <string_view>  // for string_view
+#include <utility>      // for pair
 
 #include "dotterelshift/base/error.h"              // for ErrorKind
 #include "dotterelshift/base/ids.h"                // for RequestId
@@ -66,6 +67,10 @@
 void AnswerError(http::Exchange& exchange, ErrorKind kind,
                  std::string_view detail, int retry_after_seconds = 0);
 
+// The status and the JSON body of what the callers' server refuses by itself:
+// for ServerOptions::refusal.
+std::pair<int, std::string> RefusalAnswer(http::ServerRefusal refusal);
+
 }  // namespace dotterelshift::callers
 
 #endif  // DOTTERELSHIFT_CALLERS_FRONT_H_
--- a/src/dotterelshift/callers/front.cc
+++ b/src/dotterelshift/callers/front.cc
@@ -39,6 +39,20 @@
   exchange.Answer(row.status, headers, ErrorBody(kind, detail, request_id));
 }
 
+ErrorKind KindOf(http::ServerRefusal refusal) {
+  switch (refusal) {
+    case http::ServerRefusal::kHeadTooLarge:
+      return ErrorKind::kBadHeader;
+    case http::ServerRefusal::kBodyTooLarge:
+      return ErrorKind::kBodyTooLarge;
+    case http::ServerRefusal::kTooManyConnections:
+      return ErrorKind::kTooManyConnections;
+    case http::ServerRefusal::kSlowCaller:
+      break;
+  }
+  return ErrorKind::kSlowCaller;
+}
+
 // An answer is a stream when its head says so; any other is kept until its end
 // is certain, so that its length and its status are true.
 struct OpenRequest {
@@ -185,6 +199,11 @@
   Answer(exchange, kind, detail, retry_after_seconds, {});
 }
 
+std::pair<int, std::string> RefusalAnswer(http::ServerRefusal refusal) {
+  const ErrorKind kind = KindOf(refusal);
+  return {RowOf(kind).status, ErrorBody(kind, {})};
+}
+
 std::unique_ptr<Front> MakeFront(const FrontOptions& options,
                                  FrontEvents events) {
   return std::make_unique<ExchangeFront>(options, std::move(events));
--- /dev/null
+++ b/src/dotterelshift/http/server_bounds_test.cc
@@ -0,0 +1,202 @@
+#include <cppunit/extensions/HelperMacros.h>  // for CPPUNIT_TEST
+
+#include <string>  // for string
+#include <vector>  // for vector
+
+#include "dotterelshift/callers/front.h"         // for RefusalAnswer
+#include "dotterelshift/http/server.h"           // for MakeServer
+#include "dotterelshift/http/test_connection.h"  // for TestConnection
+#include "dotterelshift/loop/loop.h"             // for Loop
+
+namespace dotterelshift::http {
+namespace {
+
+constexpr size_t kMaxBody = 1000;
+
+// What a caller sends, and what has to stand in the answer; the connection is
+// closed by the server in each case.
+struct Row {
+  std::string name;
+  std::string sent;
+  std::vector<std::string> answer;
+};
+
+std::string Head(const std::string& more) {
+  return "POST /v1/x HTTP/1.1\r\nHost: h\r\n" + more + "\r\n";
+}
+
+std::vector<Row> Rows() {
+  const std::string not_run = "Dotterelshift-Ran: no";
+  return {
+      {"nothing sent", "", {}},
+      {"half a head",
+       "POST /v1/x HTTP/1.1\r\nHost: h\r\n",
+       {"HTTP/1.1 408", not_run, "Retry-After: 1", "\"slow_caller\""}},
+      {"half a body",
+       Head("Content-Length: 10\r\n") + "half",
+       {"HTTP/1.1 408", not_run, "Retry-After: 1", "\"slow_caller\""}},
+      {"body past the bound",
+       Head("Content-Length: 1001\r\n"),
+       {"HTTP/1.1 413", not_run, "\"body_too_large\""}},
+      {"chunked body past the bound",
+       Head("Transfer-Encoding: chunked\r\nConnection: close\r\n") + "5dc\r\n" +
+           std::string(1500, 'x') + "\r\n0\r\n\r\n",
+       {"HTTP/1.1 413", not_run, "\"body_too_large\""}},
+      {"chunked body without end",
+       Head("Transfer-Encoding: chunked\r\n") + "ffff\r\n" +
+           std::string(0xffff, 'x'),
+       {}},
+      {"head past the bound",
+       Head("X-Long: " + std::string(9000, 'x') + "\r\nConnection: close\r\n"),
+       {"HTTP/1.1 400", not_run, "\"bad_header\""}},
+      {"head past the library's memory",
+       Head("X-Long: " + std::string(40000, 'x') + "\r\n"),
+       {"HTTP/1.1 4"}},
+      {"no HTTP at all", "what is this\r\n\r\n", {}},
+  };
+}
+
+class ServerBoundsTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(ServerBoundsTest);
+  CPPUNIT_TEST(CallersPastABoundAreRefused);
+  CPPUNIT_TEST(CallerThatDripsIsEnded);
+  CPPUNIT_TEST(ConnectionsPastTheBoundAreRefusedInWords);
+  CPPUNIT_TEST(CallerThatClosesWhileItsAnswerIsDueIsSeen);
+  CPPUNIT_TEST(RequestsOneAfterAnotherOnOneConnection);
+  CPPUNIT_TEST(StopAcceptingKeepsOpenExchanges);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void CallersPastABoundAreRefused() {
+    Serve(16, 30ms);
+    for (const Row& row : Rows()) {
+      TestConnection caller(m_server->Port());
+      caller.Send(row.sent);
+      RunUntilClosed(caller);
+      for (const std::string& text : row.answer) {
+        CPPUNIT_ASSERT_MESSAGE(row.name + ": " + caller.Received(),
+                               caller.Has(text));
+      }
+      if (row.answer.empty()) {
+        CPPUNIT_ASSERT_MESSAGE(row.name, !caller.Has("HTTP/1.1 200"));
+      }
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name, 0, m_handled);
+    }
+    RunUntil([this] { return m_server->OpenExchanges() == 0; });
+  }
+
+  void CallerThatDripsIsEnded() {
+    Serve(16, 30ms);
+    TestConnection caller(m_server->Port());
+    caller.Send("POST /v1/x HTTP/1.1\r\nX-Long: ");
+    RunUntil([&caller] {
+      caller.Send("x");
+      caller.Receive();
+      return caller.Closed();
+    });
+    CPPUNIT_ASSERT_EQUAL(0, m_handled);
+  }
+
+  void ConnectionsPastTheBoundAreRefusedInWords() {
+    Serve(2, 10s);
+    m_keep = true;
+    TestConnection first(m_server->Port());
+    TestConnection second(m_server->Port());
+    first.Send(Head("Content-Length: 0\r\n"));
+    second.Send(Head("Content-Length: 0\r\n"));
+    RunUntil([this] { return m_handled == 2; });
+    TestConnection third(m_server->Port());
+    third.Send(Head("Content-Length: 0\r\n"));
+    RunUntilClosed(third);
+    CPPUNIT_ASSERT(third.Has("HTTP/1.1 503"));
+    CPPUNIT_ASSERT(third.Has("\"too_many_connections\""));
+    CPPUNIT_ASSERT(third.Has("Retry-After: 1"));
+    CPPUNIT_ASSERT_EQUAL(2, m_handled);
+    first.Close();
+    RunUntil([this] { return m_server->OpenExchanges() == 1; });
+    TestConnection fourth(m_server->Port());
+    fourth.Send(Head("Content-Length: 0\r\n"));
+    RunUntil([this] { return m_handled == 3; });
+  }
+
+  void CallerThatClosesWhileItsAnswerIsDueIsSeen() {
+    Serve(16, 10s);
+    m_keep = true;
+    TestConnection caller(m_server->Port());
+    // What follows the request must not hide the end.
+    caller.Send(Head("Content-Length: 0\r\n") + "POST /next HTTP/1.1\r\n");
+    RunUntil([this] { return m_handled == 1; });
+    CPPUNIT_ASSERT_EQUAL(0, m_gone);
+    caller.Close();
+    RunUntil([this] { return m_gone == 1; });
+    RunUntil([this] { return m_server->OpenExchanges() == 0; });
+  }
+
+  void RequestsOneAfterAnotherOnOneConnection() {
+    Serve(16, 10s);
+    TestConnection caller(m_server->Port());
+    caller.Send(Head("Content-Length: 0\r\n") + Head("Content-Length: 0\r\n"));
+    RunUntil([&] {
+      caller.Receive();
+      return m_handled == 2 && m_server->OpenExchanges() == 0;
+    });
+    CPPUNIT_ASSERT(!caller.Closed());
+  }
+
+  void StopAcceptingKeepsOpenExchanges() {
+    Serve(16, 10s);
+    m_keep = true;
+    TestConnection caller(m_server->Port());
+    caller.Send(Head("Content-Length: 0\r\nConnection: close\r\n"));
+    RunUntil([this] { return m_handled == 1; });
+    const uint16_t port = m_server->Port();
+    m_server->StopAccepting();
+    TestConnection late(port);
+    late.Send("x");
+    late.Receive();
+    CPPUNIT_ASSERT(late.Closed());
+    m_kept.at(0)->Answer(200, {}, "still here");
+    RunUntilClosed(caller);
+    CPPUNIT_ASSERT(caller.Has("still here"));
+  }
+
+ private:
+  void Serve(size_t max_connections, Duration receive_timeout) {
+    m_server = MakeServer(m_loop,
+                          {.max_body_bytes = kMaxBody,
+                           .max_connections = max_connections,
+                           .receive_timeout = receive_timeout,
+                           .refusal = callers::RefusalAnswer},
+                          [this](std::shared_ptr<Exchange> exchange) {
+                            ++m_handled;
+                            exchange->OnGone([this] { ++m_gone; });
+                            if (!m_keep) exchange->Answer(200, {}, "ok");
+                            m_kept.push_back(std::move(exchange));
+                          });
+  }
+
+  // The loop turns without waiting: the callers are not on it.
+  template <typename Condition>
+  void RunUntil(const Condition& condition) {
+    while (!condition()) ev_run(m_loop.Raw(), EVRUN_NOWAIT);
+  }
+
+  void RunUntilClosed(TestConnection& caller) {
+    while (!caller.Closed()) {
+      ev_run(m_loop.Raw(), EVRUN_NOWAIT);
+      caller.Receive();
+    }
+  }
+
+  loop::Loop m_loop;
+  bool m_keep = false;
+  int m_handled = 0;
+  int m_gone = 0;
+  std::vector<std::shared_ptr<Exchange>> m_kept;
+  std::unique_ptr<Server> m_server;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ServerBoundsTest);
+
+}  // namespace
+}  // namespace dotterelshift::http
--- /dev/null
+++ b/src/dotterelshift/http/test_connection.h
@@ -0,0 +1,83 @@
+#ifndef DOTTERELSHIFT_SRC_HTTP_TEST_CONNECTION_H_
+#define DOTTERELSHIFT_SRC_HTTP_TEST_CONNECTION_H_
+
+#include <arpa/inet.h>   // for htons
+#include <netinet/in.h>  // for sockaddr_in
+#include <sys/socket.h>  // for socket
+#include <unistd.h>      // for close
+
+#include <array>        // for array
+#include <cerrno>       // for errno
+#include <string>       // for string
+#include <string_view>  // for string_view
+#include <utility>      // for exchange
+
+namespace dotterelshift::http {
+
+// A caller of the tests that speaks bytes, and can do what no library would:
+// send half a head, or stop reading.
+class TestConnection {
+ public:
+  // `receive_buffer` bounds what the kernel takes for a caller that does not
+  // read; 0 leaves it.
+  explicit TestConnection(uint16_t port, int receive_buffer = 0)
+      : m_socket(::socket(AF_INET, SOCK_STREAM, 0)) {
+    if (receive_buffer > 0) {
+      ::setsockopt(m_socket, SOL_SOCKET, SO_RCVBUF, &receive_buffer,
+                   sizeof receive_buffer);
+    }
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(port);
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    ::connect(m_socket, reinterpret_cast<sockaddr*>(&address), sizeof address);
+  }
+  ~TestConnection() { Close(); }
+  TestConnection(TestConnection&& other) noexcept
+      : m_socket(std::exchange(other.m_socket, -1)),
+        m_closed(other.m_closed),
+        m_received(std::move(other.m_received)) {}
+  TestConnection(const TestConnection&) = delete;
+  TestConnection& operator=(const TestConnection&) = delete;
+
+  void Send(std::string_view bytes) {
+    if (::send(m_socket, bytes.data(), bytes.size(), MSG_NOSIGNAL) < 0)
+      m_closed = true;
+  }
+
+  // Takes what has arrived without waiting.
+  void Receive() {
+    std::array<char, 64 << 10> buffer;
+    while (!m_closed) {
+      const ssize_t size =
+          ::recv(m_socket, buffer.data(), buffer.size(), MSG_DONTWAIT);
+      if (size < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) return;
+      if (size <= 0) {
+        m_closed = true;
+        return;
+      }
+      m_received.append(buffer.data(), static_cast<size_t>(size));
+    }
+  }
+
+  void Close() {
+    if (m_socket >= 0) ::close(m_socket);
+    m_socket = -1;
+  }
+
+  const std::string& Received() const { return m_received; }
+  // The other side has ended the connection.
+  bool Closed() const { return m_closed; }
+  bool Has(std::string_view text) const {
+    return m_received.find(text) != std::string::npos;
+  }
+
+ private:
+  int m_socket;
+  bool m_closed = false;
+  std::string m_received;
+};
+
+}  // namespace dotterelshift::http
+
+#endif  // DOTTERELSHIFT_SRC_HTTP_TEST_CONNECTION_H_
