Serving: an attempt without an end is charged for what it may have consumed

Cause: spend of a broken or cancelled attempt was what had come to the entry; what the engine wrote after the last piece, or wrote to nobody, was counted nowhere, and was given out again. scenarios/spend_to_the_last_token.yaml, with links of 40 ms, callers that leave and links to engines cut, gave 4,012, 4,040 and 4,132 tokens consumed of three budgets of 4,000. Ruled out: the fakes (consumption was within each reservation), grants beyond what was bought (the state's cross-checks were silent).

--- a/src/dotterelshift/serving/attempt_end.cc
+++ b/src/dotterelshift/serving/attempt_end.cc
@@ -172,7 +172,7 @@
   const Attempt attempt = Detach(request, late, now);
   request->handed = true;
   Settlement settlement;
-  settlement.spend = SpendOf(*request, attempt, AttemptEnd::kDied);
+  settlement.spend = SpendOfCancelled(*request, attempt);
   settlement.outcome = kind == ErrorKind::kCallerGone ? wire::Outcome::Cancelled
                                                       : wire::Outcome::Failed;
   settlement.unknown = kind != ErrorKind::kOutputLimitReached;
--- a/src/dotterelshift/serving/spend.cc
+++ b/src/dotterelshift/serving/spend.cc
@@ -13,6 +13,9 @@
   if (request.IsService())
     return {std::min(attempt.reserved, request.caller.prompt_bound), 0};
 
+  if (end == AttemptEnd::kDied || end == AttemptEnd::kTimedOut)
+    return {attempt.reserved, 0};
+
   const Tokens prompt =
       attempt.has_usage ? attempt.usage_prompt : request.caller.prompt_bound;
   const Tokens output = std::max(attempt.counted, attempt.usage_output);
@@ -23,4 +26,12 @@
   return spend;
 }
 
+Spend SpendOfCancelled(const Request& request, const Attempt& attempt) {
+  Spend spend = SpendOf(request, attempt, AttemptEnd::kWhole);
+  const bool wrote = attempt.dispatched && !request.IsService();
+  const Tokens unseen = wrote ? kCancelAllowance : 0;
+  spend.spent = std::min(attempt.reserved, spend.spent + unseen);
+  return spend;
+}
+
 }  // namespace dotterelshift::serving
