Quarantine: a death is committed before its content may be tried again

Cause: a request with a mark that ends endpoints was sent through two entries in turn; the caller's answer and the report of the third death left at the same moment, so the other entry began a fourth try before it was told: 4 of 4 endpoints died. Ruled out: the count in the state (it held at 3) and retries inside one entry (they wait for each other). A death is now reported and its commit awaited (at most witness_patience) before a retry or the caller's answer; an opening carries the content's hash and is refused where it is quarantined. Conclusion: the log orders report and next opening, whichever entry it comes from.

--- a/bench/entry_bench.cc
+++ b/bench/entry_bench.cc
@@ -131,6 +131,7 @@
   m_fleet.AwaitReady("e1");
   const auto confirmed = m_fleet.PlanAndConfirm("c1", kIntent);
   if (confirmed.status != 200) throw std::runtime_error(confirmed.body);
+  m_fleet.AwaitVersion("e1", 1);
   // Warm: holdings granted, connections open, every endpoint known.
   Run(m_plain, 200, 8,
       R"({"model":"fast","max_tokens":1,"messages":[{"role":"user","content":"Which library?"}]})");
@@ -155,7 +156,8 @@
                                       m_fleet.GetLoop().Now() - sent)
                                       .count());
       }
-      if (piece.find("\"error\"") != std::string_view::npos && result.failed < 2)
+      if (piece.find("\"error\"") != std::string_view::npos &&
+          result.failed < 2)
         std::printf("%.*s\n", static_cast<int>(piece.size()), piece.data());
       for (size_t at = piece.find("data:"); at != std::string_view::npos;
            at = piece.find("data:", at + 5)) {
--- a/include/dotterelshift/serving/core.h
+++ b/include/dotterelshift/serving/core.h
@@ -119,7 +119,11 @@
   void AfterFailure(Request* request, const Attempt& attempt, AttemptEnd end,
                     Instant now);
   bool MayRetry(const Request& request, AttemptEnd end, Instant now);
-  void NoteDeath(const Request& request, const Attempt& attempt, Instant now);
+  // Reports the death; the sequence of the report.
+  uint64_t NoteDeath(const Request& request, const Attempt& attempt,
+                     Instant now);
+  void OnReported(Request* request, Instant now);
+  void GoOnAfterFailure(Request* request, Instant now);
   // Ends the running attempt by the entry's own will and fails the request.
   void CancelAndFail(Request* request, ErrorKind kind, Instant now);
   // Takes the attempt out of the router's and the suspects' books.
--- a/include/dotterelshift/serving/request.h
+++ b/include/dotterelshift/serving/request.h
@@ -17,14 +17,15 @@
 
 // Where a request stands on its way.
 enum class Stage {
-  kArrived,   // being looked at; in no list
-  kQueued,    // in the fair queue, waits for an endpoint
-  kBudget,    // waits for tokens
-  kApart,     // a suspect that waits until it may run alone
-  kClaiming,  // waits for the commit of its claim
-  kOpening,   // waits for the commit of its attempt's opening
-  kRunning,   // handed to an endpoint
-  kSettling,  // the answer is whole, its bill is on the way
+  kArrived,    // being looked at; in no list
+  kQueued,     // in the fair queue, waits for an endpoint
+  kBudget,     // waits for tokens
+  kApart,      // a suspect that waits until it may run alone
+  kClaiming,   // waits for the commit of its claim
+  kOpening,    // waits for the commit of its attempt's opening
+  kRunning,    // handed to an endpoint
+  kReporting,  // its endpoint died; waits for the commit of the report
+  kSettling,   // the answer is whole, its bill is on the way
 };
 
 // One try of a request at one endpoint.
@@ -66,6 +67,7 @@
   bool standing = false;                // of `reserved`: see Attempt
   std::optional<Attempt> attempt;
   int attempts = 0;
+  bool retry_wanted = false;         // of kReporting: what follows it
   std::vector<EndpointId> excluded;  // tried before
   bool handed = false;               // an endpoint may have run something of it
   bool forwarded = false;            // a piece has gone to the caller
--- a/include/dotterelshift/wire/commands_generated.h
+++ b/include/dotterelshift/wire/commands_generated.h
@@ -3690,6 +3690,7 @@
   std::string request_key{};
   uint64_t attempt = 0;
   int64_t reserved = 0;
+  uint64_t content_hash = 0;
 };
 
 struct OpenAttempt FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -3701,7 +3702,8 @@
     VT_TEAM = 6,
     VT_REQUEST_KEY = 8,
     VT_ATTEMPT = 10,
-    VT_RESERVED = 12
+    VT_RESERVED = 12,
+    VT_CONTENT_HASH = 14
   };
   const flatbuffers::String *budget() const {
     return GetPointer<const flatbuffers::String *>(VT_BUDGET);
@@ -3718,6 +3720,9 @@
   int64_t reserved() const {
     return GetField<int64_t>(VT_RESERVED, 0);
   }
+  uint64_t content_hash() const {
+    return GetField<uint64_t>(VT_CONTENT_HASH, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_BUDGET) &&
@@ -3728,6 +3733,7 @@
            verifier.VerifyString(request_key()) &&
            VerifyField<uint64_t>(verifier, VT_ATTEMPT, 8) &&
            VerifyField<int64_t>(verifier, VT_RESERVED, 8) &&
+           VerifyField<uint64_t>(verifier, VT_CONTENT_HASH, 8) &&
            verifier.EndTable();
   }
   OpenAttemptT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3754,6 +3760,9 @@
   void add_reserved(int64_t reserved) {
     fbb_.AddElement<int64_t>(OpenAttempt::VT_RESERVED, reserved, 0);
   }
+  void add_content_hash(uint64_t content_hash) {
+    fbb_.AddElement<uint64_t>(OpenAttempt::VT_CONTENT_HASH, content_hash, 0);
+  }
   explicit OpenAttemptBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3771,8 +3780,10 @@
     flatbuffers::Offset<flatbuffers::String> team = 0,
     flatbuffers::Offset<flatbuffers::String> request_key = 0,
     uint64_t attempt = 0,
-    int64_t reserved = 0) {
+    int64_t reserved = 0,
+    uint64_t content_hash = 0) {
   OpenAttemptBuilder builder_(_fbb);
+  builder_.add_content_hash(content_hash);
   builder_.add_reserved(reserved);
   builder_.add_attempt(attempt);
   builder_.add_request_key(request_key);
@@ -3792,7 +3803,8 @@
     const char *team = nullptr,
     const char *request_key = nullptr,
     uint64_t attempt = 0,
-    int64_t reserved = 0) {
+    int64_t reserved = 0,
+    uint64_t content_hash = 0) {
   auto budget__ = budget ? _fbb.CreateString(budget) : 0;
   auto team__ = team ? _fbb.CreateString(team) : 0;
   auto request_key__ = request_key ? _fbb.CreateString(request_key) : 0;
@@ -3802,7 +3814,8 @@
       team__,
       request_key__,
       attempt,
-      reserved);
+      reserved,
+      content_hash);
 }
 
 flatbuffers::Offset<OpenAttempt> CreateOpenAttempt(flatbuffers::FlatBufferBuilder &_fbb, const OpenAttemptT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -6617,6 +6630,7 @@
   { auto _e = request_key(); if (_e) _o->request_key = _e->str(); }
   { auto _e = attempt(); _o->attempt = _e; }
   { auto _e = reserved(); _o->reserved = _e; }
+  { auto _e = content_hash(); _o->content_hash = _e; }
 }
 
 inline flatbuffers::Offset<OpenAttempt> OpenAttempt::Pack(flatbuffers::FlatBufferBuilder &_fbb, const OpenAttemptT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -6632,13 +6646,15 @@
   auto _request_key = _o->request_key.empty() ? 0 : _fbb.CreateString(_o->request_key);
   auto _attempt = _o->attempt;
   auto _reserved = _o->reserved;
+  auto _content_hash = _o->content_hash;
   return dotterelshift::wire::CreateOpenAttempt(
       _fbb,
       _budget,
       _team,
       _request_key,
       _attempt,
-      _reserved);
+      _reserved,
+      _content_hash);
 }
 
 inline SettleT *Settle::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/src/dotterelshift/app/entry.cc
+++ b/src/dotterelshift/app/entry.cc
@@ -313,6 +313,12 @@
                       static_cast<double>(m_reach));
   m_metrics->SetGauge("dotterelshift_configuration_version", "Version in force",
                       static_cast<double>(m_version));
+  size_t usable = 0;
+  for (const auto& [id, endpoint] : m_directory.GetDirectory().All())
+    usable += endpoint.usable ? 1 : 0;
+  m_metrics->SetGauge("dotterelshift_endpoints_usable",
+                      "Endpoints that may be given work",
+                      static_cast<double>(usable));
   const std::pair<std::string_view, uint64_t> counters[] = {
       {"dotterelshift_late_pieces_dropped_total", serving.late_pieces_dropped},
       {"dotterelshift_retries_total", serving.retries},
--- a/src/dotterelshift/serving/attempt_end.cc
+++ b/src/dotterelshift/serving/attempt_end.cc
@@ -124,7 +124,8 @@
   const ErrorKind failure = FailureOf(end, request->forwarded);
   request->last_failure = failure;
   request->excluded.push_back(attempt.endpoint);
-  if (end == AttemptEnd::kDied) NoteDeath(*request, attempt, now);
+  const bool died = end == AttemptEnd::kDied;
+  const uint64_t report = died ? NoteDeath(*request, attempt, now) : 0;
 
   const bool retry = MayRetry(*request, end, now);
   Settlement settlement;
@@ -134,8 +135,29 @@
   settlement.last = !retry;
   settlement.unknown = !NotRun(end);
   Settle(request, attempt, settlement, now);
-  if (!retry) {
-    Fail(request, failure, now);
+  request->retry_wanted = retry;
+  if (died && m_reach == ControlReach::kConnected) {
+    // Neither another endpoint nor the caller may try the content again before
+    // every entry can know of this death.
+    request->stage = Stage::kReporting;
+    request->awaited = report;
+    SetDue(request,
+           std::min(request->deadline, now + m_options.witness_patience));
+    return;
+  }
+  GoOnAfterFailure(request, now);
+}
+
+void Core::OnReported(Request* request, Instant now) {
+  if (request->stage != Stage::kReporting) return;
+  const uint64_t content = request->caller.content_hash;
+  if (m_blocklist.BlockedFor(content, now)) request->retry_wanted = false;
+  GoOnAfterFailure(request, now);
+}
+
+void Core::GoOnAfterFailure(Request* request, Instant now) {
+  if (!request->retry_wanted || request->caller_gone) {
+    Fail(request, request->last_failure, now);
     return;
   }
   ++m_counters.retries;
@@ -155,15 +177,17 @@
   return false;
 }
 
-void Core::NoteDeath(const Request& request, const Attempt& attempt,
-                     Instant now) {
+uint64_t Core::NoteDeath(const Request& request, const Attempt& attempt,
+                         Instant now) {
   m_suspects.OnDeath(request.caller.content_hash, now);
   wire::ReportSuspectT report;
   report.content_hash = request.caller.content_hash;
   report.endpoint = attempt.endpoint;
   report.endpoint_incarnation = attempt.incarnation;
   report.alone = attempt.alone;
-  Propose(std::move(report), PendingCommand{});
+  PendingCommand pending;
+  pending.request = request.id;
+  return Propose(std::move(report), std::move(pending));
 }
 
 void Core::CancelAndFail(Request* request, ErrorKind kind, Instant now) {
--- a/src/dotterelshift/serving/dispatch.cc
+++ b/src/dotterelshift/serving/dispatch.cc
@@ -111,6 +111,7 @@
   open.request_key = request->key;
   open.attempt = attempt.id;
   open.reserved = attempt.reserved;
+  open.content_hash = request->caller.content_hash;
 
   PendingCommand pending;
   pending.kind = PendingCommand::Kind::kOpen;
@@ -148,7 +149,8 @@
   }
   if (error != ErrorKind::kNone) {
     const bool told = error == ErrorKind::kBudgetUnavailable ||
-                      error == ErrorKind::kKeyExpired;
+                      error == ErrorKind::kKeyExpired ||
+                      error == ErrorKind::kQuarantined;
     Fail(request, told ? error : ErrorKind::kNoQuorum, now);
     return;
   }
--- a/src/dotterelshift/serving/request_core.cc
+++ b/src/dotterelshift/serving/request_core.cc
@@ -128,6 +128,11 @@
     case Stage::kRunning:
       CancelAndFail(request, ErrorKind::kDeadlineWhileRunning, now);
       break;
+    case Stage::kReporting:
+      // Not known to the others: better not tried again from here.
+      request->retry_wanted = false;
+      GoOnAfterFailure(request, now);
+      break;
     case Stage::kSettling:
       SpoolOpenSettlement(request, now);
       break;
--- a/src/dotterelshift/serving/settlement.cc
+++ b/src/dotterelshift/serving/settlement.cc
@@ -129,6 +129,8 @@
     case PendingCommand::Kind::kNote:
       if (const wire::SuspectAnswerT* suspect = answer.body.AsSuspectAnswer())
         m_blocklist.OnEntry(*suspect, now);
+      if (Request* request = FindRequest(pending.request))
+        OnReported(request, now);
       break;
   }
   Finally(now);
--- a/src/dotterelshift/state/apply_open_attempt.cc
+++ b/src/dotterelshift/state/apply_open_attempt.cc
@@ -15,6 +15,10 @@
     return Refuse(answer, ErrorKind::kResendTooOld, "attempt is settled");
   if (IsExpired(tables, digest) && FindClaim(tables, digest) == nullptr)
     return Refuse(answer, ErrorKind::kKeyExpired, command.request_key);
+  const auto suspect = tables.suspects.find(command.content_hash);
+  if (suspect != tables.suspects.end() &&
+      suspect->second.quarantined_until > tables.last_stamp)
+    return Refuse(answer, ErrorKind::kQuarantined, "endpoints died of it");
   Account* account = tables.FindAccount(command.budget);
   if (account == nullptr)
     return Refuse(answer, ErrorKind::kNoBudget, command.budget);
--- a/tests/process/fleet.cc
+++ b/tests/process/fleet.cc
@@ -167,6 +167,15 @@
            [&] { return Send("GET", url, {}, {}).status == 200; });
 }
 
+void Fleet::AwaitVersion(const std::string& name, uint64_t version) {
+  const std::string url = "http://" + HttpAddress(name) + "/metrics";
+  const std::string line =
+      "dotterelshift_configuration_version " + std::to_string(version) + "\n";
+  RunUntil(m_loop, name + " at version " + std::to_string(version), [&] {
+    return Send("GET", url, {}, {}).body.find(line) != std::string::npos;
+  });
+}
+
 std::string Fleet::AwaitLeader(const std::vector<std::string>& names) {
   std::string leader;
   RunUntil(m_loop, "a leader", [&] {
--- a/tests/process/fleet.h
+++ b/tests/process/fleet.h
@@ -68,6 +68,8 @@
 
   // Asks until the answer has the status, within the guard against hanging.
   void AwaitReady(const std::string& name);
+  // Waits until the daemon has this version of the configuration in force.
+  void AwaitVersion(const std::string& name, uint64_t version);
   // A control daemon that leads, of those named.
   std::string AwaitLeader(const std::vector<std::string>& names);
 
