--- a/include/dotterelshift/budget/recall_core.h
+++ b/include/dotterelshift/budget/recall_core.h
@@ -26,7 +26,8 @@
 
 // Decides on the leader which holders give back idle tokens when a request for
 // a grant could not be satisfied. Each holder keeps its share of the budget by
-// demand; the largest surplus is asked for first. Soft state: a new leader
+// demand; the largest surplus is asked for first, and shares are cut into only
+// for what a waiting request lacks. Soft state: a new leader
 // starts empty and learns from the beats.
 class RecallCore {
  public:
@@ -49,7 +50,8 @@
   };
   struct Surplus {
     HostId host;
-    Tokens tokens = 0;
+    Tokens tokens = 0;  // idle beyond its share
+    Tokens idle = 0;
   };
   using Key = std::pair<HostId, BudgetId>;
 
--- /dev/null
+++ b/include/dotterelshift/state/compact_table.h
@@ -0,0 +1,163 @@
+#ifndef DOTTERELSHIFT_STATE_COMPACT_TABLE_H_
+#define DOTTERELSHIFT_STATE_COMPACT_TABLE_H_
+
+#include <cstddef>      // for size_t
+#include <cstdint>      // for uint32_t
+#include <functional>   // for hash
+#include <memory>       // for unique_ptr
+#include <string>       // for string
+#include <string_view>  // for string_view
+#include <utility>      // for pair
+#include <vector>       // for vector
+
+namespace dotterelshift::state {
+
+// Rows by their `id`, for tables of some hundred thousand small rows: a row
+// costs its own size and about eight bytes of index, where a node-based map
+// spends three times as much. Rows keep their place until they are erased. An
+// empty id marks a free place, so no row may have one.
+template <typename Row>
+class CompactTable {
+ public:
+  using Slot = uint32_t;
+
+  // Goes over the rows, in the order of their places, as (id, row).
+  template <typename Table, typename Item>
+  class BasicIterator {
+   public:
+    BasicIterator(Table* table, Slot slot) : m_table(table), m_slot(slot) {
+      SkipFree();
+    }
+    std::pair<const std::string&, Item&> operator*() const {
+      Item& row = m_table->At(m_slot);
+      return {row.id, row};
+    }
+    BasicIterator& operator++() {
+      ++m_slot;
+      SkipFree();
+      return *this;
+    }
+    bool operator==(const BasicIterator& other) const {
+      return m_slot == other.m_slot;
+    }
+
+   private:
+    void SkipFree() {
+      while (m_slot < m_table->m_slots && m_table->At(m_slot).id.empty())
+        ++m_slot;
+    }
+    Table* m_table;
+    Slot m_slot;
+  };
+  using Iterator = BasicIterator<CompactTable, Row>;
+  using ConstIterator = BasicIterator<const CompactTable, const Row>;
+
+  Iterator begin() { return {this, 0}; }
+  Iterator end() { return {this, m_slots}; }
+  ConstIterator begin() const { return {this, 0}; }
+  ConstIterator end() const { return {this, m_slots}; }
+  size_t size() const { return m_size; }
+
+  Row& At(Slot slot) { return m_chunks[slot / kChunk][slot % kChunk]; }
+  const Row& At(Slot slot) const {
+    return m_chunks[slot / kChunk][slot % kChunk];
+  }
+
+  // Null when there is no such row.
+  Row* Find(std::string_view id) {
+    const size_t place = PlaceOf(id);
+    return IsTaken(place) ? &At(m_index[place] - 1) : nullptr;
+  }
+  const Row* Find(std::string_view id) const {
+    const size_t place = PlaceOf(id);
+    return IsTaken(place) ? &At(m_index[place] - 1) : nullptr;
+  }
+
+  // The place of the row of this id; a fresh row is made when there is none.
+  std::pair<Slot, bool> FindOrAdd(const std::string& id) {
+    if ((m_size + 1) * 4 > m_index.size() * 3) Grow();
+    const size_t place = PlaceOf(id);
+    if (IsTaken(place)) return {m_index[place] - 1, false};
+    const Slot slot = TakeSlot();
+    At(slot).id = id;
+    m_index[place] = slot + 1;
+    ++m_size;
+    return {slot, true};
+  }
+
+  void Erase(std::string_view id) {
+    size_t hole = PlaceOf(id);
+    if (!IsTaken(hole)) return;
+    const Slot slot = m_index[hole] - 1;
+    CloseHole(hole);
+    At(slot) = Row();
+    m_free.push_back(slot);
+    --m_size;
+  }
+
+ private:
+  static constexpr size_t kChunk = 512;
+  static constexpr size_t kLeastIndex = 16;
+
+  bool IsTaken(size_t place) const {
+    return place < m_index.size() && m_index[place] != 0;
+  }
+  size_t HomeOf(std::string_view id) const {
+    return std::hash<std::string_view>()(id) & (m_index.size() - 1);
+  }
+
+  // Where the id stands in the index, or the free place where it would.
+  size_t PlaceOf(std::string_view id) const {
+    if (m_index.empty()) return 0;
+    size_t place = HomeOf(id);
+    while (m_index[place] != 0 && At(m_index[place] - 1).id != id)
+      place = (place + 1) & (m_index.size() - 1);
+    return place;
+  }
+
+  // Moves later entries of the probe sequence up, so that none is cut off.
+  void CloseHole(size_t hole) {
+    const size_t mask = m_index.size() - 1;
+    size_t next = (hole + 1) & mask;
+    while (m_index[next] != 0) {
+      const size_t home = HomeOf(At(m_index[next] - 1).id);
+      const bool movable = ((next - home) & mask) >= ((next - hole) & mask);
+      if (movable) {
+        m_index[hole] = m_index[next];
+        hole = next;
+      }
+      next = (next + 1) & mask;
+    }
+    m_index[hole] = 0;
+  }
+
+  void Grow() {
+    const size_t size = m_index.empty() ? kLeastIndex : m_index.size() * 2;
+    m_index.assign(size, 0);
+    for (Slot slot = 0; slot < m_slots; ++slot) {
+      if (At(slot).id.empty()) continue;
+      m_index[PlaceOf(At(slot).id)] = slot + 1;
+    }
+  }
+
+  Slot TakeSlot() {
+    if (!m_free.empty()) {
+      const Slot slot = m_free.back();
+      m_free.pop_back();
+      return slot;
+    }
+    if (m_slots == m_chunks.size() * kChunk)
+      m_chunks.push_back(std::make_unique<Row[]>(kChunk));
+    return m_slots++;
+  }
+
+  std::vector<std::unique_ptr<Row[]>> m_chunks;
+  std::vector<Slot> m_index;  // slot + 1; 0: free. Its size is a power of two
+  std::vector<Slot> m_free;
+  Slot m_slots = 0;
+  size_t m_size = 0;
+};
+
+}  // namespace dotterelshift::state
+
+#endif  // DOTTERELSHIFT_STATE_COMPACT_TABLE_H_
--- a/include/dotterelshift/state/configuration.h
+++ b/include/dotterelshift/state/configuration.h
@@ -12,6 +12,7 @@
 #include <vector>         // for vector
 
 #include "dotterelshift/base/ids.h"                 // for TeamId
+#include "dotterelshift/state/compact_table.h"      // for CompactTable
 #include "dotterelshift/wire/commands_generated.h"  // for ChangeT, TeamT
 
 namespace dotterelshift::state {
@@ -71,9 +72,7 @@
   const std::unordered_map<TeamId, wire::TeamT>& Teams() const {
     return m_teams;
   }
-  const std::unordered_map<BudgetId, wire::BudgetT>& Budgets() const {
-    return m_budgets;
-  }
+  const CompactTable<wire::BudgetT>& Budgets() const { return m_budgets; }
   const std::unordered_map<std::string, wire::EndpointSetT>& EndpointSets()
       const {
     return m_endpoint_sets;
@@ -84,6 +83,7 @@
   }
 
  private:
+  using Slot = uint32_t;  // of a CompactTable
   struct KeyHasher {
     size_t operator()(const KeyHash& hash) const;
   };
@@ -102,13 +102,12 @@
 
   uint64_t m_version = 0;
   std::unordered_map<TeamId, wire::TeamT> m_teams;
-  std::unordered_map<std::string, wire::ApiKeyT> m_keys;
-  // Ids of keys by hash.
-  std::unordered_map<KeyHash, const std::string*, KeyHasher, KeyEqual>
-      m_key_by_hash;
-  std::unordered_map<BudgetId, wire::BudgetT> m_budgets;
-  // Sorted by id; the strings are those of m_budgets.
-  std::unordered_map<TeamId, std::vector<const BudgetId*>> m_budgets_of_team;
+  CompactTable<wire::ApiKeyT> m_keys;
+  // Places in m_keys by hash.
+  std::unordered_map<KeyHash, Slot, KeyHasher, KeyEqual> m_key_by_hash;
+  CompactTable<wire::BudgetT> m_budgets;
+  // Places in m_budgets, sorted by id.
+  std::unordered_map<TeamId, std::vector<Slot>> m_budgets_of_team;
   std::unordered_map<std::string, wire::EndpointSetT> m_endpoint_sets;
   std::unordered_map<ModelName, wire::ModelPlacementT> m_placements;
 };
--- a/src/dotterelshift/budget/recall_core.cc
+++ b/src/dotterelshift/budget/recall_core.cc
@@ -1,6 +1,6 @@
 #include "dotterelshift/budget/recall_core.h"
 
-#include <algorithm>  // for max, min, sort
+#include <algorithm>  // for clamp, max, min, sort
 #include <cmath>      // for ceil
 
 namespace dotterelshift::budget {
@@ -22,17 +22,30 @@
     const HostRun& asker, const wire::RequestGrantT& ask,
     const std::vector<state::Holding>& holdings, Instant now) {
   Forget(now);
+  std::vector<Surplus> surpluses = SurplusesOf(asker, ask, holdings, now);
+  std::vector<Tokens> taken(surpluses.size());
+  Tokens wanted = std::max(ask.wanted, ask.minimum);
+  Tokens needed = ask.minimum;
+  for (size_t i = 0; i < surpluses.size(); ++i) {
+    taken[i] = std::clamp<Tokens>(wanted, 0, surpluses[i].tokens);
+    wanted -= taken[i];
+    needed -= taken[i];
+  }
+  // A request that waits goes before shares that nobody draws on now.
+  for (size_t i = 0; i < surpluses.size(); ++i) {
+    const Tokens more =
+        std::clamp<Tokens>(needed, 0, surpluses[i].idle - taken[i]);
+    taken[i] += more;
+    needed -= more;
+  }
   std::vector<RecallMessage> messages;
-  Tokens missing = std::max(ask.wanted, ask.minimum);
-  for (const Surplus& surplus : SurplusesOf(asker, ask, holdings, now)) {
-    if (missing <= 0) break;
-    const Tokens taken = std::min(missing, surplus.tokens);
-    missing -= taken;
+  for (size_t i = 0; i < surpluses.size(); ++i) {
+    if (taken[i] <= 0) continue;
     RecallMessage& message = messages.emplace_back();
-    message.host = surplus.host;
+    message.host = surpluses[i].host;
     message.recall.budget = ask.budget;
-    message.recall.tokens = taken;
-    m_asked[{surplus.host, ask.budget}] = now;
+    message.recall.tokens = taken[i];
+    m_asked[{message.host, ask.budget}] = now;
   }
   return messages;
 }
@@ -65,8 +78,9 @@
     const double own =
         kLeastDemand + static_cast<double>(holding.demand_per_second);
     const auto share = static_cast<Tokens>(std::ceil(idle * own / demand));
-    const Tokens surplus = IdleOf(holding, ask.budget, now) - share;
-    if (surplus > 0) surpluses.push_back({holding.holder.host, surplus});
+    const Tokens unused = IdleOf(holding, ask.budget, now);
+    const Tokens surplus = std::max<Tokens>(0, unused - share);
+    if (unused > 0) surpluses.push_back({holding.holder.host, surplus, unused});
   }
   std::sort(surpluses.begin(), surpluses.end(),
             [](const Surplus& a, const Surplus& b) {
--- a/src/dotterelshift/budget/recall_core_test.cc
+++ b/src/dotterelshift/budget/recall_core_test.cc
@@ -30,6 +30,7 @@
   CPPUNIT_TEST_SUITE(RecallCoreTest);
   CPPUNIT_TEST(LargestSurplusIsAskedFirst);
   CPPUNIT_TEST(HoldersKeepTheirShare);
+  CPPUNIT_TEST(WaitingRequestCutsIntoShares);
   CPPUNIT_TEST(DeadHoldersAndTheAskerAreLeftOut);
   CPPUNIT_TEST(ReportsLimitWhatIsAsked);
   CPPUNIT_TEST(SameHolderIsNotAskedAtOnceAgain);
@@ -55,6 +56,16 @@
     CPPUNIT_ASSERT_EQUAL(Tokens{899}, idle.at(0).recall.tokens);
   }
 
+  void WaitingRequestCutsIntoShares() {
+    wire::RequestGrantT ask = AskOf(900, 0);
+    ask.minimum = 700;
+    const auto messages =
+        Short(ask, {HoldingOf("x", 400, 0, 0), HoldingOf("y", 500, 0, 0)});
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, messages.size());
+    CPPUNIT_ASSERT_EQUAL(Tokens{500}, messages[0].recall.tokens);
+    CPPUNIT_ASSERT_EQUAL(Tokens{200}, messages[1].recall.tokens);
+  }
+
   void DeadHoldersAndTheAskerAreLeftOut() {
     CPPUNIT_ASSERT(Short(AskOf(900, 0), {HoldingOf("x", 900, 0, 0, true),
                                          HoldingOf("asker", 900, 0, 0)})
--- a/src/dotterelshift/operators/render.cc
+++ b/src/dotterelshift/operators/render.cc
@@ -216,7 +216,7 @@
   const auto& budgets = state.GetConfiguration().Budgets();
   for (const std::string& id : SortedKeys(budgets))
     if (budget.empty() || budget == id)
-      json.push_back(RenderBudget(state, budgets.at(id)));
+      json.push_back(RenderBudget(state, *budgets.Find(id)));
   return json;
 }
 
--- a/src/dotterelshift/state/apply_confirm_plan.cc
+++ b/src/dotterelshift/state/apply_confirm_plan.cc
@@ -31,15 +31,16 @@
   // Its past spend belongs to the first team's reports.
   std::string LookAtBudget(const wire::BudgetT& budget) {
     m_made.insert(budget.id);
-    const auto account = m_tables.accounts.find(budget.id);
-    if (account == m_tables.accounts.end()) return "";
-    const TeamId& team = m_tables.team_names[account->second.team];
+    if (budget.id.empty()) return "a budget has no id";
+    const Account* account = m_tables.accounts.Find(budget.id);
+    if (account == nullptr) return "";
+    const TeamId& team = m_tables.teams.At(account->team).id;
     if (team == budget.team) return "";
     return "budget " + budget.id + " is, or was, of team " + team;
   }
 
   std::string LookAtAmount(const wire::TopUpT& top_up) {
-    const auto account = m_tables.accounts.find(top_up.budget);
+    const Account* account = m_tables.accounts.Find(top_up.budget);
     const bool known =
         m_tables.configuration.FindBudget(top_up.budget) != nullptr ||
         m_made.contains(top_up.budget);
@@ -47,8 +48,7 @@
     if (top_up.tokens <= 0 || top_up.tokens > kMaxTokens)
       return "top-up " + top_up.id + " is out of range";
     Tokens& sum = m_sums[top_up.budget];
-    if (sum == 0 && account != m_tables.accounts.end())
-      sum = account->second.amounts.purchased;
+    if (sum == 0 && account != nullptr) sum = account->amounts.purchased;
     sum += top_up.tokens;
     if (sum > kMaxTokens) return "budget " + top_up.budget + " would overflow";
     return "";
@@ -84,7 +84,9 @@
 }
 
 void MakeAccount(Tables& tables, const wire::BudgetT& budget) {
-  tables.accounts[budget.id].team = tables.TeamNumber(budget.team);
+  const auto [slot, fresh] = tables.accounts.FindOrAdd(budget.id);
+  if (fresh)
+    tables.accounts.At(slot).team = tables.teams.FindOrAdd(budget.team).first;
 }
 
 void CarryOut(Context& context, const wire::ChangeBodyUnion& body) {
@@ -96,7 +98,7 @@
   if (body.type != wire::ChangeBody::TopUp) return;
   const wire::TopUpT& top_up = *body.AsTopUp();
   if (!tables.top_ups.insert(top_up.id).second) return;
-  tables.accounts[top_up.budget].amounts.purchased += top_up.tokens;
+  tables.accounts.Find(top_up.budget)->amounts.purchased += top_up.tokens;
 }
 
 // Keeps the newest confirmed plans whole, as many changes as the options say.
--- a/src/dotterelshift/state/apply_open_attempt.cc
+++ b/src/dotterelshift/state/apply_open_attempt.cc
@@ -15,7 +15,7 @@
     return Refuse(answer, ErrorKind::kResendTooOld, "attempt is settled");
   if (IsExpired(tables, digest) && FindClaim(tables, digest) == nullptr)
     return Refuse(answer, ErrorKind::kKeyExpired, command.request_key);
-  Account* account = tables.FindAccount(command.budget);
+  Account* account = tables.accounts.Find(command.budget);
   if (account == nullptr)
     return Refuse(answer, ErrorKind::kNoBudget, command.budget);
   Grant* grant = FindGrant(*account, context.run);
--- a/src/dotterelshift/state/apply_request_grant.cc
+++ b/src/dotterelshift/state/apply_request_grant.cc
@@ -17,7 +17,7 @@
 void ReclaimLapsed(Context& context, Account& account) {
   Tables& tables = context.tables;
   const WallMs silent = context.stamp - tables.options.lease_ms;
-  for (Grant& grant : account.grants) {
+  for (Grant& grant : account.MutableGrants()) {
     if (grant.dead || grant.run == context.run) continue;
     if (tables.runs[grant.run].heard > silent) continue;
     const Tokens kept = std::min(grant.tokens, grant.Opened() + grant.standing);
@@ -53,7 +53,7 @@
 void Apply(Context& context, const wire::RequestGrantT& command,
            wire::CommandAnswerT& answer) {
   Tables& tables = context.tables;
-  Account* account = tables.FindAccount(command.budget);
+  Account* account = tables.accounts.Find(command.budget);
   const wire::BudgetT* budget = tables.configuration.FindBudget(command.budget);
   if (account == nullptr || budget == nullptr)
     return Refuse(answer, ErrorKind::kNoBudget, command.budget);
--- a/src/dotterelshift/state/apply_return_grant.cc
+++ b/src/dotterelshift/state/apply_return_grant.cc
@@ -7,7 +7,7 @@
 
 void Apply(Context& context, const wire::ReturnGrantT& command,
            wire::CommandAnswerT& answer) {
-  Account* account = context.tables.FindAccount(command.budget);
+  Account* account = context.tables.accounts.Find(command.budget);
   if (account == nullptr)
     return Refuse(answer, ErrorKind::kNoBudget, command.budget);
   Grant* grant = FindGrant(*account, context.run);
--- a/src/dotterelshift/state/apply_settle.cc
+++ b/src/dotterelshift/state/apply_settle.cc
@@ -54,7 +54,8 @@
   }
   const Tokens from_free = std::min(rest, amounts.Free());
   amounts.settled += from_free;
-  account.overdrawn += rest - from_free;
+  if (rest > from_free)
+    context.tables.overdrawn[account.id] += rest - from_free;
   DropIfEmpty(account, spender);
 }
 
@@ -73,7 +74,7 @@
   const bool dated =
       settle.finished_ms > 0 && settle.finished_ms <= context.stamp;
   TeamDay& day =
-      context.tables.DayOf(context.tables.team_names[account.team],
+      context.tables.DayOf(context.tables.teams.At(account.team).id,
                            dated ? settle.finished_ms : context.stamp);
   day.spent += spent;
   if (first_bill) day.billed += settle.billed;
@@ -112,7 +113,7 @@
 void Apply(Context& context, const wire::SettleT& settle,
            wire::CommandAnswerT& answer) {
   Tables& tables = context.tables;
-  Account* account = tables.FindAccount(settle.budget);
+  Account* account = tables.accounts.Find(settle.budget);
   if (account == nullptr)
     return Refuse(answer, ErrorKind::kNoBudget, settle.budget);
   if (!IsSane(settle))
--- a/src/dotterelshift/state/checks.cc
+++ b/src/dotterelshift/state/checks.cc
@@ -20,11 +20,11 @@
 }
 
 void CheckAccount(const BudgetId& budget, const Account& account,
-                  Lines* lines) {
+                  Tokens overdrawn, Lines* lines) {
   const BudgetAccount& amounts = account.amounts;
   Tokens granted = 0;
   Tokens lost = 0;
-  for (const Grant& grant : account.grants)
+  for (const Grant& grant : account.Grants())
     (grant.dead ? lost : granted) += grant.tokens;
   Compare("budget " + budget + ": granted, and held by live runs",
           amounts.granted, granted, lines);
@@ -34,9 +34,8 @@
                         amounts.lost < 0 || amounts.Free() < 0 ||
                         amounts.billed < 0;
   if (negative) lines->push_back("budget " + budget + ": an amount below zero");
-  if (account.overdrawn <= 0) return;
-  lines->push_back("budget " + budget + ": " +
-                   std::to_string(account.overdrawn) +
+  if (overdrawn <= 0) return;
+  lines->push_back("budget " + budget + ": " + std::to_string(overdrawn) +
                    " settled beyond what was purchased");
 }
 
@@ -46,9 +45,12 @@
   Lines lines;
   std::map<TeamId, TeamTotals> accounts;
   for (const auto& [budget, account] : tables.accounts) {
-    CheckAccount(budget, account, &lines);
-    TeamTotals& totals = accounts[tables.team_names[account.team]];
-    totals.spent += account.amounts.settled + account.overdrawn;
+    const auto found = tables.overdrawn.find(budget);
+    const Tokens overdrawn =
+        found == tables.overdrawn.end() ? 0 : found->second;
+    CheckAccount(budget, account, overdrawn, &lines);
+    TeamTotals& totals = accounts[tables.teams.At(account.team).id];
+    totals.spent += account.amounts.settled + overdrawn;
     totals.billed += account.amounts.billed;
   }
   std::map<TeamId, TeamTotals> days;
--- a/src/dotterelshift/state/configuration.cc
+++ b/src/dotterelshift/state/configuration.cc
@@ -130,38 +130,41 @@
 void Configuration::UpsertKey(const wire::ApiKeyT& key) {
   RemoveKey(key.id);
   KeyHash hash{};
-  if (key.hash.size() != hash.size()) return;
+  if (key.hash.size() != hash.size() || key.id.empty()) return;
   std::copy(key.hash.begin(), key.hash.end(), hash.begin());
-  const auto stored = m_keys.insert_or_assign(key.id, key).first;
-  m_key_by_hash[hash] = &stored->first;
+  const Slot slot = m_keys.FindOrAdd(key.id).first;
+  m_keys.At(slot) = key;
+  m_key_by_hash[hash] = slot;
 }
 
 void Configuration::RemoveKey(const std::string& id) {
-  const auto found = m_keys.find(id);
-  if (found == m_keys.end()) return;
+  const wire::ApiKeyT* key = m_keys.Find(id);
+  if (key == nullptr) return;
   KeyHash hash{};
-  const std::vector<uint8_t>& bytes = found->second.hash;
-  std::copy(bytes.begin(), bytes.end(), hash.begin());
+  std::copy(key->hash.begin(), key->hash.end(), hash.begin());
   const auto by_hash = m_key_by_hash.find(hash);
   // The same bearer key may have been given a second id since.
-  if (by_hash != m_key_by_hash.end() && by_hash->second == &found->first)
-    m_key_by_hash.erase(by_hash);
-  m_keys.erase(found);
+  const bool own =
+      by_hash != m_key_by_hash.end() && &m_keys.At(by_hash->second) == key;
+  if (own) m_key_by_hash.erase(by_hash);
+  m_keys.Erase(id);
 }
 
 void Configuration::UpsertBudget(const wire::BudgetT& budget) {
-  const auto [place, fresh] = m_budgets.try_emplace(budget.id, budget);
+  if (budget.id.empty()) return;
+  const auto [slot, fresh] = m_budgets.FindOrAdd(budget.id);
+  wire::BudgetT& row = m_budgets.At(slot);
   if (!fresh) {
-    if (place->second.team == budget.team) return;
-    auto& old = m_budgets_of_team[place->second.team];
-    old.erase(std::remove(old.begin(), old.end(), &place->first), old.end());
-    place->second = budget;
+    if (row.team == budget.team) return;
+    std::erase(m_budgets_of_team[row.team], slot);
   }
-  auto& budgets = m_budgets_of_team[budget.team];
-  const auto at =
-      std::lower_bound(budgets.begin(), budgets.end(), &place->first,
-                       [](const auto* a, const auto* b) { return *a < *b; });
-  budgets.insert(at, &place->first);
+  row = budget;
+  std::vector<Slot>& budgets = m_budgets_of_team[budget.team];
+  const auto at = std::lower_bound(budgets.begin(), budgets.end(), budget.id,
+                                   [this](Slot place, const BudgetId& id) {
+                                     return m_budgets.At(place).id < id;
+                                   });
+  budgets.insert(at, slot);
 }
 
 // A team takes its keys and budgets along; the budgets' accounts stay in the
@@ -174,7 +177,7 @@
   for (const std::string& key : keys) RemoveKey(key);
   const auto budgets = m_budgets_of_team.find(id);
   if (budgets == m_budgets_of_team.end()) return;
-  for (const BudgetId& budget : BudgetsOf(id)) m_budgets.erase(budget);
+  for (const BudgetId& budget : BudgetsOf(id)) m_budgets.Erase(budget);
   m_budgets_of_team.erase(budgets);
 }
 
@@ -186,10 +189,10 @@
   for (const auto* id : SortedKeys(m_teams))
     changes.push_back(ChangeOf(m_teams.at(*id), &wire::UpsertTeamT::team));
   for (const auto* id : SortedKeys(m_keys))
-    changes.push_back(ChangeOf(m_keys.at(*id), &wire::UpsertKeyT::key));
+    changes.push_back(ChangeOf(*m_keys.Find(*id), &wire::UpsertKeyT::key));
   for (const auto* id : SortedKeys(m_budgets))
     changes.push_back(
-        ChangeOf(m_budgets.at(*id), &wire::UpsertBudgetT::budget));
+        ChangeOf(*m_budgets.Find(*id), &wire::UpsertBudgetT::budget));
   for (const auto* id : SortedKeys(m_placements))
     changes.push_back(
         ChangeOf(m_placements.at(*id), &wire::UpsertPlacementT::placement));
@@ -203,15 +206,15 @@
 const wire::TeamT* Configuration::FindTeamByKey(const KeyHash& hash) const {
   const auto found = m_key_by_hash.find(hash);
   if (found == m_key_by_hash.end()) return nullptr;
-  return FindTeam(m_keys.at(*found->second).team);
+  return FindTeam(m_keys.At(found->second).team);
 }
 
 const wire::ApiKeyT* Configuration::FindKey(const std::string& id) const {
-  return Find(m_keys, id);
+  return m_keys.Find(id);
 }
 
 const wire::BudgetT* Configuration::FindBudget(const BudgetId& id) const {
-  return Find(m_budgets, id);
+  return m_budgets.Find(id);
 }
 
 const wire::EndpointSetT* Configuration::FindEndpointSet(
@@ -229,7 +232,7 @@
   const auto* budgets = Find(m_budgets_of_team, team);
   if (budgets == nullptr) return ids;
   ids.reserve(budgets->size());
-  for (const BudgetId* id : *budgets) ids.push_back(*id);
+  for (const Slot slot : *budgets) ids.push_back(m_budgets.At(slot).id);
   return ids;
 }
 
--- a/src/dotterelshift/state/grants.cc
+++ b/src/dotterelshift/state/grants.cc
@@ -6,7 +6,8 @@
 namespace {
 
 auto Place(Account& account, RunNumber run) {
-  return std::find_if(account.grants.begin(), account.grants.end(),
+  std::vector<Grant>& grants = account.MutableGrants();
+  return std::find_if(grants.begin(), grants.end(),
                       [run](const Grant& grant) { return grant.run == run; });
 }
 
@@ -19,35 +20,39 @@
   account.amounts.lost -= spent;
   account.amounts.settled += spent;
   if (spent > 0)
-    tables.DayOf(tables.team_names[account.team], stamp).spent += spent;
+    tables.DayOf(tables.teams.At(account.team).id, stamp).spent += spent;
 }
 
 }  // namespace
 
 Grant* FindGrant(Account& account, RunNumber run) {
+  if (account.Grants().empty()) return nullptr;
   const auto found = Place(account, run);
-  return found == account.grants.end() ? nullptr : &*found;
+  return found == account.MutableGrants().end() ? nullptr : &*found;
 }
 
 Grant& GrantOf(Account& account, RunNumber run) {
   Grant* found = FindGrant(account, run);
   if (found != nullptr) return *found;
-  account.grants.emplace_back();
-  account.grants.back().run = run;
-  return account.grants.back();
+  std::vector<Grant>& grants = account.MutableGrants();
+  grants.emplace_back().run = run;
+  return grants.back();
 }
 
 void DropIfEmpty(Account& account, RunNumber run) {
+  std::vector<Grant>& grants = account.MutableGrants();
   const auto found = Place(account, run);
-  if (found == account.grants.end() || found->tokens > 0) return;
+  if (found == grants.end()) return account.DropGrantsIfEmpty();
+  if (found->tokens > 0) return;
   // The holder of a live standing part goes on to count with it.
   const bool remembered = !found->openings.empty() || found->standing > 0;
-  if (found->dead || !remembered) account.grants.erase(found);
+  if (found->dead || !remembered) grants.erase(found);
+  account.DropGrantsIfEmpty();
 }
 
 void BuryRun(Tables& tables, RunNumber run, RecoverGrant recover) {
   tables.runs[run].dead = true;
-  for (auto& [budget, account] : tables.accounts) {
+  for (const auto& [budget, account] : tables.accounts) {
     Grant* grant = FindGrant(account, run);
     if (grant == nullptr || grant->dead) continue;
     const Recovery recovery = recover(*grant);
@@ -67,7 +72,7 @@
 
 void RetireRun(Tables& tables, RunNumber run, WallMs stamp) {
   tables.runs[run].retired = true;
-  for (auto& [budget, account] : tables.accounts) {
+  for (const auto& [budget, account] : tables.accounts) {
     Grant* grant = FindGrant(account, run);
     if (grant == nullptr || !grant->dead) continue;
     WriteOffOpenings(tables, account, *grant, stamp);
--- a/src/dotterelshift/state/requests.cc
+++ b/src/dotterelshift/state/requests.cc
@@ -54,9 +54,10 @@
 
 void Age(Tables& tables, RequestPeriod& period) {
   KeepRunning(tables, period, CurrentPeriod(tables));
-  period.settled = {};
-  period.settled_again = {};
-  period.claims = {};
+  // Assigning an empty list would keep the buckets.
+  period.settled = decltype(period.settled)();
+  period.settled_again.clear();
+  period.claims = decltype(period.claims)();
   std::sort(period.caller_keys.begin(), period.caller_keys.end());
   period.caller_keys.shrink_to_fit();
   period.aged = true;
--- a/src/dotterelshift/state/snapshot.cc
+++ b/src/dotterelshift/state/snapshot.cc
@@ -24,18 +24,19 @@
 // ---- accounts
 
 std::unique_ptr<wire::AccountRecordT> WriteAccount(const Tables& tables,
-                                                   const BudgetId& budget,
                                                    const Account& account) {
   auto record = std::make_unique<wire::AccountRecordT>();
-  record->budget = budget;
-  record->team = tables.team_names[account.team];
+  record->budget = account.id;
+  record->team = tables.teams.At(account.team).id;
   record->purchased = account.amounts.purchased;
   record->settled = account.amounts.settled;
   record->billed = account.amounts.billed;
   record->granted = account.amounts.granted;
   record->lost = account.amounts.lost;
-  record->overdrawn = account.overdrawn;
-  for (const Grant& grant : account.grants) {
+  const auto overdrawn = tables.overdrawn.find(account.id);
+  if (overdrawn != tables.overdrawn.end())
+    record->overdrawn = overdrawn->second;
+  for (const Grant& grant : account.Grants()) {
     auto holding = std::make_unique<wire::HoldingRecordT>();
     holding->run = grant.run;
     holding->dead = grant.dead;
@@ -49,12 +50,15 @@
   return record;
 }
 
-Account ReadAccount(Tables& tables, const wire::AccountRecordT& record) {
-  Account account;
-  account.team = tables.TeamNumber(record.team);
+void ReadAccount(Tables& tables, const wire::AccountRecordT& record) {
+  if (record.budget.empty())
+    throw Error(ErrorKind::kStorageDamaged, "snapshot: account without an id");
+  Account& account =
+      tables.accounts.At(tables.accounts.FindOrAdd(record.budget).first);
+  account.team = tables.teams.FindOrAdd(record.team).first;
   account.amounts = {record.purchased, record.settled, record.billed,
                      record.granted, record.lost};
-  account.overdrawn = record.overdrawn;
+  if (record.overdrawn > 0) tables.overdrawn[record.budget] = record.overdrawn;
   for (const auto& holding : record.holdings) {
     if (holding->run >= tables.runs.size())
       throw Error(ErrorKind::kStorageDamaged, "snapshot: unknown run");
@@ -66,9 +70,8 @@
                 {}};
     for (const wire::OpeningRecord& opening : holding->openings)
       grant.openings.push_back({opening.attempt(), opening.reserved()});
-    account.grants.push_back(std::move(grant));
+    account.MutableGrants().push_back(std::move(grant));
   }
-  return account;
 }
 
 // ---- runs and hosts
@@ -316,9 +319,13 @@
   for (wire::ChangeT& change : tables.configuration.AsChanges())
     snapshot.configuration.push_back(
         std::make_unique<wire::ChangeT>(std::move(change)));
-  for (const BudgetId& budget : SortedKeys(tables.accounts))
+  std::vector<BudgetId> budgets;
+  for (const auto& [budget, account] : tables.accounts)
+    budgets.push_back(budget);
+  std::sort(budgets.begin(), budgets.end());
+  for (const BudgetId& budget : budgets)
     snapshot.accounts.push_back(
-        WriteAccount(tables, budget, tables.accounts.at(budget)));
+        WriteAccount(tables, *tables.accounts.Find(budget)));
   WriteRuns(tables, &snapshot);
   for (const RequestPeriod& period : tables.requests)
     snapshot.requests.push_back(WritePeriod(period));
@@ -349,8 +356,7 @@
   tables.commands_applied = snapshot.commands_applied;
   ReadConfiguration(snapshot, tables);
   ReadRuns(snapshot, tables);
-  for (const auto& record : snapshot.accounts)
-    tables.accounts[record->budget] = ReadAccount(tables, *record);
+  for (const auto& record : snapshot.accounts) ReadAccount(tables, *record);
   for (const auto& period : snapshot.requests)
     tables.requests.push_back(ReadPeriod(*period));
   ReadRest(snapshot, tables);
--- a/src/dotterelshift/state/state.cc
+++ b/src/dotterelshift/state/state.cc
@@ -90,15 +90,15 @@
   }
 
   const BudgetAccount* FindAccount(const BudgetId& budget) const override {
-    const auto found = m_tables.accounts.find(budget);
-    return found == m_tables.accounts.end() ? nullptr : &found->second.amounts;
+    const Account* account = m_tables.accounts.Find(budget);
+    return account == nullptr ? nullptr : &account->amounts;
   }
 
   std::vector<Holding> HoldingsOf(const BudgetId& budget) const override {
     std::vector<Holding> holdings;
-    const auto found = m_tables.accounts.find(budget);
-    if (found == m_tables.accounts.end()) return holdings;
-    for (const Grant& grant : found->second.grants) {
+    const Account* account = m_tables.accounts.Find(budget);
+    if (account == nullptr) return holdings;
+    for (const Grant& grant : account->Grants()) {
       holdings.push_back({m_tables.runs[grant.run].id, grant.tokens,
                           grant.Opened(), grant.standing, grant.dead,
                           grant.demand_per_second});
--- a/src/dotterelshift/state/tables.cc
+++ b/src/dotterelshift/state/tables.cc
@@ -10,16 +10,18 @@
                          });
 }
 
-uint32_t Tables::TeamNumber(const TeamId& team) {
-  const auto next = static_cast<uint32_t>(team_names.size());
-  const auto [place, fresh] = team_numbers.try_emplace(team, next);
-  if (fresh) team_names.push_back(team);
-  return place->second;
+const std::vector<Grant>& Account::Grants() const {
+  static const std::vector<Grant> none;
+  return m_grants == nullptr ? none : *m_grants;
 }
 
-Account* Tables::FindAccount(const BudgetId& budget) {
-  const auto found = accounts.find(budget);
-  return found == accounts.end() ? nullptr : &found->second;
+std::vector<Grant>& Account::MutableGrants() {
+  if (m_grants == nullptr) m_grants = std::make_unique<std::vector<Grant>>();
+  return *m_grants;
+}
+
+void Account::DropGrantsIfEmpty() {
+  if (m_grants != nullptr && m_grants->empty()) m_grants.reset();
 }
 
 TeamDay& Tables::DayOf(const TeamId& team, WallMs when) {
--- a/src/dotterelshift/state/tables.h
+++ b/src/dotterelshift/state/tables.h
@@ -4,6 +4,7 @@
 #include <cstdint>        // for uint32_t
 #include <deque>          // for deque
 #include <map>            // for map
+#include <memory>         // for unique_ptr
 #include <optional>       // for optional
 #include <set>            // for set
 #include <string>         // for string
@@ -12,6 +13,7 @@
 #include <vector>         // for vector
 
 #include "dotterelshift/base/error.h"               // for ErrorKind
+#include "dotterelshift/state/compact_table.h"      // for CompactTable
 #include "dotterelshift/state/configuration.h"      // for Configuration
 #include "dotterelshift/state/state.h"              // for BudgetAccount
 #include "dotterelshift/wire/commands_generated.h"  // for CommandT
@@ -41,11 +43,23 @@
   Tokens Opened() const;
 };
 
+// Kept small: there is one for each budget that ever was.
 struct Account {
+  BudgetId id;
   BudgetAccount amounts;
-  uint32_t team = 0;     // number in Tables::team_names
-  Tokens overdrawn = 0;  // settled beyond purchased by a faulty holder
-  std::vector<Grant> grants;
+  uint32_t team = 0;  // its place in Tables::teams
+
+  const std::vector<Grant>& Grants() const;
+  std::vector<Grant>& MutableGrants();
+  void DropGrantsIfEmpty();
+
+ private:
+  std::unique_ptr<std::vector<Grant>> m_grants;  // null: none
+};
+
+// A team that ever had a budget.
+struct TeamName {
+  TeamId id;
 };
 
 // One run of a host that ever sent a command.
@@ -141,9 +155,10 @@
   WallMs last_stamp = 0;
   uint64_t commands_applied = 0;
   Configuration configuration;
-  std::vector<std::string> team_names;
-  std::unordered_map<std::string, uint32_t> team_numbers;
-  std::unordered_map<BudgetId, Account> accounts;
+  CompactTable<TeamName> teams;
+  CompactTable<Account> accounts;
+  // Settled beyond purchased, by a faulty holder or a retirement in error.
+  std::map<BudgetId, Tokens> overdrawn;
   std::vector<Run> runs;
   std::map<HostRun, RunNumber> run_numbers;
   std::map<HostId, Host> hosts;
@@ -155,8 +170,6 @@
   std::vector<wire::OrderT> orders;
   std::map<std::pair<TeamId, int64_t>, TeamDay> days;
 
-  uint32_t TeamNumber(const TeamId& team);
-  Account* FindAccount(const BudgetId& budget);
   TeamDay& DayOf(const TeamId& team, WallMs when);
   // The number of a run that is known; none otherwise.
   std::optional<RunNumber> FindRun(const HostRun& run) const;
