--- a/include/dotterelshift/admission/fair_queue.h
+++ b/include/dotterelshift/admission/fair_queue.h
@@ -43,6 +43,9 @@
   virtual std::optional<Instant> NextDeadline() const = 0;
   virtual size_t Size() const = 0;
   virtual size_t SizeOf(const TeamId& team) const = 0;
+  // The cost that would be served before this request if it were pushed now:
+  // what the wait estimator needs.
+  virtual double CostAhead(const Waiting& waiting) const = 0;
 };
 
 std::unique_ptr<FairQueue> MakeFairQueue(const QueueOptions& options = {});
@@ -50,21 +53,34 @@
 // The learned limit of requests in flight at one endpoint from this entry:
 // grows while latency stays near its best, shrinks when it rises or the
 // endpoint refuses. A plain value, one for each endpoint.
+//
+// It starts small, so that the best latency is learned while waiting behind
+// others cannot explain it, and grows fast until latency first rises. When it
+// has shrunk to its start and latency is still far from the best, the engine
+// has become slower for good, and all is learned anew.
 class ConcurrencyLimit {
  public:
-  explicit ConcurrencyLimit(double start = 32, double least = 1,
+  static constexpr int kNotCounted = -1;
+
+  explicit ConcurrencyLimit(double start = 4, double least = 1,
                             double most = 1024);
-  void OnFirstToken(Duration latency, Instant now);
+  // `in_flight` counts the requests at the endpoint; a limit that is not made
+  // use of does not grow. Where it is not known the limit grows all the same.
+  void OnFirstToken(Duration latency, Instant now, int in_flight = kNotCounted);
   void OnRefused(Instant now);
   // Whole requests that may be in flight.
   int Current() const;
 
  private:
+  void Grow(double gradient, bool used);
+
+  double m_start;
   double m_limit;
   double m_least;
   double m_most;
   double m_best_ms = 0;
   double m_recent_ms = 0;
+  bool m_fast = true;  // until latency rises
   Instant m_last_change{};
 };
 
--- a/src/dotterelshift/admission/concurrency_limit.cc
+++ b/src/dotterelshift/admission/concurrency_limit.cc
@@ -9,9 +9,9 @@
 // Weight of a new measurement in the recent latency.
 constexpr double kRecentWeight = 0.1;
 
-// How fast the best latency follows the recent one upwards, so that an endpoint
-// that has become slower for good is not held down for ever.
-constexpr double kBestDrift = 0.002;
+// Weight of a latency below the best one: a single lucky answer, such as one
+// from a cached prefix, does not become the measure of all.
+constexpr double kBetterWeight = 0.1;
 
 // Latency may be this many times the best before the limit shrinks.
 constexpr double kTolerance = 1.5;
@@ -20,6 +20,13 @@
 constexpr double kChangeWeight = 0.2;
 constexpr double kRefusedFactor = 0.8;
 
+// Growth by each measurement until latency first rises: half as much again in
+// a round of requests.
+constexpr double kFastGrowth = 0.5;
+
+// The most that one round may shrink the limit.
+constexpr double kLeastGradient = 0.5;
+
 // One refusal a while counts: those in flight together say the same thing.
 constexpr Duration kRefusalPause = 100ms;
 
@@ -30,20 +37,33 @@
 }  // namespace
 
 ConcurrencyLimit::ConcurrencyLimit(double start, double least, double most)
-    : m_limit(start), m_least(least), m_most(most) {}
+    : m_start(start), m_limit(start), m_least(least), m_most(most) {}
 
-void ConcurrencyLimit::OnFirstToken(Duration latency, Instant) {
+void ConcurrencyLimit::OnFirstToken(Duration latency, Instant, int in_flight) {
   const double ms = std::max(AsMs(latency), 0.01);
   if (m_recent_ms == 0) m_recent_ms = ms;
   m_recent_ms += (ms - m_recent_ms) * kRecentWeight;
-  if (m_best_ms == 0 || ms < m_best_ms) m_best_ms = ms;
-  m_best_ms += (m_recent_ms - m_best_ms) * kBestDrift;
+  if (m_best_ms == 0) m_best_ms = ms;
+  if (ms < m_best_ms) m_best_ms += (ms - m_best_ms) * kBetterWeight;
   const double gradient =
-      std::clamp(kTolerance * m_best_ms / m_recent_ms, 0.5, 1.0);
+      std::clamp(kTolerance * m_best_ms / m_recent_ms, kLeastGradient, 1.0);
+  if (gradient < 1) m_fast = false;
+  if (gradient <= kLeastGradient && m_limit <= m_start + 1) {
+    m_best_ms = m_recent_ms;
+    m_fast = true;
+    return;
+  }
+  const bool used = in_flight == kNotCounted || 2 * in_flight >= Current();
+  Grow(gradient, used);
+}
+
+void ConcurrencyLimit::Grow(double gradient, bool used) {
   const double wanted = m_limit * gradient + std::sqrt(m_limit);
   // Each measurement moves the limit by its share of one round of requests.
-  const double step = kChangeWeight / std::max(1.0, m_limit);
-  m_limit = std::clamp(m_limit + (wanted - m_limit) * step, m_least, m_most);
+  double step = (wanted - m_limit) * kChangeWeight / std::max(1.0, m_limit);
+  if (m_fast) step = kFastGrowth;
+  if (step > 0 && !used) return;
+  m_limit = std::clamp(m_limit + step, m_least, m_most);
 }
 
 void ConcurrencyLimit::OnRefused(Instant now) {
--- a/src/dotterelshift/admission/fair_queue.cc
+++ b/src/dotterelshift/admission/fair_queue.cc
@@ -28,6 +28,8 @@
 // on by cost over weight.
 struct Flow {
   double start = 0;
+  double weight = 1;    // of the request pushed last
+  double queued = 0;    // cost of those that wait
   uint64_t number = 0;  // breaks ties
   std::set<std::pair<Place, RequestId>> waiting;
 };
@@ -71,6 +73,8 @@
       target.backlogged.emplace(TurnOf(flow), waiting.team);
     }
     flow.waiting.emplace(place, waiting.request);
+    flow.weight = WeightOf(waiting);
+    flow.queued += waiting.cost;
     return true;
   }
 
@@ -101,12 +105,48 @@
 
   size_t Size() const override { return m_entries.size(); }
 
+  // Until the request's turn each other team is served its weight times the
+  // way that virtual time has to go, at most what it has waiting.
+  double CostAhead(const Waiting& waiting) const override {
+    const auto named = m_targets.find(waiting.target);
+    if (named == m_targets.end()) return 0;
+    const Target& target = named->second;
+    double turn = target.virtual_time;
+    double ahead = 0;
+    const auto own = target.flows.find(waiting.team);
+    if (own != target.flows.end()) {
+      ahead = OwnCostAhead(own->second, waiting.priority);
+      turn = std::max(turn, own->second.start) + ahead / WeightOf(waiting);
+    }
+    for (const auto& [at, team] : target.backlogged) {
+      if (at.first > turn) break;
+      if (team == waiting.team) continue;
+      const Flow& flow = target.flows.at(team);
+      ahead += std::min(flow.queued, (turn - flow.start) * flow.weight);
+    }
+    return ahead;
+  }
+
   size_t SizeOf(const TeamId& team) const override {
     const auto found = m_team_sizes.find(team);
     return found == m_team_sizes.end() ? 0 : found->second;
   }
 
  private:
+  static double WeightOf(const Waiting& waiting) {
+    return std::max<uint32_t>(1, waiting.weight);
+  }
+
+  // Cost of a team's requests that stand before one of this priority.
+  double OwnCostAhead(const Flow& flow, int priority) const {
+    double cost = 0;
+    for (const auto& [place, request] : flow.waiting) {
+      if (place.first > priority) break;
+      cost += m_entries.at(request).waiting.cost;
+    }
+    return cost;
+  }
+
   static Turn TurnOf(const Flow& flow) { return {flow.start, flow.number}; }
 
   Flow& FlowOf(Target& target, const TeamId& team) {
@@ -166,10 +206,11 @@
     const Waiting& waiting = entry.waiting;
     Flow& flow = target.flows.at(waiting.team);
     flow.waiting.erase({entry.place, waiting.request});
+    flow.queued = flow.waiting.empty() ? 0 : flow.queued - waiting.cost;
     target.backlogged.erase(TurnOf(flow));
     if (started) {
       target.virtual_time = std::max(target.virtual_time, flow.start);
-      flow.start += waiting.cost / std::max<uint32_t>(1, waiting.weight);
+      flow.start += waiting.cost / WeightOf(waiting);
     }
     if (!flow.waiting.empty())
       target.backlogged.emplace(TurnOf(flow), waiting.team);
