--- a/src/dotterelshift/state/apply_open_attempt.cc
+++ b/src/dotterelshift/state/apply_open_attempt.cc
@@ -19,7 +19,7 @@
   if (suspect != tables.suspects.end() &&
       suspect->second.quarantined_until > tables.last_stamp)
     return Refuse(answer, ErrorKind::kQuarantined, "endpoints died of it");
-  Account* account = tables.FindAccount(command.budget);
+  Account* account = tables.accounts.Find(command.budget);
   if (account == nullptr)
     return Refuse(answer, ErrorKind::kNoBudget, command.budget);
   Grant* grant = FindGrant(*account, context.run);
