--- /dev/null
+++ b/bench/grant_simulation_types.h
@@ -0,0 +1,95 @@
+#ifndef DOTTERELSHIFT_BENCH_GRANT_SIMULATION_TYPES_H_
+#define DOTTERELSHIFT_BENCH_GRANT_SIMULATION_TYPES_H_
+
+#include <cstdint>     // for uint64_t
+#include <functional>  // for function
+#include <map>         // for map
+#include <memory>      // for unique_ptr
+#include <string>      // for string
+#include <vector>      // for vector
+
+#include "dotterelshift/base/time.h"                // for Instant
+#include "dotterelshift/budget/ledger.h"            // for Ledger
+#include "dotterelshift/wire/commands_generated.h"  // for CommandT
+
+// What the comparison of grant ways reckons with.
+
+namespace dotterelshift::bench {
+
+// A deployment's load: requests a second of each team, spread over all entries.
+struct Deployment {
+  const char* name;
+  wire::TeamPolicy policy;
+  size_t entries;
+  size_t cut;  // how many of them the partition cuts off: one data centre's
+  double large_rate;
+  size_t large_teams;
+  double small_rate;
+  Tokens least_worst_case;
+  Tokens most_worst_case;
+  Duration patience;  // how long a request waits for tokens
+};
+
+// What is varied.
+struct Variant {
+  const char* name;
+  wire::GrantWay way;
+  uint32_t partition_seconds;
+  bool recall;
+};
+
+struct Figures {
+  uint64_t served = 0;
+  uint64_t refused = 0;
+  uint64_t false_refusals = 0;   // budget remained somewhere: free or held
+  uint64_t false_while_cut = 0;  // of them: at entries that were cut off
+  uint64_t avoidable = 0;  // of them: tokens in the leader's reach were enough
+  Tokens overspend = 0;
+  Tokens stranded = 0;  // lost at the end
+  Tokens purchased = 0;
+  Tokens consumed = 0;
+  uint64_t commits_before_dispatch = 0;
+  std::vector<Duration> waits;  // from arrival to dispatch
+};
+
+struct Event {
+  Instant at;
+  uint64_t number;
+  std::function<void()> run;
+  bool operator<(const Event& other) const {
+    return at != other.at ? at > other.at : number > other.number;
+  }
+};
+
+struct Request {
+  size_t team = 0;
+  Tokens worst_case = 0;
+  Tokens spent = 0;
+  Duration runs = 0s;
+  Instant arrived;
+  std::string key;
+};
+
+using OnAnswer = std::function<void(const wire::CommandAnswerT&)>;
+
+struct Pending {
+  wire::CommandT command;
+  OnAnswer on_answer;
+};
+
+struct Entry {
+  HostRun run;
+  bool up = true;
+  bool connected = true;
+  std::unique_ptr<budget::Ledger> ledger;
+  std::vector<budget::BudgetHandle> budgets;
+  uint64_t sequence = 0;
+  std::map<uint64_t, Pending> outbox;
+  std::vector<uint64_t> asks;  // sequence of the ask under way, by team
+  std::vector<Request> waiting;
+  std::map<AttemptId, Request> running;
+};
+
+}  // namespace dotterelshift::bench
+
+#endif  // DOTTERELSHIFT_BENCH_GRANT_SIMULATION_TYPES_H_
--- a/include/dotterelshift/serving/core.h
+++ b/include/dotterelshift/serving/core.h
@@ -192,6 +192,7 @@
   Instant m_next_reserve{};
   // Control's last word on each budget: free and elsewhere.
   std::unordered_map<budget::BudgetHandle, wire::GrantAnswerT> m_last_grant;
+  std::set<budget::BudgetHandle> m_asking;  // an ask is not answered yet
 
   CommandBook m_commands;
   RetryBudget m_retries;
--- a/src/dotterelshift/serving/budget_wait.cc
+++ b/src/dotterelshift/serving/budget_wait.cc
@@ -141,6 +141,8 @@
       Propose(std::move(body), std::move(pending));
       continue;
     }
+    // The one that is under way is sent again, with its id, by the adapter.
+    if (!m_asking.insert(wish.budget).second) continue;
     pending.kind = PendingCommand::Kind::kAsk;
     wire::RequestGrantT body;
     body.budget = m_parts.ledger->IdOf(wish.budget);
--- a/src/dotterelshift/serving/settlement.cc
+++ b/src/dotterelshift/serving/settlement.cc
@@ -136,6 +136,7 @@
 
 void Core::OnGrantAnswer(const PendingCommand& pending,
                          const wire::CommandAnswerT& answer, Instant now) {
+  m_asking.erase(pending.budget);
   const wire::GrantAnswerT* grant = answer.body.AsGrantAnswer();
   const bool valid = answer.error == 0 && grant != nullptr;
   if (valid) m_last_grant[pending.budget] = *grant;
