--- a/src/dotterelshift/ctl/arguments.cc
+++ b/src/dotterelshift/ctl/arguments.cc
@@ -101,6 +101,8 @@
     m_line.setExceptionHandling(false);
     m_line.setOutput(&m_output);
     Reset(m_help, "h", "help", "Shows this.");
+    Reset(m_form, "o", "output", "table, json, or csv (report only).", false,
+          "FORM");
     if (row.verb == Verb::kCheckSettings)
       AddCheckOptions();
     else
@@ -150,8 +152,6 @@
                     true, "IP:PORT", m_line);
     Reset(m_key_file, "k", "key-file", "File that holds the operator key.",
           true, "FILE");
-    Reset(m_form, "o", "output", "table, json, or csv (report only).", false,
-          "FORM");
     if (m_row.verb == Verb::kPlan)
       Reset(m_file, "f", "file", "The intent, YAML; - for standard input.",
             true, "FILE");
--- a/src/dotterelshift/ctl/ctl.cc
+++ b/src/dotterelshift/ctl/ctl.cc
@@ -164,15 +164,24 @@
 }
 
 ExitCode CheckSettings(const Arguments& arguments, std::ostream& out) {
+  const bool as_json = arguments.output == OutputForm::kJson;
   if (arguments.list) {
-    WriteSettingTable(out);
+    if (as_json) {
+      out << SettingTableJson().dump(2) << "\n";
+    } else {
+      WriteSettingTable(out);
+    }
     return ExitCode::kOk;
   }
   const settings::Settings settings = settings::ReadSettings(arguments.file);
   settings::ReadSecret(settings.secret_file);
   if (!settings.operator_key_file.empty())
     settings::ReadOperatorKeys(settings.operator_key_file);
-  out << arguments.file << ": good\n";
+  if (as_json) {
+    out << Json{{"file", arguments.file}, {"good", true}}.dump(2) << "\n";
+  } else {
+    out << arguments.file << ": good\n";
+  }
   return ExitCode::kOk;
 }
 
--- a/src/dotterelshift/ctl/ctl_test.cc
+++ b/src/dotterelshift/ctl/ctl_test.cc
@@ -8,7 +8,8 @@
 #include <nlohmann/json.hpp>  // for json
 #include <sstream>            // for ostringstream
 
-#include "dotterelshift/base/error.h"  // for ErrorTable
+#include "dotterelshift/base/error.h"         // for ErrorTable
+#include "dotterelshift/settings/settings.h"  // for SettingTable
 
 namespace dotterelshift::ctl {
 namespace {
@@ -222,6 +223,9 @@
     AssertCode(ExitCode::kOk, RunWith({"check-settings", "--list"}), "");
     CPPUNIT_ASSERT(m_out.str().find("| `host` | name | required |") !=
                    std::string::npos);
+    RunWith({"check-settings", "--list", "-o", "json"});
+    CPPUNIT_ASSERT_EQUAL(settings::SettingTable().size(),
+                         nlohmann::json::parse(m_out.str()).size());
     AssertCode(ExitCode::kRefused, RunWith({"check-settings", "-f", m_path}),
                "");
     CPPUNIT_ASSERT(m_err.str().find(":2: ") != std::string::npos);
--- a/src/dotterelshift/ctl/output.cc
+++ b/src/dotterelshift/ctl/output.cc
@@ -258,4 +258,16 @@
         << " | " << row.bounds << " | " << row.meaning << " |\n";
 }
 
+Json SettingTableJson() {
+  Json table = Json::array();
+  for (const settings::SettingRow& row : settings::SettingTable()) {
+    table.push_back({{"setting", row.name},
+                     {"unit", row.unit},
+                     {"default", row.default_value},
+                     {"bounds", row.bounds},
+                     {"meaning", row.meaning}});
+  }
+  return table;
+}
+
 }  // namespace dotterelshift::ctl
--- a/src/dotterelshift/ctl/output.h
+++ b/src/dotterelshift/ctl/output.h
@@ -17,8 +17,9 @@
 // whatever classes and error kinds occur.
 void WriteReportCsv(const Json& report, std::ostream& out);
 
-// Writes the table of settings as docs/SETTINGS.md holds it.
+// Writes the table of settings as docs/SETTINGS.md holds it; and as JSON.
 void WriteSettingTable(std::ostream& out);
+Json SettingTableJson();
 
 }  // namespace dotterelshift::ctl
 
