--- a/tests/scenarios/control_host.cc
+++ b/tests/scenarios/control_host.cc
@@ -51,6 +51,7 @@
   replication::NodeOptions options;
   options.seed = m_replica * 100 + ++m_starts;
   m_state = state::MakeState();
+  m_recall = budget::RecallCore();
   if (!m_disk.snapshot.empty()) m_state->Restore(m_disk.snapshot);
   m_applied = m_disk.log.snapshot.last_index;
   m_node = replication::MakeNode(options, m_disk.log, m_links.network->Now());
@@ -220,15 +221,18 @@
   const wire::RequestGrantT* ask = command.body.AsRequestGrant();
   const wire::GrantAnswerT* grant = answer.body.AsGrantAnswer();
   if (!ask || !grant || grant->tokens >= ask->minimum) return;
-  for (const state::Holding& holding : m_state->HoldingsOf(ask->budget)) {
-    if (holding.holder.host == command.id->host) continue;
-    wire::RecallT recall;
-    recall.budget = ask->budget;
-    recall.tokens = holding.tokens - holding.opened;
-    if (recall.tokens > 0) m_links.recall(m_name, holding.holder, recall);
+  const HostRun asker{command.id->host, command.id->incarnation};
+  for (const budget::RecallMessage& message :
+       m_recall.OnShortage(asker, *ask, m_state->HoldingsOf(ask->budget),
+                           m_links.network->Now())) {
+    m_links.recall(m_name, message.host, message.recall);
   }
 }
 
+void ControlHost::OnBeat(const HostId& entry, const wire::EntryBeatT& beat) {
+  if (Leads()) m_recall.OnBeat(entry, beat, m_links.network->Now());
+}
+
 void ControlHost::MakeSnapshot() {
   replication::SnapshotMeta meta;
   meta.last_index = m_applied;
--- a/tests/scenarios/control_host.h
+++ b/tests/scenarios/control_host.h
@@ -7,10 +7,11 @@
 #include <string>      // for string
 #include <vector>      // for vector
 
-#include "dotterelshift/replication/node.h"  // for Node
-#include "dotterelshift/state/state.h"       // for State
-#include "scenarios/network.h"               // for Network
-#include "scenarios/records.h"               // for Records
+#include "dotterelshift/budget/recall_core.h"  // for RecallCore
+#include "dotterelshift/replication/node.h"    // for Node
+#include "dotterelshift/state/state.h"         // for State
+#include "scenarios/network.h"                 // for Network
+#include "scenarios/records.h"                 // for Records
 
 namespace dotterelshift::scenarios {
 
@@ -25,7 +26,7 @@
   std::function<void(const std::string& from, const wire::CommandAnswerT&)>
       answer;
   // The leader asks a holder for idle tokens.
-  std::function<void(const std::string& from, const HostRun& holder,
+  std::function<void(const std::string& from, const HostId& holder,
                      const wire::RecallT&)>
       recall;
 };
@@ -52,6 +53,7 @@
   void Tick();
   void Propose(std::vector<wire::CommandT> commands);
   void Spool(const wire::CommandT& command);
+  void OnBeat(const HostId& entry, const wire::EntryBeatT& beat);
   void ProposeMember(const wire::ReplicaT& replica, bool remove);
   // Calls back once a quorum has confirmed that this one leads; perhaps never.
   void ConfirmedRead(std::function<void()> callback);
@@ -81,6 +83,7 @@
   Disk m_disk;
   std::unique_ptr<replication::Node> m_node;
   std::unique_ptr<state::State> m_state;
+  budget::RecallCore m_recall;
   uint64_t m_applied = 0;
   uint64_t m_starts = 0;
   Instant m_spool_due{};
--- a/tests/scenarios/entry_host.cc
+++ b/tests/scenarios/entry_host.cc
@@ -89,8 +89,10 @@
 void EntryHost::SendBeat() {
   const Instant sent = m_links.network->Now();
   m_beat_due = sent + kBeatEvery;
+  const wire::EntryBeatT held = HeldNow();
   for (ControlHost* control : m_links.controls()) {
-    m_links.network->Send(m_name, control->Name(), [this, control, sent] {
+    m_links.network->Send(m_name, control->Name(), [this, control, sent, held] {
+      control->OnBeat(m_name, held);
       control->ConfirmedRead([this, control, sent] {
         const Beat beat = BeatOf(*control, sent, Version());
         m_links.network->Send(control->Name(), m_name,
@@ -100,6 +102,19 @@
   }
 }
 
+wire::EntryBeatT EntryHost::HeldNow() const {
+  wire::EntryBeatT beat;
+  for (const budget::BudgetHandle budget : m_ledger->All()) {
+    auto held = std::make_unique<wire::BudgetHoldingT>();
+    held->budget = m_ledger->IdOf(budget);
+    held->tokens = m_ledger->Held(budget) - m_ledger->Reserved(budget);
+    held->demand_per_second =
+        m_ledger->DemandPerSecond(budget, m_links.network->Now());
+    beat.held.push_back(std::move(held));
+  }
+  return beat;
+}
+
 EntryHost::Beat EntryHost::BeatOf(const ControlHost& control, Instant sent,
                                   uint64_t version) {
   Beat beat;
--- a/tests/scenarios/entry_host.h
+++ b/tests/scenarios/entry_host.h
@@ -75,6 +75,8 @@
   };
   bool Is(const Connection& connection) const;
   void SendBeat();
+  // What it holds of each budget and has not reserved.
+  wire::EntryBeatT HeldNow() const;
   void OnBeat(const Beat& beat);
   static Beat BeatOf(const ControlHost& control, Instant sent,
                      uint64_t version);
--- a/tests/scenarios/world.cc
+++ b/tests/scenarios/world.cc
@@ -43,11 +43,10 @@
                         const wire::CommandAnswerT& answer) {
     OnAnswer(from, answer);
   };
-  links.recall = [this](const std::string& from, const HostRun& holder,
+  links.recall = [this](const std::string& from, const HostId& holder,
                         const wire::RecallT& recall) {
-    EntryHost* entry = FindEntry(holder.host);
-    m_network.Send(from, holder.host,
-                   [entry, recall] { entry->OnRecall(recall); });
+    EntryHost* entry = FindEntry(holder);
+    m_network.Send(from, holder, [entry, recall] { entry->OnRecall(recall); });
   };
   wire::MembershipT members;
   const auto& data_centres = m_options.deployment.data_centres;
