App: spread, recalls and orders at work in the daemons

Cause: the cores for spreading the directory, recalling idle grants and sending orders were wired nowhere; every daemon sent each delta on to every other one, and recalls asked each holder for all that was wanted. Load reports reached the router only when an endpoint's offer changed. A caller could choose a key of the form that entries make. Before: full mesh of records, no orders sent. After: neighbours by the spread core, recalls by shares of demand, orders by the leader inside its lease, load taken over every 500 ms, keys with a leading '~' refused (a row in the table); an older run of a host that meets its successor shuts down.

--- a/src/dotterelshift/app/control.cc
+++ b/src/dotterelshift/app/control.cc
@@ -9,7 +9,10 @@
 #include "dotterelshift/app/hub_options.h"         // for MakeHubOptions
 #include "dotterelshift/app/operator_backend.h"    // for MakeControlBackend
 #include "dotterelshift/app/server_refusal.h"      // for MakeServerRefusal
+#include "dotterelshift/budget/recall_core.h"      // for RecallCore
 #include "dotterelshift/callers/front.h"           // for AnswerError
+#include "dotterelshift/endpoints/order_sender.h"  // for SendOrder
+#include "dotterelshift/orders/order_core.h"       // for OrderCore
 #include "dotterelshift/platform/log.h"            // for Log
 #include "dotterelshift/platform/metrics.h"        // for Metrics
 
@@ -19,6 +22,8 @@
 constexpr Duration kTick = 100ms;
 // How often the leader lets old bills and claims age out.
 constexpr Duration kAgeOutEvery = 60s;
+// Within the longest delivery that the order core waits out.
+constexpr Duration kOrderTimeout = 8s;
 
 // The control role: one replica of the state, the entries that propose to it,
 // and the operators.
@@ -40,7 +45,6 @@
     peers::PeerInfo info;
     uint64_t version =
         0;  // of the configuration that it has, or that is on its way
-    std::vector<wire::BudgetHoldingT> held;
   };
 
   http::ServerOptions ServerOptions() const;
@@ -55,10 +59,13 @@
   void SendHint(const HostId& host);
   void OnApplied(const wire::CommandBatchT& batch,
                  const std::vector<wire::CommandAnswerT>& answers);
-  void RecallFor(const wire::RequestGrantT& request, const HostId& asker,
+  void RecallFor(const wire::CommandIdT& asker,
+                 const wire::RequestGrantT& request,
                  const wire::GrantAnswerT& answer);
   void PushConfiguration(EntryPeer& entry);
   void PushQuarantine(const HostId& host);
+  void SendOrders();
+  void SendOrder(const orders::OrderAction& action);
   void OnTick();
   std::unique_ptr<wire::CommandIdT> NextId();
   void UpdateGauges();
@@ -76,6 +83,9 @@
   std::unique_ptr<OperatorBackend> m_backend;
   std::unique_ptr<operators::Api> m_api;
   std::map<HostId, EntryPeer> m_entries;
+  budget::RecallCore m_recalls;
+  std::unique_ptr<http::Client> m_client;
+  std::unique_ptr<orders::OrderCore> m_orders;
   loop::Timer m_tick;
   Instant m_next_age_out{};
 };
@@ -86,8 +96,11 @@
       m_settings(settings),
       m_self{settings.host, incarnation},
       m_secret(settings::ReadSecret(settings.secret_file)),
-      m_directory(loop, {[] {}, [](const std::vector<wire::CacheEventT>&) {}}),
+      m_directory(loop, settings.host,
+                  {[] {}, [](const std::vector<wire::CacheEventT>&) {}}),
       m_metrics(platform::MakeMetrics()),
+      m_client(http::MakeClient(loop)),
+      m_orders(orders::MakeOrderCore()),
       m_tick(loop, [this] { OnTick(); }) {
   m_server = http::MakeServer(loop, ServerOptions(),
                               [this](std::shared_ptr<http::Exchange> exchange) {
@@ -129,6 +142,7 @@
   peers::HubCallbacks callbacks;
   callbacks.on_up = [this](const peers::PeerInfo& peer) { OnPeerUp(peer); };
   callbacks.on_down = [this](const peers::PeerInfo& peer) {
+    m_directory.OnPeerDown(peer);
     m_entries.erase(peer.run.host);
   };
   callbacks.on_frame = [this](const peers::PeerInfo& peer,
@@ -150,6 +164,7 @@
   };
   callbacks.on_leadership_changed = [this] {
     const bool leads = m_replica != nullptr && m_replica->Leads();
+    m_orders->OnLeadership(leads, m_loop.Now());
     platform::Log(platform::LogLevel::kInfo, "leadership",
                   {{"leads", leads ? "yes" : "no"}});
   };
@@ -184,7 +199,7 @@
 
 void Control::OnPeerFrame(const peers::PeerInfo& peer,
                           const wire::FrameT& frame) {
-  if (m_directory.OnFrame(frame)) return;
+  if (m_directory.OnFrame(peer, frame)) return;
   if (const auto* propose = frame.body.AsPropose()) {
     OnPropose(peer, *propose);
   } else if (const auto* beat = frame.body.AsEntryBeat()) {
@@ -235,10 +250,7 @@
   const auto entry = m_entries.find(peer.run.host);
   if (entry == m_entries.end()) return;
   entry->second.version = beat.configuration_version;
-  entry->second.held.clear();
-  for (const auto& holding : beat.held) {
-    if (holding != nullptr) entry->second.held.push_back(*holding);
-  }
+  m_recalls.OnBeat(peer.run.host, beat, m_loop.Now());
   const HostId host = peer.run.host;
   m_replica->ConfirmedRead(
       [this, host, sequence = beat.sequence](ErrorKind error) {
@@ -277,7 +289,7 @@
     const auto* request = command.body.AsRequestGrant();
     const auto* grant = answers[i].body.AsGrantAnswer();
     if (request != nullptr && grant != nullptr)
-      RecallFor(*request, command.id->host, *grant);
+      RecallFor(*command.id, *request, *grant);
   }
   for (auto& [host, entry] : m_entries) {
     PushConfiguration(entry);
@@ -286,18 +298,17 @@
 }
 
 // Asks holders for what is idle when a request got less than it needs.
-void Control::RecallFor(const wire::RequestGrantT& request, const HostId& asker,
+void Control::RecallFor(const wire::CommandIdT& asker,
+                        const wire::RequestGrantT& request,
                         const wire::GrantAnswerT& answer) {
-  if (answer.tokens >= request.minimum || answer.elsewhere == 0) return;
-  for (const state::Holding& holding :
-       m_replica->GetState().HoldingsOf(request.budget)) {
-    if (holding.holder.host == asker || holding.tokens <= holding.opened)
-      continue;
-    wire::RecallT recall;
-    recall.budget = request.budget;
-    recall.tokens = request.wanted;
-    m_hub->Send(holding.holder.host, peers::MakeFrame(std::move(recall)));
-  }
+  const bool enough = answer.tokens > 0 && answer.tokens >= request.minimum;
+  if (enough || answer.elsewhere == 0) return;
+  const HostRun run{asker.host, asker.incarnation};
+  auto recalls = m_recalls.OnShortage(
+      run, request, m_replica->GetState().HoldingsOf(request.budget),
+      m_loop.Now());
+  for (budget::RecallMessage& message : recalls)
+    m_hub->Send(message.host, peers::MakeFrame(std::move(message.recall)));
 }
 
 void Control::PushConfiguration(EntryPeer& entry) {
@@ -332,8 +343,41 @@
     m_hub->Send(host, peers::MakeFrame(std::move(push)));
 }
 
+void Control::SendOrders() {
+  if (!m_replica->Leads()) return;
+  const auto actions =
+      m_orders->Decide(m_replica->GetState(), m_directory.GetDirectory(),
+                       m_replica->GetNode().LeaseUntil(), m_loop.Now());
+  for (const orders::OrderAction& action : actions) {
+    if (action.kind == orders::OrderAction::Kind::kSend) {
+      SendOrder(action);
+    } else {
+      wire::RecordOrderT record;
+      record.order = action.order.id;
+      record.state = action.state;
+      record.detail = action.detail;
+      wire::CommandT command;
+      command.body.Set(std::move(record));
+      // What is not committed is decided and recorded again.
+      m_backend->Propose(std::move(command),
+                         [](ErrorKind, const wire::CommandAnswerT&) {});
+    }
+  }
+}
+
+void Control::SendOrder(const orders::OrderAction& action) {
+  const std::string id = action.order.id;
+  endpoints::SendOrder(
+      *m_client, action.address, action.order, kOrderTimeout,
+      [this, id](wire::OrderState state, const std::string& detail) {
+        m_orders->OnResult(id, state, detail, m_loop.Now());
+        SendOrders();
+      });
+}
+
 void Control::OnTick() {
   const Instant now = m_loop.Now();
+  SendOrders();
   if (m_replica->Leads() && now >= m_next_age_out) {
     m_next_age_out = now + kAgeOutEvery;
     wire::CommandT command;
--- a/src/dotterelshift/app/directory_exchange.cc
+++ b/src/dotterelshift/app/directory_exchange.cc
@@ -1,7 +1,7 @@
 #include "dotterelshift/app/directory_exchange.h"
 
 #include <memory>   // for make_unique
-#include <utility>  // for move
+#include <utility>  // for move, exchange
 #include <variant>  // for get_if
 
 #include "dotterelshift/callers/front.h"           // for AnswerError
@@ -10,16 +10,21 @@
 namespace dotterelshift::app {
 namespace {
 
-// How often changes are sent on and silent endpoints are looked for.
-constexpr Duration kSpreadEvery = 100ms;
+directory::SpreadOptions MakeSpreadOptions(const HostId& self) {
+  directory::SpreadOptions options;
+  options.self = self;
+  return options;
+}
 
 }  // namespace
 
-DirectoryExchange::DirectoryExchange(loop::Loop& loop, Callbacks callbacks)
+DirectoryExchange::DirectoryExchange(loop::Loop& loop, const HostId& self,
+                                     Callbacks callbacks)
     : m_loop(loop),
       m_callbacks(std::move(callbacks)),
+      m_spread(MakeSpreadOptions(self), &m_directory),
       m_timer(loop, [this] { OnTimer(); }) {
-  m_timer.ArmIn(kSpreadEvery);
+  m_timer.ArmIn(0ms);
 }
 
 void DirectoryExchange::OnAnnounce(http::Exchange& exchange) {
@@ -29,51 +34,64 @@
     return;
   }
   const auto& announcement = std::get<endpoints::Announcement>(parsed);
-  const bool news = m_directory.OnRecord(announcement.record, m_loop.Now());
-  if (!announcement.cache_events.empty()) {
-    m_callbacks.on_cache_events(announcement.cache_events);
-    m_events_to_spread.insert(m_events_to_spread.end(),
-                              announcement.cache_events.begin(),
-                              announcement.cache_events.end());
+  m_spread.OnAnnounced(announcement.record, m_loop.Now());
+  const auto& events = announcement.cache_events;
+  if (!events.empty()) {
+    m_callbacks.on_cache_events(events);
+    m_events_to_spread.insert(m_events_to_spread.end(), events.begin(),
+                              events.end());
   }
   exchange.Answer(200, {{"content-type", "application/json"}}, "{}");
-  if (news) m_callbacks.on_change();
+  OnTimer();
 }
 
 void DirectoryExchange::OnPeerUp(const peers::PeerInfo& peer) {
-  m_hub->Send(peer.run.host,
-              peers::MakeFrame(m_directory.Everything(m_loop.Now())));
+  m_spread.OnPeerUp(peer.run.host, m_loop.Now());
+}
+
+void DirectoryExchange::OnPeerDown(const peers::PeerInfo& peer) {
+  m_spread.OnPeerDown(peer.run.host, m_loop.Now());
 }
 
-bool DirectoryExchange::OnFrame(const wire::FrameT& frame) {
+bool DirectoryExchange::OnFrame(const peers::PeerInfo& from,
+                                const wire::FrameT& frame) {
   const wire::DirectoryDeltaT* delta = frame.body.AsDirectoryDelta();
   if (delta == nullptr) return false;
-  bool news = false;
-  for (const auto& record : delta->records)
-    news |= record != nullptr && m_directory.OnRecord(*record, m_loop.Now());
+  m_spread.OnDelta(from.run.host, *delta, m_loop.Now());
   std::vector<wire::CacheEventT> events;
   for (const auto& event : delta->cache_events) {
     if (event != nullptr) events.push_back(*event);
   }
   if (!events.empty()) m_callbacks.on_cache_events(events);
-  if (news) m_callbacks.on_change();
+  OnTimer();
   return true;
 }
 
+// Cache events are hints: the neighbours get them, nobody sends them on.
+void DirectoryExchange::SpreadCacheEvents() {
+  if (m_events_to_spread.empty()) return;
+  wire::DirectoryDeltaT delta;
+  for (wire::CacheEventT& event : m_events_to_spread) {
+    delta.cache_events.push_back(
+        std::make_unique<wire::CacheEventT>(std::move(event)));
+  }
+  m_events_to_spread.clear();
+  const wire::FrameT frame = peers::MakeFrame(std::move(delta));
+  for (const HostId& host : m_spread.Neighbours()) m_hub->Send(host, frame);
+}
+
 void DirectoryExchange::OnTimer() {
   const Instant now = m_loop.Now();
-  if (m_directory.OnTimer(now)) m_callbacks.on_change();
-  wire::DirectoryDeltaT delta = m_directory.TakeDelta(now);
-  for (const wire::CacheEventT& event : m_events_to_spread) {
-    delta.cache_events.push_back(std::make_unique<wire::CacheEventT>(event));
+  if (now >= m_spread.NextTimer()) {
+    for (directory::Outgoing& outgoing : m_spread.OnTimer(now))
+      m_hub->Send(outgoing.host, peers::MakeFrame(std::move(outgoing.delta)));
+    SpreadCacheEvents();
   }
-  m_events_to_spread.clear();
-  if (!delta.records.empty() || !delta.cache_events.empty()) {
-    const wire::FrameT frame = peers::MakeFrame(std::move(delta));
-    for (const peers::PeerInfo& peer : m_hub->Peers())
-      m_hub->Send(peer.run.host, frame);
+  if (m_directory.Generation() != m_generation) {
+    m_generation = m_directory.Generation();
+    m_callbacks.on_offer();
   }
-  m_timer.ArmIn(kSpreadEvery);
+  m_timer.ArmAt(m_spread.NextTimer());
 }
 
 }  // namespace dotterelshift::app
--- a/src/dotterelshift/app/directory_exchange.h
+++ b/src/dotterelshift/app/directory_exchange.h
@@ -5,6 +5,7 @@
 #include <vector>      // for vector
 
 #include "dotterelshift/directory/directory.h"  // for Directory
+#include "dotterelshift/directory/spread.h"     // for Spread
 #include "dotterelshift/http/server.h"          // for Exchange
 #include "dotterelshift/loop/loop.h"            // for Timer
 #include "dotterelshift/peers/hub.h"            // for Hub
@@ -16,11 +17,11 @@
 class DirectoryExchange {
  public:
   struct Callbacks {
-    std::function<void()>
-        on_change;  // the set of usable endpoints, or what they report
+    // What endpoints offer, or which may be used, has changed.
+    std::function<void()> on_offer;
     std::function<void(const std::vector<wire::CacheEventT>&)> on_cache_events;
   };
-  DirectoryExchange(loop::Loop& loop, Callbacks callbacks);
+  DirectoryExchange(loop::Loop& loop, const HostId& self, Callbacks callbacks);
 
   // The hub is made after this object, because its callbacks lead here.
   void SetHub(peers::Hub* hub) { m_hub = hub; }
@@ -28,18 +29,22 @@
   // POST /endpoint/v1/announce.
   void OnAnnounce(http::Exchange& exchange);
   void OnPeerUp(const peers::PeerInfo& peer);
+  void OnPeerDown(const peers::PeerInfo& peer);
   // True when the frame was one of the directory's.
-  bool OnFrame(const wire::FrameT& frame);
+  bool OnFrame(const peers::PeerInfo& from, const wire::FrameT& frame);
 
   directory::Directory& GetDirectory() { return m_directory; }
 
  private:
   void OnTimer();
+  void SpreadCacheEvents();
 
   loop::Loop& m_loop;
   Callbacks m_callbacks;
   peers::Hub* m_hub = nullptr;
   directory::Directory m_directory;
+  directory::Spread m_spread;
+  uint64_t m_generation = 0;  // as last told by on_offer
   std::vector<wire::CacheEventT> m_events_to_spread;
   loop::Timer m_timer;
 };
--- a/src/dotterelshift/app/entry.cc
+++ b/src/dotterelshift/app/entry.cc
@@ -17,6 +17,9 @@
 
 // How often the reach of control, the holdings and the gauges are looked at.
 constexpr Duration kTick = 50ms;
+// How often the router takes over what endpoints report of their load, which
+// they themselves report with a lag.
+constexpr Duration kLoadRefreshEvery = 500ms;
 
 std::string_view NameOf(ControlReach reach) {
   switch (reach) {
@@ -52,6 +55,7 @@
   void AnswerReady(http::Exchange& exchange);
   void OnPeerFrame(const peers::PeerInfo& peer, const wire::FrameT& frame);
   void TakeFromLink();
+  void LeaveToNewerRun();
   void Refresh();
   void OnTick();
   void UpdateGauges();
@@ -79,6 +83,7 @@
   loop::PrepareWatcher m_prepare;
   ControlReach m_reach = ControlReach::kNever;
   uint64_t m_version = 0;
+  Instant m_next_load_refresh{};
   bool m_shutting_down = false;
   bool m_draining = false;
 };
@@ -95,10 +100,11 @@
         options.cut_off_after = settings.cut_off_after;
         return options;
       }()),
-      m_directory(loop, {[this] { Refresh(); },
-                         [this](const std::vector<wire::CacheEventT>& events) {
-                           m_router->OnCacheEvents(events, m_loop.Now());
-                         }}),
+      m_directory(loop, settings.host,
+                  {[this] { Refresh(); },
+                   [this](const std::vector<wire::CacheEventT>& events) {
+                     m_router->OnCacheEvents(events, m_loop.Now());
+                   }}),
       m_ledger(budget::MakeLedger()),
       m_router(routing::MakeRouter(MakeRouterOptions(settings, incarnation))),
       m_queue(admission::MakeFairQueue({settings.max_waiting_per_team})),
@@ -205,6 +211,7 @@
     m_tick.ArmIn(0ms);
   };
   callbacks.on_down = [this](const peers::PeerInfo& peer) {
+    m_directory.OnPeerDown(peer);
     if (peer.role != wire::HostRole::Control) return;
     m_link.OnPeerDown(peer.run.host, m_loop.Now());
     m_tick.ArmIn(0ms);
@@ -246,7 +253,7 @@
 
 void Entry::OnPeerFrame(const peers::PeerInfo& peer,
                         const wire::FrameT& frame) {
-  if (m_directory.OnFrame(frame)) return;
+  if (m_directory.OnFrame(peer, frame)) return;
   if (peer.role != wire::HostRole::Control) return;
   m_link.OnFrame(peer.run.host, frame, m_loop.Now());
   TakeFromLink();
@@ -261,8 +268,11 @@
                   {{"reach", std::string(NameOf(m_reach))}});
     m_core->OnControlReach(m_reach, now);
   }
-  for (const wire::CommandAnswerT& answer : m_link.TakeAnswers())
+  for (const wire::CommandAnswerT& answer : m_link.TakeAnswers()) {
+    const auto error = static_cast<ErrorKind>(answer.error);
+    if (error == ErrorKind::kStaleIncarnation) LeaveToNewerRun();
     m_core->OnAnswer(answer, now);
+  }
   for (const wire::CommandIdT& id : m_link.TakeSpooled())
     m_core->OnSpooled(id, now);
   for (const wire::RecallT& recall : m_link.TakeRecalls())
@@ -272,6 +282,15 @@
   m_traffic->Pump();
 }
 
+// Another process has this host's name and a later start: what this one
+// commits is refused, so it serves no more.
+void Entry::LeaveToNewerRun() {
+  if (m_shutting_down) return;
+  platform::Log(platform::LogLevel::kError, "stale_incarnation",
+                {{"incarnation", std::to_string(m_self.incarnation)}});
+  Shutdown();
+}
+
 void Entry::Refresh() {
   const Instant now = m_loop.Now();
   m_version = m_link.GetConfiguration().Version();
@@ -286,11 +305,16 @@
     if (m_ledger->Held(budget) == 0) continue;
     wire::BudgetHoldingT holding;
     holding.budget = m_ledger->IdOf(budget);
-    holding.tokens = m_ledger->Held(budget);
+    holding.tokens = m_ledger->Held(budget) - m_ledger->Reserved(budget);
     holding.demand_per_second = m_ledger->DemandPerSecond(budget, now);
     holdings.push_back(std::move(holding));
   }
   m_link.SetHoldings(std::move(holdings));
+  if (now >= m_next_load_refresh) {
+    m_next_load_refresh = now + kLoadRefreshEvery;
+    m_router->Refresh(m_directory.GetDirectory(), m_link.GetConfiguration(),
+                      now);
+  }
   m_link.OnTimer(now);
   TakeFromLink();
   CheckDrained();
--- a/src/dotterelshift/callers/caller_request.cc
+++ b/src/dotterelshift/callers/caller_request.cc
@@ -18,6 +18,8 @@
 
 constexpr size_t kMaxKeyBytes = 512;
 constexpr size_t kMaxNameBytes = 128;
+// Keys that entries make for requests without one begin with it.
+constexpr char kEntryMadeKeyMark = '~';
 constexpr size_t kMaxIdempotencyKeyBytes = 255;
 constexpr int kMostUrgent = -10;
 constexpr int kLeastUrgent = 10;
@@ -84,6 +86,8 @@
   if (key.size() > kMaxIdempotencyKeyBytes || !IsVisibleAscii(key))
     Refuse(ErrorKind::kBadHeader,
            "Idempotency-Key: at most 255 visible ASCII characters");
+  if (key.starts_with(kEntryMadeKeyMark))
+    Refuse(ErrorKind::kBadHeader, "Idempotency-Key: not with a leading '~'");
   parsed.idempotency_key = key;
   const std::string_view idempotent =
       request.Header("dotterelshift-idempotent");
--- a/src/dotterelshift/callers/caller_request_test.cc
+++ b/src/dotterelshift/callers/caller_request_test.cc
@@ -109,7 +109,8 @@
           {"dotterelshift-idempotent", {"no", "FALSE", "0"}},
           {"dotterelshift-team", {"a b", std::string(129, 'x')}},
           {"dotterelshift-budget", {"a\tb", std::string(129, 'x')}},
-          {"idempotency-key", {"a b", "\xc3\xa9", std::string(256, 'x')}},
+          {"idempotency-key",
+           {"a b", "\xc3\xa9", "~e1.1", std::string(256, 'x')}},
       };
   for (const auto& [name, values] : headers) {
     for (const std::string& value : values) {
