--- /dev/null
+++ b/src/dotterelshift/app/control_replica_test.cc
@@ -0,0 +1,211 @@
+#include "dotterelshift/app/control_replica.h"
+
+#include <cppunit/extensions/HelperMacros.h>  // for CPPUNIT_TEST
+
+#include "dotterelshift/app/replica_group.h"       // for ReplicaGroup
+#include "dotterelshift/replication/membership.h"  // for IsVoter
+
+namespace dotterelshift::app {
+namespace {
+
+using replication::FindMember;
+using replication::IsVoter;
+
+std::vector<wire::ChangeT> ATeam(const std::string& id) {
+  std::vector<wire::ChangeT> changes;
+  changes.push_back(state::TeamChange(id));
+  return changes;
+}
+
+ReplicaId IdOf(const wire::MembershipT& members, const HostId& host) {
+  for (const auto& replica : members.replicas)
+    if (replica->host == host) return replica->id;
+  return 0;
+}
+
+class ControlReplicaTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(ControlReplicaTest);
+  CPPUNIT_TEST(OneReplicaKeepsWhatItAccepted);
+  CPPUNIT_TEST(ThreeGoOnWithoutTheirLeader);
+  CPPUNIT_TEST(CutOffLeaderAcceptsAndReadsNothing);
+  CPPUNIT_TEST(WipedMemberWaitsAndIsReplacedByAPlan);
+  CPPUNIT_TEST(WipedCoordinatorFoundsNoSecondGroup);
+  CPPUNIT_TEST(LaggingReplicaInstallsASnapshot);
+  CPPUNIT_TEST(SpoolIsProposedOnce);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void OneReplicaKeepsWhatItAccepted() {
+    ReplicaGroup group({"a"});
+    group.Start("a");
+    for (uint64_t version = 1; version <= 5; ++version) {
+      group.AcceptPlan(ATeam("team-" + std::to_string(version)));
+      group.Kill("a");
+      group.Start("a");
+      group.RunUntil([&] { return group.AllHave(version); });
+    }
+    CPPUNIT_ASSERT(group.Find("a")->GetState().GetConfiguration().FindTeam(
+                       "team-1") != nullptr);
+  }
+
+  void ThreeGoOnWithoutTheirLeader() {
+    ReplicaGroup group({"a", "b", "c"});
+    StartThree(group);
+    for (uint64_t round = 0; round < 3; ++round) {
+      group.AcceptPlan(ATeam("before"));
+      const HostId leader = group.Leader();
+      group.Kill(leader);
+      group.AcceptPlan(ATeam("after"));
+      group.Start(leader);
+      group.RunUntil([&] { return group.AllHave(2 * round + 2); });
+    }
+  }
+
+  void CutOffLeaderAcceptsAndReadsNothing() {
+    ReplicaGroup group({"a", "b", "c"});
+    StartThree(group);
+    group.AcceptPlan(ATeam("before"));
+    const HostId old = group.Leader();
+    group.Cut(old, true);
+    std::vector<ErrorKind> errors;
+    std::vector<wire::CommandT> commands;
+    commands.push_back(
+        group.Run().Command(state::PlanOf("lost", 1, "operator", {})));
+    group.Find(old)->Propose(commands, [&](ErrorKind error, const auto&) {
+      errors.push_back(error);
+    });
+    group.Find(old)->ConfirmedRead(
+        [&](ErrorKind error) { errors.push_back(error); });
+    group.RunUntil([&] { return errors.size() == 2; });
+    for (const ErrorKind error : errors)
+      CPPUNIT_ASSERT(error == ErrorKind::kNoQuorum);
+    CPPUNIT_ASSERT(!group.Find(old)->Leads());
+    group.AcceptPlan(ATeam("meanwhile"));
+    group.Cut(old, false);
+    group.RunUntil([&] { return group.AllHave(2); });
+    CPPUNIT_ASSERT(group.Find(old)->GetState().FindPlan("lost") == nullptr);
+  }
+
+  void WipedMemberWaitsAndIsReplacedByAPlan() {
+    ReplicaGroup group({"a", "b", "c"});
+    StartThree(group);
+    group.AcceptPlan(ATeam("before"));
+    const HostId leader = group.Leader();
+    const HostId lost = leader == "c" ? "b" : "c";
+    const ReplicaId old = IdOf(Members(group), lost);
+    group.Wipe(lost);
+    group.Start(lost);
+    group.RunUntil(
+        [&] { return !group.Find(leader)->WaitingReplicas().empty(); });
+    const wire::ReplicaT fresh = group.Find(leader)->WaitingReplicas().front();
+    CPPUNIT_ASSERT_EQUAL(lost, fresh.host);
+    CPPUNIT_ASSERT(fresh.id != old);
+    CPPUNIT_ASSERT(!IsVoter(Members(group), fresh.id));
+    std::vector<wire::ChangeT> changes;
+    wire::RemoveReplicaT removal;
+    removal.replica = old;
+    changes.push_back(state::ChangeOf(removal));
+    wire::AddReplicaT addition;
+    addition.replica = fresh.id;
+    addition.host = lost;
+    changes.push_back(state::ChangeOf(addition));
+    group.AcceptPlan(std::move(changes));
+    group.RunUntil([&] {
+      return !group.Leader().empty() && IsVoter(Members(group), fresh.id);
+    });
+    CPPUNIT_ASSERT(FindMember(Members(group), old) == nullptr);
+    group.RunUntil([&] { return group.AllHave(2); });
+    // A second loss right after the repair loses nothing.
+    group.Wipe(leader);
+    group.AcceptPlan(ATeam("after"));
+    CPPUNIT_ASSERT(group.Find(group.Leader())
+                       ->GetState()
+                       .GetConfiguration()
+                       .FindTeam("before") != nullptr);
+  }
+
+  // The member that founded the group loses its folder while the rest is down:
+  // it must wait, and the rest must go on as before.
+  void WipedCoordinatorFoundsNoSecondGroup() {
+    ReplicaGroup group({"a", "b", "c"});
+    StartThree(group);
+    group.AcceptPlan(ATeam("before"));
+    group.RunUntil([&] { return group.AllHave(1); });
+    for (const char* host : {"a", "b", "c"}) group.Kill(host);
+    group.Wipe("a");
+    group.Start("a");
+    group.Start("b");
+    const ControlReplica* wiped = group.Find("a");
+    // Several rounds of asking the others.
+    group.RunUntil([&] { return group.FramesFrom("a") >= 10; });
+    CPPUNIT_ASSERT(wiped->GetNode().Members().replicas.empty());
+    CPPUNIT_ASSERT_EQUAL(uint64_t{0}, wiped->GetNode().Term());
+    group.Start("c");
+    group.AcceptPlan(ATeam("after"));
+    CPPUNIT_ASSERT(group.Leader() != "a");
+    CPPUNIT_ASSERT_EQUAL(
+        uint64_t{2},
+        group.Find(group.Leader())->GetState().GetConfiguration().Version());
+  }
+
+  void LaggingReplicaInstallsASnapshot() {
+    ReplicaGroup group({"a", "b", "c"});
+    group.Options().snapshot_every_bytes = 8 << 10;
+    group.Options().store.segment_bytes = 8 << 10;
+    group.Options().node.snapshot_piece_bytes = 512;
+    StartThree(group);
+    group.AcceptPlan(ATeam("first"));
+    const HostId lagging = group.Leader() == "c" ? "b" : "c";
+    group.Kill(lagging);
+    constexpr uint64_t kPlans = 60;
+    for (uint64_t plan = 2; plan <= kPlans; ++plan)
+      group.AcceptPlan(ATeam("team-" + std::to_string(plan)));
+    // Restarted replicas have cut their logs, so only a snapshot can help.
+    for (const char* host : {"a", "b", "c"}) group.Kill(host);
+    StartThree(group);
+    group.RunUntil([&] { return group.AllHave(kPlans); });
+    CPPUNIT_ASSERT(group.Find("a")->GetState().Snapshot() ==
+                   group.Find(lagging)->GetState().Snapshot());
+  }
+
+  void SpoolIsProposedOnce() {
+    ReplicaGroup group({"a", "b", "c"});
+    StartThree(group);
+    group.AcceptPlan(ATeam("before"));
+    const HostId keeper = group.Leader() == "c" ? "b" : "c";
+    group.Cut(keeper, true);
+    wire::SpoolT spool;
+    spool.commands.push_back(std::make_unique<wire::CommandT>(
+        group.Run().Command(state::PlanOf("spooled", 1, "operator", {}))));
+    group.Find(keeper)->Spool(spool);
+    group.Kill(keeper);
+    group.Start(keeper);
+    // It leads when the others cannot: then it proposes what it kept.
+    group.Cut(keeper, false);
+    group.Kill(keeper == "b" ? "c" : "b");
+    group.RunUntil([&] {
+      if (group.Leader().empty()) return false;
+      if (group.Leader() != keeper) {
+        const HostId other = group.Leader();
+        group.Kill(other);
+        group.Start(other);
+      }
+      return group.Find(keeper)->GetState().FindPlan("spooled") != nullptr;
+    });
+  }
+
+ private:
+  static void StartThree(ReplicaGroup& group) {
+    for (const char* host : {"a", "b", "c"}) group.Start(host);
+    group.RunUntil([&] { return !group.Leader().empty(); });
+  }
+
+  static const wire::MembershipT& Members(ReplicaGroup& group) {
+    return group.Find(group.Leader())->GetNode().Members();
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ControlReplicaTest);
+
+}  // namespace
+}  // namespace dotterelshift::app
--- a/src/dotterelshift/storage/store.h
+++ b/src/dotterelshift/storage/store.h
@@ -62,6 +62,7 @@
   // Opening.
   void LockFolder();
   Listing ListFolder();
+  void RemoveUnfinished(const Listing& listing);
   std::string ReadFile(const std::string& path);
   void MakeIdentity();
   void ReadIdentity();
--- a/src/dotterelshift/storage/store_open.h
+++ b/src/dotterelshift/storage/store_open.h
@@ -22,10 +22,7 @@
   if (opened.fresh) {
     // The identity is written last, so that a folder with an identity but
     // without its log is known to have lost it.
-    if (!listing.snapshots.empty())
-      ThrowDamaged(m_options.folder, 0, "there are files but no identity");
-    for (const std::string& name : listing.segments)
-      Check(m_files.Remove(Path(name)), Path(name));
+    RemoveUnfinished(listing);
     StartSegment();
     MakeIdentity();
   } else {
@@ -71,6 +68,24 @@
   return listing;
 }
 
+// Without an identity there may be one segment at most, and nothing in it but
+// what its creation wrote.
+template <FileSystem Files>
+void Store<Files>::RemoveUnfinished(const Listing& listing) {
+  const bool more = !listing.snapshots.empty() || listing.segments.size() > 1;
+  for (const std::string& name : listing.segments) {
+    const std::string path = Path(name);
+    const std::string content = ReadFile(path);
+    const bool written =
+        content.size() > kFileHeaderBytes &&
+        ReadBlocks(path, content, Tail::kMayBeTorn).blocks.size() > 1;
+    if (more || written) break;
+    return Check(m_files.Remove(path), path);
+  }
+  if (more || !listing.segments.empty())
+    ThrowDamaged(m_options.folder, 0, "there is a log but no identity");
+}
+
 template <FileSystem Files>
 std::string Store<Files>::ReadFile(const std::string& path) {
   std::string content;
