--- /dev/null
+++ b/bench/commit_bench.cc
@@ -0,0 +1,438 @@
+// The rate at which three control replicas commit, on loopback with real syncs;
+// the time without a leader after its death; the time of a restart. Each
+// replica is a process of this program, so that their files sync side by side.
+
+#include <fcntl.h>     // for open
+#include <poll.h>      // for poll
+#include <signal.h>    // for kill, signal
+#include <spawn.h>     // for posix_spawn
+#include <sys/wait.h>  // for waitpid
+#include <unistd.h>    // for pipe
+
+#include <algorithm>  // for sort
+#include <array>      // for array
+#include <cstdio>     // for printf
+#include <cstring>    // for strcmp
+#include <iostream>   // for cout
+#include <map>        // for map
+#include <optional>   // for optional
+
+#include "dotterelshift/app/control_replica.h"  // for MakeControlReplica
+#include "dotterelshift/state/state_testing.h"  // for PlanOf
+#include "dotterelshift/storage/test_folder.h"  // for TestFolder
+
+extern char** environ;
+
+namespace dotterelshift {
+namespace {
+
+using Clock = std::chrono::steady_clock;
+
+constexpr int kReplicas = 3;
+constexpr size_t kCommandsOutstanding = 16384;
+constexpr size_t kCommandsInProposal = 256;
+constexpr Duration kPhase = 3s;
+constexpr Tokens kManyTokens = 1'000'000'000'000;
+
+double Seconds(Duration duration) {
+  return std::chrono::duration<double>(duration).count();
+}
+
+// Proposes the commands of one entry: attempts that are opened and settled.
+class Load {
+ public:
+  Load(loop::Loop& loop, app::ControlReplica& replica, Incarnation incarnation)
+      : m_loop(loop),
+        m_replica(replica),
+        m_run(nullptr, "entry", incarnation),
+        m_incarnation(incarnation) {}
+
+  // Makes a team and a budget, once, and takes a grant.
+  void Prepare(std::function<void()> done) {
+    std::vector<wire::ChangeT> changes;
+    changes.push_back(state::TeamChange("team"));
+    changes.push_back(state::BudgetChange("budget", "team"));
+    changes.push_back(state::TopUpChange("top-up", "budget", kManyTokens));
+    const std::string plan = "plan-" + std::to_string(m_incarnation);
+    const uint64_t version = m_replica.GetState().GetConfiguration().Version();
+    std::vector<wire::CommandT> commands;
+    commands.push_back(m_run.Command(wire::RegisterHostT{}));
+    commands.push_back(m_run.Command(
+        state::PlanOf(plan, version, "operator", std::move(changes))));
+    commands.push_back(m_run.Command(state::ConfirmOf(plan)));
+    commands.push_back(
+        m_run.Command(state::GrantAsk("budget", kManyTokens / 100)));
+    m_replica.Propose(std::move(commands),
+                      [done](ErrorKind, const auto&) { done(); });
+  }
+
+  // Keeps this many commands under way, so many in a proposal, until `end`;
+  // then tells how many were carried out.
+  void RunUntil(Instant end, size_t outstanding, size_t in_proposal,
+                std::function<void(uint64_t)> done) {
+    m_end = end;
+    m_in_proposal = in_proposal;
+    m_done = std::move(done);
+    m_carried_out = 0;
+    m_under_way = 0;
+    for (size_t i = 0; i < outstanding; i += in_proposal) ProposeSome();
+  }
+
+  // As many commands as that.
+  void RunCount(uint64_t count, std::function<void(uint64_t)> done) {
+    m_most = count;
+    RunUntil(Instant::max(), kCommandsOutstanding, kCommandsInProposal,
+             std::move(done));
+  }
+
+ private:
+  void ProposeSome() {
+    std::vector<wire::CommandT> commands;
+    for (size_t i = 0; i < m_in_proposal; ++i) commands.push_back(Next());
+    ++m_under_way;
+    m_replica.Propose(std::move(commands),
+                      [this](ErrorKind error, const auto& answers) {
+                        OnAnswers(error, answers);
+                      });
+  }
+
+  void OnAnswers(ErrorKind error,
+                 const std::vector<wire::CommandAnswerT>& answers) {
+    --m_under_way;
+    for (const auto& answer : answers) m_carried_out += answer.error == 0;
+    const bool goes_on = error == ErrorKind::kNone && m_loop.Now() < m_end &&
+                         m_carried_out < m_most;
+    if (goes_on) return ProposeSome();
+    if (m_under_way == 0) m_done(m_carried_out);
+  }
+
+  wire::CommandT Next() {
+    const AttemptId attempt = m_commands / 2 + 1;
+    const std::string key = "request-" + std::to_string(attempt);
+    constexpr Tokens kReserved = 100;
+    const bool opens = m_commands++ % 2 == 0;
+    if (opens)
+      return m_run.Command(state::OpeningOf("budget", key, attempt, kReserved));
+    return m_run.Command(
+        state::SettlementOf("budget", key, attempt, kReserved, 1));
+  }
+
+  loop::Loop& m_loop;
+  app::ControlReplica& m_replica;
+  state::TestRun m_run;
+  Incarnation m_incarnation;
+  Instant m_end{};
+  size_t m_in_proposal = 1;
+  uint64_t m_most = UINT64_MAX;
+  uint64_t m_commands = 0;
+  uint64_t m_carried_out = 0;
+  size_t m_under_way = 0;
+  std::function<void(uint64_t)> m_done;
+};
+
+// ---- one replica's process ------------------------------------------------
+
+std::string HostName(int replica) { return "r" + std::to_string(replica); }
+
+class ReplicaProcess {
+ public:
+  ReplicaProcess(int self, const std::string& folder,
+                 const std::array<int, kReplicas>& ports)
+      : m_self(self),
+        m_input(m_loop, STDIN_FILENO, EV_READ, [this](int) { OnInput(); }) {
+    peers::HubOptions hub;
+    hub.fleet = "bench";
+    hub.secret = "the secret of a benchmark's fleet";
+    hub.self.run = {HostName(self), static_cast<Incarnation>(m_loop.WallNow())};
+    hub.self.role = wire::HostRole::Control;
+    hub.listen_port = static_cast<uint16_t>(ports[self]);
+    app::ControlReplicaOptions options;
+    for (int other = 0; other < kReplicas; ++other) {
+      options.first_members.push_back(HostName(other));
+      if (other != self)
+        hub.dial.push_back("127.0.0.1:" + std::to_string(ports[other]));
+    }
+    options.self = HostName(self);
+    options.store.folder = folder;
+    options.node.seed = hub.self.run.incarnation;
+    peers::HubCallbacks hub_callbacks;
+    hub_callbacks.on_frame = [this](const peers::PeerInfo& from,
+                                    const wire::FrameT& frame) {
+      if (m_replica) m_replica->OnFrame(from, frame);
+    };
+    hub_callbacks.on_up = [](const peers::PeerInfo&) {};
+    hub_callbacks.on_down = [](const peers::PeerInfo&) {};
+    m_hub = peers::MakeHub(m_loop, hub, std::move(hub_callbacks));
+    app::ControlReplicaCallbacks callbacks;
+    callbacks.send = [this](const HostId& to, const wire::FrameT& frame) {
+      m_hub->Send(to, frame);
+    };
+    callbacks.on_leadership_changed = [this] { OnLeadershipChanged(); };
+    m_replica = app::MakeControlReplica(m_loop, options, std::move(callbacks));
+    m_check.ArmIn(kCheck);
+  }
+
+  void Run() { m_loop.Run(); }
+
+ private:
+  // A new leader commits a first command and says so.
+  void OnLeadershipChanged() {
+    if (m_replica->GetNode().Role() != replication::NodeRole::kLeader) return;
+    m_load.emplace(m_loop, *m_replica,
+                   static_cast<Incarnation>(m_loop.WallNow()));
+    m_load->Prepare([this] {
+      std::printf("leads %d\n", m_self);
+      Flush();
+    });
+  }
+
+  // A replica that follows a leader and holds all that is committed has joined.
+  void CheckJoined() {
+    const replication::Node& node = m_replica->GetNode();
+    const bool joined = node.Leader() != 0 && node.Commit() > 0 &&
+                        m_replica->GetState().LastStamp() > 0 &&
+                        m_last_commit == node.Commit();
+    m_last_commit = node.Commit();
+    if (!joined) return m_check.ArmIn(kCheck);
+    std::printf("joined %d\n", m_self);
+    Flush();
+  }
+
+  void OnInput() {
+    char command = 0;
+    if (read(STDIN_FILENO, &command, 1) != 1) return m_loop.Stop();
+    const bool batched = command == 'b';
+    const Instant begin = m_loop.Now();
+    m_load->RunUntil(begin + kPhase, batched ? kCommandsOutstanding : 1,
+                     batched ? kCommandsInProposal : 1,
+                     [this, begin](uint64_t carried_out) {
+                       const double seconds = Seconds(m_loop.Now() - begin);
+                       std::printf("rate %.0f\n",
+                                   static_cast<double>(carried_out) / seconds);
+                       Flush();
+                     });
+  }
+
+  static void Flush() { std::fflush(stdout); }
+
+  static constexpr Duration kCheck = 100ms;
+
+  int m_self;
+  uint64_t m_last_commit = 0;
+  loop::Loop m_loop;
+  loop::Timer m_check{m_loop, [this] { CheckJoined(); }};
+  loop::IoWatcher m_input;
+  std::unique_ptr<peers::Hub> m_hub;
+  std::unique_ptr<app::ControlReplica> m_replica;
+  std::optional<Load> m_load;
+};
+
+// ---- the process that measures --------------------------------------------
+
+struct Child {
+  pid_t pid = 0;
+  int input = -1;
+  int output = -1;
+  std::string buffer;
+};
+
+class Group {
+ public:
+  explicit Group(const char* program) : m_program(program) {
+    for (int& port : m_ports) port = FreePort();
+    for (int i = 0; i < kReplicas; ++i) Start(i);
+  }
+  ~Group() {
+    for (int i = 0; i < kReplicas; ++i) Kill(i);
+  }
+  Group(const Group&) = delete;
+  Group& operator=(const Group&) = delete;
+
+  void Start(int i) {
+    int to_child[2];
+    int from_child[2];
+    if (pipe2(to_child, O_CLOEXEC) != 0 || pipe2(from_child, O_CLOEXEC) != 0)
+      std::abort();
+    posix_spawn_file_actions_t actions;
+    posix_spawn_file_actions_init(&actions);
+    posix_spawn_file_actions_adddup2(&actions, to_child[0], STDIN_FILENO);
+    posix_spawn_file_actions_adddup2(&actions, from_child[1], STDOUT_FILENO);
+    std::vector<std::string> words = {m_program, "replica", std::to_string(i),
+                                      m_folders[i].Path()};
+    for (const int port : m_ports) words.push_back(std::to_string(port));
+    std::vector<char*> arguments;
+    for (std::string& word : words) arguments.push_back(word.data());
+    arguments.push_back(nullptr);
+    Child& child = m_children[i];
+    posix_spawn(&child.pid, m_program, &actions, nullptr, arguments.data(),
+                environ);
+    posix_spawn_file_actions_destroy(&actions);
+    close(to_child[0]);
+    close(from_child[1]);
+    child.input = to_child[1];
+    child.output = from_child[0];
+    child.buffer.clear();
+  }
+
+  void Kill(int i) {
+    Child& child = m_children[i];
+    kill(child.pid, SIGKILL);
+    waitpid(child.pid, nullptr, 0);
+    close(child.input);
+    close(child.output);
+    child.output = -1;
+  }
+
+  // The next line that any child says.
+  std::string Line() {
+    while (true) {
+      std::array<pollfd, kReplicas> polled{};
+      for (int i = 0; i < kReplicas; ++i)
+        polled[i] = {m_children[i].output, POLLIN, 0};
+      poll(polled.data(), polled.size(), -1);
+      for (int i = 0; i < kReplicas; ++i) {
+        Child& child = m_children[i];
+        char byte = 0;
+        const bool ready = (polled[i].revents & POLLIN) != 0;
+        if (!ready || read(child.output, &byte, 1) != 1) continue;
+        if (byte == '\n') return std::exchange(child.buffer, "");
+        child.buffer += byte;
+      }
+    }
+  }
+
+  int WaitForLeader() {
+    std::string line = Line();
+    while (line.find("leads") != 0) line = Line();
+    return line.back() - '0';
+  }
+
+  void WaitForJoin(int replica) {
+    while (Line() != "joined " + std::to_string(replica)) {
+    }
+  }
+
+  double Rate(int leader, char phase) {
+    if (write(m_children[leader].input, &phase, 1) != 1) std::abort();
+    std::string line = Line();
+    while (line.find("rate ") != 0) line = Line();
+    return std::stod(line.substr(5));
+  }
+
+ private:
+  static int FreePort() {
+    loop::Loop loop;
+    peers::HubOptions options;
+    options.fleet = options.secret = options.self.run.host = "free port";
+    return peers::MakeHub(loop, options, {})->Port();
+  }
+
+  const char* m_program;
+  std::array<int, kReplicas> m_ports{};
+  std::array<storage::TestFolder, kReplicas> m_folders;
+  std::array<Child, kReplicas> m_children;
+};
+
+// Appends and syncs a file again and again; writes a second.
+double BareSyncRate(size_t bytes) {
+  const storage::TestFolder folder;
+  const int file = open((folder.Path() + "/file").c_str(),
+                        O_CREAT | O_APPEND | O_WRONLY, 0600);
+  const std::string content(bytes, 'x');
+  const Instant begin = Clock::now();
+  int writes = 0;
+  while (Clock::now() < begin + 1s) {
+    if (write(file, content.data(), bytes) < 0 || fdatasync(file) != 0) break;
+    ++writes;
+  }
+  close(file);
+  return writes / Seconds(Clock::now() - begin);
+}
+
+void MeasureCommits(const char* program) {
+  std::printf("bare write and sync of 512 bytes: %.0f a second\n",
+              BareSyncRate(512));
+  std::printf("bare write and sync of 256 KiB: %.0f a second\n",
+              BareSyncRate(256 << 10));
+  Group group(program);
+  int leader = group.WaitForLeader();
+  std::printf("three replicas, batches: %.0f commands a second\n",
+              group.Rate(leader, 'b'));
+  std::printf("three replicas, one command at a time: %.0f a second\n",
+              group.Rate(leader, 's'));
+  std::vector<double> gaps;
+  constexpr int kKills = 9;
+  for (int i = 0; i < kKills; ++i) {
+    const Instant killed = Clock::now();
+    group.Kill(leader);
+    const int next = group.WaitForLeader();
+    gaps.push_back(Seconds(Clock::now() - killed) * 1000);
+    group.Start(leader);
+    group.WaitForJoin(leader);
+    leader = next;
+  }
+  std::sort(gaps.begin(), gaps.end());
+  std::printf(
+      "leader killed to next commit, %d times: median %.0f ms, most %.0f ms\n",
+      kKills, gaps[kKills / 2], gaps.back());
+}
+
+// Fills a replica's folder, then starts it again.
+void MeasureRestart(uint64_t commands, uint64_t snapshot_every_bytes) {
+  const storage::TestFolder folder;
+  app::ControlReplicaOptions options;
+  options.snapshot_every_bytes = snapshot_every_bytes;
+  options.self = "r0";
+  options.first_members = {"r0"};
+  options.store.folder = folder.Path();
+  app::ControlReplicaCallbacks callbacks;
+  callbacks.send = [](const HostId&, const wire::FrameT&) {};
+  loop::Loop loop;
+  {
+    auto replica = app::MakeControlReplica(loop, options, callbacks);
+    Load load(loop, *replica, 1);
+    while (!replica->Leads()) ev_run(loop.Raw(), EVRUN_ONCE);
+    load.Prepare(
+        [&] { load.RunCount(commands, [&](uint64_t) { loop.Stop(); }); });
+    loop.Run();
+  }
+  const Instant begin = Clock::now();
+  auto replica = app::MakeControlReplica(loop, options, callbacks);
+  const Instant opened = Clock::now();
+  bool serves = false;
+  while (!serves) {
+    if (replica->Leads())
+      replica->ConfirmedRead(
+          [&](ErrorKind error) { serves = error == ErrorKind::kNone; });
+    ev_run(loop.Raw(), EVRUN_ONCE);
+  }
+  std::printf(
+      "restart after %llu commands, a snapshot each %llu MiB: %.2f s (%.2f s "
+      "of "
+      "it opening the folder)\n",
+      static_cast<unsigned long long>(commands),
+      static_cast<unsigned long long>(snapshot_every_bytes >> 20),
+      Seconds(Clock::now() - begin), Seconds(opened - begin));
+}
+
+}  // namespace
+}  // namespace dotterelshift
+
+int main(int argc, char** argv) {
+  using dotterelshift::kReplicas;
+  signal(SIGPIPE, SIG_IGN);
+  if (argc > 3 && std::strcmp(argv[1], "replica") == 0) {
+    std::array<int, kReplicas> ports{};
+    for (int i = 0; i < kReplicas; ++i) ports[i] = std::atoi(argv[4 + i]);
+    dotterelshift::ReplicaProcess(std::atoi(argv[2]), argv[3], ports).Run();
+    return 0;
+  }
+  std::setvbuf(stdout, nullptr, _IOLBF, 0);
+  dotterelshift::MeasureCommits(argv[0]);
+  constexpr uint64_t kCommands = 1'000'000;
+  dotterelshift::MeasureRestart(
+      kCommands,
+      dotterelshift::app::ControlReplicaOptions().snapshot_every_bytes);
+  dotterelshift::MeasureRestart(kCommands, 1 << 30);  // the log alone
+  return 0;
+}
--- a/include/dotterelshift/app/control_replica.h
+++ b/include/dotterelshift/app/control_replica.h
@@ -26,7 +26,9 @@
   std::vector<std::string> first_members;
   HostId self;
   std::string self_address;
-  uint64_t snapshot_every_bytes = 256 << 20;  // of log
+  // Bytes of log after which a follower makes a snapshot. The leader, which
+  // must not pause, waits for four times as many.
+  uint64_t snapshot_every_bytes = 32 << 20;
 };
 
 // Answers to one Propose(), in the order of its commands; or the reason why
--- a/src/dotterelshift/app/control.cc
+++ b/src/dotterelshift/app/control.cc
@@ -200,10 +200,12 @@
                         const wire::ProposeT& propose) {
   std::vector<wire::CommandT> commands;
   for (const auto& command : propose.commands) {
-    // An entry speaks only for its own run.
+    // An entry speaks only for its own run; a replica also for the entries
+    // whose spools it keeps.
     const bool own = command != nullptr && command->id != nullptr &&
-                     command->id->host == peer.run.host &&
-                     command->id->incarnation == peer.run.incarnation;
+                     (peer.role == wire::HostRole::Control ||
+                      (command->id->host == peer.run.host &&
+                       command->id->incarnation == peer.run.incarnation));
     if (own) commands.push_back(*command);
   }
   const HostId host = peer.run.host;
@@ -257,7 +259,14 @@
 }
 
 void Control::OnSpool(const peers::PeerInfo& peer, const wire::SpoolT& spool) {
-  m_replica->Spool(spool);
+  try {
+    m_replica->Spool(spool);
+  } catch (const Error& error) {
+    // Not stored, so not acknowledged: the entry tries another replica.
+    platform::Log(platform::LogLevel::kError, "spool_not_stored",
+                  {{"detail", error.what()}});
+    return;
+  }
   wire::SpoolStoredT stored;
   for (const auto& command : spool.commands) {
     if (command == nullptr || command->id == nullptr) continue;
@@ -362,6 +371,10 @@
                       static_cast<double>(node.Term()));
   m_metrics->SetGauge("dotterelshift_commit_index", "Committed up to here",
                       static_cast<double>(node.Commit()));
+  m_metrics->SetGauge(
+      "dotterelshift_configuration_version",
+      "Version of the configuration that is applied here",
+      static_cast<double>(m_replica->GetState().GetConfiguration().Version()));
   m_metrics->SetGauge("dotterelshift_entries_connected", "Entries connected",
                       static_cast<double>(m_entries.size()));
   m_metrics->SetCounter("dotterelshift_peer_bytes_in_total",
--- a/src/dotterelshift/app/control_replica.cc
+++ b/src/dotterelshift/app/control_replica.cc
@@ -23,6 +23,7 @@
 // is proposed again.
 constexpr Duration kHousekeeping = 200ms;
 constexpr int kTicksBetweenRetries = 5;
+constexpr uint64_t kLeaderSnapshotFactor = 4;
 
 bool IsEmpty(const Ready& ready) {
   return !ready.HasWrites() && ready.messages.empty() &&
@@ -95,6 +96,7 @@
   void FailAll(ErrorKind error);
   void InstallSnapshot(const replication::SnapshotMeta& meta,
                        const std::string& bytes);
+  uint64_t SnapshotAfterBytes() const;
   void MaybeSnapshot();
   void ArmNodeTimer();
   void OnTrouble(const Error& error);
@@ -426,9 +428,20 @@
   m_node->SetSnapshotSource(meta, std::make_shared<const std::string>(bytes));
 }
 
+// Replicas come to it at different times, so that a majority goes on
+// committing while one pauses to write its state.
+uint64_t Replica::SnapshotAfterBytes() const {
+  const uint64_t every = m_options.snapshot_every_bytes;
+  const bool alone = m_node->Members().replicas.size() == 1;
+  if (m_node->Role() == NodeRole::kLeader && !alone)
+    return every * kLeaderSnapshotFactor;
+  constexpr uint64_t kSteps = 4;
+  return every + every / kSteps * (m_self % kSteps);
+}
+
 void Replica::MaybeSnapshot() {
-  const bool due = m_log_bytes >= m_options.snapshot_every_bytes &&
-                   m_trouble == ErrorKind::kNone;
+  const bool due =
+      m_log_bytes >= SnapshotAfterBytes() && m_trouble == ErrorKind::kNone;
   if (!due) return;
   m_log_bytes = 0;
   std::string bytes = m_state->Snapshot();
--- a/src/dotterelshift/app/operator_backend.cc
+++ b/src/dotterelshift/app/operator_backend.cc
@@ -131,6 +131,8 @@
                                    {"host", member->host},
                                    {"voter", member->voter}});
     }
+    for (const wire::ReplicaT& waiting : m_replica.WaitingReplicas())
+      status["waiting"].push_back({{"id", waiting.id}, {"host", waiting.host}});
     return status.dump();
   }
   WallMs WallNow() const override { return m_loop.WallNow(); }
