Replication: a process that stood still does not judge the others at once

Under batches on a busy machine the leader stepped down in the middle (65 proposals failed with no_quorum in commit_bench): a timer that came late was handled before the answers that waited in the socket. Such a timer is now excused once.

--- a/src/dotterelshift/replication/node_test.cc
+++ b/src/dotterelshift/replication/node_test.cc
@@ -30,6 +30,7 @@
   CPPUNIT_TEST_SUITE(NodeTest);
   CPPUNIT_TEST(GroupOfOneCommitsOnlyWhatIsSynced);
   CPPUNIT_TEST(OneOfThreeDoesNotElectItself);
+  CPPUNIT_TEST(LeaderThatStoodStillIsJudgedLater);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -68,6 +69,37 @@
     }
     CPPUNIT_ASSERT_EQUAL(uint64_t{0}, node->Term());
   }
+
+  void LeaderThatStoodStillIsJudgedLater() {
+    Instant now{};
+    const auto node = MakeNode({}, NewGroup(1, {1, 2, 3}), now);
+    now = node->NextTimer();
+    node->OnTimer(now);
+    node->OnMessage(VoteFrom(2, true), now);
+    CPPUNIT_ASSERT(node->TakeReady().hard_state.has_value());
+    node->OnSynced(now);
+    node->OnMessage(VoteFrom(2, false), now);
+    CPPUNIT_ASSERT(node->Role() == NodeRole::kLeader);
+    now += 1s;  // the answers of this time wait to be read
+    node->OnTimer(now);
+    CPPUNIT_ASSERT(node->Role() == NodeRole::kLeader);
+    CPPUNIT_ASSERT(node->LeaseUntil() < now);
+    now = node->NextTimer();
+    node->OnTimer(now);  // there were none
+    CPPUNIT_ASSERT(node->Role() == NodeRole::kFollower);
+  }
+
+ private:
+  static wire::FrameT VoteFrom(ReplicaId from, bool pre_vote) {
+    wire::VoteReplyT vote;
+    vote.from = from;
+    vote.term = 1;
+    vote.granted = true;
+    vote.pre_vote = pre_vote;
+    wire::FrameT frame;
+    frame.body.Set(vote);
+    return frame;
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(NodeTest);
--- a/src/dotterelshift/replication/raft.h
+++ b/src/dotterelshift/replication/raft.h
@@ -179,6 +179,7 @@
   Instant m_heard_leader;
   Instant m_election_deadline;
   Instant m_next_heartbeat;
+  bool m_timer_late = false;  // the last one came late
   std::set<ReplicaId> m_votes;
 
   uint64_t m_commit = 0;
--- a/src/dotterelshift/replication/raft_events.h
+++ b/src/dotterelshift/replication/raft_events.h
@@ -51,11 +51,17 @@
   }
 }
 
+// A timer that comes late by more than a heartbeat says that this process stood
+// still; what the others sent meanwhile is still to be read, so they are judged
+// a heartbeat later, once.
 template <typename Rules>
 void Raft<Rules>::OnTimer(Instant now) {
+  if (now < NextTimer()) return;
+  const bool was_late =
+      std::exchange(m_timer_late, now - NextTimer() > m_options.heartbeat);
+  const bool late = m_timer_late && !was_late;
   if (m_role == NodeRole::kLeader) {
-    if (now < m_next_heartbeat) return;
-    CheckQuorum(now);
+    if (!late) CheckQuorum(now);
     if (m_role != NodeRole::kLeader) return;
     m_next_heartbeat = now + m_options.heartbeat;
     for (auto& [id, progress] : m_progress) {
@@ -65,7 +71,10 @@
     PromoteLearners(now);
     return StartRound(now);
   }
-  if (now < m_election_deadline) return;
+  if (late) {
+    m_election_deadline = now + m_options.heartbeat;
+    return;
+  }
   if (IsVoter(Members(), m_self)) return Campaign(now, true);
   ResetElectionDeadline(now);
 }
