--- a/bench/commit_bench.cc
+++ b/bench/commit_bench.cc
@@ -21,8 +21,6 @@
 #include "dotterelshift/state/state_testing.h"  // for PlanOf
 #include "dotterelshift/storage/test_folder.h"  // for TestFolder
 
-extern char** environ;
-
 namespace dotterelshift {
 namespace {
 
@@ -48,7 +46,7 @@
         m_incarnation(incarnation) {}
 
   // Makes a team and a budget, once, and takes a grant.
-  void Prepare(std::function<void()> done) {
+  void Prepare(const std::function<void()>& done) {
     std::vector<wire::ChangeT> changes;
     changes.push_back(state::TeamChange("team"));
     changes.push_back(state::BudgetChange("budget", "team"));
@@ -261,6 +259,7 @@
                                       m_folders[i].Path()};
     for (const int port : m_ports) words.push_back(std::to_string(port));
     std::vector<char*> arguments;
+    arguments.reserve(words.size() + 1);
     for (std::string& word : words) arguments.push_back(word.data());
     arguments.push_back(nullptr);
     Child& child = m_children[i];
