--- a/include/dotterelshift/wire/frames_generated.h
+++ b/include/dotterelshift/wire/frames_generated.h
@@ -2878,6 +2878,7 @@
   uint64_t last_index = 0;
   uint64_t last_term = 0;
   bool pre_vote = false;
+  uint64_t to = 0;
 };
 
 struct VoteRequest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -2889,7 +2890,8 @@
     VT_FROM = 6,
     VT_LAST_INDEX = 8,
     VT_LAST_TERM = 10,
-    VT_PRE_VOTE = 12
+    VT_PRE_VOTE = 12,
+    VT_TO = 14
   };
   uint64_t term() const {
     return GetField<uint64_t>(VT_TERM, 0);
@@ -2906,6 +2908,9 @@
   bool pre_vote() const {
     return GetField<uint8_t>(VT_PRE_VOTE, 0) != 0;
   }
+  uint64_t to() const {
+    return GetField<uint64_t>(VT_TO, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_TERM, 8) &&
@@ -2913,6 +2918,7 @@
            VerifyField<uint64_t>(verifier, VT_LAST_INDEX, 8) &&
            VerifyField<uint64_t>(verifier, VT_LAST_TERM, 8) &&
            VerifyField<uint8_t>(verifier, VT_PRE_VOTE, 1) &&
+           VerifyField<uint64_t>(verifier, VT_TO, 8) &&
            verifier.EndTable();
   }
   VoteRequestT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2939,6 +2945,9 @@
   void add_pre_vote(bool pre_vote) {
     fbb_.AddElement<uint8_t>(VoteRequest::VT_PRE_VOTE, static_cast<uint8_t>(pre_vote), 0);
   }
+  void add_to(uint64_t to) {
+    fbb_.AddElement<uint64_t>(VoteRequest::VT_TO, to, 0);
+  }
   explicit VoteRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2956,8 +2965,10 @@
     uint64_t from = 0,
     uint64_t last_index = 0,
     uint64_t last_term = 0,
-    bool pre_vote = false) {
+    bool pre_vote = false,
+    uint64_t to = 0) {
   VoteRequestBuilder builder_(_fbb);
+  builder_.add_to(to);
   builder_.add_last_term(last_term);
   builder_.add_last_index(last_index);
   builder_.add_from(from);
@@ -2979,6 +2990,7 @@
   uint64_t from = 0;
   bool granted = false;
   bool pre_vote = false;
+  uint64_t to = 0;
 };
 
 struct VoteReply FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -2989,7 +3001,8 @@
     VT_TERM = 4,
     VT_FROM = 6,
     VT_GRANTED = 8,
-    VT_PRE_VOTE = 10
+    VT_PRE_VOTE = 10,
+    VT_TO = 12
   };
   uint64_t term() const {
     return GetField<uint64_t>(VT_TERM, 0);
@@ -3003,12 +3016,16 @@
   bool pre_vote() const {
     return GetField<uint8_t>(VT_PRE_VOTE, 0) != 0;
   }
+  uint64_t to() const {
+    return GetField<uint64_t>(VT_TO, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_TERM, 8) &&
            VerifyField<uint64_t>(verifier, VT_FROM, 8) &&
            VerifyField<uint8_t>(verifier, VT_GRANTED, 1) &&
            VerifyField<uint8_t>(verifier, VT_PRE_VOTE, 1) &&
+           VerifyField<uint64_t>(verifier, VT_TO, 8) &&
            verifier.EndTable();
   }
   VoteReplyT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3032,6 +3049,9 @@
   void add_pre_vote(bool pre_vote) {
     fbb_.AddElement<uint8_t>(VoteReply::VT_PRE_VOTE, static_cast<uint8_t>(pre_vote), 0);
   }
+  void add_to(uint64_t to) {
+    fbb_.AddElement<uint64_t>(VoteReply::VT_TO, to, 0);
+  }
   explicit VoteReplyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3048,8 +3068,10 @@
     uint64_t term = 0,
     uint64_t from = 0,
     bool granted = false,
-    bool pre_vote = false) {
+    bool pre_vote = false,
+    uint64_t to = 0) {
   VoteReplyBuilder builder_(_fbb);
+  builder_.add_to(to);
   builder_.add_from(from);
   builder_.add_term(term);
   builder_.add_pre_vote(pre_vote);
@@ -3073,6 +3095,7 @@
   uint64_t commit = 0;
   uint64_t round = 0;
   std::vector<std::unique_ptr<dotterelshift::wire::LogEntryT>> entries{};
+  uint64_t to = 0;
   AppendRequestT() = default;
   AppendRequestT(const AppendRequestT &o);
   AppendRequestT(AppendRequestT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -3090,7 +3113,8 @@
     VT_PREVIOUS_TERM = 10,
     VT_COMMIT = 12,
     VT_ROUND = 14,
-    VT_ENTRIES = 16
+    VT_ENTRIES = 16,
+    VT_TO = 18
   };
   uint64_t term() const {
     return GetField<uint64_t>(VT_TERM, 0);
@@ -3113,6 +3137,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<dotterelshift::wire::LogEntry>> *entries() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<dotterelshift::wire::LogEntry>> *>(VT_ENTRIES);
   }
+  uint64_t to() const {
+    return GetField<uint64_t>(VT_TO, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_TERM, 8) &&
@@ -3124,6 +3151,7 @@
            VerifyOffset(verifier, VT_ENTRIES) &&
            verifier.VerifyVector(entries()) &&
            verifier.VerifyVectorOfTables(entries()) &&
+           VerifyField<uint64_t>(verifier, VT_TO, 8) &&
            verifier.EndTable();
   }
   AppendRequestT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3156,6 +3184,9 @@
   void add_entries(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<dotterelshift::wire::LogEntry>>> entries) {
     fbb_.AddOffset(AppendRequest::VT_ENTRIES, entries);
   }
+  void add_to(uint64_t to) {
+    fbb_.AddElement<uint64_t>(AppendRequest::VT_TO, to, 0);
+  }
   explicit AppendRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3175,8 +3206,10 @@
     uint64_t previous_term = 0,
     uint64_t commit = 0,
     uint64_t round = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<dotterelshift::wire::LogEntry>>> entries = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<dotterelshift::wire::LogEntry>>> entries = 0,
+    uint64_t to = 0) {
   AppendRequestBuilder builder_(_fbb);
+  builder_.add_to(to);
   builder_.add_round(round);
   builder_.add_commit(commit);
   builder_.add_previous_term(previous_term);
@@ -3200,7 +3233,8 @@
     uint64_t previous_term = 0,
     uint64_t commit = 0,
     uint64_t round = 0,
-    const std::vector<flatbuffers::Offset<dotterelshift::wire::LogEntry>> *entries = nullptr) {
+    const std::vector<flatbuffers::Offset<dotterelshift::wire::LogEntry>> *entries = nullptr,
+    uint64_t to = 0) {
   auto entries__ = entries ? _fbb.CreateVector<flatbuffers::Offset<dotterelshift::wire::LogEntry>>(*entries) : 0;
   return dotterelshift::wire::CreateAppendRequest(
       _fbb,
@@ -3210,7 +3244,8 @@
       previous_term,
       commit,
       round,
-      entries__);
+      entries__,
+      to);
 }
 
 flatbuffers::Offset<AppendRequest> CreateAppendRequest(flatbuffers::FlatBufferBuilder &_fbb, const AppendRequestT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -3223,6 +3258,7 @@
   uint64_t match_index = 0;
   uint64_t hint_index = 0;
   uint64_t round = 0;
+  uint64_t to = 0;
 };
 
 struct AppendReply FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -3235,7 +3271,8 @@
     VT_ACCEPTED = 8,
     VT_MATCH_INDEX = 10,
     VT_HINT_INDEX = 12,
-    VT_ROUND = 14
+    VT_ROUND = 14,
+    VT_TO = 16
   };
   uint64_t term() const {
     return GetField<uint64_t>(VT_TERM, 0);
@@ -3255,6 +3292,9 @@
   uint64_t round() const {
     return GetField<uint64_t>(VT_ROUND, 0);
   }
+  uint64_t to() const {
+    return GetField<uint64_t>(VT_TO, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_TERM, 8) &&
@@ -3263,6 +3303,7 @@
            VerifyField<uint64_t>(verifier, VT_MATCH_INDEX, 8) &&
            VerifyField<uint64_t>(verifier, VT_HINT_INDEX, 8) &&
            VerifyField<uint64_t>(verifier, VT_ROUND, 8) &&
+           VerifyField<uint64_t>(verifier, VT_TO, 8) &&
            verifier.EndTable();
   }
   AppendReplyT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3292,6 +3333,9 @@
   void add_round(uint64_t round) {
     fbb_.AddElement<uint64_t>(AppendReply::VT_ROUND, round, 0);
   }
+  void add_to(uint64_t to) {
+    fbb_.AddElement<uint64_t>(AppendReply::VT_TO, to, 0);
+  }
   explicit AppendReplyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3310,8 +3354,10 @@
     bool accepted = false,
     uint64_t match_index = 0,
     uint64_t hint_index = 0,
-    uint64_t round = 0) {
+    uint64_t round = 0,
+    uint64_t to = 0) {
   AppendReplyBuilder builder_(_fbb);
+  builder_.add_to(to);
   builder_.add_round(round);
   builder_.add_hint_index(hint_index);
   builder_.add_match_index(match_index);
@@ -3339,6 +3385,7 @@
   uint64_t total = 0;
   std::vector<uint8_t> data{};
   uint64_t checksum = 0;
+  uint64_t to = 0;
   SnapshotPieceT() = default;
   SnapshotPieceT(const SnapshotPieceT &o);
   SnapshotPieceT(SnapshotPieceT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -3358,7 +3405,8 @@
     VT_OFFSET = 14,
     VT_TOTAL = 16,
     VT_DATA = 18,
-    VT_CHECKSUM = 20
+    VT_CHECKSUM = 20,
+    VT_TO = 22
   };
   uint64_t term() const {
     return GetField<uint64_t>(VT_TERM, 0);
@@ -3387,6 +3435,9 @@
   uint64_t checksum() const {
     return GetField<uint64_t>(VT_CHECKSUM, 0);
   }
+  uint64_t to() const {
+    return GetField<uint64_t>(VT_TO, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_TERM, 8) &&
@@ -3400,6 +3451,7 @@
            VerifyOffset(verifier, VT_DATA) &&
            verifier.VerifyVector(data()) &&
            VerifyField<uint64_t>(verifier, VT_CHECKSUM, 8) &&
+           VerifyField<uint64_t>(verifier, VT_TO, 8) &&
            verifier.EndTable();
   }
   SnapshotPieceT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3438,6 +3490,9 @@
   void add_checksum(uint64_t checksum) {
     fbb_.AddElement<uint64_t>(SnapshotPiece::VT_CHECKSUM, checksum, 0);
   }
+  void add_to(uint64_t to) {
+    fbb_.AddElement<uint64_t>(SnapshotPiece::VT_TO, to, 0);
+  }
   explicit SnapshotPieceBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3459,8 +3514,10 @@
     uint64_t offset = 0,
     uint64_t total = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint8_t>> data = 0,
-    uint64_t checksum = 0) {
+    uint64_t checksum = 0,
+    uint64_t to = 0) {
   SnapshotPieceBuilder builder_(_fbb);
+  builder_.add_to(to);
   builder_.add_checksum(checksum);
   builder_.add_total(total);
   builder_.add_offset(offset);
@@ -3488,7 +3545,8 @@
     uint64_t offset = 0,
     uint64_t total = 0,
     const std::vector<uint8_t> *data = nullptr,
-    uint64_t checksum = 0) {
+    uint64_t checksum = 0,
+    uint64_t to = 0) {
   auto data__ = data ? _fbb.CreateVector<uint8_t>(*data) : 0;
   return dotterelshift::wire::CreateSnapshotPiece(
       _fbb,
@@ -3500,7 +3558,8 @@
       offset,
       total,
       data__,
-      checksum);
+      checksum,
+      to);
 }
 
 flatbuffers::Offset<SnapshotPiece> CreateSnapshotPiece(flatbuffers::FlatBufferBuilder &_fbb, const SnapshotPieceT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -3512,6 +3571,7 @@
   uint64_t last_index = 0;
   uint64_t next_offset = 0;
   bool installed = false;
+  uint64_t to = 0;
 };
 
 struct SnapshotReply FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -3523,7 +3583,8 @@
     VT_FROM = 6,
     VT_LAST_INDEX = 8,
     VT_NEXT_OFFSET = 10,
-    VT_INSTALLED = 12
+    VT_INSTALLED = 12,
+    VT_TO = 14
   };
   uint64_t term() const {
     return GetField<uint64_t>(VT_TERM, 0);
@@ -3540,6 +3601,9 @@
   bool installed() const {
     return GetField<uint8_t>(VT_INSTALLED, 0) != 0;
   }
+  uint64_t to() const {
+    return GetField<uint64_t>(VT_TO, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_TERM, 8) &&
@@ -3547,6 +3611,7 @@
            VerifyField<uint64_t>(verifier, VT_LAST_INDEX, 8) &&
            VerifyField<uint64_t>(verifier, VT_NEXT_OFFSET, 8) &&
            VerifyField<uint8_t>(verifier, VT_INSTALLED, 1) &&
+           VerifyField<uint64_t>(verifier, VT_TO, 8) &&
            verifier.EndTable();
   }
   SnapshotReplyT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3573,6 +3638,9 @@
   void add_installed(bool installed) {
     fbb_.AddElement<uint8_t>(SnapshotReply::VT_INSTALLED, static_cast<uint8_t>(installed), 0);
   }
+  void add_to(uint64_t to) {
+    fbb_.AddElement<uint64_t>(SnapshotReply::VT_TO, to, 0);
+  }
   explicit SnapshotReplyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3590,8 +3658,10 @@
     uint64_t from = 0,
     uint64_t last_index = 0,
     uint64_t next_offset = 0,
-    bool installed = false) {
+    bool installed = false,
+    uint64_t to = 0) {
   SnapshotReplyBuilder builder_(_fbb);
+  builder_.add_to(to);
   builder_.add_next_offset(next_offset);
   builder_.add_last_index(last_index);
   builder_.add_from(from);
@@ -4804,6 +4874,7 @@
   { auto _e = last_index(); _o->last_index = _e; }
   { auto _e = last_term(); _o->last_term = _e; }
   { auto _e = pre_vote(); _o->pre_vote = _e; }
+  { auto _e = to(); _o->to = _e; }
 }
 
 inline flatbuffers::Offset<VoteRequest> VoteRequest::Pack(flatbuffers::FlatBufferBuilder &_fbb, const VoteRequestT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -4819,13 +4890,15 @@
   auto _last_index = _o->last_index;
   auto _last_term = _o->last_term;
   auto _pre_vote = _o->pre_vote;
+  auto _to = _o->to;
   return dotterelshift::wire::CreateVoteRequest(
       _fbb,
       _term,
       _from,
       _last_index,
       _last_term,
-      _pre_vote);
+      _pre_vote,
+      _to);
 }
 
 inline VoteReplyT *VoteReply::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -4841,6 +4914,7 @@
   { auto _e = from(); _o->from = _e; }
   { auto _e = granted(); _o->granted = _e; }
   { auto _e = pre_vote(); _o->pre_vote = _e; }
+  { auto _e = to(); _o->to = _e; }
 }
 
 inline flatbuffers::Offset<VoteReply> VoteReply::Pack(flatbuffers::FlatBufferBuilder &_fbb, const VoteReplyT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -4855,12 +4929,14 @@
   auto _from = _o->from;
   auto _granted = _o->granted;
   auto _pre_vote = _o->pre_vote;
+  auto _to = _o->to;
   return dotterelshift::wire::CreateVoteReply(
       _fbb,
       _term,
       _from,
       _granted,
-      _pre_vote);
+      _pre_vote,
+      _to);
 }
 
 inline AppendRequestT::AppendRequestT(const AppendRequestT &o)
@@ -4869,7 +4945,8 @@
         previous_index(o.previous_index),
         previous_term(o.previous_term),
         commit(o.commit),
-        round(o.round) {
+        round(o.round),
+        to(o.to) {
   entries.reserve(o.entries.size());
   for (const auto &entries_ : o.entries) { entries.emplace_back((entries_) ? new dotterelshift::wire::LogEntryT(*entries_) : nullptr); }
 }
@@ -4882,6 +4959,7 @@
   std::swap(commit, o.commit);
   std::swap(round, o.round);
   std::swap(entries, o.entries);
+  std::swap(to, o.to);
   return *this;
 }
 
@@ -4901,6 +4979,7 @@
   { auto _e = commit(); _o->commit = _e; }
   { auto _e = round(); _o->round = _e; }
   { auto _e = entries(); if (_e) { _o->entries.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->entries[_i] = std::unique_ptr<dotterelshift::wire::LogEntryT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = to(); _o->to = _e; }
 }
 
 inline flatbuffers::Offset<AppendRequest> AppendRequest::Pack(flatbuffers::FlatBufferBuilder &_fbb, const AppendRequestT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -4918,6 +4997,7 @@
   auto _commit = _o->commit;
   auto _round = _o->round;
   auto _entries = _o->entries.size() ? _fbb.CreateVector<flatbuffers::Offset<dotterelshift::wire::LogEntry>> (_o->entries.size(), [](size_t i, _VectorArgs *__va) { return CreateLogEntry(*__va->__fbb, __va->__o->entries[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _to = _o->to;
   return dotterelshift::wire::CreateAppendRequest(
       _fbb,
       _term,
@@ -4926,7 +5006,8 @@
       _previous_term,
       _commit,
       _round,
-      _entries);
+      _entries,
+      _to);
 }
 
 inline AppendReplyT *AppendReply::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -4944,6 +5025,7 @@
   { auto _e = match_index(); _o->match_index = _e; }
   { auto _e = hint_index(); _o->hint_index = _e; }
   { auto _e = round(); _o->round = _e; }
+  { auto _e = to(); _o->to = _e; }
 }
 
 inline flatbuffers::Offset<AppendReply> AppendReply::Pack(flatbuffers::FlatBufferBuilder &_fbb, const AppendReplyT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -4960,6 +5042,7 @@
   auto _match_index = _o->match_index;
   auto _hint_index = _o->hint_index;
   auto _round = _o->round;
+  auto _to = _o->to;
   return dotterelshift::wire::CreateAppendReply(
       _fbb,
       _term,
@@ -4967,7 +5050,8 @@
       _accepted,
       _match_index,
       _hint_index,
-      _round);
+      _round,
+      _to);
 }
 
 inline SnapshotPieceT::SnapshotPieceT(const SnapshotPieceT &o)
@@ -4979,7 +5063,8 @@
         offset(o.offset),
         total(o.total),
         data(o.data),
-        checksum(o.checksum) {
+        checksum(o.checksum),
+        to(o.to) {
 }
 
 inline SnapshotPieceT &SnapshotPieceT::operator=(SnapshotPieceT o) FLATBUFFERS_NOEXCEPT {
@@ -4992,6 +5077,7 @@
   std::swap(total, o.total);
   std::swap(data, o.data);
   std::swap(checksum, o.checksum);
+  std::swap(to, o.to);
   return *this;
 }
 
@@ -5013,6 +5099,7 @@
   { auto _e = total(); _o->total = _e; }
   { auto _e = data(); if (_e) { _o->data.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->data.begin()); } }
   { auto _e = checksum(); _o->checksum = _e; }
+  { auto _e = to(); _o->to = _e; }
 }
 
 inline flatbuffers::Offset<SnapshotPiece> SnapshotPiece::Pack(flatbuffers::FlatBufferBuilder &_fbb, const SnapshotPieceT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -5032,6 +5119,7 @@
   auto _total = _o->total;
   auto _data = _o->data.size() ? _fbb.CreateVector(_o->data) : 0;
   auto _checksum = _o->checksum;
+  auto _to = _o->to;
   return dotterelshift::wire::CreateSnapshotPiece(
       _fbb,
       _term,
@@ -5042,7 +5130,8 @@
       _offset,
       _total,
       _data,
-      _checksum);
+      _checksum,
+      _to);
 }
 
 inline SnapshotReplyT *SnapshotReply::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -5059,6 +5148,7 @@
   { auto _e = last_index(); _o->last_index = _e; }
   { auto _e = next_offset(); _o->next_offset = _e; }
   { auto _e = installed(); _o->installed = _e; }
+  { auto _e = to(); _o->to = _e; }
 }
 
 inline flatbuffers::Offset<SnapshotReply> SnapshotReply::Pack(flatbuffers::FlatBufferBuilder &_fbb, const SnapshotReplyT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -5074,13 +5164,15 @@
   auto _last_index = _o->last_index;
   auto _next_offset = _o->next_offset;
   auto _installed = _o->installed;
+  auto _to = _o->to;
   return dotterelshift::wire::CreateSnapshotReply(
       _fbb,
       _term,
       _from,
       _last_index,
       _next_offset,
-      _installed);
+      _installed,
+      _to);
 }
 
 inline ReplicaHelloT *ReplicaHello::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/src/dotterelshift/replication/node_test.cc
+++ b/src/dotterelshift/replication/node_test.cc
@@ -93,6 +93,7 @@
   static wire::FrameT VoteFrom(ReplicaId from, bool pre_vote) {
     wire::VoteReplyT vote;
     vote.from = from;
+    vote.to = 1;
     vote.term = 1;
     vote.granted = true;
     vote.pre_vote = pre_vote;
--- a/src/dotterelshift/replication/raft.h
+++ b/src/dotterelshift/replication/raft.h
@@ -145,16 +145,17 @@
 
   template <typename Body>
   void Send(ReplicaId to, Body body) {
-    m_messages.emplace_back(to, MakeMessage(std::move(body)));
+    m_messages.emplace_back(to, MakeMessage(to, std::move(body)));
   }
   // Sends once all that was written up to now is on disk.
   template <typename Body>
   void SendAfterSync(ReplicaId to, Body body) {
     auto& queue = Rules::kAcknowledgeAfterSync ? m_after_sync : m_messages;
-    queue.emplace_back(to, MakeMessage(std::move(body)));
+    queue.emplace_back(to, MakeMessage(to, std::move(body)));
   }
   template <typename Body>
-  static wire::FrameT MakeMessage(Body body) {
+  static wire::FrameT MakeMessage(ReplicaId to, Body body) {
+    body.to = to;
     wire::FrameT frame;
     frame.body.Set(std::move(body));
     return frame;
--- a/src/dotterelshift/replication/raft_events.h
+++ b/src/dotterelshift/replication/raft_events.h
@@ -30,25 +30,23 @@
   if (alone) Campaign(now, false);
 }
 
+// A message meant for another replica is dropped: a wiped folder's host still
+// gets what its former replica was sent.
 template <typename Rules>
 void Raft<Rules>::OnMessage(const wire::FrameT& message, Instant now) {
+  const auto mine = [this](const auto* body) {
+    return body != nullptr && body->to == m_self;
+  };
   const wire::FrameBodyUnion& body = message.body;
-  switch (body.type) {
-    case wire::FrameBody::VoteRequest:
-      return OnVoteRequest(*body.AsVoteRequest(), now);
-    case wire::FrameBody::VoteReply:
-      return OnVoteReply(*body.AsVoteReply(), now);
-    case wire::FrameBody::AppendRequest:
-      return OnAppendRequest(*body.AsAppendRequest(), now);
-    case wire::FrameBody::AppendReply:
-      return OnAppendReply(*body.AsAppendReply(), now);
-    case wire::FrameBody::SnapshotPiece:
-      return OnSnapshotPiece(*body.AsSnapshotPiece(), now);
-    case wire::FrameBody::SnapshotReply:
-      return OnSnapshotReply(*body.AsSnapshotReply(), now);
-    default:
-      return;  // not a message between replicas
-  }
+  if (mine(body.AsVoteRequest())) OnVoteRequest(*body.AsVoteRequest(), now);
+  if (mine(body.AsVoteReply())) OnVoteReply(*body.AsVoteReply(), now);
+  if (mine(body.AsAppendRequest()))
+    OnAppendRequest(*body.AsAppendRequest(), now);
+  if (mine(body.AsAppendReply())) OnAppendReply(*body.AsAppendReply(), now);
+  if (mine(body.AsSnapshotPiece()))
+    OnSnapshotPiece(*body.AsSnapshotPiece(), now);
+  if (mine(body.AsSnapshotReply()))
+    OnSnapshotReply(*body.AsSnapshotReply(), now);
 }
 
 // A timer that comes late by more than a heartbeat says that this process stood
--- a/src/dotterelshift/storage/store_open.h
+++ b/src/dotterelshift/storage/store_open.h
@@ -96,7 +96,10 @@
 template <FileSystem Files>
 void Store<Files>::MakeIdentity() {
   std::random_device random;
-  while (m_self == 0) m_self = static_cast<uint64_t>(random()) << 32 | random();
+  // 53 bits: an operator's tools may read it as a JSON number.
+  constexpr int kUnusedBits = 64 - 53;
+  while (m_self == 0)
+    m_self = (static_cast<uint64_t>(random()) << 32 | random()) >> kUnusedBits;
   WriteWholeFile("identity", EncodeFileHeader(FileKind::kIdentity) +
                                  EncodeBlock(1, EncodeIdentity(m_self)));
 }
--- a/tests/process/fleet.cc
+++ b/tests/process/fleet.cc
@@ -170,7 +170,7 @@
   RunUntil(m_loop, "a leader", [&] {
     for (const std::string& name : names) {
       const std::string url = "http://" + HttpAddress(name) + "/metrics";
-      if (Send("GET", url, {}, {}).body.find("dotterelshift_leads 1") !=
+      if (Send("GET", url, {}, {}).body.find("\ndotterelshift_leads 1\n") !=
           std::string::npos)
         leader = name;
     }
--- a/tests/support/run_until.h
+++ b/tests/support/run_until.h
@@ -5,6 +5,7 @@
 #include <ev.h>                  // for ev_run
 
 #include <functional>  // for function
+#include <memory>      // for unique_ptr
 #include <string>      // for string
 
 #include "dotterelshift/loop/loop.h"  // for Loop
@@ -19,9 +20,11 @@
 inline void RunUntil(loop::Loop& loop, const std::string& what,
                      const std::function<bool()>& reached) {
   const Instant start = loop.Now();
-  // The guard wakes a loop that nothing else would wake.
-  loop::Timer guard(loop, [] {});
-  guard.ArmIn(kHangGuard);
+  // Some conditions ask another process, whose change wakes nothing here.
+  constexpr Duration kAskAgain = 20ms;
+  std::unique_ptr<loop::Timer> wake;
+  wake = std::make_unique<loop::Timer>(loop, [&] { wake->ArmIn(kAskAgain); });
+  wake->ArmIn(kAskAgain);
   while (!reached()) {
     if (loop.Now() - start >= kHangGuard) CPPUNIT_FAIL("never came: " + what);
     ev_run(loop.Raw(), EVRUN_ONCE);
