--- a/src/dotterelshift/serving/settlement.cc
+++ b/src/dotterelshift/serving/settlement.cc
@@ -129,6 +129,8 @@
     case PendingCommand::Kind::kNote:
       if (const wire::SuspectAnswerT* suspect = answer.body.AsSuspectAnswer())
         m_blocklist.OnEntry(*suspect, now);
+      if (Request* request = FindRequest(pending.request))
+        OnReported(request, now);
       break;
   }
   Finally(now);
@@ -136,6 +138,7 @@
 
 void Core::OnGrantAnswer(const PendingCommand& pending,
                          const wire::CommandAnswerT& answer, Instant now) {
+  m_asking.erase(pending.budget);
   const wire::GrantAnswerT* grant = answer.body.AsGrantAnswer();
   const bool valid = answer.error == 0 && grant != nullptr;
   if (valid) m_last_grant[pending.budget] = *grant;
--- a/tests/process/fleet.cc
+++ b/tests/process/fleet.cc
@@ -92,8 +92,10 @@
   AwaitFile(m_folder.Path(), name + ".ports", *member.process);
   const auto ports =
       nlohmann::json::parse(ReadFile(m_folder.File(name + ".ports")));
-  member.peer_port = ports.value("peer_port", 0);
-  member.http_port = ports.value("http_port", 0);
+  // A fake endpoint writes its one port, a daemon an object with both.
+  member.peer_port = ports.is_object() ? ports.value("peer_port", 0) : 0;
+  member.http_port =
+      ports.is_object() ? ports.value("http_port", 0) : ports.get<int>();
 }
 
 void Fleet::Restart(const std::string& name) {
@@ -165,6 +167,15 @@
            [&] { return Send("GET", url, {}, {}).status == 200; });
 }
 
+void Fleet::AwaitVersion(const std::string& name, uint64_t version) {
+  const std::string url = "http://" + HttpAddress(name) + "/metrics";
+  const std::string line =
+      "dotterelshift_configuration_version " + std::to_string(version) + "\n";
+  RunUntil(m_loop, name + " at version " + std::to_string(version), [&] {
+    return Send("GET", url, {}, {}).body.find(line) != std::string::npos;
+  });
+}
+
 std::string Fleet::AwaitLeader(const std::vector<std::string>& names) {
   std::string leader;
   RunUntil(m_loop, "a leader", [&] {
