--- a/src/dotterelshift/replication/raft_events.h
+++ b/src/dotterelshift/replication/raft_events.h
@@ -30,32 +30,36 @@
   if (alone) Campaign(now, false);
 }
 
+// A message meant for another replica is dropped: a wiped folder's host still
+// gets what its former replica was sent.
 template <typename Rules>
 void Raft<Rules>::OnMessage(const wire::FrameT& message, Instant now) {
+  const auto mine = [this](const auto* body) {
+    return body != nullptr && body->to == m_self;
+  };
   const wire::FrameBodyUnion& body = message.body;
-  switch (body.type) {
-    case wire::FrameBody::VoteRequest:
-      return OnVoteRequest(*body.AsVoteRequest(), now);
-    case wire::FrameBody::VoteReply:
-      return OnVoteReply(*body.AsVoteReply(), now);
-    case wire::FrameBody::AppendRequest:
-      return OnAppendRequest(*body.AsAppendRequest(), now);
-    case wire::FrameBody::AppendReply:
-      return OnAppendReply(*body.AsAppendReply(), now);
-    case wire::FrameBody::SnapshotPiece:
-      return OnSnapshotPiece(*body.AsSnapshotPiece(), now);
-    case wire::FrameBody::SnapshotReply:
-      return OnSnapshotReply(*body.AsSnapshotReply(), now);
-    default:
-      return;  // not a message between replicas
-  }
+  if (mine(body.AsVoteRequest())) OnVoteRequest(*body.AsVoteRequest(), now);
+  if (mine(body.AsVoteReply())) OnVoteReply(*body.AsVoteReply(), now);
+  if (mine(body.AsAppendRequest()))
+    OnAppendRequest(*body.AsAppendRequest(), now);
+  if (mine(body.AsAppendReply())) OnAppendReply(*body.AsAppendReply(), now);
+  if (mine(body.AsSnapshotPiece()))
+    OnSnapshotPiece(*body.AsSnapshotPiece(), now);
+  if (mine(body.AsSnapshotReply()))
+    OnSnapshotReply(*body.AsSnapshotReply(), now);
 }
 
+// A timer that comes late by more than a heartbeat says that this process stood
+// still; what the others sent meanwhile is still to be read, so they are judged
+// a heartbeat later, once.
 template <typename Rules>
 void Raft<Rules>::OnTimer(Instant now) {
+  if (now < NextTimer()) return;
+  const bool was_late =
+      std::exchange(m_timer_late, now - NextTimer() > m_options.heartbeat);
+  const bool late = m_timer_late && !was_late;
   if (m_role == NodeRole::kLeader) {
-    if (now < m_next_heartbeat) return;
-    CheckQuorum(now);
+    if (!late) CheckQuorum(now);
     if (m_role != NodeRole::kLeader) return;
     m_next_heartbeat = now + m_options.heartbeat;
     for (auto& [id, progress] : m_progress) {
@@ -65,7 +69,10 @@
     PromoteLearners(now);
     return StartRound(now);
   }
-  if (now < m_election_deadline) return;
+  if (late) {
+    m_election_deadline = now + m_options.heartbeat;
+    return;
+  }
   if (IsVoter(Members(), m_self)) return Campaign(now, true);
   ResetElectionDeadline(now);
 }
