Serving: one ask at a time, late openings settled, claims always released

Causes found by tests against the real ledger and state: a ledger's repeated wish became a second RequestGrant, which control granted as well; an opening given up before its commit stayed open when this run died; a claim was released under an attempt number that was already settled, which control takes for a double, so the key stayed claimed; an opening that control refused failed the request instead of asking anew.

--- a/include/dotterelshift/serving/command_book.h
+++ b/include/dotterelshift/serving/command_book.h
@@ -19,8 +19,8 @@
   RequestId request = 0;
   AttemptId attempt = 0;
   budget::BudgetHandle budget = 0;
-  // Of an opening or a claim: what undoes it when its answer comes after the
-  // attempt has ended without it.
+  // Of a claim: what undoes it when it is granted after its attempt was given
+  // up.
   std::unique_ptr<wire::SettleT> undo;
   // Of a settlement: itself, until it is answered, to be spooled.
   std::unique_ptr<wire::CommandT> command;
--- a/include/dotterelshift/serving/core.h
+++ b/include/dotterelshift/serving/core.h
@@ -99,7 +99,7 @@
   // Whether the attempt may be dispatched although no opening of it can be
   // committed now.
   bool MayGoUnwitnessed(Request* request, Instant now);
-  void SendWishes(const std::vector<budget::GrantWish>& wishes, Instant now);
+  void SendWishes(const std::vector<budget::GrantWish>& wishes);
 
   // ---- dispatch.cc
   void BeginAttempt(Request* request, const routing::RouteChoice& choice,
@@ -110,6 +110,7 @@
   void OpenOrDispatch(Request* request, Instant now);
   void OnOpened(Request* request, const wire::CommandAnswerT& answer,
                 Instant now);
+  void OnOpeningRefused(Request* request, ErrorKind error, Instant now);
   void OnWitnessLate(Request* request, Instant now);
   void Dispatch(Request* request, Instant now);
   bool ChooseAgain(Request* request, Instant now);
@@ -124,8 +125,9 @@
   void CancelAndFail(Request* request, ErrorKind kind, Instant now);
   // Takes the attempt out of the router's and the suspects' books.
   Attempt Detach(Request* request, bool failed, Instant now);
-  // Gives up an attempt that was never handed to an endpoint. A claim or an
-  // opening that is still on its way is undone when its answer comes.
+  // Gives up an attempt that was never handed to an endpoint. An opening that
+  // is on its way is settled with nothing spent; a claim that is on its way is
+  // undone when its answer comes.
   void DropUnsentAttempt(Request* request, Instant now);
 
   // ---- settlement.cc
@@ -156,8 +158,8 @@
                  Instant now);
   void OnGrantAnswer(const PendingCommand& pending,
                      const wire::CommandAnswerT& answer, Instant now);
-  void OnOpenAnswer(PendingCommand* pending, const wire::CommandAnswerT& answer,
-                    Instant now);
+  void OnOpenAnswer(const PendingCommand& pending,
+                    const wire::CommandAnswerT& answer, Instant now);
   void OnClaimAnswer(PendingCommand* pending,
                      const wire::CommandAnswerT& answer, Instant now);
   void RecordRefusals();
@@ -192,6 +194,7 @@
   Instant m_next_reserve{};
   // Control's last word on each budget: free and elsewhere.
   std::unordered_map<budget::BudgetHandle, wire::GrantAnswerT> m_last_grant;
+  std::set<budget::BudgetHandle> m_asking;  // an ask is under way
 
   CommandBook m_commands;
   RetryBudget m_retries;
--- a/include/dotterelshift/serving/request.h
+++ b/include/dotterelshift/serving/request.h
@@ -35,7 +35,7 @@
   std::string address;
   Tokens reserved = 0;
   bool alone = false;       // of a suspect content
-  bool opened = false;      // its opening is committed
+  bool opening = false;     // its opening was proposed, and not refused
   bool standing = false;    // reserved from the standing part: needs no opening
   bool dispatched = false;  // given to the endpoint's side
   Instant started{};        // when it was given
@@ -64,6 +64,7 @@
   std::optional<Instant> budget_until;  // how long it waits for tokens
   Tokens reserved = 0;                  // held before an attempt takes it over
   bool standing = false;                // of `reserved`: see Attempt
+  int refused_openings = 0;             // by control, each tried anew
   std::optional<Attempt> attempt;
   int attempts = 0;
   std::vector<EndpointId> excluded;  // tried before
--- a/src/dotterelshift/serving/budget_wait.cc
+++ b/src/dotterelshift/serving/budget_wait.cc
@@ -27,11 +27,7 @@
       WaitForTokens(request, now);
       return false;
     case budget::ReserveResult::kExhausted:
-      if (MayStillCome(*request)) {
-        WaitForTokens(request, now);
-      } else {
-        RefuseForBudget(request, now);
-      }
+      RefuseForBudget(request, now);
       return false;
   }
   return false;
@@ -127,8 +123,7 @@
   if (m_waiters.contains(request.budget)) m_freed.insert(request.budget);
 }
 
-void Core::SendWishes(const std::vector<budget::GrantWish>& wishes,
-                      Instant now) {
+void Core::SendWishes(const std::vector<budget::GrantWish>& wishes) {
   for (const budget::GrantWish& wish : wishes) {
     PendingCommand pending;
     pending.budget = wish.budget;
@@ -141,13 +136,16 @@
       Propose(std::move(body), std::move(pending));
       continue;
     }
+    // The adapter resends the ask that is under way; a second one would be
+    // granted as well.
+    if (!m_asking.insert(wish.budget).second) continue;
     pending.kind = PendingCommand::Kind::kAsk;
     wire::RequestGrantT body;
     body.budget = m_parts.ledger->IdOf(wish.budget);
     body.wanted = wish.wanted;
     body.minimum = wish.minimum;
     body.held = m_parts.ledger->Held(wish.budget);
-    body.demand_per_second = m_parts.ledger->DemandPerSecond(wish.budget, now);
+    body.demand_per_second = wish.demand_per_second;
     Propose(std::move(body), std::move(pending));
   }
 }
--- a/src/dotterelshift/serving/dispatch.cc
+++ b/src/dotterelshift/serving/dispatch.cc
@@ -6,6 +6,10 @@
 namespace dotterelshift::serving {
 namespace {
 
+// How often the opening of one request may be refused because control counts
+// less for this entry than the entry itself.
+constexpr int kMostRefusedOpenings = 3;
+
 // What a caller is told of a claim that was not granted to it.
 ErrorKind KindOf(wire::ClaimState state) {
   switch (state) {
@@ -104,7 +108,8 @@
     Dispatch(request, now);
     return;
   }
-  const Attempt& attempt = *request->attempt;
+  Attempt& attempt = *request->attempt;
+  attempt.opening = true;
   wire::OpenAttemptT open;
   open.budget = request->budget_id;
   open.team = request->team;
@@ -116,11 +121,6 @@
   pending.kind = PendingCommand::Kind::kOpen;
   pending.request = request->id;
   pending.attempt = attempt.id;
-  pending.undo =
-      std::make_unique<wire::SettleT>(SettleBody(*request, attempt.id));
-  pending.undo->reserved = attempt.reserved;
-  pending.undo->outcome = wire::Outcome::Refused;
-  pending.undo->last_attempt = false;
   request->awaited = Propose(std::move(open), std::move(pending));
   request->stage = Stage::kOpening;
   SetDue(request,
@@ -139,21 +139,32 @@
 
 void Core::OnOpened(Request* request, const wire::CommandAnswerT& answer,
                     Instant now) {
-  Attempt& attempt = *request->attempt;
-  const auto error = static_cast<ErrorKind>(answer.error);
-  if (error == ErrorKind::kBudgetUnavailable) {
-    m_parts.ledger->OnOpeningRefused(request->budget, attempt.reserved, now);
-    attempt.reserved = 0;
-    m_wishes_due = true;
+  if (answer.error != 0) {
+    OnOpeningRefused(request, static_cast<ErrorKind>(answer.error), now);
+    return;
   }
-  if (error != ErrorKind::kNone) {
-    const bool told = error == ErrorKind::kBudgetUnavailable ||
-                      error == ErrorKind::kKeyExpired;
+  Dispatch(request, now);
+}
+
+void Core::OnOpeningRefused(Request* request, ErrorKind error, Instant now) {
+  request->attempt->opening = false;
+  if (error != ErrorKind::kBudgetUnavailable) {
+    const bool told = error == ErrorKind::kKeyExpired;
     Fail(request, told ? error : ErrorKind::kNoQuorum, now);
     return;
   }
-  attempt.opened = true;
-  Dispatch(request, now);
+  // Control counts less for this entry than the entry itself: what it holds
+  // flows back, and the request asks anew.
+  const Attempt attempt = Detach(request, false, now);
+  m_parts.ledger->OnOpeningRefused(request->budget, attempt.reserved, now);
+  m_wishes_due = true;
+  --request->attempts;
+  if (++request->refused_openings > kMostRefusedOpenings) {
+    Fail(request, error, now);
+    return;
+  }
+  SetDue(request, std::nullopt);
+  EnqueueSoon(request);
 }
 
 void Core::OnWitnessLate(Request* request, Instant now) {
--- a/src/dotterelshift/serving/request_core.cc
+++ b/src/dotterelshift/serving/request_core.cc
@@ -179,7 +179,7 @@
   if (m_draining && m_requests.empty()) ReturnGrants(now);
   if (!m_wishes_due) return;
   m_wishes_due = false;
-  SendWishes(m_parts.ledger->TakeWishes(now), now);
+  SendWishes(m_parts.ledger->TakeWishes(now));
 }
 
 std::vector<Action> Core::TakeActions() {
--- a/src/dotterelshift/serving/settlement.cc
+++ b/src/dotterelshift/serving/settlement.cc
@@ -36,7 +36,7 @@
   const bool ends_claim = request->claim_open && settlement.last;
   const bool answered = settlement.outcome == wire::Outcome::Answered;
   // Control never heard of an attempt that was neither opened nor run.
-  if (!attempt.opened && !attempt.dispatched && !ends_claim) return;
+  if (!attempt.opening && !attempt.dispatched && !ends_claim) return;
 
   wire::SettleT settle = SettleBody(*request, attempt.id);
   settle.reserved = attempt.reserved;
@@ -58,7 +58,8 @@
 void Core::ReleaseClaim(Request* request) {
   if (!request->claim_open) return;
   request->claim_open = false;
-  wire::SettleT settle = SettleBody(*request, request->claimed_by);
+  // Under a number of its own: the claiming attempt may be settled already.
+  wire::SettleT settle = SettleBody(*request, ++m_last_attempt);
   settle.outcome = wire::Outcome::Refused;
   settle.witnessed = false;
   ProposeSettle(std::move(settle), 0);
@@ -115,7 +116,7 @@
       OnGrantAnswer(pending, answer, now);
       break;
     case PendingCommand::Kind::kOpen:
-      OnOpenAnswer(&pending, answer, now);
+      OnOpenAnswer(pending, answer, now);
       break;
     case PendingCommand::Kind::kClaim:
       OnClaimAnswer(&pending, answer, now);
@@ -141,22 +142,20 @@
   if (valid) m_last_grant[pending.budget] = *grant;
   m_parts.ledger->OnGrant(pending.budget, valid ? *grant : wire::GrantAnswerT{},
                           now);
+  m_asking.erase(pending.budget);
   m_freed.insert(pending.budget);
   m_wishes_due = true;
 }
 
-void Core::OnOpenAnswer(PendingCommand* pending,
+void Core::OnOpenAnswer(const PendingCommand& pending,
                         const wire::CommandAnswerT& answer, Instant now) {
-  Request* request = FindRequest(pending->request);
-  const bool current = request != nullptr && request->attempt &&
-                       request->attempt->id == pending->attempt;
-  if (!current) {
-    if (answer.error == 0) ProposeSettle(std::move(*pending->undo), 0);
-  } else if (request->stage == Stage::kOpening) {
-    OnOpened(request, answer, now);
-  } else {
-    request->attempt->opened = answer.error == 0;
-  }
+  Request* request = FindRequest(pending.request);
+  const bool awaited = request != nullptr &&
+                       request->stage == Stage::kOpening &&
+                       request->attempt->id == pending.attempt;
+  // One that came too late: the attempt goes on unwitnessed, or its settlement
+  // has ended the opening.
+  if (awaited) OnOpened(request, answer, now);
 }
 
 void Core::OnClaimAnswer(PendingCommand* pending,
@@ -188,7 +187,7 @@
 
 void Core::ReturnGrants(Instant now) {
   if (m_reach == ControlReach::kConnected)
-    SendWishes(m_parts.ledger->ReturnAll(now), now);
+    SendWishes(m_parts.ledger->ReturnAll(now));
 }
 
 void Core::Finish(Request* request, Instant now) {
