Serving, state: a doubled settlement does not end a later claim

Ruled out: order of commands, the claim's own resend. A settlement now names its claim (schema: additive, claim = 0 means as before), and state ends no other one.

--- a/include/dotterelshift/wire/commands_generated.h
+++ b/include/dotterelshift/wire/commands_generated.h
@@ -3828,6 +3828,7 @@
   uint64_t holder_incarnation = 0;
   bool last_attempt = true;
   bool unknown = false;
+  uint64_t claim = 0;
 };
 
 struct Settle FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -3853,7 +3854,8 @@
     VT_HOLDER = 34,
     VT_HOLDER_INCARNATION = 36,
     VT_LAST_ATTEMPT = 38,
-    VT_UNKNOWN = 40
+    VT_UNKNOWN = 40,
+    VT_CLAIM = 42
   };
   const flatbuffers::String *budget() const {
     return GetPointer<const flatbuffers::String *>(VT_BUDGET);
@@ -3912,6 +3914,9 @@
   bool unknown() const {
     return GetField<uint8_t>(VT_UNKNOWN, 0) != 0;
   }
+  uint64_t claim() const {
+    return GetField<uint64_t>(VT_CLAIM, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_BUDGET) &&
@@ -3939,6 +3944,7 @@
            VerifyField<uint64_t>(verifier, VT_HOLDER_INCARNATION, 8) &&
            VerifyField<uint8_t>(verifier, VT_LAST_ATTEMPT, 1) &&
            VerifyField<uint8_t>(verifier, VT_UNKNOWN, 1) &&
+           VerifyField<uint64_t>(verifier, VT_CLAIM, 8) &&
            verifier.EndTable();
   }
   SettleT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -4007,6 +4013,9 @@
   void add_unknown(bool unknown) {
     fbb_.AddElement<uint8_t>(Settle::VT_UNKNOWN, static_cast<uint8_t>(unknown), 0);
   }
+  void add_claim(uint64_t claim) {
+    fbb_.AddElement<uint64_t>(Settle::VT_CLAIM, claim, 0);
+  }
   explicit SettleBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -4038,8 +4047,10 @@
     flatbuffers::Offset<flatbuffers::String> holder = 0,
     uint64_t holder_incarnation = 0,
     bool last_attempt = true,
-    bool unknown = false) {
+    bool unknown = false,
+    uint64_t claim = 0) {
   SettleBuilder builder_(_fbb);
+  builder_.add_claim(claim);
   builder_.add_holder_incarnation(holder_incarnation);
   builder_.add_finished_ms(finished_ms);
   builder_.add_billed(billed);
@@ -4087,7 +4098,8 @@
     const char *holder = nullptr,
     uint64_t holder_incarnation = 0,
     bool last_attempt = true,
-    bool unknown = false) {
+    bool unknown = false,
+    uint64_t claim = 0) {
   auto budget__ = budget ? _fbb.CreateString(budget) : 0;
   auto team__ = team ? _fbb.CreateString(team) : 0;
   auto request_key__ = request_key ? _fbb.CreateString(request_key) : 0;
@@ -4114,7 +4126,8 @@
       holder__,
       holder_incarnation,
       last_attempt,
-      unknown);
+      unknown,
+      claim);
 }
 
 flatbuffers::Offset<Settle> CreateSettle(flatbuffers::FlatBufferBuilder &_fbb, const SettleT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -6669,6 +6682,7 @@
   { auto _e = holder_incarnation(); _o->holder_incarnation = _e; }
   { auto _e = last_attempt(); _o->last_attempt = _e; }
   { auto _e = unknown(); _o->unknown = _e; }
+  { auto _e = claim(); _o->claim = _e; }
 }
 
 inline flatbuffers::Offset<Settle> Settle::Pack(flatbuffers::FlatBufferBuilder &_fbb, const SettleT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -6698,6 +6712,7 @@
   auto _holder_incarnation = _o->holder_incarnation;
   auto _last_attempt = _o->last_attempt;
   auto _unknown = _o->unknown;
+  auto _claim = _o->claim;
   return dotterelshift::wire::CreateSettle(
       _fbb,
       _budget,
@@ -6718,7 +6733,8 @@
       _holder,
       _holder_incarnation,
       _last_attempt,
-      _unknown);
+      _unknown,
+      _claim);
 }
 
 inline ClaimT *Claim::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/src/dotterelshift/serving/dispatch.cc
+++ b/src/dotterelshift/serving/dispatch.cc
@@ -74,6 +74,7 @@
       SettleBody(*request, request->attempt->id));
   pending.undo->outcome = wire::Outcome::Refused;
   pending.undo->witnessed = false;
+  pending.undo->claim = request->attempt->id;
   request->awaited = Propose(std::move(claim), std::move(pending));
   request->stage = Stage::kClaiming;
   SetDue(request,
--- a/src/dotterelshift/serving/settlement.cc
+++ b/src/dotterelshift/serving/settlement.cc
@@ -24,6 +24,7 @@
   settle.request_class = request.request_class;
   settle.holder = m_options.self.host;
   settle.holder_incarnation = m_options.self.incarnation;
+  settle.claim = request.claimed_by;
   return settle;
 }
 
--- a/src/dotterelshift/state/apply_settle.cc
+++ b/src/dotterelshift/state/apply_settle.cc
@@ -85,6 +85,8 @@
               const wire::SettleT& settle) {
   ClaimEntry* claim = FindClaim(tables, digest);
   if (claim == nullptr || !settle.last_attempt || claim->run != spender) return;
+  // A doubled settlement of an earlier claim says nothing of this one.
+  if (settle.claim != 0 && settle.claim != claim->attempt) return;
   if (settle.unknown) {
     claim->progress = ClaimProgress::kUnknown;
     return;
