--- a/include/dotterelshift/routing/policy.h
+++ b/include/dotterelshift/routing/policy.h
@@ -86,20 +86,36 @@
   Seat* Pick(const Slate& slate, Random* random);
 };
 
-// The better of two random ones by the expected time to the first token.
-class TwoChoices {
+// The best of a few random ones by the expected time to the first token.
+template <int kSamples>
+class BestOf {
  public:
-  Seat* Pick(const Slate& slate, Random* random);
+  Seat* Pick(const Slate& slate, Random* random) {
+    Seat* best = slate.Sample(random);
+    if (best == nullptr) return nullptr;
+    double least = slate.Estimate(best);
+    for (int i = 1; i < kSamples; ++i) {
+      Seat* seat = slate.Sample(random);
+      if (seat == best) continue;
+      const double estimate = slate.Estimate(seat);
+      if (estimate >= least) continue;
+      least = estimate;
+      best = seat;
+    }
+    return best;
+  }
 };
+using TwoChoices = BestOf<2>;
+using SixChoices = BestOf<6>;
 
 // One that has the prompt's prefix cached, as long as its load is bounded by
-// that of others; else the better of two.
+// that of others; else the best of a few.
 class PrefixAffinity {
  public:
   Seat* Pick(const Slate& slate, Random* random);
 
  private:
-  TwoChoices m_fallback;
+  SixChoices m_fallback;
 };
 
 // The inner policy among the endpoints of the own data centre while one of them
@@ -127,6 +143,7 @@
 static_assert(Policy<RoundRobin>);
 static_assert(Policy<LeastInFlight>);
 static_assert(Policy<TwoChoices>);
+static_assert(Policy<SixChoices>);
 static_assert(Policy<PrefixAffinity>);
 static_assert(Policy<LocalFirst<TwoChoices>>);
 
--- a/include/dotterelshift/routing/router.h
+++ b/include/dotterelshift/routing/router.h
@@ -49,6 +49,7 @@
   kRoundRobin,
   kLeastInFlight,
   kTwoChoices,
+  kSixChoices,
   kLocalTwoChoices,
   kPrefixAffinity,
   kLocalPrefixAffinity,
--- a/src/dotterelshift/routing/policy.cc
+++ b/src/dotterelshift/routing/policy.cc
@@ -19,6 +19,17 @@
 // First-token time assumed before anything was measured.
 constexpr double kFirstTokenGuessMs = 100;
 
+// How much the entry's own work counts beside the reported work of others. The
+// other entries are sent about as much, and what they have sent since the last
+// report does not show in it: counted once, all entries ran after the same
+// reports together. See docs/decisions/routing.md.
+constexpr double kOwnWeight = 6;
+
+// A seat that is slower than usual by less than this is taken as usual: its
+// average holds the waits of the last few requests, which say little of the
+// next one.
+constexpr double kSlowFactor = 2;
+
 // A seat's own pace counts once this many answers were seen.
 constexpr int kEnoughSamples = 4;
 
@@ -52,9 +63,11 @@
   const directory::Endpoint* endpoint = directory->Find(seat->id);
   if (endpoint != nullptr) seat->TakeReport(*endpoint);
   const double usual = first_token_ms > 0 ? first_token_ms : kFirstTokenGuessMs;
-  const double pace =
-      seat->samples >= kEnoughSamples ? seat->first_token_ms : usual;
-  const double use = (seat->Load(now) + 1) / std::max(1.0, seat->slots);
+  const bool slow = seat->samples >= kEnoughSamples &&
+                    seat->first_token_ms > kSlowFactor * usual;
+  const double pace = slow ? seat->first_token_ms : usual;
+  const double load = kOwnWeight * seat->in_flight + seat->OthersNow(now);
+  const double use = (load + 1) / std::max(1.0, seat->slots);
   const double queue = std::max(0.0, use - 1) * seat->hold.Seconds() * 1000;
   const double work = pace * (1 - kPromptPart * CachedPart(*seat));
   const double way = seat->local ? 0 : InMs(far_penalty);
@@ -84,15 +97,6 @@
   return best;
 }
 
-Seat* TwoChoices::Pick(const Slate& slate, Random* random) {
-  Seat* first = slate.Sample(random);
-  if (first == nullptr) return nullptr;
-  Seat* second = slate.Sample(random);
-  if (second == first) second = slate.Sample(random);
-  if (second == first) return first;
-  return slate.Estimate(second) < slate.Estimate(first) ? second : first;
-}
-
 Seat* PrefixAffinity::Pick(const Slate& slate, Random* random) {
   Seat* best = m_fallback.Pick(slate, random);
   if (best == nullptr || slate.holder_count == 0) return best;
--- a/src/dotterelshift/routing/router.cc
+++ b/src/dotterelshift/routing/router.cc
@@ -246,6 +246,8 @@
       return std::make_unique<PolicyRouter<LeastInFlight>>(options);
     case PolicyKind::kTwoChoices:
       return std::make_unique<PolicyRouter<TwoChoices>>(options);
+    case PolicyKind::kSixChoices:
+      return std::make_unique<PolicyRouter<SixChoices>>(options);
     case PolicyKind::kLocalTwoChoices:
       return std::make_unique<PolicyRouter<LocalFirst<TwoChoices>>>(options);
     case PolicyKind::kPrefixAffinity:
--- a/src/dotterelshift/routing/seat.cc
+++ b/src/dotterelshift/routing/seat.cc
@@ -6,7 +6,7 @@
 namespace {
 
 // A report of this age counts half.
-constexpr double kReportHalfLife = 2.0;
+constexpr double kReportHalfLife = 0.3;
 
 constexpr double kHoldGuess = 1.0;
 
