--- a/src/dotterelshift/serving/budget_wait.cc
+++ b/src/dotterelshift/serving/budget_wait.cc
@@ -136,8 +136,7 @@
       Propose(std::move(body), std::move(pending));
       continue;
     }
-    // The adapter resends the ask that is under way; a second one would be
-    // granted as well.
+    // The one that is under way is sent again, with its id, by the adapter.
     if (!m_asking.insert(wish.budget).second) continue;
     pending.kind = PendingCommand::Kind::kAsk;
     wire::RequestGrantT body;
--- a/src/dotterelshift/serving/dispatch.cc
+++ b/src/dotterelshift/serving/dispatch.cc
@@ -117,6 +117,7 @@
   open.request_key = request->key;
   open.attempt = attempt.id;
   open.reserved = attempt.reserved;
+  open.content_hash = request->caller.content_hash;
 
   PendingCommand pending;
   pending.kind = PendingCommand::Kind::kOpen;
@@ -150,7 +151,8 @@
 void Core::OnOpeningRefused(Request* request, ErrorKind error, Instant now) {
   request->attempt->opening = false;
   if (error != ErrorKind::kBudgetUnavailable) {
-    const bool told = error == ErrorKind::kKeyExpired;
+    const bool told =
+        error == ErrorKind::kKeyExpired || error == ErrorKind::kQuarantined;
     Fail(request, told ? error : ErrorKind::kNoQuorum, now);
     return;
   }
--- a/src/dotterelshift/serving/settlement.cc
+++ b/src/dotterelshift/serving/settlement.cc
@@ -131,6 +131,8 @@
     case PendingCommand::Kind::kNote:
       if (const wire::SuspectAnswerT* suspect = answer.body.AsSuspectAnswer())
         m_blocklist.OnEntry(*suspect, now);
+      if (Request* request = FindRequest(pending.request))
+        OnReported(request, now);
       break;
   }
   Finally(now);
@@ -138,12 +140,12 @@
 
 void Core::OnGrantAnswer(const PendingCommand& pending,
                          const wire::CommandAnswerT& answer, Instant now) {
+  m_asking.erase(pending.budget);
   const wire::GrantAnswerT* grant = answer.body.AsGrantAnswer();
   const bool valid = answer.error == 0 && grant != nullptr;
   if (valid) m_last_grant[pending.budget] = *grant;
   m_parts.ledger->OnGrant(pending.budget, valid ? *grant : wire::GrantAnswerT{},
                           now);
-  m_asking.erase(pending.budget);
   m_freed.insert(pending.budget);
   m_wishes_due = true;
 }
