--- a/src/dotterelshift/serving/attempt_end.cc
+++ b/src/dotterelshift/serving/attempt_end.cc
@@ -124,6 +124,9 @@
   const ErrorKind failure = FailureOf(end, request->forwarded);
   request->last_failure = failure;
   request->excluded.push_back(attempt.endpoint);
+  // What was not sent is no try; its endpoint is excluded from now on, so that
+  // a few dead ones do not use up the tries that a live one should get.
+  if (end == AttemptEnd::kNotSent) --request->attempts;
   const bool died = end == AttemptEnd::kDied;
   const uint64_t report = died ? NoteDeath(*request, attempt, now) : 0;
 
--- a/src/dotterelshift/serving/budget_wait.cc
+++ b/src/dotterelshift/serving/budget_wait.cc
@@ -27,11 +27,7 @@
       WaitForTokens(request, now);
       return false;
     case budget::ReserveResult::kExhausted:
-      if (MayStillCome(*request)) {
-        WaitForTokens(request, now);
-      } else {
-        RefuseForBudget(request, now);
-      }
+      RefuseForBudget(request, now);
       return false;
   }
   return false;
@@ -127,8 +123,7 @@
   if (m_waiters.contains(request.budget)) m_freed.insert(request.budget);
 }
 
-void Core::SendWishes(const std::vector<budget::GrantWish>& wishes,
-                      Instant now) {
+void Core::SendWishes(const std::vector<budget::GrantWish>& wishes) {
   for (const budget::GrantWish& wish : wishes) {
     PendingCommand pending;
     pending.budget = wish.budget;
@@ -149,7 +144,7 @@
     body.wanted = wish.wanted;
     body.minimum = wish.minimum;
     body.held = m_parts.ledger->Held(wish.budget);
-    body.demand_per_second = m_parts.ledger->DemandPerSecond(wish.budget, now);
+    body.demand_per_second = wish.demand_per_second;
     Propose(std::move(body), std::move(pending));
   }
 }
