--- a/include/dotterelshift/http/client.h
+++ b/include/dotterelshift/http/client.h
@@ -35,6 +35,7 @@
 };
 
 // What a transfer reports, on the loop's thread. None is called after Cancel().
+// Those that are empty are left out.
 struct TransferCallbacks {
   std::function<void(int status, const Headers& headers)> on_head;
   // Returns false to pause the transfer until Resume(); the piece is taken all
--- a/src/dotterelshift/http/client.cc
+++ b/src/dotterelshift/http/client.cc
@@ -132,7 +132,8 @@
   static size_t OnData(char* data, size_t, size_t size, void* self) {
     auto& transfer = *static_cast<Transfer*>(self);
     if (transfer.cancelled) return 0;
-    const bool more = transfer.callbacks.on_piece(std::string_view(data, size));
+    const auto& on_piece = transfer.callbacks.on_piece;
+    const bool more = !on_piece || on_piece(std::string_view(data, size));
     if (transfer.cancelled) return 0;
     if (!more) curl_easy_pause(transfer.handle, CURLPAUSE_RECV);
     return size;
@@ -161,7 +162,8 @@
       AddHeader(transfer, line);
     } else if (!IsInterim(transfer.status) && !transfer.head_seen) {
       transfer.head_seen = true;
-      transfer.callbacks.on_head(transfer.status, transfer.headers);
+      const auto& on_head = transfer.callbacks.on_head;
+      if (on_head) on_head(transfer.status, transfer.headers);
     }
     return !transfer.cancelled;
   }
--- a/tools/fake_endpoint/announcer.h
+++ b/tools/fake_endpoint/announcer.h
@@ -3,6 +3,7 @@
 
 #include <deque>              // for deque
 #include <functional>         // for function
+#include <map>                // for map
 #include <memory>             // for unique_ptr
 #include <nlohmann/json.hpp>  // for json
 #include <string>             // for string
@@ -15,6 +16,9 @@
 
 namespace dotterelshift::fake {
 
+// Prefix blocks that the cache holds.
+constexpr size_t kCacheBlocks = 1024;
+
 // Requests that run and wait at an instant.
 struct Load {
   Instant when;
@@ -26,15 +30,60 @@
 // its cache events late and with gaps.
 class Announcer {
  public:
-  Announcer(loop::Loop& loop, const Options& options, uint16_t port);
+  Announcer(loop::Loop& loop, const Options& options, uint16_t port)
+      : m_loop(loop),
+        m_options(options),
+        m_address(options.address + ":" + std::to_string(port)),
+        m_role(options.role),
+        m_incarnation(loop.WallNow()),
+        m_client(http::MakeClient(loop)),
+        m_timer(loop, [this] {
+          SendNow();
+          m_timer.ArmIn(m_options.announce_interval);
+        }) {
+    for (const std::string& model : options.models) {
+      const size_t at = model.find('@');
+      OnModel(model.substr(0, at),
+              at == std::string::npos ? "" : model.substr(at + 1));
+    }
+  }
 
-  void Start(std::function<Load()> load);
-  void SendNow();
+  void Start(std::function<Load()> load) {
+    m_load = std::move(load);
+    m_timer.ArmIn(0s);
+  }
+  void SendNow() {
+    const std::string body = Body();
+    for (const std::string& entry : m_options.announce_to) {
+      http::ClientRequest request;
+      request.url = "http://" + entry + "/endpoint/v1/announce";
+      request.headers = {{"Content-Type", "application/json"}};
+      request.body = body;
+      request.total_timeout = 1s;
+      m_client->Start(std::move(request), {});
+    }
+  }
   // Prefixes that a request has brought into the cache.
-  void OnPrefixes(const std::vector<uint64_t>& hashes);
-  void OnModel(const std::string& model, const std::string& version);
+  void OnPrefixes(const std::vector<uint64_t>& hashes) {
+    for (const uint64_t hash : hashes) {
+      if (!m_cached.insert(hash).second) continue;
+      m_cache_order.push_back(hash);
+      AddEvent(hash, true);
+    }
+    while (m_cached.size() > kCacheBlocks) {
+      const uint64_t oldest = m_cache_order.front();
+      m_cache_order.pop_front();
+      m_cached.erase(oldest);
+      AddEvent(oldest, false);
+    }
+  }
+  void OnModel(const std::string& model, const std::string& version) {
+    m_models[model] = version;
+  }
   void OnRole(const std::string& role) { m_role = role; }
-  bool Serves(const std::string& model) const;
+  bool Serves(const std::string& model) const {
+    return m_models.contains(model);
+  }
   bool draining = false;
 
  private:
@@ -42,19 +91,57 @@
     Instant due;
     nlohmann::json body;
   };
-  struct Model {
-    std::string name;
-    std::string version;
-  };
-  void AddEvent(uint64_t hash, bool stored);
-  std::string Body();
-  Load LaggedLoad();
+  void AddEvent(uint64_t hash, bool stored) {
+    ++m_event_sequence;
+    const auto gap = static_cast<uint64_t>(m_options.cache_gap);
+    if (gap > 0 && m_event_sequence % gap == 0) return;
+    m_events.push_back({m_loop.Now() + m_options.cache_lag,
+                        {{"sequence", m_event_sequence},
+                         {"prefix_hash", hash},
+                         {"stored", stored}}});
+  }
+  std::string Body() {
+    const Load load = LaggedLoad();
+    nlohmann::json models = nlohmann::json::array();
+    for (const auto& [name, version] : m_models) {
+      nlohmann::json entry = {{"model", name}};
+      if (!version.empty()) entry["version"] = version;
+      models.push_back(std::move(entry));
+    }
+    nlohmann::json body = {{"id", m_options.id},
+                           {"incarnation", m_incarnation},
+                           {"sequence", ++m_sequence},
+                           {"address", m_address},
+                           {"data_centre", m_options.data_centre},
+                           {"draining", draining},
+                           {"checks_fencing", m_options.checks_fencing},
+                           {"models", std::move(models)},
+                           {"services", m_options.services},
+                           {"slots", m_options.slots},
+                           {"running", load.running},
+                           {"waiting", load.waiting}};
+    if (!m_role.empty()) body["role"] = m_role;
+    nlohmann::json events = nlohmann::json::array();
+    while (!m_events.empty() && m_events.front().due <= m_loop.Now()) {
+      events.push_back(std::move(m_events.front().body));
+      m_events.pop_front();
+    }
+    if (!events.empty()) body["cache_events"] = std::move(events);
+    return body.dump();
+  }
+  Load LaggedLoad() {
+    m_history.push_back(m_load());
+    const Instant wanted = m_loop.Now() - m_options.load_lag;
+    while (m_history.size() > 1 && m_history[1].when <= wanted)
+      m_history.pop_front();
+    return m_history.front();
+  }
 
   loop::Loop& m_loop;
   const Options& m_options;
   std::string m_address;
   std::string m_role;
-  std::vector<Model> m_models;
+  std::map<std::string, std::string> m_models;  // versions by name
   std::function<Load()> m_load;
   std::deque<Load> m_history;
   int64_t m_incarnation;
--- a/tools/fake_endpoint/main.cc
+++ b/tools/fake_endpoint/main.cc
@@ -20,7 +20,6 @@
 using nlohmann::json;
 using ExchangePtr = std::shared_ptr<http::Exchange>;
 
-constexpr int kCrashStatus = 70;
 constexpr size_t kPauseAboveBytes = 256 << 10;
 const http::Headers kJson = {{"Content-Type", "application/json"}};
 
@@ -63,20 +62,16 @@
 
   void OnExchange(const ExchangePtr& exchange) {
     const http::Request& request = exchange->GetRequest();
-    if (request.path == "/control/drain") {
-      Drain(false);
-      exchange->Answer(200, kJson, "{}");
-    } else if (request.path == "/control/served") {
-      exchange->Answer(200, kJson, ServedJson().dump());
-    } else if (request.path == "/control/orders") {
-      exchange->Answer(200, kJson, m_orders.dump());
-    } else if (request.path == "/endpoint/v1/orders") {
-      OnOrder(exchange);
-    } else if (request.path == "/healthz") {
-      exchange->Answer(200, {}, "ok\n");
-    } else {
-      OnWork(exchange);
-    }
+    const std::string& path = request.path;
+    if (path == "/endpoint/v1/orders") return OnOrder(exchange);
+    if (path == "/control/drain") Drain(false);
+    if (path == "/control/drain" || path == "/healthz")
+      return exchange->Answer(200, kJson, "{}");
+    if (path == "/control/served")
+      return exchange->Answer(200, kJson, ServedJson().dump());
+    if (path == "/control/orders")
+      return exchange->Answer(200, kJson, m_orders.dump());
+    OnWork(exchange);
   }
 
   void Refuse(const ExchangePtr& exchange, int status, const char* text) {
@@ -86,10 +81,10 @@
                      json{{"error", {{"message", text}}}}.dump());
   }
 
-  bool TakeRefusal() {
-    if (m_options.refuse_count == 0) return false;
-    if (m_options.refuse_count > 0) --m_options.refuse_count;
-    return true;
+  // Takes one of so many; a negative count never ends.
+  static bool Take(int& count) {
+    if (count > 0) return count-- > 0;
+    return count < 0;
   }
 
   bool Offers(const CallerRequest& request) const {
@@ -109,7 +104,7 @@
       return;
     }
     auto& wanted = std::get<CallerRequest>(parsed);
-    if (m_announcer.draining || TakeRefusal()) {
+    if (m_announcer.draining || Take(m_options.refuse_count)) {
       Refuse(exchange, 503, "not now");
     } else if (!Offers(wanted)) {
       Refuse(exchange, 404, "not offered here");
@@ -144,7 +139,7 @@
       Served& served = m_served[number];
       const std::string& mark = m_options.crash_mark;
       if (!mark.empty() && served.request.body.find(mark) != std::string::npos)
-        std::_Exit(kCrashStatus);
+        std::_Exit(EXIT_FAILURE);
       ++m_running;
       served.state = "running";
       m_announcer.OnPrefixes(served.request.prefix_hashes);
@@ -158,7 +153,7 @@
     if (served.request.kind == RequestKind::kService) return Finish(number);
     const bool at_once = m_options.token_interval == 0s;
     do {
-      if (served.tokens == m_options.cut_after && TakeCut()) {
+      if (served.tokens == m_options.cut_after && Take(m_options.cut_count)) {
         const ExchangePtr exchange = served.exchange;
         End(number, "cut");
         return exchange->Abort();
@@ -170,12 +165,6 @@
     served.timer->ArmIn(at_once ? 1ms : m_options.token_interval);
   }
 
-  bool TakeCut() {
-    if (m_options.cut_count == 0) return false;
-    if (m_options.cut_count > 0) --m_options.cut_count;
-    return true;
-  }
-
   // Each token names its request, so that a crossed answer would show.
   static std::string Token(const Served& served, Tokens index) {
     return (served.key.empty() ? "t" : served.key) + "-" +
@@ -200,8 +189,7 @@
 
   static json Usage(const Served& served) {
     return {{"prompt_tokens", served.prompt_tokens},
-            {"completion_tokens", served.tokens},
-            {"total_tokens", served.prompt_tokens + served.tokens}};
+            {"completion_tokens", served.tokens}};
   }
 
   static void SendEvent(http::Exchange& exchange, const json& event) {
--- a/tools/fake_endpoint/options.h
+++ b/tools/fake_endpoint/options.h
@@ -1,9 +1,14 @@
 #ifndef DOTTERELSHIFT_TOOLS_FAKE_ENDPOINT_OPTIONS_H_
 #define DOTTERELSHIFT_TOOLS_FAKE_ENDPOINT_OPTIONS_H_
 
-#include <cstdint>  // for uint16_t
-#include <string>   // for string
-#include <vector>   // for vector
+#include <tclap/CmdLine.h>  // for CmdLine
+
+#include <cstdint>     // for uint16_t
+#include <functional>  // for function
+#include <memory>      // for make_shared
+#include <sstream>     // for istringstream
+#include <string>      // for string
+#include <vector>      // for vector
 
 #include "dotterelshift/base/time.h"    // for Duration
 #include "dotterelshift/base/tokens.h"  // for Tokens
@@ -40,11 +45,75 @@
   Duration load_lag = 0ms;
   Duration cache_lag = 0ms;
   int cache_gap = 0;  // each so many-th cache event is lost; 0: none
-  size_t cache_blocks = 1024;
 };
 
+inline std::vector<std::string> Split(const std::string& list) {
+  std::vector<std::string> parts;
+  std::istringstream stream(list);
+  for (std::string part; std::getline(stream, part, ',');)
+    if (!part.empty()) parts.push_back(part);
+  return parts;
+}
+
+// Sets an option's place from its text on the command line.
+inline void Set(const std::string& text, std::string* place) { *place = text; }
+inline void Set(const std::string& text, std::vector<std::string>* place) {
+  *place = Split(text);
+}
+inline void Set(const std::string& text, Duration* place) {
+  *place = std::chrono::milliseconds(std::stoll(text));
+}
+template <typename Number>
+void Set(const std::string& text, Number* place) {
+  std::istringstream(text) >> *place;
+}
+
 // Exits with a message when the command line is wrong.
-Options ReadOptions(int argc, char** argv);
+inline Options ReadOptions(int argc, char** argv) {
+  Options o;
+  TCLAP::CmdLine line("A stand-in for a model engine or a plain service.");
+  std::vector<std::function<void()>> reads;
+  const auto add = [&](const char* name, const char* help, auto* place) {
+    auto argument = std::make_shared<TCLAP::ValueArg<std::string>>(
+        "", name, help, false, "", "value", line);
+    reads.emplace_back([argument, place] {
+      if (argument->isSet()) Set(argument->getValue(), place);
+    });
+  };
+  TCLAP::SwitchArg checks_fencing("", "checks-fencing",
+                                  "Refuses older fencing numbers.", line);
+  TCLAP::SwitchArg no_usage("", "no-usage", "Reports no usage.", line);
+  TCLAP::SwitchArg ignore_limit("", "ignore-limit",
+                                "Writes past the limit sent along.", line);
+  add("id", "Name it announces.", &o.id);
+  add("address", "IP number to listen on.", &o.address);
+  add("port", "Port; 0: the system chooses.", &o.port);
+  add("port-file", "File to write the port to.", &o.port_file);
+  add("announce", "Entries, IP:port with commas.", &o.announce_to);
+  add("announce-interval-ms", "Between two.", &o.announce_interval);
+  add("data-centre", "Data centre it announces.", &o.data_centre);
+  add("role", "Role it announces.", &o.role);
+  add("models", "NAME or NAME@VERSION, with commas.", &o.models);
+  add("services", "Plain services, with commas.", &o.services);
+  add("tokens", "Tokens of an answer.", &o.tokens);
+  add("token-interval-ms", "0: all at once.", &o.token_interval);
+  add("first-token-ms", "Time to it.", &o.first_token_delay);
+  add("slots", "Requests that run at once.", &o.slots);
+  add("max-waiting", "Past it 429.", &o.max_waiting);
+  add("cut-after", "Cuts a stream after so many tokens.", &o.cut_after);
+  add("cut-count", "Requests that are cut; -1: all.", &o.cut_count);
+  add("refuse-count", "First ones refused; -1: all.", &o.refuse_count);
+  add("crash-mark", "Exits on a body that holds it.", &o.crash_mark);
+  add("load-lag-ms", "Age of the load it reports.", &o.load_lag);
+  add("cache-lag-ms", "Age of its cache events.", &o.cache_lag);
+  add("cache-gap", "Loses each so many-th event.", &o.cache_gap);
+  line.parse(argc, argv);
+  for (const auto& read : reads) read();
+  o.checks_fencing = checks_fencing.getValue();
+  o.no_usage = no_usage.getValue();
+  o.ignore_limit = ignore_limit.getValue();
+  return o;
+}
 
 }  // namespace dotterelshift::fake
 
