--- a/include/dotterelshift/admission/fair_queue.h
+++ b/include/dotterelshift/admission/fair_queue.h
@@ -68,6 +68,9 @@
   // use of does not grow. Where it is not known the limit grows all the same.
   void OnFirstToken(Duration latency, Instant now, int in_flight = kNotCounted);
   void OnRefused(Instant now);
+  // What the endpoint says it works on at a time: the limit until latency or a
+  // refusal speaks, and no fast growth beyond it.
+  void Begin(double slots);
   // Whole requests that may be in flight.
   int Current() const;
 
--- a/include/dotterelshift/callers/caller_request.h
+++ b/include/dotterelshift/callers/caller_request.h
@@ -40,7 +40,7 @@
   int priority = 0;        // -10 (first) to 10 (last)
   Duration deadline = 0s;  // from arrival
   uint64_t content_hash =
-      0;  // of team, kind, target and body: what quarantine and claims compare
+      0;  // of kind, target and body: what quarantine and claims compare
   std::vector<uint64_t>
       prefix_hashes;  // of the prompt's leading blocks, shortest first
 };
--- a/src/dotterelshift/admission/concurrency_limit.cc
+++ b/src/dotterelshift/admission/concurrency_limit.cc
@@ -66,6 +66,11 @@
   m_limit = std::clamp(m_limit + step, m_least, m_most);
 }
 
+void ConcurrencyLimit::Begin(double slots) {
+  m_limit = std::clamp(slots, m_least, m_most);
+  m_fast = false;
+}
+
 void ConcurrencyLimit::OnRefused(Instant now) {
   if (m_last_change != Instant{} && now - m_last_change < kRefusalPause) return;
   m_last_change = now;
--- a/src/dotterelshift/app/control.cc
+++ b/src/dotterelshift/app/control.cc
@@ -8,7 +8,6 @@
 #include "dotterelshift/app/directory_exchange.h"  // for DirectoryExchange
 #include "dotterelshift/app/hub_options.h"         // for MakeHubOptions
 #include "dotterelshift/app/operator_backend.h"    // for MakeControlBackend
-#include "dotterelshift/app/server_refusal.h"      // for MakeServerRefusal
 #include "dotterelshift/budget/recall_core.h"      // for RecallCore
 #include "dotterelshift/callers/front.h"           // for AnswerError
 #include "dotterelshift/endpoints/order_sender.h"  // for SendOrder
@@ -134,7 +133,7 @@
   http::ServerOptions options;
   options.address = m_settings.http_address;
   options.port = m_settings.http_port;
-  options.refusal = MakeServerRefusal;
+  options.refusal = callers::RefusalAnswer;
   return options;
 }
 
--- a/src/dotterelshift/app/directory_exchange.cc
+++ b/src/dotterelshift/app/directory_exchange.cc
@@ -35,12 +35,9 @@
   }
   const auto& announcement = std::get<endpoints::Announcement>(parsed);
   m_spread.OnAnnounced(announcement.record, m_loop.Now());
-  const auto& events = announcement.cache_events;
-  if (!events.empty()) {
-    m_callbacks.on_cache_events(events);
-    m_events_to_spread.insert(m_events_to_spread.end(), events.begin(),
-                              events.end());
-  }
+  // Hints for this daemon only: see docs/decisions/routing.md.
+  if (!announcement.cache_events.empty())
+    m_callbacks.on_cache_events(announcement.cache_events);
   exchange.Answer(200, {{"content-type", "application/json"}}, "{}");
   OnTimer();
 }
@@ -58,34 +55,15 @@
   const wire::DirectoryDeltaT* delta = frame.body.AsDirectoryDelta();
   if (delta == nullptr) return false;
   m_spread.OnDelta(from.run.host, *delta, m_loop.Now());
-  std::vector<wire::CacheEventT> events;
-  for (const auto& event : delta->cache_events) {
-    if (event != nullptr) events.push_back(*event);
-  }
-  if (!events.empty()) m_callbacks.on_cache_events(events);
   OnTimer();
   return true;
 }
 
-// Cache events are hints: the neighbours get them, nobody sends them on.
-void DirectoryExchange::SpreadCacheEvents() {
-  if (m_events_to_spread.empty()) return;
-  wire::DirectoryDeltaT delta;
-  for (wire::CacheEventT& event : m_events_to_spread) {
-    delta.cache_events.push_back(
-        std::make_unique<wire::CacheEventT>(std::move(event)));
-  }
-  m_events_to_spread.clear();
-  const wire::FrameT frame = peers::MakeFrame(std::move(delta));
-  for (const HostId& host : m_spread.Neighbours()) m_hub->Send(host, frame);
-}
-
 void DirectoryExchange::OnTimer() {
   const Instant now = m_loop.Now();
   if (now >= m_spread.NextTimer()) {
     for (directory::Outgoing& outgoing : m_spread.OnTimer(now))
       m_hub->Send(outgoing.host, peers::MakeFrame(std::move(outgoing.delta)));
-    SpreadCacheEvents();
   }
   if (m_directory.Generation() != m_generation) {
     m_generation = m_directory.Generation();
--- a/src/dotterelshift/app/directory_exchange.h
+++ b/src/dotterelshift/app/directory_exchange.h
@@ -37,7 +37,6 @@
 
  private:
   void OnTimer();
-  void SpreadCacheEvents();
 
   loop::Loop& m_loop;
   Callbacks m_callbacks;
@@ -45,7 +44,6 @@
   directory::Directory m_directory;
   directory::Spread m_spread;
   uint64_t m_generation = 0;  // as last told by on_offer
-  std::vector<wire::CacheEventT> m_events_to_spread;
   loop::Timer m_timer;
 };
 
--- a/src/dotterelshift/app/entry.cc
+++ b/src/dotterelshift/app/entry.cc
@@ -8,7 +8,6 @@
 #include "dotterelshift/app/hub_options.h"         // for MakeHubOptions
 #include "dotterelshift/app/operator_backend.h"    // for OperatorBackend
 #include "dotterelshift/app/request_traffic.h"     // for RequestTraffic
-#include "dotterelshift/app/server_refusal.h"      // for MakeServerRefusal
 #include "dotterelshift/platform/log.h"            // for Log
 
 namespace dotterelshift::app {
@@ -202,7 +201,7 @@
   options.max_body_bytes = m_settings.max_body_bytes;
   options.max_connections = m_settings.max_connections;
   options.receive_timeout = m_settings.receive_timeout;
-  options.refusal = MakeServerRefusal;
+  options.refusal = callers::RefusalAnswer;
   return options;
 }
 
--- a/src/dotterelshift/ctl/output.cc
+++ b/src/dotterelshift/ctl/output.cc
@@ -59,6 +59,13 @@
   WriteRows(rows, out);
 }
 
+// A member of an answer; null where a daemon of another version left it out.
+const Json& At(const Json& object, const std::string& name) {
+  static const Json kNull;
+  const auto member = object.find(name);
+  return member == object.end() ? kNull : *member;
+}
+
 void WriteFields(const Json& map, std::ostream& out,
                  const std::string& before) {
   for (const auto& [key, value] : map.items()) {
@@ -78,20 +85,20 @@
 }
 
 void WritePlan(const Json& plan, std::ostream& out) {
-  out << "plan " << CellOf(plan["plan"]) << " on version "
-      << CellOf(plan["base_version"]) << "\n";
-  if (plan["changes"].empty()) out << "nothing to change\n";
-  out << (plan["changes"].empty() ? "" : "changes:\n");
-  for (const Json& change : plan["changes"])
-    out << "  " << CellOf(change["kind"]) << " " << CellOf(change["subject"])
-        << "\n";
-  WriteLines("effects", plan["effects"], out);
-  WriteLines("warnings", plan["warnings"], out);
+  out << "plan " << CellOf(At(plan, "plan")) << " on version "
+      << CellOf(At(plan, "base_version")) << "\n";
+  if (At(plan, "changes").empty()) out << "nothing to change\n";
+  out << (At(plan, "changes").empty() ? "" : "changes:\n");
+  for (const Json& change : At(plan, "changes"))
+    out << "  " << CellOf(At(change, "kind")) << " "
+        << CellOf(At(change, "subject")) << "\n";
+  WriteLines("effects", At(plan, "effects"), out);
+  WriteLines("warnings", At(plan, "warnings"), out);
 }
 
 void WriteConfirmed(const Json& answer, std::ostream& out) {
-  out << "plan " << CellOf(answer["plan"]) << " is in force as version "
-      << CellOf(answer["version"]) << "\n";
+  out << "plan " << CellOf(At(answer, "plan")) << " is in force as version "
+      << CellOf(At(answer, "version")) << "\n";
 }
 
 // The budgets without their holders, who follow as a list of their own.
@@ -99,8 +106,8 @@
   Json list = Json::array();
   Json holders = Json::array();
   for (Json budget : budgets) {
-    for (const Json& holder : budget["holders"]) {
-      Json row = {{"budget", budget["budget"]}};
+    for (const Json& holder : At(budget, "holders")) {
+      Json row = {{"budget", At(budget, "budget")}};
       row.update(holder);
       holders.push_back(std::move(row));
     }
@@ -119,7 +126,7 @@
 
 uint64_t SumRefusals(const Json& day, const char* which) {
   uint64_t sum = 0;
-  for (const auto& [kind, counts] : day["refusals"].items())
+  for (const auto& [kind, counts] : At(day, "refusals").items())
     sum += counts[which].get<uint64_t>();
   return sum;
 }
@@ -131,15 +138,16 @@
 }
 
 void WriteHistograms(const Json& report, std::ostream& out) {
-  const Json& bounds = report["time_buckets_ms"];
+  const Json& bounds = At(report, "time_buckets_ms");
   std::vector<Row> rows = {{"team", "day", "time", "class"}};
   for (size_t i = 0; i <= bounds.size(); ++i)
     rows[0].push_back(BucketName(bounds, i));
-  for (const Json& day : report["days"]) {
+  for (const Json& day : At(report, "days")) {
     for (const char* name : kHistograms) {
-      for (const auto& [request_class, counts] : day[name].items()) {
-        Row& row = rows.emplace_back(
-            Row{CellOf(day["team"]), CellOf(day["day"]), name, request_class});
+      for (const auto& [request_class, counts] : At(day, name).items()) {
+        Row& row =
+            rows.emplace_back(Row{CellOf(At(day, "team")),
+                                  CellOf(At(day, "day")), name, request_class});
         for (const Json& count : counts) row.push_back(CellOf(count));
         row.resize(rows[0].size(), "0");
       }
@@ -153,11 +161,11 @@
 void WriteRefusals(const Json& report, std::ostream& out) {
   std::vector<Row> rows = {
       {"team", "day", "refused", "with_budget_left", "without_budget_left"}};
-  for (const Json& day : report["days"]) {
-    for (const auto& [kind, counts] : day["refusals"].items()) {
-      rows.push_back({CellOf(day["team"]), CellOf(day["day"]), kind,
-                      CellOf(counts["with_budget_left"]),
-                      CellOf(counts["without_budget_left"])});
+  for (const Json& day : At(report, "days")) {
+    for (const auto& [kind, counts] : At(day, "refusals").items()) {
+      rows.push_back({CellOf(At(day, "team")), CellOf(At(day, "day")), kind,
+                      CellOf(At(counts, "with_budget_left")),
+                      CellOf(At(counts, "without_budget_left"))});
     }
   }
   if (rows.size() == 1) return;
@@ -166,12 +174,12 @@
 }
 
 void WriteReport(const Json& report, std::ostream& out) {
-  out << "report from " << CellOf(report["from"]) << " to "
-      << CellOf(report["to"]) << "\n\n";
+  out << "report from " << CellOf(At(report, "from")) << " to "
+      << CellOf(At(report, "to")) << "\n\n";
   Json days = Json::array();
-  for (const Json& day : report["days"]) {
-    Json row = {{"team", day["team"]}, {"day", day["day"]}};
-    for (const char* measure : kDayMeasures) row[measure] = day[measure];
+  for (const Json& day : At(report, "days")) {
+    Json row = {{"team", At(day, "team")}, {"day", At(day, "day")}};
+    for (const char* measure : kDayMeasures) row[measure] = At(day, measure);
     row["refused_with_budget_left"] = SumRefusals(day, "with_budget_left");
     row["refused_without"] = SumRefusals(day, "without_budget_left");
     days.push_back(std::move(row));
@@ -180,10 +188,10 @@
   WriteRefusals(report, out);
   WriteHistograms(report, out);
   out << "\nbudgets, since they were made\n";
-  WriteBudgets(report["budgets"], out);
+  WriteBudgets(At(report, "budgets"), out);
   out << "\n";
-  WriteLines("DISAGREEMENTS", report["disagreements"], out);
-  if (report["disagreements"].empty()) out << "totals agree\n";
+  WriteLines("DISAGREEMENTS", At(report, "disagreements"), out);
+  if (At(report, "disagreements").empty()) out << "totals agree\n";
 }
 
 // One line of the CSV. Names hold neither commas nor quotes: the intent's
@@ -197,16 +205,17 @@
 
 void WriteDayCsv(const Json& day, const Json& bounds, std::ostream& out) {
   for (const char* measure : kDayMeasures)
-    WriteCsvLine(day["team"], day["day"], measure, "", day[measure], out);
-  for (const auto& [kind, counts] : day["refusals"].items()) {
+    WriteCsvLine(At(day, "team"), At(day, "day"), measure, "", At(day, measure),
+                 out);
+  for (const auto& [kind, counts] : At(day, "refusals").items()) {
     for (const auto& [which, count] : counts.items())
-      WriteCsvLine(day["team"], day["day"], "refused_" + which, kind, count,
-                   out);
+      WriteCsvLine(At(day, "team"), At(day, "day"), "refused_" + which, kind,
+                   count, out);
   }
   for (const char* name : kHistograms) {
-    for (const auto& [request_class, counts] : day[name].items()) {
+    for (const auto& [request_class, counts] : At(day, name).items()) {
       for (size_t i = 0; i < counts.size(); ++i) {
-        WriteCsvLine(day["team"], day["day"], name,
+        WriteCsvLine(At(day, "team"), At(day, "day"), name,
                      request_class + " " + BucketName(bounds, i), counts[i],
                      out);
       }
@@ -241,12 +250,12 @@
   constexpr std::array kBudgetMeasures = {
       "bought", "spent", "billed", "wasted", "granted", "stranded", "free"};
   out << "team,day,measure,detail,value\n";
-  for (const Json& day : report["days"])
-    WriteDayCsv(day, report["time_buckets_ms"], out);
-  for (const Json& budget : report["budgets"]) {
+  for (const Json& day : At(report, "days"))
+    WriteDayCsv(day, At(report, "time_buckets_ms"), out);
+  for (const Json& budget : At(report, "budgets")) {
     for (const char* measure : kBudgetMeasures)
-      WriteCsvLine(budget["team"], Json(), std::string("budget_") + measure,
-                   CellOf(budget["budget"]), budget[measure], out);
+      WriteCsvLine(At(budget, "team"), Json(), std::string("budget_") + measure,
+                   CellOf(At(budget, "budget")), At(budget, measure), out);
   }
 }
 
--- a/src/dotterelshift/routing/router.cc
+++ b/src/dotterelshift/routing/router.cc
@@ -62,7 +62,7 @@
     const double ms =
         std::chrono::duration<double, std::milli>(latency).count();
     NoteFirstToken(seat, ms);
-    seat->limit.OnFirstToken(latency, now);
+    seat->limit.OnFirstToken(latency, now, seat->in_flight);
     m_first_token_ms +=
         m_first_token_ms == 0 ? ms : kUsualWeight * (ms - m_first_token_ms);
   }
@@ -121,10 +121,12 @@
   // What the endpoint says of itself is where learning begins.
   static admission::ConcurrencyLimit FirstLimit(
       const wire::EndpointRecordT& record) {
+    constexpr double kStart = 4;
     constexpr double kLeast = 1;
     constexpr double kMost = 4096;
-    const double slots = std::clamp<double>(record.slots, kLeast, kMost);
-    return admission::ConcurrencyLimit(slots, kLeast, kMost);
+    admission::ConcurrencyLimit limit(kStart, kLeast, kMost);
+    if (record.slots > 0) limit.Begin(record.slots);
+    return limit;
   }
 
   void Update(const directory::Endpoint& endpoint) {
