--- a/src/dotterelshift/ctl/output.cc
+++ b/src/dotterelshift/ctl/output.cc
@@ -61,9 +61,9 @@
 
 // A member of an answer; null where a daemon of another version left it out.
 const Json& At(const Json& object, const std::string& name) {
-  static const Json kNull;
+  static const Json nothing;
   const auto member = object.find(name);
-  return member == object.end() ? kNull : *member;
+  return member == object.end() ? nothing : *member;
 }
 
 void WriteFields(const Json& map, std::ostream& out,
