--- a/src/dotterelshift/app/control_replica.cc
+++ b/src/dotterelshift/app/control_replica.cc
@@ -10,6 +10,7 @@
 #include "dotterelshift/app/spool_sender.h"        // for SpoolSender
 #include "dotterelshift/replication/bootstrap.h"   // for Bootstrap
 #include "dotterelshift/replication/membership.h"  // for FindMember
+#include "dotterelshift/replication/messages.h"    // for SenderOf
 
 namespace dotterelshift::app {
 
@@ -17,6 +18,7 @@
 
 using replication::NodeRole;
 using replication::Ready;
+using replication::SenderOf;
 
 constexpr size_t kMostCommandsInBatch = 1024;
 // How often a new group is attempted, a waiting replica says hello, and a spool
@@ -31,27 +33,6 @@
          !ready.leadership_changed;
 }
 
-// The sender's id in a message between replicas; 0 in any other frame.
-ReplicaId SenderOf(const wire::FrameT& frame) {
-  const wire::FrameBodyUnion& body = frame.body;
-  switch (body.type) {
-    case wire::FrameBody::VoteRequest:
-      return body.AsVoteRequest()->from;
-    case wire::FrameBody::VoteReply:
-      return body.AsVoteReply()->from;
-    case wire::FrameBody::AppendRequest:
-      return body.AsAppendRequest()->from;
-    case wire::FrameBody::AppendReply:
-      return body.AsAppendReply()->from;
-    case wire::FrameBody::SnapshotPiece:
-      return body.AsSnapshotPiece()->from;
-    case wire::FrameBody::SnapshotReply:
-      return body.AsSnapshotReply()->from;
-    default:
-      return 0;
-  }
-}
-
 class Replica final : public ControlReplica {
  public:
   Replica(loop::Loop& loop, const ControlReplicaOptions& options,
