--- a/include/dotterelshift/state/state.h
+++ b/include/dotterelshift/state/state.h
@@ -86,6 +86,12 @@
 // once its request has aged out.
 inline constexpr char kGeneratedKeyPrefix = '~';
 
+// What an operator's program published last; version 0: nothing yet.
+struct PublishedRoutes {
+  uint64_t version = 0;
+  std::string_view document;  // good until the next command is applied
+};
+
 // The state that the log's commands make. Deterministic: the same batches give
 // the same state, answers and snapshot bytes on every replica. Knows no clock;
 // time comes as the stamp of a batch and never falls.
@@ -108,6 +114,8 @@
   virtual const Configuration& GetConfiguration() const = 0;
   virtual std::vector<wire::ChangeT> ChangesSince(uint64_t version) const = 0;
 
+  virtual PublishedRoutes GetPublished() const = 0;
+
   // Null or empty when there is no such thing.
   virtual const BudgetAccount* FindAccount(const BudgetId& budget) const = 0;
   virtual std::vector<Holding> HoldingsOf(const BudgetId& budget) const = 0;
--- a/include/dotterelshift/wire/commands_generated.h
+++ b/include/dotterelshift/wire/commands_generated.h
@@ -152,6 +152,22 @@
 struct RecordOrderBuilder;
 struct RecordOrderT;
 
+struct TeamTotal;
+struct TeamTotalBuilder;
+struct TeamTotalT;
+
+struct PublishRoutes;
+struct PublishRoutesBuilder;
+struct PublishRoutesT;
+
+struct MoveGrant;
+struct MoveGrantBuilder;
+struct MoveGrantT;
+
+struct ReportSpend;
+struct ReportSpendBuilder;
+struct ReportSpendT;
+
 struct AgeOut;
 struct AgeOutBuilder;
 struct AgeOutT;
@@ -192,6 +208,10 @@
 struct DoneAnswerBuilder;
 struct DoneAnswerT;
 
+struct RoutesAnswer;
+struct RoutesAnswerBuilder;
+struct RoutesAnswerT;
+
 struct CommandAnswer;
 struct CommandAnswerBuilder;
 struct CommandAnswerT;
@@ -732,11 +752,14 @@
   ConfirmPlan = 11,
   RecordOrder = 12,
   AgeOut = 13,
+  PublishRoutes = 14,
+  ReportSpend = 15,
+  MoveGrant = 16,
   MIN = NONE,
-  MAX = AgeOut
+  MAX = MoveGrant
 };
 
-inline const CommandBody (&EnumValuesCommandBody())[14] {
+inline const CommandBody (&EnumValuesCommandBody())[17] {
   static const CommandBody values[] = {
     CommandBody::NONE,
     CommandBody::RegisterHost,
@@ -751,13 +774,16 @@
     CommandBody::StorePlan,
     CommandBody::ConfirmPlan,
     CommandBody::RecordOrder,
-    CommandBody::AgeOut
+    CommandBody::AgeOut,
+    CommandBody::PublishRoutes,
+    CommandBody::ReportSpend,
+    CommandBody::MoveGrant
   };
   return values;
 }
 
 inline const char * const *EnumNamesCommandBody() {
-  static const char * const names[15] = {
+  static const char * const names[18] = {
     "NONE",
     "RegisterHost",
     "RequestGrant",
@@ -772,13 +798,16 @@
     "ConfirmPlan",
     "RecordOrder",
     "AgeOut",
+    "PublishRoutes",
+    "ReportSpend",
+    "MoveGrant",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameCommandBody(CommandBody e) {
-  if (flatbuffers::IsOutRange(e, CommandBody::NONE, CommandBody::AgeOut)) return "";
+  if (flatbuffers::IsOutRange(e, CommandBody::NONE, CommandBody::MoveGrant)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesCommandBody()[index];
 }
@@ -839,6 +868,18 @@
   static const CommandBody enum_value = CommandBody::AgeOut;
 };
 
+template<> struct CommandBodyTraits<dotterelshift::wire::PublishRoutes> {
+  static const CommandBody enum_value = CommandBody::PublishRoutes;
+};
+
+template<> struct CommandBodyTraits<dotterelshift::wire::ReportSpend> {
+  static const CommandBody enum_value = CommandBody::ReportSpend;
+};
+
+template<> struct CommandBodyTraits<dotterelshift::wire::MoveGrant> {
+  static const CommandBody enum_value = CommandBody::MoveGrant;
+};
+
 template<typename T> struct CommandBodyUnionTraits {
   static const CommandBody enum_value = CommandBody::NONE;
 };
@@ -895,6 +936,18 @@
   static const CommandBody enum_value = CommandBody::AgeOut;
 };
 
+template<> struct CommandBodyUnionTraits<dotterelshift::wire::PublishRoutesT> {
+  static const CommandBody enum_value = CommandBody::PublishRoutes;
+};
+
+template<> struct CommandBodyUnionTraits<dotterelshift::wire::ReportSpendT> {
+  static const CommandBody enum_value = CommandBody::ReportSpend;
+};
+
+template<> struct CommandBodyUnionTraits<dotterelshift::wire::MoveGrantT> {
+  static const CommandBody enum_value = CommandBody::MoveGrant;
+};
+
 struct CommandBodyUnion {
   CommandBody type;
   void *value;
@@ -1029,6 +1082,30 @@
     return type == CommandBody::AgeOut ?
       reinterpret_cast<const dotterelshift::wire::AgeOutT *>(value) : nullptr;
   }
+  dotterelshift::wire::PublishRoutesT *AsPublishRoutes() {
+    return type == CommandBody::PublishRoutes ?
+      reinterpret_cast<dotterelshift::wire::PublishRoutesT *>(value) : nullptr;
+  }
+  const dotterelshift::wire::PublishRoutesT *AsPublishRoutes() const {
+    return type == CommandBody::PublishRoutes ?
+      reinterpret_cast<const dotterelshift::wire::PublishRoutesT *>(value) : nullptr;
+  }
+  dotterelshift::wire::ReportSpendT *AsReportSpend() {
+    return type == CommandBody::ReportSpend ?
+      reinterpret_cast<dotterelshift::wire::ReportSpendT *>(value) : nullptr;
+  }
+  const dotterelshift::wire::ReportSpendT *AsReportSpend() const {
+    return type == CommandBody::ReportSpend ?
+      reinterpret_cast<const dotterelshift::wire::ReportSpendT *>(value) : nullptr;
+  }
+  dotterelshift::wire::MoveGrantT *AsMoveGrant() {
+    return type == CommandBody::MoveGrant ?
+      reinterpret_cast<dotterelshift::wire::MoveGrantT *>(value) : nullptr;
+  }
+  const dotterelshift::wire::MoveGrantT *AsMoveGrant() const {
+    return type == CommandBody::MoveGrant ?
+      reinterpret_cast<const dotterelshift::wire::MoveGrantT *>(value) : nullptr;
+  }
 };
 
 bool VerifyCommandBody(flatbuffers::Verifier &verifier, const void *obj, CommandBody type);
@@ -1085,11 +1162,12 @@
   SuspectAnswer = 5,
   HostAnswer = 6,
   DoneAnswer = 7,
+  RoutesAnswer = 8,
   MIN = NONE,
-  MAX = DoneAnswer
+  MAX = RoutesAnswer
 };
 
-inline const AnswerBody (&EnumValuesAnswerBody())[8] {
+inline const AnswerBody (&EnumValuesAnswerBody())[9] {
   static const AnswerBody values[] = {
     AnswerBody::NONE,
     AnswerBody::GrantAnswer,
@@ -1098,13 +1176,14 @@
     AnswerBody::PlanAnswer,
     AnswerBody::SuspectAnswer,
     AnswerBody::HostAnswer,
-    AnswerBody::DoneAnswer
+    AnswerBody::DoneAnswer,
+    AnswerBody::RoutesAnswer
   };
   return values;
 }
 
 inline const char * const *EnumNamesAnswerBody() {
-  static const char * const names[9] = {
+  static const char * const names[10] = {
     "NONE",
     "GrantAnswer",
     "ClaimAnswer",
@@ -1113,13 +1192,14 @@
     "SuspectAnswer",
     "HostAnswer",
     "DoneAnswer",
+    "RoutesAnswer",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameAnswerBody(AnswerBody e) {
-  if (flatbuffers::IsOutRange(e, AnswerBody::NONE, AnswerBody::DoneAnswer)) return "";
+  if (flatbuffers::IsOutRange(e, AnswerBody::NONE, AnswerBody::RoutesAnswer)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesAnswerBody()[index];
 }
@@ -1156,6 +1236,10 @@
   static const AnswerBody enum_value = AnswerBody::DoneAnswer;
 };
 
+template<> struct AnswerBodyTraits<dotterelshift::wire::RoutesAnswer> {
+  static const AnswerBody enum_value = AnswerBody::RoutesAnswer;
+};
+
 template<typename T> struct AnswerBodyUnionTraits {
   static const AnswerBody enum_value = AnswerBody::NONE;
 };
@@ -1188,6 +1272,10 @@
   static const AnswerBody enum_value = AnswerBody::DoneAnswer;
 };
 
+template<> struct AnswerBodyUnionTraits<dotterelshift::wire::RoutesAnswerT> {
+  static const AnswerBody enum_value = AnswerBody::RoutesAnswer;
+};
+
 struct AnswerBodyUnion {
   AnswerBody type;
   void *value;
@@ -1274,6 +1362,14 @@
     return type == AnswerBody::DoneAnswer ?
       reinterpret_cast<const dotterelshift::wire::DoneAnswerT *>(value) : nullptr;
   }
+  dotterelshift::wire::RoutesAnswerT *AsRoutesAnswer() {
+    return type == AnswerBody::RoutesAnswer ?
+      reinterpret_cast<dotterelshift::wire::RoutesAnswerT *>(value) : nullptr;
+  }
+  const dotterelshift::wire::RoutesAnswerT *AsRoutesAnswer() const {
+    return type == AnswerBody::RoutesAnswer ?
+      reinterpret_cast<const dotterelshift::wire::RoutesAnswerT *>(value) : nullptr;
+  }
 };
 
 bool VerifyAnswerBody(flatbuffers::Verifier &verifier, const void *obj, AnswerBody type);
@@ -4768,6 +4864,404 @@
 
 flatbuffers::Offset<RecordOrder> CreateRecordOrder(flatbuffers::FlatBufferBuilder &_fbb, const RecordOrderT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct TeamTotalT : public flatbuffers::NativeTable {
+  typedef TeamTotal TableType;
+  std::string team{};
+  int64_t tokens = 0;
+};
+
+struct TeamTotal FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef TeamTotalT NativeTableType;
+  typedef TeamTotalBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_TEAM = 4,
+    VT_TOKENS = 6
+  };
+  const flatbuffers::String *team() const {
+    return GetPointer<const flatbuffers::String *>(VT_TEAM);
+  }
+  int64_t tokens() const {
+    return GetField<int64_t>(VT_TOKENS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_TEAM) &&
+           verifier.VerifyString(team()) &&
+           VerifyField<int64_t>(verifier, VT_TOKENS, 8) &&
+           verifier.EndTable();
+  }
+  TeamTotalT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(TeamTotalT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<TeamTotal> Pack(flatbuffers::FlatBufferBuilder &_fbb, const TeamTotalT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct TeamTotalBuilder {
+  typedef TeamTotal Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_team(flatbuffers::Offset<flatbuffers::String> team) {
+    fbb_.AddOffset(TeamTotal::VT_TEAM, team);
+  }
+  void add_tokens(int64_t tokens) {
+    fbb_.AddElement<int64_t>(TeamTotal::VT_TOKENS, tokens, 0);
+  }
+  explicit TeamTotalBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<TeamTotal> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<TeamTotal>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<TeamTotal> CreateTeamTotal(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> team = 0,
+    int64_t tokens = 0) {
+  TeamTotalBuilder builder_(_fbb);
+  builder_.add_tokens(tokens);
+  builder_.add_team(team);
+  return builder_.Finish();
+}
+
+struct TeamTotal::Traits {
+  using type = TeamTotal;
+  static auto constexpr Create = CreateTeamTotal;
+};
+
+inline flatbuffers::Offset<TeamTotal> CreateTeamTotalDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *team = nullptr,
+    int64_t tokens = 0) {
+  auto team__ = team ? _fbb.CreateString(team) : 0;
+  return dotterelshift::wire::CreateTeamTotal(
+      _fbb,
+      team__,
+      tokens);
+}
+
+flatbuffers::Offset<TeamTotal> CreateTeamTotal(flatbuffers::FlatBufferBuilder &_fbb, const TeamTotalT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct PublishRoutesT : public flatbuffers::NativeTable {
+  typedef PublishRoutes TableType;
+  uint64_t version = 0;
+  std::vector<uint8_t> document{};
+  std::vector<std::unique_ptr<dotterelshift::wire::TeamTotalT>> totals{};
+  PublishRoutesT() = default;
+  PublishRoutesT(const PublishRoutesT &o);
+  PublishRoutesT(PublishRoutesT&&) FLATBUFFERS_NOEXCEPT = default;
+  PublishRoutesT &operator=(PublishRoutesT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct PublishRoutes FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef PublishRoutesT NativeTableType;
+  typedef PublishRoutesBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_VERSION = 4,
+    VT_DOCUMENT = 6,
+    VT_TOTALS = 8
+  };
+  uint64_t version() const {
+    return GetField<uint64_t>(VT_VERSION, 0);
+  }
+  const flatbuffers::Vector<uint8_t> *document() const {
+    return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_DOCUMENT);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<dotterelshift::wire::TeamTotal>> *totals() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<dotterelshift::wire::TeamTotal>> *>(VT_TOTALS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_VERSION, 8) &&
+           VerifyOffset(verifier, VT_DOCUMENT) &&
+           verifier.VerifyVector(document()) &&
+           VerifyOffset(verifier, VT_TOTALS) &&
+           verifier.VerifyVector(totals()) &&
+           verifier.VerifyVectorOfTables(totals()) &&
+           verifier.EndTable();
+  }
+  PublishRoutesT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(PublishRoutesT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<PublishRoutes> Pack(flatbuffers::FlatBufferBuilder &_fbb, const PublishRoutesT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct PublishRoutesBuilder {
+  typedef PublishRoutes Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_version(uint64_t version) {
+    fbb_.AddElement<uint64_t>(PublishRoutes::VT_VERSION, version, 0);
+  }
+  void add_document(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> document) {
+    fbb_.AddOffset(PublishRoutes::VT_DOCUMENT, document);
+  }
+  void add_totals(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<dotterelshift::wire::TeamTotal>>> totals) {
+    fbb_.AddOffset(PublishRoutes::VT_TOTALS, totals);
+  }
+  explicit PublishRoutesBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<PublishRoutes> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<PublishRoutes>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<PublishRoutes> CreatePublishRoutes(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t version = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> document = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<dotterelshift::wire::TeamTotal>>> totals = 0) {
+  PublishRoutesBuilder builder_(_fbb);
+  builder_.add_version(version);
+  builder_.add_totals(totals);
+  builder_.add_document(document);
+  return builder_.Finish();
+}
+
+struct PublishRoutes::Traits {
+  using type = PublishRoutes;
+  static auto constexpr Create = CreatePublishRoutes;
+};
+
+inline flatbuffers::Offset<PublishRoutes> CreatePublishRoutesDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t version = 0,
+    const std::vector<uint8_t> *document = nullptr,
+    const std::vector<flatbuffers::Offset<dotterelshift::wire::TeamTotal>> *totals = nullptr) {
+  auto document__ = document ? _fbb.CreateVector<uint8_t>(*document) : 0;
+  auto totals__ = totals ? _fbb.CreateVector<flatbuffers::Offset<dotterelshift::wire::TeamTotal>>(*totals) : 0;
+  return dotterelshift::wire::CreatePublishRoutes(
+      _fbb,
+      version,
+      document__,
+      totals__);
+}
+
+flatbuffers::Offset<PublishRoutes> CreatePublishRoutes(flatbuffers::FlatBufferBuilder &_fbb, const PublishRoutesT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct MoveGrantT : public flatbuffers::NativeTable {
+  typedef MoveGrant TableType;
+  std::string budget{};
+  int64_t tokens = 0;
+  std::string to_host{};
+  uint64_t to_incarnation = 0;
+};
+
+struct MoveGrant FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef MoveGrantT NativeTableType;
+  typedef MoveGrantBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_BUDGET = 4,
+    VT_TOKENS = 6,
+    VT_TO_HOST = 8,
+    VT_TO_INCARNATION = 10
+  };
+  const flatbuffers::String *budget() const {
+    return GetPointer<const flatbuffers::String *>(VT_BUDGET);
+  }
+  int64_t tokens() const {
+    return GetField<int64_t>(VT_TOKENS, 0);
+  }
+  const flatbuffers::String *to_host() const {
+    return GetPointer<const flatbuffers::String *>(VT_TO_HOST);
+  }
+  uint64_t to_incarnation() const {
+    return GetField<uint64_t>(VT_TO_INCARNATION, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_BUDGET) &&
+           verifier.VerifyString(budget()) &&
+           VerifyField<int64_t>(verifier, VT_TOKENS, 8) &&
+           VerifyOffset(verifier, VT_TO_HOST) &&
+           verifier.VerifyString(to_host()) &&
+           VerifyField<uint64_t>(verifier, VT_TO_INCARNATION, 8) &&
+           verifier.EndTable();
+  }
+  MoveGrantT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(MoveGrantT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<MoveGrant> Pack(flatbuffers::FlatBufferBuilder &_fbb, const MoveGrantT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct MoveGrantBuilder {
+  typedef MoveGrant Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_budget(flatbuffers::Offset<flatbuffers::String> budget) {
+    fbb_.AddOffset(MoveGrant::VT_BUDGET, budget);
+  }
+  void add_tokens(int64_t tokens) {
+    fbb_.AddElement<int64_t>(MoveGrant::VT_TOKENS, tokens, 0);
+  }
+  void add_to_host(flatbuffers::Offset<flatbuffers::String> to_host) {
+    fbb_.AddOffset(MoveGrant::VT_TO_HOST, to_host);
+  }
+  void add_to_incarnation(uint64_t to_incarnation) {
+    fbb_.AddElement<uint64_t>(MoveGrant::VT_TO_INCARNATION, to_incarnation, 0);
+  }
+  explicit MoveGrantBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<MoveGrant> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<MoveGrant>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<MoveGrant> CreateMoveGrant(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> budget = 0,
+    int64_t tokens = 0,
+    flatbuffers::Offset<flatbuffers::String> to_host = 0,
+    uint64_t to_incarnation = 0) {
+  MoveGrantBuilder builder_(_fbb);
+  builder_.add_to_incarnation(to_incarnation);
+  builder_.add_tokens(tokens);
+  builder_.add_to_host(to_host);
+  builder_.add_budget(budget);
+  return builder_.Finish();
+}
+
+struct MoveGrant::Traits {
+  using type = MoveGrant;
+  static auto constexpr Create = CreateMoveGrant;
+};
+
+inline flatbuffers::Offset<MoveGrant> CreateMoveGrantDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *budget = nullptr,
+    int64_t tokens = 0,
+    const char *to_host = nullptr,
+    uint64_t to_incarnation = 0) {
+  auto budget__ = budget ? _fbb.CreateString(budget) : 0;
+  auto to_host__ = to_host ? _fbb.CreateString(to_host) : 0;
+  return dotterelshift::wire::CreateMoveGrant(
+      _fbb,
+      budget__,
+      tokens,
+      to_host__,
+      to_incarnation);
+}
+
+flatbuffers::Offset<MoveGrant> CreateMoveGrant(flatbuffers::FlatBufferBuilder &_fbb, const MoveGrantT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct ReportSpendT : public flatbuffers::NativeTable {
+  typedef ReportSpend TableType;
+  std::string budget{};
+  int64_t spent = 0;
+  uint32_t answered = 0;
+  uint32_t requests = 0;
+};
+
+struct ReportSpend FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef ReportSpendT NativeTableType;
+  typedef ReportSpendBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_BUDGET = 4,
+    VT_SPENT = 6,
+    VT_ANSWERED = 8,
+    VT_REQUESTS = 10
+  };
+  const flatbuffers::String *budget() const {
+    return GetPointer<const flatbuffers::String *>(VT_BUDGET);
+  }
+  int64_t spent() const {
+    return GetField<int64_t>(VT_SPENT, 0);
+  }
+  uint32_t answered() const {
+    return GetField<uint32_t>(VT_ANSWERED, 0);
+  }
+  uint32_t requests() const {
+    return GetField<uint32_t>(VT_REQUESTS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_BUDGET) &&
+           verifier.VerifyString(budget()) &&
+           VerifyField<int64_t>(verifier, VT_SPENT, 8) &&
+           VerifyField<uint32_t>(verifier, VT_ANSWERED, 4) &&
+           VerifyField<uint32_t>(verifier, VT_REQUESTS, 4) &&
+           verifier.EndTable();
+  }
+  ReportSpendT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(ReportSpendT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<ReportSpend> Pack(flatbuffers::FlatBufferBuilder &_fbb, const ReportSpendT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct ReportSpendBuilder {
+  typedef ReportSpend Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_budget(flatbuffers::Offset<flatbuffers::String> budget) {
+    fbb_.AddOffset(ReportSpend::VT_BUDGET, budget);
+  }
+  void add_spent(int64_t spent) {
+    fbb_.AddElement<int64_t>(ReportSpend::VT_SPENT, spent, 0);
+  }
+  void add_answered(uint32_t answered) {
+    fbb_.AddElement<uint32_t>(ReportSpend::VT_ANSWERED, answered, 0);
+  }
+  void add_requests(uint32_t requests) {
+    fbb_.AddElement<uint32_t>(ReportSpend::VT_REQUESTS, requests, 0);
+  }
+  explicit ReportSpendBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<ReportSpend> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<ReportSpend>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<ReportSpend> CreateReportSpend(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> budget = 0,
+    int64_t spent = 0,
+    uint32_t answered = 0,
+    uint32_t requests = 0) {
+  ReportSpendBuilder builder_(_fbb);
+  builder_.add_spent(spent);
+  builder_.add_requests(requests);
+  builder_.add_answered(answered);
+  builder_.add_budget(budget);
+  return builder_.Finish();
+}
+
+struct ReportSpend::Traits {
+  using type = ReportSpend;
+  static auto constexpr Create = CreateReportSpend;
+};
+
+inline flatbuffers::Offset<ReportSpend> CreateReportSpendDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *budget = nullptr,
+    int64_t spent = 0,
+    uint32_t answered = 0,
+    uint32_t requests = 0) {
+  auto budget__ = budget ? _fbb.CreateString(budget) : 0;
+  return dotterelshift::wire::CreateReportSpend(
+      _fbb,
+      budget__,
+      spent,
+      answered,
+      requests);
+}
+
+flatbuffers::Offset<ReportSpend> CreateReportSpend(flatbuffers::FlatBufferBuilder &_fbb, const ReportSpendT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct AgeOutT : public flatbuffers::NativeTable {
   typedef AgeOut TableType;
 };
@@ -4881,6 +5375,15 @@
   const dotterelshift::wire::AgeOut *body_as_AgeOut() const {
     return body_type() == dotterelshift::wire::CommandBody::AgeOut ? static_cast<const dotterelshift::wire::AgeOut *>(body()) : nullptr;
   }
+  const dotterelshift::wire::PublishRoutes *body_as_PublishRoutes() const {
+    return body_type() == dotterelshift::wire::CommandBody::PublishRoutes ? static_cast<const dotterelshift::wire::PublishRoutes *>(body()) : nullptr;
+  }
+  const dotterelshift::wire::ReportSpend *body_as_ReportSpend() const {
+    return body_type() == dotterelshift::wire::CommandBody::ReportSpend ? static_cast<const dotterelshift::wire::ReportSpend *>(body()) : nullptr;
+  }
+  const dotterelshift::wire::MoveGrant *body_as_MoveGrant() const {
+    return body_type() == dotterelshift::wire::CommandBody::MoveGrant ? static_cast<const dotterelshift::wire::MoveGrant *>(body()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_ID) &&
@@ -4947,6 +5450,18 @@
   return body_as_AgeOut();
 }
 
+template<> inline const dotterelshift::wire::PublishRoutes *Command::body_as<dotterelshift::wire::PublishRoutes>() const {
+  return body_as_PublishRoutes();
+}
+
+template<> inline const dotterelshift::wire::ReportSpend *Command::body_as<dotterelshift::wire::ReportSpend>() const {
+  return body_as_ReportSpend();
+}
+
+template<> inline const dotterelshift::wire::MoveGrant *Command::body_as<dotterelshift::wire::MoveGrant>() const {
+  return body_as_MoveGrant();
+}
+
 struct CommandBuilder {
   typedef Command Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -5599,12 +6114,71 @@
 
 flatbuffers::Offset<DoneAnswer> CreateDoneAnswer(flatbuffers::FlatBufferBuilder &_fbb, const DoneAnswerT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct RoutesAnswerT : public flatbuffers::NativeTable {
+  typedef RoutesAnswer TableType;
+  uint64_t version = 0;
+};
+
+struct RoutesAnswer FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef RoutesAnswerT NativeTableType;
+  typedef RoutesAnswerBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_VERSION = 4
+  };
+  uint64_t version() const {
+    return GetField<uint64_t>(VT_VERSION, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_VERSION, 8) &&
+           verifier.EndTable();
+  }
+  RoutesAnswerT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(RoutesAnswerT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<RoutesAnswer> Pack(flatbuffers::FlatBufferBuilder &_fbb, const RoutesAnswerT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct RoutesAnswerBuilder {
+  typedef RoutesAnswer Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_version(uint64_t version) {
+    fbb_.AddElement<uint64_t>(RoutesAnswer::VT_VERSION, version, 0);
+  }
+  explicit RoutesAnswerBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<RoutesAnswer> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<RoutesAnswer>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<RoutesAnswer> CreateRoutesAnswer(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t version = 0) {
+  RoutesAnswerBuilder builder_(_fbb);
+  builder_.add_version(version);
+  return builder_.Finish();
+}
+
+struct RoutesAnswer::Traits {
+  using type = RoutesAnswer;
+  static auto constexpr Create = CreateRoutesAnswer;
+};
+
+flatbuffers::Offset<RoutesAnswer> CreateRoutesAnswer(flatbuffers::FlatBufferBuilder &_fbb, const RoutesAnswerT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct CommandAnswerT : public flatbuffers::NativeTable {
   typedef CommandAnswer TableType;
   std::unique_ptr<dotterelshift::wire::CommandIdT> id{};
   uint16_t error = 0;
   std::string detail{};
   dotterelshift::wire::AnswerBodyUnion body{};
+  uint64_t newest_incarnation = 0;
   CommandAnswerT() = default;
   CommandAnswerT(const CommandAnswerT &o);
   CommandAnswerT(CommandAnswerT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -5620,7 +6194,8 @@
     VT_ERROR = 6,
     VT_DETAIL = 8,
     VT_BODY_TYPE = 10,
-    VT_BODY = 12
+    VT_BODY = 12,
+    VT_NEWEST_INCARNATION = 14
   };
   const dotterelshift::wire::CommandId *id() const {
     return GetPointer<const dotterelshift::wire::CommandId *>(VT_ID);
@@ -5659,6 +6234,12 @@
   const dotterelshift::wire::DoneAnswer *body_as_DoneAnswer() const {
     return body_type() == dotterelshift::wire::AnswerBody::DoneAnswer ? static_cast<const dotterelshift::wire::DoneAnswer *>(body()) : nullptr;
   }
+  const dotterelshift::wire::RoutesAnswer *body_as_RoutesAnswer() const {
+    return body_type() == dotterelshift::wire::AnswerBody::RoutesAnswer ? static_cast<const dotterelshift::wire::RoutesAnswer *>(body()) : nullptr;
+  }
+  uint64_t newest_incarnation() const {
+    return GetField<uint64_t>(VT_NEWEST_INCARNATION, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_ID) &&
@@ -5669,6 +6250,7 @@
            VerifyField<uint8_t>(verifier, VT_BODY_TYPE, 1) &&
            VerifyOffset(verifier, VT_BODY) &&
            VerifyAnswerBody(verifier, body(), body_type()) &&
+           VerifyField<uint64_t>(verifier, VT_NEWEST_INCARNATION, 8) &&
            verifier.EndTable();
   }
   CommandAnswerT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -5704,6 +6286,10 @@
   return body_as_DoneAnswer();
 }
 
+template<> inline const dotterelshift::wire::RoutesAnswer *CommandAnswer::body_as<dotterelshift::wire::RoutesAnswer>() const {
+  return body_as_RoutesAnswer();
+}
+
 struct CommandAnswerBuilder {
   typedef CommandAnswer Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -5723,6 +6309,9 @@
   void add_body(flatbuffers::Offset<void> body) {
     fbb_.AddOffset(CommandAnswer::VT_BODY, body);
   }
+  void add_newest_incarnation(uint64_t newest_incarnation) {
+    fbb_.AddElement<uint64_t>(CommandAnswer::VT_NEWEST_INCARNATION, newest_incarnation, 0);
+  }
   explicit CommandAnswerBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -5740,8 +6329,10 @@
     uint16_t error = 0,
     flatbuffers::Offset<flatbuffers::String> detail = 0,
     dotterelshift::wire::AnswerBody body_type = dotterelshift::wire::AnswerBody::NONE,
-    flatbuffers::Offset<void> body = 0) {
+    flatbuffers::Offset<void> body = 0,
+    uint64_t newest_incarnation = 0) {
   CommandAnswerBuilder builder_(_fbb);
+  builder_.add_newest_incarnation(newest_incarnation);
   builder_.add_body(body);
   builder_.add_detail(detail);
   builder_.add_id(id);
@@ -5761,7 +6352,8 @@
     uint16_t error = 0,
     const char *detail = nullptr,
     dotterelshift::wire::AnswerBody body_type = dotterelshift::wire::AnswerBody::NONE,
-    flatbuffers::Offset<void> body = 0) {
+    flatbuffers::Offset<void> body = 0,
+    uint64_t newest_incarnation = 0) {
   auto detail__ = detail ? _fbb.CreateString(detail) : 0;
   return dotterelshift::wire::CreateCommandAnswer(
       _fbb,
@@ -5769,7 +6361,8 @@
       error,
       detail__,
       body_type,
-      body);
+      body,
+      newest_incarnation);
 }
 
 flatbuffers::Offset<CommandAnswer> CreateCommandAnswer(flatbuffers::FlatBufferBuilder &_fbb, const CommandAnswerT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -6980,6 +7573,151 @@
       _detail);
 }
 
+inline TeamTotalT *TeamTotal::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<TeamTotalT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void TeamTotal::UnPackTo(TeamTotalT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = team(); if (_e) _o->team = _e->str(); }
+  { auto _e = tokens(); _o->tokens = _e; }
+}
+
+inline flatbuffers::Offset<TeamTotal> TeamTotal::Pack(flatbuffers::FlatBufferBuilder &_fbb, const TeamTotalT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateTeamTotal(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<TeamTotal> CreateTeamTotal(flatbuffers::FlatBufferBuilder &_fbb, const TeamTotalT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const TeamTotalT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _team = _o->team.empty() ? 0 : _fbb.CreateString(_o->team);
+  auto _tokens = _o->tokens;
+  return dotterelshift::wire::CreateTeamTotal(
+      _fbb,
+      _team,
+      _tokens);
+}
+
+inline PublishRoutesT::PublishRoutesT(const PublishRoutesT &o)
+      : version(o.version),
+        document(o.document) {
+  totals.reserve(o.totals.size());
+  for (const auto &totals_ : o.totals) { totals.emplace_back((totals_) ? new dotterelshift::wire::TeamTotalT(*totals_) : nullptr); }
+}
+
+inline PublishRoutesT &PublishRoutesT::operator=(PublishRoutesT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(version, o.version);
+  std::swap(document, o.document);
+  std::swap(totals, o.totals);
+  return *this;
+}
+
+inline PublishRoutesT *PublishRoutes::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<PublishRoutesT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void PublishRoutes::UnPackTo(PublishRoutesT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = version(); _o->version = _e; }
+  { auto _e = document(); if (_e) { _o->document.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->document.begin()); } }
+  { auto _e = totals(); if (_e) { _o->totals.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->totals[_i] = std::unique_ptr<dotterelshift::wire::TeamTotalT>(_e->Get(_i)->UnPack(_resolver)); } } }
+}
+
+inline flatbuffers::Offset<PublishRoutes> PublishRoutes::Pack(flatbuffers::FlatBufferBuilder &_fbb, const PublishRoutesT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreatePublishRoutes(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<PublishRoutes> CreatePublishRoutes(flatbuffers::FlatBufferBuilder &_fbb, const PublishRoutesT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const PublishRoutesT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _version = _o->version;
+  auto _document = _o->document.size() ? _fbb.CreateVector(_o->document) : 0;
+  auto _totals = _o->totals.size() ? _fbb.CreateVector<flatbuffers::Offset<dotterelshift::wire::TeamTotal>> (_o->totals.size(), [](size_t i, _VectorArgs *__va) { return CreateTeamTotal(*__va->__fbb, __va->__o->totals[i].get(), __va->__rehasher); }, &_va ) : 0;
+  return dotterelshift::wire::CreatePublishRoutes(
+      _fbb,
+      _version,
+      _document,
+      _totals);
+}
+
+inline MoveGrantT *MoveGrant::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<MoveGrantT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void MoveGrant::UnPackTo(MoveGrantT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = budget(); if (_e) _o->budget = _e->str(); }
+  { auto _e = tokens(); _o->tokens = _e; }
+  { auto _e = to_host(); if (_e) _o->to_host = _e->str(); }
+  { auto _e = to_incarnation(); _o->to_incarnation = _e; }
+}
+
+inline flatbuffers::Offset<MoveGrant> MoveGrant::Pack(flatbuffers::FlatBufferBuilder &_fbb, const MoveGrantT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateMoveGrant(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<MoveGrant> CreateMoveGrant(flatbuffers::FlatBufferBuilder &_fbb, const MoveGrantT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const MoveGrantT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _budget = _o->budget.empty() ? 0 : _fbb.CreateString(_o->budget);
+  auto _tokens = _o->tokens;
+  auto _to_host = _o->to_host.empty() ? 0 : _fbb.CreateString(_o->to_host);
+  auto _to_incarnation = _o->to_incarnation;
+  return dotterelshift::wire::CreateMoveGrant(
+      _fbb,
+      _budget,
+      _tokens,
+      _to_host,
+      _to_incarnation);
+}
+
+inline ReportSpendT *ReportSpend::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<ReportSpendT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void ReportSpend::UnPackTo(ReportSpendT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = budget(); if (_e) _o->budget = _e->str(); }
+  { auto _e = spent(); _o->spent = _e; }
+  { auto _e = answered(); _o->answered = _e; }
+  { auto _e = requests(); _o->requests = _e; }
+}
+
+inline flatbuffers::Offset<ReportSpend> ReportSpend::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ReportSpendT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateReportSpend(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<ReportSpend> CreateReportSpend(flatbuffers::FlatBufferBuilder &_fbb, const ReportSpendT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const ReportSpendT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _budget = _o->budget.empty() ? 0 : _fbb.CreateString(_o->budget);
+  auto _spent = _o->spent;
+  auto _answered = _o->answered;
+  auto _requests = _o->requests;
+  return dotterelshift::wire::CreateReportSpend(
+      _fbb,
+      _budget,
+      _spent,
+      _answered,
+      _requests);
+}
+
 inline AgeOutT *AgeOut::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::make_unique<AgeOutT>();
   UnPackTo(_o.get(), _resolver);
@@ -7290,11 +8028,38 @@
       _fbb);
 }
 
+inline RoutesAnswerT *RoutesAnswer::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<RoutesAnswerT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void RoutesAnswer::UnPackTo(RoutesAnswerT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = version(); _o->version = _e; }
+}
+
+inline flatbuffers::Offset<RoutesAnswer> RoutesAnswer::Pack(flatbuffers::FlatBufferBuilder &_fbb, const RoutesAnswerT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateRoutesAnswer(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<RoutesAnswer> CreateRoutesAnswer(flatbuffers::FlatBufferBuilder &_fbb, const RoutesAnswerT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const RoutesAnswerT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _version = _o->version;
+  return dotterelshift::wire::CreateRoutesAnswer(
+      _fbb,
+      _version);
+}
+
 inline CommandAnswerT::CommandAnswerT(const CommandAnswerT &o)
       : id((o.id) ? new dotterelshift::wire::CommandIdT(*o.id) : nullptr),
         error(o.error),
         detail(o.detail),
-        body(o.body) {
+        body(o.body),
+        newest_incarnation(o.newest_incarnation) {
 }
 
 inline CommandAnswerT &CommandAnswerT::operator=(CommandAnswerT o) FLATBUFFERS_NOEXCEPT {
@@ -7302,6 +8067,7 @@
   std::swap(error, o.error);
   std::swap(detail, o.detail);
   std::swap(body, o.body);
+  std::swap(newest_incarnation, o.newest_incarnation);
   return *this;
 }
 
@@ -7319,6 +8085,7 @@
   { auto _e = detail(); if (_e) _o->detail = _e->str(); }
   { auto _e = body_type(); _o->body.type = _e; }
   { auto _e = body(); if (_e) _o->body.value = dotterelshift::wire::AnswerBodyUnion::UnPack(_e, body_type(), _resolver); }
+  { auto _e = newest_incarnation(); _o->newest_incarnation = _e; }
 }
 
 inline flatbuffers::Offset<CommandAnswer> CommandAnswer::Pack(flatbuffers::FlatBufferBuilder &_fbb, const CommandAnswerT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -7334,13 +8101,15 @@
   auto _detail = _o->detail.empty() ? 0 : _fbb.CreateString(_o->detail);
   auto _body_type = _o->body.type;
   auto _body = _o->body.Pack(_fbb);
+  auto _newest_incarnation = _o->newest_incarnation;
   return dotterelshift::wire::CreateCommandAnswer(
       _fbb,
       _id,
       _error,
       _detail,
       _body_type,
-      _body);
+      _body,
+      _newest_incarnation);
 }
 
 inline bool VerifyChangeBody(flatbuffers::Verifier &verifier, const void *obj, ChangeBody type) {
@@ -7723,6 +8492,18 @@
       auto ptr = reinterpret_cast<const dotterelshift::wire::AgeOut *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case CommandBody::PublishRoutes: {
+      auto ptr = reinterpret_cast<const dotterelshift::wire::PublishRoutes *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case CommandBody::ReportSpend: {
+      auto ptr = reinterpret_cast<const dotterelshift::wire::ReportSpend *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case CommandBody::MoveGrant: {
+      auto ptr = reinterpret_cast<const dotterelshift::wire::MoveGrant *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
@@ -7794,6 +8575,18 @@
       auto ptr = reinterpret_cast<const dotterelshift::wire::AgeOut *>(obj);
       return ptr->UnPack(resolver);
     }
+    case CommandBody::PublishRoutes: {
+      auto ptr = reinterpret_cast<const dotterelshift::wire::PublishRoutes *>(obj);
+      return ptr->UnPack(resolver);
+    }
+    case CommandBody::ReportSpend: {
+      auto ptr = reinterpret_cast<const dotterelshift::wire::ReportSpend *>(obj);
+      return ptr->UnPack(resolver);
+    }
+    case CommandBody::MoveGrant: {
+      auto ptr = reinterpret_cast<const dotterelshift::wire::MoveGrant *>(obj);
+      return ptr->UnPack(resolver);
+    }
     default: return nullptr;
   }
 }
@@ -7853,6 +8646,18 @@
       auto ptr = reinterpret_cast<const dotterelshift::wire::AgeOutT *>(value);
       return CreateAgeOut(_fbb, ptr, _rehasher).Union();
     }
+    case CommandBody::PublishRoutes: {
+      auto ptr = reinterpret_cast<const dotterelshift::wire::PublishRoutesT *>(value);
+      return CreatePublishRoutes(_fbb, ptr, _rehasher).Union();
+    }
+    case CommandBody::ReportSpend: {
+      auto ptr = reinterpret_cast<const dotterelshift::wire::ReportSpendT *>(value);
+      return CreateReportSpend(_fbb, ptr, _rehasher).Union();
+    }
+    case CommandBody::MoveGrant: {
+      auto ptr = reinterpret_cast<const dotterelshift::wire::MoveGrantT *>(value);
+      return CreateMoveGrant(_fbb, ptr, _rehasher).Union();
+    }
     default: return 0;
   }
 }
@@ -7911,6 +8716,18 @@
       value = new dotterelshift::wire::AgeOutT(*reinterpret_cast<dotterelshift::wire::AgeOutT *>(u.value));
       break;
     }
+    case CommandBody::PublishRoutes: {
+      value = new dotterelshift::wire::PublishRoutesT(*reinterpret_cast<dotterelshift::wire::PublishRoutesT *>(u.value));
+      break;
+    }
+    case CommandBody::ReportSpend: {
+      value = new dotterelshift::wire::ReportSpendT(*reinterpret_cast<dotterelshift::wire::ReportSpendT *>(u.value));
+      break;
+    }
+    case CommandBody::MoveGrant: {
+      value = new dotterelshift::wire::MoveGrantT(*reinterpret_cast<dotterelshift::wire::MoveGrantT *>(u.value));
+      break;
+    }
     default:
       break;
   }
@@ -7983,6 +8800,21 @@
       delete ptr;
       break;
     }
+    case CommandBody::PublishRoutes: {
+      auto ptr = reinterpret_cast<dotterelshift::wire::PublishRoutesT *>(value);
+      delete ptr;
+      break;
+    }
+    case CommandBody::ReportSpend: {
+      auto ptr = reinterpret_cast<dotterelshift::wire::ReportSpendT *>(value);
+      delete ptr;
+      break;
+    }
+    case CommandBody::MoveGrant: {
+      auto ptr = reinterpret_cast<dotterelshift::wire::MoveGrantT *>(value);
+      delete ptr;
+      break;
+    }
     default: break;
   }
   value = nullptr;
@@ -8022,6 +8854,10 @@
       auto ptr = reinterpret_cast<const dotterelshift::wire::DoneAnswer *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case AnswerBody::RoutesAnswer: {
+      auto ptr = reinterpret_cast<const dotterelshift::wire::RoutesAnswer *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
@@ -8069,6 +8905,10 @@
       auto ptr = reinterpret_cast<const dotterelshift::wire::DoneAnswer *>(obj);
       return ptr->UnPack(resolver);
     }
+    case AnswerBody::RoutesAnswer: {
+      auto ptr = reinterpret_cast<const dotterelshift::wire::RoutesAnswer *>(obj);
+      return ptr->UnPack(resolver);
+    }
     default: return nullptr;
   }
 }
@@ -8104,6 +8944,10 @@
       auto ptr = reinterpret_cast<const dotterelshift::wire::DoneAnswerT *>(value);
       return CreateDoneAnswer(_fbb, ptr, _rehasher).Union();
     }
+    case AnswerBody::RoutesAnswer: {
+      auto ptr = reinterpret_cast<const dotterelshift::wire::RoutesAnswerT *>(value);
+      return CreateRoutesAnswer(_fbb, ptr, _rehasher).Union();
+    }
     default: return 0;
   }
 }
@@ -8138,6 +8982,10 @@
       value = new dotterelshift::wire::DoneAnswerT(*reinterpret_cast<dotterelshift::wire::DoneAnswerT *>(u.value));
       break;
     }
+    case AnswerBody::RoutesAnswer: {
+      value = new dotterelshift::wire::RoutesAnswerT(*reinterpret_cast<dotterelshift::wire::RoutesAnswerT *>(u.value));
+      break;
+    }
     default:
       break;
   }
@@ -8180,6 +9028,11 @@
       delete ptr;
       break;
     }
+    case AnswerBody::RoutesAnswer: {
+      auto ptr = reinterpret_cast<dotterelshift::wire::RoutesAnswerT *>(value);
+      delete ptr;
+      break;
+    }
     default: break;
   }
   value = nullptr;
--- a/include/dotterelshift/wire/frames_generated.h
+++ b/include/dotterelshift/wire/frames_generated.h
@@ -66,6 +66,10 @@
 struct ConfigurationPushBuilder;
 struct ConfigurationPushT;
 
+struct RoutesPush;
+struct RoutesPushBuilder;
+struct RoutesPushT;
+
 struct QuarantinePush;
 struct QuarantinePushBuilder;
 struct QuarantinePushT;
@@ -132,6 +136,20 @@
 struct ReplicaHelloBuilder;
 struct ReplicaHelloT;
 
+struct LoadNote;
+
+struct LoadNotes;
+struct LoadNotesBuilder;
+struct LoadNotesT;
+
+struct TokenPlea;
+struct TokenPleaBuilder;
+struct TokenPleaT;
+
+struct TokenLoan;
+struct TokenLoanBuilder;
+struct TokenLoanT;
+
 struct Frame;
 struct FrameBuilder;
 struct FrameT;
@@ -192,11 +210,15 @@
   SnapshotPiece = 19,
   SnapshotReply = 20,
   ReplicaHello = 21,
+  RoutesPush = 22,
+  LoadNotes = 23,
+  TokenPlea = 24,
+  TokenLoan = 25,
   MIN = NONE,
-  MAX = ReplicaHello
+  MAX = TokenLoan
 };
 
-inline const FrameBody (&EnumValuesFrameBody())[22] {
+inline const FrameBody (&EnumValuesFrameBody())[26] {
   static const FrameBody values[] = {
     FrameBody::NONE,
     FrameBody::Hello,
@@ -219,13 +241,17 @@
     FrameBody::AppendReply,
     FrameBody::SnapshotPiece,
     FrameBody::SnapshotReply,
-    FrameBody::ReplicaHello
+    FrameBody::ReplicaHello,
+    FrameBody::RoutesPush,
+    FrameBody::LoadNotes,
+    FrameBody::TokenPlea,
+    FrameBody::TokenLoan
   };
   return values;
 }
 
 inline const char * const *EnumNamesFrameBody() {
-  static const char * const names[23] = {
+  static const char * const names[27] = {
     "NONE",
     "Hello",
     "HelloProof",
@@ -248,13 +274,17 @@
     "SnapshotPiece",
     "SnapshotReply",
     "ReplicaHello",
+    "RoutesPush",
+    "LoadNotes",
+    "TokenPlea",
+    "TokenLoan",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameFrameBody(FrameBody e) {
-  if (flatbuffers::IsOutRange(e, FrameBody::NONE, FrameBody::ReplicaHello)) return "";
+  if (flatbuffers::IsOutRange(e, FrameBody::NONE, FrameBody::TokenLoan)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesFrameBody()[index];
 }
@@ -347,6 +377,22 @@
   static const FrameBody enum_value = FrameBody::ReplicaHello;
 };
 
+template<> struct FrameBodyTraits<dotterelshift::wire::RoutesPush> {
+  static const FrameBody enum_value = FrameBody::RoutesPush;
+};
+
+template<> struct FrameBodyTraits<dotterelshift::wire::LoadNotes> {
+  static const FrameBody enum_value = FrameBody::LoadNotes;
+};
+
+template<> struct FrameBodyTraits<dotterelshift::wire::TokenPlea> {
+  static const FrameBody enum_value = FrameBody::TokenPlea;
+};
+
+template<> struct FrameBodyTraits<dotterelshift::wire::TokenLoan> {
+  static const FrameBody enum_value = FrameBody::TokenLoan;
+};
+
 template<typename T> struct FrameBodyUnionTraits {
   static const FrameBody enum_value = FrameBody::NONE;
 };
@@ -435,6 +481,22 @@
   static const FrameBody enum_value = FrameBody::ReplicaHello;
 };
 
+template<> struct FrameBodyUnionTraits<dotterelshift::wire::RoutesPushT> {
+  static const FrameBody enum_value = FrameBody::RoutesPush;
+};
+
+template<> struct FrameBodyUnionTraits<dotterelshift::wire::LoadNotesT> {
+  static const FrameBody enum_value = FrameBody::LoadNotes;
+};
+
+template<> struct FrameBodyUnionTraits<dotterelshift::wire::TokenPleaT> {
+  static const FrameBody enum_value = FrameBody::TokenPlea;
+};
+
+template<> struct FrameBodyUnionTraits<dotterelshift::wire::TokenLoanT> {
+  static const FrameBody enum_value = FrameBody::TokenLoan;
+};
+
 struct FrameBodyUnion {
   FrameBody type;
   void *value;
@@ -633,6 +695,38 @@
     return type == FrameBody::ReplicaHello ?
       reinterpret_cast<const dotterelshift::wire::ReplicaHelloT *>(value) : nullptr;
   }
+  dotterelshift::wire::RoutesPushT *AsRoutesPush() {
+    return type == FrameBody::RoutesPush ?
+      reinterpret_cast<dotterelshift::wire::RoutesPushT *>(value) : nullptr;
+  }
+  const dotterelshift::wire::RoutesPushT *AsRoutesPush() const {
+    return type == FrameBody::RoutesPush ?
+      reinterpret_cast<const dotterelshift::wire::RoutesPushT *>(value) : nullptr;
+  }
+  dotterelshift::wire::LoadNotesT *AsLoadNotes() {
+    return type == FrameBody::LoadNotes ?
+      reinterpret_cast<dotterelshift::wire::LoadNotesT *>(value) : nullptr;
+  }
+  const dotterelshift::wire::LoadNotesT *AsLoadNotes() const {
+    return type == FrameBody::LoadNotes ?
+      reinterpret_cast<const dotterelshift::wire::LoadNotesT *>(value) : nullptr;
+  }
+  dotterelshift::wire::TokenPleaT *AsTokenPlea() {
+    return type == FrameBody::TokenPlea ?
+      reinterpret_cast<dotterelshift::wire::TokenPleaT *>(value) : nullptr;
+  }
+  const dotterelshift::wire::TokenPleaT *AsTokenPlea() const {
+    return type == FrameBody::TokenPlea ?
+      reinterpret_cast<const dotterelshift::wire::TokenPleaT *>(value) : nullptr;
+  }
+  dotterelshift::wire::TokenLoanT *AsTokenLoan() {
+    return type == FrameBody::TokenLoan ?
+      reinterpret_cast<dotterelshift::wire::TokenLoanT *>(value) : nullptr;
+  }
+  const dotterelshift::wire::TokenLoanT *AsTokenLoan() const {
+    return type == FrameBody::TokenLoan ?
+      reinterpret_cast<const dotterelshift::wire::TokenLoanT *>(value) : nullptr;
+  }
 };
 
 bool VerifyFrameBody(flatbuffers::Verifier &verifier, const void *obj, FrameBody type);
@@ -695,6 +789,57 @@
   using type = EndpointPulse;
 };
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) LoadNote FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t endpoint_;
+  uint64_t part_;
+  int32_t prompt_tokens_;
+  int32_t part_tokens_;
+  int32_t requests_;
+  int32_t padding0__;
+
+ public:
+  struct Traits;
+  LoadNote()
+      : endpoint_(0),
+        part_(0),
+        prompt_tokens_(0),
+        part_tokens_(0),
+        requests_(0),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  LoadNote(uint64_t _endpoint, uint64_t _part, int32_t _prompt_tokens, int32_t _part_tokens, int32_t _requests)
+      : endpoint_(flatbuffers::EndianScalar(_endpoint)),
+        part_(flatbuffers::EndianScalar(_part)),
+        prompt_tokens_(flatbuffers::EndianScalar(_prompt_tokens)),
+        part_tokens_(flatbuffers::EndianScalar(_part_tokens)),
+        requests_(flatbuffers::EndianScalar(_requests)),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  uint64_t endpoint() const {
+    return flatbuffers::EndianScalar(endpoint_);
+  }
+  uint64_t part() const {
+    return flatbuffers::EndianScalar(part_);
+  }
+  int32_t prompt_tokens() const {
+    return flatbuffers::EndianScalar(prompt_tokens_);
+  }
+  int32_t part_tokens() const {
+    return flatbuffers::EndianScalar(part_tokens_);
+  }
+  int32_t requests() const {
+    return flatbuffers::EndianScalar(requests_);
+  }
+};
+FLATBUFFERS_STRUCT_END(LoadNote, 32);
+
+struct LoadNote::Traits {
+  using type = LoadNote;
+};
+
 struct HelloT : public flatbuffers::NativeTable {
   typedef Hello TableType;
   uint16_t protocol = 0;
@@ -1096,6 +1241,7 @@
   std::string host{};
   uint64_t term = 0;
   std::string http_address{};
+  std::vector<std::string> control{};
 };
 
 struct LeaderHint FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -1105,7 +1251,8 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_HOST = 4,
     VT_TERM = 6,
-    VT_HTTP_ADDRESS = 8
+    VT_HTTP_ADDRESS = 8,
+    VT_CONTROL = 10
   };
   const flatbuffers::String *host() const {
     return GetPointer<const flatbuffers::String *>(VT_HOST);
@@ -1116,6 +1263,9 @@
   const flatbuffers::String *http_address() const {
     return GetPointer<const flatbuffers::String *>(VT_HTTP_ADDRESS);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *control() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_CONTROL);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_HOST) &&
@@ -1123,6 +1273,9 @@
            VerifyField<uint64_t>(verifier, VT_TERM, 8) &&
            VerifyOffset(verifier, VT_HTTP_ADDRESS) &&
            verifier.VerifyString(http_address()) &&
+           VerifyOffset(verifier, VT_CONTROL) &&
+           verifier.VerifyVector(control()) &&
+           verifier.VerifyVectorOfStrings(control()) &&
            verifier.EndTable();
   }
   LeaderHintT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1143,6 +1296,9 @@
   void add_http_address(flatbuffers::Offset<flatbuffers::String> http_address) {
     fbb_.AddOffset(LeaderHint::VT_HTTP_ADDRESS, http_address);
   }
+  void add_control(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> control) {
+    fbb_.AddOffset(LeaderHint::VT_CONTROL, control);
+  }
   explicit LeaderHintBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1158,9 +1314,11 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::String> host = 0,
     uint64_t term = 0,
-    flatbuffers::Offset<flatbuffers::String> http_address = 0) {
+    flatbuffers::Offset<flatbuffers::String> http_address = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> control = 0) {
   LeaderHintBuilder builder_(_fbb);
   builder_.add_term(term);
+  builder_.add_control(control);
   builder_.add_http_address(http_address);
   builder_.add_host(host);
   return builder_.Finish();
@@ -1175,14 +1333,17 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *host = nullptr,
     uint64_t term = 0,
-    const char *http_address = nullptr) {
+    const char *http_address = nullptr,
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *control = nullptr) {
   auto host__ = host ? _fbb.CreateString(host) : 0;
   auto http_address__ = http_address ? _fbb.CreateString(http_address) : 0;
+  auto control__ = control ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*control) : 0;
   return dotterelshift::wire::CreateLeaderHint(
       _fbb,
       host__,
       term,
-      http_address__);
+      http_address__,
+      control__);
 }
 
 flatbuffers::Offset<LeaderHint> CreateLeaderHint(flatbuffers::FlatBufferBuilder &_fbb, const LeaderHintT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -1338,6 +1499,7 @@
   uint64_t sequence = 0;
   uint64_t configuration_version = 0;
   std::vector<std::unique_ptr<dotterelshift::wire::BudgetHoldingT>> held{};
+  uint64_t routes_version = 0;
   EntryBeatT() = default;
   EntryBeatT(const EntryBeatT &o);
   EntryBeatT(EntryBeatT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -1351,7 +1513,8 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_SEQUENCE = 4,
     VT_CONFIGURATION_VERSION = 6,
-    VT_HELD = 8
+    VT_HELD = 8,
+    VT_ROUTES_VERSION = 10
   };
   uint64_t sequence() const {
     return GetField<uint64_t>(VT_SEQUENCE, 0);
@@ -1362,6 +1525,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<dotterelshift::wire::BudgetHolding>> *held() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<dotterelshift::wire::BudgetHolding>> *>(VT_HELD);
   }
+  uint64_t routes_version() const {
+    return GetField<uint64_t>(VT_ROUTES_VERSION, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
@@ -1369,6 +1535,7 @@
            VerifyOffset(verifier, VT_HELD) &&
            verifier.VerifyVector(held()) &&
            verifier.VerifyVectorOfTables(held()) &&
+           VerifyField<uint64_t>(verifier, VT_ROUTES_VERSION, 8) &&
            verifier.EndTable();
   }
   EntryBeatT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1389,6 +1556,9 @@
   void add_held(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<dotterelshift::wire::BudgetHolding>>> held) {
     fbb_.AddOffset(EntryBeat::VT_HELD, held);
   }
+  void add_routes_version(uint64_t routes_version) {
+    fbb_.AddElement<uint64_t>(EntryBeat::VT_ROUTES_VERSION, routes_version, 0);
+  }
   explicit EntryBeatBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1404,8 +1574,10 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t sequence = 0,
     uint64_t configuration_version = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<dotterelshift::wire::BudgetHolding>>> held = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<dotterelshift::wire::BudgetHolding>>> held = 0,
+    uint64_t routes_version = 0) {
   EntryBeatBuilder builder_(_fbb);
+  builder_.add_routes_version(routes_version);
   builder_.add_configuration_version(configuration_version);
   builder_.add_sequence(sequence);
   builder_.add_held(held);
@@ -1421,13 +1593,15 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t sequence = 0,
     uint64_t configuration_version = 0,
-    const std::vector<flatbuffers::Offset<dotterelshift::wire::BudgetHolding>> *held = nullptr) {
+    const std::vector<flatbuffers::Offset<dotterelshift::wire::BudgetHolding>> *held = nullptr,
+    uint64_t routes_version = 0) {
   auto held__ = held ? _fbb.CreateVector<flatbuffers::Offset<dotterelshift::wire::BudgetHolding>>(*held) : 0;
   return dotterelshift::wire::CreateEntryBeat(
       _fbb,
       sequence,
       configuration_version,
-      held__);
+      held__,
+      routes_version);
 }
 
 flatbuffers::Offset<EntryBeat> CreateEntryBeat(flatbuffers::FlatBufferBuilder &_fbb, const EntryBeatT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -1532,6 +1706,9 @@
   uint64_t term = 0;
   uint64_t configuration_version = 0;
   int64_t stamp_ms = 0;
+  uint64_t routes_version = 0;
+  std::vector<std::string> control{};
+  std::vector<std::string> entries{};
 };
 
 struct LeaderBeat FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -1542,7 +1719,10 @@
     VT_SEQUENCE = 4,
     VT_TERM = 6,
     VT_CONFIGURATION_VERSION = 8,
-    VT_STAMP_MS = 10
+    VT_STAMP_MS = 10,
+    VT_ROUTES_VERSION = 12,
+    VT_CONTROL = 14,
+    VT_ENTRIES = 16
   };
   uint64_t sequence() const {
     return GetField<uint64_t>(VT_SEQUENCE, 0);
@@ -1556,12 +1736,28 @@
   int64_t stamp_ms() const {
     return GetField<int64_t>(VT_STAMP_MS, 0);
   }
+  uint64_t routes_version() const {
+    return GetField<uint64_t>(VT_ROUTES_VERSION, 0);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *control() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_CONTROL);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *entries() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_ENTRIES);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
            VerifyField<uint64_t>(verifier, VT_TERM, 8) &&
            VerifyField<uint64_t>(verifier, VT_CONFIGURATION_VERSION, 8) &&
            VerifyField<int64_t>(verifier, VT_STAMP_MS, 8) &&
+           VerifyField<uint64_t>(verifier, VT_ROUTES_VERSION, 8) &&
+           VerifyOffset(verifier, VT_CONTROL) &&
+           verifier.VerifyVector(control()) &&
+           verifier.VerifyVectorOfStrings(control()) &&
+           VerifyOffset(verifier, VT_ENTRIES) &&
+           verifier.VerifyVector(entries()) &&
+           verifier.VerifyVectorOfStrings(entries()) &&
            verifier.EndTable();
   }
   LeaderBeatT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1585,6 +1781,15 @@
   void add_stamp_ms(int64_t stamp_ms) {
     fbb_.AddElement<int64_t>(LeaderBeat::VT_STAMP_MS, stamp_ms, 0);
   }
+  void add_routes_version(uint64_t routes_version) {
+    fbb_.AddElement<uint64_t>(LeaderBeat::VT_ROUTES_VERSION, routes_version, 0);
+  }
+  void add_control(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> control) {
+    fbb_.AddOffset(LeaderBeat::VT_CONTROL, control);
+  }
+  void add_entries(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> entries) {
+    fbb_.AddOffset(LeaderBeat::VT_ENTRIES, entries);
+  }
   explicit LeaderBeatBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1601,12 +1806,18 @@
     uint64_t sequence = 0,
     uint64_t term = 0,
     uint64_t configuration_version = 0,
-    int64_t stamp_ms = 0) {
+    int64_t stamp_ms = 0,
+    uint64_t routes_version = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> control = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> entries = 0) {
   LeaderBeatBuilder builder_(_fbb);
+  builder_.add_routes_version(routes_version);
   builder_.add_stamp_ms(stamp_ms);
   builder_.add_configuration_version(configuration_version);
   builder_.add_term(term);
   builder_.add_sequence(sequence);
+  builder_.add_entries(entries);
+  builder_.add_control(control);
   return builder_.Finish();
 }
 
@@ -1615,6 +1826,28 @@
   static auto constexpr Create = CreateLeaderBeat;
 };
 
+inline flatbuffers::Offset<LeaderBeat> CreateLeaderBeatDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t sequence = 0,
+    uint64_t term = 0,
+    uint64_t configuration_version = 0,
+    int64_t stamp_ms = 0,
+    uint64_t routes_version = 0,
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *control = nullptr,
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *entries = nullptr) {
+  auto control__ = control ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*control) : 0;
+  auto entries__ = entries ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*entries) : 0;
+  return dotterelshift::wire::CreateLeaderBeat(
+      _fbb,
+      sequence,
+      term,
+      configuration_version,
+      stamp_ms,
+      routes_version,
+      control__,
+      entries__);
+}
+
 flatbuffers::Offset<LeaderBeat> CreateLeaderBeat(flatbuffers::FlatBufferBuilder &_fbb, const LeaderBeatT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
 struct RecallT : public flatbuffers::NativeTable {
@@ -1823,6 +2056,100 @@
 
 flatbuffers::Offset<ConfigurationPush> CreateConfigurationPush(flatbuffers::FlatBufferBuilder &_fbb, const ConfigurationPushT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct RoutesPushT : public flatbuffers::NativeTable {
+  typedef RoutesPush TableType;
+  uint64_t term = 0;
+  uint64_t version = 0;
+  std::vector<uint8_t> document{};
+};
+
+struct RoutesPush FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef RoutesPushT NativeTableType;
+  typedef RoutesPushBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_TERM = 4,
+    VT_VERSION = 6,
+    VT_DOCUMENT = 8
+  };
+  uint64_t term() const {
+    return GetField<uint64_t>(VT_TERM, 0);
+  }
+  uint64_t version() const {
+    return GetField<uint64_t>(VT_VERSION, 0);
+  }
+  const flatbuffers::Vector<uint8_t> *document() const {
+    return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_DOCUMENT);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_TERM, 8) &&
+           VerifyField<uint64_t>(verifier, VT_VERSION, 8) &&
+           VerifyOffset(verifier, VT_DOCUMENT) &&
+           verifier.VerifyVector(document()) &&
+           verifier.EndTable();
+  }
+  RoutesPushT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(RoutesPushT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<RoutesPush> Pack(flatbuffers::FlatBufferBuilder &_fbb, const RoutesPushT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct RoutesPushBuilder {
+  typedef RoutesPush Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_term(uint64_t term) {
+    fbb_.AddElement<uint64_t>(RoutesPush::VT_TERM, term, 0);
+  }
+  void add_version(uint64_t version) {
+    fbb_.AddElement<uint64_t>(RoutesPush::VT_VERSION, version, 0);
+  }
+  void add_document(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> document) {
+    fbb_.AddOffset(RoutesPush::VT_DOCUMENT, document);
+  }
+  explicit RoutesPushBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<RoutesPush> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<RoutesPush>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<RoutesPush> CreateRoutesPush(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t term = 0,
+    uint64_t version = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> document = 0) {
+  RoutesPushBuilder builder_(_fbb);
+  builder_.add_version(version);
+  builder_.add_term(term);
+  builder_.add_document(document);
+  return builder_.Finish();
+}
+
+struct RoutesPush::Traits {
+  using type = RoutesPush;
+  static auto constexpr Create = CreateRoutesPush;
+};
+
+inline flatbuffers::Offset<RoutesPush> CreateRoutesPushDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t term = 0,
+    uint64_t version = 0,
+    const std::vector<uint8_t> *document = nullptr) {
+  auto document__ = document ? _fbb.CreateVector<uint8_t>(*document) : 0;
+  return dotterelshift::wire::CreateRoutesPush(
+      _fbb,
+      term,
+      version,
+      document__);
+}
+
+flatbuffers::Offset<RoutesPush> CreateRoutesPush(flatbuffers::FlatBufferBuilder &_fbb, const RoutesPushT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct QuarantinePushT : public flatbuffers::NativeTable {
   typedef QuarantinePush TableType;
   std::vector<std::unique_ptr<dotterelshift::wire::SuspectAnswerT>> entries{};
@@ -3683,6 +4010,8 @@
   bool in_group = false;
   bool answer_wanted = false;
   std::vector<std::string> first_members{};
+  std::vector<std::string> members{};
+  bool lost = false;
 };
 
 struct ReplicaHello FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -3693,7 +4022,9 @@
     VT_REPLICA = 4,
     VT_IN_GROUP = 6,
     VT_ANSWER_WANTED = 8,
-    VT_FIRST_MEMBERS = 10
+    VT_FIRST_MEMBERS = 10,
+    VT_MEMBERS = 12,
+    VT_LOST = 14
   };
   uint64_t replica() const {
     return GetField<uint64_t>(VT_REPLICA, 0);
@@ -3707,6 +4038,12 @@
   const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *first_members() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_FIRST_MEMBERS);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *members() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_MEMBERS);
+  }
+  bool lost() const {
+    return GetField<uint8_t>(VT_LOST, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_REPLICA, 8) &&
@@ -3715,6 +4052,10 @@
            VerifyOffset(verifier, VT_FIRST_MEMBERS) &&
            verifier.VerifyVector(first_members()) &&
            verifier.VerifyVectorOfStrings(first_members()) &&
+           VerifyOffset(verifier, VT_MEMBERS) &&
+           verifier.VerifyVector(members()) &&
+           verifier.VerifyVectorOfStrings(members()) &&
+           VerifyField<uint8_t>(verifier, VT_LOST, 1) &&
            verifier.EndTable();
   }
   ReplicaHelloT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3738,6 +4079,12 @@
   void add_first_members(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> first_members) {
     fbb_.AddOffset(ReplicaHello::VT_FIRST_MEMBERS, first_members);
   }
+  void add_members(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> members) {
+    fbb_.AddOffset(ReplicaHello::VT_MEMBERS, members);
+  }
+  void add_lost(bool lost) {
+    fbb_.AddElement<uint8_t>(ReplicaHello::VT_LOST, static_cast<uint8_t>(lost), 0);
+  }
   explicit ReplicaHelloBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3754,10 +4101,14 @@
     uint64_t replica = 0,
     bool in_group = false,
     bool answer_wanted = false,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> first_members = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> first_members = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> members = 0,
+    bool lost = false) {
   ReplicaHelloBuilder builder_(_fbb);
   builder_.add_replica(replica);
+  builder_.add_members(members);
   builder_.add_first_members(first_members);
+  builder_.add_lost(lost);
   builder_.add_answer_wanted(answer_wanted);
   builder_.add_in_group(in_group);
   return builder_.Finish();
@@ -3773,18 +4124,279 @@
     uint64_t replica = 0,
     bool in_group = false,
     bool answer_wanted = false,
-    const std::vector<flatbuffers::Offset<flatbuffers::String>> *first_members = nullptr) {
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *first_members = nullptr,
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *members = nullptr,
+    bool lost = false) {
   auto first_members__ = first_members ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*first_members) : 0;
+  auto members__ = members ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*members) : 0;
   return dotterelshift::wire::CreateReplicaHello(
       _fbb,
       replica,
       in_group,
       answer_wanted,
-      first_members__);
+      first_members__,
+      members__,
+      lost);
 }
 
 flatbuffers::Offset<ReplicaHello> CreateReplicaHello(flatbuffers::FlatBufferBuilder &_fbb, const ReplicaHelloT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct LoadNotesT : public flatbuffers::NativeTable {
+  typedef LoadNotes TableType;
+  std::vector<dotterelshift::wire::LoadNote> notes{};
+};
+
+struct LoadNotes FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef LoadNotesT NativeTableType;
+  typedef LoadNotesBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_NOTES = 4
+  };
+  const flatbuffers::Vector<const dotterelshift::wire::LoadNote *> *notes() const {
+    return GetPointer<const flatbuffers::Vector<const dotterelshift::wire::LoadNote *> *>(VT_NOTES);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_NOTES) &&
+           verifier.VerifyVector(notes()) &&
+           verifier.EndTable();
+  }
+  LoadNotesT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(LoadNotesT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<LoadNotes> Pack(flatbuffers::FlatBufferBuilder &_fbb, const LoadNotesT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct LoadNotesBuilder {
+  typedef LoadNotes Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_notes(flatbuffers::Offset<flatbuffers::Vector<const dotterelshift::wire::LoadNote *>> notes) {
+    fbb_.AddOffset(LoadNotes::VT_NOTES, notes);
+  }
+  explicit LoadNotesBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<LoadNotes> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<LoadNotes>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<LoadNotes> CreateLoadNotes(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::Vector<const dotterelshift::wire::LoadNote *>> notes = 0) {
+  LoadNotesBuilder builder_(_fbb);
+  builder_.add_notes(notes);
+  return builder_.Finish();
+}
+
+struct LoadNotes::Traits {
+  using type = LoadNotes;
+  static auto constexpr Create = CreateLoadNotes;
+};
+
+inline flatbuffers::Offset<LoadNotes> CreateLoadNotesDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const std::vector<dotterelshift::wire::LoadNote> *notes = nullptr) {
+  auto notes__ = notes ? _fbb.CreateVectorOfStructs<dotterelshift::wire::LoadNote>(*notes) : 0;
+  return dotterelshift::wire::CreateLoadNotes(
+      _fbb,
+      notes__);
+}
+
+flatbuffers::Offset<LoadNotes> CreateLoadNotes(flatbuffers::FlatBufferBuilder &_fbb, const LoadNotesT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct TokenPleaT : public flatbuffers::NativeTable {
+  typedef TokenPlea TableType;
+  std::string budget{};
+  int64_t wanted = 0;
+  int64_t minimum = 0;
+  int64_t demand_per_second = 0;
+};
+
+struct TokenPlea FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef TokenPleaT NativeTableType;
+  typedef TokenPleaBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_BUDGET = 4,
+    VT_WANTED = 6,
+    VT_MINIMUM = 8,
+    VT_DEMAND_PER_SECOND = 10
+  };
+  const flatbuffers::String *budget() const {
+    return GetPointer<const flatbuffers::String *>(VT_BUDGET);
+  }
+  int64_t wanted() const {
+    return GetField<int64_t>(VT_WANTED, 0);
+  }
+  int64_t minimum() const {
+    return GetField<int64_t>(VT_MINIMUM, 0);
+  }
+  int64_t demand_per_second() const {
+    return GetField<int64_t>(VT_DEMAND_PER_SECOND, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_BUDGET) &&
+           verifier.VerifyString(budget()) &&
+           VerifyField<int64_t>(verifier, VT_WANTED, 8) &&
+           VerifyField<int64_t>(verifier, VT_MINIMUM, 8) &&
+           VerifyField<int64_t>(verifier, VT_DEMAND_PER_SECOND, 8) &&
+           verifier.EndTable();
+  }
+  TokenPleaT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(TokenPleaT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<TokenPlea> Pack(flatbuffers::FlatBufferBuilder &_fbb, const TokenPleaT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct TokenPleaBuilder {
+  typedef TokenPlea Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_budget(flatbuffers::Offset<flatbuffers::String> budget) {
+    fbb_.AddOffset(TokenPlea::VT_BUDGET, budget);
+  }
+  void add_wanted(int64_t wanted) {
+    fbb_.AddElement<int64_t>(TokenPlea::VT_WANTED, wanted, 0);
+  }
+  void add_minimum(int64_t minimum) {
+    fbb_.AddElement<int64_t>(TokenPlea::VT_MINIMUM, minimum, 0);
+  }
+  void add_demand_per_second(int64_t demand_per_second) {
+    fbb_.AddElement<int64_t>(TokenPlea::VT_DEMAND_PER_SECOND, demand_per_second, 0);
+  }
+  explicit TokenPleaBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<TokenPlea> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<TokenPlea>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<TokenPlea> CreateTokenPlea(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> budget = 0,
+    int64_t wanted = 0,
+    int64_t minimum = 0,
+    int64_t demand_per_second = 0) {
+  TokenPleaBuilder builder_(_fbb);
+  builder_.add_demand_per_second(demand_per_second);
+  builder_.add_minimum(minimum);
+  builder_.add_wanted(wanted);
+  builder_.add_budget(budget);
+  return builder_.Finish();
+}
+
+struct TokenPlea::Traits {
+  using type = TokenPlea;
+  static auto constexpr Create = CreateTokenPlea;
+};
+
+inline flatbuffers::Offset<TokenPlea> CreateTokenPleaDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *budget = nullptr,
+    int64_t wanted = 0,
+    int64_t minimum = 0,
+    int64_t demand_per_second = 0) {
+  auto budget__ = budget ? _fbb.CreateString(budget) : 0;
+  return dotterelshift::wire::CreateTokenPlea(
+      _fbb,
+      budget__,
+      wanted,
+      minimum,
+      demand_per_second);
+}
+
+flatbuffers::Offset<TokenPlea> CreateTokenPlea(flatbuffers::FlatBufferBuilder &_fbb, const TokenPleaT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct TokenLoanT : public flatbuffers::NativeTable {
+  typedef TokenLoan TableType;
+  std::string budget{};
+  int64_t tokens = 0;
+};
+
+struct TokenLoan FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef TokenLoanT NativeTableType;
+  typedef TokenLoanBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_BUDGET = 4,
+    VT_TOKENS = 6
+  };
+  const flatbuffers::String *budget() const {
+    return GetPointer<const flatbuffers::String *>(VT_BUDGET);
+  }
+  int64_t tokens() const {
+    return GetField<int64_t>(VT_TOKENS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_BUDGET) &&
+           verifier.VerifyString(budget()) &&
+           VerifyField<int64_t>(verifier, VT_TOKENS, 8) &&
+           verifier.EndTable();
+  }
+  TokenLoanT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(TokenLoanT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<TokenLoan> Pack(flatbuffers::FlatBufferBuilder &_fbb, const TokenLoanT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct TokenLoanBuilder {
+  typedef TokenLoan Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_budget(flatbuffers::Offset<flatbuffers::String> budget) {
+    fbb_.AddOffset(TokenLoan::VT_BUDGET, budget);
+  }
+  void add_tokens(int64_t tokens) {
+    fbb_.AddElement<int64_t>(TokenLoan::VT_TOKENS, tokens, 0);
+  }
+  explicit TokenLoanBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<TokenLoan> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<TokenLoan>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<TokenLoan> CreateTokenLoan(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> budget = 0,
+    int64_t tokens = 0) {
+  TokenLoanBuilder builder_(_fbb);
+  builder_.add_tokens(tokens);
+  builder_.add_budget(budget);
+  return builder_.Finish();
+}
+
+struct TokenLoan::Traits {
+  using type = TokenLoan;
+  static auto constexpr Create = CreateTokenLoan;
+};
+
+inline flatbuffers::Offset<TokenLoan> CreateTokenLoanDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *budget = nullptr,
+    int64_t tokens = 0) {
+  auto budget__ = budget ? _fbb.CreateString(budget) : 0;
+  return dotterelshift::wire::CreateTokenLoan(
+      _fbb,
+      budget__,
+      tokens);
+}
+
+flatbuffers::Offset<TokenLoan> CreateTokenLoan(flatbuffers::FlatBufferBuilder &_fbb, const TokenLoanT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct FrameT : public flatbuffers::NativeTable {
   typedef Frame TableType;
   dotterelshift::wire::FrameBodyUnion body{};
@@ -3868,6 +4480,18 @@
   const dotterelshift::wire::ReplicaHello *body_as_ReplicaHello() const {
     return body_type() == dotterelshift::wire::FrameBody::ReplicaHello ? static_cast<const dotterelshift::wire::ReplicaHello *>(body()) : nullptr;
   }
+  const dotterelshift::wire::RoutesPush *body_as_RoutesPush() const {
+    return body_type() == dotterelshift::wire::FrameBody::RoutesPush ? static_cast<const dotterelshift::wire::RoutesPush *>(body()) : nullptr;
+  }
+  const dotterelshift::wire::LoadNotes *body_as_LoadNotes() const {
+    return body_type() == dotterelshift::wire::FrameBody::LoadNotes ? static_cast<const dotterelshift::wire::LoadNotes *>(body()) : nullptr;
+  }
+  const dotterelshift::wire::TokenPlea *body_as_TokenPlea() const {
+    return body_type() == dotterelshift::wire::FrameBody::TokenPlea ? static_cast<const dotterelshift::wire::TokenPlea *>(body()) : nullptr;
+  }
+  const dotterelshift::wire::TokenLoan *body_as_TokenLoan() const {
+    return body_type() == dotterelshift::wire::FrameBody::TokenLoan ? static_cast<const dotterelshift::wire::TokenLoan *>(body()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_BODY_TYPE, 1) &&
@@ -3964,6 +4588,22 @@
   return body_as_ReplicaHello();
 }
 
+template<> inline const dotterelshift::wire::RoutesPush *Frame::body_as<dotterelshift::wire::RoutesPush>() const {
+  return body_as_RoutesPush();
+}
+
+template<> inline const dotterelshift::wire::LoadNotes *Frame::body_as<dotterelshift::wire::LoadNotes>() const {
+  return body_as_LoadNotes();
+}
+
+template<> inline const dotterelshift::wire::TokenPlea *Frame::body_as<dotterelshift::wire::TokenPlea>() const {
+  return body_as_TokenPlea();
+}
+
+template<> inline const dotterelshift::wire::TokenLoan *Frame::body_as<dotterelshift::wire::TokenLoan>() const {
+  return body_as_TokenLoan();
+}
+
 struct FrameBuilder {
   typedef Frame Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -4162,6 +4802,7 @@
   { auto _e = host(); if (_e) _o->host = _e->str(); }
   { auto _e = term(); _o->term = _e; }
   { auto _e = http_address(); if (_e) _o->http_address = _e->str(); }
+  { auto _e = control(); if (_e) { _o->control.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->control[_i] = _e->Get(_i)->str(); } } }
 }
 
 inline flatbuffers::Offset<LeaderHint> LeaderHint::Pack(flatbuffers::FlatBufferBuilder &_fbb, const LeaderHintT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -4175,11 +4816,13 @@
   auto _host = _o->host.empty() ? 0 : _fbb.CreateString(_o->host);
   auto _term = _o->term;
   auto _http_address = _o->http_address.empty() ? 0 : _fbb.CreateString(_o->http_address);
+  auto _control = _o->control.size() ? _fbb.CreateVectorOfStrings(_o->control) : 0;
   return dotterelshift::wire::CreateLeaderHint(
       _fbb,
       _host,
       _term,
-      _http_address);
+      _http_address,
+      _control);
 }
 
 inline SpoolT::SpoolT(const SpoolT &o) {
@@ -4256,7 +4899,8 @@
 
 inline EntryBeatT::EntryBeatT(const EntryBeatT &o)
       : sequence(o.sequence),
-        configuration_version(o.configuration_version) {
+        configuration_version(o.configuration_version),
+        routes_version(o.routes_version) {
   held.reserve(o.held.size());
   for (const auto &held_ : o.held) { held.emplace_back((held_) ? new dotterelshift::wire::BudgetHoldingT(*held_) : nullptr); }
 }
@@ -4265,6 +4909,7 @@
   std::swap(sequence, o.sequence);
   std::swap(configuration_version, o.configuration_version);
   std::swap(held, o.held);
+  std::swap(routes_version, o.routes_version);
   return *this;
 }
 
@@ -4280,6 +4925,7 @@
   { auto _e = sequence(); _o->sequence = _e; }
   { auto _e = configuration_version(); _o->configuration_version = _e; }
   { auto _e = held(); if (_e) { _o->held.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->held[_i] = std::unique_ptr<dotterelshift::wire::BudgetHoldingT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = routes_version(); _o->routes_version = _e; }
 }
 
 inline flatbuffers::Offset<EntryBeat> EntryBeat::Pack(flatbuffers::FlatBufferBuilder &_fbb, const EntryBeatT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -4293,11 +4939,13 @@
   auto _sequence = _o->sequence;
   auto _configuration_version = _o->configuration_version;
   auto _held = _o->held.size() ? _fbb.CreateVector<flatbuffers::Offset<dotterelshift::wire::BudgetHolding>> (_o->held.size(), [](size_t i, _VectorArgs *__va) { return CreateBudgetHolding(*__va->__fbb, __va->__o->held[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _routes_version = _o->routes_version;
   return dotterelshift::wire::CreateEntryBeat(
       _fbb,
       _sequence,
       _configuration_version,
-      _held);
+      _held,
+      _routes_version);
 }
 
 inline BudgetHoldingT *BudgetHolding::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -4345,6 +4993,9 @@
   { auto _e = term(); _o->term = _e; }
   { auto _e = configuration_version(); _o->configuration_version = _e; }
   { auto _e = stamp_ms(); _o->stamp_ms = _e; }
+  { auto _e = routes_version(); _o->routes_version = _e; }
+  { auto _e = control(); if (_e) { _o->control.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->control[_i] = _e->Get(_i)->str(); } } }
+  { auto _e = entries(); if (_e) { _o->entries.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->entries[_i] = _e->Get(_i)->str(); } } }
 }
 
 inline flatbuffers::Offset<LeaderBeat> LeaderBeat::Pack(flatbuffers::FlatBufferBuilder &_fbb, const LeaderBeatT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -4359,12 +5010,18 @@
   auto _term = _o->term;
   auto _configuration_version = _o->configuration_version;
   auto _stamp_ms = _o->stamp_ms;
+  auto _routes_version = _o->routes_version;
+  auto _control = _o->control.size() ? _fbb.CreateVectorOfStrings(_o->control) : 0;
+  auto _entries = _o->entries.size() ? _fbb.CreateVectorOfStrings(_o->entries) : 0;
   return dotterelshift::wire::CreateLeaderBeat(
       _fbb,
       _sequence,
       _term,
       _configuration_version,
-      _stamp_ms);
+      _stamp_ms,
+      _routes_version,
+      _control,
+      _entries);
 }
 
 inline RecallT *Recall::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -4452,6 +5109,38 @@
       _changes);
 }
 
+inline RoutesPushT *RoutesPush::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<RoutesPushT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void RoutesPush::UnPackTo(RoutesPushT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = term(); _o->term = _e; }
+  { auto _e = version(); _o->version = _e; }
+  { auto _e = document(); if (_e) { _o->document.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->document.begin()); } }
+}
+
+inline flatbuffers::Offset<RoutesPush> RoutesPush::Pack(flatbuffers::FlatBufferBuilder &_fbb, const RoutesPushT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateRoutesPush(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<RoutesPush> CreateRoutesPush(flatbuffers::FlatBufferBuilder &_fbb, const RoutesPushT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const RoutesPushT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _term = _o->term;
+  auto _version = _o->version;
+  auto _document = _o->document.size() ? _fbb.CreateVector(_o->document) : 0;
+  return dotterelshift::wire::CreateRoutesPush(
+      _fbb,
+      _term,
+      _version,
+      _document);
+}
+
 inline QuarantinePushT::QuarantinePushT(const QuarantinePushT &o) {
   entries.reserve(o.entries.size());
   for (const auto &entries_ : o.entries) { entries.emplace_back((entries_) ? new dotterelshift::wire::SuspectAnswerT(*entries_) : nullptr); }
@@ -5188,6 +5877,8 @@
   { auto _e = in_group(); _o->in_group = _e; }
   { auto _e = answer_wanted(); _o->answer_wanted = _e; }
   { auto _e = first_members(); if (_e) { _o->first_members.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->first_members[_i] = _e->Get(_i)->str(); } } }
+  { auto _e = members(); if (_e) { _o->members.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->members[_i] = _e->Get(_i)->str(); } } }
+  { auto _e = lost(); _o->lost = _e; }
 }
 
 inline flatbuffers::Offset<ReplicaHello> ReplicaHello::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ReplicaHelloT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -5202,12 +5893,106 @@
   auto _in_group = _o->in_group;
   auto _answer_wanted = _o->answer_wanted;
   auto _first_members = _o->first_members.size() ? _fbb.CreateVectorOfStrings(_o->first_members) : 0;
+  auto _members = _o->members.size() ? _fbb.CreateVectorOfStrings(_o->members) : 0;
+  auto _lost = _o->lost;
   return dotterelshift::wire::CreateReplicaHello(
       _fbb,
       _replica,
       _in_group,
       _answer_wanted,
-      _first_members);
+      _first_members,
+      _members,
+      _lost);
+}
+
+inline LoadNotesT *LoadNotes::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<LoadNotesT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void LoadNotes::UnPackTo(LoadNotesT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = notes(); if (_e) { _o->notes.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->notes[_i] = *_e->Get(_i); } } }
+}
+
+inline flatbuffers::Offset<LoadNotes> LoadNotes::Pack(flatbuffers::FlatBufferBuilder &_fbb, const LoadNotesT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateLoadNotes(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<LoadNotes> CreateLoadNotes(flatbuffers::FlatBufferBuilder &_fbb, const LoadNotesT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const LoadNotesT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _notes = _o->notes.size() ? _fbb.CreateVectorOfStructs(_o->notes) : 0;
+  return dotterelshift::wire::CreateLoadNotes(
+      _fbb,
+      _notes);
+}
+
+inline TokenPleaT *TokenPlea::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<TokenPleaT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void TokenPlea::UnPackTo(TokenPleaT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = budget(); if (_e) _o->budget = _e->str(); }
+  { auto _e = wanted(); _o->wanted = _e; }
+  { auto _e = minimum(); _o->minimum = _e; }
+  { auto _e = demand_per_second(); _o->demand_per_second = _e; }
+}
+
+inline flatbuffers::Offset<TokenPlea> TokenPlea::Pack(flatbuffers::FlatBufferBuilder &_fbb, const TokenPleaT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateTokenPlea(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<TokenPlea> CreateTokenPlea(flatbuffers::FlatBufferBuilder &_fbb, const TokenPleaT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const TokenPleaT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _budget = _o->budget.empty() ? 0 : _fbb.CreateString(_o->budget);
+  auto _wanted = _o->wanted;
+  auto _minimum = _o->minimum;
+  auto _demand_per_second = _o->demand_per_second;
+  return dotterelshift::wire::CreateTokenPlea(
+      _fbb,
+      _budget,
+      _wanted,
+      _minimum,
+      _demand_per_second);
+}
+
+inline TokenLoanT *TokenLoan::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<TokenLoanT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void TokenLoan::UnPackTo(TokenLoanT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = budget(); if (_e) _o->budget = _e->str(); }
+  { auto _e = tokens(); _o->tokens = _e; }
+}
+
+inline flatbuffers::Offset<TokenLoan> TokenLoan::Pack(flatbuffers::FlatBufferBuilder &_fbb, const TokenLoanT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateTokenLoan(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<TokenLoan> CreateTokenLoan(flatbuffers::FlatBufferBuilder &_fbb, const TokenLoanT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const TokenLoanT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _budget = _o->budget.empty() ? 0 : _fbb.CreateString(_o->budget);
+  auto _tokens = _o->tokens;
+  return dotterelshift::wire::CreateTokenLoan(
+      _fbb,
+      _budget,
+      _tokens);
 }
 
 inline FrameT *Frame::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -5328,6 +6113,22 @@
       auto ptr = reinterpret_cast<const dotterelshift::wire::ReplicaHello *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case FrameBody::RoutesPush: {
+      auto ptr = reinterpret_cast<const dotterelshift::wire::RoutesPush *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case FrameBody::LoadNotes: {
+      auto ptr = reinterpret_cast<const dotterelshift::wire::LoadNotes *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case FrameBody::TokenPlea: {
+      auto ptr = reinterpret_cast<const dotterelshift::wire::TokenPlea *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case FrameBody::TokenLoan: {
+      auto ptr = reinterpret_cast<const dotterelshift::wire::TokenLoan *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
@@ -5431,6 +6232,22 @@
       auto ptr = reinterpret_cast<const dotterelshift::wire::ReplicaHello *>(obj);
       return ptr->UnPack(resolver);
     }
+    case FrameBody::RoutesPush: {
+      auto ptr = reinterpret_cast<const dotterelshift::wire::RoutesPush *>(obj);
+      return ptr->UnPack(resolver);
+    }
+    case FrameBody::LoadNotes: {
+      auto ptr = reinterpret_cast<const dotterelshift::wire::LoadNotes *>(obj);
+      return ptr->UnPack(resolver);
+    }
+    case FrameBody::TokenPlea: {
+      auto ptr = reinterpret_cast<const dotterelshift::wire::TokenPlea *>(obj);
+      return ptr->UnPack(resolver);
+    }
+    case FrameBody::TokenLoan: {
+      auto ptr = reinterpret_cast<const dotterelshift::wire::TokenLoan *>(obj);
+      return ptr->UnPack(resolver);
+    }
     default: return nullptr;
   }
 }
@@ -5522,6 +6339,22 @@
       auto ptr = reinterpret_cast<const dotterelshift::wire::ReplicaHelloT *>(value);
       return CreateReplicaHello(_fbb, ptr, _rehasher).Union();
     }
+    case FrameBody::RoutesPush: {
+      auto ptr = reinterpret_cast<const dotterelshift::wire::RoutesPushT *>(value);
+      return CreateRoutesPush(_fbb, ptr, _rehasher).Union();
+    }
+    case FrameBody::LoadNotes: {
+      auto ptr = reinterpret_cast<const dotterelshift::wire::LoadNotesT *>(value);
+      return CreateLoadNotes(_fbb, ptr, _rehasher).Union();
+    }
+    case FrameBody::TokenPlea: {
+      auto ptr = reinterpret_cast<const dotterelshift::wire::TokenPleaT *>(value);
+      return CreateTokenPlea(_fbb, ptr, _rehasher).Union();
+    }
+    case FrameBody::TokenLoan: {
+      auto ptr = reinterpret_cast<const dotterelshift::wire::TokenLoanT *>(value);
+      return CreateTokenLoan(_fbb, ptr, _rehasher).Union();
+    }
     default: return 0;
   }
 }
@@ -5612,6 +6445,22 @@
       value = new dotterelshift::wire::ReplicaHelloT(*reinterpret_cast<dotterelshift::wire::ReplicaHelloT *>(u.value));
       break;
     }
+    case FrameBody::RoutesPush: {
+      value = new dotterelshift::wire::RoutesPushT(*reinterpret_cast<dotterelshift::wire::RoutesPushT *>(u.value));
+      break;
+    }
+    case FrameBody::LoadNotes: {
+      value = new dotterelshift::wire::LoadNotesT(*reinterpret_cast<dotterelshift::wire::LoadNotesT *>(u.value));
+      break;
+    }
+    case FrameBody::TokenPlea: {
+      value = new dotterelshift::wire::TokenPleaT(*reinterpret_cast<dotterelshift::wire::TokenPleaT *>(u.value));
+      break;
+    }
+    case FrameBody::TokenLoan: {
+      value = new dotterelshift::wire::TokenLoanT(*reinterpret_cast<dotterelshift::wire::TokenLoanT *>(u.value));
+      break;
+    }
     default:
       break;
   }
@@ -5724,6 +6573,26 @@
       delete ptr;
       break;
     }
+    case FrameBody::RoutesPush: {
+      auto ptr = reinterpret_cast<dotterelshift::wire::RoutesPushT *>(value);
+      delete ptr;
+      break;
+    }
+    case FrameBody::LoadNotes: {
+      auto ptr = reinterpret_cast<dotterelshift::wire::LoadNotesT *>(value);
+      delete ptr;
+      break;
+    }
+    case FrameBody::TokenPlea: {
+      auto ptr = reinterpret_cast<dotterelshift::wire::TokenPleaT *>(value);
+      delete ptr;
+      break;
+    }
+    case FrameBody::TokenLoan: {
+      auto ptr = reinterpret_cast<dotterelshift::wire::TokenLoanT *>(value);
+      delete ptr;
+      break;
+    }
     default: break;
   }
   value = nullptr;
--- a/include/dotterelshift/wire/snapshot_generated.h
+++ b/include/dotterelshift/wire/snapshot_generated.h
@@ -66,6 +66,10 @@
 struct DayRecordBuilder;
 struct DayRecordT;
 
+struct PublishedRecord;
+struct PublishedRecordBuilder;
+struct PublishedRecordT;
+
 struct StateSnapshot;
 struct StateSnapshotBuilder;
 struct StateSnapshotT;
@@ -1536,6 +1540,107 @@
 
 flatbuffers::Offset<DayRecord> CreateDayRecord(flatbuffers::FlatBufferBuilder &_fbb, const DayRecordT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct PublishedRecordT : public flatbuffers::NativeTable {
+  typedef PublishedRecord TableType;
+  uint64_t version = 0;
+  std::vector<uint8_t> document{};
+  std::vector<std::unique_ptr<dotterelshift::wire::TeamTotalT>> totals{};
+  PublishedRecordT() = default;
+  PublishedRecordT(const PublishedRecordT &o);
+  PublishedRecordT(PublishedRecordT&&) FLATBUFFERS_NOEXCEPT = default;
+  PublishedRecordT &operator=(PublishedRecordT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct PublishedRecord FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef PublishedRecordT NativeTableType;
+  typedef PublishedRecordBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_VERSION = 4,
+    VT_DOCUMENT = 6,
+    VT_TOTALS = 8
+  };
+  uint64_t version() const {
+    return GetField<uint64_t>(VT_VERSION, 0);
+  }
+  const flatbuffers::Vector<uint8_t> *document() const {
+    return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_DOCUMENT);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<dotterelshift::wire::TeamTotal>> *totals() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<dotterelshift::wire::TeamTotal>> *>(VT_TOTALS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_VERSION, 8) &&
+           VerifyOffset(verifier, VT_DOCUMENT) &&
+           verifier.VerifyVector(document()) &&
+           VerifyOffset(verifier, VT_TOTALS) &&
+           verifier.VerifyVector(totals()) &&
+           verifier.VerifyVectorOfTables(totals()) &&
+           verifier.EndTable();
+  }
+  PublishedRecordT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(PublishedRecordT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<PublishedRecord> Pack(flatbuffers::FlatBufferBuilder &_fbb, const PublishedRecordT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct PublishedRecordBuilder {
+  typedef PublishedRecord Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_version(uint64_t version) {
+    fbb_.AddElement<uint64_t>(PublishedRecord::VT_VERSION, version, 0);
+  }
+  void add_document(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> document) {
+    fbb_.AddOffset(PublishedRecord::VT_DOCUMENT, document);
+  }
+  void add_totals(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<dotterelshift::wire::TeamTotal>>> totals) {
+    fbb_.AddOffset(PublishedRecord::VT_TOTALS, totals);
+  }
+  explicit PublishedRecordBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<PublishedRecord> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<PublishedRecord>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<PublishedRecord> CreatePublishedRecord(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t version = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> document = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<dotterelshift::wire::TeamTotal>>> totals = 0) {
+  PublishedRecordBuilder builder_(_fbb);
+  builder_.add_version(version);
+  builder_.add_totals(totals);
+  builder_.add_document(document);
+  return builder_.Finish();
+}
+
+struct PublishedRecord::Traits {
+  using type = PublishedRecord;
+  static auto constexpr Create = CreatePublishedRecord;
+};
+
+inline flatbuffers::Offset<PublishedRecord> CreatePublishedRecordDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t version = 0,
+    const std::vector<uint8_t> *document = nullptr,
+    const std::vector<flatbuffers::Offset<dotterelshift::wire::TeamTotal>> *totals = nullptr) {
+  auto document__ = document ? _fbb.CreateVector<uint8_t>(*document) : 0;
+  auto totals__ = totals ? _fbb.CreateVector<flatbuffers::Offset<dotterelshift::wire::TeamTotal>>(*totals) : 0;
+  return dotterelshift::wire::CreatePublishedRecord(
+      _fbb,
+      version,
+      document__,
+      totals__);
+}
+
+flatbuffers::Offset<PublishedRecord> CreatePublishedRecord(flatbuffers::FlatBufferBuilder &_fbb, const PublishedRecordT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct StateSnapshotT : public flatbuffers::NativeTable {
   typedef StateSnapshot TableType;
   uint32_t format = 0;
@@ -1552,6 +1657,7 @@
   std::vector<std::string> top_ups{};
   std::vector<std::unique_ptr<dotterelshift::wire::OrderT>> orders{};
   std::vector<std::unique_ptr<dotterelshift::wire::DayRecordT>> days{};
+  std::unique_ptr<dotterelshift::wire::PublishedRecordT> published{};
   StateSnapshotT() = default;
   StateSnapshotT(const StateSnapshotT &o);
   StateSnapshotT(StateSnapshotT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -1576,7 +1682,8 @@
     VT_PLANS = 24,
     VT_TOP_UPS = 26,
     VT_ORDERS = 28,
-    VT_DAYS = 30
+    VT_DAYS = 30,
+    VT_PUBLISHED = 32
   };
   uint32_t format() const {
     return GetField<uint32_t>(VT_FORMAT, 0);
@@ -1620,6 +1727,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<dotterelshift::wire::DayRecord>> *days() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<dotterelshift::wire::DayRecord>> *>(VT_DAYS);
   }
+  const dotterelshift::wire::PublishedRecord *published() const {
+    return GetPointer<const dotterelshift::wire::PublishedRecord *>(VT_PUBLISHED);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint32_t>(verifier, VT_FORMAT, 4) &&
@@ -1656,6 +1766,8 @@
            VerifyOffset(verifier, VT_DAYS) &&
            verifier.VerifyVector(days()) &&
            verifier.VerifyVectorOfTables(days()) &&
+           VerifyOffset(verifier, VT_PUBLISHED) &&
+           verifier.VerifyTable(published()) &&
            verifier.EndTable();
   }
   StateSnapshotT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1709,6 +1821,9 @@
   void add_days(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<dotterelshift::wire::DayRecord>>> days) {
     fbb_.AddOffset(StateSnapshot::VT_DAYS, days);
   }
+  void add_published(flatbuffers::Offset<dotterelshift::wire::PublishedRecord> published) {
+    fbb_.AddOffset(StateSnapshot::VT_PUBLISHED, published);
+  }
   explicit StateSnapshotBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1735,11 +1850,13 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<dotterelshift::wire::PlanRecord>>> plans = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> top_ups = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<dotterelshift::wire::Order>>> orders = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<dotterelshift::wire::DayRecord>>> days = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<dotterelshift::wire::DayRecord>>> days = 0,
+    flatbuffers::Offset<dotterelshift::wire::PublishedRecord> published = 0) {
   StateSnapshotBuilder builder_(_fbb);
   builder_.add_version(version);
   builder_.add_commands_applied(commands_applied);
   builder_.add_last_stamp_ms(last_stamp_ms);
+  builder_.add_published(published);
   builder_.add_days(days);
   builder_.add_orders(orders);
   builder_.add_top_ups(top_ups);
@@ -1774,7 +1891,8 @@
     const std::vector<flatbuffers::Offset<dotterelshift::wire::PlanRecord>> *plans = nullptr,
     const std::vector<flatbuffers::Offset<flatbuffers::String>> *top_ups = nullptr,
     const std::vector<flatbuffers::Offset<dotterelshift::wire::Order>> *orders = nullptr,
-    const std::vector<flatbuffers::Offset<dotterelshift::wire::DayRecord>> *days = nullptr) {
+    const std::vector<flatbuffers::Offset<dotterelshift::wire::DayRecord>> *days = nullptr,
+    flatbuffers::Offset<dotterelshift::wire::PublishedRecord> published = 0) {
   auto configuration__ = configuration ? _fbb.CreateVector<flatbuffers::Offset<dotterelshift::wire::Change>>(*configuration) : 0;
   auto accounts__ = accounts ? _fbb.CreateVector<flatbuffers::Offset<dotterelshift::wire::AccountRecord>>(*accounts) : 0;
   auto runs__ = runs ? _fbb.CreateVector<flatbuffers::Offset<dotterelshift::wire::RunRecord>>(*runs) : 0;
@@ -1800,7 +1918,8 @@
       plans__,
       top_ups__,
       orders__,
-      days__);
+      days__,
+      published);
 }
 
 flatbuffers::Offset<StateSnapshot> CreateStateSnapshot(flatbuffers::FlatBufferBuilder &_fbb, const StateSnapshotT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -2291,12 +2410,59 @@
       _total_ms);
 }
 
+inline PublishedRecordT::PublishedRecordT(const PublishedRecordT &o)
+      : version(o.version),
+        document(o.document) {
+  totals.reserve(o.totals.size());
+  for (const auto &totals_ : o.totals) { totals.emplace_back((totals_) ? new dotterelshift::wire::TeamTotalT(*totals_) : nullptr); }
+}
+
+inline PublishedRecordT &PublishedRecordT::operator=(PublishedRecordT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(version, o.version);
+  std::swap(document, o.document);
+  std::swap(totals, o.totals);
+  return *this;
+}
+
+inline PublishedRecordT *PublishedRecord::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<PublishedRecordT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void PublishedRecord::UnPackTo(PublishedRecordT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = version(); _o->version = _e; }
+  { auto _e = document(); if (_e) { _o->document.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->document.begin()); } }
+  { auto _e = totals(); if (_e) { _o->totals.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->totals[_i] = std::unique_ptr<dotterelshift::wire::TeamTotalT>(_e->Get(_i)->UnPack(_resolver)); } } }
+}
+
+inline flatbuffers::Offset<PublishedRecord> PublishedRecord::Pack(flatbuffers::FlatBufferBuilder &_fbb, const PublishedRecordT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreatePublishedRecord(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<PublishedRecord> CreatePublishedRecord(flatbuffers::FlatBufferBuilder &_fbb, const PublishedRecordT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const PublishedRecordT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _version = _o->version;
+  auto _document = _o->document.size() ? _fbb.CreateVector(_o->document) : 0;
+  auto _totals = _o->totals.size() ? _fbb.CreateVector<flatbuffers::Offset<dotterelshift::wire::TeamTotal>> (_o->totals.size(), [](size_t i, _VectorArgs *__va) { return CreateTeamTotal(*__va->__fbb, __va->__o->totals[i].get(), __va->__rehasher); }, &_va ) : 0;
+  return dotterelshift::wire::CreatePublishedRecord(
+      _fbb,
+      _version,
+      _document,
+      _totals);
+}
+
 inline StateSnapshotT::StateSnapshotT(const StateSnapshotT &o)
       : format(o.format),
         last_stamp_ms(o.last_stamp_ms),
         commands_applied(o.commands_applied),
         version(o.version),
-        top_ups(o.top_ups) {
+        top_ups(o.top_ups),
+        published((o.published) ? new dotterelshift::wire::PublishedRecordT(*o.published) : nullptr) {
   configuration.reserve(o.configuration.size());
   for (const auto &configuration_ : o.configuration) { configuration.emplace_back((configuration_) ? new dotterelshift::wire::ChangeT(*configuration_) : nullptr); }
   accounts.reserve(o.accounts.size());
@@ -2332,6 +2498,7 @@
   std::swap(top_ups, o.top_ups);
   std::swap(orders, o.orders);
   std::swap(days, o.days);
+  std::swap(published, o.published);
   return *this;
 }
 
@@ -2358,6 +2525,7 @@
   { auto _e = top_ups(); if (_e) { _o->top_ups.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->top_ups[_i] = _e->Get(_i)->str(); } } }
   { auto _e = orders(); if (_e) { _o->orders.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->orders[_i] = std::unique_ptr<dotterelshift::wire::OrderT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = days(); if (_e) { _o->days.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->days[_i] = std::unique_ptr<dotterelshift::wire::DayRecordT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = published(); if (_e) _o->published = std::unique_ptr<dotterelshift::wire::PublishedRecordT>(_e->UnPack(_resolver)); }
 }
 
 inline flatbuffers::Offset<StateSnapshot> StateSnapshot::Pack(flatbuffers::FlatBufferBuilder &_fbb, const StateSnapshotT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -2382,6 +2550,7 @@
   auto _top_ups = _o->top_ups.size() ? _fbb.CreateVectorOfStrings(_o->top_ups) : 0;
   auto _orders = _o->orders.size() ? _fbb.CreateVector<flatbuffers::Offset<dotterelshift::wire::Order>> (_o->orders.size(), [](size_t i, _VectorArgs *__va) { return CreateOrder(*__va->__fbb, __va->__o->orders[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _days = _o->days.size() ? _fbb.CreateVector<flatbuffers::Offset<dotterelshift::wire::DayRecord>> (_o->days.size(), [](size_t i, _VectorArgs *__va) { return CreateDayRecord(*__va->__fbb, __va->__o->days[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _published = _o->published ? CreatePublishedRecord(_fbb, _o->published.get(), _rehasher) : 0;
   return dotterelshift::wire::CreateStateSnapshot(
       _fbb,
       _format,
@@ -2397,7 +2566,8 @@
       _plans,
       _top_ups,
       _orders,
-      _days);
+      _days,
+      _published);
 }
 
 inline const dotterelshift::wire::StateSnapshot *GetStateSnapshot(const void *buf) {
--- a/src/dotterelshift/operators/test_mocks.h
+++ b/src/dotterelshift/operators/test_mocks.h
@@ -79,6 +79,9 @@
   std::vector<std::string> Disagreements() const override {
     return m_real.Disagreements();
   }
+  state::PublishedRoutes GetPublished() const override {
+    return m_real.GetPublished();
+  }
   WallMs LastStamp() const override { return m_real.LastStamp(); }
 
  private:
--- a/src/dotterelshift/state/apply.h
+++ b/src/dotterelshift/state/apply.h
@@ -33,6 +33,12 @@
            wire::CommandAnswerT& answer);
 void Apply(Context& context, const wire::AgeOutT& command,
            wire::CommandAnswerT& answer);
+void Apply(Context& context, const wire::PublishRoutesT& command,
+           wire::CommandAnswerT& answer);
+void Apply(Context& context, const wire::ReportSpendT& command,
+           wire::CommandAnswerT& answer);
+void Apply(Context& context, const wire::MoveGrantT& command,
+           wire::CommandAnswerT& answer);
 
 }  // namespace dotterelshift::state
 
--- /dev/null
+++ b/src/dotterelshift/state/apply_published.cc
@@ -0,0 +1,98 @@
+#include <optional>  // for optional
+
+#include "dotterelshift/state/apply.h"   // for Apply
+#include "dotterelshift/state/grants.h"  // for GrantOf
+
+namespace dotterelshift::state {
+namespace {
+
+// A team's account under published totals has the team's own name.
+Account& AccountOf(Tables& tables, const TeamId& team) {
+  Account& account = tables.accounts.At(tables.accounts.FindOrAdd(team).first);
+  account.team = tables.teams.FindOrAdd(team).first;
+  return account;
+}
+
+void TakeTotals(Tables& tables, const wire::PublishRoutesT& command) {
+  tables.published.totals.clear();
+  for (const auto& total : command.totals) {
+    if (total == nullptr || !IsAmount(total->tokens)) continue;
+    tables.published.totals[total->team] = total->tokens;
+    AccountOf(tables, total->team).amounts.purchased = total->tokens;
+  }
+}
+
+}  // namespace
+
+// The highest version wins; an older one is answered with what is in force, so
+// that a resend is told the same as the first time.
+void Apply(Context& context, const wire::PublishRoutesT& command,
+           wire::CommandAnswerT& answer) {
+  Published& published = context.tables.published;
+  if (command.version > published.version) {
+    published.version = command.version;
+    published.document.assign(command.document.begin(), command.document.end());
+    TakeTotals(context.tables, command);
+  }
+  wire::RoutesAnswerT body;
+  body.version = published.version;
+  Answer(answer, body);
+}
+
+// Moves what a holder has spent out of its grant. Entries hand tokens to each
+// other and spend them before control hears of it, so one holder's grant may be
+// below zero until the other's MoveGrant comes; the sum over all is exact.
+void Apply(Context& context, const wire::ReportSpendT& command,
+           wire::CommandAnswerT& answer) {
+  Tables& tables = context.tables;
+  Account* account = tables.accounts.Find(command.budget);
+  if (account == nullptr)
+    return Refuse(answer, ErrorKind::kNoBudget, command.budget);
+  if (!IsAmount(command.spent))
+    return Refuse(answer, ErrorKind::kBadFrame, "amount out of range");
+  BudgetAccount& amounts = account->amounts;
+  Grant& grant = GrantOf(*account, context.run);
+  grant.tokens -= command.spent;
+  grant.standing -= command.spent;
+  amounts.granted -= command.spent;
+  amounts.settled += command.spent;
+  amounts.billed += command.spent;
+  TeamDay& day = tables.DayOf(tables.teams.At(account->team).id, context.stamp);
+  day.spent += command.spent;
+  day.billed += command.spent;
+  day.requests += command.requests;
+  day.answered += command.answered;
+  DropIfEmpty(*account, context.run);
+  Answer(answer, wire::DoneAnswerT());
+}
+
+// What a dead run was handed is lost with it.
+void Apply(Context& context, const wire::MoveGrantT& command,
+           wire::CommandAnswerT& answer) {
+  Tables& tables = context.tables;
+  Account* account = tables.accounts.Find(command.budget);
+  if (account == nullptr)
+    return Refuse(answer, ErrorKind::kNoBudget, command.budget);
+  const std::optional<RunNumber> receiver =
+      tables.FindRun({command.to_host, command.to_incarnation});
+  if (!receiver)
+    return Refuse(answer, ErrorKind::kStaleIncarnation, "receiver not known");
+  if (!IsAmount(command.tokens))
+    return Refuse(answer, ErrorKind::kBadFrame, "amount out of range");
+  Grant& from = GrantOf(*account, context.run);
+  from.tokens -= command.tokens;
+  from.standing -= command.tokens;
+  Grant& to = GrantOf(*account, *receiver);
+  to.dead = tables.runs[*receiver].dead;
+  to.tokens += command.tokens;
+  to.standing += command.tokens;
+  if (to.dead) {
+    account->amounts.granted -= command.tokens;
+    account->amounts.lost += command.tokens;
+  }
+  DropIfEmpty(*account, context.run);
+  DropIfEmpty(*account, *receiver);
+  Answer(answer, wire::DoneAnswerT());
+}
+
+}  // namespace dotterelshift::state
--- a/src/dotterelshift/state/apply_request_grant.cc
+++ b/src/dotterelshift/state/apply_request_grant.cc
@@ -1,4 +1,5 @@
 #include <algorithm>  // for max, min
+#include <optional>   // for optional
 
 #include "dotterelshift/budget/grant_way.h"  // for WithWay
 #include "dotterelshift/state/apply.h"       // for Apply
@@ -27,7 +28,8 @@
 }
 
 Tokens SizeOf(const wire::RequestGrantT& command, Tokens free) {
-  if (free < command.minimum) return 0;
+  // Below zero: a published total was lowered under what is held.
+  if (free <= 0 || free < command.minimum) return 0;
   const Tokens share = std::max(command.minimum, free / kShareOfFree);
   return std::min({std::max(command.wanted, command.minimum), share, free});
 }
@@ -43,6 +45,22 @@
   return std::max<Tokens>(0, target - grant.standing);
 }
 
+// The terms under which a budget is held: its team's, or those of published
+// totals, whose entries work without a commit for each request.
+std::optional<wire::TeamT> TermsOf(const Tables& tables,
+                                   const BudgetId& budget) {
+  if (tables.published.totals.contains(budget)) {
+    wire::TeamT terms;
+    terms.id = budget;
+    terms.grant_way = wire::GrantWay::Unwitnessed;
+    return terms;
+  }
+  const wire::BudgetT* known = tables.configuration.FindBudget(budget);
+  const wire::TeamT* team =
+      known == nullptr ? nullptr : tables.configuration.FindTeam(known->team);
+  return team == nullptr ? std::nullopt : std::optional<wire::TeamT>(*team);
+}
+
 bool Lapses(const wire::TeamT& team) {
   return budget::WithWay(
       team.grant_way, [](auto policy) { return decltype(policy)::Lapses(); });
@@ -54,15 +72,12 @@
            wire::CommandAnswerT& answer) {
   Tables& tables = context.tables;
   Account* account = tables.accounts.Find(command.budget);
-  const wire::BudgetT* budget = tables.configuration.FindBudget(command.budget);
-  if (account == nullptr || budget == nullptr)
+  const std::optional<wire::TeamT> team = TermsOf(tables, command.budget);
+  if (account == nullptr || !team)
     return Refuse(answer, ErrorKind::kNoBudget, command.budget);
   if (!IsAmount(command.wanted) || !IsAmount(command.minimum) ||
       !IsAmount(command.demand_per_second))
     return Refuse(answer, ErrorKind::kBadFrame, "amount out of range");
-  const wire::TeamT* team = tables.configuration.FindTeam(budget->team);
-  if (team == nullptr)
-    return Refuse(answer, ErrorKind::kNoBudget, command.budget);
 
   if (Lapses(*team) && account->amounts.Free() < command.wanted)
     ReclaimLapsed(context, *account);
@@ -73,7 +88,11 @@
   grant.tokens += body.tokens;
   grant.demand_per_second = command.demand_per_second;
   account->amounts.granted += body.tokens;
-  body.standing = StandingGrowth(*team, grant);
+  // Published totals are held unwitnessed, and entries hand tokens on, so the
+  // two parts of a grant stay equal.
+  body.standing = tables.published.totals.contains(command.budget)
+                      ? body.tokens
+                      : StandingGrowth(*team, grant);
   grant.standing += body.standing;
   body.free = account->amounts.Free();
   body.elsewhere = account->amounts.granted - grant.tokens;
--- a/src/dotterelshift/state/apply_return_grant.cc
+++ b/src/dotterelshift/state/apply_return_grant.cc
@@ -17,9 +17,13 @@
     return Refuse(answer, ErrorKind::kBadFrame, "amount out of range");
   if (grant != nullptr) {
     // Less may be there, when a lapsed lease took it back before.
-    const Tokens returned = std::min(command.tokens, unopened);
+    const bool published =
+        context.tables.published.totals.contains(command.budget);
+    const Tokens returned =
+        published ? command.tokens : std::min(command.tokens, unopened);
     grant->tokens -= returned;
-    grant->standing = std::max<Tokens>(0, grant->standing - command.standing);
+    grant->standing -=
+        published ? returned : std::min(grant->standing, command.standing);
     account->amounts.granted -= returned;
     DropIfEmpty(*account, context.run);
   }
--- a/src/dotterelshift/state/grants.cc
+++ b/src/dotterelshift/state/grants.cc
@@ -43,7 +43,7 @@
   std::vector<Grant>& grants = account.MutableGrants();
   const auto found = Place(account, run);
   if (found == grants.end()) return account.DropGrantsIfEmpty();
-  if (found->tokens > 0) return;
+  if (found->tokens != 0) return;
   // The holder of a live standing part goes on to count with it.
   const bool remembered = !found->openings.empty() || found->standing > 0;
   if (found->dead || !remembered) grants.erase(found);
--- a/src/dotterelshift/state/snapshot.cc
+++ b/src/dotterelshift/state/snapshot.cc
@@ -308,6 +308,29 @@
   tables.configuration.Apply(changes, snapshot.version);
 }
 
+std::unique_ptr<wire::PublishedRecordT> WritePublished(
+    const Published& published) {
+  auto record = std::make_unique<wire::PublishedRecordT>();
+  record->version = published.version;
+  record->document.assign(published.document.begin(), published.document.end());
+  for (const auto& [team, tokens] : published.totals) {
+    auto total = std::make_unique<wire::TeamTotalT>();
+    total->team = team;
+    total->tokens = tokens;
+    record->totals.push_back(std::move(total));
+  }
+  return record;
+}
+
+Published ReadPublished(const wire::PublishedRecordT& record) {
+  Published published;
+  published.version = record.version;
+  published.document.assign(record.document.begin(), record.document.end());
+  for (const auto& total : record.totals)
+    published.totals[total->team] = total->tokens;
+  return published;
+}
+
 }  // namespace
 
 std::string WriteSnapshot(const Tables& tables) {
@@ -330,6 +353,7 @@
   for (const RequestPeriod& period : tables.requests)
     snapshot.requests.push_back(WritePeriod(period));
   WriteRest(tables, &snapshot);
+  snapshot.published = WritePublished(tables.published);
 
   flatbuffers::FlatBufferBuilder builder;
   wire::FinishStateSnapshotBuffer(
@@ -360,6 +384,8 @@
   for (const auto& period : snapshot.requests)
     tables.requests.push_back(ReadPeriod(*period));
   ReadRest(snapshot, tables);
+  if (snapshot.published != nullptr)
+    tables.published = ReadPublished(*snapshot.published);
   return tables;
 }
 
--- a/src/dotterelshift/state/state.cc
+++ b/src/dotterelshift/state/state.cc
@@ -43,6 +43,12 @@
       return Apply(context, *body.AsRecordOrder(), answer);
     case CommandBody::AgeOut:
       return Apply(context, *body.AsAgeOut(), answer);
+    case CommandBody::PublishRoutes:
+      return Apply(context, *body.AsPublishRoutes(), answer);
+    case CommandBody::ReportSpend:
+      return Apply(context, *body.AsReportSpend(), answer);
+    case CommandBody::MoveGrant:
+      return Apply(context, *body.AsMoveGrant(), answer);
     case CommandBody::NONE:
       break;
   }
@@ -151,9 +157,21 @@
     return FindDisagreements(m_tables);
   }
 
+  PublishedRoutes GetPublished() const override {
+    return {m_tables.published.version, m_tables.published.document};
+  }
+
   WallMs LastStamp() const override { return m_tables.last_stamp; }
 
  private:
+  void RefuseStale(const wire::CommandIdT& id, wire::CommandAnswerT& answer) {
+    Refuse(answer, ErrorKind::kStaleIncarnation,
+           "a newer run of this host is known, or it was retired");
+    const auto known = m_tables.hosts.find(id.host);
+    if (known == m_tables.hosts.end()) return;
+    answer.newest_incarnation = m_tables.runs[known->second.run].id.incarnation;
+  }
+
   wire::CommandAnswerT ApplyOne(const wire::CommandT& command) {
     ++m_tables.commands_applied;
     wire::CommandAnswerT answer;
@@ -209,8 +227,7 @@
     const std::optional<RunNumber> run =
         m_tables.FindRun({command.id->host, command.id->incarnation});
     if (!run || command.body.type != wire::CommandBody::Settle)
-      return Refuse(answer, ErrorKind::kStaleIncarnation,
-                    "a newer run of this host is known, or it was retired");
+      return RefuseStale(*command.id, answer);
     Context context{m_tables, *command.id, *run, m_tables.last_stamp,
                     m_recover};
     ApplyBody(context, command.body, answer);
--- a/src/dotterelshift/state/tables.h
+++ b/src/dotterelshift/state/tables.h
@@ -150,6 +150,14 @@
 // The day that days beyond the reports' reach are added up in.
 inline constexpr int64_t kFoldedDay = -1;
 
+// The routes that an operator's program published whole, and what each team may
+// consume in all under them.
+struct Published {
+  uint64_t version = 0;
+  std::string document;
+  std::map<TeamId, Tokens> totals;
+};
+
 struct Tables {
   StateOptions options;
   WallMs last_stamp = 0;
@@ -169,6 +177,7 @@
   std::set<std::string> top_ups;
   std::vector<wire::OrderT> orders;
   std::map<std::pair<TeamId, int64_t>, TeamDay> days;
+  Published published;
 
   TeamDay& DayOf(const TeamId& team, WallMs when);
   // The number of a run that is known; none otherwise.
