Settings: seeds, own listeners, self-healing groups, the fleet's share of repeats

Cause: a platform that fills settings in gives seeds, whole addresses and bounds with fractions; the present settings know none of them. Ruled out: an adapter that rewrites the platform's file (a second parser). Measure: none; checked by the settings table as all others. Conclusion: times may have decimals, fractions are a form of their own.

--- a/cmake/Libraries.cmake
+++ b/cmake/Libraries.cmake
@@ -8,7 +8,9 @@
 pkg_check_modules(MICROHTTPD REQUIRED IMPORTED_TARGET libmicrohttpd)
 pkg_check_modules(SODIUM REQUIRED IMPORTED_TARGET libsodium)
 pkg_check_modules(XXHASH REQUIRED IMPORTED_TARGET libxxhash)
-pkg_check_modules(CPPUNIT REQUIRED IMPORTED_TARGET cppunit)
+if(DOTTERELSHIFT_TESTS)
+  pkg_check_modules(CPPUNIT REQUIRED IMPORTED_TARGET cppunit)
+endif()
 
 add_library(libraries INTERFACE)
 target_link_libraries(libraries INTERFACE
--- a/include/dotterelshift/base/yaml_reader.h
+++ b/include/dotterelshift/base/yaml_reader.h
@@ -42,6 +42,9 @@
   // A whole number with ms, s, m or h.
   Duration Time(const YAML::Node& node, const std::string& what, Duration least,
                 Duration most) const;
+  // A number that need not be whole.
+  double Fraction(const YAML::Node& node, const std::string& what, double least,
+                  double most) const;
   // The place of a word in `words`.
   size_t Word(const YAML::Node& node, const std::string& what,
               std::span<const std::string_view> words) const;
--- a/include/dotterelshift/settings/settings.h
+++ b/include/dotterelshift/settings/settings.h
@@ -27,6 +27,14 @@
   std::string http_address = "127.0.0.1";
   uint16_t http_port = 0;
   std::vector<std::string> peers;  // hubs of the other daemons, IP:port
+  // "IP:port", instead of http_address and http_port; empty: those.
+  std::string listen;
+  // A second listener for health checks and metrics alone; empty: none.
+  std::string health_listen;
+  uint16_t metrics_port = 0;       // a listener for metrics alone; 0: none
+  std::vector<std::string> seeds;  // some control daemons; only the IP counts
+  Duration peer_silence = 6s;      // a daemon not heard for so long is cut off
+  bool gateway = false;            // serves published routes
   std::string port_file;  // where the daemon writes its ports as JSON once it
                           // listens; empty: nowhere
   std::string log_level = "info";
@@ -35,13 +43,22 @@
   std::string data_folder;
   std::vector<std::string> first_members;  // hosts
   std::string operator_key_file;           // one key a line: NAME KEY
+  bool found_group = false;                // the seeds are the first members
+  bool self_healing = false;  // the leader adds and replaces replicas itself
+  Duration leader_heartbeat = 50ms;
+  Duration election_timeout = 300ms;
 
   // entry
   bool serve_when_cut_off = true;
   Duration shutdown_notice =
       2s;  // after SIGTERM new requests still run for this long
-  Duration cut_off_after = 3s;  // without a confirmed leader's beat
+  Duration cut_off_after = 3s;    // without a confirmed leader's beat
+  Duration shutdown_limit = 60s;  // after SIGTERM, streams included
+  uint32_t max_head_bytes = 4 << 10;
   uint32_t max_body_bytes = 8 << 20;
+  double retry_ratio = 0.2;  // of the requests, fleet-wide
+  Duration retry_window = 10s;
+  uint32_t retry_slack = 50;  // repeats in a window besides, fleet-wide
   uint32_t max_connections = 4096;
   Duration receive_timeout = 10s;
   Tokens default_output_limit = 1024;
--- a/src/dotterelshift/base/yaml_reader.cc
+++ b/src/dotterelshift/base/yaml_reader.cc
@@ -40,6 +40,25 @@
 // What became of reading a number with a unit.
 enum class Reading { kOk, kNotANumber, kBadUnit, kOverflow };
 
+// What stands behind a decimal point: 8.5 has digits 5 and scale 10.
+struct Decimals {
+  int64_t digits = 0;
+  int64_t scale = 1;
+};
+
+// Reads them, if there are any; null when they are malformed or too fine.
+const char* ReadDecimals(const char* at, const char* end, Decimals* decimals) {
+  constexpr int64_t kFinest = 1'000'000;
+  if (at == end || *at != '.') return at;
+  const char* digit = at + 1;
+  for (; digit != end && *digit >= '0' && *digit <= '9'; ++digit) {
+    if (decimals->scale == kFinest) return nullptr;
+    decimals->digits = decimals->digits * 10 + (*digit - '0');
+    decimals->scale *= 10;
+  }
+  return digit == at + 1 ? nullptr : digit;
+}
+
 Reading ReadNumber(std::string_view text, std::span<const Unit> units,
                    int64_t* value) {
   int64_t number = 0;
@@ -47,12 +66,19 @@
   const auto parsed = std::from_chars(text.data(), end, number);
   if (parsed.ec == std::errc::result_out_of_range) return Reading::kOverflow;
   if (parsed.ec != std::errc()) return Reading::kNotANumber;
-  const std::string_view suffix(parsed.ptr, end - parsed.ptr);
+  Decimals decimals;
+  const char* after = ReadDecimals(parsed.ptr, end, &decimals);
+  if (after == nullptr) return Reading::kNotANumber;
+  const std::string_view suffix(after, end - after);
   for (const Unit& unit : units) {
     if (unit.suffix != suffix) continue;
-    return __builtin_mul_overflow(number, unit.factor, value)
-               ? Reading::kOverflow
-               : Reading::kOk;
+    const int64_t part = decimals.digits * (unit.factor / decimals.scale);
+    if (decimals.digits != 0 && unit.factor % decimals.scale != 0)
+      return Reading::kNotANumber;
+    const bool overflow =
+        __builtin_mul_overflow(number, unit.factor, value) ||
+        __builtin_add_overflow(*value, number < 0 ? -part : part, value);
+    return overflow ? Reading::kOverflow : Reading::kOk;
   }
   return Reading::kBadUnit;
 }
@@ -174,6 +200,21 @@
   return time;
 }
 
+double YamlSource::Fraction(const YAML::Node& node, const std::string& what,
+                            double least, double most) const {
+  const std::string text = Text(node, what);
+  const std::string expected =
+      "a number from " + std::to_string(least) + " to " + std::to_string(most);
+  double value = 0;
+  const auto [end, error] =
+      std::from_chars(text.data(), text.data() + text.size(), value);
+  if (error != std::errc() || end != text.data() + text.size())
+    Refuse(node, what + " " + Quoted(text) + " is not a number", expected);
+  if (!(value >= least && value <= most))
+    Refuse(node, what + " " + Quoted(text) + " is out of bounds", expected);
+  return value;
+}
+
 size_t YamlSource::Word(const YAML::Node& node, const std::string& what,
                         std::span<const std::string_view> words) const {
   const std::string text = Text(node, what);
--- a/src/dotterelshift/settings/settings.cc
+++ b/src/dotterelshift/settings/settings.cc
@@ -21,7 +21,7 @@
 constexpr size_t kLeastOperatorKey = 16;
 
 // The form of a setting that is a text.
-enum class Form { kName, kPath, kIpNumber, kLevel };
+enum class Form { kName, kPath, kIpNumber, kLevel, kAddress };
 
 struct TextRule {
   std::string Settings::*field;
@@ -52,6 +52,11 @@
   Tokens least;
   Tokens most;
 };
+struct FractionRule {
+  double Settings::*field;
+  double least;
+  double most;
+};
 struct TimeRule {
   Duration Settings::*field;
   Duration least;
@@ -63,7 +68,7 @@
   std::string_view name;
   std::string_view unit;
   std::variant<TextRule, RoleRule, AddressesRule, NamesRule, BoolRule, PortRule,
-               CountRule, TokensRule, TimeRule>
+               CountRule, TokensRule, TimeRule, FractionRule>
       check;
   bool required;
   std::string_view meaning;
@@ -94,6 +99,24 @@
          "Port of the HTTP interfaces; 0 lets the system choose."},
     Rule{"peers", "IP:port list", AddressesRule{&S::peers}, false,
          "Other daemons to keep connected to; the control daemons at least."},
+    Rule{"listen", "IP:port", TextRule{&S::listen, Form::kAddress}, false,
+         "Address of the HTTP interfaces, instead of http_address and "
+         "http_port."},
+    Rule{"health_listen", "IP:port",
+         TextRule{&S::health_listen, Form::kAddress}, false,
+         "A second address that answers health checks and metrics alone; "
+         "empty: none."},
+    Rule{"metrics_port", "port", PortRule{&S::metrics_port}, false,
+         "A port of its own for the metrics, at `address`; 0: none."},
+    Rule{"seeds", "IP:port list", AddressesRule{&S::seeds}, false,
+         "Some control daemons through which the others are found; their "
+         "peer port is this daemon's own."},
+    Rule{"peer_silence", "time", TimeRule{&S::peer_silence, 100ms, 600s}, false,
+         "Another daemon that was not heard for this long is cut off and "
+         "dialled again."},
+    Rule{"gateway", "yes or no", BoolRule{&S::gateway}, false,
+         "Whether requests go by published routes, by host and path (true), "
+         "or by the own interface under /v1 (false)."},
     Rule{"port_file", "path", TextRule{&S::port_file, Form::kPath}, false,
          "File to which the daemon writes its ports as JSON once it listens; "
          "empty: none."},
@@ -109,6 +132,18 @@
          TextRule{&S::operator_key_file, Form::kPath}, false,
          "File with the operators' keys, one NAME KEY a line. Control without "
          "it takes no operator."},
+    Rule{"found_group", "yes or no", BoolRule{&S::found_group}, false,
+         "Whether the seeds are the first members of a new group; read only "
+         "while the data folder is fresh."},
+    Rule{"self_healing", "yes or no", BoolRule{&S::self_healing}, false,
+         "Whether the leader adds waiting replicas and replaces lost ones "
+         "without an operator's plan."},
+    Rule{"leader_heartbeat", "time", TimeRule{&S::leader_heartbeat, 5ms, 10s},
+         false, "How often the leader of the log tells that it leads."},
+    Rule{"election_timeout", "time", TimeRule{&S::election_timeout, 20ms, 60s},
+         false,
+         "Least silence of the leader after which another replica stands for "
+         "election; above leader_heartbeat."},
     Rule{"serve_when_cut_off", "yes or no", BoolRule{&S::serve_when_cut_off},
          false,
          "Whether an entry without a leader goes on serving from what it "
@@ -121,6 +156,22 @@
          false,
          "Without a confirmed leader's beat for this long, an entry counts as "
          "cut off."},
+    Rule{"shutdown_limit", "time", TimeRule{&S::shutdown_limit, 100ms, 600s},
+         false,
+         "How long after SIGTERM open requests may still run; then the daemon "
+         "exits."},
+    Rule{"retry_ratio", "fraction", FractionRule{&S::retry_ratio, 0, 1}, false,
+         "Repeats that the whole fleet may send to a service, as a part of "
+         "its requests in a window."},
+    Rule{"retry_window", "time", TimeRule{&S::retry_window, 100ms, 600s}, false,
+         "The window of retry_ratio and retry_slack."},
+    Rule{"retry_slack", "requests", CountRule{&S::retry_slack, 0, 1'000'000},
+         false,
+         "Repeats that the whole fleet may send to a service in a window "
+         "besides those of retry_ratio."},
+    Rule{"max_head_bytes", "bytes",
+         CountRule{&S::max_head_bytes, 1024, 1 << 20}, false,
+         "Largest head of a caller's request."},
     Rule{"max_body_bytes", "bytes",
          CountRule{&S::max_body_bytes, 1024, 1U << 30}, false,
          "Largest body of a caller's request."},
@@ -150,6 +201,12 @@
          "Most requests of one team that wait at this entry."},
 };
 
+std::string FormatFraction(double value) {
+  std::ostringstream text;
+  text << value;
+  return text.str();
+}
+
 // Carries the values of one map over into settings.
 class Reader {
  public:
@@ -200,7 +257,13 @@
         m_source.Time(m_node, m_what, rule.least, rule.most);
   }
 
+  void Take(const FractionRule& rule) {
+    m_settings.*rule.field =
+        m_source.Fraction(m_node, m_what, rule.least, rule.most);
+  }
+
   std::string TextOf(Form form) const {
+    if (form == Form::kAddress) return AddressOf(m_node);
     if (form == Form::kName) return m_source.Name(m_node, m_what);
     if (form == Form::kLevel)
       return std::string(kLevels.at(m_source.Word(m_node, m_what, kLevels)));
@@ -240,6 +303,9 @@
                   "first_members does not name this host",
                   "'" + settings.host + "' among them, or none");
   }
+  if (settings.election_timeout <= settings.leader_heartbeat)
+    source.Refuse(root, "election_timeout is not above leader_heartbeat",
+                  "more than " + FormatTime(settings.leader_heartbeat));
   if (settings.default_output_limit > settings.max_output_limit)
     source.Refuse(root, "default_output_limit is above max_output_limit",
                   "at most " + std::to_string(settings.max_output_limit));
@@ -258,9 +324,9 @@
     const Settings& defaults;
     const decltype(number)& text;
     RowTexts operator()(const TextRule& rule) const {
-      constexpr std::array<std::string_view, 4> kBounds = {
+      constexpr std::array<std::string_view, 5> kBounds = {
           "letters, digits and ._:/@+-", "a path", "IPv4 number",
-          "info, warning, error"};
+          "info, warning, error", "IP:port"};
       return {defaults.*rule.field,
               std::string(kBounds.at(static_cast<size_t>(rule.form)))};
     }
@@ -285,6 +351,10 @@
       return {text(defaults.*rule.field),
               text(rule.least) + " to " + text(rule.most)};
     }
+    RowTexts operator()(const FractionRule& rule) const {
+      return {FormatFraction(defaults.*rule.field),
+              FormatFraction(rule.least) + " to " + FormatFraction(rule.most)};
+    }
     RowTexts operator()(const TimeRule& rule) const {
       return {FormatTime(defaults.*rule.field),
               FormatTime(rule.least) + " to " + FormatTime(rule.most)};
