--- a/daemon/main.cc
+++ b/daemon/main.cc
@@ -1,19 +1,24 @@
 // dotterelshiftd: one daemon of the fleet, in the role that its settings give
 // it.
 #include <sodium.h>         // for sodium_init
+#include <sys/stat.h>       // for stat
 #include <tclap/CmdLine.h>  // for CmdLine
 
 #include <csignal>   // for SIGTERM
 #include <cstdio>    // for rename
 #include <fstream>   // for ofstream
 #include <iostream>  // for cerr
+#include <memory>    // for unique_ptr
 #include <string>    // for string
+#include <utility>   // for move
 
 #include "dotterelshift/app/daemon.h"         // for MakeEntry
 #include "dotterelshift/base/error.h"         // for Error
 #include "dotterelshift/loop/loop.h"          // for Loop
 #include "dotterelshift/platform/log.h"       // for StartLog
 #include "dotterelshift/settings/settings.h"  // for ReadSettings
+#include "platform/control_api.h"             // for MakeControlApi
+#include "platform/dialect.h"                 // for MakeDialect
 
 namespace {
 
@@ -40,16 +45,76 @@
                            : platform::LogLevel::kInfo;
 }
 
-void Run(const settings::Settings& settings) {
+std::unique_ptr<app::Daemon> MakeDaemon(loop::Loop& loop,
+                                        const settings::Settings& settings,
+                                        Incarnation incarnation) {
+  if (settings.role == wire::HostRole::Control) {
+    return app::MakeControl(
+        loop, settings, incarnation,
+        settings.gateway ? adapter::MakeControlApi() : nullptr);
+  }
+  if (!settings.gateway) return app::MakeEntry(loop, settings, incarnation);
+  return app::MakeGatewayEntry(loop, settings, incarnation,
+                               adapter::MakeDialect());
+}
+
+// Reads the settings file again, at SIGHUP or when it has changed. One that
+// cannot be used changes nothing.
+class SettingsWatch {
+ public:
+  SettingsWatch(loop::Loop& loop, std::string path, app::Daemon& daemon)
+      : m_path(std::move(path)),
+        m_daemon(daemon),
+        m_changed(ChangeOf(m_path)),
+        m_on_hangup(loop, SIGHUP, [this] { Reload(); }),
+        m_timer(loop, [this] { Look(); }) {
+    m_timer.ArmIn(kLookEvery);
+  }
+
+ private:
+  static constexpr Duration kLookEvery = 1s;
+
+  // When the file was changed, in nanoseconds; 0: it cannot be seen.
+  static int64_t ChangeOf(const std::string& path) {
+    struct stat status {};
+    if (stat(path.c_str(), &status) != 0) return 0;
+    constexpr int64_t kSecond = 1'000'000'000;
+    return status.st_mtim.tv_sec * kSecond + status.st_mtim.tv_nsec;
+  }
+
+  void Look() {
+    m_timer.ArmIn(kLookEvery);
+    if (ChangeOf(m_path) != m_changed) Reload();
+  }
+
+  void Reload() {
+    m_changed = ChangeOf(m_path);
+    try {
+      m_daemon.Reload(settings::ReadSettings(m_path));
+      platform::Log(platform::LogLevel::kInfo, "settings_reloaded");
+    } catch (const Error& error) {
+      platform::Log(platform::LogLevel::kError, "settings_not_reloaded",
+                    {{"why", error.what()}});
+    }
+  }
+
+  const std::string m_path;
+  app::Daemon& m_daemon;
+  int64_t m_changed;
+  loop::SignalWatcher m_on_hangup;
+  loop::Timer m_timer;
+};
+
+void Run(const settings::Settings& settings, const std::string& path) {
   loop::Loop loop;
   const auto incarnation = static_cast<Incarnation>(loop.WallNow());
-  const bool control = settings.role == wire::HostRole::Control;
-  const auto daemon = control ? app::MakeControl(loop, settings, incarnation)
-                              : app::MakeEntry(loop, settings, incarnation);
+  const std::unique_ptr<app::Daemon> daemon =
+      MakeDaemon(loop, settings, incarnation);
   const loop::SignalWatcher on_terminate(loop, SIGTERM,
                                          [&] { daemon->Shutdown(); });
   const loop::SignalWatcher on_interrupt(loop, SIGINT,
                                          [&] { daemon->Shutdown(); });
+  const SettingsWatch watch(loop, path, *daemon);
   WritePorts(settings.port_file, *daemon);
   platform::Log(platform::LogLevel::kInfo, "started",
                 {{"peer_port", std::to_string(daemon->PeerPort())},
@@ -71,7 +136,7 @@
     const settings::Settings settings =
         settings::ReadSettings(settings_path.getValue());
     platform::StartLog(settings.host, LevelOf(settings.log_level));
-    Run(settings);
+    Run(settings, settings_path.getValue());
     return 0;
   } catch (const Error& error) {
     std::cerr << "dotterelshiftd: " << RowOf(error.Kind()).name << ": "
--- a/include/dotterelshift/app/control_link.h
+++ b/include/dotterelshift/app/control_link.h
@@ -62,6 +62,16 @@
   const state::Configuration& GetConfiguration() const {
     return m_configuration;
   }
+  // The newest published routes that a leader sent; version 0: none.
+  uint64_t RoutesVersion() const { return m_routes_version; }
+  const std::string& RoutesDocument() const { return m_routes_document; }
+  // Addresses of control and of the entries, as the leader named them last.
+  const std::vector<std::string>& ControlAddresses() const {
+    return m_control_addresses;
+  }
+  const std::vector<std::string>& EntryAddresses() const {
+    return m_entry_addresses;
+  }
   // True when nothing waits for an answer.
   bool Idle() const { return m_unanswered.empty() && m_spooling.empty(); }
 
@@ -88,6 +98,7 @@
   void OnAnswers(const wire::ProposeAnswersT& answers);
   void OnSpoolStored(const wire::SpoolStoredT& stored);
   void OnConfiguration(const wire::ConfigurationPushT& push);
+  void OnRoutes(const wire::RoutesPushT& push);
   void ForgetLeader(Instant now);
   void UpdateReach(Instant now);
   void SendBeats(Instant now);
@@ -108,6 +119,11 @@
   state::Configuration m_configuration;
   uint64_t m_wanted_version = 0;  // the leader's, by its last beat
   bool m_knows_wanted_version = false;
+  uint64_t m_wanted_routes = 0;  // version of the leader's published routes
+  uint64_t m_routes_version = 0;
+  std::string m_routes_document;
+  std::vector<std::string> m_control_addresses;
+  std::vector<std::string> m_entry_addresses;
   std::map<uint64_t, Unanswered> m_unanswered;  // by the id's sequence
   std::map<uint64_t, Unanswered> m_spooling;
   std::vector<uint64_t> m_unsent;  // sequences to be sent, or sent again
--- a/include/dotterelshift/app/control_replica.h
+++ b/include/dotterelshift/app/control_replica.h
@@ -29,6 +29,9 @@
   // Bytes of log after which a follower makes a snapshot. The leader, which
   // must not pause, waits for four times as many.
   uint64_t snapshot_every_bytes = 32 << 20;
+  // The leader adds replicas that wait, and replaces members that are lost,
+  // without a plan.
+  bool self_healing = false;
 };
 
 // Answers to one Propose(), in the order of its commands; or the reason why
@@ -79,6 +82,11 @@
                      const std::vector<wire::CommandAnswerT>& answers)>
       on_applied;
   std::function<void()> on_leadership_changed;
+  // Control hosts that are connected: whom a replica outside of any group, or
+  // one that hears no leader, tells of itself. Only with self_healing.
+  std::function<std::vector<HostId>()> control_hosts;
+  // Addresses of the group's replicas, as another replica named them.
+  std::function<void(const std::vector<std::string>&)> on_members_heard;
 };
 
 std::unique_ptr<ControlReplica> MakeControlReplica(
--- a/include/dotterelshift/app/daemon.h
+++ b/include/dotterelshift/app/daemon.h
@@ -3,9 +3,11 @@
 
 #include <memory>  // for unique_ptr
 
-#include "dotterelshift/base/ids.h"           // for Incarnation
-#include "dotterelshift/loop/loop.h"          // for Loop
-#include "dotterelshift/settings/settings.h"  // for Settings
+#include "dotterelshift/app/routes_control.h"  // for ControlAdapter
+#include "dotterelshift/base/ids.h"            // for Incarnation
+#include "dotterelshift/gateway/dialect.h"     // for Dialect
+#include "dotterelshift/loop/loop.h"           // for Loop
+#include "dotterelshift/settings/settings.h"   // for Settings
 
 namespace dotterelshift::app {
 
@@ -18,6 +20,8 @@
   // Begins the graceful shutdown; the loop is stopped when it is done. A second
   // call changes nothing.
   virtual void Shutdown() = 0;
+  // Takes over what may change while running out of settings read again.
+  virtual void Reload(const settings::Settings&) {}
 };
 
 // Throw Error(kBadSettings) and the storage kinds.
@@ -26,7 +30,13 @@
                                   Incarnation incarnation);
 std::unique_ptr<Daemon> MakeControl(loop::Loop& loop,
                                     const settings::Settings& settings,
-                                    Incarnation incarnation);
+                                    Incarnation incarnation,
+                                    std::unique_ptr<ControlAdapter> adapter);
+
+// An entry that serves published routes, read by an adapter's dialect.
+std::unique_ptr<Daemon> MakeGatewayEntry(
+    loop::Loop& loop, const settings::Settings& settings,
+    Incarnation incarnation, std::unique_ptr<gateway::Dialect> dialect);
 
 }  // namespace dotterelshift::app
 
--- a/include/dotterelshift/budget/ledger.h
+++ b/include/dotterelshift/budget/ledger.h
@@ -22,6 +22,8 @@
   wire::TeamPolicy policy = wire::TeamPolicy::OverspendFirst;
   wire::GrantWay way = wire::GrantWay::Witnessed;
   Duration partition = 60s;  // how long a cut-off entry should go on
+  Tokens least = 0;  // to be held while the budget is in use, whatever the
+                     // demand has been so far
 };
 
 struct LedgerOptions {
@@ -34,6 +36,11 @@
                                     // before the leader is asked again
   Duration cut_off_patience =
       2s;  // refusals first: so long an interruption is waited out
+  // An ask goes out when less than this part of the wanted holding is left.
+  double ask_below = 0.5;
+  // What is held beyond the wanted holding by this factor flows back at once;
+  // 0: only what lies idle does.
+  double return_above = 0;
 };
 
 enum class ReserveResult {
@@ -70,6 +77,8 @@
   // taken over at each call.
   virtual BudgetHandle Open(const BudgetId& budget,
                             const HoldingPolicy& policy) = 0;
+  // Asks for a first holding before anything is drawn on it.
+  virtual void Prepare(BudgetHandle budget, Instant now) = 0;
   virtual const BudgetId& IdOf(BudgetHandle budget) const = 0;
 
   // Reserves the worst case of an attempt.
@@ -103,6 +112,14 @@
   // The leader asks for idle tokens back; the return is among the next wishes.
   virtual void OnRecall(const BudgetId& budget, Tokens tokens, Instant now) = 0;
 
+  // Hands tokens of the standing part to another entry: they have left the
+  // holding when this returns. Up to the other's share by demand, and beyond it
+  // what its waiting request lacks. Returns how many.
+  virtual Tokens Lend(BudgetHandle budget, Tokens wanted, Tokens minimum,
+                      Tokens demand_of_other, Instant now) = 0;
+  // Tokens that another entry has handed over.
+  virtual void Borrow(BudgetHandle budget, Tokens tokens, Instant now) = 0;
+
   // Whether the leader is in reach: while it is not, nothing is asked and
   // nothing flows back.
   virtual void SetConnected(bool connected, Instant now) = 0;
--- /dev/null
+++ b/include/dotterelshift/gateway/budget_desk.h
@@ -0,0 +1,129 @@
+#ifndef DOTTERELSHIFT_GATEWAY_BUDGET_DESK_H_
+#define DOTTERELSHIFT_GATEWAY_BUDGET_DESK_H_
+
+#include <cstdint>        // for uint32_t
+#include <functional>     // for function
+#include <memory>         // for unique_ptr
+#include <unordered_map>  // for unordered_map
+#include <utility>        // for exchange
+#include <vector>         // for vector
+
+#include "dotterelshift/base/ids.h"               // for TeamId
+#include "dotterelshift/base/time.h"              // for Instant
+#include "dotterelshift/base/tokens.h"            // for Tokens
+#include "dotterelshift/budget/ledger.h"          // for Ledger
+#include "dotterelshift/gateway/routes.h"         // for RouteTable
+#include "dotterelshift/wire/frames_generated.h"  // for CommandT, RecallT
+
+namespace dotterelshift::gateway {
+
+struct BudgetDeskOptions {
+  // How often spend is reported. What is not reported yet counts as spent in
+  // full when this process dies, so it is short.
+  Duration report_every = 250ms;
+  // How long an entry without control should go on serving each team. All of it
+  // is lost when the process dies.
+  Duration partition = 10s;
+  // Before demand is known, all entries together hold this part of a total, so
+  // that a cut soon after the start is borne, too.
+  double first_part = 0.35;
+  // So long after a team's first request is its demand taken as known.
+  Duration demand_known_after = 10s;
+  // How often the other entries are asked for the same budget.
+  Duration plea_every = 100ms;
+  // How long control's word on what is left of a total is believed.
+  Duration remainder_memory = 1s;
+};
+
+enum class BudgetAnswer {
+  kNoTotal,    // the team's consumption is not limited
+  kReserved,   // settle it when the request has ended
+  kWait,       // more was asked for, of control and of the other entries
+  kExhausted,  // what is left of the total, wherever held, does not cover it
+};
+
+// Reserves requests of teams with a published total out of what control granted
+// this entry, and reports what they consumed. Nothing waits for a commit: a
+// grant is all spent unseen, and lost with this process but for what it
+// reported.
+class BudgetDesk {
+ public:
+  using NextId = std::function<std::unique_ptr<wire::CommandIdT>()>;
+  BudgetDesk(const BudgetDeskOptions& options, NextId next_id);
+
+  void OnRoutes(const RouteTable& routes, size_t entries, Instant now);
+  BudgetAnswer Reserve(const TeamId& team, Tokens worst_case, Instant now);
+  // Ends a reservation; `answered`: the caller got a whole answer.
+  void Settle(const TeamId& team, Tokens reserved, Tokens spent, bool answered,
+              Instant now);
+
+  // Other entries' pleas and loans. A loan has left this entry when OnPlea
+  // returns: 0 when nothing can be spared.
+  Tokens OnPlea(const wire::TokenPleaT& plea, const HostRun& from, Instant now);
+  void OnLoan(const wire::TokenLoanT& loan, Instant now);
+  std::vector<wire::TokenPleaT> TakePleas() {
+    return std::exchange(m_pleas, {});
+  }
+
+  void SetConnected(bool connected, Instant now);
+  void OnRecall(const wire::RecallT& recall, Instant now);
+  // Control's answer to a command of this desk. True when a waiting request may
+  // now be covered.
+  bool OnAnswer(const wire::CommandAnswerT& answer, Instant now);
+
+  // What is to be proposed to control now.
+  std::vector<wire::CommandT> TakeCommands(Instant now);
+  // The same at shutdown: reports everything and returns what is left.
+  std::vector<wire::CommandT> TakeLastCommands(Instant now);
+  std::vector<wire::BudgetHoldingT> Holdings(Instant now) const;
+
+ private:
+  struct Spend {
+    Tokens spent = 0;
+    uint32_t answered = 0;
+    uint32_t requests = 0;
+  };
+  budget::HoldingPolicy PolicyOf(const TeamId& team) const;
+  void LearnDemand(Instant now);
+  bool IsAsking(const TeamId& team) const;
+  wire::CommandT CommandOf(const budget::GrantWish& wish);
+  void AddReports(std::vector<wire::CommandT>* commands, Instant now);
+  template <typename Body>
+  wire::CommandT MakeCommand(Body body) {
+    wire::CommandT command;
+    command.id = m_next_id();
+    command.body.Set(std::move(body));
+    return command;
+  }
+
+  const BudgetDeskOptions m_options;
+  const NextId m_next_id;
+  std::unique_ptr<budget::Ledger> m_ledger;
+  std::unordered_map<TeamId, budget::BudgetHandle> m_handles;  // with a total
+  std::unordered_map<TeamId, Spend> m_spends;  // not yet reported
+  // Asks that control has not answered, by the command's sequence.
+  std::unordered_map<uint64_t, TeamId> m_asks;
+  // Teams whose demand is not known yet, and since when they draw; the epoch:
+  // not at all.
+  std::unordered_map<TeamId, Instant> m_unknown;
+  size_t m_entries = 1;
+  std::unordered_map<TeamId, Tokens> m_totals;
+  Instant m_next_report{};
+  // What is left of a total, as control said last.
+  struct Remainder {
+    Tokens tokens = 0;
+    Instant heard{};
+  };
+  bool IsBeyondTotal(const TeamId& team, budget::BudgetHandle handle,
+                     Tokens worst_case, Instant now) const;
+  void Plead(const TeamId& team, budget::BudgetHandle handle, Tokens worst_case,
+             Instant now);
+  std::unordered_map<TeamId, Remainder> m_remainders;
+  std::unordered_map<TeamId, Instant> m_pleaded;
+  std::vector<wire::TokenPleaT> m_pleas;
+  std::vector<wire::CommandT> m_moves;
+};
+
+}  // namespace dotterelshift::gateway
+
+#endif  // DOTTERELSHIFT_GATEWAY_BUDGET_DESK_H_
--- /dev/null
+++ b/include/dotterelshift/gateway/part_cache.h
@@ -0,0 +1,43 @@
+#ifndef DOTTERELSHIFT_GATEWAY_PART_CACHE_H_
+#define DOTTERELSHIFT_GATEWAY_PART_CACHE_H_
+
+#include <cstdint>        // for uint64_t
+#include <list>           // for list
+#include <unordered_map>  // for unordered_map
+#include <vector>         // for vector
+
+#include "dotterelshift/base/tokens.h"      // for Tokens
+#include "dotterelshift/gateway/request.h"  // for PromptPart
+
+namespace dotterelshift::gateway {
+
+// What an engine's prompt cache probably holds, as far as requests sent there
+// tell: parts, the least recently used dropped first.
+class PartCache {
+ public:
+  explicit PartCache(Tokens capacity = 0) : m_capacity(capacity) {}
+
+  void SetCapacity(Tokens capacity);
+  // Notes that a prompt's part was read, or used, there now.
+  void Touch(uint64_t part, Tokens tokens);
+  // Tokens at the front of a prompt that need not be read again: parts count
+  // only as long as all before them are held, too.
+  Tokens Held(const std::vector<PromptPart>& parts) const;
+  void Clear();
+
+ private:
+  struct Entry {
+    uint64_t part = 0;
+    Tokens tokens = 0;
+  };
+  void Trim();
+
+  Tokens m_capacity;
+  Tokens m_held = 0;
+  std::list<Entry> m_order;  // most recently used first
+  std::unordered_map<uint64_t, std::list<Entry>::iterator> m_places;
+};
+
+}  // namespace dotterelshift::gateway
+
+#endif  // DOTTERELSHIFT_GATEWAY_PART_CACHE_H_
--- a/src/dotterelshift/app/control.cc
+++ b/src/dotterelshift/app/control.cc
@@ -1,13 +1,17 @@
-#include <map>      // for map
-#include <set>      // for set
-#include <string>   // for string
-#include <utility>  // for move
+#include <algorithm>  // for find
+#include <map>        // for map
+#include <string>     // for string
+#include <utility>    // for move
 
 #include "dotterelshift/app/control_replica.h"     // for ControlReplica
 #include "dotterelshift/app/daemon.h"              // for Daemon
 #include "dotterelshift/app/directory_exchange.h"  // for DirectoryExchange
+#include "dotterelshift/app/entry_pushes.h"        // for EntryPushes
 #include "dotterelshift/app/hub_options.h"         // for MakeHubOptions
+#include "dotterelshift/app/listen_options.h"      // for ListenOptions
 #include "dotterelshift/app/operator_backend.h"    // for MakeControlBackend
+#include "dotterelshift/app/routes_control.h"      // for RoutesControl
+#include "dotterelshift/base/address.h"            // for ParseAddress
 #include "dotterelshift/budget/recall_core.h"      // for RecallCore
 #include "dotterelshift/callers/front.h"           // for AnswerError
 #include "dotterelshift/endpoints/order_sender.h"  // for SendOrder
@@ -24,12 +28,37 @@
 // Within the longest delivery that the order core waits out.
 constexpr Duration kOrderTimeout = 8s;
 
+std::vector<HostId> FirstMembers(const settings::Settings& settings) {
+  if (!settings.found_group) return settings.first_members;
+  std::vector<HostId> members;
+  for (const std::string& seed : settings.seeds)
+    members.push_back(PeerAddressOf(seed, settings.peer_port));
+  const bool own =
+      std::find(members.begin(), members.end(), settings.host) != members.end();
+  return own ? members : std::vector<HostId>{};
+}
+
+// A leader's lease ends before any replica may stand for election.
+Duration LeaseOf(Duration election_timeout) {
+  constexpr int kParts = 6;
+  return election_timeout / kParts * (kParts - 1);
+}
+
+// Under published routes entries only listen, so control tells each of them.
+directory::SpreadOptions SpreadOptionsOf(const settings::Settings& settings) {
+  constexpr size_t kAll = 1000;
+  directory::SpreadOptions options;
+  options.self = settings.host;
+  if (settings.gateway) options.fan_out = kAll;
+  return options;
+}
+
 // The control role: one replica of the state, the entries that propose to it,
 // and the operators.
-class Control : public Daemon {
+class Control : public Daemon, private RoutesControl {
  public:
   Control(loop::Loop& loop, const settings::Settings& settings,
-          Incarnation incarnation);
+          Incarnation incarnation, std::unique_ptr<ControlAdapter> adapter);
 
   uint16_t PeerPort() const override { return m_hub->Port(); }
   uint16_t HttpPort() const override { return m_server->Port(); }
@@ -37,14 +66,24 @@
     platform::Log(platform::LogLevel::kInfo, "shutdown_done");
     m_loop.Stop();
   }
+  void Reload(const settings::Settings& settings) override;
 
  private:
-  // An entry that is connected, and what it has told.
-  struct EntryPeer {
-    peers::PeerInfo info;
-    uint64_t version =
-        0;  // of the configuration that it has, or that is on its way
-  };
+  void Publish(uint64_t version, std::string document,
+               const std::map<TeamId, Tokens>& totals,
+               std::function<void(ErrorKind)> callback) override;
+  void Read(std::function<void(ErrorKind, std::string_view)> callback) override;
+  std::string LeaderAddress() const override {
+    return m_backend->LeaderHttpAddress();
+  }
+  void OnAnnounced(const wire::EndpointRecordT& record) override {
+    m_directory.OnAnnounced(record);
+  }
+  const wire::EndpointRecordT* FindEndpoint(
+      const EndpointId& endpoint) const override;
+  void ProposeRoutes(const wire::PublishRoutesT& body,
+                     std::function<void(ErrorKind)> callback);
+  void DialMember(const std::string& address);
 
   http::ServerOptions ServerOptions() const;
   peers::HubCallbacks HubCallbacks();
@@ -61,8 +100,6 @@
   void RecallFor(const wire::CommandIdT& asker,
                  const wire::RequestGrantT& request,
                  const wire::GrantAnswerT& answer);
-  void PushConfiguration(EntryPeer& entry);
-  void PushQuarantine(const HostId& host);
   void SendOrders();
   void SendOrder(const orders::OrderAction& action);
   void OnTick();
@@ -74,14 +111,16 @@
   HostRun m_self;
   std::string m_secret;
   uint64_t m_sequence = 0;
+  std::unique_ptr<ControlAdapter> m_adapter;
   DirectoryExchange m_directory;
   std::unique_ptr<platform::Metrics> m_metrics;
   std::unique_ptr<http::Server> m_server;
+  std::unique_ptr<http::Server> m_metrics_server;
   std::unique_ptr<peers::Hub> m_hub;
   std::unique_ptr<ControlReplica> m_replica;
   std::unique_ptr<OperatorBackend> m_backend;
   std::unique_ptr<operators::Api> m_api;
-  std::map<HostId, EntryPeer> m_entries;
+  std::unique_ptr<EntryPushes> m_pushes;
   budget::RecallCore m_recalls;
   std::unique_ptr<http::Client> m_client;
   std::unique_ptr<orders::OrderCore> m_orders;
@@ -90,12 +129,14 @@
 };
 
 Control::Control(loop::Loop& loop, const settings::Settings& settings,
-                 Incarnation incarnation)
+                 Incarnation incarnation,
+                 std::unique_ptr<ControlAdapter> adapter)
     : m_loop(loop),
       m_settings(settings),
       m_self{settings.host, incarnation},
       m_secret(settings::ReadSecret(settings.secret_file)),
-      m_directory(loop, settings.host,
+      m_adapter(std::move(adapter)),
+      m_directory(loop, SpreadOptionsOf(settings), {},
                   {[] {}, [](const std::vector<wire::CacheEventT>&) {}}),
       m_metrics(platform::MakeMetrics()),
       m_client(http::MakeClient(loop)),
@@ -105,6 +146,15 @@
                               [this](std::shared_ptr<http::Exchange> exchange) {
                                 OnExchange(std::move(exchange));
                               });
+  if (settings.metrics_port != 0) {
+    const std::string listen =
+        settings.address + ":" + std::to_string(settings.metrics_port);
+    m_metrics_server =
+        http::MakeServer(loop, ListenOptionsAt(settings, listen),
+                         [this](std::shared_ptr<http::Exchange> exchange) {
+                           OnExchange(std::move(exchange));
+                         });
+  }
   m_hub = peers::MakeHub(
       loop, MakeHubOptions(settings, m_secret, incarnation, m_server->Port()),
       HubCallbacks());
@@ -112,12 +162,16 @@
   ControlReplicaOptions options;
   options.node.seed = incarnation;
   options.store.folder = settings.data_folder;
-  options.first_members = settings.first_members;
+  options.first_members = FirstMembers(settings);
   options.self = settings.host;
   options.self_address = settings.address + ":" + std::to_string(m_hub->Port());
+  options.self_healing = settings.self_healing;
+  options.node.heartbeat = settings.leader_heartbeat;
+  options.node.election_least = settings.election_timeout;
+  options.node.lease = LeaseOf(settings.election_timeout);
   m_replica = MakeControlReplica(loop, options, ReplicaCallbacks());
-  const std::string http_address =
-      settings.http_address + ":" + std::to_string(m_server->Port());
+  m_pushes = std::make_unique<EntryPushes>(*m_hub, *m_replica);
+  const std::string http_address = HttpAddressOf(settings, m_server->Port());
   m_backend =
       MakeControlBackend(loop, *m_hub, *m_replica, m_directory.GetDirectory(),
                          http_address, m_self, [this] { return NextId(); });
@@ -130,9 +184,7 @@
 }
 
 http::ServerOptions Control::ServerOptions() const {
-  http::ServerOptions options;
-  options.address = m_settings.http_address;
-  options.port = m_settings.http_port;
+  http::ServerOptions options = ListenOptions(m_settings);
   options.refusal = callers::RefusalAnswer;
   return options;
 }
@@ -142,7 +194,7 @@
   callbacks.on_up = [this](const peers::PeerInfo& peer) { OnPeerUp(peer); };
   callbacks.on_down = [this](const peers::PeerInfo& peer) {
     m_directory.OnPeerDown(peer);
-    m_entries.erase(peer.run.host);
+    if (m_pushes) m_pushes->OnDown(peer.run.host);
   };
   callbacks.on_frame = [this](const peers::PeerInfo& peer,
                               const wire::FrameT& frame) {
@@ -161,17 +213,32 @@
                              const std::vector<wire::CommandAnswerT>& answers) {
     OnApplied(batch, answers);
   };
+  callbacks.control_hosts = [this] {
+    std::vector<HostId> hosts;
+    for (const peers::PeerInfo& peer : m_hub->Peers())
+      if (peer.role == wire::HostRole::Control) hosts.push_back(peer.run.host);
+    return hosts;
+  };
+  callbacks.on_members_heard = [this](const std::vector<std::string>& members) {
+    for (const std::string& address : members) DialMember(address);
+  };
   callbacks.on_leadership_changed = [this] {
     const bool leads = m_replica != nullptr && m_replica->Leads();
     m_orders->OnLeadership(leads, m_loop.Now());
-    platform::Log(platform::LogLevel::kInfo, "leadership",
-                  {{"leads", leads ? "yes" : "no"}});
+    if (m_replica == nullptr) return;
+    const replication::Node& node = m_replica->GetNode();
+    platform::Log(
+        platform::LogLevel::kInfo, "leadership",
+        {{"leader", m_replica->LeaderHost()},
+         {"term", std::to_string(node.Term())},
+         {"members", std::to_string(node.Members().replicas.size())}});
   };
   return callbacks;
 }
 
 void Control::OnExchange(std::shared_ptr<http::Exchange> exchange) {
   const std::string& path = exchange->GetRequest().path;
+  if (m_adapter != nullptr && m_adapter->Accept(exchange, *this)) return;
   if (path.starts_with("/operator/v1/")) {
     m_api->Accept(std::move(exchange));
   } else if (path == "/healthz") {
@@ -192,8 +259,9 @@
 void Control::OnPeerUp(const peers::PeerInfo& peer) {
   m_directory.OnPeerUp(peer);
   if (peer.role != wire::HostRole::Entry) return;
-  m_entries[peer.run.host].info = peer;
-  if (m_replica->Leads()) PushQuarantine(peer.run.host);
+  m_pushes->OnUp(peer);
+  if (m_replica->Leads())
+    m_pushes->PushQuarantine(peer.run.host, m_loop.WallNow());
 }
 
 void Control::OnPeerFrame(const peers::PeerInfo& peer,
@@ -243,29 +311,22 @@
   wire::LeaderHintT hint;
   hint.host = m_replica->LeaderHost();
   hint.term = m_replica->GetNode().Term();
+  hint.control = ReplicaAddresses(m_replica->GetNode());
   m_hub->Send(host, peers::MakeFrame(std::move(hint)));
 }
 
 void Control::OnBeat(const peers::PeerInfo& peer,
                      const wire::EntryBeatT& beat) {
-  const auto entry = m_entries.find(peer.run.host);
-  if (entry == m_entries.end()) return;
-  entry->second.version = beat.configuration_version;
+  if (!m_pushes->OnBeat(peer.run.host, beat)) return;
   m_recalls.OnBeat(peer.run.host, beat, m_loop.Now());
   const HostId host = peer.run.host;
   m_replica->ConfirmedRead(
       [this, host, sequence = beat.sequence](ErrorKind error) {
-        if (error != ErrorKind::kNone) return;
-        const auto confirmed = m_entries.find(host);
-        if (confirmed == m_entries.end()) return;
-        PushConfiguration(confirmed->second);
-        wire::LeaderBeatT answer;
-        answer.sequence = sequence;
-        answer.term = m_replica->GetNode().Term();
-        answer.configuration_version =
-            m_replica->GetState().GetConfiguration().Version();
-        answer.stamp_ms = m_loop.WallNow();
-        m_hub->Send(host, peers::MakeFrame(answer));
+        if (error == ErrorKind::kNone)
+          return m_pushes->AnswerBeat(host, sequence, m_loop.WallNow());
+        // An entry that has just started knows the seeds alone, and none of
+        // them may lead.
+        SendHint(host);
       });
 }
 
@@ -299,10 +360,8 @@
     if (request != nullptr && grant != nullptr)
       RecallFor(*command.id, *request, *grant);
   }
-  for (auto& [host, entry] : m_entries) {
-    PushConfiguration(entry);
-    if (suspects) PushQuarantine(host);
-  }
+  m_pushes->PushAll();
+  if (suspects) m_pushes->PushQuarantineToAll(m_loop.WallNow());
 }
 
 // Asks holders for what is idle when a request got less than it needs.
@@ -319,38 +378,6 @@
     m_hub->Send(message.host, peers::MakeFrame(std::move(message.recall)));
 }
 
-void Control::PushConfiguration(EntryPeer& entry) {
-  const state::State& state = m_replica->GetState();
-  const uint64_t version = state.GetConfiguration().Version();
-  if (entry.version >= version) return;
-  std::vector<wire::ChangeT> changes;
-  uint64_t from = entry.version;
-  if (from > 0) changes = state.ChangesSince(from);
-  if (changes.empty()) {
-    from = 0;
-    changes = state.GetConfiguration().AsChanges();
-  }
-  wire::ConfigurationPushT push;
-  push.term = m_replica->GetNode().Term();
-  push.commit_index = m_replica->GetNode().Commit();
-  push.from_version = from;
-  push.to_version = version;
-  for (wire::ChangeT& change : changes)
-    push.changes.push_back(std::make_unique<wire::ChangeT>(std::move(change)));
-  m_hub->Send(entry.info.run.host, peers::MakeFrame(std::move(push)));
-  entry.version = version;
-}
-
-void Control::PushQuarantine(const HostId& host) {
-  wire::QuarantinePushT push;
-  for (const wire::SuspectAnswerT& entry :
-       m_replica->GetState().Quarantined(m_loop.WallNow())) {
-    push.entries.push_back(std::make_unique<wire::SuspectAnswerT>(entry));
-  }
-  if (!push.entries.empty())
-    m_hub->Send(host, peers::MakeFrame(std::move(push)));
-}
-
 void Control::SendOrders() {
   if (!m_replica->Leads()) return;
   const auto actions =
@@ -404,6 +431,77 @@
   return id;
 }
 
+// A hub address that another daemon named; one that is none is passed over.
+void Control::DialMember(const std::string& address) {
+  if (ParseAddress(address)) m_hub->Dial(address);
+}
+
+void Control::Reload(const settings::Settings& settings) {
+  for (const std::string& seed : settings.seeds)
+    m_hub->Dial(PeerAddressOf(seed, settings.peer_port));
+}
+
+void Control::Publish(uint64_t version, std::string document,
+                      const std::map<TeamId, Tokens>& totals,
+                      std::function<void(ErrorKind)> callback) {
+  wire::PublishRoutesT body;
+  body.version = version;
+  body.document.assign(document.begin(), document.end());
+  for (const auto& [team, tokens] : totals) {
+    auto total = std::make_unique<wire::TeamTotalT>();
+    total->team = team;
+    total->tokens = tokens;
+    body.totals.push_back(std::move(total));
+  }
+  ProposeRoutes(body, std::move(callback));
+}
+
+Tokens SumOf(const std::vector<std::unique_ptr<wire::TeamTotalT>>& totals) {
+  Tokens sum = 0;
+  for (const auto& total : totals) sum += total->tokens;
+  return sum;
+}
+
+void Control::ProposeRoutes(const wire::PublishRoutesT& body,
+                            std::function<void(ErrorKind)> callback) {
+  wire::CommandT command;
+  command.body.Set(wire::PublishRoutesT(body));
+  m_backend->Propose(
+      std::move(command),
+      [this, body, callback](ErrorKind error,
+                             const wire::CommandAnswerT& answer) {
+        const auto refused = static_cast<ErrorKind>(answer.error);
+        if (error == ErrorKind::kNone &&
+            refused == ErrorKind::kStaleIncarnation) {
+          // The wall clock was set back between two starts of this process.
+          m_self.incarnation = answer.newest_incarnation + 1;
+          return ProposeRoutes(body, callback);
+        }
+        const ErrorKind outcome = error == ErrorKind::kNone ? refused : error;
+        platform::Log(platform::LogLevel::kInfo, "routes_published",
+                      {{"version", std::to_string(body.version)},
+                       {"totals", std::to_string(SumOf(body.totals))},
+                       {"outcome", outcome == ErrorKind::kNone
+                                       ? "committed"
+                                       : std::string(RowOf(outcome).name)}});
+        callback(outcome);
+      });
+}
+
+void Control::Read(std::function<void(ErrorKind, std::string_view)> callback) {
+  m_replica->ConfirmedRead([this, callback](ErrorKind error) {
+    const state::PublishedRoutes published =
+        m_replica->GetState().GetPublished();
+    callback(error, published.document);
+  });
+}
+
+const wire::EndpointRecordT* Control::FindEndpoint(
+    const EndpointId& endpoint) const {
+  const directory::Endpoint* found = m_directory.GetDirectory().Find(endpoint);
+  return found == nullptr ? nullptr : &found->record;
+}
+
 void Control::UpdateGauges() {
   const replication::Node& node = m_replica->GetNode();
   const peers::HubCounters& hub = m_hub->Counters();
@@ -419,7 +517,7 @@
       "Version of the configuration that is applied here",
       static_cast<double>(m_replica->GetState().GetConfiguration().Version()));
   m_metrics->SetGauge("dotterelshift_entries_connected", "Entries connected",
-                      static_cast<double>(m_entries.size()));
+                      static_cast<double>(m_pushes->Entries()));
   m_metrics->SetCounter("dotterelshift_peer_bytes_in_total",
                         "Bytes from other daemons",
                         static_cast<double>(hub.bytes_in));
@@ -432,8 +530,10 @@
 
 std::unique_ptr<Daemon> MakeControl(loop::Loop& loop,
                                     const settings::Settings& settings,
-                                    Incarnation incarnation) {
-  return std::make_unique<Control>(loop, settings, incarnation);
+                                    Incarnation incarnation,
+                                    std::unique_ptr<ControlAdapter> adapter) {
+  return std::make_unique<Control>(loop, settings, incarnation,
+                                   std::move(adapter));
 }
 
 }  // namespace dotterelshift::app
--- a/src/dotterelshift/app/control_link.cc
+++ b/src/dotterelshift/app/control_link.cc
@@ -32,10 +32,14 @@
     OnAnswers(*answers);
   } else if (const auto* beat = frame.body.AsLeaderBeat()) {
     OnLeaderBeat(from, *beat);
-  } else if (frame.body.AsLeaderHint() != nullptr) {
+  } else if (const auto* hint = frame.body.AsLeaderHint()) {
+    if (m_leader.empty() || from == m_leader)
+      m_control_addresses = hint->control;
     if (from == m_leader) ForgetLeader(now);
   } else if (const auto* push = frame.body.AsConfigurationPush()) {
     OnConfiguration(*push);
+  } else if (const auto* routes = frame.body.AsRoutesPush()) {
+    OnRoutes(*routes);
   } else if (const auto* recall = frame.body.AsRecall()) {
     m_recalls.push_back(*recall);
   } else if (const auto* quarantine = frame.body.AsQuarantinePush()) {
@@ -54,6 +58,9 @@
   m_confirmed = std::max(m_confirmed.value_or(sent->second), sent->second);
   m_term = beat.term;
   m_wanted_version = beat.configuration_version;
+  m_wanted_routes = beat.routes_version;
+  m_control_addresses = beat.control;
+  m_entry_addresses = beat.entries;
   m_knows_wanted_version = true;
   m_beats_sent.erase(m_beats_sent.begin(), sent);
   if (m_leader == from) return;
@@ -92,9 +99,17 @@
   m_configuration.Apply(changes, push.to_version);
 }
 
+// Versions only rise: a leader that was cut off may send an older one late.
+void ControlLink::OnRoutes(const wire::RoutesPushT& push) {
+  if (push.version <= m_routes_version) return;
+  m_routes_version = push.version;
+  m_routes_document.assign(push.document.begin(), push.document.end());
+}
+
 void ControlLink::UpdateReach(Instant now) {
-  const bool current =
-      m_knows_wanted_version && m_configuration.Version() >= m_wanted_version;
+  const bool current = m_knows_wanted_version &&
+                       m_configuration.Version() >= m_wanted_version &&
+                       m_routes_version >= m_wanted_routes;
   const bool fresh =
       m_confirmed.has_value() && now - *m_confirmed < m_options.cut_off_after;
   if (m_reach == ControlReach::kNever) {
@@ -120,6 +135,7 @@
     wire::EntryBeatT beat;
     beat.sequence = sequence;
     beat.configuration_version = m_configuration.Version();
+    beat.routes_version = m_routes_version;
     if (host == m_leader) {
       for (const auto& holding : m_holdings)
         beat.held.push_back(std::make_unique<wire::BudgetHoldingT>(holding));
--- a/src/dotterelshift/app/control_replica.cc
+++ b/src/dotterelshift/app/control_replica.cc
@@ -5,12 +5,13 @@
 #include <optional>   // for optional
 #include <utility>    // for move
 
-#include "dotterelshift/app/member_changes.h"      // for MemberChanges
-#include "dotterelshift/app/proposals.h"           // for Proposals
-#include "dotterelshift/app/spool_sender.h"        // for SpoolSender
-#include "dotterelshift/replication/bootstrap.h"   // for Bootstrap
-#include "dotterelshift/replication/membership.h"  // for FindMember
-#include "dotterelshift/replication/messages.h"    // for SenderOf
+#include "dotterelshift/app/member_changes.h"         // for MemberChanges
+#include "dotterelshift/app/proposals.h"              // for Proposals
+#include "dotterelshift/app/spool_sender.h"           // for SpoolSender
+#include "dotterelshift/replication/bootstrap.h"      // for Bootstrap
+#include "dotterelshift/replication/member_keeper.h"  // for MemberKeeper
+#include "dotterelshift/replication/membership.h"     // for FindMember
+#include "dotterelshift/replication/messages.h"       // for SenderOf
 
 namespace dotterelshift::app {
 
@@ -58,6 +59,7 @@
   void Restore(storage::OpenedStore opened);
   bool InGroup() const;
   void OnHousekeeping();
+  void KeepMembers();
   void SayHello(const HostId& host, bool answer_wanted);
   void OnHello(const HostId& from, const wire::ReplicaHelloT& hello);
   void TryToFound();
@@ -112,6 +114,7 @@
   SpoolSender m_spool;
   int m_ticks = 0;
 
+  std::optional<replication::MemberKeeper> m_keeper;  // with self_healing
   std::optional<replication::Bootstrap> m_bootstrap;
   std::map<ReplicaId, HostId> m_hosts;             // heard from
   std::map<HostId, ReplicaId> m_waiting_replicas;  // in no group
@@ -152,6 +155,7 @@
   m_node = replication::MakeNode(m_options.node, std::move(opened.log),
                                  m_loop.Now());
   if (meta.last_index > 0) InstallSnapshot(meta, opened.snapshot);
+  if (m_options.self_healing) m_keeper.emplace(m_self);
   if (!InGroup() && !m_options.first_members.empty())
     m_bootstrap.emplace(m_options.self, m_self, m_options.first_members);
 }
@@ -178,6 +182,23 @@
   }
   if (m_node->Role() == NodeRole::kLeader && m_member_changes.Next())
     SchedulePump();
+  if (m_keeper && m_ticks % kTicksBetweenRetries == 0) KeepMembers();
+}
+
+// The leader heals the group; a replica that hears none says so to all control
+// hosts, because it may have been replaced while it was away.
+void Replica::KeepMembers() {
+  const Instant now = m_loop.Now();
+  if (m_node->Role() == NodeRole::kLeader) {
+    const auto change =
+        m_keeper->Next(m_node->Members(), WaitingReplicas(), now);
+    if (!change) return;
+    m_node->ProposeMember(change->replica, change->remove, now);
+    return SchedulePump();
+  }
+  m_keeper->StopLeading();
+  if (m_node->Leader() != 0 || !m_callbacks.control_hosts) return;
+  for (const HostId& host : m_callbacks.control_hosts()) SayHello(host, false);
 }
 
 void Replica::SayHello(const HostId& host, bool answer_wanted) {
@@ -186,15 +207,25 @@
   hello.in_group = InGroup();
   hello.answer_wanted = answer_wanted;
   hello.first_members = m_options.first_members;
+  hello.lost = m_node->Leader() == 0;
+  for (const auto& member : m_node->Members().replicas)
+    hello.members.push_back(member->host);
   m_callbacks.send(host, peers::MakeFrame(std::move(hello)));
 }
 
 void Replica::OnHello(const HostId& from, const wire::ReplicaHelloT& hello) {
   if (hello.answer_wanted) SayHello(from, false);
-  if (hello.in_group)
-    m_waiting_replicas.erase(from);
-  else
+  // One in a group that hears no leader may have been removed meanwhile.
+  const bool waits = !hello.in_group || (m_keeper && hello.lost);
+  if (waits)
     m_waiting_replicas[from] = hello.replica;
+  else
+    m_waiting_replicas.erase(from);
+  if (m_keeper && !hello.members.empty() && m_callbacks.on_members_heard)
+    m_callbacks.on_members_heard(hello.members);
+  // Who waits learns from the answer where the group is.
+  if (m_keeper && waits && InGroup() && !hello.answer_wanted)
+    SayHello(from, false);
   if (m_bootstrap) m_bootstrap->OnHello(from, hello);
   TryToFound();
 }
@@ -250,6 +281,7 @@
   // A replica that cannot write must not help to commit.
   if (sender == 0 || m_trouble != ErrorKind::kNone) return;
   m_hosts[sender] = from.run.host;
+  if (m_keeper) m_keeper->OnHeard(sender, m_loop.Now());
   try {
     m_node->OnMessage(frame, m_loop.Now());
   } catch (const Error& error) {
--- a/src/dotterelshift/app/directory_exchange.cc
+++ b/src/dotterelshift/app/directory_exchange.cc
@@ -20,9 +20,16 @@
 
 DirectoryExchange::DirectoryExchange(loop::Loop& loop, const HostId& self,
                                      Callbacks callbacks)
+    : DirectoryExchange(loop, MakeSpreadOptions(self), {},
+                        std::move(callbacks)) {}
+
+DirectoryExchange::DirectoryExchange(
+    loop::Loop& loop, const directory::SpreadOptions& spread,
+    const directory::DirectoryOptions& directory, Callbacks callbacks)
     : m_loop(loop),
       m_callbacks(std::move(callbacks)),
-      m_spread(MakeSpreadOptions(self), &m_directory),
+      m_directory(directory),
+      m_spread(spread, &m_directory),
       m_timer(loop, [this] { OnTimer(); }) {
   m_timer.ArmIn(0ms);
 }
@@ -42,6 +49,11 @@
   OnTimer();
 }
 
+void DirectoryExchange::OnAnnounced(const wire::EndpointRecordT& record) {
+  m_spread.OnAnnounced(record, m_loop.Now());
+  OnTimer();
+}
+
 void DirectoryExchange::OnPeerUp(const peers::PeerInfo& peer) {
   m_spread.OnPeerUp(peer.run.host, m_loop.Now());
 }
--- a/src/dotterelshift/app/directory_exchange.h
+++ b/src/dotterelshift/app/directory_exchange.h
@@ -22,18 +22,24 @@
     std::function<void(const std::vector<wire::CacheEventT>&)> on_cache_events;
   };
   DirectoryExchange(loop::Loop& loop, const HostId& self, Callbacks callbacks);
+  DirectoryExchange(loop::Loop& loop, const directory::SpreadOptions& spread,
+                    const directory::DirectoryOptions& directory,
+                    Callbacks callbacks);
 
   // The hub is made after this object, because its callbacks lead here.
   void SetHub(peers::Hub* hub) { m_hub = hub; }
 
   // POST /endpoint/v1/announce.
   void OnAnnounce(http::Exchange& exchange);
+  // An endpoint's announcement that an adapter has read.
+  void OnAnnounced(const wire::EndpointRecordT& record);
   void OnPeerUp(const peers::PeerInfo& peer);
   void OnPeerDown(const peers::PeerInfo& peer);
   // True when the frame was one of the directory's.
   bool OnFrame(const peers::PeerInfo& from, const wire::FrameT& frame);
 
   directory::Directory& GetDirectory() { return m_directory; }
+  const directory::Directory& GetDirectory() const { return m_directory; }
 
  private:
   void OnTimer();
--- /dev/null
+++ b/src/dotterelshift/app/entry_pushes.cc
@@ -0,0 +1,108 @@
+#include "dotterelshift/app/entry_pushes.h"
+
+#include <memory>   // for make_unique
+#include <utility>  // for move
+
+#include "dotterelshift/base/address.h"  // for ParseAddress
+
+namespace dotterelshift::app {
+
+std::vector<std::string> ReplicaAddresses(const replication::Node& node) {
+  std::vector<std::string> addresses;
+  for (const auto& member : node.Members().replicas) {
+    // Where hosts are named by their address, no other is kept.
+    const std::string& address =
+        member->address.empty() ? member->host : member->address;
+    if (ParseAddress(address)) addresses.push_back(address);
+  }
+  return addresses;
+}
+
+void EntryPushes::OnUp(const peers::PeerInfo& entry) {
+  m_entries[entry.run.host] = {entry, 0, 0};
+}
+
+bool EntryPushes::OnBeat(const HostId& host, const wire::EntryBeatT& beat) {
+  const auto entry = m_entries.find(host);
+  if (entry == m_entries.end()) return false;
+  entry->second.configuration = beat.configuration_version;
+  entry->second.routes = beat.routes_version;
+  return true;
+}
+
+// What the entry lacks goes first, so that it has what the answer names.
+void EntryPushes::AnswerBeat(const HostId& host, uint64_t sequence,
+                             WallMs now) {
+  const auto entry = m_entries.find(host);
+  if (entry == m_entries.end()) return;
+  Push(entry->second);
+  const state::State& state = m_replica.GetState();
+  wire::LeaderBeatT answer;
+  answer.sequence = sequence;
+  answer.term = m_replica.GetNode().Term();
+  answer.configuration_version = state.GetConfiguration().Version();
+  answer.stamp_ms = now;
+  answer.routes_version = state.GetPublished().version;
+  answer.control = ReplicaAddresses(m_replica.GetNode());
+  for (const auto& [other, known] : m_entries)
+    answer.entries.push_back(known.info.address);
+  m_hub.Send(host, peers::MakeFrame(std::move(answer)));
+}
+
+void EntryPushes::PushAll() {
+  for (auto& [host, entry] : m_entries) Push(entry);
+}
+
+void EntryPushes::Push(Entry& entry) {
+  PushConfiguration(entry);
+  PushRoutes(entry);
+}
+
+void EntryPushes::PushConfiguration(Entry& entry) {
+  const state::State& state = m_replica.GetState();
+  const uint64_t version = state.GetConfiguration().Version();
+  if (entry.configuration >= version) return;
+  std::vector<wire::ChangeT> changes;
+  uint64_t from = entry.configuration;
+  if (from > 0) changes = state.ChangesSince(from);
+  if (changes.empty()) {
+    from = 0;
+    changes = state.GetConfiguration().AsChanges();
+  }
+  wire::ConfigurationPushT push;
+  push.term = m_replica.GetNode().Term();
+  push.commit_index = m_replica.GetNode().Commit();
+  push.from_version = from;
+  push.to_version = version;
+  for (wire::ChangeT& change : changes)
+    push.changes.push_back(std::make_unique<wire::ChangeT>(std::move(change)));
+  m_hub.Send(entry.info.run.host, peers::MakeFrame(std::move(push)));
+  entry.configuration = version;
+}
+
+void EntryPushes::PushRoutes(Entry& entry) {
+  const state::PublishedRoutes published = m_replica.GetState().GetPublished();
+  if (entry.routes >= published.version) return;
+  wire::RoutesPushT push;
+  push.term = m_replica.GetNode().Term();
+  push.version = published.version;
+  push.document.assign(published.document.begin(), published.document.end());
+  m_hub.Send(entry.info.run.host, peers::MakeFrame(std::move(push)));
+  entry.routes = published.version;
+}
+
+void EntryPushes::PushQuarantine(const HostId& entry, WallMs now) {
+  wire::QuarantinePushT push;
+  for (const wire::SuspectAnswerT& suspect :
+       m_replica.GetState().Quarantined(now)) {
+    push.entries.push_back(std::make_unique<wire::SuspectAnswerT>(suspect));
+  }
+  if (!push.entries.empty())
+    m_hub.Send(entry, peers::MakeFrame(std::move(push)));
+}
+
+void EntryPushes::PushQuarantineToAll(WallMs now) {
+  for (const auto& [host, entry] : m_entries) PushQuarantine(host, now);
+}
+
+}  // namespace dotterelshift::app
--- /dev/null
+++ b/src/dotterelshift/app/entry_pushes.h
@@ -0,0 +1,58 @@
+#ifndef DOTTERELSHIFT_SRC_APP_ENTRY_PUSHES_H_
+#define DOTTERELSHIFT_SRC_APP_ENTRY_PUSHES_H_
+
+#include <cstdint>  // for uint64_t
+#include <map>      // for map
+#include <string>   // for string
+#include <vector>   // for vector
+
+#include "dotterelshift/app/control_replica.h"  // for ControlReplica
+#include "dotterelshift/base/ids.h"             // for HostId
+#include "dotterelshift/peers/hub.h"            // for Hub
+
+namespace dotterelshift::app {
+
+// Where the replicas of a group can be reached.
+std::vector<std::string> ReplicaAddresses(const replication::Node& node);
+
+// What control tells the entries that are connected to it: configuration,
+// published routes, quarantined contents, and who the others are. Only a leader
+// that a quorum has just confirmed pushes.
+class EntryPushes {
+ public:
+  EntryPushes(peers::Hub& hub, const ControlReplica& replica)
+      : m_hub(hub), m_replica(replica) {}
+
+  void OnUp(const peers::PeerInfo& entry);
+  void OnDown(const HostId& entry) { m_entries.erase(entry); }
+  // The entry told which versions it has. False when it is not connected.
+  bool OnBeat(const HostId& entry, const wire::EntryBeatT& beat);
+
+  // Answers a beat, once a quorum has confirmed that this replica leads.
+  void AnswerBeat(const HostId& entry, uint64_t sequence, WallMs now);
+  // Tells all entries what they lack.
+  void PushAll();
+  void PushQuarantine(const HostId& entry, WallMs now);
+  void PushQuarantineToAll(WallMs now);
+
+  size_t Entries() const { return m_entries.size(); }
+
+ private:
+  // An entry that is connected, and what it has or what is on its way.
+  struct Entry {
+    peers::PeerInfo info;
+    uint64_t configuration = 0;
+    uint64_t routes = 0;
+  };
+  void Push(Entry& entry);
+  void PushConfiguration(Entry& entry);
+  void PushRoutes(Entry& entry);
+
+  peers::Hub& m_hub;
+  const ControlReplica& m_replica;
+  std::map<HostId, Entry> m_entries;
+};
+
+}  // namespace dotterelshift::app
+
+#endif  // DOTTERELSHIFT_SRC_APP_ENTRY_PUSHES_H_
--- /dev/null
+++ b/src/dotterelshift/app/gateway_entry.cc
@@ -0,0 +1,458 @@
+#include <algorithm>  // for max
+#include <optional>   // for optional
+#include <string>     // for string
+#include <utility>    // for move
+
+#include "dotterelshift/app/control_link.h"        // for ControlLink
+#include "dotterelshift/app/daemon.h"              // for Daemon
+#include "dotterelshift/app/directory_exchange.h"  // for DirectoryExchange
+#include "dotterelshift/app/gateway_traffic.h"     // for GatewayTraffic
+#include "dotterelshift/app/hub_options.h"         // for MakeHubOptions
+#include "dotterelshift/app/listen_options.h"      // for ListenOptions
+#include "dotterelshift/callers/front.h"           // for AnswerError
+#include "dotterelshift/platform/log.h"            // for Log
+
+namespace dotterelshift::app {
+namespace {
+
+using serving::ControlReach;
+
+// How often the link to control and the reports of spend are looked at.
+constexpr Duration kTick = 50ms;
+// While the balancer looks away new connections still come in; it asks once a
+// second and believes the second miss.
+constexpr Duration kLookAway = 3500ms;
+// Left of the shutdown's limit for the last reports to control.
+constexpr Duration kLastReports = 500ms;
+
+std::string_view NameOf(ControlReach reach) {
+  switch (reach) {
+    case ControlReach::kNever:
+      return "never";
+    case ControlReach::kConnected:
+      return "connected";
+    case ControlReach::kCutOff:
+      return "cut_off";
+  }
+  return "unknown";
+}
+
+// The entry role under published routes: callers on one side, endpoints and
+// control on the other, the gateway's core between them.
+class GatewayEntry : public Daemon {
+ public:
+  GatewayEntry(loop::Loop& loop, const settings::Settings& settings,
+               Incarnation incarnation,
+               std::unique_ptr<gateway::Dialect> dialect);
+
+  uint16_t PeerPort() const override { return m_hub->Port(); }
+  uint16_t HttpPort() const override { return m_server->Port(); }
+  void Shutdown() override;
+  void Reload(const settings::Settings& settings) override;
+
+ private:
+  void StartServers();
+  peers::HubCallbacks HubCallbacks();
+  gateway::CoreParts Parts();
+  void OnHealth(http::Exchange& exchange);
+  void OnPeerFrame(const peers::PeerInfo& peer, const wire::FrameT& frame);
+  void OnEntryFrame(const peers::PeerInfo& peer, const wire::FrameT& frame);
+  void TakeFromLink();
+  void SendToEntries(const wire::FrameT& frame);
+  void TakeRoutes();
+  void OnReach();
+  void OnAnswer(const wire::CommandAnswerT& answer);
+  void Register();
+  void DialMembers();
+  std::unique_ptr<wire::CommandIdT> NextId();
+  void OnTick();
+  void SendToPeers();
+  void CheckDrained();
+  void ReturnHoldings();
+  void UpdateGauges();
+  bool IsReady() const {
+    return m_reach != ControlReach::kNever && m_version > 0 && !m_stopping;
+  }
+
+  loop::Loop& m_loop;
+  settings::Settings m_settings;
+  HostRun m_self;
+  uint64_t m_sequence = 0;
+  uint64_t m_registration = 0;  // sequence of the command that registers
+  bool m_registered = false;
+  std::unique_ptr<gateway::Dialect> m_dialect;
+  ControlLink m_link;
+  DirectoryExchange m_directory;
+  gateway::FleetLoad m_load;
+  gateway::BudgetDesk m_budgets;
+  gateway::RetryShare m_retries;
+  std::unique_ptr<gateway::Core> m_core;
+  std::unique_ptr<platform::Metrics> m_metrics;
+  std::unique_ptr<GatewayTraffic> m_traffic;
+  std::unique_ptr<http::Server> m_server;
+  std::unique_ptr<http::Server> m_health;
+  std::unique_ptr<http::Server> m_metrics_server;
+  std::unique_ptr<peers::Hub> m_hub;
+  ControlReach m_reach = ControlReach::kNever;
+  uint64_t m_version = 0;  // of the routes in force here
+  size_t m_entries = 1;
+  std::optional<Instant> m_stopping;
+  std::optional<Instant> m_returning_since;
+  loop::Timer m_tick;
+  loop::PrepareWatcher m_prepare;
+};
+
+directory::DirectoryOptions DirectoryOptionsOf() {
+  directory::DirectoryOptions options;
+  // Control says which endpoints are silent; an entry that is cut off from it
+  // goes on with those it knows, and with its own evidence.
+  options.silent_after = 60s;
+  options.forget_after = 120s;
+  return options;
+}
+
+directory::SpreadOptions SpreadOptionsOf(const HostId& self) {
+  directory::SpreadOptions options;
+  options.self = self;
+  options.fan_out = 0;  // entries only listen
+  return options;
+}
+
+gateway::FleetLoadOptions LoadOptionsOf(const settings::Settings& settings) {
+  gateway::FleetLoadOptions options;
+  options.data_centre = settings.data_centre;
+  return options;
+}
+
+gateway::RetryShareOptions RetryOptionsOf(const settings::Settings& settings) {
+  gateway::RetryShareOptions options;
+  options.ratio = settings.retry_ratio;
+  options.slack = settings.retry_slack;
+  options.window = settings.retry_window;
+  return options;
+}
+
+gateway::CoreOptions CoreOptionsOf(Incarnation incarnation) {
+  gateway::CoreOptions options;
+  options.seed = incarnation;
+  return options;
+}
+
+GatewayEntry::GatewayEntry(loop::Loop& loop, const settings::Settings& settings,
+                           Incarnation incarnation,
+                           std::unique_ptr<gateway::Dialect> dialect)
+    : m_loop(loop),
+      m_settings(settings),
+      m_self{settings.host, incarnation},
+      m_dialect(std::move(dialect)),
+      m_link({m_self}),
+      m_directory(loop, SpreadOptionsOf(settings.host), DirectoryOptionsOf(),
+                  {[this] {
+                     m_core->OnEndpointsChanged(m_directory.GetDirectory(),
+                                                m_loop.Now());
+                     m_traffic->Pump();
+                   },
+                   [](const std::vector<wire::CacheEventT>&) {}}),
+      m_load(LoadOptionsOf(settings)),
+      m_budgets({}, [this] { return NextId(); }),
+      m_retries(RetryOptionsOf(settings)),
+      m_core(gateway::MakeCore(CoreOptionsOf(incarnation), Parts())),
+      m_metrics(platform::MakeMetrics()),
+      m_traffic(std::make_unique<GatewayTraffic>(loop, *m_core, *m_dialect,
+                                                 *m_metrics)),
+      m_tick(loop, [this] { OnTick(); }),
+      m_prepare(
+          loop, [this] { SendToPeers(); }, EV_MINPRI + 1) {
+  StartServers();
+  const std::string secret = settings::ReadSecret(settings.secret_file);
+  m_hub = peers::MakeHub(
+      loop, MakeHubOptions(settings, secret, incarnation, m_server->Port()),
+      HubCallbacks());
+  m_directory.SetHub(m_hub.get());
+  Register();
+  m_tick.ArmIn(0ms);
+}
+
+gateway::CoreParts GatewayEntry::Parts() {
+  return {&m_load, &m_budgets, &m_retries};
+}
+
+void GatewayEntry::StartServers() {
+  m_server = http::MakeServer(m_loop, ListenOptions(m_settings),
+                              [this](std::shared_ptr<http::Exchange> exchange) {
+                                m_traffic->Accept(std::move(exchange));
+                              });
+  const auto health = [this](std::shared_ptr<http::Exchange> exchange) {
+    OnHealth(*exchange);
+  };
+  if (!m_settings.health_listen.empty()) {
+    m_health = http::MakeServer(
+        m_loop, ListenOptionsAt(m_settings, m_settings.health_listen), health);
+  }
+  if (m_settings.metrics_port != 0) {
+    const std::string listen =
+        m_settings.address + ":" + std::to_string(m_settings.metrics_port);
+    m_metrics_server =
+        http::MakeServer(m_loop, ListenOptionsAt(m_settings, listen), health);
+  }
+}
+
+peers::HubCallbacks GatewayEntry::HubCallbacks() {
+  peers::HubCallbacks callbacks;
+  callbacks.on_up = [this](const peers::PeerInfo& peer) {
+    platform::Log(platform::LogLevel::kInfo, "peer_up",
+                  {{"peer", peer.run.host}});
+    if (peer.role != wire::HostRole::Control) return;
+    m_directory.OnPeerUp(peer);
+    m_link.OnPeerUp(peer.run.host, m_loop.Now());
+    m_tick.ArmIn(0ms);
+  };
+  callbacks.on_down = [this](const peers::PeerInfo& peer) {
+    platform::Log(platform::LogLevel::kWarning, "peer_down",
+                  {{"peer", peer.run.host}});
+    if (peer.role != wire::HostRole::Control)
+      return m_load.OnEntryGone(peer.run.host);
+    m_directory.OnPeerDown(peer);
+    m_link.OnPeerDown(peer.run.host, m_loop.Now());
+    m_tick.ArmIn(0ms);
+  };
+  callbacks.on_frame = [this](const peers::PeerInfo& peer,
+                              const wire::FrameT& frame) {
+    OnPeerFrame(peer, frame);
+  };
+  return callbacks;
+}
+
+void GatewayEntry::OnPeerFrame(const peers::PeerInfo& peer,
+                               const wire::FrameT& frame) {
+  if (peer.role != wire::HostRole::Control) return OnEntryFrame(peer, frame);
+  if (m_directory.OnFrame(peer, frame)) return;
+  m_link.OnFrame(peer.run.host, frame, m_loop.Now());
+  TakeFromLink();
+}
+
+void GatewayEntry::OnEntryFrame(const peers::PeerInfo& peer,
+                                const wire::FrameT& frame) {
+  const Instant now = m_loop.Now();
+  if (const auto* notes = frame.body.AsLoadNotes()) {
+    m_load.OnNotes(peer.run.host, *notes, now);
+  } else if (const auto* plea = frame.body.AsTokenPlea()) {
+    wire::TokenLoanT loan;
+    loan.budget = plea->budget;
+    loan.tokens = m_budgets.OnPlea(*plea, peer.run, now);
+    if (loan.tokens > 0)
+      m_hub->Send(peer.run.host, peers::MakeFrame(std::move(loan)));
+  } else if (const auto* loan = frame.body.AsTokenLoan()) {
+    m_budgets.OnLoan(*loan, now);
+    m_core->OnBudgetChanged(now);
+    m_traffic->Pump();
+  }
+}
+
+void GatewayEntry::TakeFromLink() {
+  const Instant now = m_loop.Now();
+  const size_t entries = std::max<size_t>(1, m_link.EntryAddresses().size());
+  if (m_link.RoutesVersion() != m_version || entries != m_entries) {
+    m_entries = entries;
+    TakeRoutes();
+  }
+  if (m_link.Reach() != m_reach) OnReach();
+  for (const wire::CommandAnswerT& answer : m_link.TakeAnswers())
+    OnAnswer(answer);
+  for (const wire::RecallT& recall : m_link.TakeRecalls())
+    m_budgets.OnRecall(recall, now);
+  DialMembers();
+  m_traffic->Pump();
+}
+
+void GatewayEntry::TakeRoutes() {
+  if (m_link.RoutesVersion() == 0) return;
+  std::string why;
+  auto routes = m_dialect->ReadRoutes(m_link.RoutesDocument(), &why);
+  if (!routes) {
+    // Control checks before it commits; only another version of the program
+    // can have let this pass.
+    platform::Log(
+        platform::LogLevel::kError, "routes_unreadable",
+        {{"version", std::to_string(m_link.RoutesVersion())}, {"why", why}});
+    return;
+  }
+  m_version = m_link.RoutesVersion();
+  platform::Log(platform::LogLevel::kInfo, "routes_in_force",
+                {{"version", std::to_string(m_version)},
+                 {"entries", std::to_string(m_entries)}});
+  m_core->OnRoutes(
+      std::make_shared<const gateway::RouteTable>(std::move(*routes)),
+      m_entries, m_loop.Now());
+}
+
+void GatewayEntry::OnReach() {
+  m_reach = m_link.Reach();
+  platform::Log(
+      platform::LogLevel::kInfo, "control_reach",
+      {{"reach", std::string(NameOf(m_reach))}, {"leader", m_link.Leader()}});
+  m_budgets.SetConnected(m_reach == ControlReach::kConnected, m_loop.Now());
+}
+
+void GatewayEntry::OnAnswer(const wire::CommandAnswerT& answer) {
+  const auto error = static_cast<ErrorKind>(answer.error);
+  const bool registration =
+      answer.id != nullptr && answer.id->sequence == m_registration;
+  if (registration && error == ErrorKind::kNone) m_registered = true;
+  if (error == ErrorKind::kStaleIncarnation) {
+    // The wall clock was set back between two starts. Before anything was
+    // accepted of this run, it can take a later number.
+    if (m_registered) return Shutdown();
+    m_self.incarnation = answer.newest_incarnation + 1;
+    platform::Log(platform::LogLevel::kWarning, "incarnation_raised",
+                  {{"incarnation", std::to_string(m_self.incarnation)}});
+    return Register();
+  }
+  if (m_budgets.OnAnswer(answer, m_loop.Now()))
+    m_core->OnBudgetChanged(m_loop.Now());
+}
+
+// The first command of this run, which proves the older ones dead.
+void GatewayEntry::Register() {
+  wire::CommandT command;
+  command.id = NextId();
+  m_registration = command.id->sequence;
+  wire::RegisterHostT host;
+  host.data_centre = m_settings.data_centre;
+  host.address = m_settings.address;
+  host.role = wire::HostRole::Entry;
+  command.body.Set(std::move(host));
+  m_link.Propose(std::move(command));
+}
+
+std::unique_ptr<wire::CommandIdT> GatewayEntry::NextId() {
+  auto id = std::make_unique<wire::CommandIdT>();
+  id->host = m_self.host;
+  id->incarnation = m_self.incarnation;
+  id->sequence = ++m_sequence;
+  return id;
+}
+
+void GatewayEntry::DialMembers() {
+  for (const std::string& address : m_link.ControlAddresses())
+    m_hub->Dial(address);
+  for (const std::string& address : m_link.EntryAddresses())
+    m_hub->Dial(address);
+}
+
+void GatewayEntry::OnTick() {
+  const Instant now = m_loop.Now();
+  m_link.SetHoldings(m_budgets.Holdings(now));
+  m_link.OnTimer(now);
+  TakeFromLink();
+  CheckDrained();
+  m_tick.ArmIn(kTick);
+}
+
+// At the end of each turn of the loop: commands to control, load notes to the
+// other entries.
+void GatewayEntry::SendToPeers() {
+  const Instant now = m_loop.Now();
+  if (m_registered && !m_returning_since) {
+    for (wire::CommandT& command : m_budgets.TakeCommands(now))
+      m_link.Propose(std::move(command));
+  }
+  for (const auto& [host, frame] : m_link.TakeFrames(now))
+    m_hub->Send(host, frame);
+  for (wire::TokenPleaT& plea : m_budgets.TakePleas())
+    SendToEntries(peers::MakeFrame(std::move(plea)));
+  std::vector<wire::LoadNote> notes = m_load.TakeNotes();
+  if (notes.empty()) return;
+  wire::LoadNotesT body;
+  body.notes = std::move(notes);
+  SendToEntries(peers::MakeFrame(std::move(body)));
+}
+
+void GatewayEntry::SendToEntries(const wire::FrameT& frame) {
+  for (const peers::PeerInfo& peer : m_hub->Peers())
+    if (peer.role == wire::HostRole::Entry) m_hub->Send(peer.run.host, frame);
+}
+
+void GatewayEntry::OnHealth(http::Exchange& exchange) {
+  const std::string& path = exchange.GetRequest().path;
+  if (path == "/metrics") {
+    UpdateGauges();
+    exchange.Answer(200, {{"content-type", "text/plain; version=0.0.4"}},
+                    m_metrics->Text());
+  } else if (path == m_dialect->ReadyPath() || path == "/readyz") {
+    exchange.Answer(IsReady() ? 200 : 503, {{"content-type", "text/plain"}},
+                    IsReady() ? "ready\n" : "not ready\n");
+  } else if (path == "/healthz") {
+    exchange.Answer(200, {{"content-type", "text/plain"}}, "ok\n");
+  } else {
+    callers::AnswerError(exchange, ErrorKind::kUnknownPath, path);
+  }
+}
+
+void GatewayEntry::UpdateGauges() {
+  const peers::HubCounters& hub = m_hub->Counters();
+  m_metrics->SetGauge("dotterelshift_open_requests",
+                      "Requests taken and not ended",
+                      static_cast<double>(m_core->OpenRequests()));
+  m_metrics->SetGauge("dotterelshift_control_reach",
+                      "0 never, 1 connected, 2 cut off",
+                      static_cast<double>(m_reach));
+  m_metrics->SetGauge("dotterelshift_routes_version", "Version in force",
+                      static_cast<double>(m_version));
+  m_metrics->SetCounter("dotterelshift_peer_bytes_in_total",
+                        "Bytes from other daemons",
+                        static_cast<double>(hub.bytes_in));
+  m_metrics->SetCounter("dotterelshift_peer_bytes_out_total",
+                        "Bytes to other daemons",
+                        static_cast<double>(hub.bytes_out));
+}
+
+// Only what may change while running: through whom the group is found.
+void GatewayEntry::Reload(const settings::Settings& settings) {
+  for (const std::string& seed : settings.seeds)
+    m_hub->Dial(PeerAddressOf(seed, settings.peer_port));
+  m_settings.shutdown_limit = settings.shutdown_limit;
+}
+
+void GatewayEntry::Shutdown() {
+  if (m_stopping) return;
+  m_stopping = m_loop.Now();
+  platform::Log(platform::LogLevel::kInfo, "shutdown_begun",
+                {{"open", std::to_string(m_core->OpenRequests())}});
+  m_traffic->CloseConnections();
+}
+
+void GatewayEntry::CheckDrained() {
+  if (!m_stopping) return;
+  const Duration since = m_loop.Now() - *m_stopping;
+  const bool drained = since >= kLookAway && m_traffic->OpenAnswers() == 0 &&
+                       m_server->OpenExchanges() == 0;
+  const bool limit = since >= m_settings.shutdown_limit - kLastReports;
+  if (!drained && !limit) return;
+  if (!m_returning_since) return ReturnHoldings();
+  // What control does not take back now is lost with this run.
+  const bool returned = m_link.Idle();
+  if (!returned && m_loop.Now() - *m_returning_since < kLastReports) return;
+  platform::Log(platform::LogLevel::kInfo, "shutdown_done",
+                {{"open", std::to_string(m_core->OpenRequests())},
+                 {"holdings_returned", returned ? "yes" : "no"}});
+  m_loop.Stop();
+}
+
+void GatewayEntry::ReturnHoldings() {
+  m_returning_since = m_loop.Now();
+  m_core->StopTaking();
+  for (wire::CommandT& command : m_budgets.TakeLastCommands(m_loop.Now()))
+    m_link.Propose(std::move(command));
+}
+
+}  // namespace
+
+std::unique_ptr<Daemon> MakeGatewayEntry(
+    loop::Loop& loop, const settings::Settings& settings,
+    Incarnation incarnation, std::unique_ptr<gateway::Dialect> dialect) {
+  return std::make_unique<GatewayEntry>(loop, settings, incarnation,
+                                        std::move(dialect));
+}
+
+}  // namespace dotterelshift::app
--- /dev/null
+++ b/src/dotterelshift/app/gateway_traffic.cc
@@ -0,0 +1,239 @@
+#include "dotterelshift/app/gateway_traffic.h"
+
+#include <algorithm>  // for max
+#include <cstdio>     // for snprintf
+#include <utility>    // for move
+#include <variant>    // for visit
+
+#include "dotterelshift/callers/front.h"     // for ErrorBody
+#include "dotterelshift/http/hop_headers.h"  // for WithoutHopHeaders
+#include "dotterelshift/platform/log.h"      // for Log
+
+namespace dotterelshift::app {
+namespace {
+
+// Bytes that a caller has not taken above which its stream is paused.
+constexpr size_t kPauseAbove = 256 << 10;
+
+// A connection to an endpoint that is not there after this is given up: a few
+// ways there and back, below the first resend of a lost opening packet.
+constexpr Duration kConnectTimeout = 300ms;
+
+// The endpoint is given this long beyond the caller's deadline to end its
+// answer by itself, so that the core's deadline comes first.
+constexpr Duration kTimeoutSlack = 200ms;
+
+// Endpoints announce how long they keep an idle connection; the shortest that
+// is in common use is 5 s.
+constexpr Duration kMaxIdle = 4s;
+
+std::string SecondsText(Duration duration) {
+  char text[32];
+  std::snprintf(text, sizeof text, "%.2f",
+                std::chrono::duration<double>(duration).count());
+  return text;
+}
+
+http::ClientOptions MakeClientOptions() {
+  http::ClientOptions options;
+  options.max_idle = kMaxIdle;
+  return options;
+}
+
+}  // namespace
+
+GatewayTraffic::GatewayTraffic(loop::Loop& loop, gateway::Core& core,
+                               const gateway::Dialect& dialect,
+                               platform::Metrics& metrics)
+    : m_loop(loop),
+      m_core(core),
+      m_dialect(dialect),
+      m_metrics(metrics),
+      m_client(http::MakeClient(loop, MakeClientOptions())),
+      m_timer(loop, [this] {
+        m_core.OnTimer(m_loop.Now());
+        Pump();
+      }) {}
+
+void GatewayTraffic::Accept(std::shared_ptr<http::Exchange> exchange) {
+  const RequestId id = ++m_last_request;
+  gateway::Ask ask = m_dialect.ReadAsk(exchange->GetRequest());
+  exchange->OnGone([this, id] { OnGone(id); });
+  exchange->OnDrained([this, id] { OnDrained(id); });
+  m_open[id].exchange = std::move(exchange);
+  m_core.OnRequest(id, std::move(ask), m_loop.Now());
+  Pump();
+}
+
+void GatewayTraffic::OnGone(RequestId request) {
+  m_open.erase(request);
+  m_core.OnCallerGone(request, m_loop.Now());
+  Pump();
+}
+
+void GatewayTraffic::OnDrained(RequestId request) {
+  const auto open = m_open.find(request);
+  if (open == m_open.end() || !std::exchange(open->second.paused, false))
+    return;
+  const auto transfer = m_transfers.find(open->second.streaming);
+  if (transfer != m_transfers.end()) m_client->Resume(transfer->second.id);
+}
+
+void GatewayTraffic::Pump() {
+  // An action may bring the next event about; its actions are then carried out
+  // by the loop that is under way.
+  if (std::exchange(m_pumping, true)) return;
+  for (auto actions = m_core.TakeActions(); !actions.empty();
+       actions = m_core.TakeActions()) {
+    for (const gateway::Action& action : actions)
+      std::visit([this](const auto& what) { CarryOut(what); }, action);
+  }
+  for (const serving::RequestSummary& summary : m_core.TakeFinished())
+    m_metrics.OnFinished(summary);
+  m_pumping = false;
+  ArmTimer();
+}
+
+void GatewayTraffic::ArmTimer() {
+  const Instant next = m_core.NextTimer();
+  if (next == Instant::max())
+    m_timer.Cancel();
+  else
+    m_timer.ArmAt(next);
+}
+
+void GatewayTraffic::CarryOut(const gateway::StartAttempt& start) {
+  const auto open = m_open.find(start.request);
+  if (open == m_open.end()) return;
+  const http::Request& request = open->second.exchange->GetRequest();
+  http::ClientRequest onward;
+  onward.method = request.method;
+  onward.url = "http://" + start.endpoint.address + request.path;
+  if (!request.query.empty()) onward.url += "?" + request.query;
+  onward.headers = m_dialect.OnwardHeaders(request, start);
+  onward.body = request.body;
+  onward.connect_timeout = kConnectTimeout;
+  onward.total_timeout = start.time_left + kTimeoutSlack;
+  http::TransferCallbacks callbacks;
+  const AttemptId attempt = start.attempt;
+  callbacks.on_head = [this, attempt](int status,
+                                      const http::Headers& headers) {
+    OnHead(attempt, status, headers);
+  };
+  callbacks.on_piece = [this, attempt](std::string_view piece) {
+    return OnPiece(attempt, piece);
+  };
+  callbacks.on_end = [this, attempt](http::TransferEnd end) {
+    OnEnd(attempt, end);
+  };
+  Transfer& transfer = m_transfers[attempt];
+  transfer.request = start.request;
+  transfer.id = m_client->Start(std::move(onward), std::move(callbacks));
+}
+
+void GatewayTraffic::OnHead(AttemptId attempt, int status,
+                            const http::Headers& headers) {
+  Transfer& transfer = m_transfers[attempt];
+  transfer.status = status;
+  transfer.headers = headers;
+  m_core.OnHead(attempt, status, m_dialect.ReadMarks(status, headers),
+                m_loop.Now());
+  Pump();
+}
+
+bool GatewayTraffic::OnPiece(AttemptId attempt, std::string_view piece) {
+  const auto transfer = m_transfers.find(attempt);
+  if (transfer == m_transfers.end()) return true;
+  if (!transfer->second.streamed) transfer->second.body.append(piece);
+  const RequestId request = transfer->second.request;
+  m_core.OnPiece(attempt, piece, m_loop.Now());
+  Pump();
+  const auto open = m_open.find(request);
+  if (open == m_open.end() || open->second.streaming != attempt) return true;
+  open->second.paused = open->second.exchange->Backlog() > kPauseAbove;
+  return !open->second.paused;
+}
+
+void GatewayTraffic::OnEnd(AttemptId attempt, http::TransferEnd end) {
+  m_core.OnEnd(attempt, end, m_loop.Now());
+  Pump();
+  m_transfers.erase(attempt);
+}
+
+void GatewayTraffic::CarryOut(const gateway::CancelAttempt& cancel) {
+  const auto transfer = m_transfers.find(cancel.attempt);
+  if (transfer == m_transfers.end()) return;
+  m_client->Cancel(transfer->second.id);
+  m_transfers.erase(transfer);
+}
+
+std::shared_ptr<http::Exchange> GatewayTraffic::Take(RequestId request) {
+  auto node = m_open.extract(request);
+  if (node.empty()) return nullptr;
+  std::shared_ptr<http::Exchange> exchange = std::move(node.mapped().exchange);
+  exchange->OnGone(nullptr);
+  exchange->OnDrained(nullptr);
+  return exchange;
+}
+
+http::Headers GatewayTraffic::AnswerHeaders(
+    const http::Headers& headers) const {
+  http::Headers kept = http::WithoutHopHeaders(headers);
+  if (m_closing) kept.emplace_back("Connection", "close");
+  return kept;
+}
+
+void GatewayTraffic::CarryOut(const gateway::Refuse& refuse) {
+  const auto exchange = Take(refuse.request);
+  if (exchange == nullptr) return;
+  const ErrorRow& row = RowOf(refuse.kind);
+  http::Headers headers = {{"Content-Type", "application/json"},
+                           {"Dotterelshift-Ran", std::string(NameOf(row.ran))}};
+  const Duration wait = refuse.retry_after > 0s
+                            ? refuse.retry_after
+                            : std::chrono::seconds(row.retry_after_seconds);
+  if (row.retry != RetryAdvice::kNever)
+    headers.emplace_back("Retry-After", SecondsText(wait));
+  exchange->Answer(row.status, AnswerHeaders(headers),
+                   callers::ErrorBody(refuse.kind, ""));
+}
+
+void GatewayTraffic::CarryOut(const gateway::RelayWhole& relay) {
+  const auto exchange = Take(relay.request);
+  const auto transfer = m_transfers.find(relay.attempt);
+  if (exchange == nullptr || transfer == m_transfers.end()) return;
+  Transfer& answer = transfer->second;
+  exchange->Answer(answer.status, AnswerHeaders(answer.headers),
+                   std::move(answer.body));
+}
+
+void GatewayTraffic::CarryOut(const gateway::RelayHead& relay) {
+  const auto open = m_open.find(relay.request);
+  const auto transfer = m_transfers.find(relay.attempt);
+  if (open == m_open.end() || transfer == m_transfers.end()) return;
+  Transfer& answer = transfer->second;
+  answer.streamed = true;
+  open->second.streaming = relay.attempt;
+  open->second.exchange->SendHead(answer.status, AnswerHeaders(answer.headers));
+}
+
+void GatewayTraffic::CarryOut(const gateway::RelayPiece& relay) {
+  const auto open = m_open.find(relay.request);
+  if (open != m_open.end()) open->second.exchange->SendPiece(relay.bytes);
+}
+
+void GatewayTraffic::CarryOut(const gateway::FinishStream& finish) {
+  const auto exchange = Take(finish.request);
+  if (exchange != nullptr) exchange->Finish();
+}
+
+void GatewayTraffic::CarryOut(const gateway::AbortStream& abort) {
+  const auto exchange = Take(abort.request);
+  if (exchange != nullptr) exchange->Abort();
+}
+
+void GatewayTraffic::CarryOut(const gateway::Decision& decision) {
+  platform::LogDecision(decision.event, decision.caller_id, decision.inputs);
+}
+
+}  // namespace dotterelshift::app
--- /dev/null
+++ b/src/dotterelshift/app/gateway_traffic.h
@@ -0,0 +1,85 @@
+#ifndef DOTTERELSHIFT_SRC_APP_GATEWAY_TRAFFIC_H_
+#define DOTTERELSHIFT_SRC_APP_GATEWAY_TRAFFIC_H_
+
+#include <memory>         // for shared_ptr, unique_ptr
+#include <string>         // for string
+#include <unordered_map>  // for unordered_map
+
+#include "dotterelshift/gateway/core.h"      // for Core
+#include "dotterelshift/gateway/dialect.h"   // for Dialect
+#include "dotterelshift/http/client.h"       // for Client
+#include "dotterelshift/http/server.h"       // for Exchange
+#include "dotterelshift/loop/loop.h"         // for Loop
+#include "dotterelshift/platform/metrics.h"  // for Metrics
+
+namespace dotterelshift::app {
+
+// Carries requests and answers between callers and endpoints as the gateway's
+// core decides.
+class GatewayTraffic {
+ public:
+  GatewayTraffic(loop::Loop& loop, gateway::Core& core,
+                 const gateway::Dialect& dialect, platform::Metrics& metrics);
+
+  void Accept(std::shared_ptr<http::Exchange> exchange);
+  // Carries out what the core wants; after every event that reached it from
+  // elsewhere.
+  void Pump();
+  // From now on each answer asks its caller to close the connection.
+  void CloseConnections() { m_closing = true; }
+  size_t OpenAnswers() const { return m_open.size(); }
+
+ private:
+  // A caller's request and what is kept of its answer.
+  struct Open {
+    std::shared_ptr<http::Exchange> exchange;
+    AttemptId streaming = 0;  // the attempt whose stream is passed on
+    bool paused = false;
+  };
+  // The answer of one attempt: kept whole until it is known to be, unless it
+  // is passed on as it comes.
+  struct Transfer {
+    RequestId request = 0;
+    http::TransferId id = 0;
+    int status = 0;
+    http::Headers headers;
+    std::string body;
+    bool streamed = false;
+  };
+
+  void OnGone(RequestId request);
+  void OnDrained(RequestId request);
+  void OnHead(AttemptId attempt, int status, const http::Headers& headers);
+  bool OnPiece(AttemptId attempt, std::string_view piece);
+  void OnEnd(AttemptId attempt, http::TransferEnd end);
+
+  void CarryOut(const gateway::StartAttempt& start);
+  void CarryOut(const gateway::CancelAttempt& cancel);
+  void CarryOut(const gateway::Refuse& refuse);
+  void CarryOut(const gateway::RelayWhole& relay);
+  void CarryOut(const gateway::RelayHead& relay);
+  void CarryOut(const gateway::RelayPiece& relay);
+  void CarryOut(const gateway::FinishStream& finish);
+  void CarryOut(const gateway::AbortStream& abort);
+  static void CarryOut(const gateway::Decision& decision);
+
+  http::Headers AnswerHeaders(const http::Headers& headers) const;
+  std::shared_ptr<http::Exchange> Take(RequestId request);
+  void ArmTimer();
+
+  loop::Loop& m_loop;
+  gateway::Core& m_core;
+  const gateway::Dialect& m_dialect;
+  platform::Metrics& m_metrics;
+  std::unique_ptr<http::Client> m_client;
+  std::unordered_map<RequestId, Open> m_open;
+  std::unordered_map<AttemptId, Transfer> m_transfers;
+  RequestId m_last_request = 0;
+  bool m_closing = false;
+  bool m_pumping = false;
+  loop::Timer m_timer;
+};
+
+}  // namespace dotterelshift::app
+
+#endif  // DOTTERELSHIFT_SRC_APP_GATEWAY_TRAFFIC_H_
--- a/src/dotterelshift/app/hub_options.h
+++ b/src/dotterelshift/app/hub_options.h
@@ -1,7 +1,8 @@
 #ifndef DOTTERELSHIFT_APP_HUB_OPTIONS_H_
 #define DOTTERELSHIFT_APP_HUB_OPTIONS_H_
 
-#include <string>  // for string
+#include <algorithm>  // for min
+#include <string>     // for string
 
 #include "dotterelshift/base/ids.h"           // for Incarnation
 #include "dotterelshift/peers/hub.h"          // for HubOptions
@@ -9,6 +10,21 @@
 
 namespace dotterelshift::app {
 
+// Where the daemon at a seed's host takes the other daemons.
+inline std::string PeerAddressOf(const std::string& seed, uint16_t peer_port) {
+  return seed.substr(0, seed.find(':')) + ":" + std::to_string(peer_port);
+}
+
+// Where this daemon's HTTP interface is, as it tells the others.
+inline std::string HttpAddressOf(const settings::Settings& settings,
+                                 uint16_t http_port) {
+  const std::string address =
+      settings.listen.empty()
+          ? settings.http_address
+          : settings.listen.substr(0, settings.listen.find(':'));
+  return address + ":" + std::to_string(http_port);
+}
+
 // The hub's options that both roles take from their settings. `http_port` is
 // the one that the daemon listens on.
 inline peers::HubOptions MakeHubOptions(const settings::Settings& settings,
@@ -21,11 +37,17 @@
   options.self.run = {settings.host, incarnation};
   options.self.role = settings.role;
   options.self.data_centre = settings.data_centre;
-  options.self.http_address =
-      settings.http_address + ":" + std::to_string(http_port);
+  options.self.http_address = HttpAddressOf(settings, http_port);
   options.listen_address = settings.address;
   options.listen_port = settings.peer_port;
   options.dial = settings.peers;
+  for (const std::string& seed : settings.seeds)
+    options.dial.push_back(PeerAddressOf(seed, settings.peer_port));
+  options.silence_timeout = settings.peer_silence;
+  options.hello_timeout =
+      std::min(options.hello_timeout, settings.peer_silence);
+  options.reconnect_most =
+      std::min(options.reconnect_most, settings.peer_silence / 4);
   options.seed = incarnation;
   return options;
 }
--- /dev/null
+++ b/src/dotterelshift/app/listen_options.h
@@ -0,0 +1,36 @@
+#ifndef DOTTERELSHIFT_SRC_APP_LISTEN_OPTIONS_H_
+#define DOTTERELSHIFT_SRC_APP_LISTEN_OPTIONS_H_
+
+#include <string>  // for stoi
+
+#include "dotterelshift/http/server.h"        // for ServerOptions
+#include "dotterelshift/settings/settings.h"  // for Settings
+
+namespace dotterelshift::app {
+
+// The bounds of an HTTP server of this daemon, at an address "IP:port" that the
+// settings have checked.
+inline http::ServerOptions ListenOptionsAt(const settings::Settings& settings,
+                                           const std::string& listen) {
+  http::ServerOptions options;
+  const size_t colon = listen.find(':');
+  options.address = listen.substr(0, colon);
+  options.port = static_cast<uint16_t>(std::stoi(listen.substr(colon + 1)));
+  options.max_head_bytes = settings.max_head_bytes;
+  options.max_body_bytes = settings.max_body_bytes;
+  options.max_connections = settings.max_connections;
+  options.receive_timeout = settings.receive_timeout;
+  return options;
+}
+
+// The same for the daemon's main HTTP interface.
+inline http::ServerOptions ListenOptions(const settings::Settings& settings) {
+  if (!settings.listen.empty())
+    return ListenOptionsAt(settings, settings.listen);
+  return ListenOptionsAt(settings, settings.http_address + ":" +
+                                       std::to_string(settings.http_port));
+}
+
+}  // namespace dotterelshift::app
+
+#endif  // DOTTERELSHIFT_SRC_APP_LISTEN_OPTIONS_H_
--- a/src/dotterelshift/budget/ledger.cc
+++ b/src/dotterelshift/budget/ledger.cc
@@ -16,9 +16,6 @@
 // The time over which demand is averaged.
 constexpr Duration kDemandWindow = 10s;
 
-// An ask goes out when less than this part of the wanted holding is left.
-constexpr Tokens kAskBelowPart = 2;
-
 // A connected witnessed holder needs no more than its demand of this long.
 constexpr Duration kConnectedCover = 10s;
 
@@ -91,6 +88,11 @@
     return place->second;
   }
 
+  void Prepare(BudgetHandle budget, Instant now) override {
+    m_positions[budget].last_draw = now;
+    Touch(budget);
+  }
+
   const BudgetId& IdOf(BudgetHandle budget) const override {
     return m_positions[budget].id;
   }
@@ -170,6 +172,33 @@
     Touch(found->second);
   }
 
+  // Both sides together hold what this one has idle; each should have its
+  // share by demand.
+  Tokens Lend(BudgetHandle budget, Tokens wanted, Tokens minimum,
+              Tokens demand_of_other, Instant now) override {
+    Position& position = m_positions[budget];
+    const Tokens idle = std::min(position.Idle(), position.standing);
+    if (idle <= 0) return 0;
+    const double own = 1 + position.demand.Rate(now);
+    const double other = 1 + static_cast<double>(demand_of_other);
+    const auto share =
+        static_cast<Tokens>(static_cast<double>(idle) * other / (own + other));
+    const Tokens lent =
+        std::min(idle, std::max(std::min(wanted, share), minimum));
+    position.held -= lent;
+    position.standing -= lent;
+    Touch(budget);
+    return lent;
+  }
+
+  void Borrow(BudgetHandle budget, Tokens tokens, Instant) override {
+    Position& position = m_positions[budget];
+    position.held += tokens;
+    position.standing += tokens;
+    if (position.missing <= position.Idle()) position.missing = 0;
+    Touch(budget);
+  }
+
   void SetConnected(bool connected, Instant now) override {
     if (connected == m_connected) return;
     m_connected = connected;
@@ -273,7 +302,8 @@
     const Duration cover = std::max(position.policy.partition, kConnectedCover);
     const auto demand =
         static_cast<Tokens>(position.demand.Rate(now) * Seconds(cover));
-    return std::max({m_options.least_grant, demand, position.missing});
+    return std::max({m_options.least_grant, position.policy.least, demand,
+                     position.missing});
   }
 
   void AskIfShort(BudgetHandle budget, Instant now,
@@ -301,14 +331,27 @@
     if (now < position.refused_until) return false;
     if (position.missing > position.Idle()) return true;
     const bool idle = now - position.last_draw >= m_options.idle_return;
-    return !idle && position.Idle() < Target(position, now) / kAskBelowPart;
+    const auto enough = static_cast<double>(Target(position, now));
+    return !idle &&
+           static_cast<double>(position.Idle()) < enough * m_options.ask_below;
+  }
+
+  // What is held far beyond the wanted holding.
+  Tokens Surplus(const Position& position, Instant now) const {
+    if (m_options.return_above == 0) return 0;
+    const Tokens target = Target(position, now);
+    const auto most = static_cast<Tokens>(static_cast<double>(target) *
+                                          m_options.return_above);
+    return position.Idle() > most ? position.Idle() - target : 0;
   }
 
   void ReturnIdle(BudgetHandle budget, Instant now,
                   std::vector<GrantWish>* wishes) {
     Position& position = m_positions[budget];
     const bool idle = now - position.last_draw >= m_options.idle_return;
-    const Tokens wanted = idle ? position.Idle() : position.recalled;
+    const Tokens wanted =
+        idle ? position.Idle()
+             : std::max(position.recalled, Surplus(position, now));
     position.recalled = 0;
     Return(budget, std::min(wanted, position.Idle()), now, wishes);
   }
--- /dev/null
+++ b/src/dotterelshift/gateway/budget_desk.cc
@@ -0,0 +1,245 @@
+#include "dotterelshift/gateway/budget_desk.h"
+
+#include <algorithm>  // for any_of, max
+#include <utility>    // for move
+
+namespace dotterelshift::gateway {
+namespace {
+
+budget::LedgerOptions LedgerOptionsOf() {
+  budget::LedgerOptions options;
+  // Holdings stay close to what a cut needs, because they are lost with the
+  // process: topped up early, and given back when demand falls.
+  options.ask_below = 0.8;
+  options.return_above = 1.5;
+  return options;
+}
+
+}  // namespace
+
+BudgetDesk::BudgetDesk(const BudgetDeskOptions& options, NextId next_id)
+    : m_options(options),
+      m_next_id(std::move(next_id)),
+      m_ledger(budget::MakeLedger(LedgerOptionsOf())) {}
+
+void BudgetDesk::OnRoutes(const RouteTable& routes, size_t entries,
+                          Instant now) {
+  m_entries = entries;
+  for (const TeamAccess& team : routes.Get().teams) {
+    if (!team.total) {
+      m_handles.erase(team.team);
+      continue;
+    }
+    m_totals[team.team] = *team.total;
+    if (!m_handles.contains(team.team)) m_unknown[team.team] = {};
+    const budget::BudgetHandle handle =
+        m_ledger->Open(team.team, PolicyOf(team.team));
+    const bool fresh = m_handles.emplace(team.team, handle).second;
+    if (fresh) m_ledger->Prepare(handle, now);
+  }
+}
+
+budget::HoldingPolicy BudgetDesk::PolicyOf(const TeamId& team) const {
+  budget::HoldingPolicy policy;
+  policy.policy = wire::TeamPolicy::RefusalsFirst;
+  policy.way = wire::GrantWay::Unwitnessed;
+  policy.partition = m_options.partition;
+  if (!m_unknown.contains(team)) return policy;
+  const double part = m_options.first_part /
+                      static_cast<double>(std::max<size_t>(1, m_entries));
+  policy.least =
+      static_cast<Tokens>(static_cast<double>(m_totals.at(team)) * part);
+  return policy;
+}
+
+// Teams that have drawn for long enough are held by their demand alone.
+void BudgetDesk::LearnDemand(Instant now) {
+  for (auto it = m_unknown.begin(); it != m_unknown.end();) {
+    const bool known = it->second != Instant{} &&
+                       now - it->second >= m_options.demand_known_after;
+    if (!known) {
+      ++it;
+      continue;
+    }
+    const TeamId team = it->first;
+    it = m_unknown.erase(it);
+    if (m_handles.contains(team)) m_ledger->Open(team, PolicyOf(team));
+  }
+}
+
+BudgetAnswer BudgetDesk::Reserve(const TeamId& team, Tokens worst_case,
+                                 Instant now) {
+  const auto handle = m_handles.find(team);
+  if (handle == m_handles.end()) return BudgetAnswer::kNoTotal;
+  const auto unknown = m_unknown.find(team);
+  if (unknown != m_unknown.end() && unknown->second == Instant{})
+    unknown->second = now;
+  switch (m_ledger->Reserve(handle->second, worst_case, now)) {
+    case budget::ReserveResult::kReservedStanding:
+    case budget::ReserveResult::kReserved:
+      return BudgetAnswer::kReserved;
+    case budget::ReserveResult::kWait:
+    case budget::ReserveResult::kExhausted:
+      break;
+  }
+  if (IsBeyondTotal(team, handle->second, worst_case, now))
+    return BudgetAnswer::kExhausted;
+  Plead(team, handle->second, worst_case, now);
+  return BudgetAnswer::kWait;
+}
+
+bool BudgetDesk::IsBeyondTotal(const TeamId& team, budget::BudgetHandle handle,
+                               Tokens worst_case, Instant now) const {
+  const auto remainder = m_remainders.find(team);
+  if (remainder == m_remainders.end()) return false;
+  const bool fresh = now - remainder->second.heard < m_options.remainder_memory;
+  return fresh &&
+         remainder->second.tokens + m_ledger->Held(handle) < worst_case;
+}
+
+void BudgetDesk::Plead(const TeamId& team, budget::BudgetHandle handle,
+                       Tokens worst_case, Instant now) {
+  Instant& last = m_pleaded[team];
+  if (last != Instant{} && now - last < m_options.plea_every) return;
+  last = now;
+  const Tokens idle = m_ledger->Held(handle) - m_ledger->Reserved(handle);
+  const Tokens demand = m_ledger->DemandPerSecond(handle, now);
+  wire::TokenPleaT& plea = m_pleas.emplace_back();
+  plea.budget = team;
+  plea.minimum = worst_case - idle;
+  plea.demand_per_second = demand;
+  const double cover =
+      std::chrono::duration<double>(m_options.partition).count();
+  plea.wanted = std::max(
+      plea.minimum, static_cast<Tokens>(static_cast<double>(demand) * cover));
+}
+
+Tokens BudgetDesk::OnPlea(const wire::TokenPleaT& plea, const HostRun& from,
+                          Instant now) {
+  const auto handle = m_handles.find(plea.budget);
+  const bool sane = plea.wanted >= 0 && plea.minimum >= 0 &&
+                    plea.wanted <= kMaxTokens && plea.minimum <= kMaxTokens;
+  if (handle == m_handles.end() || !sane) return 0;
+  const Tokens lent = m_ledger->Lend(handle->second, plea.wanted, plea.minimum,
+                                     plea.demand_per_second, now);
+  if (lent <= 0) return 0;
+  wire::MoveGrantT move;
+  move.budget = plea.budget;
+  move.tokens = lent;
+  move.to_host = from.host;
+  move.to_incarnation = from.incarnation;
+  m_moves.push_back(MakeCommand(std::move(move)));
+  return lent;
+}
+
+void BudgetDesk::OnLoan(const wire::TokenLoanT& loan, Instant now) {
+  const auto handle = m_handles.find(loan.budget);
+  if (handle == m_handles.end() || loan.tokens <= 0) return;
+  m_ledger->Borrow(handle->second, loan.tokens, now);
+}
+
+void BudgetDesk::Settle(const TeamId& team, Tokens reserved, Tokens spent,
+                        bool answered, Instant now) {
+  const auto handle = m_handles.find(team);
+  if (handle == m_handles.end()) return;
+  m_ledger->SettleStanding(handle->second, reserved, spent, now);
+  Spend& spend = m_spends[team];
+  spend.spent += spent;
+  ++spend.requests;
+  if (answered) ++spend.answered;
+}
+
+void BudgetDesk::SetConnected(bool connected, Instant now) {
+  m_ledger->SetConnected(connected, now);
+}
+
+void BudgetDesk::OnRecall(const wire::RecallT& recall, Instant now) {
+  m_ledger->OnRecall(recall.budget, recall.tokens, now);
+}
+
+bool BudgetDesk::OnAnswer(const wire::CommandAnswerT& answer, Instant now) {
+  if (answer.id != nullptr) m_asks.erase(answer.id->sequence);
+  const wire::GrantAnswerT* grant = answer.body.AsGrantAnswer();
+  if (grant == nullptr) return false;
+  const auto handle = m_handles.find(grant->budget);
+  if (handle == m_handles.end()) return false;
+  m_ledger->OnGrant(handle->second, *grant, now);
+  m_remainders[grant->budget] = {grant->free + grant->elsewhere, now};
+  return true;
+}
+
+std::vector<wire::CommandT> BudgetDesk::TakeCommands(Instant now) {
+  std::vector<wire::CommandT> commands = std::exchange(m_moves, {});
+  if (now >= m_next_report) {
+    AddReports(&commands, now);
+    LearnDemand(now);
+  }
+  for (const budget::GrantWish& wish : m_ledger->TakeWishes(now)) {
+    // The link to control sends an ask again under its first id; a second ask
+    // would be granted besides.
+    const bool doubled = wish.kind == budget::GrantWish::Kind::kAsk &&
+                         IsAsking(m_ledger->IdOf(wish.budget));
+    if (!doubled) commands.push_back(CommandOf(wish));
+  }
+  return commands;
+}
+
+bool BudgetDesk::IsAsking(const TeamId& team) const {
+  return std::any_of(m_asks.begin(), m_asks.end(),
+                     [&](const auto& ask) { return ask.second == team; });
+}
+
+std::vector<wire::CommandT> BudgetDesk::TakeLastCommands(Instant now) {
+  std::vector<wire::CommandT> commands = std::exchange(m_moves, {});
+  AddReports(&commands, now);
+  for (const budget::GrantWish& wish : m_ledger->ReturnAll(now))
+    commands.push_back(CommandOf(wish));
+  return commands;
+}
+
+void BudgetDesk::AddReports(std::vector<wire::CommandT>* commands,
+                            Instant now) {
+  m_next_report = now + m_options.report_every;
+  for (const auto& [team, spend] : std::exchange(m_spends, {})) {
+    wire::ReportSpendT report;
+    report.budget = team;
+    report.spent = spend.spent;
+    report.answered = spend.answered;
+    report.requests = spend.requests;
+    commands->push_back(MakeCommand(std::move(report)));
+  }
+}
+
+wire::CommandT BudgetDesk::CommandOf(const budget::GrantWish& wish) {
+  const BudgetId& id = m_ledger->IdOf(wish.budget);
+  if (wish.kind == budget::GrantWish::Kind::kReturn) {
+    wire::ReturnGrantT body;
+    body.budget = id;
+    body.tokens = wish.wanted;
+    body.standing = wish.standing;
+    return MakeCommand(std::move(body));
+  }
+  wire::RequestGrantT body;
+  body.budget = id;
+  body.wanted = wish.wanted;
+  body.minimum = wish.minimum;
+  body.demand_per_second = wish.demand_per_second;
+  wire::CommandT command = MakeCommand(std::move(body));
+  m_asks[command.id->sequence] = id;
+  return command;
+}
+
+std::vector<wire::BudgetHoldingT> BudgetDesk::Holdings(Instant now) const {
+  std::vector<wire::BudgetHoldingT> holdings;
+  for (const auto& [team, handle] : m_handles) {
+    if (m_ledger->Held(handle) == 0) continue;
+    wire::BudgetHoldingT holding;
+    holding.budget = team;
+    holding.tokens = m_ledger->Held(handle) - m_ledger->Reserved(handle);
+    holding.demand_per_second = m_ledger->DemandPerSecond(handle, now);
+    holdings.push_back(std::move(holding));
+  }
+  return holdings;
+}
+
+}  // namespace dotterelshift::gateway
--- /dev/null
+++ b/src/dotterelshift/gateway/core_impl.h
@@ -0,0 +1,99 @@
+#ifndef DOTTERELSHIFT_SRC_GATEWAY_CORE_IMPL_H_
+#define DOTTERELSHIFT_SRC_GATEWAY_CORE_IMPL_H_
+
+#include <memory>         // for shared_ptr
+#include <random>         // for mt19937_64
+#include <set>            // for set
+#include <string>         // for string
+#include <unordered_map>  // for unordered_map
+#include <utility>        // for pair
+#include <vector>         // for vector
+
+#include "dotterelshift/gateway/core.h"    // for Core
+#include "dotterelshift/gateway/flight.h"  // for Flight
+
+namespace dotterelshift::gateway {
+
+// The core behind MakeCore(): arrival in core.cc, choice of the endpoint and
+// sending in core_place.cc, answers and repeats in core_answer.cc.
+class CoreImpl final : public Core {
+ public:
+  CoreImpl(const CoreOptions& options, const CoreParts& parts)
+      : m_options(options), m_parts(parts), m_random(options.seed) {}
+
+  void OnRoutes(std::shared_ptr<const RouteTable> routes, size_t entries,
+                Instant now) override;
+  void OnEndpointsChanged(const directory::Directory& directory,
+                          Instant now) override;
+  void StopTaking() override { m_stopped = true; }
+  void OnRequest(RequestId request, Ask ask, Instant now) override;
+  void OnCallerGone(RequestId request, Instant now) override;
+  void OnHead(AttemptId attempt, int status, const AnswerMarks& marks,
+              Instant now) override;
+  void OnPiece(AttemptId attempt, std::string_view bytes, Instant now) override;
+  void OnEnd(AttemptId attempt, http::TransferEnd end, Instant now) override;
+  void OnBudgetChanged(Instant now) override;
+  void OnTimer(Instant now) override;
+  Instant NextTimer() const override;
+  std::vector<Action> TakeActions() override {
+    return std::exchange(m_actions, {});
+  }
+  std::vector<serving::RequestSummary> TakeFinished() override {
+    return std::exchange(m_finished, {});
+  }
+  size_t OpenRequests() const override { return m_flights.size(); }
+
+ private:
+  // Arrival (core.cc). Each gives the kind to refuse with, or kNone.
+  ErrorKind FindRoute(Flight& flight) const;
+  ErrorKind FindTeam(Flight& flight) const;
+  void Admit(Flight& flight, Instant now);
+  void SetTimes(Flight& flight, Instant now) const;
+  ServiceName PickService(const Route& route);
+  void ReserveBudget(Flight& flight, Instant now);
+
+  // Place and send (core_place.cc).
+  void Place(Flight& flight, Instant now);
+  void WaitForPlace(Flight& flight, Instant now);
+  bool ComesTooLate(const Flight& flight, const Placement& placement,
+                    Instant now) const;
+  void Send(Flight& flight, Instant now);
+  Duration RetryAfter(const Flight& flight, Duration wait, Instant now);
+
+  // Answers (core_answer.cc).
+  Flight* OfAttempt(AttemptId attempt);
+  void OnWholeAnswer(Flight& flight, Instant now);
+  void OnEndpointRefusal(Flight& flight, Instant now);
+  void OnBrokenAttempt(Flight& flight, http::TransferEnd end, Instant now);
+  bool TryAgain(Flight& flight, Instant now);
+  bool MayRunAgain(const Flight& flight) const;
+  void OnFirstEvent(Flight& flight, Instant now);
+  void OnDeadline(Flight& flight, Instant now);
+  void CancelAttemptOf(Flight& flight);
+  void EndAttempt(Flight& flight);
+  void Fail(Flight& flight, ErrorKind kind, Duration retry_after, Instant now);
+  void Finish(Flight& flight, ErrorKind error, bool answered, Instant now);
+  Tokens SpentBy(const Flight& flight) const;
+
+  void OnDue(Flight& flight, Instant now);
+  void SetDue(Flight& flight, Instant when);
+  Instant DueWhileRunning(const Flight& flight) const;
+  void Log(std::string_view event, const Flight& flight,
+           std::vector<std::pair<std::string_view, std::string>> inputs);
+
+  const CoreOptions m_options;
+  const CoreParts m_parts;
+  std::mt19937_64 m_random;
+  std::shared_ptr<const RouteTable> m_routes;
+  bool m_stopped = false;
+  std::unordered_map<RequestId, Flight> m_flights;
+  std::unordered_map<AttemptId, RequestId> m_attempts;
+  AttemptId m_last_attempt = 0;
+  std::set<std::pair<Instant, RequestId>> m_due;
+  std::vector<Action> m_actions;
+  std::vector<serving::RequestSummary> m_finished;
+};
+
+}  // namespace dotterelshift::gateway
+
+#endif  // DOTTERELSHIFT_SRC_GATEWAY_CORE_IMPL_H_
--- /dev/null
+++ b/src/dotterelshift/gateway/event_scanner.cc
@@ -0,0 +1,66 @@
+#include "dotterelshift/gateway/event_scanner.h"
+
+#include <charconv>  // for from_chars
+
+namespace dotterelshift::gateway {
+namespace {
+
+constexpr std::string_view kIdField = "id:";
+
+// The end of the first event in the bytes, behind its empty line; npos while
+// the event is not whole.
+size_t EndOfEvent(std::string_view bytes) {
+  size_t line = 0;
+  while (true) {
+    const size_t end = bytes.find('\n', line);
+    if (end == std::string_view::npos) return end;
+    const bool empty = end == line || (end == line + 1 && bytes[line] == '\r');
+    if (empty) return end + 1;
+    line = end + 1;
+  }
+}
+
+// The id that an event carries as a whole number.
+std::optional<uint64_t> IdOf(std::string_view event) {
+  while (!event.empty()) {
+    const size_t end = event.find('\n');
+    std::string_view line = event.substr(0, end);
+    event.remove_prefix(end == std::string_view::npos ? event.size() : end + 1);
+    if (!line.starts_with(kIdField)) continue;
+    line.remove_prefix(kIdField.size());
+    while (line.starts_with(' ')) line.remove_prefix(1);
+    uint64_t id = 0;
+    const auto read =
+        std::from_chars(line.data(), line.data() + line.size(), id);
+    if (read.ec == std::errc()) return id;
+  }
+  return std::nullopt;
+}
+
+}  // namespace
+
+std::string EventScanner::Take(std::string_view bytes) {
+  m_rest.append(bytes);
+  std::string whole;
+  size_t at = 0;
+  while (true) {
+    const std::string_view left = std::string_view(m_rest).substr(at);
+    const size_t size = EndOfEvent(left);
+    if (size == std::string_view::npos) break;
+    if (Note(left.substr(0, size))) whole.append(left.substr(0, size));
+    at += size;
+  }
+  m_rest.erase(0, at);
+  return whole;
+}
+
+bool EventScanner::Note(std::string_view event) {
+  const std::optional<uint64_t> id = IdOf(event);
+  if (id && m_last_id && *id <= *m_last_id) return false;
+  if (id && m_last_id && *id != *m_last_id + 1) m_gap = true;
+  if (id) m_last_id = id;
+  ++m_events;
+  return true;
+}
+
+}  // namespace dotterelshift::gateway
--- /dev/null
+++ b/src/dotterelshift/gateway/event_scanner_test.cc
@@ -0,0 +1,49 @@
+#include "dotterelshift/gateway/event_scanner.h"
+
+#include <cppunit/extensions/HelperMacros.h>  // for CPPUNIT_TEST
+
+namespace dotterelshift::gateway {
+namespace {
+
+class EventScannerTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(EventScannerTest);
+  CPPUNIT_TEST(WholeEventsPassAtAnyCut);
+  CPPUNIT_TEST(DoubledEventsAreLeftOut);
+  CPPUNIT_TEST(MissingEventsAreNoticed);
+  CPPUNIT_TEST_SUITE_END();
+
+  void WholeEventsPassAtAnyCut() {
+    const std::string stream = "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n";
+    for (size_t cut = 0; cut <= stream.size(); ++cut) {
+      EventScanner scanner;
+      std::string passed = scanner.Take(stream.substr(0, cut));
+      CPPUNIT_ASSERT(passed.empty() || passed.ends_with("\n"));
+      passed += scanner.Take(stream.substr(cut));
+      CPPUNIT_ASSERT_EQUAL(stream, passed);
+      CPPUNIT_ASSERT_EQUAL(uint64_t{2}, scanner.Events());
+      CPPUNIT_ASSERT_EQUAL(uint64_t{2}, *scanner.LastId());
+      CPPUNIT_ASSERT(scanner.Rest().empty());
+    }
+  }
+
+  void DoubledEventsAreLeftOut() {
+    EventScanner scanner;
+    scanner.Take("id: 4\ndata: a\n\nid: 5\nda");
+    CPPUNIT_ASSERT_EQUAL(std::string("id: 5\nda"), scanner.Rest());
+    scanner.Reset();
+    CPPUNIT_ASSERT_EQUAL(std::string("id: 5\ndata: b\n\n"),
+                         scanner.Take("id: 4\ndata: a\n\nid: 5\ndata: b\n\n"));
+    CPPUNIT_ASSERT(!scanner.HasGap());
+  }
+
+  void MissingEventsAreNoticed() {
+    EventScanner scanner;
+    scanner.Take("id: 4\ndata: a\n\n");
+    scanner.Take("id: 6\ndata: c\n\n");
+    CPPUNIT_ASSERT(scanner.HasGap());
+  }
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(EventScannerTest);
+
+}  // namespace
+}  // namespace dotterelshift::gateway
--- /dev/null
+++ b/src/dotterelshift/gateway/fleet_load.cc
@@ -0,0 +1,256 @@
+#include "dotterelshift/gateway/fleet_load.h"
+
+#include <algorithm>  // for find, max, min
+#include <utility>    // for move
+
+#include "dotterelshift/directory/spread.h"  // for PulseKey
+
+namespace dotterelshift::gateway {
+namespace {
+
+Duration Milliseconds(double ms) {
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double, std::milli>(ms));
+}
+
+double AsMs(Duration duration) {
+  return std::chrono::duration<double, std::milli>(duration).count();
+}
+
+bool Contains(const std::vector<EndpointKey>& keys, EndpointKey key) {
+  return std::find(keys.begin(), keys.end(), key) != keys.end();
+}
+
+}  // namespace
+
+void FleetLoad::OnDirectory(const directory::Directory& directory) {
+  m_by_service.clear();
+  std::unordered_map<EndpointKey, Load> known = std::move(m_loads);
+  m_loads.clear();
+  for (const auto& [id, endpoint] : directory.All()) {
+    const wire::EndpointRecordT& record = endpoint.record;
+    const EndpointKey key = directory::PulseKey(id, record.incarnation);
+    Load& load = m_loads[key];
+    const auto before = known.find(key);
+    if (before != known.end()) load = std::move(before->second);
+    load.contact = {id, record.incarnation, record.address, record.data_centre};
+    load.services = record.services;
+    load.slots = std::max<uint32_t>(1, record.slots);
+    load.usable = endpoint.usable;
+    SetCapacity(load);
+    for (const ServiceName& service : record.services)
+      m_by_service[service].push_back(key);
+  }
+  // What is still under way at endpoints that were forgotten ends there.
+  for (auto& [key, load] : known) {
+    if (load.own == 0 || m_loads.contains(key)) continue;
+    load.usable = false;
+    m_loads[key] = std::move(load);
+  }
+  for (auto& [service, keys] : m_by_service)
+    std::sort(keys.begin(), keys.end());
+}
+
+void FleetLoad::OnRoutes(const RouteTable& routes) {
+  m_engines.clear();
+  for (const Service& service : routes.Get().services)
+    if (service.engine) m_engines[service.name] = *service.engine;
+  for (auto& [key, load] : m_loads) SetCapacity(load);
+}
+
+void FleetLoad::SetCapacity(Load& load) const {
+  for (const ServiceName& service : load.services) {
+    const auto engine = m_engines.find(service);
+    if (engine == m_engines.end()) continue;
+    const auto tokens = static_cast<double>(engine->second.cache_tokens);
+    load.cache.SetCapacity(static_cast<Tokens>(tokens * m_options.cache_part));
+  }
+}
+
+bool FleetLoad::MayUse(const Load& load, Instant now) const {
+  return load.usable && now >= load.avoid_until && now >= load.full_until;
+}
+
+Placement FleetLoad::PlaceAt(EndpointKey key, const Load& load,
+                             const Prompt& prompt, Instant now) const {
+  Placement placement;
+  placement.endpoint = key;
+  placement.tokens_to_read =
+      std::max<Tokens>(0, prompt.prompt_tokens - load.cache.Held(prompt.parts));
+  placement.wait = std::max<Duration>(0s, load.read_until - now);
+  placement.read = Milliseconds(static_cast<double>(placement.tokens_to_read) /
+                                m_options.read_tokens_per_ms);
+  return placement;
+}
+
+double FleetLoad::CostOf(const Load& load, const Placement& placement) const {
+  const uint32_t running = RunningAt(load);
+  double cost = AsMs(placement.wait) + AsMs(placement.read);
+  cost += m_options.per_running_ms * running;
+  // Past its slots a request waits for one to end.
+  constexpr double kNoSlotMs = 200;
+  if (running >= load.slots) cost += kNoSlotMs * (running - load.slots + 1);
+  if (load.contact.data_centre != m_options.data_centre)
+    cost += m_options.other_centre_ms;
+  return cost;
+}
+
+std::optional<Placement> FleetLoad::Choose(
+    const ServiceName& service, const Prompt& prompt,
+    const std::vector<EndpointKey>& not_these, Instant now) const {
+  const auto keys = m_by_service.find(service);
+  if (keys == m_by_service.end()) return std::nullopt;
+  std::optional<Placement> best;
+  double best_cost = 0;
+  for (const EndpointKey key : keys->second) {
+    const Load& load = m_loads.at(key);
+    if (!MayUse(load, now) || Contains(not_these, key)) continue;
+    const Placement placement = PlaceAt(key, load, prompt, now);
+    const double cost = CostOf(load, placement);
+    if (best && cost >= best_cost) continue;
+    best = placement;
+    best_cost = cost;
+  }
+  return best;
+}
+
+bool FleetLoad::HasEndpoint(const ServiceName& service, Instant now) const {
+  const auto keys = m_by_service.find(service);
+  if (keys == m_by_service.end()) return false;
+  return std::any_of(
+      keys->second.begin(), keys->second.end(),
+      [&](EndpointKey key) { return MayUse(m_loads.at(key), now); });
+}
+
+double FleetLoad::TakenPart(const ServiceName& service) const {
+  const auto keys = m_by_service.find(service);
+  if (keys == m_by_service.end()) return 1;
+  double places = 0;
+  double taken = 0;
+  for (const EndpointKey key : keys->second) {
+    const Load& load = m_loads.at(key);
+    if (!load.usable) continue;
+    places += load.slots;
+    taken += std::min(load.slots, RunningAt(load));
+  }
+  return places == 0 ? 1 : taken / places;
+}
+
+void FleetLoad::Book(Load& load, Tokens tokens, Instant now) {
+  load.read_until =
+      std::max(load.read_until, now) +
+      Milliseconds(static_cast<double>(tokens) / m_options.read_tokens_per_ms);
+}
+
+void FleetLoad::OnGiven(const Placement& placement, const Prompt& prompt,
+                        Instant now) {
+  const auto found = m_loads.find(placement.endpoint);
+  if (found == m_loads.end()) return;
+  Load& load = found->second;
+  ++load.own;
+  Book(load, placement.tokens_to_read, now);
+  auto tokens = static_cast<int32_t>(placement.tokens_to_read);
+  int32_t requests = 1;
+  for (const PromptPart& part : prompt.parts) {
+    load.cache.Touch(part.hash, part.tokens);
+    m_notes.emplace_back(placement.endpoint, part.hash, tokens,
+                         static_cast<int32_t>(part.tokens), requests);
+    tokens = 0;
+    requests = 0;
+  }
+  if (requests > 0)
+    m_notes.emplace_back(placement.endpoint, 0, tokens, 0, requests);
+}
+
+void FleetLoad::OnRead(EndpointKey endpoint, Instant now) {
+  const auto found = m_loads.find(endpoint);
+  if (found == m_loads.end()) return;
+  // The only one there: nothing is left to be read.
+  if (RunningAt(found->second) == 1) found->second.read_until = now;
+}
+
+void FleetLoad::OnEnded(EndpointKey endpoint) {
+  const auto found = m_loads.find(endpoint);
+  if (found == m_loads.end() || found->second.own == 0) return;
+  --found->second.own;
+  m_notes.emplace_back(endpoint, 0, 0, 0, -1);
+}
+
+void FleetLoad::OnGood(EndpointKey endpoint) {
+  const auto found = m_loads.find(endpoint);
+  if (found != m_loads.end()) found->second.failures = 0;
+}
+
+void FleetLoad::OnFailed(EndpointKey endpoint, Instant now) {
+  const auto found = m_loads.find(endpoint);
+  if (found == m_loads.end()) return;
+  Load& load = found->second;
+  ++load.failures;
+  if (load.failures < m_options.failures_borne) return;
+  const int doublings = std::min(load.failures - m_options.failures_borne, 8);
+  load.avoid_until = now + std::min(m_options.avoid_least * (1 << doublings),
+                                    m_options.avoid_most);
+}
+
+void FleetLoad::OnUnreachable(EndpointKey endpoint, Instant now) {
+  const auto found = m_loads.find(endpoint);
+  if (found == m_loads.end()) return;
+  Load& load = found->second;
+  load.failures = std::max(load.failures, m_options.failures_borne - 1);
+  load.cache.Clear();
+  OnFailed(endpoint, now);
+}
+
+void FleetLoad::OnFull(EndpointKey endpoint, Instant now) {
+  const auto found = m_loads.find(endpoint);
+  if (found != m_loads.end())
+    found->second.full_until = now + m_options.full_for;
+}
+
+std::vector<wire::LoadNote> FleetLoad::TakeNotes() {
+  return std::exchange(m_notes, {});
+}
+
+// An endpoint that was forgotten for a while begins at zero again, so that less
+// may be there than is taken back.
+void FleetLoad::ChangeOthers(Load& load, int change) {
+  const int others = static_cast<int>(load.others) + change;
+  load.others = static_cast<uint32_t>(std::max(0, others));
+}
+
+void FleetLoad::OnNotes(const HostId& from, const wire::LoadNotesT& notes,
+                        Instant now) {
+  auto& of_entry = m_of_entries[from];
+  for (const wire::LoadNote& note : notes.notes) {
+    const auto found = m_loads.find(note.endpoint());
+    if (found == m_loads.end()) continue;
+    Load& load = found->second;
+    int& count = of_entry[note.endpoint()];
+    const int change = std::max(note.requests(), -count);
+    count += change;
+    ChangeOthers(load, change);
+    if (note.prompt_tokens() > 0) Book(load, note.prompt_tokens(), now);
+    if (note.part() != 0) load.cache.Touch(note.part(), note.part_tokens());
+  }
+}
+
+void FleetLoad::OnEntryGone(const HostId& entry) {
+  const auto node = m_of_entries.extract(entry);
+  if (node.empty()) return;
+  for (const auto& [endpoint, count] : node.mapped()) {
+    const auto found = m_loads.find(endpoint);
+    if (found != m_loads.end()) ChangeOthers(found->second, -count);
+  }
+}
+
+const EndpointContact* FleetLoad::Find(EndpointKey endpoint) const {
+  const auto found = m_loads.find(endpoint);
+  return found == m_loads.end() ? nullptr : &found->second.contact;
+}
+
+uint32_t FleetLoad::Running(EndpointKey endpoint) const {
+  const auto found = m_loads.find(endpoint);
+  return found == m_loads.end() ? 0 : RunningAt(found->second);
+}
+
+}  // namespace dotterelshift::gateway
--- /dev/null
+++ b/src/dotterelshift/gateway/flight.h
@@ -0,0 +1,70 @@
+#ifndef DOTTERELSHIFT_SRC_GATEWAY_FLIGHT_H_
+#define DOTTERELSHIFT_SRC_GATEWAY_FLIGHT_H_
+
+#include <memory>  // for shared_ptr
+#include <string>  // for string
+#include <vector>  // for vector
+
+#include "dotterelshift/gateway/core.h"           // for Ask
+#include "dotterelshift/gateway/event_scanner.h"  // for EventScanner
+
+namespace dotterelshift::gateway {
+
+enum class Stage : uint8_t {
+  kWaitsForBudget,
+  kWaitsForPlace,  // all endpoints are full just now
+  kBooked,         // has its endpoint, and is sent when its reading time comes
+  kRunning,        // sent; no head of an answer yet
+  kAnswering,
+};
+
+// One try at one endpoint.
+struct Attempt {
+  AttemptId id = 0;
+  Placement placement;
+  EndpointContact endpoint;
+  Instant sent{};
+  Instant heard{};  // when anything came last
+  bool head_seen = false;
+  int status = 0;
+  AnswerMarks marks;
+  uint64_t events = 0;  // passed on to the caller
+};
+
+// One request from its arrival to its end.
+struct Flight {
+  RequestId id = 0;
+  Ask ask;
+  std::shared_ptr<const RouteTable> routes;  // under which it came in
+  const Route* route = nullptr;
+  ServiceName service;
+  TeamId team;
+  int priority = 0;
+  Instant arrived{};
+  Instant deadline{};    // the caller's or the route's, the earlier one
+  Instant target{};      // for the first event, or for the answer
+  Instant wait_until{};  // for tokens, or for a place
+  Instant due{};         // when its timer runs out
+  Stage stage = Stage::kWaitsForBudget;
+  Tokens reserved = 0;
+  bool has_reservation = false;
+  bool may_have_run = false;  // some endpoint may have run it
+  bool prompt_read = false;   // some endpoint has read its prompt
+  uint32_t sends = 0;
+  uint32_t runs = 0;  // attempts that may have run
+  Instant send_at{};
+  Attempt attempt;
+  std::vector<EndpointKey> tried;
+  bool head_relayed = false;
+  Instant first_event{};
+  EventScanner scanner;
+
+  bool MayRepeat() const {
+    return route->kind == RouteKind::kIdempotent ||
+           (route->kind == RouteKind::kStream && route->resumable);
+  }
+};
+
+}  // namespace dotterelshift::gateway
+
+#endif  // DOTTERELSHIFT_SRC_GATEWAY_FLIGHT_H_
--- /dev/null
+++ b/src/dotterelshift/gateway/part_cache.cc
@@ -0,0 +1,47 @@
+#include "dotterelshift/gateway/part_cache.h"
+
+namespace dotterelshift::gateway {
+
+void PartCache::SetCapacity(Tokens capacity) {
+  m_capacity = capacity;
+  Trim();
+}
+
+void PartCache::Touch(uint64_t part, Tokens tokens) {
+  const auto known = m_places.find(part);
+  if (known != m_places.end()) {
+    m_held += tokens - known->second->tokens;
+    known->second->tokens = tokens;
+    m_order.splice(m_order.begin(), m_order, known->second);
+  } else {
+    m_order.push_front({part, tokens});
+    m_places[part] = m_order.begin();
+    m_held += tokens;
+  }
+  Trim();
+}
+
+Tokens PartCache::Held(const std::vector<PromptPart>& parts) const {
+  Tokens held = 0;
+  for (const PromptPart& part : parts) {
+    if (!m_places.contains(part.hash)) break;
+    held += part.tokens;
+  }
+  return held;
+}
+
+void PartCache::Clear() {
+  m_order.clear();
+  m_places.clear();
+  m_held = 0;
+}
+
+void PartCache::Trim() {
+  while (m_held > m_capacity && !m_order.empty()) {
+    m_held -= m_order.back().tokens;
+    m_places.erase(m_order.back().part);
+    m_order.pop_back();
+  }
+}
+
+}  // namespace dotterelshift::gateway
--- /dev/null
+++ b/src/dotterelshift/gateway/retry_share_test.cc
@@ -0,0 +1,73 @@
+#include "dotterelshift/gateway/retry_share.h"
+
+#include <cppunit/extensions/HelperMacros.h>  // for CPPUNIT_TEST
+
+#include <deque>  // for deque
+
+namespace dotterelshift::gateway {
+namespace {
+
+class RetryShareTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(RetryShareTest);
+  CPPUNIT_TEST(AllSharesTogetherStayWithinTheAllowance);
+  CPPUNIT_TEST(ServicesAreCountedApart);
+  CPPUNIT_TEST_SUITE_END();
+
+  // Eight entries, each of which repeats as often as it may, under a load that
+  // jumps: in no window does the fleet repeat more than it may.
+  void AllSharesTogetherStayWithinTheAllowance() {
+    constexpr int kEntries = 8;
+    RetryShareOptions options;
+    options.slack = 56;
+    std::deque<RetryShare> entries;
+    for (int i = 0; i < kEntries; ++i) {
+      entries.emplace_back(options);
+      entries.back().SetEntries(kEntries);
+    }
+    struct Step {
+      uint32_t requests = 0;
+      uint32_t repeats = 0;
+    };
+    std::deque<Step> window;
+    const int steps_of_window = static_cast<int>(options.window / 100ms);
+    uint32_t requests_in_window = 0;
+    uint32_t repeats_in_window = 0;
+    for (int step = 0; step < 600; ++step) {
+      const Instant now = Instant(1000s) + step * 100ms;
+      Step done;
+      for (RetryShare& entry : entries) {
+        const int requests = step % 200 < 40 ? 9 : 1;
+        for (int i = 0; i < requests; ++i) entry.OnRequest("s", now);
+        done.requests += requests;
+        for (int i = 0; i < 20; ++i) done.repeats += entry.Take("s", now);
+      }
+      window.push_back(done);
+      requests_in_window += done.requests;
+      repeats_in_window += done.repeats;
+      if (static_cast<int>(window.size()) > steps_of_window) {
+        requests_in_window -= window.front().requests;
+        repeats_in_window -= window.front().repeats;
+        window.pop_front();
+      }
+      const double allowed = options.ratio * requests_in_window + options.slack;
+      CPPUNIT_ASSERT(repeats_in_window <= allowed);
+    }
+    CPPUNIT_ASSERT(repeats_in_window > 0);
+  }
+
+  void ServicesAreCountedApart() {
+    RetryShareOptions options;
+    options.slack = 2;
+    options.used_part = 1;
+    RetryShare share(options);
+    const Instant now(1000s);
+    CPPUNIT_ASSERT(share.Take("a", now));
+    CPPUNIT_ASSERT(share.Take("a", now));
+    CPPUNIT_ASSERT(!share.Take("a", now));
+    CPPUNIT_ASSERT(share.Take("b", now));
+  }
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(RetryShareTest);
+
+}  // namespace
+}  // namespace dotterelshift::gateway
--- /dev/null
+++ b/src/dotterelshift/replication/member_keeper.cc
@@ -0,0 +1,62 @@
+#include "dotterelshift/replication/member_keeper.h"
+
+#include <algorithm>  // for max
+
+namespace dotterelshift::replication {
+namespace {
+
+// A group of fewer voters bears no loss.
+constexpr size_t kLeastVoters = 3;
+
+}  // namespace
+
+std::optional<KeptMember> MemberKeeper::Next(
+    const wire::MembershipT& members,
+    const std::vector<wire::ReplicaT>& waiting, Instant now) {
+  if (!m_leads_since) m_leads_since = now;
+  if (auto superseded = SupersededBy(members, waiting, now)) return superseded;
+  if (!waiting.empty()) return KeptMember{waiting.front(), false};
+  return Surplus(members, now);
+}
+
+// A new leader has heard nobody yet; silence counts from its election on.
+bool MemberKeeper::IsLost(ReplicaId replica, Instant now) const {
+  if (replica == m_self) return false;
+  const auto heard = m_heard.find(replica);
+  const Instant last = heard == m_heard.end()
+                           ? *m_leads_since
+                           : std::max(heard->second, *m_leads_since);
+  return now - last >= m_options.lost_after;
+}
+
+// A host that waits with a new replica has lost the folder of its former one.
+std::optional<KeptMember> MemberKeeper::SupersededBy(
+    const wire::MembershipT& members,
+    const std::vector<wire::ReplicaT>& waiting, Instant) const {
+  for (const auto& member : members.replicas) {
+    for (const wire::ReplicaT& newcomer : waiting) {
+      if (newcomer.host == member->host && newcomer.id != member->id)
+        return KeptMember{*member, true};
+    }
+  }
+  return std::nullopt;
+}
+
+std::optional<KeptMember> MemberKeeper::Surplus(
+    const wire::MembershipT& members, Instant now) const {
+  size_t voters = 0;
+  size_t lost = 0;
+  const wire::ReplicaT* silent = nullptr;
+  for (const auto& member : members.replicas) {
+    if (!member->voter) return std::nullopt;  // one is still catching up
+    ++voters;
+    if (!IsLost(member->id, now)) continue;
+    ++lost;
+    silent = member.get();
+  }
+  const bool one_too_many = voters % 2 == 0 && voters > kLeastVoters;
+  if (lost != 1 || !one_too_many) return std::nullopt;
+  return KeptMember{*silent, true};
+}
+
+}  // namespace dotterelshift::replication
