--- a/src/dotterelshift/state/apply_published.cc
+++ b/src/dotterelshift/state/apply_published.cc
@@ -66,7 +66,9 @@
   Answer(answer, wire::DoneAnswerT());
 }
 
-// What a dead run was handed is lost with it.
+// What a dead run was handed is lost with it. A receiver that has not
+// registered yet may spend all the same: its grant goes below zero then, and
+// what the sender is still counted to hold makes up for it.
 void Apply(Context& context, const wire::MoveGrantT& command,
            wire::CommandAnswerT& answer) {
   Tables& tables = context.tables;
@@ -76,7 +78,7 @@
   const std::optional<RunNumber> receiver =
       tables.FindRun({command.to_host, command.to_incarnation});
   if (!receiver)
-    return Refuse(answer, ErrorKind::kStaleIncarnation, "receiver not known");
+    return Refuse(answer, ErrorKind::kBadField, "receiver not known");
   if (!IsAmount(command.tokens))
     return Refuse(answer, ErrorKind::kBadFrame, "amount out of range");
   Grant& from = GrantOf(*account, context.run);
--- a/src/dotterelshift/state/published_test.cc
+++ b/src/dotterelshift/state/published_test.cc
@@ -50,6 +50,7 @@
   CPPUNIT_TEST(HighestVersionIsInForce);
   CPPUNIT_TEST(EntriesHoldOnlyAPartOfWhatIsLeft);
   CPPUNIT_TEST(TokensHandedOnAreCountedOnceInAnyOrder);
+  CPPUNIT_TEST(AReceiverThatIsNotKnownIsNoFaultOfTheSender);
   CPPUNIT_TEST(WhatADeadEntryHeldIsNeverGrantedAgain);
   CPPUNIT_TEST(ALoweredTotalGrantsNothingMore);
   CPPUNIT_TEST(SpendNeverExceedsTheTotalInAnySchedule);
@@ -113,6 +114,19 @@
     CPPUNIT_ASSERT_EQUAL(Tokens{650}, Account().Free());
   }
 
+  // A sender takes "stale" as the word that a newer run has its place, and
+  // leaves; a hand-over to one that has just started must not say that.
+  void AReceiverThatIsNotKnownIsNoFaultOfTheSender() {
+    Grant(*m_a, 400, 400);
+    const auto answer = m_a->Send(MoveOf(200, {"just started", 7}), 2);
+    CPPUNIT_ASSERT(static_cast<ErrorKind>(answer.error) ==
+                   ErrorKind::kBadField);
+    TestRun started(m_state.get(), "just started", 7);
+    Register(started);
+    started.Send(SpendOf(200), 3);
+    CPPUNIT_ASSERT_EQUAL(Tokens{600}, Account().Free());
+  }
+
   void WhatADeadEntryHeldIsNeverGrantedAgain() {
     Grant(*m_a, 400, 400);
     m_b->Send(SpendOf(100), 2);  // handed on by a, which dies unheard
