--- a/include/dotterelshift/gateway/budget_desk.h
+++ b/include/dotterelshift/gateway/budget_desk.h
@@ -65,6 +65,16 @@
     return std::exchange(m_pleas, {});
   }
 
+  // What the desk decides from, for the log.
+  struct Position {
+    Tokens held = 0;
+    Tokens reserved = 0;
+    Tokens demand_per_second = 0;
+    Tokens left_elsewhere = 0;  // as control said last
+    Duration left_age = 0s;
+  };
+  Position PositionOf(const TeamId& team, Instant now) const;
+
   void SetConnected(bool connected, Instant now);
   void OnRecall(const wire::RecallT& recall, Instant now);
   // Control's answer to a command of this desk. True when a waiting request may
--- a/src/dotterelshift/app/gateway_entry.cc
+++ b/src/dotterelshift/app/gateway_entry.cc
@@ -242,6 +242,12 @@
     wire::TokenLoanT loan;
     loan.budget = plea->budget;
     loan.tokens = m_budgets.OnPlea(*plea, peer.run, now);
+    platform::LogDecision("tokens_lent", "",
+                          {{"team", plea->budget},
+                           {"to", peer.run.host},
+                           {"wanted", std::to_string(plea->wanted)},
+                           {"minimum", std::to_string(plea->minimum)},
+                           {"lent", std::to_string(loan.tokens)}});
     if (loan.tokens > 0)
       m_hub->Send(peer.run.host, peers::MakeFrame(std::move(loan)));
   } else if (const auto* loan = frame.body.AsTokenLoan()) {
--- a/src/dotterelshift/gateway/budget_desk.cc
+++ b/src/dotterelshift/gateway/budget_desk.cc
@@ -10,6 +10,9 @@
   budget::LedgerOptions options;
   // Holdings stay close to what a cut needs, because they are lost with the
   // process: topped up early, and given back when demand falls.
+  // What lies idle here may be lent to an entry that needs it, so it flows
+  // back late.
+  options.idle_return = 45s;
   options.ask_below = 0.85;
   options.return_above = 1.3;
   return options;
@@ -149,6 +152,21 @@
   if (answered) ++spend.answered;
 }
 
+BudgetDesk::Position BudgetDesk::PositionOf(const TeamId& team,
+                                            Instant now) const {
+  Position position;
+  const auto handle = m_handles.find(team);
+  if (handle == m_handles.end()) return position;
+  position.held = m_ledger->Held(handle->second);
+  position.reserved = m_ledger->Reserved(handle->second);
+  position.demand_per_second = m_ledger->DemandPerSecond(handle->second, now);
+  const auto remainder = m_remainders.find(team);
+  if (remainder == m_remainders.end()) return position;
+  position.left_elsewhere = remainder->second.tokens;
+  position.left_age = now - remainder->second.heard;
+  return position;
+}
+
 void BudgetDesk::SetConnected(bool connected, Instant now) {
   m_ledger->SetConnected(connected, now);
 }
--- /dev/null
+++ b/src/dotterelshift/gateway/budget_desk_test.cc
@@ -0,0 +1,146 @@
+#include "dotterelshift/gateway/budget_desk.h"
+
+#include <cppunit/extensions/HelperMacros.h>  // for CPPUNIT_TEST
+
+namespace dotterelshift::gateway {
+namespace {
+
+class BudgetDeskTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(BudgetDeskTest);
+  CPPUNIT_TEST(EachBudgetIsAskedForBeforeItIsDrawnOn);
+  CPPUNIT_TEST(AnAskUnderWayIsNotDoubled);
+  CPPUNIT_TEST(IdleHoldingsStayToBeLentInACut);
+  CPPUNIT_TEST(WhatIsBeyondTheTotalIsKnownAtOnce);
+  CPPUNIT_TEST(SpendIsReportedOnceAndTheRestReturned);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void setUp() override {
+    m_desk = std::make_unique<BudgetDesk>(BudgetDeskOptions(), [this] {
+      auto id = std::make_unique<wire::CommandIdT>();
+      id->sequence = ++m_sequence;
+      return id;
+    });
+    Routes routes;
+    routes.teams = {{"t", {"k"}, std::nullopt, 1'000'000}};
+    m_desk->SetConnected(true, m_now);
+    m_desk->OnRoutes(RouteTable(routes), 4, m_now);
+  }
+
+ private:
+  std::vector<wire::CommandT> Take() { return m_desk->TakeCommands(m_now); }
+
+  static std::vector<const wire::RequestGrantT*> Asks(
+      const std::vector<wire::CommandT>& commands) {
+    std::vector<const wire::RequestGrantT*> asks;
+    for (const wire::CommandT& command : commands)
+      if (const auto* ask = command.body.AsRequestGrant()) asks.push_back(ask);
+    return asks;
+  }
+
+  void Answer(uint64_t sequence, Tokens tokens, Tokens free) {
+    wire::CommandAnswerT answer;
+    answer.id = std::make_unique<wire::CommandIdT>();
+    answer.id->sequence = sequence;
+    wire::GrantAnswerT grant;
+    grant.budget = "t";
+    grant.tokens = tokens;
+    grant.standing = tokens;
+    grant.free = free;
+    answer.body.Set(std::move(grant));
+    m_desk->OnAnswer(answer, m_now);
+  }
+
+  // Takes the first ask and grants it.
+  void GrantFirst(Tokens tokens, Tokens free) {
+    const auto commands = Take();
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, Asks(commands).size());
+    Answer(m_sequence, tokens, free);
+  }
+
+  void EachBudgetIsAskedForBeforeItIsDrawnOn() {
+    const auto commands = Take();
+    const auto asks = Asks(commands);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, asks.size());
+    // A quarter of the part that all four entries hold at first.
+    const auto part =
+        static_cast<Tokens>(BudgetDeskOptions().first_part * 1'000'000 / 4);
+    CPPUNIT_ASSERT_EQUAL(part, asks[0]->wanted);
+  }
+
+  void AnAskUnderWayIsNotDoubled() {
+    Take();
+    for (int i = 0; i < 10; ++i) {
+      m_now += 300ms;
+      m_desk->Reserve("t", 5000, m_now);
+      CPPUNIT_ASSERT(Asks(Take()).empty());
+    }
+  }
+
+  // A team's callers may all be at one entry. What the others hold of it is
+  // idle there, and all that there is once control is out of reach.
+  void IdleHoldingsStayToBeLentInACut() {
+    GrantFirst(87'500, 900'000);
+    m_now += 20s;
+    for (const wire::CommandT& command : Take())
+      CPPUNIT_ASSERT(command.body.AsReturnGrant() == nullptr);
+    m_desk->SetConnected(false, m_now);
+    wire::TokenPleaT plea;
+    plea.budget = "t";
+    plea.wanted = 900'000;
+    plea.minimum = 17'000;
+    plea.demand_per_second = 100'000;
+    const Tokens lent = m_desk->OnPlea(plea, {"other", 1}, m_now);
+    CPPUNIT_ASSERT(lent > 80'000 && lent <= 87'500);
+    // What was lent is no longer there.
+    CPPUNIT_ASSERT(m_desk->OnPlea(plea, {"third", 1}, m_now) <= 87'500 - lent);
+    m_desk->SetConnected(true, m_now);
+    size_t moves = 0;
+    for (const wire::CommandT& command : Take())
+      moves += command.body.AsMoveGrant() != nullptr ? 1 : 0;
+    CPPUNIT_ASSERT(moves >= 1);
+  }
+
+  void WhatIsBeyondTheTotalIsKnownAtOnce() {
+    GrantFirst(1000, 500);
+    CPPUNIT_ASSERT(m_desk->Reserve("t", 900, m_now) == BudgetAnswer::kReserved);
+    CPPUNIT_ASSERT(m_desk->Reserve("t", 1200, m_now) == BudgetAnswer::kWait);
+    CPPUNIT_ASSERT(m_desk->Reserve("t", 1600, m_now) ==
+                   BudgetAnswer::kExhausted);
+    // An old word on what is left is not believed.
+    m_now += BudgetDeskOptions().remainder_memory;
+    CPPUNIT_ASSERT(m_desk->Reserve("t", 1600, m_now) == BudgetAnswer::kWait);
+    CPPUNIT_ASSERT(m_desk->Reserve("free", 1600, m_now) ==
+                   BudgetAnswer::kNoTotal);
+  }
+
+  void SpendIsReportedOnceAndTheRestReturned() {
+    GrantFirst(10'000, 900'000);
+    CPPUNIT_ASSERT(m_desk->Reserve("t", 4000, m_now) ==
+                   BudgetAnswer::kReserved);
+    m_desk->Settle("t", 4000, 2500, true, m_now);
+    m_now += 1s;
+    Tokens reported = 0;
+    Tokens returned = 0;
+    const auto count = [&](const std::vector<wire::CommandT>& commands) {
+      for (const wire::CommandT& command : commands) {
+        if (const auto* spend = command.body.AsReportSpend())
+          reported += spend->spent;
+        if (const auto* rest = command.body.AsReturnGrant())
+          returned += rest->tokens;
+      }
+    };
+    count(Take());
+    count(m_desk->TakeLastCommands(m_now));
+    CPPUNIT_ASSERT_EQUAL(Tokens{2500}, reported);
+    CPPUNIT_ASSERT_EQUAL(Tokens{7500}, returned);
+  }
+
+  Instant m_now{1000s};
+  uint64_t m_sequence = 0;
+  std::unique_ptr<BudgetDesk> m_desk;
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(BudgetDeskTest);
+
+}  // namespace
+}  // namespace dotterelshift::gateway
--- a/src/dotterelshift/gateway/core.cc
+++ b/src/dotterelshift/gateway/core.cc
@@ -95,7 +95,7 @@
     case BudgetAnswer::kWait:
       break;
     case BudgetAnswer::kExhausted:
-      return Fail(flight, ErrorKind::kBudgetExhausted, 0s, now);
+      return FailForBudget(flight, ErrorKind::kBudgetExhausted, now);
   }
   if (flight.stage != Stage::kWaitsForBudget || flight.wait_until == Instant{})
     flight.wait_until = std::min(now + m_options.budget_wait, flight.deadline);
@@ -103,6 +103,23 @@
   SetDue(flight, std::min(flight.wait_until, now + m_options.budget_again));
 }
 
+void CoreImpl::FailForBudget(Flight& flight, ErrorKind kind, Instant now) {
+  const BudgetDesk::Position position =
+      m_parts.budgets->PositionOf(flight.team, now);
+  const Tokens needed =
+      flight.ask.prompt.prompt_tokens + flight.ask.prompt.output_limit;
+  Log("budget_short", flight,
+      {{"team", flight.team},
+       {"needed", std::to_string(needed)},
+       {"held", std::to_string(position.held)},
+       {"reserved", std::to_string(position.reserved)},
+       {"demand_per_second", std::to_string(position.demand_per_second)},
+       {"left_elsewhere", std::to_string(position.left_elsewhere)},
+       {"left_age_ms", std::to_string(ToMs(position.left_age))}});
+  const bool later = kind == ErrorKind::kBudgetUnavailable;
+  Fail(flight, kind, later ? RetryAfter(flight, 0s, now) : 0s, now);
+}
+
 void CoreImpl::OnBudgetChanged(Instant now) {
   std::vector<RequestId> waiting;
   for (const auto& [id, flight] : m_flights)
@@ -141,8 +158,7 @@
   switch (flight.stage) {
     case Stage::kWaitsForBudget:
       if (now < flight.wait_until) return ReserveBudget(flight, now);
-      return Fail(flight, ErrorKind::kBudgetUnavailable,
-                  RetryAfter(flight, 0s, now), now);
+      return FailForBudget(flight, ErrorKind::kBudgetUnavailable, now);
     case Stage::kWaitsForPlace:
       return Place(flight, now);
     case Stage::kBooked:
--- a/src/dotterelshift/gateway/core_impl.h
+++ b/src/dotterelshift/gateway/core_impl.h
@@ -51,6 +51,7 @@
   void SetTimes(Flight& flight, Instant now) const;
   ServiceName PickService(const Route& route);
   void ReserveBudget(Flight& flight, Instant now);
+  void FailForBudget(Flight& flight, ErrorKind kind, Instant now);
 
   // Place and send (core_place.cc).
   void Place(Flight& flight, Instant now);
--- a/src/dotterelshift/gateway/fleet_load.cc
+++ b/src/dotterelshift/gateway/fleet_load.cc
@@ -91,8 +91,7 @@
   constexpr double kNoSlotMs = 200;
   if (running >= load.slots) cost += kNoSlotMs * (running - load.slots + 1);
   if (load.contact.data_centre != m_options.data_centre)
-    cost +=
-        m_sees_all ? m_options.other_centre_ms : m_options.unseen_centre_ms;
+    cost += m_sees_all ? m_options.other_centre_ms : m_options.unseen_centre_ms;
   return cost;
 }
 
--- a/src/dotterelshift/state/apply_request_grant.cc
+++ b/src/dotterelshift/state/apply_request_grant.cc
@@ -46,8 +46,8 @@
   if (free <= 0 || free < command.minimum) return 0;
   const Tokens left = free + amounts.granted;
   const Tokens may_hold = left / 100 * kHeldPercent - amounts.granted;
-  return std::min(free, std::max(command.minimum,
-                                 std::min(command.wanted, may_hold)));
+  return std::min(
+      free, std::max(command.minimum, std::min(command.wanted, may_hold)));
 }
 
 // By how much the part grows that the holder may spend without openings.
--- a/src/dotterelshift/state/published_test.cc
+++ b/src/dotterelshift/state/published_test.cc
@@ -160,7 +160,8 @@
 
   class Schedule {
    public:
-    Schedule(PublishedTest& test, uint64_t seed) : m_test(test), m_random(seed) {
+    Schedule(PublishedTest& test, uint64_t seed)
+        : m_test(test), m_random(seed) {
       for (Entry& entry : m_entries) Start(entry);
     }
     Tokens Consumed() const { return m_consumed; }
@@ -194,7 +195,8 @@
       return static_cast<Tokens>(m_random() % (most + 1));
     }
     void Start(Entry& entry) {
-      const std::string host(1, static_cast<char>('p' + (&entry - m_entries.data())));
+      const std::string host(
+          1, static_cast<char>('p' + (&entry - m_entries.data())));
       entry.run.emplace(m_test.m_state.get(), host, ++m_incarnation);
       entry.held = 0;
       entry.unreported = 0;
