--- a/include/dotterelshift/ctl/ctl.h
+++ b/include/dotterelshift/ctl/ctl.h
@@ -36,7 +36,8 @@
   kEndpoints,
   kHosts,
   kOrders,
-  kCheckSettings
+  kCheckSettings,
+  kExplain
 };
 
 struct VerbRow {
--- a/src/dotterelshift/app/control.cc
+++ b/src/dotterelshift/app/control.cc
@@ -10,7 +10,8 @@
 #include "dotterelshift/app/hub_options.h"         // for MakeHubOptions
 #include "dotterelshift/app/listen_options.h"      // for ListenOptions
 #include "dotterelshift/app/operator_backend.h"    // for MakeControlBackend
-#include "dotterelshift/app/routes_control.h"      // for RoutesControl
+#include "dotterelshift/app/routes_control.h"      // for ControlAdapter
+#include "dotterelshift/app/routes_port.h"         // for MakeRoutesControl
 #include "dotterelshift/base/address.h"            // for ParseAddress
 #include "dotterelshift/budget/recall_core.h"      // for RecallCore
 #include "dotterelshift/callers/front.h"           // for AnswerError
@@ -55,7 +56,7 @@
 
 // The control role: one replica of the state, the entries that propose to it,
 // and the operators.
-class Control : public Daemon, private RoutesControl {
+class Control : public Daemon {
  public:
   Control(loop::Loop& loop, const settings::Settings& settings,
           Incarnation incarnation, std::unique_ptr<ControlAdapter> adapter);
@@ -69,20 +70,6 @@
   void Reload(const settings::Settings& settings) override;
 
  private:
-  void Publish(uint64_t version, std::string document,
-               const std::map<TeamId, Tokens>& totals,
-               std::function<void(ErrorKind)> callback) override;
-  void Read(std::function<void(ErrorKind, std::string_view)> callback) override;
-  std::string LeaderAddress() const override {
-    return m_backend->LeaderHttpAddress();
-  }
-  void OnAnnounced(const wire::EndpointRecordT& record) override {
-    m_directory.OnAnnounced(record);
-  }
-  const wire::EndpointRecordT* FindEndpoint(
-      const EndpointId& endpoint) const override;
-  void ProposeRoutes(const wire::PublishRoutesT& body,
-                     std::function<void(ErrorKind)> callback);
   void DialMember(const std::string& address);
 
   http::ServerOptions ServerOptions() const;
@@ -121,6 +108,7 @@
   std::unique_ptr<OperatorBackend> m_backend;
   std::unique_ptr<operators::Api> m_api;
   std::unique_ptr<EntryPushes> m_pushes;
+  std::unique_ptr<RoutesControl> m_routes;  // for the adapter
   budget::RecallCore m_recalls;
   std::unique_ptr<http::Client> m_client;
   std::unique_ptr<orders::OrderCore> m_orders;
@@ -175,6 +163,9 @@
   m_backend =
       MakeControlBackend(loop, *m_hub, *m_replica, m_directory.GetDirectory(),
                          http_address, m_self, [this] { return NextId(); });
+  m_routes = MakeRoutesControl(
+      *m_replica, *m_backend, m_directory,
+      [this](Incarnation newest) { m_self.incarnation = newest + 1; });
   operators::ApiOptions api;
   api.fleet_secret = m_secret;
   if (!settings.operator_key_file.empty())
@@ -238,7 +229,7 @@
 
 void Control::OnExchange(std::shared_ptr<http::Exchange> exchange) {
   const std::string& path = exchange->GetRequest().path;
-  if (m_adapter != nullptr && m_adapter->Accept(exchange, *this)) return;
+  if (m_adapter != nullptr && m_adapter->Accept(exchange, *m_routes)) return;
   if (path.starts_with("/operator/v1/")) {
     m_api->Accept(std::move(exchange));
   } else if (path == "/healthz") {
@@ -441,67 +432,6 @@
     m_hub->Dial(PeerAddressOf(seed, settings.peer_port));
 }
 
-void Control::Publish(uint64_t version, std::string document,
-                      const std::map<TeamId, Tokens>& totals,
-                      std::function<void(ErrorKind)> callback) {
-  wire::PublishRoutesT body;
-  body.version = version;
-  body.document.assign(document.begin(), document.end());
-  for (const auto& [team, tokens] : totals) {
-    auto total = std::make_unique<wire::TeamTotalT>();
-    total->team = team;
-    total->tokens = tokens;
-    body.totals.push_back(std::move(total));
-  }
-  ProposeRoutes(body, std::move(callback));
-}
-
-Tokens SumOf(const std::vector<std::unique_ptr<wire::TeamTotalT>>& totals) {
-  Tokens sum = 0;
-  for (const auto& total : totals) sum += total->tokens;
-  return sum;
-}
-
-void Control::ProposeRoutes(const wire::PublishRoutesT& body,
-                            std::function<void(ErrorKind)> callback) {
-  wire::CommandT command;
-  command.body.Set(wire::PublishRoutesT(body));
-  m_backend->Propose(
-      std::move(command),
-      [this, body, callback](ErrorKind error,
-                             const wire::CommandAnswerT& answer) {
-        const auto refused = static_cast<ErrorKind>(answer.error);
-        if (error == ErrorKind::kNone &&
-            refused == ErrorKind::kStaleIncarnation) {
-          // The wall clock was set back between two starts of this process.
-          m_self.incarnation = answer.newest_incarnation + 1;
-          return ProposeRoutes(body, callback);
-        }
-        const ErrorKind outcome = error == ErrorKind::kNone ? refused : error;
-        platform::Log(platform::LogLevel::kInfo, "routes_published",
-                      {{"version", std::to_string(body.version)},
-                       {"totals", std::to_string(SumOf(body.totals))},
-                       {"outcome", outcome == ErrorKind::kNone
-                                       ? "committed"
-                                       : std::string(RowOf(outcome).name)}});
-        callback(outcome);
-      });
-}
-
-void Control::Read(std::function<void(ErrorKind, std::string_view)> callback) {
-  m_replica->ConfirmedRead([this, callback](ErrorKind error) {
-    const state::PublishedRoutes published =
-        m_replica->GetState().GetPublished();
-    callback(error, published.document);
-  });
-}
-
-const wire::EndpointRecordT* Control::FindEndpoint(
-    const EndpointId& endpoint) const {
-  const directory::Endpoint* found = m_directory.GetDirectory().Find(endpoint);
-  return found == nullptr ? nullptr : &found->record;
-}
-
 void Control::UpdateGauges() {
   const replication::Node& node = m_replica->GetNode();
   const peers::HubCounters& hub = m_hub->Counters();
--- a/src/dotterelshift/app/gateway_entry.cc
+++ b/src/dotterelshift/app/gateway_entry.cc
@@ -184,7 +184,7 @@
                               [this](std::shared_ptr<http::Exchange> exchange) {
                                 m_traffic->Accept(std::move(exchange));
                               });
-  const auto health = [this](std::shared_ptr<http::Exchange> exchange) {
+  const auto health = [this](const std::shared_ptr<http::Exchange>& exchange) {
     OnHealth(*exchange);
   };
   if (!m_settings.health_listen.empty()) {
--- a/src/dotterelshift/app/gateway_traffic.cc
+++ b/src/dotterelshift/app/gateway_traffic.cc
@@ -86,7 +86,7 @@
   for (auto actions = m_core.TakeActions(); !actions.empty();
        actions = m_core.TakeActions()) {
     for (const gateway::Action& action : actions)
-      std::visit([this](const auto& what) { CarryOut(what); }, action);
+      std::visit([this](const auto& what) { this->CarryOut(what); }, action);
   }
   for (const serving::RequestSummary& summary : m_core.TakeFinished())
     m_metrics.OnFinished(summary);
--- /dev/null
+++ b/src/dotterelshift/app/routes_port.cc
@@ -0,0 +1,118 @@
+#include "dotterelshift/app/routes_port.h"
+
+#include <string>   // for to_string
+#include <utility>  // for move
+
+#include "dotterelshift/platform/log.h"  // for Log
+
+namespace dotterelshift::app {
+namespace {
+
+using Published = std::function<void(ErrorKind)>;
+
+Tokens SumOf(const std::vector<std::unique_ptr<wire::TeamTotalT>>& totals) {
+  Tokens sum = 0;
+  for (const auto& total : totals) sum += total->tokens;
+  return sum;
+}
+
+void LogPublished(const wire::PublishRoutesT& body, ErrorKind outcome) {
+  const std::string word = outcome == ErrorKind::kNone
+                               ? "committed"
+                               : std::string(RowOf(outcome).name);
+  platform::Log(platform::LogLevel::kInfo, "routes_published",
+                {{"version", std::to_string(body.version)},
+                 {"totals", std::to_string(SumOf(body.totals))},
+                 {"outcome", word}});
+}
+
+class RoutesPort : public RoutesControl {
+ public:
+  RoutesPort(ControlReplica& replica, OperatorBackend& backend,
+             DirectoryExchange& directory,
+             std::function<void(Incarnation)> on_stale)
+      : m_replica(replica),
+        m_backend(backend),
+        m_directory(directory),
+        m_on_stale(std::move(on_stale)) {}
+
+  void Publish(uint64_t version, std::string document,
+               const std::map<TeamId, Tokens>& totals,
+               Published callback) override {
+    wire::PublishRoutesT body;
+    body.version = version;
+    body.document.assign(document.begin(), document.end());
+    for (const auto& [team, tokens] : totals) {
+      auto total = std::make_unique<wire::TeamTotalT>();
+      total->team = team;
+      total->tokens = tokens;
+      body.totals.push_back(std::move(total));
+    }
+    Propose(body, callback);
+  }
+
+  void Read(
+      std::function<void(ErrorKind, std::string_view)> callback) override {
+    m_replica.ConfirmedRead(
+        [this, callback = std::move(callback)](ErrorKind error) {
+          const state::PublishedRoutes published =
+              m_replica.GetState().GetPublished();
+          callback(error, published.document);
+        });
+  }
+
+  std::string LeaderAddress() const override {
+    return m_backend.LeaderHttpAddress();
+  }
+
+  void OnAnnounced(const wire::EndpointRecordT& record) override {
+    m_directory.OnAnnounced(record);
+  }
+
+  const wire::EndpointRecordT* FindEndpoint(
+      const EndpointId& endpoint) const override {
+    const directory::Endpoint* found =
+        m_directory.GetDirectory().Find(endpoint);
+    return found == nullptr ? nullptr : &found->record;
+  }
+
+ private:
+  void Propose(const wire::PublishRoutesT& body, const Published& callback) {
+    wire::CommandT command;
+    command.body.Set(wire::PublishRoutesT(body));
+    m_backend.Propose(std::move(command),
+                      [this, body, callback](
+                          ErrorKind error, const wire::CommandAnswerT& answer) {
+                        OnProposed(body, callback, error, answer);
+                      });
+  }
+
+  void OnProposed(const wire::PublishRoutesT& body, const Published& callback,
+                  ErrorKind error, const wire::CommandAnswerT& answer) {
+    const auto refused = static_cast<ErrorKind>(answer.error);
+    if (error == ErrorKind::kNone && refused == ErrorKind::kStaleIncarnation) {
+      m_on_stale(answer.newest_incarnation);
+      return Propose(body, callback);
+    }
+    const ErrorKind outcome = error == ErrorKind::kNone ? refused : error;
+    LogPublished(body, outcome);
+    callback(outcome);
+  }
+
+  ControlReplica& m_replica;
+  OperatorBackend& m_backend;
+  DirectoryExchange& m_directory;
+  const std::function<void(Incarnation)> m_on_stale;
+};
+
+}  // namespace
+
+std::unique_ptr<RoutesControl> MakeRoutesControl(
+    ControlReplica& replica, OperatorBackend& backend,
+    DirectoryExchange& directory,
+    std::function<void(Incarnation newest)> on_stale) {
+  return std::make_unique<RoutesPort>(replica, backend, directory,
+                                      std::move(on_stale));
+}
+
+}  // namespace dotterelshift::app
--- a/src/dotterelshift/ctl/arguments.cc
+++ b/src/dotterelshift/ctl/arguments.cc
@@ -42,6 +42,11 @@
             "Checks a daemon's settings file.",
             "Needs no host. With --list it prints the table of all settings "
             "as docs/SETTINGS.md holds it."},
+    VerbRow{Verb::kExplain, "explain",
+            "Tells a request's life from the daemons' logs.",
+            "Needs no host. Reads the logs of any number of daemons and prints "
+            "in order what they wrote of the request, and what its hosts "
+            "believed meanwhile. docs/OPERATIONS.md explains the lines."},
 };
 
 constexpr std::array kExits = {
@@ -105,6 +110,8 @@
           "FORM");
     if (row.verb == Verb::kCheckSettings)
       AddCheckOptions();
+    else if (row.verb == Verb::kExplain)
+      AddExplainOptions();
     else
       AddHostOptions();
   }
@@ -123,6 +130,8 @@
     Take(m_plan, &arguments.plan);
     Take(m_budget, &arguments.budget);
     Take(m_team, &arguments.team);
+    if (m_logs) arguments.logs = m_logs->getValue();
+    Take(m_request, &arguments.request);
     Take(m_from, &arguments.from);
     Take(m_to, &arguments.to);
     arguments.list = m_list && m_list->getValue();
@@ -168,6 +177,14 @@
     Reset(m_to, "", "to", "Last day.", false, "DAY");
   }
 
+  void AddExplainOptions() {
+    m_logs.emplace("l", "log",
+                   "A daemon's log; may be repeated; - for standard input.",
+                   true, "FILE", m_line);
+    m_request.emplace("request", "The caller's id of the request.", true, "",
+                      "ID", m_line);
+  }
+
   void AddCheckOptions() {
     Reset(m_list, "l", "list", "Prints the table of all settings.");
     Reset(m_file, "f", "file", "The settings, YAML.", false, "FILE");
@@ -208,6 +225,8 @@
   Value m_to;
   Value m_budget;
   Unlabeled m_plan;
+  std::optional<TCLAP::MultiArg<std::string>> m_logs;
+  Unlabeled m_request;
   Switch m_list;
 };
 
--- a/src/dotterelshift/ctl/arguments.h
+++ b/src/dotterelshift/ctl/arguments.h
@@ -24,7 +24,9 @@
   std::string team;    // report
   std::string from;
   std::string to;
-  bool list = false;  // check-settings
+  bool list = false;              // check-settings
+  std::string request;            // explain
+  std::vector<std::string> logs;  // explain: files, - for standard input
 };
 
 // Reads a command line. Gives an exit code instead when there is nothing more
--- a/src/dotterelshift/ctl/ctl.cc
+++ b/src/dotterelshift/ctl/ctl.cc
@@ -9,6 +9,7 @@
 
 #include "dotterelshift/base/error.h"         // for Error
 #include "dotterelshift/ctl/arguments.h"      // for ParseArguments
+#include "dotterelshift/ctl/explain.h"        // for RequestStory
 #include "dotterelshift/ctl/output.h"         // for WriteTable
 #include "dotterelshift/settings/settings.h"  // for ReadSettings
 
@@ -185,10 +186,38 @@
   return ExitCode::kOk;
 }
 
+ExitCode Explain(const Arguments& arguments, std::ostream& out) {
+  RequestStory story(arguments.request);
+  for (const std::string& path : arguments.logs) {
+    std::istringstream log(ReadAll(path));
+    story.ReadLog(log);
+  }
+  if (!story.Found())
+    throw Failure{ExitCode::kRefused,
+                  "no line tells of request " + arguments.request};
+  const bool as_json = arguments.output == OutputForm::kJson;
+  Json list = Json::array();
+  for (const LogLine& line : story.Lines()) {
+    if (as_json) {
+      list.push_back({{"time", line.time},
+                      {"host", line.host},
+                      {"event", line.event},
+                      {"fields", line.rest}});
+    } else {
+      out << line.time << "  " << line.host << "  "
+          << (line.request.empty() ? "(" + line.event + ")" : line.event)
+          << line.rest << "\n";
+    }
+  }
+  if (as_json) out << list.dump(2) << "\n";
+  return ExitCode::kOk;
+}
+
 ExitCode Serve(const Arguments& arguments, Transport& transport,
                std::ostream& out, std::ostream& err) {
   if (arguments.verb == Verb::kCheckSettings)
     return CheckSettings(arguments, out);
+  if (arguments.verb == Verb::kExplain) return Explain(arguments, out);
   const Json answer = Ask(arguments, transport);
   switch (arguments.output) {
     case OutputForm::kTable:
--- a/src/dotterelshift/ctl/output.cc
+++ b/src/dotterelshift/ctl/output.cc
@@ -242,6 +242,7 @@
     case Verb::kOrders:
       return WriteList(answer, out);
     case Verb::kCheckSettings:
+    case Verb::kExplain:
       return;
   }
 }
