Gateway: contents that break endpoints are held back over all entries; a fault soak

Cause: a request may crash each endpoint that runs it and comes back at any entry; and no run of our own put real processes under faults. Ruled out: counting at one entry alone (callers return elsewhere).

--- a/include/dotterelshift/gateway/core.h
+++ b/include/dotterelshift/gateway/core.h
@@ -18,6 +18,7 @@
 #include "dotterelshift/gateway/retry_share.h"   // for RetryShare
 #include "dotterelshift/gateway/routes.h"        // for RouteTable
 #include "dotterelshift/http/client.h"           // for TransferEnd
+#include "dotterelshift/quarantine/blocklist.h"  // for Blocklist
 #include "dotterelshift/serving/request_core.h"  // for RequestSummary
 
 namespace dotterelshift::gateway {
@@ -97,6 +98,15 @@
     std::variant<StartAttempt, CancelAttempt, Refuse, RelayWhole, RelayHead,
                  RelayPiece, FinishStream, AbortStream, Decision>;
 
+// An endpoint broke off while it ran a content, or a content that was suspected
+// before was answered whole; for control, which counts over the whole fleet.
+struct Suspicion {
+  uint64_t content_hash = 0;
+  EndpointId endpoint;  // empty: the content is cleared
+  uint64_t incarnation = 0;
+  bool alone = false;  // nothing else of the fleet ran there
+};
+
 // Decides on requests under published routes, from arrival to the last byte:
 // who may, where it goes and when, what is tried again, what is refused. A
 // core: no I/O, no clock. After each event its actions are to be carried out in
@@ -129,6 +139,7 @@
   virtual std::vector<Action> TakeActions() = 0;
   // Requests that have ended, for the metrics.
   virtual std::vector<serving::RequestSummary> TakeFinished() = 0;
+  virtual std::vector<Suspicion> TakeSuspicions() = 0;
   virtual size_t OpenRequests() const = 0;
 };
 
@@ -136,6 +147,7 @@
   FleetLoad* load = nullptr;
   BudgetDesk* budgets = nullptr;
   RetryShare* retries = nullptr;
+  const quarantine::Blocklist* blocklist = nullptr;
 };
 
 std::unique_ptr<Core> MakeCore(const CoreOptions& options,
--- a/src/dotterelshift/app/control_link_test.cc
+++ b/src/dotterelshift/app/control_link_test.cc
@@ -20,6 +20,8 @@
   CPPUNIT_TEST(VersionsNeverFall);
   CPPUNIT_TEST(AnOlderTermDoesNotLead);
   CPPUNIT_TEST(SpoolsGoToWhoIsInReach);
+  CPPUNIT_TEST(FollowersNameTheGroupToAnEntryThatHasStarted);
+  CPPUNIT_TEST(PublishedRoutesNeverFallAndAreNeeded);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -38,6 +40,32 @@
     CPPUNIT_ASSERT(m_link->Reach() == ControlReach::kConnected);
   }
 
+  // None of the replicas that an entry was told of may lead.
+  void FollowersNameTheGroupToAnEntryThatHasStarted() {
+    wire::LeaderHintT hint;
+    hint.control = {"10.0.0.1:7", "10.0.0.9:7"};
+    m_link->OnFrame("c1", MakeFrame(std::move(hint)), m_now);
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, m_link->ControlAddresses().size());
+  }
+
+  void PublishedRoutesNeverFallAndAreNeeded() {
+    wire::LeaderBeatT beat;
+    beat.sequence = NextBeat("c1");
+    beat.term = 1;
+    beat.routes_version = 5;
+    m_link->OnFrame("c1", MakeFrame(std::move(beat)), m_now);
+    CPPUNIT_ASSERT(m_link->Reach() == ControlReach::kNever);
+    for (const uint64_t version : {5, 3}) {
+      wire::RoutesPushT push;
+      push.version = version;
+      push.document = {static_cast<uint8_t>('0' + version)};
+      m_link->OnFrame("c1", MakeFrame(std::move(push)), m_now);
+      CPPUNIT_ASSERT_EQUAL(uint64_t{5}, m_link->RoutesVersion());
+      CPPUNIT_ASSERT_EQUAL(std::string("5"), m_link->RoutesDocument());
+    }
+    CPPUNIT_ASSERT(m_link->Reach() == ControlReach::kConnected);
+  }
+
   void CommandsFollowTheLeaderUnderTheirFirstId() {
     m_link->Propose(CommandOf(7));
     CPPUNIT_ASSERT(TakeProposed("c1").empty());
--- a/src/dotterelshift/app/gateway_entry.cc
+++ b/src/dotterelshift/app/gateway_entry.cc
@@ -68,6 +68,7 @@
   std::unique_ptr<wire::CommandIdT> NextId();
   void OnTick();
   void SendToPeers();
+  void ProposeSuspicion(const gateway::Suspicion& suspicion);
   void CheckDrained();
   void ReturnHoldings();
   void UpdateGauges();
@@ -87,6 +88,7 @@
   gateway::FleetLoad m_load;
   gateway::BudgetDesk m_budgets;
   gateway::RetryShare m_retries;
+  quarantine::Blocklist m_blocklist;
   std::unique_ptr<gateway::Core> m_core;
   std::unique_ptr<platform::Metrics> m_metrics;
   std::unique_ptr<GatewayTraffic> m_traffic;
@@ -176,7 +178,7 @@
 }
 
 gateway::CoreParts GatewayEntry::Parts() {
-  return {&m_load, &m_budgets, &m_retries};
+  return {&m_load, &m_budgets, &m_retries, &m_blocklist};
 }
 
 void GatewayEntry::StartServers() {
@@ -269,6 +271,8 @@
     OnAnswer(answer);
   for (const wire::RecallT& recall : m_link.TakeRecalls())
     m_budgets.OnRecall(recall, now);
+  for (const wire::QuarantinePushT& push : m_link.TakeQuarantines())
+    m_blocklist.OnPush(push, now);
   DialMembers();
   m_traffic->Pump();
 }
@@ -316,6 +320,8 @@
                   {{"incarnation", std::to_string(m_self.incarnation)}});
     return Register();
   }
+  if (const auto* suspect = answer.body.AsSuspectAnswer())
+    m_blocklist.OnEntry(*suspect, m_loop.Now());
   if (m_budgets.OnAnswer(answer, m_loop.Now()))
     m_core->OnBudgetChanged(m_loop.Now());
 }
@@ -365,6 +371,8 @@
     for (wire::CommandT& command : m_budgets.TakeCommands(now))
       m_link.Propose(std::move(command));
   }
+  for (const gateway::Suspicion& suspicion : m_core->TakeSuspicions())
+    ProposeSuspicion(suspicion);
   for (const auto& [host, frame] : m_link.TakeFrames(now))
     m_hub->Send(host, frame);
   for (wire::TokenPleaT& plea : m_budgets.TakePleas())
@@ -394,6 +402,24 @@
     if (peer.role == wire::HostRole::Entry) m_hub->Send(peer.run.host, frame);
 }
 
+void GatewayEntry::ProposeSuspicion(const gateway::Suspicion& suspicion) {
+  wire::CommandT command;
+  command.id = NextId();
+  if (suspicion.endpoint.empty()) {
+    wire::ClearSuspectT body;
+    body.content_hash = suspicion.content_hash;
+    command.body.Set(body);
+  } else {
+    wire::ReportSuspectT body;
+    body.content_hash = suspicion.content_hash;
+    body.endpoint = suspicion.endpoint;
+    body.endpoint_incarnation = suspicion.incarnation;
+    body.alone = suspicion.alone;
+    command.body.Set(std::move(body));
+  }
+  m_link.Propose(std::move(command));
+}
+
 void GatewayEntry::OnHealth(http::Exchange& exchange) {
   const std::string& path = exchange.GetRequest().path;
   if (path == "/metrics") {
--- a/src/dotterelshift/app/gateway_traffic.cc
+++ b/src/dotterelshift/app/gateway_traffic.cc
@@ -12,6 +12,9 @@
 namespace dotterelshift::app {
 namespace {
 
+// HTTP 503: not run, and may be asked again.
+constexpr int kUnavailable = 503;
+
 // Bytes that a caller has not taken above which its stream is paused.
 constexpr size_t kPauseAbove = 256 << 10;
 
@@ -187,6 +190,10 @@
   const auto exchange = Take(refuse.request);
   if (exchange == nullptr) return;
   const ErrorRow& row = RowOf(refuse.kind);
+  // A content that is held back may be proper all the same; that it has not run
+  // is what its caller needs to know.
+  const bool held_back = refuse.kind == ErrorKind::kQuarantined;
+  const int status = held_back ? kUnavailable : row.status;
   http::Headers headers = {{"Content-Type", "application/json"},
                            {"Dotterelshift-Ran", std::string(NameOf(row.ran))}};
   const Duration wait = refuse.retry_after > 0s
@@ -194,7 +201,7 @@
                             : std::chrono::seconds(row.retry_after_seconds);
   if (row.retry != RetryAdvice::kNever)
     headers.emplace_back("Retry-After", SecondsText(wait));
-  exchange->Answer(row.status, AnswerHeaders(headers),
+  exchange->Answer(status, AnswerHeaders(headers),
                    callers::ErrorBody(refuse.kind, ""));
 }
 
--- a/src/dotterelshift/gateway/core.cc
+++ b/src/dotterelshift/gateway/core.cc
@@ -29,6 +29,9 @@
   flight.routes = m_routes;
   ErrorKind error = FindRoute(flight);
   if (error == ErrorKind::kNone) error = FindTeam(flight);
+  if (error == ErrorKind::kNone && m_parts.blocklist != nullptr &&
+      m_parts.blocklist->BlockedFor(flight.ask.content_hash, now))
+    error = ErrorKind::kQuarantined;
   if (error != ErrorKind::kNone) return Fail(flight, error, 0s, now);
   Admit(flight, now);
 }
--- a/src/dotterelshift/gateway/core_answer.cc
+++ b/src/dotterelshift/gateway/core_answer.cc
@@ -132,6 +132,7 @@
     }
   } else {
     m_parts.load->OnGood(endpoint);
+    Clear(flight);
   }
   if (flight.stage == Stage::kAnswering) {
     m_actions.emplace_back(FinishStream{flight.id});
@@ -179,6 +180,7 @@
   if (sent) {
     flight.may_have_run = true;
     m_parts.load->OnFailed(endpoint, now);
+    if (end != http::TransferEnd::kTimedOut) Suspect(flight);
   } else {
     m_parts.load->OnUnreachable(endpoint, now);
   }
@@ -195,6 +197,25 @@
   Fail(flight, ErrorKind::kNoEndpoint, RetryAfter(flight, 0s, now), now);
 }
 
+// A content that crashes each endpoint that runs it comes back at any entry, so
+// control counts the endpoints.
+void CoreImpl::Suspect(const Flight& flight) {
+  constexpr size_t kMostSuspected = 4096;
+  if (m_suspected.size() >= kMostSuspected) m_suspected.clear();
+  m_suspected.insert(flight.ask.content_hash);
+  Suspicion& suspicion = m_suspicions.emplace_back();
+  suspicion.content_hash = flight.ask.content_hash;
+  suspicion.endpoint = flight.attempt.endpoint.id;
+  suspicion.incarnation = flight.attempt.endpoint.incarnation;
+  suspicion.alone =
+      m_parts.load->Running(flight.attempt.placement.endpoint) <= 1;
+}
+
+void CoreImpl::Clear(const Flight& flight) {
+  if (m_suspected.erase(flight.ask.content_hash) == 0) return;
+  m_suspicions.emplace_back().content_hash = flight.ask.content_hash;
+}
+
 // Sends to another endpoint where the fleet's allowance for repeats still has
 // room; what reached nobody is no repeat.
 bool CoreImpl::TryAgain(Flight& flight, Instant now) {
--- a/src/dotterelshift/gateway/core_impl.h
+++ b/src/dotterelshift/gateway/core_impl.h
@@ -41,6 +41,9 @@
   std::vector<serving::RequestSummary> TakeFinished() override {
     return std::exchange(m_finished, {});
   }
+  std::vector<Suspicion> TakeSuspicions() override {
+    return std::exchange(m_suspicions, {});
+  }
   size_t OpenRequests() const override { return m_flights.size(); }
 
  private:
@@ -72,6 +75,8 @@
   void OnDeadline(Flight& flight, Instant now);
   void CancelAttemptOf(Flight& flight);
   void EndAttempt(Flight& flight);
+  void Suspect(const Flight& flight);
+  void Clear(const Flight& flight);
   void Fail(Flight& flight, ErrorKind kind, Duration retry_after, Instant now);
   void Finish(Flight& flight, ErrorKind error, bool answered, Instant now);
   Tokens SpentBy(const Flight& flight) const;
@@ -93,6 +98,8 @@
   std::set<std::pair<Instant, RequestId>> m_due;
   std::vector<Action> m_actions;
   std::vector<serving::RequestSummary> m_finished;
+  std::vector<Suspicion> m_suspicions;
+  std::set<uint64_t> m_suspected;  // contents reported and not cleared since
 };
 
 }  // namespace dotterelshift::gateway
--- a/src/dotterelshift/gateway/core_test.cc
+++ b/src/dotterelshift/gateway/core_test.cc
@@ -20,6 +20,7 @@
   CPPUNIT_TEST(ARefusalAfterARunIsNoPromise);
   CPPUNIT_TEST(ABrokenStreamGoesOnAfterItsLastWholeEvent);
   CPPUNIT_TEST(AStreamThatMayNotResumeIsVisiblyCut);
+  CPPUNIT_TEST(AContentThatBreaksEndpointsIsReportedAndHeldBack);
   CPPUNIT_TEST(ACallerThatLeavesCancelsItsAttempt);
   CPPUNIT_TEST(TheTimeoutEndsARequestAtOnce);
   CPPUNIT_TEST(WithoutTokensARequestWaitsThenIsRefused);
@@ -37,8 +38,9 @@
       return id;
     });
     m_retries = std::make_unique<RetryShare>(RetryShareOptions());
-    m_core = MakeCore(CoreOptions(),
-                      {m_load.get(), m_budgets.get(), m_retries.get()});
+    m_blocklist = quarantine::Blocklist();
+    m_core = MakeCore(CoreOptions(), {m_load.get(), m_budgets.get(),
+                                      m_retries.get(), &m_blocklist});
   }
 
  private:
@@ -258,6 +260,27 @@
     CPPUNIT_ASSERT_EQUAL(size_t{0}, Count<StartAttempt>());
   }
 
+  void AContentThatBreaksEndpointsIsReportedAndHeldBack() {
+    Publish();
+    Request("/once/");
+    End(Only<StartAttempt>().attempt, http::TransferEnd::kCutBeforeHead);
+    const auto reports = m_core->TakeSuspicions();
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, reports.size());
+    CPPUNIT_ASSERT(!reports[0].endpoint.empty() && reports[0].alone);
+    // Answered whole, it is cleared.
+    Request("/once/");
+    const AttemptId attempt = Only<StartAttempt>().attempt;
+    Head(attempt, 200);
+    End(attempt, http::TransferEnd::kWhole);
+    const auto cleared = m_core->TakeSuspicions();
+    CPPUNIT_ASSERT(cleared.size() == 1 && cleared[0].endpoint.empty());
+    wire::SuspectAnswerT held_back;
+    held_back.quarantined_until_ms = 1;
+    m_blocklist.OnEntry(held_back, m_now);
+    Request("/once/");
+    CPPUNIT_ASSERT(Only<Refuse>().kind == ErrorKind::kQuarantined);
+  }
+
   void ACallerThatLeavesCancelsItsAttempt() {
     Publish();
     Request("/stream/", 100);
@@ -320,6 +343,7 @@
   std::unique_ptr<FleetLoad> m_load;
   std::unique_ptr<BudgetDesk> m_budgets;
   std::unique_ptr<RetryShare> m_retries;
+  quarantine::Blocklist m_blocklist;
   std::unique_ptr<Core> m_core;
   std::vector<Action> m_last;
 };
--- /dev/null
+++ b/tools/soak/endpoint.cc
@@ -0,0 +1,104 @@
+#include "soak/endpoint.h"
+
+#include <nlohmann/json.hpp>  // for json
+#include <utility>            // for move
+
+namespace dotterelshift::soak {
+namespace {
+
+constexpr Duration kBetweenEvents = 10ms;
+
+http::Headers HeadersFor(const std::string& request, const char* type) {
+  return {{"X-Request-Id", request},
+          {"X-Server-Stamp", "proof-" + request},
+          {"Content-Type", type}};
+}
+
+}  // namespace
+
+std::string BodyOf(const std::string& request) { return "whole " + request; }
+
+std::string EventOf(const std::string& request, int number) {
+  return "id: " + std::to_string(number) + "\ndata: " + request + "-" +
+         std::to_string(number) + "\n\n";
+}
+
+Endpoint::Endpoint(loop::Loop& loop, std::string id, Runs& runs, uint64_t seed)
+    : m_loop(loop), m_id(std::move(id)), m_runs(runs), m_random(seed) {
+  m_server = http::MakeServer(
+      loop, {}, [this](const std::shared_ptr<http::Exchange>& exchange) {
+        OnExchange(exchange);
+      });
+  m_proxy = testing::MakeLinkProxy(
+      loop, "127.0.0.1:" + std::to_string(m_server->Port()));
+}
+
+std::string Endpoint::Report() {
+  const nlohmann::json report = {{"service", "all"},    {"addr", Address()},
+                                 {"zone", "z"},         {"version", "v1"},
+                                 {"slots", 64},         {"state", "ready"},
+                                 {"seq", ++m_sequence}, {"born", 1}};
+  return report.dump();
+}
+
+void Endpoint::Later(Duration delay, std::function<void()> what) {
+  const uint64_t id = ++m_last_timer;
+  auto timer =
+      std::make_unique<loop::Timer>(m_loop, [this, id, what = std::move(what)] {
+        const auto held = m_timers.extract(id);
+        what();
+      });
+  timer->ArmIn(delay);
+  m_timers[id] = std::move(timer);
+}
+
+void Endpoint::OnExchange(const std::shared_ptr<http::Exchange>& exchange) {
+  const http::Request& request = exchange->GetRequest();
+  const std::string id(request.Header("x-request-id"));
+  if (request.Header("x-expect-instance") != m_id)
+    return exchange->Answer(421, {}, "");
+  if (m_manner == Manner::kRefuses) {
+    return exchange->Answer(
+        503, {{"X-Request-Id", id}, {"X-Not-Executed", "1"}}, "");
+  }
+  Run(exchange, id);
+}
+
+void Endpoint::Run(const std::shared_ptr<http::Exchange>& exchange,
+                   const std::string& request) {
+  const http::Request& asked = exchange->GetRequest();
+  const int earlier = m_runs.by_request[request]++;
+  const bool stream = asked.path.starts_with("/stream/");
+  if (stream && earlier == 0) {
+    m_runs.input_by_team[std::string(asked.Header("x-tenant"))] +=
+        kPromptTokens;
+  }
+  if (m_manner == Manner::kMute) return;
+  if (stream) {
+    const std::string last(asked.Header("last-event-id"));
+    exchange->SendHead(200, HeadersFor(request, "text/event-stream"));
+    return Stream(exchange, request, last.empty() ? 1 : std::stoi(last) + 1);
+  }
+  const Duration work = std::chrono::milliseconds(2 + m_random() % 30);
+  const bool cut = m_manner == Manner::kCuts && m_random() % 2 == 0;
+  Later(work, [exchange, request, cut] {
+    if (cut) return exchange->Abort();
+    exchange->Answer(200, HeadersFor(request, "text/plain"), BodyOf(request));
+  });
+}
+
+void Endpoint::Stream(const std::shared_ptr<http::Exchange>& exchange,
+                      const std::string& request, int next) {
+  if (next > kEventsOfAStream) return exchange->Finish();
+  const std::string event = EventOf(request, next);
+  if (m_manner == Manner::kCuts && m_random() % 4 == 0) {
+    exchange->SendPiece(event.substr(0, event.size() / 2));
+    return exchange->Abort();
+  }
+  exchange->SendPiece(event);
+  Later(kBetweenEvents, [this, exchange, request, next] {
+    Stream(exchange, request, next + 1);
+  });
+}
+
+}  // namespace dotterelshift::soak
--- /dev/null
+++ b/tools/soak/endpoint.h
@@ -0,0 +1,70 @@
+#ifndef DOTTERELSHIFT_TOOLS_SOAK_ENDPOINT_H_
+#define DOTTERELSHIFT_TOOLS_SOAK_ENDPOINT_H_
+
+#include <functional>  // for function
+#include <map>         // for map
+#include <memory>      // for unique_ptr
+#include <random>      // for mt19937_64
+#include <string>      // for string
+
+#include "dotterelshift/base/tokens.h"  // for Tokens
+#include "dotterelshift/http/server.h"  // for Server
+#include "dotterelshift/loop/loop.h"    // for Loop
+#include "process/link_proxy.h"         // for LinkProxy
+
+namespace dotterelshift::soak {
+
+// How an endpoint behaves for a while.
+enum class Manner { kGood, kRefuses, kCuts, kMute };
+
+// What all endpoints together ran, by the caller's id of the request: the truth
+// that the fleet's answers are held against.
+struct Runs {
+  std::map<std::string, int> by_request;
+  std::map<std::string, Tokens> input_by_team;  // once for each request
+};
+
+inline constexpr int kEventsOfAStream = 8;
+inline constexpr Tokens kTokensOfAnEvent = 6;
+inline constexpr Tokens kPromptTokens = 500;
+
+// The whole body of a plain answer, and the bytes of one event.
+std::string BodyOf(const std::string& request);
+std::string EventOf(const std::string& request, int number);
+
+// A model engine and plain service as the platform's endpoints speak, behind a
+// proxy that can delay, cut or silence its connections.
+class Endpoint {
+ public:
+  Endpoint(loop::Loop& loop, std::string id, Runs& runs, uint64_t seed);
+
+  const std::string& Id() const { return m_id; }
+  std::string Address() const { return m_proxy->Address(); }
+  testing::LinkProxy& Proxy() { return *m_proxy; }
+  void SetManner(Manner manner) { m_manner = manner; }
+  // What it tells of itself.
+  std::string Report();
+
+ private:
+  void OnExchange(const std::shared_ptr<http::Exchange>& exchange);
+  void Run(const std::shared_ptr<http::Exchange>& exchange,
+           const std::string& request);
+  void Stream(const std::shared_ptr<http::Exchange>& exchange,
+              const std::string& request, int next);
+  void Later(Duration delay, std::function<void()> what);
+
+  loop::Loop& m_loop;
+  const std::string m_id;
+  Runs& m_runs;
+  std::mt19937_64 m_random;
+  Manner m_manner = Manner::kGood;
+  uint64_t m_sequence = 0;
+  std::unique_ptr<http::Server> m_server;
+  std::unique_ptr<testing::LinkProxy> m_proxy;
+  std::map<uint64_t, std::unique_ptr<loop::Timer>> m_timers;
+  uint64_t m_last_timer = 0;
+};
+
+}  // namespace dotterelshift::soak
+
+#endif  // DOTTERELSHIFT_TOOLS_SOAK_ENDPOINT_H_
--- /dev/null
+++ b/tools/soak/main.cc
@@ -0,0 +1,41 @@
+// soak: real daemons under faults drawn from a seed, checked from outside.
+#include <tclap/CmdLine.h>  // for CmdLine
+
+#include <csignal>   // for SIGPIPE
+#include <iostream>  // for cout
+#include <string>    // for string
+
+#include "soak/soak.h"  // for RunSoak
+
+int main(int argc, char** argv) {
+  using dotterelshift::soak::RunSoak;
+  std::signal(SIGPIPE, SIG_IGN);
+  TCLAP::CmdLine line("Real daemons under faults drawn from a seed.");
+  TCLAP::ValueArg<uint64_t> seed("s", "seed", "The first seed.", false, 1, "N",
+                                 line);
+  TCLAP::ValueArg<int> runs("r", "runs", "Seeds to run.", false, 1, "N", line);
+  TCLAP::ValueArg<int> faults("f", "faults", "Faults in a run.", false, 20, "N",
+                              line);
+  TCLAP::ValueArg<int> entries("e", "entries", "Entries.", false, 3, "N", line);
+  TCLAP::ValueArg<std::string> program("d", "daemon", "The daemon.", true, "",
+                                       "PATH", line);
+  line.parse(argc, argv);
+  size_t broken = 0;
+  for (int run = 0; run < runs.getValue(); ++run) {
+    dotterelshift::soak::SoakOptions options;
+    options.seed = seed.getValue() + static_cast<uint64_t>(run);
+    options.faults = faults.getValue();
+    options.entries = entries.getValue();
+    options.program = program.getValue();
+    const auto result = RunSoak(options);
+    std::cout << "seed " << options.seed << ": " << result.requests
+              << " requests, " << result.served << " served, " << result.refused
+              << " refused, " << result.changes << " changes, "
+              << result.broken.size() << " broken\n";
+    for (const std::string& what : result.broken)
+      std::cout << "  " << what << "\n";
+    std::cout.flush();
+    broken += result.broken.size();
+  }
+  return broken == 0 ? 0 : 1;
+}
