--- a/src/dotterelshift/budget/ledger.cc
+++ b/src/dotterelshift/budget/ledger.cc
@@ -331,9 +331,9 @@
     if (now < position.refused_until) return false;
     if (position.missing > position.Idle()) return true;
     const bool idle = now - position.last_draw >= m_options.idle_return;
-    const auto enough = static_cast<double>(Target(position, now));
-    return !idle &&
-           static_cast<double>(position.Idle()) < enough * m_options.ask_below;
+    const auto enough = static_cast<Tokens>(
+        static_cast<double>(Target(position, now)) * m_options.ask_below);
+    return !idle && position.Idle() < enough;
   }
 
   // What is held far beyond the wanted holding.
