--- a/src/dotterelshift/gateway/budget_desk_test.cc
+++ b/src/dotterelshift/gateway/budget_desk_test.cc
@@ -103,14 +103,15 @@
   }
 
   void WhatIsBeyondTheTotalIsKnownAtOnce() {
-    GrantFirst(1000, 500);
-    CPPUNIT_ASSERT(m_desk->Reserve("t", 900, m_now) == BudgetAnswer::kReserved);
-    CPPUNIT_ASSERT(m_desk->Reserve("t", 1200, m_now) == BudgetAnswer::kWait);
-    CPPUNIT_ASSERT(m_desk->Reserve("t", 1600, m_now) ==
+    GrantFirst(100'000, 50'000);
+    CPPUNIT_ASSERT(m_desk->Reserve("t", 90'000, m_now) ==
+                   BudgetAnswer::kReserved);
+    CPPUNIT_ASSERT(m_desk->Reserve("t", 120'000, m_now) == BudgetAnswer::kWait);
+    CPPUNIT_ASSERT(m_desk->Reserve("t", 160'000, m_now) ==
                    BudgetAnswer::kExhausted);
     // An old word on what is left is not believed.
     m_now += BudgetDeskOptions().remainder_memory;
-    CPPUNIT_ASSERT(m_desk->Reserve("t", 1600, m_now) == BudgetAnswer::kWait);
+    CPPUNIT_ASSERT(m_desk->Reserve("t", 160'000, m_now) == BudgetAnswer::kWait);
     CPPUNIT_ASSERT(m_desk->Reserve("free", 1600, m_now) ==
                    BudgetAnswer::kNoTotal);
   }
