--- a/include/dotterelshift/app/control_link.h
+++ b/include/dotterelshift/app/control_link.h
@@ -1,13 +1,14 @@
 #ifndef DOTTERELSHIFT_APP_CONTROL_LINK_H_
 #define DOTTERELSHIFT_APP_CONTROL_LINK_H_
 
-#include <cstdint>   // for uint64_t
-#include <map>       // for map
-#include <memory>    // for unique_ptr
-#include <optional>  // for optional
-#include <string>    // for string
-#include <utility>   // for exchange, pair
-#include <vector>    // for vector
+#include <cstdint>      // for uint64_t
+#include <map>          // for map
+#include <memory>       // for unique_ptr
+#include <optional>     // for optional
+#include <string>       // for string
+#include <string_view>  // for string_view
+#include <utility>      // for exchange, pair
+#include <vector>       // for vector
 
 #include "dotterelshift/base/ids.h"               // for HostRun
 #include "dotterelshift/base/time.h"              // for Instant
@@ -17,6 +18,9 @@
 
 namespace dotterelshift::app {
 
+// The name of a reach in logs and health answers.
+std::string_view NameOf(serving::ControlReach reach);
+
 struct ControlLinkOptions {
   HostRun self;
   Duration beat = 1s;            // to every control host in reach
--- /dev/null
+++ b/include/dotterelshift/http/event_bytes.h
@@ -0,0 +1,24 @@
+#ifndef DOTTERELSHIFT_HTTP_EVENT_BYTES_H_
+#define DOTTERELSHIFT_HTTP_EVENT_BYTES_H_
+
+#include <cstddef>      // for size_t
+#include <string_view>  // for string_view
+
+namespace dotterelshift::http {
+
+// End of the first server-sent event in the bytes, behind its empty line; npos
+// while the event is not whole.
+inline size_t EndOfEvent(std::string_view bytes) {
+  size_t line = 0;
+  while (true) {
+    const size_t end = bytes.find('\n', line);
+    if (end == std::string_view::npos) return end;
+    const bool empty = end == line || (end == line + 1 && bytes[line] == '\r');
+    if (empty) return end + 1;
+    line = end + 1;
+  }
+}
+
+}  // namespace dotterelshift::http
+
+#endif  // DOTTERELSHIFT_HTTP_EVENT_BYTES_H_
--- a/src/dotterelshift/app/control_link.cc
+++ b/src/dotterelshift/app/control_link.cc
@@ -10,6 +10,18 @@
 using peers::MakeFrame;
 using serving::ControlReach;
 
+std::string_view NameOf(ControlReach reach) {
+  switch (reach) {
+    case ControlReach::kNever:
+      return "never";
+    case ControlReach::kConnected:
+      return "connected";
+    case ControlReach::kCutOff:
+      return "cut_off";
+  }
+  return "unknown";
+}
+
 void ControlLink::OnPeerUp(const HostId& host, Instant now) {
   if (std::ranges::find(m_hosts, host) == m_hosts.end())
     m_hosts.push_back(host);
--- a/src/dotterelshift/app/entry.cc
+++ b/src/dotterelshift/app/entry.cc
@@ -23,18 +23,6 @@
 // they themselves report with a lag.
 constexpr Duration kLoadRefreshEvery = 500ms;
 
-std::string_view NameOf(ControlReach reach) {
-  switch (reach) {
-    case ControlReach::kNever:
-      return "never";
-    case ControlReach::kConnected:
-      return "connected";
-    case ControlReach::kCutOff:
-      return "cut_off";
-  }
-  return "unknown";
-}
-
 // The entry role: callers on one side, endpoints and control on the other, the
 // request core between them.
 class Entry : public Daemon {
--- a/src/dotterelshift/app/gateway_entry.cc
+++ b/src/dotterelshift/app/gateway_entry.cc
@@ -25,18 +25,6 @@
 // Left of the shutdown's limit for the last reports to control.
 constexpr Duration kLastReports = 500ms;
 
-std::string_view NameOf(ControlReach reach) {
-  switch (reach) {
-    case ControlReach::kNever:
-      return "never";
-    case ControlReach::kConnected:
-      return "connected";
-    case ControlReach::kCutOff:
-      return "cut_off";
-  }
-  return "unknown";
-}
-
 // The entry role under published routes: callers on one side, endpoints and
 // control on the other, the gateway's core between them.
 class GatewayEntry : public Daemon {
--- a/src/dotterelshift/endpoints/event_stream.cc
+++ b/src/dotterelshift/endpoints/event_stream.cc
@@ -4,9 +4,12 @@
 #include <array>              // for array
 #include <nlohmann/json.hpp>  // for json
 
+#include "dotterelshift/http/event_bytes.h"  // for EndOfEvent
+
 namespace dotterelshift::endpoints {
 namespace {
 
+using http::EndOfEvent;
 using nlohmann::json;
 
 constexpr std::string_view kEndMark = "[DONE]";
@@ -52,19 +55,6 @@
   return glance;
 }
 
-// End of the first event in the bytes, behind its empty line; npos when the
-// event is not whole.
-size_t EndOfEvent(std::string_view bytes) {
-  size_t line = 0;
-  while (true) {
-    const size_t end = bytes.find('\n', line);
-    if (end == std::string_view::npos) return end;
-    const bool empty = end == line || (end == line + 1 && bytes[line] == '\r');
-    if (empty) return end + 1;
-    line = end + 1;
-  }
-}
-
 Tokens CountOf(const json& usage, const char* name) {
   const auto found = usage.find(name);
   if (found == usage.end() || !found->is_number_unsigned()) return 0;
--- a/src/dotterelshift/gateway/event_scanner.cc
+++ b/src/dotterelshift/gateway/event_scanner.cc
@@ -2,24 +2,13 @@
 
 #include <charconv>  // for from_chars
 
+#include "dotterelshift/http/event_bytes.h"  // for EndOfEvent
+
 namespace dotterelshift::gateway {
 namespace {
 
 constexpr std::string_view kIdField = "id:";
 
-// The end of the first event in the bytes, behind its empty line; npos while
-// the event is not whole.
-size_t EndOfEvent(std::string_view bytes) {
-  size_t line = 0;
-  while (true) {
-    const size_t end = bytes.find('\n', line);
-    if (end == std::string_view::npos) return end;
-    const bool empty = end == line || (end == line + 1 && bytes[line] == '\r');
-    if (empty) return end + 1;
-    line = end + 1;
-  }
-}
-
 // The id that an event carries as a whole number.
 std::optional<uint64_t> IdOf(std::string_view event) {
   while (!event.empty()) {
@@ -46,7 +35,7 @@
   while (true) {
     std::string_view left = m_rest;
     left.remove_prefix(at);
-    const size_t size = EndOfEvent(left);
+    const size_t size = http::EndOfEvent(left);
     if (size == std::string_view::npos) break;
     if (Note(left.substr(0, size))) whole.append(left.substr(0, size));
     at += size;
