One temporary folder for tests, benchmarks and the soak

Cause: the folder of a test was written twice, in the storage package and beside the process tests; the first one did not look at the answer of mkdtemp and would have gone on with a null path. Ruled out: keeping the assertion of the test library, which benchmarks and the soak do not link for. The one that is left throws system_error.

--- a/bench/commit_bench.cc
+++ b/bench/commit_bench.cc
@@ -17,9 +17,9 @@
 #include <map>        // for map
 #include <optional>   // for optional
 
-#include "dotterelshift/app/control_replica.h"  // for MakeControlReplica
-#include "dotterelshift/state/state_testing.h"  // for PlanOf
-#include "dotterelshift/storage/test_folder.h"  // for TestFolder
+#include "dotterelshift/app/control_replica.h"    // for MakeControlReplica
+#include "dotterelshift/base/temporary_folder.h"  // for TemporaryFolder
+#include "dotterelshift/state/state_testing.h"    // for PlanOf
 
 namespace dotterelshift {
 namespace {
@@ -328,13 +328,13 @@
 
   const char* m_program;
   std::array<int, kReplicas> m_ports{};
-  std::array<storage::TestFolder, kReplicas> m_folders;
+  std::array<TemporaryFolder, kReplicas> m_folders;
   std::array<Child, kReplicas> m_children;
 };
 
 // Appends and syncs a file again and again; writes a second.
 double BareSyncRate(size_t bytes) {
-  const storage::TestFolder folder;
+  const TemporaryFolder folder;
   const int file = open((folder.Path() + "/file").c_str(),
                         O_CREAT | O_APPEND | O_WRONLY, 0600);
   const std::string content(bytes, 'x');
@@ -380,7 +380,7 @@
 
 // Fills a replica's folder, then starts it again.
 void MeasureRestart(uint64_t commands, uint64_t snapshot_every_bytes) {
-  const storage::TestFolder folder;
+  const TemporaryFolder folder;
   app::ControlReplicaOptions options;
   options.snapshot_every_bytes = snapshot_every_bytes;
   options.self = "r0";
--- a/src/dotterelshift/app/replica_group.h
+++ b/src/dotterelshift/app/replica_group.h
@@ -12,9 +12,9 @@
 #include <utility>     // for move
 #include <vector>      // for vector
 
-#include "dotterelshift/app/control_replica.h"  // for ControlReplica
-#include "dotterelshift/state/state_testing.h"  // for PlanOf
-#include "dotterelshift/storage/test_folder.h"  // for TestFolder
+#include "dotterelshift/app/control_replica.h"    // for ControlReplica
+#include "dotterelshift/base/temporary_folder.h"  // for TemporaryFolder
+#include "dotterelshift/state/state_testing.h"    // for PlanOf
 
 namespace dotterelshift::app {
 
@@ -30,8 +30,7 @@
   // Starts a host's replica on its folder (made at the first start).
   void Start(const HostId& host) {
     Host& started = m_hosts[host];
-    if (!started.folder)
-      started.folder = std::make_unique<storage::TestFolder>();
+    if (!started.folder) started.folder = std::make_unique<TemporaryFolder>();
     ControlReplicaOptions options = m_options;
     options.store.folder = started.folder->Path();
     options.first_members = m_first_members;
@@ -128,7 +127,7 @@
 
  private:
   struct Host {
-    std::unique_ptr<storage::TestFolder> folder;
+    std::unique_ptr<TemporaryFolder> folder;
     std::unique_ptr<ControlReplica> replica;
     bool cut = false;
     uint64_t frames = 0;
--- a/src/dotterelshift/endpoints/fake_endpoint_test.cc
+++ b/src/dotterelshift/endpoints/fake_endpoint_test.cc
@@ -5,6 +5,7 @@
 #include <string>             // for string
 #include <vector>             // for vector
 
+#include "dotterelshift/base/temporary_folder.h"     // for TemporaryFolder
 #include "dotterelshift/callers/caller_request.h"    // for ParseCallerRequest
 #include "dotterelshift/endpoints/announcement.h"    // for ParseAnnouncement
 #include "dotterelshift/endpoints/attempt_runner.h"  // for MakeAttemptRunner
@@ -299,7 +300,7 @@
     while (!condition()) ev_run(m_loop.Raw(), EVRUN_ONCE);
   }
 
-  testing::TemporaryFolder m_folder;
+  TemporaryFolder m_folder;
   loop::Loop m_loop;
   std::optional<Announcement> m_announced;
   std::vector<wire::CacheEventT> m_cache_events;
--- a/src/dotterelshift/storage/log_store_test.cc
+++ b/src/dotterelshift/storage/log_store_test.cc
@@ -4,7 +4,7 @@
 
 #include <string>  // for string
 
-#include "dotterelshift/storage/test_folder.h"  // for TestFolder
+#include "dotterelshift/base/temporary_folder.h"  // for TemporaryFolder
 
 namespace dotterelshift::storage {
 namespace {
@@ -36,7 +36,7 @@
 
  public:
   void WhatIsWrittenIsReadAgain() {
-    const TestFolder folder;
+    const TemporaryFolder folder;
     ReplicaId self = 0;
     {
       auto [store, opened] = OpenLogStore({folder.Path()});
@@ -62,7 +62,7 @@
   }
 
   void SnapshotLetsSegmentsGo() {
-    const TestFolder folder;
+    const TemporaryFolder folder;
     {
       auto [store, opened] = OpenLogStore({folder.Path(), 1024});
       for (uint64_t index = 1; index <= 200; ++index)
@@ -80,7 +80,7 @@
   }
 
   void InstalledSnapshotReplacesTheLog() {
-    const TestFolder folder;
+    const TemporaryFolder folder;
     {
       auto [store, opened] = OpenLogStore({folder.Path()});
       store->Write(Appends(1, 20, 1));
@@ -96,7 +96,7 @@
   }
 
   void SpoolIsKeptUntilCleared() {
-    const TestFolder folder;
+    const TemporaryFolder folder;
     {
       auto [store, opened] = OpenLogStore({folder.Path()});
       store->AppendSpool("one");
--- a/src/dotterelshift/storage/store_faults_test.cc
+++ b/src/dotterelshift/storage/store_faults_test.cc
@@ -5,9 +5,9 @@
 #include <fstream>     // for ofstream
 #include <functional>  // for function
 
-#include "dotterelshift/base/error.h"           // for Error
-#include "dotterelshift/storage/store.h"        // for Store
-#include "dotterelshift/storage/test_folder.h"  // for TestFolder
+#include "dotterelshift/base/error.h"             // for Error
+#include "dotterelshift/base/temporary_folder.h"  // for TemporaryFolder
+#include "dotterelshift/storage/store.h"          // for Store
 
 namespace dotterelshift::storage {
 namespace {
@@ -178,7 +178,7 @@
  public:
   void DamagedFiles() {
     for (const DamageCase& row : kDamageCases) {
-      const TestFolder folder;
+      const TemporaryFolder folder;
       Fill(folder.Path(), kEntries, 0);
       const std::string path = FileOf(folder.Path(), row.file, row.last);
       Edit(path, row.change);
@@ -218,7 +218,7 @@
         {"the log, under a snapshot", {"log-0"}, false},
     };
     for (const Case& row : cases) {
-      const TestFolder folder;
+      const TemporaryFolder folder;
       Fill(folder.Path(), kEntries, 0);
       for (const std::string& prefix : row.removed) {
         std::string path = FileOf(folder.Path(), prefix, false);
@@ -236,7 +236,7 @@
   }
 
   void DamagedSnapshotIsRefused() {
-    const TestFolder folder;
+    const TemporaryFolder folder;
     Fill(folder.Path(), kEntries, 5);
     CPPUNIT_ASSERT_EQUAL(
         size_t{kEntries - 5},
@@ -299,12 +299,12 @@
          kStorageFailed},
     };
     for (const Case& row : cases) {
-      const TestFolder fresh;
+      const TemporaryFolder fresh;
       Fault fault = row.fault;
       Store<FaultyFiles> unborn(FaultyFiles(&fault), {fresh.Path()});
       CPPUNIT_ASSERT_MESSAGE(row.name,
                              KindOf([&] { unborn.Open(); }) == row.opening);
-      const TestFolder folder;
+      const TemporaryFolder folder;
       Fault later;
       Store<FaultyFiles> store(FaultyFiles(&later), {folder.Path()});
       store.Open();
@@ -320,7 +320,7 @@
   }
 
   void NothingIsAcceptedAfterAFailedSync() {
-    const TestFolder folder;
+    const TemporaryFolder folder;
     Fault fault;
     Store<FaultyFiles> store(FaultyFiles(&fault), {folder.Path()});
     store.Open();
@@ -336,7 +336,7 @@
   }
 
   void WrittenAgainOnceThereIsRoom() {
-    const TestFolder folder;
+    const TemporaryFolder folder;
     {
       Fault fault;
       Store<FaultyFiles> store(FaultyFiles(&fault),
@@ -355,14 +355,14 @@
   }
 
   void SecondProcessIsRefused() {
-    const TestFolder folder;
+    const TemporaryFolder folder;
     const auto first = OpenLogStore({folder.Path()});
     CPPUNIT_ASSERT(KindOf([&] { OpenLogStore({folder.Path()}); }) ==
                    ErrorKind::kStorageFailed);
   }
 
   void WipedFolderIsANewReplica() {
-    const TestFolder folder;
+    const TemporaryFolder folder;
     const ReplicaId before = OpenLogStore({folder.Path()}).second.log.self;
     std::filesystem::remove_all(folder.Path());
     const OpenedStore opened = OpenLogStore({folder.Path()}).second;
@@ -379,7 +379,7 @@
           Operation::kTruncate, Operation::kRename}) {
       bool crashed = true;
       for (int after = 0; crashed; ++after) {
-        const TestFolder folder;
+        const TemporaryFolder folder;
         Fault fault{operation, EIO, after, true};
         uint64_t synced = 0;
         crashed = KindOf([&] { WriteSome(folder.Path(), &fault, &synced); }) !=
--- a/tests/ctl_process_test.cc
+++ b/tests/ctl_process_test.cc
@@ -5,11 +5,12 @@
 #include <functional>  // for function
 #include <memory>      // for unique_ptr
 
-#include "dotterelshift/ctl/ctl.h"      // for ExitCode
-#include "dotterelshift/http/server.h"  // for MakeServer
-#include "dotterelshift/loop/loop.h"    // for Loop
-#include "process/process.h"            // for Process
-#include "support/run_until.h"          // for RunUntil
+#include "dotterelshift/base/temporary_folder.h"  // for TemporaryFolder
+#include "dotterelshift/ctl/ctl.h"                // for ExitCode
+#include "dotterelshift/http/server.h"            // for MakeServer
+#include "dotterelshift/loop/loop.h"              // for Loop
+#include "process/process.h"                      // for Process
+#include "support/run_until.h"                    // for RunUntil
 
 namespace dotterelshift::ctl {
 namespace {
@@ -51,7 +52,7 @@
 
  public:
   void setUp() override {
-    m_folder = std::make_unique<testing::TemporaryFolder>();
+    m_folder = std::make_unique<TemporaryFolder>();
     testing::WriteFile(m_folder->File("key"), "operator-key-0001\n");
     testing::WriteFile(m_folder->File("intent.yaml"), "teams: [{id: a}]\n");
   }
@@ -131,7 +132,7 @@
   }
 
   loop::Loop m_loop;
-  std::unique_ptr<testing::TemporaryFolder> m_folder;
+  std::unique_ptr<TemporaryFolder> m_folder;
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(CtlProcessTest);
--- a/tests/process/fleet.h
+++ b/tests/process/fleet.h
@@ -8,9 +8,10 @@
 #include <utility>            // for pair
 #include <vector>             // for vector
 
-#include "dotterelshift/http/client.h"  // for Client
-#include "dotterelshift/loop/loop.h"    // for Loop
-#include "process/process.h"            // for Process
+#include "dotterelshift/base/temporary_folder.h"  // for TemporaryFolder
+#include "dotterelshift/http/client.h"            // for Client
+#include "dotterelshift/loop/loop.h"              // for Loop
+#include "process/process.h"                      // for Process
 
 namespace dotterelshift::testing {
 
--- a/tests/process/process.cc
+++ b/tests/process/process.cc
@@ -8,11 +8,9 @@
 #include <sys/wait.h>            // for waitpid
 #include <unistd.h>              // for close
 
-#include <csignal>     // for SIGKILL
-#include <cstdlib>     // for mkdtemp
-#include <filesystem>  // for remove_all
-#include <fstream>     // for ifstream
-#include <sstream>     // for ostringstream
+#include <csignal>  // for SIGKILL
+#include <fstream>  // for ifstream
+#include <sstream>  // for ostringstream
 
 namespace dotterelshift::testing {
 namespace {
@@ -72,18 +70,6 @@
 
 int Process::Wait() { return Reap(0); }
 
-TemporaryFolder::TemporaryFolder() {
-  std::string pattern =
-      std::filesystem::temp_directory_path() / "dotterelshift-XXXXXX";
-  CPPUNIT_ASSERT(mkdtemp(pattern.data()) != nullptr);
-  m_path = pattern;
-}
-
-TemporaryFolder::~TemporaryFolder() {
-  std::error_code ignored;
-  std::filesystem::remove_all(m_path, ignored);
-}
-
 void WriteFile(const std::string& path, const std::string& text) {
   std::ofstream file(path, std::ios::trunc);
   file << text;
--- a/tests/process/process.h
+++ b/tests/process/process.h
@@ -33,23 +33,6 @@
   int m_status = 0;
 };
 
-// A folder of its own for one test, removed with all that is in it at the end
-// of its scope.
-class TemporaryFolder {
- public:
-  TemporaryFolder();
-  ~TemporaryFolder();
-  TemporaryFolder(const TemporaryFolder&) = delete;
-  TemporaryFolder& operator=(const TemporaryFolder&) = delete;
-  const std::string& Path() const { return m_path; }
-  std::string File(const std::string& name) const {
-    return m_path + "/" + name;
-  }
-
- private:
-  std::string m_path;
-};
-
 void WriteFile(const std::string& path, const std::string& text);
 // Empty when it is not there.
 std::string ReadFile(const std::string& path);
