FleetLoad::TakenPart goes: nothing calls it

Cause: it served a trial of early refusal by the taken part of all places that was undone. Ruled out: a use in the metrics, which count requests by outcome. No behaviour changes, so nothing was measured.

--- a/include/dotterelshift/gateway/fleet_load.h
+++ b/include/dotterelshift/gateway/fleet_load.h
@@ -88,8 +88,6 @@
                                   Instant now) const;
   // Whether any endpoint of the service may be used.
   bool HasEndpoint(const ServiceName& service, Instant now) const;
-  // Of the places at the service's usable endpoints, the part that is taken.
-  double TakenPart(const ServiceName& service) const;
 
   // A request was given to an endpoint, its prompt booked behind the others;
   // its reading ended; it ended, for whatever reason.
--- a/src/dotterelshift/gateway/fleet_load.cc
+++ b/src/dotterelshift/gateway/fleet_load.cc
@@ -122,20 +122,6 @@
       [&](EndpointKey key) { return MayUse(m_loads.at(key), now); });
 }
 
-double FleetLoad::TakenPart(const ServiceName& service) const {
-  const auto keys = m_by_service.find(service);
-  if (keys == m_by_service.end()) return 1;
-  double places = 0;
-  double taken = 0;
-  for (const EndpointKey key : keys->second) {
-    const Load& load = m_loads.at(key);
-    if (!load.usable) continue;
-    places += load.slots;
-    taken += std::min(load.slots, RunningAt(load));
-  }
-  return places == 0 ? 1 : taken / places;
-}
-
 void FleetLoad::Book(Load& load, Tokens tokens, Instant now) {
   load.read_until =
       std::max(load.read_until, now) +
