MemberDiscovery: hellos, waiting replicas and the first founding in a core

Ruled out: moving it into Bootstrap, which is one round of founding and is gone afterwards, while hellos go on. No measurement: no message and no order of messages changes.

--- a/src/dotterelshift/app/control_replica.cc
+++ b/src/dotterelshift/app/control_replica.cc
@@ -5,13 +5,14 @@
 #include <optional>   // for optional
 #include <utility>    // for move
 
-#include "dotterelshift/app/member_changes.h"         // for MemberChanges
-#include "dotterelshift/app/proposals.h"              // for Proposals
-#include "dotterelshift/app/spool_sender.h"           // for SpoolSender
-#include "dotterelshift/replication/bootstrap.h"      // for Bootstrap
-#include "dotterelshift/replication/member_keeper.h"  // for MemberKeeper
-#include "dotterelshift/replication/membership.h"     // for FindMember
-#include "dotterelshift/replication/messages.h"       // for SenderOf
+#include "dotterelshift/app/member_changes.h"            // for MemberChanges
+#include "dotterelshift/app/proposals.h"                 // for Proposals
+#include "dotterelshift/app/spool_sender.h"              // for SpoolSender
+#include "dotterelshift/replication/bootstrap.h"         // for FirstLog
+#include "dotterelshift/replication/member_discovery.h"  // for MemberDiscovery
+#include "dotterelshift/replication/member_keeper.h"     // for MemberKeeper
+#include "dotterelshift/replication/membership.h"        // for FindMember
+#include "dotterelshift/replication/messages.h"          // for SenderOf
 
 namespace dotterelshift::app {
 
@@ -50,7 +51,9 @@
     return m_trouble == ErrorKind::kNone && m_loop.Now() < m_node->LeaseUntil();
   }
   HostId LeaderHost() const override { return HostOf(m_node->Leader()); }
-  std::vector<wire::ReplicaT> WaitingReplicas() const override;
+  std::vector<wire::ReplicaT> WaitingReplicas() const override {
+    return m_discovery->Waiting(m_node->Members());
+  }
   ErrorKind Trouble() const override { return m_trouble; }
   void OnFrame(const peers::PeerInfo& from, const wire::FrameT& frame) override;
 
@@ -58,6 +61,9 @@
   // Starting.
   void Restore(storage::OpenedStore opened);
   bool InGroup() const;
+  replication::GroupView View() const {
+    return {InGroup(), m_node->Leader() != 0, &m_node->Members()};
+  }
   void OnHousekeeping();
   void KeepMembers();
   void SayHello(const HostId& host, bool answer_wanted);
@@ -114,10 +120,9 @@
   SpoolSender m_spool;
   int m_ticks = 0;
 
-  std::optional<replication::MemberKeeper> m_keeper;  // with self_healing
-  std::optional<replication::Bootstrap> m_bootstrap;
-  std::map<ReplicaId, HostId> m_hosts;             // heard from
-  std::map<HostId, ReplicaId> m_waiting_replicas;  // in no group
+  std::optional<replication::MemberKeeper> m_keeper;        // with self_healing
+  std::optional<replication::MemberDiscovery> m_discovery;  // once restored
+  std::map<ReplicaId, HostId> m_hosts;                      // heard from
 
   bool m_pump_scheduled = false;
   loop::Timer m_pump;
@@ -156,8 +161,8 @@
                                  m_loop.Now());
   if (meta.last_index > 0) InstallSnapshot(meta, opened.snapshot);
   if (m_options.self_healing) m_keeper.emplace(m_self);
-  if (!InGroup() && !m_options.first_members.empty())
-    m_bootstrap.emplace(m_options.self, m_self, m_options.first_members);
+  m_discovery.emplace(replication::MemberDiscoveryOptions{
+      m_options.self, m_self, m_options.first_members, m_options.self_healing});
 }
 
 // A replica that has heard of any term, or holds anything, is in a group.
@@ -167,14 +172,10 @@
 
 void Replica::OnHousekeeping() {
   m_housekeeping.ArmIn(kHousekeeping);
-  if (m_bootstrap && InGroup()) m_bootstrap.reset();
-  if (m_bootstrap) {
-    TryToFound();
-    const bool coordinates = m_bootstrap && m_bootstrap->Coordinates();
-    const std::vector<HostId> others =
-        m_bootstrap ? m_bootstrap->StartRound() : std::vector<HostId>{};
-    for (const HostId& host : others) SayHello(host, coordinates);
-  }
+  TryToFound();
+  const bool coordinates = m_discovery->Coordinates();
+  for (const HostId& host : m_discovery->StartRound())
+    SayHello(host, coordinates);
   if (++m_ticks % kTicksBetweenRetries == 0) {
     if (m_trouble == ErrorKind::kStorageFull) m_trouble = ErrorKind::kNone;
     SendSpool();
@@ -202,39 +203,23 @@
 }
 
 void Replica::SayHello(const HostId& host, bool answer_wanted) {
-  wire::ReplicaHelloT hello;
-  hello.replica = m_self;
-  hello.in_group = InGroup();
-  hello.answer_wanted = answer_wanted;
-  hello.first_members = m_options.first_members;
-  hello.lost = m_node->Leader() == 0;
-  for (const auto& member : m_node->Members().replicas)
-    hello.members.push_back(member->host);
-  m_callbacks.send(host, peers::MakeFrame(std::move(hello)));
+  m_callbacks.send(host,
+                   peers::MakeFrame(m_discovery->Hello(View(), answer_wanted)));
 }
 
 void Replica::OnHello(const HostId& from, const wire::ReplicaHelloT& hello) {
-  if (hello.answer_wanted) SayHello(from, false);
-  // One in a group that hears no leader may have been removed meanwhile.
-  const bool waits = !hello.in_group || (m_keeper && hello.lost);
-  if (waits)
-    m_waiting_replicas[from] = hello.replica;
-  else
-    m_waiting_replicas.erase(from);
+  if (m_discovery->OnHello(from, hello, View())) SayHello(from, false);
   if (m_keeper && !hello.members.empty() && m_callbacks.on_members_heard)
     m_callbacks.on_members_heard(hello.members);
-  // Who waits learns from the answer where the group is.
-  if (m_keeper && waits && InGroup() && !hello.answer_wanted)
-    SayHello(from, false);
-  if (m_bootstrap) m_bootstrap->OnHello(from, hello);
   TryToFound();
 }
 
 void Replica::TryToFound() {
-  if (!m_bootstrap || InGroup() || m_trouble != ErrorKind::kNone) return;
-  const std::optional<wire::MembershipT> members = m_bootstrap->Compose();
+  if (InGroup()) return m_discovery->EndFounding();
+  if (m_trouble != ErrorKind::kNone) return;
+  const std::optional<wire::MembershipT> members = m_discovery->Compose();
   if (!members) return;
-  m_bootstrap.reset();
+  m_discovery->EndFounding();
   replication::RestoredLog log = replication::FirstLog(m_self, *members);
   Ready first;
   first.hard_state = log.hard_state;
@@ -248,16 +233,6 @@
   SchedulePump();
 }
 
-std::vector<wire::ReplicaT> Replica::WaitingReplicas() const {
-  std::vector<wire::ReplicaT> waiting;
-  for (const auto& [host, id] : m_waiting_replicas) {
-    if (replication::FindMember(m_node->Members(), id) != nullptr) continue;
-    waiting.emplace_back().id = id;
-    waiting.back().host = host;
-  }
-  return waiting;
-}
-
 void Replica::Propose(std::vector<wire::CommandT> commands,
                       ProposalCallback callback) {
   m_proposals.Add(std::move(commands), std::move(callback));
--- /dev/null
+++ b/src/dotterelshift/replication/member_discovery.cc
@@ -0,0 +1,64 @@
+#include "dotterelshift/replication/member_discovery.h"
+
+#include "dotterelshift/replication/membership.h"  // for FindMember
+
+namespace dotterelshift::replication {
+
+MemberDiscovery::MemberDiscovery(const MemberDiscoveryOptions& options)
+    : m_options(options) {
+  if (!options.first_members.empty())
+    m_bootstrap.emplace(options.self, options.replica, options.first_members);
+}
+
+wire::ReplicaHelloT MemberDiscovery::Hello(const GroupView& view,
+                                           bool answer_wanted) const {
+  wire::ReplicaHelloT hello;
+  hello.replica = m_options.replica;
+  hello.in_group = view.in_group;
+  hello.answer_wanted = answer_wanted;
+  hello.first_members = m_options.first_members;
+  hello.lost = !view.hears_leader;
+  for (const auto& member : view.members->replicas)
+    hello.members.push_back(member->host);
+  return hello;
+}
+
+bool MemberDiscovery::OnHello(const HostId& from,
+                              const wire::ReplicaHelloT& hello,
+                              const GroupView& view) {
+  // One in a group that hears no leader may have been removed meanwhile.
+  const bool waits = !hello.in_group || (m_options.self_healing && hello.lost);
+  if (waits)
+    m_waiting[from] = hello.replica;
+  else
+    m_waiting.erase(from);
+  if (m_bootstrap) m_bootstrap->OnHello(from, hello);
+  // Who waits learns from the answer where the group is.
+  const bool helps = m_options.self_healing && waits && view.in_group;
+  return hello.answer_wanted || helps;
+}
+
+std::vector<HostId> MemberDiscovery::StartRound() {
+  return m_bootstrap ? m_bootstrap->StartRound() : std::vector<HostId>{};
+}
+
+bool MemberDiscovery::Coordinates() const {
+  return m_bootstrap && m_bootstrap->Coordinates();
+}
+
+std::optional<wire::MembershipT> MemberDiscovery::Compose() const {
+  return m_bootstrap ? m_bootstrap->Compose() : std::nullopt;
+}
+
+std::vector<wire::ReplicaT> MemberDiscovery::Waiting(
+    const wire::MembershipT& members) const {
+  std::vector<wire::ReplicaT> waiting;
+  for (const auto& [host, id] : m_waiting) {
+    if (FindMember(members, id) != nullptr) continue;
+    waiting.emplace_back().id = id;
+    waiting.back().host = host;
+  }
+  return waiting;
+}
+
+}  // namespace dotterelshift::replication
--- /dev/null
+++ b/src/dotterelshift/replication/member_discovery_test.cc
@@ -0,0 +1,111 @@
+#include "dotterelshift/replication/member_discovery.h"
+
+#include <cppunit/extensions/HelperMacros.h>  // for CPPUNIT_TEST
+
+#include <memory>  // for make_unique
+
+namespace dotterelshift::replication {
+namespace {
+
+class MemberDiscoveryTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(MemberDiscoveryTest);
+  CPPUNIT_TEST(AHelloTellsTheGroupAndWhetherItIsHeard);
+  CPPUNIT_TEST(OneInNoGroupWaitsUntilItIsInOne);
+  CPPUNIT_TEST(OneThatLostItsGroupWaitsOnlyInAHealingGroup);
+  CPPUNIT_TEST(MembersDoNotWait);
+  CPPUNIT_TEST(AReplicaOutsideAGroupDoesNotAnswerUnasked);
+  CPPUNIT_TEST(TheFirstMembersFoundOnce);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  MemberDiscoveryTest() {
+    auto member = std::make_unique<wire::ReplicaT>();
+    member->id = 1;
+    member->host = "core-1";
+    m_members.replicas.push_back(std::move(member));
+  }
+
+ private:
+  static MemberDiscovery Make(bool self_healing) {
+    return MemberDiscovery({"core-1", 1, {"core-1", "core-2"}, self_healing});
+  }
+
+  GroupView InGroup() const { return {true, true, &m_members}; }
+  GroupView Outside() const { return {false, false, &m_none}; }
+
+  static wire::ReplicaHelloT HelloOf(ReplicaId replica, bool in_group,
+                                     bool lost) {
+    wire::ReplicaHelloT hello;
+    hello.replica = replica;
+    hello.in_group = in_group;
+    hello.lost = lost;
+    hello.first_members = {"core-1", "core-2"};
+    return hello;
+  }
+
+  void AHelloTellsTheGroupAndWhetherItIsHeard() {
+    const MemberDiscovery discovery = Make(true);
+    const wire::ReplicaHelloT hello = discovery.Hello(InGroup(), true);
+    CPPUNIT_ASSERT(hello.in_group && hello.answer_wanted && !hello.lost);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, hello.members.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("core-1"), hello.members.at(0));
+    CPPUNIT_ASSERT(discovery.Hello(Outside(), false).lost);
+  }
+
+  void OneInNoGroupWaitsUntilItIsInOne() {
+    MemberDiscovery discovery = Make(false);
+    discovery.OnHello("core-2", HelloOf(2, false, true), InGroup());
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, discovery.Waiting(m_members).size());
+    CPPUNIT_ASSERT_EQUAL(std::string("core-2"),
+                         discovery.Waiting(m_members).at(0).host);
+    discovery.OnHello("core-2", HelloOf(2, true, false), InGroup());
+    CPPUNIT_ASSERT(discovery.Waiting(m_members).empty());
+  }
+
+  // One replaced while it was away holds a membership, and hears nobody.
+  void OneThatLostItsGroupWaitsOnlyInAHealingGroup() {
+    for (const bool self_healing : {false, true}) {
+      MemberDiscovery discovery = Make(self_healing);
+      const bool answered =
+          discovery.OnHello("core-2", HelloOf(2, true, true), InGroup());
+      CPPUNIT_ASSERT_EQUAL(self_healing, answered);
+      CPPUNIT_ASSERT_EQUAL(self_healing, !discovery.Waiting(m_members).empty());
+    }
+  }
+
+  void MembersDoNotWait() {
+    MemberDiscovery discovery = Make(true);
+    discovery.OnHello("core-1", HelloOf(1, true, true), InGroup());
+    CPPUNIT_ASSERT(discovery.Waiting(m_members).empty());
+  }
+
+  // Two that wait would answer each other without end.
+  void AReplicaOutsideAGroupDoesNotAnswerUnasked() {
+    MemberDiscovery discovery = Make(true);
+    wire::ReplicaHelloT hello = HelloOf(2, false, true);
+    CPPUNIT_ASSERT(!discovery.OnHello("core-2", hello, Outside()));
+    hello.answer_wanted = true;
+    CPPUNIT_ASSERT(discovery.OnHello("core-2", hello, Outside()));
+  }
+
+  void TheFirstMembersFoundOnce() {
+    MemberDiscovery discovery = Make(true);
+    CPPUNIT_ASSERT(discovery.Coordinates());
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, discovery.StartRound().size());
+    CPPUNIT_ASSERT(!discovery.Compose());
+    discovery.OnHello("core-2", HelloOf(2, false, true), Outside());
+    const auto members = discovery.Compose();
+    CPPUNIT_ASSERT(members);
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, members->replicas.size());
+    discovery.EndFounding();
+    CPPUNIT_ASSERT(!discovery.Compose());
+    CPPUNIT_ASSERT(discovery.StartRound().empty());
+  }
+
+  wire::MembershipT m_members;
+  wire::MembershipT m_none;
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(MemberDiscoveryTest);
+
+}  // namespace
+}  // namespace dotterelshift::replication
