A superseded entry logs why it stops; one registration for both entry roles

Cause: under published routes a registered run that learned of a newer run of its host shut down without a line, so that the log gave no reason; the other entry role had the line, and both built the same command. Besides, the refusal of a second command under way, which still carried the former number of a run that had just taken a later one, would have ended the run. Ruled out: a line at the caller, which would leave the two roles apart. Before: the tests of the line and of the former number fail (2 of 6) without the two mends; after: 6 of 6.

--- a/src/dotterelshift/app/entry.cc
+++ b/src/dotterelshift/app/entry.cc
@@ -7,6 +7,7 @@
 #include "dotterelshift/app/directory_exchange.h"  // for DirectoryExchange
 #include "dotterelshift/app/hub_options.h"         // for MakeHubOptions
 #include "dotterelshift/app/operator_backend.h"    // for OperatorBackend
+#include "dotterelshift/app/registration.h"        // for Registration
 #include "dotterelshift/app/request_traffic.h"     // for RequestTraffic
 #include "dotterelshift/platform/log.h"            // for Log
 
@@ -23,6 +24,9 @@
 // they themselves report with a lag.
 constexpr Duration kLoadRefreshEvery = 500ms;
 
+// The request core numbers its own commands from 1.
+constexpr uint64_t kRegistrationSequence = 0;
+
 // The entry role: callers on one side, endpoints and control on the other, the
 // request core between them.
 class Entry : public Daemon {
@@ -45,7 +49,6 @@
   void AnswerReady(http::Exchange& exchange);
   void OnPeerFrame(const peers::PeerInfo& peer, const wire::FrameT& frame);
   void TakeFromLink();
-  void LeaveToNewerRun();
   void Refresh();
   void OnTick();
   void UpdateGauges();
@@ -55,6 +58,7 @@
   loop::Loop& m_loop;
   settings::Settings m_settings;
   HostRun m_self;
+  std::optional<Registration> m_registration;  // once the peer port is known
   std::string m_secret;
   ControlLink m_link;
   DirectoryExchange m_directory;
@@ -142,17 +146,10 @@
   if (!settings.operator_key_file.empty())
     api.keys = settings::ReadOperatorKeys(settings.operator_key_file);
   m_api = operators::MakeApi(api, *m_backend);
-  // The first command of this run, which proves the older ones dead.
-  wire::CommandT registration;
-  registration.id = std::make_unique<wire::CommandIdT>();
-  registration.id->host = m_self.host;
-  registration.id->incarnation = m_self.incarnation;
-  wire::RegisterHostT host;
-  host.data_centre = settings.data_centre;
-  host.address = settings.address + ":" + std::to_string(m_hub->Port());
-  host.role = wire::HostRole::Entry;
-  registration.body.Set(std::move(host));
-  m_link.Propose(std::move(registration));
+  m_registration.emplace(RegistrationOptions{
+      m_self, settings.data_centre,
+      settings.address + ":" + std::to_string(m_hub->Port())});
+  m_link.Propose(m_registration->Command(kRegistrationSequence));
   m_tick.ArmIn(0ms);
 }
 
@@ -260,8 +257,9 @@
     m_core->OnControlReach(m_reach, now);
   }
   for (const wire::CommandAnswerT& answer : m_link.TakeAnswers()) {
-    const auto error = static_cast<ErrorKind>(answer.error);
-    if (error == ErrorKind::kStaleIncarnation) LeaveToNewerRun();
+    // What a superseded run commits is refused, so it serves no more.
+    if (m_registration->OnAnswer(answer) == RunStanding::kSuperseded)
+      Shutdown();
     m_core->OnAnswer(answer, now);
   }
   for (const wire::CommandIdT& id : m_link.TakeSpooled())
@@ -273,15 +271,6 @@
   m_traffic->Pump();
 }
 
-// Another process has this host's name and a later start: what this one
-// commits is refused, so it serves no more.
-void Entry::LeaveToNewerRun() {
-  if (m_shutting_down) return;
-  platform::Log(platform::LogLevel::kError, "stale_incarnation",
-                {{"incarnation", std::to_string(m_self.incarnation)}});
-  Shutdown();
-}
-
 void Entry::Refresh() {
   const Instant now = m_loop.Now();
   m_version = m_link.GetConfiguration().Version();
--- a/src/dotterelshift/app/gateway_entry.cc
+++ b/src/dotterelshift/app/gateway_entry.cc
@@ -9,6 +9,7 @@
 #include "dotterelshift/app/gateway_traffic.h"     // for GatewayTraffic
 #include "dotterelshift/app/hub_options.h"         // for MakeHubOptions
 #include "dotterelshift/app/listen_options.h"      // for ListenOptions
+#include "dotterelshift/app/registration.h"        // for Registration
 #include "dotterelshift/callers/front.h"           // for AnswerError
 #include "dotterelshift/platform/log.h"            // for Log
 
@@ -66,10 +67,8 @@
 
   loop::Loop& m_loop;
   settings::Settings m_settings;
-  HostRun m_self;
   uint64_t m_sequence = 0;
-  uint64_t m_registration = 0;  // sequence of the command that registers
-  bool m_registered = false;
+  Registration m_registration;
   std::unique_ptr<gateway::Dialect> m_dialect;
   ControlLink m_link;
   DirectoryExchange m_directory;
@@ -94,6 +93,16 @@
   loop::PrepareWatcher m_prepare;
 };
 
+RegistrationOptions RegistrationOptionsOf(const settings::Settings& settings,
+                                          Incarnation incarnation) {
+  RegistrationOptions options;
+  options.self = {settings.host, incarnation};
+  options.data_centre = settings.data_centre;
+  options.address = settings.address;
+  options.may_raise = true;
+  return options;
+}
+
 directory::DirectoryOptions DirectoryOptionsOf() {
   directory::DirectoryOptions options;
   // Control says which endpoints are silent; an entry that is cut off from it
@@ -135,9 +144,9 @@
                            std::unique_ptr<gateway::Dialect> dialect)
     : m_loop(loop),
       m_settings(settings),
-      m_self{settings.host, incarnation},
+      m_registration(RegistrationOptionsOf(settings, incarnation)),
       m_dialect(std::move(dialect)),
-      m_link({m_self}),
+      m_link({m_registration.Self()}),
       m_directory(loop, SpreadOptionsOf(settings.host), DirectoryOptionsOf(),
                   {[this] {
                      m_core->OnEndpointsChanged(m_directory.GetDirectory(),
@@ -295,42 +304,23 @@
 }
 
 void GatewayEntry::OnAnswer(const wire::CommandAnswerT& answer) {
-  const auto error = static_cast<ErrorKind>(answer.error);
-  const bool registration =
-      answer.id != nullptr && answer.id->sequence == m_registration;
-  if (registration && error == ErrorKind::kNone) m_registered = true;
-  if (error == ErrorKind::kStaleIncarnation) {
-    // The wall clock was set back between two starts. Before anything was
-    // accepted of this run, it can take a later number.
-    if (m_registered) return Shutdown();
-    m_self.incarnation = answer.newest_incarnation + 1;
-    platform::Log(platform::LogLevel::kWarning, "incarnation_raised",
-                  {{"incarnation", std::to_string(m_self.incarnation)}});
-    return Register();
-  }
+  const RunStanding standing = m_registration.OnAnswer(answer);
+  if (standing == RunStanding::kSuperseded) return Shutdown();
+  if (standing == RunStanding::kRaised) return Register();
   if (const auto* suspect = answer.body.AsSuspectAnswer())
     m_blocklist.OnEntry(*suspect, m_loop.Now());
   if (m_budgets.OnAnswer(answer, m_loop.Now()))
     m_core->OnBudgetChanged(m_loop.Now());
 }
 
-// The first command of this run, which proves the older ones dead.
 void GatewayEntry::Register() {
-  wire::CommandT command;
-  command.id = NextId();
-  m_registration = command.id->sequence;
-  wire::RegisterHostT host;
-  host.data_centre = m_settings.data_centre;
-  host.address = m_settings.address;
-  host.role = wire::HostRole::Entry;
-  command.body.Set(std::move(host));
-  m_link.Propose(std::move(command));
+  m_link.Propose(m_registration.Command(++m_sequence));
 }
 
 std::unique_ptr<wire::CommandIdT> GatewayEntry::NextId() {
   auto id = std::make_unique<wire::CommandIdT>();
-  id->host = m_self.host;
-  id->incarnation = m_self.incarnation;
+  id->host = m_registration.Self().host;
+  id->incarnation = m_registration.Self().incarnation;
   id->sequence = ++m_sequence;
   return id;
 }
@@ -355,7 +345,7 @@
 // other entries.
 void GatewayEntry::SendToPeers() {
   const Instant now = m_loop.Now();
-  if (m_registered && !m_returning_since) {
+  if (m_registration.Done() && !m_returning_since) {
     for (wire::CommandT& command : m_budgets.TakeCommands(now))
       m_link.Propose(std::move(command));
   }
--- /dev/null
+++ b/src/dotterelshift/app/registration.cc
@@ -0,0 +1,61 @@
+#include "dotterelshift/app/registration.h"
+
+#include <memory>   // for make_unique
+#include <utility>  // for move
+
+#include "dotterelshift/base/error.h"    // for ErrorKind
+#include "dotterelshift/platform/log.h"  // for Log
+
+namespace dotterelshift::app {
+
+Registration::Registration(RegistrationOptions options)
+    : m_options(std::move(options)) {}
+
+wire::CommandT Registration::Command(uint64_t sequence) {
+  m_sequence = sequence;
+  wire::CommandT command;
+  command.id = std::make_unique<wire::CommandIdT>();
+  command.id->host = m_options.self.host;
+  command.id->incarnation = m_options.self.incarnation;
+  command.id->sequence = sequence;
+  wire::RegisterHostT host;
+  host.data_centre = m_options.data_centre;
+  host.address = m_options.address;
+  host.role = wire::HostRole::Entry;
+  command.body.Set(std::move(host));
+  return command;
+}
+
+RunStanding Registration::OnAnswer(const wire::CommandAnswerT& answer) {
+  const bool of_former_number =
+      answer.id != nullptr &&
+      answer.id->incarnation != m_options.self.incarnation;
+  if (of_former_number) return RunStanding::kUnchanged;
+  const auto error = static_cast<ErrorKind>(answer.error);
+  if (error == ErrorKind::kStaleIncarnation)
+    return OnStale(answer.newest_incarnation);
+  const bool registered = error == ErrorKind::kNone && answer.id != nullptr &&
+                          answer.id->sequence == m_sequence;
+  if (!registered || m_done) return RunStanding::kUnchanged;
+  m_done = true;
+  return RunStanding::kRegistered;
+}
+
+RunStanding Registration::OnStale(Incarnation newest) {
+  HostRun& self = m_options.self;
+  if (m_options.may_raise && !m_done) {
+    self.incarnation = newest + 1;
+    platform::Log(platform::LogLevel::kWarning, "incarnation_raised",
+                  {{"incarnation", std::to_string(self.incarnation)}});
+    return RunStanding::kRaised;
+  }
+  if (!m_superseded) {
+    platform::Log(platform::LogLevel::kError, "stale_incarnation",
+                  {{"incarnation", std::to_string(self.incarnation)},
+                   {"newest", std::to_string(newest)}});
+  }
+  m_superseded = true;
+  return RunStanding::kSuperseded;
+}
+
+}  // namespace dotterelshift::app
--- /dev/null
+++ b/src/dotterelshift/app/registration_test.cc
@@ -0,0 +1,133 @@
+#include "dotterelshift/app/registration.h"
+
+#include <cppunit/extensions/HelperMacros.h>  // for CPPUNIT_TEST
+
+#include <memory>    // for make_unique
+#include <optional>  // for optional
+
+#include "dotterelshift/base/error.h"            // for ErrorKind
+#include "dotterelshift/platform/log_testing.h"  // for CapturedLog
+
+namespace dotterelshift::app {
+namespace {
+
+// The number under which the tests register.
+constexpr uint64_t kSequence = 7;
+
+wire::CommandAnswerT AnswerTo(const wire::CommandT& command, ErrorKind error,
+                              Incarnation newest) {
+  wire::CommandAnswerT answer;
+  answer.id = std::make_unique<wire::CommandIdT>(*command.id);
+  answer.error = static_cast<uint16_t>(error);
+  answer.newest_incarnation = newest;
+  return answer;
+}
+
+Registration MakeRegistration(bool may_raise) {
+  RegistrationOptions options;
+  options.self = {"plateau-1", 5};
+  options.data_centre = "plateau";
+  options.address = "10.0.0.4:7400";
+  options.may_raise = may_raise;
+  return Registration(std::move(options));
+}
+
+class RegistrationTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(RegistrationTest);
+  CPPUNIT_TEST(TheCommandNamesTheRunAndWhereItIs);
+  CPPUNIT_TEST(OnlyTheAnswerToTheRegistrationRegisters);
+  CPPUNIT_TEST(ARunThatIsOverBeforeItBeganTakesALaterNumber);
+  CPPUNIT_TEST(ARegisteredRunThatIsSupersededSaysSoOnce);
+  CPPUNIT_TEST(ARoleThatCannotRaiseIsSupersededAtOnce);
+  CPPUNIT_TEST(AnAnswerToTheFormerNumberOfTheRunIsNoVerdict);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void setUp() override { m_log.emplace(platform::LogLevel::kWarning); }
+  void tearDown() override { m_log.reset(); }
+
+ private:
+  void TheCommandNamesTheRunAndWhereItIs() {
+    Registration registration = MakeRegistration(false);
+    const wire::CommandT command = registration.Command(kSequence);
+    CPPUNIT_ASSERT_EQUAL(std::string("plateau-1"), command.id->host);
+    CPPUNIT_ASSERT_EQUAL(Incarnation{5}, command.id->incarnation);
+    CPPUNIT_ASSERT_EQUAL(kSequence, command.id->sequence);
+    const wire::RegisterHostT* host = command.body.AsRegisterHost();
+    CPPUNIT_ASSERT(host != nullptr);
+    CPPUNIT_ASSERT_EQUAL(std::string("plateau"), host->data_centre);
+    CPPUNIT_ASSERT_EQUAL(std::string("10.0.0.4:7400"), host->address);
+    CPPUNIT_ASSERT(host->role == wire::HostRole::Entry);
+  }
+
+  void OnlyTheAnswerToTheRegistrationRegisters() {
+    Registration registration = MakeRegistration(true);
+    wire::CommandT command = registration.Command(kSequence);
+    command.id->sequence = kSequence + 1;
+    CPPUNIT_ASSERT(
+        registration.OnAnswer(AnswerTo(command, ErrorKind::kNone, 0)) ==
+        RunStanding::kUnchanged);
+    CPPUNIT_ASSERT(!registration.Done());
+    command.id->sequence = kSequence;
+    CPPUNIT_ASSERT(
+        registration.OnAnswer(AnswerTo(command, ErrorKind::kNone, 0)) ==
+        RunStanding::kRegistered);
+    CPPUNIT_ASSERT(registration.Done());
+  }
+
+  void ARunThatIsOverBeforeItBeganTakesALaterNumber() {
+    Registration registration = MakeRegistration(true);
+    const wire::CommandT command = registration.Command(kSequence);
+    CPPUNIT_ASSERT(registration.OnAnswer(
+                       AnswerTo(command, ErrorKind::kStaleIncarnation, 9)) ==
+                   RunStanding::kRaised);
+    CPPUNIT_ASSERT_EQUAL(Incarnation{10}, registration.Self().incarnation);
+    CPPUNIT_ASSERT_EQUAL(Incarnation{10},
+                         registration.Command(kSequence).id->incarnation);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, m_log->Count("incarnation_raised"));
+  }
+
+  // The log is all that tells why such a daemon stopped.
+  void ARegisteredRunThatIsSupersededSaysSoOnce() {
+    Registration registration = MakeRegistration(true);
+    const wire::CommandT command = registration.Command(kSequence);
+    registration.OnAnswer(AnswerTo(command, ErrorKind::kNone, 0));
+    for (int i = 0; i < 2; ++i) {
+      CPPUNIT_ASSERT(registration.OnAnswer(
+                         AnswerTo(command, ErrorKind::kStaleIncarnation, 9)) ==
+                     RunStanding::kSuperseded);
+    }
+    CPPUNIT_ASSERT_EQUAL(Incarnation{5}, registration.Self().incarnation);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, m_log->Count("stale_incarnation"));
+  }
+
+  void ARoleThatCannotRaiseIsSupersededAtOnce() {
+    Registration registration = MakeRegistration(false);
+    const wire::CommandT command = registration.Command(kSequence);
+    CPPUNIT_ASSERT(registration.OnAnswer(
+                       AnswerTo(command, ErrorKind::kStaleIncarnation, 9)) ==
+                   RunStanding::kSuperseded);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, m_log->Count("stale_incarnation"));
+  }
+
+  // Two commands under way when the first is refused: the second refusal is of
+  // a number that the run no longer has, and must not end it.
+  void AnAnswerToTheFormerNumberOfTheRunIsNoVerdict() {
+    Registration registration = MakeRegistration(true);
+    const wire::CommandT first = registration.Command(kSequence);
+    registration.OnAnswer(AnswerTo(first, ErrorKind::kStaleIncarnation, 9));
+    const wire::CommandT second = registration.Command(kSequence);
+    registration.OnAnswer(AnswerTo(second, ErrorKind::kNone, 0));
+    CPPUNIT_ASSERT(registration.OnAnswer(
+                       AnswerTo(first, ErrorKind::kStaleIncarnation, 9)) ==
+                   RunStanding::kUnchanged);
+    CPPUNIT_ASSERT(registration.Done());
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, m_log->Count("stale_incarnation"));
+  }
+
+  std::optional<platform::CapturedLog> m_log;  // while a test runs
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(RegistrationTest);
+
+}  // namespace
+}  // namespace dotterelshift::app
--- a/src/dotterelshift/platform/log_test.cc
+++ b/src/dotterelshift/platform/log_test.cc
@@ -3,7 +3,9 @@
 #include <cppunit/extensions/HelperMacros.h>  // for CPPUNIT_TEST
 
 #include <nlohmann/json.hpp>  // for json
-#include <sstream>            // for ostringstream
+#include <optional>           // for optional
+
+#include "dotterelshift/platform/log_testing.h"  // for CapturedLog
 
 namespace dotterelshift::platform {
 namespace {
@@ -16,42 +18,35 @@
   CPPUNIT_TEST_SUITE_END();
 
  public:
-  void setUp() override {
-    Stream().str("");
-    StartLog("plateau-1", LogLevel::kWarning, Stream());
-  }
-
-  void tearDown() override { StartLog("tests", LogLevel::kError, Stream()); }
+  void setUp() override { m_log.emplace(LogLevel::kWarning); }
+  void tearDown() override { m_log.reset(); }
 
  private:
-  // Lives as long as the log, which keeps writing to it.
-  static std::ostringstream& Stream() {
-    static auto* const stream = new std::ostringstream;
-    return *stream;
-  }
-
   void ALineIsOneJsonObject() {
     Log(LogLevel::kError, "leader changed", {{"leader", "a \"b\"\nc"}});
-    const auto line = nlohmann::json::parse(Stream().str());
+    const std::string text = m_log->Text();
+    const auto line = nlohmann::json::parse(text);
     CPPUNIT_ASSERT_EQUAL(std::string("plateau-1"),
                          line["host"].get<std::string>());
     CPPUNIT_ASSERT_EQUAL(std::string("error"),
                          line["level"].get<std::string>());
     CPPUNIT_ASSERT_EQUAL(std::string("a \"b\"\nc"),
                          line["leader"].get<std::string>());
-    const std::string text = Stream().str();
     CPPUNIT_ASSERT_EQUAL(text.size() - 1, text.find('\n'));
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, m_log->Count("leader changed"));
   }
 
   void BadBytesDoNotThrow() {
     Log(LogLevel::kError, "\xff", {{"detail", "\xc3"}});
-    CPPUNIT_ASSERT(nlohmann::json::accept(Stream().str()));
+    CPPUNIT_ASSERT(nlohmann::json::accept(m_log->Text()));
   }
 
   void LinesBelowTheLevelAreLeftOut() {
     Log(LogLevel::kInfo, "quiet");
-    CPPUNIT_ASSERT(Stream().str().empty());
+    CPPUNIT_ASSERT(m_log->Text().empty());
   }
+
+  std::optional<CapturedLog> m_log;  // while a test runs
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(LogTest);
--- /dev/null
+++ b/src/dotterelshift/platform/log_testing.h
@@ -0,0 +1,45 @@
+#ifndef DOTTERELSHIFT_PLATFORM_LOG_TESTING_H_
+#define DOTTERELSHIFT_PLATFORM_LOG_TESTING_H_
+
+#include <sstream>  // for ostringstream
+#include <string>   // for string
+
+#include "dotterelshift/platform/log.h"  // for StartLog
+
+namespace dotterelshift::platform {
+
+// What a test's code logs while one of these lives.
+class CapturedLog {
+ public:
+  explicit CapturedLog(LogLevel least) {
+    Stream().str("");
+    StartLog("plateau-1", least, Stream());
+  }
+  ~CapturedLog() { StartLog("tests", LogLevel::kError, Stream()); }
+  CapturedLog(const CapturedLog&) = delete;
+  CapturedLog& operator=(const CapturedLog&) = delete;
+
+  std::string Text() const { return Stream().str(); }
+
+  // How many lines are of this event.
+  size_t Count(const std::string& event) const {
+    const std::string member = "\"event\":\"" + event + "\"";
+    const std::string text = Text();
+    size_t count = 0;
+    for (size_t at = text.find(member); at != std::string::npos;
+         at = text.find(member, at + 1))
+      ++count;
+    return count;
+  }
+
+ private:
+  // Lives as long as the log, which keeps writing to it.
+  static std::ostringstream& Stream() {
+    static auto* const stream = new std::ostringstream;
+    return *stream;
+  }
+};
+
+}  // namespace dotterelshift::platform
+
+#endif  // DOTTERELSHIFT_PLATFORM_LOG_TESTING_H_
