A host that was replaced since it was heard no longer counts as waiting

Cause: a new leader still held what a host had said before it was wiped again and taken in by the former leader. It took the host's listed replica for a superseded one and removed it, though it held its log: the group of three went on with two voters and would not have borne a loss. Ruled out: silence of that replica (it was heard) and the removal of a surplus (three voters). What a host said now counts only while its listed replica is the one that was listed then.

--- a/src/dotterelshift/replication/member_discovery.cc
+++ b/src/dotterelshift/replication/member_discovery.cc
@@ -3,6 +3,16 @@
 #include "dotterelshift/replication/membership.h"  // for FindMember
 
 namespace dotterelshift::replication {
+namespace {
+
+// The replica that the membership lists for a host; 0: none.
+ReplicaId ListedFor(const HostId& host, const wire::MembershipT& members) {
+  for (const auto& member : members.replicas)
+    if (member->host == host) return member->id;
+  return 0;
+}
+
+}  // namespace
 
 MemberDiscovery::MemberDiscovery(const MemberDiscoveryOptions& options)
     : m_options(options) {
@@ -29,7 +39,7 @@
   // One in a group that hears no leader may have been removed meanwhile.
   const bool waits = !hello.in_group || (m_options.self_healing && hello.lost);
   if (waits)
-    m_waiting[from] = hello.replica;
+    m_waiting[from] = {hello.replica, ListedFor(from, *view.members)};
   else
     m_waiting.erase(from);
   if (m_bootstrap) m_bootstrap->OnHello(from, hello);
@@ -53,9 +63,11 @@
 std::vector<wire::ReplicaT> MemberDiscovery::Waiting(
     const wire::MembershipT& members) const {
   std::vector<wire::ReplicaT> waiting;
-  for (const auto& [host, id] : m_waiting) {
-    if (FindMember(members, id) != nullptr) continue;
-    waiting.emplace_back().id = id;
+  for (const auto& [host, waiter] : m_waiting) {
+    if (FindMember(members, waiter.replica) != nullptr) continue;
+    const ReplicaId listed = ListedFor(host, members);
+    if (listed != 0 && listed != waiter.listed) continue;
+    waiting.emplace_back().id = waiter.replica;
     waiting.back().host = host;
   }
   return waiting;
--- a/src/dotterelshift/replication/member_discovery.h
+++ b/src/dotterelshift/replication/member_discovery.h
@@ -47,13 +47,19 @@
   std::optional<wire::MembershipT> Compose() const;
   void EndFounding() { m_bootstrap.reset(); }
 
-  // The replicas that wait and are not among these members.
+  // The replicas that wait and are not among these members. A host whose
+  // listed replica has changed since it was heard does not count: a leader that
+  // missed its later hellos would replace a whole replica by one that is gone.
   std::vector<wire::ReplicaT> Waiting(const wire::MembershipT& members) const;
 
  private:
   const MemberDiscoveryOptions m_options;
   std::optional<Bootstrap> m_bootstrap;
-  std::map<HostId, ReplicaId> m_waiting;
+  struct Waiter {
+    ReplicaId replica = 0;
+    ReplicaId listed = 0;  // as its host's, when it was heard; 0: none
+  };
+  std::map<HostId, Waiter> m_waiting;
 };
 
 }  // namespace dotterelshift::replication
--- a/src/dotterelshift/replication/member_discovery_test.cc
+++ b/src/dotterelshift/replication/member_discovery_test.cc
@@ -4,6 +4,8 @@
 
 #include <memory>  // for make_unique
 
+#include "dotterelshift/replication/membership.h"  // for WithMember
+
 namespace dotterelshift::replication {
 namespace {
 
@@ -13,6 +15,7 @@
   CPPUNIT_TEST(OneInNoGroupWaitsUntilItIsInOne);
   CPPUNIT_TEST(OneThatLostItsGroupWaitsOnlyInAHealingGroup);
   CPPUNIT_TEST(MembersDoNotWait);
+  CPPUNIT_TEST(AHostThatWasReplacedSinceItWasHeardDoesNotWait);
   CPPUNIT_TEST(AReplicaOutsideAGroupDoesNotAnswerUnasked);
   CPPUNIT_TEST(TheFirstMembersFoundOnce);
   CPPUNIT_TEST_SUITE_END();
@@ -79,6 +82,21 @@
     CPPUNIT_ASSERT(discovery.Waiting(m_members).empty());
   }
 
+  // Host core-2 waited with replica 2, was wiped again and taken in with
+  // replica 3, of which this one learned by the log alone.
+  void AHostThatWasReplacedSinceItWasHeardDoesNotWait() {
+    MemberDiscovery discovery = Make(true);
+    discovery.OnHello("core-2", HelloOf(2, false, true), InGroup());
+    wire::ReplicaT replaced;
+    replaced.id = 3;
+    replaced.host = "core-2";
+    const wire::MembershipT later = WithMember(m_members, replaced);
+    CPPUNIT_ASSERT(discovery.Waiting(later).empty());
+    discovery.OnHello("core-2", HelloOf(4, false, true), {true, true, &later});
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, discovery.Waiting(later).size());
+    CPPUNIT_ASSERT_EQUAL(ReplicaId{4}, discovery.Waiting(later).at(0).id);
+  }
+
   // Two that wait would answer each other without end.
   void AReplicaOutsideAGroupDoesNotAnswerUnasked() {
     MemberDiscovery discovery = Make(true);
