One that only voted is in no group, and may found again

Cause: a replica counted as in a group from its first term on. When the founder lost its folder after the others had voted for it and before its first entry reached one of them, they waited for that group for good, and no group was founded. Founding again is safe: it needs all first members without any entry, so nothing was accepted by a majority. Ruled out: lost hellos (the group stays stuck with all links whole for 60 s). On a platform that lets only the first start found, the wiped host comes back without the right to found, so that this does not help there.

--- a/src/dotterelshift/app/control_replica.cc
+++ b/src/dotterelshift/app/control_replica.cc
@@ -60,10 +60,7 @@
  private:
   // Starting.
   void Restore(storage::OpenedStore opened);
-  bool InGroup() const;
-  replication::GroupView View() const {
-    return {InGroup(), m_node->Leader() != 0, &m_node->Members()};
-  }
+  replication::GroupView View() const { return ViewOf(*m_node); }
   void OnHousekeeping();
   void KeepMembers();
   void SayHello(const HostId& host, bool answer_wanted);
@@ -165,11 +162,6 @@
       m_options.self, m_self, m_options.first_members, m_options.self_healing});
 }
 
-// A replica that has heard of any term, or holds anything, is in a group.
-bool Replica::InGroup() const {
-  return m_node->Term() > 0 || !m_node->Members().replicas.empty();
-}
-
 void Replica::OnHousekeeping() {
   m_housekeeping.ArmIn(kHousekeeping);
   TryToFound();
@@ -215,7 +207,7 @@
 }
 
 void Replica::TryToFound() {
-  if (InGroup()) return m_discovery->EndFounding();
+  if (View().in_group) return m_discovery->EndFounding();
   if (m_trouble != ErrorKind::kNone) return;
   const std::optional<wire::MembershipT> members = m_discovery->Compose();
   if (!members) return;
--- a/src/dotterelshift/replication/member_discovery.cc
+++ b/src/dotterelshift/replication/member_discovery.cc
@@ -14,6 +14,11 @@
 
 }  // namespace
 
+GroupView ViewOf(const Node& node) {
+  const wire::MembershipT& members = node.Members();
+  return {!members.replicas.empty(), node.Leader() != 0, &members};
+}
+
 MemberDiscovery::MemberDiscovery(const MemberDiscoveryOptions& options)
     : m_options(options) {
   if (!options.first_members.empty())
--- a/src/dotterelshift/replication/member_discovery.h
+++ b/src/dotterelshift/replication/member_discovery.h
@@ -7,6 +7,7 @@
 
 #include "dotterelshift/base/ids.h"               // for HostId, ReplicaId
 #include "dotterelshift/replication/bootstrap.h"  // for Bootstrap
+#include "dotterelshift/replication/node.h"       // for Node
 #include "dotterelshift/wire/frames_generated.h"  // for ReplicaHelloT
 
 namespace dotterelshift::replication {
@@ -25,6 +26,11 @@
   const wire::MembershipT* members = nullptr;
 };
 
+// A replica is in a group from the first entry of its log on. One that voted in
+// a group whose founder lost its folder before anyone else held an entry is in
+// none: else the rest would wait for that group for good.
+GroupView ViewOf(const Node& node);
+
 // What replicas tell each other before and beside the log: who is in a group,
 // who waits to be taken into one, and whether all first members agree to found
 // one. Sends nothing itself.
--- a/src/dotterelshift/replication/member_discovery_test.cc
+++ b/src/dotterelshift/replication/member_discovery_test.cc
@@ -18,6 +18,7 @@
   CPPUNIT_TEST(AHostThatWasReplacedSinceItWasHeardDoesNotWait);
   CPPUNIT_TEST(AReplicaOutsideAGroupDoesNotAnswerUnasked);
   CPPUNIT_TEST(TheFirstMembersFoundOnce);
+  CPPUNIT_TEST(AVoterWithoutAnyEntryIsInNoGroup);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -120,6 +121,20 @@
     CPPUNIT_ASSERT(discovery.StartRound().empty());
   }
 
+  // The founder lost its folder after the vote and before its first entry
+  // reached anyone: the voter must be free to found again.
+  void AVoterWithoutAnyEntryIsInNoGroup() {
+    RestoredLog voted;
+    voted.self = 2;
+    voted.hard_state.term = 2;
+    voted.hard_state.voted_for = 1;
+    const auto voter = MakeNode(NodeOptions(), voted, Instant{1s});
+    CPPUNIT_ASSERT(!ViewOf(*voter).in_group);
+    const auto founder =
+        MakeNode(NodeOptions(), FirstLog(1, m_members), Instant{1s});
+    CPPUNIT_ASSERT(ViewOf(*founder).in_group);
+  }
+
   wire::MembershipT m_members;
   wire::MembershipT m_none;
 };
