--- a/src/dotterelshift/replication/healing_test.cc
+++ b/src/dotterelshift/replication/healing_test.cc
@@ -10,6 +10,9 @@
 // By hand many more: see explore_membership.
 constexpr uint64_t kSchedules = 1500;
 constexpr int kSteps = 1500;
+// Seeds beyond these that showed a fault: a replica whose addition went with
+// its leader was never taken in.
+constexpr uint64_t kFormerFaults[] = {7460, 9018, 14064};
 
 // Founds with whoever has answered, as if the others did not matter.
 class FoundsWithoutAll : public MemberDiscovery {
@@ -92,13 +95,8 @@
 
   void GroupsFoundAndHealThemselves() {
     HealingCounts sum;
-    for (uint64_t seed = 1; seed <= kSchedules; ++seed) {
-      try {
-        sum.Add(HealingWorld<HealingRules>(seed).Run(kSteps));
-      } catch (const Violation& violation) {
-        CPPUNIT_FAIL("seed " + std::to_string(seed) + ": " + violation.what());
-      }
-    }
+    for (uint64_t seed = 1; seed <= kSchedules; ++seed) sum.Add(Play(seed));
+    for (const uint64_t seed : kFormerFaults) Play(seed);
     CPPUNIT_ASSERT(sum.founded >= kSchedules);
     CPPUNIT_ASSERT(sum.committed > kSchedules * 10);
     CPPUNIT_ASSERT(sum.wipes > kSchedules);
@@ -106,6 +104,15 @@
     CPPUNIT_ASSERT(sum.additions > kSchedules);
   }
 
+  static HealingCounts Play(uint64_t seed) {
+    try {
+      return HealingWorld<HealingRules>(seed).Run(kSteps);
+    } catch (const Violation& violation) {
+      CPPUNIT_FAIL("seed " + std::to_string(seed) + ": " + violation.what());
+    }
+    return {};
+  }
+
   void FoundingWithoutAllIsCaught() { ExpectCaught<FoundingWithoutAll>(); }
   void FoundingBesideAGroupIsCaught() { ExpectCaught<FoundingBesideAGroup>(); }
   void RemovalOfTheSilentIsCaught() { ExpectCaught<RemovalOfTheSilent>(); }
