--- a/src/dotterelshift/state/apply_request_grant.cc
+++ b/src/dotterelshift/state/apply_request_grant.cc
@@ -39,15 +39,21 @@
 // of ten seconds until the last fifth of a day.
 constexpr Tokens kHeldPercent = 45;
 
-// What waits is granted in any case; more only up to that part.
+// What waits, and a second of the holder's demand, is granted in any case; more
+// only up to that part. Where others hold the part and draw little, a holder
+// that was given one request's tokens at a time served one request an answer of
+// control.
 Tokens SizeOfPublished(const wire::RequestGrantT& command,
                        const BudgetAccount& amounts) {
   const Tokens free = amounts.Free();
   if (free <= 0 || free < command.minimum) return 0;
+  const Tokens second =
+      std::min(command.demand_per_second, free / kShareOfFree);
   const Tokens left = free + amounts.granted;
   const Tokens may_hold = left / 100 * kHeldPercent - amounts.granted;
   return std::min(
-      free, std::max(command.minimum, std::min(command.wanted, may_hold)));
+      free, std::max(command.minimum,
+                     std::min(command.wanted, std::max(may_hold, second))));
 }
 
 // By how much the part grows that the holder may spend without openings.
--- a/src/dotterelshift/state/published_test.cc
+++ b/src/dotterelshift/state/published_test.cc
@@ -49,6 +49,7 @@
   CPPUNIT_TEST_SUITE(PublishedTest);
   CPPUNIT_TEST(HighestVersionIsInForce);
   CPPUNIT_TEST(EntriesHoldOnlyAPartOfWhatIsLeft);
+  CPPUNIT_TEST(AHolderGetsASecondOfItsDemandBeyondThatPart);
   CPPUNIT_TEST(TokensHandedOnAreCountedOnceInAnyOrder);
   CPPUNIT_TEST(AReceiverThatIsNotKnownIsNoFaultOfTheSender);
   CPPUNIT_TEST(WhatADeadEntryHeldIsNeverGrantedAgain);
@@ -98,6 +99,20 @@
     CPPUNIT_ASSERT_EQUAL(Tokens{0}, Grant(*m_b, 1000, 300));
   }
 
+  // With one request's tokens an answer it would serve one request an answer.
+  void AHolderGetsASecondOfItsDemandBeyondThatPart() {
+    CPPUNIT_ASSERT_EQUAL(Tokens{450}, Grant(*m_a, 1000, 0));
+    wire::RequestGrantT ask = AskOf(1000, 10);
+    ask.demand_per_second = 100;
+    const auto granted = [&] {
+      return m_b->Send(ask, 1).body.AsGrantAnswer()->tokens;
+    };
+    CPPUNIT_ASSERT_EQUAL(Tokens{100}, granted());
+    // But not more than a quarter of what is free.
+    ask.demand_per_second = 900;
+    CPPUNIT_ASSERT_EQUAL(Tokens{112}, granted());
+  }
+
   // The receiver's spend comes before the sender's word of the hand-over.
   void TokensHandedOnAreCountedOnceInAnyOrder() {
     Grant(*m_a, 400, 400);
