Where a grant is likely, a request waits up to 600 ms for it

Cause: a request without tokens was refused after 100 ms, also when control was in reach and had said that many times its need was left; the answer came behind a full link or a busy leader after 140 to 600 ms, and the refused caller came back and asked again. Ruled out: that the tokens were not there (left_elsewhere over ten times the need in most lines). The wait is at most an eighth of the caller's patience; cut off from control it stays 100 ms, and what is beyond the total is refused at once.

--- a/include/dotterelshift/gateway/budget_desk.h
+++ b/include/dotterelshift/gateway/budget_desk.h
@@ -42,6 +42,8 @@
   // A small request may wait for so much of the trickle to gather.
   Duration trickle_gathers = 10s;
   Duration trickle_memory = 30s;  // how long the word on what is left serves
+  // A grant is likely while so many requests of the size are left.
+  int likely_requests = 10;
 };
 
 enum class BudgetAnswer {
@@ -63,6 +65,9 @@
 
   void OnRoutes(const RouteTable& routes, size_t entries, Instant now);
   BudgetAnswer Reserve(const TeamId& team, Tokens worst_case, Instant now);
+  // Whether control is in reach and said lately that the total has tokens for
+  // many requests of this size, so that its next grant covers one that waits.
+  bool GrantIsLikely(const TeamId& team, Tokens worst_case, Instant now) const;
   // Ends a reservation; `answered`: the caller got a whole answer.
   void Settle(const TeamId& team, Tokens reserved, Tokens spent, bool answered,
               Instant now);
@@ -127,6 +132,7 @@
   // not at all.
   std::unordered_map<TeamId, Instant> m_unknown;
   size_t m_entries = 1;
+  bool m_connected = false;
   std::unordered_map<TeamId, Tokens> m_totals;
   Instant m_next_report{};
   // What is left of a total, as control said last.
--- a/include/dotterelshift/gateway/core.h
+++ b/include/dotterelshift/gateway/core.h
@@ -32,6 +32,12 @@
   // How long a request may wait for tokens that control and the other entries
   // were asked for: some ways there and back, and a commit.
   Duration budget_wait = 100ms;
+  // The same while control is in reach and says that plenty is left: its answer
+  // comes, but behind what a full link or a busy leader holds up, for up to
+  // 600 ms in a fleet of 86 entries.
+  Duration grant_wait = 600ms;
+  // No longer than this part of the caller's patience.
+  int grant_wait_part = 8;
   // How often it asks again meanwhile, each time other entries.
   Duration budget_again = 20ms;
   // A request whose first event would come after its target is still taken when
--- a/src/dotterelshift/gateway/budget_desk.cc
+++ b/src/dotterelshift/gateway/budget_desk.cc
@@ -143,6 +143,15 @@
          remainder->second.tokens + m_ledger->Held(handle) < worst_case;
 }
 
+bool BudgetDesk::GrantIsLikely(const TeamId& team, Tokens worst_case,
+                               Instant now) const {
+  const auto remainder = m_remainders.find(team);
+  if (!m_connected || remainder == m_remainders.end()) return false;
+  const bool fresh = now - remainder->second.heard < m_options.trickle_memory;
+  return fresh &&
+         remainder->second.tokens / m_options.likely_requests >= worst_case;
+}
+
 void BudgetDesk::Plead(const TeamId& team, budget::BudgetHandle handle,
                        Tokens worst_case, Instant now) {
   Instant& last = m_pleaded[team];
@@ -211,6 +220,7 @@
 }
 
 void BudgetDesk::SetConnected(bool connected, Instant now) {
+  m_connected = connected;
   m_ledger->SetConnected(connected, now);
 }
 
--- a/src/dotterelshift/gateway/core.cc
+++ b/src/dotterelshift/gateway/core.cc
@@ -1,6 +1,6 @@
 #include "dotterelshift/gateway/core.h"
 
-#include <algorithm>  // for min
+#include <algorithm>  // for max, min
 #include <numeric>    // for accumulate
 #include <utility>    // for move
 
@@ -103,11 +103,22 @@
       return FailForBudget(flight, ErrorKind::kBudgetExhausted, now);
   }
   if (flight.stage != Stage::kWaitsForBudget || flight.wait_until == Instant{})
-    flight.wait_until = std::min(now + m_options.budget_wait, flight.deadline);
+    flight.wait_until =
+        std::min(now + BudgetWait(flight, now), flight.deadline);
   flight.stage = Stage::kWaitsForBudget;
   SetDue(flight, std::min(flight.wait_until, now + m_options.budget_again));
 }
 
+Duration CoreImpl::BudgetWait(const Flight& flight, Instant now) const {
+  const Tokens worst_case =
+      flight.ask.prompt.prompt_tokens + flight.ask.prompt.output_limit;
+  if (!m_parts.budgets->GrantIsLikely(flight.team, worst_case, now))
+    return m_options.budget_wait;
+  const Duration patience = flight.deadline - flight.arrived;
+  const Duration most = patience / m_options.grant_wait_part;
+  return std::max(m_options.budget_wait, std::min(m_options.grant_wait, most));
+}
+
 void CoreImpl::FailForBudget(Flight& flight, ErrorKind kind, Instant now) {
   const BudgetDesk::Position position =
       m_parts.budgets->PositionOf(flight.team, now);
--- a/src/dotterelshift/gateway/core_impl.h
+++ b/src/dotterelshift/gateway/core_impl.h
@@ -54,6 +54,7 @@
   void SetTimes(Flight& flight, Instant now) const;
   ServiceName PickService(const Route& route);
   void ReserveBudget(Flight& flight, Instant now);
+  Duration BudgetWait(const Flight& flight, Instant now) const;
   void FailForBudget(Flight& flight, ErrorKind kind, Instant now);
 
   // Place and send (core_place.cc).
--- a/src/dotterelshift/gateway/core_test.cc
+++ b/src/dotterelshift/gateway/core_test.cc
@@ -24,6 +24,7 @@
   CPPUNIT_TEST(ACallerThatLeavesCancelsItsAttempt);
   CPPUNIT_TEST(TheTimeoutEndsARequestAtOnce);
   CPPUNIT_TEST(WithoutTokensARequestWaitsThenIsRefused);
+  CPPUNIT_TEST(WhereAGrantIsLikelyARequestWaitsLonger);
   CPPUNIT_TEST(AFullFleetRefusesAtOnceAndSpreadsReturns);
   CPPUNIT_TEST_SUITE_END();
 
@@ -152,6 +153,18 @@
     Collect();
   }
 
+  // Control grants the team tokens and says what is left.
+  void AnswerAsk(Tokens tokens, Tokens left) {
+    wire::GrantAnswerT grant;
+    grant.budget = "team";
+    grant.tokens = tokens;
+    grant.standing = tokens;
+    grant.free = left;
+    wire::CommandAnswerT answer;
+    answer.body.Set(std::move(grant));
+    if (m_budgets->OnAnswer(answer, m_now)) m_core->OnBudgetChanged(m_now);
+  }
+
   void UnknownRoutesAndKeysAreRefused() {
     Publish();
     Request("/none/");
@@ -318,6 +331,28 @@
     CPPUNIT_ASSERT(Only<Refuse>().kind == ErrorKind::kBudgetUnavailable);
   }
 
+  // Control's answer is held up behind a hot caller's prompts on a narrow link.
+  // A request that is refused meanwhile only comes back and fills it more.
+  void WhereAGrantIsLikelyARequestWaitsLonger() {
+    Publish(1'000'000);
+    m_budgets->SetConnected(true, m_now);
+    AnswerAsk(0, 1'000'000);
+    Request("/stream/", 100);
+    Pass(CoreOptions().budget_wait);
+    CPPUNIT_ASSERT(m_last.empty());
+    AnswerAsk(200, 999'800);
+    Collect();
+    Only<StartAttempt>();
+    Request("/stream/", 100, 2);
+    Pass(Duration(4s) / CoreOptions().grant_wait_part);
+    CPPUNIT_ASSERT(Only<Refuse>().kind == ErrorKind::kBudgetUnavailable);
+    // Cut off from control, only the other entries can help.
+    m_budgets->SetConnected(false, m_now);
+    Request("/stream/", 100, 3);
+    Pass(CoreOptions().budget_wait);
+    CPPUNIT_ASSERT(Only<Refuse>().kind == ErrorKind::kBudgetUnavailable);
+  }
+
   // Far more long prompts than two engines read within any caller's patience:
   // what would come too late is refused as not run, at different times to come
   // back.
