A caller's patience counts from its request's head

The entry's link was full, a long prompt took over a second to come in, and the patience that the request names was counted from its last byte: a repeat went to an endpoint half a second after the caller's end. Ruled out: a repeat without regard to the deadline (the core's deadline held). What has no time left when it is whole is now refused at once, as not run. What the head itself waited for in the link is not seen here. Before: the new test finds a start with no time left; after: refused.

--- a/include/dotterelshift/gateway/request.h
+++ b/include/dotterelshift/gateway/request.h
@@ -34,7 +34,10 @@
   std::string path;
   std::string key;
   std::optional<Duration> patience;  // how long the caller will wait
-  std::string last_event_id;         // of a stream that the caller resumes
+  // Since when, as far as is known here: when its head had come in. The epoch:
+  // since it is handed over.
+  Instant begun{};
+  std::string last_event_id;  // of a stream that the caller resumes
   Prompt prompt;
   uint64_t content_hash = 0;  // of path, key and body
   size_t body_bytes = 0;
--- a/src/dotterelshift/app/gateway_traffic.cc
+++ b/src/dotterelshift/app/gateway_traffic.cc
@@ -61,6 +61,7 @@
 void GatewayTraffic::Accept(std::shared_ptr<http::Exchange> exchange) {
   const RequestId id = ++m_last_request;
   gateway::Ask ask = m_dialect.ReadAsk(exchange->GetRequest());
+  ask.begun = exchange->GetRequest().begun;
   exchange->OnGone([this, id] { OnGone(id); });
   exchange->OnDrained([this, id] { OnDrained(id); });
   m_open[id].exchange = std::move(exchange);
--- a/src/dotterelshift/gateway/core.cc
+++ b/src/dotterelshift/gateway/core.cc
@@ -25,7 +25,9 @@
   Flight& flight = m_flights[request];
   flight.id = request;
   flight.ask = std::move(ask);
-  flight.arrived = now;
+  // A long body takes its time on a full link, and the caller's patience runs.
+  const bool known = flight.ask.begun != Instant{} && flight.ask.begun <= now;
+  flight.arrived = known ? flight.ask.begun : now;
   flight.routes = m_routes;
   ErrorKind error = FindRoute(flight);
   if (error == ErrorKind::kNone) error = FindTeam(flight);
@@ -57,17 +59,19 @@
 }
 
 void CoreImpl::Admit(Flight& flight, Instant now) {
-  SetTimes(flight, now);
+  SetTimes(flight);
+  if (now >= flight.deadline)
+    return Fail(flight, ErrorKind::kOverloaded, 0s, now);
   flight.service = PickService(*flight.route);
   m_parts.retries->OnRequest(flight.service, now);
   ReserveBudget(flight, now);
 }
 
-void CoreImpl::SetTimes(Flight& flight, Instant now) const {
+void CoreImpl::SetTimes(Flight& flight) const {
   const Duration patience =
       flight.ask.patience.value_or(m_options.default_patience);
-  flight.deadline = now + std::min(patience, flight.route->timeout);
-  flight.target = now + flight.route->target;
+  flight.deadline = flight.arrived + std::min(patience, flight.route->timeout);
+  flight.target = flight.arrived + flight.route->target;
 }
 
 ServiceName CoreImpl::PickService(const Route& route) {
--- a/src/dotterelshift/gateway/core_impl.h
+++ b/src/dotterelshift/gateway/core_impl.h
@@ -51,7 +51,7 @@
   ErrorKind FindRoute(Flight& flight) const;
   ErrorKind FindTeam(Flight& flight) const;
   void Admit(Flight& flight, Instant now);
-  void SetTimes(Flight& flight, Instant now) const;
+  void SetTimes(Flight& flight) const;
   ServiceName PickService(const Route& route);
   void ReserveBudget(Flight& flight, Instant now);
   Duration BudgetWait(const Flight& flight, Instant now) const;
--- a/src/dotterelshift/gateway/core_test.cc
+++ b/src/dotterelshift/gateway/core_test.cc
@@ -23,6 +23,7 @@
   CPPUNIT_TEST(AContentThatBreaksEndpointsIsReportedAndHeldBack);
   CPPUNIT_TEST(ACallerThatLeavesCancelsItsAttempt);
   CPPUNIT_TEST(TheTimeoutEndsARequestAtOnce);
+  CPPUNIT_TEST(PatienceCountsFromTheRequestsHead);
   CPPUNIT_TEST(WithoutTokensARequestWaitsThenIsRefused);
   CPPUNIT_TEST(WhereAGrantIsLikelyARequestWaitsLonger);
   CPPUNIT_TEST(AFullFleetRefusesAtOnceAndSpreadsReturns);
@@ -314,6 +315,22 @@
     CPPUNIT_ASSERT(Only<Refuse>().kind == ErrorKind::kDeadlineWhileRunning);
   }
 
+  // On a full link a long prompt takes seconds to come in; sent on with its
+  // caller's whole patience it would run after the caller has left.
+  void PatienceCountsFromTheRequestsHead() {
+    Publish();
+    Ask ask = AskFor("/stream/", 100);
+    ask.begun = m_now - 3s;
+    m_core->OnRequest(kRequest, ask, m_now);
+    Collect();
+    CPPUNIT_ASSERT(Only<StartAttempt>().time_left == 1s);
+    ask.begun = m_now - 5s;
+    m_core->OnRequest(2, ask, m_now);
+    Pass(0s);
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, Count<StartAttempt>());
+    CPPUNIT_ASSERT(Only<Refuse>().kind == ErrorKind::kOverloaded);
+  }
+
   void WithoutTokensARequestWaitsThenIsRefused() {
     Publish(1'000'000);
     Request("/stream/", 100);
--- a/src/dotterelshift/http/server.cc
+++ b/src/dotterelshift/http/server.cc
@@ -272,6 +272,7 @@
     ++m_open;
     Request& request = connection.exchange->MutableRequest();
     request.method = method;
+    request.begun = m_loop.Now();
     const size_t mark = connection.uri.find('?');
     request.path = connection.uri.substr(0, mark);
     if (mark != std::string::npos)
