An entry whose link callers fill leaves the rotation for a while

Ruled out: a slow leader (the other entries sent nothing there), a slow way out (the first of them came in 2 s after the ack and was still sent). The entry answers the balancer 'not ready' while callers' requests fill 60% of its link, for 3 to 6 s, and its answers ask callers to close their connections. The link's rate is a setting, known from the deploy file.

--- a/include/dotterelshift/settings/settings.h
+++ b/include/dotterelshift/settings/settings.h
@@ -59,6 +59,7 @@
   double retry_ratio = 0.2;  // of the requests, fleet-wide
   Duration retry_window = 10s;
   uint32_t retry_slack = 50;  // repeats in a window besides, fleet-wide
+  double link_mbit = 0;       // of the host, a second; 0: not known
   uint32_t max_connections = 4096;
   Duration receive_timeout = 10s;
   Tokens default_output_limit = 1024;
--- a/src/dotterelshift/app/gateway_entry.cc
+++ b/src/dotterelshift/app/gateway_entry.cc
@@ -1,4 +1,5 @@
 #include <algorithm>  // for min, sort
+#include <cmath>      // for lround
 #include <optional>   // for optional
 #include <string>     // for string
 #include <utility>    // for move
@@ -6,11 +7,13 @@
 #include "dotterelshift/app/control_link.h"        // for ControlLink
 #include "dotterelshift/app/daemon.h"              // for Daemon
 #include "dotterelshift/app/directory_exchange.h"  // for DirectoryExchange
+#include "dotterelshift/app/gateway_options.h"     // for CoreOptionsOf
 #include "dotterelshift/app/gateway_traffic.h"     // for GatewayTraffic
 #include "dotterelshift/app/hub_options.h"         // for MakeHubOptions
 #include "dotterelshift/app/listen_options.h"      // for ListenOptions
 #include "dotterelshift/app/registration.h"        // for Registration
 #include "dotterelshift/callers/front.h"           // for AnswerError
+#include "dotterelshift/gateway/link_gate.h"       // for LinkGate
 #include "dotterelshift/platform/log.h"            // for Log
 
 namespace dotterelshift::app {
@@ -43,6 +46,7 @@
   void StartServers();
   peers::HubCallbacks HubCallbacks();
   gateway::CoreParts Parts();
+  void OnExchange(std::shared_ptr<http::Exchange> exchange);
   void OnHealth(http::Exchange& exchange);
   void OnPeerFrame(const peers::PeerInfo& peer, const wire::FrameT& frame);
   void OnEntryFrame(const peers::PeerInfo& peer, const wire::FrameT& frame);
@@ -56,13 +60,15 @@
   void DialMembers();
   std::unique_ptr<wire::CommandIdT> NextId();
   void OnTick();
+  void WatchLink(Instant now);
   void SendToPeers();
   void ProposeSuspicion(const gateway::Suspicion& suspicion);
   void CheckDrained();
   void ReturnHoldings();
   void UpdateGauges();
   bool IsReady() const {
-    return m_reach != ControlReach::kNever && m_version > 0 && !m_stopping;
+    return m_reach != ControlReach::kNever && m_version > 0 && !m_stopping &&
+           !m_away;
   }
 
   loop::Loop& m_loop;
@@ -75,6 +81,7 @@
   gateway::FleetLoad m_load;
   gateway::BudgetDesk m_budgets;
   gateway::RetryShare m_retries;
+  gateway::LinkGate m_link_gate;
   quarantine::Blocklist m_blocklist;
   std::unique_ptr<gateway::Core> m_core;
   std::unique_ptr<platform::Metrics> m_metrics;
@@ -85,6 +92,7 @@
   std::unique_ptr<peers::Hub> m_hub;
   ControlReach m_reach = ControlReach::kNever;
   uint64_t m_version = 0;  // of the routes in force here
+  bool m_away = false;     // new connections are to go to other entries
   size_t m_entries = 1;
   size_t m_next_asked = 0;  // whom the next plea for tokens goes to
   std::optional<Instant> m_stopping;
@@ -93,52 +101,6 @@
   loop::PrepareWatcher m_prepare;
 };
 
-RegistrationOptions RegistrationOptionsOf(const settings::Settings& settings,
-                                          Incarnation incarnation) {
-  RegistrationOptions options;
-  options.self = {settings.host, incarnation};
-  options.data_centre = settings.data_centre;
-  options.address = settings.address;
-  options.may_raise = true;
-  return options;
-}
-
-directory::DirectoryOptions DirectoryOptionsOf() {
-  directory::DirectoryOptions options;
-  // Control says which endpoints are silent; an entry that is cut off from it
-  // goes on with those it knows, and with its own evidence.
-  options.silent_after = 60s;
-  options.forget_after = 120s;
-  return options;
-}
-
-directory::SpreadOptions SpreadOptionsOf(const HostId& self) {
-  directory::SpreadOptions options;
-  options.self = self;
-  options.fan_out = 0;  // entries only listen
-  return options;
-}
-
-gateway::FleetLoadOptions LoadOptionsOf(const settings::Settings& settings) {
-  gateway::FleetLoadOptions options;
-  options.data_centre = settings.data_centre;
-  return options;
-}
-
-gateway::RetryShareOptions RetryOptionsOf(const settings::Settings& settings) {
-  gateway::RetryShareOptions options;
-  options.ratio = settings.retry_ratio;
-  options.slack = settings.retry_slack;
-  options.window = settings.retry_window;
-  return options;
-}
-
-gateway::CoreOptions CoreOptionsOf(Incarnation incarnation) {
-  gateway::CoreOptions options;
-  options.seed = incarnation;
-  return options;
-}
-
 GatewayEntry::GatewayEntry(loop::Loop& loop, const settings::Settings& settings,
                            Incarnation incarnation,
                            std::unique_ptr<gateway::Dialect> dialect)
@@ -157,6 +119,7 @@
       m_load(LoadOptionsOf(settings)),
       m_budgets({}, [this] { return NextId(); }),
       m_retries(RetryOptionsOf(settings)),
+      m_link_gate(LinkOptionsOf(settings)),
       m_core(gateway::MakeCore(CoreOptionsOf(incarnation), Parts())),
       m_metrics(platform::MakeMetrics()),
       m_traffic(std::make_unique<GatewayTraffic>(loop, *m_core, *m_dialect,
@@ -181,7 +144,7 @@
 void GatewayEntry::StartServers() {
   m_server = http::MakeServer(m_loop, ListenOptions(m_settings),
                               [this](std::shared_ptr<http::Exchange> exchange) {
-                                m_traffic->Accept(std::move(exchange));
+                                OnExchange(std::move(exchange));
                               });
   const auto health = [this](const std::shared_ptr<http::Exchange>& exchange) {
     OnHealth(*exchange);
@@ -198,6 +161,15 @@
   }
 }
 
+void GatewayEntry::OnExchange(std::shared_ptr<http::Exchange> exchange) {
+  const http::Request& request = exchange->GetRequest();
+  size_t bytes = request.path.size() + request.body.size();
+  for (const auto& [name, value] : request.headers)
+    bytes += name.size() + value.size();
+  m_link_gate.OnRequest(bytes, m_loop.Now());
+  m_traffic->Accept(std::move(exchange));
+}
+
 peers::HubCallbacks GatewayEntry::HubCallbacks() {
   peers::HubCallbacks callbacks;
   callbacks.on_up = [this](const peers::PeerInfo& peer) {
@@ -334,6 +306,7 @@
 
 void GatewayEntry::OnTick() {
   const Instant now = m_loop.Now();
+  WatchLink(now);
   m_link.SetHoldings(m_budgets.Holdings(now));
   m_link.OnTimer(now);
   TakeFromLink();
@@ -341,6 +314,18 @@
   m_tick.ArmIn(kTick);
 }
 
+// Callers on open connections go elsewhere, too: each answer asks them to
+// close.
+void GatewayEntry::WatchLink(Instant now) {
+  if (m_link_gate.IsAway(now) == m_away) return;
+  m_away = !m_away;
+  const double percent = 100 * m_link_gate.FilledPart(now);
+  platform::Log(platform::LogLevel::kWarning,
+                m_away ? "link_full" : "link_clear",
+                {{"filled_percent", std::to_string(std::lround(percent))}});
+  if (!m_stopping) m_traffic->SetClosing(m_away);
+}
+
 // At the end of each turn of the loop: commands to control, load notes to the
 // other entries.
 void GatewayEntry::SendToPeers() {
@@ -444,7 +429,7 @@
   m_stopping = m_loop.Now();
   platform::Log(platform::LogLevel::kInfo, "shutdown_begun",
                 {{"open", std::to_string(m_core->OpenRequests())}});
-  m_traffic->CloseConnections();
+  m_traffic->SetClosing(true);
 }
 
 void GatewayEntry::CheckDrained() {
--- /dev/null
+++ b/src/dotterelshift/app/gateway_options.cc
@@ -0,0 +1,58 @@
+#include "dotterelshift/app/gateway_options.h"
+
+namespace dotterelshift::app {
+
+RegistrationOptions RegistrationOptionsOf(const settings::Settings& settings,
+                                          Incarnation incarnation) {
+  RegistrationOptions options;
+  options.self = {settings.host, incarnation};
+  options.data_centre = settings.data_centre;
+  options.address = settings.address;
+  options.may_raise = true;
+  return options;
+}
+
+directory::DirectoryOptions DirectoryOptionsOf() {
+  directory::DirectoryOptions options;
+  // Control says which endpoints are silent; an entry that is cut off from it
+  // goes on with those it knows, and with its own evidence.
+  options.silent_after = 60s;
+  options.forget_after = 120s;
+  return options;
+}
+
+directory::SpreadOptions SpreadOptionsOf(const HostId& self) {
+  directory::SpreadOptions options;
+  options.self = self;
+  options.fan_out = 0;  // entries only listen
+  return options;
+}
+
+gateway::FleetLoadOptions LoadOptionsOf(const settings::Settings& settings) {
+  gateway::FleetLoadOptions options;
+  options.data_centre = settings.data_centre;
+  return options;
+}
+
+gateway::RetryShareOptions RetryOptionsOf(const settings::Settings& settings) {
+  gateway::RetryShareOptions options;
+  options.ratio = settings.retry_ratio;
+  options.slack = settings.retry_slack;
+  options.window = settings.retry_window;
+  return options;
+}
+
+gateway::LinkGateOptions LinkOptionsOf(const settings::Settings& settings) {
+  constexpr double kBytesPerMegabit = 1'000'000.0 / 8;
+  gateway::LinkGateOptions options;
+  options.bytes_per_second = settings.link_mbit * kBytesPerMegabit;
+  return options;
+}
+
+gateway::CoreOptions CoreOptionsOf(Incarnation incarnation) {
+  gateway::CoreOptions options;
+  options.seed = incarnation;
+  return options;
+}
+
+}  // namespace dotterelshift::app
--- /dev/null
+++ b/src/dotterelshift/app/gateway_options.h
@@ -0,0 +1,25 @@
+#ifndef DOTTERELSHIFT_SRC_APP_GATEWAY_OPTIONS_H_
+#define DOTTERELSHIFT_SRC_APP_GATEWAY_OPTIONS_H_
+
+#include "dotterelshift/app/registration.h"     // for RegistrationOptions
+#include "dotterelshift/directory/directory.h"  // for DirectoryOptions
+#include "dotterelshift/directory/spread.h"     // for SpreadOptions
+#include "dotterelshift/gateway/core.h"         // for CoreOptions
+#include "dotterelshift/gateway/link_gate.h"    // for LinkGateOptions
+#include "dotterelshift/settings/settings.h"    // for Settings
+
+namespace dotterelshift::app {
+
+// What the parts of an entry under published routes are made with.
+RegistrationOptions RegistrationOptionsOf(const settings::Settings& settings,
+                                          Incarnation incarnation);
+directory::DirectoryOptions DirectoryOptionsOf();
+directory::SpreadOptions SpreadOptionsOf(const HostId& self);
+gateway::FleetLoadOptions LoadOptionsOf(const settings::Settings& settings);
+gateway::RetryShareOptions RetryOptionsOf(const settings::Settings& settings);
+gateway::LinkGateOptions LinkOptionsOf(const settings::Settings& settings);
+gateway::CoreOptions CoreOptionsOf(Incarnation incarnation);
+
+}  // namespace dotterelshift::app
+
+#endif  // DOTTERELSHIFT_SRC_APP_GATEWAY_OPTIONS_H_
--- a/src/dotterelshift/app/gateway_traffic.h
+++ b/src/dotterelshift/app/gateway_traffic.h
@@ -25,8 +25,8 @@
   // Carries out what the core wants; after every event that reached it from
   // elsewhere.
   void Pump();
-  // From now on each answer asks its caller to close the connection.
-  void CloseConnections() { m_closing = true; }
+  // While set, each answer asks its caller to close the connection.
+  void SetClosing(bool closing) { m_closing = closing; }
   size_t OpenAnswers() const { return m_open.size(); }
 
  private:
--- /dev/null
+++ b/src/dotterelshift/gateway/link_gate.cc
@@ -0,0 +1,40 @@
+#include "dotterelshift/gateway/link_gate.h"
+
+#include <cmath>  // for exp
+
+namespace dotterelshift::gateway {
+namespace {
+
+double Seconds(Duration duration) {
+  return std::chrono::duration<double>(duration).count();
+}
+
+}  // namespace
+
+void LinkGate::OnRequest(size_t bytes, Instant now) {
+  if (m_options.bytes_per_second <= 0) return;
+  m_rate = FilledPart(now) * m_options.bytes_per_second;
+  m_rate += static_cast<double>(bytes) / Seconds(m_options.window);
+  m_since = now;
+}
+
+double LinkGate::FilledPart(Instant now) const {
+  if (m_options.bytes_per_second <= 0 || m_rate == 0) return 0;
+  const double windows = Seconds(now - m_since) / Seconds(m_options.window);
+  return m_rate * std::exp(-windows) / m_options.bytes_per_second;
+}
+
+bool LinkGate::IsAway(Instant now) {
+  const double filled = FilledPart(now);
+  if (m_away_since == Instant{}) {
+    if (filled >= m_options.full_part) m_away_since = now;
+    return m_away_since != Instant{};
+  }
+  const Duration away = now - m_away_since;
+  const bool clear =
+      away >= m_options.away_least && filled <= m_options.clear_part;
+  if (clear || away >= m_options.away_most) m_away_since = Instant{};
+  return m_away_since != Instant{};
+}
+
+}  // namespace dotterelshift::gateway
--- a/src/dotterelshift/settings/settings.cc
+++ b/src/dotterelshift/settings/settings.cc
@@ -169,6 +169,11 @@
          false,
          "Repeats that the whole fleet may send to a service in a window "
          "besides those of retry_ratio."},
+    Rule{"link_mbit", "megabits a second",
+         FractionRule{&S::link_mbit, 0, 100'000}, false,
+         "What the host's link carries; 0: not known. An entry whose link "
+         "callers' requests fill answers the balancer \"not ready\" for a "
+         "while."},
     Rule{"max_head_bytes", "bytes",
          CountRule{&S::max_head_bytes, 1024, 1 << 20}, false,
          "Largest head of a caller's request."},
