Recall test: reserve the holdings

Cause: the linter's only finding in the change (performance-inefficient-vector-operation). Ruled out: leaving the rule off for tests. No behaviour changes.

--- a/src/dotterelshift/budget/recall_core_test.cc
+++ b/src/dotterelshift/budget/recall_core_test.cc
@@ -100,6 +100,7 @@
   void TopUpsOfManyEntriesAreLookedAtOnce() {
     constexpr int kEntries = 86;
     std::vector<state::Holding> holdings;
+    holdings.reserve(kEntries);
     for (int i = 0; i < kEntries; ++i)
       holdings.push_back(HoldingOf("e" + std::to_string(i), 900, 0, 0));
     int looked_at = 0;
