--- a/daemon/main.cc
+++ b/daemon/main.cc
@@ -15,8 +15,8 @@
 #include "dotterelshift/app/daemon.h"         // for MakeEntry
 #include "dotterelshift/base/error.h"         // for Error
 #include "dotterelshift/loop/loop.h"          // for Loop
-#include "dotterelshift/platform/log.h"       // for StartLog
 #include "dotterelshift/settings/settings.h"  // for ReadSettings
+#include "dotterelshift/telemetry/log.h"      // for StartLog
 #include "platform/control_api.h"             // for MakeControlApi
 #include "platform/dialect.h"                 // for MakeDialect
 
@@ -39,10 +39,10 @@
   }
 }
 
-platform::LogLevel LevelOf(const std::string& name) {
-  if (name == "error") return platform::LogLevel::kError;
-  return name == "warning" ? platform::LogLevel::kWarning
-                           : platform::LogLevel::kInfo;
+telemetry::LogLevel LevelOf(const std::string& name) {
+  if (name == "error") return telemetry::LogLevel::kError;
+  return name == "warning" ? telemetry::LogLevel::kWarning
+                           : telemetry::LogLevel::kInfo;
 }
 
 std::unique_ptr<app::Daemon> MakeDaemon(loop::Loop& loop,
@@ -91,10 +91,10 @@
     m_changed = ChangeOf(m_path);
     try {
       m_daemon.Reload(settings::ReadSettings(m_path));
-      platform::Log(platform::LogLevel::kInfo, "settings_reloaded");
+      telemetry::Log(telemetry::LogLevel::kInfo, "settings_reloaded");
     } catch (const Error& error) {
-      platform::Log(platform::LogLevel::kError, "settings_not_reloaded",
-                    {{"why", error.what()}});
+      telemetry::Log(telemetry::LogLevel::kError, "settings_not_reloaded",
+                     {{"why", error.what()}});
     }
   }
 
@@ -116,9 +116,9 @@
                                          [&] { daemon->Shutdown(); });
   const SettingsWatch watch(loop, path, *daemon);
   WritePorts(settings.port_file, *daemon);
-  platform::Log(platform::LogLevel::kInfo, "started",
-                {{"peer_port", std::to_string(daemon->PeerPort())},
-                 {"http_port", std::to_string(daemon->HttpPort())}});
+  telemetry::Log(telemetry::LogLevel::kInfo, "started",
+                 {{"peer_port", std::to_string(daemon->PeerPort())},
+                  {"http_port", std::to_string(daemon->HttpPort())}});
   loop.Run();
 }
 
@@ -135,7 +135,7 @@
       throw Error(ErrorKind::kInternal, "libsodium cannot start");
     const settings::Settings settings =
         settings::ReadSettings(settings_path.getValue());
-    platform::StartLog(settings.host, LevelOf(settings.log_level));
+    telemetry::StartLog(settings.host, LevelOf(settings.log_level));
     Run(settings, settings_path.getValue());
     return 0;
   } catch (const Error& error) {
--- a/include/dotterelshift/gateway/core.h
+++ b/include/dotterelshift/gateway/core.h
@@ -12,9 +12,9 @@
 #include "dotterelshift/base/error.h"            // for ErrorKind
 #include "dotterelshift/base/ids.h"              // for RequestId, AttemptId
 #include "dotterelshift/base/time.h"             // for Instant
-#include "dotterelshift/gateway/budget_desk.h"   // for BudgetDesk
 #include "dotterelshift/gateway/fleet_load.h"    // for FleetLoad
-#include "dotterelshift/gateway/request.h"       // for Ask
+#include "dotterelshift/gateway/held_grants.h"   // for HeldGrants
+#include "dotterelshift/gateway/request.h"       // for RequestInfo
 #include "dotterelshift/gateway/retry_share.h"   // for RetryShare
 #include "dotterelshift/gateway/routes.h"        // for RouteTable
 #include "dotterelshift/http/client.h"           // for TransferEnd
@@ -128,7 +128,7 @@
   // New requests are refused from now on, as not run.
   virtual void StopTaking() = 0;
 
-  virtual void OnRequest(RequestId request, Ask ask, Instant now) = 0;
+  virtual void OnRequest(RequestId request, RequestInfo info, Instant now) = 0;
   virtual void OnCallerGone(RequestId request, Instant now) = 0;
 
   virtual void OnHead(AttemptId attempt, int status, const AnswerMarks& marks,
@@ -151,7 +151,7 @@
 
 struct CoreParts {
   FleetLoad* load = nullptr;
-  BudgetDesk* budgets = nullptr;
+  HeldGrants* budgets = nullptr;
   RetryShare* retries = nullptr;
   const quarantine::Blocklist* blocklist = nullptr;
 };
--- a/include/dotterelshift/gateway/dialect.h
+++ b/include/dotterelshift/gateway/dialect.h
@@ -6,7 +6,7 @@
 #include <string_view>  // for string_view
 
 #include "dotterelshift/gateway/core.h"     // for StartAttempt
-#include "dotterelshift/gateway/request.h"  // for Ask
+#include "dotterelshift/gateway/request.h"  // for RequestInfo
 #include "dotterelshift/gateway/routes.h"   // for Routes
 #include "dotterelshift/http/server.h"      // for Request, Headers
 
@@ -20,7 +20,7 @@
   virtual ~Dialect() = default;
 
   // What a caller's request says of itself.
-  virtual Ask ReadAsk(const http::Request& request) const = 0;
+  virtual RequestInfo ReadRequestInfo(const http::Request& request) const = 0;
   // The headers that go on to an endpoint; those of one connection are left out
   // by the gateway.
   virtual http::Headers OnwardHeaders(const http::Request& request,
--- a/include/dotterelshift/gateway/budget_desk.h
+++ b/include/dotterelshift/gateway/held_grants.h
@@ -1,5 +1,5 @@
-#ifndef DOTTERELSHIFT_GATEWAY_BUDGET_DESK_H_
-#define DOTTERELSHIFT_GATEWAY_BUDGET_DESK_H_
+#ifndef DOTTERELSHIFT_GATEWAY_HELD_GRANTS_H_
+#define DOTTERELSHIFT_GATEWAY_HELD_GRANTS_H_
 
 #include <cstdint>        // for uint32_t
 #include <functional>     // for function
@@ -18,7 +18,7 @@
 
 namespace dotterelshift::gateway {
 
-struct BudgetDeskOptions {
+struct HeldGrantsOptions {
   // How often spend is reported. What is not reported yet counts as spent in
   // full when this process dies, so it is short.
   Duration report_every = 250ms;
@@ -31,7 +31,7 @@
   // So long after a team's first request is its demand taken as known.
   Duration demand_known_after = 10s;
   // How often the other entries are asked for the same budget.
-  Duration plea_every = 20ms;
+  Duration borrow_every = 20ms;
   // How long control's word on what is left of a total is believed.
   Duration remainder_memory = 1s;
   // The last part of a total is kept for requests that it covers many of, at
@@ -58,10 +58,10 @@
 // this entry, and reports what they consumed. Nothing waits for a commit: a
 // grant is all spent unseen, and lost with this process but for what it
 // reported.
-class BudgetDesk {
+class HeldGrants {
  public:
   using NextId = std::function<std::unique_ptr<wire::CommandIdT>()>;
-  BudgetDesk(const BudgetDeskOptions& options, NextId next_id);
+  HeldGrants(const HeldGrantsOptions& options, NextId next_id);
 
   void OnRoutes(const RouteTable& routes, size_t entries, Instant now);
   BudgetAnswer Reserve(const TeamId& team, Tokens worst_case, Instant now);
@@ -72,12 +72,13 @@
   void Settle(const TeamId& team, Tokens reserved, Tokens spent, bool answered,
               Instant now);
 
-  // Other entries' pleas and loans. A loan has left this entry when OnPlea
-  // returns: 0 when nothing can be spared.
-  Tokens OnPlea(const wire::TokenPleaT& plea, const HostRun& from, Instant now);
+  // Other entries' borrow requests and loans. A loan has left this entry when
+  // OnBorrow returns: 0 when nothing can be spared.
+  Tokens OnBorrow(const wire::TokenBorrowT& borrow, const HostRun& from,
+                  Instant now);
   void OnLoan(const wire::TokenLoanT& loan, Instant now);
-  std::vector<wire::TokenPleaT> TakePleas() {
-    return std::exchange(m_pleas, {});
+  std::vector<wire::TokenBorrowT> TakeBorrows() {
+    return std::exchange(m_borrows, {});
   }
 
   // What the desk decides from, for the log.
@@ -121,7 +122,7 @@
     return command;
   }
 
-  const BudgetDeskOptions m_options;
+  const HeldGrantsOptions m_options;
   const NextId m_next_id;
   std::unique_ptr<budget::Ledger> m_ledger;
   std::unordered_map<TeamId, budget::BudgetHandle> m_handles;  // with a total
@@ -142,8 +143,8 @@
   };
   bool IsBeyondTotal(const TeamId& team, budget::BudgetHandle handle,
                      Tokens worst_case, Instant now) const;
-  void Plead(const TeamId& team, budget::BudgetHandle handle, Tokens worst_case,
-             Instant now);
+  void AskToBorrow(const TeamId& team, budget::BudgetHandle handle,
+                   Tokens worst_case, Instant now);
   // What an entry may spend by now of the last part of a total.
   struct Trickle {
     double gathered = 0;
@@ -154,11 +155,11 @@
                                          Tokens worst_case, Instant now);
   std::unordered_map<TeamId, Remainder> m_remainders;
   std::unordered_map<TeamId, Trickle> m_trickles;
-  std::unordered_map<TeamId, Instant> m_pleaded;
-  std::vector<wire::TokenPleaT> m_pleas;
+  std::unordered_map<TeamId, Instant> m_last_borrow;
+  std::vector<wire::TokenBorrowT> m_borrows;
   std::vector<wire::CommandT> m_moves;
 };
 
 }  // namespace dotterelshift::gateway
 
-#endif  // DOTTERELSHIFT_GATEWAY_BUDGET_DESK_H_
+#endif  // DOTTERELSHIFT_GATEWAY_HELD_GRANTS_H_
--- a/include/dotterelshift/gateway/request.h
+++ b/include/dotterelshift/gateway/request.h
@@ -27,7 +27,7 @@
 };
 
 // What the gateway reads of a caller's request; the rest is passed on as it is.
-struct Ask {
+struct RequestInfo {
   std::string
       caller_id;  // the caller's id of this request, echoed by endpoints
   std::string host;
--- a/include/dotterelshift/platform/log.h
+++ b/include/dotterelshift/telemetry/log.h
@@ -1,5 +1,5 @@
-#ifndef DOTTERELSHIFT_PLATFORM_LOG_H_
-#define DOTTERELSHIFT_PLATFORM_LOG_H_
+#ifndef DOTTERELSHIFT_TELEMETRY_LOG_H_
+#define DOTTERELSHIFT_TELEMETRY_LOG_H_
 
 #include <initializer_list>  // for initializer_list
 #include <iosfwd>            // for ostream
@@ -8,7 +8,7 @@
 #include <utility>           // for pair
 #include <vector>            // for vector
 
-namespace dotterelshift::platform {
+namespace dotterelshift::telemetry {
 
 enum class LogLevel { kInfo, kWarning, kError };
 
@@ -37,6 +37,6 @@
     std::string_view event, const std::string& request,
     const std::vector<std::pair<std::string_view, std::string>>& inputs);
 
-}  // namespace dotterelshift::platform
+}  // namespace dotterelshift::telemetry
 
-#endif  // DOTTERELSHIFT_PLATFORM_LOG_H_
+#endif  // DOTTERELSHIFT_TELEMETRY_LOG_H_
--- a/include/dotterelshift/platform/metrics.h
+++ b/include/dotterelshift/telemetry/metrics.h
@@ -1,5 +1,5 @@
-#ifndef DOTTERELSHIFT_PLATFORM_METRICS_H_
-#define DOTTERELSHIFT_PLATFORM_METRICS_H_
+#ifndef DOTTERELSHIFT_TELEMETRY_METRICS_H_
+#define DOTTERELSHIFT_TELEMETRY_METRICS_H_
 
 #include <memory>       // for unique_ptr
 #include <string>       // for string
@@ -9,7 +9,7 @@
 #include "dotterelshift/base/time.h"             // for Duration
 #include "dotterelshift/serving/request_core.h"  // for RequestSummary
 
-namespace dotterelshift::platform {
+namespace dotterelshift::telemetry {
 
 struct MetricsOptions {
   size_t max_team_labels =
@@ -34,6 +34,6 @@
 
 std::unique_ptr<Metrics> MakeMetrics(const MetricsOptions& options = {});
 
-}  // namespace dotterelshift::platform
+}  // namespace dotterelshift::telemetry
 
-#endif  // DOTTERELSHIFT_PLATFORM_METRICS_H_
+#endif  // DOTTERELSHIFT_TELEMETRY_METRICS_H_
--- a/include/dotterelshift/wire/frames_generated.h
+++ b/include/dotterelshift/wire/frames_generated.h
@@ -142,9 +142,9 @@
 struct LoadNotesBuilder;
 struct LoadNotesT;
 
-struct TokenPlea;
-struct TokenPleaBuilder;
-struct TokenPleaT;
+struct TokenBorrow;
+struct TokenBorrowBuilder;
+struct TokenBorrowT;
 
 struct TokenLoan;
 struct TokenLoanBuilder;
@@ -212,7 +212,7 @@
   ReplicaHello = 21,
   RoutesPush = 22,
   LoadNotes = 23,
-  TokenPlea = 24,
+  TokenBorrow = 24,
   TokenLoan = 25,
   MIN = NONE,
   MAX = TokenLoan
@@ -244,7 +244,7 @@
     FrameBody::ReplicaHello,
     FrameBody::RoutesPush,
     FrameBody::LoadNotes,
-    FrameBody::TokenPlea,
+    FrameBody::TokenBorrow,
     FrameBody::TokenLoan
   };
   return values;
@@ -276,7 +276,7 @@
     "ReplicaHello",
     "RoutesPush",
     "LoadNotes",
-    "TokenPlea",
+    "TokenBorrow",
     "TokenLoan",
     nullptr
   };
@@ -385,8 +385,8 @@
   static const FrameBody enum_value = FrameBody::LoadNotes;
 };
 
-template<> struct FrameBodyTraits<dotterelshift::wire::TokenPlea> {
-  static const FrameBody enum_value = FrameBody::TokenPlea;
+template<> struct FrameBodyTraits<dotterelshift::wire::TokenBorrow> {
+  static const FrameBody enum_value = FrameBody::TokenBorrow;
 };
 
 template<> struct FrameBodyTraits<dotterelshift::wire::TokenLoan> {
@@ -489,8 +489,8 @@
   static const FrameBody enum_value = FrameBody::LoadNotes;
 };
 
-template<> struct FrameBodyUnionTraits<dotterelshift::wire::TokenPleaT> {
-  static const FrameBody enum_value = FrameBody::TokenPlea;
+template<> struct FrameBodyUnionTraits<dotterelshift::wire::TokenBorrowT> {
+  static const FrameBody enum_value = FrameBody::TokenBorrow;
 };
 
 template<> struct FrameBodyUnionTraits<dotterelshift::wire::TokenLoanT> {
@@ -711,13 +711,13 @@
     return type == FrameBody::LoadNotes ?
       reinterpret_cast<const dotterelshift::wire::LoadNotesT *>(value) : nullptr;
   }
-  dotterelshift::wire::TokenPleaT *AsTokenPlea() {
-    return type == FrameBody::TokenPlea ?
-      reinterpret_cast<dotterelshift::wire::TokenPleaT *>(value) : nullptr;
+  dotterelshift::wire::TokenBorrowT *AsTokenBorrow() {
+    return type == FrameBody::TokenBorrow ?
+      reinterpret_cast<dotterelshift::wire::TokenBorrowT *>(value) : nullptr;
   }
-  const dotterelshift::wire::TokenPleaT *AsTokenPlea() const {
-    return type == FrameBody::TokenPlea ?
-      reinterpret_cast<const dotterelshift::wire::TokenPleaT *>(value) : nullptr;
+  const dotterelshift::wire::TokenBorrowT *AsTokenBorrow() const {
+    return type == FrameBody::TokenBorrow ?
+      reinterpret_cast<const dotterelshift::wire::TokenBorrowT *>(value) : nullptr;
   }
   dotterelshift::wire::TokenLoanT *AsTokenLoan() {
     return type == FrameBody::TokenLoan ?
@@ -4222,17 +4222,17 @@
 
 flatbuffers::Offset<LoadNotes> CreateLoadNotes(flatbuffers::FlatBufferBuilder &_fbb, const LoadNotesT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
-struct TokenPleaT : public flatbuffers::NativeTable {
-  typedef TokenPlea TableType;
+struct TokenBorrowT : public flatbuffers::NativeTable {
+  typedef TokenBorrow TableType;
   std::string budget{};
   int64_t wanted = 0;
   int64_t minimum = 0;
   int64_t demand_per_second = 0;
 };
 
-struct TokenPlea FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
-  typedef TokenPleaT NativeTableType;
-  typedef TokenPleaBuilder Builder;
+struct TokenBorrow FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef TokenBorrowT NativeTableType;
+  typedef TokenBorrowBuilder Builder;
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_BUDGET = 4,
@@ -4261,45 +4261,45 @@
            VerifyField<int64_t>(verifier, VT_DEMAND_PER_SECOND, 8) &&
            verifier.EndTable();
   }
-  TokenPleaT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  void UnPackTo(TokenPleaT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  static flatbuffers::Offset<TokenPlea> Pack(flatbuffers::FlatBufferBuilder &_fbb, const TokenPleaT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+  TokenBorrowT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(TokenBorrowT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<TokenBorrow> Pack(flatbuffers::FlatBufferBuilder &_fbb, const TokenBorrowT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 };
 
-struct TokenPleaBuilder {
-  typedef TokenPlea Table;
+struct TokenBorrowBuilder {
+  typedef TokenBorrow Table;
   flatbuffers::FlatBufferBuilder &fbb_;
   flatbuffers::uoffset_t start_;
   void add_budget(flatbuffers::Offset<flatbuffers::String> budget) {
-    fbb_.AddOffset(TokenPlea::VT_BUDGET, budget);
+    fbb_.AddOffset(TokenBorrow::VT_BUDGET, budget);
   }
   void add_wanted(int64_t wanted) {
-    fbb_.AddElement<int64_t>(TokenPlea::VT_WANTED, wanted, 0);
+    fbb_.AddElement<int64_t>(TokenBorrow::VT_WANTED, wanted, 0);
   }
   void add_minimum(int64_t minimum) {
-    fbb_.AddElement<int64_t>(TokenPlea::VT_MINIMUM, minimum, 0);
+    fbb_.AddElement<int64_t>(TokenBorrow::VT_MINIMUM, minimum, 0);
   }
   void add_demand_per_second(int64_t demand_per_second) {
-    fbb_.AddElement<int64_t>(TokenPlea::VT_DEMAND_PER_SECOND, demand_per_second, 0);
+    fbb_.AddElement<int64_t>(TokenBorrow::VT_DEMAND_PER_SECOND, demand_per_second, 0);
   }
-  explicit TokenPleaBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+  explicit TokenBorrowBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
   }
-  flatbuffers::Offset<TokenPlea> Finish() {
+  flatbuffers::Offset<TokenBorrow> Finish() {
     const auto end = fbb_.EndTable(start_);
-    auto o = flatbuffers::Offset<TokenPlea>(end);
+    auto o = flatbuffers::Offset<TokenBorrow>(end);
     return o;
   }
 };
 
-inline flatbuffers::Offset<TokenPlea> CreateTokenPlea(
+inline flatbuffers::Offset<TokenBorrow> CreateTokenBorrow(
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::String> budget = 0,
     int64_t wanted = 0,
     int64_t minimum = 0,
     int64_t demand_per_second = 0) {
-  TokenPleaBuilder builder_(_fbb);
+  TokenBorrowBuilder builder_(_fbb);
   builder_.add_demand_per_second(demand_per_second);
   builder_.add_minimum(minimum);
   builder_.add_wanted(wanted);
@@ -4307,19 +4307,19 @@
   return builder_.Finish();
 }
 
-struct TokenPlea::Traits {
-  using type = TokenPlea;
-  static auto constexpr Create = CreateTokenPlea;
+struct TokenBorrow::Traits {
+  using type = TokenBorrow;
+  static auto constexpr Create = CreateTokenBorrow;
 };
 
-inline flatbuffers::Offset<TokenPlea> CreateTokenPleaDirect(
+inline flatbuffers::Offset<TokenBorrow> CreateTokenBorrowDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *budget = nullptr,
     int64_t wanted = 0,
     int64_t minimum = 0,
     int64_t demand_per_second = 0) {
   auto budget__ = budget ? _fbb.CreateString(budget) : 0;
-  return dotterelshift::wire::CreateTokenPlea(
+  return dotterelshift::wire::CreateTokenBorrow(
       _fbb,
       budget__,
       wanted,
@@ -4327,7 +4327,7 @@
       demand_per_second);
 }
 
-flatbuffers::Offset<TokenPlea> CreateTokenPlea(flatbuffers::FlatBufferBuilder &_fbb, const TokenPleaT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+flatbuffers::Offset<TokenBorrow> CreateTokenBorrow(flatbuffers::FlatBufferBuilder &_fbb, const TokenBorrowT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
 struct TokenLoanT : public flatbuffers::NativeTable {
   typedef TokenLoan TableType;
@@ -4499,8 +4499,8 @@
   const dotterelshift::wire::LoadNotes *body_as_LoadNotes() const {
     return body_type() == dotterelshift::wire::FrameBody::LoadNotes ? static_cast<const dotterelshift::wire::LoadNotes *>(body()) : nullptr;
   }
-  const dotterelshift::wire::TokenPlea *body_as_TokenPlea() const {
-    return body_type() == dotterelshift::wire::FrameBody::TokenPlea ? static_cast<const dotterelshift::wire::TokenPlea *>(body()) : nullptr;
+  const dotterelshift::wire::TokenBorrow *body_as_TokenBorrow() const {
+    return body_type() == dotterelshift::wire::FrameBody::TokenBorrow ? static_cast<const dotterelshift::wire::TokenBorrow *>(body()) : nullptr;
   }
   const dotterelshift::wire::TokenLoan *body_as_TokenLoan() const {
     return body_type() == dotterelshift::wire::FrameBody::TokenLoan ? static_cast<const dotterelshift::wire::TokenLoan *>(body()) : nullptr;
@@ -4609,8 +4609,8 @@
   return body_as_LoadNotes();
 }
 
-template<> inline const dotterelshift::wire::TokenPlea *Frame::body_as<dotterelshift::wire::TokenPlea>() const {
-  return body_as_TokenPlea();
+template<> inline const dotterelshift::wire::TokenBorrow *Frame::body_as<dotterelshift::wire::TokenBorrow>() const {
+  return body_as_TokenBorrow();
 }
 
 template<> inline const dotterelshift::wire::TokenLoan *Frame::body_as<dotterelshift::wire::TokenLoan>() const {
@@ -5947,13 +5947,13 @@
       _notes);
 }
 
-inline TokenPleaT *TokenPlea::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::make_unique<TokenPleaT>();
+inline TokenBorrowT *TokenBorrow::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<TokenBorrowT>();
   UnPackTo(_o.get(), _resolver);
   return _o.release();
 }
 
-inline void TokenPlea::UnPackTo(TokenPleaT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+inline void TokenBorrow::UnPackTo(TokenBorrowT *_o, const flatbuffers::resolver_function_t *_resolver) const {
   (void)_o;
   (void)_resolver;
   { auto _e = budget(); if (_e) _o->budget = _e->str(); }
@@ -5962,19 +5962,19 @@
   { auto _e = demand_per_second(); _o->demand_per_second = _e; }
 }
 
-inline flatbuffers::Offset<TokenPlea> TokenPlea::Pack(flatbuffers::FlatBufferBuilder &_fbb, const TokenPleaT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
-  return CreateTokenPlea(_fbb, _o, _rehasher);
+inline flatbuffers::Offset<TokenBorrow> TokenBorrow::Pack(flatbuffers::FlatBufferBuilder &_fbb, const TokenBorrowT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateTokenBorrow(_fbb, _o, _rehasher);
 }
 
-inline flatbuffers::Offset<TokenPlea> CreateTokenPlea(flatbuffers::FlatBufferBuilder &_fbb, const TokenPleaT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+inline flatbuffers::Offset<TokenBorrow> CreateTokenBorrow(flatbuffers::FlatBufferBuilder &_fbb, const TokenBorrowT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
   (void)_rehasher;
   (void)_o;
-  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const TokenPleaT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const TokenBorrowT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _budget = _o->budget.empty() ? 0 : _fbb.CreateString(_o->budget);
   auto _wanted = _o->wanted;
   auto _minimum = _o->minimum;
   auto _demand_per_second = _o->demand_per_second;
-  return dotterelshift::wire::CreateTokenPlea(
+  return dotterelshift::wire::CreateTokenBorrow(
       _fbb,
       _budget,
       _wanted,
@@ -6137,8 +6137,8 @@
       auto ptr = reinterpret_cast<const dotterelshift::wire::LoadNotes *>(obj);
       return verifier.VerifyTable(ptr);
     }
-    case FrameBody::TokenPlea: {
-      auto ptr = reinterpret_cast<const dotterelshift::wire::TokenPlea *>(obj);
+    case FrameBody::TokenBorrow: {
+      auto ptr = reinterpret_cast<const dotterelshift::wire::TokenBorrow *>(obj);
       return verifier.VerifyTable(ptr);
     }
     case FrameBody::TokenLoan: {
@@ -6256,8 +6256,8 @@
       auto ptr = reinterpret_cast<const dotterelshift::wire::LoadNotes *>(obj);
       return ptr->UnPack(resolver);
     }
-    case FrameBody::TokenPlea: {
-      auto ptr = reinterpret_cast<const dotterelshift::wire::TokenPlea *>(obj);
+    case FrameBody::TokenBorrow: {
+      auto ptr = reinterpret_cast<const dotterelshift::wire::TokenBorrow *>(obj);
       return ptr->UnPack(resolver);
     }
     case FrameBody::TokenLoan: {
@@ -6363,9 +6363,9 @@
       auto ptr = reinterpret_cast<const dotterelshift::wire::LoadNotesT *>(value);
       return CreateLoadNotes(_fbb, ptr, _rehasher).Union();
     }
-    case FrameBody::TokenPlea: {
-      auto ptr = reinterpret_cast<const dotterelshift::wire::TokenPleaT *>(value);
-      return CreateTokenPlea(_fbb, ptr, _rehasher).Union();
+    case FrameBody::TokenBorrow: {
+      auto ptr = reinterpret_cast<const dotterelshift::wire::TokenBorrowT *>(value);
+      return CreateTokenBorrow(_fbb, ptr, _rehasher).Union();
     }
     case FrameBody::TokenLoan: {
       auto ptr = reinterpret_cast<const dotterelshift::wire::TokenLoanT *>(value);
@@ -6469,8 +6469,8 @@
       value = new dotterelshift::wire::LoadNotesT(*reinterpret_cast<dotterelshift::wire::LoadNotesT *>(u.value));
       break;
     }
-    case FrameBody::TokenPlea: {
-      value = new dotterelshift::wire::TokenPleaT(*reinterpret_cast<dotterelshift::wire::TokenPleaT *>(u.value));
+    case FrameBody::TokenBorrow: {
+      value = new dotterelshift::wire::TokenBorrowT(*reinterpret_cast<dotterelshift::wire::TokenBorrowT *>(u.value));
       break;
     }
     case FrameBody::TokenLoan: {
@@ -6599,8 +6599,8 @@
       delete ptr;
       break;
     }
-    case FrameBody::TokenPlea: {
-      auto ptr = reinterpret_cast<dotterelshift::wire::TokenPleaT *>(value);
+    case FrameBody::TokenBorrow: {
+      auto ptr = reinterpret_cast<dotterelshift::wire::TokenBorrowT *>(value);
       delete ptr;
       break;
     }
--- a/src/dotterelshift/app/control.cc
+++ b/src/dotterelshift/app/control.cc
@@ -17,8 +17,8 @@
 #include "dotterelshift/callers/front.h"           // for AnswerError
 #include "dotterelshift/endpoints/order_sender.h"  // for SendOrder
 #include "dotterelshift/orders/order_core.h"       // for OrderCore
-#include "dotterelshift/platform/log.h"            // for Log
-#include "dotterelshift/platform/metrics.h"        // for Metrics
+#include "dotterelshift/telemetry/log.h"           // for Log
+#include "dotterelshift/telemetry/metrics.h"       // for Metrics
 
 namespace dotterelshift::app {
 namespace {
@@ -64,7 +64,7 @@
   uint16_t PeerPort() const override { return m_hub->Port(); }
   uint16_t HttpPort() const override { return m_server->Port(); }
   void Shutdown() override {
-    platform::Log(platform::LogLevel::kInfo, "shutdown_done");
+    telemetry::Log(telemetry::LogLevel::kInfo, "shutdown_done");
     m_loop.Stop();
   }
   void Reload(const settings::Settings& settings) override;
@@ -100,7 +100,7 @@
   uint64_t m_sequence = 0;
   std::unique_ptr<ControlAdapter> m_adapter;
   DirectoryExchange m_directory;
-  std::unique_ptr<platform::Metrics> m_metrics;
+  std::unique_ptr<telemetry::Metrics> m_metrics;
   std::unique_ptr<http::Server> m_server;
   std::unique_ptr<http::Server> m_metrics_server;
   std::unique_ptr<peers::Hub> m_hub;
@@ -126,7 +126,7 @@
       m_adapter(std::move(adapter)),
       m_directory(loop, SpreadOptionsOf(settings), {},
                   {[] {}, [](const std::vector<wire::CacheEventT>&) {}}),
-      m_metrics(platform::MakeMetrics()),
+      m_metrics(telemetry::MakeMetrics()),
       m_client(http::MakeClient(loop)),
       m_orders(orders::MakeOrderCore()),
       m_tick(loop, [this] { OnTick(); }) {
@@ -218,8 +218,8 @@
     m_orders->OnLeadership(leads, m_loop.Now());
     if (m_replica == nullptr) return;
     const replication::Node& node = m_replica->GetNode();
-    platform::Log(
-        platform::LogLevel::kInfo, "leadership",
+    telemetry::Log(
+        telemetry::LogLevel::kInfo, "leadership",
         {{"leader", m_replica->LeaderHost()},
          {"term", std::to_string(node.Term())},
          {"members", std::to_string(node.Members().replicas.size())}});
@@ -326,8 +326,8 @@
     m_replica->Spool(spool);
   } catch (const Error& error) {
     // Not stored, so not acknowledged: the entry tries another replica.
-    platform::Log(platform::LogLevel::kError, "spool_not_stored",
-                  {{"detail", error.what()}});
+    telemetry::Log(telemetry::LogLevel::kError, "spool_not_stored",
+                   {{"detail", error.what()}});
     return;
   }
   wire::SpoolStoredT stored;
--- a/src/dotterelshift/app/entry.cc
+++ b/src/dotterelshift/app/entry.cc
@@ -9,7 +9,7 @@
 #include "dotterelshift/app/operator_backend.h"    // for OperatorBackend
 #include "dotterelshift/app/registration.h"        // for Registration
 #include "dotterelshift/app/request_traffic.h"     // for RequestTraffic
-#include "dotterelshift/platform/log.h"            // for Log
+#include "dotterelshift/telemetry/log.h"           // for Log
 
 namespace dotterelshift::app {
 namespace {
@@ -66,7 +66,7 @@
   std::unique_ptr<routing::Router> m_router;
   std::unique_ptr<admission::FairQueue> m_queue;
   std::unique_ptr<serving::RequestCore> m_core;
-  std::unique_ptr<platform::Metrics> m_metrics;
+  std::unique_ptr<telemetry::Metrics> m_metrics;
   std::unique_ptr<RequestTraffic> m_traffic;
   std::unique_ptr<http::Server> m_server;
   std::unique_ptr<peers::Hub> m_hub;
@@ -103,7 +103,7 @@
       m_ledger(budget::MakeLedger()),
       m_router(routing::MakeRouter(MakeRouterOptions(settings, incarnation))),
       m_queue(admission::MakeFairQueue({settings.max_waiting_per_team})),
-      m_metrics(platform::MakeMetrics()),
+      m_metrics(telemetry::MakeMetrics()),
       m_tick(loop, [this] { OnTick(); }),
       m_notice(loop,
                [this] {
@@ -252,8 +252,8 @@
   if (m_link.GetConfiguration().Version() != m_version) Refresh();
   if (m_link.Reach() != m_reach) {
     m_reach = m_link.Reach();
-    platform::Log(platform::LogLevel::kInfo, "control_reach",
-                  {{"reach", std::string(NameOf(m_reach))}});
+    telemetry::Log(telemetry::LogLevel::kInfo, "control_reach",
+                   {{"reach", std::string(NameOf(m_reach))}});
     m_core->OnControlReach(m_reach, now);
   }
   for (const wire::CommandAnswerT& answer : m_link.TakeAnswers()) {
@@ -345,7 +345,7 @@
 void Entry::Shutdown() {
   if (m_shutting_down) return;
   m_shutting_down = true;
-  platform::Log(platform::LogLevel::kInfo, "shutdown_begun");
+  telemetry::Log(telemetry::LogLevel::kInfo, "shutdown_begun");
   m_notice.ArmIn(m_settings.shutdown_notice);
 }
 
@@ -357,8 +357,8 @@
   // control can be reached; after a while they are left to the next run.
   const bool returned = m_reach == ControlReach::kConnected && m_link.Idle();
   if (!returned && now - *m_drained_since < kReturnPatience) return;
-  platform::Log(platform::LogLevel::kInfo, "shutdown_done",
-                {{"grants_returned", returned ? "yes" : "no"}});
+  telemetry::Log(telemetry::LogLevel::kInfo, "shutdown_done",
+                 {{"grants_returned", returned ? "yes" : "no"}});
   m_loop.Stop();
 }
 
--- a/src/dotterelshift/app/gateway_entry.cc
+++ b/src/dotterelshift/app/gateway_entry.cc
@@ -4,17 +4,17 @@
 #include <string>     // for string
 #include <utility>    // for move
 
-#include "dotterelshift/app/control_link.h"        // for ControlLink
-#include "dotterelshift/app/daemon.h"              // for Daemon
-#include "dotterelshift/app/directory_exchange.h"  // for DirectoryExchange
-#include "dotterelshift/app/gateway_options.h"     // for CoreOptionsOf
-#include "dotterelshift/app/gateway_traffic.h"     // for GatewayTraffic
-#include "dotterelshift/app/hub_options.h"         // for MakeHubOptions
-#include "dotterelshift/app/listen_options.h"      // for ListenOptions
-#include "dotterelshift/app/registration.h"        // for Registration
-#include "dotterelshift/callers/front.h"           // for AnswerError
-#include "dotterelshift/gateway/link_gate.h"       // for LinkGate
-#include "dotterelshift/platform/log.h"            // for Log
+#include "dotterelshift/app/control_link.h"           // for ControlLink
+#include "dotterelshift/app/daemon.h"                 // for Daemon
+#include "dotterelshift/app/directory_exchange.h"     // for DirectoryExchange
+#include "dotterelshift/app/gateway_options.h"        // for CoreOptionsOf
+#include "dotterelshift/app/gateway_traffic.h"        // for GatewayTraffic
+#include "dotterelshift/app/hub_options.h"            // for MakeHubOptions
+#include "dotterelshift/app/listen_options.h"         // for ListenOptions
+#include "dotterelshift/app/registration.h"           // for Registration
+#include "dotterelshift/callers/front.h"              // for AnswerError
+#include "dotterelshift/gateway/link_load_shedder.h"  // for LinkLoadShedder
+#include "dotterelshift/telemetry/log.h"              // for Log
 
 namespace dotterelshift::app {
 namespace {
@@ -25,7 +25,7 @@
 constexpr Duration kTick = 50ms;
 // While the balancer looks away new connections still come in; it asks once a
 // second and believes the second miss.
-constexpr Duration kLookAway = 3500ms;
+constexpr Duration kBalancerDelay = 3500ms;
 // Left of the shutdown's limit for the last reports to control.
 constexpr Duration kLastReports = 500ms;
 
@@ -68,7 +68,7 @@
   void UpdateGauges();
   bool IsReady() const {
     return m_reach != ControlReach::kNever && m_version > 0 && !m_stopping &&
-           !m_away;
+           !m_shedding;
   }
 
   loop::Loop& m_loop;
@@ -79,22 +79,22 @@
   ControlLink m_link;
   DirectoryExchange m_directory;
   gateway::FleetLoad m_load;
-  gateway::BudgetDesk m_budgets;
+  gateway::HeldGrants m_budgets;
   gateway::RetryShare m_retries;
-  gateway::LinkGate m_link_gate;
+  gateway::LinkLoadShedder m_link_shedder;
   quarantine::Blocklist m_blocklist;
   std::unique_ptr<gateway::Core> m_core;
-  std::unique_ptr<platform::Metrics> m_metrics;
+  std::unique_ptr<telemetry::Metrics> m_metrics;
   std::unique_ptr<GatewayTraffic> m_traffic;
   std::unique_ptr<http::Server> m_server;
   std::unique_ptr<http::Server> m_health;
   std::unique_ptr<http::Server> m_metrics_server;
   std::unique_ptr<peers::Hub> m_hub;
   ControlReach m_reach = ControlReach::kNever;
-  uint64_t m_version = 0;  // of the routes in force here
-  bool m_away = false;     // new connections are to go to other entries
+  uint64_t m_version = 0;   // of the routes in force here
+  bool m_shedding = false;  // new connections are to go to other entries
   size_t m_entries = 1;
-  size_t m_next_asked = 0;  // whom the next plea for tokens goes to
+  size_t m_next_asked = 0;  // whom the next borrow request goes to
   std::optional<Instant> m_stopping;
   std::optional<Instant> m_returning_since;
   loop::Timer m_tick;
@@ -119,9 +119,9 @@
       m_load(LoadOptionsOf(settings)),
       m_budgets({}, [this] { return NextId(); }),
       m_retries(RetryOptionsOf(settings)),
-      m_link_gate(LinkOptionsOf(settings)),
+      m_link_shedder(LinkOptionsOf(settings)),
       m_core(gateway::MakeCore(CoreOptionsOf(incarnation), Parts())),
-      m_metrics(platform::MakeMetrics()),
+      m_metrics(telemetry::MakeMetrics()),
       m_traffic(std::make_unique<GatewayTraffic>(loop, *m_core, *m_dialect,
                                                  *m_metrics)),
       m_tick(loop, [this] { OnTick(); }),
@@ -166,23 +166,23 @@
   size_t bytes = request.path.size() + request.body.size();
   for (const auto& [name, value] : request.headers)
     bytes += name.size() + value.size();
-  m_link_gate.OnRequest(bytes, m_loop.Now());
+  m_link_shedder.OnRequest(bytes, m_loop.Now());
   m_traffic->Accept(std::move(exchange));
 }
 
 peers::HubCallbacks GatewayEntry::HubCallbacks() {
   peers::HubCallbacks callbacks;
   callbacks.on_up = [this](const peers::PeerInfo& peer) {
-    platform::Log(platform::LogLevel::kInfo, "peer_up",
-                  {{"peer", peer.run.host}});
+    telemetry::Log(telemetry::LogLevel::kInfo, "peer_up",
+                   {{"peer", peer.run.host}});
     if (peer.role != wire::HostRole::Control) return;
     m_directory.OnPeerUp(peer);
     m_link.OnPeerUp(peer.run.host, m_loop.Now());
     m_tick.ArmIn(0ms);
   };
   callbacks.on_down = [this](const peers::PeerInfo& peer) {
-    platform::Log(platform::LogLevel::kWarning, "peer_down",
-                  {{"peer", peer.run.host}});
+    telemetry::Log(telemetry::LogLevel::kWarning, "peer_down",
+                   {{"peer", peer.run.host}});
     if (peer.role != wire::HostRole::Control)
       return m_load.OnEntryGone(peer.run.host);
     m_directory.OnPeerDown(peer);
@@ -209,16 +209,16 @@
   const Instant now = m_loop.Now();
   if (const auto* notes = frame.body.AsLoadNotes()) {
     m_load.OnNotes(peer.run.host, *notes, now);
-  } else if (const auto* plea = frame.body.AsTokenPlea()) {
+  } else if (const auto* borrow = frame.body.AsTokenBorrow()) {
     wire::TokenLoanT loan;
-    loan.budget = plea->budget;
-    loan.tokens = m_budgets.OnPlea(*plea, peer.run, now);
-    platform::LogDecision("tokens_lent", "",
-                          {{"team", plea->budget},
-                           {"to", peer.run.host},
-                           {"wanted", std::to_string(plea->wanted)},
-                           {"minimum", std::to_string(plea->minimum)},
-                           {"lent", std::to_string(loan.tokens)}});
+    loan.budget = borrow->budget;
+    loan.tokens = m_budgets.OnBorrow(*borrow, peer.run, now);
+    telemetry::LogDecision("tokens_lent", "",
+                           {{"team", borrow->budget},
+                            {"to", peer.run.host},
+                            {"wanted", std::to_string(borrow->wanted)},
+                            {"minimum", std::to_string(borrow->minimum)},
+                            {"lent", std::to_string(loan.tokens)}});
     if (loan.tokens > 0)
       m_hub->Send(peer.run.host, peers::MakeFrame(std::move(loan)));
   } else if (const auto* loan = frame.body.AsTokenLoan()) {
@@ -253,15 +253,15 @@
   if (!routes) {
     // Control checks before it commits; only another version of the program
     // can have let this pass.
-    platform::Log(
-        platform::LogLevel::kError, "routes_unreadable",
+    telemetry::Log(
+        telemetry::LogLevel::kError, "routes_unreadable",
         {{"version", std::to_string(m_link.RoutesVersion())}, {"why", why}});
     return;
   }
   m_version = m_link.RoutesVersion();
-  platform::Log(platform::LogLevel::kInfo, "routes_in_force",
-                {{"version", std::to_string(m_version)},
-                 {"entries", std::to_string(m_entries)}});
+  telemetry::Log(telemetry::LogLevel::kInfo, "routes_in_force",
+                 {{"version", std::to_string(m_version)},
+                  {"entries", std::to_string(m_entries)}});
   m_core->OnRoutes(
       std::make_shared<const gateway::RouteTable>(std::move(*routes)),
       m_entries, m_loop.Now());
@@ -269,8 +269,8 @@
 
 void GatewayEntry::OnReach() {
   m_reach = m_link.Reach();
-  platform::Log(
-      platform::LogLevel::kInfo, "control_reach",
+  telemetry::Log(
+      telemetry::LogLevel::kInfo, "control_reach",
       {{"reach", std::string(NameOf(m_reach))}, {"leader", m_link.Leader()}});
   m_budgets.SetConnected(m_reach == ControlReach::kConnected, m_loop.Now());
 }
@@ -317,13 +317,13 @@
 // Callers on open connections go elsewhere, too: each answer asks them to
 // close.
 void GatewayEntry::WatchLink(Instant now) {
-  if (m_link_gate.IsAway(now) == m_away) return;
-  m_away = !m_away;
-  const double percent = 100 * m_link_gate.FilledPart(now);
-  platform::Log(platform::LogLevel::kWarning,
-                m_away ? "link_full" : "link_clear",
-                {{"filled_percent", std::to_string(std::lround(percent))}});
-  if (!m_stopping) m_traffic->SetClosing(m_away);
+  if (m_link_shedder.IsShedding(now) == m_shedding) return;
+  m_shedding = !m_shedding;
+  const double percent = 100 * m_link_shedder.FilledPart(now);
+  telemetry::Log(telemetry::LogLevel::kWarning,
+                 m_shedding ? "link_full" : "link_clear",
+                 {{"filled_percent", std::to_string(std::lround(percent))}});
+  if (!m_stopping) m_traffic->SetClosing(m_shedding);
 }
 
 // At the end of each turn of the loop: commands to control, load notes to the
@@ -338,8 +338,8 @@
     ProposeSuspicion(suspicion);
   for (const auto& [host, frame] : m_link.TakeFrames(now))
     m_hub->Send(host, frame);
-  for (wire::TokenPleaT& plea : m_budgets.TakePleas())
-    SendToSome(peers::MakeFrame(std::move(plea)));
+  for (wire::TokenBorrowT& borrow : m_budgets.TakeBorrows())
+    SendToSome(peers::MakeFrame(std::move(borrow)));
   std::vector<wire::LoadNote> notes = m_load.TakeNotes();
   if (notes.empty()) return;
   wire::LoadNotesT body;
@@ -347,8 +347,8 @@
   SendToEntries(peers::MakeFrame(std::move(body)));
 }
 
-// Pleas go to a few entries at a time, each time to others: whoever is asked
-// lends, so that more would lend many times what is needed.
+// Borrow requests go to a few entries at a time, each time to others: whoever
+// is asked lends, so that more would lend many times what is needed.
 void GatewayEntry::SendToSome(const wire::FrameT& frame) {
   constexpr size_t kAskedAtOnce = 3;
   std::vector<HostId> entries;
@@ -427,15 +427,16 @@
 void GatewayEntry::Shutdown() {
   if (m_stopping) return;
   m_stopping = m_loop.Now();
-  platform::Log(platform::LogLevel::kInfo, "shutdown_begun",
-                {{"open", std::to_string(m_core->OpenRequests())}});
+  telemetry::Log(telemetry::LogLevel::kInfo, "shutdown_begun",
+                 {{"open", std::to_string(m_core->OpenRequests())}});
   m_traffic->SetClosing(true);
 }
 
 void GatewayEntry::CheckDrained() {
   if (!m_stopping) return;
   const Duration since = m_loop.Now() - *m_stopping;
-  const bool drained = since >= kLookAway && m_traffic->OpenAnswers() == 0 &&
+  const bool drained = since >= kBalancerDelay &&
+                       m_traffic->OpenAnswers() == 0 &&
                        m_server->OpenExchanges() == 0;
   const bool limit = since >= m_settings.shutdown_limit - kLastReports;
   if (!drained && !limit) return;
@@ -443,9 +444,9 @@
   // What control does not take back now is lost with this run.
   const bool returned = m_link.Idle();
   if (!returned && m_loop.Now() - *m_returning_since < kLastReports) return;
-  platform::Log(platform::LogLevel::kInfo, "shutdown_done",
-                {{"open", std::to_string(m_core->OpenRequests())},
-                 {"holdings_returned", returned ? "yes" : "no"}});
+  telemetry::Log(telemetry::LogLevel::kInfo, "shutdown_done",
+                 {{"open", std::to_string(m_core->OpenRequests())},
+                  {"holdings_returned", returned ? "yes" : "no"}});
   m_loop.Stop();
 }
 
--- a/src/dotterelshift/app/gateway_options.cc
+++ b/src/dotterelshift/app/gateway_options.cc
@@ -42,9 +42,10 @@
   return options;
 }
 
-gateway::LinkGateOptions LinkOptionsOf(const settings::Settings& settings) {
+gateway::LinkLoadShedderOptions LinkOptionsOf(
+    const settings::Settings& settings) {
   constexpr double kBytesPerMegabit = 1'000'000.0 / 8;
-  gateway::LinkGateOptions options;
+  gateway::LinkLoadShedderOptions options;
   options.bytes_per_second = settings.link_mbit * kBytesPerMegabit;
   return options;
 }
--- a/src/dotterelshift/app/gateway_traffic.cc
+++ b/src/dotterelshift/app/gateway_traffic.cc
@@ -7,7 +7,7 @@
 
 #include "dotterelshift/callers/front.h"     // for ErrorBody
 #include "dotterelshift/http/hop_headers.h"  // for WithoutHopHeaders
-#include "dotterelshift/platform/log.h"      // for Log
+#include "dotterelshift/telemetry/log.h"     // for Log
 
 namespace dotterelshift::app {
 namespace {
@@ -47,7 +47,7 @@
 
 GatewayTraffic::GatewayTraffic(loop::Loop& loop, gateway::Core& core,
                                const gateway::Dialect& dialect,
-                               platform::Metrics& metrics)
+                               telemetry::Metrics& metrics)
     : m_loop(loop),
       m_core(core),
       m_dialect(dialect),
@@ -60,12 +60,12 @@
 
 void GatewayTraffic::Accept(std::shared_ptr<http::Exchange> exchange) {
   const RequestId id = ++m_last_request;
-  gateway::Ask ask = m_dialect.ReadAsk(exchange->GetRequest());
-  ask.begun = exchange->GetRequest().begun;
+  gateway::RequestInfo info = m_dialect.ReadRequestInfo(exchange->GetRequest());
+  info.begun = exchange->GetRequest().begun;
   exchange->OnGone([this, id] { OnGone(id); });
   exchange->OnDrained([this, id] { OnDrained(id); });
   m_open[id].exchange = std::move(exchange);
-  m_core.OnRequest(id, std::move(ask), m_loop.Now());
+  m_core.OnRequest(id, std::move(info), m_loop.Now());
   Pump();
 }
 
@@ -241,7 +241,7 @@
 }
 
 void GatewayTraffic::CarryOut(const gateway::Decision& decision) {
-  platform::LogDecision(decision.event, decision.caller_id, decision.inputs);
+  telemetry::LogDecision(decision.event, decision.caller_id, decision.inputs);
 }
 
 }  // namespace dotterelshift::app
--- a/src/dotterelshift/app/gateway_traffic.h
+++ b/src/dotterelshift/app/gateway_traffic.h
@@ -5,12 +5,12 @@
 #include <string>         // for string
 #include <unordered_map>  // for unordered_map
 
-#include "dotterelshift/gateway/core.h"      // for Core
-#include "dotterelshift/gateway/dialect.h"   // for Dialect
-#include "dotterelshift/http/client.h"       // for Client
-#include "dotterelshift/http/server.h"       // for Exchange
-#include "dotterelshift/loop/loop.h"         // for Loop
-#include "dotterelshift/platform/metrics.h"  // for Metrics
+#include "dotterelshift/gateway/core.h"       // for Core
+#include "dotterelshift/gateway/dialect.h"    // for Dialect
+#include "dotterelshift/http/client.h"        // for Client
+#include "dotterelshift/http/server.h"        // for Exchange
+#include "dotterelshift/loop/loop.h"          // for Loop
+#include "dotterelshift/telemetry/metrics.h"  // for Metrics
 
 namespace dotterelshift::app {
 
@@ -19,7 +19,7 @@
 class GatewayTraffic {
  public:
   GatewayTraffic(loop::Loop& loop, gateway::Core& core,
-                 const gateway::Dialect& dialect, platform::Metrics& metrics);
+                 const gateway::Dialect& dialect, telemetry::Metrics& metrics);
 
   void Accept(std::shared_ptr<http::Exchange> exchange);
   // Carries out what the core wants; after every event that reached it from
@@ -70,7 +70,7 @@
   loop::Loop& m_loop;
   gateway::Core& m_core;
   const gateway::Dialect& m_dialect;
-  platform::Metrics& m_metrics;
+  telemetry::Metrics& m_metrics;
   std::unique_ptr<http::Client> m_client;
   std::unordered_map<RequestId, Open> m_open;
   std::unordered_map<AttemptId, Transfer> m_transfers;
--- a/src/dotterelshift/app/registration.cc
+++ b/src/dotterelshift/app/registration.cc
@@ -3,8 +3,8 @@
 #include <memory>   // for make_unique
 #include <utility>  // for move
 
-#include "dotterelshift/base/error.h"    // for ErrorKind
-#include "dotterelshift/platform/log.h"  // for Log
+#include "dotterelshift/base/error.h"     // for ErrorKind
+#include "dotterelshift/telemetry/log.h"  // for Log
 
 namespace dotterelshift::app {
 
@@ -45,14 +45,14 @@
   HostRun& self = m_options.self;
   if (m_options.may_raise && !m_done) {
     self.incarnation = newest + 1;
-    platform::Log(platform::LogLevel::kWarning, "incarnation_raised",
-                  {{"incarnation", std::to_string(self.incarnation)}});
+    telemetry::Log(telemetry::LogLevel::kWarning, "incarnation_raised",
+                   {{"incarnation", std::to_string(self.incarnation)}});
     return RunStanding::kRaised;
   }
   if (!m_superseded) {
-    platform::Log(platform::LogLevel::kError, "stale_incarnation",
-                  {{"incarnation", std::to_string(self.incarnation)},
-                   {"newest", std::to_string(newest)}});
+    telemetry::Log(telemetry::LogLevel::kError, "stale_incarnation",
+                   {{"incarnation", std::to_string(self.incarnation)},
+                    {"newest", std::to_string(newest)}});
   }
   m_superseded = true;
   return RunStanding::kSuperseded;
--- a/src/dotterelshift/app/registration_test.cc
+++ b/src/dotterelshift/app/registration_test.cc
@@ -5,8 +5,8 @@
 #include <memory>    // for make_unique
 #include <optional>  // for optional
 
-#include "dotterelshift/base/error.h"            // for ErrorKind
-#include "dotterelshift/platform/log_testing.h"  // for CapturedLog
+#include "dotterelshift/base/error.h"             // for ErrorKind
+#include "dotterelshift/telemetry/log_testing.h"  // for CapturedLog
 
 namespace dotterelshift::app {
 namespace {
@@ -43,7 +43,7 @@
   CPPUNIT_TEST_SUITE_END();
 
  public:
-  void setUp() override { m_log.emplace(platform::LogLevel::kWarning); }
+  void setUp() override { m_log.emplace(telemetry::LogLevel::kWarning); }
   void tearDown() override { m_log.reset(); }
 
  private:
@@ -125,7 +125,7 @@
     CPPUNIT_ASSERT_EQUAL(size_t{0}, m_log->Count("stale_incarnation"));
   }
 
-  std::optional<platform::CapturedLog> m_log;  // while a test runs
+  std::optional<telemetry::CapturedLog> m_log;  // while a test runs
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(RegistrationTest);
 
--- a/src/dotterelshift/app/request_traffic.cc
+++ b/src/dotterelshift/app/request_traffic.cc
@@ -8,7 +8,8 @@
 RequestTraffic::RequestTraffic(
     loop::Loop& loop, const callers::FrontOptions& front_options,
     const endpoints::AttemptRunnerOptions& runner_options,
-    serving::RequestCore& core, platform::Metrics& metrics, Callbacks callbacks)
+    serving::RequestCore& core, telemetry::Metrics& metrics,
+    Callbacks callbacks)
     : m_loop(loop),
       m_core(core),
       m_metrics(metrics),
@@ -50,8 +51,8 @@
   endpoints::AttemptEvents events;
   events.on_head = [this](AttemptId attempt, int status,
                           std::string_view content_type) {
-    const auto flight = m_flights.find(attempt);
-    if (flight == m_flights.end()) return;
+    const auto flight = m_active.find(attempt);
+    if (flight == m_active.end()) return;
     flight->second.status = status;
     flight->second.content_type = content_type;
     m_core.OnAttemptHead(attempt, status, m_loop.Now());
@@ -73,9 +74,9 @@
   const Instant now = m_loop.Now();
   const serving::PieceVerdict verdict = m_core.OnPiece(attempt, piece, now);
   bool go_on = true;
-  const auto found = m_flights.find(attempt);
-  if (verdict == serving::PieceVerdict::kForward && found != m_flights.end()) {
-    Flight& flight = found->second;
+  const auto found = m_active.find(attempt);
+  if (verdict == serving::PieceVerdict::kForward && found != m_active.end()) {
+    ActiveRequest& flight = found->second;
     if (flight.streamed) {
       SendHead(flight);
       go_on = m_front->SendPiece(flight.request, bytes);
@@ -88,7 +89,7 @@
   return go_on;
 }
 
-void RequestTraffic::SendHead(Flight& flight) {
+void RequestTraffic::SendHead(ActiveRequest& flight) {
   if (flight.head_sent) return;
   flight.head_sent = true;
   m_front->SendHead(flight.request, flight.status, flight.content_type);
@@ -97,8 +98,8 @@
 void RequestTraffic::OnDrained(RequestId request) {
   const auto attempt = m_attempt_of.find(request);
   if (attempt == m_attempt_of.end()) return;
-  const auto flight = m_flights.find(attempt->second);
-  if (flight == m_flights.end() || !flight->second.paused) return;
+  const auto flight = m_active.find(attempt->second);
+  if (flight == m_active.end() || !flight->second.paused) return;
   flight->second.paused = false;
   m_runner->Resume(attempt->second);
 }
@@ -106,7 +107,7 @@
 void RequestTraffic::Forget(RequestId request) {
   const auto attempt = m_attempt_of.find(request);
   if (attempt == m_attempt_of.end()) return;
-  m_flights.erase(attempt->second);
+  m_active.erase(attempt->second);
   m_attempt_of.erase(attempt);
 }
 
@@ -114,7 +115,7 @@
   const callers::CallerRequest* request = m_core.RequestOf(start.attempt);
   if (request == nullptr) return;
   Forget(start.request);
-  Flight& flight = m_flights[start.attempt];
+  ActiveRequest& flight = m_active[start.attempt];
   flight.request = start.request;
   flight.streamed = request->stream;
   m_attempt_of[start.request] = start.attempt;
@@ -123,14 +124,14 @@
 
 void RequestTraffic::CarryOut(const serving::CancelAttempt& cancel) {
   m_runner->Cancel(cancel.attempt);
-  m_flights.erase(cancel.attempt);
+  m_active.erase(cancel.attempt);
 }
 
 void RequestTraffic::CarryOut(const serving::FinishAnswer& finish) {
   const auto attempt = m_attempt_of.find(finish.request);
   if (attempt != m_attempt_of.end()) {
-    const auto found = m_flights.find(attempt->second);
-    if (found != m_flights.end()) {
+    const auto found = m_active.find(attempt->second);
+    if (found != m_active.end()) {
       SendHead(found->second);
       if (!found->second.held.empty())
         m_front->SendPiece(finish.request, found->second.held);
--- a/src/dotterelshift/app/request_traffic.h
+++ b/src/dotterelshift/app/request_traffic.h
@@ -10,8 +10,8 @@
 #include "dotterelshift/endpoints/attempt_runner.h"  // for AttemptRunner
 #include "dotterelshift/http/client.h"               // for Client
 #include "dotterelshift/loop/loop.h"                 // for Loop
-#include "dotterelshift/platform/metrics.h"          // for Metrics
 #include "dotterelshift/serving/request_core.h"      // for RequestCore
+#include "dotterelshift/telemetry/metrics.h"         // for Metrics
 
 namespace dotterelshift::app {
 
@@ -25,7 +25,7 @@
   };
   RequestTraffic(loop::Loop& loop, const callers::FrontOptions& front_options,
                  const endpoints::AttemptRunnerOptions& runner_options,
-                 serving::RequestCore& core, platform::Metrics& metrics,
+                 serving::RequestCore& core, telemetry::Metrics& metrics,
                  Callbacks callbacks);
 
   void Accept(std::shared_ptr<http::Exchange> exchange) {
@@ -40,7 +40,7 @@
 
  private:
   // The answer of one attempt on its way to the caller.
-  struct Flight {
+  struct ActiveRequest {
     RequestId request = 0;
     int status = 0;
     std::string content_type;
@@ -56,7 +56,7 @@
   bool OnPiece(AttemptId attempt, const serving::Piece& piece,
                std::string_view bytes);
   void OnDrained(RequestId request);
-  void SendHead(Flight& flight);
+  void SendHead(ActiveRequest& flight);
   void Forget(RequestId request);
   void CarryOut(serving::Action& action);
   void CarryOut(serving::StartAttempt& start);
@@ -72,12 +72,12 @@
 
   loop::Loop& m_loop;
   serving::RequestCore& m_core;
-  platform::Metrics& m_metrics;
+  telemetry::Metrics& m_metrics;
   Callbacks m_callbacks;
   std::unique_ptr<http::Client> m_client;
   std::unique_ptr<callers::Front> m_front;
   std::unique_ptr<endpoints::AttemptRunner> m_runner;
-  std::unordered_map<AttemptId, Flight> m_flights;
+  std::unordered_map<AttemptId, ActiveRequest> m_active;
   std::unordered_map<RequestId, AttemptId> m_attempt_of;
   loop::Timer m_timer;
   Instant m_timer_at{};
--- a/src/dotterelshift/app/routes_port.cc
+++ b/src/dotterelshift/app/routes_port.cc
@@ -3,7 +3,7 @@
 #include <string>   // for to_string
 #include <utility>  // for move
 
-#include "dotterelshift/platform/log.h"  // for Log
+#include "dotterelshift/telemetry/log.h"  // for Log
 
 namespace dotterelshift::app {
 namespace {
@@ -20,10 +20,10 @@
   const std::string word = outcome == ErrorKind::kNone
                                ? "committed"
                                : std::string(RowOf(outcome).name);
-  platform::Log(platform::LogLevel::kInfo, "routes_published",
-                {{"version", std::to_string(body.version)},
-                 {"totals", std::to_string(SumOf(body.totals))},
-                 {"outcome", word}});
+  telemetry::Log(telemetry::LogLevel::kInfo, "routes_published",
+                 {{"version", std::to_string(body.version)},
+                  {"totals", std::to_string(SumOf(body.totals))},
+                  {"outcome", word}});
 }
 
 class RoutesPort : public RoutesControl {
--- a/src/dotterelshift/gateway/flight.h
+++ b/src/dotterelshift/gateway/active_request.h
@@ -1,11 +1,11 @@
-#ifndef DOTTERELSHIFT_SRC_GATEWAY_FLIGHT_H_
-#define DOTTERELSHIFT_SRC_GATEWAY_FLIGHT_H_
+#ifndef DOTTERELSHIFT_SRC_GATEWAY_ACTIVE_REQUEST_H_
+#define DOTTERELSHIFT_SRC_GATEWAY_ACTIVE_REQUEST_H_
 
 #include <memory>  // for shared_ptr
 #include <string>  // for string
 #include <vector>  // for vector
 
-#include "dotterelshift/gateway/core.h"           // for Ask
+#include "dotterelshift/gateway/core.h"           // for RequestInfo
 #include "dotterelshift/gateway/event_scanner.h"  // for EventScanner
 
 namespace dotterelshift::gateway {
@@ -32,9 +32,9 @@
 };
 
 // One request from its arrival to its end.
-struct Flight {
+struct ActiveRequest {
   RequestId id = 0;
-  Ask ask;
+  RequestInfo info;
   std::shared_ptr<const RouteTable> routes;  // under which it came in
   const Route* route = nullptr;
   ServiceName service;
@@ -67,4 +67,4 @@
 
 }  // namespace dotterelshift::gateway
 
-#endif  // DOTTERELSHIFT_SRC_GATEWAY_FLIGHT_H_
+#endif  // DOTTERELSHIFT_SRC_GATEWAY_ACTIVE_REQUEST_H_
--- a/src/dotterelshift/gateway/core.cc
+++ b/src/dotterelshift/gateway/core.cc
@@ -21,57 +21,57 @@
   m_parts.load->OnDirectory(directory);
 }
 
-void CoreImpl::OnRequest(RequestId request, Ask ask, Instant now) {
-  Flight& flight = m_flights[request];
-  flight.id = request;
-  flight.ask = std::move(ask);
+void CoreImpl::OnRequest(RequestId request, RequestInfo info, Instant now) {
+  ActiveRequest& active = m_active[request];
+  active.id = request;
+  active.info = std::move(info);
   // A long body takes its time on a full link, and the caller's patience runs.
-  const bool known = flight.ask.begun != Instant{} && flight.ask.begun <= now;
-  flight.arrived = known ? flight.ask.begun : now;
-  flight.routes = m_routes;
-  ErrorKind error = FindRoute(flight);
-  if (error == ErrorKind::kNone) error = FindTeam(flight);
+  const bool known = active.info.begun != Instant{} && active.info.begun <= now;
+  active.arrived = known ? active.info.begun : now;
+  active.routes = m_routes;
+  ErrorKind error = FindRoute(active);
+  if (error == ErrorKind::kNone) error = FindTeam(active);
   if (error == ErrorKind::kNone && m_parts.blocklist != nullptr &&
-      m_parts.blocklist->BlockedFor(flight.ask.content_hash, now))
+      m_parts.blocklist->BlockedFor(active.info.content_hash, now))
     error = ErrorKind::kQuarantined;
-  if (error != ErrorKind::kNone) return Fail(flight, error, 0s, now);
-  Admit(flight, now);
+  if (error != ErrorKind::kNone) return Fail(active, error, 0s, now);
+  Admit(active, now);
 }
 
 // A daemon that does not know the routes yet refuses for a while, never with
 // "there is nothing here".
-ErrorKind CoreImpl::FindRoute(Flight& flight) const {
+ErrorKind CoreImpl::FindRoute(ActiveRequest& active) const {
   if (m_stopped) return ErrorKind::kDraining;
-  if (flight.routes == nullptr) return ErrorKind::kNotReady;
-  flight.route = flight.routes->FindRoute(flight.ask.host, flight.ask.path);
-  return flight.route == nullptr ? ErrorKind::kUnknownPath : ErrorKind::kNone;
+  if (active.routes == nullptr) return ErrorKind::kNotReady;
+  active.route = active.routes->FindRoute(active.info.host, active.info.path);
+  return active.route == nullptr ? ErrorKind::kUnknownPath : ErrorKind::kNone;
 }
 
-ErrorKind CoreImpl::FindTeam(Flight& flight) const {
-  flight.priority = flight.route->priority;
-  if (!flight.routes->HasTeams() || flight.route->open_to_all)
+ErrorKind CoreImpl::FindTeam(ActiveRequest& active) const {
+  active.priority = active.route->priority;
+  if (!active.routes->HasTeams() || active.route->open_to_all)
     return ErrorKind::kNone;
-  const TeamAccess* team = flight.routes->FindTeam(flight.ask.key);
+  const TeamAccess* team = active.routes->FindTeam(active.info.key);
   if (team == nullptr) return ErrorKind::kUnauthorized;
-  flight.team = team->team;
-  flight.priority = team->priority.value_or(flight.route->priority);
+  active.team = team->team;
+  active.priority = team->priority.value_or(active.route->priority);
   return ErrorKind::kNone;
 }
 
-void CoreImpl::Admit(Flight& flight, Instant now) {
-  SetTimes(flight);
-  if (now >= flight.deadline)
-    return Fail(flight, ErrorKind::kOverloaded, 0s, now);
-  flight.service = PickService(*flight.route);
-  m_parts.retries->OnRequest(flight.service, now);
-  ReserveBudget(flight, now);
+void CoreImpl::Admit(ActiveRequest& active, Instant now) {
+  SetTimes(active);
+  if (now >= active.deadline)
+    return Fail(active, ErrorKind::kOverloaded, 0s, now);
+  active.service = PickService(*active.route);
+  m_parts.retries->OnRequest(active.service, now);
+  ReserveBudget(active, now);
 }
 
-void CoreImpl::SetTimes(Flight& flight) const {
+void CoreImpl::SetTimes(ActiveRequest& active) const {
   const Duration patience =
-      flight.ask.patience.value_or(m_options.default_patience);
-  flight.deadline = flight.arrived + std::min(patience, flight.route->timeout);
-  flight.target = flight.arrived + flight.route->target;
+      active.info.patience.value_or(m_options.default_patience);
+  active.deadline = active.arrived + std::min(patience, active.route->timeout);
+  active.target = active.arrived + active.route->target;
 }
 
 ServiceName CoreImpl::PickService(const Route& route) {
@@ -88,48 +88,49 @@
   return shares.empty() ? ServiceName() : shares.back().service;
 }
 
-void CoreImpl::ReserveBudget(Flight& flight, Instant now) {
+void CoreImpl::ReserveBudget(ActiveRequest& active, Instant now) {
   const Tokens worst_case =
-      flight.ask.prompt.prompt_tokens + flight.ask.prompt.output_limit;
-  if (worst_case == 0 || flight.team.empty()) return Place(flight, now);
-  switch (m_parts.budgets->Reserve(flight.team, worst_case, now)) {
+      active.info.prompt.prompt_tokens + active.info.prompt.output_limit;
+  if (worst_case == 0 || active.team.empty()) return Place(active, now);
+  switch (m_parts.budgets->Reserve(active.team, worst_case, now)) {
     case BudgetAnswer::kReserved:
-      flight.reserved = worst_case;
-      flight.has_reservation = true;
-      return Place(flight, now);
+      active.reserved = worst_case;
+      active.has_reservation = true;
+      return Place(active, now);
     case BudgetAnswer::kNoTotal:
-      return Place(flight, now);
+      return Place(active, now);
     case BudgetAnswer::kWait:
       break;
     case BudgetAnswer::kKept:
-      return FailForBudget(flight, ErrorKind::kBudgetUnavailable, now);
+      return FailForBudget(active, ErrorKind::kBudgetUnavailable, now);
     case BudgetAnswer::kExhausted:
-      return FailForBudget(flight, ErrorKind::kBudgetExhausted, now);
+      return FailForBudget(active, ErrorKind::kBudgetExhausted, now);
   }
-  if (flight.stage != Stage::kWaitsForBudget || flight.wait_until == Instant{})
-    flight.wait_until =
-        std::min(now + BudgetWait(flight, now), flight.deadline);
-  flight.stage = Stage::kWaitsForBudget;
-  SetDue(flight, std::min(flight.wait_until, now + m_options.budget_again));
+  if (active.stage != Stage::kWaitsForBudget || active.wait_until == Instant{})
+    active.wait_until =
+        std::min(now + BudgetWait(active, now), active.deadline);
+  active.stage = Stage::kWaitsForBudget;
+  SetDue(active, std::min(active.wait_until, now + m_options.budget_again));
 }
 
-Duration CoreImpl::BudgetWait(const Flight& flight, Instant now) const {
+Duration CoreImpl::BudgetWait(const ActiveRequest& active, Instant now) const {
   const Tokens worst_case =
-      flight.ask.prompt.prompt_tokens + flight.ask.prompt.output_limit;
-  if (!m_parts.budgets->GrantIsLikely(flight.team, worst_case, now))
+      active.info.prompt.prompt_tokens + active.info.prompt.output_limit;
+  if (!m_parts.budgets->GrantIsLikely(active.team, worst_case, now))
     return m_options.budget_wait;
-  const Duration patience = flight.deadline - flight.arrived;
+  const Duration patience = active.deadline - active.arrived;
   const Duration most = patience / m_options.grant_wait_part;
   return std::max(m_options.budget_wait, std::min(m_options.grant_wait, most));
 }
 
-void CoreImpl::FailForBudget(Flight& flight, ErrorKind kind, Instant now) {
-  const BudgetDesk::Position position =
-      m_parts.budgets->PositionOf(flight.team, now);
+void CoreImpl::FailForBudget(ActiveRequest& active, ErrorKind kind,
+                             Instant now) {
+  const HeldGrants::Position position =
+      m_parts.budgets->PositionOf(active.team, now);
   const Tokens needed =
-      flight.ask.prompt.prompt_tokens + flight.ask.prompt.output_limit;
-  Log("budget_short", flight,
-      {{"team", flight.team},
+      active.info.prompt.prompt_tokens + active.info.prompt.output_limit;
+  Log("budget_short", active,
+      {{"team", active.team},
        {"needed", std::to_string(needed)},
        {"held", std::to_string(position.held)},
        {"reserved", std::to_string(position.reserved)},
@@ -137,23 +138,23 @@
        {"left_elsewhere", std::to_string(position.left_elsewhere)},
        {"left_age_ms", std::to_string(ToMs(position.left_age))}});
   const bool later = kind == ErrorKind::kBudgetUnavailable;
-  Fail(flight, kind, later ? RetryAfter(flight, 0s, now) : 0s, now);
+  Fail(active, kind, later ? RetryAfter(active, 0s, now) : 0s, now);
 }
 
 void CoreImpl::OnBudgetChanged(Instant now) {
   std::vector<RequestId> waiting;
-  for (const auto& [id, flight] : m_flights)
-    if (flight.stage == Stage::kWaitsForBudget) waiting.push_back(id);
+  for (const auto& [id, active] : m_active)
+    if (active.stage == Stage::kWaitsForBudget) waiting.push_back(id);
   std::sort(waiting.begin(), waiting.end());
   for (const RequestId id : waiting) {
-    const auto found = m_flights.find(id);
-    if (found != m_flights.end()) ReserveBudget(found->second, now);
+    const auto found = m_active.find(id);
+    if (found != m_active.end()) ReserveBudget(found->second, now);
   }
 }
 
 void CoreImpl::OnCallerGone(RequestId request, Instant now) {
-  const auto found = m_flights.find(request);
-  if (found == m_flights.end()) return;
+  const auto found = m_active.find(request);
+  if (found == m_active.end()) return;
   CancelAttemptOf(found->second);
   Finish(found->second, ErrorKind::kCallerGone, false, now);
 }
@@ -162,8 +163,8 @@
   while (!m_due.empty() && m_due.begin()->first <= now) {
     const RequestId request = m_due.begin()->second;
     m_due.erase(m_due.begin());
-    const auto found = m_flights.find(request);
-    if (found == m_flights.end()) continue;
+    const auto found = m_active.find(request);
+    if (found == m_active.end()) continue;
     found->second.due = {};
     OnDue(found->second, now);
   }
@@ -173,38 +174,38 @@
   return m_due.empty() ? Instant::max() : m_due.begin()->first;
 }
 
-void CoreImpl::OnDue(Flight& flight, Instant now) {
-  if (now >= flight.deadline) return OnDeadline(flight, now);
-  switch (flight.stage) {
+void CoreImpl::OnDue(ActiveRequest& active, Instant now) {
+  if (now >= active.deadline) return OnDeadline(active, now);
+  switch (active.stage) {
     case Stage::kWaitsForBudget:
-      if (now < flight.wait_until) return ReserveBudget(flight, now);
-      return FailForBudget(flight, ErrorKind::kBudgetUnavailable, now);
+      if (now < active.wait_until) return ReserveBudget(active, now);
+      return FailForBudget(active, ErrorKind::kBudgetUnavailable, now);
     case Stage::kWaitsForPlace:
-      return Place(flight, now);
+      return Place(active, now);
     case Stage::kBooked:
-      return Send(flight, now);
+      return Send(active, now);
     case Stage::kRunning:
     case Stage::kAnswering:
       break;
   }
-  if (DueWhileRunning(flight) > now)
-    return SetDue(flight, DueWhileRunning(flight));
+  if (DueWhileRunning(active) > now)
+    return SetDue(active, DueWhileRunning(active));
   // Silent for longer than it should, and it may run elsewhere.
-  CancelAttemptOf(flight);
-  OnBrokenAttempt(flight, http::TransferEnd::kTimedOut, now);
+  CancelAttemptOf(active);
+  OnBrokenAttempt(active, http::TransferEnd::kTimedOut, now);
 }
 
-void CoreImpl::SetDue(Flight& flight, Instant when) {
-  if (flight.due != Instant{}) m_due.erase({flight.due, flight.id});
-  flight.due = std::min(when, flight.deadline);
-  m_due.emplace(flight.due, flight.id);
+void CoreImpl::SetDue(ActiveRequest& active, Instant when) {
+  if (active.due != Instant{}) m_due.erase({active.due, active.id});
+  active.due = std::min(when, active.deadline);
+  m_due.emplace(active.due, active.id);
 }
 
 void CoreImpl::Log(
-    std::string_view event, const Flight& flight,
+    std::string_view event, const ActiveRequest& active,
     std::vector<std::pair<std::string_view, std::string>> inputs) {
   m_actions.emplace_back(
-      Decision{event, flight.ask.caller_id, std::move(inputs)});
+      Decision{event, active.info.caller_id, std::move(inputs)});
 }
 
 std::unique_ptr<Core> MakeCore(const CoreOptions& options,
--- a/src/dotterelshift/gateway/core_impl.h
+++ b/src/dotterelshift/gateway/core_impl.h
@@ -9,8 +9,8 @@
 #include <utility>        // for pair
 #include <vector>         // for vector
 
-#include "dotterelshift/gateway/core.h"    // for Core
-#include "dotterelshift/gateway/flight.h"  // for Flight
+#include "dotterelshift/gateway/active_request.h"  // for ActiveRequest
+#include "dotterelshift/gateway/core.h"            // for Core
 
 namespace dotterelshift::gateway {
 
@@ -26,7 +26,7 @@
   void OnEndpointsChanged(const directory::Directory& directory,
                           Instant now) override;
   void StopTaking() override { m_stopped = true; }
-  void OnRequest(RequestId request, Ask ask, Instant now) override;
+  void OnRequest(RequestId request, RequestInfo info, Instant now) override;
   void OnCallerGone(RequestId request, Instant now) override;
   void OnHead(AttemptId attempt, int status, const AnswerMarks& marks,
               Instant now) override;
@@ -44,48 +44,51 @@
   std::vector<Suspicion> TakeSuspicions() override {
     return std::exchange(m_suspicions, {});
   }
-  size_t OpenRequests() const override { return m_flights.size(); }
+  size_t OpenRequests() const override { return m_active.size(); }
 
  private:
   // Arrival (core.cc). Each gives the kind to refuse with, or kNone.
-  ErrorKind FindRoute(Flight& flight) const;
-  ErrorKind FindTeam(Flight& flight) const;
-  void Admit(Flight& flight, Instant now);
-  void SetTimes(Flight& flight) const;
+  ErrorKind FindRoute(ActiveRequest& active) const;
+  ErrorKind FindTeam(ActiveRequest& active) const;
+  void Admit(ActiveRequest& active, Instant now);
+  void SetTimes(ActiveRequest& active) const;
   ServiceName PickService(const Route& route);
-  void ReserveBudget(Flight& flight, Instant now);
-  Duration BudgetWait(const Flight& flight, Instant now) const;
-  void FailForBudget(Flight& flight, ErrorKind kind, Instant now);
+  void ReserveBudget(ActiveRequest& active, Instant now);
+  Duration BudgetWait(const ActiveRequest& active, Instant now) const;
+  void FailForBudget(ActiveRequest& active, ErrorKind kind, Instant now);
 
   // Place and send (core_place.cc).
-  void Place(Flight& flight, Instant now);
-  void WaitForPlace(Flight& flight, Instant now);
-  bool ComesTooLate(const Flight& flight, const Placement& placement,
+  void Place(ActiveRequest& active, Instant now);
+  void WaitForPlace(ActiveRequest& active, Instant now);
+  bool ComesTooLate(const ActiveRequest& active, const Placement& placement,
                     Instant now) const;
-  void Send(Flight& flight, Instant now);
-  Duration RetryAfter(const Flight& flight, Duration wait, Instant now);
+  void Send(ActiveRequest& active, Instant now);
+  Duration RetryAfter(const ActiveRequest& active, Duration wait, Instant now);
 
   // Answers (core_answer.cc).
-  Flight* OfAttempt(AttemptId attempt);
-  void OnWholeAnswer(Flight& flight, Instant now);
-  void OnEndpointRefusal(Flight& flight, Instant now);
-  void OnBrokenAttempt(Flight& flight, http::TransferEnd end, Instant now);
-  bool TryAgain(Flight& flight, Instant now);
-  bool MayRunAgain(const Flight& flight) const;
-  void OnFirstEvent(Flight& flight, Instant now);
-  void OnDeadline(Flight& flight, Instant now);
-  void CancelAttemptOf(Flight& flight);
-  void EndAttempt(Flight& flight);
-  void Suspect(const Flight& flight);
-  void Clear(const Flight& flight);
-  void Fail(Flight& flight, ErrorKind kind, Duration retry_after, Instant now);
-  void Finish(Flight& flight, ErrorKind error, bool answered, Instant now);
-  Tokens SpentBy(const Flight& flight) const;
+  ActiveRequest* OfAttempt(AttemptId attempt);
+  void OnWholeAnswer(ActiveRequest& active, Instant now);
+  void OnEndpointRefusal(ActiveRequest& active, Instant now);
+  void OnBrokenAttempt(ActiveRequest& active, http::TransferEnd end,
+                       Instant now);
+  bool TryAgain(ActiveRequest& active, Instant now);
+  bool MayRunAgain(const ActiveRequest& active) const;
+  void OnFirstEvent(ActiveRequest& active, Instant now);
+  void OnDeadline(ActiveRequest& active, Instant now);
+  void CancelAttemptOf(ActiveRequest& active);
+  void EndAttempt(ActiveRequest& active);
+  void Suspect(const ActiveRequest& active);
+  void Clear(const ActiveRequest& active);
+  void Fail(ActiveRequest& active, ErrorKind kind, Duration retry_after,
+            Instant now);
+  void Finish(ActiveRequest& active, ErrorKind error, bool answered,
+              Instant now);
+  Tokens SpentBy(const ActiveRequest& active) const;
 
-  void OnDue(Flight& flight, Instant now);
-  void SetDue(Flight& flight, Instant when);
-  Instant DueWhileRunning(const Flight& flight) const;
-  void Log(std::string_view event, const Flight& flight,
+  void OnDue(ActiveRequest& active, Instant now);
+  void SetDue(ActiveRequest& active, Instant when);
+  Instant DueWhileRunning(const ActiveRequest& active) const;
+  void Log(std::string_view event, const ActiveRequest& active,
            std::vector<std::pair<std::string_view, std::string>> inputs);
 
   const CoreOptions m_options;
@@ -93,7 +96,7 @@
   std::mt19937_64 m_random;
   std::shared_ptr<const RouteTable> m_routes;
   bool m_stopped = false;
-  std::unordered_map<RequestId, Flight> m_flights;
+  std::unordered_map<RequestId, ActiveRequest> m_active;
   std::unordered_map<AttemptId, RequestId> m_attempts;
   AttemptId m_last_attempt = 0;
   std::set<std::pair<Instant, RequestId>> m_due;
--- a/src/dotterelshift/gateway/core_test.cc
+++ b/src/dotterelshift/gateway/core_test.cc
@@ -34,7 +34,7 @@
     m_now = Instant(1000s);
     m_directory = directory::Directory();
     m_load = std::make_unique<FleetLoad>(FleetLoadOptions{"dc"});
-    m_budgets = std::make_unique<BudgetDesk>(BudgetDeskOptions(), [this] {
+    m_budgets = std::make_unique<HeldGrants>(HeldGrantsOptions(), [this] {
       auto id = std::make_unique<wire::CommandIdT>();
       id->sequence = ++m_sequence;
       return id;
@@ -89,16 +89,16 @@
     m_directory.OnRecord(record, m_now);
   }
 
-  static Ask AskFor(const std::string& path, Tokens tokens = 0) {
-    Ask ask;
-    ask.caller_id = "caller-1";
-    ask.host = "h";
-    ask.path = path + "x";
-    ask.key = "key";
-    ask.patience = 4s;
-    ask.prompt.prompt_tokens = tokens;
-    ask.prompt.output_limit = tokens > 0 ? 60 : 0;
-    return ask;
+  static RequestInfo AskFor(const std::string& path, Tokens tokens = 0) {
+    RequestInfo info;
+    info.caller_id = "caller-1";
+    info.host = "h";
+    info.path = path + "x";
+    info.key = "key";
+    info.patience = 4s;
+    info.prompt.prompt_tokens = tokens;
+    info.prompt.output_limit = tokens > 0 ? 60 : 0;
+    return info;
   }
 
   void Request(const std::string& path, Tokens tokens = 0,
@@ -170,9 +170,9 @@
     Publish();
     Request("/none/");
     CPPUNIT_ASSERT(Only<Refuse>().kind == ErrorKind::kUnknownPath);
-    Ask ask = AskFor("/safe/");
-    ask.key = "stolen";
-    m_core->OnRequest(kRequest, ask, m_now);
+    RequestInfo info = AskFor("/safe/");
+    info.key = "stolen";
+    m_core->OnRequest(kRequest, info, m_now);
     Collect();
     CPPUNIT_ASSERT(Only<Refuse>().kind == ErrorKind::kUnauthorized);
   }
@@ -319,13 +319,13 @@
   // caller's whole patience it would run after the caller has left.
   void PatienceCountsFromTheRequestsHead() {
     Publish();
-    Ask ask = AskFor("/stream/", 100);
-    ask.begun = m_now - 3s;
-    m_core->OnRequest(kRequest, ask, m_now);
+    RequestInfo info = AskFor("/stream/", 100);
+    info.begun = m_now - 3s;
+    m_core->OnRequest(kRequest, info, m_now);
     Collect();
     CPPUNIT_ASSERT(Only<StartAttempt>().time_left == 1s);
-    ask.begun = m_now - 5s;
-    m_core->OnRequest(2, ask, m_now);
+    info.begun = m_now - 5s;
+    m_core->OnRequest(2, info, m_now);
     Pass(0s);
     CPPUNIT_ASSERT_EQUAL(size_t{0}, Count<StartAttempt>());
     CPPUNIT_ASSERT(Only<Refuse>().kind == ErrorKind::kOverloaded);
@@ -335,7 +335,7 @@
     Publish(1'000'000);
     Request("/stream/", 100);
     CPPUNIT_ASSERT(m_last.empty());
-    CPPUNIT_ASSERT_EQUAL(size_t{1}, m_budgets->TakePleas().size());
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, m_budgets->TakeBorrows().size());
     wire::TokenLoanT loan;
     loan.budget = "team";
     loan.tokens = 200;
@@ -393,7 +393,7 @@
   uint64_t m_sequence = 0;
   directory::Directory m_directory;
   std::unique_ptr<FleetLoad> m_load;
-  std::unique_ptr<BudgetDesk> m_budgets;
+  std::unique_ptr<HeldGrants> m_budgets;
   std::unique_ptr<RetryShare> m_retries;
   quarantine::Blocklist m_blocklist;
   std::unique_ptr<Core> m_core;
--- a/src/dotterelshift/gateway/budget_desk.cc
+++ b/src/dotterelshift/gateway/held_grants.cc
@@ -1,4 +1,4 @@
-#include "dotterelshift/gateway/budget_desk.h"
+#include "dotterelshift/gateway/held_grants.h"
 
 #include <algorithm>  // for any_of, max
 #include <utility>    // for move
@@ -20,12 +20,12 @@
 
 }  // namespace
 
-BudgetDesk::BudgetDesk(const BudgetDeskOptions& options, NextId next_id)
+HeldGrants::HeldGrants(const HeldGrantsOptions& options, NextId next_id)
     : m_options(options),
       m_next_id(std::move(next_id)),
       m_ledger(budget::MakeLedger(LedgerOptionsOf())) {}
 
-void BudgetDesk::OnRoutes(const RouteTable& routes, size_t entries,
+void HeldGrants::OnRoutes(const RouteTable& routes, size_t entries,
                           Instant now) {
   m_entries = entries;
   for (const TeamAccess& team : routes.Get().teams) {
@@ -45,7 +45,7 @@
   }
 }
 
-budget::HoldingPolicy BudgetDesk::PolicyOf(const TeamId& team) const {
+budget::HoldingPolicy HeldGrants::PolicyOf(const TeamId& team) const {
   budget::HoldingPolicy policy;
   policy.policy = wire::TeamPolicy::RefusalsFirst;
   policy.way = wire::GrantWay::Unwitnessed;
@@ -59,7 +59,7 @@
 }
 
 // Teams that have drawn for long enough are held by their demand alone.
-void BudgetDesk::LearnDemand(Instant now) {
+void HeldGrants::LearnDemand(Instant now) {
   for (auto it = m_unknown.begin(); it != m_unknown.end();) {
     const bool known = it->second != Instant{} &&
                        now - it->second >= m_options.demand_known_after;
@@ -73,7 +73,7 @@
   }
 }
 
-BudgetAnswer BudgetDesk::Reserve(const TeamId& team, Tokens worst_case,
+BudgetAnswer HeldGrants::Reserve(const TeamId& team, Tokens worst_case,
                                  Instant now) {
   const auto handle = m_handles.find(team);
   if (handle == m_handles.end()) return BudgetAnswer::kNoTotal;
@@ -95,14 +95,14 @@
   }
   if (IsBeyondTotal(team, handle->second, worst_case, now))
     return BudgetAnswer::kExhausted;
-  Plead(team, handle->second, worst_case, now);
+  AskToBorrow(team, handle->second, worst_case, now);
   return BudgetAnswer::kWait;
 }
 
 // The answer while only the last part of a total is left; none when the request
 // may have its tokens. One that is larger than ever gathers cannot be served
 // any more, and to come back would not help its caller.
-std::optional<BudgetAnswer> BudgetDesk::KeptAnswer(const TeamId& team,
+std::optional<BudgetAnswer> HeldGrants::KeptAnswer(const TeamId& team,
                                                    budget::BudgetHandle handle,
                                                    Tokens worst_case,
                                                    Instant now) {
@@ -134,7 +134,7 @@
   return needed > most ? BudgetAnswer::kExhausted : BudgetAnswer::kKept;
 }
 
-bool BudgetDesk::IsBeyondTotal(const TeamId& team, budget::BudgetHandle handle,
+bool HeldGrants::IsBeyondTotal(const TeamId& team, budget::BudgetHandle handle,
                                Tokens worst_case, Instant now) const {
   const auto remainder = m_remainders.find(team);
   if (remainder == m_remainders.end()) return false;
@@ -143,7 +143,7 @@
          remainder->second.tokens + m_ledger->Held(handle) < worst_case;
 }
 
-bool BudgetDesk::GrantIsLikely(const TeamId& team, Tokens worst_case,
+bool HeldGrants::GrantIsLikely(const TeamId& team, Tokens worst_case,
                                Instant now) const {
   const auto remainder = m_remainders.find(team);
   if (!m_connected || remainder == m_remainders.end()) return false;
@@ -152,34 +152,35 @@
          remainder->second.tokens / m_options.likely_requests >= worst_case;
 }
 
-void BudgetDesk::Plead(const TeamId& team, budget::BudgetHandle handle,
-                       Tokens worst_case, Instant now) {
-  Instant& last = m_pleaded[team];
-  if (last != Instant{} && now - last < m_options.plea_every) return;
+void HeldGrants::AskToBorrow(const TeamId& team, budget::BudgetHandle handle,
+                             Tokens worst_case, Instant now) {
+  Instant& last = m_last_borrow[team];
+  if (last != Instant{} && now - last < m_options.borrow_every) return;
   last = now;
   const Tokens idle = m_ledger->Held(handle) - m_ledger->Reserved(handle);
   const Tokens demand = m_ledger->DemandPerSecond(handle, now);
-  wire::TokenPleaT& plea = m_pleas.emplace_back();
-  plea.budget = team;
-  plea.minimum = worst_case - idle;
-  plea.demand_per_second = demand;
+  wire::TokenBorrowT& borrow = m_borrows.emplace_back();
+  borrow.budget = team;
+  borrow.minimum = worst_case - idle;
+  borrow.demand_per_second = demand;
   const double cover =
       std::chrono::duration<double>(m_options.partition).count();
-  plea.wanted = std::max(
-      plea.minimum, static_cast<Tokens>(static_cast<double>(demand) * cover));
+  borrow.wanted = std::max(
+      borrow.minimum, static_cast<Tokens>(static_cast<double>(demand) * cover));
 }
 
-Tokens BudgetDesk::OnPlea(const wire::TokenPleaT& plea, const HostRun& from,
-                          Instant now) {
-  const auto handle = m_handles.find(plea.budget);
-  const bool sane = plea.wanted >= 0 && plea.minimum >= 0 &&
-                    plea.wanted <= kMaxTokens && plea.minimum <= kMaxTokens;
+Tokens HeldGrants::OnBorrow(const wire::TokenBorrowT& borrow,
+                            const HostRun& from, Instant now) {
+  const auto handle = m_handles.find(borrow.budget);
+  const bool sane = borrow.wanted >= 0 && borrow.minimum >= 0 &&
+                    borrow.wanted <= kMaxTokens && borrow.minimum <= kMaxTokens;
   if (handle == m_handles.end() || !sane) return 0;
-  const Tokens lent = m_ledger->Lend(handle->second, plea.wanted, plea.minimum,
-                                     plea.demand_per_second, now);
+  const Tokens lent =
+      m_ledger->Lend(handle->second, borrow.wanted, borrow.minimum,
+                     borrow.demand_per_second, now);
   if (lent <= 0) return 0;
   wire::MoveGrantT move;
-  move.budget = plea.budget;
+  move.budget = borrow.budget;
   move.tokens = lent;
   move.to_host = from.host;
   move.to_incarnation = from.incarnation;
@@ -187,13 +188,13 @@
   return lent;
 }
 
-void BudgetDesk::OnLoan(const wire::TokenLoanT& loan, Instant now) {
+void HeldGrants::OnLoan(const wire::TokenLoanT& loan, Instant now) {
   const auto handle = m_handles.find(loan.budget);
   if (handle == m_handles.end() || loan.tokens <= 0) return;
   m_ledger->Borrow(handle->second, loan.tokens, now);
 }
 
-void BudgetDesk::Settle(const TeamId& team, Tokens reserved, Tokens spent,
+void HeldGrants::Settle(const TeamId& team, Tokens reserved, Tokens spent,
                         bool answered, Instant now) {
   const auto handle = m_handles.find(team);
   if (handle == m_handles.end()) return;
@@ -204,7 +205,7 @@
   if (answered) ++spend.answered;
 }
 
-BudgetDesk::Position BudgetDesk::PositionOf(const TeamId& team,
+HeldGrants::Position HeldGrants::PositionOf(const TeamId& team,
                                             Instant now) const {
   Position position;
   const auto handle = m_handles.find(team);
@@ -219,16 +220,16 @@
   return position;
 }
 
-void BudgetDesk::SetConnected(bool connected, Instant now) {
+void HeldGrants::SetConnected(bool connected, Instant now) {
   m_connected = connected;
   m_ledger->SetConnected(connected, now);
 }
 
-void BudgetDesk::OnRecall(const wire::RecallT& recall, Instant now) {
+void HeldGrants::OnRecall(const wire::RecallT& recall, Instant now) {
   m_ledger->OnRecall(recall.budget, recall.tokens, now);
 }
 
-bool BudgetDesk::OnAnswer(const wire::CommandAnswerT& answer, Instant now) {
+bool HeldGrants::OnAnswer(const wire::CommandAnswerT& answer, Instant now) {
   if (answer.id != nullptr) m_asks.erase(answer.id->sequence);
   const wire::GrantAnswerT* grant = answer.body.AsGrantAnswer();
   if (grant == nullptr) return false;
@@ -239,7 +240,7 @@
   return true;
 }
 
-std::vector<wire::CommandT> BudgetDesk::TakeCommands(Instant now) {
+std::vector<wire::CommandT> HeldGrants::TakeCommands(Instant now) {
   std::vector<wire::CommandT> commands = std::exchange(m_moves, {});
   if (now >= m_next_report) {
     AddReports(&commands, now);
@@ -255,12 +256,12 @@
   return commands;
 }
 
-bool BudgetDesk::IsAsking(const TeamId& team) const {
+bool HeldGrants::IsAsking(const TeamId& team) const {
   return std::any_of(m_asks.begin(), m_asks.end(),
                      [&](const auto& ask) { return ask.second == team; });
 }
 
-std::vector<wire::CommandT> BudgetDesk::TakeLastCommands(Instant now) {
+std::vector<wire::CommandT> HeldGrants::TakeLastCommands(Instant now) {
   std::vector<wire::CommandT> commands = std::exchange(m_moves, {});
   AddReports(&commands, now);
   for (const budget::GrantWish& wish : m_ledger->ReturnAll(now))
@@ -268,7 +269,7 @@
   return commands;
 }
 
-void BudgetDesk::AddReports(std::vector<wire::CommandT>* commands,
+void HeldGrants::AddReports(std::vector<wire::CommandT>* commands,
                             Instant now) {
   m_next_report = now + m_options.report_every;
   for (const auto& [team, spend] : std::exchange(m_spends, {})) {
@@ -281,7 +282,7 @@
   }
 }
 
-wire::CommandT BudgetDesk::CommandOf(const budget::GrantWish& wish) {
+wire::CommandT HeldGrants::CommandOf(const budget::GrantWish& wish) {
   const BudgetId& id = m_ledger->IdOf(wish.budget);
   if (wish.kind == budget::GrantWish::Kind::kReturn) {
     wire::ReturnGrantT body;
@@ -300,7 +301,7 @@
   return command;
 }
 
-std::vector<wire::BudgetHoldingT> BudgetDesk::Holdings(Instant now) const {
+std::vector<wire::BudgetHoldingT> HeldGrants::Holdings(Instant now) const {
   std::vector<wire::BudgetHoldingT> holdings;
   for (const auto& [team, handle] : m_handles) {
     if (m_ledger->Held(handle) == 0) continue;
--- a/src/dotterelshift/gateway/budget_desk_test.cc
+++ b/src/dotterelshift/gateway/held_grants_test.cc
@@ -1,12 +1,12 @@
-#include "dotterelshift/gateway/budget_desk.h"
+#include "dotterelshift/gateway/held_grants.h"
 
 #include <cppunit/extensions/HelperMacros.h>  // for CPPUNIT_TEST
 
 namespace dotterelshift::gateway {
 namespace {
 
-class BudgetDeskTest : public CppUnit::TestFixture {
-  CPPUNIT_TEST_SUITE(BudgetDeskTest);
+class HeldGrantsTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(HeldGrantsTest);
   CPPUNIT_TEST(EachBudgetIsAskedForBeforeItIsDrawnOn);
   CPPUNIT_TEST(AnAskUnderWayIsNotDoubled);
   CPPUNIT_TEST(IdleHoldingsStayToBeLentInACut);
@@ -17,19 +17,19 @@
 
  public:
   void setUp() override {
-    m_desk = std::make_unique<BudgetDesk>(BudgetDeskOptions(), [this] {
+    m_grants = std::make_unique<HeldGrants>(HeldGrantsOptions(), [this] {
       auto id = std::make_unique<wire::CommandIdT>();
       id->sequence = ++m_sequence;
       return id;
     });
     Routes routes;
     routes.teams = {{"t", {"k"}, std::nullopt, 1'000'000}};
-    m_desk->SetConnected(true, m_now);
-    m_desk->OnRoutes(RouteTable(routes), 4, m_now);
+    m_grants->SetConnected(true, m_now);
+    m_grants->OnRoutes(RouteTable(routes), 4, m_now);
   }
 
  private:
-  std::vector<wire::CommandT> Take() { return m_desk->TakeCommands(m_now); }
+  std::vector<wire::CommandT> Take() { return m_grants->TakeCommands(m_now); }
 
   static std::vector<const wire::RequestGrantT*> Asks(
       const std::vector<wire::CommandT>& commands) {
@@ -49,7 +49,7 @@
     grant.standing = tokens;
     grant.free = free;
     answer.body.Set(std::move(grant));
-    m_desk->OnAnswer(answer, m_now);
+    m_grants->OnAnswer(answer, m_now);
   }
 
   // Takes the first ask and grants it.
@@ -65,7 +65,7 @@
     CPPUNIT_ASSERT_EQUAL(size_t{1}, asks.size());
     // A quarter of the part that all four entries hold at first.
     const auto part =
-        static_cast<Tokens>(BudgetDeskOptions().first_part * 1'000'000 / 4);
+        static_cast<Tokens>(HeldGrantsOptions().first_part * 1'000'000 / 4);
     CPPUNIT_ASSERT_EQUAL(part, asks[0]->wanted);
   }
 
@@ -73,7 +73,7 @@
     Take();
     for (int i = 0; i < 10; ++i) {
       m_now += 300ms;
-      m_desk->Reserve("t", 5000, m_now);
+      m_grants->Reserve("t", 5000, m_now);
       CPPUNIT_ASSERT(Asks(Take()).empty());
     }
   }
@@ -85,17 +85,18 @@
     m_now += 20s;
     for (const wire::CommandT& command : Take())
       CPPUNIT_ASSERT(command.body.AsReturnGrant() == nullptr);
-    m_desk->SetConnected(false, m_now);
-    wire::TokenPleaT plea;
-    plea.budget = "t";
-    plea.wanted = 900'000;
-    plea.minimum = 17'000;
-    plea.demand_per_second = 100'000;
-    const Tokens lent = m_desk->OnPlea(plea, {"other", 1}, m_now);
+    m_grants->SetConnected(false, m_now);
+    wire::TokenBorrowT borrow;
+    borrow.budget = "t";
+    borrow.wanted = 900'000;
+    borrow.minimum = 17'000;
+    borrow.demand_per_second = 100'000;
+    const Tokens lent = m_grants->OnBorrow(borrow, {"other", 1}, m_now);
     CPPUNIT_ASSERT(lent > 80'000 && lent <= 87'500);
     // What was lent is no longer there.
-    CPPUNIT_ASSERT(m_desk->OnPlea(plea, {"third", 1}, m_now) <= 87'500 - lent);
-    m_desk->SetConnected(true, m_now);
+    CPPUNIT_ASSERT(m_grants->OnBorrow(borrow, {"third", 1}, m_now) <=
+                   87'500 - lent);
+    m_grants->SetConnected(true, m_now);
     size_t moves = 0;
     for (const wire::CommandT& command : Take())
       moves += command.body.AsMoveGrant() != nullptr ? 1 : 0;
@@ -104,15 +105,17 @@
 
   void WhatIsBeyondTheTotalIsKnownAtOnce() {
     GrantFirst(100'000, 50'000);
-    CPPUNIT_ASSERT(m_desk->Reserve("t", 90'000, m_now) ==
+    CPPUNIT_ASSERT(m_grants->Reserve("t", 90'000, m_now) ==
                    BudgetAnswer::kReserved);
-    CPPUNIT_ASSERT(m_desk->Reserve("t", 120'000, m_now) == BudgetAnswer::kWait);
-    CPPUNIT_ASSERT(m_desk->Reserve("t", 160'000, m_now) ==
+    CPPUNIT_ASSERT(m_grants->Reserve("t", 120'000, m_now) ==
+                   BudgetAnswer::kWait);
+    CPPUNIT_ASSERT(m_grants->Reserve("t", 160'000, m_now) ==
                    BudgetAnswer::kExhausted);
     // An old word on what is left is not believed.
-    m_now += BudgetDeskOptions().remainder_memory;
-    CPPUNIT_ASSERT(m_desk->Reserve("t", 160'000, m_now) == BudgetAnswer::kWait);
-    CPPUNIT_ASSERT(m_desk->Reserve("free", 1600, m_now) ==
+    m_now += HeldGrantsOptions().remainder_memory;
+    CPPUNIT_ASSERT(m_grants->Reserve("t", 160'000, m_now) ==
+                   BudgetAnswer::kWait);
+    CPPUNIT_ASSERT(m_grants->Reserve("free", 1600, m_now) ==
                    BudgetAnswer::kNoTotal);
   }
 
@@ -125,10 +128,10 @@
     for (int ms = 0; ms < 20'000; ms += 25, m_now += 25ms) {
       const bool large = ms % 100 == 0;
       const Tokens size = large ? 15'000 : 1'500;
-      if (m_desk->Reserve("t", size, m_now) != BudgetAnswer::kReserved)
+      if (m_grants->Reserve("t", size, m_now) != BudgetAnswer::kReserved)
         continue;
       CPPUNIT_ASSERT(!large);
-      m_desk->Settle("t", size, size, true, m_now);
+      m_grants->Settle("t", size, size, true, m_now);
       small += size;
       if (ms >= 15'000) late += size;
     }
@@ -138,9 +141,9 @@
 
   void SpendIsReportedOnceAndTheRestReturned() {
     GrantFirst(10'000, 900'000);
-    CPPUNIT_ASSERT(m_desk->Reserve("t", 4000, m_now) ==
+    CPPUNIT_ASSERT(m_grants->Reserve("t", 4000, m_now) ==
                    BudgetAnswer::kReserved);
-    m_desk->Settle("t", 4000, 2500, true, m_now);
+    m_grants->Settle("t", 4000, 2500, true, m_now);
     m_now += 1s;
     Tokens reported = 0;
     Tokens returned = 0;
@@ -153,16 +156,16 @@
       }
     };
     count(Take());
-    count(m_desk->TakeLastCommands(m_now));
+    count(m_grants->TakeLastCommands(m_now));
     CPPUNIT_ASSERT_EQUAL(Tokens{2500}, reported);
     CPPUNIT_ASSERT_EQUAL(Tokens{7500}, returned);
   }
 
   Instant m_now{1000s};
   uint64_t m_sequence = 0;
-  std::unique_ptr<BudgetDesk> m_desk;
+  std::unique_ptr<HeldGrants> m_grants;
 };
-CPPUNIT_TEST_SUITE_REGISTRATION(BudgetDeskTest);
+CPPUNIT_TEST_SUITE_REGISTRATION(HeldGrantsTest);
 
 }  // namespace
 }  // namespace dotterelshift::gateway
--- a/src/dotterelshift/gateway/link_gate.cc
+++ b/src/dotterelshift/gateway/link_load_shedder.cc
@@ -1,4 +1,4 @@
-#include "dotterelshift/gateway/link_gate.h"
+#include "dotterelshift/gateway/link_load_shedder.h"
 
 #include <cmath>  // for exp
 
@@ -11,30 +11,30 @@
 
 }  // namespace
 
-void LinkGate::OnRequest(size_t bytes, Instant now) {
+void LinkLoadShedder::OnRequest(size_t bytes, Instant now) {
   if (m_options.bytes_per_second <= 0) return;
   m_rate = FilledPart(now) * m_options.bytes_per_second;
   m_rate += static_cast<double>(bytes) / Seconds(m_options.window);
   m_since = now;
 }
 
-double LinkGate::FilledPart(Instant now) const {
+double LinkLoadShedder::FilledPart(Instant now) const {
   if (m_options.bytes_per_second <= 0 || m_rate == 0) return 0;
   const double windows = Seconds(now - m_since) / Seconds(m_options.window);
   return m_rate * std::exp(-windows) / m_options.bytes_per_second;
 }
 
-bool LinkGate::IsAway(Instant now) {
+bool LinkLoadShedder::IsShedding(Instant now) {
   const double filled = FilledPart(now);
-  if (m_away_since == Instant{}) {
-    if (filled >= m_options.full_part) m_away_since = now;
-    return m_away_since != Instant{};
+  if (m_shedding_since == Instant{}) {
+    if (filled >= m_options.full_part) m_shedding_since = now;
+    return m_shedding_since != Instant{};
   }
-  const Duration away = now - m_away_since;
+  const Duration away = now - m_shedding_since;
   const bool clear =
-      away >= m_options.away_least && filled <= m_options.clear_part;
-  if (clear || away >= m_options.away_most) m_away_since = Instant{};
-  return m_away_since != Instant{};
+      away >= m_options.shed_least && filled <= m_options.clear_part;
+  if (clear || away >= m_options.shed_most) m_shedding_since = Instant{};
+  return m_shedding_since != Instant{};
 }
 
 }  // namespace dotterelshift::gateway
--- a/src/dotterelshift/gateway/link_gate_test.cc
+++ b/src/dotterelshift/gateway/link_load_shedder_test.cc
@@ -1,4 +1,4 @@
-#include "dotterelshift/gateway/link_gate.h"
+#include "dotterelshift/gateway/link_load_shedder.h"
 
 #include <cppunit/extensions/HelperMacros.h>  // for CPPUNIT_TEST
 
@@ -9,8 +9,8 @@
 constexpr double kLink = 1'250'000;
 constexpr size_t kRequestBytes = 70'000;
 
-class LinkGateTest : public CppUnit::TestFixture {
-  CPPUNIT_TEST_SUITE(LinkGateTest);
+class LinkLoadShedderTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(LinkLoadShedderTest);
   CPPUNIT_TEST(AHotCallerSendsTheEntryAwayAndItComesBack);
   CPPUNIT_TEST(ASteadyShareOfTheLinkIsServed);
   CPPUNIT_TEST(LoadThatDoesNotEndKeepsNoEntryAwayForGood);
@@ -21,60 +21,61 @@
   void setUp() override { m_now = Instant(1000s); }
 
  private:
-  static LinkGate Make(double bytes_per_second) {
-    LinkGateOptions options;
+  static LinkLoadShedder Make(double bytes_per_second) {
+    LinkLoadShedderOptions options;
     options.bytes_per_second = bytes_per_second;
-    return LinkGate(options);
+    return LinkLoadShedder(options);
   }
 
-  // Requests at an even rate; whether the gate was away at any of them.
-  bool Load(LinkGate& gate, double requests_per_second, Duration time) {
+  // Requests at an even rate; whether the shedder was on at any of them.
+  bool Load(LinkLoadShedder& shedder, double requests_per_second,
+            Duration time) {
     const Duration gap = std::chrono::duration_cast<Duration>(
         std::chrono::duration<double>(1 / requests_per_second));
-    bool away = false;
+    bool shed = false;
     for (const Instant end = m_now + time; m_now < end; m_now += gap) {
-      gate.OnRequest(kRequestBytes, m_now);
-      away = gate.IsAway(m_now) || away;
+      shedder.OnRequest(kRequestBytes, m_now);
+      shed = shedder.IsShedding(m_now) || shed;
     }
-    return away;
+    return shed;
   }
 
   // 25 long prompts a second are more than the link carries.
   void AHotCallerSendsTheEntryAwayAndItComesBack() {
-    LinkGate gate = Make(kLink);
-    CPPUNIT_ASSERT(Load(gate, 25, 1s));
-    m_now += LinkGateOptions().away_least - 1s;
-    CPPUNIT_ASSERT(gate.IsAway(m_now));
+    LinkLoadShedder shedder = Make(kLink);
+    CPPUNIT_ASSERT(Load(shedder, 25, 1s));
+    m_now += LinkLoadShedderOptions().shed_least - 1s;
+    CPPUNIT_ASSERT(shedder.IsShedding(m_now));
     m_now += 1s;
-    CPPUNIT_ASSERT(!gate.IsAway(m_now));
+    CPPUNIT_ASSERT(!shedder.IsShedding(m_now));
   }
 
   void ASteadyShareOfTheLinkIsServed() {
-    LinkGate gate = Make(kLink);
-    CPPUNIT_ASSERT(!Load(gate, 8, 30s));
-    CPPUNIT_ASSERT(gate.FilledPart(m_now) > 0.3);
+    LinkLoadShedder shedder = Make(kLink);
+    CPPUNIT_ASSERT(!Load(shedder, 8, 30s));
+    CPPUNIT_ASSERT(shedder.FilledPart(m_now) > 0.3);
   }
 
   void LoadThatDoesNotEndKeepsNoEntryAwayForGood() {
-    LinkGate gate = Make(kLink);
-    CPPUNIT_ASSERT(Load(gate, 25, 1s));
+    LinkLoadShedder shedder = Make(kLink);
+    CPPUNIT_ASSERT(Load(shedder, 25, 1s));
     bool back = false;
     for (int i = 0; i < 200 && !back; ++i) {
       m_now += 40ms;
-      gate.OnRequest(kRequestBytes, m_now);
-      back = !gate.IsAway(m_now);
+      shedder.OnRequest(kRequestBytes, m_now);
+      back = !shedder.IsShedding(m_now);
     }
     CPPUNIT_ASSERT(back);
   }
 
   void WithoutAKnownLinkNothingIsDecided() {
-    LinkGate gate = Make(0);
-    CPPUNIT_ASSERT(!Load(gate, 100, 5s));
+    LinkLoadShedder shedder = Make(0);
+    CPPUNIT_ASSERT(!Load(shedder, 100, 5s));
   }
 
   Instant m_now;
 };
-CPPUNIT_TEST_SUITE_REGISTRATION(LinkGateTest);
+CPPUNIT_TEST_SUITE_REGISTRATION(LinkLoadShedderTest);
 
 }  // namespace
 }  // namespace dotterelshift::gateway
--- a/src/dotterelshift/orders/order_core.cc
+++ b/src/dotterelshift/orders/order_core.cc
@@ -45,7 +45,7 @@
 }
 
 // What this leader knows of an order beyond the log.
-struct Flight {
+struct OpenOrder {
   int sends = 0;
   Instant sent_at;
   Instant not_before;        // of the next send
@@ -60,7 +60,7 @@
 
   void OnLeadership(bool leads, Instant now) override {
     m_leads = leads;
-    m_flights.clear();
+    m_open.clear();
     // What a predecessor sent while it believed in its lease has arrived by
     // then, or never will.
     m_quiet_until = now + m_options.lease + m_options.longest_delivery;
@@ -68,13 +68,13 @@
 
   void OnResult(const std::string& order, wire::OrderState state,
                 const std::string& detail, Instant) override {
-    const auto found = m_flights.find(order);
-    if (found == m_flights.end()) return;
-    Flight& flight = found->second;
+    const auto found = m_open.find(order);
+    if (found == m_open.end()) return;
+    OpenOrder& open = found->second;
     const bool final =
         state == wire::OrderState::Done || state == wire::OrderState::Refused;
-    if (final) flight.result = state;
-    flight.detail = detail;
+    if (final) open.result = state;
+    open.detail = detail;
   }
 
   std::vector<OrderAction> Decide(const state::State& state,
@@ -110,37 +110,35 @@
 
  private:
   bool IsFlying(const std::string& order) const {
-    const auto found = m_flights.find(order);
-    return found != m_flights.end() && found->second.sends > 0;
+    const auto found = m_open.find(order);
+    return found != m_open.end() && found->second.sends > 0;
   }
 
   void ForgetEnded(const std::vector<wire::OrderT>& orders) {
     std::set<std::string> open;
     for (const wire::OrderT& order : orders)
       if (IsOpen(order)) open.insert(order.id);
-    std::erase_if(m_flights, [&](const auto& entry) {
-      return !open.contains(entry.first);
-    });
+    std::erase_if(
+        m_open, [&](const auto& entry) { return !open.contains(entry.first); });
   }
 
   // Records the end of an order once it is known; true when there is nothing
   // more to send.
   bool RecordEnd(const wire::OrderT& order, const directory::Endpoint* endpoint,
                  Instant now, std::vector<OrderAction>* actions) {
-    const auto found = m_flights.find(order.id);
-    if (found == m_flights.end()) return false;
-    Flight& flight = found->second;
+    const auto found = m_open.find(order.id);
+    if (found == m_open.end()) return false;
+    OpenOrder& open = found->second;
     // The answer was lost, but the endpoint has announced the effect since.
-    const bool observed = !flight.result && endpoint != nullptr &&
-                          endpoint->last_news > flight.sent_at &&
+    const bool observed = !open.result && endpoint != nullptr &&
+                          endpoint->last_news > open.sent_at &&
                           IsObserved(order, endpoint->record);
-    if (observed) flight.result = wire::OrderState::Done;
-    const bool given_up = !flight.result &&
-                          flight.sends >= m_options.max_sends &&
-                          now >= flight.not_before;
-    if (given_up) flight.result = wire::OrderState::Lost;
-    if (!flight.result) return false;
-    Record(order, *flight.result, flight.detail, actions);
+    if (observed) open.result = wire::OrderState::Done;
+    const bool given_up = !open.result && open.sends >= m_options.max_sends &&
+                          now >= open.not_before;
+    if (given_up) open.result = wire::OrderState::Lost;
+    if (!open.result) return false;
+    Record(order, *open.result, open.detail, actions);
     return true;
   }
 
@@ -157,17 +155,17 @@
 
   bool MaySend(const wire::OrderT& order, const directory::Endpoint& endpoint,
                Instant lease_until, Instant now) {
-    const auto found = m_flights.find(order.id);
+    const auto found = m_open.find(order.id);
     const bool restarted =
-        found != m_flights.end() &&
+        found != m_open.end() &&
         found->second.incarnation != endpoint.record.incarnation;
     Instant earliest = Instant::min();
-    if (found != m_flights.end() && !restarted)
+    if (found != m_open.end() && !restarted)
       earliest = found->second.not_before;
     if (!endpoint.record.checks_fencing) {
       earliest = std::max(earliest, m_quiet_until);
       // Not even a restart ends what is still on its way to this address.
-      if (found != m_flights.end())
+      if (found != m_open.end())
         earliest = std::max(earliest, found->second.not_before);
       if (now >= lease_until) return false;
     }
@@ -178,14 +176,14 @@
 
   void Send(const wire::OrderT& order, const directory::Endpoint& endpoint,
             Instant now, std::vector<OrderAction>* actions) {
-    Flight& flight = m_flights[order.id];
-    ++flight.sends;
-    flight.sent_at = now;
-    flight.incarnation = endpoint.record.incarnation;
-    flight.not_before =
+    OpenOrder& open = m_open[order.id];
+    ++open.sends;
+    open.sent_at = now;
+    open.incarnation = endpoint.record.incarnation;
+    open.not_before =
         now + (endpoint.record.checks_fencing ? m_options.resend
                                               : m_options.longest_delivery);
-    DueBy(flight.not_before);
+    DueBy(open.not_before);
     if (order.state == wire::OrderState::Planned)
       Record(order, wire::OrderState::Sent, "", actions);
     OrderAction action;
@@ -202,7 +200,7 @@
   OrderOptions m_options;
   bool m_leads = false;
   Instant m_quiet_until;
-  std::unordered_map<std::string, Flight> m_flights;
+  std::unordered_map<std::string, OpenOrder> m_open;
   std::optional<Instant> m_next_due;
 };
 
--- a/src/dotterelshift/replication/healing_world.h
+++ b/src/dotterelshift/replication/healing_world.h
@@ -101,7 +101,7 @@
     Instant housekeeping{};
     bool cut = false;
   };
-  struct Flight {
+  struct SentFrame {
     HostId from;
     HostId to;
     wire::FrameT frame;
@@ -161,8 +161,8 @@
     if (host.unsynced && Chance(30)) Persist(host, *host.unsynced);
     host.node.reset();
     host.unsynced.reset();
-    std::erase_if(m_flights, [&](const Flight& flight) {
-      return flight.from == host.name || flight.to == host.name;
+    std::erase_if(m_sent, [&](const SentFrame& sent) {
+      return sent.from == host.name || sent.to == host.name;
     });
   }
 
@@ -219,20 +219,20 @@
   void SayHello(const Host& from, const HostId& to, bool answer_wanted) {
     wire::FrameT frame;
     frame.body.Set(from.discovery->Hello(ViewOf(*from.node), answer_wanted));
-    m_flights.push_back({from.name, to, std::move(frame)});
+    m_sent.push_back({from.name, to, std::move(frame)});
   }
 
-  void OnFrame(Host& host, const Flight& flight) {
-    if (const wire::ReplicaHelloT* hello = flight.frame.body.AsReplicaHello()) {
-      if (host.discovery->OnHello(flight.from, *hello, ViewOf(*host.node)))
-        SayHello(host, flight.from, false);
+  void OnFrame(Host& host, const SentFrame& sent) {
+    if (const wire::ReplicaHelloT* hello = sent.frame.body.AsReplicaHello()) {
+      if (host.discovery->OnHello(sent.from, *hello, ViewOf(*host.node)))
+        SayHello(host, sent.from, false);
       TryToFound(host);
       return;
     }
-    const ReplicaId sender = SenderOf(flight.frame);
-    host.heard[sender] = flight.from;
+    const ReplicaId sender = SenderOf(sent.frame);
+    host.heard[sender] = sent.from;
     host.keeper->OnHeard(sender, m_now);
-    host.node->OnMessage(flight.frame, m_now);
+    host.node->OnMessage(sent.frame, m_now);
     Pump(host);
   }
 
@@ -245,7 +245,7 @@
       if (empty) return;
       for (auto& [to, frame] : ready.messages) {
         const HostId name = NameOf(host, to);
-        if (!name.empty()) m_flights.push_back({host.name, name, frame});
+        if (!name.empty()) m_sent.push_back({host.name, name, frame});
       }
       Apply(host, ready);
       NoteLeader(host);
@@ -322,19 +322,19 @@
   // Takes the first message of any two hosts, so that each connection keeps its
   // order.
   void DeliverOne() {
-    if (m_flights.empty()) return;
-    size_t chosen = Draw(m_flights.size());
+    if (m_sent.empty()) return;
+    size_t chosen = Draw(m_sent.size());
     for (size_t i = 0; i < chosen; ++i) {
-      if (m_flights[i].from != m_flights[chosen].from ||
-          m_flights[i].to != m_flights[chosen].to)
+      if (m_sent[i].from != m_sent[chosen].from ||
+          m_sent[i].to != m_sent[chosen].to)
         continue;
       chosen = i;
     }
-    const Flight flight = std::move(m_flights[chosen]);
-    m_flights.erase(m_flights.begin() + static_cast<std::ptrdiff_t>(chosen));
-    Host& to = HostNamed(flight.to);
-    const bool reached = to.node && to.cut == HostNamed(flight.from).cut;
-    if (reached) OnFrame(to, flight);
+    const SentFrame sent = std::move(m_sent[chosen]);
+    m_sent.erase(m_sent.begin() + static_cast<std::ptrdiff_t>(chosen));
+    Host& to = HostNamed(sent.to);
+    const bool reached = to.node && to.cut == HostNamed(sent.from).cut;
+    if (reached) OnFrame(to, sent);
   }
 
   void DeliverSome() {
@@ -444,7 +444,7 @@
   std::array<Host, kHosts> m_hosts;
   ReplicaId m_last_id = 0;
   uint64_t m_last_payload = 0;
-  std::deque<Flight> m_flights;
+  std::deque<SentFrame> m_sent;
   std::set<ReplicaId> m_lost;          // whose folder is gone
   wire::MembershipT m_members;         // committed last
   std::vector<std::string> m_history;  // what any replica has applied
--- a/src/dotterelshift/replication/schedule_world.h
+++ b/src/dotterelshift/replication/schedule_world.h
@@ -86,7 +86,7 @@
     State applied;
     std::map<uint64_t, uint64_t> reads;  // token to the index to be reached
   };
-  struct Flight {
+  struct SentFrame {
     ReplicaId from = 0;
     ReplicaId to = 0;
     wire::FrameT frame;
@@ -147,7 +147,7 @@
                          !ready.leadership_changed;
       if (empty) return;
       for (auto& [to, frame] : ready.messages)
-        m_flights.push_back({place.disk.self, to, std::move(frame)});
+        m_sent.push_back({place.disk.self, to, std::move(frame)});
       Apply(place, ready);
       NoteLeader(place);
       if (ready.HasWrites()) place.unsynced = std::move(ready);
@@ -235,29 +235,29 @@
   }
 
   void DeliverOne() {
-    if (m_flights.empty()) return;
+    if (m_sent.empty()) return;
     // Mostly in order, now and then any.
-    const size_t chosen = Chance(70) ? 0 : Draw(m_flights.size());
-    const Flight flight = m_flights[chosen];
+    const size_t chosen = Chance(70) ? 0 : Draw(m_sent.size());
+    const SentFrame sent = m_sent[chosen];
     if (!Chance(3)) {  // else it comes once more
-      m_flights.erase(m_flights.begin() + static_cast<std::ptrdiff_t>(chosen));
+      m_sent.erase(m_sent.begin() + static_cast<std::ptrdiff_t>(chosen));
     }
-    if (Chance(m_lossy ? 10 : 0) || IsCut(flight)) return;
+    if (Chance(m_lossy ? 10 : 0) || IsCut(sent)) return;
     for (Place& place : m_places) {
-      if (!place.node || place.disk.self != flight.to) continue;
-      place.node->OnMessage(flight.frame, m_now);
+      if (!place.node || place.disk.self != sent.to) continue;
+      place.node->OnMessage(sent.frame, m_now);
       Pump(place);
     }
   }
 
-  bool IsCut(const Flight& flight) const {
+  bool IsCut(const SentFrame& sent) const {
     const auto stands = [&](ReplicaId id) {
       for (size_t i = 0; i < kPlaces; ++i)
         if (m_places[i].disk.self == id) return i;
       return kPlaces;
     };
-    return m_cut_off && (stands(flight.from) == *m_cut_off) !=
-                            (stands(flight.to) == *m_cut_off);
+    return m_cut_off &&
+           (stands(sent.from) == *m_cut_off) != (stands(sent.to) == *m_cut_off);
   }
 
   void Cut() { m_cut_off = Draw(kPlaces); }
@@ -390,7 +390,7 @@
   std::array<Place, kPlaces> m_places;
   ReplicaId m_last_id = 0;
   uint64_t m_last_payload = 0;
-  std::vector<Flight> m_flights;
+  std::vector<SentFrame> m_sent;
   std::optional<size_t> m_cut_off;
   bool m_lossy = true;
   std::optional<ReplicaId> m_lost;
--- a/src/dotterelshift/platform/bounded_output.cc
+++ b/src/dotterelshift/telemetry/bounded_output.cc
@@ -1,11 +1,11 @@
-#include "dotterelshift/platform/bounded_output.h"
+#include "dotterelshift/telemetry/bounded_output.h"
 
 #include <poll.h>    // for poll
 #include <unistd.h>  // for write
 
 #include <algorithm>  // for min
 
-namespace dotterelshift::platform {
+namespace dotterelshift::telemetry {
 namespace {
 
 // A pipe that is writable takes this many bytes without blocking (PIPE_BUF).
@@ -43,4 +43,4 @@
   return 0;
 }
 
-}  // namespace dotterelshift::platform
+}  // namespace dotterelshift::telemetry
--- a/src/dotterelshift/platform/bounded_output.h
+++ b/src/dotterelshift/telemetry/bounded_output.h
@@ -1,11 +1,11 @@
-#ifndef DOTTERELSHIFT_SRC_PLATFORM_BOUNDED_OUTPUT_H_
-#define DOTTERELSHIFT_SRC_PLATFORM_BOUNDED_OUTPUT_H_
+#ifndef DOTTERELSHIFT_SRC_TELEMETRY_BOUNDED_OUTPUT_H_
+#define DOTTERELSHIFT_SRC_TELEMETRY_BOUNDED_OUTPUT_H_
 
 #include <cstdint>    // for uint64_t
 #include <streambuf>  // for streambuf
 #include <string>     // for string
 
-namespace dotterelshift::platform {
+namespace dotterelshift::telemetry {
 
 // Writes whole lines to a descriptor without ever waiting for its reader: what
 // it does not take is held up to a bound, and lines past that are dropped.
@@ -33,6 +33,6 @@
   uint64_t m_dropped = 0;
 };
 
-}  // namespace dotterelshift::platform
+}  // namespace dotterelshift::telemetry
 
-#endif  // DOTTERELSHIFT_SRC_PLATFORM_BOUNDED_OUTPUT_H_
+#endif  // DOTTERELSHIFT_SRC_TELEMETRY_BOUNDED_OUTPUT_H_
--- a/src/dotterelshift/platform/log.cc
+++ b/src/dotterelshift/telemetry/log.cc
@@ -1,4 +1,4 @@
-#include "dotterelshift/platform/log.h"
+#include "dotterelshift/telemetry/log.h"
 
 #include <unistd.h>  // for STDOUT_FILENO
 
@@ -14,9 +14,9 @@
 #include <nlohmann/json.hpp>                         // for ordered_json
 #include <ostream>                                   // for ostream
 
-#include "dotterelshift/platform/bounded_output.h"  // for BoundedOutput
+#include "dotterelshift/telemetry/bounded_output.h"  // for BoundedOutput
 
-namespace dotterelshift::platform {
+namespace dotterelshift::telemetry {
 namespace {
 
 using Backend = boost::log::sinks::text_ostream_backend;
@@ -149,4 +149,4 @@
   Write(LogLevel::kInfo, TextOf(line));
 }
 
-}  // namespace dotterelshift::platform
+}  // namespace dotterelshift::telemetry
--- a/src/dotterelshift/platform/log_test.cc
+++ b/src/dotterelshift/telemetry/log_test.cc
@@ -1,13 +1,13 @@
-#include "dotterelshift/platform/log.h"
+#include "dotterelshift/telemetry/log.h"
 
 #include <cppunit/extensions/HelperMacros.h>  // for CPPUNIT_TEST
 
 #include <nlohmann/json.hpp>  // for json
 #include <optional>           // for optional
 
-#include "dotterelshift/platform/log_testing.h"  // for CapturedLog
+#include "dotterelshift/telemetry/log_testing.h"  // for CapturedLog
 
-namespace dotterelshift::platform {
+namespace dotterelshift::telemetry {
 namespace {
 
 class LogTest : public CppUnit::TestFixture {
@@ -52,4 +52,4 @@
 CPPUNIT_TEST_SUITE_REGISTRATION(LogTest);
 
 }  // namespace
-}  // namespace dotterelshift::platform
+}  // namespace dotterelshift::telemetry
--- a/src/dotterelshift/platform/log_testing.h
+++ b/src/dotterelshift/telemetry/log_testing.h
@@ -4,9 +4,9 @@
 #include <sstream>  // for ostringstream
 #include <string>   // for string
 
-#include "dotterelshift/platform/log.h"  // for StartLog
+#include "dotterelshift/telemetry/log.h"  // for StartLog
 
-namespace dotterelshift::platform {
+namespace dotterelshift::telemetry {
 
 // What a test's code logs while one of these lives.
 class CapturedLog {
@@ -40,6 +40,6 @@
   }
 };
 
-}  // namespace dotterelshift::platform
+}  // namespace dotterelshift::telemetry
 
 #endif  // DOTTERELSHIFT_PLATFORM_LOG_TESTING_H_
--- a/src/dotterelshift/platform/metrics.cc
+++ b/src/dotterelshift/telemetry/metrics.cc
@@ -1,4 +1,4 @@
-#include "dotterelshift/platform/metrics.h"
+#include "dotterelshift/telemetry/metrics.h"
 
 #include <prometheus/registry.h>         // for Registry
 #include <prometheus/text_serializer.h>  // for TextSerializer
@@ -6,10 +6,10 @@
 #include <cstdlib>  // for abs
 #include <utility>  // for move
 
-#include "dotterelshift/platform/team_series.h"  // for TeamSeries
-#include "dotterelshift/platform/time_series.h"  // for TimeFamilies
+#include "dotterelshift/telemetry/team_series.h"  // for TeamSeries
+#include "dotterelshift/telemetry/time_series.h"  // for TimeFamilies
 
-namespace dotterelshift::platform {
+namespace dotterelshift::telemetry {
 namespace {
 
 using prometheus::Counter;
@@ -118,4 +118,4 @@
   return std::make_unique<PrometheusMetrics>(options);
 }
 
-}  // namespace dotterelshift::platform
+}  // namespace dotterelshift::telemetry
--- a/src/dotterelshift/platform/metrics_test.cc
+++ b/src/dotterelshift/telemetry/metrics_test.cc
@@ -1,4 +1,4 @@
-#include "dotterelshift/platform/metrics.h"
+#include "dotterelshift/telemetry/metrics.h"
 
 #include <cppunit/extensions/HelperMacros.h>  // for CPPUNIT_TEST
 
@@ -6,7 +6,7 @@
 #include <sstream>  // for istringstream
 #include <string>   // for string
 
-namespace dotterelshift::platform {
+namespace dotterelshift::telemetry {
 namespace {
 
 using serving::RequestSummary;
@@ -166,4 +166,4 @@
 CPPUNIT_TEST_SUITE_REGISTRATION(MetricsTest);
 
 }  // namespace
-}  // namespace dotterelshift::platform
+}  // namespace dotterelshift::telemetry
--- a/src/dotterelshift/platform/team_series.cc
+++ b/src/dotterelshift/telemetry/team_series.cc
@@ -1,8 +1,8 @@
-#include "dotterelshift/platform/team_series.h"
+#include "dotterelshift/telemetry/team_series.h"
 
 #include <algorithm>  // for min_element
 
-namespace dotterelshift::platform {
+namespace dotterelshift::telemetry {
 namespace {
 
 // Requests after which the busiest teams are judged anew.
@@ -134,4 +134,4 @@
   }
 }
 
-}  // namespace dotterelshift::platform
+}  // namespace dotterelshift::telemetry
--- a/src/dotterelshift/platform/team_series.h
+++ b/src/dotterelshift/telemetry/team_series.h
@@ -1,15 +1,15 @@
-#ifndef DOTTERELSHIFT_SRC_PLATFORM_TEAM_SERIES_H_
-#define DOTTERELSHIFT_SRC_PLATFORM_TEAM_SERIES_H_
+#ifndef DOTTERELSHIFT_SRC_TELEMETRY_TEAM_SERIES_H_
+#define DOTTERELSHIFT_SRC_TELEMETRY_TEAM_SERIES_H_
 
 #include <cstdint>        // for uint64_t
 #include <string>         // for string
 #include <unordered_map>  // for unordered_map
 
-#include "dotterelshift/base/error.h"            // for ErrorKind
-#include "dotterelshift/base/ids.h"              // for TeamId
-#include "dotterelshift/platform/time_series.h"  // for Times
+#include "dotterelshift/base/error.h"             // for ErrorKind
+#include "dotterelshift/base/ids.h"               // for TeamId
+#include "dotterelshift/telemetry/time_series.h"  // for Times
 
-namespace dotterelshift::platform {
+namespace dotterelshift::telemetry {
 
 // The series labelled by team: the busiest teams by name, all others together.
 // Who is busiest is judged anew after each round of requests; a team that loses
@@ -47,6 +47,6 @@
   std::unordered_map<TeamId, uint64_t> m_unnamed;  // recent requests; bounded
 };
 
-}  // namespace dotterelshift::platform
+}  // namespace dotterelshift::telemetry
 
-#endif  // DOTTERELSHIFT_SRC_PLATFORM_TEAM_SERIES_H_
+#endif  // DOTTERELSHIFT_SRC_TELEMETRY_TEAM_SERIES_H_
--- a/src/dotterelshift/platform/time_series.cc
+++ b/src/dotterelshift/telemetry/time_series.cc
@@ -1,8 +1,8 @@
-#include "dotterelshift/platform/time_series.h"
+#include "dotterelshift/telemetry/time_series.h"
 
 #include <vector>  // for vector
 
-namespace dotterelshift::platform {
+namespace dotterelshift::telemetry {
 namespace {
 
 using prometheus::Family;
@@ -66,4 +66,4 @@
   FoldOne(m_whole_answer, times.whole_answer, heir.whole_answer);
 }
 
-}  // namespace dotterelshift::platform
+}  // namespace dotterelshift::telemetry
--- a/src/dotterelshift/platform/time_series.h
+++ b/src/dotterelshift/telemetry/time_series.h
@@ -1,5 +1,5 @@
-#ifndef DOTTERELSHIFT_SRC_PLATFORM_TIME_SERIES_H_
-#define DOTTERELSHIFT_SRC_PLATFORM_TIME_SERIES_H_
+#ifndef DOTTERELSHIFT_SRC_TELEMETRY_TIME_SERIES_H_
+#define DOTTERELSHIFT_SRC_TELEMETRY_TIME_SERIES_H_
 
 #include <prometheus/counter.h>    // for BuildCounter
 #include <prometheus/family.h>     // for Family
@@ -15,7 +15,7 @@
 #include "dotterelshift/base/time.h"             // for Duration
 #include "dotterelshift/serving/request_core.h"  // for RequestSummary
 
-namespace dotterelshift::platform {
+namespace dotterelshift::telemetry {
 
 // The label value that stands for all past a bound.
 inline constexpr std::string_view kOther = "other";
@@ -58,6 +58,6 @@
   prometheus::Family<prometheus::Histogram>& m_whole_answer;
 };
 
-}  // namespace dotterelshift::platform
+}  // namespace dotterelshift::telemetry
 
-#endif  // DOTTERELSHIFT_SRC_PLATFORM_TIME_SERIES_H_
+#endif  // DOTTERELSHIFT_SRC_TELEMETRY_TIME_SERIES_H_
