Sight: what an entry that stops still takes, and what its end cuts

Cause: the record of the incident could not say whether a late request came on a kept or a new connection, how long the entry had been stopping when it took one, and a request that the entry's own end cut had no last line in the log. Change: 'sent' lines say connection kept or new and, while stopping, stopping_ms and left_ms; 'cut_by_own_stop' is the last line of what is cut. No decision changes. Conclusion: the three hypotheses can be told apart by the lines of one entry.

--- a/include/dotterelshift/gateway/request.h
+++ b/include/dotterelshift/gateway/request.h
@@ -37,7 +37,8 @@
   // Since when, as far as is known here: when its head had come in. The epoch:
   // since it is handed over.
   Instant begun{};
-  std::string last_event_id;  // of a stream that the caller resumes
+  bool kept_connection = false;  // it came on one that was used before
+  std::string last_event_id;     // of a stream that the caller resumes
   Prompt prompt;
   uint64_t content_hash = 0;  // of path, key and body
   size_t body_bytes = 0;
--- a/include/dotterelshift/http/server.h
+++ b/include/dotterelshift/http/server.h
@@ -26,7 +26,8 @@
   std::string query;  // without the '?'
   Headers headers;    // names in lower case
   std::string body;
-  Instant begun{};  // when the head had come in
+  Instant begun{};    // when the head had come in
+  bool kept = false;  // its connection has carried a request before
 
   // The value of a header by its lower-case name; empty when it is not there.
   std::string_view Header(std::string_view name) const;
--- a/src/dotterelshift/app/gateway_entry.cc
+++ b/src/dotterelshift/app/gateway_entry.cc
@@ -429,6 +429,8 @@
   m_stopping = m_loop.Now();
   telemetry::Log(telemetry::LogLevel::kInfo, "shutdown_begun",
                  {{"open", std::to_string(m_core->OpenRequests())}});
+  m_core->StartDraining(
+      {*m_stopping, *m_stopping + m_settings.shutdown_limit - kLastReports});
   m_traffic->SetClosing(true);
 }
 
@@ -444,6 +446,8 @@
   // What control does not take back now is lost with this run.
   const bool returned = m_link.Idle();
   if (!returned && m_loop.Now() - *m_returning_since < kLastReports) return;
+  m_core->LogCut(m_loop.Now());
+  m_traffic->Pump();
   telemetry::Log(telemetry::LogLevel::kInfo, "shutdown_done",
                  {{"open", std::to_string(m_core->OpenRequests())},
                   {"holdings_returned", returned ? "yes" : "no"}});
--- a/src/dotterelshift/app/gateway_traffic.cc
+++ b/src/dotterelshift/app/gateway_traffic.cc
@@ -62,6 +62,7 @@
   const RequestId id = ++m_last_request;
   gateway::RequestInfo info = m_dialect.ReadRequestInfo(exchange->GetRequest());
   info.begun = exchange->GetRequest().begun;
+  info.kept_connection = exchange->GetRequest().kept;
   exchange->OnGone([this, id] { OnGone(id); });
   exchange->OnDrained([this, id] { OnDrained(id); });
   m_open[id].exchange = std::move(exchange);
--- a/src/dotterelshift/gateway/core.cc
+++ b/src/dotterelshift/gateway/core.cc
@@ -159,6 +159,15 @@
   Finish(found->second, ErrorKind::kCallerGone, false, now);
 }
 
+void CoreImpl::LogCut(Instant now) {
+  for (const auto& [id, active] : m_active) {
+    Log("cut_by_own_stop", active,
+        {{"taken_ms_ago", std::to_string(ToMs(now - active.arrived))},
+         {"sends", std::to_string(active.sends)},
+         {"head_relayed", active.head_relayed ? "yes" : "no"}});
+  }
+}
+
 void CoreImpl::OnTimer(Instant now) {
   while (!m_due.empty() && m_due.begin()->first <= now) {
     const RequestId request = m_due.begin()->second;
--- a/src/dotterelshift/gateway/core_impl.h
+++ b/src/dotterelshift/gateway/core_impl.h
@@ -2,6 +2,7 @@
 #define DOTTERELSHIFT_SRC_GATEWAY_CORE_IMPL_H_
 
 #include <memory>         // for shared_ptr
+#include <optional>       // for optional
 #include <random>         // for mt19937_64
 #include <set>            // for set
 #include <string>         // for string
@@ -25,7 +26,9 @@
                 Instant now) override;
   void OnEndpointsChanged(const directory::Directory& directory,
                           Instant now) override;
+  void StartDraining(const DrainTimes& times) override { m_drain = times; }
   void StopTaking() override { m_stopped = true; }
+  void LogCut(Instant now) override;
   void OnRequest(RequestId request, RequestInfo info, Instant now) override;
   void OnCallerGone(RequestId request, Instant now) override;
   void OnHead(AttemptId attempt, int status, const AnswerMarks& marks,
@@ -63,6 +66,7 @@
   bool ComesTooLate(const ActiveRequest& active, const Placement& placement,
                     Instant now) const;
   void Send(ActiveRequest& active, Instant now);
+  void LogSent(const ActiveRequest& active, Instant now);
   Duration RetryAfter(const ActiveRequest& active, Duration wait, Instant now);
 
   // Answers (core_answer.cc).
@@ -95,6 +99,7 @@
   const CoreParts m_parts;
   std::mt19937_64 m_random;
   std::shared_ptr<const RouteTable> m_routes;
+  std::optional<DrainTimes> m_drain;
   bool m_stopped = false;
   std::unordered_map<RequestId, ActiveRequest> m_active;
   std::unordered_map<AttemptId, RequestId> m_attempts;
--- a/src/dotterelshift/gateway/core_place.cc
+++ b/src/dotterelshift/gateway/core_place.cc
@@ -79,19 +79,31 @@
                             ? std::to_string(*active.scanner.LastId())
                             : active.info.last_event_id;
   m_actions.emplace_back(std::move(start));
-  Log("sent", active,
-      {{"endpoint", contact->id},
-       {"route", active.route->name},
-       {"routes_version", std::to_string(active.routes->Get().version)},
-       {"team", active.team},
-       {"queued_ms", Ms(now - active.arrived)},
-       {"tokens_to_read", std::to_string(attempt.placement.tokens_to_read)},
-       {"running_there",
-        std::to_string(m_parts.load->Running(attempt.placement.endpoint))},
-       {"send", std::to_string(active.sends)}});
+  LogSent(active, now);
   SetDue(active, DueWhileRunning(active));
 }
 
+void CoreImpl::LogSent(const ActiveRequest& active, Instant now) {
+  const EndpointContact& contact = active.attempt.endpoint;
+  std::vector<std::pair<std::string_view, std::string>> inputs = {
+      {"endpoint", contact.id},
+      {"route", active.route->name},
+      {"routes_version", std::to_string(active.routes->Get().version)},
+      {"team", active.team},
+      {"queued_ms", Ms(now - active.arrived)},
+      {"tokens_to_read",
+       std::to_string(active.attempt.placement.tokens_to_read)},
+      {"running_there", std::to_string(m_parts.load->Running(
+                            active.attempt.placement.endpoint))},
+      {"send", std::to_string(active.sends)},
+      {"connection", active.info.kept_connection ? "kept" : "new"}};
+  if (m_drain) {
+    inputs.emplace_back("stopping_ms", Ms(now - m_drain->begun));
+    inputs.emplace_back("left_ms", Ms(m_drain->last_answer - now));
+  }
+  Log("sent", active, std::move(inputs));
+}
+
 // Spread over once to twice the wait, so that callers that were refused
 // together do not return together, and not later than the caller will bear.
 Duration CoreImpl::RetryAfter(const ActiveRequest& active, Duration wait,
--- a/src/dotterelshift/http/server.cc
+++ b/src/dotterelshift/http/server.cc
@@ -46,6 +46,7 @@
   std::string uri;  // of the request being received, as it was sent
   std::shared_ptr<MhdExchange> exchange;
   size_t body_bytes = 0;
+  bool used = false;  // has carried a request to its end
   bool refused = false;
   bool handed_over = false;  // to the handler
 
@@ -273,6 +274,7 @@
     Request& request = connection.exchange->MutableRequest();
     request.method = method;
     request.begun = m_loop.Now();
+    request.kept = connection.used;
     const size_t mark = connection.uri.find('?');
     request.path = connection.uri.substr(0, mark);
     if (mark != std::string::npos)
@@ -329,6 +331,7 @@
       --m_open;
       std::exchange(connection.exchange, nullptr)->Detach(whole);
     }
+    connection.used = true;
     connection.uri.clear();
     connection.head_begun = false;
     connection.refused = false;
