An entry that stops takes only what its own deadline ends in time

Cause: until its very end a stopping entry sent to endpoints whatever came on connections that callers had kept, and cut what was open at its limit. While the notice lasts all is taken as before. Ruled out: estimating how long an answer will take (an estimate that is wrong once cuts an answer); refusing all after the notice (short requests are served by a stopping entry at no risk). Conclusion: no request that comes after the notice can be cut by the entry's own stop.

--- a/src/dotterelshift/gateway/core.cc
+++ b/src/dotterelshift/gateway/core.cc
@@ -62,11 +62,21 @@
   SetTimes(active);
   if (now >= active.deadline)
     return Fail(active, ErrorKind::kOverloaded, 0s, now);
+  if (OutlastsTheStop(active, now))
+    return Fail(active, ErrorKind::kDraining, 0s, now);
   active.service = PickService(*active.route);
   m_parts.retries->OnRequest(active.service, now);
   ReserveBudget(active, now);
 }
 
+// Once the balancer knows of the stop, only what its own deadline ends in time
+// is taken: the process's end would cut an answer midway, where the caller can
+// have all of it from another entry now.
+bool CoreImpl::OutlastsTheStop(const ActiveRequest& active, Instant now) const {
+  return m_drain && now > m_drain->notice_end &&
+         active.deadline > m_drain->last_answer;
+}
+
 void CoreImpl::SetTimes(ActiveRequest& active) const {
   const Duration patience =
       active.info.patience.value_or(m_options.default_patience);
--- a/src/dotterelshift/gateway/core_impl.h
+++ b/src/dotterelshift/gateway/core_impl.h
@@ -54,6 +54,7 @@
   ErrorKind FindRoute(ActiveRequest& active) const;
   ErrorKind FindTeam(ActiveRequest& active) const;
   void Admit(ActiveRequest& active, Instant now);
+  bool OutlastsTheStop(const ActiveRequest& active, Instant now) const;
   void SetTimes(ActiveRequest& active) const;
   ServiceName PickService(const Route& route);
   void ReserveBudget(ActiveRequest& active, Instant now);
