An entry's stop ends what is open with an answer, before its limit

Cause: at its limit the entry closed the connections of what was open, so that callers did not learn whether their request had run, lost the spend of what it cut, and took the whole of its limit, at which it is killed from outside. Change: at the last answer (0.75 s before a limit of 8 s) what is open is ended: not run where that is known (draining), else drained_while_running, a stream visibly cut; its spend is among the last reports, and the process leaves once these are taken and the answers are out, 0.25 s before the limit at the latest. Conclusion: a stop has one plan (PlanDrain) and one end (EndAnswers).

--- a/include/dotterelshift/base/error.h
+++ b/include/dotterelshift/base/error.h
@@ -57,6 +57,7 @@
   kOutcomeUnknown = 67,
   kCallerGone = 68,
   kQuarantined = 69,
+  kDrainedWhileRunning = 70,
   // Operators and the daemons between themselves.
   kBadIntent = 80,
   kPlanUnknown = 81,
--- a/include/dotterelshift/gateway/core.h
+++ b/include/dotterelshift/gateway/core.h
@@ -128,9 +128,8 @@
                                   Instant now) = 0;
   // The entry has been told to stop, and ends at the times given.
   virtual void StartDraining(const DrainTimes& times) = 0;
-  // New requests are refused from now on, as not run.
-  virtual void StopTaking() = 0;
-  // The process ends: writes a line for each request that is cut.
+  // The process ends: what is open is ended, each caller told what is known of
+  // its request; new ones are refused.
   virtual void CutOpen(Instant now) = 0;
 
   virtual void OnRequest(RequestId request, RequestInfo info, Instant now) = 0;
--- a/include/dotterelshift/gateway/drain.h
+++ b/include/dotterelshift/gateway/drain.h
@@ -5,9 +5,6 @@
 
 namespace dotterelshift::gateway {
 
-// Left of a stop's limit for the last reports to control.
-inline constexpr Duration kLastReports = 500ms;
-
 // When an entry that was told to stop does what. Callers that were idle then
 // still hold connections to it, and each may bring one more request until the
 // very end.
@@ -15,10 +12,10 @@
   Instant begun{};        // the signal
   Instant notice_end{};   // until then the balancer may not know of the stop
   Instant last_answer{};  // what is open then is cut
-  Instant exit{};         // the process is gone by then, its last reports sent
+  Instant exit{};         // the process ends, whoever has its last reports
 };
 
-// The times of a stop that begins now and must be over after `limit`; the
+// The times of a stop that begins now and must be over within `limit`; the
 // balancer learns of it within `notice`.
 DrainTimes PlanDrain(Instant now, Duration notice, Duration limit);
 
--- a/src/dotterelshift/app/gateway_entry.cc
+++ b/src/dotterelshift/app/gateway_entry.cc
@@ -62,7 +62,8 @@
   void SendToPeers();
   void ProposeSuspicion(const gateway::Suspicion& suspicion);
   void CheckDrained();
-  void ReturnHoldings();
+  void EndAnswers();
+  bool HasOpen() const;
   void UpdateGauges();
   bool IsReady() const {
     return m_reach != ControlReach::kNever && m_version > 0 && !m_drain &&
@@ -435,26 +436,35 @@
 void GatewayEntry::CheckDrained() {
   if (!m_drain) return;
   const Instant now = m_loop.Now();
-  const bool drained = now - m_drain->begun >= kBalancerDelay &&
-                       m_traffic->OpenAnswers() == 0 &&
-                       m_server->OpenExchanges() == 0;
-  const bool limit = now >= m_drain->last_answer;
-  if (!drained && !limit) return;
-  if (!m_returning_since) return ReturnHoldings();
-  // What control does not take back now is lost with this run.
+  if (!m_returning_since) {
+    const bool drained = now - m_drain->begun >= kBalancerDelay && !HasOpen();
+    if (drained || now >= m_drain->last_answer) EndAnswers();
+    return;
+  }
+  // What control does not take back now is lost with this run, and a caller
+  // that has not taken its refusal does not know that it may ask again.
   const bool returned = m_link.Idle();
-  if (!returned && now - *m_returning_since < gateway::kLastReports) return;
-  m_core->CutOpen(m_loop.Now());
-  m_traffic->Pump();
+  const Duration reporting = m_drain->exit - m_drain->last_answer;
+  const Instant last = std::min(m_drain->exit, *m_returning_since + reporting);
+  if ((!returned || HasOpen()) && now < last) return;
   telemetry::Log(telemetry::LogLevel::kInfo, "shutdown_done",
-                 {{"open", std::to_string(m_core->OpenRequests())},
+                 {{"open", std::to_string(m_traffic->OpenAnswers())},
                   {"holdings_returned", returned ? "yes" : "no"}});
   m_loop.Stop();
 }
 
-void GatewayEntry::ReturnHoldings() {
+bool GatewayEntry::HasOpen() const {
+  return m_traffic->OpenAnswers() > 0 || m_server->OpenExchanges() > 0;
+}
+
+// What is open is ended before the holdings go back, so that its spend is among
+// the last reports.
+void GatewayEntry::EndAnswers() {
   m_returning_since = m_loop.Now();
-  m_core->StopTaking();
+  telemetry::Log(telemetry::LogLevel::kInfo, "shutdown_answers_ended",
+                 {{"open", std::to_string(m_core->OpenRequests())}});
+  m_core->CutOpen(m_loop.Now());
+  m_traffic->Pump();
   for (wire::CommandT& command : m_budgets.TakeLastCommands(m_loop.Now()))
     m_link.Propose(std::move(command));
 }
--- a/src/dotterelshift/base/error.cc
+++ b/src/dotterelshift/base/error.cc
@@ -92,6 +92,8 @@
              "The caller closed the connection."},
     ErrorRow{kQuarantined, "quarantined", 422, Ran::kNo, kLater, 600,
              "The request is held back: endpoints died while running it."},
+    ErrorRow{kDrainedWhileRunning, "drained_while_running", 502, Ran::kUnknown,
+             kNow, 0, "This host shut down while the request ran."},
     ErrorRow{kBadIntent, "bad_intent", 400, Ran::kNo, kNever, 0,
              "The intent is not valid."},
     ErrorRow{kPlanUnknown, "plan_unknown", 404, Ran::kNo, kNever, 0,
--- a/src/dotterelshift/gateway/core.cc
+++ b/src/dotterelshift/gateway/core.cc
@@ -1,6 +1,6 @@
 #include "dotterelshift/gateway/core.h"
 
-#include <algorithm>  // for max, min
+#include <algorithm>  // for max, min, sort
 #include <numeric>    // for accumulate
 #include <utility>    // for move
 
@@ -169,13 +169,25 @@
   Finish(found->second, ErrorKind::kCallerGone, false, now);
 }
 
+// A caller whose connection just ends does not learn whether its request ran.
 void CoreImpl::CutOpen(Instant now) {
-  for (const auto& [id, active] : m_active) {
-    Log("cut_by_own_stop", active,
-        {{"taken_ms_ago", std::to_string(ToMs(now - active.arrived))},
-         {"sends", std::to_string(active.sends)},
-         {"head_relayed", active.head_relayed ? "yes" : "no"}});
-  }
+  m_stopped = true;
+  std::vector<RequestId> open;
+  for (const auto& [id, active] : m_active) open.push_back(id);
+  std::sort(open.begin(), open.end());
+  for (const RequestId id : open) CutByStop(m_active.at(id), now);
+}
+
+void CoreImpl::CutByStop(ActiveRequest& active, Instant now) {
+  CancelAttemptOf(active);
+  Log("cut_by_own_stop", active,
+      {{"taken_ms_ago", std::to_string(ToMs(now - active.arrived))},
+       {"sends", std::to_string(active.sends)},
+       {"head_relayed", active.head_relayed ? "yes" : "no"}});
+  Fail(active,
+       active.may_have_run ? ErrorKind::kDrainedWhileRunning
+                           : ErrorKind::kDraining,
+       0s, now);
 }
 
 void CoreImpl::OnTimer(Instant now) {
--- a/src/dotterelshift/gateway/core_impl.h
+++ b/src/dotterelshift/gateway/core_impl.h
@@ -27,7 +27,6 @@
   void OnEndpointsChanged(const directory::Directory& directory,
                           Instant now) override;
   void StartDraining(const DrainTimes& times) override { m_drain = times; }
-  void StopTaking() override { m_stopped = true; }
   void CutOpen(Instant now) override;
   void OnRequest(RequestId request, RequestInfo info, Instant now) override;
   void OnCallerGone(RequestId request, Instant now) override;
@@ -90,6 +89,8 @@
               Instant now);
   Tokens SpentBy(const ActiveRequest& active) const;
 
+  void CutByStop(ActiveRequest& active, Instant now);
+
   void OnDue(ActiveRequest& active, Instant now);
   void SetDue(ActiveRequest& active, Instant when);
   Instant DueWhileRunning(const ActiveRequest& active) const;
