--- a/src/dotterelshift/gateway/core.cc
+++ b/src/dotterelshift/gateway/core.cc
@@ -1,6 +1,6 @@
 #include "dotterelshift/gateway/core.h"
 
-#include <algorithm>  // for max, min
+#include <algorithm>  // for max, min, sort
 #include <numeric>    // for accumulate
 #include <utility>    // for move
 
@@ -62,11 +62,21 @@
   SetTimes(active);
   if (now >= active.deadline)
     return Fail(active, ErrorKind::kOverloaded, 0s, now);
+  if (OutlastsTheStop(active, now))
+    return Fail(active, ErrorKind::kDraining, 0s, now);
   active.service = PickService(*active.route);
   m_parts.retries->OnRequest(active.service, now);
   ReserveBudget(active, now);
 }
 
+// Once the balancer knows of the stop, only what its own deadline ends in time
+// is taken: the process's end would cut an answer midway, where the caller can
+// have all of it from another entry now.
+bool CoreImpl::OutlastsTheStop(const ActiveRequest& active, Instant now) const {
+  return m_drain && now > m_drain->notice_end &&
+         active.deadline > m_drain->last_answer;
+}
+
 void CoreImpl::SetTimes(ActiveRequest& active) const {
   const Duration patience =
       active.info.patience.value_or(m_options.default_patience);
@@ -159,6 +169,27 @@
   Finish(found->second, ErrorKind::kCallerGone, false, now);
 }
 
+// A caller whose connection just ends does not learn whether its request ran.
+void CoreImpl::CutOpen(Instant now) {
+  m_stopped = true;
+  std::vector<RequestId> open;
+  for (const auto& [id, active] : m_active) open.push_back(id);
+  std::sort(open.begin(), open.end());
+  for (const RequestId id : open) CutByStop(m_active.at(id), now);
+}
+
+void CoreImpl::CutByStop(ActiveRequest& active, Instant now) {
+  CancelAttemptOf(active);
+  Log("cut_by_own_stop", active,
+      {{"taken_ms_ago", std::to_string(ToMs(now - active.arrived))},
+       {"sends", std::to_string(active.sends)},
+       {"head_relayed", active.head_relayed ? "yes" : "no"}});
+  Fail(active,
+       active.may_have_run ? ErrorKind::kDrainedWhileRunning
+                           : ErrorKind::kDraining,
+       0s, now);
+}
+
 void CoreImpl::OnTimer(Instant now) {
   while (!m_due.empty() && m_due.begin()->first <= now) {
     const RequestId request = m_due.begin()->second;
