Control replica tests wait for a leader where they look at one

Leader() is empty between two terms, which may come at any moment when a replica's turn comes late; Find("") then gives a null replica. Ruled out: a fault of the product: a leader that cannot reach a majority in time has to step down, and the new test shows the state that the tests did not expect (cut off the leader: nobody leads until the next election). Change: AwaitLeader runs the loop until one leads; each check is what it was, on the leader awaited. No check is left out.

--- a/src/dotterelshift/app/control_replica_test.cc
+++ b/src/dotterelshift/app/control_replica_test.cc
@@ -27,6 +27,7 @@
   CPPUNIT_TEST_SUITE(ControlReplicaTest);
   CPPUNIT_TEST(OneReplicaKeepsWhatItAccepted);
   CPPUNIT_TEST(ThreeGoOnWithoutTheirLeader);
+  CPPUNIT_TEST(WithoutALeaderTheNextOneIsAwaited);
   CPPUNIT_TEST(CutOffLeaderAcceptsAndReadsNothing);
   CPPUNIT_TEST(WipedMemberWaitsAndIsReplacedByAPlan);
   CPPUNIT_TEST(WipedCoordinatorFoundsNoSecondGroup);
@@ -53,7 +54,7 @@
     StartThree(group);
     for (uint64_t round = 0; round < 3; ++round) {
       group.AcceptPlan(ATeam("before"));
-      const HostId leader = group.Leader();
+      const HostId leader = group.AwaitLeader();
       group.Kill(leader);
       group.AcceptPlan(ATeam("after"));
       group.Start(leader);
@@ -61,11 +62,24 @@
     }
   }
 
+  // Between two terms nobody leads; what looks at the leader then has to wait
+  // for the next one. A test that did not ended in a null pointer on a busy
+  // machine.
+  void WithoutALeaderTheNextOneIsAwaited() {
+    ReplicaGroup group({"a", "b", "c"});
+    StartThree(group);
+    const HostId old = group.AwaitLeader();
+    group.Cut(old, true);
+    CPPUNIT_ASSERT(group.Leader().empty());
+    CPPUNIT_ASSERT_EQUAL(size_t{3}, Members(group).replicas.size());
+    CPPUNIT_ASSERT(group.AwaitLeader() != old);
+  }
+
   void CutOffLeaderAcceptsAndReadsNothing() {
     ReplicaGroup group({"a", "b", "c"});
     StartThree(group);
     group.AcceptPlan(ATeam("before"));
-    const HostId old = group.Leader();
+    const HostId old = group.AwaitLeader();
     group.Cut(old, true);
     std::vector<ErrorKind> errors;
     std::vector<wire::CommandT> commands;
@@ -90,7 +104,7 @@
     ReplicaGroup group({"a", "b", "c"});
     StartThree(group);
     group.AcceptPlan(ATeam("before"));
-    const HostId leader = group.Leader();
+    const HostId leader = group.AwaitLeader();
     const HostId lost = leader == "c" ? "b" : "c";
     const ReplicaId old = IdOf(Members(group), lost);
     group.Wipe(lost);
@@ -118,7 +132,7 @@
     // A second loss right after the repair loses nothing.
     group.Wipe(leader);
     group.AcceptPlan(ATeam("after"));
-    CPPUNIT_ASSERT(group.Find(group.Leader())
+    CPPUNIT_ASSERT(group.Find(group.AwaitLeader())
                        ->GetState()
                        .GetConfiguration()
                        .FindTeam("before") != nullptr);
@@ -142,10 +156,11 @@
     CPPUNIT_ASSERT_EQUAL(uint64_t{0}, wiped->GetNode().Term());
     group.Start("c");
     group.AcceptPlan(ATeam("after"));
-    CPPUNIT_ASSERT(group.Leader() != "a");
-    CPPUNIT_ASSERT_EQUAL(
-        uint64_t{2},
-        group.Find(group.Leader())->GetState().GetConfiguration().Version());
+    CPPUNIT_ASSERT(group.AwaitLeader() != "a");
+    CPPUNIT_ASSERT_EQUAL(uint64_t{2}, group.Find(group.AwaitLeader())
+                                          ->GetState()
+                                          .GetConfiguration()
+                                          .Version());
   }
 
   void LaggingReplicaInstallsASnapshot() {
@@ -155,7 +170,7 @@
     group.Options().node.snapshot_piece_bytes = 512;
     StartThree(group);
     group.AcceptPlan(ATeam("first"));
-    const HostId lagging = group.Leader() == "c" ? "b" : "c";
+    const HostId lagging = group.AwaitLeader() == "c" ? "b" : "c";
     group.Kill(lagging);
     constexpr uint64_t kPlans = 60;
     for (uint64_t plan = 2; plan <= kPlans; ++plan)
@@ -172,7 +187,7 @@
     ReplicaGroup group({"a", "b", "c"});
     StartThree(group);
     group.AcceptPlan(ATeam("before"));
-    const HostId keeper = group.Leader() == "c" ? "b" : "c";
+    const HostId keeper = group.AwaitLeader() == "c" ? "b" : "c";
     group.Cut(keeper, true);
     wire::SpoolT spool;
     spool.commands.push_back(std::make_unique<wire::CommandT>(
@@ -197,11 +212,11 @@
  private:
   static void StartThree(ReplicaGroup& group) {
     for (const char* host : {"a", "b", "c"}) group.Start(host);
-    group.RunUntil([&] { return !group.Leader().empty(); });
+    group.AwaitLeader();
   }
 
   static const wire::MembershipT& Members(ReplicaGroup& group) {
-    return group.Find(group.Leader())->GetNode().Members();
+    return group.Find(group.AwaitLeader())->GetNode().Members();
   }
 };
 
--- a/src/dotterelshift/app/replica_group.h
+++ b/src/dotterelshift/app/replica_group.h
@@ -65,6 +65,13 @@
     return "";
   }
 
+  // Runs the loop until one leads, and names it. On a busy machine a term may
+  // end at any moment.
+  HostId AwaitLeader() {
+    RunUntil([this] { return !Leader().empty(); });
+    return Leader();
+  }
+
   // Runs the loop until the condition holds; throws when it does not in a time
   // far above what any test needs.
   void RunUntil(const std::function<bool()>& condition) {
