A stopping entry: one notice, nothing kept of what comes late, stricter tests

Change: what comes after the last reports goes back too, and nothing is lent from then on; shutdown_done counts the exchanges that are not over; an entry with nothing open leaves after the notice. Tests: limits of the deadline to the millisecond, a body that ends after the notice, what waits at the end, what is cut is settled, refusals after the end. Conclusion: the plan of a stop stands in one place.

--- a/include/dotterelshift/gateway/drain.h
+++ b/include/dotterelshift/gateway/drain.h
@@ -11,8 +11,8 @@
 struct DrainTimes {
   Instant begun{};        // the signal
   Instant notice_end{};   // until then the balancer may not know of the stop
-  Instant last_answer{};  // what is open then is cut
-  Instant exit{};         // the process ends, whoever has its last reports
+  Instant last_answer{};  // what is open then is ended, with an error
+  Instant exit{};  // the process ends, though its last reports may be under way
 };
 
 // The times of a stop that begins now and must be over within `limit`; the
--- a/src/dotterelshift/app/gateway_entry.cc
+++ b/src/dotterelshift/app/gateway_entry.cc
@@ -24,9 +24,6 @@
 
 // How often the link to control and the reports of spend are looked at.
 constexpr Duration kTick = 50ms;
-// While the balancer looks away new connections still come in; it asks once a
-// second and believes the second miss.
-constexpr Duration kBalancerDelay = 3500ms;
 // The entry role under published routes: callers on one side, endpoints and
 // control on the other, the gateway's core between them.
 class GatewayEntry : public Daemon {
@@ -63,6 +60,7 @@
   void ProposeSuspicion(const gateway::Suspicion& suspicion);
   void CheckDrained();
   void EndAnswers();
+  void ReturnHoldings();
   bool HasOpen() const;
   void UpdateGauges();
   bool IsReady() const {
@@ -211,7 +209,9 @@
   } else if (const auto* borrow = frame.body.AsTokenBorrow()) {
     wire::TokenLoanT loan;
     loan.budget = borrow->budget;
-    loan.tokens = m_budgets.OnBorrow(*borrow, peer.run, now);
+    // What this entry holds from here on goes back to control.
+    if (!m_returning_since)
+      loan.tokens = m_budgets.OnBorrow(*borrow, peer.run, now);
     telemetry::LogDecision("tokens_lent", "",
                            {{"team", borrow->budget},
                             {"to", peer.run.host},
@@ -329,7 +329,9 @@
 // other entries.
 void GatewayEntry::SendToPeers() {
   const Instant now = m_loop.Now();
-  if (m_registration.Done() && !m_returning_since) {
+  if (m_returning_since) {
+    ReturnHoldings();
+  } else if (m_registration.Done()) {
     for (wire::CommandT& command : m_budgets.TakeCommands(now))
       m_link.Propose(std::move(command));
   }
@@ -437,7 +439,7 @@
   if (!m_drain) return;
   const Instant now = m_loop.Now();
   if (!m_returning_since) {
-    const bool drained = now - m_drain->begun >= kBalancerDelay && !HasOpen();
+    const bool drained = now > m_drain->notice_end && !HasOpen();
     if (drained || now >= m_drain->last_answer) EndAnswers();
     return;
   }
@@ -448,7 +450,7 @@
   const Instant last = std::min(m_drain->exit, *m_returning_since + reporting);
   if ((!returned || HasOpen()) && now < last) return;
   telemetry::Log(telemetry::LogLevel::kInfo, "shutdown_done",
-                 {{"open", std::to_string(m_traffic->OpenAnswers())},
+                 {{"open", std::to_string(m_server->OpenExchanges())},
                   {"holdings_returned", returned ? "yes" : "no"}});
   m_loop.Stop();
 }
@@ -465,6 +467,12 @@
                  {{"open", std::to_string(m_core->OpenRequests())}});
   m_core->CutOpen(m_loop.Now());
   m_traffic->Pump();
+  ReturnHoldings();
+}
+
+// Also what still comes, a grant or a loan that was under way: it would be lost
+// to its team for good.
+void GatewayEntry::ReturnHoldings() {
   for (wire::CommandT& command : m_budgets.TakeLastCommands(m_loop.Now()))
     m_link.Propose(std::move(command));
 }
--- a/src/dotterelshift/gateway/drain.cc
+++ b/src/dotterelshift/gateway/drain.cc
@@ -5,12 +5,14 @@
 namespace dotterelshift::gateway {
 namespace {
 
-// For control to take the last reports: ten of its round trips at its slowest.
+// For control to take the last reports, and callers their last answers. Not
+// measured: the longest wait that was borne for it so far.
 constexpr Duration kLastReports = 500ms;
 
 // The limit is enforced from outside, from the signal's sending on: the signal
-// is taken and the exit made a turn of the loop later, each some 50 ms, on a
-// host with an eighth of a core.
+// is taken and the exit made up to a tick of 50 ms later each; the rest is for
+// a host whose turns take longer. With no margin a process was killed at its
+// end in each of five days of 86 entries.
 constexpr Duration kMargin = 250ms;
 
 // Of a limit too short for both, the parts that they take.
--- a/src/dotterelshift/gateway/drain_test.cc
+++ b/src/dotterelshift/gateway/drain_test.cc
@@ -2,7 +2,7 @@
 // its end. One of them went on taking requests on connections that callers had
 // kept open since before: its 'sent' lines go from 18 in the first second to 3
 // in the sixth, when the balancer had turned away 4 s before. A stream that it
-// took 5.68 s after the signal would have needed 2 s; at 7.56 s the log says
+// took 5.67 s after the signal would have needed 2 s; at 7.56 s the log says
 // 'shutdown_done' with 'open: 1', and its caller had half an answer. The entry
 // compared no request with the time that it had left itself.
 
@@ -20,7 +20,10 @@
   CPPUNIT_TEST(WhatWouldOutlastTheStopIsRefusedAsNotRun);
   CPPUNIT_TEST(WhatEndsBeforeTheStopIsStillTaken);
   CPPUNIT_TEST(WhileTheBalancerDoesNotKnowAllIsTaken);
+  CPPUNIT_TEST(AHeadBeforeTheNoticesEndDoesNotHelp);
   CPPUNIT_TEST(WhatIsOpenAtTheEndIsToldSo);
+  CPPUNIT_TEST(WhatWaitsAtTheEndIsToldWhetherItRan);
+  CPPUNIT_TEST(WhatIsCutIsSettled);
   CPPUNIT_TEST(TheProcessIsGoneBeforeItsLimit);
   CPPUNIT_TEST_SUITE_END();
 
@@ -40,11 +43,16 @@
   void WhatEndsBeforeTheStopIsStillTaken() {
     Drain();
     Pass(5670ms);
-    RequestInfo info = AskFor("/stream/", 100);
-    info.patience = 1s;
-    m_core->OnRequest(kRequest, info, m_now);
-    Collect();
-    CPPUNIT_ASSERT(Only<StartAttempt>().time_left == 1s);
+    Tell(1, m_times.last_answer - m_now);
+    CPPUNIT_ASSERT(Only<StartAttempt>().time_left ==
+                   m_times.last_answer - m_now);
+    Tell(2, m_times.last_answer - m_now + 1ms);
+    CPPUNIT_ASSERT(Only<Refuse>().kind == ErrorKind::kDraining);
+    // The route's timeout of 4 s ends what its caller would wait longer for.
+    Drain();
+    Pass(m_times.last_answer - m_now - 4s);
+    Tell(3, 60s);
+    CPPUNIT_ASSERT(Only<StartAttempt>().time_left == 4s);
   }
 
   void WhileTheBalancerDoesNotKnowAllIsTaken() {
@@ -58,6 +66,24 @@
     CPPUNIT_ASSERT(Only<Refuse>().kind == ErrorKind::kDraining);
   }
 
+  // A long body may take until after the notice: what counts is when the entry
+  // can send it on.
+  void AHeadBeforeTheNoticesEndDoesNotHelp() {
+    Drain();
+    Pass(5670ms);
+    RequestInfo info = AskFor("/stream/", 100);
+    info.begun = m_times.notice_end - 1ms;
+    info.patience = 60s;
+    m_core->OnRequest(kRequest, info, m_now);
+    Collect();
+    // Its deadline, counted from its head, lies before the last answer.
+    CPPUNIT_ASSERT(Only<StartAttempt>().time_left == info.begun + 4s - m_now);
+    info.begun = m_now - 1s;
+    m_core->OnRequest(2, info, m_now);
+    Collect();
+    CPPUNIT_ASSERT(Only<Refuse>().kind == ErrorKind::kDraining);
+  }
+
   // A caller that is told what happened can act at once; one whose connection
   // ends is not told whether its request ran.
   void WhatIsOpenAtTheEndIsToldSo() {
@@ -71,12 +97,51 @@
     m_core->CutOpen(m_now);
     Collect();
     CPPUNIT_ASSERT_EQUAL(size_t{2}, Count<CancelAttempt>());
+    for (const Action& action : m_last) {
+      const auto* cancel = std::get_if<CancelAttempt>(&action);
+      const bool known = cancel == nullptr || cancel->attempt == streaming ||
+                         cancel->attempt == running;
+      CPPUNIT_ASSERT(known);
+    }
     CPPUNIT_ASSERT_EQUAL(RequestId{1}, Only<AbortStream>().request);
     const Refuse refusal = Only<Refuse>();
     CPPUNIT_ASSERT_EQUAL(RequestId{2}, refusal.request);
-    CPPUNIT_ASSERT(RowOf(refusal.kind).ran != Ran::kNo);
+    CPPUNIT_ASSERT(refusal.kind == ErrorKind::kDrainedWhileRunning);
+    CPPUNIT_ASSERT(RowOf(refusal.kind).ran == Ran::kUnknown);
     CPPUNIT_ASSERT_EQUAL(size_t{0}, m_core->OpenRequests());
-    CPPUNIT_ASSERT(running != streaming);
+    Request("/once/", 0, 3);
+    CPPUNIT_ASSERT(Only<Refuse>().kind == ErrorKind::kDraining);
+  }
+
+  // What waits for tokens has not run; what was broken off at an endpoint and
+  // waits for another may have.
+  void WhatWaitsAtTheEndIsToldWhetherItRan() {
+    Publish(1'000'000);
+    m_core->StartDraining(PlanDrain(m_now, kNotice, 8s));
+    Request("/stream/", 100, 1);
+    CPPUNIT_ASSERT(m_last.empty());
+    m_core->CutOpen(m_now);
+    Collect();
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, Count<CancelAttempt>());
+    CPPUNIT_ASSERT(Only<Refuse>().kind == ErrorKind::kDraining);
+  }
+
+  // The spend of what is cut is known before the holdings go back.
+  void WhatIsCutIsSettled() {
+    Publish(1'000'000);
+    AnswerAsk(500'000, 500'000);
+    m_core->StartDraining(PlanDrain(m_now, kNotice, 8s));
+    Request("/stream/", 100, 1);
+    Head(Only<StartAttempt>().attempt, 200, true);
+    CPPUNIT_ASSERT(m_budgets->PositionOf("team", m_now).reserved > 0);
+    m_core->CutOpen(m_now);
+    CPPUNIT_ASSERT_EQUAL(Tokens{0},
+                         m_budgets->PositionOf("team", m_now).reserved);
+    Tokens spent = 0;
+    for (const wire::CommandT& command : m_budgets->TakeLastCommands(m_now))
+      if (const auto* report = command.body.AsReportSpend())
+        spent += report->spent;
+    CPPUNIT_ASSERT_EQUAL(Tokens{100}, spent);
   }
 
   // The end is enforced from outside at the limit; what a process does then is
@@ -88,8 +153,10 @@
     CPPUNIT_ASSERT(times.last_answer < times.exit);
     CPPUNIT_ASSERT(times.exit <= m_now + kLimit - 200ms);
     const DrainTimes hasty = PlanDrain(m_now, kNotice, 100ms);
-    CPPUNIT_ASSERT(hasty.last_answer >= m_now);
-    CPPUNIT_ASSERT(hasty.exit >= hasty.last_answer);
+    CPPUNIT_ASSERT(hasty.notice_end <= hasty.last_answer);
+    CPPUNIT_ASSERT(hasty.last_answer > m_now);
+    CPPUNIT_ASSERT(hasty.exit > hasty.last_answer);
+    CPPUNIT_ASSERT(hasty.exit < m_now + 100ms);
   }
 
  private:
@@ -98,8 +165,19 @@
   // Routes with a timeout of 4 s, and a stop that must be over after 8 s.
   void Drain() {
     Publish();
-    m_core->StartDraining(PlanDrain(m_now, kNotice, 8s));
+    m_times = PlanDrain(m_now, kNotice, 8s);
+    m_core->StartDraining(m_times);
+  }
+
+  // A request for a stream whose caller bears so long a wait.
+  void Tell(RequestId id, Duration patience) {
+    RequestInfo info = AskFor("/stream/", 100);
+    info.patience = patience;
+    m_core->OnRequest(id, info, m_now);
+    Collect();
   }
+
+  DrainTimes m_times;
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(DrainTest);
