Test: suspects of two entries are to run apart (red)

ServingProcessTest::ARequestThatEndsEndpointsIsHeldBack failed now and then: an innocent call that was told to come back got 'quarantined'. Traces of the daemons (reports of deaths at control, starts at the entries) of one such run: e1: crash-mark f0 (company), f3 (alone), f1 (alone) e2: call-7 f0 (company), f3 (alone), f1 (alone) Both entries say 'alone', but an entry knows only its own suspects: each retried its suspect on the endpoint where the other's ran. Control cannot tell the two apart and quarantines both. In that run both entries were in reach of control throughout, so a cut-off was not needed for it.

OnEntries() only keeps what it is told so far.

--- a/include/dotterelshift/serving/core.h
+++ b/include/dotterelshift/serving/core.h
@@ -40,6 +40,7 @@
   void OnControlReach(ControlReach reach, Instant now) override;
   void OnRecall(const wire::RecallT& recall, Instant now) override;
   void OnQuarantine(const wire::QuarantinePushT& push, Instant now) override;
+  void OnEntries(size_t place, size_t count) override;
   void OnRefresh(Instant now) override;
   void StartDraining(Instant now) override;
   bool Drained() const override;
@@ -205,6 +206,8 @@
   RefusalTally m_refusals;
   quarantine::Blocklist m_blocklist;
   quarantine::Suspects m_suspects;
+  size_t m_place = 0;  // of this entry among all
+  size_t m_entries = 1;
 
   uint64_t m_directory_seen = 0;
   uint64_t m_configuration_seen = 0;
--- a/include/dotterelshift/serving/request_core.h
+++ b/include/dotterelshift/serving/request_core.h
@@ -164,6 +164,8 @@
   virtual void OnControlReach(ControlReach reach, Instant now) = 0;
   virtual void OnRecall(const wire::RecallT& recall, Instant now) = 0;
   virtual void OnQuarantine(const wire::QuarantinePushT& push, Instant now) = 0;
+  // How many entries there are, and this one's place among them from 0.
+  virtual void OnEntries(size_t place, size_t count) = 0;
   // The configuration or the directory has changed.
   virtual void OnRefresh(Instant now) = 0;
 
--- a/src/dotterelshift/serving/request_core.cc
+++ b/src/dotterelshift/serving/request_core.cc
@@ -80,6 +80,11 @@
   Finally(now);
 }
 
+void Core::OnEntries(size_t place, size_t count) {
+  m_place = place;
+  m_entries = count;
+}
+
 void Core::OnRefresh(Instant now) {
   const uint64_t directory = m_parts.directory->Generation();
   const uint64_t configuration = m_parts.configuration->Version();
--- a/src/dotterelshift/serving/suspects_test.cc
+++ b/src/dotterelshift/serving/suspects_test.cc
@@ -18,6 +18,7 @@
   CPPUNIT_TEST(InnocentAreRetriedApartAndCleared);
   CPPUNIT_TEST(WaitingRequestIsRefusedWhenItsContentIsBlocked);
   CPPUNIT_TEST(BlockedAfterAnAttemptIsNotCalledNotRun);
+  CPPUNIT_TEST(SuspectsOfTwoEntriesRunApart);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -107,6 +108,39 @@
     CPPUNIT_ASSERT(entry.EndOf(1) == ErrorKind::kEndpointFailed);
   }
 
+  // One entry has the guilty content, the other an innocent one that it took
+  // along with the first endpoint.
+  void SuspectsOfTwoEntriesRunApart() {
+    constexpr uint64_t kInnocent = 1;
+    TestControl control(100'000);
+    TestEntry first(&control, "first");
+    TestEntry second(&control, "second");
+    first.core->OnEntries(0, 2);
+    second.core->OnEntries(1, 2);
+    Announce(&first, 1);
+    Announce(&second, 1);
+    const RequestId guilty = first.Send(TestEntry::Chat(kGuilty));
+    second.Send(TestEntry::Chat(kInnocent));
+    Announce(&first, 4);
+    Announce(&second, 4);
+    std::set<EndpointId> killed;
+    while (!first.HasEnded(guilty)) {
+      const EndpointId endpoint = first.LastStart().endpoint;
+      CPPUNIT_ASSERT(killed.insert(endpoint).second);
+      const bool beside = second.LastStart().endpoint == endpoint;
+      first.End(AttemptEnd::kDied);
+      if (beside) second.End(AttemptEnd::kDied);
+    }
+    CPPUNIT_ASSERT_EQUAL(size_t{3}, killed.size());
+    Push(control, &second);
+    const RequestId again = second.Send(TestEntry::Chat(kInnocent));
+    const bool held_back = second.HasEnded(again) &&
+                           second.EndOf(again) == ErrorKind::kQuarantined;
+    CPPUNIT_ASSERT(!held_back);
+    const RequestId resend = second.Send(TestEntry::Chat(kGuilty));
+    CPPUNIT_ASSERT(second.EndOf(resend) == ErrorKind::kQuarantined);
+  }
+
  private:
   static void Announce(TestEntry* entry, int count) {
     for (int i = 0; i < count; ++i)
