Each entry retries its suspects on a share of the endpoints

Cause: a content whose endpoint died is retried alone, so that the next death tells the guilty one from the innocent; but an entry knows only its own suspects.

Now the leader's beat says how many entries there are and which place the receiver has among them, and an entry retries its suspects on the endpoints whose place, by id, is its own modulo the count. Only where none of these is left does it take one of the others; a death beside another entry's suspect then can be one of a content's three, no longer two. An entry that got no place from a leader of before shares place 0, as it was.

Ruled out: that control tells such deaths apart afterwards. Both contents have the same endpoints and the same 'alone', so that it would have to quarantine neither, and a fourth endpoint would die.

--- a/include/dotterelshift/app/control_link.h
+++ b/include/dotterelshift/app/control_link.h
@@ -78,6 +78,8 @@
   }
   // Entries in the whole fleet, this one among them.
   size_t EntryCount() const { return m_entry_count; }
+  // The place of this entry among them.
+  size_t EntryPlace() const { return m_entry_place; }
   // True when nothing waits for an answer.
   bool Idle() const { return m_unanswered.empty() && m_spooling.empty(); }
 
@@ -131,6 +133,7 @@
   std::vector<std::string> m_control_addresses;
   std::vector<std::string> m_entry_addresses;
   size_t m_entry_count = 1;
+  size_t m_entry_place = 0;
   std::map<uint64_t, Unanswered> m_unanswered;  // by the id's sequence
   std::map<uint64_t, Unanswered> m_spooling;
   std::vector<uint64_t> m_unsent;  // sequences to be sent, or sent again
--- a/include/dotterelshift/serving/core.h
+++ b/include/dotterelshift/serving/core.h
@@ -73,6 +73,10 @@
   // Tries to start a queued request; false when it must stay in the queue.
   bool TryStart(RequestId id, Instant now);
   routing::RouteChoice Choose(const Request& request, Instant now);
+  routing::RouteChoice ChooseFor(const Request& request,
+                                 const std::vector<EndpointId>& exclude,
+                                 Instant now);
+  std::vector<EndpointId> SharesOfOthers() const;
   void StandApart(Request* request, Instant now);
   void ReleaseApart();
   void OnNoChoice(Request* request, Instant now);
--- a/include/dotterelshift/wire/frames_generated.h
+++ b/include/dotterelshift/wire/frames_generated.h
@@ -1710,6 +1710,7 @@
   std::vector<std::string> control{};
   std::vector<std::string> entries{};
   uint32_t entry_count = 0;
+  uint32_t entry_place = 0;
 };
 
 struct LeaderBeat FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -1724,7 +1725,8 @@
     VT_ROUTES_VERSION = 12,
     VT_CONTROL = 14,
     VT_ENTRIES = 16,
-    VT_ENTRY_COUNT = 18
+    VT_ENTRY_COUNT = 18,
+    VT_ENTRY_PLACE = 20
   };
   uint64_t sequence() const {
     return GetField<uint64_t>(VT_SEQUENCE, 0);
@@ -1750,6 +1752,9 @@
   uint32_t entry_count() const {
     return GetField<uint32_t>(VT_ENTRY_COUNT, 0);
   }
+  uint32_t entry_place() const {
+    return GetField<uint32_t>(VT_ENTRY_PLACE, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
@@ -1764,6 +1769,7 @@
            verifier.VerifyVector(entries()) &&
            verifier.VerifyVectorOfStrings(entries()) &&
            VerifyField<uint32_t>(verifier, VT_ENTRY_COUNT, 4) &&
+           VerifyField<uint32_t>(verifier, VT_ENTRY_PLACE, 4) &&
            verifier.EndTable();
   }
   LeaderBeatT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1799,6 +1805,9 @@
   void add_entry_count(uint32_t entry_count) {
     fbb_.AddElement<uint32_t>(LeaderBeat::VT_ENTRY_COUNT, entry_count, 0);
   }
+  void add_entry_place(uint32_t entry_place) {
+    fbb_.AddElement<uint32_t>(LeaderBeat::VT_ENTRY_PLACE, entry_place, 0);
+  }
   explicit LeaderBeatBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1819,13 +1828,15 @@
     uint64_t routes_version = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> control = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> entries = 0,
-    uint32_t entry_count = 0) {
+    uint32_t entry_count = 0,
+    uint32_t entry_place = 0) {
   LeaderBeatBuilder builder_(_fbb);
   builder_.add_routes_version(routes_version);
   builder_.add_stamp_ms(stamp_ms);
   builder_.add_configuration_version(configuration_version);
   builder_.add_term(term);
   builder_.add_sequence(sequence);
+  builder_.add_entry_place(entry_place);
   builder_.add_entry_count(entry_count);
   builder_.add_entries(entries);
   builder_.add_control(control);
@@ -1846,7 +1857,8 @@
     uint64_t routes_version = 0,
     const std::vector<flatbuffers::Offset<flatbuffers::String>> *control = nullptr,
     const std::vector<flatbuffers::Offset<flatbuffers::String>> *entries = nullptr,
-    uint32_t entry_count = 0) {
+    uint32_t entry_count = 0,
+    uint32_t entry_place = 0) {
   auto control__ = control ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*control) : 0;
   auto entries__ = entries ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*entries) : 0;
   return dotterelshift::wire::CreateLeaderBeat(
@@ -1858,7 +1870,8 @@
       routes_version,
       control__,
       entries__,
-      entry_count);
+      entry_count,
+      entry_place);
 }
 
 flatbuffers::Offset<LeaderBeat> CreateLeaderBeat(flatbuffers::FlatBufferBuilder &_fbb, const LeaderBeatT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -5010,6 +5023,7 @@
   { auto _e = control(); if (_e) { _o->control.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->control[_i] = _e->Get(_i)->str(); } } }
   { auto _e = entries(); if (_e) { _o->entries.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->entries[_i] = _e->Get(_i)->str(); } } }
   { auto _e = entry_count(); _o->entry_count = _e; }
+  { auto _e = entry_place(); _o->entry_place = _e; }
 }
 
 inline flatbuffers::Offset<LeaderBeat> LeaderBeat::Pack(flatbuffers::FlatBufferBuilder &_fbb, const LeaderBeatT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -5028,6 +5042,7 @@
   auto _control = _o->control.size() ? _fbb.CreateVectorOfStrings(_o->control) : 0;
   auto _entries = _o->entries.size() ? _fbb.CreateVectorOfStrings(_o->entries) : 0;
   auto _entry_count = _o->entry_count;
+  auto _entry_place = _o->entry_place;
   return dotterelshift::wire::CreateLeaderBeat(
       _fbb,
       _sequence,
@@ -5037,7 +5052,8 @@
       _routes_version,
       _control,
       _entries,
-      _entry_count);
+      _entry_count,
+      _entry_place);
 }
 
 inline RecallT *Recall::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/src/dotterelshift/app/control_link.cc
+++ b/src/dotterelshift/app/control_link.cc
@@ -74,6 +74,7 @@
   m_control_addresses = beat.control;
   m_entry_addresses = beat.entries;
   m_entry_count = std::max<size_t>(1, beat.entry_count);
+  m_entry_place = beat.entry_place;
   m_knows_wanted_version = true;
   m_beats_sent.erase(m_beats_sent.begin(), sent);
   if (m_leader == from) return;
--- a/src/dotterelshift/app/entry_pushes.cc
+++ b/src/dotterelshift/app/entry_pushes.cc
@@ -1,7 +1,8 @@
 #include "dotterelshift/app/entry_pushes.h"
 
-#include <memory>   // for make_unique
-#include <utility>  // for move
+#include <iterator>  // for distance
+#include <memory>    // for make_unique
+#include <utility>   // for move
 
 #include "dotterelshift/base/address.h"  // for ParseAddress
 
@@ -53,6 +54,8 @@
   answer.routes_version = state.GetPublished().version;
   answer.control = ReplicaAddresses(m_replica.GetNode());
   answer.entry_count = static_cast<uint32_t>(m_entries.size());
+  answer.entry_place =
+      static_cast<uint32_t>(std::distance(m_entries.begin(), entry));
   const bool all = m_entries.size() <= kFullMesh;
   const DataCentreId& own = entry->second.info.data_centre;
   for (const auto& [other, known] : m_entries)
--- a/src/dotterelshift/serving/arrival.cc
+++ b/src/dotterelshift/serving/arrival.cc
@@ -1,4 +1,4 @@
-#include <algorithm>  // for max, find
+#include <algorithm>  // for any_of, find, max, sort
 #include <utility>    // for move
 
 #include "dotterelshift/routing/target.h"  // for ReachOf
@@ -150,11 +150,41 @@
 }
 
 routing::RouteChoice Core::Choose(const Request& request, Instant now) {
+  if (!m_suspects.IsSuspect(request.caller.content_hash))
+    return ChooseFor(request, request.excluded, now);
+  // Another entry's suspect beside this one would be taken for guilty with it,
+  // so each entry has a share of the endpoints for its own.
+  const std::vector<EndpointId> occupied = m_suspects.Occupied();
+  std::vector<EndpointId> left_out = SharesOfOthers();
+  left_out.insert(left_out.end(), request.excluded.begin(),
+                  request.excluded.end());
+  const bool own_is_occupied =
+      std::ranges::any_of(occupied, [&left_out](const EndpointId& endpoint) {
+        return std::ranges::find(left_out, endpoint) == left_out.end();
+      });
+  left_out.insert(left_out.end(), occupied.begin(), occupied.end());
+  routing::RouteChoice own = ChooseFor(request, left_out, now);
+  if (own.outcome != routing::RouteOutcome::kNone || own_is_occupied)
+    return own;
   std::vector<EndpointId> exclude = request.excluded;
-  if (m_suspects.IsSuspect(request.caller.content_hash)) {
-    const std::vector<EndpointId> occupied = m_suspects.Occupied();
-    exclude.insert(exclude.end(), occupied.begin(), occupied.end());
-  }
+  exclude.insert(exclude.end(), occupied.begin(), occupied.end());
+  return ChooseFor(request, exclude, now);
+}
+
+std::vector<EndpointId> Core::SharesOfOthers() const {
+  std::vector<EndpointId> endpoints;
+  for (const auto& [id, endpoint] : m_parts.directory->All())
+    endpoints.push_back(id);
+  std::ranges::sort(endpoints);
+  std::vector<EndpointId> others;
+  for (size_t i = 0; i < endpoints.size(); ++i)
+    if (i % m_entries != m_place) others.push_back(endpoints[i]);
+  return others;
+}
+
+routing::RouteChoice Core::ChooseFor(const Request& request,
+                                     const std::vector<EndpointId>& exclude,
+                                     Instant now) {
   routing::RouteQuery query;
   query.team = request.team;
   query.target = request.caller.target;
