Test of held-back requests: the third death is waited for

Cause: the test counted ended endpoints the moment the caller had 'quarantined'. A process that ends closes its connections first and can be waited for later, so that the entry, control and the caller can all know of a death before the test's waitpid() does.

Now the test waits until three have ended, and checks that there are exactly three at its end, after all calls, where a fourth death would show that came later than the old look.

--- a/tests/process/serving_process_test.cc
+++ b/tests/process/serving_process_test.cc
@@ -220,10 +220,8 @@
       last = poison.body;
     }
     CPPUNIT_ASSERT_MESSAGE(last, last.find("quarantined") != std::string::npos);
-    int dead = 0;
-    for (const char* id : {"f0", "f1", "f2", "f3"})
-      dead += m_fleet->ProcessOf(id).Ended() ? 1 : 0;
-    CPPUNIT_ASSERT_EQUAL(3, dead);
+    // A process's connections are closed before its parent sees its end.
+    RunUntil(Loop(), "three dead", [&] { return CountDead() >= 3; });
     // The innocent were cut before their first byte or not at all; those that
     // were told to come back do so, and get a whole answer.
     RunUntil(Loop(), "all ends", [&] { return ended == kInnocent; });
@@ -234,6 +232,7 @@
       const Call again = AskOnce("e1", call.key);
       CPPUNIT_ASSERT_MESSAGE(again.body, again.WholeAnswer());
     }
+    CPPUNIT_ASSERT_EQUAL(3, CountDead());
   }
 
  private:
@@ -316,6 +315,13 @@
     return call;
   }
 
+  int CountDead() const {
+    int dead = 0;
+    for (const char* id : {"f0", "f1", "f2", "f3"})
+      dead += m_fleet->ProcessOf(id).Ended() ? 1 : 0;
+    return dead;
+  }
+
   // How often the endpoints that live began each request key.
   std::map<std::string, int> RunsByKey() {
     std::map<std::string, int> runs;
