--- a/include/dotterelshift/gateway/core.h
+++ b/include/dotterelshift/gateway/core.h
@@ -12,6 +12,7 @@
 #include "dotterelshift/base/error.h"            // for ErrorKind
 #include "dotterelshift/base/ids.h"              // for RequestId, AttemptId
 #include "dotterelshift/base/time.h"             // for Instant
+#include "dotterelshift/gateway/drain.h"         // for DrainTimes
 #include "dotterelshift/gateway/fleet_load.h"    // for FleetLoad
 #include "dotterelshift/gateway/held_grants.h"   // for HeldGrants
 #include "dotterelshift/gateway/request.h"       // for RequestInfo
@@ -125,8 +126,11 @@
                         size_t entries, Instant now) = 0;
   virtual void OnEndpointsChanged(const directory::Directory& directory,
                                   Instant now) = 0;
-  // New requests are refused from now on, as not run.
-  virtual void StopTaking() = 0;
+  // The entry has been told to stop, and ends at the times given.
+  virtual void StartDraining(const DrainTimes& times) = 0;
+  // The process ends: what is open is ended, each caller told what is known of
+  // its request; new ones are refused.
+  virtual void CutOpen(Instant now) = 0;
 
   virtual void OnRequest(RequestId request, RequestInfo info, Instant now) = 0;
   virtual void OnCallerGone(RequestId request, Instant now) = 0;
