Tests: what is not sent yet leaves a leaving endpoint (red)

Cause: an entry that hears that an endpoint leaves only places nothing new there. What is booked there for later is still sent when its reading time comes, and an attempt that waits for its connection goes out when that is made. Both can reach the endpoint later than it may be asked.

Client::Withdraw(), WithdrawAttempt and Core::OnWithdrawn() stand here as interface only, without effect. Ruled out: that the client cannot tell: it notes before the first byte that the request may leave.

--- a/include/dotterelshift/gateway/core.h
+++ b/include/dotterelshift/gateway/core.h
@@ -66,6 +66,11 @@
 struct CancelAttempt {
   AttemptId attempt = 0;
 };
+// The endpoint leaves. If none of the attempt has been handed to a connection
+// yet, it is taken back, and OnWithdrawn() says so; else it goes on.
+struct WithdrawAttempt {
+  AttemptId attempt = 0;
+};
 // Answers in the system's own name. What is said to be not run has not run.
 struct Refuse {
   RequestId request = 0;
@@ -100,9 +105,9 @@
   std::vector<std::pair<std::string_view, std::string>> inputs;
 };
 
-using Action =
-    std::variant<StartAttempt, CancelAttempt, Refuse, RelayWhole, RelayHead,
-                 RelayPiece, FinishStream, AbortStream, Decision>;
+using Action = std::variant<StartAttempt, CancelAttempt, WithdrawAttempt,
+                            Refuse, RelayWhole, RelayHead, RelayPiece,
+                            FinishStream, AbortStream, Decision>;
 
 // An endpoint broke off while it ran a content, or a content that was suspected
 // before was answered whole; for control, which counts over the whole fleet.
@@ -136,6 +141,8 @@
   virtual void OnPiece(AttemptId attempt, std::string_view bytes,
                        Instant now) = 0;
   virtual void OnEnd(AttemptId attempt, http::TransferEnd end, Instant now) = 0;
+  // Nothing of the attempt left this host, and nothing will.
+  virtual void OnWithdrawn(AttemptId attempt, Instant now) = 0;
 
   // More of a team's total may be there.
   virtual void OnBudgetChanged(Instant now) = 0;
--- a/include/dotterelshift/http/client.h
+++ b/include/dotterelshift/http/client.h
@@ -56,6 +56,10 @@
                            TransferCallbacks callbacks) = 0;
   // Closes the transfer's connection; the other side sees the caller go.
   virtual void Cancel(TransferId transfer) = 0;
+  // Takes a transfer back while no byte of its request has been handed to a
+  // connection: then none ever will be, and nothing more is reported. False,
+  // and the transfer goes on, once any may have been, or when it has ended.
+  virtual bool Withdraw(TransferId transfer) = 0;
   virtual void Resume(TransferId transfer) = 0;
   virtual size_t OpenTransfers() const = 0;
 };
--- a/src/dotterelshift/app/gateway_traffic.cc
+++ b/src/dotterelshift/app/gateway_traffic.cc
@@ -171,6 +171,14 @@
   m_transfers.erase(transfer);
 }
 
+void GatewayTraffic::CarryOut(const gateway::WithdrawAttempt& withdraw) {
+  const auto transfer = m_transfers.find(withdraw.attempt);
+  if (transfer == m_transfers.end()) return;
+  if (!m_client->Withdraw(transfer->second.id)) return;
+  m_transfers.erase(transfer);
+  m_core.OnWithdrawn(withdraw.attempt, m_loop.Now());
+}
+
 std::shared_ptr<http::Exchange> GatewayTraffic::Take(RequestId request) {
   auto node = m_open.extract(request);
   if (node.empty()) return nullptr;
--- a/src/dotterelshift/app/gateway_traffic.h
+++ b/src/dotterelshift/app/gateway_traffic.h
@@ -55,6 +55,7 @@
 
   void CarryOut(const gateway::StartAttempt& start);
   void CarryOut(const gateway::CancelAttempt& cancel);
+  void CarryOut(const gateway::WithdrawAttempt& withdraw);
   void CarryOut(const gateway::Refuse& refuse);
   void CarryOut(const gateway::RelayWhole& relay);
   void CarryOut(const gateway::RelayHead& relay);
--- a/src/dotterelshift/gateway/core_impl.h
+++ b/src/dotterelshift/gateway/core_impl.h
@@ -32,6 +32,7 @@
               Instant now) override;
   void OnPiece(AttemptId attempt, std::string_view bytes, Instant now) override;
   void OnEnd(AttemptId attempt, http::TransferEnd end, Instant now) override;
+  void OnWithdrawn(AttemptId, Instant) override {}
   void OnBudgetChanged(Instant now) override;
   void OnTimer(Instant now) override;
   Instant NextTimer() const override;
--- a/src/dotterelshift/gateway/core_test.cc
+++ b/src/dotterelshift/gateway/core_test.cc
@@ -22,6 +22,10 @@
   CPPUNIT_TEST(AStreamThatMayNotResumeIsVisiblyCut);
   CPPUNIT_TEST(AContentThatBreaksEndpointsIsReportedAndHeldBack);
   CPPUNIT_TEST(ACallerThatLeavesCancelsItsAttempt);
+  CPPUNIT_TEST(WhatIsBookedIsNotSentToALeavingEndpoint);
+  CPPUNIT_TEST(WhatIsNotSentYetLeavesALeavingEndpoint);
+  CPPUNIT_TEST(WhatMayHaveBeenSentStaysAtALeavingEndpoint);
+  CPPUNIT_TEST(WithNoOtherEndpointTheWithdrawnIsRefusedAsNotRun);
   CPPUNIT_TEST(TheTimeoutEndsARequestAtOnce);
   CPPUNIT_TEST(PatienceCountsFromTheRequestsHead);
   CPPUNIT_TEST(WithoutTokensARequestWaitsThenIsRefused);
@@ -78,10 +82,13 @@
     m_core->OnEndpointsChanged(m_directory, m_now);
   }
 
-  void Announce(const EndpointId& id, const ServiceName& service) {
+  void Announce(const EndpointId& id, const ServiceName& service,
+                bool draining = false, uint64_t incarnation = 0) {
     wire::EndpointRecordT record;
     record.id = id;
-    record.sequence = 1;
+    record.sequence = draining ? 2 : 1;
+    record.incarnation = incarnation;
+    record.draining = draining;
     record.address = "10.0.0.1:80";
     record.data_centre = "dc";
     record.services = {service};
@@ -306,6 +313,87 @@
     CPPUNIT_ASSERT_EQUAL(size_t{0}, m_core->OpenRequests());
   }
 
+  void Leave(const EndpointId& id, const ServiceName& service) {
+    Announce(id, service, true);
+    m_core->OnEndpointsChanged(m_directory, m_now);
+    Collect();
+  }
+  void Withdrawn(AttemptId attempt) {
+    m_core->OnWithdrawn(attempt, m_now);
+    Collect();
+  }
+
+  // Two prompts are being read, one more is booked behind each of them.
+  void WhatIsBookedIsNotSentToALeavingEndpoint() {
+    Publish();
+    for (RequestId id = 1; id <= 4; ++id) {
+      Request("/stream/", 10'000, id);
+      CPPUNIT_ASSERT_EQUAL(size_t{id <= 2 ? 1U : 0U}, m_last.size());
+    }
+    Leave("l1", "llm");
+    size_t sent = 0;
+    for (Duration passed = 0s; passed < 1s; passed += 1ms) {
+      for (const Action& action : m_last) {
+        const auto* start = std::get_if<StartAttempt>(&action);
+        if (start == nullptr) continue;
+        CPPUNIT_ASSERT_EQUAL(std::string("l2"), start->endpoint.id);
+        ++sent;
+      }
+      Pass(1ms);
+    }
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, sent);
+  }
+
+  void WhatIsNotSentYetLeavesALeavingEndpoint() {
+    Publish();
+    Request("/once/");
+    const StartAttempt first = Only<StartAttempt>();
+    Leave(first.endpoint.id, "plain");
+    CPPUNIT_ASSERT_EQUAL(first.attempt, Only<WithdrawAttempt>().attempt);
+    Withdrawn(first.attempt);
+    const StartAttempt second = Only<StartAttempt>();
+    CPPUNIT_ASSERT(second.endpoint.id != first.endpoint.id);
+    // A new run of the second one: the run that it was sent to is gone.
+    Announce(second.endpoint.id, "plain", false, 1);
+    m_core->OnEndpointsChanged(m_directory, m_now);
+    Collect();
+    CPPUNIT_ASSERT_EQUAL(second.attempt, Only<WithdrawAttempt>().attempt);
+  }
+
+  // The connection may hold some of it, so it may run: one run at the most.
+  void WhatMayHaveBeenSentStaysAtALeavingEndpoint() {
+    Publish();
+    Request("/once/");
+    const StartAttempt start = Only<StartAttempt>();
+    Leave(start.endpoint.id, "plain");
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, Count<StartAttempt>());
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, Count<CancelAttempt>());
+    Head(start.attempt, 200);
+    End(start.attempt, http::TransferEnd::kWhole);
+    CPPUNIT_ASSERT_EQUAL(start.attempt, Only<RelayWhole>().attempt);
+    // What is answered already is not even asked about.
+    Request("/stream/", 100);
+    const StartAttempt stream = Only<StartAttempt>();
+    Head(stream.attempt, 200, true);
+    Leave(stream.endpoint.id, "llm");
+    CPPUNIT_ASSERT(m_last.empty());
+  }
+
+  void WithNoOtherEndpointTheWithdrawnIsRefusedAsNotRun() {
+    Publish();
+    Request("/once/");
+    const StartAttempt start = Only<StartAttempt>();
+    for (const char* id : {"p1", "p2", "p3"})
+      if (start.endpoint.id != id) Leave(id, "plain");
+    CPPUNIT_ASSERT(m_last.empty());
+    Leave(start.endpoint.id, "plain");
+    Withdrawn(Only<WithdrawAttempt>().attempt);
+    Pass(Duration(600ms) / 8);
+    const Refuse refuse = Only<Refuse>();
+    CPPUNIT_ASSERT(refuse.kind == ErrorKind::kNoEndpoint);
+    CPPUNIT_ASSERT(RowOf(refuse.kind).ran == Ran::kNo);
+  }
+
   void TheTimeoutEndsARequestAtOnce() {
     Publish();
     Request("/once/");
--- a/src/dotterelshift/http/client.cc
+++ b/src/dotterelshift/http/client.cc
@@ -99,6 +99,8 @@
     }
   }
 
+  bool Withdraw(TransferId) override { return false; }
+
   void Resume(TransferId id) override {
     // Resuming hands over held pieces at once, so it waits for its own turn.
     m_to_resume.push_back(id);
--- a/src/dotterelshift/http/http_test.cc
+++ b/src/dotterelshift/http/http_test.cc
@@ -1,4 +1,8 @@
+#include <arpa/inet.h>                        // for htonl, ntohs
 #include <cppunit/extensions/HelperMacros.h>  // for CPPUNIT_TEST
+#include <netinet/in.h>                       // for sockaddr_in
+#include <sys/socket.h>                       // for listen, connect
+#include <unistd.h>                           // for close
 
 #include <string>  // for string
 
@@ -18,6 +22,36 @@
   TransferEnd end = TransferEnd::kNotSent;
 };
 
+// Listens with no room for one more connection: the next opening packets are
+// dropped, so that a connection to it stays in the making.
+class FullListener {
+ public:
+  FullListener() {
+    m_address.sin_family = AF_INET;
+    m_address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t length = sizeof m_address;
+    CPPUNIT_ASSERT_EQUAL(0, bind(m_listener, Address(), length));
+    CPPUNIT_ASSERT_EQUAL(0, listen(m_listener, 0));
+    CPPUNIT_ASSERT_EQUAL(0, getsockname(m_listener, Address(), &length));
+    CPPUNIT_ASSERT_EQUAL(0, connect(m_waiting, Address(), length));
+  }
+  ~FullListener() {
+    close(m_waiting);
+    close(m_listener);
+  }
+  FullListener(const FullListener&) = delete;
+  FullListener& operator=(const FullListener&) = delete;
+
+  uint16_t Port() const { return ntohs(m_address.sin_port); }
+
+ private:
+  sockaddr* Address() { return reinterpret_cast<sockaddr*>(&m_address); }
+
+  sockaddr_in m_address{};
+  const int m_listener = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  const int m_waiting = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+};
+
 class HttpTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(HttpTest);
   CPPUNIT_TEST(WholeAnswerAtOnce);
@@ -28,6 +62,9 @@
   CPPUNIT_TEST(RefusedConnectionIsNotSent);
   CPPUNIT_TEST(CancelReachesASuspendedExchange);
   CPPUNIT_TEST(CancelReachesAStream);
+  CPPUNIT_TEST(WhatIsWithdrawnIsNeverSent);
+  CPPUNIT_TEST(WhatWaitsForItsConnectionCanBeWithdrawn);
+  CPPUNIT_TEST(WhatWasSentIsNotWithdrawn);
   CPPUNIT_TEST(PausedTransferGoesOn);
   CPPUNIT_TEST(TimedOutTransfer);
   CPPUNIT_TEST(ConnectionsAreReused);
@@ -136,6 +173,40 @@
     CPPUNIT_ASSERT_EQUAL(1, m_gone);
   }
 
+  void WhatIsWithdrawnIsNeverSent() {
+    ServeKeeping();
+    Send("/withdrawn", "x");
+    CPPUNIT_ASSERT(m_client->Withdraw(m_transfer));
+    CPPUNIT_ASSERT(!m_client->Withdraw(m_transfer));
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, m_client->OpenTransfers());
+    Send("/next", "x");
+    RunUntil([this] { return m_kept != nullptr; });
+    CPPUNIT_ASSERT_EQUAL(std::string("/next"), m_kept->GetRequest().path);
+    CPPUNIT_ASSERT(!m_seen.ended);
+  }
+
+  void WhatWaitsForItsConnectionCanBeWithdrawn() {
+    const FullListener listener;
+    m_port = listener.Port();
+    Send("/", "x");
+    for (int turn = 0; turn < 20; ++turn) ev_run(m_loop.Raw(), EVRUN_NOWAIT);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, m_client->OpenTransfers());
+    CPPUNIT_ASSERT(m_client->Withdraw(m_transfer));
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, m_client->OpenTransfers());
+    CPPUNIT_ASSERT(!m_seen.ended);
+  }
+
+  void WhatWasSentIsNotWithdrawn() {
+    ServeKeeping();
+    Send("/", "x");
+    RunUntil([this] { return m_kept != nullptr; });
+    CPPUNIT_ASSERT(!m_client->Withdraw(m_transfer));
+    m_kept->Answer(200, {}, "answer");
+    RunUntilEnded();
+    CPPUNIT_ASSERT_EQUAL(std::string("answer"), m_seen.body);
+    CPPUNIT_ASSERT(!m_client->Withdraw(m_transfer));
+  }
+
   void PausedTransferGoesOn() {
     const std::string body(1 << 20, 'x');
     Serve([&body](const std::shared_ptr<Exchange>& exchange) {
