Test: a cancelled request that this host still holds is not sent (red)

Cause, by reading: a cancelled transfer's connection is closed in order, so what the host still holds of its request, as behind a full link, goes out first and the end after it.

--- a/src/dotterelshift/http/http_test.cc
+++ b/src/dotterelshift/http/http_test.cc
@@ -4,6 +4,8 @@
 #include <sys/socket.h>                       // for listen, connect
 #include <unistd.h>                           // for close
 
+#include <array>   // for array
+#include <cerrno>  // for errno
 #include <string>  // for string
 
 #include "dotterelshift/http/client.h"  // for MakeClient
@@ -22,27 +24,31 @@
   TransferEnd end = TransferEnd::kNotSent;
 };
 
-// Listens with no room for one more connection: the next opening packets are
-// dropped, so that a connection to it stays in the making.
-class FullListener {
+// A peer that is no HTTP server: it takes connections, or has no room for them.
+class RawListener {
  public:
-  FullListener() {
+  explicit RawListener(int backlog) {
     m_address.sin_family = AF_INET;
     m_address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     socklen_t length = sizeof m_address;
     CPPUNIT_ASSERT_EQUAL(0, bind(m_listener, Address(), length));
-    CPPUNIT_ASSERT_EQUAL(0, listen(m_listener, 0));
+    CPPUNIT_ASSERT_EQUAL(0, listen(m_listener, backlog));
     CPPUNIT_ASSERT_EQUAL(0, getsockname(m_listener, Address(), &length));
-    CPPUNIT_ASSERT_EQUAL(0, connect(m_waiting, Address(), length));
   }
-  ~FullListener() {
+  ~RawListener() {
     close(m_waiting);
     close(m_listener);
   }
-  FullListener(const FullListener&) = delete;
-  FullListener& operator=(const FullListener&) = delete;
+  RawListener(const RawListener&) = delete;
+  RawListener& operator=(const RawListener&) = delete;
 
   uint16_t Port() const { return ntohs(m_address.sin_port); }
+  // Takes the only place: the next opening packets are dropped, so that a
+  // connection stays in the making.
+  void Fill() {
+    CPPUNIT_ASSERT_EQUAL(0, connect(m_waiting, Address(), sizeof m_address));
+  }
+  int Accept() const { return accept(m_listener, nullptr, nullptr); }
 
  private:
   sockaddr* Address() { return reinterpret_cast<sockaddr*>(&m_address); }
@@ -62,6 +68,7 @@
   CPPUNIT_TEST(RefusedConnectionIsNotSent);
   CPPUNIT_TEST(CancelReachesASuspendedExchange);
   CPPUNIT_TEST(CancelReachesAStream);
+  CPPUNIT_TEST(CancelDropsWhatThisHostStillHolds);
   CPPUNIT_TEST(WhatIsWithdrawnIsNeverSent);
   CPPUNIT_TEST(WhatWaitsForItsConnectionCanBeWithdrawn);
   CPPUNIT_TEST(WhatWasSentIsNotWithdrawn);
@@ -173,6 +180,27 @@
     CPPUNIT_ASSERT_EQUAL(1, m_gone);
   }
 
+  // A peer that reads nothing stands for a full link: most of the request lies
+  // in this host. Closed in order, it would still go out, and be run.
+  void CancelDropsWhatThisHostStillHolds() {
+    const RawListener listener(1);
+    m_port = listener.Port();
+    Send("/", std::string(16 << 20, 'x'));
+    Turn();
+    const int peer = listener.Accept();
+    std::array<char, 1 << 16> buffer;
+    RunUntil([&] {
+      return recv(peer, buffer.data(), 1, MSG_PEEK | MSG_DONTWAIT) == 1;
+    });
+    m_client->Cancel(m_transfer);
+    ssize_t got = 1;
+    while (got > 0) got = recv(peer, buffer.data(), buffer.size(), 0);
+    const int error = errno;
+    close(peer);
+    CPPUNIT_ASSERT_EQUAL(ssize_t{-1}, got);
+    CPPUNIT_ASSERT_EQUAL(ECONNRESET, error);
+  }
+
   void WhatIsWithdrawnIsNeverSent() {
     ServeKeeping();
     Send("/withdrawn", "x");
@@ -186,10 +214,11 @@
   }
 
   void WhatWaitsForItsConnectionCanBeWithdrawn() {
-    const FullListener listener;
+    RawListener listener(0);
+    listener.Fill();
     m_port = listener.Port();
     Send("/", "x");
-    for (int turn = 0; turn < 20; ++turn) ev_run(m_loop.Raw(), EVRUN_NOWAIT);
+    Turn();
     CPPUNIT_ASSERT_EQUAL(size_t{1}, m_client->OpenTransfers());
     CPPUNIT_ASSERT(m_client->Withdraw(m_transfer));
     CPPUNIT_ASSERT_EQUAL(size_t{0}, m_client->OpenTransfers());
@@ -292,6 +321,12 @@
     while (!condition()) ev_run(m_loop.Raw(), EVRUN_ONCE);
   }
 
+  // Lets what is due be done, without waiting for more.
+  void Turn() {
+    constexpr int kTurns = 20;
+    for (int i = 0; i < kTurns; ++i) ev_run(m_loop.Raw(), EVRUN_NOWAIT);
+  }
+
   void RunUntilEnded() {
     RunUntil([this] { return m_seen.ended; });
   }
