What is not sent yet leaves an endpoint that leaves

Cause: an entry that heard that an endpoint leaves placed nothing new there, but what was booked there, or waited for its connection, still went out. Booked requests are now placed anew; an attempt of which curl has not been let write a byte is withdrawn and placed elsewhere, as not run, and counts among the four sends of its request. An endpoint that is only silent is not left.

--- a/include/dotterelshift/gateway/fleet_load.h
+++ b/include/dotterelshift/gateway/fleet_load.h
@@ -107,6 +107,9 @@
   // An entry is gone: what it had under way is over.
   void OnEntryGone(const HostId& entry);
 
+  // It said that it leaves, or this run of it is gone. An endpoint that is only
+  // silent or out of reach does not leave.
+  bool IsLeaving(EndpointKey endpoint) const;
   const EndpointContact* Find(EndpointKey endpoint) const;
   // Requests of this entry and of the others there.
   uint32_t Running(EndpointKey endpoint) const;
@@ -117,6 +120,7 @@
     std::vector<ServiceName> services;
     uint32_t slots = 1;
     bool usable = false;
+    bool leaving = false;
     uint32_t own = 0;
     uint32_t others = 0;
     Instant read_until{};  // when the prompts given so far are read
--- a/src/dotterelshift/gateway/active_request.h
+++ b/src/dotterelshift/gateway/active_request.h
@@ -10,6 +10,10 @@
 
 namespace dotterelshift::gateway {
 
+// Endpoints that a request is sent to at the most, refusals, failed connections
+// and what was withdrawn included.
+inline constexpr uint32_t kMostSends = 4;
+
 enum class Stage : uint8_t {
   kWaitsForBudget,
   kWaitsForPlace,  // all endpoints are full just now
--- a/src/dotterelshift/gateway/core.cc
+++ b/src/dotterelshift/gateway/core.cc
@@ -17,8 +17,18 @@
 }
 
 void CoreImpl::OnEndpointsChanged(const directory::Directory& directory,
-                                  Instant) {
+                                  Instant now) {
   m_parts.load->OnDirectory(directory);
+  std::vector<RequestId> at_leaving;
+  for (const auto& [id, active] : m_active) {
+    const bool there =
+        active.stage == Stage::kBooked ||
+        (active.stage == Stage::kRunning && !active.attempt.head_seen);
+    if (there && m_parts.load->IsLeaving(active.attempt.placement.endpoint))
+      at_leaving.push_back(id);
+  }
+  std::sort(at_leaving.begin(), at_leaving.end());
+  for (const RequestId id : at_leaving) LeaveEndpoint(m_active.at(id), now);
 }
 
 void CoreImpl::OnRequest(RequestId request, RequestInfo info, Instant now) {
--- a/src/dotterelshift/gateway/core_answer.cc
+++ b/src/dotterelshift/gateway/core_answer.cc
@@ -5,10 +5,6 @@
 namespace dotterelshift::gateway {
 namespace {
 
-// Endpoints that a request is sent to at the most, refusals and failed
-// connections included.
-constexpr uint32_t kMostSends = 4;
-
 bool IsSuccess(int status) { return status >= 200 && status < 300; }
 bool IsEndpointFault(int status) { return status >= 500; }
 
--- a/src/dotterelshift/gateway/core_impl.h
+++ b/src/dotterelshift/gateway/core_impl.h
@@ -34,7 +34,7 @@
               Instant now) override;
   void OnPiece(AttemptId attempt, std::string_view bytes, Instant now) override;
   void OnEnd(AttemptId attempt, http::TransferEnd end, Instant now) override;
-  void OnWithdrawn(AttemptId, Instant) override {}
+  void OnWithdrawn(AttemptId attempt, Instant now) override;
   void OnBudgetChanged(Instant now) override;
   void OnTimer(Instant now) override;
   Instant NextTimer() const override;
@@ -67,6 +67,7 @@
   bool ComesTooLate(const ActiveRequest& active, const Placement& placement,
                     Instant now) const;
   void Send(ActiveRequest& active, Instant now);
+  void LeaveEndpoint(ActiveRequest& active, Instant now);
   void LogSent(const ActiveRequest& active, Instant now);
   Duration RetryAfter(const ActiveRequest& active, Duration wait, Instant now);
 
--- a/src/dotterelshift/gateway/core_place.cc
+++ b/src/dotterelshift/gateway/core_place.cc
@@ -37,7 +37,9 @@
 
 void CoreImpl::WaitForPlace(ActiveRequest& active, Instant now) {
   const Duration most = active.route->target / kPlaceWaitPart;
-  if (active.stage != Stage::kWaitsForPlace) active.wait_until = now + most;
+  const bool waits =
+      active.stage == Stage::kWaitsForPlace && active.wait_until != Instant{};
+  if (!waits) active.wait_until = now + most;
   active.stage = Stage::kWaitsForPlace;
   if (now < active.wait_until)
     return SetDue(active, std::min(now + kLookAgain, active.wait_until));
@@ -104,6 +106,33 @@
   Log("sent", active, std::move(inputs));
 }
 
+// What is only booked at an endpoint that leaves is placed anew; whether an
+// attempt can be taken back, the connection knows.
+void CoreImpl::LeaveEndpoint(ActiveRequest& active, Instant now) {
+  if (active.stage == Stage::kRunning) {
+    m_actions.emplace_back(WithdrawAttempt{active.attempt.id});
+    return;
+  }
+  EndAttempt(active);
+  Place(active, now);
+}
+
+// It has reached nobody, so that it is no repeat, but it counts among the
+// sends of its request.
+void CoreImpl::OnWithdrawn(AttemptId id, Instant now) {
+  ActiveRequest* active = OfAttempt(id);
+  if (active == nullptr) return;
+  Log("attempt_withdrawn", *active,
+      {{"endpoint", active->attempt.endpoint.id},
+       {"sent_ms_ago", Ms(now - active->attempt.sent)}});
+  EndAttempt(*active);
+  if (active->sends < kMostSends && now < active->deadline)
+    return Place(*active, now);
+  const ErrorKind kind = active->may_have_run ? ErrorKind::kEndpointFailed
+                                              : ErrorKind::kNoEndpoint;
+  Fail(*active, kind, RetryAfter(*active, 0s, now), now);
+}
+
 // Spread over once to twice the wait, so that callers that were refused
 // together do not return together, and not later than the caller will bear.
 Duration CoreImpl::RetryAfter(const ActiveRequest& active, Duration wait,
--- a/src/dotterelshift/gateway/fleet_load.cc
+++ b/src/dotterelshift/gateway/fleet_load.cc
@@ -37,6 +37,7 @@
     load.services = record.services;
     load.slots = std::max<uint32_t>(1, record.slots);
     load.usable = endpoint.usable;
+    load.leaving = record.draining || record.gone;
     SetCapacity(load);
     for (const ServiceName& service : record.services)
       m_by_service[service].push_back(key);
@@ -45,6 +46,7 @@
   for (auto& [key, load] : known) {
     if (load.own == 0 || m_loads.contains(key)) continue;
     load.usable = false;
+    load.leaving = true;
     m_loads[key] = std::move(load);
   }
   for (auto& [service, keys] : m_by_service)
@@ -229,6 +231,11 @@
   }
 }
 
+bool FleetLoad::IsLeaving(EndpointKey endpoint) const {
+  const auto found = m_loads.find(endpoint);
+  return found == m_loads.end() || found->second.leaving;
+}
+
 const EndpointContact* FleetLoad::Find(EndpointKey endpoint) const {
   const auto found = m_loads.find(endpoint);
   return found == m_loads.end() ? nullptr : &found->second.contact;
--- a/src/dotterelshift/http/client.cc
+++ b/src/dotterelshift/http/client.cc
@@ -99,7 +99,13 @@
     }
   }
 
-  bool Withdraw(TransferId) override { return false; }
+  bool Withdraw(TransferId id) override {
+    const auto found = m_transfers.find(id);
+    if (found == m_transfers.end()) return false;
+    if (found->second->sent || found->second->cancelled) return false;
+    Cancel(id);
+    return true;
+  }
 
   void Resume(TransferId id) override {
     // Resuming hands over held pieces at once, so it waits for its own turn.
