A cancelled request that this host still holds is not sent

Cause, by reading: the connection of a cancelled transfer was closed in order, so that what the host still held of its request, as behind a full link, went out first. The connection is now reset. HttpTest::CancelDropsWhatThisHostStillHolds was red and is green.

--- a/include/dotterelshift/http/client.h
+++ b/include/dotterelshift/http/client.h
@@ -54,7 +54,8 @@
   virtual ~Client() = default;
   virtual TransferId Start(ClientRequest request,
                            TransferCallbacks callbacks) = 0;
-  // Closes the transfer's connection; the other side sees the caller go.
+  // Resets the transfer's connection: the other side sees the caller go, and
+  // what this host still holds of the request is not sent any more.
   virtual void Cancel(TransferId transfer) = 0;
   // Takes a transfer back while no byte of its request has been handed to a
   // connection: then none ever will be, and nothing more is reported. False,
--- a/src/dotterelshift/http/client.cc
+++ b/src/dotterelshift/http/client.cc
@@ -1,6 +1,7 @@
 #include "dotterelshift/http/client.h"
 
-#include <curl/curl.h>  // for curl_multi_init
+#include <curl/curl.h>   // for curl_multi_init
+#include <sys/socket.h>  // for setsockopt
 
 #include <algorithm>      // for any_of, equal, max
 #include <cctype>         // for tolower
@@ -37,6 +38,7 @@
   bool sent = false;       // the request may have left, in part or whole
   bool cancelled = false;  // no callback any more; removed when curl has
                            // returned
+  curl_socket_t descriptor = CURL_SOCKET_BAD;  // that it uses, or used last
 };
 
 bool HasHeader(const Headers& headers, std::string_view name) {
@@ -117,9 +119,11 @@
 
  private:
   // The callbacks of libcurl, with its types.
-  static int OnSocket(CURL*, curl_socket_t descriptor, int what, void* self,
-                      void*) {
-    static_cast<CurlClient*>(self)->Watch(descriptor, what);
+  static int OnSocket(CURL* handle, curl_socket_t descriptor, int what,
+                      void* self, void*) {
+    auto& client = *static_cast<CurlClient*>(self);
+    client.NoteUser(handle, descriptor, what);
+    client.Watch(descriptor, what);
     return 0;
   }
 
@@ -191,6 +195,27 @@
     transfer.headers.emplace_back(std::move(name), std::string(line));
   }
 
+  void NoteUser(CURL* handle, curl_socket_t descriptor, int what) {
+    m_users.erase(descriptor);
+    if (what == CURL_POLL_REMOVE) return;
+    Transfer* transfer = nullptr;
+    curl_easy_getinfo(handle, CURLINFO_PRIVATE, &transfer);
+    if (transfer == nullptr) return;
+    transfer->descriptor = descriptor;
+    m_users[descriptor] = transfer->id;
+  }
+
+  // The connection of a cancelled transfer is reset, not closed in order: what
+  // this host still holds of the request, as on a full link, would go out first
+  // and be run for a caller who has left.
+  void DropUnsent(const Transfer& transfer) {
+    const auto user = m_users.find(transfer.descriptor);
+    if (user == m_users.end() || user->second != transfer.id) return;
+    const linger at_once{.l_onoff = 1, .l_linger = 0};
+    setsockopt(transfer.descriptor, SOL_SOCKET, SO_LINGER, &at_once,
+               sizeof at_once);
+  }
+
   void Watch(curl_socket_t descriptor, int what) {
     const int events = what == CURL_POLL_REMOVE
                            ? 0
@@ -354,6 +379,7 @@
   }
 
   void Free(Transfer& transfer) {
+    if (transfer.cancelled) DropUnsent(transfer);
     if (transfer.handle != nullptr) {
       m_in_curl = true;
       curl_multi_remove_handle(m_multi, transfer.handle);
@@ -376,6 +402,8 @@
   std::unordered_map<TransferId, std::unique_ptr<Transfer>> m_transfers;
   std::unordered_map<curl_socket_t, std::unique_ptr<loop::IoWatcher>>
       m_watchers;
+  // Which transfer waits on a descriptor.
+  std::unordered_map<curl_socket_t, TransferId> m_users;
   std::vector<TransferId> m_to_start;
   std::vector<TransferId> m_to_resume;
   std::vector<TransferId> m_to_remove;
