--- a/include/dotterelshift/http/client.h
+++ b/include/dotterelshift/http/client.h
@@ -54,8 +54,13 @@
   virtual ~Client() = default;
   virtual TransferId Start(ClientRequest request,
                            TransferCallbacks callbacks) = 0;
-  // Closes the transfer's connection; the other side sees the caller go.
+  // Resets the transfer's connection: the other side sees the caller go, and
+  // what this host still holds of the request is not sent any more.
   virtual void Cancel(TransferId transfer) = 0;
+  // Takes a transfer back while no byte of its request has been handed to a
+  // connection: then none ever will be, and nothing more is reported. False,
+  // and the transfer goes on, once any may have been, or when it has ended.
+  virtual bool Withdraw(TransferId transfer) = 0;
   virtual void Resume(TransferId transfer) = 0;
   virtual size_t OpenTransfers() const = 0;
 };
--- a/src/dotterelshift/gateway/core_testing.h
+++ b/src/dotterelshift/gateway/core_testing.h
@@ -68,10 +68,13 @@
     m_core->OnEndpointsChanged(m_directory, m_now);
   }
 
-  void Announce(const EndpointId& id, const ServiceName& service) {
+  void Announce(const EndpointId& id, const ServiceName& service,
+                bool draining = false, uint64_t incarnation = 0) {
     wire::EndpointRecordT record;
     record.id = id;
-    record.sequence = 1;
+    record.sequence = draining ? 2 : 1;
+    record.incarnation = incarnation;
+    record.draining = draining;
     record.address = "10.0.0.1:80";
     record.data_centre = "dc";
     record.services = {service};
