An entry is sent one routes document at a time, the newest

An entry that knows no leader beats ten times a second, and each beat that named an older version had the whole document queued again behind the one it had not read yet; and each version of a storm was queued for each entry. Ruled out: proposals (0 waiting, at most 212 pending), reads (165), the log (20 MB), answers kept (138,000, bounded by the next commits).

Change: a document that was sent counts as on its way for 5 s whatever a beat says; nothing is put behind more than 64 KB in a connection, and what waited is the newest version when it goes, looked at each tick. EntryPushesTest replays 86 entries that start at once and a storm of 25 versions; by the code before, each beat and each version queued one more (read from it, not run on it).

--- a/include/dotterelshift/peers/hub.h
+++ b/include/dotterelshift/peers/hub.h
@@ -71,6 +71,8 @@
   virtual ~Hub() = default;
   // False when there is no connection to the host; the frame is then dropped.
   virtual bool Send(const HostId& host, const wire::FrameT& frame) = 0;
+  // Bytes to the host that its connection has not taken yet; 0 without one.
+  virtual size_t Backlog(const HostId& host) const = 0;
   virtual std::vector<PeerInfo> Peers() const = 0;
   // Keeps a connection to one more address from now on.
   virtual void Dial(const std::string& address) = 0;
--- a/src/dotterelshift/app/control.cc
+++ b/src/dotterelshift/app/control.cc
@@ -308,13 +308,14 @@
 
 void Control::OnBeat(const peers::PeerInfo& peer,
                      const wire::EntryBeatT& beat) {
-  if (!m_pushes->OnBeat(peer.run.host, beat)) return;
+  if (!m_pushes->OnBeat(peer.run.host, beat, m_loop.Now())) return;
   m_recalls.OnBeat(peer.run.host, beat, m_loop.Now());
   const HostId host = peer.run.host;
   m_replica->ConfirmedRead(
       [this, host, sequence = beat.sequence](ErrorKind error) {
         if (error == ErrorKind::kNone)
-          return m_pushes->AnswerBeat(host, sequence, m_loop.WallNow());
+          return m_pushes->AnswerBeat(host, sequence, m_loop.WallNow(),
+                                      m_loop.Now());
         // An entry that has just started knows the seeds alone, and none of
         // them may lead.
         SendHint(host);
@@ -351,7 +352,7 @@
     if (request != nullptr && grant != nullptr)
       RecallFor(*command.id, *request, *grant);
   }
-  m_pushes->PushAll();
+  m_pushes->PushAll(m_loop.Now());
   if (suspects) m_pushes->PushQuarantineToAll(m_loop.WallNow());
 }
 
@@ -405,6 +406,8 @@
 void Control::OnTick() {
   const Instant now = m_loop.Now();
   SendOrders();
+  // What waited for an entry's connection to empty.
+  if (m_replica->Leads()) m_pushes->PushAll(now);
   if (m_replica->Leads() && now >= m_next_age_out) {
     m_next_age_out = now + kAgeOutEvery;
     wire::CommandT command;
--- a/src/dotterelshift/app/entry_pushes.cc
+++ b/src/dotterelshift/app/entry_pushes.cc
@@ -14,6 +14,17 @@
 // them were two thirds of the bytes between data centres.
 constexpr size_t kFullMesh = 16;
 
+// Nothing large is put behind more than this in an entry's connection: a
+// version that waits here is replaced by the next one, one in the connection is
+// not. With it a storm of changes to a fleet on slow links is held in memory
+// once, not once for each entry and version.
+constexpr size_t kMostBacklogBytes = 64 << 10;
+
+// An entry that names an older version than the one that was sent to it has not
+// read that far. Sent again at each beat, the documents of a fleet that starts
+// at once pile up behind each other faster than they leave.
+constexpr Duration kPushPatience = 5s;
+
 }  // namespace
 
 std::vector<std::string> ReplicaAddresses(const replication::Node& node) {
@@ -28,29 +39,36 @@
 }
 
 void EntryPushes::OnUp(const peers::PeerInfo& entry) {
-  m_entries[entry.run.host] = {entry, 0, 0};
+  m_entries[entry.run.host] = {entry, {}, {}};
 }
 
-bool EntryPushes::OnBeat(const HostId& host, const wire::EntryBeatT& beat) {
+bool EntryPushes::OnBeat(const HostId& host, const wire::EntryBeatT& beat,
+                         Instant now) {
   const auto entry = m_entries.find(host);
   if (entry == m_entries.end()) return false;
-  entry->second.configuration = beat.configuration_version;
-  entry->second.routes = beat.routes_version;
+  OnHas(entry->second.configuration, beat.configuration_version, now);
+  OnHas(entry->second.routes, beat.routes_version, now);
   return true;
 }
 
+void EntryPushes::OnHas(Pushed& pushed, uint64_t version, Instant now) {
+  const bool on_its_way =
+      version < pushed.version && now - pushed.at < kPushPatience;
+  if (!on_its_way) pushed.version = version;
+}
+
 // What the entry lacks goes first, so that it has what the answer names.
 void EntryPushes::AnswerBeat(const HostId& host, uint64_t sequence,
-                             WallMs now) {
+                             WallMs stamp, Instant now) {
   const auto entry = m_entries.find(host);
   if (entry == m_entries.end()) return;
-  Push(entry->second);
+  Push(entry->second, now);
   const state::State& state = m_replica.GetState();
   wire::LeaderBeatT answer;
   answer.sequence = sequence;
   answer.term = m_replica.GetNode().Term();
   answer.configuration_version = state.GetConfiguration().Version();
-  answer.stamp_ms = now;
+  answer.stamp_ms = stamp;
   answer.routes_version = state.GetPublished().version;
   answer.control = ReplicaAddresses(m_replica.GetNode());
   answer.entry_count = static_cast<uint32_t>(m_entries.size());
@@ -64,21 +82,22 @@
   m_hub.Send(host, peers::MakeFrame(std::move(answer)));
 }
 
-void EntryPushes::PushAll() {
-  for (auto& [host, entry] : m_entries) Push(entry);
+void EntryPushes::PushAll(Instant now) {
+  for (auto& [host, entry] : m_entries) Push(entry, now);
 }
 
-void EntryPushes::Push(Entry& entry) {
-  PushConfiguration(entry);
-  PushRoutes(entry);
+void EntryPushes::Push(Entry& entry, Instant now) {
+  if (m_hub.Backlog(entry.info.run.host) > kMostBacklogBytes) return;
+  PushConfiguration(entry, now);
+  PushRoutes(entry, now);
 }
 
-void EntryPushes::PushConfiguration(Entry& entry) {
+void EntryPushes::PushConfiguration(Entry& entry, Instant now) {
   const state::State& state = m_replica.GetState();
   const uint64_t version = state.GetConfiguration().Version();
-  if (entry.configuration >= version) return;
+  if (entry.configuration.version >= version) return;
   std::vector<wire::ChangeT> changes;
-  uint64_t from = entry.configuration;
+  uint64_t from = entry.configuration.version;
   if (from > 0) changes = state.ChangesSince(from);
   if (changes.empty()) {
     from = 0;
@@ -92,18 +111,18 @@
   for (wire::ChangeT& change : changes)
     push.changes.push_back(std::make_unique<wire::ChangeT>(std::move(change)));
   m_hub.Send(entry.info.run.host, peers::MakeFrame(std::move(push)));
-  entry.configuration = version;
+  entry.configuration = {version, now};
 }
 
-void EntryPushes::PushRoutes(Entry& entry) {
+void EntryPushes::PushRoutes(Entry& entry, Instant now) {
   const state::PublishedRoutes published = m_replica.GetState().GetPublished();
-  if (entry.routes >= published.version) return;
+  if (entry.routes.version >= published.version) return;
   wire::RoutesPushT push;
   push.term = m_replica.GetNode().Term();
   push.version = published.version;
   push.document.assign(published.document.begin(), published.document.end());
   m_hub.Send(entry.info.run.host, peers::MakeFrame(std::move(push)));
-  entry.routes = published.version;
+  entry.routes = {published.version, now};
 }
 
 void EntryPushes::PushQuarantine(const HostId& entry, WallMs now) {
--- a/src/dotterelshift/app/entry_pushes.h
+++ b/src/dotterelshift/app/entry_pushes.h
@@ -8,6 +8,7 @@
 
 #include "dotterelshift/app/control_replica.h"  // for ControlReplica
 #include "dotterelshift/base/ids.h"             // for HostId
+#include "dotterelshift/base/time.h"            // for Instant
 #include "dotterelshift/peers/hub.h"            // for Hub
 
 namespace dotterelshift::app {
@@ -26,27 +27,33 @@
   void OnUp(const peers::PeerInfo& entry);
   void OnDown(const HostId& entry) { m_entries.erase(entry); }
   // The entry told which versions it has. False when it is not connected.
-  bool OnBeat(const HostId& entry, const wire::EntryBeatT& beat);
+  bool OnBeat(const HostId& entry, const wire::EntryBeatT& beat, Instant now);
 
   // Answers a beat, once a quorum has confirmed that this replica leads.
-  void AnswerBeat(const HostId& entry, uint64_t sequence, WallMs now);
+  void AnswerBeat(const HostId& entry, uint64_t sequence, WallMs stamp,
+                  Instant now);
   // Tells all entries what they lack.
-  void PushAll();
+  void PushAll(Instant now);
   void PushQuarantine(const HostId& entry, WallMs now);
   void PushQuarantineToAll(WallMs now);
 
   size_t Entries() const { return m_entries.size(); }
 
  private:
-  // An entry that is connected, and what it has or what is on its way.
+  // The version of something that an entry has, or that is on its way to it.
+  struct Pushed {
+    uint64_t version = 0;
+    Instant at{};  // when it was sent
+  };
   struct Entry {
     peers::PeerInfo info;
-    uint64_t configuration = 0;
-    uint64_t routes = 0;
+    Pushed configuration;
+    Pushed routes;
   };
-  void Push(Entry& entry);
-  void PushConfiguration(Entry& entry);
-  void PushRoutes(Entry& entry);
+  static void OnHas(Pushed& pushed, uint64_t version, Instant now);
+  void Push(Entry& entry, Instant now);
+  void PushConfiguration(Entry& entry, Instant now);
+  void PushRoutes(Entry& entry, Instant now);
 
   peers::Hub& m_hub;
   const ControlReplica& m_replica;
--- /dev/null
+++ b/src/dotterelshift/app/entry_pushes_test.cc
@@ -0,0 +1,156 @@
+#include "dotterelshift/app/entry_pushes.h"
+
+#include <cppunit/extensions/HelperMacros.h>  // for CPPUNIT_TEST
+
+#include "dotterelshift/replication/bootstrap.h"  // for FirstLog
+#include "dotterelshift/state/state_testing.h"    // for TestRun
+
+namespace dotterelshift::app {
+namespace {
+
+// Connections that take nothing until they are told to.
+class MockHub : public peers::Hub {
+ public:
+  bool Send(const HostId& host, const wire::FrameT& frame) override {
+    const wire::RoutesPushT* routes = frame.body.AsRoutesPush();
+    if (routes == nullptr) return true;
+    backlog[host] += routes->document.size();
+    most = std::max(most, backlog[host]);
+    ++documents;
+    versions[host] = routes->version;
+    return true;
+  }
+  size_t Backlog(const HostId& host) const override {
+    const auto found = backlog.find(host);
+    return found == backlog.end() ? 0 : found->second;
+  }
+  std::vector<peers::PeerInfo> Peers() const override { return {}; }
+  void Dial(const std::string&) override {}
+  uint16_t Port() const override { return 0; }
+  const peers::HubCounters& Counters() const override { return m_counters; }
+
+  std::map<HostId, size_t> backlog;
+  std::map<HostId, uint64_t> versions;  // of the newest document sent
+  size_t most = 0;
+  int documents = 0;
+
+ private:
+  peers::HubCounters m_counters;
+};
+
+// A leader over a real state.
+class MockReplica : public ControlReplica {
+ public:
+  MockReplica() {
+    wire::MembershipT members;
+    auto self = std::make_unique<wire::ReplicaT>();
+    self->id = 1;
+    self->voter = true;
+    members.replicas.push_back(std::move(self));
+    m_node = replication::MakeNode({}, replication::FirstLog(1, members), {});
+  }
+  void Propose(std::vector<wire::CommandT>, ProposalCallback) override {}
+  void ConfirmedRead(std::function<void(ErrorKind)>) override {}
+  void Spool(const wire::SpoolT&) override {}
+  const state::State& GetState() const override { return *state; }
+  const replication::Node& GetNode() const override { return *m_node; }
+  bool Leads() const override { return true; }
+  HostId LeaderHost() const override { return "control"; }
+  void OnFrame(const peers::PeerInfo&, const wire::FrameT&) override {}
+
+  std::unique_ptr<state::State> state = state::MakeState();
+
+ private:
+  std::unique_ptr<replication::Node> m_node;
+};
+
+class EntryPushesTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(EntryPushesTest);
+  CPPUNIT_TEST(AFleetThatStartsIsSentOneDocumentEach);
+  CPPUNIT_TEST(InAStormTheNewestReplacesWhatWaits);
+  CPPUNIT_TEST(WhatWasLostIsSentAgain);
+  CPPUNIT_TEST_SUITE_END();
+
+ private:
+  static constexpr size_t kDocumentBytes = 200'000;
+  static constexpr int kEntries = 86;
+
+  void Publish(uint64_t version) {
+    wire::PublishRoutesT routes;
+    routes.version = version;
+    routes.document.assign(kDocumentBytes, 1);
+    m_control.Send(std::move(routes), 1);
+    m_pushes.PushAll(m_now);
+  }
+
+  void Beat(const HostId& host, uint64_t version) {
+    wire::EntryBeatT beat;
+    beat.sequence = ++m_beats;
+    beat.routes_version = version;
+    m_pushes.OnBeat(host, beat, m_now);
+    m_pushes.AnswerBeat(host, beat.sequence, 1, m_now);
+  }
+
+  void StartEntries() {
+    for (int i = 0; i < kEntries; ++i) {
+      peers::PeerInfo entry;
+      entry.run = {"e" + std::to_string(i), 1};
+      m_pushes.OnUp(entry);
+    }
+  }
+
+  // Entries that know no leader beat ten times a second, and none of them takes
+  // anything for two seconds.
+  void AFleetThatStartsIsSentOneDocumentEach() {
+    Publish(1);
+    StartEntries();
+    for (int round = 0; round < 20; ++round, m_now += 100ms)
+      for (int i = 0; i < kEntries; ++i) Beat("e" + std::to_string(i), 0);
+    CPPUNIT_ASSERT_EQUAL(kEntries, m_hub.documents);
+    CPPUNIT_ASSERT_EQUAL(kDocumentBytes, m_hub.most);
+  }
+
+  void InAStormTheNewestReplacesWhatWaits() {
+    StartEntries();
+    uint64_t version = 0;
+    for (int change = 0; change < 25; ++change, m_now += 80ms)
+      Publish(++version);
+    CPPUNIT_ASSERT_EQUAL(kDocumentBytes, m_hub.most);
+    CPPUNIT_ASSERT_EQUAL(kEntries, m_hub.documents);
+    m_hub.backlog.clear();
+    m_pushes.PushAll(m_now);
+    CPPUNIT_ASSERT_EQUAL(2 * kEntries, m_hub.documents);
+    for (const auto& [host, sent] : m_hub.versions)
+      CPPUNIT_ASSERT_EQUAL(version, sent);
+  }
+
+  // A document that the entry could not use, or a connection that is new.
+  void WhatWasLostIsSentAgain() {
+    StartEntries();
+    Publish(1);
+    m_hub.backlog.clear();
+    Beat("e1", 0);
+    CPPUNIT_ASSERT_EQUAL(kEntries, m_hub.documents);
+    m_now += 5s;
+    Beat("e1", 0);
+    CPPUNIT_ASSERT_EQUAL(kEntries + 1, m_hub.documents);
+    m_hub.backlog.clear();
+    peers::PeerInfo again;
+    again.run = {"e2", 2};
+    m_pushes.OnDown("e2");
+    m_pushes.OnUp(again);
+    Beat("e2", 0);
+    CPPUNIT_ASSERT_EQUAL(kEntries + 2, m_hub.documents);
+  }
+
+  Instant m_now{1000s};
+  uint64_t m_beats = 0;
+  MockHub m_hub;
+  MockReplica m_replica;
+  EntryPushes m_pushes{m_hub, m_replica};
+  state::TestRun m_control{m_replica.state.get(), "control", 1};
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(EntryPushesTest);
+
+}  // namespace
+}  // namespace dotterelshift::app
--- a/src/dotterelshift/peers/hub.cc
+++ b/src/dotterelshift/peers/hub.cc
@@ -112,6 +112,11 @@
     return !found->second->closed;
   }
 
+  size_t Backlog(const HostId& host) const override {
+    const auto found = m_by_host.find(host);
+    return found == m_by_host.end() ? 0 : found->second->Unsent();
+  }
+
   std::vector<PeerInfo> Peers() const override {
     std::vector<PeerInfo> peers;
     for (const auto& [host, connection] : m_by_host)
