An entry has one report of spend under way, and control keeps only answers that may be asked for

Change: what is spent and lent is summed by team and receiver until the report before it is answered; a command names the sequence below which its sender has all answers, and those are dropped.

--- a/include/dotterelshift/gateway/held_grants.h
+++ b/include/dotterelshift/gateway/held_grants.h
@@ -14,6 +14,7 @@
 #include "dotterelshift/base/tokens.h"            // for Tokens
 #include "dotterelshift/budget/ledger.h"          // for Ledger
 #include "dotterelshift/gateway/routes.h"         // for RouteTable
+#include "dotterelshift/gateway/spend_reports.h"  // for SpendReports
 #include "dotterelshift/wire/frames_generated.h"  // for CommandT, RecallT
 
 namespace dotterelshift::gateway {
@@ -104,16 +105,12 @@
   std::vector<wire::BudgetHoldingT> Holdings(Instant now) const;
 
  private:
-  struct Spend {
-    Tokens spent = 0;
-    uint32_t answered = 0;
-    uint32_t requests = 0;
-  };
   budget::HoldingPolicy PolicyOf(const TeamId& team) const;
   void LearnDemand(Instant now);
   bool IsAsking(const TeamId& team) const;
   wire::CommandT CommandOf(const budget::GrantWish& wish);
-  void AddReports(std::vector<wire::CommandT>* commands, Instant now);
+  void AddReport(std::optional<wire::ReportHoldingsT> report,
+                 std::vector<wire::CommandT>* commands);
   template <typename Body>
   wire::CommandT MakeCommand(Body body) {
     wire::CommandT command;
@@ -126,7 +123,7 @@
   const NextId m_next_id;
   std::unique_ptr<budget::Ledger> m_ledger;
   std::unordered_map<TeamId, budget::BudgetHandle> m_handles;  // with a total
-  std::unordered_map<TeamId, Spend> m_spends;  // not yet reported
+  SpendReports m_reports;
   // Asks that control has not answered, by the command's sequence.
   std::unordered_map<uint64_t, TeamId> m_asks;
   // Teams whose demand is not known yet, and since when they draw; the epoch:
@@ -157,7 +154,6 @@
   std::unordered_map<TeamId, Trickle> m_trickles;
   std::unordered_map<TeamId, Instant> m_last_borrow;
   std::vector<wire::TokenBorrowT> m_borrows;
-  std::vector<wire::CommandT> m_moves;
 };
 
 }  // namespace dotterelshift::gateway
--- a/include/dotterelshift/wire/commands_generated.h
+++ b/include/dotterelshift/wire/commands_generated.h
@@ -168,6 +168,10 @@
 struct ReportSpendBuilder;
 struct ReportSpendT;
 
+struct ReportHoldings;
+struct ReportHoldingsBuilder;
+struct ReportHoldingsT;
+
 struct AgeOut;
 struct AgeOutBuilder;
 struct AgeOutT;
@@ -755,11 +759,12 @@
   PublishRoutes = 14,
   ReportSpend = 15,
   MoveGrant = 16,
+  ReportHoldings = 17,
   MIN = NONE,
-  MAX = MoveGrant
+  MAX = ReportHoldings
 };
 
-inline const CommandBody (&EnumValuesCommandBody())[17] {
+inline const CommandBody (&EnumValuesCommandBody())[18] {
   static const CommandBody values[] = {
     CommandBody::NONE,
     CommandBody::RegisterHost,
@@ -777,13 +782,14 @@
     CommandBody::AgeOut,
     CommandBody::PublishRoutes,
     CommandBody::ReportSpend,
-    CommandBody::MoveGrant
+    CommandBody::MoveGrant,
+    CommandBody::ReportHoldings
   };
   return values;
 }
 
 inline const char * const *EnumNamesCommandBody() {
-  static const char * const names[18] = {
+  static const char * const names[19] = {
     "NONE",
     "RegisterHost",
     "RequestGrant",
@@ -801,13 +807,14 @@
     "PublishRoutes",
     "ReportSpend",
     "MoveGrant",
+    "ReportHoldings",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameCommandBody(CommandBody e) {
-  if (flatbuffers::IsOutRange(e, CommandBody::NONE, CommandBody::MoveGrant)) return "";
+  if (flatbuffers::IsOutRange(e, CommandBody::NONE, CommandBody::ReportHoldings)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesCommandBody()[index];
 }
@@ -880,6 +887,10 @@
   static const CommandBody enum_value = CommandBody::MoveGrant;
 };
 
+template<> struct CommandBodyTraits<dotterelshift::wire::ReportHoldings> {
+  static const CommandBody enum_value = CommandBody::ReportHoldings;
+};
+
 template<typename T> struct CommandBodyUnionTraits {
   static const CommandBody enum_value = CommandBody::NONE;
 };
@@ -948,6 +959,10 @@
   static const CommandBody enum_value = CommandBody::MoveGrant;
 };
 
+template<> struct CommandBodyUnionTraits<dotterelshift::wire::ReportHoldingsT> {
+  static const CommandBody enum_value = CommandBody::ReportHoldings;
+};
+
 struct CommandBodyUnion {
   CommandBody type;
   void *value;
@@ -1106,6 +1121,14 @@
     return type == CommandBody::MoveGrant ?
       reinterpret_cast<const dotterelshift::wire::MoveGrantT *>(value) : nullptr;
   }
+  dotterelshift::wire::ReportHoldingsT *AsReportHoldings() {
+    return type == CommandBody::ReportHoldings ?
+      reinterpret_cast<dotterelshift::wire::ReportHoldingsT *>(value) : nullptr;
+  }
+  const dotterelshift::wire::ReportHoldingsT *AsReportHoldings() const {
+    return type == CommandBody::ReportHoldings ?
+      reinterpret_cast<const dotterelshift::wire::ReportHoldingsT *>(value) : nullptr;
+  }
 };
 
 bool VerifyCommandBody(flatbuffers::Verifier &verifier, const void *obj, CommandBody type);
@@ -1380,6 +1403,7 @@
   std::string host{};
   uint64_t incarnation = 0;
   uint64_t sequence = 0;
+  uint64_t answered_below = 0;
 };
 
 struct CommandId FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -1389,7 +1413,8 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_HOST = 4,
     VT_INCARNATION = 6,
-    VT_SEQUENCE = 8
+    VT_SEQUENCE = 8,
+    VT_ANSWERED_BELOW = 10
   };
   const flatbuffers::String *host() const {
     return GetPointer<const flatbuffers::String *>(VT_HOST);
@@ -1400,12 +1425,16 @@
   uint64_t sequence() const {
     return GetField<uint64_t>(VT_SEQUENCE, 0);
   }
+  uint64_t answered_below() const {
+    return GetField<uint64_t>(VT_ANSWERED_BELOW, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_HOST) &&
            verifier.VerifyString(host()) &&
            VerifyField<uint64_t>(verifier, VT_INCARNATION, 8) &&
            VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
+           VerifyField<uint64_t>(verifier, VT_ANSWERED_BELOW, 8) &&
            verifier.EndTable();
   }
   CommandIdT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1426,6 +1455,9 @@
   void add_sequence(uint64_t sequence) {
     fbb_.AddElement<uint64_t>(CommandId::VT_SEQUENCE, sequence, 0);
   }
+  void add_answered_below(uint64_t answered_below) {
+    fbb_.AddElement<uint64_t>(CommandId::VT_ANSWERED_BELOW, answered_below, 0);
+  }
   explicit CommandIdBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1441,8 +1473,10 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::String> host = 0,
     uint64_t incarnation = 0,
-    uint64_t sequence = 0) {
+    uint64_t sequence = 0,
+    uint64_t answered_below = 0) {
   CommandIdBuilder builder_(_fbb);
+  builder_.add_answered_below(answered_below);
   builder_.add_sequence(sequence);
   builder_.add_incarnation(incarnation);
   builder_.add_host(host);
@@ -1458,13 +1492,15 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *host = nullptr,
     uint64_t incarnation = 0,
-    uint64_t sequence = 0) {
+    uint64_t sequence = 0,
+    uint64_t answered_below = 0) {
   auto host__ = host ? _fbb.CreateString(host) : 0;
   return dotterelshift::wire::CreateCommandId(
       _fbb,
       host__,
       incarnation,
-      sequence);
+      sequence,
+      answered_below);
 }
 
 flatbuffers::Offset<CommandId> CreateCommandId(flatbuffers::FlatBufferBuilder &_fbb, const CommandIdT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -5262,6 +5298,95 @@
 
 flatbuffers::Offset<ReportSpend> CreateReportSpend(flatbuffers::FlatBufferBuilder &_fbb, const ReportSpendT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct ReportHoldingsT : public flatbuffers::NativeTable {
+  typedef ReportHoldings TableType;
+  std::vector<std::unique_ptr<dotterelshift::wire::ReportSpendT>> spends{};
+  std::vector<std::unique_ptr<dotterelshift::wire::MoveGrantT>> moves{};
+  ReportHoldingsT() = default;
+  ReportHoldingsT(const ReportHoldingsT &o);
+  ReportHoldingsT(ReportHoldingsT&&) FLATBUFFERS_NOEXCEPT = default;
+  ReportHoldingsT &operator=(ReportHoldingsT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct ReportHoldings FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef ReportHoldingsT NativeTableType;
+  typedef ReportHoldingsBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_SPENDS = 4,
+    VT_MOVES = 6
+  };
+  const flatbuffers::Vector<flatbuffers::Offset<dotterelshift::wire::ReportSpend>> *spends() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<dotterelshift::wire::ReportSpend>> *>(VT_SPENDS);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<dotterelshift::wire::MoveGrant>> *moves() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<dotterelshift::wire::MoveGrant>> *>(VT_MOVES);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_SPENDS) &&
+           verifier.VerifyVector(spends()) &&
+           verifier.VerifyVectorOfTables(spends()) &&
+           VerifyOffset(verifier, VT_MOVES) &&
+           verifier.VerifyVector(moves()) &&
+           verifier.VerifyVectorOfTables(moves()) &&
+           verifier.EndTable();
+  }
+  ReportHoldingsT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(ReportHoldingsT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<ReportHoldings> Pack(flatbuffers::FlatBufferBuilder &_fbb, const ReportHoldingsT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct ReportHoldingsBuilder {
+  typedef ReportHoldings Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_spends(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<dotterelshift::wire::ReportSpend>>> spends) {
+    fbb_.AddOffset(ReportHoldings::VT_SPENDS, spends);
+  }
+  void add_moves(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<dotterelshift::wire::MoveGrant>>> moves) {
+    fbb_.AddOffset(ReportHoldings::VT_MOVES, moves);
+  }
+  explicit ReportHoldingsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<ReportHoldings> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<ReportHoldings>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<ReportHoldings> CreateReportHoldings(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<dotterelshift::wire::ReportSpend>>> spends = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<dotterelshift::wire::MoveGrant>>> moves = 0) {
+  ReportHoldingsBuilder builder_(_fbb);
+  builder_.add_moves(moves);
+  builder_.add_spends(spends);
+  return builder_.Finish();
+}
+
+struct ReportHoldings::Traits {
+  using type = ReportHoldings;
+  static auto constexpr Create = CreateReportHoldings;
+};
+
+inline flatbuffers::Offset<ReportHoldings> CreateReportHoldingsDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const std::vector<flatbuffers::Offset<dotterelshift::wire::ReportSpend>> *spends = nullptr,
+    const std::vector<flatbuffers::Offset<dotterelshift::wire::MoveGrant>> *moves = nullptr) {
+  auto spends__ = spends ? _fbb.CreateVector<flatbuffers::Offset<dotterelshift::wire::ReportSpend>>(*spends) : 0;
+  auto moves__ = moves ? _fbb.CreateVector<flatbuffers::Offset<dotterelshift::wire::MoveGrant>>(*moves) : 0;
+  return dotterelshift::wire::CreateReportHoldings(
+      _fbb,
+      spends__,
+      moves__);
+}
+
+flatbuffers::Offset<ReportHoldings> CreateReportHoldings(flatbuffers::FlatBufferBuilder &_fbb, const ReportHoldingsT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct AgeOutT : public flatbuffers::NativeTable {
   typedef AgeOut TableType;
 };
@@ -5384,6 +5509,9 @@
   const dotterelshift::wire::MoveGrant *body_as_MoveGrant() const {
     return body_type() == dotterelshift::wire::CommandBody::MoveGrant ? static_cast<const dotterelshift::wire::MoveGrant *>(body()) : nullptr;
   }
+  const dotterelshift::wire::ReportHoldings *body_as_ReportHoldings() const {
+    return body_type() == dotterelshift::wire::CommandBody::ReportHoldings ? static_cast<const dotterelshift::wire::ReportHoldings *>(body()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_ID) &&
@@ -5462,6 +5590,10 @@
   return body_as_MoveGrant();
 }
 
+template<> inline const dotterelshift::wire::ReportHoldings *Command::body_as<dotterelshift::wire::ReportHoldings>() const {
+  return body_as_ReportHoldings();
+}
+
 struct CommandBuilder {
   typedef Command Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -6379,6 +6511,7 @@
   { auto _e = host(); if (_e) _o->host = _e->str(); }
   { auto _e = incarnation(); _o->incarnation = _e; }
   { auto _e = sequence(); _o->sequence = _e; }
+  { auto _e = answered_below(); _o->answered_below = _e; }
 }
 
 inline flatbuffers::Offset<CommandId> CommandId::Pack(flatbuffers::FlatBufferBuilder &_fbb, const CommandIdT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -6392,11 +6525,13 @@
   auto _host = _o->host.empty() ? 0 : _fbb.CreateString(_o->host);
   auto _incarnation = _o->incarnation;
   auto _sequence = _o->sequence;
+  auto _answered_below = _o->answered_below;
   return dotterelshift::wire::CreateCommandId(
       _fbb,
       _host,
       _incarnation,
-      _sequence);
+      _sequence,
+      _answered_below);
 }
 
 inline TeamT *Team::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -7718,6 +7853,48 @@
       _requests);
 }
 
+inline ReportHoldingsT::ReportHoldingsT(const ReportHoldingsT &o) {
+  spends.reserve(o.spends.size());
+  for (const auto &spends_ : o.spends) { spends.emplace_back((spends_) ? new dotterelshift::wire::ReportSpendT(*spends_) : nullptr); }
+  moves.reserve(o.moves.size());
+  for (const auto &moves_ : o.moves) { moves.emplace_back((moves_) ? new dotterelshift::wire::MoveGrantT(*moves_) : nullptr); }
+}
+
+inline ReportHoldingsT &ReportHoldingsT::operator=(ReportHoldingsT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(spends, o.spends);
+  std::swap(moves, o.moves);
+  return *this;
+}
+
+inline ReportHoldingsT *ReportHoldings::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<ReportHoldingsT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void ReportHoldings::UnPackTo(ReportHoldingsT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = spends(); if (_e) { _o->spends.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->spends[_i] = std::unique_ptr<dotterelshift::wire::ReportSpendT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = moves(); if (_e) { _o->moves.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->moves[_i] = std::unique_ptr<dotterelshift::wire::MoveGrantT>(_e->Get(_i)->UnPack(_resolver)); } } }
+}
+
+inline flatbuffers::Offset<ReportHoldings> ReportHoldings::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ReportHoldingsT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateReportHoldings(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<ReportHoldings> CreateReportHoldings(flatbuffers::FlatBufferBuilder &_fbb, const ReportHoldingsT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const ReportHoldingsT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _spends = _o->spends.size() ? _fbb.CreateVector<flatbuffers::Offset<dotterelshift::wire::ReportSpend>> (_o->spends.size(), [](size_t i, _VectorArgs *__va) { return CreateReportSpend(*__va->__fbb, __va->__o->spends[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _moves = _o->moves.size() ? _fbb.CreateVector<flatbuffers::Offset<dotterelshift::wire::MoveGrant>> (_o->moves.size(), [](size_t i, _VectorArgs *__va) { return CreateMoveGrant(*__va->__fbb, __va->__o->moves[i].get(), __va->__rehasher); }, &_va ) : 0;
+  return dotterelshift::wire::CreateReportHoldings(
+      _fbb,
+      _spends,
+      _moves);
+}
+
 inline AgeOutT *AgeOut::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::make_unique<AgeOutT>();
   UnPackTo(_o.get(), _resolver);
@@ -8504,6 +8681,10 @@
       auto ptr = reinterpret_cast<const dotterelshift::wire::MoveGrant *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case CommandBody::ReportHoldings: {
+      auto ptr = reinterpret_cast<const dotterelshift::wire::ReportHoldings *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
@@ -8587,6 +8768,10 @@
       auto ptr = reinterpret_cast<const dotterelshift::wire::MoveGrant *>(obj);
       return ptr->UnPack(resolver);
     }
+    case CommandBody::ReportHoldings: {
+      auto ptr = reinterpret_cast<const dotterelshift::wire::ReportHoldings *>(obj);
+      return ptr->UnPack(resolver);
+    }
     default: return nullptr;
   }
 }
@@ -8658,6 +8843,10 @@
       auto ptr = reinterpret_cast<const dotterelshift::wire::MoveGrantT *>(value);
       return CreateMoveGrant(_fbb, ptr, _rehasher).Union();
     }
+    case CommandBody::ReportHoldings: {
+      auto ptr = reinterpret_cast<const dotterelshift::wire::ReportHoldingsT *>(value);
+      return CreateReportHoldings(_fbb, ptr, _rehasher).Union();
+    }
     default: return 0;
   }
 }
@@ -8728,6 +8917,10 @@
       value = new dotterelshift::wire::MoveGrantT(*reinterpret_cast<dotterelshift::wire::MoveGrantT *>(u.value));
       break;
     }
+    case CommandBody::ReportHoldings: {
+      value = new dotterelshift::wire::ReportHoldingsT(*reinterpret_cast<dotterelshift::wire::ReportHoldingsT *>(u.value));
+      break;
+    }
     default:
       break;
   }
@@ -8815,6 +9008,11 @@
       delete ptr;
       break;
     }
+    case CommandBody::ReportHoldings: {
+      auto ptr = reinterpret_cast<dotterelshift::wire::ReportHoldingsT *>(value);
+      delete ptr;
+      break;
+    }
     default: break;
   }
   value = nullptr;
--- a/src/dotterelshift/gateway/held_grants.cc
+++ b/src/dotterelshift/gateway/held_grants.cc
@@ -179,12 +179,7 @@
       m_ledger->Lend(handle->second, borrow.wanted, borrow.minimum,
                      borrow.demand_per_second, now);
   if (lent <= 0) return 0;
-  wire::MoveGrantT move;
-  move.budget = borrow.budget;
-  move.tokens = lent;
-  move.to_host = from.host;
-  move.to_incarnation = from.incarnation;
-  m_moves.push_back(MakeCommand(std::move(move)));
+  m_reports.OnLent(borrow.budget, from, lent);
   return lent;
 }
 
@@ -199,10 +194,7 @@
   const auto handle = m_handles.find(team);
   if (handle == m_handles.end()) return;
   m_ledger->SettleStanding(handle->second, reserved, spent, now);
-  Spend& spend = m_spends[team];
-  spend.spent += spent;
-  ++spend.requests;
-  if (answered) ++spend.answered;
+  m_reports.OnSpent(team, spent, answered);
 }
 
 HeldGrants::Position HeldGrants::PositionOf(const TeamId& team,
@@ -230,7 +222,10 @@
 }
 
 bool HeldGrants::OnAnswer(const wire::CommandAnswerT& answer, Instant now) {
-  if (answer.id != nullptr) m_asks.erase(answer.id->sequence);
+  if (answer.id != nullptr) {
+    m_asks.erase(answer.id->sequence);
+    m_reports.OnAnswer(answer.id->sequence);
+  }
   const wire::GrantAnswerT* grant = answer.body.AsGrantAnswer();
   if (grant == nullptr) return false;
   const auto handle = m_handles.find(grant->budget);
@@ -241,9 +236,10 @@
 }
 
 std::vector<wire::CommandT> HeldGrants::TakeCommands(Instant now) {
-  std::vector<wire::CommandT> commands = std::exchange(m_moves, {});
+  std::vector<wire::CommandT> commands;
   if (now >= m_next_report) {
-    AddReports(&commands, now);
+    m_next_report = now + m_options.report_every;
+    AddReport(m_reports.Take(), &commands);
     LearnDemand(now);
   }
   for (const budget::GrantWish& wish : m_ledger->TakeWishes(now)) {
@@ -262,24 +258,18 @@
 }
 
 std::vector<wire::CommandT> HeldGrants::TakeLastCommands(Instant now) {
-  std::vector<wire::CommandT> commands = std::exchange(m_moves, {});
-  AddReports(&commands, now);
+  std::vector<wire::CommandT> commands;
+  AddReport(m_reports.TakeLast(), &commands);
   for (const budget::GrantWish& wish : m_ledger->ReturnAll(now))
     commands.push_back(CommandOf(wish));
   return commands;
 }
 
-void HeldGrants::AddReports(std::vector<wire::CommandT>* commands,
-                            Instant now) {
-  m_next_report = now + m_options.report_every;
-  for (const auto& [team, spend] : std::exchange(m_spends, {})) {
-    wire::ReportSpendT report;
-    report.budget = team;
-    report.spent = spend.spent;
-    report.answered = spend.answered;
-    report.requests = spend.requests;
-    commands->push_back(MakeCommand(std::move(report)));
-  }
+void HeldGrants::AddReport(std::optional<wire::ReportHoldingsT> report,
+                           std::vector<wire::CommandT>* commands) {
+  if (!report) return;
+  commands->push_back(MakeCommand(std::move(*report)));
+  m_reports.OnSent(commands->back().id->sequence);
 }
 
 wire::CommandT HeldGrants::CommandOf(const budget::GrantWish& wish) {
--- a/src/dotterelshift/state/answers.cc
+++ b/src/dotterelshift/state/answers.cc
@@ -1,6 +1,6 @@
 #include "dotterelshift/state/answers.h"
 
-#include <algorithm>  // for lower_bound
+#include <algorithm>  // for lower_bound, max
 
 namespace dotterelshift::state {
 namespace {
@@ -20,6 +20,13 @@
   return small && answer.error == 0;
 }
 
+void DropOldest(Host& host) {
+  const uint64_t dropped = host.answers.front().sequence;
+  host.floor = dropped + 1;
+  host.long_answers.erase(dropped);
+  host.answers.pop_front();
+}
+
 }  // namespace
 
 Resend LookUpAnswer(const Host& host, const wire::CommandT& command,
@@ -54,12 +61,13 @@
     kept.value = answer.body.AsSettleAnswer()->first_bill ? 1 : 0;
   if (!IsShort(answer)) host.long_answers[kept.sequence] = answer;
   host.answers.insert(PlaceOf(host.answers, kept.sequence), kept);
-  while (host.answers.size() > limit) {
-    const uint64_t dropped = host.answers.front().sequence;
-    host.floor = dropped + 1;
-    host.long_answers.erase(dropped);
-    host.answers.pop_front();
-  }
+  while (host.answers.size() > limit) DropOldest(host);
+}
+
+void ForgetAnswers(Host& host, uint64_t below) {
+  while (!host.answers.empty() && host.answers.front().sequence < below)
+    DropOldest(host);
+  host.floor = std::max(host.floor, below);
 }
 
 }  // namespace dotterelshift::state
--- a/src/dotterelshift/state/answers.h
+++ b/src/dotterelshift/state/answers.h
@@ -14,6 +14,9 @@
 Resend LookUpAnswer(const Host& host, const wire::CommandT& command,
                     wire::CommandAnswerT& answer);
 
+// Drops the answers that the sender has.
+void ForgetAnswers(Host& host, uint64_t below);
+
 // Keeps an answer, and drops the oldest beyond `limit`.
 void KeepAnswer(Host& host, const wire::CommandAnswerT& answer, size_t limit);
 
--- a/src/dotterelshift/state/apply.h
+++ b/src/dotterelshift/state/apply.h
@@ -39,6 +39,8 @@
            wire::CommandAnswerT& answer);
 void Apply(Context& context, const wire::MoveGrantT& command,
            wire::CommandAnswerT& answer);
+void Apply(Context& context, const wire::ReportHoldingsT& command,
+           wire::CommandAnswerT& answer);
 
 }  // namespace dotterelshift::state
 
--- a/src/dotterelshift/state/apply_published.cc
+++ b/src/dotterelshift/state/apply_published.cc
@@ -97,4 +97,16 @@
   Answer(answer, wire::DoneAnswerT());
 }
 
+// Each part counts by itself: one that is refused, because its budget or its
+// receiver is not known, leaves its tokens with the sender.
+void Apply(Context& context, const wire::ReportHoldingsT& command,
+           wire::CommandAnswerT& answer) {
+  wire::CommandAnswerT of_part;
+  for (const auto& spend : command.spends)
+    if (spend != nullptr) Apply(context, *spend, of_part);
+  for (const auto& move : command.moves)
+    if (move != nullptr) Apply(context, *move, of_part);
+  Answer(answer, wire::DoneAnswerT());
+}
+
 }  // namespace dotterelshift::state
--- a/src/dotterelshift/state/state.cc
+++ b/src/dotterelshift/state/state.cc
@@ -49,6 +49,8 @@
       return Apply(context, *body.AsReportSpend(), answer);
     case CommandBody::MoveGrant:
       return Apply(context, *body.AsMoveGrant(), answer);
+    case CommandBody::ReportHoldings:
+      return Apply(context, *body.AsReportHoldings(), answer);
     case CommandBody::NONE:
       break;
   }
@@ -217,6 +219,8 @@
     Context context{m_tables, *command.id, host.run, m_tables.last_stamp,
                     m_recover};
     ApplyBody(context, command.body, answer);
+    ForgetAnswers(host, std::min(command.id->answered_below,
+                                 command.id->sequence));
     KeepAnswer(host, answer, m_tables.options.answers_kept);
   }
 
--- a/src/dotterelshift/state/state_test.cc
+++ b/src/dotterelshift/state/state_test.cc
@@ -37,6 +37,7 @@
   CPPUNIT_TEST(LapsedLeaseIsReclaimed);
   CPPUNIT_TEST(RequestIsBilledOnce);
   CPPUNIT_TEST(ResendGetsFirstAnswer);
+  CPPUNIT_TEST(AnswersThatTheSenderHasAreDropped);
   CPPUNIT_TEST(ClaimTable);
   CPPUNIT_TEST(AgedKeysAreRefused);
   CPPUNIT_TEST(PlansOfEqualBase);
@@ -155,6 +156,34 @@
     CheckAmounts({1000, 0, 0, 100, 0});
   }
 
+  // A fleet that restarts makes thousands of commands a second; what control
+  // keeps of them is what may still be asked for.
+  void AnswersThatTheSenderHasAreDropped() {
+    const auto first = m_entry.Command(GrantAsk("b", 100));
+    auto second = m_entry.Command(GrantAsk("b", 50));
+    m_entry.Resend(first, kStart);
+    m_entry.Resend(second, kStart);
+    auto third = m_entry.Command(GrantAsk("b", 10));
+    third.id->answered_below = second.id->sequence;
+    m_entry.Resend(third, kStart);
+    CPPUNIT_ASSERT(Is(m_entry.Resend(first, kStart), ErrorKind::kResendTooOld));
+    CPPUNIT_ASSERT_EQUAL(Tokens{50}, Granted(m_entry.Resend(second, kStart)));
+    CPPUNIT_ASSERT_EQUAL(Tokens{10}, Granted(m_entry.Resend(third, kStart)));
+    CheckAmounts({1000, 0, 0, 160, 0});
+    // A sender that names more than it has sent does not lose its next answer.
+    auto fourth = m_entry.Command(GrantAsk("b", 5));
+    fourth.id->answered_below = fourth.id->sequence + 100;
+    m_entry.Resend(fourth, kStart);
+    CPPUNIT_ASSERT_EQUAL(Tokens{5}, Granted(m_entry.Resend(fourth, kStart)));
+    const std::string small = m_state->Snapshot();
+    for (int i = 0; i < 1000; ++i) {
+      auto command = m_entry.Command(wire::RecordRefusalsT());
+      command.id->answered_below = command.id->sequence;
+      m_entry.Resend(command, kStart);
+    }
+    CPPUNIT_ASSERT(m_state->Snapshot().size() < small.size() + 1000);
+  }
+
   void ClaimTable() {
     struct Row {
       const char* name;
