A late leader is sent the same command more and more rarely

Cause: each command without an answer went to the leader again each second, so that a leader that was behind got more to do for being late; and while no leader was known, each search for one marked all of them once more (read from the code; ControlLinkTest::WithoutALeaderNothingIsMarkedTwice). Change: the wait doubles at each resend to the same leader, up to 8 s; a new leader is told at once. The link names the answers that have come, for entries of published routes, whose commands are proposed in the order of their ids.

--- a/include/dotterelshift/app/control_link.h
+++ b/include/dotterelshift/app/control_link.h
@@ -29,7 +29,13 @@
       3s;  // since the last beat that a leader answered was sent
   Duration resend_after =
       1s;  // a command without an answer is sent again, with the same id
+  // Doubled at each resend to the same leader, up to this: a leader that is
+  // behind must not get more to do for being late.
+  Duration resend_most = 8s;
   size_t commands_per_frame = 512;
+  // Tells control which answers it need not keep any more. Only where commands
+  // are proposed in the order of their sequences.
+  bool names_answered = false;
   size_t spool_copies = 2;
 };
 
@@ -100,7 +106,8 @@
  private:
   struct Unanswered {
     wire::CommandT command;
-    Instant sent{};  // the epoch: not yet
+    Instant sent{};     // the epoch: not yet
+    Duration patience;  // from then until it is sent again
   };
   void OnLeaderBeat(const HostId& from, const wire::LeaderBeatT& beat);
   void OnAnswers(const wire::ProposeAnswersT& answers);
@@ -110,8 +117,12 @@
   void ForgetLeader(Instant now);
   void UpdateReach(Instant now);
   void SendBeats(Instant now);
+  using Commands = std::map<uint64_t, Unanswered>;  // by the id's sequence
   void MarkOverdue(Instant now);
+  void MarkOverdueOf(Commands& commands, std::vector<uint64_t>* unsent,
+                     Instant now) const;
   void SendCommands(Instant now);
+  uint64_t AnsweredBelow() const;
   void SendSpools(Instant now);
 
   ControlLinkOptions m_options;
@@ -134,8 +145,9 @@
   std::vector<std::string> m_entry_addresses;
   size_t m_entry_count = 1;
   size_t m_entry_place = 0;
-  std::map<uint64_t, Unanswered> m_unanswered;  // by the id's sequence
-  std::map<uint64_t, Unanswered> m_spooling;
+  Commands m_unanswered;
+  Commands m_spooling;
+  bool m_has_spooled = false;  // once any command was handed to a spool
   std::vector<uint64_t> m_unsent;  // sequences to be sent, or sent again
   std::vector<uint64_t> m_unsent_spools;
   std::vector<wire::BudgetHoldingT> m_holdings;
--- a/src/dotterelshift/app/control_link.cc
+++ b/src/dotterelshift/app/control_link.cc
@@ -81,8 +81,10 @@
   // A new leader may not have what was on its way to the old one.
   m_leader = from;
   m_unsent.clear();
-  for (const auto& [sequence, waiting] : m_unanswered)
+  for (auto& [sequence, waiting] : m_unanswered) {
+    waiting.patience = m_options.resend_after;
     m_unsent.push_back(sequence);
+  }
 }
 
 void ControlLink::OnAnswers(const wire::ProposeAnswersT& answers) {
@@ -162,31 +164,48 @@
 
 void ControlLink::Propose(wire::CommandT command) {
   const uint64_t sequence = command.id->sequence;
-  m_unanswered[sequence].command = std::move(command);
+  m_unanswered[sequence] = {std::move(command), {}, m_options.resend_after};
   m_unsent.push_back(sequence);
 }
 
 void ControlLink::Spool(wire::CommandT command) {
   const uint64_t sequence = command.id->sequence;
-  m_spooling[sequence].command = std::move(command);
+  m_has_spooled = true;
+  m_spooling[sequence] = {std::move(command), {}, m_options.resend_after};
   m_unsent_spools.push_back(sequence);
 }
 
+// Without a leader nothing is marked: the next one is sent all there is.
 void ControlLink::MarkOverdue(Instant now) {
-  for (const auto& [sequence, waiting] : m_unanswered) {
-    if (waiting.sent != Instant{} &&
-        now - waiting.sent >= m_options.resend_after)
-      m_unsent.push_back(sequence);
-  }
-  for (const auto& [sequence, waiting] : m_spooling) {
-    if (waiting.sent != Instant{} &&
-        now - waiting.sent >= m_options.resend_after)
-      m_unsent_spools.push_back(sequence);
+  if (!m_leader.empty()) MarkOverdueOf(m_unanswered, &m_unsent, now);
+  MarkOverdueOf(m_spooling, &m_unsent_spools, now);
+}
+
+void ControlLink::MarkOverdueOf(Commands& commands,
+                                std::vector<uint64_t>* unsent,
+                                Instant now) const {
+  for (auto& [sequence, waiting] : commands) {
+    const bool overdue =
+        waiting.sent != Instant{} && now - waiting.sent >= waiting.patience;
+    if (!overdue) continue;
+    // Not marked once more before it has left.
+    waiting.sent = {};
+    waiting.patience = std::min(waiting.patience * 2, m_options.resend_most);
+    unsent->push_back(sequence);
   }
 }
 
+// What a replica keeps in its spool comes to the leader later, under its first
+// id: once anything went there, all answers are kept.
+uint64_t ControlLink::AnsweredBelow() const {
+  const bool known = m_options.names_answered && !m_has_spooled &&
+                     !m_unanswered.empty();
+  return known ? m_unanswered.begin()->first : 0;
+}
+
 void ControlLink::SendCommands(Instant now) {
   if (m_leader.empty()) return;
+  const uint64_t answered_below = AnsweredBelow();
   wire::ProposeT propose;
   const auto send = [&] {
     m_frames.emplace_back(m_leader, MakeFrame(std::move(propose)));
@@ -198,6 +217,7 @@
     waiting->second.sent = now;
     propose.commands.push_back(
         std::make_unique<wire::CommandT>(waiting->second.command));
+    propose.commands.back()->id->answered_below = answered_below;
     if (propose.commands.size() == m_options.commands_per_frame) send();
   }
   if (!propose.commands.empty()) send();
--- a/src/dotterelshift/app/control_link_test.cc
+++ b/src/dotterelshift/app/control_link_test.cc
@@ -15,7 +15,10 @@
   CPPUNIT_TEST_SUITE(ControlLinkTest);
   CPPUNIT_TEST(ReadyOnlyWithTheCurrentConfiguration);
   CPPUNIT_TEST(CommandsFollowTheLeaderUnderTheirFirstId);
+  CPPUNIT_TEST(ALateLeaderIsSentACommandMoreAndMoreRarely);
+  CPPUNIT_TEST(WithoutALeaderNothingIsMarkedTwice);
   CPPUNIT_TEST(EachAnswerComesOnce);
+  CPPUNIT_TEST(ControlIsToldWhichAnswersHaveCome);
   CPPUNIT_TEST(CutOffCountsFromTheSendingOfABeat);
   CPPUNIT_TEST(VersionsNeverFall);
   CPPUNIT_TEST(AnOlderTermDoesNotLead);
@@ -84,6 +87,43 @@
     CPPUNIT_ASSERT(TakeProposed("c2") == (std::vector<uint64_t>{7, 8}));
   }
 
+  // A leader that has just started leads, and is 10 s behind with the backlog of
+  // a whole fleet.
+  void ALateLeaderIsSentACommandMoreAndMoreRarely() {
+    AnswerBeat("c1", 1, 0);
+    m_link->Propose(CommandOf(7));
+    size_t sent = TakeProposed("c1").size();
+    for (int second = 0; second < 10; ++second) {
+      m_now += 1s;
+      m_link->OnTimer(m_now);
+      sent += TakeProposed("c1").size();
+    }
+    CPPUNIT_ASSERT(sent >= 2);
+    CPPUNIT_ASSERT(sent <= 4);
+    // The next leader has not heard of it, and is told at once.
+    m_link->OnPeerDown("c1", m_now);
+    AnswerBeat("c2", 2, 0);
+    CPPUNIT_ASSERT(TakeProposed("c2") == std::vector<uint64_t>{7});
+    m_now += 1s;
+    m_link->OnTimer(m_now);
+    CPPUNIT_ASSERT(TakeProposed("c2") == std::vector<uint64_t>{7});
+  }
+
+  void WithoutALeaderNothingIsMarkedTwice() {
+    AnswerBeat("c1", 1, 0);
+    m_link->Propose(CommandOf(7));
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, TakeProposed("c1").size());
+    wire::LeaderHintT hint;
+    m_link->OnFrame("c1", MakeFrame(std::move(hint)), m_now);
+    for (int beat = 0; beat < 50; ++beat) {
+      m_now += 100ms;
+      m_link->OnTimer(m_now);
+      CPPUNIT_ASSERT(TakeProposed("c1").empty());
+    }
+    AnswerBeat("c1", 1, 0);
+    CPPUNIT_ASSERT(TakeProposed("c1") == std::vector<uint64_t>{7});
+  }
+
   void EachAnswerComesOnce() {
     AnswerBeat("c1", 1, 0);
     m_link->Propose(CommandOf(7));
@@ -97,6 +137,29 @@
     CPPUNIT_ASSERT(m_link->Idle());
   }
 
+  void ControlIsToldWhichAnswersHaveCome() {
+    ControlLinkOptions options;
+    options.names_answered = true;
+    m_link = std::make_unique<ControlLink>(options);
+    m_link->OnPeerUp("c1", m_now);
+    AnswerBeat("c1", 1, 0);
+    for (const uint64_t sequence : {7, 8, 9})
+      m_link->Propose(CommandOf(sequence));
+    CPPUNIT_ASSERT_EQUAL(uint64_t{7}, AnsweredBelowIn("c1"));
+    wire::ProposeAnswersT answers;
+    for (const uint64_t sequence : {9, 7}) {
+      answers.answers.push_back(std::make_unique<wire::CommandAnswerT>());
+      answers.answers.back()->id = IdOf(sequence);
+    }
+    m_link->OnFrame("c1", MakeFrame(std::move(answers)), m_now);
+    m_link->Propose(CommandOf(10));
+    CPPUNIT_ASSERT_EQUAL(uint64_t{8}, AnsweredBelowIn("c1"));
+    // A replica proposes what it spools under the first id.
+    m_link->Spool(CommandOf(11));
+    m_link->Propose(CommandOf(12));
+    CPPUNIT_ASSERT_EQUAL(uint64_t{0}, AnsweredBelowIn("c1"));
+  }
+
   void CutOffCountsFromTheSendingOfABeat() {
     const uint64_t sequence = NextBeat("c1");
     m_now += 2900ms;
@@ -187,6 +250,16 @@
     m_link->OnFrame("c1", MakeFrame(std::move(push)), m_now);
   }
 
+  uint64_t AnsweredBelowIn(const HostId& host) {
+    for (const auto& [to, frame] : m_link->TakeFrames(m_now)) {
+      const auto* propose = frame.body.AsPropose();
+      if (to == host && propose != nullptr)
+        return propose->commands.front()->id->answered_below;
+    }
+    CPPUNIT_FAIL("nothing was proposed");
+    return 0;
+  }
+
   std::vector<uint64_t> TakeProposed(const HostId& host) {
     std::vector<uint64_t> sequences;
     for (const auto& [to, frame] : m_link->TakeFrames(m_now)) {
--- a/src/dotterelshift/app/gateway_entry.cc
+++ b/src/dotterelshift/app/gateway_entry.cc
@@ -105,7 +105,7 @@
       m_settings(settings),
       m_registration(RegistrationOptionsOf(settings, incarnation)),
       m_dialect(std::move(dialect)),
-      m_link({m_registration.Self()}),
+      m_link(ControlLinkOptionsOf(m_registration.Self())),
       m_directory(loop, SpreadOptionsOf(settings.host), DirectoryOptionsOf(),
                   {[this] {
                      m_core->OnEndpointsChanged(m_directory.GetDirectory(),
--- a/src/dotterelshift/app/gateway_options.cc
+++ b/src/dotterelshift/app/gateway_options.cc
@@ -28,6 +28,13 @@
   return options;
 }
 
+ControlLinkOptions ControlLinkOptionsOf(const HostRun& self) {
+  ControlLinkOptions options;
+  options.self = self;
+  options.names_answered = true;
+  return options;
+}
+
 gateway::FleetLoadOptions LoadOptionsOf(const settings::Settings& settings) {
   gateway::FleetLoadOptions options;
   options.data_centre = settings.data_centre;
--- a/src/dotterelshift/app/gateway_options.h
+++ b/src/dotterelshift/app/gateway_options.h
@@ -1,6 +1,7 @@
 #ifndef DOTTERELSHIFT_SRC_APP_GATEWAY_OPTIONS_H_
 #define DOTTERELSHIFT_SRC_APP_GATEWAY_OPTIONS_H_
 
+#include "dotterelshift/app/control_link.h"           // for ControlLinkOptions
 #include "dotterelshift/app/registration.h"           // for RegistrationOptions
 #include "dotterelshift/directory/directory.h"        // for DirectoryOptions
 #include "dotterelshift/directory/spread.h"           // for SpreadOptions
@@ -13,6 +14,7 @@
 // What the parts of an entry under published routes are made with.
 RegistrationOptions RegistrationOptionsOf(const settings::Settings& settings,
                                           Incarnation incarnation);
+ControlLinkOptions ControlLinkOptionsOf(const HostRun& self);
 directory::DirectoryOptions DirectoryOptionsOf();
 directory::SpreadOptions SpreadOptionsOf(const HostId& self);
 gateway::FleetLoadOptions LoadOptionsOf(const settings::Settings& settings);
