--- a/include/dotterelshift/app/control_replica.h
+++ b/include/dotterelshift/app/control_replica.h
@@ -26,9 +26,12 @@
   std::vector<std::string> first_members;
   HostId self;
   std::string self_address;
-  // Bytes of log after which a follower makes a snapshot. The leader, which
-  // must not pause, waits for four times as many.
-  uint64_t snapshot_every_bytes = 32 << 20;
+  // Bytes of log after which a follower makes a snapshot, or as many times the
+  // last snapshot as `log_per_snapshot` says, whichever is more: the log stays
+  // in memory and is carried out again at a start, while a snapshot costs a
+  // pause that grows with the state. The leader waits for twice as many.
+  uint64_t snapshot_every_bytes = 4 << 20;
+  uint64_t log_per_snapshot = 4;
   // The leader adds replicas that wait, and replaces members that are lost,
   // without a plan.
   bool self_healing = false;
--- a/src/dotterelshift/app/control_replica.cc
+++ b/src/dotterelshift/app/control_replica.cc
@@ -27,7 +27,7 @@
 // is proposed again.
 constexpr Duration kHousekeeping = 200ms;
 constexpr int kTicksBetweenRetries = 5;
-constexpr uint64_t kLeaderSnapshotFactor = 4;
+constexpr uint64_t kLeaderSnapshotFactor = 2;
 
 bool IsEmpty(const Ready& ready) {
   return !ready.HasWrites() && ready.messages.empty() &&
@@ -104,7 +104,8 @@
   std::unique_ptr<replication::Node> m_node;
   ReplicaId m_self = 0;
   replication::SnapshotMeta m_applied;
-  uint64_t m_log_bytes = 0;  // since the last snapshot
+  uint64_t m_log_bytes = 0;       // since the last snapshot
+  uint64_t m_snapshot_bytes = 0;  // of the last one
   WallMs m_last_stamp = 0;
   ErrorKind m_trouble = ErrorKind::kNone;
 
@@ -405,13 +406,16 @@
   m_state->Restore(m_member_changes.TakeFrom(bytes));
   m_member_changes.OnMembers(meta.membership);
   m_applied = meta;
+  m_snapshot_bytes = bytes.size();
   m_node->SetSnapshotSource(meta, std::make_shared<const std::string>(bytes));
 }
 
 // Replicas come to it at different times, so that a majority goes on
 // committing while one pauses to write its state.
 uint64_t Replica::SnapshotAfterBytes() const {
-  const uint64_t every = m_options.snapshot_every_bytes;
+  const uint64_t every =
+      std::max(m_options.snapshot_every_bytes,
+               m_snapshot_bytes * m_options.log_per_snapshot);
   const bool alone = m_node->Members().replicas.size() == 1;
   if (m_node->Role() == NodeRole::kLeader && !alone)
     return every * kLeaderSnapshotFactor;
@@ -426,6 +430,7 @@
   m_log_bytes = 0;
   std::string bytes = m_state->Snapshot();
   m_member_changes.AppendTo(bytes);
+  m_snapshot_bytes = bytes.size();
   m_store->SaveSnapshot(m_applied, bytes);
   m_node->SetSnapshotSource(
       m_applied, std::make_shared<const std::string>(std::move(bytes)));
