Gauges for each queue of control, and where each token of a total is

Operators could not see what a control daemon's memory held, nor why a team was refused though its total was not spent. The operators' `budget` lists published totals with their holders, the dead among them (ApiTest::WhereTheTokensOfATotalAreIsShown).

--- a/include/dotterelshift/app/control_link.h
+++ b/include/dotterelshift/app/control_link.h
@@ -86,6 +86,7 @@
   size_t EntryCount() const { return m_entry_count; }
   // The place of this entry among them.
   size_t EntryPlace() const { return m_entry_place; }
+  size_t Unanswered() const { return m_unanswered.size(); }
   // True when nothing waits for an answer.
   bool Idle() const { return m_unanswered.empty() && m_spooling.empty(); }
 
@@ -104,7 +105,7 @@
   }
 
  private:
-  struct Unanswered {
+  struct PendingCommand {
     wire::CommandT command;
     Instant sent{};     // the epoch: not yet
     Duration patience;  // from then until it is sent again
@@ -117,7 +118,7 @@
   void ForgetLeader(Instant now);
   void UpdateReach(Instant now);
   void SendBeats(Instant now);
-  using Commands = std::map<uint64_t, Unanswered>;  // by the id's sequence
+  using Commands = std::map<uint64_t, PendingCommand>;  // by the id's sequence
   void MarkOverdue(Instant now);
   void MarkOverdueOf(Commands& commands, std::vector<uint64_t>* unsent,
                      Instant now) const;
@@ -147,7 +148,7 @@
   size_t m_entry_place = 0;
   Commands m_unanswered;
   Commands m_spooling;
-  bool m_has_spooled = false;  // once any command was handed to a spool
+  bool m_has_spooled = false;      // once any command was handed to a spool
   std::vector<uint64_t> m_unsent;  // sequences to be sent, or sent again
   std::vector<uint64_t> m_unsent_spools;
   std::vector<wire::BudgetHoldingT> m_holdings;
--- a/include/dotterelshift/app/control_replica.h
+++ b/include/dotterelshift/app/control_replica.h
@@ -43,6 +43,15 @@
 using ProposalCallback = std::function<void(
     ErrorKind error, std::vector<wire::CommandAnswerT> answers)>;
 
+// How much a replica has in hand.
+struct ReplicaLoad {
+  size_t waiting_commands = 0;  // not yet in a batch
+  size_t pending_commands = 0;  // in batches that are not committed
+  size_t waiting_reads = 0;     // for a quorum's word that this replica leads
+  uint64_t log_bytes = 0;       // in memory, since the last snapshot
+  uint64_t snapshot_bytes = 0;
+};
+
 // Drives one replica: node, files and state together on the loop. Proposals of
 // one turn of the loop are committed as one batch with one sync.
 class ControlReplica {
@@ -62,6 +71,7 @@
 
   virtual const state::State& GetState() const = 0;
   virtual const replication::Node& GetNode() const = 0;
+  virtual ReplicaLoad Load() const { return {}; }
   virtual bool Leads() const = 0;         // inside its lease
   virtual HostId LeaderHost() const = 0;  // empty: not known
   // Replicas that wait to be added by a plan: they said hello and are in no
--- a/include/dotterelshift/gateway/held_grants.h
+++ b/include/dotterelshift/gateway/held_grants.h
@@ -92,6 +92,13 @@
   };
   Position PositionOf(const TeamId& team, Instant now) const;
 
+  // Over all teams with a published total.
+  struct Sums {
+    Tokens held = 0;
+    Tokens reserved = 0;
+  };
+  Sums HeldSums() const;
+
   void SetConnected(bool connected, Instant now);
   void OnRecall(const wire::RecallT& recall, Instant now);
   // Control's answer to a command of this desk. True when a waiting request may
--- a/include/dotterelshift/peers/hub.h
+++ b/include/dotterelshift/peers/hub.h
@@ -62,6 +62,12 @@
   uint64_t frames_out = 0;
 };
 
+// What connections have not taken yet.
+struct HubBacklog {
+  size_t bytes = 0;  // of all connections
+  size_t most = 0;   // of one
+};
+
 // All connections of one daemon to the others: length-framed FlatBuffers over
 // TCP, one connection for each pair of hosts, each side proved by a keyed hash
 // before anything else is read. Frames to one peer keep their order; a lost
@@ -73,6 +79,7 @@
   virtual bool Send(const HostId& host, const wire::FrameT& frame) = 0;
   // Bytes to the host that its connection has not taken yet; 0 without one.
   virtual size_t Backlog(const HostId& host) const = 0;
+  virtual HubBacklog Backlogs() const { return {}; }
   virtual std::vector<PeerInfo> Peers() const = 0;
   // Keeps a connection to one more address from now on.
   virtual void Dial(const std::string& address) = 0;
--- a/include/dotterelshift/state/state.h
+++ b/include/dotterelshift/state/state.h
@@ -115,6 +115,10 @@
   virtual std::vector<wire::ChangeT> ChangesSince(uint64_t version) const = 0;
 
   virtual PublishedRoutes GetPublished() const = 0;
+  // Where every token of the published totals is, summed over the teams.
+  virtual BudgetAccount PublishedSums() const = 0;
+  // The budgets that published totals made, each named like its team.
+  virtual std::vector<BudgetId> PublishedBudgets() const = 0;
 
   // Null or empty when there is no such thing.
   virtual const BudgetAccount* FindAccount(const BudgetId& budget) const = 0;
--- a/src/dotterelshift/app/control.cc
+++ b/src/dotterelshift/app/control.cc
@@ -1,7 +1,8 @@
-#include <algorithm>  // for find
-#include <map>        // for map
-#include <string>     // for string
-#include <utility>    // for move
+#include <algorithm>    // for find
+#include <map>          // for map
+#include <string>       // for string
+#include <string_view>  // for string_view
+#include <utility>      // for move
 
 #include "dotterelshift/app/control_replica.h"     // for ControlReplica
 #include "dotterelshift/app/daemon.h"              // for Daemon
@@ -92,6 +93,11 @@
   void OnTick();
   std::unique_ptr<wire::CommandIdT> NextId();
   void UpdateGauges();
+  void UpdateQueueGauges();
+  void UpdateTokenGauges();
+  void SetGauge(std::string_view name, std::string_view help, double value) {
+    m_metrics->SetGauge(name, help, value);
+  }
 
   loop::Loop& m_loop;
   settings::Settings m_settings;
@@ -458,6 +464,45 @@
   m_metrics->SetCounter("dotterelshift_peer_bytes_out_total",
                         "Bytes to other daemons",
                         static_cast<double>(hub.bytes_out));
+  UpdateQueueGauges();
+  UpdateTokenGauges();
+}
+
+void Control::UpdateQueueGauges() {
+  const ReplicaLoad load = m_replica->Load();
+  const peers::HubBacklog backlog = m_hub->Backlogs();
+  const auto number = [](auto value) { return static_cast<double>(value); };
+  SetGauge("dotterelshift_commands_waiting", "Not yet in a batch",
+           number(load.waiting_commands));
+  SetGauge("dotterelshift_commands_pending", "In batches not yet committed",
+           number(load.pending_commands));
+  SetGauge("dotterelshift_reads_waiting", "For a quorum's word",
+           number(load.waiting_reads));
+  SetGauge("dotterelshift_log_bytes", "Of the log since the last snapshot",
+           number(load.log_bytes));
+  SetGauge("dotterelshift_snapshot_bytes", "Of the last snapshot",
+           number(load.snapshot_bytes));
+  SetGauge("dotterelshift_peer_backlog_bytes",
+           "To other daemons, not yet taken by their connections",
+           number(backlog.bytes));
+  SetGauge("dotterelshift_peer_backlog_most_bytes", "The same to one of them",
+           number(backlog.most));
+}
+
+// Every token of the published totals is in one of these columns.
+void Control::UpdateTokenGauges() {
+  const state::BudgetAccount sums = m_replica->GetState().PublishedSums();
+  const auto number = [](Tokens value) { return static_cast<double>(value); };
+  SetGauge("dotterelshift_tokens_total", "Of all published totals",
+           number(sums.purchased));
+  SetGauge("dotterelshift_tokens_spent", "As reported by entries",
+           number(sums.settled));
+  SetGauge("dotterelshift_tokens_held", "By live entries, not yet spent",
+           number(sums.granted));
+  SetGauge("dotterelshift_tokens_lost",
+           "Held by dead runs, which may have spent them", number(sums.lost));
+  SetGauge("dotterelshift_tokens_free", "Free to be granted",
+           number(sums.Free()));
 }
 
 }  // namespace
--- a/src/dotterelshift/app/control_link.cc
+++ b/src/dotterelshift/app/control_link.cc
@@ -198,8 +198,8 @@
 // What a replica keeps in its spool comes to the leader later, under its first
 // id: once anything went there, all answers are kept.
 uint64_t ControlLink::AnsweredBelow() const {
-  const bool known = m_options.names_answered && !m_has_spooled &&
-                     !m_unanswered.empty();
+  const bool known =
+      m_options.names_answered && !m_has_spooled && !m_unanswered.empty();
   return known ? m_unanswered.begin()->first : 0;
 }
 
--- a/src/dotterelshift/app/control_link_test.cc
+++ b/src/dotterelshift/app/control_link_test.cc
@@ -87,8 +87,8 @@
     CPPUNIT_ASSERT(TakeProposed("c2") == (std::vector<uint64_t>{7, 8}));
   }
 
-  // A leader that has just started leads, and is 10 s behind with the backlog of
-  // a whole fleet.
+  // A leader that has just started leads, and is 10 s behind with the backlog
+  // of a whole fleet.
   void ALateLeaderIsSentACommandMoreAndMoreRarely() {
     AnswerBeat("c1", 1, 0);
     m_link->Propose(CommandOf(7));
--- a/src/dotterelshift/app/control_replica.cc
+++ b/src/dotterelshift/app/control_replica.cc
@@ -47,6 +47,10 @@
 
   const state::State& GetState() const override { return *m_state; }
   const replication::Node& GetNode() const override { return *m_node; }
+  ReplicaLoad Load() const override {
+    return {m_proposals.CountWaiting(), m_proposals.CountPending(),
+            m_reads.size() + m_new_reads.size(), m_log_bytes, m_snapshot_bytes};
+  }
   bool Leads() const override {
     return m_trouble == ErrorKind::kNone && m_loop.Now() < m_node->LeaseUntil();
   }
--- a/src/dotterelshift/app/gateway_entry.cc
+++ b/src/dotterelshift/app/gateway_entry.cc
@@ -410,6 +410,18 @@
                       static_cast<double>(m_reach));
   m_metrics->SetGauge("dotterelshift_routes_version", "Version in force",
                       static_cast<double>(m_version));
+  const gateway::HeldGrants::Sums tokens = m_budgets.HeldSums();
+  m_metrics->SetGauge("dotterelshift_tokens_held", "Granted and not yet spent",
+                      static_cast<double>(tokens.held));
+  m_metrics->SetGauge("dotterelshift_tokens_reserved",
+                      "Of these, the most that open requests may spend",
+                      static_cast<double>(tokens.reserved));
+  m_metrics->SetGauge("dotterelshift_commands_unanswered",
+                      "Sent to control, or waiting for a leader",
+                      static_cast<double>(m_link.Unanswered()));
+  m_metrics->SetGauge("dotterelshift_peer_backlog_bytes",
+                      "To other daemons, not yet taken by their connections",
+                      static_cast<double>(m_hub->Backlogs().bytes));
   m_metrics->SetCounter("dotterelshift_peer_bytes_in_total",
                         "Bytes from other daemons",
                         static_cast<double>(hub.bytes_in));
--- a/src/dotterelshift/app/proposals.cc
+++ b/src/dotterelshift/app/proposals.cc
@@ -36,6 +36,19 @@
   return batch;
 }
 
+size_t Proposals::CountWaiting() const {
+  size_t count = 0;
+  for (const auto& [commands, callback] : m_waiting) count += commands.size();
+  return count;
+}
+
+size_t Proposals::CountPending() const {
+  size_t count = 0;
+  for (const auto& [index, entry] : m_pending)
+    count += entry.batch.content.commands.size();
+  return count;
+}
+
 void Proposals::Add(std::vector<wire::CommandT> commands,
                     ProposalCallback callback) {
   m_waiting.emplace_back(std::move(commands), std::move(callback));
--- a/src/dotterelshift/app/proposals.h
+++ b/src/dotterelshift/app/proposals.h
@@ -29,6 +29,8 @@
 
   void Add(std::vector<wire::CommandT> commands, ProposalCallback callback);
   bool HasWaiting() const { return !m_waiting.empty(); }
+  size_t CountWaiting() const;  // commands that wait to be put into a batch
+  size_t CountPending() const;  // commands in batches that wait to be committed
 
   // All that waits, in batches of at most this many commands; a proposal is
   // never split.
--- a/src/dotterelshift/gateway/held_grants.cc
+++ b/src/dotterelshift/gateway/held_grants.cc
@@ -212,6 +212,15 @@
   return position;
 }
 
+HeldGrants::Sums HeldGrants::HeldSums() const {
+  Sums sums;
+  for (const auto& [team, handle] : m_handles) {
+    sums.held += m_ledger->Held(handle);
+    sums.reserved += m_ledger->Reserved(handle);
+  }
+  return sums;
+}
+
 void HeldGrants::SetConnected(bool connected, Instant now) {
   m_connected = connected;
   m_ledger->SetConnected(connected, now);
--- a/src/dotterelshift/operators/api.cc
+++ b/src/dotterelshift/operators/api.cc
@@ -320,9 +320,10 @@
   void Budget(const Call& call) const {
     const state::State& state = *m_backend.GetState();
     const BudgetId& budget = call.query.budget;
-    if (!budget.empty() && !state.GetConfiguration().FindBudget(budget))
+    const auto budgets = RenderBudgets(state, budget);
+    if (!budget.empty() && budgets.empty())
       return Refuse(call, ErrorKind::kBadField, "there is no such budget");
-    AnswerJson(*call.exchange, RenderBudgets(state, budget));
+    AnswerJson(*call.exchange, budgets);
   }
 
   std::string m_secret;
--- a/src/dotterelshift/operators/api_test.cc
+++ b/src/dotterelshift/operators/api_test.cc
@@ -6,6 +6,7 @@
 
 #include "dotterelshift/operators/render.h"      // for ParseDay
 #include "dotterelshift/operators/test_mocks.h"  // for MockBackend
+#include "dotterelshift/state/state_testing.h"   // for TestRun
 
 namespace dotterelshift::operators {
 namespace {
@@ -84,6 +85,7 @@
   CPPUNIT_TEST(AFollowerLeadsToTheLeader);
   CPPUNIT_TEST(AnEntryWithoutKeysLeadsToTheLeader);
   CPPUNIT_TEST(EveryReadVerbAnswers);
+  CPPUNIT_TEST(WhereTheTokensOfATotalAreIsShown);
   CPPUNIT_TEST(DisagreementsStandInTheReport);
   CPPUNIT_TEST(DaysAreChecked);
   CPPUNIT_TEST_SUITE_END();
@@ -274,6 +276,32 @@
     }
   };
 
+  // A team is refused though it has not spent its total: who holds the rest?
+  void WhereTheTokensOfATotalAreIsShown() {
+    wire::PublishRoutesT routes;
+    routes.version = 1;
+    auto total = std::make_unique<wire::TeamTotalT>();
+    total->team = "ucad";
+    total->tokens = 1000;
+    routes.totals.push_back(std::move(total));
+    wire::CommandT command;
+    command.body.Set(std::move(routes));
+    m_backend->Propose(std::move(command), [](ErrorKind, const auto&) {});
+    state::TestRun dead(m_backend->state.get(), "entry-1", 1);
+    dead.Send(state::GrantAsk("ucad", 300), 1);
+    state::TestRun live(m_backend->state.get(), "entry-1", 2);
+    live.Send(state::GrantAsk("ucad", 100), 1);
+    const json budget = json::parse(Send("GET", "budget?budget=ucad").body)[0];
+    CPPUNIT_ASSERT_EQUAL(1000, budget["bought"].get<int>());
+    CPPUNIT_ASSERT_EQUAL(300, budget["stranded"].get<int>());
+    CPPUNIT_ASSERT_EQUAL(100, budget["granted"].get<int>());
+    CPPUNIT_ASSERT_EQUAL(600, budget["free"].get<int>());
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, budget["holders"].size());
+    for (const json& holder : budget["holders"])
+      CPPUNIT_ASSERT_EQUAL(holder["tokens"].get<int>() == 300,
+                           holder["dead"].get<bool>());
+  }
+
   void DisagreementsStandInTheReport() {
     PlanAndConfirm(kIntent);
     const DisagreeingState state(*m_backend->state);
--- a/src/dotterelshift/operators/render.cc
+++ b/src/dotterelshift/operators/render.cc
@@ -96,16 +96,18 @@
   return json;
 }
 
-Json RenderBudget(const state::State& state, const wire::BudgetT& budget) {
-  const state::BudgetAccount* account = state.FindAccount(budget.id);
-  Json json = RenderAccount(budget.id, budget.team,
-                            account ? *account : state::BudgetAccount{});
+Json RenderBudget(const state::State& state, const BudgetId& budget,
+                  const TeamId& team) {
+  const state::BudgetAccount* account = state.FindAccount(budget);
+  Json json =
+      RenderAccount(budget, team, account ? *account : state::BudgetAccount{});
   json["holders"] = Json::array();
-  for (const state::Holding& holding : state.HoldingsOf(budget.id)) {
+  for (const state::Holding& holding : state.HoldingsOf(budget)) {
     json["holders"].push_back({{"host", holding.holder.host},
                                {"incarnation", holding.holder.incarnation},
                                {"tokens", holding.tokens},
-                               {"opened", holding.opened}});
+                               {"opened", holding.opened},
+                               {"dead", holding.dead}});
   }
   return json;
 }
@@ -216,7 +218,10 @@
   const auto& budgets = state.GetConfiguration().Budgets();
   for (const std::string& id : SortedKeys(budgets))
     if (budget.empty() || budget == id)
-      json.push_back(RenderBudget(state, *budgets.Find(id)));
+      json.push_back(RenderBudget(state, id, budgets.Find(id)->team));
+  for (const BudgetId& id : state.PublishedBudgets())
+    if (budget.empty() || budget == id)
+      json.push_back(RenderBudget(state, id, id));
   return json;
 }
 
--- a/src/dotterelshift/operators/test_mocks.h
+++ b/src/dotterelshift/operators/test_mocks.h
@@ -82,6 +82,12 @@
   state::PublishedRoutes GetPublished() const override {
     return m_real.GetPublished();
   }
+  state::BudgetAccount PublishedSums() const override {
+    return m_real.PublishedSums();
+  }
+  std::vector<BudgetId> PublishedBudgets() const override {
+    return m_real.PublishedBudgets();
+  }
   WallMs LastStamp() const override { return m_real.LastStamp(); }
 
  private:
--- a/src/dotterelshift/peers/hub.cc
+++ b/src/dotterelshift/peers/hub.cc
@@ -117,6 +117,15 @@
     return found == m_by_host.end() ? 0 : found->second->Unsent();
   }
 
+  HubBacklog Backlogs() const override {
+    HubBacklog backlog;
+    for (const auto& [host, connection] : m_by_host) {
+      backlog.bytes += connection->Unsent();
+      backlog.most = std::max(backlog.most, connection->Unsent());
+    }
+    return backlog;
+  }
+
   std::vector<PeerInfo> Peers() const override {
     std::vector<PeerInfo> peers;
     for (const auto& [host, connection] : m_by_host)
--- a/src/dotterelshift/state/state.cc
+++ b/src/dotterelshift/state/state.cc
@@ -163,6 +163,26 @@
     return {m_tables.published.version, m_tables.published.document};
   }
 
+  BudgetAccount PublishedSums() const override {
+    BudgetAccount sums;
+    for (const BudgetId& budget : PublishedBudgets()) {
+      const BudgetAccount& amounts = m_tables.accounts.Find(budget)->amounts;
+      sums.purchased += amounts.purchased;
+      sums.settled += amounts.settled;
+      sums.billed += amounts.billed;
+      sums.granted += amounts.granted;
+      sums.lost += amounts.lost;
+    }
+    return sums;
+  }
+
+  std::vector<BudgetId> PublishedBudgets() const override {
+    std::vector<BudgetId> budgets;
+    for (const auto& [team, total] : m_tables.published.totals)
+      budgets.push_back(team);
+    return budgets;
+  }
+
   WallMs LastStamp() const override { return m_tables.last_stamp; }
 
  private:
@@ -219,8 +239,8 @@
     Context context{m_tables, *command.id, host.run, m_tables.last_stamp,
                     m_recover};
     ApplyBody(context, command.body, answer);
-    ForgetAnswers(host, std::min(command.id->answered_below,
-                                 command.id->sequence));
+    ForgetAnswers(host,
+                  std::min(command.id->answered_below, command.id->sequence));
     KeepAnswer(host, answer, m_tables.options.answers_kept);
   }
 
