--- a/include/dotterelshift/peers/hub.h
+++ b/include/dotterelshift/peers/hub.h
@@ -79,6 +79,7 @@
   virtual bool Send(const HostId& host, const wire::FrameT& frame) = 0;
   // Bytes to the host that its connection has not taken yet; 0 without one.
   virtual size_t Backlog(const HostId& host) const = 0;
+  // Of all connections that are up.
   virtual HubBacklog Backlogs() const { return {}; }
   virtual std::vector<PeerInfo> Peers() const = 0;
   // Keeps a connection to one more address from now on.
--- a/src/dotterelshift/app/entry_pushes.cc
+++ b/src/dotterelshift/app/entry_pushes.cc
@@ -14,15 +14,16 @@
 // them were two thirds of the bytes between data centres.
 constexpr size_t kFullMesh = 16;
 
-// Nothing large is put behind more than this in an entry's connection: a
+// Nothing is pushed to an entry whose connection has more than this to send: a
 // version that waits here is replaced by the next one, one in the connection is
-// not. With it a storm of changes to a fleet on slow links is held in memory
-// once, not once for each entry and version.
+// not. It keeps a storm of changes to a fleet on slow links from being held in
+// memory once for each entry and version; one document for each entry remains.
 constexpr size_t kMostBacklogBytes = 64 << 10;
 
-// An entry that names an older version than the one that was sent to it has not
-// read that far. Sent again at each beat, the documents of a fleet that starts
-// at once pile up behind each other faster than they leave.
+// For so long an entry that names an older version than the one that was sent
+// to it is taken to have not read that far. Sent again at each beat, the
+// documents of a fleet that starts at once would pile up behind each other
+// faster than they leave.
 constexpr Duration kPushPatience = 5s;
 
 }  // namespace
