--- a/src/dotterelshift/app/control.cc
+++ b/src/dotterelshift/app/control.cc
@@ -1,13 +1,13 @@
-#include <algorithm>    // for find
-#include <map>          // for map
-#include <string>       // for string
-#include <string_view>  // for string_view
-#include <utility>      // for move
+#include <algorithm>  // for find
+#include <map>        // for map
+#include <string>     // for string
+#include <utility>    // for move
 
 #include "dotterelshift/app/control_replica.h"     // for ControlReplica
 #include "dotterelshift/app/daemon.h"              // for Daemon
 #include "dotterelshift/app/directory_exchange.h"  // for DirectoryExchange
 #include "dotterelshift/app/entry_pushes.h"        // for EntryPushes
+#include "dotterelshift/app/gauges.h"              // for SetReplicaGauges
 #include "dotterelshift/app/hub_options.h"         // for MakeHubOptions
 #include "dotterelshift/app/listen_options.h"      // for ListenOptions
 #include "dotterelshift/app/operator_backend.h"    // for MakeControlBackend
@@ -93,11 +93,6 @@
   void OnTick();
   std::unique_ptr<wire::CommandIdT> NextId();
   void UpdateGauges();
-  void UpdateQueueGauges();
-  void UpdateTokenGauges();
-  void SetGauge(std::string_view name, std::string_view help, double value) {
-    m_metrics->SetGauge(name, help, value);
-  }
 
   loop::Loop& m_loop;
   settings::Settings m_settings;
@@ -443,66 +438,9 @@
 }
 
 void Control::UpdateGauges() {
-  const replication::Node& node = m_replica->GetNode();
-  const peers::HubCounters& hub = m_hub->Counters();
-  m_metrics->SetGauge("dotterelshift_leads",
-                      "1 while this replica leads inside its lease",
-                      m_replica->Leads());
-  m_metrics->SetGauge("dotterelshift_term", "Term of the log",
-                      static_cast<double>(node.Term()));
-  m_metrics->SetGauge("dotterelshift_commit_index", "Committed up to here",
-                      static_cast<double>(node.Commit()));
-  m_metrics->SetGauge(
-      "dotterelshift_configuration_version",
-      "Version of the configuration that is applied here",
-      static_cast<double>(m_replica->GetState().GetConfiguration().Version()));
-  m_metrics->SetGauge("dotterelshift_entries_connected", "Entries connected",
-                      static_cast<double>(m_pushes->Entries()));
-  m_metrics->SetCounter("dotterelshift_peer_bytes_in_total",
-                        "Bytes from other daemons",
-                        static_cast<double>(hub.bytes_in));
-  m_metrics->SetCounter("dotterelshift_peer_bytes_out_total",
-                        "Bytes to other daemons",
-                        static_cast<double>(hub.bytes_out));
-  UpdateQueueGauges();
-  UpdateTokenGauges();
-}
-
-void Control::UpdateQueueGauges() {
-  const ReplicaLoad load = m_replica->Load();
-  const peers::HubBacklog backlog = m_hub->Backlogs();
-  const auto number = [](auto value) { return static_cast<double>(value); };
-  SetGauge("dotterelshift_commands_waiting", "Not yet in a batch",
-           number(load.waiting_commands));
-  SetGauge("dotterelshift_commands_pending", "In batches not yet committed",
-           number(load.pending_commands));
-  SetGauge("dotterelshift_reads_waiting", "For a quorum's word",
-           number(load.waiting_reads));
-  SetGauge("dotterelshift_log_bytes", "Of the log since the last snapshot",
-           number(load.log_bytes));
-  SetGauge("dotterelshift_snapshot_bytes", "Of the last snapshot",
-           number(load.snapshot_bytes));
-  SetGauge("dotterelshift_peer_backlog_bytes",
-           "To other daemons, not yet taken by their connections",
-           number(backlog.bytes));
-  SetGauge("dotterelshift_peer_backlog_most_bytes", "The same to one of them",
-           number(backlog.most));
-}
-
-// Every token of the published totals is in one of these columns.
-void Control::UpdateTokenGauges() {
-  const state::BudgetAccount sums = m_replica->GetState().PublishedSums();
-  const auto number = [](Tokens value) { return static_cast<double>(value); };
-  SetGauge("dotterelshift_tokens_total", "Of all published totals",
-           number(sums.purchased));
-  SetGauge("dotterelshift_tokens_spent", "As reported by entries",
-           number(sums.settled));
-  SetGauge("dotterelshift_tokens_held", "By live entries, not yet spent",
-           number(sums.granted));
-  SetGauge("dotterelshift_tokens_lost",
-           "Held by dead runs, which may have spent them", number(sums.lost));
-  SetGauge("dotterelshift_tokens_free", "Free to be granted",
-           number(sums.Free()));
+  SetReplicaGauges(*m_metrics, *m_replica, m_pushes->Entries());
+  SetTokenGauges(*m_metrics, m_replica->GetState());
+  SetHubMetrics(*m_metrics, *m_hub);
 }
 
 }  // namespace
--- a/src/dotterelshift/app/gateway_entry.cc
+++ b/src/dotterelshift/app/gateway_entry.cc
@@ -9,6 +9,7 @@
 #include "dotterelshift/app/directory_exchange.h"     // for DirectoryExchange
 #include "dotterelshift/app/gateway_options.h"        // for CoreOptionsOf
 #include "dotterelshift/app/gateway_traffic.h"        // for GatewayTraffic
+#include "dotterelshift/app/gauges.h"                 // for SetGauges
 #include "dotterelshift/app/hub_options.h"            // for MakeHubOptions
 #include "dotterelshift/app/listen_options.h"         // for ListenOptions
 #include "dotterelshift/app/registration.h"           // for Registration
@@ -401,33 +402,24 @@
 }
 
 void GatewayEntry::UpdateGauges() {
-  const peers::HubCounters& hub = m_hub->Counters();
-  m_metrics->SetGauge("dotterelshift_open_requests",
-                      "Requests taken and not ended",
-                      static_cast<double>(m_core->OpenRequests()));
-  m_metrics->SetGauge("dotterelshift_control_reach",
-                      "0 never, 1 connected, 2 cut off",
-                      static_cast<double>(m_reach));
-  m_metrics->SetGauge("dotterelshift_routes_version", "Version in force",
-                      static_cast<double>(m_version));
   const gateway::HeldGrants::Sums tokens = m_budgets.HeldSums();
-  m_metrics->SetGauge("dotterelshift_tokens_held", "Granted and not yet spent",
-                      static_cast<double>(tokens.held));
-  m_metrics->SetGauge("dotterelshift_tokens_reserved",
-                      "Of these, the most that open requests may spend",
-                      static_cast<double>(tokens.reserved));
-  m_metrics->SetGauge("dotterelshift_commands_unanswered",
-                      "Sent to control, or waiting for a leader",
-                      static_cast<double>(m_link.Unanswered()));
-  m_metrics->SetGauge("dotterelshift_peer_backlog_bytes",
-                      "To other daemons, not yet taken by their connections",
-                      static_cast<double>(m_hub->Backlogs().bytes));
-  m_metrics->SetCounter("dotterelshift_peer_bytes_in_total",
-                        "Bytes from other daemons",
-                        static_cast<double>(hub.bytes_in));
-  m_metrics->SetCounter("dotterelshift_peer_bytes_out_total",
-                        "Bytes to other daemons",
-                        static_cast<double>(hub.bytes_out));
+  const auto number = [](auto value) { return static_cast<double>(value); };
+  SetGauges(
+      *m_metrics,
+      {{"dotterelshift_open_requests", "Requests taken and not ended",
+        number(m_core->OpenRequests())},
+       {"dotterelshift_control_reach", "0 never, 1 connected, 2 cut off",
+        number(m_reach)},
+       {"dotterelshift_routes_version", "Version in force", number(m_version)},
+       {"dotterelshift_tokens_held", "Granted and not yet spent",
+        number(tokens.held)},
+       {"dotterelshift_tokens_reserved",
+        "Of these, the most that open requests may spend",
+        number(tokens.reserved)},
+       {"dotterelshift_commands_unanswered",
+        "Sent to control, or waiting for a leader",
+        number(m_link.Unanswered())}});
+  SetHubMetrics(*m_metrics, *m_hub);
 }
 
 // Only what may change while running: through whom the group is found.
--- /dev/null
+++ b/src/dotterelshift/app/gauges.cc
@@ -0,0 +1,70 @@
+#include "dotterelshift/app/gauges.h"
+
+namespace dotterelshift::app {
+namespace {
+
+template <typename Value>
+double Number(Value value) {
+  return static_cast<double>(value);
+}
+
+}  // namespace
+
+void SetHubMetrics(telemetry::Metrics& metrics, const peers::Hub& hub) {
+  const peers::HubCounters& counters = hub.Counters();
+  const peers::HubBacklog backlog = hub.Backlogs();
+  metrics.SetCounter("dotterelshift_peer_bytes_in_total",
+                     "Bytes from other daemons", Number(counters.bytes_in));
+  metrics.SetCounter("dotterelshift_peer_bytes_out_total",
+                     "Bytes to other daemons", Number(counters.bytes_out));
+  SetGauges(metrics, {{"dotterelshift_peer_backlog_bytes",
+                       "To other daemons, not yet taken by their connections",
+                       Number(backlog.bytes)},
+                      {"dotterelshift_peer_backlog_most_bytes",
+                       "The same to one of them", Number(backlog.most)}});
+}
+
+void SetReplicaGauges(telemetry::Metrics& metrics,
+                      const ControlReplica& replica, size_t entries) {
+  const replication::Node& node = replica.GetNode();
+  const ReplicaLoad load = replica.Load();
+  SetGauges(
+      metrics,
+      {{"dotterelshift_leads", "1 while this replica leads inside its lease",
+        Number(replica.Leads())},
+       {"dotterelshift_term", "Term of the log", Number(node.Term())},
+       {"dotterelshift_commit_index", "Committed up to here",
+        Number(node.Commit())},
+       {"dotterelshift_configuration_version",
+        "Version of the configuration that is applied here",
+        Number(replica.GetState().GetConfiguration().Version())},
+       {"dotterelshift_entries_connected", "Entries connected",
+        Number(entries)},
+       {"dotterelshift_commands_waiting", "Not yet in a batch",
+        Number(load.waiting_commands)},
+       {"dotterelshift_commands_pending", "In batches not yet committed",
+        Number(load.pending_commands)},
+       {"dotterelshift_reads_waiting", "For a quorum's word",
+        Number(load.waiting_reads)},
+       {"dotterelshift_log_bytes", "Of the log since the last snapshot",
+        Number(load.log_bytes)},
+       {"dotterelshift_snapshot_bytes", "Of the last snapshot",
+        Number(load.snapshot_bytes)}});
+}
+
+void SetTokenGauges(telemetry::Metrics& metrics, const state::State& state) {
+  const state::BudgetAccount sums = state.PublishedSums();
+  SetGauges(metrics, {{"dotterelshift_tokens_total", "Of all published totals",
+                       Number(sums.purchased)},
+                      {"dotterelshift_tokens_spent", "As reported by entries",
+                       Number(sums.settled)},
+                      {"dotterelshift_tokens_held",
+                       "By live entries, not yet spent", Number(sums.granted)},
+                      {"dotterelshift_tokens_lost",
+                       "Held by dead runs, which may have spent them",
+                       Number(sums.lost)},
+                      {"dotterelshift_tokens_free", "Free to be granted",
+                       Number(sums.Free())}});
+}
+
+}  // namespace dotterelshift::app
