--- a/include/dotterelshift/app/control_replica.h
+++ b/include/dotterelshift/app/control_replica.h
@@ -50,6 +50,7 @@
   size_t waiting_reads = 0;     // for a quorum's word that this replica leads
   uint64_t log_bytes = 0;       // in memory, since the last snapshot
   uint64_t snapshot_bytes = 0;
+  uint64_t unapplied_entries = 0;  // committed, not yet in the state
 };
 
 // Drives one replica: node, files and state together on the loop. Proposals of
--- a/include/dotterelshift/replication/node.h
+++ b/include/dotterelshift/replication/node.h
@@ -1,12 +1,13 @@
 #ifndef DOTTERELSHIFT_REPLICATION_NODE_H_
 #define DOTTERELSHIFT_REPLICATION_NODE_H_
 
-#include <cstdint>   // for uint64_t
-#include <memory>    // for unique_ptr
-#include <optional>  // for optional
-#include <string>    // for string
-#include <utility>   // for pair
-#include <vector>    // for vector
+#include <cstdint>      // for uint64_t
+#include <memory>       // for unique_ptr
+#include <optional>     // for optional
+#include <string>       // for string
+#include <string_view>  // for string_view
+#include <utility>      // for pair
+#include <vector>       // for vector
 
 #include "dotterelshift/base/ids.h"               // for ReplicaId
 #include "dotterelshift/base/time.h"              // for Instant
@@ -66,6 +67,13 @@
 
 enum class NodeRole { kFollower, kPreCandidate, kCandidate, kLeader };
 
+// The role as logs and metrics name it.
+constexpr std::string_view NameOf(NodeRole role) {
+  constexpr std::string_view kNames[] = {"follower", "pre_candidate",
+                                         "candidate", "leader"};
+  return kNames[static_cast<size_t>(role)];
+}
+
 // One replica of the log: terms, pre-vote, check-quorum, leadership confirmed
 // before reads, snapshots in pieces, members changed one at a time. A core: no
 // I/O, no clock, its random draws from the seed.
@@ -104,6 +112,7 @@
   virtual uint64_t Term() const = 0;
   virtual ReplicaId Leader() const = 0;  // 0: not known
   virtual uint64_t Commit() const = 0;
+  virtual uint64_t LastIndex() const = 0;  // of the log, committed or not
   virtual const wire::MembershipT& Members() const = 0;
   // Until when no other replica can be leader; in the past when not leading.
   virtual Instant LeaseUntil() const = 0;
--- a/src/dotterelshift/app/control.cc
+++ b/src/dotterelshift/app/control.cc
@@ -18,6 +18,7 @@
 #include "dotterelshift/callers/front.h"           // for AnswerError
 #include "dotterelshift/endpoints/order_sender.h"  // for SendOrder
 #include "dotterelshift/orders/order_core.h"       // for OrderCore
+#include "dotterelshift/replication/membership.h"  // for VoterCount
 #include "dotterelshift/telemetry/log.h"           // for Log
 #include "dotterelshift/telemetry/metrics.h"       // for Metrics
 
@@ -76,6 +77,7 @@
   http::ServerOptions ServerOptions() const;
   peers::HubCallbacks HubCallbacks();
   ControlReplicaCallbacks ReplicaCallbacks();
+  void LogLeadership() const;
   void OnExchange(std::shared_ptr<http::Exchange> exchange);
   void OnPeerUp(const peers::PeerInfo& peer);
   void OnPeerFrame(const peers::PeerInfo& peer, const wire::FrameT& frame);
@@ -218,16 +220,25 @@
     const bool leads = m_replica != nullptr && m_replica->Leads();
     m_orders->OnLeadership(leads, m_loop.Now());
     if (m_replica == nullptr) return;
-    const replication::Node& node = m_replica->GetNode();
-    telemetry::Log(
-        telemetry::LogLevel::kInfo, "leadership",
-        {{"leader", m_replica->LeaderHost()},
-         {"term", std::to_string(node.Term())},
-         {"members", std::to_string(node.Members().replicas.size())}});
+    LogLeadership();
   };
   return callbacks;
 }
 
+void Control::LogLeadership() const {
+  const replication::Node& node = m_replica->GetNode();
+  telemetry::Log(
+      telemetry::LogLevel::kInfo, "leadership",
+      {{"leader", m_replica->LeaderHost()},
+       {"term", std::to_string(node.Term())},
+       {"role", std::string(replication::NameOf(node.Role()))},
+       {"members", std::to_string(node.Members().replicas.size())},
+       {"voters", std::to_string(replication::VoterCount(node.Members()))},
+       {"last_index", std::to_string(node.LastIndex())},
+       {"commit_index", std::to_string(node.Commit())},
+       {"unapplied", std::to_string(m_replica->Load().unapplied_entries)}});
+}
+
 void Control::OnExchange(std::shared_ptr<http::Exchange> exchange) {
   const std::string& path = exchange->GetRequest().path;
   if (m_adapter != nullptr && m_adapter->Accept(exchange, *m_routes)) return;
--- /dev/null
+++ b/src/dotterelshift/app/replica_pump.h
@@ -0,0 +1,234 @@
+#ifndef DOTTERELSHIFT_APP_REPLICA_PUMP_H_
+#define DOTTERELSHIFT_APP_REPLICA_PUMP_H_
+
+// One turn of a replica: proposals in, messages out, files written, entries
+// applied.
+
+#include <algorithm>  // for max
+
+#include "dotterelshift/app/replica.h"  // for Replica
+
+namespace dotterelshift::app {
+
+inline constexpr size_t kMostCommandsInBatch = 1024;
+
+// Work in one turn of the loop that is worth a line.
+inline constexpr Duration kLongWork = 100ms;
+
+// Whether there is nothing to do.
+inline bool IsEmpty(const replication::Ready& ready) {
+  return !ready.HasWrites() && ready.messages.empty() &&
+         ready.committed.empty() && ready.reads_confirmed.empty() &&
+         !ready.leadership_changed;
+}
+
+template <typename Runtime>
+void Replica<Runtime>::Propose(std::vector<wire::CommandT> commands,
+                               ProposalCallback callback) {
+  m_proposals.Add(std::move(commands), std::move(callback));
+  SchedulePump();
+}
+
+template <typename Runtime>
+void Replica<Runtime>::ConfirmedRead(std::function<void(ErrorKind)> callback) {
+  m_new_reads.push_back(std::move(callback));
+  SchedulePump();
+}
+
+template <typename Runtime>
+void Replica<Runtime>::OnFrame(const peers::PeerInfo& from,
+                               const wire::FrameT& frame) {
+  if (const wire::ReplicaHelloT* hello = frame.body.AsReplicaHello())
+    return OnHello(from.run.host, *hello);
+  if (const wire::ProposeAnswersT* answers = frame.body.AsProposeAnswers()) {
+    std::vector<wire::CommandAnswerT> copies;
+    for (const auto& answer : answers->answers) copies.push_back(*answer);
+    return OnSpoolAnswers(copies);
+  }
+  const ReplicaId sender = replication::SenderOf(frame);
+  // A replica that cannot write must not help to commit.
+  if (sender == 0 || m_trouble != ErrorKind::kNone) return;
+  m_hosts[sender] = from.run.host;
+  if (m_keeper) m_keeper->OnHeard(sender, m_loop.Now());
+  try {
+    m_node->OnMessage(frame, m_loop.Now());
+  } catch (const Error& error) {
+    return OnTrouble(error);
+  }
+  SchedulePump();
+}
+
+// The pump runs in the next turn of the loop, so that the frames and proposals
+// of one turn are written together.
+template <typename Runtime>
+void Replica<Runtime>::SchedulePump() {
+  if (std::exchange(m_pump_scheduled, true)) return;
+  m_pump.ArmIn(Duration::zero());
+}
+
+template <typename Runtime>
+void Replica<Runtime>::Pump() {
+  m_pump_scheduled = false;
+  m_pump.Cancel();
+  try {
+    PumpOnce();
+    MaybeSnapshot();
+  } catch (const Error& error) {
+    OnTrouble(error);
+  }
+  ArmNodeTimer();
+}
+
+template <typename Runtime>
+void Replica<Runtime>::PumpOnce() {
+  if (m_unwritten) FinishWrite();
+  FlushProposals();
+  while (!m_unwritten) {
+    Ready ready = m_node->TakeReady();
+    if (IsEmpty(ready)) return;
+    const bool messages = !ready.messages.empty();
+    SendMessages(ready);
+    if (!ready.install) ApplyAll(ready);
+    if (ready.leadership_changed) OnLeadershipChanged();
+    if (!ready.HasWrites()) continue;
+    m_unwritten = std::move(ready);
+    // The messages leave at the end of this turn; the file is written in the
+    // next one, while they are under way.
+    if (messages) return SchedulePump();
+    FinishWrite();
+  }
+}
+
+template <typename Runtime>
+void Replica<Runtime>::FlushProposals() {
+  if (m_trouble != ErrorKind::kNone) return FailAll(m_trouble);
+  if (m_node->Role() != NodeRole::kLeader) {
+    if (m_proposals.HasWaiting() || !m_new_reads.empty())
+      FailAll(WhyNotLeader());
+    return;
+  }
+  const Instant now = m_loop.Now();
+  for (Proposals::Batch& batch :
+       m_proposals.TakeWaiting(kMostCommandsInBatch)) {
+    m_last_stamp =
+        std::max({m_last_stamp, m_state->LastStamp(), m_loop.WallNow()});
+    batch.content.stamp_ms = m_last_stamp;
+    const auto index = m_node->Propose(EncodeBatch(batch.content), now);
+    m_proposals.OnProposed(*index, m_node->Term(), std::move(batch));
+  }
+  for (auto& callback : std::exchange(m_new_reads, {}))
+    m_reads.emplace(*m_node->ConfirmLeadership(now), std::move(callback));
+  ProposeMemberChange();
+}
+
+template <typename Runtime>
+void Replica<Runtime>::ProposeMemberChange() {
+  const std::optional<MemberChange> change = m_member_changes.Next();
+  if (change)
+    m_node->ProposeMember(change->replica, change->remove, m_loop.Now());
+}
+
+template <typename Runtime>
+void Replica<Runtime>::SendMessages(Ready& ready) {
+  for (const auto& [id, frame] : ready.messages) {
+    const HostId host = HostOf(id);
+    if (!host.empty()) m_callbacks.send(host, frame);
+  }
+}
+
+template <typename Runtime>
+void Replica<Runtime>::FinishWrite() {
+  m_store->Write(*m_unwritten);
+  const Ready ready = std::move(*m_unwritten);
+  m_unwritten.reset();
+  for (const wire::LogEntryT& entry : ready.append)
+    m_log_bytes += entry.payload.size();
+  if (ready.install) {
+    InstallSnapshot(ready.install->first, ready.install->second);
+    ApplyAll(ready);
+  }
+  m_node->OnSynced(m_loop.Now());
+}
+
+template <typename Runtime>
+void Replica<Runtime>::ApplyAll(const Ready& ready) {
+  const Instant start = m_loop.Now();
+  for (const wire::LogEntryT& entry : ready.committed) ApplyEntry(entry);
+  if (m_loop.Now() - start >= kLongWork)
+    telemetry::Log(telemetry::LogLevel::kInfo, "entries_applied",
+                   {{"entries", std::to_string(ready.committed.size())},
+                    {"to_index", std::to_string(m_applied.last_index)},
+                    {"commit_index", std::to_string(m_node->Commit())},
+                    {"took_ms", std::to_string(MsSince(start))}});
+  AnswerReads(ready.reads_confirmed);
+}
+
+template <typename Runtime>
+void Replica<Runtime>::ApplyEntry(const wire::LogEntryT& entry) {
+  m_applied.last_index = entry.index;
+  m_applied.last_term = entry.term;
+  if (entry.kind == wire::LogEntryKind::Membership) {
+    m_applied.membership = replication::DecodeMembership(entry.payload);
+    m_member_changes.OnMembers(m_applied.membership);
+  }
+  std::optional<Proposals::Batch> own =
+      m_proposals.TakeCommitted(entry.index, entry.term);
+  if (entry.kind != wire::LogEntryKind::Batch) return;
+  const wire::CommandBatchT decoded =
+      own ? wire::CommandBatchT() : DecodeBatch(entry.payload);
+  const wire::CommandBatchT& batch = own ? own->content : decoded;
+  const uint64_t version = m_state->GetConfiguration().Version();
+  const auto answers = m_state->Apply(batch);
+  m_member_changes.OnApplied(batch, answers, *m_state, version);
+  if (m_callbacks.on_applied) m_callbacks.on_applied(batch, answers);
+  if (own) Proposals::Answer(*own, answers);
+}
+
+template <typename Runtime>
+void Replica<Runtime>::AnswerReads(const std::vector<uint64_t>& tokens) {
+  for (const uint64_t token : tokens) {
+    const auto read = m_reads.find(token);
+    if (read == m_reads.end()) continue;
+    const auto callback = std::move(read->second);
+    m_reads.erase(read);
+    callback(ErrorKind::kNone);
+  }
+}
+
+template <typename Runtime>
+void Replica<Runtime>::OnLeadershipChanged() {
+  const bool leads = m_node->Role() == NodeRole::kLeader;
+  if (std::exchange(m_leads, leads) && !leads) FailAll(WhyNotLeader());
+  if (m_callbacks.on_leadership_changed) m_callbacks.on_leadership_changed();
+  SendSpool();
+}
+
+template <typename Runtime>
+void Replica<Runtime>::FailAll(ErrorKind error) {
+  m_proposals.FailAll(error);
+  const auto reads = std::exchange(m_reads, {});
+  const auto new_reads = std::exchange(m_new_reads, {});
+  for (const auto& [token, callback] : reads) callback(error);
+  for (const auto& callback : new_reads) callback(error);
+}
+
+template <typename Runtime>
+void Replica<Runtime>::ArmNodeTimer() {
+  if (m_trouble == ErrorKind::kNone)
+    m_node_timer.ArmAt(m_node->NextTimer());
+  else
+    m_node_timer.Cancel();
+}
+
+// A full disk may be emptied: the write is tried again, and until then the
+// replica is silent, so that another one leads. Any other trouble lasts.
+template <typename Runtime>
+void Replica<Runtime>::OnTrouble(const Error& error) {
+  m_trouble = error.Kind();
+  FailAll(m_trouble);
+  if (m_callbacks.on_leadership_changed) m_callbacks.on_leadership_changed();
+}
+
+}  // namespace dotterelshift::app
+
+#endif  // DOTTERELSHIFT_APP_REPLICA_PUMP_H_
--- /dev/null
+++ b/src/dotterelshift/app/replica_start.h
@@ -0,0 +1,149 @@
+#ifndef DOTTERELSHIFT_APP_REPLICA_START_H_
+#define DOTTERELSHIFT_APP_REPLICA_START_H_
+
+// How a replica starts, finds its group and keeps its members.
+
+#include "dotterelshift/app/replica.h"  // for Replica
+
+namespace dotterelshift::app {
+
+// How often a new group is attempted, a waiting replica says hello, and a spool
+// is proposed again.
+inline constexpr Duration kHousekeeping = 200ms;
+inline constexpr int kTicksBetweenRetries = 5;
+
+template <typename Runtime>
+Replica<Runtime>::Replica(Loop& loop, const ControlReplicaOptions& options,
+                          ControlReplicaCallbacks callbacks)
+    : m_loop(loop),
+      m_options(options),
+      m_callbacks(std::move(callbacks)),
+      m_pump(loop, [this] { Pump(); }),
+      m_node_timer(loop,
+                   [this] {
+                     m_node->OnTimer(m_loop.Now());
+                     Pump();
+                   }),
+      m_housekeeping(loop, [this] { OnHousekeeping(); }) {
+  const Instant start = m_loop.Now();
+  auto [store, opened] = Runtime::OpenStore(options.store);
+  m_store = std::move(store);
+  m_state = Runtime::MakeState(options.state);
+  Restore(std::move(opened));
+  LogOpened(start);
+  OnHousekeeping();
+  SchedulePump();
+}
+
+template <typename Runtime>
+void Replica<Runtime>::Restore(storage::OpenedStore opened) {
+  m_self = opened.log.self;
+  for (const std::string& record : opened.spool)
+    m_spool.Add(DecodeSpool(record));
+  for (const wire::LogEntryT& entry : opened.log.entries)
+    m_log_bytes += entry.payload.size();
+  const replication::SnapshotMeta meta = opened.log.snapshot;
+  m_node = replication::MakeNode(m_options.node, std::move(opened.log),
+                                 m_loop.Now());
+  if (meta.last_index > 0) InstallSnapshot(meta, opened.snapshot);
+  if (m_options.self_healing) m_keeper.emplace(m_self);
+  m_discovery.emplace(replication::MemberDiscoveryOptions{
+      m_options.self, m_self, m_options.first_members, m_options.self_healing});
+}
+
+// What a start found, so that it can be told from a later wait for the group.
+template <typename Runtime>
+void Replica<Runtime>::LogOpened(Instant start) const {
+  telemetry::Log(
+      telemetry::LogLevel::kInfo, "replica_opened",
+      {{"replica", std::to_string(m_self)},
+       {"term", std::to_string(m_node->Term())},
+       {"snapshot_index", std::to_string(m_applied.last_index)},
+       {"snapshot_bytes", std::to_string(m_snapshot_bytes)},
+       {"last_index", std::to_string(m_node->LastIndex())},
+       {"log_bytes", std::to_string(m_log_bytes)},
+       {"members", std::to_string(m_node->Members().replicas.size())},
+       {"took_ms", std::to_string(MsSince(start))}});
+}
+
+template <typename Runtime>
+void Replica<Runtime>::OnHousekeeping() {
+  m_housekeeping.ArmIn(kHousekeeping);
+  TryToFound();
+  const bool coordinates = m_discovery->Coordinates();
+  for (const HostId& host : m_discovery->StartRound())
+    SayHello(host, coordinates);
+  if (++m_ticks % kTicksBetweenRetries == 0) {
+    if (m_trouble == ErrorKind::kStorageFull) m_trouble = ErrorKind::kNone;
+    SendSpool();
+    SchedulePump();
+  }
+  if (m_node->Role() == NodeRole::kLeader && m_member_changes.Next())
+    SchedulePump();
+  if (m_keeper && m_ticks % kTicksBetweenRetries == 0) KeepMembers();
+}
+
+// The leader heals the group; a replica that hears none says so to all control
+// hosts, because it may have been replaced while it was away.
+template <typename Runtime>
+void Replica<Runtime>::KeepMembers() {
+  const Instant now = m_loop.Now();
+  if (m_node->Role() == NodeRole::kLeader) {
+    const auto change =
+        m_keeper->Next(m_node->Members(), WaitingReplicas(), now);
+    if (!change) return;
+    m_node->ProposeMember(change->replica, change->remove, now);
+    return SchedulePump();
+  }
+  m_keeper->StopLeading();
+  if (m_node->Leader() != 0 || !m_callbacks.control_hosts) return;
+  for (const HostId& host : m_callbacks.control_hosts()) SayHello(host, false);
+}
+
+template <typename Runtime>
+void Replica<Runtime>::SayHello(const HostId& host, bool answer_wanted) {
+  m_callbacks.send(host,
+                   peers::MakeFrame(m_discovery->Hello(View(), answer_wanted)));
+}
+
+template <typename Runtime>
+void Replica<Runtime>::OnHello(const HostId& from,
+                               const wire::ReplicaHelloT& hello) {
+  if (m_discovery->OnHello(from, hello, View())) SayHello(from, false);
+  if (m_keeper && !hello.members.empty() && m_callbacks.on_members_heard)
+    m_callbacks.on_members_heard(hello.members);
+  TryToFound();
+}
+
+template <typename Runtime>
+void Replica<Runtime>::TryToFound() {
+  if (View().in_group) return m_discovery->EndFounding();
+  if (m_trouble != ErrorKind::kNone) return;
+  const std::optional<wire::MembershipT> members = m_discovery->Compose();
+  if (!members) return;
+  m_discovery->EndFounding();
+  replication::RestoredLog log = replication::FirstLog(m_self, *members);
+  Ready first;
+  first.hard_state = log.hard_state;
+  first.append = log.entries;
+  try {
+    m_store->Write(first);
+  } catch (const Error& error) {
+    return OnTrouble(error);
+  }
+  m_node = replication::MakeNode(m_options.node, std::move(log), m_loop.Now());
+  SchedulePump();
+}
+
+template <typename Runtime>
+HostId Replica<Runtime>::HostOf(ReplicaId id) const {
+  if (id == m_self) return m_options.self;
+  const auto heard = m_hosts.find(id);
+  if (heard != m_hosts.end()) return heard->second;
+  const wire::ReplicaT* member = replication::FindMember(m_node->Members(), id);
+  return member == nullptr ? HostId() : member->host;
+}
+
+}  // namespace dotterelshift::app
+
+#endif  // DOTTERELSHIFT_APP_REPLICA_START_H_
--- a/src/dotterelshift/app/routes_port.cc
+++ b/src/dotterelshift/app/routes_port.cc
@@ -16,14 +16,16 @@
   return sum;
 }
 
+std::string WordOf(ErrorKind outcome, const std::string& success) {
+  return outcome == ErrorKind::kNone ? success
+                                     : std::string(RowOf(outcome).name);
+}
+
 void LogPublished(const wire::PublishRoutesT& body, ErrorKind outcome) {
-  const std::string word = outcome == ErrorKind::kNone
-                               ? "committed"
-                               : std::string(RowOf(outcome).name);
   telemetry::Log(telemetry::LogLevel::kInfo, "routes_published",
                  {{"version", std::to_string(body.version)},
                   {"totals", std::to_string(SumOf(body.totals))},
-                  {"outcome", word}});
+                  {"outcome", WordOf(outcome, "committed")}});
 }
 
 class RoutesPort : public RoutesControl {
@@ -55,6 +57,7 @@
       std::function<void(ErrorKind, std::string_view)> callback) override {
     m_replica.ConfirmedRead(
         [this, callback = std::move(callback)](ErrorKind error) {
+          LogRead(error);
           const state::PublishedRoutes published =
               m_replica.GetState().GetPublished();
           callback(error, published.document);
@@ -77,6 +80,20 @@
   }
 
  private:
+  // A line when reads begin to fail, fail in another way, or succeed again.
+  void LogRead(ErrorKind outcome) {
+    ++m_reads;
+    if (outcome == m_read_outcome) return;
+    telemetry::Log(
+        telemetry::LogLevel::kInfo, "routes_read",
+        {{"outcome", WordOf(outcome, "read")},
+         {"leader", m_replica.LeaderHost()},
+         {"reads", std::to_string(m_reads)},
+         {"unapplied", std::to_string(m_replica.Load().unapplied_entries)}});
+    m_read_outcome = outcome;
+    m_reads = 0;
+  }
+
   void Propose(const wire::PublishRoutesT& body, const Published& callback) {
     wire::CommandT command;
     command.body.Set(wire::PublishRoutesT(body));
@@ -103,6 +120,8 @@
   OperatorBackend& m_backend;
   DirectoryExchange& m_directory;
   const std::function<void(Incarnation)> m_on_stale;
+  ErrorKind m_read_outcome = ErrorKind::kNone;
+  uint64_t m_reads = 0;  // since the last line about them
 };
 
 }  // namespace
--- /dev/null
+++ b/src/dotterelshift/loop/turn_watch_test.cc
@@ -0,0 +1,40 @@
+#include "dotterelshift/loop/turn_watch.h"
+
+#include <cppunit/extensions/HelperMacros.h>  // for CPPUNIT_TEST
+
+#include <vector>  // for vector
+
+namespace dotterelshift::loop {
+namespace {
+
+class TurnWatchTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(TurnWatchTest);
+  CPPUNIT_TEST(ALongTurnIsTold);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // The wait for an event is no part of a turn, the work after it is.
+  void ALongTurnIsTold() {
+    constexpr Duration kWork = 20ms;
+    Loop loop;
+    std::vector<Duration> turns;
+    const TurnWatch watch(loop, kWork,
+                          [&](Duration took) { turns.push_back(took); });
+    Timer stop(loop, [&] { loop.Stop(); });
+    Timer work(loop, [&] {
+      const Instant end = loop.Now() + kWork;
+      while (loop.Now() < end) {
+      }
+      stop.ArmIn(1ms);
+    });
+    work.ArmIn(1ms);
+    loop.Run();
+    CPPUNIT_ASSERT(!turns.empty());
+    CPPUNIT_ASSERT(turns.front() >= kWork);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TurnWatchTest);
+
+}  // namespace
+}  // namespace dotterelshift::loop
--- a/src/dotterelshift/replication/raft.h
+++ b/src/dotterelshift/replication/raft.h
@@ -86,6 +86,7 @@
   uint64_t Term() const override { return m_hard_state.term; }
   ReplicaId Leader() const override { return m_leader; }
   uint64_t Commit() const override { return m_commit; }
+  uint64_t LastIndex() const override { return m_log.LastIndex(); }
   const wire::MembershipT& Members() const override { return m_log.Members(); }
   Instant LeaseUntil() const override;
 
