--- a/src/dotterelshift/app/operator_backend.cc
+++ b/src/dotterelshift/app/operator_backend.cc
@@ -14,20 +14,6 @@
   return {};
 }
 
-std::string_view NameOf(replication::NodeRole role) {
-  switch (role) {
-    case replication::NodeRole::kFollower:
-      return "follower";
-    case replication::NodeRole::kPreCandidate:
-      return "pre_candidate";
-    case replication::NodeRole::kCandidate:
-      return "candidate";
-    case replication::NodeRole::kLeader:
-      return "leader";
-  }
-  return "unknown";
-}
-
 class EntryBackend : public OperatorBackend {
  public:
   EntryBackend(loop::Loop& loop, const peers::Hub& hub, const ControlLink& link,
