Members that hear no leader do not answer each other's hellos

What callers see: while control has no leader, its hosts spend the time in which one could be elected on hellos. Cause: a member that hears no leader says so once a second; one that is asked so answers with its own hello, which, while it hears none either, is answered in turn, without end; each second adds another such pair. Evidence: 372,062 hellos among four members without a leader in 20 s on a simulated clock, 252 are due (WithoutALeaderHellosDoNotMultiply, red before, with MembersWithoutALeaderDoNotAnswerEachOther; both pass now). Why it works: only one that knows more answers: of one in no group any member, of one that lost its leader a member that hears one; neither answer is answered. What a member would have learnt from another one that hears no leader comes with that one's own hello.

--- a/src/dotterelshift/app/replica_simulation.h
+++ b/src/dotterelshift/app/replica_simulation.h
@@ -9,6 +9,7 @@
 #include <map>        // for map
 #include <memory>     // for unique_ptr
 #include <optional>   // for optional
+#include <random>     // for mt19937_64
 #include <string>     // for string
 #include <utility>    // for move
 #include <vector>     // for vector
@@ -204,7 +205,7 @@
     Host& host = m_hosts.at(name);
     host.loop = std::make_unique<HostLoop>(m_time, m_costs, host.disk);
     ControlReplicaOptions options = m_options;
-    options.node.seed = ++m_starts;
+    options.node.seed = m_seeds();
     options.self = name;
     host.replica = std::make_unique<Replica<SimulatedRuntime>>(
         *host.loop, options, CallbacksOf(name));
@@ -378,7 +379,7 @@
   wire::MembershipT m_members;
   std::map<HostId, Host> m_hosts;
   ReplicaId m_last_replica = 0;
-  uint64_t m_starts = 0;
+  std::mt19937_64 m_seeds;  // of the replicas' starts
   uint64_t m_elections = 0;
   uint64_t m_hellos = 0;
 };
--- a/src/dotterelshift/replication/member_discovery.cc
+++ b/src/dotterelshift/replication/member_discovery.cc
@@ -48,8 +48,12 @@
   else
     m_waiting.erase(from);
   if (m_bootstrap) m_bootstrap->OnHello(from, hello);
-  // Who waits learns from the answer where the group is.
-  const bool helps = m_options.self_healing && waits && view.in_group;
+  // Who waits learns from the answer where the group is. A member that hears no
+  // leader knows no more than another one: two that answered each other would
+  // go on for as long as there is none.
+  const bool knows_more = !hello.in_group || view.hears_leader;
+  const bool helps =
+      m_options.self_healing && waits && view.in_group && knows_more;
   return hello.answer_wanted || helps;
 }
 
--- a/src/dotterelshift/replication/member_discovery_test.cc
+++ b/src/dotterelshift/replication/member_discovery_test.cc
@@ -17,6 +17,7 @@
   CPPUNIT_TEST(MembersDoNotWait);
   CPPUNIT_TEST(AHostThatWasReplacedSinceItWasHeardDoesNotWait);
   CPPUNIT_TEST(AReplicaOutsideAGroupDoesNotAnswerUnasked);
+  CPPUNIT_TEST(MembersWithoutALeaderDoNotAnswerEachOther);
   CPPUNIT_TEST(TheFirstMembersFoundOnce);
   CPPUNIT_TEST(AVoterWithoutAnyEntryIsInNoGroup);
   CPPUNIT_TEST_SUITE_END();
@@ -107,6 +108,14 @@
     CPPUNIT_ASSERT(discovery.OnHello("core-2", hello, Outside()));
   }
 
+  // Each would go on answering the other until there is a leader.
+  void MembersWithoutALeaderDoNotAnswerEachOther() {
+    MemberDiscovery discovery = Make(true);
+    const GroupView lost = {true, false, &m_members};
+    CPPUNIT_ASSERT(!discovery.OnHello("core-2", HelloOf(2, true, true), lost));
+    CPPUNIT_ASSERT(discovery.OnHello("core-2", HelloOf(2, false, true), lost));
+  }
+
   void TheFirstMembersFoundOnce() {
     MemberDiscovery discovery = Make(true);
     CPPUNIT_ASSERT(discovery.Coordinates());
