A replica applies its log in slices, and a leader acts once it has caught up

What callers see: no routes document and no tokens for seconds after all of control lost power; leaders come and go. A replica at it answers no vote and sends no heartbeat; a new leader loses its lease by its own work. The class: work as long as the history in one turn of a loop that must answer within a lease. Why it works: committed entries wait in a queue and 40 ms of them are applied in a turn, between which votes, heartbeats and writes go on; reads and answers to proposals wait for the entries that they need, as before. With it: a leader whose state is still behind its term's first entry does not act on it (Leads() is false until then, and it is told once more when it may): it would push older routes to entries while it catches up (ALeaderActsOnceItsLogIsCarriedOut). It also pushed to all entries after each batch of its history: 499 ms for what took followers 208 ms. Ready hands out 256 KB of committed entries at a time, not 8 MB, and none while some are still to be applied, so that the queue holds no second copy of the log.

--- a/include/dotterelshift/app/control_replica.h
+++ b/include/dotterelshift/app/control_replica.h
@@ -96,6 +96,8 @@
   std::function<void(const wire::CommandBatchT& batch,
                      const std::vector<wire::CommandAnswerT>& answers)>
       on_applied;
+  // The leader or the term changed, or a new leader has applied all that was
+  // accepted before its term, so that Leads() holds.
   std::function<void()> on_leadership_changed;
   // Control hosts that are connected: whom a replica outside of any group, or
   // one that hears no leader, tells of itself. Only with self_healing.
--- a/include/dotterelshift/replication/node.h
+++ b/include/dotterelshift/replication/node.h
@@ -65,6 +65,10 @@
   }
 };
 
+// How many payload bytes of committed entries one Ready hands out to be
+// applied.
+inline constexpr size_t kMostCommittedBytes = 256 << 10;
+
 enum class NodeRole { kFollower, kPreCandidate, kCandidate, kLeader };
 
 // The role as logs and metrics name it.
@@ -106,13 +110,19 @@
   virtual void SetSnapshotSource(const SnapshotMeta& meta,
                                  std::shared_ptr<const std::string> bytes) = 0;
 
-  virtual Ready TakeReady() = 0;
+  // Hands out committed entries until they hold this many payload bytes or
+  // more; none for 0, while the driver still has some to apply.
+  virtual Ready TakeReady(size_t most_committed_bytes) = 0;
+  Ready TakeReady() { return TakeReady(kMostCommittedBytes); }
 
   virtual NodeRole Role() const = 0;
   virtual uint64_t Term() const = 0;
   virtual ReplicaId Leader() const = 0;  // 0: not known
   virtual uint64_t Commit() const = 0;
   virtual uint64_t LastIndex() const = 0;  // of the log, committed or not
+  // The first entry of the term that this replica leads: with it, all that was
+  // accepted in earlier terms is applied.
+  virtual uint64_t TermStart() const = 0;
   virtual const wire::MembershipT& Members() const = 0;
   // Until when no other replica can be leader; in the past when not leading.
   virtual Instant LeaseUntil() const = 0;
--- a/src/dotterelshift/app/control.cc
+++ b/src/dotterelshift/app/control.cc
@@ -233,6 +233,7 @@
       {{"leader", m_replica->LeaderHost()},
        {"term", std::to_string(node.Term())},
        {"role", std::string(replication::NameOf(node.Role()))},
+       {"acts", m_replica->Leads() ? "yes" : "no"},
        {"members", std::to_string(node.Members().replicas.size())},
        {"voters", std::to_string(replication::VoterCount(node.Members()))},
        {"last_index", std::to_string(node.LastIndex())},
--- a/src/dotterelshift/app/replica.h
+++ b/src/dotterelshift/app/replica.h
@@ -3,6 +3,7 @@
 
 #include <concepts>    // for constructible_from, same_as
 #include <cstdint>     // for uint64_t
+#include <deque>       // for deque
 #include <functional>  // for function
 #include <map>         // for map
 #include <memory>      // for unique_ptr
@@ -71,7 +72,11 @@
             m_hellos};
   }
   bool Leads() const override {
-    return m_trouble == ErrorKind::kNone && m_loop.Now() < m_node->LeaseUntil();
+    // A leader that has not applied what its predecessors accepted would act on
+    // what is out of date.
+    return m_trouble == ErrorKind::kNone &&
+           m_applied.last_index >= m_node->TermStart() &&
+           m_loop.Now() < m_node->LeaseUntil();
   }
   HostId LeaderHost() const override { return HostOf(m_node->Leader()); }
   std::vector<wire::ReplicaT> WaitingReplicas() const override {
@@ -102,10 +107,12 @@
   void ProposeMemberChange();
   void SendMessages(Ready& ready);
   void FinishWrite();
-  void ApplyAll(const Ready& ready);
+  void QueueCommitted(Ready& ready);
+  void ApplySome(Instant until);
   void ApplyEntry(const wire::LogEntryT& entry);
   void AnswerReads(const std::vector<uint64_t>& tokens);
   void OnLeadershipChanged();
+  void TellLeadership();
   void FailAll(ErrorKind error);
   void InstallSnapshot(const replication::SnapshotMeta& meta,
                        const std::string& bytes);
@@ -140,6 +147,8 @@
   ErrorKind m_trouble = ErrorKind::kNone;
 
   std::optional<Ready> m_unwritten;
+  std::deque<wire::LogEntryT> m_unapplied;  // committed
+  std::vector<uint64_t> m_confirmed_reads;  // wait for what is unapplied
   bool m_leads = false;
   Proposals m_proposals;
   std::vector<std::function<void(ErrorKind)>> m_new_reads;
--- a/src/dotterelshift/app/replica_pump.h
+++ b/src/dotterelshift/app/replica_pump.h
@@ -4,7 +4,8 @@
 // One turn of a replica: proposals in, messages out, files written, entries
 // applied.
 
-#include <algorithm>  // for max
+#include <algorithm>  // for max, move
+#include <iterator>   // for back_inserter
 
 #include "dotterelshift/app/replica.h"  // for Replica
 
@@ -12,6 +13,10 @@
 
 inline constexpr size_t kMostCommandsInBatch = 1024;
 
+// How long committed entries are applied in one turn of the loop: well below a
+// heartbeat, so that the group hears of a replica that has much to apply.
+inline constexpr Duration kMostApplying = 40ms;
+
 // Work in one turn of the loop that is worth a line.
 inline constexpr Duration kLongWork = 100ms;
 
@@ -83,12 +88,16 @@
 void Replica<Runtime>::PumpOnce() {
   if (m_unwritten) FinishWrite();
   FlushProposals();
+  const Instant until = m_loop.Now() + kMostApplying;
   while (!m_unwritten) {
-    Ready ready = m_node->TakeReady();
-    if (IsEmpty(ready)) return;
+    ApplySome(until);
+    Ready ready = m_node->TakeReady(
+        m_unapplied.empty() ? replication::kMostCommittedBytes : 0);
+    if (IsEmpty(ready)) break;
     const bool messages = !ready.messages.empty();
     SendMessages(ready);
-    if (!ready.install) ApplyAll(ready);
+    if (!ready.install) QueueCommitted(ready);
+    ApplySome(until);
     if (ready.leadership_changed) OnLeadershipChanged();
     if (!ready.HasWrites()) continue;
     m_unwritten = std::move(ready);
@@ -97,6 +106,7 @@
     if (messages) return SchedulePump();
     FinishWrite();
   }
+  if (!m_unapplied.empty()) SchedulePump();
 }
 
 template <typename Runtime>
@@ -139,28 +149,47 @@
 template <typename Runtime>
 void Replica<Runtime>::FinishWrite() {
   m_store->Write(*m_unwritten);
-  const Ready ready = std::move(*m_unwritten);
+  Ready ready = std::move(*m_unwritten);
   m_unwritten.reset();
   for (const wire::LogEntryT& entry : ready.append)
     m_log_bytes += entry.payload.size();
   if (ready.install) {
     InstallSnapshot(ready.install->first, ready.install->second);
-    ApplyAll(ready);
+    QueueCommitted(ready);
   }
   m_node->OnSynced(m_loop.Now());
 }
 
 template <typename Runtime>
-void Replica<Runtime>::ApplyAll(const Ready& ready) {
+void Replica<Runtime>::QueueCommitted(Ready& ready) {
+  std::move(ready.committed.begin(), ready.committed.end(),
+            std::back_inserter(m_unapplied));
+  ready.committed.clear();
+  m_confirmed_reads.insert(m_confirmed_reads.end(),
+                           ready.reads_confirmed.begin(),
+                           ready.reads_confirmed.end());
+}
+
+// Applies what is queued, and no more once the turn's time is over: a replica
+// that stood still for all that it found in its log at a start would hear no
+// vote and send no heartbeat meanwhile, and a new leader would lose its lease
+// over it.
+template <typename Runtime>
+void Replica<Runtime>::ApplySome(Instant until) {
   const Instant start = m_loop.Now();
-  for (const wire::LogEntryT& entry : ready.committed) ApplyEntry(entry);
+  const uint64_t from = m_applied.last_index;
+  while (!m_unapplied.empty() && m_loop.Now() < until) {
+    const wire::LogEntryT entry = std::move(m_unapplied.front());
+    m_unapplied.pop_front();
+    ApplyEntry(entry);
+  }
   if (m_loop.Now() - start >= kLongWork)
     telemetry::Log(telemetry::LogLevel::kInfo, "entries_applied",
-                   {{"entries", std::to_string(ready.committed.size())},
+                   {{"entries", std::to_string(m_applied.last_index - from)},
                     {"to_index", std::to_string(m_applied.last_index)},
                     {"commit_index", std::to_string(m_node->Commit())},
                     {"took_ms", std::to_string(MsSince(start))}});
-  AnswerReads(ready.reads_confirmed);
+  if (m_unapplied.empty()) AnswerReads(std::exchange(m_confirmed_reads, {}));
 }
 
 template <typename Runtime>
@@ -173,6 +202,7 @@
   }
   std::optional<Proposals::Batch> own =
       m_proposals.TakeCommitted(entry.index, entry.term);
+  if (m_leads && entry.index == m_node->TermStart()) TellLeadership();
   if (entry.kind != wire::LogEntryKind::Batch) return;
   const wire::CommandBatchT decoded =
       own ? wire::CommandBatchT() : DecodeBatch(entry.payload);
@@ -199,10 +229,16 @@
 void Replica<Runtime>::OnLeadershipChanged() {
   const bool leads = m_node->Role() == NodeRole::kLeader;
   if (std::exchange(m_leads, leads) && !leads) FailAll(WhyNotLeader());
-  if (m_callbacks.on_leadership_changed) m_callbacks.on_leadership_changed();
+  TellLeadership();
   SendSpool();
 }
 
+// Told at an election, and again once the new leader may act on its state.
+template <typename Runtime>
+void Replica<Runtime>::TellLeadership() {
+  if (m_callbacks.on_leadership_changed) m_callbacks.on_leadership_changed();
+}
+
 template <typename Runtime>
 void Replica<Runtime>::FailAll(ErrorKind error) {
   m_proposals.FailAll(error);
@@ -226,7 +262,7 @@
 void Replica<Runtime>::OnTrouble(const Error& error) {
   m_trouble = error.Kind();
   FailAll(m_trouble);
-  if (m_callbacks.on_leadership_changed) m_callbacks.on_leadership_changed();
+  TellLeadership();
 }
 
 }  // namespace dotterelshift::app
--- a/src/dotterelshift/app/replica_simulation.h
+++ b/src/dotterelshift/app/replica_simulation.h
@@ -10,6 +10,7 @@
 #include <memory>     // for unique_ptr
 #include <optional>   // for optional
 #include <random>     // for mt19937_64
+#include <set>        // for set
 #include <string>     // for string
 #include <utility>    // for move
 #include <vector>     // for vector
@@ -274,7 +275,9 @@
     return dynamic_cast<const CountingState&>(Find(name).GetState()).Commands();
   }
   // How often a replica became leader up to now.
-  uint64_t Elections() const { return m_elections; }
+  uint64_t Elections() const { return m_terms_led.size(); }
+  // How often a replica was told of its leadership while it could act on it.
+  uint64_t TimesToldToLead() const { return m_told_to_lead; }
   // Hellos sent between replicas up to now.
   uint64_t Hellos() const { return m_hellos; }
   ControlReplicaOptions& Options() { return m_options; }
@@ -319,9 +322,10 @@
     };
     callbacks.on_leadership_changed = [this, name] {
       const auto& replica = m_hosts.at(name).replica;
-      if (replica &&
-          replica->GetNode().Role() == replication::NodeRole::kLeader)
-        ++m_elections;
+      if (!replica) return;
+      if (replica->Leads()) ++m_told_to_lead;
+      if (replica->GetNode().Role() == replication::NodeRole::kLeader)
+        m_terms_led.insert(replica->GetNode().Term());
     };
     return callbacks;
   }
@@ -380,7 +384,8 @@
   std::map<HostId, Host> m_hosts;
   ReplicaId m_last_replica = 0;
   std::mt19937_64 m_seeds;  // of the replicas' starts
-  uint64_t m_elections = 0;
+  std::set<uint64_t> m_terms_led;
+  uint64_t m_told_to_lead = 0;
   uint64_t m_hellos = 0;
 };
 
--- a/src/dotterelshift/app/replica_snapshot.h
+++ b/src/dotterelshift/app/replica_snapshot.h
@@ -16,6 +16,7 @@
 void Replica<Runtime>::InstallSnapshot(const replication::SnapshotMeta& meta,
                                        const std::string& bytes) {
   const Instant start = m_loop.Now();
+  m_unapplied.clear();  // the snapshot covers it
   m_state->Restore(m_member_changes.TakeFrom(bytes));
   m_member_changes.OnMembers(meta.membership);
   m_applied = meta;
--- a/src/dotterelshift/app/replica_start_test.cc
+++ b/src/dotterelshift/app/replica_start_test.cc
@@ -30,6 +30,7 @@
 class ReplicaStartTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(ReplicaStartTest);
   CPPUNIT_TEST(LeaderStaysWhileItsLogIsCarriedOut);
+  CPPUNIT_TEST(ALeaderActsOnceItsLogIsCarriedOut);
   CPPUNIT_TEST(ReadsComeSoonAfterAStartHoweverLongTheGroupRan);
   CPPUNIT_TEST(WithoutALeaderHellosDoNotMultiply);
   CPPUNIT_TEST_SUITE_END();
@@ -65,6 +66,19 @@
     CPPUNIT_ASSERT_EQUAL(kCommands, group.CommandsAt(group.Leader()));
   }
 
+  // Until then it would tell entries of routes and totals that are out of date.
+  void ALeaderActsOnceItsLogIsCarriedOut() {
+    constexpr uint64_t kCommands = 100;
+    ReplicaSimulation group(kHosts, SlowHost());
+    group.FillLogs(kCommands);
+    RestartAll(group);
+    CPPUNIT_ASSERT(
+        group.RunUntil([&] { return !group.Leader().empty(); }, 20s));
+    CPPUNIT_ASSERT_EQUAL(kCommands, group.CommandsAt(group.Leader()));
+    group.RunFor(1s);
+    CPPUNIT_ASSERT_EQUAL(uint64_t{1}, group.TimesToldToLead());
+  }
+
   // Five seconds from the start of all to the first confirmed read.
   void ReadsComeSoonAfterAStartHoweverLongTheGroupRan() {
     for (const uint64_t commands : {10, 100, 1000}) {
--- a/src/dotterelshift/replication/raft.h
+++ b/src/dotterelshift/replication/raft.h
@@ -33,9 +33,6 @@
 // behind.
 inline constexpr uint64_t kEntriesKeptForFollowers = 4096;
 
-// The most payload bytes that one Ready hands out to be applied.
-inline constexpr size_t kMaxBytesCommitted = 8 << 20;
-
 // A snapshot that is sent to followers.
 struct SnapshotSource {
   SnapshotMeta meta;
@@ -80,13 +77,15 @@
   void SetSnapshotSource(const SnapshotMeta& meta,
                          std::shared_ptr<const std::string> bytes) override;
 
-  Ready TakeReady() override;
+  using Node::TakeReady;
+  Ready TakeReady(size_t most_committed_bytes) override;
 
   NodeRole Role() const override { return m_role; }
   uint64_t Term() const override { return m_hard_state.term; }
   ReplicaId Leader() const override { return m_leader; }
   uint64_t Commit() const override { return m_commit; }
   uint64_t LastIndex() const override { return m_log.LastIndex(); }
+  uint64_t TermStart() const override { return m_term_start; }
   const wire::MembershipT& Members() const override { return m_log.Members(); }
   Instant LeaseUntil() const override;
 
@@ -168,7 +167,7 @@
     return Rules::kAcknowledgeAfterSync ? m_synced : m_log.LastIndex();
   }
   void TakeWrites(Ready& ready);
-  void TakeCommitted(Ready& ready);
+  void TakeCommitted(Ready& ready, size_t most_bytes);
   void TakeReads(Ready& ready);
 
   const NodeOptions m_options;
--- a/src/dotterelshift/replication/raft_events.h
+++ b/src/dotterelshift/replication/raft_events.h
@@ -140,13 +140,13 @@
 }
 
 template <typename Rules>
-Ready Raft<Rules>::TakeReady() {
+Ready Raft<Rules>::TakeReady(size_t most_committed_bytes) {
   if (m_role == NodeRole::kLeader) SendAppends();
   Ready ready;
   TakeWrites(ready);
   ready.messages = std::move(m_messages);
   m_messages.clear();
-  TakeCommitted(ready);
+  TakeCommitted(ready, most_committed_bytes);
   TakeReads(ready);
   ready.leadership_changed = std::exchange(m_leadership_changed, false);
   return ready;
@@ -168,11 +168,11 @@
 }
 
 template <typename Rules>
-void Raft<Rules>::TakeCommitted(Ready& ready) {
+void Raft<Rules>::TakeCommitted(Ready& ready, size_t most_bytes) {
   // A snapshot that is being installed is applied by this Ready itself.
   size_t bytes = 0;
   const uint64_t end = std::min(m_commit, OwnMatch());
-  while (m_handed_out < end && bytes < kMaxBytesCommitted) {
+  while (m_handed_out < end && bytes < most_bytes) {
     const wire::LogEntryT& entry = m_log.At(++m_handed_out);
     bytes += entry.payload.size();
     ready.committed.push_back(entry);
