--- a/include/dotterelshift/app/control_replica.h
+++ b/include/dotterelshift/app/control_replica.h
@@ -7,12 +7,13 @@
 #include <string>      // for string
 #include <vector>      // for vector
 
-#include "dotterelshift/base/error.h"         // for ErrorKind
-#include "dotterelshift/loop/loop.h"          // for Loop
-#include "dotterelshift/peers/hub.h"          // for PeerInfo
-#include "dotterelshift/replication/node.h"   // for NodeOptions
-#include "dotterelshift/state/state.h"        // for State
-#include "dotterelshift/storage/log_store.h"  // for LogStoreOptions
+#include "dotterelshift/base/error.h"                   // for ErrorKind
+#include "dotterelshift/loop/loop.h"                    // for Loop
+#include "dotterelshift/peers/hub.h"                    // for PeerInfo
+#include "dotterelshift/replication/node.h"             // for NodeOptions
+#include "dotterelshift/replication/snapshot_policy.h"  // for SnapshotPolicyOptions
+#include "dotterelshift/state/state.h"                  // for State
+#include "dotterelshift/storage/log_store.h"            // for LogStoreOptions
 
 namespace dotterelshift::app {
 
@@ -26,12 +27,7 @@
   std::vector<std::string> first_members;
   HostId self;
   std::string self_address;
-  // Bytes of log after which a follower makes a snapshot, or as many times the
-  // last snapshot as `log_per_snapshot` says, whichever is more: the log stays
-  // in memory and is carried out again at a start, while a snapshot costs a
-  // pause that grows with the state. The leader waits for twice as many.
-  uint64_t snapshot_every_bytes = 4 << 20;
-  uint64_t log_per_snapshot = 4;
+  replication::SnapshotPolicyOptions snapshot;
   // The leader adds replicas that wait, and replaces members that are lost,
   // without a plan.
   bool self_healing = false;
--- a/src/dotterelshift/app/control_replica_test.cc
+++ b/src/dotterelshift/app/control_replica_test.cc
@@ -165,7 +165,7 @@
 
   void LaggingReplicaInstallsASnapshot() {
     ReplicaGroup group({"a", "b", "c"});
-    group.Options().snapshot_every_bytes = 8 << 10;
+    group.Options().snapshot.every_bytes = 8 << 10;
     group.Options().store.segment_bytes = 8 << 10;
     group.Options().node.snapshot_piece_bytes = 512;
     StartThree(group);
--- a/src/dotterelshift/app/replica.h
+++ b/src/dotterelshift/app/replica.h
@@ -21,6 +21,7 @@
 #include "dotterelshift/replication/member_keeper.h"     // for MemberKeeper
 #include "dotterelshift/replication/membership.h"        // for FindMember
 #include "dotterelshift/replication/messages.h"          // for SenderOf
+#include "dotterelshift/replication/snapshot_policy.h"   // for SnapshotPolicy
 #include "dotterelshift/telemetry/log.h"                 // for Log
 
 namespace dotterelshift::app {
@@ -67,7 +68,7 @@
             m_proposals.CountPending(),
             m_reads.size() + m_new_reads.size(),
             m_log_bytes,
-            m_snapshot_bytes,
+            m_snapshots->SnapshotBytes(),
             m_node->Commit() - m_applied.last_index,
             m_hellos};
   }
@@ -116,7 +117,6 @@
   void FailAll(ErrorKind error);
   void InstallSnapshot(const replication::SnapshotMeta& meta,
                        const std::string& bytes);
-  uint64_t SnapshotAfterBytes() const;
   void MaybeSnapshot();
   void LogSnapshot(std::string_view event, Instant start) const;
   void ArmNodeTimer();
@@ -141,11 +141,11 @@
   std::unique_ptr<replication::Node> m_node;
   ReplicaId m_self = 0;
   replication::SnapshotMeta m_applied;
-  uint64_t m_log_bytes = 0;       // since the last snapshot
-  uint64_t m_snapshot_bytes = 0;  // of the last one
+  uint64_t m_log_bytes = 0;  // since the last snapshot
   WallMs m_last_stamp = 0;
   ErrorKind m_trouble = ErrorKind::kNone;
 
+  std::optional<replication::SnapshotPolicy> m_snapshots;  // once restored
   std::optional<Ready> m_unwritten;
   std::deque<wire::LogEntryT> m_unapplied;  // committed
   std::vector<uint64_t> m_confirmed_reads;  // wait for what is unapplied
--- a/src/dotterelshift/app/replica_pump.h
+++ b/src/dotterelshift/app/replica_pump.h
@@ -151,6 +151,7 @@
   m_store->Write(*m_unwritten);
   Ready ready = std::move(*m_unwritten);
   m_unwritten.reset();
+  if (ready.install) m_log_bytes = 0;
   for (const wire::LogEntryT& entry : ready.append)
     m_log_bytes += entry.payload.size();
   if (ready.install) {
@@ -178,17 +179,21 @@
 void Replica<Runtime>::ApplySome(Instant until) {
   const Instant start = m_loop.Now();
   const uint64_t from = m_applied.last_index;
+  uint64_t bytes = 0;
   while (!m_unapplied.empty() && m_loop.Now() < until) {
     const wire::LogEntryT entry = std::move(m_unapplied.front());
     m_unapplied.pop_front();
+    bytes += entry.payload.size();
     ApplyEntry(entry);
   }
-  if (m_loop.Now() - start >= kLongWork)
+  const Duration took = m_loop.Now() - start;
+  m_snapshots->OnApplied(bytes, took);
+  if (took >= kLongWork)
     telemetry::Log(telemetry::LogLevel::kInfo, "entries_applied",
                    {{"entries", std::to_string(m_applied.last_index - from)},
                     {"to_index", std::to_string(m_applied.last_index)},
                     {"commit_index", std::to_string(m_node->Commit())},
-                    {"took_ms", std::to_string(MsSince(start))}});
+                    {"took_ms", std::to_string(ToMs(took))}});
   if (m_unapplied.empty()) AnswerReads(std::exchange(m_confirmed_reads, {}));
 }
 
--- a/src/dotterelshift/app/replica_start.h
+++ b/src/dotterelshift/app/replica_start.h
@@ -42,6 +42,7 @@
     m_spool.Add(DecodeSpool(record));
   for (const wire::LogEntryT& entry : opened.log.entries)
     m_log_bytes += entry.payload.size();
+  m_snapshots.emplace(m_options.snapshot, m_self);
   const replication::SnapshotMeta meta = opened.log.snapshot;
   m_node = replication::MakeNode(m_options.node, std::move(opened.log),
                                  m_loop.Now());
@@ -59,7 +60,7 @@
       {{"replica", std::to_string(m_self)},
        {"term", std::to_string(m_node->Term())},
        {"snapshot_index", std::to_string(m_applied.last_index)},
-       {"snapshot_bytes", std::to_string(m_snapshot_bytes)},
+       {"snapshot_bytes", std::to_string(m_snapshots->SnapshotBytes())},
        {"last_index", std::to_string(m_node->LastIndex())},
        {"log_bytes", std::to_string(m_log_bytes)},
        {"members", std::to_string(m_node->Members().replicas.size())},
--- /dev/null
+++ b/src/dotterelshift/replication/snapshot_policy.cc
@@ -0,0 +1,40 @@
+#include "dotterelshift/replication/snapshot_policy.h"
+
+#include <algorithm>  // for max
+
+namespace dotterelshift::replication {
+namespace {
+
+// How many times more the leader waits for than the first follower.
+constexpr uint64_t kLeaderFactor = 2;
+
+// Followers wait for up to twice as much, in steps by their ids.
+constexpr uint64_t kSteps = 4;
+
+}  // namespace
+
+void SnapshotPolicy::OnApplied(uint64_t bytes, Duration took) {
+  m_applied_bytes += bytes;
+  m_applying += took;
+}
+
+void SnapshotPolicy::OnSnapshot(uint64_t bytes, Duration took) {
+  m_applied_bytes = 0;
+  m_applying = Duration{};
+  m_snapshot_bytes = bytes;
+  m_snapshot_took = took;
+}
+
+bool SnapshotPolicy::IsDue(bool leads_others) const {
+  const uint64_t quarters =
+      leads_others ? kLeaderFactor * kSteps : kSteps + m_self % kSteps;
+  const uint64_t bytes = std::max(
+      m_options.every_bytes, m_snapshot_bytes * m_options.log_per_snapshot);
+  const Duration applying =
+      std::max(m_options.most_applying,
+               m_snapshot_took * m_options.applying_per_snapshot);
+  return m_applied_bytes >= bytes / kSteps * quarters ||
+         m_applying >= applying / kSteps * quarters;
+}
+
+}  // namespace dotterelshift::replication
