Batches of 64 commands, so that one batch is a short turn of the loop

What callers see: control loses its leader again some seconds after a start, when all entries send what they have kept. Cause: as with the log (a turn of the loop as long as what has gathered): one batch held up to 1,024 commands and is applied in one go. Why it works: a turn applies 40 ms of batches; with at most 64 commands each the last one adds little. All batches of a turn are still written with one sync.

--- a/src/dotterelshift/app/replica_pump.h
+++ b/src/dotterelshift/app/replica_pump.h
@@ -11,7 +11,9 @@
 
 namespace dotterelshift::app {
 
-inline constexpr size_t kMostCommandsInBatch = 1024;
+// A batch is applied in one go, and there is one sync for all batches of a turn:
+// small ones cost little and keep a turn of the loop short.
+inline constexpr size_t kMostCommandsInBatch = 64;
 
 // How long committed entries are applied in one turn of the loop: well below a
 // heartbeat, so that the group hears of a replica that has much to apply.
--- a/src/dotterelshift/app/replica_simulation.h
+++ b/src/dotterelshift/app/replica_simulation.h
@@ -258,12 +258,19 @@
     const Instant end = m_time.Now() + limit;
     while (commands > 0) {
       const uint64_t some = std::min<uint64_t>(commands, kCommandsAtOnce);
-      if (!AcceptSome(some, end)) return false;
+      if (!AcceptAtOnce(some, end - m_time.Now())) return false;
       commands -= some;
     }
     return true;
   }
 
+  // The same with all of them proposed at one moment.
+  bool AcceptAtOnce(uint64_t commands, Duration limit) {
+    const auto accepted = std::make_shared<uint64_t>(0);
+    for (uint64_t i = 0; i < commands; ++i) ProposeUntilAccepted(accepted);
+    return RunUntil([&] { return *accepted == commands; }, limit);
+  }
+
   HostId Leader() const {
     for (const auto& [name, host] : m_hosts)
       if (host.replica && host.replica->Leads()) return name;
@@ -356,12 +363,6 @@
                [this, done] { AskAll(done); });
   }
 
-  bool AcceptSome(uint64_t commands, Instant end) {
-    const auto accepted = std::make_shared<uint64_t>(0);
-    for (uint64_t i = 0; i < commands; ++i) ProposeUntilAccepted(accepted);
-    return RunUntil([&] { return *accepted == commands; }, end - m_time.Now());
-  }
-
   void ProposeUntilAccepted(const std::shared_ptr<uint64_t>& accepted) {
     const HostId leader = Leader();
     const auto again = [this, accepted] {
--- a/src/dotterelshift/app/replica_start_test.cc
+++ b/src/dotterelshift/app/replica_start_test.cc
@@ -31,6 +31,7 @@
   CPPUNIT_TEST_SUITE(ReplicaStartTest);
   CPPUNIT_TEST(LeaderStaysWhileItsLogIsCarriedOut);
   CPPUNIT_TEST(ALeaderActsOnceItsLogIsCarriedOut);
+  CPPUNIT_TEST(ALeaderStaysWhenManyEntriesReturnAtOnce);
   CPPUNIT_TEST(ReadsComeSoonAfterAStartHoweverLongTheGroupRan);
   CPPUNIT_TEST(WithoutALeaderHellosDoNotMultiply);
   CPPUNIT_TEST_SUITE_END();
@@ -79,6 +80,20 @@
     CPPUNIT_ASSERT_EQUAL(uint64_t{1}, group.TimesToldToLead());
   }
 
+  // Entries that were away send at once what they have kept: one batch of it
+  // all is one turn of the loop, however the log is sliced.
+  void ALeaderStaysWhenManyEntriesReturnAtOnce() {
+    constexpr uint64_t kCommands = 1000;
+    WorkCosts costs;
+    costs.command = 1ms;
+    ReplicaSimulation group(kHosts, costs);
+    group.StartAll();
+    CPPUNIT_ASSERT(group.Accept(1, 10s));
+    CPPUNIT_ASSERT(group.AcceptAtOnce(kCommands, 10s));
+    group.RunFor(2s);
+    CPPUNIT_ASSERT_EQUAL(uint64_t{1}, group.Elections());
+  }
+
   // Five seconds from the start of all to the first confirmed read.
   void ReadsComeSoonAfterAStartHoweverLongTheGroupRan() {
     for (const uint64_t commands : {10, 100, 1000}) {
