--- a/src/dotterelshift/app/replica_pump.h
+++ b/src/dotterelshift/app/replica_pump.h
@@ -11,8 +11,8 @@
 
 namespace dotterelshift::app {
 
-// A batch is applied in one go, and there is one sync for all batches of a turn:
-// small ones cost little and keep a turn of the loop short.
+// A batch is applied in one go, and there is one sync for all batches of a
+// turn: small ones cost little and keep a turn of the loop short.
 inline constexpr size_t kMostCommandsInBatch = 64;
 
 // How long committed entries are applied in one turn of the loop: well below a
