--- a/src/dotterelshift/app/replica_pump.h
+++ b/src/dotterelshift/app/replica_pump.h
@@ -29,20 +29,20 @@
          !ready.leadership_changed;
 }
 
-template <typename Runtime>
+template <ReplicaRuntime Runtime>
 void Replica<Runtime>::Propose(std::vector<wire::CommandT> commands,
                                ProposalCallback callback) {
   m_proposals.Add(std::move(commands), std::move(callback));
   SchedulePump();
 }
 
-template <typename Runtime>
+template <ReplicaRuntime Runtime>
 void Replica<Runtime>::ConfirmedRead(std::function<void(ErrorKind)> callback) {
   m_new_reads.push_back(std::move(callback));
   SchedulePump();
 }
 
-template <typename Runtime>
+template <ReplicaRuntime Runtime>
 void Replica<Runtime>::OnFrame(const peers::PeerInfo& from,
                                const wire::FrameT& frame) {
   if (const wire::ReplicaHelloT* hello = frame.body.AsReplicaHello())
@@ -67,13 +67,13 @@
 
 // The pump runs in the next turn of the loop, so that the frames and proposals
 // of one turn are written together.
-template <typename Runtime>
+template <ReplicaRuntime Runtime>
 void Replica<Runtime>::SchedulePump() {
   if (std::exchange(m_pump_scheduled, true)) return;
   m_pump.ArmIn(Duration::zero());
 }
 
-template <typename Runtime>
+template <ReplicaRuntime Runtime>
 void Replica<Runtime>::Pump() {
   m_pump_scheduled = false;
   m_pump.Cancel();
@@ -86,7 +86,7 @@
   ArmNodeTimer();
 }
 
-template <typename Runtime>
+template <ReplicaRuntime Runtime>
 void Replica<Runtime>::PumpOnce() {
   if (m_unwritten) FinishWrite();
   FlushProposals();
@@ -111,7 +111,7 @@
   if (!m_unapplied.empty()) SchedulePump();
 }
 
-template <typename Runtime>
+template <ReplicaRuntime Runtime>
 void Replica<Runtime>::FlushProposals() {
   if (m_trouble != ErrorKind::kNone) return FailAll(m_trouble);
   if (m_node->Role() != NodeRole::kLeader) {
@@ -133,14 +133,14 @@
   ProposeMemberChange();
 }
 
-template <typename Runtime>
+template <ReplicaRuntime Runtime>
 void Replica<Runtime>::ProposeMemberChange() {
   const std::optional<MemberChange> change = m_member_changes.Next();
   if (change)
     m_node->ProposeMember(change->replica, change->remove, m_loop.Now());
 }
 
-template <typename Runtime>
+template <ReplicaRuntime Runtime>
 void Replica<Runtime>::SendMessages(Ready& ready) {
   for (const auto& [id, frame] : ready.messages) {
     const HostId host = HostOf(id);
@@ -148,7 +148,7 @@
   }
 }
 
-template <typename Runtime>
+template <ReplicaRuntime Runtime>
 void Replica<Runtime>::FinishWrite() {
   m_store->Write(*m_unwritten);
   Ready ready = std::move(*m_unwritten);
@@ -163,7 +163,7 @@
   m_node->OnSynced(m_loop.Now());
 }
 
-template <typename Runtime>
+template <ReplicaRuntime Runtime>
 void Replica<Runtime>::QueueCommitted(Ready& ready) {
   std::move(ready.committed.begin(), ready.committed.end(),
             std::back_inserter(m_unapplied));
@@ -177,7 +177,7 @@
 // that stood still for all that it found in its log at a start would hear no
 // vote and send no heartbeat meanwhile, and a new leader would lose its lease
 // over it.
-template <typename Runtime>
+template <ReplicaRuntime Runtime>
 void Replica<Runtime>::ApplySome(Instant until) {
   const Instant start = m_loop.Now();
   const uint64_t from = m_applied.last_index;
@@ -199,7 +199,7 @@
   if (m_unapplied.empty()) AnswerReads(std::exchange(m_confirmed_reads, {}));
 }
 
-template <typename Runtime>
+template <ReplicaRuntime Runtime>
 void Replica<Runtime>::ApplyEntry(const wire::LogEntryT& entry) {
   m_applied.last_index = entry.index;
   m_applied.last_term = entry.term;
@@ -221,7 +221,7 @@
   if (own) Proposals::Answer(*own, answers);
 }
 
-template <typename Runtime>
+template <ReplicaRuntime Runtime>
 void Replica<Runtime>::AnswerReads(const std::vector<uint64_t>& tokens) {
   for (const uint64_t token : tokens) {
     const auto read = m_reads.find(token);
@@ -232,7 +232,7 @@
   }
 }
 
-template <typename Runtime>
+template <ReplicaRuntime Runtime>
 void Replica<Runtime>::OnLeadershipChanged() {
   const bool leads = m_node->Role() == NodeRole::kLeader;
   if (std::exchange(m_leads, leads) && !leads) FailAll(WhyNotLeader());
@@ -241,12 +241,12 @@
 }
 
 // Told at an election, and again once the new leader may act on its state.
-template <typename Runtime>
+template <ReplicaRuntime Runtime>
 void Replica<Runtime>::TellLeadership() {
   if (m_callbacks.on_leadership_changed) m_callbacks.on_leadership_changed();
 }
 
-template <typename Runtime>
+template <ReplicaRuntime Runtime>
 void Replica<Runtime>::FailAll(ErrorKind error) {
   m_proposals.FailAll(error);
   const auto reads = std::exchange(m_reads, {});
@@ -255,7 +255,7 @@
   for (const auto& callback : new_reads) callback(error);
 }
 
-template <typename Runtime>
+template <ReplicaRuntime Runtime>
 void Replica<Runtime>::ArmNodeTimer() {
   if (m_trouble == ErrorKind::kNone)
     m_node_timer.ArmAt(m_node->NextTimer());
@@ -265,7 +265,7 @@
 
 // A full disk may be emptied: the write is tried again, and until then the
 // replica is silent, so that another one leads. Any other trouble lasts.
-template <typename Runtime>
+template <ReplicaRuntime Runtime>
 void Replica<Runtime>::OnTrouble(const Error& error) {
   m_trouble = error.Kind();
   FailAll(m_trouble);
--- a/src/dotterelshift/app/replica_snapshot.h
+++ b/src/dotterelshift/app/replica_snapshot.h
@@ -9,7 +9,7 @@
 
 namespace dotterelshift::app {
 
-template <typename Runtime>
+template <ReplicaRuntime Runtime>
 void Replica<Runtime>::InstallSnapshot(const replication::SnapshotMeta& meta,
                                        const std::string& bytes) {
   const Instant start = m_loop.Now();
@@ -22,7 +22,7 @@
   LogSnapshot("snapshot_read", start);
 }
 
-template <typename Runtime>
+template <ReplicaRuntime Runtime>
 void Replica<Runtime>::MaybeSnapshot() {
   const bool leads_others = m_node->Role() == NodeRole::kLeader &&
                             m_node->Members().replicas.size() > 1;
@@ -40,7 +40,7 @@
   LogSnapshot("snapshot_made", start);
 }
 
-template <typename Runtime>
+template <ReplicaRuntime Runtime>
 void Replica<Runtime>::LogSnapshot(std::string_view event,
                                    Instant start) const {
   telemetry::Log(telemetry::LogLevel::kInfo, event,
--- a/src/dotterelshift/app/replica_spool.h
+++ b/src/dotterelshift/app/replica_spool.h
@@ -7,13 +7,13 @@
 
 namespace dotterelshift::app {
 
-template <typename Runtime>
+template <ReplicaRuntime Runtime>
 void Replica<Runtime>::Spool(const wire::SpoolT& spool) {
   m_store->AppendSpool(EncodeSpool(spool));
   m_spool.Add(spool);
 }
 
-template <typename Runtime>
+template <ReplicaRuntime Runtime>
 void Replica<Runtime>::SendSpool() {
   if (m_spool.Empty()) return;
   std::vector<wire::CommandT> commands = m_spool.Some();
@@ -31,7 +31,7 @@
   m_callbacks.send(leader, peers::MakeFrame(std::move(propose)));
 }
 
-template <typename Runtime>
+template <ReplicaRuntime Runtime>
 void Replica<Runtime>::OnSpoolAnswers(
     const std::vector<wire::CommandAnswerT>& answers) {
   if (!m_spool.OnAnswers(answers)) return;
--- a/src/dotterelshift/app/replica_start.h
+++ b/src/dotterelshift/app/replica_start.h
@@ -12,7 +12,7 @@
 inline constexpr Duration kHousekeeping = 200ms;
 inline constexpr int kTicksBetweenRetries = 5;
 
-template <typename Runtime>
+template <ReplicaRuntime Runtime>
 Replica<Runtime>::Replica(Loop& loop, const ControlReplicaOptions& options,
                           ControlReplicaCallbacks callbacks)
     : m_loop(loop),
@@ -35,7 +35,7 @@
   SchedulePump();
 }
 
-template <typename Runtime>
+template <ReplicaRuntime Runtime>
 void Replica<Runtime>::Restore(storage::OpenedStore opened) {
   m_self = opened.log.self;
   for (const std::string& record : opened.spool)
@@ -53,7 +53,7 @@
 }
 
 // What a start found, so that it can be told from a later wait for the group.
-template <typename Runtime>
+template <ReplicaRuntime Runtime>
 void Replica<Runtime>::LogOpened(Instant start) const {
   telemetry::Log(
       telemetry::LogLevel::kInfo, "replica_opened",
@@ -67,7 +67,7 @@
        {"took_ms", std::to_string(MsSince(start))}});
 }
 
-template <typename Runtime>
+template <ReplicaRuntime Runtime>
 void Replica<Runtime>::OnHousekeeping() {
   m_housekeeping.ArmIn(kHousekeeping);
   TryToFound();
@@ -86,7 +86,7 @@
 
 // The leader heals the group; a replica that hears none says so to all control
 // hosts, because it may have been replaced while it was away.
-template <typename Runtime>
+template <ReplicaRuntime Runtime>
 void Replica<Runtime>::KeepMembers() {
   const Instant now = m_loop.Now();
   if (m_node->Role() == NodeRole::kLeader) {
@@ -101,13 +101,13 @@
   for (const HostId& host : m_callbacks.control_hosts()) SayHello(host, false);
 }
 
-template <typename Runtime>
+template <ReplicaRuntime Runtime>
 void Replica<Runtime>::SayHello(const HostId& host, bool answer_wanted) {
   m_callbacks.send(host,
                    peers::MakeFrame(m_discovery->Hello(View(), answer_wanted)));
 }
 
-template <typename Runtime>
+template <ReplicaRuntime Runtime>
 void Replica<Runtime>::OnHello(const HostId& from,
                                const wire::ReplicaHelloT& hello) {
   ++m_hellos;
@@ -117,7 +117,7 @@
   TryToFound();
 }
 
-template <typename Runtime>
+template <ReplicaRuntime Runtime>
 void Replica<Runtime>::TryToFound() {
   if (View().in_group) return m_discovery->EndFounding();
   if (m_trouble != ErrorKind::kNone) return;
@@ -137,7 +137,7 @@
   SchedulePump();
 }
 
-template <typename Runtime>
+template <ReplicaRuntime Runtime>
 HostId Replica<Runtime>::HostOf(ReplicaId id) const {
   if (id == m_self) return m_options.self;
   const auto heard = m_hosts.find(id);
