Documents are pushed to a few entries in a turn of the loop

What callers see: control loses its leader again just after a start, or when routes are changed on a large fleet. A leader sent each entry its document in one turn: when it began to act, and after each batch that it applied. Why it works: pushes have a turn of their own, in turns over the entries, and go on in the next one; what a turn has applied is pushed once. A beat is answered at once: an entry that starts waits for the version that the answer names, as before. The tests of pushes run the turns until none is left, where they called PushAll; what they assert is the same.

--- a/src/dotterelshift/app/control.cc
+++ b/src/dotterelshift/app/control.cc
@@ -92,6 +92,8 @@
                  const wire::GrantAnswerT& answer);
   void SendOrders();
   void SendOrder(const orders::OrderAction& action);
+  void SchedulePushes();
+  void PushSome();
   void OnTick();
   std::unique_ptr<wire::CommandIdT> NextId();
   void UpdateGauges();
@@ -116,6 +118,8 @@
   std::unique_ptr<http::Client> m_client;
   std::unique_ptr<orders::OrderCore> m_orders;
   loop::Timer m_tick;
+  loop::Timer m_push;
+  bool m_pushes_scheduled = false;
   Instant m_next_age_out{};
 };
 
@@ -132,7 +136,8 @@
       m_metrics(telemetry::MakeMetrics()),
       m_client(http::MakeClient(loop)),
       m_orders(orders::MakeOrderCore()),
-      m_tick(loop, [this] { OnTick(); }) {
+      m_tick(loop, [this] { OnTick(); }),
+      m_push(loop, [this] { PushSome(); }) {
   m_server = http::MakeServer(loop, ServerOptions(),
                               [this](std::shared_ptr<http::Exchange> exchange) {
                                 OnExchange(std::move(exchange));
@@ -328,9 +333,10 @@
   const HostId host = peer.run.host;
   m_replica->ConfirmedRead(
       [this, host, sequence = beat.sequence](ErrorKind error) {
-        if (error == ErrorKind::kNone)
-          return m_pushes->AnswerBeat(host, sequence, m_loop.WallNow(),
-                                      m_loop.Now());
+        if (error == ErrorKind::kNone) {
+          SchedulePushes();
+          return m_pushes->AnswerBeat(host, sequence, m_loop.WallNow());
+        }
         // An entry that has just started knows the seeds alone, and none of
         // them may lead.
         SendHint(host);
@@ -367,7 +373,7 @@
     if (request != nullptr && grant != nullptr)
       RecallFor(*command.id, *request, *grant);
   }
-  m_pushes->PushAll(m_loop.Now());
+  SchedulePushes();
   if (suspects) m_pushes->PushQuarantineToAll(m_loop.WallNow());
 }
 
@@ -418,11 +424,24 @@
       });
 }
 
+// In a turn of its own, so that what a turn has applied is pushed once, and the
+// group is served between the pushes to a large fleet.
+void Control::SchedulePushes() {
+  if (std::exchange(m_pushes_scheduled, true)) return;
+  m_push.ArmIn(0ms);
+}
+
+void Control::PushSome() {
+  m_pushes_scheduled = false;
+  if (!m_replica->Leads()) return;
+  if (m_pushes->PushSome(m_loop.Now())) SchedulePushes();
+}
+
 void Control::OnTick() {
   const Instant now = m_loop.Now();
   SendOrders();
   // What waited for an entry's connection to empty.
-  if (m_replica->Leads()) m_pushes->PushAll(now);
+  SchedulePushes();
   if (m_replica->Leads() && now >= m_next_age_out) {
     m_next_age_out = now + kAgeOutEvery;
     wire::CommandT command;
--- a/src/dotterelshift/app/entry_pushes.cc
+++ b/src/dotterelshift/app/entry_pushes.cc
@@ -20,6 +20,13 @@
 // memory once for each entry and version; one document for each entry remains.
 constexpr size_t kMostBacklogBytes = 64 << 10;
 
+// Bytes that one turn of the loop pushes. A document for each entry of a large
+// fleet in one turn kept a leader silent for longer than its lease bears.
+constexpr size_t kMostBytesInTurn = 256 << 10;
+
+// What one change of the configuration takes, about.
+constexpr size_t kBytesOfChange = 128;
+
 // For so long an entry that names an older version than the one that was sent
 // to it is taken to have not read that far. Sent again at each beat, the
 // documents of a fleet that starts at once would pile up behind each other
@@ -58,12 +65,10 @@
   if (!on_its_way) pushed.version = version;
 }
 
-// What the entry lacks goes first, so that it has what the answer names.
 void EntryPushes::AnswerBeat(const HostId& host, uint64_t sequence,
-                             WallMs stamp, Instant now) {
+                             WallMs stamp) {
   const auto entry = m_entries.find(host);
   if (entry == m_entries.end()) return;
-  Push(entry->second, now);
   const state::State& state = m_replica.GetState();
   wire::LeaderBeatT answer;
   answer.sequence = sequence;
@@ -83,20 +88,27 @@
   m_hub.Send(host, peers::MakeFrame(std::move(answer)));
 }
 
-void EntryPushes::PushAll(Instant now) {
-  for (auto& [host, entry] : m_entries) Push(entry, now);
+bool EntryPushes::PushSome(Instant now) {
+  size_t bytes = 0;
+  auto next = m_entries.upper_bound(m_pushed_last);
+  for (size_t i = 0; i < m_entries.size(); ++i, ++next) {
+    if (bytes >= kMostBytesInTurn) return true;
+    if (next == m_entries.end()) next = m_entries.begin();
+    bytes += Push(next->second, now);
+    m_pushed_last = next->first;
+  }
+  return false;
 }
 
-void EntryPushes::Push(Entry& entry, Instant now) {
-  if (m_hub.Backlog(entry.info.run.host) > kMostBacklogBytes) return;
-  PushConfiguration(entry, now);
-  PushRoutes(entry, now);
+size_t EntryPushes::Push(Entry& entry, Instant now) {
+  if (m_hub.Backlog(entry.info.run.host) > kMostBacklogBytes) return 0;
+  return PushConfiguration(entry, now) + PushRoutes(entry, now);
 }
 
-void EntryPushes::PushConfiguration(Entry& entry, Instant now) {
+size_t EntryPushes::PushConfiguration(Entry& entry, Instant now) {
   const state::State& state = m_replica.GetState();
   const uint64_t version = state.GetConfiguration().Version();
-  if (entry.configuration.version >= version) return;
+  if (entry.configuration.version >= version) return 0;
   std::vector<wire::ChangeT> changes;
   uint64_t from = entry.configuration.version;
   if (from > 0) changes = state.ChangesSince(from);
@@ -113,17 +125,19 @@
     push.changes.push_back(std::make_unique<wire::ChangeT>(std::move(change)));
   m_hub.Send(entry.info.run.host, peers::MakeFrame(std::move(push)));
   entry.configuration = {version, now};
+  return changes.size() * kBytesOfChange;
 }
 
-void EntryPushes::PushRoutes(Entry& entry, Instant now) {
+size_t EntryPushes::PushRoutes(Entry& entry, Instant now) {
   const state::PublishedRoutes published = m_replica.GetState().GetPublished();
-  if (entry.routes.version >= published.version) return;
+  if (entry.routes.version >= published.version) return 0;
   wire::RoutesPushT push;
   push.term = m_replica.GetNode().Term();
   push.version = published.version;
   push.document.assign(published.document.begin(), published.document.end());
   m_hub.Send(entry.info.run.host, peers::MakeFrame(std::move(push)));
   entry.routes = {published.version, now};
+  return published.document.size();
 }
 
 void EntryPushes::PushQuarantine(const HostId& entry, WallMs now) {
--- a/src/dotterelshift/app/entry_pushes.h
+++ b/src/dotterelshift/app/entry_pushes.h
@@ -29,11 +29,12 @@
   // The entry told which versions it has. False when it is not connected.
   bool OnBeat(const HostId& entry, const wire::EntryBeatT& beat, Instant now);
 
-  // Answers a beat, once a quorum has confirmed that this replica leads.
-  void AnswerBeat(const HostId& entry, uint64_t sequence, WallMs stamp,
-                  Instant now);
-  // Tells all entries what they lack.
-  void PushAll(Instant now);
+  // Answers a beat, once a quorum has confirmed that this replica leads. What
+  // the entry lacks is left to PushSome().
+  void AnswerBeat(const HostId& entry, uint64_t sequence, WallMs stamp);
+  // Tells entries what they lack, as many as one turn of the loop bears, in
+  // turns; true when there are more.
+  bool PushSome(Instant now);
   void PushQuarantine(const HostId& entry, WallMs now);
   void PushQuarantineToAll(WallMs now);
 
@@ -51,13 +52,15 @@
     Pushed routes;
   };
   static void OnHas(Pushed& pushed, uint64_t version, Instant now);
-  void Push(Entry& entry, Instant now);
-  void PushConfiguration(Entry& entry, Instant now);
-  void PushRoutes(Entry& entry, Instant now);
+  // Give the bytes that were sent, about.
+  size_t Push(Entry& entry, Instant now);
+  size_t PushConfiguration(Entry& entry, Instant now);
+  size_t PushRoutes(Entry& entry, Instant now);
 
   peers::Hub& m_hub;
   const ControlReplica& m_replica;
   std::map<HostId, Entry> m_entries;
+  HostId m_pushed_last;
 };
 
 }  // namespace dotterelshift::app
--- a/src/dotterelshift/app/entry_pushes_test.cc
+++ b/src/dotterelshift/app/entry_pushes_test.cc
@@ -68,6 +68,7 @@
   CPPUNIT_TEST_SUITE(EntryPushesTest);
   CPPUNIT_TEST(AFleetThatStartsIsSentOneDocumentEach);
   CPPUNIT_TEST(InAStormTheNewestReplacesWhatWaits);
+  CPPUNIT_TEST(ATurnPushesToAFewEntries);
   CPPUNIT_TEST(WhatWasLostIsSentAgain);
   CPPUNIT_TEST_SUITE_END();
 
@@ -80,7 +81,13 @@
     routes.version = version;
     routes.document.assign(kDocumentBytes, 1);
     m_control.Send(std::move(routes), 1);
-    m_pushes.PushAll(m_now);
+    PushAll();
+  }
+
+  // What the loop does in as many turns as it takes.
+  void PushAll() {
+    while (m_pushes.PushSome(m_now)) {
+    }
   }
 
   void Beat(const HostId& host, uint64_t version) {
@@ -88,7 +95,8 @@
     beat.sequence = ++m_beats;
     beat.routes_version = version;
     m_pushes.OnBeat(host, beat, m_now);
-    m_pushes.AnswerBeat(host, beat.sequence, 1, m_now);
+    m_pushes.AnswerBeat(host, beat.sequence, 1);
+    PushAll();
   }
 
   void StartEntries() {
@@ -118,12 +126,31 @@
     CPPUNIT_ASSERT_EQUAL(kDocumentBytes, m_hub.most);
     CPPUNIT_ASSERT_EQUAL(kEntries, m_hub.documents);
     m_hub.backlog.clear();
-    m_pushes.PushAll(m_now);
+    PushAll();
     CPPUNIT_ASSERT_EQUAL(2 * kEntries, m_hub.documents);
     for (const auto& [host, sent] : m_hub.versions)
       CPPUNIT_ASSERT_EQUAL(version, sent);
   }
 
+  // A leader that sent each of a large fleet its document in one turn of the
+  // loop lost its lease over it.
+  void ATurnPushesToAFewEntries() {
+    constexpr size_t kMostBytes = 256 << 10;
+    StartEntries();
+    wire::PublishRoutesT routes;
+    routes.version = 1;
+    routes.document.assign(kDocumentBytes, 1);
+    m_control.Send(std::move(routes), 1);
+    int before = 0;
+    for (bool more = true; more; before = m_hub.documents) {
+      more = m_pushes.PushSome(m_now);
+      const size_t documents = m_hub.documents - before;
+      CPPUNIT_ASSERT(documents * kDocumentBytes <= kMostBytes + kDocumentBytes);
+    }
+    CPPUNIT_ASSERT_EQUAL(kEntries, m_hub.documents);
+    CPPUNIT_ASSERT_EQUAL(size_t{kEntries}, m_hub.versions.size());
+  }
+
   // A document that the entry could not use, or a connection that is new.
   void WhatWasLostIsSentAgain() {
     StartEntries();
