A follower that needs the whole log is sent half a MB at a time

What callers see: control loses its leader again when hosts that lost their folders are taken in. Up to 16 MB of log for each follower were handed to its connection in one turn of the leader's loop. ALeaderStaysWhileItSendsItsLogToLostHosts: 2 elections before, 1 after. Why it works: 512 KB are under way to a follower and a message holds 256 KB; the acknowledgements pace the rest. At a round trip of 8 ms with its sync that is still 64 MB a second for each follower.

--- a/include/dotterelshift/replication/node.h
+++ b/include/dotterelshift/replication/node.h
@@ -20,7 +20,7 @@
   Duration election_least = 300ms;  // drawn between this and twice this
   Duration lease = 250ms;  // a leader leads for this long after a quorum's last
                            // confirmation, less drift
-  size_t max_append_bytes = 1 << 20;
+  size_t max_append_bytes = 256 << 10;
   size_t snapshot_piece_bytes = 256 << 10;
   uint64_t seed = 1;
 };
--- a/src/dotterelshift/app/replica_simulation.h
+++ b/src/dotterelshift/app/replica_simulation.h
@@ -28,6 +28,7 @@
   Duration command{};      // carrying out one command
   Duration open_entry{};   // reading one entry of the log at a start
   Duration snapshot{};     // making or reading one
+  Duration sent_kib{};     // sending a KiB of the log to another replica
 };
 
 // What a host's data folder holds.
@@ -194,12 +195,13 @@
       host.disk.log = replication::FirstLog(host.disk.log.self, m_members);
   }
 
-  // Writes this many committed commands into every folder.
-  void FillLogs(uint64_t commands) {
+  // Writes this many committed commands into every folder, in entries of at
+  // least this many bytes.
+  void FillLogs(uint64_t commands, size_t entry_bytes = 0) {
     for (auto& [name, host] : m_hosts)
       for (uint64_t i = 0; i < commands; ++i)
         host.disk.log.entries.push_back(
-            BatchEntry(host.disk.log.entries.back().index + 1));
+            BatchEntry(host.disk.log.entries.back().index + 1, entry_bytes));
   }
 
   void Start(const HostId& name) {
@@ -301,13 +303,13 @@
     std::unique_ptr<ControlReplica> replica;  // null: not running
   };
 
-  static wire::CommandBatchT OneBatch() {
+  static wire::LogEntryT BatchEntry(uint64_t index, size_t bytes) {
+    wire::PublishRoutesT routes;
+    routes.document.resize(bytes);
     wire::CommandBatchT batch;
     batch.commands.push_back(std::make_unique<wire::CommandT>());
-    return batch;
-  }
-  static wire::LogEntryT BatchEntry(uint64_t index) {
-    const std::string payload = EncodeBatch(OneBatch());
+    batch.commands.back()->body.Set(std::move(routes));
+    const std::string payload = EncodeBatch(batch);
     wire::LogEntryT entry;
     entry.index = index;
     entry.term = 1;
@@ -337,12 +339,21 @@
     return callbacks;
   }
 
+  static int64_t KibOfLog(const wire::FrameT& frame) {
+    size_t bytes = 0;
+    if (const wire::AppendRequestT* append = frame.body.AsAppendRequest())
+      for (const auto& entry : append->entries) bytes += entry->payload.size();
+    return static_cast<int64_t>(bytes >> 10);
+  }
+
   void Send(const HostId& from, const HostId& to, const wire::FrameT& frame) {
     const auto target = m_hosts.find(to);
     if (target == m_hosts.end() || !target->second.replica) return;
     HostLoop* loop = target->second.loop.get();
     if (frame.body.AsReplicaHello() != nullptr) ++m_hellos;
-    const Instant arrival = m_hosts.at(from).loop->Now() + kLatency;
+    HostLoop& sender_loop = *m_hosts.at(from).loop;
+    sender_loop.Spend(m_costs.sent_kib * KibOfLog(frame));
+    const Instant arrival = sender_loop.Now() + kLatency;
     m_time.Add(arrival, loop, [this, from, to, loop, frame] {
       loop->Spend(m_costs.frame);
       peers::PeerInfo sender;
--- a/src/dotterelshift/app/replica_start_test.cc
+++ b/src/dotterelshift/app/replica_start_test.cc
@@ -32,6 +32,7 @@
   CPPUNIT_TEST(LeaderStaysWhileItsLogIsCarriedOut);
   CPPUNIT_TEST(ALeaderActsOnceItsLogIsCarriedOut);
   CPPUNIT_TEST(ALeaderStaysWhenManyEntriesReturnAtOnce);
+  CPPUNIT_TEST(ALeaderStaysWhileItSendsItsLogToLostHosts);
   CPPUNIT_TEST(ReadsComeSoonAfterAStartHoweverLongTheGroupRan);
   CPPUNIT_TEST(WithoutALeaderHellosDoNotMultiply);
   CPPUNIT_TEST_SUITE_END();
@@ -94,6 +95,22 @@
     CPPUNIT_ASSERT_EQUAL(uint64_t{1}, group.Elections());
   }
 
+  // A host that has lost its folder is sent the whole log: handed to its
+  // connection in one turn of the loop, that is as long as the log.
+  void ALeaderStaysWhileItSendsItsLogToLostHosts() {
+    constexpr uint64_t kCommands = 100;
+    constexpr size_t kEntryBytes = 64 << 10;
+    WorkCosts costs;
+    costs.sent_kib = 200us;  // 1.3 s for the log
+    ReplicaSimulation group(kHosts, costs);
+    group.FillLogs(kCommands, kEntryBytes);
+    RestartAll(group);
+    group.RunFor(10s);
+    CPPUNIT_ASSERT_EQUAL(uint64_t{1}, group.Elections());
+    CPPUNIT_ASSERT_EQUAL(kCommands, group.CommandsAt("control-2"));
+    CPPUNIT_ASSERT_EQUAL(kCommands, group.CommandsAt("control-7"));
+  }
+
   // Five seconds from the start of all to the first confirmed read.
   void ReadsComeSoonAfterAStartHoweverLongTheGroupRan() {
     for (const uint64_t commands : {10, 100, 1000}) {
--- a/src/dotterelshift/replication/raft.h
+++ b/src/dotterelshift/replication/raft.h
@@ -26,8 +26,10 @@
   static constexpr bool kAcknowledgeAfterSync = true;
 };
 
-// Bytes of appended entries that may be under way to one follower.
-inline constexpr size_t kMaxBytesInFlight = 16 << 20;
+// Bytes of appended entries that may be under way to one follower. A leader
+// hands as much to a connection in one turn of its loop; a few followers that
+// need the whole log must not keep it from its heartbeats.
+inline constexpr size_t kMaxBytesInFlight = 512 << 10;
 
 // Entries before a snapshot that stay in memory for followers that are a little
 // behind.
