A new leader changes members only once its log is applied

What callers would see: a replica that was taken in and out again is taken in once more after a start. While a leader applies its log, the changes that plans in it ask for count as open until their memberships, later in the same log, are applied; the turn's proposals came between. Why it works: changes are proposed once the state holds all that earlier terms accepted, as Leads() asks.

--- a/src/dotterelshift/app/replica.h
+++ b/src/dotterelshift/app/replica.h
@@ -73,10 +73,7 @@
             m_hellos};
   }
   bool Leads() const override {
-    // A leader that has not applied what its predecessors accepted would act on
-    // what is out of date.
-    return m_trouble == ErrorKind::kNone &&
-           m_applied.last_index >= m_node->TermStart() &&
+    return m_trouble == ErrorKind::kNone && HasCaughtUp() &&
            m_loop.Now() < m_node->LeaseUntil();
   }
   HostId LeaderHost() const override { return HostOf(m_node->Leader()); }
@@ -126,6 +123,11 @@
   void OnSpoolAnswers(const std::vector<wire::CommandAnswerT>& answers);
 
   HostId HostOf(ReplicaId id) const;
+  // A leader that has not applied what its predecessors accepted would act on
+  // what is out of date.
+  bool HasCaughtUp() const {
+    return m_applied.last_index >= m_node->TermStart();
+  }
   // Milliseconds between an instant and now.
   int64_t MsSince(Instant start) const { return ToMs(m_loop.Now() - start); }
   ErrorKind WhyNotLeader() const {
--- a/src/dotterelshift/app/replica_pump.h
+++ b/src/dotterelshift/app/replica_pump.h
@@ -135,6 +135,8 @@
 
 template <ReplicaRuntime Runtime>
 void Replica<Runtime>::ProposeMemberChange() {
+  // Changes that its log asks for may have been made later in it.
+  if (!HasCaughtUp()) return;
   const std::optional<MemberChange> change = m_member_changes.Next();
   if (change)
     m_node->ProposeMember(change->replica, change->remove, m_loop.Now());
--- a/src/dotterelshift/app/replica_simulation.h
+++ b/src/dotterelshift/app/replica_simulation.h
@@ -4,7 +4,7 @@
 // Control replicas on one simulated clock, where reading, writing and carrying
 // out commands take time; for tests only.
 
-#include <algorithm>  // for min
+#include <algorithm>  // for any_of, min
 #include <cstdint>    // for uint64_t
 #include <map>        // for map
 #include <memory>     // for unique_ptr
@@ -18,6 +18,7 @@
 #include "dotterelshift/app/replica.h"             // for Replica
 #include "dotterelshift/app/simulated_loop.h"      // for SimulatedLoop
 #include "dotterelshift/replication/membership.h"  // for WithMember
+#include "dotterelshift/state/state_testing.h"     // for ConfirmOf
 
 namespace dotterelshift::app {
 
@@ -91,18 +92,31 @@
   HostLoop& m_loop;
 };
 
+// The replica that CountingState's one plan adds.
+inline constexpr ReplicaId kNewcomer = 1000;
+
 // A state that only counts the commands that it was given. Each costs time, and
-// so do snapshots.
+// so do snapshots. It knows one plan, which adds a replica.
 class CountingState : public state::State {
  public:
-  explicit CountingState(HostLoop& loop) : m_loop(loop) {}
+  explicit CountingState(HostLoop& loop) : m_loop(loop) {
+    wire::AddReplicaT addition;
+    addition.replica = kNewcomer;
+    addition.host = "newcomer";
+    m_plan.changes.push_back(std::make_unique<wire::ChangeT>());
+    m_plan.changes.back()->body.Set(std::move(addition));
+  }
 
   std::vector<wire::CommandAnswerT> Apply(
       const wire::CommandBatchT& batch) override {
     m_loop.Spend(m_loop.Costs().command *
                  static_cast<int64_t>(batch.commands.size()));
     m_commands += batch.commands.size();
-    return std::vector<wire::CommandAnswerT>(batch.commands.size());
+    std::vector<wire::CommandAnswerT> answers(batch.commands.size());
+    for (size_t i = 0; i < answers.size(); ++i)
+      if (batch.commands[i]->body.AsConfirmPlan() != nullptr)
+        answers[i].body.Set(Confirmed());
+    return answers;
   }
   std::string Snapshot() const override {
     m_loop.Spend(m_loop.Costs().snapshot);
@@ -130,7 +144,7 @@
     return {};
   }
   const wire::PlanT* FindPlan(const std::string&) const override {
-    return nullptr;
+    return &m_plan;
   }
   bool KnowsTopUp(const std::string&) const override { return false; }
   std::vector<wire::OrderT> Orders() const override { return {}; }
@@ -146,9 +160,16 @@
   WallMs LastStamp() const override { return 0; }
 
  private:
+  static wire::PlanAnswerT Confirmed() {
+    wire::PlanAnswerT answer;
+    answer.version = 1;
+    return answer;
+  }
+
   HostLoop& m_loop;
   uint64_t m_commands = 0;
   state::Configuration m_configuration;
+  wire::PlanT m_plan;
 };
 
 // What simulated replicas run on.
@@ -198,10 +219,30 @@
   // Writes this many committed commands into every folder, in entries of at
   // least this many bytes.
   void FillLogs(uint64_t commands, size_t entry_bytes = 0) {
-    for (auto& [name, host] : m_hosts)
-      for (uint64_t i = 0; i < commands; ++i)
-        host.disk.log.entries.push_back(
-            BatchEntry(host.disk.log.entries.back().index + 1, entry_bytes));
+    for (uint64_t i = 0; i < commands; ++i) {
+      wire::PublishRoutesT routes;
+      routes.document.resize(entry_bytes);
+      wire::CommandT command;
+      command.body.Set(std::move(routes));
+      AppendToLogs(BatchOf(std::move(command)), wire::LogEntryKind::Batch);
+    }
+  }
+  // Writes the confirmation of the plan into every folder.
+  void LogConfirmedPlan() {
+    wire::CommandT command;
+    command.body.Set(state::ConfirmOf("plan"));
+    AppendToLogs(BatchOf(std::move(command)), wire::LogEntryKind::Batch);
+  }
+  // Writes into every folder that the newcomer was taken in and out again.
+  void LogNewcomerCameAndWent() {
+    wire::ReplicaT newcomer;
+    newcomer.id = kNewcomer;
+    newcomer.host = "newcomer";
+    AppendToLogs(replication::EncodeMembership(
+                     replication::WithMember(m_members, newcomer)),
+                 wire::LogEntryKind::Membership);
+    AppendToLogs(replication::EncodeMembership(m_members),
+                 wire::LogEntryKind::Membership);
   }
 
   void Start(const HostId& name) {
@@ -273,6 +314,15 @@
     return RunUntil([&] { return *accepted == commands; }, limit);
   }
 
+  // Whether any replica has the newcomer among its members.
+  bool NewcomerIsMember() const {
+    return std::ranges::any_of(m_hosts, [](const auto& entry) {
+      const auto& replica = entry.second.replica;
+      return replica && replication::FindMember(replica->GetNode().Members(),
+                                                kNewcomer) != nullptr;
+    });
+  }
+
   HostId Leader() const {
     for (const auto& [name, host] : m_hosts)
       if (host.replica && host.replica->Leads()) return name;
@@ -303,19 +353,24 @@
     std::unique_ptr<ControlReplica> replica;  // null: not running
   };
 
-  static wire::LogEntryT BatchEntry(uint64_t index, size_t bytes) {
-    wire::PublishRoutesT routes;
-    routes.document.resize(bytes);
+  static std::vector<uint8_t> BatchOf(wire::CommandT command) {
     wire::CommandBatchT batch;
-    batch.commands.push_back(std::make_unique<wire::CommandT>());
-    batch.commands.back()->body.Set(std::move(routes));
+    batch.commands.push_back(
+        std::make_unique<wire::CommandT>(std::move(command)));
     const std::string payload = EncodeBatch(batch);
-    wire::LogEntryT entry;
-    entry.index = index;
-    entry.term = 1;
-    entry.kind = wire::LogEntryKind::Batch;
-    entry.payload.assign(payload.begin(), payload.end());
-    return entry;
+    return {payload.begin(), payload.end()};
+  }
+
+  void AppendToLogs(const std::vector<uint8_t>& payload,
+                    wire::LogEntryKind kind) {
+    for (auto& [name, host] : m_hosts) {
+      wire::LogEntryT entry;
+      entry.index = host.disk.log.entries.back().index + 1;
+      entry.term = 1;
+      entry.kind = kind;
+      entry.payload = payload;
+      host.disk.log.entries.push_back(std::move(entry));
+    }
   }
 
   ControlReplicaCallbacks CallbacksOf(const HostId& name) {
--- a/src/dotterelshift/app/replica_start_test.cc
+++ b/src/dotterelshift/app/replica_start_test.cc
@@ -31,6 +31,7 @@
   CPPUNIT_TEST_SUITE(ReplicaStartTest);
   CPPUNIT_TEST(LeaderStaysWhileItsLogIsCarriedOut);
   CPPUNIT_TEST(ALeaderActsOnceItsLogIsCarriedOut);
+  CPPUNIT_TEST(ALeaderChangesMembersOnceItsLogIsCarriedOut);
   CPPUNIT_TEST(ALeaderStaysWhenManyEntriesReturnAtOnce);
   CPPUNIT_TEST(ALeaderStaysWhileItSendsItsLogToLostHosts);
   CPPUNIT_TEST(ReadsComeSoonAfterAStartHoweverLongTheGroupRan);
@@ -81,6 +82,18 @@
     CPPUNIT_ASSERT_EQUAL(uint64_t{1}, group.TimesToldToLead());
   }
 
+  // Its log asks for a member that later came and went.
+  void ALeaderChangesMembersOnceItsLogIsCarriedOut() {
+    ReplicaSimulation group(kHosts, SlowHost());
+    group.LogConfirmedPlan();
+    group.FillLogs(100);
+    group.LogNewcomerCameAndWent();
+    RestartAll(group);
+    CPPUNIT_ASSERT(
+        !group.RunUntil([&] { return group.NewcomerIsMember(); }, 20s));
+    CPPUNIT_ASSERT(!group.Leader().empty());
+  }
+
   // Entries that were away send at once what they have kept: one batch of it
   // all is one turn of the loop, however the log is sliced.
   void ALeaderStaysWhenManyEntriesReturnAtOnce() {
