--- a/include/dotterelshift/peers/hub.h
+++ b/include/dotterelshift/peers/hub.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>     // for uint16_t
 #include <functional>  // for function
+#include <map>         // for map
 #include <memory>      // for unique_ptr
 #include <string>      // for string
 #include <vector>      // for vector
@@ -60,6 +61,8 @@
   uint64_t bytes_out = 0;
   uint64_t frames_in = 0;
   uint64_t frames_out = 0;
+  // Of frames that were handed over to be sent, by what they carry.
+  std::map<wire::FrameBody, uint64_t> bytes_out_by_body;
 };
 
 // What connections have not taken yet.
--- a/src/dotterelshift/app/gauges.cc
+++ b/src/dotterelshift/app/gauges.cc
@@ -1,5 +1,7 @@
 #include "dotterelshift/app/gauges.h"
 
+#include <string>  // for string
+
 namespace dotterelshift::app {
 namespace {
 
@@ -17,6 +19,11 @@
                      "Bytes from other daemons", Number(counters.bytes_in));
   metrics.SetCounter("dotterelshift_peer_bytes_out_total",
                      "Bytes to other daemons", Number(counters.bytes_out));
+  for (const auto& [body, bytes] : counters.bytes_out_by_body) {
+    const std::string name = wire::EnumNameFrameBody(body);
+    metrics.SetCounter("dotterelshift_peer_" + name + "_bytes_out_total",
+                       "Of these, frames of one kind", Number(bytes));
+  }
   SetGauges(metrics, {{"dotterelshift_peer_backlog_bytes",
                        "To other daemons, not yet taken by their connections",
                        Number(backlog.bytes)},
--- a/src/dotterelshift/peers/hub.cc
+++ b/src/dotterelshift/peers/hub.cc
@@ -409,8 +409,11 @@
 
 void TcpHub::SendOn(Connection& connection, const wire::FrameT& frame) {
   if (connection.closed) return;
+  const size_t before = connection.out.size();
   m_writer.Append(frame, &connection.out);
   ++m_counters.frames_out;
+  m_counters.bytes_out_by_body[frame.body.type] +=
+      connection.out.size() - before;
 }
 
 // Sends what is there. A failure only marks the connection; FlushAll() closes
