--- a/include/dotterelshift/gateway/fleet_load.h
+++ b/include/dotterelshift/gateway/fleet_load.h
@@ -2,6 +2,7 @@
 #define DOTTERELSHIFT_GATEWAY_FLEET_LOAD_H_
 
 #include <cstdint>        // for uint64_t
+#include <limits>         // for numeric_limits
 #include <map>            // for map
 #include <optional>       // for optional
 #include <string>         // for string
@@ -71,6 +72,8 @@
 // bear; so each request books its reading time behind those before it.
 class FleetLoad {
  public:
+  static constexpr size_t kAllNotes = std::numeric_limits<size_t>::max();
+
   explicit FleetLoad(const FleetLoadOptions& options) : m_options(options) {}
 
   // How many entries the fleet has.
@@ -101,8 +104,11 @@
   void OnUnreachable(EndpointKey endpoint, Instant now);
   void OnFull(EndpointKey endpoint, Instant now);
 
-  // What is to be told to the other entries since the last call.
-  std::vector<wire::LoadNote> TakeNotes();
+  // What is to be told to the other entries since the last call. Of more than
+  // `most` notes prompt parts are left out, the oldest first: without them the
+  // others choose worse, without the sums they would be wrong for good.
+  std::vector<wire::LoadNote> TakeNotes(size_t most = kAllNotes);
+  bool HasNotes() const { return !m_changes.empty() || !m_part_notes.empty(); }
   void OnNotes(const HostId& from, const wire::LoadNotesT& notes, Instant now);
   // An entry is gone: what it had under way is over.
   void OnEntryGone(const HostId& entry);
@@ -134,6 +140,8 @@
   double CostOf(const Load& load, const Placement& placement) const;
   Placement PlaceAt(EndpointKey key, const Load& load, const Prompt& prompt,
                     Instant now) const;
+  // Notes what has changed at an endpoint for the other entries.
+  void NoteChange(EndpointKey endpoint, Tokens prompt_tokens, int requests);
   void Book(Load& load, Tokens tokens, Instant now);
   static void ChangeOthers(Load& load, int change);
   void SetCapacity(Load& load) const;
@@ -144,7 +152,14 @@
   std::unordered_map<EndpointKey, Load> m_loads;
   std::unordered_map<ServiceName, std::vector<EndpointKey>> m_by_service;
   std::unordered_map<ServiceName, EngineSize> m_engines;
-  std::vector<wire::LoadNote> m_notes;
+  // Not told to the other entries yet: sums by endpoint, and prompt parts that
+  // are cached there now.
+  struct Change {
+    int32_t prompt_tokens = 0;
+    int32_t requests = 0;
+  };
+  std::map<EndpointKey, Change> m_changes;
+  std::vector<wire::LoadNote> m_part_notes;
   // What other entries have under way, to be taken back when they go.
   std::map<HostId, std::unordered_map<EndpointKey, int>> m_of_entries;
 };
--- a/include/dotterelshift/gateway/link_load_shedder.h
+++ b/include/dotterelshift/gateway/link_load_shedder.h
@@ -9,13 +9,13 @@
 
 struct LinkLoadShedderOptions {
   double bytes_per_second = 0;  // what the host's link carries; 0: not known
-  // Callers' requests may fill this part of the link for `window`; the rest is
-  // for answers, endpoints and the other daemons.
+  // So much of the link may be in use for `window`; the rest is for what
+  // callers on connections that stay still bring.
   double full_part = 0.6;
   Duration window = 1s;
-  // Back in rotation once requests need no more than this part, and not before
+  // Back in rotation once no more than this part is in use, and not before
   // `shed_least`: the balancer asks once a second and believes the second miss.
-  double clear_part = 0.3;
+  double clear_part = 0.45;
   Duration shed_least = 3s;
   // A caller that fills any entry must not keep all of them away.
   Duration shed_most = 6s;
@@ -34,12 +34,12 @@
   explicit LinkLoadShedder(const LinkLoadShedderOptions& options)
       : m_options(options) {}
 
-  // A request of so many bytes has come in.
-  void OnRequest(size_t bytes, Instant now);
+  // So many bytes have gone over the link, the busier way of the two.
+  void OnBytes(size_t bytes, Instant now);
   // Whether new connections should go elsewhere.
   bool IsShedding(Instant now);
 
-  // Of the link, the part that requests filled lately.
+  // Of the link, the part that was in use lately.
   double FilledPart(Instant now) const;
 
  private:
--- a/include/dotterelshift/http/client.h
+++ b/include/dotterelshift/http/client.h
@@ -63,6 +63,8 @@
   virtual bool Withdraw(TransferId transfer) = 0;
   virtual void Resume(TransferId transfer) = 0;
   virtual size_t OpenTransfers() const = 0;
+  // Of requests that have been handed to a connection, since the start.
+  virtual uint64_t BytesSent() const = 0;
 };
 
 struct ClientOptions {
--- a/include/dotterelshift/http/server.h
+++ b/include/dotterelshift/http/server.h
@@ -19,6 +19,9 @@
 
 using Headers = std::vector<std::pair<std::string, std::string>>;
 
+// Of the names and values.
+size_t BytesOf(const Headers& headers);
+
 // A request that has arrived whole.
 struct Request {
   std::string method;
@@ -74,16 +77,27 @@
   kSlowCaller,
 };
 
+// Told of connections that have not brought a request yet. Their first request
+// comes to the handler.
+struct ConnectionCallbacks {
+  std::function<void()> on_accepted;
+  std::function<void()> on_turned_away;
+  std::function<void()> on_unused_end;  // ended without a request
+};
+
 struct ServerOptions {
   std::string address = "127.0.0.1";  // an IP number
   uint16_t port = 0;                  // 0: the system chooses
   size_t max_head_bytes = 4 << 10;
   size_t max_body_bytes = 8 << 20;
   size_t max_connections = 4096;
+  // Connections that the system holds until the server takes them.
+  int listen_backlog = 1024;
   Duration receive_timeout =
       10s;  // for the whole head and body to arrive, and for idle connections
   // Makes the body of the server's own refusals; empty: a bare status.
   std::function<std::pair<int, std::string>(ServerRefusal)> refusal;
+  ConnectionCallbacks connections;
 };
 
 // An HTTP/1.1 server on the loop (libmicrohttpd, no threads of its own).
@@ -94,8 +108,17 @@
   virtual uint16_t Port() const = 0;
   // Exchanges begun and not ended.
   virtual size_t OpenExchanges() const = 0;
-  // Takes no more connections; those open go on.
+  virtual size_t OpenConnections() const = 0;
+  // Takes no more connections; those open go on. Who connects is turned away by
+  // the system, before a request is sent.
   virtual void StopAccepting() = 0;
+  // Takes connections again, on the same port; false when it cannot now.
+  virtual bool ResumeAccepting() = 0;
+  // While on, closes connections as they come, unread, so that callers know
+  // that nothing has run and may ask elsewhere at once.
+  virtual void TurnAway(bool on) = 0;
+  // Ends connections that wait for their caller's next request.
+  virtual void CloseIdle() = 0;
 };
 
 // Throws Error(kBadSettings) when the address cannot be bound.
--- a/src/dotterelshift/app/gateway_entry.cc
+++ b/src/dotterelshift/app/gateway_entry.cc
@@ -1,22 +1,22 @@
-#include <algorithm>  // for min, sort
-#include <cmath>      // for lround
+#include <algorithm>  // for min
 #include <optional>   // for optional
 #include <string>     // for string
 #include <utility>    // for move
 
-#include "dotterelshift/app/control_link.h"           // for ControlLink
-#include "dotterelshift/app/daemon.h"                 // for Daemon
-#include "dotterelshift/app/directory_exchange.h"     // for DirectoryExchange
-#include "dotterelshift/app/gateway_options.h"        // for CoreOptionsOf
-#include "dotterelshift/app/gateway_traffic.h"        // for GatewayTraffic
-#include "dotterelshift/app/gauges.h"                 // for SetGauges
-#include "dotterelshift/app/hub_options.h"            // for MakeHubOptions
-#include "dotterelshift/app/listen_options.h"         // for ListenOptions
-#include "dotterelshift/app/registration.h"           // for Registration
-#include "dotterelshift/callers/front.h"              // for AnswerError
-#include "dotterelshift/gateway/drain.h"              // for PlanDrain
-#include "dotterelshift/gateway/link_load_shedder.h"  // for LinkLoadShedder
-#include "dotterelshift/telemetry/log.h"              // for Log
+#include "dotterelshift/app/control_link.h"        // for ControlLink
+#include "dotterelshift/app/daemon.h"              // for Daemon
+#include "dotterelshift/app/directory_exchange.h"  // for DirectoryExchange
+#include "dotterelshift/app/gateway_options.h"     // for CoreOptionsOf
+#include "dotterelshift/app/gateway_traffic.h"     // for GatewayTraffic
+#include "dotterelshift/app/gauges.h"              // for SetGauges
+#include "dotterelshift/app/hub_options.h"         // for MakeHubOptions
+#include "dotterelshift/app/link_guard.h"          // for LinkGuard
+#include "dotterelshift/app/listen_options.h"      // for ListenOptions
+#include "dotterelshift/app/other_entries.h"       // for OtherEntries
+#include "dotterelshift/app/registration.h"        // for Registration
+#include "dotterelshift/callers/front.h"           // for AnswerError
+#include "dotterelshift/gateway/drain.h"           // for PlanDrain
+#include "dotterelshift/telemetry/log.h"           // for Log
 
 namespace dotterelshift::app {
 namespace {
@@ -47,8 +47,6 @@
   void OnPeerFrame(const peers::PeerInfo& peer, const wire::FrameT& frame);
   void OnEntryFrame(const peers::PeerInfo& peer, const wire::FrameT& frame);
   void TakeFromLink();
-  void SendToEntries(const wire::FrameT& frame);
-  void SendToSome(const wire::FrameT& frame);
   void TakeRoutes();
   void OnReach();
   void OnAnswer(const wire::CommandAnswerT& answer);
@@ -57,16 +55,17 @@
   std::unique_ptr<wire::CommandIdT> NextId();
   void OnTick();
   void WatchLink(Instant now);
+  LinkGuard::Traffic LinkTraffic() const;
   void SendToPeers();
   void ProposeSuspicion(const gateway::Suspicion& suspicion);
   void CheckDrained();
-  void EndAnswers();
+  void EndAnswers(bool drained);
   void ReturnHoldings();
   bool HasOpen() const;
   void UpdateGauges();
   bool IsReady() const {
     return m_reach != ControlReach::kNever && m_version > 0 && !m_drain &&
-           !m_shedding;
+           !m_link_guard.IsShedding();
   }
 
   loop::Loop& m_loop;
@@ -79,7 +78,7 @@
   gateway::FleetLoad m_load;
   gateway::HeldGrants m_budgets;
   gateway::RetryShare m_retries;
-  gateway::LinkLoadShedder m_link_shedder;
+  LinkGuard m_link_guard;
   quarantine::Blocklist m_blocklist;
   std::unique_ptr<gateway::Core> m_core;
   std::unique_ptr<telemetry::Metrics> m_metrics;
@@ -88,11 +87,11 @@
   std::unique_ptr<http::Server> m_health;
   std::unique_ptr<http::Server> m_metrics_server;
   std::unique_ptr<peers::Hub> m_hub;
+  std::unique_ptr<OtherEntries> m_others;
   ControlReach m_reach = ControlReach::kNever;
-  uint64_t m_version = 0;   // of the routes in force here
-  bool m_shedding = false;  // new connections are to go to other entries
+  uint64_t m_version = 0;  // of the routes in force here
+  bool m_closing = false;  // callers are asked to close their connections
   size_t m_entries = 1;
-  size_t m_next_asked = 0;  // whom the next borrow request goes to
   std::optional<gateway::DrainTimes> m_drain;
   std::optional<Instant> m_returning_since;
   loop::Timer m_tick;
@@ -117,7 +116,7 @@
       m_load(LoadOptionsOf(settings)),
       m_budgets({}, [this] { return NextId(); }),
       m_retries(RetryOptionsOf(settings)),
-      m_link_shedder(LinkOptionsOf(settings)),
+      m_link_guard(settings),
       m_core(gateway::MakeCore(CoreOptionsOf(incarnation), Parts())),
       m_metrics(telemetry::MakeMetrics()),
       m_traffic(std::make_unique<GatewayTraffic>(loop, *m_core, *m_dialect,
@@ -130,6 +129,8 @@
   m_hub = peers::MakeHub(
       loop, MakeHubOptions(settings, secret, incarnation, m_server->Port()),
       HubCallbacks());
+  m_others = std::make_unique<OtherEntries>(loop, *m_hub,
+                                            NotePacerOptionsOf(settings));
   m_directory.SetHub(m_hub.get());
   Register();
   m_tick.ArmIn(0ms);
@@ -140,7 +141,9 @@
 }
 
 void GatewayEntry::StartServers() {
-  m_server = http::MakeServer(m_loop, ListenOptions(m_settings),
+  http::ServerOptions options = ListenOptions(m_settings);
+  m_link_guard.SetOptions(options);
+  m_server = http::MakeServer(m_loop, options,
                               [this](std::shared_ptr<http::Exchange> exchange) {
                                 OnExchange(std::move(exchange));
                               });
@@ -160,11 +163,7 @@
 }
 
 void GatewayEntry::OnExchange(std::shared_ptr<http::Exchange> exchange) {
-  const http::Request& request = exchange->GetRequest();
-  size_t bytes = request.path.size() + request.body.size();
-  for (const auto& [name, value] : request.headers)
-    bytes += name.size() + value.size();
-  m_link_shedder.OnRequest(bytes, m_loop.Now());
+  m_link_guard.OnRequest(exchange->GetRequest());
   m_traffic->Accept(std::move(exchange));
 }
 
@@ -317,19 +316,22 @@
 // Callers on open connections go elsewhere, too: each answer asks them to
 // close.
 void GatewayEntry::WatchLink(Instant now) {
-  if (m_link_shedder.IsShedding(now) == m_shedding) return;
-  m_shedding = !m_shedding;
-  const double percent = 100 * m_link_shedder.FilledPart(now);
-  telemetry::Log(telemetry::LogLevel::kWarning,
-                 m_shedding ? "link_full" : "link_clear",
-                 {{"filled_percent", std::to_string(std::lround(percent))}});
-  if (!m_drain) m_traffic->SetClosing(m_shedding);
+  m_link_guard.Watch(*m_server, m_hub->Counters(), now);
+  const bool full = m_link_guard.IsFull(now);
+  if (std::exchange(m_closing, full) == full) return;
+  if (!m_drain) m_traffic->SetClosing(full);
+}
+
+LinkGuard::Traffic GatewayEntry::LinkTraffic() const {
+  const peers::HubCounters& peers = m_hub->Counters();
+  return {m_traffic->Bytes(), {peers.bytes_in, peers.bytes_out}};
 }
 
 // At the end of each turn of the loop: commands to control, load notes to the
 // other entries.
 void GatewayEntry::SendToPeers() {
   const Instant now = m_loop.Now();
+  m_link_guard.Adjust(*m_server, LinkTraffic(), now);
   if (m_returning_since) {
     ReturnHoldings();
   } else if (m_registration.Done()) {
@@ -341,30 +343,8 @@
   for (const auto& [host, frame] : m_link.TakeFrames(now))
     m_hub->Send(host, frame);
   for (wire::TokenBorrowT& borrow : m_budgets.TakeBorrows())
-    SendToSome(peers::MakeFrame(std::move(borrow)));
-  std::vector<wire::LoadNote> notes = m_load.TakeNotes();
-  if (notes.empty()) return;
-  wire::LoadNotesT body;
-  body.notes = std::move(notes);
-  SendToEntries(peers::MakeFrame(std::move(body)));
-}
-
-// Borrow requests go to a few entries at a time, each time to others: whoever
-// is asked lends, so that more would lend many times what is needed.
-void GatewayEntry::SendToSome(const wire::FrameT& frame) {
-  constexpr size_t kAskedAtOnce = 3;
-  std::vector<HostId> entries;
-  for (const peers::PeerInfo& peer : m_hub->Peers())
-    if (peer.role == wire::HostRole::Entry) entries.push_back(peer.run.host);
-  std::sort(entries.begin(), entries.end());
-  const size_t count = std::min(kAskedAtOnce, entries.size());
-  for (size_t i = 0; i < count; ++i)
-    m_hub->Send(entries[m_next_asked++ % entries.size()], frame);
-}
-
-void GatewayEntry::SendToEntries(const wire::FrameT& frame) {
-  for (const peers::PeerInfo& peer : m_hub->Peers())
-    if (peer.role == wire::HostRole::Entry) m_hub->Send(peer.run.host, frame);
+    m_others->SendToSome(peers::MakeFrame(std::move(borrow)));
+  m_others->SendNotes(m_load, now);
 }
 
 void GatewayEntry::ProposeSuspicion(const gateway::Suspicion& suspicion) {
@@ -420,6 +400,7 @@
         "Sent to control, or waiting for a leader",
         number(m_link.Unanswered())}});
   SetHubMetrics(*m_metrics, *m_hub);
+  m_link_guard.SetMetrics(*m_metrics);
 }
 
 // Only what may change while running: through whom the group is found.
@@ -444,7 +425,7 @@
   const Instant now = m_loop.Now();
   if (!m_returning_since) {
     const bool drained = now > m_drain->notice_end && !HasOpen();
-    if (drained || now >= m_drain->last_answer) EndAnswers();
+    if (drained || now >= m_drain->last_answer) EndAnswers(drained);
     return;
   }
   // What control does not take back now is lost with this run, and a caller
@@ -465,10 +446,19 @@
 
 // What is open is ended before the holdings go back, so that its spend is among
 // the last reports.
-void GatewayEntry::EndAnswers() {
+// `drained`: nothing is; else the line says what the stop waited for, a line of
+// each request follows.
+void GatewayEntry::EndAnswers(bool drained) {
   m_returning_since = m_loop.Now();
+  const Duration stopping = *m_returning_since - m_drain->begun;
+  const size_t exchanges = m_server->OpenExchanges();
+  const size_t answers = m_traffic->OpenAnswers();
   telemetry::Log(telemetry::LogLevel::kInfo, "shutdown_answers_ended",
-                 {{"open", std::to_string(m_core->OpenRequests())}});
+                 {{"why", drained ? "none_open" : "limit"},
+                  {"stopping_ms", std::to_string(ToMs(stopping))},
+                  {"open", std::to_string(m_core->OpenRequests())},
+                  {"answers", std::to_string(answers)},
+                  {"exchanges", std::to_string(exchanges)}});
   m_core->CutOpen(m_loop.Now());
   m_traffic->Pump();
   ReturnHoldings();
--- a/src/dotterelshift/app/gateway_options.cc
+++ b/src/dotterelshift/app/gateway_options.cc
@@ -1,6 +1,11 @@
 #include "dotterelshift/app/gateway_options.h"
 
 namespace dotterelshift::app {
+namespace {
+
+constexpr double kBytesPerMegabit = 1'000'000.0 / 8;
+
+}  // namespace
 
 RegistrationOptions RegistrationOptionsOf(const settings::Settings& settings,
                                           Incarnation incarnation) {
@@ -49,14 +54,27 @@
   return options;
 }
 
+gateway::LinkAdmissionOptions AdmissionOptionsOf(
+    const settings::Settings& settings) {
+  gateway::LinkAdmissionOptions options;
+  options.bytes_per_second = settings.link_mbit * kBytesPerMegabit;
+  return options;
+}
+
 gateway::LinkLoadShedderOptions LinkOptionsOf(
     const settings::Settings& settings) {
-  constexpr double kBytesPerMegabit = 1'000'000.0 / 8;
   gateway::LinkLoadShedderOptions options;
   options.bytes_per_second = settings.link_mbit * kBytesPerMegabit;
   return options;
 }
 
+gateway::LoadNotePacerOptions NotePacerOptionsOf(
+    const settings::Settings& settings) {
+  gateway::LoadNotePacerOptions options;
+  options.bytes_per_second = settings.link_mbit * kBytesPerMegabit;
+  return options;
+}
+
 gateway::CoreOptions CoreOptionsOf(Incarnation incarnation) {
   gateway::CoreOptions options;
   options.seed = incarnation;
--- a/src/dotterelshift/app/gateway_options.h
+++ b/src/dotterelshift/app/gateway_options.h
@@ -1,13 +1,15 @@
 #ifndef DOTTERELSHIFT_SRC_APP_GATEWAY_OPTIONS_H_
 #define DOTTERELSHIFT_SRC_APP_GATEWAY_OPTIONS_H_
 
-#include "dotterelshift/app/control_link.h"           // for ControlLinkOptions
-#include "dotterelshift/app/registration.h"           // for RegistrationOptions
-#include "dotterelshift/directory/directory.h"        // for DirectoryOptions
-#include "dotterelshift/directory/spread.h"           // for SpreadOptions
-#include "dotterelshift/gateway/core.h"               // for CoreOptions
+#include "dotterelshift/app/control_link.h"        // for ControlLinkOptions
+#include "dotterelshift/app/registration.h"        // for RegistrationOptions
+#include "dotterelshift/directory/directory.h"     // for DirectoryOptions
+#include "dotterelshift/directory/spread.h"        // for SpreadOptions
+#include "dotterelshift/gateway/core.h"            // for CoreOptions
+#include "dotterelshift/gateway/link_admission.h"  // for LinkAdmissionOptions
 #include "dotterelshift/gateway/link_load_shedder.h"  // for LinkLoadShedderOptions
-#include "dotterelshift/settings/settings.h"          // for Settings
+#include "dotterelshift/gateway/load_note_pacer.h"  // for LoadNotePacerOptions
+#include "dotterelshift/settings/settings.h"        // for Settings
 
 namespace dotterelshift::app {
 
@@ -19,8 +21,12 @@
 directory::SpreadOptions SpreadOptionsOf(const HostId& self);
 gateway::FleetLoadOptions LoadOptionsOf(const settings::Settings& settings);
 gateway::RetryShareOptions RetryOptionsOf(const settings::Settings& settings);
+gateway::LinkAdmissionOptions AdmissionOptionsOf(
+    const settings::Settings& settings);
 gateway::LinkLoadShedderOptions LinkOptionsOf(
     const settings::Settings& settings);
+gateway::LoadNotePacerOptions NotePacerOptionsOf(
+    const settings::Settings& settings);
 gateway::CoreOptions CoreOptionsOf(Incarnation incarnation);
 
 }  // namespace dotterelshift::app
--- a/src/dotterelshift/app/gateway_traffic.cc
+++ b/src/dotterelshift/app/gateway_traffic.cc
@@ -141,12 +141,14 @@
   Transfer& transfer = m_transfers[attempt];
   transfer.status = status;
   transfer.headers = headers;
+  m_answer_bytes += http::BytesOf(headers);
   m_core.OnHead(attempt, status, m_dialect.ReadMarks(status, headers),
                 m_loop.Now());
   Pump();
 }
 
 bool GatewayTraffic::OnPiece(AttemptId attempt, std::string_view piece) {
+  m_answer_bytes += piece.size();
   const auto transfer = m_transfers.find(attempt);
   if (transfer == m_transfers.end()) return true;
   if (!transfer->second.streamed) transfer->second.body.append(piece);
@@ -159,6 +161,10 @@
   return !open->second.paused;
 }
 
+gateway::LinkBytes GatewayTraffic::Bytes() const {
+  return {m_answer_bytes, m_answer_bytes + m_client->BytesSent()};
+}
+
 void GatewayTraffic::OnEnd(AttemptId attempt, http::TransferEnd end) {
   m_core.OnEnd(attempt, end, m_loop.Now());
   Pump();
--- a/src/dotterelshift/app/gateway_traffic.h
+++ b/src/dotterelshift/app/gateway_traffic.h
@@ -5,12 +5,13 @@
 #include <string>         // for string
 #include <unordered_map>  // for unordered_map
 
-#include "dotterelshift/gateway/core.h"       // for Core
-#include "dotterelshift/gateway/dialect.h"    // for Dialect
-#include "dotterelshift/http/client.h"        // for Client
-#include "dotterelshift/http/server.h"        // for Exchange
-#include "dotterelshift/loop/loop.h"          // for Loop
-#include "dotterelshift/telemetry/metrics.h"  // for Metrics
+#include "dotterelshift/gateway/core.h"            // for Core
+#include "dotterelshift/gateway/dialect.h"         // for Dialect
+#include "dotterelshift/gateway/link_admission.h"  // for LinkBytes
+#include "dotterelshift/http/client.h"             // for Client
+#include "dotterelshift/http/server.h"             // for Exchange
+#include "dotterelshift/loop/loop.h"               // for Loop
+#include "dotterelshift/telemetry/metrics.h"       // for Metrics
 
 namespace dotterelshift::app {
 
@@ -29,6 +30,9 @@
   void SetClosing(bool closing) { m_closing = closing; }
   size_t OpenAnswers() const { return m_open.size(); }
 
+  // What went to endpoints, and what they answered, which went on to callers.
+  gateway::LinkBytes Bytes() const;
+
  private:
   // A caller's request and what is kept of its answer.
   struct Open {
@@ -77,6 +81,7 @@
   std::unordered_map<AttemptId, Transfer> m_transfers;
   RequestId m_last_request = 0;
   bool m_closing = false;
+  uint64_t m_answer_bytes = 0;
   bool m_pumping = false;
   loop::Timer m_timer;
 };
--- /dev/null
+++ b/src/dotterelshift/app/link_guard.cc
@@ -0,0 +1,208 @@
+#include "dotterelshift/app/link_guard.h"
+
+#include <algorithm>  // for max, min
+#include <cmath>      // for lround
+#include <string>     // for to_string
+#include <utility>    // for exchange
+
+#include "dotterelshift/app/gateway_options.h"  // for AdmissionOptionsOf
+#include "dotterelshift/telemetry/log.h"        // for Log
+
+namespace dotterelshift::app {
+namespace {
+
+// One line for this time at the most.
+constexpr Duration kSummaryEvery = 1s;
+
+// A link in use by less is not worth a line.
+constexpr double kWorthALine = 0.5;
+
+// Connections that the system holds until they are taken, as time of the link:
+// what waits there has sent its first bytes.
+constexpr Duration kBacklog = 500ms;
+
+// Callers are asked to close their connections until so long after the last
+// time at which no more could be taken.
+constexpr Duration kFullFor = 1s;
+
+// Without room for so long, connections that are idle are ended, too: each may
+// bring a request at any moment.
+constexpr Duration kIdleMayStay = 200ms;
+
+std::string Ms(Duration duration) { return std::to_string(ToMs(duration)); }
+
+// The kind of frame that most bytes have gone into since an earlier count, and
+// how many.
+std::string MostOf(const std::map<wire::FrameBody, uint64_t>& bytes,
+                   const std::map<wire::FrameBody, uint64_t>& earlier) {
+  uint64_t most = 0;
+  std::string name = "none";
+  for (const auto& [body, count] : bytes) {
+    const auto before = earlier.find(body);
+    const uint64_t fresh =
+        count - (before == earlier.end() ? 0 : before->second);
+    if (fresh <= most) continue;
+    most = fresh;
+    name = wire::EnumNameFrameBody(body);
+  }
+  return name + ":" + std::to_string(most);
+}
+
+uint64_t BytesOf(const http::Request& request) {
+  return request.path.size() + request.query.size() +
+         http::BytesOf(request.headers) + request.body.size();
+}
+
+}  // namespace
+
+LinkGuard::LinkGuard(const settings::Settings& settings)
+    : m_bytes_per_second(AdmissionOptionsOf(settings).bytes_per_second),
+      m_admission(AdmissionOptionsOf(settings)),
+      m_shedder(LinkOptionsOf(settings)) {}
+
+void LinkGuard::SetOptions(http::ServerOptions& options) {
+  if (m_admission.IsBounded()) {
+    const double requests = m_bytes_per_second *
+                            std::chrono::duration<double>(kBacklog).count() /
+                            gateway::LinkAdmissionOptions().first_request_bytes;
+    options.listen_backlog = static_cast<int>(
+        std::min<double>(options.listen_backlog, std::max(1.0, requests)));
+  }
+  options.connections.on_accepted = [this] {
+    ++m_summary.accepted;
+    m_admission.OnConnected();
+  };
+  options.connections.on_turned_away = [this] {
+    ++m_summary.turned_away;
+    ++m_turned_away;
+  };
+  options.connections.on_unused_end = [this] {
+    ++m_summary.unused_ends;
+    m_admission.OnUnusedEnd();
+  };
+}
+
+void LinkGuard::OnRequest(const http::Request& request) {
+  const uint64_t bytes = BytesOf(request);
+  ++m_summary.requests;
+  m_request_bytes += bytes;
+  if (request.kept) {
+    ++m_summary.kept_requests;
+    m_admission.OnBytes({bytes, 0});
+  } else {
+    m_admission.OnFirstRequest(bytes);
+  }
+}
+
+void LinkGuard::Adjust(http::Server& server, const Traffic& traffic,
+                       Instant now) {
+  const Traffic last = std::exchange(m_counted, traffic);
+  const gateway::LinkBytes peers = traffic.peers - last.peers;
+  const gateway::LinkBytes fresh = traffic.endpoints - last.endpoints + peers;
+  m_admission.OnBytes(fresh);
+  m_summary.peer_bytes = m_summary.peer_bytes + peers;
+  const uint64_t in = fresh.in + std::exchange(m_request_bytes, 0);
+  m_summary.bytes.in += in;
+  m_summary.bytes.out += fresh.out;
+  m_shedder.OnBytes(std::max(in, fresh.out), now);
+  const gateway::Entrance entrance = m_admission.Decide(now);
+  if (entrance != gateway::Entrance::kTakes) m_last_paused = now;
+  if (entrance != m_entrance) Enter(entrance, server, now);
+}
+
+void LinkGuard::Enter(gateway::Entrance entrance, http::Server& server,
+                      Instant now) {
+  const bool listens = entrance != gateway::Entrance::kShut;
+  const bool listened = m_entrance != gateway::Entrance::kShut;
+  if (listens && !listened && !Listen(server, now)) return;
+  if (!listens) StopListening(server, now);
+  server.TurnAway(entrance == gateway::Entrance::kTurnsAway);
+  m_entrance = entrance;
+}
+
+void LinkGuard::StopListening(http::Server& server, Instant now) {
+  server.StopAccepting();
+  m_shut_since = now;
+  m_summary.shut_counted_to = now;
+  ++m_summary.shuts;
+  ++m_shuts;
+}
+
+// When it cannot, it is tried again at the next turn; one line is enough.
+bool LinkGuard::Listen(http::Server& server, Instant now) {
+  const bool listens = server.ResumeAccepting();
+  if (!listens && !m_listen_failed)
+    telemetry::Log(telemetry::LogLevel::kError, "listen_failed");
+  m_listen_failed = !listens;
+  if (listens) m_summary.shut += now - m_summary.shut_counted_to;
+  return listens;
+}
+
+bool LinkGuard::IsFull(Instant now) const {
+  return m_last_paused != Instant{} && now - m_last_paused < kFullFor;
+}
+
+void LinkGuard::Watch(http::Server& server, const peers::HubCounters& peers,
+                      Instant now) {
+  WatchShedding(now);
+  const bool shut = m_entrance == gateway::Entrance::kShut;
+  const bool close_idle = shut && now - m_shut_since >= kIdleMayStay;
+  if (close_idle && now - m_idle_closed >= kIdleMayStay) {
+    m_idle_closed = now;
+    server.CloseIdle();
+  }
+  if (now - m_summary.since >= kSummaryEvery) LogSummary(server, peers, now);
+}
+
+void LinkGuard::SetMetrics(telemetry::Metrics& metrics) const {
+  metrics.SetCounter("dotterelshift_connections_turned_away_total",
+                     "Closed unread, as the link was full",
+                     static_cast<double>(m_turned_away));
+  metrics.SetCounter("dotterelshift_listening_stopped_total",
+                     "Times that no connection was taken, for the same reason",
+                     static_cast<double>(m_shuts));
+}
+
+void LinkGuard::WatchShedding(Instant now) {
+  if (m_shedder.IsShedding(now) == m_shedding) return;
+  m_shedding = !m_shedding;
+  const double percent = 100 * m_shedder.FilledPart(now);
+  telemetry::Log(telemetry::LogLevel::kWarning,
+                 m_shedding ? "link_full" : "link_clear",
+                 {{"filled_percent", std::to_string(std::lround(percent))}});
+}
+
+void LinkGuard::LogSummary(const http::Server& server,
+                           const peers::HubCounters& peers, Instant now) {
+  if (m_entrance == gateway::Entrance::kShut)
+    m_summary.shut += now - m_summary.shut_counted_to;
+  const Summary last = std::exchange(m_summary, {});
+  m_summary.since = now;
+  m_summary.shut_counted_to = now;
+  const std::map<wire::FrameBody, uint64_t> frames_before =
+      std::exchange(m_frame_bytes, peers.bytes_out_by_body);
+  const double most = m_bytes_per_second *
+                      std::chrono::duration<double>(now - last.since).count();
+  const auto filled =
+      static_cast<double>(std::max(last.bytes.in, last.bytes.out));
+  if (most <= 0 || filled < most * kWorthALine) return;
+  telemetry::Log(
+      telemetry::LogLevel::kInfo, "link_load",
+      {{"filled_percent", std::to_string(std::lround(100 * filled / most))},
+       {"bytes_in", std::to_string(last.bytes.in)},
+       {"bytes_out", std::to_string(last.bytes.out)},
+       {"peer_bytes_in", std::to_string(last.peer_bytes.in)},
+       {"peer_bytes_out", std::to_string(last.peer_bytes.out)},
+       {"frames_out", MostOf(peers.bytes_out_by_body, frames_before)},
+       {"requests", std::to_string(last.requests)},
+       {"on_kept_connections", std::to_string(last.kept_requests)},
+       {"accepted", std::to_string(last.accepted)},
+       {"unused_ends", std::to_string(last.unused_ends)},
+       {"turned_away", std::to_string(last.turned_away)},
+       {"shuts", std::to_string(last.shuts)},
+       {"shut_ms", Ms(last.shut)},
+       {"connections", std::to_string(server.OpenConnections())},
+       {"open", std::to_string(server.OpenExchanges())}});
+}
+
+}  // namespace dotterelshift::app
--- /dev/null
+++ b/src/dotterelshift/app/link_guard.h
@@ -0,0 +1,90 @@
+#ifndef DOTTERELSHIFT_SRC_APP_LINK_GUARD_H_
+#define DOTTERELSHIFT_SRC_APP_LINK_GUARD_H_
+
+#include <map>  // for map
+
+#include "dotterelshift/gateway/link_admission.h"     // for LinkAdmission
+#include "dotterelshift/gateway/link_load_shedder.h"  // for LinkLoadShedder
+#include "dotterelshift/http/server.h"                // for Server
+#include "dotterelshift/peers/hub.h"                  // for HubCounters
+#include "dotterelshift/settings/settings.h"          // for Settings
+#include "dotterelshift/telemetry/metrics.h"          // for Metrics
+
+namespace dotterelshift::app {
+
+// Keeps what callers bring to an entry within what its host's link carries:
+// takes connections while there is room, asks callers to close theirs when
+// there is none, and ends those that are idle. Logs a line a second while the
+// link is half full.
+class LinkGuard {
+ public:
+  explicit LinkGuard(const settings::Settings& settings);
+
+  // Has `options` report connections here, and bounds what the system holds of
+  // them. The guard outlives the server.
+  void SetOptions(http::ServerOptions& options);
+
+  // A request of a caller is whole.
+  void OnRequest(const http::Request& request);
+
+  // What has gone over the link since the start, but for callers' requests.
+  struct Traffic {
+    gateway::LinkBytes endpoints;  // attempts, and answers that went on
+    gateway::LinkBytes peers;
+  };
+  // Takes connections, or ceases to, as the link asks for.
+  void Adjust(http::Server& server, const Traffic& traffic, Instant now);
+  // Looks at what has lasted: ends idle connections, and logs.
+  void Watch(http::Server& server, const peers::HubCounters& peers,
+             Instant now);
+
+  // Callers should not send their next request on the same connection.
+  bool IsFull(Instant now) const;
+  // The balancer should send new connections to other entries.
+  bool IsShedding() const { return m_shedding; }
+
+  void SetMetrics(telemetry::Metrics& metrics) const;
+
+ private:
+  // What happened since the last line.
+  struct Summary {
+    Instant since{};
+    size_t accepted = 0;
+    size_t unused_ends = 0;
+    size_t requests = 0;
+    size_t kept_requests = 0;  // of these, on connections used before
+    gateway::LinkBytes bytes;
+    gateway::LinkBytes peer_bytes;  // of these, to and from other daemons
+    size_t turned_away = 0;
+    size_t shuts = 0;
+    Duration shut{};
+    Instant shut_counted_to{};  // while it goes on
+  };
+
+  void Enter(gateway::Entrance entrance, http::Server& server, Instant now);
+  void StopListening(http::Server& server, Instant now);
+  bool Listen(http::Server& server, Instant now);
+  void WatchShedding(Instant now);
+  void LogSummary(const http::Server& server, const peers::HubCounters& peers,
+                  Instant now);
+
+  const double m_bytes_per_second;
+  gateway::LinkAdmission m_admission;
+  gateway::LinkLoadShedder m_shedder;
+  Traffic m_counted;             // at the last Adjust()
+  uint64_t m_request_bytes = 0;  // since then
+  Summary m_summary;
+  std::map<wire::FrameBody, uint64_t> m_frame_bytes;  // at the last summary
+  gateway::Entrance m_entrance = gateway::Entrance::kTakes;
+  Instant m_shut_since{};
+  Instant m_last_paused{};  // a moment at which connections were not taken
+  Instant m_idle_closed{};
+  bool m_listen_failed = false;
+  bool m_shedding = false;
+  uint64_t m_turned_away = 0;  // since the start
+  uint64_t m_shuts = 0;
+};
+
+}  // namespace dotterelshift::app
+
+#endif  // DOTTERELSHIFT_SRC_APP_LINK_GUARD_H_
--- /dev/null
+++ b/src/dotterelshift/app/other_entries.cc
@@ -0,0 +1,47 @@
+#include "dotterelshift/app/other_entries.h"
+
+#include <algorithm>  // for min, sort
+#include <utility>    // for move
+
+namespace dotterelshift::app {
+namespace {
+
+// Entries that one frame of SendToSome() goes to.
+constexpr size_t kAskedAtOnce = 3;
+
+}  // namespace
+
+// The timer only has the loop turn.
+OtherEntries::OtherEntries(loop::Loop& loop, peers::Hub& hub,
+                           const gateway::LoadNotePacerOptions& notes)
+    : m_hub(hub), m_note_pacer(notes), m_note_timer(loop, [] {}) {}
+
+std::vector<HostId> OtherEntries::Hosts() const {
+  std::vector<HostId> hosts;
+  for (const peers::PeerInfo& peer : m_hub.Peers())
+    if (peer.role == wire::HostRole::Entry) hosts.push_back(peer.run.host);
+  std::sort(hosts.begin(), hosts.end());
+  return hosts;
+}
+
+void OtherEntries::SendNotes(gateway::FleetLoad& load, Instant now) {
+  if (!load.HasNotes()) return;
+  if (!m_note_pacer.MaySend(now))
+    return m_note_timer.ArmAt(m_note_pacer.Next());
+  const std::vector<HostId> hosts = Hosts();
+  wire::LoadNotesT body;
+  body.notes = load.TakeNotes(m_note_pacer.Most(hosts.size()));
+  m_note_pacer.OnSent(body.notes.size(), hosts.size(), now);
+  if (body.notes.empty()) return;
+  const wire::FrameT frame = peers::MakeFrame(std::move(body));
+  for (const HostId& host : hosts) m_hub.Send(host, frame);
+}
+
+void OtherEntries::SendToSome(const wire::FrameT& frame) {
+  const std::vector<HostId> hosts = Hosts();
+  const size_t count = std::min(kAskedAtOnce, hosts.size());
+  for (size_t i = 0; i < count; ++i)
+    m_hub.Send(hosts[m_next_asked++ % hosts.size()], frame);
+}
+
+}  // namespace dotterelshift::app
--- a/src/dotterelshift/gateway/fleet_load.cc
+++ b/src/dotterelshift/gateway/fleet_load.cc
@@ -137,17 +137,12 @@
   Load& load = found->second;
   ++load.own;
   Book(load, placement.tokens_to_read, now);
-  auto tokens = static_cast<int32_t>(placement.tokens_to_read);
-  int32_t requests = 1;
+  NoteChange(placement.endpoint, placement.tokens_to_read, 1);
   for (const PromptPart& part : prompt.parts) {
     load.cache.Touch(part.hash, part.tokens);
-    m_notes.emplace_back(placement.endpoint, part.hash, tokens,
-                         static_cast<int32_t>(part.tokens), requests);
-    tokens = 0;
-    requests = 0;
+    m_part_notes.emplace_back(placement.endpoint, part.hash, 0,
+                              static_cast<int32_t>(part.tokens), 0);
   }
-  if (requests > 0)
-    m_notes.emplace_back(placement.endpoint, 0, tokens, 0, requests);
 }
 
 void FleetLoad::OnRead(EndpointKey endpoint, Instant now) {
@@ -161,7 +156,7 @@
   const auto found = m_loads.find(endpoint);
   if (found == m_loads.end() || found->second.own == 0) return;
   --found->second.own;
-  m_notes.emplace_back(endpoint, 0, 0, 0, -1);
+  NoteChange(endpoint, 0, -1);
 }
 
 void FleetLoad::OnGood(EndpointKey endpoint) {
@@ -195,8 +190,33 @@
     found->second.full_until = now + m_options.full_for;
 }
 
-std::vector<wire::LoadNote> FleetLoad::TakeNotes() {
-  return std::exchange(m_notes, {});
+void FleetLoad::NoteChange(EndpointKey endpoint, Tokens prompt_tokens,
+                           int requests) {
+  Change& change = m_changes[endpoint];
+  change.prompt_tokens += static_cast<int32_t>(prompt_tokens);
+  change.requests += requests;
+}
+
+// An endpoint's sums go with the first note of one of its parts.
+std::vector<wire::LoadNote> FleetLoad::TakeNotes(size_t most) {
+  std::map<EndpointKey, Change> changes = std::exchange(m_changes, {});
+  std::vector<wire::LoadNote> notes = std::exchange(m_part_notes, {});
+  const size_t parts = most - std::min(most, changes.size());
+  if (notes.size() > parts)
+    notes.erase(notes.begin(), notes.end() - static_cast<ptrdiff_t>(parts));
+  for (wire::LoadNote& note : notes) {
+    const auto change = changes.find(note.endpoint());
+    if (change == changes.end()) continue;
+    note = wire::LoadNote(note.endpoint(), note.part(),
+                          change->second.prompt_tokens, note.part_tokens(),
+                          change->second.requests);
+    changes.erase(change);
+  }
+  for (const auto& [endpoint, change] : changes) {
+    if (change.prompt_tokens == 0 && change.requests == 0) continue;
+    notes.emplace_back(endpoint, 0, change.prompt_tokens, 0, change.requests);
+  }
+  return notes;
 }
 
 // An endpoint that was forgotten for a while begins at zero again, so that less
--- a/src/dotterelshift/gateway/fleet_load_test.cc
+++ b/src/dotterelshift/gateway/fleet_load_test.cc
@@ -17,6 +17,7 @@
   CPPUNIT_TEST(NotesOfOtherEntriesCountAsOwnWork);
   CPPUNIT_TEST(SharedPartsDrawRequestsUntilTheirOwnerIsBusy);
   CPPUNIT_TEST(WhatAnEntryHadUnderWayEndsWithIt);
+  CPPUNIT_TEST(NotesThatGatherAreSummedAndPartsLeftOutFirst);
   CPPUNIT_TEST(FailuresInARowAreAvoidedForAWhile);
   CPPUNIT_TEST_SUITE_END();
 
@@ -109,6 +110,29 @@
     CPPUNIT_ASSERT_EQUAL(uint32_t{0}, m_load->Running(KeyOf("a")));
   }
 
+  // Guards against counts at the other entries that stay wrong because notes
+  // were left out of a batch.
+  void NotesThatGatherAreSummedAndPartsLeftOutFirst() {
+    std::vector<EndpointKey> given;
+    for (uint64_t part = 1; part <= 6; ++part)
+      given.push_back(Give(PromptOf(kLong, part)).endpoint);
+    m_load->OnEnded(given.front());
+    const std::vector<wire::LoadNote> notes = m_load->TakeNotes(3);
+    CPPUNIT_ASSERT(notes.size() <= 3);
+    int requests = 0;
+    Tokens tokens = 0;
+    for (const wire::LoadNote& note : notes) {
+      requests += note.requests();
+      tokens += note.prompt_tokens();
+    }
+    CPPUNIT_ASSERT_EQUAL(5, requests);
+    CPPUNIT_ASSERT_EQUAL(6 * kLong, tokens);
+    CPPUNIT_ASSERT(m_load->TakeNotes().empty());
+    // What began and ended meanwhile is not worth a note.
+    m_load->OnEnded(Give(PromptOf(0)).endpoint);
+    CPPUNIT_ASSERT(m_load->TakeNotes().empty());
+  }
+
   void FailuresInARowAreAvoidedForAWhile() {
     const EndpointKey bad = KeyOf("a");
     m_load->OnFailed(bad, m_now);
--- /dev/null
+++ b/src/dotterelshift/gateway/link_admission_test.cc
@@ -0,0 +1,216 @@
+#include "dotterelshift/gateway/link_admission.h"
+
+#include <cppunit/extensions/HelperMacros.h>  // for CPPUNIT_TEST
+
+#include <algorithm>  // for max
+#include <deque>      // for deque
+#include <random>     // for mt19937_64
+
+namespace dotterelshift::gateway {
+namespace {
+
+// A link of 10 Mbit/s, and short prompts, one on each connection.
+constexpr double kLink = 1'250'000;
+constexpr size_t kPromptBytes = 6'000;
+
+// Answers, news and closes stand behind what has been let in.
+constexpr Duration kLongestQueue = 300ms;
+
+Duration Seconds(double seconds) {
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(seconds));
+}
+
+// A link that carries first what came first. Callers connect at random moments
+// and send their prompt at once when they are let in.
+class Link {
+ public:
+  Link(LinkAdmission& admission, double bytes_per_second)
+      : m_admission(admission), m_rate(bytes_per_second) {}
+
+  // Callers bring `demand` times what the link carries, for so long.
+  void Run(double demand, size_t prompt_bytes, Duration time) {
+    const double per_second =
+        demand * m_rate / static_cast<double>(prompt_bytes);
+    std::exponential_distribution<double> gap(per_second);
+    const Instant end = m_now + time;
+    while (m_now < end) {
+      m_now += Seconds(gap(m_random));
+      Deliver();
+      Connect(prompt_bytes);
+    }
+  }
+
+  // A caller who is let in brings its prompt; whether it was.
+  bool Connect(size_t prompt_bytes) {
+    if (m_admission.Decide(m_now) != Entrance::kTakes) return false;
+    m_admission.OnConnected();
+    Bring(prompt_bytes, true);
+    return true;
+  }
+
+  // Callers who have been let in before bring so much at once.
+  void BringOnKept(size_t prompt_bytes) { Bring(prompt_bytes, false); }
+
+  // Lets time pass in which nobody comes.
+  void Rest(Duration time) {
+    m_now += time;
+    Deliver();
+  }
+
+  Instant Now() const { return m_now; }
+  bool IsIdle() const { return m_prompts.empty(); }
+  Duration Longest() const { return m_longest; }
+  double Carried() const { return m_carried; }
+
+ private:
+  struct Prompt {
+    Instant whole;
+    size_t bytes;
+    bool first;
+  };
+
+  void Bring(size_t bytes, bool first) {
+    m_free_at = std::max(m_free_at, m_now) +
+                Seconds(static_cast<double>(bytes) / m_rate);
+    m_carried += static_cast<double>(bytes);
+    m_prompts.push_back({m_free_at, bytes, first});
+    m_longest = std::max(m_longest, m_free_at - m_now);
+  }
+
+  void Deliver() {
+    while (!m_prompts.empty() && m_prompts.front().whole <= m_now) {
+      const Prompt prompt = m_prompts.front();
+      m_prompts.pop_front();
+      if (prompt.first)
+        m_admission.OnFirstRequest(prompt.bytes);
+      else
+        m_admission.OnBytes({prompt.bytes, 0});
+    }
+  }
+
+  LinkAdmission& m_admission;
+  const double m_rate;
+  std::mt19937_64 m_random{1};
+  Instant m_now{1000s};
+  Instant m_free_at{};
+  std::deque<Prompt> m_prompts;
+  Duration m_longest{};
+  double m_carried = 0;
+};
+
+class LinkAdmissionTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(LinkAdmissionTest);
+  CPPUNIT_TEST(NothingQueuesForLongBeforeAFullLinkThatStaysInUse);
+  CPPUNIT_TEST(LongPromptsQueueNoLonger);
+  CPPUNIT_TEST(WhatTheLinkCarriesIsLetIn);
+  CPPUNIT_TEST(UnusedConnectionsKeepCallersOutForAMomentOnly);
+  CPPUNIT_TEST(WhatEndsUnusedIsNotOnTheWay);
+  CPPUNIT_TEST(NobodyIsLetInWhileAQueueStands);
+  CPPUNIT_TEST(LoadThatDoesNotEndKeepsNoEntryAwayForGood);
+  CPPUNIT_TEST(NobodyIsLetInWhileTheWayOutIsFull);
+  CPPUNIT_TEST(WithoutAKnownLinkNothingIsDecided);
+  CPPUNIT_TEST_SUITE_END();
+
+ private:
+  static bool Takes(LinkAdmission& admission, Instant now) {
+    return admission.Decide(now) == Entrance::kTakes;
+  }
+
+  static LinkAdmission Make(double bytes_per_second) {
+    LinkAdmissionOptions options;
+    options.bytes_per_second = bytes_per_second;
+    return LinkAdmission(options);
+  }
+
+  // Guards against answers and news that come seconds late behind prompts.
+  void NothingQueuesForLongBeforeAFullLinkThatStaysInUse() {
+    for (const double demand : {3.0, 10.0}) {
+      LinkAdmission admission = Make(kLink);
+      Link link(admission, kLink);
+      link.Run(demand, kPromptBytes, 20s);
+      CPPUNIT_ASSERT(link.Longest() <= kLongestQueue);
+      CPPUNIT_ASSERT(link.Carried() >= 0.8 * 20 * kLink);
+    }
+  }
+
+  void LongPromptsQueueNoLonger() {
+    LinkAdmission admission = Make(kLink);
+    Link link(admission, kLink);
+    link.Run(1, 60'000, 5s);
+    link.Run(3, 60'000, 20s);
+    CPPUNIT_ASSERT(link.Longest() <= kLongestQueue);
+  }
+
+  void WhatTheLinkCarriesIsLetIn() {
+    LinkAdmission admission = Make(kLink);
+    Link link(admission, kLink);
+    link.Run(0.5, kPromptBytes, 20s);
+    CPPUNIT_ASSERT(link.Carried() >= 0.45 * 20 * kLink);
+  }
+
+  // Guards against an entry that callers who never speak close to all others.
+  void UnusedConnectionsKeepCallersOutForAMomentOnly() {
+    LinkAdmission admission = Make(kLink);
+    Instant now(1000s);
+    while (Takes(admission, now)) admission.OnConnected();
+    CPPUNIT_ASSERT(!Takes(admission, now));
+    now += 2 * LinkAdmissionOptions().burst;
+    CPPUNIT_ASSERT(Takes(admission, now));
+  }
+
+  void WhatEndsUnusedIsNotOnTheWay() {
+    LinkAdmission admission = Make(kLink);
+    const Instant now(1000s);
+    int connections = 0;
+    for (; Takes(admission, now); ++connections) admission.OnConnected();
+    for (; connections > 0; --connections) admission.OnUnusedEnd();
+    CPPUNIT_ASSERT(Takes(admission, now));
+  }
+
+  // Guards against an entry that opens its door while five seconds of prompts
+  // still stand before its link, and against one that stays away after them.
+  void NobodyIsLetInWhileAQueueStands() {
+    LinkAdmission admission = Make(kLink);
+    Link link(admission, kLink);
+    for (int i = 0; i < 1'000; ++i) link.BringOnKept(kPromptBytes);
+    link.Rest(500ms);
+    while (!link.IsIdle()) {
+      CPPUNIT_ASSERT(!Takes(admission, link.Now()));
+      link.Rest(20ms);
+    }
+    link.Rest(LinkAdmissionOptions().longest_debt * 2);
+    CPPUNIT_ASSERT(Takes(admission, link.Now()));
+  }
+
+  // A caller that fills any entry must not keep all of them away.
+  void LoadThatDoesNotEndKeepsNoEntryAwayForGood() {
+    LinkAdmission admission = Make(kLink);
+    Link link(admission, kLink);
+    for (int second = 0; second < 20; ++second) {
+      const double before = link.Carried();
+      link.Run(5, kPromptBytes, 1s);
+      CPPUNIT_ASSERT(link.Carried() > before);
+    }
+  }
+
+  // What goes out is bounded as what comes in.
+  void NobodyIsLetInWhileTheWayOutIsFull() {
+    LinkAdmission admission = Make(kLink);
+    const Instant now(1000s);
+    CPPUNIT_ASSERT(Takes(admission, now));
+    admission.OnBytes({0, static_cast<uint64_t>(kLink)});
+    CPPUNIT_ASSERT(!Takes(admission, now));
+  }
+
+  void WithoutAKnownLinkNothingIsDecided() {
+    LinkAdmission admission = Make(0);
+    const Instant now(1000s);
+    for (int i = 0; i < 10'000; ++i) admission.OnConnected();
+    CPPUNIT_ASSERT(Takes(admission, now));
+  }
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(LinkAdmissionTest);
+
+}  // namespace
+}  // namespace dotterelshift::gateway
--- a/src/dotterelshift/gateway/link_load_shedder.cc
+++ b/src/dotterelshift/gateway/link_load_shedder.cc
@@ -11,8 +11,8 @@
 
 }  // namespace
 
-void LinkLoadShedder::OnRequest(size_t bytes, Instant now) {
-  if (m_options.bytes_per_second <= 0) return;
+void LinkLoadShedder::OnBytes(size_t bytes, Instant now) {
+  if (m_options.bytes_per_second <= 0 || bytes == 0) return;
   m_rate = FilledPart(now) * m_options.bytes_per_second;
   m_rate += static_cast<double>(bytes) / Seconds(m_options.window);
   m_since = now;
--- a/src/dotterelshift/gateway/link_load_shedder_test.cc
+++ b/src/dotterelshift/gateway/link_load_shedder_test.cc
@@ -34,7 +34,7 @@
         std::chrono::duration<double>(1 / requests_per_second));
     bool shed = false;
     for (const Instant end = m_now + time; m_now < end; m_now += gap) {
-      shedder.OnRequest(kRequestBytes, m_now);
+      shedder.OnBytes(kRequestBytes, m_now);
       shed = shedder.IsShedding(m_now) || shed;
     }
     return shed;
@@ -62,7 +62,7 @@
     bool back = false;
     for (int i = 0; i < 200 && !back; ++i) {
       m_now += 40ms;
-      shedder.OnRequest(kRequestBytes, m_now);
+      shedder.OnBytes(kRequestBytes, m_now);
       back = !shedder.IsShedding(m_now);
     }
     CPPUNIT_ASSERT(back);
--- a/src/dotterelshift/http/client.cc
+++ b/src/dotterelshift/http/client.cc
@@ -35,7 +35,8 @@
   int status = 0;
   Headers headers;
   bool head_seen = false;
-  bool sent = false;       // the request may have left, in part or whole
+  bool sent = false;  // the request may have left, in part or whole
+  uint64_t* bytes_sent = nullptr;  // of all transfers of the client
   bool cancelled = false;  // no callback any more; removed when curl has
                            // returned
   curl_socket_t descriptor = CURL_SOCKET_BAD;  // that it uses, or used last
@@ -80,6 +81,7 @@
                    TransferCallbacks callbacks) override {
     auto transfer = std::make_unique<Transfer>();
     transfer->id = ++m_last_id;
+    transfer->bytes_sent = &m_bytes_sent;
     transfer->request = std::move(request);
     transfer->callbacks = std::move(callbacks);
     m_transfers.emplace(m_last_id, std::move(transfer));
@@ -116,6 +118,7 @@
   }
 
   size_t OpenTransfers() const override { return m_transfers.size(); }
+  uint64_t BytesSent() const override { return m_bytes_sent; }
 
  private:
   // The callbacks of libcurl, with its types.
@@ -161,6 +164,8 @@
     auto& transfer = *static_cast<Transfer*>(self);
     if (transfer.cancelled || std::exchange(transfer.sent, true))
       return CURL_PREREQFUNC_ABORT;
+    const ClientRequest& request = transfer.request;
+    *transfer.bytes_sent += BytesOf(request.headers) + request.body.size();
     return CURL_PREREQFUNC_OK;
   }
 
@@ -399,6 +404,7 @@
   CURLM* m_multi = nullptr;
   bool m_in_curl = false;
   TransferId m_last_id = 0;
+  uint64_t m_bytes_sent = 0;
   std::unordered_map<TransferId, std::unique_ptr<Transfer>> m_transfers;
   std::unordered_map<curl_socket_t, std::unique_ptr<loop::IoWatcher>>
       m_watchers;
--- a/src/dotterelshift/http/server.cc
+++ b/src/dotterelshift/http/server.cc
@@ -1,6 +1,5 @@
 #include "dotterelshift/http/server.h"
 
-#include <arpa/inet.h>   // for inet_pton
 #include <microhttpd.h>  // for MHD_start_daemon
 #include <sys/epoll.h>   // for epoll_create1
 #include <sys/socket.h>  // for shutdown
@@ -9,15 +8,15 @@
 #include <algorithm>      // for find_if
 #include <array>          // for array
 #include <cctype>         // for tolower
-#include <cerrno>         // for errno
 #include <charconv>       // for from_chars
-#include <cstring>        // for strerror
+#include <cstring>        // for strlen
 #include <list>           // for list
 #include <unordered_set>  // for unordered_set
 #include <utility>        // for move
 
 #include "dotterelshift/base/error.h"     // for Error
 #include "dotterelshift/http/exchange.h"  // for MhdExchange
+#include "dotterelshift/http/listener.h"  // for Listener
 #include "dotterelshift/loop/loop.h"      // for Loop
 
 namespace dotterelshift::http {
@@ -48,34 +47,14 @@
   size_t body_bytes = 0;
   bool used = false;  // has carried a request to its end
   bool refused = false;
-  bool handed_over = false;  // to the handler
+  bool handed_over = false;      // to the handler
+  bool any_handed_over = false;  // this request or one before it
 
   Instant receive_deadline;
   bool receiving = false;
   std::list<Connection*>::iterator position;  // while receiving
 };
 
-union Address {
-  sockaddr any;
-  sockaddr_in v4;
-  sockaddr_in6 v6;
-};
-
-// Reads an IP number; throws when it is none.
-Address ParseAddress(const std::string& text, uint16_t port) {
-  Address address{};
-  if (inet_pton(AF_INET, text.c_str(), &address.v4.sin_addr) == 1) {
-    address.v4.sin_family = AF_INET;
-    address.v4.sin_port = htons(port);
-  } else if (inet_pton(AF_INET6, text.c_str(), &address.v6.sin6_addr) == 1) {
-    address.v6.sin6_family = AF_INET6;
-    address.v6.sin6_port = htons(port);
-  } else {
-    throw Error(ErrorKind::kBadSettings, "not an IP number: " + text);
-  }
-  return address;
-}
-
 MHD_Result AddHeader(void* headers, MHD_ValueKind, const char* name,
                      const char* value) {
   std::string lower(name);
@@ -101,6 +80,11 @@
         m_receive_timer(loop, [this] { EndSlowOnes(); }),
         m_prepare(loop, [this] { RunDaemon(); }) {
     StartDaemon();
+    m_listener = std::make_unique<Listener>(
+        loop, m_options.address, m_options.port, m_options.listen_backlog,
+        [this](int descriptor, const SocketAddress& peer) {
+          AddConnection(descriptor, peer);
+        });
     m_ends = epoll_create1(EPOLL_CLOEXEC);
     const int ready =
         MHD_get_daemon_info(m_daemon, MHD_DAEMON_INFO_EPOLL_FD)->epoll_fd;
@@ -111,6 +95,7 @@
   }
 
   ~MhdServer() override {
+    m_listener.reset();
     m_daemon_watcher.reset();
     m_ends_watcher.reset();
     for (Connection* connection : m_connections) {
@@ -124,28 +109,35 @@
     if (m_ends >= 0) ::close(m_ends);
   }
 
-  uint16_t Port() const override {
-    return MHD_get_daemon_info(m_daemon, MHD_DAEMON_INFO_BIND_PORT)->port;
-  }
+  uint16_t Port() const override { return m_listener->Port(); }
 
   size_t OpenExchanges() const override { return m_open; }
+  size_t OpenConnections() const override { return m_connections.size(); }
+
+  void StopAccepting() override { m_listener->Pause(); }
+  bool ResumeAccepting() override { return m_listener->Resume(); }
 
-  void StopAccepting() override {
-    const MHD_socket listening = MHD_quiesce_daemon(m_daemon);
-    if (listening != MHD_INVALID_SOCKET) ::close(listening);
+  void TurnAway(bool on) override { m_turns_away = on; }
+
+  void CloseIdle() override {
+    for (const Connection* connection : m_receiving) {
+      const bool idle = connection->used && !connection->head_begun;
+      if (idle) ::shutdown(connection->descriptor, SHUT_RDWR);
+    }
+    WantRun();
   }
 
  private:
   void StartDaemon() {
-    Address address = ParseAddress(m_options.address, m_options.port);
-    unsigned flags = MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME;
-    if (address.any.sa_family == AF_INET6) flags |= MHD_USE_IPv6;
+    // The library gets its connections from the listener.
+    constexpr unsigned kFlags =
+        MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_NO_LISTEN_SOCKET;
     const auto idle_seconds = static_cast<unsigned>(
         std::chrono::ceil<std::chrono::seconds>(m_options.receive_timeout)
             .count());
     m_daemon = MHD_start_daemon(
-        flags, m_options.port, nullptr, nullptr, OnAccess, this,
-        MHD_OPTION_SOCK_ADDR, &address.any, MHD_OPTION_CONNECTION_LIMIT,
+        kFlags, 0, nullptr, nullptr, OnAccess, this,
+        MHD_OPTION_CONNECTION_LIMIT,
         static_cast<unsigned>(m_options.max_connections + kSpareConnections),
         MHD_OPTION_CONNECTION_MEMORY_LIMIT,
         kMemoryPerHead * m_options.max_head_bytes,
@@ -155,12 +147,22 @@
         MHD_OPTION_URI_LOG_CALLBACK, OnUri, this, MHD_OPTION_UNESCAPE_CALLBACK,
         KeepEscapes, nullptr, MHD_OPTION_SIGPIPE_HANDLED_BY_APP, 1,
         MHD_OPTION_END);
-    if (m_daemon == nullptr) {
-      throw Error(ErrorKind::kBadSettings, "cannot listen on " +
-                                               m_options.address + ":" +
-                                               std::to_string(m_options.port) +
-                                               ": " + std::strerror(errno));
+    if (m_daemon == nullptr)
+      throw Error(ErrorKind::kInternal, "libmicrohttpd cannot be started");
+  }
+
+  // The library closes a connection that it does not take.
+  void AddConnection(int descriptor, const SocketAddress& peer) {
+    if (m_turns_away) {
+      ::close(descriptor);
+      const auto& on_turned_away = m_options.connections.on_turned_away;
+      if (on_turned_away) on_turned_away();
+      return;
     }
+    const socklen_t size =
+        peer.any.sa_family == AF_INET6 ? sizeof peer.v6 : sizeof peer.v4;
+    MHD_add_connection(m_daemon, descriptor, &peer.any, size);
+    WantRun();
   }
 
   // Has the library run before the loop waits, in this turn or the next one.
@@ -206,6 +208,8 @@
             ->connect_fd;
     connection->over_limit = m_connections.size() >= m_options.max_connections;
     m_connections.insert(connection);
+    const auto& on_accepted = m_options.connections.on_accepted;
+    if (on_accepted) on_accepted();
     StartReceiving(*connection);
     // Only the caller's end is watched, once and by its edge; data is the
     // library's.
@@ -220,6 +224,8 @@
     StopReceiving(*connection);
     epoll_ctl(m_ends, EPOLL_CTL_DEL, connection->descriptor, nullptr);
     m_connections.erase(connection);
+    const auto& on_unused_end = m_options.connections.on_unused_end;
+    if (!connection->any_handed_over && on_unused_end) on_unused_end();
     delete connection;
   }
 
@@ -281,9 +287,7 @@
       request.query = connection.uri.substr(mark + 1);
     MHD_get_connection_values(connection.handle, MHD_HEADER_KIND, AddHeader,
                               &request.headers);
-    size_t head_bytes = connection.uri.size();
-    for (const auto& [name, value] : request.headers)
-      head_bytes += name.size() + value.size();
+    const size_t head_bytes = connection.uri.size() + BytesOf(request.headers);
     if (head_bytes > m_options.max_head_bytes)
       return Refuse(connection, ServerRefusal::kHeadTooLarge);
     const std::string_view length = request.Header("content-length");
@@ -314,6 +318,7 @@
     const std::shared_ptr<MhdExchange> exchange = connection.exchange;
     if (connection.caller_closed) return MHD_NO;
     connection.handed_over = true;
+    connection.any_handed_over = true;
     m_handler(exchange);
     return exchange->Continue();
   }
@@ -426,9 +431,11 @@
   MHD_Daemon* m_daemon = nullptr;
   int m_ends = -1;
   bool m_run_wanted = true;
+  bool m_turns_away = false;
   size_t m_open = 0;
   std::unordered_set<Connection*> m_connections;
   std::list<Connection*> m_receiving;
+  std::unique_ptr<Listener> m_listener;
   std::unique_ptr<loop::IoWatcher> m_daemon_watcher;
   std::unique_ptr<loop::IoWatcher> m_ends_watcher;
   loop::Timer m_timer;
@@ -438,6 +445,12 @@
 
 }  // namespace
 
+size_t BytesOf(const Headers& headers) {
+  size_t bytes = 0;
+  for (const auto& [name, value] : headers) bytes += name.size() + value.size();
+  return bytes;
+}
+
 std::string_view Request::Header(std::string_view name) const {
   const auto found = std::ranges::find_if(
       headers, [name](const auto& header) { return header.first == name; });
--- a/src/dotterelshift/http/server_bounds_test.cc
+++ b/src/dotterelshift/http/server_bounds_test.cc
@@ -64,6 +64,10 @@
   CPPUNIT_TEST(CallerThatClosesWhileItsAnswerIsDueIsSeen);
   CPPUNIT_TEST(RequestsOneAfterAnotherOnOneConnection);
   CPPUNIT_TEST(StopAcceptingKeepsOpenExchanges);
+  CPPUNIT_TEST(TurnsCallersAwayUnreadAndComesBackOnItsPort);
+  CPPUNIT_TEST(WhoIsTurnedAwayIsClosedUnread);
+  CPPUNIT_TEST(ReportsConnectionsUntilTheirFirstRequest);
+  CPPUNIT_TEST(CloseIdleEndsOnlyWhatWaitsForANextRequest);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -160,13 +164,89 @@
     CPPUNIT_ASSERT(caller.Has("still here"));
   }
 
+  // Guards against callers who wait for an entry that does not take them.
+  void TurnsCallersAwayUnreadAndComesBackOnItsPort() {
+    Serve(16, 10s);
+    const uint16_t port = m_server->Port();
+    for (int i = 0; i < 3; ++i) {
+      m_server->StopAccepting();
+      TestConnection refused(port);
+      refused.Send(Head("Content-Length: 0\r\n"));
+      CPPUNIT_ASSERT(refused.Closed());
+      CPPUNIT_ASSERT(m_server->ResumeAccepting());
+      CPPUNIT_ASSERT_EQUAL(port, m_server->Port());
+      TestConnection caller(port);
+      caller.Send(Head("Content-Length: 0\r\n"));
+      RunUntil([&] { return m_handled == i + 1; });
+    }
+  }
+
+  void WhoIsTurnedAwayIsClosedUnread() {
+    Serve(16, 10s);
+    m_server->TurnAway(true);
+    TestConnection caller(m_server->Port());
+    caller.Send(Head("Content-Length: 0\r\n"));
+    RunUntilClosed(caller);
+    CPPUNIT_ASSERT_EQUAL(std::string(), caller.Received());
+    CPPUNIT_ASSERT_EQUAL(1, m_turned_away);
+    m_server->TurnAway(false);
+    TestConnection next(m_server->Port());
+    next.Send(Head("Content-Length: 0\r\n"));
+    RunUntil([this] { return m_handled == 1; });
+  }
+
+  void ReportsConnectionsUntilTheirFirstRequest() {
+    Serve(16, 10s);
+    TestConnection silent(m_server->Port());
+    RunUntil([this] { return m_accepted == 1; });
+    silent.Close();
+    RunUntil([this] { return m_unused_ends == 1; });
+    TestConnection caller(m_server->Port());
+    caller.Send(Head("Content-Length: 0\r\n"));
+    RunUntil([this] { return m_handled == 1; });
+    CPPUNIT_ASSERT_EQUAL(2, m_accepted);
+    caller.Close();
+    RunUntil([this] { return m_server->OpenConnections() == 0; });
+    CPPUNIT_ASSERT_EQUAL(1, m_unused_ends);
+  }
+
+  // A request that is under way, in either direction, is not cut.
+  void CloseIdleEndsOnlyWhatWaitsForANextRequest() {
+    Serve(16, 10s);
+    TestConnection idle(m_server->Port());
+    idle.Send(Head("Content-Length: 0\r\n"));
+    RunUntil([this] { return m_handled == 1; });
+    m_keep = true;
+    TestConnection unspoken(m_server->Port());
+    TestConnection sending(m_server->Port());
+    sending.Send("POST /v1/x HTTP/1.1\r\nHost: h\r\n");
+    TestConnection waiting(m_server->Port());
+    waiting.Send(Head("Content-Length: 0\r\n"));
+    RunUntil([this] { return m_handled == 2 && m_accepted == 4; });
+    RunUntil([&idle] {
+      idle.Receive();
+      return idle.Has("ok");
+    });
+    m_server->CloseIdle();
+    RunUntilClosed(idle);
+    sending.Send("Content-Length: 0\r\n\r\n");
+    unspoken.Send(Head("Content-Length: 0\r\n"));
+    RunUntil([this] { return m_handled == 4; });
+    m_kept.at(1)->Answer(200, {}, "whole");
+    RunUntil([&waiting] {
+      waiting.Receive();
+      return waiting.Has("whole");
+    });
+  }
+
  private:
   void Serve(size_t max_connections, Duration receive_timeout) {
     m_server = MakeServer(m_loop,
                           {.max_body_bytes = kMaxBody,
                            .max_connections = max_connections,
                            .receive_timeout = receive_timeout,
-                           .refusal = callers::RefusalAnswer},
+                           .refusal = callers::RefusalAnswer,
+                           .connections = Reports()},
                           [this](std::shared_ptr<Exchange> exchange) {
                             ++m_handled;
                             exchange->OnGone([this] { ++m_gone; });
@@ -175,6 +255,11 @@
                           });
   }
 
+  ConnectionCallbacks Reports() {
+    return {[this] { ++m_accepted; }, [this] { ++m_turned_away; },
+            [this] { ++m_unused_ends; }};
+  }
+
   // The loop turns without waiting: the callers are not on it.
   template <typename Condition>
   void RunUntil(const Condition& condition) {
@@ -192,6 +277,9 @@
   bool m_keep = false;
   int m_handled = 0;
   int m_gone = 0;
+  int m_accepted = 0;
+  int m_turned_away = 0;
+  int m_unused_ends = 0;
   std::vector<std::shared_ptr<Exchange>> m_kept;
   std::unique_ptr<Server> m_server;
 };
