--- /dev/null
+++ b/src/dotterelshift/app/link_guard_test.cc
@@ -0,0 +1,138 @@
+#include "dotterelshift/app/link_guard.h"
+
+#include <cppunit/extensions/HelperMacros.h>  // for CPPUNIT_TEST
+
+#include <memory>  // for unique_ptr
+#include <string>  // for string
+
+namespace dotterelshift::app {
+namespace {
+
+constexpr double kLinkMbit = 10;
+constexpr size_t kPromptBytes = 6'000;
+
+// A server that notes what it is told.
+class FakeServer : public http::Server {
+ public:
+  uint16_t Port() const override { return 1; }
+  size_t OpenExchanges() const override { return 0; }
+  size_t OpenConnections() const override { return 0; }
+  void StopAccepting() override { listens = false; }
+  bool ResumeAccepting() override {
+    ++resumed;
+    listens = may_listen;
+    return listens;
+  }
+  void TurnAway(bool on) override { turns_away = on; }
+  void CloseIdle() override { ++idle_closed; }
+
+  bool listens = true;
+  bool may_listen = true;
+  bool turns_away = false;
+  int resumed = 0;
+  int idle_closed = 0;
+};
+
+class LinkGuardTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(LinkGuardTest);
+  CPPUNIT_TEST(CallersAreTurnedAwayThenNotListenedToThenTakenAgain);
+  CPPUNIT_TEST(IdleConnectionsEndWhileNobodyIsTaken);
+  CPPUNIT_TEST(AnAddressThatCannotBeBoundIsTriedAgain);
+  CPPUNIT_TEST(NotesToOtherDaemonsFillTheLinkAsPromptsDo);
+  CPPUNIT_TEST(NothingIsDoneWithoutAKnownLink);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void setUp() override { Make(kLinkMbit); }
+
+ private:
+  void Make(double link_mbit) {
+    settings::Settings settings;
+    settings.link_mbit = link_mbit;
+    m_guard = std::make_unique<LinkGuard>(settings);
+    m_server = FakeServer();
+    m_traffic = {};
+    m_now = Instant(1000s);
+    Pass(1ms);
+  }
+
+  void Pass(Duration time) {
+    m_now += time;
+    m_guard->Adjust(m_server, m_traffic, m_now);
+    m_guard->Watch(m_server, {}, m_now);
+  }
+
+  // Requests on connections that stay, of so much time of the link.
+  void Bring(Duration time) {
+    const double bytes =
+        kLinkMbit * 1e6 / 8 * std::chrono::duration<double>(time).count();
+    http::Request request;
+    request.kept = true;
+    request.body = std::string(kPromptBytes, 'x');
+    for (double left = bytes; left > 0; left -= kPromptBytes)
+      m_guard->OnRequest(request);
+  }
+
+  // Guards against callers who stay in a queue that only grows.
+  void CallersAreTurnedAwayThenNotListenedToThenTakenAgain() {
+    Bring(200ms);
+    Pass(1ms);
+    CPPUNIT_ASSERT(m_server.turns_away && m_server.listens);
+    CPPUNIT_ASSERT(m_guard->IsFull(m_now));
+    Bring(300ms);
+    Pass(1ms);
+    CPPUNIT_ASSERT(!m_server.turns_away && !m_server.listens);
+    Pass(1s);
+    CPPUNIT_ASSERT(!m_server.turns_away && m_server.listens);
+    Pass(1s);
+    CPPUNIT_ASSERT(!m_guard->IsFull(m_now));
+  }
+
+  void IdleConnectionsEndWhileNobodyIsTaken() {
+    Bring(600ms);
+    Pass(1ms);
+    CPPUNIT_ASSERT_EQUAL(0, m_server.idle_closed);
+    for (int i = 0; i < 10; ++i) {
+      Bring(50ms);
+      Pass(50ms);
+    }
+    CPPUNIT_ASSERT(m_server.idle_closed > 0);
+  }
+
+  void AnAddressThatCannotBeBoundIsTriedAgain() {
+    Bring(600ms);
+    Pass(1ms);
+    m_server.may_listen = false;
+    Pass(1s);
+    Pass(50ms);
+    CPPUNIT_ASSERT_EQUAL(2, m_server.resumed);
+    CPPUNIT_ASSERT(!m_server.listens);
+    m_server.may_listen = true;
+    Pass(50ms);
+    CPPUNIT_ASSERT(m_server.listens);
+  }
+
+  void NotesToOtherDaemonsFillTheLinkAsPromptsDo() {
+    m_traffic.peers.out += 1'250'000;
+    Pass(1ms);
+    CPPUNIT_ASSERT(!m_server.listens);
+    CPPUNIT_ASSERT(m_guard->IsShedding());
+  }
+
+  void NothingIsDoneWithoutAKnownLink() {
+    Make(0);
+    Bring(10s);
+    Pass(1ms);
+    CPPUNIT_ASSERT(m_server.listens && !m_server.turns_away);
+    CPPUNIT_ASSERT(!m_guard->IsShedding() && !m_guard->IsFull(m_now));
+  }
+
+  std::unique_ptr<LinkGuard> m_guard;
+  FakeServer m_server;
+  LinkGuard::Traffic m_traffic;
+  Instant m_now;
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(LinkGuardTest);
+
+}  // namespace
+}  // namespace dotterelshift::app
