--- a/include/dotterelshift/gateway/link_load_shedder.h
+++ b/include/dotterelshift/gateway/link_load_shedder.h
@@ -9,8 +9,8 @@
 
 struct LinkLoadShedderOptions {
   double bytes_per_second = 0;  // what the host's link carries; 0: not known
-  // So much of the link may be in use for `window`; the rest is for what
-  // callers on connections that stay still bring.
+  // So much of the link may be in use for `window`; the rest is for what comes
+  // until the balancer has seen it, and on connections that stay.
   double full_part = 0.6;
   Duration window = 1s;
   // Back in rotation once no more than this part is in use, and not before
@@ -21,8 +21,8 @@
   Duration shed_most = 6s;
 };
 
-// Says when an entry should let new connections go to other entries because
-// callers' requests fill its host's link.
+// Says when an entry should let new connections go to other entries because its
+// host's link is well in use.
 //
 // Load pattern: a hash assigns connections to entries, and one team sends many
 // times what the others do, so that the requests of a few callers fill the link
--- a/src/dotterelshift/http/server.cc
+++ b/src/dotterelshift/http/server.cc
@@ -79,12 +79,12 @@
         m_timer(loop, [this] { m_run_wanted = true; }),
         m_receive_timer(loop, [this] { EndSlowOnes(); }),
         m_prepare(loop, [this] { RunDaemon(); }) {
-    StartDaemon();
     m_listener = std::make_unique<Listener>(
         loop, m_options.address, m_options.port, m_options.listen_backlog,
         [this](int descriptor, const SocketAddress& peer) {
           AddConnection(descriptor, peer);
         });
+    StartDaemon();
     m_ends = epoll_create1(EPOLL_CLOEXEC);
     const int ready =
         MHD_get_daemon_info(m_daemon, MHD_DAEMON_INFO_EPOLL_FD)->epoll_fd;
