--- a/include/dotterelshift/app/control_link.h
+++ b/include/dotterelshift/app/control_link.h
@@ -114,7 +114,8 @@
   void OnAnswers(const wire::ProposeAnswersT& answers);
   void OnSpoolStored(const wire::SpoolStoredT& stored);
   void OnConfiguration(const wire::ConfigurationPushT& push);
-  void OnRoutes(const wire::RoutesPushT& push);
+  void OnRoutes(const wire::RoutesPushT& push, Instant now);
+  bool TakeStep(const wire::RoutesStepT& step);
   void ForgetLeader(Instant now);
   void UpdateReach(Instant now);
   void SendBeats(Instant now);
@@ -142,6 +143,7 @@
   uint64_t m_wanted_routes = 0;  // version of the leader's published routes
   uint64_t m_routes_version = 0;
   std::string m_routes_document;
+  bool m_wants_routes = false;  // steps did not lead on from what is held
   std::vector<std::string> m_control_addresses;
   std::vector<std::string> m_entry_addresses;
   size_t m_entry_count = 1;
--- a/include/dotterelshift/app/routes_control.h
+++ b/include/dotterelshift/app/routes_control.h
@@ -22,11 +22,13 @@
  public:
   virtual ~RoutesControl() = default;
 
+  // Whether this replica leads; only a leader can publish.
+  virtual bool Leads() const = 0;
   // Has routes committed, unless a higher version is in force; calls back with
   // kNone once a majority holds them, and with kNotLeader or kNoQuorum when
   // this replica cannot tell.
   virtual void Publish(uint64_t version, std::string document,
-                       const std::map<TeamId, Tokens>& totals,
+                       std::map<TeamId, Tokens> totals,
                        std::function<void(ErrorKind)> callback) = 0;
   // The routes in force, read after a majority has confirmed that this replica
   // leads.
--- a/include/dotterelshift/base/error.h
+++ b/include/dotterelshift/base/error.h
@@ -68,6 +68,7 @@
   kStaleIncarnation = 86,
   kResendTooOld = 87,
   kBadFrame = 88,
+  kVersionMoved = 89,
   // This host's own trouble.
   kStorageFull = 100,
   kStorageFailed = 101,
--- a/include/dotterelshift/state/state.h
+++ b/include/dotterelshift/state/state.h
@@ -115,6 +115,10 @@
   virtual std::vector<wire::ChangeT> ChangesSince(uint64_t version) const = 0;
 
   virtual PublishedRoutes GetPublished() const = 0;
+  // The steps from an older version to the one in force, in order; empty: that
+  // old is not kept, send the whole.
+  virtual std::vector<wire::RoutesStepT> RoutesSince(
+      uint64_t version) const = 0;
   // Where every token of the published totals is, summed over the teams.
   virtual BudgetAccount PublishedSums() const = 0;
   // The budgets that published totals made, each named like its team.
--- a/include/dotterelshift/wire/commands_generated.h
+++ b/include/dotterelshift/wire/commands_generated.h
@@ -160,6 +160,10 @@
 struct PublishRoutesBuilder;
 struct PublishRoutesT;
 
+struct RoutesStep;
+struct RoutesStepBuilder;
+struct RoutesStepT;
+
 struct MoveGrant;
 struct MoveGrantBuilder;
 struct MoveGrantT;
@@ -4986,6 +4990,8 @@
   uint64_t version = 0;
   std::vector<uint8_t> document{};
   std::vector<std::unique_ptr<dotterelshift::wire::TeamTotalT>> totals{};
+  uint64_t base = 0;
+  std::vector<uint8_t> packed{};
   PublishRoutesT() = default;
   PublishRoutesT(const PublishRoutesT &o);
   PublishRoutesT(PublishRoutesT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -4999,7 +5005,9 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_VERSION = 4,
     VT_DOCUMENT = 6,
-    VT_TOTALS = 8
+    VT_TOTALS = 8,
+    VT_BASE = 10,
+    VT_PACKED = 12
   };
   uint64_t version() const {
     return GetField<uint64_t>(VT_VERSION, 0);
@@ -5010,6 +5018,12 @@
   const flatbuffers::Vector<flatbuffers::Offset<dotterelshift::wire::TeamTotal>> *totals() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<dotterelshift::wire::TeamTotal>> *>(VT_TOTALS);
   }
+  uint64_t base() const {
+    return GetField<uint64_t>(VT_BASE, 0);
+  }
+  const flatbuffers::Vector<uint8_t> *packed() const {
+    return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_PACKED);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_VERSION, 8) &&
@@ -5018,6 +5032,9 @@
            VerifyOffset(verifier, VT_TOTALS) &&
            verifier.VerifyVector(totals()) &&
            verifier.VerifyVectorOfTables(totals()) &&
+           VerifyField<uint64_t>(verifier, VT_BASE, 8) &&
+           VerifyOffset(verifier, VT_PACKED) &&
+           verifier.VerifyVector(packed()) &&
            verifier.EndTable();
   }
   PublishRoutesT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -5038,6 +5055,12 @@
   void add_totals(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<dotterelshift::wire::TeamTotal>>> totals) {
     fbb_.AddOffset(PublishRoutes::VT_TOTALS, totals);
   }
+  void add_base(uint64_t base) {
+    fbb_.AddElement<uint64_t>(PublishRoutes::VT_BASE, base, 0);
+  }
+  void add_packed(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> packed) {
+    fbb_.AddOffset(PublishRoutes::VT_PACKED, packed);
+  }
   explicit PublishRoutesBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -5053,9 +5076,13 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t version = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint8_t>> document = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<dotterelshift::wire::TeamTotal>>> totals = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<dotterelshift::wire::TeamTotal>>> totals = 0,
+    uint64_t base = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> packed = 0) {
   PublishRoutesBuilder builder_(_fbb);
+  builder_.add_base(base);
   builder_.add_version(version);
+  builder_.add_packed(packed);
   builder_.add_totals(totals);
   builder_.add_document(document);
   return builder_.Finish();
@@ -5070,18 +5097,117 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t version = 0,
     const std::vector<uint8_t> *document = nullptr,
-    const std::vector<flatbuffers::Offset<dotterelshift::wire::TeamTotal>> *totals = nullptr) {
+    const std::vector<flatbuffers::Offset<dotterelshift::wire::TeamTotal>> *totals = nullptr,
+    uint64_t base = 0,
+    const std::vector<uint8_t> *packed = nullptr) {
   auto document__ = document ? _fbb.CreateVector<uint8_t>(*document) : 0;
   auto totals__ = totals ? _fbb.CreateVector<flatbuffers::Offset<dotterelshift::wire::TeamTotal>>(*totals) : 0;
+  auto packed__ = packed ? _fbb.CreateVector<uint8_t>(*packed) : 0;
   return dotterelshift::wire::CreatePublishRoutes(
       _fbb,
       version,
       document__,
-      totals__);
+      totals__,
+      base,
+      packed__);
 }
 
 flatbuffers::Offset<PublishRoutes> CreatePublishRoutes(flatbuffers::FlatBufferBuilder &_fbb, const PublishRoutesT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct RoutesStepT : public flatbuffers::NativeTable {
+  typedef RoutesStep TableType;
+  uint64_t base = 0;
+  uint64_t version = 0;
+  std::vector<uint8_t> packed{};
+};
+
+struct RoutesStep FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef RoutesStepT NativeTableType;
+  typedef RoutesStepBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_BASE = 4,
+    VT_VERSION = 6,
+    VT_PACKED = 8
+  };
+  uint64_t base() const {
+    return GetField<uint64_t>(VT_BASE, 0);
+  }
+  uint64_t version() const {
+    return GetField<uint64_t>(VT_VERSION, 0);
+  }
+  const flatbuffers::Vector<uint8_t> *packed() const {
+    return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_PACKED);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_BASE, 8) &&
+           VerifyField<uint64_t>(verifier, VT_VERSION, 8) &&
+           VerifyOffset(verifier, VT_PACKED) &&
+           verifier.VerifyVector(packed()) &&
+           verifier.EndTable();
+  }
+  RoutesStepT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(RoutesStepT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<RoutesStep> Pack(flatbuffers::FlatBufferBuilder &_fbb, const RoutesStepT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct RoutesStepBuilder {
+  typedef RoutesStep Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_base(uint64_t base) {
+    fbb_.AddElement<uint64_t>(RoutesStep::VT_BASE, base, 0);
+  }
+  void add_version(uint64_t version) {
+    fbb_.AddElement<uint64_t>(RoutesStep::VT_VERSION, version, 0);
+  }
+  void add_packed(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> packed) {
+    fbb_.AddOffset(RoutesStep::VT_PACKED, packed);
+  }
+  explicit RoutesStepBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<RoutesStep> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<RoutesStep>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<RoutesStep> CreateRoutesStep(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t base = 0,
+    uint64_t version = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> packed = 0) {
+  RoutesStepBuilder builder_(_fbb);
+  builder_.add_version(version);
+  builder_.add_base(base);
+  builder_.add_packed(packed);
+  return builder_.Finish();
+}
+
+struct RoutesStep::Traits {
+  using type = RoutesStep;
+  static auto constexpr Create = CreateRoutesStep;
+};
+
+inline flatbuffers::Offset<RoutesStep> CreateRoutesStepDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t base = 0,
+    uint64_t version = 0,
+    const std::vector<uint8_t> *packed = nullptr) {
+  auto packed__ = packed ? _fbb.CreateVector<uint8_t>(*packed) : 0;
+  return dotterelshift::wire::CreateRoutesStep(
+      _fbb,
+      base,
+      version,
+      packed__);
+}
+
+flatbuffers::Offset<RoutesStep> CreateRoutesStep(flatbuffers::FlatBufferBuilder &_fbb, const RoutesStepT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct MoveGrantT : public flatbuffers::NativeTable {
   typedef MoveGrant TableType;
   std::string budget{};
@@ -7739,7 +7865,9 @@
 
 inline PublishRoutesT::PublishRoutesT(const PublishRoutesT &o)
       : version(o.version),
-        document(o.document) {
+        document(o.document),
+        base(o.base),
+        packed(o.packed) {
   totals.reserve(o.totals.size());
   for (const auto &totals_ : o.totals) { totals.emplace_back((totals_) ? new dotterelshift::wire::TeamTotalT(*totals_) : nullptr); }
 }
@@ -7748,6 +7876,8 @@
   std::swap(version, o.version);
   std::swap(document, o.document);
   std::swap(totals, o.totals);
+  std::swap(base, o.base);
+  std::swap(packed, o.packed);
   return *this;
 }
 
@@ -7763,6 +7893,8 @@
   { auto _e = version(); _o->version = _e; }
   { auto _e = document(); if (_e) { _o->document.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->document.begin()); } }
   { auto _e = totals(); if (_e) { _o->totals.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->totals[_i] = std::unique_ptr<dotterelshift::wire::TeamTotalT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = base(); _o->base = _e; }
+  { auto _e = packed(); if (_e) { _o->packed.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->packed.begin()); } }
 }
 
 inline flatbuffers::Offset<PublishRoutes> PublishRoutes::Pack(flatbuffers::FlatBufferBuilder &_fbb, const PublishRoutesT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -7776,11 +7908,47 @@
   auto _version = _o->version;
   auto _document = _o->document.size() ? _fbb.CreateVector(_o->document) : 0;
   auto _totals = _o->totals.size() ? _fbb.CreateVector<flatbuffers::Offset<dotterelshift::wire::TeamTotal>> (_o->totals.size(), [](size_t i, _VectorArgs *__va) { return CreateTeamTotal(*__va->__fbb, __va->__o->totals[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _base = _o->base;
+  auto _packed = _o->packed.size() ? _fbb.CreateVector(_o->packed) : 0;
   return dotterelshift::wire::CreatePublishRoutes(
       _fbb,
       _version,
       _document,
-      _totals);
+      _totals,
+      _base,
+      _packed);
+}
+
+inline RoutesStepT *RoutesStep::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<RoutesStepT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void RoutesStep::UnPackTo(RoutesStepT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = base(); _o->base = _e; }
+  { auto _e = version(); _o->version = _e; }
+  { auto _e = packed(); if (_e) { _o->packed.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->packed.begin()); } }
+}
+
+inline flatbuffers::Offset<RoutesStep> RoutesStep::Pack(flatbuffers::FlatBufferBuilder &_fbb, const RoutesStepT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateRoutesStep(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<RoutesStep> CreateRoutesStep(flatbuffers::FlatBufferBuilder &_fbb, const RoutesStepT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const RoutesStepT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _base = _o->base;
+  auto _version = _o->version;
+  auto _packed = _o->packed.size() ? _fbb.CreateVector(_o->packed) : 0;
+  return dotterelshift::wire::CreateRoutesStep(
+      _fbb,
+      _base,
+      _version,
+      _packed);
 }
 
 inline MoveGrantT *MoveGrant::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/include/dotterelshift/wire/frames_generated.h
+++ b/include/dotterelshift/wire/frames_generated.h
@@ -1500,6 +1500,7 @@
   uint64_t configuration_version = 0;
   std::vector<std::unique_ptr<dotterelshift::wire::BudgetHoldingT>> held{};
   uint64_t routes_version = 0;
+  bool wants_routes = false;
   EntryBeatT() = default;
   EntryBeatT(const EntryBeatT &o);
   EntryBeatT(EntryBeatT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -1514,7 +1515,8 @@
     VT_SEQUENCE = 4,
     VT_CONFIGURATION_VERSION = 6,
     VT_HELD = 8,
-    VT_ROUTES_VERSION = 10
+    VT_ROUTES_VERSION = 10,
+    VT_WANTS_ROUTES = 12
   };
   uint64_t sequence() const {
     return GetField<uint64_t>(VT_SEQUENCE, 0);
@@ -1528,6 +1530,9 @@
   uint64_t routes_version() const {
     return GetField<uint64_t>(VT_ROUTES_VERSION, 0);
   }
+  bool wants_routes() const {
+    return GetField<uint8_t>(VT_WANTS_ROUTES, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
@@ -1536,6 +1541,7 @@
            verifier.VerifyVector(held()) &&
            verifier.VerifyVectorOfTables(held()) &&
            VerifyField<uint64_t>(verifier, VT_ROUTES_VERSION, 8) &&
+           VerifyField<uint8_t>(verifier, VT_WANTS_ROUTES, 1) &&
            verifier.EndTable();
   }
   EntryBeatT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1559,6 +1565,9 @@
   void add_routes_version(uint64_t routes_version) {
     fbb_.AddElement<uint64_t>(EntryBeat::VT_ROUTES_VERSION, routes_version, 0);
   }
+  void add_wants_routes(bool wants_routes) {
+    fbb_.AddElement<uint8_t>(EntryBeat::VT_WANTS_ROUTES, static_cast<uint8_t>(wants_routes), 0);
+  }
   explicit EntryBeatBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1575,12 +1584,14 @@
     uint64_t sequence = 0,
     uint64_t configuration_version = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<dotterelshift::wire::BudgetHolding>>> held = 0,
-    uint64_t routes_version = 0) {
+    uint64_t routes_version = 0,
+    bool wants_routes = false) {
   EntryBeatBuilder builder_(_fbb);
   builder_.add_routes_version(routes_version);
   builder_.add_configuration_version(configuration_version);
   builder_.add_sequence(sequence);
   builder_.add_held(held);
+  builder_.add_wants_routes(wants_routes);
   return builder_.Finish();
 }
 
@@ -1594,14 +1605,16 @@
     uint64_t sequence = 0,
     uint64_t configuration_version = 0,
     const std::vector<flatbuffers::Offset<dotterelshift::wire::BudgetHolding>> *held = nullptr,
-    uint64_t routes_version = 0) {
+    uint64_t routes_version = 0,
+    bool wants_routes = false) {
   auto held__ = held ? _fbb.CreateVector<flatbuffers::Offset<dotterelshift::wire::BudgetHolding>>(*held) : 0;
   return dotterelshift::wire::CreateEntryBeat(
       _fbb,
       sequence,
       configuration_version,
       held__,
-      routes_version);
+      routes_version,
+      wants_routes);
 }
 
 flatbuffers::Offset<EntryBeat> CreateEntryBeat(flatbuffers::FlatBufferBuilder &_fbb, const EntryBeatT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -2086,7 +2099,11 @@
   typedef RoutesPush TableType;
   uint64_t term = 0;
   uint64_t version = 0;
-  std::vector<uint8_t> document{};
+  std::vector<std::unique_ptr<dotterelshift::wire::RoutesStepT>> steps{};
+  RoutesPushT() = default;
+  RoutesPushT(const RoutesPushT &o);
+  RoutesPushT(RoutesPushT&&) FLATBUFFERS_NOEXCEPT = default;
+  RoutesPushT &operator=(RoutesPushT o) FLATBUFFERS_NOEXCEPT;
 };
 
 struct RoutesPush FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -2096,7 +2113,7 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_TERM = 4,
     VT_VERSION = 6,
-    VT_DOCUMENT = 8
+    VT_STEPS = 10
   };
   uint64_t term() const {
     return GetField<uint64_t>(VT_TERM, 0);
@@ -2104,15 +2121,16 @@
   uint64_t version() const {
     return GetField<uint64_t>(VT_VERSION, 0);
   }
-  const flatbuffers::Vector<uint8_t> *document() const {
-    return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_DOCUMENT);
+  const flatbuffers::Vector<flatbuffers::Offset<dotterelshift::wire::RoutesStep>> *steps() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<dotterelshift::wire::RoutesStep>> *>(VT_STEPS);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_TERM, 8) &&
            VerifyField<uint64_t>(verifier, VT_VERSION, 8) &&
-           VerifyOffset(verifier, VT_DOCUMENT) &&
-           verifier.VerifyVector(document()) &&
+           VerifyOffset(verifier, VT_STEPS) &&
+           verifier.VerifyVector(steps()) &&
+           verifier.VerifyVectorOfTables(steps()) &&
            verifier.EndTable();
   }
   RoutesPushT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2130,8 +2148,8 @@
   void add_version(uint64_t version) {
     fbb_.AddElement<uint64_t>(RoutesPush::VT_VERSION, version, 0);
   }
-  void add_document(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> document) {
-    fbb_.AddOffset(RoutesPush::VT_DOCUMENT, document);
+  void add_steps(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<dotterelshift::wire::RoutesStep>>> steps) {
+    fbb_.AddOffset(RoutesPush::VT_STEPS, steps);
   }
   explicit RoutesPushBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
@@ -2148,11 +2166,11 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t term = 0,
     uint64_t version = 0,
-    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> document = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<dotterelshift::wire::RoutesStep>>> steps = 0) {
   RoutesPushBuilder builder_(_fbb);
   builder_.add_version(version);
   builder_.add_term(term);
-  builder_.add_document(document);
+  builder_.add_steps(steps);
   return builder_.Finish();
 }
 
@@ -2165,13 +2183,13 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t term = 0,
     uint64_t version = 0,
-    const std::vector<uint8_t> *document = nullptr) {
-  auto document__ = document ? _fbb.CreateVector<uint8_t>(*document) : 0;
+    const std::vector<flatbuffers::Offset<dotterelshift::wire::RoutesStep>> *steps = nullptr) {
+  auto steps__ = steps ? _fbb.CreateVector<flatbuffers::Offset<dotterelshift::wire::RoutesStep>>(*steps) : 0;
   return dotterelshift::wire::CreateRoutesPush(
       _fbb,
       term,
       version,
-      document__);
+      steps__);
 }
 
 flatbuffers::Offset<RoutesPush> CreateRoutesPush(flatbuffers::FlatBufferBuilder &_fbb, const RoutesPushT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -4926,7 +4944,8 @@
 inline EntryBeatT::EntryBeatT(const EntryBeatT &o)
       : sequence(o.sequence),
         configuration_version(o.configuration_version),
-        routes_version(o.routes_version) {
+        routes_version(o.routes_version),
+        wants_routes(o.wants_routes) {
   held.reserve(o.held.size());
   for (const auto &held_ : o.held) { held.emplace_back((held_) ? new dotterelshift::wire::BudgetHoldingT(*held_) : nullptr); }
 }
@@ -4936,6 +4955,7 @@
   std::swap(configuration_version, o.configuration_version);
   std::swap(held, o.held);
   std::swap(routes_version, o.routes_version);
+  std::swap(wants_routes, o.wants_routes);
   return *this;
 }
 
@@ -4952,6 +4972,7 @@
   { auto _e = configuration_version(); _o->configuration_version = _e; }
   { auto _e = held(); if (_e) { _o->held.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->held[_i] = std::unique_ptr<dotterelshift::wire::BudgetHoldingT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = routes_version(); _o->routes_version = _e; }
+  { auto _e = wants_routes(); _o->wants_routes = _e; }
 }
 
 inline flatbuffers::Offset<EntryBeat> EntryBeat::Pack(flatbuffers::FlatBufferBuilder &_fbb, const EntryBeatT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -4966,12 +4987,14 @@
   auto _configuration_version = _o->configuration_version;
   auto _held = _o->held.size() ? _fbb.CreateVector<flatbuffers::Offset<dotterelshift::wire::BudgetHolding>> (_o->held.size(), [](size_t i, _VectorArgs *__va) { return CreateBudgetHolding(*__va->__fbb, __va->__o->held[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _routes_version = _o->routes_version;
+  auto _wants_routes = _o->wants_routes;
   return dotterelshift::wire::CreateEntryBeat(
       _fbb,
       _sequence,
       _configuration_version,
       _held,
-      _routes_version);
+      _routes_version,
+      _wants_routes);
 }
 
 inline BudgetHoldingT *BudgetHolding::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -5141,6 +5164,20 @@
       _changes);
 }
 
+inline RoutesPushT::RoutesPushT(const RoutesPushT &o)
+      : term(o.term),
+        version(o.version) {
+  steps.reserve(o.steps.size());
+  for (const auto &steps_ : o.steps) { steps.emplace_back((steps_) ? new dotterelshift::wire::RoutesStepT(*steps_) : nullptr); }
+}
+
+inline RoutesPushT &RoutesPushT::operator=(RoutesPushT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(term, o.term);
+  std::swap(version, o.version);
+  std::swap(steps, o.steps);
+  return *this;
+}
+
 inline RoutesPushT *RoutesPush::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::make_unique<RoutesPushT>();
   UnPackTo(_o.get(), _resolver);
@@ -5152,7 +5189,7 @@
   (void)_resolver;
   { auto _e = term(); _o->term = _e; }
   { auto _e = version(); _o->version = _e; }
-  { auto _e = document(); if (_e) { _o->document.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->document.begin()); } }
+  { auto _e = steps(); if (_e) { _o->steps.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->steps[_i] = std::unique_ptr<dotterelshift::wire::RoutesStepT>(_e->Get(_i)->UnPack(_resolver)); } } }
 }
 
 inline flatbuffers::Offset<RoutesPush> RoutesPush::Pack(flatbuffers::FlatBufferBuilder &_fbb, const RoutesPushT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -5165,12 +5202,12 @@
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const RoutesPushT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _term = _o->term;
   auto _version = _o->version;
-  auto _document = _o->document.size() ? _fbb.CreateVector(_o->document) : 0;
+  auto _steps = _o->steps.size() ? _fbb.CreateVector<flatbuffers::Offset<dotterelshift::wire::RoutesStep>> (_o->steps.size(), [](size_t i, _VectorArgs *__va) { return CreateRoutesStep(*__va->__fbb, __va->__o->steps[i].get(), __va->__rehasher); }, &_va ) : 0;
   return dotterelshift::wire::CreateRoutesPush(
       _fbb,
       _term,
       _version,
-      _document);
+      _steps);
 }
 
 inline QuarantinePushT::QuarantinePushT(const QuarantinePushT &o) {
--- a/src/dotterelshift/app/control.cc
+++ b/src/dotterelshift/app/control.cc
@@ -172,7 +172,7 @@
       MakeControlBackend(loop, *m_hub, *m_replica, m_directory.GetDirectory(),
                          http_address, m_self, [this] { return NextId(); });
   m_routes = MakeRoutesControl(
-      *m_replica, *m_backend, m_directory,
+      loop, *m_replica, *m_backend, m_directory,
       [this](Incarnation newest) { m_self.incarnation = newest + 1; });
   operators::ApiOptions api;
   api.fleet_secret = m_secret;
@@ -473,6 +473,7 @@
 void Control::UpdateGauges() {
   SetReplicaGauges(*m_metrics, *m_replica, m_pushes->Entries());
   SetTokenGauges(*m_metrics, m_replica->GetState());
+  SetRoutesSentCounters(*m_metrics, m_pushes->Sent());
   SetHubMetrics(*m_metrics, *m_hub);
 }
 
--- a/src/dotterelshift/app/control_link.cc
+++ b/src/dotterelshift/app/control_link.cc
@@ -3,7 +3,10 @@
 #include <algorithm>  // for find, max
 #include <utility>    // for move
 
-#include "dotterelshift/peers/hub.h"  // for MakeFrame
+#include "dotterelshift/base/error.h"             // for Error
+#include "dotterelshift/peers/hub.h"              // for MakeFrame
+#include "dotterelshift/state/packed_document.h"  // for UnpackDocument
+#include "dotterelshift/telemetry/log.h"          // for Log
 
 namespace dotterelshift::app {
 
@@ -51,7 +54,7 @@
   } else if (const auto* push = frame.body.AsConfigurationPush()) {
     OnConfiguration(*push);
   } else if (const auto* routes = frame.body.AsRoutesPush()) {
-    OnRoutes(*routes);
+    OnRoutes(*routes, now);
   } else if (const auto* recall = frame.body.AsRecall()) {
     m_recalls.push_back(*recall);
   } else if (const auto* quarantine = frame.body.AsQuarantinePush()) {
@@ -116,10 +119,31 @@
 }
 
 // Versions only rise: a leader that was cut off may send an older one late.
-void ControlLink::OnRoutes(const wire::RoutesPushT& push) {
-  if (push.version <= m_routes_version) return;
-  m_routes_version = push.version;
-  m_routes_document.assign(push.document.begin(), push.document.end());
+// What does not lead on is asked for whole, at once.
+void ControlLink::OnRoutes(const wire::RoutesPushT& push, Instant now) {
+  for (const auto& step : push.steps) {
+    if (step == nullptr || step->version <= m_routes_version) continue;
+    m_wants_routes = !TakeStep(*step);
+    if (!m_wants_routes) continue;
+    m_next_beat = now;
+    return;
+  }
+}
+
+bool ControlLink::TakeStep(const wire::RoutesStepT& step) {
+  if (step.base != 0 && step.base != m_routes_version) return false;
+  try {
+    m_routes_document = state::UnpackDocument(
+        step.packed, step.base == 0 ? std::string_view() : m_routes_document);
+  } catch (const Error& error) {
+    telemetry::Log(telemetry::LogLevel::kError, "routes_step_unusable",
+                   {{"base", std::to_string(step.base)},
+                    {"version", std::to_string(step.version)},
+                    {"why", error.what()}});
+    return false;
+  }
+  m_routes_version = step.version;
+  return true;
 }
 
 void ControlLink::UpdateReach(Instant now) {
@@ -152,6 +176,7 @@
     beat.sequence = sequence;
     beat.configuration_version = m_configuration.Version();
     beat.routes_version = m_routes_version;
+    beat.wants_routes = m_wants_routes;
     if (host == m_leader) {
       for (const auto& holding : m_holdings)
         beat.held.push_back(std::make_unique<wire::BudgetHoldingT>(holding));
--- a/src/dotterelshift/app/control_link_test.cc
+++ b/src/dotterelshift/app/control_link_test.cc
@@ -2,7 +2,8 @@
 
 #include <cppunit/extensions/HelperMacros.h>  // for CPPUNIT_TEST
 
-#include "dotterelshift/peers/hub.h"  // for MakeFrame
+#include "dotterelshift/peers/hub.h"              // for MakeFrame
+#include "dotterelshift/state/packed_document.h"  // for PackDocument
 
 namespace dotterelshift::app {
 namespace {
@@ -25,6 +26,8 @@
   CPPUNIT_TEST(SpoolsGoToWhoIsInReach);
   CPPUNIT_TEST(FollowersNameTheGroupToAnEntryThatHasStarted);
   CPPUNIT_TEST(PublishedRoutesNeverFallAndAreNeeded);
+  CPPUNIT_TEST(StepsLeadFromTheVersionHeld);
+  CPPUNIT_TEST(AStepFromAnotherVersionIsAskedForWholeAtOnce);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -61,7 +64,7 @@
     for (const uint64_t version : {5, 3}) {
       wire::RoutesPushT push;
       push.version = version;
-      push.document = {static_cast<uint8_t>('0' + version)};
+      push.steps.push_back(StepOf(0, version, ""));
       m_link->OnFrame("c1", MakeFrame(std::move(push)), m_now);
       CPPUNIT_ASSERT_EQUAL(uint64_t{5}, m_link->RoutesVersion());
       CPPUNIT_ASSERT_EQUAL(std::string("5"), m_link->RoutesDocument());
@@ -69,6 +72,36 @@
     CPPUNIT_ASSERT(m_link->Reach() == ControlReach::kConnected);
   }
 
+  // From leaders that know of different versions; what is held is passed over.
+  void StepsLeadFromTheVersionHeld() {
+    TakeRoutes({{0, 5}});
+    CPPUNIT_ASSERT_EQUAL(std::string("5"), m_link->RoutesDocument());
+    TakeRoutes({{5, 6}, {6, 8}});
+    CPPUNIT_ASSERT_EQUAL(uint64_t{8}, m_link->RoutesVersion());
+    TakeRoutes({{5, 6}, {6, 8}, {8, 9}});
+    CPPUNIT_ASSERT_EQUAL(uint64_t{9}, m_link->RoutesVersion());
+    CPPUNIT_ASSERT_EQUAL(std::string("9"), m_link->RoutesDocument());
+  }
+
+  void AStepFromAnotherVersionIsAskedForWholeAtOnce() {
+    TakeRoutes({{0, 5}});
+    NextBeat("c1");
+    CPPUNIT_ASSERT(m_link->NextTimer() > m_now);
+    TakeRoutes({{6, 8}});
+    CPPUNIT_ASSERT_EQUAL(uint64_t{5}, m_link->RoutesVersion());
+    CPPUNIT_ASSERT(m_link->NextTimer() == m_now);
+    CPPUNIT_ASSERT(AsksForRoutes("c1"));
+    // Told against another document under the same version: not taken either.
+    wire::RoutesPushT push;
+    push.steps.push_back(StepOf(5, 8, "not 5"));
+    m_link->OnFrame("c1", MakeFrame(std::move(push)), m_now);
+    CPPUNIT_ASSERT_EQUAL(std::string("5"), m_link->RoutesDocument());
+    CPPUNIT_ASSERT(AsksForRoutes("c1"));
+    TakeRoutes({{0, 8}});
+    CPPUNIT_ASSERT_EQUAL(uint64_t{8}, m_link->RoutesVersion());
+    CPPUNIT_ASSERT(!AsksForRoutes("c1"));
+  }
+
   void CommandsFollowTheLeaderUnderTheirFirstId() {
     m_link->Propose(CommandOf(7));
     CPPUNIT_ASSERT(TakeProposed("c1").empty());
@@ -250,6 +283,36 @@
     m_link->OnFrame("c1", MakeFrame(std::move(push)), m_now);
   }
 
+  // The document of a version is its number.
+  static std::unique_ptr<wire::RoutesStepT> StepOf(
+      uint64_t base, uint64_t version, const std::string& base_document) {
+    auto step = std::make_unique<wire::RoutesStepT>();
+    step->base = base;
+    step->version = version;
+    step->packed = state::PackDocument(std::to_string(version), base_document);
+    return step;
+  }
+
+  // The link is sent steps, each from a version to another.
+  void TakeRoutes(const std::vector<std::pair<uint64_t, uint64_t>>& steps) {
+    wire::RoutesPushT push;
+    for (const auto& [base, version] : steps)
+      push.steps.push_back(
+          StepOf(base, version, base == 0 ? "" : std::to_string(base)));
+    m_link->OnFrame("c1", MakeFrame(std::move(push)), m_now);
+  }
+
+  bool AsksForRoutes(const HostId& host) {
+    m_now = std::max(m_now, m_link->NextTimer());
+    m_link->OnTimer(m_now);
+    bool asks = false;
+    for (const auto& [to, frame] : m_link->TakeFrames(m_now)) {
+      const auto* beat = frame.body.AsEntryBeat();
+      if (to == host && beat != nullptr) asks = beat->wants_routes;
+    }
+    return asks;
+  }
+
   uint64_t AnsweredBelowIn(const HostId& host) {
     for (const auto& [to, frame] : m_link->TakeFrames(m_now)) {
       const auto* propose = frame.body.AsPropose();
--- a/src/dotterelshift/app/entry_pushes.cc
+++ b/src/dotterelshift/app/entry_pushes.cc
@@ -1,10 +1,14 @@
 #include "dotterelshift/app/entry_pushes.h"
 
-#include <iterator>  // for distance
-#include <memory>    // for make_unique
-#include <utility>   // for move
+#include <algorithm>  // for any_of
+#include <iterator>   // for distance
+#include <memory>     // for make_unique
+#include <string>     // for to_string
+#include <utility>    // for move
 
-#include "dotterelshift/base/address.h"  // for ParseAddress
+#include "dotterelshift/base/address.h"           // for ParseAddress
+#include "dotterelshift/state/packed_document.h"  // for PackDocument
+#include "dotterelshift/telemetry/log.h"          // for Log
 
 namespace dotterelshift::app {
 namespace {
@@ -27,6 +31,9 @@
 // What one change of the configuration takes, about.
 constexpr size_t kBytesOfChange = 128;
 
+// What any frame costs beside its bytes, as the bytes that take as long.
+constexpr size_t kBytesOfFrame = 4 << 10;
+
 // For so long an entry that names an older version than the one that was sent
 // to it is taken to have not read that far. Sent again at each beat, the
 // documents of a fleet that starts at once would pile up behind each other
@@ -54,15 +61,17 @@
                          Instant now) {
   const auto entry = m_entries.find(host);
   if (entry == m_entries.end()) return false;
-  OnHas(entry->second.configuration, beat.configuration_version, now);
-  OnHas(entry->second.routes, beat.routes_version, now);
+  OnHas(entry->second.configuration, beat.configuration_version, false, now);
+  OnHas(entry->second.routes, beat.routes_version, beat.wants_routes, now);
   return true;
 }
 
-void EntryPushes::OnHas(Pushed& pushed, uint64_t version, Instant now) {
-  const bool on_its_way =
-      version < pushed.version && now - pushed.at < kPushPatience;
-  if (!on_its_way) pushed.version = version;
+void EntryPushes::OnHas(Pushed& pushed, uint64_t version, bool wants_whole,
+                        Instant now) {
+  const bool on_its_way = version < pushed.version &&
+                          now - pushed.at < kPushPatience &&
+                          (pushed.whole || !wants_whole);
+  if (!on_its_way) pushed.version = wants_whole ? 0 : version;
 }
 
 void EntryPushes::AnswerBeat(const HostId& host, uint64_t sequence,
@@ -89,6 +98,7 @@
 }
 
 bool EntryPushes::PushSome(Instant now) {
+  WatchSpread(now);
   size_t bytes = 0;
   auto next = m_entries.upper_bound(m_pushed_last);
   for (size_t i = 0; i < m_entries.size(); ++i, ++next) {
@@ -97,9 +107,32 @@
     bytes += Push(next->second, now);
     m_pushed_last = next->first;
   }
+  LogSpread(now);
   return false;
 }
 
+void EntryPushes::WatchSpread(Instant now) {
+  const uint64_t version = m_replica.GetState().GetPublished().version;
+  if (version != m_spread.version) m_spread = {version, now, m_sent, false};
+}
+
+// Once each version has been sent to all entries, or a newer one has.
+void EntryPushes::LogSpread(Instant now) {
+  const auto is_behind = [this](const auto& entry) {
+    return entry.second.routes.version < m_spread.version;
+  };
+  if (m_spread.told || std::ranges::any_of(m_entries, is_behind)) return;
+  m_spread.told = true;
+  const RoutesSent& before = m_spread.sent_before;
+  telemetry::Log(telemetry::LogLevel::kInfo, "routes_sent",
+                 {{"version", std::to_string(m_spread.version)},
+                  {"entries", std::to_string(m_entries.size())},
+                  {"wholes", std::to_string(m_sent.wholes - before.wholes)},
+                  {"steps", std::to_string(m_sent.steps - before.steps)},
+                  {"bytes", std::to_string(m_sent.bytes - before.bytes)},
+                  {"took_ms", std::to_string(ToMs(now - m_spread.begun))}});
+}
+
 size_t EntryPushes::Push(Entry& entry, Instant now) {
   if (m_hub.Backlog(entry.info.run.host) > kMostBacklogBytes) return 0;
   return PushConfiguration(entry, now) + PushRoutes(entry, now);
@@ -124,20 +157,43 @@
   for (wire::ChangeT& change : changes)
     push.changes.push_back(std::make_unique<wire::ChangeT>(std::move(change)));
   m_hub.Send(entry.info.run.host, peers::MakeFrame(std::move(push)));
-  entry.configuration = {version, now};
+  entry.configuration = {version, now, from == 0};
   return changes.size() * kBytesOfChange;
 }
 
+// A change costs what it changes: an entry that holds one of the newest
+// versions is told the steps from there. Whole documents to a large fleet took
+// longer to send than changes may take to be in force.
 size_t EntryPushes::PushRoutes(Entry& entry, Instant now) {
-  const state::PublishedRoutes published = m_replica.GetState().GetPublished();
+  const state::State& state = m_replica.GetState();
+  const state::PublishedRoutes published = state.GetPublished();
   if (entry.routes.version >= published.version) return 0;
+  std::vector<wire::RoutesStepT> steps =
+      state.RoutesSince(entry.routes.version);
+  const bool whole = steps.empty();
+  if (whole) steps.push_back(WholeRoutes(published));
   wire::RoutesPushT push;
   push.term = m_replica.GetNode().Term();
   push.version = published.version;
-  push.document.assign(published.document.begin(), published.document.end());
+  size_t bytes = kBytesOfFrame;
+  for (wire::RoutesStepT& step : steps) {
+    bytes += step.packed.size();
+    push.steps.push_back(std::make_unique<wire::RoutesStepT>(std::move(step)));
+  }
   m_hub.Send(entry.info.run.host, peers::MakeFrame(std::move(push)));
-  entry.routes = {published.version, now};
-  return published.document.size();
+  entry.routes = {published.version, now, whole};
+  ++(whole ? m_sent.wholes : m_sent.steps);
+  m_sent.bytes += bytes - kBytesOfFrame;
+  return bytes;
+}
+
+const wire::RoutesStepT& EntryPushes::WholeRoutes(
+    const state::PublishedRoutes& published) {
+  if (m_whole_routes.version != published.version) {
+    m_whole_routes.version = published.version;
+    m_whole_routes.packed = state::PackDocument(published.document, {});
+  }
+  return m_whole_routes;
 }
 
 void EntryPushes::PushQuarantine(const HostId& entry, WallMs now) {
--- a/src/dotterelshift/app/entry_pushes.h
+++ b/src/dotterelshift/app/entry_pushes.h
@@ -39,28 +39,52 @@
   void PushQuarantineToAll(WallMs now);
 
   size_t Entries() const { return m_entries.size(); }
+  // What was sent of published routes since the start.
+  struct RoutesSent {
+    uint64_t wholes = 0;  // documents by themselves
+    uint64_t steps = 0;   // sent as steps from the version that is held
+    uint64_t bytes = 0;
+  };
+  const RoutesSent& Sent() const { return m_sent; }
 
  private:
   // The version of something that an entry has, or that is on its way to it.
   struct Pushed {
     uint64_t version = 0;
     Instant at{};  // when it was sent
+    bool whole = false;
   };
   struct Entry {
     peers::PeerInfo info;
     Pushed configuration;
     Pushed routes;
   };
-  static void OnHas(Pushed& pushed, uint64_t version, Instant now);
+  // How one version of the routes goes out, for a line about it.
+  struct Spread {
+    uint64_t version = 0;
+    Instant begun{};
+    RoutesSent sent_before;
+    bool told = true;
+  };
+  // `wants_whole`: what was sent is of no use to the entry.
+  static void OnHas(Pushed& pushed, uint64_t version, bool wants_whole,
+                    Instant now);
   // Give the bytes that were sent, about.
   size_t Push(Entry& entry, Instant now);
   size_t PushConfiguration(Entry& entry, Instant now);
   size_t PushRoutes(Entry& entry, Instant now);
+  // The document by itself; packed once for all entries that need it.
+  const wire::RoutesStepT& WholeRoutes(const state::PublishedRoutes& published);
+  void WatchSpread(Instant now);
+  void LogSpread(Instant now);
 
   peers::Hub& m_hub;
   const ControlReplica& m_replica;
   std::map<HostId, Entry> m_entries;
   HostId m_pushed_last;
+  wire::RoutesStepT m_whole_routes;
+  RoutesSent m_sent;
+  Spread m_spread;
 };
 
 }  // namespace dotterelshift::app
--- a/src/dotterelshift/app/entry_pushes_test.cc
+++ b/src/dotterelshift/app/entry_pushes_test.cc
@@ -2,7 +2,10 @@
 
 #include <cppunit/extensions/HelperMacros.h>  // for CPPUNIT_TEST
 
-#include "dotterelshift/replication/bootstrap.h"  // for FirstLog
+#include <random>  // for minstd_rand
+
+#include "dotterelshift/app/leader_testing.h"     // for MockReplica
+#include "dotterelshift/state/packed_document.h"  // for PackDocument
 #include "dotterelshift/state/state_testing.h"    // for TestRun
 
 namespace dotterelshift::app {
@@ -14,10 +17,11 @@
   bool Send(const HostId& host, const wire::FrameT& frame) override {
     const wire::RoutesPushT* routes = frame.body.AsRoutesPush();
     if (routes == nullptr) return true;
-    backlog[host] += routes->document.size();
+    for (const auto& step : routes->steps) backlog[host] += step->packed.size();
     most = std::max(most, backlog[host]);
     ++documents;
     versions[host] = routes->version;
+    bases[host] = routes->steps.front()->base;
     return true;
   }
   size_t Backlog(const HostId& host) const override {
@@ -31,6 +35,7 @@
 
   std::map<HostId, size_t> backlog;
   std::map<HostId, uint64_t> versions;  // of the newest document sent
+  std::map<HostId, uint64_t> bases;     // of the first step sent
   size_t most = 0;
   int documents = 0;
 
@@ -38,48 +43,43 @@
   peers::HubCounters m_counters;
 };
 
-// A leader over a real state.
-class MockReplica : public ControlReplica {
- public:
-  MockReplica() {
-    wire::MembershipT members;
-    auto self = std::make_unique<wire::ReplicaT>();
-    self->id = 1;
-    self->voter = true;
-    members.replicas.push_back(std::move(self));
-    m_node = replication::MakeNode({}, replication::FirstLog(1, members), {});
-  }
-  void Propose(std::vector<wire::CommandT>, ProposalCallback) override {}
-  void ConfirmedRead(std::function<void(ErrorKind)>) override {}
-  void Spool(const wire::SpoolT&) override {}
-  const state::State& GetState() const override { return *state; }
-  const replication::Node& GetNode() const override { return *m_node; }
-  bool Leads() const override { return true; }
-  HostId LeaderHost() const override { return "control"; }
-  void OnFrame(const peers::PeerInfo&, const wire::FrameT&) override {}
-
-  std::unique_ptr<state::State> state = state::MakeState();
-
- private:
-  std::unique_ptr<replication::Node> m_node;
-};
-
 class EntryPushesTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(EntryPushesTest);
   CPPUNIT_TEST(AFleetThatStartsIsSentOneDocumentEach);
   CPPUNIT_TEST(InAStormTheNewestReplacesWhatWaits);
   CPPUNIT_TEST(ATurnPushesToAFewEntries);
   CPPUNIT_TEST(WhatWasLostIsSentAgain);
+  CPPUNIT_TEST(AStepThatIsOfNoUseIsFollowedByTheWhole);
   CPPUNIT_TEST_SUITE_END();
 
  private:
   static constexpr size_t kDocumentBytes = 200'000;
   static constexpr int kEntries = 86;
 
+  // A document that no packing makes smaller, and that has nothing of the one
+  // before it.
+  void Commit(uint64_t version) {
+    std::minstd_rand random(static_cast<uint32_t>(version));
+    wire::PublishRoutesT routes;
+    routes.version = version;
+    for (size_t i = 0; i < kDocumentBytes; ++i)
+      routes.document.push_back(static_cast<uint8_t>(random() >> 8));
+    const std::string document(routes.document.begin(), routes.document.end());
+    m_document_bytes = state::PackDocument(document, {}).size();
+    m_control.Send(std::move(routes), 1);
+  }
   void Publish(uint64_t version) {
+    Commit(version);
+    PushAll();
+  }
+  // The next version, told as a step.
+  void PublishStep(uint64_t version) {
+    const state::PublishedRoutes in_force = m_replica.state->GetPublished();
     wire::PublishRoutesT routes;
     routes.version = version;
-    routes.document.assign(kDocumentBytes, 1);
+    routes.base = in_force.version;
+    routes.packed = state::PackDocument(std::string(in_force.document) + "x",
+                                        in_force.document);
     m_control.Send(std::move(routes), 1);
     PushAll();
   }
@@ -90,8 +90,9 @@
     }
   }
 
-  void Beat(const HostId& host, uint64_t version) {
+  void Beat(const HostId& host, uint64_t version, bool wants_routes = false) {
     wire::EntryBeatT beat;
+    beat.wants_routes = wants_routes;
     beat.sequence = ++m_beats;
     beat.routes_version = version;
     m_pushes.OnBeat(host, beat, m_now);
@@ -115,7 +116,7 @@
     for (int round = 0; round < 20; ++round, m_now += 100ms)
       for (int i = 0; i < kEntries; ++i) Beat("e" + std::to_string(i), 0);
     CPPUNIT_ASSERT_EQUAL(kEntries, m_hub.documents);
-    CPPUNIT_ASSERT_EQUAL(kDocumentBytes, m_hub.most);
+    CPPUNIT_ASSERT_EQUAL(m_document_bytes, m_hub.most);
   }
 
   void InAStormTheNewestReplacesWhatWaits() {
@@ -123,7 +124,7 @@
     uint64_t version = 0;
     for (int change = 0; change < 25; ++change, m_now += 80ms)
       Publish(++version);
-    CPPUNIT_ASSERT_EQUAL(kDocumentBytes, m_hub.most);
+    CPPUNIT_ASSERT_EQUAL(m_document_bytes, m_hub.most);
     CPPUNIT_ASSERT_EQUAL(kEntries, m_hub.documents);
     m_hub.backlog.clear();
     PushAll();
@@ -137,10 +138,7 @@
   void ATurnPushesToAFewEntries() {
     constexpr size_t kMostBytes = 256 << 10;
     StartEntries();
-    wire::PublishRoutesT routes;
-    routes.version = 1;
-    routes.document.assign(kDocumentBytes, 1);
-    m_control.Send(std::move(routes), 1);
+    Commit(1);
     int before = 0;
     for (bool more = true; more; before = m_hub.documents) {
       more = m_pushes.PushSome(m_now);
@@ -170,7 +168,22 @@
     CPPUNIT_ASSERT_EQUAL(kEntries + 2, m_hub.documents);
   }
 
+  // Once: until the whole has come, beats go on asking for it.
+  void AStepThatIsOfNoUseIsFollowedByTheWhole() {
+    StartEntries();
+    Publish(1);
+    m_hub.backlog.clear();
+    PublishStep(2);
+    CPPUNIT_ASSERT_EQUAL(2 * kEntries, m_hub.documents);
+    CPPUNIT_ASSERT_EQUAL(uint64_t{1}, m_hub.bases["e1"]);
+    for (int beat = 0; beat < 3; ++beat) Beat("e1", 1, true);
+    CPPUNIT_ASSERT_EQUAL(2 * kEntries + 1, m_hub.documents);
+    CPPUNIT_ASSERT_EQUAL(uint64_t{0}, m_hub.bases["e1"]);
+    CPPUNIT_ASSERT_EQUAL(uint64_t{2}, m_hub.versions["e1"]);
+  }
+
   Instant m_now{1000s};
+  size_t m_document_bytes = 0;  // of the newest, as it is sent whole
   uint64_t m_beats = 0;
   MockHub m_hub;
   MockReplica m_replica;
--- a/src/dotterelshift/app/gateway_entry.cc
+++ b/src/dotterelshift/app/gateway_entry.cc
@@ -48,6 +48,7 @@
   void OnEntryFrame(const peers::PeerInfo& peer, const wire::FrameT& frame);
   void TakeFromLink();
   void TakeRoutes();
+  void TakeEntryCount();
   void OnReach();
   void OnAnswer(const wire::CommandAnswerT& answer);
   void Register();
@@ -89,7 +90,9 @@
   std::unique_ptr<peers::Hub> m_hub;
   std::unique_ptr<OtherEntries> m_others;
   ControlReach m_reach = ControlReach::kNever;
-  uint64_t m_version = 0;  // of the routes in force here
+  uint64_t m_version = 0;       // of the routes in force here
+  uint64_t m_seen_version = 0;  // of the newest that came, readable or not
+  std::shared_ptr<const gateway::RouteTable> m_routes;
   bool m_closing = false;  // callers are asked to close their connections
   size_t m_entries = 1;
   std::optional<gateway::DrainTimes> m_drain;
@@ -229,11 +232,8 @@
 
 void GatewayEntry::TakeFromLink() {
   const Instant now = m_loop.Now();
-  if (m_link.RoutesVersion() != m_version || m_link.EntryCount() != m_entries) {
-    m_entries = m_link.EntryCount();
-    m_load.SetEntries(m_entries);
-    TakeRoutes();
-  }
+  if (m_link.RoutesVersion() != m_seen_version) TakeRoutes();
+  if (m_link.EntryCount() != m_entries) TakeEntryCount();
   if (m_link.Reach() != m_reach) OnReach();
   for (const wire::CommandAnswerT& answer : m_link.TakeAnswers())
     OnAnswer(answer);
@@ -246,24 +246,32 @@
 }
 
 void GatewayEntry::TakeRoutes() {
-  if (m_link.RoutesVersion() == 0) return;
+  m_seen_version = m_link.RoutesVersion();
+  const Instant start = m_loop.Now();
   std::string why;
   auto routes = m_dialect->ReadRoutes(m_link.RoutesDocument(), &why);
   if (!routes) {
     // Control checks before it commits; only another version of the program
     // can have let this pass.
-    telemetry::Log(
-        telemetry::LogLevel::kError, "routes_unreadable",
-        {{"version", std::to_string(m_link.RoutesVersion())}, {"why", why}});
+    telemetry::Log(telemetry::LogLevel::kError, "routes_unreadable",
+                   {{"version", std::to_string(m_seen_version)}, {"why", why}});
     return;
   }
-  m_version = m_link.RoutesVersion();
+  m_version = m_seen_version;
+  m_routes = std::make_shared<const gateway::RouteTable>(std::move(*routes));
+  m_core->OnRoutes(m_routes, m_entries, m_loop.Now());
   telemetry::Log(telemetry::LogLevel::kInfo, "routes_in_force",
                  {{"version", std::to_string(m_version)},
-                  {"entries", std::to_string(m_entries)}});
-  m_core->OnRoutes(
-      std::make_shared<const gateway::RouteTable>(std::move(*routes)),
-      m_entries, m_loop.Now());
+                  {"entries", std::to_string(m_entries)},
+                  {"bytes", std::to_string(m_link.RoutesDocument().size())},
+                  {"read_ms", std::to_string(ToMs(m_loop.Now() - start))}});
+}
+
+// The routes stay as they were read.
+void GatewayEntry::TakeEntryCount() {
+  m_entries = m_link.EntryCount();
+  m_load.SetEntries(m_entries);
+  if (m_routes) m_core->OnRoutes(m_routes, m_entries, m_loop.Now());
 }
 
 void GatewayEntry::OnReach() {
--- a/src/dotterelshift/app/gauges.cc
+++ b/src/dotterelshift/app/gauges.cc
@@ -31,6 +31,18 @@
                        "The same to one of them", Number(backlog.most)}});
 }
 
+void SetRoutesSentCounters(telemetry::Metrics& metrics,
+                           const EntryPushes::RoutesSent& sent) {
+  metrics.SetCounter("dotterelshift_routes_wholes_sent_total",
+                     "Documents of routes sent to entries by themselves",
+                     Number(sent.wholes));
+  metrics.SetCounter("dotterelshift_routes_steps_sent_total",
+                     "Sent as steps from the version that an entry held",
+                     Number(sent.steps));
+  metrics.SetCounter("dotterelshift_routes_bytes_sent_total",
+                     "Packed bytes of both", Number(sent.bytes));
+}
+
 void SetReplicaGauges(telemetry::Metrics& metrics,
                       const ControlReplica& replica, size_t entries) {
   const replication::Node& node = replica.GetNode();
--- a/src/dotterelshift/app/gauges.h
+++ b/src/dotterelshift/app/gauges.h
@@ -5,6 +5,7 @@
 #include <string_view>       // for string_view
 
 #include "dotterelshift/app/control_replica.h"  // for ControlReplica
+#include "dotterelshift/app/entry_pushes.h"     // for EntryPushes
 #include "dotterelshift/peers/hub.h"            // for Hub
 #include "dotterelshift/telemetry/metrics.h"    // for Metrics
 
@@ -25,6 +26,10 @@
 // What both roles say of their connections to other daemons.
 void SetHubMetrics(telemetry::Metrics& metrics, const peers::Hub& hub);
 
+// What a control daemon has sent of published routes.
+void SetRoutesSentCounters(telemetry::Metrics& metrics,
+                           const EntryPushes::RoutesSent& sent);
+
 // What a replica of control says of itself; `entries`: connected to it.
 void SetReplicaGauges(telemetry::Metrics& metrics,
                       const ControlReplica& replica, size_t entries);
--- a/src/dotterelshift/app/replica_simulation.h
+++ b/src/dotterelshift/app/replica_simulation.h
@@ -135,6 +135,9 @@
     return {};
   }
   state::PublishedRoutes GetPublished() const override { return {}; }
+  std::vector<wire::RoutesStepT> RoutesSince(uint64_t) const override {
+    return {};
+  }
   state::BudgetAccount PublishedSums() const override { return {}; }
   std::vector<BudgetId> PublishedBudgets() const override { return {}; }
   const state::BudgetAccount* FindAccount(const BudgetId&) const override {
--- a/src/dotterelshift/app/routes_port.cc
+++ b/src/dotterelshift/app/routes_port.cc
@@ -1,56 +1,56 @@
 #include "dotterelshift/app/routes_port.h"
 
-#include <string>   // for to_string
-#include <utility>  // for move
+#include <algorithm>  // for max_element, partition
+#include <iterator>   // for make_move_iterator
+#include <optional>   // for optional
+#include <string>     // for to_string
+#include <utility>    // for exchange, move
+#include <vector>     // for vector
 
-#include "dotterelshift/telemetry/log.h"  // for Log
+#include "dotterelshift/state/packed_document.h"  // for PackDocument
+#include "dotterelshift/telemetry/log.h"          // for Log
 
 namespace dotterelshift::app {
 namespace {
 
 using Published = std::function<void(ErrorKind)>;
 
-Tokens SumOf(const std::vector<std::unique_ptr<wire::TeamTotalT>>& totals) {
-  Tokens sum = 0;
-  for (const auto& total : totals) sum += total->tokens;
-  return sum;
-}
-
 std::string WordOf(ErrorKind outcome, const std::string& success) {
   return outcome == ErrorKind::kNone ? success
                                      : std::string(RowOf(outcome).name);
 }
 
-void LogPublished(const wire::PublishRoutesT& body, ErrorKind outcome) {
-  telemetry::Log(telemetry::LogLevel::kInfo, "routes_published",
-                 {{"version", std::to_string(body.version)},
-                  {"totals", std::to_string(SumOf(body.totals))},
-                  {"outcome", WordOf(outcome, "committed")}});
-}
+// Routes that an operator's program asks to have in force.
+struct Publication {
+  uint64_t version = 0;
+  std::string document;
+  std::map<TeamId, Tokens> totals;
+  Published callback;
+  Instant asked{};
+};
 
 class RoutesPort : public RoutesControl {
  public:
-  RoutesPort(ControlReplica& replica, OperatorBackend& backend,
-             DirectoryExchange& directory,
+  RoutesPort(loop::Loop& loop, ControlReplica& replica,
+             OperatorBackend& backend, DirectoryExchange& directory,
              std::function<void(Incarnation)> on_stale)
-      : m_replica(replica),
+      : m_loop(loop),
+        m_replica(replica),
         m_backend(backend),
         m_directory(directory),
         m_on_stale(std::move(on_stale)) {}
 
+  bool Leads() const override {
+    return m_replica.GetNode().Role() == replication::NodeRole::kLeader;
+  }
+
+  // One at a time, and the newest of those that wait: in a storm of changes
+  // the ones that a newer one has overtaken cost nothing.
   void Publish(uint64_t version, std::string document,
-               const std::map<TeamId, Tokens>& totals,
-               Published callback) override {
-    wire::PublishRoutesT body;
-    body.version = version;
-    body.document.assign(document.begin(), document.end());
-    for (const auto& [team, tokens] : totals) {
-      auto total = std::make_unique<wire::TeamTotalT>();
-      total->team = team;
-      total->tokens = tokens;
-      body.totals.push_back(std::move(total));
-    }
-    Propose(body, callback);
+               std::map<TeamId, Tokens> totals, Published callback) override {
+    m_waiting.push_back({version, std::move(document), std::move(totals),
+                         std::move(callback), m_loop.Now()});
+    ProposeNewest();
   }
 
   void Read(
@@ -94,43 +94,113 @@
     m_reads = 0;
   }
 
-  void Propose(const wire::PublishRoutesT& body, const Published& callback) {
+  void ProposeNewest() {
+    if (m_under_way || m_waiting.empty()) return;
+    const auto newest =
+        std::ranges::max_element(m_waiting, {}, &Publication::version);
+    m_under_way = std::move(*newest);
+    m_waiting.erase(newest);
+    Propose();
+  }
+
+  void Propose() {
+    wire::PublishRoutesT body =
+        RoutesCommand(m_under_way->version, m_under_way->document,
+                      m_under_way->totals, m_replica.GetState().GetPublished());
+    m_sent_bytes = body.packed.size();
     wire::CommandT command;
-    command.body.Set(wire::PublishRoutesT(body));
-    m_backend.Propose(std::move(command),
-                      [this, body, callback](
-                          ErrorKind error, const wire::CommandAnswerT& answer) {
-                        OnProposed(body, callback, error, answer);
-                      });
+    command.body.Set(std::move(body));
+    m_backend.Propose(
+        std::move(command),
+        [this](ErrorKind error, const wire::CommandAnswerT& answer) {
+          OnProposed(error, answer);
+        });
   }
 
-  void OnProposed(const wire::PublishRoutesT& body, const Published& callback,
-                  ErrorKind error, const wire::CommandAnswerT& answer) {
+  void OnProposed(ErrorKind error, const wire::CommandAnswerT& answer) {
     const auto refused = static_cast<ErrorKind>(answer.error);
     if (error == ErrorKind::kNone && refused == ErrorKind::kStaleIncarnation) {
       m_on_stale(answer.newest_incarnation);
-      return Propose(body, callback);
+      return Propose();
     }
+    // Another leader's change was committed in between.
+    if (error == ErrorKind::kNone && refused == ErrorKind::kVersionMoved)
+      return Propose();
     const ErrorKind outcome = error == ErrorKind::kNone ? refused : error;
-    LogPublished(body, outcome);
-    callback(outcome);
+    std::vector<Publication> settled = TakeSettled(outcome, answer);
+    LogPublished(*m_under_way, outcome, settled.size());
+    settled.push_back(*std::exchange(m_under_way, std::nullopt));
+    for (const Publication& publication : settled)
+      publication.callback(outcome);
+    ProposeNewest();
+  }
+
+  // Of those that wait: all after a failure, else the ones that are overtaken.
+  std::vector<Publication> TakeSettled(ErrorKind outcome,
+                                       const wire::CommandAnswerT& answer) {
+    const auto* body = answer.body.AsRoutesAnswer();
+    const uint64_t in_force = body == nullptr ? 0 : body->version;
+    const auto still_waits = [&](const Publication& publication) {
+      return outcome == ErrorKind::kNone && publication.version > in_force;
+    };
+    const auto settled = std::ranges::partition(m_waiting, still_waits);
+    std::vector<Publication> taken(std::make_move_iterator(settled.begin()),
+                                   std::make_move_iterator(settled.end()));
+    m_waiting.erase(settled.begin(), settled.end());
+    return taken;
   }
 
+  void LogPublished(const Publication& publication, ErrorKind outcome,
+                    size_t settled) const {
+    Tokens sum = 0;
+    for (const auto& [team, tokens] : publication.totals) sum += tokens;
+    telemetry::Log(
+        telemetry::LogLevel::kInfo, "routes_published",
+        {{"version", std::to_string(publication.version)},
+         {"totals", std::to_string(sum)},
+         {"outcome", WordOf(outcome, "committed")},
+         {"bytes", std::to_string(publication.document.size())},
+         {"sent_bytes", std::to_string(m_sent_bytes)},
+         {"settled_with_it", std::to_string(settled)},
+         {"took_ms", std::to_string(ToMs(m_loop.Now() - publication.asked))}});
+  }
+
+  loop::Loop& m_loop;
   ControlReplica& m_replica;
   OperatorBackend& m_backend;
   DirectoryExchange& m_directory;
   const std::function<void(Incarnation)> m_on_stale;
   ErrorKind m_read_outcome = ErrorKind::kNone;
   uint64_t m_reads = 0;  // since the last line about them
+  std::vector<Publication> m_waiting;
+  std::optional<Publication> m_under_way;
+  size_t m_sent_bytes = 0;  // of the document that is under way
 };
 
 }  // namespace
 
+wire::PublishRoutesT RoutesCommand(uint64_t version, std::string_view document,
+                                   const std::map<TeamId, Tokens>& totals,
+                                   const state::PublishedRoutes& in_force) {
+  wire::PublishRoutesT command;
+  command.version = version;
+  for (const auto& [team, tokens] : totals) {
+    auto total = std::make_unique<wire::TeamTotalT>();
+    total->team = team;
+    total->tokens = tokens;
+    command.totals.push_back(std::move(total));
+  }
+  if (version <= in_force.version) return command;
+  command.base = in_force.version;
+  command.packed = state::PackDocument(document, in_force.document);
+  return command;
+}
+
 std::unique_ptr<RoutesControl> MakeRoutesControl(
-    ControlReplica& replica, OperatorBackend& backend,
+    loop::Loop& loop, ControlReplica& replica, OperatorBackend& backend,
     DirectoryExchange& directory,
     std::function<void(Incarnation newest)> on_stale) {
-  return std::make_unique<RoutesPort>(replica, backend, directory,
+  return std::make_unique<RoutesPort>(loop, replica, backend, directory,
                                       std::move(on_stale));
 }
 
--- a/src/dotterelshift/base/error.cc
+++ b/src/dotterelshift/base/error.cc
@@ -112,6 +112,8 @@
              "The command is older than the answers kept."},
     ErrorRow{kBadFrame, "bad_frame", 400, Ran::kNo, kNever, 0,
              "The frame cannot be read."},
+    ErrorRow{kVersionMoved, "version_moved", 409, Ran::kNo, kNow, 0,
+             "The change is told against a version that is no more in force."},
     ErrorRow{kStorageFull, "storage_full", 507, Ran::kNo, kLater, 30,
              "The data folder is full."},
     ErrorRow{kStorageFailed, "storage_failed", 500, Ran::kUnknown, kLater, 30,
--- a/src/dotterelshift/state/apply_published.cc
+++ b/src/dotterelshift/state/apply_published.cc
@@ -1,7 +1,9 @@
 #include <optional>  // for optional
+#include <utility>   // for move
 
-#include "dotterelshift/state/apply.h"   // for Apply
-#include "dotterelshift/state/grants.h"  // for GrantOf
+#include "dotterelshift/state/apply.h"            // for Apply
+#include "dotterelshift/state/grants.h"           // for GrantOf
+#include "dotterelshift/state/packed_document.h"  // for UnpackDocument
 
 namespace dotterelshift::state {
 namespace {
@@ -13,6 +15,38 @@
   return account;
 }
 
+// Steps that are kept for entries that are some versions behind.
+constexpr size_t kMostSteps = 32;
+
+// Larger steps are not kept: a document is as quickly told whole.
+constexpr size_t kMostStepBytes = 32 << 10;
+
+// The document that a command brings. Throws Error(kVersionMoved) when it is
+// told as a step from another version than the one in force, kBadFrame when it
+// cannot be read.
+std::string DocumentOf(const Published& published,
+                       const wire::PublishRoutesT& command) {
+  if (command.packed.empty())
+    return {command.document.begin(), command.document.end()};
+  if (command.base == 0) return UnpackDocument(command.packed, {});
+  if (command.base != published.version)
+    throw Error(ErrorKind::kVersionMoved,
+                "version in force: " + std::to_string(published.version));
+  return UnpackDocument(command.packed, published.document);
+}
+
+void KeepStep(Published& published, const wire::PublishRoutesT& command) {
+  const bool leads_on =
+      command.base > 0 && command.packed.size() <= kMostStepBytes;
+  if (!leads_on) return published.steps.clear();
+  wire::RoutesStepT step;
+  step.base = command.base;
+  step.version = command.version;
+  step.packed = command.packed;
+  published.steps.push_back(std::move(step));
+  if (published.steps.size() > kMostSteps) published.steps.pop_front();
+}
+
 void TakeTotals(Tables& tables, const wire::PublishRoutesT& command) {
   tables.published.totals.clear();
   for (const auto& total : command.totals) {
@@ -30,8 +64,13 @@
            wire::CommandAnswerT& answer) {
   Published& published = context.tables.published;
   if (command.version > published.version) {
+    try {
+      published.document = DocumentOf(published, command);
+    } catch (const Error& error) {
+      return Refuse(answer, error.Kind(), error.what());
+    }
+    KeepStep(published, command);
     published.version = command.version;
-    published.document.assign(command.document.begin(), command.document.end());
     TakeTotals(context.tables, command);
   }
   wire::RoutesAnswerT body;
--- /dev/null
+++ b/src/dotterelshift/state/packed_document.cc
@@ -0,0 +1,103 @@
+#include "dotterelshift/state/packed_document.h"
+
+#include <xxhash.h>  // for XXH64
+#include <zstd.h>    // for ZSTD_compress2
+
+#include <algorithm>  // for clamp, copy
+#include <array>      // for array
+#include <bit>        // for bit_width
+#include <cstring>    // for memcpy
+#include <memory>     // for unique_ptr
+
+#include "dotterelshift/base/error.h"  // for Error
+
+namespace dotterelshift::state {
+namespace {
+
+// Fast, and it finds what is unchanged in documents of several megabytes.
+constexpr int kLevel = 3;
+
+// The library's bounds of a window, as powers of two of bytes.
+constexpr int kLeastWindow = 10;
+constexpr int kMostWindow = 27;
+
+// A packed document begins with a hash of its base, since a base that differs
+// where nothing is copied from it would go unnoticed.
+using BaseHash = XXH64_hash_t;
+
+struct FreeCompressor {
+  void operator()(ZSTD_CCtx* context) const { ZSTD_freeCCtx(context); }
+};
+struct FreeDecompressor {
+  void operator()(ZSTD_DCtx* context) const { ZSTD_freeDCtx(context); }
+};
+
+BaseHash HashOf(std::string_view base) {
+  return XXH64(base.data(), base.size(), 0);
+}
+
+size_t Checked(size_t result, ErrorKind kind) {
+  if (ZSTD_isError(result) != 0) throw Error(kind, ZSTD_getErrorName(result));
+  return result;
+}
+
+// All of the base and the document is looked at for what they share.
+int WindowOf(size_t bytes) {
+  return std::clamp(static_cast<int>(std::bit_width(bytes)), kLeastWindow,
+                    kMostWindow);
+}
+
+}  // namespace
+
+std::vector<uint8_t> PackDocument(std::string_view document,
+                                  std::string_view base) {
+  const std::unique_ptr<ZSTD_CCtx, FreeCompressor> context(ZSTD_createCCtx());
+  const auto set = [&](ZSTD_cParameter parameter, int value) {
+    Checked(ZSTD_CCtx_setParameter(context.get(), parameter, value),
+            ErrorKind::kInternal);
+  };
+  set(ZSTD_c_compressionLevel, kLevel);
+  set(ZSTD_c_windowLog, WindowOf(document.size() + base.size()));
+  set(ZSTD_c_checksumFlag, 1);
+  Checked(ZSTD_CCtx_refPrefix(context.get(), base.data(), base.size()),
+          ErrorKind::kInternal);
+  const BaseHash hash = HashOf(base);
+  std::vector<uint8_t> packed(sizeof hash +
+                              ZSTD_compressBound(document.size()));
+  std::memcpy(packed.data(), &hash, sizeof hash);
+  const size_t size =
+      Checked(ZSTD_compress2(context.get(), packed.data() + sizeof hash,
+                             packed.size() - sizeof hash, document.data(),
+                             document.size()),
+              ErrorKind::kInternal);
+  packed.resize(sizeof hash + size);
+  packed.shrink_to_fit();
+  return packed;
+}
+
+std::string UnpackDocument(const std::vector<uint8_t>& packed,
+                           std::string_view base) {
+  BaseHash hash = 0;
+  if (packed.size() < sizeof hash)
+    throw Error(ErrorKind::kBadFrame, "packed document is too short");
+  std::memcpy(&hash, packed.data(), sizeof hash);
+  if (hash != HashOf(base))
+    throw Error(ErrorKind::kBadFrame, "packed against another document");
+  const uint8_t* frame = packed.data() + sizeof hash;
+  const size_t frame_bytes = packed.size() - sizeof hash;
+  const auto size = ZSTD_getFrameContentSize(frame, frame_bytes);
+  if (size > kMostDocumentBytes)  // also: not told, or no frame
+    throw Error(ErrorKind::kBadFrame, "packed document of unknown size");
+  const std::unique_ptr<ZSTD_DCtx, FreeDecompressor> context(ZSTD_createDCtx());
+  Checked(ZSTD_DCtx_refPrefix(context.get(), base.data(), base.size()),
+          ErrorKind::kBadFrame);
+  std::string document(size, '\0');
+  const size_t got =
+      Checked(ZSTD_decompressDCtx(context.get(), document.data(),
+                                  document.size(), frame, frame_bytes),
+              ErrorKind::kBadFrame);
+  if (got != size) throw Error(ErrorKind::kBadFrame, "packed document is cut");
+  return document;
+}
+
+}  // namespace dotterelshift::state
--- a/src/dotterelshift/state/published_test.cc
+++ b/src/dotterelshift/state/published_test.cc
@@ -2,9 +2,10 @@
 
 #include <random>  // for mt19937_64
 
-#include "dotterelshift/base/error.h"           // for ErrorKind
-#include "dotterelshift/state/state.h"          // for State
-#include "dotterelshift/state/state_testing.h"  // for TestRun
+#include "dotterelshift/base/error.h"             // for ErrorKind
+#include "dotterelshift/state/packed_document.h"  // for PackDocument
+#include "dotterelshift/state/state.h"            // for State
+#include "dotterelshift/state/state_testing.h"    // for TestRun
 
 namespace dotterelshift::state {
 namespace {
@@ -48,6 +49,8 @@
 class PublishedTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(PublishedTest);
   CPPUNIT_TEST(HighestVersionIsInForce);
+  CPPUNIT_TEST(StepsLeadFromVersionToVersion);
+  CPPUNIT_TEST(AStepFromAVersionThatIsNotInForceIsRefused);
   CPPUNIT_TEST(EntriesHoldOnlyAPartOfWhatIsLeft);
   CPPUNIT_TEST(AHolderGetsASecondOfItsDemandBeyondThatPart);
   CPPUNIT_TEST(TokensHandedOnAreCountedOnceInAnyOrder);
@@ -92,6 +95,54 @@
     CPPUNIT_ASSERT(copy->Snapshot() == m_state->Snapshot());
   }
 
+  // A version told as a step from the one in force.
+  wire::PublishRoutesT StepTo(uint64_t version, const std::string& document) {
+    const PublishedRoutes in_force = m_state->GetPublished();
+    wire::PublishRoutesT step;
+    step.version = version;
+    step.base = in_force.version;
+    step.packed = PackDocument(document, in_force.document);
+    return step;
+  }
+
+  // Replicas that have restored a snapshot go on with the same documents, and
+  // know of no older steps.
+  void StepsLeadFromVersionToVersion() {
+    m_control->Send(StepTo(4, "four"), 2);
+    const auto copy = MakeState();
+    copy->Restore(m_state->Snapshot());
+    TestRun copied(copy.get(), "other", 1);
+    const wire::PublishRoutesT step = StepTo(7, "seven");
+    m_control->Send(wire::PublishRoutesT(step), 3);
+    copied.Send(wire::PublishRoutesT(step), 3);
+    for (const auto* state : {m_state.get(), copy.get()})
+      CPPUNIT_ASSERT_EQUAL(std::string("seven"),
+                           std::string(state->GetPublished().document));
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, m_state->RoutesSince(1).size());
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, m_state->RoutesSince(4).size());
+    CPPUNIT_ASSERT(m_state->RoutesSince(2).empty());
+    CPPUNIT_ASSERT(copy->RoutesSince(1).empty());
+    // A whole document ends what led to the one before it.
+    m_control->Send(RoutesOf(9, 1000), 4);
+    CPPUNIT_ASSERT(m_state->RoutesSince(7).empty());
+  }
+
+  void AStepFromAVersionThatIsNotInForceIsRefused() {
+    const wire::PublishRoutesT late = StepTo(6, "six");
+    m_control->Send(StepTo(4, "four"), 2);
+    const auto answer = m_control->Send(wire::PublishRoutesT(late), 3);
+    CPPUNIT_ASSERT(static_cast<ErrorKind>(answer.error) ==
+                   ErrorKind::kVersionMoved);
+    wire::PublishRoutesT damaged = StepTo(6, "six");
+    damaged.packed.pop_back();
+    const auto refused = m_control->Send(std::move(damaged), 4);
+    CPPUNIT_ASSERT(static_cast<ErrorKind>(refused.error) ==
+                   ErrorKind::kBadFrame);
+    CPPUNIT_ASSERT_EQUAL(std::string("four"),
+                         std::string(m_state->GetPublished().document));
+    CPPUNIT_ASSERT_EQUAL(uint64_t{4}, m_state->GetPublished().version);
+  }
+
   void EntriesHoldOnlyAPartOfWhatIsLeft() {
     CPPUNIT_ASSERT_EQUAL(Tokens{450}, Grant(*m_a, 1000, 0));
     CPPUNIT_ASSERT_EQUAL(Tokens{0}, Grant(*m_b, 1000, 0));
--- a/src/dotterelshift/state/state.cc
+++ b/src/dotterelshift/state/state.cc
@@ -163,6 +163,13 @@
     return {m_tables.published.version, m_tables.published.document};
   }
 
+  std::vector<wire::RoutesStepT> RoutesSince(uint64_t version) const override {
+    const auto& steps = m_tables.published.steps;
+    const auto first =
+        std::ranges::find(steps, version, &wire::RoutesStepT::base);
+    return {first, steps.end()};
+  }
+
   BudgetAccount PublishedSums() const override {
     BudgetAccount sums;
     for (const BudgetId& budget : PublishedBudgets()) {
--- a/src/dotterelshift/state/tables.h
+++ b/src/dotterelshift/state/tables.h
@@ -156,6 +156,9 @@
   uint64_t version = 0;
   std::string document;
   std::map<TeamId, Tokens> totals;
+  // The newest of the steps that led here, each on from the one before it. Not
+  // in snapshots: who needs older ones takes the document.
+  std::deque<wire::RoutesStepT> steps;
 };
 
 struct Tables {
