A leader that asked nothing is not left alone

Cause: CheckQuorum judged the age of the newest answered round; a leader that was kept from beginning one (two late timers in a row) stepped down although all it had asked was answered. It is now judged by the oldest round that a majority has not answered. The lease, on which acting and reading rest, is as before. Test: NodeTest::ALeaderThatAskedNothingIsNotLeftAlone, failed before; it also asks that silence after a question ends the leadership however many rounds follow. Ruled out: a longer lease or election time, which would only move the point.

--- a/src/dotterelshift/replication/node_test.cc
+++ b/src/dotterelshift/replication/node_test.cc
@@ -31,6 +31,7 @@
   CPPUNIT_TEST(GroupOfOneCommitsOnlyWhatIsSynced);
   CPPUNIT_TEST(OneOfThreeDoesNotElectItself);
   CPPUNIT_TEST(LeaderThatStoodStillIsJudgedLater);
+  CPPUNIT_TEST(ALeaderThatAskedNothingIsNotLeftAlone);
   CPPUNIT_TEST(OneWithoutAVoteForgetsASilentLeader);
   CPPUNIT_TEST_SUITE_END();
 
@@ -71,16 +72,33 @@
     CPPUNIT_ASSERT_EQUAL(uint64_t{0}, node->Term());
   }
 
+  // A busy leader's timer comes late again and again; whatever it asked was
+  // answered.
+  void ALeaderThatAskedNothingIsNotLeftAlone() {
+    Instant now{};
+    const auto node = MakeLeader(now);
+    AnswerAll(*node, now);
+    for (const Duration late : {150ms, 600ms, 150ms, 600ms}) {
+      now = node->NextTimer() + late;
+      node->OnTimer(now);
+      CPPUNIT_ASSERT(node->Role() == NodeRole::kLeader);
+      AnswerAll(*node, now);
+      CPPUNIT_ASSERT(node->LeaseUntil() > now);
+    }
+    // Silence after a question counts, however many questions follow.
+    const Instant silent_from = now;
+    while (node->Role() == NodeRole::kLeader) {
+      now += 1ms;
+      node->ConfirmLeadership(now);
+      node->OnTimer(now);
+      node->TakeReady();
+      CPPUNIT_ASSERT(now - silent_from <= 2 * NodeOptions().election_least);
+    }
+  }
+
   void LeaderThatStoodStillIsJudgedLater() {
     Instant now{};
-    const auto node = MakeNode({}, NewGroup(1, {1, 2, 3}), now);
-    now = node->NextTimer();
-    node->OnTimer(now);
-    node->OnMessage(VoteFrom(2, true), now);
-    CPPUNIT_ASSERT(node->TakeReady().hard_state.has_value());
-    node->OnSynced(now);
-    node->OnMessage(VoteFrom(2, false), now);
-    CPPUNIT_ASSERT(node->Role() == NodeRole::kLeader);
+    const auto node = MakeLeader(now);
     now += 1s;  // the answers of this time wait to be read
     node->OnTimer(now);
     CPPUNIT_ASSERT(node->Role() == NodeRole::kLeader);
@@ -112,6 +130,39 @@
   }
 
  private:
+  // The first of three, just elected.
+  static std::unique_ptr<Node> MakeLeader(Instant& now) {
+    auto node = MakeNode({}, NewGroup(1, {1, 2, 3}), now);
+    now = node->NextTimer();
+    node->OnTimer(now);
+    node->OnMessage(VoteFrom(2, true), now);
+    CPPUNIT_ASSERT(node->TakeReady().hard_state.has_value());
+    node->OnSynced(now);
+    node->OnMessage(VoteFrom(2, false), now);
+    CPPUNIT_ASSERT(node->Role() == NodeRole::kLeader);
+    return node;
+  }
+
+  // Both others acknowledge what the leader has sent.
+  static void AnswerAll(Node& node, Instant now) {
+    Ready ready = node.TakeReady();
+    node.OnSynced(now);
+    for (auto& [to, frame] : ready.messages) {
+      const auto* request = frame.body.AsAppendRequest();
+      if (request == nullptr) continue;
+      wire::AppendReplyT reply;
+      reply.from = to;
+      reply.to = 1;
+      reply.term = request->term;
+      reply.accepted = true;
+      reply.match_index = request->previous_index + request->entries.size();
+      reply.round = request->round;
+      wire::FrameT answer;
+      answer.body.Set(reply);
+      node.OnMessage(answer, now);
+    }
+  }
+
   static wire::FrameT VoteFrom(ReplicaId from, bool pre_vote) {
     wire::VoteReplyT vote;
     vote.from = from;
--- a/src/dotterelshift/replication/raft.h
+++ b/src/dotterelshift/replication/raft.h
@@ -116,6 +116,7 @@
   void OnVoteRequest(const wire::VoteRequestT& request, Instant now);
   void OnVoteReply(const wire::VoteReplyT& reply, Instant now);
   void CheckQuorum(Instant now);
+  void FindOldestOpenRound();
 
   // Log replication (raft_append.h).
   uint64_t AppendOwn(wire::LogEntryKind kind, std::vector<uint8_t> payload);
@@ -171,6 +172,7 @@
   void TakeWrites(Ready& ready);
   void TakeCommitted(Ready& ready, size_t most_bytes);
   void TakeReads(Ready& ready);
+  uint64_t ConfirmedRound() const;
 
   const NodeOptions m_options;
   const ReplicaId m_self;
@@ -196,6 +198,8 @@
   uint64_t m_term_start = 0;  // index of the first entry of this leader's term
   uint64_t m_round = 0;
   std::deque<std::pair<uint64_t, Instant>> m_rounds;
+  // A leader's oldest round that a majority has not answered.
+  std::optional<std::pair<uint64_t, Instant>> m_oldest_open;
   bool m_round_unsent = false;
   std::vector<PendingRead> m_reads;
   uint64_t m_last_token = 0;
--- a/src/dotterelshift/replication/raft_election.h
+++ b/src/dotterelshift/replication/raft_election.h
@@ -3,6 +3,8 @@
 
 // Elections: pre-vote, votes, check-quorum.
 
+#include <algorithm>  // for find_if
+
 #include "dotterelshift/replication/raft.h"  // for Raft
 
 namespace dotterelshift::replication {
@@ -93,6 +95,7 @@
   m_leadership_changed = true;
   m_progress.clear();
   m_rounds.clear();
+  m_oldest_open.reset();
   SyncProgressWithMembers(now);
   m_term_start = AppendOwn(wire::LogEntryKind::Empty, {});
   m_next_heartbeat = now + m_options.heartbeat;
@@ -146,9 +149,27 @@
   CountVotes(now);
 }
 
+// A leader is cut off once a majority has not answered for an election's time
+// what it asked. While it asked nothing, because it stood still itself, the
+// others' silence tells nothing.
 template <typename Rules>
 void Raft<Rules>::CheckQuorum(Instant now) {
-  if (!HearsLeader(now)) BecomeFollower(m_hard_state.term, 0, now);
+  FindOldestOpenRound();
+  const bool cut_off = m_oldest_open &&
+                       now - m_oldest_open->second >= m_options.election_least;
+  if (cut_off) BecomeFollower(m_hard_state.term, 0, now);
+}
+
+// Older rounds than are kept may be open: the oldest one is remembered until it
+// is answered.
+template <typename Rules>
+void Raft<Rules>::FindOldestOpenRound() {
+  const uint64_t confirmed = ConfirmedRound();
+  if (m_oldest_open && m_oldest_open->first > confirmed) return;
+  m_oldest_open.reset();
+  const auto open = std::ranges::find_if(
+      m_rounds, [=](const auto& round) { return round.first > confirmed; });
+  if (open != m_rounds.end()) m_oldest_open = *open;
 }
 
 }  // namespace dotterelshift::replication
--- a/src/dotterelshift/replication/raft_events.h
+++ b/src/dotterelshift/replication/raft_events.h
@@ -182,8 +182,7 @@
 template <typename Rules>
 void Raft<Rules>::TakeReads(Ready& ready) {
   if (m_reads.empty() || m_commit < m_term_start) return;
-  const uint64_t confirmed = MajorityValue(
-      m_round, [](const Progress& peer) { return peer.acked_round; });
+  const uint64_t confirmed = ConfirmedRound();
   std::erase_if(m_reads, [&](const PendingRead& read) {
     if (read.round > confirmed || read.index > m_handed_out) return false;
     ready.reads_confirmed.push_back(read.token);
@@ -191,6 +190,13 @@
   });
 }
 
+// The newest round that a majority has answered.
+template <typename Rules>
+uint64_t Raft<Rules>::ConfirmedRound() const {
+  return MajorityValue(m_round,
+                       [](const Progress& peer) { return peer.acked_round; });
+}
+
 template <typename Rules>
 template <typename Value, typename ValueOf>
 Value Raft<Rules>::MajorityValue(Value own, ValueOf value_of) const {
