The last part of a total is given out by control, to small requests

Cause: entries hold nearly all that is left of a total, and all of it counts as spent when they die; whatever had been left was gone at once, before its last part could be spread. Why this works: 25 in 1000 of a total are not held by entries. Control gives them out for requests that wait and need no more than a quarter of that part, one at a time; a death of all takes none of it, and entries spread it over time as they do already. Soundness is as before: control still counts all that a dead run held as spent. Ruled out: a smaller held part (docs/decisions/restart-and-stranded-tokens.md). Not built: what a dead run may have spent, bounded by time and rate; of the tokens that die none are saved by this.

--- a/src/dotterelshift/replication/raft_election.h
+++ b/src/dotterelshift/replication/raft_election.h
@@ -155,8 +155,8 @@
 template <typename Rules>
 void Raft<Rules>::CheckQuorum(Instant now) {
   FindOldestOpenRound();
-  const bool cut_off = m_oldest_open &&
-                       now - m_oldest_open->second >= m_options.election_least;
+  const bool cut_off =
+      m_oldest_open && now - m_oldest_open->second >= m_options.election_least;
   if (cut_off) BecomeFollower(m_hard_state.term, 0, now);
 }
 
--- a/src/dotterelshift/state/apply_request_grant.cc
+++ b/src/dotterelshift/state/apply_request_grant.cc
@@ -39,6 +39,15 @@
 // of ten seconds until the last fifth of a day.
 constexpr Tokens kHeldPercent = 45;
 
+// The last part of a published total, in thousandths, is not held by entries
+// but given out by control, to small requests one at a time: when all entries
+// die at once, and take with them what they hold, the small ones of those that
+// come are still served. Below the part that entries spread over time.
+constexpr Tokens kReservePerMille = 25;
+
+// A small request needs no more than one in so many of that part.
+constexpr Tokens kRequestsOfReserve = 4;
+
 // What waits, and a second of the holder's demand, is granted in any case; more
 // only up to that part. Where others hold the part and draw little, a holder
 // that was given one request's tokens at a time served one request an answer of
@@ -51,9 +60,13 @@
       std::min(command.demand_per_second, free / kShareOfFree);
   const Tokens left = free + amounts.granted;
   const Tokens may_hold = left / 100 * kHeldPercent - amounts.granted;
-  return std::min(
-      free, std::max(command.minimum,
-                     std::min(command.wanted, std::max(may_hold, second))));
+  const Tokens reserve = amounts.purchased / 1000 * kReservePerMille;
+  const Tokens wanted = std::max(
+      command.minimum, std::min(command.wanted, std::max(may_hold, second)));
+  const Tokens size = std::min(free - reserve, wanted);
+  if (size > 0 && size >= command.minimum) return size;
+  const bool small = command.minimum <= reserve / kRequestsOfReserve;
+  return small ? command.minimum : 0;
 }
 
 // By how much the part grows that the holder may spend without openings.
