--- a/src/dotterelshift/state/packed_document.cc
+++ b/src/dotterelshift/state/packed_document.cc
@@ -3,8 +3,7 @@
 #include <xxhash.h>  // for XXH64
 #include <zstd.h>    // for ZSTD_compress2
 
-#include <algorithm>  // for clamp, copy
-#include <array>      // for array
+#include <algorithm>  // for clamp
 #include <bit>        // for bit_width
 #include <cstring>    // for memcpy
 #include <memory>     // for unique_ptr
