Two spellings that the linter refuses: a ranges algorithm, braces in a test

clang's front end cannot build std::ranges::partition with this standard library; the plain one does the same.

--- a/src/dotterelshift/app/routes_port.cc
+++ b/src/dotterelshift/app/routes_port.cc
@@ -143,10 +143,11 @@
     const auto still_waits = [&](const Publication& publication) {
       return outcome == ErrorKind::kNone && publication.version > in_force;
     };
-    const auto settled = std::ranges::partition(m_waiting, still_waits);
-    std::vector<Publication> taken(std::make_move_iterator(settled.begin()),
-                                   std::make_move_iterator(settled.end()));
-    m_waiting.erase(settled.begin(), settled.end());
+    const auto settled =
+        std::partition(m_waiting.begin(), m_waiting.end(), still_waits);
+    std::vector<Publication> taken(std::make_move_iterator(settled),
+                                   std::make_move_iterator(m_waiting.end()));
+    m_waiting.erase(settled, m_waiting.end());
     return taken;
   }
 
--- a/src/dotterelshift/state/packed_document_test.cc
+++ b/src/dotterelshift/state/packed_document_test.cc
@@ -41,10 +41,12 @@
   void AnyDocumentComesBack() {
     const std::string large = RoutesDocument({.routes = 100});
     const std::string documents[] = {"", "x", "{}", large, large + large};
-    for (const std::string& base : documents)
-      for (const std::string& document : documents)
+    for (const std::string& base : documents) {
+      for (const std::string& document : documents) {
         CPPUNIT_ASSERT(UnpackDocument(PackDocument(document, base), base) ==
                        document);
+      }
+    }
   }
 
   void AnotherBaseIsRefused() {
@@ -61,8 +63,7 @@
         RoutesDocument({.version = 8, .routes = 20, .changed = 3});
     const auto packed = PackDocument(next, base);
     for (size_t i = 0; i < packed.size(); ++i) {
-      const std::vector<uint8_t> cut(packed.begin(),
-                                     packed.begin() + static_cast<long>(i));
+      const std::vector<uint8_t> cut(packed.data(), packed.data() + i);
       CPPUNIT_ASSERT(IsRefused(cut, base));
       for (int bit = 0; bit < 8; ++bit) {
         std::vector<uint8_t> flipped = packed;
