A smaller last part at control, and refused asks stay as they were

Forgetting a refused ask cost besides: whoever waited had to be refused once more before it was asked for again. Conclusion: 8 in 1000, a quarter of it the largest request served from it; refused asks as before, with their test.

--- a/include/dotterelshift/budget/ledger.h
+++ b/include/dotterelshift/budget/ledger.h
@@ -41,10 +41,6 @@
   // What is held beyond the wanted holding by this factor flows back at once;
   // 0: only what lies idle does.
   double return_above = 0;
-  // What an ask was refused for is not asked for again unless it is reserved
-  // again: a large request that is not covered must not stand before small
-  // ones. Only where whoever waits tries again after each answer.
-  bool forgets_refused = false;
 };
 
 enum class ReserveResult {
--- a/src/dotterelshift/budget/ledger.cc
+++ b/src/dotterelshift/budget/ledger.cc
@@ -161,7 +161,7 @@
     position.refused_all = answer.tokens == 0 && answer.elsewhere == 0;
     position.refused_until =
         answer.tokens > 0 ? now : now + m_options.refusal_memory;
-    if (answer.tokens > 0 || m_options.forgets_refused) position.missing = 0;
+    if (answer.tokens > 0) position.missing = 0;
     Touch(budget);
   }
 
--- a/src/dotterelshift/gateway/held_grants.cc
+++ b/src/dotterelshift/gateway/held_grants.cc
@@ -15,7 +15,6 @@
   options.idle_return = 45s;
   options.ask_below = 0.85;
   options.return_above = 1.3;
-  options.forgets_refused = true;
   return options;
 }
 
--- a/src/dotterelshift/state/apply_request_grant.cc
+++ b/src/dotterelshift/state/apply_request_grant.cc
@@ -43,7 +43,7 @@
 // but given out by control, to small requests one at a time: when all entries
 // die at once, and take with them what they hold, the small ones of those that
 // come are still served. Below the part that entries spread over time.
-constexpr Tokens kReservePerMille = 25;
+constexpr Tokens kReservePerMille = 8;
 
 // A small request needs no more than one in so many of that part.
 constexpr Tokens kRequestsOfReserve = 4;
