--- a/src/dotterelshift/replication/node_test.cc
+++ b/src/dotterelshift/replication/node_test.cc
@@ -31,7 +31,7 @@
   CPPUNIT_TEST(GroupOfOneCommitsOnlyWhatIsSynced);
   CPPUNIT_TEST(OneOfThreeDoesNotElectItself);
   CPPUNIT_TEST(LeaderThatStoodStillIsJudgedLater);
-  CPPUNIT_TEST(ALeaderThatAskedNothingIsNotLeftAlone);
+  CPPUNIT_TEST(ALeaderThatAskedNothingIsNotDeposed);
   CPPUNIT_TEST(OneWithoutAVoteForgetsASilentLeader);
   CPPUNIT_TEST_SUITE_END();
 
@@ -74,7 +74,7 @@
 
   // A busy leader's timer comes late again and again; whatever it asked was
   // answered.
-  void ALeaderThatAskedNothingIsNotLeftAlone() {
+  void ALeaderThatAskedNothingIsNotDeposed() {
     Instant now{};
     const auto node = MakeLeader(now);
     AnswerAll(*node, now);
