A caller that hangs up is seen at once in each phase of its request

One test a phase forces the order of events, without any link: nothing sent, head half read, body half read, the close together with the last byte, answer due (first and kept connection), stream's head sent, backlog not taken, a request behind the one that waits, between an answer and the request behind it, 300 callers in one turn; each by close, reset and half-close, with the server's own times at an hour, so that only the connection itself can tell. Of the core, by a clock moved by hand: tokens, place, booked, attempt, stream, second attempt booked and running, attempt asked back.

Ruled out with it: that a close which has reached the host waits for a bound on time, a write or a further request. Seen besides: a caller that half-closes and takes none of its stream keeps its connection, not its request, until it closes or the idle bound.

--- /dev/null
+++ b/src/dotterelshift/gateway/core_leave_test.cc
@@ -0,0 +1,181 @@
+// A caller leaves at each stage of its request: nothing of it is started any
+// more, what has been started is cancelled once, and nothing stays held for it.
+#include <cppunit/extensions/HelperMacros.h>  // for CPPUNIT_TEST
+
+#include "dotterelshift/directory/spread.h"      // for PulseKey
+#include "dotterelshift/gateway/core.h"          // for Core
+#include "dotterelshift/gateway/core_testing.h"  // for CoreFixture
+
+namespace dotterelshift::gateway {
+namespace {
+
+constexpr RequestId kOther = 2;
+
+class CoreLeaveTest : public CoreFixture {
+  CPPUNIT_TEST_SUITE(CoreLeaveTest);
+  CPPUNIT_TEST(WhileItWaitsForTokens);
+  CPPUNIT_TEST(WhileItWaitsForAPlace);
+  CPPUNIT_TEST(WhileItIsBooked);
+  CPPUNIT_TEST(WhileItsAttemptHasNoAnswer);
+  CPPUNIT_TEST(WhileItsStreamRuns);
+  CPPUNIT_TEST(WhileASecondAttemptIsBooked);
+  CPPUNIT_TEST(WhileASecondAttemptRuns);
+  CPPUNIT_TEST(WhileItsAttemptIsAskedBack);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void WhileItWaitsForTokens() {
+    Publish(1'000'000);
+    Request("/stream/", 100);
+    CPPUNIT_ASSERT(m_last.empty());
+    Leave();
+    CPPUNIT_ASSERT(m_last.empty());
+    wire::TokenLoanT loan;
+    loan.budget = "team";
+    loan.tokens = 200;
+    m_budgets->OnLoan(loan, m_now);
+    m_core->OnBudgetChanged(m_now);
+    ExpectNothingMore();
+    CPPUNIT_ASSERT_EQUAL(Tokens{0}, m_budgets->HeldSums().reserved);
+  }
+
+  void WhileItWaitsForAPlace() {
+    Publish();
+    for (const char* id : {"p1", "p2", "p3"}) Announce(id, "plain", true);
+    m_core->OnEndpointsChanged(m_directory, m_now);
+    Request("/safe/");
+    CPPUNIT_ASSERT(m_last.empty());
+    Leave();
+    CPPUNIT_ASSERT(m_last.empty());
+    Announce("p4", "plain");
+    m_core->OnEndpointsChanged(m_directory, m_now);
+    ExpectNothingMore();
+  }
+
+  // Both engines read a long prompt, so the next one waits for its time.
+  void WhileItIsBooked() {
+    Publish();
+    Request("/stream/", 10'000, 3);
+    Request("/stream/", 10'000, 4);
+    Request("/stream/", 100);
+    CPPUNIT_ASSERT(m_last.empty());
+    const uint32_t booked = Running();
+    Leave();
+    CPPUNIT_ASSERT(m_last.empty());
+    CPPUNIT_ASSERT_EQUAL(booked - 1, Running());
+    for (Duration passed = 0s; passed < 1s; passed += 1ms) {
+      Pass(1ms);
+      CPPUNIT_ASSERT_EQUAL(size_t{0}, Count<StartAttempt>());
+    }
+  }
+
+  void WhileItsAttemptHasNoAnswer() {
+    Publish(1'000'000);
+    Grant();
+    Request("/resume/", 100);
+    const AttemptId attempt = Only<StartAttempt>().attempt;
+    Leave();
+    CPPUNIT_ASSERT_EQUAL(attempt, Only<CancelAttempt>().attempt);
+    // What was on its way back of it changes nothing.
+    Head(attempt, 200, true);
+    CPPUNIT_ASSERT(m_last.empty());
+    End(attempt, http::TransferEnd::kCutBeforeHead);
+    CPPUNIT_ASSERT(m_last.empty());
+    ExpectNothingMore();
+    CPPUNIT_ASSERT_EQUAL(Tokens{0}, m_budgets->HeldSums().reserved);
+  }
+
+  void WhileItsStreamRuns() {
+    Publish();
+    Request("/resume/", 100);
+    const AttemptId attempt = Only<StartAttempt>().attempt;
+    Head(attempt, 200, true);
+    Piece(attempt, "id: 1\ndata: a\n\nid: 2\nda");
+    Leave();
+    CPPUNIT_ASSERT_EQUAL(attempt, Only<CancelAttempt>().attempt);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, m_last.size());
+    End(attempt, http::TransferEnd::kCut);
+    CPPUNIT_ASSERT(m_last.empty());
+    ExpectNothingMore();
+  }
+
+  // The first attempt broke; the other engine still reads, so that the second
+  // attempt has not begun.
+  void WhileASecondAttemptIsBooked() {
+    Publish();
+    Request("/resume/", 100);
+    const StartAttempt first = Only<StartAttempt>();
+    Request("/stream/", 20'000, kOther);
+    CPPUNIT_ASSERT(Only<StartAttempt>().endpoint.id != first.endpoint.id);
+    End(first.attempt, http::TransferEnd::kNotSent);
+    CPPUNIT_ASSERT(m_last.empty());
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, m_core->OpenRequests());
+    Leave();
+    CPPUNIT_ASSERT(m_last.empty());
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, m_core->OpenRequests());
+    for (Duration passed = 0s; passed < 1s; passed += 1ms) {
+      Pass(1ms);
+      CPPUNIT_ASSERT_EQUAL(size_t{0}, Count<StartAttempt>());
+    }
+  }
+
+  void WhileASecondAttemptRuns() {
+    Publish();
+    Request("/safe/");
+    End(Only<StartAttempt>().attempt, http::TransferEnd::kCutBeforeHead);
+    const AttemptId second = Only<StartAttempt>().attempt;
+    Leave();
+    CPPUNIT_ASSERT_EQUAL(second, Only<CancelAttempt>().attempt);
+    ExpectNothingMore();
+  }
+
+  // Its endpoint leaves, and then its caller, before the connection has said
+  // whether the attempt could be taken back.
+  void WhileItsAttemptIsAskedBack() {
+    Publish();
+    Request("/safe/");
+    const StartAttempt start = Only<StartAttempt>();
+    Announce(start.endpoint.id, "plain", true);
+    m_core->OnEndpointsChanged(m_directory, m_now);
+    Collect();
+    CPPUNIT_ASSERT_EQUAL(start.attempt, Only<WithdrawAttempt>().attempt);
+    Leave();
+    CPPUNIT_ASSERT_EQUAL(start.attempt, Only<CancelAttempt>().attempt);
+    m_core->OnWithdrawn(start.attempt, m_now);
+    ExpectNothingMore();
+  }
+
+ private:
+  void Leave() {
+    m_core->OnCallerGone(kRequest, m_now);
+    Collect();
+  }
+
+  void Grant() {
+    m_budgets->SetConnected(true, m_now);
+    AnswerAsk(1'000, 999'000);
+  }
+
+  uint32_t Running() const {
+    uint32_t running = 0;
+    for (const auto& [id, endpoint] : m_directory.All()) {
+      running +=
+          m_load->Running(directory::PulseKey(id, endpoint.record.incarnation));
+    }
+    return running;
+  }
+
+  // Nothing is open, due or started, now or later.
+  void ExpectNothingMore() {
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, m_core->OpenRequests());
+    CPPUNIT_ASSERT_EQUAL(uint32_t{0}, Running());
+    CPPUNIT_ASSERT(m_core->NextTimer() == Instant::max());
+    Pass(10s);
+    CPPUNIT_ASSERT(m_last.empty());
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(CoreLeaveTest);
+
+}  // namespace
+}  // namespace dotterelshift::gateway
--- /dev/null
+++ b/src/dotterelshift/http/hang_up_test.cc
@@ -0,0 +1,275 @@
+// A caller hangs up in each phase of its request: the server is told by the
+// connection itself, at once, not by a bound on time or by a failed write.
+#include <cppunit/extensions/HelperMacros.h>  // for CPPUNIT_TEST
+
+#include <array>       // for array
+#include <functional>  // for function
+#include <memory>      // for unique_ptr
+#include <string>      // for string
+#include <vector>      // for vector
+
+#include "dotterelshift/http/server.h"           // for MakeServer
+#include "dotterelshift/http/test_connection.h"  // for TestConnection
+#include "dotterelshift/loop/loop.h"             // for Loop
+
+namespace dotterelshift::http {
+namespace {
+
+// Far above what an event on loopback takes, far below the server's own times.
+constexpr Duration kGuard = 10s;
+constexpr Duration kServersTime = std::chrono::hours(1);
+
+// What the kernel takes for a caller that reads nothing, and a stream that is
+// well above that and what it takes on the server's side.
+constexpr int kSmallBuffer = 4 << 10;
+constexpr size_t kLongStream = 16 << 20;
+
+enum class Way { kClose, kReset, kHalfClose };
+constexpr std::array kWays = {Way::kClose, Way::kReset, Way::kHalfClose};
+
+std::string NameOf(Way way) {
+  constexpr std::array kNames = {"close", "reset", "half-close"};
+  return kNames.at(static_cast<size_t>(way));
+}
+
+std::string Head(const std::string& more) {
+  return "POST /v1/x HTTP/1.1\r\nHost: h\r\n" + more + "\r\n";
+}
+
+std::string Whole() { return Head("Content-Length: 0\r\n"); }
+
+class HangUpTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(HangUpTest);
+  CPPUNIT_TEST(BeforeAnything);
+  CPPUNIT_TEST(WithTheHeadHalfRead);
+  CPPUNIT_TEST(WithTheBodyHalfRead);
+  CPPUNIT_TEST(TogetherWithTheLastByte);
+  CPPUNIT_TEST(WhileTheAnswerWaits);
+  CPPUNIT_TEST(OnAKeptConnectionWhileTheAnswerWaits);
+  CPPUNIT_TEST(WithTheStreamsHeadSent);
+  CPPUNIT_TEST(WithABacklogThatIsNotTaken);
+  CPPUNIT_TEST(WithARequestBehindTheOneThatWaits);
+  CPPUNIT_TEST(BetweenTheAnswerAndTheRequestBehindIt);
+  CPPUNIT_TEST(ManyAtOnce);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void BeforeAnything() {
+    ForEachWay([this](Way way) {
+      TestConnection caller(m_server->Port());
+      RunUntil([this] { return m_server->OpenConnections() == 1; });
+      HangUp(caller, way);
+      ExpectAllEnded(0, 0);
+    });
+  }
+
+  void WithTheHeadHalfRead() {
+    ForEachWay([this](Way way) {
+      TestConnection caller(m_server->Port());
+      caller.Send("POST /v1/x HTTP/1.1\r\nHost: h\r\n");
+      RunUntil([this] { return m_server->OpenConnections() == 1; });
+      Turn();
+      HangUp(caller, way);
+      ExpectAllEnded(0, 0);
+    });
+  }
+
+  void WithTheBodyHalfRead() {
+    ForEachWay([this](Way way) {
+      TestConnection caller(m_server->Port());
+      caller.Send(Head("Content-Length: 10\r\n") + "half");
+      RunUntil([this] { return m_server->OpenExchanges() == 1; });
+      HangUp(caller, way);
+      ExpectAllEnded(0, 0);
+    });
+  }
+
+  // The server finds the request and its caller's going together: it is either
+  // not handed over, or reported as gone.
+  void TogetherWithTheLastByte() {
+    ForEachWay([this](Way way) {
+      TestConnection caller(m_server->Port());
+      caller.Send(Head("Content-Length: 10\r\n") + "half");
+      RunUntil([this] { return m_server->OpenExchanges() == 1; });
+      caller.Send("<whole");
+      HangUp(caller, way);
+      RunUntil([this] { return m_server->OpenConnections() == 0; });
+      CPPUNIT_ASSERT_EQUAL(m_handled, m_gone);
+      CPPUNIT_ASSERT_EQUAL(size_t{0}, m_server->OpenExchanges());
+    });
+  }
+
+  void WhileTheAnswerWaits() {
+    ForEachWay([this](Way way) {
+      TestConnection caller(m_server->Port());
+      caller.Send(Whole());
+      RunUntil([this] { return m_handled == 1; });
+      HangUp(caller, way);
+      ExpectAllEnded(1, 1);
+    });
+  }
+
+  void OnAKeptConnectionWhileTheAnswerWaits() {
+    ForEachWay([this](Way way) {
+      TestConnection caller(m_server->Port());
+      caller.Send(Whole());
+      RunUntil([this] { return m_handled == 1; });
+      m_kept.at(0)->Answer(200, {}, "first");
+      RunUntil([&caller] {
+        caller.Receive();
+        return caller.Has("first");
+      });
+      caller.Send(Whole());
+      RunUntil([this] { return m_handled == 2; });
+      HangUp(caller, way);
+      ExpectAllEnded(2, 1);
+    });
+  }
+
+  void WithTheStreamsHeadSent() {
+    ForEachWay([this](Way way) {
+      TestConnection caller(m_server->Port());
+      caller.Send(Whole());
+      RunUntil([this] { return m_handled == 1; });
+      m_kept.at(0)->SendHead(200, {});
+      RunUntil([&caller] {
+        caller.Receive();
+        return caller.Has("HTTP/1.1 200");
+      });
+      HangUp(caller, way);
+      ExpectAllEnded(1, 1);
+    });
+  }
+
+  // Nothing can be written, so that no write tells of the caller's going.
+  void WithABacklogThatIsNotTaken() {
+    ForEachWay([this](Way way) {
+      TestConnection caller(m_server->Port(), kSmallBuffer);
+      caller.Send(Whole());
+      RunUntil([this] { return m_handled == 1; });
+      m_kept.at(0)->SendHead(200, {});
+      m_kept.at(0)->SendPiece(std::string(kLongStream, 'x'));
+      RunUntilNothingIsTaken();
+      HangUp(caller, way);
+      RunUntil([this] { return m_gone == 1; });
+      // A caller that has closed one side only holds the connection open.
+      caller.Close();
+      ExpectAllEnded(1, 1);
+    });
+  }
+
+  void WithARequestBehindTheOneThatWaits() {
+    ForEachWay([this](Way way) {
+      TestConnection caller(m_server->Port());
+      caller.Send(Whole() + Whole());
+      RunUntil([this] { return m_handled == 1; });
+      HangUp(caller, way);
+      ExpectAllEnded(1, 1);
+    });
+  }
+
+  // The first answer is there when its caller goes; the second request, already
+  // read, is handed over and reported, or not handed over.
+  void BetweenTheAnswerAndTheRequestBehindIt() {
+    ForEachWay([this](Way way) {
+      TestConnection caller(m_server->Port());
+      caller.Send(Whole() + Whole());
+      RunUntil([this] { return m_handled == 1; });
+      m_kept.at(0)->OnGone(nullptr);
+      m_kept.at(0)->Answer(200, {}, "first");
+      HangUp(caller, way);
+      RunUntil([this] { return m_server->OpenConnections() == 0; });
+      CPPUNIT_ASSERT_EQUAL(m_handled - 1, m_gone);
+      CPPUNIT_ASSERT_EQUAL(size_t{0}, m_server->OpenExchanges());
+    });
+  }
+
+  // More than the system reports in one call.
+  void ManyAtOnce() {
+    constexpr int kCallers = 300;
+    ForEachWay([this](Way way) {
+      std::vector<TestConnection> callers;
+      for (int i = 0; i < kCallers; ++i) {
+        callers.emplace_back(m_server->Port());
+        callers.back().Send(Whole());
+      }
+      RunUntil([this] { return m_handled == kCallers; });
+      for (TestConnection& caller : callers) HangUp(caller, way);
+      ExpectAllEnded(kCallers, kCallers);
+    });
+  }
+
+ private:
+  void ForEachWay(const std::function<void(Way)>& test) {
+    for (const Way way : kWays) {
+      m_handled = 0;
+      m_gone = 0;
+      m_kept.clear();
+      m_server = MakeServer(m_loop, {.receive_timeout = kServersTime},
+                            [this](std::shared_ptr<Exchange> exchange) {
+                              ++m_handled;
+                              exchange->OnGone([this] { ++m_gone; });
+                              m_kept.push_back(std::move(exchange));
+                            });
+      m_way = NameOf(way);
+      test(way);
+    }
+  }
+
+  static void HangUp(TestConnection& caller, Way way) {
+    switch (way) {
+      case Way::kClose:
+        return caller.Close();
+      case Way::kReset:
+        return caller.Reset();
+      case Way::kHalfClose:
+        return caller.HalfClose();
+    }
+  }
+
+  // All connections end; so many requests were handed over, and of so many the
+  // caller's going is reported, each once.
+  void ExpectAllEnded(int handled, int gone) {
+    RunUntil([&] { return m_gone >= gone; });
+    RunUntil([this] { return m_server->OpenConnections() == 0; });
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, m_server->OpenExchanges());
+    CPPUNIT_ASSERT_EQUAL(handled, m_handled);
+    CPPUNIT_ASSERT_EQUAL(gone, m_gone);
+  }
+
+  void RunUntilNothingIsTaken() {
+    size_t backlog = 0;
+    do {
+      backlog = m_kept.at(0)->Backlog();
+      Turn();
+    } while (m_kept.at(0)->Backlog() < backlog);
+    CPPUNIT_ASSERT(backlog > 0);
+  }
+
+  // The loop turns without waiting: the callers are not on it.
+  void RunUntil(const std::function<bool()>& condition) {
+    const Instant begin = m_loop.Now();
+    while (!condition()) {
+      CPPUNIT_ASSERT_MESSAGE(m_way, m_loop.Now() - begin < kGuard);
+      ev_run(m_loop.Raw(), EVRUN_NOWAIT);
+    }
+  }
+
+  // Lets what is due be done, without waiting for more.
+  void Turn() {
+    constexpr int kTurns = 20;
+    for (int i = 0; i < kTurns; ++i) ev_run(m_loop.Raw(), EVRUN_NOWAIT);
+  }
+
+  loop::Loop m_loop;
+  std::string m_way;
+  int m_handled = 0;
+  int m_gone = 0;
+  std::vector<std::shared_ptr<Exchange>> m_kept;
+  std::unique_ptr<Server> m_server;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(HangUpTest);
+
+}  // namespace
+}  // namespace dotterelshift::http
--- a/src/dotterelshift/http/test_connection.h
+++ b/src/dotterelshift/http/test_connection.h
@@ -65,6 +65,16 @@
     m_socket = -1;
   }
 
+  // Ends its sending side alone.
+  void HalfClose() { ::shutdown(m_socket, SHUT_WR); }
+
+  // Ends with a reset instead of an orderly close.
+  void Reset() {
+    const linger at_once{.l_onoff = 1, .l_linger = 0};
+    ::setsockopt(m_socket, SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
+    Close();
+  }
+
   const std::string& Received() const { return m_received; }
   // The other side has ended the connection.
   bool Closed() const { return m_closed; }
