Lines that tell where a request waits behind a full link

- A request that ends as caller_gone, and a broken attempt: stage, when the attempt was started and handed to its connection (libcurl's prereq), the wait before the link then and now, the bytes unsent (SIOCOUTQ).
- link_load: the wait outwards in virtual time (LinkWait), requests handed over behind 100, 300 and 500 ms, bytes of first and repeated sends, the longest connect and the longest beat to control.
It comes with a wait of 100 ms, too.
- ended, answered: what is left of the route's timeout.

Nothing is decided by them. Tests: LinkWaitTest, LinkGuardTest:: WhatIsHandedOverWaitsOnce, ControlLinkTest::TheLongestBeatIsToldOnce, CoreTest:: TheLineOfACallerThatLeavesSaysWhereItsRequestStood, two of HttpTest.

--- a/include/dotterelshift/app/control_link.h
+++ b/include/dotterelshift/app/control_link.h
@@ -75,6 +75,9 @@
   // The newest published routes that a leader sent; version 0: none.
   uint64_t RoutesVersion() const { return m_routes_version; }
   const std::string& RoutesDocument() const { return m_routes_document; }
+  // The longest that an answered beat has taken, there and back and for a
+  // quorum, since the last call; 0: none was answered.
+  Duration TakeLongestBeat() { return std::exchange(m_longest_beat, {}); }
   // Addresses of control and of the entries, as the leader named them last.
   const std::vector<std::string>& ControlAddresses() const {
     return m_control_addresses;
@@ -110,7 +113,8 @@
     Instant sent{};     // the epoch: not yet
     Duration patience;  // from then until it is sent again
   };
-  void OnLeaderBeat(const HostId& from, const wire::LeaderBeatT& beat);
+  void OnLeaderBeat(const HostId& from, const wire::LeaderBeatT& beat,
+                    Instant now);
   void OnAnswers(const wire::ProposeAnswersT& answers);
   void OnSpoolStored(const wire::SpoolStoredT& stored);
   void OnConfiguration(const wire::ConfigurationPushT& push);
@@ -135,6 +139,7 @@
   std::map<uint64_t, Instant>
       m_beats_sent;  // by sequence, those not older than the answered one
   Instant m_next_beat{};
+  Duration m_longest_beat{};
   std::optional<Instant> m_confirmed;  // when the newest answered beat was sent
   serving::ControlReach m_reach = serving::ControlReach::kNever;
   state::Configuration m_configuration;
--- a/include/dotterelshift/gateway/core.h
+++ b/include/dotterelshift/gateway/core.h
@@ -104,6 +104,8 @@
   std::string_view event;
   std::string caller_id;
   std::vector<std::pair<std::string_view, std::string>> inputs;
+  // Whose way to its endpoint is part of it; 0: none.
+  AttemptId attempt = 0;
 };
 
 using Action = std::variant<StartAttempt, CancelAttempt, WithdrawAttempt,
--- a/include/dotterelshift/http/client.h
+++ b/include/dotterelshift/http/client.h
@@ -4,6 +4,7 @@
 #include <cstdint>      // for uint64_t
 #include <functional>   // for function
 #include <memory>       // for unique_ptr
+#include <optional>     // for optional
 #include <string>       // for string
 #include <string_view>  // for string_view
 
@@ -34,9 +35,19 @@
   Duration total_timeout = 0s;  // 0: none
 };
 
+// A request's bytes as they are handed to its connection.
+struct HandOver {
+  size_t bytes = 0;
+  bool new_connection = false;
+  Duration connected_in = 0s;  // of a new one: what it took to be made
+};
+
 // What a transfer reports, on the loop's thread. None is called after Cancel().
 // Those that are empty are left out.
 struct TransferCallbacks {
+  // Just before the request is handed over; nothing may be started or cancelled
+  // from it.
+  std::function<void(const HandOver& what)> on_handed_over;
   std::function<void(int status, const Headers& headers)> on_head;
   // Returns false to pause the transfer until Resume(); the piece is taken all
   // the same.
@@ -63,6 +74,10 @@
   virtual bool Withdraw(TransferId transfer) = 0;
   virtual void Resume(TransferId transfer) = 0;
   virtual size_t OpenTransfers() const = 0;
+  // Bytes that were handed to a transfer's connection and that the other side
+  // has not acknowledged; none when it has no connection, or where the system
+  // does not say.
+  virtual std::optional<size_t> Unsent(TransferId transfer) const = 0;
   // Of requests that have been handed to a connection, since the start.
   virtual uint64_t BytesSent() const = 0;
 };
--- a/src/dotterelshift/app/control_link.cc
+++ b/src/dotterelshift/app/control_link.cc
@@ -46,7 +46,7 @@
   if (const auto* answers = frame.body.AsProposeAnswers()) {
     OnAnswers(*answers);
   } else if (const auto* beat = frame.body.AsLeaderBeat()) {
-    OnLeaderBeat(from, *beat);
+    OnLeaderBeat(from, *beat, now);
   } else if (const auto* hint = frame.body.AsLeaderHint()) {
     if (m_leader.empty() || from == m_leader)
       m_control_addresses = hint->control;
@@ -66,10 +66,11 @@
 }
 
 void ControlLink::OnLeaderBeat(const HostId& from,
-                               const wire::LeaderBeatT& beat) {
+                               const wire::LeaderBeatT& beat, Instant now) {
   if (beat.term < m_term) return;
   const auto sent = m_beats_sent.find(beat.sequence);
   if (sent == m_beats_sent.end()) return;
+  m_longest_beat = std::max(m_longest_beat, now - sent->second);
   m_confirmed = std::max(m_confirmed.value_or(sent->second), sent->second);
   m_term = beat.term;
   m_wanted_version = beat.configuration_version;
--- a/src/dotterelshift/app/control_link_test.cc
+++ b/src/dotterelshift/app/control_link_test.cc
@@ -21,6 +21,7 @@
   CPPUNIT_TEST(EachAnswerComesOnce);
   CPPUNIT_TEST(ControlIsToldWhichAnswersHaveCome);
   CPPUNIT_TEST(CutOffCountsFromTheSendingOfABeat);
+  CPPUNIT_TEST(TheLongestBeatIsToldOnce);
   CPPUNIT_TEST(VersionsNeverFall);
   CPPUNIT_TEST(AnOlderTermDoesNotLead);
   CPPUNIT_TEST(SpoolsGoToWhoIsInReach);
@@ -205,6 +206,16 @@
     CPPUNIT_ASSERT(m_link->Reach() == ControlReach::kConnected);
   }
 
+  void TheLongestBeatIsToldOnce() {
+    for (const Duration taken : {20ms, 400ms, 30ms}) {
+      const uint64_t sequence = NextBeat("c1");
+      m_now += taken;
+      Answer("c1", sequence, 1, 0);
+    }
+    CPPUNIT_ASSERT(m_link->TakeLongestBeat() == 400ms);
+    CPPUNIT_ASSERT(m_link->TakeLongestBeat() == 0s);
+  }
+
   void VersionsNeverFall() {
     Push(0, 5);
     Push(0, 4);
--- a/src/dotterelshift/app/gateway_entry.cc
+++ b/src/dotterelshift/app/gateway_entry.cc
@@ -123,7 +123,7 @@
       m_core(gateway::MakeCore(CoreOptionsOf(incarnation), Parts())),
       m_metrics(telemetry::MakeMetrics()),
       m_traffic(std::make_unique<GatewayTraffic>(loop, *m_core, *m_dialect,
-                                                 *m_metrics)),
+                                                 *m_metrics, m_link_guard)),
       m_tick(loop, [this] { OnTick(); }),
       m_prepare(
           loop, [this] { SendToPeers(); }, EV_MINPRI + 1) {
@@ -324,6 +324,7 @@
 // Callers on open connections go elsewhere, too: each answer asks them to
 // close.
 void GatewayEntry::WatchLink(Instant now) {
+  m_link_guard.OnControlTrip(m_link.TakeLongestBeat());
   m_link_guard.Watch(*m_server, m_hub->Counters(), now);
   const bool full = m_link_guard.IsFull(now);
   if (std::exchange(m_closing, full) == full) return;
--- a/src/dotterelshift/app/gateway_traffic.cc
+++ b/src/dotterelshift/app/gateway_traffic.cc
@@ -30,6 +30,11 @@
 // is in common use is 5 s.
 constexpr Duration kMaxIdle = 4s;
 
+// A wait before the link that a line of a request tells.
+constexpr Duration kWorthTelling = 20ms;
+
+std::string Ms(Duration duration) { return std::to_string(ToMs(duration)); }
+
 std::string SecondsText(Duration duration) {
   char text[32];
   std::snprintf(text, sizeof text, "%.2f",
@@ -47,11 +52,12 @@
 
 GatewayTraffic::GatewayTraffic(loop::Loop& loop, gateway::Core& core,
                                const gateway::Dialect& dialect,
-                               telemetry::Metrics& metrics)
+                               telemetry::Metrics& metrics, LinkGuard& link)
     : m_loop(loop),
       m_core(core),
       m_dialect(dialect),
       m_metrics(metrics),
+      m_link(link),
       m_client(http::MakeClient(loop, MakeClientOptions())),
       m_timer(loop, [this] {
         m_core.OnTimer(m_loop.Now());
@@ -95,6 +101,7 @@
   }
   for (const serving::RequestSummary& summary : m_core.TakeFinished())
     m_metrics.OnFinished(summary);
+  m_ended_ways.clear();
   m_pumping = false;
   ArmTimer();
 }
@@ -121,6 +128,9 @@
   onward.total_timeout = start.time_left + kTimeoutSlack;
   http::TransferCallbacks callbacks;
   const AttemptId attempt = start.attempt;
+  callbacks.on_handed_over = [this, attempt](const http::HandOver& what) {
+    OnHandedOver(attempt, what);
+  };
   callbacks.on_head = [this, attempt](int status,
                                       const http::Headers& headers) {
     OnHead(attempt, status, headers);
@@ -133,9 +143,21 @@
   };
   Transfer& transfer = m_transfers[attempt];
   transfer.request = start.request;
+  transfer.way_out.repeated = open->second.starts++ > 0;
   transfer.id = m_client->Start(std::move(onward), std::move(callbacks));
 }
 
+void GatewayTraffic::OnHandedOver(AttemptId attempt,
+                                  const http::HandOver& what) {
+  const auto transfer = m_transfers.find(attempt);
+  if (transfer == m_transfers.end()) return;
+  WayOut& way = transfer->second.way_out;
+  way.handed_over = what;
+  way.handed_over_at = m_loop.Now();
+  way.wait = m_link.WaitOut(way.handed_over_at);
+  m_link.OnHandedOver(what, way.repeated, way.handed_over_at);
+}
+
 void GatewayTraffic::OnHead(AttemptId attempt, int status,
                             const http::Headers& headers) {
   Transfer& transfer = m_transfers[attempt];
@@ -174,6 +196,7 @@
 void GatewayTraffic::CarryOut(const gateway::CancelAttempt& cancel) {
   const auto transfer = m_transfers.find(cancel.attempt);
   if (transfer == m_transfers.end()) return;
+  KeepWayOut(cancel.attempt, transfer->second);
   m_client->Cancel(transfer->second.id);
   m_transfers.erase(transfer);
 }
@@ -186,6 +209,12 @@
   m_core.OnWithdrawn(withdraw.attempt, m_loop.Now());
 }
 
+void GatewayTraffic::KeepWayOut(AttemptId attempt, const Transfer& transfer) {
+  WayOut& way = m_ended_ways[attempt];
+  way = transfer.way_out;
+  way.unsent = m_client->Unsent(transfer.id);
+}
+
 std::shared_ptr<http::Exchange> GatewayTraffic::Take(RequestId request) {
   auto node = m_open.extract(request);
   if (node.empty()) return nullptr;
@@ -255,8 +284,32 @@
   if (exchange != nullptr) exchange->Abort();
 }
 
-void GatewayTraffic::CarryOut(const gateway::Decision& decision) {
-  telemetry::LogDecision(decision.event, decision.caller_id, decision.inputs);
+void GatewayTraffic::AddWayOut(AttemptId attempt, LogInputs& inputs) const {
+  const auto ended = m_ended_ways.find(attempt);
+  const auto open = m_transfers.find(attempt);
+  const bool known = ended != m_ended_ways.end() || open != m_transfers.end();
+  if (!known) return;
+  const WayOut& way =
+      ended != m_ended_ways.end() ? ended->second : open->second.way_out;
+  if (way.unsent) inputs.emplace_back("unsent", std::to_string(*way.unsent));
+  if (!way.handed_over) {
+    inputs.emplace_back("handed_over", "no");
+    return;
+  }
+  inputs.emplace_back("handed_over_ms_ago",
+                      Ms(m_loop.Now() - way.handed_over_at));
+  inputs.emplace_back("wait_out_then_ms", Ms(way.wait));
+  inputs.emplace_back("bytes", std::to_string(way.handed_over->bytes));
+  if (way.handed_over->new_connection)
+    inputs.emplace_back("connected_in_ms", Ms(way.handed_over->connected_in));
+}
+
+void GatewayTraffic::CarryOut(const gateway::Decision& decision) const {
+  LogInputs inputs = decision.inputs;
+  if (decision.attempt != 0) AddWayOut(decision.attempt, inputs);
+  const Duration wait = m_link.WaitOut(m_loop.Now());
+  if (wait >= kWorthTelling) inputs.emplace_back("wait_out_ms", Ms(wait));
+  telemetry::LogDecision(decision.event, decision.caller_id, inputs);
 }
 
 }  // namespace dotterelshift::app
--- a/src/dotterelshift/app/gateway_traffic.h
+++ b/src/dotterelshift/app/gateway_traffic.h
@@ -2,9 +2,14 @@
 #define DOTTERELSHIFT_SRC_APP_GATEWAY_TRAFFIC_H_
 
 #include <memory>         // for shared_ptr, unique_ptr
+#include <optional>       // for optional
 #include <string>         // for string
+#include <string_view>    // for string_view
 #include <unordered_map>  // for unordered_map
+#include <utility>        // for pair
+#include <vector>         // for vector
 
+#include "dotterelshift/app/link_guard.h"          // for LinkGuard
 #include "dotterelshift/gateway/core.h"            // for Core
 #include "dotterelshift/gateway/dialect.h"         // for Dialect
 #include "dotterelshift/gateway/link_admission.h"  // for LinkBytes
@@ -20,7 +25,8 @@
 class GatewayTraffic {
  public:
   GatewayTraffic(loop::Loop& loop, gateway::Core& core,
-                 const gateway::Dialect& dialect, telemetry::Metrics& metrics);
+                 const gateway::Dialect& dialect, telemetry::Metrics& metrics,
+                 LinkGuard& link);
 
   void Accept(std::shared_ptr<http::Exchange> exchange);
   // Carries out what the core wants; after every event that reached it from
@@ -39,6 +45,15 @@
     std::shared_ptr<http::Exchange> exchange;
     AttemptId streaming = 0;  // the attempt whose stream is passed on
     bool paused = false;
+    int starts = 0;  // of attempts
+  };
+  // How the request of an attempt left this host, for the log.
+  struct WayOut {
+    bool repeated = false;  // an attempt was started before this one
+    std::optional<http::HandOver> handed_over;
+    Instant handed_over_at{};
+    Duration wait{};               // before the link, then
+    std::optional<size_t> unsent;  // at the attempt's end
   };
   // The answer of one attempt: kept whole until it is known to be, unless it
   // is passed on as it comes.
@@ -49,13 +64,19 @@
     http::Headers headers;
     std::string body;
     bool streamed = false;
+    WayOut way_out;
   };
+  using LogInputs = std::vector<std::pair<std::string_view, std::string>>;
 
   void OnGone(RequestId request);
   void OnDrained(RequestId request);
   void OnHead(AttemptId attempt, int status, const http::Headers& headers);
   bool OnPiece(AttemptId attempt, std::string_view piece);
   void OnEnd(AttemptId attempt, http::TransferEnd end);
+  void OnHandedOver(AttemptId attempt, const http::HandOver& what);
+  // The last that is told of an attempt that is not there any more.
+  void KeepWayOut(AttemptId attempt, const Transfer& transfer);
+  void AddWayOut(AttemptId attempt, LogInputs& inputs) const;
 
   void CarryOut(const gateway::StartAttempt& start);
   void CarryOut(const gateway::CancelAttempt& cancel);
@@ -66,7 +87,7 @@
   void CarryOut(const gateway::RelayPiece& relay);
   void CarryOut(const gateway::FinishStream& finish);
   void CarryOut(const gateway::AbortStream& abort);
-  static void CarryOut(const gateway::Decision& decision);
+  void CarryOut(const gateway::Decision& decision) const;
 
   http::Headers AnswerHeaders(const http::Headers& headers) const;
   std::shared_ptr<http::Exchange> Take(RequestId request);
@@ -76,9 +97,12 @@
   gateway::Core& m_core;
   const gateway::Dialect& m_dialect;
   telemetry::Metrics& m_metrics;
+  LinkGuard& m_link;
   std::unique_ptr<http::Client> m_client;
   std::unordered_map<RequestId, Open> m_open;
   std::unordered_map<AttemptId, Transfer> m_transfers;
+  // Of attempts that ended among the actions that are being carried out.
+  std::unordered_map<AttemptId, WayOut> m_ended_ways;
   RequestId m_last_request = 0;
   bool m_closing = false;
   uint64_t m_answer_bytes = 0;
--- a/src/dotterelshift/app/gateway_traffic_test.cc
+++ b/src/dotterelshift/app/gateway_traffic_test.cc
@@ -143,7 +143,7 @@
         gateway::CoreOptions(),
         {m_load.get(), m_budgets.get(), m_retries.get(), nullptr});
     m_traffic = std::make_unique<GatewayTraffic>(m_loop, *m_core, m_dialect,
-                                                 *m_metrics);
+                                                 *m_metrics, m_link);
     gateway::Route once;
     once.name = once.path_prefix = "/once/";
     once.host = "h";
@@ -383,6 +383,7 @@
   std::unique_ptr<gateway::HeldGrants> m_budgets;
   std::unique_ptr<gateway::RetryShare> m_retries;
   std::unique_ptr<gateway::Core> m_core;
+  LinkGuard m_link{settings::Settings()};
   std::unique_ptr<GatewayTraffic> m_traffic;
 };
 
--- a/src/dotterelshift/app/link_guard.cc
+++ b/src/dotterelshift/app/link_guard.cc
@@ -17,6 +17,9 @@
 // A link in use by less is not worth a line.
 constexpr double kWorthALine = 0.5;
 
+// A wait before the link that is.
+constexpr Duration kWaitWorthALine = 100ms;
+
 // Connections that the system holds until they are taken, as time of the link:
 // what waits there has sent its first bytes.
 constexpr Duration kBacklog = 500ms;
@@ -58,7 +61,8 @@
 LinkGuard::LinkGuard(const settings::Settings& settings)
     : m_bytes_per_second(AdmissionOptionsOf(settings).bytes_per_second),
       m_admission(AdmissionOptionsOf(settings)),
-      m_shedder(LinkOptionsOf(settings)) {}
+      m_shedder(LinkOptionsOf(settings)),
+      m_wait_out(m_bytes_per_second) {}
 
 void LinkGuard::SetOptions(http::ServerOptions& options) {
   if (m_admission.IsBounded()) {
@@ -94,6 +98,28 @@
   }
 }
 
+void LinkGuard::OnHandedOver(const http::HandOver& what, bool repeated,
+                             Instant now) {
+  const Duration wait = m_wait_out.Wait(now);
+  ++m_summary.handed_over;
+  if (wait > 100ms) ++m_summary.over_100ms;
+  if (wait > 300ms) ++m_summary.over_300ms;
+  if (wait > 500ms) ++m_summary.over_500ms;
+  (repeated ? m_summary.repeated_bytes : m_summary.first_bytes) += what.bytes;
+  if (what.new_connection) {
+    ++m_summary.connects;
+    m_summary.longest_connect =
+        std::max(m_summary.longest_connect, what.connected_in);
+  }
+  m_wait_out.OnBytes(what.bytes, now);
+  m_handed_over += what.bytes;
+}
+
+void LinkGuard::OnControlTrip(Duration trip) {
+  m_summary.longest_control_trip =
+      std::max(m_summary.longest_control_trip, trip);
+}
+
 void LinkGuard::Adjust(http::Server& server, const Traffic& traffic,
                        Instant now) {
   const Traffic last = std::exchange(m_counted, traffic);
@@ -104,6 +130,9 @@
   const uint64_t in = fresh.in + std::exchange(m_request_bytes, 0);
   m_summary.bytes.in += in;
   m_summary.bytes.out += fresh.out;
+  // What was handed over is counted among it, and waits since then.
+  const uint64_t waits = std::exchange(m_handed_over, 0);
+  m_wait_out.OnBytes(fresh.out - std::min(fresh.out, waits), now);
   m_shedder.OnBytes(std::max(in, fresh.out), now);
   const gateway::Entrance entrance = m_admission.Decide(now);
   if (entrance != gateway::Entrance::kTakes) m_last_paused = now;
@@ -185,7 +214,9 @@
                       std::chrono::duration<double>(now - last.since).count();
   const auto filled =
       static_cast<double>(std::max(last.bytes.in, last.bytes.out));
-  if (most <= 0 || filled < most * kWorthALine) return;
+  const Duration longest_wait = m_wait_out.TakeLongest();
+  const bool waited = longest_wait >= kWaitWorthALine;
+  if (most <= 0 || (filled < most * kWorthALine && !waited)) return;
   telemetry::Log(
       telemetry::LogLevel::kInfo, "link_load",
       {{"filled_percent", std::to_string(std::lround(100 * filled / most))},
@@ -201,6 +232,17 @@
        {"turned_away", std::to_string(last.turned_away)},
        {"shuts", std::to_string(last.shuts)},
        {"shut_ms", Ms(last.shut)},
+       {"wait_out_ms", Ms(WaitOut(now))},
+       {"longest_wait_out_ms", Ms(longest_wait)},
+       {"handed_over", std::to_string(last.handed_over)},
+       {"behind_100ms", std::to_string(last.over_100ms)},
+       {"behind_300ms", std::to_string(last.over_300ms)},
+       {"behind_500ms", std::to_string(last.over_500ms)},
+       {"first_bytes", std::to_string(last.first_bytes)},
+       {"repeated_bytes", std::to_string(last.repeated_bytes)},
+       {"connects", std::to_string(last.connects)},
+       {"longest_connect_ms", Ms(last.longest_connect)},
+       {"longest_control_trip_ms", Ms(last.longest_control_trip)},
        {"connections", std::to_string(server.OpenConnections())},
        {"open", std::to_string(server.OpenExchanges())}});
 }
--- a/src/dotterelshift/app/link_guard.h
+++ b/src/dotterelshift/app/link_guard.h
@@ -5,6 +5,8 @@
 
 #include "dotterelshift/gateway/link_admission.h"     // for LinkAdmission
 #include "dotterelshift/gateway/link_load_shedder.h"  // for LinkLoadShedder
+#include "dotterelshift/gateway/link_wait.h"          // for LinkWait
+#include "dotterelshift/http/client.h"                // for HandOver
 #include "dotterelshift/http/server.h"                // for Server
 #include "dotterelshift/peers/hub.h"                  // for HubCounters
 #include "dotterelshift/settings/settings.h"          // for Settings
@@ -27,6 +29,13 @@
   // A request of a caller is whole.
   void OnRequest(const http::Request& request);
 
+  // A request goes to an endpoint; `repeated`: not for the first time.
+  void OnHandedOver(const http::HandOver& what, bool repeated, Instant now);
+  // How long what is handed to the link now waits before it, about.
+  Duration WaitOut(Instant now) const { return m_wait_out.Wait(now); }
+  // A beat was answered by control, so long after it had been sent.
+  void OnControlTrip(Duration trip);
+
   // What has gone over the link since the start, but for callers' requests.
   struct Traffic {
     gateway::LinkBytes endpoints;  // attempts, and answers that went on
@@ -59,6 +68,16 @@
     size_t shuts = 0;
     Duration shut{};
     Instant shut_counted_to{};  // while it goes on
+    // Requests handed over to endpoints, and before what waits.
+    size_t handed_over = 0;
+    size_t over_100ms = 0;
+    size_t over_300ms = 0;
+    size_t over_500ms = 0;
+    uint64_t first_bytes = 0;     // of requests that are sent once
+    uint64_t repeated_bytes = 0;  // sent once more
+    size_t connects = 0;          // that were made for them
+    Duration longest_connect{};
+    Duration longest_control_trip{};
   };
 
   void Enter(gateway::Entrance entrance, http::Server& server, Instant now);
@@ -71,6 +90,8 @@
   const double m_bytes_per_second;
   gateway::LinkAdmission m_admission;
   gateway::LinkLoadShedder m_shedder;
+  gateway::LinkWait m_wait_out;
+  uint64_t m_handed_over = 0;    // since the last Adjust(), in m_wait_out
   Traffic m_counted;             // at the last Adjust()
   uint64_t m_request_bytes = 0;  // since then
   Summary m_summary;
--- a/src/dotterelshift/app/link_guard_test.cc
+++ b/src/dotterelshift/app/link_guard_test.cc
@@ -39,6 +39,7 @@
   CPPUNIT_TEST(IdleConnectionsEndWhileNobodyIsTaken);
   CPPUNIT_TEST(AnAddressThatCannotBeBoundIsTriedAgain);
   CPPUNIT_TEST(NotesToOtherDaemonsFillTheLinkAsPromptsDo);
+  CPPUNIT_TEST(WhatIsHandedOverWaitsOnce);
   CPPUNIT_TEST(NothingIsDoneWithoutAKnownLink);
   CPPUNIT_TEST_SUITE_END();
 
@@ -119,6 +120,18 @@
     CPPUNIT_ASSERT(m_guard->IsShedding());
   }
 
+  // The same bytes come again in the count of all that went out.
+  void WhatIsHandedOverWaitsOnce() {
+    m_guard->OnHandedOver({125'000, false, 0s}, false, m_now);
+    CPPUNIT_ASSERT(m_guard->WaitOut(m_now) == 100ms);
+    m_traffic.endpoints.out += 125'000;
+    m_traffic.peers.out += 125'000;
+    m_guard->Adjust(m_server, m_traffic, m_now);
+    CPPUNIT_ASSERT(m_guard->WaitOut(m_now) == 200ms);
+    Pass(150ms);
+    CPPUNIT_ASSERT(m_guard->WaitOut(m_now) == 50ms);
+  }
+
   void NothingIsDoneWithoutAKnownLink() {
     Make(0);
     Bring(10s);
--- a/src/dotterelshift/gateway/core.cc
+++ b/src/dotterelshift/gateway/core.cc
@@ -242,11 +242,11 @@
   m_due.emplace(active.due, active.id);
 }
 
-void CoreImpl::Log(
-    std::string_view event, const ActiveRequest& active,
-    std::vector<std::pair<std::string_view, std::string>> inputs) {
+void CoreImpl::Log(std::string_view event, const ActiveRequest& active,
+                   std::vector<std::pair<std::string_view, std::string>> inputs,
+                   AttemptId attempt) {
   m_actions.emplace_back(
-      Decision{event, active.info.caller_id, std::move(inputs)});
+      Decision{event, active.info.caller_id, std::move(inputs), attempt});
 }
 
 std::unique_ptr<Core> MakeCore(const CoreOptions& options,
--- a/src/dotterelshift/gateway/core_answer.cc
+++ b/src/dotterelshift/gateway/core_answer.cc
@@ -29,6 +29,22 @@
   return "unknown";
 }
 
+std::string_view NameOf(Stage stage) {
+  switch (stage) {
+    case Stage::kWaitsForBudget:
+      return "waits_for_tokens";
+    case Stage::kWaitsForPlace:
+      return "waits_for_place";
+    case Stage::kBooked:
+      return "booked";
+    case Stage::kRunning:
+      return "running";
+    case Stage::kAnswering:
+      return "answering";
+  }
+  return "unknown";
+}
+
 }  // namespace
 
 ActiveRequest* CoreImpl::OfAttempt(AttemptId attempt) {
@@ -172,7 +188,8 @@
       {{"endpoint", active.attempt.endpoint.id},
        {"how", std::string(NameOf(end))},
        {"sent_ms_ago", std::to_string(ToMs(now - active.attempt.sent))},
-       {"events", std::to_string(active.attempt.events)}});
+       {"events", std::to_string(active.attempt.events)}},
+      active.attempt.id);
   if (sent) {
     active.may_have_run = true;
     m_parts.load->OnFailed(endpoint, now);
@@ -285,6 +302,7 @@
 
 void CoreImpl::Finish(ActiveRequest& active, ErrorKind error, bool answered,
                       Instant now) {
+  const Stage stage = active.stage;
   EndAttempt(active);
   if (active.has_reservation) {
     m_parts.budgets->Settle(active.team, active.reserved, SpentBy(active),
@@ -302,16 +320,34 @@
   summary.total = now - active.arrived;
   summary.spent = SpentBy(active);
   summary.attempts = static_cast<int>(active.sends);
-  Log(answered ? "answered" : "ended", active,
-      {{"outcome", OutcomeOf(error)},
-       {"route", active.route == nullptr ? "" : active.route->name},
-       {"team", active.team},
-       {"first_ms", std::to_string(ToMs(summary.first_token))},
-       {"total_ms", std::to_string(ToMs(summary.total))},
-       {"sends", std::to_string(active.sends)},
-       {"spent", std::to_string(summary.spent)}});
+  LogFinish(active, summary, stage, answered, now);
   if (active.due != Instant{}) m_due.erase({active.due, active.id});
   m_active.erase(active.id);
 }
 
+void CoreImpl::LogFinish(const ActiveRequest& active,
+                         const serving::RequestSummary& summary, Stage stage,
+                         bool answered, Instant now) {
+  std::vector<std::pair<std::string_view, std::string>> inputs = {
+      {"outcome", OutcomeOf(summary.error)},
+      {"route", active.route == nullptr ? "" : active.route->name},
+      {"team", active.team},
+      {"first_ms", std::to_string(ToMs(summary.first_token))},
+      {"total_ms", std::to_string(ToMs(summary.total))},
+      {"sends", std::to_string(active.sends)},
+      {"spent", std::to_string(summary.spent)}};
+  if (active.route != nullptr) {
+    const Duration left = active.arrived + active.route->timeout - now;
+    inputs.emplace_back("left_of_timeout_ms", std::to_string(ToMs(left)));
+  }
+  if (summary.error != ErrorKind::kCallerGone)
+    return Log(answered ? "answered" : "ended", active, std::move(inputs));
+  inputs.emplace_back("stage", NameOf(stage));
+  if (active.attempt.id != 0) {
+    const Duration sent_ago = now - active.attempt.sent;
+    inputs.emplace_back("sent_ms_ago", std::to_string(ToMs(sent_ago)));
+  }
+  Log("ended", active, std::move(inputs), active.attempt.id);
+}
+
 }  // namespace dotterelshift::gateway
--- a/src/dotterelshift/gateway/core_impl.h
+++ b/src/dotterelshift/gateway/core_impl.h
@@ -90,6 +90,9 @@
   void Finish(ActiveRequest& active, ErrorKind error, bool answered,
               Instant now);
   Tokens SpentBy(const ActiveRequest& active) const;
+  void LogFinish(const ActiveRequest& active,
+                 const serving::RequestSummary& summary, Stage stage,
+                 bool answered, Instant now);
 
   void CutByStop(ActiveRequest& active, Instant now);
 
@@ -97,7 +100,8 @@
   void SetDue(ActiveRequest& active, Instant when);
   Instant DueWhileRunning(const ActiveRequest& active) const;
   void Log(std::string_view event, const ActiveRequest& active,
-           std::vector<std::pair<std::string_view, std::string>> inputs);
+           std::vector<std::pair<std::string_view, std::string>> inputs,
+           AttemptId attempt = 0);
 
   const CoreOptions m_options;
   const CoreParts m_parts;
--- a/src/dotterelshift/gateway/core_test.cc
+++ b/src/dotterelshift/gateway/core_test.cc
@@ -2,7 +2,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>  // for CPPUNIT_TEST
 
-#include <algorithm>  // for sort
+#include <algorithm>  // for find, sort
 
 #include "dotterelshift/gateway/core_testing.h"  // for CoreFixture
 
@@ -22,6 +22,7 @@
   CPPUNIT_TEST(AStreamThatMayNotResumeIsVisiblyCut);
   CPPUNIT_TEST(AContentThatBreaksEndpointsIsReportedAndHeldBack);
   CPPUNIT_TEST(ACallerThatLeavesCancelsItsAttempt);
+  CPPUNIT_TEST(TheLineOfACallerThatLeavesSaysWhereItsRequestStood);
   CPPUNIT_TEST(WhatIsBookedIsNotSentToALeavingEndpoint);
   CPPUNIT_TEST(WhatIsNotSentYetLeavesALeavingEndpoint);
   CPPUNIT_TEST(WhatMayHaveBeenSentStaysAtALeavingEndpoint);
@@ -174,6 +175,26 @@
     CPPUNIT_ASSERT_EQUAL(size_t{0}, m_core->OpenRequests());
   }
 
+  void TheLineOfACallerThatLeavesSaysWhereItsRequestStood() {
+    Publish();
+    Request("/stream/", 100);
+    const AttemptId attempt = Only<StartAttempt>().attempt;
+    Pass(70ms);
+    m_core->OnCallerGone(kRequest, m_now);
+    Collect();
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, m_lines.size());
+    const Decision& line = m_lines.front();
+    CPPUNIT_ASSERT_EQUAL(attempt, line.attempt);
+    const auto says = [&line](std::string_view name, const std::string& value) {
+      return std::ranges::find(line.inputs, std::pair(name, value)) !=
+             line.inputs.end();
+    };
+    CPPUNIT_ASSERT(says("outcome", "caller_gone"));
+    CPPUNIT_ASSERT(says("stage", "running"));
+    CPPUNIT_ASSERT(says("sent_ms_ago", "70"));
+    CPPUNIT_ASSERT(says("left_of_timeout_ms", "3930"));
+  }
+
   void Leave(const EndpointId& id, const ServiceName& service) {
     Announce(id, service, true);
     m_core->OnEndpointsChanged(m_directory, m_now);
--- a/src/dotterelshift/gateway/core_testing.h
+++ b/src/dotterelshift/gateway/core_testing.h
@@ -17,7 +17,7 @@
 
 // A core with two routes to a plain service and two to model engines, three and
 // two endpoints, one team, and a clock moved by hand. The actions of the last
-// event are kept, but for log lines.
+// event are kept, log lines apart.
 class CoreFixture : public CppUnit::TestFixture {
  public:
   void setUp() override {
@@ -102,8 +102,11 @@
 
   void Collect() {
     m_last.clear();
+    m_lines.clear();
     for (Action& action : m_core->TakeActions()) {
-      if (!std::holds_alternative<Decision>(action))
+      if (const auto* line = std::get_if<Decision>(&action))
+        m_lines.push_back(*line);
+      else
         m_last.push_back(std::move(action));
     }
   }
@@ -169,6 +172,7 @@
   quarantine::Blocklist m_blocklist;
   std::unique_ptr<Core> m_core;
   std::vector<Action> m_last;
+  std::vector<Decision> m_lines;
 };
 
 }  // namespace dotterelshift::gateway
--- /dev/null
+++ b/src/dotterelshift/gateway/link_wait_test.cc
@@ -0,0 +1,62 @@
+#include "dotterelshift/gateway/link_wait.h"
+
+#include <cppunit/extensions/HelperMacros.h>  // for CPPUNIT_TEST
+
+namespace dotterelshift::gateway {
+namespace {
+
+constexpr double kLink = 1'250'000;   // 10 Mbit/s
+constexpr uint64_t kTenth = 125'000;  // bytes that it carries in 100 ms
+
+class LinkWaitTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(LinkWaitTest);
+  CPPUNIT_TEST(BytesWaitForThoseBeforeThem);
+  CPPUNIT_TEST(AnIdleLinkOwesNothing);
+  CPPUNIT_TEST(TheLongestIsOfOneSpan);
+  CPPUNIT_TEST(WithoutARateThereIsNoWait);
+  CPPUNIT_TEST_SUITE_END();
+
+ private:
+  void BytesWaitForThoseBeforeThem() {
+    m_wait.OnBytes(kTenth, m_now);
+    m_wait.OnBytes(2 * kTenth, m_now);
+    CPPUNIT_ASSERT(m_wait.Wait(m_now) == 300ms);
+    m_now += 250ms;
+    CPPUNIT_ASSERT(m_wait.Wait(m_now) == 50ms);
+    m_wait.OnBytes(kTenth, m_now);
+    CPPUNIT_ASSERT(m_wait.Wait(m_now) == 150ms);
+  }
+
+  // Time in which nothing was handed over is not saved up.
+  void AnIdleLinkOwesNothing() {
+    m_wait.OnBytes(kTenth, m_now);
+    m_now += 5s;
+    CPPUNIT_ASSERT(m_wait.Wait(m_now) == 0s);
+    m_wait.OnBytes(kTenth, m_now);
+    CPPUNIT_ASSERT(m_wait.Wait(m_now) == 100ms);
+  }
+
+  void TheLongestIsOfOneSpan() {
+    m_wait.OnBytes(4 * kTenth, m_now);
+    m_now += 300ms;
+    m_wait.OnBytes(kTenth, m_now);
+    CPPUNIT_ASSERT(m_wait.TakeLongest() == 400ms);
+    CPPUNIT_ASSERT(m_wait.TakeLongest() == 0s);
+    m_wait.OnBytes(kTenth, m_now);
+    CPPUNIT_ASSERT(m_wait.TakeLongest() == 300ms);
+  }
+
+  void WithoutARateThereIsNoWait() {
+    LinkWait wait(0);
+    wait.OnBytes(kTenth, m_now);
+    CPPUNIT_ASSERT(wait.Wait(m_now) == 0s);
+    CPPUNIT_ASSERT(wait.TakeLongest() == 0s);
+  }
+
+  LinkWait m_wait{kLink};
+  Instant m_now{1000s};
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(LinkWaitTest);
+
+}  // namespace
+}  // namespace dotterelshift::gateway
--- a/src/dotterelshift/http/client.cc
+++ b/src/dotterelshift/http/client.cc
@@ -1,8 +1,10 @@
 #include "dotterelshift/http/client.h"
 
-#include <curl/curl.h>   // for curl_multi_init
-#include <sys/socket.h>  // for setsockopt
-#include <unistd.h>      // for close
+#include <curl/curl.h>      // for curl_multi_init
+#include <linux/sockios.h>  // for SIOCOUTQ
+#include <sys/ioctl.h>      // for ioctl
+#include <sys/socket.h>     // for setsockopt
+#include <unistd.h>         // for close
 
 #include <algorithm>      // for any_of, equal, max
 #include <cctype>         // for tolower
@@ -40,6 +42,7 @@
   uint64_t* bytes_sent = nullptr;  // of all transfers of the client
   bool cancelled = false;  // no callback any more; removed when curl has
                            // returned
+  curl_socket_t descriptor = CURL_SOCKET_BAD;  // that it uses, or used last
 };
 
 bool HasHeader(const Headers& headers, std::string_view name) {
@@ -118,6 +121,15 @@
   }
 
   size_t OpenTransfers() const override { return m_transfers.size(); }
+
+  std::optional<size_t> Unsent(TransferId id) const override {
+    const auto found = m_transfers.find(id);
+    if (found == m_transfers.end() || !Uses(*found->second)) return {};
+    int bytes = 0;
+    if (ioctl(found->second->descriptor, SIOCOUTQ, &bytes) != 0) return {};
+    return static_cast<size_t>(std::max(0, bytes));
+  }
+
   uint64_t BytesSent() const override { return m_bytes_sent; }
 
  private:
@@ -172,10 +184,22 @@
     if (transfer.cancelled || std::exchange(transfer.sent, true))
       return CURL_PREREQFUNC_ABORT;
     const ClientRequest& request = transfer.request;
-    *transfer.bytes_sent += BytesOf(request.headers) + request.body.size();
+    const size_t bytes = BytesOf(request.headers) + request.body.size();
+    *transfer.bytes_sent += bytes;
+    const auto& on_handed_over = transfer.callbacks.on_handed_over;
+    if (on_handed_over) on_handed_over(HandOverOf(transfer.handle, bytes));
     return CURL_PREREQFUNC_OK;
   }
 
+  static HandOver HandOverOf(CURL* handle, size_t bytes) {
+    long connections = 0;  // NOLINT(google-runtime-int): libcurl's type
+    curl_off_t connected_us = 0;
+    curl_easy_getinfo(handle, CURLINFO_NUM_CONNECTS, &connections);
+    curl_easy_getinfo(handle, CURLINFO_CONNECT_TIME_T, &connected_us);
+    const bool fresh = connections > 0;
+    return {bytes, fresh, std::chrono::microseconds(fresh ? connected_us : 0)};
+  }
+
   static bool OnHeaderLine(Transfer& transfer, std::string_view line) {
     if (transfer.cancelled) return false;
     while (!line.empty() && (line.back() == '\r' || line.back() == '\n'))
@@ -211,9 +235,11 @@
   // used it last is known until it is closed.
   void NoteUser(CURL* handle, curl_socket_t descriptor, int what) {
     if (what == CURL_POLL_REMOVE) return;
-    const Transfer* transfer = nullptr;
+    Transfer* transfer = nullptr;
     curl_easy_getinfo(handle, CURLINFO_PRIVATE, &transfer);
-    if (transfer != nullptr) m_users[descriptor] = transfer->id;
+    if (transfer == nullptr) return;
+    transfer->descriptor = descriptor;
+    m_users[descriptor] = transfer->id;
   }
 
   bool WasCancelledOn(curl_socket_t descriptor) const {
@@ -223,6 +249,12 @@
     return transfer != m_transfers.end() && transfer->second->cancelled;
   }
 
+  // Whether the transfer still has the connection that it used last.
+  bool Uses(const Transfer& transfer) const {
+    const auto user = m_users.find(transfer.descriptor);
+    return user != m_users.end() && user->second == transfer.id;
+  }
+
   // The connection of a cancelled transfer is reset, not closed in order: what
   // this host still holds of the request, as on a full link, would go out first
   // and be run for a caller who has left.
--- a/src/dotterelshift/http/http_test.cc
+++ b/src/dotterelshift/http/http_test.cc
@@ -1,6 +1,7 @@
 #include <cppunit/extensions/HelperMacros.h>  // for CPPUNIT_TEST
 
 #include <string>  // for string
+#include <vector>  // for vector
 
 #include "dotterelshift/http/client.h"         // for MakeClient
 #include "dotterelshift/http/server.h"         // for MakeServer
@@ -36,6 +37,8 @@
   CPPUNIT_TEST(PausedTransferGoesOn);
   CPPUNIT_TEST(TimedOutTransfer);
   CPPUNIT_TEST(ConnectionsAreReused);
+  CPPUNIT_TEST(TellsOnWhatConnectionARequestIsHandedOver);
+  CPPUNIT_TEST(WhatIsNotConnectedIsNotHandedOver);
   CPPUNIT_TEST(ExchangeOutlivesItsServer);
   CPPUNIT_TEST_SUITE_END();
 
@@ -150,7 +153,9 @@
     Turn();
     TestPeer peer = listener.Accept();
     RunUntil([&] { return peer.Waiting() > 0; });
+    CPPUNIT_ASSERT(m_client->Unsent(m_transfer) > size_t{1 << 20});
     m_client->Cancel(m_transfer);
+    CPPUNIT_ASSERT(!m_client->Unsent(m_transfer));
     CPPUNIT_ASSERT(peer.ReadToEnd().reset);
   }
 
@@ -220,6 +225,34 @@
     }
   }
 
+  void TellsOnWhatConnectionARequestIsHandedOver() {
+    Serve([](const std::shared_ptr<Exchange>& exchange) {
+      exchange->Answer(200, {}, "ok");
+    });
+    for (int i = 0; i < 2; ++i) {
+      m_seen = {};
+      Send("/", "12345", {{"a", "b"}});
+      RunUntilEnded();
+    }
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, m_handed_over.size());
+    CPPUNIT_ASSERT(m_handed_over[0].new_connection);
+    CPPUNIT_ASSERT(m_handed_over[0].connected_in > 0s);
+    CPPUNIT_ASSERT(!m_handed_over[1].new_connection);
+    CPPUNIT_ASSERT(m_handed_over[1].connected_in == 0s);
+    CPPUNIT_ASSERT_EQUAL(m_client->BytesSent(),
+                         uint64_t{2} * m_handed_over[0].bytes);
+  }
+
+  void WhatIsNotConnectedIsNotHandedOver() {
+    RawListener listener(0);
+    listener.Fill();
+    m_port = listener.Port();
+    Send("/", "x");
+    Turn();
+    CPPUNIT_ASSERT(m_handed_over.empty());
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, m_client->Unsent(m_transfer).value_or(0));
+  }
+
   void ExchangeOutlivesItsServer() {
     ServeKeeping();
     Send("/", "x");
@@ -252,6 +285,9 @@
     request.body = body;
     request.total_timeout = timeout;
     TransferCallbacks callbacks;
+    callbacks.on_handed_over = [this](const HandOver& what) {
+      m_handed_over.push_back(what);
+    };
     callbacks.on_head = [this](int status, const Headers& answered) {
       m_seen.status = status;
       m_seen.headers = answered;
@@ -292,6 +328,7 @@
   int m_gone = 0;
   bool m_pause_each_piece = false;
   Seen m_seen;
+  std::vector<HandOver> m_handed_over;
   TransferId m_transfer = 0;
 };
 
