An entry bounds what its callers may bring before its link, kept connections too

What callers saw: on an entry whose callers send more than its host's link carries, answers, news of endpoints that leave and endpoints' first packets came up to seconds late (CONFIG, DRAIN), requests were sent out a second and a third time in a burst when the way in came free (GONE).

Cause: what comes in is counted behind the link, where never more than its rate shows, and the allowance grew by 0.9 of that rate: a full link used it up by a tenth a second at the most, and only a connection's first request was booked before it came. Whoever was turned away had sent its prompt by then, and that was not counted at all.

What was ruled out: closes that are read late (HangUpTest, CoreLeaveTest), and the way out as the first cause (the same runs).

Change - LinkBusyTime: for how long the way in had no gap; a queue that stands is no older. Packets' heads, acknowledgements and handshakes are reckoned in, and bytes are counted as they come, not when a request is whole. - Callers turned away count as bytes on their way. - Connections are kept only as far as all that are idle may speak at once within 120 ms of the link; each answer decides for its own connection. - Once the link was full for 300 ms, less is let in and idle connections end, until there is a gap. - A caller turned away sends the entry out of rotation at once, and not again within 2 s of its return.

LinkAdmissionTest and LinkGuardTest keep their checks; their mocks now also hand over bytes as they come.

--- a/include/dotterelshift/gateway/link_admission.h
+++ b/include/dotterelshift/gateway/link_admission.h
@@ -1,22 +1,32 @@
 #ifndef DOTTERELSHIFT_GATEWAY_LINK_ADMISSION_H_
 #define DOTTERELSHIFT_GATEWAY_LINK_ADMISSION_H_
 
+#include <cstddef>  // for size_t
 #include <cstdint>  // for uint64_t
 
-#include "dotterelshift/base/time.h"  // for Instant
+#include "dotterelshift/base/time.h"               // for Instant
+#include "dotterelshift/gateway/link_busy_time.h"  // for LinkBusyTime
 
 namespace dotterelshift::gateway {
 
 struct LinkAdmissionOptions {
   double bytes_per_second = 0;  // what the link carries each way; 0: not known
-  // Of the link, the part that may be in use for long: the rest is for what is
-  // not counted, as handshakes and packets' heads.
-  double used_part = 0.9;
+  // Of the link, the part that may be in use for long.
+  double used_part = 0.92;
+  // The same while it has been full for longer than `longest_busy`, so that
+  // what waits before it gets less.
+  double draining_part = 0.85;
+  Duration longest_busy = 300ms;
   // What may come at once beyond that, as time of the link.
-  Duration burst = 150ms;
+  Duration burst = 120ms;
+  // No connection is made while more than this, as time of the link, is on its
+  // way in.
+  Duration longest_wait = 220ms;
+  // What connections that are kept may bring unasked, all at once.
+  Duration kept_burst = 120ms;
   // A link that was overrun for longer is looked at again after this.
   Duration longest_debt = 300ms;
-  // What a first request brings, until some have been seen.
+  // What a request brings, until some have been seen.
   double first_request_bytes = 8 << 10;
 };
 
@@ -41,37 +51,54 @@
   }
 };
 
-// Says when an entry should take new connections, so that what they bring does
-// not queue before its host's link.
+// Says when an entry should take new connections and which of them its callers
+// may keep, so that what they bring does not queue before its host's link.
 //
 // Load pattern: a hash assigns connections to entries, and one team sends many
 // times what the others do, prompts of more bytes than the link of one entry
-// carries. They are sent as soon as their connections are there, so that no
-// answer and no later decision shortens the queue: answers of endpoints, news
-// of control and callers' closes stand behind it for seconds. Only who is not
-// let in sends nothing, and may ask another entry at once.
+// carries, on new connections and on those that it has kept. They are sent as
+// soon as their connections are there, so that no answer and no later decision
+// shortens the queue: answers of endpoints, news of control and callers' closes
+// stand behind it for seconds.
 //
 // An allowance grows with time and is used up by all that goes over the link; a
-// connection uses what its first request should bring. While a queue stands
-// before the link, the link is in full use, so that the allowance stays used up
-// until the queue has gone.
+// connection uses what its first request should bring, also one that is turned
+// away, as its prompt is on its way by then. What comes unasked on connections
+// that are kept is bounded by their number. As no more than the link's rate is
+// ever counted, a queue that stands nevertheless is seen by the time for which
+// the link had no gap: it then gets less until it has one.
 class LinkAdmission {
  public:
   explicit LinkAdmission(const LinkAdmissionOptions& options);
 
   // A connection was accepted.
   void OnConnected();
+  // It was closed unread.
+  void OnTurnedAway();
   // Its first request, of so many bytes, has come in whole.
   void OnFirstRequest(uint64_t bytes);
+  // A later one has.
+  void OnKeptRequest(uint64_t bytes) { OnRequestSize(bytes); }
   // It has ended without one.
   void OnUnusedEnd();
-  // What has gone over the link since the last call, first requests apart.
-  void OnBytes(const LinkBytes& bytes);
+  // What has gone over the link since the last call, requests included.
+  void OnBytes(const LinkBytes& bytes, Instant now);
 
-  // Once not taken, connections are when half of what may come at once has
+  // Once not taken, connections are when a quarter of what may come at once has
   // gathered. Shut is who could not even be turned away in time.
   Entrance Decide(Instant now);
 
+  // Whether a caller may keep its connection when so many others may bring a
+  // request at any moment.
+  bool MayKeep(size_t connections) const;
+
+  // Whether connections that wait for their caller's next request should end: a
+  // queue may stand, and each of them may add to it at any moment.
+  bool EndsIdle() const { return BusyFor() > m_options.longest_busy; }
+
+  // For how long the way in has been full without a gap.
+  Duration BusyFor() const { return m_busy_in.BusyFor(); }
+
   // Whether the link's rate is known.
   bool IsBounded() const { return m_options.bytes_per_second > 0; }
 
@@ -84,10 +111,18 @@
   };
 
   double BytesIn(Duration time) const;
+  double FirstRequestOnWire() const;
+  void OnRequestSize(uint64_t bytes);
   void Grow(Instant now);
 
   const LinkAdmissionOptions m_options;
-  double m_request_bytes;  // of a first request, an average over the last ones
+  LinkBusyTime m_busy_in;
+  double m_request_bytes;  // of a request, an average over the last ones
+  // Bytes that would wait before the link if all that is expected had come, and
+  // the link had carried on without a gap.
+  double m_waiting = 0;
+  double m_unread = 0;     // estimated of those turned away, since OnBytes()
+  size_t m_connected = 0;  // since OnBytes()
   Allowance m_allowance;
   Instant m_since{};
   Entrance m_entrance = Entrance::kTakes;
--- a/include/dotterelshift/gateway/link_load_shedder.h
+++ b/include/dotterelshift/gateway/link_load_shedder.h
@@ -19,6 +19,9 @@
   Duration shed_least = 3s;
   // A caller that fills any entry must not keep all of them away.
   Duration shed_most = 6s;
+  // Back in rotation, callers who are turned away send it out again after this
+  // at the earliest.
+  Duration stay_least = 2s;
 };
 
 // Says when an entry should let new connections go to other entries because its
@@ -36,6 +39,9 @@
 
   // So many bytes have gone over the link, the busier way of the two.
   void OnBytes(size_t bytes, Instant now);
+  // A connection that comes now is not taken: new ones go elsewhere from here
+  // on, unless this entry has just come back.
+  void OnTurnedAway(Instant now);
   // Whether new connections should go elsewhere.
   bool IsShedding(Instant now);
 
@@ -47,6 +53,7 @@
   double m_rate = 0;  // bytes a second, an exponentially decaying average
   Instant m_since{};
   Instant m_shedding_since{};  // the epoch: not shedding
+  Instant m_back_since{};      // the epoch: has not shed yet
 };
 
 }  // namespace dotterelshift::gateway
--- a/include/dotterelshift/http/server.h
+++ b/include/dotterelshift/http/server.h
@@ -1,7 +1,7 @@
 #ifndef DOTTERELSHIFT_HTTP_SERVER_H_
 #define DOTTERELSHIFT_HTTP_SERVER_H_
 
-#include <cstdint>      // for uint16_t
+#include <cstdint>      // for uint16_t, uint64_t
 #include <functional>   // for function
 #include <memory>       // for shared_ptr, unique_ptr
 #include <string>       // for string
@@ -109,6 +109,8 @@
   // Exchanges begun and not ended.
   virtual size_t OpenExchanges() const = 0;
   virtual size_t OpenConnections() const = 0;
+  // Of requests' heads and bodies, as they come, since the start.
+  virtual uint64_t BytesReceived() const = 0;
   // Takes no more connections; those open go on. Who connects is turned away by
   // the system, before a request is sent.
   virtual void StopAccepting() = 0;
--- a/src/dotterelshift/app/gateway_entry.cc
+++ b/src/dotterelshift/app/gateway_entry.cc
@@ -55,7 +55,7 @@
   void DialMembers();
   std::unique_ptr<wire::CommandIdT> NextId();
   void OnTick();
-  void WatchLink(Instant now);
+  bool MayKeep(size_t streams) const;
   LinkGuard::Traffic LinkTraffic() const;
   void SendToPeers();
   void ProposeSuspicion(const gateway::Suspicion& suspicion);
@@ -93,7 +93,6 @@
   uint64_t m_version = 0;       // of the routes in force here
   uint64_t m_seen_version = 0;  // of the newest that came, readable or not
   std::shared_ptr<const gateway::RouteTable> m_routes;
-  bool m_closing = false;  // callers are asked to close their connections
   size_t m_entries = 1;
   std::optional<gateway::DrainTimes> m_drain;
   std::optional<Instant> m_returning_since;
@@ -127,6 +126,7 @@
       m_tick(loop, [this] { OnTick(); }),
       m_prepare(
           loop, [this] { SendToPeers(); }, EV_MINPRI + 1) {
+  m_traffic->SetKeepPolicy([this](size_t streams) { return MayKeep(streams); });
   StartServers();
   const std::string secret = settings::ReadSecret(settings.secret_file);
   m_hub = peers::MakeHub(
@@ -313,7 +313,8 @@
 
 void GatewayEntry::OnTick() {
   const Instant now = m_loop.Now();
-  WatchLink(now);
+  m_link_guard.OnControlTrip(m_link.TakeLongestBeat());
+  m_link_guard.Watch(*m_server, m_hub->Counters(), now);
   m_link.SetHoldings(m_budgets.Holdings(now));
   m_link.OnTimer(now);
   TakeFromLink();
@@ -321,14 +322,9 @@
   m_tick.ArmIn(kTick);
 }
 
-// Callers on open connections go elsewhere, too: each answer asks them to
-// close.
-void GatewayEntry::WatchLink(Instant now) {
-  m_link_guard.OnControlTrip(m_link.TakeLongestBeat());
-  m_link_guard.Watch(*m_server, m_hub->Counters(), now);
-  const bool full = m_link_guard.IsFull(now);
-  if (std::exchange(m_closing, full) == full) return;
-  if (!m_drain) m_traffic->SetClosing(full);
+// Of an entry that stops, callers on open connections go elsewhere, too.
+bool GatewayEntry::MayKeep(size_t streams) const {
+  return !m_drain && m_link_guard.MayKeep(*m_server, streams, m_loop.Now());
 }
 
 LinkGuard::Traffic GatewayEntry::LinkTraffic() const {
@@ -426,7 +422,6 @@
   m_drain = gateway::PlanDrain(m_loop.Now(), m_settings.shutdown_notice,
                                m_settings.shutdown_limit);
   m_core->StartDraining(*m_drain);
-  m_traffic->SetClosing(true);
 }
 
 void GatewayEntry::CheckDrained() {
--- a/src/dotterelshift/app/gateway_traffic.cc
+++ b/src/dotterelshift/app/gateway_traffic.cc
@@ -77,7 +77,7 @@
 }
 
 void GatewayTraffic::OnGone(RequestId request) {
-  m_open.erase(request);
+  Forget(request);
   m_core.OnCallerGone(request, m_loop.Now());
   Pump();
 }
@@ -215,20 +215,32 @@
   way.unsent = m_client->Unsent(transfer.id);
 }
 
+void GatewayTraffic::Forget(RequestId request) {
+  const auto open = m_open.find(request);
+  if (open == m_open.end()) return;
+  if (open->second.keeps) --m_kept_streams;
+  m_open.erase(open);
+}
+
 std::shared_ptr<http::Exchange> GatewayTraffic::Take(RequestId request) {
-  auto node = m_open.extract(request);
-  if (node.empty()) return nullptr;
-  std::shared_ptr<http::Exchange> exchange = std::move(node.mapped().exchange);
+  const auto open = m_open.find(request);
+  if (open == m_open.end()) return nullptr;
+  std::shared_ptr<http::Exchange> exchange = std::move(open->second.exchange);
+  Forget(request);
   exchange->OnGone(nullptr);
   exchange->OnDrained(nullptr);
   return exchange;
 }
 
-http::Headers GatewayTraffic::AnswerHeaders(
-    const http::Headers& headers) const {
-  http::Headers kept = http::WithoutHopHeaders(headers);
-  if (m_closing) kept.emplace_back("Connection", "close");
-  return kept;
+http::Headers GatewayTraffic::AnswerHeaders(const http::Headers& headers,
+                                            bool keeps) {
+  http::Headers onward = http::WithoutHopHeaders(headers);
+  if (!keeps) onward.emplace_back("Connection", "close");
+  return onward;
+}
+
+bool GatewayTraffic::MayKeep() const {
+  return !m_may_keep || m_may_keep(m_kept_streams);
 }
 
 void GatewayTraffic::CarryOut(const gateway::Refuse& refuse) {
@@ -246,7 +258,7 @@
                             : std::chrono::seconds(row.retry_after_seconds);
   if (row.retry != RetryAdvice::kNever)
     headers.emplace_back("Retry-After", SecondsText(wait));
-  exchange->Answer(status, AnswerHeaders(headers),
+  exchange->Answer(status, AnswerHeaders(headers, MayKeep()),
                    callers::ErrorBody(refuse.kind, ""));
 }
 
@@ -255,7 +267,7 @@
   const auto transfer = m_transfers.find(relay.attempt);
   if (exchange == nullptr || transfer == m_transfers.end()) return;
   Transfer& answer = transfer->second;
-  exchange->Answer(answer.status, AnswerHeaders(answer.headers),
+  exchange->Answer(answer.status, AnswerHeaders(answer.headers, MayKeep()),
                    std::move(answer.body));
 }
 
@@ -266,7 +278,10 @@
   Transfer& answer = transfer->second;
   answer.streamed = true;
   open->second.streaming = relay.attempt;
-  open->second.exchange->SendHead(answer.status, AnswerHeaders(answer.headers));
+  open->second.keeps = MayKeep();
+  if (open->second.keeps) ++m_kept_streams;
+  open->second.exchange->SendHead(
+      answer.status, AnswerHeaders(answer.headers, open->second.keeps));
 }
 
 void GatewayTraffic::CarryOut(const gateway::RelayPiece& relay) {
--- a/src/dotterelshift/app/gateway_traffic.h
+++ b/src/dotterelshift/app/gateway_traffic.h
@@ -1,12 +1,13 @@
 #ifndef DOTTERELSHIFT_SRC_APP_GATEWAY_TRAFFIC_H_
 #define DOTTERELSHIFT_SRC_APP_GATEWAY_TRAFFIC_H_
 
+#include <functional>     // for function
 #include <memory>         // for shared_ptr, unique_ptr
 #include <optional>       // for optional
 #include <string>         // for string
 #include <string_view>    // for string_view
 #include <unordered_map>  // for unordered_map
-#include <utility>        // for pair
+#include <utility>        // for move, pair
 #include <vector>         // for vector
 
 #include "dotterelshift/app/link_guard.h"          // for LinkGuard
@@ -32,8 +33,11 @@
   // Carries out what the core wants; after every event that reached it from
   // elsewhere.
   void Pump();
-  // While set, each answer asks its caller to close the connection.
-  void SetClosing(bool closing) { m_closing = closing; }
+  // Asked at each answer whether its caller may keep the connection, while so
+  // many streams are under way to callers who may keep theirs. Without it, all
+  // may.
+  using KeepPolicy = std::function<bool(size_t streams)>;
+  void SetKeepPolicy(KeepPolicy policy) { m_may_keep = std::move(policy); }
   size_t OpenAnswers() const { return m_open.size(); }
 
   // What went to endpoints, and what they answered, which went on to callers.
@@ -45,7 +49,8 @@
     std::shared_ptr<http::Exchange> exchange;
     AttemptId streaming = 0;  // the attempt whose stream is passed on
     bool paused = false;
-    int starts = 0;  // of attempts
+    bool keeps = false;  // its stream's caller may keep the connection
+    int starts = 0;      // of attempts
   };
   // How the request of an attempt left this host, for the log.
   struct WayOut {
@@ -89,7 +94,11 @@
   void CarryOut(const gateway::AbortStream& abort);
   void CarryOut(const gateway::Decision& decision) const;
 
-  http::Headers AnswerHeaders(const http::Headers& headers) const;
+  // Of an answer that is passed on; `keeps`: the connection stays.
+  static http::Headers AnswerHeaders(const http::Headers& headers, bool keeps);
+  bool MayKeep() const;
+  // The answer of a request has ended, or its caller has left.
+  void Forget(RequestId request);
   std::shared_ptr<http::Exchange> Take(RequestId request);
   void ArmTimer();
 
@@ -104,7 +113,8 @@
   // Of attempts that ended among the actions that are being carried out.
   std::unordered_map<AttemptId, WayOut> m_ended_ways;
   RequestId m_last_request = 0;
-  bool m_closing = false;
+  KeepPolicy m_may_keep;
+  size_t m_kept_streams = 0;
   uint64_t m_answer_bytes = 0;
   bool m_pumping = false;
   loop::Timer m_timer;
--- a/src/dotterelshift/app/link_guard.cc
+++ b/src/dotterelshift/app/link_guard.cc
@@ -28,9 +28,8 @@
 // time at which no more could be taken.
 constexpr Duration kFullFor = 1s;
 
-// Without room for so long, connections that are idle are ended, too: each may
-// bring a request at any moment.
-constexpr Duration kIdleMayStay = 200ms;
+// Idle connections are ended no more often than this.
+constexpr Duration kIdleClosedEvery = 200ms;
 
 std::string Ms(Duration duration) { return std::to_string(ToMs(duration)); }
 
@@ -79,6 +78,7 @@
   options.connections.on_turned_away = [this] {
     ++m_summary.turned_away;
     ++m_turned_away;
+    m_admission.OnTurnedAway();
   };
   options.connections.on_unused_end = [this] {
     ++m_summary.unused_ends;
@@ -87,14 +87,12 @@
 }
 
 void LinkGuard::OnRequest(const http::Request& request) {
-  const uint64_t bytes = BytesOf(request);
   ++m_summary.requests;
-  m_request_bytes += bytes;
   if (request.kept) {
     ++m_summary.kept_requests;
-    m_admission.OnBytes({bytes, 0});
+    m_admission.OnKeptRequest(BytesOf(request));
   } else {
-    m_admission.OnFirstRequest(bytes);
+    m_admission.OnFirstRequest(BytesOf(request));
   }
 }
 
@@ -123,17 +121,21 @@
 void LinkGuard::Adjust(http::Server& server, const Traffic& traffic,
                        Instant now) {
   const Traffic last = std::exchange(m_counted, traffic);
+  const uint64_t received = server.BytesReceived();
+  const gateway::LinkBytes requests = {
+      received - std::exchange(m_received_bytes, received), 0};
   const gateway::LinkBytes peers = traffic.peers - last.peers;
-  const gateway::LinkBytes fresh = traffic.endpoints - last.endpoints + peers;
-  m_admission.OnBytes(fresh);
+  const gateway::LinkBytes fresh =
+      traffic.endpoints - last.endpoints + peers + requests;
+  m_admission.OnBytes(fresh, now);
   m_summary.peer_bytes = m_summary.peer_bytes + peers;
-  const uint64_t in = fresh.in + std::exchange(m_request_bytes, 0);
-  m_summary.bytes.in += in;
-  m_summary.bytes.out += fresh.out;
+  m_summary.bytes = m_summary.bytes + fresh;
   // What was handed over is counted among it, and waits since then.
   const uint64_t waits = std::exchange(m_handed_over, 0);
   m_wait_out.OnBytes(fresh.out - std::min(fresh.out, waits), now);
-  m_shedder.OnBytes(std::max(in, fresh.out), now);
+  m_summary.longest_busy =
+      std::max(m_summary.longest_busy, m_admission.BusyFor());
+  m_shedder.OnBytes(std::max(fresh.in, fresh.out), now);
   const gateway::Entrance entrance = m_admission.Decide(now);
   if (entrance != gateway::Entrance::kTakes) m_last_paused = now;
   if (entrance != m_entrance) Enter(entrance, server, now);
@@ -151,7 +153,6 @@
 
 void LinkGuard::StopListening(http::Server& server, Instant now) {
   server.StopAccepting();
-  m_shut_since = now;
   m_summary.shut_counted_to = now;
   ++m_summary.shuts;
   ++m_shuts;
@@ -171,12 +172,19 @@
   return m_last_paused != Instant{} && now - m_last_paused < kFullFor;
 }
 
+bool LinkGuard::MayKeep(const http::Server& server, size_t streams,
+                        Instant now) const {
+  if (IsFull(now)) return false;
+  const size_t answered =
+      std::min(server.OpenConnections(), server.OpenExchanges());
+  const size_t idle = server.OpenConnections() - answered;
+  return m_admission.MayKeep(idle + streams);
+}
+
 void LinkGuard::Watch(http::Server& server, const peers::HubCounters& peers,
                       Instant now) {
   WatchShedding(now);
-  const bool shut = m_entrance == gateway::Entrance::kShut;
-  const bool close_idle = shut && now - m_shut_since >= kIdleMayStay;
-  if (close_idle && now - m_idle_closed >= kIdleMayStay) {
+  if (m_admission.EndsIdle() && now - m_idle_closed >= kIdleClosedEvery) {
     m_idle_closed = now;
     server.CloseIdle();
   }
@@ -193,6 +201,7 @@
 }
 
 void LinkGuard::WatchShedding(Instant now) {
+  if (m_entrance != gateway::Entrance::kTakes) m_shedder.OnTurnedAway(now);
   if (m_shedder.IsShedding(now) == m_shedding) return;
   m_shedding = !m_shedding;
   const double percent = 100 * m_shedder.FilledPart(now);
@@ -230,6 +239,7 @@
        {"accepted", std::to_string(last.accepted)},
        {"unused_ends", std::to_string(last.unused_ends)},
        {"turned_away", std::to_string(last.turned_away)},
+       {"busy_in_ms", Ms(last.longest_busy)},
        {"shuts", std::to_string(last.shuts)},
        {"shut_ms", Ms(last.shut)},
        {"wait_out_ms", Ms(WaitOut(now))},
--- a/src/dotterelshift/app/link_guard.h
+++ b/src/dotterelshift/app/link_guard.h
@@ -15,9 +15,9 @@
 namespace dotterelshift::app {
 
 // Keeps what callers bring to an entry within what its host's link carries:
-// takes connections while there is room, asks callers to close theirs when
-// there is none, and ends those that are idle. Logs a line a second while the
-// link is half full.
+// takes connections while there is room, bounds how many callers may keep
+// theirs, and ends those that are idle while a queue may stand. Logs a line a
+// second while the link is half full.
 class LinkGuard {
  public:
   explicit LinkGuard(const settings::Settings& settings);
@@ -49,6 +49,9 @@
 
   // Callers should not send their next request on the same connection.
   bool IsFull(Instant now) const;
+  // Whether the caller of an answer that goes out now may keep its connection;
+  // `streams` are under way to callers who may keep theirs.
+  bool MayKeep(const http::Server& server, size_t streams, Instant now) const;
   // The balancer should send new connections to other entries.
   bool IsShedding() const { return m_shedding; }
 
@@ -68,6 +71,7 @@
     size_t shuts = 0;
     Duration shut{};
     Instant shut_counted_to{};  // while it goes on
+    Duration longest_busy{};    // without a gap on the way in
     // Requests handed over to endpoints, and before what waits.
     size_t handed_over = 0;
     size_t over_100ms = 0;
@@ -91,13 +95,12 @@
   gateway::LinkAdmission m_admission;
   gateway::LinkLoadShedder m_shedder;
   gateway::LinkWait m_wait_out;
-  uint64_t m_handed_over = 0;    // since the last Adjust(), in m_wait_out
-  Traffic m_counted;             // at the last Adjust()
-  uint64_t m_request_bytes = 0;  // since then
+  uint64_t m_handed_over = 0;     // since the last Adjust(), in m_wait_out
+  Traffic m_counted;              // at the last Adjust()
+  uint64_t m_received_bytes = 0;  // of callers' requests, until then
   Summary m_summary;
   std::map<wire::FrameBody, uint64_t> m_frame_bytes;  // at the last summary
   gateway::Entrance m_entrance = gateway::Entrance::kTakes;
-  Instant m_shut_since{};
   Instant m_last_paused{};  // a moment at which connections were not taken
   Instant m_idle_closed{};
   bool m_listen_failed = false;
--- a/src/dotterelshift/app/link_guard_test.cc
+++ b/src/dotterelshift/app/link_guard_test.cc
@@ -15,8 +15,9 @@
 class FakeServer : public http::Server {
  public:
   uint16_t Port() const override { return 1; }
-  size_t OpenExchanges() const override { return 0; }
-  size_t OpenConnections() const override { return 0; }
+  size_t OpenExchanges() const override { return exchanges; }
+  size_t OpenConnections() const override { return connections; }
+  uint64_t BytesReceived() const override { return received; }
   void StopAccepting() override { listens = false; }
   bool ResumeAccepting() override {
     ++resumed;
@@ -26,6 +27,9 @@
   void TurnAway(bool on) override { turns_away = on; }
   void CloseIdle() override { ++idle_closed; }
 
+  size_t exchanges = 0;
+  size_t connections = 0;
+  uint64_t received = 0;
   bool listens = true;
   bool may_listen = true;
   bool turns_away = false;
@@ -40,6 +44,8 @@
   CPPUNIT_TEST(AnAddressThatCannotBeBoundIsTriedAgain);
   CPPUNIT_TEST(NotesToOtherDaemonsFillTheLinkAsPromptsDo);
   CPPUNIT_TEST(WhatIsHandedOverWaitsOnce);
+  CPPUNIT_TEST(NoMoreConnectionsAreKeptThanTheLinkBearsAtOnce);
+  CPPUNIT_TEST(CallersTurnedAwayFillTheLinkToo);
   CPPUNIT_TEST(NothingIsDoneWithoutAKnownLink);
   CPPUNIT_TEST_SUITE_END();
 
@@ -70,8 +76,10 @@
     http::Request request;
     request.kept = true;
     request.body = std::string(kPromptBytes, 'x');
-    for (double left = bytes; left > 0; left -= kPromptBytes)
+    for (double left = bytes; left > 0; left -= kPromptBytes) {
       m_guard->OnRequest(request);
+      m_server.received += kPromptBytes;
+    }
   }
 
   // Guards against callers who stay in a queue that only grows.
@@ -132,6 +140,31 @@
     CPPUNIT_ASSERT(m_guard->WaitOut(m_now) == 50ms);
   }
 
+  // Guards against callers who all speak at once on connections they have kept.
+  void NoMoreConnectionsAreKeptThanTheLinkBearsAtOnce() {
+    Bring(50ms);
+    Pass(1s);
+    m_server.connections = 10;
+    CPPUNIT_ASSERT(m_guard->MayKeep(m_server, 0, m_now));
+    CPPUNIT_ASSERT(!m_guard->MayKeep(m_server, 100, m_now));
+    m_server.connections = 100;
+    CPPUNIT_ASSERT(!m_guard->MayKeep(m_server, 0, m_now));
+    m_server.exchanges = 95;
+    CPPUNIT_ASSERT(m_guard->MayKeep(m_server, 0, m_now));
+  }
+
+  // A caller who is turned away has sent its prompt by then.
+  void CallersTurnedAwayFillTheLinkToo() {
+    Bring(150ms);
+    Pass(1ms);
+    CPPUNIT_ASSERT(m_server.turns_away);
+    http::ServerOptions options;
+    m_guard->SetOptions(options);
+    for (int i = 0; i < 50; ++i) options.connections.on_turned_away();
+    Pass(1ms);
+    CPPUNIT_ASSERT(!m_server.listens);
+  }
+
   void NothingIsDoneWithoutAKnownLink() {
     Make(0);
     Bring(10s);
--- /dev/null
+++ b/src/dotterelshift/gateway/kept_connections_test.cc
@@ -0,0 +1,271 @@
+#include <cppunit/extensions/HelperMacros.h>  // for CPPUNIT_TEST
+
+#include <algorithm>   // for max
+#include <deque>       // for deque
+#include <functional>  // for greater
+#include <queue>       // for priority_queue
+#include <random>      // for mt19937_64
+#include <vector>      // for vector
+
+#include "dotterelshift/gateway/link_admission.h"  // for LinkAdmission
+
+namespace dotterelshift::gateway {
+namespace {
+
+constexpr double kLink = 1'250'000;  // 10 Mbit/s
+constexpr size_t kPromptBytes = 6'000;
+
+// Answers, news and closes stand behind what has been let in.
+constexpr Duration kLongestQueue = 300ms;
+constexpr Duration kStep = 1ms;
+
+// From a connection's opening packet to its prompt.
+constexpr Duration kHandshake = 4ms;
+
+struct CallersOptions {
+  double payload_part = 1;  // of the link, beside packets' heads and handshakes
+  double demand = 1;        // times what the link carries, were all let in
+  Duration service = 300ms;  // mean, from the whole prompt to the answer
+  Duration pause = 300ms;    // mean, from the answer to the next prompt
+  // Of the callers, those who have kept a connection from before.
+  size_t kept_before = 0;
+};
+
+double Seconds(Duration duration) {
+  return std::chrono::duration<double>(duration).count();
+}
+
+// Callers who ask one request at a time, on the connection that they were
+// allowed to keep, else on a new one. A link carries first what came first,
+// also the prompts of those who are turned away; whoever is not let in pauses
+// and comes again.
+class Callers {
+ public:
+  explicit Callers(const CallersOptions& options)
+      : m_options(options), m_admission(AdmissionOptions()) {
+    const double cycle = Seconds(options.service + options.pause);
+    const auto count = static_cast<size_t>(options.demand * kLink * cycle /
+                                           static_cast<double>(kPromptBytes));
+    m_keeps.resize(count);
+    for (size_t i = 0; i < count; ++i) {
+      m_keeps[i] = i < options.kept_before;
+      Plan(Step::kAsks, i, Draw(options.pause));
+    }
+    m_may_speak = options.kept_before;
+  }
+
+  void SetPause(Duration pause) { m_options.pause = pause; }
+
+  void Run(Duration time) {
+    for (const Instant end = m_now + time; m_now < end; m_now += kStep) {
+      TakeSteps();
+      Deliver();
+      if (m_admission.EndsIdle()) CloseIdle();
+      const Duration queue = m_free_at - m_now;
+      m_longest = std::max(m_longest, queue);
+      if (queue > kLongestQueue) m_last_over = m_now;
+    }
+  }
+
+  Duration Longest() const { return m_longest; }
+  // From the start to the last moment at which the queue was too long.
+  Duration OverUntil() const { return m_last_over - kStart; }
+  // Of what the link carried and could have carried, the part let in.
+  double UsedPart() const {
+    const double most =
+        m_options.payload_part * kLink * Seconds(m_now - kStart);
+    return m_let_in / most;
+  }
+
+ private:
+  static constexpr Instant kStart{1000s};
+
+  enum class Step { kAsks, kSends, kIsAnswered };
+  struct Planned {
+    Instant at;
+    Step step;
+    size_t caller;
+    bool operator>(const Planned& other) const { return at > other.at; }
+  };
+  struct Prompt {
+    Instant whole;
+    size_t caller;
+    bool first;
+    bool turned_away;
+  };
+
+  static LinkAdmissionOptions AdmissionOptions() {
+    LinkAdmissionOptions options;
+    options.bytes_per_second = kLink;
+    return options;
+  }
+
+  Duration Draw(Duration mean) {
+    std::exponential_distribution<double> draw(1 / Seconds(mean));
+    return std::chrono::duration_cast<Duration>(
+        std::chrono::duration<double>(draw(m_random)));
+  }
+
+  void Plan(Step step, size_t caller, Duration after) {
+    m_planned.push({m_now + after, step, caller});
+  }
+
+  void TakeSteps() {
+    while (!m_planned.empty() && m_planned.top().at <= m_now) {
+      const Planned planned = m_planned.top();
+      m_planned.pop();
+      switch (planned.step) {
+        case Step::kAsks:
+          Ask(planned.caller);
+          break;
+        case Step::kSends:
+          Bring({{}, planned.caller, true, false});
+          break;
+        case Step::kIsAnswered:
+          OnAnswered(planned.caller);
+          break;
+      }
+    }
+  }
+
+  void Ask(size_t caller) {
+    if (m_keeps[caller]) {
+      m_keeps[caller] = false;
+      --m_may_speak;
+      return Bring({{}, caller, false, false});
+    }
+    switch (m_admission.Decide(m_now)) {
+      case Entrance::kTakes:
+        m_admission.OnConnected();
+        ++m_may_speak;
+        return Plan(Step::kSends, caller, kHandshake);
+      case Entrance::kTurnsAway:
+        m_admission.OnTurnedAway();
+        Bring({{}, caller, true, true});
+        break;
+      case Entrance::kShut:
+        break;
+    }
+    Plan(Step::kAsks, caller, Draw(m_options.pause));
+  }
+
+  void Bring(Prompt prompt) {
+    const double rate = m_options.payload_part * kLink;
+    const auto time = std::chrono::duration_cast<Duration>(
+        std::chrono::duration<double>(kPromptBytes / rate));
+    m_free_at = std::max(m_free_at, m_now) + time;
+    prompt.whole = m_free_at;
+    m_prompts.push_back(prompt);
+    if (!prompt.turned_away) m_let_in += kPromptBytes;
+  }
+
+  void Deliver() {
+    uint64_t bytes = 0;
+    while (!m_prompts.empty() && m_prompts.front().whole <= m_now) {
+      const Prompt prompt = m_prompts.front();
+      m_prompts.pop_front();
+      if (prompt.turned_away) continue;
+      bytes += kPromptBytes;
+      if (prompt.first) {
+        --m_may_speak;
+        m_admission.OnFirstRequest(kPromptBytes);
+      } else {
+        m_admission.OnKeptRequest(kPromptBytes);
+      }
+      Plan(Step::kIsAnswered, prompt.caller, Draw(m_options.service));
+    }
+    m_admission.OnBytes({bytes, 0}, m_now);
+    m_admission.Decide(m_now);
+  }
+
+  void OnAnswered(size_t caller) {
+    m_keeps[caller] = m_admission.MayKeep(m_may_speak);
+    if (m_keeps[caller]) ++m_may_speak;
+    Plan(Step::kAsks, caller, Draw(m_options.pause));
+  }
+
+  void CloseIdle() {
+    for (size_t i = 0; i < m_keeps.size(); ++i) {
+      if (!m_keeps[i]) continue;
+      m_keeps[i] = false;
+      --m_may_speak;
+    }
+  }
+
+  CallersOptions m_options;
+  LinkAdmission m_admission;
+  std::mt19937_64 m_random{1};
+  Instant m_now = kStart;
+  std::priority_queue<Planned, std::vector<Planned>, std::greater<>> m_planned;
+  std::vector<bool> m_keeps;  // by caller: has an idle connection
+  size_t m_may_speak = 0;     // connections that may bring a prompt
+  std::deque<Prompt> m_prompts;
+  Instant m_free_at = kStart;
+  Duration m_longest = 0s;
+  Instant m_last_over = kStart;
+  double m_let_in = 0;
+};
+
+class KeptConnectionsTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(KeptConnectionsTest);
+  CPPUNIT_TEST(NothingQueuesForLongBeforeAFullLinkThatStaysInUse);
+  CPPUNIT_TEST(CallersWhoPauseLongQueueNoLonger);
+  CPPUNIT_TEST(CallersWhoTurnHotOnWhatTheyHaveKeptQueueNoLonger);
+  CPPUNIT_TEST(AQueueThatStandsIsGoneOnceTheLinkHasCarriedIt);
+  CPPUNIT_TEST(WhatTheLinkCarriesIsLetIn);
+  CPPUNIT_TEST_SUITE_END();
+
+ private:
+  // Guards against answers and news that come seconds late behind prompts on
+  // connections that are kept: never more than the link's rate comes through.
+  void NothingQueuesForLongBeforeAFullLinkThatStaysInUse() {
+    for (const double payload_part : {0.92, 1.0}) {
+      for (const double demand : {3.0, 10.0}) {
+        Callers callers({.payload_part = payload_part, .demand = demand});
+        callers.Run(20s);
+        CPPUNIT_ASSERT(callers.Longest() <= kLongestQueue);
+        CPPUNIT_ASSERT(callers.UsedPart() >= 0.8);
+      }
+    }
+  }
+
+  void CallersWhoPauseLongQueueNoLonger() {
+    for (const double payload_part : {0.92, 1.0}) {
+      Callers callers(
+          {.payload_part = payload_part, .demand = 3, .pause = 1500ms});
+      callers.Run(20s);
+      CPPUNIT_ASSERT(callers.Longest() <= kLongestQueue);
+      CPPUNIT_ASSERT(callers.UsedPart() >= 0.8);
+    }
+  }
+
+  // Guards against a team that sends ten times its usual on connections that
+  // it was let keep while it was calm.
+  void CallersWhoTurnHotOnWhatTheyHaveKeptQueueNoLonger() {
+    Callers callers({.payload_part = 0.92, .demand = 0.5, .pause = 3s});
+    callers.Run(10s);
+    callers.SetPause(100ms);
+    callers.Run(10s);
+    CPPUNIT_ASSERT(callers.Longest() <= kLongestQueue);
+  }
+
+  // What callers who had kept their connections sent at once takes its time;
+  // nobody may add to it meanwhile.
+  void AQueueThatStandsIsGoneOnceTheLinkHasCarriedIt() {
+    constexpr size_t kKept = 330;
+    Callers callers({.payload_part = 0.92, .demand = 5, .kept_before = kKept});
+    callers.Run(10s);
+    const double carried_in = kKept * kPromptBytes / (0.92 * kLink);
+    CPPUNIT_ASSERT(Seconds(callers.OverUntil()) <= carried_in);
+  }
+
+  void WhatTheLinkCarriesIsLetIn() {
+    Callers callers({.payload_part = 0.92, .demand = 0.5});
+    callers.Run(20s);
+    CPPUNIT_ASSERT(callers.UsedPart() >= 0.45);
+  }
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(KeptConnectionsTest);
+
+}  // namespace
+}  // namespace dotterelshift::gateway
--- a/src/dotterelshift/gateway/link_admission.cc
+++ b/src/dotterelshift/gateway/link_admission.cc
@@ -1,6 +1,7 @@
 #include "dotterelshift/gateway/link_admission.h"
 
 #include <algorithm>  // for clamp
+#include <utility>    // for exchange
 
 namespace dotterelshift::gateway {
 namespace {
@@ -8,26 +9,68 @@
 // Weight of the newest request in the average of their sizes.
 constexpr double kNewest = 1.0 / 8;
 
+// What goes over a link besides the bytes that are counted: 66 bytes of heads
+// with each packet of 1448, a packet that acknowledges for every two that come,
+// and three packets to make a connection.
+constexpr double kHeads = 1 + 66.0 / 1448;
+constexpr double kAcknowledgements = 66.0 / (2 * 1448);
+constexpr double kHandshakeBytes = 3 * 66;
+
+LinkBusyTimeOptions BusyOptionsOf(const LinkAdmissionOptions& options) {
+  LinkBusyTimeOptions busy;
+  busy.bytes_per_second = options.bytes_per_second;
+  return busy;
+}
+
 }  // namespace
 
 LinkAdmission::LinkAdmission(const LinkAdmissionOptions& options)
-    : m_options(options), m_request_bytes(options.first_request_bytes) {
+    : m_options(options),
+      m_busy_in(BusyOptionsOf(options)),
+      m_request_bytes(options.first_request_bytes) {
   m_allowance = {BytesIn(options.burst), BytesIn(options.burst)};
 }
 
-void LinkAdmission::OnConnected() { m_allowance.in -= m_request_bytes; }
+double LinkAdmission::FirstRequestOnWire() const {
+  return m_request_bytes * kHeads + kHandshakeBytes;
+}
+
+void LinkAdmission::OnConnected() {
+  m_allowance.in -= FirstRequestOnWire();
+  m_waiting += FirstRequestOnWire();
+  ++m_connected;
+}
+
+void LinkAdmission::OnTurnedAway() {
+  m_waiting += FirstRequestOnWire();
+  m_unread += FirstRequestOnWire();
+}
 
 void LinkAdmission::OnFirstRequest(uint64_t bytes) {
-  const auto brought = static_cast<double>(bytes);
-  m_allowance.in += m_request_bytes - brought;
-  m_request_bytes += kNewest * (brought - m_request_bytes);
+  OnUnusedEnd();
+  OnRequestSize(bytes);
 }
 
-void LinkAdmission::OnUnusedEnd() { m_allowance.in += m_request_bytes; }
+void LinkAdmission::OnUnusedEnd() {
+  m_allowance.in += FirstRequestOnWire() - kHandshakeBytes;
+  m_waiting -= FirstRequestOnWire() - kHandshakeBytes;
+}
+
+void LinkAdmission::OnRequestSize(uint64_t bytes) {
+  m_request_bytes += kNewest * (static_cast<double>(bytes) - m_request_bytes);
+}
 
-void LinkAdmission::OnBytes(const LinkBytes& bytes) {
-  m_allowance.in -= static_cast<double>(bytes.in);
-  m_allowance.out -= static_cast<double>(bytes.out);
+void LinkAdmission::OnBytes(const LinkBytes& bytes, Instant now) {
+  const auto in = static_cast<double>(bytes.in);
+  const auto out = static_cast<double>(bytes.out);
+  const double came = in * kHeads + out * kAcknowledgements;
+  m_allowance.in -= came;
+  m_waiting += came;
+  m_allowance.out -= out * kHeads + in * kAcknowledgements;
+  const double handshakes =
+      kHandshakeBytes * static_cast<double>(std::exchange(m_connected, 0));
+  const double unread = std::exchange(m_unread, 0);
+  m_busy_in.OnBytes(came + handshakes + unread, now);
 }
 
 double LinkAdmission::BytesIn(Duration time) const {
@@ -41,24 +84,40 @@
   const bool first = m_since == Instant{};
   const Duration passed = first ? 0s : now - m_since;
   m_since = now;
-  const double grown = m_options.used_part * BytesIn(passed);
-  m_allowance.in = std::clamp(m_allowance.in + grown, least, most);
-  m_allowance.out = std::clamp(m_allowance.out + grown, least, most);
+  const bool drains = EndsIdle();
+  const double part = drains ? m_options.draining_part : m_options.used_part;
+  const double all = BytesIn(passed);
+  m_allowance.in = std::clamp(m_allowance.in + part * all, least, most);
+  m_allowance.out =
+      std::clamp(m_allowance.out + m_options.used_part * all, least, most);
+  const double carried = drains ? part * all : all;
+  m_waiting =
+      std::clamp(m_waiting - carried, 0.0, BytesIn(m_options.longest_debt));
 }
 
 Entrance LinkAdmission::Decide(Instant now) {
   if (!IsBounded()) return Entrance::kTakes;
   Grow(now);
-  const double allowance = m_allowance.Least();
-  const bool taken = m_entrance == Entrance::kTakes;
-  const double enough = taken ? 0 : BytesIn(m_options.burst) / 2;
-  if (allowance > enough)
-    m_entrance = Entrance::kTakes;
-  else if (allowance <= -BytesIn(m_options.longest_debt) / 2)
+  const bool takes = m_entrance == Entrance::kTakes;
+  const bool shut = m_entrance == Entrance::kShut;
+  const double enough = takes ? 0 : BytesIn(m_options.burst) / 4;
+  const double most = BytesIn(m_options.longest_wait) / (shut ? 2 : 1);
+  const bool out_overrun =
+      m_allowance.out <= -BytesIn(m_options.longest_debt) / 2;
+  if (m_waiting > most || out_overrun)
     m_entrance = Entrance::kShut;
-  else if (taken)
+  else if (m_allowance.Least() > enough)
+    m_entrance = Entrance::kTakes;
+  else
     m_entrance = Entrance::kTurnsAway;
   return m_entrance;
 }
 
+bool LinkAdmission::MayKeep(size_t connections) const {
+  if (!IsBounded()) return true;
+  if (EndsIdle()) return false;
+  const double unasked = static_cast<double>(connections) * m_request_bytes;
+  return unasked < BytesIn(m_options.kept_burst);
+}
+
 }  // namespace dotterelshift::gateway
--- a/src/dotterelshift/gateway/link_admission_test.cc
+++ b/src/dotterelshift/gateway/link_admission_test.cc
@@ -85,7 +85,8 @@
       if (prompt.first)
         m_admission.OnFirstRequest(prompt.bytes);
       else
-        m_admission.OnBytes({prompt.bytes, 0});
+        m_admission.OnKeptRequest(prompt.bytes);
+      m_admission.OnBytes({prompt.bytes, 0}, m_now);
     }
   }
 
@@ -199,7 +200,7 @@
     LinkAdmission admission = Make(kLink);
     const Instant now(1000s);
     CPPUNIT_ASSERT(Takes(admission, now));
-    admission.OnBytes({0, static_cast<uint64_t>(kLink)});
+    admission.OnBytes({0, static_cast<uint64_t>(kLink)}, now);
     CPPUNIT_ASSERT(!Takes(admission, now));
   }
 
--- /dev/null
+++ b/src/dotterelshift/gateway/link_busy_time.cc
@@ -0,0 +1,27 @@
+#include "dotterelshift/gateway/link_busy_time.h"
+
+#include <algorithm>  // for max
+#include <utility>    // for exchange
+
+namespace dotterelshift::gateway {
+namespace {
+
+double Seconds(Duration duration) {
+  return std::chrono::duration<double>(duration).count();
+}
+
+}  // namespace
+
+void LinkBusyTime::OnBytes(double bytes, Instant now) {
+  const Instant before = std::exchange(m_since, now);
+  if (before == Instant{}) return;
+  const Duration passed = now - before;
+  const double full = m_options.full_part * m_options.bytes_per_second;
+  m_missing = std::max(0.0, m_missing + full * Seconds(passed) - bytes);
+  m_busy_for += passed;
+  if (m_missing < full * Seconds(m_options.gap)) return;
+  m_missing = 0;
+  m_busy_for = 0s;
+}
+
+}  // namespace dotterelshift::gateway
--- a/src/dotterelshift/gateway/link_load_shedder.cc
+++ b/src/dotterelshift/gateway/link_load_shedder.cc
@@ -24,6 +24,12 @@
   return m_rate * std::exp(-windows) / m_options.bytes_per_second;
 }
 
+void LinkLoadShedder::OnTurnedAway(Instant now) {
+  const bool just_back =
+      m_back_since != Instant{} && now - m_back_since < m_options.stay_least;
+  if (m_shedding_since == Instant{} && !just_back) m_shedding_since = now;
+}
+
 bool LinkLoadShedder::IsShedding(Instant now) {
   const double filled = FilledPart(now);
   if (m_shedding_since == Instant{}) {
@@ -33,7 +39,10 @@
   const Duration away = now - m_shedding_since;
   const bool clear =
       away >= m_options.shed_least && filled <= m_options.clear_part;
-  if (clear || away >= m_options.shed_most) m_shedding_since = Instant{};
+  if (clear || away >= m_options.shed_most) {
+    m_shedding_since = Instant{};
+    m_back_since = now;
+  }
   return m_shedding_since != Instant{};
 }
 
--- a/src/dotterelshift/gateway/link_load_shedder_test.cc
+++ b/src/dotterelshift/gateway/link_load_shedder_test.cc
@@ -14,6 +14,8 @@
   CPPUNIT_TEST(AHotCallerSendsTheEntryAwayAndItComesBack);
   CPPUNIT_TEST(ASteadyShareOfTheLinkIsServed);
   CPPUNIT_TEST(LoadThatDoesNotEndKeepsNoEntryAwayForGood);
+  CPPUNIT_TEST(CallersTurnedAwaySendTheEntryAwayAtOnce);
+  CPPUNIT_TEST(CallersTurnedAwayKeepNoEntryAwayForGood);
   CPPUNIT_TEST(WithoutAKnownLinkNothingIsDecided);
   CPPUNIT_TEST_SUITE_END();
 
@@ -68,6 +70,26 @@
     CPPUNIT_ASSERT(back);
   }
 
+  // Guards against callers who are turned away for a second more than the
+  // balancer needs.
+  void CallersTurnedAwaySendTheEntryAwayAtOnce() {
+    LinkLoadShedder shedder = Make(kLink);
+    CPPUNIT_ASSERT(!shedder.IsShedding(m_now));
+    shedder.OnTurnedAway(m_now);
+    CPPUNIT_ASSERT(shedder.IsShedding(m_now));
+  }
+
+  void CallersTurnedAwayKeepNoEntryAwayForGood() {
+    LinkLoadShedder shedder = Make(kLink);
+    Duration in_rotation = 0s;
+    const Instant end = m_now + 30s;
+    for (; m_now < end; m_now += 50ms) {
+      shedder.OnTurnedAway(m_now);
+      if (!shedder.IsShedding(m_now)) in_rotation += 50ms;
+    }
+    CPPUNIT_ASSERT(in_rotation >= 6s);
+  }
+
   void WithoutAKnownLinkNothingIsDecided() {
     LinkLoadShedder shedder = Make(0);
     CPPUNIT_ASSERT(!Load(shedder, 100, 5s));
--- a/src/dotterelshift/http/http_test.cc
+++ b/src/dotterelshift/http/http_test.cc
@@ -244,7 +244,7 @@
   }
 
   void WhatIsNotConnectedIsNotHandedOver() {
-    RawListener listener(0);
+    TestListener listener(0);
     listener.Fill();
     m_port = listener.Port();
     Send("/", "x");
--- a/src/dotterelshift/http/server.cc
+++ b/src/dotterelshift/http/server.cc
@@ -113,6 +113,7 @@
 
   size_t OpenExchanges() const override { return m_open; }
   size_t OpenConnections() const override { return m_connections.size(); }
+  uint64_t BytesReceived() const override { return m_bytes_received; }
 
   void StopAccepting() override { m_listener->Pause(); }
   bool ResumeAccepting() override { return m_listener->Resume(); }
@@ -288,6 +289,7 @@
     MHD_get_connection_values(connection.handle, MHD_HEADER_KIND, AddHeader,
                               &request.headers);
     const size_t head_bytes = connection.uri.size() + BytesOf(request.headers);
+    m_bytes_received += head_bytes;
     if (head_bytes > m_options.max_head_bytes)
       return Refuse(connection, ServerRefusal::kHeadTooLarge);
     const std::string_view length = request.Header("content-length");
@@ -301,6 +303,7 @@
 
   MHD_Result OnBody(Connection& connection, std::string_view data) {
     connection.body_bytes += data.size();
+    m_bytes_received += data.size();
     if (connection.body_bytes <= m_options.max_body_bytes) {
       connection.exchange->MutableRequest().body.append(data);
       return MHD_YES;
@@ -433,6 +436,7 @@
   bool m_run_wanted = true;
   bool m_turns_away = false;
   size_t m_open = 0;
+  uint64_t m_bytes_received = 0;
   std::unordered_set<Connection*> m_connections;
   std::list<Connection*> m_receiving;
   std::unique_ptr<Listener> m_listener;
