Prompts wait at the entry until the way out has room

A request that was placed was handed whole to the system at once, whatever waited there: requests of kept connections, repeats and second attempts too. After its caller's close it still went out, seconds later (GONE), and answers, closes and frames of control stood behind it.

Now each attempt of a request waits in the core (kWaitsForLink) before an endpoint is booked, by priority and then by target, until the SendPacer has room; one that is booked for a reading time waits with its endpoint. A caller that leaves, a deadline or the own stop takes it out, not run. A request that would not go before half of its target is over (a later attempt: within a quarter of it), or before its deadline, is refused at once, with 50 to 100 ms to come back; one that is pushed back beyond that is refused then. What has run already is not said to be refused. Silence, connect and total timeouts count from the start of the attempt, as the wait stands before it. With an unknown or a fast link nothing is held back.

The stage is told by ended lines as waits_for_link. A cancelled attempt that no connection has taken yet is withdrawn, so that its room goes to the next.

Ruled out: checking at the choice of the endpoint alone (prompts that are booked for later go out together; a test fails) and at sending alone (endpoints are booked for what stands here; a test fails).

--- a/include/dotterelshift/gateway/core.h
+++ b/include/dotterelshift/gateway/core.h
@@ -18,6 +18,7 @@
 #include "dotterelshift/gateway/request.h"       // for RequestInfo
 #include "dotterelshift/gateway/retry_share.h"   // for RetryShare
 #include "dotterelshift/gateway/routes.h"        // for RouteTable
+#include "dotterelshift/gateway/send_pacer.h"    // for SendPacer
 #include "dotterelshift/http/client.h"           // for TransferEnd
 #include "dotterelshift/quarantine/blocklist.h"  // for Blocklist
 #include "dotterelshift/serving/request_core.h"  // for RequestSummary
@@ -49,6 +50,9 @@
   // An endpoint that has sent nothing of an answer for so long, while the
   // request may run again elsewhere, is given up on.
   Duration silence_borne = 1500ms;
+  // What a caller is told to wait, at the least, when the way out is full here:
+  // the links of other entries are free.
+  Duration link_retry_after = 50ms;
   // What a caller is told to wait, at the least, when the fleet is full.
   Duration least_retry_after = 500ms;
   uint64_t seed = 1;  // of the split by weight and the spread of returns
@@ -121,6 +125,13 @@
   bool alone = false;  // nothing else of the fleet ran there
 };
 
+// Requests that wait for the way out.
+struct LinkQueue {
+  size_t requests = 0;
+  uint64_t bytes = 0;
+  uint64_t refused = 0;  // since the start, as they would have waited too long
+};
+
 // Decides on requests under published routes, from arrival to the last byte:
 // who may, where it goes and when, what is tried again, what is refused. A
 // core: no I/O, no clock. After each event its actions are to be carried out in
@@ -160,6 +171,7 @@
   virtual std::vector<serving::RequestSummary> TakeFinished() = 0;
   virtual std::vector<Suspicion> TakeSuspicions() = 0;
   virtual size_t OpenRequests() const = 0;
+  virtual LinkQueue WaitingForLink() const = 0;
 };
 
 struct CoreParts {
@@ -167,6 +179,7 @@
   HeldGrants* budgets = nullptr;
   RetryShare* retries = nullptr;
   const quarantine::Blocklist* blocklist = nullptr;
+  SendPacer* pacer = nullptr;  // none: the link holds nothing back
 };
 
 std::unique_ptr<Core> MakeCore(const CoreOptions& options,
--- a/include/dotterelshift/gateway/request.h
+++ b/include/dotterelshift/gateway/request.h
@@ -42,6 +42,7 @@
   Prompt prompt;
   uint64_t content_hash = 0;  // of path, key and body
   size_t body_bytes = 0;
+  size_t onward_bytes = 0;  // of all that is passed on, its head with it
 };
 
 // What the head of an endpoint's answer says, besides what is passed on.
--- a/src/dotterelshift/app/gateway_entry.cc
+++ b/src/dotterelshift/app/gateway_entry.cc
@@ -80,6 +80,8 @@
   gateway::HeldGrants m_budgets;
   gateway::RetryShare m_retries;
   LinkGuard m_link_guard;
+  gateway::SendPacer m_pacer;
+  uint64_t m_paced_bytes = 0;  // of those that are not held back
   quarantine::Blocklist m_blocklist;
   std::unique_ptr<gateway::Core> m_core;
   std::unique_ptr<telemetry::Metrics> m_metrics;
@@ -119,6 +121,7 @@
       m_budgets({}, [this] { return NextId(); }),
       m_retries(RetryOptionsOf(settings)),
       m_link_guard(settings),
+      m_pacer(SendPacerOptionsOf(settings)),
       m_core(gateway::MakeCore(CoreOptionsOf(incarnation), Parts())),
       m_metrics(telemetry::MakeMetrics()),
       m_traffic(std::make_unique<GatewayTraffic>(loop, *m_core, *m_dialect,
@@ -140,7 +143,7 @@
 }
 
 gateway::CoreParts GatewayEntry::Parts() {
-  return {&m_load, &m_budgets, &m_retries, &m_blocklist};
+  return {&m_load, &m_budgets, &m_retries, &m_blocklist, &m_pacer};
 }
 
 void GatewayEntry::StartServers() {
@@ -337,6 +340,9 @@
 void GatewayEntry::SendToPeers() {
   const Instant now = m_loop.Now();
   m_link_guard.Adjust(*m_server, LinkTraffic(), now);
+  const uint64_t bytes =
+      m_traffic->BytesToCallers() + m_hub->Counters().bytes_out;
+  m_pacer.OnBytes(bytes - std::exchange(m_paced_bytes, bytes), now);
   if (m_returning_since) {
     ReturnHoldings();
   } else if (m_registration.Done()) {
@@ -406,6 +412,7 @@
         number(m_link.Unanswered())}});
   SetHubMetrics(*m_metrics, *m_hub);
   m_link_guard.SetMetrics(*m_metrics);
+  SetLinkQueueMetrics(*m_metrics, m_core->WaitingForLink());
 }
 
 // Only what may change while running: through whom the group is found.
--- a/src/dotterelshift/app/gateway_options.cc
+++ b/src/dotterelshift/app/gateway_options.cc
@@ -75,6 +75,13 @@
   return options;
 }
 
+gateway::SendPacerOptions SendPacerOptionsOf(
+    const settings::Settings& settings) {
+  gateway::SendPacerOptions options;
+  options.bytes_per_second = settings.link_mbit * kBytesPerMegabit;
+  return options;
+}
+
 gateway::CoreOptions CoreOptionsOf(Incarnation incarnation) {
   gateway::CoreOptions options;
   options.seed = incarnation;
--- a/src/dotterelshift/app/gateway_options.h
+++ b/src/dotterelshift/app/gateway_options.h
@@ -9,6 +9,7 @@
 #include "dotterelshift/gateway/link_admission.h"  // for LinkAdmissionOptions
 #include "dotterelshift/gateway/link_load_shedder.h"  // for LinkLoadShedderOptions
 #include "dotterelshift/gateway/load_note_pacer.h"  // for LoadNotePacerOptions
+#include "dotterelshift/gateway/send_pacer.h"       // for SendPacerOptions
 #include "dotterelshift/settings/settings.h"        // for Settings
 
 namespace dotterelshift::app {
@@ -27,6 +28,8 @@
     const settings::Settings& settings);
 gateway::LoadNotePacerOptions NotePacerOptionsOf(
     const settings::Settings& settings);
+gateway::SendPacerOptions SendPacerOptionsOf(
+    const settings::Settings& settings);
 gateway::CoreOptions CoreOptionsOf(Incarnation incarnation);
 
 }  // namespace dotterelshift::app
--- a/src/dotterelshift/app/gateway_traffic.cc
+++ b/src/dotterelshift/app/gateway_traffic.cc
@@ -42,6 +42,11 @@
   return text;
 }
 
+size_t OnwardBytes(const http::Request& request) {
+  return request.method.size() + request.path.size() + request.query.size() +
+         http::BytesOf(request.headers) + request.body.size();
+}
+
 http::ClientOptions MakeClientOptions() {
   http::ClientOptions options;
   options.max_idle = kMaxIdle;
@@ -69,6 +74,7 @@
   gateway::RequestInfo info = m_dialect.ReadRequestInfo(exchange->GetRequest());
   info.begun = exchange->GetRequest().begun;
   info.kept_connection = exchange->GetRequest().kept;
+  info.onward_bytes = OnwardBytes(exchange->GetRequest());
   exchange->OnGone([this, id] { OnGone(id); });
   exchange->OnDrained([this, id] { OnDrained(id); });
   m_open[id].exchange = std::move(exchange);
@@ -197,8 +203,11 @@
   const auto transfer = m_transfers.find(cancel.attempt);
   if (transfer == m_transfers.end()) return;
   KeepWayOut(cancel.attempt, transfer->second);
-  m_client->Cancel(transfer->second.id);
+  const http::TransferId id = transfer->second.id;
   m_transfers.erase(transfer);
+  if (m_client->Withdraw(id))
+    return m_core.OnWithdrawn(cancel.attempt, m_loop.Now());
+  m_client->Cancel(id);
 }
 
 void GatewayTraffic::CarryOut(const gateway::WithdrawAttempt& withdraw) {
@@ -258,8 +267,10 @@
                             : std::chrono::seconds(row.retry_after_seconds);
   if (row.retry != RetryAdvice::kNever)
     headers.emplace_back("Retry-After", SecondsText(wait));
-  exchange->Answer(status, AnswerHeaders(headers, MayKeep()),
-                   callers::ErrorBody(refuse.kind, ""));
+  std::string body = callers::ErrorBody(refuse.kind, "");
+  headers = AnswerHeaders(headers, MayKeep());
+  m_own_bytes += http::BytesOf(headers) + body.size();
+  exchange->Answer(status, headers, std::move(body));
 }
 
 void GatewayTraffic::CarryOut(const gateway::RelayWhole& relay) {
--- a/src/dotterelshift/app/gateway_traffic.h
+++ b/src/dotterelshift/app/gateway_traffic.h
@@ -42,6 +42,8 @@
 
   // What went to endpoints, and what they answered, which went on to callers.
   gateway::LinkBytes Bytes() const;
+  // All that went to callers, answers of the entry's own with it.
+  uint64_t BytesToCallers() const { return m_answer_bytes + m_own_bytes; }
 
  private:
   // A caller's request and what is kept of its answer.
@@ -116,6 +118,7 @@
   KeepPolicy m_may_keep;
   size_t m_kept_streams = 0;
   uint64_t m_answer_bytes = 0;
+  uint64_t m_own_bytes = 0;  // of answers in the system's own name
   bool m_pumping = false;
   loop::Timer m_timer;
 };
--- a/src/dotterelshift/app/gauges.cc
+++ b/src/dotterelshift/app/gauges.cc
@@ -31,6 +31,18 @@
                        "The same to one of them", Number(backlog.most)}});
 }
 
+void SetLinkQueueMetrics(telemetry::Metrics& metrics,
+                         const gateway::LinkQueue& queue) {
+  SetGauges(
+      metrics,
+      {{"dotterelshift_link_waiting_requests",
+        "Held back until the way out has room", Number(queue.requests)},
+       {"dotterelshift_link_waiting_bytes", "Of these", Number(queue.bytes)}});
+  metrics.SetCounter("dotterelshift_link_refused_total",
+                     "Refused, as they would have waited too long for it",
+                     Number(queue.refused));
+}
+
 void SetRoutesSentCounters(telemetry::Metrics& metrics,
                            const EntryPushes::RoutesSent& sent) {
   metrics.SetCounter("dotterelshift_routes_wholes_sent_total",
--- a/src/dotterelshift/app/gauges.h
+++ b/src/dotterelshift/app/gauges.h
@@ -6,6 +6,7 @@
 
 #include "dotterelshift/app/control_replica.h"  // for ControlReplica
 #include "dotterelshift/app/entry_pushes.h"     // for EntryPushes
+#include "dotterelshift/gateway/core.h"         // for LinkQueue
 #include "dotterelshift/peers/hub.h"            // for Hub
 #include "dotterelshift/telemetry/metrics.h"    // for Metrics
 
@@ -26,6 +27,10 @@
 // What both roles say of their connections to other daemons.
 void SetHubMetrics(telemetry::Metrics& metrics, const peers::Hub& hub);
 
+// What waits for an entry's way out.
+void SetLinkQueueMetrics(telemetry::Metrics& metrics,
+                         const gateway::LinkQueue& queue);
+
 // What a control daemon has sent of published routes.
 void SetRoutesSentCounters(telemetry::Metrics& metrics,
                            const EntryPushes::RoutesSent& sent);
--- a/src/dotterelshift/gateway/active_request.h
+++ b/src/dotterelshift/gateway/active_request.h
@@ -17,7 +17,9 @@
 enum class Stage : uint8_t {
   kWaitsForBudget,
   kWaitsForPlace,  // all endpoints are full just now
+  kWaitsForLink,   // there is an endpoint, but no room on the way out
   kBooked,         // has its endpoint, and is sent when its reading time comes
+                   // and the way out has room
   kRunning,        // sent; no head of an answer yet
   kAnswering,
 };
@@ -35,6 +37,14 @@
   uint64_t events = 0;  // passed on to the caller
 };
 
+// The place of a request among those that wait for the way out.
+struct LinkRank {
+  int priority = 0;
+  Instant target{};
+  RequestId id = 0;
+  auto operator<=>(const LinkRank&) const = default;
+};
+
 // One request from its arrival to its end.
 struct ActiveRequest {
   RequestId id = 0;
@@ -48,7 +58,10 @@
   Instant deadline{};    // the caller's or the route's, the earlier one
   Instant target{};      // for the first event, or for the answer
   Instant wait_until{};  // for tokens, or for a place
-  Instant due{};         // when its timer runs out
+  Instant link_since{};  // it waits for the way out; the epoch: it does not
+  Instant link_until{};  // for the way out, of this attempt
+  Duration link_waited = 0s;  // of this attempt
+  Instant due{};              // when its timer runs out
   Stage stage = Stage::kWaitsForBudget;
   Tokens reserved = 0;
   bool has_reservation = false;
@@ -63,6 +76,8 @@
   Instant first_event{};
   EventScanner scanner;
 
+  LinkRank Rank() const { return {priority, target, id}; }
+
   bool MayRepeat() const {
     return route->kind == RouteKind::kIdempotent ||
            (route->kind == RouteKind::kStream && route->resumable);
--- a/src/dotterelshift/gateway/core.cc
+++ b/src/dotterelshift/gateway/core.cc
@@ -201,6 +201,7 @@
 }
 
 void CoreImpl::OnTimer(Instant now) {
+  SendWaiting(now);
   while (!m_due.empty() && m_due.begin()->first <= now) {
     const RequestId request = m_due.begin()->second;
     m_due.erase(m_due.begin());
@@ -212,7 +213,8 @@
 }
 
 Instant CoreImpl::NextTimer() const {
-  return m_due.empty() ? Instant::max() : m_due.begin()->first;
+  const Instant due = m_due.empty() ? Instant::max() : m_due.begin()->first;
+  return std::min(due, NextLinkTimer());
 }
 
 void CoreImpl::OnDue(ActiveRequest& active, Instant now) {
@@ -223,7 +225,10 @@
       return FailForBudget(active, ErrorKind::kBudgetUnavailable, now);
     case Stage::kWaitsForPlace:
       return Place(active, now);
+    case Stage::kWaitsForLink:
+      return RefuseForLink(active, now);
     case Stage::kBooked:
+      if (active.link_since != Instant{}) return RefuseForLink(active, now);
       return Send(active, now);
     case Stage::kRunning:
     case Stage::kAnswering:
--- a/src/dotterelshift/gateway/core_answer.cc
+++ b/src/dotterelshift/gateway/core_answer.cc
@@ -35,6 +35,8 @@
       return "waits_for_tokens";
     case Stage::kWaitsForPlace:
       return "waits_for_place";
+    case Stage::kWaitsForLink:
+      return "waits_for_link";
     case Stage::kBooked:
       return "booked";
     case Stage::kRunning:
@@ -196,6 +198,7 @@
     if (end != http::TransferEnd::kTimedOut) Suspect(active);
   } else {
     m_parts.load->OnUnreachable(endpoint, now);
+    OnNotSent(active.attempt.id, now);
   }
   EndAttempt(active);
   if (sent) ++active.runs;
@@ -273,6 +276,9 @@
   if (booked) m_parts.load->OnEnded(active.attempt.placement.endpoint);
   active.stage = Stage::kWaitsForPlace;
   active.wait_until = {};
+  LeaveLinkQueue(active);
+  active.link_until = {};
+  active.link_waited = 0s;
   active.scanner.Reset();
 }
 
--- a/src/dotterelshift/gateway/core_impl.h
+++ b/src/dotterelshift/gateway/core_impl.h
@@ -1,6 +1,7 @@
 #ifndef DOTTERELSHIFT_SRC_GATEWAY_CORE_IMPL_H_
 #define DOTTERELSHIFT_SRC_GATEWAY_CORE_IMPL_H_
 
+#include <map>            // for map
 #include <memory>         // for shared_ptr
 #include <optional>       // for optional
 #include <random>         // for mt19937_64
@@ -16,7 +17,8 @@
 namespace dotterelshift::gateway {
 
 // The core behind MakeCore(): arrival in core.cc, choice of the endpoint and
-// sending in core_place.cc, answers and repeats in core_answer.cc.
+// sending in core_place.cc, the wait for the way out in core_link.cc, answers
+// and repeats in core_answer.cc.
 class CoreImpl final : public Core {
  public:
   CoreImpl(const CoreOptions& options, const CoreParts& parts)
@@ -48,6 +50,7 @@
     return std::exchange(m_suspicions, {});
   }
   size_t OpenRequests() const override { return m_active.size(); }
+  LinkQueue WaitingForLink() const override;
 
  private:
   // Arrival (core.cc). Each gives the kind to refuse with, or kNone.
@@ -70,6 +73,21 @@
   void LeaveEndpoint(ActiveRequest& active, Instant now);
   void LogSent(const ActiveRequest& active, Instant now);
   Duration RetryAfter(const ActiveRequest& active, Duration wait, Instant now);
+  Duration SpreadReturn(const ActiveRequest& active, Duration least,
+                        Instant now);
+
+  // The way out (core_link.cc).
+  bool MayGoOut(const ActiveRequest& active, Instant now) const;
+  void WaitForLink(ActiveRequest& active, Instant now);
+  void SendWaiting(Instant now);
+  void RefuseLate(Instant now);
+  void RefuseForLink(ActiveRequest& active, Instant now);
+  Duration LinkWait(const ActiveRequest& active, Instant now) const;
+  uint64_t BytesBefore(const LinkRank& rank) const;
+  void LeaveLinkQueue(ActiveRequest& active);
+  void OnLetGo(const ActiveRequest& active, Instant now);
+  void OnNotSent(AttemptId attempt, Instant now);
+  Instant NextLinkTimer() const;
 
   // Answers (core_answer.cc).
   ActiveRequest* OfAttempt(AttemptId attempt);
@@ -113,6 +131,9 @@
   std::unordered_map<AttemptId, RequestId> m_attempts;
   AttemptId m_last_attempt = 0;
   std::set<std::pair<Instant, RequestId>> m_due;
+  std::map<LinkRank, uint64_t> m_waiting;  // for the way out, with their bytes
+  bool m_pushed_back = false;  // one came before others, which may be late now
+  uint64_t m_link_refused = 0;
   std::vector<Action> m_actions;
   std::vector<serving::RequestSummary> m_finished;
   std::vector<Suspicion> m_suspicions;
--- /dev/null
+++ b/src/dotterelshift/gateway/core_link.cc
@@ -0,0 +1,134 @@
+#include <algorithm>  // for max, min
+#include <iterator>   // for next
+
+#include "dotterelshift/gateway/core_impl.h"  // for CoreImpl
+
+namespace dotterelshift::gateway {
+namespace {
+
+// A request may wait for the way out until this part of its target is over, so
+// that the rest is left for its work.
+constexpr int kLinkWaitPart = 2;
+
+// A later attempt may wait for this part of its target all the same.
+constexpr int kLeastLinkWaitPart = 4;
+
+std::string Ms(Duration duration) { return std::to_string(ToMs(duration)); }
+
+}  // namespace
+
+// Nothing goes before what is more urgent and waits.
+bool CoreImpl::MayGoOut(const ActiveRequest& active, Instant now) const {
+  if (m_parts.pacer == nullptr) return true;
+  const bool first =
+      m_waiting.empty() || active.Rank() <= m_waiting.begin()->first;
+  return first && m_parts.pacer->MaySend(active.info.onward_bytes, now);
+}
+
+// What is booked keeps its endpoint, as its reading time there has come.
+void CoreImpl::WaitForLink(ActiveRequest& active, Instant now) {
+  const Duration target = active.route->target;
+  if (active.link_until == Instant{}) {
+    const Instant until = std::max(active.arrived + target / kLinkWaitPart,
+                                   now + target / kLeastLinkWaitPart);
+    active.link_until = std::min(until, active.deadline);
+  }
+  if (active.stage != Stage::kBooked) active.stage = Stage::kWaitsForLink;
+  if (now + LinkWait(active, now) > active.link_until)
+    return RefuseForLink(active, now);
+  active.link_since = now;
+  const auto place =
+      m_waiting.emplace(active.Rank(), active.info.onward_bytes).first;
+  if (std::next(place) != m_waiting.end()) m_pushed_back = true;
+  SetDue(active, active.link_until);
+}
+
+void CoreImpl::SendWaiting(Instant now) {
+  while (!m_waiting.empty() &&
+         m_parts.pacer->MaySend(m_waiting.begin()->second, now)) {
+    ActiveRequest& active = m_active.at(m_waiting.begin()->first.id);
+    active.link_waited += now - active.link_since;
+    LeaveLinkQueue(active);
+    if (active.stage == Stage::kBooked)
+      Send(active, now);
+    else
+      Place(active, now);
+  }
+  RefuseLate(now);
+}
+
+// Those that more urgent ones, or more answers than before, keep from going out
+// in time.
+void CoreImpl::RefuseLate(Instant now) {
+  m_pushed_back = false;
+  uint64_t before = 0;
+  std::vector<RequestId> late;
+  for (const auto& [rank, bytes] : m_waiting) {
+    const Duration wait = m_parts.pacer->WaitBehind(before, bytes, now);
+    if (now + wait > m_active.at(rank.id).link_until)
+      late.push_back(rank.id);
+    else
+      before += bytes;
+  }
+  for (const RequestId id : late) RefuseForLink(m_active.at(id), now);
+}
+
+// Elsewhere there is room now, so that its caller should come back at once.
+void CoreImpl::RefuseForLink(ActiveRequest& active, Instant now) {
+  const bool waited = active.link_since != Instant{};
+  const Duration queued = waited ? now - active.link_since : 0s;
+  Log("link_refused", active,
+      {{"wait_ms", Ms(LinkWait(active, now))},
+       {"bytes_ahead", std::to_string(BytesBefore(active.Rank()))},
+       {"bytes", std::to_string(active.info.onward_bytes)},
+       {"waited_ms", Ms(active.link_waited + queued)},
+       {"left_ms", Ms(active.link_until - now)}});
+  ++m_link_refused;
+  if (active.may_have_run)
+    return Fail(active, ErrorKind::kEndpointFailed, 0s, now);
+  Fail(active, ErrorKind::kOverloaded,
+       SpreadReturn(active, m_options.link_retry_after, now), now);
+}
+
+// From now until it may go, behind what is more urgent.
+Duration CoreImpl::LinkWait(const ActiveRequest& active, Instant now) const {
+  return m_parts.pacer->WaitBehind(BytesBefore(active.Rank()),
+                                   active.info.onward_bytes, now);
+}
+
+uint64_t CoreImpl::BytesBefore(const LinkRank& rank) const {
+  uint64_t bytes = 0;
+  for (auto at = m_waiting.begin(); at != m_waiting.end() && at->first < rank;
+       ++at)
+    bytes += at->second;
+  return bytes;
+}
+
+void CoreImpl::LeaveLinkQueue(ActiveRequest& active) {
+  if (active.link_since == Instant{}) return;
+  m_waiting.erase(active.Rank());
+  active.link_since = {};
+}
+
+void CoreImpl::OnLetGo(const ActiveRequest& active, Instant now) {
+  if (m_parts.pacer == nullptr) return;
+  m_parts.pacer->OnPrompt(active.attempt.id, active.info.onward_bytes, now);
+}
+
+void CoreImpl::OnNotSent(AttemptId attempt, Instant now) {
+  if (m_parts.pacer != nullptr) m_parts.pacer->OnNotSent(attempt, now);
+}
+
+Instant CoreImpl::NextLinkTimer() const {
+  if (m_waiting.empty()) return Instant::max();
+  if (m_pushed_back) return {};
+  return m_parts.pacer->Next(m_waiting.begin()->second);
+}
+
+LinkQueue CoreImpl::WaitingForLink() const {
+  LinkQueue queue{m_waiting.size(), 0, m_link_refused};
+  for (const auto& [rank, bytes] : m_waiting) queue.bytes += bytes;
+  return queue;
+}
+
+}  // namespace dotterelshift::gateway
--- a/src/dotterelshift/gateway/core_place.cc
+++ b/src/dotterelshift/gateway/core_place.cc
@@ -26,6 +26,7 @@
     return Fail(active, ErrorKind::kOverloaded,
                 RetryAfter(active, placement->wait, now), now);
   }
+  if (!MayGoOut(active, now)) return WaitForLink(active, now);
   m_parts.load->OnGiven(*placement, active.info.prompt, now);
   active.attempt = {};
   active.attempt.placement = *placement;
@@ -63,6 +64,7 @@
   const EndpointContact* contact =
       m_parts.load->Find(active.attempt.placement.endpoint);
   if (contact == nullptr) return Place(active, now);
+  if (!MayGoOut(active, now)) return WaitForLink(active, now);
   Attempt& attempt = active.attempt;
   attempt.id = ++m_last_attempt;
   attempt.endpoint = *contact;
@@ -81,6 +83,7 @@
                             ? std::to_string(*active.scanner.LastId())
                             : active.info.last_event_id;
   m_actions.emplace_back(std::move(start));
+  OnLetGo(active, now);
   LogSent(active, now);
   SetDue(active, DueWhileRunning(active));
 }
@@ -99,6 +102,8 @@
                             active.attempt.placement.endpoint))},
       {"send", std::to_string(active.sends)},
       {"connection", active.info.kept_connection ? "kept" : "new"}};
+  if (active.link_waited > 0s)
+    inputs.emplace_back("link_wait_ms", Ms(active.link_waited));
   if (m_drain) {
     inputs.emplace_back("stopping_ms", Ms(now - m_drain->begun));
     inputs.emplace_back("left_ms", Ms(m_drain->last_answer - now));
@@ -120,6 +125,7 @@
 // It has reached nobody, so that it is no repeat, but it counts among the
 // sends of its request.
 void CoreImpl::OnWithdrawn(AttemptId id, Instant now) {
+  OnNotSent(id, now);
   ActiveRequest* active = OfAttempt(id);
   if (active == nullptr) return;
   Log("attempt_withdrawn", *active,
@@ -137,15 +143,18 @@
 // together do not return together, and not later than the caller will bear.
 Duration CoreImpl::RetryAfter(const ActiveRequest& active, Duration wait,
                               Instant now) {
+  return SpreadReturn(active, std::max(wait, m_options.least_retry_after), now);
+}
+
+Duration CoreImpl::SpreadReturn(const ActiveRequest& active, Duration least,
+                                Instant now) {
   constexpr int kPartOfPatience = 3;
   constexpr int kMostSpread = 2;
   const Duration left = std::max<Duration>(0s, active.deadline - now);
   const Duration most = left / (kPartOfPatience * kMostSpread);
-  const Duration least =
-      std::min(std::max(wait, m_options.least_retry_after), most);
   const double spread =
       std::uniform_real_distribution<double>(1, kMostSpread)(m_random);
-  return std::chrono::duration_cast<Duration>(least * spread);
+  return std::chrono::duration_cast<Duration>(std::min(least, most) * spread);
 }
 
 }  // namespace dotterelshift::gateway
