Callers are turned away while requests wait here for the way out

Cause: requests that wait at the entry until the way out has room were not seen by the admission: callers were let in to wait, and to be refused, where the links of other entries are free. The allowance outwards counts them now; the entry goes on listening, as their prompts do no harm on the way in.

Ruled out: shutting the listener for it (a caller who finds nobody listening is not known to ask elsewhere; one who is closed unread does).

--- a/include/dotterelshift/gateway/link_admission.h
+++ b/include/dotterelshift/gateway/link_admission.h
@@ -83,6 +83,8 @@
   void OnUnusedEnd();
   // What has gone over the link since the last call, requests included.
   void OnBytes(const LinkBytes& bytes, Instant now);
+  // So many bytes of requests wait here until the way out has room.
+  void SetHeldOut(uint64_t bytes) { m_held_out = static_cast<double>(bytes); }
 
   // Once not taken, connections are when a quarter of what may come at once has
   // gathered. Shut is who could not even be turned away in time.
@@ -107,7 +109,6 @@
   struct Allowance {
     double in = 0;
     double out = 0;
-    double Least() const { return in < out ? in : out; }
   };
 
   double BytesIn(Duration time) const;
@@ -124,6 +125,7 @@
   double m_unread = 0;     // estimated of those turned away, since OnBytes()
   size_t m_connected = 0;  // since OnBytes()
   Allowance m_allowance;
+  double m_held_out = 0;
   Instant m_since{};
   Entrance m_entrance = Entrance::kTakes;
 };
--- a/src/dotterelshift/app/gateway_entry.cc
+++ b/src/dotterelshift/app/gateway_entry.cc
@@ -332,7 +332,9 @@
 
 LinkGuard::Traffic GatewayEntry::LinkTraffic() const {
   const peers::HubCounters& peers = m_hub->Counters();
-  return {m_traffic->Bytes(), {peers.bytes_in, peers.bytes_out}};
+  return {m_traffic->Bytes(),
+          {peers.bytes_in, peers.bytes_out},
+          m_core->WaitingForLink().bytes};
 }
 
 // At the end of each turn of the loop: commands to control, load notes to the
--- a/src/dotterelshift/app/link_guard.cc
+++ b/src/dotterelshift/app/link_guard.cc
@@ -128,6 +128,7 @@
   const gateway::LinkBytes fresh =
       traffic.endpoints - last.endpoints + peers + requests;
   m_admission.OnBytes(fresh, now);
+  m_admission.SetHeldOut(traffic.held_out);
   m_summary.peer_bytes = m_summary.peer_bytes + peers;
   m_summary.bytes = m_summary.bytes + fresh;
   // What was handed over is counted among it, and waits since then.
--- a/src/dotterelshift/app/link_guard.h
+++ b/src/dotterelshift/app/link_guard.h
@@ -40,6 +40,7 @@
   struct Traffic {
     gateway::LinkBytes endpoints;  // attempts, and answers that went on
     gateway::LinkBytes peers;
+    uint64_t held_out = 0;  // of requests that wait here for the way out
   };
   // Takes connections, or ceases to, as the link asks for.
   void Adjust(http::Server& server, const Traffic& traffic, Instant now);
--- a/src/dotterelshift/gateway/link_admission.cc
+++ b/src/dotterelshift/gateway/link_admission.cc
@@ -1,6 +1,6 @@
 #include "dotterelshift/gateway/link_admission.h"
 
-#include <algorithm>  // for clamp
+#include <algorithm>  // for clamp, min
 #include <utility>    // for exchange
 
 namespace dotterelshift::gateway {
@@ -106,7 +106,7 @@
       m_allowance.out <= -BytesIn(m_options.longest_debt) / 2;
   if (m_waiting > most || out_overrun)
     m_entrance = Entrance::kShut;
-  else if (m_allowance.Least() > enough)
+  else if (std::min(m_allowance.in, m_allowance.out - m_held_out) > enough)
     m_entrance = Entrance::kTakes;
   else
     m_entrance = Entrance::kTurnsAway;
--- a/src/dotterelshift/gateway/link_admission_test.cc
+++ b/src/dotterelshift/gateway/link_admission_test.cc
@@ -110,6 +110,7 @@
   CPPUNIT_TEST(NobodyIsLetInWhileAQueueStands);
   CPPUNIT_TEST(LoadThatDoesNotEndKeepsNoEntryAwayForGood);
   CPPUNIT_TEST(NobodyIsLetInWhileTheWayOutIsFull);
+  CPPUNIT_TEST(CallersAreTurnedAwayWhileRequestsWaitForTheWayOut);
   CPPUNIT_TEST(WithoutAKnownLinkNothingIsDecided);
   CPPUNIT_TEST_SUITE_END();
 
@@ -204,6 +205,19 @@
     CPPUNIT_ASSERT(!Takes(admission, now));
   }
 
+  // Guards against callers who are let in to wait for what they would get at
+  // once from another entry.
+  void CallersAreTurnedAwayWhileRequestsWaitForTheWayOut() {
+    LinkAdmission admission = Make(kLink);
+    const Instant now(1000s);
+    admission.SetHeldOut(static_cast<uint64_t>(0.05 * kLink));
+    CPPUNIT_ASSERT(Takes(admission, now));
+    admission.SetHeldOut(static_cast<uint64_t>(0.2 * kLink));
+    CPPUNIT_ASSERT(admission.Decide(now) == Entrance::kTurnsAway);
+    admission.SetHeldOut(0);
+    CPPUNIT_ASSERT(Takes(admission, now));
+  }
+
   void WithoutAKnownLinkNothingIsDecided() {
     LinkAdmission admission = Make(0);
     const Instant now(1000s);
