Heads of small packets are reckoned in, and a link that stays full gets less

Cause: on hot entries the way in stayed full for 0.8 to 1.4 s at 1.02 to 1.07 MB a second counted (beats to control 480 to 607 ms there and back, with 0.09 s at the most on the way out): events of streams are packets of their own, whose heads were not reckoned in, so that what was let in for long was still as much as the link carries and nothing drained.

Now each event counts with its head, and the part of the link that may be let in falls the longer there is no gap, whatever else is not counted.

The mock of LinkAdmissionTest counts bytes once a turn, also when there are none, as the entry does.

--- a/include/dotterelshift/gateway/link_admission.h
+++ b/include/dotterelshift/gateway/link_admission.h
@@ -17,6 +17,10 @@
   // what waits before it gets less.
   double draining_part = 0.85;
   Duration longest_busy = 300ms;
+  // While it stays full, that part falls by so much a second, down to the
+  // least: what is not counted may take more of the link than is reckoned.
+  double fall_per_second = 0.5;
+  double least_part = 0.4;
   // What may come at once beyond that, as time of the link.
   Duration burst = 120ms;
   // No connection is made while more than this, as time of the link, is on its
@@ -30,6 +34,9 @@
   double first_request_bytes = 8 << 10;
 };
 
+// Heads of a packet on the link, besides the bytes that it carries.
+inline constexpr uint64_t kPacketHeadBytes = 66;
+
 // What becomes of a connection that comes.
 enum class Entrance {
   kTakes,
@@ -112,6 +119,8 @@
   };
 
   double BytesIn(Duration time) const;
+  // Of the link, what may be let in now for long.
+  double UsedPart() const;
   double FirstRequestOnWire() const;
   void OnRequestSize(uint64_t bytes);
   void Grow(Instant now);
--- a/src/dotterelshift/app/gateway_traffic.cc
+++ b/src/dotterelshift/app/gateway_traffic.cc
@@ -169,14 +169,15 @@
   Transfer& transfer = m_transfers[attempt];
   transfer.status = status;
   transfer.headers = headers;
-  m_answer_bytes += http::BytesOf(headers);
+  m_answer_bytes += http::BytesOf(headers) + gateway::kPacketHeadBytes;
   m_core.OnHead(attempt, status, m_dialect.ReadMarks(status, headers),
                 m_loop.Now());
   Pump();
 }
 
 bool GatewayTraffic::OnPiece(AttemptId attempt, std::string_view piece) {
-  m_answer_bytes += piece.size();
+  // An event of a stream is a packet of its own.
+  m_answer_bytes += piece.size() + gateway::kPacketHeadBytes;
   const auto transfer = m_transfers.find(attempt);
   if (transfer == m_transfers.end()) return true;
   if (!transfer->second.streamed) transfer->second.body.append(piece);
--- a/src/dotterelshift/gateway/link_admission.cc
+++ b/src/dotterelshift/gateway/link_admission.cc
@@ -1,6 +1,6 @@
 #include "dotterelshift/gateway/link_admission.h"
 
-#include <algorithm>  // for clamp, min
+#include <algorithm>  // for clamp, max, min
 #include <utility>    // for exchange
 
 namespace dotterelshift::gateway {
@@ -9,12 +9,13 @@
 // Weight of the newest request in the average of their sizes.
 constexpr double kNewest = 1.0 / 8;
 
-// What goes over a link besides the bytes that are counted: 66 bytes of heads
-// with each packet of 1448, a packet that acknowledges for every two that come,
-// and three packets to make a connection.
-constexpr double kHeads = 1 + 66.0 / 1448;
-constexpr double kAcknowledgements = 66.0 / (2 * 1448);
-constexpr double kHandshakeBytes = 3 * 66;
+// What goes over a link besides the bytes that are counted: heads of packets
+// that are full, one that acknowledges for every two that come, and three to
+// make a connection.
+constexpr double kFullPacketBytes = 1448;
+constexpr double kHeads = 1 + kPacketHeadBytes / kFullPacketBytes;
+constexpr double kAcknowledgements = kPacketHeadBytes / (2 * kFullPacketBytes);
+constexpr double kHandshakeBytes = 3 * kPacketHeadBytes;
 
 LinkBusyTimeOptions BusyOptionsOf(const LinkAdmissionOptions& options) {
   LinkBusyTimeOptions busy;
@@ -78,19 +79,27 @@
          std::chrono::duration<double>(time).count();
 }
 
+double LinkAdmission::UsedPart() const {
+  if (!EndsIdle()) return m_options.used_part;
+  const double full_for =
+      std::chrono::duration<double>(BusyFor() - m_options.longest_busy).count();
+  return std::max(
+      m_options.least_part,
+      m_options.draining_part - m_options.fall_per_second * full_for);
+}
+
 void LinkAdmission::Grow(Instant now) {
   const double most = BytesIn(m_options.burst);
   const double least = -BytesIn(m_options.longest_debt);
   const bool first = m_since == Instant{};
   const Duration passed = first ? 0s : now - m_since;
   m_since = now;
-  const bool drains = EndsIdle();
-  const double part = drains ? m_options.draining_part : m_options.used_part;
+  const double part = UsedPart();
   const double all = BytesIn(passed);
   m_allowance.in = std::clamp(m_allowance.in + part * all, least, most);
   m_allowance.out =
       std::clamp(m_allowance.out + m_options.used_part * all, least, most);
-  const double carried = drains ? part * all : all;
+  const double carried = EndsIdle() ? part * all : all;
   m_waiting =
       std::clamp(m_waiting - carried, 0.0, BytesIn(m_options.longest_debt));
 }
--- a/src/dotterelshift/gateway/link_admission_test.cc
+++ b/src/dotterelshift/gateway/link_admission_test.cc
@@ -78,16 +78,19 @@
     m_longest = std::max(m_longest, m_free_at - m_now);
   }
 
+  // Bytes are counted once a turn, also when there are none.
   void Deliver() {
+    uint64_t bytes = 0;
     while (!m_prompts.empty() && m_prompts.front().whole <= m_now) {
       const Prompt prompt = m_prompts.front();
       m_prompts.pop_front();
+      bytes += prompt.bytes;
       if (prompt.first)
         m_admission.OnFirstRequest(prompt.bytes);
       else
         m_admission.OnKeptRequest(prompt.bytes);
-      m_admission.OnBytes({prompt.bytes, 0}, m_now);
     }
+    m_admission.OnBytes({bytes, 0}, m_now);
   }
 
   LinkAdmission& m_admission;
