Answers of one turn do not all keep their connections

The server counts an exchange as open until its answer is written, so that 200 refusals of one turn all saw the same few idle connections and kept theirs: 0.96 s of prompts, told to come back at once (found by review). Now the callers who still wait for the head of their answer are counted, and each answer of a turn sees the ones before it.

--- a/src/dotterelshift/app/gateway_entry.cc
+++ b/src/dotterelshift/app/gateway_entry.cc
@@ -55,7 +55,7 @@
   void DialMembers();
   std::unique_ptr<wire::CommandIdT> NextId();
   void OnTick();
-  bool MayKeep(size_t streams) const;
+  bool MayKeep(size_t silent) const;
   LinkGuard::Traffic LinkTraffic() const;
   void SendToPeers();
   void ProposeSuspicion(const gateway::Suspicion& suspicion);
@@ -129,7 +129,7 @@
       m_tick(loop, [this] { OnTick(); }),
       m_prepare(
           loop, [this] { SendToPeers(); }, EV_MINPRI + 1) {
-  m_traffic->SetKeepPolicy([this](size_t streams) { return MayKeep(streams); });
+  m_traffic->SetKeepPolicy([this](size_t silent) { return MayKeep(silent); });
   StartServers();
   const std::string secret = settings::ReadSecret(settings.secret_file);
   m_hub = peers::MakeHub(
@@ -326,8 +326,8 @@
 }
 
 // Of an entry that stops, callers on open connections go elsewhere, too.
-bool GatewayEntry::MayKeep(size_t streams) const {
-  return !m_drain && m_link_guard.MayKeep(*m_server, streams, m_loop.Now());
+bool GatewayEntry::MayKeep(size_t silent) const {
+  return !m_drain && m_link_guard.MayKeep(*m_server, silent, m_loop.Now());
 }
 
 LinkGuard::Traffic GatewayEntry::LinkTraffic() const {
--- a/src/dotterelshift/app/gateway_traffic.cc
+++ b/src/dotterelshift/app/gateway_traffic.cc
@@ -250,7 +250,7 @@
 }
 
 bool GatewayTraffic::MayKeep() const {
-  return !m_may_keep || m_may_keep(m_kept_streams);
+  return !m_may_keep || m_may_keep(m_open.size() - m_kept_streams);
 }
 
 void GatewayTraffic::CarryOut(const gateway::Refuse& refuse) {
--- a/src/dotterelshift/app/gateway_traffic.h
+++ b/src/dotterelshift/app/gateway_traffic.h
@@ -33,10 +33,10 @@
   // Carries out what the core wants; after every event that reached it from
   // elsewhere.
   void Pump();
-  // Asked at each answer whether its caller may keep the connection, while so
-  // many streams are under way to callers who may keep theirs. Without it, all
-  // may.
-  using KeepPolicy = std::function<bool(size_t streams)>;
+  // Asked at each answer whether its caller may keep the connection. `silent`
+  // callers send nothing on theirs: the head of their answer is still to come,
+  // or has told them to close. Without it, all may.
+  using KeepPolicy = std::function<bool(size_t silent)>;
   void SetKeepPolicy(KeepPolicy policy) { m_may_keep = std::move(policy); }
   size_t OpenAnswers() const { return m_open.size(); }
 
--- a/src/dotterelshift/app/link_guard.cc
+++ b/src/dotterelshift/app/link_guard.cc
@@ -173,13 +173,11 @@
   return m_last_paused != Instant{} && now - m_last_paused < kFullFor;
 }
 
-bool LinkGuard::MayKeep(const http::Server& server, size_t streams,
+bool LinkGuard::MayKeep(const http::Server& server, size_t silent,
                         Instant now) const {
   if (IsFull(now)) return false;
-  const size_t answered =
-      std::min(server.OpenConnections(), server.OpenExchanges());
-  const size_t idle = server.OpenConnections() - answered;
-  return m_admission.MayKeep(idle + streams);
+  const size_t open = server.OpenConnections();
+  return m_admission.MayKeep(open - std::min(open, silent));
 }
 
 void LinkGuard::Watch(http::Server& server, const peers::HubCounters& peers,
--- a/src/dotterelshift/app/link_guard.h
+++ b/src/dotterelshift/app/link_guard.h
@@ -50,9 +50,9 @@
 
   // Callers should not send their next request on the same connection.
   bool IsFull(Instant now) const;
-  // Whether the caller of an answer that goes out now may keep its connection;
-  // `streams` are under way to callers who may keep theirs.
-  bool MayKeep(const http::Server& server, size_t streams, Instant now) const;
+  // Whether the caller of an answer that goes out now may keep its connection,
+  // while so many callers send nothing on theirs.
+  bool MayKeep(const http::Server& server, size_t silent, Instant now) const;
   // The balancer should send new connections to other entries.
   bool IsShedding() const { return m_shedding; }
 
