A late timer sends nothing whose time is over, a refused repeat costs nothing

Found by review, each with a test of CoreLinkTest that failed before: - When the timer came late, requests that waited for the way out were started before those whose deadline was over were ended: one of them was then said to have run perhaps. Deadlines come first now. - A repeat that the way out refuses used the allowance for repeats and replaced the answer that the endpoint had made. It is asked first now, and the endpoint's own answer goes on.

--- a/src/dotterelshift/gateway/core.cc
+++ b/src/dotterelshift/gateway/core.cc
@@ -201,7 +201,6 @@
 }
 
 void CoreImpl::OnTimer(Instant now) {
-  SendWaiting(now);
   while (!m_due.empty() && m_due.begin()->first <= now) {
     const RequestId request = m_due.begin()->second;
     m_due.erase(m_due.begin());
@@ -210,6 +209,8 @@
     found->second.due = {};
     OnDue(found->second, now);
   }
+  // After those whose time is over.
+  SendWaiting(now);
 }
 
 Instant CoreImpl::NextTimer() const {
--- a/src/dotterelshift/gateway/core_answer.cc
+++ b/src/dotterelshift/gateway/core_answer.cc
@@ -237,8 +237,11 @@
 bool CoreImpl::TryAgain(ActiveRequest& active, Instant now) {
   active.tried.push_back(active.attempt.placement.endpoint);
   const bool arrived = active.attempt.head_seen || active.runs > 0;
-  const bool allowed = active.sends < kMostSends && now < active.deadline &&
-                       (!arrived || m_parts.retries->Take(active.service, now));
+  // What the way out would refuse uses none of the allowance.
+  const bool in_time = active.sends < kMostSends && now < active.deadline &&
+                       (!arrived || GoesOutInTime(active, now));
+  const bool allowed =
+      in_time && (!arrived || m_parts.retries->Take(active.service, now));
   if (!allowed) return false;
   const bool other =
       m_parts.load
--- a/src/dotterelshift/gateway/core_impl.h
+++ b/src/dotterelshift/gateway/core_impl.h
@@ -83,6 +83,10 @@
   void RefuseLate(Instant now);
   void RefuseForLink(ActiveRequest& active, Instant now);
   Duration LinkWait(const ActiveRequest& active, Instant now) const;
+  // Until when an attempt that begins now may wait for the way out.
+  static Instant LinkUntil(const ActiveRequest& active, Instant now);
+  // Whether one more attempt would go out by then.
+  bool GoesOutInTime(const ActiveRequest& active, Instant now) const;
   uint64_t BytesBefore(const LinkRank& rank) const;
   void LeaveLinkQueue(ActiveRequest& active);
   void OnLetGo(const ActiveRequest& active, Instant now);
--- a/src/dotterelshift/gateway/core_link.cc
+++ b/src/dotterelshift/gateway/core_link.cc
@@ -25,14 +25,22 @@
   return first && m_parts.pacer->MaySend(active.info.onward_bytes, now);
 }
 
+Instant CoreImpl::LinkUntil(const ActiveRequest& active, Instant now) {
+  const Duration target = active.route->target;
+  const Instant until = std::max(active.arrived + target / kLinkWaitPart,
+                                 now + target / kLeastLinkWaitPart);
+  return std::min(until, active.deadline);
+}
+
+bool CoreImpl::GoesOutInTime(const ActiveRequest& active, Instant now) const {
+  return MayGoOut(active, now) ||
+         now + LinkWait(active, now) <= LinkUntil(active, now);
+}
+
 // What is booked keeps its endpoint, as its reading time there has come.
 void CoreImpl::WaitForLink(ActiveRequest& active, Instant now) {
-  const Duration target = active.route->target;
-  if (active.link_until == Instant{}) {
-    const Instant until = std::max(active.arrived + target / kLinkWaitPart,
-                                   now + target / kLeastLinkWaitPart);
-    active.link_until = std::min(until, active.deadline);
-  }
+  if (active.link_until == Instant{})
+    active.link_until = LinkUntil(active, now);
   if (active.stage != Stage::kBooked) active.stage = Stage::kWaitsForLink;
   if (now + LinkWait(active, now) > active.link_until)
     return RefuseForLink(active, now);
--- a/src/dotterelshift/gateway/core_link_test.cc
+++ b/src/dotterelshift/gateway/core_link_test.cc
@@ -70,6 +70,8 @@
   CPPUNIT_TEST(ABookedPromptWaitsAndMayStillLeaveItsEndpoint);
   CPPUNIT_TEST(NewRoutesDoNotDropWhatWaits);
   CPPUNIT_TEST(WithAnUnknownOrFastLinkAllGoesAtOnce);
+  CPPUNIT_TEST(ALateTimerSendsNothingWhoseTimeIsOver);
+  CPPUNIT_TEST(ARepeatThatTheLinkRefusesTakesNoneOfTheAllowance);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -320,6 +322,42 @@
     }
   }
 
+  // Guards against a turn of the loop that comes late (a processor in turns of
+  // 88 ms) and sends what its caller has given up, and then says that it may
+  // have run.
+  void ALateTimerSendsNothingWhoseTimeIsOver() {
+    PublishPlain(4s);
+    FillLink(100ms);
+    RequestInfo info = AskFor("/calm/");
+    info.patience = 150ms;
+    info.onward_bytes = kPrompt;
+    m_core->OnRequest(1, info, m_now);
+    Take();
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, m_core->WaitingForLink().requests);
+    m_now += 160ms;
+    m_core->OnTimer(m_now);
+    Take();
+    CPPUNIT_ASSERT(m_started.empty());
+    CPPUNIT_ASSERT(RowOf(Only<Refuse>().kind).ran == Ran::kNo);
+  }
+
+  // Guards against an endpoint's own answer that is dropped, and an allowance
+  // that is used, for a repeat that the way out refuses at once.
+  void ARepeatThatTheLinkRefusesTakesNoneOfTheAllowance() {
+    Publish();
+    Ask("/safe/", kPrompt, 1);
+    const StartAttempt first = Only<StartAttempt>();
+    FillLink(1s);
+    AnswerMarks marks;
+    marks.genuine = true;
+    marks.echoed_id = AskFor("/safe/").caller_id;
+    m_core->OnHead(first.attempt, 500, marks, m_now);
+    m_core->OnEnd(first.attempt, http::TransferEnd::kWhole, m_now);
+    Take();
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, Count<Refuse>());
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, Count<RelayWhole>());
+  }
+
  private:
   void MakePacedCore(double bytes_per_second) {
     SendPacerOptions options;
