--- a/include/dotterelshift/gateway/link_admission.h
+++ b/include/dotterelshift/gateway/link_admission.h
@@ -104,9 +104,10 @@
   // request at any moment.
   bool MayKeep(size_t connections) const;
 
-  // Whether connections that wait for their caller's next request should end: a
-  // queue may stand, and each of them may add to it at any moment.
-  bool EndsIdle() const { return BusyFor() > m_options.longest_busy; }
+  // Whether a queue may stand before the link, so that less is let in.
+  // Connections that wait for their caller's next request should end then: each
+  // may add to it at any moment.
+  bool DrainsQueue() const { return BusyFor() > m_options.longest_busy; }
 
   // For how long the way in has been full without a gap.
   Duration BusyFor() const { return m_busy_in.BusyFor(); }
@@ -137,7 +138,7 @@
   size_t m_bookings = 0;
   // Bytes that would wait before the link if all that is expected had come, and
   // the link had carried on without a gap.
-  double m_waiting = 0;
+  double m_on_its_way = 0;
   double m_unread = 0;     // estimated of those turned away, since OnBytes()
   size_t m_connected = 0;  // since OnBytes()
   Allowance m_allowance;
--- a/src/dotterelshift/app/link_guard.cc
+++ b/src/dotterelshift/app/link_guard.cc
@@ -183,7 +183,7 @@
 void LinkGuard::Watch(http::Server& server, const peers::HubCounters& peers,
                       Instant now) {
   WatchShedding(now);
-  if (m_admission.EndsIdle() && now - m_idle_closed >= kIdleClosedEvery) {
+  if (m_admission.DrainsQueue() && now - m_idle_closed >= kIdleClosedEvery) {
     m_idle_closed = now;
     server.CloseIdle();
   }
--- a/src/dotterelshift/gateway/kept_connections_test.cc
+++ b/src/dotterelshift/gateway/kept_connections_test.cc
@@ -60,7 +60,7 @@
     for (const Instant end = m_now + time; m_now < end; m_now += kStep) {
       TakeSteps();
       Deliver();
-      if (m_admission.EndsIdle()) CloseIdle();
+      if (m_admission.DrainsQueue()) CloseIdle();
       const Duration queue = m_free_at - m_now;
       m_longest = std::max(m_longest, queue);
       if (queue > kLongestQueue) m_last_over = m_now;
--- a/src/dotterelshift/gateway/link_admission.cc
+++ b/src/dotterelshift/gateway/link_admission.cc
@@ -38,14 +38,14 @@
 
 void LinkAdmission::OnConnected() {
   m_allowance.in -= FirstRequestOnWire();
-  m_waiting += FirstRequestOnWire();
+  m_on_its_way += FirstRequestOnWire();
   m_booked += FirstRequestOnWire();
   ++m_bookings;
   ++m_connected;
 }
 
 void LinkAdmission::OnTurnedAway() {
-  m_waiting += FirstRequestOnWire();
+  m_on_its_way += FirstRequestOnWire();
   m_unread += FirstRequestOnWire();
 }
 
@@ -61,7 +61,7 @@
   const double booked = m_booked / static_cast<double>(m_bookings--);
   m_booked -= booked;
   m_allowance.in += booked - kHandshakeBytes;
-  m_waiting -= booked - kHandshakeBytes;
+  m_on_its_way -= booked - kHandshakeBytes;
 }
 
 void LinkAdmission::OnRequestSize(uint64_t bytes) {
@@ -73,7 +73,7 @@
   const auto out = static_cast<double>(bytes.out);
   const double came = in * kHeads + out * kAcknowledgements;
   m_allowance.in -= came;
-  m_waiting += came;
+  m_on_its_way += came;
   m_allowance.out -= out * kHeads + in * kAcknowledgements;
   const double handshakes =
       kHandshakeBytes * static_cast<double>(std::exchange(m_connected, 0));
@@ -87,7 +87,7 @@
 }
 
 double LinkAdmission::UsedPart() const {
-  if (!EndsIdle()) return m_options.used_part;
+  if (!DrainsQueue()) return m_options.used_part;
   const double full_for =
       std::chrono::duration<double>(BusyFor() - m_options.longest_busy).count();
   return std::max(
@@ -106,9 +106,9 @@
   m_allowance.in = std::clamp(m_allowance.in + part * all, least, most);
   // Outwards all is counted, and what may wait is held back before it.
   m_allowance.out = std::clamp(m_allowance.out + all, least, most);
-  const double carried = EndsIdle() ? part * all : all;
-  m_waiting =
-      std::clamp(m_waiting - carried, 0.0, BytesIn(m_options.longest_debt));
+  const double carried = DrainsQueue() ? part * all : all;
+  m_on_its_way =
+      std::clamp(m_on_its_way - carried, 0.0, BytesIn(m_options.longest_debt));
 }
 
 Entrance LinkAdmission::Decide(Instant now) {
@@ -120,7 +120,7 @@
   const double most = BytesIn(m_options.longest_wait) / (shut ? 2 : 1);
   const bool out_overrun =
       m_allowance.out <= -BytesIn(m_options.longest_debt) / 2;
-  if (m_waiting > most || out_overrun)
+  if (m_on_its_way > most || out_overrun)
     m_entrance = Entrance::kShut;
   else if (std::min(m_allowance.in, m_allowance.out - m_held_out) > enough)
     m_entrance = Entrance::kTakes;
@@ -133,7 +133,7 @@
   const bool fast =
       m_options.bytes_per_second >= m_options.fast_bytes_per_second;
   if (!IsBounded() || fast) return true;
-  if (EndsIdle()) return false;
+  if (DrainsQueue()) return false;
   const double unasked = static_cast<double>(connections) * m_request_bytes;
   return unasked < BytesIn(m_options.kept_burst);
 }
