--- a/src/dotterelshift/app/gateway_traffic.cc
+++ b/src/dotterelshift/app/gateway_traffic.cc
@@ -149,7 +149,7 @@
   };
   Transfer& transfer = m_transfers[attempt];
   transfer.request = start.request;
-  transfer.way_out.repeated = open->second.starts++ > 0;
+  transfer.first = !std::exchange(open->second.attempted, true);
   transfer.id = m_client->Start(std::move(onward), std::move(callbacks));
 }
 
@@ -161,7 +161,15 @@
   way.handed_over = what;
   way.handed_over_at = m_loop.Now();
   way.wait = m_link.WaitOut(way.handed_over_at);
-  m_link.OnHandedOver(what, way.repeated, way.handed_over_at);
+  m_link.OnHandedOver(what, NextSendOf(transfer->second), way.handed_over_at);
+}
+
+SendKind GatewayTraffic::NextSendOf(const Transfer& transfer) {
+  const auto open = m_open.find(transfer.request);
+  const bool again =
+      open != m_open.end() && std::exchange(open->second.handed_over, true);
+  if (again) return SendKind::kRepeat;
+  return transfer.first ? SendKind::kFirst : SendKind::kHeldBack;
 }
 
 void GatewayTraffic::OnHead(AttemptId attempt, int status,
--- a/src/dotterelshift/app/gateway_traffic.h
+++ b/src/dotterelshift/app/gateway_traffic.h
@@ -51,12 +51,12 @@
     std::shared_ptr<http::Exchange> exchange;
     AttemptId streaming = 0;  // the attempt whose stream is passed on
     bool paused = false;
-    bool keeps = false;  // its stream's caller may keep the connection
-    int starts = 0;      // of attempts
+    bool keeps = false;        // its stream's caller may keep the connection
+    bool attempted = false;    // an attempt was started
+    bool handed_over = false;  // and its bytes handed to a connection
   };
   // How the request of an attempt left this host, for the log.
   struct WayOut {
-    bool repeated = false;  // an attempt was started before this one
     std::optional<http::HandOver> handed_over;
     Instant handed_over_at{};
     Duration wait{};               // before the link, then
@@ -71,6 +71,7 @@
     http::Headers headers;
     std::string body;
     bool streamed = false;
+    bool first = false;  // of its request
     WayOut way_out;
   };
   using LogInputs = std::vector<std::pair<std::string_view, std::string>>;
@@ -81,6 +82,7 @@
   bool OnPiece(AttemptId attempt, std::string_view piece);
   void OnEnd(AttemptId attempt, http::TransferEnd end);
   void OnHandedOver(AttemptId attempt, const http::HandOver& what);
+  SendKind NextSendOf(const Transfer& transfer);
   // The last that is told of an attempt that is not there any more.
   void KeepWayOut(AttemptId attempt, const Transfer& transfer);
   void AddWayOut(AttemptId attempt, LogInputs& inputs) const;
--- a/src/dotterelshift/app/link_guard.cc
+++ b/src/dotterelshift/app/link_guard.cc
@@ -96,14 +96,14 @@
   }
 }
 
-void LinkGuard::OnHandedOver(const http::HandOver& what, bool repeated,
+void LinkGuard::OnHandedOver(const http::HandOver& what, SendKind kind,
                              Instant now) {
   const Duration wait = m_wait_out.Wait(now);
   ++m_summary.handed_over;
   if (wait > 100ms) ++m_summary.over_100ms;
   if (wait > 300ms) ++m_summary.over_300ms;
   if (wait > 500ms) ++m_summary.over_500ms;
-  (repeated ? m_summary.repeated_bytes : m_summary.first_bytes) += what.bytes;
+  m_summary.handed_bytes[kind] += what.bytes;
   if (what.new_connection) {
     ++m_summary.connects;
     m_summary.longest_connect =
@@ -213,7 +213,7 @@
                            const peers::HubCounters& peers, Instant now) {
   if (m_entrance == gateway::Entrance::kShut)
     m_summary.shut += now - m_summary.shut_counted_to;
-  const Summary last = std::exchange(m_summary, {});
+  Summary last = std::exchange(m_summary, {});
   m_summary.since = now;
   m_summary.shut_counted_to = now;
   const std::map<wire::FrameBody, uint64_t> frames_before =
@@ -247,8 +247,10 @@
        {"behind_100ms", std::to_string(last.over_100ms)},
        {"behind_300ms", std::to_string(last.over_300ms)},
        {"behind_500ms", std::to_string(last.over_500ms)},
-       {"first_bytes", std::to_string(last.first_bytes)},
-       {"repeated_bytes", std::to_string(last.repeated_bytes)},
+       {"first_bytes", std::to_string(last.handed_bytes[SendKind::kFirst])},
+       {"held_back_bytes",
+        std::to_string(last.handed_bytes[SendKind::kHeldBack])},
+       {"repeated_bytes", std::to_string(last.handed_bytes[SendKind::kRepeat])},
        {"connects", std::to_string(last.connects)},
        {"longest_connect_ms", Ms(last.longest_connect)},
        {"longest_control_trip_ms", Ms(last.longest_control_trip)},
--- a/src/dotterelshift/app/link_guard.h
+++ b/src/dotterelshift/app/link_guard.h
@@ -14,6 +14,13 @@
 
 namespace dotterelshift::app {
 
+// What a request that is handed to a connection has been through.
+enum class SendKind {
+  kFirst,     // its first attempt
+  kHeldBack,  // of its attempts before, none had a connection
+  kRepeat,    // it was handed over before
+};
+
 // Keeps what callers bring to an entry within what its host's link carries:
 // takes connections while there is room, bounds how many callers may keep
 // theirs, and ends those that are idle while a queue may stand. Logs a line a
@@ -29,8 +36,8 @@
   // A request of a caller is whole.
   void OnRequest(const http::Request& request);
 
-  // A request goes to an endpoint; `repeated`: not for the first time.
-  void OnHandedOver(const http::HandOver& what, bool repeated, Instant now);
+  // A request goes to an endpoint.
+  void OnHandedOver(const http::HandOver& what, SendKind kind, Instant now);
   // How long what is handed to the link now waits before it, about.
   Duration WaitOut(Instant now) const { return m_wait_out.Wait(now); }
   // A beat was answered by control, so long after it had been sent.
@@ -78,9 +85,8 @@
     size_t over_100ms = 0;
     size_t over_300ms = 0;
     size_t over_500ms = 0;
-    uint64_t first_bytes = 0;     // of requests that are sent once
-    uint64_t repeated_bytes = 0;  // sent once more
-    size_t connects = 0;          // that were made for them
+    std::map<SendKind, uint64_t> handed_bytes;
+    size_t connects = 0;  // that were made for them
     Duration longest_connect{};
     Duration longest_control_trip{};
   };
--- a/src/dotterelshift/app/link_guard_test.cc
+++ b/src/dotterelshift/app/link_guard_test.cc
@@ -131,7 +131,7 @@
 
   // The same bytes come again in the count of all that went out.
   void WhatIsHandedOverWaitsOnce() {
-    m_guard->OnHandedOver({125'000, false, 0s}, false, m_now);
+    m_guard->OnHandedOver({125'000, false, 0s}, SendKind::kFirst, m_now);
     CPPUNIT_ASSERT(m_guard->WaitOut(m_now) == 100ms);
     m_traffic.endpoints.out += 125'000;
     m_traffic.peers.out += 125'000;
