--- a/src/dotterelshift/gateway/link_review_test.cc
+++ b/src/dotterelshift/gateway/uneven_link_load_test.cc
@@ -14,10 +14,10 @@
 constexpr double kLink = 1'250'000;
 constexpr Duration kLongestQueue = 300ms;
 
-// What a review of the way in and out of an entry found: each test fails on the
-// code as it was.
-class LinkReviewTest : public CppUnit::TestFixture {
-  CPPUNIT_TEST_SUITE(LinkReviewTest);
+// Load on an entry's link that does not come evenly: prompts of mixed sizes, a
+// processor that comes in turns, connections that come about together.
+class UnevenLinkLoadTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(UnevenLinkLoadTest);
   CPPUNIT_TEST(AStepToLongPromptsIsNotCreditedWhatWasNotBooked);
   CPPUNIT_TEST(MixedPromptsQueueNoLonger);
   CPPUNIT_TEST(PromptsThatThePacerLetsGoDoNotShutTheEntry);
@@ -185,7 +185,7 @@
     CPPUNIT_ASSERT(held <= 0.1);
   }
 };
-CPPUNIT_TEST_SUITE_REGISTRATION(LinkReviewTest);
+CPPUNIT_TEST_SUITE_REGISTRATION(UnevenLinkLoadTest);
 
 }  // namespace
 }  // namespace dotterelshift::gateway
