Wire: a directory request can name the records held, and an answer says that it is one

Preparation of the repair by differing records: fields only, nothing reads or sends them yet. An older daemon ignores them and sends all records, as before.

--- a/include/dotterelshift/wire/frames_generated.h
+++ b/include/dotterelshift/wire/frames_generated.h
@@ -2785,6 +2785,8 @@
   std::vector<dotterelshift::wire::EndpointPulse> pulses{};
   uint64_t digest = 0;
   bool pull = false;
+  std::vector<uint64_t> held{};
+  bool answer = false;
   DirectoryDeltaT() = default;
   DirectoryDeltaT(const DirectoryDeltaT &o);
   DirectoryDeltaT(DirectoryDeltaT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -2800,7 +2802,9 @@
     VT_CACHE_EVENTS = 6,
     VT_PULSES = 8,
     VT_DIGEST = 10,
-    VT_PULL = 12
+    VT_PULL = 12,
+    VT_HELD = 14,
+    VT_ANSWER = 16
   };
   const flatbuffers::Vector<flatbuffers::Offset<dotterelshift::wire::EndpointRecord>> *records() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<dotterelshift::wire::EndpointRecord>> *>(VT_RECORDS);
@@ -2817,6 +2821,12 @@
   bool pull() const {
     return GetField<uint8_t>(VT_PULL, 0) != 0;
   }
+  const flatbuffers::Vector<uint64_t> *held() const {
+    return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_HELD);
+  }
+  bool answer() const {
+    return GetField<uint8_t>(VT_ANSWER, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_RECORDS) &&
@@ -2829,6 +2839,9 @@
            verifier.VerifyVector(pulses()) &&
            VerifyField<uint64_t>(verifier, VT_DIGEST, 8) &&
            VerifyField<uint8_t>(verifier, VT_PULL, 1) &&
+           VerifyOffset(verifier, VT_HELD) &&
+           verifier.VerifyVector(held()) &&
+           VerifyField<uint8_t>(verifier, VT_ANSWER, 1) &&
            verifier.EndTable();
   }
   DirectoryDeltaT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2855,6 +2868,12 @@
   void add_pull(bool pull) {
     fbb_.AddElement<uint8_t>(DirectoryDelta::VT_PULL, static_cast<uint8_t>(pull), 0);
   }
+  void add_held(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> held) {
+    fbb_.AddOffset(DirectoryDelta::VT_HELD, held);
+  }
+  void add_answer(bool answer) {
+    fbb_.AddElement<uint8_t>(DirectoryDelta::VT_ANSWER, static_cast<uint8_t>(answer), 0);
+  }
   explicit DirectoryDeltaBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2872,12 +2891,16 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<dotterelshift::wire::CacheEvent>>> cache_events = 0,
     flatbuffers::Offset<flatbuffers::Vector<const dotterelshift::wire::EndpointPulse *>> pulses = 0,
     uint64_t digest = 0,
-    bool pull = false) {
+    bool pull = false,
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> held = 0,
+    bool answer = false) {
   DirectoryDeltaBuilder builder_(_fbb);
   builder_.add_digest(digest);
+  builder_.add_held(held);
   builder_.add_pulses(pulses);
   builder_.add_cache_events(cache_events);
   builder_.add_records(records);
+  builder_.add_answer(answer);
   builder_.add_pull(pull);
   return builder_.Finish();
 }
@@ -2893,17 +2916,22 @@
     const std::vector<flatbuffers::Offset<dotterelshift::wire::CacheEvent>> *cache_events = nullptr,
     const std::vector<dotterelshift::wire::EndpointPulse> *pulses = nullptr,
     uint64_t digest = 0,
-    bool pull = false) {
+    bool pull = false,
+    const std::vector<uint64_t> *held = nullptr,
+    bool answer = false) {
   auto records__ = records ? _fbb.CreateVector<flatbuffers::Offset<dotterelshift::wire::EndpointRecord>>(*records) : 0;
   auto cache_events__ = cache_events ? _fbb.CreateVector<flatbuffers::Offset<dotterelshift::wire::CacheEvent>>(*cache_events) : 0;
   auto pulses__ = pulses ? _fbb.CreateVectorOfStructs<dotterelshift::wire::EndpointPulse>(*pulses) : 0;
+  auto held__ = held ? _fbb.CreateVector<uint64_t>(*held) : 0;
   return dotterelshift::wire::CreateDirectoryDelta(
       _fbb,
       records__,
       cache_events__,
       pulses__,
       digest,
-      pull);
+      pull,
+      held__,
+      answer);
 }
 
 flatbuffers::Offset<DirectoryDelta> CreateDirectoryDelta(flatbuffers::FlatBufferBuilder &_fbb, const DirectoryDeltaT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -5435,7 +5463,9 @@
 inline DirectoryDeltaT::DirectoryDeltaT(const DirectoryDeltaT &o)
       : pulses(o.pulses),
         digest(o.digest),
-        pull(o.pull) {
+        pull(o.pull),
+        held(o.held),
+        answer(o.answer) {
   records.reserve(o.records.size());
   for (const auto &records_ : o.records) { records.emplace_back((records_) ? new dotterelshift::wire::EndpointRecordT(*records_) : nullptr); }
   cache_events.reserve(o.cache_events.size());
@@ -5448,6 +5478,8 @@
   std::swap(pulses, o.pulses);
   std::swap(digest, o.digest);
   std::swap(pull, o.pull);
+  std::swap(held, o.held);
+  std::swap(answer, o.answer);
   return *this;
 }
 
@@ -5465,6 +5497,8 @@
   { auto _e = pulses(); if (_e) { _o->pulses.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->pulses[_i] = *_e->Get(_i); } } }
   { auto _e = digest(); _o->digest = _e; }
   { auto _e = pull(); _o->pull = _e; }
+  { auto _e = held(); if (_e) { _o->held.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->held[_i] = _e->Get(_i); } } }
+  { auto _e = answer(); _o->answer = _e; }
 }
 
 inline flatbuffers::Offset<DirectoryDelta> DirectoryDelta::Pack(flatbuffers::FlatBufferBuilder &_fbb, const DirectoryDeltaT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -5480,13 +5514,17 @@
   auto _pulses = _o->pulses.size() ? _fbb.CreateVectorOfStructs(_o->pulses) : 0;
   auto _digest = _o->digest;
   auto _pull = _o->pull;
+  auto _held = _o->held.size() ? _fbb.CreateVector(_o->held) : 0;
+  auto _answer = _o->answer;
   return dotterelshift::wire::CreateDirectoryDelta(
       _fbb,
       _records,
       _cache_events,
       _pulses,
       _digest,
-      _pull);
+      _pull,
+      _held,
+      _answer);
 }
 
 inline DirectoryPullT *DirectoryPull::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
