Log how dials end and when a daemon is told that an endpoint leaves

HubTest::RefusedDialsAreReportedUntilOneIsUp, DialThatEndsInTheHandshakeIsReported. No decision changes.

--- a/include/dotterelshift/directory/spread.h
+++ b/include/dotterelshift/directory/spread.h
@@ -34,6 +34,15 @@
   wire::DirectoryDeltaT delta;
 };
 
+// That an endpoint leaves or is silent, as received from another daemon.
+struct ReceivedDeparture {
+  EndpointId endpoint;
+  HostId from;
+  bool draining = false;
+  bool gone = false;    // neither: silent
+  uint32_t age_ms = 0;  // since the endpoint's last announcement
+};
+
 // Identifies one incarnation of an endpoint in load reports: FNV-1a of id and
 // incarnation.
 uint64_t PulseKey(const EndpointId& endpoint, uint64_t incarnation);
@@ -64,6 +73,9 @@
   bool OnDelta(const HostId& from, const wire::DirectoryDeltaT& delta,
                Instant now);
 
+  // What OnDelta() received since the last call.
+  std::vector<ReceivedDeparture> TakeDepartures();
+
   // Returns what is to be sent now; also expires silent records.
   std::vector<Outgoing> OnTimer(Instant now);
   Instant NextTimer() const { return m_next_round; }
@@ -97,6 +109,7 @@
                    const HostId& from, Instant now);
   void ApplyPulses(const HostId& from, const wire::DirectoryDeltaT& delta,
                    Instant now, bool* any_news);
+  bool HasLeft(const EndpointId& endpoint) const;
   void CompareDigest(const HostId& from, uint64_t digest, Instant now);
   void AnnounceSilence(Instant now);
   uint64_t Digest() const;
@@ -111,6 +124,7 @@
   std::unordered_map<EndpointId, TrackedEndpoint> m_known;
   std::unordered_map<uint64_t, EndpointId> m_by_key;
   std::map<EndpointId, Pending> m_pending;
+  std::vector<ReceivedDeparture> m_departures;
   Instant m_next_round{};
   Instant m_next_digest{};
 };
--- a/include/dotterelshift/peers/hub.h
+++ b/include/dotterelshift/peers/hub.h
@@ -1,12 +1,13 @@
 #ifndef DOTTERELSHIFT_PEERS_HUB_H_
 #define DOTTERELSHIFT_PEERS_HUB_H_
 
-#include <cstdint>     // for uint16_t
-#include <functional>  // for function
-#include <map>         // for map
-#include <memory>      // for unique_ptr
-#include <string>      // for string
-#include <vector>      // for vector
+#include <cstdint>      // for uint16_t
+#include <functional>   // for function
+#include <map>          // for map
+#include <memory>       // for unique_ptr
+#include <string>       // for string
+#include <string_view>  // for string_view
+#include <vector>       // for vector
 
 #include "dotterelshift/base/ids.h"               // for HostRun
 #include "dotterelshift/base/time.h"              // for Duration
@@ -46,10 +47,29 @@
   uint64_t seed = 0;  // of the jitter
 };
 
+// How an attempt to connect to an address ended.
+enum class DialResult : uint8_t {
+  kUp,              // the peer is authenticated
+  kRefused,         // no connection was established
+  kConnectTimeout,  // no answer to the connection request in time
+  kHelloTimeout,    // connected, but not authenticated in time
+  kClosed,  // closed during the handshake, by the peer or as a duplicate
+};
+std::string_view NameOf(DialResult result);
+
+struct DialReport {
+  std::string address;
+  DialResult result = DialResult::kUp;
+  uint32_t attempt = 1;        // since the address was last up
+  Duration took{};             // from the connection request to this result
+  Duration connected_after{};  // until the connection was established; 0: never
+};
+
 struct HubCallbacks {
   std::function<void(const PeerInfo& peer)> on_up;
   std::function<void(const PeerInfo& peer)> on_down;
   std::function<void(const PeerInfo& peer, wire::FrameT frame)> on_frame;
+  std::function<void(const DialReport& report)> on_dial_ended;
 };
 
 // Traffic and failures of connections, for the metrics.
--- a/src/dotterelshift/app/control.cc
+++ b/src/dotterelshift/app/control.cc
@@ -5,6 +5,7 @@
 
 #include "dotterelshift/app/control_replica.h"     // for ControlReplica
 #include "dotterelshift/app/daemon.h"              // for Daemon
+#include "dotterelshift/app/dial_log.h"            // for LogDial
 #include "dotterelshift/app/directory_exchange.h"  // for DirectoryExchange
 #include "dotterelshift/app/entry_pushes.h"        // for EntryPushes
 #include "dotterelshift/app/gauges.h"              // for SetReplicaGauges
@@ -200,6 +201,7 @@
                               const wire::FrameT& frame) {
     OnPeerFrame(peer, frame);
   };
+  callbacks.on_dial_ended = LogDial;
   return callbacks;
 }
 
--- a/src/dotterelshift/app/directory_exchange.cc
+++ b/src/dotterelshift/app/directory_exchange.cc
@@ -1,11 +1,13 @@
 #include "dotterelshift/app/directory_exchange.h"
 
 #include <memory>   // for make_unique
+#include <string>   // for to_string
 #include <utility>  // for move, exchange
 #include <variant>  // for get_if
 
 #include "dotterelshift/callers/front.h"           // for SendErrorResponse
 #include "dotterelshift/endpoints/announcement.h"  // for ParseAnnouncement
+#include "dotterelshift/telemetry/log.h"           // for Log
 
 namespace dotterelshift::app {
 namespace {
@@ -67,10 +69,25 @@
   const wire::DirectoryDeltaT* delta = frame.body.AsDirectoryDelta();
   if (delta == nullptr) return false;
   m_spread.OnDelta(from.run.host, *delta, m_loop.Now());
+  LogDepartures();
   OnTimer();
   return true;
 }
 
+void DirectoryExchange::LogDepartures() {
+  for (const directory::ReceivedDeparture& departure :
+       m_spread.TakeDepartures()) {
+    const std::string state = departure.draining ? "draining"
+                              : departure.gone   ? "gone"
+                                                 : "silent";
+    telemetry::Log(telemetry::LogLevel::kInfo, "endpoint_left_received",
+                   {{"endpoint", departure.endpoint},
+                    {"state", state},
+                    {"from", departure.from},
+                    {"age_ms", std::to_string(departure.age_ms)}});
+  }
+}
+
 void DirectoryExchange::OnTimer() {
   const Instant now = m_loop.Now();
   if (now >= m_spread.NextTimer()) {
--- a/src/dotterelshift/app/directory_exchange.h
+++ b/src/dotterelshift/app/directory_exchange.h
@@ -44,6 +44,7 @@
   const directory::Directory& GetDirectory() const { return m_directory; }
 
  private:
+  void LogDepartures();
   void OnTimer();
 
   loop::Loop& m_loop;
--- a/src/dotterelshift/app/entry.cc
+++ b/src/dotterelshift/app/entry.cc
@@ -4,6 +4,7 @@
 
 #include "dotterelshift/app/control_link.h"        // for ControlLink
 #include "dotterelshift/app/daemon.h"              // for Daemon
+#include "dotterelshift/app/dial_log.h"            // for LogDial
 #include "dotterelshift/app/directory_exchange.h"  // for DirectoryExchange
 #include "dotterelshift/app/hub_options.h"         // for MakeHubOptions
 #include "dotterelshift/app/operator_backend.h"    // for OperatorBackend
@@ -209,6 +210,7 @@
                               const wire::FrameT& frame) {
     OnPeerFrame(peer, frame);
   };
+  callbacks.on_dial_ended = LogDial;
   return callbacks;
 }
 
--- a/src/dotterelshift/app/gateway_entry.cc
+++ b/src/dotterelshift/app/gateway_entry.cc
@@ -5,6 +5,7 @@
 
 #include "dotterelshift/app/control_link.h"        // for ControlLink
 #include "dotterelshift/app/daemon.h"              // for Daemon
+#include "dotterelshift/app/dial_log.h"            // for LogDial
 #include "dotterelshift/app/directory_exchange.h"  // for DirectoryExchange
 #include "dotterelshift/app/gateway_options.h"     // for CoreOptionsOf
 #include "dotterelshift/app/gateway_traffic.h"     // for GatewayTraffic
@@ -14,6 +15,7 @@
 #include "dotterelshift/app/listen_options.h"      // for ListenOptions
 #include "dotterelshift/app/other_entries.h"       // for OtherEntries
 #include "dotterelshift/app/registration.h"        // for Registration
+#include "dotterelshift/app/suspicion_command.h"   // for SuspicionCommand
 #include "dotterelshift/callers/front.h"           // for SendErrorResponse
 #include "dotterelshift/gateway/drain.h"           // for MakeDrainSchedule
 #include "dotterelshift/telemetry/log.h"           // for Log
@@ -25,6 +27,7 @@
 
 // Interval at which the link to control and the spend reports are checked.
 constexpr Duration kTick = 50ms;
+
 // The entry role under published routes: connects callers with endpoints and
 // control through the gateway's core.
 class GatewayEntry : public Daemon {
@@ -196,6 +199,7 @@
                               const wire::FrameT& frame) {
     OnPeerFrame(peer, frame);
   };
+  callbacks.on_dial_ended = LogDial;
   return callbacks;
 }
 
@@ -363,20 +367,8 @@
 }
 
 void GatewayEntry::ProposeSuspicion(const gateway::SuspectReport& suspicion) {
-  wire::CommandT command;
+  wire::CommandT command = SuspicionCommand(suspicion);
   command.id = NextId();
-  if (suspicion.endpoint.empty()) {
-    wire::ClearSuspectT body;
-    body.content_hash = suspicion.content_hash;
-    command.body.Set(body);
-  } else {
-    wire::ReportSuspectT body;
-    body.content_hash = suspicion.content_hash;
-    body.endpoint = suspicion.endpoint;
-    body.endpoint_incarnation = suspicion.incarnation;
-    body.alone = suspicion.alone;
-    command.body.Set(std::move(body));
-  }
   m_link.Propose(std::move(command));
 }
 
--- a/src/dotterelshift/directory/spread.cc
+++ b/src/dotterelshift/directory/spread.cc
@@ -3,7 +3,7 @@
 #include <algorithm>  // for find, max, min
 #include <limits>     // for numeric_limits
 #include <string>     // for string
-#include <utility>    // for move
+#include <utility>    // for exchange, move
 
 #include "dotterelshift/directory/neighbours.h"  // for NeighboursOf
 
@@ -146,10 +146,14 @@
   bool any_news = false;
   for (const auto& record : delta.records) {
     if (record == nullptr) continue;
+    const bool left_before = HasLeft(record->id);
     const RecordUpdate news = m_directory->Take(*record, now);
     if (news == RecordUpdate::kStale) continue;
     any_news = true;
     QueueUpdate(record->id, news, from, now);
+    if (!left_before && HasLeft(record->id))
+      m_departures.push_back(
+          {record->id, from, record->draining, record->gone, record->age_ms});
   }
   ApplyPulses(from, delta, now, &any_news);
   const auto peer = m_peers.find(from);
@@ -159,6 +163,17 @@
   return any_news;
 }
 
+bool Spread::HasLeft(const EndpointId& endpoint) const {
+  const Endpoint* known = m_directory->Find(endpoint);
+  if (known == nullptr) return false;
+  const wire::EndpointRecordT& record = known->record;
+  return record.draining || record.gone || record.silent;
+}
+
+std::vector<ReceivedDeparture> Spread::TakeDepartures() {
+  return std::exchange(m_departures, {});
+}
+
 void Spread::ApplyPulses(const HostId& from, const wire::DirectoryDeltaT& delta,
                          Instant now, bool* any_news) {
   for (const wire::EndpointPulse& pulse : delta.pulses) {
--- /dev/null
+++ b/src/dotterelshift/peers/connection.cc
@@ -0,0 +1,31 @@
+#include "dotterelshift/peers/connection.h"
+
+#include <netinet/in.h>   // for IPPROTO_TCP
+#include <netinet/tcp.h>  // for TCP_NODELAY
+#include <sys/socket.h>   // for socket
+
+#include "dotterelshift/base/error.h"  // for Error
+
+namespace dotterelshift::peers {
+
+int NewTcpSocket() {
+  const int descriptor =
+      socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (descriptor < 0)
+    throw Error(ErrorKind::kInternal, "cannot create a TCP socket");
+  return descriptor;
+}
+
+void SetNoDelay(int descriptor) {
+  const int on = 1;
+  setsockopt(descriptor, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+}
+
+DialResult FailureOf(const Connection& connection) {
+  if (connection.timed_out)
+    return connection.connecting ? DialResult::kConnectTimeout
+                                 : DialResult::kHelloTimeout;
+  return connection.connecting ? DialResult::kRefused : DialResult::kClosed;
+}
+
+}  // namespace dotterelshift::peers
--- a/src/dotterelshift/peers/hub.cc
+++ b/src/dotterelshift/peers/hub.cc
@@ -1,9 +1,7 @@
 #include "dotterelshift/peers/hub.h"
 
-#include <fcntl.h>        // for O_NONBLOCK
-#include <netinet/tcp.h>  // for TCP_NODELAY
-#include <sys/socket.h>   // for socket
-#include <unistd.h>       // for close
+#include <sys/socket.h>  // for connect
+#include <unistd.h>      // for close
 
 #include <algorithm>      // for min
 #include <array>          // for array
@@ -16,8 +14,8 @@
 #include "dotterelshift/base/address.h"        // for ParseAddress
 #include "dotterelshift/base/error.h"          // for Error
 #include "dotterelshift/loop/loop.h"           // for Loop
-#include "dotterelshift/peers/frame_buffer.h"  // for FrameReader
-#include "dotterelshift/peers/handshake.h"     // for Handshake
+#include "dotterelshift/peers/connection.h"    // for Connection
+#include "dotterelshift/peers/frame_buffer.h"  // for FrameWriter
 
 namespace dotterelshift::peers {
 namespace {
@@ -25,61 +23,6 @@
 constexpr size_t kReadBytes = 256 << 10;
 constexpr int kListenBacklog = 512;
 
-// Owns a socket descriptor.
-class Socket {
- public:
-  explicit Socket(int descriptor) : m_descriptor(descriptor) {}
-  ~Socket() { close(m_descriptor); }
-  Socket(const Socket&) = delete;
-  Socket& operator=(const Socket&) = delete;
-  int Get() const { return m_descriptor; }
-
- private:
-  int m_descriptor;
-};
-
-int NewTcpSocket() {
-  const int descriptor =
-      socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-  if (descriptor < 0)
-    throw Error(ErrorKind::kInternal, "cannot create a TCP socket");
-  return descriptor;
-}
-
-void SetNoDelay(int descriptor) {
-  const int on = 1;
-  setsockopt(descriptor, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
-}
-
-// One connection, including its handshake.
-struct Connection {
-  Connection(int descriptor, bool dialled, const HubOptions& options)
-      : socket(descriptor),
-        dialled(dialled),
-        reader(options.max_frame_bytes),
-        handshake(options.fleet, options.secret, options.self) {}
-
-  Socket socket;
-  bool dialled;              // by this side
-  std::string dial_address;  // when dialled
-  bool connecting = false;
-  bool up = false;  // the peer is authenticated
-  bool closed = false;
-  FrameReader reader;
-  Handshake handshake;
-  std::string out;
-  size_t out_sent = 0;
-  bool watching_writes = false;
-  Instant opened;
-  Instant last_received;
-  Instant last_sent;
-  PeerInfo peer;
-  std::unique_ptr<loop::IoWatcher> watcher;
-
-  size_t Unsent() const { return out.size() - out_sent; }
-};
-using ConnectionPtr = std::shared_ptr<Connection>;
-
 // An address to keep a connection to.
 struct DialTarget {
   std::string address;
@@ -87,6 +30,7 @@
   ConnectionPtr connection;
   Duration delay{};
   Instant next{};
+  uint32_t attempts = 0;  // since it was last up
 };
 
 class TcpHub : public Hub {
@@ -168,6 +112,7 @@
   void FlushAll();
   void Close(const ConnectionPtr& connection);
   void Delay(DialTarget& target, Instant now);
+  void ReportDial(const Connection& connection, DialResult result) const;
 
   loop::Loop& m_loop;
   HubOptions m_options;
@@ -255,6 +200,7 @@
     if (connection->peer.address == target.address) return;
   }
   const auto address = ParseAddress(target.address);
+  ++target.attempts;
   const int descriptor = NewTcpSocket();
   const int result =
       connect(descriptor, reinterpret_cast<const sockaddr*>(&*address),
@@ -262,10 +208,14 @@
   if (result != 0 && errno != EINPROGRESS) {
     close(descriptor);
     Delay(target, now);
+    if (m_callbacks.on_dial_ended)
+      m_callbacks.on_dial_ended(
+          {target.address, DialResult::kRefused, target.attempts, {}, {}});
     return;
   }
   target.connection = AddConnection(descriptor, true);
   target.connection->dial_address = target.address;
+  target.connection->attempt = target.attempts;
   target.connection->connecting = true;
   target.connection->watching_writes = true;
   target.connection->watcher->SetEvents(EV_READ | EV_WRITE);
@@ -278,6 +228,15 @@
   target.delay = std::min(target.delay * 2, m_options.max_reconnect_delay);
 }
 
+// Does nothing for connections that the peer dialled.
+void TcpHub::ReportDial(const Connection& connection, DialResult result) const {
+  if (!connection.dialled || !m_callbacks.on_dial_ended) return;
+  const Instant connected = connection.connected_at.value_or(connection.opened);
+  m_callbacks.on_dial_ended(
+      {connection.dial_address, result, connection.attempt,
+       m_loop.Now() - connection.opened, connected - connection.opened});
+}
+
 void TcpHub::OnTimer() {
   const Instant now = m_loop.Now();
   for (const ConnectionPtr& connection :
@@ -297,6 +256,7 @@
   const bool silent = connection->up && now - connection->last_received >
                                             m_options.silence_timeout;
   if (handshake_timed_out || silent) {
+    connection->timed_out = handshake_timed_out;
     Close(connection);
     return;
   }
@@ -320,8 +280,12 @@
   int failure = 0;
   socklen_t length = sizeof failure;
   getsockopt(connection->socket.Get(), SOL_SOCKET, SO_ERROR, &failure, &length);
+  if (failure != 0) {
+    Close(connection);
+    return;
+  }
   connection->connecting = false;
-  if (failure != 0) Close(connection);
+  connection->connected_at = m_loop.Now();
 }
 
 void TcpHub::ReadFrom(const ConnectionPtr& connection) {
@@ -393,6 +357,7 @@
     if (target.connection != connection) continue;
     target.host = connection->peer.run.host;
     target.delay = m_options.min_reconnect_delay;
+    target.attempts = 0;
   }
   const auto existing = m_by_host.find(connection->peer.run.host);
   if (existing != m_by_host.end()) {
@@ -404,6 +369,7 @@
     Close(old);
   }
   connection->up = true;
+  ReportDial(*connection, DialResult::kUp);
   m_by_host[connection->peer.run.host] = connection;
   if (m_callbacks.on_up) m_callbacks.on_up(connection->peer);
   return !connection->closed;
@@ -466,6 +432,7 @@
   if (connection->watcher == nullptr) return;
   connection->closed = true;
   connection->watcher.reset();
+  if (!connection->up) ReportDial(*connection, FailureOf(*connection));
   shutdown(connection->socket.Get(), SHUT_RDWR);
   const auto existing = m_by_host.find(connection->peer.run.host);
   if (connection->up && existing != m_by_host.end() &&
@@ -477,6 +444,22 @@
 
 }  // namespace
 
+std::string_view NameOf(DialResult result) {
+  switch (result) {
+    case DialResult::kUp:
+      return "up";
+    case DialResult::kRefused:
+      return "refused";
+    case DialResult::kConnectTimeout:
+      return "connect_timeout";
+    case DialResult::kHelloTimeout:
+      return "hello_timeout";
+    case DialResult::kClosed:
+      return "closed";
+  }
+  return "unknown";
+}
+
 std::unique_ptr<Hub> MakeHub(loop::Loop& loop, const HubOptions& options,
                              HubCallbacks callbacks) {
   return std::make_unique<TcpHub>(loop, options, std::move(callbacks));
--- a/src/dotterelshift/peers/hub_test.cc
+++ b/src/dotterelshift/peers/hub_test.cc
@@ -35,6 +35,9 @@
       if (const wire::RecallT* recall = frame.body.AsRecall())
         recalls.push_back(recall->tokens);
     };
+    callbacks.on_dial_ended = [this](const DialReport& report) {
+      dials.push_back(report);
+    };
     hub = MakeHub(loop, options, callbacks);
   }
   std::string Address() const {
@@ -44,6 +47,7 @@
   std::vector<HostRun> ups;
   std::vector<HostRun> downs;
   std::vector<int64_t> recalls;
+  std::vector<DialReport> dials;
 };
 
 HubOptions OptionsOf(const std::string& host, Incarnation incarnation = 1) {
@@ -98,6 +102,8 @@
   CPPUNIT_TEST(BadBytesCloseOnlyTheirConnection);
   CPPUNIT_TEST(BadHellosAreRefused);
   CPPUNIT_TEST(ReconnectsAfterALoss);
+  CPPUNIT_TEST(RefusedDialsAreReportedUntilOneIsUp);
+  CPPUNIT_TEST(DialThatEndsInTheHandshakeIsReported);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -245,6 +251,40 @@
     RunUntil(loop, "up again", [&] { return b.ups.size() == 2; });
     CPPUNIT_ASSERT_EQUAL(Incarnation{2}, b.ups[1].incarnation);
   }
+
+  void RefusedDialsAreReportedUntilOneIsUp() {
+    loop::Loop loop;
+    uint16_t port = 0;
+    {
+      TestHub closed(loop, OptionsOf("a"));
+      port = closed.hub->Port();
+    }
+    HubOptions options = OptionsOf("b");
+    options.dial = {"127.0.0.1:" + std::to_string(port)};
+    TestHub b(loop, options);
+    RunUntil(loop, "two refusals", [&] { return b.dials.size() == 2; });
+    CPPUNIT_ASSERT(DialResult::kRefused == b.dials[0].result);
+    CPPUNIT_ASSERT_EQUAL(uint32_t{2}, b.dials[1].attempt);
+    HubOptions listening = OptionsOf("a");
+    listening.listen_port = port;
+    TestHub a(loop, listening);
+    RunUntil(loop, "up", [&] { return b.ups.size() == 1; });
+    CPPUNIT_ASSERT(DialResult::kUp == b.dials.back().result);
+    CPPUNIT_ASSERT_EQUAL(options.dial[0], b.dials.back().address);
+  }
+
+  // The peer belongs to another fleet.
+  void DialThatEndsInTheHandshakeIsReported() {
+    loop::Loop loop;
+    HubOptions silent = OptionsOf("a");
+    silent.fleet = "another fleet";
+    TestHub a(loop, silent);
+    HubOptions options = OptionsOf("b");
+    options.dial = {a.Address()};
+    TestHub b(loop, options);
+    RunUntil(loop, "report", [&] { return !b.dials.empty(); });
+    CPPUNIT_ASSERT(DialResult::kClosed == b.dials[0].result);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(HubTest);
