Directory: a daemon that returns is told at once what left meanwhile, and only that

Cause: what a daemon missed came with a full transfer, requested after two differing digests in a row; the second came a digest interval (3 s) after the first, unless other daemons returned meanwhile, as each return set all digests to now. So exactly who returned last, or alone, waited. And all nine control hosts sent their whole directory to each entry that returned, over a link of 10 Mbit/s that callers fill.

Now the first digest of a connection counts; an entry that had no connection at all asks its first peer without waiting for it; the request names the digests held, and the answer holds the records that differ, others as keep-alives (24 bytes); RecordRequests, a core, asks one peer at a time and others only if they still differ then; a peer that has answered is not asked again until its digest changes (records that only the entry still held caused a full transfer from each control host every 10 s for a minute). The digest is computed once a round, not once a neighbour, and covers silence.

Ruled out: the full link as the cause of the wait (its queue outwards was 30 to 45 ms, beats took 63 ms). Asking for all records at the first digest ends the wait, too, and keeps the cost.

--- a/include/dotterelshift/directory/spread.h
+++ b/include/dotterelshift/directory/spread.h
@@ -3,15 +3,16 @@
 
 #include <cstdint>        // for uint64_t
 #include <map>            // for map
-#include <optional>       // for optional
 #include <set>            // for set
 #include <unordered_map>  // for unordered_map
+#include <unordered_set>  // for unordered_set
 #include <vector>         // for vector
 
-#include "dotterelshift/base/ids.h"               // for HostId
-#include "dotterelshift/base/time.h"              // for Instant
-#include "dotterelshift/directory/directory.h"    // for Directory
-#include "dotterelshift/wire/frames_generated.h"  // for DirectoryDeltaT
+#include "dotterelshift/base/ids.h"                   // for HostId
+#include "dotterelshift/base/time.h"                  // for Instant
+#include "dotterelshift/directory/directory.h"        // for Directory
+#include "dotterelshift/directory/record_requests.h"  // for RecordRequests
+#include "dotterelshift/wire/frames_generated.h"      // for DirectoryDeltaT
 
 namespace dotterelshift::directory {
 
@@ -21,8 +22,9 @@
   Duration round = 100ms;            // how often pending updates are sent
   Duration min_pulse_interval = 1s;  // between two load reports of an endpoint
   Duration digest_interval = 3s;     // how often neighbours compare digests
-  Duration min_pull_interval =
-      10s;  // between full transfers from one neighbour
+  // A request for records that is not answered for this long is sent to another
+  // neighbour.
+  Duration answer_timeout = 1s;
   // Bound on the traffic of all load reports, sent and received together. The
   // more endpoints there are, the less often each is reported.
   double pulse_bytes_per_second = 12'000;
@@ -39,8 +41,9 @@
   EndpointId endpoint;
   HostId from;
   bool draining = false;
-  bool gone = false;    // neither: silent
-  uint32_t age_ms = 0;  // since the endpoint's last announcement
+  bool gone = false;        // neither: silent
+  uint32_t age_ms = 0;      // since the endpoint's last announcement
+  bool by_request = false;  // in an answer, not in an update
 };
 
 // Identifies one incarnation of an endpoint in load reports: FNV-1a of id and
@@ -55,10 +58,10 @@
 // same way as a small pulse, which also serves as keep-alive, at a rate bounded
 // in bytes per second. The daemon that last received announcements from an
 // endpoint detects its silence and sends that as an update. Neighbours compare
-// digests of their records. A daemon whose digest differs from a neighbour's
-// twice in a row, or that differs and has no records, requests a full transfer.
-// This repairs the effects of lost frames, partitions and changes of the
-// roster.
+// digests of their records. A daemon that lacks records of a neighbour, or
+// holds them in another state, requests these, naming the digests of all that
+// it holds; RecordRequests decides when and from which neighbour. This repairs
+// the effects of lost frames, partitions and changes of the roster.
 class Spread {
  public:
   Spread(const SpreadOptions& options, Directory* directory);
@@ -97,30 +100,39 @@
     // another daemon in between.
     uint32_t consecutive_announcements = 0;
   };
-  struct Neighbour {
-    Instant pulled{};
-    bool full_requested = false;  // it requested a full transfer
-    bool request_full = false;    // a full transfer is to be requested from it
-    bool differed = false;        // its last digest was different
+  struct Peer {
+    bool send_digest = false;  // in the next round, out of turn
+    bool ask = false;          // request records from it in the next round
+    bool asked_us = false;     // it requested records and is to be answered
+    std::unordered_set<uint64_t> held;  // digests of the records it named
   };
 
   void ChooseNeighbours();
+  bool IsNeighbour(const HostId& host) const;
+  bool OnlyReceives() const { return m_options.fan_out == 0; }
   void QueueUpdate(const EndpointId& endpoint, RecordUpdate news,
                    const HostId& from, Instant now);
   void ApplyPulses(const HostId& from, const wire::DirectoryDeltaT& delta,
                    Instant now, bool* any_news);
   bool HasLeft(const EndpointId& endpoint) const;
-  void CompareDigest(const HostId& from, uint64_t digest, Instant now);
+  void AskIfDue(Instant now);
   void AnnounceSilence(Instant now);
   uint64_t Digest() const;
-  wire::DirectoryDeltaT DeltaFor(const HostId& host, bool with_digest,
+  void AddRequest(wire::DirectoryDeltaT* delta) const;
+  void AddAnswer(const Peer& peer, wire::DirectoryDeltaT* delta,
+                 Instant now) const;
+  void AddPending(const HostId& host, wire::DirectoryDeltaT* delta,
+                  Instant now) const;
+  wire::DirectoryDeltaT DeltaFor(const HostId& host, const Peer& peer,
+                                 bool digest_due, uint64_t digest,
                                  Instant now) const;
 
   SpreadOptions m_options;
   Directory* m_directory;
   std::set<HostId> m_roster;
   std::vector<HostId> m_neighbours;
-  std::map<HostId, Neighbour> m_peers;
+  std::map<HostId, Peer> m_peers;
+  RecordRequests m_requests;
   std::unordered_map<EndpointId, TrackedEndpoint> m_known;
   std::unordered_map<uint64_t, EndpointId> m_by_key;
   std::map<EndpointId, Pending> m_pending;
--- a/src/dotterelshift/app/directory_exchange.cc
+++ b/src/dotterelshift/app/directory_exchange.cc
@@ -58,6 +58,8 @@
 
 void DirectoryExchange::OnPeerUp(const peers::PeerInfo& peer) {
   m_spread.OnPeerUp(peer.run.host, m_loop.Now());
+  // A request to the peer may be due at once.
+  m_timer.ArmAt(m_spread.NextTimer());
 }
 
 void DirectoryExchange::OnPeerDown(const peers::PeerInfo& peer) {
@@ -84,7 +86,8 @@
                    {{"endpoint", departure.endpoint},
                     {"state", state},
                     {"from", departure.from},
-                    {"age_ms", std::to_string(departure.age_ms)}});
+                    {"age_ms", std::to_string(departure.age_ms)},
+                    {"by", departure.by_request ? "request" : "update"}});
   }
 }
 
--- /dev/null
+++ b/src/dotterelshift/directory/record_requests.cc
@@ -0,0 +1,80 @@
+#include "dotterelshift/directory/record_requests.h"
+
+#include <algorithm>   // for any_of
+#include <functional>  // for hash
+#include <string>      // for string
+#include <utility>     // for move
+
+namespace dotterelshift::directory {
+
+RecordRequests::RecordRequests(HostId self, Duration answer_timeout)
+    : m_self(std::move(self)), m_answer_timeout(answer_timeout) {}
+
+void RecordRequests::OnPeerUp(const HostId& host, bool ask_now) {
+  OnPeerDown(host);
+  m_peers[host].due = ask_now;
+}
+
+void RecordRequests::OnPeerDown(const HostId& host) {
+  m_peers.erase(host);
+  if (m_asked == host) m_asked.clear();
+}
+
+void RecordRequests::OnDigest(const HostId& host, uint64_t digest,
+                              uint64_t own) {
+  const auto found = m_peers.find(host);
+  if (found == m_peers.end()) return;
+  Peer& peer = found->second;
+  const bool differs =
+      digest != own && digest != kNoRecordsDigest && digest != peer.answered;
+  const bool certain =
+      !peer.compared || peer.differed || own == kNoRecordsDigest;
+  peer.due = differs && (certain || peer.due);
+  peer.digest = digest;
+  peer.compared = true;
+  peer.differed = differs;
+}
+
+void RecordRequests::OnAnswer(const HostId& host, uint64_t digest) {
+  if (m_asked == host) m_asked.clear();
+  const auto found = m_peers.find(host);
+  if (found == m_peers.end()) return;
+  found->second = {digest, digest, true, false, false};
+}
+
+bool RecordRequests::MayAsk(Instant now) const {
+  const bool waiting = !m_asked.empty() && now - m_asked_at < m_answer_timeout;
+  return !waiting && std::ranges::any_of(m_peers, [](const auto& item) {
+    return item.second.due;
+  });
+}
+
+void RecordRequests::AbandonOverdue(Instant now) {
+  if (m_asked.empty() || now - m_asked_at < m_answer_timeout) return;
+  m_asked.clear();
+}
+
+std::optional<HostId> RecordRequests::Next(uint64_t own, Instant now) {
+  AbandonOverdue(now);
+  if (!m_asked.empty()) return std::nullopt;
+  std::optional<HostId> next;
+  for (auto& [host, peer] : m_peers) {
+    // Another peer's answer may have brought what this one holds.
+    if (peer.digest == own) peer.due = false;
+    if (!peer.due) continue;
+    if (!next || Rank(host) < Rank(*next)) next = host;
+  }
+  if (!next) return std::nullopt;
+  m_asked = *next;
+  m_asked_at = now;
+  Peer& asked = m_peers[*next];
+  asked.due = false;
+  asked.differed = false;
+  return next;
+}
+
+uint64_t RecordRequests::Rank(const HostId& host) const {
+  return std::hash<std::string>{}(m_self + host);
+}
+
+}  // namespace dotterelshift::directory
--- a/src/dotterelshift/directory/spread.cc
+++ b/src/dotterelshift/directory/spread.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>  // for find, max, min
 #include <limits>     // for numeric_limits
+#include <optional>   // for optional
 #include <string>     // for string
 #include <utility>    // for exchange, move
 
@@ -43,7 +44,8 @@
   MixNumber(&hash, record.incarnation);
   MixText(&hash, record.address);
   MixNumber(&hash, record.slots);
-  Mix(&hash, (record.draining ? 1 : 0) + (record.gone ? 2 : 0));
+  Mix(&hash, (record.draining ? 1 : 0) + (record.gone ? 2 : 0) +
+                 (record.silent ? 4 : 0));
   for (const auto& model : record.models) {
     MixText(&hash, model->model);
     MixText(&hash, model->version);
@@ -89,27 +91,46 @@
 }
 
 Spread::Spread(const SpreadOptions& options, Directory* directory)
-    : m_options(options), m_directory(directory) {
+    : m_options(options),
+      m_directory(directory),
+      m_requests(options.self, options.answer_timeout) {
   m_roster.insert(m_options.self);
 }
 
-void Spread::OnPeerUp(const HostId& host, Instant /*now*/) {
+void Spread::OnPeerUp(const HostId& host, Instant now) {
   m_roster.insert(host);
+  // A daemon that only receives and had no connection has missed updates for
+  // certain, so it does not wait for the digest of its first peer.
+  const bool returns = OnlyReceives() && m_peers.empty();
   m_peers[host] = {};
-  // The peer may have no records yet: both sides send their digests in the next
-  // round.
-  m_next_digest = {};
+  m_requests.OnPeerUp(host, returns);
   ChooseNeighbours();
+  m_peers[host].send_digest = IsNeighbour(host);
+  AskIfDue(now);
 }
 
-void Spread::OnPeerDown(const HostId& host, Instant /*now*/) {
+void Spread::OnPeerDown(const HostId& host, Instant now) {
   m_roster.erase(host);
   m_peers.erase(host);
+  m_requests.OnPeerDown(host);
   ChooseNeighbours();
+  AskIfDue(now);
 }
 
+// A new neighbour is sent the digest in the next round, since it may lack
+// records of this daemon.
 void Spread::ChooseNeighbours() {
+  const std::vector<HostId> before = std::move(m_neighbours);
   m_neighbours = NeighboursOf(m_roster, m_options.self, m_options.fan_out);
+  for (const HostId& host : m_neighbours) {
+    const bool added = std::ranges::find(before, host) == before.end();
+    const auto peer = m_peers.find(host);
+    if (added && peer != m_peers.end()) peer->second.send_digest = true;
+  }
+}
+
+bool Spread::IsNeighbour(const HostId& host) const {
+  return std::ranges::find(m_neighbours, host) != m_neighbours.end();
 }
 
 Duration Spread::PulseInterval() const {
@@ -152,14 +173,22 @@
     any_news = true;
     QueueUpdate(record->id, news, from, now);
     if (!left_before && HasLeft(record->id))
-      m_departures.push_back(
-          {record->id, from, record->draining, record->gone, record->age_ms});
+      m_departures.push_back({record->id, from, record->draining, record->gone,
+                              record->age_ms, delta.answer});
   }
   ApplyPulses(from, delta, now, &any_news);
   const auto peer = m_peers.find(from);
   if (peer == m_peers.end()) return any_news;
-  if (delta.pull) peer->second.full_requested = true;
-  if (delta.digest != 0) CompareDigest(from, delta.digest, now);
+  if (delta.pull) {
+    peer->second.asked_us = true;
+    peer->second.held = {delta.held.begin(), delta.held.end()};
+  }
+  if (delta.answer) {
+    m_requests.OnAnswer(from, delta.digest);
+  } else if (delta.digest != 0) {
+    m_requests.OnDigest(from, delta.digest, Digest());
+  }
+  AskIfDue(now);
   return any_news;
 }
 
@@ -215,27 +244,21 @@
   pending.from = from;
 }
 
-void Spread::CompareDigest(const HostId& from, uint64_t digest, Instant now) {
-  Neighbour& neighbour = m_peers[from];
-  const bool differs = digest != Digest();
-  // Updates in flight also make digests differ, so a full transfer is requested
-  // only after two differing digests in a row. A daemon without records
-  // requests it at once.
-  const bool lasting = neighbour.differed || m_directory->All().empty();
-  neighbour.differed = differs;
-  if (!differs || !lasting) return;
-  const bool pulled_before = neighbour.pulled != Instant{};
-  if (pulled_before && now - neighbour.pulled < m_options.min_pull_interval)
-    return;
-  neighbour.pulled = now;
-  neighbour.request_full = true;
+// A request is sent at once, not with the next round: endpoints that left in
+// the meantime are still in use here.
+void Spread::AskIfDue(Instant now) {
+  if (!m_requests.MayAsk(now)) return;
+  const std::optional<HostId> host = m_requests.Next(Digest(), now);
+  if (!host) return;
+  m_peers[*host].ask = true;
+  m_next_round = now;
 }
 
 uint64_t Spread::Digest() const {
-  uint64_t digest = 1;
+  uint64_t digest = kNoRecordsDigest;
   for (const auto& [id, endpoint] : m_directory->All())
     digest ^= DigestOf(endpoint.record);
-  return std::max<uint64_t>(digest, 1);
+  return std::max(digest, kNoRecordsDigest);
 }
 
 void Spread::AnnounceSilence(Instant now) {
@@ -253,7 +276,6 @@
 
 std::vector<Outgoing> Spread::OnTimer(Instant now) {
   if (now < m_next_round) return {};
-  m_next_round = now + m_options.round;
   m_directory->SetRemoteSilenceTimeout(kMissedPulses * PulseInterval());
   m_directory->OnTimer(now);
   AnnounceSilence(now);
@@ -263,54 +285,80 @@
     return true;
   });
 
-  const bool with_digest = now >= m_next_digest;
-  if (with_digest) m_next_digest = now + m_options.digest_interval;
+  AskIfDue(now);
+
+  const bool digest_due = now >= m_next_digest;
+  if (digest_due) m_next_digest = now + m_options.digest_interval;
+  const bool digest_wanted =
+      digest_due || std::ranges::any_of(m_peers, [](const auto& item) {
+        return item.second.send_digest || item.second.asked_us;
+      });
+  const uint64_t digest = digest_wanted ? Digest() : 0;
   std::vector<Outgoing> all;
-  for (const auto& [host, peer] : m_peers) {
-    const bool neighbour = std::find(m_neighbours.begin(), m_neighbours.end(),
-                                     host) != m_neighbours.end();
-    const bool asked = peer.full_requested || peer.request_full;
-    if (!neighbour && !asked) continue;
-    Outgoing outgoing{host, DeltaFor(host, with_digest && neighbour, now)};
+  for (auto& [host, peer] : m_peers) {
+    Outgoing outgoing{host, DeltaFor(host, peer, digest_due, digest, now)};
+    peer = {};
     const wire::DirectoryDeltaT& delta = outgoing.delta;
     const bool empty = delta.records.empty() && delta.pulses.empty() &&
                        delta.digest == 0 && !delta.pull;
     if (!empty) all.push_back(std::move(outgoing));
   }
-  for (auto& [host, peer] : m_peers) {
-    peer.full_requested = false;
-    peer.request_full = false;
-  }
   m_pending.clear();
+  m_next_round = now + m_options.round;
   return all;
 }
 
-wire::DirectoryDeltaT Spread::DeltaFor(const HostId& host, bool with_digest,
+wire::DirectoryDeltaT Spread::DeltaFor(const HostId& host, const Peer& peer,
+                                       bool digest_due, uint64_t digest,
                                        Instant now) const {
-  const Neighbour& peer = m_peers.at(host);
   wire::DirectoryDeltaT delta;
-  delta.pull = peer.request_full;
-  if (with_digest) delta.digest = Digest();
-  if (peer.full_requested) {
-    wire::DirectoryDeltaT everything = m_directory->AllRecords(now);
-    delta.records = std::move(everything.records);
-    return delta;
+  const bool neighbour = IsNeighbour(host);
+  const bool with_digest = neighbour && (digest_due || peer.send_digest);
+  if (with_digest || peer.asked_us) delta.digest = digest;
+  if (peer.ask) AddRequest(&delta);
+  if (peer.asked_us) AddAnswer(peer, &delta, now);
+  if (neighbour) AddPending(host, &delta, now);
+  return delta;
+}
+
+void Spread::AddRequest(wire::DirectoryDeltaT* delta) const {
+  delta->pull = true;
+  for (const auto& [id, endpoint] : m_directory->All())
+    delta->held.push_back(DigestOf(endpoint.record));
+}
+
+// Records that the peer holds in the same state are sent as pulses: those that
+// it missed would otherwise count as silent before the next ones are due.
+void Spread::AddAnswer(const Peer& peer, wire::DirectoryDeltaT* delta,
+                       Instant now) const {
+  delta->answer = true;
+  for (const auto& [id, endpoint] : m_directory->All()) {
+    wire::EndpointRecordT record = m_directory->AgedRecord(endpoint, now);
+    const auto known = m_known.find(id);
+    if (known != m_known.end() && peer.held.contains(DigestOf(record))) {
+      delta->pulses.push_back(PulseOf(record, known->second.key));
+    } else {
+      delta->records.push_back(
+          std::make_unique<wire::EndpointRecordT>(std::move(record)));
+    }
   }
-  if (std::find(m_neighbours.begin(), m_neighbours.end(), host) ==
-      m_neighbours.end())
-    return delta;
+}
+
+// Skips the updates that an answer in the same delta contains.
+void Spread::AddPending(const HostId& host, wire::DirectoryDeltaT* delta,
+                        Instant now) const {
+  if (delta->answer) return;
   for (const auto& [id, pending] : m_pending) {
     const Endpoint* endpoint = m_directory->Find(id);
     if (endpoint == nullptr || pending.from == host) continue;
     wire::EndpointRecordT record = m_directory->AgedRecord(*endpoint, now);
     if (pending.whole) {
-      delta.records.push_back(
+      delta->records.push_back(
           std::make_unique<wire::EndpointRecordT>(std::move(record)));
     } else {
-      delta.pulses.push_back(PulseOf(record, m_known.at(id).key));
+      delta->pulses.push_back(PulseOf(record, m_known.at(id).key));
     }
   }
-  return delta;
 }
 
 }  // namespace dotterelshift::directory
--- a/src/dotterelshift/directory/spread_test.cc
+++ b/src/dotterelshift/directory/spread_test.cc
@@ -2,15 +2,16 @@
 
 #include <cppunit/extensions/HelperMacros.h>  // for CPPUNIT_TEST
 
-#include <memory>  // for unique_ptr
+#include <set>     // for set
 #include <string>  // for string
 
-#include "dotterelshift/directory/neighbours.h"  // for NeighboursOf
+#include "dotterelshift/directory/neighbours.h"         // for NeighboursOf
+#include "dotterelshift/directory/spread_simulation.h"  // for SimulatedFleet
 
 namespace dotterelshift::directory {
 namespace {
 
-HostId Host(size_t number) { return "h" + std::to_string(1000 + number); }
+HostId Host(size_t number) { return SimulatedFleet::HostOf(number); }
 
 std::set<HostId> Roster(size_t count) {
   std::set<HostId> roster;
@@ -38,77 +39,6 @@
   }
 }
 
-// A few daemons whose links deliver in the next round. Those of the hosts in
-// `cut` lose everything.
-class Fleet {
- public:
-  explicit Fleet(size_t count) {
-    for (size_t i = 0; i < count; ++i) Add();
-  }
-
-  void Add() {
-    auto daemon = std::make_unique<Daemon>();
-    daemon->host = Host(daemons.size());
-    SpreadOptions options;
-    options.self = daemon->host;
-    daemon->spread = std::make_unique<Spread>(options, &daemon->directory);
-    for (const auto& other : daemons) {
-      other->spread->OnPeerUp(daemon->host, now);
-      daemon->spread->OnPeerUp(other->host, now);
-    }
-    daemons.push_back(std::move(daemon));
-  }
-
-  void RunFor(Duration duration) {
-    for (const Instant end = now + duration; now < end;) {
-      now += 100ms;
-      for (const auto& daemon : daemons) {
-        for (const Outgoing& outgoing : daemon->spread->OnTimer(now))
-          Deliver(*daemon, outgoing);
-      }
-    }
-  }
-
-  void Announce(size_t at, uint64_t sequence, bool draining = false) {
-    wire::EndpointRecordT record;
-    record.id = "e";
-    record.address = "127.0.0.1:1";
-    record.incarnation = 1;
-    record.sequence = sequence;
-    record.draining = draining;
-    record.running = static_cast<uint32_t>(sequence);
-    daemons[at]->spread->OnAnnounced(record, now);
-  }
-
-  // The number of daemons that consider the endpoint usable.
-  size_t Usable() const {
-    size_t count = 0;
-    for (const auto& daemon : daemons) {
-      const Endpoint* endpoint = daemon->directory.Find("e");
-      if (endpoint != nullptr && endpoint->usable) ++count;
-    }
-    return count;
-  }
-
-  struct Daemon {
-    HostId host;
-    Directory directory;
-    std::unique_ptr<Spread> spread;
-  };
-  std::vector<std::unique_ptr<Daemon>> daemons;
-  std::set<HostId> cut;  // hosts that neither send nor receive
-  Instant now = Instant{} + 1000s;
-
- private:
-  void Deliver(const Daemon& from, const Outgoing& outgoing) {
-    if (cut.contains(from.host) || cut.contains(outgoing.host)) return;
-    for (const auto& daemon : daemons) {
-      if (daemon->host == outgoing.host)
-        daemon->spread->OnDelta(from.host, outgoing.delta, now);
-    }
-  }
-};
-
 class SpreadTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(SpreadTest);
   CPPUNIT_TEST(UpdateReachesAllHostsInFewHops);
@@ -153,7 +83,7 @@
   }
 
   void DrainingReachesAllWithinASecond() {
-    Fleet fleet(30);
+    SimulatedFleet fleet(30);
     fleet.Announce(4, 1);
     fleet.RunFor(1s);
     CPPUNIT_ASSERT_EQUAL(size_t{30}, fleet.Usable());
@@ -163,7 +93,7 @@
   }
 
   void LoadIsSentAtABoundedRate() {
-    Fleet fleet(8);
+    SimulatedFleet fleet(8);
     fleet.Announce(0, 1);
     fleet.RunFor(1s);
     fleet.Announce(0, 2);
@@ -180,7 +110,7 @@
   }
 
   void SilenceIsReportedByTheLastReceiver() {
-    Fleet fleet(8);
+    SimulatedFleet fleet(8);
     for (uint64_t sequence = 1; sequence <= 5; ++sequence) {
       fleet.Announce(2, sequence);
       fleet.RunFor(1s);
@@ -194,7 +124,7 @@
   }
 
   void EndpointThatSwitchesDaemonIsNotSilent() {
-    Fleet fleet(8);
+    SimulatedFleet fleet(8);
     for (uint64_t sequence = 1; sequence <= 12; ++sequence) {
       fleet.Announce(sequence <= 5 ? 2 : 6, sequence);
       fleet.RunFor(1s);
@@ -203,7 +133,7 @@
   }
 
   void LostUpdateIsRepairedByDigests() {
-    Fleet fleet(8);
+    SimulatedFleet fleet(8);
     fleet.Announce(0, 1);
     fleet.RunFor(1s);
     fleet.cut = {Host(7)};
@@ -217,7 +147,7 @@
   }
 
   void NewDaemonReceivesAllRecords() {
-    Fleet fleet(7);
+    SimulatedFleet fleet(7);
     fleet.Announce(0, 1);
     fleet.RunFor(1s);
     fleet.Add();
@@ -226,7 +156,7 @@
   }
 
   void OldPulseDoesNotReviveADrainingEndpoint() {
-    Fleet fleet(2);
+    SimulatedFleet fleet(2);
     fleet.Announce(0, 1);
     fleet.RunFor(1s);
     fleet.Announce(0, 3, true);
