--- a/include/dotterelshift/admission/fair_queue.h
+++ b/include/dotterelshift/admission/fair_queue.h
@@ -62,8 +62,8 @@
  public:
   static constexpr int kUnknownInFlight = -1;
 
-  explicit ConcurrencyLimit(double start = 4, double least = 1,
-                            double most = 1024);
+  explicit ConcurrencyLimit(double start = 4, double min_limit = 1,
+                            double max_limit = 1024);
   // `in_flight` is the number of requests at the endpoint. The limit does not
   // grow while it is underused; with kUnknownInFlight it grows regardless.
   void OnFirstToken(Duration latency, Instant now,
--- a/include/dotterelshift/base/yaml_reader.h
+++ b/include/dotterelshift/base/yaml_reader.h
@@ -38,14 +38,14 @@
   bool Bool(const YAML::Node& node, const std::string& what) const;
   // An integer; with `units` also one with the suffix k, M or G (10^3, 10^6,
   // 10^9).
-  int64_t Number(const YAML::Node& node, const std::string& what, int64_t least,
-                 int64_t most, bool units) const;
+  int64_t Number(const YAML::Node& node, const std::string& what, int64_t min,
+                 int64_t max, bool units) const;
   // A number with the unit ms, s, m or h.
-  Duration Time(const YAML::Node& node, const std::string& what, Duration least,
-                Duration most) const;
+  Duration Time(const YAML::Node& node, const std::string& what, Duration min,
+                Duration max) const;
   // A floating-point number.
-  double Fraction(const YAML::Node& node, const std::string& what, double least,
-                  double most) const;
+  double Fraction(const YAML::Node& node, const std::string& what, double min,
+                  double max) const;
   // The index of the word in `words`.
   size_t Word(const YAML::Node& node, const std::string& what,
               std::span<const std::string_view> words) const;
--- a/include/dotterelshift/budget/ledger.h
+++ b/include/dotterelshift/budget/ledger.h
@@ -25,7 +25,7 @@
   Duration partition = 60s;
   // Minimum holding while the budget is in use, even if the measured demand is
   // lower.
-  Tokens least = 0;
+  Tokens min_holding = 0;
 };
 
 struct LedgerOptions {
--- a/include/dotterelshift/directory/spread.h
+++ b/include/dotterelshift/directory/spread.h
@@ -110,10 +110,10 @@
   void ChooseNeighbours();
   bool IsNeighbour(const HostId& host) const;
   bool OnlyReceives() const { return m_options.fan_out == 0; }
-  void QueueUpdate(const EndpointId& endpoint, RecordUpdate news,
+  void QueueUpdate(const EndpointId& endpoint, RecordUpdate update,
                    const HostId& from, Instant now);
   void ApplyPulses(const HostId& from, const wire::DirectoryDeltaT& delta,
-                   Instant now, bool* any_news);
+                   Instant now, bool* any_update);
   bool HasLeft(const EndpointId& endpoint) const;
   void AskIfDue(Instant now);
   void AnnounceSilence(Instant now);
--- a/include/dotterelshift/gateway/load_note_pacer.h
+++ b/include/dotterelshift/gateway/load_update_pacer.h
@@ -1,5 +1,5 @@
-#ifndef DOTTERELSHIFT_GATEWAY_LOAD_NOTE_PACER_H_
-#define DOTTERELSHIFT_GATEWAY_LOAD_NOTE_PACER_H_
+#ifndef DOTTERELSHIFT_GATEWAY_LOAD_UPDATE_PACER_H_
+#define DOTTERELSHIFT_GATEWAY_LOAD_UPDATE_PACER_H_
 
 #include <cstddef>  // for size_t
 
@@ -10,7 +10,7 @@
 struct LoadUpdatePacerOptions {
   double bytes_per_second = 0;  // capacity of the host's link; 0: not known
   // Fraction of the link that load updates may use.
-  double part = 0.15;
+  double link_fraction = 0.15;
   // Maximum delay of an update. Other entries choose endpoints by the load that
   // updates report.
   Duration max_send_gap = 100ms;
@@ -47,4 +47,4 @@
 
 }  // namespace dotterelshift::gateway
 
-#endif  // DOTTERELSHIFT_GATEWAY_LOAD_NOTE_PACER_H_
+#endif  // DOTTERELSHIFT_GATEWAY_LOAD_UPDATE_PACER_H_
--- a/include/dotterelshift/gateway/segment_cache.h
+++ b/include/dotterelshift/gateway/segment_cache.h
@@ -19,7 +19,7 @@
 
   void SetCapacity(Tokens capacity);
   // A segment of a prompt was prefilled or reused there now.
-  void Touch(uint64_t part, Tokens tokens);
+  void Touch(uint64_t segment, Tokens tokens);
   // Number of tokens at the front of a prompt that need no prefill: a segment
   // counts only if all segments before it are cached as well.
   Tokens Held(const std::vector<PromptSegment>& parts) const;
@@ -27,7 +27,7 @@
 
  private:
   struct Entry {
-    uint64_t part = 0;
+    uint64_t segment = 0;
     Tokens tokens = 0;
   };
   void Trim();
--- a/src/dotterelshift/admission/concurrency_limit.cc
+++ b/src/dotterelshift/admission/concurrency_limit.cc
@@ -37,8 +37,12 @@
 
 }  // namespace
 
-ConcurrencyLimit::ConcurrencyLimit(double start, double least, double most)
-    : m_start(start), m_limit(start), m_min_limit(least), m_max_limit(most) {}
+ConcurrencyLimit::ConcurrencyLimit(double start, double min_limit,
+                                   double max_limit)
+    : m_start(start),
+      m_limit(start),
+      m_min_limit(min_limit),
+      m_max_limit(max_limit) {}
 
 void ConcurrencyLimit::OnFirstToken(Duration latency, Instant, int in_flight) {
   const double ms = std::max(AsMs(latency), 0.01);
--- a/src/dotterelshift/app/gateway_options.h
+++ b/src/dotterelshift/app/gateway_options.h
@@ -8,9 +8,9 @@
 #include "dotterelshift/gateway/core.h"            // for CoreOptions
 #include "dotterelshift/gateway/link_admission.h"  // for LinkAdmissionOptions
 #include "dotterelshift/gateway/link_load_shedder.h"  // for LinkLoadShedderOptions
-#include "dotterelshift/gateway/load_note_pacer.h"  // for LoadUpdatePacerOptions
-#include "dotterelshift/gateway/send_pacer.h"       // for SendPacerOptions
-#include "dotterelshift/settings/settings.h"        // for Settings
+#include "dotterelshift/gateway/load_update_pacer.h"  // for LoadUpdatePacerOptions
+#include "dotterelshift/gateway/send_pacer.h"         // for SendPacerOptions
+#include "dotterelshift/settings/settings.h"          // for Settings
 
 namespace dotterelshift::app {
 
--- a/src/dotterelshift/app/other_entries.h
+++ b/src/dotterelshift/app/other_entries.h
@@ -4,11 +4,11 @@
 #include <cstddef>  // for size_t
 #include <vector>   // for vector
 
-#include "dotterelshift/gateway/fleet_load.h"       // for FleetLoad
-#include "dotterelshift/gateway/load_note_pacer.h"  // for LoadUpdatePacer
-#include "dotterelshift/loop/loop.h"                // for Loop, Timer
-#include "dotterelshift/peers/hub.h"                // for Hub
-#include "dotterelshift/wire/frames_generated.h"    // for FrameT
+#include "dotterelshift/gateway/fleet_load.h"         // for FleetLoad
+#include "dotterelshift/gateway/load_update_pacer.h"  // for LoadUpdatePacer
+#include "dotterelshift/loop/loop.h"                  // for Loop, Timer
+#include "dotterelshift/peers/hub.h"                  // for Hub
+#include "dotterelshift/wire/frames_generated.h"      // for FrameT
 
 namespace dotterelshift::app {
 
--- a/src/dotterelshift/base/yaml_reader.cc
+++ b/src/dotterelshift/base/yaml_reader.cc
@@ -157,10 +157,10 @@
 }
 
 int64_t YamlSource::Number(const YAML::Node& node, const std::string& what,
-                           int64_t least, int64_t most, bool units) const {
+                           int64_t min, int64_t max, bool units) const {
   const std::string text = Text(node, what);
-  const std::string expected = "a whole number from " + std::to_string(least) +
-                               " to " + std::to_string(most) +
+  const std::string expected = "a whole number from " + std::to_string(min) +
+                               " to " + std::to_string(max) +
                                (units ? ", k, M or G allowed" : "");
   const std::span<const Unit> allowed(kAmountUnits.data(),
                                       units ? kAmountUnits.size() : 1);
@@ -176,18 +176,18 @@
     case ParseResult::kOk:
       break;
   }
-  if (value < 0 && least >= 0)
+  if (value < 0 && min >= 0)
     Refuse(node, what + " " + Quoted(text) + " is negative", expected);
-  if (value < least || value > most)
+  if (value < min || value > max)
     Refuse(node, what + " " + Quoted(text) + " is out of bounds", expected);
   return value;
 }
 
 Duration YamlSource::Time(const YAML::Node& node, const std::string& what,
-                          Duration least, Duration most) const {
+                          Duration min, Duration max) const {
   const std::string text = Text(node, what);
-  const std::string expected = "a time from " + FormatTime(least) + " to " +
-                               FormatTime(most) + " with ms, s, m or h";
+  const std::string expected = "a time from " + FormatTime(min) + " to " +
+                               FormatTime(max) + " with ms, s, m or h";
   int64_t value = 0;
   switch (ReadNumber(text, kTimeUnits, Fractions::kAllowed, &value)) {
     case ParseResult::kNotANumber:
@@ -202,22 +202,22 @@
   const Duration time(value);
   if (time < 0s)
     Refuse(node, what + " " + Quoted(text) + " is negative", expected);
-  if (time < least || time > most)
+  if (time < min || time > max)
     Refuse(node, what + " " + Quoted(text) + " is out of bounds", expected);
   return time;
 }
 
 double YamlSource::Fraction(const YAML::Node& node, const std::string& what,
-                            double least, double most) const {
+                            double min, double max) const {
   const std::string text = Text(node, what);
   const std::string expected =
-      "a number from " + std::to_string(least) + " to " + std::to_string(most);
+      "a number from " + std::to_string(min) + " to " + std::to_string(max);
   double value = 0;
   const auto [end, error] =
       std::from_chars(text.data(), text.data() + text.size(), value);
   if (error != std::errc() || end != text.data() + text.size())
     Refuse(node, what + " " + Quoted(text) + " is not a number", expected);
-  if (!(value >= least && value <= most))
+  if (!(value >= min && value <= max))
     Refuse(node, what + " " + Quoted(text) + " is out of bounds", expected);
   return value;
 }
--- a/src/dotterelshift/budget/ledger.cc
+++ b/src/dotterelshift/budget/ledger.cc
@@ -312,7 +312,7 @@
     const Duration cover = std::max(position.policy.partition, kConnectedCover);
     const auto demand =
         static_cast<Tokens>(position.demand.Rate(now) * Seconds(cover));
-    return std::max({m_options.min_grant, position.policy.least, demand,
+    return std::max({m_options.min_grant, position.policy.min_holding, demand,
                      position.shortfall});
   }
 
--- a/src/dotterelshift/directory/directory.cc
+++ b/src/dotterelshift/directory/directory.cc
@@ -57,12 +57,12 @@
   return true;
 }
 
-bool Directory::OnRecord(const wire::EndpointRecordT& news, Instant now) {
-  return Take(news, now) != RecordUpdate::kStale;
+bool Directory::OnRecord(const wire::EndpointRecordT& update, Instant now) {
+  return Take(update, now) != RecordUpdate::kStale;
 }
 
-RecordUpdate Directory::Take(const wire::EndpointRecordT& news, Instant now) {
-  wire::EndpointRecordT record = news;
+RecordUpdate Directory::Take(const wire::EndpointRecordT& update, Instant now) {
+  wire::EndpointRecordT record = update;
   const auto it = m_endpoints.find(record.id);
   if (it == m_endpoints.end()) return AddEndpoint(std::move(record), now);
   Endpoint& endpoint = it->second;
--- a/src/dotterelshift/directory/directory_test.cc
+++ b/src/dotterelshift/directory/directory_test.cc
@@ -23,7 +23,7 @@
 // The expected state of the directory after all updates.
 struct Case {
   std::string name;
-  std::vector<RecordUpdate> news;
+  std::vector<RecordUpdate> update;
   bool last_is_new;
   uint64_t incarnation;
   uint64_t sequence;
@@ -100,15 +100,15 @@
      true},
 };
 
-wire::EndpointRecordT Record(const RecordUpdate& news) {
+wire::EndpointRecordT Record(const RecordUpdate& update) {
   wire::EndpointRecordT record;
   record.id = "e";
   record.address = "127.0.0.1:1";
-  record.incarnation = news.incarnation;
-  record.sequence = news.sequence;
-  record.draining = news.draining;
-  record.gone = news.gone;
-  record.age_ms = news.age_ms;
+  record.incarnation = update.incarnation;
+  record.sequence = update.sequence;
+  record.draining = update.draining;
+  record.gone = update.gone;
+  record.age_ms = update.age_ms;
   return record;
 }
 
@@ -129,10 +129,10 @@
       Directory directory;
       Instant now = kStart;
       bool is_new = false;
-      for (const RecordUpdate& news : test.news) {
-        now += news.wait;
+      for (const RecordUpdate& update : test.update) {
+        now += update.wait;
         directory.OnTimer(now);
-        is_new = directory.OnRecord(Record(news), now);
+        is_new = directory.OnRecord(Record(update), now);
       }
       CPPUNIT_ASSERT_EQUAL_MESSAGE(test.name, test.last_is_new, is_new);
       const Endpoint* endpoint = directory.Find("e");
--- a/src/dotterelshift/directory/spread.cc
+++ b/src/dotterelshift/directory/spread.cc
@@ -147,8 +147,8 @@
 
 RecordUpdate Spread::OnAnnounced(const wire::EndpointRecordT& record,
                                  Instant now) {
-  const RecordUpdate news = m_directory->Take(record, now);
-  if (news == RecordUpdate::kStale) return news;
+  const RecordUpdate update = m_directory->Take(record, now);
+  if (update == RecordUpdate::kStale) return update;
   TrackedEndpoint& known = m_known[record.id];
   ++known.consecutive_announcements;
   m_directory->SetAnnouncedHere(
@@ -157,28 +157,28 @@
   // about as often as pulses are sent.
   const Duration interval = PulseInterval() - m_options.round;
   const bool due = now - known.last_pulse >= interval;
-  if (news == RecordUpdate::kOffer || due)
-    QueueUpdate(record.id, news, m_options.self, now);
-  return news;
+  if (update == RecordUpdate::kOffer || due)
+    QueueUpdate(record.id, update, m_options.self, now);
+  return update;
 }
 
 bool Spread::OnDelta(const HostId& from, const wire::DirectoryDeltaT& delta,
                      Instant now) {
-  bool any_news = false;
+  bool any_update = false;
   for (const auto& record : delta.records) {
     if (record == nullptr) continue;
     const bool left_before = HasLeft(record->id);
-    const RecordUpdate news = m_directory->Take(*record, now);
-    if (news == RecordUpdate::kStale) continue;
-    any_news = true;
-    QueueUpdate(record->id, news, from, now);
+    const RecordUpdate update = m_directory->Take(*record, now);
+    if (update == RecordUpdate::kStale) continue;
+    any_update = true;
+    QueueUpdate(record->id, update, from, now);
     if (!left_before && HasLeft(record->id))
       m_departures.push_back({record->id, from, record->draining, record->gone,
                               record->age_ms, delta.answer});
   }
-  ApplyPulses(from, delta, now, &any_news);
+  ApplyPulses(from, delta, now, &any_update);
   const auto peer = m_peers.find(from);
-  if (peer == m_peers.end()) return any_news;
+  if (peer == m_peers.end()) return any_update;
   if (delta.pull) {
     peer->second.asked_us = true;
     peer->second.held = {delta.held.begin(), delta.held.end()};
@@ -189,7 +189,7 @@
     m_requests.OnDigest(from, delta.digest, Digest());
   }
   AskIfDue(now);
-  return any_news;
+  return any_update;
 }
 
 bool Spread::HasLeft(const EndpointId& endpoint) const {
@@ -204,7 +204,7 @@
 }
 
 void Spread::ApplyPulses(const HostId& from, const wire::DirectoryDeltaT& delta,
-                         Instant now, bool* any_news) {
+                         Instant now, bool* any_update) {
   for (const wire::EndpointPulse& pulse : delta.pulses) {
     const auto id = m_by_key.find(pulse.key());
     if (id == m_by_key.end()) continue;  // repaired by the digests
@@ -216,15 +216,15 @@
     load.waiting = pulse.waiting();
     load.tokens_per_second = pulse.tokens_per_second();
     load.age_ms = pulse.age_ms();
-    const RecordUpdate news = m_directory->ApplyLoad(
+    const RecordUpdate update = m_directory->ApplyLoad(
         id->second, endpoint->record.incarnation, load, now);
-    if (news == RecordUpdate::kStale) continue;
-    *any_news = true;
-    QueueUpdate(id->second, news, from, now);
+    if (update == RecordUpdate::kStale) continue;
+    *any_update = true;
+    QueueUpdate(id->second, update, from, now);
   }
 }
 
-void Spread::QueueUpdate(const EndpointId& endpoint, RecordUpdate news,
+void Spread::QueueUpdate(const EndpointId& endpoint, RecordUpdate update,
                          const HostId& from, Instant now) {
   TrackedEndpoint& known = m_known[endpoint];
   const uint64_t incarnation = m_directory->Find(endpoint)->record.incarnation;
@@ -240,7 +240,7 @@
     m_directory->SetAnnouncedHere(endpoint, false);
   }
   Pending& pending = m_pending[endpoint];
-  pending.whole = pending.whole || news == RecordUpdate::kOffer;
+  pending.whole = pending.whole || update == RecordUpdate::kOffer;
   pending.from = from;
 }
 
--- a/src/dotterelshift/gateway/held_grants.cc
+++ b/src/dotterelshift/gateway/held_grants.cc
@@ -50,10 +50,10 @@
   policy.way = wire::GrantWay::Unwitnessed;
   policy.partition = m_options.partition;
   if (!m_demand_unknown.contains(team)) return policy;
-  const double part = m_options.initial_fraction /
-                      static_cast<double>(std::max<size_t>(1, m_entries));
-  policy.least =
-      static_cast<Tokens>(static_cast<double>(m_totals.at(team)) * part);
+  const double fraction = m_options.initial_fraction /
+                          static_cast<double>(std::max<size_t>(1, m_entries));
+  policy.min_holding =
+      static_cast<Tokens>(static_cast<double>(m_totals.at(team)) * fraction);
   return policy;
 }
 
--- a/src/dotterelshift/gateway/held_grants_test.cc
+++ b/src/dotterelshift/gateway/held_grants_test.cc
@@ -66,9 +66,9 @@
     const auto requests = GrantRequests(commands);
     CPPUNIT_ASSERT_EQUAL(size_t{1}, requests.size());
     // A quarter of what all four entries together hold initially.
-    const auto part = static_cast<Tokens>(HeldGrantsOptions().initial_fraction *
-                                          1'000'000 / 4);
-    CPPUNIT_ASSERT_EQUAL(part, requests[0]->wanted);
+    const auto own_share = static_cast<Tokens>(
+        HeldGrantsOptions().initial_fraction * 1'000'000 / 4);
+    CPPUNIT_ASSERT_EQUAL(own_share, requests[0]->wanted);
   }
 
   void PendingGrantRequestIsNotDuplicated() {
--- a/src/dotterelshift/gateway/link_admission.cc
+++ b/src/dotterelshift/gateway/link_admission.cc
@@ -99,18 +99,20 @@
 }
 
 void LinkAdmission::Grow(Instant now) {
-  const double most = BytesIn(m_options.burst);
-  const double least = -BytesIn(m_options.max_debt);
+  const double max_allowance = BytesIn(m_options.burst);
+  const double min_allowance = -BytesIn(m_options.max_debt);
   const bool first = m_since == Instant{};
   const Duration passed = first ? 0s : now - m_since;
   m_since = now;
-  const double part = UsedFraction();
+  const double used_fraction = UsedFraction();
   const double all = BytesIn(passed);
-  m_allowance.in = std::clamp(m_allowance.in + part * all, least, most);
+  m_allowance.in = std::clamp(m_allowance.in + used_fraction * all,
+                              min_allowance, max_allowance);
   // The full rate is available outbound: all traffic there is counted, and what
   // can wait is queued before the link.
-  m_allowance.out = std::clamp(m_allowance.out + all, least, most);
-  const double carried = IsDrainingQueue() ? part * all : all;
+  m_allowance.out =
+      std::clamp(m_allowance.out + all, min_allowance, max_allowance);
+  const double carried = IsDrainingQueue() ? used_fraction * all : all;
   m_in_transit =
       std::clamp(m_in_transit - carried, 0.0, BytesIn(m_options.max_debt));
 }
@@ -121,9 +123,9 @@
   const bool accepting = m_decision == AdmissionDecision::kAccept;
   const bool stopped = m_decision == AdmissionDecision::kStopAccepting;
   const double enough = accepting ? 0 : BytesIn(m_options.burst) / 4;
-  const double most = BytesIn(m_options.max_wait) / (stopped ? 2 : 1);
+  const double max_allowance = BytesIn(m_options.max_wait) / (stopped ? 2 : 1);
   const bool out_overrun = m_allowance.out <= -BytesIn(m_options.max_debt) / 2;
-  if (m_in_transit > most || out_overrun)
+  if (m_in_transit > max_allowance || out_overrun)
     m_decision = AdmissionDecision::kStopAccepting;
   else if (std::min(m_allowance.in, m_allowance.out - m_queued_outbound) >
            enough)
--- a/src/dotterelshift/gateway/load_note_pacer_test.cc
+++ b/src/dotterelshift/gateway/load_update_pacer_test.cc
@@ -1,4 +1,4 @@
-#include "dotterelshift/gateway/load_note_pacer.h"
+#include "dotterelshift/gateway/load_update_pacer.h"
 
 #include <cppunit/extensions/HelperMacros.h>  // for CPPUNIT_TEST
 
@@ -48,8 +48,8 @@
   // outbound link.
   void UpdatesStayWithinTheirFractionOfASlowLink() {
     const Result result = Run(kSlowLink, 2ms);
-    CPPUNIT_ASSERT(result.bytes <=
-                   LoadUpdatePacerOptions().part * 10 * kSlowLink * 1.01);
+    CPPUNIT_ASSERT(result.bytes <= LoadUpdatePacerOptions().link_fraction * 10 *
+                                       kSlowLink * 1.01);
   }
 
   void UpdatesWaitAtMostATenthOfASecond() {
--- a/src/dotterelshift/gateway/segment_cache.cc
+++ b/src/dotterelshift/gateway/segment_cache.cc
@@ -7,15 +7,15 @@
   Trim();
 }
 
-void SegmentCache::Touch(uint64_t part, Tokens tokens) {
-  const auto known = m_places.find(part);
+void SegmentCache::Touch(uint64_t segment, Tokens tokens) {
+  const auto known = m_places.find(segment);
   if (known != m_places.end()) {
     m_held += tokens - known->second->tokens;
     known->second->tokens = tokens;
     m_order.splice(m_order.begin(), m_order, known->second);
   } else {
-    m_order.push_front({part, tokens});
-    m_places[part] = m_order.begin();
+    m_order.push_front({segment, tokens});
+    m_places[segment] = m_order.begin();
     m_held += tokens;
   }
   Trim();
@@ -23,9 +23,9 @@
 
 Tokens SegmentCache::Held(const std::vector<PromptSegment>& parts) const {
   Tokens held = 0;
-  for (const PromptSegment& part : parts) {
-    if (!m_places.contains(part.hash)) break;
-    held += part.tokens;
+  for (const PromptSegment& segment : parts) {
+    if (!m_places.contains(segment.hash)) break;
+    held += segment.tokens;
   }
   return held;
 }
@@ -39,7 +39,7 @@
 void SegmentCache::Trim() {
   while (m_held > m_capacity && !m_order.empty()) {
     m_held -= m_order.back().tokens;
-    m_places.erase(m_order.back().part);
+    m_places.erase(m_order.back().segment);
     m_order.pop_back();
   }
 }
--- a/src/dotterelshift/replication/raft_election.h
+++ b/src/dotterelshift/replication/raft_election.h
@@ -17,11 +17,11 @@
 
 template <typename Rules>
 void Raft<Rules>::ResetElectionDeadline(Instant now) {
-  const auto least =
+  const auto min_timeout =
       static_cast<uint64_t>(m_options.min_election_timeout.count());
-  m_election_deadline =
-      now + m_options.min_election_timeout +
-      Duration(static_cast<int64_t>(m_random() % std::max<uint64_t>(1, least)));
+  m_election_deadline = now + m_options.min_election_timeout +
+                        Duration(static_cast<int64_t>(
+                            m_random() % std::max<uint64_t>(1, min_timeout)));
 }
 
 template <typename Rules>
--- a/src/dotterelshift/settings/settings.cc
+++ b/src/dotterelshift/settings/settings.cc
@@ -44,23 +44,23 @@
 };
 struct CountRule {
   uint32_t Settings::*field;
-  uint32_t least;
-  uint32_t most;
+  uint32_t min;
+  uint32_t max;
 };
 struct TokensRule {
   Tokens Settings::*field;
-  Tokens least;
-  Tokens most;
+  Tokens min;
+  Tokens max;
 };
 struct FractionRule {
   double Settings::*field;
-  double least;
-  double most;
+  double min;
+  double max;
 };
 struct TimeRule {
   Duration Settings::*field;
-  Duration least;
-  Duration most;
+  Duration min;
+  Duration max;
 };
 
 // How a setting is validated and documented.
@@ -251,20 +251,19 @@
   }
   void Take(const CountRule& rule) {
     m_settings.*rule.field = static_cast<uint32_t>(
-        m_source.Number(m_node, m_what, rule.least, rule.most, true));
+        m_source.Number(m_node, m_what, rule.min, rule.max, true));
   }
   void Take(const TokensRule& rule) {
     m_settings.*rule.field =
-        m_source.Number(m_node, m_what, rule.least, rule.most, true);
+        m_source.Number(m_node, m_what, rule.min, rule.max, true);
   }
   void Take(const TimeRule& rule) {
-    m_settings.*rule.field =
-        m_source.Time(m_node, m_what, rule.least, rule.most);
+    m_settings.*rule.field = m_source.Time(m_node, m_what, rule.min, rule.max);
   }
 
   void Take(const FractionRule& rule) {
     m_settings.*rule.field =
-        m_source.Fraction(m_node, m_what, rule.least, rule.most);
+        m_source.Fraction(m_node, m_what, rule.min, rule.max);
   }
 
   std::string TextOf(Form form) const {
@@ -350,19 +349,19 @@
     }
     RowTexts operator()(const CountRule& rule) const {
       return {text(defaults.*rule.field),
-              text(rule.least) + " to " + text(rule.most)};
+              text(rule.min) + " to " + text(rule.max)};
     }
     RowTexts operator()(const TokensRule& rule) const {
       return {text(defaults.*rule.field),
-              text(rule.least) + " to " + text(rule.most)};
+              text(rule.min) + " to " + text(rule.max)};
     }
     RowTexts operator()(const FractionRule& rule) const {
       return {FormatFraction(defaults.*rule.field),
-              FormatFraction(rule.least) + " to " + FormatFraction(rule.most)};
+              FormatFraction(rule.min) + " to " + FormatFraction(rule.max)};
     }
     RowTexts operator()(const TimeRule& rule) const {
       return {FormatTime(defaults.*rule.field),
-              FormatTime(rule.least) + " to " + FormatTime(rule.most)};
+              FormatTime(rule.min) + " to " + FormatTime(rule.max)};
     }
   };
   RowTexts texts = std::visit(Describe{defaults, number}, rule.check);
--- a/src/dotterelshift/telemetry/team_series.cc
+++ b/src/dotterelshift/telemetry/team_series.cc
@@ -94,9 +94,9 @@
   uint64_t count = 1;
   if (m_unlabelled.size() >= m_max_teams * kTrackedPerNamed) {
     if (m_unlabelled.empty()) return;
-    const auto least = std::ranges::min_element(m_unlabelled, kLessCount);
-    count += least->second;
-    m_unlabelled.erase(least);
+    const auto smallest = std::ranges::min_element(m_unlabelled, kLessCount);
+    count += smallest->second;
+    m_unlabelled.erase(smallest);
   }
   m_unlabelled.emplace(team, count);
 }
