Hub: a lost connection request does not delay a return from a partition by a second

Now a request that is unanswered for 250 ms gets another beside it, four at most at a time; the first answered one is used and the others are closed before any handshake. The handshake has a timeout of its own, since connecting behind a queue of 0.5 s used up a third of the 1.5 s that both had. What an address costs moves from hub.cc to dial_target.

HubTest::LostConnectionRequestIsRepeatedSoon failed with one request at a time (the dial ended before a second request).

--- a/include/dotterelshift/peers/hub.h
+++ b/include/dotterelshift/peers/hub.h
@@ -38,7 +38,13 @@
   size_t max_frame_bytes = 16 << 20;  // a larger frame closes the connection
   // A peer with more unsent bytes is disconnected.
   size_t max_backlog_bytes = 64 << 20;
+  // For the connection to be established, and again for the handshake.
   Duration hello_timeout = 5s;
+  // A connection request that is unanswered for this long gets another one
+  // beside it, up to `max_connect_requests`: the system repeats a lost request
+  // only after 1 s, then 3 s, which delays the return from a partition.
+  Duration connect_retry = 250ms;
+  size_t max_connect_requests = 4;
   Duration min_reconnect_delay =
       50ms;  // doubled with jitter after each failure
   Duration max_reconnect_delay = 2s;
--- a/src/dotterelshift/peers/connection.h
+++ b/src/dotterelshift/peers/connection.h
@@ -47,8 +47,9 @@
   bool connecting = false;
   bool up = false;  // the peer is authenticated
   bool closed = false;
-  bool timed_out = false;  // before the peer was authenticated
-  uint32_t attempt = 0;    // to dial this address since it was last up
+  bool timed_out = false;   // before the peer was authenticated
+  bool superseded = false;  // another request to the address was answered first
+  uint32_t attempt = 0;     // to dial this address since it was last up
   std::optional<Instant> connected_at;
   FrameReader reader;
   Handshake handshake;
--- a/src/dotterelshift/peers/hub.cc
+++ b/src/dotterelshift/peers/hub.cc
@@ -15,6 +15,7 @@
 #include "dotterelshift/base/error.h"          // for Error
 #include "dotterelshift/loop/loop.h"           // for Loop
 #include "dotterelshift/peers/connection.h"    // for Connection
+#include "dotterelshift/peers/dial_target.h"   // for DialTarget
 #include "dotterelshift/peers/frame_buffer.h"  // for FrameWriter
 
 namespace dotterelshift::peers {
@@ -23,16 +24,6 @@
 constexpr size_t kReadBytes = 256 << 10;
 constexpr int kListenBacklog = 512;
 
-// An address to keep a connection to.
-struct DialTarget {
-  std::string address;
-  HostId host;  // the host at this address; empty until known
-  ConnectionPtr connection;
-  Duration delay{};
-  Instant next{};
-  uint32_t attempts = 0;  // since it was last up
-};
-
 class TcpHub : public Hub {
  public:
   TcpHub(loop::Loop& loop, const HubOptions& options, HubCallbacks callbacks)
@@ -86,7 +77,7 @@
         m_targets, [&](const DialTarget& t) { return t.address == address; });
     if (!known)
       m_targets.push_back(
-          {address, {}, nullptr, m_options.min_reconnect_delay, m_loop.Now()});
+          {address, {}, {}, m_options.min_reconnect_delay, m_loop.Now()});
   }
 
   uint16_t Port() const override { return m_port; }
@@ -97,6 +88,7 @@
   void OnAcceptable();
   void OnTimer();
   void DialIfDue(DialTarget& target, Instant now);
+  void SupersedeOthers(const ConnectionPtr& connection);
   void CheckTimeouts(const ConnectionPtr& connection, Instant now);
   ConnectionPtr AddConnection(int descriptor, bool dialled);
   void OnEvents(const ConnectionPtr& connection, int events);
@@ -111,7 +103,6 @@
   void Flush(Connection& connection);
   void FlushAll();
   void Close(const ConnectionPtr& connection);
-  void Delay(DialTarget& target, Instant now);
   void ReportDial(const Connection& connection, DialResult result) const;
 
   loop::Loop& m_loop;
@@ -189,11 +180,8 @@
 }
 
 void TcpHub::DialIfDue(DialTarget& target, Instant now) {
-  if (target.connection != nullptr && target.connection->closed) {
-    target.connection.reset();
-    Delay(target, now);
-  }
-  if (target.connection != nullptr || now < target.next) return;
+  target.DropClosed(m_options, m_random, now);
+  if (!target.MayRequest(m_options, now)) return;
   // The other side may already have connected to us.
   if (!target.host.empty() && m_by_host.contains(target.host)) return;
   for (const auto& [host, connection] : m_by_host) {
@@ -207,30 +195,39 @@
               sizeof *address);
   if (result != 0 && errno != EINPROGRESS) {
     close(descriptor);
-    Delay(target, now);
+    target.Delay(m_options, m_random, now);
     if (m_callbacks.on_dial_ended)
       m_callbacks.on_dial_ended(
           {target.address, DialResult::kRefused, target.attempts, {}, {}});
     return;
   }
-  target.connection = AddConnection(descriptor, true);
-  target.connection->dial_address = target.address;
-  target.connection->attempt = target.attempts;
-  target.connection->connecting = true;
-  target.connection->watching_writes = true;
-  target.connection->watcher->SetEvents(EV_READ | EV_WRITE);
+  const ConnectionPtr connection = AddConnection(descriptor, true);
+  connection->dial_address = target.address;
+  connection->attempt = target.attempts;
+  connection->connecting = true;
+  connection->watching_writes = true;
+  connection->watcher->SetEvents(EV_READ | EV_WRITE);
+  target.connections.push_back(connection);
 }
 
-void TcpHub::Delay(DialTarget& target, Instant now) {
-  std::uniform_real_distribution<double> jitter(0.5, 1.0);
-  target.next = now + std::chrono::duration_cast<Duration>(target.delay *
-                                                           jitter(m_random));
-  target.delay = std::min(target.delay * 2, m_options.max_reconnect_delay);
+// The first connection request that is answered replaces the others to the
+// same address, so that one handshake takes place.
+void TcpHub::SupersedeOthers(const ConnectionPtr& connection) {
+  for (const DialTarget& target : m_targets) {
+    if (!target.Holds(connection)) continue;
+    for (const ConnectionPtr& other : target.connections) {
+      if (other == connection) continue;
+      other->superseded = true;
+      Close(other);
+    }
+  }
 }
 
-// Does nothing for connections that the peer dialled.
+// Does nothing for connections that the peer dialled, or that another one
+// replaced.
 void TcpHub::ReportDial(const Connection& connection, DialResult result) const {
-  if (!connection.dialled || !m_callbacks.on_dial_ended) return;
+  if (!connection.dialled || connection.superseded) return;
+  if (!m_callbacks.on_dial_ended) return;
   const Instant connected = connection.connected_at.value_or(connection.opened);
   m_callbacks.on_dial_ended(
       {connection.dial_address, result, connection.attempt,
@@ -252,7 +249,9 @@
 void TcpHub::CheckTimeouts(const ConnectionPtr& connection, Instant now) {
   if (connection->closed) return;
   const bool handshake_timed_out =
-      !connection->up && now - connection->opened > m_options.hello_timeout;
+      !connection->up &&
+      now - connection->connected_at.value_or(connection->opened) >
+          m_options.hello_timeout;
   const bool silent = connection->up && now - connection->last_received >
                                             m_options.silence_timeout;
   if (handshake_timed_out || silent) {
@@ -286,6 +285,7 @@
   }
   connection->connecting = false;
   connection->connected_at = m_loop.Now();
+  SupersedeOthers(connection);
 }
 
 void TcpHub::ReadFrom(const ConnectionPtr& connection) {
@@ -354,7 +354,7 @@
 bool TcpHub::OnAuthenticated(const ConnectionPtr& connection) {
   connection->peer = connection->handshake.Peer();
   for (DialTarget& target : m_targets) {
-    if (target.connection != connection) continue;
+    if (!target.Holds(connection)) continue;
     target.host = connection->peer.run.host;
     target.delay = m_options.min_reconnect_delay;
     target.attempts = 0;
--- a/src/dotterelshift/peers/hub_test.cc
+++ b/src/dotterelshift/peers/hub_test.cc
@@ -94,6 +94,23 @@
   int m_socket;
 };
 
+// A connection request that does not wait for its answer.
+class PendingClient {
+ public:
+  explicit PendingClient(uint16_t port)
+      : m_socket(socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0)) {
+    const auto address = MakeAddress("127.0.0.1", port);
+    connect(m_socket, reinterpret_cast<const sockaddr*>(&*address),
+            sizeof *address);
+  }
+  ~PendingClient() { close(m_socket); }
+  PendingClient(const PendingClient&) = delete;
+  PendingClient& operator=(const PendingClient&) = delete;
+
+ private:
+  int m_socket;
+};
+
 class HubTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(HubTest);
   CPPUNIT_TEST(FramesArriveInOrder);
@@ -103,6 +120,7 @@
   CPPUNIT_TEST(BadHellosAreRefused);
   CPPUNIT_TEST(ReconnectsAfterALoss);
   CPPUNIT_TEST(RefusedDialsAreReportedUntilOneIsUp);
+  CPPUNIT_TEST(LostConnectionRequestIsRepeatedSoon);
   CPPUNIT_TEST(DialThatEndsInTheHandshakeIsReported);
   CPPUNIT_TEST_SUITE_END();
 
@@ -273,6 +291,33 @@
     CPPUNIT_ASSERT_EQUAL(options.dial[0], b.dials.back().address);
   }
 
+  // Guards against a daemon that returns from a partition a second late because
+  // its connection request was lost in it and the system repeats it late. The
+  // request is lost here since the accept queue of a peer that does not run is
+  // full.
+  void LostConnectionRequestIsRepeatedSoon() {
+    loop::Loop stopped;
+    TestHub a(stopped, OptionsOf("a"));
+    std::vector<std::unique_ptr<PendingClient>> fill;
+    constexpr size_t kMoreThanTheBacklog = 600;
+    for (size_t i = 0; i < kMoreThanTheBacklog; ++i)
+      fill.push_back(std::make_unique<PendingClient>(a.hub->Port()));
+    loop::Loop loop;
+    HubOptions options = OptionsOf("b");
+    options.dial = {a.Address()};
+    TestHub b(loop, options);
+    RunUntil(loop, "a second request",
+             [&] { return b.hub->Counters().connections == 2; });
+    CPPUNIT_ASSERT(b.dials.empty());
+    fill.clear();
+    RunUntil(loop, "up", [&] {
+      ev_run(stopped.Raw(), EVRUN_NOWAIT);
+      return b.ups.size() == 1 && a.ups.size() == 1;
+    });
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, b.dials.size());
+    CPPUNIT_ASSERT(DialResult::kUp == b.dials[0].result);
+  }
+
   // The peer belongs to another fleet.
   void DialThatEndsInTheHandshakeIsReported() {
     loop::Loop loop;
