Directory: a control host that restarts forwards no answer to all entries

A control host that returns asks one peer for what it missed, and forwarded everything in the answer to all its neighbours: with published routes these are all entries, which hold it already. Cause: OnDelta() queued the records and pulses of an answer like those of an update.

A daemon whose fan-out reaches all others now forwards from an answer only changes of endpoints that it knew, such as departures; the rest the others have from the daemon that answered, or find by their digests. A daemon that relays to a few neighbours (gossip) forwards all as before.

SimulatedFleet::Disconnect() also removed the daemon from its own roster, so that a control host cut off with it never sent digests or updates again: the tests with a stale control host tested less than they said.

--- a/include/dotterelshift/directory/spread.h
+++ b/include/dotterelshift/directory/spread.h
@@ -110,8 +110,11 @@
   void ChooseNeighbours();
   bool IsNeighbour(const HostId& host) const;
   bool OnlyReceives() const { return m_options.fan_out == 0; }
+  // Records that an update of the endpoint came from `from`.
+  void Track(const EndpointId& endpoint, const HostId& from, Instant now);
   void QueueUpdate(const EndpointId& endpoint, RecordUpdate update,
-                   const HostId& from, Instant now);
+                   const HostId& from);
+  bool MustForward(const wire::DirectoryDeltaT& delta) const;
   void ApplyPulses(const HostId& from, const wire::DirectoryDeltaT& delta,
                    Instant now, bool* any_update);
   bool HasLeft(const EndpointId& endpoint) const;
--- a/src/dotterelshift/directory/spread.cc
+++ b/src/dotterelshift/directory/spread.cc
@@ -157,8 +157,10 @@
   // about as often as pulses are sent.
   const Duration interval = PulseInterval() - m_options.round;
   const bool due = now - known.last_pulse >= interval;
-  if (update == RecordUpdate::kOffer || due)
-    QueueUpdate(record.id, update, m_options.self, now);
+  if (update == RecordUpdate::kOffer || due) {
+    Track(record.id, m_options.self, now);
+    QueueUpdate(record.id, update, m_options.self);
+  }
   return update;
 }
 
@@ -168,10 +170,13 @@
   for (const auto& record : delta.records) {
     if (record == nullptr) continue;
     const bool left_before = HasLeft(record->id);
+    const bool known_before = m_directory->Find(record->id) != nullptr;
     const RecordUpdate update = m_directory->Take(*record, now);
     if (update == RecordUpdate::kStale) continue;
     any_update = true;
-    QueueUpdate(record->id, update, from, now);
+    Track(record->id, from, now);
+    if (known_before || MustForward(delta))
+      QueueUpdate(record->id, update, from);
     if (!left_before && HasLeft(record->id))
       m_departures.push_back({record->id, from, record->draining, record->gone,
                               record->age_ms, delta.answer});
@@ -220,12 +225,24 @@
         id->second, endpoint->record.incarnation, load, now);
     if (update == RecordUpdate::kStale) continue;
     *any_update = true;
-    QueueUpdate(id->second, update, from, now);
+    const EndpointId endpoint_id = id->second;
+    Track(endpoint_id, from, now);
+    if (update == RecordUpdate::kOffer || MustForward(delta))
+      QueueUpdate(endpoint_id, update, from);
   }
 }
 
-void Spread::QueueUpdate(const EndpointId& endpoint, RecordUpdate update,
-                         const HostId& from, Instant now) {
+// A daemon that sends to all others does not forward what an answer repeats:
+// loads, and endpoints that were new to itself only. The others have these from
+// the daemon that answered, or compare digests. Otherwise a daemon that
+// restarts would send its whole directory to each of them.
+bool Spread::MustForward(const wire::DirectoryDeltaT& delta) const {
+  const bool sends_to_all = m_options.fan_out + 1 >= m_roster.size();
+  return !delta.answer || !sends_to_all;
+}
+
+void Spread::Track(const EndpointId& endpoint, const HostId& from,
+                   Instant now) {
   TrackedEndpoint& known = m_known[endpoint];
   const uint64_t incarnation = m_directory->Find(endpoint)->record.incarnation;
   const uint64_t key = PulseKey(endpoint, incarnation);
@@ -239,6 +256,10 @@
     known.consecutive_announcements = 0;
     m_directory->SetAnnouncedHere(endpoint, false);
   }
+}
+
+void Spread::QueueUpdate(const EndpointId& endpoint, RecordUpdate update,
+                         const HostId& from) {
   Pending& pending = m_pending[endpoint];
   pending.whole = pending.whole || update == RecordUpdate::kOffer;
   pending.from = from;
@@ -269,8 +290,9 @@
     if (!silent) continue;
     wire::EndpointRecordT record = endpoint.record;
     record.silent = true;
-    if (m_directory->Take(record, now) != RecordUpdate::kStale)
-      QueueUpdate(record.id, RecordUpdate::kOffer, m_options.self, now);
+    if (m_directory->Take(record, now) == RecordUpdate::kStale) continue;
+    Track(record.id, m_options.self, now);
+    QueueUpdate(record.id, RecordUpdate::kOffer, m_options.self);
   }
 }
 
--- a/src/dotterelshift/directory/spread_return_test.cc
+++ b/src/dotterelshift/directory/spread_return_test.cc
@@ -61,7 +61,8 @@
 
   void ForgetCounts() {
     for (const auto& daemon : daemons)
-      daemon->records_received = daemon->requests_received = 0;
+      daemon->records_received = daemon->pulses_received =
+          daemon->requests_received = 0;
   }
 
  private:
@@ -81,6 +82,8 @@
   CPPUNIT_TEST(AnswerLostWithItsConnectionIsRequestedAgain);
   CPPUNIT_TEST(MissedKeepAlivesAreRenewed);
   CPPUNIT_TEST(RecordsThatOnlyTheEntryHoldsCauseNoRepeatedRequests);
+  CPPUNIT_TEST(EmptyControlHostForwardsNotItsWholeDirectory);
+  CPPUNIT_TEST(EntryOfOnlyTheReturningControlHostLearnsAll);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -244,6 +247,37 @@
       requests += fleet.daemons[i]->requests_received;
     CPPUNIT_ASSERT(requests <= kControlHosts);
   }
+
+  // Guards against one control host that restarts and sends what it has just
+  // received to each entry.
+  void EmptyControlHostForwardsNotItsWholeDirectory() {
+    ControlledFleet fleet;
+    fleet.RestartEmpty(0);
+    fleet.ForgetCounts();
+    fleet.Reconnect(0);
+    fleet.RunFor(1s);
+    CPPUNIT_ASSERT_EQUAL(kEndpoints, fleet.daemons[0]->directory.All().size());
+    for (size_t i = kControlHosts; i <= kLastEntry; ++i)
+      CPPUNIT_ASSERT_EQUAL(size_t{0}, fleet.daemons[i]->records_received);
+  }
+
+  // Departures are forwarded at once; the digests bring new endpoints.
+  void EntryOfOnlyTheReturningControlHostLearnsAll() {
+    ControlledFleet fleet;
+    fleet.Disconnect(0);
+    fleet.Disconnect(kLastEntry);
+    fleet.ConnectPair(0, kLastEntry);
+    fleet.RunFor(1s);
+    fleet.Leave(7);
+    fleet.Announce(1, 1, false, "new");
+    fleet.RunFor(1s);
+    CPPUNIT_ASSERT(!fleet.KnowsDraining(kLastEntry, EndpointOf(7)));
+    fleet.ConnectPair(0, 1);
+    fleet.RunFor(kKnowsWithin);
+    CPPUNIT_ASSERT(fleet.KnowsDraining(kLastEntry, EndpointOf(7)));
+    fleet.RunFor(2 * SpreadOptions{}.digest_interval);
+    CPPUNIT_ASSERT(fleet.daemons[kLastEntry]->directory.Find("new") != nullptr);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(SpreadReturnTest);
--- a/src/dotterelshift/directory/spread_simulation.h
+++ b/src/dotterelshift/directory/spread_simulation.h
@@ -25,9 +25,12 @@
     HostId host;
     bool only_receives = false;
     bool connected = true;
+    DirectoryOptions directory_options;
+    SpreadOptions options;
     Directory directory;
     std::unique_ptr<Spread> spread;
     size_t records_received = 0;
+    size_t pulses_received = 0;
     size_t requests_received = 0;
   };
 
@@ -44,11 +47,12 @@
     auto daemon = std::make_unique<Daemon>();
     daemon->host = HostOf(daemons.size());
     daemon->only_receives = fan_out == 0;
+    daemon->directory_options = options;
     daemon->directory = Directory(options);
-    SpreadOptions spread;
-    spread.self = daemon->host;
-    spread.fan_out = fan_out;
-    daemon->spread = std::make_unique<Spread>(spread, &daemon->directory);
+    daemon->options.self = daemon->host;
+    daemon->options.fan_out = fan_out;
+    daemon->spread =
+        std::make_unique<Spread>(daemon->options, &daemon->directory);
     daemons.push_back(std::move(daemon));
     ConnectAll(*daemons.back());
   }
@@ -57,6 +61,7 @@
     Daemon& daemon = *daemons[number];
     daemon.connected = false;
     for (const auto& other : daemons) {
+      if (other.get() == &daemon) continue;
       other->spread->OnPeerDown(daemon.host, now);
       daemon.spread->OnPeerDown(other->host, now);
     }
@@ -67,6 +72,14 @@
     ConnectAll(*daemons[number]);
   }
 
+  // The daemon loses its connections and its records.
+  void RestartEmpty(size_t number) {
+    Disconnect(number);
+    Daemon& daemon = *daemons[number];
+    daemon.directory = Directory(daemon.directory_options);
+    daemon.spread = std::make_unique<Spread>(daemon.options, &daemon.directory);
+  }
+
   // Connects two hosts of which at least one was disconnected from all.
   void ConnectPair(size_t a, size_t b) {
     daemons[a]->connected = daemons[b]->connected = true;
@@ -134,6 +147,7 @@
     for (const auto& daemon : daemons) {
       if (daemon->host != outgoing.host) continue;
       daemon->records_received += outgoing.delta.records.size();
+      daemon->pulses_received += outgoing.delta.pulses.size();
       daemon->requests_received += outgoing.delta.pull ? 1 : 0;
       daemon->spread->OnDelta(from.host, outgoing.delta, now);
     }
