Tests: a caller that leaves at a real server is noticed within one iteration of the loop

GatewayCallerGoneTest forces each: the system has received the close (the half-closed socket is in FIN_WAIT2) before the entry's loop runs once; after that one iteration the request must be gone from the core and the endpoint's connection be reset.

All hold on the code as it is, so they refute as causes: a request that runs; a paused stream, with the caller's socket full and the endpoint's connection not read; a pipelined second request; the response that would make the server read that request, in the same iteration as the close; the end of a first attempt that would start a second one, in the same iteration as the close.

The dialect and the fixture of GatewayTrafficTest move to gateway_traffic_testing.h unchanged, so that both suites use them.

--- a/src/dotterelshift/app/gateway_traffic_test.cc
+++ b/src/dotterelshift/app/gateway_traffic_test.cc
@@ -1,8 +1,6 @@
 // A caller disconnects at each stage of its request. Bytes that were not handed
 // over by then must not reach the endpoint, whose connection is reset at once,
 // even while this host still holds bytes for it.
-#include "dotterelshift/app/gateway_traffic.h"
-
 #include <cppunit/extensions/HelperMacros.h>  // for CPPUNIT_TEST
 
 #include <array>        // for array
@@ -10,22 +8,20 @@
 #include <functional>   // for function
 #include <iterator>     // for distance
 #include <memory>       // for make_shared
-#include <optional>     // for optional
 #include <string>       // for string
 #include <string_view>  // for string_view
 #include <utility>      // for exchange
 
-#include "dotterelshift/http/test_connection.h"  // for TestConnection
-#include "dotterelshift/http/test_listener.h"    // for TestListener
+#include "dotterelshift/app/gateway_traffic_testing.h"  // for GatewayTrafficFixture
+#include "dotterelshift/http/test_connection.h"         // for TestConnection
+#include "dotterelshift/http/test_listener.h"           // for TestListener
 
 namespace dotterelshift::app {
 namespace {
 
-constexpr Duration kGuard = 10s;
 constexpr size_t kShortBody = 6'000;
-// kHeldBody exceeds what an endpoint that reads nothing receives, but fits into
-// this host's kernel buffers for it; kLongBody exceeds both together.
-constexpr int kSmallBuffer = 4 << 10;
+// kHeldBody exceeds what an endpoint with kSmallBuffer receives unread, but
+// fits into this host's kernel buffers for it; kLongBody exceeds both together.
 constexpr size_t kHeldBody = 512 << 10;
 constexpr size_t kLongBody = 32 << 20;
 
@@ -80,45 +76,7 @@
   int m_status = 0;
 };
 
-// A dialect that counts the attempts.
-class TestDialect : public gateway::Dialect {
- public:
-  gateway::RequestInfo ReadRequestInfo(
-      const http::Request& request) const override {
-    gateway::RequestInfo info;
-    info.caller_id = "caller-1";
-    info.host = "h";
-    info.path = request.path;
-    return info;
-  }
-  http::Headers OnwardHeaders(const http::Request&,
-                              const gateway::StartAttempt&) const override {
-    ++m_attempts;
-    return {{"host", "h"}};
-  }
-  gateway::ResponseInfo ReadResponseInfo(
-      int, const http::Headers& headers) const override {
-    gateway::ResponseInfo response_info;
-    response_info.has_proof = true;
-    for (const auto& [name, value] : headers) {
-      if (name == "x-id") response_info.echoed_id = value;
-      if (name == "content-type") response_info.event_stream = true;
-    }
-    return response_info;
-  }
-  std::optional<gateway::Routes> ReadRoutes(std::string_view,
-                                            std::string*) const override {
-    return std::nullopt;
-  }
-  std::string_view ReadyPath() const override { return "/ready"; }
-
-  int Attempts() const { return m_attempts; }
-
- private:
-  mutable int m_attempts = 0;
-};
-
-class GatewayTrafficTest : public CppUnit::TestFixture {
+class GatewayTrafficTest : public GatewayTrafficFixture {
   CPPUNIT_TEST_SUITE(GatewayTrafficTest);
   CPPUNIT_TEST(LeavesBeforeItsAttemptConnects);
   CPPUNIT_TEST(LeavesBeforeItsEndpointAcceptsTheConnection);
@@ -134,41 +92,6 @@
   CPPUNIT_TEST_SUITE_END();
 
  public:
-  void setUp() override {
-    m_load =
-        std::make_unique<gateway::FleetLoad>(gateway::FleetLoadOptions{"dc"});
-    m_budgets = std::make_unique<gateway::HeldGrants>(
-        gateway::HeldGrantsOptions(),
-        [] { return std::make_unique<wire::CommandIdT>(); });
-    m_retries =
-        std::make_unique<gateway::RetryShare>(gateway::RetryShareOptions());
-    m_core = gateway::MakeCore(
-        gateway::CoreOptions(),
-        {m_load.get(), m_budgets.get(), m_retries.get(), nullptr});
-    m_traffic = std::make_unique<GatewayTraffic>(m_loop, *m_core, m_dialect,
-                                                 *m_metrics, m_link);
-    gateway::Route once;
-    once.name = once.path_prefix = "/once/";
-    once.host = "h";
-    once.kind = gateway::RouteKind::kOnce;
-    once.services = {{"plain", 1}};
-    once.timeout = once.target = 60s;
-    gateway::Route safe = once;
-    safe.name = safe.path_prefix = "/safe/";
-    safe.kind = gateway::RouteKind::kIdempotent;
-    safe.attempts = 2;
-    gateway::Route stream = once;
-    stream.name = stream.path_prefix = "/stream/";
-    stream.kind = gateway::RouteKind::kStream;
-    gateway::Routes routes;
-    routes.version = 1;
-    routes.routes = {once, safe, stream};
-    routes.services = {{"plain", 10, std::nullopt}};
-    m_core->OnRoutes(
-        std::make_shared<const gateway::RouteTable>(std::move(routes)), 1,
-        m_loop.Now());
-  }
-
   void LeavesBeforeItsAttemptConnects() {
     const http::TestListener endpoint(1);
     Announce(endpoint);
@@ -320,32 +243,12 @@
   }
 
  private:
-  void Announce(const http::TestListener& endpoint) {
-    wire::EndpointRecordT record;
-    record.id = "p" + std::to_string(endpoint.Port());
-    record.sequence = 1;
-    record.address = "127.0.0.1:" + std::to_string(endpoint.Port());
-    record.data_centre = "dc";
-    record.services = {"plain"};
-    record.slots = 6;
-    m_directory.OnRecord(record, m_loop.Now());
-    m_core->OnEndpointsChanged(m_directory, m_loop.Now());
-  }
-
   std::shared_ptr<FakeExchange> Ask(const std::string& path, size_t body) {
     auto exchange = std::make_shared<FakeExchange>(path, body);
     m_traffic->Accept(exchange);
     return exchange;
   }
 
-  // The endpoint's side of the connection, once this many bytes have arrived.
-  http::TestPeer AcceptWith(const http::TestListener& endpoint, size_t bytes) {
-    RunUntil([&] { return endpoint.HasConnection(); });
-    http::TestPeer peer = endpoint.Accept();
-    RunUntil([&] { return peer.Waiting() >= bytes; });
-    return peer;
-  }
-
   void ExpectResetBefore(const http::TestPeer& peer, size_t body) {
     const http::TestPeer::End end = peer.ReadToEnd();
     CPPUNIT_ASSERT(end.reset);
@@ -353,41 +256,10 @@
     ExpectNothingOpen();
   }
 
-  void ExpectNothingOpen() {
-    CPPUNIT_ASSERT_EQUAL(size_t{0}, m_core->OpenRequests());
-    CPPUNIT_ASSERT_EQUAL(size_t{0}, m_traffic->OpenResponses());
-  }
-
   static size_t OpenDescriptors() {
     return static_cast<size_t>(std::distance(
         std::filesystem::directory_iterator("/proc/self/fd"), {}));
   }
-
-  // Polls the loop without blocking, because the endpoints do not run on it.
-  void RunUntil(const std::function<bool()>& condition) {
-    const Instant begin = m_loop.Now();
-    while (!condition()) {
-      CPPUNIT_ASSERT(m_loop.Now() - begin < kGuard);
-      ev_run(m_loop.Raw(), EVRUN_NOWAIT);
-    }
-  }
-
-  // Runs what is due, without waiting for further events.
-  void Turn() {
-    constexpr int kTurns = 20;
-    for (int i = 0; i < kTurns; ++i) ev_run(m_loop.Raw(), EVRUN_NOWAIT);
-  }
-
-  loop::Loop m_loop;
-  TestDialect m_dialect;
-  directory::Directory m_directory;
-  std::unique_ptr<telemetry::Metrics> m_metrics = telemetry::MakeMetrics();
-  std::unique_ptr<gateway::FleetLoad> m_load;
-  std::unique_ptr<gateway::HeldGrants> m_budgets;
-  std::unique_ptr<gateway::RetryShare> m_retries;
-  std::unique_ptr<gateway::Core> m_core;
-  LinkGuard m_link{settings::Settings()};
-  std::unique_ptr<GatewayTraffic> m_traffic;
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(GatewayTrafficTest);
--- a/src/dotterelshift/http/test_connection.h
+++ b/src/dotterelshift/http/test_connection.h
@@ -1,10 +1,11 @@
 #ifndef DOTTERELSHIFT_SRC_HTTP_TEST_CONNECTION_H_
 #define DOTTERELSHIFT_SRC_HTTP_TEST_CONNECTION_H_
 
-#include <arpa/inet.h>   // for htons
-#include <netinet/in.h>  // for sockaddr_in
-#include <sys/socket.h>  // for socket
-#include <unistd.h>      // for close
+#include <arpa/inet.h>    // for htons
+#include <netinet/in.h>   // for sockaddr_in
+#include <netinet/tcp.h>  // for tcp_info
+#include <sys/socket.h>   // for socket
+#include <unistd.h>       // for close
 
 #include <array>        // for array
 #include <cerrno>       // for errno
@@ -68,6 +69,14 @@
   // Closes only the sending side.
   void HalfClose() { ::shutdown(m_socket, SHUT_WR); }
 
+  // Whether the peer's system has received the half-close.
+  bool HalfCloseArrived() const {
+    tcp_info info{};
+    socklen_t size = sizeof info;
+    const int got = ::getsockopt(m_socket, IPPROTO_TCP, TCP_INFO, &info, &size);
+    return got == 0 && info.tcpi_state == TCP_FIN_WAIT2;
+  }
+
   // Closes with a reset instead of an orderly close.
   void Reset() {
     const linger at_once{.l_onoff = 1, .l_linger = 0};
--- a/src/dotterelshift/http/test_listener.h
+++ b/src/dotterelshift/http/test_listener.h
@@ -40,6 +40,13 @@
         ::send(m_socket, bytes.data(), bytes.size(), MSG_NOSIGNAL));
   }
 
+  // Sends as much as the system accepts without blocking; returns its size.
+  size_t SendSome(std::string_view bytes) const {
+    const ssize_t size = ::send(m_socket, bytes.data(), bytes.size(),
+                                MSG_NOSIGNAL | MSG_DONTWAIT);
+    return size < 0 ? 0 : static_cast<size_t>(size);
+  }
+
   // Bytes received until the peer closed the connection, and whether it reset
   // it.
   struct End {
