Tests: a caller that leaves while its reserved slot or its second attempt waits for the link

CoreLeaveTest had neither order: the link's queue was tested with first attempts and without the slot's release. Both hold: nothing is sent, the slot and the place in the queue are given back. They refute, as causes of GONE, a request that waits for the link when its caller closes, in the two stages that no test had.

--- a/src/dotterelshift/gateway/core_caller_gone_test.cc
+++ b/src/dotterelshift/gateway/core_caller_gone_test.cc
@@ -2,14 +2,20 @@
 // a running one is cancelled exactly once, and nothing stays reserved.
 #include <cppunit/extensions/HelperMacros.h>  // for CPPUNIT_TEST
 
+#include <memory>  // for make_unique
+
 #include "dotterelshift/directory/spread.h"      // for PulseKey
 #include "dotterelshift/gateway/core.h"          // for Core
 #include "dotterelshift/gateway/core_testing.h"  // for CoreFixture
+#include "dotterelshift/gateway/send_pacer.h"    // for SendPacer
 
 namespace dotterelshift::gateway {
 namespace {
 
 constexpr RequestId kOther = 2;
+constexpr uint64_t kLinkBytesPerSecond = 1'250'000;
+// More than may be queued in the system before a request is sent.
+constexpr Duration kMinHeld = 80ms;
 
 class CoreLeaveTest : public CoreFixture {
   CPPUNIT_TEST_SUITE(CoreLeaveTest);
@@ -21,6 +27,8 @@
   CPPUNIT_TEST(WhileASecondAttemptHasASlotReserved);
   CPPUNIT_TEST(WhileASecondAttemptRuns);
   CPPUNIT_TEST(WhileItsAttemptIsBeingWithdrawn);
+  CPPUNIT_TEST(WhileItsReservedSlotWaitsForTheLink);
+  CPPUNIT_TEST(WhileASecondAttemptWaitsForTheLink);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -146,7 +154,63 @@
     ExpectNothingMore();
   }
 
+  // Its prefill start is reached while other traffic fills the link.
+  void WhileItsReservedSlotWaitsForTheLink() {
+    MakePacedCore();
+    Publish();
+    Request("/stream/", 10'000, 3);
+    Request("/stream/", 10'000, 4);
+    Request("/stream/", 100);
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, m_core->WaitingForLink().requests);
+    for (Duration passed = 0s;
+         passed < 1s && m_core->WaitingForLink().requests == 0; passed += 1ms) {
+      if (m_pacer->Held(m_now) < kMinHeld) FillLink();
+      Advance(1ms);
+    }
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, m_core->WaitingForLink().requests);
+    const uint32_t occupied = Running();
+    Leave();
+    CPPUNIT_ASSERT(m_last.empty());
+    CPPUNIT_ASSERT_EQUAL(occupied - 1, Running());
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, m_core->WaitingForLink().requests);
+    for (Duration passed = 0s; passed < 1s; passed += 1ms) {
+      Advance(1ms);
+      CPPUNIT_ASSERT_EQUAL(size_t{0}, Count<StartAttempt>());
+    }
+  }
+
+  void WhileASecondAttemptWaitsForTheLink() {
+    MakePacedCore();
+    Publish();
+    Request("/safe/");
+    const AttemptId first = Only<StartAttempt>().attempt;
+    FillLink();
+    End(first, http::TransferEnd::kFailedBeforeHead);
+    CPPUNIT_ASSERT(m_last.empty());
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, m_core->WaitingForLink().requests);
+    Leave();
+    CPPUNIT_ASSERT(m_last.empty());
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, m_core->WaitingForLink().requests);
+    ExpectNothingMore();
+  }
+
  private:
+  void MakePacedCore() {
+    SendPacerOptions options;
+    options.bytes_per_second = kLinkBytesPerSecond;
+    m_pacer = std::make_unique<SendPacer>(options);
+    m_core =
+        MakeCore(CoreOptions(), {m_load.get(), m_budgets.get(), m_retries.get(),
+                                 &m_blocklist, m_pacer.get()});
+  }
+
+  // Responses occupy the link for longer than a request may be queued in the
+  // system, and for less than it may wait here.
+  void FillLink() {
+    constexpr uint64_t kBytes = kLinkBytesPerSecond / 8;
+    m_pacer->OnBytes(kBytes, m_now);
+  }
+
   void Leave() {
     m_core->OnCallerGone(kRequest, m_now);
     Collect();
@@ -174,6 +238,8 @@
     Advance(10s);
     CPPUNIT_ASSERT(m_last.empty());
   }
+
+  std::unique_ptr<SendPacer> m_pacer;
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(CoreLeaveTest);
