Directory: entries do not all ask the one control host that returns stale

A control host that was cut off sends its digest to each entry when they connect.

Now a daemon that only receives does not count a first differing digest while more of its other peers agree with it than differ; the second one counts, as for any peer. Control hosts still ask each other at once, since the returning one may hold what they lack. An entry that returns itself asks as before: its peers differ, or none has been compared.

--- a/include/dotterelshift/directory/record_requests.h
+++ b/include/dotterelshift/directory/record_requests.h
@@ -20,16 +20,19 @@
 // that callers fill at the same time, and each of several peers could send all
 // that changed meanwhile. A peer that has just connected is compared by its
 // first digest, since updates sent before the connection were missed for
-// certain. Later digests also differ because of updates in transit, so only the
-// second differing one in a row counts. One peer is asked at a time; the others
-// are asked only if their digests still differ after its answer. A peer that
-// has answered is not asked again until its digest changes, so that records
-// that only this daemon holds cause no further requests.
+// certain, unless this daemon only receives and most other peers agree with it:
+// then the peer is the one that missed updates, and all that only receive would
+// ask it at once. Later digests also differ because of updates in transit, so
+// only the second differing one in a row counts. One peer is asked at a time;
+// the others are asked only if their digests still differ after its answer. A
+// peer that has answered is not asked again until its digest changes, so that
+// records that only this daemon holds cause no further requests.
 class RecordRequests {
  public:
   // A request is abandoned after `answer_timeout`; another peer may be asked
   // then. `self` spreads the requests of a fleet over its peers.
-  RecordRequests(HostId self, Duration answer_timeout);
+  // `only_receives`: no other daemon learns anything from this one.
+  RecordRequests(HostId self, Duration answer_timeout, bool only_receives);
 
   // A connection to the peer was established. With `ask_now` it is asked before
   // its first digest arrives.
@@ -55,10 +58,12 @@
   };
 
   void AbandonOverdue(Instant now);
+  bool MostOthersAgree(const HostId& host) const;
   uint64_t Rank(const HostId& host) const;
 
   HostId m_self;
   Duration m_answer_timeout;
+  bool m_only_receives;
   std::map<HostId, Peer> m_peers;
   HostId m_asked;  // empty: no request awaits its answer
   Instant m_asked_at{};
--- a/src/dotterelshift/directory/record_requests.cc
+++ b/src/dotterelshift/directory/record_requests.cc
@@ -1,14 +1,18 @@
 #include "dotterelshift/directory/record_requests.h"
 
 #include <algorithm>   // for any_of
+#include <cstddef>     // for size_t
 #include <functional>  // for hash
 #include <string>      // for string
 #include <utility>     // for move
 
 namespace dotterelshift::directory {
 
-RecordRequests::RecordRequests(HostId self, Duration answer_timeout)
-    : m_self(std::move(self)), m_answer_timeout(answer_timeout) {}
+RecordRequests::RecordRequests(HostId self, Duration answer_timeout,
+                               bool only_receives)
+    : m_self(std::move(self)),
+      m_answer_timeout(answer_timeout),
+      m_only_receives(only_receives) {}
 
 void RecordRequests::OnPeerUp(const HostId& host, bool ask_now) {
   OnPeerDown(host);
@@ -27,8 +31,10 @@
   Peer& peer = found->second;
   const bool differs =
       digest != own && digest != kNoRecordsDigest && digest != peer.answered;
+  const bool missed_updates =
+      !peer.compared && !(m_only_receives && MostOthersAgree(host));
   const bool certain =
-      !peer.compared || peer.differed || own == kNoRecordsDigest;
+      missed_updates || peer.differed || own == kNoRecordsDigest;
   peer.due = differs && (certain || peer.due);
   peer.digest = digest;
   peer.compared = true;
@@ -42,6 +48,18 @@
   found->second = {digest, digest, true, false, false};
 }
 
+// Whether more of the other peers agreed with this daemon's records when they
+// were last compared than differ, counting `host` as one that differs.
+bool RecordRequests::MostOthersAgree(const HostId& host) const {
+  size_t agree = 0;
+  size_t differ = 1;
+  for (const auto& [other, peer] : m_peers) {
+    if (other == host || other == m_asked || !peer.compared) continue;
+    ++(peer.differed || peer.due ? differ : agree);
+  }
+  return agree > differ;
+}
+
 bool RecordRequests::MayAsk(Instant now) const {
   const bool waiting = !m_asked.empty() && now - m_asked_at < m_answer_timeout;
   return !waiting && std::ranges::any_of(m_peers, [](const auto& item) {
--- a/src/dotterelshift/directory/record_requests_test.cc
+++ b/src/dotterelshift/directory/record_requests_test.cc
@@ -27,6 +27,7 @@
   CPPUNIT_TEST(LostConnectionEndsTheRequest);
   CPPUNIT_TEST(AnsweredPeerIsAskedAgainOnlyWhenItChanges);
   CPPUNIT_TEST(PeerWithoutRecordsIsNotAsked);
+  CPPUNIT_TEST(ReceiverAsksNoPeerThatMostOthersContradict);
   CPPUNIT_TEST(ReturningFleetSpreadsItsRequests);
   CPPUNIT_TEST_SUITE_END();
 
@@ -110,6 +111,20 @@
     CPPUNIT_ASSERT(!m_requests.MayAsk(kStart));
   }
 
+  // A peer that returns stale would otherwise be asked by all receivers.
+  void ReceiverAsksNoPeerThatMostOthersContradict() {
+    RecordRequests requests("self", kAnswerTimeout, true);
+    for (const HostId host : {"a", "b"}) {
+      requests.OnPeerUp(host, false);
+      requests.OnDigest(host, kOwn, kOwn);
+    }
+    requests.OnPeerUp("stale", false);
+    requests.OnDigest("stale", kOther, kOwn);
+    CPPUNIT_ASSERT(!requests.MayAsk(kStart));
+    requests.OnDigest("stale", kOther, kOwn);
+    CPPUNIT_ASSERT(Asked("stale") == requests.Next(kOwn, kStart));
+  }
+
   // A fleet that returns at once would otherwise ask the same peer for its
   // records.
   void ReturningFleetSpreadsItsRequests() {
@@ -117,7 +132,8 @@
     constexpr size_t kPeers = 9;
     std::map<HostId, size_t> asked;
     for (size_t i = 0; i < kDaemons; ++i) {
-      RecordRequests requests("entry-" + std::to_string(i), kAnswerTimeout);
+      RecordRequests requests("entry-" + std::to_string(i), kAnswerTimeout,
+                              true);
       for (size_t peer = 0; peer < kPeers; ++peer) {
         const HostId host = "control-" + std::to_string(peer);
         requests.OnPeerUp(host, false);
@@ -137,7 +153,7 @@
     }
   }
 
-  RecordRequests m_requests{"self", kAnswerTimeout};
+  RecordRequests m_requests{"self", kAnswerTimeout, false};
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RecordRequestsTest);
--- a/src/dotterelshift/directory/spread.cc
+++ b/src/dotterelshift/directory/spread.cc
@@ -93,7 +93,7 @@
 Spread::Spread(const SpreadOptions& options, Directory* directory)
     : m_options(options),
       m_directory(directory),
-      m_requests(options.self, options.answer_timeout) {
+      m_requests(options.self, options.answer_timeout, OnlyReceives()) {
   m_roster.insert(m_options.self);
 }
 
--- a/src/dotterelshift/directory/spread_return_test.cc
+++ b/src/dotterelshift/directory/spread_return_test.cc
@@ -83,6 +83,7 @@
   CPPUNIT_TEST(MissedKeepAlivesAreRenewed);
   CPPUNIT_TEST(RecordsThatOnlyTheEntryHoldsCauseNoRepeatedRequests);
   CPPUNIT_TEST(EmptyControlHostForwardsNotItsWholeDirectory);
+  CPPUNIT_TEST(StaleControlHostIsNotAskedByAllEntries);
   CPPUNIT_TEST(EntryOfOnlyTheReturningControlHostLearnsAll);
   CPPUNIT_TEST_SUITE_END();
 
@@ -261,6 +262,23 @@
       CPPUNIT_ASSERT_EQUAL(size_t{0}, fleet.daemons[i]->records_received);
   }
 
+  // Guards against each entry asking the one control host that was cut off,
+  // because it differs.
+  void StaleControlHostIsNotAskedByAllEntries() {
+    ControlledFleet fleet;
+    fleet.Disconnect(0);
+    fleet.AnnounceAll();
+    fleet.Leave(7);
+    fleet.RunFor(1s);
+    fleet.ForgetCounts();
+    fleet.Reconnect(0);
+    fleet.RunFor(kKnowsWithin);
+    CPPUNIT_ASSERT(fleet.KnowsDraining(0, EndpointOf(7)));
+    CPPUNIT_ASSERT(fleet.daemons[0]->requests_received < kControlHosts);
+    for (size_t i = kControlHosts; i <= kLastEntry; ++i)
+      CPPUNIT_ASSERT_EQUAL(size_t{0}, fleet.daemons[i]->pulses_received);
+  }
+
   // Departures are forwarded at once; the digests bring new endpoints.
   void EntryOfOnlyTheReturningControlHostLearnsAll() {
     ControlledFleet fleet;
