Directory: a host that comes up costs a control host no comparison of all host names

Each connection that came up compared the old neighbours with the new ones, and each round looked every peer up among the neighbours, by linear search over host names: quadratic in the fleet where control sends to all. Neighbours are now looked up in a set, and a daemon that sends to all others does not compute the graph.

--- a/include/dotterelshift/directory/spread.h
+++ b/include/dotterelshift/directory/spread.h
@@ -134,6 +134,7 @@
   Directory* m_directory;
   std::set<HostId> m_roster;
   std::vector<HostId> m_neighbours;
+  std::unordered_set<HostId> m_neighbour_set;  // the same hosts
   std::map<HostId, Peer> m_peers;
   RecordRequests m_requests;
   std::unordered_map<EndpointId, TrackedEndpoint> m_known;
--- a/src/dotterelshift/directory/neighbours.cc
+++ b/src/dotterelshift/directory/neighbours.cc
@@ -18,6 +18,11 @@
   const size_t count = hosts.size();
   const auto here = std::find(hosts.begin(), hosts.end(), self);
   if (here == hosts.end() || count < 2) return {};
+  if (fan_out >= count - 1) {
+    std::vector<HostId> others = hosts;
+    std::erase(others, self);
+    return others;
+  }
   const auto own = static_cast<size_t>(here - hosts.begin());
 
   std::vector<size_t> places;
--- a/src/dotterelshift/directory/spread.cc
+++ b/src/dotterelshift/directory/spread.cc
@@ -1,6 +1,6 @@
 #include "dotterelshift/directory/spread.h"
 
-#include <algorithm>  // for find, max, min
+#include <algorithm>  // for any_of, max, min
 #include <limits>     // for numeric_limits
 #include <optional>   // for optional
 #include <string>     // for string
@@ -120,17 +120,18 @@
 // A new neighbour is sent the digest in the next round, since it may lack
 // records of this daemon.
 void Spread::ChooseNeighbours() {
-  const std::vector<HostId> before = std::move(m_neighbours);
   m_neighbours = NeighboursOf(m_roster, m_options.self, m_options.fan_out);
+  const std::unordered_set<HostId> before = std::move(m_neighbour_set);
+  m_neighbour_set = {m_neighbours.begin(), m_neighbours.end()};
   for (const HostId& host : m_neighbours) {
-    const bool added = std::ranges::find(before, host) == before.end();
+    if (before.contains(host)) continue;
     const auto peer = m_peers.find(host);
-    if (added && peer != m_peers.end()) peer->second.send_digest = true;
+    if (peer != m_peers.end()) peer->second.send_digest = true;
   }
 }
 
 bool Spread::IsNeighbour(const HostId& host) const {
-  return std::ranges::find(m_neighbours, host) != m_neighbours.end();
+  return m_neighbour_set.contains(host);
 }
 
 Duration Spread::PulseInterval() const {
