Control: quarantined contents reach entries that connected under another leader

The quarantined contents were pushed to an entry only when it connected to the replica that leads, and to all when a suspect is reported. An entry that returned while another replica led, or during an election, never received those that were quarantined in the meantime, at most until the next report: routes and configuration are compared in heartbeats, the quarantine is not.

Now a leader sends them once per connection and term along with the missing versions.

EntryPushesTest::QuarantineReachesEntriesThatConnectedUnderAnotherLeader fails without the push (0 of 86 entries). The tests of EntryPushes pass (6).

--- a/src/dotterelshift/app/control.cc
+++ b/src/dotterelshift/app/control.cc
@@ -440,7 +440,7 @@
 void Control::PushPending() {
   m_pushes_scheduled = false;
   if (!m_replica->Leads()) return;
-  if (m_pushes->PushPending(m_loop.Now())) SchedulePushes();
+  if (m_pushes->PushPending(m_loop.Now(), m_loop.WallNow())) SchedulePushes();
 }
 
 void Control::OnTick() {
--- a/src/dotterelshift/app/entry_pushes.cc
+++ b/src/dotterelshift/app/entry_pushes.cc
@@ -56,7 +56,7 @@
 }
 
 void EntryPushes::OnUp(const peers::PeerInfo& entry) {
-  m_entries[entry.run.host] = {entry, {}, {}};
+  m_entries[entry.run.host] = {entry, {}, {}, {}};
 }
 
 bool EntryPushes::OnHeartbeat(const HostId& host, const wire::EntryBeatT& beat,
@@ -101,14 +101,14 @@
   m_hub.Send(host, peers::MakeFrame(std::move(answer)));
 }
 
-bool EntryPushes::PushPending(Instant now) {
+bool EntryPushes::PushPending(Instant now, WallMs wall) {
   TrackRollout(now);
   size_t bytes = 0;
   auto next = m_entries.upper_bound(m_last_pushed);
   for (size_t i = 0; i < m_entries.size(); ++i, ++next) {
     if (bytes >= kMaxPushBytesPerIteration) return true;
     if (next == m_entries.end()) next = m_entries.begin();
-    bytes += Push(next->second, now);
+    bytes += Push(next->second, now, wall);
     m_last_pushed = next->first;
   }
   LogRollout(now);
@@ -138,8 +138,9 @@
        {"took_ms", std::to_string(ToMs(now - m_rollout.started_at))}});
 }
 
-size_t EntryPushes::Push(Entry& entry, Instant now) {
+size_t EntryPushes::Push(Entry& entry, Instant now, WallMs wall) {
   if (m_hub.Backlog(entry.info.run.host) > kMaxBacklogBytes) return 0;
+  PushQuarantineOfTerm(entry, wall);
   return PushConfiguration(entry, now) + PushRoutes(entry, now);
 }
 
@@ -201,7 +202,15 @@
   return m_full_routes;
 }
 
+void EntryPushes::PushQuarantineOfTerm(const Entry& entry, WallMs now) {
+  if (entry.quarantine_term == m_replica.GetNode().Term()) return;
+  PushQuarantine(entry.info.run.host, now);
+}
+
 void EntryPushes::PushQuarantine(const HostId& entry, WallMs now) {
+  const auto known = m_entries.find(entry);
+  if (known != m_entries.end())
+    known->second.quarantine_term = m_replica.GetNode().Term();
   wire::QuarantinePushT push;
   for (const wire::SuspectAnswerT& suspect :
        m_replica.GetState().Quarantined(now)) {
--- a/src/dotterelshift/app/entry_pushes.h
+++ b/src/dotterelshift/app/entry_pushes.h
@@ -1,10 +1,11 @@
 #ifndef DOTTERELSHIFT_SRC_APP_ENTRY_PUSHES_H_
 #define DOTTERELSHIFT_SRC_APP_ENTRY_PUSHES_H_
 
-#include <cstdint>  // for uint64_t
-#include <map>      // for map
-#include <string>   // for string
-#include <vector>   // for vector
+#include <cstdint>   // for uint64_t
+#include <map>       // for map
+#include <optional>  // for optional
+#include <string>    // for string
+#include <vector>    // for vector
 
 #include "dotterelshift/app/control_replica.h"  // for ControlReplica
 #include "dotterelshift/base/ids.h"             // for HostId
@@ -35,8 +36,9 @@
   // replica leads. Missing versions are sent by PushPending().
   void AnswerHeartbeat(const HostId& entry, uint64_t sequence, WallMs stamp);
   // Sends missing versions to the entries in round-robin order, up to the byte
-  // limit of one loop iteration. Returns true if entries remain.
-  bool PushPending(Instant now);
+  // limit of one loop iteration, and the quarantined contents once per
+  // connection and term. Returns true if entries remain.
+  bool PushPending(Instant now, WallMs wall);
   void PushQuarantine(const HostId& entry, WallMs now);
   void PushQuarantineToAll(WallMs now);
 
@@ -60,6 +62,8 @@
     peers::PeerInfo info;
     PushedVersion configuration;
     PushedVersion routes;
+    // The term in which the quarantined contents were last sent to it.
+    std::optional<uint64_t> quarantine_term;
   };
   // Progress of one routes version to the entries, for the log.
   struct Rollout {
@@ -72,12 +76,15 @@
   static void OnReportedVersion(PushedVersion& pushed, uint64_t version,
                                 bool wants_full, Instant now);
   // Return the approximate number of bytes sent.
-  size_t Push(Entry& entry, Instant now);
+  size_t Push(Entry& entry, Instant now, WallMs wall);
   size_t PushConfiguration(Entry& entry, Instant now);
   size_t PushRoutes(Entry& entry, Instant now);
   // The full document in a RoutesStep; packed once for all entries that need
   // it.
   const wire::RoutesStepT& FullRoutes(const state::PublishedRoutes& published);
+  // Another replica may have led when the entry connected, or when the contents
+  // were quarantined.
+  void PushQuarantineOfTerm(const Entry& entry, WallMs now);
   void TrackRollout(Instant now);
   void LogRollout(Instant now);
 
--- a/src/dotterelshift/app/entry_pushes_test.cc
+++ b/src/dotterelshift/app/entry_pushes_test.cc
@@ -15,6 +15,7 @@
 class MockHub : public peers::Hub {
  public:
   bool Send(const HostId& host, const wire::FrameT& frame) override {
+    if (frame.body.AsQuarantinePush() != nullptr) ++quarantines[host];
     const wire::RoutesPushT* routes = frame.body.AsRoutesPush();
     if (routes == nullptr) return true;
     for (const auto& step : routes->steps) backlog[host] += step->packed.size();
@@ -36,6 +37,7 @@
   std::map<HostId, size_t> backlog;
   std::map<HostId, uint64_t> versions;  // of the newest document sent
   std::map<HostId, uint64_t> bases;     // of the first delta sent
+  std::map<HostId, int> quarantines;    // pushes of quarantined contents
   size_t max_backlog = 0;
   int documents = 0;
 
@@ -50,11 +52,13 @@
   CPPUNIT_TEST(PushesPerLoopIterationAreBounded);
   CPPUNIT_TEST(LostDocumentIsSentAgain);
   CPPUNIT_TEST(UnusableDeltaIsFollowedByTheFullDocument);
+  CPPUNIT_TEST(QuarantineReachesEntriesThatConnectedUnderAnotherLeader);
   CPPUNIT_TEST_SUITE_END();
 
  private:
   static constexpr size_t kDocumentBytes = 200'000;
   static constexpr int kEntries = 86;
+  static constexpr WallMs kWall = 1;
 
   // Commits an incompressible document that shares nothing with the previous
   // one.
@@ -86,7 +90,7 @@
 
   // Pushes until no entry remains, as the loop does over several iterations.
   void PushAll() {
-    while (m_pushes.PushPending(m_now)) {
+    while (m_pushes.PushPending(m_now, kWall)) {
     }
   }
 
@@ -143,7 +147,7 @@
     Commit(1);
     int before = 0;
     for (bool more = true; more; before = m_hub.documents) {
-      more = m_pushes.PushPending(m_now);
+      more = m_pushes.PushPending(m_now, kWall);
       const size_t documents = m_hub.documents - before;
       CPPUNIT_ASSERT(documents * kDocumentBytes <=
                      kMaxPushBytes + kDocumentBytes);
@@ -187,6 +191,23 @@
     CPPUNIT_ASSERT_EQUAL(uint64_t{2}, m_hub.versions["e1"]);
   }
 
+  // Contents that were quarantined, and entries that connected, while another
+  // replica led.
+  void QuarantineReachesEntriesThatConnectedUnderAnotherLeader() {
+    for (const char* endpoint : {"a", "b", "c"}) {
+      wire::ReportSuspectT report;
+      report.content_hash = 1;
+      report.endpoint = endpoint;
+      report.alone = true;
+      m_control.Send(std::move(report), kWall);
+    }
+    StartEntries();
+    for (int round = 0; round < 2; ++round) PushAll();
+    CPPUNIT_ASSERT_EQUAL(size_t{kEntries}, m_hub.quarantines.size());
+    for (const auto& [host, pushes] : m_hub.quarantines)
+      CPPUNIT_ASSERT_EQUAL(1, pushes);
+  }
+
   Instant m_now{1000s};
   size_t m_document_bytes = 0;  // of the newest, packed without a base
   uint64_t m_heartbeats = 0;
--- a/src/dotterelshift/app/routes_spread_test.cc
+++ b/src/dotterelshift/app/routes_spread_test.cc
@@ -161,7 +161,7 @@
 
  private:
   void PushTurn() {
-    m_pushes.PushPending(m_events.Now());
+    m_pushes.PushPending(m_events.Now(), 1);
     constexpr Duration kTick = 10ms;
     m_events.At(std::max(m_events.Now() + kTick, m_hub.BusyUntil()),
                 [this] { PushTurn(); });
