Directory: records that the peers have forgotten cause no request to each peer at each change

Control forgets an endpoint 60 s after its last announcement, an entry after 120 s. Until then all digests differ, and the rule that an answered peer is asked again only when its digest changes does not help while endpoints come and go: every change allowed another request to each peer after two digests. Requests for 710 endpoints are some 6 KB and answers some 17 KB (computed, 8 and 24 bytes each).

Requests that are due only because later digests differ now have a minimum interval of 10 s for the daemon, not for each peer; an unanswered one does not count. The first digest of a connection is not affected, nor is a daemon without records.

RecordRequestsTest::LastingDifferencesCauseFewRequests failed before. All tests of the directory pass (36).

--- a/include/dotterelshift/directory/record_requests.h
+++ b/include/dotterelshift/directory/record_requests.h
@@ -26,7 +26,9 @@
 // only the second differing one in a row counts. One peer is asked at a time;
 // the others are asked only if their digests still differ after its answer. A
 // peer that has answered is not asked again until its digest changes, so that
-// records that only this daemon holds cause no further requests.
+// records that only this daemon holds cause no further requests. Where other
+// records change meanwhile, requests because of later digests are also limited
+// in rate: a connection loses no updates, so they are rarely needed.
 class RecordRequests {
  public:
   // A request is abandoned after `answer_timeout`; another peer may be asked
@@ -55,8 +57,10 @@
     bool compared = false;  // a digest has arrived since it connected
     bool differed = false;  // the last digest differed
     bool due = false;       // is to be asked
+    bool lasting = false;   // due only because later digests differed
   };
 
+  bool IsAskable(const Peer& peer, Instant now) const;
   void AbandonOverdue(Instant now);
   bool MostOthersAgree(const HostId& host) const;
   uint64_t Rank(const HostId& host) const;
@@ -67,6 +71,7 @@
   std::map<HostId, Peer> m_peers;
   HostId m_asked;  // empty: no request awaits its answer
   Instant m_asked_at{};
+  Instant m_next_lasting{};  // earliest request because of later digests
 };
 
 }  // namespace dotterelshift::directory
--- a/src/dotterelshift/directory/record_requests.cc
+++ b/src/dotterelshift/directory/record_requests.cc
@@ -7,6 +7,13 @@
 #include <utility>     // for move
 
 namespace dotterelshift::directory {
+namespace {
+
+// Between two requests because of digests that are not the first ones of their
+// connections.
+constexpr Duration kMinLastingInterval = 10s;
+
+}  // namespace
 
 RecordRequests::RecordRequests(HostId self, Duration answer_timeout,
                                bool only_receives)
@@ -21,7 +28,9 @@
 
 void RecordRequests::OnPeerDown(const HostId& host) {
   m_peers.erase(host);
-  if (m_asked == host) m_asked.clear();
+  if (m_asked != host) return;
+  m_asked.clear();
+  m_next_lasting = {};
 }
 
 void RecordRequests::OnDigest(const HostId& host, uint64_t digest,
@@ -35,6 +44,8 @@
       !peer.compared && !(m_only_receives && MostOthersAgree(host));
   const bool certain =
       missed_updates || peer.differed || own == kNoRecordsDigest;
+  const bool first = missed_updates || own == kNoRecordsDigest;
+  peer.lasting = !first && (!peer.due || peer.lasting);
   peer.due = differs && (certain || peer.due);
   peer.digest = digest;
   peer.compared = true;
@@ -45,7 +56,7 @@
   if (m_asked == host) m_asked.clear();
   const auto found = m_peers.find(host);
   if (found == m_peers.end()) return;
-  found->second = {digest, digest, true, false, false};
+  found->second = {digest, digest, true, false, false, false};
 }
 
 // Whether more of the other peers agreed with this daemon's records when they
@@ -62,14 +73,19 @@
 
 bool RecordRequests::MayAsk(Instant now) const {
   const bool waiting = !m_asked.empty() && now - m_asked_at < m_answer_timeout;
-  return !waiting && std::ranges::any_of(m_peers, [](const auto& item) {
-    return item.second.due;
+  return !waiting && std::ranges::any_of(m_peers, [&](const auto& item) {
+    return IsAskable(item.second, now);
   });
 }
 
+bool RecordRequests::IsAskable(const Peer& peer, Instant now) const {
+  return peer.due && (!peer.lasting || now >= m_next_lasting);
+}
+
 void RecordRequests::AbandonOverdue(Instant now) {
   if (m_asked.empty() || now - m_asked_at < m_answer_timeout) return;
   m_asked.clear();
+  m_next_lasting = {};
 }
 
 std::optional<HostId> RecordRequests::Next(uint64_t own, Instant now) {
@@ -79,13 +95,14 @@
   for (auto& [host, peer] : m_peers) {
     // Another peer's answer may have brought what this one holds.
     if (peer.digest == own) peer.due = false;
-    if (!peer.due) continue;
+    if (!IsAskable(peer, now)) continue;
     if (!next || Rank(host) < Rank(*next)) next = host;
   }
   if (!next) return std::nullopt;
   m_asked = *next;
   m_asked_at = now;
   Peer& asked = m_peers[*next];
+  if (asked.lasting) m_next_lasting = now + kMinLastingInterval;
   asked.due = false;
   asked.differed = false;
   return next;
--- a/src/dotterelshift/directory/record_requests_test.cc
+++ b/src/dotterelshift/directory/record_requests_test.cc
@@ -4,6 +4,7 @@
 
 #include <map>     // for map
 #include <string>  // for string
+#include <vector>  // for vector
 
 namespace dotterelshift::directory {
 namespace {
@@ -28,6 +29,7 @@
   CPPUNIT_TEST(AnsweredPeerIsAskedAgainOnlyWhenItChanges);
   CPPUNIT_TEST(PeerWithoutRecordsIsNotAsked);
   CPPUNIT_TEST(ReceiverAsksNoPeerThatMostOthersContradict);
+  CPPUNIT_TEST(LastingDifferencesCauseFewRequests);
   CPPUNIT_TEST(ReturningFleetSpreadsItsRequests);
   CPPUNIT_TEST_SUITE_END();
 
@@ -125,6 +127,27 @@
     CPPUNIT_ASSERT(Asked("stale") == requests.Next(kOwn, kStart));
   }
 
+  // Guards against a request to each peer whenever its records change, while
+  // this daemon holds a record that all of them have forgotten.
+  void LastingDifferencesCauseFewRequests() {
+    const std::vector<HostId> peers = {"a", "b", "c"};
+    for (const HostId& host : peers) {
+      m_requests.OnPeerUp(host, false);
+      m_requests.OnDigest(host, kOwn, kOwn);
+    }
+    size_t requests = 0;
+    for (uint64_t second = 0; second < 30; second += 3) {
+      for (const HostId& host : peers) {
+        m_requests.OnDigest(host, kOther + second, kOwn);
+        const Asked asked = m_requests.Next(kOwn, kStart + second * 1s);
+        if (!asked) continue;
+        ++requests;
+        m_requests.OnAnswer(*asked, kOther + second);
+      }
+    }
+    CPPUNIT_ASSERT(requests > 0 && requests <= 3);
+  }
+
   // A fleet that returns at once would otherwise ask the same peer for its
   // records.
   void ReturningFleetSpreadsItsRequests() {
