--- a/src/dotterelshift/directory/record_requests_test.cc
+++ b/src/dotterelshift/directory/record_requests_test.cc
@@ -4,6 +4,7 @@
 
 #include <map>     // for map
 #include <string>  // for string
+#include <vector>  // for vector
 
 namespace dotterelshift::directory {
 namespace {
@@ -27,6 +28,8 @@
   CPPUNIT_TEST(LostConnectionEndsTheRequest);
   CPPUNIT_TEST(AnsweredPeerIsAskedAgainOnlyWhenItChanges);
   CPPUNIT_TEST(PeerWithoutRecordsIsNotAsked);
+  CPPUNIT_TEST(ReceiverAsksNoPeerThatMostOthersContradict);
+  CPPUNIT_TEST(LastingDifferencesCauseFewRequests);
   CPPUNIT_TEST(ReturningFleetSpreadsItsRequests);
   CPPUNIT_TEST_SUITE_END();
 
@@ -110,6 +113,41 @@
     CPPUNIT_ASSERT(!m_requests.MayAsk(kStart));
   }
 
+  // A peer that returns stale would otherwise be asked by all receivers.
+  void ReceiverAsksNoPeerThatMostOthersContradict() {
+    RecordRequests requests("self", kAnswerTimeout, true);
+    for (const HostId host : {"a", "b"}) {
+      requests.OnPeerUp(host, false);
+      requests.OnDigest(host, kOwn, kOwn);
+    }
+    requests.OnPeerUp("stale", false);
+    requests.OnDigest("stale", kOther, kOwn);
+    CPPUNIT_ASSERT(!requests.MayAsk(kStart));
+    requests.OnDigest("stale", kOther, kOwn);
+    CPPUNIT_ASSERT(Asked("stale") == requests.Next(kOwn, kStart));
+  }
+
+  // Guards against a request to each peer whenever its records change, while
+  // this daemon holds a record that all of them have forgotten.
+  void LastingDifferencesCauseFewRequests() {
+    const std::vector<HostId> peers = {"a", "b", "c"};
+    for (const HostId& host : peers) {
+      m_requests.OnPeerUp(host, false);
+      m_requests.OnDigest(host, kOwn, kOwn);
+    }
+    size_t requests = 0;
+    for (uint64_t second = 0; second < 30; second += 3) {
+      for (const HostId& host : peers) {
+        m_requests.OnDigest(host, kOther + second, kOwn);
+        const Asked asked = m_requests.Next(kOwn, kStart + second * 1s);
+        if (!asked) continue;
+        ++requests;
+        m_requests.OnAnswer(*asked, kOther + second);
+      }
+    }
+    CPPUNIT_ASSERT(requests > 0 && requests <= 3);
+  }
+
   // A fleet that returns at once would otherwise ask the same peer for its
   // records.
   void ReturningFleetSpreadsItsRequests() {
@@ -117,7 +155,8 @@
     constexpr size_t kPeers = 9;
     std::map<HostId, size_t> asked;
     for (size_t i = 0; i < kDaemons; ++i) {
-      RecordRequests requests("entry-" + std::to_string(i), kAnswerTimeout);
+      RecordRequests requests("entry-" + std::to_string(i), kAnswerTimeout,
+                              true);
       for (size_t peer = 0; peer < kPeers; ++peer) {
         const HostId host = "control-" + std::to_string(peer);
         requests.OnPeerUp(host, false);
@@ -137,7 +176,7 @@
     }
   }
 
-  RecordRequests m_requests{"self", kAnswerTimeout};
+  RecordRequests m_requests{"self", kAnswerTimeout, false};
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RecordRequestsTest);
