Log: the line of a caller's disconnect says whether its attempt has been reset

Cause: the line says what an attempt had handed over when its caller's close was read, but not whether the connection to the endpoint was reset then.

Change: Client::Cancel() returns whether the connection has been reset; the outbound transfer of an attempt has `reset`: `done`, or `due` if it follows once a callback has returned. Nothing else changes.

Evidence: GatewayTrafficTest::LogSaysThatTheConnectionWasReset fails without the line (1 of 13 failed) and passes with it; GatewayTrafficTest, HttpTest and HangUpTest together: 42 passed, 0 failed. The suite as a whole was not run.

--- a/include/dotterelshift/http/client.h
+++ b/include/dotterelshift/http/client.h
@@ -66,8 +66,10 @@
   virtual TransferId Start(ClientRequest request,
                            TransferCallbacks callbacks) = 0;
   // Resets the transfer's connection, so that the server notices the disconnect
-  // and the unsent bytes of the request are discarded.
-  virtual void Cancel(TransferId transfer) = 0;
+  // and the unsent bytes of the request are discarded. Returns whether that has
+  // happened: there may be no connection, and from within a callback of a
+  // transfer the reset follows once the callback has returned.
+  virtual bool Cancel(TransferId transfer) = 0;
   // Cancels a transfer if no byte of its request has been handed over to a
   // connection; then nothing is sent and no callback follows. Returns false if
   // bytes may have been handed over, and the transfer continues, or if it has
--- a/src/dotterelshift/app/gateway_traffic.cc
+++ b/src/dotterelshift/app/gateway_traffic.cc
@@ -217,7 +217,7 @@
   m_transfers.erase(transfer);
   if (m_client->Withdraw(id))
     return m_core.OnWithdrawn(cancel.attempt, m_loop.Now());
-  m_client->Cancel(id);
+  m_ended_sends[cancel.attempt].reset = m_client->Cancel(id);
 }
 
 void GatewayTraffic::Execute(const gateway::WithdrawAttempt& withdraw) {
@@ -330,6 +330,8 @@
       ended != m_ended_sends.end() ? ended->second : open->second.send_record;
   if (record.unsent)
     inputs.emplace_back("unsent", std::to_string(*record.unsent));
+  if (record.reset)
+    inputs.emplace_back("reset", *record.reset ? "done" : "due");
   if (!record.handed_over) {
     inputs.emplace_back("handed_over", "no");
     return;
--- a/src/dotterelshift/app/gateway_traffic.h
+++ b/src/dotterelshift/app/gateway_traffic.h
@@ -64,6 +64,9 @@
     Instant handed_over_at{};
     Duration wait{};  // expected wait for the outbound link at that time
     std::optional<size_t> unsent;  // bytes, at the attempt's end
+    // Whether the connection of a cancelled attempt has been reset. nullopt if
+    // the attempt was not cancelled, or had handed nothing over.
+    std::optional<bool> reset;
   };
   // The response of one attempt: buffered until it is complete, unless it is
   // streamed to the caller.
--- a/src/dotterelshift/app/gateway_traffic_test.cc
+++ b/src/dotterelshift/app/gateway_traffic_test.cc
@@ -15,8 +15,9 @@
 #include <string_view>  // for string_view
 #include <utility>      // for exchange
 
-#include "dotterelshift/http/test_connection.h"  // for TestConnection
-#include "dotterelshift/http/test_listener.h"    // for TestListener
+#include "dotterelshift/http/test_connection.h"   // for TestConnection
+#include "dotterelshift/http/test_listener.h"     // for TestListener
+#include "dotterelshift/telemetry/log_testing.h"  // for CapturedLog
 
 namespace dotterelshift::app {
 namespace {
@@ -130,6 +131,8 @@
   CPPUNIT_TEST(LeavesWhileItsStreamRuns);
   CPPUNIT_TEST(LeavesWhileItsStreamIsPausedWithHeldBytes);
   CPPUNIT_TEST(ResponseToAnotherRequestDropsHeldBytes);
+  CPPUNIT_TEST(LogSaysThatTheConnectionWasReset);
+  CPPUNIT_TEST(LogNamesNoResetOfWhatWasNotHandedOver);
   CPPUNIT_TEST(LeavesAtARealServer);
   CPPUNIT_TEST_SUITE_END();
 
@@ -301,6 +304,36 @@
     ExpectResetBefore(peer, kHeldBody);
   }
 
+  // The line of a caller's disconnect is written once the endpoint's connection
+  // has been reset, also that of a stream paused with held bytes.
+  void LogSaysThatTheConnectionWasReset() {
+    const telemetry::CapturedLog log(telemetry::LogLevel::kInfo);
+    const http::TestListener endpoint(1, kSmallBuffer);
+    Announce(endpoint);
+    const auto caller = Ask("/stream/x", kHeldBody);
+    const http::TestPeer peer = AcceptWith(endpoint, 1);
+    Turn();
+    caller->SetBacklog(kLongBody);
+    peer.Send(kStreamBegin);
+    RunUntil([&] { return !caller->Taken().empty(); });
+    Turn();
+    caller->Leave();
+    CPPUNIT_ASSERT(Contains(log, "\"outcome\":\"caller_gone\""));
+    CPPUNIT_ASSERT(Contains(log, "\"reset\":\"done\""));
+    ExpectResetBefore(peer, kHeldBody);
+  }
+
+  void LogNamesNoResetOfWhatWasNotHandedOver() {
+    const telemetry::CapturedLog log(telemetry::LogLevel::kInfo);
+    const http::TestListener endpoint(1);
+    Announce(endpoint);
+    const auto caller = Ask("/once/x", kShortBody);
+    caller->Leave();
+    CPPUNIT_ASSERT(Contains(log, "\"handed_over\":\"no\""));
+    CPPUNIT_ASSERT(!Contains(log, "\"reset\""));
+    ExpectNothingOpen();
+  }
+
   void LeavesAtARealServer() {
     const http::TestListener endpoint(1, kSmallBuffer);
     Announce(endpoint);
@@ -346,6 +379,11 @@
     return peer;
   }
 
+  static bool Contains(const telemetry::CapturedLog& log,
+                       std::string_view part) {
+    return log.Text().find(part) != std::string::npos;
+  }
+
   void ExpectResetBefore(const http::TestPeer& peer, size_t body) {
     const http::TestPeer::End end = peer.ReadToEnd();
     CPPUNIT_ASSERT(end.reset);
--- a/src/dotterelshift/http/client.cc
+++ b/src/dotterelshift/http/client.cc
@@ -95,15 +95,18 @@
     return m_last_id;
   }
 
-  void Cancel(TransferId id) override {
+  bool Cancel(TransferId id) override {
     const auto found = m_transfers.find(id);
-    if (found == m_transfers.end()) return;
+    if (found == m_transfers.end()) return false;
     found->second->cancelled = true;
     if (m_in_curl) {
       m_to_remove.push_back(id);
-    } else {
-      Remove(id);
+      return false;
     }
+    const bool connected = Uses(*found->second);
+    const curl_socket_t descriptor = found->second->descriptor;
+    Remove(id);
+    return connected && !m_users.contains(descriptor);
   }
 
   bool Withdraw(TransferId id) override {
--- a/src/dotterelshift/http/http_test.cc
+++ b/src/dotterelshift/http/http_test.cc
@@ -155,8 +155,9 @@
     TestPeer peer = listener.Accept();
     RunUntil([&] { return peer.Waiting() > 0; });
     CPPUNIT_ASSERT(m_client->Unsent(m_transfer) > size_t{1 << 20});
-    m_client->Cancel(m_transfer);
+    CPPUNIT_ASSERT(m_client->Cancel(m_transfer));
     CPPUNIT_ASSERT(!m_client->Unsent(m_transfer));
+    CPPUNIT_ASSERT(!m_client->Cancel(m_transfer));
     CPPUNIT_ASSERT(peer.ReadToEnd().reset);
   }
 
