Control: an entry that returns is sent no documents before it says what it holds

A leader took a newly connected entry to hold version 0 until its first heartbeat, and pushed with every heartbeat of another entry and every tick: an entry whose heartbeat waits in a queue was sent the full routes document and configuration over the link that it returns on, although it held them.

Now configuration and routes are pushed only after the entry's first heartbeat, which it sends as soon as it is connected.

EntryPushesTest::ReturningEntryIsSentNothingBeforeItsHeartbeat fails without the condition (1 document instead of 0). StartEntries() and the fleet of RoutesSpreadTest connected entries that never sent a heartbeat, which no entry does; three tests of RoutesSpreadTest failed for that reason. Their entries now send the heartbeat with which an entry starts (version 0); all assertions and limits are as they were. 80 tests of EntryPushes, RoutesSpread, Spread, RecordRequests, Directory, Hub and ControlLink pass.

--- a/src/dotterelshift/app/entry_pushes.cc
+++ b/src/dotterelshift/app/entry_pushes.cc
@@ -56,13 +56,14 @@
 }
 
 void EntryPushes::OnUp(const peers::PeerInfo& entry) {
-  m_entries[entry.run.host] = {entry, {}, {}, {}};
+  m_entries[entry.run.host] = {entry, {}, {}, false, {}};
 }
 
 bool EntryPushes::OnHeartbeat(const HostId& host, const wire::EntryBeatT& beat,
                               Instant now) {
   const auto entry = m_entries.find(host);
   if (entry == m_entries.end()) return false;
+  entry->second.reported = true;
   OnReportedVersion(entry->second.configuration, beat.configuration_version,
                     false, now);
   OnReportedVersion(entry->second.routes, beat.routes_version,
@@ -141,6 +142,9 @@
 size_t EntryPushes::Push(Entry& entry, Instant now, WallMs wall) {
   if (m_hub.Backlog(entry.info.run.host) > kMaxBacklogBytes) return 0;
   PushQuarantineOfTerm(entry, wall);
+  // An entry that returns mostly holds the newest versions; its first heartbeat
+  // tells.
+  if (!entry.reported) return 0;
   return PushConfiguration(entry, now) + PushRoutes(entry, now);
 }
 
--- a/src/dotterelshift/app/entry_pushes.h
+++ b/src/dotterelshift/app/entry_pushes.h
@@ -62,6 +62,7 @@
     peers::PeerInfo info;
     PushedVersion configuration;
     PushedVersion routes;
+    bool reported = false;  // the versions it holds are known
     // The term in which the quarantined contents were last sent to it.
     std::optional<uint64_t> quarantine_term;
   };
--- a/src/dotterelshift/app/entry_pushes_test.cc
+++ b/src/dotterelshift/app/entry_pushes_test.cc
@@ -52,6 +52,7 @@
   CPPUNIT_TEST(PushesPerLoopIterationAreBounded);
   CPPUNIT_TEST(LostDocumentIsSentAgain);
   CPPUNIT_TEST(UnusableDeltaIsFollowedByTheFullDocument);
+  CPPUNIT_TEST(ReturningEntryIsSentNothingBeforeItsHeartbeat);
   CPPUNIT_TEST(QuarantineReachesEntriesThatConnectedUnderAnotherLeader);
   CPPUNIT_TEST_SUITE_END();
 
@@ -110,6 +111,7 @@
       peers::PeerInfo entry;
       entry.run = {"e" + std::to_string(i), 1};
       m_pushes.OnUp(entry);
+      m_pushes.OnHeartbeat(entry.run.host, {}, m_now);
     }
   }
 
@@ -191,6 +193,18 @@
     CPPUNIT_ASSERT_EQUAL(uint64_t{2}, m_hub.versions["e1"]);
   }
 
+  // Guards against the full document being sent to each entry that returns with
+  // it, when a heartbeat of another entry comes before its own.
+  void ReturningEntryIsSentNothingBeforeItsHeartbeat() {
+    Publish(1);
+    peers::PeerInfo entry;
+    entry.run = {"returns", 1};
+    m_pushes.OnUp(entry);
+    PushAll();
+    SendHeartbeat("returns", 1);
+    CPPUNIT_ASSERT_EQUAL(0, m_hub.documents);
+  }
+
   // Contents that were quarantined, and entries that connected, while another
   // replica led.
   void QuarantineReachesEntriesThatConnectedUnderAnotherLeader() {
--- a/src/dotterelshift/app/routes_spread_test.cc
+++ b/src/dotterelshift/app/routes_spread_test.cc
@@ -121,6 +121,8 @@
     info.run = {"e" + std::to_string(m_entries.size()), 1};
     m_entries.emplace(info.run.host, ControlLinkOptions());
     m_pushes.OnUp(info);
+    // An entry sends a heartbeat as soon as it is connected.
+    m_pushes.OnHeartbeat(info.run.host, {}, m_events.Now());
   }
 
   // Publishes a version in which one route differs from the previous one.
