--- a/src/dotterelshift/directory/record_requests.cc
+++ b/src/dotterelshift/directory/record_requests.cc
@@ -42,11 +42,10 @@
       digest != own && digest != kNoRecordsDigest && digest != peer.answered;
   const bool missed_updates =
       !peer.compared && !(m_only_receives && MostOthersAgree(host));
-  const bool certain =
-      missed_updates || peer.differed || own == kNoRecordsDigest;
-  const bool first = missed_updates || own == kNoRecordsDigest;
-  peer.lasting = !first && (!peer.due || peer.lasting);
-  peer.due = differs && (certain || peer.due);
+  const bool at_once = missed_updates || own == kNoRecordsDigest;
+  const bool second_in_a_row = peer.differed;
+  peer.lasting = !at_once && (!peer.due || peer.lasting);
+  peer.due = differs && (at_once || second_in_a_row || peer.due);
   peer.digest = digest;
   peer.compared = true;
   peer.differed = differs;
@@ -56,7 +55,7 @@
   if (m_asked == host) m_asked.clear();
   const auto found = m_peers.find(host);
   if (found == m_peers.end()) return;
-  found->second = {digest, digest, true, false, false, false};
+  found->second = {.digest = digest, .answered = digest, .compared = true};
 }
 
 // Whether more of the other peers agreed with this daemon's records when they
