Read as a newcomer: dead code, state kept twice and a long test file

Checks: DeltaContainsOnlyChanges counts the directory's records themselves instead of AllRecords(), which held one for each: as strict.

Ruled out: a change of behaviour; the 114 tests of the directory, hub, server, traffic, link and pushes pass.

--- a/include/dotterelshift/directory/directory.h
+++ b/include/dotterelshift/directory/directory.h
@@ -84,8 +84,6 @@
 
   // The records that changed since the last call, to be disseminated.
   wire::DirectoryDeltaT TakeDelta(Instant now);
-  // All records, for a daemon that has just joined.
-  wire::DirectoryDeltaT AllRecords(Instant now) const;
 
   // The record with its current age, as it is sent to other daemons.
   wire::EndpointRecordT AgedRecord(const Endpoint& endpoint, Instant now) const;
--- a/include/dotterelshift/directory/record_requests.h
+++ b/include/dotterelshift/directory/record_requests.h
@@ -52,12 +52,13 @@
 
  private:
   struct Peer {
-    uint64_t digest = 0;    // last received; 0 if none
+    uint64_t digest = 0;    // last received on this connection; 0 if none
     uint64_t answered = 0;  // at its last answer; 0 if none
-    bool compared = false;  // a digest has arrived since it connected
     bool differed = false;  // the last digest differed
     bool due = false;       // is to be asked
     bool lasting = false;   // due only because later digests differed
+
+    bool IsCompared() const { return digest != 0; }
   };
 
   bool IsAskable(const Peer& peer, Instant now) const;
--- a/include/dotterelshift/directory/spread.h
+++ b/include/dotterelshift/directory/spread.h
@@ -76,7 +76,8 @@
   bool OnDelta(const HostId& from, const wire::DirectoryDeltaT& delta,
                Instant now);
 
-  // What OnDelta() received since the last call.
+  // The departures that OnDelta() has received since the last call, for the
+  // log.
   std::vector<ReceivedDeparture> TakeDepartures();
 
   // Returns what is to be sent now; also expires silent records.
@@ -85,7 +86,6 @@
 
   // The current interval between load reports of one endpoint.
   Duration PulseInterval() const;
-  const std::vector<HostId>& Neighbours() const { return m_neighbours; }
 
  private:
   // An update of one endpoint to be forwarded to all neighbours but `from`.
@@ -114,7 +114,7 @@
   void Track(const EndpointId& endpoint, const HostId& from, Instant now);
   void QueueUpdate(const EndpointId& endpoint, RecordUpdate update,
                    const HostId& from);
-  bool MustForward(const wire::DirectoryDeltaT& delta) const;
+  bool ForwardsAllOf(const wire::DirectoryDeltaT& delta) const;
   void ApplyPulses(const HostId& from, const wire::DirectoryDeltaT& delta,
                    Instant now, bool* any_update);
   bool HasLeft(const EndpointId& endpoint) const;
@@ -133,8 +133,7 @@
   SpreadOptions m_options;
   Directory* m_directory;
   std::set<HostId> m_roster;
-  std::vector<HostId> m_neighbours;
-  std::unordered_set<HostId> m_neighbour_set;  // the same hosts
+  std::unordered_set<HostId> m_neighbours;
   std::map<HostId, Peer> m_peers;
   RecordRequests m_requests;
   std::unordered_map<EndpointId, TrackedEndpoint> m_known;
--- a/include/dotterelshift/peers/hub.h
+++ b/include/dotterelshift/peers/hub.h
@@ -61,6 +61,7 @@
   kHelloTimeout,    // connected, but not authenticated in time
   kClosed,  // closed during the handshake, by the peer or as a duplicate
 };
+// As it is written in logs.
 std::string_view NameOf(DialResult result);
 
 struct DialReport {
--- a/src/dotterelshift/app/entry_pushes.cc
+++ b/src/dotterelshift/app/entry_pushes.cc
@@ -56,7 +56,7 @@
 }
 
 void EntryPushes::OnUp(const peers::PeerInfo& entry) {
-  m_entries[entry.run.host] = {entry, {}, {}, false, {}};
+  m_entries[entry.run.host] = {.info = entry};
 }
 
 bool EntryPushes::OnHeartbeat(const HostId& host, const wire::EntryBeatT& beat,
--- a/src/dotterelshift/app/gateway_traffic_test.cc
+++ b/src/dotterelshift/app/gateway_traffic_test.cc
@@ -10,7 +10,7 @@
 #include <memory>       // for make_shared
 #include <string>       // for string
 #include <string_view>  // for string_view
-#include <utility>      // for exchange
+#include <utility>      // for exchange, move
 
 #include "dotterelshift/app/gateway_traffic_testing.h"  // for GatewayTrafficFixture
 #include "dotterelshift/http/test_connection.h"         // for TestConnection
@@ -203,14 +203,7 @@
   // An endpoint may answer before it has read the whole request.
   void LeavesWhileItsStreamIsPausedWithHeldBytes() {
     const http::TestListener endpoint(1, kSmallBuffer);
-    Announce(endpoint);
-    const auto caller = Ask("/stream/x", kHeldBody);
-    const http::TestPeer peer = AcceptWith(endpoint, 1);
-    Turn();
-    caller->SetBacklog(kLongBody);
-    peer.Send(kStreamBegin);
-    RunUntil([&] { return !caller->Taken().empty(); });
-    Turn();
+    const auto [caller, peer] = PauseStreamWithHeldBytes(endpoint);
     caller->Leave();
     ExpectResetBefore(peer, kHeldBody);
   }
@@ -232,14 +225,7 @@
   void LogSaysThatTheConnectionWasReset() {
     const telemetry::CapturedLog log(telemetry::LogLevel::kInfo);
     const http::TestListener endpoint(1, kSmallBuffer);
-    Announce(endpoint);
-    const auto caller = Ask("/stream/x", kHeldBody);
-    const http::TestPeer peer = AcceptWith(endpoint, 1);
-    Turn();
-    caller->SetBacklog(kLongBody);
-    peer.Send(kStreamBegin);
-    RunUntil([&] { return !caller->Taken().empty(); });
-    Turn();
+    const auto [caller, peer] = PauseStreamWithHeldBytes(endpoint);
     caller->Leave();
     CPPUNIT_ASSERT(Contains(log, "\"outcome\":\"caller_gone\""));
     CPPUNIT_ASSERT(Contains(log, "\"reset\":\"done\""));
@@ -282,6 +268,24 @@
     return exchange;
   }
 
+  struct PausedStream {
+    std::shared_ptr<FakeExchange> caller;
+    http::TestPeer peer;  // the endpoint's side
+  };
+  // A stream whose caller takes no more, while bytes of its request are held
+  // here.
+  PausedStream PauseStreamWithHeldBytes(const http::TestListener& endpoint) {
+    Announce(endpoint);
+    const auto caller = Ask("/stream/x", kHeldBody);
+    http::TestPeer peer = AcceptWith(endpoint, 1);
+    Turn();
+    caller->SetBacklog(kLongBody);
+    peer.Send(kStreamBegin);
+    RunUntil([&] { return !caller->Taken().empty(); });
+    Turn();
+    return {caller, std::move(peer)};
+  }
+
   static bool Contains(const telemetry::CapturedLog& log,
                        std::string_view text) {
     return log.Text().find(text) != std::string::npos;
--- a/src/dotterelshift/app/routes_spread_test.cc
+++ b/src/dotterelshift/app/routes_spread_test.cc
@@ -163,7 +163,8 @@
 
  private:
   void PushTurn() {
-    m_pushes.PushPending(m_events.Now(), 1);
+    constexpr WallMs kWall = 1;
+    m_pushes.PushPending(m_events.Now(), kWall);
     constexpr Duration kTick = 10ms;
     m_events.At(std::max(m_events.Now() + kTick, m_hub.BusyUntil()),
                 [this] { PushTurn(); });
--- a/src/dotterelshift/directory/directory.cc
+++ b/src/dotterelshift/directory/directory.cc
@@ -200,15 +200,6 @@
   return delta;
 }
 
-wire::DirectoryDeltaT Directory::AllRecords(Instant now) const {
-  wire::DirectoryDeltaT delta;
-  for (const auto& [id, endpoint] : m_endpoints) {
-    delta.records.push_back(
-        std::make_unique<wire::EndpointRecordT>(AgedRecord(endpoint, now)));
-  }
-  return delta;
-}
-
 wire::EndpointRecordT Directory::AgedRecord(const Endpoint& endpoint,
                                             Instant now) const {
   wire::EndpointRecordT record = endpoint.record;
--- a/src/dotterelshift/directory/directory_test.cc
+++ b/src/dotterelshift/directory/directory_test.cc
@@ -189,8 +189,7 @@
     CPPUNIT_ASSERT_EQUAL(uint32_t{200}, delta.records[0]->age_ms);
     directory.OnRecord(Record({}), kStart + 300ms);
     CPPUNIT_ASSERT(directory.TakeDelta(kStart + 300ms).records.empty());
-    CPPUNIT_ASSERT_EQUAL(size_t{1},
-                         directory.AllRecords(kStart).records.size());
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, directory.All().size());
   }
 
   void GenerationIgnoresLoad() {
--- a/src/dotterelshift/directory/record_requests.cc
+++ b/src/dotterelshift/directory/record_requests.cc
@@ -41,13 +41,12 @@
   const bool differs =
       digest != own && digest != kNoRecordsDigest && digest != peer.answered;
   const bool missed_updates =
-      !peer.compared && !(m_only_receives && MostOthersAgree(host));
+      !peer.IsCompared() && !(m_only_receives && MostOthersAgree(host));
   const bool at_once = missed_updates || own == kNoRecordsDigest;
   const bool second_in_a_row = peer.differed;
   peer.lasting = !at_once && (!peer.due || peer.lasting);
   peer.due = differs && (at_once || second_in_a_row || peer.due);
   peer.digest = digest;
-  peer.compared = true;
   peer.differed = differs;
 }
 
@@ -55,7 +54,7 @@
   if (m_asked == host) m_asked.clear();
   const auto found = m_peers.find(host);
   if (found == m_peers.end()) return;
-  found->second = {.digest = digest, .answered = digest, .compared = true};
+  found->second = {.digest = digest, .answered = digest};
 }
 
 // Whether more of the other peers agreed with this daemon's records when they
@@ -64,7 +63,7 @@
   size_t agree = 0;
   size_t differ = 1;
   for (const auto& [other, peer] : m_peers) {
-    if (other == host || other == m_asked || !peer.compared) continue;
+    if (other == host || other == m_asked || !peer.IsCompared()) continue;
     ++(peer.differed || peer.due ? differ : agree);
   }
   return agree > differ;
--- a/src/dotterelshift/directory/spread.cc
+++ b/src/dotterelshift/directory/spread.cc
@@ -120,9 +120,10 @@
 // A new neighbour is sent the digest in the next round, since it may lack
 // records of this daemon.
 void Spread::ChooseNeighbours() {
-  m_neighbours = NeighboursOf(m_roster, m_options.self, m_options.fan_out);
-  const std::unordered_set<HostId> before = std::move(m_neighbour_set);
-  m_neighbour_set = {m_neighbours.begin(), m_neighbours.end()};
+  const std::unordered_set<HostId> before = std::move(m_neighbours);
+  const std::vector<HostId> chosen =
+      NeighboursOf(m_roster, m_options.self, m_options.fan_out);
+  m_neighbours = {chosen.begin(), chosen.end()};
   for (const HostId& host : m_neighbours) {
     if (before.contains(host)) continue;
     const auto peer = m_peers.find(host);
@@ -131,7 +132,7 @@
 }
 
 bool Spread::IsNeighbour(const HostId& host) const {
-  return m_neighbour_set.contains(host);
+  return m_neighbours.contains(host);
 }
 
 Duration Spread::PulseInterval() const {
@@ -176,7 +177,7 @@
     if (update == RecordUpdate::kStale) continue;
     any_update = true;
     Track(record->id, from, now);
-    if (known_before || MustForward(delta))
+    if (known_before || ForwardsAllOf(delta))
       QueueUpdate(record->id, update, from);
     if (!left_before && HasLeft(record->id))
       m_departures.push_back({record->id, from, record->draining, record->gone,
@@ -228,7 +229,7 @@
     *any_update = true;
     const EndpointId endpoint_id = id->second;
     Track(endpoint_id, from, now);
-    if (update == RecordUpdate::kOffer || MustForward(delta))
+    if (update == RecordUpdate::kOffer || ForwardsAllOf(delta))
       QueueUpdate(endpoint_id, update, from);
   }
 }
@@ -237,7 +238,7 @@
 // loads, and endpoints that were new to itself only. The others have these from
 // the daemon that answered, or compare digests. Otherwise a daemon that
 // restarts would send its whole directory to each of them.
-bool Spread::MustForward(const wire::DirectoryDeltaT& delta) const {
+bool Spread::ForwardsAllOf(const wire::DirectoryDeltaT& delta) const {
   const bool sends_to_all = m_options.fan_out + 1 >= m_roster.size();
   return !delta.answer || !sends_to_all;
 }
--- a/src/dotterelshift/gateway/core_link_test.cc
+++ b/src/dotterelshift/gateway/core_link_test.cc
@@ -5,7 +5,8 @@
 #include <set>        // for set
 
 #include "dotterelshift/gateway/core.h"
-#include "dotterelshift/gateway/core_testing.h"  // for CoreFixture
+#include "dotterelshift/gateway/core_testing.h"          // for CoreFixture
+#include "dotterelshift/gateway/system_queue_testing.h"  // for SystemQueue
 
 namespace dotterelshift::gateway {
 namespace {
@@ -14,44 +15,12 @@
 constexpr double kFastLink = 1'250'000'000;  // 10 Gbit/s
 // Fraction of the link's rate that is available to payload bytes.
 constexpr double kPayloadFraction = 0.92;
+constexpr double kPayloadRate = kSlowLink * kPayloadFraction;
 constexpr size_t kPrompt = 6'000;
 // Maximum backlog in the system's send queue. Bounded, as bytes in that queue
 // are still sent after a request has been cancelled.
 constexpr Duration kMaxHandedOver = 80ms;
 
-// Model of the system's send queue of a link, with the bytes transmitted so
-// far.
-class SystemQueue {
- public:
-  void Add(size_t bytes, Instant now) {
-    Transmit(now);
-    m_waiting += static_cast<double>(bytes);
-    m_max_waiting = std::max(m_max_waiting, m_waiting);
-  }
-  void Transmit(Instant now) {
-    const Duration passed = m_since == Instant{} ? 0s : now - m_since;
-    m_since = now;
-    const double maximum =
-        kRate * std::chrono::duration<double>(passed).count();
-    const double carried = std::min(m_waiting, maximum);
-    m_waiting -= carried;
-    m_carried += carried;
-  }
-  double Transmitted() const { return m_carried; }
-  // The longest queueing delay of any byte.
-  Duration MaxDelay() const {
-    return std::chrono::duration_cast<Duration>(
-        std::chrono::duration<double>(m_max_waiting / kRate));
-  }
-
- private:
-  static constexpr double kRate = kSlowLink * kPayloadFraction;
-  double m_waiting = 0;
-  double m_max_waiting = 0;
-  double m_carried = 0;
-  Instant m_since{};
-};
-
 // A core whose host has a link of 10 Mbit/s. Routes /urgent/ and /calm/ lead to
 // the plain service. What the core sends goes into a SystemQueue.
 class CoreLinkTest : public CoreFixture {
@@ -82,7 +51,7 @@
     CoreFixture::setUp();
     m_started.clear();
     m_bytes.clear();
-    m_queue = SystemQueue();
+    m_queue = SystemQueue(kPayloadRate);
     MakePacedCore(kSlowLink);
   }
 
@@ -497,7 +466,7 @@
   }
 
   std::unique_ptr<SendPacer> m_pacer;
-  SystemQueue m_queue;
+  SystemQueue m_queue{kPayloadRate};
   std::map<RequestId, size_t> m_bytes;
   std::vector<RequestId> m_started;
   size_t m_answered = 0;
--- a/src/dotterelshift/peers/connection.cc
+++ b/src/dotterelshift/peers/connection.cc
@@ -4,6 +4,8 @@
 #include <netinet/tcp.h>  // for TCP_NODELAY
 #include <sys/socket.h>   // for socket
 
+#include <array>  // for array
+
 #include "dotterelshift/base/error.h"  // for Error
 
 namespace dotterelshift::peers {
@@ -21,11 +23,17 @@
   setsockopt(descriptor, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
 }
 
+std::string_view NameOf(DialResult result) {
+  constexpr std::array<std::string_view, 5> kNames = {
+      "up", "refused", "connect_timeout", "hello_timeout", "closed"};
+  return kNames.at(static_cast<size_t>(result));
+}
+
 DialResult FailureOf(const Connection& connection) {
   if (connection.timed_out)
-    return connection.connecting ? DialResult::kConnectTimeout
-                                 : DialResult::kHelloTimeout;
-  return connection.connecting ? DialResult::kRefused : DialResult::kClosed;
+    return connection.IsConnecting() ? DialResult::kConnectTimeout
+                                     : DialResult::kHelloTimeout;
+  return connection.IsConnecting() ? DialResult::kRefused : DialResult::kClosed;
 }
 
 }  // namespace dotterelshift::peers
--- a/src/dotterelshift/peers/connection.h
+++ b/src/dotterelshift/peers/connection.h
@@ -44,13 +44,12 @@
   Socket socket;
   bool dialled;              // by this side
   std::string dial_address;  // when dialled
-  bool connecting = false;
-  bool up = false;  // the peer is authenticated
+  bool up = false;           // the peer is authenticated
   bool closed = false;
   bool timed_out = false;   // before the peer was authenticated
   bool superseded = false;  // another request to the address was answered first
   uint32_t attempt = 0;     // to dial this address since it was last up
-  std::optional<Instant> connected_at;
+  std::optional<Instant> connected_at;  // when dialled; unset until then
   FrameReader reader;
   Handshake handshake;
   std::string out;
@@ -62,6 +61,7 @@
   PeerInfo peer;
   std::unique_ptr<loop::IoWatcher> watcher;
 
+  bool IsConnecting() const { return dialled && !connected_at; }
   size_t Unsent() const { return out.size() - out_sent; }
 };
 using ConnectionPtr = std::shared_ptr<Connection>;
--- a/src/dotterelshift/peers/dial_target.cc
+++ b/src/dotterelshift/peers/dial_target.cc
@@ -26,7 +26,8 @@
 bool DialTarget::MayRequest(const HubOptions& options, Instant now) const {
   if (connections.empty()) return now >= next;
   const Connection& newest = *connections.back();
-  return newest.connecting && now - newest.opened >= options.connect_retry &&
+  return newest.IsConnecting() &&
+         now - newest.opened >= options.connect_retry &&
          connections.size() < options.max_connect_requests;
 }
 
--- a/src/dotterelshift/peers/hub.cc
+++ b/src/dotterelshift/peers/hub.cc
@@ -204,7 +204,6 @@
   const ConnectionPtr connection = AddConnection(descriptor, true);
   connection->dial_address = target.address;
   connection->attempt = target.attempts;
-  connection->connecting = true;
   connection->watching_writes = true;
   connection->watcher->SetEvents(EV_READ | EV_WRITE);
   target.connections.push_back(connection);
@@ -268,7 +267,7 @@
 
 void TcpHub::OnEvents(const ConnectionPtr& connection, int events) {
   if ((events & EV_WRITE) != 0) {
-    if (connection->connecting) OnConnected(connection);
+    if (connection->IsConnecting()) OnConnected(connection);
     if (!connection->closed) Flush(*connection);
     if (connection->closed) Close(connection);
   }
@@ -283,7 +282,6 @@
     Close(connection);
     return;
   }
-  connection->connecting = false;
   connection->connected_at = m_loop.Now();
   SupersedeOthers(connection);
 }
@@ -418,7 +416,7 @@
     const ConnectionPtr connection = m_connections[i];
     const bool lost_before =
         connection->closed && connection->watcher == nullptr;
-    if (lost_before || connection->connecting) continue;
+    if (lost_before || connection->IsConnecting()) continue;
     if (!connection->closed && connection->Unsent() > 0 &&
         !connection->watching_writes)
       Flush(*connection);
@@ -444,22 +442,6 @@
 
 }  // namespace
 
-std::string_view NameOf(DialResult result) {
-  switch (result) {
-    case DialResult::kUp:
-      return "up";
-    case DialResult::kRefused:
-      return "refused";
-    case DialResult::kConnectTimeout:
-      return "connect_timeout";
-    case DialResult::kHelloTimeout:
-      return "hello_timeout";
-    case DialResult::kClosed:
-      return "closed";
-  }
-  return "unknown";
-}
-
 std::unique_ptr<Hub> MakeHub(loop::Loop& loop, const HubOptions& options,
                              HubCallbacks callbacks) {
   return std::make_unique<TcpHub>(loop, options, std::move(callbacks));
