Retries: each decision is logged with its inputs, and counted by service

Cause: the gateway counted neither retries granted nor denied, and no line said with which count of entries, allowance and use one was granted, so that a run that has forgotten (H1), a count that has fallen (H2) and windows that differ (H3) looked alike (docs/incidents/retry-share.md). Change: lines retry_granted and retry_denied with service, used, allowed, requests, entries, the age of their count and the age of the run; counters of both and gauges of the allowance and its use by service, bounded like other labels. The share is told the count with each heartbeat's answer instead of with the routes. No decision changes. Ruled out: the line 'sent' with send > 1, which has none of the inputs.

--- a/include/dotterelshift/app/control_link.h
+++ b/include/dotterelshift/app/control_link.h
@@ -90,6 +90,8 @@
   const std::vector<std::string>& EntryAddresses() const {
     return m_entry_addresses;
   }
+  // When the newest heartbeat that a leader answered was sent.
+  std::optional<Instant> ConfirmedAt() const { return m_confirmed; }
   // Number of entries in the fleet, including this one.
   size_t EntryCount() const { return m_entry_count; }
   // Index of this entry among them.
--- a/include/dotterelshift/gateway/retry_share.h
+++ b/include/dotterelshift/gateway/retry_share.h
@@ -5,6 +5,7 @@
 #include <cstdint>        // for uint64_t
 #include <string>         // for string
 #include <unordered_map>  // for unordered_map
+#include <vector>         // for vector
 
 #include "dotterelshift/base/time.h"  // for Instant
 
@@ -20,6 +21,26 @@
   double used_fraction = 0.8;
 };
 
+// A decision on one retry, and what it was based on.
+struct RetryDecision {
+  bool granted = false;
+  double allowed = 0;     // retries to the service in a window
+  uint32_t used = 0;      // of these, before this decision
+  uint32_t requests = 0;  // for the service, in the window
+  size_t entries = 1;     // that share the slack
+  Duration count_age{};   // since a leader confirmed that number
+  Duration run_age{};     // since this run received its first request
+};
+
+// What a service's share allows now, and the decisions since the start.
+struct RetryUse {
+  std::string service;
+  double allowed = 0;
+  uint32_t used = 0;
+  uint64_t granted_total = 0;
+  uint64_t denied_total = 0;
+};
+
 // This entry's share of the retries that the fleet may send to a service. It is
 // computed from the entry's own requests and the number of entries, so that a
 // retry needs no message to others. All shares together stay within the fleet's
@@ -28,12 +49,15 @@
  public:
   explicit RetryShare(const RetryShareOptions& options) : m_options(options) {}
 
-  // Sets the number of entries that share the slack; at least one.
-  void SetEntries(size_t entries);
+  // Sets the number of entries that share the slack, at least one, as confirmed
+  // by a leader at this time.
+  void OnEntryCount(size_t entries, Instant confirmed);
   // A request for the service was received.
   void OnRequest(const std::string& service, Instant now);
-  // Takes one retry from the share; false if none is left.
-  bool Take(const std::string& service, Instant now);
+  // Takes one retry from the share, if one is left.
+  RetryDecision Take(const std::string& service, Instant now);
+  // The services that had requests, ordered by name.
+  std::vector<RetryUse> UseByService(Instant now);
 
  private:
   static constexpr size_t kBuckets = 20;
@@ -41,11 +65,16 @@
     std::array<uint32_t, kBuckets> requests{};
     std::array<uint32_t, kBuckets> repeats{};
     int64_t newest = 0;  // bucket number, counted from the clock's epoch
+    uint64_t granted_total = 0;
+    uint64_t denied_total = 0;
   };
-  Counts& Turn(const std::string& service, Instant now);
+  void Turn(Counts& counts, Instant now) const;
+  RetryDecision Position(const Counts& counts, Instant now) const;
 
   RetryShareOptions m_options;
   size_t m_entries = 1;
+  Instant m_count_confirmed{};
+  Instant m_first_request{};
   std::unordered_map<std::string, Counts> m_services;
 };
 
--- a/include/dotterelshift/telemetry/metrics.h
+++ b/include/dotterelshift/telemetry/metrics.h
@@ -29,6 +29,12 @@
                           double value) = 0;
   virtual void SetGauge(std::string_view name, std::string_view help,
                         double value) = 0;
+  // The same with a label that names a service. Services beyond
+  // `max_class_labels` have no series.
+  virtual void SetServiceCounter(std::string_view name, std::string_view help,
+                                 std::string_view service, double value) = 0;
+  virtual void SetServiceGauge(std::string_view name, std::string_view help,
+                               std::string_view service, double value) = 0;
   virtual std::string Text() const = 0;
 };
 
--- a/src/dotterelshift/app/gateway_entry.cc
+++ b/src/dotterelshift/app/gateway_entry.cc
@@ -241,6 +241,8 @@
   const Instant now = m_loop.Now();
   if (m_link.RoutesVersion() != m_received_version) TakeRoutes();
   if (m_link.EntryCount() != m_entries) TakeEntryCount();
+  if (const std::optional<Instant> confirmed = m_link.ConfirmedAt())
+    m_retries.OnEntryCount(m_link.EntryCount(), *confirmed);
   if (m_link.Reach() != m_reach) OnReach();
   for (const wire::CommandAnswerT& answer : m_link.TakeAnswers())
     OnAnswer(answer);
@@ -409,6 +411,7 @@
   SetHubMetrics(*m_metrics, *m_hub);
   m_link_guard.SetMetrics(*m_metrics);
   SetLinkQueueMetrics(*m_metrics, m_core->WaitingForLink());
+  SetRetryMetrics(*m_metrics, m_retries.UseByService(m_loop.Now()));
 }
 
 // Applies only what may change while running: the addresses through which the
--- a/src/dotterelshift/app/gauges.cc
+++ b/src/dotterelshift/app/gauges.cc
@@ -43,6 +43,24 @@
                      Number(queue.refused));
 }
 
+void SetRetryMetrics(telemetry::Metrics& metrics,
+                     const std::vector<gateway::RetryUse>& uses) {
+  for (const gateway::RetryUse& use : uses) {
+    metrics.SetServiceGauge("dotterelshift_retries_allowed",
+                            "Retries that this entry may send in a window",
+                            use.service, use.allowed);
+    metrics.SetServiceGauge("dotterelshift_retries_used",
+                            "Of these, sent in the current window", use.service,
+                            Number(use.used));
+    metrics.SetServiceCounter("dotterelshift_retries_granted_total",
+                              "Retries that the share allowed", use.service,
+                              Number(use.granted_total));
+    metrics.SetServiceCounter("dotterelshift_retries_denied_total",
+                              "Retries that the share did not allow",
+                              use.service, Number(use.denied_total));
+  }
+}
+
 void SetRoutesSentCounters(telemetry::Metrics& metrics,
                            const EntryPushes::RoutesSentTotals& sent) {
   metrics.SetCounter("dotterelshift_routes_wholes_sent_total",
--- a/src/dotterelshift/app/gauges.h
+++ b/src/dotterelshift/app/gauges.h
@@ -3,10 +3,12 @@
 
 #include <initializer_list>  // for initializer_list
 #include <string_view>       // for string_view
+#include <vector>            // for vector
 
 #include "dotterelshift/app/control_replica.h"  // for ControlReplica
 #include "dotterelshift/app/entry_pushes.h"     // for EntryPushes
 #include "dotterelshift/gateway/core.h"         // for LinkQueue
+#include "dotterelshift/gateway/retry_share.h"  // for RetryUse
 #include "dotterelshift/peers/hub.h"            // for Hub
 #include "dotterelshift/telemetry/metrics.h"    // for Metrics
 
@@ -31,6 +33,10 @@
 void SetLinkQueueMetrics(telemetry::Metrics& metrics,
                          const gateway::LinkQueue& queue);
 
+// Metrics of the retries to each service.
+void SetRetryMetrics(telemetry::Metrics& metrics,
+                     const std::vector<gateway::RetryUse>& uses);
+
 // Counters of the published routes that a control daemon has sent.
 void SetRoutesSentCounters(telemetry::Metrics& metrics,
                            const EntryPushes::RoutesSentTotals& sent);
--- a/src/dotterelshift/gateway/core.cc
+++ b/src/dotterelshift/gateway/core.cc
@@ -13,7 +13,6 @@
   m_routes = std::move(routes);
   m_dependencies.load->OnRoutes(*m_routes);
   m_dependencies.budgets->OnRoutes(*m_routes, entries, now);
-  m_dependencies.retries->SetEntries(entries);
 }
 
 void CoreImpl::OnEndpointsChanged(const directory::Directory& directory,
--- a/src/dotterelshift/gateway/core_impl.h
+++ b/src/dotterelshift/gateway/core_impl.h
@@ -101,6 +101,7 @@
   void OnAttemptFailed(ActiveRequest& active, http::TransferEnd end,
                        Instant now);
   bool TryAgain(ActiveRequest& active, Instant now);
+  bool TakeRetry(const ActiveRequest& active, Instant now);
   bool MayRunAgain(const ActiveRequest& active) const;
   void OnFirstEvent(ActiveRequest& active, Instant now);
   void OnDeadline(ActiveRequest& active, Instant now);
--- a/src/dotterelshift/gateway/core_response.cc
+++ b/src/dotterelshift/gateway/core_response.cc
@@ -244,9 +244,7 @@
   // A retry that the outbound link would refuse must not use the retry budget.
   const bool in_time = active.sends < kMaxSends && now < active.deadline &&
                        (!arrived || CanSendInTime(active, now));
-  const bool allowed = in_time && (!arrived || m_dependencies.retries->Take(
-                                                   active.service, now));
-  if (!allowed) return false;
+  if (!in_time || (arrived && !TakeRetry(active, now))) return false;
   const bool other =
       m_dependencies.load
           ->Choose(active.service, active.info.prompt, active.tried, now)
@@ -256,6 +254,20 @@
   return true;
 }
 
+bool CoreImpl::TakeRetry(const ActiveRequest& active, Instant now) {
+  const RetryDecision decision =
+      m_dependencies.retries->Take(active.service, now);
+  Log(decision.granted ? "retry_granted" : "retry_denied", active,
+      {{"service", active.service},
+       {"used", std::to_string(decision.used)},
+       {"allowed", std::to_string(static_cast<int64_t>(decision.allowed))},
+       {"requests", std::to_string(decision.requests)},
+       {"entries", std::to_string(decision.entries)},
+       {"count_age_ms", std::to_string(ToMs(decision.count_age))},
+       {"run_age_ms", std::to_string(ToMs(decision.run_age))}});
+  return decision.granted;
+}
+
 void CoreImpl::OnDeadline(ActiveRequest& active, Instant now) {
   if (active.stage == Stage::kRunning || active.stage == Stage::kAnswering) {
     CancelAttemptIfSent(active);
--- a/src/dotterelshift/gateway/core_test.cc
+++ b/src/dotterelshift/gateway/core_test.cc
@@ -2,7 +2,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>  // for CPPUNIT_TEST
 
-#include <algorithm>  // for find, sort
+#include <algorithm>  // for count, find, sort
 
 #include "dotterelshift/gateway/core_testing.h"  // for CoreFixture
 
@@ -17,6 +17,7 @@
   CPPUNIT_TEST(ResponseToAnotherRequestIsNotRelayed);
   CPPUNIT_TEST(AtMostOnceRequestIsRetriedOnlyIfItDidNotRun);
   CPPUNIT_TEST(IdempotentRequestIsRetriedWithinItsAttempts);
+  CPPUNIT_TEST(DecisionsOnRetriesAreLogged);
   CPPUNIT_TEST(RefusalAfterAFailedRunDoesNotClaimNotRun);
   CPPUNIT_TEST(BrokenStreamResumesAfterItsLastCompleteEvent);
   CPPUNIT_TEST(NonResumableStreamIsAborted);
@@ -98,6 +99,25 @@
     CPPUNIT_ASSERT_EQUAL(second.attempt, Only<RelayResponse>().attempt);
   }
 
+  void DecisionsOnRetriesAreLogged() {
+    Publish();
+    FailFirstAttempt(1);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, CountLines("retry_granted"));
+    RetryShareOptions none;
+    none.ratio = 0;
+    none.slack = 0;
+    *m_retries = RetryShare(none);
+    FailFirstAttempt(2);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, CountLines("retry_denied"));
+    for (const Decision& line : m_log_lines) {
+      if (line.event != "retry_denied") continue;
+      CPPUNIT_ASSERT_EQUAL(std::string("caller-1"), line.caller_id);
+      CPPUNIT_ASSERT_EQUAL(std::string_view("service"),
+                           line.inputs.front().first);
+      CPPUNIT_ASSERT_EQUAL(std::string("plain"), line.inputs.front().second);
+    }
+  }
+
   // The request ran once and was cut, then another endpoint refused it. The
   // caller must not be told that it did not run.
   void RefusalAfterAFailedRunDoesNotClaimNotRun() {
@@ -364,6 +384,17 @@
     std::sort(returns.begin(), returns.end());
     CPPUNIT_ASSERT(returns.front() < returns.back());
   }
+
+ private:
+  void FailFirstAttempt(RequestId id) {
+    Request("/safe/", 0, id);
+    const StartAttempt first = Only<StartAttempt>();
+    Head(first.attempt, 500);
+    End(first.attempt, http::TransferEnd::kWhole);
+  }
+  size_t CountLines(std::string_view event) const {
+    return std::ranges::count(m_log_lines, event, &Decision::event);
+  }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(CoreTest);
 
--- a/src/dotterelshift/gateway/retry_share_test.cc
+++ b/src/dotterelshift/gateway/retry_share_test.cc
@@ -11,6 +11,7 @@
   CPPUNIT_TEST_SUITE(RetryShareTest);
   CPPUNIT_TEST(AllSharesTogetherStayWithinTheAllowance);
   CPPUNIT_TEST(ServicesAreCountedSeparately);
+  CPPUNIT_TEST(DecisionsNameTheirInputsAndAreCounted);
   CPPUNIT_TEST_SUITE_END();
 
   // Eight entries, each of which retries as often as it may, under a load with
@@ -22,7 +23,7 @@
     std::deque<RetryShare> entries;
     for (int i = 0; i < kEntries; ++i) {
       entries.emplace_back(options);
-      entries.back().SetEntries(kEntries);
+      entries.back().OnEntryCount(kEntries, Instant(1000s));
     }
     struct Step {
       uint32_t requests = 0;
@@ -39,7 +40,8 @@
         const int requests = step % 200 < 40 ? 9 : 1;
         for (int i = 0; i < requests; ++i) entry.OnRequest("s", now);
         done.requests += requests;
-        for (int i = 0; i < 20; ++i) done.repeats += entry.Take("s", now);
+        for (int i = 0; i < 20; ++i)
+          done.repeats += entry.Take("s", now).granted;
       }
       window.push_back(done);
       requests_in_window += done.requests;
@@ -61,10 +63,35 @@
     options.used_fraction = 1;
     RetryShare share(options);
     const Instant now(1000s);
-    CPPUNIT_ASSERT(share.Take("a", now));
-    CPPUNIT_ASSERT(share.Take("a", now));
-    CPPUNIT_ASSERT(!share.Take("a", now));
-    CPPUNIT_ASSERT(share.Take("b", now));
+    CPPUNIT_ASSERT(share.Take("a", now).granted);
+    CPPUNIT_ASSERT(share.Take("a", now).granted);
+    CPPUNIT_ASSERT(!share.Take("a", now).granted);
+    CPPUNIT_ASSERT(share.Take("b", now).granted);
+  }
+
+  void DecisionsNameTheirInputsAndAreCounted() {
+    RetryShareOptions options;
+    options.slack = 4;
+    options.used_fraction = 1;
+    RetryShare share(options);
+    share.OnEntryCount(4, Instant(1000s));
+    const Instant now(1002s);
+    for (int i = 0; i < 5; ++i) share.OnRequest("a", now);
+    share.Take("a", now);
+    share.Take("a", now);
+    const RetryDecision denied = share.Take("a", now + 1s);
+    CPPUNIT_ASSERT(!denied.granted);
+    CPPUNIT_ASSERT_EQUAL(2U, denied.used);
+    CPPUNIT_ASSERT_EQUAL(5U, denied.requests);
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(2.0, denied.allowed, 1e-9);
+    CPPUNIT_ASSERT_EQUAL(size_t{4}, denied.entries);
+    CPPUNIT_ASSERT(denied.count_age == 3s);
+    CPPUNIT_ASSERT(denied.run_age == 1s);
+    const std::vector<RetryUse> uses = share.UseByService(now + 1s);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, uses.size());
+    CPPUNIT_ASSERT_EQUAL(uint64_t{2}, uses[0].granted_total);
+    CPPUNIT_ASSERT_EQUAL(uint64_t{1}, uses[0].denied_total);
+    CPPUNIT_ASSERT_EQUAL(2U, uses[0].used);
   }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(RetryShareTest);
--- a/src/dotterelshift/telemetry/metrics.cc
+++ b/src/dotterelshift/telemetry/metrics.cc
@@ -47,28 +47,22 @@
 
   void SetCounter(std::string_view name, std::string_view help,
                   double value) override {
-    Counter*& counter = Named(m_counters, name);
-    if (counter == nullptr) {
-      counter = &prometheus::BuildCounter()
-                     .Name(std::string(name))
-                     .Help(std::string(help))
-                     .Register(m_registry)
-                     .Add({});
-    }
-    counter->Increment(value - counter->Value());
+    Set(m_counters, prometheus::BuildCounter(), name, help, {}, value);
   }
 
   void SetGauge(std::string_view name, std::string_view help,
                 double value) override {
-    Gauge*& gauge = Named(m_gauges, name);
-    if (gauge == nullptr) {
-      gauge = &prometheus::BuildGauge()
-                   .Name(std::string(name))
-                   .Help(std::string(help))
-                   .Register(m_registry)
-                   .Add({});
-    }
-    gauge->Set(value);
+    Set(m_gauges, prometheus::BuildGauge(), name, help, {}, value);
+  }
+
+  void SetServiceCounter(std::string_view name, std::string_view help,
+                         std::string_view service, double value) override {
+    Set(m_counters, prometheus::BuildCounter(), name, help, service, value);
+  }
+
+  void SetServiceGauge(std::string_view name, std::string_view help,
+                       std::string_view service, double value) override {
+    Set(m_gauges, prometheus::BuildGauge(), name, help, service, value);
   }
 
   std::string Text() const override {
@@ -81,6 +75,42 @@
     Histogram* token_gap = nullptr;
   };
 
+  // The series of one counter or gauge by service; the empty name stands for
+  // the unlabelled series.
+  template <typename Value>
+  struct NamedFamily {
+    prometheus::Family<Value>* family = nullptr;
+    ByName<Value*> series;
+  };
+
+  static void SetValue(Counter& counter, double value) {
+    counter.Increment(value - counter.Value());
+  }
+  static void SetValue(Gauge& gauge, double value) { gauge.Set(value); }
+
+  template <typename Value, typename Builder>
+  void Set(ByName<NamedFamily<Value>>& families, Builder builder,
+           std::string_view name, std::string_view help,
+           std::string_view service, double value) {
+    NamedFamily<Value>& named = Named(families, name);
+    if (named.family == nullptr) {
+      named.family = &builder.Name(std::string(name))
+                          .Help(std::string(help))
+                          .Register(m_registry);
+    }
+    const auto found = named.series.find(service);
+    if (found != named.series.end()) return SetValue(*found->second, value);
+    if (named.series.size() >= m_max_classes) return;
+    Value& series = named.family->Add(LabelsOf(service));
+    named.series[std::string(service)] = &series;
+    SetValue(series, value);
+  }
+
+  static prometheus::Labels LabelsOf(std::string_view service) {
+    if (service.empty()) return {};
+    return {{"service", std::string(service)}};
+  }
+
   template <typename Value>
   static Value& Named(ByName<Value>& values, std::string_view name) {
     const auto found = values.find(name);
@@ -108,8 +138,8 @@
   TeamSeries m_teams;
   Counter& m_usage_difference;
   ByName<ClassSeries> m_classes;
-  ByName<Counter*> m_counters;
-  ByName<Gauge*> m_gauges;
+  ByName<NamedFamily<Counter>> m_counters;
+  ByName<NamedFamily<Gauge>> m_gauges;
 };
 
 }  // namespace
--- a/src/dotterelshift/telemetry/metrics_test.cc
+++ b/src/dotterelshift/telemetry/metrics_test.cc
@@ -54,6 +54,7 @@
   CPPUNIT_TEST(ClassLabelsAreBounded);
   CPPUNIT_TEST(TeamNamedOtherIsCountedWithTheOthers);
   CPPUNIT_TEST(CountersAndGaugesByName);
+  CPPUNIT_TEST(CountersAndGaugesByServiceAreBounded);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -159,6 +160,22 @@
     CPPUNIT_ASSERT(Has(text, "\ndotterelshift_open_requests 2\n"));
   }
 
+  void CountersAndGaugesByServiceAreBounded() {
+    m_metrics = MakeMetrics({.max_class_labels = 4});
+    for (int i = 0; i < 10; ++i) {
+      const std::string service = "service-" + std::to_string(i);
+      m_metrics->SetServiceCounter("dotterelshift_denied_total", "Denied.",
+                                   service, 2 * i);
+      m_metrics->SetServiceGauge("dotterelshift_used", "Used.", service, i);
+    }
+    m_metrics->SetServiceGauge("dotterelshift_used", "Used.", "service-1", 8);
+    const std::string text = m_metrics->Text();
+    CPPUNIT_ASSERT(
+        Has(text, "dotterelshift_denied_total{service=\"service-3\"} 6\n"));
+    CPPUNIT_ASSERT(Has(text, "dotterelshift_used{service=\"service-1\"} 8\n"));
+    CPPUNIT_ASSERT_EQUAL(size_t{4}, LinesOf(text, "dotterelshift_used").size());
+  }
+
  private:
   std::unique_ptr<Metrics> m_metrics = MakeMetrics();
 };
