Retries: every request pays for the same retries, whichever run received it

What callers saw: nothing; endpoints got more retries than the fleet may send, also with no fault at all. The rule's window begins at any moment: retries at its start were paid by requests before it, retries at its end by requests in it; when traffic falls or moves to other entries, both are more than any of the windows that the rule counts. Change: RetryWindows checks each window that contains now, and allows ratio x the mean of the three counts of requests that the rule takes the largest of. The mean is linear in the requests, so that the sum over all runs, dead ones too, is the mean of the fleet's counts, and never more than the largest.

--- a/include/dotterelshift/gateway/retry_share.h
+++ b/include/dotterelshift/gateway/retry_share.h
@@ -1,13 +1,13 @@
 #ifndef DOTTERELSHIFT_GATEWAY_RETRY_SHARE_H_
 #define DOTTERELSHIFT_GATEWAY_RETRY_SHARE_H_
 
-#include <array>          // for array
 #include <cstdint>        // for uint64_t
 #include <string>         // for string
 #include <unordered_map>  // for unordered_map
 #include <vector>         // for vector
 
-#include "dotterelshift/base/time.h"  // for Instant
+#include "dotterelshift/base/time.h"              // for Instant
+#include "dotterelshift/gateway/retry_windows.h"  // for RetryWindows
 
 namespace dotterelshift::gateway {
 
@@ -16,20 +16,20 @@
   uint32_t slack = 50;  // additional retries of the whole fleet in a window
   Duration window = 10s;
   // Fraction of the allowance that is used. The rest is a margin: a restarted
-  // entry does not know what its previous incarnation sent, and the windows of
-  // the entries are not aligned.
+  // entry does not know what its previous incarnation sent, and retries that
+  // are delayed on their way to the endpoint arrive together.
   double used_fraction = 0.8;
 };
 
 // A decision on one retry, and what it was based on.
 struct RetryDecision {
   bool granted = false;
-  double allowed = 0;     // retries to the service in a window
-  uint32_t used = 0;      // of these, before this decision
-  uint32_t requests = 0;  // for the service, in the window
-  size_t entries = 1;     // that share the slack
-  Duration count_age{};   // since a leader confirmed that number
-  Duration run_age{};     // since this run received its first request
+  double allowed = 0;    // retries in the window that leaves the fewest
+  uint32_t used = 0;     // of these, before this decision
+  double requests = 0;   // for the service, that count for that window
+  size_t entries = 1;    // that share the slack
+  Duration count_age{};  // since a leader confirmed that number
+  Duration run_age{};    // since this run received its first request
 };
 
 // What a service's share allows now, and the decisions since the start.
@@ -60,22 +60,20 @@
   std::vector<RetryUse> UseByService(Instant now);
 
  private:
-  static constexpr size_t kBuckets = 20;
-  struct Counts {
-    std::array<uint32_t, kBuckets> requests{};
-    std::array<uint32_t, kBuckets> repeats{};
-    int64_t newest = 0;  // bucket number, counted from the clock's epoch
+  struct Service {
+    explicit Service(Duration window) : windows(window) {}
+    RetryWindows windows;
     uint64_t granted_total = 0;
     uint64_t denied_total = 0;
   };
-  void Turn(Counts& counts, Instant now) const;
-  RetryDecision Position(const Counts& counts, Instant now) const;
+  Service& ServiceOf(const std::string& name);
+  RetryDecision Position(Service& service, Instant now) const;
 
   RetryShareOptions m_options;
   size_t m_entries = 1;
   Instant m_count_confirmed{};
   Instant m_first_request{};
-  std::unordered_map<std::string, Counts> m_services;
+  std::unordered_map<std::string, Service> m_services;
 };
 
 }  // namespace dotterelshift::gateway
