Retries: an entry holds a lease on its part of the slack, and counts have a memory

A run that followed a death used its whole part again; while some were down, or a new leader counted from one upwards, the others used more, with what the dead ones had sent still in the window; entries cut off kept their parts while the others took them too. Change: SlackLease. The leader's heartbeats renew a lease of one window; it begins two windows after the first count (its holder's previous run has been dead for a window, and every other lease has been divided by a count that includes it, or has ended); a smaller count is used two windows after it came. Without the lease an entry retries by the ratio alone. Ruled out: parts lent by control for each window (a message to control for each, none while cut off); no slack at all (half of what plain services of a small site may retry); the count of a run that never falls (a fleet that shrinks). Tests whose entry was to retry at once now start with a lease (MakeLeasedShare).

--- a/include/dotterelshift/gateway/retry_share.h
+++ b/include/dotterelshift/gateway/retry_share.h
@@ -8,6 +8,7 @@
 
 #include "dotterelshift/base/time.h"              // for Instant
 #include "dotterelshift/gateway/retry_windows.h"  // for RetryWindows
+#include "dotterelshift/gateway/slack_lease.h"    // for SlackLease
 
 namespace dotterelshift::gateway {
 
@@ -15,9 +16,8 @@
   double ratio = 0.2;   // of the fleet's requests to a service in a window
   uint32_t slack = 50;  // additional retries of the whole fleet in a window
   Duration window = 10s;
-  // Fraction of the allowance that is used. The rest is a margin: a restarted
-  // entry does not know what its previous incarnation sent, and retries that
-  // are delayed on their way to the endpoint arrive together.
+  // Fraction of the allowance that is used. The rest is a margin for retries
+  // that are delayed on their way to the endpoint and arrive together.
   double used_fraction = 0.8;
 };
 
@@ -27,8 +27,8 @@
   double allowed = 0;    // retries in the window that leaves the fewest
   uint32_t used = 0;     // of these, before this decision
   double requests = 0;   // for the service, that count for that window
-  size_t entries = 1;    // that share the slack
-  Duration count_age{};  // since a leader confirmed that number
+  size_t sharers = 0;    // entries that share the slack; 0: none of it is used
+  Duration count_age{};  // since a leader confirmed the number of entries
   Duration run_age{};    // since this run received its first request
 };
 
@@ -41,17 +41,21 @@
   uint64_t denied_total = 0;
 };
 
-// This entry's share of the retries that the fleet may send to a service. It is
-// computed from the entry's own requests and the number of entries, so that a
-// retry needs no message to others. All shares together stay within the fleet's
-// allowance in every window.
+// This entry's share of the retries that the fleet may send to a service:
+// retries in proportion to its own requests, and its part of the slack while it
+// holds the lease on that. A retry needs no message to others. All shares
+// together stay within the fleet's allowance in every window, whichever entries
+// die, return, join or are cut off meanwhile.
 class RetryShare {
  public:
-  explicit RetryShare(const RetryShareOptions& options) : m_options(options) {}
+  explicit RetryShare(const RetryShareOptions& options)
+      : m_options(options), m_lease(options.window) {}
 
-  // Sets the number of entries that share the slack, at least one, as confirmed
-  // by a leader at this time.
-  void OnEntryCount(size_t entries, Instant confirmed);
+  // A leader counted `entries` entries in its answer, received at `now`, to a
+  // heartbeat sent at `confirmed`.
+  void OnEntryCount(size_t entries, Instant confirmed, Instant now) {
+    m_lease.OnEntryCount(entries, confirmed, now);
+  }
   // A request for the service was received.
   void OnRequest(const std::string& service, Instant now);
   // Takes one retry from the share, if one is left.
@@ -70,8 +74,7 @@
   RetryDecision Position(Service& service, Instant now) const;
 
   RetryShareOptions m_options;
-  size_t m_entries = 1;
-  Instant m_count_confirmed{};
+  SlackLease m_lease;
   Instant m_first_request{};
   std::unordered_map<std::string, Service> m_services;
 };
--- a/src/dotterelshift/app/gateway_entry.cc
+++ b/src/dotterelshift/app/gateway_entry.cc
@@ -242,7 +242,7 @@
   if (m_link.RoutesVersion() != m_received_version) TakeRoutes();
   if (m_link.EntryCount() != m_entries) TakeEntryCount();
   if (const std::optional<Instant> confirmed = m_link.ConfirmedAt())
-    m_retries.OnEntryCount(m_link.EntryCount(), *confirmed);
+    m_retries.OnEntryCount(m_link.EntryCount(), *confirmed, m_loop.Now());
   if (m_link.Reach() != m_reach) OnReach();
   for (const wire::CommandAnswerT& answer : m_link.TakeAnswers())
     OnAnswer(answer);
--- a/src/dotterelshift/app/gateway_traffic_testing.h
+++ b/src/dotterelshift/app/gateway_traffic_testing.h
@@ -11,8 +11,9 @@
 #include <string_view>  // for string_view
 #include <utility>      // for move
 
-#include "dotterelshift/app/gateway_traffic.h"  // for GatewayTraffic
-#include "dotterelshift/http/test_listener.h"   // for TestListener
+#include "dotterelshift/app/gateway_traffic.h"          // for GatewayTraffic
+#include "dotterelshift/gateway/retry_share_testing.h"  // for MakeLeasedShare
+#include "dotterelshift/http/test_listener.h"           // for TestListener
 
 namespace dotterelshift::app {
 
@@ -67,8 +68,8 @@
     m_budgets = std::make_unique<gateway::HeldGrants>(
         gateway::HeldGrantsOptions(),
         [] { return std::make_unique<wire::CommandIdT>(); });
-    m_retries =
-        std::make_unique<gateway::RetryShare>(gateway::RetryShareOptions());
+    m_retries = std::make_unique<gateway::RetryShare>(gateway::MakeLeasedShare(
+        gateway::RetryShareOptions(), 1, m_loop.Now()));
     m_core = gateway::MakeCore(
         gateway::CoreOptions(),
         {m_load.get(), m_budgets.get(), m_retries.get(), nullptr});
--- a/src/dotterelshift/gateway/core_response.cc
+++ b/src/dotterelshift/gateway/core_response.cc
@@ -262,7 +262,7 @@
        {"used", std::to_string(decision.used)},
        {"allowed", std::to_string(static_cast<int64_t>(decision.allowed))},
        {"requests", std::to_string(static_cast<int64_t>(decision.requests))},
-       {"entries", std::to_string(decision.entries)},
+       {"sharers", std::to_string(decision.sharers)},
        {"count_age_ms", std::to_string(ToMs(decision.count_age))},
        {"run_age_ms", std::to_string(ToMs(decision.run_age))}});
   return decision.granted;
--- a/src/dotterelshift/gateway/core_testing.h
+++ b/src/dotterelshift/gateway/core_testing.h
@@ -11,7 +11,8 @@
 #include <variant>    // for get_if
 #include <vector>     // for vector
 
-#include "dotterelshift/gateway/core.h"  // for Core
+#include "dotterelshift/gateway/core.h"                 // for Core
+#include "dotterelshift/gateway/retry_share_testing.h"  // for MakeLeasedShare
 
 namespace dotterelshift::gateway {
 
@@ -29,7 +30,8 @@
       id->sequence = ++m_sequence;
       return id;
     });
-    m_retries = std::make_unique<RetryShare>(RetryShareOptions());
+    m_retries = std::make_unique<RetryShare>(
+        MakeLeasedShare(RetryShareOptions(), 1, m_now));
     m_blocklist = quarantine::Blocklist();
     m_core = MakeCore(CoreOptions(), {m_load.get(), m_budgets.get(),
                                       m_retries.get(), &m_blocklist});
--- a/src/dotterelshift/gateway/retry_share.cc
+++ b/src/dotterelshift/gateway/retry_share.cc
@@ -1,14 +1,9 @@
 #include "dotterelshift/gateway/retry_share.h"
 
-#include <algorithm>  // for max, sort
+#include <algorithm>  // for sort
 
 namespace dotterelshift::gateway {
 
-void RetryShare::OnEntryCount(size_t entries, Instant confirmed) {
-  m_entries = std::max<size_t>(1, entries);
-  m_count_confirmed = confirmed;
-}
-
 RetryShare::Service& RetryShare::ServiceOf(const std::string& name) {
   return m_services.try_emplace(name, m_options.window).first->second;
 }
@@ -29,11 +24,13 @@
 
 RetryDecision RetryShare::Position(Service& service, Instant now) const {
   RetryDecision position;
-  position.entries = m_entries;
-  if (m_count_confirmed != Instant{})
-    position.count_age = now - m_count_confirmed;
+  position.sharers = m_lease.Sharers(now).value_or(0);
+  if (m_lease.ConfirmedAt()) position.count_age = now - *m_lease.ConfirmedAt();
   if (m_first_request != Instant{}) position.run_age = now - m_first_request;
-  const double slack = m_options.slack / static_cast<double>(m_entries);
+  const double slack =
+      position.sharers == 0
+          ? 0
+          : m_options.slack / static_cast<double>(position.sharers);
   const RetryWindows::Tightest tightest =
       service.windows.FindTightest(m_options.used_fraction * m_options.ratio,
                                    m_options.used_fraction * slack, now);
--- a/src/dotterelshift/gateway/retry_share_property_test.cc
+++ b/src/dotterelshift/gateway/retry_share_property_test.cc
@@ -182,7 +182,7 @@
     const auto connected =
         std::count_if(m_hosts.begin(), m_hosts.end(),
                       [](const Host& other) { return other.connected; });
-    host.run->OnEntryCount(connected, m_now);
+    host.run->OnEntryCount(connected, m_now, m_now);
   }
 
   void ChangeTraffic() {
--- a/src/dotterelshift/gateway/retry_share_test.cc
+++ b/src/dotterelshift/gateway/retry_share_test.cc
@@ -6,6 +6,8 @@
 #include <deque>      // for deque
 #include <vector>     // for vector
 
+#include "dotterelshift/gateway/retry_share_testing.h"  // for MakeLeasedShare
+
 namespace dotterelshift::gateway {
 namespace {
 
@@ -59,8 +61,8 @@
     RetryShareOptions options;
     options.slack = 2;
     options.used_fraction = 1;
-    RetryShare share(options);
     const Instant now(1000s);
+    RetryShare share = MakeLeasedShare(options, 1, now);
     CPPUNIT_ASSERT(share.Take("a", now).granted);
     CPPUNIT_ASSERT(share.Take("a", now).granted);
     CPPUNIT_ASSERT(!share.Take("a", now).granted);
@@ -71,8 +73,7 @@
     RetryShareOptions options;
     options.slack = 4;
     options.used_fraction = 1;
-    RetryShare share(options);
-    share.OnEntryCount(4, Instant(1000s));
+    RetryShare share = MakeLeasedShare(options, 4, Instant(1000s));
     const Instant now(1002s);
     for (int i = 0; i < 5; ++i) share.OnRequest("a", now);
     share.Take("a", now);
@@ -81,7 +82,7 @@
     CPPUNIT_ASSERT_EQUAL(1U, denied.used);
     CPPUNIT_ASSERT_DOUBLES_EQUAL(5.0 / 3, denied.requests, 1e-9);
     CPPUNIT_ASSERT_DOUBLES_EQUAL(1.0 / 3 + 1, denied.allowed, 1e-9);
-    CPPUNIT_ASSERT_EQUAL(size_t{4}, denied.entries);
+    CPPUNIT_ASSERT_EQUAL(size_t{4}, denied.sharers);
     CPPUNIT_ASSERT(denied.count_age == 3s);
     CPPUNIT_ASSERT(denied.run_age == 1s);
     const std::vector<RetryUse> uses = share.UseByService(now + 1s);
@@ -106,13 +107,13 @@
                                RequestsAt requests_at) {
     std::deque<RetryShare> entries;
     for (int i = 0; i < kEntries; ++i) {
-      entries.emplace_back(options);
-      entries.back().OnEntryCount(kEntries, Instant(1000s));
+      entries.push_back(MakeLeasedShare(options, kEntries, Instant(1000s)));
     }
     std::vector<Step> steps(count);
     for (int step = 0; step < count; ++step) {
       const Instant now = Instant(1000s) + step * kStep;
       for (RetryShare& entry : entries) {
+        entry.OnEntryCount(kEntries, now, now);
         for (int i = 0; i < requests_at(step); ++i) entry.OnRequest("s", now);
         steps[step].requests += requests_at(step);
         for (int i = 0; i < 20; ++i)
