Control: entries whose connection is lost are counted for one window more

What callers saw: nothing. Cause: the leader counted the entries connected at this moment. Where connections are lost and made again all the time, one entry after the other, no answer ever counts all, although each holds its lease: the slack is divided by too few. Change: EntryRoster counts an entry for retry_window after its connection was lost, as long as it may use its part without a leader; its place among the others stays too, so that a death no longer shifts which entry tries suspected contents on which endpoints. Control takes retry_window from its settings. Ruled out: a longer memory at the entries, which never hear the whole count. EntryPushesTest::EntryThatLostItsConnectionIsStillCounted is new.

--- a/src/dotterelshift/app/control.cc
+++ b/src/dotterelshift/app/control.cc
@@ -168,7 +168,8 @@
   options.node.min_election_timeout = settings.election_timeout;
   options.node.lease = LeaseOf(settings.election_timeout);
   m_replica = MakeControlReplica(loop, options, ReplicaCallbacks());
-  m_pushes = std::make_unique<EntryPushes>(*m_hub, *m_replica);
+  m_pushes =
+      std::make_unique<EntryPushes>(*m_hub, *m_replica, settings.retry_window);
   const std::string http_address = HttpAddressOf(settings, m_server->Port());
   m_backend =
       MakeControlBackend(loop, *m_hub, *m_replica, m_directory.GetDirectory(),
@@ -195,7 +196,7 @@
   callbacks.on_up = [this](const peers::PeerInfo& peer) { OnPeerUp(peer); };
   callbacks.on_down = [this](const peers::PeerInfo& peer) {
     m_directory.OnPeerDown(peer);
-    if (m_pushes) m_pushes->OnDown(peer.run.host);
+    if (m_pushes) m_pushes->OnDown(peer.run.host, m_loop.Now());
   };
   callbacks.on_frame = [this](const peers::PeerInfo& peer,
                               const wire::FrameT& frame) {
@@ -339,7 +340,8 @@
       [this, host, sequence = beat.sequence](ErrorKind error) {
         if (error == ErrorKind::kNone) {
           SchedulePushes();
-          return m_pushes->AnswerHeartbeat(host, sequence, m_loop.WallNow());
+          return m_pushes->AnswerHeartbeat(host, sequence, m_loop.Now(),
+                                           m_loop.WallNow());
         }
         // An entry that has just started knows only the seeds, and possibly
         // none of them leads.
--- a/src/dotterelshift/app/entry_pushes.cc
+++ b/src/dotterelshift/app/entry_pushes.cc
@@ -1,7 +1,6 @@
 #include "dotterelshift/app/entry_pushes.h"
 
 #include <algorithm>  // for any_of
-#include <iterator>   // for distance
 #include <memory>     // for make_unique
 #include <string>     // for to_string
 #include <utility>    // for move
@@ -57,6 +56,11 @@
 
 void EntryPushes::OnUp(const peers::PeerInfo& entry) {
   m_entries[entry.run.host] = {.info = entry};
+  m_roster.OnConnected(entry.run.host);
+}
+
+void EntryPushes::OnDown(const HostId& host, Instant now) {
+  if (m_entries.erase(host) > 0) m_roster.OnDisconnected(host, now);
 }
 
 bool EntryPushes::OnHeartbeat(const HostId& host, const wire::EntryBeatT& beat,
@@ -80,7 +84,7 @@
 }
 
 void EntryPushes::AnswerHeartbeat(const HostId& host, uint64_t sequence,
-                                  WallMs stamp) {
+                                  Instant now, WallMs stamp) {
   const auto entry = m_entries.find(host);
   if (entry == m_entries.end()) return;
   const state::State& state = m_replica.GetState();
@@ -91,9 +95,9 @@
   answer.stamp_ms = stamp;
   answer.routes_version = state.GetPublished().version;
   answer.control = ReplicaAddresses(m_replica.GetNode());
-  answer.entry_count = static_cast<uint32_t>(m_entries.size());
-  answer.entry_place =
-      static_cast<uint32_t>(std::distance(m_entries.begin(), entry));
+  const gateway::EntryRoster::Place place = m_roster.PlaceOf(host, now);
+  answer.entry_count = static_cast<uint32_t>(place.count);
+  answer.entry_place = static_cast<uint32_t>(place.index);
   const bool all = m_entries.size() <= kMaxFullMeshEntries;
   const DataCentreId& own = entry->second.info.data_centre;
   for (const auto& [other, known] : m_entries)
--- a/src/dotterelshift/app/entry_pushes.h
+++ b/src/dotterelshift/app/entry_pushes.h
@@ -7,10 +7,11 @@
 #include <string>    // for string
 #include <vector>    // for vector
 
-#include "dotterelshift/app/control_replica.h"  // for ControlReplica
-#include "dotterelshift/base/ids.h"             // for HostId
-#include "dotterelshift/base/time.h"            // for Instant
-#include "dotterelshift/peers/hub.h"            // for Hub
+#include "dotterelshift/app/control_replica.h"   // for ControlReplica
+#include "dotterelshift/base/ids.h"              // for HostId
+#include "dotterelshift/base/time.h"             // for Instant
+#include "dotterelshift/gateway/entry_roster.h"  // for EntryRoster
+#include "dotterelshift/peers/hub.h"             // for Hub
 
 namespace dotterelshift::app {
 
@@ -22,11 +23,13 @@
 // quorum has just confirmed pushes.
 class EntryPushes {
  public:
-  EntryPushes(peers::Hub& hub, const ControlReplica& replica)
-      : m_hub(hub), m_replica(replica) {}
+  // An entry is counted for `memory` after its connection is lost.
+  EntryPushes(peers::Hub& hub, const ControlReplica& replica, Duration memory)
+      : m_hub(hub), m_replica(replica), m_roster(memory) {}
 
   void OnUp(const peers::PeerInfo& entry);
-  void OnDown(const HostId& entry) { m_entries.erase(entry); }
+  // Ignores hosts that are not connected entries.
+  void OnDown(const HostId& host, Instant now);
   // Records the versions that the entry reports. Returns false if the entry is
   // not connected.
   bool OnHeartbeat(const HostId& entry, const wire::EntryBeatT& beat,
@@ -34,7 +37,8 @@
 
   // Answers a heartbeat; to be called once a quorum has confirmed that this
   // replica leads. Missing versions are sent by PushPending().
-  void AnswerHeartbeat(const HostId& entry, uint64_t sequence, WallMs stamp);
+  void AnswerHeartbeat(const HostId& entry, uint64_t sequence, Instant now,
+                       WallMs stamp);
   // Sends missing versions to the entries in round-robin order, up to the byte
   // limit of one loop iteration, and the quarantined contents once per
   // connection and term. Returns true if entries remain.
@@ -91,7 +95,8 @@
 
   peers::Hub& m_hub;
   const ControlReplica& m_replica;
-  std::map<HostId, Entry> m_entries;
+  std::map<HostId, Entry> m_entries;  // connected
+  gateway::EntryRoster m_roster;
   HostId m_last_pushed;
   wire::RoutesStepT m_full_routes;
   RoutesSentTotals m_sent;
--- a/src/dotterelshift/app/entry_pushes_test.cc
+++ b/src/dotterelshift/app/entry_pushes_test.cc
@@ -16,6 +16,8 @@
  public:
   bool Send(const HostId& host, const wire::FrameT& frame) override {
     if (frame.body.AsQuarantinePush() != nullptr) ++quarantines[host];
+    if (const auto* answer = frame.body.AsLeaderBeat())
+      entry_count = answer->entry_count;
     const wire::RoutesPushT* routes = frame.body.AsRoutesPush();
     if (routes == nullptr) return true;
     for (const auto& step : routes->steps) backlog[host] += step->packed.size();
@@ -38,6 +40,7 @@
   std::map<HostId, uint64_t> versions;  // of the newest document sent
   std::map<HostId, uint64_t> bases;     // of the first delta sent
   std::map<HostId, int> quarantines;    // pushes of quarantined contents
+  uint32_t entry_count = 0;             // in the newest answer to a heartbeat
   size_t max_backlog = 0;
   int documents = 0;
 
@@ -54,12 +57,14 @@
   CPPUNIT_TEST(UnusableDeltaIsFollowedByTheFullDocument);
   CPPUNIT_TEST(ReturningEntryIsSentNothingBeforeItsHeartbeat);
   CPPUNIT_TEST(QuarantineReachesEntriesThatConnectedUnderAnotherLeader);
+  CPPUNIT_TEST(EntryThatLostItsConnectionIsStillCounted);
   CPPUNIT_TEST_SUITE_END();
 
  private:
   static constexpr size_t kDocumentBytes = 200'000;
   static constexpr int kEntries = 86;
   static constexpr WallMs kWall = 1;
+  static constexpr Duration kEntryMemory = 10s;
 
   // Commits an incompressible document that shares nothing with the previous
   // one.
@@ -102,7 +107,7 @@
     beat.sequence = ++m_heartbeats;
     beat.routes_version = version;
     m_pushes.OnHeartbeat(host, beat, m_now);
-    m_pushes.AnswerHeartbeat(host, beat.sequence, 1);
+    m_pushes.AnswerHeartbeat(host, beat.sequence, m_now, 1);
     PushAll();
   }
 
@@ -172,7 +177,7 @@
     m_hub.backlog.clear();
     peers::PeerInfo again;
     again.run = {"e2", 2};
-    m_pushes.OnDown("e2");
+    m_pushes.OnDown("e2", m_now);
     m_pushes.OnUp(again);
     SendHeartbeat("e2", 0);
     CPPUNIT_ASSERT_EQUAL(kEntries + 2, m_hub.documents);
@@ -222,12 +227,24 @@
       CPPUNIT_ASSERT_EQUAL(1, pushes);
   }
 
+  // Guards against limits that are divided among fewer entries than use them.
+  void EntryThatLostItsConnectionIsStillCounted() {
+    StartEntries();
+    m_pushes.OnDown("e2", m_now);
+    m_pushes.OnDown("a control host", m_now);
+    SendHeartbeat("e1", 0);
+    CPPUNIT_ASSERT_EQUAL(uint32_t{kEntries}, m_hub.entry_count);
+    m_now += kEntryMemory;
+    SendHeartbeat("e1", 0);
+    CPPUNIT_ASSERT_EQUAL(uint32_t{kEntries - 1}, m_hub.entry_count);
+  }
+
   Instant m_now{1000s};
   size_t m_document_bytes = 0;  // of the newest, packed without a base
   uint64_t m_heartbeats = 0;
   MockHub m_hub;
   MockReplica m_replica;
-  EntryPushes m_pushes{m_hub, m_replica};
+  EntryPushes m_pushes{m_hub, m_replica, kEntryMemory};
   state::TestSender m_control{m_replica.state.get(), "control", 1};
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(EntryPushesTest);
--- a/src/dotterelshift/app/routes_spread_test.cc
+++ b/src/dotterelshift/app/routes_spread_test.cc
@@ -184,7 +184,7 @@
                 [this](const HostId& host, const wire::FrameT& frame) {
                   Deliver(host, frame);
                 }};
-  EntryPushes m_pushes{m_hub, m_replica};
+  EntryPushes m_pushes{m_hub, m_replica, 10s};
   state::TestSender m_control{m_replica.state.get(), "control", 1};
   std::string m_document;
   std::map<uint64_t, Instant> m_committed;  // by version
--- a/src/dotterelshift/gateway/retry_share_property_test.cc
+++ b/src/dotterelshift/gateway/retry_share_property_test.cc
@@ -5,9 +5,11 @@
 #include <optional>   // for optional
 #include <random>     // for mt19937_64
 #include <string>     // for to_string
+#include <utility>    // for exchange
 #include <vector>     // for vector
 
-#include "dotterelshift/gateway/retry_share.h"  // for RetryShare
+#include "dotterelshift/gateway/entry_roster.h"  // for EntryRoster
+#include "dotterelshift/gateway/retry_share.h"   // for RetryShare
 
 namespace dotterelshift::gateway {
 namespace {
@@ -37,7 +39,10 @@
  public:
   RetryFleet(uint64_t seed, const RetryShareOptions& options,
              const FaultRates& rates)
-      : m_random(seed), m_options(options), m_rates(rates) {
+      : m_random(seed),
+        m_options(options),
+        m_rates(rates),
+        m_roster(options.window) {
     m_now = Instant(1000s) + std::chrono::microseconds(Below(1'000'000));
     m_hosts.resize(3 + Below(6));
     for (Host& host : m_hosts) StartIn(host, 0s);
@@ -110,14 +115,23 @@
     return m_options.ratio * most + m_options.slack;
   }
 
+  HostId NameOf(const Host& host) const {
+    return std::to_string(&host - m_hosts.data());
+  }
+
+  void Disconnect(Host& host) {
+    if (std::exchange(host.connected, false))
+      m_roster.OnDisconnected(NameOf(host), m_now);
+  }
+
   void StartIn(Host& host, Duration delay) {
     host.run.reset();
-    host.connected = false;
+    Disconnect(host);
     host.starts = m_now + delay;
   }
 
   void ConnectIn(Host& host, Duration delay) {
-    host.connected = false;
+    Disconnect(host);
     host.connects = m_now + delay;
   }
 
@@ -137,6 +151,7 @@
     }
     if (Happens(m_rates.leader_changes)) {
       for (Host& host : m_hosts) ConnectIn(host, Up(2s));
+      m_roster = EntryRoster(m_options.window);
     }
     if (Happens(m_rates.resets))
       ConnectIn(m_hosts[Below(m_hosts.size())], Up(1s));
@@ -145,7 +160,7 @@
     if (Happens(m_rates.departures)) {
       Host& host = m_hosts[Below(m_hosts.size())];
       host.gone = true;
-      host.connected = false;
+      Disconnect(host);
       host.run.reset();
     }
     if (Happens(4)) ChangeTraffic();
@@ -165,12 +180,12 @@
       ConnectIn(host, Up(500ms));
     }
     if (m_now < host.cut_until) {
-      if (host.connected && m_now > host.last_heard + kPeerTimeout)
-        host.connected = false;
+      if (m_now > host.last_heard + kPeerTimeout) Disconnect(host);
       return;
     }
     if (!host.connected && m_now >= host.connects) {
       host.connected = true;
+      m_roster.OnConnected(NameOf(host));
       host.next_heartbeat = m_now;
     }
     if (host.connected && m_now >= host.next_heartbeat) SendHeartbeat(host);
@@ -179,10 +194,8 @@
   void SendHeartbeat(Host& host) {
     host.last_heard = m_now;
     host.next_heartbeat = m_now + kHeartbeat;
-    const auto connected =
-        std::count_if(m_hosts.begin(), m_hosts.end(),
-                      [](const Host& other) { return other.connected; });
-    host.run->OnEntryCount(connected, m_now, m_now);
+    host.run->OnEntryCount(m_roster.PlaceOf(NameOf(host), m_now).count, m_now,
+                           m_now);
   }
 
   void ChangeTraffic() {
@@ -221,6 +234,7 @@
   std::mt19937_64 m_random;
   RetryShareOptions m_options;
   FaultRates m_rates;
+  EntryRoster m_roster;  // of the present leader
   Instant m_now;
   std::vector<Host> m_hosts;
   size_t m_turn = 0;
