Retries: the mean of two windows instead of three, which serves young runs

Cause: of the mean of three windows, the one before a run's first request is empty for it. Change: the mean of the window itself and of the one half a window before it: a run younger than half a window has its requests in both. Still linear in the requests, so the fleet's sum stays within the largest count. Costs: a burst at one moment may use 2.5 s of requests instead of 5 s.

--- a/include/dotterelshift/gateway/retry_windows.h
+++ b/include/dotterelshift/gateway/retry_windows.h
@@ -15,11 +15,12 @@
 //
 // The fleet may send `ratio` retries per request, counted in the window itself,
 // in the window before it or in the one half a window before it, whichever has
-// most requests. Each run uses `ratio` times the mean of the three. Every
-// request then pays for the same retries whichever run received it, so that all
-// runs together, including dead ones, stay within `ratio` times the mean of the
-// fleet's three counts. A share that takes the largest count of each run does
-// not: callers that move are counted at both entries.
+// most requests. Each run uses `ratio` times the mean of the first and the
+// last, which leaves most to a run that has just begun. Every request then pays
+// for the same retries whichever run received it, so that all runs together,
+// including dead ones, stay within `ratio` times the mean of the fleet's
+// counts. A share that takes the largest count of each run does not: callers
+// that move are counted at both entries.
 class RetryWindows {
  public:
   explicit RetryWindows(Duration window) : m_slot(window / kSlotsPerWindow) {}
@@ -29,7 +30,7 @@
 
   // The window that leaves the fewest retries, among all that contain `now`.
   struct Tightest {
-    double requests = 0;   // mean of the three counts
+    double requests = 0;   // mean of the two counts
     double allowed = 0;    // retries
     uint32_t retries = 0;  // sent
   };
@@ -39,8 +40,8 @@
 
  private:
   static constexpr int kSlotsPerWindow = 100;
-  // The window before one that began a window ago.
-  static constexpr int kSlots = 2 * kSlotsPerWindow;
+  // Back to the beginning of the window half a window before the oldest one.
+  static constexpr int kSlots = kSlotsPerWindow * 3 / 2;
   using Counts = std::array<uint32_t, kSlots>;
 
   void Advance(Instant now);
--- a/src/dotterelshift/gateway/retry_windows.cc
+++ b/src/dotterelshift/gateway/retry_windows.cc
@@ -65,9 +65,8 @@
     const uint32_t in_window = requests.Between(start - kWhole + 1, start - 1);
     const uint32_t half_before =
         requests.Between(start - kHalf + 1, start + kHalf - 1);
-    const uint32_t before = requests.Between(start + 1, start + kWhole - 1);
     Tightest found;
-    found.requests = (in_window + half_before + before) / 3.0;
+    found.requests = (in_window + half_before) / 2.0;
     found.allowed = ratio * found.requests + slack;
     found.retries = retries.Between(0, start);
     const bool tighter =
