--- a/src/dotterelshift/gateway/retry_share_property_test.cc
+++ b/src/dotterelshift/gateway/retry_share_property_test.cc
@@ -1,15 +1,15 @@
 #include <cppunit/extensions/HelperMacros.h>  // for CPPUNIT_TEST
 
-#include <algorithm>  // for lower_bound, max, upper_bound
-#include <cstdint>    // for uint64_t
-#include <optional>   // for optional
-#include <random>     // for mt19937_64
-#include <string>     // for to_string
-#include <utility>    // for exchange
-#include <vector>     // for vector
+#include <cstdint>   // for uint64_t
+#include <optional>  // for optional
+#include <random>    // for mt19937_64
+#include <string>    // for to_string
+#include <utility>   // for exchange
+#include <vector>    // for vector
 
 #include "dotterelshift/gateway/entry_roster.h"  // for EntryRoster
 #include "dotterelshift/gateway/retry_share.h"   // for RetryShare
+#include "support/retry_allowance.h"             // for WorstRetryExcess
 
 namespace dotterelshift::gateway {
 namespace {
@@ -61,15 +61,12 @@
     }
   }
 
-  // The largest excess of the retries of any window over its allowance.
+  // The largest excess of the retries of any window over what is allowed.
   double WorstExcess() const {
-    double worst = -1e9;
-    for (const Instant start : m_retries) {
-      const double sent =
-          CountOf(m_retries, start, start + m_options.window + Duration(1));
-      worst = std::max(worst, sent - AllowedIn(start));
-    }
-    return worst;
+    return testing::WorstRetryExcess(
+        m_requests, m_retries,
+        {m_options.ratio, static_cast<double>(m_options.slack),
+         m_options.window});
   }
 
   size_t Retries() const { return m_retries.size(); }
@@ -96,25 +93,6 @@
     return Unit() < in_ten_seconds * (kTick / 1.0s) / 10;
   }
 
-  static double CountOf(const std::vector<Instant>& times, Instant from,
-                        Instant to) {
-    const auto first = std::lower_bound(times.begin(), times.end(), from);
-    return static_cast<double>(std::lower_bound(first, times.end(), to) -
-                               first);
-  }
-
-  // The requests that count for a window are those of the window itself, of the
-  // one before it or of the one half a window before it, whichever has most.
-  double AllowedIn(Instant start) const {
-    double most = 0;
-    for (const Duration back :
-         {Duration(0s), m_options.window / 2, m_options.window}) {
-      most = std::max(most, CountOf(m_requests, start - back,
-                                    start - back + m_options.window));
-    }
-    return m_options.ratio * most + m_options.slack;
-  }
-
   HostId NameOf(const Host& host) const {
     return std::to_string(&host - m_hosts.data());
   }
