--- a/include/dotterelshift/gateway/fleet_load.h
+++ b/include/dotterelshift/gateway/fleet_load.h
@@ -63,6 +63,14 @@
   Tokens tokens_to_prefill = 0;
 };
 
+// How many endpoints of a service this entry knows as usable, and how many of
+// these it does not use now.
+struct EndpointCounts {
+  size_t usable = 0;
+  size_t avoided = 0;  // after failures
+  size_t full = 0;     // after a refusal for lack of capacity
+};
+
 // Identity and address of an endpoint, for sending requests to it.
 struct EndpointContact {
   EndpointId id;
@@ -106,6 +114,11 @@
   void OnPrefilled(EndpointKey endpoint, Instant now);
   void OnEnded(EndpointKey endpoint);
 
+  EndpointCounts CountOf(const ServiceName& service, Instant now) const;
+  std::map<ServiceName, EndpointCounts> CountByService(Instant now) const;
+  // How long the endpoint is still avoided; 0: it is not.
+  Duration AvoidedFor(EndpointKey endpoint, Instant now) const;
+
   // Outcome of an attempt at the endpoint.
   void OnSucceeded(EndpointKey endpoint);
   void OnFailed(EndpointKey endpoint, Instant now);
--- a/src/dotterelshift/app/gateway_entry.cc
+++ b/src/dotterelshift/app/gateway_entry.cc
@@ -412,6 +412,7 @@
   m_link_guard.SetMetrics(*m_metrics);
   SetLinkQueueMetrics(*m_metrics, m_core->WaitingForLink());
   SetRetryMetrics(*m_metrics, m_retries.UseByService(m_loop.Now()));
+  SetEndpointMetrics(*m_metrics, m_load.CountByService(m_loop.Now()));
 }
 
 // Applies only what may change while running: the addresses through which the
--- a/src/dotterelshift/app/gauges.cc
+++ b/src/dotterelshift/app/gauges.cc
@@ -61,6 +61,22 @@
   }
 }
 
+void SetEndpointMetrics(
+    telemetry::Metrics& metrics,
+    const std::map<gateway::ServiceName, gateway::EndpointCounts>& counts) {
+  for (const auto& [service, count] : counts) {
+    metrics.SetServiceGauge("dotterelshift_endpoints_usable",
+                            "Endpoints that serve, as control reports them",
+                            service, Number(count.usable));
+    metrics.SetServiceGauge("dotterelshift_endpoints_avoided",
+                            "Of these, not used for a while after failures",
+                            service, Number(count.avoided));
+    metrics.SetServiceGauge("dotterelshift_endpoints_full",
+                            "Of these, not used after they refused a request",
+                            service, Number(count.full));
+  }
+}
+
 void SetRoutesSentCounters(telemetry::Metrics& metrics,
                            const EntryPushes::RoutesSentTotals& sent) {
   metrics.SetCounter("dotterelshift_routes_wholes_sent_total",
--- a/src/dotterelshift/app/gauges.h
+++ b/src/dotterelshift/app/gauges.h
@@ -2,12 +2,14 @@
 #define DOTTERELSHIFT_SRC_APP_GAUGES_H_
 
 #include <initializer_list>  // for initializer_list
+#include <map>               // for map
 #include <string_view>       // for string_view
 #include <vector>            // for vector
 
 #include "dotterelshift/app/control_replica.h"  // for ControlReplica
 #include "dotterelshift/app/entry_pushes.h"     // for EntryPushes
 #include "dotterelshift/gateway/core.h"         // for LinkQueue
+#include "dotterelshift/gateway/fleet_load.h"   // for EndpointCounts
 #include "dotterelshift/gateway/retry_share.h"  // for RetryUse
 #include "dotterelshift/peers/hub.h"            // for Hub
 #include "dotterelshift/telemetry/metrics.h"    // for Metrics
@@ -37,6 +39,11 @@
 void SetRetryMetrics(telemetry::Metrics& metrics,
                      const std::vector<gateway::RetryUse>& uses);
 
+// Metrics of the endpoints of each service, as this entry believes of them.
+void SetEndpointMetrics(
+    telemetry::Metrics& metrics,
+    const std::map<gateway::ServiceName, gateway::EndpointCounts>& counts);
+
 // Counters of the published routes that a control daemon has sent.
 void SetRoutesSentCounters(telemetry::Metrics& metrics,
                            const EntryPushes::RoutesSentTotals& sent);
--- a/src/dotterelshift/gateway/core_impl.h
+++ b/src/dotterelshift/gateway/core_impl.h
@@ -100,6 +100,8 @@
   void OnEndpointRefusal(ActiveRequest& active, Instant now);
   void OnAttemptFailed(ActiveRequest& active, http::TransferEnd end,
                        Instant now);
+  void LogAvoided(const ActiveRequest& active, std::string_view why,
+                  Instant now);
   bool TryAgain(ActiveRequest& active, Instant now);
   bool TakeRetry(const ActiveRequest& active, Instant now);
   bool MayRunAgain(const ActiveRequest& active) const;
--- a/src/dotterelshift/gateway/core_response.cc
+++ b/src/dotterelshift/gateway/core_response.cc
@@ -142,6 +142,7 @@
   active.prefilled = true;
   if (IsEndpointFault(status)) {
     m_dependencies.load->OnFailed(endpoint, now);
+    LogAvoided(active, "error_response", now);
     if (MayRunAgain(active)) {
       EndAttempt(active);
       ++active.runs;
@@ -169,10 +170,12 @@
 
 void CoreImpl::OnEndpointRefusal(ActiveRequest& active, Instant now) {
   const EndpointKey endpoint = active.attempt.placement.endpoint;
-  if (active.attempt.response_info.address_reassigned)
+  if (active.attempt.response_info.address_reassigned) {
     m_dependencies.load->OnUnreachable(endpoint, now);
-  else
+    LogAvoided(active, "address_reassigned", now);
+  } else {
     m_dependencies.load->OnOverloaded(endpoint, now);
+  }
   Log("endpoint_refused", active,
       {{"endpoint", active.attempt.endpoint.id},
        {"status", std::to_string(active.attempt.status)}});
@@ -199,9 +202,11 @@
   if (sent) {
     active.may_have_run = true;
     m_dependencies.load->OnFailed(endpoint, now);
+    LogAvoided(active, NameOf(end), now);
     if (end != http::TransferEnd::kTimedOut) ReportSuspectContent(active);
   } else {
     m_dependencies.load->OnUnreachable(endpoint, now);
+    LogAvoided(active, NameOf(end), now);
     OnNotSent(active.attempt.id, now);
   }
   EndAttempt(active);
@@ -217,6 +222,24 @@
   Fail(active, ErrorKind::kNoEndpoint, RetryAfter(active, 0s, now), now);
 }
 
+// The counts of its service tell a fault of this endpoint from one of this
+// entry's own paths, which affects all endpoints at once.
+void CoreImpl::LogAvoided(const ActiveRequest& active, std::string_view why,
+                          Instant now) {
+  const EndpointKey endpoint = active.attempt.placement.endpoint;
+  const Duration avoided_for = m_dependencies.load->AvoidedFor(endpoint, now);
+  if (avoided_for == 0s) return;
+  const EndpointCounts counts =
+      m_dependencies.load->CountOf(active.service, now);
+  Log("endpoint_avoided", active,
+      {{"endpoint", active.attempt.endpoint.id},
+       {"why", std::string(why)},
+       {"for_ms", std::to_string(ToMs(avoided_for))},
+       {"service", active.service},
+       {"usable", std::to_string(counts.usable)},
+       {"avoided", std::to_string(counts.avoided)}});
+}
+
 // Content that crashes every endpoint that runs it may be resent through any
 // entry. Control therefore counts the affected endpoints over all entries.
 void CoreImpl::ReportSuspectContent(const ActiveRequest& active) {
@@ -367,7 +390,11 @@
     const Duration left = active.arrived + active.route->timeout - now;
     inputs.emplace_back("left_of_timeout_ms", std::to_string(ToMs(left)));
   }
-  if (summary.error != ErrorKind::kCallerGone)
+  // Whether the bytes of the last attempt were acknowledged tells a slow
+  // endpoint from a path that is cut.
+  const bool unanswered = summary.error == ErrorKind::kCallerGone ||
+                          summary.error == ErrorKind::kDeadlineWhileRunning;
+  if (!unanswered)
     return Log(answered ? "answered" : "ended", active, std::move(inputs));
   inputs.emplace_back("stage", NameOf(stage));
   if (active.attempt.id != 0) {
--- a/src/dotterelshift/gateway/core_test.cc
+++ b/src/dotterelshift/gateway/core_test.cc
@@ -18,6 +18,7 @@
   CPPUNIT_TEST(AtMostOnceRequestIsRetriedOnlyIfItDidNotRun);
   CPPUNIT_TEST(IdempotentRequestIsRetriedWithinItsAttempts);
   CPPUNIT_TEST(DecisionsOnRetriesAreLogged);
+  CPPUNIT_TEST(AvoidedEndpointsAreLoggedAndCounted);
   CPPUNIT_TEST(RefusalAfterAFailedRunDoesNotClaimNotRun);
   CPPUNIT_TEST(BrokenStreamResumesAfterItsLastCompleteEvent);
   CPPUNIT_TEST(NonResumableStreamIsAborted);
@@ -118,6 +119,21 @@
     }
   }
 
+  void AvoidedEndpointsAreLoggedAndCounted() {
+    Publish();
+    Request("/safe/");
+    End(Only<StartAttempt>().attempt, http::TransferEnd::kNotSent);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, CountLines("endpoint_avoided"));
+    End(Only<StartAttempt>().attempt, http::TransferEnd::kNotSent);
+    for (const Decision& line : m_log_lines) {
+      if (line.event != "endpoint_avoided") continue;
+      CPPUNIT_ASSERT_EQUAL(std::string("3"), InputOf(line, "usable"));
+      CPPUNIT_ASSERT_EQUAL(std::string("2"), InputOf(line, "avoided"));
+    }
+    CPPUNIT_ASSERT_EQUAL(size_t{2},
+                         m_load->CountByService(m_now).at("plain").avoided);
+  }
+
   // The request ran once and was cut, then another endpoint refused it. The
   // caller must not be told that it did not run.
   void RefusalAfterAFailedRunDoesNotClaimNotRun() {
@@ -395,6 +411,11 @@
   size_t CountLines(std::string_view event) const {
     return std::ranges::count(m_log_lines, event, &Decision::event);
   }
+  static std::string InputOf(const Decision& line, std::string_view name) {
+    for (const auto& [input, value] : line.inputs)
+      if (input == name) return value;
+    return {};
+  }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(CoreTest);
 
--- a/src/dotterelshift/gateway/fleet_load.cc
+++ b/src/dotterelshift/gateway/fleet_load.cc
@@ -129,6 +129,35 @@
       [&](EndpointKey key) { return MayUse(m_loads.at(key), now); });
 }
 
+EndpointCounts FleetLoad::CountOf(const ServiceName& service,
+                                  Instant now) const {
+  EndpointCounts counts;
+  const auto keys = m_by_service.find(service);
+  if (keys == m_by_service.end()) return counts;
+  for (const EndpointKey key : keys->second) {
+    const Load& load = m_loads.at(key);
+    if (!load.usable) continue;
+    ++counts.usable;
+    counts.avoided += now < load.avoid_until ? 1 : 0;
+    counts.full += now < load.full_until ? 1 : 0;
+  }
+  return counts;
+}
+
+std::map<ServiceName, EndpointCounts> FleetLoad::CountByService(
+    Instant now) const {
+  std::map<ServiceName, EndpointCounts> counts;
+  for (const auto& [service, keys] : m_by_service)
+    counts[service] = CountOf(service, now);
+  return counts;
+}
+
+Duration FleetLoad::AvoidedFor(EndpointKey endpoint, Instant now) const {
+  const auto found = m_loads.find(endpoint);
+  if (found == m_loads.end()) return 0s;
+  return std::max<Duration>(0s, found->second.avoid_until - now);
+}
+
 void FleetLoad::QueuePrefill(Load& load, Tokens tokens, Instant now) {
   load.prefill_until = std::max(load.prefill_until, now) +
                        Milliseconds(static_cast<double>(tokens) /
