--- a/include/dotterelshift/http/client.h
+++ b/include/dotterelshift/http/client.h
@@ -91,6 +91,8 @@
   // close idle connections after five seconds, and a request sent while the
   // server closes the connection has an unknown outcome.
   Duration max_idle = 3s;
+  // Local IP address of the connections; empty: the system chooses.
+  std::string source_address;
 };
 
 std::unique_ptr<Client> MakeClient(loop::Loop& loop,
--- a/include/dotterelshift/settings/settings.h
+++ b/include/dotterelshift/settings/settings.h
@@ -61,6 +61,8 @@
   Duration retry_window = 10s;
   uint32_t retry_slack = 50;  // further retries per window, fleet-wide
   double link_mbit = 0;       // of the host, per second; 0: not known
+  // Local IP address of connections to endpoints; empty: the system chooses.
+  std::string source_address;
   uint32_t max_connections = 4096;
   Duration receive_timeout = 10s;
   Tokens default_output_limit = 1024;
--- a/src/dotterelshift/app/gateway_entry.cc
+++ b/src/dotterelshift/app/gateway_entry.cc
@@ -128,7 +128,8 @@
       m_core(gateway::MakeCore(CoreOptionsOf(incarnation), Parts())),
       m_metrics(telemetry::MakeMetrics()),
       m_traffic(std::make_unique<GatewayTraffic>(loop, *m_core, *m_dialect,
-                                                 *m_metrics, m_link_guard)),
+                                                 *m_metrics, m_link_guard,
+                                                 settings.source_address)),
       m_tick(loop, [this] { OnTick(); }),
       m_prepare(
           loop, [this] { SendToPeers(); }, EV_MINPRI + 1) {
--- a/src/dotterelshift/app/gateway_traffic.cc
+++ b/src/dotterelshift/app/gateway_traffic.cc
@@ -47,9 +47,10 @@
          http::BytesOf(request.headers) + request.body.size();
 }
 
-http::ClientOptions MakeClientOptions() {
+http::ClientOptions MakeClientOptions(const std::string& source_address) {
   http::ClientOptions options;
   options.max_idle = kMaxIdle;
+  options.source_address = source_address;
   return options;
 }
 
@@ -57,13 +58,14 @@
 
 GatewayTraffic::GatewayTraffic(loop::Loop& loop, gateway::Core& core,
                                const gateway::Dialect& dialect,
-                               telemetry::Metrics& metrics, LinkGuard& link)
+                               telemetry::Metrics& metrics, LinkGuard& link,
+                               const std::string& source_address)
     : m_loop(loop),
       m_core(core),
       m_dialect(dialect),
       m_metrics(metrics),
       m_link(link),
-      m_client(http::MakeClient(loop, MakeClientOptions())),
+      m_client(http::MakeClient(loop, MakeClientOptions(source_address))),
       m_timer(loop, [this] {
         m_core.OnTimer(m_loop.Now());
         Pump();
--- a/src/dotterelshift/app/gateway_traffic.h
+++ b/src/dotterelshift/app/gateway_traffic.h
@@ -27,7 +27,7 @@
  public:
   GatewayTraffic(loop::Loop& loop, gateway::Core& core,
                  const gateway::Dialect& dialect, telemetry::Metrics& metrics,
-                 LinkGuard& link);
+                 LinkGuard& link, const std::string& source_address = {});
 
   void Accept(std::shared_ptr<http::Exchange> exchange);
   // Executes the core's pending actions. To be called after every event that
--- a/src/dotterelshift/http/client.cc
+++ b/src/dotterelshift/http/client.cc
@@ -348,6 +348,11 @@
     curl_easy_setopt(handle, CURLOPT_MAXAGE_CONN,
                      static_cast<long>(  // NOLINT(google-runtime-int)
                          max_idle.count()));
+    if (!m_options.source_address.empty()) {
+      // The prefix says that it is an address and no name of an interface.
+      const std::string source = "host!" + m_options.source_address;
+      curl_easy_setopt(handle, CURLOPT_INTERFACE, source.c_str());
+    }
     curl_easy_setopt(handle, CURLOPT_CONNECTTIMEOUT_MS,
                      ToMs(request.connect_timeout));
     if (request.total_timeout > 0s)
--- a/src/dotterelshift/settings/settings.cc
+++ b/src/dotterelshift/settings/settings.cc
@@ -174,6 +174,10 @@
          "What the host's link carries; 0: not known. An entry whose link "
          "callers' requests fill answers the balancer \"not ready\" for a "
          "while."},
+    Rule{"source_address", "IP number",
+         TextRule{&S::source_address, Form::kIpNumber}, false,
+         "Local address of connections to endpoints, on a host with several; "
+         "empty: the system chooses."},
     Rule{"max_head_bytes", "bytes",
          CountRule{&S::max_head_bytes, 1024, 1 << 20}, false,
          "Largest head of a caller's request."},
--- a/tests/process/link_proxy.cc
+++ b/tests/process/link_proxy.cc
@@ -1,10 +1,13 @@
 #include "process/link_proxy.h"
 
+#include <arpa/inet.h>           // for inet_addr
 #include <cppunit/TestAssert.h>  // for CPPUNIT_ASSERT
+#include <linux/filter.h>        // for sock_filter
 #include <sys/socket.h>          // for socket
 #include <unistd.h>              // for close
 
 #include <cerrno>   // for errno
+#include <map>      // for map
 #include <utility>  // for move
 #include <vector>   // for vector
 
@@ -22,9 +25,42 @@
 
 struct Link {
   Side sides[2];
+  in_addr_t source = 0;  // of the connecting side, in network byte order
   bool closed = false;
+  bool silent = false;
 };
 
+// Attaches a filter that decides which incoming packets a socket receives. A
+// listening socket passes it on to the connections that it accepts.
+void AttachFilter(int descriptor, std::vector<sock_filter> program) {
+  const sock_fprog filter{.len = static_cast<uint16_t>(program.size()),
+                          .filter = program.data()};
+  CPPUNIT_ASSERT_EQUAL(0, setsockopt(descriptor, SOL_SOCKET, SO_ATTACH_FILTER,
+                                     &filter, sizeof filter));
+}
+
+constexpr uint32_t kAcceptPacket = 0xffffffff;
+constexpr uint32_t kDropPacket = 0;
+// Offset of the source address in an IPv4 header.
+constexpr uint32_t kSourceOffset = 12;
+
+sock_filter Return(uint32_t verdict) {
+  return BPF_STMT(BPF_RET | BPF_K, verdict);
+}
+
+// Drops the packets from the given addresses.
+std::vector<sock_filter> DropFrom(const std::vector<in_addr_t>& sources) {
+  std::vector<sock_filter> program = {
+      BPF_STMT(BPF_LD | BPF_W | BPF_ABS,
+               static_cast<uint32_t>(SKF_NET_OFF) + kSourceOffset)};
+  for (const in_addr_t source : sources) {
+    program.push_back(BPF_JUMP(BPF_JMP | BPF_JEQ | BPF_K, ntohl(source), 0, 1));
+    program.push_back(Return(kDropPacket));
+  }
+  program.push_back(Return(kAcceptPacket));
+  return program;
+}
+
 class TcpLinkProxy : public LinkProxy {
  public:
   TcpLinkProxy(loop::Loop& loop, const std::string& target)
@@ -62,11 +98,39 @@
     m_frozen = true;
     for (const auto& link : m_links) Watch(*link);
   }
+  void SetSourceCut(const std::string& source, SourceCut cut) override {
+    const in_addr_t address = inet_addr(source.c_str());
+    if (cut == SourceCut::kNone)
+      m_cut_sources.erase(address);
+    else
+      m_cut_sources[address] = cut;
+    std::vector<in_addr_t> sources;
+    for (const auto& [cut_source, how] : m_cut_sources)
+      sources.push_back(cut_source);
+    AttachFilter(m_listener, DropFrom(sources));
+    for (const auto& link : std::vector(m_links))
+      if (!link->closed && link->source == address) CutLink(*link, cut);
+  }
 
  private:
+  void CutLink(Link& link, SourceCut cut) const {
+    if (cut == SourceCut::kReset) {
+      const linger at_once{.l_onoff = 1, .l_linger = 0};
+      setsockopt(link.sides[0].descriptor, SOL_SOCKET, SO_LINGER, &at_once,
+                 sizeof at_once);
+      return CloseLink(link);
+    }
+    link.silent = cut == SourceCut::kSilent;
+    AttachFilter(link.sides[0].descriptor,
+                 {Return(link.silent ? kDropPacket : kAcceptPacket)});
+    Watch(link);
+  }
+
   void Accept() {
-    const int from =
-        accept4(m_listener, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    sockaddr_in peer{};
+    socklen_t length = sizeof peer;
+    const int from = accept4(m_listener, reinterpret_cast<sockaddr*>(&peer),
+                             &length, SOCK_NONBLOCK | SOCK_CLOEXEC);
     if (from < 0) return;
     if (m_cut) {
       close(from);
@@ -79,6 +143,7 @@
     (void)connect(to, reinterpret_cast<const sockaddr*>(&*address),
                   sizeof *address);
     auto link = std::make_shared<Link>();
+    link->source = peer.sin_addr.s_addr;
     link->sides[0].descriptor = from;
     link->sides[1].descriptor = to;
     for (int i = 0; i < 2; ++i) {
@@ -98,8 +163,9 @@
   void Watch(Link& link) const {
     if (link.closed) return;
     for (Side& side : link.sides) {
-      const int events =
-          m_frozen ? 0 : EV_READ | (side.out.empty() ? 0 : EV_WRITE);
+      const int events = m_frozen || link.silent
+                             ? 0
+                             : EV_READ | (side.out.empty() ? 0 : EV_WRITE);
       side.watcher->SetEvents(events);
     }
   }
@@ -143,6 +209,7 @@
   std::string m_address;
   int m_listener;
   bool m_cut = false;
+  std::map<in_addr_t, SourceCut> m_cut_sources;
   bool m_frozen = false;
   std::unique_ptr<loop::IoWatcher> m_watcher;
   std::vector<std::shared_ptr<Link>> m_links;
