--- a/include/dotterelshift/app/control_link.h
+++ b/include/dotterelshift/app/control_link.h
@@ -69,6 +69,13 @@
     m_holdings = std::move(holdings);
   }
 
+  // Whether the leader should name entries that can relay to endpoints. A
+  // heartbeat is due at once when it should.
+  void SetWantsRelays(bool wants, Instant now) {
+    if (wants && !m_wants_relays) m_next_heartbeat = now;
+    m_wants_relays = wants;
+  }
+
   serving::ControlReach Reach() const { return m_reach; }
   const HostId& Leader() const { return m_leader; }
   const state::Configuration& GetConfiguration() const {
@@ -148,6 +155,7 @@
   std::map<uint64_t, Instant>
       m_heartbeats_sent;  // by sequence, from the newest answered one
   Instant m_next_heartbeat{};
+  bool m_wants_relays = false;
   Duration m_max_heartbeat_time{};
   // When the newest answered heartbeat was sent.
   std::optional<Instant> m_confirmed;
--- a/include/dotterelshift/gateway/core.h
+++ b/include/dotterelshift/gateway/core.h
@@ -9,19 +9,20 @@
 #include <variant>   // for variant
 #include <vector>    // for vector
 
-#include "dotterelshift/base/error.h"            // for ErrorKind
-#include "dotterelshift/base/ids.h"              // for RequestId, AttemptId
-#include "dotterelshift/base/time.h"             // for Instant
-#include "dotterelshift/gateway/drain.h"         // for DrainSchedule
-#include "dotterelshift/gateway/fleet_load.h"    // for FleetLoad
-#include "dotterelshift/gateway/held_grants.h"   // for HeldGrants
-#include "dotterelshift/gateway/request.h"       // for RequestInfo
-#include "dotterelshift/gateway/retry_share.h"   // for RetryShare
-#include "dotterelshift/gateway/routes.h"        // for RouteTable
-#include "dotterelshift/gateway/send_pacer.h"    // for SendPacer
-#include "dotterelshift/http/client.h"           // for TransferEnd
-#include "dotterelshift/quarantine/blocklist.h"  // for Blocklist
-#include "dotterelshift/serving/request_core.h"  // for RequestSummary
+#include "dotterelshift/base/error.h"              // for ErrorKind
+#include "dotterelshift/base/ids.h"                // for RequestId, AttemptId
+#include "dotterelshift/base/time.h"               // for Instant
+#include "dotterelshift/gateway/drain.h"           // for DrainSchedule
+#include "dotterelshift/gateway/endpoint_paths.h"  // for EndpointPaths
+#include "dotterelshift/gateway/fleet_load.h"      // for FleetLoad
+#include "dotterelshift/gateway/held_grants.h"     // for HeldGrants
+#include "dotterelshift/gateway/request.h"         // for RequestInfo
+#include "dotterelshift/gateway/retry_share.h"     // for RetryShare
+#include "dotterelshift/gateway/routes.h"          // for RouteTable
+#include "dotterelshift/gateway/send_pacer.h"      // for SendPacer
+#include "dotterelshift/http/client.h"             // for TransferEnd
+#include "dotterelshift/quarantine/blocklist.h"    // for Blocklist
+#include "dotterelshift/serving/request_core.h"    // for RequestSummary
 
 namespace dotterelshift::gateway {
 
@@ -69,8 +70,9 @@
   RequestId request = 0;
   AttemptId attempt = 0;
   EndpointContact endpoint;
-  Duration time_left = 0s;    // for the complete response
-  TeamId team;                // empty: the route is open to all
+  std::optional<RelayContact> relay;  // nullopt: a direct connection
+  Duration time_left = 0s;            // for the complete response
+  TeamId team;                        // empty: the route is open to all
   std::string last_event_id;  // a stream resumes after this event; empty: none
 };
 struct CancelAttempt {
@@ -168,9 +170,17 @@
   virtual void OnChunk(AttemptId attempt, std::string_view bytes,
                        Instant now) = 0;
   virtual void OnEnd(AttemptId attempt, http::TransferEnd end, Instant now) = 0;
+  // A new connection was established for the attempt.
+  virtual void OnConnected(AttemptId attempt, Instant now) = 0;
+  // Bytes of the attempt, which has no response yet, stay unacknowledged.
+  virtual void OnUnacknowledged(AttemptId attempt, Instant now) = 0;
   // The attempt was withdrawn: no byte of it was sent, and none will be.
   virtual void OnWithdrawn(AttemptId attempt, Instant now) = 0;
 
+  // Paths to endpoints may have changed.
+  virtual void OnPathsChanged(Instant now) = 0;
+  // Another entry has offered to relay.
+  virtual void OnRelayOffered(Instant now) = 0;
   // A team may have more tokens available.
   virtual void OnBudgetChanged(Instant now) = 0;
   virtual void OnTimer(Instant now) = 0;
@@ -189,7 +199,8 @@
   HeldGrants* budgets = nullptr;
   RetryShare* retries = nullptr;
   const quarantine::Blocklist* blocklist = nullptr;
-  SendPacer* pacer = nullptr;  // null: sending is not paced
+  SendPacer* pacer = nullptr;      // null: sending is not paced
+  EndpointPaths* paths = nullptr;  // null: endpoints are never relayed
 };
 
 std::unique_ptr<Core> MakeCore(const CoreOptions& options,
--- a/include/dotterelshift/gateway/fleet_load.h
+++ b/include/dotterelshift/gateway/fleet_load.h
@@ -123,6 +123,8 @@
   void OnSucceeded(EndpointKey endpoint);
   void OnFailed(EndpointKey endpoint, Instant now);
   void OnUnreachable(EndpointKey endpoint, Instant now);
+  // The endpoint's failures were due to the path to it, which has changed.
+  void OnPathChanged(EndpointKey endpoint);
   void OnOverloaded(EndpointKey endpoint, Instant now);
 
   // Load updates for the other entries since the last call. If there are more
--- a/include/dotterelshift/http/client.h
+++ b/include/dotterelshift/http/client.h
@@ -21,11 +21,18 @@
 enum class TransferEnd {
   kWhole,             // the response is complete, as its framing says
   kNotSent,           // the request was not sent
+  kRelayFailed,       // not sent either: the relay did not try its server
   kFailedBeforeHead,  // request sent in part or whole, no head received
   kCut,               // the response ended early, after its head
   kTimedOut,          // total_timeout expired
 };
 
+// A relay through which a connection is made (HTTP CONNECT).
+struct Relay {
+  std::string address;  // IP:port
+  std::string token;    // sent to the relay as proof of authorisation
+};
+
 struct ClientRequest {
   std::string method = "POST";
   std::string url;  // the host is an IP address; names are not resolved
@@ -33,6 +40,7 @@
   std::string body;
   Duration connect_timeout = 1s;
   Duration total_timeout = 0s;  // 0: no limit
+  std::optional<Relay> relay;   // nullopt: a direct connection
 };
 
 // Describes how a request was handed over to its connection.
--- a/include/dotterelshift/settings/settings.h
+++ b/include/dotterelshift/settings/settings.h
@@ -61,6 +61,9 @@
   Duration retry_window = 10s;
   uint32_t retry_slack = 50;  // further retries per window, fleet-wide
   double link_mbit = 0;       // of the host, per second; 0: not known
+  // At `address`, for other entries that cannot reach an endpoint themselves;
+  // 0: the system chooses.
+  uint16_t relay_port = 0;
   // Local IP address of connections to endpoints; empty: the system chooses.
   std::string source_address;
   uint32_t max_connections = 4096;
--- a/include/dotterelshift/wire/frames_generated.h
+++ b/include/dotterelshift/wire/frames_generated.h
@@ -150,6 +150,10 @@
 struct TokenLoanBuilder;
 struct TokenLoanT;
 
+struct RelayOffer;
+struct RelayOfferBuilder;
+struct RelayOfferT;
+
 struct Frame;
 struct FrameBuilder;
 struct FrameT;
@@ -214,11 +218,12 @@
   LoadNotes = 23,
   TokenBorrow = 24,
   TokenLoan = 25,
+  RelayOffer = 26,
   MIN = NONE,
-  MAX = TokenLoan
+  MAX = RelayOffer
 };
 
-inline const FrameBody (&EnumValuesFrameBody())[26] {
+inline const FrameBody (&EnumValuesFrameBody())[27] {
   static const FrameBody values[] = {
     FrameBody::NONE,
     FrameBody::Hello,
@@ -245,13 +250,14 @@
     FrameBody::RoutesPush,
     FrameBody::LoadNotes,
     FrameBody::TokenBorrow,
-    FrameBody::TokenLoan
+    FrameBody::TokenLoan,
+    FrameBody::RelayOffer
   };
   return values;
 }
 
 inline const char * const *EnumNamesFrameBody() {
-  static const char * const names[27] = {
+  static const char * const names[28] = {
     "NONE",
     "Hello",
     "HelloProof",
@@ -278,13 +284,14 @@
     "LoadNotes",
     "TokenBorrow",
     "TokenLoan",
+    "RelayOffer",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameFrameBody(FrameBody e) {
-  if (flatbuffers::IsOutRange(e, FrameBody::NONE, FrameBody::TokenLoan)) return "";
+  if (flatbuffers::IsOutRange(e, FrameBody::NONE, FrameBody::RelayOffer)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesFrameBody()[index];
 }
@@ -393,6 +400,10 @@
   static const FrameBody enum_value = FrameBody::TokenLoan;
 };
 
+template<> struct FrameBodyTraits<dotterelshift::wire::RelayOffer> {
+  static const FrameBody enum_value = FrameBody::RelayOffer;
+};
+
 template<typename T> struct FrameBodyUnionTraits {
   static const FrameBody enum_value = FrameBody::NONE;
 };
@@ -497,6 +508,10 @@
   static const FrameBody enum_value = FrameBody::TokenLoan;
 };
 
+template<> struct FrameBodyUnionTraits<dotterelshift::wire::RelayOfferT> {
+  static const FrameBody enum_value = FrameBody::RelayOffer;
+};
+
 struct FrameBodyUnion {
   FrameBody type;
   void *value;
@@ -727,6 +742,14 @@
     return type == FrameBody::TokenLoan ?
       reinterpret_cast<const dotterelshift::wire::TokenLoanT *>(value) : nullptr;
   }
+  dotterelshift::wire::RelayOfferT *AsRelayOffer() {
+    return type == FrameBody::RelayOffer ?
+      reinterpret_cast<dotterelshift::wire::RelayOfferT *>(value) : nullptr;
+  }
+  const dotterelshift::wire::RelayOfferT *AsRelayOffer() const {
+    return type == FrameBody::RelayOffer ?
+      reinterpret_cast<const dotterelshift::wire::RelayOfferT *>(value) : nullptr;
+  }
 };
 
 bool VerifyFrameBody(flatbuffers::Verifier &verifier, const void *obj, FrameBody type);
@@ -1501,6 +1524,7 @@
   std::vector<std::unique_ptr<dotterelshift::wire::BudgetHoldingT>> held{};
   uint64_t routes_version = 0;
   bool wants_routes = false;
+  bool wants_relays = false;
   EntryBeatT() = default;
   EntryBeatT(const EntryBeatT &o);
   EntryBeatT(EntryBeatT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -1516,7 +1540,8 @@
     VT_CONFIGURATION_VERSION = 6,
     VT_HELD = 8,
     VT_ROUTES_VERSION = 10,
-    VT_WANTS_ROUTES = 12
+    VT_WANTS_ROUTES = 12,
+    VT_WANTS_RELAYS = 14
   };
   uint64_t sequence() const {
     return GetField<uint64_t>(VT_SEQUENCE, 0);
@@ -1533,6 +1558,9 @@
   bool wants_routes() const {
     return GetField<uint8_t>(VT_WANTS_ROUTES, 0) != 0;
   }
+  bool wants_relays() const {
+    return GetField<uint8_t>(VT_WANTS_RELAYS, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
@@ -1542,6 +1570,7 @@
            verifier.VerifyVectorOfTables(held()) &&
            VerifyField<uint64_t>(verifier, VT_ROUTES_VERSION, 8) &&
            VerifyField<uint8_t>(verifier, VT_WANTS_ROUTES, 1) &&
+           VerifyField<uint8_t>(verifier, VT_WANTS_RELAYS, 1) &&
            verifier.EndTable();
   }
   EntryBeatT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1568,6 +1597,9 @@
   void add_wants_routes(bool wants_routes) {
     fbb_.AddElement<uint8_t>(EntryBeat::VT_WANTS_ROUTES, static_cast<uint8_t>(wants_routes), 0);
   }
+  void add_wants_relays(bool wants_relays) {
+    fbb_.AddElement<uint8_t>(EntryBeat::VT_WANTS_RELAYS, static_cast<uint8_t>(wants_relays), 0);
+  }
   explicit EntryBeatBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1585,12 +1617,14 @@
     uint64_t configuration_version = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<dotterelshift::wire::BudgetHolding>>> held = 0,
     uint64_t routes_version = 0,
-    bool wants_routes = false) {
+    bool wants_routes = false,
+    bool wants_relays = false) {
   EntryBeatBuilder builder_(_fbb);
   builder_.add_routes_version(routes_version);
   builder_.add_configuration_version(configuration_version);
   builder_.add_sequence(sequence);
   builder_.add_held(held);
+  builder_.add_wants_relays(wants_relays);
   builder_.add_wants_routes(wants_routes);
   return builder_.Finish();
 }
@@ -1606,7 +1640,8 @@
     uint64_t configuration_version = 0,
     const std::vector<flatbuffers::Offset<dotterelshift::wire::BudgetHolding>> *held = nullptr,
     uint64_t routes_version = 0,
-    bool wants_routes = false) {
+    bool wants_routes = false,
+    bool wants_relays = false) {
   auto held__ = held ? _fbb.CreateVector<flatbuffers::Offset<dotterelshift::wire::BudgetHolding>>(*held) : 0;
   return dotterelshift::wire::CreateEntryBeat(
       _fbb,
@@ -1614,7 +1649,8 @@
       configuration_version,
       held__,
       routes_version,
-      wants_routes);
+      wants_routes,
+      wants_relays);
 }
 
 flatbuffers::Offset<EntryBeat> CreateEntryBeat(flatbuffers::FlatBufferBuilder &_fbb, const EntryBeatT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -4469,6 +4505,105 @@
 
 flatbuffers::Offset<TokenLoan> CreateTokenLoan(flatbuffers::FlatBufferBuilder &_fbb, const TokenLoanT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct RelayOfferT : public flatbuffers::NativeTable {
+  typedef RelayOffer TableType;
+  std::string address{};
+  std::string token{};
+  std::vector<std::string> unreachable{};
+};
+
+struct RelayOffer FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef RelayOfferT NativeTableType;
+  typedef RelayOfferBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ADDRESS = 4,
+    VT_TOKEN = 6,
+    VT_UNREACHABLE = 8
+  };
+  const flatbuffers::String *address() const {
+    return GetPointer<const flatbuffers::String *>(VT_ADDRESS);
+  }
+  const flatbuffers::String *token() const {
+    return GetPointer<const flatbuffers::String *>(VT_TOKEN);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *unreachable() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_UNREACHABLE);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_ADDRESS) &&
+           verifier.VerifyString(address()) &&
+           VerifyOffset(verifier, VT_TOKEN) &&
+           verifier.VerifyString(token()) &&
+           VerifyOffset(verifier, VT_UNREACHABLE) &&
+           verifier.VerifyVector(unreachable()) &&
+           verifier.VerifyVectorOfStrings(unreachable()) &&
+           verifier.EndTable();
+  }
+  RelayOfferT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(RelayOfferT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<RelayOffer> Pack(flatbuffers::FlatBufferBuilder &_fbb, const RelayOfferT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct RelayOfferBuilder {
+  typedef RelayOffer Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_address(flatbuffers::Offset<flatbuffers::String> address) {
+    fbb_.AddOffset(RelayOffer::VT_ADDRESS, address);
+  }
+  void add_token(flatbuffers::Offset<flatbuffers::String> token) {
+    fbb_.AddOffset(RelayOffer::VT_TOKEN, token);
+  }
+  void add_unreachable(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> unreachable) {
+    fbb_.AddOffset(RelayOffer::VT_UNREACHABLE, unreachable);
+  }
+  explicit RelayOfferBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<RelayOffer> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<RelayOffer>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<RelayOffer> CreateRelayOffer(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> address = 0,
+    flatbuffers::Offset<flatbuffers::String> token = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> unreachable = 0) {
+  RelayOfferBuilder builder_(_fbb);
+  builder_.add_unreachable(unreachable);
+  builder_.add_token(token);
+  builder_.add_address(address);
+  return builder_.Finish();
+}
+
+struct RelayOffer::Traits {
+  using type = RelayOffer;
+  static auto constexpr Create = CreateRelayOffer;
+};
+
+inline flatbuffers::Offset<RelayOffer> CreateRelayOfferDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *address = nullptr,
+    const char *token = nullptr,
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *unreachable = nullptr) {
+  auto address__ = address ? _fbb.CreateString(address) : 0;
+  auto token__ = token ? _fbb.CreateString(token) : 0;
+  auto unreachable__ = unreachable ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*unreachable) : 0;
+  return dotterelshift::wire::CreateRelayOffer(
+      _fbb,
+      address__,
+      token__,
+      unreachable__);
+}
+
+flatbuffers::Offset<RelayOffer> CreateRelayOffer(flatbuffers::FlatBufferBuilder &_fbb, const RelayOfferT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct FrameT : public flatbuffers::NativeTable {
   typedef Frame TableType;
   dotterelshift::wire::FrameBodyUnion body{};
@@ -4564,6 +4699,9 @@
   const dotterelshift::wire::TokenLoan *body_as_TokenLoan() const {
     return body_type() == dotterelshift::wire::FrameBody::TokenLoan ? static_cast<const dotterelshift::wire::TokenLoan *>(body()) : nullptr;
   }
+  const dotterelshift::wire::RelayOffer *body_as_RelayOffer() const {
+    return body_type() == dotterelshift::wire::FrameBody::RelayOffer ? static_cast<const dotterelshift::wire::RelayOffer *>(body()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_BODY_TYPE, 1) &&
@@ -4676,6 +4814,10 @@
   return body_as_TokenLoan();
 }
 
+template<> inline const dotterelshift::wire::RelayOffer *Frame::body_as<dotterelshift::wire::RelayOffer>() const {
+  return body_as_RelayOffer();
+}
+
 struct FrameBuilder {
   typedef Frame Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -4973,7 +5115,8 @@
       : sequence(o.sequence),
         configuration_version(o.configuration_version),
         routes_version(o.routes_version),
-        wants_routes(o.wants_routes) {
+        wants_routes(o.wants_routes),
+        wants_relays(o.wants_relays) {
   held.reserve(o.held.size());
   for (const auto &held_ : o.held) { held.emplace_back((held_) ? new dotterelshift::wire::BudgetHoldingT(*held_) : nullptr); }
 }
@@ -4984,6 +5127,7 @@
   std::swap(held, o.held);
   std::swap(routes_version, o.routes_version);
   std::swap(wants_routes, o.wants_routes);
+  std::swap(wants_relays, o.wants_relays);
   return *this;
 }
 
@@ -5001,6 +5145,7 @@
   { auto _e = held(); if (_e) { _o->held.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->held[_i] = std::unique_ptr<dotterelshift::wire::BudgetHoldingT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = routes_version(); _o->routes_version = _e; }
   { auto _e = wants_routes(); _o->wants_routes = _e; }
+  { auto _e = wants_relays(); _o->wants_relays = _e; }
 }
 
 inline flatbuffers::Offset<EntryBeat> EntryBeat::Pack(flatbuffers::FlatBufferBuilder &_fbb, const EntryBeatT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -5016,13 +5161,15 @@
   auto _held = _o->held.size() ? _fbb.CreateVector<flatbuffers::Offset<dotterelshift::wire::BudgetHolding>> (_o->held.size(), [](size_t i, _VectorArgs *__va) { return CreateBudgetHolding(*__va->__fbb, __va->__o->held[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _routes_version = _o->routes_version;
   auto _wants_routes = _o->wants_routes;
+  auto _wants_relays = _o->wants_relays;
   return dotterelshift::wire::CreateEntryBeat(
       _fbb,
       _sequence,
       _configuration_version,
       _held,
       _routes_version,
-      _wants_routes);
+      _wants_routes,
+      _wants_relays);
 }
 
 inline BudgetHoldingT *BudgetHolding::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -6102,6 +6249,38 @@
       _tokens);
 }
 
+inline RelayOfferT *RelayOffer::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<RelayOfferT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void RelayOffer::UnPackTo(RelayOfferT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = address(); if (_e) _o->address = _e->str(); }
+  { auto _e = token(); if (_e) _o->token = _e->str(); }
+  { auto _e = unreachable(); if (_e) { _o->unreachable.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->unreachable[_i] = _e->Get(_i)->str(); } } }
+}
+
+inline flatbuffers::Offset<RelayOffer> RelayOffer::Pack(flatbuffers::FlatBufferBuilder &_fbb, const RelayOfferT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateRelayOffer(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<RelayOffer> CreateRelayOffer(flatbuffers::FlatBufferBuilder &_fbb, const RelayOfferT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const RelayOfferT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _address = _o->address.empty() ? 0 : _fbb.CreateString(_o->address);
+  auto _token = _o->token.empty() ? 0 : _fbb.CreateString(_o->token);
+  auto _unreachable = _o->unreachable.size() ? _fbb.CreateVectorOfStrings(_o->unreachable) : 0;
+  return dotterelshift::wire::CreateRelayOffer(
+      _fbb,
+      _address,
+      _token,
+      _unreachable);
+}
+
 inline FrameT *Frame::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::make_unique<FrameT>();
   UnPackTo(_o.get(), _resolver);
@@ -6236,6 +6415,10 @@
       auto ptr = reinterpret_cast<const dotterelshift::wire::TokenLoan *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case FrameBody::RelayOffer: {
+      auto ptr = reinterpret_cast<const dotterelshift::wire::RelayOffer *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
@@ -6355,6 +6538,10 @@
       auto ptr = reinterpret_cast<const dotterelshift::wire::TokenLoan *>(obj);
       return ptr->UnPack(resolver);
     }
+    case FrameBody::RelayOffer: {
+      auto ptr = reinterpret_cast<const dotterelshift::wire::RelayOffer *>(obj);
+      return ptr->UnPack(resolver);
+    }
     default: return nullptr;
   }
 }
@@ -6462,6 +6649,10 @@
       auto ptr = reinterpret_cast<const dotterelshift::wire::TokenLoanT *>(value);
       return CreateTokenLoan(_fbb, ptr, _rehasher).Union();
     }
+    case FrameBody::RelayOffer: {
+      auto ptr = reinterpret_cast<const dotterelshift::wire::RelayOfferT *>(value);
+      return CreateRelayOffer(_fbb, ptr, _rehasher).Union();
+    }
     default: return 0;
   }
 }
@@ -6568,6 +6759,10 @@
       value = new dotterelshift::wire::TokenLoanT(*reinterpret_cast<dotterelshift::wire::TokenLoanT *>(u.value));
       break;
     }
+    case FrameBody::RelayOffer: {
+      value = new dotterelshift::wire::RelayOfferT(*reinterpret_cast<dotterelshift::wire::RelayOfferT *>(u.value));
+      break;
+    }
     default:
       break;
   }
@@ -6700,6 +6895,11 @@
       delete ptr;
       break;
     }
+    case FrameBody::RelayOffer: {
+      auto ptr = reinterpret_cast<dotterelshift::wire::RelayOfferT *>(value);
+      delete ptr;
+      break;
+    }
     default: break;
   }
   value = nullptr;
--- /dev/null
+++ b/src/dotterelshift/app/endpoint_relays.cc
@@ -0,0 +1,172 @@
+#include "dotterelshift/app/endpoint_relays.h"
+
+#include <utility>  // for move
+
+#include "dotterelshift/app/gauges.h"        // for SetGauges
+#include "dotterelshift/directory/spread.h"  // for PulseKey
+#include "dotterelshift/telemetry/log.h"     // for Log
+
+namespace dotterelshift::app {
+namespace {
+
+relay::RelayServerOptions ServerOptionsOf(const settings::Settings& settings) {
+  relay::RelayServerOptions options;
+  options.listen_address = settings.address;
+  options.listen_port = settings.relay_port;
+  options.source_address = settings.source_address;
+  return options;
+}
+
+void LogTunnel(const relay::TunnelReport& report) {
+  telemetry::LogDecision("relay_tunnel", "",
+                         {{"event", std::string(NameOf(report.event))},
+                          {"client", report.client},
+                          {"target", report.target},
+                          {"bytes_up", std::to_string(report.bytes_up)},
+                          {"bytes_down", std::to_string(report.bytes_down)}});
+}
+
+std::string Join(const std::vector<gateway::ServiceName>& services) {
+  std::string text;
+  for (const gateway::ServiceName& service : services)
+    text += (text.empty() ? "" : ",") + service;
+  return text;
+}
+
+}  // namespace
+
+EndpointRelays::EndpointRelays(loop::Loop& loop,
+                               const settings::Settings& settings, Parts parts)
+    : m_loop(loop),
+      m_parts(std::move(parts)),
+      m_address(settings.address),
+      m_server(
+          relay::MakeRelayServer(loop, ServerOptionsOf(settings), Callbacks())),
+      m_probes(loop, settings.source_address,
+               [this](gateway::EndpointKey endpoint, bool connected) {
+                 const Instant now = m_loop.Now();
+                 m_parts.paths->OnProbeEnded(endpoint, connected, now);
+                 m_parts.core->OnPathsChanged(now);
+                 m_parts.pump();
+               }) {}
+
+relay::RelayCallbacks EndpointRelays::Callbacks() {
+  relay::RelayCallbacks callbacks;
+  callbacks.admit = [this](const std::string& target) { return Admit(target); };
+  callbacks.on_connect_failed = [this](const std::string& target) {
+    return OnConnectFailed(target);
+  };
+  callbacks.on_event = LogTunnel;
+  return callbacks;
+}
+
+const directory::Endpoint* EndpointRelays::FindByAddress(
+    const std::string& address) const {
+  for (const auto& [id, endpoint] : m_parts.directory->All())
+    if (endpoint.usable && endpoint.record.address == address) return &endpoint;
+  return nullptr;
+}
+
+relay::Admission EndpointRelays::Admit(const std::string& target) const {
+  const directory::Endpoint* endpoint = FindByAddress(target);
+  if (endpoint == nullptr) return relay::Admission::kUnknownTarget;
+  const gateway::EndpointKey key =
+      directory::PulseKey(endpoint->record.id, endpoint->record.incarnation);
+  // A connection passes at most one relay.
+  const bool reaches = !m_parts.paths->IsRelayed(key);
+  const bool carries = reaches && !m_withdrawn && m_parts.has_room();
+  return carries ? relay::Admission::kAllowed : relay::Admission::kNotNow;
+}
+
+bool EndpointRelays::OnConnectFailed(const std::string& target) {
+  const directory::Endpoint* endpoint = FindByAddress(target);
+  if (endpoint == nullptr) return false;
+  const gateway::EndpointKey key =
+      directory::PulseKey(endpoint->record.id, endpoint->record.incarnation);
+  const Instant now = m_loop.Now();
+  m_parts.paths->OnConnectFailed(key, now);
+  m_parts.core->OnPathsChanged(now);
+  m_parts.pump();
+  return m_parts.paths->IsRelayed(key);
+}
+
+void EndpointRelays::OnEntryUp(const peers::PeerInfo& entry) {
+  const std::string token = m_server->Authorise(entry.run.host);
+  m_tokens[entry.run.host] = token;
+  if (!m_withdrawn) SendOffer(entry.run.host, token);
+}
+
+void EndpointRelays::OnEntryDown(const HostId& host) {
+  m_tokens.erase(host);
+  m_server->Dismiss(host);
+  m_parts.paths->OnRelayGone(host);
+}
+
+void EndpointRelays::SendOffer(const HostId& host,
+                               const std::string& token) const {
+  wire::RelayOfferT offer;
+  if (!m_withdrawn) {
+    offer.address = m_address + ":" + std::to_string(m_server->Port());
+    offer.token = token;
+    offer.unreachable = m_unreachable;
+  }
+  m_parts.hub->Send(host, peers::MakeFrame(std::move(offer)));
+}
+
+void EndpointRelays::OnOffer(const peers::PeerInfo& entry,
+                             const wire::RelayOfferT& offer) {
+  if (offer.address.empty()) return m_parts.paths->OnRelayGone(entry.run.host);
+  m_parts.paths->OnRelay({entry.run.host, entry.data_centre, offer.address,
+                          offer.token, offer.unreachable});
+  m_parts.core->OnRelayOffered(m_loop.Now());
+}
+
+void EndpointRelays::OnTick() {
+  const Instant now = m_loop.Now();
+  m_probes.CheckTimeouts();
+  m_parts.paths->OnTimer(*m_parts.directory, now);
+  m_parts.core->OnPathsChanged(now);
+  for (const gateway::EndpointPaths::Probe& probe :
+       m_parts.paths->TakeProbes(now))
+    m_probes.Start(probe);
+  std::vector<gateway::ServiceName> unreachable =
+      m_parts.paths->UnreachableServices();
+  if (unreachable == m_unreachable) return;
+  m_unreachable = std::move(unreachable);
+  telemetry::Log(telemetry::LogLevel::kWarning, "endpoints_reach",
+                 {{"unreachable", Join(m_unreachable)},
+                  {"relays", std::to_string(m_parts.paths->Relays())}});
+  for (const auto& [host, token] : m_tokens) SendOffer(host, token);
+}
+
+void EndpointRelays::Withdraw() {
+  m_withdrawn = true;
+  for (const auto& [host, token] : m_tokens) SendOffer(host, token);
+}
+
+bool EndpointRelays::IsBusy() const {
+  return m_server->BusyTunnels(m_loop.Now()) > 0;
+}
+
+void EndpointRelays::SetMetrics(telemetry::Metrics& metrics) const {
+  const relay::RelayCounters& counters = m_server->Counters();
+  const auto number = [](auto value) { return static_cast<double>(value); };
+  metrics.SetCounter("dotterelshift_tunnels_opened_total",
+                     "Connections relayed for other entries",
+                     number(counters.opened));
+  metrics.SetCounter("dotterelshift_tunnels_refused_total",
+                     "Requests of other entries that were not relayed",
+                     number(counters.refused));
+  metrics.SetCounter("dotterelshift_tunnel_bytes_total",
+                     "Carried for other entries, in both directions",
+                     number(counters.bytes));
+  SetGauges(metrics, {{"dotterelshift_tunnels_open", "Relayed now",
+                       number(m_server->OpenTunnels())},
+                      {"dotterelshift_endpoints_relayed",
+                       "Reached through another entry",
+                       number(m_parts.paths->RelayedEndpoints().size())},
+                      {"dotterelshift_relays", "Entries that offer to relay",
+                       number(m_parts.paths->Relays())}});
+}
+
+}  // namespace dotterelshift::app
--- a/src/dotterelshift/app/entry_pushes.cc
+++ b/src/dotterelshift/app/entry_pushes.cc
@@ -1,6 +1,6 @@
 #include "dotterelshift/app/entry_pushes.h"
 
-#include <algorithm>  // for any_of
+#include <algorithm>  // for any_of, min
 #include <memory>     // for make_unique
 #include <string>     // for to_string
 #include <utility>    // for move
@@ -18,6 +18,10 @@
 // between data centres.
 constexpr size_t kMaxFullMeshEntries = 16;
 
+// Entries of other data centres that relay for one entry of a large fleet while
+// those of its own data centre cannot.
+constexpr size_t kMaxDistantRelays = 4;
+
 // Nothing is pushed to an entry whose connection has a larger backlog. A
 // version that was not pushed yet is replaced by the next one; a version in the
 // connection's buffer is sent in any case. Without this limit, frequent changes
@@ -68,6 +72,7 @@
   const auto entry = m_entries.find(host);
   if (entry == m_entries.end()) return false;
   entry->second.reported = true;
+  entry->second.wants_relays = beat.wants_relays;
   OnReportedVersion(entry->second.configuration, beat.configuration_version,
                     false, now);
   OnReportedVersion(entry->second.routes, beat.routes_version,
@@ -103,9 +108,24 @@
   for (const auto& [other, known] : m_entries)
     if (all || known.info.data_centre == own)
       answer.entries.push_back(known.info.address);
+  if (!all && entry->second.wants_relays)
+    AddDistantEntries(own, place.index, answer.entries);
   m_hub.Send(host, peers::MakeFrame(std::move(answer)));
 }
 
+// Entries that want relays themselves are left out.
+void EntryPushes::AddDistantEntries(const DataCentreId& data_centre,
+                                    size_t place,
+                                    std::vector<std::string>& addresses) const {
+  std::vector<std::string> distant;
+  for (const auto& [host, known] : m_entries)
+    if (known.info.data_centre != data_centre && !known.wants_relays)
+      distant.push_back(known.info.address);
+  const size_t count = std::min(kMaxDistantRelays, distant.size());
+  for (size_t i = 0; i < count; ++i)
+    addresses.push_back(distant[(place * count + i) % distant.size()]);
+}
+
 bool EntryPushes::PushPending(Instant now, WallMs wall) {
   TrackRollout(now);
   size_t bytes = 0;
--- a/src/dotterelshift/app/entry_pushes.h
+++ b/src/dotterelshift/app/entry_pushes.h
@@ -67,6 +67,7 @@
     PushedVersion configuration;
     PushedVersion routes;
     bool reported = false;  // the versions it holds are known
+    bool wants_relays = false;
     // The term in which the quarantined contents were last sent to it.
     std::optional<uint64_t> quarantine_term;
   };
@@ -80,6 +81,10 @@
   // `wants_full` is true if the entry could not apply the delta sent to it.
   static void OnReportedVersion(PushedVersion& pushed, uint64_t version,
                                 bool wants_full, Instant now);
+  // Addresses of entries of other data centres that can relay for an entry at
+  // this place, which spreads the entries over them.
+  void AddDistantEntries(const DataCentreId& data_centre, size_t place,
+                         std::vector<std::string>& addresses) const;
   // Return the approximate number of bytes sent.
   size_t Push(Entry& entry, Instant now, WallMs wall);
   size_t PushConfiguration(Entry& entry, Instant now);
--- a/src/dotterelshift/app/gateway_entry.cc
+++ b/src/dotterelshift/app/gateway_entry.cc
@@ -7,6 +7,7 @@
 #include "dotterelshift/app/daemon.h"              // for Daemon
 #include "dotterelshift/app/dial_log.h"            // for LogDial
 #include "dotterelshift/app/directory_exchange.h"  // for DirectoryExchange
+#include "dotterelshift/app/endpoint_relays.h"     // for EndpointRelays
 #include "dotterelshift/app/gateway_options.h"     // for CoreOptionsOf
 #include "dotterelshift/app/gateway_traffic.h"     // for GatewayTraffic
 #include "dotterelshift/app/gauges.h"              // for SetGauges
@@ -45,6 +46,7 @@
   void StartServers();
   peers::HubCallbacks HubCallbacks();
   gateway::CoreDependencies Parts();
+  EndpointRelays::Parts RelayParts();
   void OnExchange(std::shared_ptr<http::Exchange> exchange);
   void OnHealth(http::Exchange& exchange);
   void OnPeerFrame(const peers::PeerInfo& peer, const wire::FrameT& frame);
@@ -83,6 +85,7 @@
   gateway::HeldGrants m_budgets;
   gateway::RetryShare m_retries;
   LinkGuard m_link_guard;
+  gateway::EndpointPaths m_paths;
   gateway::SendPacer m_pacer;
   uint64_t m_paced_bytes = 0;  // other bytes sent, as last reported to m_pacer
   quarantine::Blocklist m_blocklist;
@@ -94,6 +97,7 @@
   std::unique_ptr<http::Server> m_metrics_server;
   std::unique_ptr<peers::Hub> m_hub;
   std::unique_ptr<OtherEntries> m_others;
+  std::unique_ptr<EndpointRelays> m_relays;
   ControlReach m_reach = ControlReach::kNever;
   uint64_t m_version = 0;           // of the routes in force here
   uint64_t m_received_version = 0;  // of the newest received, valid or not
@@ -124,6 +128,7 @@
       m_budgets({}, [this] { return NextId(); }),
       m_retries(RetryOptionsOf(settings)),
       m_link_guard(settings),
+      m_paths(PathOptionsOf(settings)),
       m_pacer(SendPacerOptionsOf(settings)),
       m_core(gateway::MakeCore(CoreOptionsOf(incarnation), Parts())),
       m_metrics(telemetry::MakeMetrics()),
@@ -141,13 +146,23 @@
       HubCallbacks());
   m_others = std::make_unique<OtherEntries>(loop, *m_hub,
                                             LoadUpdatePacerOptionsOf(settings));
+  m_relays = std::make_unique<EndpointRelays>(loop, settings, RelayParts());
   m_directory.SetHub(m_hub.get());
   Register();
   m_tick.ArmIn(0ms);
 }
 
 gateway::CoreDependencies GatewayEntry::Parts() {
-  return {&m_load, &m_budgets, &m_retries, &m_blocklist, &m_pacer};
+  return {&m_load, &m_budgets, &m_retries, &m_blocklist, &m_pacer, &m_paths};
+}
+
+EndpointRelays::Parts GatewayEntry::RelayParts() {
+  return {.paths = &m_paths,
+          .directory = &m_directory.GetDirectory(),
+          .core = m_core.get(),
+          .hub = m_hub.get(),
+          .has_room = [this] { return !m_link_guard.IsFull(m_loop.Now()); },
+          .pump = [this] { m_traffic->Pump(); }};
 }
 
 void GatewayEntry::StartServers() {
@@ -182,7 +197,7 @@
   callbacks.on_up = [this](const peers::PeerInfo& peer) {
     telemetry::Log(telemetry::LogLevel::kInfo, "peer_up",
                    {{"peer", peer.run.host}});
-    if (peer.role != wire::HostRole::Control) return;
+    if (peer.role != wire::HostRole::Control) return m_relays->OnEntryUp(peer);
     m_directory.OnPeerUp(peer);
     m_link.OnPeerUp(peer.run.host, m_loop.Now());
     m_tick.ArmIn(0ms);
@@ -190,8 +205,10 @@
   callbacks.on_down = [this](const peers::PeerInfo& peer) {
     telemetry::Log(telemetry::LogLevel::kWarning, "peer_down",
                    {{"peer", peer.run.host}});
-    if (peer.role != wire::HostRole::Control)
+    if (peer.role != wire::HostRole::Control) {
+      m_relays->OnEntryDown(peer.run.host);
       return m_load.OnEntryGone(peer.run.host);
+    }
     m_directory.OnPeerDown(peer);
     m_link.OnPeerDown(peer.run.host, m_loop.Now());
     m_tick.ArmIn(0ms);
@@ -231,6 +248,9 @@
                             {"lent", std::to_string(loan.tokens)}});
     if (loan.tokens > 0)
       m_hub->Send(peer.run.host, peers::MakeFrame(std::move(loan)));
+  } else if (const auto* offer = frame.body.AsRelayOffer()) {
+    m_relays->OnOffer(peer, *offer);
+    m_traffic->Pump();
   } else if (const auto* loan = frame.body.AsTokenLoan()) {
     m_budgets.OnLoan(*loan, now);
     m_core->OnBudgetChanged(now);
@@ -329,6 +349,9 @@
   m_link.SetHoldings(m_budgets.Holdings(now));
   m_link.OnTimer(now);
   TakeFromLink();
+  m_traffic->CheckAcknowledged();
+  m_relays->OnTick();
+  m_link.SetWantsRelays(m_paths.LacksRelay(now), now);
   CheckDrained();
   m_tick.ArmIn(kTick);
 }
@@ -341,7 +364,8 @@
 
 LinkGuard::Traffic GatewayEntry::LinkTraffic() const {
   const peers::HubCounters& peers = m_hub->Counters();
-  return {m_traffic->Bytes(),
+  const gateway::LinkBytes relayed = {m_relays->Bytes(), m_relays->Bytes()};
+  return {m_traffic->Bytes() + relayed,
           {peers.bytes_in, peers.bytes_out},
           m_core->WaitingForLink().bytes};
 }
@@ -351,8 +375,8 @@
 void GatewayEntry::SendToPeers() {
   const Instant now = m_loop.Now();
   m_link_guard.Adjust(*m_server, LinkTraffic(), now);
-  const uint64_t bytes =
-      m_traffic->BytesToCallers() + m_hub->Counters().bytes_out;
+  const uint64_t bytes = m_traffic->BytesToCallers() +
+                         m_hub->Counters().bytes_out + m_relays->Bytes();
   m_pacer.OnBytes(bytes - std::exchange(m_paced_bytes, bytes), now);
   if (m_returning_since) {
     ReturnHoldings();
@@ -414,6 +438,7 @@
   SetLinkQueueMetrics(*m_metrics, m_core->WaitingForLink());
   SetRetryMetrics(*m_metrics, m_retries.UseByService(m_loop.Now()));
   SetEndpointMetrics(*m_metrics, m_load.CountByService(m_loop.Now()));
+  m_relays->SetMetrics(*m_metrics);
 }
 
 // Applies only what may change while running: the addresses through which the
@@ -431,6 +456,7 @@
   m_drain = gateway::MakeDrainSchedule(m_loop.Now(), m_settings.shutdown_notice,
                                        m_settings.shutdown_limit);
   m_core->StartDraining(*m_drain);
+  m_relays->Withdraw();
 }
 
 void GatewayEntry::CheckDrained() {
@@ -455,7 +481,8 @@
 }
 
 bool GatewayEntry::HasOpen() const {
-  return m_traffic->OpenResponses() > 0 || m_server->OpenExchanges() > 0;
+  return m_traffic->OpenResponses() > 0 || m_server->OpenExchanges() > 0 ||
+         m_relays->IsBusy();
 }
 
 // Ends open requests before the holdings are returned, so that their spend is
--- a/src/dotterelshift/app/gateway_options.cc
+++ b/src/dotterelshift/app/gateway_options.cc
@@ -82,6 +82,13 @@
   return options;
 }
 
+gateway::EndpointPathsOptions PathOptionsOf(
+    const settings::Settings& settings) {
+  gateway::EndpointPathsOptions options;
+  options.data_centre = settings.data_centre;
+  return options;
+}
+
 gateway::CoreOptions CoreOptionsOf(Incarnation incarnation) {
   gateway::CoreOptions options;
   options.seed = incarnation;
--- a/src/dotterelshift/app/gateway_options.h
+++ b/src/dotterelshift/app/gateway_options.h
@@ -6,6 +6,7 @@
 #include "dotterelshift/directory/directory.h"     // for DirectoryOptions
 #include "dotterelshift/directory/spread.h"        // for SpreadOptions
 #include "dotterelshift/gateway/core.h"            // for CoreOptions
+#include "dotterelshift/gateway/endpoint_paths.h"  // for EndpointPathsOptions
 #include "dotterelshift/gateway/link_admission.h"  // for LinkAdmissionOptions
 #include "dotterelshift/gateway/link_load_shedder.h"  // for LinkLoadShedderOptions
 #include "dotterelshift/gateway/load_update_pacer.h"  // for LoadUpdatePacerOptions
@@ -28,6 +29,7 @@
     const settings::Settings& settings);
 gateway::LoadUpdatePacerOptions LoadUpdatePacerOptionsOf(
     const settings::Settings& settings);
+gateway::EndpointPathsOptions PathOptionsOf(const settings::Settings& settings);
 gateway::SendPacerOptions SendPacerOptionsOf(
     const settings::Settings& settings);
 gateway::CoreOptions CoreOptionsOf(Incarnation incarnation);
--- a/src/dotterelshift/app/gateway_traffic.cc
+++ b/src/dotterelshift/app/gateway_traffic.cc
@@ -22,6 +22,13 @@
 // first retransmission of a lost SYN packet.
 constexpr Duration kConnectTimeout = 300ms;
 
+// The same through a relay, which may take nearly as long itself.
+constexpr Duration kRelayConnectTimeout = 400ms;
+
+// Bytes that are not acknowledged for this long are retransmissions of lost
+// packets or on a path that is cut: a round trip takes a few milliseconds.
+constexpr Duration kAcknowledgeTimeout = 250ms;
+
 // The endpoint may end its response by itself until this long after the
 // caller's deadline, so that the core's deadline takes effect first.
 constexpr Duration kTimeoutSlack = 200ms;
@@ -132,7 +139,9 @@
   if (!request.query.empty()) onward.url += "?" + request.query;
   onward.headers = m_dialect.OnwardHeaders(request, start);
   onward.body = request.body;
-  onward.connect_timeout = kConnectTimeout;
+  onward.connect_timeout = start.relay ? kRelayConnectTimeout : kConnectTimeout;
+  if (start.relay)
+    onward.relay = http::Relay{start.relay->address, start.relay->token};
   onward.total_timeout = start.time_left + kTimeoutSlack;
   http::TransferCallbacks callbacks;
   const AttemptId attempt = start.attempt;
@@ -151,6 +160,7 @@
   };
   Transfer& transfer = m_transfers[attempt];
   transfer.request = start.request;
+  transfer.relayed = start.relay.has_value();
   transfer.first = !std::exchange(open->second.attempted, true);
   transfer.id = m_client->Start(std::move(onward), std::move(callbacks));
 }
@@ -165,6 +175,28 @@
   record.wait = m_link.OutboundWait(record.handed_over_at);
   m_link.OnHandedOver(what, NextSendOf(transfer->second),
                       record.handed_over_at);
+  if (what.new_connection) m_core.OnConnected(attempt, record.handed_over_at);
+}
+
+// While the outbound link is full, bytes wait for it and not for the endpoint.
+void GatewayTraffic::CheckAcknowledged() {
+  const Instant now = m_loop.Now();
+  if (m_link.OutboundWait(now) >= kMinLoggedWait) return;
+  std::vector<AttemptId> unacknowledged;
+  for (auto& [attempt, transfer] : m_transfers) {
+    const SendRecord& record = transfer.send_record;
+    const bool due =
+        !transfer.checked && !transfer.relayed && transfer.status == 0 &&
+        record.handed_over &&
+        now - record.handed_over_at >= kAcknowledgeTimeout + record.wait;
+    if (!due) continue;
+    transfer.checked = true;
+    if (m_client->Unsent(transfer.id).value_or(0) > 0)
+      unacknowledged.push_back(attempt);
+  }
+  for (const AttemptId attempt : unacknowledged)
+    m_core.OnUnacknowledged(attempt, now);
+  if (!unacknowledged.empty()) Pump();
 }
 
 SendKind GatewayTraffic::NextSendOf(const Transfer& transfer) {
--- a/src/dotterelshift/app/gateway_traffic.h
+++ b/src/dotterelshift/app/gateway_traffic.h
@@ -40,6 +40,8 @@
   using KeepPolicy = std::function<bool(size_t silent)>;
   void SetKeepPolicy(KeepPolicy policy) { m_may_keep = std::move(policy); }
   size_t OpenResponses() const { return m_open.size(); }
+  // Reports attempts whose bytes stay unacknowledged. To be called regularly.
+  void CheckAcknowledged();
 
   // Bytes sent to endpoints, and bytes of their responses relayed to callers.
   gateway::LinkBytes Bytes() const;
@@ -78,6 +80,8 @@
     std::string body;
     bool streamed = false;
     bool first = false;  // the first attempt of its request
+    bool relayed = false;
+    bool checked = false;  // whether its bytes were acknowledged
     SendRecord send_record;
   };
   using LogInputs = std::vector<std::pair<std::string_view, std::string>>;
--- a/src/dotterelshift/endpoints/attempt_runner.cc
+++ b/src/dotterelshift/endpoints/attempt_runner.cc
@@ -195,6 +195,7 @@
   static AttemptEnd AttemptEndOf(const Attempt& attempt, TransferEnd end) {
     switch (end) {
       case TransferEnd::kNotSent:
+      case TransferEnd::kRelayFailed:
         return AttemptEnd::kNotSent;
       case TransferEnd::kTimedOut:
         return AttemptEnd::kTimedOut;
--- a/src/dotterelshift/endpoints/order_sender.cc
+++ b/src/dotterelshift/endpoints/order_sender.cc
@@ -55,6 +55,7 @@
 std::string_view DetailOf(TransferEnd end) {
   switch (end) {
     case TransferEnd::kNotSent:
+    case TransferEnd::kRelayFailed:
       return "no connection";
     case TransferEnd::kTimedOut:
       return "no answer in time";
--- a/src/dotterelshift/gateway/active_request.h
+++ b/src/dotterelshift/gateway/active_request.h
@@ -29,6 +29,8 @@
   AttemptId id = 0;
   Placement placement;
   EndpointContact endpoint;
+  HostId relay;  // the entry through which it is sent; empty: directly
+  bool unacknowledged = false;  // its bytes were not acknowledged in time
   Instant sent{};
   Instant last_received{};  // when bytes were last received
   bool head_received = false;
--- a/src/dotterelshift/gateway/core.cc
+++ b/src/dotterelshift/gateway/core.cc
@@ -18,6 +18,8 @@
 void CoreImpl::OnEndpointsChanged(const directory::Directory& directory,
                                   Instant now) {
   m_dependencies.load->OnDirectory(directory);
+  if (m_dependencies.paths != nullptr)
+    m_dependencies.paths->OnDirectory(directory, now);
   std::vector<RequestId> on_leaving_endpoints;
   for (const auto& [id, active] : m_active) {
     const bool not_answered =
--- a/src/dotterelshift/gateway/core_impl.h
+++ b/src/dotterelshift/gateway/core_impl.h
@@ -18,7 +18,8 @@
 
 // The implementation behind MakeCore(): arrival in core.cc, choice of the
 // endpoint and sending in core_placement.cc, the queue for the outbound link in
-// core_link.cc, responses and retries in core_response.cc.
+// core_link.cc, paths to endpoints in core_paths.cc, responses and retries in
+// core_response.cc.
 class CoreImpl final : public Core {
  public:
   CoreImpl(const CoreOptions& options, const CoreDependencies& parts)
@@ -36,7 +37,11 @@
               Instant now) override;
   void OnChunk(AttemptId attempt, std::string_view bytes, Instant now) override;
   void OnEnd(AttemptId attempt, http::TransferEnd end, Instant now) override;
+  void OnConnected(AttemptId attempt, Instant now) override;
+  void OnUnacknowledged(AttemptId attempt, Instant now) override;
   void OnWithdrawn(AttemptId attempt, Instant now) override;
+  void OnPathsChanged(Instant now) override;
+  void OnRelayOffered(Instant now) override;
   void OnBudgetChanged(Instant now) override;
   void OnTimer(Instant now) override;
   Instant NextTimer() const override;
@@ -94,6 +99,16 @@
   void OnNotSent(AttemptId attempt, Instant now);
   Instant NextLinkTimer() const;
 
+  // Paths to endpoints (core_paths.cc).
+  std::optional<RelayContact> RelayTo(EndpointKey endpoint, Instant now) const;
+  // Whether the failure of an attempt is attributed to the path to its endpoint
+  // and not to the endpoint, and there is another path.
+  bool IsPathFailure(const ActiveRequest& active, http::TransferEnd end,
+                     Instant now) const;
+  void ReportConnectFailure(const ActiveRequest& active, http::TransferEnd end,
+                            Instant now);
+  void LeavePath(ActiveRequest& active, Instant now);
+
   // Responses (core_response.cc).
   ActiveRequest* FindByAttempt(AttemptId attempt);
   void OnCompleteResponse(ActiveRequest& active, Instant now);
@@ -102,7 +117,9 @@
                        Instant now);
   void LogAvoided(const ActiveRequest& active, std::string_view why,
                   Instant now);
-  bool TryAgain(ActiveRequest& active, Instant now);
+  void BookFailure(const ActiveRequest& active, http::TransferEnd end,
+                   Instant now);
+  bool TryAgain(ActiveRequest& active, bool path_failed, Instant now);
   bool TakeRetry(const ActiveRequest& active, Instant now);
   bool MayRunAgain(const ActiveRequest& active) const;
   void OnFirstEvent(ActiveRequest& active, Instant now);
--- /dev/null
+++ b/src/dotterelshift/gateway/core_paths.cc
@@ -0,0 +1,104 @@
+#include <algorithm>  // for sort
+
+#include "dotterelshift/gateway/core_impl.h"  // for CoreImpl
+
+namespace dotterelshift::gateway {
+
+std::optional<RelayContact> CoreImpl::RelayTo(EndpointKey endpoint,
+                                              Instant now) const {
+  if (m_dependencies.paths == nullptr) return std::nullopt;
+  return m_dependencies.paths->RelayTo(endpoint, now);
+}
+
+void CoreImpl::OnConnected(AttemptId id, Instant now) {
+  const ActiveRequest* active = FindByAttempt(id);
+  if (active == nullptr || m_dependencies.paths == nullptr) return;
+  if (!active->attempt.relay.empty()) return;
+  m_dependencies.paths->OnConnected(active->attempt.placement.endpoint, now);
+  OnPathsChanged(now);
+}
+
+void CoreImpl::OnUnacknowledged(AttemptId id, Instant now) {
+  ActiveRequest* active = FindByAttempt(id);
+  if (active == nullptr || m_dependencies.paths == nullptr) return;
+  if (!active->attempt.relay.empty()) return;
+  const EndpointKey endpoint = active->attempt.placement.endpoint;
+  active->attempt.unacknowledged = true;
+  m_dependencies.paths->OnUnacknowledged(endpoint, now);
+  OnPathsChanged(now);
+  // The path may have been in doubt before this attempt was known to be stuck.
+  active = FindByAttempt(id);
+  if (active != nullptr && RelayTo(endpoint, now)) LeavePath(*active, now);
+}
+
+void CoreImpl::OnRelayOffered(Instant now) {
+  if (m_dependencies.paths == nullptr) return;
+  for (const EndpointKey endpoint : m_dependencies.paths->RelayedEndpoints())
+    if (RelayTo(endpoint, now)) m_dependencies.load->OnPathChanged(endpoint);
+}
+
+void CoreImpl::OnPathsChanged(Instant now) {
+  if (m_dependencies.paths == nullptr) return;
+  std::vector<RequestId> on_failed_paths;
+  for (const PathChange& change : m_dependencies.paths->TakeChanges()) {
+    const bool direct = change.to == PathState::kDirect;
+    const bool reachable = direct || RelayTo(change.endpoint, now);
+    if (reachable) m_dependencies.load->OnPathChanged(change.endpoint);
+    m_actions.emplace_back(Decision{
+        "path_changed",
+        "",
+        {{"endpoint", change.id},
+         {"to", std::string(NameOf(change.to))},
+         {"evidence", std::string(NameOf(change.evidence))},
+         {"reached_ms_ago", std::to_string(ToMs(change.last_reached_ago))}}});
+    if (direct || !reachable) continue;
+    for (const auto& [id, active] : m_active)
+      if (active.attempt.placement.endpoint == change.endpoint)
+        on_failed_paths.push_back(id);
+  }
+  std::sort(on_failed_paths.begin(), on_failed_paths.end());
+  for (const RequestId id : on_failed_paths) {
+    const auto found = m_active.find(id);
+    if (found != m_active.end()) LeavePath(found->second, now);
+  }
+}
+
+// An attempt that was sent directly and has no response leaves the failed path:
+// it is withdrawn if no byte of it was handed over. One whose bytes were not
+// acknowledged in time is given up if the request may run again; any other may
+// still get its response.
+void CoreImpl::LeavePath(ActiveRequest& active, Instant now) {
+  const Attempt& attempt = active.attempt;
+  if (active.stage != Stage::kRunning || attempt.head_received ||
+      !attempt.relay.empty())
+    return;
+  if (!attempt.unacknowledged) {
+    m_actions.emplace_back(WithdrawAttempt{attempt.id});
+    return;
+  }
+  if (!MayRunAgain(active)) return;
+  CancelAttemptIfSent(active);
+  OnAttemptFailed(active, http::TransferEnd::kTimedOut, now);
+}
+
+void CoreImpl::ReportConnectFailure(const ActiveRequest& active,
+                                    http::TransferEnd end, Instant now) {
+  if (m_dependencies.paths == nullptr) return;
+  const Attempt& attempt = active.attempt;
+  if (end == http::TransferEnd::kRelayFailed) {
+    m_dependencies.paths->OnRelayFailed(attempt.relay,
+                                        attempt.placement.endpoint, now);
+  } else if (end == http::TransferEnd::kNotSent && attempt.relay.empty()) {
+    m_dependencies.paths->OnConnectFailed(attempt.placement.endpoint, now);
+    OnPathsChanged(now);
+  }
+}
+
+bool CoreImpl::IsPathFailure(const ActiveRequest& active, http::TransferEnd end,
+                             Instant now) const {
+  if (end == http::TransferEnd::kRelayFailed) return true;
+  return active.attempt.relay.empty() &&
+         RelayTo(active.attempt.placement.endpoint, now);
+}
+
+}  // namespace dotterelshift::gateway
--- /dev/null
+++ b/src/dotterelshift/gateway/core_paths_test.cc
@@ -0,0 +1,191 @@
+// An entry that cannot reach endpoints itself sends through another entry.
+#include <cppunit/extensions/HelperMacros.h>  // for CPPUNIT_TEST
+
+#include "dotterelshift/directory/spread.h"      // for PulseKey
+#include "dotterelshift/gateway/core_testing.h"  // for CoreFixture
+
+namespace dotterelshift::gateway {
+namespace {
+
+using http::TransferEnd;
+
+class CorePathsTest : public CoreFixture {
+  CPPUNIT_TEST_SUITE(CorePathsTest);
+  CPPUNIT_TEST(UnsentRequestGoesByRelayOnceThePathIsInDoubt);
+  CPPUNIT_TEST(EndpointBehindAFailedPathIsNotAvoided);
+  CPPUNIT_TEST(EndpointThatTheRelayCannotReachIsAvoided);
+  CPPUNIT_TEST(FailedRelayIsReplacedAtTheSameEndpoint);
+  CPPUNIT_TEST(UnsentRequestsUseNoRetryBudget);
+  CPPUNIT_TEST(LostRelayAfterTheHandOverMayHaveRun);
+  CPPUNIT_TEST(StuckIdempotentRequestIsRepeatedByRelay);
+  CPPUNIT_TEST(StuckRequestThatMayRunOnceIsNot);
+  CPPUNIT_TEST(AttemptsThatAreNotHandedOverAreWithdrawn);
+  CPPUNIT_TEST(WithoutARelayEndpointsAreAvoidedAsBefore);
+  CPPUNIT_TEST(OfferEndsTheAvoidance);
+  CPPUNIT_TEST(ConnectionRestoresTheDirectPath);
+  CPPUNIT_TEST(PathOfAnAttemptIsLogged);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void setUp() override {
+    CoreFixture::setUp();
+    m_paths.emplace(EndpointPathsOptions{"dc"});
+    m_core =
+        MakeCore(CoreOptions(), {m_load.get(), m_budgets.get(), m_retries.get(),
+                                 &m_blocklist, nullptr, &*m_paths});
+    Publish();
+  }
+
+  void UnsentRequestGoesByRelayOnceThePathIsInDoubt() {
+    Offer("other");
+    Request("/once/");
+    FailToConnect();
+    FailToConnect();
+    CPPUNIT_ASSERT_EQUAL(HostId("other"), Only<StartAttempt>().relay->host);
+  }
+
+  void EndpointBehindAFailedPathIsNotAvoided() {
+    Offer("other");
+    CutOff();
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, m_load->CountOf("plain", m_now).avoided);
+  }
+
+  void EndpointThatTheRelayCannotReachIsAvoided() {
+    Offer("other");
+    CutOff();
+    const AttemptId attempt = Only<StartAttempt>().attempt;
+    End(attempt, TransferEnd::kNotSent);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, m_load->CountOf("plain", m_now).avoided);
+    CPPUNIT_ASSERT(Only<StartAttempt>().relay.has_value());
+  }
+
+  void FailedRelayIsReplacedAtTheSameEndpoint() {
+    Offer("other");
+    Offer("third");
+    CutOff();
+    const StartAttempt first = Only<StartAttempt>();
+    End(first.attempt, TransferEnd::kRelayFailed);
+    const StartAttempt second = Only<StartAttempt>();
+    CPPUNIT_ASSERT(first.relay->host != second.relay->host);
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, m_load->CountOf("plain", m_now).avoided);
+  }
+
+  void UnsentRequestsUseNoRetryBudget() {
+    *m_retries = RetryShare(RetryShareOptions{.ratio = 0, .slack = 0});
+    Offer("other");
+    CutOff();
+    End(Only<StartAttempt>().attempt, TransferEnd::kRelayFailed);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, Count<StartAttempt>());
+  }
+
+  void LostRelayAfterTheHandOverMayHaveRun() {
+    Offer("other");
+    CutOff();
+    End(Only<StartAttempt>().attempt, TransferEnd::kFailedBeforeHead);
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, Count<StartAttempt>());
+    CPPUNIT_ASSERT(Only<Refuse>().kind == ErrorKind::kEndpointFailed);
+  }
+
+  void StuckIdempotentRequestIsRepeatedByRelay() {
+    Offer("other");
+    Request("/safe/", 0, 7);
+    const AttemptId stuck = Only<StartAttempt>().attempt;
+    CutOff();
+    m_core->OnUnacknowledged(stuck, m_now);
+    Collect();
+    CPPUNIT_ASSERT_EQUAL(stuck, Only<CancelAttempt>().attempt);
+    CPPUNIT_ASSERT(Only<StartAttempt>().relay.has_value());
+  }
+
+  void StuckRequestThatMayRunOnceIsNot() {
+    Offer("other");
+    Request("/once/", 0, 7);
+    const AttemptId stuck = Only<StartAttempt>().attempt;
+    CutOff();
+    m_core->OnUnacknowledged(stuck, m_now);
+    Collect();
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, Count<CancelAttempt>());
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, Count<StartAttempt>());
+  }
+
+  void AttemptsThatAreNotHandedOverAreWithdrawn() {
+    Offer("other");
+    Request("/once/", 0, 7);
+    const AttemptId connecting = Only<StartAttempt>().attempt;
+    Request("/once/");
+    FailToConnect();
+    End(Only<StartAttempt>().attempt, TransferEnd::kNotSent);
+    bool withdrawn = false;
+    for (const Action& action : m_last) {
+      const auto* withdraw = std::get_if<WithdrawAttempt>(&action);
+      withdrawn |= withdraw != nullptr && withdraw->attempt == connecting;
+    }
+    CPPUNIT_ASSERT(withdrawn);
+    m_core->OnWithdrawn(connecting, m_now);
+    Collect();
+    CPPUNIT_ASSERT(Only<StartAttempt>().relay.has_value());
+  }
+
+  void WithoutARelayEndpointsAreAvoidedAsBefore() {
+    Request("/once/");
+    FailToConnect();
+    FailToConnect();
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, m_load->CountOf("plain", m_now).avoided);
+  }
+
+  void OfferEndsTheAvoidance() {
+    WithoutARelayEndpointsAreAvoidedAsBefore();
+    Offer("other");
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, m_load->CountOf("plain", m_now).avoided);
+  }
+
+  void ConnectionRestoresTheDirectPath() {
+    Offer("other");
+    CutOff();
+    for (const EndpointPaths::Probe& probe : m_paths->TakeProbes(m_now))
+      m_paths->OnProbeEnded(probe.endpoint, true, m_now);
+    m_core->OnPathsChanged(m_now);
+    Collect();
+    Request("/once/", 0, 9);
+    CPPUNIT_ASSERT(!Only<StartAttempt>().relay);
+  }
+
+  void PathOfAnAttemptIsLogged() {
+    Offer("other");
+    CutOff();
+    size_t changes = 0;
+    bool sent_by_relay = false;
+    for (const Decision& line : m_log_lines) {
+      changes += line.event == "path_changed" ? 1 : 0;
+      if (line.event != "sent") continue;
+      for (const auto& [name, value] : line.inputs)
+        sent_by_relay |= name == "relay" && value == "other";
+    }
+    CPPUNIT_ASSERT_EQUAL(size_t{3}, changes);
+    CPPUNIT_ASSERT(sent_by_relay);
+  }
+
+ private:
+  void Offer(const HostId& host) {
+    m_paths->OnRelay({host, "dc", "10.0.0.2:80", "token", {}});
+    m_core->OnRelayOffered(m_now);
+  }
+
+  void FailToConnect() {
+    End(Only<StartAttempt>().attempt, TransferEnd::kNotSent);
+  }
+
+  // Leaves a request under way by relay.
+  void CutOff() {
+    Request("/once/");
+    FailToConnect();
+    FailToConnect();
+  }
+
+  std::optional<EndpointPaths> m_paths;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(CorePathsTest);
+
+}  // namespace
+}  // namespace dotterelshift::gateway
--- a/src/dotterelshift/gateway/core_placement.cc
+++ b/src/dotterelshift/gateway/core_placement.cc
@@ -81,6 +81,8 @@
   start.request = active.id;
   start.attempt = attempt.id;
   start.endpoint = *contact;
+  start.relay = RelayTo(attempt.placement.endpoint, now);
+  if (start.relay) attempt.relay = start.relay->host;
   start.time_left = active.deadline - now;
   start.team = active.team;
   start.last_event_id = active.head_relayed && active.scanner.LastId()
@@ -106,6 +108,8 @@
                             active.attempt.placement.endpoint))},
       {"send", std::to_string(active.sends)},
       {"connection", active.info.reused_connection ? "kept" : "new"}};
+  if (!active.attempt.relay.empty())
+    inputs.emplace_back("relay", active.attempt.relay);
   if (active.link_wait > 0s)
     inputs.emplace_back("link_wait_ms", Ms(active.link_wait));
   if (m_drain) {
--- a/src/dotterelshift/gateway/core_response.cc
+++ b/src/dotterelshift/gateway/core_response.cc
@@ -8,6 +8,15 @@
 bool IsSuccess(int status) { return status >= 200 && status < 300; }
 bool IsEndpointFault(int status) { return status >= 500; }
 
+bool WasSent(http::TransferEnd end) {
+  return end != http::TransferEnd::kNotSent &&
+         end != http::TransferEnd::kRelayFailed;
+}
+
+std::string PathOf(const Attempt& attempt) {
+  return attempt.relay.empty() ? "direct" : attempt.relay;
+}
+
 std::string OutcomeOf(ErrorKind error) {
   if (error == ErrorKind::kNone) return "relayed";
   return std::string(RowOf(error).name);
@@ -19,6 +28,8 @@
       return "whole";
     case http::TransferEnd::kNotSent:
       return "not_sent";
+    case http::TransferEnd::kRelayFailed:
+      return "relay_failed";
     case http::TransferEnd::kFailedBeforeHead:
       return "cut_before_head";
     case http::TransferEnd::kCut:
@@ -79,6 +90,8 @@
   attempt.status = status;
   attempt.response_info = response_info;
   attempt.head_received = true;
+  if (m_dependencies.paths != nullptr && attempt.relay.empty())
+    m_dependencies.paths->OnResponse(attempt.placement.endpoint);
   const bool mismatched = response_info.echoed_id != active->info.caller_id;
   if (mismatched && !response_info.address_reassigned &&
       !response_info.not_run) {
@@ -146,7 +159,7 @@
     if (MayRunAgain(active)) {
       EndAttempt(active);
       ++active.runs;
-      if (TryAgain(active, now)) return;
+      if (TryAgain(active, false, now)) return;
       --active.runs;
     }
   } else {
@@ -180,7 +193,7 @@
       {{"endpoint", active.attempt.endpoint.id},
        {"status", std::to_string(active.attempt.status)}});
   EndAttempt(active);
-  if (TryAgain(active, now)) return;
+  if (TryAgain(active, false, now)) return;
   if (active.may_have_run)
     return Fail(active, ErrorKind::kEndpointFailed, 0s, now);
   Fail(active, ErrorKind::kEndpointRefused, RetryAfter(active, 0s, now), now);
@@ -190,28 +203,27 @@
 // the request may have run.
 void CoreImpl::OnAttemptFailed(ActiveRequest& active, http::TransferEnd end,
                                Instant now) {
-  const EndpointKey endpoint = active.attempt.placement.endpoint;
-  const bool sent = end != http::TransferEnd::kNotSent;
+  const bool sent = WasSent(end);
   const bool can_retry = !sent || MayRunAgain(active);
+  ReportConnectFailure(active, end, now);
+  const bool path_failed = IsPathFailure(active, end, now);
   Log("attempt_broken", active,
       {{"endpoint", active.attempt.endpoint.id},
        {"how", std::string(NameOf(end))},
+       {"path", PathOf(active.attempt)},
        {"sent_ms_ago", std::to_string(ToMs(now - active.attempt.sent))},
        {"events", std::to_string(active.attempt.events)}},
       active.attempt.id);
+  if (!path_failed) BookFailure(active, end, now);
   if (sent) {
     active.may_have_run = true;
-    m_dependencies.load->OnFailed(endpoint, now);
-    LogAvoided(active, NameOf(end), now);
     if (end != http::TransferEnd::kTimedOut) ReportSuspectContent(active);
   } else {
-    m_dependencies.load->OnUnreachable(endpoint, now);
-    LogAvoided(active, NameOf(end), now);
     OnNotSent(active.attempt.id, now);
   }
   EndAttempt(active);
   if (sent) ++active.runs;
-  if (can_retry && TryAgain(active, now)) return;
+  if (can_retry && TryAgain(active, path_failed, now)) return;
   const bool late = now >= active.deadline;
   if (active.may_have_run) {
     return Fail(
@@ -222,6 +234,16 @@
   Fail(active, ErrorKind::kNoEndpoint, RetryAfter(active, 0s, now), now);
 }
 
+void CoreImpl::BookFailure(const ActiveRequest& active, http::TransferEnd end,
+                           Instant now) {
+  const EndpointKey endpoint = active.attempt.placement.endpoint;
+  if (WasSent(end))
+    m_dependencies.load->OnFailed(endpoint, now);
+  else
+    m_dependencies.load->OnUnreachable(endpoint, now);
+  LogAvoided(active, NameOf(end), now);
+}
+
 // The counts of its service tell a fault of this endpoint from one of this
 // entry's own paths, which affects all endpoints at once.
 void CoreImpl::LogAvoided(const ActiveRequest& active, std::string_view why,
@@ -261,8 +283,10 @@
 
 // Retries at another endpoint if the fleet's retry budget allows it. A request
 // that has not reached any endpoint yet uses none of that budget.
-bool CoreImpl::TryAgain(ActiveRequest& active, Instant now) {
-  active.tried.push_back(active.attempt.placement.endpoint);
+// After a failure of the path, the same endpoint may be chosen again, by
+// another path.
+bool CoreImpl::TryAgain(ActiveRequest& active, bool path_failed, Instant now) {
+  if (!path_failed) active.tried.push_back(active.attempt.placement.endpoint);
   const bool arrived = active.attempt.head_received || active.runs > 0;
   // A retry that the outbound link would refuse must not use the retry budget.
   const bool in_time = active.sends < kMaxSends && now < active.deadline &&
--- a/src/dotterelshift/gateway/fleet_load.cc
+++ b/src/dotterelshift/gateway/fleet_load.cc
@@ -215,10 +215,16 @@
   if (found == m_loads.end()) return;
   Load& load = found->second;
   load.failures = std::max(load.failures, m_options.failure_threshold - 1);
-  load.cache.Clear();
   OnFailed(endpoint, now);
 }
 
+void FleetLoad::OnPathChanged(EndpointKey endpoint) {
+  const auto found = m_loads.find(endpoint);
+  if (found == m_loads.end()) return;
+  found->second.failures = 0;
+  found->second.avoid_until = {};
+}
+
 void FleetLoad::OnOverloaded(EndpointKey endpoint, Instant now) {
   const auto found = m_loads.find(endpoint);
   if (found != m_loads.end())
--- a/src/dotterelshift/http/client.cc
+++ b/src/dotterelshift/http/client.cc
@@ -29,10 +29,14 @@
 // Maximum number of curl handles kept for reuse.
 constexpr size_t kMaxSpareHandles = 256;
 
+// A relay's status if it could not connect to the server.
+constexpr long kServerUnreachable = 502;  // NOLINT(google-runtime-int)
+
 struct Transfer {
   TransferId id = 0;
   CURL* handle = nullptr;
   curl_slist* header_list = nullptr;
+  curl_slist* relay_headers = nullptr;
   ClientRequest request;
   TransferCallbacks callbacks;
   int status = 0;
@@ -339,7 +343,7 @@
     curl_easy_setopt(handle, CURLOPT_URL, request.url.c_str());
     curl_easy_setopt(handle, CURLOPT_PATH_AS_IS, 1L);
     curl_easy_setopt(handle, CURLOPT_PROTOCOLS_STR, "http");
-    curl_easy_setopt(handle, CURLOPT_PROXY, "");
+    SetRelay(transfer);
     curl_easy_setopt(handle, CURLOPT_NOSIGNAL, 1L);
     curl_easy_setopt(handle, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
     curl_easy_setopt(handle, CURLOPT_BUFFERSIZE, kReadBuffer);
@@ -385,6 +389,27 @@
     curl_easy_setopt(handle, CURLOPT_HTTPHEADER, transfer.header_list);
   }
 
+  // Without a relay, no proxy of the environment is used either.
+  static void SetRelay(Transfer& transfer) {
+    CURL* handle = transfer.handle;
+    const std::optional<Relay>& relay = transfer.request.relay;
+    const std::string proxy = relay ? "http://" + relay->address : "";
+    curl_easy_setopt(handle, CURLOPT_PROXY, proxy.c_str());
+    if (!relay) return;
+    // Overrides the environment's list of hosts that are reached directly.
+    curl_easy_setopt(handle, CURLOPT_NOPROXY, "");
+    curl_easy_setopt(handle, CURLOPT_HTTPPROXYTUNNEL, 1L);
+    // The relay's own response is not passed to the callbacks.
+    curl_easy_setopt(handle, CURLOPT_SUPPRESS_CONNECT_HEADERS, 1L);
+    const std::string line = "Proxy-Authorization: Bearer " + relay->token;
+    transfer.relay_headers =
+        curl_slist_append(transfer.relay_headers, line.c_str());
+    curl_easy_setopt(handle, CURLOPT_HEADEROPT,
+                     static_cast<long>(  // NOLINT(google-runtime-int)
+                         CURLHEADER_SEPARATE));
+    curl_easy_setopt(handle, CURLOPT_PROXYHEADER, transfer.relay_headers);
+  }
+
   static void SetMethod(CURL* handle, const ClientRequest& request) {
     if (request.method == "GET" && request.body.empty()) {
       curl_easy_setopt(handle, CURLOPT_HTTPGET, 1L);
@@ -420,12 +445,21 @@
   static TransferEnd EndOf(const Transfer& transfer, CURLcode result) {
     if (result == CURLE_OK && transfer.head_received)
       return TransferEnd::kWhole;
-    if (!transfer.sent) return TransferEnd::kNotSent;
+    if (!transfer.sent) return NotSentEnd(transfer);
     if (result == CURLE_OPERATION_TIMEDOUT) return TransferEnd::kTimedOut;
     return transfer.head_received ? TransferEnd::kCut
                                   : TransferEnd::kFailedBeforeHead;
   }
 
+  // Only a relay that says so has tried to connect to the server.
+  static TransferEnd NotSentEnd(const Transfer& transfer) {
+    if (!transfer.request.relay) return TransferEnd::kNotSent;
+    long status = 0;  // NOLINT(google-runtime-int): libcurl's type
+    curl_easy_getinfo(transfer.handle, CURLINFO_HTTP_CONNECTCODE, &status);
+    return status == kServerUnreachable ? TransferEnd::kNotSent
+                                        : TransferEnd::kRelayFailed;
+  }
+
   void RemoveCancelled() {
     for (const TransferId id : std::exchange(m_to_remove, {})) Remove(id);
   }
@@ -453,6 +487,7 @@
       }
     }
     curl_slist_free_all(transfer.header_list);
+    curl_slist_free_all(transfer.relay_headers);
   }
 
   loop::Loop& m_loop;
--- a/src/dotterelshift/http/test_listener.h
+++ b/src/dotterelshift/http/test_listener.h
@@ -11,6 +11,7 @@
 
 #include <array>        // for array
 #include <cerrno>       // for errno
+#include <string>       // for string
 #include <string_view>  // for string_view
 #include <utility>      // for exchange
 
@@ -47,6 +48,15 @@
     return size < 0 ? 0 : static_cast<size_t>(size);
   }
 
+  // Reads what has been received, without blocking.
+  std::string ReadSome() const {
+    std::array<char, 1 << 16> buffer;
+    const ssize_t size =
+        ::recv(m_socket, buffer.data(), buffer.size(), MSG_DONTWAIT);
+    return size <= 0 ? std::string()
+                     : std::string(buffer.data(), static_cast<size_t>(size));
+  }
+
   // Bytes received until the peer closed the connection, and whether it reset
   // it.
   struct End {
--- a/src/dotterelshift/peers/connection.cc
+++ b/src/dotterelshift/peers/connection.cc
@@ -18,11 +18,6 @@
   return descriptor;
 }
 
-void SetNoDelay(int descriptor) {
-  const int on = 1;
-  setsockopt(descriptor, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
-}
-
 std::string_view NameOf(DialResult result) {
   constexpr std::array<std::string_view, 5> kNames = {
       "up", "refused", "connect_timeout", "hello_timeout", "closed"};
--- a/src/dotterelshift/peers/connection.h
+++ b/src/dotterelshift/peers/connection.h
@@ -31,7 +31,6 @@
 
 // Throws Error(kInternal) when the system has no socket left.
 int NewTcpSocket();
-void SetNoDelay(int descriptor);
 
 // One connection, including its handshake.
 struct Connection {
--- a/src/dotterelshift/peers/hub.cc
+++ b/src/dotterelshift/peers/hub.cc
@@ -13,6 +13,7 @@
 
 #include "dotterelshift/base/address.h"        // for ParseAddress
 #include "dotterelshift/base/error.h"          // for Error
+#include "dotterelshift/base/socket.h"         // for SetNoDelay
 #include "dotterelshift/loop/loop.h"           // for Loop
 #include "dotterelshift/peers/connection.h"    // for Connection
 #include "dotterelshift/peers/dial_target.h"   // for DialTarget
@@ -275,10 +276,7 @@
 }
 
 void TcpHub::OnConnected(const ConnectionPtr& connection) {
-  int failure = 0;
-  socklen_t length = sizeof failure;
-  getsockopt(connection->socket.Get(), SOL_SOCKET, SO_ERROR, &failure, &length);
-  if (failure != 0) {
+  if (TakeSocketError(connection->socket.Get()) != 0) {
     Close(connection);
     return;
   }
--- a/src/dotterelshift/settings/settings.cc
+++ b/src/dotterelshift/settings/settings.cc
@@ -174,6 +174,9 @@
          "What the host's link carries; 0: not known. An entry whose link "
          "callers' requests fill answers the balancer \"not ready\" for a "
          "while."},
+    Rule{"relay_port", "port", PortRule{&S::relay_port}, false,
+         "Port, at `address`, where other entries connect that cannot reach an "
+         "endpoint themselves; 0 lets the system choose."},
     Rule{"source_address", "IP number",
          TextRule{&S::source_address, Form::kIpNumber}, false,
          "Local address of connections to endpoints, on a host with several; "
