--- a/src/dotterelshift/app/gateway_entry.cc
+++ b/src/dotterelshift/app/gateway_entry.cc
@@ -1,13 +1,13 @@
-#include <algorithm>  // for min
-#include <optional>   // for optional
-#include <string>     // for string
-#include <utility>    // for move
+#include <optional>  // for optional
+#include <string>    // for string
+#include <utility>   // for move
 
 #include "dotterelshift/app/control_link.h"        // for ControlLink
 #include "dotterelshift/app/daemon.h"              // for Daemon
 #include "dotterelshift/app/dial_log.h"            // for LogDial
 #include "dotterelshift/app/directory_exchange.h"  // for DirectoryExchange
 #include "dotterelshift/app/endpoint_relays.h"     // for EndpointRelays
+#include "dotterelshift/app/entry_shutdown.h"      // for EntryShutdown
 #include "dotterelshift/app/gateway_options.h"     // for CoreOptionsOf
 #include "dotterelshift/app/gateway_traffic.h"     // for GatewayTraffic
 #include "dotterelshift/app/gauges.h"              // for SetGauges
@@ -18,7 +18,6 @@
 #include "dotterelshift/app/registration.h"        // for Registration
 #include "dotterelshift/app/suspicion_command.h"   // for SuspicionCommand
 #include "dotterelshift/callers/front.h"           // for SendErrorResponse
-#include "dotterelshift/gateway/drain.h"           // for MakeDrainSchedule
 #include "dotterelshift/telemetry/log.h"           // for Log
 
 namespace dotterelshift::app {
@@ -64,14 +63,10 @@
   LinkGuard::Traffic LinkTraffic() const;
   void SendToPeers();
   void ProposeSuspicion(const gateway::SuspectReport& suspicion);
-  void CheckDrained();
-  void EndOpenRequests(bool drained);
-  void ReturnHoldings();
-  bool HasOpen() const;
   void UpdateGauges();
   bool IsReady() const {
-    return m_reach != ControlReach::kNever && m_version > 0 && !m_drain &&
-           !m_link_guard.IsShedding();
+    return m_reach != ControlReach::kNever && m_version > 0 &&
+           !m_shutdown->HasBegun() && !m_link_guard.IsShedding();
   }
 
   loop::Loop& m_loop;
@@ -103,8 +98,7 @@
   uint64_t m_received_version = 0;  // of the newest received, valid or not
   std::shared_ptr<const gateway::RouteTable> m_routes;
   size_t m_entries = 1;
-  std::optional<gateway::DrainSchedule> m_drain;
-  std::optional<Instant> m_returning_since;
+  std::unique_ptr<EntryShutdown> m_shutdown;
   loop::Timer m_tick;
   loop::PrepareWatcher m_prepare;
 };
@@ -147,6 +141,9 @@
   m_others = std::make_unique<OtherEntries>(loop, *m_hub,
                                             LoadUpdatePacerOptionsOf(settings));
   m_relays = std::make_unique<EndpointRelays>(loop, settings, RelayParts());
+  m_shutdown = std::make_unique<EntryShutdown>(
+      loop, EntryShutdown::Parts{m_core.get(), m_traffic.get(), m_server.get(),
+                                 m_relays.get(), &m_link, &m_budgets});
   m_directory.SetHub(m_hub.get());
   Register();
   m_tick.ArmIn(0ms);
@@ -238,7 +235,7 @@
     wire::TokenLoanT loan;
     loan.budget = borrow->budget;
     // Once holdings are being returned to control, nothing is lent any more.
-    if (!m_returning_since)
+    if (!m_shutdown->IsReturning())
       loan.tokens = m_budgets.OnBorrow(*borrow, peer.run, now);
     telemetry::LogDecision("tokens_lent", "",
                            {{"team", borrow->budget},
@@ -352,14 +349,15 @@
   m_traffic->CheckAcknowledged();
   m_relays->OnTick();
   m_link.SetWantsRelays(m_paths.LacksRelay(now), now);
-  CheckDrained();
+  m_shutdown->Check();
   m_tick.ArmIn(kTick);
 }
 
 // An entry that shuts down keeps no connections, so that callers on open ones
 // move to other entries too.
 bool GatewayEntry::MayKeep(size_t silent) const {
-  return !m_drain && m_link_guard.MayKeep(*m_server, silent, m_loop.Now());
+  return !m_shutdown->HasBegun() &&
+         m_link_guard.MayKeep(*m_server, silent, m_loop.Now());
 }
 
 LinkGuard::Traffic GatewayEntry::LinkTraffic() const {
@@ -378,8 +376,8 @@
   const uint64_t bytes = m_traffic->BytesToCallers() +
                          m_hub->Counters().bytes_out + m_relays->Bytes();
   m_pacer.OnBytes(bytes - std::exchange(m_paced_bytes, bytes), now);
-  if (m_returning_since) {
-    ReturnHoldings();
+  if (m_shutdown->IsReturning()) {
+    m_shutdown->ReturnHoldings();
   } else if (m_registration.Done()) {
     for (wire::CommandT& command : m_budgets.TakeCommands(now))
       m_link.Propose(std::move(command));
@@ -450,66 +448,7 @@
 }
 
 void GatewayEntry::Shutdown() {
-  if (m_drain) return;
-  telemetry::Log(telemetry::LogLevel::kInfo, "shutdown_begun",
-                 {{"open", std::to_string(m_core->OpenRequests())}});
-  m_drain = gateway::MakeDrainSchedule(m_loop.Now(), m_settings.shutdown_notice,
-                                       m_settings.shutdown_limit);
-  m_core->StartDraining(*m_drain);
-  m_relays->Withdraw();
-}
-
-void GatewayEntry::CheckDrained() {
-  if (!m_drain) return;
-  const Instant now = m_loop.Now();
-  if (!m_returning_since) {
-    const bool drained = now > m_drain->notice_end && !HasOpen();
-    if (drained || now >= m_drain->response_deadline) EndOpenRequests(drained);
-    return;
-  }
-  // Holdings whose return control has not accepted by the exit are lost with
-  // this incarnation, and a caller that has not received its refusal does not
-  // know that it may retry.
-  const bool returned = m_link.Idle();
-  const Duration reporting = m_drain->exit - m_drain->response_deadline;
-  const Instant last = std::min(m_drain->exit, *m_returning_since + reporting);
-  if ((!returned || HasOpen()) && now < last) return;
-  telemetry::Log(telemetry::LogLevel::kInfo, "shutdown_done",
-                 {{"open", std::to_string(m_server->OpenExchanges())},
-                  {"holdings_returned", returned ? "yes" : "no"}});
-  m_loop.Stop();
-}
-
-bool GatewayEntry::HasOpen() const {
-  return m_traffic->OpenResponses() > 0 || m_server->OpenExchanges() > 0 ||
-         m_relays->IsBusy();
-}
-
-// Ends open requests before the holdings are returned, so that their spend is
-// part of the final reports. If `drained`, no request is open; otherwise the
-// log line contains the numbers of open requests, responses and exchanges, and
-// a line for each open request follows.
-void GatewayEntry::EndOpenRequests(bool drained) {
-  m_returning_since = m_loop.Now();
-  const Duration stopping = *m_returning_since - m_drain->begun;
-  const size_t exchanges = m_server->OpenExchanges();
-  const size_t answers = m_traffic->OpenResponses();
-  telemetry::Log(telemetry::LogLevel::kInfo, "shutdown_answers_ended",
-                 {{"why", drained ? "none_open" : "limit"},
-                  {"stopping_ms", std::to_string(ToMs(stopping))},
-                  {"open", std::to_string(m_core->OpenRequests())},
-                  {"answers", std::to_string(answers)},
-                  {"exchanges", std::to_string(exchanges)}});
-  m_core->AbortOpenRequests(m_loop.Now());
-  m_traffic->Pump();
-  ReturnHoldings();
-}
-
-// Also returns grants and loans that arrive during the shutdown; they would
-// otherwise be permanently lost to their team.
-void GatewayEntry::ReturnHoldings() {
-  for (wire::CommandT& command : m_budgets.TakeLastCommands(m_loop.Now()))
-    m_link.Propose(std::move(command));
+  m_shutdown->Begin(m_settings.shutdown_notice, m_settings.shutdown_limit);
 }
 
 }  // namespace
