--- a/include/dotterelshift/gateway/fleet_load.h
+++ b/include/dotterelshift/gateway/fleet_load.h
@@ -53,6 +53,9 @@
   // Time for which an endpoint is skipped after it refused for lack of
   // capacity.
   Duration full_for = 60ms;
+  // Fraction of an endpoint's limit on refusals that the fleet may use. The
+  // rest is for entries that start or that are not counted yet.
+  double refusal_fraction = 0.5;
 };
 
 // Where a request would go, and when its prefill could start there.
@@ -92,6 +95,7 @@
 
   // Sets the number of entries in the fleet.
   void SetEntries(size_t entries) {
+    m_entries = entries;
     m_observes_all = entries <= m_options.max_observed_fleet;
   }
   void OnDirectory(const directory::Directory& directory);
@@ -126,6 +130,11 @@
   // The endpoint's failures were due to the path to it, which has changed.
   void OnPathChanged(EndpointKey endpoint);
   void OnOverloaded(EndpointKey endpoint, Instant now);
+  // Sets how many requests the endpoint may refuse in a second, of all entries,
+  // before it fails; nullopt: it has no such limit. The endpoint then gets no
+  // request beyond its slots, and after a refusal none for so long that the
+  // refusals of all entries together stay within the limit.
+  void SetRefusalLimit(EndpointKey endpoint, std::optional<uint32_t> limit);
 
   // Load updates for the other entries since the last call. If there are more
   // than the given number, the oldest prompt segments are dropped, but no sums:
@@ -161,9 +170,11 @@
     int failures = 0;  // consecutive
     Instant avoid_until{};
     Instant full_until{};
+    std::optional<uint32_t> refusal_limit;
   };
 
   bool MayUse(const Load& load, Instant now) const;
+  Duration FullFor(const Load& load) const;
   double CostOf(const Load& load, const Placement& placement) const;
   Placement PlaceAt(EndpointKey key, const Load& load, const Prompt& prompt,
                     Instant now) const;
@@ -175,6 +186,7 @@
   uint32_t RunningAt(const Load& load) const { return load.own + load.others; }
 
   const FleetLoadOptions m_options;
+  size_t m_entries = 1;
   bool m_observes_all = true;
   std::unordered_map<EndpointKey, Load> m_loads;
   std::unordered_map<ServiceName, std::vector<EndpointKey>> m_by_service;
--- a/include/dotterelshift/gateway/request.h
+++ b/include/dotterelshift/gateway/request.h
@@ -53,6 +53,8 @@
   bool not_run = false;  // the endpoint states that it did not run the request
   bool address_reassigned =
       false;  // the address belongs to another endpoint now
+  // Refusals in a second after which the endpoint fails; nullopt: it does not.
+  std::optional<uint32_t> refusal_limit;
   bool event_stream = false;
   bool encoded = false;  // has a content encoding that was not requested
 };
--- a/src/dotterelshift/gateway/core_response.cc
+++ b/src/dotterelshift/gateway/core_response.cc
@@ -90,6 +90,8 @@
   attempt.status = status;
   attempt.response_info = response_info;
   attempt.head_received = true;
+  m_dependencies.load->SetRefusalLimit(attempt.placement.endpoint,
+                                       response_info.refusal_limit);
   if (m_dependencies.paths != nullptr && attempt.relay.empty())
     m_dependencies.paths->OnResponse(attempt.placement.endpoint);
   const bool mismatched = response_info.echoed_id != active->info.caller_id;
--- a/src/dotterelshift/gateway/fleet_load.cc
+++ b/src/dotterelshift/gateway/fleet_load.cc
@@ -72,7 +72,26 @@
 }
 
 bool FleetLoad::MayUse(const Load& load, Instant now) const {
-  return load.usable && now >= load.avoid_until && now >= load.full_until;
+  // An endpoint with a limit on refusals may have no queue at all.
+  const bool has_room = !load.refusal_limit || RunningAt(load) < load.slots;
+  return load.usable && has_room && now >= load.avoid_until &&
+         now >= load.full_until;
+}
+
+Duration FleetLoad::FullFor(const Load& load) const {
+  if (!load.refusal_limit) return m_options.full_for;
+  const double allowed_per_second =
+      std::max<double>(1, *load.refusal_limit) * m_options.refusal_fraction;
+  const Duration interval =
+      std::chrono::duration_cast<Duration>(std::chrono::duration<double>(
+          static_cast<double>(m_entries) / allowed_per_second));
+  return std::max(interval, m_options.full_for);
+}
+
+void FleetLoad::SetRefusalLimit(EndpointKey endpoint,
+                                std::optional<uint32_t> limit) {
+  const auto found = m_loads.find(endpoint);
+  if (found != m_loads.end()) found->second.refusal_limit = limit;
 }
 
 Placement FleetLoad::PlaceAt(EndpointKey key, const Load& load,
@@ -228,7 +247,7 @@
 void FleetLoad::OnOverloaded(EndpointKey endpoint, Instant now) {
   const auto found = m_loads.find(endpoint);
   if (found != m_loads.end())
-    found->second.full_until = now + m_options.full_for;
+    found->second.full_until = now + FullFor(found->second);
 }
 
 void FleetLoad::RecordChange(EndpointKey endpoint, Tokens prompt_tokens,
--- a/src/dotterelshift/gateway/fleet_load_test.cc
+++ b/src/dotterelshift/gateway/fleet_load_test.cc
@@ -19,6 +19,9 @@
   CPPUNIT_TEST(RequestsOfALostEntryAreRemoved);
   CPPUNIT_TEST(BatchedUpdatesAreSummedAndSegmentsDroppedFirst);
   CPPUNIT_TEST(RepeatedlyFailingEndpointIsAvoidedForAWhile);
+  CPPUNIT_TEST(ChangedPathEndsTheAvoidanceAndKeepsTheCache);
+  CPPUNIT_TEST(EndpointWithARefusalLimitGetsNothingBeyondItsSlots);
+  CPPUNIT_TEST(RefusalsOfAllEntriesStayWithinTheLimit);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -149,6 +152,48 @@
     CPPUNIT_ASSERT(!m_load->HasEndpoint("llm", m_now));
   }
 
+  void ChangedPathEndsTheAvoidanceAndKeepsTheCache() {
+    const EndpointKey owner = Give(PromptOf(kLong, 9)).endpoint;
+    m_now += 1s;
+    m_load->OnUnreachable(owner, m_now);
+    CPPUNIT_ASSERT(m_load->AvoidedFor(owner, m_now) > 0s);
+    m_load->OnPathChanged(owner);
+    CPPUNIT_ASSERT(m_load->AvoidedFor(owner, m_now) == 0s);
+    const Placement placement = Give(PromptOf(kLong, 9));
+    CPPUNIT_ASSERT_EQUAL(owner, placement.endpoint);
+    CPPUNIT_ASSERT_EQUAL(Tokens{0}, placement.tokens_to_prefill);
+  }
+
+  void EndpointWithARefusalLimitGetsNothingBeyondItsSlots() {
+    for (const char* id : {"a", "b"}) m_load->SetRefusalLimit(KeyOf(id), 10);
+    for (int i = 0; i < 2 * 48; ++i) Give(PromptOf(0));
+    CPPUNIT_ASSERT(!m_load->Choose("llm", PromptOf(0), {}, m_now));
+    m_load->SetRefusalLimit(KeyOf("a"), std::nullopt);
+    CPPUNIT_ASSERT_EQUAL(KeyOf("a"), Give(PromptOf(0)).endpoint);
+  }
+
+  // Each entry sends whenever it may, and each request is refused.
+  void RefusalsOfAllEntriesStayWithinTheLimit() {
+    for (const size_t entries : {1, 8, 73}) {
+      for (const uint32_t limit : {5, 20, 60}) {
+        m_load->SetEntries(entries);
+        m_load->SetRefusalLimit(KeyOf("a"), limit);
+        size_t refusals = 0;
+        constexpr int kSeconds = 20;
+        for (int step = 0; step < kSeconds * 1000; ++step) {
+          m_now += 1ms;
+          if (!m_load->Choose("llm", PromptOf(0), {KeyOf("b")}, m_now))
+            continue;
+          m_load->OnOverloaded(KeyOf("a"), m_now);
+          ++refusals;
+        }
+        const double per_second =
+            static_cast<double>(refusals * entries) / kSeconds;
+        CPPUNIT_ASSERT(per_second <= limit);
+      }
+    }
+  }
+
   Instant m_now{1000s};
   directory::Directory m_directory;
   std::optional<FleetLoad> m_load;
