--- a/src/dotterelshift/app/control_link_test.cc
+++ b/src/dotterelshift/app/control_link_test.cc
@@ -29,6 +29,7 @@
   CPPUNIT_TEST(RoutesVersionsNeverDecreaseAndAreRequiredToConnect);
   CPPUNIT_TEST(DeltasApplyToTheHeldVersion);
   CPPUNIT_TEST(DeltaFromAnotherVersionRequestsTheFullDocument);
+  CPPUNIT_TEST(WantOfRelaysIsReportedAtOnce);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -262,6 +263,22 @@
     return command;
   }
 
+  void WantOfRelaysIsReportedAtOnce() {
+    AnswerHeartbeat("c1", 1, 0);
+    m_now += 1ms;
+    CPPUNIT_ASSERT(m_link->NextTimer() > m_now);
+    m_link->SetWantsRelays(true, m_now);
+    m_link->OnTimer(m_now);
+    bool reported = false;
+    for (const auto& [to, frame] : m_link->TakeFrames(m_now)) {
+      const auto* beat = frame.body.AsEntryBeat();
+      reported |= beat != nullptr && beat->wants_relays;
+    }
+    CPPUNIT_ASSERT(reported);
+    m_link->SetWantsRelays(true, m_now);
+    CPPUNIT_ASSERT(m_link->NextTimer() > m_now);
+  }
+
   // Sends the next heartbeat and returns the sequence that the host received.
   uint64_t NextHeartbeat(const HostId& host) {
     m_now = std::max(m_now, m_link->NextTimer());
--- a/src/dotterelshift/app/endpoint_relays.cc
+++ b/src/dotterelshift/app/endpoint_relays.cc
@@ -19,7 +19,7 @@
 
 void LogTunnel(const relay::TunnelReport& report) {
   telemetry::LogDecision("relay_tunnel", "",
-                         {{"event", std::string(NameOf(report.event))},
+                         {{"outcome", std::string(NameOf(report.event))},
                           {"client", report.client},
                           {"target", report.target},
                           {"bytes_up", std::to_string(report.bytes_up)},
--- a/src/dotterelshift/app/entry_pushes_test.cc
+++ b/src/dotterelshift/app/entry_pushes_test.cc
@@ -16,8 +16,10 @@
  public:
   bool Send(const HostId& host, const wire::FrameT& frame) override {
     if (frame.body.AsQuarantinePush() != nullptr) ++quarantines[host];
-    if (const auto* answer = frame.body.AsLeaderBeat())
+    if (const auto* answer = frame.body.AsLeaderBeat()) {
       entry_count = answer->entry_count;
+      entries = answer->entries;
+    }
     const wire::RoutesPushT* routes = frame.body.AsRoutesPush();
     if (routes == nullptr) return true;
     for (const auto& step : routes->steps) backlog[host] += step->packed.size();
@@ -41,6 +43,7 @@
   std::map<HostId, uint64_t> bases;     // of the first delta sent
   std::map<HostId, int> quarantines;    // pushes of quarantined contents
   uint32_t entry_count = 0;             // in the newest answer to a heartbeat
+  std::vector<std::string> entries;     // in the same answer
   size_t max_backlog = 0;
   int documents = 0;
 
@@ -58,6 +61,7 @@
   CPPUNIT_TEST(ReturningEntryIsSentNothingBeforeItsHeartbeat);
   CPPUNIT_TEST(QuarantineReachesEntriesThatConnectedUnderAnotherLeader);
   CPPUNIT_TEST(EntryThatLostItsConnectionIsStillCounted);
+  CPPUNIT_TEST(DataCentreWithoutRelaysIsToldOfEntriesOfOthers);
   CPPUNIT_TEST_SUITE_END();
 
  private:
@@ -101,9 +105,10 @@
   }
 
   void SendHeartbeat(const HostId& host, uint64_t version,
-                     bool wants_routes = false) {
+                     bool wants_routes = false, bool wants_relays = false) {
     wire::EntryBeatT beat;
     beat.wants_routes = wants_routes;
+    beat.wants_relays = wants_relays;
     beat.sequence = ++m_heartbeats;
     beat.routes_version = version;
     m_pushes.OnHeartbeat(host, beat, m_now);
@@ -228,6 +233,34 @@
   }
 
   // Guards against limits that are divided among fewer entries than use them.
+  // All entries of one data centre are cut off from endpoints.
+  void DataCentreWithoutRelaysIsToldOfEntriesOfOthers() {
+    constexpr int kOfEach = 20;
+    for (int i = 0; i < 2 * kOfEach; ++i) {
+      const std::string name = (i < kOfEach ? "a" : "b") + std::to_string(i);
+      m_pushes.OnUp({.run = {name, 1},
+                     .data_centre = i < kOfEach ? "a" : "b",
+                     .address = name});
+    }
+    SendHeartbeat("a0", 0);
+    CPPUNIT_ASSERT_EQUAL(size_t{kOfEach}, m_hub.entries.size());
+    std::map<std::string, int> named;
+    for (int round = 0; round < 2; ++round) {
+      named.clear();
+      for (int i = 0; i < kOfEach; ++i) {
+        SendHeartbeat("a" + std::to_string(i), 0, false, true);
+        CPPUNIT_ASSERT(m_hub.entries.size() > size_t{kOfEach});
+        for (const std::string& address : m_hub.entries)
+          if (address.starts_with("b")) ++named[address];
+      }
+    }
+    // The relays are spread, and no entry that lacks one itself is named.
+    CPPUNIT_ASSERT_EQUAL(size_t{kOfEach}, named.size());
+    SendHeartbeat("b20", 0, false, true);
+    for (const std::string& address : m_hub.entries)
+      CPPUNIT_ASSERT(!address.starts_with("a"));
+  }
+
   void EntryThatLostItsConnectionIsStillCounted() {
     StartEntries();
     m_pushes.OnDown("e2", m_now);
--- a/src/dotterelshift/relay/connect_request_test.cc
+++ b/src/dotterelshift/relay/connect_request_test.cc
@@ -34,11 +34,13 @@
   }
 
   void MalformedHeadsAreBad() {
-    for (const char* head :
-         {"GET / HTTP/1.1\r\n\r\n", "CONNECT name:80 HTTP/1.1\r\n\r\n",
-          "CONNECT 10.0.0.1 HTTP/1.1\r\n\r\n", "\r\n\r\n",
-          "CONNECT 10.0.0.1:80 HTTP/1.1\r\nProxy-Authorization: Basic x\r\n"
-          "\r\n"}) {
+    const std::string other_scheme =
+        "CONNECT 10.0.0.1:80 HTTP/1.1\r\nProxy-Authorization: Basic x\r\n\r\n";
+    for (const std::string& head :
+         {std::string("GET / HTTP/1.1\r\n\r\n"),
+          std::string("CONNECT name:80 HTTP/1.1\r\n\r\n"),
+          std::string("CONNECT 10.0.0.1 HTTP/1.1\r\n\r\n"),
+          std::string("\r\n\r\n"), other_scheme}) {
       ConnectRequest request;
       CPPUNIT_ASSERT_MESSAGE(
           head, ParseConnect(head, &request) == ConnectParse::kBad);
