--- a/src/dotterelshift/gateway/core_response.cc
+++ b/src/dotterelshift/gateway/core_response.cc
@@ -219,7 +219,10 @@
   if (!path_failed) BookFailure(active, end, now);
   if (sent) {
     active.may_have_run = true;
-    if (end != http::TransferEnd::kTimedOut) ReportSuspectContent(active);
+    // A connection that breaks on a path that is in doubt says nothing of the
+    // content.
+    if (end != http::TransferEnd::kTimedOut && !path_failed)
+      ReportSuspectContent(active);
   } else {
     OnNotSent(active.attempt.id, now);
   }
