--- a/include/dotterelshift/gateway/fleet_load.h
+++ b/include/dotterelshift/gateway/fleet_load.h
@@ -56,6 +56,9 @@
   // Fraction of an endpoint's limit on refusals that the fleet may use. The
   // rest is for entries that start or that are not counted yet.
   double refusal_fraction = 0.5;
+  // Time in which the number of requests that such an endpoint is believed to
+  // have room for rises by one, after a refusal has lowered it.
+  Duration room_rise_interval = 1s;
 };
 
 // Where a request would go, and when its prefill could start there.
@@ -132,8 +135,9 @@
   void OnOverloaded(EndpointKey endpoint, Instant now);
   // Sets how many requests the endpoint may refuse in a second, of all entries,
   // before it fails; nullopt: it has no such limit. The endpoint then gets no
-  // request beyond its slots, and after a refusal none for so long that the
-  // refusals of all entries together stay within the limit.
+  // request beyond its slots, nor beyond what it had room for at its last
+  // refusal. Each entry has a part of the limit: once that is used up, it sends
+  // nothing there until it may risk another refusal.
   void SetRefusalLimit(EndpointKey endpoint, std::optional<uint32_t> limit);
 
   // Load updates for the other entries since the last call. If there are more
@@ -171,10 +175,18 @@
     Instant avoid_until{};
     Instant full_until{};
     std::optional<uint32_t> refusal_limit;
+    // Refusals that this entry may still cause, at the time of the last one.
+    double refusal_credit = 0;
+    // Requests that it had room for at the last refusal; nullopt: none so far.
+    std::optional<uint32_t> room;
+    Instant refused_at{};
   };
 
   bool MayUse(const Load& load, Instant now) const;
-  Duration FullFor(const Load& load) const;
+  // Refusals that this entry may cause at the endpoint in a second.
+  double RefusalRate(const Load& load) const;
+  uint32_t RoomAt(const Load& load, Instant now) const;
+  void LowerRoom(Load& load, Instant now) const;
   double CostOf(const Load& load, const Placement& placement) const;
   Placement PlaceAt(EndpointKey key, const Load& load, const Prompt& prompt,
                     Instant now) const;
--- a/src/dotterelshift/gateway/fleet_load.cc
+++ b/src/dotterelshift/gateway/fleet_load.cc
@@ -72,20 +72,40 @@
 }
 
 bool FleetLoad::MayUse(const Load& load, Instant now) const {
-  // An endpoint with a limit on refusals may have no queue at all.
-  const bool has_room = !load.refusal_limit || RunningAt(load) < load.slots;
-  return load.usable && has_room && now >= load.avoid_until &&
-         now >= load.full_until;
-}
-
-Duration FleetLoad::FullFor(const Load& load) const {
-  if (!load.refusal_limit) return m_options.full_for;
-  const double allowed_per_second =
-      std::max<double>(1, *load.refusal_limit) * m_options.refusal_fraction;
-  const Duration interval =
-      std::chrono::duration_cast<Duration>(std::chrono::duration<double>(
-          static_cast<double>(m_entries) / allowed_per_second));
-  return std::max(interval, m_options.full_for);
+  return load.usable && RunningAt(load) < RoomAt(load, now) &&
+         now >= load.avoid_until && now >= load.full_until;
+}
+
+double FleetLoad::RefusalRate(const Load& load) const {
+  const double fleet = std::max<double>(1, load.refusal_limit.value_or(1)) *
+                       m_options.refusal_fraction;
+  return fleet / static_cast<double>(m_entries);
+}
+
+// An endpoint with a limit on refusals may have no queue at all.
+uint32_t FleetLoad::RoomAt(const Load& load, Instant now) const {
+  if (!load.refusal_limit) return std::numeric_limits<uint32_t>::max();
+  if (!load.room) return load.slots;
+  const auto risen = (now - load.refused_at) / m_options.room_rise_interval;
+  return std::min<uint32_t>(load.slots,
+                            *load.room + static_cast<uint32_t>(risen));
+}
+
+// The refused request is still counted as running.
+void FleetLoad::LowerRoom(Load& load, Instant now) const {
+  const double rate = RefusalRate(load);
+  const double most = std::max(1.0, rate);
+  const double since =
+      std::chrono::duration<double>(now - load.refused_at).count();
+  const double credit = load.room ? load.refusal_credit + rate * since : most;
+  load.refusal_credit = std::min(most, credit) - 1;
+  const uint32_t others = std::max<uint32_t>(1, RunningAt(load)) - 1;
+  load.room = std::max<uint32_t>(1, std::min(RoomAt(load, now), others));
+  load.refused_at = now;
+  if (load.refusal_credit >= 1) return;
+  const std::chrono::duration<double> pause((1 - load.refusal_credit) / rate);
+  load.full_until = std::max(load.full_until,
+                             now + std::chrono::duration_cast<Duration>(pause));
 }
 
 void FleetLoad::SetRefusalLimit(EndpointKey endpoint,
@@ -246,8 +266,10 @@
 
 void FleetLoad::OnOverloaded(EndpointKey endpoint, Instant now) {
   const auto found = m_loads.find(endpoint);
-  if (found != m_loads.end())
-    found->second.full_until = now + FullFor(found->second);
+  if (found == m_loads.end()) return;
+  Load& load = found->second;
+  load.full_until = now + m_options.full_for;
+  if (load.refusal_limit) LowerRoom(load, now);
 }
 
 void FleetLoad::RecordChange(EndpointKey endpoint, Tokens prompt_tokens,
