--- a/src/dotterelshift/gateway/core_impl.h
+++ b/src/dotterelshift/gateway/core_impl.h
@@ -108,6 +108,11 @@
   void ReportConnectFailure(const ActiveRequest& active, http::TransferEnd end,
                             Instant now);
   void LeavePath(ActiveRequest& active, Instant now);
+  // The best endpoint that this request may be sent to and that is reached on
+  // some path.
+  std::optional<Placement> ChooseEndpoint(const ActiveRequest& active,
+                                          Instant now) const;
+  bool LacksPath(EndpointKey endpoint, Instant now) const;
 
   // Responses (core_response.cc).
   ActiveRequest* FindByAttempt(AttemptId attempt);
--- a/src/dotterelshift/gateway/core_paths.cc
+++ b/src/dotterelshift/gateway/core_paths.cc
@@ -10,6 +10,26 @@
   return m_dependencies.paths->RelayTo(endpoint, now);
 }
 
+std::optional<Placement> CoreImpl::ChooseEndpoint(const ActiveRequest& active,
+                                                  Instant now) const {
+  std::vector<EndpointKey> excluded = active.tried;
+  while (true) {
+    const std::optional<Placement> placement = m_dependencies.load->Choose(
+        active.service, active.info.prompt, excluded, now);
+    if (!placement || !LacksPath(placement->endpoint, now)) return placement;
+    excluded.push_back(placement->endpoint);
+  }
+}
+
+// Other entries offer to relay, but each one says that it cannot reach the
+// endpoint either: a request for it would only wait for a connection that is
+// not established. Probes tell when one is.
+bool CoreImpl::LacksPath(EndpointKey endpoint, Instant now) const {
+  const EndpointPaths* paths = m_dependencies.paths;
+  return paths != nullptr && paths->Relays() > 0 &&
+         paths->IsRelayed(endpoint) && !paths->RelayTo(endpoint, now);
+}
+
 void CoreImpl::OnConnected(AttemptId id, Instant now) {
   const ActiveRequest* active = FindByAttempt(id);
   if (active == nullptr || m_dependencies.paths == nullptr) return;
--- a/src/dotterelshift/gateway/core_paths_test.cc
+++ b/src/dotterelshift/gateway/core_paths_test.cc
@@ -21,6 +21,7 @@
   CPPUNIT_TEST(StuckRequestThatMayRunOnceIsNot);
   CPPUNIT_TEST(AttemptsThatAreNotHandedOverAreWithdrawn);
   CPPUNIT_TEST(WithoutARelayEndpointsAreAvoidedAsBefore);
+  CPPUNIT_TEST(RequestIsRefusedAtOnceWhileAllEntriesAreCutOff);
   CPPUNIT_TEST(OfferEndsTheAvoidance);
   CPPUNIT_TEST(ConnectionRestoresTheDirectPath);
   CPPUNIT_TEST(PathOfAnAttemptIsLogged);
@@ -133,6 +134,17 @@
     CPPUNIT_ASSERT_EQUAL(size_t{2}, m_load->CountOf("plain", m_now).avoided);
   }
 
+  void RequestIsRefusedAtOnceWhileAllEntriesAreCutOff() {
+    Offer("other");
+    CutOff();
+    m_paths->OnRelay({"other", "dc", "10.0.0.2:80", "token", {"plain"}});
+    m_core->OnRelayOffered(m_now);
+    Request("/safe/", 0, 9);
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, Count<StartAttempt>());
+    Advance(100ms);
+    CPPUNIT_ASSERT_EQUAL(RequestId{9}, Only<Refuse>().request);
+  }
+
   void OfferEndsTheAvoidance() {
     WithoutARelayEndpointsAreAvoidedAsBefore();
     Offer("other");
--- a/src/dotterelshift/gateway/core_placement.cc
+++ b/src/dotterelshift/gateway/core_placement.cc
@@ -20,8 +20,7 @@
 // request whose response would come too late is refused at once, so that the
 // caller can react.
 void CoreImpl::Place(ActiveRequest& active, Instant now) {
-  const std::optional<Placement> placement = m_dependencies.load->Choose(
-      active.service, active.info.prompt, active.tried, now);
+  const std::optional<Placement> placement = ChooseEndpoint(active, now);
   if (!placement) return WaitForEndpoint(active, now);
   if (WouldRespondTooLate(active, *placement, now)) {
     return Fail(active, ErrorKind::kOverloaded,
--- a/src/dotterelshift/gateway/core_response.cc
+++ b/src/dotterelshift/gateway/core_response.cc
@@ -297,11 +297,7 @@
   const bool in_time = active.sends < kMaxSends && now < active.deadline &&
                        (!arrived || CanSendInTime(active, now));
   if (!in_time || (arrived && !TakeRetry(active, now))) return false;
-  const bool other =
-      m_dependencies.load
-          ->Choose(active.service, active.info.prompt, active.tried, now)
-          .has_value();
-  if (!other) return false;
+  if (!ChooseEndpoint(active, now)) return false;
   Place(active, now);
   return true;
 }
--- a/src/dotterelshift/gateway/endpoint_paths.cc
+++ b/src/dotterelshift/gateway/endpoint_paths.cc
@@ -12,6 +12,13 @@
   return std::find(services.begin(), services.end(), service) != services.end();
 }
 
+bool ContainsAny(const std::vector<ServiceName>& services,
+                 const std::vector<ServiceName>& wanted) {
+  return std::any_of(
+      wanted.begin(), wanted.end(),
+      [&](const ServiceName& service) { return Contains(services, service); });
+}
+
 }  // namespace
 
 std::string_view NameOf(PathState state) {
@@ -164,7 +171,6 @@
 bool EndpointPaths::MayCarry(const RelayContact& relay, const Path& path,
                              Instant now) const {
   for (const ServiceName& service : path.services) {
-    if (Contains(relay.unreachable, service)) return false;
     const auto avoided = m_relay_avoided_until.find({relay.host, service});
     if (avoided != m_relay_avoided_until.end() && now < avoided->second)
       return false;
@@ -172,8 +178,9 @@
   return true;
 }
 
-// Relays in the same data centre are preferred. Endpoints are spread over the
-// relays by their key, so that connections are reused and no relay carries all.
+// Relays in the same data centre are preferred, and those that failed lately
+// are used if there are no others. Endpoints are spread over the relays by
+// their key, so that connections are reused and no relay carries all.
 std::optional<RelayContact> EndpointPaths::RelayTo(EndpointKey endpoint,
                                                    Instant now) const {
   const auto found = m_paths.find(endpoint);
@@ -181,12 +188,16 @@
     return std::nullopt;
   std::vector<const RelayContact*> near;
   std::vector<const RelayContact*> far;
+  std::vector<const RelayContact*> failed;
   for (const auto& [host, relay] : m_relays) {
-    if (!MayCarry(relay, found->second, now)) continue;
+    if (ContainsAny(relay.unreachable, found->second.services)) continue;
     const bool is_near = relay.data_centre == m_options.data_centre;
-    (is_near ? near : far).push_back(&relay);
+    if (!MayCarry(relay, found->second, now))
+      failed.push_back(&relay);
+    else
+      (is_near ? near : far).push_back(&relay);
   }
-  const auto& relays = near.empty() ? far : near;
+  const auto& relays = !near.empty() ? near : !far.empty() ? far : failed;
   if (relays.empty()) return std::nullopt;
   return *relays[endpoint % relays.size()];
 }
