Software versions of endpoints are read, logged and counted

An endpoint announces the version of its software, and the adapter dropped it: no line could tell which version a request went to, nor that it resumed a stream. Now the record carries it (software_version, a field at the end of the table, so that daemons of before and after talk to each other), `sent` names it, and for a request that resumes a stream the event that its caller has and the id in `Resumes`; `version_serves` and `version_left` say when an entry first knows a version of a service, and when its last endpoint leaves; a gauge counts endpoints by service and version. Nothing is decided by it yet.

--- a/include/dotterelshift/gateway/fleet_load.h
+++ b/include/dotterelshift/gateway/fleet_load.h
@@ -9,13 +9,14 @@
 #include <unordered_map>  // for unordered_map
 #include <vector>         // for vector
 
-#include "dotterelshift/base/ids.h"               // for EndpointId
-#include "dotterelshift/base/time.h"              // for Instant
-#include "dotterelshift/directory/directory.h"    // for Directory
-#include "dotterelshift/gateway/request.h"        // for Prompt
-#include "dotterelshift/gateway/routes.h"         // for RouteTable
-#include "dotterelshift/gateway/segment_cache.h"  // for SegmentCache
-#include "dotterelshift/wire/frames_generated.h"  // for LoadNote
+#include "dotterelshift/base/ids.h"                  // for EndpointId
+#include "dotterelshift/base/time.h"                 // for Instant
+#include "dotterelshift/directory/directory.h"       // for Directory
+#include "dotterelshift/gateway/request.h"           // for Prompt
+#include "dotterelshift/gateway/routes.h"            // for RouteTable
+#include "dotterelshift/gateway/segment_cache.h"     // for SegmentCache
+#include "dotterelshift/gateway/service_versions.h"  // for SoftwareKey
+#include "dotterelshift/wire/frames_generated.h"     // for LoadNote
 
 namespace dotterelshift::gateway {
 
@@ -83,6 +84,8 @@
   uint64_t incarnation = 0;
   std::string address;
   DataCentreId data_centre;
+  std::string software_version;
+  SoftwareKey software = 0;
 };
 
 // The load of all endpoints by the requests of all entries. Other entries
--- a/include/dotterelshift/gateway/request.h
+++ b/include/dotterelshift/gateway/request.h
@@ -39,7 +39,10 @@
   // the request is handed to the core counts instead.
   Instant begun{};
   bool reused_connection = false;  // not the first request on its connection
-  std::string last_event_id;       // of a stream that the caller resumes
+  // Of a stream that the caller resumes: the id of the last event that it has,
+  // and of its request whose response brought the first event.
+  std::string last_event_id;
+  std::string first_caller_id;
   Prompt prompt;
   uint64_t content_hash = 0;  // of path, key and body
   size_t body_bytes = 0;
--- a/include/dotterelshift/telemetry/metrics.h
+++ b/include/dotterelshift/telemetry/metrics.h
@@ -35,6 +35,10 @@
                                  std::string_view service, double value) = 0;
   virtual void SetServiceGauge(std::string_view name, std::string_view help,
                                std::string_view service, double value) = 0;
+  // The same with a second label, a software version of the service.
+  virtual void SetVersionGauge(std::string_view name, std::string_view help,
+                               std::string_view service,
+                               std::string_view version, double value) = 0;
   virtual std::string Text() const = 0;
 };
 
--- a/include/dotterelshift/wire/frames_generated.h
+++ b/include/dotterelshift/wire/frames_generated.h
@@ -2421,6 +2421,7 @@
   uint32_t tokens_per_second = 0;
   uint32_t age_ms = 0;
   bool silent = false;
+  std::string software_version{};
   EndpointRecordT() = default;
   EndpointRecordT(const EndpointRecordT &o);
   EndpointRecordT(EndpointRecordT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -2448,7 +2449,8 @@
     VT_WAITING = 30,
     VT_TOKENS_PER_SECOND = 32,
     VT_AGE_MS = 34,
-    VT_SILENT = 36
+    VT_SILENT = 36,
+    VT_SOFTWARE_VERSION = 38
   };
   const flatbuffers::String *id() const {
     return GetPointer<const flatbuffers::String *>(VT_ID);
@@ -2501,6 +2503,9 @@
   bool silent() const {
     return GetField<uint8_t>(VT_SILENT, 0) != 0;
   }
+  const flatbuffers::String *software_version() const {
+    return GetPointer<const flatbuffers::String *>(VT_SOFTWARE_VERSION);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_ID) &&
@@ -2528,6 +2533,8 @@
            VerifyField<uint32_t>(verifier, VT_TOKENS_PER_SECOND, 4) &&
            VerifyField<uint32_t>(verifier, VT_AGE_MS, 4) &&
            VerifyField<uint8_t>(verifier, VT_SILENT, 1) &&
+           VerifyOffset(verifier, VT_SOFTWARE_VERSION) &&
+           verifier.VerifyString(software_version()) &&
            verifier.EndTable();
   }
   EndpointRecordT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2590,6 +2597,9 @@
   void add_silent(bool silent) {
     fbb_.AddElement<uint8_t>(EndpointRecord::VT_SILENT, static_cast<uint8_t>(silent), 0);
   }
+  void add_software_version(flatbuffers::Offset<flatbuffers::String> software_version) {
+    fbb_.AddOffset(EndpointRecord::VT_SOFTWARE_VERSION, software_version);
+  }
   explicit EndpointRecordBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2619,10 +2629,12 @@
     uint32_t waiting = 0,
     uint32_t tokens_per_second = 0,
     uint32_t age_ms = 0,
-    bool silent = false) {
+    bool silent = false,
+    flatbuffers::Offset<flatbuffers::String> software_version = 0) {
   EndpointRecordBuilder builder_(_fbb);
   builder_.add_sequence(sequence);
   builder_.add_incarnation(incarnation);
+  builder_.add_software_version(software_version);
   builder_.add_age_ms(age_ms);
   builder_.add_tokens_per_second(tokens_per_second);
   builder_.add_waiting(waiting);
@@ -2664,13 +2676,15 @@
     uint32_t waiting = 0,
     uint32_t tokens_per_second = 0,
     uint32_t age_ms = 0,
-    bool silent = false) {
+    bool silent = false,
+    const char *software_version = nullptr) {
   auto id__ = id ? _fbb.CreateString(id) : 0;
   auto address__ = address ? _fbb.CreateString(address) : 0;
   auto data_centre__ = data_centre ? _fbb.CreateString(data_centre) : 0;
   auto role__ = role ? _fbb.CreateString(role) : 0;
   auto models__ = models ? _fbb.CreateVector<flatbuffers::Offset<dotterelshift::wire::ModelState>>(*models) : 0;
   auto services__ = services ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*services) : 0;
+  auto software_version__ = software_version ? _fbb.CreateString(software_version) : 0;
   return dotterelshift::wire::CreateEndpointRecord(
       _fbb,
       id__,
@@ -2689,7 +2703,8 @@
       waiting,
       tokens_per_second,
       age_ms,
-      silent);
+      silent,
+      software_version__);
 }
 
 flatbuffers::Offset<EndpointRecord> CreateEndpointRecord(flatbuffers::FlatBufferBuilder &_fbb, const EndpointRecordT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -5469,7 +5484,8 @@
         waiting(o.waiting),
         tokens_per_second(o.tokens_per_second),
         age_ms(o.age_ms),
-        silent(o.silent) {
+        silent(o.silent),
+        software_version(o.software_version) {
   models.reserve(o.models.size());
   for (const auto &models_ : o.models) { models.emplace_back((models_) ? new dotterelshift::wire::ModelStateT(*models_) : nullptr); }
 }
@@ -5492,6 +5508,7 @@
   std::swap(tokens_per_second, o.tokens_per_second);
   std::swap(age_ms, o.age_ms);
   std::swap(silent, o.silent);
+  std::swap(software_version, o.software_version);
   return *this;
 }
 
@@ -5521,6 +5538,7 @@
   { auto _e = tokens_per_second(); _o->tokens_per_second = _e; }
   { auto _e = age_ms(); _o->age_ms = _e; }
   { auto _e = silent(); _o->silent = _e; }
+  { auto _e = software_version(); if (_e) _o->software_version = _e->str(); }
 }
 
 inline flatbuffers::Offset<EndpointRecord> EndpointRecord::Pack(flatbuffers::FlatBufferBuilder &_fbb, const EndpointRecordT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -5548,6 +5566,7 @@
   auto _tokens_per_second = _o->tokens_per_second;
   auto _age_ms = _o->age_ms;
   auto _silent = _o->silent;
+  auto _software_version = _o->software_version.empty() ? 0 : _fbb.CreateString(_o->software_version);
   return dotterelshift::wire::CreateEndpointRecord(
       _fbb,
       _id,
@@ -5566,7 +5585,8 @@
       _waiting,
       _tokens_per_second,
       _age_ms,
-      _silent);
+      _silent,
+      _software_version);
 }
 
 inline CacheEventT *CacheEvent::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/src/dotterelshift/app/gateway_entry.cc
+++ b/src/dotterelshift/app/gateway_entry.cc
@@ -58,6 +58,8 @@
   void Register();
   void DialMembers();
   std::unique_ptr<wire::CommandIdT> NextId();
+  void OnEndpointsChanged();
+  void UpdateVersions();
   void OnTick();
   bool MayKeep(size_t silent) const;
   LinkGuard::Traffic LinkTraffic() const;
@@ -76,6 +78,7 @@
   std::unique_ptr<gateway::Dialect> m_dialect;
   ControlLink m_link;
   DirectoryExchange m_directory;
+  gateway::ServiceVersions m_versions;
   gateway::FleetLoad m_load;
   gateway::HeldGrants m_budgets;
   gateway::RetryShare m_retries;
@@ -112,11 +115,7 @@
       m_dialect(std::move(dialect)),
       m_link(ControlLinkOptionsOf(m_registration.Self())),
       m_directory(loop, SpreadOptionsOf(settings.host), DirectoryOptionsOf(),
-                  {[this] {
-                     m_core->OnEndpointsChanged(m_directory.GetDirectory(),
-                                                m_loop.Now());
-                     m_traffic->Pump();
-                   },
+                  {[this] { OnEndpointsChanged(); },
                    [](const std::vector<wire::CacheEventT>&) {}}),
       m_load(LoadOptionsOf(settings)),
       m_budgets({}, [this] { return NextId(); }),
@@ -339,6 +338,23 @@
     m_hub->Dial(address);
 }
 
+void GatewayEntry::OnEndpointsChanged() {
+  UpdateVersions();
+  m_core->OnEndpointsChanged(m_directory.GetDirectory(), m_loop.Now());
+  m_traffic->Pump();
+}
+
+void GatewayEntry::UpdateVersions() {
+  m_versions.Update(m_directory.GetDirectory(), m_loop.Now());
+  for (const gateway::VersionChange& change : m_versions.TakeChanges()) {
+    telemetry::Log(telemetry::LogLevel::kInfo,
+                   change.serves ? "version_serves" : "version_left",
+                   {{"service", change.service},
+                    {"version", change.version},
+                    {"versions", std::to_string(change.versions)}});
+  }
+}
+
 void GatewayEntry::OnTick() {
   const Instant now = m_loop.Now();
   m_link_guard.OnControlRoundTrip(m_link.TakeMaxHeartbeatTime());
@@ -436,6 +452,7 @@
   SetLinkQueueMetrics(*m_metrics, m_core->WaitingForLink());
   SetRetryMetrics(*m_metrics, m_retries.UseByService(m_loop.Now()));
   SetEndpointMetrics(*m_metrics, m_load.CountByService(m_loop.Now()));
+  SetVersionMetrics(*m_metrics, m_versions.Counts());
   m_relays->SetMetrics(*m_metrics);
 }
 
--- a/src/dotterelshift/app/gauges.cc
+++ b/src/dotterelshift/app/gauges.cc
@@ -77,6 +77,16 @@
   }
 }
 
+void SetVersionMetrics(telemetry::Metrics& metrics,
+                       const std::vector<gateway::VersionCount>& counts) {
+  for (const gateway::VersionCount& count : counts) {
+    metrics.SetVersionGauge("dotterelshift_endpoints_by_version",
+                            "Endpoints that serve, by software version",
+                            count.service, count.version,
+                            Number(count.serving));
+  }
+}
+
 void SetRoutesSentCounters(telemetry::Metrics& metrics,
                            const EntryPushes::RoutesSentTotals& sent) {
   metrics.SetCounter("dotterelshift_routes_wholes_sent_total",
--- a/src/dotterelshift/app/gauges.h
+++ b/src/dotterelshift/app/gauges.h
@@ -6,13 +6,14 @@
 #include <string_view>       // for string_view
 #include <vector>            // for vector
 
-#include "dotterelshift/app/control_replica.h"  // for ControlReplica
-#include "dotterelshift/app/entry_pushes.h"     // for EntryPushes
-#include "dotterelshift/gateway/core.h"         // for LinkQueue
-#include "dotterelshift/gateway/fleet_load.h"   // for EndpointCounts
-#include "dotterelshift/gateway/retry_share.h"  // for RetryUse
-#include "dotterelshift/peers/hub.h"            // for Hub
-#include "dotterelshift/telemetry/metrics.h"    // for Metrics
+#include "dotterelshift/app/control_replica.h"       // for ControlReplica
+#include "dotterelshift/app/entry_pushes.h"          // for EntryPushes
+#include "dotterelshift/gateway/core.h"              // for LinkQueue
+#include "dotterelshift/gateway/fleet_load.h"        // for EndpointCounts
+#include "dotterelshift/gateway/retry_share.h"       // for RetryUse
+#include "dotterelshift/gateway/service_versions.h"  // for VersionCount
+#include "dotterelshift/peers/hub.h"                 // for Hub
+#include "dotterelshift/telemetry/metrics.h"         // for Metrics
 
 namespace dotterelshift::app {
 
@@ -44,6 +45,10 @@
     telemetry::Metrics& metrics,
     const std::map<gateway::ServiceName, gateway::EndpointCounts>& counts);
 
+// Endpoints that serve, by service and software version.
+void SetVersionMetrics(telemetry::Metrics& metrics,
+                       const std::vector<gateway::VersionCount>& counts);
+
 // Counters of the published routes that a control daemon has sent.
 void SetRoutesSentCounters(telemetry::Metrics& metrics,
                            const EntryPushes::RoutesSentTotals& sent);
--- a/src/dotterelshift/directory/directory.cc
+++ b/src/dotterelshift/directory/directory.cc
@@ -16,6 +16,7 @@
   const bool same_place = a.incarnation == b.incarnation &&
                           a.address == b.address &&
                           a.data_centre == b.data_centre && a.slots == b.slots;
+  if (a.software_version != b.software_version) return false;
   if (!same_place || a.services != b.services) return false;
   if (a.models.size() != b.models.size()) return false;
   for (size_t i = 0; i < a.models.size(); ++i) {
--- a/src/dotterelshift/directory/spread.cc
+++ b/src/dotterelshift/directory/spread.cc
@@ -52,6 +52,7 @@
     for (const std::string& adapter : model->adapters) MixText(&hash, adapter);
   }
   for (const std::string& service : record.services) MixText(&hash, service);
+  MixText(&hash, record.software_version);
   return hash;
 }
 
--- a/src/dotterelshift/gateway/core_placement.cc
+++ b/src/dotterelshift/gateway/core_placement.cc
@@ -97,6 +97,7 @@
   const EndpointContact& contact = active.attempt.endpoint;
   std::vector<std::pair<std::string_view, std::string>> inputs = {
       {"endpoint", contact.id},
+      {"version", contact.software_version},
       {"route", active.route->name},
       {"routes_version", std::to_string(active.routes->Get().version)},
       {"team", active.team},
@@ -109,6 +110,10 @@
       {"connection", active.info.reused_connection ? "kept" : "new"}};
   if (!active.attempt.relay.empty())
     inputs.emplace_back("relay", active.attempt.relay);
+  if (!active.info.last_event_id.empty()) {
+    inputs.emplace_back("after_event", active.info.last_event_id);
+    inputs.emplace_back("resumes", active.info.first_caller_id);
+  }
   if (active.link_wait > 0s)
     inputs.emplace_back("link_wait_ms", Ms(active.link_wait));
   if (m_drain) {
--- a/src/dotterelshift/gateway/fleet_load.cc
+++ b/src/dotterelshift/gateway/fleet_load.cc
@@ -33,7 +33,12 @@
     Load& load = m_loads[key];
     const auto before = known.find(key);
     if (before != known.end()) load = std::move(before->second);
-    load.contact = {id, record.incarnation, record.address, record.data_centre};
+    load.contact = {id,
+                    record.incarnation,
+                    record.address,
+                    record.data_centre,
+                    record.software_version,
+                    SoftwareKeyOf(record)};
     load.services = record.services;
     load.slots = std::max<uint32_t>(1, record.slots);
     load.usable = endpoint.usable;
--- a/src/dotterelshift/telemetry/metrics.cc
+++ b/src/dotterelshift/telemetry/metrics.cc
@@ -4,6 +4,7 @@
 #include <prometheus/text_serializer.h>  // for TextSerializer
 
 #include <cstdlib>  // for abs
+#include <map>      // for map
 #include <utility>  // for move
 
 #include "dotterelshift/telemetry/team_series.h"  // for TeamSeries
@@ -47,22 +48,33 @@
 
   void SetCounter(std::string_view name, std::string_view help,
                   double value) override {
-    Set(m_counters, prometheus::BuildCounter(), name, help, {}, value);
+    Set(m_counters, prometheus::BuildCounter(), name, help, LabelsOf({}),
+        value);
   }
 
   void SetGauge(std::string_view name, std::string_view help,
                 double value) override {
-    Set(m_gauges, prometheus::BuildGauge(), name, help, {}, value);
+    Set(m_gauges, prometheus::BuildGauge(), name, help, LabelsOf({}), value);
   }
 
   void SetServiceCounter(std::string_view name, std::string_view help,
                          std::string_view service, double value) override {
-    Set(m_counters, prometheus::BuildCounter(), name, help, service, value);
+    Set(m_counters, prometheus::BuildCounter(), name, help, LabelsOf(service),
+        value);
   }
 
   void SetServiceGauge(std::string_view name, std::string_view help,
                        std::string_view service, double value) override {
-    Set(m_gauges, prometheus::BuildGauge(), name, help, service, value);
+    Set(m_gauges, prometheus::BuildGauge(), name, help, LabelsOf(service),
+        value);
+  }
+
+  void SetVersionGauge(std::string_view name, std::string_view help,
+                       std::string_view service, std::string_view version,
+                       double value) override {
+    prometheus::Labels labels = LabelsOf(service);
+    labels["version"] = version;
+    Set(m_gauges, prometheus::BuildGauge(), name, help, labels, value);
   }
 
   std::string Text() const override {
@@ -75,12 +87,11 @@
     Histogram* token_gap = nullptr;
   };
 
-  // The series of one counter or gauge by service; the empty name stands for
-  // the unlabelled series.
+  // The series of one counter or gauge.
   template <typename Value>
   struct NamedFamily {
     prometheus::Family<Value>* family = nullptr;
-    ByName<Value*> series;
+    std::map<prometheus::Labels, Value*> series;
   };
 
   static void SetValue(Counter& counter, double value) {
@@ -91,18 +102,18 @@
   template <typename Value, typename Builder>
   void Set(ByName<NamedFamily<Value>>& families, Builder builder,
            std::string_view name, std::string_view help,
-           std::string_view service, double value) {
+           const prometheus::Labels& labels, double value) {
     NamedFamily<Value>& named = Named(families, name);
     if (named.family == nullptr) {
       named.family = &builder.Name(std::string(name))
                           .Help(std::string(help))
                           .Register(m_registry);
     }
-    const auto found = named.series.find(service);
+    const auto found = named.series.find(labels);
     if (found != named.series.end()) return SetValue(*found->second, value);
     if (named.series.size() >= m_max_classes) return;
-    Value& series = named.family->Add(LabelsOf(service));
-    named.series[std::string(service)] = &series;
+    Value& series = named.family->Add(labels);
+    named.series[labels] = &series;
     SetValue(series, value);
   }
 
