--- a/include/dotterelshift/app/control_link.h
+++ b/include/dotterelshift/app/control_link.h
@@ -99,6 +99,10 @@
   }
   // When the newest heartbeat that a leader answered was sent.
   std::optional<Instant> ConfirmedAt() const { return m_confirmed; }
+  // Since when the leader that answered it has had its directory of endpoints.
+  std::optional<Instant> LeaderDirectorySince() const {
+    return m_leader_directory_since;
+  }
   // Number of entries in the fleet, including this one.
   size_t EntryCount() const { return m_entry_count; }
   // Index of this entry among them.
@@ -159,6 +163,7 @@
   Duration m_max_heartbeat_time{};
   // When the newest answered heartbeat was sent.
   std::optional<Instant> m_confirmed;
+  std::optional<Instant> m_leader_directory_since;
   serving::ControlReach m_reach = serving::ControlReach::kNever;
   state::Configuration m_configuration;
   uint64_t m_leader_configuration_version =
--- a/include/dotterelshift/base/error.h
+++ b/include/dotterelshift/base/error.h
@@ -46,6 +46,7 @@
   kNotReady = 46,
   kNoQuorum = 47,
   kTooManyConnections = 48,
+  kNotResumable = 49,
   // The request ran, or may have.
   kEndpointFailed = 60,
   kStreamCut = 61,
--- a/include/dotterelshift/directory/spread.h
+++ b/include/dotterelshift/directory/spread.h
@@ -84,6 +84,10 @@
   std::vector<Outgoing> OnTimer(Instant now);
   Instant NextTimer() const { return m_next_round; }
 
+  // Whether this daemon has received all records of a peer since it was last
+  // without any peer.
+  bool IsSynced() const { return m_synced; }
+
   // The current interval between load reports of one endpoint.
   Duration PulseInterval() const;
 
@@ -140,6 +144,7 @@
   std::unordered_map<uint64_t, EndpointId> m_by_key;
   std::map<EndpointId, Pending> m_pending;
   std::vector<ReceivedDeparture> m_departures;
+  bool m_synced = false;
   Instant m_next_round{};
   Instant m_next_digest{};
 };
--- a/include/dotterelshift/gateway/core.h
+++ b/include/dotterelshift/gateway/core.h
@@ -20,6 +20,7 @@
 #include "dotterelshift/gateway/retry_share.h"     // for RetryShare
 #include "dotterelshift/gateway/routes.h"          // for RouteTable
 #include "dotterelshift/gateway/send_pacer.h"      // for SendPacer
+#include "dotterelshift/gateway/stream_origins.h"  // for StreamOrigins
 #include "dotterelshift/http/client.h"             // for TransferEnd
 #include "dotterelshift/quarantine/blocklist.h"    // for Blocklist
 #include "dotterelshift/serving/request_core.h"    // for RequestSummary
@@ -60,6 +61,13 @@
   // Minimum retry delay sent to a caller when no endpoint can run its request
   // in time.
   Duration min_retry_after = 500ms;
+  // How long a resumed stream's events are withheld until it is proven that
+  // their endpoint has the version that began the stream: a heartbeat of the
+  // endpoint and its way here.
+  Duration max_withhold = 3s;
+  // A stream and its caller's attempts to resume it take at most this many
+  // times the route's timeout.
+  int stream_life_timeouts = 2;
   // Random seed of the split by weight and of the jitter of retry delays.
   uint64_t seed = 1;
 };
@@ -144,6 +152,14 @@
   uint64_t refused = 0;  // since the start, because the wait was too long
 };
 
+// Streams that callers wanted to resume, since the start.
+struct ResumptionCounts {
+  uint64_t accepted = 0;    // sent to an endpoint of the stream's version
+  uint64_t refused = 0;     // of all reasons
+  uint64_t withheld = 0;    // events were held back until proven
+  uint64_t mismatched = 0;  // an endpoint turned out to have another version
+};
+
 // Handles requests under the published routes from arrival to the last byte:
 // access, choice of the endpoint and the time of sending, retries and refusals.
 // Does no I/O and reads no clock. After each event the caller carries out the
@@ -172,6 +188,8 @@
   virtual void OnEnd(AttemptId attempt, http::TransferEnd end, Instant now) = 0;
   // A new connection was established for the attempt.
   virtual void OnConnected(AttemptId attempt, Instant now) = 0;
+  // The attempt's request is handed to a connection that was established then.
+  virtual void OnHandedOver(AttemptId attempt, Instant connected_at) = 0;
   // Bytes of the attempt, which has no response yet, stay unacknowledged.
   virtual void OnUnacknowledged(AttemptId attempt, Instant now) = 0;
   // The attempt was withdrawn: no byte of it was sent, and none will be.
@@ -183,6 +201,9 @@
   virtual void OnRelayOffered(Instant now) = 0;
   // A team may have more tokens available.
   virtual void OnBudgetChanged(Instant now) = 0;
+  // Since when this entry has known of all endpoints; nullopt: it may not know
+  // of all of them now.
+  virtual void OnViewComplete(std::optional<Instant> since) = 0;
   virtual void OnTimer(Instant now) = 0;
   virtual Instant NextTimer() const = 0;
 
@@ -192,6 +213,7 @@
   virtual std::vector<SuspectReport> TakeSuspectReports() = 0;
   virtual size_t OpenRequests() const = 0;
   virtual LinkQueue WaitingForLink() const = 0;
+  virtual const ResumptionCounts& Resumptions() const = 0;
 };
 
 struct CoreDependencies {
@@ -201,6 +223,9 @@
   const quarantine::Blocklist* blocklist = nullptr;
   SendPacer* pacer = nullptr;      // null: sending is not paced
   EndpointPaths* paths = nullptr;  // null: endpoints are never relayed
+  ServiceVersions* versions = nullptr;
+  EndpointRuns* runs = nullptr;
+  StreamOrigins* origins = nullptr;
 };
 
 std::unique_ptr<Core> MakeCore(const CoreOptions& options,
--- a/include/dotterelshift/gateway/fleet_load.h
+++ b/include/dotterelshift/gateway/fleet_load.h
@@ -70,6 +70,12 @@
   Tokens tokens_to_prefill = 0;
 };
 
+// Which endpoints a request may be sent to.
+struct ChoiceLimits {
+  std::vector<EndpointKey> excluded;
+  std::optional<SoftwareKey> software;  // nullopt: any
+};
+
 // How many endpoints of a service this entry knows as usable, and how many of
 // these it does not use now.
 struct EndpointCounts {
@@ -107,11 +113,11 @@
   void OnDirectory(const directory::Directory& directory);
   void OnRoutes(const RouteTable& routes);
 
-  // Returns the best endpoint of a service for a prompt, except those in
-  // `excluded`; none if no endpoint is usable.
+  // Returns the best endpoint of a service for a prompt; none if no endpoint
+  // within the limits is usable.
   std::optional<Placement> Choose(const ServiceName& service,
                                   const Prompt& prompt,
-                                  const std::vector<EndpointKey>& excluded,
+                                  const ChoiceLimits& limits,
                                   Instant now) const;
   // Whether any endpoint of the service is usable.
   bool HasEndpoint(const ServiceName& service, Instant now) const;
--- a/include/dotterelshift/wire/frames_generated.h
+++ b/include/dotterelshift/wire/frames_generated.h
@@ -138,6 +138,10 @@
 
 struct LoadNote;
 
+struct ProvenOrigin;
+
+struct PendingOrigin;
+
 struct LoadNotes;
 struct LoadNotesBuilder;
 struct LoadNotesT;
@@ -863,6 +867,80 @@
   using type = LoadNote;
 };
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) ProvenOrigin FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t stream_;
+  uint64_t software_;
+
+ public:
+  struct Traits;
+  ProvenOrigin()
+      : stream_(0),
+        software_(0) {
+  }
+  ProvenOrigin(uint64_t _stream, uint64_t _software)
+      : stream_(flatbuffers::EndianScalar(_stream)),
+        software_(flatbuffers::EndianScalar(_software)) {
+  }
+  uint64_t stream() const {
+    return flatbuffers::EndianScalar(stream_);
+  }
+  uint64_t software() const {
+    return flatbuffers::EndianScalar(software_);
+  }
+};
+FLATBUFFERS_STRUCT_END(ProvenOrigin, 16);
+
+struct ProvenOrigin::Traits {
+  using type = ProvenOrigin;
+};
+
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) PendingOrigin FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t stream_;
+  uint64_t software_;
+  uint64_t endpoint_;
+  uint32_t connected_ms_;
+  uint32_t received_ms_;
+
+ public:
+  struct Traits;
+  PendingOrigin()
+      : stream_(0),
+        software_(0),
+        endpoint_(0),
+        connected_ms_(0),
+        received_ms_(0) {
+  }
+  PendingOrigin(uint64_t _stream, uint64_t _software, uint64_t _endpoint, uint32_t _connected_ms, uint32_t _received_ms)
+      : stream_(flatbuffers::EndianScalar(_stream)),
+        software_(flatbuffers::EndianScalar(_software)),
+        endpoint_(flatbuffers::EndianScalar(_endpoint)),
+        connected_ms_(flatbuffers::EndianScalar(_connected_ms)),
+        received_ms_(flatbuffers::EndianScalar(_received_ms)) {
+  }
+  uint64_t stream() const {
+    return flatbuffers::EndianScalar(stream_);
+  }
+  uint64_t software() const {
+    return flatbuffers::EndianScalar(software_);
+  }
+  uint64_t endpoint() const {
+    return flatbuffers::EndianScalar(endpoint_);
+  }
+  uint32_t connected_ms() const {
+    return flatbuffers::EndianScalar(connected_ms_);
+  }
+  uint32_t received_ms() const {
+    return flatbuffers::EndianScalar(received_ms_);
+  }
+};
+FLATBUFFERS_STRUCT_END(PendingOrigin, 32);
+
+struct PendingOrigin::Traits {
+  using type = PendingOrigin;
+};
+
 struct HelloT : public flatbuffers::NativeTable {
   typedef Hello TableType;
   uint16_t protocol = 0;
@@ -1760,6 +1838,7 @@
   std::vector<std::string> entries{};
   uint32_t entry_count = 0;
   uint32_t entry_place = 0;
+  uint64_t directory_ms = 0;
 };
 
 struct LeaderBeat FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -1775,7 +1854,8 @@
     VT_CONTROL = 14,
     VT_ENTRIES = 16,
     VT_ENTRY_COUNT = 18,
-    VT_ENTRY_PLACE = 20
+    VT_ENTRY_PLACE = 20,
+    VT_DIRECTORY_MS = 22
   };
   uint64_t sequence() const {
     return GetField<uint64_t>(VT_SEQUENCE, 0);
@@ -1804,6 +1884,9 @@
   uint32_t entry_place() const {
     return GetField<uint32_t>(VT_ENTRY_PLACE, 0);
   }
+  uint64_t directory_ms() const {
+    return GetField<uint64_t>(VT_DIRECTORY_MS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
@@ -1819,6 +1902,7 @@
            verifier.VerifyVectorOfStrings(entries()) &&
            VerifyField<uint32_t>(verifier, VT_ENTRY_COUNT, 4) &&
            VerifyField<uint32_t>(verifier, VT_ENTRY_PLACE, 4) &&
+           VerifyField<uint64_t>(verifier, VT_DIRECTORY_MS, 8) &&
            verifier.EndTable();
   }
   LeaderBeatT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1857,6 +1941,9 @@
   void add_entry_place(uint32_t entry_place) {
     fbb_.AddElement<uint32_t>(LeaderBeat::VT_ENTRY_PLACE, entry_place, 0);
   }
+  void add_directory_ms(uint64_t directory_ms) {
+    fbb_.AddElement<uint64_t>(LeaderBeat::VT_DIRECTORY_MS, directory_ms, 0);
+  }
   explicit LeaderBeatBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1878,8 +1965,10 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> control = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> entries = 0,
     uint32_t entry_count = 0,
-    uint32_t entry_place = 0) {
+    uint32_t entry_place = 0,
+    uint64_t directory_ms = 0) {
   LeaderBeatBuilder builder_(_fbb);
+  builder_.add_directory_ms(directory_ms);
   builder_.add_routes_version(routes_version);
   builder_.add_stamp_ms(stamp_ms);
   builder_.add_configuration_version(configuration_version);
@@ -1907,7 +1996,8 @@
     const std::vector<flatbuffers::Offset<flatbuffers::String>> *control = nullptr,
     const std::vector<flatbuffers::Offset<flatbuffers::String>> *entries = nullptr,
     uint32_t entry_count = 0,
-    uint32_t entry_place = 0) {
+    uint32_t entry_place = 0,
+    uint64_t directory_ms = 0) {
   auto control__ = control ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*control) : 0;
   auto entries__ = entries ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*entries) : 0;
   return dotterelshift::wire::CreateLeaderBeat(
@@ -1920,7 +2010,8 @@
       control__,
       entries__,
       entry_count,
-      entry_place);
+      entry_place,
+      directory_ms);
 }
 
 flatbuffers::Offset<LeaderBeat> CreateLeaderBeat(flatbuffers::FlatBufferBuilder &_fbb, const LeaderBeatT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -4267,6 +4358,8 @@
 struct LoadNotesT : public flatbuffers::NativeTable {
   typedef LoadNotes TableType;
   std::vector<dotterelshift::wire::LoadNote> notes{};
+  std::vector<dotterelshift::wire::ProvenOrigin> proven_origins{};
+  std::vector<dotterelshift::wire::PendingOrigin> pending_origins{};
 };
 
 struct LoadNotes FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -4274,15 +4367,27 @@
   typedef LoadNotesBuilder Builder;
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_NOTES = 4
+    VT_NOTES = 4,
+    VT_PROVEN_ORIGINS = 6,
+    VT_PENDING_ORIGINS = 8
   };
   const flatbuffers::Vector<const dotterelshift::wire::LoadNote *> *notes() const {
     return GetPointer<const flatbuffers::Vector<const dotterelshift::wire::LoadNote *> *>(VT_NOTES);
   }
+  const flatbuffers::Vector<const dotterelshift::wire::ProvenOrigin *> *proven_origins() const {
+    return GetPointer<const flatbuffers::Vector<const dotterelshift::wire::ProvenOrigin *> *>(VT_PROVEN_ORIGINS);
+  }
+  const flatbuffers::Vector<const dotterelshift::wire::PendingOrigin *> *pending_origins() const {
+    return GetPointer<const flatbuffers::Vector<const dotterelshift::wire::PendingOrigin *> *>(VT_PENDING_ORIGINS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_NOTES) &&
            verifier.VerifyVector(notes()) &&
+           VerifyOffset(verifier, VT_PROVEN_ORIGINS) &&
+           verifier.VerifyVector(proven_origins()) &&
+           VerifyOffset(verifier, VT_PENDING_ORIGINS) &&
+           verifier.VerifyVector(pending_origins()) &&
            verifier.EndTable();
   }
   LoadNotesT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -4297,6 +4402,12 @@
   void add_notes(flatbuffers::Offset<flatbuffers::Vector<const dotterelshift::wire::LoadNote *>> notes) {
     fbb_.AddOffset(LoadNotes::VT_NOTES, notes);
   }
+  void add_proven_origins(flatbuffers::Offset<flatbuffers::Vector<const dotterelshift::wire::ProvenOrigin *>> proven_origins) {
+    fbb_.AddOffset(LoadNotes::VT_PROVEN_ORIGINS, proven_origins);
+  }
+  void add_pending_origins(flatbuffers::Offset<flatbuffers::Vector<const dotterelshift::wire::PendingOrigin *>> pending_origins) {
+    fbb_.AddOffset(LoadNotes::VT_PENDING_ORIGINS, pending_origins);
+  }
   explicit LoadNotesBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -4310,8 +4421,12 @@
 
 inline flatbuffers::Offset<LoadNotes> CreateLoadNotes(
     flatbuffers::FlatBufferBuilder &_fbb,
-    flatbuffers::Offset<flatbuffers::Vector<const dotterelshift::wire::LoadNote *>> notes = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<const dotterelshift::wire::LoadNote *>> notes = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const dotterelshift::wire::ProvenOrigin *>> proven_origins = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const dotterelshift::wire::PendingOrigin *>> pending_origins = 0) {
   LoadNotesBuilder builder_(_fbb);
+  builder_.add_pending_origins(pending_origins);
+  builder_.add_proven_origins(proven_origins);
   builder_.add_notes(notes);
   return builder_.Finish();
 }
@@ -4323,11 +4438,17 @@
 
 inline flatbuffers::Offset<LoadNotes> CreateLoadNotesDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
-    const std::vector<dotterelshift::wire::LoadNote> *notes = nullptr) {
+    const std::vector<dotterelshift::wire::LoadNote> *notes = nullptr,
+    const std::vector<dotterelshift::wire::ProvenOrigin> *proven_origins = nullptr,
+    const std::vector<dotterelshift::wire::PendingOrigin> *pending_origins = nullptr) {
   auto notes__ = notes ? _fbb.CreateVectorOfStructs<dotterelshift::wire::LoadNote>(*notes) : 0;
+  auto proven_origins__ = proven_origins ? _fbb.CreateVectorOfStructs<dotterelshift::wire::ProvenOrigin>(*proven_origins) : 0;
+  auto pending_origins__ = pending_origins ? _fbb.CreateVectorOfStructs<dotterelshift::wire::PendingOrigin>(*pending_origins) : 0;
   return dotterelshift::wire::CreateLoadNotes(
       _fbb,
-      notes__);
+      notes__,
+      proven_origins__,
+      pending_origins__);
 }
 
 flatbuffers::Offset<LoadNotes> CreateLoadNotes(flatbuffers::FlatBufferBuilder &_fbb, const LoadNotesT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -5237,6 +5358,7 @@
   { auto _e = entries(); if (_e) { _o->entries.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->entries[_i] = _e->Get(_i)->str(); } } }
   { auto _e = entry_count(); _o->entry_count = _e; }
   { auto _e = entry_place(); _o->entry_place = _e; }
+  { auto _e = directory_ms(); _o->directory_ms = _e; }
 }
 
 inline flatbuffers::Offset<LeaderBeat> LeaderBeat::Pack(flatbuffers::FlatBufferBuilder &_fbb, const LeaderBeatT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -5256,6 +5378,7 @@
   auto _entries = _o->entries.size() ? _fbb.CreateVectorOfStrings(_o->entries) : 0;
   auto _entry_count = _o->entry_count;
   auto _entry_place = _o->entry_place;
+  auto _directory_ms = _o->directory_ms;
   return dotterelshift::wire::CreateLeaderBeat(
       _fbb,
       _sequence,
@@ -5266,7 +5389,8 @@
       _control,
       _entries,
       _entry_count,
-      _entry_place);
+      _entry_place,
+      _directory_ms);
 }
 
 inline RecallT *Recall::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -6189,6 +6313,8 @@
   (void)_o;
   (void)_resolver;
   { auto _e = notes(); if (_e) { _o->notes.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->notes[_i] = *_e->Get(_i); } } }
+  { auto _e = proven_origins(); if (_e) { _o->proven_origins.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->proven_origins[_i] = *_e->Get(_i); } } }
+  { auto _e = pending_origins(); if (_e) { _o->pending_origins.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->pending_origins[_i] = *_e->Get(_i); } } }
 }
 
 inline flatbuffers::Offset<LoadNotes> LoadNotes::Pack(flatbuffers::FlatBufferBuilder &_fbb, const LoadNotesT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -6200,9 +6326,13 @@
   (void)_o;
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const LoadNotesT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _notes = _o->notes.size() ? _fbb.CreateVectorOfStructs(_o->notes) : 0;
+  auto _proven_origins = _o->proven_origins.size() ? _fbb.CreateVectorOfStructs(_o->proven_origins) : 0;
+  auto _pending_origins = _o->pending_origins.size() ? _fbb.CreateVectorOfStructs(_o->pending_origins) : 0;
   return dotterelshift::wire::CreateLoadNotes(
       _fbb,
-      _notes);
+      _notes,
+      _proven_origins,
+      _pending_origins);
 }
 
 inline TokenBorrowT *TokenBorrow::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/src/dotterelshift/app/control_link.cc
+++ b/src/dotterelshift/app/control_link.cc
@@ -80,6 +80,7 @@
   m_entry_addresses = beat.entries;
   m_entry_count = std::max<size_t>(1, beat.entry_count);
   m_entry_index = beat.entry_place;
+  m_leader_directory_since = now - std::chrono::milliseconds(beat.directory_ms);
   m_knows_leader_version = true;
   m_heartbeats_sent.erase(m_heartbeats_sent.begin(), sent);
   if (m_leader == from) return;
--- a/src/dotterelshift/app/directory_exchange.h
+++ b/src/dotterelshift/app/directory_exchange.h
@@ -40,6 +40,9 @@
   // Returns true if the frame belongs to the directory protocol.
   bool OnFrame(const peers::PeerInfo& from, const wire::FrameT& frame);
 
+  // Whether all records of another daemon were received, see directory::Spread.
+  bool IsSynced() const { return m_spread.IsSynced(); }
+
   directory::Directory& GetDirectory() { return m_directory; }
   const directory::Directory& GetDirectory() const { return m_directory; }
 
--- a/src/dotterelshift/app/endpoint_relays.cc
+++ b/src/dotterelshift/app/endpoint_relays.cc
@@ -150,23 +150,22 @@
 
 void EndpointRelays::SetMetrics(telemetry::Metrics& metrics) const {
   const relay::RelayCounters& counters = m_server->Counters();
-  const auto number = [](auto value) { return static_cast<double>(value); };
   metrics.SetCounter("dotterelshift_tunnels_opened_total",
                      "Connections relayed for other entries",
-                     number(counters.opened));
+                     Number(counters.opened));
   metrics.SetCounter("dotterelshift_tunnels_refused_total",
                      "Requests of other entries that were not relayed",
-                     number(counters.refused));
+                     Number(counters.refused));
   metrics.SetCounter("dotterelshift_tunnel_bytes_total",
                      "Carried for other entries, in both directions",
-                     number(counters.bytes));
+                     Number(counters.bytes));
   SetGauges(metrics, {{"dotterelshift_tunnels_open", "Relayed now",
-                       number(m_server->OpenTunnels())},
+                       Number(m_server->OpenTunnels())},
                       {"dotterelshift_endpoints_relayed",
                        "Reached through another entry",
-                       number(m_parts.paths->RelayedEndpoints().size())},
+                       Number(m_parts.paths->RelayedEndpoints().size())},
                       {"dotterelshift_relays", "Entries that offer to relay",
-                       number(m_parts.paths->Relays())}});
+                       Number(m_parts.paths->Relays())}});
 }
 
 }  // namespace dotterelshift::app
--- a/src/dotterelshift/app/entry_pushes.cc
+++ b/src/dotterelshift/app/entry_pushes.cc
@@ -71,6 +71,7 @@
                               Instant now) {
   const auto entry = m_entries.find(host);
   if (entry == m_entries.end()) return false;
+  if (!m_directory_since) m_directory_since = now;
   entry->second.reported = true;
   entry->second.wants_relays = beat.wants_relays;
   OnReportedVersion(entry->second.configuration, beat.configuration_version,
@@ -103,6 +104,7 @@
   const gateway::EntryRoster::Place place = m_roster.PlaceOf(host, now);
   answer.entry_count = static_cast<uint32_t>(place.count);
   answer.entry_place = static_cast<uint32_t>(place.index);
+  answer.directory_ms = ToMs(now - m_directory_since.value_or(now));
   const bool all = m_entries.size() <= kMaxFullMeshEntries;
   const DataCentreId& own = entry->second.info.data_centre;
   for (const auto& [other, known] : m_entries)
--- a/src/dotterelshift/app/entry_pushes.h
+++ b/src/dotterelshift/app/entry_pushes.h
@@ -102,6 +102,8 @@
   const ControlReplica& m_replica;
   std::map<HostId, Entry> m_entries;  // connected
   gateway::EntryRoster m_roster;
+  // Since when this replica has had a directory, or somewhat later.
+  std::optional<Instant> m_directory_since;
   HostId m_last_pushed;
   wire::RoutesStepT m_full_routes;
   RoutesSentTotals m_sent;
--- a/src/dotterelshift/app/gateway_entry.cc
+++ b/src/dotterelshift/app/gateway_entry.cc
@@ -17,6 +17,7 @@
 #include "dotterelshift/app/other_entries.h"       // for OtherEntries
 #include "dotterelshift/app/registration.h"        // for Registration
 #include "dotterelshift/app/suspicion_command.h"   // for SuspicionCommand
+#include "dotterelshift/app/version_tracker.h"     // for VersionTracker
 #include "dotterelshift/callers/front.h"           // for SendErrorResponse
 #include "dotterelshift/telemetry/log.h"           // for Log
 
@@ -59,7 +60,7 @@
   void DialMembers();
   std::unique_ptr<wire::CommandIdT> NextId();
   void OnEndpointsChanged();
-  void UpdateVersions();
+  void OnEntryUp(const peers::PeerInfo& entry);
   void OnTick();
   bool MayKeep(size_t silent) const;
   LinkGuard::Traffic LinkTraffic() const;
@@ -78,7 +79,7 @@
   std::unique_ptr<gateway::Dialect> m_dialect;
   ControlLink m_link;
   DirectoryExchange m_directory;
-  gateway::ServiceVersions m_versions;
+  VersionTracker m_versions;
   gateway::FleetLoad m_load;
   gateway::HeldGrants m_budgets;
   gateway::RetryShare m_retries;
@@ -117,6 +118,7 @@
       m_directory(loop, SpreadOptionsOf(settings.host), DirectoryOptionsOf(),
                   {[this] { OnEndpointsChanged(); },
                    [](const std::vector<wire::CacheEventT>&) {}}),
+      m_versions(m_directory),
       m_load(LoadOptionsOf(settings)),
       m_budgets({}, [this] { return NextId(); }),
       m_retries(RetryOptionsOf(settings)),
@@ -149,7 +151,15 @@
 }
 
 gateway::CoreDependencies GatewayEntry::Parts() {
-  return {&m_load, &m_budgets, &m_retries, &m_blocklist, &m_pacer, &m_paths};
+  return {.load = &m_load,
+          .budgets = &m_budgets,
+          .retries = &m_retries,
+          .blocklist = &m_blocklist,
+          .pacer = &m_pacer,
+          .paths = &m_paths,
+          .versions = &m_versions.Versions(),
+          .runs = &m_versions.Runs(),
+          .origins = &m_versions.Origins()};
 }
 
 EndpointRelays::Parts GatewayEntry::RelayParts() {
@@ -193,7 +203,7 @@
   callbacks.on_up = [this](const peers::PeerInfo& peer) {
     telemetry::Log(telemetry::LogLevel::kInfo, "peer_up",
                    {{"peer", peer.run.host}});
-    if (peer.role != wire::HostRole::Control) return m_relays->OnEntryUp(peer);
+    if (peer.role != wire::HostRole::Control) return OnEntryUp(peer);
     m_directory.OnPeerUp(peer);
     m_link.OnPeerUp(peer.run.host, m_loop.Now());
     m_tick.ArmIn(0ms);
@@ -217,6 +227,11 @@
   return callbacks;
 }
 
+void GatewayEntry::OnEntryUp(const peers::PeerInfo& entry) {
+  m_relays->OnEntryUp(entry);
+  m_others->SendOriginsTo(entry.run.host, m_versions.Origins(), m_loop.Now());
+}
+
 void GatewayEntry::OnPeerFrame(const peers::PeerInfo& peer,
                                const wire::FrameT& frame) {
   if (peer.role != wire::HostRole::Control) return OnEntryFrame(peer, frame);
@@ -230,6 +245,8 @@
   const Instant now = m_loop.Now();
   if (const auto* notes = frame.body.AsLoadNotes()) {
     m_load.OnLoadUpdates(peer.run.host, *notes, now);
+    m_versions.Origins().OnUpdates(
+        peer.run.host, {notes->proven_origins, notes->pending_origins}, now);
   } else if (const auto* borrow = frame.body.AsTokenBorrow()) {
     wire::TokenLoanT loan;
     loan.budget = borrow->budget;
@@ -339,22 +356,11 @@
 }
 
 void GatewayEntry::OnEndpointsChanged() {
-  UpdateVersions();
   m_core->OnEndpointsChanged(m_directory.GetDirectory(), m_loop.Now());
+  m_versions.LogChanges();
   m_traffic->Pump();
 }
 
-void GatewayEntry::UpdateVersions() {
-  m_versions.Update(m_directory.GetDirectory(), m_loop.Now());
-  for (const gateway::VersionChange& change : m_versions.TakeChanges()) {
-    telemetry::Log(telemetry::LogLevel::kInfo,
-                   change.serves ? "version_serves" : "version_left",
-                   {{"service", change.service},
-                    {"version", change.version},
-                    {"versions", std::to_string(change.versions)}});
-  }
-}
-
 void GatewayEntry::OnTick() {
   const Instant now = m_loop.Now();
   m_link_guard.OnControlRoundTrip(m_link.TakeMaxHeartbeatTime());
@@ -364,6 +370,7 @@
   TakeFromLink();
   m_traffic->CheckAcknowledged();
   m_relays->OnTick();
+  m_versions.OnTick(m_link, *m_core, now);
   m_link.SetWantsRelays(m_paths.LacksRelay(now), now);
   m_shutdown->Check();
   m_tick.ArmIn(kTick);
@@ -404,7 +411,7 @@
     m_hub->Send(host, frame);
   for (wire::TokenBorrowT& borrow : m_budgets.TakeBorrowRequests())
     m_others->SendToNextFew(peers::MakeFrame(std::move(borrow)));
-  m_others->SendLoadUpdates(m_load, now);
+  m_others->SendUpdates(m_load, m_versions.Origins(), now);
 }
 
 void GatewayEntry::ProposeSuspicion(const gateway::SuspectReport& suspicion) {
@@ -431,28 +438,27 @@
 
 void GatewayEntry::UpdateGauges() {
   const gateway::HeldGrants::Sums tokens = m_budgets.HeldSums();
-  const auto number = [](auto value) { return static_cast<double>(value); };
   SetGauges(
       *m_metrics,
       {{"dotterelshift_open_requests", "Requests taken and not ended",
-        number(m_core->OpenRequests())},
+        Number(m_core->OpenRequests())},
        {"dotterelshift_control_reach", "0 never, 1 connected, 2 cut off",
-        number(m_reach)},
-       {"dotterelshift_routes_version", "Version in force", number(m_version)},
+        Number(m_reach)},
+       {"dotterelshift_routes_version", "Version in force", Number(m_version)},
        {"dotterelshift_tokens_held", "Granted and not yet spent",
-        number(tokens.held)},
+        Number(tokens.held)},
        {"dotterelshift_tokens_reserved",
         "Of these, the most that open requests may spend",
-        number(tokens.reserved)},
+        Number(tokens.reserved)},
        {"dotterelshift_commands_unanswered",
         "Sent to control, or waiting for a leader",
-        number(m_link.Unanswered())}});
+        Number(m_link.Unanswered())}});
   SetHubMetrics(*m_metrics, *m_hub);
   m_link_guard.SetMetrics(*m_metrics);
   SetLinkQueueMetrics(*m_metrics, m_core->WaitingForLink());
   SetRetryMetrics(*m_metrics, m_retries.UseByService(m_loop.Now()));
   SetEndpointMetrics(*m_metrics, m_load.CountByService(m_loop.Now()));
-  SetVersionMetrics(*m_metrics, m_versions.Counts());
+  m_versions.SetMetrics(*m_metrics, *m_core);
   m_relays->SetMetrics(*m_metrics);
 }
 
--- a/src/dotterelshift/app/gateway_traffic_testing.h
+++ b/src/dotterelshift/app/gateway_traffic_testing.h
@@ -70,9 +70,13 @@
         [] { return std::make_unique<wire::CommandIdT>(); });
     m_retries = std::make_unique<gateway::RetryShare>(gateway::MakeLeasedShare(
         gateway::RetryShareOptions(), 1, m_loop.Now()));
-    m_core = gateway::MakeCore(
-        gateway::CoreOptions(),
-        {m_load.get(), m_budgets.get(), m_retries.get(), nullptr});
+    m_core =
+        gateway::MakeCore(gateway::CoreOptions(), {.load = m_load.get(),
+                                                   .budgets = m_budgets.get(),
+                                                   .retries = m_retries.get(),
+                                                   .versions = &m_versions,
+                                                   .runs = &m_runs,
+                                                   .origins = &m_origins});
     m_traffic = std::make_unique<GatewayTraffic>(m_loop, *m_core, m_dialect,
                                                  *m_metrics, m_link);
     gateway::Route once;
@@ -145,6 +149,9 @@
   std::unique_ptr<gateway::FleetLoad> m_load;
   std::unique_ptr<gateway::HeldGrants> m_budgets;
   std::unique_ptr<gateway::RetryShare> m_retries;
+  gateway::ServiceVersions m_versions;
+  gateway::EndpointRuns m_runs{m_directory};
+  gateway::StreamOrigins m_origins{m_runs};
   std::unique_ptr<gateway::Core> m_core;
   LinkGuard m_link{settings::Settings()};
   std::unique_ptr<GatewayTraffic> m_traffic;
--- a/src/dotterelshift/app/gauges.cc
+++ b/src/dotterelshift/app/gauges.cc
@@ -3,14 +3,6 @@
 #include <string>  // for string
 
 namespace dotterelshift::app {
-namespace {
-
-template <typename Value>
-double Number(Value value) {
-  return static_cast<double>(value);
-}
-
-}  // namespace
 
 void SetHubMetrics(telemetry::Metrics& metrics, const peers::Hub& hub) {
   const peers::HubCounters& counters = hub.Counters();
@@ -87,6 +79,25 @@
   }
 }
 
+void SetResumptionMetrics(telemetry::Metrics& metrics,
+                          const gateway::ResumptionCounts& counts,
+                          size_t origins) {
+  metrics.SetCounter("dotterelshift_resumptions_accepted_total",
+                     "Streams resumed for callers at their version",
+                     Number(counts.accepted));
+  metrics.SetCounter("dotterelshift_resumptions_refused_total",
+                     "Not resumed, as their version is not known or gone",
+                     Number(counts.refused));
+  metrics.SetCounter("dotterelshift_resumptions_withheld_total",
+                     "Attempts whose events waited for a proof of the version",
+                     Number(counts.withheld));
+  metrics.SetCounter("dotterelshift_resumptions_mismatched_total",
+                     "Of these, at an endpoint of another version",
+                     Number(counts.mismatched));
+  SetGauges(metrics, {{"dotterelshift_stream_origins",
+                       "Streams whose version is known", Number(origins)}});
+}
+
 void SetRoutesSentCounters(telemetry::Metrics& metrics,
                            const EntryPushes::RoutesSentTotals& sent) {
   metrics.SetCounter("dotterelshift_routes_wholes_sent_total",
--- a/src/dotterelshift/app/gauges.h
+++ b/src/dotterelshift/app/gauges.h
@@ -23,6 +23,12 @@
   double value = 0;
 };
 
+// The value of a metric.
+template <typename Value>
+double Number(Value value) {
+  return static_cast<double>(value);
+}
+
 inline void SetGauges(telemetry::Metrics& metrics,
                       std::initializer_list<Gauge> gauges) {
   for (const Gauge& gauge : gauges)
@@ -49,6 +55,11 @@
 void SetVersionMetrics(telemetry::Metrics& metrics,
                        const std::vector<gateway::VersionCount>& counts);
 
+// Streams that callers resumed, and origins of streams held.
+void SetResumptionMetrics(telemetry::Metrics& metrics,
+                          const gateway::ResumptionCounts& counts,
+                          size_t origins);
+
 // Counters of the published routes that a control daemon has sent.
 void SetRoutesSentCounters(telemetry::Metrics& metrics,
                            const EntryPushes::RoutesSentTotals& sent);
--- a/src/dotterelshift/app/other_entries.cc
+++ b/src/dotterelshift/app/other_entries.cc
@@ -1,6 +1,6 @@
 #include "dotterelshift/app/other_entries.h"
 
-#include <algorithm>  // for min, sort
+#include <algorithm>  // for binary_search, min, sort
 #include <utility>    // for move
 
 namespace dotterelshift::app {
@@ -11,7 +11,7 @@
 
 }  // namespace
 
-// The timer only causes an event loop iteration, which calls SendLoadUpdates().
+// The timer only causes an event loop iteration, which calls SendUpdates().
 OtherEntries::OtherEntries(loop::Loop& loop, peers::Hub& hub,
                            const gateway::LoadUpdatePacerOptions& notes)
     : m_hub(hub),
@@ -26,19 +26,39 @@
   return hosts;
 }
 
-void OtherEntries::SendLoadUpdates(gateway::FleetLoad& load, Instant now) {
-  if (!load.HasLoadUpdates()) return;
+void OtherEntries::SendUpdates(gateway::FleetLoad& load,
+                               gateway::StreamOrigins& origins, Instant now) {
+  if (!load.HasLoadUpdates() && !origins.HasUpdates()) return;
   if (!m_load_update_pacer.MaySend(now))
     return m_load_update_timer.ArmAt(m_load_update_pacer.Next());
   const std::vector<HostId> hosts = Hosts();
   wire::LoadNotesT body;
   body.notes = load.TakeLoadUpdates(m_load_update_pacer.Most(hosts.size()));
-  m_load_update_pacer.OnSent(body.notes.size(), hosts.size(), now);
-  if (body.notes.empty()) return;
+  gateway::OriginUpdates updates = origins.TakeUpdates(now);
+  m_load_update_pacer.OnSent(body.notes.size() + updates.Count(), hosts.size(),
+                             now);
+  if (body.notes.empty() && updates.Count() == 0) return;
+  body.proven_origins = std::move(updates.proven);
+  body.pending_origins = std::move(updates.pending);
   const wire::FrameT frame = peers::MakeFrame(std::move(body));
   for (const HostId& host : hosts) m_hub.Send(host, frame);
 }
 
+void OtherEntries::SendOriginsTo(const HostId& host,
+                                 const gateway::StreamOrigins& origins,
+                                 Instant now) {
+  const std::vector<HostId> hosts = Hosts();
+  const auto is_connected = [&hosts](const HostId& other) {
+    return std::ranges::binary_search(hosts, other);
+  };
+  gateway::OriginUpdates updates = origins.ForNewEntry(is_connected, now);
+  if (updates.Count() == 0) return;
+  wire::LoadNotesT body;
+  body.proven_origins = std::move(updates.proven);
+  body.pending_origins = std::move(updates.pending);
+  m_hub.Send(host, peers::MakeFrame(std::move(body)));
+}
+
 void OtherEntries::SendToNextFew(const wire::FrameT& frame) {
   const std::vector<HostId> hosts = Hosts();
   const size_t count = std::min(kMaxReceivers, hosts.size());
--- a/src/dotterelshift/app/other_entries.h
+++ b/src/dotterelshift/app/other_entries.h
@@ -6,6 +6,7 @@
 
 #include "dotterelshift/gateway/fleet_load.h"         // for FleetLoad
 #include "dotterelshift/gateway/load_update_pacer.h"  // for LoadUpdatePacer
+#include "dotterelshift/gateway/stream_origins.h"     // for StreamOrigins
 #include "dotterelshift/loop/loop.h"                  // for Loop, Timer
 #include "dotterelshift/peers/hub.h"                  // for Hub
 #include "dotterelshift/wire/frames_generated.h"      // for FrameT
@@ -19,10 +20,15 @@
   OtherEntries(loop::Loop& loop, peers::Hub& hub,
                const gateway::LoadUpdatePacerOptions& notes);
 
-  // Sends changes of the endpoints' load to all of them, once the pacer permits
-  // it. Called in each event loop iteration; if it must wait, a timer causes
-  // another iteration.
-  void SendLoadUpdates(gateway::FleetLoad& load, Instant now);
+  // Sends changes of the endpoints' load and the origins of new streams to all
+  // of them, once the pacer permits it. Called in each event loop iteration; if
+  // it must wait, a timer causes another iteration.
+  void SendUpdates(gateway::FleetLoad& load, gateway::StreamOrigins& origins,
+                   Instant now);
+  // Sends the origins that an entry lacks whose connection was just
+  // established.
+  void SendOriginsTo(const HostId& host, const gateway::StreamOrigins& origins,
+                     Instant now);
   // Sends a request to lend to a few entries, to different ones each time. Each
   // receiver lends what it can, so that asking more entries would yield many
   // times the tokens needed.
--- /dev/null
+++ b/src/dotterelshift/app/version_tracker.h
@@ -0,0 +1,45 @@
+#ifndef DOTTERELSHIFT_SRC_APP_VERSION_TRACKER_H_
+#define DOTTERELSHIFT_SRC_APP_VERSION_TRACKER_H_
+
+#include "dotterelshift/app/control_link.h"          // for ControlLink
+#include "dotterelshift/app/directory_exchange.h"    // for DirectoryExchange
+#include "dotterelshift/gateway/core.h"              // for Core
+#include "dotterelshift/gateway/directory_view.h"    // for DirectoryView
+#include "dotterelshift/gateway/endpoint_runs.h"     // for EndpointRuns
+#include "dotterelshift/gateway/service_versions.h"  // for ServiceVersions
+#include "dotterelshift/gateway/stream_origins.h"    // for StreamOrigins
+#include "dotterelshift/telemetry/metrics.h"         // for Metrics
+
+namespace dotterelshift::app {
+
+// What an entry knows of the software versions of endpoints and streams, and
+// how complete its knowledge is.
+class VersionTracker {
+ public:
+  // `directory` must outlive this object.
+  explicit VersionTracker(const DirectoryExchange& directory)
+      : m_directory(directory), m_runs(directory.GetDirectory()) {}
+
+  gateway::ServiceVersions& Versions() { return m_versions; }
+  gateway::EndpointRuns& Runs() { return m_runs; }
+  gateway::StreamOrigins& Origins() { return m_origins; }
+
+  // Takes over announcements and the state of the link to control. To be called
+  // regularly.
+  void OnTick(const ControlLink& link, gateway::Core& core, Instant now);
+  // Logs versions that began or ceased to be served since the last call.
+  void LogChanges();
+  void SetMetrics(telemetry::Metrics& metrics, const gateway::Core& core) const;
+
+ private:
+  const DirectoryExchange& m_directory;
+  gateway::ServiceVersions m_versions;
+  gateway::EndpointRuns m_runs;
+  gateway::StreamOrigins m_origins{m_runs};
+  gateway::DirectoryView m_view;
+  Instant m_next_update{};
+};
+
+}  // namespace dotterelshift::app
+
+#endif  // DOTTERELSHIFT_SRC_APP_VERSION_TRACKER_H_
--- a/src/dotterelshift/base/error.cc
+++ b/src/dotterelshift/base/error.cc
@@ -71,6 +71,8 @@
              "Control could not be reached in time."},
     ErrorRow{kTooManyConnections, "too_many_connections", 503, Ran::kNo, kLater,
              1, "Too many open connections."},
+    ErrorRow{kNotResumable, "not_resumable", 503, Ran::kNo, kLater, 1,
+             "No endpoint is known that can resume this stream."},
     ErrorRow{kEndpointFailed, "endpoint_failed", 502, Ran::kUnknown, kLater, 1,
              "The endpoint failed before it answered."},
     ErrorRow{kStreamCut, "stream_cut", 502, Ran::kYes, kLater, 1,
--- a/src/dotterelshift/directory/spread.cc
+++ b/src/dotterelshift/directory/spread.cc
@@ -114,6 +114,7 @@
   m_roster.erase(host);
   m_peers.erase(host);
   m_requests.OnPeerDown(host);
+  m_synced = m_synced && !m_peers.empty();
   ChooseNeighbours();
   AskIfDue(now);
 }
@@ -191,6 +192,8 @@
     peer->second.asked_us = true;
     peer->second.held = {delta.held.begin(), delta.held.end()};
   }
+  if (delta.answer || (delta.digest != 0 && delta.digest == Digest()))
+    m_synced = true;
   if (delta.answer) {
     m_requests.OnAnswer(from, delta.digest);
   } else if (delta.digest != 0) {
--- a/src/dotterelshift/gateway/active_request.h
+++ b/src/dotterelshift/gateway/active_request.h
@@ -1,9 +1,10 @@
 #ifndef DOTTERELSHIFT_SRC_GATEWAY_ACTIVE_REQUEST_H_
 #define DOTTERELSHIFT_SRC_GATEWAY_ACTIVE_REQUEST_H_
 
-#include <memory>  // for shared_ptr
-#include <string>  // for string
-#include <vector>  // for vector
+#include <memory>    // for shared_ptr
+#include <optional>  // for optional
+#include <string>    // for string
+#include <vector>    // for vector
 
 #include "dotterelshift/gateway/core.h"           // for RequestInfo
 #include "dotterelshift/gateway/event_scanner.h"  // for EventScanner
@@ -37,6 +38,30 @@
   int status = 0;
   ResponseInfo response_info;
   uint64_t events = 0;  // passed on to the caller
+  // When its connection was established; the epoch: not known yet.
+  Instant connected_at{};
+  // Its endpoint may write the stream: it begins it, or is proven to have the
+  // version that began it.
+  bool fits = false;
+  std::string withheld;  // received while that is not proven
+  Instant withheld_since{};
+  bool complete = false;  // the whole response has been received
+};
+
+// How this entry knows which software version a stream is bound to.
+enum class BindingSource : uint8_t {
+  kOwn,         // it passed the first event on, in this response or before
+  kTold,        // by another entry
+  kOneVersion,  // it is proven that there is no other version
+};
+
+std::string NameOf(BindingSource source);
+
+// The software version that a stream is bound to: that of its first event.
+struct StreamBinding {
+  StreamOrigin origin;
+  BindingSource source = BindingSource::kOwn;
+  Duration age = 0s;  // since the origin became known here
 };
 
 // Sort key of the requests that are queued for the outbound link.
@@ -76,9 +101,16 @@
   Attempt attempt;
   std::vector<EndpointKey> tried;
   bool head_relayed = false;
+  std::optional<StreamBinding> binding;  // nullopt: no event was passed on yet
   Instant first_event{};
   EventScanner scanner;
 
+  // Whether its caller resumes a stream of which it has events.
+  bool Resumes() const {
+    return route->kind == RouteKind::kStream && !info.last_event_id.empty() &&
+           info.last_event_id != "0";
+  }
+
   LinkRank Rank() const { return {priority, target, id}; }
 
   bool MayRepeat() const {
--- a/src/dotterelshift/gateway/core.cc
+++ b/src/dotterelshift/gateway/core.cc
@@ -18,6 +18,8 @@
 void CoreImpl::OnEndpointsChanged(const directory::Directory& directory,
                                   Instant now) {
   m_dependencies.load->OnDirectory(directory);
+  m_dependencies.versions->Update(directory, now);
+  m_dependencies.runs->Update(now);
   if (m_dependencies.paths != nullptr)
     m_dependencies.paths->OnDirectory(directory, now);
   std::vector<RequestId> on_leaving_endpoints;
@@ -79,6 +81,11 @@
   if (OutlivesDrain(active, now))
     return Fail(active, ErrorKind::kDraining, 0s, now);
   active.service = PickService(*active.route);
+  if (active.Resumes()) {
+    const char* why = BindResumed(active, now);
+    if (why != nullptr) return RefuseResumption(active, why, now);
+    ++m_resumptions.accepted;
+  }
   m_dependencies.retries->OnRequest(active.service, now);
   ReserveBudget(active, now);
 }
@@ -245,6 +252,7 @@
     case Stage::kAnswering:
       break;
   }
+  if (IsWithheld(active)) return CheckFit(active, now);
   if (RunningDeadline(active) > now)
     return SetTimer(active, RunningDeadline(active));
   // The response's idle timeout has expired, and the request may be retried.
--- a/src/dotterelshift/gateway/core_caller_gone_test.cc
+++ b/src/dotterelshift/gateway/core_caller_gone_test.cc
@@ -199,9 +199,7 @@
     SendPacerOptions options;
     options.bytes_per_second = kLinkBytesPerSecond;
     m_pacer = std::make_unique<SendPacer>(options);
-    m_core =
-        MakeCore(CoreOptions(), {m_load.get(), m_budgets.get(), m_retries.get(),
-                                 &m_blocklist, m_pacer.get()});
+    m_core = MakeCore(CoreOptions(), Parts(m_pacer.get()));
   }
 
   // Responses occupy the link for longer than a request may be queued in the
--- a/src/dotterelshift/gateway/core_impl.h
+++ b/src/dotterelshift/gateway/core_impl.h
@@ -19,7 +19,7 @@
 // The implementation behind MakeCore(): arrival in core.cc, choice of the
 // endpoint and sending in core_placement.cc, the queue for the outbound link in
 // core_link.cc, paths to endpoints in core_paths.cc, responses and retries in
-// core_response.cc.
+// core_response.cc, versions of streams in core_streams.cc.
 class CoreImpl final : public Core {
  public:
   CoreImpl(const CoreOptions& options, const CoreDependencies& parts)
@@ -38,11 +38,15 @@
   void OnChunk(AttemptId attempt, std::string_view bytes, Instant now) override;
   void OnEnd(AttemptId attempt, http::TransferEnd end, Instant now) override;
   void OnConnected(AttemptId attempt, Instant now) override;
+  void OnHandedOver(AttemptId attempt, Instant connected_at) override;
   void OnUnacknowledged(AttemptId attempt, Instant now) override;
   void OnWithdrawn(AttemptId attempt, Instant now) override;
   void OnPathsChanged(Instant now) override;
   void OnRelayOffered(Instant now) override;
   void OnBudgetChanged(Instant now) override;
+  void OnViewComplete(std::optional<Instant> since) override {
+    m_view_complete_since = since;
+  }
   void OnTimer(Instant now) override;
   Instant NextTimer() const override;
   std::vector<Action> TakeActions() override {
@@ -56,6 +60,7 @@
   }
   size_t OpenRequests() const override { return m_active.size(); }
   LinkQueue WaitingForLink() const override;
+  const ResumptionCounts& Resumptions() const override { return m_resumptions; }
 
  private:
   // Arrival (core.cc). An ErrorKind other than kNone is the reason for refusal.
@@ -95,7 +100,7 @@
   bool CanSendInTime(const ActiveRequest& active, Instant now) const;
   uint64_t BytesAhead(const LinkRank& rank) const;
   void LeaveLinkQueue(ActiveRequest& active);
-  void OnHandedOver(const ActiveRequest& active, Instant now);
+  void OnHandedToLink(const ActiveRequest& active, Instant now);
   void OnNotSent(AttemptId attempt, Instant now);
   Instant NextLinkTimer() const;
 
@@ -111,8 +116,35 @@
   // The best endpoint that this request may be sent to and that is reached on
   // some path.
   std::optional<Placement> ChooseEndpoint(const ActiveRequest& active,
-                                          Instant now) const;
+                                          Instant now);
+  std::optional<Placement> ChooseWithin(const ActiveRequest& active,
+                                        ChoiceLimits limits, Instant now) const;
   bool LacksPath(EndpointKey endpoint, Instant now) const;
+  // The software that an endpoint for the request must have; nullopt: any.
+  static std::optional<SoftwareKey> SoftwareFor(const ActiveRequest& active) {
+    if (!active.binding) return std::nullopt;
+    return active.binding->origin.software;
+  }
+
+  // Versions of streams (core_streams.cc).
+  enum class Fit : uint8_t { kFits, kPending, kOtherVersion, kOriginUnclear };
+  // Binds a stream that its caller resumes to the version that began it.
+  // Returns why that is not possible; nullptr: it is bound.
+  const char* BindResumed(ActiveRequest& active, Instant now) const;
+  void RefuseResumption(ActiveRequest& active, const char* why, Instant now);
+  std::optional<SoftwareKey> ProvenOnlyVersion(const ActiveRequest& active,
+                                               Instant now) const;
+  // An event of an unbound stream was passed on.
+  void BindToAttempt(ActiveRequest& active, Instant now);
+  void ProveOrigin(ActiveRequest& active, Instant now);
+  Fit FitOf(ActiveRequest& active) const;
+  bool IsWithheld(const ActiveRequest& active) const {
+    return active.stage == Stage::kAnswering && active.binding &&
+           !active.attempt.fits;
+  }
+  void CheckFit(ActiveRequest& active, Instant now);
+  void Release(ActiveRequest& active, Instant now);
+  void OnUnfit(ActiveRequest& active, Fit fit, Instant now);
 
   // Responses (core_response.cc).
   ActiveRequest* FindByAttempt(AttemptId attempt);
@@ -127,6 +159,9 @@
   bool TryAgain(ActiveRequest& active, bool path_failed, Instant now);
   bool TakeRetry(const ActiveRequest& active, Instant now);
   bool MayRunAgain(const ActiveRequest& active) const;
+  void RelayHeadOnce(ActiveRequest& active);
+  void PassOn(ActiveRequest& active, std::string_view bytes, Instant now);
+  void OnWholeResponse(ActiveRequest& active, Instant now);
   void OnFirstEvent(ActiveRequest& active, Instant now);
   void OnDeadline(ActiveRequest& active, Instant now);
   void CancelAttemptIfSent(ActiveRequest& active);
@@ -156,6 +191,8 @@
   std::mt19937_64 m_random;
   std::shared_ptr<const RouteTable> m_routes;
   std::optional<DrainSchedule> m_drain;
+  std::optional<Instant> m_view_complete_since;
+  ResumptionCounts m_resumptions;
   bool m_stopped = false;
   std::unordered_map<RequestId, ActiveRequest> m_active;
   std::unordered_map<AttemptId, RequestId> m_attempts;
--- a/src/dotterelshift/gateway/core_link.cc
+++ b/src/dotterelshift/gateway/core_link.cc
@@ -121,7 +121,7 @@
   active.link_queued_at = {};
 }
 
-void CoreImpl::OnHandedOver(const ActiveRequest& active, Instant now) {
+void CoreImpl::OnHandedToLink(const ActiveRequest& active, Instant now) {
   if (m_dependencies.pacer == nullptr) return;
   m_dependencies.pacer->OnPrompt(active.attempt.id, active.info.onward_bytes,
                                  now);
--- a/src/dotterelshift/gateway/core_link_test.cc
+++ b/src/dotterelshift/gateway/core_link_test.cc
@@ -345,9 +345,7 @@
     SendPacerOptions options;
     options.bytes_per_second = bytes_per_second;
     m_pacer = std::make_unique<SendPacer>(options);
-    m_core =
-        MakeCore(CoreOptions(), {m_load.get(), m_budgets.get(), m_retries.get(),
-                                 &m_blocklist, m_pacer.get()});
+    m_core = MakeCore(CoreOptions(), Parts(m_pacer.get()));
   }
 
   // Two routes with the given target, and /soon/ with its own target.
--- a/src/dotterelshift/gateway/core_paths.cc
+++ b/src/dotterelshift/gateway/core_paths.cc
@@ -11,13 +11,20 @@
 }
 
 std::optional<Placement> CoreImpl::ChooseEndpoint(const ActiveRequest& active,
-                                                  Instant now) const {
-  std::vector<EndpointKey> excluded = active.tried;
+                                                  Instant now) {
+  ChoiceLimits limits = {.excluded = active.tried,
+                         .software = SoftwareFor(active)};
+  return ChooseWithin(active, std::move(limits), now);
+}
+
+std::optional<Placement> CoreImpl::ChooseWithin(const ActiveRequest& active,
+                                                ChoiceLimits limits,
+                                                Instant now) const {
   while (true) {
     const std::optional<Placement> placement = m_dependencies.load->Choose(
-        active.service, active.info.prompt, excluded, now);
+        active.service, active.info.prompt, limits, now);
     if (!placement || !LacksPath(placement->endpoint, now)) return placement;
-    excluded.push_back(placement->endpoint);
+    limits.excluded.push_back(placement->endpoint);
   }
 }
 
--- a/src/dotterelshift/gateway/core_paths_test.cc
+++ b/src/dotterelshift/gateway/core_paths_test.cc
@@ -31,9 +31,7 @@
   void setUp() override {
     CoreFixture::setUp();
     m_paths.emplace(EndpointPathsOptions{"dc"});
-    m_core =
-        MakeCore(CoreOptions(), {m_load.get(), m_budgets.get(), m_retries.get(),
-                                 &m_blocklist, nullptr, &*m_paths});
+    m_core = MakeCore(CoreOptions(), Parts(nullptr, &*m_paths));
     Publish();
   }
 
--- a/src/dotterelshift/gateway/core_placement.cc
+++ b/src/dotterelshift/gateway/core_placement.cc
@@ -66,7 +66,10 @@
 void CoreImpl::Send(ActiveRequest& active, Instant now) {
   const EndpointContact* contact =
       m_dependencies.load->Find(active.attempt.placement.endpoint);
-  if (contact == nullptr) return Place(active, now);
+  const std::optional<SoftwareKey> software = SoftwareFor(active);
+  const bool fits =
+      contact != nullptr && (!software || contact->software == *software);
+  if (!fits) return Place(active, now);
   if (!CanSendNow(active, now)) return WaitForLink(active, now);
   Attempt& attempt = active.attempt;
   attempt.id = ++m_last_attempt;
@@ -88,7 +91,7 @@
                             ? std::to_string(*active.scanner.LastId())
                             : active.info.last_event_id;
   m_actions.emplace_back(std::move(start));
-  OnHandedOver(active, now);
+  OnHandedToLink(active, now);
   LogSent(active, now);
   SetTimer(active, RunningDeadline(active));
 }
@@ -114,6 +117,14 @@
     inputs.emplace_back("after_event", active.info.last_event_id);
     inputs.emplace_back("resumes", active.info.first_caller_id);
   }
+  if (active.binding) {
+    const StreamBinding& binding = *active.binding;
+    inputs.emplace_back(
+        "bound_to", m_dependencies.versions->NameOf(binding.origin.software));
+    inputs.emplace_back("origin", NameOf(binding.source));
+    inputs.emplace_back("origin_proven", binding.origin.proven ? "yes" : "no");
+    inputs.emplace_back("origin_age_ms", Ms(binding.age));
+  }
   if (active.link_wait > 0s)
     inputs.emplace_back("link_wait_ms", Ms(active.link_wait));
   if (m_drain) {
--- a/src/dotterelshift/gateway/core_response.cc
+++ b/src/dotterelshift/gateway/core_response.cc
@@ -106,25 +106,43 @@
                        response_info.event_stream;
   if (!streams) return;
   active->stage = Stage::kAnswering;
-  if (std::exchange(active->head_relayed, true)) return;
-  m_actions.emplace_back(RelayHead{active->id, id});
+  if (IsWithheld(*active)) return CheckFit(*active, now);
+  RelayHeadOnce(*active);
+}
+
+void CoreImpl::RelayHeadOnce(ActiveRequest& active) {
+  if (std::exchange(active.head_relayed, true)) return;
+  m_actions.emplace_back(RelayHead{active.id, active.attempt.id});
 }
 
 void CoreImpl::OnChunk(AttemptId id, std::string_view bytes, Instant now) {
   ActiveRequest* active = FindByAttempt(id);
   if (active == nullptr) return;
   active->attempt.last_received = now;
+  m_dependencies.runs->OnBytes(EndpointIdKeyOf(active->attempt.endpoint.id),
+                               active->attempt.connected_at, now);
   if (active->stage != Stage::kAnswering) return;
-  const uint64_t before = active->scanner.Events();
-  std::string complete_events = active->scanner.Take(bytes);
-  if (active->scanner.HasGap()) {
-    CancelAttemptIfSent(*active);
-    return OnAttemptFailed(*active, http::TransferEnd::kCut, now);
+  if (!IsWithheld(*active)) return PassOn(*active, bytes, now);
+  active->attempt.withheld.append(bytes);
+  CheckFit(*active, now);
+}
+
+void CoreImpl::PassOn(ActiveRequest& active, std::string_view bytes,
+                      Instant now) {
+  const uint64_t before = active.scanner.Events();
+  std::string complete_events = active.scanner.Take(bytes);
+  if (active.scanner.HasGap()) {
+    CancelAttemptIfSent(active);
+    return OnAttemptFailed(active, http::TransferEnd::kCut, now);
   }
-  if (active->scanner.Events() == before) return;
-  if (active->attempt.events == 0) OnFirstEvent(*active, now);
-  active->attempt.events += active->scanner.Events() - before;
-  m_actions.emplace_back(RelayChunk{active->id, std::move(complete_events)});
+  if (active.scanner.Events() == before) return;
+  if (active.attempt.events == 0) OnFirstEvent(active, now);
+  active.attempt.events += active.scanner.Events() - before;
+  if (active.binding)
+    ProveOrigin(active, now);
+  else
+    BindToAttempt(active, now);
+  m_actions.emplace_back(RelayChunk{active.id, std::move(complete_events)});
 }
 
 void CoreImpl::OnFirstEvent(ActiveRequest& active, Instant now) {
@@ -141,13 +159,22 @@
     return OnAttemptFailed(*active, end, now);
   if (attempt.response_info.not_run || attempt.response_info.address_reassigned)
     return OnEndpointRefusal(*active, now);
+  if (!IsWithheld(*active)) return OnWholeResponse(*active, now);
+  // The head has to be passed on while the transfer still exists.
+  RelayHeadOnce(*active);
+  attempt.complete = true;
+  CheckFit(*active, now);
+}
+
+void CoreImpl::OnWholeResponse(ActiveRequest& active, Instant now) {
+  const Attempt& attempt = active.attempt;
   const bool unproven =
       IsSuccess(attempt.status) && !attempt.response_info.has_proof;
-  const bool partial_event = active->stage == Stage::kAnswering &&
-                             !active->scanner.PartialEvent().empty();
+  const bool partial_event = active.stage == Stage::kAnswering &&
+                             !active.scanner.PartialEvent().empty();
   if (unproven || partial_event)
-    return OnAttemptFailed(*active, http::TransferEnd::kCut, now);
-  OnCompleteResponse(*active, now);
+    return OnAttemptFailed(active, http::TransferEnd::kCut, now);
+  OnCompleteResponse(active, now);
 }
 
 void CoreImpl::OnCompleteResponse(ActiveRequest& active, Instant now) {
@@ -297,7 +324,11 @@
   const bool in_time = active.sends < kMaxSends && now < active.deadline &&
                        (!arrived || CanSendInTime(active, now));
   if (!in_time || (arrived && !TakeRetry(active, now))) return false;
-  if (!ChooseEndpoint(active, now)) return false;
+  // Endpoints of a stream's version that are full or avoided now are waited
+  // for, as no others may take it.
+  const bool waits = active.binding && m_dependencies.versions->Serves(
+                                           active.binding->origin.software);
+  if (!waits && !ChooseEndpoint(active, now)) return false;
   Place(active, now);
   return true;
 }
@@ -342,6 +373,7 @@
                         active.stage == Stage::kRunning ||
                         active.stage == Stage::kAnswering;
   if (occupied) m_dependencies.load->OnEnded(active.attempt.placement.endpoint);
+  if (active.binding) active.binding->origin.life.open = false;
   active.stage = Stage::kWaitsForEndpoint;
   active.wait_until = {};
   LeaveLinkQueue(active);
--- /dev/null
+++ b/src/dotterelshift/gateway/core_streams.cc
@@ -0,0 +1,215 @@
+#include <algorithm>  // for max, min
+
+#include "dotterelshift/gateway/core_impl.h"  // for CoreImpl
+
+namespace dotterelshift::gateway {
+namespace {
+
+// How often it is checked whether withheld events may be passed on.
+constexpr Duration kFitCheckInterval = 50ms;
+
+// Withheld bytes of one response beyond this end its attempt.
+constexpr size_t kMaxWithheldBytes = 1 << 20;
+
+bool AllowsService(const Route& route, const ServiceName& service) {
+  return std::ranges::any_of(
+      route.services, [&service](const WeightedService& share) {
+        return share.weight > 0 && share.service == service;
+      });
+}
+
+}  // namespace
+
+std::string NameOf(BindingSource source) {
+  switch (source) {
+    case BindingSource::kOwn:
+      return "own";
+    case BindingSource::kTold:
+      return "told";
+    case BindingSource::kOneVersion:
+      return "one_version";
+  }
+  return "unknown";
+}
+
+// What two software versions write does not fit together. A stream whose
+// origin is not known is therefore not resumed by guessing.
+const char* CoreImpl::BindResumed(ActiveRequest& active, Instant now) const {
+  const std::string& first = active.info.first_caller_id;
+  const KnownOrigin known =
+      first.empty()
+          ? KnownOrigin()
+          : m_dependencies.origins->Find(StreamKeyOf(active.team, first), now);
+  if (known.state == OriginState::kKnown) {
+    const SoftwareKey software = known.origin.software;
+    const std::optional<ServiceName> service =
+        m_dependencies.versions->ServiceOf(software);
+    if (!service || !m_dependencies.versions->Serves(software))
+      return "version_gone";
+    if (!AllowsService(*active.route, *service)) return "service_not_allowed";
+    active.service = *service;
+    active.binding = {known.origin,
+                      known.own ? BindingSource::kOwn : BindingSource::kTold,
+                      known.age};
+    return nullptr;
+  }
+  const std::optional<SoftwareKey> only = ProvenOnlyVersion(active, now);
+  if (!only) {
+    if (known.state == OriginState::kUnclear) return "origin_unclear";
+    return m_dependencies.versions->Only(active.service) ? "view_incomplete"
+                                                         : "origin_unknown";
+  }
+  StreamOrigin origin;
+  origin.software = *only;
+  origin.proven = true;
+  active.binding = {origin, BindingSource::kOneVersion, 0s};
+  return nullptr;
+}
+
+// The only version of the request's service, if this entry knows of all
+// endpoints since before the stream can have begun.
+std::optional<SoftwareKey> CoreImpl::ProvenOnlyVersion(
+    const ActiveRequest& active, Instant now) const {
+  const Duration life = active.route->timeout * m_options.stream_life_timeouts;
+  const bool complete =
+      m_view_complete_since && *m_view_complete_since <= now - life;
+  if (!complete) return std::nullopt;
+  return m_dependencies.versions->Only(active.service);
+}
+
+void CoreImpl::RefuseResumption(ActiveRequest& active, const char* why,
+                                Instant now) {
+  ++m_resumptions.refused;
+  Log("resumption_refused", active,
+      {{"why", why},
+       {"service", active.service},
+       {"resumes", active.info.first_caller_id},
+       {"after_event", active.info.last_event_id}});
+  Fail(active, ErrorKind::kNotResumable, RetryAfter(active, 0s, now), now);
+}
+
+void CoreImpl::OnHandedOver(AttemptId id, Instant connected_at) {
+  ActiveRequest* active = FindByAttempt(id);
+  if (active != nullptr) active->attempt.connected_at = connected_at;
+}
+
+void CoreImpl::BindToAttempt(ActiveRequest& active, Instant now) {
+  if (!active.route->resumable) return;
+  const Attempt& attempt = active.attempt;
+  StreamBinding binding;
+  binding.origin.software = attempt.endpoint.software;
+  binding.origin.endpoint = EndpointIdKeyOf(attempt.endpoint.id);
+  binding.origin.life = {attempt.connected_at, now, true};
+  active.binding = binding;
+  active.attempt.fits = true;
+  ProveOrigin(active, now);
+  if (!active.binding->origin.proven) {
+    m_dependencies.origins->OnBegun(
+        StreamKeyOf(active.team, active.info.caller_id), active.binding->origin,
+        now);
+  }
+}
+
+// Only the attempt that began the stream adds evidence about its origin.
+void CoreImpl::ProveOrigin(ActiveRequest& active, Instant now) {
+  StreamOrigin& origin = active.binding->origin;
+  if (origin.proven || !origin.life.open) return;
+  origin.life.to = now;
+  const ProvenRun run =
+      m_dependencies.runs->During(origin.endpoint, origin.life);
+  if (run.proof != RunProof::kProven) return;
+  origin.software = run.software;
+  origin.proven = true;
+  m_dependencies.origins->OnBegun(
+      StreamKeyOf(active.team, active.info.caller_id), origin, now);
+}
+
+// Whether the attempt's endpoint has the version that began the stream. While
+// only one version is known, there is no question.
+CoreImpl::Fit CoreImpl::FitOf(ActiveRequest& active) const {
+  StreamOrigin& origin = active.binding->origin;
+  if (m_dependencies.versions->Only(active.service) == origin.software)
+    return Fit::kFits;
+  if (!origin.proven) {
+    const ProvenRun run =
+        m_dependencies.runs->During(origin.endpoint, origin.life);
+    if (run.proof == RunProof::kPending) return Fit::kPending;
+    if (run.proof == RunProof::kUnknown) return Fit::kOriginUnclear;
+    origin.software = run.software;
+    origin.proven = true;
+  }
+  const Attempt& attempt = active.attempt;
+  if (attempt.connected_at == Instant{}) return Fit::kPending;
+  const ConnectionLife life = {attempt.connected_at, attempt.last_received,
+                               !attempt.complete};
+  const ProvenRun run =
+      m_dependencies.runs->During(EndpointIdKeyOf(attempt.endpoint.id), life);
+  if (run.proof == RunProof::kPending) return Fit::kPending;
+  const bool same =
+      run.proof == RunProof::kProven && run.software == origin.software;
+  return same ? Fit::kFits : Fit::kOtherVersion;
+}
+
+// Events are withheld until it is proven that they fit: a record is up to a
+// heartbeat old, and the endpoint may have restarted at another version.
+void CoreImpl::CheckFit(ActiveRequest& active, Instant now) {
+  Attempt& attempt = active.attempt;
+  const Fit fit = FitOf(active);
+  if (fit == Fit::kFits) return Release(active, now);
+  if (attempt.withheld_since == Instant{}) {
+    attempt.withheld_since = now;
+    ++m_resumptions.withheld;
+  }
+  const bool waits = fit == Fit::kPending &&
+                     now < attempt.withheld_since + m_options.max_withhold &&
+                     attempt.withheld.size() < kMaxWithheldBytes;
+  if (!waits) return OnUnfit(active, fit, now);
+  const Instant next = now + kFitCheckInterval;
+  SetTimer(active,
+           attempt.complete ? next : std::min(next, RunningDeadline(active)));
+}
+
+void CoreImpl::Release(ActiveRequest& active, Instant now) {
+  Attempt& attempt = active.attempt;
+  attempt.fits = true;
+  RelayHeadOnce(active);
+  if (attempt.withheld_since != Instant{}) {
+    Log("stream_released", active,
+        {{"endpoint", attempt.endpoint.id},
+         {"withheld_ms", std::to_string(ToMs(now - attempt.withheld_since))},
+         {"bytes", std::to_string(attempt.withheld.size())}});
+  }
+  const RequestId request = active.id;
+  const AttemptId id = attempt.id;
+  const bool complete = attempt.complete;
+  PassOn(active, std::exchange(attempt.withheld, {}), now);
+  // The events may have had a gap, which ends the attempt.
+  const auto found = m_active.find(request);
+  if (found == m_active.end() || found->second.attempt.id != id) return;
+  if (complete) return OnWholeResponse(found->second, now);
+  SetTimer(found->second, RunningDeadline(found->second));
+}
+
+void CoreImpl::OnUnfit(ActiveRequest& active, Fit fit, Instant now) {
+  const Attempt& attempt = active.attempt;
+  const bool mismatched = fit == Fit::kOtherVersion;
+  if (mismatched) ++m_resumptions.mismatched;
+  Log("stream_unfit", active,
+      {{"endpoint", attempt.endpoint.id},
+       {"why", mismatched                   ? "other_version"
+               : fit == Fit::kOriginUnclear ? "origin_unclear"
+                                            : "not_proven"},
+       {"bound_to",
+        m_dependencies.versions->NameOf(active.binding->origin.software)},
+       {"withheld_ms", std::to_string(ToMs(now - attempt.withheld_since))}});
+  const bool may_retry = fit != Fit::kOriginUnclear && MayRunAgain(active);
+  CancelAttemptIfSent(active);
+  // The endpoint did not fail: it is neither avoided nor is the content
+  // suspected.
+  EndAttempt(active);
+  ++active.runs;
+  if (may_retry && TryAgain(active, false, now)) return;
+  Fail(active, ErrorKind::kEndpointFailed, 0s, now);
+}
+
+}  // namespace dotterelshift::gateway
--- /dev/null
+++ b/src/dotterelshift/gateway/core_streams_test.cc
@@ -0,0 +1,263 @@
+// A stream goes on only at the software version that wrote its first event.
+#include <cppunit/extensions/HelperMacros.h>  // for CPPUNIT_TEST
+
+#include "dotterelshift/directory/spread.h"      // for PulseKey
+#include "dotterelshift/gateway/core_testing.h"  // for CoreFixture
+
+namespace dotterelshift::gateway {
+namespace {
+
+using http::TransferEnd;
+
+class CoreStreamsTest : public CoreFixture {
+  CPPUNIT_TEST_SUITE(CoreStreamsTest);
+  CPPUNIT_TEST(BrokenStreamGoesOnAtItsVersion);
+  CPPUNIT_TEST(BrokenStreamWithoutEventsMayGoAnywhere);
+  CPPUNIT_TEST(StreamIsCutIfItsVersionHasLeft);
+  CPPUNIT_TEST(FullEndpointOfTheVersionIsWaitedFor);
+  CPPUNIT_TEST(ResumedStreamGoesToTheVersionThatAnotherEntryTold);
+  CPPUNIT_TEST(UnknownOriginIsRefusedAtOnceWhileTwoVersionsAreKnown);
+  CPPUNIT_TEST(OriginOfAnotherTeamIsUnknown);
+  CPPUNIT_TEST(VersionThatHasLeftIsRefusedAtOnce);
+  CPPUNIT_TEST(OneVersionIsEnoughIfAllEndpointsAreKnown);
+  CPPUNIT_TEST(EventsAreWithheldUntilTheVersionIsProven);
+  CPPUNIT_TEST(EndpointThatTurnsOutToHaveAnotherVersionIsLeft);
+  CPPUNIT_TEST(CompleteResponseIsWithheldToo);
+  CPPUNIT_TEST(RefusedResumptionIsLoggedAndCounted);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void setUp() override {
+    CoreFixture::setUp();
+    Publish();
+    for (const char* id : {"l1", "l2"}) Leave(id);
+    AnnounceVersions();
+    m_now += 5s;
+    AnnounceVersions();
+  }
+
+  void BrokenStreamGoesOnAtItsVersion() {
+    const StartAttempt first = Begin();
+    End(first.attempt, TransferEnd::kCut);
+    const StartAttempt second = Only<StartAttempt>();
+    CPPUNIT_ASSERT_EQUAL(first.endpoint.software, second.endpoint.software);
+    CPPUNIT_ASSERT(first.endpoint.id != second.endpoint.id);
+  }
+
+  void BrokenStreamWithoutEventsMayGoAnywhere() {
+    Request("/resume/");
+    const StartAttempt first = Only<StartAttempt>();
+    for (const std::string& id : IdsOf(first.endpoint.software_version))
+      if (id != first.endpoint.id) Leave(id);
+    End(first.attempt, TransferEnd::kCut);
+    CPPUNIT_ASSERT(first.endpoint.software !=
+                   Only<StartAttempt>().endpoint.software);
+  }
+
+  void StreamIsCutIfItsVersionHasLeft() {
+    const StartAttempt first = Begin();
+    const std::string version = first.endpoint.software_version;
+    for (const std::string& id : IdsOf(version))
+      if (id != first.endpoint.id) Leave(id);
+    Leave(first.endpoint.id);
+    End(first.attempt, TransferEnd::kCut);
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, Count<StartAttempt>());
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, Count<AbortStream>());
+  }
+
+  void FullEndpointOfTheVersionIsWaitedFor() {
+    const StartAttempt first = Begin();
+    for (const std::string& id : IdsOf(first.endpoint.software_version))
+      m_load->OnOverloaded(KeyOf(id), m_now);
+    End(first.attempt, TransferEnd::kCut);
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, Count<StartAttempt>());
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, Count<AbortStream>());
+    Advance(60ms);
+    CPPUNIT_ASSERT_EQUAL(first.endpoint.software,
+                         Only<StartAttempt>().endpoint.software);
+  }
+
+  void ResumedStreamGoesToTheVersionThatAnotherEntryTold() {
+    for (const char* version : {"v1", "v2"}) {
+      Tell("first", version);
+      Resume("first");
+      CPPUNIT_ASSERT_EQUAL(std::string(version),
+                           Only<StartAttempt>().endpoint.software_version);
+      CPPUNIT_ASSERT_EQUAL(std::string("3"),
+                           Only<StartAttempt>().last_event_id);
+      m_core->OnCallerGone(kRequest, m_now);
+      m_origins.emplace(*m_runs);
+    }
+  }
+
+  void UnknownOriginIsRefusedAtOnceWhileTwoVersionsAreKnown() {
+    m_core->OnViewComplete(m_now - 100s);
+    for (const char* first : {"", "never-heard-of"}) {
+      Resume(first);
+      const Refuse refuse = Only<Refuse>();
+      CPPUNIT_ASSERT(refuse.kind == ErrorKind::kNotResumable);
+      CPPUNIT_ASSERT(RowOf(refuse.kind).ran == Ran::kNo);
+      CPPUNIT_ASSERT(refuse.retry_after > 0s);
+    }
+  }
+
+  void OriginOfAnotherTeamIsUnknown() {
+    Tell("first", "v1", "another team");
+    Resume("first");
+    CPPUNIT_ASSERT(Only<Refuse>().kind == ErrorKind::kNotResumable);
+  }
+
+  void VersionThatHasLeftIsRefusedAtOnce() {
+    Tell("first", "v1");
+    for (const std::string& id : IdsOf("v1")) Leave(id);
+    Resume("first");
+    CPPUNIT_ASSERT(Only<Refuse>().kind == ErrorKind::kNotResumable);
+  }
+
+  void OneVersionIsEnoughIfAllEndpointsAreKnown() {
+    m_directory = directory::Directory();
+    m_now += ServiceVersions::kMemory + 1s;
+    AnnounceEndpoint("a1", "v1");
+    Resume("");
+    CPPUNIT_ASSERT(Only<Refuse>().kind == ErrorKind::kNotResumable);
+    m_core->OnViewComplete(m_now - 7s);
+    Resume("");
+    CPPUNIT_ASSERT(Only<Refuse>().kind == ErrorKind::kNotResumable);
+    m_core->OnViewComplete(m_now - 8s);
+    Resume("");
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, Count<StartAttempt>());
+  }
+
+  void EventsAreWithheldUntilTheVersionIsProven() {
+    const StartAttempt start = ResumeOnNewConnection();
+    Chunk(start.attempt, "id: 4\ndata: x\n\n");
+    CPPUNIT_ASSERT(m_last.empty());
+    m_now += 1s;
+    AnnounceVersions();
+    Advance(50ms);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, Count<RelayHead>());
+    CPPUNIT_ASSERT_EQUAL(std::string("id: 4\ndata: x\n\n"),
+                         Only<RelayChunk>().bytes);
+    Chunk(start.attempt, "id: 5\ndata: x\n\n");
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, Count<RelayChunk>());
+  }
+
+  void EndpointThatTurnsOutToHaveAnotherVersionIsLeft() {
+    const StartAttempt start = ResumeOnNewConnection();
+    Chunk(start.attempt, "id: 4\ndata: x\n\n");
+    m_now += 1s;
+    AnnounceEndpoint(start.endpoint.id, "v2", 2);
+    m_now += 400ms;
+    Chunk(start.attempt, "id: 5\ndata: x\n\n");
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, Count<RelayChunk>());
+    CPPUNIT_ASSERT_EQUAL(start.attempt, Only<CancelAttempt>().attempt);
+    const StartAttempt second = Only<StartAttempt>();
+    CPPUNIT_ASSERT(second.endpoint.id != start.endpoint.id);
+    CPPUNIT_ASSERT_EQUAL(std::string("v1"), second.endpoint.software_version);
+    CPPUNIT_ASSERT_EQUAL(std::string("3"), second.last_event_id);
+  }
+
+  void CompleteResponseIsWithheldToo() {
+    const StartAttempt start = ResumeOnNewConnection();
+    Chunk(start.attempt, "id: 4\ndata: x\n\n");
+    End(start.attempt, TransferEnd::kWhole);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, Count<RelayHead>());
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, Count<RelayChunk>());
+    m_now += 1s;
+    AnnounceVersions();
+    Advance(50ms);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, Count<RelayChunk>());
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, Count<FinishStream>());
+  }
+
+  void RefusedResumptionIsLoggedAndCounted() {
+    Resume("never-heard-of");
+    CPPUNIT_ASSERT_EQUAL(uint64_t{1}, m_core->Resumptions().refused);
+    const Decision& line = m_log_lines.front();
+    CPPUNIT_ASSERT_EQUAL(std::string("resumption_refused"),
+                         std::string(line.event));
+    CPPUNIT_ASSERT_EQUAL(std::string("origin_unknown"),
+                         line.inputs.front().second);
+  }
+
+ private:
+  static std::vector<std::string> IdsOf(const std::string& version) {
+    if (version == "v1") return {"a1", "b1"};
+    return {"a2", "b2"};
+  }
+
+  EndpointKey KeyOf(const std::string& id) const {
+    return directory::PulseKey(id, m_directory.Find(id)->record.incarnation);
+  }
+
+  void AnnounceVersions() {
+    for (const char* version : {"v1", "v2"})
+      for (const std::string& id : IdsOf(version))
+        AnnounceEndpoint(id, version);
+  }
+
+  void AnnounceEndpoint(const std::string& id, const std::string& version,
+                        uint64_t incarnation = 1) {
+    wire::EndpointRecordT record;
+    record.id = id;
+    record.incarnation = incarnation;
+    record.sequence = ++m_sequence;
+    record.address = "10.0.0.1:80";
+    record.data_centre = "dc";
+    record.services = {"llm"};
+    record.slots = 6;
+    record.software_version = version;
+    m_directory.OnRecord(record, m_now);
+    m_core->OnEndpointsChanged(m_directory, m_now);
+  }
+
+  void Leave(const std::string& id) {
+    wire::EndpointRecordT record = m_directory.Find(id)->record;
+    record.sequence = ++m_sequence;
+    record.draining = true;
+    m_directory.OnRecord(record, m_now);
+    m_core->OnEndpointsChanged(m_directory, m_now);
+  }
+
+  // A stream of which three events were passed on, on a kept connection.
+  StartAttempt Begin() {
+    Request("/resume/");
+    StartAttempt start = Only<StartAttempt>();
+    m_core->OnHandedOver(start.attempt, m_now - 4s);
+    Head(start.attempt, 200, true);
+    Chunk(start.attempt, "id: 1\n\nid: 2\n\nid: 3\n\n");
+    return start;
+  }
+
+  void Tell(const std::string& first, const std::string& version,
+            const TeamId& team = "team") {
+    OriginUpdates updates;
+    updates.proven.emplace_back(StreamKeyOf(team, first),
+                                SoftwareKeyOf("llm", version));
+    m_origins->OnUpdates("other", updates, m_now);
+  }
+
+  void Resume(const std::string& first) {
+    RequestInfo info = MakeRequestInfo("/resume/");
+    info.last_event_id = "3";
+    info.first_caller_id = first;
+    m_core->OnRequest(kRequest, info, m_now);
+    Collect();
+  }
+
+  StartAttempt ResumeOnNewConnection() {
+    Tell("first", "v1");
+    Resume("first");
+    StartAttempt start = Only<StartAttempt>();
+    m_now += 1s;
+    m_core->OnHandedOver(start.attempt, m_now);
+    Head(start.attempt, 200, true);
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, Count<RelayHead>());
+    return start;
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(CoreStreamsTest);
+
+}  // namespace
+}  // namespace dotterelshift::gateway
--- a/src/dotterelshift/gateway/core_testing.h
+++ b/src/dotterelshift/gateway/core_testing.h
@@ -6,6 +6,7 @@
 
 #include <algorithm>  // for count_if
 #include <memory>     // for unique_ptr
+#include <optional>   // for optional
 #include <string>     // for string
 #include <utility>    // for move
 #include <variant>    // for get_if
@@ -33,11 +34,28 @@
     m_retries = std::make_unique<RetryShare>(
         MakeLeasedShare(RetryShareOptions(), 1, m_now));
     m_blocklist = quarantine::Blocklist();
-    m_core = MakeCore(CoreOptions(), {m_load.get(), m_budgets.get(),
-                                      m_retries.get(), &m_blocklist});
+    m_versions = ServiceVersions();
+    m_runs.emplace(m_directory);
+    m_origins.emplace(*m_runs);
+    m_core = MakeCore(CoreOptions(), Parts());
   }
 
  protected:
+  CoreDependencies Parts(SendPacer* pacer = nullptr,
+                         EndpointPaths* paths = nullptr) {
+    CoreDependencies parts;
+    parts.pacer = pacer;
+    parts.paths = paths;
+    parts.load = m_load.get();
+    parts.budgets = m_budgets.get();
+    parts.retries = m_retries.get();
+    parts.blocklist = &m_blocklist;
+    parts.versions = &m_versions;
+    parts.runs = &*m_runs;
+    parts.origins = &*m_origins;
+    return parts;
+  }
+
   static Route RouteOf(const std::string& prefix, RouteKind kind,
                        const ServiceName& service, int attempts) {
     Route route;
@@ -174,6 +192,9 @@
   std::unique_ptr<HeldGrants> m_budgets;
   std::unique_ptr<RetryShare> m_retries;
   quarantine::Blocklist m_blocklist;
+  ServiceVersions m_versions;
+  std::optional<EndpointRuns> m_runs;
+  std::optional<StreamOrigins> m_origins;
   std::unique_ptr<Core> m_core;
   std::vector<Action> m_last;
   std::vector<Decision> m_log_lines;
--- /dev/null
+++ b/src/dotterelshift/gateway/directory_view_test.cc
@@ -0,0 +1,52 @@
+#include "dotterelshift/gateway/directory_view.h"
+
+#include <cppunit/TestFixture.h>              // for TestFixture
+#include <cppunit/extensions/HelperMacros.h>  // for CPPUNIT_TEST
+
+namespace dotterelshift::gateway {
+namespace {
+
+class DirectoryViewTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(DirectoryViewTest);
+  CPPUNIT_TEST(EntryThatHasJustStartedKnowsWhatControlKnows);
+  CPPUNIT_TEST(OwnViewCountsIfControlHasJustStarted);
+  CPPUNIT_TEST(CutOffEntryMayMissEndpoints);
+  CPPUNIT_TEST(LongInterruptionBeginsANewView);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void EntryThatHasJustStartedKnowsWhatControlKnows() {
+    m_view.Update({false, At(0s), At(-100s)}, At(0s));
+    CPPUNIT_ASSERT(!m_view.CompleteSince());
+    m_view.Update({true, At(0s), At(-100s)}, At(1s));
+    CPPUNIT_ASSERT(m_view.CompleteSince() == At(-100s));
+  }
+
+  void OwnViewCountsIfControlHasJustStarted() {
+    m_view.Update({true, At(0s), At(-1s)}, At(0s));
+    m_view.Update({true, At(4s), At(3s)}, At(4s));
+    CPPUNIT_ASSERT(m_view.CompleteSince() == At(0s));
+  }
+
+  void CutOffEntryMayMissEndpoints() {
+    m_view.Update({true, At(0s), At(-100s)}, At(2s));
+    CPPUNIT_ASSERT(m_view.CompleteSince() == At(-100s));
+    m_view.Update({true, At(0s), At(-100s)}, At(2001ms));
+    CPPUNIT_ASSERT(!m_view.CompleteSince());
+  }
+
+  void LongInterruptionBeginsANewView() {
+    m_view.Update({true, At(0s), std::nullopt}, At(0s));
+    m_view.Update({true, At(6s), std::nullopt}, At(6s));
+    CPPUNIT_ASSERT(m_view.CompleteSince() == At(6s));
+  }
+
+ private:
+  static Instant At(Duration time) { return Instant(1000s) + time; }
+
+  DirectoryView m_view;
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(DirectoryViewTest);
+
+}  // namespace
+}  // namespace dotterelshift::gateway
--- a/src/dotterelshift/gateway/fleet_load.cc
+++ b/src/dotterelshift/gateway/fleet_load.cc
@@ -146,16 +146,18 @@
   return cost;
 }
 
-std::optional<Placement> FleetLoad::Choose(
-    const ServiceName& service, const Prompt& prompt,
-    const std::vector<EndpointKey>& excluded, Instant now) const {
+std::optional<Placement> FleetLoad::Choose(const ServiceName& service,
+                                           const Prompt& prompt,
+                                           const ChoiceLimits& limits,
+                                           Instant now) const {
   const auto keys = m_by_service.find(service);
   if (keys == m_by_service.end()) return std::nullopt;
   std::optional<Placement> best;
   double best_cost = 0;
   for (const EndpointKey key : keys->second) {
     const Load& load = m_loads.at(key);
-    if (!MayUse(load, now) || Contains(excluded, key)) continue;
+    if (!MayUse(load, now) || Contains(limits.excluded, key)) continue;
+    if (limits.software && load.contact.software != *limits.software) continue;
     const Placement placement = PlaceAt(key, load, prompt, now);
     const double cost = CostOf(load, placement);
     if (best && cost >= best_cost) continue;
--- a/src/dotterelshift/gateway/fleet_load_test.cc
+++ b/src/dotterelshift/gateway/fleet_load_test.cc
@@ -182,7 +182,8 @@
         constexpr int kSeconds = 20;
         for (int step = 0; step < kSeconds * 1000; ++step) {
           m_now += 1ms;
-          if (!m_load->Choose("llm", PromptOf(0), {KeyOf("b")}, m_now))
+          if (!m_load->Choose("llm", PromptOf(0), {.excluded = {KeyOf("b")}},
+                              m_now))
             continue;
           m_load->OnOverloaded(KeyOf("a"), m_now);
           ++refusals;
--- a/src/dotterelshift/http/client.cc
+++ b/src/dotterelshift/http/client.cc
@@ -32,6 +32,8 @@
 // A relay's status if it could not connect to the server.
 constexpr long kServerUnreachable = 502;  // NOLINT(google-runtime-int)
 
+class CurlClient;
+
 struct Transfer {
   TransferId id = 0;
   CURL* handle = nullptr;
@@ -43,7 +45,7 @@
   Headers headers;
   bool head_received = false;
   bool sent = false;  // the request may have been sent, in part or whole
-  uint64_t* bytes_sent = nullptr;  // total of the client
+  CurlClient* client = nullptr;
   // No more callbacks are called; removed once curl has returned.
   bool cancelled = false;
   curl_socket_t descriptor = CURL_SOCKET_BAD;  // used now or last
@@ -88,7 +90,7 @@
                    TransferCallbacks callbacks) override {
     auto transfer = std::make_unique<Transfer>();
     transfer->id = ++m_last_id;
-    transfer->bytes_sent = &m_bytes_sent;
+    transfer->client = this;
     transfer->request = std::move(request);
     transfer->callbacks = std::move(callbacks);
     m_transfers.emplace(m_last_id, std::move(transfer));
@@ -187,15 +189,20 @@
   // Called before the request is sent. curl would send the request a second
   // time if a reused connection turns out to be closed. That is prevented here,
   // because the server may have executed the first one.
-  static int OnSending(void* self, char*, char*, int, int) {
+  static int OnSending(void* self, char*, char*, int, int local_port) {
     auto& transfer = *static_cast<Transfer*>(self);
     if (transfer.cancelled || std::exchange(transfer.sent, true))
       return CURL_PREREQFUNC_ABORT;
     const ClientRequest& request = transfer.request;
     const size_t bytes = BytesOf(request.headers) + request.body.size();
-    *transfer.bytes_sent += bytes;
+    transfer.client->m_bytes_sent += bytes;
     const auto& on_handed_over = transfer.callbacks.on_handed_over;
-    if (on_handed_over) on_handed_over(HandOverOf(transfer.handle, bytes));
+    if (on_handed_over) {
+      HandOver what = HandOverOf(transfer.handle, bytes);
+      what.connected_at =
+          transfer.client->ConnectedAt(local_port, what.new_connection);
+      on_handed_over(what);
+    }
     return CURL_PREREQFUNC_OK;
   }
 
@@ -208,6 +215,15 @@
     return {bytes, fresh, std::chrono::microseconds(fresh ? connected_us : 0)};
   }
 
+  // When the connection with this local port was established. A port that is
+  // used by two connections gives the later time.
+  Instant ConnectedAt(int local_port, bool is_new) {
+    const Instant now = m_loop.Now();
+    const auto [found, unknown] = m_connected_at.try_emplace(local_port, now);
+    if (is_new || unknown) found->second = now;
+    return found->second;
+  }
+
   static bool OnHeaderLine(Transfer& transfer, std::string_view line) {
     if (transfer.cancelled) return false;
     while (!line.empty() && (line.back() == '\r' || line.back() == '\n'))
@@ -499,6 +515,8 @@
   std::unordered_map<TransferId, std::unique_ptr<Transfer>> m_transfers;
   std::unordered_map<curl_socket_t, std::unique_ptr<loop::IoWatcher>>
       m_watchers;
+  // When each connection was established, by its local port.
+  std::unordered_map<int, Instant> m_connected_at;
   // The last transfer of each connection, by descriptor.
   std::unordered_map<curl_socket_t, TransferId> m_users;
   std::vector<TransferId> m_to_start;
