Streams avoid endpoints that may have restarted

While two versions of a service are known, a stream that begins on a connection made just before or after its endpoint restarts in place cannot be proven to be of either version, and is refused when its caller resumes it. An endpoint of which a connection broke is avoided by resumable streams, as long as others serve, until it announces itself, or bytes come on an older connection.

While one version is known nothing changes.

--- a/src/dotterelshift/gateway/core_impl.h
+++ b/src/dotterelshift/gateway/core_impl.h
@@ -11,8 +11,9 @@
 #include <utility>        // for pair
 #include <vector>         // for vector
 
-#include "dotterelshift/gateway/active_request.h"  // for ActiveRequest
-#include "dotterelshift/gateway/core.h"            // for Core
+#include "dotterelshift/gateway/active_request.h"    // for ActiveRequest
+#include "dotterelshift/gateway/core.h"              // for Core
+#include "dotterelshift/gateway/restart_suspects.h"  // for RestartSuspects
 
 namespace dotterelshift::gateway {
 
@@ -193,6 +194,7 @@
   std::optional<DrainSchedule> m_drain;
   std::optional<Instant> m_view_complete_since;
   ResumptionCounts m_resumptions;
+  RestartSuspects m_suspects;
   bool m_stopped = false;
   std::unordered_map<RequestId, ActiveRequest> m_active;
   std::unordered_map<AttemptId, RequestId> m_attempts;
--- a/src/dotterelshift/gateway/core_paths.cc
+++ b/src/dotterelshift/gateway/core_paths.cc
@@ -10,10 +10,23 @@
   return m_dependencies.paths->RelayTo(endpoint, now);
 }
 
+// A stream that may have to be resumed avoids endpoints that may have
+// restarted, as long as these could have another version.
 std::optional<Placement> CoreImpl::ChooseEndpoint(const ActiveRequest& active,
                                                   Instant now) {
   ChoiceLimits limits = {.excluded = active.tried,
                          .software = SoftwareFor(active)};
+  const bool depends_on_version =
+      active.route->kind == RouteKind::kStream && active.route->resumable &&
+      !m_dependencies.versions->Only(active.service);
+  if (depends_on_version) {
+    m_suspects.Update(*m_dependencies.runs, now);
+    ChoiceLimits certain = limits;
+    for (const EndpointKey endpoint : m_suspects.All())
+      certain.excluded.push_back(endpoint);
+    if (auto placement = ChooseWithin(active, std::move(certain), now))
+      return placement;
+  }
   return ChooseWithin(active, std::move(limits), now);
 }
 
--- a/src/dotterelshift/gateway/core_response.cc
+++ b/src/dotterelshift/gateway/core_response.cc
@@ -119,6 +119,8 @@
   ActiveRequest* active = FindByAttempt(id);
   if (active == nullptr) return;
   active->attempt.last_received = now;
+  m_suspects.OnBytes(active->attempt.placement.endpoint,
+                     active->attempt.connected_at, now);
   m_dependencies.runs->OnBytes(EndpointIdKeyOf(active->attempt.endpoint.id),
                                active->attempt.connected_at, now);
   if (active->stage != Stage::kAnswering) return;
@@ -245,6 +247,10 @@
       active.attempt.id);
   if (!path_failed) BookFailure(active, end, now);
   if (sent) {
+    if (end != http::TransferEnd::kTimedOut) {
+      m_suspects.OnBroken(active.attempt.placement.endpoint,
+                          EndpointIdKeyOf(active.attempt.endpoint.id), now);
+    }
     active.may_have_run = true;
     // A connection that breaks on a path that is in doubt says nothing of the
     // content.
