Control passes on each heartbeat of endpoints, down to one in 500 ms

Entries prove by announcements which version is at the other end of a connection. Control passed an endpoint's heartbeats on at most once in 0.9 s, so that of those sent every 0.8 s each second one was lost to the proof. The bound in bytes stays.

Endpoints that send one in 1.2 s are passed on as before.

--- a/src/dotterelshift/app/control.cc
+++ b/src/dotterelshift/app/control.cc
@@ -50,9 +50,14 @@
 
 // With published routes the entries only receive gossip, so control sends to
 // each of them.
+// Passes on each heartbeat of endpoints, as it proves to entries which software
+// version is at the other end of their connections.
+constexpr Duration kMinPulseInterval = 500ms;
+
 directory::SpreadOptions SpreadOptionsOf(const settings::Settings& settings) {
   constexpr size_t kAll = 1000;
   directory::SpreadOptions options;
+  options.min_pulse_interval = kMinPulseInterval;
   options.self = settings.host;
   if (settings.gateway) options.fan_out = kAll;
   return options;
