Withheld streams: five faults found by reading the change

- An endpoint that fell silent for 1.5 s while its events were withheld set a timer in the past again and again, which would have blocked the loop: it is left as any silent endpoint is (CoreStreamsTest::EndpointThatFallsSilentWhileWithheldIsLeft; without the change it does not end).
- An entry that restarts under its name was not sent the streams that it had begun itself, as it counts as connected.
- An origin whose connection time is not known counted as proven by any announcement (CoreStreamsTest::OriginIsNotProvenByAnUnknownConnection).
- An own origin counted as of an open connection after its stream had ended, so that one that cannot be proven any more was waited for instead of refused at once.
- Endpoints that were suspected while one version is known were never forgotten.

--- a/src/dotterelshift/app/other_entries.cc
+++ b/src/dotterelshift/app/other_entries.cc
@@ -48,8 +48,9 @@
                                  const gateway::StreamOrigins& origins,
                                  Instant now) {
   const std::vector<HostId> hosts = Hosts();
-  const auto is_connected = [&hosts](const HostId& other) {
-    return std::ranges::binary_search(hosts, other);
+  // The host itself may have restarted, and has lost what it knew.
+  const auto is_connected = [&hosts, &host](const HostId& other) {
+    return other != host && std::ranges::binary_search(hosts, other);
   };
   gateway::OriginUpdates updates = origins.ForNewEntry(is_connected, now);
   if (updates.Count() == 0) return;
--- a/src/dotterelshift/gateway/core.cc
+++ b/src/dotterelshift/gateway/core.cc
@@ -20,6 +20,7 @@
   m_dependencies.load->OnDirectory(directory);
   m_dependencies.versions->Update(directory, now);
   m_dependencies.runs->Update(now);
+  m_suspects.Update(*m_dependencies.runs, now);
   if (m_dependencies.paths != nullptr)
     m_dependencies.paths->OnDirectory(directory, now);
   std::vector<RequestId> on_leaving_endpoints;
--- a/src/dotterelshift/gateway/core_streams.cc
+++ b/src/dotterelshift/gateway/core_streams.cc
@@ -99,7 +99,8 @@
   StreamBinding binding;
   binding.origin.software = attempt.endpoint.software;
   binding.origin.endpoint = EndpointIdKeyOf(attempt.endpoint.id);
-  binding.origin.life = {attempt.connected_at, now, true};
+  const bool known = attempt.connected_at != Instant{};
+  binding.origin.life = {known ? attempt.connected_at : now, now, true};
   active.binding = binding;
   active.attempt.fits = true;
   ProveOrigin(active, now);
@@ -165,8 +166,12 @@
                      attempt.withheld.size() < kMaxWithheldBytes;
   if (!waits) return OnUnfit(active, fit, now);
   const Instant next = now + kFitCheckInterval;
-  SetTimer(active,
-           attempt.complete ? next : std::min(next, RunningDeadline(active)));
+  if (attempt.complete) return SetTimer(active, next);
+  const Instant running_deadline = RunningDeadline(active);
+  if (running_deadline > now)
+    return SetTimer(active, std::min(next, running_deadline));
+  CancelAttemptIfSent(active);
+  OnAttemptFailed(active, http::TransferEnd::kTimedOut, now);
 }
 
 void CoreImpl::Release(ActiveRequest& active, Instant now) {
--- a/src/dotterelshift/gateway/core_streams_test.cc
+++ b/src/dotterelshift/gateway/core_streams_test.cc
@@ -23,6 +23,8 @@
   CPPUNIT_TEST(EventsAreWithheldUntilTheVersionIsProven);
   CPPUNIT_TEST(EndpointThatTurnsOutToHaveAnotherVersionIsLeft);
   CPPUNIT_TEST(CompleteResponseIsWithheldToo);
+  CPPUNIT_TEST(EndpointThatFallsSilentWhileWithheldIsLeft);
+  CPPUNIT_TEST(OriginIsNotProvenByAnUnknownConnection);
   CPPUNIT_TEST(RefusedResumptionIsLoggedAndCounted);
   CPPUNIT_TEST_SUITE_END();
 
@@ -170,6 +172,24 @@
     CPPUNIT_ASSERT_EQUAL(size_t{1}, Count<FinishStream>());
   }
 
+  void EndpointThatFallsSilentWhileWithheldIsLeft() {
+    const StartAttempt start = ResumeOnNewConnection();
+    Advance(1s);
+    CPPUNIT_ASSERT(m_last.empty());
+    Advance(600ms);
+    CPPUNIT_ASSERT_EQUAL(start.attempt, Only<CancelAttempt>().attempt);
+    CPPUNIT_ASSERT(Only<StartAttempt>().endpoint.id != start.endpoint.id);
+  }
+
+  void OriginIsNotProvenByAnUnknownConnection() {
+    Request("/resume/");
+    const StartAttempt start = Only<StartAttempt>();
+    Head(start.attempt, 200, true);
+    Chunk(start.attempt, "id: 1\n\n");
+    const StreamKey stream = StreamKeyOf("team", "caller-1");
+    CPPUNIT_ASSERT(!m_origins->Find(stream, m_now).origin.proven);
+  }
+
   void RefusedResumptionIsLoggedAndCounted() {
     Resume("never-heard-of");
     CPPUNIT_ASSERT_EQUAL(uint64_t{1}, m_core->Resumptions().refused);
--- a/src/dotterelshift/gateway/stream_origins.cc
+++ b/src/dotterelshift/gateway/stream_origins.cc
@@ -34,7 +34,9 @@
 
 void StreamOrigins::OnBegun(StreamKey stream, const StreamOrigin& origin,
                             Instant now) {
-  Merge(stream, origin, "", now);
+  StreamOrigin kept = origin;
+  kept.life.open = false;
+  Merge(stream, kept, "", now);
   m_unsent.push_back(stream);
 }
 
