--- a/include/dotterelshift/gateway/stream_origins.h
+++ b/include/dotterelshift/gateway/stream_origins.h
@@ -32,6 +32,10 @@
   ConnectionLife life;
 };
 
+// Tries to prove which software wrote the stream's first event. Sets it if that
+// is proven.
+RunProof Prove(StreamOrigin& origin, const EndpointRuns& runs);
+
 // What this entry knows of a stream's origin.
 enum class OriginState : uint8_t {
   kKnown,    // `origin` holds; it may still have to be proven
@@ -104,8 +108,6 @@
   void Merge(StreamKey stream, const StreamOrigin& origin, const HostId& from,
              Instant now);
   void Evict(Instant now);
-  // The origin as it can be proven now.
-  StreamOrigin Resolve(const StreamOrigin& origin, bool* unclear) const;
   void AddTo(OriginUpdates& updates, StreamKey stream, const Entry& entry,
              Instant now) const;
 
--- a/src/dotterelshift/gateway/active_request.h
+++ b/src/dotterelshift/gateway/active_request.h
@@ -1,10 +1,11 @@
 #ifndef DOTTERELSHIFT_SRC_GATEWAY_ACTIVE_REQUEST_H_
 #define DOTTERELSHIFT_SRC_GATEWAY_ACTIVE_REQUEST_H_
 
-#include <memory>    // for shared_ptr
-#include <optional>  // for optional
-#include <string>    // for string
-#include <vector>    // for vector
+#include <memory>       // for shared_ptr
+#include <optional>     // for optional
+#include <string>       // for string
+#include <string_view>  // for string_view
+#include <vector>       // for vector
 
 #include "dotterelshift/gateway/core.h"           // for RequestInfo
 #include "dotterelshift/gateway/event_scanner.h"  // for EventScanner
@@ -55,7 +56,17 @@
   kOneVersion,  // it is proven that there is no other version
 };
 
-std::string NameOf(BindingSource source);
+std::string_view NameOf(BindingSource source);
+
+// Why a stream is not resumed.
+enum class ResumptionRefusal : uint8_t {
+  kOriginUnknown,      // several versions are known, and not which one began it
+  kOriginUnclear,      // it has two origins, or its origin cannot be proven
+  kVersionGone,        // no endpoint of its version serves
+  kServiceNotAllowed,  // its route no longer leads to the service
+  kViewIncomplete,     // one version is known, but there may be others
+};
+std::string_view NameOf(ResumptionRefusal why);
 
 // The software version that a stream is bound to: that of its first event.
 struct StreamBinding {
--- a/src/dotterelshift/gateway/core.cc
+++ b/src/dotterelshift/gateway/core.cc
@@ -83,8 +83,8 @@
     return Fail(active, ErrorKind::kDraining, 0s, now);
   active.service = PickService(*active.route);
   if (active.Resumes()) {
-    const char* why = BindResumed(active, now);
-    if (why != nullptr) return RefuseResumption(active, why, now);
+    const std::optional<ResumptionRefusal> why = BindResumed(active, now);
+    if (why) return RefuseResumption(active, *why, now);
     ++m_resumptions.accepted;
   }
   m_dependencies.retries->OnRequest(active.service, now);
--- a/src/dotterelshift/gateway/core_impl.h
+++ b/src/dotterelshift/gateway/core_impl.h
@@ -130,9 +130,13 @@
   // Versions of streams (core_streams.cc).
   enum class Fit : uint8_t { kFits, kPending, kOtherVersion, kOriginUnclear };
   // Binds a stream that its caller resumes to the version that began it.
-  // Returns why that is not possible; nullptr: it is bound.
-  const char* BindResumed(ActiveRequest& active, Instant now) const;
-  void RefuseResumption(ActiveRequest& active, const char* why, Instant now);
+  // Returns why that is not possible; nullopt: it is bound.
+  std::optional<ResumptionRefusal> BindResumed(ActiveRequest& active,
+                                               Instant now) const;
+  std::optional<ResumptionRefusal> BindToOrigin(ActiveRequest& active,
+                                                const KnownOrigin& known) const;
+  void RefuseResumption(ActiveRequest& active, ResumptionRefusal why,
+                        Instant now);
   std::optional<SoftwareKey> ProvenOnlyVersion(const ActiveRequest& active,
                                                Instant now) const;
   // An event of an unbound stream was passed on.
--- a/src/dotterelshift/gateway/core_streams.cc
+++ b/src/dotterelshift/gateway/core_streams.cc
@@ -20,7 +20,7 @@
 
 }  // namespace
 
-std::string NameOf(BindingSource source) {
+std::string_view NameOf(BindingSource source) {
   switch (source) {
     case BindingSource::kOwn:
       return "own";
@@ -32,38 +32,61 @@
   return "unknown";
 }
 
+std::string_view NameOf(ResumptionRefusal why) {
+  switch (why) {
+    case ResumptionRefusal::kOriginUnknown:
+      return "origin_unknown";
+    case ResumptionRefusal::kOriginUnclear:
+      return "origin_unclear";
+    case ResumptionRefusal::kVersionGone:
+      return "version_gone";
+    case ResumptionRefusal::kServiceNotAllowed:
+      return "service_not_allowed";
+    case ResumptionRefusal::kViewIncomplete:
+      return "view_incomplete";
+  }
+  return "unknown";
+}
+
 // What two software versions write does not fit together. A stream whose
 // origin is not known is therefore not resumed by guessing.
-const char* CoreImpl::BindResumed(ActiveRequest& active, Instant now) const {
+std::optional<ResumptionRefusal> CoreImpl::BindResumed(ActiveRequest& active,
+                                                       Instant now) const {
   const std::string& first = active.info.first_caller_id;
   const KnownOrigin known =
       first.empty()
           ? KnownOrigin()
           : m_dependencies.origins->Find(StreamKeyOf(active.team, first), now);
-  if (known.state == OriginState::kKnown) {
-    const SoftwareKey software = known.origin.software;
-    const std::optional<ServiceName> service =
-        m_dependencies.versions->ServiceOf(software);
-    if (!service || !m_dependencies.versions->Serves(software))
-      return "version_gone";
-    if (!AllowsService(*active.route, *service)) return "service_not_allowed";
-    active.service = *service;
-    active.binding = {known.origin,
-                      known.own ? BindingSource::kOwn : BindingSource::kTold,
-                      known.age};
-    return nullptr;
-  }
+  if (known.state == OriginState::kKnown) return BindToOrigin(active, known);
   const std::optional<SoftwareKey> only = ProvenOnlyVersion(active, now);
   if (!only) {
-    if (known.state == OriginState::kUnclear) return "origin_unclear";
-    return m_dependencies.versions->Only(active.service) ? "view_incomplete"
-                                                         : "origin_unknown";
+    if (known.state == OriginState::kUnclear)
+      return ResumptionRefusal::kOriginUnclear;
+    return m_dependencies.versions->Only(active.service)
+               ? ResumptionRefusal::kViewIncomplete
+               : ResumptionRefusal::kOriginUnknown;
   }
   StreamOrigin origin;
   origin.software = *only;
   origin.proven = true;
   active.binding = {origin, BindingSource::kOneVersion, 0s};
-  return nullptr;
+  return std::nullopt;
+}
+
+std::optional<ResumptionRefusal> CoreImpl::BindToOrigin(
+    ActiveRequest& active, const KnownOrigin& known) const {
+  const SoftwareKey software = known.origin.software;
+  const std::optional<ServiceName> service =
+      m_dependencies.versions->ServiceOf(software);
+  if (!service || !m_dependencies.versions->Serves(software))
+    return ResumptionRefusal::kVersionGone;
+  if (!AllowsService(*active.route, *service))
+    return ResumptionRefusal::kServiceNotAllowed;
+  active.service = *service;
+  active.binding = {known.origin,
+                    known.own ? BindingSource::kOwn : BindingSource::kTold,
+                    known.age};
+  return std::nullopt;
 }
 
 // The only version of the request's service, if this entry knows of all
@@ -77,11 +100,11 @@
   return m_dependencies.versions->Only(active.service);
 }
 
-void CoreImpl::RefuseResumption(ActiveRequest& active, const char* why,
+void CoreImpl::RefuseResumption(ActiveRequest& active, ResumptionRefusal why,
                                 Instant now) {
   ++m_resumptions.refused;
   Log("resumption_refused", active,
-      {{"why", why},
+      {{"why", std::string(NameOf(why))},
        {"service", active.service},
        {"resumes", active.info.first_caller_id},
        {"after_event", active.info.last_event_id}});
@@ -116,11 +139,7 @@
   StreamOrigin& origin = active.binding->origin;
   if (origin.proven || !origin.life.open) return;
   origin.life.to = now;
-  const ProvenRun run =
-      m_dependencies.runs->During(origin.endpoint, origin.life);
-  if (run.proof != RunProof::kProven) return;
-  origin.software = run.software;
-  origin.proven = true;
+  if (Prove(origin, *m_dependencies.runs) != RunProof::kProven) return;
   m_dependencies.origins->OnBegun(
       StreamKeyOf(active.team, active.info.caller_id), origin, now);
 }
@@ -131,14 +150,9 @@
   StreamOrigin& origin = active.binding->origin;
   if (m_dependencies.versions->Only(active.service) == origin.software)
     return Fit::kFits;
-  if (!origin.proven) {
-    const ProvenRun run =
-        m_dependencies.runs->During(origin.endpoint, origin.life);
-    if (run.proof == RunProof::kPending) return Fit::kPending;
-    if (run.proof == RunProof::kUnknown) return Fit::kOriginUnclear;
-    origin.software = run.software;
-    origin.proven = true;
-  }
+  const RunProof proof = Prove(origin, *m_dependencies.runs);
+  if (proof == RunProof::kPending) return Fit::kPending;
+  if (proof == RunProof::kUnknown) return Fit::kOriginUnclear;
   const Attempt& attempt = active.attempt;
   if (attempt.connected_at == Instant{}) return Fit::kPending;
   const ConnectionLife life = {attempt.connected_at, attempt.last_received,
--- a/src/dotterelshift/gateway/stream_origins.cc
+++ b/src/dotterelshift/gateway/stream_origins.cc
@@ -32,6 +32,15 @@
   return XXH3_64bits(text.data(), text.size());
 }
 
+RunProof Prove(StreamOrigin& origin, const EndpointRuns& runs) {
+  if (origin.proven) return RunProof::kProven;
+  const ProvenRun run = runs.During(origin.endpoint, origin.life);
+  if (run.proof != RunProof::kProven) return run.proof;
+  origin.software = run.software;
+  origin.proven = true;
+  return RunProof::kProven;
+}
+
 void StreamOrigins::OnBegun(StreamKey stream, const StreamOrigin& origin,
                             Instant now) {
   StreamOrigin kept = origin;
@@ -84,26 +93,15 @@
   }
 }
 
-StreamOrigin StreamOrigins::Resolve(const StreamOrigin& origin,
-                                    bool* unclear) const {
-  if (origin.proven) return origin;
-  StreamOrigin resolved = origin;
-  const ProvenRun run = m_runs.During(origin.endpoint, origin.life);
-  if (run.proof == RunProof::kUnknown) *unclear = true;
-  if (run.proof != RunProof::kProven) return resolved;
-  resolved.software = run.software;
-  resolved.proven = true;
-  return resolved;
-}
-
 KnownOrigin StreamOrigins::Find(StreamKey stream, Instant now) const {
   const auto found = m_origins.find(stream);
   if (found == m_origins.end()) return {};
   const Entry& entry = found->second;
   if (now - entry.since > m_options.max_age) return {};
   KnownOrigin known;
-  bool unclear = entry.unclear;
-  known.origin = Resolve(entry.origin, &unclear);
+  known.origin = entry.origin;
+  const RunProof proof = Prove(known.origin, m_runs);
+  const bool unclear = entry.unclear || proof == RunProof::kUnknown;
   known.state = unclear ? OriginState::kUnclear : OriginState::kKnown;
   known.own = entry.from.empty();
   known.age = now - entry.since;
@@ -112,9 +110,8 @@
 
 void StreamOrigins::AddTo(OriginUpdates& updates, StreamKey stream,
                           const Entry& entry, Instant now) const {
-  bool unclear = false;
-  const StreamOrigin origin = Resolve(entry.origin, &unclear);
-  if (origin.proven) {
+  StreamOrigin origin = entry.origin;
+  if (Prove(origin, m_runs) == RunProof::kProven) {
     updates.proven.emplace_back(stream, origin.software);
   } else {
     updates.pending.emplace_back(stream, origin.software, origin.endpoint,
