--- a/include/dotterelshift/gateway/endpoint_paths.h
+++ b/include/dotterelshift/gateway/endpoint_paths.h
@@ -42,6 +42,22 @@
   Duration last_reached_ago = 0s;
 };
 
+// Failures of several endpoints of a service were taken for a fault of this
+// entry's own paths to all of them.
+struct PathDoubt {
+  ServiceName service;
+  size_t failed = 0;     // endpoints
+  size_t endpoints = 0;  // of the service
+  // Since a connection to any of them was established; nullopt: none was.
+  std::optional<Duration> reached_ago;
+};
+
+// How many usable endpoints of a service this entry does not reach itself.
+struct PathCounts {
+  size_t relayed = 0;
+  size_t others_failed = 0;  // of these, only as other endpoints failed
+};
+
 // Another entry that relays connections to endpoints for this one.
 struct RelayContact {
   HostId host;
@@ -117,6 +133,7 @@
   // Services of which all usable endpoints are relayed.
   std::vector<ServiceName> UnreachableServices() const;
   size_t Relays() const { return m_relays.size(); }
+  PathCounts CountOf(const ServiceName& service) const;
 
   // Endpoints to probe now, with their addresses. Each probe ends with
   // OnProbeEnded().
@@ -128,6 +145,9 @@
   void OnProbeEnded(EndpointKey endpoint, bool connected, Instant now);
 
   std::vector<PathChange> TakeChanges() { return std::exchange(m_changes, {}); }
+  std::vector<PathDoubt> TakeDoubts() { return std::exchange(m_doubts, {}); }
+  // Doubts about all paths to a service, since the start.
+  uint64_t Doubts() const { return m_doubt_count; }
 
  private:
   struct Path {
@@ -140,6 +160,7 @@
     // Of the last failure since a direct connection was established.
     std::optional<Instant> failed_at;
     PathEvidence failure = PathEvidence::kConnectFailed;
+    PathEvidence relayed_for = PathEvidence::kConnectFailed;
     bool probing = false;
     Instant probe_at{};
     Duration probe_interval = 0s;
@@ -162,6 +183,8 @@
   std::map<std::pair<HostId, ServiceName>, Instant> m_relay_avoided_until;
   size_t m_open_probes = 0;
   std::vector<PathChange> m_changes;
+  std::vector<PathDoubt> m_doubts;
+  uint64_t m_doubt_count = 0;
 };
 
 }  // namespace dotterelshift::gateway
--- a/include/dotterelshift/gateway/fleet_load.h
+++ b/include/dotterelshift/gateway/fleet_load.h
@@ -7,6 +7,7 @@
 #include <optional>       // for optional
 #include <string>         // for string
 #include <unordered_map>  // for unordered_map
+#include <utility>        // for exchange
 #include <vector>         // for vector
 
 #include "dotterelshift/base/ids.h"                  // for EndpointId
@@ -111,6 +112,10 @@
     m_observes_all = entries <= m_options.max_observed_fleet;
   }
   void OnDirectory(const directory::Directory& directory);
+  // Usable endpoints that were not known before the last OnDirectory().
+  std::vector<EndpointKey> TakeArrivals() {
+    return std::exchange(m_arrivals, {});
+  }
   void OnRoutes(const RouteTable& routes);
 
   // Returns the best endpoint of a service for a prompt; none if no endpoint
@@ -210,6 +215,7 @@
   size_t m_entries = 1;
   bool m_observes_all = true;
   std::unordered_map<EndpointKey, Load> m_loads;
+  std::vector<EndpointKey> m_arrivals;
   std::unordered_map<ServiceName, std::vector<EndpointKey>> m_by_service;
   std::unordered_map<ServiceName, EngineCapacity> m_engines;
   // Changes to send to the other entries: sums per endpoint, and prompt
--- a/include/dotterelshift/gateway/request.h
+++ b/include/dotterelshift/gateway/request.h
@@ -17,6 +17,7 @@
 struct PromptSegment {
   uint64_t hash = 0;
   Tokens tokens = 0;
+  std::string id;  // as the caller wrote it, shortened; for the log
 };
 
 // The size of a request to a model engine.
--- a/src/dotterelshift/app/endpoint_relays.cc
+++ b/src/dotterelshift/app/endpoint_relays.cc
@@ -159,6 +159,9 @@
   metrics.SetCounter("dotterelshift_tunnel_bytes_total",
                      "Carried for other entries, in both directions",
                      Number(counters.bytes));
+  metrics.SetCounter("dotterelshift_path_doubts_total",
+                     "Times that all paths to a service were in doubt",
+                     Number(m_parts.paths->Doubts()));
   SetGauges(metrics, {{"dotterelshift_tunnels_open", "Relayed now",
                        Number(m_server->OpenTunnels())},
                       {"dotterelshift_endpoints_relayed",
--- a/src/dotterelshift/gateway/core.cc
+++ b/src/dotterelshift/gateway/core.cc
@@ -18,6 +18,7 @@
 void CoreImpl::OnEndpointsChanged(const directory::Directory& directory,
                                   Instant now) {
   m_dependencies.load->OnDirectory(directory);
+  LogArrivals(directory, now);
   m_dependencies.versions->Update(directory, now);
   m_dependencies.runs->Update(now);
   m_suspects.Update(*m_dependencies.runs, now);
@@ -37,6 +38,22 @@
     LeaveEndpoint(m_active.at(id), now);
 }
 
+void CoreImpl::LogArrivals(const directory::Directory& directory, Instant now) {
+  for (const EndpointKey key : m_dependencies.load->TakeArrivals()) {
+    const EndpointContact& contact = *m_dependencies.load->Find(key);
+    const directory::Endpoint* endpoint = directory.Find(contact.id);
+    const Duration age = endpoint == nullptr ? 0s : now - endpoint->last_news;
+    m_actions.emplace_back(
+        Decision{"endpoint_arrived",
+                 "",
+                 {{"endpoint", contact.id},
+                  {"incarnation", std::to_string(contact.incarnation)},
+                  {"address", contact.address},
+                  {"version", contact.software_version},
+                  {"announced_ms_ago", std::to_string(ToMs(age))}}});
+  }
+}
+
 void CoreImpl::OnRequest(RequestId request, RequestInfo info, Instant now) {
   ActiveRequest& active = m_active[request];
   active.id = request;
--- a/src/dotterelshift/gateway/core_impl.h
+++ b/src/dotterelshift/gateway/core_impl.h
@@ -64,6 +64,8 @@
   const ResumptionCounts& Resumptions() const override { return m_resumptions; }
 
  private:
+  void LogArrivals(const directory::Directory& directory, Instant now);
+
   // Arrival (core.cc). An ErrorKind other than kNone is the reason for refusal.
   ErrorKind FindRoute(ActiveRequest& active) const;
   ErrorKind FindTeam(ActiveRequest& active) const;
@@ -83,6 +85,8 @@
   void Send(ActiveRequest& active, Instant now);
   void LeaveEndpoint(ActiveRequest& active, Instant now);
   void LogSent(const ActiveRequest& active, Instant now);
+  // Ids of the segments that other requests may share, comma-separated.
+  static std::string SharedSegmentsOf(const ActiveRequest& active);
   Duration RetryAfter(const ActiveRequest& active, Duration wait, Instant now);
   Duration JitteredRetryAfter(const ActiveRequest& active, Duration minimum,
                               Instant now);
@@ -114,6 +118,7 @@
   void ReportConnectFailure(const ActiveRequest& active, http::TransferEnd end,
                             Instant now);
   void LeavePath(ActiveRequest& active, Instant now);
+  void LogPathDoubts();
   // The best endpoint that this request may be sent to and that is reached on
   // some path.
   std::optional<Placement> ChooseEndpoint(const ActiveRequest& active,
@@ -178,6 +183,9 @@
   void Finish(ActiveRequest& active, ErrorKind error, bool answered,
               Instant now);
   Tokens TokensSpent(const ActiveRequest& active) const;
+  using LogInputs = std::vector<std::pair<std::string_view, std::string>>;
+  void AddEndpointCounts(const ActiveRequest& active, Instant now,
+                         LogInputs& inputs) const;
   void LogFinish(const ActiveRequest& active,
                  const serving::RequestSummary& summary, Stage stage,
                  bool answered, Instant now);
--- a/src/dotterelshift/gateway/core_paths.cc
+++ b/src/dotterelshift/gateway/core_paths.cc
@@ -77,8 +77,24 @@
     if (RelayTo(endpoint, now)) m_dependencies.load->OnPathChanged(endpoint);
 }
 
+void CoreImpl::LogPathDoubts() {
+  for (const PathDoubt& doubt : m_dependencies.paths->TakeDoubts()) {
+    const std::string reached_ago =
+        doubt.reached_ago ? std::to_string(ToMs(*doubt.reached_ago)) : "never";
+    m_actions.emplace_back(
+        Decision{"paths_in_doubt",
+                 "",
+                 {{"service", doubt.service},
+                  {"failed", std::to_string(doubt.failed)},
+                  {"endpoints", std::to_string(doubt.endpoints)},
+                  {"reached_ms_ago", reached_ago},
+                  {"relays", std::to_string(m_dependencies.paths->Relays())}}});
+  }
+}
+
 void CoreImpl::OnPathsChanged(Instant now) {
   if (m_dependencies.paths == nullptr) return;
+  LogPathDoubts();
   std::vector<RequestId> on_failed_paths;
   for (const PathChange& change : m_dependencies.paths->TakeChanges()) {
     const bool direct = change.to == PathState::kDirect;
--- a/src/dotterelshift/gateway/core_placement.cc
+++ b/src/dotterelshift/gateway/core_placement.cc
@@ -96,6 +96,14 @@
   SetTimer(active, RunningDeadline(active));
 }
 
+std::string CoreImpl::SharedSegmentsOf(const ActiveRequest& active) {
+  const std::vector<PromptSegment>& segments = active.info.prompt.parts;
+  std::string ids;
+  for (size_t i = 0; i + 1 < segments.size(); ++i)
+    ids += (i == 0 ? "" : ",") + segments[i].id;
+  return ids;
+}
+
 void CoreImpl::LogSent(const ActiveRequest& active, Instant now) {
   const EndpointContact& contact = active.attempt.endpoint;
   std::vector<std::pair<std::string_view, std::string>> inputs = {
@@ -111,6 +119,8 @@
                             active.attempt.placement.endpoint))},
       {"send", std::to_string(active.sends)},
       {"connection", active.info.reused_connection ? "kept" : "new"}};
+  if (active.info.prompt.parts.size() > 1)
+    inputs.emplace_back("segments", SharedSegmentsOf(active));
   if (!active.attempt.relay.empty())
     inputs.emplace_back("relay", active.attempt.relay);
   if (!active.info.last_event_id.empty()) {
--- a/src/dotterelshift/gateway/core_response.cc
+++ b/src/dotterelshift/gateway/core_response.cc
@@ -243,7 +243,9 @@
        {"how", std::string(NameOf(end))},
        {"path", PathOf(active.attempt)},
        {"sent_ms_ago", std::to_string(ToMs(now - active.attempt.sent))},
-       {"events", std::to_string(active.attempt.events)}},
+       {"head", active.attempt.head_received ? "yes" : "no"},
+       {"events", std::to_string(active.attempt.events)},
+       {"segments", SharedSegmentsOf(active)}},
       active.attempt.id);
   if (!path_failed) BookFailure(active, end, now);
   if (sent) {
@@ -438,6 +440,23 @@
   m_active.erase(active.id);
 }
 
+// What this entry believes of the endpoints of the request's service: none may
+// be left, or it may be this entry that reaches none.
+void CoreImpl::AddEndpointCounts(const ActiveRequest& active, Instant now,
+                                 LogInputs& inputs) const {
+  const EndpointCounts counts =
+      m_dependencies.load->CountOf(active.service, now);
+  inputs.emplace_back("usable", std::to_string(counts.usable));
+  inputs.emplace_back("avoided", std::to_string(counts.avoided));
+  inputs.emplace_back("full", std::to_string(counts.full));
+  if (m_dependencies.paths == nullptr) return;
+  const PathCounts paths = m_dependencies.paths->CountOf(active.service);
+  inputs.emplace_back("relayed", std::to_string(paths.relayed));
+  inputs.emplace_back("relayed_as_others_failed",
+                      std::to_string(paths.others_failed));
+  inputs.emplace_back("relays", std::to_string(m_dependencies.paths->Relays()));
+}
+
 void CoreImpl::LogFinish(const ActiveRequest& active,
                          const serving::RequestSummary& summary, Stage stage,
                          bool answered, Instant now) {
@@ -453,6 +472,8 @@
     const Duration left = active.arrived + active.route->timeout - now;
     inputs.emplace_back("left_of_timeout_ms", std::to_string(ToMs(left)));
   }
+  if (summary.error == ErrorKind::kNoEndpoint)
+    AddEndpointCounts(active, now, inputs);
   // Whether the bytes of the last attempt were acknowledged tells a slow
   // endpoint from a path that is cut.
   const bool unanswered = summary.error == ErrorKind::kCallerGone ||
--- a/src/dotterelshift/gateway/endpoint_paths.cc
+++ b/src/dotterelshift/gateway/endpoint_paths.cc
@@ -107,14 +107,38 @@
 
 void EndpointPaths::CheckService(const ServiceName& service, Instant now) {
   const std::vector<EndpointKey>& keys = m_by_service.at(service);
-  if (FailedOf(service, now) < std::min(m_options.min_failed, keys.size()))
-    return;
+  const size_t failed_count = FailedOf(service, now);
+  if (failed_count < std::min(m_options.min_failed, keys.size())) return;
+  const size_t changes = m_changes.size();
   for (const EndpointKey key : keys) {
     Path& path = m_paths.at(key);
     const bool failed = path.failed_at.has_value();
     Change(key, path, PathState::kRelayed,
            failed ? path.failure : PathEvidence::kOthersFailed, now);
   }
+  if (m_changes.size() == changes) return;
+  ++m_doubt_count;
+  PathDoubt& doubt = m_doubts.emplace_back();
+  doubt.service = service;
+  doubt.failed = failed_count;
+  doubt.endpoints = keys.size();
+  const auto reached = m_service_reached.find(service);
+  if (reached != m_service_reached.end())
+    doubt.reached_ago = now - reached->second;
+}
+
+PathCounts EndpointPaths::CountOf(const ServiceName& service) const {
+  PathCounts counts;
+  const auto keys = m_by_service.find(service);
+  if (keys == m_by_service.end()) return counts;
+  for (const EndpointKey key : keys->second) {
+    const Path& path = m_paths.at(key);
+    if (!path.usable || path.state != PathState::kRelayed) continue;
+    ++counts.relayed;
+    const bool for_others = path.relayed_for == PathEvidence::kOthersFailed;
+    counts.others_failed += for_others ? 1 : 0;
+  }
+  return counts;
 }
 
 void EndpointPaths::OnConnected(EndpointKey endpoint, Instant now) {
@@ -265,6 +289,7 @@
                            PathEvidence evidence, Instant now) {
   if (path.state == to) return;
   path.state = to;
+  path.relayed_for = evidence;
   path.probe_at = now;
   path.probe_interval = 0s;
   m_changes.push_back(
--- a/src/dotterelshift/gateway/fleet_load.cc
+++ b/src/dotterelshift/gateway/fleet_load.cc
@@ -32,7 +32,10 @@
     const EndpointKey key = directory::PulseKey(id, record.incarnation);
     Load& load = m_loads[key];
     const auto before = known.find(key);
-    if (before != known.end()) load = std::move(before->second);
+    if (before != known.end())
+      load = std::move(before->second);
+    else if (endpoint.usable)
+      m_arrivals.push_back(key);
     load.contact = {id,
                     record.incarnation,
                     record.address,
