--- a/src/dotterelshift/app/suspicion_command.h
+++ b/include/dotterelshift/gateway/suspicion_command.h
@@ -1,18 +1,17 @@
-#ifndef DOTTERELSHIFT_SRC_APP_SUSPICION_COMMAND_H_
-#define DOTTERELSHIFT_SRC_APP_SUSPICION_COMMAND_H_
+#ifndef DOTTERELSHIFT_GATEWAY_SUSPICION_COMMAND_H_
+#define DOTTERELSHIFT_GATEWAY_SUSPICION_COMMAND_H_
 
 #include <utility>  // for move
 
 #include "dotterelshift/gateway/core.h"             // for SuspectReport
 #include "dotterelshift/wire/commands_generated.h"  // for CommandT
 
-namespace dotterelshift::app {
+namespace dotterelshift::gateway {
 
 // The command that reports a request whose endpoint crashed, or, when the
 // report names no endpoint, clears one that did not crash its endpoint. Its id
 // is left to the caller.
-inline wire::CommandT SuspicionCommand(
-    const gateway::SuspectReport& suspicion) {
+inline wire::CommandT SuspicionCommand(const SuspectReport& suspicion) {
   wire::CommandT command;
   if (suspicion.endpoint.empty()) {
     wire::ClearSuspectT body;
@@ -29,6 +28,6 @@
   return command;
 }
 
-}  // namespace dotterelshift::app
+}  // namespace dotterelshift::gateway
 
-#endif  // DOTTERELSHIFT_SRC_APP_SUSPICION_COMMAND_H_
+#endif  // DOTTERELSHIFT_GATEWAY_SUSPICION_COMMAND_H_
--- a/src/dotterelshift/app/gateway_entry.cc
+++ b/src/dotterelshift/app/gateway_entry.cc
@@ -2,24 +2,24 @@
 #include <string>    // for string
 #include <utility>   // for move
 
-#include "dotterelshift/app/control_link.h"        // for ControlLink
-#include "dotterelshift/app/daemon.h"              // for Daemon
-#include "dotterelshift/app/dial_log.h"            // for LogDial
-#include "dotterelshift/app/directory_exchange.h"  // for DirectoryExchange
-#include "dotterelshift/app/endpoint_relays.h"     // for EndpointRelays
-#include "dotterelshift/app/entry_shutdown.h"      // for EntryShutdown
-#include "dotterelshift/app/gateway_options.h"     // for CoreOptionsOf
-#include "dotterelshift/app/gateway_traffic.h"     // for GatewayTraffic
-#include "dotterelshift/app/gauges.h"              // for SetGauges
-#include "dotterelshift/app/hub_options.h"         // for MakeHubOptions
-#include "dotterelshift/app/link_guard.h"          // for LinkGuard
-#include "dotterelshift/app/listen_options.h"      // for ListenOptions
-#include "dotterelshift/app/other_entries.h"       // for OtherEntries
-#include "dotterelshift/app/registration.h"        // for Registration
-#include "dotterelshift/app/suspicion_command.h"   // for SuspicionCommand
-#include "dotterelshift/app/version_tracker.h"     // for VersionTracker
-#include "dotterelshift/callers/front.h"           // for SendErrorResponse
-#include "dotterelshift/telemetry/log.h"           // for Log
+#include "dotterelshift/app/control_link.h"           // for ControlLink
+#include "dotterelshift/app/daemon.h"                 // for Daemon
+#include "dotterelshift/app/dial_log.h"               // for LogDial
+#include "dotterelshift/app/directory_exchange.h"     // for DirectoryExchange
+#include "dotterelshift/app/endpoint_relays.h"        // for EndpointRelays
+#include "dotterelshift/app/entry_shutdown.h"         // for EntryShutdown
+#include "dotterelshift/app/gateway_options.h"        // for CoreOptionsOf
+#include "dotterelshift/app/gateway_traffic.h"        // for GatewayTraffic
+#include "dotterelshift/app/gauges.h"                 // for SetGauges
+#include "dotterelshift/app/hub_options.h"            // for MakeHubOptions
+#include "dotterelshift/app/link_guard.h"             // for LinkGuard
+#include "dotterelshift/app/listen_options.h"         // for ListenOptions
+#include "dotterelshift/app/other_entries.h"          // for OtherEntries
+#include "dotterelshift/app/registration.h"           // for Registration
+#include "dotterelshift/app/version_tracker.h"        // for VersionTracker
+#include "dotterelshift/callers/front.h"              // for SendErrorResponse
+#include "dotterelshift/gateway/suspicion_command.h"  // for SuspicionCommand
+#include "dotterelshift/telemetry/log.h"              // for Log
 
 namespace dotterelshift::app {
 namespace {
@@ -415,7 +415,7 @@
 }
 
 void GatewayEntry::ProposeSuspicion(const gateway::SuspectReport& suspicion) {
-  wire::CommandT command = SuspicionCommand(suspicion);
+  wire::CommandT command = gateway::SuspicionCommand(suspicion);
   command.id = NextId();
   m_link.Propose(std::move(command));
 }
--- a/src/dotterelshift/directory/spread_test.cc
+++ b/src/dotterelshift/directory/spread_test.cc
@@ -46,6 +46,7 @@
   CPPUNIT_TEST(DrainingReachesAllWithinASecond);
   CPPUNIT_TEST(LoadIsSentAtABoundedRate);
   CPPUNIT_TEST(SilenceIsReportedByTheLastReceiver);
+  CPPUNIT_TEST(SilenceAfterASingleAnnouncementIsReported);
   CPPUNIT_TEST(EndpointThatSwitchesDaemonIsNotSilent);
   CPPUNIT_TEST(LostUpdateIsRepairedByDigests);
   CPPUNIT_TEST(NewDaemonReceivesAllRecords);
@@ -123,6 +124,19 @@
     CPPUNIT_ASSERT_EQUAL(size_t{8}, fleet.Usable());
   }
 
+  // An endpoint that crashes soon after its start. Entries rely on the report.
+  void SilenceAfterASingleAnnouncementIsReported() {
+    SimulatedFleet fleet(3);
+    DirectoryOptions entry;
+    entry.silent_after = 60s;
+    fleet.Add(0, entry);
+    fleet.Announce(1, 1);
+    fleet.RunFor(1s);
+    CPPUNIT_ASSERT_EQUAL(size_t{4}, fleet.Usable());
+    fleet.RunFor(4s);
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, fleet.Usable());
+  }
+
   void EndpointThatSwitchesDaemonIsNotSilent() {
     SimulatedFleet fleet(8);
     for (uint64_t sequence = 1; sequence <= 12; ++sequence) {
--- a/src/dotterelshift/gateway/core_paths_test.cc
+++ b/src/dotterelshift/gateway/core_paths_test.cc
@@ -1,6 +1,8 @@
 // An entry that cannot reach endpoints itself sends through another entry.
 #include <cppunit/extensions/HelperMacros.h>  // for CPPUNIT_TEST
 
+#include <set>  // for set
+
 #include "dotterelshift/directory/spread.h"      // for PulseKey
 #include "dotterelshift/gateway/core_testing.h"  // for CoreFixture
 
@@ -25,6 +27,8 @@
   CPPUNIT_TEST(OfferEndsTheAvoidance);
   CPPUNIT_TEST(ConnectionRestoresTheDirectPath);
   CPPUNIT_TEST(PathOfAnAttemptIsLogged);
+  CPPUNIT_TEST(CrashesInSeriesLeaveTheOtherEndpointsInUse);
+  CPPUNIT_TEST(RelayThatCannotReachTheEndpointEitherEndsItsUse);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -175,7 +179,62 @@
     CPPUNIT_ASSERT(sent_by_relay);
   }
 
+  // Two endpoints crash together, and the relay suspects its own paths as well.
+  void CrashesInSeriesLeaveTheOtherEndpointsInUse() {
+    Offer("other");
+    Request("/safe/");
+    const std::set<EndpointId> crashed = {CrashEndpointInUse(),
+                                          CrashEndpointInUse()};
+    const EndpointId reached = PlayUntilReached(crashed);
+    CPPUNIT_ASSERT_MESSAGE("ended without trying the endpoint that runs",
+                           !reached.empty());
+  }
+
+  void RelayThatCannotReachTheEndpointEitherEndsItsUse() {
+    Offer("other");
+    Request("/safe/");
+    const std::set<EndpointId> crashed = {CrashEndpointInUse(),
+                                          CrashEndpointInUse()};
+    PlayUntilReached(crashed);
+    // What follows is not sent to them again.
+    for (RequestId id = 2; id < 8; ++id) {
+      Request("/safe/", 0, id);
+      CPPUNIT_ASSERT(!crashed.contains(Only<StartAttempt>().endpoint.id));
+    }
+  }
+
  private:
+  // The endpoint that got the last attempt refuses connections from now on.
+  EndpointId CrashEndpointInUse() {
+    const StartAttempt start = Only<StartAttempt>();
+    End(start.attempt, TransferEnd::kNotSent);
+    return start.endpoint.id;
+  }
+
+  // Plays a tenth of a second: probes and connections to the crashed endpoints
+  // are refused, directly and by the relay, which does not try. Returns the
+  // endpoint that the open request was sent to; empty: it ended without.
+  EndpointId PlayUntilReached(const std::set<EndpointId>& crashed) {
+    for (int step = 0; step < 20; ++step) {
+      if (Count<Refuse>() > 0) return {};
+      if (Count<StartAttempt>() > 0) {
+        const StartAttempt start = Only<StartAttempt>();
+        if (!crashed.contains(start.endpoint.id)) return start.endpoint.id;
+        End(start.attempt,
+            start.relay ? TransferEnd::kRelayFailed : TransferEnd::kNotSent);
+        continue;
+      }
+      for (const EndpointPaths::Probe& probe : m_paths->TakeProbes(m_now)) {
+        const EndpointContact* contact = m_load->Find(probe.endpoint);
+        m_paths->OnProbeEnded(probe.endpoint, !crashed.contains(contact->id),
+                              m_now);
+      }
+      m_core->OnPathsChanged(m_now);
+      Advance(5ms);
+    }
+    return {};
+  }
+
   void Offer(const HostId& host) {
     m_paths->OnRelay({host, "dc", "10.0.0.2:80", "token", {}});
     m_core->OnRelayOffered(m_now);
--- a/src/dotterelshift/gateway/core_test.cc
+++ b/src/dotterelshift/gateway/core_test.cc
@@ -22,6 +22,7 @@
   CPPUNIT_TEST(RefusalAfterAFailedRunDoesNotClaimNotRun);
   CPPUNIT_TEST(BrokenStreamResumesAfterItsLastCompleteEvent);
   CPPUNIT_TEST(NonResumableStreamIsAborted);
+  CPPUNIT_TEST(StreamThatEndsWithItsConnectionBeforeAnEventIsBroken);
   CPPUNIT_TEST(SuspectContentIsReportedAndQuarantined);
   CPPUNIT_TEST(ACallerThatLeavesCancelsItsAttempt);
   CPPUNIT_TEST(CallerGoneLogLineNamesTheStage);
@@ -180,6 +181,20 @@
     CPPUNIT_ASSERT_EQUAL(size_t{0}, Count<StartAttempt>());
   }
 
+  // Its end is no evidence that it is complete.
+  void StreamThatEndsWithItsConnectionBeforeAnEventIsBroken() {
+    Publish();
+    for (const char* received : {"", "id: 1\nda"}) {
+      Request("/stream/", 100);
+      const StartAttempt start = Only<StartAttempt>();
+      Head(start.attempt, 200, true);
+      if (*received != 0) Chunk(start.attempt, received);
+      End(start.attempt, http::TransferEnd::kWhole);
+      CPPUNIT_ASSERT_EQUAL(size_t{0}, Count<FinishStream>());
+      Only<AbortStream>();
+    }
+  }
+
   void SuspectContentIsReportedAndQuarantined() {
     Publish();
     Request("/once/");
