Crashes in series are not taken for an entry's own cut

Cause: two refused connections with no new one in between marked all endpoints of the service as relayed, the sound ones too; the other entries did the same at the same moment, and each refused to relay for the other (not_now). That refusal counted as a failure of the path, so that a crashed endpoint was neither excluded nor avoided, and took all four sends of a request. Class: a belief about oneself inferred from others' failures, and confirmed by peers that infer the same. Now refused connections are checked by probes of up to six other endpoints before any path changes; requests wait for the outcome, 25 ms at most. Failures that took time judge only endpoints of which nothing was heard meanwhile. A relay tries what it may reach itself, and says not_now only while it reaches no endpoint of the service. A second relay's refusal ends the use of the endpoint for the request, and a request that lost an endpoint prefers those heard within a second. Tests of timeouts keep their checks, with the time that such a connection takes; those of refused ones are new (six in EndpointPathsTest).

--- a/include/dotterelshift/gateway/endpoint_paths.h
+++ b/include/dotterelshift/gateway/endpoint_paths.h
@@ -42,12 +42,13 @@
   Duration last_reached_ago = 0s;
 };
 
-// Failures of several endpoints of a service were taken for a fault of this
-// entry's own paths to all of them.
+// Several endpoints of a service could not be reached one after the other: they
+// have crashed, or this entry's own paths to all of them have failed.
 struct PathDoubt {
   ServiceName service;
   size_t failed = 0;     // endpoints
   size_t endpoints = 0;  // of the service
+  size_t checked = 0;    // of these, probed to find out
   // Since a connection to any of them was established; nullopt: none was.
   std::optional<Duration> reached_ago;
 };
@@ -74,6 +75,16 @@
   // to this entry's own paths. A crash of one endpoint is no evidence for that.
   size_t min_failed = 2;
   Duration max_evidence_age = 2s;
+  // Failures that took at least this long, of which nothing was heard from the
+  // other endpoints meanwhile, need no check.
+  Duration min_silence = 100ms;
+  // Endpoints that are probed at once to tell crashes from a failure of all
+  // paths, and how long requests wait for that: a few round trips.
+  size_t max_checked = 6;
+  Duration check_time = 25ms;
+  // After a check has reached an endpoint, failures are the endpoints' own for
+  // this long, so that crashes in series do not cause a check each.
+  Duration check_validity = 300ms;
   // An announcement made later than this after a failure shows that the
   // endpoint runs; one made earlier may have been sent before it crashed.
   Duration announcement_margin = 300ms;
@@ -95,8 +106,13 @@
 // while callers, control and the other entries still reach it, and these reach
 // the endpoints. Its own failures look like those of endpoints that have
 // crashed, and it would avoid all endpoints and refuse all requests. What tells
-// the two apart: a crash affects one endpoint at a time, and a crashed endpoint
-// makes no announcement to control.
+// the two apart: while an entry is cut off, nothing is heard from any endpoint;
+// a crashed endpoint makes no announcement to control.
+//
+// Several endpoints may also crash within a second, and refuse connections at
+// once. Other entries see the same, so that entries which then mistrusted their
+// own paths would refuse to relay for each other. A few of the other endpoints
+// are therefore probed first. Requests wait for the outcome, a round trip.
 //
 // An endpoint whose path is in doubt is relayed and probed until a direct
 // connection to it succeeds.
@@ -107,13 +123,13 @@
 
   void OnDirectory(const directory::Directory& directory, Instant now);
 
-  // Evidence from direct connections: one could not be established; one carries
-  // bytes that are not acknowledged; one was established; an endpoint responded
-  // on an open one.
-  void OnConnectFailed(EndpointKey endpoint, Instant now);
-  void OnUnacknowledged(EndpointKey endpoint, Instant now);
+  // Evidence from direct connections: one that was begun then could not be
+  // established; one carries bytes of a request sent then that are not
+  // acknowledged; one was established; bytes were received on an open one.
+  void OnConnectFailed(EndpointKey endpoint, Instant began, Instant now);
+  void OnUnacknowledged(EndpointKey endpoint, Instant sent, Instant now);
   void OnConnected(EndpointKey endpoint, Instant now);
-  void OnResponse(EndpointKey endpoint);
+  void OnBytes(EndpointKey endpoint, Instant now);
   // Compares failures with later announcements. To be called regularly.
   void OnTimer(const directory::Directory& directory, Instant now);
 
@@ -124,6 +140,15 @@
   void OnRelayFailed(const HostId& host, EndpointKey endpoint, Instant now);
 
   bool IsRelayed(EndpointKey endpoint) const;
+  // Usable endpoints of the service from which nothing was received since then.
+  std::vector<EndpointKey> NotHeardSince(const ServiceName& service,
+                                         Instant since) const;
+  // Whether it is being checked now if this entry reaches the endpoint's
+  // service at all, or this endpoint.
+  bool IsBeingChecked(EndpointKey endpoint, Instant now) const;
+  bool IsBeingChecked(const ServiceName& service, Instant now) const;
+  // Whether all usable endpoints of one of the services are relayed.
+  bool IsAnyUnreachable(const std::vector<ServiceName>& services) const;
   std::vector<EndpointKey> RelayedEndpoints() const;
   // The relay to use for a connection to the endpoint; nullopt: connect
   // directly, as the direct path is not in doubt or no relay is known.
@@ -157,20 +182,45 @@
     bool usable = false;
     PathState state = PathState::kDirect;
     Instant last_reached{};
+    Instant last_bytes{};
     // Of the last failure since a direct connection was established.
     std::optional<Instant> failed_at;
+    Instant failure_began{};
     PathEvidence failure = PathEvidence::kConnectFailed;
     PathEvidence relayed_for = PathEvidence::kConnectFailed;
     bool probing = false;
+    bool probe_wanted = false;  // at once, whatever its state
     Instant probe_at{};
     Duration probe_interval = 0s;
   };
+  // Failures of a service since it was last reached.
+  struct Failures {
+    size_t endpoints = 0;
+    Instant began{};  // of the earliest one
+  };
+  struct Check {
+    Instant until{};
+    size_t open = 0;  // probes
+    Instant began{};  // of the failures that caused it
+  };
 
-  void OnFailure(EndpointKey endpoint, PathEvidence evidence, Instant now);
-  void CheckService(const ServiceName& service, Instant now);
-  // Failing endpoints of the service, of those that are not already relayed for
-  // another reason, since it was last reached.
-  size_t FailedOf(const ServiceName& service, Instant now) const;
+  void OnFailure(EndpointKey endpoint, PathEvidence evidence, Instant began,
+                 Instant now);
+  void JudgeService(const ServiceName& service, Instant now);
+  Failures FailuresOf(const ServiceName& service, Instant now) const;
+  // Whether bytes were received from an endpoint late enough to show that its
+  // path did not fail together with those that failed since `began`.
+  bool WasHeard(const Path& path, Instant began, Instant now) const;
+  // Probes some of the endpoints whose paths neither failed nor are proven.
+  // Returns their number.
+  size_t StartCheck(const ServiceName& service, Instant began, Instant now);
+  void OnCheckProbe(const Path& path, Instant now);
+  void EndOverdueChecks(Instant now);
+  // All paths to the service that are not proven have failed.
+  void RelayAll(const ServiceName& service, Instant began, Instant now);
+  void RecordDoubt(const ServiceName& service, size_t failed, size_t checked,
+                   Instant now);
+  bool IsUnreachable(const std::vector<EndpointKey>& keys) const;
   void Change(EndpointKey endpoint, Path& path, PathState to,
               PathEvidence evidence, Instant now);
   bool MayCarry(const RelayContact& relay, const Path& path, Instant now) const;
@@ -179,6 +229,9 @@
   std::map<EndpointKey, Path> m_paths;
   std::map<ServiceName, std::vector<EndpointKey>> m_by_service;
   std::map<ServiceName, Instant> m_service_reached;
+  std::map<ServiceName, Check> m_checks;
+  std::map<ServiceName, Instant> m_checked;  // last check that reached one
+  Instant m_next_probe{};                    // no probe is due before
   std::map<HostId, RelayContact> m_relays;
   std::map<std::pair<HostId, ServiceName>, Instant> m_relay_avoided_until;
   size_t m_open_probes = 0;
--- a/include/dotterelshift/relay/relay_server.h
+++ b/include/dotterelshift/relay/relay_server.h
@@ -65,9 +65,10 @@
 
 struct RelayCallbacks {
   std::function<Admission(const std::string& target)> admit;
-  // Returns whether the failure to connect is due to this host's own path, so
-  // that the client is told kNotNow instead.
-  std::function<bool(const std::string& target)> on_connect_failed;
+  // A connection failed after `took`. Returns whether that is due to this
+  // host's own paths, so that the client is told kNotNow instead.
+  std::function<bool(const std::string& target, Duration took)>
+      on_connect_failed;
   std::function<void(const TunnelReport& report)> on_event;
 };
 
--- a/src/dotterelshift/app/endpoint_relays.cc
+++ b/src/dotterelshift/app/endpoint_relays.cc
@@ -53,8 +53,9 @@
 relay::RelayCallbacks EndpointRelays::Callbacks() {
   relay::RelayCallbacks callbacks;
   callbacks.admit = [this](const std::string& target) { return Admit(target); };
-  callbacks.on_connect_failed = [this](const std::string& target) {
-    return OnConnectFailed(target);
+  callbacks.on_connect_failed = [this](const std::string& target,
+                                       Duration took) {
+    return OnConnectFailed(target, took);
   };
   callbacks.on_event = LogTunnel;
   return callbacks;
@@ -70,24 +71,25 @@
 relay::Admission EndpointRelays::Admit(const std::string& target) const {
   const directory::Endpoint* endpoint = FindByAddress(target);
   if (endpoint == nullptr) return relay::Admission::kUnknownTarget;
-  const gateway::EndpointKey key =
-      directory::PulseKey(endpoint->record.id, endpoint->record.incarnation);
-  // A connection passes at most one relay.
-  const bool reaches = !m_parts.paths->IsRelayed(key);
+  // A connection passes at most one relay. A path that is in doubt is tried:
+  // entries that mistrust their paths for the same crashes would otherwise all
+  // refuse.
+  const bool reaches =
+      !m_parts.paths->IsAnyUnreachable(endpoint->record.services);
   const bool carries = reaches && !m_withdrawn && m_parts.has_room();
   return carries ? relay::Admission::kAllowed : relay::Admission::kNotNow;
 }
 
-bool EndpointRelays::OnConnectFailed(const std::string& target) {
+bool EndpointRelays::OnConnectFailed(const std::string& target, Duration took) {
   const directory::Endpoint* endpoint = FindByAddress(target);
   if (endpoint == nullptr) return false;
   const gateway::EndpointKey key =
       directory::PulseKey(endpoint->record.id, endpoint->record.incarnation);
   const Instant now = m_loop.Now();
-  m_parts.paths->OnConnectFailed(key, now);
+  m_parts.paths->OnConnectFailed(key, now - took, now);
   m_parts.core->OnPathsChanged(now);
   m_parts.pump();
-  return m_parts.paths->IsRelayed(key);
+  return m_parts.paths->IsAnyUnreachable(endpoint->record.services);
 }
 
 void EndpointRelays::OnEntryUp(const peers::PeerInfo& entry) {
@@ -126,9 +128,7 @@
   m_probes.CheckTimeouts();
   m_parts.paths->OnTimer(*m_parts.directory, now);
   m_parts.core->OnPathsChanged(now);
-  for (const gateway::EndpointPaths::Probe& probe :
-       m_parts.paths->TakeProbes(now))
-    m_probes.Start(probe);
+  StartProbes();
   std::vector<gateway::ServiceName> unreachable =
       m_parts.paths->UnreachableServices();
   if (unreachable == m_unreachable) return;
@@ -139,6 +139,12 @@
   for (const auto& [host, token] : m_tokens) SendOffer(host, token);
 }
 
+void EndpointRelays::StartProbes() {
+  for (const gateway::EndpointPaths::Probe& probe :
+       m_parts.paths->TakeProbes(m_loop.Now()))
+    m_probes.Start(probe);
+}
+
 void EndpointRelays::Withdraw() {
   m_withdrawn = true;
   for (const auto& [host, token] : m_tokens) SendOffer(host, token);
--- a/src/dotterelshift/app/endpoint_relays.h
+++ b/src/dotterelshift/app/endpoint_relays.h
@@ -44,6 +44,9 @@
   // Probes, evidence from announcements, and changed offers. To be called
   // regularly.
   void OnTick();
+  // Starts the probes that are due. To be called in each loop iteration, as
+  // requests wait for the outcome of some.
+  void StartProbes();
   // The entry shuts down: it relays what is open, but nothing new.
   void Withdraw();
   bool IsBusy() const;
@@ -54,7 +57,7 @@
  private:
   relay::RelayCallbacks Callbacks();
   relay::Admission Admit(const std::string& target) const;
-  bool OnConnectFailed(const std::string& target);
+  bool OnConnectFailed(const std::string& target, Duration took);
   const directory::Endpoint* FindByAddress(const std::string& address) const;
   void SendOffer(const HostId& host, const std::string& token) const;
 
--- a/src/dotterelshift/app/gateway_entry.cc
+++ b/src/dotterelshift/app/gateway_entry.cc
@@ -412,6 +412,7 @@
   for (wire::TokenBorrowT& borrow : m_budgets.TakeBorrowRequests())
     m_others->SendToNextFew(peers::MakeFrame(std::move(borrow)));
   m_others->SendUpdates(m_load, m_versions.Origins(), now);
+  m_relays->StartProbes();
 }
 
 void GatewayEntry::ProposeSuspicion(const gateway::SuspectReport& suspicion) {
--- a/src/dotterelshift/gateway/active_request.h
+++ b/src/dotterelshift/gateway/active_request.h
@@ -111,6 +111,8 @@
   Instant send_at{};
   Attempt attempt;
   std::vector<EndpointKey> tried;
+  uint32_t lost_connections = 0;          // not established, or broken
+  std::vector<EndpointKey> relay_failed;  // endpoints that a relay did not try
   bool head_relayed = false;
   std::optional<StreamBinding> binding;  // nullopt: no event was passed on yet
   Instant first_event{};
--- a/src/dotterelshift/gateway/core_impl.h
+++ b/src/dotterelshift/gateway/core_impl.h
@@ -126,6 +126,11 @@
   std::optional<Placement> ChooseWithin(const ActiveRequest& active,
                                         ChoiceLimits limits, Instant now) const;
   bool LacksPath(EndpointKey endpoint, Instant now) const;
+  // Whether probes will soon tell if the request's service is reached at all.
+  bool IsBeingChecked(const ActiveRequest& active, Instant now) const;
+  // Whether the request may be sent to the same endpoint again by another path
+  // than the one that failed.
+  static bool MayRetryPath(ActiveRequest& active, http::TransferEnd end);
   // The software that an endpoint for the request must have; nullopt: any.
   static std::optional<SoftwareKey> SoftwareFor(const ActiveRequest& active) {
     if (!active.binding) return std::nullopt;
@@ -166,7 +171,7 @@
                   Instant now);
   void BookFailure(const ActiveRequest& active, http::TransferEnd end,
                    Instant now);
-  bool TryAgain(ActiveRequest& active, bool path_failed, Instant now);
+  bool TryAgain(ActiveRequest& active, bool stays, Instant now);
   bool TakeRetry(const ActiveRequest& active, Instant now);
   bool MayRunAgain(const ActiveRequest& active) const;
   void RelayHeadOnce(ActiveRequest& active);
--- a/src/dotterelshift/gateway/core_paths.cc
+++ b/src/dotterelshift/gateway/core_paths.cc
@@ -1,8 +1,14 @@
-#include <algorithm>  // for sort
+#include <algorithm>  // for find, sort
 
 #include "dotterelshift/gateway/core_impl.h"  // for CoreImpl
 
 namespace dotterelshift::gateway {
+namespace {
+
+// An endpoint in use sends something within this time.
+constexpr Duration kRecentlyHeard = 1s;
+
+}  // namespace
 
 std::optional<RelayContact> CoreImpl::RelayTo(EndpointKey endpoint,
                                               Instant now) const {
@@ -10,12 +16,22 @@
   return m_dependencies.paths->RelayTo(endpoint, now);
 }
 
+// A request that lost an endpoint prefers those that were heard lately: crashed
+// ones have no load, and would otherwise be chosen one after the other.
 // A stream that may have to be resumed avoids endpoints that may have
 // restarted, as long as these could have another version.
 std::optional<Placement> CoreImpl::ChooseEndpoint(const ActiveRequest& active,
                                                   Instant now) {
   ChoiceLimits limits = {.excluded = active.tried,
                          .software = SoftwareFor(active)};
+  if (active.lost_connections > 0 && m_dependencies.paths != nullptr) {
+    ChoiceLimits heard = limits;
+    for (const EndpointKey endpoint : m_dependencies.paths->NotHeardSince(
+             active.service, now - kRecentlyHeard))
+      heard.excluded.push_back(endpoint);
+    if (auto placement = ChooseWithin(active, std::move(heard), now))
+      return placement;
+  }
   const bool depends_on_version =
       active.route->kind == RouteKind::kStream && active.route->resumable &&
       !m_dependencies.versions->Only(active.service);
@@ -41,13 +57,16 @@
   }
 }
 
-// Other entries offer to relay, but each one says that it cannot reach the
-// endpoint either: a request for it would only wait for a connection that is
-// not established. Probes tell when one is.
+// Probes tell in a moment whether this entry reaches the endpoint. Or other
+// entries offer to relay, but each one says that it cannot reach the endpoint
+// either: a request for it would only wait for a connection that is not
+// established.
 bool CoreImpl::LacksPath(EndpointKey endpoint, Instant now) const {
   const EndpointPaths* paths = m_dependencies.paths;
-  return paths != nullptr && paths->Relays() > 0 &&
-         paths->IsRelayed(endpoint) && !paths->RelayTo(endpoint, now);
+  if (paths == nullptr) return false;
+  if (paths->IsBeingChecked(endpoint, now)) return true;
+  return paths->Relays() > 0 && paths->IsRelayed(endpoint) &&
+         !paths->RelayTo(endpoint, now);
 }
 
 void CoreImpl::OnConnected(AttemptId id, Instant now) {
@@ -64,7 +83,7 @@
   if (!active->attempt.relay.empty()) return;
   const EndpointKey endpoint = active->attempt.placement.endpoint;
   active->attempt.unacknowledged = true;
-  m_dependencies.paths->OnUnacknowledged(endpoint, now);
+  m_dependencies.paths->OnUnacknowledged(endpoint, active->attempt.sent, now);
   OnPathsChanged(now);
   // The path may have been in doubt before this attempt was known to be stuck.
   active = FindByAttempt(id);
@@ -87,6 +106,7 @@
                  {{"service", doubt.service},
                   {"failed", std::to_string(doubt.failed)},
                   {"endpoints", std::to_string(doubt.endpoints)},
+                  {"checked", std::to_string(doubt.checked)},
                   {"reached_ms_ago", reached_ago},
                   {"relays", std::to_string(m_dependencies.paths->Relays())}}});
   }
@@ -145,11 +165,29 @@
     m_dependencies.paths->OnRelayFailed(attempt.relay,
                                         attempt.placement.endpoint, now);
   } else if (end == http::TransferEnd::kNotSent && attempt.relay.empty()) {
-    m_dependencies.paths->OnConnectFailed(attempt.placement.endpoint, now);
+    m_dependencies.paths->OnConnectFailed(attempt.placement.endpoint,
+                                          attempt.sent, now);
     OnPathsChanged(now);
   }
 }
 
+bool CoreImpl::IsBeingChecked(const ActiveRequest& active, Instant now) const {
+  return m_dependencies.paths != nullptr &&
+         m_dependencies.paths->IsBeingChecked(active.service, now);
+}
+
+// Relays that refuse one after the other may see a crashed endpoint: after the
+// second one the request goes elsewhere.
+bool CoreImpl::MayRetryPath(ActiveRequest& active, http::TransferEnd end) {
+  if (end != http::TransferEnd::kRelayFailed) return true;
+  const EndpointKey endpoint = active.attempt.placement.endpoint;
+  const bool again =
+      std::find(active.relay_failed.begin(), active.relay_failed.end(),
+                endpoint) != active.relay_failed.end();
+  active.relay_failed.push_back(endpoint);
+  return !again;
+}
+
 bool CoreImpl::IsPathFailure(const ActiveRequest& active, http::TransferEnd end,
                              Instant now) const {
   if (end == http::TransferEnd::kRelayFailed) return true;
--- a/src/dotterelshift/gateway/core_paths_test.cc
+++ b/src/dotterelshift/gateway/core_paths_test.cc
@@ -117,7 +117,7 @@
     const AttemptId connecting = Only<StartAttempt>().attempt;
     Request("/once/");
     FailToConnect();
-    End(Only<StartAttempt>().attempt, TransferEnd::kNotSent);
+    FailToConnect();
     bool withdrawn = false;
     for (const Action& action : m_last) {
       const auto* withdraw = std::get_if<WithdrawAttempt>(&action);
@@ -240,7 +240,9 @@
     m_core->OnRelayOffered(m_now);
   }
 
+  // No answer to a connection request.
   void FailToConnect() {
+    m_now += 150ms;
     End(Only<StartAttempt>().attempt, TransferEnd::kNotSent);
   }
 
--- a/src/dotterelshift/gateway/core_response.cc
+++ b/src/dotterelshift/gateway/core_response.cc
@@ -93,7 +93,7 @@
   m_dependencies.load->SetRefusalLimit(attempt.placement.endpoint,
                                        response_info.refusal_limit);
   if (m_dependencies.paths != nullptr && attempt.relay.empty())
-    m_dependencies.paths->OnResponse(attempt.placement.endpoint);
+    m_dependencies.paths->OnBytes(attempt.placement.endpoint, now);
   const bool mismatched = response_info.echoed_id != active->info.caller_id;
   if (mismatched && !response_info.address_reassigned &&
       !response_info.not_run) {
@@ -119,6 +119,8 @@
   ActiveRequest* active = FindByAttempt(id);
   if (active == nullptr) return;
   active->attempt.last_received = now;
+  if (m_dependencies.paths != nullptr && active->attempt.relay.empty())
+    m_dependencies.paths->OnBytes(active->attempt.placement.endpoint, now);
   m_suspects.OnBytes(active->attempt.placement.endpoint,
                      active->attempt.connected_at, now);
   m_dependencies.runs->OnBytes(EndpointIdKeyOf(active->attempt.endpoint.id),
@@ -236,8 +238,10 @@
                                Instant now) {
   const bool sent = WasSent(end);
   const bool can_retry = !sent || MayRunAgain(active);
+  ++active.lost_connections;
   ReportConnectFailure(active, end, now);
   const bool path_failed = IsPathFailure(active, end, now);
+  const bool stays = path_failed && MayRetryPath(active, end);
   Log("attempt_broken", active,
       {{"endpoint", active.attempt.endpoint.id},
        {"how", std::string(NameOf(end))},
@@ -263,7 +267,7 @@
   }
   EndAttempt(active);
   if (sent) ++active.runs;
-  if (can_retry && TryAgain(active, path_failed, now)) return;
+  if (can_retry && TryAgain(active, stays, now)) return;
   const bool late = now >= active.deadline;
   if (active.may_have_run) {
     return Fail(
@@ -324,9 +328,9 @@
 // Retries at another endpoint if the fleet's retry budget allows it. A request
 // that has not reached any endpoint yet uses none of that budget.
 // After a failure of the path, the same endpoint may be chosen again, by
-// another path.
-bool CoreImpl::TryAgain(ActiveRequest& active, bool path_failed, Instant now) {
-  if (!path_failed) active.tried.push_back(active.attempt.placement.endpoint);
+// another path (`stays`).
+bool CoreImpl::TryAgain(ActiveRequest& active, bool stays, Instant now) {
+  if (!stays) active.tried.push_back(active.attempt.placement.endpoint);
   const bool arrived = active.attempt.head_received || active.runs > 0;
   // A retry that the outbound link would refuse must not use the retry budget.
   const bool in_time = active.sends < kMaxSends && now < active.deadline &&
@@ -334,8 +338,9 @@
   if (!in_time || (arrived && !TakeRetry(active, now))) return false;
   // Endpoints of a stream's version that are full or avoided now are waited
   // for, as no others may take it.
-  const bool waits = active.binding && m_dependencies.versions->Serves(
+  const bool bound = active.binding && m_dependencies.versions->Serves(
                                            active.binding->origin.software);
+  const bool waits = bound || IsBeingChecked(active, now);
   if (!waits && !ChooseEndpoint(active, now)) return false;
   Place(active, now);
   return true;
--- a/src/dotterelshift/gateway/endpoint_paths.cc
+++ b/src/dotterelshift/gateway/endpoint_paths.cc
@@ -70,63 +70,161 @@
     for (const ServiceName& service : path.services)
       m_by_service[service].push_back(key);
   }
+  m_next_probe = now;
   // Their probes end later and are not counted then.
   for (const auto& [key, path] : known)
     if (path.probing) --m_open_probes;
 }
 
-void EndpointPaths::OnConnectFailed(EndpointKey endpoint, Instant now) {
-  OnFailure(endpoint, PathEvidence::kConnectFailed, now);
+void EndpointPaths::OnConnectFailed(EndpointKey endpoint, Instant began,
+                                    Instant now) {
+  OnFailure(endpoint, PathEvidence::kConnectFailed, began, now);
 }
 
-void EndpointPaths::OnUnacknowledged(EndpointKey endpoint, Instant now) {
-  OnFailure(endpoint, PathEvidence::kUnacknowledged, now);
+void EndpointPaths::OnUnacknowledged(EndpointKey endpoint, Instant sent,
+                                     Instant now) {
+  OnFailure(endpoint, PathEvidence::kUnacknowledged, sent, now);
 }
 
 void EndpointPaths::OnFailure(EndpointKey endpoint, PathEvidence evidence,
-                              Instant now) {
+                              Instant began, Instant now) {
   const auto found = m_paths.find(endpoint);
   if (found == m_paths.end()) return;
   Path& path = found->second;
   path.failed_at = now;
+  path.failure_began = std::min(began, now);
   path.failure = evidence;
-  for (const ServiceName& service : path.services) CheckService(service, now);
+  for (const ServiceName& service : path.services) JudgeService(service, now);
 }
 
-size_t EndpointPaths::FailedOf(const ServiceName& service, Instant now) const {
+EndpointPaths::Failures EndpointPaths::FailuresOf(const ServiceName& service,
+                                                  Instant now) const {
   const auto reached = m_service_reached.find(service);
   const Instant since = std::max(
       now - m_options.max_evidence_age,
       reached == m_service_reached.end() ? Instant{} : reached->second);
-  const std::vector<EndpointKey>& keys = m_by_service.at(service);
-  return std::count_if(keys.begin(), keys.end(), [&](EndpointKey key) {
+  Failures failures;
+  failures.began = now;
+  for (const EndpointKey key : m_by_service.at(service)) {
     const Path& path = m_paths.at(key);
-    return path.failed_at && *path.failed_at >= since;
-  });
+    if (!path.failed_at || *path.failed_at < since) continue;
+    ++failures.endpoints;
+    failures.began = std::min(failures.began, path.failure_began);
+  }
+  return failures;
 }
 
-void EndpointPaths::CheckService(const ServiceName& service, Instant now) {
-  const std::vector<EndpointKey>& keys = m_by_service.at(service);
-  const size_t failed_count = FailedOf(service, now);
-  if (failed_count < std::min(m_options.min_failed, keys.size())) return;
-  const size_t changes = m_changes.size();
-  for (const EndpointKey key : keys) {
+void EndpointPaths::JudgeService(const ServiceName& service, Instant now) {
+  const size_t endpoints = m_by_service.at(service).size();
+  const Failures failures = FailuresOf(service, now);
+  if (failures.endpoints < std::min(m_options.min_failed, endpoints)) return;
+  if (IsBeingChecked(service, now)) return;
+  const auto checked = m_checked.find(service);
+  if (checked != m_checked.end() &&
+      now < checked->second + m_options.check_validity)
+    return;
+  const bool silent = now - failures.began >= m_options.min_silence;
+  const size_t probes = silent ? 0 : StartCheck(service, failures.began, now);
+  RecordDoubt(service, failures.endpoints, probes, now);
+  if (probes == 0) RelayAll(service, failures.began, now);
+}
+
+bool EndpointPaths::WasHeard(const Path& path, Instant began,
+                             Instant now) const {
+  const Duration observed = now - began;
+  return observed >= m_options.min_silence &&
+         path.last_bytes > began + observed / 2;
+}
+
+size_t EndpointPaths::StartCheck(const ServiceName& service, Instant began,
+                                 Instant now) {
+  size_t probes = 0;
+  for (const EndpointKey key : m_by_service.at(service)) {
+    Path& path = m_paths.at(key);
+    const bool unproven =
+        path.usable && !path.failed_at && path.state == PathState::kDirect;
+    if (!unproven || path.probing) continue;
+    path.probe_wanted = true;
+    if (++probes == m_options.max_checked) break;
+  }
+  if (probes == 0) return 0;
+  m_checks[service] = {now + m_options.check_time, probes, began};
+  m_next_probe = now;
+  return probes;
+}
+
+void EndpointPaths::OnCheckProbe(const Path& path, Instant now) {
+  for (const ServiceName& service : path.services) {
+    const auto check = m_checks.find(service);
+    if (check == m_checks.end() || --check->second.open > 0) continue;
+    const Instant began = check->second.began;
+    m_checks.erase(check);
+    RelayAll(service, began, now);
+  }
+}
+
+void EndpointPaths::EndOverdueChecks(Instant now) {
+  std::vector<std::pair<ServiceName, Instant>> overdue;
+  for (const auto& [service, check] : m_checks)
+    if (now >= check.until) overdue.emplace_back(service, check.began);
+  for (const auto& [service, began] : overdue) {
+    m_checks.erase(service);
+    RelayAll(service, began, now);
+  }
+}
+
+void EndpointPaths::RelayAll(const ServiceName& service, Instant began,
+                             Instant now) {
+  const auto keys = m_by_service.find(service);
+  if (keys == m_by_service.end()) return;
+  for (const EndpointKey key : keys->second) {
     Path& path = m_paths.at(key);
     const bool failed = path.failed_at.has_value();
+    if (!failed && WasHeard(path, began, now)) continue;
     Change(key, path, PathState::kRelayed,
            failed ? path.failure : PathEvidence::kOthersFailed, now);
   }
-  if (m_changes.size() == changes) return;
+}
+
+void EndpointPaths::RecordDoubt(const ServiceName& service, size_t failed,
+                                size_t checked, Instant now) {
   ++m_doubt_count;
   PathDoubt& doubt = m_doubts.emplace_back();
   doubt.service = service;
-  doubt.failed = failed_count;
-  doubt.endpoints = keys.size();
+  doubt.failed = failed;
+  doubt.endpoints = m_by_service.at(service).size();
+  doubt.checked = checked;
   const auto reached = m_service_reached.find(service);
   if (reached != m_service_reached.end())
     doubt.reached_ago = now - reached->second;
 }
 
+std::vector<EndpointKey> EndpointPaths::NotHeardSince(
+    const ServiceName& service, Instant since) const {
+  std::vector<EndpointKey> silent;
+  const auto keys = m_by_service.find(service);
+  if (keys == m_by_service.end()) return silent;
+  for (const EndpointKey key : keys->second) {
+    const Path& path = m_paths.at(key);
+    if (path.usable && path.last_bytes < since) silent.push_back(key);
+  }
+  return silent;
+}
+
+bool EndpointPaths::IsBeingChecked(const ServiceName& service,
+                                   Instant now) const {
+  const auto check = m_checks.find(service);
+  return check != m_checks.end() && now < check->second.until;
+}
+
+bool EndpointPaths::IsBeingChecked(EndpointKey endpoint, Instant now) const {
+  const auto found = m_paths.find(endpoint);
+  if (found == m_paths.end()) return false;
+  return std::any_of(
+      found->second.services.begin(), found->second.services.end(),
+      [&](const ServiceName& service) { return IsBeingChecked(service, now); });
+}
+
 PathCounts EndpointPaths::CountOf(const ServiceName& service) const {
   PathCounts counts;
   const auto keys = m_by_service.find(service);
@@ -147,21 +245,26 @@
   Path& path = found->second;
   path.failed_at.reset();
   path.last_reached = now;
-  for (const ServiceName& service : path.services)
+  path.last_bytes = now;
+  for (const ServiceName& service : path.services) {
     m_service_reached[service] = now;
+    if (m_checks.erase(service) > 0) m_checked[service] = now;
+  }
   Change(endpoint, path, PathState::kDirect, PathEvidence::kConnected, now);
 }
 
 // Shows that an open connection works, but not that a new one would.
-void EndpointPaths::OnResponse(EndpointKey endpoint) {
+void EndpointPaths::OnBytes(EndpointKey endpoint, Instant now) {
   const auto found = m_paths.find(endpoint);
   if (found == m_paths.end()) return;
   Path& path = found->second;
+  path.last_bytes = now;
   if (path.failure == PathEvidence::kUnacknowledged) path.failed_at.reset();
 }
 
 void EndpointPaths::OnTimer(const directory::Directory& directory,
                             Instant now) {
+  EndOverdueChecks(now);
   for (auto& [key, path] : m_paths) {
     if (!path.failed_at || path.state == PathState::kRelayed) continue;
     const directory::Endpoint* endpoint = directory.Find(path.id);
@@ -236,20 +339,32 @@
 
 std::vector<ServiceName> EndpointPaths::UnreachableServices() const {
   std::vector<ServiceName> services;
-  for (const auto& [service, keys] : m_by_service) {
-    size_t usable = 0;
-    size_t relayed = 0;
-    for (const EndpointKey key : keys) {
-      const Path& path = m_paths.at(key);
-      if (!path.usable) continue;
-      ++usable;
-      relayed += path.state == PathState::kRelayed ? 1 : 0;
-    }
-    if (usable > 0 && relayed == usable) services.push_back(service);
-  }
+  for (const auto& [service, keys] : m_by_service)
+    if (IsUnreachable(keys)) services.push_back(service);
   return services;
 }
 
+bool EndpointPaths::IsUnreachable(const std::vector<EndpointKey>& keys) const {
+  size_t usable = 0;
+  size_t relayed = 0;
+  for (const EndpointKey key : keys) {
+    const Path& path = m_paths.at(key);
+    if (!path.usable) continue;
+    ++usable;
+    relayed += path.state == PathState::kRelayed ? 1 : 0;
+  }
+  return usable > 0 && relayed == usable;
+}
+
+bool EndpointPaths::IsAnyUnreachable(
+    const std::vector<ServiceName>& services) const {
+  return std::any_of(
+      services.begin(), services.end(), [&](const ServiceName& service) {
+        const auto keys = m_by_service.find(service);
+        return keys != m_by_service.end() && IsUnreachable(keys->second);
+      });
+}
+
 std::vector<EndpointKey> EndpointPaths::RelayedEndpoints() const {
   std::vector<EndpointKey> keys;
   for (const auto& [key, path] : m_paths)
@@ -258,15 +373,21 @@
 }
 
 std::vector<EndpointPaths::Probe> EndpointPaths::TakeProbes(Instant now) {
+  EndOverdueChecks(now);
   std::vector<Probe> probes;
+  if (now < m_next_probe) return probes;
+  m_next_probe = Instant::max();
   for (auto& [key, path] : m_paths) {
-    if (m_open_probes >= m_options.max_open_probes) break;
-    const bool due = path.state == PathState::kRelayed && path.usable &&
-                     !path.probing && now >= path.probe_at;
-    if (!due) continue;
-    path.probing = true;
-    ++m_open_probes;
-    probes.push_back({key, path.address});
+    if (path.probing) continue;
+    const bool relayed = path.state == PathState::kRelayed && path.usable;
+    const bool has_room = m_open_probes < m_options.max_open_probes;
+    if (path.probe_wanted || (relayed && has_room && now >= path.probe_at)) {
+      path.probing = true;
+      ++m_open_probes;
+      probes.push_back({key, path.address});
+    } else if (relayed) {
+      m_next_probe = std::min(m_next_probe, std::max(now, path.probe_at));
+    }
   }
   return probes;
 }
@@ -278,11 +399,18 @@
   Path& path = found->second;
   path.probing = false;
   --m_open_probes;
+  const bool wanted = std::exchange(path.probe_wanted, false);
   if (connected) return OnConnected(endpoint, now);
   path.probe_interval =
       std::clamp(path.probe_interval * 2, m_options.min_probe_interval,
                  m_options.max_probe_interval);
   path.probe_at = now + path.probe_interval;
+  m_next_probe = std::min(m_next_probe, path.probe_at);
+  if (!wanted) return;
+  path.failed_at = now;
+  path.failure_began = now;
+  path.failure = PathEvidence::kConnectFailed;
+  OnCheckProbe(path, now);
 }
 
 void EndpointPaths::Change(EndpointKey endpoint, Path& path, PathState to,
@@ -292,6 +420,7 @@
   path.relayed_for = evidence;
   path.probe_at = now;
   path.probe_interval = 0s;
+  m_next_probe = now;
   m_changes.push_back(
       {endpoint, path.id, to, evidence, now - path.last_reached});
 }
--- a/src/dotterelshift/gateway/endpoint_paths_test.cc
+++ b/src/dotterelshift/gateway/endpoint_paths_test.cc
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr int kEngines = 6;
+constexpr Duration kConnectTime = 300ms;
 
 EndpointKey KeyOf(const EndpointId& id) { return directory::PulseKey(id, 1); }
 
@@ -34,6 +35,12 @@
   CPPUNIT_TEST(RelaysThatAreCutOffThemselvesAreNotUsed);
   CPPUNIT_TEST(FailedRelayIsAvoidedForAWhile);
   CPPUNIT_TEST(WithoutARelayTheDirectPathIsUsed);
+  CPPUNIT_TEST(RefusedConnectionsAreCheckedBeforeOthersAreMistrusted);
+  CPPUNIT_TEST(CheckThatReachesAnEndpointChangesNoPath);
+  CPPUNIT_TEST(CheckThatReachesNoneRelaysAll);
+  CPPUNIT_TEST(CheckWithoutAnAnswerRelaysAllSoon);
+  CPPUNIT_TEST(EndpointsThatAreHeardMeanwhileStayDirect);
+  CPPUNIT_TEST(CrashesInSeriesCauseFewChecks);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -49,7 +56,7 @@
   }
 
   void CrashOfOneEndpointChangesNoPath() {
-    for (int i = 0; i < 5; ++i) m_paths->OnConnectFailed(KeyOf("llm1"), m_now);
+    for (int i = 0; i < 5; ++i) TimeOut(KeyOf("llm1"));
     CPPUNIT_ASSERT(m_paths->TakeChanges().empty());
   }
 
@@ -63,18 +70,18 @@
   }
 
   void FailuresWithAConnectionBetweenAreTheEndpoints() {
-    m_paths->OnConnectFailed(KeyOf("llm0"), m_now);
+    TimeOut(KeyOf("llm0"));
     m_now += 100ms;
     m_paths->OnConnected(KeyOf("llm2"), m_now);
     m_now += 100ms;
-    m_paths->OnConnectFailed(KeyOf("llm1"), m_now);
+    TimeOut(KeyOf("llm1"));
     CPPUNIT_ASSERT(m_paths->TakeChanges().empty());
   }
 
   void OldFailuresDoNotCount() {
-    m_paths->OnConnectFailed(KeyOf("llm0"), m_now);
+    TimeOut(KeyOf("llm0"));
     m_now += EndpointPathsOptions().max_evidence_age + 1ms;
-    m_paths->OnConnectFailed(KeyOf("llm1"), m_now);
+    TimeOut(KeyOf("llm1"));
     CPPUNIT_ASSERT(m_paths->TakeChanges().empty());
   }
 
@@ -84,29 +91,29 @@
   }
 
   void UnacknowledgedBytesAreEvidence() {
-    m_paths->OnUnacknowledged(KeyOf("llm0"), m_now);
-    m_paths->OnUnacknowledged(KeyOf("llm1"), m_now);
+    m_paths->OnUnacknowledged(KeyOf("llm0"), m_now - kConnectTime, m_now);
+    m_paths->OnUnacknowledged(KeyOf("llm1"), m_now - kConnectTime, m_now);
     CPPUNIT_ASSERT(m_paths->IsRelayed(KeyOf("llm2")));
   }
 
   // An endpoint that is silent for a second goes on.
   void ResponseRefutesUnacknowledgedBytes() {
-    m_paths->OnUnacknowledged(KeyOf("llm0"), m_now);
-    m_paths->OnResponse(KeyOf("llm0"));
-    m_paths->OnUnacknowledged(KeyOf("llm1"), m_now);
+    m_paths->OnUnacknowledged(KeyOf("llm0"), m_now - kConnectTime, m_now);
+    m_paths->OnBytes(KeyOf("llm0"), m_now);
+    m_paths->OnUnacknowledged(KeyOf("llm1"), m_now - kConnectTime, m_now);
     CPPUNIT_ASSERT(m_paths->TakeChanges().empty());
   }
 
   // Open connections may live on while new ones are refused.
   void ResponseOnAnOpenConnectionDoesNotRefuteARefusedOne() {
-    m_paths->OnConnectFailed(KeyOf("llm0"), m_now);
-    m_paths->OnResponse(KeyOf("llm0"));
-    m_paths->OnConnectFailed(KeyOf("llm1"), m_now);
+    TimeOut(KeyOf("llm0"));
+    m_paths->OnBytes(KeyOf("llm0"), m_now);
+    TimeOut(KeyOf("llm1"));
     CPPUNIT_ASSERT(m_paths->IsRelayed(KeyOf("llm0")));
   }
 
   void AnnouncementAfterAFailureShowsThatOnlyThePathFailed() {
-    m_paths->OnConnectFailed(KeyOf("llm0"), m_now);
+    TimeOut(KeyOf("llm0"));
     m_now += 100ms;
     Announce("llm0", "llm");
     m_paths->OnTimer(m_directory, m_now);
@@ -156,7 +163,7 @@
     m_paths->OnDirectory(m_directory, m_now);
     for (const auto& probe : probes)
       m_paths->OnProbeEnded(probe.endpoint, false, m_now);
-    m_paths->OnConnectFailed(KeyOf("other"), m_now);
+    TimeOut(KeyOf("other"));
     CPPUNIT_ASSERT_EQUAL(size_t{1}, m_paths->TakeProbes(m_now).size());
   }
 
@@ -198,6 +205,57 @@
     CPPUNIT_ASSERT_EQUAL(HostId("near"), RelayOf("llm1"));
   }
 
+  void RefusedConnectionsAreCheckedBeforeOthersAreMistrusted() {
+    CPPUNIT_ASSERT_EQUAL(size_t{kEngines - 2}, RefuseTwo().size());
+    CPPUNIT_ASSERT(m_paths->TakeChanges().empty());
+    CPPUNIT_ASSERT(m_paths->IsBeingChecked(KeyOf("llm3"), m_now));
+    CPPUNIT_ASSERT(!m_paths->IsBeingChecked(KeyOf("p0"), m_now));
+  }
+
+  void CheckThatReachesAnEndpointChangesNoPath() {
+    const auto probes = RefuseTwo();
+    m_paths->OnProbeEnded(probes[0].endpoint, false, m_now);
+    m_paths->OnProbeEnded(probes[1].endpoint, true, m_now);
+    CPPUNIT_ASSERT(!m_paths->IsBeingChecked(KeyOf("llm3"), m_now));
+    m_paths->OnProbeEnded(probes[2].endpoint, false, m_now);
+    m_paths->OnProbeEnded(probes[3].endpoint, false, m_now);
+    CPPUNIT_ASSERT(m_paths->TakeChanges().empty());
+  }
+
+  void CheckThatReachesNoneRelaysAll() {
+    for (const auto& probe : RefuseTwo())
+      m_paths->OnProbeEnded(probe.endpoint, false, m_now);
+    CPPUNIT_ASSERT_EQUAL(size_t{kEngines}, m_paths->TakeChanges().size());
+  }
+
+  void CheckWithoutAnAnswerRelaysAllSoon() {
+    (void)RefuseTwo();
+    m_now += EndpointPathsOptions().check_time;
+    (void)m_paths->TakeProbes(m_now);
+    CPPUNIT_ASSERT_EQUAL(size_t{kEngines}, m_paths->TakeChanges().size());
+  }
+
+  // Two crashed hosts do not answer connection requests.
+  void EndpointsThatAreHeardMeanwhileStayDirect() {
+    m_now += kConnectTime;
+    m_paths->OnBytes(KeyOf("llm2"), m_now - kConnectTime);
+    m_paths->OnBytes(KeyOf("llm3"), m_now - 10ms);
+    CutOffFromEngines();
+    CPPUNIT_ASSERT(m_paths->IsRelayed(KeyOf("llm2")));
+    CPPUNIT_ASSERT(!m_paths->IsRelayed(KeyOf("llm3")));
+  }
+
+  void CrashesInSeriesCauseFewChecks() {
+    for (int step = 0; step < 100; ++step) {
+      m_now += 10ms;
+      for (const auto& probe : RefuseTwo())
+        m_paths->OnProbeEnded(probe.endpoint, true, m_now);
+    }
+    const auto validity = EndpointPathsOptions().check_validity;
+    CPPUNIT_ASSERT(m_paths->Doubts() <= uint64_t(1s / validity) + 1);
+    CPPUNIT_ASSERT(m_paths->TakeChanges().empty());
+  }
+
   void WithoutARelayTheDirectPathIsUsed() {
     CutOffFromEngines();
     CPPUNIT_ASSERT(!m_paths->RelayTo(KeyOf("llm0"), m_now));
@@ -214,9 +272,23 @@
     m_directory.OnRecord(record, m_now);
   }
 
+  // No answer to a connection request.
+  void TimeOut(EndpointKey endpoint) {
+    m_paths->OnConnectFailed(endpoint, m_now - kConnectTime, m_now);
+  }
+  void Refuse(EndpointKey endpoint) {
+    m_paths->OnConnectFailed(endpoint, m_now, m_now);
+  }
+  // Two engines refuse connections. Returns the probes of the check.
+  std::vector<EndpointPaths::Probe> RefuseTwo() {
+    Refuse(KeyOf("llm0"));
+    Refuse(KeyOf("llm1"));
+    return m_paths->TakeProbes(m_now);
+  }
+
   void CutOffFromEngines() {
-    m_paths->OnConnectFailed(KeyOf("llm0"), m_now);
-    m_paths->OnConnectFailed(KeyOf("llm1"), m_now);
+    TimeOut(KeyOf("llm0"));
+    TimeOut(KeyOf("llm1"));
   }
 
   void Offer(const HostId& host, const DataCentreId& data_centre,
--- a/src/dotterelshift/relay/relay_server.cc
+++ b/src/dotterelshift/relay/relay_server.cc
@@ -4,7 +4,7 @@
 #include <sys/socket.h>  // for connect
 #include <unistd.h>      // for close
 
-#include <algorithm>    // for count_if
+#include <algorithm>    // for count_if, max
 #include <array>        // for array
 #include <cerrno>       // for errno
 #include <map>          // for map
@@ -185,8 +185,8 @@
   void Connect(Session& session) {
     session.target =
         ConnectFrom(m_options.source_address, session.request.target);
-    if (session.target < 0) return OnConnectFailed(session, false);
     session.deadline = m_loop.Now() + m_options.connect_timeout;
+    if (session.target < 0) return OnConnectFailed(session, false);
     const std::weak_ptr<Session> weak = Find(session);
     session.watcher = std::make_unique<loop::IoWatcher>(
         m_loop, session.target, EV_WRITE, [this, weak](int) {
@@ -221,7 +221,10 @@
 
   void OnConnectFailed(Session& session, bool timed_out) {
     session.watcher.reset();
-    if (m_callbacks.on_connect_failed(session.request.target))
+    const Duration took =
+        m_options.connect_timeout -
+        std::max<Duration>(0s, session.deadline - m_loop.Now());
+    if (m_callbacks.on_connect_failed(session.request.target, took))
       return Refuse(session, TunnelEvent::kNotNow);
     Refuse(session, timed_out ? TunnelEvent::kTargetTimedOut
                               : TunnelEvent::kTargetRefused);
--- a/src/dotterelshift/relay/relay_server_test.cc
+++ b/src/dotterelshift/relay/relay_server_test.cc
@@ -53,7 +53,7 @@
     options.idle_after = 0s;
     RelayCallbacks callbacks;
     callbacks.admit = [this](const std::string&) { return m_admission; };
-    callbacks.on_connect_failed = [this](const std::string&) {
+    callbacks.on_connect_failed = [this](const std::string&, Duration) {
       return m_own_failure;
     };
     callbacks.on_event = [this](const TunnelReport& report) {
