The daemon that heard an endpoint last reports its silence, however seldom it heard it

Callers saw: requests were sent for a minute to an endpoint that had crashed within its first two seconds. Ruled out: a daemon that keeps the record alive (no other one had heard it: the test has a single announcement).

--- a/src/dotterelshift/directory/spread.cc
+++ b/src/dotterelshift/directory/spread.cc
@@ -288,9 +288,14 @@
   return std::max(digest, kNoRecordsDigest);
 }
 
+// The daemon that received the last announcement reports the silence, also of
+// an endpoint that announced itself only once or twice: entries rely on it.
 void Spread::AnnounceSilence(Instant now) {
   for (const auto& [id, endpoint] : m_directory->All()) {
-    const bool silent = endpoint.announced_here && !endpoint.usable &&
+    const auto tracked = m_known.find(id);
+    const bool heard_here = tracked != m_known.end() &&
+                            tracked->second.consecutive_announcements > 0;
+    const bool silent = heard_here && !endpoint.usable &&
                         !endpoint.record.silent && !endpoint.record.draining &&
                         !endpoint.record.gone && now >= endpoint.dead_until;
     if (!silent) continue;
