A stream that ends with its connection before its first event is broken off

Cause: the end of the connection was taken for the end of the response whenever no partial event was left, also when nothing had arrived at all. Class: the absence of a sign of failure taken for a sign of success. Ruled out: partial events that were passed on (the check of those holds, second part of the test); chunked responses (their own end is missing then). ResponseInfo::framed says whether a response has a length or chunks; a stream without either and without an event was broken off: another attempt where it may run again, a visible end otherwise. CoreTest::StreamThatEndsWithItsConnectionBeforeAnEventIsBroken failed before.

--- a/include/dotterelshift/gateway/request.h
+++ b/include/dotterelshift/gateway/request.h
@@ -61,6 +61,9 @@
   std::optional<uint32_t> refusal_limit;
   bool event_stream = false;
   bool encoded = false;  // has a content encoding that was not requested
+  // Its length is known or it comes in chunks. Otherwise it ends with its
+  // connection, and a crash of the endpoint looks like its end.
+  bool framed = false;
 };
 
 }  // namespace dotterelshift::gateway
--- a/src/dotterelshift/gateway/core_response.cc
+++ b/src/dotterelshift/gateway/core_response.cc
@@ -174,9 +174,12 @@
   const Attempt& attempt = active.attempt;
   const bool unproven =
       IsSuccess(attempt.status) && !attempt.response_info.has_proof;
-  const bool partial_event = active.stage == Stage::kAnswering &&
-                             !active.scanner.PartialEvent().empty();
-  if (unproven || partial_event)
+  const bool streamed = active.stage == Stage::kAnswering;
+  const bool partial_event = streamed && !active.scanner.PartialEvent().empty();
+  // The endpoint crashed inside the first event, of which nothing arrived.
+  const bool no_event =
+      streamed && !attempt.response_info.framed && attempt.events == 0;
+  if (unproven || partial_event || no_event)
     return OnAttemptFailed(active, http::TransferEnd::kCut, now);
   OnCompleteResponse(active, now);
 }
