--- a/include/dotterelshift/gateway/core.h
+++ b/include/dotterelshift/gateway/core.h
@@ -12,6 +12,7 @@
 #include "dotterelshift/base/error.h"              // for ErrorKind
 #include "dotterelshift/base/ids.h"                // for RequestId, AttemptId
 #include "dotterelshift/base/time.h"               // for Instant
+#include "dotterelshift/gateway/crash_suspects.h"  // for SuspectReport
 #include "dotterelshift/gateway/drain.h"           // for DrainSchedule
 #include "dotterelshift/gateway/endpoint_paths.h"  // for EndpointPaths
 #include "dotterelshift/gateway/fleet_load.h"      // for FleetLoad
@@ -61,6 +62,12 @@
   // Minimum retry delay sent to a caller when no endpoint can run its request
   // in time.
   Duration min_retry_after = 500ms;
+  // How long a request with a suspected segment may wait for the permission to
+  // be tried: a few round trips to control and a commit.
+  Duration trial_wait = 150ms;
+  // How long it may take until a broken attempt's endpoint is known to have
+  // ended: a connection to it is refused, and others are heard from.
+  Duration crash_decision_time = 500ms;
   // How long a resumed stream's events are withheld until it is proven that
   // their endpoint has the version that began the stream: a heartbeat of the
   // endpoint and its way here.
@@ -134,17 +141,6 @@
                             Refuse, RelayResponse, RelayHead, RelayChunk,
                             FinishStream, AbortStream, Decision>;
 
-// A report to control that an endpoint failed while it ran a request with this
-// content, or that a suspected content got a complete response. Control counts
-// the reports of all entries.
-struct SuspectReport {
-  uint64_t content_hash = 0;
-  EndpointId endpoint;  // empty: the content is cleared of suspicion
-  uint64_t incarnation = 0;
-  // No other request ran at the endpoint, as far as this entry knows.
-  bool alone = false;
-};
-
 // Requests that are queued for the outbound link.
 struct LinkQueue {
   size_t requests = 0;
@@ -214,6 +210,8 @@
   virtual size_t OpenRequests() const = 0;
   virtual LinkQueue WaitingForLink() const = 0;
   virtual const ResumptionCounts& Resumptions() const = 0;
+  // Requests refused for a suspected segment, since the start.
+  virtual uint64_t SuspectRefusals() const = 0;
 };
 
 struct CoreDependencies {
@@ -226,6 +224,7 @@
   ServiceVersions* versions = nullptr;
   EndpointRuns* runs = nullptr;
   StreamOrigins* origins = nullptr;
+  CrashSuspects* suspects = nullptr;  // null: segments are not suspected
 };
 
 std::unique_ptr<Core> MakeCore(const CoreOptions& options,
--- a/include/dotterelshift/gateway/endpoint_paths.h
+++ b/include/dotterelshift/gateway/endpoint_paths.h
@@ -68,6 +68,13 @@
   std::vector<ServiceName> unreachable;  // services that it cannot reach itself
 };
 
+// What is known of an endpoint since a connection to it broke.
+enum class EndpointSign : uint8_t {
+  kNone,
+  kAlive,        // it was reached, or sent something
+  kUnreachable,  // a connection could not be established, or it is gone
+};
+
 struct EndpointPathsOptions {
   DataCentreId data_centre;  // of this entry
   // Endpoints of one service that cannot be reached one after the other, with
@@ -85,6 +92,11 @@
   // After a check has reached an endpoint, failures are the endpoints' own for
   // this long, so that crashes in series do not cause a check each.
   Duration check_validity = 300ms;
+  // What was sent before a connection broke may still be read for this long.
+  Duration read_delay = 50ms;
+  // An endpoint that crashes may still accept connections for this long after
+  // it closed the first one.
+  Duration accept_delay = 25ms;
   // An announcement made later than this after a failure shows that the
   // endpoint runs; one made earlier may have been sent before it crashed.
   Duration announcement_margin = 300ms;
@@ -160,6 +172,15 @@
   size_t Relays() const { return m_relays.size(); }
   PathCounts CountOf(const ServiceName& service) const;
 
+  // Probes an endpoint whose connection broke, and another one of the service
+  // if none was heard from lately.
+  void ProbeNow(EndpointKey endpoint, const ServiceName& service, Instant now);
+  EndpointSign SignSince(EndpointKey endpoint, Instant since) const;
+  // Whether another endpoint of the service sent something since then. True if
+  // there is no other.
+  bool HeardFromOthers(const ServiceName& service, EndpointKey endpoint,
+                       Instant since) const;
+
   // Endpoints to probe now, with their addresses. Each probe ends with
   // OnProbeEnded().
   struct Probe {
--- a/include/dotterelshift/gateway/fleet_load.h
+++ b/include/dotterelshift/gateway/fleet_load.h
@@ -75,6 +75,8 @@
 struct ChoiceLimits {
   std::vector<EndpointKey> excluded;
   std::optional<SoftwareKey> software;  // nullopt: any
+  std::vector<SoftwareKey> barred_software;
+  bool idle = false;  // only endpoints without requests
 };
 
 // How many endpoints of a service this entry knows as usable, and how many of
--- a/include/dotterelshift/gateway/service_versions.h
+++ b/include/dotterelshift/gateway/service_versions.h
@@ -52,6 +52,8 @@
   // The software of a service if no other version of it was known within
   // `kMemory`; nullopt: there are several, or none.
   std::optional<SoftwareKey> Only(const ServiceName& service) const;
+  // The software versions of a service that serve.
+  std::vector<SoftwareKey> SoftwareOf(const ServiceName& service) const;
   // Whether an endpoint of this software serves.
   bool Serves(SoftwareKey software) const;
   // Name of a version for the log; empty: not known here.
--- a/include/dotterelshift/state/state.h
+++ b/include/dotterelshift/state/state.h
@@ -72,6 +72,12 @@
   // in flight at each of them.
   uint32_t quarantine_after = 3;
   WallMs quarantine_duration_ms = 600'000;
+  // The first block of a prompt segment; each later one is twice as long, up to
+  // the duration above.
+  WallMs first_segment_block_ms = 30'000;
+  // How long an entry may try a suspected segment alone: a request's prefill
+  // and the beginning of its response.
+  WallMs trial_lease_ms = 1'000;
   WallMs suspect_retention_ms = 3'600'000;
   // How long the request keys of compacted requests are recognised.
   WallMs expired_key_retention_ms = 30 * 24 * 3600 * 1000LL;
@@ -138,6 +144,7 @@
   // Whether a top-up with this id has been applied.
   virtual bool KnowsTopUp(const std::string& top_up) const = 0;
   virtual std::vector<wire::OrderT> Orders() const = 0;
+  // Quarantined contents, and prompt segments that are blocked or suspected.
   virtual std::vector<wire::SuspectAnswerT> Quarantined(WallMs now) const = 0;
   struct HostEntry {
     HostRun run;
--- a/include/dotterelshift/wire/commands_generated.h
+++ b/include/dotterelshift/wire/commands_generated.h
@@ -140,6 +140,10 @@
 struct ClearSuspectBuilder;
 struct ClearSuspectT;
 
+struct TrySuspect;
+struct TrySuspectBuilder;
+struct TrySuspectT;
+
 struct StorePlan;
 struct StorePlanBuilder;
 struct StorePlanT;
@@ -764,11 +768,12 @@
   ReportSpend = 15,
   MoveGrant = 16,
   ReportHoldings = 17,
+  TrySuspect = 18,
   MIN = NONE,
-  MAX = ReportHoldings
+  MAX = TrySuspect
 };
 
-inline const CommandBody (&EnumValuesCommandBody())[18] {
+inline const CommandBody (&EnumValuesCommandBody())[19] {
   static const CommandBody values[] = {
     CommandBody::NONE,
     CommandBody::RegisterHost,
@@ -787,13 +792,14 @@
     CommandBody::PublishRoutes,
     CommandBody::ReportSpend,
     CommandBody::MoveGrant,
-    CommandBody::ReportHoldings
+    CommandBody::ReportHoldings,
+    CommandBody::TrySuspect
   };
   return values;
 }
 
 inline const char * const *EnumNamesCommandBody() {
-  static const char * const names[19] = {
+  static const char * const names[20] = {
     "NONE",
     "RegisterHost",
     "RequestGrant",
@@ -812,13 +818,14 @@
     "ReportSpend",
     "MoveGrant",
     "ReportHoldings",
+    "TrySuspect",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameCommandBody(CommandBody e) {
-  if (flatbuffers::IsOutRange(e, CommandBody::NONE, CommandBody::ReportHoldings)) return "";
+  if (flatbuffers::IsOutRange(e, CommandBody::NONE, CommandBody::TrySuspect)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesCommandBody()[index];
 }
@@ -895,6 +902,10 @@
   static const CommandBody enum_value = CommandBody::ReportHoldings;
 };
 
+template<> struct CommandBodyTraits<dotterelshift::wire::TrySuspect> {
+  static const CommandBody enum_value = CommandBody::TrySuspect;
+};
+
 template<typename T> struct CommandBodyUnionTraits {
   static const CommandBody enum_value = CommandBody::NONE;
 };
@@ -967,6 +978,10 @@
   static const CommandBody enum_value = CommandBody::ReportHoldings;
 };
 
+template<> struct CommandBodyUnionTraits<dotterelshift::wire::TrySuspectT> {
+  static const CommandBody enum_value = CommandBody::TrySuspect;
+};
+
 struct CommandBodyUnion {
   CommandBody type;
   void *value;
@@ -1133,6 +1148,14 @@
     return type == CommandBody::ReportHoldings ?
       reinterpret_cast<const dotterelshift::wire::ReportHoldingsT *>(value) : nullptr;
   }
+  dotterelshift::wire::TrySuspectT *AsTrySuspect() {
+    return type == CommandBody::TrySuspect ?
+      reinterpret_cast<dotterelshift::wire::TrySuspectT *>(value) : nullptr;
+  }
+  const dotterelshift::wire::TrySuspectT *AsTrySuspect() const {
+    return type == CommandBody::TrySuspect ?
+      reinterpret_cast<const dotterelshift::wire::TrySuspectT *>(value) : nullptr;
+  }
 };
 
 bool VerifyCommandBody(flatbuffers::Verifier &verifier, const void *obj, CommandBody type);
@@ -1180,6 +1203,39 @@
   return EnumNamesClaimState()[index];
 }
 
+enum class SuspectTrial : uint8_t {
+  None = 0,
+  Granted = 1,
+  Denied = 2,
+  MIN = None,
+  MAX = Denied
+};
+
+inline const SuspectTrial (&EnumValuesSuspectTrial())[3] {
+  static const SuspectTrial values[] = {
+    SuspectTrial::None,
+    SuspectTrial::Granted,
+    SuspectTrial::Denied
+  };
+  return values;
+}
+
+inline const char * const *EnumNamesSuspectTrial() {
+  static const char * const names[4] = {
+    "None",
+    "Granted",
+    "Denied",
+    nullptr
+  };
+  return names;
+}
+
+inline const char *EnumNameSuspectTrial(SuspectTrial e) {
+  if (flatbuffers::IsOutRange(e, SuspectTrial::None, SuspectTrial::Denied)) return "";
+  const size_t index = static_cast<size_t>(e);
+  return EnumNamesSuspectTrial()[index];
+}
+
 enum class AnswerBody : uint8_t {
   NONE = 0,
   GrantAnswer = 1,
@@ -4503,6 +4559,8 @@
   std::string endpoint{};
   uint64_t endpoint_incarnation = 0;
   bool alone = false;
+  bool shared = false;
+  uint64_t team = 0;
 };
 
 struct ReportSuspect FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -4513,7 +4571,9 @@
     VT_CONTENT_HASH = 4,
     VT_ENDPOINT = 6,
     VT_ENDPOINT_INCARNATION = 8,
-    VT_ALONE = 10
+    VT_ALONE = 10,
+    VT_SHARED = 12,
+    VT_TEAM = 14
   };
   uint64_t content_hash() const {
     return GetField<uint64_t>(VT_CONTENT_HASH, 0);
@@ -4527,6 +4587,12 @@
   bool alone() const {
     return GetField<uint8_t>(VT_ALONE, 0) != 0;
   }
+  bool shared() const {
+    return GetField<uint8_t>(VT_SHARED, 0) != 0;
+  }
+  uint64_t team() const {
+    return GetField<uint64_t>(VT_TEAM, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_CONTENT_HASH, 8) &&
@@ -4534,6 +4600,8 @@
            verifier.VerifyString(endpoint()) &&
            VerifyField<uint64_t>(verifier, VT_ENDPOINT_INCARNATION, 8) &&
            VerifyField<uint8_t>(verifier, VT_ALONE, 1) &&
+           VerifyField<uint8_t>(verifier, VT_SHARED, 1) &&
+           VerifyField<uint64_t>(verifier, VT_TEAM, 8) &&
            verifier.EndTable();
   }
   ReportSuspectT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -4557,6 +4625,12 @@
   void add_alone(bool alone) {
     fbb_.AddElement<uint8_t>(ReportSuspect::VT_ALONE, static_cast<uint8_t>(alone), 0);
   }
+  void add_shared(bool shared) {
+    fbb_.AddElement<uint8_t>(ReportSuspect::VT_SHARED, static_cast<uint8_t>(shared), 0);
+  }
+  void add_team(uint64_t team) {
+    fbb_.AddElement<uint64_t>(ReportSuspect::VT_TEAM, team, 0);
+  }
   explicit ReportSuspectBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -4573,11 +4647,15 @@
     uint64_t content_hash = 0,
     flatbuffers::Offset<flatbuffers::String> endpoint = 0,
     uint64_t endpoint_incarnation = 0,
-    bool alone = false) {
+    bool alone = false,
+    bool shared = false,
+    uint64_t team = 0) {
   ReportSuspectBuilder builder_(_fbb);
+  builder_.add_team(team);
   builder_.add_endpoint_incarnation(endpoint_incarnation);
   builder_.add_content_hash(content_hash);
   builder_.add_endpoint(endpoint);
+  builder_.add_shared(shared);
   builder_.add_alone(alone);
   return builder_.Finish();
 }
@@ -4592,14 +4670,18 @@
     uint64_t content_hash = 0,
     const char *endpoint = nullptr,
     uint64_t endpoint_incarnation = 0,
-    bool alone = false) {
+    bool alone = false,
+    bool shared = false,
+    uint64_t team = 0) {
   auto endpoint__ = endpoint ? _fbb.CreateString(endpoint) : 0;
   return dotterelshift::wire::CreateReportSuspect(
       _fbb,
       content_hash,
       endpoint__,
       endpoint_incarnation,
-      alone);
+      alone,
+      shared,
+      team);
 }
 
 flatbuffers::Offset<ReportSuspect> CreateReportSuspect(flatbuffers::FlatBufferBuilder &_fbb, const ReportSuspectT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -4662,6 +4744,64 @@
 
 flatbuffers::Offset<ClearSuspect> CreateClearSuspect(flatbuffers::FlatBufferBuilder &_fbb, const ClearSuspectT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct TrySuspectT : public flatbuffers::NativeTable {
+  typedef TrySuspect TableType;
+  uint64_t content_hash = 0;
+};
+
+struct TrySuspect FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef TrySuspectT NativeTableType;
+  typedef TrySuspectBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_CONTENT_HASH = 4
+  };
+  uint64_t content_hash() const {
+    return GetField<uint64_t>(VT_CONTENT_HASH, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_CONTENT_HASH, 8) &&
+           verifier.EndTable();
+  }
+  TrySuspectT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(TrySuspectT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<TrySuspect> Pack(flatbuffers::FlatBufferBuilder &_fbb, const TrySuspectT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct TrySuspectBuilder {
+  typedef TrySuspect Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_content_hash(uint64_t content_hash) {
+    fbb_.AddElement<uint64_t>(TrySuspect::VT_CONTENT_HASH, content_hash, 0);
+  }
+  explicit TrySuspectBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<TrySuspect> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<TrySuspect>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<TrySuspect> CreateTrySuspect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t content_hash = 0) {
+  TrySuspectBuilder builder_(_fbb);
+  builder_.add_content_hash(content_hash);
+  return builder_.Finish();
+}
+
+struct TrySuspect::Traits {
+  using type = TrySuspect;
+  static auto constexpr Create = CreateTrySuspect;
+};
+
+flatbuffers::Offset<TrySuspect> CreateTrySuspect(flatbuffers::FlatBufferBuilder &_fbb, const TrySuspectT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct StorePlanT : public flatbuffers::NativeTable {
   typedef StorePlan TableType;
   std::unique_ptr<dotterelshift::wire::PlanT> plan{};
@@ -5638,6 +5778,9 @@
   const dotterelshift::wire::ReportHoldings *body_as_ReportHoldings() const {
     return body_type() == dotterelshift::wire::CommandBody::ReportHoldings ? static_cast<const dotterelshift::wire::ReportHoldings *>(body()) : nullptr;
   }
+  const dotterelshift::wire::TrySuspect *body_as_TrySuspect() const {
+    return body_type() == dotterelshift::wire::CommandBody::TrySuspect ? static_cast<const dotterelshift::wire::TrySuspect *>(body()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_ID) &&
@@ -5720,6 +5863,10 @@
   return body_as_ReportHoldings();
 }
 
+template<> inline const dotterelshift::wire::TrySuspect *Command::body_as<dotterelshift::wire::TrySuspect>() const {
+  return body_as_TrySuspect();
+}
+
 struct CommandBuilder {
   typedef Command Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -6194,6 +6341,10 @@
   uint64_t content_hash = 0;
   uint32_t endpoints = 0;
   int64_t quarantined_until_ms = 0;
+  bool shared = false;
+  bool suspected = false;
+  uint32_t blocked_ms = 0;
+  dotterelshift::wire::SuspectTrial trial = dotterelshift::wire::SuspectTrial::None;
 };
 
 struct SuspectAnswer FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -6203,7 +6354,11 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_CONTENT_HASH = 4,
     VT_ENDPOINTS = 6,
-    VT_QUARANTINED_UNTIL_MS = 8
+    VT_QUARANTINED_UNTIL_MS = 8,
+    VT_SHARED = 10,
+    VT_SUSPECTED = 12,
+    VT_BLOCKED_MS = 14,
+    VT_TRIAL = 16
   };
   uint64_t content_hash() const {
     return GetField<uint64_t>(VT_CONTENT_HASH, 0);
@@ -6214,11 +6369,27 @@
   int64_t quarantined_until_ms() const {
     return GetField<int64_t>(VT_QUARANTINED_UNTIL_MS, 0);
   }
+  bool shared() const {
+    return GetField<uint8_t>(VT_SHARED, 0) != 0;
+  }
+  bool suspected() const {
+    return GetField<uint8_t>(VT_SUSPECTED, 0) != 0;
+  }
+  uint32_t blocked_ms() const {
+    return GetField<uint32_t>(VT_BLOCKED_MS, 0);
+  }
+  dotterelshift::wire::SuspectTrial trial() const {
+    return static_cast<dotterelshift::wire::SuspectTrial>(GetField<uint8_t>(VT_TRIAL, 0));
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_CONTENT_HASH, 8) &&
            VerifyField<uint32_t>(verifier, VT_ENDPOINTS, 4) &&
            VerifyField<int64_t>(verifier, VT_QUARANTINED_UNTIL_MS, 8) &&
+           VerifyField<uint8_t>(verifier, VT_SHARED, 1) &&
+           VerifyField<uint8_t>(verifier, VT_SUSPECTED, 1) &&
+           VerifyField<uint32_t>(verifier, VT_BLOCKED_MS, 4) &&
+           VerifyField<uint8_t>(verifier, VT_TRIAL, 1) &&
            verifier.EndTable();
   }
   SuspectAnswerT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -6239,6 +6410,18 @@
   void add_quarantined_until_ms(int64_t quarantined_until_ms) {
     fbb_.AddElement<int64_t>(SuspectAnswer::VT_QUARANTINED_UNTIL_MS, quarantined_until_ms, 0);
   }
+  void add_shared(bool shared) {
+    fbb_.AddElement<uint8_t>(SuspectAnswer::VT_SHARED, static_cast<uint8_t>(shared), 0);
+  }
+  void add_suspected(bool suspected) {
+    fbb_.AddElement<uint8_t>(SuspectAnswer::VT_SUSPECTED, static_cast<uint8_t>(suspected), 0);
+  }
+  void add_blocked_ms(uint32_t blocked_ms) {
+    fbb_.AddElement<uint32_t>(SuspectAnswer::VT_BLOCKED_MS, blocked_ms, 0);
+  }
+  void add_trial(dotterelshift::wire::SuspectTrial trial) {
+    fbb_.AddElement<uint8_t>(SuspectAnswer::VT_TRIAL, static_cast<uint8_t>(trial), 0);
+  }
   explicit SuspectAnswerBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -6254,11 +6437,19 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t content_hash = 0,
     uint32_t endpoints = 0,
-    int64_t quarantined_until_ms = 0) {
+    int64_t quarantined_until_ms = 0,
+    bool shared = false,
+    bool suspected = false,
+    uint32_t blocked_ms = 0,
+    dotterelshift::wire::SuspectTrial trial = dotterelshift::wire::SuspectTrial::None) {
   SuspectAnswerBuilder builder_(_fbb);
   builder_.add_quarantined_until_ms(quarantined_until_ms);
   builder_.add_content_hash(content_hash);
+  builder_.add_blocked_ms(blocked_ms);
   builder_.add_endpoints(endpoints);
+  builder_.add_trial(trial);
+  builder_.add_suspected(suspected);
+  builder_.add_shared(shared);
   return builder_.Finish();
 }
 
@@ -7690,6 +7881,8 @@
   { auto _e = endpoint(); if (_e) _o->endpoint = _e->str(); }
   { auto _e = endpoint_incarnation(); _o->endpoint_incarnation = _e; }
   { auto _e = alone(); _o->alone = _e; }
+  { auto _e = shared(); _o->shared = _e; }
+  { auto _e = team(); _o->team = _e; }
 }
 
 inline flatbuffers::Offset<ReportSuspect> ReportSuspect::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ReportSuspectT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -7704,12 +7897,16 @@
   auto _endpoint = _o->endpoint.empty() ? 0 : _fbb.CreateString(_o->endpoint);
   auto _endpoint_incarnation = _o->endpoint_incarnation;
   auto _alone = _o->alone;
+  auto _shared = _o->shared;
+  auto _team = _o->team;
   return dotterelshift::wire::CreateReportSuspect(
       _fbb,
       _content_hash,
       _endpoint,
       _endpoint_incarnation,
-      _alone);
+      _alone,
+      _shared,
+      _team);
 }
 
 inline ClearSuspectT *ClearSuspect::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -7738,6 +7935,32 @@
       _content_hash);
 }
 
+inline TrySuspectT *TrySuspect::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<TrySuspectT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void TrySuspect::UnPackTo(TrySuspectT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = content_hash(); _o->content_hash = _e; }
+}
+
+inline flatbuffers::Offset<TrySuspect> TrySuspect::Pack(flatbuffers::FlatBufferBuilder &_fbb, const TrySuspectT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateTrySuspect(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<TrySuspect> CreateTrySuspect(flatbuffers::FlatBufferBuilder &_fbb, const TrySuspectT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const TrySuspectT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _content_hash = _o->content_hash;
+  return dotterelshift::wire::CreateTrySuspect(
+      _fbb,
+      _content_hash);
+}
+
 inline StorePlanT::StorePlanT(const StorePlanT &o)
       : plan((o.plan) ? new dotterelshift::wire::PlanT(*o.plan) : nullptr) {
 }
@@ -8304,6 +8527,10 @@
   { auto _e = content_hash(); _o->content_hash = _e; }
   { auto _e = endpoints(); _o->endpoints = _e; }
   { auto _e = quarantined_until_ms(); _o->quarantined_until_ms = _e; }
+  { auto _e = shared(); _o->shared = _e; }
+  { auto _e = suspected(); _o->suspected = _e; }
+  { auto _e = blocked_ms(); _o->blocked_ms = _e; }
+  { auto _e = trial(); _o->trial = _e; }
 }
 
 inline flatbuffers::Offset<SuspectAnswer> SuspectAnswer::Pack(flatbuffers::FlatBufferBuilder &_fbb, const SuspectAnswerT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -8317,11 +8544,19 @@
   auto _content_hash = _o->content_hash;
   auto _endpoints = _o->endpoints;
   auto _quarantined_until_ms = _o->quarantined_until_ms;
+  auto _shared = _o->shared;
+  auto _suspected = _o->suspected;
+  auto _blocked_ms = _o->blocked_ms;
+  auto _trial = _o->trial;
   return dotterelshift::wire::CreateSuspectAnswer(
       _fbb,
       _content_hash,
       _endpoints,
-      _quarantined_until_ms);
+      _quarantined_until_ms,
+      _shared,
+      _suspected,
+      _blocked_ms,
+      _trial);
 }
 
 inline HostAnswerT *HostAnswer::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -8853,6 +9088,10 @@
       auto ptr = reinterpret_cast<const dotterelshift::wire::ReportHoldings *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case CommandBody::TrySuspect: {
+      auto ptr = reinterpret_cast<const dotterelshift::wire::TrySuspect *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
@@ -8940,6 +9179,10 @@
       auto ptr = reinterpret_cast<const dotterelshift::wire::ReportHoldings *>(obj);
       return ptr->UnPack(resolver);
     }
+    case CommandBody::TrySuspect: {
+      auto ptr = reinterpret_cast<const dotterelshift::wire::TrySuspect *>(obj);
+      return ptr->UnPack(resolver);
+    }
     default: return nullptr;
   }
 }
@@ -9015,6 +9258,10 @@
       auto ptr = reinterpret_cast<const dotterelshift::wire::ReportHoldingsT *>(value);
       return CreateReportHoldings(_fbb, ptr, _rehasher).Union();
     }
+    case CommandBody::TrySuspect: {
+      auto ptr = reinterpret_cast<const dotterelshift::wire::TrySuspectT *>(value);
+      return CreateTrySuspect(_fbb, ptr, _rehasher).Union();
+    }
     default: return 0;
   }
 }
@@ -9089,6 +9336,10 @@
       value = new dotterelshift::wire::ReportHoldingsT(*reinterpret_cast<dotterelshift::wire::ReportHoldingsT *>(u.value));
       break;
     }
+    case CommandBody::TrySuspect: {
+      value = new dotterelshift::wire::TrySuspectT(*reinterpret_cast<dotterelshift::wire::TrySuspectT *>(u.value));
+      break;
+    }
     default:
       break;
   }
@@ -9181,6 +9432,11 @@
       delete ptr;
       break;
     }
+    case CommandBody::TrySuspect: {
+      auto ptr = reinterpret_cast<dotterelshift::wire::TrySuspectT *>(value);
+      delete ptr;
+      break;
+    }
     default: break;
   }
   value = nullptr;
--- a/include/dotterelshift/wire/snapshot_generated.h
+++ b/include/dotterelshift/wire/snapshot_generated.h
@@ -971,6 +971,11 @@
   bool alone = false;
   int64_t last_ms = 0;
   int64_t quarantined_until_ms = 0;
+  bool shared = false;
+  std::vector<uint64_t> teams{};
+  uint32_t blocks = 0;
+  uint32_t trial_run = 0;
+  int64_t trial_until_ms = 0;
 };
 
 struct SuspectRecord FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -982,7 +987,12 @@
     VT_ENDPOINTS = 6,
     VT_ALONE = 8,
     VT_LAST_MS = 10,
-    VT_QUARANTINED_UNTIL_MS = 12
+    VT_QUARANTINED_UNTIL_MS = 12,
+    VT_SHARED = 14,
+    VT_TEAMS = 16,
+    VT_BLOCKS = 18,
+    VT_TRIAL_RUN = 20,
+    VT_TRIAL_UNTIL_MS = 22
   };
   uint64_t content_hash() const {
     return GetField<uint64_t>(VT_CONTENT_HASH, 0);
@@ -999,6 +1009,21 @@
   int64_t quarantined_until_ms() const {
     return GetField<int64_t>(VT_QUARANTINED_UNTIL_MS, 0);
   }
+  bool shared() const {
+    return GetField<uint8_t>(VT_SHARED, 0) != 0;
+  }
+  const flatbuffers::Vector<uint64_t> *teams() const {
+    return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_TEAMS);
+  }
+  uint32_t blocks() const {
+    return GetField<uint32_t>(VT_BLOCKS, 0);
+  }
+  uint32_t trial_run() const {
+    return GetField<uint32_t>(VT_TRIAL_RUN, 0);
+  }
+  int64_t trial_until_ms() const {
+    return GetField<int64_t>(VT_TRIAL_UNTIL_MS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_CONTENT_HASH, 8) &&
@@ -1008,6 +1033,12 @@
            VerifyField<uint8_t>(verifier, VT_ALONE, 1) &&
            VerifyField<int64_t>(verifier, VT_LAST_MS, 8) &&
            VerifyField<int64_t>(verifier, VT_QUARANTINED_UNTIL_MS, 8) &&
+           VerifyField<uint8_t>(verifier, VT_SHARED, 1) &&
+           VerifyOffset(verifier, VT_TEAMS) &&
+           verifier.VerifyVector(teams()) &&
+           VerifyField<uint32_t>(verifier, VT_BLOCKS, 4) &&
+           VerifyField<uint32_t>(verifier, VT_TRIAL_RUN, 4) &&
+           VerifyField<int64_t>(verifier, VT_TRIAL_UNTIL_MS, 8) &&
            verifier.EndTable();
   }
   SuspectRecordT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1034,6 +1065,21 @@
   void add_quarantined_until_ms(int64_t quarantined_until_ms) {
     fbb_.AddElement<int64_t>(SuspectRecord::VT_QUARANTINED_UNTIL_MS, quarantined_until_ms, 0);
   }
+  void add_shared(bool shared) {
+    fbb_.AddElement<uint8_t>(SuspectRecord::VT_SHARED, static_cast<uint8_t>(shared), 0);
+  }
+  void add_teams(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> teams) {
+    fbb_.AddOffset(SuspectRecord::VT_TEAMS, teams);
+  }
+  void add_blocks(uint32_t blocks) {
+    fbb_.AddElement<uint32_t>(SuspectRecord::VT_BLOCKS, blocks, 0);
+  }
+  void add_trial_run(uint32_t trial_run) {
+    fbb_.AddElement<uint32_t>(SuspectRecord::VT_TRIAL_RUN, trial_run, 0);
+  }
+  void add_trial_until_ms(int64_t trial_until_ms) {
+    fbb_.AddElement<int64_t>(SuspectRecord::VT_TRIAL_UNTIL_MS, trial_until_ms, 0);
+  }
   explicit SuspectRecordBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1051,12 +1097,22 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> endpoints = 0,
     bool alone = false,
     int64_t last_ms = 0,
-    int64_t quarantined_until_ms = 0) {
+    int64_t quarantined_until_ms = 0,
+    bool shared = false,
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> teams = 0,
+    uint32_t blocks = 0,
+    uint32_t trial_run = 0,
+    int64_t trial_until_ms = 0) {
   SuspectRecordBuilder builder_(_fbb);
+  builder_.add_trial_until_ms(trial_until_ms);
   builder_.add_quarantined_until_ms(quarantined_until_ms);
   builder_.add_last_ms(last_ms);
   builder_.add_content_hash(content_hash);
+  builder_.add_trial_run(trial_run);
+  builder_.add_blocks(blocks);
+  builder_.add_teams(teams);
   builder_.add_endpoints(endpoints);
+  builder_.add_shared(shared);
   builder_.add_alone(alone);
   return builder_.Finish();
 }
@@ -1072,15 +1128,26 @@
     const std::vector<flatbuffers::Offset<flatbuffers::String>> *endpoints = nullptr,
     bool alone = false,
     int64_t last_ms = 0,
-    int64_t quarantined_until_ms = 0) {
+    int64_t quarantined_until_ms = 0,
+    bool shared = false,
+    const std::vector<uint64_t> *teams = nullptr,
+    uint32_t blocks = 0,
+    uint32_t trial_run = 0,
+    int64_t trial_until_ms = 0) {
   auto endpoints__ = endpoints ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*endpoints) : 0;
+  auto teams__ = teams ? _fbb.CreateVector<uint64_t>(*teams) : 0;
   return dotterelshift::wire::CreateSuspectRecord(
       _fbb,
       content_hash,
       endpoints__,
       alone,
       last_ms,
-      quarantined_until_ms);
+      quarantined_until_ms,
+      shared,
+      teams__,
+      blocks,
+      trial_run,
+      trial_until_ms);
 }
 
 flatbuffers::Offset<SuspectRecord> CreateSuspectRecord(flatbuffers::FlatBufferBuilder &_fbb, const SuspectRecordT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -2192,6 +2259,11 @@
   { auto _e = alone(); _o->alone = _e; }
   { auto _e = last_ms(); _o->last_ms = _e; }
   { auto _e = quarantined_until_ms(); _o->quarantined_until_ms = _e; }
+  { auto _e = shared(); _o->shared = _e; }
+  { auto _e = teams(); if (_e) { _o->teams.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->teams[_i] = _e->Get(_i); } } }
+  { auto _e = blocks(); _o->blocks = _e; }
+  { auto _e = trial_run(); _o->trial_run = _e; }
+  { auto _e = trial_until_ms(); _o->trial_until_ms = _e; }
 }
 
 inline flatbuffers::Offset<SuspectRecord> SuspectRecord::Pack(flatbuffers::FlatBufferBuilder &_fbb, const SuspectRecordT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -2207,13 +2279,23 @@
   auto _alone = _o->alone;
   auto _last_ms = _o->last_ms;
   auto _quarantined_until_ms = _o->quarantined_until_ms;
+  auto _shared = _o->shared;
+  auto _teams = _o->teams.size() ? _fbb.CreateVector(_o->teams) : 0;
+  auto _blocks = _o->blocks;
+  auto _trial_run = _o->trial_run;
+  auto _trial_until_ms = _o->trial_until_ms;
   return dotterelshift::wire::CreateSuspectRecord(
       _fbb,
       _content_hash,
       _endpoints,
       _alone,
       _last_ms,
-      _quarantined_until_ms);
+      _quarantined_until_ms,
+      _shared,
+      _teams,
+      _blocks,
+      _trial_run,
+      _trial_until_ms);
 }
 
 inline PlanRecordT::PlanRecordT(const PlanRecordT &o)
--- a/src/dotterelshift/app/control.cc
+++ b/src/dotterelshift/app/control.cc
@@ -14,6 +14,7 @@
 #include "dotterelshift/app/operator_backend.h"    // for MakeControlBackend
 #include "dotterelshift/app/routes_control.h"      // for ControlAdapter
 #include "dotterelshift/app/routes_port.h"         // for MakeRoutesControl
+#include "dotterelshift/app/suspect_changes.h"     // for SuspectChangesIn
 #include "dotterelshift/base/address.h"            // for ParseAddress
 #include "dotterelshift/budget/recall_core.h"      // for RecallCore
 #include "dotterelshift/callers/front.h"           // for SendErrorResponse
@@ -375,17 +376,16 @@
                         const std::vector<wire::CommandAnswerT>& answers) {
   // While the log is restored at the start no entry is connected.
   if (m_replica == nullptr || !m_replica->Leads()) return;
-  bool suspects = false;
   for (size_t i = 0; i < answers.size(); ++i) {
     const wire::CommandT& command = *batch.commands[i];
-    suspects = suspects || answers[i].body.AsSuspectAnswer() != nullptr;
     const auto* request = command.body.AsRequestGrant();
     const auto* grant = answers[i].body.AsGrantAnswer();
     if (request != nullptr && grant != nullptr)
       RecallFor(*command.id, *request, *grant);
   }
   SchedulePushes();
-  if (suspects) m_pushes->PushQuarantineToAll(m_loop.WallNow());
+  const auto suspects = SuspectChangesIn(batch, answers);
+  if (!suspects.empty()) m_pushes->PushSuspects(suspects);
 }
 
 // Recalls idle tokens from other holders if a request was granted less than its
--- a/src/dotterelshift/app/entry_pushes.cc
+++ b/src/dotterelshift/app/entry_pushes.cc
@@ -250,8 +250,14 @@
     m_hub.Send(entry, peers::MakeFrame(std::move(push)));
 }
 
-void EntryPushes::PushQuarantineToAll(WallMs now) {
-  for (const auto& [host, entry] : m_entries) PushQuarantine(host, now);
+void EntryPushes::PushSuspects(
+    const std::vector<wire::SuspectAnswerT>& changes) {
+  for (const auto& [host, entry] : m_entries) {
+    wire::QuarantinePushT push;
+    for (const wire::SuspectAnswerT& change : changes)
+      push.entries.push_back(std::make_unique<wire::SuspectAnswerT>(change));
+    m_hub.Send(host, peers::MakeFrame(std::move(push)));
+  }
 }
 
 }  // namespace dotterelshift::app
--- a/src/dotterelshift/app/entry_pushes.h
+++ b/src/dotterelshift/app/entry_pushes.h
@@ -44,7 +44,8 @@
   // connection and term. Returns true if entries remain.
   bool PushPending(Instant now, WallMs wall);
   void PushQuarantine(const HostId& entry, WallMs now);
-  void PushQuarantineToAll(WallMs now);
+  // Sends changes of quarantined contents and suspected segments to all.
+  void PushSuspects(const std::vector<wire::SuspectAnswerT>& changes);
 
   size_t Entries() const { return m_entries.size(); }
   // Totals of published routes sent since the start.
--- a/src/dotterelshift/app/gateway_entry.cc
+++ b/src/dotterelshift/app/gateway_entry.cc
@@ -56,6 +56,7 @@
   void TakeEntryCount();
   void OnReach();
   void OnAnswer(const wire::CommandAnswerT& answer);
+  void OnSuspect(const wire::SuspectAnswerT& suspect);
   void Register();
   void DialMembers();
   std::unique_ptr<wire::CommandIdT> NextId();
@@ -88,6 +89,7 @@
   gateway::SendPacer m_pacer;
   uint64_t m_paced_bytes = 0;  // other bytes sent, as last reported to m_pacer
   quarantine::Blocklist m_blocklist;
+  gateway::CrashSuspects m_suspects;
   std::unique_ptr<gateway::Core> m_core;
   std::unique_ptr<telemetry::Metrics> m_metrics;
   std::unique_ptr<GatewayTraffic> m_traffic;
@@ -159,7 +161,8 @@
           .paths = &m_paths,
           .versions = &m_versions.Versions(),
           .runs = &m_versions.Runs(),
-          .origins = &m_versions.Origins()};
+          .origins = &m_versions.Origins(),
+          .suspects = &m_suspects};
 }
 
 EndpointRelays::Parts GatewayEntry::RelayParts() {
@@ -283,7 +286,7 @@
   for (const wire::RecallT& recall : m_link.TakeRecalls())
     m_budgets.OnRecall(recall, now);
   for (const wire::QuarantinePushT& push : m_link.TakeQuarantines())
-    m_blocklist.OnPush(push, now);
+    for (const auto& entry : push.entries) OnSuspect(*entry);
   DialMembers();
   m_traffic->Pump();
 }
@@ -323,19 +326,27 @@
   telemetry::Log(
       telemetry::LogLevel::kInfo, "control_reach",
       {{"reach", std::string(NameOf(m_reach))}, {"leader", m_link.Leader()}});
-  m_budgets.SetConnected(m_reach == ControlReach::kConnected, m_loop.Now());
+  const bool connected = m_reach == ControlReach::kConnected;
+  m_budgets.SetConnected(connected, m_loop.Now());
+  m_suspects.SetConnected(connected);
 }
 
 void GatewayEntry::OnAnswer(const wire::CommandAnswerT& answer) {
   const IncarnationStatus status = m_registration.OnAnswer(answer);
   if (status == IncarnationStatus::kSuperseded) return Shutdown();
   if (status == IncarnationStatus::kRaised) return Register();
-  if (const auto* suspect = answer.body.AsSuspectAnswer())
-    m_blocklist.OnEntry(*suspect, m_loop.Now());
+  if (const auto* suspect = answer.body.AsSuspectAnswer()) OnSuspect(*suspect);
   if (m_budgets.OnAnswer(answer, m_loop.Now()))
     m_core->OnBudgetChanged(m_loop.Now());
 }
 
+void GatewayEntry::OnSuspect(const wire::SuspectAnswerT& suspect) {
+  if (suspect.shared)
+    m_suspects.OnAnswer(suspect, m_loop.Now());
+  else
+    m_blocklist.OnEntry(suspect, m_loop.Now());
+}
+
 void GatewayEntry::Register() {
   m_link.Propose(m_registration.Command(++m_sequence));
 }
@@ -461,6 +472,7 @@
   SetEndpointMetrics(*m_metrics, m_load.CountByService(m_loop.Now()));
   m_versions.SetMetrics(*m_metrics, *m_core);
   m_relays->SetMetrics(*m_metrics);
+  SetSuspectMetrics(*m_metrics, m_suspects, *m_core, m_loop.Now());
 }
 
 // Applies only what may change while running: the addresses through which the
--- a/src/dotterelshift/app/gauges.cc
+++ b/src/dotterelshift/app/gauges.cc
@@ -98,6 +98,20 @@
                        "Streams whose version is known", Number(origins)}});
 }
 
+void SetSuspectMetrics(telemetry::Metrics& metrics,
+                       const gateway::CrashSuspects& suspects,
+                       const gateway::Core& core, Instant now) {
+  SetGauges(metrics,
+            {{"dotterelshift_segments_suspected",
+              "Prompt segments that are sent one request at a time",
+              Number(suspects.Suspected())},
+             {"dotterelshift_segments_blocked", "Of these, not sent at all",
+              Number(suspects.Blocked(now))}});
+  metrics.SetCounter("dotterelshift_suspect_refusals_total",
+                     "Requests refused for a suspected segment",
+                     Number(core.SuspectRefusals()));
+}
+
 void SetRoutesSentCounters(telemetry::Metrics& metrics,
                            const EntryPushes::RoutesSentTotals& sent) {
   metrics.SetCounter("dotterelshift_routes_wholes_sent_total",
--- a/src/dotterelshift/app/gauges.h
+++ b/src/dotterelshift/app/gauges.h
@@ -60,6 +60,11 @@
                           const gateway::ResumptionCounts& counts,
                           size_t origins);
 
+// Prompt segments that are suspected of crashing endpoints.
+void SetSuspectMetrics(telemetry::Metrics& metrics,
+                       const gateway::CrashSuspects& suspects,
+                       const gateway::Core& core, Instant now);
+
 // Counters of the published routes that a control daemon has sent.
 void SetRoutesSentCounters(telemetry::Metrics& metrics,
                            const EntryPushes::RoutesSentTotals& sent);
--- a/src/dotterelshift/gateway/active_request.h
+++ b/src/dotterelshift/gateway/active_request.h
@@ -18,6 +18,7 @@
 
 enum class Stage : uint8_t {
   kWaitsForBudget,
+  kWaitsForTrial,     // a segment is suspected; control decides on a trial
   kWaitsForEndpoint,  // all endpoints are full
   kWaitsForLink,      // an endpoint is free, but the outbound link is saturated
   kSlotReserved,      // has a slot reserved; is sent at its prefill start, once
@@ -111,7 +112,10 @@
   Instant send_at{};
   Attempt attempt;
   std::vector<EndpointKey> tried;
-  uint32_t lost_connections = 0;          // not established, or broken
+  uint32_t lost_connections = 0;  // not established, or broken
+  bool trial = false;             // tried alone with a suspected segment
+  // Software versions that it must not be sent to.
+  std::vector<SoftwareKey> barred_software;
   std::vector<EndpointKey> relay_failed;  // endpoints that a relay did not try
   bool head_relayed = false;
   std::optional<StreamBinding> binding;  // nullopt: no event was passed on yet
--- a/src/dotterelshift/gateway/core.cc
+++ b/src/dotterelshift/gateway/core.cc
@@ -7,6 +7,12 @@
 #include "dotterelshift/gateway/core_impl.h"  // for CoreImpl
 
 namespace dotterelshift::gateway {
+namespace {
+
+// How often signs of the endpoints of broken attempts are looked for.
+constexpr Duration kBrokenCheckInterval = 10ms;
+
+}  // namespace
 
 void CoreImpl::OnRoutes(std::shared_ptr<const RouteTable> routes,
                         size_t entries, Instant now) {
@@ -243,6 +249,10 @@
     found->second.due = {};
     OnTimerExpired(found->second, now);
   }
+  if (now >= NextSuspectTimer()) {
+    JudgeBrokenAttempts(now);
+    m_next_suspect_check = now + kBrokenCheckInterval;
+  }
   // Done after the expired requests were handled, so that none of them is sent.
   SendWaiting(now);
 }
@@ -250,7 +260,7 @@
 Instant CoreImpl::NextTimer() const {
   const Instant due =
       m_timers.empty() ? Instant::max() : m_timers.begin()->first;
-  return std::min(due, NextLinkTimer());
+  return std::min({due, NextLinkTimer(), NextSuspectTimer()});
 }
 
 void CoreImpl::OnTimerExpired(ActiveRequest& active, Instant now) {
@@ -259,6 +269,7 @@
     case Stage::kWaitsForBudget:
       if (now < active.wait_until) return ReserveBudget(active, now);
       return FailForBudget(active, ErrorKind::kBudgetUnavailable, now);
+    case Stage::kWaitsForTrial:
     case Stage::kWaitsForEndpoint:
       return Place(active, now);
     case Stage::kWaitsForLink:
--- a/src/dotterelshift/gateway/core_impl.h
+++ b/src/dotterelshift/gateway/core_impl.h
@@ -20,7 +20,8 @@
 // The implementation behind MakeCore(): arrival in core.cc, choice of the
 // endpoint and sending in core_placement.cc, the queue for the outbound link in
 // core_link.cc, paths to endpoints in core_paths.cc, responses and retries in
-// core_response.cc, versions of streams in core_streams.cc.
+// core_response.cc, versions of streams in core_streams.cc, requests that crash
+// endpoints in core_suspects.cc.
 class CoreImpl final : public Core {
  public:
   CoreImpl(const CoreOptions& options, const CoreDependencies& parts)
@@ -56,12 +57,11 @@
   std::vector<serving::RequestSummary> TakeFinished() override {
     return std::exchange(m_finished, {});
   }
-  std::vector<SuspectReport> TakeSuspectReports() override {
-    return std::exchange(m_suspect_reports, {});
-  }
+  std::vector<SuspectReport> TakeSuspectReports() override;
   size_t OpenRequests() const override { return m_active.size(); }
   LinkQueue WaitingForLink() const override;
   const ResumptionCounts& Resumptions() const override { return m_resumptions; }
+  uint64_t SuspectRefusals() const override { return m_suspect_refusals; }
 
  private:
   void LogArrivals(const directory::Directory& directory, Instant now);
@@ -161,6 +161,43 @@
   void Release(ActiveRequest& active, Instant now);
   void OnUnfit(ActiveRequest& active, Fit fit, Instant now);
 
+  // Requests that crash endpoints (core_suspects.cc).
+  // An attempt whose connection ended, until it is known whether its endpoint
+  // has ended too.
+  struct BrokenAttempt {
+    std::string caller_id;
+    ServiceName service;
+    EndpointKey endpoint = 0;
+    EndpointContact contact;
+    Instant at{};
+    bool head = false;      // the response had begun
+    bool complete = false;  // as far as can be told without framing
+    uint64_t content_hash = 0;
+    bool alone = false;  // it was the only request there
+    bool probed_again = false;
+    std::vector<SegmentKey> keys;  // not acquitted
+  };
+  static std::vector<SegmentKey> KeysOf(const ActiveRequest& active,
+                                        SoftwareKey software);
+  bool PassesSuspicion(ActiveRequest& active, Instant now);
+  bool PassesTrial(ActiveRequest& active, SoftwareKey software,
+                   SuspectVerdict verdict, Instant now);
+  void WaitForTrial(ActiveRequest& active, Instant now);
+  void RefuseSuspect(ActiveRequest& active, SuspectVerdict why, Instant now);
+  bool IsBlockedNow(const ActiveRequest& active, SoftwareKey software,
+                    Instant now) const;
+  void EndTrial(ActiveRequest& active);
+  void OnBrokenAttempt(const ActiveRequest& active, bool complete, Instant now);
+  void JudgeBrokenAttempts(Instant now);
+  void ProbeAgainIfDue(BrokenAttempt& broken, Instant now);
+  bool Decide(const BrokenAttempt& broken, Instant now);
+  void OnCrash(const BrokenAttempt& broken, Instant now);
+  void ReportSuspectContent(const BrokenAttempt& broken);
+  void ReportClearedContent(const ActiveRequest& active);
+  void AcquitSegments(const ActiveRequest& active, Instant now);
+  void LogSuspectChanges();
+  Instant NextSuspectTimer() const;
+
   // Responses (core_response.cc).
   ActiveRequest* FindByAttempt(AttemptId attempt);
   void OnCompleteResponse(ActiveRequest& active, Instant now);
@@ -181,8 +218,6 @@
   void OnDeadline(ActiveRequest& active, Instant now);
   void CancelAttemptIfSent(ActiveRequest& active);
   void EndAttempt(ActiveRequest& active);
-  void ReportSuspectContent(const ActiveRequest& active);
-  void ReportClearedContent(const ActiveRequest& active);
   void Fail(ActiveRequest& active, ErrorKind kind, Duration retry_after,
             Instant now);
   void Finish(ActiveRequest& active, ErrorKind error, bool answered,
@@ -227,6 +262,9 @@
   std::vector<serving::RequestSummary> m_finished;
   std::vector<SuspectReport> m_suspect_reports;
   std::set<uint64_t> m_suspected;  // content hashes reported, not cleared
+  std::vector<BrokenAttempt> m_broken;
+  Instant m_next_suspect_check{};
+  uint64_t m_suspect_refusals = 0;
 };
 
 }  // namespace dotterelshift::gateway
--- a/src/dotterelshift/gateway/core_paths.cc
+++ b/src/dotterelshift/gateway/core_paths.cc
@@ -23,7 +23,14 @@
 std::optional<Placement> CoreImpl::ChooseEndpoint(const ActiveRequest& active,
                                                   Instant now) {
   ChoiceLimits limits = {.excluded = active.tried,
-                         .software = SoftwareFor(active)};
+                         .software = SoftwareFor(active),
+                         .barred_software = active.barred_software};
+  if (active.trial) {
+    ChoiceLimits idle = limits;
+    idle.idle = true;
+    if (auto placement = ChooseWithin(active, std::move(idle), now))
+      return placement;
+  }
   if (active.lost_connections > 0 && m_dependencies.paths != nullptr) {
     ChoiceLimits heard = limits;
     for (const EndpointKey endpoint : m_dependencies.paths->NotHeardSince(
@@ -115,6 +122,7 @@
 void CoreImpl::OnPathsChanged(Instant now) {
   if (m_dependencies.paths == nullptr) return;
   LogPathDoubts();
+  JudgeBrokenAttempts(now);
   std::vector<RequestId> on_failed_paths;
   for (const PathChange& change : m_dependencies.paths->TakeChanges()) {
     const bool direct = change.to == PathState::kDirect;
--- a/src/dotterelshift/gateway/core_placement.cc
+++ b/src/dotterelshift/gateway/core_placement.cc
@@ -20,6 +20,7 @@
 // request whose response would come too late is refused at once, so that the
 // caller can react.
 void CoreImpl::Place(ActiveRequest& active, Instant now) {
+  if (!PassesSuspicion(active, now)) return;
   const std::optional<Placement> placement = ChooseEndpoint(active, now);
   if (!placement) return WaitForEndpoint(active, now);
   if (WouldRespondTooLate(active, *placement, now)) {
@@ -70,6 +71,10 @@
   const bool fits =
       contact != nullptr && (!software || contact->software == *software);
   if (!fits) return Place(active, now);
+  if (IsBlockedNow(active, contact->software, now)) {
+    EndAttempt(active);
+    return Place(active, now);
+  }
   if (!CanSendNow(active, now)) return WaitForLink(active, now);
   Attempt& attempt = active.attempt;
   attempt.id = ++m_last_attempt;
@@ -119,6 +124,7 @@
                             active.attempt.placement.endpoint))},
       {"send", std::to_string(active.sends)},
       {"connection", active.info.reused_connection ? "kept" : "new"}};
+  if (active.trial) inputs.emplace_back("trial", "yes");
   if (active.info.prompt.parts.size() > 1)
     inputs.emplace_back("segments", SharedSegmentsOf(active));
   if (!active.attempt.relay.empty())
--- a/src/dotterelshift/gateway/core_response.cc
+++ b/src/dotterelshift/gateway/core_response.cc
@@ -44,6 +44,8 @@
   switch (stage) {
     case Stage::kWaitsForBudget:
       return "waits_for_tokens";
+    case Stage::kWaitsForTrial:
+      return "waits_for_trial";
     case Stage::kWaitsForEndpoint:
       return "waits_for_place";
     case Stage::kWaitsForLink:
@@ -201,6 +203,7 @@
   } else {
     m_dependencies.load->OnSucceeded(endpoint);
     ReportClearedContent(active);
+    if (IsSuccess(status)) AcquitSegments(active, now);
   }
   if (active.stage == Stage::kAnswering) {
     m_actions.emplace_back(FinishStream{active.id});
@@ -261,10 +264,9 @@
                           EndpointIdKeyOf(active.attempt.endpoint.id), now);
     }
     active.may_have_run = true;
-    // A connection that breaks on a path that is in doubt says nothing of the
-    // content.
-    if (end != http::TransferEnd::kTimedOut && !path_failed)
-      ReportSuspectContent(active);
+    if (end != http::TransferEnd::kTimedOut && !path_failed &&
+        active.attempt.relay.empty())
+      OnBrokenAttempt(active, false, now);
   } else {
     OnNotSent(active.attempt.id, now);
   }
@@ -309,25 +311,6 @@
        {"avoided", std::to_string(counts.avoided)}});
 }
 
-// Content that crashes every endpoint that runs it may be resent through any
-// entry. Control therefore counts the affected endpoints over all entries.
-void CoreImpl::ReportSuspectContent(const ActiveRequest& active) {
-  constexpr size_t kMaxSuspected = 4096;
-  if (m_suspected.size() >= kMaxSuspected) m_suspected.clear();
-  m_suspected.insert(active.info.content_hash);
-  SuspectReport& report = m_suspect_reports.emplace_back();
-  report.content_hash = active.info.content_hash;
-  report.endpoint = active.attempt.endpoint.id;
-  report.incarnation = active.attempt.endpoint.incarnation;
-  report.alone =
-      m_dependencies.load->Running(active.attempt.placement.endpoint) <= 1;
-}
-
-void CoreImpl::ReportClearedContent(const ActiveRequest& active) {
-  if (m_suspected.erase(active.info.content_hash) == 0) return;
-  m_suspect_reports.emplace_back().content_hash = active.info.content_hash;
-}
-
 // Retries at another endpoint if the fleet's retry budget allows it. A request
 // that has not reached any endpoint yet uses none of that budget.
 // After a failure of the path, the same endpoint may be chosen again, by
@@ -343,7 +326,9 @@
   // for, as no others may take it.
   const bool bound = active.binding && m_dependencies.versions->Serves(
                                            active.binding->origin.software);
-  const bool waits = bound || IsBeingChecked(active, now);
+  const bool suspected =
+      m_dependencies.suspects != nullptr && !m_dependencies.suspects->IsIdle();
+  const bool waits = bound || suspected || IsBeingChecked(active, now);
   if (!waits && !ChooseEndpoint(active, now)) return false;
   Place(active, now);
   return true;
@@ -390,6 +375,7 @@
                         active.stage == Stage::kAnswering;
   if (occupied) m_dependencies.load->OnEnded(active.attempt.placement.endpoint);
   if (active.binding) active.binding->origin.life.open = false;
+  EndTrial(active);
   active.stage = Stage::kWaitsForEndpoint;
   active.wait_until = {};
   LeaveLinkQueue(active);
--- a/src/dotterelshift/gateway/crash_schedule_testing.h
+++ b/src/dotterelshift/gateway/crash_schedule_testing.h
@@ -156,6 +156,7 @@
     RetryShare retries;
     EndpointPaths paths;
     quarantine::Blocklist blocklist;
+    CrashSuspects suspects;
     std::unique_ptr<Core> core;
     std::map<AttemptId, EndpointRun> running;
     std::map<RequestId, Caller> callers;
@@ -190,6 +191,8 @@
     parts.origins = &node->origins;
     parts.paths = &node->paths;
     parts.blocklist = &node->blocklist;
+    parts.suspects = &node->suspects;
+    node->suspects.SetConnected(!m_options.no_control);
     node->core = MakeCore({}, parts);
     node->core->OnRoutes(m_routes, kEntries, m_now);
     for (Endpoint& endpoint : m_endpoints)
@@ -201,7 +204,10 @@
   }
 
   void Tell(Node& node, const wire::SuspectAnswerT& known) {
-    node.blocklist.OnEntry(known, m_now);
+    if (known.shared)
+      node.suspects.OnAnswer(known, m_now);
+    else
+      node.blocklist.OnEntry(known, m_now);
   }
 
   void StartEndpoint() {
@@ -394,7 +400,7 @@
     } else if (run.next++ == 0) {
       ResponseInfo head;
       head.echoed_id = run.caller_id;
-      head.has_proof = head.event_stream = true;
+      head.has_proof = head.event_stream = head.framed = true;
       node.core->OnHead(attempt, 200, head, m_now);
     } else {
       node.core->OnChunk(
@@ -444,7 +450,10 @@
       for (auto& node : m_nodes) {
         const bool own = node->host == sent.host;
         if (own && node->incarnation != sent.incarnation) continue;
-        if (own || answer->quarantined_until_ms > Wall()) Tell(*node, *answer);
+        const bool of_trial = answer->trial != wire::SuspectTrial::None;
+        const bool of_all = answer->blocked_ms > 0 || answer->suspected ||
+                            answer->endpoints == 0;
+        if (own || (of_all && !of_trial)) Tell(*node, *answer);
       }
     }
   }
--- a/src/dotterelshift/gateway/endpoint_paths.cc
+++ b/src/dotterelshift/gateway/endpoint_paths.cc
@@ -372,6 +372,47 @@
   return keys;
 }
 
+void EndpointPaths::ProbeNow(EndpointKey endpoint, const ServiceName& service,
+                             Instant now) {
+  const auto found = m_paths.find(endpoint);
+  if (found == m_paths.end()) return;
+  found->second.probe_wanted = true;
+  m_next_probe = now;
+  if (HeardFromOthers(service, endpoint, now - m_options.min_silence)) return;
+  for (const EndpointKey key : m_by_service.at(service)) {
+    Path& path = m_paths.at(key);
+    if (key == endpoint || !path.usable || path.failed_at) continue;
+    path.probe_wanted = true;
+    return;
+  }
+}
+
+EndpointSign EndpointPaths::SignSince(EndpointKey endpoint,
+                                      Instant since) const {
+  const auto found = m_paths.find(endpoint);
+  if (found == m_paths.end()) return EndpointSign::kUnreachable;
+  const Path& path = found->second;
+  if (path.last_reached > since + m_options.accept_delay ||
+      path.last_bytes > since + m_options.read_delay)
+    return EndpointSign::kAlive;
+  const bool failed = path.failed_at && *path.failed_at >= since;
+  return failed ? EndpointSign::kUnreachable : EndpointSign::kNone;
+}
+
+bool EndpointPaths::HeardFromOthers(const ServiceName& service,
+                                    EndpointKey endpoint, Instant since) const {
+  const auto keys = m_by_service.find(service);
+  if (keys == m_by_service.end()) return false;
+  bool alone = true;
+  for (const EndpointKey key : keys->second) {
+    const Path& path = m_paths.at(key);
+    if (key == endpoint || !path.usable) continue;
+    alone = false;
+    if (path.last_bytes >= since) return true;
+  }
+  return alone;
+}
+
 std::vector<EndpointPaths::Probe> EndpointPaths::TakeProbes(Instant now) {
   EndOverdueChecks(now);
   std::vector<Probe> probes;
--- a/src/dotterelshift/gateway/fleet_load.cc
+++ b/src/dotterelshift/gateway/fleet_load.cc
@@ -161,6 +161,8 @@
     const Load& load = m_loads.at(key);
     if (!MayUse(load, now) || Contains(limits.excluded, key)) continue;
     if (limits.software && load.contact.software != *limits.software) continue;
+    if (limits.idle && RunningAt(load) > 0) continue;
+    if (Contains(limits.barred_software, load.contact.software)) continue;
     const Placement placement = PlaceAt(key, load, prompt, now);
     const double cost = CostOf(load, placement);
     if (best && cost >= best_cost) continue;
--- a/src/dotterelshift/gateway/service_versions.cc
+++ b/src/dotterelshift/gateway/service_versions.cc
@@ -86,6 +86,15 @@
   return found->second.service;
 }
 
+std::vector<SoftwareKey> ServiceVersions::SoftwareOf(
+    const ServiceName& service) const {
+  std::vector<SoftwareKey> serving;
+  for (const auto& [software, version] : m_versions)
+    if (version.service == service && version.serving > 0)
+      serving.push_back(software);
+  return serving;
+}
+
 std::vector<VersionCount> ServiceVersions::Counts() const {
   std::vector<VersionCount> counts;
   for (const auto& [software, version] : m_versions)
--- a/src/dotterelshift/operators/render.cc
+++ b/src/dotterelshift/operators/render.cc
@@ -1,6 +1,6 @@
 #include "dotterelshift/operators/render.h"
 
-#include <algorithm>          // for sort
+#include <algorithm>          // for count_if, sort
 #include <array>              // for array
 #include <charconv>           // for from_chars
 #include <chrono>             // for year_month_day
@@ -188,7 +188,9 @@
   json["endpoints"] = backend.GetDirectory()->All().size();
   json["usable_endpoints"] = usable;
   json["orders_not_done"] = open_orders;
-  json["quarantined"] = state.Quarantined(backend.WallNow()).size();
+  json["quarantined"] = std::ranges::count_if(
+      state.Quarantined(backend.WallNow()),
+      [](const wire::SuspectAnswerT& entry) { return entry.blocked_ms > 0; });
   json["daemon"] = Json::parse(backend.StatusText(), nullptr, false);
   if (json["daemon"].is_discarded()) json["daemon"] = nullptr;
   return json;
--- a/src/dotterelshift/state/apply.h
+++ b/src/dotterelshift/state/apply.h
@@ -25,6 +25,8 @@
            wire::CommandAnswerT& answer);
 void Apply(Context& context, const wire::ClearSuspectT& command,
            wire::CommandAnswerT& answer);
+void Apply(Context& context, const wire::TrySuspectT& command,
+           wire::CommandAnswerT& answer);
 void Apply(Context& context, const wire::StorePlanT& command,
            wire::CommandAnswerT& answer);
 void Apply(Context& context, const wire::ConfirmPlanT& command,
--- a/src/dotterelshift/state/snapshot.cc
+++ b/src/dotterelshift/state/snapshot.cc
@@ -190,8 +190,15 @@
                                                    const Suspect& suspect) {
   auto record = std::make_unique<wire::SuspectRecordT>();
   record->content_hash = hash;
-  record->endpoints.assign(suspect.endpoints.begin(), suspect.endpoints.end());
+  for (const auto& [run, team] : suspect.runs) {
+    record->endpoints.push_back(run);
+    if (suspect.shared) record->teams.push_back(team);
+  }
   record->alone = suspect.alone;
+  record->shared = suspect.shared;
+  record->blocks = suspect.blocks;
+  record->trial_run = suspect.trial_run;
+  record->trial_until_ms = suspect.trial_until;
   record->last_ms = suspect.last;
   record->quarantined_until_ms = suspect.quarantined_until;
   return record;
@@ -292,9 +299,15 @@
 void ReadRest(const wire::StateSnapshotT& snapshot, Tables& tables) {
   for (const auto& record : snapshot.suspects) {
     Suspect& suspect = tables.suspects[record->content_hash];
-    suspect.endpoints.insert(record->endpoints.begin(),
-                             record->endpoints.end());
+    for (size_t i = 0; i < record->endpoints.size(); ++i) {
+      const uint64_t team = i < record->teams.size() ? record->teams[i] : 0;
+      suspect.runs.emplace(record->endpoints[i], team);
+    }
     suspect.alone = record->alone;
+    suspect.shared = record->shared;
+    suspect.blocks = record->blocks;
+    suspect.trial_run = record->trial_run;
+    suspect.trial_until = record->trial_until_ms;
     suspect.last = record->last_ms;
     suspect.quarantined_until = record->quarantined_until_ms;
   }
--- a/src/dotterelshift/state/state.cc
+++ b/src/dotterelshift/state/state.cc
@@ -9,6 +9,7 @@
 #include "dotterelshift/state/grants.h"              // for RecoverDeadGrant
 #include "dotterelshift/state/snapshot.h"            // for WriteSnapshot
 #include "dotterelshift/state/state_core.h"          // for MakeStateWith
+#include "dotterelshift/state/suspects.h"            // for SuspectAnswerOf
 
 namespace dotterelshift::state {
 namespace {
@@ -49,6 +50,8 @@
       return Apply(context, *body.AsReportSpend(), answer);
     case CommandBody::MoveGrant:
       return Apply(context, *body.AsMoveGrant(), answer);
+    case CommandBody::TrySuspect:
+      return Apply(context, *body.AsTrySuspect(), answer);
     case CommandBody::ReportHoldings:
       return Apply(context, *body.AsReportHoldings(), answer);
     case CommandBody::NONE:
@@ -128,11 +131,9 @@
   std::vector<wire::SuspectAnswerT> Quarantined(WallMs now) const override {
     std::vector<wire::SuspectAnswerT> entries;
     for (const auto& [hash, suspect] : m_tables.suspects) {
-      if (suspect.quarantined_until <= now) continue;
-      wire::SuspectAnswerT& entry = entries.emplace_back();
-      entry.content_hash = hash;
-      entry.endpoints = static_cast<uint32_t>(suspect.endpoints.size());
-      entry.quarantined_until_ms = suspect.quarantined_until;
+      wire::SuspectAnswerT entry = SuspectAnswerOf(hash, suspect, now);
+      if (entry.blocked_ms > 0 || entry.suspected)
+        entries.push_back(std::move(entry));
     }
     return entries;
   }
--- a/src/dotterelshift/state/tables.h
+++ b/src/dotterelshift/state/tables.h
@@ -13,6 +13,7 @@
 #include <vector>         // for vector
 
 #include "dotterelshift/base/error.h"               // for ErrorKind
+#include "dotterelshift/quarantine/evidence.h"      // for CrashedRuns
 #include "dotterelshift/state/compact_table.h"      // for CompactTable
 #include "dotterelshift/state/configuration.h"      // for Configuration
 #include "dotterelshift/state/state.h"              // for BudgetAccount
@@ -133,11 +134,18 @@
   bool aged = false;
 };
 
+// A content, or a prompt segment that requests share, in whose responses
+// endpoints died.
 struct Suspect {
-  std::set<EndpointId> endpoints;  // distinct ones that died running this
-  bool alone = false;  // was the only request in flight at least once
+  quarantine::CrashedRuns runs;  // of a content: endpoints, whatever run
+  bool alone = false;            // was the only request in flight at least once
+  bool shared = false;           // a prompt segment
   WallMs last = 0;
   WallMs quarantined_until = 0;
+  uint32_t blocks = 0;  // times that the segment was blocked
+  // The entry that may send a request with the segment, until then.
+  IncarnationIndex trial_run = 0;
+  WallMs trial_until = 0;
 };
 
 struct StoredPlan {
