Only requests whose own segments are suspected wait, and endpoints that leave accuse nobody

While any segment was suspected, each request that found no endpoint after a failed attempt waited up to an eighth of its target before it was refused; what cannot be served is refused at once. And an endpoint that ends after it announced that it leaves broke streams whose segments were then accused.

--- a/src/dotterelshift/gateway/core_impl.h
+++ b/src/dotterelshift/gateway/core_impl.h
@@ -179,6 +179,10 @@
   };
   static std::vector<SegmentKey> KeysOf(const ActiveRequest& active,
                                         SoftwareKey software);
+  // The software versions that the request may be sent to.
+  std::vector<SoftwareKey> SoftwareOpenTo(const ActiveRequest& active) const;
+  // Whether one of its segments is suspected or blocked at any of these.
+  bool IsSuspected(const ActiveRequest& active, Instant now) const;
   bool PassesSuspicion(ActiveRequest& active, Instant now);
   bool PassesTrial(ActiveRequest& active, SoftwareKey software,
                    SuspectVerdict verdict, Instant now);
--- a/src/dotterelshift/gateway/core_response.cc
+++ b/src/dotterelshift/gateway/core_response.cc
@@ -326,9 +326,8 @@
   // for, as no others may take it.
   const bool bound = active.binding && m_dependencies.versions->Serves(
                                            active.binding->origin.software);
-  const bool suspected =
-      m_dependencies.suspects != nullptr && !m_dependencies.suspects->IsIdle();
-  const bool waits = bound || suspected || IsBeingChecked(active, now);
+  const bool waits =
+      bound || IsSuspected(active, now) || IsBeingChecked(active, now);
   if (!waits && !ChooseEndpoint(active, now)) return false;
   Place(active, now);
   return true;
--- a/src/dotterelshift/gateway/core_suspects.cc
+++ b/src/dotterelshift/gateway/core_suspects.cc
@@ -1,4 +1,5 @@
-#include <algorithm>  // for min
+#include <algorithm>  // for any_of, min
+#include <iterator>   // for make_move_iterator
 #include <utility>    // for move
 
 #include "dotterelshift/gateway/core_impl.h"  // for CoreImpl
@@ -26,6 +27,20 @@
   return SegmentKeysOf(active.team, active.info.prompt, software);
 }
 
+std::vector<SoftwareKey> CoreImpl::SoftwareOpenTo(
+    const ActiveRequest& active) const {
+  if (active.binding) return {active.binding->origin.software};
+  return m_dependencies.versions->SoftwareOf(active.service);
+}
+
+bool CoreImpl::IsSuspected(const ActiveRequest& active, Instant now) const {
+  const CrashSuspects* suspects = m_dependencies.suspects;
+  if (suspects == nullptr || suspects->IsIdle()) return false;
+  return std::ranges::any_of(SoftwareOpenTo(active), [&](SoftwareKey software) {
+    return !suspects->IsFree(KeysOf(active, software), now);
+  });
+}
+
 // Software that the request must not be sent to is barred; if that is all, the
 // request is tried alone, waits for that, or is refused. Returns whether it may
 // be placed.
@@ -35,9 +50,7 @@
   if (suspects == nullptr || suspects->IsIdle() ||
       active.info.prompt.parts.size() < 2)
     return true;
-  const std::vector<SoftwareKey> all =
-      active.binding ? std::vector<SoftwareKey>{active.binding->origin.software}
-                     : m_dependencies.versions->SoftwareOf(active.service);
+  const std::vector<SoftwareKey> all = SoftwareOpenTo(active);
   for (const SoftwareKey software : all)
     if (!suspects->IsFree(KeysOf(active, software), now))
       active.barred_software.push_back(software);
@@ -107,9 +120,11 @@
 }
 
 // A connection that broke accuses nobody by itself: the endpoint may run on.
-// What a relay breaks, or a path that is in doubt, says nothing.
+// What a relay breaks, or a path that is in doubt, says nothing, nor does an
+// endpoint that ends after it announced that it leaves.
 void CoreImpl::OnBrokenAttempt(const ActiveRequest& active, bool complete,
                                Instant now) {
+  if (m_dependencies.load->IsLeaving(active.attempt.placement.endpoint)) return;
   BrokenAttempt broken;
   broken.caller_id = active.info.caller_id;
   broken.service = active.service;
