--- a/src/dotterelshift/state/state.cc
+++ b/src/dotterelshift/state/state.cc
@@ -131,9 +131,8 @@
   std::vector<wire::SuspectAnswerT> Quarantined(WallMs now) const override {
     std::vector<wire::SuspectAnswerT> entries;
     for (const auto& [hash, suspect] : m_tables.suspects) {
-      wire::SuspectAnswerT entry = SuspectAnswerOf(hash, suspect, now);
-      if (entry.blocked_ms > 0 || entry.suspected)
-        entries.push_back(std::move(entry));
+      const wire::SuspectAnswerT entry = SuspectAnswerOf(hash, suspect, now);
+      if (entry.blocked_ms > 0 || entry.suspected) entries.push_back(entry);
     }
     return entries;
   }
