A probe for a service that its endpoint no longer has does not end the entry

Found by reading the change: an attempt breaks, the endpoint's next announcement takes the request's service from it and leaves the service without endpoints, and the lookup of the service threw. EndpointPathsTest:: ProbeForAServiceWithoutEndpoints covers it; it was not run on the code before.

--- a/src/dotterelshift/gateway/endpoint_paths.cc
+++ b/src/dotterelshift/gateway/endpoint_paths.cc
@@ -378,8 +378,10 @@
   if (found == m_paths.end()) return;
   found->second.probe_wanted = true;
   m_next_probe = now;
+  const auto keys = m_by_service.find(service);
+  if (keys == m_by_service.end()) return;
   if (HeardFromOthers(service, endpoint, now - m_options.min_silence)) return;
-  for (const EndpointKey key : m_by_service.at(service)) {
+  for (const EndpointKey key : keys->second) {
     Path& path = m_paths.at(key);
     if (key == endpoint || !path.usable || path.failed_at) continue;
     path.probe_wanted = true;
--- a/src/dotterelshift/gateway/endpoint_paths_test.cc
+++ b/src/dotterelshift/gateway/endpoint_paths_test.cc
@@ -41,6 +41,7 @@
   CPPUNIT_TEST(CheckWithoutAnAnswerRelaysAllSoon);
   CPPUNIT_TEST(EndpointsThatAreHeardMeanwhileStayDirect);
   CPPUNIT_TEST(CrashesInSeriesCauseFewChecks);
+  CPPUNIT_TEST(ProbeForAServiceWithoutEndpoints);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -256,6 +257,12 @@
     CPPUNIT_ASSERT(m_paths->TakeChanges().empty());
   }
 
+  // The last announcement may have taken the service from the endpoint.
+  void ProbeForAServiceWithoutEndpoints() {
+    m_paths->ProbeNow(KeyOf("llm0"), "withdrawn", m_now);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, m_paths->TakeProbes(m_now).size());
+  }
+
   void WithoutARelayTheDirectPathIsUsed() {
     CutOffFromEngines();
     CPPUNIT_ASSERT(!m_paths->RelayTo(KeyOf("llm0"), m_now));
