Resumptions refused are counted by reason, and their lines say what this entry knows

Log lines and counters first: with them a stream that began in another data centre (origin_unknown, nearly no origins known), a proof that is not complete (view_incomplete, view_complete_ms) and a version that drains (version_gone) are told apart.

--- a/include/dotterelshift/gateway/core.h
+++ b/include/dotterelshift/gateway/core.h
@@ -1,13 +1,15 @@
 #ifndef DOTTERELSHIFT_GATEWAY_CORE_H_
 #define DOTTERELSHIFT_GATEWAY_CORE_H_
 
-#include <cstdint>   // for uint64_t
-#include <memory>    // for unique_ptr
-#include <optional>  // for optional
-#include <string>    // for string
-#include <utility>   // for pair
-#include <variant>   // for variant
-#include <vector>    // for vector
+#include <cstdint>      // for uint64_t
+#include <map>          // for map
+#include <memory>       // for unique_ptr
+#include <optional>     // for optional
+#include <string>       // for string
+#include <string_view>  // for string_view
+#include <utility>      // for pair
+#include <variant>      // for variant
+#include <vector>       // for vector
 
 #include "dotterelshift/base/error.h"              // for ErrorKind
 #include "dotterelshift/base/ids.h"                // for RequestId, AttemptId
@@ -150,8 +152,9 @@
 
 // Streams that callers wanted to resume, since the start.
 struct ResumptionCounts {
-  uint64_t accepted = 0;    // sent to an endpoint of the stream's version
-  uint64_t refused = 0;     // of all reasons
+  uint64_t accepted = 0;  // sent to an endpoint of the stream's version
+  uint64_t refused = 0;   // for all reasons
+  std::map<std::string_view, uint64_t> refused_for;  // by reason
   uint64_t withheld = 0;    // events were held back until proven
   uint64_t mismatched = 0;  // an endpoint turned out to have another version
 };
--- a/src/dotterelshift/app/gauges.cc
+++ b/src/dotterelshift/app/gauges.cc
@@ -88,6 +88,11 @@
   metrics.SetCounter("dotterelshift_resumptions_refused_total",
                      "Not resumed, as their version is not known or gone",
                      Number(counts.refused));
+  for (const auto& [why, count] : counts.refused_for) {
+    metrics.SetCounter(
+        "dotterelshift_resumptions_refused_" + std::string(why) + "_total",
+        "Of these, for this reason", Number(count));
+  }
   metrics.SetCounter("dotterelshift_resumptions_withheld_total",
                      "Attempts whose events waited for a proof of the version",
                      Number(counts.withheld));
--- a/src/dotterelshift/gateway/core_streams.cc
+++ b/src/dotterelshift/gateway/core_streams.cc
@@ -103,11 +103,19 @@
 void CoreImpl::RefuseResumption(ActiveRequest& active, ResumptionRefusal why,
                                 Instant now) {
   ++m_resumptions.refused;
+  ++m_resumptions.refused_for[NameOf(why)];
+  const Duration complete_for =
+      m_view_complete_since ? now - *m_view_complete_since : 0s;
   Log("resumption_refused", active,
       {{"why", std::string(NameOf(why))},
        {"service", active.service},
        {"resumes", active.info.first_caller_id},
-       {"after_event", active.info.last_event_id}});
+       {"after_event", active.info.last_event_id},
+       {"versions",
+        std::to_string(
+            m_dependencies.versions->SoftwareOf(active.service).size())},
+       {"origins", std::to_string(m_dependencies.origins->Size())},
+       {"view_complete_ms", std::to_string(ToMs(complete_for))}});
   Fail(active, ErrorKind::kNotResumable, RetryAfter(active, 0s, now), now);
 }
 
