--- a/include/dotterelshift/app/control_link.h
+++ b/include/dotterelshift/app/control_link.h
@@ -12,6 +12,7 @@
 
 #include "dotterelshift/base/ids.h"               // for HostRun
 #include "dotterelshift/base/time.h"              // for Instant
+#include "dotterelshift/gateway/origin_lookup.h"  // for DistantEntry
 #include "dotterelshift/serving/request_core.h"   // for ControlReach
 #include "dotterelshift/state/configuration.h"    // for Configuration
 #include "dotterelshift/wire/frames_generated.h"  // for FrameT
@@ -97,6 +98,11 @@
   const std::vector<std::string>& EntryAddresses() const {
     return m_entry_addresses;
   }
+  // Entries of the other data centres that can be asked for origins of streams,
+  // as last sent by control. None in a fleet whose entries connect to all.
+  const std::vector<gateway::DistantEntry>& DistantEntries() const {
+    return m_distant_entries;
+  }
   // When the newest heartbeat that a leader answered was sent.
   std::optional<Instant> ConfirmedAt() const { return m_confirmed; }
   // Since when the leader that answered it has had its directory of endpoints.
@@ -135,6 +141,7 @@
   };
   void OnLeaderHeartbeat(const HostId& from, const wire::LeaderBeatT& beat,
                          Instant now);
+  void TakeDistantEntries(const wire::DistantEntriesT& distant);
   void OnAnswers(const wire::ProposeAnswersT& answers);
   void OnSpoolStored(const wire::SpoolStoredT& stored);
   void OnConfiguration(const wire::ConfigurationPushT& push);
@@ -177,6 +184,7 @@
       false;  // a delta did not apply to the held version
   std::vector<std::string> m_control_addresses;
   std::vector<std::string> m_entry_addresses;
+  std::vector<gateway::DistantEntry> m_distant_entries;
   size_t m_entry_count = 1;
   size_t m_entry_index = 0;
   Commands m_unanswered;
--- a/include/dotterelshift/gateway/core.h
+++ b/include/dotterelshift/gateway/core.h
@@ -19,6 +19,7 @@
 #include "dotterelshift/gateway/endpoint_paths.h"  // for EndpointPaths
 #include "dotterelshift/gateway/fleet_load.h"      // for FleetLoad
 #include "dotterelshift/gateway/held_grants.h"     // for HeldGrants
+#include "dotterelshift/gateway/origin_lookup.h"   // for OriginLookup
 #include "dotterelshift/gateway/request.h"         // for RequestInfo
 #include "dotterelshift/gateway/retry_share.h"     // for RetryShare
 #include "dotterelshift/gateway/routes.h"          // for RouteTable
@@ -203,6 +204,9 @@
   // Since when this entry has known of all endpoints; nullopt: it may not know
   // of all of them now.
   virtual void OnViewComplete(std::optional<Instant> since) = 0;
+  // Origins of streams were looked up at other entries.
+  virtual void OnOriginsLookedUp(const std::vector<EndedLookup>& lookups,
+                                 Instant now) = 0;
   virtual void OnTimer(Instant now) = 0;
   virtual Instant NextTimer() const = 0;
 
@@ -227,6 +231,7 @@
   ServiceVersions* versions = nullptr;
   EndpointRuns* runs = nullptr;
   StreamOrigins* origins = nullptr;
+  OriginLookup* lookup = nullptr;     // null: no other entry is asked
   CrashSuspects* suspects = nullptr;  // null: segments are not suspected
 };
 
--- /dev/null
+++ b/include/dotterelshift/gateway/origin_lookup.h
@@ -0,0 +1,143 @@
+#ifndef DOTTERELSHIFT_GATEWAY_ORIGIN_LOOKUP_H_
+#define DOTTERELSHIFT_GATEWAY_ORIGIN_LOOKUP_H_
+
+#include <cstddef>        // for size_t
+#include <cstdint>        // for uint8_t
+#include <deque>          // for deque
+#include <map>            // for map
+#include <string>         // for string
+#include <string_view>    // for string_view
+#include <unordered_map>  // for unordered_map
+#include <utility>        // for exchange, pair
+#include <vector>         // for vector
+
+#include "dotterelshift/base/ids.h"                // for DataCentreId, HostId
+#include "dotterelshift/base/time.h"               // for Duration, Instant
+#include "dotterelshift/gateway/stream_origins.h"  // for StreamKey
+
+namespace dotterelshift::gateway {
+
+// An entry of another data centre that can be asked for origins.
+struct DistantEntry {
+  std::string address;  // of its hub, IP:port
+  DataCentreId data_centre;
+
+  bool operator==(const DistantEntry&) const = default;
+};
+
+struct OriginLookupOptions {
+  // A lookup ends after this time without an answer.
+  Duration timeout = 100ms;
+  // Entries asked in each data centre: one of them may be about to fail.
+  size_t asked_per_data_centre = 2;
+  // Bounds the memory; further streams are not looked up.
+  size_t max_lookups = 20'000;
+};
+
+enum class LookupOutcome : uint8_t {
+  kLearned,     // the origin has become known here
+  kNowhere,     // every other data centre has answered that it is not known
+  kIncomplete,  // a data centre could not be asked or did not answer in time
+};
+std::string_view NameOf(LookupOutcome outcome);
+
+struct EndedLookup {
+  StreamKey stream = 0;
+  LookupOutcome outcome = LookupOutcome::kIncomplete;
+  Duration took = 0s;
+  size_t data_centres = 0;  // asked, or tried to
+  size_t answered = 0;      // of these
+};
+
+// Streams whose origin one entry is asked for, in one frame.
+struct OriginQuestion {
+  HostId to;
+  std::vector<StreamKey> streams;
+};
+
+// Asks entries of the other data centres for the origin of streams that a
+// caller resumes here.
+//
+// Load pattern: in a large fleet an entry is told of the streams that begin in
+// its own data centre. When a host or a data centre fails, callers resume
+// thousands of streams in the others at once. Each data centre is asked only
+// then, for all streams of one event loop iteration together. An entry that
+// does not answer delays nobody but the streams that nobody else knows.
+class OriginLookup {
+ public:
+  explicit OriginLookup(const OriginLookupOptions& options = {})
+      : m_options(options) {}
+
+  // The entries that can be asked, as named by control. None: all entries are
+  // connected with each other, and there is nobody else to ask.
+  void SetEntries(const std::vector<DistantEntry>& entries);
+  bool HasEntries() const { return !m_data_centres.empty(); }
+
+  // Connections to entries. Others than those that can be asked are ignored.
+  void OnUp(const std::string& address, const HostId& host, Instant now);
+  void OnDown(const std::string& address, Instant now);
+
+  // Begins to look a stream up, or joins a lookup of it. Returns false if
+  // nobody can be asked.
+  bool Start(StreamKey stream, Instant now);
+  // The origin of a stream has become known here.
+  void OnLearned(StreamKey stream, Instant now);
+  // Another entry does not know these streams. `starting`: it has not been up
+  // for long enough to know what began in its data centre.
+  void OnMissing(const std::string& address,
+                 const std::vector<StreamKey>& streams, bool starting,
+                 Instant now);
+  void OnTimer(Instant now);
+  Instant NextTimer() const;
+
+  // Addresses that should be connected to.
+  std::vector<std::string> TakeDials() { return std::exchange(m_dials, {}); }
+  std::vector<OriginQuestion> TakeQuestions();
+  std::vector<EndedLookup> TakeEnded() { return std::exchange(m_ended, {}); }
+  size_t Open() const { return m_lookups.size(); }
+
+ private:
+  struct Candidate {
+    std::string address;
+    HostId host;
+    bool up = false;
+    // Did not answer the last question in time, or could not be connected to:
+    // it is asked, but not waited for.
+    bool unresponsive = false;
+  };
+  using Candidates = std::vector<Candidate>;
+
+  // What one data centre was asked about one stream.
+  struct Inquiry {
+    std::vector<std::string> asked;  // addresses that have not answered
+    std::vector<std::string> tried;  // addresses asked or dialled so far
+    bool answered = false;           // by one that knows its data centre
+  };
+  struct Lookup {
+    Instant begun{};
+    std::map<DataCentreId, Inquiry> inquiries;
+  };
+
+  Candidate* Find(const std::string& address);
+  // Candidates in the order in which they are asked about the stream, those
+  // that respond first.
+  static std::vector<Candidate*> RankFor(StreamKey stream,
+                                         Candidates& candidates);
+  void Ask(StreamKey stream, Candidates& candidates, Inquiry& inquiry);
+  bool IsAwaited(const Inquiry& inquiry, const Candidates& candidates) const;
+  void EndIfAnswered(StreamKey stream, Instant now);
+  void End(StreamKey stream, LookupOutcome outcome, Instant now);
+  void MarkUnresponsive(const Lookup& lookup);
+
+  const OriginLookupOptions m_options;
+  std::map<DataCentreId, Candidates> m_data_centres;
+  std::unordered_map<StreamKey, Lookup> m_lookups;
+  std::deque<std::pair<Instant, StreamKey>> m_by_begin;
+  std::vector<std::string> m_dials;
+  std::map<HostId, std::vector<StreamKey>> m_questions;
+  std::vector<EndedLookup> m_ended;
+};
+
+}  // namespace dotterelshift::gateway
+
+#endif  // DOTTERELSHIFT_GATEWAY_ORIGIN_LOOKUP_H_
--- a/include/dotterelshift/gateway/stream_origins.h
+++ b/include/dotterelshift/gateway/stream_origins.h
@@ -8,7 +8,7 @@
 #include <string>         // for string
 #include <string_view>    // for string_view
 #include <unordered_map>  // for unordered_map
-#include <utility>        // for pair
+#include <utility>        // for exchange, pair
 #include <vector>         // for vector
 
 #include "dotterelshift/base/ids.h"               // for HostId, TeamId
@@ -46,7 +46,8 @@
 struct KnownOrigin {
   OriginState state = OriginState::kMissing;
   StreamOrigin origin;
-  bool own = false;  // the stream began at this entry
+  bool contradicted = false;  // two origins of the stream differ
+  bool own = false;           // the stream began at this entry
   Duration age = 0s;
 };
 
@@ -83,9 +84,15 @@
   void OnBegun(StreamKey stream, const StreamOrigin& origin, Instant now);
   // Origins sent by another entry.
   void OnUpdates(const HostId& from, const OriginUpdates& updates, Instant now);
+  // Another entry knows of two origins of the stream that differ.
+  void OnUnclear(const HostId& from, StreamKey stream, Instant now);
 
   KnownOrigin Find(StreamKey stream, Instant now) const;
   size_t Size() const { return m_origins.size(); }
+  // Streams of which something has become known since the last call.
+  std::vector<StreamKey> TakeLearned() { return std::exchange(m_learned, {}); }
+  // Adds what is known of the stream. Returns false if nothing is.
+  bool AddKnown(StreamKey stream, OriginUpdates& updates, Instant now) const;
 
   // Own origins to send to the other entries since the last call.
   bool HasUpdates() const { return !m_unsent.empty(); }
@@ -116,6 +123,7 @@
   std::unordered_map<StreamKey, Entry> m_origins;
   std::deque<std::pair<Instant, StreamKey>> m_by_age;
   std::vector<StreamKey> m_unsent;
+  std::vector<StreamKey> m_learned;
 };
 
 }  // namespace dotterelshift::gateway
--- a/include/dotterelshift/peers/hub.h
+++ b/include/dotterelshift/peers/hub.h
@@ -116,6 +116,9 @@
   // Adds an address to keep a connection to. Throws Error(kBadSettings) when it
   // is not IP:port.
   virtual void Dial(const std::string& address) = 0;
+  // Ends the connection to an address that Dial() was called for, and dials it
+  // no more. A connection that the peer has established stays.
+  virtual void HangUp(const std::string& /*address*/) {}
   virtual uint16_t Port() const = 0;
   virtual const HubCounters& Counters() const = 0;
 };
--- a/include/dotterelshift/wire/frames_generated.h
+++ b/include/dotterelshift/wire/frames_generated.h
@@ -58,6 +58,14 @@
 struct LeaderBeatBuilder;
 struct LeaderBeatT;
 
+struct DistantEntries;
+struct DistantEntriesBuilder;
+struct DistantEntriesT;
+
+struct DistantEntry;
+struct DistantEntryBuilder;
+struct DistantEntryT;
+
 struct Recall;
 struct RecallBuilder;
 struct RecallT;
@@ -146,6 +154,14 @@
 struct LoadNotesBuilder;
 struct LoadNotesT;
 
+struct OriginQuestion;
+struct OriginQuestionBuilder;
+struct OriginQuestionT;
+
+struct OriginAnswer;
+struct OriginAnswerBuilder;
+struct OriginAnswerT;
+
 struct TokenBorrow;
 struct TokenBorrowBuilder;
 struct TokenBorrowT;
@@ -223,11 +239,13 @@
   TokenBorrow = 24,
   TokenLoan = 25,
   RelayOffer = 26,
+  OriginQuestion = 27,
+  OriginAnswer = 28,
   MIN = NONE,
-  MAX = RelayOffer
+  MAX = OriginAnswer
 };
 
-inline const FrameBody (&EnumValuesFrameBody())[27] {
+inline const FrameBody (&EnumValuesFrameBody())[29] {
   static const FrameBody values[] = {
     FrameBody::NONE,
     FrameBody::Hello,
@@ -255,13 +273,15 @@
     FrameBody::LoadNotes,
     FrameBody::TokenBorrow,
     FrameBody::TokenLoan,
-    FrameBody::RelayOffer
+    FrameBody::RelayOffer,
+    FrameBody::OriginQuestion,
+    FrameBody::OriginAnswer
   };
   return values;
 }
 
 inline const char * const *EnumNamesFrameBody() {
-  static const char * const names[28] = {
+  static const char * const names[30] = {
     "NONE",
     "Hello",
     "HelloProof",
@@ -289,13 +309,15 @@
     "TokenBorrow",
     "TokenLoan",
     "RelayOffer",
+    "OriginQuestion",
+    "OriginAnswer",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameFrameBody(FrameBody e) {
-  if (flatbuffers::IsOutRange(e, FrameBody::NONE, FrameBody::RelayOffer)) return "";
+  if (flatbuffers::IsOutRange(e, FrameBody::NONE, FrameBody::OriginAnswer)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesFrameBody()[index];
 }
@@ -408,6 +430,14 @@
   static const FrameBody enum_value = FrameBody::RelayOffer;
 };
 
+template<> struct FrameBodyTraits<dotterelshift::wire::OriginQuestion> {
+  static const FrameBody enum_value = FrameBody::OriginQuestion;
+};
+
+template<> struct FrameBodyTraits<dotterelshift::wire::OriginAnswer> {
+  static const FrameBody enum_value = FrameBody::OriginAnswer;
+};
+
 template<typename T> struct FrameBodyUnionTraits {
   static const FrameBody enum_value = FrameBody::NONE;
 };
@@ -516,6 +546,14 @@
   static const FrameBody enum_value = FrameBody::RelayOffer;
 };
 
+template<> struct FrameBodyUnionTraits<dotterelshift::wire::OriginQuestionT> {
+  static const FrameBody enum_value = FrameBody::OriginQuestion;
+};
+
+template<> struct FrameBodyUnionTraits<dotterelshift::wire::OriginAnswerT> {
+  static const FrameBody enum_value = FrameBody::OriginAnswer;
+};
+
 struct FrameBodyUnion {
   FrameBody type;
   void *value;
@@ -754,6 +792,22 @@
     return type == FrameBody::RelayOffer ?
       reinterpret_cast<const dotterelshift::wire::RelayOfferT *>(value) : nullptr;
   }
+  dotterelshift::wire::OriginQuestionT *AsOriginQuestion() {
+    return type == FrameBody::OriginQuestion ?
+      reinterpret_cast<dotterelshift::wire::OriginQuestionT *>(value) : nullptr;
+  }
+  const dotterelshift::wire::OriginQuestionT *AsOriginQuestion() const {
+    return type == FrameBody::OriginQuestion ?
+      reinterpret_cast<const dotterelshift::wire::OriginQuestionT *>(value) : nullptr;
+  }
+  dotterelshift::wire::OriginAnswerT *AsOriginAnswer() {
+    return type == FrameBody::OriginAnswer ?
+      reinterpret_cast<dotterelshift::wire::OriginAnswerT *>(value) : nullptr;
+  }
+  const dotterelshift::wire::OriginAnswerT *AsOriginAnswer() const {
+    return type == FrameBody::OriginAnswer ?
+      reinterpret_cast<const dotterelshift::wire::OriginAnswerT *>(value) : nullptr;
+  }
 };
 
 bool VerifyFrameBody(flatbuffers::Verifier &verifier, const void *obj, FrameBody type);
@@ -1839,6 +1893,11 @@
   uint32_t entry_count = 0;
   uint32_t entry_place = 0;
   uint64_t directory_ms = 0;
+  std::unique_ptr<dotterelshift::wire::DistantEntriesT> distant{};
+  LeaderBeatT() = default;
+  LeaderBeatT(const LeaderBeatT &o);
+  LeaderBeatT(LeaderBeatT&&) FLATBUFFERS_NOEXCEPT = default;
+  LeaderBeatT &operator=(LeaderBeatT o) FLATBUFFERS_NOEXCEPT;
 };
 
 struct LeaderBeat FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -1855,7 +1914,8 @@
     VT_ENTRIES = 16,
     VT_ENTRY_COUNT = 18,
     VT_ENTRY_PLACE = 20,
-    VT_DIRECTORY_MS = 22
+    VT_DIRECTORY_MS = 22,
+    VT_DISTANT = 24
   };
   uint64_t sequence() const {
     return GetField<uint64_t>(VT_SEQUENCE, 0);
@@ -1887,6 +1947,9 @@
   uint64_t directory_ms() const {
     return GetField<uint64_t>(VT_DIRECTORY_MS, 0);
   }
+  const dotterelshift::wire::DistantEntries *distant() const {
+    return GetPointer<const dotterelshift::wire::DistantEntries *>(VT_DISTANT);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
@@ -1903,6 +1966,8 @@
            VerifyField<uint32_t>(verifier, VT_ENTRY_COUNT, 4) &&
            VerifyField<uint32_t>(verifier, VT_ENTRY_PLACE, 4) &&
            VerifyField<uint64_t>(verifier, VT_DIRECTORY_MS, 8) &&
+           VerifyOffset(verifier, VT_DISTANT) &&
+           verifier.VerifyTable(distant()) &&
            verifier.EndTable();
   }
   LeaderBeatT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1944,6 +2009,9 @@
   void add_directory_ms(uint64_t directory_ms) {
     fbb_.AddElement<uint64_t>(LeaderBeat::VT_DIRECTORY_MS, directory_ms, 0);
   }
+  void add_distant(flatbuffers::Offset<dotterelshift::wire::DistantEntries> distant) {
+    fbb_.AddOffset(LeaderBeat::VT_DISTANT, distant);
+  }
   explicit LeaderBeatBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1966,7 +2034,8 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> entries = 0,
     uint32_t entry_count = 0,
     uint32_t entry_place = 0,
-    uint64_t directory_ms = 0) {
+    uint64_t directory_ms = 0,
+    flatbuffers::Offset<dotterelshift::wire::DistantEntries> distant = 0) {
   LeaderBeatBuilder builder_(_fbb);
   builder_.add_directory_ms(directory_ms);
   builder_.add_routes_version(routes_version);
@@ -1974,6 +2043,7 @@
   builder_.add_configuration_version(configuration_version);
   builder_.add_term(term);
   builder_.add_sequence(sequence);
+  builder_.add_distant(distant);
   builder_.add_entry_place(entry_place);
   builder_.add_entry_count(entry_count);
   builder_.add_entries(entries);
@@ -1997,7 +2067,8 @@
     const std::vector<flatbuffers::Offset<flatbuffers::String>> *entries = nullptr,
     uint32_t entry_count = 0,
     uint32_t entry_place = 0,
-    uint64_t directory_ms = 0) {
+    uint64_t directory_ms = 0,
+    flatbuffers::Offset<dotterelshift::wire::DistantEntries> distant = 0) {
   auto control__ = control ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*control) : 0;
   auto entries__ = entries ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*entries) : 0;
   return dotterelshift::wire::CreateLeaderBeat(
@@ -2011,11 +2082,168 @@
       entries__,
       entry_count,
       entry_place,
-      directory_ms);
+      directory_ms,
+      distant);
 }
 
 flatbuffers::Offset<LeaderBeat> CreateLeaderBeat(flatbuffers::FlatBufferBuilder &_fbb, const LeaderBeatT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct DistantEntriesT : public flatbuffers::NativeTable {
+  typedef DistantEntries TableType;
+  std::vector<std::unique_ptr<dotterelshift::wire::DistantEntryT>> entries{};
+  DistantEntriesT() = default;
+  DistantEntriesT(const DistantEntriesT &o);
+  DistantEntriesT(DistantEntriesT&&) FLATBUFFERS_NOEXCEPT = default;
+  DistantEntriesT &operator=(DistantEntriesT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct DistantEntries FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef DistantEntriesT NativeTableType;
+  typedef DistantEntriesBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ENTRIES = 4
+  };
+  const flatbuffers::Vector<flatbuffers::Offset<dotterelshift::wire::DistantEntry>> *entries() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<dotterelshift::wire::DistantEntry>> *>(VT_ENTRIES);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_ENTRIES) &&
+           verifier.VerifyVector(entries()) &&
+           verifier.VerifyVectorOfTables(entries()) &&
+           verifier.EndTable();
+  }
+  DistantEntriesT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(DistantEntriesT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<DistantEntries> Pack(flatbuffers::FlatBufferBuilder &_fbb, const DistantEntriesT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct DistantEntriesBuilder {
+  typedef DistantEntries Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_entries(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<dotterelshift::wire::DistantEntry>>> entries) {
+    fbb_.AddOffset(DistantEntries::VT_ENTRIES, entries);
+  }
+  explicit DistantEntriesBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<DistantEntries> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<DistantEntries>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<DistantEntries> CreateDistantEntries(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<dotterelshift::wire::DistantEntry>>> entries = 0) {
+  DistantEntriesBuilder builder_(_fbb);
+  builder_.add_entries(entries);
+  return builder_.Finish();
+}
+
+struct DistantEntries::Traits {
+  using type = DistantEntries;
+  static auto constexpr Create = CreateDistantEntries;
+};
+
+inline flatbuffers::Offset<DistantEntries> CreateDistantEntriesDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const std::vector<flatbuffers::Offset<dotterelshift::wire::DistantEntry>> *entries = nullptr) {
+  auto entries__ = entries ? _fbb.CreateVector<flatbuffers::Offset<dotterelshift::wire::DistantEntry>>(*entries) : 0;
+  return dotterelshift::wire::CreateDistantEntries(
+      _fbb,
+      entries__);
+}
+
+flatbuffers::Offset<DistantEntries> CreateDistantEntries(flatbuffers::FlatBufferBuilder &_fbb, const DistantEntriesT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct DistantEntryT : public flatbuffers::NativeTable {
+  typedef DistantEntry TableType;
+  std::string address{};
+  std::string data_centre{};
+};
+
+struct DistantEntry FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef DistantEntryT NativeTableType;
+  typedef DistantEntryBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ADDRESS = 4,
+    VT_DATA_CENTRE = 6
+  };
+  const flatbuffers::String *address() const {
+    return GetPointer<const flatbuffers::String *>(VT_ADDRESS);
+  }
+  const flatbuffers::String *data_centre() const {
+    return GetPointer<const flatbuffers::String *>(VT_DATA_CENTRE);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_ADDRESS) &&
+           verifier.VerifyString(address()) &&
+           VerifyOffset(verifier, VT_DATA_CENTRE) &&
+           verifier.VerifyString(data_centre()) &&
+           verifier.EndTable();
+  }
+  DistantEntryT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(DistantEntryT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<DistantEntry> Pack(flatbuffers::FlatBufferBuilder &_fbb, const DistantEntryT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct DistantEntryBuilder {
+  typedef DistantEntry Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_address(flatbuffers::Offset<flatbuffers::String> address) {
+    fbb_.AddOffset(DistantEntry::VT_ADDRESS, address);
+  }
+  void add_data_centre(flatbuffers::Offset<flatbuffers::String> data_centre) {
+    fbb_.AddOffset(DistantEntry::VT_DATA_CENTRE, data_centre);
+  }
+  explicit DistantEntryBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<DistantEntry> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<DistantEntry>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<DistantEntry> CreateDistantEntry(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> address = 0,
+    flatbuffers::Offset<flatbuffers::String> data_centre = 0) {
+  DistantEntryBuilder builder_(_fbb);
+  builder_.add_data_centre(data_centre);
+  builder_.add_address(address);
+  return builder_.Finish();
+}
+
+struct DistantEntry::Traits {
+  using type = DistantEntry;
+  static auto constexpr Create = CreateDistantEntry;
+};
+
+inline flatbuffers::Offset<DistantEntry> CreateDistantEntryDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *address = nullptr,
+    const char *data_centre = nullptr) {
+  auto address__ = address ? _fbb.CreateString(address) : 0;
+  auto data_centre__ = data_centre ? _fbb.CreateString(data_centre) : 0;
+  return dotterelshift::wire::CreateDistantEntry(
+      _fbb,
+      address__,
+      data_centre__);
+}
+
+flatbuffers::Offset<DistantEntry> CreateDistantEntry(flatbuffers::FlatBufferBuilder &_fbb, const DistantEntryT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct RecallT : public flatbuffers::NativeTable {
   typedef Recall TableType;
   std::string budget{};
@@ -4453,6 +4681,200 @@
 
 flatbuffers::Offset<LoadNotes> CreateLoadNotes(flatbuffers::FlatBufferBuilder &_fbb, const LoadNotesT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct OriginQuestionT : public flatbuffers::NativeTable {
+  typedef OriginQuestion TableType;
+  std::vector<uint64_t> streams{};
+};
+
+struct OriginQuestion FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef OriginQuestionT NativeTableType;
+  typedef OriginQuestionBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_STREAMS = 4
+  };
+  const flatbuffers::Vector<uint64_t> *streams() const {
+    return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_STREAMS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_STREAMS) &&
+           verifier.VerifyVector(streams()) &&
+           verifier.EndTable();
+  }
+  OriginQuestionT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(OriginQuestionT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<OriginQuestion> Pack(flatbuffers::FlatBufferBuilder &_fbb, const OriginQuestionT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct OriginQuestionBuilder {
+  typedef OriginQuestion Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_streams(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> streams) {
+    fbb_.AddOffset(OriginQuestion::VT_STREAMS, streams);
+  }
+  explicit OriginQuestionBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<OriginQuestion> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<OriginQuestion>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<OriginQuestion> CreateOriginQuestion(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> streams = 0) {
+  OriginQuestionBuilder builder_(_fbb);
+  builder_.add_streams(streams);
+  return builder_.Finish();
+}
+
+struct OriginQuestion::Traits {
+  using type = OriginQuestion;
+  static auto constexpr Create = CreateOriginQuestion;
+};
+
+inline flatbuffers::Offset<OriginQuestion> CreateOriginQuestionDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const std::vector<uint64_t> *streams = nullptr) {
+  auto streams__ = streams ? _fbb.CreateVector<uint64_t>(*streams) : 0;
+  return dotterelshift::wire::CreateOriginQuestion(
+      _fbb,
+      streams__);
+}
+
+flatbuffers::Offset<OriginQuestion> CreateOriginQuestion(flatbuffers::FlatBufferBuilder &_fbb, const OriginQuestionT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct OriginAnswerT : public flatbuffers::NativeTable {
+  typedef OriginAnswer TableType;
+  std::vector<dotterelshift::wire::ProvenOrigin> proven_origins{};
+  std::vector<dotterelshift::wire::PendingOrigin> pending_origins{};
+  std::vector<uint64_t> unclear{};
+  std::vector<uint64_t> missing{};
+  bool starting = false;
+};
+
+struct OriginAnswer FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef OriginAnswerT NativeTableType;
+  typedef OriginAnswerBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_PROVEN_ORIGINS = 4,
+    VT_PENDING_ORIGINS = 6,
+    VT_UNCLEAR = 8,
+    VT_MISSING = 10,
+    VT_STARTING = 12
+  };
+  const flatbuffers::Vector<const dotterelshift::wire::ProvenOrigin *> *proven_origins() const {
+    return GetPointer<const flatbuffers::Vector<const dotterelshift::wire::ProvenOrigin *> *>(VT_PROVEN_ORIGINS);
+  }
+  const flatbuffers::Vector<const dotterelshift::wire::PendingOrigin *> *pending_origins() const {
+    return GetPointer<const flatbuffers::Vector<const dotterelshift::wire::PendingOrigin *> *>(VT_PENDING_ORIGINS);
+  }
+  const flatbuffers::Vector<uint64_t> *unclear() const {
+    return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_UNCLEAR);
+  }
+  const flatbuffers::Vector<uint64_t> *missing() const {
+    return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_MISSING);
+  }
+  bool starting() const {
+    return GetField<uint8_t>(VT_STARTING, 0) != 0;
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_PROVEN_ORIGINS) &&
+           verifier.VerifyVector(proven_origins()) &&
+           VerifyOffset(verifier, VT_PENDING_ORIGINS) &&
+           verifier.VerifyVector(pending_origins()) &&
+           VerifyOffset(verifier, VT_UNCLEAR) &&
+           verifier.VerifyVector(unclear()) &&
+           VerifyOffset(verifier, VT_MISSING) &&
+           verifier.VerifyVector(missing()) &&
+           VerifyField<uint8_t>(verifier, VT_STARTING, 1) &&
+           verifier.EndTable();
+  }
+  OriginAnswerT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(OriginAnswerT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<OriginAnswer> Pack(flatbuffers::FlatBufferBuilder &_fbb, const OriginAnswerT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct OriginAnswerBuilder {
+  typedef OriginAnswer Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_proven_origins(flatbuffers::Offset<flatbuffers::Vector<const dotterelshift::wire::ProvenOrigin *>> proven_origins) {
+    fbb_.AddOffset(OriginAnswer::VT_PROVEN_ORIGINS, proven_origins);
+  }
+  void add_pending_origins(flatbuffers::Offset<flatbuffers::Vector<const dotterelshift::wire::PendingOrigin *>> pending_origins) {
+    fbb_.AddOffset(OriginAnswer::VT_PENDING_ORIGINS, pending_origins);
+  }
+  void add_unclear(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> unclear) {
+    fbb_.AddOffset(OriginAnswer::VT_UNCLEAR, unclear);
+  }
+  void add_missing(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> missing) {
+    fbb_.AddOffset(OriginAnswer::VT_MISSING, missing);
+  }
+  void add_starting(bool starting) {
+    fbb_.AddElement<uint8_t>(OriginAnswer::VT_STARTING, static_cast<uint8_t>(starting), 0);
+  }
+  explicit OriginAnswerBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<OriginAnswer> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<OriginAnswer>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<OriginAnswer> CreateOriginAnswer(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::Vector<const dotterelshift::wire::ProvenOrigin *>> proven_origins = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const dotterelshift::wire::PendingOrigin *>> pending_origins = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> unclear = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> missing = 0,
+    bool starting = false) {
+  OriginAnswerBuilder builder_(_fbb);
+  builder_.add_missing(missing);
+  builder_.add_unclear(unclear);
+  builder_.add_pending_origins(pending_origins);
+  builder_.add_proven_origins(proven_origins);
+  builder_.add_starting(starting);
+  return builder_.Finish();
+}
+
+struct OriginAnswer::Traits {
+  using type = OriginAnswer;
+  static auto constexpr Create = CreateOriginAnswer;
+};
+
+inline flatbuffers::Offset<OriginAnswer> CreateOriginAnswerDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const std::vector<dotterelshift::wire::ProvenOrigin> *proven_origins = nullptr,
+    const std::vector<dotterelshift::wire::PendingOrigin> *pending_origins = nullptr,
+    const std::vector<uint64_t> *unclear = nullptr,
+    const std::vector<uint64_t> *missing = nullptr,
+    bool starting = false) {
+  auto proven_origins__ = proven_origins ? _fbb.CreateVectorOfStructs<dotterelshift::wire::ProvenOrigin>(*proven_origins) : 0;
+  auto pending_origins__ = pending_origins ? _fbb.CreateVectorOfStructs<dotterelshift::wire::PendingOrigin>(*pending_origins) : 0;
+  auto unclear__ = unclear ? _fbb.CreateVector<uint64_t>(*unclear) : 0;
+  auto missing__ = missing ? _fbb.CreateVector<uint64_t>(*missing) : 0;
+  return dotterelshift::wire::CreateOriginAnswer(
+      _fbb,
+      proven_origins__,
+      pending_origins__,
+      unclear__,
+      missing__,
+      starting);
+}
+
+flatbuffers::Offset<OriginAnswer> CreateOriginAnswer(flatbuffers::FlatBufferBuilder &_fbb, const OriginAnswerT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct TokenBorrowT : public flatbuffers::NativeTable {
   typedef TokenBorrow TableType;
   std::string budget{};
@@ -4838,6 +5260,12 @@
   const dotterelshift::wire::RelayOffer *body_as_RelayOffer() const {
     return body_type() == dotterelshift::wire::FrameBody::RelayOffer ? static_cast<const dotterelshift::wire::RelayOffer *>(body()) : nullptr;
   }
+  const dotterelshift::wire::OriginQuestion *body_as_OriginQuestion() const {
+    return body_type() == dotterelshift::wire::FrameBody::OriginQuestion ? static_cast<const dotterelshift::wire::OriginQuestion *>(body()) : nullptr;
+  }
+  const dotterelshift::wire::OriginAnswer *body_as_OriginAnswer() const {
+    return body_type() == dotterelshift::wire::FrameBody::OriginAnswer ? static_cast<const dotterelshift::wire::OriginAnswer *>(body()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_BODY_TYPE, 1) &&
@@ -4954,6 +5382,14 @@
   return body_as_RelayOffer();
 }
 
+template<> inline const dotterelshift::wire::OriginQuestion *Frame::body_as<dotterelshift::wire::OriginQuestion>() const {
+  return body_as_OriginQuestion();
+}
+
+template<> inline const dotterelshift::wire::OriginAnswer *Frame::body_as<dotterelshift::wire::OriginAnswer>() const {
+  return body_as_OriginAnswer();
+}
+
 struct FrameBuilder {
   typedef Frame Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -5340,6 +5776,35 @@
       _demand_per_second);
 }
 
+inline LeaderBeatT::LeaderBeatT(const LeaderBeatT &o)
+      : sequence(o.sequence),
+        term(o.term),
+        configuration_version(o.configuration_version),
+        stamp_ms(o.stamp_ms),
+        routes_version(o.routes_version),
+        control(o.control),
+        entries(o.entries),
+        entry_count(o.entry_count),
+        entry_place(o.entry_place),
+        directory_ms(o.directory_ms),
+        distant((o.distant) ? new dotterelshift::wire::DistantEntriesT(*o.distant) : nullptr) {
+}
+
+inline LeaderBeatT &LeaderBeatT::operator=(LeaderBeatT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(sequence, o.sequence);
+  std::swap(term, o.term);
+  std::swap(configuration_version, o.configuration_version);
+  std::swap(stamp_ms, o.stamp_ms);
+  std::swap(routes_version, o.routes_version);
+  std::swap(control, o.control);
+  std::swap(entries, o.entries);
+  std::swap(entry_count, o.entry_count);
+  std::swap(entry_place, o.entry_place);
+  std::swap(directory_ms, o.directory_ms);
+  std::swap(distant, o.distant);
+  return *this;
+}
+
 inline LeaderBeatT *LeaderBeat::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::make_unique<LeaderBeatT>();
   UnPackTo(_o.get(), _resolver);
@@ -5359,6 +5824,7 @@
   { auto _e = entry_count(); _o->entry_count = _e; }
   { auto _e = entry_place(); _o->entry_place = _e; }
   { auto _e = directory_ms(); _o->directory_ms = _e; }
+  { auto _e = distant(); if (_e) _o->distant = std::unique_ptr<dotterelshift::wire::DistantEntriesT>(_e->UnPack(_resolver)); }
 }
 
 inline flatbuffers::Offset<LeaderBeat> LeaderBeat::Pack(flatbuffers::FlatBufferBuilder &_fbb, const LeaderBeatT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -5379,6 +5845,7 @@
   auto _entry_count = _o->entry_count;
   auto _entry_place = _o->entry_place;
   auto _directory_ms = _o->directory_ms;
+  auto _distant = _o->distant ? CreateDistantEntries(_fbb, _o->distant.get(), _rehasher) : 0;
   return dotterelshift::wire::CreateLeaderBeat(
       _fbb,
       _sequence,
@@ -5390,7 +5857,73 @@
       _entries,
       _entry_count,
       _entry_place,
-      _directory_ms);
+      _directory_ms,
+      _distant);
+}
+
+inline DistantEntriesT::DistantEntriesT(const DistantEntriesT &o) {
+  entries.reserve(o.entries.size());
+  for (const auto &entries_ : o.entries) { entries.emplace_back((entries_) ? new dotterelshift::wire::DistantEntryT(*entries_) : nullptr); }
+}
+
+inline DistantEntriesT &DistantEntriesT::operator=(DistantEntriesT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(entries, o.entries);
+  return *this;
+}
+
+inline DistantEntriesT *DistantEntries::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<DistantEntriesT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void DistantEntries::UnPackTo(DistantEntriesT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = entries(); if (_e) { _o->entries.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->entries[_i] = std::unique_ptr<dotterelshift::wire::DistantEntryT>(_e->Get(_i)->UnPack(_resolver)); } } }
+}
+
+inline flatbuffers::Offset<DistantEntries> DistantEntries::Pack(flatbuffers::FlatBufferBuilder &_fbb, const DistantEntriesT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateDistantEntries(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<DistantEntries> CreateDistantEntries(flatbuffers::FlatBufferBuilder &_fbb, const DistantEntriesT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const DistantEntriesT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _entries = _o->entries.size() ? _fbb.CreateVector<flatbuffers::Offset<dotterelshift::wire::DistantEntry>> (_o->entries.size(), [](size_t i, _VectorArgs *__va) { return CreateDistantEntry(*__va->__fbb, __va->__o->entries[i].get(), __va->__rehasher); }, &_va ) : 0;
+  return dotterelshift::wire::CreateDistantEntries(
+      _fbb,
+      _entries);
+}
+
+inline DistantEntryT *DistantEntry::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<DistantEntryT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void DistantEntry::UnPackTo(DistantEntryT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = address(); if (_e) _o->address = _e->str(); }
+  { auto _e = data_centre(); if (_e) _o->data_centre = _e->str(); }
+}
+
+inline flatbuffers::Offset<DistantEntry> DistantEntry::Pack(flatbuffers::FlatBufferBuilder &_fbb, const DistantEntryT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateDistantEntry(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<DistantEntry> CreateDistantEntry(flatbuffers::FlatBufferBuilder &_fbb, const DistantEntryT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const DistantEntryT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _address = _o->address.empty() ? 0 : _fbb.CreateString(_o->address);
+  auto _data_centre = _o->data_centre.empty() ? 0 : _fbb.CreateString(_o->data_centre);
+  return dotterelshift::wire::CreateDistantEntry(
+      _fbb,
+      _address,
+      _data_centre);
 }
 
 inline RecallT *Recall::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -6335,6 +6868,70 @@
       _pending_origins);
 }
 
+inline OriginQuestionT *OriginQuestion::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<OriginQuestionT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void OriginQuestion::UnPackTo(OriginQuestionT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = streams(); if (_e) { _o->streams.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->streams[_i] = _e->Get(_i); } } }
+}
+
+inline flatbuffers::Offset<OriginQuestion> OriginQuestion::Pack(flatbuffers::FlatBufferBuilder &_fbb, const OriginQuestionT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateOriginQuestion(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<OriginQuestion> CreateOriginQuestion(flatbuffers::FlatBufferBuilder &_fbb, const OriginQuestionT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const OriginQuestionT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _streams = _o->streams.size() ? _fbb.CreateVector(_o->streams) : 0;
+  return dotterelshift::wire::CreateOriginQuestion(
+      _fbb,
+      _streams);
+}
+
+inline OriginAnswerT *OriginAnswer::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<OriginAnswerT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void OriginAnswer::UnPackTo(OriginAnswerT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = proven_origins(); if (_e) { _o->proven_origins.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->proven_origins[_i] = *_e->Get(_i); } } }
+  { auto _e = pending_origins(); if (_e) { _o->pending_origins.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->pending_origins[_i] = *_e->Get(_i); } } }
+  { auto _e = unclear(); if (_e) { _o->unclear.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->unclear[_i] = _e->Get(_i); } } }
+  { auto _e = missing(); if (_e) { _o->missing.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->missing[_i] = _e->Get(_i); } } }
+  { auto _e = starting(); _o->starting = _e; }
+}
+
+inline flatbuffers::Offset<OriginAnswer> OriginAnswer::Pack(flatbuffers::FlatBufferBuilder &_fbb, const OriginAnswerT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateOriginAnswer(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<OriginAnswer> CreateOriginAnswer(flatbuffers::FlatBufferBuilder &_fbb, const OriginAnswerT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const OriginAnswerT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _proven_origins = _o->proven_origins.size() ? _fbb.CreateVectorOfStructs(_o->proven_origins) : 0;
+  auto _pending_origins = _o->pending_origins.size() ? _fbb.CreateVectorOfStructs(_o->pending_origins) : 0;
+  auto _unclear = _o->unclear.size() ? _fbb.CreateVector(_o->unclear) : 0;
+  auto _missing = _o->missing.size() ? _fbb.CreateVector(_o->missing) : 0;
+  auto _starting = _o->starting;
+  return dotterelshift::wire::CreateOriginAnswer(
+      _fbb,
+      _proven_origins,
+      _pending_origins,
+      _unclear,
+      _missing,
+      _starting);
+}
+
 inline TokenBorrowT *TokenBorrow::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::make_unique<TokenBorrowT>();
   UnPackTo(_o.get(), _resolver);
@@ -6569,6 +7166,14 @@
       auto ptr = reinterpret_cast<const dotterelshift::wire::RelayOffer *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case FrameBody::OriginQuestion: {
+      auto ptr = reinterpret_cast<const dotterelshift::wire::OriginQuestion *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case FrameBody::OriginAnswer: {
+      auto ptr = reinterpret_cast<const dotterelshift::wire::OriginAnswer *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
@@ -6692,6 +7297,14 @@
       auto ptr = reinterpret_cast<const dotterelshift::wire::RelayOffer *>(obj);
       return ptr->UnPack(resolver);
     }
+    case FrameBody::OriginQuestion: {
+      auto ptr = reinterpret_cast<const dotterelshift::wire::OriginQuestion *>(obj);
+      return ptr->UnPack(resolver);
+    }
+    case FrameBody::OriginAnswer: {
+      auto ptr = reinterpret_cast<const dotterelshift::wire::OriginAnswer *>(obj);
+      return ptr->UnPack(resolver);
+    }
     default: return nullptr;
   }
 }
@@ -6803,6 +7416,14 @@
       auto ptr = reinterpret_cast<const dotterelshift::wire::RelayOfferT *>(value);
       return CreateRelayOffer(_fbb, ptr, _rehasher).Union();
     }
+    case FrameBody::OriginQuestion: {
+      auto ptr = reinterpret_cast<const dotterelshift::wire::OriginQuestionT *>(value);
+      return CreateOriginQuestion(_fbb, ptr, _rehasher).Union();
+    }
+    case FrameBody::OriginAnswer: {
+      auto ptr = reinterpret_cast<const dotterelshift::wire::OriginAnswerT *>(value);
+      return CreateOriginAnswer(_fbb, ptr, _rehasher).Union();
+    }
     default: return 0;
   }
 }
@@ -6913,6 +7534,14 @@
       value = new dotterelshift::wire::RelayOfferT(*reinterpret_cast<dotterelshift::wire::RelayOfferT *>(u.value));
       break;
     }
+    case FrameBody::OriginQuestion: {
+      value = new dotterelshift::wire::OriginQuestionT(*reinterpret_cast<dotterelshift::wire::OriginQuestionT *>(u.value));
+      break;
+    }
+    case FrameBody::OriginAnswer: {
+      value = new dotterelshift::wire::OriginAnswerT(*reinterpret_cast<dotterelshift::wire::OriginAnswerT *>(u.value));
+      break;
+    }
     default:
       break;
   }
@@ -7050,6 +7679,16 @@
       delete ptr;
       break;
     }
+    case FrameBody::OriginQuestion: {
+      auto ptr = reinterpret_cast<dotterelshift::wire::OriginQuestionT *>(value);
+      delete ptr;
+      break;
+    }
+    case FrameBody::OriginAnswer: {
+      auto ptr = reinterpret_cast<dotterelshift::wire::OriginAnswerT *>(value);
+      delete ptr;
+      break;
+    }
     default: break;
   }
   value = nullptr;
--- a/src/dotterelshift/app/control_link.cc
+++ b/src/dotterelshift/app/control_link.cc
@@ -68,6 +68,8 @@
 void ControlLink::OnLeaderHeartbeat(const HostId& from,
                                     const wire::LeaderBeatT& beat,
                                     Instant now) {
+  // A late answer may be the only one that names them.
+  if (beat.distant != nullptr) TakeDistantEntries(*beat.distant);
   if (beat.term < m_term) return;
   const auto sent = m_heartbeats_sent.find(beat.sequence);
   if (sent == m_heartbeats_sent.end()) return;
@@ -93,6 +95,13 @@
   }
 }
 
+void ControlLink::TakeDistantEntries(const wire::DistantEntriesT& distant) {
+  m_distant_entries.clear();
+  for (const auto& entry : distant.entries)
+    if (entry != nullptr)
+      m_distant_entries.push_back({entry->address, entry->data_centre});
+}
+
 void ControlLink::OnAnswers(const wire::ProposeAnswersT& answers) {
   for (const auto& answer : answers.answers) {
     if (answer == nullptr || answer->id == nullptr) continue;
--- a/src/dotterelshift/app/control_link_test.cc
+++ b/src/dotterelshift/app/control_link_test.cc
@@ -30,6 +30,7 @@
   CPPUNIT_TEST(DeltasApplyToTheHeldVersion);
   CPPUNIT_TEST(DeltaFromAnotherVersionRequestsTheFullDocument);
   CPPUNIT_TEST(WantOfRelaysIsReportedAtOnce);
+  CPPUNIT_TEST(AskableEntriesAreKeptUntilOthersAreNamed);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -279,6 +280,26 @@
     CPPUNIT_ASSERT(m_link->NextTimer() > m_now);
   }
 
+  void AskableEntriesAreKeptUntilOthersAreNamed() {
+    const auto answer = [this](std::unique_ptr<wire::DistantEntriesT> named) {
+      wire::LeaderBeatT beat;
+      beat.sequence = NextHeartbeat("c1");
+      beat.term = 1;
+      beat.distant = std::move(named);
+      m_link->OnFrame("c1", MakeFrame(std::move(beat)), m_now);
+    };
+    auto named = std::make_unique<wire::DistantEntriesT>();
+    named->entries.push_back(std::make_unique<wire::DistantEntryT>());
+    named->entries.back()->address = "10.0.0.1:7";
+    named->entries.back()->data_centre = "b";
+    answer(std::move(named));
+    answer(nullptr);
+    CPPUNIT_ASSERT(m_link->DistantEntries() ==
+                   (std::vector<gateway::DistantEntry>{{"10.0.0.1:7", "b"}}));
+    answer(std::make_unique<wire::DistantEntriesT>());
+    CPPUNIT_ASSERT(m_link->DistantEntries().empty());
+  }
+
   // Sends the next heartbeat and returns the sequence that the host received.
   uint64_t NextHeartbeat(const HostId& host) {
     m_now = std::max(m_now, m_link->NextTimer());
--- a/src/dotterelshift/app/entry_pushes.h
+++ b/src/dotterelshift/app/entry_pushes.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>   // for uint64_t
 #include <map>       // for map
+#include <memory>    // for unique_ptr
 #include <optional>  // for optional
 #include <string>    // for string
 #include <vector>    // for vector
@@ -69,6 +70,12 @@
     PushedVersion routes;
     bool reported = false;  // the versions it holds are known
     bool wants_relays = false;
+    // Of the entries that can be asked for origins, as last sent. Another
+    // leader may have sent others since an earlier term.
+    struct {
+      uint64_t term = 0;
+      uint64_t version = 0;  // 0: none were sent
+    } askable;
     // The term in which the quarantined contents were last sent to it.
     std::optional<uint64_t> quarantine_term;
   };
@@ -86,6 +93,12 @@
   // this place, which spreads the entries over them.
   void AddDistantEntries(const DataCentreId& data_centre, size_t place,
                          std::vector<std::string>& addresses) const;
+  // Chooses the entries of each data centre that others may ask for origins of
+  // streams.
+  void ChooseAskable();
+  // The chosen entries of the other data centres, unless they were sent on this
+  // connection before.
+  std::unique_ptr<wire::DistantEntriesT> DistantEntriesFor(Entry& entry) const;
   // Return the approximate number of bytes sent.
   size_t Push(Entry& entry, Instant now, WallMs wall);
   size_t PushConfiguration(Entry& entry, Instant now);
@@ -101,7 +114,9 @@
 
   peers::Hub& m_hub;
   const ControlReplica& m_replica;
-  std::map<HostId, Entry> m_entries;  // connected
+  std::map<HostId, Entry> m_entries;                           // connected
+  std::map<DataCentreId, std::vector<std::string>> m_askable;  // addresses
+  uint64_t m_askable_version = 1;
   gateway::EntryRoster m_roster;
   // Since when this replica has had a directory, or somewhat later.
   std::optional<Instant> m_directory_since;
--- a/src/dotterelshift/app/entry_pushes_test.cc
+++ b/src/dotterelshift/app/entry_pushes_test.cc
@@ -19,6 +19,8 @@
     if (const auto* answer = frame.body.AsLeaderBeat()) {
       entry_count = answer->entry_count;
       entries = answer->entries;
+      names_askable = answer->distant != nullptr;
+      if (names_askable) askable[host] = AddressesOf(*answer->distant);
     }
     const wire::RoutesPushT* routes = frame.body.AsRoutesPush();
     if (routes == nullptr) return true;
@@ -44,10 +46,21 @@
   std::map<HostId, int> quarantines;    // pushes of quarantined contents
   uint32_t entry_count = 0;             // in the newest answer to a heartbeat
   std::vector<std::string> entries;     // in the same answer
+  bool names_askable = false;           // the same answer
+  // Entries of other data centres that each host was last told it may ask.
+  std::map<HostId, std::vector<std::string>> askable;
   size_t max_backlog = 0;
   int documents = 0;
 
  private:
+  static std::vector<std::string> AddressesOf(
+      const wire::DistantEntriesT& distant) {
+    std::vector<std::string> addresses;
+    for (const auto& entry : distant.entries)
+      addresses.push_back(entry->address);
+    return addresses;
+  }
+
   peers::HubCounters m_counters;
 };
 
@@ -62,6 +75,9 @@
   CPPUNIT_TEST(QuarantineReachesEntriesThatConnectedUnderAnotherLeader);
   CPPUNIT_TEST(EntryThatLostItsConnectionIsStillCounted);
   CPPUNIT_TEST(DataCentreWithoutRelaysIsToldOfEntriesOfOthers);
+  CPPUNIT_TEST(EntriesOfALargeFleetAreToldOnceWhomTheyMayAsk);
+  CPPUNIT_TEST(FailedEntryIsReplacedAmongThoseThatMayBeAsked);
+  CPPUNIT_TEST(EntriesOfASmallFleetAskNobody);
   CPPUNIT_TEST_SUITE_END();
 
  private:
@@ -261,6 +277,61 @@
       CPPUNIT_ASSERT(!address.starts_with("a"));
   }
 
+  // `count` entries in each of the data centres a, b and c.
+  void StartDataCentres(int count) {
+    for (const std::string name : {"a", "b", "c"}) {
+      for (int i = 0; i < count; ++i) {
+        const std::string host = name + std::to_string(i);
+        m_pushes.OnUp({.run = {host, 1}, .data_centre = name, .address = host});
+      }
+    }
+  }
+
+  void EntriesOfALargeFleetAreToldOnceWhomTheyMayAsk() {
+    StartDataCentres(20);
+    SendHeartbeat("a0", 0);
+    const std::vector<std::string> named = m_hub.askable["a0"];
+    CPPUNIT_ASSERT_EQUAL(size_t{8}, named.size());
+    for (const std::string& address : named)
+      CPPUNIT_ASSERT(!address.starts_with("a"));
+    SendHeartbeat("a0", 0);
+    CPPUNIT_ASSERT(!m_hub.names_askable);
+    // All are told the same entries.
+    SendHeartbeat("a1", 0);
+    CPPUNIT_ASSERT(named == m_hub.askable["a1"]);
+  }
+
+  void FailedEntryIsReplacedAmongThoseThatMayBeAsked() {
+    StartDataCentres(20);
+    SendHeartbeat("a0", 0);
+    std::vector<std::string> named = m_hub.askable["a0"];
+    const std::string failed = named.front();
+    m_pushes.OnDown(failed, m_now);
+    SendHeartbeat("a0", 0);
+    const std::vector<std::string>& now_named = m_hub.askable["a0"];
+    CPPUNIT_ASSERT_EQUAL(named.size(), now_named.size());
+    size_t kept = 0;
+    for (const std::string& address : now_named) {
+      CPPUNIT_ASSERT(address != failed);
+      kept += std::ranges::find(named, address) != named.end() ? 1 : 0;
+    }
+    CPPUNIT_ASSERT_EQUAL(named.size() - 1, kept);
+  }
+
+  void EntriesOfASmallFleetAskNobody() {
+    StartDataCentres(5);
+    SendHeartbeat("a0", 0);
+    CPPUNIT_ASSERT(!m_hub.names_askable);
+    // The fleet grows, and shrinks again.
+    m_pushes.OnUp({.run = {"a5", 1}, .data_centre = "a", .address = "a5"});
+    m_pushes.OnUp({.run = {"a6", 1}, .data_centre = "a", .address = "a6"});
+    SendHeartbeat("a0", 0);
+    CPPUNIT_ASSERT_EQUAL(size_t{8}, m_hub.askable["a0"].size());
+    m_pushes.OnDown("a5", m_now);
+    SendHeartbeat("a0", 0);
+    CPPUNIT_ASSERT(m_hub.names_askable && m_hub.askable["a0"].empty());
+  }
+
   void EntryThatLostItsConnectionIsStillCounted() {
     StartEntries();
     m_pushes.OnDown("e2", m_now);
--- a/src/dotterelshift/app/gateway_entry.cc
+++ b/src/dotterelshift/app/gateway_entry.cc
@@ -14,6 +14,7 @@
 #include "dotterelshift/app/hub_options.h"            // for MakeHubOptions
 #include "dotterelshift/app/link_guard.h"             // for LinkGuard
 #include "dotterelshift/app/listen_options.h"         // for ListenOptions
+#include "dotterelshift/app/origin_exchange.h"        // for OriginExchange
 #include "dotterelshift/app/other_entries.h"          // for OtherEntries
 #include "dotterelshift/app/registration.h"           // for Registration
 #include "dotterelshift/app/version_tracker.h"        // for VersionTracker
@@ -81,6 +82,7 @@
   ControlLink m_link;
   DirectoryExchange m_directory;
   VersionTracker m_versions;
+  OriginExchange m_origins;
   gateway::FleetLoad m_load;
   gateway::HeldGrants m_budgets;
   gateway::RetryShare m_retries;
@@ -121,6 +123,7 @@
                   {[this] { OnEndpointsChanged(); },
                    [](const std::vector<wire::CacheEventT>&) {}}),
       m_versions(m_directory),
+      m_origins(loop, m_versions.Origins()),
       m_load(LoadOptionsOf(settings)),
       m_budgets({}, [this] { return NextId(); }),
       m_retries(RetryOptionsOf(settings)),
@@ -141,7 +144,8 @@
   m_hub = peers::MakeHub(
       loop, MakeHubOptions(settings, secret, incarnation, m_server->Port()),
       HubCallbacks());
-  m_others = std::make_unique<OtherEntries>(loop, *m_hub,
+  m_origins.SetHub(m_hub.get());
+  m_others = std::make_unique<OtherEntries>(loop, *m_hub, settings.data_centre,
                                             LoadUpdatePacerOptionsOf(settings));
   m_relays = std::make_unique<EndpointRelays>(loop, settings, RelayParts());
   m_shutdown = std::make_unique<EntryShutdown>(
@@ -162,6 +166,7 @@
           .versions = &m_versions.Versions(),
           .runs = &m_versions.Runs(),
           .origins = &m_versions.Origins(),
+          .lookup = &m_origins.Lookup(),
           .suspects = &m_suspects};
 }
 
@@ -216,6 +221,7 @@
                    {{"peer", peer.run.host}});
     if (peer.role != wire::HostRole::Control) {
       m_relays->OnEntryDown(peer.run.host);
+      m_origins.OnEntryDown(peer);
       return m_load.OnEntryGone(peer.run.host);
     }
     m_directory.OnPeerDown(peer);
@@ -232,7 +238,8 @@
 
 void GatewayEntry::OnEntryUp(const peers::PeerInfo& entry) {
   m_relays->OnEntryUp(entry);
-  m_others->SendOriginsTo(entry.run.host, m_versions.Origins(), m_loop.Now());
+  m_origins.OnEntryUp(entry);
+  m_others->SendOriginsTo(entry, m_versions.Origins(), m_loop.Now());
 }
 
 void GatewayEntry::OnPeerFrame(const peers::PeerInfo& peer,
@@ -246,24 +253,17 @@
 void GatewayEntry::OnEntryFrame(const peers::PeerInfo& peer,
                                 const wire::FrameT& frame) {
   const Instant now = m_loop.Now();
+  if (m_origins.OnFrame(peer, frame)) return;
   if (const auto* notes = frame.body.AsLoadNotes()) {
     m_load.OnLoadUpdates(peer.run.host, *notes, now);
     m_versions.Origins().OnUpdates(
         peer.run.host, {notes->proven_origins, notes->pending_origins}, now);
   } else if (const auto* borrow = frame.body.AsTokenBorrow()) {
-    wire::TokenLoanT loan;
-    loan.budget = borrow->budget;
     // Once holdings are being returned to control, nothing is lent any more.
-    if (!m_shutdown->IsReturning())
-      loan.tokens = m_budgets.OnBorrow(*borrow, peer.run, now);
-    telemetry::LogDecision("tokens_lent", "",
-                           {{"team", borrow->budget},
-                            {"to", peer.run.host},
-                            {"wanted", std::to_string(borrow->wanted)},
-                            {"minimum", std::to_string(borrow->minimum)},
-                            {"lent", std::to_string(loan.tokens)}});
-    if (loan.tokens > 0)
-      m_hub->Send(peer.run.host, peers::MakeFrame(std::move(loan)));
+    const Tokens lent = m_shutdown->IsReturning()
+                            ? 0
+                            : m_budgets.OnBorrow(*borrow, peer.run, now);
+    m_others->SendLoan(peer.run.host, *borrow, lent);
   } else if (const auto* offer = frame.body.AsRelayOffer()) {
     m_relays->OnOffer(peer, *offer);
     m_traffic->Pump();
@@ -364,6 +364,8 @@
     m_hub->Dial(address);
   for (const std::string& address : m_link.EntryAddresses())
     m_hub->Dial(address);
+  m_origins.SetEntries(m_link.DistantEntries());
+  m_others->SetOwnDataCentreOnly(!m_link.DistantEntries().empty());
 }
 
 void GatewayEntry::OnEndpointsChanged() {
@@ -423,6 +425,8 @@
   for (wire::TokenBorrowT& borrow : m_budgets.TakeBorrowRequests())
     m_others->SendToNextFew(peers::MakeFrame(std::move(borrow)));
   m_others->SendUpdates(m_load, m_versions.Origins(), now);
+  m_core->OnOriginsLookedUp(m_origins.Exchange(), now);
+  m_traffic->Pump();
   m_relays->StartProbes();
 }
 
@@ -471,6 +475,7 @@
   SetRetryMetrics(*m_metrics, m_retries.UseByService(m_loop.Now()));
   SetEndpointMetrics(*m_metrics, m_load.CountByService(m_loop.Now()));
   m_versions.SetMetrics(*m_metrics, *m_core);
+  m_origins.SetMetrics(*m_metrics);
   m_relays->SetMetrics(*m_metrics);
   SetSuspectMetrics(*m_metrics, m_suspects, *m_core, m_loop.Now());
 }
--- /dev/null
+++ b/src/dotterelshift/app/origin_exchange.h
@@ -0,0 +1,72 @@
+#ifndef DOTTERELSHIFT_SRC_APP_ORIGIN_EXCHANGE_H_
+#define DOTTERELSHIFT_SRC_APP_ORIGIN_EXCHANGE_H_
+
+#include <cstdint>  // for uint64_t
+#include <map>      // for map
+#include <string>   // for string
+#include <vector>   // for vector
+
+#include "dotterelshift/gateway/origin_lookup.h"     // for OriginLookup
+#include "dotterelshift/gateway/origin_responder.h"  // for OriginResponder
+#include "dotterelshift/gateway/stream_origins.h"    // for StreamOrigins
+#include "dotterelshift/loop/loop.h"                 // for Loop, Timer
+#include "dotterelshift/peers/hub.h"                 // for Hub
+#include "dotterelshift/telemetry/metrics.h"         // for Metrics
+
+namespace dotterelshift::app {
+
+// Exchanges origins of streams with entries of other data centres: asks them
+// when a caller resumes a stream that is not known here, and answers them.
+// Connections are made for the first question and ended when none was asked for
+// a while.
+class OriginExchange {
+ public:
+  // `origins` must outlive this object.
+  OriginExchange(loop::Loop& loop, gateway::StreamOrigins& origins);
+
+  gateway::OriginLookup& Lookup() { return m_lookup; }
+  void SetHub(peers::Hub* hub) { m_hub = hub; }
+
+  // Entries that can be asked, as named by control.
+  void SetEntries(const std::vector<gateway::DistantEntry>& entries);
+  void OnEntryUp(const peers::PeerInfo& entry);
+  void OnEntryDown(const peers::PeerInfo& entry);
+  // Returns false if the frame is neither a question nor an answer.
+  bool OnFrame(const peers::PeerInfo& peer, const wire::FrameT& frame);
+  // Sends what is due. Returns the lookups that have ended. To be called in
+  // each event loop iteration; a timer causes one when something is due.
+  std::vector<gateway::EndedLookup> Exchange();
+  void SetMetrics(telemetry::Metrics& metrics) const;
+
+ private:
+  struct Totals {
+    uint64_t asked = 0;  // questions, one for each stream and entry
+    uint64_t received = 0;
+    std::map<gateway::LookupOutcome, uint64_t> ended;
+  };
+
+  void OnQuestion(const peers::PeerInfo& peer,
+                  const wire::OriginQuestionT& question);
+  void OnAnswer(const peers::PeerInfo& peer, const wire::OriginAnswerT& answer);
+  void TakeLearned(Instant now);
+  void Dial(Instant now);
+  void HangUpIdle(Instant now);
+  void SendQuestions(Instant now);
+  void SendAnswers(Instant now);
+
+  loop::Loop& m_loop;
+  gateway::StreamOrigins& m_origins;
+  gateway::OriginLookup m_lookup;
+  gateway::OriginResponder m_responder;
+  loop::Timer m_timer;
+  peers::Hub* m_hub = nullptr;
+  std::vector<gateway::DistantEntry> m_entries;
+  // Addresses that were dialled to ask, and when one was last asked.
+  std::map<std::string, Instant> m_dialled;
+  std::map<HostId, std::string> m_addresses;  // of connected entries
+  Totals m_totals;
+};
+
+}  // namespace dotterelshift::app
+
+#endif  // DOTTERELSHIFT_SRC_APP_ORIGIN_EXCHANGE_H_
--- a/src/dotterelshift/app/other_entries.cc
+++ b/src/dotterelshift/app/other_entries.cc
@@ -1,8 +1,11 @@
 #include "dotterelshift/app/other_entries.h"
 
 #include <algorithm>  // for binary_search, min, sort
+#include <string>     // for to_string
 #include <utility>    // for move
 
+#include "dotterelshift/telemetry/log.h"  // for LogDecision
+
 namespace dotterelshift::app {
 namespace {
 
@@ -13,15 +16,22 @@
 
 // The timer only causes an event loop iteration, which calls SendUpdates().
 OtherEntries::OtherEntries(loop::Loop& loop, peers::Hub& hub,
+                           const DataCentreId& data_centre,
                            const gateway::LoadUpdatePacerOptions& notes)
     : m_hub(hub),
+      m_data_centre(data_centre),
       m_load_update_pacer(notes),
       m_load_update_timer(loop, [] {}) {}
 
+bool OtherEntries::IsServed(const peers::PeerInfo& peer) const {
+  return peer.role == wire::HostRole::Entry &&
+         (!m_own_only || peer.data_centre == m_data_centre);
+}
+
 std::vector<HostId> OtherEntries::Hosts() const {
   std::vector<HostId> hosts;
   for (const peers::PeerInfo& peer : m_hub.Peers())
-    if (peer.role == wire::HostRole::Entry) hosts.push_back(peer.run.host);
+    if (IsServed(peer)) hosts.push_back(peer.run.host);
   std::sort(hosts.begin(), hosts.end());
   return hosts;
 }
@@ -44,9 +54,11 @@
   for (const HostId& host : hosts) m_hub.Send(host, frame);
 }
 
-void OtherEntries::SendOriginsTo(const HostId& host,
+void OtherEntries::SendOriginsTo(const peers::PeerInfo& entry,
                                  const gateway::StreamOrigins& origins,
                                  Instant now) {
+  if (!IsServed(entry)) return;
+  const HostId& host = entry.run.host;
   const std::vector<HostId> hosts = Hosts();
   // The host itself may have restarted, and has lost what it knew.
   const auto is_connected = [&hosts, &host](const HostId& other) {
@@ -60,6 +72,21 @@
   m_hub.Send(host, peers::MakeFrame(std::move(body)));
 }
 
+void OtherEntries::SendLoan(const HostId& to, const wire::TokenBorrowT& borrow,
+                            Tokens lent) {
+  telemetry::LogDecision("tokens_lent", "",
+                         {{"team", borrow.budget},
+                          {"to", to},
+                          {"wanted", std::to_string(borrow.wanted)},
+                          {"minimum", std::to_string(borrow.minimum)},
+                          {"lent", std::to_string(lent)}});
+  if (lent == 0) return;
+  wire::TokenLoanT loan;
+  loan.budget = borrow.budget;
+  loan.tokens = lent;
+  m_hub.Send(to, peers::MakeFrame(std::move(loan)));
+}
+
 void OtherEntries::SendToNextFew(const wire::FrameT& frame) {
   const std::vector<HostId> hosts = Hosts();
   const size_t count = std::min(kMaxReceivers, hosts.size());
--- a/src/dotterelshift/app/other_entries.h
+++ b/src/dotterelshift/app/other_entries.h
@@ -4,6 +4,7 @@
 #include <cstddef>  // for size_t
 #include <vector>   // for vector
 
+#include "dotterelshift/base/tokens.h"                // for Tokens
 #include "dotterelshift/gateway/fleet_load.h"         // for FleetLoad
 #include "dotterelshift/gateway/load_update_pacer.h"  // for LoadUpdatePacer
 #include "dotterelshift/gateway/stream_origins.h"     // for StreamOrigins
@@ -13,13 +14,18 @@
 
 namespace dotterelshift::app {
 
-// Sends frames to the other connected entries.
+// Sends frames to the other connected entries: in a large fleet, to those of
+// the own data centre.
 class OtherEntries {
  public:
   // `hub` must outlive this object.
   OtherEntries(loop::Loop& loop, peers::Hub& hub,
+               const DataCentreId& data_centre,
                const gateway::LoadUpdatePacerOptions& notes);
 
+  // Whether the entries of other data centres are left out.
+  void SetOwnDataCentreOnly(bool only) { m_own_only = only; }
+
   // Sends changes of the endpoints' load and the origins of new streams to all
   // of them, once the pacer permits it. Called in each event loop iteration; if
   // it must wait, a timer causes another iteration.
@@ -27,17 +33,23 @@
                    Instant now);
   // Sends the origins that an entry lacks whose connection was just
   // established.
-  void SendOriginsTo(const HostId& host, const gateway::StreamOrigins& origins,
-                     Instant now);
+  void SendOriginsTo(const peers::PeerInfo& entry,
+                     const gateway::StreamOrigins& origins, Instant now);
+  // Answers another entry's request to lend; 0 tokens: none can be lent.
+  void SendLoan(const HostId& to, const wire::TokenBorrowT& borrow,
+                Tokens lent);
   // Sends a request to lend to a few entries, to different ones each time. Each
   // receiver lends what it can, so that asking more entries would yield many
   // times the tokens needed.
   void SendToNextFew(const wire::FrameT& frame);
 
  private:
+  bool IsServed(const peers::PeerInfo& peer) const;
   std::vector<HostId> Hosts() const;
 
   peers::Hub& m_hub;
+  const DataCentreId m_data_centre;
+  bool m_own_only = false;
   gateway::LoadUpdatePacer m_load_update_pacer;
   loop::Timer m_load_update_timer;
   size_t m_next_receiver = 0;
--- a/src/dotterelshift/gateway/active_request.h
+++ b/src/dotterelshift/gateway/active_request.h
@@ -9,6 +9,7 @@
 
 #include "dotterelshift/gateway/core.h"           // for RequestInfo
 #include "dotterelshift/gateway/event_scanner.h"  // for EventScanner
+#include "dotterelshift/gateway/origin_lookup.h"  // for EndedLookup
 
 namespace dotterelshift::gateway {
 
@@ -17,6 +18,7 @@
 inline constexpr uint32_t kMaxSends = 4;
 
 enum class Stage : uint8_t {
+  kWaitsForOrigin,  // other entries are asked for its stream's origin
   kWaitsForBudget,
   kWaitsForTrial,     // a segment is suspected; control decides on a trial
   kWaitsForEndpoint,  // all endpoints are full
@@ -54,6 +56,7 @@
 enum class BindingSource : uint8_t {
   kOwn,         // it passed the first event on, in this response or before
   kTold,        // by another entry
+  kAsked,       // another entry has answered a question
   kOneVersion,  // it is proven that there is no other version
 };
 
@@ -103,6 +106,7 @@
   Duration link_wait = 0s;   // wait for the link so far, of this attempt
   Instant due{};             // when its timer expires
   Stage stage = Stage::kWaitsForBudget;
+  std::optional<EndedLookup> lookup;  // of its stream's origin
   Tokens reserved = 0;
   bool has_reservation = false;
   bool may_have_run = false;  // an endpoint may have run it
--- a/src/dotterelshift/gateway/core.cc
+++ b/src/dotterelshift/gateway/core.cc
@@ -105,11 +105,11 @@
   if (OutlivesDrain(active, now))
     return Fail(active, ErrorKind::kDraining, 0s, now);
   active.service = PickService(*active.route);
-  if (active.Resumes()) {
-    const std::optional<ResumptionRefusal> why = BindResumed(active, now);
-    if (why) return RefuseResumption(active, *why, now);
-    ++m_resumptions.accepted;
-  }
+  if (active.Resumes()) return AdmitResumed(active, now);
+  AdmitToService(active, now);
+}
+
+void CoreImpl::AdmitToService(ActiveRequest& active, Instant now) {
   m_dependencies.retries->OnRequest(active.service, now);
   ReserveBudget(active, now);
 }
@@ -266,6 +266,8 @@
 void CoreImpl::OnTimerExpired(ActiveRequest& active, Instant now) {
   if (now >= active.deadline) return OnDeadline(active, now);
   switch (active.stage) {
+    case Stage::kWaitsForOrigin:
+      return;
     case Stage::kWaitsForBudget:
       if (now < active.wait_until) return ReserveBudget(active, now);
       return FailForBudget(active, ErrorKind::kBudgetUnavailable, now);
--- a/src/dotterelshift/gateway/core_impl.h
+++ b/src/dotterelshift/gateway/core_impl.h
@@ -49,6 +49,8 @@
   void OnViewComplete(std::optional<Instant> since) override {
     m_view_complete_since = since;
   }
+  void OnOriginsLookedUp(const std::vector<EndedLookup>& lookups,
+                         Instant now) override;
   void OnTimer(Instant now) override;
   Instant NextTimer() const override;
   std::vector<Action> TakeActions() override {
@@ -70,6 +72,8 @@
   ErrorKind FindRoute(ActiveRequest& active) const;
   ErrorKind FindTeam(ActiveRequest& active) const;
   void Admit(ActiveRequest& active, Instant now);
+  void AdmitResumed(ActiveRequest& active, Instant now);
+  void AdmitToService(ActiveRequest& active, Instant now);
   bool OutlivesDrain(const ActiveRequest& active, Instant now) const;
   void SetTimes(ActiveRequest& active) const;
   ServiceName PickService(const Route& route);
@@ -145,6 +149,9 @@
                                                Instant now) const;
   std::optional<ResumptionRefusal> BindToOrigin(ActiveRequest& active,
                                                 const KnownOrigin& known) const;
+  // Asks other entries for the stream's origin. Returns false if that is of no
+  // use or nobody can be asked.
+  bool LookUpOrigin(ActiveRequest& active, ResumptionRefusal why, Instant now);
   void RefuseResumption(ActiveRequest& active, ResumptionRefusal why,
                         Instant now);
   std::optional<SoftwareKey> ProvenOnlyVersion(const ActiveRequest& active,
@@ -228,6 +235,7 @@
               Instant now);
   Tokens TokensSpent(const ActiveRequest& active) const;
   using LogInputs = std::vector<std::pair<std::string_view, std::string>>;
+  static void AddLookup(const ActiveRequest& active, LogInputs& inputs);
   void AddEndpointCounts(const ActiveRequest& active, Instant now,
                          LogInputs& inputs) const;
   void LogFinish(const ActiveRequest& active,
@@ -250,6 +258,7 @@
   std::optional<DrainSchedule> m_drain;
   std::optional<Instant> m_view_complete_since;
   ResumptionCounts m_resumptions;
+  std::unordered_multimap<StreamKey, RequestId> m_waiting_for_origin;
   RestartSuspects m_suspects;
   bool m_stopped = false;
   std::unordered_map<RequestId, ActiveRequest> m_active;
--- a/src/dotterelshift/gateway/core_placement.cc
+++ b/src/dotterelshift/gateway/core_placement.cc
@@ -140,6 +140,7 @@
     inputs.emplace_back("origin", std::string(NameOf(binding.source)));
     inputs.emplace_back("origin_proven", binding.origin.proven ? "yes" : "no");
     inputs.emplace_back("origin_age_ms", Ms(binding.age));
+    AddLookup(active, inputs);
   }
   if (active.link_wait > 0s)
     inputs.emplace_back("link_wait_ms", Ms(active.link_wait));
--- a/src/dotterelshift/gateway/core_response.cc
+++ b/src/dotterelshift/gateway/core_response.cc
@@ -42,6 +42,8 @@
 
 std::string_view NameOf(Stage stage) {
   switch (stage) {
+    case Stage::kWaitsForOrigin:
+      return "waits_for_origin";
     case Stage::kWaitsForBudget:
       return "waits_for_tokens";
     case Stage::kWaitsForTrial:
--- a/src/dotterelshift/gateway/core_streams.cc
+++ b/src/dotterelshift/gateway/core_streams.cc
@@ -26,6 +26,8 @@
       return "own";
     case BindingSource::kTold:
       return "told";
+    case BindingSource::kAsked:
+      return "asked";
     case BindingSource::kOneVersion:
       return "one_version";
   }
@@ -82,13 +84,56 @@
     return ResumptionRefusal::kVersionGone;
   if (!AllowsService(*active.route, *service))
     return ResumptionRefusal::kServiceNotAllowed;
+  const BindingSource heard =
+      active.lookup ? BindingSource::kAsked : BindingSource::kTold;
   active.service = *service;
-  active.binding = {known.origin,
-                    known.own ? BindingSource::kOwn : BindingSource::kTold,
+  active.binding = {known.origin, known.own ? BindingSource::kOwn : heard,
                     known.age};
   return std::nullopt;
 }
 
+void CoreImpl::AdmitResumed(ActiveRequest& active, Instant now) {
+  const std::optional<ResumptionRefusal> why = BindResumed(active, now);
+  if (why && LookUpOrigin(active, *why, now)) return;
+  if (why) return RefuseResumption(active, *why, now);
+  ++m_resumptions.accepted;
+  AdmitToService(active, now);
+}
+
+// A stream may have begun at an entry that does not send its origins here.
+bool CoreImpl::LookUpOrigin(ActiveRequest& active, ResumptionRefusal why,
+                            Instant now) {
+  const bool missing = why == ResumptionRefusal::kOriginUnknown ||
+                       why == ResumptionRefusal::kViewIncomplete;
+  const std::string& first = active.info.first_caller_id;
+  if (!missing || active.lookup || first.empty() ||
+      m_dependencies.lookup == nullptr)
+    return false;
+  const StreamKey stream = StreamKeyOf(active.team, first);
+  if (!m_dependencies.lookup->Start(stream, now)) return false;
+  active.stage = Stage::kWaitsForOrigin;
+  m_waiting_for_origin.emplace(stream, active.id);
+  SetTimer(active, active.deadline);
+  return true;
+}
+
+void CoreImpl::OnOriginsLookedUp(const std::vector<EndedLookup>& lookups,
+                                 Instant now) {
+  for (const EndedLookup& lookup : lookups) {
+    const auto [begin, end] = m_waiting_for_origin.equal_range(lookup.stream);
+    std::vector<RequestId> waiting;
+    for (auto item = begin; item != end; ++item)
+      waiting.push_back(item->second);
+    m_waiting_for_origin.erase(begin, end);
+    for (const RequestId request : waiting) {
+      const auto found = m_active.find(request);
+      if (found == m_active.end()) continue;
+      found->second.lookup = lookup;
+      AdmitResumed(found->second, now);
+    }
+  }
+}
+
 // The only version of the request's service, if this entry knows of all
 // endpoints since before the stream can have begun.
 std::optional<SoftwareKey> CoreImpl::ProvenOnlyVersion(
@@ -100,22 +145,35 @@
   return m_dependencies.versions->Only(active.service);
 }
 
+// What asking other entries for the stream's origin has yielded.
+void CoreImpl::AddLookup(const ActiveRequest& active, LogInputs& inputs) {
+  if (!active.lookup) return;
+  const EndedLookup& lookup = *active.lookup;
+  inputs.emplace_back("lookup", std::string(NameOf(lookup.outcome)));
+  inputs.emplace_back("lookup_ms", std::to_string(ToMs(lookup.took)));
+  inputs.emplace_back("asked_data_centres",
+                      std::to_string(lookup.data_centres));
+  inputs.emplace_back("answered", std::to_string(lookup.answered));
+}
+
 void CoreImpl::RefuseResumption(ActiveRequest& active, ResumptionRefusal why,
                                 Instant now) {
   ++m_resumptions.refused;
   ++m_resumptions.refused_for[NameOf(why)];
   const Duration complete_for =
       m_view_complete_since ? now - *m_view_complete_since : 0s;
-  Log("resumption_refused", active,
-      {{"why", std::string(NameOf(why))},
-       {"service", active.service},
-       {"resumes", active.info.first_caller_id},
-       {"after_event", active.info.last_event_id},
-       {"versions",
-        std::to_string(
-            m_dependencies.versions->SoftwareOf(active.service).size())},
-       {"origins", std::to_string(m_dependencies.origins->Size())},
-       {"view_complete_ms", std::to_string(ToMs(complete_for))}});
+  const size_t versions =
+      m_dependencies.versions->SoftwareOf(active.service).size();
+  LogInputs inputs = {
+      {"why", std::string(NameOf(why))},
+      {"service", active.service},
+      {"resumes", active.info.first_caller_id},
+      {"after_event", active.info.last_event_id},
+      {"versions", std::to_string(versions)},
+      {"origins", std::to_string(m_dependencies.origins->Size())},
+      {"view_complete_ms", std::to_string(ToMs(complete_for))}};
+  AddLookup(active, inputs);
+  Log("resumption_refused", active, std::move(inputs));
   Fail(active, ErrorKind::kNotResumable, RetryAfter(active, 0s, now), now);
 }
 
--- /dev/null
+++ b/src/dotterelshift/gateway/origin_lookup.cc
@@ -0,0 +1,218 @@
+#include "dotterelshift/gateway/origin_lookup.h"
+
+#include <xxhash.h>  // for XXH3_64bits_withSeed
+
+#include <algorithm>  // for count_if, find, sort
+
+namespace dotterelshift::gateway {
+namespace {
+
+bool Contains(const std::vector<std::string>& addresses,
+              const std::string& address) {
+  return std::ranges::find(addresses, address) != addresses.end();
+}
+
+uint64_t RankOf(StreamKey stream, const std::string& address) {
+  return XXH3_64bits_withSeed(address.data(), address.size(), stream);
+}
+
+}  // namespace
+
+std::string_view NameOf(LookupOutcome outcome) {
+  switch (outcome) {
+    case LookupOutcome::kLearned:
+      return "learned";
+    case LookupOutcome::kNowhere:
+      return "nowhere";
+    case LookupOutcome::kIncomplete:
+      return "incomplete";
+  }
+  return "unknown";
+}
+
+void OriginLookup::SetEntries(const std::vector<DistantEntry>& entries) {
+  const auto before = std::exchange(m_data_centres, {});
+  for (const DistantEntry& entry : entries) {
+    Candidate candidate;
+    candidate.address = entry.address;
+    const auto same = before.find(entry.data_centre);
+    if (same != before.end()) {
+      const auto known =
+          std::ranges::find(same->second, entry.address, &Candidate::address);
+      if (known != same->second.end()) candidate = *known;
+    }
+    m_data_centres[entry.data_centre].push_back(candidate);
+  }
+}
+
+OriginLookup::Candidate* OriginLookup::Find(const std::string& address) {
+  for (auto& [data_centre, candidates] : m_data_centres) {
+    const auto found =
+        std::ranges::find(candidates, address, &Candidate::address);
+    if (found != candidates.end()) return &*found;
+  }
+  return nullptr;
+}
+
+std::vector<OriginLookup::Candidate*> OriginLookup::RankFor(
+    StreamKey stream, Candidates& candidates) {
+  std::vector<Candidate*> ranked;
+  for (Candidate& candidate : candidates) ranked.push_back(&candidate);
+  std::ranges::sort(ranked, [stream](const Candidate* a, const Candidate* b) {
+    if (a->unresponsive != b->unresponsive) return b->unresponsive;
+    return RankOf(stream, a->address) < RankOf(stream, b->address);
+  });
+  return ranked;
+}
+
+// Asks as many candidates as wanted. Those that are not connected are dialled,
+// and asked once they are.
+void OriginLookup::Ask(StreamKey stream, Candidates& candidates,
+                       Inquiry& inquiry) {
+  size_t open = inquiry.asked.size();
+  for (Candidate* candidate : RankFor(stream, candidates)) {
+    if (open >= m_options.asked_per_data_centre) return;
+    if (Contains(inquiry.tried, candidate->address)) continue;
+    inquiry.tried.push_back(candidate->address);
+    inquiry.asked.push_back(candidate->address);
+    if (candidate->up)
+      m_questions[candidate->host].push_back(stream);
+    else
+      m_dials.push_back(candidate->address);
+    // Another one is asked beside one that may not answer.
+    if (!candidate->unresponsive) ++open;
+  }
+}
+
+bool OriginLookup::Start(StreamKey stream, Instant now) {
+  if (!HasEntries()) return false;
+  if (m_lookups.contains(stream)) return true;
+  if (m_lookups.size() >= m_options.max_lookups) return false;
+  Lookup& lookup = m_lookups[stream];
+  lookup.begun = now;
+  m_by_begin.emplace_back(now, stream);
+  for (auto& [data_centre, candidates] : m_data_centres)
+    Ask(stream, candidates, lookup.inquiries[data_centre]);
+  EndIfAnswered(stream, now);
+  return true;
+}
+
+void OriginLookup::OnUp(const std::string& address, const HostId& host,
+                        Instant) {
+  Candidate* candidate = Find(address);
+  if (candidate == nullptr) return;
+  candidate->host = host;
+  candidate->up = true;
+  candidate->unresponsive = false;
+  for (auto& [stream, lookup] : m_lookups) {
+    for (const auto& [data_centre, inquiry] : lookup.inquiries)
+      if (Contains(inquiry.asked, address)) m_questions[host].push_back(stream);
+  }
+}
+
+void OriginLookup::OnDown(const std::string& address, Instant now) {
+  Candidate* candidate = Find(address);
+  if (candidate == nullptr) return;
+  candidate->up = false;
+  m_questions.erase(candidate->host);
+  std::vector<StreamKey> lost;
+  for (auto& [stream, lookup] : m_lookups) {
+    for (auto& [data_centre, inquiry] : lookup.inquiries) {
+      if (std::erase(inquiry.asked, address) == 0) continue;
+      const auto candidates = m_data_centres.find(data_centre);
+      if (candidates != m_data_centres.end())
+        Ask(stream, candidates->second, inquiry);
+      lost.push_back(stream);
+    }
+  }
+  for (const StreamKey stream : lost) EndIfAnswered(stream, now);
+}
+
+void OriginLookup::OnLearned(StreamKey stream, Instant now) {
+  if (m_lookups.contains(stream)) End(stream, LookupOutcome::kLearned, now);
+}
+
+void OriginLookup::OnMissing(const std::string& address,
+                             const std::vector<StreamKey>& streams,
+                             bool starting, Instant now) {
+  if (Candidate* candidate = Find(address)) candidate->unresponsive = false;
+  for (const StreamKey stream : streams) {
+    const auto found = m_lookups.find(stream);
+    if (found == m_lookups.end()) continue;
+    for (auto& [data_centre, inquiry] : found->second.inquiries) {
+      if (std::erase(inquiry.asked, address) == 0) continue;
+      if (!starting) inquiry.answered = true;
+      const auto candidates = m_data_centres.find(data_centre);
+      if (starting && candidates != m_data_centres.end())
+        Ask(stream, candidates->second, inquiry);
+    }
+    EndIfAnswered(stream, now);
+  }
+}
+
+bool OriginLookup::IsAwaited(const Inquiry& inquiry,
+                             const Candidates& candidates) const {
+  return std::ranges::any_of(candidates, [&](const Candidate& candidate) {
+    return !candidate.unresponsive &&
+           Contains(inquiry.asked, candidate.address);
+  });
+}
+
+void OriginLookup::EndIfAnswered(StreamKey stream, Instant now) {
+  const auto found = m_lookups.find(stream);
+  if (found == m_lookups.end()) return;
+  bool complete = true;
+  for (const auto& [data_centre, inquiry] : found->second.inquiries) {
+    const auto candidates = m_data_centres.find(data_centre);
+    const bool awaited = candidates != m_data_centres.end() &&
+                         IsAwaited(inquiry, candidates->second);
+    if (awaited) return;
+    complete = complete && inquiry.answered;
+  }
+  End(stream, complete ? LookupOutcome::kNowhere : LookupOutcome::kIncomplete,
+      now);
+}
+
+void OriginLookup::End(StreamKey stream, LookupOutcome outcome, Instant now) {
+  const auto node = m_lookups.extract(stream);
+  const Lookup& lookup = node.mapped();
+  EndedLookup ended{stream, outcome, now - lookup.begun};
+  ended.data_centres = lookup.inquiries.size();
+  ended.answered = static_cast<size_t>(std::ranges::count_if(
+      lookup.inquiries, [](const auto& item) { return item.second.answered; }));
+  m_ended.push_back(ended);
+}
+
+void OriginLookup::MarkUnresponsive(const Lookup& lookup) {
+  for (const auto& [data_centre, inquiry] : lookup.inquiries) {
+    for (const std::string& address : inquiry.asked)
+      if (Candidate* candidate = Find(address)) candidate->unresponsive = true;
+  }
+}
+
+void OriginLookup::OnTimer(Instant now) {
+  while (!m_by_begin.empty() &&
+         now - m_by_begin.front().first >= m_options.timeout) {
+    const auto [begun, stream] = m_by_begin.front();
+    m_by_begin.pop_front();
+    const auto found = m_lookups.find(stream);
+    // The stream may have been looked up again since.
+    if (found == m_lookups.end() || found->second.begun != begun) continue;
+    MarkUnresponsive(found->second);
+    End(stream, LookupOutcome::kIncomplete, now);
+  }
+}
+
+Instant OriginLookup::NextTimer() const {
+  if (m_by_begin.empty()) return Instant::max();
+  return m_by_begin.front().first + m_options.timeout;
+}
+
+std::vector<OriginQuestion> OriginLookup::TakeQuestions() {
+  std::vector<OriginQuestion> questions;
+  for (auto& [host, streams] : std::exchange(m_questions, {}))
+    questions.push_back({host, std::move(streams)});
+  return questions;
+}
+
+}  // namespace dotterelshift::gateway
--- a/src/dotterelshift/gateway/stream_origins.cc
+++ b/src/dotterelshift/gateway/stream_origins.cc
@@ -61,11 +61,18 @@
     Merge(update.stream(), FromWire(update, now), from, now);
 }
 
+void StreamOrigins::OnUnclear(const HostId& from, StreamKey stream,
+                              Instant now) {
+  Merge(stream, {}, from, now);
+  m_origins.at(stream).unclear = true;
+}
+
 // A proven origin replaces one that is not. Two that contradict each other are
 // of two streams with the same id: neither may be used.
 void StreamOrigins::Merge(StreamKey stream, const StreamOrigin& origin,
                           const HostId& from, Instant now) {
   Evict(now);
+  m_learned.push_back(stream);
   const auto [found, is_new] = m_origins.try_emplace(stream);
   Entry& entry = found->second;
   if (is_new) {
@@ -100,6 +107,7 @@
   if (now - entry.since > m_options.max_age) return {};
   KnownOrigin known;
   known.origin = entry.origin;
+  known.contradicted = entry.unclear;
   const RunProof proof = Prove(known.origin, m_runs);
   const bool unclear = entry.unclear || proof == RunProof::kUnknown;
   known.state = unclear ? OriginState::kUnclear : OriginState::kKnown;
@@ -120,6 +128,15 @@
   }
 }
 
+bool StreamOrigins::AddKnown(StreamKey stream, OriginUpdates& updates,
+                             Instant now) const {
+  const auto found = m_origins.find(stream);
+  const bool known = found != m_origins.end() &&
+                     now - found->second.since <= m_options.max_age;
+  if (known) AddTo(updates, stream, found->second, now);
+  return known;
+}
+
 OriginUpdates StreamOrigins::TakeUpdates(Instant now) {
   OriginUpdates updates;
   for (const StreamKey stream : std::exchange(m_unsent, {})) {
--- a/src/dotterelshift/peers/hub.cc
+++ b/src/dotterelshift/peers/hub.cc
@@ -81,6 +81,15 @@
           {address, {}, {}, m_options.min_reconnect_delay, m_loop.Now()});
   }
 
+  void HangUp(const std::string& address) override {
+    const auto target =
+        std::ranges::find(m_targets, address, &DialTarget::address);
+    if (target == m_targets.end()) return;
+    const std::vector<ConnectionPtr> connections = target->connections;
+    m_targets.erase(target);
+    for (const ConnectionPtr& connection : connections) Close(connection);
+  }
+
   uint16_t Port() const override { return m_port; }
   const HubCounters& Counters() const override { return m_counters; }
 
--- a/src/dotterelshift/peers/hub_test.cc
+++ b/src/dotterelshift/peers/hub_test.cc
@@ -125,6 +125,7 @@
   CPPUNIT_TEST(RefusedDialsAreReportedUntilOneIsUp);
   CPPUNIT_TEST(LostConnectionRequestIsRepeatedSoon);
   CPPUNIT_TEST(DialThatEndsInTheHandshakeIsReported);
+  CPPUNIT_TEST(HungUpAddressIsDialledNoMore);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -165,6 +166,27 @@
     CPPUNIT_ASSERT_EQUAL(size_t{1}, b.hub->Peers().size());
   }
 
+  void HungUpAddressIsDialledNoMore() {
+    loop::Loop loop;
+    TestHub a(loop, OptionsOf("a"));
+    TestHub b(loop, OptionsOf("b"));
+    b.hub->Dial(a.Address());
+    RunUntil(loop, "up", [&] { return a.ups.size() == 1; });
+    b.hub->HangUp(a.Address());
+    RunUntil(loop, "down", [&] { return a.downs.size() == 1; });
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, b.downs.size());
+    // Another peer's dial shows that the time in which b would dial again has
+    // passed.
+    HubOptions options = OptionsOf("c");
+    options.min_reconnect_delay = 500ms;
+    TestHub c(loop, options);
+    c.hub->Dial("127.0.0.1:1");
+    RunUntil(loop, "two dials", [&] { return c.dials.size() == 2; });
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, a.ups.size());
+    b.hub->Dial(a.Address());
+    RunUntil(loop, "up again", [&] { return a.ups.size() == 2; });
+  }
+
   void NewIncarnationTakesOver() {
     loop::Loop loop;
     TestHub a(loop, OptionsOf("a"));
