Evidence about a stream's origin is taken from an answer only while its lookup is open

Evidence is dated by its age. In an answer that was held up it would seem newer than it is, and could prove the next run of an endpoint that restarted under its id. Tests of the exchange: question, answer, late answer.

--- a/include/dotterelshift/gateway/origin_lookup.h
+++ b/include/dotterelshift/gateway/origin_lookup.h
@@ -95,6 +95,7 @@
   std::vector<OriginQuestion> TakeQuestions();
   std::vector<EndedLookup> TakeEnded() { return std::exchange(m_ended, {}); }
   size_t Open() const { return m_lookups.size(); }
+  bool IsOpen(StreamKey stream) const { return m_lookups.contains(stream); }
 
  private:
   struct Candidate {
--- a/src/dotterelshift/app/origin_exchange.cc
+++ b/src/dotterelshift/app/origin_exchange.cc
@@ -66,8 +66,13 @@
                               const wire::OriginAnswerT& answer) {
   const Instant now = m_loop.Now();
   const HostId& from = peer.run.host;
-  m_origins.OnUpdates(from, {answer.proven_origins, answer.pending_origins},
-                      now);
+  gateway::OriginUpdates updates;
+  updates.proven = answer.proven_origins;
+  // Evidence is dated by its age. If the answer was held up on its way, it
+  // would seem to be newer than it is.
+  for (const wire::PendingOrigin& origin : answer.pending_origins)
+    if (m_lookup.IsOpen(origin.stream())) updates.pending.push_back(origin);
+  m_origins.OnUpdates(from, updates, now);
   for (const gateway::StreamKey stream : answer.unclear)
     m_origins.OnUnclear(from, stream, now);
   TakeLearned(now);
--- /dev/null
+++ b/src/dotterelshift/app/origin_exchange_test.cc
@@ -0,0 +1,120 @@
+#include "dotterelshift/app/origin_exchange.h"
+
+#include <cppunit/TestFixture.h>              // for TestFixture
+#include <cppunit/extensions/HelperMacros.h>  // for CPPUNIT_TEST
+
+#include <utility>  // for exchange, pair
+
+namespace dotterelshift::app {
+namespace {
+
+// Records what is sent and dialled.
+class RecordingHub : public peers::Hub {
+ public:
+  bool Send(const HostId& host, const wire::FrameT& frame) override {
+    sent.emplace_back(host, frame);
+    return true;
+  }
+  size_t Backlog(const HostId&) const override { return 0; }
+  std::vector<peers::PeerInfo> Peers() const override { return {}; }
+  void Dial(const std::string& address) override { dials.push_back(address); }
+  uint16_t Port() const override { return 0; }
+  const peers::HubCounters& Counters() const override { return m_counters; }
+
+  std::vector<std::pair<HostId, wire::FrameT>> sent;
+  std::vector<std::string> dials;
+
+ private:
+  peers::HubCounters m_counters;
+};
+
+// One entry with its origins.
+struct Entry {
+  Entry(loop::Loop& loop, const HostId& host)
+      : origins(runs), exchange(loop, origins) {
+    self.run = {host, 1};
+    self.data_centre = host;
+    self.address = host + ":1";
+    exchange.SetHub(&hub);
+  }
+
+  peers::PeerInfo self;
+  directory::Directory directory;
+  gateway::EndpointRuns runs{directory};
+  gateway::StreamOrigins origins;
+  RecordingHub hub;
+  OriginExchange exchange;
+};
+
+// Two entries of different data centres.
+class OriginExchangeTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(OriginExchangeTest);
+  CPPUNIT_TEST(OriginIsAskedForAndTaken);
+  CPPUNIT_TEST(EvidenceOfALateAnswerIsNotUsed);
+  CPPUNIT_TEST(OtherFramesAreLeftToOthers);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void OriginIsAskedForAndTaken() {
+    m_asked.origins.OnBegun(kStream, Proven(), m_loop.Now());
+    m_asking.exchange.SetEntries({{m_asked.self.address, "b"}});
+    CPPUNIT_ASSERT(m_asking.exchange.Lookup().Start(kStream, m_loop.Now()));
+    CPPUNIT_ASSERT(m_asking.exchange.Exchange().empty());
+    CPPUNIT_ASSERT(m_asking.hub.dials ==
+                   std::vector<std::string>{m_asked.self.address});
+    m_asking.exchange.OnEntryUp(m_asked.self);
+    CPPUNIT_ASSERT(m_asking.exchange.Exchange().empty());
+    Deliver(m_asking, m_asked);
+    m_asked.exchange.Exchange();
+    Deliver(m_asked, m_asking);
+    const auto ended = m_asking.exchange.Exchange();
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, ended.size());
+    CPPUNIT_ASSERT(ended.front().outcome == gateway::LookupOutcome::kLearned);
+    CPPUNIT_ASSERT(m_asking.origins.Find(kStream, m_loop.Now()).state ==
+                   gateway::OriginState::kKnown);
+  }
+
+  // Evidence is dated by its age, and would seem to be newer than it is.
+  void EvidenceOfALateAnswerIsNotUsed() {
+    wire::OriginAnswerT answer;
+    answer.pending_origins.emplace_back(kStream, 1, 2, 500, 100);
+    answer.proven_origins.emplace_back(kStream + 1, 1);
+    m_asking.exchange.OnFrame(m_asked.self, peers::MakeFrame(answer));
+    const Instant now = m_loop.Now();
+    CPPUNIT_ASSERT(m_asking.origins.Find(kStream, now).state ==
+                   gateway::OriginState::kMissing);
+    CPPUNIT_ASSERT(m_asking.origins.Find(kStream + 1, now).state ==
+                   gateway::OriginState::kKnown);
+  }
+
+  void OtherFramesAreLeftToOthers() {
+    CPPUNIT_ASSERT(!m_asking.exchange.OnFrame(
+        m_asked.self, peers::MakeFrame(wire::LoadNotesT())));
+  }
+
+ private:
+  static constexpr gateway::StreamKey kStream = 7;
+
+  static gateway::StreamOrigin Proven() {
+    gateway::StreamOrigin origin;
+    origin.software = gateway::SoftwareKeyOf("engine", "v1");
+    origin.proven = true;
+    return origin;
+  }
+
+  static void Deliver(Entry& from, Entry& to) {
+    const auto frames = std::exchange(from.hub.sent, {});
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, frames.size());
+    CPPUNIT_ASSERT_EQUAL(to.self.run.host, frames.front().first);
+    CPPUNIT_ASSERT(to.exchange.OnFrame(from.self, frames.front().second));
+  }
+
+  loop::Loop m_loop;
+  Entry m_asking{m_loop, "a"};
+  Entry m_asked{m_loop, "b"};
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(OriginExchangeTest);
+
+}  // namespace
+}  // namespace dotterelshift::app
