Failing tests: what a review of the lookup of origins found

Five faults, each shown by one run of its test on's logic (release build; the suites' other tests pass), none mended here: load that distant entries were told of stays when a fleet grows past 16 entries; evidence that was held up proves the endpoint's next run; a new leader of a fleet that has shrunk does not take back the entries that may be asked; entries are blamed for questions that were not sent yet; a frame of an unknown type ends the connection.

The test of load updates asks the sender to take back what it told; if the receiver drops it instead, the test moves there.

--- a/src/dotterelshift/app/entry_pushes_test.cc
+++ b/src/dotterelshift/app/entry_pushes_test.cc
@@ -78,6 +78,7 @@
   CPPUNIT_TEST(EntriesOfALargeFleetAreToldOnceWhomTheyMayAsk);
   CPPUNIT_TEST(FailedEntryIsReplacedAmongThoseThatMayBeAsked);
   CPPUNIT_TEST(EntriesOfASmallFleetAskNobody);
+  CPPUNIT_TEST(NewLeaderOfAFleetThatHasShrunkSaysThatNobodyIsAsked);
   CPPUNIT_TEST_SUITE_END();
 
  private:
@@ -332,6 +333,27 @@
     CPPUNIT_ASSERT(m_hub.names_askable && m_hub.askable["a0"].empty());
   }
 
+  // A data centre has failed, and with it the leader that had named entries.
+  void NewLeaderOfAFleetThatHasShrunkSaysThatNobodyIsAsked() {
+    StartDataCentres(6);
+    SendHeartbeat("a0", 0);
+    CPPUNIT_ASSERT_EQUAL(size_t{8}, m_hub.askable["a0"].size());
+    EntryPushes next(m_hub, m_replica, kEntryMemory);
+    for (const std::string name : {"a", "b"}) {
+      for (int i = 0; i < 6; ++i) {
+        const std::string host = name + std::to_string(i);
+        next.OnUp({.run = {host, 1}, .data_centre = name, .address = host});
+      }
+    }
+    wire::EntryBeatT beat;
+    for (beat.sequence = 1; beat.sequence <= 20; ++beat.sequence) {
+      next.OnHeartbeat("a0", beat, m_now);
+      next.AnswerHeartbeat("a0", beat.sequence, m_now, 1);
+      m_now += 1s;
+    }
+    CPPUNIT_ASSERT(m_hub.askable["a0"].empty());
+  }
+
   void EntryThatLostItsConnectionIsStillCounted() {
     StartEntries();
     m_pushes.OnDown("e2", m_now);
--- /dev/null
+++ b/src/dotterelshift/app/other_entries_test.cc
@@ -0,0 +1,92 @@
+#include "dotterelshift/app/other_entries.h"
+
+#include <cppunit/TestFixture.h>              // for TestFixture
+#include <cppunit/extensions/HelperMacros.h>  // for CPPUNIT_TEST
+
+#include "dotterelshift/directory/directory.h"  // for Directory
+#include "dotterelshift/directory/spread.h"     // for PulseKey
+
+namespace dotterelshift::app {
+namespace {
+
+// A connection to one entry of another data centre, which applies the load
+// updates that it receives.
+class DistantEntryHub : public peers::Hub {
+ public:
+  explicit DistantEntryHub(gateway::FleetLoad& load) : m_load(load) {}
+
+  bool Send(const HostId&, const wire::FrameT& frame) override {
+    const auto* notes = frame.body.AsLoadNotes();
+    if (notes != nullptr) m_load.OnLoadUpdates("a1", *notes, Instant{1000s});
+    return true;
+  }
+  size_t Backlog(const HostId&) const override { return 0; }
+  std::vector<peers::PeerInfo> Peers() const override {
+    return {{.run = {"b1", 1}, .data_centre = "b", .address = "b1"}};
+  }
+  void Dial(const std::string&) override {}
+  uint16_t Port() const override { return 0; }
+  const peers::HubCounters& Counters() const override { return m_counters; }
+
+ private:
+  gateway::FleetLoad& m_load;
+  peers::HubCounters m_counters;
+};
+
+class OtherEntriesTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(OtherEntriesTest);
+  CPPUNIT_TEST(RequestsThatDistantEntriesWereToldOfAreTakenBack);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void setUp() override {
+    wire::EndpointRecordT record;
+    record.id = "e";
+    record.incarnation = 1;
+    record.sequence = 1;
+    record.address = "10.0.0.1:80";
+    record.services = {"llm"};
+    record.slots = 8;
+    m_directory.OnRecord(record, m_now);
+    gateway::Service service;
+    service.name = "llm";
+    gateway::Routes routes;
+    routes.services.push_back(service);
+    for (gateway::FleetLoad* load : {&m_own, &m_distant}) {
+      load->OnDirectory(m_directory);
+      load->OnRoutes(gateway::RouteTable(routes));
+    }
+  }
+
+  // A fleet of 16 entries grows to 17. The connections to the entries of other
+  // data centres stay, and load updates are changes: a request that was told
+  // there and whose end is not would count as running for as long as the
+  // connection lasts.
+  void RequestsThatDistantEntriesWereToldOfAreTakenBack() {
+    const auto placement = m_own.Choose("llm", {}, {}, m_now);
+    CPPUNIT_ASSERT(placement.has_value());
+    m_own.OnAssigned(*placement, {}, m_now);
+    m_others.SendUpdates(m_own, m_origins, m_now);
+    CPPUNIT_ASSERT_EQUAL(uint32_t{1}, m_distant.Running(m_endpoint));
+    m_others.SetOwnDataCentreOnly(true);
+    m_own.OnEnded(placement->endpoint);
+    m_others.SendUpdates(m_own, m_origins, m_now);
+    CPPUNIT_ASSERT_EQUAL(uint32_t{0}, m_distant.Running(m_endpoint));
+  }
+
+ private:
+  const gateway::EndpointKey m_endpoint = directory::PulseKey("e", 1);
+  const Instant m_now{1000s};
+  directory::Directory m_directory;
+  gateway::EndpointRuns m_runs{m_directory};
+  gateway::StreamOrigins m_origins{m_runs};
+  gateway::FleetLoad m_own{gateway::FleetLoadOptions{"a"}};
+  gateway::FleetLoad m_distant{gateway::FleetLoadOptions{"b"}};
+  loop::Loop m_loop;
+  DistantEntryHub m_hub{m_distant};
+  OtherEntries m_others{m_loop, m_hub, "a", {}};
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(OtherEntriesTest);
+
+}  // namespace
+}  // namespace dotterelshift::app
--- a/src/dotterelshift/gateway/origin_lookup_test.cc
+++ b/src/dotterelshift/gateway/origin_lookup_test.cc
@@ -23,6 +23,7 @@
   CPPUNIT_TEST(EntryThatFailsIsReplacedByAnother);
   CPPUNIT_TEST(DataCentreThatIsCutOffDelaysOnlyTheFirstLookups);
   CPPUNIT_TEST(SilentEntryIsWaitedForAgainOnceItAnswers);
+  CPPUNIT_TEST(EntryThatWasNotSentItsQuestionIsNotBlamed);
   CPPUNIT_TEST(LookupsAreBounded);
   CPPUNIT_TEST_SUITE_END();
 
@@ -155,6 +156,18 @@
     CPPUNIT_ASSERT_EQUAL(size_t{4}, TakeAsked().size());
   }
 
+  // This entry's event loop was held up, e.g. by the requests of a storm,
+  // before it sent the question.
+  void EntryThatWasNotSentItsQuestionIsNotBlamed() {
+    for (StreamKey stream = 1; stream <= 20; ++stream)
+      m_lookup.Start(stream, m_now);
+    m_now += OriginLookupOptions().timeout;
+    m_lookup.OnTimer(m_now);
+    m_lookup.TakeEnded();
+    m_lookup.Start(21, m_now);
+    CPPUNIT_ASSERT(m_lookup.TakeEnded().empty());
+  }
+
   void LookupsAreBounded() {
     OriginLookup few({.max_lookups = 2});
     few.SetEntries(kEntries);
--- a/src/dotterelshift/gateway/stream_origins_test.cc
+++ b/src/dotterelshift/gateway/stream_origins_test.cc
@@ -13,6 +13,7 @@
   CPPUNIT_TEST(TwoOriginsThatDifferAreUnclear);
   CPPUNIT_TEST(OriginIsProvenLaterByAnEntryThatWasTold);
   CPPUNIT_TEST(EntryThatReturnsGetsOwnOriginsAndThoseOfDeadEntries);
+  CPPUNIT_TEST(EvidenceThatArrivesLateDoesNotProveTheNextRun);
   CPPUNIT_TEST(OldestOriginsAreEvicted);
   CPPUNIT_TEST_SUITE_END();
 
@@ -71,6 +72,29 @@
                          m_origins.ForNewEntry(is_connected, m_now).Count());
   }
 
+  // The connection between two entries was held up, and the endpoint restarted
+  // under its id at another version meanwhile.
+  void EvidenceThatArrivesLateDoesNotProveTheNextRun() {
+    Announce("v1");
+    m_now += 1s;
+    StreamOrigin origin;
+    origin.software = m_old;
+    origin.endpoint = EndpointIdKeyOf("e");
+    origin.life = {m_now, m_now + 100ms};
+    m_now += 100ms;
+    m_origins.OnBegun(kStream, origin, m_now);
+    const OriginUpdates held_up = m_origins.TakeUpdates(m_now);
+    m_now += 1s;
+    Announce("v2");
+    m_now += 500ms;
+    m_other.OnUpdates("a", held_up, m_now);
+    m_now += 1s;
+    Announce("v2");
+    const KnownOrigin known = m_other.Find(kStream, m_now);
+    CPPUNIT_ASSERT(known.state != OriginState::kKnown ||
+                   known.origin.software == m_old);
+  }
+
   void OldestOriginsAreEvicted() {
     StreamOrigins few(m_runs, {.max_age = 60s, .max_count = 2});
     for (StreamKey stream = 1; stream <= 3; ++stream)
--- a/src/dotterelshift/peers/hub_test.cc
+++ b/src/dotterelshift/peers/hub_test.cc
@@ -120,6 +120,7 @@
   CPPUNIT_TEST(SimultaneousDialsLeaveOneConnection);
   CPPUNIT_TEST(NewIncarnationTakesOver);
   CPPUNIT_TEST(BadBytesCloseOnlyTheirConnection);
+  CPPUNIT_TEST(FrameOfANewerProgramIsIgnored);
   CPPUNIT_TEST(BadHellosAreRefused);
   CPPUNIT_TEST(ReconnectsAfterALoss);
   CPPUNIT_TEST(RefusedDialsAreReportedUntilOneIsUp);
@@ -242,6 +243,26 @@
     RunUntil(loop, "a good peer", [&] { return a.ups.size() == 1; });
   }
 
+  // While a fleet is upgraded, entries send questions to some that do not know
+  // them yet.
+  void FrameOfANewerProgramIsIgnored() {
+    loop::Loop loop;
+    TestHub a(loop, OptionsOf("a"));
+    HubOptions options = OptionsOf("b");
+    options.dial = {a.Address()};
+    TestHub b(loop, options);
+    RunUntil(loop, "both up",
+             [&] { return a.ups.size() == 1 && b.ups.size() == 1; });
+    wire::FrameT newer;
+    newer.body.type = static_cast<wire::FrameBody>(99);
+    CPPUNIT_ASSERT(b.hub->Send("a", newer));
+    CPPUNIT_ASSERT(b.hub->Send("a", RecallFrame(1)));
+    RunUntil(loop, "the next frame, or the end of the connection",
+             [&] { return !a.recalls.empty() || !a.downs.empty(); });
+    CPPUNIT_ASSERT(a.downs.empty());
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, a.recalls.size());
+  }
+
   void BadHellosAreRefused() {
     loop::Loop loop;
     TestHub a(loop, OptionsOf("a"));
