Frames of types that a newer program sends are skipped

While a fleet is upgraded, a question that an old entry does not know closed the connection, again with each question, and cut what was relayed on it.

--- a/src/dotterelshift/peers/frame_buffer.cc
+++ b/src/dotterelshift/peers/frame_buffer.cc
@@ -42,10 +42,12 @@
       if (!wire::VerifyFrameBuffer(verifier)) return ReadResult::kBad;
       wire::FrameT frame;
       wire::GetFrame(data)->UnPackTo(&frame);
-      if (frame.body.type == wire::FrameBody::NONE ||
-          frame.body.value == nullptr)
-        return ReadResult::kBad;
-      if (!on_frame(std::move(frame))) return ReadResult::kOk;
+      // A newer program sends types that are not known here.
+      const bool is_newer = frame.body.type > wire::FrameBody::MAX;
+      const bool is_empty = frame.body.type == wire::FrameBody::NONE ||
+                            frame.body.value == nullptr;
+      if (is_empty && !is_newer) return ReadResult::kBad;
+      if (!is_newer && !on_frame(std::move(frame))) return ReadResult::kOk;
     }
     position += length;
   }
