--- a/include/dotterelshift/gateway/origin_lookup.h
+++ b/include/dotterelshift/gateway/origin_lookup.h
@@ -5,6 +5,7 @@
 #include <cstdint>        // for uint8_t
 #include <deque>          // for deque
 #include <map>            // for map
+#include <optional>       // for optional
 #include <string>         // for string
 #include <string_view>    // for string_view
 #include <unordered_map>  // for unordered_map
@@ -26,8 +27,10 @@
 };
 
 struct OriginLookupOptions {
-  // A lookup ends after this time without an answer.
+  // A lookup ends after this time without an answer, from its first question.
   Duration timeout = 100ms;
+  // An entry that has not answered for this long is not waited for.
+  Duration unresponsive_after = 500ms;
   // Entries asked in each data centre: one of them may be about to fail.
   size_t asked_per_data_centre = 2;
   // Bounds the memory; further streams are not looked up.
@@ -76,14 +79,17 @@
   // Connections to entries. Others than those that can be asked are ignored.
   void OnUp(const std::string& address, const HostId& host, Instant now);
   void OnDown(const std::string& address, Instant now);
+  // A connection request to the address was refused or not answered.
+  void OnDialFailed(const std::string& address, Instant now);
 
   // Begins to look a stream up, or joins a lookup of it. Returns false if
   // nobody can be asked.
   bool Start(StreamKey stream, Instant now);
   // The origin of a stream has become known here.
   void OnLearned(StreamKey stream, Instant now);
-  // Another entry does not know these streams. `starting`: it has not been up
-  // for long enough to know what began in its data centre.
+  // Another entry has answered, and does not know these streams, if any.
+  // `starting`: it has not been up for long enough to know what began in its
+  // data centre.
   void OnMissing(const std::string& address,
                  const std::vector<StreamKey>& streams, bool starting,
                  Instant now);
@@ -92,7 +98,8 @@
 
   // Addresses that should be connected to.
   std::vector<std::string> TakeDials() { return std::exchange(m_dials, {}); }
-  std::vector<OriginQuestion> TakeQuestions();
+  // Questions that are sent now.
+  std::vector<OriginQuestion> TakeQuestions(Instant now);
   std::vector<EndedLookup> TakeEnded() { return std::exchange(m_ended, {}); }
   size_t Open() const { return m_lookups.size(); }
   bool IsOpen(StreamKey stream) const { return m_lookups.contains(stream); }
@@ -102,20 +109,25 @@
     std::string address;
     HostId host;
     bool up = false;
-    // Did not answer the last question in time, or could not be connected to:
-    // it is asked, but not waited for.
+    bool dialled = false;  // is being connected to
+    // A question is due, or has not been answered since then.
+    bool asked = false;
+    std::optional<Instant> asked_since;
+    // Has not answered or could not be connected to: it is asked, but not
+    // waited for.
     bool unresponsive = false;
   };
   using Candidates = std::vector<Candidate>;
 
   // What one data centre was asked about one stream.
   struct Inquiry {
-    std::vector<std::string> asked;  // addresses that have not answered
-    std::vector<std::string> tried;  // addresses asked or dialled so far
-    bool answered = false;           // by one that knows its data centre
+    std::vector<std::string> awaiting;  // addresses that have not answered
+    std::vector<std::string> tried;     // addresses asked or dialled so far
+    bool answered = false;              // by one that knows its data centre
   };
   struct Lookup {
     Instant begun{};
+    Instant sent{};  // the first question; the epoch: not yet
     std::map<DataCentreId, Inquiry> inquiries;
   };
 
@@ -128,12 +140,13 @@
   bool IsAwaited(const Inquiry& inquiry, const Candidates& candidates) const;
   void EndIfAnswered(StreamKey stream, Instant now);
   void End(StreamKey stream, LookupOutcome outcome, Instant now);
-  void MarkUnresponsive(const Lookup& lookup);
+  void MarkUnresponsive(const Lookup& lookup, Instant now);
 
   const OriginLookupOptions m_options;
   std::map<DataCentreId, Candidates> m_data_centres;
   std::unordered_map<StreamKey, Lookup> m_lookups;
-  std::deque<std::pair<Instant, StreamKey>> m_by_begin;
+  std::vector<StreamKey> m_not_sent;  // lookups whose questions are due
+  std::deque<std::pair<Instant, StreamKey>> m_by_begin;  // by first question
   std::vector<std::string> m_dials;
   std::map<HostId, std::vector<StreamKey>> m_questions;
   std::vector<EndedLookup> m_ended;
--- a/include/dotterelshift/wire/frames_generated.h
+++ b/include/dotterelshift/wire/frames_generated.h
@@ -1657,6 +1657,7 @@
   uint64_t routes_version = 0;
   bool wants_routes = false;
   bool wants_relays = false;
+  bool answers_questions = false;
   EntryBeatT() = default;
   EntryBeatT(const EntryBeatT &o);
   EntryBeatT(EntryBeatT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -1673,7 +1674,8 @@
     VT_HELD = 8,
     VT_ROUTES_VERSION = 10,
     VT_WANTS_ROUTES = 12,
-    VT_WANTS_RELAYS = 14
+    VT_WANTS_RELAYS = 14,
+    VT_ANSWERS_QUESTIONS = 16
   };
   uint64_t sequence() const {
     return GetField<uint64_t>(VT_SEQUENCE, 0);
@@ -1693,6 +1695,9 @@
   bool wants_relays() const {
     return GetField<uint8_t>(VT_WANTS_RELAYS, 0) != 0;
   }
+  bool answers_questions() const {
+    return GetField<uint8_t>(VT_ANSWERS_QUESTIONS, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
@@ -1703,6 +1708,7 @@
            VerifyField<uint64_t>(verifier, VT_ROUTES_VERSION, 8) &&
            VerifyField<uint8_t>(verifier, VT_WANTS_ROUTES, 1) &&
            VerifyField<uint8_t>(verifier, VT_WANTS_RELAYS, 1) &&
+           VerifyField<uint8_t>(verifier, VT_ANSWERS_QUESTIONS, 1) &&
            verifier.EndTable();
   }
   EntryBeatT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1732,6 +1738,9 @@
   void add_wants_relays(bool wants_relays) {
     fbb_.AddElement<uint8_t>(EntryBeat::VT_WANTS_RELAYS, static_cast<uint8_t>(wants_relays), 0);
   }
+  void add_answers_questions(bool answers_questions) {
+    fbb_.AddElement<uint8_t>(EntryBeat::VT_ANSWERS_QUESTIONS, static_cast<uint8_t>(answers_questions), 0);
+  }
   explicit EntryBeatBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1750,12 +1759,14 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<dotterelshift::wire::BudgetHolding>>> held = 0,
     uint64_t routes_version = 0,
     bool wants_routes = false,
-    bool wants_relays = false) {
+    bool wants_relays = false,
+    bool answers_questions = false) {
   EntryBeatBuilder builder_(_fbb);
   builder_.add_routes_version(routes_version);
   builder_.add_configuration_version(configuration_version);
   builder_.add_sequence(sequence);
   builder_.add_held(held);
+  builder_.add_answers_questions(answers_questions);
   builder_.add_wants_relays(wants_relays);
   builder_.add_wants_routes(wants_routes);
   return builder_.Finish();
@@ -1773,7 +1784,8 @@
     const std::vector<flatbuffers::Offset<dotterelshift::wire::BudgetHolding>> *held = nullptr,
     uint64_t routes_version = 0,
     bool wants_routes = false,
-    bool wants_relays = false) {
+    bool wants_relays = false,
+    bool answers_questions = false) {
   auto held__ = held ? _fbb.CreateVector<flatbuffers::Offset<dotterelshift::wire::BudgetHolding>>(*held) : 0;
   return dotterelshift::wire::CreateEntryBeat(
       _fbb,
@@ -1782,7 +1794,8 @@
       held__,
       routes_version,
       wants_routes,
-      wants_relays);
+      wants_relays,
+      answers_questions);
 }
 
 flatbuffers::Offset<EntryBeat> CreateEntryBeat(flatbuffers::FlatBufferBuilder &_fbb, const EntryBeatT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -5688,7 +5701,8 @@
         configuration_version(o.configuration_version),
         routes_version(o.routes_version),
         wants_routes(o.wants_routes),
-        wants_relays(o.wants_relays) {
+        wants_relays(o.wants_relays),
+        answers_questions(o.answers_questions) {
   held.reserve(o.held.size());
   for (const auto &held_ : o.held) { held.emplace_back((held_) ? new dotterelshift::wire::BudgetHoldingT(*held_) : nullptr); }
 }
@@ -5700,6 +5714,7 @@
   std::swap(routes_version, o.routes_version);
   std::swap(wants_routes, o.wants_routes);
   std::swap(wants_relays, o.wants_relays);
+  std::swap(answers_questions, o.answers_questions);
   return *this;
 }
 
@@ -5718,6 +5733,7 @@
   { auto _e = routes_version(); _o->routes_version = _e; }
   { auto _e = wants_routes(); _o->wants_routes = _e; }
   { auto _e = wants_relays(); _o->wants_relays = _e; }
+  { auto _e = answers_questions(); _o->answers_questions = _e; }
 }
 
 inline flatbuffers::Offset<EntryBeat> EntryBeat::Pack(flatbuffers::FlatBufferBuilder &_fbb, const EntryBeatT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -5734,6 +5750,7 @@
   auto _routes_version = _o->routes_version;
   auto _wants_routes = _o->wants_routes;
   auto _wants_relays = _o->wants_relays;
+  auto _answers_questions = _o->answers_questions;
   return dotterelshift::wire::CreateEntryBeat(
       _fbb,
       _sequence,
@@ -5741,7 +5758,8 @@
       _held,
       _routes_version,
       _wants_routes,
-      _wants_relays);
+      _wants_relays,
+      _answers_questions);
 }
 
 inline BudgetHoldingT *BudgetHolding::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/src/dotterelshift/app/control_link.cc
+++ b/src/dotterelshift/app/control_link.cc
@@ -192,6 +192,7 @@
     beat.routes_version = m_routes_version;
     beat.wants_routes = m_needs_full_routes;
     beat.wants_relays = m_wants_relays;
+    beat.answers_questions = true;
     if (host == m_leader) {
       for (const auto& holding : m_holdings)
         beat.held.push_back(std::make_unique<wire::BudgetHoldingT>(holding));
--- a/src/dotterelshift/app/endpoint_relays.cc
+++ b/src/dotterelshift/app/endpoint_relays.cc
@@ -154,6 +154,11 @@
   return m_server->BusyTunnels(m_loop.Now()) > 0;
 }
 
+bool EndpointRelays::IsInUse() const {
+  return m_server->OpenTunnels() > 0 ||
+         !m_parts.paths->RelayedEndpoints().empty();
+}
+
 void EndpointRelays::SetMetrics(telemetry::Metrics& metrics) const {
   const relay::RelayCounters& counters = m_server->Counters();
   metrics.SetCounter("dotterelshift_tunnels_opened_total",
--- a/src/dotterelshift/app/endpoint_relays.h
+++ b/src/dotterelshift/app/endpoint_relays.h
@@ -50,6 +50,8 @@
   // The entry shuts down: it relays what is open, but nothing new.
   void Withdraw();
   bool IsBusy() const;
+  // Whether any connection is relayed, here or through another entry.
+  bool IsInUse() const;
   // Bytes carried for other entries, since the start.
   uint64_t Bytes() const { return m_server->Counters().bytes; }
   void SetMetrics(telemetry::Metrics& metrics) const;
--- /dev/null
+++ b/src/dotterelshift/app/entry_peers.cc
@@ -0,0 +1,87 @@
+#include "dotterelshift/app/entry_peers.h"
+
+#include <algorithm>  // for find
+#include <utility>    // for move
+
+namespace dotterelshift::app {
+
+EntryPeers::EntryPeers(loop::Loop& loop, const DataCentreId& data_centre,
+                       const gateway::LoadUpdatePacerOptions& pacer,
+                       Parts parts)
+    : m_loop(loop),
+      m_parts(std::move(parts)),
+      m_others(loop, *m_parts.hub, data_centre, pacer) {
+  m_parts.exchange->Connect(m_parts.hub, [this](const std::string& address) {
+    return MayHangUp(address);
+  });
+}
+
+void EntryPeers::SetDistantEntries(
+    const std::vector<gateway::DistantEntry>& entries) {
+  m_parts.exchange->SetEntries(entries);
+  m_others.SetOwnDataCentreOnly(!entries.empty(), *m_parts.load);
+}
+
+void EntryPeers::OnUp(const peers::PeerInfo& entry) {
+  m_parts.relays->OnEntryUp(entry);
+  m_parts.exchange->OnEntryUp(entry);
+  m_others.SendOriginsTo(entry, *m_parts.origins, m_loop.Now());
+}
+
+void EntryPeers::OnDown(const peers::PeerInfo& entry) {
+  m_parts.relays->OnEntryDown(entry.run.host);
+  m_parts.exchange->OnEntryDown(entry);
+  m_parts.load->OnEntryGone(entry.run.host);
+}
+
+void EntryPeers::OnFrame(const peers::PeerInfo& peer,
+                         const wire::FrameT& frame) {
+  if (m_parts.exchange->OnFrame(peer, frame)) return;
+  if (const auto* notes = frame.body.AsLoadNotes()) {
+    OnLoadNotes(peer, *notes);
+  } else if (const auto* borrow = frame.body.AsTokenBorrow()) {
+    OnBorrow(peer, *borrow);
+  } else if (const auto* offer = frame.body.AsRelayOffer()) {
+    m_parts.relays->OnOffer(peer, *offer);
+    m_parts.traffic->Pump();
+  } else if (const auto* loan = frame.body.AsTokenLoan()) {
+    const Instant now = m_loop.Now();
+    m_parts.budgets->OnLoan(*loan, now);
+    m_parts.core->OnBudgetChanged(now);
+    m_parts.traffic->Pump();
+  }
+}
+
+void EntryPeers::OnLoadNotes(const peers::PeerInfo& peer,
+                             const wire::LoadNotesT& notes) {
+  const Instant now = m_loop.Now();
+  m_others.OnLoadUpdates(peer, notes, *m_parts.load, now);
+  m_parts.origins->OnUpdates(
+      peer.run.host, {notes.proven_origins, notes.pending_origins}, now);
+}
+
+void EntryPeers::OnBorrow(const peers::PeerInfo& peer,
+                          const wire::TokenBorrowT& borrow) {
+  const Tokens lent = m_parts.may_lend() ? m_parts.budgets->OnBorrow(
+                                               borrow, peer.run, m_loop.Now())
+                                         : 0;
+  m_others.SendLoan(peer.run.host, borrow, lent);
+}
+
+// The end of a connection also ends the tunnels of the two entries.
+bool EntryPeers::MayHangUp(const std::string& address) const {
+  return !m_parts.relays->IsInUse() &&
+         std::ranges::find(m_addresses, address) == m_addresses.end();
+}
+
+void EntryPeers::Send(Instant now) {
+  // First, as streams whose origin was learned are sent to endpoints, which the
+  // other entries are told of.
+  m_parts.core->OnOriginsLookedUp(m_parts.exchange->Exchange(), now);
+  m_parts.traffic->Pump();
+  for (wire::TokenBorrowT& borrow : m_parts.budgets->TakeBorrowRequests())
+    m_others.SendToNextFew(peers::MakeFrame(std::move(borrow)));
+  m_others.SendUpdates(*m_parts.load, *m_parts.origins, now);
+}
+
+}  // namespace dotterelshift::app
--- /dev/null
+++ b/src/dotterelshift/app/entry_peers.h
@@ -0,0 +1,68 @@
+#ifndef DOTTERELSHIFT_SRC_APP_ENTRY_PEERS_H_
+#define DOTTERELSHIFT_SRC_APP_ENTRY_PEERS_H_
+
+#include <functional>  // for function
+#include <string>      // for string
+#include <vector>      // for vector
+
+#include "dotterelshift/app/endpoint_relays.h"     // for EndpointRelays
+#include "dotterelshift/app/gateway_traffic.h"     // for GatewayTraffic
+#include "dotterelshift/app/origin_exchange.h"     // for OriginExchange
+#include "dotterelshift/app/other_entries.h"       // for OtherEntries
+#include "dotterelshift/gateway/core.h"            // for Core
+#include "dotterelshift/gateway/fleet_load.h"      // for FleetLoad
+#include "dotterelshift/gateway/held_grants.h"     // for HeldGrants
+#include "dotterelshift/gateway/origin_lookup.h"   // for DistantEntry
+#include "dotterelshift/gateway/stream_origins.h"  // for StreamOrigins
+#include "dotterelshift/peers/hub.h"               // for Hub
+
+namespace dotterelshift::app {
+
+// What an entry exchanges with the other entries: load, origins of streams,
+// tokens and relays.
+class EntryPeers {
+ public:
+  struct Parts {
+    peers::Hub* hub = nullptr;
+    gateway::Core* core = nullptr;
+    gateway::FleetLoad* load = nullptr;
+    gateway::HeldGrants* budgets = nullptr;
+    gateway::StreamOrigins* origins = nullptr;
+    OriginExchange* exchange = nullptr;
+    EndpointRelays* relays = nullptr;
+    GatewayTraffic* traffic = nullptr;
+    // Whether tokens may be lent to other entries.
+    std::function<bool()> may_lend;
+  };
+
+  EntryPeers(loop::Loop& loop, const DataCentreId& data_centre,
+             const gateway::LoadUpdatePacerOptions& pacer, Parts parts);
+
+  // Entries of other data centres that can be asked for origins, as named by
+  // control. If there are any, load and origins are sent within the own data
+  // centre only.
+  void SetDistantEntries(const std::vector<gateway::DistantEntry>& entries);
+  // Addresses that are connected to for other reasons than to ask there.
+  void SetEntryAddresses(const std::vector<std::string>& addresses) {
+    m_addresses = addresses;
+  }
+  void OnUp(const peers::PeerInfo& entry);
+  void OnDown(const peers::PeerInfo& entry);
+  void OnFrame(const peers::PeerInfo& peer, const wire::FrameT& frame);
+  // Sends what is due. To be called at the end of each event loop iteration.
+  void Send(Instant now);
+
+ private:
+  void OnLoadNotes(const peers::PeerInfo& peer, const wire::LoadNotesT& notes);
+  void OnBorrow(const peers::PeerInfo& peer, const wire::TokenBorrowT& borrow);
+  bool MayHangUp(const std::string& address) const;
+
+  loop::Loop& m_loop;
+  const Parts m_parts;
+  OtherEntries m_others;
+  std::vector<std::string> m_addresses;
+};
+
+}  // namespace dotterelshift::app
+
+#endif  // DOTTERELSHIFT_SRC_APP_ENTRY_PEERS_H_
--- a/src/dotterelshift/app/entry_pushes.cc
+++ b/src/dotterelshift/app/entry_pushes.cc
@@ -28,6 +28,10 @@
 // streams. Two of them are asked at a time.
 constexpr size_t kAskableEntries = 4;
 
+// A control host that has just started is not connected to all entries yet, and
+// cannot tell that the fleet is small.
+constexpr Duration kSettleTime = 10s;
+
 // Nothing is pushed to an entry whose connection has a larger backlog. A
 // version that was not pushed yet is replaced by the next one; a version in the
 // connection's buffer is sent in any case. Without this limit, frequent changes
@@ -80,6 +84,7 @@
 void EntryPushes::ChooseAskable() {
   std::map<DataCentreId, std::map<uint64_t, std::string>> ranked;
   for (const auto& [host, known] : m_entries) {
+    if (!known.answers_questions) continue;
     const uint64_t rank = XXH3_64bits(host.data(), host.size());
     ranked[known.info.data_centre][rank] = known.info.address;
   }
@@ -95,13 +100,15 @@
 }
 
 std::unique_ptr<wire::DistantEntriesT> EntryPushes::DistantEntriesFor(
-    Entry& entry) const {
+    Entry& entry, Instant now) const {
   const bool full_mesh = m_entries.size() <= kMaxFullMeshEntries;
-  const uint64_t version = full_mesh ? 0 : m_askable_version;
-  const uint64_t term = full_mesh ? 0 : m_replica.GetNode().Term();
-  if (entry.askable.version == version && entry.askable.term == term)
-    return nullptr;
-  entry.askable = {term, version};
+  const bool is_settled =
+      m_directory_since && now - *m_directory_since >= kSettleTime;
+  if (full_mesh && !is_settled) return nullptr;
+  const Entry::Askable askable = {m_replica.GetNode().Term(),
+                                  full_mesh ? 0 : m_askable_version};
+  if (entry.askable == askable) return nullptr;
+  entry.askable = askable;
   auto distant = std::make_unique<wire::DistantEntriesT>();
   if (full_mesh) return distant;
   for (const auto& [data_centre, addresses] : m_askable) {
@@ -122,6 +129,10 @@
   if (!m_directory_since) m_directory_since = now;
   entry->second.reported = true;
   entry->second.wants_relays = beat.wants_relays;
+  if (beat.answers_questions != entry->second.answers_questions) {
+    entry->second.answers_questions = beat.answers_questions;
+    ChooseAskable();
+  }
   OnReportedVersion(entry->second.configuration, beat.configuration_version,
                     false, now);
   OnReportedVersion(entry->second.routes, beat.routes_version,
@@ -160,7 +171,7 @@
       answer.entries.push_back(known.info.address);
   if (!all && entry->second.wants_relays)
     AddDistantEntries(own, place.index, answer.entries);
-  answer.distant = DistantEntriesFor(entry->second);
+  answer.distant = DistantEntriesFor(entry->second, now);
   m_hub.Send(host, peers::MakeFrame(std::move(answer)));
 }
 
--- a/src/dotterelshift/app/entry_pushes.h
+++ b/src/dotterelshift/app/entry_pushes.h
@@ -70,12 +70,15 @@
     PushedVersion routes;
     bool reported = false;  // the versions it holds are known
     bool wants_relays = false;
+    bool answers_questions = false;
     // Of the entries that can be asked for origins, as last sent. Another
     // leader may have sent others since an earlier term.
-    struct {
+    struct Askable {
       uint64_t term = 0;
-      uint64_t version = 0;  // 0: none were sent
-    } askable;
+      uint64_t version = 0;  // 0: told that there are none
+      bool operator==(const Askable&) const = default;
+    };
+    std::optional<Askable> askable;  // nullopt: not told yet
     // The term in which the quarantined contents were last sent to it.
     std::optional<uint64_t> quarantine_term;
   };
@@ -98,7 +101,8 @@
   void ChooseAskable();
   // The chosen entries of the other data centres, unless they were sent on this
   // connection before.
-  std::unique_ptr<wire::DistantEntriesT> DistantEntriesFor(Entry& entry) const;
+  std::unique_ptr<wire::DistantEntriesT> DistantEntriesFor(Entry& entry,
+                                                           Instant now) const;
   // Return the approximate number of bytes sent.
   size_t Push(Entry& entry, Instant now, WallMs wall);
   size_t PushConfiguration(Entry& entry, Instant now);
--- a/src/dotterelshift/app/entry_pushes_test.cc
+++ b/src/dotterelshift/app/entry_pushes_test.cc
@@ -78,6 +78,7 @@
   CPPUNIT_TEST(EntriesOfALargeFleetAreToldOnceWhomTheyMayAsk);
   CPPUNIT_TEST(FailedEntryIsReplacedAmongThoseThatMayBeAsked);
   CPPUNIT_TEST(EntriesOfASmallFleetAskNobody);
+  CPPUNIT_TEST(EntriesOfAnOlderProgramAreNotAsked);
   CPPUNIT_TEST(NewLeaderOfAFleetThatHasShrunkSaysThatNobodyIsAsked);
   CPPUNIT_TEST_SUITE_END();
 
@@ -126,6 +127,7 @@
     wire::EntryBeatT beat;
     beat.wants_routes = wants_routes;
     beat.wants_relays = wants_relays;
+    beat.answers_questions = true;
     beat.sequence = ++m_heartbeats;
     beat.routes_version = version;
     m_pushes.OnHeartbeat(host, beat, m_now);
@@ -284,6 +286,9 @@
       for (int i = 0; i < count; ++i) {
         const std::string host = name + std::to_string(i);
         m_pushes.OnUp({.run = {host, 1}, .data_centre = name, .address = host});
+        wire::EntryBeatT beat;
+        beat.answers_questions = true;
+        m_pushes.OnHeartbeat(host, beat, m_now);
       }
     }
   }
@@ -329,10 +334,24 @@
     SendHeartbeat("a0", 0);
     CPPUNIT_ASSERT_EQUAL(size_t{8}, m_hub.askable["a0"].size());
     m_pushes.OnDown("a5", m_now);
+    m_now += 10s;
     SendHeartbeat("a0", 0);
     CPPUNIT_ASSERT(m_hub.names_askable && m_hub.askable["a0"].empty());
   }
 
+  // While a fleet is upgraded, some entries do not know the question.
+  void EntriesOfAnOlderProgramAreNotAsked() {
+    StartDataCentres(20);
+    for (int i = 0; i < 19; ++i) {
+      const std::string host = "b" + std::to_string(i);
+      m_pushes.OnHeartbeat(host, {}, m_now);
+    }
+    SendHeartbeat("a0", 0);
+    const std::vector<std::string>& named = m_hub.askable["a0"];
+    CPPUNIT_ASSERT_EQUAL(size_t{5}, named.size());
+    CPPUNIT_ASSERT(std::ranges::find(named, "b19") != named.end());
+  }
+
   // A data centre has failed, and with it the leader that had named entries.
   void NewLeaderOfAFleetThatHasShrunkSaysThatNobodyIsAsked() {
     StartDataCentres(6);
--- a/src/dotterelshift/app/gateway_entry.cc
+++ b/src/dotterelshift/app/gateway_entry.cc
@@ -7,6 +7,7 @@
 #include "dotterelshift/app/dial_log.h"               // for LogDial
 #include "dotterelshift/app/directory_exchange.h"     // for DirectoryExchange
 #include "dotterelshift/app/endpoint_relays.h"        // for EndpointRelays
+#include "dotterelshift/app/entry_peers.h"            // for EntryPeers
 #include "dotterelshift/app/entry_shutdown.h"         // for EntryShutdown
 #include "dotterelshift/app/gateway_options.h"        // for CoreOptionsOf
 #include "dotterelshift/app/gateway_traffic.h"        // for GatewayTraffic
@@ -15,7 +16,6 @@
 #include "dotterelshift/app/link_guard.h"             // for LinkGuard
 #include "dotterelshift/app/listen_options.h"         // for ListenOptions
 #include "dotterelshift/app/origin_exchange.h"        // for OriginExchange
-#include "dotterelshift/app/other_entries.h"          // for OtherEntries
 #include "dotterelshift/app/registration.h"           // for Registration
 #include "dotterelshift/app/version_tracker.h"        // for VersionTracker
 #include "dotterelshift/callers/front.h"              // for SendErrorResponse
@@ -48,10 +48,10 @@
   peers::HubCallbacks HubCallbacks();
   gateway::CoreDependencies Parts();
   EndpointRelays::Parts RelayParts();
+  EntryPeers::Parts PeerParts();
   void OnExchange(std::shared_ptr<http::Exchange> exchange);
   void OnHealth(http::Exchange& exchange);
   void OnPeerFrame(const peers::PeerInfo& peer, const wire::FrameT& frame);
-  void OnEntryFrame(const peers::PeerInfo& peer, const wire::FrameT& frame);
   void TakeFromLink();
   void TakeRoutes();
   void TakeEntryCount();
@@ -62,7 +62,6 @@
   void DialMembers();
   std::unique_ptr<wire::CommandIdT> NextId();
   void OnEndpointsChanged();
-  void OnEntryUp(const peers::PeerInfo& entry);
   void OnTick();
   bool MayKeep(size_t silent) const;
   LinkGuard::Traffic LinkTraffic() const;
@@ -99,7 +98,7 @@
   std::unique_ptr<http::Server> m_health;
   std::unique_ptr<http::Server> m_metrics_server;
   std::unique_ptr<peers::Hub> m_hub;
-  std::unique_ptr<OtherEntries> m_others;
+  std::unique_ptr<EntryPeers> m_entry_peers;
   std::unique_ptr<EndpointRelays> m_relays;
   ControlReach m_reach = ControlReach::kNever;
   uint64_t m_version = 0;           // of the routes in force here
@@ -144,10 +143,10 @@
   m_hub = peers::MakeHub(
       loop, MakeHubOptions(settings, secret, incarnation, m_server->Port()),
       HubCallbacks());
-  m_origins.SetHub(m_hub.get());
-  m_others = std::make_unique<OtherEntries>(loop, *m_hub, settings.data_centre,
-                                            LoadUpdatePacerOptionsOf(settings));
   m_relays = std::make_unique<EndpointRelays>(loop, settings, RelayParts());
+  m_entry_peers = std::make_unique<EntryPeers>(
+      loop, settings.data_centre, LoadUpdatePacerOptionsOf(settings),
+      PeerParts());
   m_shutdown = std::make_unique<EntryShutdown>(
       loop, EntryShutdown::Parts{m_core.get(), m_traffic.get(), m_server.get(),
                                  m_relays.get(), &m_link, &m_budgets});
@@ -179,6 +178,19 @@
           .pump = [this] { m_traffic->Pump(); }};
 }
 
+// Once holdings are being returned to control, nothing is lent any more.
+EntryPeers::Parts GatewayEntry::PeerParts() {
+  return {.hub = m_hub.get(),
+          .core = m_core.get(),
+          .load = &m_load,
+          .budgets = &m_budgets,
+          .origins = &m_versions.Origins(),
+          .exchange = &m_origins,
+          .relays = m_relays.get(),
+          .traffic = m_traffic.get(),
+          .may_lend = [this] { return !m_shutdown->IsReturning(); }};
+}
+
 void GatewayEntry::StartServers() {
   http::ServerOptions options = ListenOptions(m_settings);
   m_link_guard.SetOptions(options);
@@ -211,7 +223,7 @@
   callbacks.on_up = [this](const peers::PeerInfo& peer) {
     telemetry::Log(telemetry::LogLevel::kInfo, "peer_up",
                    {{"peer", peer.run.host}});
-    if (peer.role != wire::HostRole::Control) return OnEntryUp(peer);
+    if (peer.role != wire::HostRole::Control) return m_entry_peers->OnUp(peer);
     m_directory.OnPeerUp(peer);
     m_link.OnPeerUp(peer.run.host, m_loop.Now());
     m_tick.ArmIn(0ms);
@@ -219,11 +231,8 @@
   callbacks.on_down = [this](const peers::PeerInfo& peer) {
     telemetry::Log(telemetry::LogLevel::kWarning, "peer_down",
                    {{"peer", peer.run.host}});
-    if (peer.role != wire::HostRole::Control) {
-      m_relays->OnEntryDown(peer.run.host);
-      m_origins.OnEntryDown(peer);
-      return m_load.OnEntryGone(peer.run.host);
-    }
+    if (peer.role != wire::HostRole::Control)
+      return m_entry_peers->OnDown(peer);
     m_directory.OnPeerDown(peer);
     m_link.OnPeerDown(peer.run.host, m_loop.Now());
     m_tick.ArmIn(0ms);
@@ -232,48 +241,22 @@
                               const wire::FrameT& frame) {
     OnPeerFrame(peer, frame);
   };
-  callbacks.on_dial_ended = LogDial;
+  callbacks.on_dial_ended = [this](const peers::DialReport& report) {
+    LogDial(report);
+    m_origins.OnDialEnded(report);
+  };
   return callbacks;
 }
 
-void GatewayEntry::OnEntryUp(const peers::PeerInfo& entry) {
-  m_relays->OnEntryUp(entry);
-  m_origins.OnEntryUp(entry);
-  m_others->SendOriginsTo(entry, m_versions.Origins(), m_loop.Now());
-}
-
 void GatewayEntry::OnPeerFrame(const peers::PeerInfo& peer,
                                const wire::FrameT& frame) {
-  if (peer.role != wire::HostRole::Control) return OnEntryFrame(peer, frame);
+  if (peer.role != wire::HostRole::Control)
+    return m_entry_peers->OnFrame(peer, frame);
   if (m_directory.OnFrame(peer, frame)) return;
   m_link.OnFrame(peer.run.host, frame, m_loop.Now());
   TakeFromLink();
 }
 
-void GatewayEntry::OnEntryFrame(const peers::PeerInfo& peer,
-                                const wire::FrameT& frame) {
-  const Instant now = m_loop.Now();
-  if (m_origins.OnFrame(peer, frame)) return;
-  if (const auto* notes = frame.body.AsLoadNotes()) {
-    m_load.OnLoadUpdates(peer.run.host, *notes, now);
-    m_versions.Origins().OnUpdates(
-        peer.run.host, {notes->proven_origins, notes->pending_origins}, now);
-  } else if (const auto* borrow = frame.body.AsTokenBorrow()) {
-    // Once holdings are being returned to control, nothing is lent any more.
-    const Tokens lent = m_shutdown->IsReturning()
-                            ? 0
-                            : m_budgets.OnBorrow(*borrow, peer.run, now);
-    m_others->SendLoan(peer.run.host, *borrow, lent);
-  } else if (const auto* offer = frame.body.AsRelayOffer()) {
-    m_relays->OnOffer(peer, *offer);
-    m_traffic->Pump();
-  } else if (const auto* loan = frame.body.AsTokenLoan()) {
-    m_budgets.OnLoan(*loan, now);
-    m_core->OnBudgetChanged(now);
-    m_traffic->Pump();
-  }
-}
-
 void GatewayEntry::TakeFromLink() {
   const Instant now = m_loop.Now();
   if (m_link.RoutesVersion() != m_received_version) TakeRoutes();
@@ -364,8 +347,8 @@
     m_hub->Dial(address);
   for (const std::string& address : m_link.EntryAddresses())
     m_hub->Dial(address);
-  m_origins.SetEntries(m_link.DistantEntries());
-  m_others->SetOwnDataCentreOnly(!m_link.DistantEntries().empty());
+  m_entry_peers->SetEntryAddresses(m_link.EntryAddresses());
+  m_entry_peers->SetDistantEntries(m_link.DistantEntries());
 }
 
 void GatewayEntry::OnEndpointsChanged() {
@@ -412,6 +395,7 @@
   const uint64_t bytes = m_traffic->BytesToCallers() +
                          m_hub->Counters().bytes_out + m_relays->Bytes();
   m_pacer.OnBytes(bytes - std::exchange(m_paced_bytes, bytes), now);
+  m_entry_peers->Send(now);
   if (m_shutdown->IsReturning()) {
     m_shutdown->ReturnHoldings();
   } else if (m_registration.Done()) {
@@ -422,11 +406,6 @@
     ProposeSuspicion(suspicion);
   for (const auto& [host, frame] : m_link.TakeFrames(now))
     m_hub->Send(host, frame);
-  for (wire::TokenBorrowT& borrow : m_budgets.TakeBorrowRequests())
-    m_others->SendToNextFew(peers::MakeFrame(std::move(borrow)));
-  m_others->SendUpdates(m_load, m_versions.Origins(), now);
-  m_core->OnOriginsLookedUp(m_origins.Exchange(), now);
-  m_traffic->Pump();
   m_relays->StartProbes();
 }
 
--- a/src/dotterelshift/app/origin_exchange.cc
+++ b/src/dotterelshift/app/origin_exchange.cc
@@ -44,6 +44,11 @@
   m_responder.OnDown(entry.run.host);
 }
 
+void OriginExchange::OnDialEnded(const peers::DialReport& report) {
+  if (report.result != peers::DialResult::kUp)
+    m_lookup.OnDialFailed(report.address, m_loop.Now());
+}
+
 bool OriginExchange::OnFrame(const peers::PeerInfo& peer,
                              const wire::FrameT& frame) {
   if (const auto* question = frame.body.AsOriginQuestion()) {
@@ -81,18 +86,21 @@
 
 void OriginExchange::TakeLearned(Instant now) {
   for (const gateway::StreamKey stream : m_origins.TakeLearned()) {
-    m_lookup.OnLearned(stream, now);
     m_responder.OnLearned(stream, now);
+    // Another entry may have an origin that is proven.
+    const gateway::KnownOrigin known = m_origins.Find(stream, now);
+    const bool usable = known.state == gateway::OriginState::kKnown;
+    if (usable || known.contradicted) m_lookup.OnLearned(stream, now);
   }
 }
 
 std::vector<gateway::EndedLookup> OriginExchange::Exchange() {
   const Instant now = m_loop.Now();
   TakeLearned(now);
-  m_lookup.OnTimer(now);
-  m_responder.OnTimer(now);
   Dial(now);
   SendQuestions(now);
+  m_lookup.OnTimer(now);
+  m_responder.OnTimer(now);
   SendAnswers(now);
   HangUpIdle(now);
   const Instant next = std::min(m_lookup.NextTimer(), m_responder.NextTimer());
@@ -112,14 +120,17 @@
 
 void OriginExchange::HangUpIdle(Instant now) {
   std::erase_if(m_dialled, [this, now](const auto& item) {
-    const bool idle = now - item.second >= kIdleTime;
-    if (idle) m_hub->HangUp(item.first);
-    return idle;
+    const bool idle =
+        now - item.second >= kIdleTime && m_may_hang_up(item.first);
+    if (!idle) return false;
+    m_hub->HangUp(item.first);
+    m_lookup.OnDown(item.first, now);
+    return true;
   });
 }
 
 void OriginExchange::SendQuestions(Instant now) {
-  for (gateway::OriginQuestion& question : m_lookup.TakeQuestions()) {
+  for (gateway::OriginQuestion& question : m_lookup.TakeQuestions(now)) {
     m_totals.asked += question.streams.size();
     const auto address = m_addresses.find(question.to);
     if (address != m_addresses.end() && m_dialled.contains(address->second))
--- a/src/dotterelshift/app/origin_exchange.h
+++ b/src/dotterelshift/app/origin_exchange.h
@@ -1,10 +1,12 @@
 #ifndef DOTTERELSHIFT_SRC_APP_ORIGIN_EXCHANGE_H_
 #define DOTTERELSHIFT_SRC_APP_ORIGIN_EXCHANGE_H_
 
-#include <cstdint>  // for uint64_t
-#include <map>      // for map
-#include <string>   // for string
-#include <vector>   // for vector
+#include <cstdint>     // for uint64_t
+#include <functional>  // for function
+#include <map>         // for map
+#include <string>      // for string
+#include <utility>     // for move
+#include <vector>      // for vector
 
 #include "dotterelshift/gateway/origin_lookup.h"     // for OriginLookup
 #include "dotterelshift/gateway/origin_responder.h"  // for OriginResponder
@@ -25,12 +27,19 @@
   OriginExchange(loop::Loop& loop, gateway::StreamOrigins& origins);
 
   gateway::OriginLookup& Lookup() { return m_lookup; }
-  void SetHub(peers::Hub* hub) { m_hub = hub; }
+  // `may_hang_up` says whether the connection to an address serves nothing
+  // else.
+  void Connect(peers::Hub* hub,
+               std::function<bool(const std::string& address)> may_hang_up) {
+    m_hub = hub;
+    m_may_hang_up = std::move(may_hang_up);
+  }
 
   // Entries that can be asked, as named by control.
   void SetEntries(const std::vector<gateway::DistantEntry>& entries);
   void OnEntryUp(const peers::PeerInfo& entry);
   void OnEntryDown(const peers::PeerInfo& entry);
+  void OnDialEnded(const peers::DialReport& report);
   // Returns false if the frame is neither a question nor an answer.
   bool OnFrame(const peers::PeerInfo& peer, const wire::FrameT& frame);
   // Sends what is due. Returns the lookups that have ended. To be called in
@@ -60,6 +69,7 @@
   gateway::OriginResponder m_responder;
   loop::Timer m_timer;
   peers::Hub* m_hub = nullptr;
+  std::function<bool(const std::string& address)> m_may_hang_up;
   std::vector<gateway::DistantEntry> m_entries;
   // Addresses that were dialled to ask, and when one was last asked.
   std::map<std::string, Instant> m_dialled;
--- a/src/dotterelshift/app/origin_exchange_test.cc
+++ b/src/dotterelshift/app/origin_exchange_test.cc
@@ -35,7 +35,7 @@
     self.run = {host, 1};
     self.data_centre = host;
     self.address = host + ":1";
-    exchange.SetHub(&hub);
+    exchange.Connect(&hub, [](const std::string&) { return true; });
   }
 
   peers::PeerInfo self;
--- a/src/dotterelshift/app/other_entries.cc
+++ b/src/dotterelshift/app/other_entries.cc
@@ -2,7 +2,7 @@
 
 #include <algorithm>  // for binary_search, min, sort
 #include <string>     // for to_string
-#include <utility>    // for move
+#include <utility>    // for exchange, move
 
 #include "dotterelshift/telemetry/log.h"  // for LogDecision
 
@@ -28,6 +28,18 @@
          (!m_own_only || peer.data_centre == m_data_centre);
 }
 
+void OtherEntries::SetOwnDataCentreOnly(bool only, gateway::FleetLoad& load) {
+  if (std::exchange(m_own_only, only) == only || !only) return;
+  for (const peers::PeerInfo& peer : m_hub.Peers())
+    if (!IsServed(peer)) load.OnEntryGone(peer.run.host);
+}
+
+void OtherEntries::OnLoadUpdates(const peers::PeerInfo& from,
+                                 const wire::LoadNotesT& notes,
+                                 gateway::FleetLoad& load, Instant now) const {
+  if (IsServed(from)) load.OnLoadUpdates(from.run.host, notes, now);
+}
+
 std::vector<HostId> OtherEntries::Hosts() const {
   std::vector<HostId> hosts;
   for (const peers::PeerInfo& peer : m_hub.Peers())
--- a/src/dotterelshift/app/other_entries.h
+++ b/src/dotterelshift/app/other_entries.h
@@ -23,8 +23,13 @@
                const DataCentreId& data_centre,
                const gateway::LoadUpdatePacerOptions& notes);
 
-  // Whether the entries of other data centres are left out.
-  void SetOwnDataCentreOnly(bool only) { m_own_only = only; }
+  // Whether the entries of other data centres are left out. Load updates are
+  // changes: what such entries have sent before is then subtracted, as they
+  // will not send that it has ended.
+  void SetOwnDataCentreOnly(bool only, gateway::FleetLoad& load);
+  // Takes over the load updates of another entry, unless it is left out.
+  void OnLoadUpdates(const peers::PeerInfo& from, const wire::LoadNotesT& notes,
+                     gateway::FleetLoad& load, Instant now) const;
 
   // Sends changes of the endpoints' load and the origins of new streams to all
   // of them, once the pacer permits it. Called in each event loop iteration; if
--- a/src/dotterelshift/app/other_entries_test.cc
+++ b/src/dotterelshift/app/other_entries_test.cc
@@ -3,39 +3,47 @@
 #include <cppunit/TestFixture.h>              // for TestFixture
 #include <cppunit/extensions/HelperMacros.h>  // for CPPUNIT_TEST
 
+#include <functional>  // for function
+#include <utility>     // for move
+
 #include "dotterelshift/directory/directory.h"  // for Directory
 #include "dotterelshift/directory/spread.h"     // for PulseKey
 
 namespace dotterelshift::app {
 namespace {
 
-// A connection to one entry of another data centre, which applies the load
-// updates that it receives.
-class DistantEntryHub : public peers::Hub {
+peers::PeerInfo EntryOf(const DataCentreId& data_centre) {
+  return {.run = {data_centre + "1", 1},
+          .data_centre = data_centre,
+          .address = data_centre + "1"};
+}
+
+// A connection to one entry of another data centre.
+class OneEntryHub : public peers::Hub {
  public:
-  explicit DistantEntryHub(gateway::FleetLoad& load) : m_load(load) {}
+  explicit OneEntryHub(peers::PeerInfo peer) : m_peer(std::move(peer)) {}
 
   bool Send(const HostId&, const wire::FrameT& frame) override {
-    const auto* notes = frame.body.AsLoadNotes();
-    if (notes != nullptr) m_load.OnLoadUpdates("a1", *notes, Instant{1000s});
+    if (on_frame) on_frame(frame);
     return true;
   }
   size_t Backlog(const HostId&) const override { return 0; }
-  std::vector<peers::PeerInfo> Peers() const override {
-    return {{.run = {"b1", 1}, .data_centre = "b", .address = "b1"}};
-  }
+  std::vector<peers::PeerInfo> Peers() const override { return {m_peer}; }
   void Dial(const std::string&) override {}
   uint16_t Port() const override { return 0; }
   const peers::HubCounters& Counters() const override { return m_counters; }
 
+  std::function<void(const wire::FrameT& frame)> on_frame;
+
  private:
-  gateway::FleetLoad& m_load;
+  const peers::PeerInfo m_peer;
   peers::HubCounters m_counters;
 };
 
 class OtherEntriesTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(OtherEntriesTest);
   CPPUNIT_TEST(RequestsThatDistantEntriesWereToldOfAreTakenBack);
+  CPPUNIT_TEST(LateLoadUpdateOfADistantEntryIsNotTaken);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -56,6 +64,11 @@
       load->OnDirectory(m_directory);
       load->OnRoutes(gateway::RouteTable(routes));
     }
+    m_hub.on_frame = [this](const wire::FrameT& frame) {
+      const auto* notes = frame.body.AsLoadNotes();
+      if (notes != nullptr)
+        m_distant_others.OnLoadUpdates(EntryOf("a"), *notes, m_distant, m_now);
+    };
   }
 
   // A fleet of 16 entries grows to 17. The connections to the entries of other
@@ -68,12 +81,22 @@
     m_own.OnAssigned(*placement, {}, m_now);
     m_others.SendUpdates(m_own, m_origins, m_now);
     CPPUNIT_ASSERT_EQUAL(uint32_t{1}, m_distant.Running(m_endpoint));
-    m_others.SetOwnDataCentreOnly(true);
+    m_others.SetOwnDataCentreOnly(true, m_own);
+    m_distant_others.SetOwnDataCentreOnly(true, m_distant);
     m_own.OnEnded(placement->endpoint);
     m_others.SendUpdates(m_own, m_origins, m_now);
     CPPUNIT_ASSERT_EQUAL(uint32_t{0}, m_distant.Running(m_endpoint));
   }
 
+  // The other entry has not heard yet that the fleet has grown.
+  void LateLoadUpdateOfADistantEntryIsNotTaken() {
+    m_distant_others.SetOwnDataCentreOnly(true, m_distant);
+    const auto placement = m_own.Choose("llm", {}, {}, m_now);
+    m_own.OnAssigned(*placement, {}, m_now);
+    m_others.SendUpdates(m_own, m_origins, m_now);
+    CPPUNIT_ASSERT_EQUAL(uint32_t{0}, m_distant.Running(m_endpoint));
+  }
+
  private:
   const gateway::EndpointKey m_endpoint = directory::PulseKey("e", 1);
   const Instant m_now{1000s};
@@ -83,8 +106,10 @@
   gateway::FleetLoad m_own{gateway::FleetLoadOptions{"a"}};
   gateway::FleetLoad m_distant{gateway::FleetLoadOptions{"b"}};
   loop::Loop m_loop;
-  DistantEntryHub m_hub{m_distant};
+  OneEntryHub m_hub{EntryOf("b")};
+  OneEntryHub m_distant_hub{EntryOf("a")};
   OtherEntries m_others{m_loop, m_hub, "a", {}};
+  OtherEntries m_distant_others{m_loop, m_distant_hub, "b", {}};
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(OtherEntriesTest);
 
--- a/src/dotterelshift/gateway/core_origin_lookup_test.cc
+++ b/src/dotterelshift/gateway/core_origin_lookup_test.cc
@@ -36,7 +36,7 @@
   void StreamOfAnotherDataCentreWaitsForTheAnswer() {
     Resume("first");
     CPPUNIT_ASSERT(m_last.empty());
-    CPPUNIT_ASSERT_EQUAL(size_t{1}, m_lookup.TakeQuestions().size());
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, m_lookup.TakeQuestions(m_now).size());
     m_now += 5ms;
     Tell("first", "v2");
     CPPUNIT_ASSERT_EQUAL(std::string("v2"),
--- a/src/dotterelshift/gateway/origin_lookup.cc
+++ b/src/dotterelshift/gateway/origin_lookup.cc
@@ -69,15 +69,16 @@
 // and asked once they are.
 void OriginLookup::Ask(StreamKey stream, Candidates& candidates,
                        Inquiry& inquiry) {
-  size_t open = inquiry.asked.size();
+  size_t open = inquiry.awaiting.size();
   for (Candidate* candidate : RankFor(stream, candidates)) {
     if (open >= m_options.asked_per_data_centre) return;
     if (Contains(inquiry.tried, candidate->address)) continue;
     inquiry.tried.push_back(candidate->address);
-    inquiry.asked.push_back(candidate->address);
+    inquiry.awaiting.push_back(candidate->address);
+    candidate->asked = true;
     if (candidate->up)
       m_questions[candidate->host].push_back(stream);
-    else
+    else if (!std::exchange(candidate->dialled, true))
       m_dials.push_back(candidate->address);
     // Another one is asked beside one that may not answer.
     if (!candidate->unresponsive) ++open;
@@ -90,7 +91,7 @@
   if (m_lookups.size() >= m_options.max_lookups) return false;
   Lookup& lookup = m_lookups[stream];
   lookup.begun = now;
-  m_by_begin.emplace_back(now, stream);
+  m_not_sent.push_back(stream);
   for (auto& [data_centre, candidates] : m_data_centres)
     Ask(stream, candidates, lookup.inquiries[data_centre]);
   EndIfAnswered(stream, now);
@@ -98,27 +99,34 @@
 }
 
 void OriginLookup::OnUp(const std::string& address, const HostId& host,
-                        Instant) {
+                        Instant now) {
   Candidate* candidate = Find(address);
   if (candidate == nullptr) return;
   candidate->host = host;
   candidate->up = true;
+  candidate->dialled = false;
   candidate->unresponsive = false;
+  candidate->asked_since.reset();
   for (auto& [stream, lookup] : m_lookups) {
     for (const auto& [data_centre, inquiry] : lookup.inquiries)
-      if (Contains(inquiry.asked, address)) m_questions[host].push_back(stream);
+      if (Contains(inquiry.awaiting, address))
+        m_questions[host].push_back(stream);
   }
+  if (m_questions.contains(host)) candidate->asked_since = now;
 }
 
 void OriginLookup::OnDown(const std::string& address, Instant now) {
   Candidate* candidate = Find(address);
   if (candidate == nullptr) return;
   candidate->up = false;
+  candidate->dialled = false;
+  candidate->asked = false;
+  candidate->asked_since.reset();
   m_questions.erase(candidate->host);
   std::vector<StreamKey> lost;
   for (auto& [stream, lookup] : m_lookups) {
     for (auto& [data_centre, inquiry] : lookup.inquiries) {
-      if (std::erase(inquiry.asked, address) == 0) continue;
+      if (std::erase(inquiry.awaiting, address) == 0) continue;
       const auto candidates = m_data_centres.find(data_centre);
       if (candidates != m_data_centres.end())
         Ask(stream, candidates->second, inquiry);
@@ -128,6 +136,13 @@
   for (const StreamKey stream : lost) EndIfAnswered(stream, now);
 }
 
+void OriginLookup::OnDialFailed(const std::string& address, Instant now) {
+  Candidate* candidate = Find(address);
+  if (candidate == nullptr || candidate->up) return;
+  candidate->unresponsive = true;
+  OnDown(address, now);
+}
+
 void OriginLookup::OnLearned(StreamKey stream, Instant now) {
   if (m_lookups.contains(stream)) End(stream, LookupOutcome::kLearned, now);
 }
@@ -135,12 +150,15 @@
 void OriginLookup::OnMissing(const std::string& address,
                              const std::vector<StreamKey>& streams,
                              bool starting, Instant now) {
-  if (Candidate* candidate = Find(address)) candidate->unresponsive = false;
+  if (Candidate* candidate = Find(address)) {
+    candidate->unresponsive = false;
+    candidate->asked_since.reset();
+  }
   for (const StreamKey stream : streams) {
     const auto found = m_lookups.find(stream);
     if (found == m_lookups.end()) continue;
     for (auto& [data_centre, inquiry] : found->second.inquiries) {
-      if (std::erase(inquiry.asked, address) == 0) continue;
+      if (std::erase(inquiry.awaiting, address) == 0) continue;
       if (!starting) inquiry.answered = true;
       const auto candidates = m_data_centres.find(data_centre);
       if (starting && candidates != m_data_centres.end())
@@ -154,7 +172,7 @@
                              const Candidates& candidates) const {
   return std::ranges::any_of(candidates, [&](const Candidate& candidate) {
     return !candidate.unresponsive &&
-           Contains(inquiry.asked, candidate.address);
+           Contains(inquiry.awaiting, candidate.address);
   });
 }
 
@@ -183,22 +201,26 @@
   m_ended.push_back(ended);
 }
 
-void OriginLookup::MarkUnresponsive(const Lookup& lookup) {
+void OriginLookup::MarkUnresponsive(const Lookup& lookup, Instant now) {
   for (const auto& [data_centre, inquiry] : lookup.inquiries) {
-    for (const std::string& address : inquiry.asked)
-      if (Candidate* candidate = Find(address)) candidate->unresponsive = true;
+    for (const std::string& address : inquiry.awaiting) {
+      Candidate* candidate = Find(address);
+      if (candidate == nullptr || !candidate->asked_since) continue;
+      candidate->unresponsive =
+          now - *candidate->asked_since >= m_options.unresponsive_after;
+    }
   }
 }
 
 void OriginLookup::OnTimer(Instant now) {
   while (!m_by_begin.empty() &&
          now - m_by_begin.front().first >= m_options.timeout) {
-    const auto [begun, stream] = m_by_begin.front();
+    const auto [sent, stream] = m_by_begin.front();
     m_by_begin.pop_front();
     const auto found = m_lookups.find(stream);
     // The stream may have been looked up again since.
-    if (found == m_lookups.end() || found->second.begun != begun) continue;
-    MarkUnresponsive(found->second);
+    if (found == m_lookups.end() || found->second.sent != sent) continue;
+    MarkUnresponsive(found->second, now);
     End(stream, LookupOutcome::kIncomplete, now);
   }
 }
@@ -208,7 +230,18 @@
   return m_by_begin.front().first + m_options.timeout;
 }
 
-std::vector<OriginQuestion> OriginLookup::TakeQuestions() {
+std::vector<OriginQuestion> OriginLookup::TakeQuestions(Instant now) {
+  for (const StreamKey stream : std::exchange(m_not_sent, {})) {
+    const auto found = m_lookups.find(stream);
+    if (found == m_lookups.end()) continue;
+    found->second.sent = now;
+    m_by_begin.emplace_back(now, stream);
+  }
+  for (auto& [data_centre, candidates] : m_data_centres) {
+    for (Candidate& candidate : candidates)
+      if (std::exchange(candidate.asked, false) && !candidate.asked_since)
+        candidate.asked_since = now;
+  }
   std::vector<OriginQuestion> questions;
   for (auto& [host, streams] : std::exchange(m_questions, {}))
     questions.push_back({host, std::move(streams)});
--- a/src/dotterelshift/gateway/origin_lookup_test.cc
+++ b/src/dotterelshift/gateway/origin_lookup_test.cc
@@ -22,6 +22,8 @@
   CPPUNIT_TEST(EntryThatIsNotConnectedIsDialledAndAskedThen);
   CPPUNIT_TEST(EntryThatFailsIsReplacedByAnother);
   CPPUNIT_TEST(DataCentreThatIsCutOffDelaysOnlyTheFirstLookups);
+  CPPUNIT_TEST(SlowEntryIsStillWaitedFor);
+  CPPUNIT_TEST(EntryThatRefusesTheConnectionIsReplacedByAnother);
   CPPUNIT_TEST(SilentEntryIsWaitedForAgainOnceItAnswers);
   CPPUNIT_TEST(EntryThatWasNotSentItsQuestionIsNotBlamed);
   CPPUNIT_TEST(LookupsAreBounded);
@@ -36,7 +38,7 @@
   void NobodyIsAskedInAFullMesh() {
     m_lookup.SetEntries({});
     CPPUNIT_ASSERT(!m_lookup.Start(kStream, m_now));
-    CPPUNIT_ASSERT(m_lookup.TakeQuestions().empty());
+    CPPUNIT_ASSERT(m_lookup.TakeQuestions(m_now).empty());
   }
 
   void TwoEntriesOfEachDataCentreAreAskedAtOnce() {
@@ -52,7 +54,7 @@
     std::map<HostId, size_t> asked;
     for (StreamKey stream = 1; stream <= 300; ++stream)
       m_lookup.Start(stream, m_now);
-    for (const OriginQuestion& question : m_lookup.TakeQuestions())
+    for (const OriginQuestion& question : m_lookup.TakeQuestions(m_now))
       asked[question.to] = question.streams.size();
     CPPUNIT_ASSERT_EQUAL(kEntries.size(), asked.size());
     for (const auto& [host, count] : asked) CPPUNIT_ASSERT(count >= 150);
@@ -62,8 +64,8 @@
   void ManyStreamsGoInOneFrameForEachEntry() {
     for (StreamKey stream = 1; stream <= 1000; ++stream)
       m_lookup.Start(stream, m_now);
-    CPPUNIT_ASSERT_EQUAL(kEntries.size(), m_lookup.TakeQuestions().size());
-    CPPUNIT_ASSERT(m_lookup.TakeQuestions().empty());
+    CPPUNIT_ASSERT_EQUAL(kEntries.size(), m_lookup.TakeQuestions(m_now).size());
+    CPPUNIT_ASSERT(m_lookup.TakeQuestions(m_now).empty());
   }
 
   void SecondRequestForAStreamJoinsTheLookup() {
@@ -77,6 +79,7 @@
 
   void LearnedOriginEndsTheLookupAtOnce() {
     m_lookup.Start(kStream, m_now);
+    TakeAsked();
     m_lookup.OnLearned(kStream, m_now + 3ms);
     const EndedLookup ended = TakeOnlyEnded();
     CPPUNIT_ASSERT(ended.outcome == LookupOutcome::kLearned);
@@ -127,31 +130,66 @@
   }
 
   void DataCentreThatIsCutOffDelaysOnlyTheFirstLookups() {
-    m_lookup.Start(1, m_now);
-    MissAllIn('b', TakeAsked(), 1);
-    m_now += OriginLookupOptions().timeout;
-    m_lookup.OnTimer(m_now);
+    const Instant begin = m_now;
+    StreamKey stream = 1;
+    for (; m_now - begin < OriginLookupOptions().unresponsive_after; ++stream) {
+      m_lookup.Start(stream, m_now);
+      MissAllIn('b', TakeAsked(), stream);
+      m_now += OriginLookupOptions().timeout;
+      m_lookup.OnTimer(m_now);
+      CPPUNIT_ASSERT(TakeOnlyEnded().outcome == LookupOutcome::kIncomplete);
+    }
+    // The entry of c that was not asked by then is tried, too.
+    m_now += OriginLookupOptions().unresponsive_after;
+    for (int i = 0; i < 2; ++i, ++stream) {
+      m_lookup.Start(stream, m_now);
+      MissAllIn('b', TakeAsked(), stream);
+      m_now += OriginLookupOptions().timeout;
+      m_lookup.OnTimer(m_now);
+      m_lookup.TakeEnded();
+      m_now += OriginLookupOptions().unresponsive_after;
+    }
+    m_lookup.Start(stream, m_now);
+    MissAllIn('b', TakeAsked(), stream);
     CPPUNIT_ASSERT(TakeOnlyEnded().outcome == LookupOutcome::kIncomplete);
-    // The entry of c that was not asked yet is tried too.
-    m_lookup.Start(2, m_now);
-    MissAllIn('b', TakeAsked(), 2);
+  }
+
+  // The round trip takes longer than a lookup.
+  void SlowEntryIsStillWaitedFor() {
+    m_lookup.Start(1, m_now);
+    const auto asked = TakeAsked();
     m_now += OriginLookupOptions().timeout;
     m_lookup.OnTimer(m_now);
     m_lookup.TakeEnded();
-    m_lookup.Start(3, m_now);
-    MissAllIn('b', TakeAsked(), 3);
-    CPPUNIT_ASSERT(TakeOnlyEnded().outcome == LookupOutcome::kIncomplete);
+    m_lookup.Start(2, m_now);
+    CPPUNIT_ASSERT(m_lookup.TakeEnded().empty());
+  }
+
+  void EntryThatRefusesTheConnectionIsReplacedByAnother() {
+    for (const DistantEntry& entry : kEntries) Down(entry.address);
+    m_lookup.Start(kStream, m_now);
+    const std::vector<std::string> dials = m_lookup.TakeDials();
+    m_lookup.OnDialFailed(dials.front(), m_now);
+    const std::vector<std::string> instead = m_lookup.TakeDials();
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, instead.size());
+    CPPUNIT_ASSERT_EQUAL(dials.front().front(), instead.front().front());
+    CPPUNIT_ASSERT(std::ranges::find(dials, instead.front()) == dials.end());
   }
 
   void SilentEntryIsWaitedForAgainOnceItAnswers() {
-    m_lookup.Start(1, m_now);
+    for (StreamKey stream = 1; stream <= 300; ++stream)
+      m_lookup.Start(stream, m_now);
     const auto asked = TakeAsked();
-    m_now += OriginLookupOptions().timeout;
+    CPPUNIT_ASSERT_EQUAL(kEntries.size(), asked.size());
+    m_now += OriginLookupOptions().unresponsive_after;
     m_lookup.OnTimer(m_now);
-    for (const HostId& host : asked)
-      m_lookup.OnMissing(AddressOf(host), {1}, false, m_now);
     m_lookup.TakeEnded();
-    m_lookup.Start(2, m_now);
+    m_lookup.Start(301, m_now);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, m_lookup.TakeEnded().size());
+    TakeAsked();
+    for (const HostId& host : asked)
+      m_lookup.OnMissing(AddressOf(host), {}, false, m_now);
+    m_lookup.Start(302, m_now);
     CPPUNIT_ASSERT(m_lookup.TakeEnded().empty());
     CPPUNIT_ASSERT_EQUAL(size_t{4}, TakeAsked().size());
   }
@@ -210,7 +248,7 @@
   // The hosts to which questions go.
   std::vector<HostId> TakeAsked() {
     std::vector<HostId> hosts;
-    for (const OriginQuestion& question : m_lookup.TakeQuestions())
+    for (const OriginQuestion& question : m_lookup.TakeQuestions(m_now))
       hosts.push_back(question.to);
     return hosts;
   }
