Entries that others ask for origins are spread over each data centre

Cause: control named the same four entries of each data centre to all others, so that in a fleet of 373 these 28 kept some 320 connections each and answered every question. Each entry is now named four of its own by rendezvous hashing (gateway::AskableFor, used by control and by the simulation); an entry that starts or fails changes the list of the few that ask it, and lists are worked out only when entries come or go.

EntriesOfALargeFleetAreToldOnceWhomTheyMayAsk asserted that all are told the same; that was the cause, and EntriesThatMayBeAskedAreSpread asserts the opposite for all entries of three data centres.

--- a/bench/origin_lookup_bench.cc
+++ b/bench/origin_lookup_bench.cc
@@ -14,6 +14,7 @@
 namespace {
 
 constexpr size_t kStreamsOfEntry = 100;
+constexpr size_t kEntryIn1 = 1;  // in data centre 1
 
 double Ms(Duration time) {
   return std::chrono::duration<double, std::milli>(time).count();
@@ -108,7 +109,7 @@
 void HostDies(const OriginFleetOptions& options, bool storm) {
   OriginFleet fleet(options);
   fleet.Run(5s);
-  const size_t host = fleet.AskableOf(1).front();
+  const size_t host = kEntryIn1;
   const auto streams = fleet.Begin(host, kStreamsOfEntry);
   const auto lost = BeginIn(fleet, options.entries, 0);
   fleet.Fail(host);
@@ -155,7 +156,7 @@
   OriginFleet fleet(options);
   fleet.Run(5s);
   const auto streams = BeginIn(fleet, options.entries, 1);
-  fleet.Start(fleet.AskableOf(1).front());
+  fleet.Start(kEntryIn1);
   fleet.TakeTotals();
   fleet.ResumeElsewhere(streams, 1, 1s);
   fleet.Run(2s);
--- a/src/dotterelshift/app/entry_pushes.cc
+++ b/src/dotterelshift/app/entry_pushes.cc
@@ -1,7 +1,5 @@
 #include "dotterelshift/app/entry_pushes.h"
 
-#include <xxhash.h>  // for XXH3_64bits
-
 #include <algorithm>  // for any_of, min
 #include <memory>     // for make_unique
 #include <string>     // for to_string
@@ -24,10 +22,6 @@
 // those of its own data centre cannot.
 constexpr size_t kMaxDistantRelays = 4;
 
-// Entries of each data centre that entries of the others may ask for origins of
-// streams. Two of them are asked at a time.
-constexpr size_t kAskableEntries = 4;
-
 // Nothing is pushed to an entry whose connection has a larger backlog. A
 // version that was not pushed yet is replaced by the next one; a version in the
 // connection's buffer is sent in any case. Without this limit, frequent changes
@@ -67,50 +61,42 @@
 void EntryPushes::OnUp(const peers::PeerInfo& entry) {
   m_entries[entry.run.host] = {.info = entry};
   m_roster.OnConnected(entry.run.host);
-  ChooseAskable();
+  OnMembersChanged();
 }
 
 void EntryPushes::OnDown(const HostId& host, Instant now) {
   if (m_entries.erase(host) == 0) return;
   m_roster.OnDisconnected(host, now);
-  ChooseAskable();
+  OnMembersChanged();
 }
 
-// By a hash of the host, so that an entry that starts or fails changes little.
-void EntryPushes::ChooseAskable() {
-  std::map<DataCentreId, std::map<uint64_t, std::string>> ranked;
-  for (const auto& [host, known] : m_entries) {
-    const uint64_t rank = XXH3_64bits(host.data(), host.size());
-    ranked[known.info.data_centre][rank] = known.info.address;
-  }
-  std::map<DataCentreId, std::vector<std::string>> askable;
-  for (const auto& [data_centre, addresses] : ranked) {
-    std::vector<std::string>& chosen = askable[data_centre];
-    for (const auto& [rank, address] : addresses)
-      if (chosen.size() < kAskableEntries) chosen.push_back(address);
-  }
-  if (askable == m_askable) return;
-  m_askable = std::move(askable);
-  ++m_askable_version;
+void EntryPushes::OnMembersChanged() {
+  ++m_members_version;
+  m_addresses.clear();
+  for (const auto& [host, known] : m_entries)
+    m_addresses[known.info.data_centre].push_back(known.info.address);
 }
 
 std::unique_ptr<wire::DistantEntriesT> EntryPushes::DistantEntriesFor(
     Entry& entry) const {
-  const bool full_mesh = m_entries.size() <= kMaxFullMeshEntries;
-  const uint64_t version = full_mesh ? 0 : m_askable_version;
-  const uint64_t term = full_mesh ? 0 : m_replica.GetNode().Term();
-  if (entry.askable.version == version && entry.askable.term == term)
+  const uint64_t term = m_replica.GetNode().Term();
+  const bool same_term = entry.askable.term == term;
+  if (same_term && entry.askable.members_version == m_members_version)
     return nullptr;
-  entry.askable = {term, version};
+  std::vector<gateway::DistantEntry> askable;
+  if (m_entries.size() > kMaxFullMeshEntries) {
+    const peers::PeerInfo& info = entry.info;
+    askable = gateway::AskableFor(info.run.host, info.data_centre, m_addresses);
+  }
+  const bool none = askable.empty() && entry.askable.entries.empty();
+  const bool sent = none || (same_term && askable == entry.askable.entries);
+  entry.askable = {term, m_members_version, std::move(askable)};
+  if (sent) return nullptr;
   auto distant = std::make_unique<wire::DistantEntriesT>();
-  if (full_mesh) return distant;
-  for (const auto& [data_centre, addresses] : m_askable) {
-    if (data_centre == entry.info.data_centre) continue;
-    for (const std::string& address : addresses) {
-      distant->entries.push_back(std::make_unique<wire::DistantEntryT>());
-      distant->entries.back()->address = address;
-      distant->entries.back()->data_centre = data_centre;
-    }
+  for (const gateway::DistantEntry& other : entry.askable.entries) {
+    distant->entries.push_back(std::make_unique<wire::DistantEntryT>());
+    distant->entries.back()->address = other.address;
+    distant->entries.back()->data_centre = other.data_centre;
   }
   return distant;
 }
--- a/src/dotterelshift/app/entry_pushes.h
+++ b/src/dotterelshift/app/entry_pushes.h
@@ -8,11 +8,13 @@
 #include <string>    // for string
 #include <vector>    // for vector
 
-#include "dotterelshift/app/control_replica.h"   // for ControlReplica
-#include "dotterelshift/base/ids.h"              // for HostId
-#include "dotterelshift/base/time.h"             // for Instant
-#include "dotterelshift/gateway/entry_roster.h"  // for EntryRoster
-#include "dotterelshift/peers/hub.h"             // for Hub
+#include "dotterelshift/app/control_replica.h"      // for ControlReplica
+#include "dotterelshift/base/ids.h"                 // for HostId
+#include "dotterelshift/base/time.h"                // for Instant
+#include "dotterelshift/gateway/askable_entries.h"  // for AskableFor
+#include "dotterelshift/gateway/entry_roster.h"     // for EntryRoster
+#include "dotterelshift/gateway/origin_lookup.h"    // for DistantEntry
+#include "dotterelshift/peers/hub.h"                // for Hub
 
 namespace dotterelshift::app {
 
@@ -74,7 +76,8 @@
     // leader may have sent others since an earlier term.
     struct {
       uint64_t term = 0;
-      uint64_t version = 0;  // 0: none were sent
+      uint64_t members_version = 0;
+      std::vector<gateway::DistantEntry> entries;
     } askable;
     // The term in which the quarantined contents were last sent to it.
     std::optional<uint64_t> quarantine_term;
@@ -93,11 +96,9 @@
   // this place, which spreads the entries over them.
   void AddDistantEntries(const DataCentreId& data_centre, size_t place,
                          std::vector<std::string>& addresses) const;
-  // Chooses the entries of each data centre that others may ask for origins of
-  // streams.
-  void ChooseAskable();
-  // The chosen entries of the other data centres, unless they were sent on this
-  // connection before.
+  void OnMembersChanged();
+  // The entries that this one may ask for origins of streams, unless they were
+  // sent on this connection before.
   std::unique_ptr<wire::DistantEntriesT> DistantEntriesFor(Entry& entry) const;
   // Return the approximate number of bytes sent.
   size_t Push(Entry& entry, Instant now, WallMs wall);
@@ -114,9 +115,9 @@
 
   peers::Hub& m_hub;
   const ControlReplica& m_replica;
-  std::map<HostId, Entry> m_entries;                           // connected
-  std::map<DataCentreId, std::vector<std::string>> m_askable;  // addresses
-  uint64_t m_askable_version = 1;
+  std::map<HostId, Entry> m_entries;    // connected
+  gateway::EntryAddresses m_addresses;  // of these
+  uint64_t m_members_version = 1;
   gateway::EntryRoster m_roster;
   // Since when this replica has had a directory, or somewhat later.
   std::optional<Instant> m_directory_since;
--- /dev/null
+++ b/src/dotterelshift/gateway/askable_entries.cc
@@ -0,0 +1,40 @@
+#include "dotterelshift/gateway/askable_entries.h"
+
+#include <xxhash.h>  // for XXH3_64bits
+
+#include <algorithm>  // for min, partial_sort
+#include <cstdint>    // for uint64_t
+#include <utility>    // for pair
+
+namespace dotterelshift::gateway {
+namespace {
+
+// Of each data centre. Two of them are asked at a time.
+constexpr size_t kAskableEntries = 4;
+
+}  // namespace
+
+std::vector<DistantEntry> AskableFor(const HostId& asking,
+                                     const DataCentreId& data_centre,
+                                     const EntryAddresses& entries) {
+  const uint64_t seed = XXH3_64bits(asking.data(), asking.size());
+  std::vector<DistantEntry> askable;
+  for (const auto& [other, addresses] : entries) {
+    if (other == data_centre) continue;
+    std::vector<std::pair<uint64_t, const std::string*>> ranked;
+    ranked.reserve(addresses.size());
+    for (const std::string& address : addresses) {
+      const uint64_t rank =
+          XXH3_64bits_withSeed(address.data(), address.size(), seed);
+      ranked.emplace_back(rank, &address);
+    }
+    const size_t count = std::min(kAskableEntries, ranked.size());
+    const auto chosen = ranked.begin() + static_cast<std::ptrdiff_t>(count);
+    std::partial_sort(ranked.begin(), chosen, ranked.end());
+    for (auto entry = ranked.begin(); entry != chosen; ++entry)
+      askable.push_back({*entry->second, other});
+  }
+  return askable;
+}
+
+}  // namespace dotterelshift::gateway
