A fleet that becomes small goes on asking for what began before

Cause: from 16 entries on control names none to ask, as all connect with each other, but what began before that is known in its own data centre only; entries that are connected already are not sent it. Each entry now keeps the entries named last for 60 s, as long as origins are kept (gateway::AskedEntries); connections made for questions are not hung up while all are to be connected.

--- a/src/dotterelshift/app/origin_exchange.cc
+++ b/src/dotterelshift/app/origin_exchange.cc
@@ -24,9 +24,8 @@
 
 void OriginExchange::SetEntries(
     const std::vector<gateway::DistantEntry>& entries) {
-  if (entries == m_entries) return;
-  m_entries = entries;
-  m_lookup.SetEntries(entries);
+  if (!m_asked.OnNamed(entries, m_loop.Now())) return;
+  m_lookup.SetEntries(m_asked.Entries());
   for (const auto& [host, address] : m_addresses)
     m_lookup.OnUp(address, host, m_loop.Now());
   telemetry::Log(telemetry::LogLevel::kInfo, "askable_entries",
@@ -108,7 +107,8 @@
 void OriginExchange::HangUpIdle(Instant now) {
   std::erase_if(m_dialled, [this, now](const auto& item) {
     const bool idle = now - item.second >= kIdleTime;
-    if (idle) m_hub->HangUp(item.first);
+    // In a small fleet all connections stay.
+    if (idle && m_asked.IsLargeFleet()) m_hub->HangUp(item.first);
     return idle;
   });
 }
--- a/src/dotterelshift/app/origin_exchange.h
+++ b/src/dotterelshift/app/origin_exchange.h
@@ -6,6 +6,7 @@
 #include <string>   // for string
 #include <vector>   // for vector
 
+#include "dotterelshift/gateway/askable_entries.h"   // for AskedEntries
 #include "dotterelshift/gateway/origin_lookup.h"     // for OriginLookup
 #include "dotterelshift/gateway/origin_responder.h"  // for OriginResponder
 #include "dotterelshift/gateway/stream_origins.h"    // for StreamOrigins
@@ -27,7 +28,8 @@
   gateway::OriginLookup& Lookup() { return m_lookup; }
   void SetHub(peers::Hub* hub) { m_hub = hub; }
 
-  // Entries that can be asked, as named by control.
+  // Entries that can be asked, as named by control; to be called again and
+  // again.
   void SetEntries(const std::vector<gateway::DistantEntry>& entries);
   void OnEntryUp(const peers::PeerInfo& entry);
   void OnEntryDown(const peers::PeerInfo& entry);
@@ -60,7 +62,7 @@
   gateway::OriginResponder m_responder;
   loop::Timer m_timer;
   peers::Hub* m_hub = nullptr;
-  std::vector<gateway::DistantEntry> m_entries;
+  gateway::AskedEntries m_asked;
   // Addresses that were dialled to ask, and when one was last asked.
   std::map<std::string, Instant> m_dialled;
   std::map<HostId, std::string> m_addresses;  // of connected entries
--- a/src/dotterelshift/gateway/askable_entries.cc
+++ b/src/dotterelshift/gateway/askable_entries.cc
@@ -6,12 +6,17 @@
 #include <cstdint>    // for uint64_t
 #include <utility>    // for pair
 
+#include "dotterelshift/gateway/stream_origins.h"  // for StreamOriginsOptions
+
 namespace dotterelshift::gateway {
 namespace {
 
 // Of each data centre. Two of them are asked at a time.
 constexpr size_t kAskableEntries = 4;
 
+// As long as origins are kept.
+constexpr Duration kKeptTime = StreamOriginsOptions().max_age;
+
 }  // namespace
 
 std::vector<DistantEntry> AskableFor(const HostId& asking,
@@ -37,4 +42,16 @@
   return askable;
 }
 
+bool AskedEntries::OnNamed(const std::vector<DistantEntry>& named,
+                           Instant now) {
+  if (named.empty() && !m_entries.empty()) {
+    if (!m_small_since) m_small_since = now;
+    if (now - *m_small_since < kKeptTime) return false;
+  }
+  m_small_since.reset();
+  if (named == m_entries) return false;
+  m_entries = named;
+  return true;
+}
+
 }  // namespace dotterelshift::gateway
--- a/src/dotterelshift/gateway/askable_entries_test.cc
+++ b/src/dotterelshift/gateway/askable_entries_test.cc
@@ -15,6 +15,8 @@
   CPPUNIT_TEST(EachIsAskedByAboutAsManyAsAnyOther);
   CPPUNIT_TEST(EntryThatFailsChangesTheChoiceOfThoseThatAskIt);
   CPPUNIT_TEST(SmallDataCentreIsAskedInFull);
+  CPPUNIT_TEST(EntriesAreAskedForAWhileAfterTheFleetHasBecomeSmall);
+  CPPUNIT_TEST(NobodyIsAskedInAFleetThatWasAlwaysSmall);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -73,6 +75,31 @@
     CPPUNIT_ASSERT_EQUAL(size_t{2}, AskableFor("a0", "a", small).size());
   }
 
+  void EntriesAreAskedForAWhileAfterTheFleetHasBecomeSmall() {
+    const std::vector<DistantEntry> some = {{"b0", "b"}};
+    const std::vector<DistantEntry> others = {{"b1", "b"}};
+    AskedEntries asked;
+    CPPUNIT_ASSERT(asked.OnNamed(some, m_now));
+    CPPUNIT_ASSERT(asked.IsLargeFleet());
+    CPPUNIT_ASSERT(!asked.OnNamed({}, m_now));
+    CPPUNIT_ASSERT(!asked.OnNamed({}, m_now + 59s));
+    CPPUNIT_ASSERT(asked.Entries() == some && !asked.IsLargeFleet());
+    // It grows, and becomes small again.
+    CPPUNIT_ASSERT(asked.OnNamed(others, m_now + 59s));
+    CPPUNIT_ASSERT(asked.IsLargeFleet());
+    CPPUNIT_ASSERT(!asked.OnNamed({}, m_now + 70s));
+    CPPUNIT_ASSERT(!asked.OnNamed({}, m_now + 129s));
+    CPPUNIT_ASSERT(asked.Entries() == others);
+    CPPUNIT_ASSERT(asked.OnNamed({}, m_now + 130s));
+    CPPUNIT_ASSERT(asked.Entries().empty());
+  }
+
+  void NobodyIsAskedInAFleetThatWasAlwaysSmall() {
+    AskedEntries asked;
+    CPPUNIT_ASSERT(!asked.OnNamed({}, m_now));
+    CPPUNIT_ASSERT(asked.Entries().empty() && !asked.IsLargeFleet());
+  }
+
  private:
   static constexpr int kOfEach = 53;
 
@@ -80,6 +107,7 @@
     return DataCentreId(1, static_cast<char>('a' + data_centre));
   }
 
+  const Instant m_now{1000s};
   EntryAddresses m_entries;
 };
 
