--- a/src/dotterelshift/app/entry_pushes.cc
+++ b/src/dotterelshift/app/entry_pushes.cc
@@ -1,7 +1,5 @@
 #include "dotterelshift/app/entry_pushes.h"
 
-#include <xxhash.h>  // for XXH3_64bits
-
 #include <algorithm>  // for any_of, min
 #include <memory>     // for make_unique
 #include <string>     // for to_string
@@ -24,10 +22,6 @@
 // those of its own data centre cannot.
 constexpr size_t kMaxDistantRelays = 4;
 
-// Entries of each data centre that entries of the others may ask for origins of
-// streams. Two of them are asked at a time.
-constexpr size_t kAskableEntries = 4;
-
 // A control host that has just started is not connected to all entries yet, and
 // cannot tell that the fleet is small.
 constexpr Duration kSettleTime = 10s;
@@ -71,32 +65,21 @@
 void EntryPushes::OnUp(const peers::PeerInfo& entry) {
   m_entries[entry.run.host] = {.info = entry};
   m_roster.OnConnected(entry.run.host);
-  ChooseAskable();
+  OnMembersChanged();
 }
 
 void EntryPushes::OnDown(const HostId& host, Instant now) {
   if (m_entries.erase(host) == 0) return;
   m_roster.OnDisconnected(host, now);
-  ChooseAskable();
+  OnMembersChanged();
 }
 
-// By a hash of the host, so that an entry that starts or fails changes little.
-void EntryPushes::ChooseAskable() {
-  std::map<DataCentreId, std::map<uint64_t, std::string>> ranked;
-  for (const auto& [host, known] : m_entries) {
-    if (!known.answers_questions) continue;
-    const uint64_t rank = XXH3_64bits(host.data(), host.size());
-    ranked[known.info.data_centre][rank] = known.info.address;
-  }
-  std::map<DataCentreId, std::vector<std::string>> askable;
-  for (const auto& [data_centre, addresses] : ranked) {
-    std::vector<std::string>& chosen = askable[data_centre];
-    for (const auto& [rank, address] : addresses)
-      if (chosen.size() < kAskableEntries) chosen.push_back(address);
-  }
-  if (askable == m_askable) return;
-  m_askable = std::move(askable);
-  ++m_askable_version;
+void EntryPushes::OnMembersChanged() {
+  ++m_members_version;
+  m_addresses.clear();
+  for (const auto& [host, known] : m_entries)
+    if (known.answers_questions)
+      m_addresses[known.info.data_centre].push_back(known.info.address);
 }
 
 std::unique_ptr<wire::DistantEntriesT> EntryPushes::DistantEntriesFor(
@@ -105,19 +88,24 @@
   const bool is_settled =
       m_directory_since && now - *m_directory_since >= kSettleTime;
   if (full_mesh && !is_settled) return nullptr;
-  const Entry::Askable askable = {m_replica.GetNode().Term(),
-                                  full_mesh ? 0 : m_askable_version};
-  if (entry.askable == askable) return nullptr;
-  entry.askable = askable;
+  std::optional<Entry::Askable>& sent = entry.askable;
+  const uint64_t term = m_replica.GetNode().Term();
+  const bool same_term = sent && sent->term == term;
+  if (same_term && sent->members_version == m_members_version) return nullptr;
+  Entry::Askable askable = {term, m_members_version, {}};
+  if (!full_mesh) {
+    const peers::PeerInfo& info = entry.info;
+    askable.entries =
+        gateway::AskableFor(info.run.host, info.data_centre, m_addresses);
+  }
+  const bool is_known = same_term && sent->entries == askable.entries;
+  sent = std::move(askable);
+  if (is_known) return nullptr;
   auto distant = std::make_unique<wire::DistantEntriesT>();
-  if (full_mesh) return distant;
-  for (const auto& [data_centre, addresses] : m_askable) {
-    if (data_centre == entry.info.data_centre) continue;
-    for (const std::string& address : addresses) {
-      distant->entries.push_back(std::make_unique<wire::DistantEntryT>());
-      distant->entries.back()->address = address;
-      distant->entries.back()->data_centre = data_centre;
-    }
+  for (const gateway::DistantEntry& other : sent->entries) {
+    distant->entries.push_back(std::make_unique<wire::DistantEntryT>());
+    distant->entries.back()->address = other.address;
+    distant->entries.back()->data_centre = other.data_centre;
   }
   return distant;
 }
@@ -131,7 +119,7 @@
   entry->second.wants_relays = beat.wants_relays;
   if (beat.answers_questions != entry->second.answers_questions) {
     entry->second.answers_questions = beat.answers_questions;
-    ChooseAskable();
+    OnMembersChanged();
   }
   OnReportedVersion(entry->second.configuration, beat.configuration_version,
                     false, now);
--- a/src/dotterelshift/app/origin_exchange.h
+++ b/src/dotterelshift/app/origin_exchange.h
@@ -8,6 +8,7 @@
 #include <utility>     // for move
 #include <vector>      // for vector
 
+#include "dotterelshift/gateway/askable_entries.h"   // for AskedEntries
 #include "dotterelshift/gateway/origin_lookup.h"     // for OriginLookup
 #include "dotterelshift/gateway/origin_responder.h"  // for OriginResponder
 #include "dotterelshift/gateway/stream_origins.h"    // for StreamOrigins
@@ -35,7 +36,8 @@
     m_may_hang_up = std::move(may_hang_up);
   }
 
-  // Entries that can be asked, as named by control.
+  // Entries that can be asked, as named by control; to be called again and
+  // again.
   void SetEntries(const std::vector<gateway::DistantEntry>& entries);
   void OnEntryUp(const peers::PeerInfo& entry);
   void OnEntryDown(const peers::PeerInfo& entry);
@@ -70,7 +72,7 @@
   loop::Timer m_timer;
   peers::Hub* m_hub = nullptr;
   std::function<bool(const std::string& address)> m_may_hang_up;
-  std::vector<gateway::DistantEntry> m_entries;
+  gateway::AskedEntries m_asked;
   // Addresses that were dialled to ask, and when one was last asked.
   std::map<std::string, Instant> m_dialled;
   std::map<HostId, std::string> m_addresses;  // of connected entries
