A silent attempt is kept until its request can go on elsewhere

Callers saw 502 or a cut stream though their endpoint was sound: silent for 1.5 s (or its bytes not acknowledged for 250 ms while its path was in doubt), its attempt was cancelled, and only then was it asked whether another one may begin. Without a retry left, another endpoint or room on the link the request ended.

Cause: the decision to cancel and the decision to repeat were taken in this order, in three places (the idle timer, withheld events, a doubtful path).

Now one place decides, LeaveSilent(): it checks all that sending elsewhere needs and takes nothing; only then is the attempt cancelled, before the next one is sent, as until now. Otherwise it goes on and is looked at again every 250 ms until its deadline; one line for each silence, no retry is taken or counted as denied. Not changed: what ends an attempt that its endpoint broke off.

--- a/include/dotterelshift/gateway/core.h
+++ b/include/dotterelshift/gateway/core.h
@@ -57,7 +57,7 @@
   // Timeout of a caller that gives none.
   Duration default_caller_timeout = 60s;
   // Idle timeout of a response: an attempt is abandoned when its endpoint has
-  // sent nothing for this long and the request may run again elsewhere.
+  // sent nothing for this long and the request goes on elsewhere at once.
   Duration response_idle_timeout = 1500ms;
   // Minimum retry delay sent to a caller when this entry's outbound link is
   // saturated. It is short, as the links of other entries have capacity.
--- a/include/dotterelshift/gateway/retry_share.h
+++ b/include/dotterelshift/gateway/retry_share.h
@@ -60,6 +60,8 @@
   void OnRequest(const std::string& service, Instant now);
   // Takes one retry from the share, if one is left.
   RetryDecision Take(const std::string& service, Instant now);
+  // Whether Take() would grant a retry now. Takes and counts nothing.
+  bool MayTake(const std::string& service, Instant now);
   // The services that had requests, ordered by name.
   std::vector<RetryUse> UseByService(Instant now);
 
--- a/src/dotterelshift/gateway/active_request.h
+++ b/src/dotterelshift/gateway/active_request.h
@@ -38,6 +38,9 @@
   bool unacknowledged = false;  // its bytes were not acknowledged in time
   Instant sent{};
   Instant last_received{};  // when bytes were last received
+  // Its silence is looked at again then; the epoch: it was not yet looked at.
+  Instant kept_until{};
+  Instant kept_logged{};  // `last_received` of the silence that was logged
   bool head_received = false;
   int status = 0;
   ResponseInfo response_info;
--- a/src/dotterelshift/gateway/core.cc
+++ b/src/dotterelshift/gateway/core.cc
@@ -287,8 +287,7 @@
   if (RunningDeadline(active) > now)
     return SetTimer(active, RunningDeadline(active));
   // The response's idle timeout has expired, and the request may be retried.
-  CancelAttemptIfSent(active);
-  OnAttemptFailed(active, http::TransferEnd::kTimedOut, now);
+  if (!LeaveSilent(active, now)) SetTimer(active, RunningDeadline(active));
 }
 
 void CoreImpl::SetTimer(ActiveRequest& active, Instant when) {
--- a/src/dotterelshift/gateway/core_impl.h
+++ b/src/dotterelshift/gateway/core_impl.h
@@ -7,6 +7,7 @@
 #include <random>         // for mt19937_64
 #include <set>            // for set
 #include <string>         // for string
+#include <string_view>    // for string_view
 #include <unordered_map>  // for unordered_map
 #include <utility>        // for pair
 #include <vector>         // for vector
@@ -20,8 +21,8 @@
 // The implementation behind MakeCore(): arrival in core.cc, choice of the
 // endpoint and sending in core_placement.cc, the queue for the outbound link in
 // core_link.cc, paths to endpoints in core_paths.cc, responses and retries in
-// core_response.cc, versions of streams in core_streams.cc, requests that crash
-// endpoints in core_suspects.cc.
+// core_response.cc, silent endpoints in core_silence.cc, versions of streams in
+// core_streams.cc, requests that crash endpoints in core_suspects.cc.
 class CoreImpl final : public Core {
  public:
   CoreImpl(const CoreOptions& options, const CoreDependencies& parts)
@@ -242,11 +243,21 @@
                  const serving::RequestSummary& summary, Stage stage,
                  bool answered, Instant now);
 
+  // Silent endpoints (core_silence.cc).
+  Instant RunningDeadline(const ActiveRequest& active) const;
+  // Gives up an attempt whose endpoint is silent if its request goes on at once
+  // elsewhere. Returns false if the attempt is kept; it is then looked at again
+  // at RunningDeadline().
+  bool LeaveSilent(ActiveRequest& active, Instant now);
+  // Why the request would not go on elsewhere at once; nullopt: it would.
+  std::optional<std::string_view> WhyKept(ActiveRequest& active, Instant now);
+  std::optional<Placement> ChooseElsewhere(ActiveRequest& active, Instant now);
+  void LogKept(ActiveRequest& active, std::string_view why, Instant now);
+
   void AbortForShutdown(ActiveRequest& active, Instant now);
 
   void OnTimerExpired(ActiveRequest& active, Instant now);
   void SetTimer(ActiveRequest& active, Instant when);
-  Instant RunningDeadline(const ActiveRequest& active) const;
   void Log(std::string_view event, const ActiveRequest& active,
            std::vector<std::pair<std::string_view, std::string>> inputs,
            AttemptId attempt = 0);
--- a/src/dotterelshift/gateway/core_paths.cc
+++ b/src/dotterelshift/gateway/core_paths.cc
@@ -149,8 +149,8 @@
 
 // An attempt that was sent directly and has no response leaves the failed path:
 // it is withdrawn if no byte of it was handed over. One whose bytes were not
-// acknowledged in time is given up if the request may run again; any other may
-// still get its response.
+// acknowledged in time is given up if the request runs again at once; any other
+// may still get its response.
 void CoreImpl::LeavePath(ActiveRequest& active, Instant now) {
   const Attempt& attempt = active.attempt;
   if (active.stage != Stage::kRunning || attempt.head_received ||
@@ -160,9 +160,7 @@
     m_actions.emplace_back(WithdrawAttempt{attempt.id});
     return;
   }
-  if (!MayRunAgain(active)) return;
-  CancelAttemptIfSent(active);
-  OnAttemptFailed(active, http::TransferEnd::kTimedOut, now);
+  if (MayRunAgain(active)) LeaveSilent(active, now);
 }
 
 void CoreImpl::ReportConnectFailure(const ActiveRequest& active,
--- a/src/dotterelshift/gateway/core_response.cc
+++ b/src/dotterelshift/gateway/core_response.cc
@@ -71,14 +71,6 @@
   return found == m_active.end() ? nullptr : &found->second;
 }
 
-// The deadline; for a request that may be retried, the end of the idle timeout
-// if that is earlier.
-Instant CoreImpl::RunningDeadline(const ActiveRequest& active) const {
-  if (!MayRunAgain(active)) return active.deadline;
-  return std::min(active.deadline, active.attempt.last_received +
-                                       m_options.response_idle_timeout);
-}
-
 bool CoreImpl::MayRunAgain(const ActiveRequest& active) const {
   return active.MayRepeat() &&
          active.runs + 1 < static_cast<uint32_t>(active.route->attempts) &&
--- /dev/null
+++ b/src/dotterelshift/gateway/core_silence.cc
@@ -0,0 +1,80 @@
+#include <algorithm>  // for max, min
+
+#include "dotterelshift/gateway/core_impl.h"  // for CoreImpl
+
+namespace dotterelshift::gateway {
+namespace {
+
+// How often a silent attempt that was kept is looked at again.
+constexpr Duration kSilenceCheckInterval = 250ms;
+
+}  // namespace
+
+// The deadline; for a request that may be retried, the time at which its
+// endpoint's silence is looked at, if that is earlier.
+Instant CoreImpl::RunningDeadline(const ActiveRequest& active) const {
+  if (!MayRunAgain(active)) return active.deadline;
+  const Attempt& attempt = active.attempt;
+  const Instant idle = attempt.last_received + m_options.response_idle_timeout;
+  return std::min(active.deadline, std::max(idle, attempt.kept_until));
+}
+
+// A sound endpoint may fall silent and go on, so that silence alone does not
+// end a request. The attempt is cancelled before the next one is sent: the two
+// must not run at the same time.
+bool CoreImpl::LeaveSilent(ActiveRequest& active, Instant now) {
+  if (const auto why = WhyKept(active, now)) {
+    active.attempt.kept_until = now + kSilenceCheckInterval;
+    LogKept(active, *why, now);
+    return false;
+  }
+  CancelAttemptIfSent(active);
+  OnAttemptFailed(active, http::TransferEnd::kTimedOut, now);
+  return true;
+}
+
+// Checks all that OnAttemptFailed() and Place() require, and takes nothing. A
+// request that would have to wait for the link or for a trial is not sure to go
+// on.
+std::optional<std::string_view> CoreImpl::WhyKept(ActiveRequest& active,
+                                                  Instant now) {
+  if (!MayRunAgain(active) || now >= active.deadline) return "no_attempt_left";
+  if (IsSuspected(active, now)) return "suspected";
+  if (!CanSendNow(active, now)) return "link_full";
+  const std::optional<Placement> placement = ChooseElsewhere(active, now);
+  if (!placement) return "no_endpoint";
+  if (WouldRespondTooLate(active, *placement, now)) return "too_late";
+  if (!m_dependencies.retries->MayTake(active.service, now))
+    return "no_retry_left";
+  return std::nullopt;
+}
+
+// The endpoint that would be chosen if the attempt failed: by another path it
+// may be the same.
+std::optional<Placement> CoreImpl::ChooseElsewhere(ActiveRequest& active,
+                                                   Instant now) {
+  const bool stays = IsPathFailure(active, http::TransferEnd::kTimedOut, now);
+  if (!stays) active.tried.push_back(active.attempt.placement.endpoint);
+  ++active.lost_connections;
+  const std::optional<Placement> placement = ChooseEndpoint(active, now);
+  --active.lost_connections;
+  if (!stays) active.tried.pop_back();
+  return placement;
+}
+
+// Logs one line for each silence, however often it is looked at.
+void CoreImpl::LogKept(ActiveRequest& active, std::string_view why,
+                       Instant now) {
+  Attempt& attempt = active.attempt;
+  if (attempt.kept_logged == attempt.last_received) return;
+  attempt.kept_logged = attempt.last_received;
+  Log("silent_attempt_kept", active,
+      {{"endpoint", attempt.endpoint.id},
+       {"why", std::string(why)},
+       {"silent_ms", std::to_string(ToMs(now - attempt.last_received))},
+       {"path", attempt.relay.empty() ? "direct" : attempt.relay},
+       {"events", std::to_string(attempt.events)}},
+      attempt.id);
+}
+
+}  // namespace dotterelshift::gateway
--- a/src/dotterelshift/gateway/core_streams.cc
+++ b/src/dotterelshift/gateway/core_streams.cc
@@ -247,11 +247,8 @@
   if (!waits) return OnUnfit(active, fit, now);
   const Instant next = now + kFitCheckInterval;
   if (attempt.complete) return SetTimer(active, next);
-  const Instant running_deadline = RunningDeadline(active);
-  if (running_deadline > now)
-    return SetTimer(active, std::min(next, running_deadline));
-  CancelAttemptIfSent(active);
-  OnAttemptFailed(active, http::TransferEnd::kTimedOut, now);
+  if (RunningDeadline(active) <= now && LeaveSilent(active, now)) return;
+  SetTimer(active, std::min(next, RunningDeadline(active)));
 }
 
 void CoreImpl::Release(ActiveRequest& active, Instant now) {
--- a/src/dotterelshift/gateway/core_streams_test.cc
+++ b/src/dotterelshift/gateway/core_streams_test.cc
@@ -24,6 +24,7 @@
   CPPUNIT_TEST(EndpointThatTurnsOutToHaveAnotherVersionIsLeft);
   CPPUNIT_TEST(CompleteResponseIsWithheldToo);
   CPPUNIT_TEST(EndpointThatFallsSilentWhileWithheldIsLeft);
+  CPPUNIT_TEST(SilentEndpointIsKeptWhileWithheldIfThereIsNoOther);
   CPPUNIT_TEST(OriginIsNotProvenByAnUnknownConnection);
   CPPUNIT_TEST(RefusedResumptionIsLoggedAndCounted);
   CPPUNIT_TEST_SUITE_END();
@@ -182,6 +183,19 @@
     CPPUNIT_ASSERT(Only<StartAttempt>().endpoint.id != start.endpoint.id);
   }
 
+  void SilentEndpointIsKeptWhileWithheldIfThereIsNoOther() {
+    const StartAttempt start = ResumeOnNewConnection();
+    for (const std::string& id : IdsOf("v1"))
+      if (id != start.endpoint.id) Leave(id);
+    for (int i = 0; i < 40; ++i) {
+      Advance(50ms);
+      CPPUNIT_ASSERT(m_last.empty());
+    }
+    AnnounceEndpoint(start.endpoint.id, "v1");
+    Chunk(start.attempt, "id: 4\ndata: x\n\n");
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, Count<RelayChunk>());
+  }
+
   void OriginIsNotProvenByAnUnknownConnection() {
     Request("/resume/");
     const StartAttempt start = Only<StartAttempt>();
--- a/src/dotterelshift/gateway/retry_share.cc
+++ b/src/dotterelshift/gateway/retry_share.cc
@@ -22,6 +22,11 @@
   return decision;
 }
 
+bool RetryShare::MayTake(const std::string& name, Instant now) {
+  const RetryDecision position = Position(ServiceOf(name), now);
+  return position.used + 1 <= position.allowed;
+}
+
 RetryDecision RetryShare::Position(Service& service, Instant now) const {
   RetryDecision position;
   position.sharers = m_lease.Sharers(now).value_or(0);
