Tests: what else an entry's own shutdown could cut

Requests that wait for an origin are ended as not run, a failed one that waits for a place as may have run; a repeated request keeps the deadline that was compared with the time left; a long deadline of the notice period ends with a response at the response deadline. All pass on the code as it is.

--- a/src/dotterelshift/gateway/core_origin_lookup_test.cc
+++ b/src/dotterelshift/gateway/core_origin_lookup_test.cc
@@ -17,6 +17,7 @@
   CPPUNIT_TEST(AllRequestsForAStreamGoOnWithOneAnswer);
   CPPUNIT_TEST(CallerMayLeaveWhileTheStreamIsLookedUp);
   CPPUNIT_TEST(DeadlineEndsTheWait);
+  CPPUNIT_TEST(ShutdownEndsTheWaitAsNotRun);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -98,6 +99,18 @@
     CPPUNIT_ASSERT_EQUAL(size_t{0}, m_core->OpenRequests());
   }
 
+  void ShutdownEndsTheWaitAsNotRun() {
+    Resume("first");
+    m_core->AbortOpenRequests(m_now);
+    Collect();
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, m_last.size());
+    CPPUNIT_ASSERT(Only<Refuse>().kind == ErrorKind::kDraining);
+    CPPUNIT_ASSERT(RowOf(Only<Refuse>().kind).ran == Ran::kNo);
+    Tell("first", "v2");
+    CPPUNIT_ASSERT(m_last.empty());
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, m_core->OpenRequests());
+  }
+
  private:
   void AnnounceVersion(const std::string& version) {
     wire::EndpointRecordT record;
--- a/src/dotterelshift/gateway/drain_test.cc
+++ b/src/dotterelshift/gateway/drain_test.cc
@@ -22,6 +22,9 @@
   CPPUNIT_TEST(RequestIsJudgedWhenItsBodyIsComplete);
   CPPUNIT_TEST(OpenRequestsAreAnsweredAtShutdown);
   CPPUNIT_TEST(WaitingRequestIsReportedAsNotRunAtShutdown);
+  CPPUNIT_TEST(FailedRequestThatWaitsIsReportedAsMayHaveRun);
+  CPPUNIT_TEST(RepeatedRequestKeepsItsDeadline);
+  CPPUNIT_TEST(LongDeadlineOfTheNoticePeriodEndsWithTheDrain);
   CPPUNIT_TEST(AbortedRequestsAreSettled);
   CPPUNIT_TEST(ProcessExitsBeforeItsLimit);
   CPPUNIT_TEST_SUITE_END();
@@ -125,6 +128,65 @@
     CPPUNIT_ASSERT(Only<Refuse>().kind == ErrorKind::kDraining);
   }
 
+  // Its endpoint cut it, and all others are full.
+  void FailedRequestThatWaitsIsReportedAsMayHaveRun() {
+    Drain();
+    Request("/resume/", 100, 1);
+    const StartAttempt first = Only<StartAttempt>();
+    Head(first.attempt, 200, true);
+    Chunk(first.attempt, "id: 1\ndata: a\n\n");
+    for (RequestId id = 2; id <= 12; ++id) Request("/stream/", 100, id);
+    End(first.attempt, http::TransferEnd::kCut);
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, Count<StartAttempt>());
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, Count<AbortStream>());
+    m_core->AbortOpenRequests(m_now);
+    Collect();
+    bool ended = false;
+    for (const Decision& line : m_log_lines)
+      for (const auto& [name, value] : line.inputs)
+        ended |=
+            line.event == "ended" && name == "outcome" &&
+            value == std::string(RowOf(ErrorKind::kDrainedWhileRunning).name);
+    CPPUNIT_ASSERT(ended);
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, m_core->OpenRequests());
+  }
+
+  // An attempt that begins late in the shutdown gets no more time than was
+  // compared with the time that is left.
+  void RepeatedRequestKeepsItsDeadline() {
+    Drain();
+    Advance(m_times.notice_end - m_now + 1ms);
+    RequestInfo info = MakeRequestInfo("/safe/");
+    info.timeout = m_times.response_deadline - m_now;
+    m_core->OnRequest(kRequest, info, m_now);
+    Collect();
+    const AttemptId first = Only<StartAttempt>().attempt;
+    Advance(1s);
+    End(first, http::TransferEnd::kFailedBeforeHead);
+    CPPUNIT_ASSERT(Only<StartAttempt>().time_left <=
+                   m_times.response_deadline - m_now);
+    Advance(m_times.response_deadline - m_now);
+    CPPUNIT_ASSERT(Only<Refuse>().kind == ErrorKind::kDeadlineWhileRunning);
+  }
+
+  // Requests of the notice period are taken whatever their deadline: what is
+  // still open at the response deadline is ended with a response.
+  void LongDeadlineOfTheNoticePeriodEndsWithTheDrain() {
+    Publish();
+    m_times = MakeDrainSchedule(m_now, kNotice, 5s);
+    m_core->StartDraining(m_times);
+    Advance(kNotice);
+    Request("/once/");
+    const StartAttempt start = Only<StartAttempt>();
+    CPPUNIT_ASSERT(m_now + start.time_left > m_times.response_deadline);
+    Advance(m_times.response_deadline - m_now);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, m_core->OpenRequests());
+    m_core->AbortOpenRequests(m_now);
+    Collect();
+    CPPUNIT_ASSERT_EQUAL(start.attempt, Only<CancelAttempt>().attempt);
+    CPPUNIT_ASSERT(Only<Refuse>().kind == ErrorKind::kDrainedWhileRunning);
+  }
+
   // The spend of aborted requests is reported before the holdings are returned.
   void AbortedRequestsAreSettled() {
     Publish(1'000'000);
