Failing tests: three more places where silence is taken for an end

One silence of an endpoint counts once for each request that waits there; an endpoint that is not read from, as the caller is slow, counts as silent; bytes that the only endpoint of a service does not acknowledge for 250 ms send the request to a relay. Core::OnCallerSlow() is declared and does nothing yet.

--- a/include/dotterelshift/gateway/core.h
+++ b/include/dotterelshift/gateway/core.h
@@ -186,6 +186,9 @@
   virtual void OnChunk(AttemptId attempt, std::string_view bytes,
                        Instant now) = 0;
   virtual void OnEnd(AttemptId attempt, http::TransferEnd end, Instant now) = 0;
+  // Nothing is read from the endpoint for now, as the caller is slow, or it is
+  // read from again.
+  virtual void OnCallerSlow(RequestId request, bool slow, Instant now) = 0;
   // A new connection was established for the attempt.
   virtual void OnConnected(AttemptId attempt, Instant now) = 0;
   // The attempt's request is handed to a connection that was established then.
--- a/src/dotterelshift/gateway/core_impl.h
+++ b/src/dotterelshift/gateway/core_impl.h
@@ -40,6 +40,7 @@
               Instant now) override;
   void OnChunk(AttemptId attempt, std::string_view bytes, Instant now) override;
   void OnEnd(AttemptId attempt, http::TransferEnd end, Instant now) override;
+  void OnCallerSlow(RequestId request, bool slow, Instant now) override;
   void OnConnected(AttemptId attempt, Instant now) override;
   void OnHandedOver(AttemptId attempt, Instant connected_at) override;
   void OnUnacknowledged(AttemptId attempt, Instant now) override;
--- a/src/dotterelshift/gateway/core_silence.cc
+++ b/src/dotterelshift/gateway/core_silence.cc
@@ -19,6 +19,8 @@
   return std::min(active.deadline, std::max(idle, attempt.kept_until));
 }
 
+void CoreImpl::OnCallerSlow(RequestId, bool, Instant) {}
+
 // A sound endpoint may fall silent and go on, so that silence alone does not
 // end a request. The attempt is cancelled before the next one is sent: the two
 // must not run at the same time.
--- a/src/dotterelshift/gateway/core_silence_test.cc
+++ b/src/dotterelshift/gateway/core_silence_test.cc
@@ -22,6 +22,9 @@
   CPPUNIT_TEST(KeptAttemptIsLoggedOnceAndTakesNoRetry);
   CPPUNIT_TEST(UnacknowledgedAttemptIsKeptIfNoRetryIsLeft);
   CPPUNIT_TEST(SilenceIsNoCrash);
+  CPPUNIT_TEST(OneSilenceIsOneFailureOfItsEndpoint);
+  CPPUNIT_TEST(AttemptThatItsCallerHoldsUpIsNotSilent);
+  CPPUNIT_TEST(SilenceOfTheOnlyEndpointLeadsToNoRelay);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -153,11 +156,66 @@
     Finish(Only<StartAttempt>().attempt);
     CPPUNIT_ASSERT(m_core->TakeSuspectReports().empty());
     CPPUNIT_ASSERT(m_core->NextTimer() == Instant::max());
-    CPPUNIT_ASSERT(!m_load->IsLeaving(
-        directory::PulseKey(first.endpoint.id, first.endpoint.incarnation)));
+    CPPUNIT_ASSERT(!m_load->IsLeaving(KeyOf(first.endpoint)));
+  }
+
+  // Six requests wait there. The endpoint is avoided no longer than after one
+  // failure too many.
+  void OneSilenceIsOneFailureOfItsEndpoint() {
+    Request("/safe/", 0, 1);
+    const EndpointContact silent = Only<StartAttempt>().endpoint;
+    LeaveAllBut(silent.id);
+    for (RequestId id = 2; id <= 6; ++id) Request("/safe/", 0, id);
+    for (const char* id : {"p4", "p5"}) Announce(id, "plain");
+    m_core->OnEndpointsChanged(m_directory, m_now);
+    Advance(CoreOptions().response_idle_timeout);
+    CPPUNIT_ASSERT(Count<CancelAttempt>() >= 4);
+    const Duration avoided = m_load->AvoidedFor(KeyOf(silent), m_now);
+    CPPUNIT_ASSERT(avoided > 0s);
+    CPPUNIT_ASSERT(avoided <= FleetLoadOptions().min_avoid_time);
+  }
+
+  // Its endpoint sends nothing because nothing is read from it.
+  void AttemptThatItsCallerHoldsUpIsNotSilent() {
+    Request("/resume/", 100);
+    const AttemptId attempt = Only<StartAttempt>().attempt;
+    Head(attempt, 200, true);
+    Chunk(attempt, "id: 1\ndata: a\n\n");
+    m_core->OnCallerSlow(kRequest, true, m_now);
+    StayQuiet(2s);
+    m_core->OnCallerSlow(kRequest, false, m_now);
+    StayQuiet(1400ms);
+    Advance(100ms);
+    CPPUNIT_ASSERT_EQUAL(attempt, Only<CancelAttempt>().attempt);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, Count<StartAttempt>());
+  }
+
+  // Nothing tells its silence from a failure of the path to it, and a relay
+  // would find it silent as well.
+  void SilenceOfTheOnlyEndpointLeadsToNoRelay() {
+    EndpointPaths paths(EndpointPathsOptions{"dc"});
+    m_core = MakeCore(CoreOptions(), Parts(nullptr, &paths));
+    Publish();
+    m_directory = directory::Directory();
+    Announce("p1", "plain");
+    m_core->OnEndpointsChanged(m_directory, m_now);
+    paths.OnRelay({"other", "dc", "10.0.0.2:80", "token", {}});
+    Request("/safe/");
+    const AttemptId attempt = Only<StartAttempt>().attempt;
+    Advance(250ms);
+    m_core->OnUnacknowledged(attempt, m_now);
+    Collect();
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, Count<CancelAttempt>());
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, Count<StartAttempt>());
+    StayQuiet(1s);
+    Finish(attempt);
   }
 
  private:
+  static EndpointKey KeyOf(const EndpointContact& contact) {
+    return directory::PulseKey(contact.id, contact.incarnation);
+  }
+
   void DenyRetries() {
     *m_retries = RetryShare(RetryShareOptions{.ratio = 0, .slack = 0});
   }
