--- a/src/dotterelshift/gateway/endpoint_paths_test.cc
+++ b/src/dotterelshift/gateway/endpoint_paths_test.cc
@@ -41,6 +41,7 @@
   CPPUNIT_TEST(CheckWithoutAnAnswerRelaysAllSoon);
   CPPUNIT_TEST(EndpointsThatAreHeardMeanwhileStayDirect);
   CPPUNIT_TEST(CrashesInSeriesCauseFewChecks);
+  CPPUNIT_TEST(ProbesOfBrokenAttemptsDoNotEndACheck);
   CPPUNIT_TEST(ProbeForAServiceWithoutEndpoints);
   CPPUNIT_TEST_SUITE_END();
 
@@ -257,6 +258,17 @@
     CPPUNIT_ASSERT(m_paths->TakeChanges().empty());
   }
 
+  void ProbesOfBrokenAttemptsDoNotEndACheck() {
+    const size_t checked = RefuseTwo().size();
+    for (size_t i = 0; i < checked; ++i) {
+      m_paths->ProbeNow(KeyOf("llm0"), "llm", m_now);
+      for (const EndpointPaths::Probe& probe : m_paths->TakeProbes(m_now))
+        m_paths->OnProbeEnded(probe.endpoint, false, m_now);
+    }
+    CPPUNIT_ASSERT(m_paths->IsBeingChecked(KeyOf("llm3"), m_now));
+    CPPUNIT_ASSERT(m_paths->TakeChanges().empty());
+  }
+
   // The last announcement may have taken the service from the endpoint.
   void ProbeForAServiceWithoutEndpoints() {
     m_paths->ProbeNow(KeyOf("llm0"), "withdrawn", m_now);
