One silence of an endpoint counts once, not once for each request there

Callers were refused or sent elsewhere for up to 5 s after a sound endpoint had been silent for 1.5 s: six requests that waited there counted as six failures in a row, which doubled the time for which it is avoided. A silence that began before the last one was counted no longer adds once the endpoint is avoided; a request sent to it later that meets silence doubles the time as before.

--- a/include/dotterelshift/gateway/fleet_load.h
+++ b/include/dotterelshift/gateway/fleet_load.h
@@ -145,6 +145,9 @@
   // Outcome of an attempt at the endpoint.
   void OnSucceeded(EndpointKey endpoint);
   void OnFailed(EndpointKey endpoint, Instant now);
+  // A request noticed that the endpoint has been silent since then. One silence
+  // counts no more often than it takes to avoid the endpoint once.
+  void OnSilent(EndpointKey endpoint, Instant since, Instant now);
   void OnUnreachable(EndpointKey endpoint, Instant now);
   // The endpoint's failures were due to the path to it, which has changed.
   void OnPathChanged(EndpointKey endpoint);
@@ -189,6 +192,7 @@
     SegmentCache cache;
     int failures = 0;  // consecutive
     Instant avoid_until{};
+    Instant silence_counted{};  // when a silence last counted as a failure
     Instant full_until{};
     std::optional<uint32_t> refusal_limit;
     // Refusals that this entry may still cause, at the time of the last one.
--- a/src/dotterelshift/gateway/core_response.cc
+++ b/src/dotterelshift/gateway/core_response.cc
@@ -280,7 +280,9 @@
 void CoreImpl::BookFailure(const ActiveRequest& active, http::TransferEnd end,
                            Instant now) {
   const EndpointKey endpoint = active.attempt.placement.endpoint;
-  if (WasSent(end))
+  if (end == http::TransferEnd::kTimedOut)
+    m_dependencies.load->OnSilent(endpoint, active.attempt.last_received, now);
+  else if (WasSent(end))
     m_dependencies.load->OnFailed(endpoint, now);
   else
     m_dependencies.load->OnUnreachable(endpoint, now);
--- a/src/dotterelshift/gateway/fleet_load.cc
+++ b/src/dotterelshift/gateway/fleet_load.cc
@@ -261,6 +261,17 @@
                                     m_options.max_avoid_time);
 }
 
+// All requests that wait there notice the same silence.
+void FleetLoad::OnSilent(EndpointKey endpoint, Instant since, Instant now) {
+  const auto found = m_loads.find(endpoint);
+  if (found == m_loads.end()) return;
+  Load& load = found->second;
+  const bool counted = since <= load.silence_counted;
+  if (counted && load.failures >= m_options.failure_threshold) return;
+  load.silence_counted = now;
+  OnFailed(endpoint, now);
+}
+
 void FleetLoad::OnUnreachable(EndpointKey endpoint, Instant now) {
   const auto found = m_loads.find(endpoint);
   if (found == m_loads.end()) return;
