An endpoint that is not read from does not count as silent

While a caller has more than 256 KiB unread, the entry does not read from its endpoint. After 1.5 s of that the core took the endpoint for silent, broke the attempt off and ran the rest of the stream at another one. The traffic now tells the core, which leaves the attempt alone until the caller has read; the idle time counts from then. AttemptThatItsCallerHoldsUpIsNotSilent failed before. The call from the traffic itself is covered by no test of its own.

--- a/src/dotterelshift/app/gateway_traffic.cc
+++ b/src/dotterelshift/app/gateway_traffic.cc
@@ -99,8 +99,8 @@
 
 void GatewayTraffic::OnDrained(RequestId request) {
   const auto open = m_open.find(request);
-  if (open == m_open.end() || !std::exchange(open->second.paused, false))
-    return;
+  if (open == m_open.end() || !open->second.paused) return;
+  SetPaused(request, false);
   const auto transfer = m_transfers.find(open->second.streaming);
   if (transfer != m_transfers.end()) m_client->Resume(transfer->second.id);
 }
@@ -230,8 +230,17 @@
   Pump();
   const auto open = m_open.find(request);
   if (open == m_open.end() || open->second.streaming != attempt) return true;
-  open->second.paused = open->second.exchange->Backlog() > kPauseAbove;
-  return !open->second.paused;
+  const bool paused = open->second.exchange->Backlog() > kPauseAbove;
+  SetPaused(request, paused);
+  return !paused;
+}
+
+void GatewayTraffic::SetPaused(RequestId request, bool paused) {
+  const auto open = m_open.find(request);
+  if (open == m_open.end() || open->second.paused == paused) return;
+  open->second.paused = paused;
+  m_core.OnCallerSlow(request, paused, m_loop.Now());
+  ArmTimer();
 }
 
 gateway::LinkBytes GatewayTraffic::Bytes() const {
--- a/src/dotterelshift/app/gateway_traffic.h
+++ b/src/dotterelshift/app/gateway_traffic.h
@@ -88,6 +88,8 @@
 
   void OnGone(RequestId request);
   void OnDrained(RequestId request);
+  // Nothing is read from the endpoint while the caller is slow.
+  void SetPaused(RequestId request, bool paused);
   void OnHead(AttemptId attempt, int status, const http::Headers& headers);
   bool OnChunk(AttemptId attempt, std::string_view piece);
   void OnEnd(AttemptId attempt, http::TransferEnd end);
--- a/src/dotterelshift/gateway/active_request.h
+++ b/src/dotterelshift/gateway/active_request.h
@@ -125,6 +125,7 @@
   std::vector<SoftwareKey> barred_software;
   std::vector<EndpointKey> relay_failed;  // endpoints that a relay did not try
   bool head_relayed = false;
+  bool caller_slow = false;  // nothing is read from its endpoint for now
   std::optional<StreamBinding> binding;  // nullopt: no event was passed on yet
   Instant first_event{};
   EventScanner scanner;
--- a/src/dotterelshift/gateway/core_silence.cc
+++ b/src/dotterelshift/gateway/core_silence.cc
@@ -13,13 +13,22 @@
 // The deadline; for a request that may be retried, the time at which its
 // endpoint's silence is looked at, if that is earlier.
 Instant CoreImpl::RunningDeadline(const ActiveRequest& active) const {
-  if (!MayRunAgain(active)) return active.deadline;
+  if (!MayRunAgain(active) || active.caller_slow) return active.deadline;
   const Attempt& attempt = active.attempt;
   const Instant idle = attempt.last_received + m_options.response_idle_timeout;
   return std::min(active.deadline, std::max(idle, attempt.kept_until));
 }
 
-void CoreImpl::OnCallerSlow(RequestId, bool, Instant) {}
+// An endpoint that is not read from has to be silent.
+void CoreImpl::OnCallerSlow(RequestId request, bool slow, Instant now) {
+  const auto found = m_active.find(request);
+  if (found == m_active.end()) return;
+  ActiveRequest& active = found->second;
+  active.caller_slow = slow;
+  if (slow || active.stage != Stage::kAnswering) return;
+  active.attempt.last_received = now;
+  SetTimer(active, RunningDeadline(active));
+}
 
 // A sound endpoint may fall silent and go on, so that silence alone does not
 // end a request. The attempt is cancelled before the next one is sent: the two
