A check of paths ends only by its own probes

While two endpoints of a service refuse connections, up to six others are probed before all paths are taken to have failed. Any failed probe was counted, also one started for a broken attempt and one of an earlier check, so that the check could end too soon and send requests by relay until probes had restored the paths. A check now holds the endpoints whose probes have not ended. ProbesOfBrokenAttemptsDoNotEndACheck failed before and passes.

--- a/include/dotterelshift/gateway/endpoint_paths.h
+++ b/include/dotterelshift/gateway/endpoint_paths.h
@@ -4,6 +4,7 @@
 #include <cstdint>      // for uint64_t
 #include <map>          // for map
 #include <optional>     // for optional
+#include <set>          // for set
 #include <string>       // for string
 #include <string_view>  // for string_view
 #include <utility>      // for pair
@@ -221,8 +222,8 @@
   };
   struct Check {
     Instant until{};
-    size_t open = 0;  // probes
-    Instant began{};  // of the failures that caused it
+    std::set<EndpointKey> open;  // endpoints whose probes have not ended
+    Instant began{};             // of the failures that caused it
   };
 
   void OnFailure(EndpointKey endpoint, PathEvidence evidence, Instant began,
@@ -235,7 +236,8 @@
   // Probes some of the endpoints whose paths neither failed nor are proven.
   // Returns their number.
   size_t StartCheck(const ServiceName& service, Instant began, Instant now);
-  void OnCheckProbe(const Path& path, Instant now);
+  // A probe failed. It may belong to no check.
+  void OnCheckProbe(EndpointKey endpoint, const Path& path, Instant now);
   void EndOverdueChecks(Instant now);
   // All paths to the service that are not proven have failed.
   void RelayAll(const ServiceName& service, Instant began, Instant now);
--- a/src/dotterelshift/gateway/endpoint_paths.cc
+++ b/src/dotterelshift/gateway/endpoint_paths.cc
@@ -138,25 +138,29 @@
 
 size_t EndpointPaths::StartCheck(const ServiceName& service, Instant began,
                                  Instant now) {
-  size_t probes = 0;
+  std::set<EndpointKey> probes;
   for (const EndpointKey key : m_by_service.at(service)) {
     Path& path = m_paths.at(key);
     const bool unproven =
         path.usable && !path.failed_at && path.state == PathState::kDirect;
     if (!unproven || path.probing) continue;
     path.probe_wanted = true;
-    if (++probes == m_options.max_checked) break;
+    probes.insert(key);
+    if (probes.size() == m_options.max_checked) break;
   }
-  if (probes == 0) return 0;
+  if (probes.empty()) return 0;
   m_checks[service] = {now + m_options.check_time, probes, began};
   m_next_probe = now;
-  return probes;
+  return probes.size();
 }
 
-void EndpointPaths::OnCheckProbe(const Path& path, Instant now) {
+void EndpointPaths::OnCheckProbe(EndpointKey endpoint, const Path& path,
+                                 Instant now) {
   for (const ServiceName& service : path.services) {
     const auto check = m_checks.find(service);
-    if (check == m_checks.end() || --check->second.open > 0) continue;
+    if (check == m_checks.end()) continue;
+    std::set<EndpointKey>& open = check->second.open;
+    if (open.erase(endpoint) == 0 || !open.empty()) continue;
     const Instant began = check->second.began;
     m_checks.erase(check);
     RelayAll(service, began, now);
@@ -453,7 +457,7 @@
   path.failed_at = now;
   path.failure_began = now;
   path.failure = PathEvidence::kConnectFailed;
-  OnCheckProbe(path, now);
+  OnCheckProbe(endpoint, path, now);
 }
 
 void EndpointPaths::Change(EndpointKey endpoint, Path& path, PathState to,
