Bytes that the only endpoint leaves unacknowledged do not end its attempt

Where a service has one endpoint, 250 ms in which it acknowledged nothing counted as a failure of all paths: an idempotent request or a resumable stream was broken off and sent to the same endpoint by relay, which found it silent as well, and ended with 502. An endpoint that does not acknowledge may only be silent, unless others of its services fail too or it announces itself meanwhile: its attempts are left to the idle timeout (1.5 s). New requests are relayed as before. What it costs: an attempt on a path that was cut, at the only endpoint of its service, waits 1.5 s instead of 250 ms.

--- a/include/dotterelshift/gateway/endpoint_paths.h
+++ b/include/dotterelshift/gateway/endpoint_paths.h
@@ -163,6 +163,9 @@
   // Whether all usable endpoints of one of the services are relayed.
   bool IsAnyUnreachable(const std::vector<ServiceName>& services) const;
   std::vector<EndpointKey> RelayedEndpoints() const;
+  // Whether all that speaks against the path to the endpoint is that it did not
+  // acknowledge bytes, which it does not while it is silent either.
+  bool MayOnlyBeSilent(EndpointKey endpoint, Instant now) const;
   // The relay to use for a connection to the endpoint; nullopt: connect
   // directly, as the direct path is not in doubt or no relay is known.
   std::optional<RelayContact> RelayTo(EndpointKey endpoint, Instant now) const;
--- a/src/dotterelshift/gateway/core_paths.cc
+++ b/src/dotterelshift/gateway/core_paths.cc
@@ -148,7 +148,8 @@
 }
 
 // An attempt that was sent directly and has no response leaves the failed path:
-// it is withdrawn if no byte of it was handed over. One whose bytes were not
+// it is withdrawn if no byte of it was handed over. While its endpoint may only
+// be silent, it is left to the idle timeout. One whose bytes were not
 // acknowledged in time is given up if the request runs again at once; any other
 // may still get its response.
 void CoreImpl::LeavePath(ActiveRequest& active, Instant now) {
@@ -160,6 +161,8 @@
     m_actions.emplace_back(WithdrawAttempt{attempt.id});
     return;
   }
+  const EndpointKey endpoint = attempt.placement.endpoint;
+  if (m_dependencies.paths->MayOnlyBeSilent(endpoint, now)) return;
   if (MayRunAgain(active)) LeaveSilent(active, now);
 }
 
--- a/src/dotterelshift/gateway/endpoint_paths.cc
+++ b/src/dotterelshift/gateway/endpoint_paths.cc
@@ -1,6 +1,6 @@
 #include "dotterelshift/gateway/endpoint_paths.h"
 
-#include <algorithm>  // for any_of, clamp, count_if, find, max, min
+#include <algorithm>  // for all_of, any_of, clamp, count_if, find, max, min
 
 #include "dotterelshift/directory/spread.h"  // for PulseKey
 
@@ -299,6 +299,19 @@
   return found != m_paths.end() && found->second.state == PathState::kRelayed;
 }
 
+bool EndpointPaths::MayOnlyBeSilent(EndpointKey endpoint, Instant now) const {
+  const auto found = m_paths.find(endpoint);
+  if (found == m_paths.end()) return false;
+  const Path& path = found->second;
+  if (path.failure != PathEvidence::kUnacknowledged ||
+      path.relayed_for != PathEvidence::kUnacknowledged)
+    return false;
+  return std::all_of(path.services.begin(), path.services.end(),
+                     [&](const ServiceName& service) {
+                       return FailuresOf(service, now).endpoints <= 1;
+                     });
+}
+
 bool EndpointPaths::MayCarry(const RelayContact& relay, const Path& path,
                              Instant now) const {
   for (const ServiceName& service : path.services) {
