--- a/src/dotterelshift/gateway/core_silence_test.cc
+++ b/src/dotterelshift/gateway/core_silence_test.cc
@@ -23,6 +23,7 @@
   CPPUNIT_TEST(UnacknowledgedAttemptIsKeptIfNoRetryIsLeft);
   CPPUNIT_TEST(SilenceIsNoCrash);
   CPPUNIT_TEST(OneSilenceIsOneFailureOfItsEndpoint);
+  CPPUNIT_TEST(KeptSilenceSendsNewRequestsElsewhere);
   CPPUNIT_TEST(AttemptThatItsCallerHoldsUpIsNotSilent);
   CPPUNIT_TEST(SilenceOfTheOnlyEndpointLeadsToNoRelay);
   CPPUNIT_TEST_SUITE_END();
@@ -175,6 +176,25 @@
     CPPUNIT_ASSERT(avoided <= FleetLoadOptions().min_avoid_time);
   }
 
+  // An endpoint that hangs must not get more and more requests because those
+  // there are kept.
+  void KeptSilenceSendsNewRequestsElsewhere() {
+    DenyRetries();
+    Request("/safe/", 0, 1);
+    const EndpointContact silent = Only<StartAttempt>().endpoint;
+    LeaveAllBut(silent.id);
+    Request("/safe/", 0, 2);
+    StayQuiet(1400ms);
+    CPPUNIT_ASSERT(m_load->AvoidedFor(KeyOf(silent), m_now) == 0s);
+    Announce("p4", "plain");
+    m_core->OnEndpointsChanged(m_directory, m_now);
+    StayQuiet(100ms);
+    const Duration avoided = m_load->AvoidedFor(KeyOf(silent), m_now);
+    CPPUNIT_ASSERT(avoided > 0s);
+    StayQuiet(1s);
+    CPPUNIT_ASSERT(m_load->AvoidedFor(KeyOf(silent), m_now) == 0s);
+  }
+
   // Its endpoint sends nothing because nothing is read from it.
   void AttemptThatItsCallerHoldsUpIsNotSilent() {
     Request("/resume/", 100);
