A kept silence counts as a failure of its endpoint, once a request

Since silent attempts are kept while no retry is left, an endpoint that hangs was never avoided then and got new requests until its slots were full. KeptSilenceSendsNewRequestsElsewhere failed before and passes.

--- a/src/dotterelshift/gateway/active_request.h
+++ b/src/dotterelshift/gateway/active_request.h
@@ -40,7 +40,10 @@
   Instant last_received{};  // when bytes were last received
   // Its silence is looked at again then; the epoch: it was not yet looked at.
   Instant kept_until{};
-  Instant kept_logged{};  // `last_received` of the silence that was logged
+  // `last_received` of the silence that was logged, and of the one that was
+  // counted as a failure of the endpoint.
+  Instant kept_logged{};
+  Instant silence_booked{};
   bool head_received = false;
   int status = 0;
   ResponseInfo response_info;
--- a/src/dotterelshift/gateway/core_impl.h
+++ b/src/dotterelshift/gateway/core_impl.h
@@ -253,6 +253,7 @@
   // Why the request would not go on elsewhere at once; nullopt: it would.
   std::optional<std::string_view> WhyKept(ActiveRequest& active, Instant now);
   std::optional<Placement> ChooseElsewhere(ActiveRequest& active, Instant now);
+  void BookSilence(ActiveRequest& active, Instant now);
   void LogKept(ActiveRequest& active, std::string_view why, Instant now);
 
   void AbortForShutdown(ActiveRequest& active, Instant now);
--- a/src/dotterelshift/gateway/core_silence.cc
+++ b/src/dotterelshift/gateway/core_silence.cc
@@ -8,6 +8,8 @@
 // How often a silent attempt that was kept is looked at again.
 constexpr Duration kSilenceCheckInterval = 250ms;
 
+constexpr std::string_view kNoEndpoint = "no_endpoint";
+
 }  // namespace
 
 // The deadline; for a request that may be retried, the time at which its
@@ -37,6 +39,7 @@
   if (const auto why = WhyKept(active, now)) {
     active.attempt.kept_until = now + kSilenceCheckInterval;
     LogKept(active, *why, now);
+    if (*why != kNoEndpoint) BookSilence(active, now);
     return false;
   }
   CancelAttemptIfSent(active);
@@ -53,7 +56,7 @@
   if (IsSuspected(active, now)) return "suspected";
   if (!CanSendNow(active, now)) return "link_full";
   const std::optional<Placement> placement = ChooseElsewhere(active, now);
-  if (!placement) return "no_endpoint";
+  if (!placement) return kNoEndpoint;
   if (WouldRespondTooLate(active, *placement, now)) return "too_late";
   if (!m_dependencies.retries->MayTake(active.service, now))
     return "no_retry_left";
@@ -73,6 +76,19 @@
   return placement;
 }
 
+// New requests go to other endpoints for a while, as they do after an attempt
+// that was given up. Each request counts a silence once.
+void CoreImpl::BookSilence(ActiveRequest& active, Instant now) {
+  Attempt& attempt = active.attempt;
+  const bool idle =
+      now >= attempt.last_received + m_options.response_idle_timeout;
+  if (!idle || attempt.silence_booked == attempt.last_received) return;
+  attempt.silence_booked = attempt.last_received;
+  m_dependencies.load->OnSilent(attempt.placement.endpoint,
+                                attempt.last_received, now);
+  LogAvoided(active, "silent", now);
+}
+
 // Logs one line for each silence, however often it is looked at.
 void CoreImpl::LogKept(ActiveRequest& active, std::string_view why,
                        Instant now) {
