--- a/src/dotterelshift/gateway/drain_test.cc
+++ b/src/dotterelshift/gateway/drain_test.cc
@@ -142,11 +142,12 @@
     m_core->AbortOpenRequests(m_now);
     Collect();
     bool ended = false;
-    for (const Decision& line : m_log_lines)
+    const std::string outcome(RowOf(ErrorKind::kDrainedWhileRunning).name);
+    for (const Decision& line : m_log_lines) {
+      if (line.event != "ended") continue;
       for (const auto& [name, value] : line.inputs)
-        ended |=
-            line.event == "ended" && name == "outcome" &&
-            value == std::string(RowOf(ErrorKind::kDrainedWhileRunning).name);
+        ended |= name == "outcome" && value == outcome;
+    }
     CPPUNIT_ASSERT(ended);
     CPPUNIT_ASSERT_EQUAL(size_t{0}, m_core->OpenRequests());
   }
