--- a/include/dotterelshift/gateway/core.h
+++ b/include/dotterelshift/gateway/core.h
@@ -57,7 +57,7 @@
   // Timeout of a caller that gives none.
   Duration default_caller_timeout = 60s;
   // Idle timeout of a response: an attempt is abandoned when its endpoint has
-  // sent nothing for this long and the request may run again elsewhere.
+  // sent nothing for this long and the request goes on elsewhere at once.
   Duration response_idle_timeout = 1500ms;
   // Minimum retry delay sent to a caller when this entry's outbound link is
   // saturated. It is short, as the links of other entries have capacity.
@@ -186,6 +186,9 @@
   virtual void OnChunk(AttemptId attempt, std::string_view bytes,
                        Instant now) = 0;
   virtual void OnEnd(AttemptId attempt, http::TransferEnd end, Instant now) = 0;
+  // Nothing is read from the endpoint for now, as the caller is slow, or it is
+  // read from again.
+  virtual void OnCallerSlow(RequestId request, bool slow, Instant now) = 0;
   // A new connection was established for the attempt.
   virtual void OnConnected(AttemptId attempt, Instant now) = 0;
   // The attempt's request is handed to a connection that was established then.
--- a/include/dotterelshift/gateway/endpoint_paths.h
+++ b/include/dotterelshift/gateway/endpoint_paths.h
@@ -4,6 +4,7 @@
 #include <cstdint>      // for uint64_t
 #include <map>          // for map
 #include <optional>     // for optional
+#include <set>          // for set
 #include <string>       // for string
 #include <string_view>  // for string_view
 #include <utility>      // for pair
@@ -162,6 +163,9 @@
   // Whether all usable endpoints of one of the services are relayed.
   bool IsAnyUnreachable(const std::vector<ServiceName>& services) const;
   std::vector<EndpointKey> RelayedEndpoints() const;
+  // Whether all that speaks against the path to the endpoint is that it did not
+  // acknowledge bytes, which it does not while it is silent either.
+  bool MayOnlyBeSilent(EndpointKey endpoint, Instant now) const;
   // The relay to use for a connection to the endpoint; nullopt: connect
   // directly, as the direct path is not in doubt or no relay is known.
   std::optional<RelayContact> RelayTo(EndpointKey endpoint, Instant now) const;
@@ -221,8 +225,8 @@
   };
   struct Check {
     Instant until{};
-    size_t open = 0;  // probes
-    Instant began{};  // of the failures that caused it
+    std::set<EndpointKey> open;  // endpoints whose probes have not ended
+    Instant began{};             // of the failures that caused it
   };
 
   void OnFailure(EndpointKey endpoint, PathEvidence evidence, Instant began,
@@ -235,7 +239,8 @@
   // Probes some of the endpoints whose paths neither failed nor are proven.
   // Returns their number.
   size_t StartCheck(const ServiceName& service, Instant began, Instant now);
-  void OnCheckProbe(const Path& path, Instant now);
+  // A probe failed. It may belong to no check.
+  void OnCheckProbe(EndpointKey endpoint, const Path& path, Instant now);
   void EndOverdueChecks(Instant now);
   // All paths to the service that are not proven have failed.
   void RelayAll(const ServiceName& service, Instant began, Instant now);
--- a/src/dotterelshift/gateway/active_request.h
+++ b/src/dotterelshift/gateway/active_request.h
@@ -38,6 +38,12 @@
   bool unacknowledged = false;  // its bytes were not acknowledged in time
   Instant sent{};
   Instant last_received{};  // when bytes were last received
+  // Its silence is looked at again then; the epoch: it was not yet looked at.
+  Instant kept_until{};
+  // `last_received` of the silence that was logged, and of the one that was
+  // counted as a failure of the endpoint.
+  Instant kept_logged{};
+  Instant silence_booked{};
   bool head_received = false;
   int status = 0;
   ResponseInfo response_info;
@@ -122,6 +128,7 @@
   std::vector<SoftwareKey> barred_software;
   std::vector<EndpointKey> relay_failed;  // endpoints that a relay did not try
   bool head_relayed = false;
+  bool caller_slow = false;  // nothing is read from its endpoint for now
   std::optional<StreamBinding> binding;  // nullopt: no event was passed on yet
   Instant first_event{};
   EventScanner scanner;
--- a/src/dotterelshift/gateway/core_paths.cc
+++ b/src/dotterelshift/gateway/core_paths.cc
@@ -148,9 +148,10 @@
 }
 
 // An attempt that was sent directly and has no response leaves the failed path:
-// it is withdrawn if no byte of it was handed over. One whose bytes were not
-// acknowledged in time is given up if the request may run again; any other may
-// still get its response.
+// it is withdrawn if no byte of it was handed over. While its endpoint may only
+// be silent, it is left to the idle timeout. One whose bytes were not
+// acknowledged in time is given up if the request runs again at once; any other
+// may still get its response.
 void CoreImpl::LeavePath(ActiveRequest& active, Instant now) {
   const Attempt& attempt = active.attempt;
   if (active.stage != Stage::kRunning || attempt.head_received ||
@@ -160,9 +161,9 @@
     m_actions.emplace_back(WithdrawAttempt{attempt.id});
     return;
   }
-  if (!MayRunAgain(active)) return;
-  CancelAttemptIfSent(active);
-  OnAttemptFailed(active, http::TransferEnd::kTimedOut, now);
+  const EndpointKey endpoint = attempt.placement.endpoint;
+  if (m_dependencies.paths->MayOnlyBeSilent(endpoint, now)) return;
+  if (MayRunAgain(active)) LeaveSilent(active, now);
 }
 
 void CoreImpl::ReportConnectFailure(const ActiveRequest& active,
--- a/tests/scenarios/origin_fleet.cc
+++ b/tests/scenarios/origin_fleet.cc
@@ -290,14 +290,12 @@
   at.exchange_due = false;
   if (!at.alive) return;
   TakeLearned(at);
-  at.lookup->OnTimer(m_now);
-  at.responder->OnTimer(m_now);
   for (const std::string& address : at.lookup->TakeDials()) {
     const size_t to = m_by_name.at(address);
     at.dialled[to] = m_now;
     Dial(entry, to);
   }
-  for (gateway::OriginQuestion& question : at.lookup->TakeQuestions()) {
+  for (gateway::OriginQuestion& question : at.lookup->TakeQuestions(m_now)) {
     const size_t to = m_by_name.at(question.to);
     if (at.dialled.contains(to)) at.dialled[to] = m_now;
     wire::OriginQuestionT frame;
@@ -305,6 +303,8 @@
     Send(OriginTraffic::kQuestions, entry, to,
          peers::MakeFrame(std::move(frame)));
   }
+  at.lookup->OnTimer(m_now);
+  at.responder->OnTimer(m_now);
   SendAnswers(entry);
   for (const gateway::EndedLookup& ended : at.lookup->TakeEnded())
     m_totals.ended[ended.outcome].push_back(ended.took);
