A stream that may be resumed is begun at a version that stays

Cause: the choice of an endpoint does not look at how many endpoints a version has left, so that new streams were begun at the last one until it drained.

While more than one version is known, a stream that is not bound yet and may be resumed prefers versions of which two endpoints or more are usable. It does so among the endpoints that it might be sent to in any case, if its first event would not be late there, and if that costs at most 20 ms more (FleetLoadOptions::max_staying_extra_ms): some running requests, but no wait for a slot, no second prefill of a long prompt and no leaving of the data centre in a large fleet. Other requests, bound streams, and services with one version are chosen as before: the preference is a limit of the choice that these do not set.

--- a/include/dotterelshift/gateway/fleet_load.h
+++ b/include/dotterelshift/gateway/fleet_load.h
@@ -45,6 +45,10 @@
   // Fraction of an engine's memory that counts as prompt cache; running
   // requests use the rest.
   double cache_fraction = 0.7;
+  // Most that it may cost in milliseconds more to begin a stream at a software
+  // version that stays: some running requests, but neither a wait for a slot
+  // nor another prefill of a long prompt.
+  double max_staying_extra_ms = 20;
   // An endpoint that failed is avoided for the minimum time, doubled with each
   // consecutive failure up to the maximum.
   Duration min_avoid_time = 300ms;
@@ -77,8 +81,15 @@
   std::optional<SoftwareKey> software;  // nullopt: any
   std::vector<SoftwareKey> barred_software;
   bool idle = false;  // only endpoints without requests
+  // Prefers software versions with at least `kStayingEndpoints` usable
+  // endpoints, where that is not dear: a stream that is broken off can be
+  // resumed only at its version.
+  bool prefers_staying = false;
 };
 
+// A version with one endpoint less may be gone with the next one that leaves.
+inline constexpr size_t kStayingEndpoints = 2;
+
 // How many endpoints of a service this entry knows as usable, and how many of
 // these it does not use now.
 struct EndpointCounts {
@@ -199,6 +210,9 @@
   };
 
   bool MayUse(const Load& load, Instant now) const;
+  // The software versions among these endpoints that stay.
+  std::vector<SoftwareKey> StayingAmong(
+      const std::vector<EndpointKey>& keys) const;
   // Refusals that this entry may cause at the endpoint in a second.
   double RefusalRate(const Load& load) const;
   uint32_t RoomAt(const Load& load, Instant now) const;
--- a/src/dotterelshift/gateway/core_paths.cc
+++ b/src/dotterelshift/gateway/core_paths.cc
@@ -19,7 +19,8 @@
 // A request that lost an endpoint prefers those that were heard lately: crashed
 // ones have no load, and would otherwise be chosen one after the other.
 // A stream that may have to be resumed avoids endpoints that may have
-// restarted, as long as these could have another version.
+// restarted, as long as these could have another version, and is begun at a
+// version that stays unless its first event would be late there.
 std::optional<Placement> CoreImpl::ChooseEndpoint(const ActiveRequest& active,
                                                   Instant now) {
   ChoiceLimits limits = {.excluded = active.tried,
@@ -47,6 +48,13 @@
     ChoiceLimits certain = limits;
     for (const EndpointKey endpoint : m_suspects.All())
       certain.excluded.push_back(endpoint);
+    if (!active.binding) {
+      ChoiceLimits staying = certain;
+      staying.prefers_staying = true;
+      const auto placement = ChooseWithin(active, std::move(staying), now);
+      if (placement && !WouldRespondTooLate(active, *placement, now))
+        return placement;
+    }
     if (auto placement = ChooseWithin(active, std::move(certain), now))
       return placement;
   }
--- a/src/dotterelshift/gateway/fleet_load.cc
+++ b/src/dotterelshift/gateway/fleet_load.cc
@@ -21,6 +21,18 @@
   return std::find(keys.begin(), keys.end(), key) != keys.end();
 }
 
+// The cheapest placement so far.
+struct Cheapest {
+  std::optional<Placement> placement;
+  double cost = 0;
+
+  void Offer(const Placement& other, double other_cost) {
+    if (placement && other_cost >= cost) return;
+    placement = other;
+    cost = other_cost;
+  }
+};
+
 }  // namespace
 
 void FleetLoad::OnDirectory(const directory::Directory& directory) {
@@ -155,8 +167,11 @@
                                            Instant now) const {
   const auto keys = m_by_service.find(service);
   if (keys == m_by_service.end()) return std::nullopt;
-  std::optional<Placement> best;
-  double best_cost = 0;
+  const std::vector<SoftwareKey> staying = limits.prefers_staying
+                                               ? StayingAmong(keys->second)
+                                               : std::vector<SoftwareKey>();
+  Cheapest best;
+  Cheapest best_staying;
   for (const EndpointKey key : keys->second) {
     const Load& load = m_loads.at(key);
     if (!MayUse(load, now) || Contains(limits.excluded, key)) continue;
@@ -165,11 +180,27 @@
     if (Contains(limits.barred_software, load.contact.software)) continue;
     const Placement placement = PlaceAt(key, load, prompt, now);
     const double cost = CostOf(load, placement);
-    if (best && cost >= best_cost) continue;
-    best = placement;
-    best_cost = cost;
+    best.Offer(placement, cost);
+    if (Contains(staying, load.contact.software))
+      best_staying.Offer(placement, cost);
+  }
+  const bool stays =
+      best_staying.placement &&
+      best_staying.cost <= best.cost + m_options.max_staying_extra_ms;
+  return stays ? best_staying.placement : best.placement;
+}
+
+std::vector<SoftwareKey> FleetLoad::StayingAmong(
+    const std::vector<EndpointKey>& keys) const {
+  std::map<SoftwareKey, size_t> usable;
+  for (const EndpointKey key : keys) {
+    const Load& load = m_loads.at(key);
+    if (load.usable) ++usable[load.contact.software];
   }
-  return best;
+  std::vector<SoftwareKey> staying;
+  for (const auto& [software, endpoints] : usable)
+    if (endpoints >= kStayingEndpoints) staying.push_back(software);
+  return staying;
 }
 
 bool FleetLoad::HasEndpoint(const ServiceName& service, Instant now) const {
