Failing test: withheld events are dropped when their endpoint breaks off

Each of them had received bytes for 121 to 730 ms and passed none on (attempt_broken with events 0), then retry_denied.

Cause: while two versions are known, events of a resumed stream are withheld until the next announcement proves their endpoint's version. An endpoint that breaks off before it ends the attempt, and the withheld events with it, though the same announcement would prove them.

--- a/src/dotterelshift/gateway/core_streams_test.cc
+++ b/src/dotterelshift/gateway/core_streams_test.cc
@@ -24,6 +24,9 @@
   CPPUNIT_TEST(EndpointThatTurnsOutToHaveAnotherVersionIsLeft);
   CPPUNIT_TEST(CompleteResponseIsWithheldToo);
   CPPUNIT_TEST(EndpointThatFallsSilentWhileWithheldIsLeft);
+  CPPUNIT_TEST(WithheldEventsOfABrokenAttemptArePassedOnOnceProven);
+  CPPUNIT_TEST(WithheldEventsOfABrokenAttemptAreDroppedIfNotProven);
+  CPPUNIT_TEST(BrokenAttemptIsRetriedWithoutWaitingForTheProof);
   CPPUNIT_TEST(OriginIsNotProvenByAnUnknownConnection);
   CPPUNIT_TEST(RefusedResumptionIsLoggedAndCounted);
   CPPUNIT_TEST_SUITE_END();
@@ -182,6 +185,44 @@
     CPPUNIT_ASSERT(Only<StartAttempt>().endpoint.id != start.endpoint.id);
   }
 
+  void WithheldEventsOfABrokenAttemptArePassedOnOnceProven() {
+    const StartAttempt start = BreakWhileWithheldWithoutRetries();
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, Count<Refuse>());
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, Count<RelayChunk>());
+    // Its slot is free already.
+    CPPUNIT_ASSERT_EQUAL(uint32_t{0}, m_load->Running(KeyOf("a1")));
+    CPPUNIT_ASSERT_EQUAL(uint32_t{0}, m_load->Running(KeyOf("b1")));
+    m_now += 1s;
+    AnnounceVersions();
+    Advance(50ms);
+    CPPUNIT_ASSERT_EQUAL(std::string("id: 4\ndata: x\n\n"),
+                         Only<RelayChunk>().bytes);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, Count<AbortStream>());
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, Count<FinishStream>());
+    CPPUNIT_ASSERT_EQUAL(uint32_t{0},
+                         m_load->Running(KeyOf(start.endpoint.id)));
+  }
+
+  void WithheldEventsOfABrokenAttemptAreDroppedIfNotProven() {
+    const StartAttempt start = BreakWhileWithheldWithoutRetries();
+    const size_t refused = Count<Refuse>();
+    m_now += 1s;
+    AnnounceEndpoint(start.endpoint.id, "v2", 2);
+    Advance(CoreOptions().max_withhold);
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, Count<RelayChunk>());
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, Count<FinishStream>());
+    CPPUNIT_ASSERT_EQUAL(size_t{1},
+                         refused + Count<AbortStream>() + Count<Refuse>());
+  }
+
+  void BrokenAttemptIsRetriedWithoutWaitingForTheProof() {
+    const StartAttempt start = ResumeOnNewConnection();
+    Chunk(start.attempt, "id: 4\ndata: x\n\n");
+    End(start.attempt, TransferEnd::kCut);
+    CPPUNIT_ASSERT(Only<StartAttempt>().endpoint.id != start.endpoint.id);
+    CPPUNIT_ASSERT_EQUAL(std::string("3"), Only<StartAttempt>().last_event_id);
+  }
+
   void OriginIsNotProvenByAnUnknownConnection() {
     Request("/resume/");
     const StartAttempt start = Only<StartAttempt>();
@@ -266,6 +307,19 @@
     Collect();
   }
 
+  // The last attempt of a resumed stream breaks off, of which one event is
+  // withheld. Returns the attempt.
+  StartAttempt BreakWhileWithheldWithoutRetries() {
+    const StartAttempt first = ResumeOnNewConnection();
+    End(first.attempt, TransferEnd::kCut);
+    StartAttempt last = Only<StartAttempt>();
+    m_core->OnHandedOver(last.attempt, m_now);
+    Head(last.attempt, 200, true);
+    Chunk(last.attempt, "id: 4\ndata: x\n\n");
+    End(last.attempt, TransferEnd::kCut);
+    return last;
+  }
+
   StartAttempt ResumeOnNewConnection() {
     Tell("first", "v1");
     Resume("first");
