Withheld events of a broken attempt are passed on once they are proven

Cause: an endpoint that breaks off before the announcement that proves its version ended the attempt, and the events withheld until then with it. Class: a response that ended early was treated as one of which nothing had come.

If no retry is allowed, what is withheld now waits for the proof as that of a complete response does, for max_withhold at the most. Then the events are passed on and the stream is cut, so that its caller goes on after them; unproven events are dropped as before. All else happens at once as before: the slot is free, the failure is booked, crashes are judged, and a retry that is allowed does not wait. stream_released says `broken` for these.

--- a/src/dotterelshift/gateway/active_request.h
+++ b/src/dotterelshift/gateway/active_request.h
@@ -50,6 +50,9 @@
   std::string withheld;  // received while that is not proven
   Instant withheld_since{};
   bool complete = false;  // the whole response has been received
+  // It has ended early and holds nothing at its endpoint any more, but what is
+  // withheld may still be proven.
+  bool broken = false;
 };
 
 // How this entry knows which software version a stream is bound to.
--- a/src/dotterelshift/gateway/core_impl.h
+++ b/src/dotterelshift/gateway/core_impl.h
@@ -166,6 +166,9 @@
   }
   void CheckFit(ActiveRequest& active, Instant now);
   void Release(ActiveRequest& active, Instant now);
+  // Whether events of the attempt, which broke off, may still be proven.
+  static bool AwaitsProof(const ActiveRequest& active, http::TransferEnd end);
+  void AwaitProof(ActiveRequest& active, Instant now);
   void OnUnfit(ActiveRequest& active, Fit fit, Instant now);
 
   // Requests that crash endpoints (core_suspects.cc).
--- a/src/dotterelshift/gateway/core_response.cc
+++ b/src/dotterelshift/gateway/core_response.cc
@@ -272,9 +272,15 @@
   } else {
     OnNotSent(active.attempt.id, now);
   }
+  const bool awaits_proof = AwaitsProof(active, end);
   EndAttempt(active);
   if (sent) ++active.runs;
   if (can_retry && TryAgain(active, stays, now)) return;
+  if (awaits_proof && now < active.deadline) {
+    // While the transfer still exists.
+    RelayHeadOnce(active);
+    return AwaitProof(active, now);
+  }
   const bool late = now >= active.deadline;
   if (active.may_have_run) {
     return Fail(
@@ -361,6 +367,7 @@
 }
 
 void CoreImpl::CancelAttemptIfSent(ActiveRequest& active) {
+  if (active.attempt.broken) return;
   if (active.stage == Stage::kRunning || active.stage == Stage::kAnswering) {
     m_actions.emplace_back(CancelAttempt{active.attempt.id});
     active.may_have_run = true;
@@ -374,7 +381,8 @@
   const bool occupied = active.stage == Stage::kSlotReserved ||
                         active.stage == Stage::kRunning ||
                         active.stage == Stage::kAnswering;
-  if (occupied) m_dependencies.load->OnEnded(active.attempt.placement.endpoint);
+  if (occupied && !active.attempt.broken)
+    m_dependencies.load->OnEnded(active.attempt.placement.endpoint);
   if (active.binding) active.binding->origin.life.open = false;
   EndTrial(active);
   active.stage = Stage::kWaitsForEndpoint;
--- a/src/dotterelshift/gateway/core_streams.cc
+++ b/src/dotterelshift/gateway/core_streams.cc
@@ -222,7 +222,7 @@
   const Attempt& attempt = active.attempt;
   if (attempt.connected_at == Instant{}) return Fit::kPending;
   const ConnectionLife life = {attempt.connected_at, attempt.last_received,
-                               !attempt.complete};
+                               !attempt.complete && !attempt.broken};
   const ProvenRun run =
       m_dependencies.runs->During(EndpointIdKeyOf(attempt.endpoint.id), life);
   if (run.proof == RunProof::kPending) return Fit::kPending;
@@ -246,7 +246,7 @@
                      attempt.withheld.size() < kMaxWithheldBytes;
   if (!waits) return OnUnfit(active, fit, now);
   const Instant next = now + kFitCheckInterval;
-  if (attempt.complete) return SetTimer(active, next);
+  if (attempt.complete || attempt.broken) return SetTimer(active, next);
   const Instant running_deadline = RunningDeadline(active);
   if (running_deadline > now)
     return SetTimer(active, std::min(next, running_deadline));
@@ -262,19 +262,36 @@
     Log("stream_released", active,
         {{"endpoint", attempt.endpoint.id},
          {"withheld_ms", std::to_string(ToMs(now - attempt.withheld_since))},
-         {"bytes", std::to_string(attempt.withheld.size())}});
+         {"bytes", std::to_string(attempt.withheld.size())},
+         {"broken", attempt.broken ? "yes" : "no"}});
   }
   const RequestId request = active.id;
   const AttemptId id = attempt.id;
   const bool complete = attempt.complete;
+  const bool broken = attempt.broken;
   PassOn(active, std::exchange(attempt.withheld, {}), now);
   // The events may have had a gap, which ends the attempt.
   const auto found = m_active.find(request);
   if (found == m_active.end() || found->second.attempt.id != id) return;
+  if (broken) return Fail(found->second, ErrorKind::kEndpointFailed, 0s, now);
   if (complete) return OnWholeResponse(found->second, now);
   SetTimer(found->second, RunningDeadline(found->second));
 }
 
+bool CoreImpl::AwaitsProof(const ActiveRequest& active, http::TransferEnd end) {
+  return end == http::TransferEnd::kCut && active.stage == Stage::kAnswering &&
+         !active.attempt.withheld.empty();
+}
+
+// An announcement that is on its way can prove the events of a connection that
+// has ended, as it does those of a complete response. They are passed on then,
+// so that the caller goes on after them; the attempt itself is over.
+void CoreImpl::AwaitProof(ActiveRequest& active, Instant now) {
+  active.attempt.broken = true;
+  active.stage = Stage::kAnswering;
+  CheckFit(active, now);
+}
+
 void CoreImpl::OnUnfit(ActiveRequest& active, Fit fit, Instant now) {
   const Attempt& attempt = active.attempt;
   const bool mismatched = fit == Fit::kOtherVersion;
@@ -287,6 +304,7 @@
        {"bound_to",
         m_dependencies.versions->NameOf(active.binding->origin.software)},
        {"withheld_ms", std::to_string(ToMs(now - attempt.withheld_since))}});
+  if (attempt.broken) return Fail(active, ErrorKind::kEndpointFailed, 0s, now);
   const bool may_retry = fit != Fit::kOriginUnclear && MayRunAgain(active);
   CancelAttemptIfSent(active);
   // The endpoint did not fail: it is neither avoided nor is the content
