Failing test: a cut response loses what was written just before

What callers saw: of streams taken up again whose endpoint broke off, the events passed on together with the cut did not arrive.

Cause: MhdExchange::Take ends an aborted response before it hands out the rest of its buffer.

--- a/src/dotterelshift/http/http_test.cc
+++ b/src/dotterelshift/http/http_test.cc
@@ -26,6 +26,7 @@
   CPPUNIT_TEST(ResponseAfterTheHandlerReturned);
   CPPUNIT_TEST(StreamArrivesInChunks);
   CPPUNIT_TEST(AbortTruncatesTheResponse);
+  CPPUNIT_TEST(AbortDeliversWhatWasWrittenBefore);
   CPPUNIT_TEST(AbortBeforeHeadFailsTheTransfer);
   CPPUNIT_TEST(RefusedConnectionIsNotSent);
   CPPUNIT_TEST(CancelReachesASuspendedExchange);
@@ -101,6 +102,25 @@
     CPPUNIT_ASSERT(m_seen.end == TransferEnd::kCut);
   }
 
+  void AbortDeliversWhatWasWrittenBefore() {
+    const std::string large(1 << 20, 'y');
+    for (const std::string& last : {std::string("end"), large}) {
+      ServeKeeping();
+      m_seen = {};
+      m_kept = nullptr;
+      Send("/", "x");
+      RunUntil([this] { return m_kept != nullptr; });
+      m_kept->SendHead(200, {});
+      m_kept->WriteChunk("begin");
+      RunUntil([this] { return m_seen.body == "begin"; });
+      m_kept->WriteChunk(last);
+      m_kept->Abort();
+      RunUntilEnded();
+      CPPUNIT_ASSERT_EQUAL("begin" + last, m_seen.body);
+      CPPUNIT_ASSERT(m_seen.end == TransferEnd::kCut);
+    }
+  }
+
   void AbortBeforeHeadFailsTheTransfer() {
     Serve([](const std::shared_ptr<Exchange>& exchange) { exchange->Abort(); });
     Send("/", "x");
