Requests received in full that end unanswered are counted and logged by cause

Nothing said why a request that had been read in full ended without a whole answer. The server reports each with a cause; the entry counts them by cause and logs those that no `ended` line explains.

--- a/include/dotterelshift/http/server.h
+++ b/include/dotterelshift/http/server.h
@@ -86,6 +86,31 @@
   std::function<void()> on_closed_unused;  // closed without a request
 };
 
+// Why a request that was received in full ended without a complete response.
+enum class UnansweredCause {
+  kCallerClosed,       // the caller closed its sending side, or reset
+  kCallerClosedFirst,  // the same before the request was handed over
+  kCallerStalled,      // the caller did not read its response
+  kAborted,            // by the handler
+  kIdleClose,          // the server closed the connection as idle
+  kReceiveDeadline,    // the server closed it at its receive deadline
+  kOwnShutdown,        // the server was destroyed
+  kLibrary,            // ended by the library for a reason of its own
+};
+inline constexpr size_t kUnansweredCauses = 8;
+std::string_view NameOf(UnansweredCause cause);
+// Whether this server is to blame, and not the caller or the handler.
+constexpr bool IsOwnFault(UnansweredCause cause) {
+  return cause >= UnansweredCause::kIdleClose;
+}
+
+// A request that ended without a complete response.
+struct Unanswered {
+  const Request& request;  // valid during the call
+  UnansweredCause cause;
+  bool handed_over;  // to the handler
+};
+
 struct ServerOptions {
   std::string address = "127.0.0.1";  // an IP address
   uint16_t port = 0;                  // 0: chosen by the system
@@ -100,6 +125,9 @@
   // default status and no body.
   std::function<std::pair<int, std::string>(ServerRefusal)> refusal;
   ConnectionCallbacks connections;
+  // Called once for each request that was received in full and whose connection
+  // ends without a complete response.
+  std::function<void(const Unanswered&)> on_unanswered;
 };
 
 // An HTTP/1.1 server on the event loop (libmicrohttpd without threads).
--- a/src/dotterelshift/app/gateway_entry.cc
+++ b/src/dotterelshift/app/gateway_entry.cc
@@ -182,6 +182,7 @@
 void GatewayEntry::StartServers() {
   http::ServerOptions options = ListenOptions(m_settings);
   m_link_guard.SetOptions(options);
+  m_traffic->SetOptions(options);
   m_server = http::MakeServer(m_loop, options,
                               [this](std::shared_ptr<http::Exchange> exchange) {
                                 OnExchange(std::move(exchange));
@@ -471,6 +472,7 @@
         Number(m_link.Unanswered())}});
   SetHubMetrics(*m_metrics, *m_hub);
   m_link_guard.SetMetrics(*m_metrics);
+  m_traffic->SetMetrics();
   SetLinkQueueMetrics(*m_metrics, m_core->WaitingForLink());
   SetRetryMetrics(*m_metrics, m_retries.UseByService(m_loop.Now()));
   SetEndpointMetrics(*m_metrics, m_load.CountByService(m_loop.Now()));
--- a/src/dotterelshift/app/gateway_traffic.cc
+++ b/src/dotterelshift/app/gateway_traffic.cc
@@ -72,12 +72,19 @@
       m_dialect(dialect),
       m_metrics(metrics),
       m_link(link),
+      m_unanswered(dialect),
       m_client(http::MakeClient(loop, MakeClientOptions(source_address))),
       m_timer(loop, [this] {
         m_core.OnTimer(m_loop.Now());
         Pump();
       }) {}
 
+void GatewayTraffic::SetOptions(http::ServerOptions& options) {
+  options.on_unanswered = [this](const http::Unanswered& unanswered) {
+    m_unanswered.OnUnanswered(unanswered, m_loop.Now());
+  };
+}
+
 void GatewayTraffic::Accept(std::shared_ptr<http::Exchange> exchange) {
   const RequestId id = ++m_last_request;
   gateway::RequestInfo info = m_dialect.ReadRequestInfo(exchange->GetRequest());
--- a/src/dotterelshift/app/gateway_traffic.h
+++ b/src/dotterelshift/app/gateway_traffic.h
@@ -10,14 +10,15 @@
 #include <utility>        // for move, pair
 #include <vector>         // for vector
 
-#include "dotterelshift/app/link_guard.h"          // for LinkGuard
-#include "dotterelshift/gateway/core.h"            // for Core
-#include "dotterelshift/gateway/dialect.h"         // for Dialect
-#include "dotterelshift/gateway/link_admission.h"  // for LinkBytes
-#include "dotterelshift/http/client.h"             // for Client
-#include "dotterelshift/http/server.h"             // for Exchange
-#include "dotterelshift/loop/loop.h"               // for Loop
-#include "dotterelshift/telemetry/metrics.h"       // for Metrics
+#include "dotterelshift/app/link_guard.h"           // for LinkGuard
+#include "dotterelshift/app/unanswered_requests.h"  // for UnansweredRequests
+#include "dotterelshift/gateway/core.h"             // for Core
+#include "dotterelshift/gateway/dialect.h"          // for Dialect
+#include "dotterelshift/gateway/link_admission.h"   // for LinkBytes
+#include "dotterelshift/http/client.h"              // for Client
+#include "dotterelshift/http/server.h"              // for Exchange
+#include "dotterelshift/loop/loop.h"                // for Loop
+#include "dotterelshift/telemetry/metrics.h"        // for Metrics
 
 namespace dotterelshift::app {
 
@@ -29,6 +30,8 @@
                  const gateway::Dialect& dialect, telemetry::Metrics& metrics,
                  LinkGuard& link, const std::string& source_address = {});
 
+  // Sets the callbacks of the callers' server.
+  void SetOptions(http::ServerOptions& options);
   void Accept(std::shared_ptr<http::Exchange> exchange);
   // Executes the core's pending actions. To be called after every event that
   // the core received from elsewhere.
@@ -39,6 +42,7 @@
   // the connection. Without a policy, all callers may keep their connections.
   using KeepPolicy = std::function<bool(size_t silent)>;
   void SetKeepPolicy(KeepPolicy policy) { m_may_keep = std::move(policy); }
+  void SetMetrics() const { m_unanswered.SetMetrics(m_metrics); }
   size_t OpenResponses() const { return m_open.size(); }
   // Reports attempts whose bytes stay unacknowledged. To be called regularly.
   void CheckAcknowledged();
@@ -123,6 +127,7 @@
   const gateway::Dialect& m_dialect;
   telemetry::Metrics& m_metrics;
   LinkGuard& m_link;
+  UnansweredRequests m_unanswered;
   std::unique_ptr<http::Client> m_client;
   std::unordered_map<RequestId, Open> m_open;
   std::unordered_map<AttemptId, Transfer> m_transfers;
--- /dev/null
+++ b/src/dotterelshift/http/connection.cc
@@ -0,0 +1,42 @@
+#include "dotterelshift/http/connection.h"
+
+#include <poll.h>  // for poll
+
+#include <array>  // for array
+
+namespace dotterelshift::http {
+namespace {
+
+// Whether the caller has closed its sending side, or reset the connection. The
+// event that reports it may not have been handled yet.
+bool HasCallerClosed(int descriptor) {
+  pollfd ends{.fd = descriptor, .events = POLLRDHUP, .revents = 0};
+  return ::poll(&ends, 1, 0) > 0 && (ends.revents & (POLLRDHUP | POLLERR)) != 0;
+}
+
+}  // namespace
+
+std::string_view NameOf(UnansweredCause cause) {
+  constexpr std::array<std::string_view, kUnansweredCauses> kNames = {
+      "caller_closed", "caller_closed_first", "caller_stalled", "aborted",
+      "idle_close",    "receive_deadline",    "own_shutdown",   "library"};
+  return kNames.at(static_cast<size_t>(cause));
+}
+
+UnansweredCause CauseOf(const Connection& connection,
+                        MHD_RequestTerminationCode code, bool stopping) {
+  if (connection.own_close) return *connection.own_close;
+  if (!connection.handed_over && connection.caller_closed)
+    return UnansweredCause::kCallerClosedFirst;
+  if (connection.exchange->IsCallerGone())
+    return UnansweredCause::kCallerClosed;
+  if (stopping) return UnansweredCause::kOwnShutdown;
+  if (connection.exchange->IsAborted()) return UnansweredCause::kAborted;
+  if (code == MHD_REQUEST_TERMINATED_TIMEOUT_REACHED)
+    return UnansweredCause::kCallerStalled;
+  if (HasCallerClosed(connection.descriptor))
+    return UnansweredCause::kCallerClosed;
+  return UnansweredCause::kLibrary;
+}
+
+}  // namespace dotterelshift::http
--- a/src/dotterelshift/http/exchange.h
+++ b/src/dotterelshift/http/exchange.h
@@ -42,6 +42,9 @@
   // The caller has disconnected before the end of the response.
   void CallerGone();
 
+  bool IsCallerGone() const { return m_gone; }
+  bool IsAborted() const { return m_phase == Phase::kAborted; }
+
   // The library has ended the request; the connection must not be used again.
   void Detach(bool whole);
 
--- a/src/dotterelshift/http/server.cc
+++ b/src/dotterelshift/http/server.cc
@@ -14,10 +14,11 @@
 #include <unordered_set>  // for unordered_set
 #include <utility>        // for move
 
-#include "dotterelshift/base/error.h"     // for Error
-#include "dotterelshift/http/exchange.h"  // for MhdExchange
-#include "dotterelshift/http/listener.h"  // for Listener
-#include "dotterelshift/loop/loop.h"      // for Loop
+#include "dotterelshift/base/error.h"       // for Error
+#include "dotterelshift/http/connection.h"  // for Connection
+#include "dotterelshift/http/exchange.h"    // for MhdExchange
+#include "dotterelshift/http/listener.h"    // for Listener
+#include "dotterelshift/loop/loop.h"        // for Loop
 
 namespace dotterelshift::http {
 namespace {
@@ -36,26 +37,6 @@
 // limit, so that its caller can read the refusal.
 constexpr size_t kMaxDiscardedBodyFactor = 4;
 
-// State of a connection, stored as its socket context in the library.
-struct Connection {
-  MHD_Connection* handle = nullptr;
-  int descriptor = -1;
-  bool over_limit = false;  // accepted only to send a refusal
-  bool caller_closed = false;
-  bool head_begun = false;
-  std::string uri;  // of the current request, not decoded
-  std::shared_ptr<MhdExchange> exchange;
-  size_t body_bytes = 0;
-  bool used = false;  // has completed a request
-  bool refused = false;
-  bool handed_over = false;      // to the handler
-  bool any_handed_over = false;  // this request or an earlier one
-
-  Instant receive_deadline;
-  bool receiving = false;
-  std::list<Connection*>::iterator position;  // valid while receiving
-};
-
 MHD_Result AddHeader(void* headers, MHD_ValueKind, const char* name,
                      const char* value) {
   std::string lower(name);
@@ -96,6 +77,7 @@
   }
 
   ~MhdServer() override {
+    m_stopping = true;
     m_listener.reset();
     m_daemon_watcher.reset();
     m_ends_watcher.reset();
@@ -123,9 +105,9 @@
   void SetRejectConnections(bool on) override { m_reject_connections = on; }
 
   void CloseIdle() override {
-    for (const Connection* connection : m_receiving) {
+    for (Connection* connection : m_receiving) {
       const bool idle = connection->used && !connection->head_begun;
-      if (idle) ::shutdown(connection->descriptor, SHUT_RDWR);
+      if (idle) ShutDown(*connection, UnansweredCause::kIdleClose);
     }
     RequestRun();
   }
@@ -279,7 +261,10 @@
     }
     if (connection.receiving) return server.OnRequestComplete(connection);
     // A request that exceeded the receive timeout is not handed over.
-    if (!connection.handed_over) return MHD_NO;
+    if (!connection.handed_over) {
+      connection.complete = !connection.refused_as_slow;
+      return MHD_NO;
+    }
     return connection.exchange->Continue();
   }
 
@@ -330,6 +315,7 @@
     if (connection.body_bytes > m_options.max_body_bytes)
       return Refuse(connection, ServerRefusal::kBodyTooLarge);
     const std::shared_ptr<MhdExchange> exchange = connection.exchange;
+    connection.complete = true;
     if (connection.caller_closed) return MHD_NO;
     connection.handed_over = true;
     connection.any_handed_over = true;
@@ -341,11 +327,12 @@
                           MHD_RequestTerminationCode code) {
     if (*context == nullptr) return;
     *context = nullptr;
-    static_cast<MhdServer*>(self)->Complete(
-        *Of(handle), code == MHD_REQUEST_TERMINATED_COMPLETED_OK);
+    static_cast<MhdServer*>(self)->Complete(*Of(handle), code);
   }
 
-  void Complete(Connection& connection, bool whole) {
+  void Complete(Connection& connection, MHD_RequestTerminationCode code) {
+    const bool whole = code == MHD_REQUEST_TERMINATED_COMPLETED_OK;
+    if (connection.complete && !whole) ReportUnanswered(connection, code);
     if (connection.exchange) {
       --m_open;
       std::exchange(connection.exchange, nullptr)->Detach(whole);
@@ -354,12 +341,21 @@
     connection.uri.clear();
     connection.head_begun = false;
     connection.refused = false;
+    connection.complete = false;
     connection.handed_over = false;
     connection.body_bytes = 0;
     StopReceiving(connection);
     StartReceiving(connection);
   }
 
+  void ReportUnanswered(const Connection& connection,
+                        MHD_RequestTerminationCode code) const {
+    if (!m_options.on_unanswered) return;
+    m_options.on_unanswered({.request = connection.exchange->GetRequest(),
+                             .cause = CauseOf(connection, code, m_stopping),
+                             .handed_over = connection.handed_over});
+  }
+
   std::pair<int, std::string> RefusalOf(ServerRefusal refusal) const {
     if (m_options.refusal) return m_options.refusal(refusal);
     switch (refusal) {
@@ -424,6 +420,7 @@
   // written directly to the socket, which is then shut down.
   void RefuseSlowConnection(Connection& slow) {
     if (slow.head_begun && !slow.refused) {
+      slow.refused_as_slow = true;
       const auto [status, body] = RefusalOf(ServerRefusal::kSlowCaller);
       const std::string answer =
           "HTTP/1.1 " + std::to_string(status) +
@@ -435,10 +432,15 @@
           ::send(slow.descriptor, answer.data(), answer.size(),
                  MSG_NOSIGNAL | MSG_DONTWAIT);
     }
-    ::shutdown(slow.descriptor, SHUT_RDWR);
+    ShutDown(slow, UnansweredCause::kReceiveDeadline);
     m_run_requested = true;
   }
 
+  static void ShutDown(Connection& connection, UnansweredCause cause) {
+    connection.own_close = cause;
+    ::shutdown(connection.descriptor, SHUT_RDWR);
+  }
+
   loop::Loop& m_loop;
   const ServerOptions m_options;
   const Handler m_handler;
@@ -446,6 +448,7 @@
   int m_ends = -1;
   bool m_run_requested = true;
   bool m_reject_connections = false;
+  bool m_stopping = false;
   size_t m_open = 0;
   uint64_t m_bytes_received = 0;
   std::unordered_set<Connection*> m_connections;
--- a/src/dotterelshift/http/test_connection.h
+++ b/src/dotterelshift/http/test_connection.h
@@ -4,6 +4,7 @@
 #include <arpa/inet.h>    // for htons
 #include <netinet/in.h>   // for sockaddr_in
 #include <netinet/tcp.h>  // for tcp_info
+#include <sys/ioctl.h>    // for ioctl
 #include <sys/socket.h>   // for socket
 #include <unistd.h>       // for close
 
@@ -69,6 +70,21 @@
   // Closes only the sending side.
   void HalfClose() { ::shutdown(m_socket, SHUT_WR); }
 
+  // Received bytes that have not been read.
+  size_t Waiting() const {
+    int waiting = 0;
+    return ::ioctl(m_socket, FIONREAD, &waiting) == 0
+               ? static_cast<size_t>(waiting)
+               : 0;
+  }
+
+  // Whether the peer's system has received all bytes sent so far.
+  bool AllArrived() const {
+    int unacknowledged = 0;
+    return ::ioctl(m_socket, TIOCOUTQ, &unacknowledged) == 0 &&
+           unacknowledged == 0;
+  }
+
   // Whether the peer's system has received the half-close.
   bool HalfCloseArrived() const {
     tcp_info info{};
