--- a/src/dotterelshift/http/unanswered_test.cc
+++ b/src/dotterelshift/http/unanswered_test.cc
@@ -17,6 +17,7 @@
 
 // Far above the time of an event on loopback, far below the server's timeout.
 constexpr Duration kGuard = 10s;
+constexpr Duration kShortTimeout = 30ms;
 constexpr Duration kServerTimeout = std::chrono::hours(1);
 
 // Receive buffer of a caller that does not read, and a response far larger than
@@ -37,6 +38,10 @@
   CPPUNIT_TEST(ServerIsDestroyed);
   CPPUNIT_TEST(CompleteResponsesAreNotReported);
   CPPUNIT_TEST(IncompleteRequestsAreNotReported);
+  CPPUNIT_TEST(CloseIdleServesARequestThatHasArrived);
+  CPPUNIT_TEST(ReceiveDeadlineServesARequestThatHasArrived);
+  CPPUNIT_TEST(ReceiveDeadlineWithinARequestRefusesIt);
+  CPPUNIT_TEST(RequestOfACallerThatClosedFirstIsRefused);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -99,6 +104,60 @@
     CPPUNIT_ASSERT_EQUAL(size_t{0}, m_reports.size());
   }
 
+  // The request lies in the socket's buffer when the connection, idle until
+  // then, is to be closed.
+  void CloseIdleServesARequestThatHasArrived() {
+    TestConnection caller = KeepIdle();
+    caller.Send(Whole());
+    RunUntilArrived(caller);
+    m_server->CloseIdle();
+    ExpectServedAndClosed(caller);
+  }
+
+  // The same at the receive deadline, after which the loop runs late.
+  void ReceiveDeadlineServesARequestThatHasArrived() {
+    Serve(kShortTimeout);
+    TestConnection caller = KeepIdle();
+    caller.Send(Whole());
+    RunUntilArrived(caller);
+    HoldUpUntilDeadline();
+    ExpectServed(caller);
+  }
+
+  // A request whose head was begun, and whose end arrives while the loop is
+  // held up past the deadline, gets the refusal of a slow caller.
+  void ReceiveDeadlineWithinARequestRefusesIt() {
+    Serve(kShortTimeout);
+    TestConnection caller(m_server->Port());
+    caller.Send("POST /v1/x HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\n");
+    RunUntil([this] { return m_server->OpenExchanges() == 1; });
+    caller.Send("body");
+    RunUntilArrived(caller);
+    HoldUpUntilDeadline();
+    RunUntilClosed(caller);
+    RunUntil([this] { return m_server->OpenConnections() == 0; });
+    CPPUNIT_ASSERT(caller.Has("HTTP/1.1 408") || m_kept.size() == 1);
+    CPPUNIT_ASSERT(!caller.Has("HTTP/1.1 408") || m_kept.empty());
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, m_reports.size());
+  }
+
+  // The end of the request is received together with the caller's close. A
+  // caller that has closed only its sending side learns that nothing ran.
+  void RequestOfACallerThatClosedFirstIsRefused() {
+    TestConnection caller(m_server->Port());
+    caller.Send("POST /v1/x HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\n");
+    RunUntil([this] { return m_server->OpenExchanges() == 1; });
+    caller.Send("body");
+    caller.HalfClose();
+    RunUntil([&caller] { return caller.HalfCloseArrived(); }, false);
+    RunUntilClosed(caller);
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, m_kept.size());
+    ExpectOne(UnansweredCause::kCallerClosedFirst, false);
+    CPPUNIT_ASSERT(caller.Has("HTTP/1.1 503"));
+    CPPUNIT_ASSERT(caller.Has("Dotterelshift-Ran: no"));
+    CPPUNIT_ASSERT(caller.Has("Connection: close"));
+  }
+
  private:
   struct Report {
     std::string path;
@@ -128,6 +187,62 @@
     return caller;
   }
 
+  // A caller that keeps its connection after the response to its request.
+  TestConnection KeepIdle() {
+    TestConnection caller = Ask();
+    m_kept.at(0)->Answer(200, {}, "first");
+    RunUntil([&] {
+      caller.Receive();
+      return caller.Has("first") && m_server->OpenExchanges() == 0;
+    });
+    Turn();
+    return caller;
+  }
+
+  // Processes pending events without blocking.
+  void Turn() {
+    constexpr int kTurns = 20;
+    for (int i = 0; i < kTurns; ++i) ev_run(m_loop.Raw(), EVRUN_NOWAIT);
+  }
+
+  // Waits without running the server.
+  void RunUntilArrived(const TestConnection& caller) {
+    RunUntil([&caller] { return caller.AllArrived(); }, false);
+  }
+
+  void HoldUpUntilDeadline() {
+    const Instant end = std::chrono::steady_clock::now() + 2 * kShortTimeout;
+    while (std::chrono::steady_clock::now() < end) continue;
+  }
+
+  void ExpectServed(TestConnection& caller) {
+    RunUntil([&] {
+      caller.Receive();
+      return m_kept.size() == 2 || caller.Closed();
+    });
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, m_kept.size());
+    m_kept.at(1)->Answer(200, {}, "second");
+    RunUntil([&caller] {
+      caller.Receive();
+      return caller.Has("second") || caller.Closed();
+    });
+    CPPUNIT_ASSERT(caller.Has("second"));
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, m_reports.size());
+  }
+
+  void ExpectServedAndClosed(TestConnection& caller) {
+    ExpectServed(caller);
+    CPPUNIT_ASSERT(caller.Has("Connection: close"));
+    RunUntilClosed(caller);
+  }
+
+  void RunUntilClosed(TestConnection& caller) {
+    RunUntil([&caller] {
+      caller.Receive();
+      return caller.Closed();
+    });
+  }
+
   void ExpectOne(UnansweredCause cause, bool handed_over) {
     RunUntil([this] { return !m_reports.empty(); });
     if (m_server) RunUntil([this] { return m_server->OpenConnections() == 0; });
@@ -140,11 +255,12 @@
   }
 
   // Runs the loop without blocking, because the callers' sockets are not on it.
-  void RunUntil(const std::function<bool()>& condition) {
-    const Instant begin = m_loop.Now();
+  // `serving`: whether the server runs meanwhile.
+  void RunUntil(const std::function<bool()>& condition, bool serving = true) {
+    const Instant begin = std::chrono::steady_clock::now();
     while (!condition()) {
-      CPPUNIT_ASSERT(m_loop.Now() - begin < kGuard);
-      ev_run(m_loop.Raw(), EVRUN_NOWAIT);
+      CPPUNIT_ASSERT(std::chrono::steady_clock::now() - begin < kGuard);
+      if (serving) ev_run(m_loop.Raw(), EVRUN_NOWAIT);
     }
   }
 
