An idle connection whose next request has arrived is answered before it is closed

Callers saw: a reset instead of an answer, when their request on a kept connection arrived while the entry closed idle ones (a full link). Cause: CloseIdle judged by the head alone, which is not begun while the request lies in the socket's buffer; after the shutdown the library drops it unread. Now the socket is asked for unread bytes first. If there are any, the request is served, and its response asks to close the connection. A request that the library reads after this side's own close is not handed over.

--- a/src/dotterelshift/http/connection.cc
+++ b/src/dotterelshift/http/connection.cc
@@ -1,6 +1,7 @@
 #include "dotterelshift/http/connection.h"
 
-#include <poll.h>  // for poll
+#include <poll.h>        // for poll
+#include <sys/socket.h>  // for recv
 
 #include <array>  // for array
 
@@ -23,6 +24,11 @@
   return kNames.at(static_cast<size_t>(cause));
 }
 
+bool HasUnread(const Connection& connection) {
+  char byte = 0;
+  return ::recv(connection.descriptor, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
 UnansweredCause CauseOf(const Connection& connection,
                         MHD_RequestTerminationCode code, bool stopping) {
   if (connection.own_close) return *connection.own_close;
--- a/src/dotterelshift/http/connection.h
+++ b/src/dotterelshift/http/connection.h
@@ -30,6 +30,7 @@
   bool complete = false;         // the current request was received in full
   bool handed_over = false;      // to the handler
   bool any_handed_over = false;  // this request or an earlier one
+  bool close_after_response = false;
   bool refused_as_slow = false;  // written directly to the socket
   // Why this server has shut the connection down, if it has.
   std::optional<UnansweredCause> own_close;
@@ -39,6 +40,9 @@
   std::list<Connection*>::iterator position;  // valid while receiving
 };
 
+// Whether bytes of the caller have arrived that the library has not read yet.
+bool HasUnread(const Connection& connection);
+
 // Why the connection's complete request has ended without a complete response.
 // `code` is the library's reason; `stopping`: the server is being destroyed.
 UnansweredCause CauseOf(const Connection& connection,
--- a/src/dotterelshift/http/exchange.cc
+++ b/src/dotterelshift/http/exchange.cc
@@ -130,6 +130,9 @@
   }
   for (const auto& [name, value] : m_headers)
     MHD_add_response_header(response, name.c_str(), value.c_str());
+  const char* connection = MHD_get_response_header(response, "Connection");
+  if (m_close && connection == nullptr)
+    MHD_add_response_header(response, "Connection", "close");
   const MHD_Result queued = MHD_queue_response(
       m_connection, static_cast<unsigned>(m_status), response);
   MHD_destroy_response(response);
--- a/src/dotterelshift/http/exchange.h
+++ b/src/dotterelshift/http/exchange.h
@@ -42,6 +42,10 @@
   // The caller has disconnected before the end of the response.
   void CallerGone();
 
+  // Makes the response ask its caller to close the connection, which ends with
+  // it.
+  void CloseAfterResponse() { m_close = true; }
+
   bool IsCallerGone() const { return m_gone; }
   bool IsAborted() const { return m_phase == Phase::kAborted; }
 
@@ -66,6 +70,7 @@
   Phase m_phase = Phase::kWaiting;
   bool m_suspended = false;
   bool m_gone = false;
+  bool m_close = false;  // the connection, after the response
   int m_status = 0;
   Headers m_headers;
   std::string m_out;
--- a/src/dotterelshift/http/server.cc
+++ b/src/dotterelshift/http/server.cc
@@ -106,8 +106,14 @@
 
   void CloseIdle() override {
     for (Connection* connection : m_receiving) {
-      const bool idle = connection->used && !connection->head_begun;
-      if (idle) ShutDown(*connection, UnansweredCause::kIdleClose);
+      const bool idle = connection->used && !connection->head_begun &&
+                        !connection->close_after_response;
+      if (!idle) continue;
+      // The next request may have arrived without having been read. It is
+      // served, and the connection closed after its response.
+      connection->close_after_response = HasUnread(*connection);
+      if (!connection->close_after_response)
+        ShutDown(*connection, UnansweredCause::kIdleClose);
     }
     RequestRun();
   }
@@ -316,7 +322,9 @@
       return Refuse(connection, ServerRefusal::kBodyTooLarge);
     const std::shared_ptr<MhdExchange> exchange = connection.exchange;
     connection.complete = true;
-    if (connection.caller_closed) return MHD_NO;
+    // No response can be written after the server's own close.
+    if (connection.own_close || connection.caller_closed) return MHD_NO;
+    if (connection.close_after_response) exchange->CloseAfterResponse();
     connection.handed_over = true;
     connection.any_handed_over = true;
     m_handler(exchange);
