A request that has arrived at its connection's receive deadline is served

Callers saw: a reset instead of an answer, when their request on a connection that had been idle crossed its deadline, or arrived in time while the loop was held up. Cause: the deadline shut the connection down without looking at its socket. Now a connection whose head has not begun but whose socket holds unread bytes gets the time of a request, once. One whose head had begun still gets 408; the request is not handed over then.

--- a/src/dotterelshift/http/connection.cc
+++ b/src/dotterelshift/http/connection.cc
@@ -29,6 +29,19 @@
   return ::recv(connection.descriptor, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
 }
 
+void WriteTimeoutRefusal(const Connection& connection, int status,
+                         const std::string& body) {
+  const std::string answer =
+      "HTTP/1.1 " + std::to_string(status) +
+      " Request Timeout\r\nConnection: close\r\nContent-Type: "
+      "application/json\r\nDotterelshift-Ran: no\r\nRetry-After: "
+      "1\r\nContent-Length: " +
+      std::to_string(body.size()) + "\r\n\r\n" + body;
+  [[maybe_unused]] const ssize_t sent =
+      ::send(connection.descriptor, answer.data(), answer.size(),
+             MSG_NOSIGNAL | MSG_DONTWAIT);
+}
+
 UnansweredCause CauseOf(const Connection& connection,
                         MHD_RequestTerminationCode code, bool stopping) {
   if (connection.own_close) return *connection.own_close;
--- a/src/dotterelshift/http/connection.h
+++ b/src/dotterelshift/http/connection.h
@@ -37,12 +37,17 @@
 
   Instant receive_deadline;
   bool receiving = false;
+  bool extended = false;  // its deadline, once for the current request
   std::list<Connection*>::iterator position;  // valid while receiving
 };
 
 // Whether bytes of the caller have arrived that the library has not read yet.
 bool HasUnread(const Connection& connection);
 
+// Writes the refusal of an incomplete request to the socket, past the library.
+void WriteTimeoutRefusal(const Connection& connection, int status,
+                         const std::string& body);
+
 // Why the connection's complete request has ended without a complete response.
 // `code` is the library's reason; `stopping`: the server is being destroyed.
 UnansweredCause CauseOf(const Connection& connection,
--- a/src/dotterelshift/http/server.cc
+++ b/src/dotterelshift/http/server.cc
@@ -350,6 +350,7 @@
     connection.head_begun = false;
     connection.refused = false;
     connection.complete = false;
+    connection.extended = false;
     connection.handed_over = false;
     connection.body_bytes = 0;
     StopReceiving(connection);
@@ -418,27 +419,30 @@
            m_receiving.front()->receive_deadline <= now) {
       Connection& slow = *m_receiving.front();
       StopReceiving(slow);
-      RefuseSlowConnection(slow);
+      if (MayExtend(slow))
+        StartReceiving(slow);
+      else
+        RefuseSlowConnection(slow);
     }
     if (!m_receiving.empty())
       m_receive_timer.ArmAt(m_receiving.front()->receive_deadline);
   }
 
+  // At the deadline of an idle connection, or after the loop was held up, the
+  // next request may have arrived without having been read. It gets the time of
+  // any request, once.
+  static bool MayExtend(Connection& slow) {
+    if (slow.head_begun || !HasUnread(slow)) return false;
+    return !std::exchange(slow.extended, true);
+  }
+
   // The library cannot respond to an incomplete request, so the refusal is
   // written directly to the socket, which is then shut down.
   void RefuseSlowConnection(Connection& slow) {
     if (slow.head_begun && !slow.refused) {
       slow.refused_as_slow = true;
       const auto [status, body] = RefusalOf(ServerRefusal::kSlowCaller);
-      const std::string answer =
-          "HTTP/1.1 " + std::to_string(status) +
-          " Request Timeout\r\nConnection: close\r\nContent-Type: "
-          "application/json\r\nDotterelshift-Ran: no\r\nRetry-After: "
-          "1\r\nContent-Length: " +
-          std::to_string(body.size()) + "\r\n\r\n" + body;
-      [[maybe_unused]] const ssize_t sent =
-          ::send(slow.descriptor, answer.data(), answer.size(),
-                 MSG_NOSIGNAL | MSG_DONTWAIT);
+      WriteTimeoutRefusal(slow, status, body);
     }
     ShutDown(slow, UnansweredCause::kReceiveDeadline);
     m_run_requested = true;
