A cut response ends after what was written before

What callers saw: events that were passed on together with the cut of a stream did not arrive, so that a stream taken up again counted as not gone on.

Cause: MhdExchange::Take ended an aborted response before it handed out the rest of its buffer. Now it ends it when the buffer is empty. A caller that does not read is ended by the connection's idle timeout, as for any other response.

--- a/src/dotterelshift/http/exchange.cc
+++ b/src/dotterelshift/http/exchange.cc
@@ -91,11 +91,12 @@
   delete static_cast<std::shared_ptr<MhdExchange>*>(self);
 }
 
+// An aborted response ends after the chunks that were written before.
 ssize_t MhdExchange::Take(char* buffer, size_t room) {
-  if (m_gone || m_phase == Phase::kAborted)
-    return MHD_CONTENT_READER_END_WITH_ERROR;
+  if (m_gone) return MHD_CONTENT_READER_END_WITH_ERROR;
   const size_t size = std::min(room, Backlog());
   if (size == 0) {
+    if (m_phase == Phase::kAborted) return MHD_CONTENT_READER_END_WITH_ERROR;
     if (m_phase == Phase::kFinished) return MHD_CONTENT_READER_END_OF_STREAM;
     Suspend();
     return 0;
