--- a/src/dotterelshift/gateway/directory_view_test.cc
+++ b/src/dotterelshift/gateway/directory_view_test.cc
@@ -12,6 +12,7 @@
   CPPUNIT_TEST(OwnViewCountsIfControlHasJustStarted);
   CPPUNIT_TEST(CutOffEntryMayMissEndpoints);
   CPPUNIT_TEST(LongInterruptionBeginsANewView);
+  CPPUNIT_TEST(InterruptionDoesNotMatterIfControlKnewTheEndpointsAllAlong);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -41,6 +42,17 @@
     CPPUNIT_ASSERT(m_view.CompleteSince() == At(6s));
   }
 
+  void InterruptionDoesNotMatterIfControlKnewTheEndpointsAllAlong() {
+    m_view.Update({true, At(0s), At(-100s)}, At(0s));
+    m_view.Update({false, At(0s), At(-100s)}, At(20s));
+    CPPUNIT_ASSERT(!m_view.CompleteSince());
+    m_view.Update({true, At(21s), At(-100s)}, At(21s));
+    CPPUNIT_ASSERT(m_view.CompleteSince() == At(-100s));
+    // Control was started during the next one.
+    m_view.Update({true, At(41s), At(30s)}, At(41s));
+    CPPUNIT_ASSERT(m_view.CompleteSince() == At(30s));
+  }
+
  private:
   static Instant At(Duration time) { return Instant(1000s) + time; }
 
