Failing tests: the published head and idle times have no effect

limits.head_timeout and idle_timeout were read and used nowhere. The server gets a setter, still without effect, and the entry calls it with each document. Receive deadlines are kept apart for each connection, as they may differ now, and a head, a body and an idle connection have a deadline each; before, a request had what its connection's idle time had left. The kind of refusal that the fix of half-closed callers needs is declared.

--- a/include/dotterelshift/http/server.h
+++ b/include/dotterelshift/http/server.h
@@ -76,6 +76,7 @@
   kBodyTooLarge,
   kTooManyConnections,
   kSlowCaller,
+  kCallerClosed,  // its sending side, before the request was handed over
 };
 
 // Called for connections that have not delivered a request yet. The first
@@ -119,8 +120,9 @@
   size_t max_connections = 4096;
   // Maximum number of connections that the system queues for accept().
   int listen_backlog = 1024;
-  Duration receive_timeout =
-      10s;  // to receive head and body, and for idle connections
+  // To receive a head, once it has begun; to receive a body; and for idle
+  // connections. SetCallerTimes() changes the first and the last.
+  Duration receive_timeout = 10s;
   // Returns status and body of the server's own refusals. If empty, they have a
   // default status and no body.
   std::function<std::pair<int, std::string>(ServerRefusal)> refusal;
@@ -130,6 +132,12 @@
   std::function<void(const Unanswered&)> on_unanswered;
 };
 
+// How long callers may take.
+struct CallerTimes {
+  Duration head;  // to send a head, from its first line on
+  Duration idle;  // between a response and the next request
+};
+
 // An HTTP/1.1 server on the event loop (libmicrohttpd without threads).
 class Server {
  public:
@@ -150,7 +158,12 @@
   // While on, closes new connections without reading from them, so that callers
   // know that nothing has run and can retry elsewhere at once.
   virtual void SetRejectConnections(bool on) = 0;
-  // Closes keep-alive connections that are waiting for their next request.
+  // Sets the times for heads that begin from now on, and for idle connections,
+  // which are not closed before their time as set now or as set when they
+  // became idle, whichever is longer.
+  virtual void SetCallerTimes(const CallerTimes& times) = 0;
+  // Closes keep-alive connections that are waiting for their next request. If
+  // it has arrived, it is served first.
   virtual void CloseIdle() = 0;
 };
 
--- a/src/dotterelshift/app/gateway_entry.cc
+++ b/src/dotterelshift/app/gateway_entry.cc
@@ -307,6 +307,7 @@
   }
   m_version = m_received_version;
   m_routes = std::make_shared<const gateway::RouteTable>(std::move(*routes));
+  m_server->SetCallerTimes(CallerTimesOf(m_routes->Get().limits));
   m_core->OnRoutes(m_routes, m_entries, m_loop.Now());
   telemetry::Log(telemetry::LogLevel::kInfo, "routes_in_force",
                  {{"version", std::to_string(m_version)},
--- a/src/dotterelshift/app/link_guard_test.cc
+++ b/src/dotterelshift/app/link_guard_test.cc
@@ -25,6 +25,7 @@
     return listens;
   }
   void SetRejectConnections(bool on) override { turns_away = on; }
+  void SetCallerTimes(const http::CallerTimes&) override {}
   void CloseIdle() override { ++idle_closed; }
 
   size_t connections = 0;
--- a/src/dotterelshift/app/listen_options.h
+++ b/src/dotterelshift/app/listen_options.h
@@ -3,6 +3,7 @@
 
 #include <string>  // for stoi
 
+#include "dotterelshift/gateway/routes.h"     // for CallerLimits
 #include "dotterelshift/http/server.h"        // for ServerOptions
 #include "dotterelshift/settings/settings.h"  // for Settings
 
@@ -23,6 +24,14 @@
   return options;
 }
 
+// How long callers may take under published limits. Their bytes may wait for a
+// saturated link on the way here, and responses on the way back.
+inline http::CallerTimes CallerTimesOf(const gateway::CallerLimits& limits) {
+  constexpr Duration kWaitForLink = 1s;
+  return {limits.head_timeout + kWaitForLink,
+          limits.idle_timeout + kWaitForLink};
+}
+
 // Options of the daemon's main HTTP interface.
 inline http::ServerOptions ListenOptions(const settings::Settings& settings) {
   if (!settings.listen.empty())
--- a/src/dotterelshift/callers/front.cc
+++ b/src/dotterelshift/callers/front.cc
@@ -47,6 +47,9 @@
       return ErrorKind::kBodyTooLarge;
     case http::ServerRefusal::kTooManyConnections:
       return ErrorKind::kTooManyConnections;
+    case http::ServerRefusal::kCallerClosed:
+      // The status says that the request has not run and may be sent again.
+      return ErrorKind::kNotReady;
     case http::ServerRefusal::kSlowCaller:
       break;
   }
--- a/src/dotterelshift/http/connection.cc
+++ b/src/dotterelshift/http/connection.cc
@@ -24,6 +24,21 @@
   return kNames.at(static_cast<size_t>(cause));
 }
 
+int DefaultStatusOf(ServerRefusal refusal) {
+  switch (refusal) {
+    case ServerRefusal::kBodyTooLarge:
+      return MHD_HTTP_CONTENT_TOO_LARGE;
+    case ServerRefusal::kHeadTooLarge:
+      return MHD_HTTP_REQUEST_HEADER_FIELDS_TOO_LARGE;
+    case ServerRefusal::kSlowCaller:
+      return MHD_HTTP_REQUEST_TIMEOUT;
+    case ServerRefusal::kTooManyConnections:
+    case ServerRefusal::kCallerClosed:
+      break;
+  }
+  return MHD_HTTP_SERVICE_UNAVAILABLE;
+}
+
 bool HasUnread(const Connection& connection) {
   char byte = 0;
   return ::recv(connection.descriptor, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
--- a/src/dotterelshift/http/connection.h
+++ b/src/dotterelshift/http/connection.h
@@ -4,7 +4,6 @@
 #include <microhttpd.h>  // for MHD_Connection
 
 #include <cstddef>   // for size_t
-#include <list>      // for list
 #include <memory>    // for shared_ptr
 #include <optional>  // for optional
 #include <string>    // for string
@@ -35,12 +34,15 @@
   // Why this server has shut the connection down, if it has.
   std::optional<UnansweredCause> own_close;
 
+  Instant idle_since;  // its start, or the end of its last request
   Instant receive_deadline;
   bool receiving = false;
   bool extended = false;  // its deadline, once for the current request
-  std::list<Connection*>::iterator position;  // valid while receiving
 };
 
+// Status of a refusal for which the server's options set none.
+int DefaultStatusOf(ServerRefusal refusal);
+
 // Whether bytes of the caller have arrived that the library has not read yet.
 bool HasUnread(const Connection& connection);
 
--- a/src/dotterelshift/http/server.cc
+++ b/src/dotterelshift/http/server.cc
@@ -5,20 +5,20 @@
 #include <sys/socket.h>  // for shutdown
 #include <unistd.h>      // for close
 
-#include <algorithm>      // for find_if, max
+#include <algorithm>      // for max
 #include <array>          // for array
 #include <cctype>         // for tolower
 #include <charconv>       // for from_chars
 #include <cstring>        // for strlen
-#include <list>           // for list
 #include <unordered_set>  // for unordered_set
 #include <utility>        // for move
 
-#include "dotterelshift/base/error.h"       // for Error
-#include "dotterelshift/http/connection.h"  // for Connection
-#include "dotterelshift/http/exchange.h"    // for MhdExchange
-#include "dotterelshift/http/listener.h"    // for Listener
-#include "dotterelshift/loop/loop.h"        // for Loop
+#include "dotterelshift/base/error.h"              // for Error
+#include "dotterelshift/http/connection.h"         // for Connection
+#include "dotterelshift/http/exchange.h"           // for MhdExchange
+#include "dotterelshift/http/listener.h"           // for Listener
+#include "dotterelshift/http/receive_deadlines.h"  // for ReceiveDeadlines
+#include "dotterelshift/loop/loop.h"               // for Loop
 
 namespace dotterelshift::http {
 namespace {
@@ -58,8 +58,9 @@
       : m_loop(loop),
         m_options(options),
         m_handler(std::move(handler)),
+        m_times{options.receive_timeout, options.receive_timeout},
+        m_receiving(loop, [this](Connection& slow) { OnDeadline(slow); }),
         m_timer(loop, [this] { m_run_requested = true; }),
-        m_receive_timer(loop, [this] { CloseSlowConnections(); }),
         m_prepare(loop, [this] { RunDaemon(); }) {
     m_listener = std::make_unique<Listener>(
         loop, m_options.address, m_options.port, m_options.listen_backlog,
@@ -104,8 +105,10 @@
 
   void SetRejectConnections(bool on) override { m_reject_connections = on; }
 
+  void SetCallerTimes(const CallerTimes&) override {}
+
   void CloseIdle() override {
-    for (Connection* connection : m_receiving) {
+    for (const auto& [deadline, connection] : m_receiving) {
       const bool idle = connection->used && !connection->head_begun &&
                         !connection->close_after_response;
       if (!idle) continue;
@@ -123,18 +126,15 @@
     // Connections come from the listener, so the library opens no socket.
     constexpr unsigned kFlags =
         MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_NO_LISTEN_SOCKET;
-    const auto idle_seconds = static_cast<unsigned>(
-        std::chrono::ceil<std::chrono::seconds>(m_options.receive_timeout)
-            .count());
     m_daemon = MHD_start_daemon(
         kFlags, 0, nullptr, nullptr, OnAccess, this,
         MHD_OPTION_CONNECTION_LIMIT,
         static_cast<unsigned>(m_options.max_connections + kRefusalConnections),
         MHD_OPTION_CONNECTION_MEMORY_LIMIT,
         kMemoryHeaderFactor * m_options.max_head_bytes,
-        MHD_OPTION_CONNECTION_TIMEOUT, idle_seconds + 1,
-        MHD_OPTION_NOTIFY_CONNECTION, OnConnection, this,
-        MHD_OPTION_NOTIFY_COMPLETED, OnCompleted, this,
+        MHD_OPTION_CONNECTION_TIMEOUT,
+        LibraryTimeout(m_options.receive_timeout), MHD_OPTION_NOTIFY_CONNECTION,
+        OnConnection, this, MHD_OPTION_NOTIFY_COMPLETED, OnCompleted, this,
         MHD_OPTION_URI_LOG_CALLBACK, OnUri, this, MHD_OPTION_UNESCAPE_CALLBACK,
         KeepPercentEncoding, nullptr, MHD_OPTION_SIGPIPE_HANDLED_BY_APP, 1,
         MHD_OPTION_END);
@@ -213,7 +213,7 @@
   }
 
   void End(Connection* connection) {
-    StopReceiving(*connection);
+    m_receiving.Remove(*connection);
     epoll_ctl(m_ends, EPOLL_CTL_DEL, connection->descriptor, nullptr);
     m_connections.erase(connection);
     const auto& on_closed_unused = m_options.connections.on_closed_unused;
@@ -245,8 +245,13 @@
     if (exchange && !connection.receiving) exchange->CallerGone();
   }
 
-  static void* OnUri(void*, const char* uri, MHD_Connection* handle) {
+  static void* OnUri(void* self, const char* uri, MHD_Connection* handle) {
+    auto& server = *static_cast<MhdServer*>(self);
     Connection* connection = Of(handle);
+    if (connection->receiving) {
+      server.m_receiving.Set(*connection,
+                             server.m_loop.Now() + server.m_times.head);
+    }
     connection->uri = uri;
     connection->head_begun = true;
     return nullptr;
@@ -300,6 +305,7 @@
     if (announced > m_options.max_body_bytes)
       return Refuse(connection, ServerRefusal::kBodyTooLarge);
     request.body.reserve(announced);
+    m_receiving.Set(connection, m_loop.Now() + m_options.receive_timeout);
     return MHD_YES;
   }
 
@@ -317,7 +323,7 @@
   }
 
   MHD_Result OnRequestComplete(Connection& connection) {
-    StopReceiving(connection);
+    m_receiving.Remove(connection);
     if (connection.body_bytes > m_options.max_body_bytes)
       return Refuse(connection, ServerRefusal::kBodyTooLarge);
     const std::shared_ptr<MhdExchange> exchange = connection.exchange;
@@ -353,7 +359,6 @@
     connection.extended = false;
     connection.handed_over = false;
     connection.body_bytes = 0;
-    StopReceiving(connection);
     StartReceiving(connection);
   }
 
@@ -367,17 +372,7 @@
 
   std::pair<int, std::string> RefusalOf(ServerRefusal refusal) const {
     if (m_options.refusal) return m_options.refusal(refusal);
-    switch (refusal) {
-      case ServerRefusal::kBodyTooLarge:
-        return {MHD_HTTP_CONTENT_TOO_LARGE, ""};
-      case ServerRefusal::kHeadTooLarge:
-        return {MHD_HTTP_REQUEST_HEADER_FIELDS_TOO_LARGE, ""};
-      case ServerRefusal::kSlowCaller:
-        return {MHD_HTTP_REQUEST_TIMEOUT, ""};
-      case ServerRefusal::kTooManyConnections:
-        break;
-    }
-    return {MHD_HTTP_SERVICE_UNAVAILABLE, ""};
+    return {DefaultStatusOf(refusal), ""};
   }
 
   // Sends one of the server's own refusals and closes the connection.
@@ -398,34 +393,35 @@
   }
 
   // A connection is receiving from its start, or from the end of a request,
-  // until the next request is complete.
+  // until the next request is complete. The library's own timeout must not end
+  // it sooner.
   void StartReceiving(Connection& connection) {
-    connection.receive_deadline = m_loop.Now() + m_options.receive_timeout;
-    connection.receiving = true;
-    connection.position = m_receiving.insert(m_receiving.end(), &connection);
-    if (m_receiving.size() == 1)
-      m_receive_timer.ArmAt(connection.receive_deadline);
+    const Duration wait =
+        connection.used ? m_times.idle : m_options.receive_timeout;
+    if (wait > m_options.receive_timeout) {
+      MHD_set_connection_option(connection.handle,
+                                MHD_CONNECTION_OPTION_TIMEOUT,
+                                LibraryTimeout(wait));
+    }
+    connection.idle_since = m_loop.Now();
+    m_receiving.Set(connection, connection.idle_since + wait);
   }
 
-  void StopReceiving(Connection& connection) {
-    if (!std::exchange(connection.receiving, false)) return;
-    m_receiving.erase(connection.position);
+  // In whole seconds, later than the server's own timeout.
+  static unsigned LibraryTimeout(Duration timeout) {
+    return static_cast<unsigned>(
+        std::chrono::ceil<std::chrono::seconds>(timeout).count() + 1);
   }
 
-  // All connections have the same timeout, so the list is ordered by deadline.
-  void CloseSlowConnections() {
-    const Instant now = m_loop.Now();
-    while (!m_receiving.empty() &&
-           m_receiving.front()->receive_deadline <= now) {
-      Connection& slow = *m_receiving.front();
-      StopReceiving(slow);
-      if (MayExtend(slow))
-        StartReceiving(slow);
-      else
-        RefuseSlowConnection(slow);
-    }
-    if (!m_receiving.empty())
-      m_receive_timer.ArmAt(m_receiving.front()->receive_deadline);
+  // An idle connection whose time was raised meanwhile stays open.
+  void OnDeadline(Connection& slow) {
+    const Instant idle_end = slow.idle_since + m_times.idle;
+    if (slow.used && !slow.head_begun && idle_end > m_loop.Now())
+      m_receiving.Set(slow, idle_end);
+    else if (MayExtend(slow))
+      m_receiving.Set(slow, m_loop.Now() + m_times.head);
+    else
+      RefuseSlowConnection(slow);
   }
 
   // At the deadline of an idle connection, or after the loop was held up, the
@@ -464,29 +460,17 @@
   size_t m_open = 0;
   uint64_t m_bytes_received = 0;
   std::unordered_set<Connection*> m_connections;
-  std::list<Connection*> m_receiving;
+  CallerTimes m_times;
+  ReceiveDeadlines m_receiving;
   std::unique_ptr<Listener> m_listener;
   std::unique_ptr<loop::IoWatcher> m_daemon_watcher;
   std::unique_ptr<loop::IoWatcher> m_ends_watcher;
   loop::Timer m_timer;
-  loop::Timer m_receive_timer;
   loop::PrepareWatcher m_prepare;
 };
 
 }  // namespace
 
-size_t BytesOf(const Headers& headers) {
-  size_t bytes = 0;
-  for (const auto& [name, value] : headers) bytes += name.size() + value.size();
-  return bytes;
-}
-
-std::string_view Request::Header(std::string_view name) const {
-  const auto found = std::ranges::find_if(
-      headers, [name](const auto& header) { return header.first == name; });
-  return found == headers.end() ? std::string_view() : found->second;
-}
-
 std::unique_ptr<Server> MakeServer(loop::Loop& loop,
                                    const ServerOptions& options,
                                    Handler handler) {
--- a/src/dotterelshift/http/unanswered_test.cc
+++ b/src/dotterelshift/http/unanswered_test.cc
@@ -42,6 +42,8 @@
   CPPUNIT_TEST(ReceiveDeadlineServesARequestThatHasArrived);
   CPPUNIT_TEST(ReceiveDeadlineWithinARequestRefusesIt);
   CPPUNIT_TEST(RequestOfACallerThatClosedFirstIsRefused);
+  CPPUNIT_TEST(IdleConnectionStaysOpenForTheTimeSet);
+  CPPUNIT_TEST(RaisedTimeAppliesToIdleConnections);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -141,6 +143,30 @@
     CPPUNIT_ASSERT_EQUAL(size_t{0}, m_reports.size());
   }
 
+  // An incomplete head of another caller, begun later, reaches its deadline
+  // first.
+  void IdleConnectionStaysOpenForTheTimeSet() {
+    Serve(kShortTimeout);
+    m_server->SetCallerTimes({.head = kShortTimeout, .idle = kServerTimeout});
+    TestConnection caller = KeepIdle();
+    RunUntilLaterHeadTimesOut();
+    caller.Receive();
+    CPPUNIT_ASSERT(!caller.Closed());
+    caller.Send(Whole());
+    ExpectServed(caller);
+  }
+
+  void RaisedTimeAppliesToIdleConnections() {
+    Serve(kShortTimeout);
+    TestConnection caller = KeepIdle();
+    m_server->SetCallerTimes({.head = kShortTimeout, .idle = kServerTimeout});
+    RunUntilLaterHeadTimesOut();
+    caller.Receive();
+    CPPUNIT_ASSERT(!caller.Closed());
+    caller.Send(Whole());
+    ExpectServed(caller);
+  }
+
   // The end of the request is received together with the caller's close. A
   // caller that has closed only its sending side learns that nothing ran.
   void RequestOfACallerThatClosedFirstIsRefused() {
@@ -210,6 +236,13 @@
     RunUntil([&caller] { return caller.AllArrived(); }, false);
   }
 
+  void RunUntilLaterHeadTimesOut() {
+    TestConnection slow(m_server->Port());
+    slow.Send("POST /v1/x HTTP/1.1\r\n");
+    RunUntilClosed(slow);
+    CPPUNIT_ASSERT(slow.Has("HTTP/1.1 408"));
+  }
+
   void HoldUpUntilDeadline() {
     const Instant end = std::chrono::steady_clock::now() + 2 * kShortTimeout;
     while (std::chrono::steady_clock::now() < end) continue;
