--- a/src/dotterelshift/http/server.cc
+++ b/src/dotterelshift/http/server.cc
@@ -105,7 +105,7 @@
 
   void SetRejectConnections(bool on) override { m_reject_connections = on; }
 
-  void SetCallerTimes(const CallerTimes&) override {}
+  void SetCallerTimes(const CallerTimes& times) override { m_times = times; }
 
   void CloseIdle() override {
     for (const auto& [deadline, connection] : m_receiving) {
