A request whose caller closed first is refused, not dropped

Callers that half-closed with their request saw: a closed connection without a word. Cause: the server drops a request whose caller has closed its sending side before it was handed over. A half-close is still taken for the caller's end: a full close looks the same until something is written, and work must stop within 0.5 s of it (300 closes are reported in one turn of the loop, HangUpTest). But nothing has run yet, so the request is refused with 503 as not run, and counted and logged as caller_closed_first; to a caller that is gone the bytes do no harm.

--- a/src/dotterelshift/http/server.cc
+++ b/src/dotterelshift/http/server.cc
@@ -329,7 +329,8 @@
     const std::shared_ptr<MhdExchange> exchange = connection.exchange;
     connection.complete = true;
     // No response can be written after the server's own close.
-    if (connection.own_close || connection.caller_closed) return MHD_NO;
+    if (connection.own_close) return MHD_NO;
+    if (connection.caller_closed) return RefuseClosedCaller(connection);
     if (connection.close_after_response) exchange->CloseAfterResponse();
     connection.handed_over = true;
     connection.any_handed_over = true;
@@ -362,6 +363,15 @@
     StartReceiving(connection);
   }
 
+  // A caller that closes its sending side is taken for gone: its full close
+  // looks the same until something is written. One that still reads learns that
+  // nothing ran.
+  MHD_Result RefuseClosedCaller(Connection& connection) {
+    ReportUnanswered(connection, MHD_REQUEST_TERMINATED_CLIENT_ABORT);
+    connection.complete = false;
+    return Refuse(connection, ServerRefusal::kCallerClosed);
+  }
+
   void ReportUnanswered(const Connection& connection,
                         MHD_RequestTerminationCode code) const {
     if (!m_options.on_unanswered) return;
@@ -384,7 +394,8 @@
     MHD_add_response_header(response, "Content-Type", "application/json");
     MHD_add_response_header(response, "Connection", "close");
     MHD_add_response_header(response, "Dotterelshift-Ran", "no");
-    if (refusal == ServerRefusal::kTooManyConnections)
+    if (refusal == ServerRefusal::kTooManyConnections ||
+        refusal == ServerRefusal::kCallerClosed)
       MHD_add_response_header(response, "Retry-After", "1");
     const MHD_Result queued = MHD_queue_response(
         connection.handle, static_cast<unsigned>(status), response);
