--- a/src/dotterelshift/settings/settings.cc
+++ b/src/dotterelshift/settings/settings.cc
@@ -192,8 +192,8 @@
          "Most open HTTP connections."},
     Rule{"receive_timeout", "time", TimeRule{&S::receive_timeout, 100ms, 600s},
          false,
-         "Time for a whole request to arrive; idle connections are closed "
-         "after it."},
+         "Time for a head, once begun, for a body, and for idle connections; "
+         "published `limits` replace the first and the last, with 1 s added."},
     Rule{"default_output_limit", "tokens",
          TokensRule{&S::default_output_limit, 1, kMaxTokens}, false,
          "Output limit of a request that names none."},
