--- a/include/dotterelshift/gateway/core.h
+++ b/include/dotterelshift/gateway/core.h
@@ -222,6 +222,8 @@
   virtual const ResumptionCounts& Resumptions() const = 0;
   // Requests refused for a suspected segment, since the start.
   virtual uint64_t SuspectRefusals() const = 0;
+  // Endpoints that name a limit.
+  virtual size_t LimitedEndpoints() const = 0;
 };
 
 struct CoreDependencies {
--- a/include/dotterelshift/gateway/request.h
+++ b/include/dotterelshift/gateway/request.h
@@ -50,6 +50,16 @@
   size_t onward_bytes = 0;  // of all that is passed on, including the head
 };
 
+// What an endpoint takes from all entries together, as its responses name it.
+struct EndpointLimits {
+  std::optional<double> requests_per_second;
+  // Refusals in a second after which it fails.
+  std::optional<uint32_t> refusals_per_second;
+
+  bool Any() const { return requests_per_second || refusals_per_second; }
+  bool operator==(const EndpointLimits&) const = default;
+};
+
 // What the gateway reads from the head of an endpoint's response.
 struct ResponseInfo {
   std::string echoed_id;   // id of the request that it responds to
@@ -57,8 +67,7 @@
   bool not_run = false;  // the endpoint states that it did not run the request
   bool address_reassigned =
       false;  // the address belongs to another endpoint now
-  // Refusals in a second after which the endpoint fails; nullopt: it does not.
-  std::optional<uint32_t> refusal_limit;
+  EndpointLimits limits;
   bool event_stream = false;
   bool encoded = false;  // has a content encoding that was not requested
   // Its length is known or it comes in chunks. Otherwise it ends with its
--- a/include/dotterelshift/wire/frames_generated.h
+++ b/include/dotterelshift/wire/frames_generated.h
@@ -174,6 +174,26 @@
 struct RelayOfferBuilder;
 struct RelayOfferT;
 
+struct LimitNote;
+
+struct LeaseRequest;
+struct LeaseRequestBuilder;
+struct LeaseRequestT;
+
+struct LeaseVote;
+struct LeaseVoteBuilder;
+struct LeaseVoteT;
+
+struct PermitAsk;
+
+struct PermitAnswer;
+
+struct PermitOutcome;
+
+struct LimitExchange;
+struct LimitExchangeBuilder;
+struct LimitExchangeT;
+
 struct Frame;
 struct FrameBuilder;
 struct FrameT;
@@ -241,11 +261,12 @@
   RelayOffer = 26,
   OriginQuestion = 27,
   OriginAnswer = 28,
+  LimitExchange = 29,
   MIN = NONE,
-  MAX = OriginAnswer
+  MAX = LimitExchange
 };
 
-inline const FrameBody (&EnumValuesFrameBody())[29] {
+inline const FrameBody (&EnumValuesFrameBody())[30] {
   static const FrameBody values[] = {
     FrameBody::NONE,
     FrameBody::Hello,
@@ -275,13 +296,14 @@
     FrameBody::TokenLoan,
     FrameBody::RelayOffer,
     FrameBody::OriginQuestion,
-    FrameBody::OriginAnswer
+    FrameBody::OriginAnswer,
+    FrameBody::LimitExchange
   };
   return values;
 }
 
 inline const char * const *EnumNamesFrameBody() {
-  static const char * const names[30] = {
+  static const char * const names[31] = {
     "NONE",
     "Hello",
     "HelloProof",
@@ -311,13 +333,14 @@
     "RelayOffer",
     "OriginQuestion",
     "OriginAnswer",
+    "LimitExchange",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameFrameBody(FrameBody e) {
-  if (flatbuffers::IsOutRange(e, FrameBody::NONE, FrameBody::OriginAnswer)) return "";
+  if (flatbuffers::IsOutRange(e, FrameBody::NONE, FrameBody::LimitExchange)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesFrameBody()[index];
 }
@@ -438,6 +461,10 @@
   static const FrameBody enum_value = FrameBody::OriginAnswer;
 };
 
+template<> struct FrameBodyTraits<dotterelshift::wire::LimitExchange> {
+  static const FrameBody enum_value = FrameBody::LimitExchange;
+};
+
 template<typename T> struct FrameBodyUnionTraits {
   static const FrameBody enum_value = FrameBody::NONE;
 };
@@ -554,6 +581,10 @@
   static const FrameBody enum_value = FrameBody::OriginAnswer;
 };
 
+template<> struct FrameBodyUnionTraits<dotterelshift::wire::LimitExchangeT> {
+  static const FrameBody enum_value = FrameBody::LimitExchange;
+};
+
 struct FrameBodyUnion {
   FrameBody type;
   void *value;
@@ -808,6 +839,14 @@
     return type == FrameBody::OriginAnswer ?
       reinterpret_cast<const dotterelshift::wire::OriginAnswerT *>(value) : nullptr;
   }
+  dotterelshift::wire::LimitExchangeT *AsLimitExchange() {
+    return type == FrameBody::LimitExchange ?
+      reinterpret_cast<dotterelshift::wire::LimitExchangeT *>(value) : nullptr;
+  }
+  const dotterelshift::wire::LimitExchangeT *AsLimitExchange() const {
+    return type == FrameBody::LimitExchange ?
+      reinterpret_cast<const dotterelshift::wire::LimitExchangeT *>(value) : nullptr;
+  }
 };
 
 bool VerifyFrameBody(flatbuffers::Verifier &verifier, const void *obj, FrameBody type);
@@ -995,6 +1034,187 @@
   using type = PendingOrigin;
 };
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) LimitNote FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t endpoint_;
+  double requests_per_second_;
+  uint32_t refusals_per_second_;
+  uint32_t age_ms_;
+
+ public:
+  struct Traits;
+  LimitNote()
+      : endpoint_(0),
+        requests_per_second_(0),
+        refusals_per_second_(0),
+        age_ms_(0) {
+  }
+  LimitNote(uint64_t _endpoint, double _requests_per_second, uint32_t _refusals_per_second, uint32_t _age_ms)
+      : endpoint_(flatbuffers::EndianScalar(_endpoint)),
+        requests_per_second_(flatbuffers::EndianScalar(_requests_per_second)),
+        refusals_per_second_(flatbuffers::EndianScalar(_refusals_per_second)),
+        age_ms_(flatbuffers::EndianScalar(_age_ms)) {
+  }
+  uint64_t endpoint() const {
+    return flatbuffers::EndianScalar(endpoint_);
+  }
+  double requests_per_second() const {
+    return flatbuffers::EndianScalar(requests_per_second_);
+  }
+  uint32_t refusals_per_second() const {
+    return flatbuffers::EndianScalar(refusals_per_second_);
+  }
+  uint32_t age_ms() const {
+    return flatbuffers::EndianScalar(age_ms_);
+  }
+};
+FLATBUFFERS_STRUCT_END(LimitNote, 24);
+
+struct LimitNote::Traits {
+  using type = LimitNote;
+};
+
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) PermitAsk FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t id_;
+  uint64_t endpoint_;
+  uint32_t max_wait_ms_;
+  uint32_t time_left_ms_;
+  int32_t priority_;
+  int32_t padding0__;
+
+ public:
+  struct Traits;
+  PermitAsk()
+      : id_(0),
+        endpoint_(0),
+        max_wait_ms_(0),
+        time_left_ms_(0),
+        priority_(0),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  PermitAsk(uint64_t _id, uint64_t _endpoint, uint32_t _max_wait_ms, uint32_t _time_left_ms, int32_t _priority)
+      : id_(flatbuffers::EndianScalar(_id)),
+        endpoint_(flatbuffers::EndianScalar(_endpoint)),
+        max_wait_ms_(flatbuffers::EndianScalar(_max_wait_ms)),
+        time_left_ms_(flatbuffers::EndianScalar(_time_left_ms)),
+        priority_(flatbuffers::EndianScalar(_priority)),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  uint64_t id() const {
+    return flatbuffers::EndianScalar(id_);
+  }
+  uint64_t endpoint() const {
+    return flatbuffers::EndianScalar(endpoint_);
+  }
+  uint32_t max_wait_ms() const {
+    return flatbuffers::EndianScalar(max_wait_ms_);
+  }
+  uint32_t time_left_ms() const {
+    return flatbuffers::EndianScalar(time_left_ms_);
+  }
+  int32_t priority() const {
+    return flatbuffers::EndianScalar(priority_);
+  }
+};
+FLATBUFFERS_STRUCT_END(PermitAsk, 32);
+
+struct PermitAsk::Traits {
+  using type = PermitAsk;
+};
+
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) PermitAnswer FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t id_;
+  uint32_t wait_ms_;
+  uint8_t granted_;
+  int8_t padding0__;  int16_t padding1__;
+
+ public:
+  struct Traits;
+  PermitAnswer()
+      : id_(0),
+        wait_ms_(0),
+        granted_(0),
+        padding0__(0),
+        padding1__(0) {
+    (void)padding0__;
+    (void)padding1__;
+  }
+  PermitAnswer(uint64_t _id, uint32_t _wait_ms, bool _granted)
+      : id_(flatbuffers::EndianScalar(_id)),
+        wait_ms_(flatbuffers::EndianScalar(_wait_ms)),
+        granted_(flatbuffers::EndianScalar(static_cast<uint8_t>(_granted))),
+        padding0__(0),
+        padding1__(0) {
+    (void)padding0__;
+    (void)padding1__;
+  }
+  uint64_t id() const {
+    return flatbuffers::EndianScalar(id_);
+  }
+  uint32_t wait_ms() const {
+    return flatbuffers::EndianScalar(wait_ms_);
+  }
+  bool granted() const {
+    return flatbuffers::EndianScalar(granted_) != 0;
+  }
+};
+FLATBUFFERS_STRUCT_END(PermitAnswer, 16);
+
+struct PermitAnswer::Traits {
+  using type = PermitAnswer;
+};
+
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) PermitOutcome FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t id_;
+  uint64_t endpoint_;
+  uint8_t refused_;
+  int8_t padding0__;  int16_t padding1__;  int32_t padding2__;
+
+ public:
+  struct Traits;
+  PermitOutcome()
+      : id_(0),
+        endpoint_(0),
+        refused_(0),
+        padding0__(0),
+        padding1__(0),
+        padding2__(0) {
+    (void)padding0__;
+    (void)padding1__;
+    (void)padding2__;
+  }
+  PermitOutcome(uint64_t _id, uint64_t _endpoint, bool _refused)
+      : id_(flatbuffers::EndianScalar(_id)),
+        endpoint_(flatbuffers::EndianScalar(_endpoint)),
+        refused_(flatbuffers::EndianScalar(static_cast<uint8_t>(_refused))),
+        padding0__(0),
+        padding1__(0),
+        padding2__(0) {
+    (void)padding0__;
+    (void)padding1__;
+    (void)padding2__;
+  }
+  uint64_t id() const {
+    return flatbuffers::EndianScalar(id_);
+  }
+  uint64_t endpoint() const {
+    return flatbuffers::EndianScalar(endpoint_);
+  }
+  bool refused() const {
+    return flatbuffers::EndianScalar(refused_) != 0;
+  }
+};
+FLATBUFFERS_STRUCT_END(PermitOutcome, 24);
+
+struct PermitOutcome::Traits {
+  using type = PermitOutcome;
+};
+
 struct HelloT : public flatbuffers::NativeTable {
   typedef Hello TableType;
   uint16_t protocol = 0;
@@ -1658,6 +1878,7 @@
   bool wants_routes = false;
   bool wants_relays = false;
   bool answers_questions = false;
+  std::vector<dotterelshift::wire::LimitNote> limits{};
   EntryBeatT() = default;
   EntryBeatT(const EntryBeatT &o);
   EntryBeatT(EntryBeatT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -1675,7 +1896,8 @@
     VT_ROUTES_VERSION = 10,
     VT_WANTS_ROUTES = 12,
     VT_WANTS_RELAYS = 14,
-    VT_ANSWERS_QUESTIONS = 16
+    VT_ANSWERS_QUESTIONS = 16,
+    VT_LIMITS = 18
   };
   uint64_t sequence() const {
     return GetField<uint64_t>(VT_SEQUENCE, 0);
@@ -1698,6 +1920,9 @@
   bool answers_questions() const {
     return GetField<uint8_t>(VT_ANSWERS_QUESTIONS, 0) != 0;
   }
+  const flatbuffers::Vector<const dotterelshift::wire::LimitNote *> *limits() const {
+    return GetPointer<const flatbuffers::Vector<const dotterelshift::wire::LimitNote *> *>(VT_LIMITS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
@@ -1709,6 +1934,8 @@
            VerifyField<uint8_t>(verifier, VT_WANTS_ROUTES, 1) &&
            VerifyField<uint8_t>(verifier, VT_WANTS_RELAYS, 1) &&
            VerifyField<uint8_t>(verifier, VT_ANSWERS_QUESTIONS, 1) &&
+           VerifyOffset(verifier, VT_LIMITS) &&
+           verifier.VerifyVector(limits()) &&
            verifier.EndTable();
   }
   EntryBeatT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1741,6 +1968,9 @@
   void add_answers_questions(bool answers_questions) {
     fbb_.AddElement<uint8_t>(EntryBeat::VT_ANSWERS_QUESTIONS, static_cast<uint8_t>(answers_questions), 0);
   }
+  void add_limits(flatbuffers::Offset<flatbuffers::Vector<const dotterelshift::wire::LimitNote *>> limits) {
+    fbb_.AddOffset(EntryBeat::VT_LIMITS, limits);
+  }
   explicit EntryBeatBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1760,11 +1990,13 @@
     uint64_t routes_version = 0,
     bool wants_routes = false,
     bool wants_relays = false,
-    bool answers_questions = false) {
+    bool answers_questions = false,
+    flatbuffers::Offset<flatbuffers::Vector<const dotterelshift::wire::LimitNote *>> limits = 0) {
   EntryBeatBuilder builder_(_fbb);
   builder_.add_routes_version(routes_version);
   builder_.add_configuration_version(configuration_version);
   builder_.add_sequence(sequence);
+  builder_.add_limits(limits);
   builder_.add_held(held);
   builder_.add_answers_questions(answers_questions);
   builder_.add_wants_relays(wants_relays);
@@ -1785,8 +2017,10 @@
     uint64_t routes_version = 0,
     bool wants_routes = false,
     bool wants_relays = false,
-    bool answers_questions = false) {
+    bool answers_questions = false,
+    const std::vector<dotterelshift::wire::LimitNote> *limits = nullptr) {
   auto held__ = held ? _fbb.CreateVector<flatbuffers::Offset<dotterelshift::wire::BudgetHolding>>(*held) : 0;
+  auto limits__ = limits ? _fbb.CreateVectorOfStructs<dotterelshift::wire::LimitNote>(*limits) : 0;
   return dotterelshift::wire::CreateEntryBeat(
       _fbb,
       sequence,
@@ -1795,7 +2029,8 @@
       routes_version,
       wants_routes,
       wants_relays,
-      answers_questions);
+      answers_questions,
+      limits__);
 }
 
 flatbuffers::Offset<EntryBeat> CreateEntryBeat(flatbuffers::FlatBufferBuilder &_fbb, const EntryBeatT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -1907,6 +2142,9 @@
   uint32_t entry_place = 0;
   uint64_t directory_ms = 0;
   std::unique_ptr<dotterelshift::wire::DistantEntriesT> distant{};
+  uint32_t data_centre_count = 0;
+  uint64_t counted_ms = 0;
+  std::vector<dotterelshift::wire::LimitNote> limits{};
   LeaderBeatT() = default;
   LeaderBeatT(const LeaderBeatT &o);
   LeaderBeatT(LeaderBeatT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -1928,7 +2166,10 @@
     VT_ENTRY_COUNT = 18,
     VT_ENTRY_PLACE = 20,
     VT_DIRECTORY_MS = 22,
-    VT_DISTANT = 24
+    VT_DISTANT = 24,
+    VT_DATA_CENTRE_COUNT = 26,
+    VT_COUNTED_MS = 28,
+    VT_LIMITS = 30
   };
   uint64_t sequence() const {
     return GetField<uint64_t>(VT_SEQUENCE, 0);
@@ -1963,6 +2204,15 @@
   const dotterelshift::wire::DistantEntries *distant() const {
     return GetPointer<const dotterelshift::wire::DistantEntries *>(VT_DISTANT);
   }
+  uint32_t data_centre_count() const {
+    return GetField<uint32_t>(VT_DATA_CENTRE_COUNT, 0);
+  }
+  uint64_t counted_ms() const {
+    return GetField<uint64_t>(VT_COUNTED_MS, 0);
+  }
+  const flatbuffers::Vector<const dotterelshift::wire::LimitNote *> *limits() const {
+    return GetPointer<const flatbuffers::Vector<const dotterelshift::wire::LimitNote *> *>(VT_LIMITS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
@@ -1981,6 +2231,10 @@
            VerifyField<uint64_t>(verifier, VT_DIRECTORY_MS, 8) &&
            VerifyOffset(verifier, VT_DISTANT) &&
            verifier.VerifyTable(distant()) &&
+           VerifyField<uint32_t>(verifier, VT_DATA_CENTRE_COUNT, 4) &&
+           VerifyField<uint64_t>(verifier, VT_COUNTED_MS, 8) &&
+           VerifyOffset(verifier, VT_LIMITS) &&
+           verifier.VerifyVector(limits()) &&
            verifier.EndTable();
   }
   LeaderBeatT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2025,6 +2279,15 @@
   void add_distant(flatbuffers::Offset<dotterelshift::wire::DistantEntries> distant) {
     fbb_.AddOffset(LeaderBeat::VT_DISTANT, distant);
   }
+  void add_data_centre_count(uint32_t data_centre_count) {
+    fbb_.AddElement<uint32_t>(LeaderBeat::VT_DATA_CENTRE_COUNT, data_centre_count, 0);
+  }
+  void add_counted_ms(uint64_t counted_ms) {
+    fbb_.AddElement<uint64_t>(LeaderBeat::VT_COUNTED_MS, counted_ms, 0);
+  }
+  void add_limits(flatbuffers::Offset<flatbuffers::Vector<const dotterelshift::wire::LimitNote *>> limits) {
+    fbb_.AddOffset(LeaderBeat::VT_LIMITS, limits);
+  }
   explicit LeaderBeatBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2048,14 +2311,20 @@
     uint32_t entry_count = 0,
     uint32_t entry_place = 0,
     uint64_t directory_ms = 0,
-    flatbuffers::Offset<dotterelshift::wire::DistantEntries> distant = 0) {
+    flatbuffers::Offset<dotterelshift::wire::DistantEntries> distant = 0,
+    uint32_t data_centre_count = 0,
+    uint64_t counted_ms = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const dotterelshift::wire::LimitNote *>> limits = 0) {
   LeaderBeatBuilder builder_(_fbb);
+  builder_.add_counted_ms(counted_ms);
   builder_.add_directory_ms(directory_ms);
   builder_.add_routes_version(routes_version);
   builder_.add_stamp_ms(stamp_ms);
   builder_.add_configuration_version(configuration_version);
   builder_.add_term(term);
   builder_.add_sequence(sequence);
+  builder_.add_limits(limits);
+  builder_.add_data_centre_count(data_centre_count);
   builder_.add_distant(distant);
   builder_.add_entry_place(entry_place);
   builder_.add_entry_count(entry_count);
@@ -2081,9 +2350,13 @@
     uint32_t entry_count = 0,
     uint32_t entry_place = 0,
     uint64_t directory_ms = 0,
-    flatbuffers::Offset<dotterelshift::wire::DistantEntries> distant = 0) {
+    flatbuffers::Offset<dotterelshift::wire::DistantEntries> distant = 0,
+    uint32_t data_centre_count = 0,
+    uint64_t counted_ms = 0,
+    const std::vector<dotterelshift::wire::LimitNote> *limits = nullptr) {
   auto control__ = control ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*control) : 0;
   auto entries__ = entries ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*entries) : 0;
+  auto limits__ = limits ? _fbb.CreateVectorOfStructs<dotterelshift::wire::LimitNote>(*limits) : 0;
   return dotterelshift::wire::CreateLeaderBeat(
       _fbb,
       sequence,
@@ -2096,7 +2369,10 @@
       entry_count,
       entry_place,
       directory_ms,
-      distant);
+      distant,
+      data_centre_count,
+      counted_ms,
+      limits__);
 }
 
 flatbuffers::Offset<LeaderBeat> CreateLeaderBeat(flatbuffers::FlatBufferBuilder &_fbb, const LeaderBeatT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -5175,6 +5451,325 @@
 
 flatbuffers::Offset<RelayOffer> CreateRelayOffer(flatbuffers::FlatBufferBuilder &_fbb, const RelayOfferT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct LeaseRequestT : public flatbuffers::NativeTable {
+  typedef LeaseRequest TableType;
+  std::string data_centre{};
+  uint64_t round = 0;
+  uint32_t duration_ms = 0;
+};
+
+struct LeaseRequest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef LeaseRequestT NativeTableType;
+  typedef LeaseRequestBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_DATA_CENTRE = 4,
+    VT_ROUND = 6,
+    VT_DURATION_MS = 8
+  };
+  const flatbuffers::String *data_centre() const {
+    return GetPointer<const flatbuffers::String *>(VT_DATA_CENTRE);
+  }
+  uint64_t round() const {
+    return GetField<uint64_t>(VT_ROUND, 0);
+  }
+  uint32_t duration_ms() const {
+    return GetField<uint32_t>(VT_DURATION_MS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_DATA_CENTRE) &&
+           verifier.VerifyString(data_centre()) &&
+           VerifyField<uint64_t>(verifier, VT_ROUND, 8) &&
+           VerifyField<uint32_t>(verifier, VT_DURATION_MS, 4) &&
+           verifier.EndTable();
+  }
+  LeaseRequestT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(LeaseRequestT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<LeaseRequest> Pack(flatbuffers::FlatBufferBuilder &_fbb, const LeaseRequestT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct LeaseRequestBuilder {
+  typedef LeaseRequest Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_data_centre(flatbuffers::Offset<flatbuffers::String> data_centre) {
+    fbb_.AddOffset(LeaseRequest::VT_DATA_CENTRE, data_centre);
+  }
+  void add_round(uint64_t round) {
+    fbb_.AddElement<uint64_t>(LeaseRequest::VT_ROUND, round, 0);
+  }
+  void add_duration_ms(uint32_t duration_ms) {
+    fbb_.AddElement<uint32_t>(LeaseRequest::VT_DURATION_MS, duration_ms, 0);
+  }
+  explicit LeaseRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<LeaseRequest> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<LeaseRequest>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<LeaseRequest> CreateLeaseRequest(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> data_centre = 0,
+    uint64_t round = 0,
+    uint32_t duration_ms = 0) {
+  LeaseRequestBuilder builder_(_fbb);
+  builder_.add_round(round);
+  builder_.add_duration_ms(duration_ms);
+  builder_.add_data_centre(data_centre);
+  return builder_.Finish();
+}
+
+struct LeaseRequest::Traits {
+  using type = LeaseRequest;
+  static auto constexpr Create = CreateLeaseRequest;
+};
+
+inline flatbuffers::Offset<LeaseRequest> CreateLeaseRequestDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *data_centre = nullptr,
+    uint64_t round = 0,
+    uint32_t duration_ms = 0) {
+  auto data_centre__ = data_centre ? _fbb.CreateString(data_centre) : 0;
+  return dotterelshift::wire::CreateLeaseRequest(
+      _fbb,
+      data_centre__,
+      round,
+      duration_ms);
+}
+
+flatbuffers::Offset<LeaseRequest> CreateLeaseRequest(flatbuffers::FlatBufferBuilder &_fbb, const LeaseRequestT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct LeaseVoteT : public flatbuffers::NativeTable {
+  typedef LeaseVote TableType;
+  uint64_t round = 0;
+  bool granted = false;
+  uint32_t entries = 0;
+};
+
+struct LeaseVote FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef LeaseVoteT NativeTableType;
+  typedef LeaseVoteBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ROUND = 4,
+    VT_GRANTED = 6,
+    VT_ENTRIES = 8
+  };
+  uint64_t round() const {
+    return GetField<uint64_t>(VT_ROUND, 0);
+  }
+  bool granted() const {
+    return GetField<uint8_t>(VT_GRANTED, 0) != 0;
+  }
+  uint32_t entries() const {
+    return GetField<uint32_t>(VT_ENTRIES, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_ROUND, 8) &&
+           VerifyField<uint8_t>(verifier, VT_GRANTED, 1) &&
+           VerifyField<uint32_t>(verifier, VT_ENTRIES, 4) &&
+           verifier.EndTable();
+  }
+  LeaseVoteT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(LeaseVoteT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<LeaseVote> Pack(flatbuffers::FlatBufferBuilder &_fbb, const LeaseVoteT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct LeaseVoteBuilder {
+  typedef LeaseVote Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_round(uint64_t round) {
+    fbb_.AddElement<uint64_t>(LeaseVote::VT_ROUND, round, 0);
+  }
+  void add_granted(bool granted) {
+    fbb_.AddElement<uint8_t>(LeaseVote::VT_GRANTED, static_cast<uint8_t>(granted), 0);
+  }
+  void add_entries(uint32_t entries) {
+    fbb_.AddElement<uint32_t>(LeaseVote::VT_ENTRIES, entries, 0);
+  }
+  explicit LeaseVoteBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<LeaseVote> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<LeaseVote>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<LeaseVote> CreateLeaseVote(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t round = 0,
+    bool granted = false,
+    uint32_t entries = 0) {
+  LeaseVoteBuilder builder_(_fbb);
+  builder_.add_round(round);
+  builder_.add_entries(entries);
+  builder_.add_granted(granted);
+  return builder_.Finish();
+}
+
+struct LeaseVote::Traits {
+  using type = LeaseVote;
+  static auto constexpr Create = CreateLeaseVote;
+};
+
+flatbuffers::Offset<LeaseVote> CreateLeaseVote(flatbuffers::FlatBufferBuilder &_fbb, const LeaseVoteT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct LimitExchangeT : public flatbuffers::NativeTable {
+  typedef LimitExchange TableType;
+  std::vector<dotterelshift::wire::LimitNote> notes{};
+  std::unique_ptr<dotterelshift::wire::LeaseRequestT> request{};
+  std::unique_ptr<dotterelshift::wire::LeaseVoteT> vote{};
+  std::vector<dotterelshift::wire::PermitAsk> asks{};
+  std::vector<dotterelshift::wire::PermitAnswer> answers{};
+  std::vector<dotterelshift::wire::PermitOutcome> outcomes{};
+  LimitExchangeT() = default;
+  LimitExchangeT(const LimitExchangeT &o);
+  LimitExchangeT(LimitExchangeT&&) FLATBUFFERS_NOEXCEPT = default;
+  LimitExchangeT &operator=(LimitExchangeT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct LimitExchange FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef LimitExchangeT NativeTableType;
+  typedef LimitExchangeBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_NOTES = 4,
+    VT_REQUEST = 6,
+    VT_VOTE = 8,
+    VT_ASKS = 10,
+    VT_ANSWERS = 12,
+    VT_OUTCOMES = 14
+  };
+  const flatbuffers::Vector<const dotterelshift::wire::LimitNote *> *notes() const {
+    return GetPointer<const flatbuffers::Vector<const dotterelshift::wire::LimitNote *> *>(VT_NOTES);
+  }
+  const dotterelshift::wire::LeaseRequest *request() const {
+    return GetPointer<const dotterelshift::wire::LeaseRequest *>(VT_REQUEST);
+  }
+  const dotterelshift::wire::LeaseVote *vote() const {
+    return GetPointer<const dotterelshift::wire::LeaseVote *>(VT_VOTE);
+  }
+  const flatbuffers::Vector<const dotterelshift::wire::PermitAsk *> *asks() const {
+    return GetPointer<const flatbuffers::Vector<const dotterelshift::wire::PermitAsk *> *>(VT_ASKS);
+  }
+  const flatbuffers::Vector<const dotterelshift::wire::PermitAnswer *> *answers() const {
+    return GetPointer<const flatbuffers::Vector<const dotterelshift::wire::PermitAnswer *> *>(VT_ANSWERS);
+  }
+  const flatbuffers::Vector<const dotterelshift::wire::PermitOutcome *> *outcomes() const {
+    return GetPointer<const flatbuffers::Vector<const dotterelshift::wire::PermitOutcome *> *>(VT_OUTCOMES);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_NOTES) &&
+           verifier.VerifyVector(notes()) &&
+           VerifyOffset(verifier, VT_REQUEST) &&
+           verifier.VerifyTable(request()) &&
+           VerifyOffset(verifier, VT_VOTE) &&
+           verifier.VerifyTable(vote()) &&
+           VerifyOffset(verifier, VT_ASKS) &&
+           verifier.VerifyVector(asks()) &&
+           VerifyOffset(verifier, VT_ANSWERS) &&
+           verifier.VerifyVector(answers()) &&
+           VerifyOffset(verifier, VT_OUTCOMES) &&
+           verifier.VerifyVector(outcomes()) &&
+           verifier.EndTable();
+  }
+  LimitExchangeT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(LimitExchangeT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<LimitExchange> Pack(flatbuffers::FlatBufferBuilder &_fbb, const LimitExchangeT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct LimitExchangeBuilder {
+  typedef LimitExchange Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_notes(flatbuffers::Offset<flatbuffers::Vector<const dotterelshift::wire::LimitNote *>> notes) {
+    fbb_.AddOffset(LimitExchange::VT_NOTES, notes);
+  }
+  void add_request(flatbuffers::Offset<dotterelshift::wire::LeaseRequest> request) {
+    fbb_.AddOffset(LimitExchange::VT_REQUEST, request);
+  }
+  void add_vote(flatbuffers::Offset<dotterelshift::wire::LeaseVote> vote) {
+    fbb_.AddOffset(LimitExchange::VT_VOTE, vote);
+  }
+  void add_asks(flatbuffers::Offset<flatbuffers::Vector<const dotterelshift::wire::PermitAsk *>> asks) {
+    fbb_.AddOffset(LimitExchange::VT_ASKS, asks);
+  }
+  void add_answers(flatbuffers::Offset<flatbuffers::Vector<const dotterelshift::wire::PermitAnswer *>> answers) {
+    fbb_.AddOffset(LimitExchange::VT_ANSWERS, answers);
+  }
+  void add_outcomes(flatbuffers::Offset<flatbuffers::Vector<const dotterelshift::wire::PermitOutcome *>> outcomes) {
+    fbb_.AddOffset(LimitExchange::VT_OUTCOMES, outcomes);
+  }
+  explicit LimitExchangeBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<LimitExchange> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<LimitExchange>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<LimitExchange> CreateLimitExchange(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::Vector<const dotterelshift::wire::LimitNote *>> notes = 0,
+    flatbuffers::Offset<dotterelshift::wire::LeaseRequest> request = 0,
+    flatbuffers::Offset<dotterelshift::wire::LeaseVote> vote = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const dotterelshift::wire::PermitAsk *>> asks = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const dotterelshift::wire::PermitAnswer *>> answers = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const dotterelshift::wire::PermitOutcome *>> outcomes = 0) {
+  LimitExchangeBuilder builder_(_fbb);
+  builder_.add_outcomes(outcomes);
+  builder_.add_answers(answers);
+  builder_.add_asks(asks);
+  builder_.add_vote(vote);
+  builder_.add_request(request);
+  builder_.add_notes(notes);
+  return builder_.Finish();
+}
+
+struct LimitExchange::Traits {
+  using type = LimitExchange;
+  static auto constexpr Create = CreateLimitExchange;
+};
+
+inline flatbuffers::Offset<LimitExchange> CreateLimitExchangeDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const std::vector<dotterelshift::wire::LimitNote> *notes = nullptr,
+    flatbuffers::Offset<dotterelshift::wire::LeaseRequest> request = 0,
+    flatbuffers::Offset<dotterelshift::wire::LeaseVote> vote = 0,
+    const std::vector<dotterelshift::wire::PermitAsk> *asks = nullptr,
+    const std::vector<dotterelshift::wire::PermitAnswer> *answers = nullptr,
+    const std::vector<dotterelshift::wire::PermitOutcome> *outcomes = nullptr) {
+  auto notes__ = notes ? _fbb.CreateVectorOfStructs<dotterelshift::wire::LimitNote>(*notes) : 0;
+  auto asks__ = asks ? _fbb.CreateVectorOfStructs<dotterelshift::wire::PermitAsk>(*asks) : 0;
+  auto answers__ = answers ? _fbb.CreateVectorOfStructs<dotterelshift::wire::PermitAnswer>(*answers) : 0;
+  auto outcomes__ = outcomes ? _fbb.CreateVectorOfStructs<dotterelshift::wire::PermitOutcome>(*outcomes) : 0;
+  return dotterelshift::wire::CreateLimitExchange(
+      _fbb,
+      notes__,
+      request,
+      vote,
+      asks__,
+      answers__,
+      outcomes__);
+}
+
+flatbuffers::Offset<LimitExchange> CreateLimitExchange(flatbuffers::FlatBufferBuilder &_fbb, const LimitExchangeT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct FrameT : public flatbuffers::NativeTable {
   typedef Frame TableType;
   dotterelshift::wire::FrameBodyUnion body{};
@@ -5279,6 +5874,9 @@
   const dotterelshift::wire::OriginAnswer *body_as_OriginAnswer() const {
     return body_type() == dotterelshift::wire::FrameBody::OriginAnswer ? static_cast<const dotterelshift::wire::OriginAnswer *>(body()) : nullptr;
   }
+  const dotterelshift::wire::LimitExchange *body_as_LimitExchange() const {
+    return body_type() == dotterelshift::wire::FrameBody::LimitExchange ? static_cast<const dotterelshift::wire::LimitExchange *>(body()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_BODY_TYPE, 1) &&
@@ -5403,6 +6001,10 @@
   return body_as_OriginAnswer();
 }
 
+template<> inline const dotterelshift::wire::LimitExchange *Frame::body_as<dotterelshift::wire::LimitExchange>() const {
+  return body_as_LimitExchange();
+}
+
 struct FrameBuilder {
   typedef Frame Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -5702,7 +6304,8 @@
         routes_version(o.routes_version),
         wants_routes(o.wants_routes),
         wants_relays(o.wants_relays),
-        answers_questions(o.answers_questions) {
+        answers_questions(o.answers_questions),
+        limits(o.limits) {
   held.reserve(o.held.size());
   for (const auto &held_ : o.held) { held.emplace_back((held_) ? new dotterelshift::wire::BudgetHoldingT(*held_) : nullptr); }
 }
@@ -5715,6 +6318,7 @@
   std::swap(wants_routes, o.wants_routes);
   std::swap(wants_relays, o.wants_relays);
   std::swap(answers_questions, o.answers_questions);
+  std::swap(limits, o.limits);
   return *this;
 }
 
@@ -5734,6 +6338,7 @@
   { auto _e = wants_routes(); _o->wants_routes = _e; }
   { auto _e = wants_relays(); _o->wants_relays = _e; }
   { auto _e = answers_questions(); _o->answers_questions = _e; }
+  { auto _e = limits(); if (_e) { _o->limits.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->limits[_i] = *_e->Get(_i); } } }
 }
 
 inline flatbuffers::Offset<EntryBeat> EntryBeat::Pack(flatbuffers::FlatBufferBuilder &_fbb, const EntryBeatT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -5751,6 +6356,7 @@
   auto _wants_routes = _o->wants_routes;
   auto _wants_relays = _o->wants_relays;
   auto _answers_questions = _o->answers_questions;
+  auto _limits = _o->limits.size() ? _fbb.CreateVectorOfStructs(_o->limits) : 0;
   return dotterelshift::wire::CreateEntryBeat(
       _fbb,
       _sequence,
@@ -5759,7 +6365,8 @@
       _routes_version,
       _wants_routes,
       _wants_relays,
-      _answers_questions);
+      _answers_questions,
+      _limits);
 }
 
 inline BudgetHoldingT *BudgetHolding::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -5805,7 +6412,10 @@
         entry_count(o.entry_count),
         entry_place(o.entry_place),
         directory_ms(o.directory_ms),
-        distant((o.distant) ? new dotterelshift::wire::DistantEntriesT(*o.distant) : nullptr) {
+        distant((o.distant) ? new dotterelshift::wire::DistantEntriesT(*o.distant) : nullptr),
+        data_centre_count(o.data_centre_count),
+        counted_ms(o.counted_ms),
+        limits(o.limits) {
 }
 
 inline LeaderBeatT &LeaderBeatT::operator=(LeaderBeatT o) FLATBUFFERS_NOEXCEPT {
@@ -5820,6 +6430,9 @@
   std::swap(entry_place, o.entry_place);
   std::swap(directory_ms, o.directory_ms);
   std::swap(distant, o.distant);
+  std::swap(data_centre_count, o.data_centre_count);
+  std::swap(counted_ms, o.counted_ms);
+  std::swap(limits, o.limits);
   return *this;
 }
 
@@ -5843,6 +6456,9 @@
   { auto _e = entry_place(); _o->entry_place = _e; }
   { auto _e = directory_ms(); _o->directory_ms = _e; }
   { auto _e = distant(); if (_e) _o->distant = std::unique_ptr<dotterelshift::wire::DistantEntriesT>(_e->UnPack(_resolver)); }
+  { auto _e = data_centre_count(); _o->data_centre_count = _e; }
+  { auto _e = counted_ms(); _o->counted_ms = _e; }
+  { auto _e = limits(); if (_e) { _o->limits.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->limits[_i] = *_e->Get(_i); } } }
 }
 
 inline flatbuffers::Offset<LeaderBeat> LeaderBeat::Pack(flatbuffers::FlatBufferBuilder &_fbb, const LeaderBeatT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -5864,6 +6480,9 @@
   auto _entry_place = _o->entry_place;
   auto _directory_ms = _o->directory_ms;
   auto _distant = _o->distant ? CreateDistantEntries(_fbb, _o->distant.get(), _rehasher) : 0;
+  auto _data_centre_count = _o->data_centre_count;
+  auto _counted_ms = _o->counted_ms;
+  auto _limits = _o->limits.size() ? _fbb.CreateVectorOfStructs(_o->limits) : 0;
   return dotterelshift::wire::CreateLeaderBeat(
       _fbb,
       _sequence,
@@ -5876,7 +6495,10 @@
       _entry_count,
       _entry_place,
       _directory_ms,
-      _distant);
+      _distant,
+      _data_centre_count,
+      _counted_ms,
+      _limits);
 }
 
 inline DistantEntriesT::DistantEntriesT(const DistantEntriesT &o) {
@@ -7046,6 +7668,130 @@
       _unreachable);
 }
 
+inline LeaseRequestT *LeaseRequest::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<LeaseRequestT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void LeaseRequest::UnPackTo(LeaseRequestT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = data_centre(); if (_e) _o->data_centre = _e->str(); }
+  { auto _e = round(); _o->round = _e; }
+  { auto _e = duration_ms(); _o->duration_ms = _e; }
+}
+
+inline flatbuffers::Offset<LeaseRequest> LeaseRequest::Pack(flatbuffers::FlatBufferBuilder &_fbb, const LeaseRequestT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateLeaseRequest(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<LeaseRequest> CreateLeaseRequest(flatbuffers::FlatBufferBuilder &_fbb, const LeaseRequestT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const LeaseRequestT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _data_centre = _o->data_centre.empty() ? 0 : _fbb.CreateString(_o->data_centre);
+  auto _round = _o->round;
+  auto _duration_ms = _o->duration_ms;
+  return dotterelshift::wire::CreateLeaseRequest(
+      _fbb,
+      _data_centre,
+      _round,
+      _duration_ms);
+}
+
+inline LeaseVoteT *LeaseVote::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<LeaseVoteT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void LeaseVote::UnPackTo(LeaseVoteT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = round(); _o->round = _e; }
+  { auto _e = granted(); _o->granted = _e; }
+  { auto _e = entries(); _o->entries = _e; }
+}
+
+inline flatbuffers::Offset<LeaseVote> LeaseVote::Pack(flatbuffers::FlatBufferBuilder &_fbb, const LeaseVoteT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateLeaseVote(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<LeaseVote> CreateLeaseVote(flatbuffers::FlatBufferBuilder &_fbb, const LeaseVoteT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const LeaseVoteT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _round = _o->round;
+  auto _granted = _o->granted;
+  auto _entries = _o->entries;
+  return dotterelshift::wire::CreateLeaseVote(
+      _fbb,
+      _round,
+      _granted,
+      _entries);
+}
+
+inline LimitExchangeT::LimitExchangeT(const LimitExchangeT &o)
+      : notes(o.notes),
+        request((o.request) ? new dotterelshift::wire::LeaseRequestT(*o.request) : nullptr),
+        vote((o.vote) ? new dotterelshift::wire::LeaseVoteT(*o.vote) : nullptr),
+        asks(o.asks),
+        answers(o.answers),
+        outcomes(o.outcomes) {
+}
+
+inline LimitExchangeT &LimitExchangeT::operator=(LimitExchangeT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(notes, o.notes);
+  std::swap(request, o.request);
+  std::swap(vote, o.vote);
+  std::swap(asks, o.asks);
+  std::swap(answers, o.answers);
+  std::swap(outcomes, o.outcomes);
+  return *this;
+}
+
+inline LimitExchangeT *LimitExchange::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<LimitExchangeT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void LimitExchange::UnPackTo(LimitExchangeT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = notes(); if (_e) { _o->notes.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->notes[_i] = *_e->Get(_i); } } }
+  { auto _e = request(); if (_e) _o->request = std::unique_ptr<dotterelshift::wire::LeaseRequestT>(_e->UnPack(_resolver)); }
+  { auto _e = vote(); if (_e) _o->vote = std::unique_ptr<dotterelshift::wire::LeaseVoteT>(_e->UnPack(_resolver)); }
+  { auto _e = asks(); if (_e) { _o->asks.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->asks[_i] = *_e->Get(_i); } } }
+  { auto _e = answers(); if (_e) { _o->answers.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->answers[_i] = *_e->Get(_i); } } }
+  { auto _e = outcomes(); if (_e) { _o->outcomes.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->outcomes[_i] = *_e->Get(_i); } } }
+}
+
+inline flatbuffers::Offset<LimitExchange> LimitExchange::Pack(flatbuffers::FlatBufferBuilder &_fbb, const LimitExchangeT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateLimitExchange(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<LimitExchange> CreateLimitExchange(flatbuffers::FlatBufferBuilder &_fbb, const LimitExchangeT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const LimitExchangeT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _notes = _o->notes.size() ? _fbb.CreateVectorOfStructs(_o->notes) : 0;
+  auto _request = _o->request ? CreateLeaseRequest(_fbb, _o->request.get(), _rehasher) : 0;
+  auto _vote = _o->vote ? CreateLeaseVote(_fbb, _o->vote.get(), _rehasher) : 0;
+  auto _asks = _o->asks.size() ? _fbb.CreateVectorOfStructs(_o->asks) : 0;
+  auto _answers = _o->answers.size() ? _fbb.CreateVectorOfStructs(_o->answers) : 0;
+  auto _outcomes = _o->outcomes.size() ? _fbb.CreateVectorOfStructs(_o->outcomes) : 0;
+  return dotterelshift::wire::CreateLimitExchange(
+      _fbb,
+      _notes,
+      _request,
+      _vote,
+      _asks,
+      _answers,
+      _outcomes);
+}
+
 inline FrameT *Frame::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::make_unique<FrameT>();
   UnPackTo(_o.get(), _resolver);
@@ -7192,6 +7938,10 @@
       auto ptr = reinterpret_cast<const dotterelshift::wire::OriginAnswer *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case FrameBody::LimitExchange: {
+      auto ptr = reinterpret_cast<const dotterelshift::wire::LimitExchange *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
@@ -7323,6 +8073,10 @@
       auto ptr = reinterpret_cast<const dotterelshift::wire::OriginAnswer *>(obj);
       return ptr->UnPack(resolver);
     }
+    case FrameBody::LimitExchange: {
+      auto ptr = reinterpret_cast<const dotterelshift::wire::LimitExchange *>(obj);
+      return ptr->UnPack(resolver);
+    }
     default: return nullptr;
   }
 }
@@ -7442,6 +8196,10 @@
       auto ptr = reinterpret_cast<const dotterelshift::wire::OriginAnswerT *>(value);
       return CreateOriginAnswer(_fbb, ptr, _rehasher).Union();
     }
+    case FrameBody::LimitExchange: {
+      auto ptr = reinterpret_cast<const dotterelshift::wire::LimitExchangeT *>(value);
+      return CreateLimitExchange(_fbb, ptr, _rehasher).Union();
+    }
     default: return 0;
   }
 }
@@ -7560,6 +8318,10 @@
       value = new dotterelshift::wire::OriginAnswerT(*reinterpret_cast<dotterelshift::wire::OriginAnswerT *>(u.value));
       break;
     }
+    case FrameBody::LimitExchange: {
+      value = new dotterelshift::wire::LimitExchangeT(*reinterpret_cast<dotterelshift::wire::LimitExchangeT *>(u.value));
+      break;
+    }
     default:
       break;
   }
@@ -7707,6 +8469,11 @@
       delete ptr;
       break;
     }
+    case FrameBody::LimitExchange: {
+      auto ptr = reinterpret_cast<dotterelshift::wire::LimitExchangeT *>(value);
+      delete ptr;
+      break;
+    }
     default: break;
   }
   value = nullptr;
--- a/src/dotterelshift/app/gateway_entry.cc
+++ b/src/dotterelshift/app/gateway_entry.cc
@@ -447,6 +447,8 @@
        {"dotterelshift_tokens_reserved",
         "Of these, the most that open requests may spend",
         Number(tokens.reserved)},
+       {"dotterelshift_endpoints_limited", "Endpoints that name a limit",
+        Number(m_core->LimitedEndpoints())},
        {"dotterelshift_commands_unanswered",
         "Sent to control, or waiting for a leader",
         Number(m_link.Unanswered())}});
--- a/src/dotterelshift/gateway/core_impl.h
+++ b/src/dotterelshift/gateway/core_impl.h
@@ -14,6 +14,7 @@
 
 #include "dotterelshift/gateway/active_request.h"    // for ActiveRequest
 #include "dotterelshift/gateway/core.h"              // for Core
+#include "dotterelshift/gateway/named_limits.h"      // for NamedLimits
 #include "dotterelshift/gateway/restart_suspects.h"  // for RestartSuspects
 
 namespace dotterelshift::gateway {
@@ -66,6 +67,9 @@
   LinkQueue WaitingForLink() const override;
   const ResumptionCounts& Resumptions() const override { return m_resumptions; }
   uint64_t SuspectRefusals() const override { return m_suspect_refusals; }
+  size_t LimitedEndpoints() const override {
+    return m_named_limits.Limited().size();
+  }
 
  private:
   void LogArrivals(const directory::Directory& directory, Instant now);
@@ -227,6 +231,7 @@
   bool TryAgain(ActiveRequest& active, bool stays, Instant now);
   bool TakeRetry(const ActiveRequest& active, Instant now);
   bool MayRunAgain(const ActiveRequest& active) const;
+  void BookLimits(const ActiveRequest& active, Instant now);
   void RelayHeadOnce(ActiveRequest& active);
   void PassOn(ActiveRequest& active, std::string_view bytes, Instant now);
   void OnWholeResponse(ActiveRequest& active, Instant now);
@@ -273,6 +278,7 @@
   std::shared_ptr<const RouteTable> m_routes;
   std::optional<DrainSchedule> m_drain;
   std::optional<Instant> m_view_complete_since;
+  NamedLimits m_named_limits;
   ResumptionCounts m_resumptions;
   std::unordered_multimap<StreamKey, RequestId> m_waiting_for_origin;
   RestartSuspects m_suspects;
--- a/src/dotterelshift/gateway/core_placement.cc
+++ b/src/dotterelshift/gateway/core_placement.cc
@@ -124,6 +124,9 @@
                             active.attempt.placement.endpoint))},
       {"send", std::to_string(active.sends)},
       {"connection", active.info.reused_connection ? "kept" : "new"}};
+  const EndpointLimits limits =
+      m_named_limits.Of(active.attempt.placement.endpoint);
+  if (limits.Any()) inputs.emplace_back("limit", TextOf(limits));
   if (active.trial) inputs.emplace_back("trial", "yes");
   if (active.info.prompt.parts.size() > 1)
     inputs.emplace_back("segments", SharedSegmentsOf(active));
--- a/src/dotterelshift/gateway/core_response.cc
+++ b/src/dotterelshift/gateway/core_response.cc
@@ -86,11 +86,14 @@
   attempt.status = status;
   attempt.response_info = response_info;
   attempt.head_received = true;
-  m_dependencies.load->SetRefusalLimit(attempt.placement.endpoint,
-                                       response_info.refusal_limit);
+  m_dependencies.load->SetRefusalLimit(
+      attempt.placement.endpoint, response_info.limits.refusals_per_second);
   if (m_dependencies.paths != nullptr && attempt.relay.empty())
     m_dependencies.paths->OnBytes(attempt.placement.endpoint, now);
   const bool mismatched = response_info.echoed_id != active->info.caller_id;
+  if (!response_info.address_reassigned &&
+      (!mismatched || response_info.not_run))
+    BookLimits(*active, now);
   if (mismatched && !response_info.address_reassigned &&
       !response_info.not_run) {
     // A response to another request, or bytes that are not from the endpoint.
@@ -106,6 +109,15 @@
   RelayHeadOnce(*active);
 }
 
+void CoreImpl::BookLimits(const ActiveRequest& active, Instant now) {
+  const Attempt& attempt = active.attempt;
+  const EndpointLimits& limits = attempt.response_info.limits;
+  if (!m_named_limits.OnResponse(attempt.placement.endpoint, limits, now))
+    return;
+  Log("endpoint_limit", active,
+      {{"endpoint", attempt.endpoint.id}, {"limit", TextOf(limits)}});
+}
+
 void CoreImpl::RelayHeadOnce(ActiveRequest& active) {
   if (std::exchange(active.head_relayed, true)) return;
   m_actions.emplace_back(RelayHead{active.id, active.attempt.id});
