An endpoint that goes on refusing is used only if no other one can be

Cause: a refusing endpoint was left for 60 ms, and has the least load, so that it was the cheapest one again and again; then the retry limit was used up. After a refusal it is now the last choice for 250 ms, doubled each time up to 5 s; a success ends that and halves the count. Where all refuse, they are used as before.

--- a/include/dotterelshift/gateway/fleet_load.h
+++ b/include/dotterelshift/gateway/fleet_load.h
@@ -59,6 +59,13 @@
   // Time for which an endpoint is skipped after it refused for lack of
   // capacity.
   Duration full_for = 60ms;
+  // Time for which it is then used only if no other one can be, doubled with
+  // each further refusal up to the maximum, until it serves a request, which
+  // halves the number of refusals that count. An
+  // endpoint that refuses has little load, and would otherwise be the cheapest
+  // one again and again.
+  Duration min_last_choice_time = 250ms;
+  Duration max_last_choice_time = 5s;
   // Time in which the number of requests that an endpoint with a limit on
   // refusals is believed to
   // have room for rises by one, after a refusal has lowered it.
@@ -162,6 +169,9 @@
   // counts no more often than it takes to avoid the endpoint once.
   void OnSilent(EndpointKey endpoint, Instant since, Instant now);
   void OnUnreachable(EndpointKey endpoint, Instant now);
+  // It does not end its responses, which is no fault of a moment: it is avoided
+  // for long at once.
+  void OnEndlessResponse(EndpointKey endpoint, Instant now);
   // The endpoint's failures were due to the path to it, which has changed.
   void OnPathChanged(EndpointKey endpoint);
   void OnOverloaded(EndpointKey endpoint, Instant now);
@@ -206,6 +216,8 @@
     Instant avoid_until{};
     Instant silence_counted{};  // when a silence last counted as a failure
     Instant full_until{};
+    int refusals = 0;  // consecutive
+    Instant last_choice_until{};
     std::optional<uint32_t> refusal_limit;
     // Requests that it had room for at the last refusal; nullopt: none so far.
     std::optional<uint32_t> room;
@@ -213,6 +225,11 @@
   };
 
   bool MayUse(const Load& load, Instant now) const;
+  // The same as Choose(), of endpoints that have refused lately, or have not.
+  std::optional<Placement> ChooseAmong(const std::vector<EndpointKey>& keys,
+                                       const Prompt& prompt,
+                                       const ChoiceLimits& limits,
+                                       bool refused_lately, Instant now) const;
   // The software versions among these endpoints that stay.
   std::vector<SoftwareKey> StayingAmong(
       const std::vector<EndpointKey>& keys) const;
--- a/src/dotterelshift/gateway/fleet_load.cc
+++ b/src/dotterelshift/gateway/fleet_load.cc
@@ -8,6 +8,8 @@
 namespace dotterelshift::gateway {
 namespace {
 
+constexpr int kMaxDoublings = 8;
+
 Duration Milliseconds(double ms) {
   return std::chrono::duration_cast<Duration>(
       std::chrono::duration<double, std::milli>(ms));
@@ -151,14 +153,22 @@
                                            Instant now) const {
   const auto keys = m_by_service.find(service);
   if (keys == m_by_service.end()) return std::nullopt;
-  const std::vector<SoftwareKey> staying = limits.prefers_staying
-                                               ? StayingAmong(keys->second)
-                                               : std::vector<SoftwareKey>();
+  if (auto placement = ChooseAmong(keys->second, prompt, limits, false, now))
+    return placement;
+  return ChooseAmong(keys->second, prompt, limits, true, now);
+}
+
+std::optional<Placement> FleetLoad::ChooseAmong(
+    const std::vector<EndpointKey>& keys, const Prompt& prompt,
+    const ChoiceLimits& limits, bool refused_lately, Instant now) const {
+  const std::vector<SoftwareKey> staying =
+      limits.prefers_staying ? StayingAmong(keys) : std::vector<SoftwareKey>();
   Cheapest best;
   Cheapest best_staying;
-  for (const EndpointKey key : keys->second) {
+  for (const EndpointKey key : keys) {
     const Load& load = m_loads.at(key);
     if (!MayUse(load, now) || Contains(limits.excluded, key)) continue;
+    if ((now < load.last_choice_until) != refused_lately) continue;
     if (limits.software && load.contact.software != *limits.software) continue;
     if (limits.idle && RunningAt(load) > 0) continue;
     if (Contains(limits.barred_software, load.contact.software)) continue;
@@ -279,7 +289,11 @@
 
 void FleetLoad::OnSucceeded(EndpointKey endpoint) {
   const auto found = m_loads.find(endpoint);
-  if (found != m_loads.end()) found->second.failures = 0;
+  if (found == m_loads.end()) return;
+  found->second.failures = 0;
+  // One that serves now and then, and refuses the rest, is still in need.
+  found->second.refusals /= 2;
+  found->second.last_choice_until = {};
 }
 
 void FleetLoad::OnFailed(EndpointKey endpoint, Instant now) {
@@ -289,7 +303,7 @@
   ++load.failures;
   if (load.failures < m_options.failure_threshold) return;
   const int doublings =
-      std::min(load.failures - m_options.failure_threshold, 8);
+      std::min(load.failures - m_options.failure_threshold, kMaxDoublings);
   load.avoid_until = now + std::min(m_options.min_avoid_time * (1 << doublings),
                                     m_options.max_avoid_time);
 }
@@ -313,6 +327,13 @@
   OnFailed(endpoint, now);
 }
 
+void FleetLoad::OnEndlessResponse(EndpointKey endpoint, Instant now) {
+  const auto found = m_loads.find(endpoint);
+  if (found == m_loads.end()) return;
+  found->second.failures = m_options.failure_threshold + kMaxDoublings;
+  OnFailed(endpoint, now);
+}
+
 void FleetLoad::OnPathChanged(EndpointKey endpoint) {
   const auto found = m_loads.find(endpoint);
   if (found == m_loads.end()) return;
@@ -324,6 +345,14 @@
   const auto found = m_loads.find(endpoint);
   if (found == m_loads.end()) return;
   Load& load = found->second;
+  // Requests that were under way together are refused together: these are one
+  // refusal.
+  if (now >= load.full_until) {
+    const int doublings = std::min(load.refusals++, kMaxDoublings);
+    load.last_choice_until =
+        now + std::min(m_options.min_last_choice_time * (1 << doublings),
+                       m_options.max_last_choice_time);
+  }
   load.full_until = now + m_options.full_for;
   if (load.refusal_limit) LowerRoom(load, now);
 }
--- a/src/dotterelshift/gateway/fleet_load_test.cc
+++ b/src/dotterelshift/gateway/fleet_load_test.cc
@@ -20,6 +20,7 @@
   CPPUNIT_TEST(BatchedUpdatesAreSummedAndSegmentsDroppedFirst);
   CPPUNIT_TEST(RepeatedlyFailingEndpointIsAvoidedForAWhile);
   CPPUNIT_TEST(ChangedPathEndsTheAvoidanceAndKeepsTheCache);
+  CPPUNIT_TEST(EndpointThatGoesOnRefusingIsAskedLessOften);
   CPPUNIT_TEST(EndpointWithARefusalLimitGetsNothingBeyondItsSlots);
   CPPUNIT_TEST_SUITE_END();
 
@@ -163,6 +164,32 @@
     CPPUNIT_ASSERT_EQUAL(Tokens{0}, placement.tokens_to_prefill);
   }
 
+  // It has the least load of all, as it runs next to nothing.
+  void EndpointThatGoesOnRefusingIsAskedLessOften() {
+    const EndpointKey refusing = KeyOf("a");
+    int refused = 0;
+    for (int i = 0; i < 1000; ++i) {
+      const EndpointKey chosen = Give(PromptOf(100)).endpoint;
+      if (chosen == refusing) {
+        m_load->OnOverloaded(refusing, m_now);
+        ++refused;
+      } else {
+        m_load->OnSucceeded(chosen);
+      }
+      m_load->OnEnded(chosen);
+      m_now += 10ms;
+    }
+    CPPUNIT_ASSERT(refused >= 2 && refused <= 10);
+    // It is still used if there is no other one.
+    m_load->OnOverloaded(refusing, m_now);
+    m_now += FleetLoadOptions().full_for;
+    const ChoiceLimits alone = {.excluded = {KeyOf("b")}};
+    CPPUNIT_ASSERT(m_load->Choose("llm", PromptOf(100), alone, m_now));
+    CPPUNIT_ASSERT_EQUAL(KeyOf("b"), Give(PromptOf(100)).endpoint);
+    m_load->OnSucceeded(refusing);
+    CPPUNIT_ASSERT_EQUAL(refusing, Give(PromptOf(100)).endpoint);
+  }
+
   void EndpointWithARefusalLimitGetsNothingBeyondItsSlots() {
     for (const char* id : {"a", "b"}) m_load->SetRefusalLimit(KeyOf(id), 10);
     for (int i = 0; i < 2 * 48; ++i) Give(PromptOf(0));
