--- a/include/dotterelshift/gateway/core.h
+++ b/include/dotterelshift/gateway/core.h
@@ -187,6 +187,8 @@
   virtual void OnChunk(AttemptId attempt, std::string_view bytes,
                        Instant now) = 0;
   virtual void OnEnd(AttemptId attempt, http::TransferEnd end, Instant now) = 0;
+  // The response is larger than may be held until it is complete.
+  virtual void OnTooLarge(AttemptId attempt, Instant now) = 0;
   // Nothing is read from the endpoint for now, as the caller is slow, or it is
   // read from again.
   virtual void OnCallerSlow(RequestId request, bool slow, Instant now) = 0;
@@ -221,6 +223,9 @@
   virtual std::vector<serving::RequestSummary> TakeFinished() = 0;
   virtual std::vector<SuspectReport> TakeSuspectReports() = 0;
   virtual size_t OpenRequests() const = 0;
+  // Bytes of the attempt's response that are held: of an event that is not
+  // complete, and of events that are withheld.
+  virtual size_t HeldBytes(AttemptId attempt) const = 0;
   virtual LinkQueue WaitingForLink() const = 0;
   virtual const ResumptionCounts& Resumptions() const = 0;
   // Requests refused for a suspected segment, since the start.
--- a/include/dotterelshift/gateway/event_scanner.h
+++ b/include/dotterelshift/gateway/event_scanner.h
@@ -17,7 +17,10 @@
 
   // The stream resumes at another endpoint: drops the partial event. Events
   // that were passed on before are skipped when they are received again.
-  void Reset() { m_partial_event.clear(); }
+  void Reset() {
+    m_partial_event.clear();
+    m_last_line = 0;
+  }
 
   // The bytes of the last, still incomplete event.
   const std::string& PartialEvent() const { return m_partial_event; }
@@ -33,6 +36,8 @@
   bool Accept(std::string_view event);
 
   std::string m_partial_event;
+  // Where its last line begins: the lines before it are not searched again.
+  size_t m_last_line = 0;
   std::optional<uint64_t> m_last_id;
   uint64_t m_events = 0;
   bool m_gap = false;
--- a/include/dotterelshift/http/client.h
+++ b/include/dotterelshift/http/client.h
@@ -25,6 +25,7 @@
   kFailedBeforeHead,  // request sent in part or whole, no head received
   kCut,               // the response ended early, after its head
   kTimedOut,          // total_timeout expired
+  kTooLarge,          // larger than may be held; left by the receiver
 };
 
 // A relay through which a connection is made (HTTP CONNECT).
--- a/include/dotterelshift/http/event_bytes.h
+++ b/include/dotterelshift/http/event_bytes.h
@@ -7,9 +7,9 @@
 namespace dotterelshift::http {
 
 // Returns the offset just past the first server-sent event and its terminating
-// empty line, or npos while the event is incomplete.
-inline size_t FindEventEnd(std::string_view bytes) {
-  size_t line = 0;
+// empty line, or npos while the event is incomplete. `line`: where a line
+// begins, before which no event ends; advanced to the last line that begins.
+inline size_t FindEventEnd(std::string_view bytes, size_t& line) {
   while (true) {
     const size_t end = bytes.find('\n', line);
     if (end == std::string_view::npos) return end;
@@ -19,6 +19,11 @@
   }
 }
 
+inline size_t FindEventEnd(std::string_view bytes) {
+  size_t line = 0;
+  return FindEventEnd(bytes, line);
+}
+
 }  // namespace dotterelshift::http
 
 #endif  // DOTTERELSHIFT_HTTP_EVENT_BYTES_H_
--- a/include/dotterelshift/settings/settings.h
+++ b/include/dotterelshift/settings/settings.h
@@ -57,6 +57,10 @@
   Duration shutdown_limit = 60s;  // after SIGTERM, including streams
   uint32_t max_head_bytes = 4 << 10;
   uint32_t max_body_bytes = 8 << 20;
+  // Of endpoints' responses, held until they can be passed on: of one response,
+  // and of all together.
+  uint32_t max_response_bytes = 1 << 20;
+  uint32_t max_held_response_bytes = 4 << 20;
   double retry_ratio = 0.2;  // retries per request, fleet-wide
   Duration retry_window = 10s;
   uint32_t retry_slack = 50;  // further retries per window, fleet-wide
--- a/src/dotterelshift/app/gateway_entry.cc
+++ b/src/dotterelshift/app/gateway_entry.cc
@@ -34,6 +34,10 @@
 // named or lifted them: some heartbeats.
 constexpr Duration kLimitNotesMemory = 3s;
 
+ResponseBounds ResponseBoundsOf(const settings::Settings& settings) {
+  return {settings.max_response_bytes, settings.max_held_response_bytes};
+}
+
 // The entry role under published routes: connects callers with endpoints and
 // control through the gateway's core.
 class GatewayEntry : public Daemon {
@@ -137,9 +141,9 @@
       m_pacer(SendPacerOptionsOf(settings)),
       m_core(gateway::MakeCore(CoreOptionsOf(incarnation), Parts())),
       m_metrics(telemetry::MakeMetrics()),
-      m_traffic(std::make_unique<GatewayTraffic>(loop, *m_core, *m_dialect,
-                                                 *m_metrics, m_link_guard,
-                                                 settings.source_address)),
+      m_traffic(std::make_unique<GatewayTraffic>(
+          loop, *m_core, *m_dialect, *m_metrics, m_link_guard,
+          settings.source_address, ResponseBoundsOf(settings))),
       m_tick(loop, [this] { OnTick(); }),
       m_prepare(
           loop, [this] { SendToPeers(); }, EV_MINPRI + 1) {
--- a/src/dotterelshift/app/gateway_traffic.cc
+++ b/src/dotterelshift/app/gateway_traffic.cc
@@ -1,6 +1,8 @@
 #include "dotterelshift/app/gateway_traffic.h"
 
 #include <algorithm>  // for max
+#include <charconv>   // for from_chars
+#include <cstdint>    // for SIZE_MAX
 #include <cstdio>     // for snprintf
 #include <utility>    // for move
 #include <variant>    // for visit
@@ -40,6 +42,9 @@
 // Shorter waits for the outbound link are left out of a request's log lines.
 constexpr Duration kMinLoggedWait = 20ms;
 
+// A response of which no more is held does not matter for the sum.
+constexpr size_t kSmallResponseBytes = 16 << 10;
+
 std::string Ms(Duration duration) { return std::to_string(ToMs(duration)); }
 
 std::string SecondsText(Duration duration) {
@@ -49,6 +54,19 @@
   return text;
 }
 
+// The length that a response's head states; 0: none.
+size_t StatedLength(const http::Headers& headers) {
+  for (const auto& [name, value] : headers) {
+    if (name != "content-length") continue;
+    size_t length = 0;
+    const auto read =
+        std::from_chars(value.data(), value.data() + value.size(), length);
+    if (read.ec == std::errc::result_out_of_range) return SIZE_MAX;
+    return read.ec == std::errc() ? length : 0;
+  }
+  return 0;
+}
+
 size_t OnwardBytes(const http::Request& request) {
   return request.method.size() + request.path.size() + request.query.size() +
          http::BytesOf(request.headers) + request.body.size();
@@ -66,12 +84,14 @@
 GatewayTraffic::GatewayTraffic(loop::Loop& loop, gateway::Core& core,
                                const gateway::Dialect& dialect,
                                telemetry::Metrics& metrics, LinkGuard& link,
-                               const std::string& source_address)
+                               const std::string& source_address,
+                               const ResponseBounds& bounds)
     : m_loop(loop),
       m_core(core),
       m_dialect(dialect),
       m_metrics(metrics),
       m_link(link),
+      m_bounds(bounds),
       m_unanswered(dialect),
       m_client(http::MakeClient(loop, MakeClientOptions(source_address))),
       m_timer(loop, [this] {
@@ -224,6 +244,10 @@
   m_core.OnHead(attempt, status, m_dialect.ReadResponseInfo(status, headers),
                 m_loop.Now());
   Pump();
+  const auto still = m_transfers.find(attempt);
+  const bool held = still != m_transfers.end() && !still->second.streamed;
+  if (held && StatedLength(headers) > m_bounds.response)
+    GiveUpTooLarge(attempt);
 }
 
 bool GatewayTraffic::OnChunk(AttemptId attempt, std::string_view piece) {
@@ -235,6 +259,7 @@
   const RequestId request = transfer->second.request;
   m_core.OnChunk(attempt, piece, m_loop.Now());
   Pump();
+  CheckBounds(attempt);
   const auto open = m_open.find(request);
   if (open == m_open.end() || open->second.streaming != attempt) return true;
   const bool paused = open->second.exchange->Backlog() > kPauseAbove;
@@ -242,6 +267,37 @@
   return !paused;
 }
 
+size_t GatewayTraffic::HeldBytes(AttemptId attempt,
+                                 const Transfer& transfer) const {
+  return (transfer.streamed ? 0 : transfer.body.size()) +
+         m_core.HeldBytes(attempt);
+}
+
+// Gives up a response that is too large, or if all that are held are too large
+// together, the largest one of them. Small responses are not worth a look at
+// all others.
+void GatewayTraffic::CheckBounds(AttemptId attempt) {
+  const auto transfer = m_transfers.find(attempt);
+  if (transfer == m_transfers.end()) return;
+  const size_t own = HeldBytes(attempt, transfer->second);
+  if (own > m_bounds.response) return GiveUpTooLarge(attempt);
+  if (own <= kSmallResponseBytes) return;
+  size_t all = 0;
+  std::pair<size_t, AttemptId> largest;
+  for (const auto& [id, other] : m_transfers) {
+    const size_t held = HeldBytes(id, other);
+    all += held;
+    largest = std::max(largest, {held, id});
+  }
+  if (all > m_bounds.all_responses) GiveUpTooLarge(largest.second);
+}
+
+void GatewayTraffic::GiveUpTooLarge(AttemptId attempt) {
+  ++m_too_large;
+  m_core.OnTooLarge(attempt, m_loop.Now());
+  Pump();
+}
+
 void GatewayTraffic::SetPaused(RequestId request, bool paused) {
   const auto open = m_open.find(request);
   if (open == m_open.end() || open->second.paused == paused) return;
@@ -250,6 +306,13 @@
   ArmTimer();
 }
 
+void GatewayTraffic::SetMetrics() const {
+  m_unanswered.SetMetrics(m_metrics);
+  m_metrics.SetCounter("dotterelshift_responses_too_large_total",
+                       "Responses given up, as they were too large to hold",
+                       static_cast<double>(m_too_large));
+}
+
 gateway::LinkBytes GatewayTraffic::Bytes() const {
   return {m_response_bytes, m_response_bytes + m_client->BytesSent()};
 }
--- a/src/dotterelshift/app/gateway_traffic.h
+++ b/src/dotterelshift/app/gateway_traffic.h
@@ -22,13 +22,20 @@
 
 namespace dotterelshift::app {
 
+// How many bytes of endpoints' responses are held until they can be passed on.
+struct ResponseBounds {
+  size_t response = 1 << 20;       // of one
+  size_t all_responses = 4 << 20;  // of all together
+};
+
 // Transfers requests and responses between callers and endpoints, as decided by
 // the gateway's core.
 class GatewayTraffic {
  public:
   GatewayTraffic(loop::Loop& loop, gateway::Core& core,
                  const gateway::Dialect& dialect, telemetry::Metrics& metrics,
-                 LinkGuard& link, const std::string& source_address = {});
+                 LinkGuard& link, const std::string& source_address = {},
+                 const ResponseBounds& bounds = {});
 
   // Sets the callbacks of the callers' server.
   void SetOptions(http::ServerOptions& options);
@@ -42,7 +49,7 @@
   // the connection. Without a policy, all callers may keep their connections.
   using KeepPolicy = std::function<bool(size_t silent)>;
   void SetKeepPolicy(KeepPolicy policy) { m_may_keep = std::move(policy); }
-  void SetMetrics() const { m_unanswered.SetMetrics(m_metrics); }
+  void SetMetrics() const;
   size_t OpenResponses() const { return m_open.size(); }
   // Reports attempts whose bytes stay unacknowledged. To be called regularly.
   void CheckAcknowledged();
@@ -97,6 +104,9 @@
   void OnHead(AttemptId attempt, int status, const http::Headers& headers);
   bool OnChunk(AttemptId attempt, std::string_view piece);
   void OnEnd(AttemptId attempt, http::TransferEnd end);
+  size_t HeldBytes(AttemptId attempt, const Transfer& transfer) const;
+  void CheckBounds(AttemptId attempt);
+  void GiveUpTooLarge(AttemptId attempt);
   void OnHandedOver(AttemptId attempt, const http::HandOver& what);
   SendKind NextSendOf(const Transfer& transfer);
   // Keeps the send record of an attempt that has ended, for its last log lines.
@@ -129,6 +139,8 @@
   const gateway::Dialect& m_dialect;
   telemetry::Metrics& m_metrics;
   LinkGuard& m_link;
+  const ResponseBounds m_bounds;
+  uint64_t m_too_large = 0;  // responses given up
   UnansweredRequests m_unanswered;
   std::unique_ptr<http::Client> m_client;
   std::unordered_map<RequestId, Open> m_open;
--- a/src/dotterelshift/endpoints/attempt_runner.cc
+++ b/src/dotterelshift/endpoints/attempt_runner.cc
@@ -201,6 +201,7 @@
         return AttemptEnd::kTimedOut;
       case TransferEnd::kFailedBeforeHead:
       case TransferEnd::kCut:
+      case TransferEnd::kTooLarge:
         return AttemptEnd::kDied;
       case TransferEnd::kWhole:
         break;
--- a/src/dotterelshift/endpoints/order_sender.cc
+++ b/src/dotterelshift/endpoints/order_sender.cc
@@ -61,6 +61,7 @@
       return "no answer in time";
     case TransferEnd::kFailedBeforeHead:
     case TransferEnd::kCut:
+    case TransferEnd::kTooLarge:
       return "the connection broke";
     case TransferEnd::kWhole:
       break;
--- a/src/dotterelshift/gateway/core_impl.h
+++ b/src/dotterelshift/gateway/core_impl.h
@@ -41,6 +41,7 @@
               Instant now) override;
   void OnChunk(AttemptId attempt, std::string_view bytes, Instant now) override;
   void OnEnd(AttemptId attempt, http::TransferEnd end, Instant now) override;
+  void OnTooLarge(AttemptId attempt, Instant now) override;
   void OnCallerSlow(RequestId request, bool slow, Instant now) override;
   void OnConnected(AttemptId attempt, Instant now) override;
   void OnHandedOver(AttemptId attempt, Instant connected_at) override;
@@ -64,6 +65,7 @@
     return std::exchange(m_finished, {});
   }
   std::vector<SuspectReport> TakeSuspectReports() override;
+  size_t HeldBytes(AttemptId attempt) const override;
   size_t OpenRequests() const override { return m_active.size(); }
   LinkQueue WaitingForLink() const override;
   const ResumptionCounts& Resumptions() const override { return m_resumptions; }
--- a/src/dotterelshift/gateway/core_response.cc
+++ b/src/dotterelshift/gateway/core_response.cc
@@ -8,6 +8,13 @@
 bool IsSuccess(int status) { return status >= 200 && status < 300; }
 bool IsEndpointFault(int status) { return status >= 500; }
 
+// Whether the endpoint broke the connection off, and did not only take too long
+// or send too much.
+bool IsBroken(http::TransferEnd end) {
+  return end != http::TransferEnd::kTimedOut &&
+         end != http::TransferEnd::kTooLarge;
+}
+
 bool WasSent(http::TransferEnd end) {
   return end != http::TransferEnd::kNotSent &&
          end != http::TransferEnd::kRelayFailed;
@@ -36,6 +43,8 @@
       return "cut";
     case http::TransferEnd::kTimedOut:
       return "timed_out";
+    case http::TransferEnd::kTooLarge:
+      return "too_large";
   }
   return "unknown";
 }
@@ -140,6 +149,20 @@
   CheckFit(*active, now);
 }
 
+void CoreImpl::OnTooLarge(AttemptId id, Instant now) {
+  ActiveRequest* active = FindByAttempt(id);
+  if (active == nullptr) return;
+  CancelAttemptIfSent(*active);
+  OnAttemptFailed(*active, http::TransferEnd::kTooLarge, now);
+}
+
+size_t CoreImpl::HeldBytes(AttemptId id) const {
+  const auto request = m_attempts.find(id);
+  if (request == m_attempts.end()) return 0;
+  const ActiveRequest& active = m_active.at(request->second);
+  return active.scanner.PartialEvent().size() + active.attempt.withheld.size();
+}
+
 void CoreImpl::PassOn(ActiveRequest& active, std::string_view bytes,
                       Instant now) {
   const uint64_t before = active.scanner.Events();
@@ -266,13 +289,12 @@
       active.attempt.id);
   if (!path_failed) BookFailure(active, end, now);
   if (sent) {
-    if (end != http::TransferEnd::kTimedOut) {
+    if (IsBroken(end)) {
       m_suspects.OnBroken(active.attempt.placement.endpoint,
                           EndpointIdKeyOf(active.attempt.endpoint.id), now);
     }
     active.may_have_run = true;
-    if (end != http::TransferEnd::kTimedOut && !path_failed &&
-        active.attempt.relay.empty())
+    if (IsBroken(end) && !path_failed && active.attempt.relay.empty())
       OnBrokenAttempt(active, false, now);
   } else {
     OnNotSent(active.attempt.id, now);
@@ -301,6 +323,8 @@
   const EndpointKey endpoint = active.attempt.placement.endpoint;
   if (end == http::TransferEnd::kTimedOut)
     m_dependencies.load->OnSilent(endpoint, active.attempt.last_received, now);
+  else if (end == http::TransferEnd::kTooLarge)
+    m_dependencies.load->OnEndlessResponse(endpoint, now);
   else if (WasSent(end))
     m_dependencies.load->OnFailed(endpoint, now);
   else
--- a/src/dotterelshift/gateway/event_scanner.cc
+++ b/src/dotterelshift/gateway/event_scanner.cc
@@ -29,17 +29,23 @@
 }  // namespace
 
 std::string EventScanner::Take(std::string_view bytes) {
-  m_partial_event.append(bytes);
   std::string complete_events;
+  // Without the end of a line, no event ends.
+  if (bytes.find('\n') == std::string_view::npos) {
+    m_partial_event.append(bytes);
+    return complete_events;
+  }
+  m_partial_event.append(bytes);
   size_t at = 0;
   while (true) {
     std::string_view left = m_partial_event;
     left.remove_prefix(at);
-    const size_t size = http::FindEventEnd(left);
+    const size_t size = http::FindEventEnd(left, m_last_line);
     if (size == std::string_view::npos) break;
     if (Accept(left.substr(0, size)))
       complete_events.append(left.substr(0, size));
     at += size;
+    m_last_line = 0;
   }
   m_partial_event.erase(0, at);
   return complete_events;
--- a/src/dotterelshift/gateway/event_scanner_test.cc
+++ b/src/dotterelshift/gateway/event_scanner_test.cc
@@ -10,6 +10,7 @@
   CPPUNIT_TEST(CompleteEventsPassForAnySplit);
   CPPUNIT_TEST(DuplicateEventsAreDropped);
   CPPUNIT_TEST(MissingEventsAreDetected);
+  CPPUNIT_TEST(EventsInManySmallPiecesAreFoundOnce);
   CPPUNIT_TEST_SUITE_END();
 
   void CompleteEventsPassForAnySplit() {
@@ -42,6 +43,27 @@
     scanner.Take("id: 6\ndata: c\n\n");
     CPPUNIT_ASSERT(scanner.HasGap());
   }
+
+  // Lines that were searched before are not searched again.
+  void EventsInManySmallPiecesAreFoundOnce() {
+    const std::string events =
+        "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nid: 3\ndata: c\ndata: "
+        "d\r\n\n";
+    const std::string partial = "id: 4\ndata: e";
+    const std::string stream = events + partial;
+    for (size_t size = 1; size <= stream.size(); ++size) {
+      EventScanner scanner;
+      std::string passed;
+      for (size_t at = 0; at < stream.size(); at += size)
+        passed += scanner.Take(stream.substr(at, size));
+      CPPUNIT_ASSERT_EQUAL(events, passed);
+      CPPUNIT_ASSERT_EQUAL(partial, scanner.PartialEvent());
+      CPPUNIT_ASSERT_EQUAL(uint64_t{3}, scanner.Events());
+      // A line that was searched before the reset is not skipped after it.
+      scanner.Reset();
+      CPPUNIT_ASSERT_EQUAL(std::string("id: 4\n\n"), scanner.Take("id: 4\n\n"));
+    }
+  }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(EventScannerTest);
 
--- a/src/dotterelshift/settings/settings.cc
+++ b/src/dotterelshift/settings/settings.cc
@@ -184,6 +184,13 @@
     Rule{"max_head_bytes", "bytes",
          CountRule{&S::max_head_bytes, 1024, 1 << 20}, false,
          "Largest head of a caller's request."},
+    Rule{"max_response_bytes", "bytes",
+         CountRule{&S::max_response_bytes, 1024, 1U << 30}, false,
+         "Most of one endpoint's response that an entry under published "
+         "routes holds until it can pass it on."},
+    Rule{"max_held_response_bytes", "bytes",
+         CountRule{&S::max_held_response_bytes, 1024, 1U << 30}, false,
+         "Most of all such responses together."},
     Rule{"max_body_bytes", "bytes",
          CountRule{&S::max_body_bytes, 1024, 1U << 30}, false,
          "Largest body of a caller's request."},
