Heads without end are given up, and known from a connection that breaks

Callers saw requests fail at an endpoint that sends a head without end: each entry tried it again and again, as the transfer ended like one whose connection broke, which is avoided for 0.3 s only.

Cause: nothing bounded a head. libcurl gives up a single line by itself, and says then that it has no memory; many short lines went on until its own bound. The client now counts the bytes of all heads of a transfer, interim ones too, and ends it as kTooLarge above 64 KiB, as it does for bodies.

--- a/include/dotterelshift/http/client.h
+++ b/include/dotterelshift/http/client.h
@@ -25,7 +25,7 @@
   kFailedBeforeHead,  // request sent in part or whole, no head received
   kCut,               // the response ended early, after its head
   kTimedOut,          // total_timeout expired
-  kTooLarge,          // larger than may be held; left by the receiver
+  kTooLarge,          // body or head larger than may be held; left
 };
 
 // A relay through which a connection is made (HTTP CONNECT).
--- a/src/dotterelshift/http/client.cc
+++ b/src/dotterelshift/http/client.cc
@@ -26,6 +26,10 @@
 // Size of the receive buffer, one per open transfer.
 constexpr long kReadBuffer = 4 << 10;  // NOLINT(google-runtime-int)
 
+// Heads that are longer, with all interim ones, are given up. Callers accept
+// far less, and libcurl would go on reading.
+constexpr size_t kMaxHeadBytes = 64 << 10;
+
 // Maximum number of curl handles kept for reuse.
 constexpr size_t kMaxSpareHandles = 256;
 
@@ -44,7 +48,8 @@
   int status = 0;
   Headers headers;
   bool head_received = false;
-  bool sent = false;  // the request may have been sent, in part or whole
+  size_t head_bytes = 0;  // of all heads and trailers
+  bool sent = false;      // the request may have been sent, in part or whole
   CurlClient* client = nullptr;
   // No more callbacks are called; removed once curl has returned.
   bool cancelled = false;
@@ -226,6 +231,8 @@
 
   static bool OnHeaderLine(Transfer& transfer, std::string_view line) {
     if (transfer.cancelled) return false;
+    transfer.head_bytes += line.size();
+    if (transfer.head_bytes > kMaxHeadBytes) return false;
     while (!line.empty() && (line.back() == '\r' || line.back() == '\n'))
       line.remove_suffix(1);
     if (line.starts_with("HTTP/")) {
@@ -463,10 +470,17 @@
       return TransferEnd::kWhole;
     if (!transfer.sent) return NotSentEnd(transfer);
     if (result == CURLE_OPERATION_TIMEDOUT) return TransferEnd::kTimedOut;
+    if (IsHeadTooLarge(transfer, result)) return TransferEnd::kTooLarge;
     return transfer.head_received ? TransferEnd::kCut
                                   : TransferEnd::kFailedBeforeHead;
   }
 
+  // libcurl gives a single line up by itself, and says that it has no memory.
+  static bool IsHeadTooLarge(const Transfer& transfer, CURLcode result) {
+    return transfer.head_bytes > kMaxHeadBytes ||
+           (!transfer.head_received && result == CURLE_OUT_OF_MEMORY);
+  }
+
   // Only a relay that says so has tried to connect to the server.
   static TransferEnd NotSentEnd(const Transfer& transfer) {
     if (!transfer.request.relay) return TransferEnd::kNotSent;
--- a/src/dotterelshift/http/http_test.cc
+++ b/src/dotterelshift/http/http_test.cc
@@ -41,6 +41,8 @@
   CPPUNIT_TEST(HandOverReportsTheConnection);
   CPPUNIT_TEST(UnconnectedTransferIsNotHandedOver);
   CPPUNIT_TEST(ExchangeOutlivesItsServer);
+  CPPUNIT_TEST(HeadWithoutEndIsGivenUp);
+  CPPUNIT_TEST(HeadLineWithoutEndIsGivenUp);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -288,7 +290,28 @@
     CPPUNIT_ASSERT(m_seen.end == TransferEnd::kFailedBeforeHead);
   }
 
+  void HeadWithoutEndIsGivenUp() { ExpectTooLarge("X-More: 1\r\n"); }
+  void HeadLineWithoutEndIsGivenUp() { ExpectTooLarge("more"); }
+
  private:
+  // A head that goes on with these bytes until the client leaves.
+  void ExpectTooLarge(const std::string& bytes) {
+    const TestListener listener(1);
+    m_port = listener.Port();
+    Send("/", "x");
+    RunUntil([&] { return listener.HasConnection(); });
+    const TestPeer peer = listener.Accept();
+    (void)peer.SendSome("HTTP/1.1 200 OK\r\nX-First: ");
+    constexpr size_t kMost = 1 << 20;
+    std::string piece;
+    while (piece.size() < (16 << 10)) piece += bytes;
+    for (size_t sent = 0; !m_seen.ended && sent < kMost; Turn())
+      sent += peer.SendSome(piece);
+    CPPUNIT_ASSERT(m_seen.ended);
+    CPPUNIT_ASSERT(m_seen.end == TransferEnd::kTooLarge);
+    CPPUNIT_ASSERT_EQUAL(0, m_seen.status);
+  }
+
   void Serve(Handler handler) {
     m_server = MakeServer(m_loop, {}, std::move(handler));
     m_port = m_server->Port();
