Endpoints in trouble are known to all entries, and cost more instead of coming last

An entry learned only by itself that an endpoint refuses or does not end its responses. Each of 24 was refused itself, and an entry that has just started has no retries to spend on it (retry_denied, sharers 0). Now entries tell each other with the load updates (TroubleNote, 16 bytes, at each change of what counts), and all of it to an entry that has just connected. 2. Any success ended the time in which such an endpoint comes last, also of a request sent before the refusal; one that serves three a second and refuses the rest was the cheapest again at once. Now a success counts once as much time has passed again as it was left. 3. "Last" did not ask what the others cost: all load went to the one endpoint that had not refused, however long its queue. The time is now a cost beside that of queues, slots and data centres.

Ruled out: retries. Their limit is the fleet's and stays; what was refused had to become less.

--- a/include/dotterelshift/gateway/fleet_load.h
+++ b/include/dotterelshift/gateway/fleet_load.h
@@ -5,6 +5,7 @@
 #include <limits>         // for numeric_limits
 #include <map>            // for map
 #include <optional>       // for optional
+#include <set>            // for set
 #include <string>         // for string
 #include <unordered_map>  // for unordered_map
 #include <utility>        // for exchange
@@ -59,11 +60,11 @@
   // Time for which an endpoint is skipped after it refused for lack of
   // capacity.
   Duration full_for = 60ms;
-  // Time for which it is then used only if no other one can be, doubled with
-  // each further refusal up to the maximum, until it serves a request, which
-  // halves the number of refusals that count. An
-  // endpoint that refuses has little load, and would otherwise be the cheapest
-  // one again and again.
+  // Time for which it then also costs as much more, doubled with each further
+  // refusal up to the maximum. A request that it serves when as much time has
+  // passed again halves the number of refusals that count. An endpoint that
+  // refuses has little load, and would otherwise be the cheapest one again and
+  // again.
   Duration min_last_choice_time = 250ms;
   Duration max_last_choice_time = 5s;
   // Time in which the number of requests that an endpoint with a limit on
@@ -163,7 +164,7 @@
   Duration AvoidedFor(EndpointKey endpoint, Instant now) const;
 
   // Outcome of an attempt at the endpoint.
-  void OnSucceeded(EndpointKey endpoint);
+  void OnSucceeded(EndpointKey endpoint, Instant now);
   void OnFailed(EndpointKey endpoint, Instant now);
   // A request noticed that the endpoint has been silent since then. One silence
   // counts no more often than it takes to avoid the endpoint once.
@@ -187,8 +188,15 @@
   // without a sum their counts would stay wrong.
   std::vector<wire::LoadNote> TakeLoadUpdates(size_t most = kAllUpdates);
   bool HasLoadUpdates() const {
-    return !m_changes.empty() || !m_segment_updates.empty();
+    return !m_changes.empty() || !m_segment_updates.empty() ||
+           !m_trouble_changes.empty();
   }
+  // Endpoints that have begun or ceased to refuse requests, or not to end their
+  // responses, for the other entries since the last call. Each entry would
+  // otherwise lose requests of its own to learn the same.
+  std::vector<wire::TroubleNote> TakeTroubleChanges(Instant now);
+  // All endpoints that are chosen last, for an entry that has just connected.
+  std::vector<wire::TroubleNote> Troubles(Instant now) const;
   void OnLoadUpdates(const HostId& from, const wire::LoadNotesT& notes,
                      Instant now);
   // An entry has left; its requests are removed from the load.
@@ -225,22 +233,22 @@
   };
 
   bool MayUse(const Load& load, Instant now) const;
-  // The same as Choose(), of endpoints that have refused lately, or have not.
-  std::optional<Placement> ChooseAmong(const std::vector<EndpointKey>& keys,
-                                       const Prompt& prompt,
-                                       const ChoiceLimits& limits,
-                                       bool refused_lately, Instant now) const;
   // The software versions among these endpoints that stay.
   std::vector<SoftwareKey> StayingAmong(
       const std::vector<EndpointKey>& keys) const;
   uint32_t RoomAt(const Load& load, Instant now) const;
   void LowerRoom(Load& load, Instant now) const;
-  double CostOf(const Load& load, const Placement& placement) const;
+  double CostOf(const Load& load, const Placement& placement,
+                Instant now) const;
+  Duration LastChoiceTime(const Load& load) const;
   Placement PlaceAt(EndpointKey key, const Load& load, const Prompt& prompt,
                     Instant now) const;
   // Records a change at an endpoint for the next load updates.
   void RecordChange(EndpointKey endpoint, Tokens prompt_tokens, int requests);
   void QueuePrefill(Load& load, Tokens tokens, Instant now);
+  static wire::TroubleNote TroubleOf(EndpointKey endpoint, const Load& load,
+                                     Instant now);
+  void OnTrouble(const wire::TroubleNote& note, Instant now);
   static void ChangeOthers(Load& load, int change);
   void SetCapacity(Load& load) const;
   uint32_t RunningAt(const Load& load) const { return load.own + load.others; }
@@ -259,6 +267,7 @@
   };
   std::map<EndpointKey, Change> m_changes;
   std::vector<wire::LoadNote> m_segment_updates;
+  std::set<EndpointKey> m_trouble_changes;
   // Requests of other entries, subtracted from the load when an entry leaves.
   std::map<HostId, std::unordered_map<EndpointKey, int>> m_requests_by_entry;
 };
--- a/include/dotterelshift/wire/frames_generated.h
+++ b/include/dotterelshift/wire/frames_generated.h
@@ -150,6 +150,8 @@
 
 struct PendingOrigin;
 
+struct TroubleNote;
+
 struct LoadNotes;
 struct LoadNotesBuilder;
 struct LoadNotesT;
@@ -1034,6 +1036,40 @@
   using type = PendingOrigin;
 };
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) TroubleNote FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t endpoint_;
+  uint32_t refusals_;
+  uint32_t last_choice_ms_;
+
+ public:
+  struct Traits;
+  TroubleNote()
+      : endpoint_(0),
+        refusals_(0),
+        last_choice_ms_(0) {
+  }
+  TroubleNote(uint64_t _endpoint, uint32_t _refusals, uint32_t _last_choice_ms)
+      : endpoint_(flatbuffers::EndianScalar(_endpoint)),
+        refusals_(flatbuffers::EndianScalar(_refusals)),
+        last_choice_ms_(flatbuffers::EndianScalar(_last_choice_ms)) {
+  }
+  uint64_t endpoint() const {
+    return flatbuffers::EndianScalar(endpoint_);
+  }
+  uint32_t refusals() const {
+    return flatbuffers::EndianScalar(refusals_);
+  }
+  uint32_t last_choice_ms() const {
+    return flatbuffers::EndianScalar(last_choice_ms_);
+  }
+};
+FLATBUFFERS_STRUCT_END(TroubleNote, 16);
+
+struct TroubleNote::Traits {
+  using type = TroubleNote;
+};
+
 FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) LimitNote FLATBUFFERS_FINAL_CLASS {
  private:
   uint64_t endpoint_;
@@ -4877,6 +4913,7 @@
   std::vector<dotterelshift::wire::LoadNote> notes{};
   std::vector<dotterelshift::wire::ProvenOrigin> proven_origins{};
   std::vector<dotterelshift::wire::PendingOrigin> pending_origins{};
+  std::vector<dotterelshift::wire::TroubleNote> troubles{};
 };
 
 struct LoadNotes FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -4886,7 +4923,8 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_NOTES = 4,
     VT_PROVEN_ORIGINS = 6,
-    VT_PENDING_ORIGINS = 8
+    VT_PENDING_ORIGINS = 8,
+    VT_TROUBLES = 10
   };
   const flatbuffers::Vector<const dotterelshift::wire::LoadNote *> *notes() const {
     return GetPointer<const flatbuffers::Vector<const dotterelshift::wire::LoadNote *> *>(VT_NOTES);
@@ -4897,6 +4935,9 @@
   const flatbuffers::Vector<const dotterelshift::wire::PendingOrigin *> *pending_origins() const {
     return GetPointer<const flatbuffers::Vector<const dotterelshift::wire::PendingOrigin *> *>(VT_PENDING_ORIGINS);
   }
+  const flatbuffers::Vector<const dotterelshift::wire::TroubleNote *> *troubles() const {
+    return GetPointer<const flatbuffers::Vector<const dotterelshift::wire::TroubleNote *> *>(VT_TROUBLES);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_NOTES) &&
@@ -4905,6 +4946,8 @@
            verifier.VerifyVector(proven_origins()) &&
            VerifyOffset(verifier, VT_PENDING_ORIGINS) &&
            verifier.VerifyVector(pending_origins()) &&
+           VerifyOffset(verifier, VT_TROUBLES) &&
+           verifier.VerifyVector(troubles()) &&
            verifier.EndTable();
   }
   LoadNotesT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -4925,6 +4968,9 @@
   void add_pending_origins(flatbuffers::Offset<flatbuffers::Vector<const dotterelshift::wire::PendingOrigin *>> pending_origins) {
     fbb_.AddOffset(LoadNotes::VT_PENDING_ORIGINS, pending_origins);
   }
+  void add_troubles(flatbuffers::Offset<flatbuffers::Vector<const dotterelshift::wire::TroubleNote *>> troubles) {
+    fbb_.AddOffset(LoadNotes::VT_TROUBLES, troubles);
+  }
   explicit LoadNotesBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -4940,8 +4986,10 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::Vector<const dotterelshift::wire::LoadNote *>> notes = 0,
     flatbuffers::Offset<flatbuffers::Vector<const dotterelshift::wire::ProvenOrigin *>> proven_origins = 0,
-    flatbuffers::Offset<flatbuffers::Vector<const dotterelshift::wire::PendingOrigin *>> pending_origins = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<const dotterelshift::wire::PendingOrigin *>> pending_origins = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const dotterelshift::wire::TroubleNote *>> troubles = 0) {
   LoadNotesBuilder builder_(_fbb);
+  builder_.add_troubles(troubles);
   builder_.add_pending_origins(pending_origins);
   builder_.add_proven_origins(proven_origins);
   builder_.add_notes(notes);
@@ -4957,15 +5005,18 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     const std::vector<dotterelshift::wire::LoadNote> *notes = nullptr,
     const std::vector<dotterelshift::wire::ProvenOrigin> *proven_origins = nullptr,
-    const std::vector<dotterelshift::wire::PendingOrigin> *pending_origins = nullptr) {
+    const std::vector<dotterelshift::wire::PendingOrigin> *pending_origins = nullptr,
+    const std::vector<dotterelshift::wire::TroubleNote> *troubles = nullptr) {
   auto notes__ = notes ? _fbb.CreateVectorOfStructs<dotterelshift::wire::LoadNote>(*notes) : 0;
   auto proven_origins__ = proven_origins ? _fbb.CreateVectorOfStructs<dotterelshift::wire::ProvenOrigin>(*proven_origins) : 0;
   auto pending_origins__ = pending_origins ? _fbb.CreateVectorOfStructs<dotterelshift::wire::PendingOrigin>(*pending_origins) : 0;
+  auto troubles__ = troubles ? _fbb.CreateVectorOfStructs<dotterelshift::wire::TroubleNote>(*troubles) : 0;
   return dotterelshift::wire::CreateLoadNotes(
       _fbb,
       notes__,
       proven_origins__,
-      pending_origins__);
+      pending_origins__,
+      troubles__);
 }
 
 flatbuffers::Offset<LoadNotes> CreateLoadNotes(flatbuffers::FlatBufferBuilder &_fbb, const LoadNotesT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -7488,6 +7539,7 @@
   { auto _e = notes(); if (_e) { _o->notes.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->notes[_i] = *_e->Get(_i); } } }
   { auto _e = proven_origins(); if (_e) { _o->proven_origins.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->proven_origins[_i] = *_e->Get(_i); } } }
   { auto _e = pending_origins(); if (_e) { _o->pending_origins.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->pending_origins[_i] = *_e->Get(_i); } } }
+  { auto _e = troubles(); if (_e) { _o->troubles.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->troubles[_i] = *_e->Get(_i); } } }
 }
 
 inline flatbuffers::Offset<LoadNotes> LoadNotes::Pack(flatbuffers::FlatBufferBuilder &_fbb, const LoadNotesT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -7501,11 +7553,13 @@
   auto _notes = _o->notes.size() ? _fbb.CreateVectorOfStructs(_o->notes) : 0;
   auto _proven_origins = _o->proven_origins.size() ? _fbb.CreateVectorOfStructs(_o->proven_origins) : 0;
   auto _pending_origins = _o->pending_origins.size() ? _fbb.CreateVectorOfStructs(_o->pending_origins) : 0;
+  auto _troubles = _o->troubles.size() ? _fbb.CreateVectorOfStructs(_o->troubles) : 0;
   return dotterelshift::wire::CreateLoadNotes(
       _fbb,
       _notes,
       _proven_origins,
-      _pending_origins);
+      _pending_origins,
+      _troubles);
 }
 
 inline OriginQuestionT *OriginQuestion::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/src/dotterelshift/app/entry_peers.cc
+++ b/src/dotterelshift/app/entry_peers.cc
@@ -3,6 +3,8 @@
 #include <algorithm>  // for find
 #include <utility>    // for move
 
+#include "dotterelshift/telemetry/log.h"  // for LogDecision
+
 namespace dotterelshift::app {
 
 EntryPeers::EntryPeers(loop::Loop& loop, const DataCentreId& data_centre,
@@ -27,7 +29,8 @@
   m_parts.relays->OnEntryUp(entry);
   m_parts.exchange->OnEntryUp(entry);
   m_parts.limits->OnEntryUp(entry.run.host, entry.data_centre, m_loop.Now());
-  m_others.SendOriginsTo(entry, *m_parts.origins, m_loop.Now());
+  m_others.SendKnowledgeTo(entry, *m_parts.load, *m_parts.origins,
+                           m_loop.Now());
 }
 
 void EntryPeers::OnDown(const peers::PeerInfo& entry) {
@@ -61,10 +64,22 @@
                              const wire::LoadNotesT& notes) {
   const Instant now = m_loop.Now();
   m_others.OnLoadUpdates(peer, notes, *m_parts.load, now);
+  for (const wire::TroubleNote& note : notes.troubles) LogTrouble(peer, note);
   m_parts.origins->OnUpdates(
       peer.run.host, {notes.proven_origins, notes.pending_origins}, now);
 }
 
+void EntryPeers::LogTrouble(const peers::PeerInfo& peer,
+                            const wire::TroubleNote& note) const {
+  const gateway::EndpointContact* contact = m_parts.load->Find(note.endpoint());
+  telemetry::LogDecision(
+      "endpoint_in_trouble", "",
+      {{"endpoint", contact == nullptr ? "unknown" : contact->id},
+       {"refusals", std::to_string(note.refusals())},
+       {"last_choice_ms", std::to_string(note.last_choice_ms())},
+       {"learned_from", peer.run.host}});
+}
+
 void EntryPeers::OnBorrow(const peers::PeerInfo& peer,
                           const wire::TokenBorrowT& borrow) {
   const Tokens lent = m_parts.may_lend() ? m_parts.budgets->OnBorrow(
--- a/src/dotterelshift/app/entry_peers.h
+++ b/src/dotterelshift/app/entry_peers.h
@@ -55,6 +55,8 @@
 
  private:
   void OnLoadNotes(const peers::PeerInfo& peer, const wire::LoadNotesT& notes);
+  void LogTrouble(const peers::PeerInfo& peer,
+                  const wire::TroubleNote& note) const;
   void OnBorrow(const peers::PeerInfo& peer, const wire::TokenBorrowT& borrow);
   void SendForLimits(Instant now);
   bool MayHangUp(const std::string& address) const;
--- a/src/dotterelshift/app/other_entries.cc
+++ b/src/dotterelshift/app/other_entries.cc
@@ -56,19 +56,22 @@
   const std::vector<HostId> hosts = Hosts();
   wire::LoadNotesT body;
   body.notes = load.TakeLoadUpdates(m_load_update_pacer.Most(hosts.size()));
+  body.troubles = load.TakeTroubleChanges(now);
   gateway::OriginUpdates updates = origins.TakeUpdates(now);
-  m_load_update_pacer.OnSent(body.notes.size() + updates.Count(), hosts.size(),
-                             now);
-  if (body.notes.empty() && updates.Count() == 0) return;
+  const size_t count =
+      body.notes.size() + body.troubles.size() + updates.Count();
+  m_load_update_pacer.OnSent(count, hosts.size(), now);
+  if (count == 0) return;
   body.proven_origins = std::move(updates.proven);
   body.pending_origins = std::move(updates.pending);
   const wire::FrameT frame = peers::MakeFrame(std::move(body));
   for (const HostId& host : hosts) m_hub.Send(host, frame);
 }
 
-void OtherEntries::SendOriginsTo(const peers::PeerInfo& entry,
-                                 const gateway::StreamOrigins& origins,
-                                 Instant now) {
+void OtherEntries::SendKnowledgeTo(const peers::PeerInfo& entry,
+                                   const gateway::FleetLoad& load,
+                                   const gateway::StreamOrigins& origins,
+                                   Instant now) {
   if (!IsServed(entry)) return;
   const HostId& host = entry.run.host;
   const std::vector<HostId> hosts = Hosts();
@@ -77,8 +80,9 @@
     return other != host && std::ranges::binary_search(hosts, other);
   };
   gateway::OriginUpdates updates = origins.ForNewEntry(is_connected, now);
-  if (updates.Count() == 0) return;
   wire::LoadNotesT body;
+  body.troubles = load.Troubles(now);
+  if (updates.Count() == 0 && body.troubles.empty()) return;
   body.proven_origins = std::move(updates.proven);
   body.pending_origins = std::move(updates.pending);
   m_hub.Send(host, peers::MakeFrame(std::move(body)));
--- a/src/dotterelshift/app/other_entries.h
+++ b/src/dotterelshift/app/other_entries.h
@@ -36,10 +36,11 @@
   // it must wait, a timer causes another iteration.
   void SendUpdates(gateway::FleetLoad& load, gateway::StreamOrigins& origins,
                    Instant now);
-  // Sends the origins that an entry lacks whose connection was just
-  // established.
-  void SendOriginsTo(const peers::PeerInfo& entry,
-                     const gateway::StreamOrigins& origins, Instant now);
+  // Sends what an entry lacks whose connection was just established: origins
+  // of streams, and endpoints in trouble.
+  void SendKnowledgeTo(const peers::PeerInfo& entry,
+                       const gateway::FleetLoad& load,
+                       const gateway::StreamOrigins& origins, Instant now);
   // Answers another entry's request to lend; 0 tokens: none can be lent.
   void SendLoan(const HostId& to, const wire::TokenBorrowT& borrow,
                 Tokens lent);
--- a/src/dotterelshift/gateway/core_response.cc
+++ b/src/dotterelshift/gateway/core_response.cc
@@ -231,7 +231,7 @@
       --active.runs;
     }
   } else {
-    m_dependencies.load->OnSucceeded(endpoint);
+    m_dependencies.load->OnSucceeded(endpoint, now);
     ReportClearedContent(active);
     if (IsSuccess(status)) AcquitSegments(active, now);
   }
--- a/src/dotterelshift/gateway/fleet_load.cc
+++ b/src/dotterelshift/gateway/fleet_load.cc
@@ -1,6 +1,6 @@
 #include "dotterelshift/gateway/fleet_load.h"
 
-#include <algorithm>  // for find, max, min
+#include <algorithm>  // for clamp, find, max, min
 #include <utility>    // for move
 
 #include "dotterelshift/directory/spread.h"  // for PulseKey
@@ -133,7 +133,8 @@
   return placement;
 }
 
-double FleetLoad::CostOf(const Load& load, const Placement& placement) const {
+double FleetLoad::CostOf(const Load& load, const Placement& placement,
+                         Instant now) const {
   const uint32_t running = RunningAt(load);
   double cost = AsMs(placement.wait) + AsMs(placement.read);
   cost += m_options.per_running_ms * running;
@@ -144,36 +145,35 @@
   if (load.contact.data_centre != m_options.data_centre)
     cost += m_observes_all ? m_options.other_data_centre_ms
                            : m_options.unobserved_data_centre_ms;
+  if (now < load.last_choice_until) cost += AsMs(LastChoiceTime(load));
   return cost;
 }
 
+Duration FleetLoad::LastChoiceTime(const Load& load) const {
+  const int doublings = std::clamp(load.refusals - 1, 0, kMaxDoublings);
+  return std::min(m_options.min_last_choice_time * (1 << doublings),
+                  m_options.max_last_choice_time);
+}
+
 std::optional<Placement> FleetLoad::Choose(const ServiceName& service,
                                            const Prompt& prompt,
                                            const ChoiceLimits& limits,
                                            Instant now) const {
   const auto keys = m_by_service.find(service);
   if (keys == m_by_service.end()) return std::nullopt;
-  if (auto placement = ChooseAmong(keys->second, prompt, limits, false, now))
-    return placement;
-  return ChooseAmong(keys->second, prompt, limits, true, now);
-}
-
-std::optional<Placement> FleetLoad::ChooseAmong(
-    const std::vector<EndpointKey>& keys, const Prompt& prompt,
-    const ChoiceLimits& limits, bool refused_lately, Instant now) const {
-  const std::vector<SoftwareKey> staying =
-      limits.prefers_staying ? StayingAmong(keys) : std::vector<SoftwareKey>();
+  const std::vector<SoftwareKey> staying = limits.prefers_staying
+                                               ? StayingAmong(keys->second)
+                                               : std::vector<SoftwareKey>();
   Cheapest best;
   Cheapest best_staying;
-  for (const EndpointKey key : keys) {
+  for (const EndpointKey key : keys->second) {
     const Load& load = m_loads.at(key);
     if (!MayUse(load, now) || Contains(limits.excluded, key)) continue;
-    if ((now < load.last_choice_until) != refused_lately) continue;
     if (limits.software && load.contact.software != *limits.software) continue;
     if (limits.idle && RunningAt(load) > 0) continue;
     if (Contains(limits.barred_software, load.contact.software)) continue;
     const Placement placement = PlaceAt(key, load, prompt, now);
-    const double cost = CostOf(load, placement);
+    const double cost = CostOf(load, placement, now);
     best.Offer(placement, cost);
     if (Contains(staying, load.contact.software))
       best_staying.Offer(placement, cost);
@@ -287,13 +287,16 @@
   RecordChange(endpoint, 0, -1);
 }
 
-void FleetLoad::OnSucceeded(EndpointKey endpoint) {
+void FleetLoad::OnSucceeded(EndpointKey endpoint, Instant now) {
   const auto found = m_loads.find(endpoint);
   if (found == m_loads.end()) return;
-  found->second.failures = 0;
+  Load& load = found->second;
+  load.failures = 0;
   // One that serves now and then, and refuses the rest, is still in need.
-  found->second.refusals /= 2;
-  found->second.last_choice_until = {};
+  const bool recovers = now >= load.last_choice_until + LastChoiceTime(load);
+  if (load.refusals == 0 || !recovers) return;
+  load.refusals /= 2;
+  m_trouble_changes.insert(endpoint);
 }
 
 void FleetLoad::OnFailed(EndpointKey endpoint, Instant now) {
@@ -330,8 +333,14 @@
 void FleetLoad::OnEndlessResponse(EndpointKey endpoint, Instant now) {
   const auto found = m_loads.find(endpoint);
   if (found == m_loads.end()) return;
-  found->second.failures = m_options.failure_threshold + kMaxDoublings;
+  Load& load = found->second;
+  load.failures = m_options.failure_threshold + kMaxDoublings;
   OnFailed(endpoint, now);
+  // Also for the other entries, which do not avoid it: a single request may
+  // have caused this.
+  load.refusals = std::max(load.refusals, kMaxDoublings);
+  load.last_choice_until = now + LastChoiceTime(load);
+  m_trouble_changes.insert(endpoint);
 }
 
 void FleetLoad::OnPathChanged(EndpointKey endpoint) {
@@ -348,10 +357,9 @@
   // Requests that were under way together are refused together: these are one
   // refusal.
   if (now >= load.full_until) {
-    const int doublings = std::min(load.refusals++, kMaxDoublings);
-    load.last_choice_until =
-        now + std::min(m_options.min_last_choice_time * (1 << doublings),
-                       m_options.max_last_choice_time);
+    load.refusals = std::min(load.refusals + 1, kMaxDoublings);
+    load.last_choice_until = now + LastChoiceTime(load);
+    m_trouble_changes.insert(endpoint);
   }
   load.full_until = now + m_options.full_for;
   if (load.refusal_limit) LowerRoom(load, now);
@@ -386,6 +394,45 @@
   return notes;
 }
 
+std::vector<wire::TroubleNote> FleetLoad::TakeTroubleChanges(Instant now) {
+  std::vector<wire::TroubleNote> notes;
+  for (const EndpointKey endpoint : std::exchange(m_trouble_changes, {})) {
+    const auto found = m_loads.find(endpoint);
+    if (found != m_loads.end())
+      notes.push_back(TroubleOf(endpoint, found->second, now));
+  }
+  return notes;
+}
+
+std::vector<wire::TroubleNote> FleetLoad::Troubles(Instant now) const {
+  std::vector<wire::TroubleNote> notes;
+  for (const auto& [endpoint, load] : m_loads)
+    if (now < load.last_choice_until)
+      notes.push_back(TroubleOf(endpoint, load, now));
+  return notes;
+}
+
+wire::TroubleNote FleetLoad::TroubleOf(EndpointKey endpoint, const Load& load,
+                                       Instant now) {
+  const Duration left = std::max<Duration>(0s, load.last_choice_until - now);
+  return {endpoint, static_cast<uint32_t>(load.refusals),
+          static_cast<uint32_t>(ToMs(left))};
+}
+
+// Where another entry was served, this one's own time still has to pass, so
+// that not all entries return at once.
+void FleetLoad::OnTrouble(const wire::TroubleNote& note, Instant now) {
+  const auto found = m_loads.find(note.endpoint());
+  if (found == m_loads.end()) return;
+  Load& load = found->second;
+  load.refusals =
+      static_cast<int>(std::min<uint32_t>(note.refusals(), kMaxDoublings));
+  const Duration time =
+      std::min<Duration>(std::chrono::milliseconds(note.last_choice_ms()),
+                         m_options.max_last_choice_time);
+  load.last_choice_until = std::max(load.last_choice_until, now + time);
+}
+
 // The count of an endpoint that was removed and added again restarts at zero,
 // so that later changes may subtract more than was counted.
 void FleetLoad::ChangeOthers(Load& load, int change) {
@@ -408,6 +455,7 @@
       QueuePrefill(load, note.prompt_tokens(), now);
     if (note.part() != 0) load.cache.Touch(note.part(), note.part_tokens());
   }
+  for (const wire::TroubleNote& note : notes.troubles) OnTrouble(note, now);
 }
 
 void FleetLoad::OnEntryGone(const HostId& entry) {
