A denied request for a permit is not asked for again at once

A request that was denied a permit after it had waited asked the granter again with its first, long wait, as soon as the denial arrived, and so on until its deadline: FleetLimits forgot a denial before the request had seen it. Under a limit on refusals the granter was asked some 20 times for each request, and each of these waited in its schedule. Callers saw nothing of it but later refusals; in a large fleet it is the granter's processor time and link.

A denial now stays until the request has seen it, which then looks for another endpoint, at most four times (CorePermits), with what is left of its time. An entry whose lease has begun, but not yet its schedule, asks nobody instead of itself.

--- a/include/dotterelshift/gateway/fleet_limits.h
+++ b/include/dotterelshift/gateway/fleet_limits.h
@@ -145,6 +145,7 @@
     Instant answer_by{};
     int priority = 0;
     std::optional<Instant> granted_at;
+    bool denied = false;
   };
   struct Closed {
     Instant until{};
--- a/src/dotterelshift/gateway/fleet_limits.cc
+++ b/src/dotterelshift/gateway/fleet_limits.cc
@@ -175,6 +175,9 @@
     const Asked& asked = found->second;
     if (asked.endpoint != demand.endpoint) {
       OnOutcome(demand.request, false, now);
+    } else if (asked.denied) {
+      m_asked.erase(found);
+      return PermitState::kDenied;
     } else if (asked.granted_at) {
       if (now - *asked.granted_at <= m_options.permit_time)
         return PermitState::kGranted;
@@ -192,7 +195,10 @@
   if (open > now + demand.max_wait || !AskGranter(demand, now))
     return PermitState::kDenied;
   const auto asked = m_asked.find(demand.request);
-  if (asked == m_asked.end()) return PermitState::kDenied;
+  if (asked->second.denied) {
+    m_asked.erase(asked);
+    return PermitState::kDenied;
+  }
   return asked->second.granted_at ? PermitState::kGranted : PermitState::kAsked;
 }
 
@@ -207,7 +213,7 @@
   const HostId granter = m_lease.Holder(now);
   if (!IsOfGroup(demand.endpoint) || granter.empty()) return false;
   const bool own = granter == m_options.self;
-  if (own && !m_lease.IsHeld(now)) return false;
+  if (own && !(m_granting && m_lease.IsHeld(now))) return false;
   ++m_counts.asked;
   Asked& asked = m_asked[demand.request];
   asked = {demand.endpoint,
@@ -234,6 +240,7 @@
   if (node.empty()) node = m_asked.extract(request);
   if (node.empty()) return;
   const Asked& asked = node.mapped();
+  if (asked.denied) return;
   const wire::PermitOutcome outcome(asked.id, asked.endpoint, refused);
   if (asked.granter == m_options.self) {
     OnPermitOutcome(asked.granter, outcome, now);
@@ -291,8 +298,9 @@
   const auto found = std::ranges::find_if(m_asked, [&](const auto& entry) {
     return entry.second.id == answer.id() && entry.second.granter == from;
   });
-  if (found == m_asked.end() || found->second.granted_at) return;
+  if (found == m_asked.end()) return;
   Asked& asked = found->second;
+  if (asked.granted_at || asked.denied) return;
   const Duration wait = std::chrono::milliseconds(answer.wait_ms());
   m_answered.push_back(found->first);
   // The permit was granted as long ago as its way took, at the most.
@@ -304,7 +312,7 @@
   }
   ++m_counts.denied;
   if (!answer.granted()) Close(asked.endpoint, wait, asked.priority, now);
-  m_asked.erase(found);
+  asked.denied = true;
 }
 
 void FleetLimits::Close(EndpointKey endpoint, Duration time, int priority,
--- a/src/dotterelshift/gateway/fleet_limits_property_test.cc
+++ b/src/dotterelshift/gateway/fleet_limits_property_test.cc
@@ -28,8 +28,8 @@
 
  public:
   void FleetsOfAllSizesKeepToTheLimitAndUseIt() {
-    for (const int entries : {6, 40}) {
-      for (const double limit : {0.2, 30.0}) {
+    for (const int entries : {1, 6, 16, 40, 73}) {
+      for (const double limit : {0.2, 1.0, 30.0}) {
         LimitFleetOptions options;
         options.entries = entries;
         options.data_centres = entries > 16 ? 4 : 1;
@@ -41,7 +41,7 @@
   }
 
   void LimitHoldsWhileEntriesDie() {
-    for (uint64_t seed = 1; seed <= 4; ++seed) {
+    for (uint64_t seed = 1; seed <= 12; ++seed) {
       LimitFleetOptions options = DrawnFrom(seed);
       options.deaths = true;
       options.fault_interval = 2s;
@@ -50,7 +50,7 @@
   }
 
   void LimitHoldsWhileEntriesAreCutOffFromEachOther() {
-    for (uint64_t seed = 11; seed <= 13; ++seed) {
+    for (uint64_t seed = 11; seed <= 22; ++seed) {
       LimitFleetOptions options = DrawnFrom(seed);
       options.partitions = true;
       Expect(options, 0);
@@ -58,7 +58,7 @@
   }
 
   void LimitHoldsAndIsUsedWhileControlIsAway() {
-    for (uint64_t seed = 21; seed <= 23; ++seed) {
+    for (uint64_t seed = 21; seed <= 32; ++seed) {
       LimitFleetOptions options = DrawnFrom(seed);
       options.control_away = true;
       Expect(options, 0.8);
@@ -68,7 +68,7 @@
   // An entry that has just started hears of limits that were named by
   // incarnations which it never knew.
   void LimitHoldsWhileEntriesAndEndpointsStartAgain() {
-    for (uint64_t seed = 61; seed <= 64; ++seed) {
+    for (uint64_t seed = 41; seed <= 52; ++seed) {
       LimitFleetOptions options = DrawnFrom(seed);
       options.deaths = true;
       options.restarts = true;
@@ -78,7 +78,7 @@
   }
 
   void LimitHoldsThroughAllFaultsTogether() {
-    for (uint64_t seed = 31; seed <= 34; ++seed) {
+    for (uint64_t seed = 31; seed <= 42; ++seed) {
       LimitFleetOptions options = DrawnFrom(seed);
       options.deaths = true;
       options.partitions = seed % 2 == 0;
@@ -90,8 +90,8 @@
 
   // All entries send whenever they may, and most requests are refused.
   void RefusalsOfAllEntriesStayWithinTheLimit() {
-    for (const int entries : {1, 8, 40}) {
-      for (const uint32_t limit : {1, 20}) {
+    for (const int entries : {1, 8, 40, 73}) {
+      for (const uint32_t limit : {1, 5, 20, 60}) {
         LimitFleetOptions options;
         options.entries = entries;
         options.data_centres = entries > 16 ? 4 : 1;
