--- a/src/dotterelshift/app/gauges.cc
+++ b/src/dotterelshift/app/gauges.cc
@@ -80,6 +80,8 @@
         counts.unanswered);
   count("dotterelshift_permits_granted_to_others_total",
         "Granted here to other entries", counts.granted_to_others);
+  count("dotterelshift_permits_denied_to_others_total",
+        "Denied here to other entries", counts.denied_to_others);
   count("dotterelshift_limit_refusals_total",
         "Requests refused as the limits of all endpoints are used up",
         core.LimitRefusals());
