--- a/src/dotterelshift/http/client.cc
+++ b/src/dotterelshift/http/client.cc
@@ -6,16 +6,15 @@
 #include <sys/socket.h>     // for setsockopt
 #include <unistd.h>         // for close
 
-#include <algorithm>      // for any_of, equal, max
-#include <cctype>         // for tolower
-#include <charconv>       // for from_chars
-#include <cstring>        // for memcpy
+#include <algorithm>      // for max
 #include <unordered_map>  // for unordered_map
 #include <utility>        // for move
 #include <vector>         // for vector
 
-#include "dotterelshift/base/error.h"  // for Error
-#include "dotterelshift/loop/loop.h"   // for Loop
+#include "dotterelshift/base/error.h"          // for Error
+#include "dotterelshift/http/curl_request.h"   // for MakeHeaderList
+#include "dotterelshift/http/response_head.h"  // for ResponseHead
+#include "dotterelshift/loop/loop.h"           // for Loop
 
 namespace dotterelshift::http {
 namespace {
@@ -26,10 +25,6 @@
 // Size of the receive buffer, one per open transfer.
 constexpr long kReadBuffer = 4 << 10;  // NOLINT(google-runtime-int)
 
-// Heads that are longer, with all interim ones, are given up. Callers accept
-// far less, and libcurl would go on reading.
-constexpr size_t kMaxHeadBytes = 64 << 10;
-
 // Maximum number of curl handles kept for reuse.
 constexpr size_t kMaxSpareHandles = 256;
 
@@ -45,27 +40,14 @@
   curl_slist* relay_headers = nullptr;
   ClientRequest request;
   TransferCallbacks callbacks;
-  int status = 0;
-  Headers headers;
-  bool head_received = false;
-  size_t head_bytes = 0;  // of all heads and trailers
-  bool sent = false;      // the request may have been sent, in part or whole
+  ResponseHead head;
+  bool sent = false;  // the request may have been sent, in part or whole
   CurlClient* client = nullptr;
   // No more callbacks are called; removed once curl has returned.
   bool cancelled = false;
   curl_socket_t descriptor = CURL_SOCKET_BAD;  // used now or last
 };
 
-bool HasHeader(const Headers& headers, std::string_view name) {
-  return std::ranges::any_of(headers, [name](const auto& header) {
-    return std::ranges::equal(header.first, name, [](char a, char b) {
-      return std::tolower(static_cast<unsigned char>(a)) == b;
-    });
-  });
-}
-
-bool IsInterim(int status) { return status >= 100 && status < 200; }
-
 class CurlClient : public Client {
  public:
   CurlClient(loop::Loop& loop, const ClientOptions& options)
@@ -231,37 +213,19 @@
 
   static bool OnHeaderLine(Transfer& transfer, std::string_view line) {
     if (transfer.cancelled) return false;
-    transfer.head_bytes += line.size();
-    if (transfer.head_bytes > kMaxHeadBytes) return false;
-    while (!line.empty() && (line.back() == '\r' || line.back() == '\n'))
-      line.remove_suffix(1);
-    if (line.starts_with("HTTP/")) {
-      transfer.headers.clear();
-      const size_t space = line.find(' ');
-      if (space == std::string_view::npos) return false;
-      std::from_chars(line.data() + space + 1, line.data() + line.size(),
-                      transfer.status);
-    } else if (!line.empty()) {
-      AddHeader(transfer, line);
-    } else if (!IsInterim(transfer.status) && !transfer.head_received) {
-      transfer.head_received = true;
-      const auto& on_head = transfer.callbacks.on_head;
-      if (on_head) on_head(transfer.status, transfer.headers);
+    switch (transfer.head.Take(line)) {
+      case HeadLine::kTaken:
+        return true;
+      case HeadLine::kLast:
+        break;
+      case HeadLine::kRefused:
+        return false;
     }
+    const auto& on_head = transfer.callbacks.on_head;
+    if (on_head) on_head(transfer.head.Status(), transfer.head.GetHeaders());
     return !transfer.cancelled;
   }
 
-  static void AddHeader(Transfer& transfer, std::string_view line) {
-    const size_t colon = line.find(':');
-    if (colon == std::string_view::npos) return;
-    std::string name(line.substr(0, colon));
-    for (char& c : name)
-      c = static_cast<char>(std::tolower(static_cast<unsigned char>(c)));
-    line.remove_prefix(colon + 1);
-    while (!line.empty() && line.front() == ' ') line.remove_prefix(1);
-    transfer.headers.emplace_back(std::move(name), std::string(line));
-  }
-
   // Records the last transfer that used a descriptor, until the descriptor is
   // closed. A paused transfer polls for no events but still uses it.
   void RecordSocketUser(CURL* handle, curl_socket_t descriptor, int what) {
@@ -394,21 +358,7 @@
     curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, OnData);
     curl_easy_setopt(handle, CURLOPT_WRITEDATA, &transfer);
     SetMethod(handle, request);
-    std::string line;
-    for (const auto& [name, value] : request.headers) {
-      line.assign(name).append(": ").append(value);
-      transfer.header_list =
-          curl_slist_append(transfer.header_list, line.c_str());
-    }
-    // Send the body without waiting for "100 Continue".
-    transfer.header_list = curl_slist_append(transfer.header_list, "Expect:");
-    // Suppress headers that curl would add by default.
-    for (const char* own : {"accept", "content-type"}) {
-      if (HasHeader(request.headers, own)) continue;
-      line.assign(own).append(":");
-      transfer.header_list =
-          curl_slist_append(transfer.header_list, line.c_str());
-    }
+    transfer.header_list = MakeHeaderList(request.headers);
     curl_easy_setopt(handle, CURLOPT_HTTPHEADER, transfer.header_list);
   }
 
@@ -433,23 +383,6 @@
     curl_easy_setopt(handle, CURLOPT_PROXYHEADER, transfer.relay_headers);
   }
 
-  static void SetMethod(CURL* handle, const ClientRequest& request) {
-    if (request.method == "GET" && request.body.empty()) {
-      curl_easy_setopt(handle, CURLOPT_HTTPGET, 1L);
-      return;
-    }
-    if (request.method == "HEAD") {
-      curl_easy_setopt(handle, CURLOPT_NOBODY, 1L);
-      return;
-    }
-    curl_easy_setopt(handle, CURLOPT_POST, 1L);
-    curl_easy_setopt(handle, CURLOPT_POSTFIELDS, request.body.data());
-    curl_easy_setopt(handle, CURLOPT_POSTFIELDSIZE_LARGE,
-                     static_cast<curl_off_t>(request.body.size()));
-    if (request.method != "POST")
-      curl_easy_setopt(handle, CURLOPT_CUSTOMREQUEST, request.method.c_str());
-  }
-
   void HandleFinishedTransfers() {
     int left = 0;
     while (const CURLMsg* message = curl_multi_info_read(m_multi, &left)) {
@@ -466,19 +399,15 @@
   }
 
   static TransferEnd EndOf(const Transfer& transfer, CURLcode result) {
-    if (result == CURLE_OK && transfer.head_received)
-      return TransferEnd::kWhole;
+    const ResponseHead& head = transfer.head;
+    if (result == CURLE_OK && head.IsReceived()) return TransferEnd::kWhole;
     if (!transfer.sent) return NotSentEnd(transfer);
     if (result == CURLE_OPERATION_TIMEDOUT) return TransferEnd::kTimedOut;
-    if (IsHeadTooLarge(transfer, result)) return TransferEnd::kTooLarge;
-    return transfer.head_received ? TransferEnd::kCut
-                                  : TransferEnd::kFailedBeforeHead;
-  }
-
-  // libcurl gives a single line up by itself, and says that it has no memory.
-  static bool IsHeadTooLarge(const Transfer& transfer, CURLcode result) {
-    return transfer.head_bytes > kMaxHeadBytes ||
-           (!transfer.head_received && result == CURLE_OUT_OF_MEMORY);
+    // libcurl gives a single line up by itself, and says that it has no memory.
+    const bool long_line = !head.IsReceived() && result == CURLE_OUT_OF_MEMORY;
+    if (head.IsTooLarge() || long_line) return TransferEnd::kTooLarge;
+    return head.IsReceived() ? TransferEnd::kCut
+                             : TransferEnd::kFailedBeforeHead;
   }
 
   // Only a relay that says so has tried to connect to the server.
--- /dev/null
+++ b/src/dotterelshift/http/curl_request.h
@@ -0,0 +1,19 @@
+#ifndef DOTTERELSHIFT_SRC_HTTP_CURL_REQUEST_H_
+#define DOTTERELSHIFT_SRC_HTTP_CURL_REQUEST_H_
+
+#include <curl/curl.h>  // for CURL
+
+#include "dotterelshift/http/client.h"  // for ClientRequest
+
+namespace dotterelshift::http {
+
+// The headers, as libcurl takes them, without those that it would add by
+// default. The caller frees the list.
+curl_slist* MakeHeaderList(const Headers& headers);
+
+// Sets the method and the body, which must outlive the transfer.
+void SetMethod(CURL* handle, const ClientRequest& request);
+
+}  // namespace dotterelshift::http
+
+#endif  // DOTTERELSHIFT_SRC_HTTP_CURL_REQUEST_H_
