--- a/src/dotterelshift/app/control.cc
+++ b/src/dotterelshift/app/control.cc
@@ -1,8 +1,9 @@
-#include <algorithm>  // for find
-#include <map>        // for map
-#include <string>     // for string
-#include <utility>    // for move
+#include <map>      // for map
+#include <string>   // for string
+#include <utility>  // for move
 
+#include "dotterelshift/app/command_id.h"          // for MakeCommandId
+#include "dotterelshift/app/control_options.h"     // for FirstMembersOf
 #include "dotterelshift/app/control_replica.h"     // for ControlReplica
 #include "dotterelshift/app/daemon.h"              // for Daemon
 #include "dotterelshift/app/dial_log.h"            // for LogDial
@@ -33,37 +34,6 @@
 // Shorter than the longest delivery time that the order core allows for.
 constexpr Duration kOrderTimeout = 8s;
 
-std::vector<HostId> FirstMembers(const settings::Settings& settings) {
-  if (!settings.found_group) return settings.first_members;
-  std::vector<HostId> members;
-  for (const std::string& seed : settings.seeds)
-    members.push_back(PeerAddressOf(seed, settings.peer_port));
-  const bool own =
-      std::find(members.begin(), members.end(), settings.host) != members.end();
-  return own ? members : std::vector<HostId>{};
-}
-
-// A leader's lease ends before any replica may start an election.
-Duration LeaseOf(Duration election_timeout) {
-  constexpr int kLeaseDivisor = 6;
-  return election_timeout / kLeaseDivisor * (kLeaseDivisor - 1);
-}
-
-// With published routes the entries only receive gossip, so control sends to
-// each of them.
-// Passes on each heartbeat of endpoints, as it proves to entries which software
-// version is at the other end of their connections.
-constexpr Duration kMinPulseInterval = 500ms;
-
-directory::SpreadOptions SpreadOptionsOf(const settings::Settings& settings) {
-  constexpr size_t kAll = 1000;
-  directory::SpreadOptions options;
-  options.min_pulse_interval = kMinPulseInterval;
-  options.self = settings.host;
-  if (settings.gateway) options.fan_out = kAll;
-  return options;
-}
-
 // The control role: runs one replica of the state and serves the entries that
 // propose to it and the operators.
 class Control : public Daemon {
@@ -139,7 +109,7 @@
       m_self{settings.host, incarnation},
       m_secret(settings::ReadSecret(settings.secret_file)),
       m_adapter(std::move(adapter)),
-      m_directory(loop, SpreadOptionsOf(settings), {},
+      m_directory(loop, ControlSpreadOptionsOf(settings), {},
                   {[] {}, [](const std::vector<wire::CacheEventT>&) {}}),
       m_metrics(telemetry::MakeMetrics()),
       m_client(http::MakeClient(loop)),
@@ -166,7 +136,7 @@
   ControlReplicaOptions options;
   options.node.seed = incarnation;
   options.store.folder = settings.data_folder;
-  options.first_members = FirstMembers(settings);
+  options.first_members = FirstMembersOf(settings);
   options.self = settings.host;
   options.self_address = settings.address + ":" + std::to_string(m_hub->Port());
   options.self_healing = settings.self_healing;
@@ -466,11 +436,7 @@
 }
 
 std::unique_ptr<wire::CommandIdT> Control::NextId() {
-  auto id = std::make_unique<wire::CommandIdT>();
-  id->host = m_self.host;
-  id->incarnation = m_self.incarnation;
-  id->sequence = ++m_sequence;
-  return id;
+  return MakeCommandId(m_self, ++m_sequence);
 }
 
 // Dials a hub address received from another daemon; ignores invalid ones.
--- /dev/null
+++ b/src/dotterelshift/app/control_options.cc
@@ -0,0 +1,42 @@
+#include "dotterelshift/app/control_options.h"
+
+#include <algorithm>  // for find
+#include <string>     // for string
+
+#include "dotterelshift/app/hub_options.h"  // for PeerAddressOf
+
+namespace dotterelshift::app {
+namespace {
+
+// Passes on each heartbeat of endpoints, as it proves to entries which software
+// version is at the other end of their connections.
+constexpr Duration kMinPulseInterval = 500ms;
+
+}  // namespace
+
+std::vector<HostId> FirstMembersOf(const settings::Settings& settings) {
+  if (!settings.found_group) return settings.first_members;
+  std::vector<HostId> members;
+  for (const std::string& seed : settings.seeds)
+    members.push_back(PeerAddressOf(seed, settings.peer_port));
+  const bool own =
+      std::find(members.begin(), members.end(), settings.host) != members.end();
+  return own ? members : std::vector<HostId>{};
+}
+
+Duration LeaseOf(Duration election_timeout) {
+  constexpr int kLeaseDivisor = 6;
+  return election_timeout / kLeaseDivisor * (kLeaseDivisor - 1);
+}
+
+directory::SpreadOptions ControlSpreadOptionsOf(
+    const settings::Settings& settings) {
+  constexpr size_t kAll = 1000;
+  directory::SpreadOptions options;
+  options.min_pulse_interval = kMinPulseInterval;
+  options.self = settings.host;
+  if (settings.gateway) options.fan_out = kAll;
+  return options;
+}
+
+}  // namespace dotterelshift::app
--- a/src/dotterelshift/app/gateway_entry.cc
+++ b/src/dotterelshift/app/gateway_entry.cc
@@ -2,6 +2,7 @@
 #include <string>    // for string
 #include <utility>   // for move
 
+#include "dotterelshift/app/command_id.h"             // for MakeCommandId
 #include "dotterelshift/app/control_link.h"           // for ControlLink
 #include "dotterelshift/app/daemon.h"                 // for Daemon
 #include "dotterelshift/app/dial_log.h"               // for LogDial
@@ -34,10 +35,6 @@
 // named or lifted them: some heartbeats.
 constexpr Duration kLimitNotesMemory = 3s;
 
-ResponseBounds ResponseBoundsOf(const settings::Settings& settings) {
-  return {settings.max_response_bytes, settings.max_held_response_bytes};
-}
-
 // The entry role under published routes: connects callers with endpoints and
 // control through the gateway's core.
 class GatewayEntry : public Daemon {
@@ -355,11 +352,7 @@
 }
 
 std::unique_ptr<wire::CommandIdT> GatewayEntry::NextId() {
-  auto id = std::make_unique<wire::CommandIdT>();
-  id->host = m_registration.Self().host;
-  id->incarnation = m_registration.Self().incarnation;
-  id->sequence = ++m_sequence;
-  return id;
+  return MakeCommandId(m_registration.Self(), ++m_sequence);
 }
 
 void GatewayEntry::DialMembers() {
--- a/src/dotterelshift/app/gateway_options.cc
+++ b/src/dotterelshift/app/gateway_options.cc
@@ -102,4 +102,8 @@
   return options;
 }
 
+ResponseBounds ResponseBoundsOf(const settings::Settings& settings) {
+  return {settings.max_response_bytes, settings.max_held_response_bytes};
+}
+
 }  // namespace dotterelshift::app
--- a/src/dotterelshift/app/gateway_options.h
+++ b/src/dotterelshift/app/gateway_options.h
@@ -2,6 +2,7 @@
 #define DOTTERELSHIFT_SRC_APP_GATEWAY_OPTIONS_H_
 
 #include "dotterelshift/app/control_link.h"        // for ControlLinkOptions
+#include "dotterelshift/app/gateway_traffic.h"     // for ResponseBounds
 #include "dotterelshift/app/registration.h"        // for RegistrationOptions
 #include "dotterelshift/directory/directory.h"     // for DirectoryOptions
 #include "dotterelshift/directory/spread.h"        // for SpreadOptions
@@ -34,6 +35,7 @@
 gateway::SendPacerOptions SendPacerOptionsOf(
     const settings::Settings& settings);
 gateway::CoreOptions CoreOptionsOf(Incarnation incarnation);
+ResponseBounds ResponseBoundsOf(const settings::Settings& settings);
 
 }  // namespace dotterelshift::app
 
--- a/src/dotterelshift/app/registration.cc
+++ b/src/dotterelshift/app/registration.cc
@@ -1,10 +1,10 @@
 #include "dotterelshift/app/registration.h"
 
-#include <memory>   // for make_unique
 #include <utility>  // for move
 
-#include "dotterelshift/base/error.h"     // for ErrorKind
-#include "dotterelshift/telemetry/log.h"  // for Log
+#include "dotterelshift/app/command_id.h"  // for MakeCommandId
+#include "dotterelshift/base/error.h"      // for ErrorKind
+#include "dotterelshift/telemetry/log.h"   // for Log
 
 namespace dotterelshift::app {
 
@@ -14,10 +14,7 @@
 wire::CommandT Registration::Command(uint64_t sequence) {
   m_sequence = sequence;
   wire::CommandT command;
-  command.id = std::make_unique<wire::CommandIdT>();
-  command.id->host = m_options.self.host;
-  command.id->incarnation = m_options.self.incarnation;
-  command.id->sequence = sequence;
+  command.id = MakeCommandId(m_options.self, sequence);
   wire::RegisterHostT host;
   host.data_centre = m_options.data_centre;
   host.address = m_options.address;
