Replica tests: each start of a replica has election timeouts of its own

Cause, by a trace of 401 runs, 24 at a time: one failed and ten took more than 3 s. In each the host that the test kills and starts again won every election, 205 in 30 s, 158 ms apart, with both logs alike. ReplicaGroup gave each start the same seed, so that this host drew the same first timeout each time; where that was short, the host that should lead won next to never. Daemons use their incarnation as the seed, which no start repeats. So does ReplicaGroup now, with the number of starts. The test is as it was.

Ruled out: logs that differ (the same last index in all lines), load alone.

--- a/src/dotterelshift/app/replica_group.h
+++ b/src/dotterelshift/app/replica_group.h
@@ -35,6 +35,9 @@
     options.store.folder = started.folder->Path();
     options.first_members = m_first_members;
     options.self = host;
+    // As in daemons, each start has other election timeouts. With the same ones
+    // a host that is started again and again may win each election.
+    options.node.seed = ++m_starts;
     ControlReplicaCallbacks callbacks;
     callbacks.send = [this, host](const HostId& to, const wire::FrameT& frame) {
       Deliver(host, to, frame);
@@ -159,6 +162,7 @@
   std::map<HostId, Host> m_hosts;
   state::TestSender m_run{nullptr, "operator", 1};
   int m_plans = 0;
+  uint64_t m_starts = 0;
 };
 
 }  // namespace dotterelshift::app
