Logs: whether a resumed stream got events, and on which connection they waited

Before: a resumed request that ended without an event looked like any other that failed, and withheld events did not say how old their connection was, nor whether the origin or the endpoint lacked its proof. No decision changes.

--- a/include/dotterelshift/gateway/core.h
+++ b/include/dotterelshift/gateway/core.h
@@ -157,6 +157,8 @@
   uint64_t accepted = 0;  // sent to an endpoint of the stream's version
   uint64_t refused = 0;   // for all reasons
   std::map<std::string_view, uint64_t> refused_for;  // by reason
+  // Accepted, and ended without an event: by outcome.
+  std::map<std::string, uint64_t> failed_for;
   uint64_t withheld = 0;    // events were held back until proven
   uint64_t mismatched = 0;  // an endpoint turned out to have another version
 };
--- a/src/dotterelshift/app/gauges.cc
+++ b/src/dotterelshift/app/gauges.cc
@@ -127,6 +127,11 @@
         "dotterelshift_resumptions_refused_" + std::string(why) + "_total",
         "Of these, for this reason", Number(count));
   }
+  for (const auto& [outcome, count] : counts.failed_for) {
+    metrics.SetCounter("dotterelshift_resumptions_failed_" + outcome + "_total",
+                       "Sent to an endpoint, and ended without an event",
+                       Number(count));
+  }
   metrics.SetCounter("dotterelshift_resumptions_withheld_total",
                      "Attempts whose events waited for a proof of the version",
                      Number(counts.withheld));
--- a/src/dotterelshift/gateway/core_finish.cc
+++ b/src/dotterelshift/gateway/core_finish.cc
@@ -125,11 +125,20 @@
   summary.total = now - active.arrived;
   summary.spent = TokensSpent(active);
   summary.attempts = static_cast<int>(active.sends);
+  CountResumption(active, summary);
   LogFinish(active, summary, stage, answered, now);
   if (active.due != Instant{}) m_timers.erase({active.due, active.id});
   m_active.erase(active.id);
 }
 
+// A stream that was sent to an endpoint of its version, and did not go on.
+void CoreImpl::CountResumption(const ActiveRequest& active,
+                               const serving::RequestSummary& summary) {
+  const bool failed =
+      active.sends > 0 && active.Resumes() && active.first_event == Instant{};
+  if (failed) ++m_resumptions.failed_for[OutcomeOf(summary.error)];
+}
+
 // What this entry believes of the endpoints of the request's service: none may
 // be left, or it may be this entry that reaches none.
 void CoreImpl::AddEndpointCounts(const ActiveRequest& active, Instant now,
@@ -162,6 +171,11 @@
     const Duration left = active.arrived + active.route->timeout - now;
     inputs.emplace_back("left_of_timeout_ms", std::to_string(ToMs(left)));
   }
+  if (active.route != nullptr && active.Resumes()) {
+    inputs.emplace_back("resumes", active.info.first_caller_id);
+    inputs.emplace_back("got_event",
+                        active.first_event != Instant{} ? "yes" : "no");
+  }
   if (summary.error == ErrorKind::kNoEndpoint)
     AddEndpointCounts(active, now, inputs);
   // Whether the bytes of the last attempt were acknowledged tells a slow
--- a/src/dotterelshift/gateway/core_impl.h
+++ b/src/dotterelshift/gateway/core_impl.h
@@ -269,6 +269,8 @@
   static void AddLookup(const ActiveRequest& active, LogInputs& inputs);
   void AddEndpointCounts(const ActiveRequest& active, Instant now,
                          LogInputs& inputs) const;
+  void CountResumption(const ActiveRequest& active,
+                       const serving::RequestSummary& summary);
   void LogFinish(const ActiveRequest& active,
                  const serving::RequestSummary& summary, Stage stage,
                  bool answered, Instant now);
--- a/src/dotterelshift/gateway/core_streams.cc
+++ b/src/dotterelshift/gateway/core_streams.cc
@@ -18,6 +18,12 @@
       });
 }
 
+// For the log; empty: not known.
+std::string ConnectedMsAgo(const Attempt& attempt, Instant now) {
+  if (attempt.connected_at == Instant{}) return "";
+  return std::to_string(ToMs(now - attempt.connected_at));
+}
+
 }  // namespace
 
 std::string_view NameOf(BindingSource source) {
@@ -259,6 +265,7 @@
     Log("stream_released", active,
         {{"endpoint", attempt.endpoint.id},
          {"withheld_ms", std::to_string(ToMs(now - attempt.withheld_since))},
+         {"connected_ms_ago", ConnectedMsAgo(attempt, now)},
          {"bytes", std::to_string(attempt.withheld.size())},
          {"broken", attempt.broken ? "yes" : "no"}});
   }
@@ -300,6 +307,8 @@
                                             : "not_proven"},
        {"bound_to",
         m_dependencies.versions->NameOf(active.binding->origin.software)},
+       {"origin_proven", active.binding->origin.proven ? "yes" : "no"},
+       {"connected_ms_ago", ConnectedMsAgo(attempt, now)},
        {"withheld_ms", std::to_string(ToMs(now - attempt.withheld_since))}});
   if (attempt.broken) return Fail(active, ErrorKind::kEndpointFailed, 0s, now);
   const bool may_retry = fit != Fit::kOriginUnclear && MayRunAgain(active);
