Tests that fail: streams that callers resume on new connections wait for a proof

Callers of a large fleet with two software versions get no event of a resumed stream for 1.5 s, and many none at all. CoreStreamsTest::ResumedStreamGetsItsEventsAtOnce: nothing is passed on. With one version there is no wait.

--- a/src/dotterelshift/gateway/core_streams_test.cc
+++ b/src/dotterelshift/gateway/core_streams_test.cc
@@ -20,6 +20,7 @@
   CPPUNIT_TEST(OriginOfAnotherTeamIsUnknown);
   CPPUNIT_TEST(VersionThatHasLeftIsRefusedAtOnce);
   CPPUNIT_TEST(OneVersionIsEnoughIfAllEndpointsAreKnown);
+  CPPUNIT_TEST(ResumedStreamGetsItsEventsAtOnce);
   CPPUNIT_TEST(EventsAreWithheldUntilTheVersionIsProven);
   CPPUNIT_TEST(EndpointThatTurnsOutToHaveAnotherVersionIsLeft);
   CPPUNIT_TEST(CompleteResponseIsWithheldToo);
@@ -135,6 +136,19 @@
     CPPUNIT_ASSERT_EQUAL(size_t{1}, Count<StartAttempt>());
   }
 
+  // Its endpoint has not announced itself since the connection was established.
+  void ResumedStreamGetsItsEventsAtOnce() {
+    Tell("first", "v1");
+    Resume("first");
+    const StartAttempt start = Only<StartAttempt>();
+    m_core->OnHandedOver(start.attempt, m_now);
+    Head(start.attempt, 200, true);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, Count<RelayHead>());
+    Chunk(start.attempt, "id: 4\ndata: x\n\n");
+    CPPUNIT_ASSERT_EQUAL(std::string("id: 4\ndata: x\n\n"),
+                         Only<RelayChunk>().bytes);
+  }
+
   void EventsAreWithheldUntilTheVersionIsProven() {
     const StartAttempt start = ResumeOnNewConnection();
     Chunk(start.attempt, "id: 4\ndata: x\n\n");
