--- a/include/dotterelshift/directory/directory.h
+++ b/include/dotterelshift/directory/directory.h
@@ -7,6 +7,7 @@
 #include <string>         // for string
 #include <unordered_map>  // for unordered_map
 #include <unordered_set>  // for unordered_set
+#include <utility>        // for exchange
 #include <vector>         // for vector
 
 #include "dotterelshift/base/ids.h"               // for EndpointId
@@ -50,10 +51,19 @@
   uint32_t age_ms = 0;
 };
 
+// Two records of one incarnation that name different software.
+struct Contradiction {
+  EndpointId endpoint;
+  std::string known_version;
+  std::string version;
+};
+
 // The endpoints that announced themselves to this daemon or to another. Soft
 // state: records are versioned by (incarnation, sequence). Draining and gone
 // are sticky within an incarnation, so that late or reordered updates never
-// revive an endpoint.
+// revive an endpoint. An incarnation has one service and software version for
+// its life: one that names another is marked as gone, since which of them
+// answers cannot be told.
 class Directory {
  public:
   explicit Directory(const DirectoryOptions& options = {})
@@ -85,6 +95,12 @@
   // The records that changed since the last call, to be disseminated.
   wire::DirectoryDeltaT TakeDelta(Instant now);
 
+  // Endpoints marked as gone since the last call, as they contradicted
+  // themselves, for the log.
+  std::vector<Contradiction> TakeContradictions() {
+    return std::exchange(m_contradictions, {});
+  }
+
   // The record with its current age, as it is sent to other daemons.
   wire::EndpointRecordT AgedRecord(const Endpoint& endpoint, Instant now) const;
 
@@ -110,6 +126,10 @@
   bool CheckTombstone(wire::EndpointRecordT* record);
   bool IsUsable(const Endpoint& endpoint, Instant now) const;
   void UpdateUsable(Endpoint* endpoint, Instant now);
+  // Marks the update as gone if it contradicts what is known of the same
+  // incarnation.
+  void CheckSoftware(const wire::EndpointRecordT& known,
+                     wire::EndpointRecordT* update);
   RecordUpdate AddEndpoint(wire::EndpointRecordT record, Instant now);
   RecordUpdate MergeStickyFlags(Endpoint* endpoint,
                                 const wire::EndpointRecordT& late, Instant now);
@@ -118,6 +138,7 @@
   std::unordered_map<EndpointId, Endpoint> m_endpoints;
   std::unordered_map<EndpointId, Tombstone> m_tombstones;
   std::unordered_set<EndpointId> m_changed;
+  std::vector<Contradiction> m_contradictions;
   Duration m_remote_silence_timeout = 0s;
   uint64_t m_generation = 1;
 };
--- a/include/dotterelshift/gateway/core.h
+++ b/include/dotterelshift/gateway/core.h
@@ -72,10 +72,6 @@
   // How long it may take until a broken attempt's endpoint is known to have
   // ended: a connection to it is refused, and others are heard from.
   Duration crash_decision_time = 500ms;
-  // How long a resumed stream's events are withheld until it is proven that
-  // their endpoint has the version that began the stream: a heartbeat of the
-  // endpoint and its way here.
-  Duration max_withhold = 3s;
   // A stream and its caller's attempts to resume it take at most this many
   // times the route's timeout.
   int stream_life_timeouts = 2;
@@ -159,8 +155,6 @@
   std::map<std::string_view, uint64_t> refused_for;  // by reason
   // Accepted, and ended without an event: by outcome.
   std::map<std::string, uint64_t> failed_for;
-  uint64_t withheld = 0;    // events were held back until proven
-  uint64_t mismatched = 0;  // an endpoint turned out to have another version
 };
 
 // Handles requests under the published routes from arrival to the last byte:
@@ -196,8 +190,6 @@
   virtual void OnCallerSlow(RequestId request, bool slow, Instant now) = 0;
   // A new connection was established for the attempt.
   virtual void OnConnected(AttemptId attempt, Instant now) = 0;
-  // The attempt's request is handed to a connection that was established then.
-  virtual void OnHandedOver(AttemptId attempt, Instant connected_at) = 0;
   // Bytes of the attempt, which has no response yet, stay unacknowledged.
   virtual void OnUnacknowledged(AttemptId attempt, Instant now) = 0;
   // The attempt was withdrawn: no byte of it was sent, and none will be.
@@ -226,7 +218,7 @@
   virtual std::vector<SuspectReport> TakeSuspectReports() = 0;
   virtual size_t OpenRequests() const = 0;
   // Bytes of the attempt's response that are held: of an event that is not
-  // complete, and of events that are withheld.
+  // complete.
   virtual size_t HeldBytes(AttemptId attempt) const = 0;
   virtual LinkQueue WaitingForLink() const = 0;
   virtual const ResumptionCounts& Resumptions() const = 0;
@@ -245,7 +237,6 @@
   SendPacer* pacer = nullptr;      // null: sending is not paced
   EndpointPaths* paths = nullptr;  // null: endpoints are never relayed
   ServiceVersions* versions = nullptr;
-  EndpointRuns* runs = nullptr;
   StreamOrigins* origins = nullptr;
   OriginLookup* lookup = nullptr;     // null: no other entry is asked
   CrashSuspects* suspects = nullptr;  // null: segments are not suspected
--- a/include/dotterelshift/gateway/named_limits.h
+++ b/include/dotterelshift/gateway/named_limits.h
@@ -9,11 +9,11 @@
 #include <unordered_map>  // for unordered_map
 #include <vector>         // for vector
 
-#include "dotterelshift/base/time.h"              // for Instant
-#include "dotterelshift/gateway/endpoint_runs.h"  // for EndpointIdKey
-#include "dotterelshift/gateway/fleet_load.h"     // for EndpointKey
-#include "dotterelshift/gateway/request.h"        // for EndpointLimits
-#include "dotterelshift/wire/frames_generated.h"  // for LimitNote
+#include "dotterelshift/base/time.h"                // for Instant
+#include "dotterelshift/gateway/endpoint_id_key.h"  // for EndpointIdKey
+#include "dotterelshift/gateway/fleet_load.h"       // for EndpointKey
+#include "dotterelshift/gateway/request.h"          // for EndpointLimits
+#include "dotterelshift/wire/frames_generated.h"    // for LimitNote
 
 namespace dotterelshift::gateway {
 
--- a/include/dotterelshift/gateway/origin_lookup.h
+++ b/include/dotterelshift/gateway/origin_lookup.h
@@ -102,7 +102,6 @@
   std::vector<OriginQuestion> TakeQuestions(Instant now);
   std::vector<EndedLookup> TakeEnded() { return std::exchange(m_ended, {}); }
   size_t Open() const { return m_lookups.size(); }
-  bool IsOpen(StreamKey stream) const { return m_lookups.contains(stream); }
 
  private:
   struct Candidate {
--- a/include/dotterelshift/gateway/origin_responder.h
+++ b/include/dotterelshift/gateway/origin_responder.h
@@ -27,13 +27,13 @@
 
 // What an entry answers to one other entry, in one frame.
 struct OriginAnswer {
-  OriginUpdates known;
+  std::vector<wire::StreamOrigin> known;
   std::vector<StreamKey> unclear;  // two origins of the stream differ
   std::vector<StreamKey> missing;
   bool starting = false;  // what is missing may have begun here all the same
 
   bool IsEmpty() const {
-    return known.Count() == 0 && unclear.empty() && missing.empty();
+    return known.empty() && unclear.empty() && missing.empty();
   }
 };
 
--- a/include/dotterelshift/gateway/permit_schedule.h
+++ b/include/dotterelshift/gateway/permit_schedule.h
@@ -8,10 +8,10 @@
 #include <utility>        // for pair
 #include <vector>         // for vector
 
-#include "dotterelshift/base/ids.h"               // for HostId
-#include "dotterelshift/base/time.h"              // for Instant
-#include "dotterelshift/gateway/endpoint_runs.h"  // for EndpointIdKey
-#include "dotterelshift/gateway/request.h"        // for EndpointLimits
+#include "dotterelshift/base/ids.h"                 // for HostId
+#include "dotterelshift/base/time.h"                // for Instant
+#include "dotterelshift/gateway/endpoint_id_key.h"  // for EndpointIdKey
+#include "dotterelshift/gateway/request.h"          // for EndpointLimits
 
 namespace dotterelshift::gateway {
 
--- a/include/dotterelshift/http/client.h
+++ b/include/dotterelshift/http/client.h
@@ -49,7 +49,6 @@
   size_t bytes = 0;
   bool new_connection = false;
   Duration connected_in = 0s;  // time to connect; 0 for a reused connection
-  Instant connected_at{};      // when the connection was established, or later
 };
 
 // Callbacks of a transfer, called on the loop's thread and never after
--- a/include/dotterelshift/wire/frames_generated.h
+++ b/include/dotterelshift/wire/frames_generated.h
@@ -146,9 +146,7 @@
 
 struct LoadNote;
 
-struct ProvenOrigin;
-
-struct PendingOrigin;
+struct StreamOrigin;
 
 struct TroubleNote;
 
@@ -962,18 +960,18 @@
   using type = LoadNote;
 };
 
-FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) ProvenOrigin FLATBUFFERS_FINAL_CLASS {
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) StreamOrigin FLATBUFFERS_FINAL_CLASS {
  private:
   uint64_t stream_;
   uint64_t software_;
 
  public:
   struct Traits;
-  ProvenOrigin()
+  StreamOrigin()
       : stream_(0),
         software_(0) {
   }
-  ProvenOrigin(uint64_t _stream, uint64_t _software)
+  StreamOrigin(uint64_t _stream, uint64_t _software)
       : stream_(flatbuffers::EndianScalar(_stream)),
         software_(flatbuffers::EndianScalar(_software)) {
   }
@@ -984,56 +982,10 @@
     return flatbuffers::EndianScalar(software_);
   }
 };
-FLATBUFFERS_STRUCT_END(ProvenOrigin, 16);
+FLATBUFFERS_STRUCT_END(StreamOrigin, 16);
 
-struct ProvenOrigin::Traits {
-  using type = ProvenOrigin;
-};
-
-FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) PendingOrigin FLATBUFFERS_FINAL_CLASS {
- private:
-  uint64_t stream_;
-  uint64_t software_;
-  uint64_t endpoint_;
-  uint32_t connected_ms_;
-  uint32_t received_ms_;
-
- public:
-  struct Traits;
-  PendingOrigin()
-      : stream_(0),
-        software_(0),
-        endpoint_(0),
-        connected_ms_(0),
-        received_ms_(0) {
-  }
-  PendingOrigin(uint64_t _stream, uint64_t _software, uint64_t _endpoint, uint32_t _connected_ms, uint32_t _received_ms)
-      : stream_(flatbuffers::EndianScalar(_stream)),
-        software_(flatbuffers::EndianScalar(_software)),
-        endpoint_(flatbuffers::EndianScalar(_endpoint)),
-        connected_ms_(flatbuffers::EndianScalar(_connected_ms)),
-        received_ms_(flatbuffers::EndianScalar(_received_ms)) {
-  }
-  uint64_t stream() const {
-    return flatbuffers::EndianScalar(stream_);
-  }
-  uint64_t software() const {
-    return flatbuffers::EndianScalar(software_);
-  }
-  uint64_t endpoint() const {
-    return flatbuffers::EndianScalar(endpoint_);
-  }
-  uint32_t connected_ms() const {
-    return flatbuffers::EndianScalar(connected_ms_);
-  }
-  uint32_t received_ms() const {
-    return flatbuffers::EndianScalar(received_ms_);
-  }
-};
-FLATBUFFERS_STRUCT_END(PendingOrigin, 32);
-
-struct PendingOrigin::Traits {
-  using type = PendingOrigin;
+struct StreamOrigin::Traits {
+  using type = StreamOrigin;
 };
 
 FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) TroubleNote FLATBUFFERS_FINAL_CLASS {
@@ -4917,8 +4869,7 @@
 struct LoadNotesT : public flatbuffers::NativeTable {
   typedef LoadNotes TableType;
   std::vector<dotterelshift::wire::LoadNote> notes{};
-  std::vector<dotterelshift::wire::ProvenOrigin> proven_origins{};
-  std::vector<dotterelshift::wire::PendingOrigin> pending_origins{};
+  std::vector<dotterelshift::wire::StreamOrigin> origins{};
   std::vector<dotterelshift::wire::TroubleNote> troubles{};
 };
 
@@ -4928,18 +4879,14 @@
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_NOTES = 4,
-    VT_PROVEN_ORIGINS = 6,
-    VT_PENDING_ORIGINS = 8,
+    VT_ORIGINS = 6,
     VT_TROUBLES = 10
   };
   const flatbuffers::Vector<const dotterelshift::wire::LoadNote *> *notes() const {
     return GetPointer<const flatbuffers::Vector<const dotterelshift::wire::LoadNote *> *>(VT_NOTES);
   }
-  const flatbuffers::Vector<const dotterelshift::wire::ProvenOrigin *> *proven_origins() const {
-    return GetPointer<const flatbuffers::Vector<const dotterelshift::wire::ProvenOrigin *> *>(VT_PROVEN_ORIGINS);
-  }
-  const flatbuffers::Vector<const dotterelshift::wire::PendingOrigin *> *pending_origins() const {
-    return GetPointer<const flatbuffers::Vector<const dotterelshift::wire::PendingOrigin *> *>(VT_PENDING_ORIGINS);
+  const flatbuffers::Vector<const dotterelshift::wire::StreamOrigin *> *origins() const {
+    return GetPointer<const flatbuffers::Vector<const dotterelshift::wire::StreamOrigin *> *>(VT_ORIGINS);
   }
   const flatbuffers::Vector<const dotterelshift::wire::TroubleNote *> *troubles() const {
     return GetPointer<const flatbuffers::Vector<const dotterelshift::wire::TroubleNote *> *>(VT_TROUBLES);
@@ -4948,10 +4895,8 @@
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_NOTES) &&
            verifier.VerifyVector(notes()) &&
-           VerifyOffset(verifier, VT_PROVEN_ORIGINS) &&
-           verifier.VerifyVector(proven_origins()) &&
-           VerifyOffset(verifier, VT_PENDING_ORIGINS) &&
-           verifier.VerifyVector(pending_origins()) &&
+           VerifyOffset(verifier, VT_ORIGINS) &&
+           verifier.VerifyVector(origins()) &&
            VerifyOffset(verifier, VT_TROUBLES) &&
            verifier.VerifyVector(troubles()) &&
            verifier.EndTable();
@@ -4968,11 +4913,8 @@
   void add_notes(flatbuffers::Offset<flatbuffers::Vector<const dotterelshift::wire::LoadNote *>> notes) {
     fbb_.AddOffset(LoadNotes::VT_NOTES, notes);
   }
-  void add_proven_origins(flatbuffers::Offset<flatbuffers::Vector<const dotterelshift::wire::ProvenOrigin *>> proven_origins) {
-    fbb_.AddOffset(LoadNotes::VT_PROVEN_ORIGINS, proven_origins);
-  }
-  void add_pending_origins(flatbuffers::Offset<flatbuffers::Vector<const dotterelshift::wire::PendingOrigin *>> pending_origins) {
-    fbb_.AddOffset(LoadNotes::VT_PENDING_ORIGINS, pending_origins);
+  void add_origins(flatbuffers::Offset<flatbuffers::Vector<const dotterelshift::wire::StreamOrigin *>> origins) {
+    fbb_.AddOffset(LoadNotes::VT_ORIGINS, origins);
   }
   void add_troubles(flatbuffers::Offset<flatbuffers::Vector<const dotterelshift::wire::TroubleNote *>> troubles) {
     fbb_.AddOffset(LoadNotes::VT_TROUBLES, troubles);
@@ -4991,13 +4933,11 @@
 inline flatbuffers::Offset<LoadNotes> CreateLoadNotes(
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::Vector<const dotterelshift::wire::LoadNote *>> notes = 0,
-    flatbuffers::Offset<flatbuffers::Vector<const dotterelshift::wire::ProvenOrigin *>> proven_origins = 0,
-    flatbuffers::Offset<flatbuffers::Vector<const dotterelshift::wire::PendingOrigin *>> pending_origins = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const dotterelshift::wire::StreamOrigin *>> origins = 0,
     flatbuffers::Offset<flatbuffers::Vector<const dotterelshift::wire::TroubleNote *>> troubles = 0) {
   LoadNotesBuilder builder_(_fbb);
   builder_.add_troubles(troubles);
-  builder_.add_pending_origins(pending_origins);
-  builder_.add_proven_origins(proven_origins);
+  builder_.add_origins(origins);
   builder_.add_notes(notes);
   return builder_.Finish();
 }
@@ -5010,18 +4950,15 @@
 inline flatbuffers::Offset<LoadNotes> CreateLoadNotesDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     const std::vector<dotterelshift::wire::LoadNote> *notes = nullptr,
-    const std::vector<dotterelshift::wire::ProvenOrigin> *proven_origins = nullptr,
-    const std::vector<dotterelshift::wire::PendingOrigin> *pending_origins = nullptr,
+    const std::vector<dotterelshift::wire::StreamOrigin> *origins = nullptr,
     const std::vector<dotterelshift::wire::TroubleNote> *troubles = nullptr) {
   auto notes__ = notes ? _fbb.CreateVectorOfStructs<dotterelshift::wire::LoadNote>(*notes) : 0;
-  auto proven_origins__ = proven_origins ? _fbb.CreateVectorOfStructs<dotterelshift::wire::ProvenOrigin>(*proven_origins) : 0;
-  auto pending_origins__ = pending_origins ? _fbb.CreateVectorOfStructs<dotterelshift::wire::PendingOrigin>(*pending_origins) : 0;
+  auto origins__ = origins ? _fbb.CreateVectorOfStructs<dotterelshift::wire::StreamOrigin>(*origins) : 0;
   auto troubles__ = troubles ? _fbb.CreateVectorOfStructs<dotterelshift::wire::TroubleNote>(*troubles) : 0;
   return dotterelshift::wire::CreateLoadNotes(
       _fbb,
       notes__,
-      proven_origins__,
-      pending_origins__,
+      origins__,
       troubles__);
 }
 
@@ -5097,8 +5034,7 @@
 
 struct OriginAnswerT : public flatbuffers::NativeTable {
   typedef OriginAnswer TableType;
-  std::vector<dotterelshift::wire::ProvenOrigin> proven_origins{};
-  std::vector<dotterelshift::wire::PendingOrigin> pending_origins{};
+  std::vector<dotterelshift::wire::StreamOrigin> origins{};
   std::vector<uint64_t> unclear{};
   std::vector<uint64_t> missing{};
   bool starting = false;
@@ -5109,17 +5045,13 @@
   typedef OriginAnswerBuilder Builder;
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_PROVEN_ORIGINS = 4,
-    VT_PENDING_ORIGINS = 6,
+    VT_ORIGINS = 4,
     VT_UNCLEAR = 8,
     VT_MISSING = 10,
     VT_STARTING = 12
   };
-  const flatbuffers::Vector<const dotterelshift::wire::ProvenOrigin *> *proven_origins() const {
-    return GetPointer<const flatbuffers::Vector<const dotterelshift::wire::ProvenOrigin *> *>(VT_PROVEN_ORIGINS);
-  }
-  const flatbuffers::Vector<const dotterelshift::wire::PendingOrigin *> *pending_origins() const {
-    return GetPointer<const flatbuffers::Vector<const dotterelshift::wire::PendingOrigin *> *>(VT_PENDING_ORIGINS);
+  const flatbuffers::Vector<const dotterelshift::wire::StreamOrigin *> *origins() const {
+    return GetPointer<const flatbuffers::Vector<const dotterelshift::wire::StreamOrigin *> *>(VT_ORIGINS);
   }
   const flatbuffers::Vector<uint64_t> *unclear() const {
     return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_UNCLEAR);
@@ -5132,10 +5064,8 @@
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
-           VerifyOffset(verifier, VT_PROVEN_ORIGINS) &&
-           verifier.VerifyVector(proven_origins()) &&
-           VerifyOffset(verifier, VT_PENDING_ORIGINS) &&
-           verifier.VerifyVector(pending_origins()) &&
+           VerifyOffset(verifier, VT_ORIGINS) &&
+           verifier.VerifyVector(origins()) &&
            VerifyOffset(verifier, VT_UNCLEAR) &&
            verifier.VerifyVector(unclear()) &&
            VerifyOffset(verifier, VT_MISSING) &&
@@ -5152,11 +5082,8 @@
   typedef OriginAnswer Table;
   flatbuffers::FlatBufferBuilder &fbb_;
   flatbuffers::uoffset_t start_;
-  void add_proven_origins(flatbuffers::Offset<flatbuffers::Vector<const dotterelshift::wire::ProvenOrigin *>> proven_origins) {
-    fbb_.AddOffset(OriginAnswer::VT_PROVEN_ORIGINS, proven_origins);
-  }
-  void add_pending_origins(flatbuffers::Offset<flatbuffers::Vector<const dotterelshift::wire::PendingOrigin *>> pending_origins) {
-    fbb_.AddOffset(OriginAnswer::VT_PENDING_ORIGINS, pending_origins);
+  void add_origins(flatbuffers::Offset<flatbuffers::Vector<const dotterelshift::wire::StreamOrigin *>> origins) {
+    fbb_.AddOffset(OriginAnswer::VT_ORIGINS, origins);
   }
   void add_unclear(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> unclear) {
     fbb_.AddOffset(OriginAnswer::VT_UNCLEAR, unclear);
@@ -5180,16 +5107,14 @@
 
 inline flatbuffers::Offset<OriginAnswer> CreateOriginAnswer(
     flatbuffers::FlatBufferBuilder &_fbb,
-    flatbuffers::Offset<flatbuffers::Vector<const dotterelshift::wire::ProvenOrigin *>> proven_origins = 0,
-    flatbuffers::Offset<flatbuffers::Vector<const dotterelshift::wire::PendingOrigin *>> pending_origins = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const dotterelshift::wire::StreamOrigin *>> origins = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint64_t>> unclear = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint64_t>> missing = 0,
     bool starting = false) {
   OriginAnswerBuilder builder_(_fbb);
   builder_.add_missing(missing);
   builder_.add_unclear(unclear);
-  builder_.add_pending_origins(pending_origins);
-  builder_.add_proven_origins(proven_origins);
+  builder_.add_origins(origins);
   builder_.add_starting(starting);
   return builder_.Finish();
 }
@@ -5201,19 +5126,16 @@
 
 inline flatbuffers::Offset<OriginAnswer> CreateOriginAnswerDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
-    const std::vector<dotterelshift::wire::ProvenOrigin> *proven_origins = nullptr,
-    const std::vector<dotterelshift::wire::PendingOrigin> *pending_origins = nullptr,
+    const std::vector<dotterelshift::wire::StreamOrigin> *origins = nullptr,
     const std::vector<uint64_t> *unclear = nullptr,
     const std::vector<uint64_t> *missing = nullptr,
     bool starting = false) {
-  auto proven_origins__ = proven_origins ? _fbb.CreateVectorOfStructs<dotterelshift::wire::ProvenOrigin>(*proven_origins) : 0;
-  auto pending_origins__ = pending_origins ? _fbb.CreateVectorOfStructs<dotterelshift::wire::PendingOrigin>(*pending_origins) : 0;
+  auto origins__ = origins ? _fbb.CreateVectorOfStructs<dotterelshift::wire::StreamOrigin>(*origins) : 0;
   auto unclear__ = unclear ? _fbb.CreateVector<uint64_t>(*unclear) : 0;
   auto missing__ = missing ? _fbb.CreateVector<uint64_t>(*missing) : 0;
   return dotterelshift::wire::CreateOriginAnswer(
       _fbb,
-      proven_origins__,
-      pending_origins__,
+      origins__,
       unclear__,
       missing__,
       starting);
@@ -7543,8 +7465,7 @@
   (void)_o;
   (void)_resolver;
   { auto _e = notes(); if (_e) { _o->notes.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->notes[_i] = *_e->Get(_i); } } }
-  { auto _e = proven_origins(); if (_e) { _o->proven_origins.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->proven_origins[_i] = *_e->Get(_i); } } }
-  { auto _e = pending_origins(); if (_e) { _o->pending_origins.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->pending_origins[_i] = *_e->Get(_i); } } }
+  { auto _e = origins(); if (_e) { _o->origins.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->origins[_i] = *_e->Get(_i); } } }
   { auto _e = troubles(); if (_e) { _o->troubles.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->troubles[_i] = *_e->Get(_i); } } }
 }
 
@@ -7557,14 +7478,12 @@
   (void)_o;
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const LoadNotesT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _notes = _o->notes.size() ? _fbb.CreateVectorOfStructs(_o->notes) : 0;
-  auto _proven_origins = _o->proven_origins.size() ? _fbb.CreateVectorOfStructs(_o->proven_origins) : 0;
-  auto _pending_origins = _o->pending_origins.size() ? _fbb.CreateVectorOfStructs(_o->pending_origins) : 0;
+  auto _origins = _o->origins.size() ? _fbb.CreateVectorOfStructs(_o->origins) : 0;
   auto _troubles = _o->troubles.size() ? _fbb.CreateVectorOfStructs(_o->troubles) : 0;
   return dotterelshift::wire::CreateLoadNotes(
       _fbb,
       _notes,
-      _proven_origins,
-      _pending_origins,
+      _origins,
       _troubles);
 }
 
@@ -7603,8 +7522,7 @@
 inline void OriginAnswer::UnPackTo(OriginAnswerT *_o, const flatbuffers::resolver_function_t *_resolver) const {
   (void)_o;
   (void)_resolver;
-  { auto _e = proven_origins(); if (_e) { _o->proven_origins.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->proven_origins[_i] = *_e->Get(_i); } } }
-  { auto _e = pending_origins(); if (_e) { _o->pending_origins.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->pending_origins[_i] = *_e->Get(_i); } } }
+  { auto _e = origins(); if (_e) { _o->origins.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->origins[_i] = *_e->Get(_i); } } }
   { auto _e = unclear(); if (_e) { _o->unclear.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->unclear[_i] = _e->Get(_i); } } }
   { auto _e = missing(); if (_e) { _o->missing.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->missing[_i] = _e->Get(_i); } } }
   { auto _e = starting(); _o->starting = _e; }
@@ -7618,15 +7536,13 @@
   (void)_rehasher;
   (void)_o;
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const OriginAnswerT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
-  auto _proven_origins = _o->proven_origins.size() ? _fbb.CreateVectorOfStructs(_o->proven_origins) : 0;
-  auto _pending_origins = _o->pending_origins.size() ? _fbb.CreateVectorOfStructs(_o->pending_origins) : 0;
+  auto _origins = _o->origins.size() ? _fbb.CreateVectorOfStructs(_o->origins) : 0;
   auto _unclear = _o->unclear.size() ? _fbb.CreateVector(_o->unclear) : 0;
   auto _missing = _o->missing.size() ? _fbb.CreateVector(_o->missing) : 0;
   auto _starting = _o->starting;
   return dotterelshift::wire::CreateOriginAnswer(
       _fbb,
-      _proven_origins,
-      _pending_origins,
+      _origins,
       _unclear,
       _missing,
       _starting);
--- a/src/dotterelshift/app/directory_exchange.cc
+++ b/src/dotterelshift/app/directory_exchange.cc
@@ -91,8 +91,19 @@
   }
 }
 
+void DirectoryExchange::LogContradictions() {
+  for (const directory::Contradiction& contradiction :
+       m_directory.TakeContradictions()) {
+    telemetry::Log(telemetry::LogLevel::kWarning, "endpoint_contradicts",
+                   {{"endpoint", contradiction.endpoint},
+                    {"known_version", contradiction.known_version},
+                    {"version", contradiction.version}});
+  }
+}
+
 void DirectoryExchange::OnTimer() {
   const Instant now = m_loop.Now();
+  LogContradictions();
   if (now >= m_spread.NextTimer()) {
     for (directory::Outgoing& outgoing : m_spread.OnTimer(now))
       m_hub->Send(outgoing.host, peers::MakeFrame(std::move(outgoing.delta)));
--- a/src/dotterelshift/app/directory_exchange.h
+++ b/src/dotterelshift/app/directory_exchange.h
@@ -48,6 +48,7 @@
 
  private:
   void LogDepartures();
+  void LogContradictions();
   void OnTimer();
 
   loop::Loop& m_loop;
--- a/src/dotterelshift/app/entry_peers.cc
+++ b/src/dotterelshift/app/entry_peers.cc
@@ -65,8 +65,7 @@
   const Instant now = m_loop.Now();
   m_others.OnLoadUpdates(peer, notes, *m_parts.load, now);
   for (const wire::TroubleNote& note : notes.troubles) LogTrouble(peer, note);
-  m_parts.origins->OnUpdates(
-      peer.run.host, {notes.proven_origins, notes.pending_origins}, now);
+  m_parts.origins->OnUpdates(peer.run.host, notes.origins, now);
 }
 
 void EntryPeers::LogTrouble(const peers::PeerInfo& peer,
--- a/src/dotterelshift/app/gateway_entry.cc
+++ b/src/dotterelshift/app/gateway_entry.cc
@@ -171,7 +171,6 @@
           .pacer = &m_pacer,
           .paths = &m_paths,
           .versions = &m_versions.Versions(),
-          .runs = &m_versions.Runs(),
           .origins = &m_versions.Origins(),
           .lookup = &m_origins.Lookup(),
           .suspects = &m_suspects,
--- a/src/dotterelshift/app/gateway_traffic.cc
+++ b/src/dotterelshift/app/gateway_traffic.cc
@@ -202,7 +202,6 @@
   record.wait = m_link.OutboundWait(record.handed_over_at);
   m_link.OnHandedOver(what, NextSendOf(transfer->second),
                       record.handed_over_at);
-  m_core.OnHandedOver(attempt, what.connected_at);
   if (what.new_connection) m_core.OnConnected(attempt, record.handed_over_at);
 }
 
--- a/src/dotterelshift/app/gateway_traffic_testing.h
+++ b/src/dotterelshift/app/gateway_traffic_testing.h
@@ -75,7 +75,6 @@
                                                    .budgets = m_budgets.get(),
                                                    .retries = m_retries.get(),
                                                    .versions = &m_versions,
-                                                   .runs = &m_runs,
                                                    .origins = &m_origins});
     m_traffic = std::make_unique<GatewayTraffic>(m_loop, *m_core, m_dialect,
                                                  *m_metrics, m_link);
@@ -150,8 +149,7 @@
   std::unique_ptr<gateway::HeldGrants> m_budgets;
   std::unique_ptr<gateway::RetryShare> m_retries;
   gateway::ServiceVersions m_versions;
-  gateway::EndpointRuns m_runs{m_directory};
-  gateway::StreamOrigins m_origins{m_runs};
+  gateway::StreamOrigins m_origins;
   std::unique_ptr<gateway::Core> m_core;
   LinkGuard m_link{settings::Settings()};
   std::unique_ptr<GatewayTraffic> m_traffic;
--- a/src/dotterelshift/app/gauges.cc
+++ b/src/dotterelshift/app/gauges.cc
@@ -132,12 +132,6 @@
                        "Sent to an endpoint, and ended without an event",
                        Number(count));
   }
-  metrics.SetCounter("dotterelshift_resumptions_withheld_total",
-                     "Attempts whose events waited for a proof of the version",
-                     Number(counts.withheld));
-  metrics.SetCounter("dotterelshift_resumptions_mismatched_total",
-                     "Of these, at an endpoint of another version",
-                     Number(counts.mismatched));
   SetGauges(metrics, {{"dotterelshift_stream_origins",
                        "Streams whose version is known", Number(origins)}});
 }
--- a/src/dotterelshift/app/origin_exchange.cc
+++ b/src/dotterelshift/app/origin_exchange.cc
@@ -70,13 +70,7 @@
                               const wire::OriginAnswerT& answer) {
   const Instant now = m_loop.Now();
   const HostId& from = peer.run.host;
-  gateway::OriginUpdates updates;
-  updates.proven = answer.proven_origins;
-  // Evidence is dated by its age. If the answer was held up on its way, it
-  // would seem to be newer than it is.
-  for (const wire::PendingOrigin& origin : answer.pending_origins)
-    if (m_lookup.IsOpen(origin.stream())) updates.pending.push_back(origin);
-  m_origins.OnUpdates(from, updates, now);
+  m_origins.OnUpdates(from, answer.origins, now);
   for (const gateway::StreamKey stream : answer.unclear)
     m_origins.OnUnclear(from, stream, now);
   TakeLearned(now);
@@ -86,10 +80,7 @@
 void OriginExchange::TakeLearned(Instant now) {
   for (const gateway::StreamKey stream : m_origins.TakeLearned()) {
     m_responder.OnLearned(stream, now);
-    // Another entry may have an origin that is proven.
-    const gateway::KnownOrigin known = m_origins.Find(stream, now);
-    const bool usable = known.state == gateway::OriginState::kKnown;
-    if (usable || known.contradicted) m_lookup.OnLearned(stream, now);
+    m_lookup.OnLearned(stream, now);
   }
 }
 
@@ -144,8 +135,7 @@
 void OriginExchange::SendAnswers(Instant now) {
   for (auto& [host, answer] : m_responder.TakeAnswers(now)) {
     wire::OriginAnswerT frame;
-    frame.proven_origins = std::move(answer.known.proven);
-    frame.pending_origins = std::move(answer.known.pending);
+    frame.origins = std::move(answer.known);
     frame.unclear = std::move(answer.unclear);
     frame.missing = std::move(answer.missing);
     frame.starting = answer.starting;
--- a/src/dotterelshift/app/other_entries.cc
+++ b/src/dotterelshift/app/other_entries.cc
@@ -57,13 +57,11 @@
   wire::LoadNotesT body;
   body.notes = load.TakeLoadUpdates(m_load_update_pacer.Most(hosts.size()));
   body.troubles = load.TakeTroubleChanges(now);
-  gateway::OriginUpdates updates = origins.TakeUpdates(now);
+  body.origins = origins.TakeUpdates();
   const size_t count =
-      body.notes.size() + body.troubles.size() + updates.Count();
+      body.notes.size() + body.troubles.size() + body.origins.size();
   m_load_update_pacer.OnSent(count, hosts.size(), now);
   if (count == 0) return;
-  body.proven_origins = std::move(updates.proven);
-  body.pending_origins = std::move(updates.pending);
   const wire::FrameT frame = peers::MakeFrame(std::move(body));
   for (const HostId& host : hosts) m_hub.Send(host, frame);
 }
@@ -79,12 +77,10 @@
   const auto is_connected = [&hosts, &host](const HostId& other) {
     return other != host && std::ranges::binary_search(hosts, other);
   };
-  gateway::OriginUpdates updates = origins.ForNewEntry(is_connected, now);
   wire::LoadNotesT body;
+  body.origins = origins.ForNewEntry(is_connected, now);
   body.troubles = load.Troubles(now);
-  if (updates.Count() == 0 && body.troubles.empty()) return;
-  body.proven_origins = std::move(updates.proven);
-  body.pending_origins = std::move(updates.pending);
+  if (body.origins.empty() && body.troubles.empty()) return;
   m_hub.Send(host, peers::MakeFrame(std::move(body)));
 }
 
--- a/src/dotterelshift/app/version_tracker.cc
+++ b/src/dotterelshift/app/version_tracker.cc
@@ -24,7 +24,6 @@
   if (now < m_next_update) return;
   m_next_update = now + kUpdateInterval;
   m_versions.Update(m_directory.GetDirectory(), now);
-  m_runs.Update(now);
   LogChanges();
 }
 
--- a/src/dotterelshift/app/version_tracker.h
+++ b/src/dotterelshift/app/version_tracker.h
@@ -5,7 +5,6 @@
 #include "dotterelshift/app/directory_exchange.h"    // for DirectoryExchange
 #include "dotterelshift/gateway/core.h"              // for Core
 #include "dotterelshift/gateway/directory_view.h"    // for DirectoryView
-#include "dotterelshift/gateway/endpoint_runs.h"     // for EndpointRuns
 #include "dotterelshift/gateway/service_versions.h"  // for ServiceVersions
 #include "dotterelshift/gateway/stream_origins.h"    // for StreamOrigins
 #include "dotterelshift/telemetry/metrics.h"         // for Metrics
@@ -18,10 +17,9 @@
  public:
   // `directory` must outlive this object.
   explicit VersionTracker(const DirectoryExchange& directory)
-      : m_directory(directory), m_runs(directory.GetDirectory()) {}
+      : m_directory(directory) {}
 
   gateway::ServiceVersions& Versions() { return m_versions; }
-  gateway::EndpointRuns& Runs() { return m_runs; }
   gateway::StreamOrigins& Origins() { return m_origins; }
 
   // Takes over announcements and the state of the link to control. To be called
@@ -34,8 +32,7 @@
  private:
   const DirectoryExchange& m_directory;
   gateway::ServiceVersions m_versions;
-  gateway::EndpointRuns m_runs;
-  gateway::StreamOrigins m_origins{m_runs};
+  gateway::StreamOrigins m_origins;
   gateway::DirectoryView m_view;
   Instant m_next_update{};
 };
--- a/src/dotterelshift/directory/directory.cc
+++ b/src/dotterelshift/directory/directory.cc
@@ -71,6 +71,7 @@
   if (record.incarnation < known.incarnation) return RecordUpdate::kStale;
   const Instant heard = ReceivedAt(record.age_ms, now);
   if (record.incarnation == known.incarnation) {
+    CheckSoftware(known, &record);
     if (record.sequence <= known.sequence)
       return MergeStickyFlags(&endpoint, record, now);
     MergeSticky(&record, known.draining, known.gone);
@@ -89,6 +90,19 @@
   return same_offer && same_marks ? RecordUpdate::kLoad : RecordUpdate::kOffer;
 }
 
+// A record without a version comes from a daemon that does not know the field.
+void Directory::CheckSoftware(const wire::EndpointRecordT& known,
+                              wire::EndpointRecordT* update) {
+  const std::string& version = update->software_version;
+  const bool comparable = !known.software_version.empty() && !version.empty();
+  const bool same =
+      version == known.software_version && update->services == known.services;
+  if (!comparable || same) return;
+  update->gone = true;
+  if (known.gone) return;
+  m_contradictions.push_back({known.id, known.software_version, version});
+}
+
 RecordUpdate Directory::AddEndpoint(wire::EndpointRecordT record, Instant now) {
   if (!CheckTombstone(&record)) return RecordUpdate::kStale;
   Endpoint& endpoint = m_endpoints[record.id];
--- a/src/dotterelshift/directory/directory_test.cc
+++ b/src/dotterelshift/directory/directory_test.cc
@@ -112,6 +112,13 @@
   return record;
 }
 
+wire::EndpointRecordT Versioned(uint64_t sequence, const std::string& version) {
+  wire::EndpointRecordT record = Record({1, sequence});
+  record.services = {"s"};
+  record.software_version = version;
+  return record;
+}
+
 class DirectoryTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(DirectoryTest);
   CPPUNIT_TEST(RecordUpdateTable);
@@ -121,6 +128,8 @@
   CPPUNIT_TEST(RefusedConnectionOutweighsNewRecordsForAWhile);
   CPPUNIT_TEST(DeltaContainsOnlyChanges);
   CPPUNIT_TEST(GenerationIgnoresLoad);
+  CPPUNIT_TEST(IncarnationThatContradictsItselfIsGone);
+  CPPUNIT_TEST(RecordsWithoutAVersionContradictNothing);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -147,6 +156,34 @@
     }
   }
 
+  // Two daemons that heard different versions end with the same record,
+  // whichever update comes last.
+  void IncarnationThatContradictsItselfIsGone() {
+    const std::vector<wire::EndpointRecordT> records = {Versioned(1, "v1"),
+                                                        Versioned(2, "v2")};
+    for (const bool reversed : {false, true}) {
+      Directory directory;
+      directory.OnRecord(records[reversed ? 1 : 0], kStart);
+      CPPUNIT_ASSERT(directory.Find("e")->usable);
+      directory.OnRecord(records[reversed ? 0 : 1], kStart);
+      CPPUNIT_ASSERT(!directory.Find("e")->usable);
+      CPPUNIT_ASSERT(directory.Find("e")->record.gone);
+      CPPUNIT_ASSERT_EQUAL(std::string("v2"),
+                           directory.Find("e")->record.software_version);
+      CPPUNIT_ASSERT_EQUAL(size_t{1}, directory.TakeContradictions().size());
+      directory.OnRecord(Versioned(3, "v2"), kStart);
+      CPPUNIT_ASSERT(!directory.Find("e")->usable);
+      CPPUNIT_ASSERT(directory.TakeContradictions().empty());
+    }
+  }
+
+  void RecordsWithoutAVersionContradictNothing() {
+    Directory directory;
+    directory.OnRecord(Versioned(1, "v1"), kStart);
+    directory.OnRecord(Versioned(2, ""), kStart);
+    CPPUNIT_ASSERT(directory.Find("e")->usable);
+  }
+
   void SilentEndpointIsNotUsable() {
     Directory directory;
     directory.OnRecord(Record({}), kStart);
--- a/src/dotterelshift/gateway/active_request.h
+++ b/src/dotterelshift/gateway/active_request.h
@@ -49,17 +49,6 @@
   int status = 0;
   ResponseInfo response_info;
   uint64_t events = 0;  // passed on to the caller
-  // When its connection was established; the epoch: not known yet.
-  Instant connected_at{};
-  // Its endpoint may write the stream: it begins it, or is proven to have the
-  // version that began it.
-  bool fits = false;
-  std::string withheld;  // received while that is not proven
-  Instant withheld_since{};
-  bool complete = false;  // the whole response has been received
-  // It has ended early and holds nothing at its endpoint any more, but what is
-  // withheld may still be proven.
-  bool broken = false;
 };
 
 // What a request that waits for a permit was chosen for.
@@ -82,7 +71,7 @@
 // Why a stream is not resumed.
 enum class ResumptionRefusal : uint8_t {
   kOriginUnknown,      // several versions are known, and not which one began it
-  kOriginUnclear,      // it has two origins, or its origin cannot be proven
+  kOriginUnclear,      // two streams have its id
   kVersionGone,        // no endpoint of its version serves
   kServiceNotAllowed,  // its route no longer leads to the service
   kViewIncomplete,     // one version is known, but there may be others
@@ -91,7 +80,7 @@
 
 // The software version that a stream is bound to: that of its first event.
 struct StreamBinding {
-  StreamOrigin origin;
+  SoftwareKey software = 0;
   BindingSource source = BindingSource::kOwn;
   Duration age = 0s;  // since the origin became known here
 };
--- a/src/dotterelshift/gateway/core.cc
+++ b/src/dotterelshift/gateway/core.cc
@@ -26,8 +26,6 @@
   m_dependencies.load->OnDirectory(directory);
   LogArrivals(directory, now);
   m_dependencies.versions->Update(directory, now);
-  m_dependencies.runs->Update(now);
-  m_suspects.Update(*m_dependencies.runs, now);
   if (m_dependencies.paths != nullptr)
     m_dependencies.paths->OnDirectory(directory, now);
   std::vector<RequestId> on_leaving_endpoints;
@@ -290,7 +288,6 @@
     case Stage::kAnswering:
       break;
   }
-  if (IsWithheld(active)) return CheckFit(active, now);
   if (RunningDeadline(active) > now)
     return SetTimer(active, RunningDeadline(active));
   // The response's idle timeout has expired, and the request may be retried.
--- a/src/dotterelshift/gateway/core_finish.cc
+++ b/src/dotterelshift/gateway/core_finish.cc
@@ -48,7 +48,6 @@
 }
 
 void CoreImpl::CancelAttemptIfSent(ActiveRequest& active) {
-  if (active.attempt.broken) return;
   if (active.stage == Stage::kRunning || active.stage == Stage::kAnswering) {
     m_actions.emplace_back(CancelAttempt{active.attempt.id});
     active.may_have_run = true;
@@ -65,9 +64,7 @@
   const bool occupied = active.stage == Stage::kSlotReserved ||
                         active.stage == Stage::kRunning ||
                         active.stage == Stage::kAnswering;
-  if (occupied && !active.attempt.broken)
-    m_dependencies.load->OnEnded(active.attempt.placement.endpoint);
-  if (active.binding) active.binding->origin.life.open = false;
+  if (occupied) m_dependencies.load->OnEnded(active.attempt.placement.endpoint);
   EndTrial(active);
   active.stage = Stage::kWaitsForEndpoint;
   active.wait_until = {};
--- a/src/dotterelshift/gateway/core_impl.h
+++ b/src/dotterelshift/gateway/core_impl.h
@@ -12,9 +12,8 @@
 #include <utility>        // for pair
 #include <vector>         // for vector
 
-#include "dotterelshift/gateway/active_request.h"    // for ActiveRequest
-#include "dotterelshift/gateway/core.h"              // for Core
-#include "dotterelshift/gateway/restart_suspects.h"  // for RestartSuspects
+#include "dotterelshift/gateway/active_request.h"  // for ActiveRequest
+#include "dotterelshift/gateway/core.h"            // for Core
 
 namespace dotterelshift::gateway {
 
@@ -44,7 +43,6 @@
   void OnTooLarge(AttemptId attempt, Instant now) override;
   void OnCallerSlow(RequestId request, bool slow, Instant now) override;
   void OnConnected(AttemptId attempt, Instant now) override;
-  void OnHandedOver(AttemptId attempt, Instant connected_at) override;
   void OnUnacknowledged(AttemptId attempt, Instant now) override;
   void OnWithdrawn(AttemptId attempt, Instant now) override;
   void OnPermits(Instant now) override;
@@ -165,11 +163,10 @@
   // The software that an endpoint for the request must have; nullopt: any.
   static std::optional<SoftwareKey> SoftwareFor(const ActiveRequest& active) {
     if (!active.binding) return std::nullopt;
-    return active.binding->origin.software;
+    return active.binding->software;
   }
 
   // Versions of streams (core_streams.cc).
-  enum class Fit : uint8_t { kFits, kPending, kOtherVersion, kOriginUnclear };
   // Binds a stream that its caller resumes to the version that began it.
   // Returns why that is not possible; nullopt: it is bound.
   std::optional<ResumptionRefusal> BindResumed(ActiveRequest& active,
@@ -185,18 +182,6 @@
                                                Instant now) const;
   // An event of an unbound stream was passed on.
   void BindToAttempt(ActiveRequest& active, Instant now);
-  void ProveOrigin(ActiveRequest& active, Instant now);
-  Fit FitOf(ActiveRequest& active) const;
-  bool IsWithheld(const ActiveRequest& active) const {
-    return active.stage == Stage::kAnswering && active.binding &&
-           !active.attempt.fits;
-  }
-  void CheckFit(ActiveRequest& active, Instant now);
-  void Release(ActiveRequest& active, Instant now);
-  // Whether events of the attempt, which broke off, may still be proven.
-  static bool AwaitsProof(const ActiveRequest& active, http::TransferEnd end);
-  void AwaitProof(ActiveRequest& active, Instant now);
-  void OnUnfit(ActiveRequest& active, Fit fit, Instant now);
 
   // Requests that crash endpoints (core_suspects.cc).
   // An attempt whose connection ended, until it is known whether its endpoint
@@ -303,7 +288,6 @@
   std::optional<Instant> m_view_complete_since;
   ResumptionCounts m_resumptions;
   std::unordered_multimap<StreamKey, RequestId> m_waiting_for_origin;
-  RestartSuspects m_suspects;
   bool m_stopped = false;
   std::unordered_map<RequestId, ActiveRequest> m_active;
   std::unordered_map<AttemptId, RequestId> m_attempts;
--- a/src/dotterelshift/gateway/core_paths.cc
+++ b/src/dotterelshift/gateway/core_paths.cc
@@ -18,9 +18,8 @@
 
 // A request that lost an endpoint prefers those that were heard lately: crashed
 // ones have no load, and would otherwise be chosen one after the other.
-// A stream that may have to be resumed avoids endpoints that may have
-// restarted, as long as these could have another version, and is begun at a
-// version that stays unless its first event would be late there.
+// A stream that may have to be resumed is begun at a version that stays unless
+// its first event would be late there.
 std::optional<Placement> CoreImpl::ChooseEndpoint(const ActiveRequest& active,
                                                   Instant now) {
   ChoiceLimits limits = {.excluded = active.tried,
@@ -40,22 +39,14 @@
     if (auto placement = ChooseWithin(active, std::move(heard), now))
       return placement;
   }
-  const bool depends_on_version =
-      active.route->kind == RouteKind::kStream && active.route->resumable &&
-      !m_dependencies.versions->Only(active.service);
-  if (depends_on_version) {
-    m_suspects.Update(*m_dependencies.runs, now);
-    ChoiceLimits certain = limits;
-    for (const EndpointKey endpoint : m_suspects.All())
-      certain.excluded.push_back(endpoint);
-    if (!active.binding) {
-      ChoiceLimits staying = certain;
-      staying.prefers_staying = true;
-      const auto placement = ChooseWithin(active, std::move(staying), now);
-      if (placement && !WouldRespondTooLate(active, *placement, now))
-        return placement;
-    }
-    if (auto placement = ChooseWithin(active, std::move(certain), now))
+  const bool begins_resumable = active.route->kind == RouteKind::kStream &&
+                                active.route->resumable && !active.binding &&
+                                !m_dependencies.versions->Only(active.service);
+  if (begins_resumable) {
+    ChoiceLimits staying = limits;
+    staying.prefers_staying = true;
+    const auto placement = ChooseWithin(active, std::move(staying), now);
+    if (placement && !WouldRespondTooLate(active, *placement, now))
       return placement;
   }
   return ChooseWithin(active, std::move(limits), now);
--- a/src/dotterelshift/gateway/core_placement.cc
+++ b/src/dotterelshift/gateway/core_placement.cc
@@ -158,10 +158,9 @@
   }
   if (active.binding) {
     const StreamBinding& binding = *active.binding;
-    inputs.emplace_back(
-        "bound_to", m_dependencies.versions->NameOf(binding.origin.software));
+    inputs.emplace_back("bound_to",
+                        m_dependencies.versions->NameOf(binding.software));
     inputs.emplace_back("origin", std::string(NameOf(binding.source)));
-    inputs.emplace_back("origin_proven", binding.origin.proven ? "yes" : "no");
     inputs.emplace_back("origin_age_ms", Ms(binding.age));
     AddLookup(active, inputs);
   }
--- a/src/dotterelshift/gateway/core_response.cc
+++ b/src/dotterelshift/gateway/core_response.cc
@@ -83,7 +83,6 @@
                        response_info.event_stream;
   if (!streams) return;
   active->stage = Stage::kAnswering;
-  if (IsWithheld(*active)) return CheckFit(*active, now);
   RelayHeadOnce(*active);
 }
 
@@ -108,14 +107,7 @@
   active->attempt.last_received = now;
   if (m_dependencies.paths != nullptr && active->attempt.relay.empty())
     m_dependencies.paths->OnBytes(active->attempt.placement.endpoint, now);
-  m_suspects.OnBytes(active->attempt.placement.endpoint,
-                     active->attempt.connected_at, now);
-  m_dependencies.runs->OnBytes(EndpointIdKeyOf(active->attempt.endpoint.id),
-                               active->attempt.connected_at, now);
-  if (active->stage != Stage::kAnswering) return;
-  if (!IsWithheld(*active)) return PassOn(*active, bytes, now);
-  active->attempt.withheld.append(bytes);
-  CheckFit(*active, now);
+  if (active->stage == Stage::kAnswering) PassOn(*active, bytes, now);
 }
 
 void CoreImpl::OnTooLarge(AttemptId id, Instant now) {
@@ -128,8 +120,7 @@
 size_t CoreImpl::HeldBytes(AttemptId id) const {
   const auto request = m_attempts.find(id);
   if (request == m_attempts.end()) return 0;
-  const ActiveRequest& active = m_active.at(request->second);
-  return active.scanner.PartialEvent().size() + active.attempt.withheld.size();
+  return m_active.at(request->second).scanner.PartialEvent().size();
 }
 
 void CoreImpl::PassOn(ActiveRequest& active, std::string_view bytes,
@@ -143,10 +134,7 @@
   if (active.scanner.Events() == before) return;
   if (active.attempt.events == 0) OnFirstEvent(active, now);
   active.attempt.events += active.scanner.Events() - before;
-  if (active.binding)
-    ProveOrigin(active, now);
-  else
-    BindToAttempt(active, now);
+  if (!active.binding) BindToAttempt(active, now);
   m_actions.emplace_back(RelayChunk{active.id, std::move(complete_events)});
 }
 
@@ -159,16 +147,12 @@
 void CoreImpl::OnEnd(AttemptId id, http::TransferEnd end, Instant now) {
   ActiveRequest* active = FindByAttempt(id);
   if (active == nullptr) return;
-  Attempt& attempt = active->attempt;
   if (end != http::TransferEnd::kWhole)
     return OnAttemptFailed(*active, end, now);
-  if (attempt.response_info.not_run || attempt.response_info.address_reassigned)
+  const ResponseInfo& response = active->attempt.response_info;
+  if (response.not_run || response.address_reassigned)
     return OnEndpointRefusal(*active, now);
-  if (!IsWithheld(*active)) return OnWholeResponse(*active, now);
-  // The head has to be passed on while the transfer still exists.
-  RelayHeadOnce(*active);
-  attempt.complete = true;
-  CheckFit(*active, now);
+  OnWholeResponse(*active, now);
 }
 
 void CoreImpl::OnWholeResponse(ActiveRequest& active, Instant now) {
@@ -258,25 +242,15 @@
       active.attempt.id);
   if (!path_failed) BookFailure(active, end, now);
   if (sent) {
-    if (IsBroken(end)) {
-      m_suspects.OnBroken(active.attempt.placement.endpoint,
-                          EndpointIdKeyOf(active.attempt.endpoint.id), now);
-    }
     active.may_have_run = true;
     if (IsBroken(end) && !path_failed && active.attempt.relay.empty())
       OnBrokenAttempt(active, false, now);
   } else {
     OnNotSent(active.attempt.id, now);
   }
-  const bool awaits_proof = AwaitsProof(active, end);
   EndAttempt(active, now);
   if (sent) ++active.runs;
   if (can_retry && TryAgain(active, stays, now)) return;
-  if (awaits_proof && now < active.deadline) {
-    // While the transfer still exists.
-    RelayHeadOnce(active);
-    return AwaitProof(active, now);
-  }
   const bool late = now >= active.deadline;
   if (active.may_have_run) {
     return Fail(
@@ -332,8 +306,8 @@
   if (!in_time || (arrived && !TakeRetry(active, now))) return false;
   // Endpoints of a stream's version that are full or avoided now are waited
   // for, as no others may take it.
-  const bool bound = active.binding && m_dependencies.versions->Serves(
-                                           active.binding->origin.software);
+  const bool bound = active.binding &&
+                     m_dependencies.versions->Serves(active.binding->software);
   const bool waits =
       bound || IsSuspected(active, now) || IsBeingChecked(active, now);
   if (!waits && !ChooseEndpoint(active, now)) return false;
--- a/src/dotterelshift/gateway/core_streams.cc
+++ b/src/dotterelshift/gateway/core_streams.cc
@@ -1,16 +1,10 @@
-#include <algorithm>  // for max, min
+#include <algorithm>  // for any_of
 
 #include "dotterelshift/gateway/core_impl.h"  // for CoreImpl
 
 namespace dotterelshift::gateway {
 namespace {
 
-// How often it is checked whether withheld events may be passed on.
-constexpr Duration kFitCheckInterval = 50ms;
-
-// Withheld bytes of one response beyond this end its attempt.
-constexpr size_t kMaxWithheldBytes = 1 << 20;
-
 bool AllowsService(const Route& route, const ServiceName& service) {
   return std::ranges::any_of(
       route.services, [&service](const WeightedService& share) {
@@ -18,12 +12,6 @@
       });
 }
 
-// For the log; empty: not known.
-std::string ConnectedMsAgo(const Attempt& attempt, Instant now) {
-  if (attempt.connected_at == Instant{}) return "";
-  return std::to_string(ToMs(now - attempt.connected_at));
-}
-
 }  // namespace
 
 std::string_view NameOf(BindingSource source) {
@@ -74,16 +62,13 @@
                ? ResumptionRefusal::kViewIncomplete
                : ResumptionRefusal::kOriginUnknown;
   }
-  StreamOrigin origin;
-  origin.software = *only;
-  origin.proven = true;
-  active.binding = {origin, BindingSource::kOneVersion, 0s};
+  active.binding = {*only, BindingSource::kOneVersion, 0s};
   return std::nullopt;
 }
 
 std::optional<ResumptionRefusal> CoreImpl::BindToOrigin(
     ActiveRequest& active, const KnownOrigin& known) const {
-  const SoftwareKey software = known.origin.software;
+  const SoftwareKey software = known.software;
   const std::optional<ServiceName> service =
       m_dependencies.versions->ServiceOf(software);
   if (!service || !m_dependencies.versions->Serves(software))
@@ -93,7 +78,7 @@
   const BindingSource heard =
       active.lookup ? BindingSource::kAsked : BindingSource::kTold;
   active.service = *service;
-  active.binding = {known.origin, known.own ? BindingSource::kOwn : heard,
+  active.binding = {software, known.own ? BindingSource::kOwn : heard,
                     known.age};
   return std::nullopt;
 }
@@ -183,142 +168,12 @@
   Fail(active, ErrorKind::kNotResumable, RetryAfter(active, 0s, now), now);
 }
 
-void CoreImpl::OnHandedOver(AttemptId id, Instant connected_at) {
-  ActiveRequest* active = FindByAttempt(id);
-  if (active != nullptr) active->attempt.connected_at = connected_at;
-}
-
 void CoreImpl::BindToAttempt(ActiveRequest& active, Instant now) {
   if (!active.route->resumable) return;
-  const Attempt& attempt = active.attempt;
-  StreamBinding binding;
-  binding.origin.software = attempt.endpoint.software;
-  binding.origin.endpoint = EndpointIdKeyOf(attempt.endpoint.id);
-  const bool known = attempt.connected_at != Instant{};
-  binding.origin.life = {known ? attempt.connected_at : now, now, true};
-  active.binding = binding;
-  active.attempt.fits = true;
-  ProveOrigin(active, now);
-  if (!active.binding->origin.proven) {
-    m_dependencies.origins->OnBegun(
-        StreamKeyOf(active.team, active.info.caller_id), active.binding->origin,
-        now);
-  }
-}
-
-// Only the attempt that began the stream adds evidence about its origin.
-void CoreImpl::ProveOrigin(ActiveRequest& active, Instant now) {
-  StreamOrigin& origin = active.binding->origin;
-  if (origin.proven || !origin.life.open) return;
-  origin.life.to = now;
-  if (Prove(origin, *m_dependencies.runs) != RunProof::kProven) return;
+  const SoftwareKey software = active.attempt.endpoint.software;
+  active.binding = {software, BindingSource::kOwn, 0s};
   m_dependencies.origins->OnBegun(
-      StreamKeyOf(active.team, active.info.caller_id), origin, now);
-}
-
-// Whether the attempt's endpoint has the version that began the stream. While
-// only one version is known, there is no question.
-CoreImpl::Fit CoreImpl::FitOf(ActiveRequest& active) const {
-  StreamOrigin& origin = active.binding->origin;
-  if (m_dependencies.versions->Only(active.service) == origin.software)
-    return Fit::kFits;
-  const RunProof proof = Prove(origin, *m_dependencies.runs);
-  if (proof == RunProof::kPending) return Fit::kPending;
-  if (proof == RunProof::kUnknown) return Fit::kOriginUnclear;
-  const Attempt& attempt = active.attempt;
-  if (attempt.connected_at == Instant{}) return Fit::kPending;
-  const ConnectionLife life = {attempt.connected_at, attempt.last_received,
-                               !attempt.complete && !attempt.broken};
-  const ProvenRun run =
-      m_dependencies.runs->During(EndpointIdKeyOf(attempt.endpoint.id), life);
-  if (run.proof == RunProof::kPending) return Fit::kPending;
-  const bool same =
-      run.proof == RunProof::kProven && run.software == origin.software;
-  return same ? Fit::kFits : Fit::kOtherVersion;
-}
-
-// Events are withheld until it is proven that they fit: a record is up to a
-// heartbeat old, and the endpoint may have restarted at another version.
-void CoreImpl::CheckFit(ActiveRequest& active, Instant now) {
-  Attempt& attempt = active.attempt;
-  const Fit fit = FitOf(active);
-  if (fit == Fit::kFits) return Release(active, now);
-  if (attempt.withheld_since == Instant{}) {
-    attempt.withheld_since = now;
-    ++m_resumptions.withheld;
-  }
-  const bool waits = fit == Fit::kPending &&
-                     now < attempt.withheld_since + m_options.max_withhold &&
-                     attempt.withheld.size() < kMaxWithheldBytes;
-  if (!waits) return OnUnfit(active, fit, now);
-  const Instant next = now + kFitCheckInterval;
-  if (attempt.complete || attempt.broken) return SetTimer(active, next);
-  if (RunningDeadline(active) <= now && LeaveSilent(active, now)) return;
-  SetTimer(active, std::min(next, RunningDeadline(active)));
-}
-
-void CoreImpl::Release(ActiveRequest& active, Instant now) {
-  Attempt& attempt = active.attempt;
-  attempt.fits = true;
-  RelayHeadOnce(active);
-  if (attempt.withheld_since != Instant{}) {
-    Log("stream_released", active,
-        {{"endpoint", attempt.endpoint.id},
-         {"withheld_ms", std::to_string(ToMs(now - attempt.withheld_since))},
-         {"connected_ms_ago", ConnectedMsAgo(attempt, now)},
-         {"bytes", std::to_string(attempt.withheld.size())},
-         {"broken", attempt.broken ? "yes" : "no"}});
-  }
-  const RequestId request = active.id;
-  const AttemptId id = attempt.id;
-  const bool complete = attempt.complete;
-  const bool broken = attempt.broken;
-  PassOn(active, std::exchange(attempt.withheld, {}), now);
-  // The events may have had a gap, which ends the attempt.
-  const auto found = m_active.find(request);
-  if (found == m_active.end() || found->second.attempt.id != id) return;
-  if (broken) return Fail(found->second, ErrorKind::kEndpointFailed, 0s, now);
-  if (complete) return OnWholeResponse(found->second, now);
-  SetTimer(found->second, RunningDeadline(found->second));
-}
-
-bool CoreImpl::AwaitsProof(const ActiveRequest& active, http::TransferEnd end) {
-  return end == http::TransferEnd::kCut && active.stage == Stage::kAnswering &&
-         !active.attempt.withheld.empty();
-}
-
-// An announcement that is on its way can prove the events of a connection that
-// has ended, as it does those of a complete response. They are passed on then,
-// so that the caller goes on after them; the attempt itself is over.
-void CoreImpl::AwaitProof(ActiveRequest& active, Instant now) {
-  active.attempt.broken = true;
-  active.stage = Stage::kAnswering;
-  CheckFit(active, now);
-}
-
-void CoreImpl::OnUnfit(ActiveRequest& active, Fit fit, Instant now) {
-  const Attempt& attempt = active.attempt;
-  const bool mismatched = fit == Fit::kOtherVersion;
-  if (mismatched) ++m_resumptions.mismatched;
-  Log("stream_unfit", active,
-      {{"endpoint", attempt.endpoint.id},
-       {"why", mismatched                   ? "other_version"
-               : fit == Fit::kOriginUnclear ? "origin_unclear"
-                                            : "not_proven"},
-       {"bound_to",
-        m_dependencies.versions->NameOf(active.binding->origin.software)},
-       {"origin_proven", active.binding->origin.proven ? "yes" : "no"},
-       {"connected_ms_ago", ConnectedMsAgo(attempt, now)},
-       {"withheld_ms", std::to_string(ToMs(now - attempt.withheld_since))}});
-  if (attempt.broken) return Fail(active, ErrorKind::kEndpointFailed, 0s, now);
-  const bool may_retry = fit != Fit::kOriginUnclear && MayRunAgain(active);
-  CancelAttemptIfSent(active);
-  // The endpoint did not fail: it is neither avoided nor is the content
-  // suspected.
-  EndAttempt(active, now);
-  ++active.runs;
-  if (may_retry && TryAgain(active, false, now)) return;
-  Fail(active, ErrorKind::kEndpointFailed, 0s, now);
+      StreamKeyOf(active.team, active.info.caller_id), software, now);
 }
 
 }  // namespace dotterelshift::gateway
--- a/src/dotterelshift/gateway/core_suspects.cc
+++ b/src/dotterelshift/gateway/core_suspects.cc
@@ -29,7 +29,7 @@
 
 std::vector<SoftwareKey> CoreImpl::SoftwareOpenTo(
     const ActiveRequest& active) const {
-  if (active.binding) return {active.binding->origin.software};
+  if (active.binding) return {active.binding->software};
   return m_dependencies.versions->SoftwareOf(active.service);
 }
 
--- a/src/dotterelshift/gateway/core_testing.h
+++ b/src/dotterelshift/gateway/core_testing.h
@@ -35,8 +35,7 @@
         MakeLeasedShare(RetryShareOptions(), 1, m_now));
     m_blocklist = quarantine::Blocklist();
     m_versions = ServiceVersions();
-    m_runs.emplace(m_directory);
-    m_origins.emplace(*m_runs);
+    m_origins.emplace();
     m_core = MakeCore(CoreOptions(), Parts());
   }
 
@@ -51,7 +50,6 @@
     parts.retries = m_retries.get();
     parts.blocklist = &m_blocklist;
     parts.versions = &m_versions;
-    parts.runs = &*m_runs;
     parts.origins = &*m_origins;
     return parts;
   }
@@ -193,7 +191,6 @@
   std::unique_ptr<RetryShare> m_retries;
   quarantine::Blocklist m_blocklist;
   ServiceVersions m_versions;
-  std::optional<EndpointRuns> m_runs;
   std::optional<StreamOrigins> m_origins;
   std::unique_ptr<Core> m_core;
   std::vector<Action> m_last;
--- a/src/dotterelshift/gateway/crash_schedule_testing.h
+++ b/src/dotterelshift/gateway/crash_schedule_testing.h
@@ -149,8 +149,7 @@
     uint64_t sequence = 0;
     directory::Directory directory;
     ServiceVersions versions;
-    EndpointRuns runs{directory};
-    StreamOrigins origins{runs};
+    StreamOrigins origins;
     FleetLoad load{FleetLoadOptions{"dc"}};
     HeldGrants budgets;
     RetryShare retries;
@@ -187,7 +186,6 @@
     parts.budgets = &node->budgets;
     parts.retries = &node->retries;
     parts.versions = &node->versions;
-    parts.runs = &node->runs;
     parts.origins = &node->origins;
     parts.paths = &node->paths;
     parts.blocklist = &node->blocklist;
@@ -465,7 +463,6 @@
                               m_now);
     if (caller.crashing && m_third_crash && m_now > *m_third_crash + 500ms)
       ++m_result.late;
-    node.core->OnHandedOver(start.attempt, m_now);
     EndpointRun& run = node.running[start.attempt];
     run.request = start.request;
     run.caller_id =
--- a/src/dotterelshift/gateway/origin_responder.cc
+++ b/src/dotterelshift/gateway/origin_responder.cc
@@ -9,9 +9,8 @@
   const KnownOrigin known = m_origins.Find(stream, now);
   if (known.state == OriginState::kMissing) return false;
   OriginAnswer& answer = m_answers[to];
-  // The asking entry may have the evidence that is missing here.
-  m_origins.AddKnown(stream, answer.known, now);
-  if (known.contradicted) answer.unclear.push_back(stream);
+  answer.known.emplace_back(stream, known.software);
+  if (known.state == OriginState::kUnclear) answer.unclear.push_back(stream);
   return true;
 }
 
--- a/src/dotterelshift/http/client.cc
+++ b/src/dotterelshift/http/client.cc
@@ -176,7 +176,7 @@
   // Called before the request is sent. curl would send the request a second
   // time if a reused connection turns out to be closed. That is prevented here,
   // because the server may have executed the first one.
-  static int OnSending(void* self, char*, char*, int, int local_port) {
+  static int OnSending(void* self, char*, char*, int, int) {
     auto& transfer = *static_cast<Transfer*>(self);
     if (transfer.cancelled || std::exchange(transfer.sent, true))
       return CURL_PREREQFUNC_ABORT;
@@ -184,12 +184,7 @@
     const size_t bytes = BytesOf(request.headers) + request.body.size();
     transfer.client->m_bytes_sent += bytes;
     const auto& on_handed_over = transfer.callbacks.on_handed_over;
-    if (on_handed_over) {
-      HandOver what = HandOverOf(transfer.handle, bytes);
-      what.connected_at =
-          transfer.client->ConnectedAt(local_port, what.new_connection);
-      on_handed_over(what);
-    }
+    if (on_handed_over) on_handed_over(HandOverOf(transfer.handle, bytes));
     return CURL_PREREQFUNC_OK;
   }
 
@@ -202,15 +197,6 @@
     return {bytes, fresh, std::chrono::microseconds(fresh ? connected_us : 0)};
   }
 
-  // When the connection with this local port was established. A port that is
-  // used by two connections gives the later time.
-  Instant ConnectedAt(int local_port, bool is_new) {
-    const Instant now = m_loop.Now();
-    const auto [found, unknown] = m_connected_at.try_emplace(local_port, now);
-    if (is_new || unknown) found->second = now;
-    return found->second;
-  }
-
   static bool OnHeaderLine(Transfer& transfer, std::string_view line) {
     if (transfer.cancelled) return false;
     switch (transfer.head.Take(line)) {
@@ -458,8 +444,6 @@
   std::unordered_map<TransferId, std::unique_ptr<Transfer>> m_transfers;
   std::unordered_map<curl_socket_t, std::unique_ptr<loop::IoWatcher>>
       m_watchers;
-  // When each connection was established, by its local port.
-  std::unordered_map<int, Instant> m_connected_at;
   // The last transfer of each connection, by descriptor.
   std::unordered_map<curl_socket_t, TransferId> m_users;
   std::vector<TransferId> m_to_start;
