An endpoint whose address another one has taken is not used any more

Cause: until the old id's record went (seconds), each entry that chose it got 421, avoided it for 300 ms only, and paid a retry that a young entry does not have.

A 421 proves that the id is gone from that address, for every entry: the directory does not use it until it announces itself later, and the others are told with the load updates, also one that connects. And two processes cannot have one address: of two records that name one, the earlier announced is not used, so that most entries never meet a 421.

Tests: DirectoryTest (three new), OtherEntriesTest and CoreStreamsTest.

--- a/include/dotterelshift/directory/directory.h
+++ b/include/dotterelshift/directory/directory.h
@@ -31,6 +31,9 @@
   Instant last_news;      // when the newest announcement was made
   Instant last_evidence;  // last response or probe that succeeded here
   Instant dead_until;     // not used before this: a connection was refused
+  // Not used unless it has announced itself later than this: its address was
+  // another endpoint's. The epoch: it was not.
+  Instant replaced_at{};
   bool announced_here = false;  // it announces itself only to this daemon
   bool usable = false;          // not draining, gone, silent or dead
 };
@@ -63,7 +66,8 @@
 // are sticky within an incarnation, so that late or reordered updates never
 // revive an endpoint. An incarnation has one service and software version for
 // its life: one that names another is marked as gone, since which of them
-// answers cannot be told.
+// answers cannot be told. An address has one endpoint: of two that announced
+// the same one, the earlier has ended.
 class Directory {
  public:
   explicit Directory(const DirectoryOptions& options = {})
@@ -88,6 +92,10 @@
   // Local evidence: the endpoint responded, or refused a connection.
   void OnAlive(const EndpointId& endpoint, Instant now);
   void OnDead(const EndpointId& endpoint, uint64_t incarnation, Instant now);
+  // Another endpoint answered at its address. Returns false if that is not new.
+  bool OnReplaced(const EndpointId& endpoint, Instant now);
+  // The endpoints that are not used for that reason.
+  std::vector<EndpointId> Replaced() const;
   // Expires silent records. Returns true when the set of usable endpoints
   // changed or a record was dropped.
   bool OnTimer(Instant now);
@@ -124,6 +132,8 @@
   // Returns false when the record is not newer than its tombstone; otherwise
   // copies the sticky flags of the tombstone and removes it.
   bool CheckTombstone(wire::EndpointRecordT* record);
+  // Marks the earlier one of each two endpoints that announced one address.
+  void CompareAddress(Endpoint* added, Instant now);
   bool IsUsable(const Endpoint& endpoint, Instant now) const;
   void UpdateUsable(Endpoint* endpoint, Instant now);
   // Marks the update as gone if it contradicts what is known of the same
--- a/include/dotterelshift/gateway/core.h
+++ b/include/dotterelshift/gateway/core.h
@@ -216,6 +216,8 @@
   // Requests that ended since the last call, for the metrics.
   virtual std::vector<serving::RequestSummary> TakeFinished() = 0;
   virtual std::vector<SuspectReport> TakeSuspectReports() = 0;
+  // Endpoints at whose address another one answered, since the last call.
+  virtual std::vector<EndpointKey> TakeReplaced() = 0;
   virtual size_t OpenRequests() const = 0;
   // Bytes of the attempt's response that are held: of an event that is not
   // complete.
--- a/include/dotterelshift/wire/frames_generated.h
+++ b/include/dotterelshift/wire/frames_generated.h
@@ -4871,6 +4871,7 @@
   std::vector<dotterelshift::wire::LoadNote> notes{};
   std::vector<dotterelshift::wire::StreamOrigin> origins{};
   std::vector<dotterelshift::wire::TroubleNote> troubles{};
+  std::vector<uint64_t> replaced{};
 };
 
 struct LoadNotes FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -4880,7 +4881,8 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_NOTES = 4,
     VT_ORIGINS = 6,
-    VT_TROUBLES = 10
+    VT_TROUBLES = 10,
+    VT_REPLACED = 12
   };
   const flatbuffers::Vector<const dotterelshift::wire::LoadNote *> *notes() const {
     return GetPointer<const flatbuffers::Vector<const dotterelshift::wire::LoadNote *> *>(VT_NOTES);
@@ -4891,6 +4893,9 @@
   const flatbuffers::Vector<const dotterelshift::wire::TroubleNote *> *troubles() const {
     return GetPointer<const flatbuffers::Vector<const dotterelshift::wire::TroubleNote *> *>(VT_TROUBLES);
   }
+  const flatbuffers::Vector<uint64_t> *replaced() const {
+    return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_REPLACED);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_NOTES) &&
@@ -4899,6 +4904,8 @@
            verifier.VerifyVector(origins()) &&
            VerifyOffset(verifier, VT_TROUBLES) &&
            verifier.VerifyVector(troubles()) &&
+           VerifyOffset(verifier, VT_REPLACED) &&
+           verifier.VerifyVector(replaced()) &&
            verifier.EndTable();
   }
   LoadNotesT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -4919,6 +4926,9 @@
   void add_troubles(flatbuffers::Offset<flatbuffers::Vector<const dotterelshift::wire::TroubleNote *>> troubles) {
     fbb_.AddOffset(LoadNotes::VT_TROUBLES, troubles);
   }
+  void add_replaced(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> replaced) {
+    fbb_.AddOffset(LoadNotes::VT_REPLACED, replaced);
+  }
   explicit LoadNotesBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -4934,8 +4944,10 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::Vector<const dotterelshift::wire::LoadNote *>> notes = 0,
     flatbuffers::Offset<flatbuffers::Vector<const dotterelshift::wire::StreamOrigin *>> origins = 0,
-    flatbuffers::Offset<flatbuffers::Vector<const dotterelshift::wire::TroubleNote *>> troubles = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<const dotterelshift::wire::TroubleNote *>> troubles = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> replaced = 0) {
   LoadNotesBuilder builder_(_fbb);
+  builder_.add_replaced(replaced);
   builder_.add_troubles(troubles);
   builder_.add_origins(origins);
   builder_.add_notes(notes);
@@ -4951,15 +4963,18 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     const std::vector<dotterelshift::wire::LoadNote> *notes = nullptr,
     const std::vector<dotterelshift::wire::StreamOrigin> *origins = nullptr,
-    const std::vector<dotterelshift::wire::TroubleNote> *troubles = nullptr) {
+    const std::vector<dotterelshift::wire::TroubleNote> *troubles = nullptr,
+    const std::vector<uint64_t> *replaced = nullptr) {
   auto notes__ = notes ? _fbb.CreateVectorOfStructs<dotterelshift::wire::LoadNote>(*notes) : 0;
   auto origins__ = origins ? _fbb.CreateVectorOfStructs<dotterelshift::wire::StreamOrigin>(*origins) : 0;
   auto troubles__ = troubles ? _fbb.CreateVectorOfStructs<dotterelshift::wire::TroubleNote>(*troubles) : 0;
+  auto replaced__ = replaced ? _fbb.CreateVector<uint64_t>(*replaced) : 0;
   return dotterelshift::wire::CreateLoadNotes(
       _fbb,
       notes__,
       origins__,
-      troubles__);
+      troubles__,
+      replaced__);
 }
 
 flatbuffers::Offset<LoadNotes> CreateLoadNotes(flatbuffers::FlatBufferBuilder &_fbb, const LoadNotesT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -7467,6 +7482,7 @@
   { auto _e = notes(); if (_e) { _o->notes.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->notes[_i] = *_e->Get(_i); } } }
   { auto _e = origins(); if (_e) { _o->origins.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->origins[_i] = *_e->Get(_i); } } }
   { auto _e = troubles(); if (_e) { _o->troubles.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->troubles[_i] = *_e->Get(_i); } } }
+  { auto _e = replaced(); if (_e) { _o->replaced.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->replaced[_i] = _e->Get(_i); } } }
 }
 
 inline flatbuffers::Offset<LoadNotes> LoadNotes::Pack(flatbuffers::FlatBufferBuilder &_fbb, const LoadNotesT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -7480,11 +7496,13 @@
   auto _notes = _o->notes.size() ? _fbb.CreateVectorOfStructs(_o->notes) : 0;
   auto _origins = _o->origins.size() ? _fbb.CreateVectorOfStructs(_o->origins) : 0;
   auto _troubles = _o->troubles.size() ? _fbb.CreateVectorOfStructs(_o->troubles) : 0;
+  auto _replaced = _o->replaced.size() ? _fbb.CreateVector(_o->replaced) : 0;
   return dotterelshift::wire::CreateLoadNotes(
       _fbb,
       _notes,
       _origins,
-      _troubles);
+      _troubles,
+      _replaced);
 }
 
 inline OriginQuestionT *OriginQuestion::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/src/dotterelshift/app/directory_exchange.cc
+++ b/src/dotterelshift/app/directory_exchange.cc
@@ -56,6 +56,20 @@
   OnTimer();
 }
 
+bool DirectoryExchange::OnReplaced(const EndpointId& endpoint,
+                                   const HostId& from) {
+  if (!m_directory.OnReplaced(endpoint, m_loop.Now())) return false;
+  const directory::Endpoint& known = *m_directory.Find(endpoint);
+  telemetry::Log(telemetry::LogLevel::kInfo, "endpoint_replaced",
+                 {{"endpoint", endpoint},
+                  {"address", known.record.address},
+                  {"learned_from", from.empty() ? "response" : from},
+                  {"announced_ms_ago",
+                   std::to_string(ToMs(m_loop.Now() - known.last_news))}});
+  OnTimer();
+  return true;
+}
+
 void DirectoryExchange::OnPeerUp(const peers::PeerInfo& peer) {
   m_spread.OnPeerUp(peer.run.host, m_loop.Now());
   // A request to the peer may be due at once.
--- a/src/dotterelshift/app/directory_exchange.h
+++ b/src/dotterelshift/app/directory_exchange.h
@@ -35,6 +35,9 @@
   void OnAnnounce(http::Exchange& exchange);
   // Takes an endpoint's announcement that an adapter has parsed.
   void OnAnnounced(const wire::EndpointRecordT& record);
+  // Another endpoint answered at its address, as this daemon (`from` empty) or
+  // another one has seen. Returns false if that is not new.
+  bool OnReplaced(const EndpointId& endpoint, const HostId& from);
   void OnPeerUp(const peers::PeerInfo& peer);
   void OnPeerDown(const peers::PeerInfo& peer);
   // Returns true if the frame belongs to the directory protocol.
--- a/src/dotterelshift/app/entry_peers.cc
+++ b/src/dotterelshift/app/entry_peers.cc
@@ -30,7 +30,7 @@
   m_parts.exchange->OnEntryUp(entry);
   m_parts.limits->OnEntryUp(entry.run.host, entry.data_centre, m_loop.Now());
   m_others.SendKnowledgeTo(entry, *m_parts.load, *m_parts.origins,
-                           m_loop.Now());
+                           m_parts.directory->GetDirectory(), m_loop.Now());
 }
 
 void EntryPeers::OnDown(const peers::PeerInfo& entry) {
@@ -65,6 +65,8 @@
   const Instant now = m_loop.Now();
   m_others.OnLoadUpdates(peer, notes, *m_parts.load, now);
   for (const wire::TroubleNote& note : notes.troubles) LogTrouble(peer, note);
+  for (const gateway::EndpointKey endpoint : notes.replaced)
+    OnReplaced(peer, endpoint);
   m_parts.origins->OnUpdates(peer.run.host, notes.origins, now);
 }
 
@@ -79,6 +81,23 @@
        {"learned_from", peer.run.host}});
 }
 
+void EntryPeers::OnReplaced(const peers::PeerInfo& peer,
+                            gateway::EndpointKey endpoint) {
+  const gateway::EndpointContact* contact = m_parts.load->Find(endpoint);
+  if (contact == nullptr) return;
+  const EndpointId id = contact->id;
+  m_parts.directory->OnReplaced(id, peer.run.host);
+}
+
+void EntryPeers::TakeReplaced() {
+  for (const gateway::EndpointKey endpoint : m_parts.core->TakeReplaced()) {
+    const gateway::EndpointContact* contact = m_parts.load->Find(endpoint);
+    if (contact == nullptr) continue;
+    const EndpointId id = contact->id;
+    if (m_parts.directory->OnReplaced(id, "")) m_replaced.push_back(endpoint);
+  }
+}
+
 void EntryPeers::OnBorrow(const peers::PeerInfo& peer,
                           const wire::TokenBorrowT& borrow) {
   const Tokens lent = m_parts.may_lend() ? m_parts.budgets->OnBorrow(
@@ -101,7 +120,8 @@
   for (wire::TokenBorrowT& borrow : m_parts.budgets->TakeBorrowRequests())
     m_others.SendToNextFew(peers::MakeFrame(std::move(borrow)));
   SendForLimits(now);
-  m_others.SendUpdates(*m_parts.load, *m_parts.origins, now);
+  TakeReplaced();
+  m_others.SendUpdates(*m_parts.load, *m_parts.origins, &m_replaced, now);
 }
 
 // The timer only causes an event loop iteration, which calls this again.
--- a/src/dotterelshift/app/entry_peers.h
+++ b/src/dotterelshift/app/entry_peers.h
@@ -5,6 +5,7 @@
 #include <string>      // for string
 #include <vector>      // for vector
 
+#include "dotterelshift/app/directory_exchange.h"  // for DirectoryExchange
 #include "dotterelshift/app/endpoint_relays.h"     // for EndpointRelays
 #include "dotterelshift/app/gateway_traffic.h"     // for GatewayTraffic
 #include "dotterelshift/app/origin_exchange.h"     // for OriginExchange
@@ -29,6 +30,7 @@
     gateway::HeldGrants* budgets = nullptr;
     gateway::StreamOrigins* origins = nullptr;
     OriginExchange* exchange = nullptr;
+    DirectoryExchange* directory = nullptr;
     EndpointRelays* relays = nullptr;
     GatewayTraffic* traffic = nullptr;
     gateway::FleetLimits* limits = nullptr;
@@ -57,6 +59,9 @@
   void OnLoadNotes(const peers::PeerInfo& peer, const wire::LoadNotesT& notes);
   void LogTrouble(const peers::PeerInfo& peer,
                   const wire::TroubleNote& note) const;
+  // Endpoints at whose address another one answered.
+  void TakeReplaced();
+  void OnReplaced(const peers::PeerInfo& peer, gateway::EndpointKey endpoint);
   void OnBorrow(const peers::PeerInfo& peer, const wire::TokenBorrowT& borrow);
   void SendForLimits(Instant now);
   bool MayHangUp(const std::string& address) const;
@@ -64,6 +69,7 @@
   loop::Loop& m_loop;
   const Parts m_parts;
   OtherEntries m_others;
+  std::vector<gateway::EndpointKey> m_replaced;  // to be told to the others
   std::vector<std::string> m_addresses;
   loop::Timer m_limits_timer;
 };
--- a/src/dotterelshift/app/gateway_entry.cc
+++ b/src/dotterelshift/app/gateway_entry.cc
@@ -194,6 +194,7 @@
           .budgets = &m_budgets,
           .origins = &m_versions.Origins(),
           .exchange = &m_origins,
+          .directory = &m_directory,
           .relays = m_relays.get(),
           .traffic = m_traffic.get(),
           .limits = &m_limits,
--- a/src/dotterelshift/app/other_entries.cc
+++ b/src/dotterelshift/app/other_entries.cc
@@ -4,7 +4,8 @@
 #include <string>     // for to_string
 #include <utility>    // for exchange, move
 
-#include "dotterelshift/telemetry/log.h"  // for LogDecision
+#include "dotterelshift/directory/spread.h"  // for PulseKey
+#include "dotterelshift/telemetry/log.h"     // for LogDecision
 
 namespace dotterelshift::app {
 namespace {
@@ -49,8 +50,11 @@
 }
 
 void OtherEntries::SendUpdates(gateway::FleetLoad& load,
-                               gateway::StreamOrigins& origins, Instant now) {
-  if (!load.HasLoadUpdates() && !origins.HasUpdates()) return;
+                               gateway::StreamOrigins& origins,
+                               std::vector<gateway::EndpointKey>* replaced,
+                               Instant now) {
+  if (!load.HasLoadUpdates() && !origins.HasUpdates() && replaced->empty())
+    return;
   if (!m_load_update_pacer.MaySend(now))
     return m_load_update_timer.ArmAt(m_load_update_pacer.Next());
   const std::vector<HostId> hosts = Hosts();
@@ -58,8 +62,9 @@
   body.notes = load.TakeLoadUpdates(m_load_update_pacer.Most(hosts.size()));
   body.troubles = load.TakeTroubleChanges(now);
   body.origins = origins.TakeUpdates();
-  const size_t count =
-      body.notes.size() + body.troubles.size() + body.origins.size();
+  body.replaced = std::exchange(*replaced, {});
+  const size_t count = body.notes.size() + body.troubles.size() +
+                       body.origins.size() + body.replaced.size();
   m_load_update_pacer.OnSent(count, hosts.size(), now);
   if (count == 0) return;
   const wire::FrameT frame = peers::MakeFrame(std::move(body));
@@ -69,6 +74,7 @@
 void OtherEntries::SendKnowledgeTo(const peers::PeerInfo& entry,
                                    const gateway::FleetLoad& load,
                                    const gateway::StreamOrigins& origins,
+                                   const directory::Directory& directory,
                                    Instant now) {
   if (!IsServed(entry)) return;
   const HostId& host = entry.run.host;
@@ -80,7 +86,11 @@
   wire::LoadNotesT body;
   body.origins = origins.ForNewEntry(is_connected, now);
   body.troubles = load.Troubles(now);
-  if (body.origins.empty() && body.troubles.empty()) return;
+  for (const EndpointId& id : directory.Replaced())
+    body.replaced.push_back(
+        directory::PulseKey(id, directory.Find(id)->record.incarnation));
+  if (body.origins.empty() && body.troubles.empty() && body.replaced.empty())
+    return;
   m_hub.Send(host, peers::MakeFrame(std::move(body)));
 }
 
--- a/src/dotterelshift/app/other_entries.h
+++ b/src/dotterelshift/app/other_entries.h
@@ -5,6 +5,7 @@
 #include <vector>   // for vector
 
 #include "dotterelshift/base/tokens.h"                // for Tokens
+#include "dotterelshift/directory/directory.h"        // for Directory
 #include "dotterelshift/gateway/fleet_load.h"         // for FleetLoad
 #include "dotterelshift/gateway/load_update_pacer.h"  // for LoadUpdatePacer
 #include "dotterelshift/gateway/stream_origins.h"     // for StreamOrigins
@@ -31,16 +32,18 @@
   void OnLoadUpdates(const peers::PeerInfo& from, const wire::LoadNotesT& notes,
                      gateway::FleetLoad& load, Instant now) const;
 
-  // Sends changes of the endpoints' load and the origins of new streams to all
-  // of them, once the pacer permits it. Called in each event loop iteration; if
-  // it must wait, a timer causes another iteration.
+  // Sends changes of the endpoints' load, the origins of new streams and the
+  // endpoints at whose address another one answered to all of them, once the
+  // pacer permits it. Called in each event loop iteration; if it must wait, a
+  // timer causes another iteration.
   void SendUpdates(gateway::FleetLoad& load, gateway::StreamOrigins& origins,
-                   Instant now);
+                   std::vector<gateway::EndpointKey>* replaced, Instant now);
   // Sends what an entry lacks whose connection was just established: origins
-  // of streams, and endpoints in trouble.
+  // of streams, and endpoints in trouble or replaced.
   void SendKnowledgeTo(const peers::PeerInfo& entry,
                        const gateway::FleetLoad& load,
-                       const gateway::StreamOrigins& origins, Instant now);
+                       const gateway::StreamOrigins& origins,
+                       const directory::Directory& directory, Instant now);
   // Answers another entry's request to lend; 0 tokens: none can be lent.
   void SendLoan(const HostId& to, const wire::TokenBorrowT& borrow,
                 Tokens lent);
--- a/src/dotterelshift/app/other_entries_test.cc
+++ b/src/dotterelshift/app/other_entries_test.cc
@@ -44,6 +44,7 @@
   CPPUNIT_TEST_SUITE(OtherEntriesTest);
   CPPUNIT_TEST(RequestsThatDistantEntriesWereToldOfAreTakenBack);
   CPPUNIT_TEST(LateLoadUpdateOfADistantEntryIsNotTaken);
+  CPPUNIT_TEST(ReplacedEndpointsAreToldAlsoToEntriesThatConnect);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -79,12 +80,12 @@
     const auto placement = m_own.Choose("llm", {}, {}, m_now);
     CPPUNIT_ASSERT(placement.has_value());
     m_own.OnAssigned(*placement, {}, m_now);
-    m_others.SendUpdates(m_own, m_origins, m_now);
+    m_others.SendUpdates(m_own, m_origins, &m_replaced, m_now);
     CPPUNIT_ASSERT_EQUAL(uint32_t{1}, m_distant.Running(m_endpoint));
     m_others.SetOwnDataCentreOnly(true, m_own);
     m_distant_others.SetOwnDataCentreOnly(true, m_distant);
     m_own.OnEnded(placement->endpoint);
-    m_others.SendUpdates(m_own, m_origins, m_now);
+    m_others.SendUpdates(m_own, m_origins, &m_replaced, m_now);
     CPPUNIT_ASSERT_EQUAL(uint32_t{0}, m_distant.Running(m_endpoint));
   }
 
@@ -93,15 +94,31 @@
     m_distant_others.SetOwnDataCentreOnly(true, m_distant);
     const auto placement = m_own.Choose("llm", {}, {}, m_now);
     m_own.OnAssigned(*placement, {}, m_now);
-    m_others.SendUpdates(m_own, m_origins, m_now);
+    m_others.SendUpdates(m_own, m_origins, &m_replaced, m_now);
     CPPUNIT_ASSERT_EQUAL(uint32_t{0}, m_distant.Running(m_endpoint));
   }
 
+  void ReplacedEndpointsAreToldAlsoToEntriesThatConnect() {
+    std::vector<std::vector<gateway::EndpointKey>> told;
+    m_hub.on_frame = [&told](const wire::FrameT& frame) {
+      told.push_back(frame.body.AsLoadNotes()->replaced);
+    };
+    m_replaced = {m_endpoint};
+    m_others.SendUpdates(m_own, m_origins, &m_replaced, m_now);
+    m_others.SendUpdates(m_own, m_origins, &m_replaced, m_now);
+    m_directory.OnReplaced("e", m_now + 1s);
+    m_others.SendKnowledgeTo(EntryOf("b"), m_own, m_origins, m_directory,
+                             m_now);
+    const std::vector<gateway::EndpointKey> once = {m_endpoint};
+    CPPUNIT_ASSERT(told == std::vector({once, once}));
+  }
+
  private:
   const gateway::EndpointKey m_endpoint = directory::PulseKey("e", 1);
   const Instant m_now{1000s};
   directory::Directory m_directory;
   gateway::StreamOrigins m_origins;
+  std::vector<gateway::EndpointKey> m_replaced;
   gateway::FleetLoad m_own{gateway::FleetLoadOptions{"a"}};
   gateway::FleetLoad m_distant{gateway::FleetLoadOptions{"b"}};
   loop::Loop m_loop;
--- a/src/dotterelshift/directory/directory.cc
+++ b/src/dotterelshift/directory/directory.cc
@@ -37,6 +37,11 @@
   return now - std::chrono::milliseconds(age_ms);
 }
 
+bool IsReplaced(const Endpoint& endpoint) {
+  return endpoint.replaced_at != Instant{} &&
+         endpoint.last_news <= endpoint.replaced_at;
+}
+
 // Draining and gone stay set for the rest of the incarnation.
 void MergeSticky(wire::EndpointRecordT* record, bool draining, bool gone) {
   record->draining = record->draining || draining;
@@ -109,11 +114,27 @@
   endpoint.last_news = ReceivedAt(record.age_ms, now);
   endpoint.record = std::move(record);
   ++m_generation;
+  CompareAddress(&endpoint, now);
   UpdateUsable(&endpoint, now);
   m_changed.insert(endpoint.record.id);
   return RecordUpdate::kOffer;
 }
 
+// A report that was held up may arrive after the next endpoint has announced
+// the address. The one that lives announces itself again.
+void Directory::CompareAddress(Endpoint* added, Instant now) {
+  for (auto& [id, other] : m_endpoints) {
+    if (&other == added || other.record.address != added->record.address ||
+        other.last_news == added->last_news)
+      continue;
+    const bool first = other.last_news < added->last_news;
+    Endpoint* earlier = first ? &other : added;
+    const Instant later = first ? added->last_news : other.last_news;
+    earlier->replaced_at = std::max(earlier->replaced_at, later);
+    UpdateUsable(earlier, now);
+  }
+}
+
 // An update that is not newer can only add flags.
 RecordUpdate Directory::MergeStickyFlags(Endpoint* endpoint,
                                          const wire::EndpointRecordT& late,
@@ -181,6 +202,21 @@
   UpdateUsable(&it->second, now);
 }
 
+bool Directory::OnReplaced(const EndpointId& id, Instant now) {
+  const auto it = m_endpoints.find(id);
+  if (it == m_endpoints.end() || IsReplaced(it->second)) return false;
+  it->second.replaced_at = now;
+  UpdateUsable(&it->second, now);
+  return true;
+}
+
+std::vector<EndpointId> Directory::Replaced() const {
+  std::vector<EndpointId> replaced;
+  for (const auto& [id, endpoint] : m_endpoints)
+    if (IsReplaced(endpoint)) replaced.push_back(id);
+  return replaced;
+}
+
 bool Directory::OnTimer(Instant now) {
   const uint64_t before = m_generation;
   for (auto it = m_endpoints.begin(); it != m_endpoints.end();) {
@@ -230,7 +266,7 @@
 
 bool Directory::IsUsable(const Endpoint& endpoint, Instant now) const {
   const wire::EndpointRecordT& record = endpoint.record;
-  if (record.draining || record.gone) return false;
+  if (record.draining || record.gone || IsReplaced(endpoint)) return false;
   if (now < endpoint.dead_until) return false;
   const bool own_evidence =
       now - endpoint.last_evidence < m_options.silent_after;
--- a/src/dotterelshift/directory/directory_test.cc
+++ b/src/dotterelshift/directory/directory_test.cc
@@ -119,6 +119,14 @@
   return record;
 }
 
+wire::EndpointRecordT Another(const EndpointId& id,
+                              const std::string& address) {
+  wire::EndpointRecordT record = Record({1, 1});
+  record.id = id;
+  record.address = address;
+  return record;
+}
+
 class DirectoryTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(DirectoryTest);
   CPPUNIT_TEST(RecordUpdateTable);
@@ -130,6 +138,9 @@
   CPPUNIT_TEST(GenerationIgnoresLoad);
   CPPUNIT_TEST(IncarnationThatContradictsItselfIsGone);
   CPPUNIT_TEST(RecordsWithoutAVersionContradictNothing);
+  CPPUNIT_TEST(ReplacedEndpointIsNotUsedUntilItAnnouncesItselfAgain);
+  CPPUNIT_TEST(LaterEndpointOfAnAddressReplacesTheEarlier);
+  CPPUNIT_TEST(LateReportOfAnEarlierEndpointReplacesNothing);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -184,6 +195,48 @@
     CPPUNIT_ASSERT(directory.Find("e")->usable);
   }
 
+  void ReplacedEndpointIsNotUsedUntilItAnnouncesItselfAgain() {
+    Directory directory;
+    directory.OnRecord(Record({1, 1}), kStart);
+    CPPUNIT_ASSERT(directory.OnReplaced("e", kStart + 1s));
+    CPPUNIT_ASSERT(!directory.OnReplaced("e", kStart + 1s));
+    CPPUNIT_ASSERT(directory.Replaced() == std::vector<EndpointId>{"e"});
+    CPPUNIT_ASSERT(!directory.Find("e")->usable);
+    directory.OnAlive("e", kStart + 1s);
+    CPPUNIT_ASSERT(!directory.Find("e")->usable);
+    // Made before.
+    directory.ApplyLoad("e", 1, {.sequence = 2, .age_ms = 500},
+                        kStart + 1100ms);
+    CPPUNIT_ASSERT(!directory.Find("e")->usable);
+    directory.ApplyLoad("e", 1, {.sequence = 3}, kStart + 2s);
+    CPPUNIT_ASSERT(directory.Find("e")->usable);
+    CPPUNIT_ASSERT(directory.Replaced().empty());
+  }
+
+  void LaterEndpointOfAnAddressReplacesTheEarlier() {
+    Directory directory;
+    directory.OnRecord(Record({1, 1}), kStart);
+    directory.OnRecord(Another("f", "127.0.0.1:1"), kStart + 1s);
+    CPPUNIT_ASSERT(!directory.Find("e")->usable);
+    CPPUNIT_ASSERT(directory.Find("f")->usable);
+    directory.OnRecord(Another("g", "127.0.0.1:2"), kStart + 1s);
+    CPPUNIT_ASSERT(directory.Find("f")->usable);
+    CPPUNIT_ASSERT(directory.Find("g")->usable);
+  }
+
+  // An earlier endpoint's record comes from another daemon, after the later
+  // one's; the later one announces itself again.
+  void LateReportOfAnEarlierEndpointReplacesNothing() {
+    Directory directory;
+    directory.OnRecord(Another("f", "127.0.0.1:1"), kStart + 1s);
+    directory.OnRecord(Record({1, 1, false, false, 500}), kStart + 1100ms);
+    CPPUNIT_ASSERT(!directory.Find("e")->usable);
+    CPPUNIT_ASSERT(directory.Find("f")->usable);
+    directory.OnRecord(Another("old", "127.0.0.1:1"), kStart + 2s);
+    directory.ApplyLoad("f", 1, {.sequence = 2}, kStart + 3s);
+    CPPUNIT_ASSERT(directory.Find("f")->usable);
+  }
+
   void SilentEndpointIsNotUsable() {
     Directory directory;
     directory.OnRecord(Record({}), kStart);
--- a/src/dotterelshift/gateway/core_impl.h
+++ b/src/dotterelshift/gateway/core_impl.h
@@ -63,6 +63,9 @@
     return std::exchange(m_finished, {});
   }
   std::vector<SuspectReport> TakeSuspectReports() override;
+  std::vector<EndpointKey> TakeReplaced() override {
+    return std::exchange(m_replaced, {});
+  }
   size_t HeldBytes(AttemptId attempt) const override;
   size_t OpenRequests() const override { return m_active.size(); }
   LinkQueue WaitingForLink() const override;
@@ -302,7 +305,8 @@
   std::vector<Action> m_actions;
   std::vector<serving::RequestSummary> m_finished;
   std::vector<SuspectReport> m_suspect_reports;
-  std::set<uint64_t> m_suspected;  // content hashes reported, not cleared
+  std::vector<EndpointKey> m_replaced;  // see TakeReplaced()
+  std::set<uint64_t> m_suspected;       // content hashes reported, not cleared
   std::vector<BrokenAttempt> m_broken;
   Instant m_next_suspect_check{};
   uint64_t m_suspect_refusals = 0;
--- a/src/dotterelshift/gateway/core_response.cc
+++ b/src/dotterelshift/gateway/core_response.cc
@@ -206,6 +206,7 @@
 void CoreImpl::OnEndpointRefusal(ActiveRequest& active, Instant now) {
   const EndpointKey endpoint = active.attempt.placement.endpoint;
   if (active.attempt.response_info.address_reassigned) {
+    m_replaced.push_back(endpoint);
     m_dependencies.load->OnUnreachable(endpoint, now);
     LogAvoided(active, "address_reassigned", now);
   } else {
--- a/src/dotterelshift/gateway/core_streams_test.cc
+++ b/src/dotterelshift/gateway/core_streams_test.cc
@@ -154,6 +154,9 @@
     CPPUNIT_ASSERT(second.endpoint.id != start.endpoint.id);
     CPPUNIT_ASSERT_EQUAL(std::string("v1"), second.endpoint.software_version);
     CPPUNIT_ASSERT_EQUAL(std::string("3"), second.last_event_id);
+    CPPUNIT_ASSERT(m_core->TakeReplaced() ==
+                   std::vector<EndpointKey>{KeyOf(start.endpoint.id)});
+    CPPUNIT_ASSERT(m_core->TakeReplaced().empty());
   }
 
   void SilentEndpointOfAResumedStreamIsLeft() {
--- a/src/dotterelshift/gateway/stream_versions_property_test.cc
+++ b/src/dotterelshift/gateway/stream_versions_property_test.cc
@@ -322,6 +322,9 @@
     }
     node.core->TakeFinished();
     node.core->TakeSuspectReports();
+    for (const EndpointKey endpoint : node.core->TakeReplaced())
+      if (const EndpointContact* contact = node.load.Find(endpoint))
+        node.directory.OnReplaced(contact->id, m_now);
   }
 
   void Do(Node& node, const StartAttempt& start) {
