--- a/include/dotterelshift/gateway/fleet_load.h
+++ b/include/dotterelshift/gateway/fleet_load.h
@@ -195,8 +195,7 @@
   // responses, for the other entries since the last call. Each entry would
   // otherwise lose requests of its own to learn the same.
   std::vector<wire::TroubleNote> TakeTroubleChanges(Instant now);
-  // All endpoints that are chosen last, or whose refusals still count, for an
-  // entry that has just connected.
+  // All endpoints that are chosen last, for an entry that has just connected.
   std::vector<wire::TroubleNote> Troubles(Instant now) const;
   void OnLoadUpdates(const HostId& from, const wire::LoadNotesT& notes,
                      Instant now);
--- a/src/dotterelshift/gateway/fleet_load.cc
+++ b/src/dotterelshift/gateway/fleet_load.cc
@@ -407,7 +407,7 @@
 std::vector<wire::TroubleNote> FleetLoad::Troubles(Instant now) const {
   std::vector<wire::TroubleNote> notes;
   for (const auto& [endpoint, load] : m_loads)
-    if (load.refusals > 0 || now < load.last_choice_until)
+    if (now < load.last_choice_until)
       notes.push_back(TroubleOf(endpoint, load, now));
   return notes;
 }
