--- a/bench/routing_model.h
+++ b/bench/routing_model.h
@@ -147,7 +147,7 @@
   record.id = engine->id;
   record.incarnation = 1;
   record.sequence = ++engine->report_sequence;
-  record.address = "10.0.0.1:8000";
+  record.address = engine->id + ":8000";
   record.data_centre = engine->data_centre;
   record.slots = static_cast<uint32_t>(engine->slots);
   record.running = static_cast<uint32_t>(engine->running);
--- a/bench/spread_bench.cc
+++ b/bench/spread_bench.cc
@@ -135,7 +135,7 @@
     record.id = Name("engine", e);
     record.incarnation = 1'700'000'000'000 + e;
     record.sequence = ++m_sequences[e];
-    record.address = "10.0.0.1:8000";
+    record.address = "10.0.0.1:" + std::to_string(e);
     record.data_centre = "plateau";
     record.slots = 64;
     record.running = static_cast<uint32_t>((e + m_sequences[e]) % 64);
--- a/bench/state_bench.cc
+++ b/bench/state_bench.cc
@@ -203,7 +203,7 @@
       record.id = "endpoint-" + std::to_string(i);
       record.incarnation = 1;
       record.sequence = 1;
-      record.address = "10.0.0.1:8000";
+      record.address = "10.0.0.1:" + std::to_string(i);
       record.models.push_back(std::make_unique<wire::ModelStateT>());
       record.models.back()->model = "draft";
       directory.OnRecord(record, Instant(Duration{1s}));
--- a/src/dotterelshift/directory/spread_simulation.h
+++ b/src/dotterelshift/directory/spread_simulation.h
@@ -100,7 +100,7 @@
                 const EndpointId& id = "e") {
     wire::EndpointRecordT record;
     record.id = id;
-    record.address = "127.0.0.1:1";
+    record.address = id + ":1";
     record.incarnation = 1;
     record.sequence = sequence;
     record.draining = draining;
--- a/src/dotterelshift/gateway/core_origin_lookup_test.cc
+++ b/src/dotterelshift/gateway/core_origin_lookup_test.cc
@@ -117,7 +117,7 @@
     record.id = "e-" + version;
     record.incarnation = 1;
     record.sequence = 1;
-    record.address = "10.0.0.1:80";
+    record.address = record.id + ":80";
     record.services = {"llm"};
     record.slots = 6;
     record.software_version = version;
--- a/src/dotterelshift/gateway/core_streams_test.cc
+++ b/src/dotterelshift/gateway/core_streams_test.cc
@@ -252,7 +252,7 @@
     record.id = id;
     record.incarnation = incarnation;
     record.sequence = ++m_sequence;
-    record.address = "10.0.0.1:80";
+    record.address = record.id + ":80";
     record.data_centre = "dc";
     record.services = {"llm"};
     record.slots = 6;
--- a/src/dotterelshift/gateway/core_testing.h
+++ b/src/dotterelshift/gateway/core_testing.h
@@ -93,7 +93,7 @@
     record.sequence = draining ? 2 : 1;
     record.incarnation = incarnation;
     record.draining = draining;
-    record.address = "10.0.0.1:80";
+    record.address = record.id + ":80";
     record.data_centre = "dc";
     record.services = {service};
     record.slots = 6;
--- a/src/dotterelshift/gateway/crash_schedule_testing.h
+++ b/src/dotterelshift/gateway/crash_schedule_testing.h
@@ -244,7 +244,7 @@
     record.id = id;
     record.incarnation = 1;
     record.sequence = sequence;
-    record.address = "10.0.0.1:80";
+    record.address = record.id + ":80";
     record.data_centre = "dc";
     record.services = {"llm"};
     record.slots = 8;
--- a/src/dotterelshift/gateway/endpoint_paths_test.cc
+++ b/src/dotterelshift/gateway/endpoint_paths_test.cc
@@ -286,7 +286,7 @@
     record.id = id;
     record.incarnation = 1;
     record.sequence = ++m_sequence;
-    record.address = "10.0.0.1:80";
+    record.address = record.id + ":80";
     record.services = {service};
     m_directory.OnRecord(record, m_now);
   }
--- a/src/dotterelshift/gateway/fleet_limits_simulation.h
+++ b/src/dotterelshift/gateway/fleet_limits_simulation.h
@@ -177,7 +177,7 @@
     record.id = endpoint.id;
     record.sequence = 1;
     record.incarnation = endpoint.incarnation;
-    record.address = "10.0.0.1:80";
+    record.address = record.id + ":80";
     record.data_centre = NameOfDataCentre(endpoint.data_centre);
     record.services = {"llm"};
     record.slots = 1000;
--- a/src/dotterelshift/gateway/fleet_limits_test.cc
+++ b/src/dotterelshift/gateway/fleet_limits_test.cc
@@ -28,7 +28,7 @@
     record.id = kEndpoint;
     record.incarnation = 2;
     record.sequence = 1;
-    record.address = "10.0.0.1:80";
+    record.address = record.id + ":80";
     record.data_centre = "dc";
     record.services = {"llm"};
     m_directory.OnRecord(record, m_now);
--- a/src/dotterelshift/gateway/fleet_load_test.cc
+++ b/src/dotterelshift/gateway/fleet_load_test.cc
@@ -49,7 +49,7 @@
     record.id = id;
     record.incarnation = 1;
     record.sequence = 1;
-    record.address = "10.0.0.1:80";
+    record.address = record.id + ":80";
     record.data_centre = "dc";
     record.services = {"llm"};
     record.slots = 48;
--- a/src/dotterelshift/gateway/streams_in_release_test.cc
+++ b/src/dotterelshift/gateway/streams_in_release_test.cc
@@ -81,7 +81,7 @@
     record.id = id;
     record.incarnation = 1;
     record.sequence = ++m_sequence;
-    record.address = "10.0.0.1:80";
+    record.address = record.id + ":80";
     record.data_centre = "dc";
     record.services = {"llm"};
     record.slots = kSlots;
--- a/src/dotterelshift/orders/order_core_test.cc
+++ b/src/dotterelshift/orders/order_core_test.cc
@@ -145,7 +145,7 @@
     record.id = id;
     record.incarnation = 1;
     record.sequence = ++m_sequence;
-    record.address = "127.0.0.1:1";
+    record.address = record.id + ":1";
     record.checks_fencing = checks;
     if (model != nullptr) {
       record.models.push_back(std::make_unique<wire::ModelStateT>());
--- a/src/dotterelshift/serving/serving_testing.h
+++ b/src/dotterelshift/serving/serving_testing.h
@@ -134,7 +134,7 @@
   void Announce(const EndpointId& id, bool draining = false) {
     wire::EndpointRecordT record;
     record.id = id;
-    record.address = "127.0.0.1:1";
+    record.address = record.id + ":1";
     record.incarnation = 1;
     record.sequence = ++m_sequence;
     record.draining = draining;
--- a/tests/scenarios/world.cc
+++ b/tests/scenarios/world.cc
@@ -107,7 +107,7 @@
   wire::EndpointRecordT record;
   record.id = name;
   record.incarnation = 1;
-  record.address = "127.0.0.1:1";
+  record.address = name + ":1";
   record.data_centre = data_centre;
   record.slots = 8;
   record.tokens_per_second = 800;
