A test that fails: a tunnel whose response pauses counts as idle

An entry that stops waits for busy tunnels of other entries, and a tunnel is busy until the first byte of the response and for 1 s after the last one: a stream that is silent for a second does not keep the entry from its exit, from 2.55 s after SIGTERM on.

--- a/src/dotterelshift/relay/relay_server_test.cc
+++ b/src/dotterelshift/relay/relay_server_test.cc
@@ -41,6 +41,7 @@
   CPPUNIT_TEST(NoHeaderOfACallerOpensATunnel);
   CPPUNIT_TEST(LostClientHostEndsItsTunnels);
   CPPUNIT_TEST(TunnelIsBusyWhileAResponseIsDue);
+  CPPUNIT_TEST(TunnelIsBusyWhileAResponsePauses);
   CPPUNIT_TEST(LostRelayIsToldApart);
   CPPUNIT_TEST_SUITE_END();
 
@@ -262,6 +263,17 @@
     CPPUNIT_ASSERT_EQUAL(size_t{1}, m_server->OpenTunnels());
   }
 
+  // A silent endpoint may go on: its tunnel keeps an entry from its exit.
+  void TunnelIsBusyWhileAResponsePauses() {
+    const http::TestListener target(4);
+    Send(target, "body");
+    http::TestPeer peer = Accept(target);
+    ReadUntil(peer, "body");
+    peer.Send("HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\npart");
+    RunUntil(m_loop, "the part", [&] { return m_seen.body == "part"; });
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, m_server->BusyTunnels(m_loop.Now() + 2s));
+  }
+
   void LostRelayIsToldApart() {
     const http::TestListener target(4);
     m_port = m_server->Port();
