--- a/include/dotterelshift/directory/directory.h
+++ b/include/dotterelshift/directory/directory.h
@@ -94,8 +94,6 @@
   void OnDead(const EndpointId& endpoint, uint64_t incarnation, Instant now);
   // Another endpoint answered at its address. Returns false if that is not new.
   bool OnReplaced(const EndpointId& endpoint, Instant now);
-  // The endpoints that are not used for that reason.
-  std::vector<EndpointId> Replaced() const;
   // Expires silent records. Returns true when the set of usable endpoints
   // changed or a record was dropped.
   bool OnTimer(Instant now);
@@ -116,6 +114,11 @@
   const std::unordered_map<EndpointId, Endpoint>& All() const {
     return m_endpoints;
   }
+  // Whether the endpoint's last announcement is older than any that is missed
+  // by chance.
+  bool IsOverdue(const Endpoint& endpoint, Instant now) const {
+    return now - endpoint.last_news >= m_options.silent_after;
+  }
   // Changes whenever the set of usable endpoints or what they serve changes.
   uint64_t Generation() const { return m_generation; }
 
--- a/src/dotterelshift/app/entry_peers.cc
+++ b/src/dotterelshift/app/entry_peers.cc
@@ -30,7 +30,7 @@
   m_parts.exchange->OnEntryUp(entry);
   m_parts.limits->OnEntryUp(entry.run.host, entry.data_centre, m_loop.Now());
   m_others.SendKnowledgeTo(entry, *m_parts.load, *m_parts.origins,
-                           m_parts.directory->GetDirectory(), m_loop.Now());
+                           m_loop.Now());
 }
 
 void EntryPeers::OnDown(const peers::PeerInfo& entry) {
--- a/src/dotterelshift/app/other_entries.cc
+++ b/src/dotterelshift/app/other_entries.cc
@@ -4,8 +4,7 @@
 #include <string>     // for to_string
 #include <utility>    // for exchange, move
 
-#include "dotterelshift/directory/spread.h"  // for PulseKey
-#include "dotterelshift/telemetry/log.h"     // for LogDecision
+#include "dotterelshift/telemetry/log.h"  // for LogDecision
 
 namespace dotterelshift::app {
 namespace {
@@ -74,7 +73,6 @@
 void OtherEntries::SendKnowledgeTo(const peers::PeerInfo& entry,
                                    const gateway::FleetLoad& load,
                                    const gateway::StreamOrigins& origins,
-                                   const directory::Directory& directory,
                                    Instant now) {
   if (!IsServed(entry)) return;
   const HostId& host = entry.run.host;
@@ -86,11 +84,7 @@
   wire::LoadNotesT body;
   body.origins = origins.ForNewEntry(is_connected, now);
   body.troubles = load.Troubles(now);
-  for (const EndpointId& id : directory.Replaced())
-    body.replaced.push_back(
-        directory::PulseKey(id, directory.Find(id)->record.incarnation));
-  if (body.origins.empty() && body.troubles.empty() && body.replaced.empty())
-    return;
+  if (body.origins.empty() && body.troubles.empty()) return;
   m_hub.Send(host, peers::MakeFrame(std::move(body)));
 }
 
--- a/src/dotterelshift/app/other_entries.h
+++ b/src/dotterelshift/app/other_entries.h
@@ -5,7 +5,6 @@
 #include <vector>   // for vector
 
 #include "dotterelshift/base/tokens.h"                // for Tokens
-#include "dotterelshift/directory/directory.h"        // for Directory
 #include "dotterelshift/gateway/fleet_load.h"         // for FleetLoad
 #include "dotterelshift/gateway/load_update_pacer.h"  // for LoadUpdatePacer
 #include "dotterelshift/gateway/stream_origins.h"     // for StreamOrigins
@@ -39,11 +38,10 @@
   void SendUpdates(gateway::FleetLoad& load, gateway::StreamOrigins& origins,
                    std::vector<gateway::EndpointKey>* replaced, Instant now);
   // Sends what an entry lacks whose connection was just established: origins
-  // of streams, and endpoints in trouble or replaced.
+  // of streams, and endpoints in trouble.
   void SendKnowledgeTo(const peers::PeerInfo& entry,
                        const gateway::FleetLoad& load,
-                       const gateway::StreamOrigins& origins,
-                       const directory::Directory& directory, Instant now);
+                       const gateway::StreamOrigins& origins, Instant now);
   // Answers another entry's request to lend; 0 tokens: none can be lent.
   void SendLoan(const HostId& to, const wire::TokenBorrowT& borrow,
                 Tokens lent);
--- a/src/dotterelshift/directory/directory.cc
+++ b/src/dotterelshift/directory/directory.cc
@@ -98,11 +98,12 @@
 // A record without a version comes from a daemon that does not know the field.
 void Directory::CheckSoftware(const wire::EndpointRecordT& known,
                               wire::EndpointRecordT* update) {
+  if (update->software_version.empty())
+    update->software_version = known.software_version;
   const std::string& version = update->software_version;
-  const bool comparable = !known.software_version.empty() && !version.empty();
   const bool same =
       version == known.software_version && update->services == known.services;
-  if (!comparable || same) return;
+  if (known.software_version.empty() || same) return;
   update->gone = true;
   if (known.gone) return;
   m_contradictions.push_back({known.id, known.software_version, version});
@@ -123,6 +124,7 @@
 // A report that was held up may arrive after the next endpoint has announced
 // the address. The one that lives announces itself again.
 void Directory::CompareAddress(Endpoint* added, Instant now) {
+  if (added->record.gone) return;
   for (auto& [id, other] : m_endpoints) {
     if (&other == added || other.record.address != added->record.address ||
         other.last_news == added->last_news)
@@ -210,13 +212,6 @@
   return true;
 }
 
-std::vector<EndpointId> Directory::Replaced() const {
-  std::vector<EndpointId> replaced;
-  for (const auto& [id, endpoint] : m_endpoints)
-    if (IsReplaced(endpoint)) replaced.push_back(id);
-  return replaced;
-}
-
 bool Directory::OnTimer(Instant now) {
   const uint64_t before = m_generation;
   for (auto it = m_endpoints.begin(); it != m_endpoints.end();) {
--- a/src/dotterelshift/directory/spread.cc
+++ b/src/dotterelshift/directory/spread.cc
@@ -296,6 +296,7 @@
     const bool heard_here = tracked != m_known.end() &&
                             tracked->second.consecutive_announcements > 0;
     const bool silent = heard_here && !endpoint.usable &&
+                        m_directory->IsOverdue(endpoint, now) &&
                         !endpoint.record.silent && !endpoint.record.draining &&
                         !endpoint.record.gone && now >= endpoint.dead_until;
     if (!silent) continue;
