--- a/include/dotterelshift/directory/directory.h
+++ b/include/dotterelshift/directory/directory.h
@@ -31,8 +31,8 @@
   Instant last_news;      // when the newest announcement was made
   Instant last_evidence;  // last response or probe that succeeded here
   Instant dead_until;     // not used before this: a connection was refused
-  // Not used unless it has announced itself later than this: its address was
-  // another endpoint's. The epoch: it was not.
+  // Not used unless it has announced itself later than this: another endpoint
+  // answered at its address, or announced it. The epoch: none did.
   Instant replaced_at{};
   bool announced_here = false;  // it announces itself only to this daemon
   bool usable = false;          // not draining, gone, silent or dead
@@ -135,7 +135,8 @@
   // Returns false when the record is not newer than its tombstone; otherwise
   // copies the sticky flags of the tombstone and removes it.
   bool CheckTombstone(wire::EndpointRecordT* record);
-  // Marks the earlier one of each two endpoints that announced one address.
+  // Of the added endpoint and each other one that announced its address, marks
+  // the earlier as replaced.
   void CompareAddress(Endpoint* added, Instant now);
   bool IsUsable(const Endpoint& endpoint, Instant now) const;
   void UpdateUsable(Endpoint* endpoint, Instant now);
--- a/src/dotterelshift/app/entry_peers.cc
+++ b/src/dotterelshift/app/entry_peers.cc
@@ -66,7 +66,7 @@
   m_others.OnLoadUpdates(peer, notes, *m_parts.load, now);
   for (const wire::TroubleNote& note : notes.troubles) LogTrouble(peer, note);
   for (const gateway::EndpointKey endpoint : notes.replaced)
-    OnReplaced(peer, endpoint);
+    OnReplaced(endpoint, peer.run.host);
   m_parts.origins->OnUpdates(peer.run.host, notes.origins, now);
 }
 
@@ -81,21 +81,17 @@
        {"learned_from", peer.run.host}});
 }
 
-void EntryPeers::OnReplaced(const peers::PeerInfo& peer,
-                            gateway::EndpointKey endpoint) {
+bool EntryPeers::OnReplaced(gateway::EndpointKey endpoint, const HostId& from) {
   const gateway::EndpointContact* contact = m_parts.load->Find(endpoint);
-  if (contact == nullptr) return;
+  if (contact == nullptr) return false;
+  // What the directory changes is taken over at once, the contact included.
   const EndpointId id = contact->id;
-  m_parts.directory->OnReplaced(id, peer.run.host);
+  return m_parts.directory->OnReplaced(id, from);
 }
 
 void EntryPeers::TakeReplaced() {
-  for (const gateway::EndpointKey endpoint : m_parts.core->TakeReplaced()) {
-    const gateway::EndpointContact* contact = m_parts.load->Find(endpoint);
-    if (contact == nullptr) continue;
-    const EndpointId id = contact->id;
-    if (m_parts.directory->OnReplaced(id, "")) m_replaced.push_back(endpoint);
-  }
+  for (const gateway::EndpointKey endpoint : m_parts.core->TakeReplaced())
+    if (OnReplaced(endpoint, "")) m_replaced.push_back(endpoint);
 }
 
 void EntryPeers::OnBorrow(const peers::PeerInfo& peer,
--- a/src/dotterelshift/app/entry_peers.h
+++ b/src/dotterelshift/app/entry_peers.h
@@ -59,9 +59,12 @@
   void OnLoadNotes(const peers::PeerInfo& peer, const wire::LoadNotesT& notes);
   void LogTrouble(const peers::PeerInfo& peer,
                   const wire::TroubleNote& note) const;
-  // Endpoints at whose address another one answered.
+  // Tells the directory, and once it was new the other entries, of endpoints at
+  // whose address another one answered here.
   void TakeReplaced();
-  void OnReplaced(const peers::PeerInfo& peer, gateway::EndpointKey endpoint);
+  // Another endpoint answered at its address: here (`from` empty) or at another
+  // entry. Returns false if that is not new.
+  bool OnReplaced(gateway::EndpointKey endpoint, const HostId& from);
   void OnBorrow(const peers::PeerInfo& peer, const wire::TokenBorrowT& borrow);
   void SendForLimits(Instant now);
   bool MayHangUp(const std::string& address) const;
--- a/src/dotterelshift/app/origin_exchange_test.cc
+++ b/src/dotterelshift/app/origin_exchange_test.cc
@@ -38,7 +38,6 @@
   }
 
   peers::PeerInfo self;
-  directory::Directory directory;
   gateway::StreamOrigins origins;
   RecordingHub hub;
   OriginExchange exchange;
@@ -48,6 +47,7 @@
 class OriginExchangeTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(OriginExchangeTest);
   CPPUNIT_TEST(OriginIsAskedForAndTaken);
+  CPPUNIT_TEST(OriginOfALateAnswerIsKnown);
   CPPUNIT_TEST(OtherFramesAreLeftToOthers);
   CPPUNIT_TEST_SUITE_END();
 
@@ -72,6 +72,16 @@
                    gateway::OriginState::kKnown);
   }
 
+  // Its lookup has ended, but the caller may come again.
+  void OriginOfALateAnswerIsKnown() {
+    wire::OriginAnswerT answer;
+    answer.origins.emplace_back(kStream, 1);
+    m_asking.exchange.OnFrame(m_asked.self, peers::MakeFrame(answer));
+    const auto known = m_asking.origins.Find(kStream, m_loop.Now());
+    CPPUNIT_ASSERT(known.state == gateway::OriginState::kKnown);
+    CPPUNIT_ASSERT_EQUAL(gateway::SoftwareKey{1}, known.software);
+  }
+
   void OtherFramesAreLeftToOthers() {
     CPPUNIT_ASSERT(!m_asking.exchange.OnFrame(
         m_asked.self, peers::MakeFrame(wire::LoadNotesT())));
--- a/src/dotterelshift/directory/directory.cc
+++ b/src/dotterelshift/directory/directory.cc
@@ -121,18 +121,19 @@
   return RecordUpdate::kOffer;
 }
 
-// A report that was held up may arrive after the next endpoint has announced
-// the address. The one that lives announces itself again.
+// Usually the added one is the later. A report that was held up may arrive
+// after the next endpoint has announced the address; the one that lives
+// announces itself again.
 void Directory::CompareAddress(Endpoint* added, Instant now) {
   if (added->record.gone) return;
   for (auto& [id, other] : m_endpoints) {
     if (&other == added || other.record.address != added->record.address ||
         other.last_news == added->last_news)
       continue;
-    const bool first = other.last_news < added->last_news;
-    Endpoint* earlier = first ? &other : added;
-    const Instant later = first ? added->last_news : other.last_news;
-    earlier->replaced_at = std::max(earlier->replaced_at, later);
+    const bool other_is_earlier = other.last_news < added->last_news;
+    Endpoint* earlier = other_is_earlier ? &other : added;
+    const Instant later_news = std::max(other.last_news, added->last_news);
+    earlier->replaced_at = std::max(earlier->replaced_at, later_news);
     UpdateUsable(earlier, now);
   }
 }
--- a/src/dotterelshift/relay/relay_server_test.cc
+++ b/src/dotterelshift/relay/relay_server_test.cc
@@ -144,9 +144,7 @@
 
   void ResetOfTheTargetTruncatesTheResponse() {
     const http::TestListener target(4);
-    Send(target, "body");
-    http::TestPeer peer = Accept(target);
-    ReadUntil(peer, "body");
+    http::TestPeer peer = SendAndReceive(target);
     peer.Send("HTTP/1.1 200 OK\r\n\r\npart");
     RunUntil(m_loop, "the part", [&] { return m_seen.body == "part"; });
     peer.Reset();
@@ -157,9 +155,7 @@
   // Nothing but the end of the connection ends such a response.
   void LossOfTheRelayTruncatesTheResponse() {
     const http::TestListener target(4);
-    Send(target, "body");
-    http::TestPeer peer = Accept(target);
-    ReadUntil(peer, "body");
+    http::TestPeer peer = SendAndReceive(target);
     peer.Send("HTTP/1.1 200 OK\r\n\r\npart");
     RunUntil(m_loop, "the part", [&] { return m_seen.body == "part"; });
     m_server.reset();
@@ -253,9 +249,7 @@
 
   void TunnelIsBusyWhileAResponseIsDue() {
     const http::TestListener target(4);
-    Send(target, "body");
-    http::TestPeer peer = Accept(target);
-    ReadUntil(peer, "body");
+    http::TestPeer peer = SendAndReceive(target);
     CPPUNIT_ASSERT_EQUAL(size_t{1}, m_server->BusyTunnels(m_loop.Now()));
     peer.Send("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
     RunUntilEnded();
@@ -266,9 +260,7 @@
   // A silent endpoint may go on: its tunnel keeps an entry from its exit.
   void TunnelIsBusyWhileAResponsePauses() {
     const http::TestListener target(4);
-    Send(target, "body");
-    http::TestPeer peer = Accept(target);
-    ReadUntil(peer, "body");
+    http::TestPeer peer = SendAndReceive(target);
     peer.Send("HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\npart");
     RunUntil(m_loop, "the part", [&] { return m_seen.body == "part"; });
     CPPUNIT_ASSERT_EQUAL(size_t{1}, m_server->BusyTunnels(m_loop.Now() + 2s));
@@ -319,6 +311,14 @@
     return target.Accept();
   }
 
+  // Sends a request, which the target has received when this returns.
+  http::TestPeer SendAndReceive(const http::TestListener& target) {
+    Send(target, "body");
+    http::TestPeer peer = Accept(target);
+    ReadUntil(peer, "body");
+    return peer;
+  }
+
   std::string ReadUntil(const http::TestPeer& peer, const std::string& end) {
     std::string received;
     RunUntil(m_loop, end, [&] {
--- a/tests/scenarios/origin_fleet.h
+++ b/tests/scenarios/origin_fleet.h
@@ -13,7 +13,6 @@
 
 #include "dotterelshift/base/ids.h"                  // for DataCentreId
 #include "dotterelshift/base/time.h"                 // for Instant
-#include "dotterelshift/directory/directory.h"       // for Directory
 #include "dotterelshift/gateway/askable_entries.h"   // for AskableFor
 #include "dotterelshift/gateway/origin_lookup.h"     // for OriginLookup
 #include "dotterelshift/gateway/origin_responder.h"  // for OriginResponder
@@ -143,7 +142,6 @@
   std::mt19937_64 m_random;
   Instant m_now{1000s};
   std::multimap<Instant, std::function<void()>> m_due;
-  directory::Directory m_directory;
   std::vector<Entry> m_entries;
   std::map<std::string, size_t> m_by_name;
   std::set<size_t> m_cut_off;  // data centres
