Tests that fail: endpoints that start again under their ids

The soak's endpoints announce a start time again; troubled ones start again under new ids and under their own by turns. The kinds and schedules with new ids stay as they were, beside the new ones.

--- a/src/dotterelshift/directory/directory_test.cc
+++ b/src/dotterelshift/directory/directory_test.cc
@@ -138,6 +138,7 @@
   CPPUNIT_TEST(GenerationIgnoresLoad);
   CPPUNIT_TEST(IncarnationThatContradictsItselfIsGone);
   CPPUNIT_TEST(RecordsWithoutAVersionContradictNothing);
+  CPPUNIT_TEST(EndpointMayStartAgainUnderItsIdAtAnotherVersion);
   CPPUNIT_TEST(ReplacedEndpointIsNotUsedUntilItAnnouncesItselfAgain);
   CPPUNIT_TEST(LaterEndpointOfAnAddressReplacesTheEarlier);
   CPPUNIT_TEST(LateReportOfAnEarlierEndpointReplacesNothing);
@@ -200,6 +201,25 @@
     CPPUNIT_ASSERT(!directory.Find("e")->usable);
   }
 
+  // Its sequence numbers start anew, and late reports of the one before change
+  // nothing.
+  void EndpointMayStartAgainUnderItsIdAtAnotherVersion() {
+    Directory directory;
+    wire::EndpointRecordT earlier = Versioned(9, "v1");
+    earlier.draining = true;
+    directory.OnRecord(earlier, kStart);
+    CPPUNIT_ASSERT(!directory.Find("e")->usable);
+    wire::EndpointRecordT later = Versioned(1, "v2");
+    ++later.incarnation;
+    directory.OnRecord(later, kStart);
+    earlier.sequence = 10;
+    CPPUNIT_ASSERT(!directory.OnRecord(earlier, kStart));
+    CPPUNIT_ASSERT(directory.Find("e")->usable);
+    CPPUNIT_ASSERT_EQUAL(std::string("v2"),
+                         directory.Find("e")->record.software_version);
+    CPPUNIT_ASSERT(directory.TakeContradictions().empty());
+  }
+
   void ReplacedEndpointIsNotUsedUntilItAnnouncesItselfAgain() {
     Directory directory;
     directory.OnRecord(Record({1, 1}), kStart);
--- a/src/dotterelshift/gateway/stream_versions_property_test.cc
+++ b/src/dotterelshift/gateway/stream_versions_property_test.cc
@@ -17,9 +17,11 @@
   CPPUNIT_TEST_SUITE(StreamVersionsPropertyTest);
   CPPUNIT_TEST(VersionsSideBySide);
   CPPUNIT_TEST(AddressesAreTakenByOthers);
+  CPPUNIT_TEST(EndpointsStartAgainUnderTheirIds);
   CPPUNIT_TEST(EndpointsComeAndLeave);
   CPPUNIT_TEST(EntriesAreKilledAndCutOff);
   CPPUNIT_TEST(AllTogether);
+  CPPUNIT_TEST(AllTogetherUnderTheSameIds);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -36,11 +38,19 @@
     CPPUNIT_ASSERT(went_on >= 0.95 * 0.95 * resumed);
   }
   void AddressesAreTakenByOthers() { PlayAll({.restarts = true}); }
+  void EndpointsStartAgainUnderTheirIds() { PlayAll({.same_ids = true}); }
   void EndpointsComeAndLeave() { PlayAll({.rolls = true}); }
   void EntriesAreKilledAndCutOff() { PlayAll({.kills = true, .cuts = true}); }
   void AllTogether() {
     PlayAll({.restarts = true, .rolls = true, .kills = true, .cuts = true});
   }
+  void AllTogetherUnderTheSameIds() {
+    PlayAll({.restarts = true,
+             .same_ids = true,
+             .rolls = true,
+             .kills = true,
+             .cuts = true});
+  }
 
  private:
   static constexpr uint64_t kSeeds = 20;
--- a/src/dotterelshift/gateway/version_schedule_testing.h
+++ b/src/dotterelshift/gateway/version_schedule_testing.h
@@ -13,9 +13,10 @@
 #include "dotterelshift/gateway/directory_view.h"       // for DirectoryView
 #include "dotterelshift/gateway/retry_share_testing.h"  // for MakeLeasedShare
 
-// Random schedules: endpoints end and others take their addresses at other
-// versions, endpoints come and leave, directories lag, entries are killed or
-// cut off from control, and callers resume their streams at any entry.
+// Random schedules: endpoints start again at their addresses at other versions,
+// under new ids or their own, endpoints come and leave, directories lag,
+// entries are killed or cut off from control, and callers resume their streams
+// at any entry.
 namespace dotterelshift::gateway::version_schedule {
 
 inline constexpr Duration kStep = 10ms;
@@ -28,9 +29,10 @@
 
 struct ScheduleOptions {
   uint64_t seed = 1;
-  // Endpoints start again at their addresses, under a new id as at each start,
-  // at any version.
+  // Endpoints start again at their addresses, at any version: under a new id,
+  // or under the id that they had.
   bool restarts = false;
+  bool same_ids = false;
   bool rolls = false;  // endpoints come and leave
   bool kills = false;  // of entries
   bool cuts = false;   // of entries, from control and the other entries
@@ -39,6 +41,7 @@
 // The process at an endpoint's address.
 struct Process {
   EndpointId id;
+  uint64_t incarnation = 1;
   std::string address;
   std::string version;
   bool draining = false;
@@ -50,6 +53,7 @@
 struct EndpointRun {
   RequestId request = 0;
   EndpointId endpoint;  // at the other end of the connection
+  uint64_t incarnation = 0;
   std::string address;
   bool misdirected = false;  // another endpoint was named
   std::string caller_id;
@@ -166,7 +170,8 @@
   }
 
   void Disturb() {
-    if (m_options.restarts && OneIn(70)) StartAgain();
+    if (m_options.restarts && OneIn(70)) StartAgain(false);
+    if (m_options.same_ids && OneIn(70)) StartAgain(true);
     if (m_options.rolls && OneIn(100)) Roll();
     if (m_options.kills && OneIn(200)) Kill(Draw(m_nodes.size()));
     if (m_options.cuts && OneIn(200)) {
@@ -182,9 +187,10 @@
   }
 
   // The new process may announce itself only at its next heartbeat.
-  void StartAgain() {
+  void StartAgain(bool same_id) {
     Process& process = AnyProcess();
-    process.id = "e" + std::to_string(++m_last_endpoint);
+    if (!same_id) process.id = "e" + std::to_string(++m_last_endpoint);
+    ++process.incarnation;
     process.sequence = 0;
     process.draining = false;
     process.version = OneIn(2) ? "v1" : "v2";
@@ -227,6 +233,7 @@
       process.announces_at = m_now + kHeartbeat;
       wire::EndpointRecordT record;
       record.id = process.id;
+      record.incarnation = process.incarnation;
       record.sequence = ++process.sequence;
       record.address = address;
       record.data_centre = "dc";
@@ -274,7 +281,8 @@
 
   bool IsBroken(const EndpointRun& run) const {
     const auto process = m_processes.find(run.address);
-    return process == m_processes.end() || process->second.id != run.endpoint;
+    return process == m_processes.end() || process->second.id != run.endpoint ||
+           process->second.incarnation != run.incarnation;
   }
 
   void Proceed(Node& node, AttemptId attempt) {
@@ -335,6 +343,7 @@
     EndpointRun run;
     run.request = start.request;
     run.endpoint = process->second.id;
+    run.incarnation = process->second.incarnation;
     run.address = start.endpoint.address;
     run.misdirected = process->second.id != start.endpoint.id;
     run.caller_id = IdOf(*node.callers.at(start.request));
