--- a/include/dotterelshift/gateway/core.h
+++ b/include/dotterelshift/gateway/core.h
@@ -11,24 +11,25 @@
 #include <variant>      // for variant
 #include <vector>       // for vector
 
-#include "dotterelshift/base/error.h"              // for ErrorKind
-#include "dotterelshift/base/ids.h"                // for RequestId, AttemptId
-#include "dotterelshift/base/time.h"               // for Instant
-#include "dotterelshift/gateway/crash_suspects.h"  // for SuspectReport
-#include "dotterelshift/gateway/drain.h"           // for DrainSchedule
-#include "dotterelshift/gateway/endpoint_paths.h"  // for EndpointPaths
-#include "dotterelshift/gateway/fleet_limits.h"    // for FleetLimits
-#include "dotterelshift/gateway/fleet_load.h"      // for FleetLoad
-#include "dotterelshift/gateway/held_grants.h"     // for HeldGrants
-#include "dotterelshift/gateway/origin_lookup.h"   // for OriginLookup
-#include "dotterelshift/gateway/request.h"         // for RequestInfo
-#include "dotterelshift/gateway/retry_share.h"     // for RetryShare
-#include "dotterelshift/gateway/routes.h"          // for RouteTable
-#include "dotterelshift/gateway/send_pacer.h"      // for SendPacer
-#include "dotterelshift/gateway/stream_origins.h"  // for StreamOrigins
-#include "dotterelshift/http/client.h"             // for TransferEnd
-#include "dotterelshift/quarantine/blocklist.h"    // for Blocklist
-#include "dotterelshift/serving/request_core.h"    // for RequestSummary
+#include "dotterelshift/base/error.h"                // for ErrorKind
+#include "dotterelshift/base/ids.h"                  // for RequestId, AttemptId
+#include "dotterelshift/base/time.h"                 // for Instant
+#include "dotterelshift/gateway/crash_suspects.h"    // for SuspectReport
+#include "dotterelshift/gateway/drain.h"             // for DrainSchedule
+#include "dotterelshift/gateway/endpoint_paths.h"    // for EndpointPaths
+#include "dotterelshift/gateway/fleet_limits.h"      // for FleetLimits
+#include "dotterelshift/gateway/fleet_load.h"        // for FleetLoad
+#include "dotterelshift/gateway/held_grants.h"       // for HeldGrants
+#include "dotterelshift/gateway/origin_lookup.h"     // for OriginLookup
+#include "dotterelshift/gateway/request.h"           // for RequestInfo
+#include "dotterelshift/gateway/restart_suspects.h"  // for RestartSuspects
+#include "dotterelshift/gateway/retry_share.h"       // for RetryShare
+#include "dotterelshift/gateway/routes.h"            // for RouteTable
+#include "dotterelshift/gateway/send_pacer.h"        // for SendPacer
+#include "dotterelshift/gateway/stream_origins.h"    // for StreamOrigins
+#include "dotterelshift/http/client.h"               // for TransferEnd
+#include "dotterelshift/quarantine/blocklist.h"      // for Blocklist
+#include "dotterelshift/serving/request_core.h"      // for RequestSummary
 
 namespace dotterelshift::gateway {
 
@@ -155,6 +156,8 @@
   std::map<std::string_view, uint64_t> refused_for;  // by reason
   // Accepted, and ended without an event: by outcome.
   std::map<std::string, uint64_t> failed_for;
+  // Streams that began at endpoints which may have started again before.
+  uint64_t begun_uncertain = 0;
 };
 
 // Handles requests under the published routes from arrival to the last byte:
@@ -240,6 +243,7 @@
   EndpointPaths* paths = nullptr;  // null: endpoints are never relayed
   ServiceVersions* versions = nullptr;
   StreamOrigins* origins = nullptr;
+  RestartSuspects* restarts = nullptr;
   OriginLookup* lookup = nullptr;     // null: no other entry is asked
   CrashSuspects* suspects = nullptr;  // null: segments are not suspected
   FleetLimits* limits = nullptr;      // null: limits of endpoints are ignored
--- a/include/dotterelshift/gateway/stream_origins.h
+++ b/include/dotterelshift/gateway/stream_origins.h
@@ -12,6 +12,9 @@
 
 #include "dotterelshift/base/ids.h"                  // for HostId, TeamId
 #include "dotterelshift/base/time.h"                 // for Instant
+#include "dotterelshift/directory/directory.h"       // for Directory
+#include "dotterelshift/gateway/fleet_load.h"        // for EndpointContact
+#include "dotterelshift/gateway/restart_suspects.h"  // for RestartSuspects
 #include "dotterelshift/gateway/service_versions.h"  // for SoftwareKey
 #include "dotterelshift/wire/frames_generated.h"     // for StreamOrigin
 
@@ -26,7 +29,8 @@
 enum class OriginState : uint8_t {
   kKnown,
   kMissing,  // never heard of, or evicted
-  kUnclear,  // two origins of the same stream differ
+  kUnclear,  // two origins of the same stream differ, or its endpoint had
+             // started again at another version by then
 };
 
 struct KnownOrigin {
@@ -41,11 +45,17 @@
   Duration max_age = 60s;
   // Bounds the memory; the oldest origins are evicted first.
   size_t max_count = 100'000;
+  // Maximum time that an announcement takes to the first daemon.
+  Duration announcement_delay = 300ms;
+  // How long a stream's endpoint may take to announce itself again.
+  Duration max_unproven_age = 10s;
 };
 
 // The origins of the resumable streams of all entries in reach: the software of
-// the endpoint that wrote the first event. An endpoint has one software for its
-// life, and checks the id that each request names.
+// the endpoint that wrote the first event. An incarnation of an endpoint has
+// one software for its life. Its id is checked by it; if it can start again
+// under that id, a first event may be the next incarnation's until it has
+// announced itself once more.
 //
 // Load pattern: entries and endpoints die or leave while thousands of streams
 // are open, and callers resume these at any other entry, within milliseconds.
@@ -59,6 +69,15 @@
 
   // A stream began at this entry.
   void OnBegun(StreamKey stream, SoftwareKey software, Instant now);
+  // The same at this endpoint, as the directory describes it; its response
+  // began at `begun`. If it is in doubt whether the endpoint had started again
+  // before, the origin is not known until that is cleared.
+  void OnBegun(StreamKey stream, const EndpointContact& endpoint, Instant begun,
+               const RestartSuspects& restarts, Instant now);
+  // Takes over announcements: the origin of a stream that may have begun at a
+  // later incarnation with other software becomes unclear.
+  void Update(const directory::Directory& directory,
+              const RestartSuspects& restarts, Instant now);
   // Origins sent by another entry.
   void OnUpdates(const HostId& from,
                  const std::vector<wire::StreamOrigin>& updates, Instant now);
@@ -90,6 +109,19 @@
     Instant since{};
   };
 
+  // A stream whose endpoint has not announced itself since it began.
+  struct Unproven {
+    StreamKey stream = 0;
+    EndpointId endpoint;
+    uint64_t incarnation = 0;
+    SoftwareKey software = 0;
+    Instant begun{};
+    bool known = false;  // its origin is taken as known
+  };
+
+  // Returns whether nothing more is to be learned of the stream's origin.
+  bool Settle(const Unproven& unproven, const directory::Directory& directory,
+              const RestartSuspects& restarts, Instant now);
   Entry& Merge(StreamKey stream, SoftwareKey software, const HostId& from,
                Instant now);
   void Evict(Instant now);
@@ -97,6 +129,7 @@
   const StreamOriginsOptions m_options;
   std::unordered_map<StreamKey, Entry> m_origins;
   std::deque<std::pair<Instant, StreamKey>> m_by_age;
+  std::vector<Unproven> m_unproven;
   std::vector<wire::StreamOrigin> m_unsent;
   std::vector<StreamKey> m_learned;
 };
--- a/include/dotterelshift/wire/frames_generated.h
+++ b/include/dotterelshift/wire/frames_generated.h
@@ -150,6 +150,8 @@
 
 struct TroubleNote;
 
+struct ProcessNote;
+
 struct LoadNotes;
 struct LoadNotesBuilder;
 struct LoadNotesT;
@@ -1022,6 +1024,49 @@
   using type = TroubleNote;
 };
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) ProcessNote FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t endpoint_;
+  uint32_t age_ms_;
+  uint8_t runs_;
+  int8_t padding0__;  int16_t padding1__;
+
+ public:
+  struct Traits;
+  ProcessNote()
+      : endpoint_(0),
+        age_ms_(0),
+        runs_(0),
+        padding0__(0),
+        padding1__(0) {
+    (void)padding0__;
+    (void)padding1__;
+  }
+  ProcessNote(uint64_t _endpoint, uint32_t _age_ms, bool _runs)
+      : endpoint_(flatbuffers::EndianScalar(_endpoint)),
+        age_ms_(flatbuffers::EndianScalar(_age_ms)),
+        runs_(flatbuffers::EndianScalar(static_cast<uint8_t>(_runs))),
+        padding0__(0),
+        padding1__(0) {
+    (void)padding0__;
+    (void)padding1__;
+  }
+  uint64_t endpoint() const {
+    return flatbuffers::EndianScalar(endpoint_);
+  }
+  uint32_t age_ms() const {
+    return flatbuffers::EndianScalar(age_ms_);
+  }
+  bool runs() const {
+    return flatbuffers::EndianScalar(runs_) != 0;
+  }
+};
+FLATBUFFERS_STRUCT_END(ProcessNote, 16);
+
+struct ProcessNote::Traits {
+  using type = ProcessNote;
+};
+
 FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) LimitNote FLATBUFFERS_FINAL_CLASS {
  private:
   uint64_t endpoint_;
@@ -4872,6 +4917,7 @@
   std::vector<dotterelshift::wire::StreamOrigin> origins{};
   std::vector<dotterelshift::wire::TroubleNote> troubles{};
   std::vector<uint64_t> replaced{};
+  std::vector<dotterelshift::wire::ProcessNote> processes{};
 };
 
 struct LoadNotes FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -4882,7 +4928,8 @@
     VT_NOTES = 4,
     VT_ORIGINS = 6,
     VT_TROUBLES = 10,
-    VT_REPLACED = 12
+    VT_REPLACED = 12,
+    VT_PROCESSES = 14
   };
   const flatbuffers::Vector<const dotterelshift::wire::LoadNote *> *notes() const {
     return GetPointer<const flatbuffers::Vector<const dotterelshift::wire::LoadNote *> *>(VT_NOTES);
@@ -4896,6 +4943,9 @@
   const flatbuffers::Vector<uint64_t> *replaced() const {
     return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_REPLACED);
   }
+  const flatbuffers::Vector<const dotterelshift::wire::ProcessNote *> *processes() const {
+    return GetPointer<const flatbuffers::Vector<const dotterelshift::wire::ProcessNote *> *>(VT_PROCESSES);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_NOTES) &&
@@ -4906,6 +4956,8 @@
            verifier.VerifyVector(troubles()) &&
            VerifyOffset(verifier, VT_REPLACED) &&
            verifier.VerifyVector(replaced()) &&
+           VerifyOffset(verifier, VT_PROCESSES) &&
+           verifier.VerifyVector(processes()) &&
            verifier.EndTable();
   }
   LoadNotesT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -4929,6 +4981,9 @@
   void add_replaced(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> replaced) {
     fbb_.AddOffset(LoadNotes::VT_REPLACED, replaced);
   }
+  void add_processes(flatbuffers::Offset<flatbuffers::Vector<const dotterelshift::wire::ProcessNote *>> processes) {
+    fbb_.AddOffset(LoadNotes::VT_PROCESSES, processes);
+  }
   explicit LoadNotesBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -4945,8 +5000,10 @@
     flatbuffers::Offset<flatbuffers::Vector<const dotterelshift::wire::LoadNote *>> notes = 0,
     flatbuffers::Offset<flatbuffers::Vector<const dotterelshift::wire::StreamOrigin *>> origins = 0,
     flatbuffers::Offset<flatbuffers::Vector<const dotterelshift::wire::TroubleNote *>> troubles = 0,
-    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> replaced = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> replaced = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const dotterelshift::wire::ProcessNote *>> processes = 0) {
   LoadNotesBuilder builder_(_fbb);
+  builder_.add_processes(processes);
   builder_.add_replaced(replaced);
   builder_.add_troubles(troubles);
   builder_.add_origins(origins);
@@ -4964,17 +5021,20 @@
     const std::vector<dotterelshift::wire::LoadNote> *notes = nullptr,
     const std::vector<dotterelshift::wire::StreamOrigin> *origins = nullptr,
     const std::vector<dotterelshift::wire::TroubleNote> *troubles = nullptr,
-    const std::vector<uint64_t> *replaced = nullptr) {
+    const std::vector<uint64_t> *replaced = nullptr,
+    const std::vector<dotterelshift::wire::ProcessNote> *processes = nullptr) {
   auto notes__ = notes ? _fbb.CreateVectorOfStructs<dotterelshift::wire::LoadNote>(*notes) : 0;
   auto origins__ = origins ? _fbb.CreateVectorOfStructs<dotterelshift::wire::StreamOrigin>(*origins) : 0;
   auto troubles__ = troubles ? _fbb.CreateVectorOfStructs<dotterelshift::wire::TroubleNote>(*troubles) : 0;
   auto replaced__ = replaced ? _fbb.CreateVector<uint64_t>(*replaced) : 0;
+  auto processes__ = processes ? _fbb.CreateVectorOfStructs<dotterelshift::wire::ProcessNote>(*processes) : 0;
   return dotterelshift::wire::CreateLoadNotes(
       _fbb,
       notes__,
       origins__,
       troubles__,
-      replaced__);
+      replaced__,
+      processes__);
 }
 
 flatbuffers::Offset<LoadNotes> CreateLoadNotes(flatbuffers::FlatBufferBuilder &_fbb, const LoadNotesT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -7483,6 +7543,7 @@
   { auto _e = origins(); if (_e) { _o->origins.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->origins[_i] = *_e->Get(_i); } } }
   { auto _e = troubles(); if (_e) { _o->troubles.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->troubles[_i] = *_e->Get(_i); } } }
   { auto _e = replaced(); if (_e) { _o->replaced.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->replaced[_i] = _e->Get(_i); } } }
+  { auto _e = processes(); if (_e) { _o->processes.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->processes[_i] = *_e->Get(_i); } } }
 }
 
 inline flatbuffers::Offset<LoadNotes> LoadNotes::Pack(flatbuffers::FlatBufferBuilder &_fbb, const LoadNotesT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -7497,12 +7558,14 @@
   auto _origins = _o->origins.size() ? _fbb.CreateVectorOfStructs(_o->origins) : 0;
   auto _troubles = _o->troubles.size() ? _fbb.CreateVectorOfStructs(_o->troubles) : 0;
   auto _replaced = _o->replaced.size() ? _fbb.CreateVector(_o->replaced) : 0;
+  auto _processes = _o->processes.size() ? _fbb.CreateVectorOfStructs(_o->processes) : 0;
   return dotterelshift::wire::CreateLoadNotes(
       _fbb,
       _notes,
       _origins,
       _troubles,
-      _replaced);
+      _replaced,
+      _processes);
 }
 
 inline OriginQuestionT *OriginQuestion::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/src/dotterelshift/app/entry_peers.h
+++ b/src/dotterelshift/app/entry_peers.h
@@ -29,6 +29,7 @@
     gateway::FleetLoad* load = nullptr;
     gateway::HeldGrants* budgets = nullptr;
     gateway::StreamOrigins* origins = nullptr;
+    gateway::RestartSuspects* restarts = nullptr;
     OriginExchange* exchange = nullptr;
     DirectoryExchange* directory = nullptr;
     EndpointRelays* relays = nullptr;
@@ -65,6 +66,8 @@
   // Another endpoint answered at its address: here (`from` empty) or at another
   // entry. Returns false if that is not new.
   bool OnReplaced(gateway::EndpointKey endpoint, const HostId& from);
+  // What another entry has noticed of an endpoint's process.
+  void OnProcessNote(const wire::ProcessNote& note);
   void OnBorrow(const peers::PeerInfo& peer, const wire::TokenBorrowT& borrow);
   void SendForLimits(Instant now);
   bool MayHangUp(const std::string& address) const;
--- a/src/dotterelshift/app/gateway_entry.cc
+++ b/src/dotterelshift/app/gateway_entry.cc
@@ -172,6 +172,7 @@
           .paths = &m_paths,
           .versions = &m_versions.Versions(),
           .origins = &m_versions.Origins(),
+          .restarts = &m_versions.Restarts(),
           .lookup = &m_origins.Lookup(),
           .suspects = &m_suspects,
           .limits = &m_limits};
@@ -193,6 +194,7 @@
           .load = &m_load,
           .budgets = &m_budgets,
           .origins = &m_versions.Origins(),
+          .restarts = &m_versions.Restarts(),
           .exchange = &m_origins,
           .directory = &m_directory,
           .relays = m_relays.get(),
--- a/src/dotterelshift/app/gateway_traffic_testing.h
+++ b/src/dotterelshift/app/gateway_traffic_testing.h
@@ -75,7 +75,8 @@
                                                    .budgets = m_budgets.get(),
                                                    .retries = m_retries.get(),
                                                    .versions = &m_versions,
-                                                   .origins = &m_origins});
+                                                   .origins = &m_origins,
+                                                   .restarts = &m_restarts});
     m_traffic = std::make_unique<GatewayTraffic>(m_loop, *m_core, m_dialect,
                                                  *m_metrics, m_link);
     gateway::Route once;
@@ -150,6 +151,7 @@
   std::unique_ptr<gateway::RetryShare> m_retries;
   gateway::ServiceVersions m_versions;
   gateway::StreamOrigins m_origins;
+  gateway::RestartSuspects m_restarts{m_directory};
   std::unique_ptr<gateway::Core> m_core;
   LinkGuard m_link{settings::Settings()};
   std::unique_ptr<GatewayTraffic> m_traffic;
--- a/src/dotterelshift/app/gauges.cc
+++ b/src/dotterelshift/app/gauges.cc
@@ -132,6 +132,9 @@
                        "Sent to an endpoint, and ended without an event",
                        Number(count));
   }
+  metrics.SetCounter("dotterelshift_streams_begun_uncertain_total",
+                     "Begun at endpoints that may have started again before",
+                     Number(counts.begun_uncertain));
   SetGauges(metrics, {{"dotterelshift_stream_origins",
                        "Streams whose version is known", Number(origins)}});
 }
--- a/src/dotterelshift/app/other_entries.cc
+++ b/src/dotterelshift/app/other_entries.cc
@@ -50,9 +50,11 @@
 
 void OtherEntries::SendUpdates(gateway::FleetLoad& load,
                                gateway::StreamOrigins& origins,
+                               gateway::RestartSuspects& restarts,
                                std::vector<gateway::EndpointKey>* replaced,
                                Instant now) {
-  if (!load.HasLoadUpdates() && !origins.HasUpdates() && replaced->empty())
+  if (!load.HasLoadUpdates() && !origins.HasUpdates() &&
+      !restarts.HasNotices() && replaced->empty())
     return;
   if (!m_load_update_pacer.MaySend(now))
     return m_load_update_timer.ArmAt(m_load_update_pacer.Next());
@@ -62,8 +64,10 @@
   body.troubles = load.TakeTroubleChanges(now);
   body.origins = origins.TakeUpdates();
   body.replaced = std::exchange(*replaced, {});
+  body.processes = restarts.TakeNotices(now);
   const size_t count = body.notes.size() + body.troubles.size() +
-                       body.origins.size() + body.replaced.size();
+                       body.origins.size() + body.replaced.size() +
+                       body.processes.size();
   m_load_update_pacer.OnSent(count, hosts.size(), now);
   if (count == 0) return;
   const wire::FrameT frame = peers::MakeFrame(std::move(body));
@@ -73,6 +77,7 @@
 void OtherEntries::SendKnowledgeTo(const peers::PeerInfo& entry,
                                    const gateway::FleetLoad& load,
                                    const gateway::StreamOrigins& origins,
+                                   const gateway::RestartSuspects& restarts,
                                    Instant now) {
   if (!IsServed(entry)) return;
   const HostId& host = entry.run.host;
@@ -84,7 +89,9 @@
   wire::LoadNotesT body;
   body.origins = origins.ForNewEntry(is_connected, now);
   body.troubles = load.Troubles(now);
-  if (body.origins.empty() && body.troubles.empty()) return;
+  body.processes = restarts.Notices(now);
+  if (body.origins.empty() && body.troubles.empty() && body.processes.empty())
+    return;
   m_hub.Send(host, peers::MakeFrame(std::move(body)));
 }
 
--- a/src/dotterelshift/app/other_entries_test.cc
+++ b/src/dotterelshift/app/other_entries_test.cc
@@ -45,6 +45,7 @@
   CPPUNIT_TEST(RequestsThatDistantEntriesWereToldOfAreTakenBack);
   CPPUNIT_TEST(LateLoadUpdateOfADistantEntryIsNotTaken);
   CPPUNIT_TEST(ReplacedEndpointsAreToldOnce);
+  CPPUNIT_TEST(WhatWasNoticedOfEndpointsIsTold);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -80,12 +81,12 @@
     const auto placement = m_own.Choose("llm", {}, {}, m_now);
     CPPUNIT_ASSERT(placement.has_value());
     m_own.OnAssigned(*placement, {}, m_now);
-    m_others.SendUpdates(m_own, m_origins, &m_replaced, m_now);
+    m_others.SendUpdates(m_own, m_origins, m_restarts, &m_replaced, m_now);
     CPPUNIT_ASSERT_EQUAL(uint32_t{1}, m_distant.Running(m_endpoint));
     m_others.SetOwnDataCentreOnly(true, m_own);
     m_distant_others.SetOwnDataCentreOnly(true, m_distant);
     m_own.OnEnded(placement->endpoint);
-    m_others.SendUpdates(m_own, m_origins, &m_replaced, m_now);
+    m_others.SendUpdates(m_own, m_origins, m_restarts, &m_replaced, m_now);
     CPPUNIT_ASSERT_EQUAL(uint32_t{0}, m_distant.Running(m_endpoint));
   }
 
@@ -94,7 +95,7 @@
     m_distant_others.SetOwnDataCentreOnly(true, m_distant);
     const auto placement = m_own.Choose("llm", {}, {}, m_now);
     m_own.OnAssigned(*placement, {}, m_now);
-    m_others.SendUpdates(m_own, m_origins, &m_replaced, m_now);
+    m_others.SendUpdates(m_own, m_origins, m_restarts, &m_replaced, m_now);
     CPPUNIT_ASSERT_EQUAL(uint32_t{0}, m_distant.Running(m_endpoint));
   }
 
@@ -104,16 +105,33 @@
       told.push_back(frame.body.AsLoadNotes()->replaced);
     };
     m_replaced = {m_endpoint};
-    m_others.SendUpdates(m_own, m_origins, &m_replaced, m_now);
-    m_others.SendUpdates(m_own, m_origins, &m_replaced, m_now);
+    m_others.SendUpdates(m_own, m_origins, m_restarts, &m_replaced, m_now);
+    m_others.SendUpdates(m_own, m_origins, m_restarts, &m_replaced, m_now);
     CPPUNIT_ASSERT(told == std::vector({std::vector({m_endpoint})}));
   }
 
+  void WhatWasNoticedOfEndpointsIsTold() {
+    std::vector<wire::ProcessNote> told;
+    m_hub.on_frame = [&told](const wire::FrameT& frame) {
+      told = frame.body.AsLoadNotes()->processes;
+    };
+    m_restarts.OnBroken(*m_own.Find(m_endpoint), m_now - 7ms);
+    m_others.SendUpdates(m_own, m_origins, m_restarts, &m_replaced, m_now);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, told.size());
+    CPPUNIT_ASSERT_EQUAL(m_endpoint, told[0].endpoint());
+    CPPUNIT_ASSERT_EQUAL(uint32_t{7}, told[0].age_ms());
+    // One that connects learns of it, too.
+    told.clear();
+    m_others.SendKnowledgeTo(EntryOf("b"), m_own, m_origins, m_restarts, m_now);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, told.size());
+  }
+
  private:
   const gateway::EndpointKey m_endpoint = directory::PulseKey("e", 1);
   const Instant m_now{1000s};
   directory::Directory m_directory;
   gateway::StreamOrigins m_origins;
+  gateway::RestartSuspects m_restarts{m_directory};
   std::vector<gateway::EndpointKey> m_replaced;
   gateway::FleetLoad m_own{gateway::FleetLoadOptions{"a"}};
   gateway::FleetLoad m_distant{gateway::FleetLoadOptions{"b"}};
--- a/src/dotterelshift/app/version_tracker.cc
+++ b/src/dotterelshift/app/version_tracker.cc
@@ -21,10 +21,12 @@
                  .leader_since = link.LeaderDirectorySince()},
                 now);
   core.OnViewComplete(m_view.CompleteSince());
+  m_restarts.Update(now);
+  m_origins.Update(m_directory.GetDirectory(), m_restarts, now);
+  LogChanges();
   if (now < m_next_update) return;
   m_next_update = now + kUpdateInterval;
   m_versions.Update(m_directory.GetDirectory(), now);
-  LogChanges();
 }
 
 void VersionTracker::LogChanges() {
@@ -35,12 +37,24 @@
                     {"version", change.version},
                     {"versions", std::to_string(change.versions)}});
   }
+  for (const gateway::RestartBelief& belief : m_restarts.TakeBeliefs()) {
+    telemetry::Log(telemetry::LogLevel::kInfo,
+                   belief.suspected ? "restart_suspected" : "restart_ruled_out",
+                   {{"endpoint", belief.endpoint},
+                    {"evidence", std::string(NameOf(belief.evidence))},
+                    {"after_ms", std::to_string(ToMs(belief.after))}});
+  }
 }
 
 void VersionTracker::SetMetrics(telemetry::Metrics& metrics,
                                 const gateway::Core& core) const {
   SetVersionMetrics(metrics, m_versions.Counts());
   SetResumptionMetrics(metrics, core.Resumptions(), m_origins.Size());
+  SetGauges(metrics,
+            {{"dotterelshift_restart_suspects",
+              "Endpoints that may have started again since they announced "
+              "themselves",
+              Number(m_restarts.Size())}});
 }
 
 }  // namespace dotterelshift::app
--- a/src/dotterelshift/app/version_tracker.h
+++ b/src/dotterelshift/app/version_tracker.h
@@ -5,6 +5,7 @@
 #include "dotterelshift/app/directory_exchange.h"    // for DirectoryExchange
 #include "dotterelshift/gateway/core.h"              // for Core
 #include "dotterelshift/gateway/directory_view.h"    // for DirectoryView
+#include "dotterelshift/gateway/restart_suspects.h"  // for RestartSuspects
 #include "dotterelshift/gateway/service_versions.h"  // for ServiceVersions
 #include "dotterelshift/gateway/stream_origins.h"    // for StreamOrigins
 #include "dotterelshift/telemetry/metrics.h"         // for Metrics
@@ -17,15 +18,17 @@
  public:
   // `directory` must outlive this object.
   explicit VersionTracker(const DirectoryExchange& directory)
-      : m_directory(directory) {}
+      : m_directory(directory), m_restarts(directory.GetDirectory()) {}
 
   gateway::ServiceVersions& Versions() { return m_versions; }
   gateway::StreamOrigins& Origins() { return m_origins; }
+  gateway::RestartSuspects& Restarts() { return m_restarts; }
 
   // Takes over announcements and the state of the link to control. To be called
   // regularly.
   void OnTick(const ControlLink& link, gateway::Core& core, Instant now);
-  // Logs versions that began or ceased to be served since the last call.
+  // Logs versions that began or ceased to be served since the last call, and
+  // endpoints that have become or are no longer suspected of a restart.
   void LogChanges();
   void SetMetrics(telemetry::Metrics& metrics, const gateway::Core& core) const;
 
@@ -33,6 +36,7 @@
   const DirectoryExchange& m_directory;
   gateway::ServiceVersions m_versions;
   gateway::StreamOrigins m_origins;
+  gateway::RestartSuspects m_restarts;
   gateway::DirectoryView m_view;
   Instant m_next_update{};
 };
--- a/src/dotterelshift/gateway/active_request.h
+++ b/src/dotterelshift/gateway/active_request.h
@@ -46,6 +46,8 @@
   Instant kept_logged{};
   Instant silence_booked{};
   bool head_received = false;
+  Instant head_at{};   // when the response began
+  bool bound = false;  // to the endpoint's version, when it was sent
   int status = 0;
   ResponseInfo response_info;
   uint64_t events = 0;  // passed on to the caller
@@ -64,6 +66,7 @@
   kTold,        // by another entry
   kAsked,       // another entry has answered a question
   kOneVersion,  // it is proven that there is no other version
+  kUncertain,   // its endpoint may have started again before it began
 };
 
 std::string_view NameOf(BindingSource source);
@@ -78,6 +81,9 @@
 };
 std::string_view NameOf(ResumptionRefusal why);
 
+// No software has this key. A stream that is bound to it is not resumed.
+inline constexpr SoftwareKey kUncertainSoftware = 0;
+
 // The software version that a stream is bound to: that of its first event.
 struct StreamBinding {
   SoftwareKey software = 0;
--- a/src/dotterelshift/gateway/core.cc
+++ b/src/dotterelshift/gateway/core.cc
@@ -43,6 +43,9 @@
   std::sort(on_leaving_endpoints.begin(), on_leaving_endpoints.end());
   for (const RequestId id : on_leaving_endpoints)
     LeaveEndpoint(m_active.at(id), now);
+  m_dependencies.restarts->Update(now);
+  m_dependencies.origins->Update(directory, *m_dependencies.restarts, now);
+  LeaveRestartedEndpoints(directory, now);
 }
 
 void CoreImpl::LogArrivals(const directory::Directory& directory, Instant now) {
--- a/src/dotterelshift/gateway/core_impl.h
+++ b/src/dotterelshift/gateway/core_impl.h
@@ -150,6 +150,9 @@
   // some path.
   std::optional<Placement> ChooseEndpoint(const ActiveRequest& active,
                                           Instant now);
+  std::optional<Placement> ChooseAmong(const ActiveRequest& active,
+                                       const ChoiceLimits& limits,
+                                       Instant now) const;
   std::optional<Placement> ChooseWithin(const ActiveRequest& active,
                                         ChoiceLimits limits, Instant now) const;
   // The same, of endpoints at which a permit may be asked for by `open_by`.
@@ -185,6 +188,16 @@
                                                Instant now) const;
   // An event of an unbound stream was passed on.
   void BindToAttempt(ActiveRequest& active, Instant now);
+  std::vector<EndpointKey> UncertainEndpoints(const ActiveRequest& active,
+                                              Instant now);
+  // Whether a stream that has begun may not go on there.
+  bool IsUncertainFor(const ActiveRequest& active, EndpointKey endpoint) const {
+    return active.binding && active.route->resumable &&
+           m_dependencies.restarts->IsSuspect(endpoint);
+  }
+  void SuspectRestart(const Attempt& attempt, Instant now);
+  void LeaveRestartedEndpoints(const directory::Directory& directory,
+                               Instant now);
 
   // Requests that crash endpoints (core_suspects.cc).
   // An attempt whose connection ended, until it is known whether its endpoint
--- a/src/dotterelshift/gateway/core_paths.cc
+++ b/src/dotterelshift/gateway/core_paths.cc
@@ -16,15 +16,29 @@
   return m_dependencies.paths->RelayTo(endpoint, now);
 }
 
-// A request that lost an endpoint prefers those that were heard lately: crashed
-// ones have no load, and would otherwise be chosen one after the other.
-// A stream that may have to be resumed is begun at a version that stays unless
-// its first event would be late there.
+// A stream goes on at endpoints that have certainly not started again since
+// they announced its version, and begins there if it can.
 std::optional<Placement> CoreImpl::ChooseEndpoint(const ActiveRequest& active,
                                                   Instant now) {
   ChoiceLimits limits = {.excluded = active.tried,
                          .software = SoftwareFor(active),
                          .barred_software = active.barred_software};
+  ChoiceLimits certain = limits;
+  for (const EndpointKey endpoint : UncertainEndpoints(active, now))
+    certain.excluded.push_back(endpoint);
+  const bool all_certain = certain.excluded.size() == limits.excluded.size();
+  const auto placement = ChooseAmong(active, certain, now);
+  if (placement || all_certain || active.binding) return placement;
+  return ChooseAmong(active, limits, now);
+}
+
+// A request that lost an endpoint prefers those that were heard lately: crashed
+// ones have no load, and would otherwise be chosen one after the other.
+// A stream that may have to be resumed is begun at a version that stays unless
+// its first event would be late there.
+std::optional<Placement> CoreImpl::ChooseAmong(const ActiveRequest& active,
+                                               const ChoiceLimits& limits,
+                                               Instant now) const {
   if (active.trial) {
     ChoiceLimits idle = limits;
     idle.idle = true;
@@ -49,7 +63,7 @@
     if (placement && !WouldRespondTooLate(active, *placement, now))
       return placement;
   }
-  return ChooseWithin(active, std::move(limits), now);
+  return ChooseWithin(active, limits, now);
 }
 
 std::optional<Placement> CoreImpl::ChooseWithin(const ActiveRequest& active,
--- a/src/dotterelshift/gateway/core_placement.cc
+++ b/src/dotterelshift/gateway/core_placement.cc
@@ -12,6 +12,10 @@
 // After that it is refused, so that its caller can retry.
 constexpr int kEndpointWaitDivisor = 8;
 
+// The same for a stream that has begun, while an endpoint of its version may
+// have started again: mostly a single stream broke there, which is known soon.
+constexpr int kSuspectWaitDivisor = 2;
+
 // A permit that is needed later than this is asked for then.
 constexpr Duration kPermitLead = 20ms;
 
@@ -54,7 +58,11 @@
 void CoreImpl::WaitForEndpoint(ActiveRequest& active, Instant now) {
   if (const std::optional<Duration> wait = WaitForLimits(active, now))
     return RefuseForLimits(active, *wait, now);
-  const Duration maximum = active.route->target / kEndpointWaitDivisor;
+  const bool suspects =
+      active.binding && !UncertainEndpoints(active, now).empty();
+  const Duration maximum =
+      active.route->target /
+      (suspects ? kSuspectWaitDivisor : kEndpointWaitDivisor);
   const bool waits = active.stage == Stage::kWaitsForEndpoint &&
                      active.wait_until != Instant{};
   if (!waits) active.wait_until = now + maximum;
@@ -84,8 +92,9 @@
   const EndpointContact* contact =
       m_dependencies.load->Find(active.attempt.placement.endpoint);
   const std::optional<SoftwareKey> software = SoftwareFor(active);
-  const bool fits =
-      contact != nullptr && (!software || contact->software == *software);
+  const bool fits = contact != nullptr &&
+                    (!software || contact->software == *software) &&
+                    !IsUncertainFor(active, active.attempt.placement.endpoint);
   if (!fits) return Place(active, now);
   if (IsBlockedNow(active, contact->software, now)) {
     EndAttempt(active, now);
@@ -97,6 +106,7 @@
   Attempt& attempt = active.attempt;
   attempt.id = ++m_last_attempt;
   attempt.endpoint = *contact;
+  attempt.bound = active.binding.has_value();
   attempt.sent = now;
   attempt.last_received = now;
   m_attempts[attempt.id] = active.id;
--- a/src/dotterelshift/gateway/core_response.cc
+++ b/src/dotterelshift/gateway/core_response.cc
@@ -65,7 +65,7 @@
   attempt.last_received = now;
   attempt.status = status;
   attempt.response_info = response_info;
-  attempt.head_received = true;
+  if (!std::exchange(attempt.head_received, true)) attempt.head_at = now;
   if (m_dependencies.paths != nullptr && attempt.relay.empty())
     m_dependencies.paths->OnBytes(attempt.placement.endpoint, now);
   const bool mismatched = response_info.echoed_id != active->info.caller_id;
@@ -107,6 +107,8 @@
   active->attempt.last_received = now;
   if (m_dependencies.paths != nullptr && active->attempt.relay.empty())
     m_dependencies.paths->OnBytes(active->attempt.placement.endpoint, now);
+  m_dependencies.restarts->OnBytes(active->attempt.placement.endpoint,
+                                   active->attempt.head_at, now);
   if (active->stage == Stage::kAnswering) PassOn(*active, bytes, now);
 }
 
@@ -244,8 +246,10 @@
   if (!path_failed) BookFailure(active, end, now);
   if (sent) {
     active.may_have_run = true;
-    if (IsBroken(end) && !path_failed && active.attempt.relay.empty())
+    if (IsBroken(end) && !path_failed && active.attempt.relay.empty()) {
       OnBrokenAttempt(active, false, now);
+      SuspectRestart(active.attempt, now);
+    }
   } else {
     OnNotSent(active.attempt.id, now);
   }
--- a/src/dotterelshift/gateway/core_streams.cc
+++ b/src/dotterelshift/gateway/core_streams.cc
@@ -1,4 +1,4 @@
-#include <algorithm>  // for any_of
+#include <algorithm>  // for any_of, sort
 
 #include "dotterelshift/gateway/core_impl.h"  // for CoreImpl
 
@@ -24,6 +24,8 @@
       return "asked";
     case BindingSource::kOneVersion:
       return "one_version";
+    case BindingSource::kUncertain:
+      return "uncertain";
   }
   return "unknown";
 }
@@ -168,12 +170,69 @@
   Fail(active, ErrorKind::kNotResumable, RetryAfter(active, 0s, now), now);
 }
 
+// A stream that begins at an endpoint which may have started again has no known
+// origin yet: it runs to its end there, and does not go on elsewhere within
+// this response.
 void CoreImpl::BindToAttempt(ActiveRequest& active, Instant now) {
   if (!active.route->resumable) return;
-  const SoftwareKey software = active.attempt.endpoint.software;
-  active.binding = {software, BindingSource::kOwn, 0s};
-  m_dependencies.origins->OnBegun(
-      StreamKeyOf(active.team, active.info.caller_id), software, now);
+  const Attempt& attempt = active.attempt;
+  const StreamKey stream = StreamKeyOf(active.team, active.info.caller_id);
+  const RestartSuspects& restarts = *m_dependencies.restarts;
+  const bool in_doubt =
+      restarts.During(attempt.placement.endpoint, attempt.head_at) ==
+      ProcessProof::kInDoubt;
+  active.binding = {attempt.endpoint.software, BindingSource::kOwn, 0s};
+  if (in_doubt) {
+    active.binding = {kUncertainSoftware, BindingSource::kUncertain, 0s};
+    ++m_resumptions.begun_uncertain;
+  }
+  m_dependencies.origins->OnBegun(stream, attempt.endpoint, attempt.head_at,
+                                  restarts, now);
+}
+
+// Endpoints that may have started again at another version. A stream that has
+// begun does not go on there; one that has not prefers others.
+std::vector<EndpointKey> CoreImpl::UncertainEndpoints(
+    const ActiveRequest& active, Instant now) {
+  RestartSuspects& restarts = *m_dependencies.restarts;
+  const bool resumable =
+      active.route->kind == RouteKind::kStream && active.route->resumable;
+  if (!resumable || restarts.Size() == 0) return {};
+  restarts.Update(now);
+  return restarts.All();
+}
+
+// The connection of an attempt broke, which does not outlive its endpoint's
+// process.
+void CoreImpl::SuspectRestart(const Attempt& attempt, Instant now) {
+  m_dependencies.restarts->OnBroken(attempt.endpoint, now);
+}
+
+// What an endpoint sends after its next incarnation has announced itself is the
+// next one's. A stream that had begun before does not go on there if that has
+// another version.
+void CoreImpl::LeaveRestartedEndpoints(const directory::Directory& directory,
+                                       Instant now) {
+  std::vector<RequestId> bound;
+  for (const auto& [id, active] : m_active) {
+    const Attempt& attempt = active.attempt;
+    const bool sent =
+        active.stage == Stage::kRunning || active.stage == Stage::kAnswering;
+    if (!sent || !attempt.bound) continue;
+    const directory::Endpoint* endpoint = directory.Find(attempt.endpoint.id);
+    const bool restarted =
+        endpoint != nullptr &&
+        endpoint->record.incarnation > attempt.endpoint.incarnation &&
+        SoftwareKeyOf(endpoint->record) != attempt.endpoint.software;
+    if (restarted) bound.push_back(id);
+  }
+  std::sort(bound.begin(), bound.end());
+  for (const RequestId id : bound) {
+    const auto found = m_active.find(id);
+    if (found == m_active.end()) continue;
+    CancelAttemptIfSent(found->second);
+    OnAttemptFailed(found->second, http::TransferEnd::kCut, now);
+  }
 }
 
 }  // namespace dotterelshift::gateway
--- a/src/dotterelshift/gateway/core_streams_test.cc
+++ b/src/dotterelshift/gateway/core_streams_test.cc
@@ -28,6 +28,14 @@
   CPPUNIT_TEST(BrokenResumedStreamGoesOnAfterItsLastEvent);
   CPPUNIT_TEST(OriginIsKnownFromTheFirstEventOn);
   CPPUNIT_TEST(RefusedResumptionIsLoggedAndCounted);
+  CPPUNIT_TEST(BrokenConnectionMakesItsEndpointASuspect);
+  CPPUNIT_TEST(ResumedStreamAvoidsEndpointsThatMayHaveRestarted);
+  CPPUNIT_TEST(ResumedStreamWaitsForAnnouncementsIfAllMayHaveRestarted);
+  CPPUNIT_TEST(BookedStreamLeavesAnEndpointThatMayHaveRestarted);
+  CPPUNIT_TEST(ResumedStreamLeavesAnEndpointThatStartedAgain);
+  CPPUNIT_TEST(NewStreamPrefersEndpointsThatCertainlyRun);
+  CPPUNIT_TEST(OriginAtASuspectIsUnknownUntilItAnnouncesItself);
+  CPPUNIT_TEST(OriginIsUnclearIfItsEndpointHadStartedAgain);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -230,7 +238,122 @@
                          line.inputs.front().second);
   }
 
+  void BrokenConnectionMakesItsEndpointASuspect() {
+    const StartAttempt first = Begin();
+    End(first.attempt, TransferEnd::kCut);
+    CPPUNIT_ASSERT(m_restarts->All() == std::vector{KeyOf(first.endpoint.id)});
+  }
+
+  void ResumedStreamAvoidsEndpointsThatMayHaveRestarted() {
+    for (const char* broken : {"a1", "b1"}) {
+      Break(broken);
+      Tell("first", "v1");
+      Resume("first");
+      const StartAttempt start = Only<StartAttempt>();
+      CPPUNIT_ASSERT_EQUAL(std::string("v1"), start.endpoint.software_version);
+      CPPUNIT_ASSERT(start.endpoint.id != broken);
+      m_core->OnCallerGone(kRequest, m_now);
+      Collect();
+      m_now += 400ms;
+      AnnounceVersions();
+    }
+  }
+
+  // It is refused as not run rather than sent to another version.
+  void ResumedStreamWaitsForAnnouncementsIfAllMayHaveRestarted() {
+    for (const std::string& id : IdsOf("v1")) Break(id);
+    Tell("first", "v1");
+    Resume("first");
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, Count<StartAttempt>());
+    Advance(75ms);
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, Count<Refuse>());
+    Advance(225ms);
+    CPPUNIT_ASSERT(RowOf(Only<Refuse>().kind).ran == Ran::kNo);
+    m_now += 400ms;
+    AnnounceVersions();
+    Resume("first");
+    CPPUNIT_ASSERT_EQUAL(std::string("v1"),
+                         Only<StartAttempt>().endpoint.software_version);
+  }
+
+  // It waits for the prompt that is prefilled before its own.
+  void BookedStreamLeavesAnEndpointThatMayHaveRestarted() {
+    Leave("b1");
+    Tell("first", "v1");
+    m_load->OnAssigned({KeyOf("a1"), 0s, 0s, 3'000}, LongPrompt(), m_now);
+    Resume("first");
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, Count<StartAttempt>());
+    Break("a1");
+    Advance(45ms);
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, Count<StartAttempt>());
+  }
+
+  // What it sends from then on is of another version.
+  void ResumedStreamLeavesAnEndpointThatStartedAgain() {
+    const StartAttempt start = ResumeOnNewConnection();
+    AnnounceEndpoint(start.endpoint.id, "v2", 2);
+    Collect();
+    CPPUNIT_ASSERT_EQUAL(start.attempt, Only<CancelAttempt>().attempt);
+    const StartAttempt second = Only<StartAttempt>();
+    CPPUNIT_ASSERT(second.endpoint.id != start.endpoint.id);
+    CPPUNIT_ASSERT_EQUAL(std::string("v1"), second.endpoint.software_version);
+  }
+
+  void NewStreamPrefersEndpointsThatCertainlyRun() {
+    for (const char* id : {"a1", "b1", "a2"}) Break(id);
+    Request("/resume/");
+    CPPUNIT_ASSERT_EQUAL(std::string("b2"), Only<StartAttempt>().endpoint.id);
+    m_core->OnCallerGone(kRequest, m_now);
+    Break("b2");
+    Request("/resume/");
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, Count<StartAttempt>());
+  }
+
+  void OriginAtASuspectIsUnknownUntilItAnnouncesItself() {
+    for (const char* id : {"a1", "b1", "a2", "b2"}) Break(id);
+    const StartAttempt start = Begin();
+    const StreamKey stream = StreamKeyOf("team", "caller-1");
+    CPPUNIT_ASSERT(m_origins->Find(stream, m_now).state ==
+                   OriginState::kMissing);
+    CPPUNIT_ASSERT_EQUAL(uint64_t{1}, m_core->Resumptions().begun_uncertain);
+    m_now += 400ms;
+    AnnounceVersions();
+    m_restarts->Update(m_now);
+    m_origins->Update(m_directory, *m_restarts, m_now);
+    CPPUNIT_ASSERT(m_origins->Find(stream, m_now).state == OriginState::kKnown);
+    CPPUNIT_ASSERT_EQUAL(start.endpoint.software,
+                         m_origins->Find(stream, m_now).software);
+    // Within this response it is not known.
+    End(start.attempt, TransferEnd::kCut);
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, Count<StartAttempt>());
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, Count<AbortStream>());
+  }
+
+  // No connection of this entry told of the restart.
+  void OriginIsUnclearIfItsEndpointHadStartedAgain() {
+    const StartAttempt start = Begin();
+    const StreamKey stream = StreamKeyOf("team", "caller-1");
+    CPPUNIT_ASSERT(m_origins->Find(stream, m_now).state == OriginState::kKnown);
+    AnnounceEndpoint(start.endpoint.id,
+                     start.endpoint.software_version == "v1" ? "v2" : "v1", 2);
+    CPPUNIT_ASSERT(m_origins->Find(stream, m_now).state ==
+                   OriginState::kUnclear);
+    Collect();
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, Count<CancelAttempt>());
+  }
+
  private:
+  static Prompt LongPrompt() {
+    Prompt prompt;
+    prompt.prompt_tokens = 3'000;
+    return prompt;
+  }
+
+  // A connection to the endpoint broke.
+  void Break(const std::string& id) {
+    m_restarts->OnBroken(*m_load->Find(KeyOf(id)), m_now);
+  }
+
   static std::vector<std::string> IdsOf(const std::string& version) {
     if (version == "v1") return {"a1", "b1"};
     return {"a2", "b2"};
--- a/src/dotterelshift/gateway/core_testing.h
+++ b/src/dotterelshift/gateway/core_testing.h
@@ -36,6 +36,7 @@
     m_blocklist = quarantine::Blocklist();
     m_versions = ServiceVersions();
     m_origins.emplace();
+    m_restarts.emplace(m_directory);
     m_core = MakeCore(CoreOptions(), Parts());
   }
 
@@ -51,6 +52,7 @@
     parts.blocklist = &m_blocklist;
     parts.versions = &m_versions;
     parts.origins = &*m_origins;
+    parts.restarts = &*m_restarts;
     return parts;
   }
 
@@ -192,6 +194,7 @@
   quarantine::Blocklist m_blocklist;
   ServiceVersions m_versions;
   std::optional<StreamOrigins> m_origins;
+  std::optional<RestartSuspects> m_restarts;
   std::unique_ptr<Core> m_core;
   std::vector<Action> m_last;
   std::vector<Decision> m_log_lines;
--- a/src/dotterelshift/gateway/crash_schedule_testing.h
+++ b/src/dotterelshift/gateway/crash_schedule_testing.h
@@ -150,6 +150,7 @@
     directory::Directory directory;
     ServiceVersions versions;
     StreamOrigins origins;
+    RestartSuspects restarts{directory};
     FleetLoad load{FleetLoadOptions{"dc"}};
     HeldGrants budgets;
     RetryShare retries;
@@ -187,6 +188,7 @@
     parts.retries = &node->retries;
     parts.versions = &node->versions;
     parts.origins = &node->origins;
+    parts.restarts = &node->restarts;
     parts.paths = &node->paths;
     parts.blocklist = &node->blocklist;
     parts.suspects = &node->suspects;
--- /dev/null
+++ b/src/dotterelshift/gateway/restart_suspects.cc
@@ -0,0 +1,152 @@
+#include "dotterelshift/gateway/restart_suspects.h"
+
+#include <algorithm>  // for min
+
+#include "dotterelshift/directory/spread.h"  // for PulseKey
+
+namespace dotterelshift::gateway {
+namespace {
+
+uint32_t AgeMs(Instant at, Instant now) {
+  return static_cast<uint32_t>(ToMs(now - at));
+}
+
+}  // namespace
+
+std::string_view NameOf(RestartEvidence evidence) {
+  switch (evidence) {
+    case RestartEvidence::kConnectionBroke:
+      return "connection_broke";
+    case RestartEvidence::kTold:
+      return "told";
+    case RestartEvidence::kAnnounced:
+      return "announced";
+    case RestartEvidence::kBytes:
+      return "bytes";
+    case RestartEvidence::kEnded:
+      return "ended";
+  }
+  return "unknown";
+}
+
+// All connections to an endpoint that ends break at once. Later breaks are told
+// again, as the others may have cleared the endpoint meanwhile.
+void RestartSuspects::OnBroken(const EndpointContact& endpoint, Instant now) {
+  if (endpoint.incarnation == 0) return;
+  Suspect& suspect = Add(endpoint, RestartEvidence::kConnectionBroke,
+                         now - m_options.notice_delay, now);
+  if (now - suspect.told_at < m_options.tell_interval) return;
+  suspect.told_at = now;
+  m_notices[directory::PulseKey(endpoint.id, endpoint.incarnation)] = {now};
+}
+
+// The notice was on its way for no longer than `tell_delay`.
+void RestartSuspects::OnTold(const EndpointContact& endpoint,
+                             const wire::ProcessNote& note, Instant now) {
+  if (endpoint.incarnation == 0) return;
+  const Instant latest = now - std::chrono::milliseconds(note.age_ms());
+  const Instant earliest = latest - m_options.tell_delay;
+  if (!note.runs()) {
+    Add(endpoint, RestartEvidence::kTold, earliest, latest);
+    return;
+  }
+  const auto found = m_suspects.find(note.endpoint());
+  if (found == m_suspects.end() || found->second.latest > earliest) return;
+  m_proven[note.endpoint()] = earliest;
+  Clear(found, RestartEvidence::kBytes, now);
+}
+
+RestartSuspects::Suspect& RestartSuspects::Add(const EndpointContact& endpoint,
+                                               RestartEvidence evidence,
+                                               Instant earliest,
+                                               Instant latest) {
+  const EndpointKey key =
+      directory::PulseKey(endpoint.id, endpoint.incarnation);
+  const auto [found, is_new] =
+      m_suspects.try_emplace(key, Suspect{endpoint.id, earliest, latest, {}});
+  Suspect& suspect = found->second;
+  suspect.earliest = std::min(suspect.earliest, earliest);
+  suspect.latest = std::max(suspect.latest, latest);
+  if (is_new) m_beliefs.push_back({endpoint.id, true, evidence, 0s});
+  return suspect;
+}
+
+// The connection of a response that began before the first break was to the
+// incarnation that had been announced.
+ProcessProof RestartSuspects::During(EndpointKey endpoint,
+                                     Instant begun) const {
+  const auto suspect = m_suspects.find(endpoint);
+  if (suspect != m_suspects.end())
+    return begun < suspect->second.earliest ? ProcessProof::kUnproven
+                                            : ProcessProof::kInDoubt;
+  const auto ended = m_ended.find(endpoint);
+  if (ended != m_ended.end())
+    return begun < ended->second ? ProcessProof::kSame : ProcessProof::kInDoubt;
+  const auto proven = m_proven.find(endpoint);
+  const bool same = proven != m_proven.end() && begun <= proven->second;
+  return same ? ProcessProof::kSame : ProcessProof::kUnproven;
+}
+
+void RestartSuspects::OnBytes(EndpointKey endpoint, Instant begun,
+                              Instant now) {
+  const auto found = m_suspects.find(endpoint);
+  if (found == m_suspects.end() || begun >= found->second.earliest) return;
+  const Instant ran = now - m_options.read_delay;
+  // Later by `tell_delay`, so that the others are cleared by the notice, too.
+  if (ran - m_options.tell_delay < found->second.latest) return;
+  m_proven[endpoint] = ran;
+  m_notices[endpoint] = {ran, true};
+  Clear(found, RestartEvidence::kBytes, now);
+}
+
+void RestartSuspects::Update(Instant now) {
+  for (auto next = m_suspects.begin(); next != m_suspects.end();) {
+    const auto suspect = next++;
+    const auto& [key, what] = *suspect;
+    const directory::Endpoint* endpoint = m_directory.Find(what.id);
+    const bool same =
+        endpoint != nullptr &&
+        directory::PulseKey(what.id, endpoint->record.incarnation) == key;
+    if (!same) {
+      m_ended[key] = what.earliest;
+      Clear(suspect, RestartEvidence::kEnded, now);
+    } else if (endpoint->last_news >=
+               what.latest + m_options.announcement_delay) {
+      Clear(suspect, RestartEvidence::kAnnounced, now);
+    }
+  }
+  for (auto* memory : {&m_ended, &m_proven})
+    std::erase_if(*memory, [&](const auto& item) {
+      return now - item.second > m_options.memory;
+    });
+}
+
+void RestartSuspects::Clear(std::map<EndpointKey, Suspect>::iterator suspect,
+                            RestartEvidence evidence, Instant now) {
+  const Suspect& what = suspect->second;
+  m_beliefs.push_back({what.id, false, evidence, now - what.latest});
+  m_suspects.erase(suspect);
+}
+
+std::vector<wire::ProcessNote> RestartSuspects::TakeNotices(Instant now) {
+  std::vector<wire::ProcessNote> notes;
+  for (const auto& [endpoint, notice] : std::exchange(m_notices, {}))
+    notes.emplace_back(endpoint, AgeMs(notice.at, now), notice.runs);
+  return notes;
+}
+
+std::vector<wire::ProcessNote> RestartSuspects::Notices(Instant now) const {
+  std::vector<wire::ProcessNote> notes;
+  for (const auto& [endpoint, suspect] : m_suspects)
+    notes.emplace_back(endpoint, AgeMs(suspect.earliest, now), false);
+  return notes;
+}
+
+std::vector<EndpointKey> RestartSuspects::All() const {
+  std::vector<EndpointKey> endpoints;
+  for (const auto& [endpoint, suspect] : m_suspects)
+    endpoints.push_back(endpoint);
+  return endpoints;
+}
+
+}  // namespace dotterelshift::gateway
--- a/src/dotterelshift/gateway/stream_origins.cc
+++ b/src/dotterelshift/gateway/stream_origins.cc
@@ -4,6 +4,8 @@
 
 #include <string>  // for string
 
+#include "dotterelshift/directory/spread.h"  // for PulseKey
+
 namespace dotterelshift::gateway {
 
 StreamKey StreamKeyOf(const TeamId& team, std::string_view first_caller_id) {
@@ -19,6 +21,48 @@
   m_unsent.emplace_back(stream, software);
 }
 
+// Without an incarnation, each start of the endpoint has an id of its own.
+void StreamOrigins::OnBegun(StreamKey stream, const EndpointContact& endpoint,
+                            Instant begun, const RestartSuspects& restarts,
+                            Instant now) {
+  const EndpointKey key =
+      directory::PulseKey(endpoint.id, endpoint.incarnation);
+  const bool known = restarts.During(key, begun) != ProcessProof::kInDoubt;
+  if (known) OnBegun(stream, endpoint.software, now);
+  if (endpoint.incarnation == 0) return;
+  m_unproven.push_back({stream, endpoint.id, endpoint.incarnation,
+                        endpoint.software, begun, known});
+}
+
+void StreamOrigins::Update(const directory::Directory& directory,
+                           const RestartSuspects& restarts, Instant now) {
+  std::erase_if(m_unproven, [&](const Unproven& unproven) {
+    return Settle(unproven, directory, restarts, now);
+  });
+}
+
+bool StreamOrigins::Settle(const Unproven& unproven,
+                           const directory::Directory& directory,
+                           const RestartSuspects& restarts, Instant now) {
+  if (now - unproven.begun > m_options.max_unproven_age) return true;
+  const directory::Endpoint* endpoint = directory.Find(unproven.endpoint);
+  if (endpoint == nullptr) return false;
+  const EndpointKey key =
+      directory::PulseKey(unproven.endpoint, unproven.incarnation);
+  const bool goes_on = endpoint->record.incarnation == unproven.incarnation;
+  const bool announced =
+      goes_on &&
+      endpoint->last_news >= unproven.begun + m_options.announcement_delay;
+  const bool same =
+      announced || restarts.During(key, unproven.begun) == ProcessProof::kSame;
+  if (same && !unproven.known) OnBegun(unproven.stream, unproven.software, now);
+  if (same || goes_on) return same;
+  const SoftwareKey next = SoftwareKeyOf(endpoint->record);
+  if (unproven.known && next != unproven.software)
+    OnBegun(unproven.stream, next, now);
+  return true;
+}
+
 void StreamOrigins::OnUpdates(const HostId& from,
                               const std::vector<wire::StreamOrigin>& updates,
                               Instant now) {
@@ -31,8 +75,8 @@
   Merge(stream, 0, from, now).unclear = true;
 }
 
-// Two origins that differ are of two streams with the same id: neither may be
-// used.
+// Two origins that differ are of two streams with the same id, or of two
+// incarnations that may have begun one: neither may be used.
 StreamOrigins::Entry& StreamOrigins::Merge(StreamKey stream,
                                            SoftwareKey software,
                                            const HostId& from, Instant now) {
@@ -76,8 +120,10 @@
   std::vector<wire::StreamOrigin> updates;
   for (const auto& [stream, entry] : m_origins) {
     const bool live = now - entry.since <= m_options.max_age;
-    if (live && (entry.from.empty() || !is_connected(entry.from)))
-      updates.emplace_back(stream, entry.software);
+    if (!live || (!entry.from.empty() && is_connected(entry.from))) continue;
+    updates.emplace_back(stream, entry.software);
+    // A second origin makes it unclear there, too.
+    if (entry.unclear) updates.emplace_back(stream, 0);
   }
   return updates;
 }
--- a/src/dotterelshift/gateway/version_schedule_testing.h
+++ b/src/dotterelshift/gateway/version_schedule_testing.h
@@ -86,12 +86,14 @@
     parts.retries = &retries;
     parts.versions = &versions;
     parts.origins = &origins;
+    parts.restarts = &restarts;
     core = MakeCore({}, parts);
   }
 
   directory::Directory directory;
   ServiceVersions versions;
   StreamOrigins origins;
+  RestartSuspects restarts{directory};
   DirectoryView view;
   FleetLoad load{FleetLoadOptions{"dc"}};
   HeldGrants budgets;
@@ -140,6 +142,7 @@
       for (auto& node : m_nodes) DeliverTo(*node);
       for (auto& node : m_nodes) Proceed(*node);
       ExchangeOrigins();
+      ExchangeNotices();
       BeginStream();
       Return();
     }
@@ -215,6 +218,7 @@
     for (const Delivery& known : m_announced) Deliver(node, known);
     for (size_t i = 0; i < m_nodes.size(); ++i) {
       if (i == index || IsCut(*m_nodes[i])) continue;
+      Tell(node, m_nodes[i]->restarts.Notices(m_now));
       const auto is_connected = [&](const HostId& host) {
         return host != NameOf(index);
       };
@@ -271,6 +275,9 @@
   void Proceed(Node& node) {
     node.view.Update({true, node.confirmed, Instant(1000s)}, m_now);
     node.core->OnViewComplete(node.view.CompleteSince());
+    node.restarts.Update(m_now);
+    node.origins.Update(node.directory, node.restarts, m_now);
+    node.restarts.TakeBeliefs();
     std::vector<AttemptId> due;
     for (const auto& [attempt, run] : node.running)
       if (m_now >= run.next_at || IsBroken(run)) due.push_back(attempt);
@@ -403,6 +410,22 @@
            std::to_string(stream.tries);
   }
 
+  void Tell(Node& node, const std::vector<wire::ProcessNote>& notices) {
+    for (const wire::ProcessNote& note : notices) {
+      const EndpointContact* contact = node.load.Find(note.endpoint());
+      if (contact != nullptr) node.restarts.OnTold(*contact, note, m_now);
+    }
+  }
+
+  void ExchangeNotices() {
+    for (size_t i = 0; i < m_nodes.size(); ++i) {
+      const auto notices = m_nodes[i]->restarts.TakeNotices(m_now);
+      if (IsCut(*m_nodes[i])) continue;
+      for (size_t j = 0; j < m_nodes.size(); ++j)
+        if (j != i && !IsCut(*m_nodes[j])) Tell(*m_nodes[j], notices);
+    }
+  }
+
   void ExchangeOrigins() {
     for (size_t i = 0; i < m_nodes.size(); ++i) {
       if (!m_nodes[i]->origins.HasUpdates()) continue;
