A granted retry that reaches no endpoint is not paid again

No endpoint got the granted one, so that the service's arrivals stay within the share: a new one is needed only after an attempt that may have arrived.

Test: GrantedRetryThatReachesNoEndpointIsNotPaidAgain.

--- a/src/dotterelshift/gateway/active_request.h
+++ b/src/dotterelshift/gateway/active_request.h
@@ -125,6 +125,8 @@
   bool prefilled = false;     // an endpoint has prefilled its prompt
   uint32_t sends = 0;
   uint32_t runs = 0;  // attempts that may have run
+  // `runs` when the last retry was granted; nullopt: none was.
+  std::optional<uint32_t> retry_granted_at;
   Instant send_at{};
   Attempt attempt;
   PermitWait permit;
--- a/src/dotterelshift/gateway/core_response.cc
+++ b/src/dotterelshift/gateway/core_response.cc
@@ -299,16 +299,21 @@
 }
 
 // Retries at another endpoint if the fleet's retry budget allows it. A request
-// that has not reached any endpoint yet uses none of that budget.
+// that has not reached any endpoint yet uses none of that budget, and neither
+// does the next attempt of a retry that reached none.
 // After a failure of the path, the same endpoint may be chosen again, by
 // another path (`stays`).
 bool CoreImpl::TryAgain(ActiveRequest& active, bool stays, Instant now) {
   if (!stays) active.tried.push_back(active.attempt.placement.endpoint);
-  const bool arrived = active.attempt.head_received || active.runs > 0;
+  const bool granted =
+      active.retry_granted_at == active.runs && !active.attempt.head_received;
+  const bool arrived =
+      !granted && (active.attempt.head_received || active.runs > 0);
   // A retry that the outbound link would refuse must not use the retry budget.
   const bool in_time = active.sends < kMaxSends && now < active.deadline &&
                        (!arrived || CanSendInTime(active, now));
   if (!in_time || (arrived && !TakeRetry(active, now))) return false;
+  if (arrived) active.retry_granted_at = active.runs;
   // Endpoints of a stream's version that are full or avoided now are waited
   // for, as no others may take it.
   const bool bound = active.binding &&
--- a/src/dotterelshift/gateway/core_test.cc
+++ b/src/dotterelshift/gateway/core_test.cc
@@ -18,6 +18,7 @@
   CPPUNIT_TEST(AtMostOnceRequestIsRetriedOnlyIfItDidNotRun);
   CPPUNIT_TEST(IdempotentRequestIsRetriedWithinItsAttempts);
   CPPUNIT_TEST(DecisionsOnRetriesAreLogged);
+  CPPUNIT_TEST(GrantedRetryThatReachesNoEndpointIsNotPaidAgain);
   CPPUNIT_TEST(AvoidedEndpointsAreLoggedAndCounted);
   CPPUNIT_TEST(RefusalAfterAFailedRunDoesNotClaimNotRun);
   CPPUNIT_TEST(BrokenStreamResumesAfterItsLastCompleteEvent);
@@ -120,6 +121,17 @@
     }
   }
 
+  void GrantedRetryThatReachesNoEndpointIsNotPaidAgain() {
+    Publish();
+    Request("/safe/");
+    End(Only<StartAttempt>().attempt, http::TransferEnd::kFailedBeforeHead);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, CountLines("retry_granted"));
+    *m_retries = RetryShare(RetryShareOptions{.ratio = 0, .slack = 0});
+    End(Only<StartAttempt>().attempt, http::TransferEnd::kNotSent);
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, CountLines("retry_denied"));
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, Count<StartAttempt>());
+  }
+
   void AvoidedEndpointsAreLoggedAndCounted() {
     Publish();
     Request("/safe/");
