--- a/include/dotterelshift/gateway/restart_suspects.h
+++ b/include/dotterelshift/gateway/restart_suspects.h
@@ -26,8 +26,8 @@
   Duration notice_delay = 10ms;
   // Maximum time of another entry's notice on the way.
   Duration tell_delay = 30ms;
-  // Minimum time between two notices about an endpoint.
-  Duration tell_interval = 100ms;
+  // An endpoint that has started again announces itself within this time.
+  Duration max_suspicion = 3s;
   // How long the end of an incarnation, or proof that it goes on, is
   // remembered.
   Duration memory = 10s;
@@ -48,6 +48,7 @@
   kBytes,            // a connection that is older than the break still works,
                      // here or at another entry
   kEnded,            // the incarnation has ended or is not known any more
+  kExpired,          // no announcement came, as control may be away
 };
 std::string_view NameOf(RestartEvidence evidence);
 
@@ -96,7 +97,8 @@
   // connections tell.
   ProcessProof During(EndpointKey endpoint, Instant begun) const;
   std::vector<EndpointKey> All() const;
-  // The same with the time since each first break, for an entry that connects.
+  // The same with the times since the first and the last break, for an entry
+  // that connects.
   std::vector<wire::ProcessNote> Notices(Instant now) const;
   size_t Size() const { return m_suspects.size(); }
 
@@ -112,7 +114,6 @@
     EndpointId id;
     Instant earliest{};  // the first break cannot have been before
     Instant latest{};    // when the last one was noticed, here or elsewhere
-    Instant told_at{};   // the epoch: the other entries were not told
   };
 
   // What is to be told of an endpoint: its last break, or until when it ran.
@@ -121,8 +122,8 @@
     bool runs = false;
   };
 
-  Suspect& Add(const EndpointContact& endpoint, RestartEvidence evidence,
-               Instant earliest, Instant latest);
+  void Add(const EndpointContact& endpoint, RestartEvidence evidence,
+           Instant earliest, Instant latest);
   void Clear(std::map<EndpointKey, Suspect>::iterator suspect,
              RestartEvidence evidence, Instant now);
 
--- a/src/dotterelshift/gateway/active_request.h
+++ b/src/dotterelshift/gateway/active_request.h
@@ -48,6 +48,9 @@
   bool head_received = false;
   Instant head_at{};   // when the response began
   bool bound = false;  // to the endpoint's version, when it was sent
+  // Its endpoint has started again since at another version, or before without
+  // being noticed.
+  bool restarted = false;
   int status = 0;
   ResponseInfo response_info;
   uint64_t events = 0;  // passed on to the caller
--- a/src/dotterelshift/gateway/core_impl.h
+++ b/src/dotterelshift/gateway/core_impl.h
@@ -195,7 +195,14 @@
     return active.binding && active.route->resumable &&
            m_dependencies.restarts->IsSuspect(endpoint);
   }
-  void SuspectRestart(const Attempt& attempt, Instant now);
+  bool HasSuspects(const ActiveRequest& active, Instant now);
+  bool HasSuspects(const ServiceName& service) const;
+  void SuspectRestart(const Attempt& attempt, http::TransferEnd end,
+                      Instant now);
+  // Whether a stream that had begun before may be at another version there: a
+  // connection to the endpoint broke before its response began.
+  bool IsInDoubt(const Attempt& attempt) const;
+  void LeaveInDoubt(ActiveRequest& active, Instant now);
   void LeaveRestartedEndpoints(const directory::Directory& directory,
                                Instant now);
 
--- a/src/dotterelshift/gateway/core_paths.cc
+++ b/src/dotterelshift/gateway/core_paths.cc
@@ -28,7 +28,9 @@
     certain.excluded.push_back(endpoint);
   const bool all_certain = certain.excluded.size() == limits.excluded.size();
   const auto placement = ChooseAmong(active, certain, now);
-  if (placement || all_certain || active.binding) return placement;
+  if (all_certain || active.binding) return placement;
+  if (placement && !WouldRespondTooLate(active, *placement, now))
+    return placement;
   return ChooseAmong(active, limits, now);
 }
 
--- a/src/dotterelshift/gateway/core_placement.cc
+++ b/src/dotterelshift/gateway/core_placement.cc
@@ -58,8 +58,7 @@
 void CoreImpl::WaitForEndpoint(ActiveRequest& active, Instant now) {
   if (const std::optional<Duration> wait = WaitForLimits(active, now))
     return RefuseForLimits(active, *wait, now);
-  const bool suspects =
-      active.binding && !UncertainEndpoints(active, now).empty();
+  const bool suspects = HasSuspects(active, now);
   const Duration maximum =
       active.route->target /
       (suspects ? kSuspectWaitDivisor : kEndpointWaitDivisor);
@@ -95,7 +94,11 @@
   const bool fits = contact != nullptr &&
                     (!software || contact->software == *software) &&
                     !IsUncertainFor(active, active.attempt.placement.endpoint);
-  if (!fits) return Place(active, now);
+  if (!fits) {
+    m_dependencies.load->OnNotSent(active.attempt.placement, now);
+    EndAttempt(active, now);
+    return Place(active, now);
+  }
   if (IsBlockedNow(active, contact->software, now)) {
     EndAttempt(active, now);
     return Place(active, now);
--- a/src/dotterelshift/gateway/core_response.cc
+++ b/src/dotterelshift/gateway/core_response.cc
@@ -107,9 +107,12 @@
   active->attempt.last_received = now;
   if (m_dependencies.paths != nullptr && active->attempt.relay.empty())
     m_dependencies.paths->OnBytes(active->attempt.placement.endpoint, now);
-  m_dependencies.restarts->OnBytes(active->attempt.placement.endpoint,
-                                   active->attempt.head_at, now);
-  if (active->stage == Stage::kAnswering) PassOn(*active, bytes, now);
+  if (active->attempt.relay.empty())
+    m_dependencies.restarts->OnBytes(active->attempt.placement.endpoint,
+                                     active->attempt.head_at, now);
+  if (active->stage != Stage::kAnswering) return;
+  if (IsInDoubt(active->attempt)) return LeaveInDoubt(*active, now);
+  PassOn(*active, bytes, now);
 }
 
 void CoreImpl::OnTooLarge(AttemptId id, Instant now) {
@@ -149,6 +152,7 @@
 void CoreImpl::OnEnd(AttemptId id, http::TransferEnd end, Instant now) {
   ActiveRequest* active = FindByAttempt(id);
   if (active == nullptr) return;
+  SuspectRestart(active->attempt, end, now);
   if (end != http::TransferEnd::kWhole)
     return OnAttemptFailed(*active, end, now);
   const ResponseInfo& response = active->attempt.response_info;
@@ -246,10 +250,8 @@
   if (!path_failed) BookFailure(active, end, now);
   if (sent) {
     active.may_have_run = true;
-    if (IsBroken(end) && !path_failed && active.attempt.relay.empty()) {
+    if (IsBroken(end) && !path_failed && active.attempt.relay.empty())
       OnBrokenAttempt(active, false, now);
-      SuspectRestart(active.attempt, now);
-    }
   } else {
     OnNotSent(active.attempt.id, now);
   }
--- a/src/dotterelshift/gateway/core_streams.cc
+++ b/src/dotterelshift/gateway/core_streams.cc
@@ -134,7 +134,7 @@
   const Duration life = active.route->timeout * m_options.stream_life_timeouts;
   const bool complete =
       m_view_complete_since && *m_view_complete_since <= now - life;
-  if (!complete) return std::nullopt;
+  if (!complete || HasSuspects(active.service)) return std::nullopt;
   return m_dependencies.versions->Only(active.service);
 }
 
@@ -179,17 +179,38 @@
   const StreamKey stream = StreamKeyOf(active.team, active.info.caller_id);
   const RestartSuspects& restarts = *m_dependencies.restarts;
   const bool in_doubt =
+      attempt.restarted ||
       restarts.During(attempt.placement.endpoint, attempt.head_at) ==
-      ProcessProof::kInDoubt;
+          ProcessProof::kInDoubt;
   active.binding = {attempt.endpoint.software, BindingSource::kOwn, 0s};
   if (in_doubt) {
     active.binding = {kUncertainSoftware, BindingSource::kUncertain, 0s};
     ++m_resumptions.begun_uncertain;
   }
+  if (attempt.restarted) return;
   m_dependencies.origins->OnBegun(stream, attempt.endpoint, attempt.head_at,
                                   restarts, now);
 }
 
+// Whether an endpoint of the stream's version may have started again.
+bool CoreImpl::HasSuspects(const ActiveRequest& active, Instant now) {
+  if (!active.binding) return false;
+  const std::vector<EndpointKey> suspects = UncertainEndpoints(active, now);
+  return std::ranges::any_of(suspects, [&](EndpointKey endpoint) {
+    const EndpointContact* contact = m_dependencies.load->Find(endpoint);
+    return contact != nullptr && contact->software == active.binding->software;
+  });
+}
+
+bool CoreImpl::HasSuspects(const ServiceName& service) const {
+  const std::vector<EndpointKey> suspects = m_dependencies.restarts->All();
+  return std::ranges::any_of(suspects, [&](EndpointKey endpoint) {
+    const EndpointContact* contact = m_dependencies.load->Find(endpoint);
+    return contact != nullptr &&
+           m_dependencies.versions->ServiceOf(contact->software) == service;
+  });
+}
+
 // Endpoints that may have started again at another version. A stream that has
 // begun does not go on there; one that has not prefers others.
 std::vector<EndpointKey> CoreImpl::UncertainEndpoints(
@@ -204,27 +225,50 @@
 
 // The connection of an attempt broke, which does not outlive its endpoint's
 // process.
-void CoreImpl::SuspectRestart(const Attempt& attempt, Instant now) {
-  m_dependencies.restarts->OnBroken(attempt.endpoint, now);
+void CoreImpl::SuspectRestart(const Attempt& attempt, http::TransferEnd end,
+                              Instant now) {
+  const bool broke = end == http::TransferEnd::kCut ||
+                     end == http::TransferEnd::kFailedBeforeHead;
+  if (broke && attempt.relay.empty())
+    m_dependencies.restarts->OnBroken(attempt.endpoint, now);
+}
+
+bool CoreImpl::IsInDoubt(const Attempt& attempt) const {
+  return attempt.bound && m_dependencies.restarts->During(
+                              attempt.placement.endpoint, attempt.head_at) ==
+                              ProcessProof::kInDoubt;
+}
+
+// The break became known only after the request was sent.
+void CoreImpl::LeaveInDoubt(ActiveRequest& active, Instant now) {
+  Log("stream_in_doubt", active, {{"endpoint", active.attempt.endpoint.id}});
+  CancelAttemptIfSent(active);
+  OnAttemptFailed(active, http::TransferEnd::kTimedOut, now);
 }
 
 // What an endpoint sends after its next incarnation has announced itself is the
 // next one's. A stream that had begun before does not go on there if that has
-// another version.
+// another version. One that began there runs to its end, and does not go on
+// elsewhere.
 void CoreImpl::LeaveRestartedEndpoints(const directory::Directory& directory,
                                        Instant now) {
   std::vector<RequestId> bound;
-  for (const auto& [id, active] : m_active) {
-    const Attempt& attempt = active.attempt;
+  for (auto& [id, active] : m_active) {
+    Attempt& attempt = active.attempt;
     const bool sent =
         active.stage == Stage::kRunning || active.stage == Stage::kAnswering;
-    if (!sent || !attempt.bound) continue;
+    if (!sent) continue;
     const directory::Endpoint* endpoint = directory.Find(attempt.endpoint.id);
     const bool restarted =
         endpoint != nullptr &&
         endpoint->record.incarnation > attempt.endpoint.incarnation &&
         SoftwareKeyOf(endpoint->record) != attempt.endpoint.software;
-    if (restarted) bound.push_back(id);
+    if (!restarted) continue;
+    attempt.restarted = true;
+    if (attempt.bound)
+      bound.push_back(id);
+    else if (active.binding)
+      active.binding = {kUncertainSoftware, BindingSource::kUncertain, 0s};
   }
   std::sort(bound.begin(), bound.end());
   for (const RequestId id : bound) {
--- a/src/dotterelshift/gateway/core_streams_test.cc
+++ b/src/dotterelshift/gateway/core_streams_test.cc
@@ -33,9 +33,11 @@
   CPPUNIT_TEST(ResumedStreamWaitsForAnnouncementsIfAllMayHaveRestarted);
   CPPUNIT_TEST(BookedStreamLeavesAnEndpointThatMayHaveRestarted);
   CPPUNIT_TEST(ResumedStreamLeavesAnEndpointThatStartedAgain);
+  CPPUNIT_TEST(EventsAfterABreakThatWasLearnedLateAreNotPassedOn);
   CPPUNIT_TEST(NewStreamPrefersEndpointsThatCertainlyRun);
   CPPUNIT_TEST(OriginAtASuspectIsUnknownUntilItAnnouncesItself);
   CPPUNIT_TEST(OriginIsUnclearIfItsEndpointHadStartedAgain);
+  CPPUNIT_TEST(StreamThatBeginsAfterARestartHasNoKnownOrigin);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -283,9 +285,11 @@
     m_load->OnAssigned({KeyOf("a1"), 0s, 0s, 3'000}, LongPrompt(), m_now);
     Resume("first");
     CPPUNIT_ASSERT_EQUAL(size_t{0}, Count<StartAttempt>());
+    CPPUNIT_ASSERT_EQUAL(uint32_t{2}, m_load->Running(KeyOf("a1")));
     Break("a1");
     Advance(45ms);
     CPPUNIT_ASSERT_EQUAL(size_t{0}, Count<StartAttempt>());
+    CPPUNIT_ASSERT_EQUAL(uint32_t{1}, m_load->Running(KeyOf("a1")));
   }
 
   // What it sends from then on is of another version.
@@ -299,6 +303,20 @@
     CPPUNIT_ASSERT_EQUAL(std::string("v1"), second.endpoint.software_version);
   }
 
+  // Another entry lost a connection before the response began.
+  void EventsAfterABreakThatWasLearnedLateAreNotPassedOn() {
+    const StartAttempt start = ResumeOnNewConnection();
+    m_now += 20ms;
+    Head(start.attempt, 200, true);
+    m_now += 10ms;
+    const EndpointKey key = KeyOf(start.endpoint.id);
+    m_restarts->OnTold(start.endpoint, {key, 15, false}, m_now);
+    Chunk(start.attempt, "id: 4\ndata: x\n\n");
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, Count<RelayChunk>());
+    CPPUNIT_ASSERT_EQUAL(start.attempt, Only<CancelAttempt>().attempt);
+    CPPUNIT_ASSERT(Only<StartAttempt>().endpoint.id != start.endpoint.id);
+  }
+
   void NewStreamPrefersEndpointsThatCertainlyRun() {
     for (const char* id : {"a1", "b1", "a2"}) Break(id);
     Request("/resume/");
@@ -340,6 +358,25 @@
                    OriginState::kUnclear);
     Collect();
     CPPUNIT_ASSERT_EQUAL(size_t{0}, Count<CancelAttempt>());
+    // It does not go on at the version that had been announced.
+    End(start.attempt, TransferEnd::kCut);
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, Count<StartAttempt>());
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, Count<AbortStream>());
+  }
+
+  // The announcement comes while the prompt is read.
+  void StreamThatBeginsAfterARestartHasNoKnownOrigin() {
+    Request("/resume/");
+    const StartAttempt start = Only<StartAttempt>();
+    AnnounceEndpoint(start.endpoint.id,
+                     start.endpoint.software_version == "v1" ? "v2" : "v1", 2);
+    Collect();
+    Head(start.attempt, 200, true);
+    Chunk(start.attempt, "id: 1\n\n");
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, Count<RelayChunk>());
+    CPPUNIT_ASSERT(
+        m_origins->Find(StreamKeyOf("team", "caller-1"), m_now).state ==
+        OriginState::kMissing);
   }
 
  private:
--- a/src/dotterelshift/gateway/restart_suspects.cc
+++ b/src/dotterelshift/gateway/restart_suspects.cc
@@ -23,27 +23,25 @@
       return "announced";
     case RestartEvidence::kBytes:
       return "bytes";
+    case RestartEvidence::kExpired:
+      return "expired";
     case RestartEvidence::kEnded:
       return "ended";
   }
   return "unknown";
 }
 
-// All connections to an endpoint that ends break at once. Later breaks are told
-// again, as the others may have cleared the endpoint meanwhile.
 void RestartSuspects::OnBroken(const EndpointContact& endpoint, Instant now) {
-  if (endpoint.incarnation == 0) return;
-  Suspect& suspect = Add(endpoint, RestartEvidence::kConnectionBroke,
-                         now - m_options.notice_delay, now);
-  if (now - suspect.told_at < m_options.tell_interval) return;
-  suspect.told_at = now;
-  m_notices[directory::PulseKey(endpoint.id, endpoint.incarnation)] = {now};
+  Add(endpoint, RestartEvidence::kConnectionBroke, now - m_options.notice_delay,
+      now);
+  const EndpointKey key =
+      directory::PulseKey(endpoint.id, endpoint.incarnation);
+  if (IsSuspect(key)) m_notices[key] = {now};
 }
 
 // The notice was on its way for no longer than `tell_delay`.
 void RestartSuspects::OnTold(const EndpointContact& endpoint,
                              const wire::ProcessNote& note, Instant now) {
-  if (endpoint.incarnation == 0) return;
   const Instant latest = now - std::chrono::milliseconds(note.age_ms());
   const Instant earliest = latest - m_options.tell_delay;
   if (!note.runs()) {
@@ -56,19 +54,23 @@
   Clear(found, RestartEvidence::kBytes, now);
 }
 
-RestartSuspects::Suspect& RestartSuspects::Add(const EndpointContact& endpoint,
-                                               RestartEvidence evidence,
-                                               Instant earliest,
-                                               Instant latest) {
+// The connections of an incarnation that has ended may break later.
+void RestartSuspects::Add(const EndpointContact& endpoint,
+                          RestartEvidence evidence, Instant earliest,
+                          Instant latest) {
+  if (endpoint.incarnation == 0) return;
   const EndpointKey key =
       directory::PulseKey(endpoint.id, endpoint.incarnation);
+  const directory::Endpoint* known = m_directory.Find(endpoint.id);
+  const bool has_ended =
+      known != nullptr && known->record.incarnation > endpoint.incarnation;
+  if (has_ended || m_ended.contains(key)) return;
   const auto [found, is_new] =
-      m_suspects.try_emplace(key, Suspect{endpoint.id, earliest, latest, {}});
+      m_suspects.try_emplace(key, Suspect{endpoint.id, earliest, latest});
   Suspect& suspect = found->second;
   suspect.earliest = std::min(suspect.earliest, earliest);
   suspect.latest = std::max(suspect.latest, latest);
   if (is_new) m_beliefs.push_back({endpoint.id, true, evidence, 0s});
-  return suspect;
 }
 
 // The connection of a response that began before the first break was to the
@@ -113,12 +115,15 @@
     } else if (endpoint->last_news >=
                what.latest + m_options.announcement_delay) {
       Clear(suspect, RestartEvidence::kAnnounced, now);
+    } else if (now - what.latest > m_options.max_suspicion) {
+      Clear(suspect, RestartEvidence::kExpired, now);
     }
   }
-  for (auto* memory : {&m_ended, &m_proven})
+  for (auto* memory : {&m_ended, &m_proven}) {
     std::erase_if(*memory, [&](const auto& item) {
       return now - item.second > m_options.memory;
     });
+  }
 }
 
 void RestartSuspects::Clear(std::map<EndpointKey, Suspect>::iterator suspect,
@@ -138,7 +143,8 @@
 std::vector<wire::ProcessNote> RestartSuspects::Notices(Instant now) const {
   std::vector<wire::ProcessNote> notes;
   for (const auto& [endpoint, suspect] : m_suspects)
-    notes.emplace_back(endpoint, AgeMs(suspect.earliest, now), false);
+    for (const Instant at : {suspect.earliest, suspect.latest})
+      notes.emplace_back(endpoint, AgeMs(at, now), false);
   return notes;
 }
 
