--- a/src/dotterelshift/gateway/core_response.cc
+++ b/src/dotterelshift/gateway/core_response.cc
@@ -111,7 +111,8 @@
     m_dependencies.restarts->OnBytes(active->attempt.placement.endpoint,
                                      active->attempt.head_at, now);
   if (active->stage != Stage::kAnswering) return;
-  if (IsInDoubt(active->attempt)) return LeaveInDoubt(*active, now);
+  if (IsInDoubt(active->attempt) && !WhyKept(*active, now))
+    return LeaveInDoubt(*active, now);
   PassOn(*active, bytes, now);
 }
 
--- a/src/dotterelshift/gateway/core_streams.cc
+++ b/src/dotterelshift/gateway/core_streams.cc
@@ -234,12 +234,14 @@
 }
 
 bool CoreImpl::IsInDoubt(const Attempt& attempt) const {
-  return attempt.bound && m_dependencies.restarts->During(
-                              attempt.placement.endpoint, attempt.head_at) ==
-                              ProcessProof::kInDoubt;
+  if (!attempt.bound || attempt.events > 0) return false;
+  const EndpointKey endpoint = attempt.placement.endpoint;
+  return m_dependencies.restarts->During(endpoint, attempt.head_at) ==
+         ProcessProof::kInDoubt;
 }
 
-// The break became known only after the request was sent.
+// The break became known only after the request was sent. If the request would
+// not go on elsewhere at once, it is kept: mostly a single stream broke there.
 void CoreImpl::LeaveInDoubt(ActiveRequest& active, Instant now) {
   Log("stream_in_doubt", active, {{"endpoint", active.attempt.endpoint.id}});
   CancelAttemptIfSent(active);
--- a/src/dotterelshift/gateway/core_streams_test.cc
+++ b/src/dotterelshift/gateway/core_streams_test.cc
@@ -34,6 +34,7 @@
   CPPUNIT_TEST(BookedStreamLeavesAnEndpointThatMayHaveRestarted);
   CPPUNIT_TEST(ResumedStreamLeavesAnEndpointThatStartedAgain);
   CPPUNIT_TEST(EventsAfterABreakThatWasLearnedLateAreNotPassedOn);
+  CPPUNIT_TEST(StreamInDoubtIsKeptIfItWouldNotGoOnElsewhere);
   CPPUNIT_TEST(NewStreamPrefersEndpointsThatCertainlyRun);
   CPPUNIT_TEST(OriginAtASuspectIsUnknownUntilItAnnouncesItself);
   CPPUNIT_TEST(OriginIsUnclearIfItsEndpointHadStartedAgain);
@@ -317,6 +318,16 @@
     CPPUNIT_ASSERT(Only<StartAttempt>().endpoint.id != start.endpoint.id);
   }
 
+  void StreamInDoubtIsKeptIfItWouldNotGoOnElsewhere() {
+    const StartAttempt start = ResumeOnNewConnection();
+    Head(start.attempt, 200, true);
+    Break(start.endpoint.id);
+    *m_retries = RetryShare(RetryShareOptions{.ratio = 0, .slack = 0});
+    Chunk(start.attempt, "id: 4\ndata: x\n\n");
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, Count<RelayChunk>());
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, Count<CancelAttempt>());
+  }
+
   void NewStreamPrefersEndpointsThatCertainlyRun() {
     for (const char* id : {"a1", "b1", "a2"}) Break(id);
     Request("/resume/");
