Read through as a newcomer: one rule for announcements, one word for doubt

Cause: a reader of the restart suspects met the maximum delay of an announcement twice, with the comparison that uses it; the key of an endpoint computed in four places; two functions for the suspects of a service and of a version; three words (uncertain, suspected, in doubt) for two things; the binding of a stream in doubt and the stages of a sent attempt written out twice.

Changes: RestartSuspects::During() knows announcements, so that StreamOrigins asks it alone; KeyOf(EndpointContact); HasSuspects(software); ActiveRequest::IsSent(); BindingInDoubt(). An endpoint is suspected, what it may have written is in doubt: the counter is dotterelshift_streams_begun_in_doubt_total, the origin `in_doubt`.

One check changed: BrokenConnectionMakesASuspect held a response that began 1 s before an announcement to be unproven; the announcement proves it. It now checks both sides of that bound.

--- a/include/dotterelshift/gateway/core.h
+++ b/include/dotterelshift/gateway/core.h
@@ -157,7 +157,7 @@
   // Accepted, and ended without an event: by outcome.
   std::map<std::string, uint64_t> failed_for;
   // Streams that began at endpoints which may have started again before.
-  uint64_t begun_uncertain = 0;
+  uint64_t begun_in_doubt = 0;
 };
 
 // Handles requests under the published routes from arrival to the last byte:
--- a/include/dotterelshift/gateway/fleet_load.h
+++ b/include/dotterelshift/gateway/fleet_load.h
@@ -114,6 +114,8 @@
   SoftwareKey software = 0;
 };
 
+EndpointKey KeyOf(const EndpointContact& endpoint);
+
 // The load of all endpoints by the requests of all entries. Other entries
 // report their requests within milliseconds by load updates. An engine that
 // prefills two long prompts at once delays their first tokens and stalls all
--- a/include/dotterelshift/gateway/restart_suspects.h
+++ b/include/dotterelshift/gateway/restart_suspects.h
@@ -93,13 +93,11 @@
   bool IsSuspect(EndpointKey endpoint) const {
     return m_suspects.contains(endpoint);
   }
-  // Whether a response that began then was of this incarnation, as far as
-  // connections tell.
-  ProcessProof During(EndpointKey endpoint, Instant begun) const;
+  // Whether a response that began then was of this incarnation.
+  ProcessProof During(const EndpointContact& endpoint, Instant begun) const;
   std::vector<EndpointKey> All() const;
-  // The same with the times since the first and the last break, for an entry
-  // that connects.
-  std::vector<wire::ProcessNote> Notices(Instant now) const;
+  // The first and the last break of each suspect, for an entry that connects.
+  std::vector<wire::ProcessNote> AllNotices(Instant now) const;
   size_t Size() const { return m_suspects.size(); }
 
   // What this entry has noticed since the last call, to be told to the others.
@@ -111,7 +109,7 @@
 
  private:
   struct Suspect {
-    EndpointId id;
+    EndpointContact endpoint;
     Instant earliest{};  // the first break cannot have been before
     Instant latest{};    // when the last one was noticed, here or elsewhere
   };
@@ -122,6 +120,11 @@
     bool runs = false;
   };
 
+  // Whether the incarnation announced itself so long after that moment that the
+  // announcement cannot have been made before.
+  bool HasAnnouncedSince(const EndpointContact& endpoint, Instant since) const;
+  // Whether the directory knows a later incarnation, or none.
+  bool HasEnded(const EndpointContact& endpoint) const;
   void Add(const EndpointContact& endpoint, RestartEvidence evidence,
            Instant earliest, Instant latest);
   void Clear(std::map<EndpointKey, Suspect>::iterator suspect,
--- a/include/dotterelshift/gateway/stream_origins.h
+++ b/include/dotterelshift/gateway/stream_origins.h
@@ -45,8 +45,6 @@
   Duration max_age = 60s;
   // Bounds the memory; the oldest origins are evicted first.
   size_t max_count = 100'000;
-  // Maximum time that an announcement takes to the first daemon.
-  Duration announcement_delay = 300ms;
   // How long a stream's endpoint may take to announce itself again.
   Duration max_unproven_age = 10s;
 };
@@ -112,9 +110,7 @@
   // A stream whose endpoint has not announced itself since it began.
   struct Unproven {
     StreamKey stream = 0;
-    EndpointId endpoint;
-    uint64_t incarnation = 0;
-    SoftwareKey software = 0;
+    EndpointContact endpoint;
     Instant begun{};
     bool known = false;  // its origin is taken as known
   };
--- a/src/dotterelshift/app/entry_peers.cc
+++ b/src/dotterelshift/app/entry_peers.cc
@@ -29,8 +29,8 @@
   m_parts.relays->OnEntryUp(entry);
   m_parts.exchange->OnEntryUp(entry);
   m_parts.limits->OnEntryUp(entry.run.host, entry.data_centre, m_loop.Now());
-  m_others.SendKnowledgeTo(entry, *m_parts.load, *m_parts.origins,
-                           *m_parts.restarts, m_loop.Now());
+  m_others.SendKnowledgeTo(entry, *m_parts.load, m_parts.versions->Origins(),
+                           m_parts.versions->Restarts(), m_loop.Now());
 }
 
 void EntryPeers::OnDown(const peers::PeerInfo& entry) {
@@ -68,7 +68,7 @@
   for (const gateway::EndpointKey endpoint : notes.replaced)
     OnReplaced(endpoint, peer.run.host);
   for (const wire::ProcessNote& note : notes.processes) OnProcessNote(note);
-  m_parts.origins->OnUpdates(peer.run.host, notes.origins, now);
+  m_parts.versions->Origins().OnUpdates(peer.run.host, notes.origins, now);
 }
 
 void EntryPeers::LogTrouble(const peers::PeerInfo& peer,
@@ -98,7 +98,7 @@
 void EntryPeers::OnProcessNote(const wire::ProcessNote& note) {
   const gateway::EndpointContact* contact = m_parts.load->Find(note.endpoint());
   if (contact != nullptr)
-    m_parts.restarts->OnTold(*contact, note, m_loop.Now());
+    m_parts.versions->Restarts().OnTold(*contact, note, m_loop.Now());
 }
 
 void EntryPeers::OnBorrow(const peers::PeerInfo& peer,
@@ -124,8 +124,8 @@
     m_others.SendToNextFew(peers::MakeFrame(std::move(borrow)));
   SendForLimits(now);
   TakeReplaced();
-  m_others.SendUpdates(*m_parts.load, *m_parts.origins, *m_parts.restarts,
-                       &m_replaced, now);
+  m_others.SendUpdates(*m_parts.load, m_parts.versions->Origins(),
+                       m_parts.versions->Restarts(), &m_replaced, now);
 }
 
 // The timer only causes an event loop iteration, which calls this again.
--- a/src/dotterelshift/app/entry_peers.h
+++ b/src/dotterelshift/app/entry_peers.h
@@ -10,11 +10,11 @@
 #include "dotterelshift/app/gateway_traffic.h"     // for GatewayTraffic
 #include "dotterelshift/app/origin_exchange.h"     // for OriginExchange
 #include "dotterelshift/app/other_entries.h"       // for OtherEntries
+#include "dotterelshift/app/version_tracker.h"     // for VersionTracker
 #include "dotterelshift/gateway/core.h"            // for Core
 #include "dotterelshift/gateway/fleet_load.h"      // for FleetLoad
 #include "dotterelshift/gateway/held_grants.h"     // for HeldGrants
 #include "dotterelshift/gateway/origin_lookup.h"   // for DistantEntry
-#include "dotterelshift/gateway/stream_origins.h"  // for StreamOrigins
 #include "dotterelshift/peers/hub.h"               // for Hub
 
 namespace dotterelshift::app {
@@ -28,8 +28,7 @@
     gateway::Core* core = nullptr;
     gateway::FleetLoad* load = nullptr;
     gateway::HeldGrants* budgets = nullptr;
-    gateway::StreamOrigins* origins = nullptr;
-    gateway::RestartSuspects* restarts = nullptr;
+    VersionTracker* versions = nullptr;
     OriginExchange* exchange = nullptr;
     DirectoryExchange* directory = nullptr;
     EndpointRelays* relays = nullptr;
--- a/src/dotterelshift/app/gauges.cc
+++ b/src/dotterelshift/app/gauges.cc
@@ -132,9 +132,9 @@
                        "Sent to an endpoint, and ended without an event",
                        Number(count));
   }
-  metrics.SetCounter("dotterelshift_streams_begun_uncertain_total",
+  metrics.SetCounter("dotterelshift_streams_begun_in_doubt_total",
                      "Begun at endpoints that may have started again before",
-                     Number(counts.begun_uncertain));
+                     Number(counts.begun_in_doubt));
   SetGauges(metrics, {{"dotterelshift_stream_origins",
                        "Streams whose version is known", Number(origins)}});
 }
--- a/src/dotterelshift/app/other_entries.cc
+++ b/src/dotterelshift/app/other_entries.cc
@@ -89,7 +89,7 @@
   wire::LoadNotesT body;
   body.origins = origins.ForNewEntry(is_connected, now);
   body.troubles = load.Troubles(now);
-  body.processes = restarts.Notices(now);
+  body.processes = restarts.AllNotices(now);
   if (body.origins.empty() && body.troubles.empty() && body.processes.empty())
     return;
   m_hub.Send(host, peers::MakeFrame(std::move(body)));
--- a/src/dotterelshift/gateway/active_request.h
+++ b/src/dotterelshift/gateway/active_request.h
@@ -69,7 +69,7 @@
   kTold,        // by another entry
   kAsked,       // another entry has answered a question
   kOneVersion,  // it is proven that there is no other version
-  kUncertain,   // its endpoint may have started again before it began
+  kInDoubt,     // its endpoint may have started again before it began
 };
 
 std::string_view NameOf(BindingSource source);
@@ -85,7 +85,7 @@
 std::string_view NameOf(ResumptionRefusal why);
 
 // No software has this key. A stream that is bound to it is not resumed.
-inline constexpr SoftwareKey kUncertainSoftware = 0;
+inline constexpr SoftwareKey kUnknownSoftware = 0;
 
 // The software version that a stream is bound to: that of its first event.
 struct StreamBinding {
@@ -94,6 +94,10 @@
   Duration age = 0s;  // since the origin became known here
 };
 
+inline StreamBinding BindingInDoubt() {
+  return {kUnknownSoftware, BindingSource::kInDoubt, 0s};
+}
+
 // Sort key of the requests that are queued for the outbound link.
 struct LinkRank {
   int priority = 0;
@@ -152,6 +156,11 @@
            info.last_event_id != "0";
   }
 
+  // Whether an attempt is under way.
+  bool IsSent() const {
+    return stage == Stage::kRunning || stage == Stage::kAnswering;
+  }
+
   LinkRank Rank() const { return {priority, target, id}; }
 
   bool MayRepeat() const {
--- a/src/dotterelshift/gateway/core_finish.cc
+++ b/src/dotterelshift/gateway/core_finish.cc
@@ -37,7 +37,7 @@
 }  // namespace
 
 void CoreImpl::OnDeadline(ActiveRequest& active, Instant now) {
-  if (active.stage == Stage::kRunning || active.stage == Stage::kAnswering) {
+  if (active.IsSent()) {
     CancelAttemptIfSent(active);
     return Fail(active, ErrorKind::kDeadlineWhileRunning, 0s, now);
   }
@@ -48,7 +48,7 @@
 }
 
 void CoreImpl::CancelAttemptIfSent(ActiveRequest& active) {
-  if (active.stage == Stage::kRunning || active.stage == Stage::kAnswering) {
+  if (active.IsSent()) {
     m_actions.emplace_back(CancelAttempt{active.attempt.id});
     active.may_have_run = true;
   }
@@ -61,9 +61,7 @@
   if (m_dependencies.limits != nullptr)
     m_dependencies.limits->OnOutcome(active.id, false, now);
   active.permit = {};
-  const bool occupied = active.stage == Stage::kSlotReserved ||
-                        active.stage == Stage::kRunning ||
-                        active.stage == Stage::kAnswering;
+  const bool occupied = active.stage == Stage::kSlotReserved || active.IsSent();
   if (occupied) m_dependencies.load->OnEnded(active.attempt.placement.endpoint);
   EndTrial(active);
   active.stage = Stage::kWaitsForEndpoint;
--- a/src/dotterelshift/gateway/core_impl.h
+++ b/src/dotterelshift/gateway/core_impl.h
@@ -188,15 +188,15 @@
                                                Instant now) const;
   // An event of an unbound stream was passed on.
   void BindToAttempt(ActiveRequest& active, Instant now);
-  std::vector<EndpointKey> UncertainEndpoints(const ActiveRequest& active,
+  std::vector<EndpointKey> SuspectedEndpoints(const ActiveRequest& active,
                                               Instant now);
   // Whether a stream that has begun may not go on there.
-  bool IsUncertainFor(const ActiveRequest& active, EndpointKey endpoint) const {
+  bool MayNotGoOnAt(const ActiveRequest& active, EndpointKey endpoint) const {
     return active.binding && active.route->resumable &&
            m_dependencies.restarts->IsSuspect(endpoint);
   }
-  bool HasSuspects(const ActiveRequest& active, Instant now);
-  bool HasSuspects(const ServiceName& service) const;
+  // Whether an endpoint of this software may have started again.
+  bool HasSuspects(SoftwareKey software) const;
   void SuspectRestart(const Attempt& attempt, http::TransferEnd end,
                       Instant now);
   // Whether a stream that had begun before may be at another version there: a
--- a/src/dotterelshift/gateway/core_paths.cc
+++ b/src/dotterelshift/gateway/core_paths.cc
@@ -16,19 +16,20 @@
   return m_dependencies.paths->RelayTo(endpoint, now);
 }
 
-// A stream goes on at endpoints that have certainly not started again since
-// they announced its version, and begins there if it can.
+// A stream goes on only at endpoints that are not suspected to have started
+// again since they announced its version, and begins there if it can.
 std::optional<Placement> CoreImpl::ChooseEndpoint(const ActiveRequest& active,
                                                   Instant now) {
   ChoiceLimits limits = {.excluded = active.tried,
                          .software = SoftwareFor(active),
                          .barred_software = active.barred_software};
-  ChoiceLimits certain = limits;
-  for (const EndpointKey endpoint : UncertainEndpoints(active, now))
-    certain.excluded.push_back(endpoint);
-  const bool all_certain = certain.excluded.size() == limits.excluded.size();
-  const auto placement = ChooseAmong(active, certain, now);
-  if (all_certain || active.binding) return placement;
+  ChoiceLimits unsuspected = limits;
+  for (const EndpointKey endpoint : SuspectedEndpoints(active, now))
+    unsuspected.excluded.push_back(endpoint);
+  const bool none_suspected =
+      unsuspected.excluded.size() == limits.excluded.size();
+  const auto placement = ChooseAmong(active, unsuspected, now);
+  if (none_suspected || active.binding) return placement;
   if (placement && !WouldRespondTooLate(active, *placement, now))
     return placement;
   return ChooseAmong(active, limits, now);
--- a/src/dotterelshift/gateway/core_placement.cc
+++ b/src/dotterelshift/gateway/core_placement.cc
@@ -58,7 +58,7 @@
 void CoreImpl::WaitForEndpoint(ActiveRequest& active, Instant now) {
   if (const std::optional<Duration> wait = WaitForLimits(active, now))
     return RefuseForLimits(active, *wait, now);
-  const bool suspects = HasSuspects(active, now);
+  const bool suspects = active.binding && HasSuspects(active.binding->software);
   const Duration maximum =
       active.route->target /
       (suspects ? kSuspectWaitDivisor : kEndpointWaitDivisor);
@@ -93,9 +93,10 @@
   const std::optional<SoftwareKey> software = SoftwareFor(active);
   const bool fits = contact != nullptr &&
                     (!software || contact->software == *software) &&
-                    !IsUncertainFor(active, active.attempt.placement.endpoint);
+                    !MayNotGoOnAt(active, active.attempt.placement.endpoint);
   if (!fits) {
-    m_dependencies.load->OnNotSent(active.attempt.placement, now);
+    if (active.stage == Stage::kSlotReserved)
+      m_dependencies.load->OnNotSent(active.attempt.placement, now);
     EndAttempt(active, now);
     return Place(active, now);
   }
--- a/src/dotterelshift/gateway/core_streams.cc
+++ b/src/dotterelshift/gateway/core_streams.cc
@@ -24,8 +24,8 @@
       return "asked";
     case BindingSource::kOneVersion:
       return "one_version";
-    case BindingSource::kUncertain:
-      return "uncertain";
+    case BindingSource::kInDoubt:
+      return "in_doubt";
   }
   return "unknown";
 }
@@ -134,8 +134,10 @@
   const Duration life = active.route->timeout * m_options.stream_life_timeouts;
   const bool complete =
       m_view_complete_since && *m_view_complete_since <= now - life;
-  if (!complete || HasSuspects(active.service)) return std::nullopt;
-  return m_dependencies.versions->Only(active.service);
+  if (!complete) return std::nullopt;
+  const std::optional<SoftwareKey> only =
+      m_dependencies.versions->Only(active.service);
+  return only && HasSuspects(*only) ? std::nullopt : only;
 }
 
 // What asking other entries for the stream's origin has yielded.
@@ -179,41 +181,29 @@
   const StreamKey stream = StreamKeyOf(active.team, active.info.caller_id);
   const RestartSuspects& restarts = *m_dependencies.restarts;
   const bool in_doubt =
-      attempt.restarted ||
-      restarts.During(attempt.placement.endpoint, attempt.head_at) ==
-          ProcessProof::kInDoubt;
+      attempt.restarted || restarts.During(attempt.endpoint, attempt.head_at) ==
+                               ProcessProof::kInDoubt;
   active.binding = {attempt.endpoint.software, BindingSource::kOwn, 0s};
   if (in_doubt) {
-    active.binding = {kUncertainSoftware, BindingSource::kUncertain, 0s};
-    ++m_resumptions.begun_uncertain;
+    active.binding = BindingInDoubt();
+    ++m_resumptions.begun_in_doubt;
   }
   if (attempt.restarted) return;
   m_dependencies.origins->OnBegun(stream, attempt.endpoint, attempt.head_at,
                                   restarts, now);
 }
 
-// Whether an endpoint of the stream's version may have started again.
-bool CoreImpl::HasSuspects(const ActiveRequest& active, Instant now) {
-  if (!active.binding) return false;
-  const std::vector<EndpointKey> suspects = UncertainEndpoints(active, now);
-  return std::ranges::any_of(suspects, [&](EndpointKey endpoint) {
-    const EndpointContact* contact = m_dependencies.load->Find(endpoint);
-    return contact != nullptr && contact->software == active.binding->software;
-  });
-}
-
-bool CoreImpl::HasSuspects(const ServiceName& service) const {
+bool CoreImpl::HasSuspects(SoftwareKey software) const {
   const std::vector<EndpointKey> suspects = m_dependencies.restarts->All();
   return std::ranges::any_of(suspects, [&](EndpointKey endpoint) {
     const EndpointContact* contact = m_dependencies.load->Find(endpoint);
-    return contact != nullptr &&
-           m_dependencies.versions->ServiceOf(contact->software) == service;
+    return contact != nullptr && contact->software == software;
   });
 }
 
 // Endpoints that may have started again at another version. A stream that has
 // begun does not go on there; one that has not prefers others.
-std::vector<EndpointKey> CoreImpl::UncertainEndpoints(
+std::vector<EndpointKey> CoreImpl::SuspectedEndpoints(
     const ActiveRequest& active, Instant now) {
   RestartSuspects& restarts = *m_dependencies.restarts;
   const bool resumable =
@@ -235,8 +225,7 @@
 
 bool CoreImpl::IsInDoubt(const Attempt& attempt) const {
   if (!attempt.bound || attempt.events > 0) return false;
-  const EndpointKey endpoint = attempt.placement.endpoint;
-  return m_dependencies.restarts->During(endpoint, attempt.head_at) ==
+  return m_dependencies.restarts->During(attempt.endpoint, attempt.head_at) ==
          ProcessProof::kInDoubt;
 }
 
@@ -257,9 +246,7 @@
   std::vector<RequestId> bound;
   for (auto& [id, active] : m_active) {
     Attempt& attempt = active.attempt;
-    const bool sent =
-        active.stage == Stage::kRunning || active.stage == Stage::kAnswering;
-    if (!sent) continue;
+    if (!active.IsSent()) continue;
     const directory::Endpoint* endpoint = directory.Find(attempt.endpoint.id);
     const bool restarted =
         endpoint != nullptr &&
@@ -270,7 +257,7 @@
     if (attempt.bound)
       bound.push_back(id);
     else if (active.binding)
-      active.binding = {kUncertainSoftware, BindingSource::kUncertain, 0s};
+      active.binding = BindingInDoubt();
   }
   std::sort(bound.begin(), bound.end());
   for (const RequestId id : bound) {
--- a/src/dotterelshift/gateway/core_streams_test.cc
+++ b/src/dotterelshift/gateway/core_streams_test.cc
@@ -344,7 +344,7 @@
     const StreamKey stream = StreamKeyOf("team", "caller-1");
     CPPUNIT_ASSERT(m_origins->Find(stream, m_now).state ==
                    OriginState::kMissing);
-    CPPUNIT_ASSERT_EQUAL(uint64_t{1}, m_core->Resumptions().begun_uncertain);
+    CPPUNIT_ASSERT_EQUAL(uint64_t{1}, m_core->Resumptions().begun_in_doubt);
     m_now += 400ms;
     AnnounceVersions();
     m_restarts->Update(m_now);
--- a/src/dotterelshift/gateway/fleet_load.cc
+++ b/src/dotterelshift/gateway/fleet_load.cc
@@ -37,6 +37,10 @@
 
 }  // namespace
 
+EndpointKey KeyOf(const EndpointContact& endpoint) {
+  return directory::PulseKey(endpoint.id, endpoint.incarnation);
+}
+
 void FleetLoad::OnDirectory(const directory::Directory& directory) {
   m_by_service.clear();
   std::unordered_map<EndpointKey, Load> known = std::move(m_loads);
--- a/src/dotterelshift/gateway/restart_suspects.cc
+++ b/src/dotterelshift/gateway/restart_suspects.cc
@@ -2,8 +2,6 @@
 
 #include <algorithm>  // for min
 
-#include "dotterelshift/directory/spread.h"  // for PulseKey
-
 namespace dotterelshift::gateway {
 namespace {
 
@@ -34,8 +32,7 @@
 void RestartSuspects::OnBroken(const EndpointContact& endpoint, Instant now) {
   Add(endpoint, RestartEvidence::kConnectionBroke, now - m_options.notice_delay,
       now);
-  const EndpointKey key =
-      directory::PulseKey(endpoint.id, endpoint.incarnation);
+  const EndpointKey key = KeyOf(endpoint);
   if (IsSuspect(key)) m_notices[key] = {now};
 }
 
@@ -54,19 +51,29 @@
   Clear(found, RestartEvidence::kBytes, now);
 }
 
+// The directory may have forgotten it.
+bool RestartSuspects::HasEnded(const EndpointContact& endpoint) const {
+  const directory::Endpoint* known = m_directory.Find(endpoint.id);
+  return known == nullptr || known->record.incarnation != endpoint.incarnation;
+}
+
+bool RestartSuspects::HasAnnouncedSince(const EndpointContact& endpoint,
+                                        Instant since) const {
+  const directory::Endpoint* known = m_directory.Find(endpoint.id);
+  return known != nullptr &&
+         known->record.incarnation == endpoint.incarnation &&
+         known->last_news >= since + m_options.announcement_delay;
+}
+
 // The connections of an incarnation that has ended may break later.
 void RestartSuspects::Add(const EndpointContact& endpoint,
                           RestartEvidence evidence, Instant earliest,
                           Instant latest) {
-  if (endpoint.incarnation == 0) return;
-  const EndpointKey key =
-      directory::PulseKey(endpoint.id, endpoint.incarnation);
-  const directory::Endpoint* known = m_directory.Find(endpoint.id);
-  const bool has_ended =
-      known != nullptr && known->record.incarnation > endpoint.incarnation;
-  if (has_ended || m_ended.contains(key)) return;
+  const EndpointKey key = KeyOf(endpoint);
+  if (endpoint.incarnation == 0 || HasEnded(endpoint) || m_ended.contains(key))
+    return;
   const auto [found, is_new] =
-      m_suspects.try_emplace(key, Suspect{endpoint.id, earliest, latest});
+      m_suspects.try_emplace(key, Suspect{endpoint, earliest, latest});
   Suspect& suspect = found->second;
   suspect.earliest = std::min(suspect.earliest, earliest);
   suspect.latest = std::max(suspect.latest, latest);
@@ -75,16 +82,18 @@
 
 // The connection of a response that began before the first break was to the
 // incarnation that had been announced.
-ProcessProof RestartSuspects::During(EndpointKey endpoint,
+ProcessProof RestartSuspects::During(const EndpointContact& endpoint,
                                      Instant begun) const {
-  const auto suspect = m_suspects.find(endpoint);
+  if (HasAnnouncedSince(endpoint, begun)) return ProcessProof::kSame;
+  const EndpointKey key = KeyOf(endpoint);
+  const auto suspect = m_suspects.find(key);
   if (suspect != m_suspects.end())
     return begun < suspect->second.earliest ? ProcessProof::kUnproven
                                             : ProcessProof::kInDoubt;
-  const auto ended = m_ended.find(endpoint);
+  const auto ended = m_ended.find(key);
   if (ended != m_ended.end())
     return begun < ended->second ? ProcessProof::kSame : ProcessProof::kInDoubt;
-  const auto proven = m_proven.find(endpoint);
+  const auto proven = m_proven.find(key);
   const bool same = proven != m_proven.end() && begun <= proven->second;
   return same ? ProcessProof::kSame : ProcessProof::kUnproven;
 }
@@ -105,15 +114,10 @@
   for (auto next = m_suspects.begin(); next != m_suspects.end();) {
     const auto suspect = next++;
     const auto& [key, what] = *suspect;
-    const directory::Endpoint* endpoint = m_directory.Find(what.id);
-    const bool same =
-        endpoint != nullptr &&
-        directory::PulseKey(what.id, endpoint->record.incarnation) == key;
-    if (!same) {
+    if (HasEnded(what.endpoint)) {
       m_ended[key] = what.earliest;
       Clear(suspect, RestartEvidence::kEnded, now);
-    } else if (endpoint->last_news >=
-               what.latest + m_options.announcement_delay) {
+    } else if (HasAnnouncedSince(what.endpoint, what.latest)) {
       Clear(suspect, RestartEvidence::kAnnounced, now);
     } else if (now - what.latest > m_options.max_suspicion) {
       Clear(suspect, RestartEvidence::kExpired, now);
@@ -129,7 +133,7 @@
 void RestartSuspects::Clear(std::map<EndpointKey, Suspect>::iterator suspect,
                             RestartEvidence evidence, Instant now) {
   const Suspect& what = suspect->second;
-  m_beliefs.push_back({what.id, false, evidence, now - what.latest});
+  m_beliefs.push_back({what.endpoint.id, false, evidence, now - what.latest});
   m_suspects.erase(suspect);
 }
 
@@ -140,7 +144,7 @@
   return notes;
 }
 
-std::vector<wire::ProcessNote> RestartSuspects::Notices(Instant now) const {
+std::vector<wire::ProcessNote> RestartSuspects::AllNotices(Instant now) const {
   std::vector<wire::ProcessNote> notes;
   for (const auto& [endpoint, suspect] : m_suspects)
     for (const Instant at : {suspect.earliest, suspect.latest})
--- a/src/dotterelshift/gateway/restart_suspects_test.cc
+++ b/src/dotterelshift/gateway/restart_suspects_test.cc
@@ -3,8 +3,6 @@
 #include <cppunit/TestFixture.h>              // for TestFixture
 #include <cppunit/extensions/HelperMacros.h>  // for CPPUNIT_TEST
 
-#include "dotterelshift/directory/spread.h"  // for PulseKey
-
 namespace dotterelshift::gateway {
 namespace {
 
@@ -30,9 +28,12 @@
     m_suspects.OnBroken(Contact(1), m_now);
     CPPUNIT_ASSERT(m_suspects.IsSuspect(KeyOf(1)));
     CPPUNIT_ASSERT(m_suspects.All() == std::vector{KeyOf(1)});
-    CPPUNIT_ASSERT(m_suspects.During(KeyOf(1), m_now - 1s) ==
+    CPPUNIT_ASSERT(m_suspects.During(Contact(1), m_now - 100ms) ==
                    ProcessProof::kUnproven);
-    CPPUNIT_ASSERT(m_suspects.During(KeyOf(1), m_now) ==
+    // It has announced itself since.
+    CPPUNIT_ASSERT(m_suspects.During(Contact(1), m_now - 1s) ==
+                   ProcessProof::kSame);
+    CPPUNIT_ASSERT(m_suspects.During(Contact(1), m_now) ==
                    ProcessProof::kInDoubt);
     m_suspects.Update(m_now + 3s);
     CPPUNIT_ASSERT(m_suspects.IsSuspect(KeyOf(1)));
@@ -55,9 +56,9 @@
     CPPUNIT_ASSERT(m_suspects.IsSuspect(KeyOf(1)));
     m_suspects.OnBytes(KeyOf(1), m_now - 1s, m_now + 80ms);
     CPPUNIT_ASSERT(!m_suspects.IsSuspect(KeyOf(1)));
-    CPPUNIT_ASSERT(m_suspects.During(KeyOf(1), m_now + 30ms) ==
+    CPPUNIT_ASSERT(m_suspects.During(Contact(1), m_now + 30ms) ==
                    ProcessProof::kSame);
-    CPPUNIT_ASSERT(m_suspects.During(KeyOf(1), m_now + 31ms) ==
+    CPPUNIT_ASSERT(m_suspects.During(Contact(1), m_now + 31ms) ==
                    ProcessProof::kUnproven);
   }
 
@@ -79,9 +80,9 @@
     Announce(2);
     m_suspects.Update(m_now);
     CPPUNIT_ASSERT_EQUAL(size_t{0}, m_suspects.Size());
-    CPPUNIT_ASSERT(m_suspects.During(KeyOf(1), m_now - 1s) ==
+    CPPUNIT_ASSERT(m_suspects.During(Contact(1), m_now - 1s) ==
                    ProcessProof::kSame);
-    CPPUNIT_ASSERT(m_suspects.During(KeyOf(1), m_now) ==
+    CPPUNIT_ASSERT(m_suspects.During(Contact(1), m_now) ==
                    ProcessProof::kInDoubt);
   }
 
@@ -93,7 +94,7 @@
     m_suspects.OnTold(Contact(1), {KeyOf(1), 0, false}, m_now + 500ms);
     m_suspects.Update(m_now + 500ms);
     CPPUNIT_ASSERT_EQUAL(size_t{0}, m_suspects.Size());
-    CPPUNIT_ASSERT(m_suspects.During(KeyOf(1), m_now + 100ms) ==
+    CPPUNIT_ASSERT(m_suspects.During(Contact(1), m_now + 100ms) ==
                    ProcessProof::kInDoubt);
   }
 
@@ -125,12 +126,12 @@
     CPPUNIT_ASSERT(m_suspects.IsSuspect(KeyOf(1)));
     CPPUNIT_ASSERT(!m_suspects.HasNotices());
     // The notice was on its way for 30 ms at the most.
-    CPPUNIT_ASSERT(m_suspects.During(KeyOf(1), m_now - 100ms) ==
+    CPPUNIT_ASSERT(m_suspects.During(Contact(1), m_now - 100ms) ==
                    ProcessProof::kInDoubt);
-    CPPUNIT_ASSERT(m_suspects.During(KeyOf(1), m_now - 101ms) ==
+    CPPUNIT_ASSERT(m_suspects.During(Contact(1), m_now - 101ms) ==
                    ProcessProof::kUnproven);
     // But an entry that connects learns of all.
-    CPPUNIT_ASSERT_EQUAL(size_t{2}, m_suspects.Notices(m_now).size());
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, m_suspects.AllNotices(m_now).size());
   }
 
   // It had a connection that is older than the break.
@@ -170,7 +171,7 @@
 
  private:
   static EndpointKey KeyOf(uint64_t incarnation) {
-    return directory::PulseKey("e", incarnation);
+    return gateway::KeyOf(Contact(incarnation));
   }
   static EndpointContact Contact(uint64_t incarnation) {
     EndpointContact contact;
--- a/src/dotterelshift/gateway/stream_origins.cc
+++ b/src/dotterelshift/gateway/stream_origins.cc
@@ -4,8 +4,6 @@
 
 #include <string>  // for string
 
-#include "dotterelshift/directory/spread.h"  // for PulseKey
-
 namespace dotterelshift::gateway {
 
 StreamKey StreamKeyOf(const TeamId& team, std::string_view first_caller_id) {
@@ -25,13 +23,10 @@
 void StreamOrigins::OnBegun(StreamKey stream, const EndpointContact& endpoint,
                             Instant begun, const RestartSuspects& restarts,
                             Instant now) {
-  const EndpointKey key =
-      directory::PulseKey(endpoint.id, endpoint.incarnation);
-  const bool known = restarts.During(key, begun) != ProcessProof::kInDoubt;
+  const bool known = restarts.During(endpoint, begun) != ProcessProof::kInDoubt;
   if (known) OnBegun(stream, endpoint.software, now);
-  if (endpoint.incarnation == 0) return;
-  m_unproven.push_back({stream, endpoint.id, endpoint.incarnation,
-                        endpoint.software, begun, known});
+  if (endpoint.incarnation != 0)
+    m_unproven.push_back({stream, endpoint, begun, known});
 }
 
 void StreamOrigins::Update(const directory::Directory& directory,
@@ -45,20 +40,16 @@
                            const directory::Directory& directory,
                            const RestartSuspects& restarts, Instant now) {
   if (now - unproven.begun > m_options.max_unproven_age) return true;
-  const directory::Endpoint* endpoint = directory.Find(unproven.endpoint);
-  if (endpoint == nullptr) return false;
-  const EndpointKey key =
-      directory::PulseKey(unproven.endpoint, unproven.incarnation);
-  const bool goes_on = endpoint->record.incarnation == unproven.incarnation;
-  const bool announced =
-      goes_on &&
-      endpoint->last_news >= unproven.begun + m_options.announcement_delay;
-  const bool same =
-      announced || restarts.During(key, unproven.begun) == ProcessProof::kSame;
-  if (same && !unproven.known) OnBegun(unproven.stream, unproven.software, now);
-  if (same || goes_on) return same;
-  const SoftwareKey next = SoftwareKeyOf(endpoint->record);
-  if (unproven.known && next != unproven.software)
+  const EndpointContact& endpoint = unproven.endpoint;
+  const directory::Endpoint* newest = directory.Find(endpoint.id);
+  if (newest == nullptr) return false;
+  if (restarts.During(endpoint, unproven.begun) == ProcessProof::kSame) {
+    if (!unproven.known) OnBegun(unproven.stream, endpoint.software, now);
+    return true;
+  }
+  if (newest->record.incarnation == endpoint.incarnation) return false;
+  const SoftwareKey next = SoftwareKeyOf(newest->record);
+  if (unproven.known && next != endpoint.software)
     OnBegun(unproven.stream, next, now);
   return true;
 }
