--- a/bench/origin_lookup_bench.cc
+++ b/bench/origin_lookup_bench.cc
@@ -21,7 +21,7 @@
 }
 
 size_t CountOf(const OriginFleetTotals& totals,
-               gateway::LookupOutcome outcome) {
+               origins::LookupOutcome outcome) {
   const auto found = totals.ended.find(outcome);
   return found == totals.ended.end() ? 0 : found->second.size();
 }
@@ -37,8 +37,8 @@
       "  %9.1f %9.1f %8.2f %8.2f\n",
       what.c_str(), options.entries, options.data_centres,
       Ms(options.delay_between_regions), totals.Ended(), totals.Learned(),
-      CountOf(totals, gateway::LookupOutcome::kNowhere),
-      CountOf(totals, gateway::LookupOutcome::kIncomplete),
+      CountOf(totals, origins::LookupOutcome::kNowhere),
+      CountOf(totals, origins::LookupOutcome::kIncomplete),
       Ms(totals.TookAt(0.5)), Ms(totals.TookAt(0.99)), Ms(totals.TookAt(1)),
       shared / seconds,
       static_cast<double>(totals.MostBytesOfEntry()) / seconds,
@@ -52,9 +52,9 @@
   }
 }
 
-std::vector<gateway::StreamKey> BeginIn(OriginFleet& fleet, size_t entries,
+std::vector<origins::StreamKey> BeginIn(OriginFleet& fleet, size_t entries,
                                         size_t data_centre) {
-  std::vector<gateway::StreamKey> streams;
+  std::vector<origins::StreamKey> streams;
   for (size_t i = 0; i < entries; ++i) {
     if (fleet.DataCentreOf(i) != data_centre) continue;
     const auto begun = fleet.Begin(i, kStreamsOfEntry);
--- a/bench/origins_bench.cc
+++ b/bench/origins_bench.cc
@@ -7,7 +7,7 @@
 #include <memory>  // for make_unique
 #include <vector>  // for vector
 
-#include "dotterelshift/gateway/stream_origins.h"  // for StreamOrigins
+#include "dotterelshift/origins/stream_origins.h"  // for StreamOrigins
 
 namespace dotterelshift::gateway {
 namespace {
@@ -16,10 +16,10 @@
 
 void Measure(size_t held) {
   const Instant now{1000s};
-  auto origins = std::make_unique<StreamOrigins>(
-      StreamOriginsOptions{.max_age = 60s, .max_count = held});
+  auto origins = std::make_unique<origins::StreamOrigins>(
+      origins::StreamOriginsOptions{.max_age = 60s, .max_count = held});
   std::vector<std::vector<wire::StreamOrigin>> updates(held / kBatch);
-  StreamKey stream = 0;
+  origins::StreamKey stream = 0;
   for (std::vector<wire::StreamOrigin>& update : updates)
     for (size_t i = 0; i < kBatch; ++i)
       update.emplace_back(++stream * 0x9e3779b97f4a7c15, 1);
@@ -30,9 +30,10 @@
   const auto taken = std::chrono::steady_clock::now();
   const size_t after = mallinfo2().uordblks;
   size_t found = 0;
-  for (StreamKey key = 1; key <= stream; ++key) {
-    const KnownOrigin known = origins->Find(key * 0x9e3779b97f4a7c15, now);
-    found += known.state == OriginState::kKnown ? 1 : 0;
+  for (origins::StreamKey key = 1; key <= stream; ++key) {
+    const origins::KnownOrigin known =
+        origins->Find(key * 0x9e3779b97f4a7c15, now);
+    found += known.state == origins::OriginState::kKnown ? 1 : 0;
   }
   const auto looked_up = std::chrono::steady_clock::now();
   const auto nanoseconds = [held](auto duration) {
--- a/include/dotterelshift/app/control_link.h
+++ b/include/dotterelshift/app/control_link.h
@@ -12,7 +12,7 @@
 
 #include "dotterelshift/base/ids.h"               // for HostRun
 #include "dotterelshift/base/time.h"              // for Instant
-#include "dotterelshift/gateway/origin_lookup.h"  // for DistantEntry
+#include "dotterelshift/origins/origin_lookup.h"  // for DistantEntry
 #include "dotterelshift/serving/request_core.h"   // for ControlReach
 #include "dotterelshift/state/configuration.h"    // for Configuration
 #include "dotterelshift/wire/frames_generated.h"  // for FrameT
@@ -108,7 +108,7 @@
   }
   // Entries of the other data centres that can be asked for origins of streams,
   // as last sent by control. None in a fleet whose entries connect to all.
-  const std::vector<gateway::DistantEntry>& DistantEntries() const {
+  const std::vector<origins::DistantEntry>& DistantEntries() const {
     return m_distant_entries;
   }
   // When the newest heartbeat that a leader answered was sent.
@@ -196,7 +196,7 @@
       false;  // a delta did not apply to the held version
   std::vector<std::string> m_control_addresses;
   std::vector<std::string> m_entry_addresses;
-  std::vector<gateway::DistantEntry> m_distant_entries;
+  std::vector<origins::DistantEntry> m_distant_entries;
   size_t m_entry_count = 1;
   size_t m_data_centre_count = 0;
   Duration m_counted_for{};
--- a/include/dotterelshift/gateway/core.h
+++ b/include/dotterelshift/gateway/core.h
@@ -20,14 +20,14 @@
 #include "dotterelshift/gateway/fleet_limits.h"      // for FleetLimits
 #include "dotterelshift/gateway/fleet_load.h"        // for FleetLoad
 #include "dotterelshift/gateway/held_grants.h"       // for HeldGrants
-#include "dotterelshift/gateway/origin_lookup.h"     // for OriginLookup
 #include "dotterelshift/gateway/request.h"           // for RequestInfo
-#include "dotterelshift/gateway/restart_suspects.h"  // for RestartSuspects
 #include "dotterelshift/gateway/retry_share.h"       // for RetryShare
 #include "dotterelshift/gateway/routes.h"            // for RouteTable
 #include "dotterelshift/gateway/send_pacer.h"        // for SendPacer
-#include "dotterelshift/gateway/stream_origins.h"    // for StreamOrigins
 #include "dotterelshift/http/client.h"               // for TransferEnd
+#include "dotterelshift/origins/origin_lookup.h"     // for OriginLookup
+#include "dotterelshift/origins/restart_suspects.h"  // for RestartSuspects
+#include "dotterelshift/origins/stream_origins.h"    // for StreamOrigins
 #include "dotterelshift/quarantine/blocklist.h"      // for Blocklist
 #include "dotterelshift/serving/request_core.h"      // for RequestSummary
 
@@ -85,7 +85,7 @@
 struct StartAttempt {
   RequestId request = 0;
   AttemptId attempt = 0;
-  EndpointContact endpoint;
+  origins::EndpointContact endpoint;
   std::optional<RelayContact> relay;  // nullopt: a direct connection
   Duration time_left = 0s;            // for the complete response
   TeamId team;                        // empty: the route is open to all
@@ -210,8 +210,8 @@
   // of all of them now.
   virtual void OnViewComplete(std::optional<Instant> since) = 0;
   // Origins of streams were looked up at other entries.
-  virtual void OnOriginsLookedUp(const std::vector<EndedLookup>& lookups,
-                                 Instant now) = 0;
+  virtual void OnOriginsLookedUp(
+      const std::vector<origins::EndedLookup>& lookups, Instant now) = 0;
   virtual void OnTimer(Instant now) = 0;
   virtual Instant NextTimer() const = 0;
 
@@ -241,12 +241,12 @@
   const quarantine::Blocklist* blocklist = nullptr;
   SendPacer* pacer = nullptr;      // null: sending is not paced
   EndpointPaths* paths = nullptr;  // null: endpoints are never relayed
-  ServiceVersions* versions = nullptr;
-  StreamOrigins* origins = nullptr;
-  RestartSuspects* restarts = nullptr;
-  OriginLookup* lookup = nullptr;     // null: no other entry is asked
-  CrashSuspects* suspects = nullptr;  // null: segments are not suspected
-  FleetLimits* limits = nullptr;      // null: limits of endpoints are ignored
+  origins::ServiceVersions* versions = nullptr;
+  origins::StreamOrigins* origins = nullptr;
+  origins::RestartSuspects* restarts = nullptr;
+  origins::OriginLookup* lookup = nullptr;  // null: no other entry is asked
+  CrashSuspects* suspects = nullptr;        // null: segments are not suspected
+  FleetLimits* limits = nullptr;  // null: limits of endpoints are ignored
 };
 
 std::unique_ptr<Core> MakeCore(const CoreOptions& options,
--- a/include/dotterelshift/gateway/crash_suspects.h
+++ b/include/dotterelshift/gateway/crash_suspects.h
@@ -13,7 +13,7 @@
 #include "dotterelshift/base/ids.h"                  // for EndpointId
 #include "dotterelshift/base/time.h"                 // for Instant
 #include "dotterelshift/gateway/request.h"           // for Prompt
-#include "dotterelshift/gateway/service_versions.h"  // for SoftwareKey
+#include "dotterelshift/origins/service_versions.h"  // for SoftwareKey
 #include "dotterelshift/quarantine/evidence.h"       // for CrashedRuns
 #include "dotterelshift/wire/commands_generated.h"   // for SuspectAnswerT
 
--- a/include/dotterelshift/gateway/fleet_load.h
+++ b/include/dotterelshift/gateway/fleet_load.h
@@ -12,19 +12,17 @@
 #include <vector>         // for vector
 
 #include "dotterelshift/base/ids.h"                  // for EndpointId
+#include "dotterelshift/base/service_ids.h"          // for EndpointKey
 #include "dotterelshift/base/time.h"                 // for Instant
 #include "dotterelshift/directory/directory.h"       // for Directory
 #include "dotterelshift/gateway/request.h"           // for Prompt
 #include "dotterelshift/gateway/routes.h"            // for RouteTable
 #include "dotterelshift/gateway/segment_cache.h"     // for SegmentCache
-#include "dotterelshift/gateway/service_versions.h"  // for SoftwareKey
+#include "dotterelshift/origins/endpoint_contact.h"  // for EndpointContact
 #include "dotterelshift/wire/frames_generated.h"     // for LoadNote
 
 namespace dotterelshift::gateway {
 
-// Identifies one incarnation of an endpoint; the same on every entry.
-using EndpointKey = uint64_t;
-
 struct FleetLoadOptions {
   // Endpoints in this data centre are cheaper to reach.
   DataCentreId data_centre;
@@ -104,18 +102,6 @@
   size_t full = 0;     // after a refusal for lack of capacity
 };
 
-// Identity and address of an endpoint, for sending requests to it.
-struct EndpointContact {
-  EndpointId id;
-  uint64_t incarnation = 0;
-  std::string address;
-  DataCentreId data_centre;
-  std::string software_version;
-  SoftwareKey software = 0;
-};
-
-EndpointKey KeyOf(const EndpointContact& endpoint);
-
 // The load of all endpoints by the requests of all entries. Other entries
 // report their requests within milliseconds by load updates. An engine that
 // prefills two long prompts at once delays their first tokens and stalls all
@@ -207,13 +193,13 @@
   // Whether the endpoint announced that it leaves, or this incarnation is gone.
   // An endpoint that is only silent or unreachable is not leaving.
   bool IsLeaving(EndpointKey endpoint) const;
-  const EndpointContact* Find(EndpointKey endpoint) const;
+  const origins::EndpointContact* Find(EndpointKey endpoint) const;
   // Requests of all entries that run there.
   uint32_t Running(EndpointKey endpoint) const;
 
  private:
   struct Load {
-    EndpointContact contact;
+    origins::EndpointContact contact;
     std::vector<ServiceName> services;
     uint32_t slots = 1;
     bool usable = false;
--- a/include/dotterelshift/gateway/routes.h
+++ b/include/dotterelshift/gateway/routes.h
@@ -9,16 +9,15 @@
 #include <unordered_map>  // for unordered_map
 #include <vector>         // for vector
 
-#include "dotterelshift/base/ids.h"     // for TeamId
-#include "dotterelshift/base/time.h"    // for Duration
-#include "dotterelshift/base/tokens.h"  // for Tokens
+#include "dotterelshift/base/ids.h"          // for TeamId
+#include "dotterelshift/base/service_ids.h"  // for ServiceName
+#include "dotterelshift/base/time.h"         // for Duration
+#include "dotterelshift/base/tokens.h"       // for Tokens
 
 // Published routes map the host and path of a request to a service, whose
 // endpoints announce themselves.
 namespace dotterelshift::gateway {
 
-using ServiceName = std::string;
-
 // Which requests of a route may be retried.
 enum class RouteKind : uint8_t {
   kIdempotent,  // may run more than once
--- a/include/dotterelshift/gateway/askable_entries.h
+++ b/include/dotterelshift/origins/askable_entries.h
@@ -1,5 +1,5 @@
-#ifndef DOTTERELSHIFT_GATEWAY_ASKABLE_ENTRIES_H_
-#define DOTTERELSHIFT_GATEWAY_ASKABLE_ENTRIES_H_
+#ifndef DOTTERELSHIFT_ORIGINS_ASKABLE_ENTRIES_H_
+#define DOTTERELSHIFT_ORIGINS_ASKABLE_ENTRIES_H_
 
 #include <map>       // for map
 #include <optional>  // for optional
@@ -8,9 +8,9 @@
 
 #include "dotterelshift/base/ids.h"               // for DataCentreId, HostId
 #include "dotterelshift/base/time.h"              // for Instant
-#include "dotterelshift/gateway/origin_lookup.h"  // for DistantEntry
+#include "dotterelshift/origins/origin_lookup.h"  // for DistantEntry
 
-namespace dotterelshift::gateway {
+namespace dotterelshift::origins {
 
 // Addresses of entries, by data centre.
 using EntryAddresses = std::map<DataCentreId, std::vector<std::string>>;
@@ -43,6 +43,6 @@
   std::optional<Instant> m_small_since;  // set while former ones are kept
 };
 
-}  // namespace dotterelshift::gateway
+}  // namespace dotterelshift::origins
 
-#endif  // DOTTERELSHIFT_GATEWAY_ASKABLE_ENTRIES_H_
+#endif  // DOTTERELSHIFT_ORIGINS_ASKABLE_ENTRIES_H_
--- a/include/dotterelshift/gateway/directory_view.h
+++ b/include/dotterelshift/origins/directory_view.h
@@ -1,11 +1,11 @@
-#ifndef DOTTERELSHIFT_GATEWAY_DIRECTORY_VIEW_H_
-#define DOTTERELSHIFT_GATEWAY_DIRECTORY_VIEW_H_
+#ifndef DOTTERELSHIFT_ORIGINS_DIRECTORY_VIEW_H_
+#define DOTTERELSHIFT_ORIGINS_DIRECTORY_VIEW_H_
 
 #include <optional>  // for optional
 
 #include "dotterelshift/base/time.h"  // for Instant
 
-namespace dotterelshift::gateway {
+namespace dotterelshift::origins {
 
 struct DirectoryViewOptions {
   // A leader must have confirmed contact with this entry within this time: two
@@ -46,6 +46,6 @@
   std::optional<Instant> m_complete_since;
 };
 
-}  // namespace dotterelshift::gateway
+}  // namespace dotterelshift::origins
 
-#endif  // DOTTERELSHIFT_GATEWAY_DIRECTORY_VIEW_H_
+#endif  // DOTTERELSHIFT_ORIGINS_DIRECTORY_VIEW_H_
--- a/include/dotterelshift/gateway/origin_lookup.h
+++ b/include/dotterelshift/origins/origin_lookup.h
@@ -1,5 +1,5 @@
-#ifndef DOTTERELSHIFT_GATEWAY_ORIGIN_LOOKUP_H_
-#define DOTTERELSHIFT_GATEWAY_ORIGIN_LOOKUP_H_
+#ifndef DOTTERELSHIFT_ORIGINS_ORIGIN_LOOKUP_H_
+#define DOTTERELSHIFT_ORIGINS_ORIGIN_LOOKUP_H_
 
 #include <cstddef>        // for size_t
 #include <cstdint>        // for uint8_t
@@ -14,9 +14,9 @@
 
 #include "dotterelshift/base/ids.h"                // for DataCentreId, HostId
 #include "dotterelshift/base/time.h"               // for Duration, Instant
-#include "dotterelshift/gateway/stream_origins.h"  // for StreamKey
+#include "dotterelshift/origins/stream_origins.h"  // for StreamKey
 
-namespace dotterelshift::gateway {
+namespace dotterelshift::origins {
 
 // An entry of another data centre that can be asked for origins.
 struct DistantEntry {
@@ -151,6 +151,6 @@
   std::vector<EndedLookup> m_ended;
 };
 
-}  // namespace dotterelshift::gateway
+}  // namespace dotterelshift::origins
 
-#endif  // DOTTERELSHIFT_GATEWAY_ORIGIN_LOOKUP_H_
+#endif  // DOTTERELSHIFT_ORIGINS_ORIGIN_LOOKUP_H_
--- a/include/dotterelshift/gateway/origin_responder.h
+++ b/include/dotterelshift/origins/origin_responder.h
@@ -1,5 +1,5 @@
-#ifndef DOTTERELSHIFT_GATEWAY_ORIGIN_RESPONDER_H_
-#define DOTTERELSHIFT_GATEWAY_ORIGIN_RESPONDER_H_
+#ifndef DOTTERELSHIFT_ORIGINS_ORIGIN_RESPONDER_H_
+#define DOTTERELSHIFT_ORIGINS_ORIGIN_RESPONDER_H_
 
 #include <cstddef>        // for size_t
 #include <deque>          // for deque
@@ -10,9 +10,9 @@
 
 #include "dotterelshift/base/ids.h"                // for HostId
 #include "dotterelshift/base/time.h"               // for Duration, Instant
-#include "dotterelshift/gateway/stream_origins.h"  // for StreamOrigins
+#include "dotterelshift/origins/stream_origins.h"  // for StreamOrigins
 
-namespace dotterelshift::gateway {
+namespace dotterelshift::origins {
 
 struct OriginResponderOptions {
   // How long a question about an unknown stream is held: a caller may be
@@ -71,6 +71,6 @@
   std::map<HostId, OriginAnswer> m_answers;
 };
 
-}  // namespace dotterelshift::gateway
+}  // namespace dotterelshift::origins
 
-#endif  // DOTTERELSHIFT_GATEWAY_ORIGIN_RESPONDER_H_
+#endif  // DOTTERELSHIFT_ORIGINS_ORIGIN_RESPONDER_H_
--- a/include/dotterelshift/gateway/restart_suspects.h
+++ b/include/dotterelshift/origins/restart_suspects.h
@@ -1,5 +1,5 @@
-#ifndef DOTTERELSHIFT_GATEWAY_RESTART_SUSPECTS_H_
-#define DOTTERELSHIFT_GATEWAY_RESTART_SUSPECTS_H_
+#ifndef DOTTERELSHIFT_ORIGINS_RESTART_SUSPECTS_H_
+#define DOTTERELSHIFT_ORIGINS_RESTART_SUSPECTS_H_
 
 #include <cstddef>      // for size_t
 #include <cstdint>      // for uint8_t
@@ -8,13 +8,13 @@
 #include <utility>      // for exchange
 #include <vector>       // for vector
 
-#include "dotterelshift/base/ids.h"               // for EndpointId
-#include "dotterelshift/base/time.h"              // for Instant
-#include "dotterelshift/directory/directory.h"    // for Directory
-#include "dotterelshift/gateway/fleet_load.h"     // for EndpointKey
-#include "dotterelshift/wire/frames_generated.h"  // for ProcessNote
+#include "dotterelshift/base/ids.h"                  // for EndpointId
+#include "dotterelshift/base/time.h"                 // for Instant
+#include "dotterelshift/directory/directory.h"       // for Directory
+#include "dotterelshift/origins/endpoint_contact.h"  // for EndpointContact
+#include "dotterelshift/wire/frames_generated.h"     // for ProcessNote
 
-namespace dotterelshift::gateway {
+namespace dotterelshift::origins {
 
 struct RestartSuspectsOptions {
   // Maximum time that an announcement takes to the first daemon.
@@ -142,6 +142,6 @@
   std::vector<RestartBelief> m_beliefs;
 };
 
-}  // namespace dotterelshift::gateway
+}  // namespace dotterelshift::origins
 
-#endif  // DOTTERELSHIFT_GATEWAY_RESTART_SUSPECTS_H_
+#endif  // DOTTERELSHIFT_ORIGINS_RESTART_SUSPECTS_H_
--- a/include/dotterelshift/gateway/service_versions.h
+++ b/include/dotterelshift/origins/service_versions.h
@@ -1,5 +1,5 @@
-#ifndef DOTTERELSHIFT_GATEWAY_SERVICE_VERSIONS_H_
-#define DOTTERELSHIFT_GATEWAY_SERVICE_VERSIONS_H_
+#ifndef DOTTERELSHIFT_ORIGINS_SERVICE_VERSIONS_H_
+#define DOTTERELSHIFT_ORIGINS_SERVICE_VERSIONS_H_
 
 #include <cstddef>   // for size_t
 #include <cstdint>   // for uint64_t
@@ -9,15 +9,13 @@
 #include <utility>   // for exchange
 #include <vector>    // for vector
 
-#include "dotterelshift/base/time.h"              // for Instant
-#include "dotterelshift/directory/directory.h"    // for Directory
-#include "dotterelshift/gateway/routes.h"         // for ServiceName
+#include "dotterelshift/base/service_ids.h"     // for ServiceName, SoftwareKey
+#include "dotterelshift/base/time.h"            // for Instant
+#include "dotterelshift/directory/directory.h"  // for Directory
 #include "dotterelshift/wire/frames_generated.h"  // for EndpointRecordT
 
-namespace dotterelshift::gateway {
+namespace dotterelshift::origins {
 
-// Identifies one software version of one service; the same on every entry.
-using SoftwareKey = uint64_t;
 SoftwareKey SoftwareKeyOf(const ServiceName& service,
                           const std::string& version);
 // Of the endpoint that a record describes.
@@ -81,6 +79,6 @@
   std::vector<VersionChange> m_changes;
 };
 
-}  // namespace dotterelshift::gateway
+}  // namespace dotterelshift::origins
 
-#endif  // DOTTERELSHIFT_GATEWAY_SERVICE_VERSIONS_H_
+#endif  // DOTTERELSHIFT_ORIGINS_SERVICE_VERSIONS_H_
--- a/include/dotterelshift/gateway/stream_origins.h
+++ b/include/dotterelshift/origins/stream_origins.h
@@ -1,5 +1,5 @@
-#ifndef DOTTERELSHIFT_GATEWAY_STREAM_ORIGINS_H_
-#define DOTTERELSHIFT_GATEWAY_STREAM_ORIGINS_H_
+#ifndef DOTTERELSHIFT_ORIGINS_STREAM_ORIGINS_H_
+#define DOTTERELSHIFT_ORIGINS_STREAM_ORIGINS_H_
 
 #include <cstddef>        // for size_t
 #include <cstdint>        // for uint64_t
@@ -13,12 +13,12 @@
 #include "dotterelshift/base/ids.h"                  // for HostId, TeamId
 #include "dotterelshift/base/time.h"                 // for Instant
 #include "dotterelshift/directory/directory.h"       // for Directory
-#include "dotterelshift/gateway/fleet_load.h"        // for EndpointContact
-#include "dotterelshift/gateway/restart_suspects.h"  // for RestartSuspects
-#include "dotterelshift/gateway/service_versions.h"  // for SoftwareKey
+#include "dotterelshift/origins/endpoint_contact.h"  // for EndpointContact
+#include "dotterelshift/origins/restart_suspects.h"  // for RestartSuspects
+#include "dotterelshift/origins/service_versions.h"  // for SoftwareKey
 #include "dotterelshift/wire/frames_generated.h"     // for StreamOrigin
 
-namespace dotterelshift::gateway {
+namespace dotterelshift::origins {
 
 // Identifies a stream by its team and the caller's id of the request that got
 // its first event, so that no caller can name a stream of another team.
@@ -130,6 +130,6 @@
   std::vector<StreamKey> m_learned;
 };
 
-}  // namespace dotterelshift::gateway
+}  // namespace dotterelshift::origins
 
-#endif  // DOTTERELSHIFT_GATEWAY_STREAM_ORIGINS_H_
+#endif  // DOTTERELSHIFT_ORIGINS_STREAM_ORIGINS_H_
--- a/src/dotterelshift/app/connect_probes.cc
+++ b/src/dotterelshift/app/connect_probes.cc
@@ -43,13 +43,13 @@
 
 void ConnectProbes::CheckTimeouts() {
   const Instant now = m_loop.Now();
-  std::vector<gateway::EndpointKey> late;
+  std::vector<EndpointKey> late;
   for (const Open& open : m_open)
     if (now >= open.deadline) late.push_back(open.endpoint);
-  for (const gateway::EndpointKey endpoint : late) End(endpoint, false);
+  for (const EndpointKey endpoint : late) End(endpoint, false);
 }
 
-void ConnectProbes::End(gateway::EndpointKey endpoint, bool connected) {
+void ConnectProbes::End(EndpointKey endpoint, bool connected) {
   const auto found =
       std::find_if(m_open.begin(), m_open.end(),
                    [&](const Open& open) { return open.endpoint == endpoint; });
--- a/src/dotterelshift/app/connect_probes.h
+++ b/src/dotterelshift/app/connect_probes.h
@@ -14,8 +14,7 @@
 // Connections to endpoints that only show whether they can be established.
 class ConnectProbes {
  public:
-  using OnEnded =
-      std::function<void(gateway::EndpointKey endpoint, bool connected)>;
+  using OnEnded = std::function<void(EndpointKey endpoint, bool connected)>;
 
   ConnectProbes(loop::Loop& loop, std::string source_address, OnEnded on_ended);
   ~ConnectProbes();
@@ -28,12 +27,12 @@
 
  private:
   struct Open {
-    gateway::EndpointKey endpoint = 0;
+    EndpointKey endpoint = 0;
     int descriptor = -1;
     Instant deadline{};
     std::unique_ptr<loop::IoWatcher> watcher;
   };
-  void End(gateway::EndpointKey endpoint, bool connected);
+  void End(EndpointKey endpoint, bool connected);
 
   loop::Loop& m_loop;
   const std::string m_source_address;
--- a/src/dotterelshift/app/control_link_test.cc
+++ b/src/dotterelshift/app/control_link_test.cc
@@ -295,7 +295,7 @@
     answer(std::move(named));
     answer(nullptr);
     CPPUNIT_ASSERT(m_link->DistantEntries() ==
-                   (std::vector<gateway::DistantEntry>{{"10.0.0.1:7", "b"}}));
+                   (std::vector<origins::DistantEntry>{{"10.0.0.1:7", "b"}}));
     answer(std::make_unique<wire::DistantEntriesT>());
     CPPUNIT_ASSERT(m_link->DistantEntries().empty());
   }
--- a/src/dotterelshift/app/endpoint_relays.cc
+++ b/src/dotterelshift/app/endpoint_relays.cc
@@ -26,9 +26,9 @@
                           {"bytes_down", std::to_string(report.bytes_down)}});
 }
 
-std::string Join(const std::vector<gateway::ServiceName>& services) {
+std::string Join(const std::vector<ServiceName>& services) {
   std::string text;
-  for (const gateway::ServiceName& service : services)
+  for (const ServiceName& service : services)
     text += (text.empty() ? "" : ",") + service;
   return text;
 }
@@ -43,7 +43,7 @@
       m_server(
           relay::MakeRelayServer(loop, ServerOptionsOf(settings), Callbacks())),
       m_probes(loop, settings.source_address,
-               [this](gateway::EndpointKey endpoint, bool connected) {
+               [this](EndpointKey endpoint, bool connected) {
                  const Instant now = m_loop.Now();
                  m_parts.paths->OnProbeEnded(endpoint, connected, now);
                  m_parts.core->OnPathsChanged(now);
@@ -83,7 +83,7 @@
 bool EndpointRelays::OnConnectFailed(const std::string& target, Duration took) {
   const directory::Endpoint* endpoint = FindByAddress(target);
   if (endpoint == nullptr) return false;
-  const gateway::EndpointKey key =
+  const EndpointKey key =
       directory::PulseKey(endpoint->record.id, endpoint->record.incarnation);
   const Instant now = m_loop.Now();
   m_parts.paths->OnConnectFailed(key, now - took, now);
@@ -129,8 +129,7 @@
   m_parts.paths->OnTimer(*m_parts.directory, now);
   m_parts.core->OnPathsChanged(now);
   StartProbes();
-  std::vector<gateway::ServiceName> unreachable =
-      m_parts.paths->UnreachableServices();
+  std::vector<ServiceName> unreachable = m_parts.paths->UnreachableServices();
   if (unreachable == m_unreachable) return;
   m_unreachable = std::move(unreachable);
   telemetry::Log(telemetry::LogLevel::kWarning, "endpoints_reach",
--- a/src/dotterelshift/app/endpoint_relays.h
+++ b/src/dotterelshift/app/endpoint_relays.h
@@ -69,7 +69,7 @@
   std::unique_ptr<relay::RelayServer> m_server;
   ConnectProbes m_probes;
   std::map<HostId, std::string> m_tokens;  // of the entries that may use this
-  std::vector<gateway::ServiceName> m_unreachable;  // as last offered
+  std::vector<ServiceName> m_unreachable;  // as last offered
   bool m_withdrawn = false;
 };
 
--- a/src/dotterelshift/app/entry_peers.cc
+++ b/src/dotterelshift/app/entry_peers.cc
@@ -20,7 +20,7 @@
 }
 
 void EntryPeers::SetDistantEntries(
-    const std::vector<gateway::DistantEntry>& entries) {
+    const std::vector<origins::DistantEntry>& entries) {
   m_parts.exchange->SetEntries(entries);
   m_others.SetOwnDataCentreOnly(!entries.empty(), *m_parts.load);
 }
@@ -65,7 +65,7 @@
   const Instant now = m_loop.Now();
   m_others.OnLoadUpdates(peer, notes, *m_parts.load, now);
   for (const wire::TroubleNote& note : notes.troubles) LogTrouble(peer, note);
-  for (const gateway::EndpointKey endpoint : notes.replaced)
+  for (const EndpointKey endpoint : notes.replaced)
     OnReplaced(endpoint, peer.run.host);
   for (const wire::ProcessNote& note : notes.processes) OnProcessNote(note);
   m_parts.versions->Origins().OnUpdates(peer.run.host, notes.origins, now);
@@ -73,7 +73,7 @@
 
 void EntryPeers::LogTrouble(const peers::PeerInfo& peer,
                             const wire::TroubleNote& note) const {
-  const gateway::EndpointContact* contact = m_parts.load->Find(note.endpoint());
+  const origins::EndpointContact* contact = m_parts.load->Find(note.endpoint());
   telemetry::LogDecision(
       "endpoint_in_trouble", "",
       {{"endpoint", contact == nullptr ? "unknown" : contact->id},
@@ -82,8 +82,8 @@
        {"learned_from", peer.run.host}});
 }
 
-bool EntryPeers::OnReplaced(gateway::EndpointKey endpoint, const HostId& from) {
-  const gateway::EndpointContact* contact = m_parts.load->Find(endpoint);
+bool EntryPeers::OnReplaced(EndpointKey endpoint, const HostId& from) {
+  const origins::EndpointContact* contact = m_parts.load->Find(endpoint);
   if (contact == nullptr) return false;
   // What the directory changes is taken over at once, the contact included.
   const EndpointId id = contact->id;
@@ -91,12 +91,12 @@
 }
 
 void EntryPeers::TakeReplaced() {
-  for (const gateway::EndpointKey endpoint : m_parts.core->TakeReplaced())
+  for (const EndpointKey endpoint : m_parts.core->TakeReplaced())
     if (OnReplaced(endpoint, "")) m_replaced.push_back(endpoint);
 }
 
 void EntryPeers::OnProcessNote(const wire::ProcessNote& note) {
-  const gateway::EndpointContact* contact = m_parts.load->Find(note.endpoint());
+  const origins::EndpointContact* contact = m_parts.load->Find(note.endpoint());
   if (contact != nullptr)
     m_parts.versions->Restarts().OnTold(*contact, note, m_loop.Now());
 }
--- a/src/dotterelshift/app/entry_peers.h
+++ b/src/dotterelshift/app/entry_peers.h
@@ -14,7 +14,7 @@
 #include "dotterelshift/gateway/core.h"            // for Core
 #include "dotterelshift/gateway/fleet_load.h"      // for FleetLoad
 #include "dotterelshift/gateway/held_grants.h"     // for HeldGrants
-#include "dotterelshift/gateway/origin_lookup.h"   // for DistantEntry
+#include "dotterelshift/origins/origin_lookup.h"   // for DistantEntry
 #include "dotterelshift/peers/hub.h"               // for Hub
 
 namespace dotterelshift::app {
@@ -44,7 +44,7 @@
   // Entries of other data centres that can be asked for origins, as named by
   // control. If there are any, load and origins are sent within the own data
   // centre only.
-  void SetDistantEntries(const std::vector<gateway::DistantEntry>& entries);
+  void SetDistantEntries(const std::vector<origins::DistantEntry>& entries);
   // Addresses that are connected to for other reasons than to ask there.
   void SetEntryAddresses(const std::vector<std::string>& addresses) {
     m_addresses = addresses;
@@ -64,7 +64,7 @@
   void TakeReplaced();
   // Another endpoint answered at its address: here (`from` empty) or at another
   // entry. Returns false if that is not new.
-  bool OnReplaced(gateway::EndpointKey endpoint, const HostId& from);
+  bool OnReplaced(EndpointKey endpoint, const HostId& from);
   // What another entry has noticed of an endpoint's process.
   void OnProcessNote(const wire::ProcessNote& note);
   void OnBorrow(const peers::PeerInfo& peer, const wire::TokenBorrowT& borrow);
@@ -74,7 +74,7 @@
   loop::Loop& m_loop;
   const Parts m_parts;
   OtherEntries m_others;
-  std::vector<gateway::EndpointKey> m_replaced;  // to be told to the others
+  std::vector<EndpointKey> m_replaced;  // to be told to the others
   std::vector<std::string> m_addresses;
   loop::Timer m_limits_timer;
 };
--- a/src/dotterelshift/app/entry_pushes.cc
+++ b/src/dotterelshift/app/entry_pushes.cc
@@ -96,13 +96,13 @@
   if (!full_mesh) {
     const peers::PeerInfo& info = entry.info;
     askable.entries =
-        gateway::AskableFor(info.run.host, info.data_centre, m_addresses);
+        origins::AskableFor(info.run.host, info.data_centre, m_addresses);
   }
   const bool is_known = same_term && sent->entries == askable.entries;
   sent = std::move(askable);
   if (is_known) return nullptr;
   auto distant = std::make_unique<wire::DistantEntriesT>();
-  for (const gateway::DistantEntry& other : sent->entries) {
+  for (const origins::DistantEntry& other : sent->entries) {
     distant->entries.push_back(std::make_unique<wire::DistantEntryT>());
     distant->entries.back()->address = other.address;
     distant->entries.back()->data_centre = other.data_centre;
@@ -116,7 +116,7 @@
   if (entry == m_entries.end()) return false;
   if (!m_directory_since) m_directory_since = now;
   for (const wire::LimitNote& note : beat.limits) m_limits.OnNote(note, now);
-  m_limits.Forget([](gateway::EndpointKey) { return false; }, now);
+  m_limits.Forget([](EndpointKey) { return false; }, now);
   entry->second.reported = true;
   entry->second.wants_relays = beat.wants_relays;
   if (beat.answers_questions != entry->second.answers_questions) {
--- a/src/dotterelshift/app/entry_pushes.h
+++ b/src/dotterelshift/app/entry_pushes.h
@@ -11,10 +11,10 @@
 #include "dotterelshift/app/control_replica.h"      // for ControlReplica
 #include "dotterelshift/base/ids.h"                 // for HostId
 #include "dotterelshift/base/time.h"                // for Instant
-#include "dotterelshift/gateway/askable_entries.h"  // for AskableFor
 #include "dotterelshift/gateway/entry_roster.h"     // for EntryRoster
 #include "dotterelshift/gateway/named_limits.h"     // for NamedLimits
-#include "dotterelshift/gateway/origin_lookup.h"    // for DistantEntry
+#include "dotterelshift/origins/askable_entries.h"  // for AskableFor
+#include "dotterelshift/origins/origin_lookup.h"    // for DistantEntry
 #include "dotterelshift/peers/hub.h"                // for Hub
 
 namespace dotterelshift::app {
@@ -79,7 +79,7 @@
     struct Askable {
       uint64_t term = 0;
       uint64_t members_version = 0;
-      std::vector<gateway::DistantEntry> entries;  // none: told so
+      std::vector<origins::DistantEntry> entries;  // none: told so
     };
     std::optional<Askable> askable;  // nullopt: not told yet
     // The term in which the quarantined contents were last sent to it.
@@ -120,7 +120,7 @@
   peers::Hub& m_hub;
   const ControlReplica& m_replica;
   std::map<HostId, Entry> m_entries;    // connected
-  gateway::EntryAddresses m_addresses;  // of these
+  origins::EntryAddresses m_addresses;  // of these
   uint64_t m_members_version = 1;
   gateway::EntryRoster m_roster;
   // Limits that endpoints have named to entries lately, for entries that start
--- a/src/dotterelshift/app/gateway_traffic_testing.h
+++ b/src/dotterelshift/app/gateway_traffic_testing.h
@@ -149,9 +149,9 @@
   std::unique_ptr<gateway::FleetLoad> m_load;
   std::unique_ptr<gateway::HeldGrants> m_budgets;
   std::unique_ptr<gateway::RetryShare> m_retries;
-  gateway::ServiceVersions m_versions;
-  gateway::StreamOrigins m_origins;
-  gateway::RestartSuspects m_restarts{m_directory};
+  origins::ServiceVersions m_versions;
+  origins::StreamOrigins m_origins;
+  origins::RestartSuspects m_restarts{m_directory};
   std::unique_ptr<gateway::Core> m_core;
   LinkGuard m_link{settings::Settings()};
   std::unique_ptr<GatewayTraffic> m_traffic;
--- a/src/dotterelshift/app/gauges.cc
+++ b/src/dotterelshift/app/gauges.cc
@@ -89,7 +89,7 @@
 
 void SetEndpointMetrics(
     telemetry::Metrics& metrics,
-    const std::map<gateway::ServiceName, gateway::EndpointCounts>& counts) {
+    const std::map<ServiceName, gateway::EndpointCounts>& counts) {
   for (const auto& [service, count] : counts) {
     metrics.SetServiceGauge("dotterelshift_endpoints_usable",
                             "Endpoints that serve, as control reports them",
@@ -104,8 +104,8 @@
 }
 
 void SetVersionMetrics(telemetry::Metrics& metrics,
-                       const std::vector<gateway::VersionCount>& counts) {
-  for (const gateway::VersionCount& count : counts) {
+                       const std::vector<origins::VersionCount>& counts) {
+  for (const origins::VersionCount& count : counts) {
     metrics.SetVersionGauge("dotterelshift_endpoints_by_version",
                             "Endpoints that serve, by software version",
                             count.service, count.version,
--- a/src/dotterelshift/app/gauges.h
+++ b/src/dotterelshift/app/gauges.h
@@ -11,7 +11,7 @@
 #include "dotterelshift/gateway/core.h"              // for LinkQueue
 #include "dotterelshift/gateway/fleet_load.h"        // for EndpointCounts
 #include "dotterelshift/gateway/retry_share.h"       // for RetryUse
-#include "dotterelshift/gateway/service_versions.h"  // for VersionCount
+#include "dotterelshift/origins/service_versions.h"  // for VersionCount
 #include "dotterelshift/peers/hub.h"                 // for Hub
 #include "dotterelshift/telemetry/metrics.h"         // for Metrics
 
@@ -54,11 +54,11 @@
 // Metrics of the endpoints of each service, as this entry believes of them.
 void SetEndpointMetrics(
     telemetry::Metrics& metrics,
-    const std::map<gateway::ServiceName, gateway::EndpointCounts>& counts);
+    const std::map<ServiceName, gateway::EndpointCounts>& counts);
 
 // Endpoints that serve, by service and software version.
 void SetVersionMetrics(telemetry::Metrics& metrics,
-                       const std::vector<gateway::VersionCount>& counts);
+                       const std::vector<origins::VersionCount>& counts);
 
 // Streams that callers resumed, and origins of streams held.
 void SetResumptionMetrics(telemetry::Metrics& metrics,
--- a/src/dotterelshift/app/origin_exchange.cc
+++ b/src/dotterelshift/app/origin_exchange.cc
@@ -16,14 +16,14 @@
 
 // The timer only causes an event loop iteration, which calls Exchange().
 OriginExchange::OriginExchange(loop::Loop& loop,
-                               gateway::StreamOrigins& origins)
+                               origins::StreamOrigins& origins)
     : m_loop(loop),
       m_origins(origins),
       m_responder(origins, loop.Now()),
       m_timer(loop, [] {}) {}
 
 void OriginExchange::SetEntries(
-    const std::vector<gateway::DistantEntry>& entries) {
+    const std::vector<origins::DistantEntry>& entries) {
   if (!m_asked.OnNamed(entries, m_loop.Now())) return;
   m_lookup.SetEntries(m_asked.Entries());
   for (const auto& [host, address] : m_addresses)
@@ -71,20 +71,20 @@
   const Instant now = m_loop.Now();
   const HostId& from = peer.run.host;
   m_origins.OnUpdates(from, answer.origins, now);
-  for (const gateway::StreamKey stream : answer.unclear)
+  for (const origins::StreamKey stream : answer.unclear)
     m_origins.OnUnclear(from, stream, now);
   TakeLearned(now);
   m_lookup.OnMissing(peer.address, answer.missing, answer.starting, now);
 }
 
 void OriginExchange::TakeLearned(Instant now) {
-  for (const gateway::StreamKey stream : m_origins.TakeLearned()) {
+  for (const origins::StreamKey stream : m_origins.TakeLearned()) {
     m_responder.OnLearned(stream, now);
     m_lookup.OnLearned(stream, now);
   }
 }
 
-std::vector<gateway::EndedLookup> OriginExchange::Exchange() {
+std::vector<origins::EndedLookup> OriginExchange::Exchange() {
   const Instant now = m_loop.Now();
   TakeLearned(now);
   Dial(now);
@@ -95,8 +95,8 @@
   HangUpIdle(now);
   const Instant next = std::min(m_lookup.NextTimer(), m_responder.NextTimer());
   if (next != Instant::max()) m_timer.ArmAt(next);
-  std::vector<gateway::EndedLookup> ended = m_lookup.TakeEnded();
-  for (const gateway::EndedLookup& lookup : ended)
+  std::vector<origins::EndedLookup> ended = m_lookup.TakeEnded();
+  for (const origins::EndedLookup& lookup : ended)
     ++m_totals.ended[lookup.outcome];
   return ended;
 }
@@ -121,7 +121,7 @@
 }
 
 void OriginExchange::SendQuestions(Instant now) {
-  for (gateway::OriginQuestion& question : m_lookup.TakeQuestions(now)) {
+  for (origins::OriginQuestion& question : m_lookup.TakeQuestions(now)) {
     m_totals.asked += question.streams.size();
     const auto address = m_addresses.find(question.to);
     if (address != m_addresses.end() && m_dialled.contains(address->second))
--- a/src/dotterelshift/app/origin_exchange.h
+++ b/src/dotterelshift/app/origin_exchange.h
@@ -8,11 +8,11 @@
 #include <utility>     // for move
 #include <vector>      // for vector
 
-#include "dotterelshift/gateway/askable_entries.h"   // for AskedEntries
-#include "dotterelshift/gateway/origin_lookup.h"     // for OriginLookup
-#include "dotterelshift/gateway/origin_responder.h"  // for OriginResponder
-#include "dotterelshift/gateway/stream_origins.h"    // for StreamOrigins
 #include "dotterelshift/loop/loop.h"                 // for Loop, Timer
+#include "dotterelshift/origins/askable_entries.h"   // for AskedEntries
+#include "dotterelshift/origins/origin_lookup.h"     // for OriginLookup
+#include "dotterelshift/origins/origin_responder.h"  // for OriginResponder
+#include "dotterelshift/origins/stream_origins.h"    // for StreamOrigins
 #include "dotterelshift/peers/hub.h"                 // for Hub
 #include "dotterelshift/telemetry/metrics.h"         // for Metrics
 
@@ -25,9 +25,9 @@
 class OriginExchange {
  public:
   // `origins` must outlive this object.
-  OriginExchange(loop::Loop& loop, gateway::StreamOrigins& origins);
+  OriginExchange(loop::Loop& loop, origins::StreamOrigins& origins);
 
-  gateway::OriginLookup& Lookup() { return m_lookup; }
+  origins::OriginLookup& Lookup() { return m_lookup; }
   // `may_hang_up` says whether the connection to an address serves nothing
   // else.
   void Connect(peers::Hub* hub,
@@ -38,7 +38,7 @@
 
   // Entries that can be asked, as named by control; to be called again and
   // again.
-  void SetEntries(const std::vector<gateway::DistantEntry>& entries);
+  void SetEntries(const std::vector<origins::DistantEntry>& entries);
   void OnEntryUp(const peers::PeerInfo& entry);
   void OnEntryDown(const peers::PeerInfo& entry);
   void OnDialEnded(const peers::DialReport& report);
@@ -46,14 +46,14 @@
   bool OnFrame(const peers::PeerInfo& peer, const wire::FrameT& frame);
   // Sends what is due. Returns the lookups that have ended. To be called in
   // each event loop iteration; a timer causes one when something is due.
-  std::vector<gateway::EndedLookup> Exchange();
+  std::vector<origins::EndedLookup> Exchange();
   void SetMetrics(telemetry::Metrics& metrics) const;
 
  private:
   struct Totals {
     uint64_t asked = 0;  // questions, one for each stream and entry
     uint64_t received = 0;
-    std::map<gateway::LookupOutcome, uint64_t> ended;
+    std::map<origins::LookupOutcome, uint64_t> ended;
   };
 
   void OnQuestion(const peers::PeerInfo& peer,
@@ -66,13 +66,13 @@
   void SendAnswers(Instant now);
 
   loop::Loop& m_loop;
-  gateway::StreamOrigins& m_origins;
-  gateway::OriginLookup m_lookup;
-  gateway::OriginResponder m_responder;
+  origins::StreamOrigins& m_origins;
+  origins::OriginLookup m_lookup;
+  origins::OriginResponder m_responder;
   loop::Timer m_timer;
   peers::Hub* m_hub = nullptr;
   std::function<bool(const std::string& address)> m_may_hang_up;
-  gateway::AskedEntries m_asked;
+  origins::AskedEntries m_asked;
   // Addresses that were dialled to ask, and when one was last asked.
   std::map<std::string, Instant> m_dialled;
   std::map<HostId, std::string> m_addresses;  // of connected entries
--- a/src/dotterelshift/app/origin_exchange_test.cc
+++ b/src/dotterelshift/app/origin_exchange_test.cc
@@ -38,7 +38,7 @@
   }
 
   peers::PeerInfo self;
-  gateway::StreamOrigins origins;
+  origins::StreamOrigins origins;
   RecordingHub hub;
   OriginExchange exchange;
 };
@@ -53,7 +53,7 @@
 
  public:
   void OriginIsAskedForAndTaken() {
-    m_asked.origins.OnBegun(kStream, gateway::SoftwareKeyOf("engine", "v1"),
+    m_asked.origins.OnBegun(kStream, origins::SoftwareKeyOf("engine", "v1"),
                             m_loop.Now());
     m_asking.exchange.SetEntries({{m_asked.self.address, "b"}});
     CPPUNIT_ASSERT(m_asking.exchange.Lookup().Start(kStream, m_loop.Now()));
@@ -67,9 +67,9 @@
     Deliver(m_asked, m_asking);
     const auto ended = m_asking.exchange.Exchange();
     CPPUNIT_ASSERT_EQUAL(size_t{1}, ended.size());
-    CPPUNIT_ASSERT(ended.front().outcome == gateway::LookupOutcome::kLearned);
+    CPPUNIT_ASSERT(ended.front().outcome == origins::LookupOutcome::kLearned);
     CPPUNIT_ASSERT(m_asking.origins.Find(kStream, m_loop.Now()).state ==
-                   gateway::OriginState::kKnown);
+                   origins::OriginState::kKnown);
   }
 
   // Its lookup has ended, but the caller may come again.
@@ -78,8 +78,8 @@
     answer.origins.emplace_back(kStream, 1);
     m_asking.exchange.OnFrame(m_asked.self, peers::MakeFrame(answer));
     const auto known = m_asking.origins.Find(kStream, m_loop.Now());
-    CPPUNIT_ASSERT(known.state == gateway::OriginState::kKnown);
-    CPPUNIT_ASSERT_EQUAL(gateway::SoftwareKey{1}, known.software);
+    CPPUNIT_ASSERT(known.state == origins::OriginState::kKnown);
+    CPPUNIT_ASSERT_EQUAL(SoftwareKey{1}, known.software);
   }
 
   void OtherFramesAreLeftToOthers() {
@@ -88,7 +88,7 @@
   }
 
  private:
-  static constexpr gateway::StreamKey kStream = 7;
+  static constexpr origins::StreamKey kStream = 7;
 
   static void Deliver(Entry& from, Entry& to) {
     const auto frames = std::exchange(from.hub.sent, {});
--- a/src/dotterelshift/app/other_entries.cc
+++ b/src/dotterelshift/app/other_entries.cc
@@ -49,9 +49,9 @@
 }
 
 void OtherEntries::SendUpdates(gateway::FleetLoad& load,
-                               gateway::StreamOrigins& origins,
-                               gateway::RestartSuspects& restarts,
-                               std::vector<gateway::EndpointKey>* replaced,
+                               origins::StreamOrigins& origins,
+                               origins::RestartSuspects& restarts,
+                               std::vector<EndpointKey>* replaced,
                                Instant now) {
   if (!load.HasLoadUpdates() && !origins.HasUpdates() &&
       !restarts.HasNotices() && replaced->empty())
@@ -76,8 +76,8 @@
 
 void OtherEntries::SendKnowledgeTo(const peers::PeerInfo& entry,
                                    const gateway::FleetLoad& load,
-                                   const gateway::StreamOrigins& origins,
-                                   const gateway::RestartSuspects& restarts,
+                                   const origins::StreamOrigins& origins,
+                                   const origins::RestartSuspects& restarts,
                                    Instant now) {
   if (!IsServed(entry)) return;
   const HostId& host = entry.run.host;
--- a/src/dotterelshift/app/other_entries.h
+++ b/src/dotterelshift/app/other_entries.h
@@ -7,9 +7,9 @@
 #include "dotterelshift/base/tokens.h"                // for Tokens
 #include "dotterelshift/gateway/fleet_load.h"         // for FleetLoad
 #include "dotterelshift/gateway/load_update_pacer.h"  // for LoadUpdatePacer
-#include "dotterelshift/gateway/restart_suspects.h"   // for RestartSuspects
-#include "dotterelshift/gateway/stream_origins.h"     // for StreamOrigins
 #include "dotterelshift/loop/loop.h"                  // for Loop, Timer
+#include "dotterelshift/origins/restart_suspects.h"   // for RestartSuspects
+#include "dotterelshift/origins/stream_origins.h"     // for StreamOrigins
 #include "dotterelshift/peers/hub.h"                  // for Hub
 #include "dotterelshift/wire/frames_generated.h"      // for FrameT
 
@@ -36,15 +36,15 @@
   // endpoints at whose address another one answered or that may have started
   // again to all of them, once the pacer permits it. Called in each event loop
   // iteration; if it must wait, a timer causes another iteration.
-  void SendUpdates(gateway::FleetLoad& load, gateway::StreamOrigins& origins,
-                   gateway::RestartSuspects& restarts,
-                   std::vector<gateway::EndpointKey>* replaced, Instant now);
+  void SendUpdates(gateway::FleetLoad& load, origins::StreamOrigins& origins,
+                   origins::RestartSuspects& restarts,
+                   std::vector<EndpointKey>* replaced, Instant now);
   // Sends what an entry lacks whose connection was just established: origins
   // of streams, endpoints in trouble, and those that may have started again.
   void SendKnowledgeTo(const peers::PeerInfo& entry,
                        const gateway::FleetLoad& load,
-                       const gateway::StreamOrigins& origins,
-                       const gateway::RestartSuspects& restarts, Instant now);
+                       const origins::StreamOrigins& origins,
+                       const origins::RestartSuspects& restarts, Instant now);
   // Answers another entry's request to lend; 0 tokens: none can be lent.
   void SendLoan(const HostId& to, const wire::TokenBorrowT& borrow,
                 Tokens lent);
--- a/src/dotterelshift/app/other_entries_test.cc
+++ b/src/dotterelshift/app/other_entries_test.cc
@@ -100,7 +100,7 @@
   }
 
   void ReplacedEndpointsAreToldOnce() {
-    std::vector<std::vector<gateway::EndpointKey>> told;
+    std::vector<std::vector<EndpointKey>> told;
     m_hub.on_frame = [&told](const wire::FrameT& frame) {
       told.push_back(frame.body.AsLoadNotes()->replaced);
     };
@@ -127,12 +127,12 @@
   }
 
  private:
-  const gateway::EndpointKey m_endpoint = directory::PulseKey("e", 1);
+  const EndpointKey m_endpoint = directory::PulseKey("e", 1);
   const Instant m_now{1000s};
   directory::Directory m_directory;
-  gateway::StreamOrigins m_origins;
-  gateway::RestartSuspects m_restarts{m_directory};
-  std::vector<gateway::EndpointKey> m_replaced;
+  origins::StreamOrigins m_origins;
+  origins::RestartSuspects m_restarts{m_directory};
+  std::vector<EndpointKey> m_replaced;
   gateway::FleetLoad m_own{gateway::FleetLoadOptions{"a"}};
   gateway::FleetLoad m_distant{gateway::FleetLoadOptions{"b"}};
   loop::Loop m_loop;
--- a/src/dotterelshift/app/version_tracker.cc
+++ b/src/dotterelshift/app/version_tracker.cc
@@ -30,14 +30,14 @@
 }
 
 void VersionTracker::LogChanges() {
-  for (const gateway::VersionChange& change : m_versions.TakeChanges()) {
+  for (const origins::VersionChange& change : m_versions.TakeChanges()) {
     telemetry::Log(telemetry::LogLevel::kInfo,
                    change.serves ? "version_serves" : "version_left",
                    {{"service", change.service},
                     {"version", change.version},
                     {"versions", std::to_string(change.versions)}});
   }
-  for (const gateway::RestartBelief& belief : m_restarts.TakeBeliefs()) {
+  for (const origins::RestartBelief& belief : m_restarts.TakeBeliefs()) {
     telemetry::Log(telemetry::LogLevel::kInfo,
                    belief.suspected ? "restart_suspected" : "restart_ruled_out",
                    {{"endpoint", belief.endpoint},
--- a/src/dotterelshift/app/version_tracker.h
+++ b/src/dotterelshift/app/version_tracker.h
@@ -4,10 +4,10 @@
 #include "dotterelshift/app/control_link.h"          // for ControlLink
 #include "dotterelshift/app/directory_exchange.h"    // for DirectoryExchange
 #include "dotterelshift/gateway/core.h"              // for Core
-#include "dotterelshift/gateway/directory_view.h"    // for DirectoryView
-#include "dotterelshift/gateway/restart_suspects.h"  // for RestartSuspects
-#include "dotterelshift/gateway/service_versions.h"  // for ServiceVersions
-#include "dotterelshift/gateway/stream_origins.h"    // for StreamOrigins
+#include "dotterelshift/origins/directory_view.h"    // for DirectoryView
+#include "dotterelshift/origins/restart_suspects.h"  // for RestartSuspects
+#include "dotterelshift/origins/service_versions.h"  // for ServiceVersions
+#include "dotterelshift/origins/stream_origins.h"    // for StreamOrigins
 #include "dotterelshift/telemetry/metrics.h"         // for Metrics
 
 namespace dotterelshift::app {
@@ -20,9 +20,9 @@
   explicit VersionTracker(const DirectoryExchange& directory)
       : m_directory(directory), m_restarts(directory.GetDirectory()) {}
 
-  gateway::ServiceVersions& Versions() { return m_versions; }
-  gateway::StreamOrigins& Origins() { return m_origins; }
-  gateway::RestartSuspects& Restarts() { return m_restarts; }
+  origins::ServiceVersions& Versions() { return m_versions; }
+  origins::StreamOrigins& Origins() { return m_origins; }
+  origins::RestartSuspects& Restarts() { return m_restarts; }
 
   // Takes over announcements and the state of the link to control. To be called
   // regularly.
@@ -34,10 +34,10 @@
 
  private:
   const DirectoryExchange& m_directory;
-  gateway::ServiceVersions m_versions;
-  gateway::StreamOrigins m_origins;
-  gateway::RestartSuspects m_restarts;
-  gateway::DirectoryView m_view;
+  origins::ServiceVersions m_versions;
+  origins::StreamOrigins m_origins;
+  origins::RestartSuspects m_restarts;
+  origins::DirectoryView m_view;
   Instant m_next_update{};
 };
 
--- a/src/dotterelshift/gateway/active_request.h
+++ b/src/dotterelshift/gateway/active_request.h
@@ -9,7 +9,7 @@
 
 #include "dotterelshift/gateway/core.h"           // for RequestInfo
 #include "dotterelshift/gateway/event_scanner.h"  // for EventScanner
-#include "dotterelshift/gateway/origin_lookup.h"  // for EndedLookup
+#include "dotterelshift/origins/origin_lookup.h"  // for EndedLookup
 
 namespace dotterelshift::gateway {
 
@@ -34,7 +34,7 @@
 struct Attempt {
   AttemptId id = 0;
   Placement placement;
-  EndpointContact endpoint;
+  origins::EndpointContact endpoint;
   HostId relay;  // the entry through which it is sent; empty: directly
   bool unacknowledged = false;  // its bytes were not acknowledged in time
   Instant sent{};
@@ -125,7 +125,7 @@
   Duration link_wait = 0s;   // wait for the link so far, of this attempt
   Instant due{};             // when its timer expires
   Stage stage = Stage::kWaitsForBudget;
-  std::optional<EndedLookup> lookup;  // of its stream's origin
+  std::optional<origins::EndedLookup> lookup;  // of its stream's origin
   Tokens reserved = 0;
   bool has_reservation = false;
   bool may_have_run = false;  // an endpoint may have run it
--- a/src/dotterelshift/gateway/core.cc
+++ b/src/dotterelshift/gateway/core.cc
@@ -50,7 +50,7 @@
 
 void CoreImpl::LogArrivals(const directory::Directory& directory, Instant now) {
   for (const EndpointKey key : m_dependencies.load->TakeArrivals()) {
-    const EndpointContact& contact = *m_dependencies.load->Find(key);
+    const origins::EndpointContact& contact = *m_dependencies.load->Find(key);
     if (m_dependencies.limits != nullptr)
       m_dependencies.limits->OnArrival(key, contact.id, now);
     const directory::Endpoint* endpoint = directory.Find(contact.id);
--- a/src/dotterelshift/gateway/core_impl.h
+++ b/src/dotterelshift/gateway/core_impl.h
@@ -52,7 +52,7 @@
   void OnViewComplete(std::optional<Instant> since) override {
     m_view_complete_since = since;
   }
-  void OnOriginsLookedUp(const std::vector<EndedLookup>& lookups,
+  void OnOriginsLookedUp(const std::vector<origins::EndedLookup>& lookups,
                          Instant now) override;
   void OnTimer(Instant now) override;
   Instant NextTimer() const override;
@@ -177,8 +177,8 @@
   // Returns why that is not possible; nullopt: it is bound.
   std::optional<ResumptionRefusal> BindResumed(ActiveRequest& active,
                                                Instant now) const;
-  std::optional<ResumptionRefusal> BindToOrigin(ActiveRequest& active,
-                                                const KnownOrigin& known) const;
+  std::optional<ResumptionRefusal> BindToOrigin(
+      ActiveRequest& active, const origins::KnownOrigin& known) const;
   // Asks other entries for the stream's origin. Returns false if that is of no
   // use or nobody can be asked.
   bool LookUpOrigin(ActiveRequest& active, ResumptionRefusal why, Instant now);
@@ -213,7 +213,7 @@
     std::string caller_id;
     ServiceName service;
     EndpointKey endpoint = 0;
-    EndpointContact contact;
+    origins::EndpointContact contact;
     Instant at{};
     bool head = false;      // the response had begun
     bool complete = false;  // as far as can be told without framing
@@ -310,7 +310,7 @@
   std::optional<DrainSchedule> m_drain;
   std::optional<Instant> m_view_complete_since;
   ResumptionCounts m_resumptions;
-  std::unordered_multimap<StreamKey, RequestId> m_waiting_for_origin;
+  std::unordered_multimap<origins::StreamKey, RequestId> m_waiting_for_origin;
   bool m_stopped = false;
   std::unordered_map<RequestId, ActiveRequest> m_active;
   std::unordered_map<AttemptId, RequestId> m_attempts;
--- a/src/dotterelshift/gateway/core_origin_lookup_test.cc
+++ b/src/dotterelshift/gateway/core_origin_lookup_test.cc
@@ -48,7 +48,8 @@
 
   void UnknownStreamIsRefusedOnceTheLookupHasEnded() {
     Resume("first");
-    m_lookup.OnMissing("b1:1", {StreamKeyOf("team", "first")}, false, m_now);
+    m_lookup.OnMissing("b1:1", {origins::StreamKeyOf("team", "first")}, false,
+                       m_now);
     TakeLookups();
     CPPUNIT_ASSERT(Only<Refuse>().kind == ErrorKind::kNotResumable);
     CPPUNIT_ASSERT(RowOf(Only<Refuse>().kind).ran == Ran::kNo);
@@ -139,10 +140,11 @@
 
   // An entry answers, or sends the origin by itself.
   void Tell(const std::string& first, const std::string& version) {
-    m_origins->OnUpdates(
-        "b1", {{StreamKeyOf("team", first), SoftwareKeyOf("llm", version)}},
-        m_now);
-    for (const StreamKey stream : m_origins->TakeLearned())
+    m_origins->OnUpdates("b1",
+                         {{origins::StreamKeyOf("team", first),
+                           origins::SoftwareKeyOf("llm", version)}},
+                         m_now);
+    for (const origins::StreamKey stream : m_origins->TakeLearned())
       m_lookup.OnLearned(stream, m_now);
     TakeLookups();
   }
@@ -154,7 +156,7 @@
     return "";
   }
 
-  OriginLookup m_lookup;
+  origins::OriginLookup m_lookup;
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(CoreOriginLookupTest);
--- a/src/dotterelshift/gateway/core_paths_test.cc
+++ b/src/dotterelshift/gateway/core_paths_test.cc
@@ -225,7 +225,7 @@
         continue;
       }
       for (const EndpointPaths::Probe& probe : m_paths->TakeProbes(m_now)) {
-        const EndpointContact* contact = m_load->Find(probe.endpoint);
+        const origins::EndpointContact* contact = m_load->Find(probe.endpoint);
         m_paths->OnProbeEnded(probe.endpoint, !crashed.contains(contact->id),
                               m_now);
       }
--- a/src/dotterelshift/gateway/core_permits.cc
+++ b/src/dotterelshift/gateway/core_permits.cc
@@ -77,7 +77,7 @@
 void CoreImpl::OnPermitDenied(ActiveRequest& active, Instant now) {
   const PermitWait permit = active.permit;
   const EndpointKey endpoint = permit.demand.endpoint;
-  const EndpointContact* contact = m_dependencies.load->Find(endpoint);
+  const origins::EndpointContact* contact = m_dependencies.load->Find(endpoint);
   const Instant open =
       m_dependencies.limits->OpenFrom(endpoint, active.priority, now);
   Log("permit_denied", active,
--- a/src/dotterelshift/gateway/core_placement.cc
+++ b/src/dotterelshift/gateway/core_placement.cc
@@ -88,7 +88,7 @@
 }
 
 void CoreImpl::Send(ActiveRequest& active, Instant now) {
-  const EndpointContact* contact =
+  const origins::EndpointContact* contact =
       m_dependencies.load->Find(active.attempt.placement.endpoint);
   const std::optional<SoftwareKey> software = SoftwareFor(active);
   const bool fits = contact != nullptr &&
@@ -142,7 +142,7 @@
 }
 
 void CoreImpl::LogSent(const ActiveRequest& active, Instant now) {
-  const EndpointContact& contact = active.attempt.endpoint;
+  const origins::EndpointContact& contact = active.attempt.endpoint;
   std::vector<std::pair<std::string_view, std::string>> inputs = {
       {"endpoint", contact.id},
       {"version", contact.software_version},
--- a/src/dotterelshift/gateway/core_silence_test.cc
+++ b/src/dotterelshift/gateway/core_silence_test.cc
@@ -164,7 +164,7 @@
   // failure too many.
   void OneSilenceIsOneFailureOfItsEndpoint() {
     Request("/safe/", 0, 1);
-    const EndpointContact silent = Only<StartAttempt>().endpoint;
+    const origins::EndpointContact silent = Only<StartAttempt>().endpoint;
     LeaveAllBut(silent.id);
     for (RequestId id = 2; id <= 6; ++id) Request("/safe/", 0, id);
     for (const char* id : {"p4", "p5"}) Announce(id, "plain");
@@ -181,7 +181,7 @@
   void KeptSilenceSendsNewRequestsElsewhere() {
     DenyRetries();
     Request("/safe/", 0, 1);
-    const EndpointContact silent = Only<StartAttempt>().endpoint;
+    const origins::EndpointContact silent = Only<StartAttempt>().endpoint;
     LeaveAllBut(silent.id);
     Request("/safe/", 0, 2);
     StayQuiet(1400ms);
@@ -232,7 +232,7 @@
   }
 
  private:
-  static EndpointKey KeyOf(const EndpointContact& contact) {
+  static EndpointKey KeyOf(const origins::EndpointContact& contact) {
     return directory::PulseKey(contact.id, contact.incarnation);
   }
 
--- a/src/dotterelshift/gateway/core_streams.cc
+++ b/src/dotterelshift/gateway/core_streams.cc
@@ -51,14 +51,15 @@
 std::optional<ResumptionRefusal> CoreImpl::BindResumed(ActiveRequest& active,
                                                        Instant now) const {
   const std::string& first = active.info.first_caller_id;
-  const KnownOrigin known =
-      first.empty()
-          ? KnownOrigin()
-          : m_dependencies.origins->Find(StreamKeyOf(active.team, first), now);
-  if (known.state == OriginState::kKnown) return BindToOrigin(active, known);
+  const origins::KnownOrigin known =
+      first.empty() ? origins::KnownOrigin()
+                    : m_dependencies.origins->Find(
+                          origins::StreamKeyOf(active.team, first), now);
+  if (known.state == origins::OriginState::kKnown)
+    return BindToOrigin(active, known);
   const std::optional<SoftwareKey> only = ProvenOnlyVersion(active, now);
   if (!only) {
-    if (known.state == OriginState::kUnclear)
+    if (known.state == origins::OriginState::kUnclear)
       return ResumptionRefusal::kOriginUnclear;
     return m_dependencies.versions->Only(active.service)
                ? ResumptionRefusal::kViewIncomplete
@@ -69,7 +70,7 @@
 }
 
 std::optional<ResumptionRefusal> CoreImpl::BindToOrigin(
-    ActiveRequest& active, const KnownOrigin& known) const {
+    ActiveRequest& active, const origins::KnownOrigin& known) const {
   const SoftwareKey software = known.software;
   const std::optional<ServiceName> service =
       m_dependencies.versions->ServiceOf(software);
@@ -102,7 +103,7 @@
   if (!missing || active.lookup || first.empty() ||
       m_dependencies.lookup == nullptr)
     return false;
-  const StreamKey stream = StreamKeyOf(active.team, first);
+  const origins::StreamKey stream = origins::StreamKeyOf(active.team, first);
   if (!m_dependencies.lookup->Start(stream, now)) return false;
   active.stage = Stage::kWaitsForOrigin;
   m_waiting_for_origin.emplace(stream, active.id);
@@ -110,9 +111,9 @@
   return true;
 }
 
-void CoreImpl::OnOriginsLookedUp(const std::vector<EndedLookup>& lookups,
-                                 Instant now) {
-  for (const EndedLookup& lookup : lookups) {
+void CoreImpl::OnOriginsLookedUp(
+    const std::vector<origins::EndedLookup>& lookups, Instant now) {
+  for (const origins::EndedLookup& lookup : lookups) {
     const auto [begin, end] = m_waiting_for_origin.equal_range(lookup.stream);
     std::vector<RequestId> waiting;
     for (auto item = begin; item != end; ++item)
@@ -143,7 +144,7 @@
 // What asking other entries for the stream's origin has yielded.
 void CoreImpl::AddLookup(const ActiveRequest& active, LogInputs& inputs) {
   if (!active.lookup) return;
-  const EndedLookup& lookup = *active.lookup;
+  const origins::EndedLookup& lookup = *active.lookup;
   inputs.emplace_back("lookup", std::string(NameOf(lookup.outcome)));
   inputs.emplace_back("lookup_ms", std::to_string(ToMs(lookup.took)));
   inputs.emplace_back("asked_data_centres",
@@ -178,11 +179,12 @@
 void CoreImpl::BindToAttempt(ActiveRequest& active, Instant now) {
   if (!active.route->resumable) return;
   const Attempt& attempt = active.attempt;
-  const StreamKey stream = StreamKeyOf(active.team, active.info.caller_id);
-  const RestartSuspects& restarts = *m_dependencies.restarts;
+  const origins::StreamKey stream =
+      origins::StreamKeyOf(active.team, active.info.caller_id);
+  const origins::RestartSuspects& restarts = *m_dependencies.restarts;
   const bool in_doubt =
       attempt.restarted || restarts.During(attempt.endpoint, attempt.head_at) ==
-                               ProcessProof::kInDoubt;
+                               origins::ProcessProof::kInDoubt;
   active.binding = {attempt.endpoint.software, BindingSource::kOwn, 0s};
   if (in_doubt) {
     active.binding = BindingInDoubt();
@@ -196,7 +198,8 @@
 bool CoreImpl::HasSuspects(SoftwareKey software) const {
   const std::vector<EndpointKey> suspects = m_dependencies.restarts->All();
   return std::ranges::any_of(suspects, [&](EndpointKey endpoint) {
-    const EndpointContact* contact = m_dependencies.load->Find(endpoint);
+    const origins::EndpointContact* contact =
+        m_dependencies.load->Find(endpoint);
     return contact != nullptr && contact->software == software;
   });
 }
@@ -205,7 +208,7 @@
 // begun does not go on there; one that has not prefers others.
 std::vector<EndpointKey> CoreImpl::SuspectedEndpoints(
     const ActiveRequest& active, Instant now) {
-  RestartSuspects& restarts = *m_dependencies.restarts;
+  origins::RestartSuspects& restarts = *m_dependencies.restarts;
   const bool resumable =
       active.route->kind == RouteKind::kStream && active.route->resumable;
   if (!resumable || restarts.Size() == 0) return {};
@@ -226,7 +229,7 @@
 bool CoreImpl::IsInDoubt(const Attempt& attempt) const {
   if (!attempt.bound || attempt.events > 0) return false;
   return m_dependencies.restarts->During(attempt.endpoint, attempt.head_at) ==
-         ProcessProof::kInDoubt;
+         origins::ProcessProof::kInDoubt;
 }
 
 // The break became known only after the request was sent. If the request would
@@ -251,7 +254,7 @@
     const bool restarted =
         endpoint != nullptr &&
         endpoint->record.incarnation > attempt.endpoint.incarnation &&
-        SoftwareKeyOf(endpoint->record) != attempt.endpoint.software;
+        origins::SoftwareKeyOf(endpoint->record) != attempt.endpoint.software;
     if (!restarted) continue;
     attempt.restarted = true;
     if (attempt.bound)
--- a/src/dotterelshift/gateway/core_streams_test.cc
+++ b/src/dotterelshift/gateway/core_streams_test.cc
@@ -132,7 +132,7 @@
 
   void OneVersionIsEnoughIfAllEndpointsAreKnown() {
     m_directory = directory::Directory();
-    m_now += ServiceVersions::kMemory + 1s;
+    m_now += origins::ServiceVersions::kMemory + 1s;
     AnnounceEndpoint("a1", "v1");
     Resume("");
     CPPUNIT_ASSERT(Only<Refuse>().kind == ErrorKind::kNotResumable);
@@ -220,11 +220,11 @@
     Request("/resume/");
     const StartAttempt start = Only<StartAttempt>();
     Head(start.attempt, 200, true);
-    const StreamKey stream = StreamKeyOf("team", "caller-1");
+    const origins::StreamKey stream = origins::StreamKeyOf("team", "caller-1");
     CPPUNIT_ASSERT(!m_origins->HasUpdates());
     Chunk(start.attempt, "id: 1\n\n");
-    const KnownOrigin known = m_origins->Find(stream, m_now);
-    CPPUNIT_ASSERT(known.state == OriginState::kKnown);
+    const origins::KnownOrigin known = m_origins->Find(stream, m_now);
+    CPPUNIT_ASSERT(known.state == origins::OriginState::kKnown);
     CPPUNIT_ASSERT_EQUAL(start.endpoint.software, known.software);
     CPPUNIT_ASSERT_EQUAL(size_t{1}, m_origins->TakeUpdates().size());
     Chunk(start.attempt, "id: 2\n\n");
@@ -341,15 +341,16 @@
   void OriginAtASuspectIsUnknownUntilItAnnouncesItself() {
     for (const char* id : {"a1", "b1", "a2", "b2"}) Break(id);
     const StartAttempt start = Begin();
-    const StreamKey stream = StreamKeyOf("team", "caller-1");
+    const origins::StreamKey stream = origins::StreamKeyOf("team", "caller-1");
     CPPUNIT_ASSERT(m_origins->Find(stream, m_now).state ==
-                   OriginState::kMissing);
+                   origins::OriginState::kMissing);
     CPPUNIT_ASSERT_EQUAL(uint64_t{1}, m_core->Resumptions().begun_in_doubt);
     m_now += 400ms;
     AnnounceVersions();
     m_restarts->Update(m_now);
     m_origins->Update(m_directory, *m_restarts, m_now);
-    CPPUNIT_ASSERT(m_origins->Find(stream, m_now).state == OriginState::kKnown);
+    CPPUNIT_ASSERT(m_origins->Find(stream, m_now).state ==
+                   origins::OriginState::kKnown);
     CPPUNIT_ASSERT_EQUAL(start.endpoint.software,
                          m_origins->Find(stream, m_now).software);
     // Within this response it is not known.
@@ -361,12 +362,13 @@
   // No connection of this entry told of the restart.
   void OriginIsUnclearIfItsEndpointHadStartedAgain() {
     const StartAttempt start = Begin();
-    const StreamKey stream = StreamKeyOf("team", "caller-1");
-    CPPUNIT_ASSERT(m_origins->Find(stream, m_now).state == OriginState::kKnown);
+    const origins::StreamKey stream = origins::StreamKeyOf("team", "caller-1");
+    CPPUNIT_ASSERT(m_origins->Find(stream, m_now).state ==
+                   origins::OriginState::kKnown);
     AnnounceEndpoint(start.endpoint.id,
                      start.endpoint.software_version == "v1" ? "v2" : "v1", 2);
     CPPUNIT_ASSERT(m_origins->Find(stream, m_now).state ==
-                   OriginState::kUnclear);
+                   origins::OriginState::kUnclear);
     Collect();
     CPPUNIT_ASSERT_EQUAL(size_t{0}, Count<CancelAttempt>());
     // It does not go on at the version that had been announced.
@@ -386,8 +388,8 @@
     Chunk(start.attempt, "id: 1\n\n");
     CPPUNIT_ASSERT_EQUAL(size_t{1}, Count<RelayChunk>());
     CPPUNIT_ASSERT(
-        m_origins->Find(StreamKeyOf("team", "caller-1"), m_now).state ==
-        OriginState::kMissing);
+        m_origins->Find(origins::StreamKeyOf("team", "caller-1"), m_now)
+            .state == origins::OriginState::kMissing);
   }
 
  private:
@@ -451,9 +453,10 @@
 
   void Tell(const std::string& first, const std::string& version,
             const TeamId& team = "team") {
-    m_origins->OnUpdates(
-        "other", {{StreamKeyOf(team, first), SoftwareKeyOf("llm", version)}},
-        m_now);
+    m_origins->OnUpdates("other",
+                         {{origins::StreamKeyOf(team, first),
+                           origins::SoftwareKeyOf("llm", version)}},
+                         m_now);
   }
 
   void Resume(const std::string& first) {
--- a/src/dotterelshift/gateway/core_testing.h
+++ b/src/dotterelshift/gateway/core_testing.h
@@ -34,7 +34,7 @@
     m_retries = std::make_unique<RetryShare>(
         MakeLeasedShare(RetryShareOptions(), 1, m_now));
     m_blocklist = quarantine::Blocklist();
-    m_versions = ServiceVersions();
+    m_versions = origins::ServiceVersions();
     m_origins.emplace();
     m_restarts.emplace(m_directory);
     m_core = MakeCore(CoreOptions(), Parts());
@@ -192,9 +192,9 @@
   std::unique_ptr<HeldGrants> m_budgets;
   std::unique_ptr<RetryShare> m_retries;
   quarantine::Blocklist m_blocklist;
-  ServiceVersions m_versions;
-  std::optional<StreamOrigins> m_origins;
-  std::optional<RestartSuspects> m_restarts;
+  origins::ServiceVersions m_versions;
+  std::optional<origins::StreamOrigins> m_origins;
+  std::optional<origins::RestartSuspects> m_restarts;
   std::unique_ptr<Core> m_core;
   std::vector<Action> m_last;
   std::vector<Decision> m_log_lines;
--- a/src/dotterelshift/gateway/crash_schedule_testing.h
+++ b/src/dotterelshift/gateway/crash_schedule_testing.h
@@ -148,9 +148,9 @@
     Incarnation incarnation = 1;
     uint64_t sequence = 0;
     directory::Directory directory;
-    ServiceVersions versions;
-    StreamOrigins origins;
-    RestartSuspects restarts{directory};
+    origins::ServiceVersions versions;
+    origins::StreamOrigins origins;
+    origins::RestartSuspects restarts{directory};
     FleetLoad load{FleetLoadOptions{"dc"}};
     HeldGrants budgets;
     RetryShare retries;
--- a/src/dotterelshift/gateway/fleet_limits.cc
+++ b/src/dotterelshift/gateway/fleet_limits.cc
@@ -28,7 +28,7 @@
 
 bool FleetLimits::IsOfGroup(EndpointKey endpoint) const {
   if (m_whole_fleet) return true;
-  const EndpointContact* contact = m_load.Find(endpoint);
+  const origins::EndpointContact* contact = m_load.Find(endpoint);
   return contact != nullptr && contact->data_centre == m_options.data_centre;
 }
 
@@ -69,7 +69,7 @@
 void FleetLimits::OnResponse(EndpointKey endpoint, const EndpointLimits& limits,
                              Instant now) {
   if (limits.Any()) m_learned[endpoint] = now;
-  const EndpointContact* contact = m_load.Find(endpoint);
+  const origins::EndpointContact* contact = m_load.Find(endpoint);
   const EndpointIdKey id =
       contact == nullptr ? 0 : EndpointIdKeyOf(contact->id);
   if (!m_named.OnResponse(endpoint, id, limits, now)) return;
@@ -120,7 +120,7 @@
   m_limited = m_named.Limited();
   m_closed.erase(endpoint);
   m_schedule.OnLimits(ScheduledAs(endpoint), NewestLimits(endpoint), now);
-  const EndpointContact* contact = m_load.Find(endpoint);
+  const origins::EndpointContact* contact = m_load.Find(endpoint);
   Log("endpoint_limit",
       {{"endpoint", contact == nullptr ? "unknown" : contact->id},
        {"limit", TextOf(limits)},
--- a/src/dotterelshift/gateway/fleet_load.cc
+++ b/src/dotterelshift/gateway/fleet_load.cc
@@ -3,7 +3,8 @@
 #include <algorithm>  // for clamp, find, max, min
 #include <utility>    // for move
 
-#include "dotterelshift/directory/spread.h"  // for PulseKey
+#include "dotterelshift/directory/spread.h"          // for PulseKey
+#include "dotterelshift/origins/service_versions.h"  // for SoftwareKeyOf
 
 namespace dotterelshift::gateway {
 namespace {
@@ -37,10 +38,6 @@
 
 }  // namespace
 
-EndpointKey KeyOf(const EndpointContact& endpoint) {
-  return directory::PulseKey(endpoint.id, endpoint.incarnation);
-}
-
 void FleetLoad::OnDirectory(const directory::Directory& directory) {
   m_by_service.clear();
   std::unordered_map<EndpointKey, Load> known = std::move(m_loads);
@@ -59,7 +56,7 @@
                     record.address,
                     record.data_centre,
                     record.software_version,
-                    SoftwareKeyOf(record)};
+                    origins::SoftwareKeyOf(record)};
     load.services = record.services;
     load.slots = std::max<uint32_t>(1, record.slots);
     load.usable = endpoint.usable;
@@ -476,7 +473,7 @@
   return found == m_loads.end() || found->second.leaving;
 }
 
-const EndpointContact* FleetLoad::Find(EndpointKey endpoint) const {
+const origins::EndpointContact* FleetLoad::Find(EndpointKey endpoint) const {
   const auto found = m_loads.find(endpoint);
   return found == m_loads.end() ? nullptr : &found->second.contact;
 }
--- a/src/dotterelshift/gateway/streams_in_release_test.cc
+++ b/src/dotterelshift/gateway/streams_in_release_test.cc
@@ -105,7 +105,7 @@
       ++m_refused;
       return "";
     }
-    const EndpointContact endpoint = Only<StartAttempt>().endpoint;
+    const origins::EndpointContact endpoint = Only<StartAttempt>().endpoint;
     m_endpoint = endpoint.id;
     return endpoint.software_version;
   }
--- a/src/dotterelshift/gateway/version_schedule_parts_testing.h
+++ b/src/dotterelshift/gateway/version_schedule_parts_testing.h
@@ -7,8 +7,8 @@
 #include <string>  // for string
 
 #include "dotterelshift/gateway/core.h"                 // for MakeCore
-#include "dotterelshift/gateway/directory_view.h"       // for DirectoryView
 #include "dotterelshift/gateway/retry_share_testing.h"  // for MakeLeasedShare
+#include "dotterelshift/origins/directory_view.h"       // for DirectoryView
 
 // The processes, streams and entries of a schedule of software versions.
 namespace dotterelshift::gateway::version_schedule {
@@ -85,10 +85,10 @@
   }
 
   directory::Directory directory;
-  ServiceVersions versions;
-  StreamOrigins origins;
-  RestartSuspects restarts{directory};
-  DirectoryView view;
+  origins::ServiceVersions versions;
+  origins::StreamOrigins origins;
+  origins::RestartSuspects restarts{directory};
+  origins::DirectoryView view;
   FleetLoad load{FleetLoadOptions{"dc"}};
   HeldGrants budgets;
   RetryShare retries;
--- a/src/dotterelshift/gateway/version_schedule_testing.h
+++ b/src/dotterelshift/gateway/version_schedule_testing.h
@@ -244,7 +244,7 @@
     node.core->TakeFinished();
     node.core->TakeSuspectReports();
     for (const EndpointKey endpoint : node.core->TakeReplaced())
-      if (const EndpointContact* contact = node.load.Find(endpoint))
+      if (const origins::EndpointContact* contact = node.load.Find(endpoint))
         node.directory.OnReplaced(contact->id, m_now);
   }
 
@@ -318,7 +318,7 @@
 
   void Tell(Node& node, const std::vector<wire::ProcessNote>& notices) {
     for (const wire::ProcessNote& note : notices) {
-      const EndpointContact* contact = node.load.Find(note.endpoint());
+      const origins::EndpointContact* contact = node.load.Find(note.endpoint());
       if (contact != nullptr) node.restarts.OnTold(*contact, note, m_now);
     }
   }
--- a/src/dotterelshift/gateway/askable_entries.cc
+++ b/src/dotterelshift/origins/askable_entries.cc
@@ -1,4 +1,4 @@
-#include "dotterelshift/gateway/askable_entries.h"
+#include "dotterelshift/origins/askable_entries.h"
 
 #include <xxhash.h>  // for XXH3_64bits
 
@@ -6,9 +6,9 @@
 #include <cstdint>    // for uint64_t
 #include <utility>    // for pair
 
-#include "dotterelshift/gateway/stream_origins.h"  // for StreamOriginsOptions
+#include "dotterelshift/origins/stream_origins.h"  // for StreamOriginsOptions
 
-namespace dotterelshift::gateway {
+namespace dotterelshift::origins {
 namespace {
 
 // Of each data centre. Two of them are asked at a time.
@@ -54,4 +54,4 @@
   return true;
 }
 
-}  // namespace dotterelshift::gateway
+}  // namespace dotterelshift::origins
--- a/src/dotterelshift/gateway/askable_entries_test.cc
+++ b/src/dotterelshift/origins/askable_entries_test.cc
@@ -1,11 +1,11 @@
-#include "dotterelshift/gateway/askable_entries.h"
+#include "dotterelshift/origins/askable_entries.h"
 
 #include <cppunit/TestFixture.h>              // for TestFixture
 #include <cppunit/extensions/HelperMacros.h>  // for CPPUNIT_TEST
 
 #include <algorithm>  // for find
 
-namespace dotterelshift::gateway {
+namespace dotterelshift::origins {
 namespace {
 
 // 53 entries in each of seven data centres.
@@ -114,4 +114,4 @@
 CPPUNIT_TEST_SUITE_REGISTRATION(AskableEntriesTest);
 
 }  // namespace
-}  // namespace dotterelshift::gateway
+}  // namespace dotterelshift::origins
--- a/src/dotterelshift/gateway/directory_view.cc
+++ b/src/dotterelshift/origins/directory_view.cc
@@ -1,8 +1,8 @@
-#include "dotterelshift/gateway/directory_view.h"
+#include "dotterelshift/origins/directory_view.h"
 
 #include <algorithm>  // for min
 
-namespace dotterelshift::gateway {
+namespace dotterelshift::origins {
 
 void DirectoryView::Update(const DirectoryContact& contact, Instant now) {
   const bool current = contact.synced && contact.confirmed &&
@@ -18,4 +18,4 @@
       std::min(*m_own_since, contact.leader_since.value_or(*m_own_since));
 }
 
-}  // namespace dotterelshift::gateway
+}  // namespace dotterelshift::origins
--- a/src/dotterelshift/gateway/directory_view_test.cc
+++ b/src/dotterelshift/origins/directory_view_test.cc
@@ -1,9 +1,9 @@
-#include "dotterelshift/gateway/directory_view.h"
+#include "dotterelshift/origins/directory_view.h"
 
 #include <cppunit/TestFixture.h>              // for TestFixture
 #include <cppunit/extensions/HelperMacros.h>  // for CPPUNIT_TEST
 
-namespace dotterelshift::gateway {
+namespace dotterelshift::origins {
 namespace {
 
 class DirectoryViewTest : public CppUnit::TestFixture {
@@ -61,4 +61,4 @@
 CPPUNIT_TEST_SUITE_REGISTRATION(DirectoryViewTest);
 
 }  // namespace
-}  // namespace dotterelshift::gateway
+}  // namespace dotterelshift::origins
--- a/src/dotterelshift/gateway/origin_lookup.cc
+++ b/src/dotterelshift/origins/origin_lookup.cc
@@ -1,10 +1,10 @@
-#include "dotterelshift/gateway/origin_lookup.h"
+#include "dotterelshift/origins/origin_lookup.h"
 
 #include <xxhash.h>  // for XXH3_64bits_withSeed
 
 #include <algorithm>  // for count_if, find, sort
 
-namespace dotterelshift::gateway {
+namespace dotterelshift::origins {
 namespace {
 
 bool Contains(const std::vector<std::string>& addresses,
@@ -248,4 +248,4 @@
   return questions;
 }
 
-}  // namespace dotterelshift::gateway
+}  // namespace dotterelshift::origins
--- a/src/dotterelshift/gateway/origin_lookup_test.cc
+++ b/src/dotterelshift/origins/origin_lookup_test.cc
@@ -1,11 +1,11 @@
-#include "dotterelshift/gateway/origin_lookup.h"
+#include "dotterelshift/origins/origin_lookup.h"
 
 #include <cppunit/TestFixture.h>              // for TestFixture
 #include <cppunit/extensions/HelperMacros.h>  // for CPPUNIT_TEST
 
 #include <algorithm>  // for count, find_if
 
-namespace dotterelshift::gateway {
+namespace dotterelshift::origins {
 namespace {
 
 // Three entries in each of two other data centres.
@@ -265,4 +265,4 @@
 CPPUNIT_TEST_SUITE_REGISTRATION(OriginLookupTest);
 
 }  // namespace
-}  // namespace dotterelshift::gateway
+}  // namespace dotterelshift::origins
--- a/src/dotterelshift/gateway/origin_responder.cc
+++ b/src/dotterelshift/origins/origin_responder.cc
@@ -1,8 +1,8 @@
-#include "dotterelshift/gateway/origin_responder.h"
+#include "dotterelshift/origins/origin_responder.h"
 
 #include <utility>  // for exchange
 
-namespace dotterelshift::gateway {
+namespace dotterelshift::origins {
 
 bool OriginResponder::AddIfKnown(const HostId& to, StreamKey stream,
                                  Instant now) {
@@ -70,4 +70,4 @@
   return answers;
 }
 
-}  // namespace dotterelshift::gateway
+}  // namespace dotterelshift::origins
--- a/src/dotterelshift/gateway/origin_responder_test.cc
+++ b/src/dotterelshift/origins/origin_responder_test.cc
@@ -1,9 +1,9 @@
-#include "dotterelshift/gateway/origin_responder.h"
+#include "dotterelshift/origins/origin_responder.h"
 
 #include <cppunit/TestFixture.h>              // for TestFixture
 #include <cppunit/extensions/HelperMacros.h>  // for CPPUNIT_TEST
 
-namespace dotterelshift::gateway {
+namespace dotterelshift::origins {
 namespace {
 
 class OriginResponderTest : public CppUnit::TestFixture {
@@ -116,4 +116,4 @@
 CPPUNIT_TEST_SUITE_REGISTRATION(OriginResponderTest);
 
 }  // namespace
-}  // namespace dotterelshift::gateway
+}  // namespace dotterelshift::origins
--- a/src/dotterelshift/gateway/restart_suspects.cc
+++ b/src/dotterelshift/origins/restart_suspects.cc
@@ -1,8 +1,8 @@
-#include "dotterelshift/gateway/restart_suspects.h"
+#include "dotterelshift/origins/restart_suspects.h"
 
 #include <algorithm>  // for min
 
-namespace dotterelshift::gateway {
+namespace dotterelshift::origins {
 namespace {
 
 uint32_t AgeMs(Instant at, Instant now) {
@@ -159,4 +159,4 @@
   return endpoints;
 }
 
-}  // namespace dotterelshift::gateway
+}  // namespace dotterelshift::origins
--- a/src/dotterelshift/gateway/restart_suspects_test.cc
+++ b/src/dotterelshift/origins/restart_suspects_test.cc
@@ -1,9 +1,9 @@
-#include "dotterelshift/gateway/restart_suspects.h"
+#include "dotterelshift/origins/restart_suspects.h"
 
 #include <cppunit/TestFixture.h>              // for TestFixture
 #include <cppunit/extensions/HelperMacros.h>  // for CPPUNIT_TEST
 
-namespace dotterelshift::gateway {
+namespace dotterelshift::origins {
 namespace {
 
 class RestartSuspectsTest : public CppUnit::TestFixture {
@@ -171,7 +171,7 @@
 
  private:
   static EndpointKey KeyOf(uint64_t incarnation) {
-    return gateway::KeyOf(Contact(incarnation));
+    return origins::KeyOf(Contact(incarnation));
   }
   static EndpointContact Contact(uint64_t incarnation) {
     EndpointContact contact;
@@ -197,4 +197,4 @@
 CPPUNIT_TEST_SUITE_REGISTRATION(RestartSuspectsTest);
 
 }  // namespace
-}  // namespace dotterelshift::gateway
+}  // namespace dotterelshift::origins
--- a/src/dotterelshift/gateway/service_versions.cc
+++ b/src/dotterelshift/origins/service_versions.cc
@@ -1,10 +1,10 @@
-#include "dotterelshift/gateway/service_versions.h"
+#include "dotterelshift/origins/service_versions.h"
 
 #include <xxhash.h>  // for XXH3_64bits
 
 #include <algorithm>  // for count_if, max
 
-namespace dotterelshift::gateway {
+namespace dotterelshift::origins {
 namespace {
 
 ServiceName ServiceOfRecord(const wire::EndpointRecordT& record) {
@@ -102,4 +102,4 @@
   return counts;
 }
 
-}  // namespace dotterelshift::gateway
+}  // namespace dotterelshift::origins
--- a/src/dotterelshift/gateway/service_versions_test.cc
+++ b/src/dotterelshift/origins/service_versions_test.cc
@@ -1,9 +1,9 @@
-#include "dotterelshift/gateway/service_versions.h"
+#include "dotterelshift/origins/service_versions.h"
 
 #include <cppunit/TestFixture.h>              // for TestFixture
 #include <cppunit/extensions/HelperMacros.h>  // for CPPUNIT_TEST
 
-namespace dotterelshift::gateway {
+namespace dotterelshift::origins {
 namespace {
 
 class ServiceVersionsTest : public CppUnit::TestFixture {
@@ -75,4 +75,4 @@
 CPPUNIT_TEST_SUITE_REGISTRATION(ServiceVersionsTest);
 
 }  // namespace
-}  // namespace dotterelshift::gateway
+}  // namespace dotterelshift::origins
--- a/src/dotterelshift/gateway/stream_origins.cc
+++ b/src/dotterelshift/origins/stream_origins.cc
@@ -1,10 +1,10 @@
-#include "dotterelshift/gateway/stream_origins.h"
+#include "dotterelshift/origins/stream_origins.h"
 
 #include <xxhash.h>  // for XXH3_64bits
 
 #include <string>  // for string
 
-namespace dotterelshift::gateway {
+namespace dotterelshift::origins {
 
 StreamKey StreamKeyOf(const TeamId& team, std::string_view first_caller_id) {
   std::string text = team;
@@ -119,4 +119,4 @@
   return updates;
 }
 
-}  // namespace dotterelshift::gateway
+}  // namespace dotterelshift::origins
--- a/src/dotterelshift/gateway/stream_origins_test.cc
+++ b/src/dotterelshift/origins/stream_origins_test.cc
@@ -1,11 +1,11 @@
-#include "dotterelshift/gateway/stream_origins.h"
+#include "dotterelshift/origins/stream_origins.h"
 
 #include <cppunit/TestFixture.h>              // for TestFixture
 #include <cppunit/extensions/HelperMacros.h>  // for CPPUNIT_TEST
 
 #include "dotterelshift/directory/spread.h"  // for PulseKey
 
-namespace dotterelshift::gateway {
+namespace dotterelshift::origins {
 namespace {
 
 class StreamOriginsTest : public CppUnit::TestFixture {
@@ -175,4 +175,4 @@
 CPPUNIT_TEST_SUITE_REGISTRATION(StreamOriginsTest);
 
 }  // namespace
-}  // namespace dotterelshift::gateway
+}  // namespace dotterelshift::origins
--- a/tests/scenarios/origin_fleet.cc
+++ b/tests/scenarios/origin_fleet.cc
@@ -65,7 +65,7 @@
 }
 
 size_t OriginFleetTotals::Learned() const {
-  const auto found = ended.find(gateway::LookupOutcome::kLearned);
+  const auto found = ended.find(origins::LookupOutcome::kLearned);
   return found == ended.end() ? 0 : found->second.size();
 }
 
@@ -124,11 +124,11 @@
   return m_entries[a].alive && m_entries[b].alive && (same || !cut);
 }
 
-std::vector<gateway::StreamKey> OriginFleet::Begin(size_t entry, size_t count) {
-  constexpr gateway::SoftwareKey kSoftware = 1;
-  std::vector<gateway::StreamKey> streams;
+std::vector<origins::StreamKey> OriginFleet::Begin(size_t entry, size_t count) {
+  constexpr SoftwareKey kSoftware = 1;
+  std::vector<origins::StreamKey> streams;
   for (size_t i = 0; i < count; ++i) {
-    const gateway::StreamKey stream = m_random();
+    const origins::StreamKey stream = m_random();
     streams.push_back(stream);
     for (size_t other = 0; other < m_entries.size(); ++other) {
       if (!m_entries[other].alive || DataCentreOf(other) != DataCentreOf(entry))
@@ -152,22 +152,22 @@
 }
 
 void OriginFleet::ResumeElsewhere(
-    const std::vector<gateway::StreamKey>& streams, size_t began_in,
+    const std::vector<origins::StreamKey>& streams, size_t began_in,
     Duration within) {
-  for (const gateway::StreamKey stream : streams) {
+  for (const origins::StreamKey stream : streams) {
     const Duration delay = within * (m_random() % 10'000) / 10'000;
     const size_t entry = ChooseElsewhere(began_in);
     In(delay, [this, stream, entry] { Resume(stream, entry); });
   }
 }
 
-void OriginFleet::Resume(gateway::StreamKey stream, size_t entry) {
+void OriginFleet::Resume(origins::StreamKey stream, size_t entry) {
   Entry& at = m_entries[entry];
   if (!at.alive) return;
   const auto state = at.origins->Find(stream, m_now).state;
-  if (state != gateway::OriginState::kMissing) return;
+  if (state != origins::OriginState::kMissing) return;
   if (!at.lookup->Start(stream, m_now))
-    m_totals.ended[gateway::LookupOutcome::kIncomplete].push_back(0s);
+    m_totals.ended[origins::LookupOutcome::kIncomplete].push_back(0s);
   ExchangeSoon(entry);
 }
 
@@ -209,7 +209,7 @@
     entry.responder->OnQuestion(sender, question->streams, m_now);
   if (const auto* answer = frame.body.AsOriginAnswer()) {
     entry.origins->OnUpdates(sender, answer->origins, m_now);
-    for (const gateway::StreamKey stream : answer->unclear)
+    for (const origins::StreamKey stream : answer->unclear)
       entry.origins->OnUnclear(sender, stream, m_now);
     TakeLearned(entry);
     entry.lookup->OnMissing(sender, answer->missing, answer->starting, m_now);
@@ -276,7 +276,7 @@
 }
 
 void OriginFleet::TakeLearned(Entry& entry) {
-  for (const gateway::StreamKey stream : entry.origins->TakeLearned()) {
+  for (const origins::StreamKey stream : entry.origins->TakeLearned()) {
     entry.lookup->OnLearned(stream, m_now);
     entry.responder->OnLearned(stream, m_now);
   }
@@ -292,7 +292,7 @@
     at.dialled[to] = m_now;
     Dial(entry, to);
   }
-  for (gateway::OriginQuestion& question : at.lookup->TakeQuestions(m_now)) {
+  for (origins::OriginQuestion& question : at.lookup->TakeQuestions(m_now)) {
     const size_t to = m_by_name.at(question.to);
     if (at.dialled.contains(to)) at.dialled[to] = m_now;
     wire::OriginQuestionT frame;
@@ -303,7 +303,7 @@
   at.lookup->OnTimer(m_now);
   at.responder->OnTimer(m_now);
   SendAnswers(entry);
-  for (const gateway::EndedLookup& ended : at.lookup->TakeEnded())
+  for (const origins::EndedLookup& ended : at.lookup->TakeEnded())
     m_totals.ended[ended.outcome].push_back(ended.took);
   const Instant next =
       std::min(at.lookup->NextTimer(), at.responder->NextTimer());
@@ -374,9 +374,9 @@
   at.dialling.clear();
   at.dialled.clear();
   at.askable.clear();
-  at.origins = std::make_unique<gateway::StreamOrigins>();
-  at.lookup = std::make_unique<gateway::OriginLookup>();
-  at.responder = std::make_unique<gateway::OriginResponder>(*at.origins, m_now);
+  at.origins = std::make_unique<origins::StreamOrigins>();
+  at.lookup = std::make_unique<origins::OriginLookup>();
+  at.responder = std::make_unique<origins::OriginResponder>(*at.origins, m_now);
   m_known_to_control.insert(entry);
 }
 
@@ -390,7 +390,7 @@
 }
 
 void OriginFleet::NameAskable() {
-  gateway::EntryAddresses known;
+  origins::EntryAddresses known;
   for (const size_t entry : m_known_to_control)
     known[DataCentreNameOf(entry)].push_back(m_entries[entry].name);
   for (size_t i = 0; i < m_entries.size(); ++i)
@@ -400,15 +400,15 @@
 }
 
 void OriginFleet::NameAskableTo(size_t entry,
-                                const gateway::EntryAddresses& known) {
+                                const origins::EntryAddresses& known) {
   Entry& at = m_entries[entry];
-  auto askable = gateway::AskableFor(at.name, DataCentreNameOf(entry), known);
+  auto askable = origins::AskableFor(at.name, DataCentreNameOf(entry), known);
   if (askable == at.askable) return;
   at.askable = std::move(askable);
   wire::LeaderBeatT beat;
   const size_t bytes_without = SizeOf(peers::MakeFrame(wire::LeaderBeatT()));
   beat.distant = std::make_unique<wire::DistantEntriesT>();
-  for (const gateway::DistantEntry& other : at.askable) {
+  for (const origins::DistantEntry& other : at.askable) {
     beat.distant->entries.push_back(std::make_unique<wire::DistantEntryT>());
     beat.distant->entries.back()->address = other.address;
     beat.distant->entries.back()->data_centre = other.data_centre;
--- a/tests/scenarios/origin_fleet.h
+++ b/tests/scenarios/origin_fleet.h
@@ -13,10 +13,10 @@
 
 #include "dotterelshift/base/ids.h"                  // for DataCentreId
 #include "dotterelshift/base/time.h"                 // for Instant
-#include "dotterelshift/gateway/askable_entries.h"   // for AskableFor
-#include "dotterelshift/gateway/origin_lookup.h"     // for OriginLookup
-#include "dotterelshift/gateway/origin_responder.h"  // for OriginResponder
-#include "dotterelshift/gateway/stream_origins.h"    // for StreamOrigins
+#include "dotterelshift/origins/askable_entries.h"   // for AskableFor
+#include "dotterelshift/origins/origin_lookup.h"     // for OriginLookup
+#include "dotterelshift/origins/origin_responder.h"  // for OriginResponder
+#include "dotterelshift/origins/stream_origins.h"    // for StreamOrigins
 #include "dotterelshift/peers/frame_buffer.h"        // for FrameWriter
 
 namespace dotterelshift::testing {
@@ -46,7 +46,7 @@
   std::map<OriginTraffic, uint64_t> frames;
   std::vector<uint64_t> bytes_of_entry;  // sent and received, by entry
   std::vector<uint64_t> frames_of_entry;
-  std::map<gateway::LookupOutcome, std::vector<Duration>> ended;
+  std::map<origins::LookupOutcome, std::vector<Duration>> ended;
 
   uint64_t Bytes() const;   // each counted once
   uint64_t Frames() const;  // each counted once
@@ -66,10 +66,10 @@
   explicit OriginFleet(const OriginFleetOptions& options);
 
   // Streams begin at an entry; all of its data centre know them.
-  std::vector<gateway::StreamKey> Begin(size_t entry, size_t count);
+  std::vector<origins::StreamKey> Begin(size_t entry, size_t count);
   // Callers resume the streams, each once within the time, at entries that are
   // in reach and in another data centre than the one where the streams began.
-  void ResumeElsewhere(const std::vector<gateway::StreamKey>& streams,
+  void ResumeElsewhere(const std::vector<origins::StreamKey>& streams,
                        size_t began_in, Duration within);
   void Run(Duration time);
 
@@ -97,13 +97,13 @@
     std::string name;  // host and address
     bool alive = true;
     uint64_t run = 0;
-    std::unique_ptr<gateway::StreamOrigins> origins;
-    std::unique_ptr<gateway::OriginLookup> lookup;
-    std::unique_ptr<gateway::OriginResponder> responder;
+    std::unique_ptr<origins::StreamOrigins> origins;
+    std::unique_ptr<origins::OriginLookup> lookup;
+    std::unique_ptr<origins::OriginResponder> responder;
     std::map<size_t, Peer> peers;
     std::set<size_t> dialling;
     std::map<size_t, Instant> dialled;           // when last asked
-    std::vector<gateway::DistantEntry> askable;  // as named by control
+    std::vector<origins::DistantEntry> askable;  // as named by control
     bool exchange_due = false;
   };
 
@@ -115,7 +115,7 @@
   Duration DelayBetween(size_t a, size_t b) const;
   bool IsInReach(size_t a, size_t b) const;
   size_t ChooseElsewhere(size_t began_in);
-  void Resume(gateway::StreamKey stream, size_t entry);
+  void Resume(origins::StreamKey stream, size_t entry);
 
   void Count(OriginTraffic kind, size_t bytes, size_t entry);
   size_t SizeOf(const wire::FrameT& frame);
@@ -136,7 +136,7 @@
   void CheckConnectionsOf(size_t entry);
   // As app::EntryPushes.
   void NameAskable();
-  void NameAskableTo(size_t entry, const gateway::EntryAddresses& known);
+  void NameAskableTo(size_t entry, const origins::EntryAddresses& known);
 
   const OriginFleetOptions m_options;
   std::mt19937_64 m_random;
--- a/tests/scenarios/origin_fleet_test.cc
+++ b/tests/scenarios/origin_fleet_test.cc
@@ -72,7 +72,7 @@
 
   void DataCentreThatIsCutOffDelaysNobodyForLong() {
     // Enough for each entry to have asked all of that data centre.
-    std::vector<gateway::StreamKey> cut_off;
+    std::vector<origins::StreamKey> cut_off;
     for (int i = 0; i < 5; ++i) {
       const auto begun = BeginIn(0);
       cut_off.insert(cut_off.end(), begun.begin(), begun.end());
@@ -107,8 +107,8 @@
   static constexpr OriginFleetOptions kOptions = {
       .seed = 3, .entries = 73, .data_centres = 4};
 
-  std::vector<gateway::StreamKey> BeginIn(size_t data_centre) {
-    std::vector<gateway::StreamKey> streams;
+  std::vector<origins::StreamKey> BeginIn(size_t data_centre) {
+    std::vector<origins::StreamKey> streams;
     for (size_t i = data_centre; i < kOptions.entries;
          i += kOptions.data_centres) {
       const auto begun = m_fleet.Begin(i, 20);
