--- a/include/dotterelshift/gateway/core.h
+++ b/include/dotterelshift/gateway/core.h
@@ -64,6 +64,9 @@
   // Minimum retry delay sent to a caller when this entry's outbound link is
   // saturated. It is short, as the links of other entries have capacity.
   Duration min_link_retry_after = 50ms;
+  // A request that resumes a stream waits for this long at an entry that has
+  // just started, until the endpoints of the stream's version are known.
+  Duration max_directory_wait = 300ms;
   // Minimum retry delay sent to a caller when no endpoint can run its request
   // in time.
   Duration min_retry_after = 500ms;
--- a/include/dotterelshift/origins/origin_lookup.h
+++ b/include/dotterelshift/origins/origin_lookup.h
@@ -1,6 +1,7 @@
 #ifndef DOTTERELSHIFT_ORIGINS_ORIGIN_LOOKUP_H_
 #define DOTTERELSHIFT_ORIGINS_ORIGIN_LOOKUP_H_
 
+#include <compare>        // for operator<=>
 #include <cstddef>        // for size_t
 #include <cstdint>        // for uint8_t
 #include <deque>          // for deque
@@ -33,14 +34,17 @@
   Duration unresponsive_after = 500ms;
   // Entries asked in each data centre: one of them may be about to fail.
   size_t asked_per_data_centre = 2;
+  // Control hosts asked. More than hold a copy of each origin, as others may
+  // have been connected when it was sent.
+  size_t asked_of_control = 3;
   // Bounds the memory; further streams are not looked up.
   size_t max_lookups = 20'000;
 };
 
 enum class LookupOutcome : uint8_t {
   kLearned,     // the origin has become known here
-  kNowhere,     // every other data centre has answered that it is not known
-  kIncomplete,  // a data centre could not be asked or did not answer in time
+  kNowhere,     // every group has answered that it is not known
+  kIncomplete,  // a group could not be asked or did not answer in time
 };
 std::string_view NameOf(LookupOutcome outcome);
 
@@ -48,8 +52,8 @@
   StreamKey stream = 0;
   LookupOutcome outcome = LookupOutcome::kIncomplete;
   Duration took = 0s;
-  size_t data_centres = 0;  // asked, or tried to
-  size_t answered = 0;      // of these
+  size_t groups = 0;    // asked, or tried to
+  size_t answered = 0;  // of these
 };
 
 // Streams whose origin one entry is asked for, in one frame.
@@ -58,25 +62,29 @@
   std::vector<StreamKey> streams;
 };
 
-// Asks entries of the other data centres for the origin of streams that a
-// caller resumes here.
+// Asks other daemons for the origin of streams that a caller resumes here: some
+// control hosts, and in a large fleet some entries of each other data centre.
+// Daemons of which any is likely to know the same streams are a group.
 //
 // Load pattern: in a large fleet an entry is told of the streams that begin in
-// its own data centre. When a host or a data centre fails, callers resume
-// thousands of streams in the others at once. Each data centre is asked only
-// then, for all streams of one event loop iteration together. An entry that
-// does not answer delays nobody but the streams that nobody else knows.
+// its own data centre, and one that has just started of none. When a host or a
+// data centre fails, callers resume thousands of streams in the others at once;
+// when all entries fail together, at entries that know nothing. Each group is
+// asked only then, for all streams of one event loop iteration together. A
+// daemon that does not answer delays nobody but the streams that nobody else
+// knows.
 class OriginLookup {
  public:
   explicit OriginLookup(const OriginLookupOptions& options = {})
       : m_options(options) {}
 
   // The entries that can be asked, as named by control. None: all entries are
-  // connected with each other, and there is nobody else to ask.
+  // connected with each other, and know what the others know.
   void SetEntries(const std::vector<DistantEntry>& entries);
-  bool HasEntries() const { return !m_data_centres.empty(); }
+  // Addresses of control's hosts.
+  void SetControl(const std::vector<std::string>& addresses);
 
-  // Connections to entries. Others than those that can be asked are ignored.
+  // Connections to daemons. Others than those that can be asked are ignored.
   void OnUp(const std::string& address, const HostId& host, Instant now);
   void OnDown(const std::string& address, Instant now);
   // A connection request to the address was refused or not answered.
@@ -87,9 +95,9 @@
   bool Start(StreamKey stream, Instant now);
   // The origin of a stream has become known here.
   void OnLearned(StreamKey stream, Instant now);
-  // Another entry has answered, and does not know these streams, if any.
-  // `starting`: it has not been up for long enough to know what began in its
-  // data centre.
+  // Another daemon has answered, and does not know these streams, if any.
+  // `starting`: it has not been up for long enough to know what its group
+  // knows.
   void OnMissing(const std::string& address,
                  const std::vector<StreamKey>& streams, bool starting,
                  Instant now);
@@ -118,16 +126,24 @@
   };
   using Candidates = std::vector<Candidate>;
 
-  // What one data centre was asked about one stream.
+  // Control, or the entries of a data centre.
+  struct Group {
+    bool control = false;
+    DataCentreId data_centre;
+
+    auto operator<=>(const Group&) const = default;
+  };
+
+  // What one group was asked about one stream.
   struct Inquiry {
     std::vector<std::string> awaiting;  // addresses that have not answered
     std::vector<std::string> tried;     // addresses asked or dialled so far
-    bool answered = false;              // by one that knows its data centre
+    bool answered = false;              // by one that knows its group
   };
   struct Lookup {
     Instant begun{};
     Instant sent{};  // the first question; the epoch: not yet
-    std::map<DataCentreId, Inquiry> inquiries;
+    std::map<Group, Inquiry> inquiries;
   };
 
   Candidate* Find(const std::string& address);
@@ -135,14 +151,16 @@
   // that respond first.
   static std::vector<Candidate*> RankFor(StreamKey stream,
                                          Candidates& candidates);
-  void Ask(StreamKey stream, Candidates& candidates, Inquiry& inquiry);
-  bool IsAwaited(const Inquiry& inquiry, const Candidates& candidates) const;
+  // Replaces the candidates of all groups that are control or are not.
+  void SetCandidates(bool control, const std::vector<DistantEntry>& candidates);
+  void Ask(StreamKey stream, const Group& group, Inquiry& inquiry);
+  bool IsAwaited(const Group& group, const Inquiry& inquiry) const;
   void EndIfAnswered(StreamKey stream, Instant now);
   void End(StreamKey stream, LookupOutcome outcome, Instant now);
   void MarkUnresponsive(const Lookup& lookup, Instant now);
 
   const OriginLookupOptions m_options;
-  std::map<DataCentreId, Candidates> m_data_centres;
+  std::map<Group, Candidates> m_groups;
   std::unordered_map<StreamKey, Lookup> m_lookups;
   std::vector<StreamKey> m_not_sent;  // lookups whose questions are due
   std::deque<std::pair<Instant, StreamKey>> m_by_begin;  // by first question
--- a/include/dotterelshift/origins/stream_origins.h
+++ b/include/dotterelshift/origins/stream_origins.h
@@ -59,7 +59,8 @@
 // are open, and callers resume these at any other entry, within milliseconds.
 // What the first entry knew must be elsewhere by then. An origin is sent to the
 // other entries together with the stream's first event, and all of them to an
-// entry that starts or returns.
+// entry that starts or returns. All entries may die together, so that control
+// holds copies.
 class StreamOrigins {
  public:
   explicit StreamOrigins(const StreamOriginsOptions& options = {})
@@ -92,6 +93,12 @@
   std::vector<wire::StreamOrigin> TakeUpdates() {
     return std::exchange(m_unsent, {});
   }
+  // The same for control, which is not sent load updates.
+  std::vector<wire::StreamOrigin> TakeUncopied() {
+    return std::exchange(m_uncopied, {});
+  }
+  // Of the streams that began here.
+  std::vector<wire::StreamOrigin> Own(Instant now) const;
   // What an entry needs whose connection has just been established: own
   // origins, and those of entries that can't send theirs, as they are not
   // connected.
@@ -120,6 +127,9 @@
               const RestartSuspects& restarts, Instant now);
   Entry& Merge(StreamKey stream, SoftwareKey software, const HostId& from,
                Instant now);
+  bool IsLive(const Entry& entry, Instant now) const {
+    return now - entry.since <= m_options.max_age;
+  }
   void Evict(Instant now);
 
   const StreamOriginsOptions m_options;
@@ -127,6 +137,7 @@
   std::deque<std::pair<Instant, StreamKey>> m_by_age;
   std::vector<Unproven> m_unproven;
   std::vector<wire::StreamOrigin> m_unsent;
+  std::vector<wire::StreamOrigin> m_uncopied;
   std::vector<StreamKey> m_learned;
 };
 
--- a/src/dotterelshift/app/control.cc
+++ b/src/dotterelshift/app/control.cc
@@ -13,6 +13,7 @@
 #include "dotterelshift/app/hub_options.h"         // for MakeHubOptions
 #include "dotterelshift/app/listen_options.h"      // for ListenOptions
 #include "dotterelshift/app/operator_backend.h"    // for MakeControlBackend
+#include "dotterelshift/app/origin_store.h"        // for OriginStore
 #include "dotterelshift/app/routes_control.h"      // for ControlAdapter
 #include "dotterelshift/app/routes_port.h"         // for MakeRoutesControl
 #include "dotterelshift/app/suspect_changes.h"     // for SuspectChangesIn
@@ -83,6 +84,7 @@
   uint64_t m_sequence = 0;
   std::unique_ptr<ControlAdapter> m_adapter;
   DirectoryExchange m_directory;
+  OriginStore m_origins;
   std::unique_ptr<telemetry::Metrics> m_metrics;
   std::unique_ptr<http::Server> m_server;
   std::unique_ptr<http::Server> m_metrics_server;
@@ -111,6 +113,7 @@
       m_adapter(std::move(adapter)),
       m_directory(loop, ControlSpreadOptionsOf(settings), {},
                   {[] {}, [](const std::vector<wire::CacheEventT>&) {}}),
+      m_origins(loop),
       m_metrics(telemetry::MakeMetrics()),
       m_client(http::MakeClient(loop)),
       m_orders(orders::MakeOrderCore()),
@@ -133,6 +136,7 @@
       loop, MakeHubOptions(settings, m_secret, incarnation, m_server->Port()),
       HubCallbacks());
   m_directory.SetHub(m_hub.get());
+  m_origins.Connect(m_hub.get());
   ControlReplicaOptions options;
   options.node.seed = incarnation;
   options.store.folder = settings.data_folder;
@@ -172,6 +176,7 @@
   callbacks.on_up = [this](const peers::PeerInfo& peer) { OnPeerUp(peer); };
   callbacks.on_down = [this](const peers::PeerInfo& peer) {
     m_directory.OnPeerDown(peer);
+    m_origins.OnDown(peer.run.host);
     if (m_pushes) m_pushes->OnDown(peer.run.host, m_loop.Now());
   };
   callbacks.on_frame = [this](const peers::PeerInfo& peer,
@@ -259,6 +264,7 @@
 void Control::OnPeerFrame(const peers::PeerInfo& peer,
                           const wire::FrameT& frame) {
   if (m_directory.OnFrame(peer, frame)) return;
+  if (m_origins.OnFrame(peer, frame)) return;
   if (const auto* propose = frame.body.AsPropose()) {
     OnPropose(peer, *propose);
   } else if (const auto* beat = frame.body.AsEntryBeat()) {
@@ -454,6 +460,7 @@
   SetTokenGauges(*m_metrics, m_replica->GetState());
   SetRoutesSentCounters(*m_metrics, m_pushes->Sent());
   SetHubMetrics(*m_metrics, *m_hub);
+  m_origins.SetMetrics(*m_metrics);
 }
 
 }  // namespace
--- a/src/dotterelshift/app/entry_peers.cc
+++ b/src/dotterelshift/app/entry_peers.cc
@@ -27,7 +27,7 @@
 
 void EntryPeers::OnUp(const peers::PeerInfo& entry) {
   m_parts.relays->OnEntryUp(entry);
-  m_parts.exchange->OnEntryUp(entry);
+  m_parts.exchange->OnUp(entry);
   m_parts.limits->OnEntryUp(entry.run.host, entry.data_centre, m_loop.Now());
   m_others.SendKnowledgeTo(entry, *m_parts.load, m_parts.versions->Origins(),
                            m_parts.versions->Restarts(), m_loop.Now());
@@ -35,7 +35,7 @@
 
 void EntryPeers::OnDown(const peers::PeerInfo& entry) {
   m_parts.relays->OnEntryDown(entry.run.host);
-  m_parts.exchange->OnEntryDown(entry);
+  m_parts.exchange->OnDown(entry);
   m_parts.limits->OnEntryDown(entry.run.host);
   m_parts.load->OnEntryGone(entry.run.host);
 }
--- a/src/dotterelshift/app/gateway_entry.cc
+++ b/src/dotterelshift/app/gateway_entry.cc
@@ -237,6 +237,7 @@
                    {{"peer", peer.run.host}});
     if (peer.role != wire::HostRole::Control) return m_entry_peers->OnUp(peer);
     m_directory.OnPeerUp(peer);
+    m_origins.OnUp(peer);
     m_link.OnPeerUp(peer.run.host, m_loop.Now());
     m_tick.ArmIn(0ms);
   };
@@ -246,6 +247,7 @@
     if (peer.role != wire::HostRole::Control)
       return m_entry_peers->OnDown(peer);
     m_directory.OnPeerDown(peer);
+    m_origins.OnDown(peer);
     m_link.OnPeerDown(peer.run.host, m_loop.Now());
     m_tick.ArmIn(0ms);
   };
@@ -264,6 +266,7 @@
                                const wire::FrameT& frame) {
   if (peer.role != wire::HostRole::Control)
     return m_entry_peers->OnFrame(peer, frame);
+  if (m_origins.OnFrame(peer, frame)) return;
   if (m_directory.OnFrame(peer, frame)) return;
   m_link.OnFrame(peer.run.host, frame, m_loop.Now());
   TakeFromLink();
@@ -363,6 +366,7 @@
     m_hub->Dial(address);
   m_entry_peers->SetEntryAddresses(m_link.EntryAddresses());
   m_entry_peers->SetDistantEntries(m_link.DistantEntries());
+  m_origins.SetControl(m_link.ControlAddresses());
 }
 
 void GatewayEntry::OnEndpointsChanged() {
--- a/src/dotterelshift/app/origin_exchange.cc
+++ b/src/dotterelshift/app/origin_exchange.cc
@@ -19,7 +19,8 @@
                                origins::StreamOrigins& origins)
     : m_loop(loop),
       m_origins(origins),
-      m_responder(origins, loop.Now()),
+      m_copies(origins),
+      m_answers(loop, origins),
       m_timer(loop, [] {}) {}
 
 void OriginExchange::SetEntries(
@@ -32,15 +33,35 @@
                  {{"entries", std::to_string(entries.size())}});
 }
 
-void OriginExchange::OnEntryUp(const peers::PeerInfo& entry) {
-  m_addresses[entry.run.host] = entry.address;
-  m_lookup.OnUp(entry.address, entry.run.host, m_loop.Now());
+void OriginExchange::SetControl(const std::vector<std::string>& addresses) {
+  std::set<std::string> control(addresses.begin(), addresses.end());
+  if (control == m_control) return;
+  m_control = std::move(control);
+  m_lookup.SetControl(addresses);
+  for (const auto& [host, address] : m_addresses)
+    m_lookup.OnUp(address, host, m_loop.Now());
+  TakeControlHosts();
 }
 
-void OriginExchange::OnEntryDown(const peers::PeerInfo& entry) {
-  m_addresses.erase(entry.run.host);
-  m_lookup.OnDown(entry.address, m_loop.Now());
-  m_responder.OnDown(entry.run.host);
+void OriginExchange::OnUp(const peers::PeerInfo& peer) {
+  m_addresses[peer.run.host] = peer.address;
+  m_lookup.OnUp(peer.address, peer.run.host, m_loop.Now());
+  TakeControlHosts();
+}
+
+void OriginExchange::OnDown(const peers::PeerInfo& peer) {
+  m_addresses.erase(peer.run.host);
+  m_lookup.OnDown(peer.address, m_loop.Now());
+  m_answers.OnDown(peer.run.host);
+  TakeControlHosts();
+}
+
+// Those that hold copies: connected, and members of control.
+void OriginExchange::TakeControlHosts() {
+  origins::OriginCopies::Hosts hosts;
+  for (const auto& [host, address] : m_addresses)
+    if (m_control.contains(address)) hosts.emplace(host, address);
+  m_copies.SetHosts(hosts, m_loop.Now());
 }
 
 void OriginExchange::OnDialEnded(const peers::DialReport& report) {
@@ -51,7 +72,7 @@
 bool OriginExchange::OnFrame(const peers::PeerInfo& peer,
                              const wire::FrameT& frame) {
   if (const auto* question = frame.body.AsOriginQuestion()) {
-    OnQuestion(peer, *question);
+    m_answers.OnQuestion(peer, *question);
     return true;
   }
   const auto* answer = frame.body.AsOriginAnswer();
@@ -59,12 +80,6 @@
   return answer != nullptr;
 }
 
-void OriginExchange::OnQuestion(const peers::PeerInfo& peer,
-                                const wire::OriginQuestionT& question) {
-  m_totals.received += question.streams.size();
-  m_responder.OnQuestion(peer.run.host, question.streams, m_loop.Now());
-}
-
 // What is learned counts for this entry's own view from then on.
 void OriginExchange::OnAnswer(const peers::PeerInfo& peer,
                               const wire::OriginAnswerT& answer) {
@@ -79,7 +94,7 @@
 
 void OriginExchange::TakeLearned(Instant now) {
   for (const origins::StreamKey stream : m_origins.TakeLearned()) {
-    m_responder.OnLearned(stream, now);
+    m_answers.OnLearned(stream);
     m_lookup.OnLearned(stream, now);
   }
 }
@@ -88,12 +103,12 @@
   const Instant now = m_loop.Now();
   TakeLearned(now);
   Dial(now);
+  SendCopies();
   SendQuestions(now);
   m_lookup.OnTimer(now);
-  m_responder.OnTimer(now);
-  SendAnswers(now);
+  m_answers.Send(*m_hub);
   HangUpIdle(now);
-  const Instant next = std::min(m_lookup.NextTimer(), m_responder.NextTimer());
+  const Instant next = std::min(m_lookup.NextTimer(), m_answers.NextTimer());
   if (next != Instant::max()) m_timer.ArmAt(next);
   std::vector<origins::EndedLookup> ended = m_lookup.TakeEnded();
   for (const origins::EndedLookup& lookup : ended)
@@ -104,7 +119,8 @@
 void OriginExchange::Dial(Instant now) {
   for (const std::string& address : m_lookup.TakeDials()) {
     m_hub->Dial(address);
-    m_dialled[address] = now;
+    // Connections to control stay.
+    if (!m_control.contains(address)) m_dialled[address] = now;
   }
 }
 
@@ -120,6 +136,17 @@
   });
 }
 
+// In the same event loop iteration as the streams' first events.
+void OriginExchange::SendCopies() {
+  m_copies.Add(m_origins.TakeUncopied());
+  for (auto& [host, copies] : m_copies.TakeCopies()) {
+    m_totals.copied += copies.size();
+    wire::LoadNotesT frame;
+    frame.origins = std::move(copies);
+    m_hub->Send(host, peers::MakeFrame(std::move(frame)));
+  }
+}
+
 void OriginExchange::SendQuestions(Instant now) {
   for (origins::OriginQuestion& question : m_lookup.TakeQuestions(now)) {
     m_totals.asked += question.streams.size();
@@ -132,24 +159,16 @@
   }
 }
 
-void OriginExchange::SendAnswers(Instant now) {
-  for (auto& [host, answer] : m_responder.TakeAnswers(now)) {
-    wire::OriginAnswerT frame;
-    frame.origins = std::move(answer.known);
-    frame.unclear = std::move(answer.unclear);
-    frame.missing = std::move(answer.missing);
-    frame.starting = answer.starting;
-    m_hub->Send(host, peers::MakeFrame(std::move(frame)));
-  }
-}
-
 void OriginExchange::SetMetrics(telemetry::Metrics& metrics) const {
   metrics.SetCounter("dotterelshift_origin_questions_asked_total",
-                     "Origins of streams asked for, one for each entry asked",
+                     "Origins of streams asked for, one for each daemon asked",
                      static_cast<double>(m_totals.asked));
   metrics.SetCounter("dotterelshift_origin_questions_received_total",
                      "Origins of streams that other entries asked for",
-                     static_cast<double>(m_totals.received));
+                     static_cast<double>(m_answers.Received()));
+  metrics.SetCounter("dotterelshift_origins_copied_total",
+                     "Origins of streams sent to control, one for each host",
+                     static_cast<double>(m_totals.copied));
   for (const auto& [outcome, count] : m_totals.ended) {
     metrics.SetCounter("dotterelshift_origin_lookups_" +
                            std::string(NameOf(outcome)) + "_total",
--- a/src/dotterelshift/app/origin_exchange.h
+++ b/src/dotterelshift/app/origin_exchange.h
@@ -4,24 +4,26 @@
 #include <cstdint>     // for uint64_t
 #include <functional>  // for function
 #include <map>         // for map
+#include <set>         // for set
 #include <string>      // for string
 #include <utility>     // for move
 #include <vector>      // for vector
 
-#include "dotterelshift/loop/loop.h"                 // for Loop, Timer
-#include "dotterelshift/origins/askable_entries.h"   // for AskedEntries
-#include "dotterelshift/origins/origin_lookup.h"     // for OriginLookup
-#include "dotterelshift/origins/origin_responder.h"  // for OriginResponder
-#include "dotterelshift/origins/stream_origins.h"    // for StreamOrigins
-#include "dotterelshift/peers/hub.h"                 // for Hub
-#include "dotterelshift/telemetry/metrics.h"         // for Metrics
+#include "dotterelshift/app/origin_answers.h"       // for OriginAnswers
+#include "dotterelshift/loop/loop.h"                // for Loop, Timer
+#include "dotterelshift/origins/askable_entries.h"  // for AskedEntries
+#include "dotterelshift/origins/origin_copies.h"    // for OriginCopies
+#include "dotterelshift/origins/origin_lookup.h"    // for OriginLookup
+#include "dotterelshift/origins/stream_origins.h"   // for StreamOrigins
+#include "dotterelshift/peers/hub.h"                // for Hub
+#include "dotterelshift/telemetry/metrics.h"        // for Metrics
 
 namespace dotterelshift::app {
 
-// Exchanges origins of streams with entries of other data centres: asks them
-// when a caller resumes a stream that is not known here, and answers them.
-// Connections are made for the first question and ended when none was asked for
-// a while.
+// Exchanges origins of streams with control and with entries of other data
+// centres: sends control copies, asks both when a caller resumes a stream that
+// is not known here, and answers entries. Connections to entries are made for
+// the first question and ended when none was asked for a while.
 class OriginExchange {
  public:
   // `origins` must outlive this object.
@@ -39,8 +41,10 @@
   // Entries that can be asked, as named by control; to be called again and
   // again.
   void SetEntries(const std::vector<origins::DistantEntry>& entries);
-  void OnEntryUp(const peers::PeerInfo& entry);
-  void OnEntryDown(const peers::PeerInfo& entry);
+  // Addresses of control's hosts, to be called again and again.
+  void SetControl(const std::vector<std::string>& addresses);
+  void OnUp(const peers::PeerInfo& peer);
+  void OnDown(const peers::PeerInfo& peer);
   void OnDialEnded(const peers::DialReport& report);
   // Returns false if the frame is neither a question nor an answer.
   bool OnFrame(const peers::PeerInfo& peer, const wire::FrameT& frame);
@@ -51,31 +55,32 @@
 
  private:
   struct Totals {
-    uint64_t asked = 0;  // questions, one for each stream and entry
-    uint64_t received = 0;
+    uint64_t asked = 0;   // questions, one for each stream and daemon
+    uint64_t copied = 0;  // origins sent to control
     std::map<origins::LookupOutcome, uint64_t> ended;
   };
 
-  void OnQuestion(const peers::PeerInfo& peer,
-                  const wire::OriginQuestionT& question);
   void OnAnswer(const peers::PeerInfo& peer, const wire::OriginAnswerT& answer);
   void TakeLearned(Instant now);
   void Dial(Instant now);
   void HangUpIdle(Instant now);
+  void TakeControlHosts();
+  void SendCopies();
   void SendQuestions(Instant now);
-  void SendAnswers(Instant now);
 
   loop::Loop& m_loop;
   origins::StreamOrigins& m_origins;
   origins::OriginLookup m_lookup;
-  origins::OriginResponder m_responder;
+  origins::OriginCopies m_copies;
+  OriginAnswers m_answers;
   loop::Timer m_timer;
   peers::Hub* m_hub = nullptr;
   std::function<bool(const std::string& address)> m_may_hang_up;
   origins::AskedEntries m_asked;
   // Addresses that were dialled to ask, and when one was last asked.
   std::map<std::string, Instant> m_dialled;
-  std::map<HostId, std::string> m_addresses;  // of connected entries
+  std::map<HostId, std::string> m_addresses;  // of connected daemons
+  std::set<std::string> m_control;            // addresses of control's hosts
   Totals m_totals;
 };
 
--- a/src/dotterelshift/app/origin_exchange_test.cc
+++ b/src/dotterelshift/app/origin_exchange_test.cc
@@ -60,7 +60,7 @@
     CPPUNIT_ASSERT(m_asking.exchange.Exchange().empty());
     CPPUNIT_ASSERT(m_asking.hub.dials ==
                    std::vector<std::string>{m_asked.self.address});
-    m_asking.exchange.OnEntryUp(m_asked.self);
+    m_asking.exchange.OnUp(m_asked.self);
     CPPUNIT_ASSERT(m_asking.exchange.Exchange().empty());
     Deliver(m_asking, m_asked);
     m_asked.exchange.Exchange();
--- a/src/dotterelshift/gateway/active_request.h
+++ b/src/dotterelshift/gateway/active_request.h
@@ -18,7 +18,9 @@
 inline constexpr uint32_t kMaxSends = 4;
 
 enum class Stage : uint8_t {
-  kWaitsForOrigin,  // other entries are asked for its stream's origin
+  kWaitsForOrigin,     // others are asked for its stream's origin
+  kWaitsForDirectory,  // the endpoints of its stream's version are not known
+                       // yet
   kWaitsForBudget,
   kWaitsForTrial,     // a segment is suspected; control decides on a trial
   kWaitsForEndpoint,  // all endpoints are full
@@ -76,11 +78,11 @@
 
 // Why a stream is not resumed.
 enum class ResumptionRefusal : uint8_t {
-  kOriginUnknown,      // several versions are known, and not which one began it
+  kOriginUnknown,      // several versions or services may have begun it
   kOriginUnclear,      // two streams have its id
   kVersionGone,        // no endpoint of its version serves
   kServiceNotAllowed,  // its route no longer leads to the service
-  kViewIncomplete,     // one version is known, but there may be others
+  kViewIncomplete,     // there may be versions that are not known here
 };
 std::string_view NameOf(ResumptionRefusal why);
 
--- a/src/dotterelshift/gateway/core.cc
+++ b/src/dotterelshift/gateway/core.cc
@@ -46,6 +46,7 @@
   m_dependencies.restarts->Update(now);
   m_dependencies.origins->Update(directory, *m_dependencies.restarts, now);
   LeaveRestartedEndpoints(directory, now);
+  if (!m_view_complete_since) AdmitWaitingForDirectory(now);
 }
 
 void CoreImpl::LogArrivals(const directory::Directory& directory, Instant now) {
@@ -274,6 +275,8 @@
   switch (active.stage) {
     case Stage::kWaitsForOrigin:
       return;
+    case Stage::kWaitsForDirectory:
+      return AdmitResumed(active, now);
     case Stage::kWaitsForBudget:
       if (now < active.wait_until) return ReserveBudget(active, now);
       return FailForBudget(active, ErrorKind::kBudgetUnavailable, now);
--- a/src/dotterelshift/gateway/core_finish.cc
+++ b/src/dotterelshift/gateway/core_finish.cc
@@ -14,6 +14,8 @@
   switch (stage) {
     case Stage::kWaitsForOrigin:
       return "waits_for_origin";
+    case Stage::kWaitsForDirectory:
+      return "waits_for_directory";
     case Stage::kWaitsForBudget:
       return "waits_for_tokens";
     case Stage::kWaitsForTrial:
--- a/src/dotterelshift/gateway/core_impl.h
+++ b/src/dotterelshift/gateway/core_impl.h
@@ -174,18 +174,29 @@
 
   // Versions of streams (core_streams.cc).
   // Binds a stream that its caller resumes to the version that began it.
-  // Returns why that is not possible; nullopt: it is bound.
-  std::optional<ResumptionRefusal> BindResumed(ActiveRequest& active,
-                                               Instant now) const;
+  // Return why that is not possible; nullopt: it is bound.
+  std::optional<ResumptionRefusal> BindResumed(
+      ActiveRequest& active, const origins::KnownOrigin& known,
+      Instant now) const;
   std::optional<ResumptionRefusal> BindToOrigin(
       ActiveRequest& active, const origins::KnownOrigin& known) const;
-  // Asks other entries for the stream's origin. Returns false if that is of no
-  // use or nobody can be asked.
-  bool LookUpOrigin(ActiveRequest& active, ResumptionRefusal why, Instant now);
+  std::optional<ResumptionRefusal> BindToOnlyVersion(ActiveRequest& active,
+                                                     Instant now) const;
+  origins::KnownOrigin FindOrigin(const ActiveRequest& active,
+                                  Instant now) const;
+  // Asks other daemons for the stream's origin. Returns false if nobody can be
+  // asked, or has been.
+  bool LookUpOrigin(ActiveRequest& active, Instant now);
+  // Lets the request wait for the endpoints of the stream's version. Returns
+  // false if it has waited for long enough, or need not wait.
+  bool WaitForDirectory(ActiveRequest& active, ResumptionRefusal why,
+                        Instant now);
+  void AdmitWaitingForDirectory(Instant now);
   void RefuseResumption(ActiveRequest& active, ResumptionRefusal why,
                         Instant now);
-  std::optional<SoftwareKey> ProvenOnlyVersion(const ActiveRequest& active,
-                                               Instant now) const;
+  // Whether this entry has known all endpoints and routes since before the
+  // stream can have begun.
+  bool KnewAllThroughout(const ActiveRequest& active, Instant now) const;
   // An event of an unbound stream was passed on.
   void BindToAttempt(ActiveRequest& active, Instant now);
   std::vector<EndpointKey> SuspectedEndpoints(const ActiveRequest& active,
--- /dev/null
+++ b/src/dotterelshift/gateway/core_killed_fleet_test.cc
@@ -0,0 +1,156 @@
+// All entries were killed at once. One that has just started knows endpoints
+// and routes as they are now, and not what began the streams that callers
+// resume.
+#include <cppunit/extensions/HelperMacros.h>  // for CPPUNIT_TEST
+
+#include "dotterelshift/gateway/core_testing.h"  // for CoreFixture
+
+namespace dotterelshift::gateway {
+namespace {
+
+class CoreKilledFleetTest : public CoreFixture {
+  CPPUNIT_TEST_SUITE(CoreKilledFleetTest);
+  CPPUNIT_TEST(OneVersionAndOneServiceAreEnoughIfBothWereWatched);
+  CPPUNIT_TEST(ControlIsAskedBeforeTheOnlyVersionIsTaken);
+  CPPUNIT_TEST(UnclearOriginIsRefusedThoughOneVersionIsKnown);
+  CPPUNIT_TEST(StreamWaitsForTheEndpointsOfItsVersion);
+  CPPUNIT_TEST(WaitForTheDirectoryIsShort);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void setUp() override {
+    CoreFixture::setUp();
+    CoreDependencies parts = Parts();
+    parts.lookup = &m_lookup;
+    m_core = MakeCore(CoreOptions(), parts);
+    PublishStreams({{"llm", 1}});
+    AnnounceEngine("a", "llm");
+    AnnounceEngine("b", "other");
+    m_now += 100s;
+    m_core->OnViewComplete(m_now - 50s);
+  }
+
+  void OneVersionAndOneServiceAreEnoughIfBothWereWatched() {
+    Resume("");
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, Count<StartAttempt>());
+  }
+
+  void ControlIsAskedBeforeTheOnlyVersionIsTaken() {
+    AskControl();
+    Resume("first");
+    CPPUNIT_ASSERT(m_last.empty());
+    Learn("first", "llm", "v0");
+    ExpectRefused();
+  }
+
+  void UnclearOriginIsRefusedThoughOneVersionIsKnown() {
+    m_origins->OnUnclear("control", origins::StreamKeyOf("team", "first"),
+                         m_now);
+    Resume("first");
+    ExpectRefused();
+  }
+
+  void StreamWaitsForTheEndpointsOfItsVersion() {
+    BeginWithoutDirectory();
+    Resume("first");
+    CPPUNIT_ASSERT(m_last.empty());
+    m_now += 40ms;
+    AnnounceEngine("a", "llm");
+    CPPUNIT_ASSERT_EQUAL(std::string("a"), Only<StartAttempt>().endpoint.id);
+  }
+
+  void WaitForTheDirectoryIsShort() {
+    BeginWithoutDirectory();
+    Resume("first");
+    Advance(299ms);
+    CPPUNIT_ASSERT(m_last.empty());
+    Advance(1ms);
+    ExpectRefused();
+  }
+
+ private:
+  // `longer`: service of a further route, which takes requests of the first.
+  void PublishStreams(const std::vector<WeightedService>& services,
+                      const ServiceName& longer = "") {
+    Routes routes;
+    routes.version = ++m_version;
+    Route route = RouteOf("/resume/", RouteKind::kStream, "", 2);
+    route.resumable = true;
+    route.services = services;
+    routes.routes.push_back(route);
+    if (!longer.empty()) {
+      route.path_prefix = "/resume/x/";
+      route.services = {{longer, 1}};
+      routes.routes.push_back(route);
+    }
+    for (const char* name : {"llm", "other"})
+      routes.services.push_back({name, 10, EngineCapacity{8, 100'000, 6}});
+    routes.teams = {{"team", {"key"}, std::nullopt, std::nullopt}};
+    m_core->OnRoutes(std::make_shared<const RouteTable>(std::move(routes)), 1,
+                     m_now);
+  }
+
+  void AnnounceEngine(const EndpointId& id, const ServiceName& service) {
+    wire::EndpointRecordT record;
+    record.id = id;
+    record.sequence = 1;
+    record.address = id + ":80";
+    record.services = {service};
+    record.slots = 6;
+    record.software_version = "v1";
+    m_directory.OnRecord(record, m_now);
+    m_core->OnEndpointsChanged(m_directory, m_now);
+    Collect();
+  }
+
+  void BeginWithoutDirectory() {
+    m_directory = directory::Directory();
+    m_versions = origins::ServiceVersions();
+    m_core->OnEndpointsChanged(m_directory, m_now);
+    m_core->OnViewComplete(std::nullopt);
+    Collect();
+    Tell("first", "llm", "v1");
+  }
+
+  void AskControl() {
+    m_lookup.SetControl({"c:1"});
+    m_lookup.OnUp("c:1", "control", m_now);
+  }
+
+  void Tell(const std::string& first, const ServiceName& service,
+            const std::string& version) {
+    m_origins->OnUpdates("control",
+                         {{origins::StreamKeyOf("team", first),
+                           origins::SoftwareKeyOf(service, version)}},
+                         m_now);
+  }
+
+  void Learn(const std::string& first, const ServiceName& service,
+             const std::string& version) {
+    Tell(first, service, version);
+    m_lookup.OnLearned(origins::StreamKeyOf("team", first), m_now);
+    m_core->OnOriginsLookedUp(m_lookup.TakeEnded(), m_now);
+    Collect();
+  }
+
+  void Resume(const std::string& first) {
+    RequestInfo info = MakeRequestInfo("/resume/x/");
+    info.last_event_id = "3";
+    info.first_caller_id = first;
+    m_core->OnRequest(kRequest, info, m_now);
+    Collect();
+  }
+
+  void ExpectRefused() {
+    CPPUNIT_ASSERT(Only<Refuse>().kind == ErrorKind::kNotResumable);
+    CPPUNIT_ASSERT(RowOf(Only<Refuse>().kind).ran == Ran::kNo);
+  }
+
+  uint64_t m_version = 0;
+  origins::OriginLookup m_lookup;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(CoreKilledFleetTest);
+
+}  // namespace
+}  // namespace dotterelshift::gateway
--- a/src/dotterelshift/gateway/core_origin_lookup_test.cc
+++ b/src/dotterelshift/gateway/core_origin_lookup_test.cc
@@ -70,6 +70,7 @@
 
   // Its origin is known, and no endpoint of the version serves.
   void StreamThatCannotGoOnIsNotLookedUp() {
+    m_core->OnViewComplete(m_now);
     Tell("first", "v3");
     Resume("first");
     CPPUNIT_ASSERT(Only<Refuse>().kind == ErrorKind::kNotResumable);
--- a/src/dotterelshift/gateway/core_streams.cc
+++ b/src/dotterelshift/gateway/core_streams.cc
@@ -46,34 +46,58 @@
   return "unknown";
 }
 
+origins::KnownOrigin CoreImpl::FindOrigin(const ActiveRequest& active,
+                                          Instant now) const {
+  const std::string& first = active.info.first_caller_id;
+  if (first.empty()) return {};
+  return m_dependencies.origins->Find(origins::StreamKeyOf(active.team, first),
+                                      now);
+}
+
 // What two software versions write does not fit together. A stream whose
 // origin is not known is therefore not resumed by guessing.
-std::optional<ResumptionRefusal> CoreImpl::BindResumed(ActiveRequest& active,
-                                                       Instant now) const {
-  const std::string& first = active.info.first_caller_id;
-  const origins::KnownOrigin known =
-      first.empty() ? origins::KnownOrigin()
-                    : m_dependencies.origins->Find(
-                          origins::StreamKeyOf(active.team, first), now);
-  if (known.state == origins::OriginState::kKnown)
-    return BindToOrigin(active, known);
-  const std::optional<SoftwareKey> only = ProvenOnlyVersion(active, now);
-  if (!only) {
-    if (known.state == origins::OriginState::kUnclear)
+std::optional<ResumptionRefusal> CoreImpl::BindResumed(
+    ActiveRequest& active, const origins::KnownOrigin& known,
+    Instant now) const {
+  switch (known.state) {
+    case origins::OriginState::kKnown:
+      return BindToOrigin(active, known);
+    case origins::OriginState::kUnclear:
       return ResumptionRefusal::kOriginUnclear;
-    return m_dependencies.versions->Only(active.service)
-               ? ResumptionRefusal::kViewIncomplete
-               : ResumptionRefusal::kOriginUnknown;
+    case origins::OriginState::kMissing:
+      break;
   }
+  return BindToOnlyVersion(active, now);
+}
+
+// The only version of the only service that the request's route has led to.
+std::optional<ResumptionRefusal> CoreImpl::BindToOnlyVersion(
+    ActiveRequest& active, Instant now) const {
+  const std::optional<SoftwareKey> only =
+      m_dependencies.versions->Only(active.service);
+  if (!only)
+    return ResumptionRefusal::kOriginUnknown;
+  if (!KnewAllThroughout(active, now) || HasSuspects(*only))
+    return ResumptionRefusal::kViewIncomplete;
   active.binding = {*only, BindingSource::kOneVersion, 0s};
   return std::nullopt;
 }
 
+bool CoreImpl::KnewAllThroughout(const ActiveRequest& active,
+                                 Instant now) const {
+  const Instant begin =
+      now - active.route->timeout * m_options.stream_life_timeouts;
+  return m_view_complete_since && *m_view_complete_since <= begin;
+}
+
 std::optional<ResumptionRefusal> CoreImpl::BindToOrigin(
     ActiveRequest& active, const origins::KnownOrigin& known) const {
   const SoftwareKey software = known.software;
   const std::optional<ServiceName> service =
       m_dependencies.versions->ServiceOf(software);
+  // An entry that has just started may not know of its endpoints yet.
+  if (!service && !m_view_complete_since)
+    return ResumptionRefusal::kViewIncomplete;
   if (!service || !m_dependencies.versions->Serves(software))
     return ResumptionRefusal::kVersionGone;
   if (!AllowsService(*active.route, *service))
@@ -87,21 +111,21 @@
 }
 
 void CoreImpl::AdmitResumed(ActiveRequest& active, Instant now) {
-  const std::optional<ResumptionRefusal> why = BindResumed(active, now);
-  if (why && LookUpOrigin(active, *why, now)) return;
+  const origins::KnownOrigin known = FindOrigin(active, now);
+  const bool missing = known.state == origins::OriginState::kMissing;
+  if (missing && LookUpOrigin(active, now)) return;
+  const std::optional<ResumptionRefusal> why = BindResumed(active, known, now);
+  if (why && !missing && WaitForDirectory(active, *why, now)) return;
   if (why) return RefuseResumption(active, *why, now);
   ++m_resumptions.accepted;
   AdmitToService(active, now);
 }
 
-// A stream may have begun at an entry that does not send its origins here.
-bool CoreImpl::LookUpOrigin(ActiveRequest& active, ResumptionRefusal why,
-                            Instant now) {
-  const bool missing = why == ResumptionRefusal::kOriginUnknown ||
-                       why == ResumptionRefusal::kViewIncomplete;
+// A stream may have begun at an entry that does not send its origins here, or
+// before this entry started.
+bool CoreImpl::LookUpOrigin(ActiveRequest& active, Instant now) {
   const std::string& first = active.info.first_caller_id;
-  if (!missing || active.lookup || first.empty() ||
-      m_dependencies.lookup == nullptr)
+  if (active.lookup || first.empty() || m_dependencies.lookup == nullptr)
     return false;
   const origins::StreamKey stream = origins::StreamKeyOf(active.team, first);
   if (!m_dependencies.lookup->Start(stream, now)) return false;
@@ -111,6 +135,27 @@
   return true;
 }
 
+// An entry that has just started knows an origin before it knows the endpoints.
+bool CoreImpl::WaitForDirectory(ActiveRequest& active, ResumptionRefusal why,
+                                Instant now) {
+  const Instant until = active.arrived + m_options.max_directory_wait;
+  if (why != ResumptionRefusal::kViewIncomplete || now >= until) return false;
+  if (active.stage != Stage::kWaitsForDirectory) SetTimer(active, until);
+  active.stage = Stage::kWaitsForDirectory;
+  return true;
+}
+
+void CoreImpl::AdmitWaitingForDirectory(Instant now) {
+  std::vector<RequestId> waiting;
+  for (const auto& [id, active] : m_active)
+    if (active.stage == Stage::kWaitsForDirectory) waiting.push_back(id);
+  std::ranges::sort(waiting);
+  for (const RequestId id : waiting) {
+    const auto found = m_active.find(id);
+    if (found != m_active.end()) AdmitResumed(found->second, now);
+  }
+}
+
 void CoreImpl::OnOriginsLookedUp(
     const std::vector<origins::EndedLookup>& lookups, Instant now) {
   for (const origins::EndedLookup& lookup : lookups) {
@@ -128,27 +173,13 @@
   }
 }
 
-// The only version of the request's service, if this entry knows of all
-// endpoints since before the stream can have begun.
-std::optional<SoftwareKey> CoreImpl::ProvenOnlyVersion(
-    const ActiveRequest& active, Instant now) const {
-  const Duration life = active.route->timeout * m_options.stream_life_timeouts;
-  const bool complete =
-      m_view_complete_since && *m_view_complete_since <= now - life;
-  if (!complete) return std::nullopt;
-  const std::optional<SoftwareKey> only =
-      m_dependencies.versions->Only(active.service);
-  return only && HasSuspects(*only) ? std::nullopt : only;
-}
-
 // What asking other entries for the stream's origin has yielded.
 void CoreImpl::AddLookup(const ActiveRequest& active, LogInputs& inputs) {
   if (!active.lookup) return;
   const origins::EndedLookup& lookup = *active.lookup;
   inputs.emplace_back("lookup", std::string(NameOf(lookup.outcome)));
   inputs.emplace_back("lookup_ms", std::to_string(ToMs(lookup.took)));
-  inputs.emplace_back("asked_data_centres",
-                      std::to_string(lookup.data_centres));
+  inputs.emplace_back("asked_groups", std::to_string(lookup.groups));
   inputs.emplace_back("answered", std::to_string(lookup.answered));
 }
 
--- a/src/dotterelshift/origins/origin_lookup.cc
+++ b/src/dotterelshift/origins/origin_lookup.cc
@@ -1,9 +1,9 @@
 #include "dotterelshift/origins/origin_lookup.h"
 
-#include <xxhash.h>  // for XXH3_64bits_withSeed
-
 #include <algorithm>  // for count_if, find, sort
 
+#include "dotterelshift/origins/rendezvous.h"  // for RendezvousRank
+
 namespace dotterelshift::origins {
 namespace {
 
@@ -12,10 +12,6 @@
   return std::ranges::find(addresses, address) != addresses.end();
 }
 
-uint64_t RankOf(StreamKey stream, const std::string& address) {
-  return XXH3_64bits_withSeed(address.data(), address.size(), stream);
-}
-
 }  // namespace
 
 std::string_view NameOf(LookupOutcome outcome) {
@@ -31,22 +27,35 @@
 }
 
 void OriginLookup::SetEntries(const std::vector<DistantEntry>& entries) {
-  const auto before = std::exchange(m_data_centres, {});
-  for (const DistantEntry& entry : entries) {
+  SetCandidates(false, entries);
+}
+
+void OriginLookup::SetControl(const std::vector<std::string>& addresses) {
+  std::vector<DistantEntry> hosts;
+  for (const std::string& address : addresses) hosts.push_back({address, ""});
+  SetCandidates(true, hosts);
+}
+
+void OriginLookup::SetCandidates(bool control,
+                                 const std::vector<DistantEntry>& candidates) {
+  std::map<std::string, Candidate> before;
+  for (const auto& [group, known] : m_groups)
+    for (const Candidate& candidate : known)
+      before[candidate.address] = candidate;
+  std::erase_if(m_groups, [control](const auto& item) {
+    return item.first.control == control;
+  });
+  for (const auto& [address, data_centre] : candidates) {
     Candidate candidate;
-    candidate.address = entry.address;
-    const auto same = before.find(entry.data_centre);
-    if (same != before.end()) {
-      const auto known =
-          std::ranges::find(same->second, entry.address, &Candidate::address);
-      if (known != same->second.end()) candidate = *known;
-    }
-    m_data_centres[entry.data_centre].push_back(candidate);
+    candidate.address = address;
+    const auto known = before.find(address);
+    if (known != before.end()) candidate = known->second;
+    m_groups[{control, data_centre}].push_back(candidate);
   }
 }
 
 OriginLookup::Candidate* OriginLookup::Find(const std::string& address) {
-  for (auto& [data_centre, candidates] : m_data_centres) {
+  for (auto& [group, candidates] : m_groups) {
     const auto found =
         std::ranges::find(candidates, address, &Candidate::address);
     if (found != candidates.end()) return &*found;
@@ -60,18 +69,22 @@
   for (Candidate& candidate : candidates) ranked.push_back(&candidate);
   std::ranges::sort(ranked, [stream](const Candidate* a, const Candidate* b) {
     if (a->unresponsive != b->unresponsive) return b->unresponsive;
-    return RankOf(stream, a->address) < RankOf(stream, b->address);
+    return RendezvousRank(stream, a->address) <
+           RendezvousRank(stream, b->address);
   });
   return ranked;
 }
 
 // Asks as many candidates as wanted. Those that are not connected are dialled,
 // and asked once they are.
-void OriginLookup::Ask(StreamKey stream, Candidates& candidates,
-                       Inquiry& inquiry) {
+void OriginLookup::Ask(StreamKey stream, const Group& group, Inquiry& inquiry) {
+  const auto candidates = m_groups.find(group);
+  if (candidates == m_groups.end()) return;
+  const size_t wanted = group.control ? m_options.asked_of_control
+                                      : m_options.asked_per_data_centre;
   size_t open = inquiry.awaiting.size();
-  for (Candidate* candidate : RankFor(stream, candidates)) {
-    if (open >= m_options.asked_per_data_centre) return;
+  for (Candidate* candidate : RankFor(stream, candidates->second)) {
+    if (open >= wanted) return;
     if (Contains(inquiry.tried, candidate->address)) continue;
     inquiry.tried.push_back(candidate->address);
     inquiry.awaiting.push_back(candidate->address);
@@ -86,14 +99,14 @@
 }
 
 bool OriginLookup::Start(StreamKey stream, Instant now) {
-  if (!HasEntries()) return false;
+  if (m_groups.empty()) return false;
   if (m_lookups.contains(stream)) return true;
   if (m_lookups.size() >= m_options.max_lookups) return false;
   Lookup& lookup = m_lookups[stream];
   lookup.begun = now;
   m_not_sent.push_back(stream);
-  for (auto& [data_centre, candidates] : m_data_centres)
-    Ask(stream, candidates, lookup.inquiries[data_centre]);
+  for (const auto& [group, candidates] : m_groups)
+    Ask(stream, group, lookup.inquiries[group]);
   EndIfAnswered(stream, now);
   return true;
 }
@@ -108,7 +121,7 @@
   candidate->unresponsive = false;
   candidate->asked_since.reset();
   for (auto& [stream, lookup] : m_lookups) {
-    for (const auto& [data_centre, inquiry] : lookup.inquiries)
+    for (const auto& [group, inquiry] : lookup.inquiries)
       if (Contains(inquiry.awaiting, address))
         m_questions[host].push_back(stream);
   }
@@ -125,11 +138,9 @@
   m_questions.erase(candidate->host);
   std::vector<StreamKey> lost;
   for (auto& [stream, lookup] : m_lookups) {
-    for (auto& [data_centre, inquiry] : lookup.inquiries) {
+    for (auto& [group, inquiry] : lookup.inquiries) {
       if (std::erase(inquiry.awaiting, address) == 0) continue;
-      const auto candidates = m_data_centres.find(data_centre);
-      if (candidates != m_data_centres.end())
-        Ask(stream, candidates->second, inquiry);
+      Ask(stream, group, inquiry);
       lost.push_back(stream);
     }
   }
@@ -157,34 +168,31 @@
   for (const StreamKey stream : streams) {
     const auto found = m_lookups.find(stream);
     if (found == m_lookups.end()) continue;
-    for (auto& [data_centre, inquiry] : found->second.inquiries) {
+    for (auto& [group, inquiry] : found->second.inquiries) {
       if (std::erase(inquiry.awaiting, address) == 0) continue;
       if (!starting) inquiry.answered = true;
-      const auto candidates = m_data_centres.find(data_centre);
-      if (starting && candidates != m_data_centres.end())
-        Ask(stream, candidates->second, inquiry);
+      if (starting) Ask(stream, group, inquiry);
     }
     EndIfAnswered(stream, now);
   }
 }
 
-bool OriginLookup::IsAwaited(const Inquiry& inquiry,
-                             const Candidates& candidates) const {
-  return std::ranges::any_of(candidates, [&](const Candidate& candidate) {
-    return !candidate.unresponsive &&
-           Contains(inquiry.awaiting, candidate.address);
-  });
+bool OriginLookup::IsAwaited(const Group& group, const Inquiry& inquiry) const {
+  const auto candidates = m_groups.find(group);
+  if (candidates == m_groups.end()) return false;
+  return std::ranges::any_of(
+      candidates->second, [&inquiry](const Candidate& candidate) {
+        return !candidate.unresponsive &&
+               Contains(inquiry.awaiting, candidate.address);
+      });
 }
 
 void OriginLookup::EndIfAnswered(StreamKey stream, Instant now) {
   const auto found = m_lookups.find(stream);
   if (found == m_lookups.end()) return;
   bool complete = true;
-  for (const auto& [data_centre, inquiry] : found->second.inquiries) {
-    const auto candidates = m_data_centres.find(data_centre);
-    const bool awaited = candidates != m_data_centres.end() &&
-                         IsAwaited(inquiry, candidates->second);
-    if (awaited) return;
+  for (const auto& [group, inquiry] : found->second.inquiries) {
+    if (IsAwaited(group, inquiry)) return;
     complete = complete && inquiry.answered;
   }
   End(stream, complete ? LookupOutcome::kNowhere : LookupOutcome::kIncomplete,
@@ -195,14 +203,14 @@
   const auto node = m_lookups.extract(stream);
   const Lookup& lookup = node.mapped();
   EndedLookup ended{stream, outcome, now - lookup.begun};
-  ended.data_centres = lookup.inquiries.size();
+  ended.groups = lookup.inquiries.size();
   ended.answered = static_cast<size_t>(std::ranges::count_if(
       lookup.inquiries, [](const auto& item) { return item.second.answered; }));
   m_ended.push_back(ended);
 }
 
 void OriginLookup::MarkUnresponsive(const Lookup& lookup, Instant now) {
-  for (const auto& [data_centre, inquiry] : lookup.inquiries) {
+  for (const auto& [group, inquiry] : lookup.inquiries) {
     for (const std::string& address : inquiry.awaiting) {
       Candidate* candidate = Find(address);
       if (candidate == nullptr || !candidate->asked_since) continue;
@@ -237,7 +245,7 @@
     found->second.sent = now;
     m_by_begin.emplace_back(now, stream);
   }
-  for (auto& [data_centre, candidates] : m_data_centres) {
+  for (auto& [group, candidates] : m_groups) {
     for (Candidate& candidate : candidates)
       if (std::exchange(candidate.asked, false) && !candidate.asked_since)
         candidate.asked_since = now;
--- a/src/dotterelshift/origins/origin_lookup_test.cc
+++ b/src/dotterelshift/origins/origin_lookup_test.cc
@@ -27,6 +27,9 @@
   CPPUNIT_TEST(SilentEntryIsWaitedForAgainOnceItAnswers);
   CPPUNIT_TEST(EntryThatWasNotSentItsQuestionIsNotBlamed);
   CPPUNIT_TEST(LookupsAreBounded);
+  CPPUNIT_TEST(EntryThatHasJustStartedInASmallFleetAsksControl);
+  CPPUNIT_TEST(ControlIsAskedBesideOtherDataCentres);
+  CPPUNIT_TEST(ControlHostThatHasJustStartedProvesNothing);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -216,6 +219,39 @@
     CPPUNIT_ASSERT(few.Start(3, m_now));
   }
 
+  // All entries were killed together, and know of no stream.
+  void EntryThatHasJustStartedInASmallFleetAsksControl() {
+    m_lookup.SetEntries({});
+    SetControl();
+    CPPUNIT_ASSERT(m_lookup.Start(kStream, m_now));
+    CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t{3}, CountIn(TakeAsked(), 'x'));
+  }
+
+  void ControlIsAskedBesideOtherDataCentres() {
+    SetControl();
+    m_lookup.SetEntries(kEntries);
+    m_lookup.Start(kStream, m_now);
+    const auto asked = TakeAsked();
+    CPPUNIT_ASSERT_EQUAL(size_t{7}, asked.size());
+    CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t{3}, CountIn(asked, 'x'));
+    for (const HostId& host : asked) Miss(host);
+    const EndedLookup ended = TakeOnlyEnded();
+    CPPUNIT_ASSERT(ended.outcome == LookupOutcome::kNowhere);
+    CPPUNIT_ASSERT_EQUAL(size_t{3}, ended.groups);
+    CPPUNIT_ASSERT_EQUAL(size_t{3}, ended.answered);
+  }
+
+  void ControlHostThatHasJustStartedProvesNothing() {
+    m_lookup.SetEntries({});
+    SetControl();
+    m_lookup.Start(kStream, m_now);
+    for (const HostId& host : TakeAsked()) Miss(host, true);
+    const auto others = TakeAsked();
+    CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t{2}, CountIn(others, 'x'));
+    for (const HostId& host : others) Miss(host, true);
+    CPPUNIT_ASSERT(TakeOnlyEnded().outcome == LookupOutcome::kIncomplete);
+  }
+
  private:
   static constexpr StreamKey kStream = 7;
   inline static const std::vector<DistantEntry> kEntries = {
@@ -231,6 +267,13 @@
                               [](const HostId& host) { return host.front(); });
   }
 
+  void SetControl() {
+    const std::vector<std::string> control = {"x1:1", "x2:1", "x3:1", "x4:1",
+                                              "x5:1"};
+    m_lookup.SetControl(control);
+    for (const std::string& address : control) Up(address);
+  }
+
   void Up(const std::string& address) {
     m_lookup.OnUp(address, HostOf(address), m_now);
   }
--- a/src/dotterelshift/origins/stream_origins.cc
+++ b/src/dotterelshift/origins/stream_origins.cc
@@ -17,6 +17,7 @@
                             Instant now) {
   Merge(stream, software, "", now);
   m_unsent.emplace_back(stream, software);
+  m_uncopied.emplace_back(stream, software);
 }
 
 // Without an incarnation, each start of the endpoint has an id of its own.
@@ -106,12 +107,16 @@
   return {state, entry.software, entry.from.empty(), age};
 }
 
+std::vector<wire::StreamOrigin> StreamOrigins::Own(Instant now) const {
+  return ForNewEntry([](const HostId&) { return true; }, now);
+}
+
 std::vector<wire::StreamOrigin> StreamOrigins::ForNewEntry(
     const std::function<bool(const HostId&)>& is_connected, Instant now) const {
   std::vector<wire::StreamOrigin> updates;
   for (const auto& [stream, entry] : m_origins) {
-    const bool live = now - entry.since <= m_options.max_age;
-    if (!live || (!entry.from.empty() && is_connected(entry.from))) continue;
+    const bool others = !entry.from.empty() && is_connected(entry.from);
+    if (!IsLive(entry, now) || others) continue;
     updates.emplace_back(stream, entry.software);
     // A second origin makes it unclear there, too.
     if (entry.unclear) updates.emplace_back(stream, 0);
