One version is taken for the only one only if this entry has watched endpoints and routes itself

Cause: absence was taken for proof by those that came after. A fresh entry relied on the age of the leader's directory, but an endpoint that starts again under its id replaces its record, and a document that moves a route leaves no trace of its former service. Now the entry must have been told of all endpoints itself, and its routes must have led to the same services, since before the stream can have begun; a split route proves nothing.

--- a/include/dotterelshift/app/control_link.h
+++ b/include/dotterelshift/app/control_link.h
@@ -113,10 +113,6 @@
   }
   // When the newest heartbeat that a leader answered was sent.
   std::optional<Instant> ConfirmedAt() const { return m_confirmed; }
-  // Since when the leader that answered it has had its directory of endpoints.
-  std::optional<Instant> LeaderDirectorySince() const {
-    return m_leader_directory_since;
-  }
   // Number of entries in the fleet, including this one.
   size_t EntryCount() const { return m_entry_count; }
   // Of these, in the data centre of this entry; 0: control does not say.
@@ -182,7 +178,6 @@
   Duration m_max_heartbeat_time{};
   // When the newest answered heartbeat was sent.
   std::optional<Instant> m_confirmed;
-  std::optional<Instant> m_leader_directory_since;
   serving::ControlReach m_reach = serving::ControlReach::kNever;
   state::Configuration m_configuration;
   uint64_t m_leader_configuration_version =
--- a/include/dotterelshift/origins/directory_view.h
+++ b/include/dotterelshift/origins/directory_view.h
@@ -20,15 +20,15 @@
 struct DirectoryContact {
   bool synced = false;  // this entry has the records of a control host
   std::optional<Instant> confirmed;  // last contact with a leader
-  // Since when that leader has had its directory.
-  std::optional<Instant> leader_since;
 };
 
-// Since when an entry has known of all endpoints of the fleet.
+// Since when an entry has been told of all endpoints of the fleet.
 //
 // Load pattern: an entry starts, or is cut off from control, while endpoints of
 // a new version begin to serve. It must not take the one version that it knows
-// for the only one.
+// for the only one. An endpoint that starts again under its id leaves no trace
+// in the directory of what it was before, so that only what an entry was told
+// itself counts, however long control has had its directory.
 class DirectoryView {
  public:
   explicit DirectoryView(const DirectoryViewOptions& options = {})
@@ -37,13 +37,15 @@
   // To be called regularly.
   void Update(const DirectoryContact& contact, Instant now);
   // nullopt: there may be endpoints that it does not know of now.
-  std::optional<Instant> CompleteSince() const { return m_complete_since; }
+  std::optional<Instant> CompleteSince() const {
+    return m_is_current ? m_since : std::nullopt;
+  }
 
  private:
   const DirectoryViewOptions m_options;
-  std::optional<Instant> m_own_since;
+  bool m_is_current = false;
+  std::optional<Instant> m_since;
   Instant m_last_current{};
-  std::optional<Instant> m_complete_since;
 };
 
 }  // namespace dotterelshift::origins
--- a/src/dotterelshift/app/control_link.cc
+++ b/src/dotterelshift/app/control_link.cc
@@ -85,7 +85,6 @@
   m_data_centre_count = beat.data_centre_count;
   m_counted_for = std::chrono::milliseconds(beat.counted_ms);
   m_received_limits = beat.limits;
-  m_leader_directory_since = now - std::chrono::milliseconds(beat.directory_ms);
   m_knows_leader_version = true;
   m_heartbeats_sent.erase(m_heartbeats_sent.begin(), sent);
   if (m_leader == from) return;
--- a/src/dotterelshift/app/version_tracker.cc
+++ b/src/dotterelshift/app/version_tracker.cc
@@ -16,10 +16,8 @@
 
 void VersionTracker::OnTick(const ControlLink& link, gateway::Core& core,
                             Instant now) {
-  m_view.Update({.synced = m_directory.IsSynced(),
-                 .confirmed = link.ConfirmedAt(),
-                 .leader_since = link.LeaderDirectorySince()},
-                now);
+  m_view.Update(
+      {.synced = m_directory.IsSynced(), .confirmed = link.ConfirmedAt()}, now);
   core.OnViewComplete(m_view.CompleteSince());
   m_restarts.Update(now);
   m_origins.Update(m_directory.GetDirectory(), m_restarts, now);
--- a/src/dotterelshift/gateway/core.cc
+++ b/src/dotterelshift/gateway/core.cc
@@ -17,6 +17,7 @@
 void CoreImpl::OnRoutes(std::shared_ptr<const RouteTable> routes,
                         size_t entries, Instant now) {
   m_routes = std::move(routes);
+  m_route_targets.Update(*m_routes, now);
   m_dependencies.load->OnRoutes(*m_routes);
   m_dependencies.budgets->OnRoutes(*m_routes, entries, now);
 }
--- a/src/dotterelshift/gateway/core_impl.h
+++ b/src/dotterelshift/gateway/core_impl.h
@@ -14,6 +14,7 @@
 
 #include "dotterelshift/gateway/active_request.h"  // for ActiveRequest
 #include "dotterelshift/gateway/core.h"            // for Core
+#include "dotterelshift/gateway/route_targets.h"   // for RouteTargets
 
 namespace dotterelshift::gateway {
 
@@ -320,6 +321,7 @@
   std::shared_ptr<const RouteTable> m_routes;
   std::optional<DrainSchedule> m_drain;
   std::optional<Instant> m_view_complete_since;
+  RouteTargets m_route_targets;
   ResumptionCounts m_resumptions;
   std::unordered_multimap<origins::StreamKey, RequestId> m_waiting_for_origin;
   bool m_stopped = false;
--- a/src/dotterelshift/gateway/core_killed_fleet_test.cc
+++ b/src/dotterelshift/gateway/core_killed_fleet_test.cc
@@ -10,6 +10,9 @@
 
 class CoreKilledFleetTest : public CoreFixture {
   CPPUNIT_TEST_SUITE(CoreKilledFleetTest);
+  CPPUNIT_TEST(ServiceOfARouteThatMovedIsNotTakenForTheFirstOne);
+  CPPUNIT_TEST(RouteThatTookAnothersPathIsNotTakenForTheFirstOne);
+  CPPUNIT_TEST(SplitRouteDoesNotTellWhichServiceBeganAStream);
   CPPUNIT_TEST(OneVersionAndOneServiceAreEnoughIfBothWereWatched);
   CPPUNIT_TEST(ControlIsAskedBeforeTheOnlyVersionIsTaken);
   CPPUNIT_TEST(UnclearOriginIsRefusedThoughOneVersionIsKnown);
@@ -30,6 +33,23 @@
     m_core->OnViewComplete(m_now - 50s);
   }
 
+  void ServiceOfARouteThatMovedIsNotTakenForTheFirstOne() {
+    PublishStreams({{"other", 1}});
+    ExpectUnknownUntilWatched();
+  }
+
+  void RouteThatTookAnothersPathIsNotTakenForTheFirstOne() {
+    PublishStreams({{"llm", 1}}, "other");
+    ExpectUnknownUntilWatched();
+  }
+
+  void SplitRouteDoesNotTellWhichServiceBeganAStream() {
+    PublishStreams({{"llm", 1}, {"other", 1}});
+    m_now += 100s;
+    Resume("");
+    ExpectRefused();
+  }
+
   void OneVersionAndOneServiceAreEnoughIfBothWereWatched() {
     Resume("");
     CPPUNIT_ASSERT_EQUAL(size_t{1}, Count<StartAttempt>());
@@ -146,6 +166,16 @@
     CPPUNIT_ASSERT(RowOf(Only<Refuse>().kind).ran == Ran::kNo);
   }
 
+  // Twice the timeout of the route, in which a stream may be resumed.
+  void ExpectUnknownUntilWatched() {
+    m_now += 7999ms;
+    Resume("");
+    ExpectRefused();
+    m_now += 1ms;
+    Resume("");
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, Count<StartAttempt>());
+  }
+
   uint64_t m_version = 0;
   origins::OriginLookup m_lookup;
 };
--- a/src/dotterelshift/gateway/core_streams.cc
+++ b/src/dotterelshift/gateway/core_streams.cc
@@ -75,7 +75,7 @@
     ActiveRequest& active, Instant now) const {
   const std::optional<SoftwareKey> only =
       m_dependencies.versions->Only(active.service);
-  if (!only)
+  if (!only || active.route->services.size() != 1)
     return ResumptionRefusal::kOriginUnknown;
   if (!KnewAllThroughout(active, now) || HasSuspects(*only))
     return ResumptionRefusal::kViewIncomplete;
@@ -87,7 +87,9 @@
                                  Instant now) const {
   const Instant begin =
       now - active.route->timeout * m_options.stream_life_timeouts;
-  return m_view_complete_since && *m_view_complete_since <= begin;
+  const std::optional<Instant> routes = m_route_targets.UnchangedSince();
+  return m_view_complete_since && *m_view_complete_since <= begin && routes &&
+         *routes <= begin;
 }
 
 std::optional<ResumptionRefusal> CoreImpl::BindToOrigin(
--- a/src/dotterelshift/gateway/version_schedule_testing.h
+++ b/src/dotterelshift/gateway/version_schedule_testing.h
@@ -179,7 +179,7 @@
   }
 
   void Proceed(Node& node) {
-    node.view.Update({true, node.confirmed, Instant(1000s)}, m_now);
+    node.view.Update({true, node.confirmed}, m_now);
     node.core->OnViewComplete(node.view.CompleteSince());
     node.restarts.Update(m_now);
     node.origins.Update(node.directory, node.restarts, m_now);
