--- a/src/dotterelshift/app/gateway_entry.cc
+++ b/src/dotterelshift/app/gateway_entry.cc
@@ -1,6 +1,7 @@
-#include <optional>  // for optional
-#include <string>    // for string
-#include <utility>   // for move
+#include <functional>  // for bind_front
+#include <optional>    // for optional
+#include <string>      // for string
+#include <utility>     // for move
 
 #include "dotterelshift/app/command_id.h"             // for MakeCommandId
 #include "dotterelshift/app/control_link.h"           // for ControlLink
@@ -71,7 +72,6 @@
   bool MayKeep(size_t silent) const;
   LinkGuard::Traffic LinkTraffic() const;
   void SendToPeers();
-  void ProposeSuspicion(const gateway::SuspectReport& suspicion);
   void UpdateGauges();
   bool IsReady() const {
     return m_reach != ControlReach::kNever && m_version > 0 &&
@@ -251,10 +251,7 @@
     m_link.OnPeerDown(peer.run.host, m_loop.Now());
     m_tick.ArmIn(0ms);
   };
-  callbacks.on_frame = [this](const peers::PeerInfo& peer,
-                              const wire::FrameT& frame) {
-    OnPeerFrame(peer, frame);
-  };
+  callbacks.on_frame = std::bind_front(&GatewayEntry::OnPeerFrame, this);
   callbacks.on_dial_ended = [this](const peers::DialReport& report) {
     LogDial(report);
     m_origins.OnDialEnded(report);
@@ -421,19 +418,16 @@
     for (wire::CommandT& command : m_budgets.TakeCommands(now))
       m_link.Propose(std::move(command));
   }
-  for (const gateway::SuspectReport& suspicion : m_core->TakeSuspectReports())
-    ProposeSuspicion(suspicion);
+  for (const gateway::SuspectReport& suspicion : m_core->TakeSuspectReports()) {
+    wire::CommandT command = gateway::SuspicionCommand(suspicion);
+    command.id = NextId();
+    m_link.Propose(std::move(command));
+  }
   for (const auto& [host, frame] : m_link.TakeFrames(now))
     m_hub->Send(host, frame);
   m_relays->StartProbes();
 }
 
-void GatewayEntry::ProposeSuspicion(const gateway::SuspectReport& suspicion) {
-  wire::CommandT command = gateway::SuspicionCommand(suspicion);
-  command.id = NextId();
-  m_link.Propose(std::move(command));
-}
-
 void GatewayEntry::OnHealth(http::Exchange& exchange) {
   const std::string& path = exchange.GetRequest().path;
   if (path == "/metrics") {
