Callers whose streams cannot go on are sent away for a third of their time

Such a refusal stands for as long as the caller has. Retry-After is now a sixth to a third of the time that is left, which is the most that callers heed, unless the entry or those that it asked have just started or did not answer; then it is 500 ms as before. CallersOfStreamsThatAreGoneComeBackLate and CallersOfStreamsThatMayBeKnownSoonComeBackEarly; that the first failed before was not run.

--- a/src/dotterelshift/gateway/core_impl.h
+++ b/src/dotterelshift/gateway/core_impl.h
@@ -193,6 +193,7 @@
   bool WaitForDirectory(ActiveRequest& active, ResumptionRefusal why,
                         Instant now);
   void AdmitWaitingForDirectory(Instant now);
+  static bool MayChangeSoon(const ActiveRequest& active, ResumptionRefusal why);
   void RefuseResumption(ActiveRequest& active, ResumptionRefusal why,
                         Instant now);
   // Whether this entry has known all endpoints and routes since before the
--- a/src/dotterelshift/gateway/core_killed_fleet_test.cc
+++ b/src/dotterelshift/gateway/core_killed_fleet_test.cc
@@ -18,6 +18,8 @@
   CPPUNIT_TEST(UnclearOriginIsRefusedThoughOneVersionIsKnown);
   CPPUNIT_TEST(StreamWaitsForTheEndpointsOfItsVersion);
   CPPUNIT_TEST(WaitForTheDirectoryIsShort);
+  CPPUNIT_TEST(CallersOfStreamsThatAreGoneComeBackLate);
+  CPPUNIT_TEST(CallersOfStreamsThatMayBeKnownSoonComeBackEarly);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -88,6 +90,28 @@
     ExpectRefused();
   }
 
+  // They may come again, but not before a sixth of their time.
+  void CallersOfStreamsThatAreGoneComeBackLate() {
+    Tell("first", "llm", "v0");
+    Resume("first");
+    ExpectRefused();
+    CPPUNIT_ASSERT(Only<Refuse>().retry_after >= 4s / 6);
+  }
+
+  void CallersOfStreamsThatMayBeKnownSoonComeBackEarly() {
+    PublishStreams({{"other", 1}});
+    AskControl();
+    Resume("first");
+    m_now += origins::OriginLookupOptions().timeout;
+    m_lookup.TakeQuestions(m_now - origins::OriginLookupOptions().timeout);
+    m_lookup.OnTimer(m_now);
+    m_core->OnOriginsLookedUp(m_lookup.TakeEnded(), m_now);
+    Collect();
+    ExpectRefused();
+    CPPUNIT_ASSERT(Only<Refuse>().retry_after <=
+                   2 * CoreOptions().min_retry_after);
+  }
+
  private:
   // `longer`: service of a further route, which takes requests of the first.
   void PublishStreams(const std::vector<WeightedService>& services,
--- a/src/dotterelshift/gateway/core_streams.cc
+++ b/src/dotterelshift/gateway/core_streams.cc
@@ -185,6 +185,15 @@
   inputs.emplace_back("answered", std::to_string(lookup.answered));
 }
 
+// Whether the stream may be resumed a little later: this entry or those that it
+// has asked have just started, or one that was asked did not answer.
+bool CoreImpl::MayChangeSoon(const ActiveRequest& active,
+                             ResumptionRefusal why) {
+  if (why == ResumptionRefusal::kViewIncomplete) return true;
+  return why == ResumptionRefusal::kOriginUnknown && active.lookup &&
+         active.lookup->outcome == origins::LookupOutcome::kIncomplete;
+}
+
 void CoreImpl::RefuseResumption(ActiveRequest& active, ResumptionRefusal why,
                                 Instant now) {
   ++m_resumptions.refused;
@@ -203,7 +212,8 @@
       {"view_complete_ms", std::to_string(ToMs(complete_for))}};
   AddLookup(active, inputs);
   Log("resumption_refused", active, std::move(inputs));
-  Fail(active, ErrorKind::kNotResumable, RetryAfter(active, 0s, now), now);
+  const Duration wait = MayChangeSoon(active, why) ? 0s : active.deadline - now;
+  Fail(active, ErrorKind::kNotResumable, RetryAfter(active, wait, now), now);
 }
 
 // A stream that begins at an endpoint which may have started again has no known
