--- a/src/dotterelshift/origins/origin_lookup.cc
+++ b/src/dotterelshift/origins/origin_lookup.cc
@@ -32,6 +32,7 @@
 
 void OriginLookup::SetControl(const std::vector<std::string>& addresses) {
   std::vector<DistantEntry> hosts;
+  hosts.reserve(addresses.size());
   for (const std::string& address : addresses) hosts.push_back({address, ""});
   SetCandidates(true, hosts);
 }
