--- a/include/dotterelshift/origins/origin_responder.h
+++ b/include/dotterelshift/origins/origin_responder.h
@@ -19,13 +19,14 @@
   // quicker than the origin, which waits for the pacer of load updates. Less
   // than a lookup's timeout.
   Duration hold = 50ms;
-  // After its start an entry does not know yet what began in its data centre.
+  // After its start a daemon does not know yet what its group knows: an entry
+  // what began in its data centre, control what entries have sent it before.
   Duration warm_up = 5s;
   // Bounds the memory; further questions are answered at once.
   size_t max_held = 20'000;
 };
 
-// What an entry answers to one other entry, in one frame.
+// What is answered to one entry, in one frame.
 struct OriginAnswer {
   std::vector<wire::StreamOrigin> known;
   std::vector<StreamKey> unclear;  // two origins of the stream differ
@@ -37,7 +38,8 @@
   }
 };
 
-// Answers questions of other entries about origins of streams.
+// Answers questions of entries about origins of streams, at another entry or at
+// control.
 class OriginResponder {
  public:
   // `origins` must outlive this object.
