One recording hub for the tests of origins, one loop over connected daemons

Cause: OriginStoreTest had a copy of OriginExchangeTest's hub, and SetEntries and SetControl told the lookup of connections each by a loop of their own. No change of behaviour; no check was removed. Ruled out for now: merging the lines that core_killed_fleet_test.cc shares with core_origin_lookup_test.cc (eight of setUp), and cut_head_test.cc with http_test.cc (two short loops).

--- a/src/dotterelshift/app/origin_exchange.cc
+++ b/src/dotterelshift/app/origin_exchange.cc
@@ -27,8 +27,7 @@
     const std::vector<origins::DistantEntry>& entries) {
   if (!m_asked.OnNamed(entries, m_loop.Now())) return;
   m_lookup.SetEntries(m_asked.Entries());
-  for (const auto& [host, address] : m_addresses)
-    m_lookup.OnUp(address, host, m_loop.Now());
+  TellConnected();
   telemetry::Log(telemetry::LogLevel::kInfo, "askable_entries",
                  {{"entries", std::to_string(entries.size())}});
 }
@@ -38,9 +37,14 @@
   if (control == m_control) return;
   m_control = std::move(control);
   m_lookup.SetControl(addresses);
+  TellConnected();
+  TakeControlHosts();
+}
+
+// The lookup ignores connections to daemons that cannot be asked.
+void OriginExchange::TellConnected() {
   for (const auto& [host, address] : m_addresses)
     m_lookup.OnUp(address, host, m_loop.Now());
-  TakeControlHosts();
 }
 
 void OriginExchange::OnUp(const peers::PeerInfo& peer) {
--- a/src/dotterelshift/app/origin_exchange.h
+++ b/src/dotterelshift/app/origin_exchange.h
@@ -64,6 +64,8 @@
   void TakeLearned(Instant now);
   void Dial(Instant now);
   void HangUpIdle(Instant now);
+  // Tells the lookup, after a change of those that can be asked.
+  void TellConnected();
   void TakeControlHosts();
   void SendCopies();
   void SendQuestions(Instant now);
--- a/src/dotterelshift/app/origin_exchange_test.cc
+++ b/src/dotterelshift/app/origin_exchange_test.cc
@@ -3,31 +3,13 @@
 #include <cppunit/TestFixture.h>              // for TestFixture
 #include <cppunit/extensions/HelperMacros.h>  // for CPPUNIT_TEST
 
-#include <utility>  // for exchange, pair
+#include <utility>  // for exchange
+
+#include "dotterelshift/app/recording_hub_testing.h"  // for RecordingHub
 
 namespace dotterelshift::app {
 namespace {
 
-// Records what is sent and dialled.
-class RecordingHub : public peers::Hub {
- public:
-  bool Send(const HostId& host, const wire::FrameT& frame) override {
-    sent.emplace_back(host, frame);
-    return true;
-  }
-  size_t Backlog(const HostId&) const override { return 0; }
-  std::vector<peers::PeerInfo> Peers() const override { return {}; }
-  void Dial(const std::string& address) override { dials.push_back(address); }
-  uint16_t Port() const override { return 0; }
-  const peers::HubCounters& Counters() const override { return m_counters; }
-
-  std::vector<std::pair<HostId, wire::FrameT>> sent;
-  std::vector<std::string> dials;
-
- private:
-  peers::HubCounters m_counters;
-};
-
 // One entry with its origins.
 struct Entry {
   Entry(loop::Loop& loop, const HostId& host) : exchange(loop, origins) {
--- a/src/dotterelshift/app/origin_store_test.cc
+++ b/src/dotterelshift/app/origin_store_test.cc
@@ -5,32 +5,14 @@
 #include <cppunit/extensions/HelperMacros.h>  // for CPPUNIT_TEST
 
 #include <memory>   // for make_unique, unique_ptr
-#include <utility>  // for exchange, pair
+#include <utility>  // for exchange
 
-#include "dotterelshift/app/origin_exchange.h"  // for OriginExchange
+#include "dotterelshift/app/origin_exchange.h"        // for OriginExchange
+#include "dotterelshift/app/recording_hub_testing.h"  // for RecordingHub
 
 namespace dotterelshift::app {
 namespace {
 
-// Records what is sent.
-class RecordingHub : public peers::Hub {
- public:
-  bool Send(const HostId& host, const wire::FrameT& frame) override {
-    sent.emplace_back(host, frame);
-    return true;
-  }
-  size_t Backlog(const HostId&) const override { return 0; }
-  std::vector<peers::PeerInfo> Peers() const override { return {}; }
-  void Dial(const std::string&) override {}
-  uint16_t Port() const override { return 0; }
-  const peers::HubCounters& Counters() const override { return m_counters; }
-
-  std::vector<std::pair<HostId, wire::FrameT>> sent;
-
- private:
-  peers::HubCounters m_counters;
-};
-
 peers::PeerInfo PeerOf(const HostId& host, wire::HostRole role) {
   peers::PeerInfo peer;
   peer.run = {host, 1};
