--- /dev/null
+++ b/src/dotterelshift/gateway/core_doubt.cc
@@ -0,0 +1,83 @@
+#include <algorithm>  // for any_of, sort
+
+#include "dotterelshift/gateway/core_impl.h"  // for CoreImpl
+
+namespace dotterelshift::gateway {
+
+bool CoreImpl::HasSuspects(SoftwareKey software) const {
+  const std::vector<EndpointKey> suspects = m_dependencies.restarts->All();
+  return std::ranges::any_of(suspects, [&](EndpointKey endpoint) {
+    const origins::EndpointContact* contact =
+        m_dependencies.load->Find(endpoint);
+    return contact != nullptr && contact->software == software;
+  });
+}
+
+// Endpoints that may have started again at another version. A stream that has
+// begun does not go on there; one that has not prefers others.
+std::vector<EndpointKey> CoreImpl::SuspectedEndpoints(
+    const ActiveRequest& active, Instant now) {
+  origins::RestartSuspects& restarts = *m_dependencies.restarts;
+  const bool resumable =
+      active.route->kind == RouteKind::kStream && active.route->resumable;
+  if (!resumable || restarts.Size() == 0) return {};
+  restarts.Update(now);
+  return restarts.All();
+}
+
+// The connection of an attempt broke, which does not outlive its endpoint's
+// process.
+void CoreImpl::SuspectRestart(const Attempt& attempt, http::TransferEnd end,
+                              Instant now) {
+  const bool broke = end == http::TransferEnd::kCut ||
+                     end == http::TransferEnd::kFailedBeforeHead;
+  if (broke && attempt.relay.empty())
+    m_dependencies.restarts->OnBroken(attempt.endpoint, now);
+}
+
+bool CoreImpl::IsInDoubt(const Attempt& attempt) const {
+  if (!attempt.bound || attempt.events > 0) return false;
+  return m_dependencies.restarts->During(attempt.endpoint, attempt.head_at) ==
+         origins::ProcessProof::kInDoubt;
+}
+
+// The break became known only after the request was sent. If the request would
+// not go on elsewhere at once, it is kept: mostly a single stream broke there.
+void CoreImpl::LeaveInDoubt(ActiveRequest& active, Instant now) {
+  Log("stream_in_doubt", active, {{"endpoint", active.attempt.endpoint.id}});
+  CancelAttemptIfSent(active);
+  OnAttemptFailed(active, http::TransferEnd::kTimedOut, now);
+}
+
+// What an endpoint sends after its next incarnation has announced itself is the
+// next one's. A stream that had begun before does not go on there if that has
+// another version. One that began there runs to its end, and does not go on
+// elsewhere.
+void CoreImpl::LeaveRestartedEndpoints(const directory::Directory& directory,
+                                       Instant now) {
+  std::vector<RequestId> bound;
+  for (auto& [id, active] : m_active) {
+    Attempt& attempt = active.attempt;
+    if (!active.IsSent()) continue;
+    const directory::Endpoint* endpoint = directory.Find(attempt.endpoint.id);
+    const bool restarted =
+        endpoint != nullptr &&
+        endpoint->record.incarnation > attempt.endpoint.incarnation &&
+        origins::SoftwareKeyOf(endpoint->record) != attempt.endpoint.software;
+    if (!restarted) continue;
+    attempt.restarted = true;
+    if (attempt.bound)
+      bound.push_back(id);
+    else if (active.binding)
+      active.binding = BindingInDoubt();
+  }
+  std::sort(bound.begin(), bound.end());
+  for (const RequestId id : bound) {
+    const auto found = m_active.find(id);
+    if (found == m_active.end()) continue;
+    CancelAttemptIfSent(found->second);
+    OnAttemptFailed(found->second, http::TransferEnd::kCut, now);
+  }
+}
+
+}  // namespace dotterelshift::gateway
--- a/src/dotterelshift/gateway/core_impl.h
+++ b/src/dotterelshift/gateway/core_impl.h
@@ -23,7 +23,8 @@
 // core_link.cc, paths to endpoints in core_paths.cc, permits for endpoints that
 // name limits in core_permits.cc, responses and retries in core_response.cc,
 // silent endpoints in core_silence.cc, versions of streams in core_streams.cc,
-// requests that crash endpoints in core_suspects.cc.
+// endpoints that may have started again in core_doubt.cc, requests that crash
+// endpoints in core_suspects.cc.
 class CoreImpl final : public Core {
  public:
   CoreImpl(const CoreOptions& options, const CoreDependencies& parts)
@@ -201,6 +202,8 @@
   bool KnewAllThroughout(const ActiveRequest& active, Instant now) const;
   // An event of an unbound stream was passed on.
   void BindToAttempt(ActiveRequest& active, Instant now);
+
+  // Endpoints that may have started again (core_doubt.cc).
   std::vector<EndpointKey> SuspectedEndpoints(const ActiveRequest& active,
                                               Instant now);
   // Whether a stream that has begun may not go on there.
