A resumed stream in doubt waits, instead of being passed on

Cause: a stream whose endpoint turned out to be a suspect only after it had been sent there was kept and passed on if it would not go on elsewhere at once. Now its events, and its end, wait until the endpoint is known to run (bytes on an older connection, its next announcement) or to have the same version again, and are dropped if it has another one; the doubt is looked at every 20 ms, and the stream goes on elsewhere as soon as it may.

--- a/src/dotterelshift/gateway/active_request.h
+++ b/src/dotterelshift/gateway/active_request.h
@@ -53,6 +53,11 @@
   // Its endpoint has started again since at another version, or before without
   // being noticed.
   bool restarted = false;
+  bool same_version = false;  // its endpoint has started again, at the same one
+  // What was received while it was in doubt whether its endpoint has started
+  // again; nullopt: nothing is withheld.
+  std::optional<std::string> withheld;
+  bool withheld_whole = false;  // the response is complete
   int status = 0;
   ResponseInfo response_info;
   uint64_t events = 0;  // passed on to the caller
--- a/src/dotterelshift/gateway/core.cc
+++ b/src/dotterelshift/gateway/core.cc
@@ -295,6 +295,7 @@
     case Stage::kAnswering:
       break;
   }
+  if (active.attempt.withheld) return SettleDoubt(active, now);
   if (RunningDeadline(active) > now)
     return SetTimer(active, RunningDeadline(active));
   // The response's idle timeout has expired, and the request may be retried.
--- a/src/dotterelshift/gateway/core_doubt.cc
+++ b/src/dotterelshift/gateway/core_doubt.cc
@@ -1,8 +1,16 @@
 #include <algorithm>  // for any_of, sort
+#include <utility>    // for move
 
 #include "dotterelshift/gateway/core_impl.h"  // for CoreImpl
 
 namespace dotterelshift::gateway {
+namespace {
+
+// How often a doubt is looked at again: well below the time in which a caller
+// notices a pause.
+constexpr Duration kDoubtCheckInterval = 20ms;
+
+}  // namespace
 
 bool CoreImpl::HasSuspects(SoftwareKey software) const {
   const std::vector<EndpointKey> suspects = m_dependencies.restarts->All();
@@ -36,13 +44,48 @@
 }
 
 bool CoreImpl::IsInDoubt(const Attempt& attempt) const {
-  if (!attempt.bound || attempt.events > 0) return false;
+  if (!attempt.bound || attempt.events > 0 || attempt.same_version)
+    return false;
   return m_dependencies.restarts->During(attempt.endpoint, attempt.head_at) ==
          origins::ProcessProof::kInDoubt;
 }
 
-// The break became known only after the request was sent. If the request would
-// not go on elsewhere at once, it is kept: mostly a single stream broke there.
+// The break became known only after the request was sent. Mostly a single
+// stream broke there, so that a request that would not go on elsewhere at once
+// is kept, but its caller gets nothing that may be of another version.
+void CoreImpl::Withhold(ActiveRequest& active, std::string_view bytes,
+                        Instant now) {
+  Attempt& attempt = active.attempt;
+  if (!attempt.withheld) {
+    attempt.withheld.emplace();
+    Log("stream_withheld", active, {{"endpoint", attempt.endpoint.id}});
+  }
+  attempt.withheld->append(bytes);
+  SettleDoubt(active, now);
+}
+
+void CoreImpl::SettleDoubt(ActiveRequest& active, Instant now) {
+  m_dependencies.restarts->Update(now);
+  if (!IsInDoubt(active.attempt)) return PassOnWithheld(active, now);
+  if (!WhyKept(active, now)) return LeaveInDoubt(active, now);
+  SetTimer(active, now + kDoubtCheckInterval);
+}
+
+void CoreImpl::PassOnWithheld(ActiveRequest& active, Instant now) {
+  const AttemptId attempt = active.attempt.id;
+  const bool whole = active.attempt.withheld_whole;
+  const std::string bytes = std::move(*active.attempt.withheld);
+  active.attempt.withheld.reset();
+  Log("stream_passed_on", active,
+      {{"endpoint", active.attempt.endpoint.id},
+       {"withheld_ms", std::to_string(ToMs(now - active.attempt.head_at))}});
+  SetTimer(active, RunningDeadline(active));
+  PassOn(active, bytes, now);
+  // The attempt may have been given up, as events are missing.
+  ActiveRequest* still = FindByAttempt(attempt);
+  if (whole && still != nullptr) OnWholeResponse(*still, now);
+}
+
 void CoreImpl::LeaveInDoubt(ActiveRequest& active, Instant now) {
   Log("stream_in_doubt", active, {{"endpoint", active.attempt.endpoint.id}});
   CancelAttemptIfSent(active);
@@ -62,9 +105,11 @@
     const directory::Endpoint* endpoint = directory.Find(attempt.endpoint.id);
     const bool restarted =
         endpoint != nullptr &&
-        endpoint->record.incarnation > attempt.endpoint.incarnation &&
-        origins::SoftwareKeyOf(endpoint->record) != attempt.endpoint.software;
+        endpoint->record.incarnation > attempt.endpoint.incarnation;
     if (!restarted) continue;
+    attempt.same_version =
+        origins::SoftwareKeyOf(endpoint->record) == attempt.endpoint.software;
+    if (attempt.same_version) continue;
     attempt.restarted = true;
     if (attempt.bound)
       bound.push_back(id);
--- a/src/dotterelshift/gateway/core_impl.h
+++ b/src/dotterelshift/gateway/core_impl.h
@@ -218,6 +218,14 @@
   // Whether a stream that had begun before may be at another version there: a
   // connection to the endpoint broke before its response began.
   bool IsInDoubt(const Attempt& attempt) const;
+  // Whether what is received now must be withheld.
+  bool MustWithhold(const Attempt& attempt) const {
+    return attempt.withheld || IsInDoubt(attempt);
+  }
+  void Withhold(ActiveRequest& active, std::string_view bytes, Instant now);
+  // Passes on what is withheld, or leaves the endpoint; else looks again soon.
+  void SettleDoubt(ActiveRequest& active, Instant now);
+  void PassOnWithheld(ActiveRequest& active, Instant now);
   void LeaveInDoubt(ActiveRequest& active, Instant now);
   void LeaveRestartedEndpoints(const directory::Directory& directory,
                                Instant now);
--- a/src/dotterelshift/gateway/core_response.cc
+++ b/src/dotterelshift/gateway/core_response.cc
@@ -111,8 +111,7 @@
     m_dependencies.restarts->OnBytes(active->attempt.placement.endpoint,
                                      active->attempt.head_at, now);
   if (active->stage != Stage::kAnswering) return;
-  if (IsInDoubt(active->attempt) && !WhyKept(*active, now))
-    return LeaveInDoubt(*active, now);
+  if (MustWithhold(active->attempt)) return Withhold(*active, bytes, now);
   PassOn(*active, bytes, now);
 }
 
@@ -126,7 +125,10 @@
 size_t CoreImpl::HeldBytes(AttemptId id) const {
   const auto request = m_attempts.find(id);
   if (request == m_attempts.end()) return 0;
-  return m_active.at(request->second).scanner.PartialEvent().size();
+  const ActiveRequest& active = m_active.at(request->second);
+  const size_t withheld =
+      active.attempt.withheld ? active.attempt.withheld->size() : 0;
+  return withheld + active.scanner.PartialEvent().size();
 }
 
 void CoreImpl::PassOn(ActiveRequest& active, std::string_view bytes,
@@ -159,6 +161,10 @@
   const ResponseInfo& response = active->attempt.response_info;
   if (response.not_run || response.address_reassigned)
     return OnEndpointRefusal(*active, now);
+  if (active->stage == Stage::kAnswering && MustWithhold(active->attempt)) {
+    active->attempt.withheld_whole = true;
+    return Withhold(*active, "", now);
+  }
   OnWholeResponse(*active, now);
 }
 
