An endpoint that closes a connection which has just been used may have started again

Callers saw, after all endpoints of a service started again at once under their ids: streams joined from two versions (ORDER). Cause: only a connection that carried a request told of a restart; libcurl looks at idle ones when it uses them again. Idle connections are watched now; one that is closed less than 1 s after its last response makes its endpoint a suspect here and at the other entries, before the first event of such a retry (60 ms) is there, which then waits. Only endpoints that announce a start time can be suspects, so that others cost nothing; idle for a second or more is the endpoint's own timeout. What remains: a restart while nobody has a connection there (the same id, right at the start of traffic).

--- a/include/dotterelshift/http/client.h
+++ b/include/dotterelshift/http/client.h
@@ -102,6 +102,9 @@
   Duration max_idle = 3s;
   // Local IP address of the connections; empty: the system chooses.
   std::string source_address;
+  // The server (IP:port) closed a direct connection that had been kept for
+  // reuse and was idle for so long. Empty: idle connections are not watched.
+  std::function<void(const std::string& server, Duration idle)> on_idle_closed;
 };
 
 std::unique_ptr<Client> MakeClient(loop::Loop& loop,
--- a/include/dotterelshift/origins/restart_suspects.h
+++ b/include/dotterelshift/origins/restart_suspects.h
@@ -24,6 +24,9 @@
   // By how much a connection's break may be noticed later than the first bytes
   // of the next incarnation.
   Duration notice_delay = 10ms;
+  // Endpoints close connections that were idle for longer by themselves. They
+  // state such timeouts in whole seconds.
+  Duration min_idle_timeout = 1s;
   // Maximum time of another entry's notice on the way.
   Duration tell_delay = 30ms;
   // An endpoint that has started again announces itself within this time.
@@ -43,6 +46,7 @@
 // What makes an endpoint a suspect, or clears it.
 enum class RestartEvidence : uint8_t {
   kConnectionBroke,  // one that carried a request from this entry
+  kIdleClosed,       // one that this entry had just used
   kTold,             // another entry lost a connection
   kAnnounced,        // the same incarnation announced itself after the break
   kBytes,            // a connection that is older than the break still works,
@@ -66,7 +70,8 @@
 // ids, while streams are open and callers resume them at any entry. The
 // directory's record then names the earlier version for up to a heartbeat, and
 // an endpoint checks only its id. But connections do not outlive their process:
-// each entry that used one knows of the restart at once, and tells the others.
+// each entry that used one, or had just done so, knows of the restart at once,
+// and tells the others.
 // One stream that breaks looks the same, until the endpoint announces itself
 // again or bytes are received on a connection that is older than the break.
 //
@@ -81,6 +86,9 @@
 
   // A connection that carried a request broke here.
   void OnBroken(const EndpointContact& endpoint, Instant now);
+  // The endpoint closed a connection that had been idle for so long.
+  void OnIdleClosed(const EndpointContact& endpoint, Duration idle,
+                    Instant now);
   // Another entry has told that, or that the endpoint runs on.
   void OnTold(const EndpointContact& endpoint, const wire::ProcessNote& note,
               Instant now);
@@ -125,6 +133,9 @@
   bool HasAnnouncedSince(const EndpointContact& endpoint, Instant since) const;
   // Whether the directory knows a later incarnation, or none.
   bool HasEnded(const EndpointContact& endpoint) const;
+  // This entry has seen it.
+  void AddOwn(const EndpointContact& endpoint, RestartEvidence evidence,
+              Instant now);
   void Add(const EndpointContact& endpoint, RestartEvidence evidence,
            Instant earliest, Instant latest);
   void Clear(std::map<EndpointKey, Suspect>::iterator suspect,
--- a/src/dotterelshift/app/gateway_entry.cc
+++ b/src/dotterelshift/app/gateway_entry.cc
@@ -145,6 +145,8 @@
       m_prepare(
           loop, [this] { SendToPeers(); }, EV_MINPRI + 1) {
   m_traffic->SetKeepPolicy([this](size_t silent) { return MayKeep(silent); });
+  m_traffic->SetIdleClosed(
+      std::bind_front(&VersionTracker::OnIdleClosed, &m_versions));
   StartServers();
   const std::string secret = settings::ReadSecret(settings.secret_file);
   m_hub = peers::MakeHub(
--- a/src/dotterelshift/app/gateway_traffic.cc
+++ b/src/dotterelshift/app/gateway_traffic.cc
@@ -72,13 +72,6 @@
          http::BytesOf(request.headers) + request.body.size();
 }
 
-http::ClientOptions MakeClientOptions(const std::string& source_address) {
-  http::ClientOptions options;
-  options.max_idle = kMaxIdle;
-  options.source_address = source_address;
-  return options;
-}
-
 }  // namespace
 
 GatewayTraffic::GatewayTraffic(loop::Loop& loop, gateway::Core& core,
@@ -99,6 +92,17 @@
         Pump();
       }) {}
 
+http::ClientOptions GatewayTraffic::MakeClientOptions(
+    const std::string& source_address) const {
+  http::ClientOptions options;
+  options.max_idle = kMaxIdle;
+  options.source_address = source_address;
+  options.on_idle_closed = [this](const std::string& server, Duration idle) {
+    if (m_idle_closed) m_idle_closed(server, idle, m_loop.Now());
+  };
+  return options;
+}
+
 void GatewayTraffic::SetOptions(http::ServerOptions& options) {
   options.on_unanswered = [this](const http::Unanswered& unanswered) {
     m_unanswered.OnUnanswered(unanswered, m_loop.Now());
--- a/src/dotterelshift/app/gateway_traffic.h
+++ b/src/dotterelshift/app/gateway_traffic.h
@@ -49,6 +49,13 @@
   // the connection. Without a policy, all callers may keep their connections.
   using KeepPolicy = std::function<bool(size_t silent)>;
   void SetKeepPolicy(KeepPolicy policy) { m_may_keep = std::move(policy); }
+  // Called when an endpoint closed a connection that was kept for reuse, with
+  // the endpoint's address and for how long the connection was idle.
+  using IdleClosed = std::function<void(const std::string& address,
+                                        Duration idle, Instant now)>;
+  void SetIdleClosed(IdleClosed callback) {
+    m_idle_closed = std::move(callback);
+  }
   void SetMetrics() const;
   size_t OpenResponses() const { return m_open.size(); }
   // Reports attempts whose bytes stay unacknowledged. To be called regularly.
@@ -97,6 +104,8 @@
   };
   using LogInputs = std::vector<std::pair<std::string_view, std::string>>;
 
+  http::ClientOptions MakeClientOptions(
+      const std::string& source_address) const;
   void OnGone(RequestId request);
   void OnDrained(RequestId request);
   // Nothing is read from the endpoint while the caller is slow.
@@ -150,6 +159,7 @@
   std::unordered_map<AttemptId, SendRecord> m_ended_sends;
   RequestId m_last_request = 0;
   KeepPolicy m_may_keep;
+  IdleClosed m_idle_closed;
   size_t m_kept_streams = 0;
   uint64_t m_response_bytes = 0;
   uint64_t m_own_response_bytes = 0;  // of responses that the entry itself made
--- a/src/dotterelshift/app/version_tracker.cc
+++ b/src/dotterelshift/app/version_tracker.cc
@@ -27,6 +27,14 @@
   m_versions.Update(m_directory.GetDirectory(), now);
 }
 
+void VersionTracker::OnIdleClosed(const std::string& address, Duration idle,
+                                  Instant now) {
+  for (const auto& [id, endpoint] : m_directory.GetDirectory().All()) {
+    if (endpoint.usable && endpoint.record.address == address)
+      m_restarts.OnIdleClosed({id, endpoint.record.incarnation}, idle, now);
+  }
+}
+
 void VersionTracker::LogChanges() {
   for (const origins::VersionChange& change : m_versions.TakeChanges()) {
     telemetry::Log(telemetry::LogLevel::kInfo,
--- a/src/dotterelshift/app/version_tracker.h
+++ b/src/dotterelshift/app/version_tracker.h
@@ -1,6 +1,8 @@
 #ifndef DOTTERELSHIFT_SRC_APP_VERSION_TRACKER_H_
 #define DOTTERELSHIFT_SRC_APP_VERSION_TRACKER_H_
 
+#include <string>  // for string
+
 #include "dotterelshift/app/control_link.h"          // for ControlLink
 #include "dotterelshift/app/directory_exchange.h"    // for DirectoryExchange
 #include "dotterelshift/gateway/core.h"              // for Core
@@ -27,6 +29,8 @@
   // Takes over announcements and the state of the link to control. To be called
   // regularly.
   void OnTick(const ControlLink& link, gateway::Core& core, Instant now);
+  // An endpoint closed a connection that this entry had kept for reuse.
+  void OnIdleClosed(const std::string& address, Duration idle, Instant now);
   // Logs versions that began or ceased to be served since the last call, and
   // endpoints that have become or are no longer suspected of a restart.
   void LogChanges();
--- a/src/dotterelshift/http/client.cc
+++ b/src/dotterelshift/http/client.cc
@@ -11,10 +11,11 @@
 #include <utility>        // for move
 #include <vector>         // for vector
 
-#include "dotterelshift/base/error.h"          // for Error
-#include "dotterelshift/http/curl_request.h"   // for MakeHeaderList
-#include "dotterelshift/http/response_head.h"  // for ResponseHead
-#include "dotterelshift/loop/loop.h"           // for Loop
+#include "dotterelshift/base/error.h"             // for Error
+#include "dotterelshift/http/curl_request.h"      // for MakeHeaderList
+#include "dotterelshift/http/idle_connections.h"  // for IdleConnections
+#include "dotterelshift/http/response_head.h"     // for ResponseHead
+#include "dotterelshift/loop/loop.h"              // for Loop
 
 namespace dotterelshift::http {
 namespace {
@@ -53,6 +54,7 @@
   CurlClient(loop::Loop& loop, const ClientOptions& options)
       : m_loop(loop),
         m_options(options),
+        m_idle(loop, options.on_idle_closed),
         m_timer(loop, [this] { Drive(CURL_SOCKET_TIMEOUT, 0); }),
         m_later(loop, [this] { RunDeferred(); }) {
     static const CURLcode initialized = curl_global_init(CURL_GLOBAL_DEFAULT);
@@ -142,6 +144,7 @@
     auto& client = *static_cast<CurlClient*>(self);
     if (client.WasCancelledOn(descriptor)) DropUnsent(descriptor);
     client.m_users.erase(descriptor);
+    client.m_idle.Forget(descriptor);
     return ::close(descriptor);
   }
 
@@ -221,6 +224,7 @@
     if (transfer == nullptr) return;
     transfer->descriptor = descriptor;
     m_users[descriptor] = transfer->id;
+    m_idle.Forget(descriptor);
   }
 
   bool WasCancelledOn(curl_socket_t descriptor) const {
@@ -416,7 +420,14 @@
     // up, so it stays in the map until Free() returns. It is destroyed only
     // after its callbacks, one of which may be running, have returned.
     Free(*found->second);
-    const auto kept = m_transfers.extract(found);
+    const auto ended = m_transfers.extract(found);
+    WatchIfKept(*ended.mapped());
+  }
+
+  void WatchIfKept(const Transfer& transfer) {
+    if (!m_options.on_idle_closed || transfer.request.relay) return;
+    if (Uses(transfer))
+      m_idle.Watch(transfer.descriptor, ServerOf(transfer.request.url));
   }
 
   void Free(Transfer& transfer) {
@@ -450,6 +461,7 @@
   std::vector<TransferId> m_to_resume;
   std::vector<TransferId> m_to_remove;
   std::vector<CURL*> m_spare;
+  IdleConnections m_idle;
   loop::Timer m_timer;
   loop::Timer m_later;
 };
--- a/src/dotterelshift/http/curl_request.cc
+++ b/src/dotterelshift/http/curl_request.cc
@@ -36,6 +36,12 @@
   return list;
 }
 
+std::string ServerOf(std::string_view url) {
+  const size_t scheme = url.find("://");
+  if (scheme != std::string_view::npos) url.remove_prefix(scheme + 3);
+  return std::string(url.substr(0, url.find('/')));
+}
+
 void SetMethod(CURL* handle, const ClientRequest& request) {
   if (request.method == "GET" && request.body.empty()) {
     curl_easy_setopt(handle, CURLOPT_HTTPGET, 1L);
--- a/src/dotterelshift/http/curl_request.h
+++ b/src/dotterelshift/http/curl_request.h
@@ -3,6 +3,9 @@
 
 #include <curl/curl.h>  // for CURL
 
+#include <string>       // for string
+#include <string_view>  // for string_view
+
 #include "dotterelshift/http/client.h"  // for ClientRequest
 
 namespace dotterelshift::http {
@@ -11,6 +14,9 @@
 // default. The caller frees the list.
 curl_slist* MakeHeaderList(const Headers& headers);
 
+// The server that a URL names, as IP:port.
+std::string ServerOf(std::string_view url);
+
 // Sets the method and the body, which must outlive the transfer.
 void SetMethod(CURL* handle, const ClientRequest& request);
 
--- a/src/dotterelshift/origins/restart_suspects.cc
+++ b/src/dotterelshift/origins/restart_suspects.cc
@@ -15,6 +15,8 @@
   switch (evidence) {
     case RestartEvidence::kConnectionBroke:
       return "connection_broke";
+    case RestartEvidence::kIdleClosed:
+      return "idle_closed";
     case RestartEvidence::kTold:
       return "told";
     case RestartEvidence::kAnnounced:
@@ -30,8 +32,18 @@
 }
 
 void RestartSuspects::OnBroken(const EndpointContact& endpoint, Instant now) {
-  Add(endpoint, RestartEvidence::kConnectionBroke, now - m_options.notice_delay,
-      now);
+  AddOwn(endpoint, RestartEvidence::kConnectionBroke, now);
+}
+
+void RestartSuspects::OnIdleClosed(const EndpointContact& endpoint,
+                                   Duration idle, Instant now) {
+  if (idle < m_options.min_idle_timeout)
+    AddOwn(endpoint, RestartEvidence::kIdleClosed, now);
+}
+
+void RestartSuspects::AddOwn(const EndpointContact& endpoint,
+                             RestartEvidence evidence, Instant now) {
+  Add(endpoint, evidence, now - m_options.notice_delay, now);
   const EndpointKey key = KeyOf(endpoint);
   if (IsSuspect(key)) m_notices[key] = {now};
 }
--- a/src/dotterelshift/origins/restart_suspects_test.cc
+++ b/src/dotterelshift/origins/restart_suspects_test.cc
@@ -9,6 +9,7 @@
 class RestartSuspectsTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(RestartSuspectsTest);
   CPPUNIT_TEST(BrokenConnectionMakesASuspect);
+  CPPUNIT_TEST(IdleConnectionThatClosesMakesASuspect);
   CPPUNIT_TEST(EndpointWithANewIdAtEachStartIsNoSuspect);
   CPPUNIT_TEST(BytesOnAnOlderConnectionClearIt);
   CPPUNIT_TEST(LaterAnnouncementClearsIt);
@@ -41,6 +42,18 @@
     CPPUNIT_ASSERT(!m_suspects.IsSuspect(KeyOf(1)));
   }
 
+  // No request was running there, but one had just ended. Endpoints close
+  // connections that are idle for a second by themselves.
+  void IdleConnectionThatClosesMakesASuspect() {
+    m_suspects.OnIdleClosed(Contact(1), 1s, m_now);
+    CPPUNIT_ASSERT(!m_suspects.IsSuspect(KeyOf(1)));
+    m_suspects.OnIdleClosed(Contact(1), 999ms, m_now);
+    CPPUNIT_ASSERT(m_suspects.IsSuspect(KeyOf(1)));
+    CPPUNIT_ASSERT(m_suspects.HasNotices());
+    CPPUNIT_ASSERT(m_suspects.During(Contact(1), m_now) ==
+                   ProcessProof::kInDoubt);
+  }
+
   void EndpointWithANewIdAtEachStartIsNoSuspect() {
     m_suspects.OnBroken(Contact(0), m_now);
     CPPUNIT_ASSERT_EQUAL(size_t{0}, m_suspects.Size());
