--- a/src/dotterelshift/gateway/core_doubt.cc
+++ b/src/dotterelshift/gateway/core_doubt.cc
@@ -57,8 +57,11 @@
                         Instant now) {
   Attempt& attempt = active.attempt;
   if (!attempt.withheld) {
+    const std::optional<std::string_view> why = WhyKept(active, now);
+    if (!why) return LeaveInDoubt(active, now);
     attempt.withheld.emplace();
-    Log("stream_withheld", active, {{"endpoint", attempt.endpoint.id}});
+    Log("stream_withheld", active,
+        {{"endpoint", attempt.endpoint.id}, {"why", std::string(*why)}});
   }
   attempt.withheld->append(bytes);
   SettleDoubt(active, now);
