A socket that was never connected is not watched as an idle connection

Callers would have lost the entry with the first connection request that times out. Cause: libcurl closes a socket that was not connected without its close callback, and the transfer's descriptor was then watched. Only connections on which a response's head has arrived are watched now; libcurl tells of their close. ConnectionThatTimedOutIsNotWatched aborted before, passes now.

--- a/src/dotterelshift/http/client.cc
+++ b/src/dotterelshift/http/client.cc
@@ -424,8 +424,11 @@
     WatchIfKept(*ended.mapped());
   }
 
+  // libcurl closes a socket that was never connected without telling.
   void WatchIfKept(const Transfer& transfer) {
     if (!m_options.on_idle_closed || transfer.request.relay) return;
+    if (transfer.cancelled || !transfer.sent || !transfer.head.IsReceived())
+      return;
     if (Uses(transfer))
       m_idle.Watch(transfer.descriptor, ServerOf(transfer.request.url));
   }
--- a/src/dotterelshift/http/idle_connections_test.cc
+++ b/src/dotterelshift/http/idle_connections_test.cc
@@ -27,6 +27,8 @@
   CPPUNIT_TEST(CloseAfterReuseIsReportedOnce);
   CPPUNIT_TEST(CloseDuringAResponseIsItsEnd);
   CPPUNIT_TEST(BytesThatNobodyAskedForAreNotReported);
+  CPPUNIT_TEST(ConnectionThatWasRefusedIsNotWatched);
+  CPPUNIT_TEST(ConnectionThatTimedOutIsNotWatched);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -95,14 +97,43 @@
     CPPUNIT_ASSERT_EQUAL(1, m_closed);
   }
 
+  // Its descriptor is closed, and may be another one's by now.
+  void ConnectionThatWasRefusedIsNotWatched() {
+    std::string server;
+    {
+      const TestListener gone(1);
+      server = "127.0.0.1:" + std::to_string(gone.Port());
+    }
+    ExpectNotSent(server);
+  }
+
+  void ConnectionThatTimedOutIsNotWatched() {
+    TestListener full(0);
+    full.Fill();
+    ExpectNotSent("127.0.0.1:" + std::to_string(full.Port()));
+  }
+
  private:
+  void ExpectNotSent(const std::string& server) {
+    std::optional<TransferEnd> end;
+    Start(end, server);
+    RunUntil(m_loop, "the end", [&] { return end.has_value(); });
+    CPPUNIT_ASSERT(*end == TransferEnd::kNotSent);
+    // The loop goes on, and so do other connections.
+    (void)Serve();
+    CPPUNIT_ASSERT_EQUAL(0, m_closed);
+  }
+
   std::string Server() const {
     return "127.0.0.1:" + std::to_string(m_listener.Port());
   }
 
-  void Start(std::optional<TransferEnd>& end) {
+  void Start(std::optional<TransferEnd>& end) { Start(end, Server()); }
+
+  void Start(std::optional<TransferEnd>& end, const std::string& server) {
     ClientRequest request;
-    request.url = "http://" + Server() + "/x";
+    request.url = "http://" + server + "/x";
+    request.connect_timeout = 100ms;
     TransferCallbacks callbacks;
     callbacks.on_end = [&end](TransferEnd how) { end = how; };
     m_client->Start(std::move(request), std::move(callbacks));
