--- a/src/dotterelshift/app/endpoint_relays.cc
+++ b/src/dotterelshift/app/endpoint_relays.cc
@@ -2,9 +2,10 @@
 
 #include <utility>  // for move
 
-#include "dotterelshift/app/gauges.h"        // for SetGauges
-#include "dotterelshift/directory/spread.h"  // for PulseKey
-#include "dotterelshift/telemetry/log.h"     // for Log
+#include "dotterelshift/app/gauges.h"                 // for SetGauges
+#include "dotterelshift/directory/find_by_address.h"  // for FindByAddress
+#include "dotterelshift/directory/spread.h"           // for PulseKey
+#include "dotterelshift/telemetry/log.h"              // for Log
 
 namespace dotterelshift::app {
 namespace {
@@ -61,15 +62,9 @@
   return callbacks;
 }
 
-const directory::Endpoint* EndpointRelays::FindByAddress(
-    const std::string& address) const {
-  for (const auto& [id, endpoint] : m_parts.directory->All())
-    if (endpoint.usable && endpoint.record.address == address) return &endpoint;
-  return nullptr;
-}
-
 relay::Admission EndpointRelays::Admit(const std::string& target) const {
-  const directory::Endpoint* endpoint = FindByAddress(target);
+  const directory::Endpoint* endpoint =
+      directory::FindByAddress(*m_parts.directory, target);
   if (endpoint == nullptr) return relay::Admission::kUnknownTarget;
   // A connection passes at most one relay. A path that is in doubt is tried:
   // entries that mistrust their paths for the same crashes would otherwise all
@@ -81,7 +76,8 @@
 }
 
 bool EndpointRelays::OnConnectFailed(const std::string& target, Duration took) {
-  const directory::Endpoint* endpoint = FindByAddress(target);
+  const directory::Endpoint* endpoint =
+      directory::FindByAddress(*m_parts.directory, target);
   if (endpoint == nullptr) return false;
   const EndpointKey key =
       directory::PulseKey(endpoint->record.id, endpoint->record.incarnation);
--- a/src/dotterelshift/app/endpoint_relays.h
+++ b/src/dotterelshift/app/endpoint_relays.h
@@ -60,7 +60,6 @@
   relay::RelayCallbacks Callbacks();
   relay::Admission Admit(const std::string& target) const;
   bool OnConnectFailed(const std::string& target, Duration took);
-  const directory::Endpoint* FindByAddress(const std::string& address) const;
   void SendOffer(const HostId& host, const std::string& token) const;
 
   loop::Loop& m_loop;
--- a/src/dotterelshift/app/version_tracker.cc
+++ b/src/dotterelshift/app/version_tracker.cc
@@ -2,8 +2,9 @@
 
 #include <string>  // for to_string
 
-#include "dotterelshift/app/gauges.h"     // for SetVersionMetrics
-#include "dotterelshift/telemetry/log.h"  // for Log
+#include "dotterelshift/app/gauges.h"                 // for SetVersionMetrics
+#include "dotterelshift/directory/find_by_address.h"  // for FindByAddress
+#include "dotterelshift/telemetry/log.h"              // for Log
 
 namespace dotterelshift::app {
 namespace {
@@ -29,10 +30,11 @@
 
 void VersionTracker::OnIdleClosed(const std::string& address, Duration idle,
                                   Instant now) {
-  for (const auto& [id, endpoint] : m_directory.GetDirectory().All()) {
-    if (endpoint.usable && endpoint.record.address == address)
-      m_restarts.OnIdleClosed({id, endpoint.record.incarnation}, idle, now);
-  }
+  const directory::Endpoint* endpoint =
+      directory::FindByAddress(m_directory.GetDirectory(), address);
+  if (endpoint == nullptr) return;
+  const wire::EndpointRecordT& record = endpoint->record;
+  m_restarts.OnIdleClosed({record.id, record.incarnation}, idle, now);
 }
 
 void VersionTracker::LogChanges() {
