--- a/src/dotterelshift/gateway/core_killed_fleet_test.cc
+++ b/src/dotterelshift/gateway/core_killed_fleet_test.cc
@@ -25,6 +25,7 @@
  public:
   void setUp() override {
     CoreFixture::setUp();
+    m_resumed_path = "/resume/x/";
     CoreDependencies parts = Parts();
     parts.lookup = &m_lookup;
     m_core = MakeCore(CoreOptions(), parts);
@@ -177,14 +178,6 @@
     Collect();
   }
 
-  void Resume(const std::string& first) {
-    RequestInfo info = MakeRequestInfo("/resume/x/");
-    info.last_event_id = "3";
-    info.first_caller_id = first;
-    m_core->OnRequest(kRequest, info, m_now);
-    Collect();
-  }
-
   void ExpectRefused() {
     CPPUNIT_ASSERT(Only<Refuse>().kind == ErrorKind::kNotResumable);
     CPPUNIT_ASSERT(RowOf(Only<Refuse>().kind).ran == Ran::kNo);
--- a/src/dotterelshift/gateway/core_origin_lookup_test.cc
+++ b/src/dotterelshift/gateway/core_origin_lookup_test.cc
@@ -126,14 +126,6 @@
     m_directory.OnRecord(record, m_now);
   }
 
-  void Resume(const std::string& first, RequestId id = kRequest) {
-    RequestInfo info = MakeRequestInfo("/resume/");
-    info.last_event_id = "3";
-    info.first_caller_id = first;
-    m_core->OnRequest(id, info, m_now);
-    Collect();
-  }
-
   void TakeLookups() {
     m_core->OnOriginsLookedUp(m_lookup.TakeEnded(), m_now);
     Collect();
--- a/src/dotterelshift/gateway/core_testing.h
+++ b/src/dotterelshift/gateway/core_testing.h
@@ -121,6 +121,15 @@
     Collect();
   }
 
+  // Resumes the stream whose first request had this id, after its third event.
+  void Resume(const std::string& first, RequestId id = kRequest) {
+    RequestInfo info = MakeRequestInfo(m_resumed_path);
+    info.last_event_id = "3";
+    info.first_caller_id = first;
+    m_core->OnRequest(id, info, m_now);
+    Collect();
+  }
+
   void Collect() {
     m_last.clear();
     m_log_lines.clear();
@@ -186,6 +195,7 @@
 
   static constexpr RequestId kRequest = 1;
   Instant m_now;
+  std::string m_resumed_path = "/resume/";
   uint64_t m_sequence = 0;
   directory::Directory m_directory;
   std::unique_ptr<FleetLoad> m_load;
--- a/src/dotterelshift/gateway/versioned_core_testing.h
+++ b/src/dotterelshift/gateway/versioned_core_testing.h
@@ -79,14 +79,6 @@
                          m_now);
   }
 
-  void Resume(const std::string& first) {
-    RequestInfo info = MakeRequestInfo("/resume/");
-    info.last_event_id = "3";
-    info.first_caller_id = first;
-    m_core->OnRequest(kRequest, info, m_now);
-    Collect();
-  }
-
   // No announcement was received since the connection was established.
   StartAttempt ResumeOnNewConnection() {
     Tell("first", "v1");
--- a/src/dotterelshift/http/idle_connections_test.cc
+++ b/src/dotterelshift/http/idle_connections_test.cc
@@ -47,15 +47,14 @@
     auto peer = Serve();
     CPPUNIT_ASSERT_EQUAL(0, m_closed);
     peer.reset();
-    RunUntil(m_loop, "the close", [&] { return m_closed > 0; });
+    ExpectReported();
     (void)Serve();
     CPPUNIT_ASSERT_EQUAL(1, m_closed);
   }
 
   void ResetIsReported() {
     Serve()->Reset();
-    RunUntil(m_loop, "the reset", [&] { return m_closed > 0; });
-    CPPUNIT_ASSERT_EQUAL(1, m_closed);
+    ExpectReported();
   }
 
   void CloseAfterReuseIsReportedOnce() {
@@ -65,8 +64,7 @@
     Answer(*peer, end);
     CPPUNIT_ASSERT(!m_listener.HasConnection());
     peer.reset();
-    RunUntil(m_loop, "the close", [&] { return m_closed > 0; });
-    CPPUNIT_ASSERT_EQUAL(1, m_closed);
+    ExpectReported();
   }
 
   void CloseDuringAResponseIsItsEnd() {
@@ -92,7 +90,7 @@
     Answer(*second, second_end);
     first->Send("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
     second.reset();
-    RunUntil(m_loop, "the close", [&] { return m_closed > 0; });
+    ExpectReported();
     ev_run(m_loop.Raw(), EVRUN_NOWAIT);
     CPPUNIT_ASSERT_EQUAL(1, m_closed);
   }
@@ -114,6 +112,11 @@
   }
 
  private:
+  void ExpectReported() {
+    RunUntil(m_loop, "the close", [&] { return m_closed > 0; });
+    CPPUNIT_ASSERT_EQUAL(1, m_closed);
+  }
+
   void ExpectNotSent(const std::string& server) {
     std::optional<TransferEnd> end;
     Start(end, server);
