A stream in doubt: one state for the endpoint's next incarnation, one record of what is withheld

Read through as a newcomer: two flags are an enum, what is withheld is one record, why a stream is kept is asked once an event instead of twice, and stream_passed_on is logged only after stream_withheld.

--- a/src/dotterelshift/gateway/active_request.h
+++ b/src/dotterelshift/gateway/active_request.h
@@ -32,6 +32,22 @@
   kAnswering,
 };
 
+// Whether an endpoint has started again since a request was sent to it, or
+// before without being noticed.
+enum class NextIncarnation : uint8_t {
+  kUnknown,  // there may be none
+  kSameVersion,
+  kOtherVersion,
+};
+
+// What was received of a response while it was in doubt whether its endpoint
+// has started again.
+struct Withheld {
+  std::string bytes;
+  bool whole = false;   // the response is complete
+  bool logged = false;  // that it is withheld
+};
+
 // One attempt to run a request at one endpoint.
 struct Attempt {
   AttemptId id = 0;
@@ -50,14 +66,8 @@
   bool head_received = false;
   Instant head_at{};   // when the response began
   bool bound = false;  // to the endpoint's version, when it was sent
-  // Its endpoint has started again since at another version, or before without
-  // being noticed.
-  bool restarted = false;
-  bool same_version = false;  // its endpoint has started again, at the same one
-  // What was received while it was in doubt whether its endpoint has started
-  // again; nullopt: nothing is withheld.
-  std::optional<std::string> withheld;
-  bool withheld_whole = false;  // the response is complete
+  NextIncarnation next = NextIncarnation::kUnknown;  // of its endpoint
+  std::optional<Withheld> withheld;                  // nullopt: nothing is
   int status = 0;
   ResponseInfo response_info;
   uint64_t events = 0;  // passed on to the caller
--- a/src/dotterelshift/gateway/core_doubt.cc
+++ b/src/dotterelshift/gateway/core_doubt.cc
@@ -1,5 +1,5 @@
 #include <algorithm>  // for any_of, sort
-#include <utility>    // for move
+#include <utility>    // for exchange, move
 
 #include "dotterelshift/gateway/core_impl.h"  // for CoreImpl
 
@@ -44,8 +44,8 @@
 }
 
 bool CoreImpl::IsInDoubt(const Attempt& attempt) const {
-  if (!attempt.bound || attempt.events > 0 || attempt.same_version)
-    return false;
+  const bool cleared = attempt.next == NextIncarnation::kSameVersion;
+  if (!attempt.bound || attempt.events > 0 || cleared) return false;
   return m_dependencies.restarts->During(attempt.endpoint, attempt.head_at) ==
          origins::ProcessProof::kInDoubt;
 }
@@ -54,39 +54,39 @@
 // stream broke there, so that a request that would not go on elsewhere at once
 // is kept, but its caller gets nothing that may be of another version.
 void CoreImpl::Withhold(ActiveRequest& active, std::string_view bytes,
-                        Instant now) {
-  Attempt& attempt = active.attempt;
-  if (!attempt.withheld) {
-    const std::optional<std::string_view> why = WhyKept(active, now);
-    if (!why) return LeaveInDoubt(active, now);
-    attempt.withheld.emplace();
-    Log("stream_withheld", active,
-        {{"endpoint", attempt.endpoint.id}, {"why", std::string(*why)}});
-  }
-  attempt.withheld->append(bytes);
+                        bool whole, Instant now) {
+  std::optional<Withheld>& withheld = active.attempt.withheld;
+  if (!withheld) withheld.emplace();
+  withheld->bytes.append(bytes);
+  withheld->whole = whole;
   SettleDoubt(active, now);
 }
 
 void CoreImpl::SettleDoubt(ActiveRequest& active, Instant now) {
   m_dependencies.restarts->Update(now);
   if (!IsInDoubt(active.attempt)) return PassOnWithheld(active, now);
-  if (!WhyKept(active, now)) return LeaveInDoubt(active, now);
+  const std::optional<std::string_view> why = WhyKept(active, now);
+  if (!why) return LeaveInDoubt(active, now);
+  if (!std::exchange(active.attempt.withheld->logged, true))
+    Log("stream_withheld", active,
+        {{"endpoint", active.attempt.endpoint.id}, {"why", std::string(*why)}});
   SetTimer(active, now + kDoubtCheckInterval);
 }
 
 void CoreImpl::PassOnWithheld(ActiveRequest& active, Instant now) {
   const AttemptId attempt = active.attempt.id;
-  const bool whole = active.attempt.withheld_whole;
-  const std::string bytes = std::move(*active.attempt.withheld);
+  const Withheld withheld = std::move(*active.attempt.withheld);
   active.attempt.withheld.reset();
-  Log("stream_passed_on", active,
-      {{"endpoint", active.attempt.endpoint.id},
-       {"withheld_ms", std::to_string(ToMs(now - active.attempt.head_at))}});
+  if (withheld.logged) {
+    Log("stream_passed_on", active,
+        {{"endpoint", active.attempt.endpoint.id},
+         {"withheld_ms", std::to_string(ToMs(now - active.attempt.head_at))}});
+  }
   SetTimer(active, RunningDeadline(active));
-  PassOn(active, bytes, now);
+  PassOn(active, withheld.bytes, now);
   // The attempt may have been given up, as events are missing.
   ActiveRequest* still = FindByAttempt(attempt);
-  if (whole && still != nullptr) OnWholeResponse(*still, now);
+  if (withheld.whole && still != nullptr) OnWholeResponse(*still, now);
 }
 
 void CoreImpl::LeaveInDoubt(ActiveRequest& active, Instant now) {
@@ -105,15 +105,17 @@
   for (auto& [id, active] : m_active) {
     Attempt& attempt = active.attempt;
     if (!active.IsSent()) continue;
+    if (attempt.next == NextIncarnation::kOtherVersion) continue;
     const directory::Endpoint* endpoint = directory.Find(attempt.endpoint.id);
     const bool restarted =
         endpoint != nullptr &&
         endpoint->record.incarnation > attempt.endpoint.incarnation;
     if (!restarted) continue;
-    attempt.same_version =
+    const bool same =
         origins::SoftwareKeyOf(endpoint->record) == attempt.endpoint.software;
-    if (attempt.same_version) continue;
-    attempt.restarted = true;
+    attempt.next =
+        same ? NextIncarnation::kSameVersion : NextIncarnation::kOtherVersion;
+    if (same) continue;
     if (attempt.bound)
       bound.push_back(id);
     else if (active.binding)
--- a/src/dotterelshift/gateway/core_doubt_test.cc
+++ b/src/dotterelshift/gateway/core_doubt_test.cc
@@ -29,6 +29,7 @@
   CPPUNIT_TEST(OriginAtASuspectIsUnknownUntilItAnnouncesItself);
   CPPUNIT_TEST(OriginIsUnclearIfItsEndpointHadStartedAgain);
   CPPUNIT_TEST(StreamThatBeginsAfterARestartHasNoKnownOrigin);
+  CPPUNIT_TEST(StreamThatBeganBetweenTwoRestartsHasNoKnownOrigin);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -268,6 +269,21 @@
             .state == origins::OriginState::kMissing);
   }
 
+  // The endpoint has its first version again, but had another one meanwhile.
+  void StreamThatBeganBetweenTwoRestartsHasNoKnownOrigin() {
+    Request("/resume/");
+    const StartAttempt start = Only<StartAttempt>();
+    const std::string& version = start.endpoint.software_version;
+    AnnounceEndpoint(start.endpoint.id, version == "v1" ? "v2" : "v1", 2);
+    AnnounceEndpoint(start.endpoint.id, version, 3);
+    Collect();
+    Head(start.attempt, 200, true);
+    Chunk(start.attempt, "id: 1\n\n");
+    CPPUNIT_ASSERT(
+        m_origins->Find(origins::StreamKeyOf("team", "caller-1"), m_now)
+            .state == origins::OriginState::kMissing);
+  }
+
  private:
   static Prompt LongPrompt() {
     Prompt prompt;
--- a/src/dotterelshift/gateway/core_impl.h
+++ b/src/dotterelshift/gateway/core_impl.h
@@ -222,7 +222,9 @@
   bool MustWithhold(const Attempt& attempt) const {
     return attempt.withheld || IsInDoubt(attempt);
   }
-  void Withhold(ActiveRequest& active, std::string_view bytes, Instant now);
+  // whole: the response ends with these bytes.
+  void Withhold(ActiveRequest& active, std::string_view bytes, bool whole,
+                Instant now);
   // Passes on what is withheld, or leaves the endpoint; else looks again soon.
   void SettleDoubt(ActiveRequest& active, Instant now);
   void PassOnWithheld(ActiveRequest& active, Instant now);
--- a/src/dotterelshift/gateway/core_response.cc
+++ b/src/dotterelshift/gateway/core_response.cc
@@ -111,7 +111,8 @@
     m_dependencies.restarts->OnBytes(active->attempt.placement.endpoint,
                                      active->attempt.head_at, now);
   if (active->stage != Stage::kAnswering) return;
-  if (MustWithhold(active->attempt)) return Withhold(*active, bytes, now);
+  if (MustWithhold(active->attempt))
+    return Withhold(*active, bytes, false, now);
   PassOn(*active, bytes, now);
 }
 
@@ -127,7 +128,7 @@
   if (request == m_attempts.end()) return 0;
   const ActiveRequest& active = m_active.at(request->second);
   const size_t withheld =
-      active.attempt.withheld ? active.attempt.withheld->size() : 0;
+      active.attempt.withheld ? active.attempt.withheld->bytes.size() : 0;
   return withheld + active.scanner.PartialEvent().size();
 }
 
@@ -162,8 +163,7 @@
   if (response.not_run || response.address_reassigned)
     return OnEndpointRefusal(*active, now);
   if (active->stage == Stage::kAnswering && MustWithhold(active->attempt)) {
-    active->attempt.withheld_whole = true;
-    return Withhold(*active, "", now);
+    return Withhold(*active, "", true, now);
   }
   OnWholeResponse(*active, now);
 }
--- a/src/dotterelshift/gateway/core_streams.cc
+++ b/src/dotterelshift/gateway/core_streams.cc
@@ -225,15 +225,16 @@
   const origins::StreamKey stream =
       origins::StreamKeyOf(active.team, active.info.caller_id);
   const origins::RestartSuspects& restarts = *m_dependencies.restarts;
+  const bool restarted = attempt.next == NextIncarnation::kOtherVersion;
   const bool in_doubt =
-      attempt.restarted || restarts.During(attempt.endpoint, attempt.head_at) ==
-                               origins::ProcessProof::kInDoubt;
+      restarted || restarts.During(attempt.endpoint, attempt.head_at) ==
+                       origins::ProcessProof::kInDoubt;
   active.binding = {attempt.endpoint.software, BindingSource::kOwn, 0s};
   if (in_doubt) {
     active.binding = BindingInDoubt();
     ++m_resumptions.begun_in_doubt;
   }
-  if (attempt.restarted) return;
+  if (restarted) return;
   m_dependencies.origins->OnBegun(stream, attempt.endpoint, attempt.head_at,
                                   restarts, now);
 }
