Log: whose response arrived, on which connection, and what it stated

It names now the id that the response bore, whether it stated that nothing ran, and whether the connection was new; response_to_another says the same of each response that bears another id or none, with a counter by service; answered and ended name the endpoint's status.

--- a/include/dotterelshift/gateway/core.h
+++ b/include/dotterelshift/gateway/core.h
@@ -235,6 +235,9 @@
   // Requests refused as all endpoints of their service name limits that are
   // used up, since the start.
   virtual uint64_t LimitRefusals() const = 0;
+  // Responses that bore the id of another request than the one that was due, or
+  // none, since the start, by service.
+  virtual const std::map<ServiceName, uint64_t>& ResponsesToOthers() const = 0;
 };
 
 struct CoreDependencies {
--- a/src/dotterelshift/app/gateway_traffic.cc
+++ b/src/dotterelshift/app/gateway_traffic.cc
@@ -7,6 +7,7 @@
 #include <utility>    // for move
 #include <variant>    // for visit
 
+#include "dotterelshift/app/gauges.h"        // for SetResponseMetrics
 #include "dotterelshift/callers/front.h"     // for MakeErrorBody
 #include "dotterelshift/http/hop_headers.h"  // for RemoveHopByHopHeaders
 #include "dotterelshift/telemetry/log.h"     // for Log
@@ -311,6 +312,7 @@
 
 void GatewayTraffic::SetMetrics() const {
   m_unanswered.SetMetrics(m_metrics);
+  SetResponseMetrics(m_metrics, m_core);
   m_metrics.SetCounter("dotterelshift_responses_too_large_total",
                        "Responses given up, as they were too large to hold",
                        static_cast<double>(m_too_large));
--- a/src/dotterelshift/app/gauges.cc
+++ b/src/dotterelshift/app/gauges.cc
@@ -139,6 +139,15 @@
                        "Streams whose version is known", Number(origins)}});
 }
 
+void SetResponseMetrics(telemetry::Metrics& metrics,
+                        const gateway::Core& core) {
+  for (const auto& [service, count] : core.ResponsesToOthers())
+    metrics.SetServiceCounter("dotterelshift_responses_to_others_total",
+                              "Responses that bore the id of another request "
+                              "than the one that was due, or none",
+                              service, Number(count));
+}
+
 void SetSuspectMetrics(telemetry::Metrics& metrics,
                        const gateway::CrashSuspects& suspects,
                        const gateway::Core& core, Instant now) {
--- a/src/dotterelshift/app/gauges.h
+++ b/src/dotterelshift/app/gauges.h
@@ -65,6 +65,9 @@
                           const gateway::ResumptionCounts& counts,
                           size_t origins);
 
+// Responses to other requests than the one that was due.
+void SetResponseMetrics(telemetry::Metrics& metrics, const gateway::Core& core);
+
 // Prompt segments that are suspected of crashing endpoints.
 void SetSuspectMetrics(telemetry::Metrics& metrics,
                        const gateway::CrashSuspects& suspects,
--- a/src/dotterelshift/gateway/active_request.h
+++ b/src/dotterelshift/gateway/active_request.h
@@ -63,6 +63,7 @@
   // counted as a failure of the endpoint.
   Instant kept_logged{};
   Instant silence_booked{};
+  bool new_connection = false;  // made for it
   bool head_received = false;
   Instant head_at{};   // when the response began
   bool bound = false;  // to the endpoint's version, when it was sent
--- a/src/dotterelshift/gateway/core_finish.cc
+++ b/src/dotterelshift/gateway/core_finish.cc
@@ -163,6 +163,7 @@
       {"first_ms", std::to_string(ToMs(summary.first_token))},
       {"total_ms", std::to_string(ToMs(summary.total))},
       {"sends", std::to_string(active.sends)},
+      {"status", std::to_string(active.attempt.status)},
       {"spent", std::to_string(summary.spent)}};
   if (active.route != nullptr) {
     const Duration left = active.arrived + active.route->timeout - now;
--- a/src/dotterelshift/gateway/core_impl.h
+++ b/src/dotterelshift/gateway/core_impl.h
@@ -74,6 +74,9 @@
   const ResumptionCounts& Resumptions() const override { return m_resumptions; }
   uint64_t SuspectRefusals() const override { return m_suspect_refusals; }
   uint64_t LimitRefusals() const override { return m_limit_refusals; }
+  const std::map<ServiceName, uint64_t>& ResponsesToOthers() const override {
+    return m_responses_to_others;
+  }
 
  private:
   void LogArrivals(const directory::Directory& directory, Instant now);
@@ -286,6 +289,7 @@
   bool TryAgain(ActiveRequest& active, bool stays, Instant now);
   bool TakeRetry(const ActiveRequest& active, Instant now);
   bool MayRunAgain(const ActiveRequest& active) const;
+  void LogResponseToAnother(const ActiveRequest& active);
   void BookLimits(const ActiveRequest& active, Instant now);
   void RelayHeadOnce(ActiveRequest& active);
   void PassOn(ActiveRequest& active, std::string_view bytes, Instant now);
@@ -358,6 +362,7 @@
   Instant m_next_suspect_check{};
   uint64_t m_suspect_refusals = 0;
   uint64_t m_limit_refusals = 0;
+  std::map<ServiceName, uint64_t> m_responses_to_others;
 };
 
 }  // namespace dotterelshift::gateway
--- a/src/dotterelshift/gateway/core_paths.cc
+++ b/src/dotterelshift/gateway/core_paths.cc
@@ -111,8 +111,10 @@
 }
 
 void CoreImpl::OnConnected(AttemptId id, Instant now) {
-  const ActiveRequest* active = FindByAttempt(id);
-  if (active == nullptr || m_dependencies.paths == nullptr) return;
+  ActiveRequest* active = FindByAttempt(id);
+  if (active == nullptr) return;
+  active->attempt.new_connection = true;
+  if (m_dependencies.paths == nullptr) return;
   if (!active->attempt.relay.empty()) return;
   m_dependencies.paths->OnConnected(active->attempt.placement.endpoint, now);
   OnPathsChanged(now);
--- a/src/dotterelshift/gateway/core_response.cc
+++ b/src/dotterelshift/gateway/core_response.cc
@@ -22,6 +22,10 @@
   return attempt.relay.empty() ? "direct" : attempt.relay;
 }
 
+std::string ConnectionOf(const Attempt& attempt) {
+  return attempt.new_connection ? "new" : "kept";
+}
+
 std::string_view NameOf(http::TransferEnd end) {
   switch (end) {
     case http::TransferEnd::kWhole:
@@ -69,6 +73,7 @@
   if (m_dependencies.paths != nullptr && attempt.relay.empty())
     m_dependencies.paths->OnBytes(attempt.placement.endpoint, now);
   const bool mismatched = response_info.echoed_id != active->info.caller_id;
+  if (mismatched) LogResponseToAnother(*active);
   if (!response_info.address_reassigned &&
       (!mismatched || response_info.not_run))
     BookLimits(*active, now);
@@ -86,6 +91,21 @@
   RelayHeadOnce(*active);
 }
 
+// An endpoint may send a response once more, where the next one is due.
+void CoreImpl::LogResponseToAnother(const ActiveRequest& active) {
+  ++m_responses_to_others[active.service];
+  const Attempt& attempt = active.attempt;
+  const ResponseInfo& response = attempt.response_info;
+  Log("response_to_another", active,
+      {{"endpoint", attempt.endpoint.id},
+       {"status", std::to_string(attempt.status)},
+       {"answers", response.echoed_id},
+       {"states_not_run", response.not_run ? "yes" : "no"},
+       {"connection", ConnectionOf(attempt)},
+       {"path", PathOf(attempt)}},
+      attempt.id);
+}
+
 void CoreImpl::BookLimits(const ActiveRequest& active, Instant now) {
   const EndpointKey endpoint = active.attempt.placement.endpoint;
   const ResponseInfo& response = active.attempt.response_info;
@@ -227,7 +247,10 @@
   }
   Log("endpoint_refused", active,
       {{"endpoint", active.attempt.endpoint.id},
-       {"status", std::to_string(active.attempt.status)}});
+       {"status", std::to_string(active.attempt.status)},
+       {"answers", active.attempt.response_info.echoed_id},
+       {"states_not_run", active.attempt.response_info.not_run ? "yes" : "no"},
+       {"connection", ConnectionOf(active.attempt)}});
   EndAttempt(active, now);
   if (TryAgain(active, false, now)) return;
   if (active.may_have_run)
