--- a/src/dotterelshift/base/error_test.cc
+++ b/src/dotterelshift/base/error_test.cc
@@ -11,6 +11,7 @@
   CPPUNIT_TEST_SUITE(ErrorTest);
   CPPUNIT_TEST(NamesAndKindsAreUnique);
   CPPUNIT_TEST(RetryAfterIsSetOnlyForLater);
+  CPPUNIT_TEST(OnlyWhatDidNotRunHasAStatusThatPromisesSo);
   CPPUNIT_TEST(UnknownNumberIsInternal);
   CPPUNIT_TEST_SUITE_END();
 
@@ -35,6 +36,15 @@
     }
   }
 
+  // Callers send a request again after these statuses.
+  void OnlyWhatDidNotRunHasAStatusThatPromisesSo() {
+    const std::set<int> promises = {408, 421, 429, 503};
+    for (const ErrorRow& row : ErrorTable())
+      CPPUNIT_ASSERT_MESSAGE(
+          std::string(row.name),
+          row.ran == Ran::kNo || !promises.contains(row.status));
+  }
+
   void UnknownNumberIsInternal() {
     CPPUNIT_ASSERT(RowOf(static_cast<ErrorKind>(9999)).kind ==
                    ErrorKind::kInternal);
