A response that answers another request proves nothing about the one that is due

What callers saw: 503 for requests that an endpoint ran (REFUSED), and requests that may run once run at two endpoints (TWICE).

Cause: CoreImpl::OnHead took a response of another id, or of none, for a failed attempt unless it bore "not run" or was a 421: those were believed, whomever they answered. Retries, refusals, tokens, limits and permits, replaced endpoints rested on three conditions in three places. gateway::Judge says now in one place what a head proves; a response without an id answers the request only on a new connection, on which nothing else was sent.

--- a/src/dotterelshift/gateway/active_request.h
+++ b/src/dotterelshift/gateway/active_request.h
@@ -7,9 +7,10 @@
 #include <string_view>  // for string_view
 #include <vector>       // for vector
 
-#include "dotterelshift/gateway/core.h"           // for RequestInfo
-#include "dotterelshift/gateway/event_scanner.h"  // for EventScanner
-#include "dotterelshift/origins/origin_lookup.h"  // for EndedLookup
+#include "dotterelshift/gateway/core.h"              // for RequestInfo
+#include "dotterelshift/gateway/event_scanner.h"     // for EventScanner
+#include "dotterelshift/gateway/response_verdict.h"  // for ResponseVerdict
+#include "dotterelshift/origins/origin_lookup.h"     // for EndedLookup
 
 namespace dotterelshift::gateway {
 
@@ -71,6 +72,7 @@
   std::optional<Withheld> withheld;                  // nullopt: nothing is
   int status = 0;
   ResponseInfo response_info;
+  ResponseVerdict verdict = ResponseVerdict::kOfAnother;  // of its head
   uint64_t events = 0;  // passed on to the caller
 };
 
--- a/src/dotterelshift/gateway/core_permits_test.cc
+++ b/src/dotterelshift/gateway/core_permits_test.cc
@@ -82,6 +82,7 @@
     ResponseInfo response;
     response.address_reassigned = true;
     response.limits.requests_per_second = 1;
+    m_core->OnConnected(start.attempt, m_now);
     m_core->OnHead(start.attempt, 421, response, m_now);
     CPPUNIT_ASSERT(m_limits->Limited().empty());
   }
--- a/src/dotterelshift/gateway/core_response.cc
+++ b/src/dotterelshift/gateway/core_response.cc
@@ -4,6 +4,7 @@
 namespace {
 
 bool IsSuccess(int status) { return status >= 200 && status < 300; }
+
 bool IsEndpointFault(int status) { return status >= 500; }
 
 // Whether the endpoint broke the connection off, and did not only take too long
@@ -72,18 +73,17 @@
   if (!std::exchange(attempt.head_received, true)) attempt.head_at = now;
   if (m_dependencies.paths != nullptr && attempt.relay.empty())
     m_dependencies.paths->OnBytes(attempt.placement.endpoint, now);
-  const bool mismatched = response_info.echoed_id != active->info.caller_id;
-  if (mismatched) LogResponseToAnother(*active);
-  if (!response_info.address_reassigned &&
-      (!mismatched || response_info.not_run))
-    BookLimits(*active, now);
-  if (mismatched && !response_info.address_reassigned &&
-      !response_info.not_run) {
-    // A response to another request, or bytes that are not from the endpoint.
+  attempt.verdict = Judge({active->info.caller_id, attempt.new_connection},
+                          status, response_info);
+  if (attempt.verdict == ResponseVerdict::kOfAnother) {
+    LogResponseToAnother(*active);
     CancelAttemptIfSent(*active);
     return OnAttemptFailed(*active, http::TransferEnd::kCut, now);
   }
+  if (attempt.verdict != ResponseVerdict::kMisdirected)
+    BookLimits(*active, now);
   const bool streams = active->route->kind == RouteKind::kStream &&
+                       attempt.verdict == ResponseVerdict::kRan &&
                        IsSuccess(status) && response_info.has_proof &&
                        response_info.event_stream;
   if (!streams) return;
@@ -113,7 +113,8 @@
                                        response.limits.refusals_per_second);
   if (m_dependencies.limits == nullptr) return;
   m_dependencies.limits->OnResponse(endpoint, response.limits, now);
-  m_dependencies.limits->OnOutcome(active.id, response.not_run, now);
+  m_dependencies.limits->OnOutcome(
+      active.id, active.attempt.verdict == ResponseVerdict::kNotRun, now);
 }
 
 void CoreImpl::RelayHeadOnce(ActiveRequest& active) {
@@ -179,8 +180,9 @@
   SuspectRestart(active->attempt, end, now);
   if (end != http::TransferEnd::kWhole)
     return OnAttemptFailed(*active, end, now);
-  const ResponseInfo& response = active->attempt.response_info;
-  if (response.not_run || response.address_reassigned)
+  const ResponseVerdict verdict = active->attempt.verdict;
+  if (verdict == ResponseVerdict::kNotRun ||
+      verdict == ResponseVerdict::kMisdirected)
     return OnEndpointRefusal(*active, now);
   if (active->stage == Stage::kAnswering && MustWithhold(active->attempt)) {
     return Withhold(*active, "", true, now);
@@ -238,7 +240,7 @@
 
 void CoreImpl::OnEndpointRefusal(ActiveRequest& active, Instant now) {
   const EndpointKey endpoint = active.attempt.placement.endpoint;
-  if (active.attempt.response_info.address_reassigned) {
+  if (active.attempt.verdict == ResponseVerdict::kMisdirected) {
     m_replaced.push_back(endpoint);
     m_dependencies.load->OnUnreachable(endpoint, now);
     LogAvoided(active, "address_reassigned", now);
--- a/src/dotterelshift/gateway/version_schedule_testing.h
+++ b/src/dotterelshift/gateway/version_schedule_testing.h
@@ -230,6 +230,7 @@
     ResponseInfo info;
     info.address_reassigned = true;
     node.running.erase(attempt);
+    node.core->OnConnected(attempt, m_now);
     node.core->OnHead(attempt, 421, info, m_now);
     node.core->OnEnd(attempt, http::TransferEnd::kWhole, m_now);
     Execute(node);
