A status that promises "not run" is not passed on for a request that ran

What callers saw: 503, 429 or 408 of an endpoint that ran their request and did not state that it had not (REFUSED). Callers send it again.

Cause: OnCompleteResponse passed the endpoint's status on unchanged. A failure that bears an endpoint's stamp must have its status, so that what remains is a 502 of the entry's own, without the stamp. A request that may repeat is retried first, as after any failure. 425 promises nothing and is passed on.

The same in the table of errors: bill_not_recorded had status 503 and "ran: yes". It is 500 now, and the compiler checks that no row promises what it denies.

--- a/src/dotterelshift/base/error.cc
+++ b/src/dotterelshift/base/error.cc
@@ -1,8 +1,10 @@
 #include "dotterelshift/base/error.h"
 
-#include <algorithm>  // for find
+#include <algorithm>  // for find, none_of
 #include <array>      // for array
 
+#include "dotterelshift/base/http_status.h"  // for PromisesNotRun
+
 namespace dotterelshift {
 namespace {
 
@@ -82,7 +84,7 @@
              "The deadline passed while the request ran."},
     ErrorRow{kOutputLimitReached, "output_limit_reached", 502, Ran::kYes,
              kNever, 0, "The endpoint wrote more than the output limit."},
-    ErrorRow{kBillNotRecorded, "bill_not_recorded", 503, Ran::kYes, kLater, 2,
+    ErrorRow{kBillNotRecorded, "bill_not_recorded", 500, Ran::kYes, kLater, 2,
              "The request ran, but its bill could not be recorded in time."},
     ErrorRow{kAlreadyRunning, "already_running", 409, Ran::kYes, kLater, 2,
              "A request with this key is running."},
@@ -128,6 +130,10 @@
              "The system met an error of its own."},
 };
 
+static_assert(std::ranges::none_of(kTable, [](const ErrorRow& row) {
+  return PromisesNotRun(row.status) && row.ran != Ran::kNo;
+}));
+
 }  // namespace
 
 std::span<const ErrorRow> ErrorTable() { return kTable; }
--- a/src/dotterelshift/gateway/core_response.cc
+++ b/src/dotterelshift/gateway/core_response.cc
@@ -1,3 +1,4 @@
+#include "dotterelshift/base/http_status.h"   // for PromisesNotRun
 #include "dotterelshift/gateway/core_impl.h"  // for CoreImpl
 
 namespace dotterelshift::gateway {
@@ -5,7 +6,11 @@
 
 bool IsSuccess(int status) { return status >= 200 && status < 300; }
 
-bool IsEndpointFault(int status) { return status >= 500; }
+// It ran the request, and says by its status that it failed, or that it did not
+// run the request.
+bool IsEndpointFault(int status) {
+  return status >= 500 || PromisesNotRun(status);
+}
 
 // Whether the endpoint broke the connection off, and did not only take too long
 // or send too much.
@@ -231,6 +236,9 @@
     m_actions.emplace_back(AbortStream{active.id});
     return Finish(active, ErrorKind::kStreamCut, false, now);
   }
+  // The caller would take the status for a promise that the request never runs.
+  if (PromisesNotRun(status))
+    return Fail(active, ErrorKind::kEndpointFailed, 0s, now);
   m_actions.emplace_back(RelayResponse{active.id, active.attempt.id});
   Finish(
       active,
