Responses to other requests are skipped on kept connections, and the one that is due awaited

Cause: libcurl takes the first response after a request for its own, and knows no ids. http::ResponseFilter looks at a kept connection's bytes before libcurl reads them, discards whole responses that bear another id, and leaves the rest; the core decides which one is due (Core::IsDue). Before a request is sent, none of the bytes on its connection can answer it: if they cannot be skipped, or the connection has ended, the request goes over a new one.

--- a/include/dotterelshift/gateway/core.h
+++ b/include/dotterelshift/gateway/core.h
@@ -184,6 +184,14 @@
   virtual void OnRequest(RequestId request, RequestInfo info, Instant now) = 0;
   virtual void OnCallerGone(RequestId request, Instant now) = 0;
 
+  // Whether a response that arrives on a connection which was used before
+  // answers the attempt. If not, the next one may.
+  virtual bool IsDue(AttemptId attempt, int status,
+                     const ResponseInfo& response_info) const = 0;
+  // A response on the attempt's connection was skipped, as it answers another
+  // request. The attempt may not have been sent yet.
+  virtual void OnSkipped(AttemptId attempt, int status,
+                         const ResponseInfo& response_info) = 0;
   virtual void OnHead(AttemptId attempt, int status,
                       const ResponseInfo& response_info, Instant now) = 0;
   virtual void OnChunk(AttemptId attempt, std::string_view bytes,
--- a/include/dotterelshift/http/client.h
+++ b/include/dotterelshift/http/client.h
@@ -51,6 +51,14 @@
   Duration connected_in = 0s;  // time to connect; 0 for a reused connection
 };
 
+// Tells the response that is due on a connection from others.
+struct DueResponse {
+  // Whether a response with this head is due.
+  std::function<bool(int status, const Headers& headers)> is_due;
+  // A response that is not due was discarded. Empty: nobody wants to know.
+  std::function<void(int status, const Headers& headers)> on_skipped;
+};
+
 // Callbacks of a transfer, called on the loop's thread and never after
 // Cancel(). Empty callbacks are skipped.
 struct TransferCallbacks {
@@ -58,6 +66,9 @@
   // start or cancel transfers.
   std::function<void(const HandOver& what)> on_handed_over;
   std::function<void(int status, const Headers& headers)> on_head;
+  // Which response is due, on a connection that is reused: others are skipped.
+  // Without it the first one is.
+  DueResponse due;
   // Returns false to pause the transfer until Resume(). The chunk counts as
   // consumed in both cases.
   std::function<bool(std::string_view chunk)> on_chunk;
--- a/src/dotterelshift/app/gateway_traffic.cc
+++ b/src/dotterelshift/app/gateway_traffic.cc
@@ -180,6 +180,7 @@
   callbacks.on_handed_over = [this, attempt](const http::HandOver& what) {
     OnHandedOver(attempt, what);
   };
+  callbacks.due = DueTo(attempt);
   callbacks.on_head = [this, attempt](int status,
                                       const http::Headers& headers) {
     OnHead(attempt, status, headers);
@@ -197,6 +198,19 @@
   transfer.id = m_client->Start(std::move(onward), std::move(callbacks));
 }
 
+http::DueResponse GatewayTraffic::DueTo(AttemptId attempt) {
+  http::DueResponse due;
+  due.is_due = [this, attempt](int status, const http::Headers& headers) {
+    return m_core.IsDue(attempt, status,
+                        m_dialect.ReadResponseInfo(status, headers));
+  };
+  due.on_skipped = [this, attempt](int status, const http::Headers& headers) {
+    m_core.OnSkipped(attempt, status,
+                     m_dialect.ReadResponseInfo(status, headers));
+  };
+  return due;
+}
+
 void GatewayTraffic::OnHandedOver(AttemptId attempt,
                                   const http::HandOver& what) {
   const auto transfer = m_transfers.find(attempt);
--- a/src/dotterelshift/app/gateway_traffic.h
+++ b/src/dotterelshift/app/gateway_traffic.h
@@ -116,6 +116,8 @@
   size_t HeldBytes(AttemptId attempt, const Transfer& transfer) const;
   void CheckBounds(AttemptId attempt);
   void GiveUpTooLarge(AttemptId attempt);
+  // Tells the response to the attempt from those to other requests.
+  http::DueResponse DueTo(AttemptId attempt);
   void OnHandedOver(AttemptId attempt, const http::HandOver& what);
   SendKind NextSendOf(const Transfer& transfer);
   // Keeps the send record of an attempt that has ended, for its last log lines.
--- a/src/dotterelshift/app/gateway_traffic_test.cc
+++ b/src/dotterelshift/app/gateway_traffic_test.cc
@@ -89,6 +89,7 @@
   CPPUNIT_TEST(LeavesWhileItsStreamRuns);
   CPPUNIT_TEST(LeavesWhileItsStreamIsPausedWithHeldBytes);
   CPPUNIT_TEST(ResponseToAnotherRequestDropsHeldBytes);
+  CPPUNIT_TEST(RefusalOfAnotherRequestIsSkipped);
   CPPUNIT_TEST(LogSaysThatTheConnectionWasReset);
   CPPUNIT_TEST(LogNamesNoResetOfWhatWasNotHandedOver);
   CPPUNIT_TEST(LeavesAtARealServer);
@@ -220,6 +221,34 @@
     ExpectResetBefore(peer, kHeldBody);
   }
 
+  // An endpoint sends a refusal once more while it runs the next request.
+  void RefusalOfAnotherRequestIsSkipped() {
+    constexpr std::string_view kServed =
+        "HTTP/1.1 200 OK\r\nx-id: caller-1\r\ncontent-length: 2\r\n\r\nok";
+    const telemetry::CapturedLog log(telemetry::LogLevel::kInfo);
+    const http::TestListener endpoint(1);
+    Announce(endpoint);
+    const auto first = Ask("/once/x", 1);
+    const http::TestPeer peer = AcceptWith(endpoint, 1);
+    Turn();
+    (void)peer.ReadSome();
+    peer.Send(kServed);
+    RunUntil([&] { return first->Status() == 200; });
+    const auto second = Ask("/once/x", 1);
+    RunUntil([&] { return peer.Waiting() > 0; });
+    peer.Send(
+        "HTTP/1.1 503 No\r\nx-id: caller-0\r\nx-not-run: 1\r\n"
+        "content-length: 2\r\n\r\nno");
+    Turn();
+    CPPUNIT_ASSERT_EQUAL(0, second->Status());
+    peer.Send(kServed);
+    RunUntil([&] { return second->Status() != 0; });
+    CPPUNIT_ASSERT(Contains(log, "\"skipped\":\"yes\""));
+    CPPUNIT_ASSERT_EQUAL(200, second->Status());
+    CPPUNIT_ASSERT(!endpoint.HasConnection());
+    ExpectNothingOpen();
+  }
+
   // The line of a caller's disconnect is written once the endpoint's connection
   // has been reset, also that of a stream paused with held bytes.
   void LogSaysThatTheConnectionWasReset() {
--- a/src/dotterelshift/app/gateway_traffic_testing.h
+++ b/src/dotterelshift/app/gateway_traffic_testing.h
@@ -42,6 +42,7 @@
     response_info.has_proof = true;
     for (const auto& [name, value] : headers) {
       if (name == "x-id") response_info.echoed_id = value;
+      if (name == "x-not-run") response_info.not_run = true;
       if (name == "content-type") response_info.event_stream = true;
     }
     return response_info;
--- a/src/dotterelshift/gateway/core_impl.h
+++ b/src/dotterelshift/gateway/core_impl.h
@@ -38,6 +38,10 @@
   void AbortOpenRequests(Instant now) override;
   void OnRequest(RequestId request, RequestInfo info, Instant now) override;
   void OnCallerGone(RequestId request, Instant now) override;
+  bool IsDue(AttemptId attempt, int status,
+             const ResponseInfo& response_info) const override;
+  void OnSkipped(AttemptId attempt, int status,
+                 const ResponseInfo& response_info) override;
   void OnHead(AttemptId attempt, int status, const ResponseInfo& response_info,
               Instant now) override;
   void OnChunk(AttemptId attempt, std::string_view bytes, Instant now) override;
@@ -278,6 +282,7 @@
 
   // Responses (core_response.cc).
   ActiveRequest* FindByAttempt(AttemptId attempt);
+  const ActiveRequest* FindByAttempt(AttemptId attempt) const;
   void OnCompleteResponse(ActiveRequest& active, Instant now);
   void OnEndpointRefusal(ActiveRequest& active, Instant now);
   void OnAttemptFailed(ActiveRequest& active, http::TransferEnd end,
@@ -289,7 +294,9 @@
   bool TryAgain(ActiveRequest& active, bool stays, Instant now);
   bool TakeRetry(const ActiveRequest& active, Instant now);
   bool MayRunAgain(const ActiveRequest& active) const;
-  void LogResponseToAnother(const ActiveRequest& active);
+  // skipped: the response that is due may still arrive.
+  void LogResponseToAnother(const ActiveRequest& active, int status,
+                            const ResponseInfo& response, bool skipped);
   void BookLimits(const ActiveRequest& active, Instant now);
   void RelayHeadOnce(ActiveRequest& active);
   void PassOn(ActiveRequest& active, std::string_view bytes, Instant now);
--- a/src/dotterelshift/gateway/core_response.cc
+++ b/src/dotterelshift/gateway/core_response.cc
@@ -1,3 +1,5 @@
+#include <utility>  // for as_const
+
 #include "dotterelshift/base/http_status.h"   // for PromisesNotRun
 #include "dotterelshift/gateway/core_impl.h"  // for CoreImpl
 
@@ -55,12 +57,32 @@
 }  // namespace
 
 ActiveRequest* CoreImpl::FindByAttempt(AttemptId attempt) {
+  return const_cast<ActiveRequest*>(
+      std::as_const(*this).FindByAttempt(attempt));
+}
+
+const ActiveRequest* CoreImpl::FindByAttempt(AttemptId attempt) const {
   const auto request = m_attempts.find(attempt);
   if (request == m_attempts.end()) return nullptr;
   const auto found = m_active.find(request->second);
   return found == m_active.end() ? nullptr : &found->second;
 }
 
+bool CoreImpl::IsDue(AttemptId id, int status,
+                     const ResponseInfo& response_info) const {
+  const ActiveRequest* active = FindByAttempt(id);
+  if (active == nullptr) return true;
+  return Judge({active->info.caller_id, false}, status, response_info) !=
+         ResponseVerdict::kOfAnother;
+}
+
+void CoreImpl::OnSkipped(AttemptId id, int status,
+                         const ResponseInfo& response_info) {
+  const ActiveRequest* active = FindByAttempt(id);
+  if (active != nullptr)
+    LogResponseToAnother(*active, status, response_info, true);
+}
+
 bool CoreImpl::MayRunAgain(const ActiveRequest& active) const {
   return active.MayRepeat() &&
          active.runs + 1 < static_cast<uint32_t>(active.route->attempts) &&
@@ -81,7 +103,7 @@
   attempt.verdict = Judge({active->info.caller_id, attempt.new_connection},
                           status, response_info);
   if (attempt.verdict == ResponseVerdict::kOfAnother) {
-    LogResponseToAnother(*active);
+    LogResponseToAnother(*active, status, response_info, false);
     CancelAttemptIfSent(*active);
     return OnAttemptFailed(*active, http::TransferEnd::kCut, now);
   }
@@ -96,18 +118,19 @@
   RelayHeadOnce(*active);
 }
 
-// An endpoint may send a response once more, where the next one is due.
-void CoreImpl::LogResponseToAnother(const ActiveRequest& active) {
+void CoreImpl::LogResponseToAnother(const ActiveRequest& active, int status,
+                                    const ResponseInfo& response,
+                                    bool skipped) {
   ++m_responses_to_others[active.service];
   const Attempt& attempt = active.attempt;
-  const ResponseInfo& response = attempt.response_info;
   Log("response_to_another", active,
       {{"endpoint", attempt.endpoint.id},
-       {"status", std::to_string(attempt.status)},
+       {"status", std::to_string(status)},
        {"answers", response.echoed_id},
        {"states_not_run", response.not_run ? "yes" : "no"},
        {"connection", ConnectionOf(attempt)},
-       {"path", PathOf(attempt)}},
+       {"path", PathOf(attempt)},
+       {"skipped", skipped ? "yes" : "no"}},
       attempt.id);
 }
 
--- a/src/dotterelshift/http/client.cc
+++ b/src/dotterelshift/http/client.cc
@@ -14,6 +14,8 @@
 #include "dotterelshift/base/error.h"             // for Error
 #include "dotterelshift/http/curl_request.h"      // for MakeHeaderList
 #include "dotterelshift/http/idle_connections.h"  // for IdleConnections
+#include "dotterelshift/http/open_sockets.h"      // for OpenSockets
+#include "dotterelshift/http/polled_sockets.h"    // for PolledSockets
 #include "dotterelshift/http/response_head.h"     // for ResponseHead
 #include "dotterelshift/loop/loop.h"              // for Loop
 
@@ -43,6 +45,10 @@
   TransferCallbacks callbacks;
   ResponseHead head;
   bool sent = false;  // the request may have been sent, in part or whole
+  // The connection that it was to be sent on cannot be used any more; it is
+  // sent on a new one.
+  bool needs_new_connection = false;
+  ConnectionName connection;  // that it is sent on
   CurlClient* client = nullptr;
   // No more callbacks are called; removed once curl has returned.
   bool cancelled = false;
@@ -55,6 +61,8 @@
       : m_loop(loop),
         m_options(options),
         m_idle(loop, options.on_idle_closed),
+        m_sockets(loop, [this](int descriptor,
+                               int events) { Drive(descriptor, events); }),
         m_timer(loop, [this] { Drive(CURL_SOCKET_TIMEOUT, 0); }),
         m_later(loop, [this] { RunDeferred(); }) {
     static const CURLcode initialized = curl_global_init(CURL_GLOBAL_DEFAULT);
@@ -136,7 +144,7 @@
                       void* self, void*) {
     auto& client = *static_cast<CurlClient*>(self);
     client.RecordSocketUser(handle, descriptor, what);
-    client.Watch(descriptor, what);
+    client.m_sockets.Watch(descriptor, what);
     return 0;
   }
 
@@ -144,7 +152,9 @@
     auto& client = *static_cast<CurlClient*>(self);
     if (client.WasCancelledOn(descriptor)) DropUnsent(descriptor);
     client.m_users.erase(descriptor);
+    client.m_open.Remove(descriptor);
     client.m_idle.Forget(descriptor);
+    client.m_sockets.Forget(descriptor);
     return ::close(descriptor);
   }
 
@@ -179,10 +189,20 @@
   // Called before the request is sent. curl would send the request a second
   // time if a reused connection turns out to be closed. That is prevented here,
   // because the server may have executed the first one.
-  static int OnSending(void* self, char*, char*, int, int) {
+  static int OnSending(void* self, char* peer_ip, char*, int peer_port,
+                       int local_port) {
     auto& transfer = *static_cast<Transfer*>(self);
-    if (transfer.cancelled || std::exchange(transfer.sent, true))
+    if (transfer.cancelled || transfer.sent) return CURL_PREREQFUNC_ABORT;
+    transfer.connection = {peer_ip, peer_port, local_port};
+    if (!transfer.client->BeginToAwait(transfer)) {
+      transfer.needs_new_connection = true;
       return CURL_PREREQFUNC_ABORT;
+    }
+    transfer.sent = true;
+    // A connection through a relay was waited for before, and libcurl does not
+    // tell again that it waits for it.
+    if (transfer.client->Uses(transfer))
+      transfer.client->m_open.Add(transfer.descriptor, transfer.connection);
     const ClientRequest& request = transfer.request;
     const size_t bytes = BytesOf(request.headers) + request.body.size();
     transfer.client->m_bytes_sent += bytes;
@@ -191,12 +211,25 @@
     return CURL_PREREQFUNC_OK;
   }
 
-  static HandOver HandOverOf(CURL* handle, size_t bytes) {
+  // Returns false if the connection cannot be used any more.
+  bool BeginToAwait(const Transfer& transfer) {
+    const DueResponse& due = transfer.callbacks.due;
+    if (!due.is_due || IsNew(transfer.handle)) return true;
+    const auto descriptor = m_open.Find(transfer.connection);
+    return !descriptor || m_sockets.BeginToAwait(*descriptor, due);
+  }
+
+  // Whether the transfer's connection was made for it.
+  static bool IsNew(CURL* handle) {
     long connections = 0;  // NOLINT(google-runtime-int): libcurl's type
-    curl_off_t connected_us = 0;
     curl_easy_getinfo(handle, CURLINFO_NUM_CONNECTS, &connections);
+    return connections > 0;
+  }
+
+  static HandOver HandOverOf(CURL* handle, size_t bytes) {
+    curl_off_t connected_us = 0;
     curl_easy_getinfo(handle, CURLINFO_CONNECT_TIME_T, &connected_us);
-    const bool fresh = connections > 0;
+    const bool fresh = IsNew(handle);
     return {bytes, fresh, std::chrono::microseconds(fresh ? connected_us : 0)};
   }
 
@@ -210,6 +243,7 @@
       case HeadLine::kRefused:
         return false;
     }
+    transfer.client->m_sockets.Forget(transfer.descriptor);
     const auto& on_head = transfer.callbacks.on_head;
     if (on_head) on_head(transfer.head.Status(), transfer.head.GetHeaders());
     return !transfer.cancelled;
@@ -224,6 +258,7 @@
     if (transfer == nullptr) return;
     transfer->descriptor = descriptor;
     m_users[descriptor] = transfer->id;
+    if (transfer->sent) m_open.Add(descriptor, transfer->connection);
     m_idle.Forget(descriptor);
   }
 
@@ -249,26 +284,6 @@
     setsockopt(descriptor, SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
   }
 
-  void Watch(curl_socket_t descriptor, int what) {
-    const int events = what == CURL_POLL_REMOVE
-                           ? 0
-                           : ((what & CURL_POLL_IN) != 0 ? EV_READ : 0) |
-                                 ((what & CURL_POLL_OUT) != 0 ? EV_WRITE : 0);
-    // Watchers are kept per descriptor number and never removed, so that none
-    // is destroyed during its own callback.
-    auto& watcher = m_watchers[descriptor];
-    if (watcher) {
-      watcher->SetEvents(events);
-    } else if (events != 0) {
-      watcher = std::make_unique<loop::IoWatcher>(
-          m_loop, descriptor, events, [this, descriptor](int ready_events) {
-            Drive(descriptor,
-                  ((ready_events & EV_READ) != 0 ? CURL_CSELECT_IN : 0) |
-                      ((ready_events & EV_WRITE) != 0 ? CURL_CSELECT_OUT : 0));
-          });
-    }
-  }
-
   void Drive(curl_socket_t descriptor, int events) {
     int running = 0;
     m_in_curl = true;
@@ -299,6 +314,7 @@
     Transfer& transfer = *found->second;
     transfer.handle = AcquireHandle();
     SetOptions(transfer);
+    transfer.needs_new_connection = false;
     m_in_curl = true;
     const CURLMcode added = curl_multi_add_handle(m_multi, transfer.handle);
     m_in_curl = false;
@@ -320,8 +336,13 @@
     curl_easy_setopt(handle, CURLOPT_URL, request.url.c_str());
     curl_easy_setopt(handle, CURLOPT_PATH_AS_IS, 1L);
     curl_easy_setopt(handle, CURLOPT_PROTOCOLS_STR, "http");
-    SetRelay(transfer);
+    transfer.relay_headers = SetRelay(handle, request.relay);
     curl_easy_setopt(handle, CURLOPT_NOSIGNAL, 1L);
+    if (transfer.needs_new_connection)
+      curl_easy_setopt(handle, CURLOPT_FRESH_CONNECT, 1L);
+    // A response to it that arrives once more would have a length, and no body.
+    if (request.method == "HEAD")
+      curl_easy_setopt(handle, CURLOPT_FORBID_REUSE, 1L);
     curl_easy_setopt(handle, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
     curl_easy_setopt(handle, CURLOPT_BUFFERSIZE, kReadBuffer);
     const auto max_idle =
@@ -352,27 +373,6 @@
     curl_easy_setopt(handle, CURLOPT_HTTPHEADER, transfer.header_list);
   }
 
-  // Without a relay, no proxy of the environment is used either.
-  static void SetRelay(Transfer& transfer) {
-    CURL* handle = transfer.handle;
-    const std::optional<Relay>& relay = transfer.request.relay;
-    const std::string proxy = relay ? "http://" + relay->address : "";
-    curl_easy_setopt(handle, CURLOPT_PROXY, proxy.c_str());
-    if (!relay) return;
-    // Overrides the environment's list of hosts that are reached directly.
-    curl_easy_setopt(handle, CURLOPT_NOPROXY, "");
-    curl_easy_setopt(handle, CURLOPT_HTTPPROXYTUNNEL, 1L);
-    // The relay's own response is not passed to the callbacks.
-    curl_easy_setopt(handle, CURLOPT_SUPPRESS_CONNECT_HEADERS, 1L);
-    const std::string line = "Proxy-Authorization: Bearer " + relay->token;
-    transfer.relay_headers =
-        curl_slist_append(transfer.relay_headers, line.c_str());
-    curl_easy_setopt(handle, CURLOPT_HEADEROPT,
-                     static_cast<long>(  // NOLINT(google-runtime-int)
-                         CURLHEADER_SEPARATE));
-    curl_easy_setopt(handle, CURLOPT_PROXYHEADER, transfer.relay_headers);
-  }
-
   void HandleFinishedTransfers() {
     int left = 0;
     while (const CURLMsg* message = curl_multi_info_read(m_multi, &left)) {
@@ -380,6 +380,10 @@
       const CURLcode result = message->data.result;
       Transfer* transfer = nullptr;
       curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &transfer);
+      if (transfer->needs_new_connection && !transfer->cancelled) {
+        StartAgain(*transfer);
+        continue;
+      }
       const TransferEnd end = EndOf(*transfer, result);
       const auto callback = std::move(transfer->callbacks.on_end);
       const bool cancelled = transfer->cancelled;
@@ -388,6 +392,14 @@
     }
   }
 
+  // Nothing of the request was sent.
+  void StartAgain(Transfer& transfer) {
+    Free(transfer);
+    transfer.handle = nullptr;
+    m_to_start.push_back(transfer.id);
+    m_later.ArmIn(0s);
+  }
+
   static TransferEnd EndOf(const Transfer& transfer, CURLcode result) {
     const ResponseHead& head = transfer.head;
     if (result == CURLE_OK && head.IsReceived()) return TransferEnd::kWhole;
@@ -445,8 +457,8 @@
         curl_easy_cleanup(transfer.handle);
       }
     }
-    curl_slist_free_all(transfer.header_list);
-    curl_slist_free_all(transfer.relay_headers);
+    curl_slist_free_all(std::exchange(transfer.header_list, nullptr));
+    curl_slist_free_all(std::exchange(transfer.relay_headers, nullptr));
   }
 
   loop::Loop& m_loop;
@@ -456,8 +468,6 @@
   TransferId m_last_id = 0;
   uint64_t m_bytes_sent = 0;
   std::unordered_map<TransferId, std::unique_ptr<Transfer>> m_transfers;
-  std::unordered_map<curl_socket_t, std::unique_ptr<loop::IoWatcher>>
-      m_watchers;
   // The last transfer of each connection, by descriptor.
   std::unordered_map<curl_socket_t, TransferId> m_users;
   std::vector<TransferId> m_to_start;
@@ -465,6 +475,8 @@
   std::vector<TransferId> m_to_remove;
   std::vector<CURL*> m_spare;
   IdleConnections m_idle;
+  OpenSockets m_open;
+  PolledSockets m_sockets;
   loop::Timer m_timer;
   loop::Timer m_later;
 };
--- a/src/dotterelshift/http/curl_request.cc
+++ b/src/dotterelshift/http/curl_request.cc
@@ -59,4 +59,22 @@
     curl_easy_setopt(handle, CURLOPT_CUSTOMREQUEST, request.method.c_str());
 }
 
+curl_slist* SetRelay(CURL* handle, const std::optional<Relay>& relay) {
+  const std::string proxy = relay ? "http://" + relay->address : "";
+  curl_easy_setopt(handle, CURLOPT_PROXY, proxy.c_str());
+  if (!relay) return nullptr;
+  // Overrides the environment's list of hosts that are reached directly.
+  curl_easy_setopt(handle, CURLOPT_NOPROXY, "");
+  curl_easy_setopt(handle, CURLOPT_HTTPPROXYTUNNEL, 1L);
+  // The relay's own response is not passed to the callbacks.
+  curl_easy_setopt(handle, CURLOPT_SUPPRESS_CONNECT_HEADERS, 1L);
+  const std::string line = "Proxy-Authorization: Bearer " + relay->token;
+  curl_slist* headers = curl_slist_append(nullptr, line.c_str());
+  curl_easy_setopt(handle, CURLOPT_HEADEROPT,
+                   static_cast<long>(  // NOLINT(google-runtime-int)
+                       CURLHEADER_SEPARATE));
+  curl_easy_setopt(handle, CURLOPT_PROXYHEADER, headers);
+  return headers;
+}
+
 }  // namespace dotterelshift::http
--- a/src/dotterelshift/http/curl_request.h
+++ b/src/dotterelshift/http/curl_request.h
@@ -3,6 +3,7 @@
 
 #include <curl/curl.h>  // for CURL
 
+#include <optional>     // for optional
 #include <string>       // for string
 #include <string_view>  // for string_view
 
@@ -20,6 +21,11 @@
 // Sets the method and the body, which must outlive the transfer.
 void SetMethod(CURL* handle, const ClientRequest& request);
 
+// Sets the relay, if any, and returns the headers for it. The caller frees the
+// list once the transfer has ended. Without a relay, no proxy of the
+// environment is used either.
+curl_slist* SetRelay(CURL* handle, const std::optional<Relay>& relay);
+
 }  // namespace dotterelshift::http
 
 #endif  // DOTTERELSHIFT_SRC_HTTP_CURL_REQUEST_H_
