Documents are judged by the table that routes by them, and numbers as they are written

Two routes whose hosts differ in case, or by a port alone, were acknowledged, and which of them served was chance; weights below 1 were refused, as they were read as integers; a tenant that names one of its keys twice was refused; weights of 2^32 and more were converted in a way that is undefined.

Cause: the check compared the text of hosts, and RouteTable normalizes them. gateway::FindConflict stands beside the table now and uses what it uses. Weights are doubles, and drawn relative to the largest one. A host in brackets was cut at its first colon, so that all IPv6 addresses were one host.

--- a/include/dotterelshift/gateway/routes.h
+++ b/include/dotterelshift/gateway/routes.h
@@ -28,7 +28,7 @@
 // One of the services over which a route's requests are distributed by weight.
 struct WeightedService {
   ServiceName service;
-  uint32_t weight = 1;
+  double weight = 1;  // of all weights of the route
 };
 
 struct Route {
@@ -81,7 +81,12 @@
   CallerLimits limits;
 };
 
-// Published routes, indexed for look-up.
+// What a RouteTable could not tell apart: two routes with one host and prefix,
+// or two teams with one key. nullopt: nothing.
+std::optional<std::string> FindConflict(const Routes& routes);
+
+// Published routes, indexed for look-up. Of those with a conflict, any may be
+// found.
 class RouteTable {
  public:
   explicit RouteTable(Routes routes);
--- a/src/dotterelshift/gateway/core.cc
+++ b/src/dotterelshift/gateway/core.cc
@@ -12,6 +12,13 @@
 // How often signs of the endpoints of broken attempts are looked for.
 constexpr Duration kBrokenCheckInterval = 10ms;
 
+// A number from 0 to below 1.
+double FractionOf(uint64_t random) {
+  constexpr int kFractionBits = 53;
+  return static_cast<double>(random >> (64 - kFractionBits)) /
+         static_cast<double>(uint64_t{1} << kFractionBits);
+}
+
 }  // namespace
 
 void CoreImpl::OnRoutes(std::shared_ptr<const RouteTable> routes,
@@ -140,17 +147,23 @@
 ServiceName CoreImpl::PickService(const Route& route) {
   const auto& shares = route.services;
   if (shares.size() == 1) return shares.front().service;
-  const uint64_t sum =
-      std::accumulate(shares.begin(), shares.end(), uint64_t{0},
-                      [](uint64_t total, const WeightedService& s) {
-                        return total + s.weight;
+  // Relative to the largest one, so that their sum is finite.
+  const double largest =
+      std::ranges::max(shares, {}, &WeightedService::weight).weight;
+  const double sum =
+      std::accumulate(shares.begin(), shares.end(), 0.0,
+                      [largest](double total, const WeightedService& s) {
+                        return total + s.weight / largest;
                       });
-  uint64_t remainder = sum == 0 ? 0 : m_random() % sum;
+  double remainder = FractionOf(m_random()) * sum;
+  const WeightedService* last = &shares.front();
   for (const WeightedService& share : shares) {
-    if (remainder < share.weight) return share.service;
-    remainder -= share.weight;
+    if (share.weight <= 0) continue;
+    last = &share;
+    if (remainder < share.weight / largest) break;
+    remainder -= share.weight / largest;
   }
-  return shares.empty() ? ServiceName() : shares.back().service;
+  return last->service;
 }
 
 void CoreImpl::ReserveBudget(ActiveRequest& active, Instant now) {
--- a/src/dotterelshift/gateway/routes.cc
+++ b/src/dotterelshift/gateway/routes.cc
@@ -2,21 +2,50 @@
 
 #include <algorithm>  // for sort
 #include <cctype>     // for tolower
-#include <utility>    // for move
+#include <set>        // for set
+#include <utility>    // for move, pair
 
 namespace dotterelshift::gateway {
 namespace {
 
 // Normalizes a host name for comparison: lower case, without a port.
 std::string PlainHost(std::string_view host) {
-  std::string plain(host.substr(0, host.find(':')));
+  // An IPv6 address is in brackets and has colons of its own.
+  const size_t address_end = host.starts_with('[') ? host.find(']') : 0;
+  std::string plain(host.substr(0, host.find(':', address_end)));
   for (char& c : plain)
     c = static_cast<char>(std::tolower(static_cast<unsigned char>(c)));
   return plain;
 }
 
+std::optional<std::string> FindSharedPlace(const std::vector<Route>& routes) {
+  std::set<std::pair<std::string, std::string_view>> places;
+  for (const Route& route : routes) {
+    const auto [place, added] =
+        places.emplace(PlainHost(route.host), route.path_prefix);
+    if (!added)
+      return "two routes have the host " + place->first + " and path prefix " +
+             route.path_prefix;
+  }
+  return std::nullopt;
+}
+
+std::optional<std::string> FindSharedKey(const std::vector<TeamAccess>& teams) {
+  std::unordered_map<std::string_view, const TeamAccess*> owners;
+  for (const TeamAccess& team : teams)
+    for (const std::string& key : team.keys)
+      if (owners.emplace(key, &team).first->second != &team)
+        return "team " + team.team + " has a key of another one";
+  return std::nullopt;
+}
+
 }  // namespace
 
+std::optional<std::string> FindConflict(const Routes& routes) {
+  if (auto place = FindSharedPlace(routes.routes)) return place;
+  return FindSharedKey(routes.teams);
+}
+
 RouteTable::RouteTable(Routes routes) : m_routes(std::move(routes)) {
   for (const Route& route : m_routes.routes)
     m_by_host[PlainHost(route.host)].push_back(&route);
