One version is taken for the only one only after a leader has answered a question sent after the request came

Cause: the proof that one version is the only one covered the time up to a leader's last heartbeat, up to 2 s before the request, and after a lookup that nobody answered the entry guessed all the same. ControlLink knows when the newest question that a leader answered was sent; the guess needs one that was sent after the request arrived. The request waits for it, 300 ms at the most, as one does for the directory; the entry asks the leader, and only the leader, out of turn, 50 ms apart, one question for all that wait. An entry that stood still is covered by the same: its last answer is older than the request. A lookup that nobody answered never guesses.

Weighed: no guess at all.

--- a/include/dotterelshift/app/control_link.h
+++ b/include/dotterelshift/app/control_link.h
@@ -34,6 +34,8 @@
   // Limit of the resend timeout, which doubles at each resend to the same
   // leader so that resends do not add load to a leader that has a backlog.
   Duration max_resend_timeout = 8s;
+  // Between heartbeats that are sent to the leader out of turn.
+  Duration min_ask_interval = 50ms;
   size_t commands_per_frame = 512;
   // Reports the sequence below which all answers have arrived, so that control
   // can drop them. Valid only if commands are proposed in sequence order.
@@ -113,6 +115,9 @@
   }
   // When the newest heartbeat that a leader answered was sent.
   std::optional<Instant> ConfirmedAt() const { return m_confirmed; }
+  // Sends the leader a heartbeat with the next call of OnTimer(), unless one
+  // was sent after this time.
+  void AskLeaderAfter(Instant time) { m_ask_after = time; }
   // Number of entries in the fleet, including this one.
   size_t EntryCount() const { return m_entry_count; }
   // Of these, in the data centre of this entry; 0: control does not say.
@@ -157,7 +162,8 @@
   bool ApplyRoutesDelta(const wire::RoutesStepT& step);
   void ForgetLeader(Instant now);
   void UpdateReach(Instant now);
-  void SendHeartbeats(Instant now);
+  bool MustAskLeader(Instant now) const;
+  void SendHeartbeats(const std::vector<HostId>& hosts, Instant now);
   using Commands = std::map<uint64_t, PendingCommand>;  // by the id's sequence
   void MarkOverdue(Instant now);
   void MarkOverdueIn(Commands& commands, std::vector<uint64_t>* unsent,
@@ -172,7 +178,9 @@
   uint64_t m_term = 0;
   uint64_t m_heartbeat_sequence = 0;
   std::map<uint64_t, Instant>
-      m_heartbeats_sent;  // by sequence, from the newest answered one
+      m_heartbeats_sent;          // by sequence, from the newest answered one
+  Instant m_heartbeat_sent_at{};  // the newest one
+  std::optional<Instant> m_ask_after;  // the leader is asked after this time
   Instant m_next_heartbeat{};
   bool m_wants_relays = false;
   Duration m_max_heartbeat_time{};
--- a/include/dotterelshift/gateway/core.h
+++ b/include/dotterelshift/gateway/core.h
@@ -65,7 +65,8 @@
   // saturated. It is short, as the links of other entries have capacity.
   Duration min_link_retry_after = 50ms;
   // A request that resumes a stream waits for this long at an entry that has
-  // just started, until the endpoints of the stream's version are known.
+  // just started, until the endpoints of the stream's version are known, and at
+  // any entry for a leader to confirm that there is one version only.
   Duration max_directory_wait = 300ms;
   // Minimum retry delay sent to a caller when no endpoint can run its request
   // in time.
@@ -220,6 +221,11 @@
   // Since when this entry has known of all endpoints; nullopt: it may not know
   // of all of them now.
   virtual void OnViewComplete(std::optional<Instant> since) = 0;
+  // A leader has answered a question that was sent at this time: this entry was
+  // then not cut off, and has been told what came before.
+  virtual void OnViewConfirmed(Instant asked_at, Instant now) = 0;
+  // Since when a request has waited for such an answer to a later question.
+  virtual std::optional<Instant> AwaitsConfirmationSince() const = 0;
   // Origins of streams were looked up at other entries.
   virtual void OnOriginsLookedUp(
       const std::vector<origins::EndedLookup>& lookups, Instant now) = 0;
--- a/src/dotterelshift/app/control_link.cc
+++ b/src/dotterelshift/app/control_link.cc
@@ -177,17 +177,31 @@
 
 void ControlLink::OnTimer(Instant now) {
   UpdateReach(now);
-  if (now < m_next_heartbeat) return;
+  if (now < m_next_heartbeat) {
+    if (MustAskLeader(now)) SendHeartbeats({m_leader}, now);
+    return;
+  }
   MarkOverdue(now);
-  SendHeartbeats(now);
+  SendHeartbeats(m_hosts, now);
+  m_next_heartbeat =
+      now +
+      (m_leader.empty() ? m_options.search_heartbeat_interval : m_options.beat);
 }
 
-void ControlLink::SendHeartbeats(Instant now) {
+bool ControlLink::MustAskLeader(Instant now) const {
+  return m_ask_after && !m_leader.empty() &&
+         m_heartbeat_sent_at <= *m_ask_after &&
+         now - m_heartbeat_sent_at >= m_options.min_ask_interval;
+}
+
+void ControlLink::SendHeartbeats(const std::vector<HostId>& hosts,
+                                 Instant now) {
   const uint64_t sequence = ++m_heartbeat_sequence;
   m_heartbeats_sent[sequence] = now;
+  m_heartbeat_sent_at = now;
   while (now - m_heartbeats_sent.begin()->second > m_options.cut_off_after)
     m_heartbeats_sent.erase(m_heartbeats_sent.begin());
-  for (const HostId& host : m_hosts) {
+  for (const HostId& host : hosts) {
     wire::EntryBeatT beat;
     beat.sequence = sequence;
     beat.configuration_version = m_configuration.Version();
@@ -202,9 +216,6 @@
     }
     m_frames.emplace_back(host, MakeFrame(std::move(beat)));
   }
-  m_next_heartbeat =
-      now +
-      (m_leader.empty() ? m_options.search_heartbeat_interval : m_options.beat);
 }
 
 void ControlLink::Propose(wire::CommandT command) {
--- a/src/dotterelshift/app/control_link_test.cc
+++ b/src/dotterelshift/app/control_link_test.cc
@@ -22,6 +22,7 @@
   CPPUNIT_TEST(CommandsReportWhichAnswersArrived);
   CPPUNIT_TEST(CutOffCountsFromWhenTheHeartbeatWasSent);
   CPPUNIT_TEST(MaxHeartbeatTimeIsReportedOnce);
+  CPPUNIT_TEST(OnlyTheLeaderIsAskedOutOfTurn);
   CPPUNIT_TEST(ConfigurationVersionsNeverDecrease);
   CPPUNIT_TEST(LeaderOfAnOlderTermIsIgnored);
   CPPUNIT_TEST(SpoolsAreSentToReachableReplicas);
@@ -219,6 +220,23 @@
     CPPUNIT_ASSERT(m_link->TakeMaxHeartbeatTime() == 0s);
   }
 
+  void OnlyTheLeaderIsAskedOutOfTurn() {
+    // Heartbeats are sent less often once there is a leader.
+    for (int i = 0; i < 2; ++i) AnswerHeartbeat("c1", 1, 0);
+    m_now += 10ms;
+    const Instant asked_after = m_now;
+    m_link->AskLeaderAfter(asked_after);
+    CPPUNIT_ASSERT(BeatsTo().empty());
+    m_now += 40ms;
+    CPPUNIT_ASSERT(BeatsTo() == std::vector<HostId>{"c1"});
+    // One question is enough for all that wait.
+    m_now += 100ms;
+    CPPUNIT_ASSERT(BeatsTo().empty());
+    CPPUNIT_ASSERT(*m_link->ConfirmedAt() < asked_after);
+    m_now = m_link->NextTimer();
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, BeatsTo().size());
+  }
+
   void ConfigurationVersionsNeverDecrease() {
     Push(0, 5);
     Push(0, 4);
@@ -301,6 +319,15 @@
   }
 
   // Sends the next heartbeat and returns the sequence that the host received.
+  // The hosts that get a heartbeat now.
+  std::vector<HostId> BeatsTo() {
+    m_link->OnTimer(m_now);
+    std::vector<HostId> hosts;
+    for (const auto& [to, frame] : m_link->TakeFrames(m_now))
+      if (frame.body.AsEntryBeat() != nullptr) hosts.push_back(to);
+    return hosts;
+  }
+
   uint64_t NextHeartbeat(const HostId& host) {
     m_now = std::max(m_now, m_link->NextTimer());
     m_link->OnTimer(m_now);
--- a/src/dotterelshift/app/version_tracker.cc
+++ b/src/dotterelshift/app/version_tracker.cc
@@ -15,11 +15,14 @@
 
 }  // namespace
 
-void VersionTracker::OnTick(const ControlLink& link, gateway::Core& core,
+void VersionTracker::OnTick(ControlLink& link, gateway::Core& core,
                             Instant now) {
   m_view.Update(
       {.synced = m_directory.IsSynced(), .confirmed = link.ConfirmedAt()}, now);
   core.OnViewComplete(m_view.CompleteSince());
+  if (link.ConfirmedAt()) core.OnViewConfirmed(*link.ConfirmedAt(), now);
+  if (const auto since = core.AwaitsConfirmationSince())
+    link.AskLeaderAfter(*since);
   m_restarts.Update(now);
   m_origins.Update(m_directory.GetDirectory(), m_restarts, now);
   LogChanges();
--- a/src/dotterelshift/app/version_tracker.h
+++ b/src/dotterelshift/app/version_tracker.h
@@ -28,7 +28,7 @@
 
   // Takes over announcements and the state of the link to control. To be called
   // regularly.
-  void OnTick(const ControlLink& link, gateway::Core& core, Instant now);
+  void OnTick(ControlLink& link, gateway::Core& core, Instant now);
   // An endpoint closed a connection that this entry had kept for reuse.
   void OnIdleClosed(const std::string& address, Duration idle, Instant now);
   // Logs versions that began or ceased to be served since the last call, and
--- a/src/dotterelshift/gateway/active_request.h
+++ b/src/dotterelshift/gateway/active_request.h
@@ -101,6 +101,7 @@
   kVersionGone,        // no endpoint of its version serves
   kServiceNotAllowed,  // its route no longer leads to the service
   kViewIncomplete,     // there may be versions that are not known here
+  kViewUnconfirmed,    // no leader has confirmed the view since it arrived
 };
 std::string_view NameOf(ResumptionRefusal why);
 
--- a/src/dotterelshift/gateway/core_impl.h
+++ b/src/dotterelshift/gateway/core_impl.h
@@ -58,6 +58,8 @@
   void OnViewComplete(std::optional<Instant> since) override {
     m_view_complete_since = since;
   }
+  void OnViewConfirmed(Instant asked_at, Instant now) override;
+  std::optional<Instant> AwaitsConfirmationSince() const override;
   void OnOriginsLookedUp(const std::vector<origins::EndedLookup>& lookups,
                          Instant now) override;
   void OnTimer(Instant now) override;
@@ -198,8 +200,9 @@
   bool LookUpOrigin(ActiveRequest& active, Instant now);
   // Lets the request wait for the endpoints of the stream's version. Returns
   // false if it has waited for long enough, or need not wait.
+  // missing: the stream's origin is not known.
   bool WaitForDirectory(ActiveRequest& active, ResumptionRefusal why,
-                        Instant now);
+                        bool missing, Instant now);
   void AdmitWaitingForDirectory(Instant now);
   static bool MayChangeSoon(const ActiveRequest& active, ResumptionRefusal why);
   void RefuseResumption(ActiveRequest& active, ResumptionRefusal why,
@@ -345,6 +348,8 @@
   std::mt19937_64 m_random;
   std::shared_ptr<const RouteTable> m_routes;
   std::optional<DrainSchedule> m_drain;
+  // When the newest question that a leader has answered was sent.
+  Instant m_view_confirmed_at{};
   std::optional<Instant> m_view_complete_since;
   RouteTargets m_route_targets;
   ResumptionCounts m_resumptions;
--- a/src/dotterelshift/gateway/core_killed_fleet_test.cc
+++ b/src/dotterelshift/gateway/core_killed_fleet_test.cc
@@ -34,6 +34,7 @@
     AnnounceEngine("b", "other");
     m_now += 100s;
     m_core->OnViewComplete(m_now - 50s);
+    m_core->OnViewConfirmed(m_now, m_now);
   }
 
   void ServiceOfARouteThatMovedIsNotTakenForTheFirstOne() {
@@ -189,6 +190,7 @@
     Resume("");
     ExpectRefused();
     m_now += 1ms;
+    m_core->OnViewConfirmed(m_now, m_now);
     Resume("");
     CPPUNIT_ASSERT_EQUAL(size_t{1}, Count<StartAttempt>());
   }
--- a/src/dotterelshift/gateway/core_out_of_step_test.cc
+++ b/src/dotterelshift/gateway/core_out_of_step_test.cc
@@ -11,6 +11,10 @@
 class CoreOutOfStepTest : public CoreFixture {
   CPPUNIT_TEST_SUITE(CoreOutOfStepTest);
   CPPUNIT_TEST(LookupThatNobodyAnsweredProvesNothing);
+  CPPUNIT_TEST(OnlyVersionIsTakenOnceALeaderHasAnsweredALaterQuestion);
+  CPPUNIT_TEST(AnswerToAnEarlierQuestionProvesNothing);
+  CPPUNIT_TEST(EntryThatIsCutOffRefusesWhatItCannotProve);
+  CPPUNIT_TEST(VersionThatTheLeaderKnowsIsNotPassedOver);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -36,7 +40,59 @@
     ExpectRefused();
   }
 
+  void OnlyVersionIsTakenOnceALeaderHasAnsweredALaterQuestion() {
+    for (const char* first : {"", "first"}) {
+      setUp();
+      Resume(first);
+      CPPUNIT_ASSERT(m_last.empty());
+      CPPUNIT_ASSERT(m_core->AwaitsConfirmationSince() == m_now);
+      Confirm(m_now + 20ms, m_now + 25ms);
+      CPPUNIT_ASSERT_EQUAL(size_t{1}, Count<StartAttempt>());
+      CPPUNIT_ASSERT(!m_core->AwaitsConfirmationSince());
+    }
+  }
+
+  // The heartbeat may be a second old when the entry is cut off.
+  void AnswerToAnEarlierQuestionProvesNothing() {
+    Confirm(m_now - 1ms, m_now);
+    Resume("");
+    CPPUNIT_ASSERT(m_last.empty());
+    Confirm(m_now - 1ms, m_now + 1ms);
+    CPPUNIT_ASSERT(m_last.empty());
+  }
+
+  void EntryThatIsCutOffRefusesWhatItCannotProve() {
+    Confirm(m_now - 1s, m_now);
+    Resume("");
+    Advance(CoreOptions().max_directory_wait - 1ms);
+    CPPUNIT_ASSERT(m_last.empty());
+    Advance(1ms);
+    ExpectRefused();
+    CPPUNIT_ASSERT(!m_core->AwaitsConfirmationSince());
+  }
+
+  void VersionThatTheLeaderKnowsIsNotPassedOver() {
+    Resume("");
+    wire::EndpointRecordT record;
+    record.id = "l3";
+    record.sequence = 1;
+    record.address = "l3:80";
+    record.services = {"llm"};
+    record.slots = 6;
+    record.software_version = "v2";
+    m_directory.OnRecord(record, m_now);
+    m_core->OnEndpointsChanged(m_directory, m_now);
+    Confirm(m_now + 1ms, m_now + 5ms);
+    CPPUNIT_ASSERT(Only<Refuse>().kind == ErrorKind::kNotResumable);
+  }
+
  private:
+  void Confirm(Instant asked_at, Instant now) {
+    m_now = now;
+    m_core->OnViewConfirmed(asked_at, m_now);
+    Collect();
+  }
+
   // Its caller may come again soon.
   void ExpectRefused() {
     CPPUNIT_ASSERT(Only<Refuse>().kind == ErrorKind::kNotResumable);
--- a/src/dotterelshift/gateway/core_streams.cc
+++ b/src/dotterelshift/gateway/core_streams.cc
@@ -1,4 +1,4 @@
-#include <algorithm>  // for any_of, sort
+#include <algorithm>  // for any_of, max, sort
 
 #include "dotterelshift/gateway/core_impl.h"  // for CoreImpl
 
@@ -42,6 +42,8 @@
       return "service_not_allowed";
     case ResumptionRefusal::kViewIncomplete:
       return "view_incomplete";
+    case ResumptionRefusal::kViewUnconfirmed:
+      return "view_unconfirmed";
   }
   return "unknown";
 }
@@ -77,8 +79,15 @@
       m_dependencies.versions->Only(active.service);
   if (!only || active.route->services.size() != 1)
     return ResumptionRefusal::kOriginUnknown;
+  // Those who may know were not reached: neither may be what they know of.
+  const bool unanswered =
+      active.lookup &&
+      active.lookup->outcome == origins::LookupOutcome::kIncomplete;
+  if (unanswered) return ResumptionRefusal::kOriginUnknown;
   if (!KnewAllThroughout(active, now) || HasSuspects(*only))
     return ResumptionRefusal::kViewIncomplete;
+  if (m_view_confirmed_at < active.arrived)
+    return ResumptionRefusal::kViewUnconfirmed;
   active.binding = {*only, BindingSource::kOneVersion, 0s};
   return std::nullopt;
 }
@@ -117,7 +126,7 @@
   const bool missing = known.state == origins::OriginState::kMissing;
   if (missing && LookUpOrigin(active, now)) return;
   const std::optional<ResumptionRefusal> why = BindResumed(active, known, now);
-  if (why && !missing && WaitForDirectory(active, *why, now)) return;
+  if (why && WaitForDirectory(active, *why, missing, now)) return;
   if (why) return RefuseResumption(active, *why, now);
   ++m_resumptions.accepted;
   AdmitToService(active, now);
@@ -138,10 +147,13 @@
 }
 
 // An entry that has just started knows an origin before it knows the endpoints.
+// One that may be out of step asks a leader.
 bool CoreImpl::WaitForDirectory(ActiveRequest& active, ResumptionRefusal why,
-                                Instant now) {
+                                bool missing, Instant now) {
+  const bool starting = why == ResumptionRefusal::kViewIncomplete && !missing;
+  const bool may_end = starting || why == ResumptionRefusal::kViewUnconfirmed;
   const Instant until = active.arrived + m_options.max_directory_wait;
-  if (why != ResumptionRefusal::kViewIncomplete || now >= until) return false;
+  if (!may_end || now >= until) return false;
   if (active.stage != Stage::kWaitsForDirectory) SetTimer(active, until);
   active.stage = Stage::kWaitsForDirectory;
   return true;
@@ -158,6 +170,22 @@
   }
 }
 
+void CoreImpl::OnViewConfirmed(Instant asked_at, Instant now) {
+  if (asked_at <= m_view_confirmed_at) return;
+  m_view_confirmed_at = asked_at;
+  AdmitWaitingForDirectory(now);
+}
+
+std::optional<Instant> CoreImpl::AwaitsConfirmationSince() const {
+  std::optional<Instant> newest;
+  for (const auto& [id, active] : m_active) {
+    if (active.stage == Stage::kWaitsForDirectory &&
+        active.arrived > m_view_confirmed_at)
+      newest = std::max(newest.value_or(active.arrived), active.arrived);
+  }
+  return newest;
+}
+
 void CoreImpl::OnOriginsLookedUp(
     const std::vector<origins::EndedLookup>& lookups, Instant now) {
   for (const origins::EndedLookup& lookup : lookups) {
@@ -189,7 +217,9 @@
 // has asked have just started, or one that was asked did not answer.
 bool CoreImpl::MayChangeSoon(const ActiveRequest& active,
                              ResumptionRefusal why) {
-  if (why == ResumptionRefusal::kViewIncomplete) return true;
+  if (why == ResumptionRefusal::kViewIncomplete ||
+      why == ResumptionRefusal::kViewUnconfirmed)
+    return true;
   return why == ResumptionRefusal::kOriginUnknown && active.lookup &&
          active.lookup->outcome == origins::LookupOutcome::kIncomplete;
 }
@@ -209,7 +239,8 @@
       {"after_event", active.info.last_event_id},
       {"versions", std::to_string(versions)},
       {"origins", std::to_string(m_dependencies.origins->Size())},
-      {"view_complete_ms", std::to_string(ToMs(complete_for))}};
+      {"view_complete_ms", std::to_string(ToMs(complete_for))},
+      {"view_confirmed_ms", std::to_string(ToMs(now - m_view_confirmed_at))}};
   AddLookup(active, inputs);
   Log("resumption_refused", active, std::move(inputs));
   const Duration wait = MayChangeSoon(active, why) ? 0s : active.deadline - now;
--- a/src/dotterelshift/gateway/core_streams_test.cc
+++ b/src/dotterelshift/gateway/core_streams_test.cc
@@ -114,6 +114,7 @@
     AnnounceEndpoint("a1", "v1");
     Resume("");
     CPPUNIT_ASSERT(Only<Refuse>().kind == ErrorKind::kNotResumable);
+    m_core->OnViewConfirmed(m_now, m_now);
     m_core->OnViewComplete(m_now - 7s);
     Resume("");
     CPPUNIT_ASSERT(Only<Refuse>().kind == ErrorKind::kNotResumable);
--- a/src/dotterelshift/gateway/version_schedule_testing.h
+++ b/src/dotterelshift/gateway/version_schedule_testing.h
@@ -181,6 +181,7 @@
   void Proceed(Node& node) {
     node.view.Update({true, node.confirmed}, m_now);
     node.core->OnViewComplete(node.view.CompleteSince());
+    node.core->OnViewConfirmed(node.confirmed, m_now);
     node.restarts.Update(m_now);
     node.origins.Update(node.directory, node.restarts, m_now);
     node.restarts.TakeBeliefs();
