Bytes left on an idle connection answer no request, whoever sends it

The same cause elsewhere: requests without an id of their own (probes, engines of the project's own interface) took what an idle connection held for their response. What is there before a request is sent is discarded, or the connection is not used. ResponseFilterTest::ResponseThatIsLeftIsNotDueToARequestWithoutAnId; responses that arrive after the request can still not be told apart without ids (docs/decisions/responses.md).

--- a/src/dotterelshift/http/client.cc
+++ b/src/dotterelshift/http/client.cc
@@ -213,10 +213,10 @@
 
   // Returns false if the connection cannot be used any more.
   bool BeginToAwait(const Transfer& transfer) {
-    const DueResponse& due = transfer.callbacks.due;
-    if (!due.is_due || IsNew(transfer.handle)) return true;
+    if (IsNew(transfer.handle)) return true;
     const auto descriptor = m_open.Find(transfer.connection);
-    return !descriptor || m_sockets.BeginToAwait(*descriptor, due);
+    return !descriptor ||
+           m_sockets.BeginToAwait(*descriptor, transfer.callbacks.due);
   }
 
   // Whether the transfer's connection was made for it.
--- a/src/dotterelshift/http/response_filter_test.cc
+++ b/src/dotterelshift/http/response_filter_test.cc
@@ -53,6 +53,7 @@
   CPPUNIT_TEST(SeveralAreSkipped);
   CPPUNIT_TEST(ResponseThatArrivesBeforeTheRequestIsSkipped);
   CPPUNIT_TEST(ResponseThatIsLeftOnAnIdleConnectionIsNotDue);
+  CPPUNIT_TEST(ResponseThatIsLeftIsNotDueToARequestWithoutAnId);
   CPPUNIT_TEST(ResponseThatArrivesWhileTheRequestIsSentIsSkipped);
   CPPUNIT_TEST(ResponseThatCannotBeSkippedIsPassedOn);
   CPPUNIT_TEST(BytesLeftOnAnIdleConnectionAreLeftWithIt);
@@ -66,6 +67,7 @@
   void setUp() override {
     m_client = MakeClient(m_loop);
     m_relayed = false;
+    m_with_id = true;
     m_skipped = 0;
   }
 
@@ -131,6 +133,24 @@
     ExpectDue(1);
   }
 
+  void ResponseThatIsLeftIsNotDueToARequestWithoutAnId() {
+    m_with_id = false;
+    for (const std::string& left : Strays()) {
+      if (left.size() > 1'000) continue;
+      Serve();
+      m_peer->Send(left);
+      Turn();
+      Begin();
+      AwaitRequest();
+      m_peer->Send(kDue);
+      ExpectDue(1);
+    }
+    Serve();
+    m_peer->Send("no response");
+    Turn();
+    ExpectNewConnection();
+  }
+
   void ResponseThatArrivesWhileTheRequestIsSentIsSkipped() {
     Serve();
     m_body.assign(32 << 20, 'x');
@@ -208,6 +228,12 @@
   }
 
  private:
+  static bool IsDue(int, const Headers& headers) {
+    for (const auto& [name, value] : headers)
+      if (name == "x-id") return value == "due";
+    return false;
+  }
+
   // A request was sent on a connection that served another one before.
   void BeginOnKeptConnection() {
     Serve();
@@ -234,11 +260,7 @@
     request.body = m_body;
     if (m_relayed) request.relay = Relay{server, "token"};
     TransferCallbacks callbacks;
-    callbacks.due.is_due = [](int, const Headers& headers) {
-      for (const auto& [name, value] : headers)
-        if (name == "x-id") return value == "due";
-      return false;
-    };
+    if (m_with_id) callbacks.due.is_due = IsDue;
     callbacks.due.on_skipped = [this](int, const Headers&) { ++m_skipped; };
     callbacks.on_head = [this](int status, const Headers&) {
       m_status = status;
@@ -296,6 +318,7 @@
   std::unique_ptr<TestPeer> m_peer;
   std::string m_body;
   bool m_relayed = false;
+  bool m_with_id = true;  // the request has one, by which its response is known
   std::optional<TransferEnd> m_end;
   int m_status = 0;
   int m_skipped = 0;
--- a/src/dotterelshift/http/response_gate.cc
+++ b/src/dotterelshift/http/response_gate.cc
@@ -19,6 +19,7 @@
   const DueResponse none{.is_due = nullptr, .on_skipped = due.on_skipped};
   if (awaited.filter.Look(descriptor, none) != FilterResult::kNothing)
     return false;
+  if (!due.is_due) return true;
   awaited.due = due;
   m_awaited[descriptor] = std::move(awaited);
   return true;
--- a/src/dotterelshift/http/response_gate.h
+++ b/src/dotterelshift/http/response_gate.h
@@ -24,7 +24,8 @@
 
   // A request is about to be sent on a connection that was used before. Returns
   // false if the connection has ended, or holds bytes that cannot be skipped:
-  // none of what it holds can be a response to this request.
+  // none of what it holds can be a response to this request. Without
+  // `due.is_due`, libcurl may read all that arrives from then on.
   bool Begin(int descriptor, const DueResponse& due);
   // The connection is readable. Returns whether libcurl may read.
   bool MayRead(int descriptor);
