Linter: braces, and a member that nothing uses

What the linter found in the commits before: statements that span lines get braces, CurlClient does not keep its loop, as PolledSockets and its timers have it. No change of what runs.

--- a/src/dotterelshift/app/gauges.cc
+++ b/src/dotterelshift/app/gauges.cc
@@ -141,11 +141,12 @@
 
 void SetResponseMetrics(telemetry::Metrics& metrics,
                         const gateway::Core& core) {
-  for (const auto& [service, count] : core.ResponsesToOthers())
+  for (const auto& [service, count] : core.ResponsesToOthers()) {
     metrics.SetServiceCounter("dotterelshift_responses_to_others_total",
                               "Responses that bore the id of another request "
                               "than the one that was due, or none",
                               service, Number(count));
+  }
 }
 
 void SetSuspectMetrics(telemetry::Metrics& metrics,
--- a/src/dotterelshift/base/error_test.cc
+++ b/src/dotterelshift/base/error_test.cc
@@ -39,10 +39,11 @@
   // Callers send a request again after these statuses.
   void OnlyWhatDidNotRunHasAStatusThatPromisesSo() {
     const std::set<int> promises = {408, 421, 429, 503};
-    for (const ErrorRow& row : ErrorTable())
+    for (const ErrorRow& row : ErrorTable()) {
       CPPUNIT_ASSERT_MESSAGE(
           std::string(row.name),
           row.ran == Ran::kNo || !promises.contains(row.status));
+    }
   }
 
   void UnknownNumberIsInternal() {
--- a/src/dotterelshift/gateway/routes.cc
+++ b/src/dotterelshift/gateway/routes.cc
@@ -23,19 +23,22 @@
   for (const Route& route : routes) {
     const auto [place, added] =
         places.emplace(PlainHost(route.host), route.path_prefix);
-    if (!added)
+    if (!added) {
       return "two routes have the host " + place->first + " and path prefix " +
              route.path_prefix;
+    }
   }
   return std::nullopt;
 }
 
 std::optional<std::string> FindSharedKey(const std::vector<TeamAccess>& teams) {
   std::unordered_map<std::string_view, const TeamAccess*> owners;
-  for (const TeamAccess& team : teams)
-    for (const std::string& key : team.keys)
+  for (const TeamAccess& team : teams) {
+    for (const std::string& key : team.keys) {
       if (owners.emplace(key, &team).first->second != &team)
         return "team " + team.team + " has a key of another one";
+    }
+  }
   return std::nullopt;
 }
 
--- a/src/dotterelshift/http/client.cc
+++ b/src/dotterelshift/http/client.cc
@@ -58,8 +58,7 @@
 class CurlClient : public Client {
  public:
   CurlClient(loop::Loop& loop, const ClientOptions& options)
-      : m_loop(loop),
-        m_options(options),
+      : m_options(options),
         m_idle(loop, options.on_idle_closed),
         m_sockets(loop, [this](int descriptor,
                                int events) { Drive(descriptor, events); }),
@@ -461,7 +460,6 @@
     curl_slist_free_all(std::exchange(transfer.relay_headers, nullptr));
   }
 
-  loop::Loop& m_loop;
   const ClientOptions m_options;
   CURLM* m_multi = nullptr;
   bool m_in_curl = false;
