A leader's answer does not end the wait for the endpoints of a stream's version

What callers saw: none, found before it landed. After all entries were killed, streams whose version an entry had learned were refused as version_gone a few milliseconds after it had started: the view counts as complete a moment before its last endpoints are known, and each answered heartbeat looked again at all requests that waited, also at those that wait for endpoints and not for an answer. They are told apart now.

--- a/src/dotterelshift/gateway/active_request.h
+++ b/src/dotterelshift/gateway/active_request.h
@@ -147,6 +147,9 @@
   Instant due{};             // when its timer expires
   Stage stage = Stage::kWaitsForBudget;
   std::optional<origins::EndedLookup> lookup;  // of its stream's origin
+  // In kWaitsForDirectory: a leader's answer ends the wait, and not the
+  // endpoints that become known.
+  bool awaits_confirmation = false;
   Tokens reserved = 0;
   bool has_reservation = false;
   bool may_have_run = false;  // an endpoint may have run it
--- a/src/dotterelshift/gateway/core.cc
+++ b/src/dotterelshift/gateway/core.cc
@@ -54,7 +54,7 @@
   m_dependencies.restarts->Update(now);
   m_dependencies.origins->Update(directory, *m_dependencies.restarts, now);
   LeaveRestartedEndpoints(directory, now);
-  if (!m_view_complete_since) AdmitWaitingForDirectory(now);
+  if (!m_view_complete_since) AdmitWaiting(false, now);
 }
 
 void CoreImpl::LogArrivals(const directory::Directory& directory, Instant now) {
--- a/src/dotterelshift/gateway/core_impl.h
+++ b/src/dotterelshift/gateway/core_impl.h
@@ -203,7 +203,9 @@
   // missing: the stream's origin is not known.
   bool WaitForDirectory(ActiveRequest& active, ResumptionRefusal why,
                         bool missing, Instant now);
-  void AdmitWaitingForDirectory(Instant now);
+  // Looks again at the requests that wait for a leader's answer, or at those
+  // that wait for endpoints.
+  void AdmitWaiting(bool for_confirmation, Instant now);
   static bool MayChangeSoon(const ActiveRequest& active, ResumptionRefusal why);
   void RefuseResumption(ActiveRequest& active, ResumptionRefusal why,
                         Instant now);
--- a/src/dotterelshift/gateway/core_killed_fleet_test.cc
+++ b/src/dotterelshift/gateway/core_killed_fleet_test.cc
@@ -17,6 +17,7 @@
   CPPUNIT_TEST(ControlIsAskedBeforeTheOnlyVersionIsTaken);
   CPPUNIT_TEST(UnclearOriginIsRefusedThoughOneVersionIsKnown);
   CPPUNIT_TEST(StreamWaitsForTheEndpointsOfItsVersion);
+  CPPUNIT_TEST(LeadersAnswerDoesNotEndTheWaitForEndpoints);
   CPPUNIT_TEST(WaitForTheDirectoryIsShort);
   CPPUNIT_TEST(CallersOfStreamsThatAreGoneComeBackLate);
   CPPUNIT_TEST(CallersOfStreamsThatMayBeKnownSoonComeBackEarly);
@@ -83,6 +84,20 @@
     CPPUNIT_ASSERT_EQUAL(std::string("a"), Only<StartAttempt>().endpoint.id);
   }
 
+  // The view counts as complete a moment before its last endpoints are known.
+  void LeadersAnswerDoesNotEndTheWaitForEndpoints() {
+    BeginWithoutDirectory();
+    Resume("first");
+    m_now += 40ms;
+    m_core->OnViewComplete(m_now);
+    m_core->OnViewConfirmed(m_now, m_now);
+    Collect();
+    CPPUNIT_ASSERT(m_last.empty());
+    AnnounceEngine("a", "llm");
+    Advance(CoreOptions().max_directory_wait);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, Count<StartAttempt>());
+  }
+
   void WaitForTheDirectoryIsShort() {
     BeginWithoutDirectory();
     Resume("first");
--- a/src/dotterelshift/gateway/core_streams.cc
+++ b/src/dotterelshift/gateway/core_streams.cc
@@ -156,13 +156,17 @@
   if (!may_end || now >= until) return false;
   if (active.stage != Stage::kWaitsForDirectory) SetTimer(active, until);
   active.stage = Stage::kWaitsForDirectory;
+  active.awaits_confirmation = !starting;
   return true;
 }
 
-void CoreImpl::AdmitWaitingForDirectory(Instant now) {
+void CoreImpl::AdmitWaiting(bool for_confirmation, Instant now) {
   std::vector<RequestId> waiting;
-  for (const auto& [id, active] : m_active)
-    if (active.stage == Stage::kWaitsForDirectory) waiting.push_back(id);
+  for (const auto& [id, active] : m_active) {
+    if (active.stage == Stage::kWaitsForDirectory &&
+        active.awaits_confirmation == for_confirmation)
+      waiting.push_back(id);
+  }
   std::ranges::sort(waiting);
   for (const RequestId id : waiting) {
     const auto found = m_active.find(id);
@@ -173,14 +177,13 @@
 void CoreImpl::OnViewConfirmed(Instant asked_at, Instant now) {
   if (asked_at <= m_view_confirmed_at) return;
   m_view_confirmed_at = asked_at;
-  AdmitWaitingForDirectory(now);
+  AdmitWaiting(true, now);
 }
 
 std::optional<Instant> CoreImpl::AwaitsConfirmationSince() const {
   std::optional<Instant> newest;
   for (const auto& [id, active] : m_active) {
-    if (active.stage == Stage::kWaitsForDirectory &&
-        active.arrived > m_view_confirmed_at)
+    if (active.stage == Stage::kWaitsForDirectory && active.awaits_confirmation)
       newest = std::max(newest.value_or(active.arrived), active.arrived);
   }
   return newest;
