--- a/review/build.sh
+++ b/review/build.sh
@@ -3,7 +3,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-for case in replace prepaid drain poison founding; do
-  g++ -std=c++20 -O1 -Wall -Wextra -pthread -o "target/review/$case" "review/standins/$case.cc" &
+for case in replace prepaid drain versions poison founding; do
+  g++ -std=c++20 -O1 -Wall -Wextra -pthread -o "target/review/$case" "review/standins/$case.cpp" &
 done
 for job in $(jobs -p); do wait "$job"; done
--- a/review/standins/drain.cc
+++ b/review/standins/drain.cpp
@@ -1,6 +1,6 @@
 // A control daemon acknowledges that a server is gone, and is killed right
 // after that. See claim.txt.
-#include "fleet.h"
+#include "fleet.hpp"
 
 using namespace review;
 
--- a/review/standins/fleet.h
+++ b/review/standins/fleet.hpp
@@ -590,6 +590,7 @@
   int port = 8120;
   int slots = 6;
   std::string first_control;  // where it sends its status reports
+  std::string version = "v1";
 };
 
 // A stand-in for a server. The handler is called for each request that it
@@ -603,14 +604,23 @@
         m_record(record),
         m_options(std::move(options)),
         m_handler(std::move(handler)),
-        m_control(m_options.first_control) {}
+        m_control(m_options.first_control),
+        m_version(m_options.version) {}
 
   ~Server() { Stop(); }
 
   const std::string& Id() const { return m_options.id; }
   bool Crashed() const { return m_crashed; }
 
-  bool Start() {
+  const std::string& Version() const { return m_version; }
+  // Of the next start.
+  void SetVersion(const std::string& version) { m_version = version; }
+  // When the newest report was acknowledged.
+  double LastReport() const { return m_last_report; }
+
+  // Its first report is sent after `report_delay` seconds.
+  bool Start(double report_delay = 0) {
+    m_report_delay = report_delay;
     m_listener = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     const int on = 1;
     setsockopt(m_listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
@@ -690,7 +700,7 @@
 
   // A status report each 1.2 s, to the same daemon while it acknowledges them.
   void ReportAll() {
-    double next = Now();
+    double next = Now() + m_report_delay;
     while (!m_crashed) {
       if (m_silent || Now() < next) {
         Sleep(0.01);
@@ -706,12 +716,15 @@
       call.headers = {{"Content-Type", "application/json"}};
       call.body = "{\"service\":\"" + m_options.service + "\",\"addr\":\"" +
                   m_options.ip + ":" + std::to_string(m_options.port) +
-                  "\",\"zone\":\"z\",\"version\":\"v1\",\"slots\":" +
+                  "\",\"zone\":\"z\",\"version\":\"" +
+                  m_version + "\",\"slots\":" +
                   std::to_string(m_options.slots) +
                   ",\"state\":\"ready\",\"cold_left_ms\":0,\"born\":" +
                   std::to_string(m_born) +
                   ",\"seq\":" + std::to_string(++m_sequence) + "}";
-      if (Send(call).Status() / 100 == 2 || m_silent) continue;
+      const bool acked = Send(call).Status() / 100 == 2;
+      if (acked) m_last_report = Now();
+      if (acked || m_silent) continue;
       const std::lock_guard<std::mutex> lock(m_mutex);
       m_control = m_fleet.Control(m_next_control++ % m_fleet.Controls()).Ip();
       next = Now() + 0.05;
@@ -784,6 +797,9 @@
   std::atomic<bool> m_stopping{false};
   std::atomic<int> m_connections{0};
   std::atomic<int> m_running{0};
+  std::string m_version;
+  double m_report_delay = 0;
+  std::atomic<double> m_last_report{0};
   uint64_t m_sequence = 0;
   int64_t m_born = 0;
   std::thread m_accepts;
--- a/review/standins/founding.cc
+++ b/review/standins/founding.cpp
@@ -1,6 +1,6 @@
 // A control daemon is killed while the whole system starts for the first time.
 // See claim.txt.
-#include "fleet.h"
+#include "fleet.hpp"
 
 using namespace review;
 
--- a/review/standins/poison.cc
+++ b/review/standins/poison.cpp
@@ -1,6 +1,6 @@
 // A request crashes each server that begins to run it, and comes again. The
 // servers start again under their ids. See claim.txt.
-#include "fleet.h"
+#include "fleet.hpp"
 
 using namespace review;
 
--- a/review/standins/prepaid.cc
+++ b/review/standins/prepaid.cpp
@@ -1,7 +1,7 @@
 // Entry daemons are killed a few times, and at last all processes. The tenants
 // are served no more, though most of their prepaid totals has not been
 // consumed. See claim.txt.
-#include "fleet.h"
+#include "fleet.hpp"
 
 using namespace review;
 
--- a/review/standins/replace.cc
+++ b/review/standins/replace.cpp
@@ -1,6 +1,6 @@
 // The machines of the core are replaced by empty ones, one after the other.
 // See claim.txt.
-#include "fleet.h"
+#include "fleet.hpp"
 
 using namespace review;
 
