--- a/review/standins/fleet.hpp
+++ b/review/standins/fleet.hpp
@@ -23,6 +23,7 @@
 #include <cstdio>
 #include <cstdlib>
 #include <cstring>
+#include <filesystem>
 #include <fstream>
 #include <functional>
 #include <map>
@@ -37,6 +38,11 @@
 
 namespace review {
 
+// Exit statuses of a case.
+inline constexpr int kHeld = 0;
+inline constexpr int kBroken = 1;
+inline constexpr int kCouldNotRun = 2;
+
 // ---- time and the record
 
 inline std::chrono::steady_clock::time_point Begin() {
@@ -402,9 +408,9 @@
   // `spares`: further machines for control, which are not started at first.
   Fleet(Record& record, int controls, int entries, int spares = 0)
       : m_record(record), m_first_controls(controls) {
-    char folder[] = "/tmp/review-XXXXXX";
-    if (mkdtemp(folder) == nullptr) std::exit(2);
-    m_folder = folder;
+    m_folder =
+        (std::filesystem::temp_directory_path() / "review-XXXXXX").string();
+    if (mkdtemp(m_folder.data()) == nullptr) std::exit(kCouldNotRun);
     const int pid = static_cast<int>(getpid());
     m_network = "127." + std::to_string(30 + pid % 200) + "." +
                 std::to_string(1 + (pid / 200) % 250) + ".";
@@ -420,8 +426,7 @@
     for (auto& daemon : m_entries) daemon->Kill();
     for (auto& daemon : m_controls) daemon->Kill();
     if (std::getenv("KEEP_LOGS") == nullptr)
-      [[maybe_unused]] const int ignored =
-          std::system(("rm -rf " + m_folder).c_str());
+      std::filesystem::remove_all(m_folder);
     else
       std::printf("logs in %s\n", m_folder.c_str());
   }
@@ -822,10 +827,6 @@
   return text;
 }
 
-inline constexpr int kHeld = 0;
-inline constexpr int kBroken = 1;
-inline constexpr int kCouldNotRun = 2;
-
 }  // namespace review
 
 #endif  // REVIEW_STANDINS_FLEET_H_
