Failing tests: hosts of control are replaced in series

Schedules over the real Replica on simulated time: a host at a time (two of nine) is lost and replaced by another one, restarted with or without its folder, or cut off; leaders and the newest hosts more often than others, and successors are lost while they join.

--- a/src/dotterelshift/app/replica_simulation.h
+++ b/src/dotterelshift/app/replica_simulation.h
@@ -270,6 +270,22 @@
   void KillAll() {
     for (const auto& [name, host] : m_hosts) Kill(name);
   }
+  // Adds a host with an empty folder and starts it.
+  void Join(const HostId& name) {
+    m_hosts[name].disk.log.self = ++m_last_replica;
+    Start(name);
+  }
+  std::vector<HostId> Running() const {
+    std::vector<HostId> names;
+    for (const auto& [name, host] : m_hosts)
+      if (host.replica) names.push_back(name);
+    return names;
+  }
+  bool IsRunning(const HostId& name) const {
+    return m_hosts.at(name).replica != nullptr;
+  }
+  // Cuts a host off from the others, or reconnects it.
+  void Cut(const HostId& name, bool cut) { m_hosts.at(name).cut = cut; }
   // Clears the folder of a host that is not running.
   void Wipe(const HostId& name) {
     SimulatedDisk& disk = m_hosts.at(name).disk;
@@ -329,6 +345,18 @@
     return RunUntil([&] { return *accepted == commands; }, limit);
   }
 
+  // Proposes one command if there is a leader, and counts it in `accepted` once
+  // it is.
+  void Offer(const std::shared_ptr<uint64_t>& accepted) {
+    const HostId leader = Leader();
+    if (leader.empty()) return;
+    m_hosts.at(leader).replica->Propose(
+        std::vector<wire::CommandT>(1),
+        [accepted](ErrorKind error, const auto&) {
+          if (error == ErrorKind::kNone) ++*accepted;
+        });
+  }
+
   // Whether any replica has the plan's replica among its members.
   bool AddedReplicaIsMember() const {
     return std::ranges::any_of(m_hosts, [](const auto& entry) {
@@ -368,8 +396,14 @@
     SimulatedDisk disk;
     std::unique_ptr<HostLoop> loop;
     std::unique_ptr<ControlReplica> replica;  // null: not running
+    bool cut = false;
   };
 
+  bool AreConnected(const HostId& one, const HostId& other) const {
+    return IsRunning(one) && IsRunning(other) &&
+           m_hosts.at(one).cut == m_hosts.at(other).cut;
+  }
+
   static std::vector<uint8_t> BatchOf(wire::CommandT command) {
     wire::CommandBatchT batch;
     batch.commands.push_back(
@@ -398,7 +432,7 @@
     callbacks.control_hosts = [this, name] {
       std::vector<HostId> others;
       for (const auto& [other, host] : m_hosts)
-        if (other != name) others.push_back(other);
+        if (other != name && AreConnected(name, other)) others.push_back(other);
       return others;
     };
     callbacks.on_leadership_changed = [this, name] {
@@ -420,7 +454,7 @@
 
   void Send(const HostId& from, const HostId& to, const wire::FrameT& frame) {
     const auto target = m_hosts.find(to);
-    if (target == m_hosts.end() || !target->second.replica) return;
+    if (target == m_hosts.end() || !AreConnected(from, to)) return;
     HostLoop* loop = target->second.loop.get();
     if (frame.body.AsReplicaHello() != nullptr) ++m_hellos;
     HostLoop& sender_loop = *m_hosts.at(from).loop;
