Replaced machines of control no longer cost the group its majority

Operators saw: the configuration could not be read back and nothing was acknowledged after some machines of control had been replaced one at a time.

Cause (class: what a replica once said is kept as if it still held, and a repair that waits for one thing stops for all): a replica that had joined stayed a candidate, so that it was added again once it was dead and removed; a learner that never catches up stopped all removals; two silent voters at once, or an odd number, stopped them too; each new leader counted silence from its own election; and a first member that started again before there was a group was waited for for ever.

Now a candidate is one whose hello is at most 3 s old. An addition names the silent voter that it replaces, in the membership itself, so that every later leader completes the replacement; a replica added before the silence was noticed is recognised by the time of its addition. Connections to other control hosts tell a new leader who was lost before its election. A seed that cannot know that the fleet is new says so, and the next one composes the membership, on answers to questions that it asked after it had heard of that seed, and with a higher first term.

Log lines: member_state, member_waiting, member_change; voters and connected_voters on routes_read.

--- a/include/dotterelshift/app/control_replica.h
+++ b/include/dotterelshift/app/control_replica.h
@@ -49,7 +49,9 @@
   uint64_t log_bytes = 0;         // in memory, since the last snapshot
   uint64_t snapshot_bytes = 0;
   uint64_t unapplied_entries = 0;  // committed, not yet applied to the state
-  uint64_t hellos = 0;  // received from other replicas since the start
+  uint64_t hellos = 0;          // received from other replicas since the start
+  size_t voters = 0;            // of the group, as far as this replica knows it
+  size_t connected_voters = 0;  // of these; this replica included
 };
 
 // Drives the node, the storage and the state of one replica on the event loop.
--- a/include/dotterelshift/wire/frames_generated.h
+++ b/include/dotterelshift/wire/frames_generated.h
@@ -152,6 +152,8 @@
 
 struct ProcessNote;
 
+struct StreamTakeover;
+
 struct LoadNotes;
 struct LoadNotesBuilder;
 struct LoadNotesT;
@@ -1067,6 +1069,45 @@
   using type = ProcessNote;
 };
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) StreamTakeover FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t stream_;
+  uint64_t after_event_;
+  uint32_t age_ms_;
+  int32_t padding0__;
+
+ public:
+  struct Traits;
+  StreamTakeover()
+      : stream_(0),
+        after_event_(0),
+        age_ms_(0),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  StreamTakeover(uint64_t _stream, uint64_t _after_event, uint32_t _age_ms)
+      : stream_(flatbuffers::EndianScalar(_stream)),
+        after_event_(flatbuffers::EndianScalar(_after_event)),
+        age_ms_(flatbuffers::EndianScalar(_age_ms)),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  uint64_t stream() const {
+    return flatbuffers::EndianScalar(stream_);
+  }
+  uint64_t after_event() const {
+    return flatbuffers::EndianScalar(after_event_);
+  }
+  uint32_t age_ms() const {
+    return flatbuffers::EndianScalar(age_ms_);
+  }
+};
+FLATBUFFERS_STRUCT_END(StreamTakeover, 24);
+
+struct StreamTakeover::Traits {
+  using type = StreamTakeover;
+};
+
 FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) LimitNote FLATBUFFERS_FINAL_CLASS {
  private:
   uint64_t endpoint_;
@@ -3792,6 +3833,7 @@
   std::string host{};
   std::string address{};
   bool voter = false;
+  uint64_t replaces = 0;
 };
 
 struct Replica FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -3802,7 +3844,8 @@
     VT_ID = 4,
     VT_HOST = 6,
     VT_ADDRESS = 8,
-    VT_VOTER = 10
+    VT_VOTER = 10,
+    VT_REPLACES = 12
   };
   uint64_t id() const {
     return GetField<uint64_t>(VT_ID, 0);
@@ -3816,6 +3859,9 @@
   bool voter() const {
     return GetField<uint8_t>(VT_VOTER, 0) != 0;
   }
+  uint64_t replaces() const {
+    return GetField<uint64_t>(VT_REPLACES, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_ID, 8) &&
@@ -3824,6 +3870,7 @@
            VerifyOffset(verifier, VT_ADDRESS) &&
            verifier.VerifyString(address()) &&
            VerifyField<uint8_t>(verifier, VT_VOTER, 1) &&
+           VerifyField<uint64_t>(verifier, VT_REPLACES, 8) &&
            verifier.EndTable();
   }
   ReplicaT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3847,6 +3894,9 @@
   void add_voter(bool voter) {
     fbb_.AddElement<uint8_t>(Replica::VT_VOTER, static_cast<uint8_t>(voter), 0);
   }
+  void add_replaces(uint64_t replaces) {
+    fbb_.AddElement<uint64_t>(Replica::VT_REPLACES, replaces, 0);
+  }
   explicit ReplicaBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3863,8 +3913,10 @@
     uint64_t id = 0,
     flatbuffers::Offset<flatbuffers::String> host = 0,
     flatbuffers::Offset<flatbuffers::String> address = 0,
-    bool voter = false) {
+    bool voter = false,
+    uint64_t replaces = 0) {
   ReplicaBuilder builder_(_fbb);
+  builder_.add_replaces(replaces);
   builder_.add_id(id);
   builder_.add_address(address);
   builder_.add_host(host);
@@ -3882,7 +3934,8 @@
     uint64_t id = 0,
     const char *host = nullptr,
     const char *address = nullptr,
-    bool voter = false) {
+    bool voter = false,
+    uint64_t replaces = 0) {
   auto host__ = host ? _fbb.CreateString(host) : 0;
   auto address__ = address ? _fbb.CreateString(address) : 0;
   return dotterelshift::wire::CreateReplica(
@@ -3890,7 +3943,8 @@
       id,
       host__,
       address__,
-      voter);
+      voter,
+      replaces);
 }
 
 flatbuffers::Offset<Replica> CreateReplica(flatbuffers::FlatBufferBuilder &_fbb, const ReplicaT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -4782,6 +4836,9 @@
   std::vector<std::string> first_members{};
   std::vector<std::string> members{};
   bool lost = false;
+  bool cannot_found = false;
+  uint64_t round = 0;
+  uint64_t answers = 0;
 };
 
 struct ReplicaHello FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -4794,7 +4851,10 @@
     VT_ANSWER_WANTED = 8,
     VT_FIRST_MEMBERS = 10,
     VT_MEMBERS = 12,
-    VT_LOST = 14
+    VT_LOST = 14,
+    VT_CANNOT_FOUND = 16,
+    VT_ROUND = 18,
+    VT_ANSWERS = 20
   };
   uint64_t replica() const {
     return GetField<uint64_t>(VT_REPLICA, 0);
@@ -4814,6 +4874,15 @@
   bool lost() const {
     return GetField<uint8_t>(VT_LOST, 0) != 0;
   }
+  bool cannot_found() const {
+    return GetField<uint8_t>(VT_CANNOT_FOUND, 0) != 0;
+  }
+  uint64_t round() const {
+    return GetField<uint64_t>(VT_ROUND, 0);
+  }
+  uint64_t answers() const {
+    return GetField<uint64_t>(VT_ANSWERS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_REPLICA, 8) &&
@@ -4826,6 +4895,9 @@
            verifier.VerifyVector(members()) &&
            verifier.VerifyVectorOfStrings(members()) &&
            VerifyField<uint8_t>(verifier, VT_LOST, 1) &&
+           VerifyField<uint8_t>(verifier, VT_CANNOT_FOUND, 1) &&
+           VerifyField<uint64_t>(verifier, VT_ROUND, 8) &&
+           VerifyField<uint64_t>(verifier, VT_ANSWERS, 8) &&
            verifier.EndTable();
   }
   ReplicaHelloT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -4855,6 +4927,15 @@
   void add_lost(bool lost) {
     fbb_.AddElement<uint8_t>(ReplicaHello::VT_LOST, static_cast<uint8_t>(lost), 0);
   }
+  void add_cannot_found(bool cannot_found) {
+    fbb_.AddElement<uint8_t>(ReplicaHello::VT_CANNOT_FOUND, static_cast<uint8_t>(cannot_found), 0);
+  }
+  void add_round(uint64_t round) {
+    fbb_.AddElement<uint64_t>(ReplicaHello::VT_ROUND, round, 0);
+  }
+  void add_answers(uint64_t answers) {
+    fbb_.AddElement<uint64_t>(ReplicaHello::VT_ANSWERS, answers, 0);
+  }
   explicit ReplicaHelloBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -4873,11 +4954,17 @@
     bool answer_wanted = false,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> first_members = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> members = 0,
-    bool lost = false) {
+    bool lost = false,
+    bool cannot_found = false,
+    uint64_t round = 0,
+    uint64_t answers = 0) {
   ReplicaHelloBuilder builder_(_fbb);
+  builder_.add_answers(answers);
+  builder_.add_round(round);
   builder_.add_replica(replica);
   builder_.add_members(members);
   builder_.add_first_members(first_members);
+  builder_.add_cannot_found(cannot_found);
   builder_.add_lost(lost);
   builder_.add_answer_wanted(answer_wanted);
   builder_.add_in_group(in_group);
@@ -4896,7 +4983,10 @@
     bool answer_wanted = false,
     const std::vector<flatbuffers::Offset<flatbuffers::String>> *first_members = nullptr,
     const std::vector<flatbuffers::Offset<flatbuffers::String>> *members = nullptr,
-    bool lost = false) {
+    bool lost = false,
+    bool cannot_found = false,
+    uint64_t round = 0,
+    uint64_t answers = 0) {
   auto first_members__ = first_members ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*first_members) : 0;
   auto members__ = members ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*members) : 0;
   return dotterelshift::wire::CreateReplicaHello(
@@ -4906,7 +4996,10 @@
       answer_wanted,
       first_members__,
       members__,
-      lost);
+      lost,
+      cannot_found,
+      round,
+      answers);
 }
 
 flatbuffers::Offset<ReplicaHello> CreateReplicaHello(flatbuffers::FlatBufferBuilder &_fbb, const ReplicaHelloT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -4918,6 +5011,7 @@
   std::vector<dotterelshift::wire::TroubleNote> troubles{};
   std::vector<uint64_t> replaced{};
   std::vector<dotterelshift::wire::ProcessNote> processes{};
+  std::vector<dotterelshift::wire::StreamTakeover> takeovers{};
 };
 
 struct LoadNotes FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -4929,7 +5023,8 @@
     VT_ORIGINS = 6,
     VT_TROUBLES = 10,
     VT_REPLACED = 12,
-    VT_PROCESSES = 14
+    VT_PROCESSES = 14,
+    VT_TAKEOVERS = 16
   };
   const flatbuffers::Vector<const dotterelshift::wire::LoadNote *> *notes() const {
     return GetPointer<const flatbuffers::Vector<const dotterelshift::wire::LoadNote *> *>(VT_NOTES);
@@ -4946,6 +5041,9 @@
   const flatbuffers::Vector<const dotterelshift::wire::ProcessNote *> *processes() const {
     return GetPointer<const flatbuffers::Vector<const dotterelshift::wire::ProcessNote *> *>(VT_PROCESSES);
   }
+  const flatbuffers::Vector<const dotterelshift::wire::StreamTakeover *> *takeovers() const {
+    return GetPointer<const flatbuffers::Vector<const dotterelshift::wire::StreamTakeover *> *>(VT_TAKEOVERS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_NOTES) &&
@@ -4958,6 +5056,8 @@
            verifier.VerifyVector(replaced()) &&
            VerifyOffset(verifier, VT_PROCESSES) &&
            verifier.VerifyVector(processes()) &&
+           VerifyOffset(verifier, VT_TAKEOVERS) &&
+           verifier.VerifyVector(takeovers()) &&
            verifier.EndTable();
   }
   LoadNotesT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -4984,6 +5084,9 @@
   void add_processes(flatbuffers::Offset<flatbuffers::Vector<const dotterelshift::wire::ProcessNote *>> processes) {
     fbb_.AddOffset(LoadNotes::VT_PROCESSES, processes);
   }
+  void add_takeovers(flatbuffers::Offset<flatbuffers::Vector<const dotterelshift::wire::StreamTakeover *>> takeovers) {
+    fbb_.AddOffset(LoadNotes::VT_TAKEOVERS, takeovers);
+  }
   explicit LoadNotesBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -5001,8 +5104,10 @@
     flatbuffers::Offset<flatbuffers::Vector<const dotterelshift::wire::StreamOrigin *>> origins = 0,
     flatbuffers::Offset<flatbuffers::Vector<const dotterelshift::wire::TroubleNote *>> troubles = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint64_t>> replaced = 0,
-    flatbuffers::Offset<flatbuffers::Vector<const dotterelshift::wire::ProcessNote *>> processes = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<const dotterelshift::wire::ProcessNote *>> processes = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const dotterelshift::wire::StreamTakeover *>> takeovers = 0) {
   LoadNotesBuilder builder_(_fbb);
+  builder_.add_takeovers(takeovers);
   builder_.add_processes(processes);
   builder_.add_replaced(replaced);
   builder_.add_troubles(troubles);
@@ -5022,19 +5127,22 @@
     const std::vector<dotterelshift::wire::StreamOrigin> *origins = nullptr,
     const std::vector<dotterelshift::wire::TroubleNote> *troubles = nullptr,
     const std::vector<uint64_t> *replaced = nullptr,
-    const std::vector<dotterelshift::wire::ProcessNote> *processes = nullptr) {
+    const std::vector<dotterelshift::wire::ProcessNote> *processes = nullptr,
+    const std::vector<dotterelshift::wire::StreamTakeover> *takeovers = nullptr) {
   auto notes__ = notes ? _fbb.CreateVectorOfStructs<dotterelshift::wire::LoadNote>(*notes) : 0;
   auto origins__ = origins ? _fbb.CreateVectorOfStructs<dotterelshift::wire::StreamOrigin>(*origins) : 0;
   auto troubles__ = troubles ? _fbb.CreateVectorOfStructs<dotterelshift::wire::TroubleNote>(*troubles) : 0;
   auto replaced__ = replaced ? _fbb.CreateVector<uint64_t>(*replaced) : 0;
   auto processes__ = processes ? _fbb.CreateVectorOfStructs<dotterelshift::wire::ProcessNote>(*processes) : 0;
+  auto takeovers__ = takeovers ? _fbb.CreateVectorOfStructs<dotterelshift::wire::StreamTakeover>(*takeovers) : 0;
   return dotterelshift::wire::CreateLoadNotes(
       _fbb,
       notes__,
       origins__,
       troubles__,
       replaced__,
-      processes__);
+      processes__,
+      takeovers__);
 }
 
 flatbuffers::Offset<LoadNotes> CreateLoadNotes(flatbuffers::FlatBufferBuilder &_fbb, const LoadNotesT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -7116,6 +7224,7 @@
   { auto _e = host(); if (_e) _o->host = _e->str(); }
   { auto _e = address(); if (_e) _o->address = _e->str(); }
   { auto _e = voter(); _o->voter = _e; }
+  { auto _e = replaces(); _o->replaces = _e; }
 }
 
 inline flatbuffers::Offset<Replica> Replica::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ReplicaT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -7130,12 +7239,14 @@
   auto _host = _o->host.empty() ? 0 : _fbb.CreateString(_o->host);
   auto _address = _o->address.empty() ? 0 : _fbb.CreateString(_o->address);
   auto _voter = _o->voter;
+  auto _replaces = _o->replaces;
   return dotterelshift::wire::CreateReplica(
       _fbb,
       _id,
       _host,
       _address,
-      _voter);
+      _voter,
+      _replaces);
 }
 
 inline MembershipT::MembershipT(const MembershipT &o) {
@@ -7504,6 +7615,9 @@
   { auto _e = first_members(); if (_e) { _o->first_members.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->first_members[_i] = _e->Get(_i)->str(); } } }
   { auto _e = members(); if (_e) { _o->members.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->members[_i] = _e->Get(_i)->str(); } } }
   { auto _e = lost(); _o->lost = _e; }
+  { auto _e = cannot_found(); _o->cannot_found = _e; }
+  { auto _e = round(); _o->round = _e; }
+  { auto _e = answers(); _o->answers = _e; }
 }
 
 inline flatbuffers::Offset<ReplicaHello> ReplicaHello::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ReplicaHelloT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -7520,6 +7634,9 @@
   auto _first_members = _o->first_members.size() ? _fbb.CreateVectorOfStrings(_o->first_members) : 0;
   auto _members = _o->members.size() ? _fbb.CreateVectorOfStrings(_o->members) : 0;
   auto _lost = _o->lost;
+  auto _cannot_found = _o->cannot_found;
+  auto _round = _o->round;
+  auto _answers = _o->answers;
   return dotterelshift::wire::CreateReplicaHello(
       _fbb,
       _replica,
@@ -7527,7 +7644,10 @@
       _answer_wanted,
       _first_members,
       _members,
-      _lost);
+      _lost,
+      _cannot_found,
+      _round,
+      _answers);
 }
 
 inline LoadNotesT *LoadNotes::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -7544,6 +7664,7 @@
   { auto _e = troubles(); if (_e) { _o->troubles.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->troubles[_i] = *_e->Get(_i); } } }
   { auto _e = replaced(); if (_e) { _o->replaced.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->replaced[_i] = _e->Get(_i); } } }
   { auto _e = processes(); if (_e) { _o->processes.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->processes[_i] = *_e->Get(_i); } } }
+  { auto _e = takeovers(); if (_e) { _o->takeovers.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->takeovers[_i] = *_e->Get(_i); } } }
 }
 
 inline flatbuffers::Offset<LoadNotes> LoadNotes::Pack(flatbuffers::FlatBufferBuilder &_fbb, const LoadNotesT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -7559,13 +7680,15 @@
   auto _troubles = _o->troubles.size() ? _fbb.CreateVectorOfStructs(_o->troubles) : 0;
   auto _replaced = _o->replaced.size() ? _fbb.CreateVector(_o->replaced) : 0;
   auto _processes = _o->processes.size() ? _fbb.CreateVectorOfStructs(_o->processes) : 0;
+  auto _takeovers = _o->takeovers.size() ? _fbb.CreateVectorOfStructs(_o->takeovers) : 0;
   return dotterelshift::wire::CreateLoadNotes(
       _fbb,
       _notes,
       _origins,
       _troubles,
       _replaced,
-      _processes);
+      _processes,
+      _takeovers);
 }
 
 inline OriginQuestionT *OriginQuestion::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/src/dotterelshift/app/replica.h
+++ b/src/dotterelshift/app/replica.h
@@ -14,6 +14,7 @@
 
 #include "dotterelshift/app/control_replica.h"           // for ControlReplica
 #include "dotterelshift/app/member_changes.h"            // for MemberChanges
+#include "dotterelshift/app/member_log.h"                // for MemberLog
 #include "dotterelshift/app/proposals.h"                 // for Proposals
 #include "dotterelshift/app/spool_sender.h"              // for SpoolSender
 #include "dotterelshift/replication/bootstrap.h"         // for MakeInitialLog
@@ -70,7 +71,9 @@
             m_log_bytes,
             m_snapshots->SnapshotBytes(),
             m_node->Commit() - m_applied.last_index,
-            m_hellos};
+            m_hellos,
+            replication::VoterCount(m_node->Members()),
+            ConnectedVoters()};
   }
   bool Leads() const override {
     return m_storage_error == ErrorKind::kNone && HasCaughtUp() &&
@@ -78,7 +81,7 @@
   }
   HostId LeaderHost() const override { return HostOf(m_node->Leader()); }
   std::vector<wire::ReplicaT> WaitingReplicas() const override {
-    return m_discovery->Waiting(m_node->Members());
+    return m_discovery->Waiting(m_node->Members(), m_loop.Now());
   }
   ErrorKind StorageError() const override { return m_storage_error; }
   void OnFrame(const peers::PeerInfo& from, const wire::FrameT& frame) override;
@@ -93,6 +96,7 @@
   replication::GroupView View() const { return GroupViewOf(*m_node); }
   void OnHousekeeping();
   void RepairMembership();
+  void ProposeRepair(Instant now);
   void SendHello(const HostId& host, bool answer_wanted);
   void OnHello(const HostId& from, const wire::ReplicaHelloT& hello);
   void TryBootstrap();
@@ -124,6 +128,8 @@
   void OnSpoolAnswers(const std::vector<wire::CommandAnswerT>& answers);
 
   HostId HostOf(ReplicaId id) const;
+  // The voters whose daemons are connected, this one included.
+  size_t ConnectedVoters() const;
   // A leader that has not applied the entries accepted by its predecessors
   // would act on outdated state.
   bool HasCaughtUp() const {
@@ -162,7 +168,8 @@
   uint64_t m_hellos = 0;  // received
 
   std::optional<replication::MembershipRepair>
-      m_membership_repair;                                  // with self_healing
+      m_membership_repair;  // with self_healing
+  MemberLog m_member_log;
   std::optional<replication::MemberDiscovery> m_discovery;  // once restored
   std::map<ReplicaId, HostId> m_hosts;                      // senders seen
 
--- a/src/dotterelshift/app/replica_start.h
+++ b/src/dotterelshift/app/replica_start.h
@@ -3,6 +3,8 @@
 
 // Start of a replica, group discovery and membership repair.
 
+#include <algorithm>  // for count_if, find
+
 #include "dotterelshift/app/replica.h"  // for Replica
 
 namespace dotterelshift::app {
@@ -85,8 +87,7 @@
   }
   if (m_node->Role() == NodeRole::kLeader && m_member_changes.Next())
     SchedulePump();
-  if (m_membership_repair && m_ticks % kTicksBetweenRetries == 0)
-    RepairMembership();
+  if (m_membership_repair) RepairMembership();
 }
 
 // The leader repairs the membership. A replica that knows no leader sends
@@ -95,16 +96,31 @@
 template <ReplicaRuntime Runtime>
 void Replica<Runtime>::RepairMembership() {
   const Instant now = m_loop.Now();
-  if (m_node->Role() == NodeRole::kLeader) {
-    const auto change =
-        m_membership_repair->Next(m_node->Members(), WaitingReplicas(), now);
-    if (!change) return;
-    m_node->ProposeMember(change->replica, change->remove, now);
-    return SchedulePump();
-  }
+  std::vector<HostId> connected;
+  if (m_callbacks.control_hosts) connected = m_callbacks.control_hosts();
+  for (const HostId& host : connected)
+    m_membership_repair->OnHostConnected(host, now);
+  m_membership_repair->OnMembers(m_node->Members(), now);
+  if (m_node->Role() == NodeRole::kLeader) return ProposeRepair(now);
   m_membership_repair->StopLeading();
-  if (m_node->Leader() != 0 || !m_callbacks.control_hosts) return;
-  for (const HostId& host : m_callbacks.control_hosts()) SendHello(host, false);
+  m_member_log.Reset();
+  const bool hello_due = m_ticks % kTicksBetweenRetries == 0;
+  if (m_node->Leader() != 0 || !hello_due) return;
+  for (const HostId& host : connected) SendHello(host, false);
+}
+
+template <ReplicaRuntime Runtime>
+void Replica<Runtime>::ProposeRepair(Instant now) {
+  const wire::MembershipT& members = m_node->Members();
+  const std::vector<wire::ReplicaT> waiting = WaitingReplicas();
+  const auto change = m_membership_repair->Next(members, waiting, now);
+  m_member_log.OnMembers(m_membership_repair->Report(members, now));
+  m_member_log.OnWaiting(waiting);
+  if (!change) return;
+  const bool proposed =
+      m_node->ProposeMember(change->replica, change->remove, now).has_value();
+  m_member_log.OnChange(*change, proposed);
+  if (proposed) SchedulePump();
 }
 
 template <ReplicaRuntime Runtime>
@@ -117,7 +133,9 @@
 void Replica<Runtime>::OnHello(const HostId& from,
                                const wire::ReplicaHelloT& hello) {
   ++m_hellos;
-  if (m_discovery->OnHello(from, hello, View())) SendHello(from, false);
+  if (m_discovery->OnHello(from, hello, View(), m_loop.Now()))
+    m_callbacks.send(from,
+                     peers::MakeFrame(m_discovery->AnswerTo(hello, View())));
   if (m_membership_repair && !hello.members.empty() &&
       m_callbacks.on_members_received)
     m_callbacks.on_members_received(hello.members);
@@ -131,8 +149,10 @@
   const std::optional<wire::MembershipT> members =
       m_discovery->ComposeMembership();
   if (!members) return;
+  const uint64_t term = m_discovery->FirstTerm();
   m_discovery->EndBootstrap();
-  replication::RestoredLog log = replication::MakeInitialLog(m_self, *members);
+  replication::RestoredLog log =
+      replication::MakeInitialLog(m_self, *members, term);
   Ready first;
   first.hard_state = log.hard_state;
   first.append = log.entries;
@@ -154,6 +174,18 @@
   return member == nullptr ? HostId() : member->host;
 }
 
+template <ReplicaRuntime Runtime>
+size_t Replica<Runtime>::ConnectedVoters() const {
+  std::vector<HostId> hosts;
+  if (m_callbacks.control_hosts) hosts = m_callbacks.control_hosts();
+  hosts.push_back(m_options.self);
+  return static_cast<size_t>(std::ranges::count_if(
+      m_node->Members().replicas, [&hosts](const auto& member) {
+        return member->voter &&
+               std::ranges::find(hosts, member->host) != hosts.end();
+      }));
+}
+
 }  // namespace dotterelshift::app
 
 #endif  // DOTTERELSHIFT_APP_REPLICA_START_H_
--- a/src/dotterelshift/app/routes_port.cc
+++ b/src/dotterelshift/app/routes_port.cc
@@ -84,12 +84,14 @@
   void LogRead(ErrorKind outcome) {
     ++m_reads;
     if (outcome == m_read_outcome) return;
-    telemetry::Log(
-        telemetry::LogLevel::kInfo, "routes_read",
-        {{"outcome", WordOf(outcome, "read")},
-         {"leader", m_replica.LeaderHost()},
-         {"reads", std::to_string(m_reads)},
-         {"unapplied", std::to_string(m_replica.Load().unapplied_entries)}});
+    const ReplicaLoad load = m_replica.Load();
+    telemetry::Log(telemetry::LogLevel::kInfo, "routes_read",
+                   {{"outcome", WordOf(outcome, "read")},
+                    {"leader", m_replica.LeaderHost()},
+                    {"reads", std::to_string(m_reads)},
+                    {"voters", std::to_string(load.voters)},
+                    {"connected_voters", std::to_string(load.connected_voters)},
+                    {"unapplied", std::to_string(load.unapplied_entries)}});
     m_read_outcome = outcome;
     m_reads = 0;
   }
--- a/src/dotterelshift/replication/bootstrap.cc
+++ b/src/dotterelshift/replication/bootstrap.cc
@@ -1,6 +1,6 @@
 #include "dotterelshift/replication/bootstrap.h"
 
-#include <algorithm>  // for sort
+#include <algorithm>  // for find_if, sort
 
 #include "dotterelshift/replication/membership.h"  // for EncodeMembership
 
@@ -23,20 +23,42 @@
       m_first_members(Sorted(std::move(first_members))) {}
 
 bool Bootstrap::IsCoordinator() const {
-  return !m_first_members.empty() && m_first_members.front() == m_self;
+  const auto first = std::ranges::find_if(
+      m_first_members,
+      [this](const HostId& host) { return !m_unable.contains(host); });
+  return first != m_first_members.end() && *first == m_self;
+}
+
+uint64_t Bootstrap::FirstTerm() const {
+  const auto self = std::ranges::find(m_first_members, m_self);
+  return 1 + static_cast<uint64_t>(self - m_first_members.begin());
 }
 
 std::vector<HostId> Bootstrap::StartRound() {
   m_agreeing_replicas.clear();
+  m_unable_before = m_unable;
+  ++m_round;
   std::vector<HostId> others = m_first_members;
   std::erase(others, m_self);
   return others;
 }
 
 void Bootstrap::OnHello(const HostId& from, const wire::ReplicaHelloT& hello) {
-  const bool agrees = !hello.in_group && hello.replica != 0 &&
-                      Sorted(hello.first_members) == m_first_members;
-  if (agrees) m_agreeing_replicas[from] = hello.replica;
+  if (Agrees(from, hello)) m_agreeing_replicas[from] = hello.replica;
+  if (hello.cannot_found) m_unable[from] = hello.replica;
+}
+
+bool Bootstrap::Agrees(const HostId& from,
+                       const wire::ReplicaHelloT& hello) const {
+  if (hello.in_group || hello.replica == 0) return false;
+  const bool comes_first =
+      !m_first_members.empty() && m_first_members.front() == m_self;
+  if (!comes_first && hello.answers != m_round) return false;
+  if (!hello.cannot_found)
+    return Sorted(hello.first_members) == m_first_members;
+  const auto known = m_unable_before.find(from);
+  return comes_first ||
+         (known != m_unable_before.end() && known->second == hello.replica);
 }
 
 std::optional<wire::MembershipT> Bootstrap::ComposeMembership() const {
@@ -55,13 +77,14 @@
   return members;
 }
 
-RestoredLog MakeInitialLog(ReplicaId self, const wire::MembershipT& members) {
+RestoredLog MakeInitialLog(ReplicaId self, const wire::MembershipT& members,
+                           uint64_t first_term) {
   RestoredLog log;
   log.self = self;
-  log.hard_state.term = 1;
+  log.hard_state.term = first_term;
   wire::LogEntryT entry;
   entry.index = 1;
-  entry.term = 1;
+  entry.term = first_term;
   entry.kind = wire::LogEntryKind::Membership;
   entry.payload = EncodeMembership(members);
   log.entries.push_back(std::move(entry));
--- a/src/dotterelshift/replication/member_discovery.cc
+++ b/src/dotterelshift/replication/member_discovery.cc
@@ -34,19 +34,29 @@
   hello.answer_wanted = answer_wanted;
   hello.first_members = m_options.first_members;
   hello.lost = !view.has_leader;
+  hello.cannot_found = m_options.first_members.empty();
+  if (m_bootstrap) hello.round = m_bootstrap->Round();
   for (const auto& member : view.members->replicas)
     hello.members.push_back(member->host);
   return hello;
 }
 
+wire::ReplicaHelloT MemberDiscovery::AnswerTo(const wire::ReplicaHelloT& hello,
+                                              const GroupView& view) const {
+  wire::ReplicaHelloT answer = Hello(view, false);
+  if (hello.answer_wanted) answer.answers = hello.round;
+  return answer;
+}
+
 bool MemberDiscovery::OnHello(const HostId& from,
                               const wire::ReplicaHelloT& hello,
-                              const GroupView& view) {
+                              const GroupView& view, Instant now) {
   // A member that has no contact with a leader may have been removed without
   // being notified.
   const bool waits = !hello.in_group || (m_options.self_healing && hello.lost);
   if (waits)
-    m_waiting[from] = {hello.replica, ReplicaListedFor(from, *view.members)};
+    m_waiting[from] = {hello.replica, ReplicaListedFor(from, *view.members),
+                       now};
   else
     m_waiting.erase(from);
   if (m_bootstrap) m_bootstrap->OnHello(from, hello);
@@ -72,9 +82,10 @@
 }
 
 std::vector<wire::ReplicaT> MemberDiscovery::Waiting(
-    const wire::MembershipT& members) const {
+    const wire::MembershipT& members, Instant now) const {
   std::vector<wire::ReplicaT> waiting;
   for (const auto& [host, waiter] : m_waiting) {
+    if (now - waiter.heard > m_options.waits_for) continue;
     if (FindMember(members, waiter.replica) != nullptr) continue;
     const ReplicaId listed = ReplicaListedFor(host, members);
     if (listed != 0 && listed != waiter.listed) continue;
--- a/src/dotterelshift/replication/member_discovery.h
+++ b/src/dotterelshift/replication/member_discovery.h
@@ -6,6 +6,7 @@
 #include <vector>    // for vector
 
 #include "dotterelshift/base/ids.h"               // for HostId, ReplicaId
+#include "dotterelshift/base/time.h"              // for Instant
 #include "dotterelshift/replication/bootstrap.h"  // for Bootstrap
 #include "dotterelshift/replication/node.h"       // for Node
 #include "dotterelshift/wire/frames_generated.h"  // for ReplicaHelloT
@@ -17,6 +18,9 @@
   ReplicaId replica = 0;
   std::vector<HostId> first_members;  // empty: never bootstraps a group
   bool self_healing = false;
+  // A waiting replica says hello once a second. One that has been silent for
+  // longer than this no longer waits: it has joined, or it is lost.
+  Duration waits_for = 3s;
 };
 
 // A replica's current view of its own group.
@@ -41,11 +45,14 @@
 
   // The hello of this replica. `answer_wanted` asks the receiver for its own.
   wire::ReplicaHelloT Hello(const GroupView& view, bool answer_wanted) const;
+  // The answer to the hello of another replica.
+  wire::ReplicaHelloT AnswerTo(const wire::ReplicaHelloT& hello,
+                               const GroupView& view) const;
 
   // Handles the hello of another host. Returns whether to answer with this
   // replica's hello.
   bool OnHello(const HostId& from, const wire::ReplicaHelloT& hello,
-               const GroupView& view);
+               const GroupView& view, Instant now);
 
   // Starts a bootstrap round and returns the hosts to ask; none after
   // EndBootstrap().
@@ -55,13 +62,18 @@
   // The first membership; empty until all first members have agreed in this
   // round.
   std::optional<wire::MembershipT> ComposeMembership() const;
+  // The first term of a group that this replica founds.
+  uint64_t FirstTerm() const {
+    return m_bootstrap ? m_bootstrap->FirstTerm() : 1;
+  }
   void EndBootstrap() { m_bootstrap.reset(); }
 
-  // The waiting replicas that are not in `members`. A host is skipped if the
-  // membership lists another replica for it than at the time of its last hello.
-  // A leader that missed the later hellos would otherwise replace a working
-  // replica with one that no longer exists.
-  std::vector<wire::ReplicaT> Waiting(const wire::MembershipT& members) const;
+  // The waiting replicas that are not in `members` and whose last hello is
+  // recent. A host is skipped if the membership lists another replica for it
+  // than at the time of its last hello. A leader that missed the later hellos
+  // would otherwise replace a working replica with one that no longer exists.
+  std::vector<wire::ReplicaT> Waiting(const wire::MembershipT& members,
+                                      Instant now) const;
 
  private:
   const MemberDiscoveryOptions m_options;
@@ -69,6 +81,7 @@
   struct WaitingReplica {
     ReplicaId replica = 0;
     ReplicaId listed = 0;  // of its host, at the time of the hello; 0: none
+    Instant heard{};       // time of the hello
   };
   std::map<HostId, WaitingReplica> m_waiting;
 };
--- a/src/dotterelshift/replication/membership_simulation.h
+++ b/src/dotterelshift/replication/membership_simulation.h
@@ -67,7 +67,8 @@
 template <typename Rules>
 class MembershipSimulation {
  public:
-  explicit MembershipSimulation(uint64_t seed) : m_random(seed) {
+  explicit MembershipSimulation(uint64_t seed)
+      : m_even_seed(seed % 2 == 0), m_random(seed) {
     for (size_t i = 0; i < kHosts; ++i) {
       Host& host = m_hosts[i];
       host.name = "core-" + std::to_string(i + 1);
@@ -103,6 +104,7 @@
     uint64_t applied = 0;
     Instant housekeeping{};
     bool cut = false;
+    bool started = false;  // once or more
   };
   struct SentFrame {
     HostId from;
@@ -140,9 +142,14 @@
     NodeOptions options;
     options.seed = m_random();
     host.node = MakeNode(options, host.disk, m_now);
+    // In half of the schedules, the first of them does not know after a restart
+    // that the fleet is new.
+    const bool forgets =
+        m_even_seed && host.started && host.name == m_first_members.front();
+    host.started = true;
     const bool founds =
-        std::find(m_first_members.begin(), m_first_members.end(), host.name) !=
-        m_first_members.end();
+        !forgets && std::find(m_first_members.begin(), m_first_members.end(),
+                              host.name) != m_first_members.end();
     host.discovery.emplace(MemberDiscoveryOptions{
         host.name, host.disk.self,
         founds ? m_first_members : std::vector<HostId>{}, true});
@@ -180,6 +187,7 @@
   }
 
   void RepairMembership(Host& host) {
+    host.repair->OnMembers(host.node->Members(), m_now);
     if (host.node->Role() != NodeRole::kLeader) {
       host.repair->StopLeading();
       if (host.node->Leader() != 0) return;
@@ -187,9 +195,9 @@
         if (other.name != host.name) SendHello(host, other.name, false);
       return;
     }
-    const auto change =
-        host.repair->Next(host.node->Members(),
-                          host.discovery->Waiting(host.node->Members()), m_now);
+    const auto change = host.repair->Next(
+        host.node->Members(),
+        host.discovery->Waiting(host.node->Members(), m_now), m_now);
     if (!change) return;
     CheckChange(host, *change);
     if (!host.node->ProposeMember(change->replica, change->remove, m_now))
@@ -198,9 +206,10 @@
   }
 
   // A group without a surplus voter may only remove a member that has lost its
-  // folder.
+  // folder, or one that does not vote, which no promise rests on.
   void CheckChange(const Host& host, const MembershipChange& change) const {
     if (!change.remove || m_lost.contains(change.replica.id)) return;
+    if (!IsVoter(host.node->Members(), change.replica.id)) return;
     if (VoterCount(host.node->Members()) <= kFirstMembers)
       throw Violation(
           "removal of a member that has its log, from a group with this many "
@@ -212,9 +221,10 @@
     if (GroupViewOf(*host.node).in_group) return host.discovery->EndBootstrap();
     const auto members = host.discovery->ComposeMembership();
     if (!members) return;
+    const uint64_t term = host.discovery->FirstTerm();
     host.discovery->EndBootstrap();
     ++m_counts.founded;
-    host.disk = MakeInitialLog(host.disk.self, *members);
+    host.disk = MakeInitialLog(host.disk.self, *members, term);
     NodeOptions options;
     options.seed = m_random();
     host.node = MakeNode(options, host.disk, m_now);
@@ -228,10 +238,18 @@
     m_sent.push_back({from.name, to, std::move(frame)});
   }
 
+  void Answer(const Host& from, const HostId& to,
+              const wire::ReplicaHelloT& hello) {
+    wire::FrameT frame;
+    frame.body.Set(from.discovery->AnswerTo(hello, GroupViewOf(*from.node)));
+    m_sent.push_back({from.name, to, std::move(frame)});
+  }
+
   void OnFrame(Host& host, const SentFrame& sent) {
     if (const wire::ReplicaHelloT* hello = sent.frame.body.AsReplicaHello()) {
-      if (host.discovery->OnHello(sent.from, *hello, GroupViewOf(*host.node)))
-        SendHello(host, sent.from, false);
+      if (host.discovery->OnHello(sent.from, *hello, GroupViewOf(*host.node),
+                                  m_now))
+        Answer(host, sent.from, *hello);
       TryBootstrap(host);
       return;
     }
@@ -448,6 +466,7 @@
   // leader, bootstrap a group and replace all five members one after another.
   static constexpr int kSettleRounds = 6000;
 
+  const bool m_even_seed;
   std::mt19937_64 m_random;
   Instant m_now{1s};
   std::vector<HostId> m_first_members;
--- a/src/dotterelshift/replication/membership_simulation_test.cc
+++ b/src/dotterelshift/replication/membership_simulation_test.cc
@@ -35,10 +35,10 @@
  public:
   using MemberDiscovery::MemberDiscovery;
   bool OnHello(const HostId& from, const wire::ReplicaHelloT& hello,
-               const GroupView& view) {
+               const GroupView& view, Instant now) {
     wire::ReplicaHelloT fresh = hello;
     fresh.in_group = false;
-    return MemberDiscovery::OnHello(from, fresh, view);
+    return MemberDiscovery::OnHello(from, fresh, view, now);
   }
 };
 struct BootstrapBesideExistingGroupRules : MembershipSimulationRules {
--- a/src/dotterelshift/replication/raft_append.h
+++ b/src/dotterelshift/replication/raft_append.h
@@ -244,7 +244,8 @@
          m_log.MembersIndex() <= m_commit;
 }
 
-// Promotes a learner that has all committed entries to a voter.
+// Promotes a learner that has all committed entries to a voter. One that was
+// lost after it had caught up would add to the votes that a majority needs.
 template <typename Rules>
 void Raft<Rules>::PromoteLearners(Instant now) {
   if (!MayChangeMembers()) return;
@@ -253,6 +254,9 @@
     if (replica->voter || peer == m_progress.end()) continue;
     if (peer->second.match < m_commit || peer->second.match < m_term_start)
       continue;
+    const bool responds =
+        now - peer->second.acked_sent < m_options.min_election_timeout;
+    if (!responds) continue;
     wire::ReplicaT voter = *replica;
     voter.voter = true;
     AppendOwn(wire::LogEntryKind::Membership,
