Control hosts that are no members any more are not dialled for ever

Each control daemon dialled all hosts that ever were members or seeds, every 2 s each: with a host replaced each 8 s, 450 after an hour. They are hung up 30 s after they were last a member or seed, while a leader is known; Reload() takes over the seeds.

--- a/src/dotterelshift/app/control.cc
+++ b/src/dotterelshift/app/control.cc
@@ -1,4 +1,5 @@
 #include <map>      // for map
+#include <set>      // for set
 #include <string>   // for string
 #include <utility>  // for move
 
@@ -12,6 +13,7 @@
 #include "dotterelshift/app/gauges.h"              // for SetReplicaGauges
 #include "dotterelshift/app/hub_options.h"         // for MakeHubOptions
 #include "dotterelshift/app/listen_options.h"      // for ListenOptions
+#include "dotterelshift/app/member_dials.h"        // for MemberDials
 #include "dotterelshift/app/operator_backend.h"    // for MakeControlBackend
 #include "dotterelshift/app/origin_store.h"        // for OriginStore
 #include "dotterelshift/app/routes_control.h"      // for ControlAdapter
@@ -52,6 +54,7 @@
 
  private:
   void DialMemberAddress(const std::string& address);
+  void HangUpOldMembers();
 
   http::ServerOptions ServerOptions() const;
   peers::HubCallbacks HubCallbacks();
@@ -84,6 +87,7 @@
   uint64_t m_sequence = 0;
   std::unique_ptr<ControlAdapter> m_adapter;
   DirectoryExchange m_directory;
+  MemberDials m_member_dials;
   OriginStore m_origins;
   std::unique_ptr<telemetry::Metrics> m_metrics;
   std::unique_ptr<http::Server> m_server;
@@ -162,6 +166,8 @@
   if (!settings.operator_key_file.empty())
     api.keys = settings::ReadOperatorKeys(settings.operator_key_file);
   m_api = operators::MakeApi(api, *m_backend);
+  for (const std::string& seed : SeedPeersOf(settings))
+    m_member_dials.OnDialled(seed, loop.Now());
   m_tick.ArmIn(0ms);
 }
 
@@ -431,6 +437,7 @@
   SendOrders();
   // Retries pushes that were postponed because of an entry's backlog.
   SchedulePushes();
+  HangUpOldMembers();
   if (m_replica->Leads() && now >= m_next_age_out) {
     m_next_age_out = now + kAgeOutInterval;
     wire::CommandT command;
@@ -447,12 +454,29 @@
 
 // Dials a hub address received from another daemon; ignores invalid ones.
 void Control::DialMemberAddress(const std::string& address) {
-  if (ParseAddress(address)) m_hub->Dial(address);
+  if (!ParseAddress(address)) return;
+  m_hub->Dial(address);
+  m_member_dials.OnDialled(address, m_loop.Now());
+}
+
+// Without a leader, the members that are known may be outdated.
+void Control::HangUpOldMembers() {
+  if (m_replica->LeaderHost().empty()) return;
+  const std::vector<std::string> seeds = SeedPeersOf(m_settings);
+  std::set<std::string> wanted(seeds.begin(), seeds.end());
+  for (const auto& member : m_replica->GetNode().Members().replicas)
+    wanted.insert(member->host);
+  for (const std::string& address :
+       m_member_dials.TakeUnwanted(wanted, m_loop.Now())) {
+    telemetry::Log(telemetry::LogLevel::kInfo, "member_dial_ended",
+                   {{"address", address}});
+    m_hub->HangUp(address);
+  }
 }
 
 void Control::Reload(const settings::Settings& settings) {
-  for (const std::string& seed : settings.seeds)
-    m_hub->Dial(PeerAddressOf(seed, settings.peer_port));
+  m_settings.seeds = settings.seeds;
+  for (const std::string& seed : SeedPeersOf(settings)) DialMemberAddress(seed);
 }
 
 void Control::UpdateGauges() {
--- a/src/dotterelshift/app/control_options.cc
+++ b/src/dotterelshift/app/control_options.cc
@@ -14,11 +14,16 @@
 
 }  // namespace
 
+std::vector<std::string> SeedPeersOf(const settings::Settings& settings) {
+  std::vector<std::string> peers;
+  for (const std::string& seed : settings.seeds)
+    peers.push_back(PeerAddressOf(seed, settings.peer_port));
+  return peers;
+}
+
 std::vector<HostId> FirstMembersOf(const settings::Settings& settings) {
   if (!settings.found_group) return settings.first_members;
-  std::vector<HostId> members;
-  for (const std::string& seed : settings.seeds)
-    members.push_back(PeerAddressOf(seed, settings.peer_port));
+  const std::vector<HostId> members = SeedPeersOf(settings);
   const bool own =
       std::find(members.begin(), members.end(), settings.host) != members.end();
   return own ? members : std::vector<HostId>{};
--- a/src/dotterelshift/app/control_options.h
+++ b/src/dotterelshift/app/control_options.h
@@ -12,6 +12,8 @@
 
 // Options for the components of a control daemon.
 
+// The hub addresses of the daemons on the seeds' hosts.
+std::vector<std::string> SeedPeersOf(const settings::Settings& settings);
 // The members that the group begins with; empty: this daemon founds none.
 std::vector<HostId> FirstMembersOf(const settings::Settings& settings);
 // A leader's lease ends before any replica may start an election.
