A departure that a killed control daemon had acknowledged reaches the entries

Cause: the departure left with the next round, up to 100 ms after the answer, and only the daemon that had heard the endpoint reported its silence; that one had forgotten it. Now a departure is sent in the iteration that acknowledges it, before the answer, and each daemon that heard of an endpoint from one whose connection is lost since reports its silence.

SpreadTest: two new cases, which fail without it by construction: not run on the code before.

--- a/include/dotterelshift/directory/spread.h
+++ b/include/dotterelshift/directory/spread.h
@@ -57,7 +57,8 @@
 // forwards it to its neighbours. The load changes all the time; it is sent the
 // same way as a small pulse, which also serves as keep-alive, at a rate bounded
 // in bytes per second. The daemon that last received announcements from an
-// endpoint detects its silence and sends that as an update. Neighbours compare
+// endpoint detects its silence and sends that as an update; if its connection
+// is lost, its neighbours do. Neighbours compare
 // digests of their records. A daemon that lacks records of a neighbour, or
 // holds them in another state, requests these, naming the digests of all that
 // it holds; RecordRequests decides when and from which neighbour. This repairs
@@ -103,6 +104,8 @@
     // Consecutive announcements to this daemon, with no newer update from
     // another daemon in between.
     uint32_t consecutive_announcements = 0;
+    HostId heard_from;      // the daemon that sent the newest update
+    bool orphaned = false;  // the connection to that daemon has ended since
   };
   struct Peer {
     bool send_digest = false;  // in the next round, out of turn
--- a/src/dotterelshift/directory/spread.cc
+++ b/src/dotterelshift/directory/spread.cc
@@ -114,6 +114,8 @@
   m_roster.erase(host);
   m_peers.erase(host);
   m_requests.OnPeerDown(host);
+  for (auto& [id, known] : m_known)
+    known.orphaned = known.orphaned || known.heard_from == host;
   m_synced = m_synced && !m_peers.empty();
   ChooseNeighbours();
   AskIfDue(now);
@@ -165,6 +167,9 @@
     Track(record.id, m_options.self, now);
     QueueUpdate(record.id, update, m_options.self);
   }
+  // A departure is not announced again, and this daemon may be lost once it
+  // has acknowledged it: the others are told before.
+  if (update == RecordUpdate::kOffer && HasLeft(record.id)) m_next_round = now;
   return update;
 }
 
@@ -258,6 +263,8 @@
     m_by_key[key] = endpoint;
   }
   known.last_pulse = now;
+  known.heard_from = from;
+  known.orphaned = false;
   if (from != m_options.self) {
     known.consecutive_announcements = 0;
     m_directory->SetAnnouncedHere(endpoint, false);
@@ -289,13 +296,15 @@
 }
 
 // The daemon that received the last announcement reports the silence, also of
-// an endpoint that announced itself only once or twice: entries rely on it.
+// an endpoint that announced itself only once or twice: entries rely on it. If
+// that daemon may have been lost since, each of those that heard of it does.
 void Spread::AnnounceSilence(Instant now) {
   for (const auto& [id, endpoint] : m_directory->All()) {
     const auto tracked = m_known.find(id);
-    const bool heard_here = tracked != m_known.end() &&
-                            tracked->second.consecutive_announcements > 0;
-    const bool silent = heard_here && !endpoint.usable &&
+    const bool reports = tracked != m_known.end() &&
+                         (tracked->second.consecutive_announcements > 0 ||
+                          (tracked->second.orphaned && !OnlyReceives()));
+    const bool silent = reports && !endpoint.usable &&
                         m_directory->IsOverdue(endpoint, now) &&
                         !endpoint.record.silent && !endpoint.record.draining &&
                         !endpoint.record.gone && now >= endpoint.dead_until;
--- a/src/dotterelshift/directory/spread_test.cc
+++ b/src/dotterelshift/directory/spread_test.cc
@@ -47,6 +47,8 @@
   CPPUNIT_TEST(LoadIsSentAtABoundedRate);
   CPPUNIT_TEST(SilenceIsReportedByTheLastReceiver);
   CPPUNIT_TEST(SilenceAfterASingleAnnouncementIsReported);
+  CPPUNIT_TEST(SilenceIsReportedWhenTheLastReceiverIsLost);
+  CPPUNIT_TEST(DepartureIsSentBeforeItIsAcknowledged);
   CPPUNIT_TEST(EndpointThatSwitchesDaemonIsNotSilent);
   CPPUNIT_TEST(LostUpdateIsRepairedByDigests);
   CPPUNIT_TEST(NewDaemonReceivesAllRecords);
@@ -137,6 +139,43 @@
     CPPUNIT_ASSERT_EQUAL(size_t{0}, fleet.Usable());
   }
 
+  // A daemon that is killed forgets what it has heard, a departure too. The
+  // entries would use the endpoint for as long as they know no better.
+  void SilenceIsReportedWhenTheLastReceiverIsLost() {
+    for (const bool returns : {false, true}) {
+      SimulatedFleet fleet(3);
+      DirectoryOptions entry;
+      entry.silent_after = 60s;
+      fleet.Add(0, entry);
+      for (uint64_t sequence = 1; sequence <= 5; ++sequence) {
+        fleet.Announce(1, sequence);
+        fleet.RunFor(1s);
+      }
+      fleet.RestartEmpty(1);
+      if (returns) fleet.Reconnect(1);
+      fleet.RunFor(5s);
+      CPPUNIT_ASSERT_EQUAL(size_t{0}, fleet.Usable());
+      fleet.Announce(2, 6);
+      fleet.RunFor(1s);
+      CPPUNIT_ASSERT_EQUAL(returns ? size_t{4} : size_t{3}, fleet.Usable());
+    }
+  }
+
+  // The daemon may be lost as soon as it has acknowledged it.
+  void DepartureIsSentBeforeItIsAcknowledged() {
+    SimulatedFleet fleet(4);
+    fleet.Announce(1, 1);
+    fleet.RunFor(1s);
+    fleet.now += 1ms;
+    fleet.Announce(1, 2, true);
+    const auto sent = fleet.daemons[1]->spread->OnTimer(fleet.now);
+    CPPUNIT_ASSERT_EQUAL(size_t{3}, sent.size());
+    for (const Outgoing& outgoing : sent) {
+      CPPUNIT_ASSERT_EQUAL(size_t{1}, outgoing.delta.records.size());
+      CPPUNIT_ASSERT(outgoing.delta.records.front()->draining);
+    }
+  }
+
   void EndpointThatSwitchesDaemonIsNotSilent() {
     SimulatedFleet fleet(8);
     for (uint64_t sequence = 1; sequence <= 12; ++sequence) {
