A content that crashes endpoints that keep their ids is held back

Cause: crashes of a content were counted by endpoint id, without the incarnation.

The new case of StateSuspectsTest was not run on the code before.

--- a/src/dotterelshift/state/state_suspects_test.cc
+++ b/src/dotterelshift/state/state_suspects_test.cc
@@ -15,6 +15,7 @@
 class StateSuspectsTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(StateSuspectsTest);
   CPPUNIT_TEST(SuspectsAreQuarantined);
+  CPPUNIT_TEST(ContentThatCrashesRestartedEndpointsIsQuarantined);
   CPPUNIT_TEST(SegmentsAreBlockedByThreeRuns);
   CPPUNIT_TEST(OneTeamsEvidenceDoesNotCountAgainstAll);
   CPPUNIT_TEST(SegmentIsTriedByOneEntryAtATime);
@@ -59,6 +60,21 @@
     CPPUNIT_ASSERT_EQUAL(size_t{1}, m_state->Quarantined(kStart).size());
   }
 
+  // A service may have fewer endpoints than crashes are needed.
+  void ContentThatCrashesRestartedEndpointsIsQuarantined() {
+    wire::ReportSuspectT body;
+    body.content_hash = 1;
+    body.endpoint = "e1";
+    const uint64_t needed = 2 * m_options.quarantine_after;
+    for (uint64_t run = 1; run <= needed; ++run) {
+      CPPUNIT_ASSERT(m_state->Quarantined(kStart).empty());
+      body.endpoint_incarnation = run;
+      m_entry.Send(body, kStart);
+      m_entry.Send(body, kStart);  // another entry reports the same crash
+    }
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, m_state->Quarantined(kStart).size());
+  }
+
   // Runs of one endpoint count each: it may come back under its id.
   void SegmentsAreBlockedByThreeRuns() {
     for (uint64_t run : {1, 1, 2}) ReportSegment(7, "e1", run);
