--- a/src/dotterelshift/replication/member_discovery.cc
+++ b/src/dotterelshift/replication/member_discovery.cc
@@ -54,11 +54,12 @@
   // A member that has no contact with a leader may have been removed without
   // being notified.
   const bool waits = !hello.in_group || (m_options.self_healing && hello.lost);
-  if (waits)
+  if (waits) {
     m_waiting[from] = {hello.replica, ReplicaListedFor(from, *view.members),
                        now};
-  else
+  } else {
     m_waiting.erase(from);
+  }
   if (m_bootstrap) m_bootstrap->OnHello(from, hello);
   // The answer tells a waiting replica where the group is. A member without
   // contact with a leader knows no more than another such member; if two of
--- a/src/dotterelshift/replication/member_keeper.cc
+++ b/src/dotterelshift/replication/member_keeper.cc
@@ -40,10 +40,11 @@
     const wire::MembershipT& members, Instant now) const {
   std::vector<MemberReport> reports;
   if (!m_leader_since) return reports;
-  for (const auto& member : members.replicas)
+  for (const auto& member : members.replicas) {
     reports.push_back({member->id, member->host, member->voter,
                        StateOf(*member, now), SilenceOf(*member, now),
                        IsReplaced(members, member->id, now)});
+  }
   return reports;
 }
 
--- a/src/dotterelshift/state/apply_suspect.cc
+++ b/src/dotterelshift/state/apply_suspect.cc
@@ -40,10 +40,11 @@
   suspect.alone = suspect.alone || command.alone;
   const uint32_t limit =
       options.quarantine_after * (suspect.alone ? 1 : kSharedEndpointFactor);
-  if (suspect.runs.size() < limit)
+  if (suspect.runs.size() < limit) {
     suspect.runs.emplace(
         quarantine::RunKeyOf(command.endpoint, command.endpoint_incarnation),
         0);
+  }
   if (suspect.runs.size() >= limit)
     suspect.quarantined_until = context.stamp + options.quarantine_duration_ms;
 }
--- a/src/dotterelshift/state/state_suspects_test.cc
+++ b/src/dotterelshift/state/state_suspects_test.cc
@@ -65,8 +65,8 @@
     wire::ReportSuspectT body;
     body.content_hash = 1;
     body.endpoint = "e1";
-    const uint64_t needed = 2 * m_options.quarantine_after;
-    for (uint64_t run = 1; run <= needed; ++run) {
+    const uint32_t needed = 2 * m_options.quarantine_after;
+    for (uint32_t run = 1; run <= needed; ++run) {
       CPPUNIT_ASSERT(m_state->Quarantined(kStart).empty());
       body.endpoint_incarnation = run;
       m_entry.Send(body, kStart);
