Bytes without end are left after 64 KiB

Cause (class: work that is done as long as the other side provides it): the filter of responses to others had no bound, and libcurl drops a chunk's extension without a trace. Now 64 KiB and 16 responses are skipped for one request, and 64 KiB in a row read without delivering anything; then the connection is reset and the attempt ends as one whose response is too large.

--- a/src/dotterelshift/gateway/fleet_load.cc
+++ b/src/dotterelshift/gateway/fleet_load.cc
@@ -335,10 +335,8 @@
   const auto found = m_loads.find(endpoint);
   if (found == m_loads.end()) return;
   Load& load = found->second;
-  load.failures = m_options.failure_threshold + kMaxDoublings;
-  OnFailed(endpoint, now);
-  // Also for the other entries, which do not avoid it: a single request may
-  // have caused this.
+  // Not avoided altogether: a single request may have caused this, and an
+  // endpoint that fails a few requests is better than none.
   load.refusals = std::max(load.refusals, kMaxDoublings);
   load.last_choice_until = now + LastChoiceTime(load);
   m_trouble_changes.insert(endpoint);
--- a/src/dotterelshift/gateway/fleet_load_test.cc
+++ b/src/dotterelshift/gateway/fleet_load_test.cc
@@ -26,6 +26,7 @@
   CPPUNIT_TEST(EndpointThatServesSomeIsAskedForLittleMore);
   CPPUNIT_TEST(EndpointThatRefusesIsChosenLastByAllEntries);
   CPPUNIT_TEST(EndpointThatDoesNotEndResponsesIsChosenLastByAllEntries);
+  CPPUNIT_TEST(EndpointsThatDoNotEndResponsesAreUsedIfThereAreNoOthers);
   CPPUNIT_TEST(EndpointWithARefusalLimitGetsNothingBeyondItsSlots);
   CPPUNIT_TEST_SUITE_END();
 
@@ -265,6 +266,16 @@
     ExpectChosenLast(other, FleetLoadOptions().max_last_choice_time);
   }
 
+  // Each endpoint fails a few requests: the others are served.
+  void EndpointsThatDoNotEndResponsesAreUsedIfThereAreNoOthers() {
+    const Instant start = m_now;
+    m_load->OnEndlessResponse(KeyOf("a"), m_now);
+    ExpectChosenLast(*m_load, FleetLoadOptions().max_last_choice_time);
+    m_now = start;
+    m_load->OnEndlessResponse(KeyOf("b"), m_now);
+    CPPUNIT_ASSERT(m_load->Choose("llm", PromptOf(100), {}, m_now));
+  }
+
   void EndpointWithARefusalLimitGetsNothingBeyondItsSlots() {
     for (const char* id : {"a", "b"}) m_load->SetRefusalLimit(KeyOf(id), 10);
     for (int i = 0; i < 2 * 48; ++i) Give(PromptOf(0));
--- a/src/dotterelshift/http/client.cc
+++ b/src/dotterelshift/http/client.cc
@@ -17,6 +17,8 @@
 #include "dotterelshift/http/open_sockets.h"      // for OpenSockets
 #include "dotterelshift/http/polled_sockets.h"    // for PolledSockets
 #include "dotterelshift/http/response_head.h"     // for ResponseHead
+#include "dotterelshift/http/transfer_end.h"      // for EndOfSent
+#include "dotterelshift/http/useless_reads.h"     // for UselessReads
 #include "dotterelshift/loop/loop.h"              // for Loop
 
 namespace dotterelshift::http {
@@ -31,9 +33,6 @@
 // Maximum number of curl handles kept for reuse.
 constexpr size_t kMaxSpareHandles = 256;
 
-// A relay's status if it could not connect to the server.
-constexpr long kServerUnreachable = 502;  // NOLINT(google-runtime-int)
-
 class CurlClient;
 
 struct Transfer {
@@ -44,6 +43,7 @@
   ClientRequest request;
   TransferCallbacks callbacks;
   ResponseHead head;
+  UselessReads useless;
   bool sent = false;  // the request may have been sent, in part or whole
   // The connection that it was to be sent on cannot be used any more; it is
   // sent on a new one.
@@ -60,8 +60,10 @@
   CurlClient(loop::Loop& loop, const ClientOptions& options)
       : m_options(options),
         m_idle(loop, options.on_idle_closed),
-        m_sockets(loop, [this](int descriptor,
-                               int events) { Drive(descriptor, events); }),
+        m_sockets(
+            loop,
+            [this](int descriptor, int events) { Drive(descriptor, events); },
+            [this](int descriptor) { GiveUp(descriptor); }),
         m_timer(loop, [this] { Drive(CURL_SOCKET_TIMEOUT, 0); }),
         m_later(loop, [this] { RunDeferred(); }) {
     static const CURLcode initialized = curl_global_init(CURL_GLOBAL_DEFAULT);
@@ -178,6 +180,7 @@
   static size_t OnData(char* data, size_t, size_t size, void* self) {
     auto& transfer = *static_cast<Transfer*>(self);
     if (transfer.cancelled) return 0;
+    transfer.useless.OnDelivered();
     const auto& on_chunk = transfer.callbacks.on_chunk;
     const bool more = !on_chunk || on_chunk(std::string_view(data, size));
     if (transfer.cancelled) return 0;
@@ -212,28 +215,15 @@
 
   // Returns false if the connection cannot be used any more.
   bool BeginToAwait(const Transfer& transfer) {
-    if (IsNew(transfer.handle)) return true;
+    if (HasNewConnection(transfer.handle)) return true;
     const auto descriptor = m_open.Find(transfer.connection);
     return !descriptor ||
            m_sockets.BeginToAwait(*descriptor, transfer.callbacks.due);
   }
 
-  // Whether the transfer's connection was made for it.
-  static bool IsNew(CURL* handle) {
-    long connections = 0;  // NOLINT(google-runtime-int): libcurl's type
-    curl_easy_getinfo(handle, CURLINFO_NUM_CONNECTS, &connections);
-    return connections > 0;
-  }
-
-  static HandOver HandOverOf(CURL* handle, size_t bytes) {
-    curl_off_t connected_us = 0;
-    curl_easy_getinfo(handle, CURLINFO_CONNECT_TIME_T, &connected_us);
-    const bool fresh = IsNew(handle);
-    return {bytes, fresh, std::chrono::microseconds(fresh ? connected_us : 0)};
-  }
-
   static bool OnHeaderLine(Transfer& transfer, std::string_view line) {
     if (transfer.cancelled) return false;
+    transfer.useless.OnDelivered();
     switch (transfer.head.Take(line)) {
       case HeadLine::kTaken:
         return true;
@@ -284,12 +274,37 @@
   }
 
   void Drive(curl_socket_t descriptor, int events) {
+    Transfer* transfer = FindUser(descriptor);
+    const bool reads = transfer != nullptr && (events & CURL_CSELECT_IN) != 0;
+    if (reads) transfer->useless.BeforeRead(descriptor);
     int running = 0;
     m_in_curl = true;
     curl_multi_socket_action(m_multi, descriptor, events, &running);
     m_in_curl = false;
     RemoveCancelled();
     HandleFinishedTransfers();
+    transfer = FindUser(descriptor);
+    if (reads && transfer != nullptr && transfer->useless.IsOverLimit())
+      GiveUp(descriptor);
+  }
+
+  // The transfer that uses the connection.
+  Transfer* FindUser(curl_socket_t descriptor) {
+    const auto user = m_users.find(descriptor);
+    if (user == m_users.end()) return nullptr;
+    const auto transfer = m_transfers.find(user->second);
+    return transfer == m_transfers.end() ? nullptr : transfer->second.get();
+  }
+
+  // Ends the transfer whose connection brings bytes without end that are no
+  // part of its response.
+  void GiveUp(curl_socket_t descriptor) {
+    Transfer* transfer = FindUser(descriptor);
+    if (transfer == nullptr || transfer->cancelled) return;
+    const auto callback = std::move(transfer->callbacks.on_end);
+    transfer->cancelled = true;
+    Remove(transfer->id);
+    if (callback) callback(TransferEnd::kTooLarge);
   }
 
   // Runs the work that was deferred because curl cannot be called recursively.
@@ -383,7 +398,10 @@
         StartAgain(*transfer);
         continue;
       }
-      const TransferEnd end = EndOf(*transfer, result);
+      const TransferEnd end =
+          transfer->sent ? EndOfSent(transfer->head, result)
+                         : EndOfUnsent(transfer->handle,
+                                       transfer->request.relay.has_value());
       const auto callback = std::move(transfer->callbacks.on_end);
       const bool cancelled = transfer->cancelled;
       Remove(transfer->id);
@@ -399,27 +417,6 @@
     m_later.ArmIn(0s);
   }
 
-  static TransferEnd EndOf(const Transfer& transfer, CURLcode result) {
-    const ResponseHead& head = transfer.head;
-    if (result == CURLE_OK && head.IsReceived()) return TransferEnd::kWhole;
-    if (!transfer.sent) return NotSentEnd(transfer);
-    if (result == CURLE_OPERATION_TIMEDOUT) return TransferEnd::kTimedOut;
-    // libcurl gives a single line up by itself, and says that it has no memory.
-    const bool long_line = !head.IsReceived() && result == CURLE_OUT_OF_MEMORY;
-    if (head.IsTooLarge() || long_line) return TransferEnd::kTooLarge;
-    return head.IsReceived() ? TransferEnd::kCut
-                             : TransferEnd::kFailedBeforeHead;
-  }
-
-  // Only a relay that says so has tried to connect to the server.
-  static TransferEnd NotSentEnd(const Transfer& transfer) {
-    if (!transfer.request.relay) return TransferEnd::kNotSent;
-    long status = 0;  // NOLINT(google-runtime-int): libcurl's type
-    curl_easy_getinfo(transfer.handle, CURLINFO_HTTP_CONNECTCODE, &status);
-    return status == kServerUnreachable ? TransferEnd::kNotSent
-                                        : TransferEnd::kRelayFailed;
-  }
-
   void RemoveCancelled() {
     for (const TransferId id : std::exchange(m_to_remove, {})) Remove(id);
   }
--- a/src/dotterelshift/http/polled_sockets.cc
+++ b/src/dotterelshift/http/polled_sockets.cc
@@ -14,9 +14,11 @@
 }  // namespace
 
 PolledSockets::PolledSockets(
-    loop::Loop& loop, std::function<void(int descriptor, int events)> drive)
+    loop::Loop& loop, std::function<void(int descriptor, int events)> drive,
+    std::function<void(int descriptor)> give_up)
     : m_loop(loop),
       m_drive(std::move(drive)),
+      m_give_up(std::move(give_up)),
       m_gate(loop, [this](int descriptor) { OnReady(descriptor, EV_READ); }) {}
 
 void PolledSockets::Watch(int descriptor, int what) {
@@ -42,7 +44,9 @@
 void PolledSockets::OnReady(int descriptor, int ready_events) {
   bool readable = (ready_events & EV_READ) != 0;
   if (readable) {
-    readable = m_gate.MayRead(descriptor);
+    const ReadDecision decision = m_gate.OnReadable(descriptor);
+    if (decision == ReadDecision::kGiveUp) return m_give_up(descriptor);
+    readable = decision == ReadDecision::kRead;
     Poll(descriptor);
   }
   const bool writable = (ready_events & EV_WRITE) != 0;
--- a/src/dotterelshift/http/polled_sockets.h
+++ b/src/dotterelshift/http/polled_sockets.h
@@ -16,9 +16,12 @@
 // reused connection only when the response that is due is there.
 class PolledSockets {
  public:
-  // `drive` is called with CURL_CSELECT_IN, CURL_CSELECT_OUT or both.
+  // `drive` is called with CURL_CSELECT_IN, CURL_CSELECT_OUT or both, `give_up`
+  // when a connection brings bytes without end instead of the response that is
+  // due.
   PolledSockets(loop::Loop& loop,
-                std::function<void(int descriptor, int events)> drive);
+                std::function<void(int descriptor, int events)> drive,
+                std::function<void(int descriptor)> give_up);
 
   // `what` is what libcurl waits for: CURL_POLL_IN, CURL_POLL_REMOVE and so on.
   void Watch(int descriptor, int what);
@@ -40,6 +43,7 @@
 
   loop::Loop& m_loop;
   const std::function<void(int descriptor, int events)> m_drive;
+  const std::function<void(int descriptor)> m_give_up;
   ResponseGate m_gate;
   // Watchers are kept per descriptor number and never removed, so that none is
   // destroyed during its own callback.
--- a/src/dotterelshift/http/response_filter.cc
+++ b/src/dotterelshift/http/response_filter.cc
@@ -16,6 +16,10 @@
 // Larger heads are not looked at.
 constexpr size_t kMaxHeadBytes = 16 << 10;
 
+// What is discarded for one request at most. A few late responses are smaller.
+constexpr size_t kMaxDiscardedBytes = 64 << 10;
+constexpr size_t kMaxDiscardedResponses = 16;
+
 using Buffer = std::array<char, kMaxHeadBytes>;
 
 // Negative: there is nothing to read yet. 0: the connection has ended.
@@ -26,11 +30,6 @@
   return errno == EAGAIN || errno == EINTR ? -1 : 0;
 }
 
-void Discard(int descriptor, Buffer& buffer, size_t bytes) {
-  [[maybe_unused]] const ssize_t size =
-      ::recv(descriptor, buffer.data(), bytes, MSG_DONTWAIT);
-}
-
 struct HeadLook {
   ResponseHead head;
   size_t bytes = 0;          // of whole lines, interim heads included
@@ -66,7 +65,9 @@
 FilterResult ResponseFilter::Look(int descriptor, const DueResponse& due) {
   Buffer buffer;
   while (true) {
-    if (m_body && !SkipBody(descriptor))
+    const bool body_ended = !m_body || SkipBody(descriptor);
+    if (IsOverLimit()) return FilterResult::kEndless;
+    if (!body_ended)
       return m_body ? FilterResult::kNothing : FilterResult::kResponse;
     m_body.reset();
     const ssize_t size = Peek(descriptor, buffer);
@@ -75,7 +76,7 @@
     const HeadLook look = ReadHead(bytes);
     if (bytes.empty() || !look.is_http) return FilterResult::kResponse;
     if (look.interim_bytes > 0) {
-      Discard(descriptor, buffer, look.interim_bytes);
+      Discard(descriptor, look.interim_bytes);
       continue;
     }
     if (!look.head.IsReceived()) {
@@ -88,7 +89,8 @@
       return FilterResult::kResponse;
     const auto body = BodySkipper::For(status, headers);
     if (!body || ClosesConnection(headers)) return FilterResult::kResponse;
-    Discard(descriptor, buffer, look.bytes);
+    Discard(descriptor, look.bytes);
+    ++m_discarded_responses;
     if (due.on_skipped) due.on_skipped(status, headers);
     m_body = body;
   }
@@ -96,7 +98,7 @@
 
 bool ResponseFilter::SkipBody(int descriptor) {
   Buffer buffer;
-  while (!m_body->IsComplete()) {
+  while (!m_body->IsComplete() && !IsOverLimit()) {
     const ssize_t size = Peek(descriptor, buffer);
     if (size < 0) return false;
     const std::string_view bytes(buffer.data(), static_cast<size_t>(size));
@@ -105,9 +107,21 @@
       m_body.reset();
       return false;
     }
-    Discard(descriptor, buffer, taken);
+    Discard(descriptor, taken);
   }
-  return true;
+  return m_body->IsComplete();
+}
+
+void ResponseFilter::Discard(int descriptor, size_t bytes) {
+  Buffer buffer;
+  [[maybe_unused]] const ssize_t size =
+      ::recv(descriptor, buffer.data(), bytes, MSG_DONTWAIT);
+  m_discarded_bytes += bytes;
+}
+
+bool ResponseFilter::IsOverLimit() const {
+  return m_discarded_bytes > kMaxDiscardedBytes ||
+         m_discarded_responses > kMaxDiscardedResponses;
 }
 
 }  // namespace dotterelshift::http
--- a/src/dotterelshift/http/response_gate.cc
+++ b/src/dotterelshift/http/response_gate.cc
@@ -25,25 +25,27 @@
   return true;
 }
 
-bool ResponseGate::MayRead(int descriptor) {
+ReadDecision ResponseGate::OnReadable(int descriptor) {
   const auto found = m_awaited.find(descriptor);
-  if (found == m_awaited.end()) return true;
+  if (found == m_awaited.end()) return ReadDecision::kRead;
   Awaited& awaited = found->second;
   const Instant now = m_loop.Now();
   switch (awaited.filter.Look(descriptor, awaited.due)) {
     case FilterResult::kNothing:
       awaited.partial_since = {};
-      return false;
+      return ReadDecision::kHold;
     case FilterResult::kPartial:
       if (awaited.partial_since == Instant{}) awaited.partial_since = now;
       if (now - awaited.partial_since >= kMaxHold) break;
       m_timer.ArmIn(kLookInterval);
-      return false;
+      return ReadDecision::kHold;
     case FilterResult::kResponse:
       break;
+    case FilterResult::kEndless:
+      return ReadDecision::kGiveUp;
   }
   m_awaited.erase(found);
-  return true;
+  return ReadDecision::kRead;
 }
 
 bool ResponseGate::IsHeld(int descriptor) const {
--- a/src/dotterelshift/http/response_gate.h
+++ b/src/dotterelshift/http/response_gate.h
@@ -1,6 +1,7 @@
 #ifndef DOTTERELSHIFT_SRC_HTTP_RESPONSE_GATE_H_
 #define DOTTERELSHIFT_SRC_HTTP_RESPONSE_GATE_H_
 
+#include <cstdint>        // for uint8_t
 #include <functional>     // for function
 #include <unordered_map>  // for unordered_map
 #include <utility>        // for move
@@ -11,6 +12,13 @@
 
 namespace dotterelshift::http {
 
+// What may be done with a readable connection.
+enum class ReadDecision : uint8_t {
+  kHold,    // nothing is to be read yet
+  kRead,    // libcurl may read
+  kGiveUp,  // it brings bytes without end that answer nothing
+};
+
 // Decides when libcurl, which takes the first response on a connection for the
 // one that is due, may read from a connection that is reused. By descriptor.
 class ResponseGate {
@@ -27,8 +35,8 @@
   // none of what it holds can be a response to this request. Without
   // `due.is_due`, libcurl may read all that arrives from then on.
   bool Begin(int descriptor, const DueResponse& due);
-  // The connection is readable. Returns whether libcurl may read.
-  bool MayRead(int descriptor);
+  // The connection is readable.
+  ReadDecision OnReadable(int descriptor);
   // Whether the connection is not to be polled for reading for now, as it holds
   // a part of a head.
   bool IsHeld(int descriptor) const;
