A stream that is resumed elsewhere ends its run before

Cause (class: the knowledge that ends an old thing is bound to one connection): only the close of the caller's connection ended a run. Now a request that names the first request of its stream tells all entries, and entries of another data centre by asking for the stream's origin; an earlier run of the stream ends, and its caller's connection is aborted. Of two runs that resume, the one after the earlier event is earlier, or, after the same one, the one that began over 100 ms before.

--- a/include/dotterelshift/gateway/core.h
+++ b/include/dotterelshift/gateway/core.h
@@ -153,6 +153,13 @@
   uint64_t refused = 0;  // since the start, because the wait was too long
 };
 
+// A caller has resumed a stream, at this entry or another one.
+struct StreamTakeover {
+  origins::StreamKey stream = 0;
+  uint64_t after_event = 0;  // the last one that the caller has; 0: none
+  Instant at{};
+};
+
 // Streams that callers wanted to resume, since the start.
 struct ResumptionCounts {
   uint64_t accepted = 0;  // sent to an endpoint of the stream's version
@@ -160,6 +167,8 @@
   std::map<std::string_view, uint64_t> refused_for;  // by reason
   // Accepted, and ended without an event: by outcome.
   std::map<std::string, uint64_t> failed_for;
+  // Earlier runs that were ended, as their callers resumed the streams.
+  uint64_t taken_over = 0;
   // Streams that began at endpoints which may have started again before.
   uint64_t begun_in_doubt = 0;
 };
@@ -229,10 +238,17 @@
   // Origins of streams were looked up at other entries.
   virtual void OnOriginsLookedUp(
       const std::vector<origins::EndedLookup>& lookups, Instant now) = 0;
+  // A caller has resumed a stream at another entry: earlier runs of it here
+  // end, also if their callers' connections seem to be open.
+  virtual void OnTakenOver(const StreamTakeover& takeover, const HostId& by,
+                           Instant now) = 0;
   virtual void OnTimer(Instant now) = 0;
   virtual Instant NextTimer() const = 0;
 
   virtual std::vector<Action> TakeActions() = 0;
+  // Streams that callers have resumed here since the last call, for the other
+  // entries.
+  virtual std::vector<StreamTakeover> TakeTakeovers() = 0;
   // Requests that ended since the last call, for the metrics.
   virtual std::vector<serving::RequestSummary> TakeFinished() = 0;
   virtual std::vector<SuspectReport> TakeSuspectReports() = 0;
--- a/src/dotterelshift/app/entry_peers.cc
+++ b/src/dotterelshift/app/entry_peers.cc
@@ -1,6 +1,7 @@
 #include "dotterelshift/app/entry_peers.h"
 
 #include <algorithm>  // for find
+#include <chrono>     // for milliseconds
 #include <utility>    // for move
 
 #include "dotterelshift/telemetry/log.h"  // for LogDecision
@@ -11,6 +12,7 @@
                        const gateway::LoadUpdatePacerOptions& pacer,
                        Parts parts)
     : m_loop(loop),
+      m_data_centre(data_centre),
       m_parts(std::move(parts)),
       m_others(loop, *m_parts.hub, data_centre, pacer),
       m_limits_timer(loop, [] {}) {
@@ -42,6 +44,8 @@
 
 void EntryPeers::OnFrame(const peers::PeerInfo& peer,
                          const wire::FrameT& frame) {
+  if (const auto* question = frame.body.AsOriginQuestion())
+    OnQuestion(peer, *question);
   if (m_parts.exchange->OnFrame(peer, frame)) return;
   if (const auto* notes = frame.body.AsLoadNotes()) {
     OnLoadNotes(peer, *notes);
@@ -69,6 +73,35 @@
     OnReplaced(endpoint, peer.run.host);
   for (const wire::ProcessNote& note : notes.processes) OnProcessNote(note);
   m_parts.versions->Origins().OnUpdates(peer.run.host, notes.origins, now);
+  OnTakeovers(peer, notes.takeovers);
+}
+
+void EntryPeers::OnTakeovers(
+    const peers::PeerInfo& peer,
+    const std::vector<wire::StreamTakeover>& takeovers) {
+  if (takeovers.empty()) return;
+  const Instant now = m_loop.Now();
+  for (const wire::StreamTakeover& takeover : takeovers) {
+    const Instant at = now - std::chrono::milliseconds(takeover.age_ms());
+    m_parts.core->OnTakenOver({takeover.stream(), takeover.after_event(), at},
+                              peer.run.host, now);
+  }
+  m_parts.traffic->Pump();
+}
+
+// An entry of another data centre is connected to a few entries of this one,
+// and not to all of those that may run the stream.
+void EntryPeers::OnQuestion(const peers::PeerInfo& peer,
+                            const wire::OriginQuestionT& question) {
+  if (peer.data_centre == m_data_centre) return;
+  const Instant now = m_loop.Now();
+  std::vector<gateway::StreamTakeover> takeovers;
+  for (const origins::StreamKey stream : question.streams) {
+    takeovers.push_back({stream, 0, now});
+    m_parts.core->OnTakenOver(takeovers.back(), peer.run.host, now);
+  }
+  m_others.SendTakeovers(takeovers, now);
+  m_parts.traffic->Pump();
 }
 
 void EntryPeers::LogTrouble(const peers::PeerInfo& peer,
@@ -120,6 +153,7 @@
   // other entries are told of.
   m_parts.core->OnOriginsLookedUp(m_parts.exchange->Exchange(), now);
   m_parts.traffic->Pump();
+  m_others.SendTakeovers(m_parts.core->TakeTakeovers(), now);
   for (wire::TokenBorrowT& borrow : m_parts.budgets->TakeBorrowRequests())
     m_others.SendToNextFew(peers::MakeFrame(std::move(borrow)));
   SendForLimits(now);
--- a/src/dotterelshift/app/entry_peers.h
+++ b/src/dotterelshift/app/entry_peers.h
@@ -57,6 +57,12 @@
 
  private:
   void OnLoadNotes(const peers::PeerInfo& peer, const wire::LoadNotesT& notes);
+  // Callers have resumed streams at another entry, which has told so, or has
+  // asked for the streams' origins from another data centre.
+  void OnTakeovers(const peers::PeerInfo& peer,
+                   const std::vector<wire::StreamTakeover>& takeovers);
+  void OnQuestion(const peers::PeerInfo& peer,
+                  const wire::OriginQuestionT& question);
   void LogTrouble(const peers::PeerInfo& peer,
                   const wire::TroubleNote& note) const;
   // Tells the directory, and once it was new the other entries, of endpoints at
@@ -72,6 +78,7 @@
   bool MayHangUp(const std::string& address) const;
 
   loop::Loop& m_loop;
+  const DataCentreId m_data_centre;
   const Parts m_parts;
   OtherEntries m_others;
   std::vector<EndpointKey> m_replaced;  // to be told to the others
--- a/src/dotterelshift/app/gauges.cc
+++ b/src/dotterelshift/app/gauges.cc
@@ -132,6 +132,9 @@
                        "Sent to an endpoint, and ended without an event",
                        Number(count));
   }
+  metrics.SetCounter("dotterelshift_streams_taken_over_total",
+                     "Runs ended as their streams were resumed meanwhile",
+                     Number(counts.taken_over));
   metrics.SetCounter("dotterelshift_streams_begun_in_doubt_total",
                      "Begun at endpoints that may have started again before",
                      Number(counts.begun_in_doubt));
--- a/src/dotterelshift/app/other_entries.cc
+++ b/src/dotterelshift/app/other_entries.cc
@@ -74,6 +74,17 @@
   for (const HostId& host : hosts) m_hub.Send(host, frame);
 }
 
+void OtherEntries::SendTakeovers(
+    const std::vector<gateway::StreamTakeover>& takeovers, Instant now) {
+  if (takeovers.empty()) return;
+  wire::LoadNotesT body;
+  for (const gateway::StreamTakeover& takeover : takeovers)
+    body.takeovers.emplace_back(takeover.stream, takeover.after_event,
+                                static_cast<uint32_t>(ToMs(now - takeover.at)));
+  const wire::FrameT frame = peers::MakeFrame(std::move(body));
+  for (const HostId& host : Hosts()) m_hub.Send(host, frame);
+}
+
 void OtherEntries::SendKnowledgeTo(const peers::PeerInfo& entry,
                                    const gateway::FleetLoad& load,
                                    const origins::StreamOrigins& origins,
--- a/src/dotterelshift/app/other_entries.h
+++ b/src/dotterelshift/app/other_entries.h
@@ -5,6 +5,7 @@
 #include <vector>   // for vector
 
 #include "dotterelshift/base/tokens.h"                // for Tokens
+#include "dotterelshift/gateway/core.h"               // for StreamTakeover
 #include "dotterelshift/gateway/fleet_load.h"         // for FleetLoad
 #include "dotterelshift/gateway/load_update_pacer.h"  // for LoadUpdatePacer
 #include "dotterelshift/loop/loop.h"                  // for Loop, Timer
@@ -39,6 +40,9 @@
   void SendUpdates(gateway::FleetLoad& load, origins::StreamOrigins& origins,
                    origins::RestartSuspects& restarts,
                    std::vector<EndpointKey>* replaced, Instant now);
+  // Tells all of them at once that callers have resumed streams here.
+  void SendTakeovers(const std::vector<gateway::StreamTakeover>& takeovers,
+                     Instant now);
   // Sends what an entry lacks whose connection was just established: origins
   // of streams, endpoints in trouble, and those that may have started again.
   void SendKnowledgeTo(const peers::PeerInfo& entry,
--- a/src/dotterelshift/gateway/core.cc
+++ b/src/dotterelshift/gateway/core.cc
@@ -120,6 +120,7 @@
   if (OutlivesDrain(active, now))
     return Fail(active, ErrorKind::kDraining, 0s, now);
   active.service = PickService(*active.route);
+  TakeOver(active, now);
   if (active.Resumes()) return AdmitResumed(active, now);
   AdmitToService(active, now);
 }
--- a/src/dotterelshift/gateway/core_impl.h
+++ b/src/dotterelshift/gateway/core_impl.h
@@ -23,6 +23,7 @@
 // core_link.cc, paths to endpoints in core_paths.cc, permits for endpoints that
 // name limits in core_permits.cc, responses and retries in core_response.cc,
 // silent endpoints in core_silence.cc, versions of streams in core_streams.cc,
+// streams that are resumed while they run in core_takeover.cc,
 // endpoints that may have started again in core_doubt.cc, requests that crash
 // endpoints in core_suspects.cc.
 class CoreImpl final : public Core {
@@ -62,6 +63,11 @@
   std::optional<Instant> AwaitsConfirmationSince() const override;
   void OnOriginsLookedUp(const std::vector<origins::EndedLookup>& lookups,
                          Instant now) override;
+  void OnTakenOver(const StreamTakeover& takeover, const HostId& by,
+                   Instant now) override;
+  std::vector<StreamTakeover> TakeTakeovers() override {
+    return std::exchange(m_takeovers, {});
+  }
   void OnTimer(Instant now) override;
   Instant NextTimer() const override;
   std::vector<Action> TakeActions() override {
@@ -100,6 +106,11 @@
   Duration BudgetWait(const ActiveRequest& active, Instant now) const;
   void FailForBudget(ActiveRequest& active, ErrorKind kind, Instant now);
 
+  // Streams that are resumed while they run (core_takeover.cc).
+  void TakeOver(const ActiveRequest& active, Instant now);
+  void EndRuns(const std::vector<RequestId>& runs, const HostId& by,
+               Instant now);
+
   // Choosing an endpoint and sending (core_placement.cc).
   void Place(ActiveRequest& active, Instant now);
   // Reserves a slot at the endpoint, once the link and the endpoint's limit let
@@ -356,6 +367,7 @@
   RouteTargets m_route_targets;
   ResumptionCounts m_resumptions;
   std::unordered_multimap<origins::StreamKey, RequestId> m_waiting_for_origin;
+  std::vector<StreamTakeover> m_takeovers;  // not taken yet
   bool m_stopped = false;
   std::unordered_map<RequestId, ActiveRequest> m_active;
   std::unordered_map<AttemptId, RequestId> m_attempts;
