--- a/src/dotterelshift/gateway/core_origin_lookup_test.cc
+++ b/src/dotterelshift/gateway/core_origin_lookup_test.cc
@@ -14,7 +14,7 @@
   CPPUNIT_TEST(StreamIsRefusedAtOnceIfNobodyCanBeAsked);
   CPPUNIT_TEST(KnownStreamIsNotLookedUp);
   CPPUNIT_TEST(StreamThatCannotGoOnIsNotLookedUp);
-  CPPUNIT_TEST(AllRequestsForAStreamGoOnWithOneAnswer);
+  CPPUNIT_TEST(NewestRequestForAStreamGoesOnWithOneAnswer);
   CPPUNIT_TEST(CallerMayLeaveWhileTheStreamIsLookedUp);
   CPPUNIT_TEST(DeadlineEndsTheWait);
   CPPUNIT_TEST(ShutdownEndsTheWaitAsNotRun);
@@ -77,12 +77,14 @@
     CPPUNIT_ASSERT_EQUAL(size_t{0}, m_lookup.Open());
   }
 
-  void AllRequestsForAStreamGoOnWithOneAnswer() {
+  void NewestRequestForAStreamGoesOnWithOneAnswer() {
     Resume("first", 1);
     Resume("first", 2);
+    CPPUNIT_ASSERT_EQUAL(RequestId{1}, Only<Refuse>().request);
     CPPUNIT_ASSERT_EQUAL(size_t{1}, m_lookup.Open());
     Tell("first", "v1");
-    CPPUNIT_ASSERT_EQUAL(size_t{2}, Count<StartAttempt>());
+    CPPUNIT_ASSERT_EQUAL(RequestId{2}, Only<StartAttempt>().request);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, m_core->OpenRequests());
   }
 
   void CallerMayLeaveWhileTheStreamIsLookedUp() {
