Endpoints whose reports a lost daemon heard no longer count as silent

Cause: since each daemon that lost the source of an endpoint's reports reports its silence, 3 s after the newest report that it has. That report may be 2.4 s old at the loss, as (1) a daemon that returned took the age of an answer for a report heard now, and held the next report back as too early, and (2) an endpoint needs up to a second to turn to another daemon. Seen in logs: age_ms 3,023 to 3,037 for all endpoints at once, 0.7 s after the connection was lost.

Ruled out: lost frames (digests agree), clocks (one machine), endpoints (they reported all the time).

Now the age that decides whether a report is sent on is that of the newest one that others have, and a silence counts from the loss of the source.

An endpoint that ends with its daemon is found as before. IsOverdue() takes a time instead of an endpoint; the check in DirectoryTest is the same.

--- a/include/dotterelshift/directory/directory.h
+++ b/include/dotterelshift/directory/directory.h
@@ -114,10 +114,10 @@
   const std::unordered_map<EndpointId, Endpoint>& All() const {
     return m_endpoints;
   }
-  // Whether the endpoint's last announcement is older than any that is missed
-  // by chance.
-  bool IsOverdue(const Endpoint& endpoint, Instant now) const {
-    return now - endpoint.last_news >= m_options.silent_after;
+  // Whether an announcement at `last_news` is older than any that is followed
+  // by one that is missed by chance.
+  bool IsOverdue(Instant last_news, Instant now) const {
+    return now - last_news >= m_options.silent_after;
   }
   // Changes whenever the set of usable endpoints or what they serve changes.
   uint64_t Generation() const { return m_generation; }
--- a/include/dotterelshift/directory/spread.h
+++ b/include/dotterelshift/directory/spread.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>        // for uint64_t
 #include <map>            // for map
+#include <optional>       // for optional
 #include <set>            // for set
 #include <unordered_map>  // for unordered_map
 #include <unordered_set>  // for unordered_set
@@ -58,7 +59,8 @@
 // same way as a small pulse, which also serves as keep-alive, at a rate bounded
 // in bytes per second. The daemon that last received announcements from an
 // endpoint detects its silence and sends that as an update; if its connection
-// is lost, its neighbours do. Neighbours compare
+// is lost, its neighbours do, once the endpoint has had the time to announce
+// itself to another daemon. Neighbours compare
 // digests of their records. A daemon that lacks records of a neighbour, or
 // holds them in another state, requests these, naming the digests of all that
 // it holds; RecordRequests decides when and from which neighbour. This repairs
@@ -100,12 +102,14 @@
   };
   struct TrackedEndpoint {
     uint64_t key = 0;
-    Instant last_pulse{};
+    // When the newest announcement was made that other daemons have, too.
+    Instant shared_news{};
     // Consecutive announcements to this daemon, with no newer update from
     // another daemon in between.
     uint32_t consecutive_announcements = 0;
-    HostId heard_from;      // the daemon that sent the newest update
-    bool orphaned = false;  // the connection to that daemon has ended since
+    HostId heard_from;  // the daemon that sent the newest update
+    // When the connection to that daemon ended, if it has ended since.
+    std::optional<Instant> orphaned_at;
   };
   struct Peer {
     bool send_digest = false;  // in the next round, out of turn
@@ -118,7 +122,7 @@
   bool IsNeighbour(const HostId& host) const;
   bool OnlyReceives() const { return m_options.fan_out == 0; }
   // Records that an update of the endpoint came from `from`.
-  void Track(const EndpointId& endpoint, const HostId& from, Instant now);
+  void Track(const EndpointId& endpoint, const HostId& from);
   void QueueUpdate(const EndpointId& endpoint, RecordUpdate update,
                    const HostId& from);
   bool ForwardsAllOf(const wire::DirectoryDeltaT& delta) const;
@@ -127,6 +131,8 @@
   bool HasLeft(const EndpointId& endpoint) const;
   void AskIfDue(Instant now);
   void AnnounceSilence(Instant now);
+  bool IsSilent(const TrackedEndpoint& tracked, const Endpoint& endpoint,
+                Instant now) const;
   uint64_t Digest() const;
   void AddRequest(wire::DirectoryDeltaT* delta) const;
   void AddAnswer(const Peer& peer, wire::DirectoryDeltaT* delta,
--- a/src/dotterelshift/directory/directory_test.cc
+++ b/src/dotterelshift/directory/directory_test.cc
@@ -264,7 +264,8 @@
     directory.OnRecord(Another("f", "127.0.0.1:1"), kStart);
     directory.OnRecord(Another("old", "127.0.0.1:1"), kStart + 1s);
     CPPUNIT_ASSERT(!directory.Find("f")->usable);
-    CPPUNIT_ASSERT(!directory.IsOverdue(*directory.Find("f"), kStart + 1s));
+    CPPUNIT_ASSERT(
+        !directory.IsOverdue(directory.Find("f")->last_news, kStart + 1s));
     directory.ApplyLoad("f", 1, {.sequence = 2}, kStart + 1200ms);
     CPPUNIT_ASSERT(directory.Find("f")->usable);
     CPPUNIT_ASSERT(directory.OnReplaced("old", kStart + 1300ms));
--- a/src/dotterelshift/directory/spread.cc
+++ b/src/dotterelshift/directory/spread.cc
@@ -114,8 +114,9 @@
   m_roster.erase(host);
   m_peers.erase(host);
   m_requests.OnPeerDown(host);
-  for (auto& [id, known] : m_known)
-    known.orphaned = known.orphaned || known.heard_from == host;
+  for (auto& [id, known] : m_known) {
+    if (known.heard_from == host && !known.orphaned_at) known.orphaned_at = now;
+  }
   m_synced = m_synced && !m_peers.empty();
   ChooseNeighbours();
   AskIfDue(now);
@@ -162,9 +163,9 @@
   // A report up to one round early counts as due, because announcements arrive
   // about as often as pulses are sent.
   const Duration interval = PulseInterval() - m_options.round;
-  const bool due = now - known.last_pulse >= interval;
+  const bool due = now - known.shared_news >= interval;
   if (update == RecordUpdate::kOffer || due) {
-    Track(record.id, m_options.self, now);
+    Track(record.id, m_options.self);
     QueueUpdate(record.id, update, m_options.self);
   }
   // A departure is not announced again, and this daemon may be lost once it
@@ -183,7 +184,7 @@
     const RecordUpdate update = m_directory->Take(*record, now);
     if (update == RecordUpdate::kStale) continue;
     any_update = true;
-    Track(record->id, from, now);
+    Track(record->id, from);
     if (known_before || ForwardsAllOf(delta))
       QueueUpdate(record->id, update, from);
     if (!left_before && HasLeft(record->id))
@@ -237,7 +238,7 @@
     if (update == RecordUpdate::kStale) continue;
     *any_update = true;
     const EndpointId endpoint_id = id->second;
-    Track(endpoint_id, from, now);
+    Track(endpoint_id, from);
     if (update == RecordUpdate::kOffer || ForwardsAllOf(delta))
       QueueUpdate(endpoint_id, update, from);
   }
@@ -252,8 +253,7 @@
   return !delta.answer || !sends_to_all;
 }
 
-void Spread::Track(const EndpointId& endpoint, const HostId& from,
-                   Instant now) {
+void Spread::Track(const EndpointId& endpoint, const HostId& from) {
   TrackedEndpoint& known = m_known[endpoint];
   const uint64_t incarnation = m_directory->Find(endpoint)->record.incarnation;
   const uint64_t key = PulseKey(endpoint, incarnation);
@@ -262,9 +262,10 @@
     known.key = key;
     m_by_key[key] = endpoint;
   }
-  known.last_pulse = now;
+  // An answer to a request may bring an announcement that is seconds old.
+  known.shared_news = m_directory->Find(endpoint)->last_news;
   known.heard_from = from;
-  known.orphaned = false;
+  known.orphaned_at.reset();
   if (from != m_options.self) {
     known.consecutive_announcements = 0;
     m_directory->SetAnnouncedHere(endpoint, false);
@@ -295,28 +296,37 @@
   return std::max(digest, kNoRecordsDigest);
 }
 
-// The daemon that received the last announcement reports the silence, also of
-// an endpoint that announced itself only once or twice: entries rely on it. If
-// that daemon may have been lost since, each of those that heard of it does.
 void Spread::AnnounceSilence(Instant now) {
   for (const auto& [id, endpoint] : m_directory->All()) {
     const auto tracked = m_known.find(id);
-    const bool reports = tracked != m_known.end() &&
-                         (tracked->second.consecutive_announcements > 0 ||
-                          (tracked->second.orphaned && !OnlyReceives()));
-    const bool silent = reports && !endpoint.usable &&
-                        m_directory->IsOverdue(endpoint, now) &&
-                        !endpoint.record.silent && !endpoint.record.draining &&
-                        !endpoint.record.gone && now >= endpoint.dead_until;
-    if (!silent) continue;
+    if (tracked == m_known.end() || !IsSilent(tracked->second, endpoint, now))
+      continue;
     wire::EndpointRecordT record = endpoint.record;
     record.silent = true;
     if (m_directory->Take(record, now) == RecordUpdate::kStale) continue;
-    Track(record.id, m_options.self, now);
+    Track(record.id, m_options.self);
     QueueUpdate(record.id, RecordUpdate::kOffer, m_options.self);
   }
 }
 
+// The daemon that received the last announcement reports the silence, also of
+// an endpoint that announced itself only once or twice: entries rely on it. If
+// that daemon may have been lost since, each of those that heard of it does.
+// The loss of a source says nothing about the endpoint: its silence counts from
+// the loss on.
+bool Spread::IsSilent(const TrackedEndpoint& tracked, const Endpoint& endpoint,
+                      Instant now) const {
+  const wire::EndpointRecordT& record = endpoint.record;
+  if (endpoint.usable || record.silent || record.draining || record.gone ||
+      now < endpoint.dead_until)
+    return false;
+  if (tracked.consecutive_announcements > 0)
+    return m_directory->IsOverdue(endpoint.last_news, now);
+  if (!tracked.orphaned_at || OnlyReceives()) return false;
+  return m_directory->IsOverdue(
+      std::max(endpoint.last_news, *tracked.orphaned_at), now);
+}
+
 std::vector<Outgoing> Spread::OnTimer(Instant now) {
   if (now < m_next_round) return {};
   m_directory->SetRemoteSilenceTimeout(kMissedPulses * PulseInterval());
--- a/src/dotterelshift/directory/spread_simulation.h
+++ b/src/dotterelshift/directory/spread_simulation.h
@@ -16,8 +16,8 @@
 
 namespace dotterelshift::directory {
 
-// A few daemons on a hand-moved clock. Rounds take place every 100 ms, and what
-// a round sends arrives in it. Links of hosts in `cut` lose everything while
+// A few daemons on a hand-moved clock. It moves in steps of `step`, and what is
+// sent in a step arrives in it. Links of hosts in `cut` lose everything while
 // their connections stay up; Disconnect() also ends the connections.
 class SimulatedFleet {
  public:
@@ -43,7 +43,8 @@
   }
 
   void Add(size_t fan_out = SpreadOptions{}.fan_out,
-           const DirectoryOptions& options = {}) {
+           const DirectoryOptions& options = {},
+           Duration min_pulse_interval = SpreadOptions{}.min_pulse_interval) {
     auto daemon = std::make_unique<Daemon>();
     daemon->host = HostOf(daemons.size());
     daemon->only_receives = fan_out == 0;
@@ -51,6 +52,7 @@
     daemon->directory = Directory(options);
     daemon->options.self = daemon->host;
     daemon->options.fan_out = fan_out;
+    daemon->options.min_pulse_interval = min_pulse_interval;
     daemon->spread =
         std::make_unique<Spread>(daemon->options, &daemon->directory);
     daemons.push_back(std::move(daemon));
@@ -88,7 +90,7 @@
 
   void RunFor(Duration duration) {
     for (const Instant end = now + duration; now < end;) {
-      now += 100ms;
+      now += step;
       for (const auto& daemon : daemons) {
         for (const Outgoing& outgoing : daemon->spread->OnTimer(now))
           Deliver(*daemon, outgoing);
@@ -127,6 +129,7 @@
   std::vector<std::unique_ptr<Daemon>> daemons;
   std::set<HostId> cut;  // hosts that neither send nor receive
   Instant now = Instant{} + 1000s;
+  Duration step = 100ms;
 
  private:
   void ConnectAll(Daemon& daemon) {
