A departure is acknowledged once a majority of control holds it

Cause: an acknowledgement depended on nothing that another daemon says. The round that ran before the answer only queued frames, and what is queued, on its way or in a slow peer's buffer is lost with the daemon.

Ruled out: the order of writes alone.

Now daemons confirm the departures that they receive, and the core Departures acknowledges one once a majority holds it, which survives the loss of the giver and of those that confirmed, in series. One other holder was weighed: it does not cover deployments in which two machines may be lost, and costs as many round trips.

More than four replacements by successors whose seeds are all gone leave no majority: refused there, acknowledged before.

--- a/include/dotterelshift/app/routes_control.h
+++ b/include/dotterelshift/app/routes_control.h
@@ -38,8 +38,12 @@
   // is known.
   virtual std::string LeaderAddress() const = 0;
 
-  // Takes an endpoint's announcement of itself.
-  virtual void OnAnnounced(const wire::EndpointRecordT& record) = 0;
+  // Takes an endpoint's announcement of itself. Calls back with kNone when it
+  // may be acknowledged: once a majority of control holds it if the endpoint
+  // leaves, else at once. Calls back with kNoQuorum if too few could be told
+  // that it leaves.
+  virtual void OnAnnounced(const wire::EndpointRecordT& record,
+                           std::function<void(ErrorKind)> callback) = 0;
   // Returns the record of an endpoint, or null if the endpoint is unknown.
   virtual const wire::EndpointRecordT* FindEndpoint(
       const EndpointId& endpoint) const = 0;
--- a/include/dotterelshift/directory/spread.h
+++ b/include/dotterelshift/directory/spread.h
@@ -74,6 +74,9 @@
 
   // An endpoint announced itself to this daemon.
   RecordUpdate OnAnnounced(const wire::EndpointRecordT& record, Instant now);
+  // Sends the endpoint's record to all neighbours in the next round, which is
+  // due now, and asks them to confirm that they hold its departure.
+  void RequestConfirmation(const EndpointId& endpoint, Instant now);
   // Applies a delta of another daemon, except its cache events. Returns true
   // when something in it was new.
   bool OnDelta(const HostId& from, const wire::DirectoryDeltaT& delta,
@@ -83,6 +86,10 @@
   // log.
   std::vector<ReceivedDeparture> TakeDepartures();
 
+  // The confirmations that were requested with deltas since the last call, to
+  // be sent now.
+  std::vector<Outgoing> TakeConfirmations();
+
   // Returns what is to be sent now; also expires silent records.
   std::vector<Outgoing> OnTimer(Instant now);
   Instant NextTimer() const { return m_next_round; }
@@ -97,7 +104,8 @@
  private:
   // An update of one endpoint to be forwarded to all neighbours but `from`.
   struct Pending {
-    bool whole = false;  // send the full record, not only a pulse
+    bool whole = false;    // send the full record, not only a pulse
+    bool confirm = false;  // the receivers are to confirm the departure
     HostId from;
   };
   struct TrackedEndpoint {
@@ -128,6 +136,7 @@
   bool ForwardsAllOf(const wire::DirectoryDeltaT& delta) const;
   void ApplyPulses(const HostId& from, const wire::DirectoryDeltaT& delta,
                    Instant now, bool* any_update);
+  void ConfirmDepartures(const HostId& to, const wire::DirectoryDeltaT& delta);
   bool HasLeft(const EndpointId& endpoint) const;
   void AskIfDue(Instant now);
   void AnnounceSilence(Instant now);
@@ -153,6 +162,7 @@
   std::unordered_map<uint64_t, EndpointId> m_by_key;
   std::map<EndpointId, Pending> m_pending;
   std::vector<ReceivedDeparture> m_departures;
+  std::vector<Outgoing> m_confirmations;
   bool m_synced = false;
   Instant m_next_round{};
   Instant m_next_digest{};
--- a/include/dotterelshift/wire/frames_generated.h
+++ b/include/dotterelshift/wire/frames_generated.h
@@ -3526,6 +3526,8 @@
   bool pull = false;
   std::vector<uint64_t> held{};
   bool answer = false;
+  bool confirm = false;
+  std::vector<uint64_t> confirmed{};
   DirectoryDeltaT() = default;
   DirectoryDeltaT(const DirectoryDeltaT &o);
   DirectoryDeltaT(DirectoryDeltaT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -3543,7 +3545,9 @@
     VT_DIGEST = 10,
     VT_PULL = 12,
     VT_HELD = 14,
-    VT_ANSWER = 16
+    VT_ANSWER = 16,
+    VT_CONFIRM = 18,
+    VT_CONFIRMED = 20
   };
   const flatbuffers::Vector<flatbuffers::Offset<dotterelshift::wire::EndpointRecord>> *records() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<dotterelshift::wire::EndpointRecord>> *>(VT_RECORDS);
@@ -3566,6 +3570,12 @@
   bool answer() const {
     return GetField<uint8_t>(VT_ANSWER, 0) != 0;
   }
+  bool confirm() const {
+    return GetField<uint8_t>(VT_CONFIRM, 0) != 0;
+  }
+  const flatbuffers::Vector<uint64_t> *confirmed() const {
+    return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_CONFIRMED);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_RECORDS) &&
@@ -3581,6 +3591,9 @@
            VerifyOffset(verifier, VT_HELD) &&
            verifier.VerifyVector(held()) &&
            VerifyField<uint8_t>(verifier, VT_ANSWER, 1) &&
+           VerifyField<uint8_t>(verifier, VT_CONFIRM, 1) &&
+           VerifyOffset(verifier, VT_CONFIRMED) &&
+           verifier.VerifyVector(confirmed()) &&
            verifier.EndTable();
   }
   DirectoryDeltaT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3613,6 +3626,12 @@
   void add_answer(bool answer) {
     fbb_.AddElement<uint8_t>(DirectoryDelta::VT_ANSWER, static_cast<uint8_t>(answer), 0);
   }
+  void add_confirm(bool confirm) {
+    fbb_.AddElement<uint8_t>(DirectoryDelta::VT_CONFIRM, static_cast<uint8_t>(confirm), 0);
+  }
+  void add_confirmed(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> confirmed) {
+    fbb_.AddOffset(DirectoryDelta::VT_CONFIRMED, confirmed);
+  }
   explicit DirectoryDeltaBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3632,13 +3651,17 @@
     uint64_t digest = 0,
     bool pull = false,
     flatbuffers::Offset<flatbuffers::Vector<uint64_t>> held = 0,
-    bool answer = false) {
+    bool answer = false,
+    bool confirm = false,
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> confirmed = 0) {
   DirectoryDeltaBuilder builder_(_fbb);
   builder_.add_digest(digest);
+  builder_.add_confirmed(confirmed);
   builder_.add_held(held);
   builder_.add_pulses(pulses);
   builder_.add_cache_events(cache_events);
   builder_.add_records(records);
+  builder_.add_confirm(confirm);
   builder_.add_answer(answer);
   builder_.add_pull(pull);
   return builder_.Finish();
@@ -3657,11 +3680,14 @@
     uint64_t digest = 0,
     bool pull = false,
     const std::vector<uint64_t> *held = nullptr,
-    bool answer = false) {
+    bool answer = false,
+    bool confirm = false,
+    const std::vector<uint64_t> *confirmed = nullptr) {
   auto records__ = records ? _fbb.CreateVector<flatbuffers::Offset<dotterelshift::wire::EndpointRecord>>(*records) : 0;
   auto cache_events__ = cache_events ? _fbb.CreateVector<flatbuffers::Offset<dotterelshift::wire::CacheEvent>>(*cache_events) : 0;
   auto pulses__ = pulses ? _fbb.CreateVectorOfStructs<dotterelshift::wire::EndpointPulse>(*pulses) : 0;
   auto held__ = held ? _fbb.CreateVector<uint64_t>(*held) : 0;
+  auto confirmed__ = confirmed ? _fbb.CreateVector<uint64_t>(*confirmed) : 0;
   return dotterelshift::wire::CreateDirectoryDelta(
       _fbb,
       records__,
@@ -3670,7 +3696,9 @@
       digest,
       pull,
       held__,
-      answer);
+      answer,
+      confirm,
+      confirmed__);
 }
 
 flatbuffers::Offset<DirectoryDelta> CreateDirectoryDelta(flatbuffers::FlatBufferBuilder &_fbb, const DirectoryDeltaT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -7091,7 +7119,9 @@
         digest(o.digest),
         pull(o.pull),
         held(o.held),
-        answer(o.answer) {
+        answer(o.answer),
+        confirm(o.confirm),
+        confirmed(o.confirmed) {
   records.reserve(o.records.size());
   for (const auto &records_ : o.records) { records.emplace_back((records_) ? new dotterelshift::wire::EndpointRecordT(*records_) : nullptr); }
   cache_events.reserve(o.cache_events.size());
@@ -7106,6 +7136,8 @@
   std::swap(pull, o.pull);
   std::swap(held, o.held);
   std::swap(answer, o.answer);
+  std::swap(confirm, o.confirm);
+  std::swap(confirmed, o.confirmed);
   return *this;
 }
 
@@ -7125,6 +7157,8 @@
   { auto _e = pull(); _o->pull = _e; }
   { auto _e = held(); if (_e) { _o->held.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->held[_i] = _e->Get(_i); } } }
   { auto _e = answer(); _o->answer = _e; }
+  { auto _e = confirm(); _o->confirm = _e; }
+  { auto _e = confirmed(); if (_e) { _o->confirmed.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->confirmed[_i] = _e->Get(_i); } } }
 }
 
 inline flatbuffers::Offset<DirectoryDelta> DirectoryDelta::Pack(flatbuffers::FlatBufferBuilder &_fbb, const DirectoryDeltaT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -7142,6 +7176,8 @@
   auto _pull = _o->pull;
   auto _held = _o->held.size() ? _fbb.CreateVector(_o->held) : 0;
   auto _answer = _o->answer;
+  auto _confirm = _o->confirm;
+  auto _confirmed = _o->confirmed.size() ? _fbb.CreateVector(_o->confirmed) : 0;
   return dotterelshift::wire::CreateDirectoryDelta(
       _fbb,
       _records,
@@ -7150,7 +7186,9 @@
       _digest,
       _pull,
       _held,
-      _answer);
+      _answer,
+      _confirm,
+      _confirmed);
 }
 
 inline DirectoryPullT *DirectoryPull::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/src/dotterelshift/app/directory_exchange.cc
+++ b/src/dotterelshift/app/directory_exchange.cc
@@ -51,11 +51,44 @@
   OnTimer();
 }
 
-void DirectoryExchange::OnAnnounced(const wire::EndpointRecordT& record) {
+void DirectoryExchange::OnAnnounced(const wire::EndpointRecordT& record,
+                                    size_t holders,
+                                    std::function<void(ErrorKind)> callback) {
   m_spread.OnAnnounced(record, m_loop.Now());
+  const directory::Endpoint* known = m_directory.Find(record.id);
+  // Neither a dropped record nor a later incarnation can be used because of it.
+  const bool leaves = directory::IsDeparture(record) && known != nullptr &&
+                      known->record.incarnation == record.incarnation;
+  if (leaves) {
+    AwaitHolders(known->record, holders, std::move(callback));
+  } else {
+    callback(ErrorKind::kNone);
+  }
   OnTimer();
 }
 
+void DirectoryExchange::AwaitHolders(const wire::EndpointRecordT& record,
+                                     size_t holders,
+                                     std::function<void(ErrorKind)> callback) {
+  const auto on_decided = [endpoint = record.id, holders,
+                           callback = std::move(callback)](
+                              const directory::Departures::Result& result) {
+    const bool held = result.error == ErrorKind::kNone;
+    telemetry::Log(
+        held ? telemetry::LogLevel::kInfo : telemetry::LogLevel::kWarning,
+        held ? "departure_held" : "departure_refused",
+        {{"endpoint", endpoint},
+         {"holders", std::to_string(result.holders)},
+         {"needed", std::to_string(holders)},
+         {"waited_ms", std::to_string(ToMs(result.waited))}});
+    callback(result.error);
+  };
+  const Instant now = m_loop.Now();
+  if (m_departures.Await(directory::DepartureKey(record), holders, now,
+                         on_decided))
+    m_spread.RequestConfirmation(record.id, now);
+}
+
 bool DirectoryExchange::OnReplaced(const EndpointId& endpoint,
                                    const HostId& from) {
   if (!m_directory.OnReplaced(endpoint, m_loop.Now())) return false;
@@ -71,6 +104,8 @@
 }
 
 void DirectoryExchange::OnPeerUp(const peers::PeerInfo& peer) {
+  if (peer.role == wire::HostRole::Control)
+    m_departures.OnPeerUp(peer.run.host);
   m_spread.OnPeerUp(peer.run.host, m_loop.Now());
   // A request to the peer may be due at once.
   m_timer.ArmAt(m_spread.NextTimer());
@@ -78,6 +113,7 @@
 
 void DirectoryExchange::OnPeerDown(const peers::PeerInfo& peer) {
   m_spread.OnPeerDown(peer.run.host, m_loop.Now());
+  m_departures.OnPeerDown(peer.run.host, m_loop.Now());
 }
 
 bool DirectoryExchange::OnFrame(const peers::PeerInfo& from,
@@ -85,6 +121,8 @@
   const wire::DirectoryDeltaT* delta = frame.body.AsDirectoryDelta();
   if (delta == nullptr) return false;
   m_spread.OnDelta(from.run.host, *delta, m_loop.Now());
+  m_departures.OnConfirmed(from.run.host, delta->confirmed, m_loop.Now());
+  Send(m_spread.TakeConfirmations());
   LogDepartures();
   OnTimer();
   return true;
@@ -115,12 +153,17 @@
   }
 }
 
+void DirectoryExchange::Send(std::vector<directory::Outgoing> all) {
+  for (directory::Outgoing& outgoing : all)
+    m_hub->Send(outgoing.host, peers::MakeFrame(std::move(outgoing.delta)));
+}
+
 void DirectoryExchange::OnTimer() {
   const Instant now = m_loop.Now();
   LogContradictions();
   if (now >= m_spread.NextTimer()) {
-    for (directory::Outgoing& outgoing : m_spread.OnTimer(now))
-      m_hub->Send(outgoing.host, peers::MakeFrame(std::move(outgoing.delta)));
+    m_departures.OnTimer(now);
+    Send(m_spread.OnTimer(now));
   }
   if (m_directory.Generation() != m_generation) {
     m_generation = m_directory.Generation();
--- a/src/dotterelshift/app/directory_exchange.h
+++ b/src/dotterelshift/app/directory_exchange.h
@@ -4,11 +4,13 @@
 #include <functional>  // for function
 #include <vector>      // for vector
 
-#include "dotterelshift/directory/directory.h"  // for Directory
-#include "dotterelshift/directory/spread.h"     // for Spread
-#include "dotterelshift/http/server.h"          // for Exchange
-#include "dotterelshift/loop/loop.h"            // for Timer
-#include "dotterelshift/peers/hub.h"            // for Hub
+#include "dotterelshift/base/error.h"            // for ErrorKind
+#include "dotterelshift/directory/departures.h"  // for Departures
+#include "dotterelshift/directory/directory.h"   // for Directory
+#include "dotterelshift/directory/spread.h"      // for Spread
+#include "dotterelshift/http/server.h"           // for Exchange
+#include "dotterelshift/loop/loop.h"             // for Timer
+#include "dotterelshift/peers/hub.h"             // for Hub
 
 namespace dotterelshift::app {
 
@@ -33,8 +35,12 @@
 
   // Handles POST /endpoint/v1/announce.
   void OnAnnounce(http::Exchange& exchange);
-  // Takes an endpoint's announcement that an adapter has parsed.
-  void OnAnnounced(const wire::EndpointRecordT& record);
+  // Takes an endpoint's announcement that an adapter has parsed. Calls back
+  // when it may be acknowledged: at once, but a departure only when `holders`
+  // other daemons hold it. Calls back with kNoQuorum if it must not be
+  // acknowledged.
+  void OnAnnounced(const wire::EndpointRecordT& record, size_t holders,
+                   std::function<void(ErrorKind)> callback);
   // Another endpoint answered at its address, as this daemon (`from` empty) or
   // another one has seen. Returns false if that is not new.
   bool OnReplaced(const EndpointId& endpoint, const HostId& from);
@@ -50,8 +56,11 @@
   const directory::Directory& GetDirectory() const { return m_directory; }
 
  private:
+  void AwaitHolders(const wire::EndpointRecordT& record, size_t holders,
+                    std::function<void(ErrorKind)> callback);
   void LogDepartures();
   void LogContradictions();
+  void Send(std::vector<directory::Outgoing> all);
   void OnTimer();
 
   loop::Loop& m_loop;
@@ -59,6 +68,7 @@
   peers::Hub* m_hub = nullptr;
   directory::Directory m_directory;
   directory::Spread m_spread;
+  directory::Departures m_departures;
   uint64_t m_generation = 0;  // as of the last call of on_offer_changed
   loop::Timer m_timer;
 };
--- a/src/dotterelshift/app/leader_testing.h
+++ b/src/dotterelshift/app/leader_testing.h
@@ -1,8 +1,9 @@
 #ifndef DOTTERELSHIFT_SRC_APP_LEADER_TESTING_H_
 #define DOTTERELSHIFT_SRC_APP_LEADER_TESTING_H_
 
-// A control replica that always leads and has no group; for tests only.
+// A control replica that always leads; for tests only.
 
+#include <cstddef>     // for size_t
 #include <functional>  // for function
 #include <memory>      // for unique_ptr
 #include <utility>     // for move
@@ -14,15 +15,17 @@
 
 namespace dotterelshift::app {
 
-// A replica that always leads, with a real state.
+// A replica that always leads, with a real state, in a group of `voters`.
 class MockReplica : public ControlReplica {
  public:
-  MockReplica() {
+  explicit MockReplica(size_t voters = 1) {
     wire::MembershipT members;
-    auto self = std::make_unique<wire::ReplicaT>();
-    self->id = 1;
-    self->voter = true;
-    members.replicas.push_back(std::move(self));
+    for (size_t id = 1; id <= voters; ++id) {
+      auto voter = std::make_unique<wire::ReplicaT>();
+      voter->id = id;
+      voter->voter = true;
+      members.replicas.push_back(std::move(voter));
+    }
     m_node =
         replication::MakeNode({}, replication::MakeInitialLog(1, members), {});
   }
--- a/src/dotterelshift/app/routes_port.cc
+++ b/src/dotterelshift/app/routes_port.cc
@@ -7,8 +7,9 @@
 #include <utility>    // for exchange, move
 #include <vector>     // for vector
 
-#include "dotterelshift/state/packed_document.h"  // for PackDocument
-#include "dotterelshift/telemetry/log.h"          // for Log
+#include "dotterelshift/replication/membership.h"  // for Majority
+#include "dotterelshift/state/packed_document.h"   // for PackDocument
+#include "dotterelshift/telemetry/log.h"           // for Log
 
 namespace dotterelshift::app {
 namespace {
@@ -68,8 +69,9 @@
     return m_backend.LeaderHttpAddress();
   }
 
-  void OnAnnounced(const wire::EndpointRecordT& record) override {
-    m_directory.OnAnnounced(record);
+  void OnAnnounced(const wire::EndpointRecordT& record,
+                   std::function<void(ErrorKind)> callback) override {
+    m_directory.OnAnnounced(record, OthersInMajority(), std::move(callback));
   }
 
   const wire::EndpointRecordT* FindEndpoint(
@@ -80,6 +82,14 @@
   }
 
  private:
+  // How many control hosts besides this one make up a majority of the group.
+  // One while no group is known.
+  size_t OthersInMajority() const {
+    const auto& members = m_replica.GetNode().Members();
+    if (replication::VoterCount(members) == 0) return 1;
+    return replication::Majority(members) - 1;
+  }
+
   // Logs when reads begin to fail, fail with another error, or succeed again.
   void LogRead(ErrorKind outcome) {
     ++m_reads;
--- a/src/dotterelshift/app/routes_port_test.cc
+++ b/src/dotterelshift/app/routes_port_test.cc
@@ -48,6 +48,7 @@
   CPPUNIT_TEST(InterveningChangeOfAnotherLeaderIsUsedAsBase);
   CPPUNIT_TEST(FailureIsReportedToAllWaiting);
   CPPUNIT_TEST(AnOlderVersionIsAcknowledgedAndChangesNothing);
+  CPPUNIT_TEST(DepartureNeedsAMajorityOfTheGroup);
   CPPUNIT_TEST_SUITE_END();
 
   void Publish(uint64_t version) {
@@ -115,6 +116,27 @@
     AssertInForce(4);
   }
 
+  // Of five voters only this one is there.
+  void DepartureNeedsAMajorityOfTheGroup() {
+    MockReplica of_five(5);
+    const auto in_group = MakeRoutesControl(m_loop, of_five, m_backend,
+                                            m_directory, [](Incarnation) {});
+    wire::EndpointRecordT record;
+    record.id = "e";
+    record.incarnation = 1;
+    record.sequence = 1;
+    const auto announce = [&](RoutesControl& control) {
+      ErrorKind answer = ErrorKind::kInternal;
+      control.OnAnnounced(record, [&](ErrorKind error) { answer = error; });
+      return answer;
+    };
+    CPPUNIT_ASSERT(announce(*in_group) == ErrorKind::kNone);
+    ++record.sequence;
+    record.draining = true;
+    CPPUNIT_ASSERT(announce(*in_group) == ErrorKind::kNoQuorum);
+    CPPUNIT_ASSERT(announce(*m_routes) == ErrorKind::kNone);
+  }
+
   loop::Loop m_loop;
   MockReplica m_replica;
   DeferredBackend m_backend{*m_replica.state};
--- a/src/dotterelshift/directory/spread.cc
+++ b/src/dotterelshift/directory/spread.cc
@@ -6,6 +6,7 @@
 #include <string>     // for string
 #include <utility>    // for exchange, move
 
+#include "dotterelshift/directory/departures.h"  // for DepartureKey
 #include "dotterelshift/directory/neighbours.h"  // for NeighboursOf
 
 namespace dotterelshift::directory {
@@ -174,6 +175,12 @@
   return update;
 }
 
+void Spread::RequestConfirmation(const EndpointId& endpoint, Instant now) {
+  QueueUpdate(endpoint, RecordUpdate::kOffer, m_options.self);
+  m_pending[endpoint].confirm = true;
+  m_next_round = now;
+}
+
 bool Spread::OnDelta(const HostId& from, const wire::DirectoryDeltaT& delta,
                      Instant now) {
   bool any_update = false;
@@ -192,6 +199,7 @@
                               record->age_ms, delta.answer});
   }
   ApplyPulses(from, delta, now, &any_update);
+  if (delta.confirm && !OnlyReceives()) ConfirmDepartures(from, delta);
   const auto peer = m_peers.find(from);
   if (peer == m_peers.end()) return any_update;
   if (delta.pull) {
@@ -209,11 +217,30 @@
   return any_update;
 }
 
+// A later incarnation proves that the one that leaves has ended.
+void Spread::ConfirmDepartures(const HostId& to,
+                               const wire::DirectoryDeltaT& delta) {
+  Outgoing confirmation{to, {}};
+  for (const auto& record : delta.records) {
+    if (record == nullptr || !IsDeparture(*record)) continue;
+    const Endpoint* known = m_directory->Find(record->id);
+    if (known == nullptr || known->record.incarnation < record->incarnation)
+      continue;
+    confirmation.delta.confirmed.push_back(DepartureKey(*record));
+  }
+  if (confirmation.delta.confirmed.empty()) return;
+  m_confirmations.push_back(std::move(confirmation));
+}
+
+std::vector<Outgoing> Spread::TakeConfirmations() {
+  return std::exchange(m_confirmations, {});
+}
+
 bool Spread::HasLeft(const EndpointId& endpoint) const {
   const Endpoint* known = m_directory->Find(endpoint);
   if (known == nullptr) return false;
   const wire::EndpointRecordT& record = known->record;
-  return record.draining || record.gone || record.silent;
+  return IsDeparture(record) || record.silent;
 }
 
 std::vector<ReceivedDeparture> Spread::TakeDepartures() {
@@ -397,13 +424,15 @@
   }
 }
 
-// Skips the updates that an answer in the same delta contains.
+// Skips the updates that an answer in the same delta contains, unless they are
+// to be confirmed: the answer names records that the peer holds by their key.
 void Spread::AddPending(const HostId& host, wire::DirectoryDeltaT* delta,
                         Instant now) const {
-  if (delta->answer) return;
   for (const auto& [id, pending] : m_pending) {
+    if (delta->answer && !pending.confirm) continue;
     const Endpoint* endpoint = m_directory->Find(id);
     if (endpoint == nullptr || pending.from == host) continue;
+    delta->confirm = delta->confirm || pending.confirm;
     wire::EndpointRecordT record = m_directory->AgedRecord(*endpoint, now);
     if (pending.whole) {
       delta->records.push_back(
--- a/src/dotterelshift/directory/spread_simulation.h
+++ b/src/dotterelshift/directory/spread_simulation.h
@@ -4,15 +4,19 @@
 // Daemons that disseminate their directories over simulated links; for tests
 // only.
 
-#include <cstddef>  // for size_t
-#include <memory>   // for unique_ptr
-#include <set>      // for set
-#include <string>   // for string
-#include <utility>  // for move
-#include <vector>   // for vector
-
-#include "dotterelshift/directory/directory.h"  // for Directory
-#include "dotterelshift/directory/spread.h"     // for Spread
+#include <algorithm>   // for max, stable_partition
+#include <cstddef>     // for size_t
+#include <functional>  // for function
+#include <iterator>    // for make_move_iterator
+#include <memory>      // for unique_ptr
+#include <set>         // for set
+#include <string>      // for string
+#include <utility>     // for move
+#include <vector>      // for vector
+
+#include "dotterelshift/directory/departures.h"  // for Departures
+#include "dotterelshift/directory/directory.h"   // for Directory
+#include "dotterelshift/directory/spread.h"      // for Spread
 
 namespace dotterelshift::directory {
 
@@ -29,6 +33,7 @@
     SpreadOptions options;
     Directory directory;
     std::unique_ptr<Spread> spread;
+    Departures departures;
     size_t records_received = 0;
     size_t pulses_received = 0;
     size_t requests_received = 0;
@@ -62,10 +67,13 @@
   void Disconnect(size_t number) {
     Daemon& daemon = *daemons[number];
     daemon.connected = false;
+    std::erase_if(m_in_flight, [&](const Frame& frame) {
+      return frame.from == daemon.host || frame.to == daemon.host;
+    });
     for (const auto& other : daemons) {
       if (other.get() == &daemon) continue;
-      other->spread->OnPeerDown(daemon.host, now);
-      daemon.spread->OnPeerDown(other->host, now);
+      LosePeer(*other, daemon);
+      LosePeer(daemon, *other);
     }
   }
 
@@ -80,6 +88,7 @@
     Daemon& daemon = *daemons[number];
     daemon.directory = Directory(daemon.directory_options);
     daemon.spread = std::make_unique<Spread>(daemon.options, &daemon.directory);
+    daemon.departures = Departures();
   }
 
   // Connects two hosts of which at least one was disconnected from all.
@@ -91,9 +100,11 @@
   void RunFor(Duration duration) {
     for (const Instant end = now + duration; now < end;) {
       now += step;
+      DeliverDue();
       for (const auto& daemon : daemons) {
-        for (const Outgoing& outgoing : daemon->spread->OnTimer(now))
-          Deliver(*daemon, outgoing);
+        daemon->departures.OnTimer(now);
+        for (Outgoing& outgoing : daemon->spread->OnTimer(now))
+          Send(*daemon, std::move(outgoing));
       }
     }
   }
@@ -110,6 +121,16 @@
     daemons[at]->spread->OnAnnounced(record, now);
   }
 
+  // The endpoint leaves, and calls back when that is acknowledged or refused.
+  void Leave(size_t at, uint64_t sequence, const EndpointId& id, size_t holders,
+             Departures::Callback callback) {
+    Announce(at, sequence, true, id);
+    Daemon& daemon = *daemons[at];
+    const uint64_t key = DepartureKey(daemon.directory.Find(id)->record);
+    if (daemon.departures.Await(key, holders, now, std::move(callback)))
+      daemon.spread->RequestConfirmation(id, now);
+  }
+
   // Whether the daemon knows that the endpoint is draining.
   bool KnowsDraining(size_t number, const EndpointId& id = "e") const {
     const Endpoint* endpoint = daemons[number]->directory.Find(id);
@@ -130,8 +151,18 @@
   std::set<HostId> cut;  // hosts that neither send nor receive
   Instant now = Instant{} + 1000s;
   Duration step = 100ms;
+  // How long a frame from one host to another takes. Frames of a connection
+  // keep their order, and are lost with it.
+  std::function<Duration(const HostId& from, const HostId& to)> delay;
 
  private:
+  struct Frame {
+    HostId from;
+    HostId to;
+    Instant arrives;
+    wire::DirectoryDeltaT delta;
+  };
+
   void ConnectAll(Daemon& daemon) {
     for (const auto& other : daemons) {
       if (other.get() != &daemon && other->connected) Connect(*other, daemon);
@@ -141,20 +172,55 @@
   // Daemons that only receive have no connections among each other.
   void Connect(Daemon& a, Daemon& b) {
     if (a.only_receives && b.only_receives) return;
-    a.spread->OnPeerUp(b.host, now);
-    b.spread->OnPeerUp(a.host, now);
+    MeetPeer(a, b);
+    MeetPeer(b, a);
+  }
+
+  void MeetPeer(Daemon& daemon, const Daemon& peer) const {
+    if (!peer.only_receives) daemon.departures.OnPeerUp(peer.host);
+    daemon.spread->OnPeerUp(peer.host, now);
   }
 
-  void Deliver(const Daemon& from, const Outgoing& outgoing) {
-    if (cut.contains(from.host) || cut.contains(outgoing.host)) return;
+  void LosePeer(Daemon& daemon, const Daemon& peer) const {
+    daemon.spread->OnPeerDown(peer.host, now);
+    daemon.departures.OnPeerDown(peer.host, now);
+  }
+
+  void Send(const Daemon& from, Outgoing outgoing) {
+    Frame frame{from.host, outgoing.host, now, std::move(outgoing.delta)};
+    if (!delay) return Deliver(frame);
+    frame.arrives += delay(frame.from, frame.to);
+    for (const Frame& earlier : m_in_flight) {
+      if (earlier.from == frame.from && earlier.to == frame.to)
+        frame.arrives = std::max(frame.arrives, earlier.arrives);
+    }
+    m_in_flight.push_back(std::move(frame));
+  }
+
+  void DeliverDue() {
+    const auto due = std::ranges::stable_partition(
+        m_in_flight, [this](const Frame& f) { return f.arrives > now; });
+    std::vector<Frame> arrived(std::make_move_iterator(due.begin()),
+                               std::make_move_iterator(due.end()));
+    m_in_flight.erase(due.begin(), due.end());
+    for (const Frame& frame : arrived) Deliver(frame);
+  }
+
+  void Deliver(const Frame& frame) {
+    if (cut.contains(frame.from) || cut.contains(frame.to)) return;
     for (const auto& daemon : daemons) {
-      if (daemon->host != outgoing.host) continue;
-      daemon->records_received += outgoing.delta.records.size();
-      daemon->pulses_received += outgoing.delta.pulses.size();
-      daemon->requests_received += outgoing.delta.pull ? 1 : 0;
-      daemon->spread->OnDelta(from.host, outgoing.delta, now);
+      if (daemon->host != frame.to) continue;
+      daemon->records_received += frame.delta.records.size();
+      daemon->pulses_received += frame.delta.pulses.size();
+      daemon->requests_received += frame.delta.pull ? 1 : 0;
+      daemon->spread->OnDelta(frame.from, frame.delta, now);
+      daemon->departures.OnConfirmed(frame.from, frame.delta.confirmed, now);
+      for (Outgoing& outgoing : daemon->spread->TakeConfirmations())
+        Send(*daemon, std::move(outgoing));
     }
   }
+
+  std::vector<Frame> m_in_flight;
 };
 
 }  // namespace dotterelshift::directory
