--- a/src/dotterelshift/directory/departures.cc
+++ b/src/dotterelshift/directory/departures.cc
@@ -67,13 +67,13 @@
 
 // The callbacks may announce further departures, so they are called last.
 void Departures::Settle(Instant now) {
-  const auto decided =
-      std::ranges::stable_partition(m_waiting, [&](const Waiting& waiting) {
+  const auto decided = std::stable_partition(
+      m_waiting.begin(), m_waiting.end(), [&](const Waiting& waiting) {
         return Decide(waiting, now) == Decision::kWait;
       });
-  const std::vector<Waiting> finished(std::make_move_iterator(decided.begin()),
-                                      std::make_move_iterator(decided.end()));
-  m_waiting.erase(decided.begin(), decided.end());
+  const std::vector<Waiting> finished(std::make_move_iterator(decided),
+                                      std::make_move_iterator(m_waiting.end()));
+  m_waiting.erase(decided, m_waiting.end());
   for (const Waiting& waiting : finished)
     Finish(waiting, Decide(waiting, now), now);
 }
--- a/src/dotterelshift/directory/spread_simulation.h
+++ b/src/dotterelshift/directory/spread_simulation.h
@@ -198,11 +198,13 @@
   }
 
   void DeliverDue() {
-    const auto due = std::ranges::stable_partition(
-        m_in_flight, [this](const Frame& f) { return f.arrives > now; });
-    std::vector<Frame> arrived(std::make_move_iterator(due.begin()),
-                               std::make_move_iterator(due.end()));
-    m_in_flight.erase(due.begin(), due.end());
+    const auto due = std::stable_partition(
+        m_in_flight.begin(), m_in_flight.end(),
+        [this](const Frame& frame) { return frame.arrives > now; });
+    const std::vector<Frame> arrived(
+        std::make_move_iterator(due),
+        std::make_move_iterator(m_in_flight.end()));
+    m_in_flight.erase(due, m_in_flight.end());
     for (const Frame& frame : arrived) Deliver(frame);
   }
 
