--- a/include/dotterelshift/directory/directory.h
+++ b/include/dotterelshift/directory/directory.h
@@ -114,8 +114,8 @@
   const std::unordered_map<EndpointId, Endpoint>& All() const {
     return m_endpoints;
   }
-  // Whether an announcement at `last_news` is older than any that is followed
-  // by one that is missed by chance.
+  // Whether so much time has passed since `last_news` that later announcements
+  // were not missed by chance.
   bool IsOverdue(Instant last_news, Instant now) const {
     return now - last_news >= m_options.silent_after;
   }
--- a/src/dotterelshift/directory/spread.cc
+++ b/src/dotterelshift/directory/spread.cc
@@ -425,7 +425,7 @@
 }
 
 // Skips the updates that an answer in the same delta contains, unless they are
-// to be confirmed: the answer names records that the peer holds by their key.
+// to be confirmed: of records that the peer holds, an answer has only pulses.
 void Spread::AddPending(const HostId& host, wire::DirectoryDeltaT* delta,
                         Instant now) const {
   for (const auto& [id, pending] : m_pending) {
