--- a/src/dotterelshift/directory/departures_test.cc
+++ b/src/dotterelshift/directory/departures_test.cc
@@ -137,7 +137,6 @@
 
 constexpr size_t kControlHosts = 5;
 constexpr size_t kEntries = 3;
-constexpr size_t kToAll = 1000;  // fan-out of a control host
 // From the acknowledgement on.
 constexpr Duration kKnownWithin = 500ms;
 
@@ -153,11 +152,8 @@
 class FleetWithDepartures : public SimulatedFleet {
  public:
   explicit FleetWithDepartures(uint64_t seed) : m_random(seed) {
-    DirectoryOptions entry;
-    entry.silent_after = 60s;
-    entry.forget_after = 120s;
     for (size_t i = 0; i < kControlHosts; ++i) Add(kToAll);
-    for (size_t i = 0; i < kEntries; ++i) Add(0, entry);
+    for (size_t i = 0; i < kEntries; ++i) Add(0, EntryOptions());
     for (size_t i = 0; i < kControlHosts; ++i)
       Announce(i, 1, false, "e" + std::to_string(i));
     RunFor(1s);
--- a/src/dotterelshift/directory/spread_loss_test.cc
+++ b/src/dotterelshift/directory/spread_loss_test.cc
@@ -12,7 +12,6 @@
 
 constexpr size_t kControlHosts = 5;
 constexpr size_t kEntries = 3;
-constexpr size_t kToAll = 1000;  // fan-out of a control host
 constexpr Duration kMinPulseInterval = 500ms;
 constexpr Duration kHeartbeat = 1200ms;    // of an endpoint
 constexpr Duration kAckTimeout = 1s;       // of an endpoint's report
@@ -22,13 +21,6 @@
 // Between two losses; a daemon that was lost has had the time to catch up.
 constexpr Duration kBetweenLosses = 8s;
 
-DirectoryOptions EntryOptions() {
-  DirectoryOptions options;
-  options.silent_after = 60s;
-  options.forget_after = 120s;
-  return options;
-}
-
 // How a control host is lost.
 enum class Loss : uint8_t {
   kKilled,    // its connections are reset, its port refuses
--- a/src/dotterelshift/directory/spread_return_test.cc
+++ b/src/dotterelshift/directory/spread_return_test.cc
@@ -12,7 +12,6 @@
 constexpr size_t kEntries = 72;
 constexpr size_t kEndpoints = 145;
 constexpr size_t kLastEntry = kControlHosts + kEntries - 1;
-constexpr size_t kToAll = 1000;  // fan-out of a control host
 
 // How long a daemon that is connected again may go on using an endpoint that
 // left in the meantime.
@@ -20,14 +19,6 @@
 
 EndpointId EndpointOf(size_t number) { return "e" + std::to_string(number); }
 
-// Entries only receive, and drop nothing while they are cut off.
-DirectoryOptions EntryOptions() {
-  DirectoryOptions options;
-  options.silent_after = 60s;
-  options.forget_after = 120s;
-  return options;
-}
-
 // A fleet under control: control hosts send to all, entries only receive.
 class ControlledFleet : public SimulatedFleet {
  public:
--- a/src/dotterelshift/directory/spread_simulation.h
+++ b/src/dotterelshift/directory/spread_simulation.h
@@ -20,6 +20,18 @@
 
 namespace dotterelshift::directory {
 
+// The fan-out of a control host: it sends to all others.
+inline constexpr size_t kToAll = 1000;
+
+// The options of an entry, which only receives, and drops nothing while it is
+// cut off.
+inline DirectoryOptions EntryOptions() {
+  DirectoryOptions options;
+  options.silent_after = 60s;
+  options.forget_after = 120s;
+  return options;
+}
+
 // A few daemons on a hand-moved clock. It moves in steps of `step`, and what is
 // sent in a step arrives in it. Links of hosts in `cut` lose everything while
 // their connections stay up; Disconnect() also ends the connections.
