--- a/include/dotterelshift/directory/departures.h
+++ b/include/dotterelshift/directory/departures.h
@@ -64,7 +64,8 @@
   // A daemon confirms that it holds these departures.
   void OnConfirmed(const HostId& from, const std::vector<uint64_t>& keys,
                    Instant now);
-  // Refuses departures that were not confirmed in time.
+  // Refuses departures that were not confirmed in time, and forgets old
+  // confirmations.
   void OnTimer(Instant now);
 
  private:
--- a/include/dotterelshift/directory/spread.h
+++ b/include/dotterelshift/directory/spread.h
@@ -60,11 +60,11 @@
 // in bytes per second. The daemon that last received announcements from an
 // endpoint detects its silence and sends that as an update; if its connection
 // is lost, its neighbours do, once the endpoint has had the time to announce
-// itself to another daemon. Neighbours compare
-// digests of their records. A daemon that lacks records of a neighbour, or
-// holds them in another state, requests these, naming the digests of all that
-// it holds; RecordRequests decides when and from which neighbour. This repairs
-// the effects of lost frames, partitions and changes of the roster.
+// itself to another daemon. Neighbours compare digests of their records. A
+// daemon that lacks records of a neighbour, or holds them in another state,
+// requests these, naming the digests of all that it holds; RecordRequests
+// decides when and from which neighbour. This repairs the effects of lost
+// frames, partitions and changes of the roster.
 class Spread {
  public:
   Spread(const SpreadOptions& options, Directory* directory);
--- a/src/dotterelshift/app/directory_exchange.cc
+++ b/src/dotterelshift/app/directory_exchange.cc
@@ -56,7 +56,8 @@
                                     std::function<void(ErrorKind)> callback) {
   m_spread.OnAnnounced(record, m_loop.Now());
   const directory::Endpoint* known = m_directory.Find(record.id);
-  // Neither a dropped record nor a later incarnation can be used because of it.
+  // No other daemon needs to be told that an endpoint leaves which is forgotten
+  // here, or has started again since.
   const bool leaves = directory::IsDeparture(record) && known != nullptr &&
                       known->record.incarnation == record.incarnation;
   if (leaves) {
--- a/src/dotterelshift/directory/spread_loss_test.cc
+++ b/src/dotterelshift/directory/spread_loss_test.cc
@@ -195,8 +195,9 @@
   // Loses hosts in series. An entry starts again during the first outage.
   static void LoseInSeries(FleetUnderLosses& fleet, Loss kind) {
     for (size_t i = 0; i < kLossesInSeries; ++i) {
-      const size_t host =
-          kind == Loss::kReplaced ? i : fleet.reporters[fleet.Draw(6)].host;
+      const size_t host = kind == Loss::kReplaced
+                              ? i
+                              : fleet.reporters[fleet.Draw(kEndpoints)].host;
       fleet.Lose(host, kind, 200ms + fleet.DrawUpTo(2800ms));
       const Duration before = fleet.DrawUpTo(kBetweenLosses / 2);
       fleet.Run(before);
