Log lines and a counter tell why an id goes twice over a connection

What callers saw: a request that may run once ran twice. The lines about a response said of its connection only "new" or "kept", and sent named no address, so that two endpoints of one process could not be told from two, nor a copy of a refusal from a second one.

Now: sent has the address; endpoint_refused, response_to_another and attempt_broken have the connection's local port, the requests that it carried before and how long ago it last brought an error. dotterelshift_repeated_ids_total counts requests that are about to be sent on a connection which has carried their id.

What is known of a connection is now kept from its first request on, by the descriptor that libcurl opened for it; before, a connection on which libcurl never had to wait was not known when it was reused. No decision changes.

--- a/include/dotterelshift/http/client.h
+++ b/include/dotterelshift/http/client.h
@@ -42,13 +42,19 @@
   Duration connect_timeout = 1s;
   Duration total_timeout = 0s;  // 0: no limit
   std::optional<Relay> relay;   // nullopt: a direct connection
+  // By which the server's response names the request. Empty: it has none.
+  std::string id;
 };
 
 // Describes how a request was handed over to its connection.
 struct HandOver {
   size_t bytes = 0;
   bool new_connection = false;
-  Duration connected_in = 0s;  // time to connect; 0 for a reused connection
+  Duration connected_in = 0s;     // time to connect; 0 for a reused connection
+  int local_port = 0;             // of the connection
+  uint32_t earlier_requests = 0;  // sent on the connection before
+  // Since the last response with an error status; nullopt: it had none.
+  std::optional<Duration> since_error;
 };
 
 // Tells the response that is due on a connection from others.
@@ -104,6 +110,9 @@
   // Bytes of all requests that were handed over to a connection since the
   // client was created.
   virtual uint64_t BytesSent() const = 0;
+  // How often a request was about to be sent on a connection that had carried
+  // one of its id before.
+  virtual uint64_t RepeatedIds() const = 0;
 };
 
 struct ClientOptions {
--- a/src/dotterelshift/app/gateway_traffic.cc
+++ b/src/dotterelshift/app/gateway_traffic.cc
@@ -118,7 +118,9 @@
   info.onward_bytes = OnwardBytes(exchange->GetRequest());
   exchange->OnGone([this, id] { OnGone(id); });
   exchange->OnDrained([this, id] { OnDrained(id); });
-  m_open[id].exchange = std::move(exchange);
+  Open& open = m_open[id];
+  open.exchange = std::move(exchange);
+  open.caller_id = info.caller_id;
   m_core.OnRequest(id, std::move(info), m_loop.Now());
   Pump();
 }
@@ -171,6 +173,7 @@
   if (!request.query.empty()) onward.url += "?" + request.query;
   onward.headers = m_dialect.OnwardHeaders(request, start);
   onward.body = request.body;
+  onward.id = open->second.caller_id;
   onward.connect_timeout = start.relay ? kRelayConnectTimeout : kConnectTimeout;
   if (start.relay)
     onward.relay = http::Relay{start.relay->address, start.relay->token};
@@ -330,6 +333,10 @@
   m_metrics.SetCounter("dotterelshift_responses_too_large_total",
                        "Responses given up, as they were too large to hold",
                        static_cast<double>(m_too_large));
+  m_metrics.SetCounter("dotterelshift_repeated_ids_total",
+                       "Requests that were about to be sent on a connection "
+                       "which had carried one of their id before",
+                       static_cast<double>(m_client->RepeatedIds()));
 }
 
 gateway::LinkBytes GatewayTraffic::Bytes() const {
@@ -472,10 +479,19 @@
   inputs.emplace_back("handed_over_ms_ago",
                       Ms(m_loop.Now() - record.handed_over_at));
   inputs.emplace_back("wait_out_then_ms", Ms(record.wait));
-  inputs.emplace_back("bytes", std::to_string(record.handed_over->bytes));
-  if (record.handed_over->new_connection)
-    inputs.emplace_back("connected_in_ms",
-                        Ms(record.handed_over->connected_in));
+  AddConnection(*record.handed_over, inputs);
+}
+
+void GatewayTraffic::AddConnection(const http::HandOver& what,
+                                   LogInputs& inputs) {
+  inputs.emplace_back("bytes", std::to_string(what.bytes));
+  if (what.new_connection)
+    inputs.emplace_back("connected_in_ms", Ms(what.connected_in));
+  inputs.emplace_back("local_port", std::to_string(what.local_port));
+  inputs.emplace_back("earlier_requests",
+                      std::to_string(what.earlier_requests));
+  if (what.since_error)
+    inputs.emplace_back("error_before_ms", Ms(*what.since_error));
 }
 
 void GatewayTraffic::Execute(const gateway::Decision& decision) const {
--- a/src/dotterelshift/app/gateway_traffic.h
+++ b/src/dotterelshift/app/gateway_traffic.h
@@ -72,6 +72,7 @@
   // A caller's request and the state of its response.
   struct Open {
     std::shared_ptr<http::Exchange> exchange;
+    std::string caller_id;    // of the request
     AttemptId streaming = 0;  // the attempt whose stream is relayed
     bool paused = false;
     bool keeps = false;      // the caller of the stream may keep the connection
@@ -123,6 +124,7 @@
   // Keeps the send record of an attempt that has ended, for its last log lines.
   void KeepSendRecord(AttemptId attempt, const Transfer& transfer);
   void AddSendRecord(AttemptId attempt, LogInputs& inputs) const;
+  static void AddConnection(const http::HandOver& what, LogInputs& inputs);
 
   void Execute(const gateway::StartAttempt& start);
   void Execute(const gateway::CancelAttempt& cancel);
--- a/src/dotterelshift/gateway/core_placement.cc
+++ b/src/dotterelshift/gateway/core_placement.cc
@@ -145,6 +145,7 @@
   const origins::EndpointContact& contact = active.attempt.endpoint;
   std::vector<std::pair<std::string_view, std::string>> inputs = {
       {"endpoint", contact.id},
+      {"address", contact.address},
       {"version", contact.software_version},
       {"route", active.route->name},
       {"routes_version", std::to_string(active.routes->Get().version)},
--- a/src/dotterelshift/gateway/core_response.cc
+++ b/src/dotterelshift/gateway/core_response.cc
@@ -283,7 +283,9 @@
        {"status", std::to_string(active.attempt.status)},
        {"answers", active.attempt.response_info.echoed_id},
        {"states_not_run", active.attempt.response_info.not_run ? "yes" : "no"},
-       {"connection", ConnectionOf(active.attempt)}});
+       {"connection", ConnectionOf(active.attempt)},
+       {"path", PathOf(active.attempt)}},
+      active.attempt.id);
   EndAttempt(active, now);
   if (TryAgain(active, false, now)) return;
   if (active.may_have_run)
--- a/src/dotterelshift/http/client.cc
+++ b/src/dotterelshift/http/client.cc
@@ -14,7 +14,7 @@
 #include "dotterelshift/base/error.h"             // for Error
 #include "dotterelshift/http/curl_request.h"      // for MakeHeaderList
 #include "dotterelshift/http/idle_connections.h"  // for IdleConnections
-#include "dotterelshift/http/open_sockets.h"      // for OpenSockets
+#include "dotterelshift/http/open_connections.h"  // for OpenConnections
 #include "dotterelshift/http/polled_sockets.h"    // for PolledSockets
 #include "dotterelshift/http/response_head.h"     // for ResponseHead
 #include "dotterelshift/http/transfer_end.h"      // for EndOfSent
@@ -53,12 +53,14 @@
   // No more callbacks are called; removed once curl has returned.
   bool cancelled = false;
   curl_socket_t descriptor = CURL_SOCKET_BAD;  // used now or last
+  curl_socket_t opened = CURL_SOCKET_BAD;      // for it
 };
 
 class CurlClient : public Client {
  public:
   CurlClient(loop::Loop& loop, const ClientOptions& options)
-      : m_options(options),
+      : m_loop(loop),
+        m_options(options),
         m_idle(loop, options.on_idle_closed),
         m_sockets(
             loop,
@@ -139,8 +141,15 @@
 
   uint64_t BytesSent() const override { return m_bytes_sent; }
 
+  uint64_t RepeatedIds() const override { return m_repeated_ids; }
+
  private:
   // Callbacks of libcurl.
+  static int OnOpened(void* self, curl_socket_t descriptor, curlsocktype) {
+    static_cast<Transfer*>(self)->opened = descriptor;
+    return CURL_SOCKOPT_OK;
+  }
+
   static int OnSocket(CURL* handle, curl_socket_t descriptor, int what,
                       void* self, void*) {
     auto& client = *static_cast<CurlClient*>(self);
@@ -201,24 +210,45 @@
       return CURL_PREREQFUNC_ABORT;
     }
     transfer.sent = true;
-    // A connection through a relay was waited for before, and libcurl does not
-    // tell again that it waits for it.
-    if (transfer.client->Uses(transfer))
-      transfer.client->m_open.Add(transfer.descriptor, transfer.connection);
-    const ClientRequest& request = transfer.request;
-    const size_t bytes = BytesOf(request.headers) + request.body.size();
-    transfer.client->m_bytes_sent += bytes;
+    const HandOver handed_over = transfer.client->RecordSent(transfer);
     const auto& on_handed_over = transfer.callbacks.on_handed_over;
-    if (on_handed_over) on_handed_over(HandOverOf(transfer.handle, bytes));
+    if (on_handed_over) on_handed_over(handed_over);
     return CURL_PREREQFUNC_OK;
   }
 
   // Returns false if the connection cannot be used any more.
   bool BeginToAwait(const Transfer& transfer) {
-    if (HasNewConnection(transfer.handle)) return true;
-    const auto descriptor = m_open.Find(transfer.connection);
-    return !descriptor ||
-           m_sockets.BeginToAwait(*descriptor, transfer.callbacks.due);
+    if (HasNewConnection(transfer.handle)) {
+      m_open.Add(transfer.opened, transfer.connection);
+      return true;
+    }
+    const OpenConnection* connection = m_open.Find(transfer.connection);
+    if (connection == nullptr) return false;
+    if (connection->ids.Contains(transfer.request.id)) ++m_repeated_ids;
+    return m_sockets.BeginToAwait(connection->descriptor,
+                                  transfer.callbacks.due);
+  }
+
+  HandOver RecordSent(const Transfer& transfer) {
+    const ClientRequest& request = transfer.request;
+    const size_t bytes = BytesOf(request.headers) + request.body.size();
+    m_bytes_sent += bytes;
+    HandOver handed_over = HandOverOf(transfer.handle, bytes);
+    handed_over.local_port = transfer.connection.local_port;
+    OpenConnection* connection = m_open.Find(transfer.connection);
+    if (connection == nullptr) return handed_over;
+    connection->ids.Add(request.id);
+    handed_over.earlier_requests = connection->requests++;
+    if (connection->last_error != Instant{})
+      handed_over.since_error = m_loop.Now() - connection->last_error;
+    return handed_over;
+  }
+
+  void RecordStatus(const Transfer& transfer) {
+    constexpr int kFirstErrorStatus = 400;
+    if (transfer.head.Status() < kFirstErrorStatus) return;
+    OpenConnection* connection = m_open.Find(transfer.connection);
+    if (connection != nullptr) connection->last_error = m_loop.Now();
   }
 
   static bool OnHeaderLine(Transfer& transfer, std::string_view line) {
@@ -233,6 +263,7 @@
         return false;
     }
     transfer.client->m_sockets.Forget(transfer.descriptor);
+    transfer.client->RecordStatus(transfer);
     const auto& on_head = transfer.callbacks.on_head;
     if (on_head) on_head(transfer.head.Status(), transfer.head.GetHeaders());
     return !transfer.cancelled;
@@ -247,7 +278,6 @@
     if (transfer == nullptr) return;
     transfer->descriptor = descriptor;
     m_users[descriptor] = transfer->id;
-    if (transfer->sent) m_open.Add(descriptor, transfer->connection);
     m_idle.Forget(descriptor);
   }
 
@@ -374,6 +404,8 @@
     if (request.total_timeout > 0s)
       curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS,
                        std::max<int64_t>(1, ToMs(request.total_timeout)));
+    curl_easy_setopt(handle, CURLOPT_SOCKOPTFUNCTION, OnOpened);
+    curl_easy_setopt(handle, CURLOPT_SOCKOPTDATA, &transfer);
     curl_easy_setopt(handle, CURLOPT_CLOSESOCKETFUNCTION, OnClose);
     curl_easy_setopt(handle, CURLOPT_CLOSESOCKETDATA, this);
     curl_easy_setopt(handle, CURLOPT_PREREQFUNCTION, OnSending);
@@ -457,11 +489,13 @@
     curl_slist_free_all(std::exchange(transfer.relay_headers, nullptr));
   }
 
+  loop::Loop& m_loop;
   const ClientOptions m_options;
   CURLM* m_multi = nullptr;
   bool m_in_curl = false;
   TransferId m_last_id = 0;
   uint64_t m_bytes_sent = 0;
+  uint64_t m_repeated_ids = 0;
   std::unordered_map<TransferId, std::unique_ptr<Transfer>> m_transfers;
   // The last transfer of each connection, by descriptor.
   std::unordered_map<curl_socket_t, TransferId> m_users;
@@ -470,7 +504,7 @@
   std::vector<TransferId> m_to_remove;
   std::vector<CURL*> m_spare;
   IdleConnections m_idle;
-  OpenSockets m_open;
+  OpenConnections m_open;
   PolledSockets m_sockets;
   loop::Timer m_timer;
   loop::Timer m_later;
