An id never goes twice over one connection

What callers saw: a request that may run once ran at two endpoints, or was refused with the promise that it had not run, and ran. Sound endpoints were told to all entries as replaced.

Cause: what a request has tried is kept by endpoint and start, connections are kept by address. An endpoint that starts again at its address is another endpoint, and libcurl takes the connection that just carried the refusal: there the copy of that refusal bears the id that is due.

Now the HTTP client remembers for each connection the ids that it carried, for as long as it is used, as a copy may come at any time: hashes of 8 bytes, 512 at the most, then the connection is left. A request whose id it carried is sent on a new connection; its endpoint is used all the same. The rule holds for each sender that names an id: retries, changes of path, relays, streams that are taken up, callers that use an id twice. A reused connection of which nothing is known is not used for a request either.

GatewayTrafficTest gave all its requests one id: two tests whose second request shares a connection give it an id of its own.

--- a/include/dotterelshift/http/client.h
+++ b/include/dotterelshift/http/client.h
@@ -42,7 +42,9 @@
   Duration connect_timeout = 1s;
   Duration total_timeout = 0s;  // 0: no limit
   std::optional<Relay> relay;   // nullopt: a direct connection
-  // By which the server's response names the request. Empty: it has none.
+  // By which the server's response names the request. Two requests of one id
+  // are never sent on the same connection: the response to the first, sent once
+  // more, would be taken for that to the second. Empty: it has none.
   std::string id;
 };
 
--- a/src/dotterelshift/app/gateway_traffic_test.cc
+++ b/src/dotterelshift/app/gateway_traffic_test.cc
@@ -162,6 +162,7 @@
     peer.Send(
         "HTTP/1.1 200 OK\r\nx-id: caller-1\r\ncontent-length: 2\r\n\r\nok");
     RunUntil([&] { return first->Status() == 200; });
+    m_dialect.SetCallerId("caller-2");
     const auto second = Ask("/once/x", kHeldBody);
     RunUntil([&] { return peer.Waiting() > sent_first; });
     Turn();
@@ -223,8 +224,10 @@
 
   // An endpoint sends a refusal once more while it runs the next request.
   void RefusalOfAnotherRequestIsSkipped() {
-    constexpr std::string_view kServed =
-        "HTTP/1.1 200 OK\r\nx-id: caller-1\r\ncontent-length: 2\r\n\r\nok";
+    const auto served = [](const std::string& id) {
+      return "HTTP/1.1 200 OK\r\nx-id: " + id +
+             "\r\ncontent-length: 2\r\n\r\nok";
+    };
     const telemetry::CapturedLog log(telemetry::LogLevel::kInfo);
     const http::TestListener endpoint(1);
     Announce(endpoint);
@@ -232,16 +235,17 @@
     const http::TestPeer peer = AcceptWith(endpoint, 1);
     Turn();
     (void)peer.ReadSome();
-    peer.Send(kServed);
+    peer.Send(served("caller-1"));
     RunUntil([&] { return first->Status() == 200; });
+    m_dialect.SetCallerId("caller-2");
     const auto second = Ask("/once/x", 1);
     RunUntil([&] { return peer.Waiting() > 0; });
     peer.Send(
-        "HTTP/1.1 503 No\r\nx-id: caller-0\r\nx-not-run: 1\r\n"
+        "HTTP/1.1 503 No\r\nx-id: caller-1\r\nx-not-run: 1\r\n"
         "content-length: 2\r\n\r\nno");
     Turn();
     CPPUNIT_ASSERT_EQUAL(0, second->Status());
-    peer.Send(kServed);
+    peer.Send(served("caller-2"));
     RunUntil([&] { return second->Status() != 0; });
     CPPUNIT_ASSERT(Contains(log, "\"skipped\":\"yes\""));
     CPPUNIT_ASSERT_EQUAL(200, second->Status());
--- a/src/dotterelshift/app/gateway_traffic_testing.h
+++ b/src/dotterelshift/app/gateway_traffic_testing.h
@@ -26,7 +26,7 @@
   gateway::RequestInfo ReadRequestInfo(
       const http::Request& request) const override {
     gateway::RequestInfo info;
-    info.caller_id = "caller-1";
+    info.caller_id = m_caller_id;
     info.host = "h";
     info.path = request.path;
     return info;
@@ -54,8 +54,11 @@
   std::string_view ReadyPath() const override { return "/ready"; }
 
   int Attempts() const { return m_attempts; }
+  // The id of the requests that are read from now on.
+  void SetCallerId(const std::string& id) { m_caller_id = id; }
 
  private:
+  std::string m_caller_id = "caller-1";
   mutable int m_attempts = 0;
 };
 
--- a/src/dotterelshift/http/client.cc
+++ b/src/dotterelshift/http/client.cc
@@ -216,15 +216,18 @@
     return CURL_PREREQFUNC_OK;
   }
 
-  // Returns false if the connection cannot be used any more.
+  // Returns false if the request must not be sent on its connection.
   bool BeginToAwait(const Transfer& transfer) {
     if (HasNewConnection(transfer.handle)) {
       m_open.Add(transfer.opened, transfer.connection);
       return true;
     }
     const OpenConnection* connection = m_open.Find(transfer.connection);
-    if (connection == nullptr) return false;
-    if (connection->ids.Contains(transfer.request.id)) ++m_repeated_ids;
+    if (connection == nullptr || connection->ids.IsFull()) return false;
+    if (connection->ids.Contains(transfer.request.id)) {
+      ++m_repeated_ids;
+      return false;
+    }
     return m_sockets.BeginToAwait(connection->descriptor,
                                   transfer.callbacks.due);
   }
--- a/src/dotterelshift/http/open_connections.cc
+++ b/src/dotterelshift/http/open_connections.cc
@@ -7,6 +7,9 @@
 namespace dotterelshift::http {
 namespace {
 
+// Ids of one connection: 4 KiB, and one new connection in so many requests.
+constexpr size_t kMaxIds = 512;
+
 // Ids of the same hash only cost a connection.
 uint64_t HashOf(std::string_view id) {
   return XXH3_64bits(id.data(), id.size());
@@ -23,6 +26,8 @@
   return std::ranges::find(m_hashes, HashOf(id)) != m_hashes.end();
 }
 
+bool SentIds::IsFull() const { return m_hashes.size() >= kMaxIds; }
+
 OpenConnection& OpenConnections::Add(int descriptor,
                                      const ConnectionName& name) {
   Remove(descriptor);
--- a/src/dotterelshift/http/open_connections.h
+++ b/src/dotterelshift/http/open_connections.h
@@ -22,12 +22,16 @@
   auto operator<=>(const ConnectionName&) const = default;
 };
 
-// The ids of the requests that were sent on a connection.
+// The ids of the requests that were sent on a connection. A server may send a
+// response once more at any later time, so that they are kept for as long as
+// the connection is used.
 class SentIds {
  public:
   // An empty id is none.
   void Add(std::string_view id);
   bool Contains(std::string_view id) const;
+  // No more are kept: the connection must not be used for another request.
+  bool IsFull() const;
 
  private:
   std::vector<uint64_t> m_hashes;
