An endpoint that starts again has the path of its address

What callers saw: at an entry that cannot connect to endpoints, a request to an endpoint that had started again waited for a connection (300 ms) before it went through another entry. Cause: whether an endpoint is reached directly was kept by endpoint and start; it is a matter of the address. Now the successor at an address takes over that it is relayed, and is probed at once. EndpointPathsTest::EndpointThatStartsAgainHasThePathOfItsAddress failed before.

--- a/src/dotterelshift/gateway/endpoint_paths.cc
+++ b/src/dotterelshift/gateway/endpoint_paths.cc
@@ -47,9 +47,15 @@
   return "unknown";
 }
 
+// An endpoint that starts again is as far away as the one before at its
+// address: whether it can be reached directly depends on the address.
 void EndpointPaths::OnDirectory(const directory::Directory& directory,
                                 Instant now) {
   std::map<EndpointKey, Path> known = std::move(m_paths);
+  std::map<std::string, PathEvidence> relayed_addresses;
+  for (const auto& [key, path] : known)
+    if (path.state == PathState::kRelayed)
+      relayed_addresses[path.address] = path.relayed_for;
   m_paths.clear();
   m_by_service.clear();
   for (const auto& [id, endpoint] : directory.All()) {
@@ -57,11 +63,12 @@
         directory::PulseKey(id, endpoint.record.incarnation);
     Path& path = m_paths[key];
     const auto before = known.find(key);
-    if (before != known.end()) {
+    const bool is_new = before == known.end();
+    if (is_new) {
+      path.last_reached = now;
+    } else {
       path = std::move(before->second);
       known.erase(before);
-    } else {
-      path.last_reached = now;
     }
     path.id = id;
     path.address = endpoint.record.address;
@@ -69,6 +76,9 @@
     path.usable = endpoint.usable;
     for (const ServiceName& service : path.services)
       m_by_service[service].push_back(key);
+    const auto relayed = relayed_addresses.find(path.address);
+    if (is_new && relayed != relayed_addresses.end())
+      Change(key, path, PathState::kRelayed, relayed->second, now);
   }
   m_next_probe = now;
   // Their probes end later and are not counted then.
--- a/src/dotterelshift/gateway/endpoint_paths_test.cc
+++ b/src/dotterelshift/gateway/endpoint_paths_test.cc
@@ -28,6 +28,7 @@
   CPPUNIT_TEST(ResponseOnAnOpenConnectionDoesNotRefuteARefusedOne);
   CPPUNIT_TEST(AnnouncementAfterAFailureShowsThatOnlyThePathFailed);
   CPPUNIT_TEST(ProbesRestoreEachPathByItself);
+  CPPUNIT_TEST(EndpointThatStartsAgainHasThePathOfItsAddress);
   CPPUNIT_TEST(FailedProbesArePaced);
   CPPUNIT_TEST(ProbesOfLeftEndpointsAreNotCounted);
   CPPUNIT_TEST(RelaysInTheSameDataCentreArePreferred);
@@ -142,6 +143,17 @@
     CPPUNIT_ASSERT_EQUAL(size_t{2}, m_paths->TakeProbes(m_now).size());
   }
 
+  void EndpointThatStartsAgainHasThePathOfItsAddress() {
+    CutOffFromEngines();
+    AnnounceAt("llm0:80", "next", "llm");
+    Announce("other", "llm");
+    m_paths->OnDirectory(m_directory, m_now);
+    CPPUNIT_ASSERT(m_paths->IsRelayed(KeyOf("next")));
+    CPPUNIT_ASSERT(!m_paths->IsRelayed(KeyOf("other")));
+    m_paths->OnConnected(KeyOf("next"), m_now);
+    CPPUNIT_ASSERT(!m_paths->IsRelayed(KeyOf("next")));
+  }
+
   void FailedProbesArePaced() {
     CutOffFromEngines();
     int probes = 0;
@@ -282,11 +294,15 @@
 
  private:
   void Announce(const EndpointId& id, const ServiceName& service) {
+    AnnounceAt(id + ":80", id, service);
+  }
+  void AnnounceAt(const std::string& address, const EndpointId& id,
+                  const ServiceName& service) {
     wire::EndpointRecordT record;
     record.id = id;
     record.incarnation = 1;
     record.sequence = ++m_sequence;
-    record.address = record.id + ":80";
+    record.address = address;
     record.services = {service};
     m_directory.OnRecord(record, m_now);
   }
