--- a/src/dotterelshift/app/gateway_traffic.cc
+++ b/src/dotterelshift/app/gateway_traffic.cc
@@ -466,32 +466,9 @@
   const auto open = m_transfers.find(attempt);
   const bool known = ended != m_ended_sends.end() || open != m_transfers.end();
   if (!known) return;
-  const SendRecord& record =
-      ended != m_ended_sends.end() ? ended->second : open->second.send_record;
-  if (record.unsent)
-    inputs.emplace_back("unsent", std::to_string(*record.unsent));
-  if (record.reset)
-    inputs.emplace_back("reset", *record.reset ? "done" : "due");
-  if (!record.handed_over) {
-    inputs.emplace_back("handed_over", "no");
-    return;
-  }
-  inputs.emplace_back("handed_over_ms_ago",
-                      Ms(m_loop.Now() - record.handed_over_at));
-  inputs.emplace_back("wait_out_then_ms", Ms(record.wait));
-  AddConnection(*record.handed_over, inputs);
-}
-
-void GatewayTraffic::AddConnection(const http::HandOver& what,
-                                   LogInputs& inputs) {
-  inputs.emplace_back("bytes", std::to_string(what.bytes));
-  if (what.new_connection)
-    inputs.emplace_back("connected_in_ms", Ms(what.connected_in));
-  inputs.emplace_back("local_port", std::to_string(what.local_port));
-  inputs.emplace_back("earlier_requests",
-                      std::to_string(what.earlier_requests));
-  if (what.since_error)
-    inputs.emplace_back("error_before_ms", Ms(*what.since_error));
+  AddTo(inputs,
+        ended != m_ended_sends.end() ? ended->second : open->second.send_record,
+        m_loop.Now());
 }
 
 void GatewayTraffic::Execute(const gateway::Decision& decision) const {
--- a/src/dotterelshift/app/gateway_traffic.h
+++ b/src/dotterelshift/app/gateway_traffic.h
@@ -11,6 +11,7 @@
 #include <vector>         // for vector
 
 #include "dotterelshift/app/link_guard.h"           // for LinkGuard
+#include "dotterelshift/app/send_record.h"          // for SendRecord
 #include "dotterelshift/app/unanswered_requests.h"  // for UnansweredRequests
 #include "dotterelshift/gateway/core.h"             // for Core
 #include "dotterelshift/gateway/dialect.h"          // for Dialect
@@ -79,16 +80,6 @@
     bool attempted = false;  // an attempt was started
     bool handed_over = false;  // its bytes were handed to a connection
   };
-  // How the request of an attempt was sent from this host, for the log.
-  struct SendRecord {
-    std::optional<http::HandOver> handed_over;
-    Instant handed_over_at{};
-    Duration wait{};  // expected wait for the outbound link at that time
-    std::optional<size_t> unsent;  // bytes, at the attempt's end
-    // Whether the connection of a cancelled attempt has been reset. nullopt if
-    // the attempt was not cancelled, or had handed nothing over.
-    std::optional<bool> reset;
-  };
   // The response of one attempt: buffered until it is complete, unless it is
   // streamed to the caller.
   struct Transfer {
@@ -103,7 +94,6 @@
     bool checked = false;  // whether its bytes were acknowledged
     SendRecord send_record;
   };
-  using LogInputs = std::vector<std::pair<std::string_view, std::string>>;
 
   http::ClientOptions MakeClientOptions(
       const std::string& source_address) const;
@@ -124,7 +114,6 @@
   // Keeps the send record of an attempt that has ended, for its last log lines.
   void KeepSendRecord(AttemptId attempt, const Transfer& transfer);
   void AddSendRecord(AttemptId attempt, LogInputs& inputs) const;
-  static void AddConnection(const http::HandOver& what, LogInputs& inputs);
 
   void Execute(const gateway::StartAttempt& start);
   void Execute(const gateway::CancelAttempt& cancel);
--- a/src/dotterelshift/http/client.cc
+++ b/src/dotterelshift/http/client.cc
@@ -27,9 +27,6 @@
 // Maximum number of idle connections kept for reuse.
 constexpr long kMaxIdleConnections = 4096;  // NOLINT(google-runtime-int)
 
-// Size of the receive buffer, one per open transfer.
-constexpr long kReadBuffer = 4 << 10;  // NOLINT(google-runtime-int)
-
 // Maximum number of curl handles kept for reuse.
 constexpr size_t kMaxSpareHandles = 256;
 
@@ -222,14 +219,12 @@
       m_open.Add(transfer.opened, transfer.connection);
       return true;
     }
-    const OpenConnection* connection = m_open.Find(transfer.connection);
-    if (connection == nullptr || connection->ids.IsFull()) return false;
-    if (connection->ids.Contains(transfer.request.id)) {
-      ++m_repeated_ids;
-      return false;
-    }
-    return m_sockets.BeginToAwait(connection->descriptor,
-                                  transfer.callbacks.due);
+    const Reuse reuse =
+        m_open.MayCarry(transfer.connection, transfer.request.id);
+    if (reuse == Reuse::kRepeatedId) ++m_repeated_ids;
+    const auto descriptor = m_open.DescriptorOf(transfer.connection);
+    return reuse == Reuse::kAllowed && descriptor &&
+           m_sockets.BeginToAwait(*descriptor, transfer.callbacks.due);
   }
 
   HandOver RecordSent(const Transfer& transfer) {
@@ -237,23 +232,14 @@
     const size_t bytes = BytesOf(request.headers) + request.body.size();
     m_bytes_sent += bytes;
     HandOver handed_over = HandOverOf(transfer.handle, bytes);
+    const EarlierUse before =
+        m_open.OnSent(transfer.connection, request.id, m_loop.Now());
     handed_over.local_port = transfer.connection.local_port;
-    OpenConnection* connection = m_open.Find(transfer.connection);
-    if (connection == nullptr) return handed_over;
-    connection->ids.Add(request.id);
-    handed_over.earlier_requests = connection->requests++;
-    if (connection->last_error != Instant{})
-      handed_over.since_error = m_loop.Now() - connection->last_error;
+    handed_over.earlier_requests = before.requests;
+    handed_over.since_error = before.since_error;
     return handed_over;
   }
 
-  void RecordStatus(const Transfer& transfer) {
-    constexpr int kFirstErrorStatus = 400;
-    if (transfer.head.Status() < kFirstErrorStatus) return;
-    OpenConnection* connection = m_open.Find(transfer.connection);
-    if (connection != nullptr) connection->last_error = m_loop.Now();
-  }
-
   static bool OnHeaderLine(Transfer& transfer, std::string_view line) {
     if (transfer.cancelled) return false;
     transfer.useless.OnDelivered();
@@ -266,7 +252,9 @@
         return false;
     }
     transfer.client->m_sockets.Forget(transfer.descriptor);
-    transfer.client->RecordStatus(transfer);
+    transfer.client->m_open.OnStatus(transfer.connection,
+                                     transfer.head.Status(),
+                                     transfer.client->m_loop.Now());
     const auto& on_head = transfer.callbacks.on_head;
     if (on_head) on_head(transfer.head.Status(), transfer.head.GetHeaders());
     return !transfer.cancelled;
@@ -379,34 +367,14 @@
   void SetOptions(Transfer& transfer) {
     CURL* handle = transfer.handle;
     const ClientRequest& request = transfer.request;
-    curl_easy_setopt(handle, CURLOPT_PRIVATE, &transfer);
-    curl_easy_setopt(handle, CURLOPT_URL, request.url.c_str());
-    curl_easy_setopt(handle, CURLOPT_PATH_AS_IS, 1L);
-    curl_easy_setopt(handle, CURLOPT_PROTOCOLS_STR, "http");
+    SetConnection(handle, request, m_options);
+    SetMethod(handle, request);
+    transfer.header_list = MakeHeaderList(request.headers);
+    curl_easy_setopt(handle, CURLOPT_HTTPHEADER, transfer.header_list);
     transfer.relay_headers = SetRelay(handle, request.relay);
-    curl_easy_setopt(handle, CURLOPT_NOSIGNAL, 1L);
     if (transfer.needs_new_connection)
       curl_easy_setopt(handle, CURLOPT_FRESH_CONNECT, 1L);
-    // A response to it that arrives once more would have a length, and no body.
-    if (request.method == "HEAD")
-      curl_easy_setopt(handle, CURLOPT_FORBID_REUSE, 1L);
-    curl_easy_setopt(handle, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
-    curl_easy_setopt(handle, CURLOPT_BUFFERSIZE, kReadBuffer);
-    const auto max_idle =
-        std::chrono::duration_cast<std::chrono::seconds>(m_options.max_idle);
-    curl_easy_setopt(handle, CURLOPT_MAXAGE_CONN,
-                     static_cast<long>(  // NOLINT(google-runtime-int)
-                         max_idle.count()));
-    if (!m_options.source_address.empty()) {
-      // The prefix says that it is an address and no name of an interface.
-      const std::string source = "host!" + m_options.source_address;
-      curl_easy_setopt(handle, CURLOPT_INTERFACE, source.c_str());
-    }
-    curl_easy_setopt(handle, CURLOPT_CONNECTTIMEOUT_MS,
-                     ToMs(request.connect_timeout));
-    if (request.total_timeout > 0s)
-      curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS,
-                       std::max<int64_t>(1, ToMs(request.total_timeout)));
+    curl_easy_setopt(handle, CURLOPT_PRIVATE, &transfer);
     curl_easy_setopt(handle, CURLOPT_SOCKOPTFUNCTION, OnOpened);
     curl_easy_setopt(handle, CURLOPT_SOCKOPTDATA, &transfer);
     curl_easy_setopt(handle, CURLOPT_CLOSESOCKETFUNCTION, OnClose);
@@ -417,9 +385,6 @@
     curl_easy_setopt(handle, CURLOPT_HEADERDATA, &transfer);
     curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, OnData);
     curl_easy_setopt(handle, CURLOPT_WRITEDATA, &transfer);
-    SetMethod(handle, request);
-    transfer.header_list = MakeHeaderList(request.headers);
-    curl_easy_setopt(handle, CURLOPT_HTTPHEADER, transfer.header_list);
   }
 
   void HandleFinishedTransfers() {
--- a/src/dotterelshift/http/curl_request.cc
+++ b/src/dotterelshift/http/curl_request.cc
@@ -1,6 +1,6 @@
 #include "dotterelshift/http/curl_request.h"
 
-#include <algorithm>    // for any_of, equal
+#include <algorithm>    // for any_of, equal, max
 #include <cctype>       // for tolower
 #include <string>       // for string
 #include <string_view>  // for string_view
@@ -8,6 +8,9 @@
 namespace dotterelshift::http {
 namespace {
 
+// Size of the receive buffer, one per open transfer.
+constexpr long kReadBuffer = 4 << 10;  // NOLINT(google-runtime-int)
+
 bool HasHeader(const Headers& headers, std::string_view name) {
   return std::ranges::any_of(headers, [name](const auto& header) {
     return std::ranges::equal(header.first, name, [](char a, char b) {
@@ -42,6 +45,34 @@
   return std::string(url.substr(0, url.find('/')));
 }
 
+void SetConnection(CURL* handle, const ClientRequest& request,
+                   const ClientOptions& options) {
+  curl_easy_setopt(handle, CURLOPT_URL, request.url.c_str());
+  curl_easy_setopt(handle, CURLOPT_PATH_AS_IS, 1L);
+  curl_easy_setopt(handle, CURLOPT_PROTOCOLS_STR, "http");
+  curl_easy_setopt(handle, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt(handle, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
+  curl_easy_setopt(handle, CURLOPT_BUFFERSIZE, kReadBuffer);
+  // A response to it that arrives once more would have a length, and no body.
+  if (request.method == "HEAD")
+    curl_easy_setopt(handle, CURLOPT_FORBID_REUSE, 1L);
+  const auto max_idle =
+      std::chrono::duration_cast<std::chrono::seconds>(options.max_idle);
+  curl_easy_setopt(handle, CURLOPT_MAXAGE_CONN,
+                   static_cast<long>(  // NOLINT(google-runtime-int)
+                       max_idle.count()));
+  if (!options.source_address.empty()) {
+    // The prefix says that it is an address and no name of an interface.
+    const std::string source = "host!" + options.source_address;
+    curl_easy_setopt(handle, CURLOPT_INTERFACE, source.c_str());
+  }
+  curl_easy_setopt(handle, CURLOPT_CONNECTTIMEOUT_MS,
+                   ToMs(request.connect_timeout));
+  if (request.total_timeout > 0s)
+    curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS,
+                     std::max<int64_t>(1, ToMs(request.total_timeout)));
+}
+
 void SetMethod(CURL* handle, const ClientRequest& request) {
   if (request.method == "GET" && request.body.empty()) {
     curl_easy_setopt(handle, CURLOPT_HTTPGET, 1L);
--- a/src/dotterelshift/http/curl_request.h
+++ b/src/dotterelshift/http/curl_request.h
@@ -7,7 +7,7 @@
 #include <string>       // for string
 #include <string_view>  // for string_view
 
-#include "dotterelshift/http/client.h"  // for ClientRequest
+#include "dotterelshift/http/client.h"  // for ClientOptions, ClientRequest
 
 namespace dotterelshift::http {
 
@@ -18,6 +18,10 @@
 // The server that a URL names, as IP:port.
 std::string ServerOf(std::string_view url);
 
+// Sets where the request goes, and how its connection is made and used.
+void SetConnection(CURL* handle, const ClientRequest& request,
+                   const ClientOptions& options);
+
 // Sets the method and the body, which must outlive the transfer.
 void SetMethod(CURL* handle, const ClientRequest& request);
 
--- a/src/dotterelshift/http/open_connections.cc
+++ b/src/dotterelshift/http/open_connections.cc
@@ -28,14 +28,12 @@
 
 bool SentIds::IsFull() const { return m_hashes.size() >= kMaxIds; }
 
-OpenConnection& OpenConnections::Add(int descriptor,
-                                     const ConnectionName& name) {
+void OpenConnections::Add(int descriptor, const ConnectionName& name) {
   Remove(descriptor);
   m_names[descriptor] = name;
-  OpenConnection& connection = m_connections[name];
+  Connection& connection = m_connections[name];
   connection = {};
   connection.descriptor = descriptor;
-  return connection;
 }
 
 void OpenConnections::Remove(int descriptor) {
@@ -48,9 +46,41 @@
   if (is_its_own) m_connections.erase(found);
 }
 
-OpenConnection* OpenConnections::Find(const ConnectionName& name) {
+std::optional<int> OpenConnections::DescriptorOf(
+    const ConnectionName& name) const {
   const auto found = m_connections.find(name);
-  return found == m_connections.end() ? nullptr : &found->second;
+  if (found == m_connections.end()) return std::nullopt;
+  return found->second.descriptor;
+}
+
+Reuse OpenConnections::MayCarry(const ConnectionName& name,
+                                std::string_view id) const {
+  const auto found = m_connections.find(name);
+  if (found == m_connections.end()) return Reuse::kNotKnown;
+  const SentIds& ids = found->second.ids;
+  if (ids.Contains(id)) return Reuse::kRepeatedId;
+  return ids.IsFull() ? Reuse::kNotKnown : Reuse::kAllowed;
+}
+
+EarlierUse OpenConnections::OnSent(const ConnectionName& name,
+                                   std::string_view id, Instant now) {
+  EarlierUse before;
+  const auto found = m_connections.find(name);
+  if (found == m_connections.end()) return before;
+  Connection& connection = found->second;
+  connection.ids.Add(id);
+  before.requests = connection.requests++;
+  if (connection.last_error != Instant{})
+    before.since_error = now - connection.last_error;
+  return before;
+}
+
+void OpenConnections::OnStatus(const ConnectionName& name, int status,
+                               Instant now) {
+  constexpr int kFirstErrorStatus = 400;
+  const auto found = m_connections.find(name);
+  if (status >= kFirstErrorStatus && found != m_connections.end())
+    found->second.last_error = now;
 }
 
 }  // namespace dotterelshift::http
--- a/src/dotterelshift/http/open_connections.h
+++ b/src/dotterelshift/http/open_connections.h
@@ -4,6 +4,7 @@
 #include <cstddef>        // for size_t
 #include <cstdint>        // for uint64_t
 #include <map>            // for map
+#include <optional>       // for optional
 #include <string>         // for string
 #include <string_view>    // for string_view
 #include <unordered_map>  // for unordered_map
@@ -37,27 +38,50 @@
   std::vector<uint64_t> m_hashes;
 };
 
-// An established connection.
-struct OpenConnection {
-  int descriptor = -1;
-  SentIds ids;
-  uint32_t requests = 0;  // sent on it
-  Instant last_error{};   // last response with an error status; epoch: none
+// What a connection carried before a request.
+struct EarlierUse {
+  uint32_t requests = 0;
+  // Since the last response with an error status; nullopt: there was none.
+  std::optional<Duration> since_error;
+};
+
+// Whether a request may be sent on an established connection.
+enum class Reuse : uint8_t {
+  kAllowed,
+  kNotKnown,    // what it carried is not known, or not kept any more
+  kRepeatedId,  // it has carried a request of the same id
 };
 
 // The established connections of a client. libcurl names a connection that it
 // is about to reuse, and not its descriptor.
+//
+// Load pattern: an endpoint refuses a request and starts again at its address;
+// the request goes to that address once more, where a copy of the refusal is
+// still to come. The copy bears the id of the request that is due.
 class OpenConnections {
  public:
-  OpenConnection& Add(int descriptor, const ConnectionName& name);
+  void Add(int descriptor, const ConnectionName& name);
   // It is closed.
   void Remove(int descriptor);
-  // nullptr: it is not known.
-  OpenConnection* Find(const ConnectionName& name);
+  // nullopt: it is not known.
+  std::optional<int> DescriptorOf(const ConnectionName& name) const;
+
+  Reuse MayCarry(const ConnectionName& name, std::string_view id) const;
+  // A request is sent on the connection, if it is known.
+  EarlierUse OnSent(const ConnectionName& name, std::string_view id,
+                    Instant now);
+  // The head of a response was received on it.
+  void OnStatus(const ConnectionName& name, int status, Instant now);
 
  private:
+  struct Connection {
+    int descriptor = -1;
+    SentIds ids;
+    uint32_t requests = 0;
+    Instant last_error{};  // the epoch: there was none
+  };
   std::unordered_map<int, ConnectionName> m_names;
-  std::map<ConnectionName, OpenConnection> m_connections;
+  std::map<ConnectionName, Connection> m_connections;
 };
 
 }  // namespace dotterelshift::http
