--- a/src/dotterelshift/http/repeated_ids_test.cc
+++ b/src/dotterelshift/http/repeated_ids_test.cc
@@ -212,7 +212,7 @@
     request.id = known_id;
     request.headers = {{"X-Id", id}};
     if (m_relayed) request.relay = Relay{server, "token"};
-    const auto sent = std::make_shared<Sent>();
+    auto sent = std::make_shared<Sent>();
     TransferCallbacks callbacks;
     callbacks.due.is_due = [id](int, const Headers& headers) {
       for (const auto& [name, value] : headers)
