--- a/src/dotterelshift/app/send_record.h
+++ b/src/dotterelshift/app/send_record.h
@@ -27,6 +27,7 @@
   std::optional<bool> reset;
 };
 
+// Adds what is known of the sending, with times relative to `now`.
 void AddTo(LogInputs& inputs, const SendRecord& record, Instant now);
 
 }  // namespace dotterelshift::app
--- a/src/dotterelshift/gateway/endpoint_paths.cc
+++ b/src/dotterelshift/gateway/endpoint_paths.cc
@@ -47,8 +47,8 @@
   return "unknown";
 }
 
-// An endpoint that starts again is as far away as the one before at its
-// address: whether it can be reached directly depends on the address.
+// Whether a direct connection is possible depends on the address, so that an
+// endpoint that starts at a known address takes its path over.
 void EndpointPaths::OnDirectory(const directory::Directory& directory,
                                 Instant now) {
   std::map<EndpointKey, Path> known = std::move(m_paths);
--- a/src/dotterelshift/http/client.cc
+++ b/src/dotterelshift/http/client.cc
@@ -50,7 +50,8 @@
   // No more callbacks are called; removed once curl has returned.
   bool cancelled = false;
   curl_socket_t descriptor = CURL_SOCKET_BAD;  // used now or last
-  curl_socket_t opened = CURL_SOCKET_BAD;      // for it
+  // The last one that libcurl opened for it.
+  curl_socket_t opened = CURL_SOCKET_BAD;
 };
 
 class CurlClient : public Client {
--- a/src/dotterelshift/http/open_connections.cc
+++ b/src/dotterelshift/http/open_connections.cc
@@ -7,10 +7,10 @@
 namespace dotterelshift::http {
 namespace {
 
-// Ids of one connection: 4 KiB, and one new connection in so many requests.
+// Maximum number of ids kept for one connection, which is then left: 4 KiB.
 constexpr size_t kMaxIds = 512;
 
-// Ids of the same hash only cost a connection.
+// Two ids with the same hash cost a new connection, and nothing else.
 uint64_t HashOf(std::string_view id) {
   return XXH3_64bits(id.data(), id.size());
 }
--- a/src/dotterelshift/http/repeated_ids_test.cc
+++ b/src/dotterelshift/http/repeated_ids_test.cc
@@ -22,7 +22,7 @@
 
 using testing::RunUntil;
 
-// A client keeps the ids of so many requests for each connection.
+// Requests with an id that a client sends on one connection at most.
 constexpr int kMaxRequests = 512;
 
 std::string ResponseTo(const std::string& id, int status) {
@@ -66,7 +66,7 @@
   // Accepts connections and answers the requests that have arrived.
   void Turn() {
     while (m_listener.HasConnection()) {
-      m_connections.push_back({m_listener.Accept(), {}, {}, 0});
+      m_connections.push_back({m_listener.Accept(), {}, {}});
       ++m_accepted;
     }
     for (Connection& connection : m_connections) Serve(connection);
@@ -77,7 +77,6 @@
     TestPeer peer;
     std::map<std::string, int> ids;
     std::string copy;  // of the last refusal, to be sent
-    int requests = 0;
   };
 
   void Serve(Connection& connection) {
