--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -3,7 +3,7 @@
 # TROUBLE=0 leaves the disruption out.
 set -u
 cd "$(dirname "$0")/../.."
-program=target/review-2/forged
+program=target/review-2/smuggled
 if [[ ! -x $program || ! -x target/dotterelshiftd ]]; then
   echo "run the deploy file's build and review/build-2.sh first" >&2
   exit 2
--- a/review/rig.hpp
+++ b/review/rig.hpp
@@ -400,6 +400,7 @@
 
 // A request as it arrived at the stand-in server.
 struct Arrived {
+  int64_t at = 0;    // milliseconds since the start
   std::string head;  // with the request line, as received
   std::string method;
   std::string path;
@@ -442,6 +443,18 @@
     for (int i = 0; i < 200 && !m_announced; ++i) SleepMs(50);
     if (!m_announced) throw CannotRun("the server was not acknowledged");
   }
+  // Says that it leaves, as servers do that never report `draining`: announces
+  // itself no more. Returns whether that was acknowledged.
+  bool Leave() {
+    m_leaves = true;
+    SleepMs(1100);
+    for (size_t i = 0; i < 20; ++i) {
+      const std::string path = "/dotterelshift/instances/" + m_id;
+      if (m_fleet.AtControl("DELETE", path, "", i).status == 200) return true;
+      SleepMs(100);
+    }
+    return false;
+  }
   std::vector<Arrived> Runs() {
     const std::lock_guard<std::mutex> lock(m_mutex);
     return m_runs;
@@ -449,7 +462,7 @@
 
  private:
   void Announce() {
-    for (int seq = 1;; ++seq) {
+    for (int seq = 1; !m_leaves; ++seq) {
       const Answer answer = m_fleet.AtControl(
           "PUT", "/dotterelshift/instances/" + m_id,
           m_report + std::to_string(seq) + "}", static_cast<size_t>(seq));
@@ -474,6 +487,7 @@
       while ((end = bytes.find("\r\n\r\n")) == std::string::npos)
         if (!ReadMore(fd, bytes)) return;
       Arrived request;
+      request.at = NowMs();
       request.head = bytes.substr(0, end + 4);
       std::istringstream lines(request.head);
       std::string line;
@@ -520,6 +534,7 @@
   std::string m_report;
   int m_fd = -1;
   std::atomic<bool> m_announced{false};
+  std::atomic<bool> m_leaves{false};
   std::mutex m_mutex;
   std::vector<Arrived> m_runs;
 };
