--- a/review/bodies.cpp
+++ b/review/bodies.cpp
@@ -43,9 +43,11 @@
   for (int i = 0; i < kUploaders; ++i) {
     uploads.emplace_back([&] {
       Channel channel(entry, fleet.Front(), 8000);
-      channel.Send(HeadOf("GET", "/f/first", 0));
+      channel.Send(HeadOf("GET", "/f/first", RandomId(), 0));
       if (channel.ReadResponse(3000).empty()) return;
-      channel.Send(HeadOf("POST", "/f/large", size));
+      const std::string id = RandomId();
+      record.Line("sent: POST /f/large id %s", id.c_str());
+      channel.Send(HeadOf("POST", "/f/large", id, size));
       const int64_t begin = NowMs();
       const size_t step = size / 60;
       for (size_t at = 0; at < size && channel.IsOpen(); at += step) {
@@ -54,12 +56,15 @@
             begin + static_cast<int64_t>(kUploadMs * (at + step) / size);
         if (due > NowMs()) SleepMs(static_cast<int>(due - NowMs()));
       }
-      if (!channel.ReadResponse(5000).empty()) ++answered;
+      const std::string answer = channel.ReadResponse(5000);
+      record.Line("answered: id %s: %s", id.c_str(), StatusOf(answer).c_str());
+      if (!answer.empty()) ++answered;
     });
   }
   for (std::thread& upload : uploads) upload.join();
   SleepMs(1500);
   callers.Stop();
+  RecordRuns(record, server.Runs());
   const int lost = callers.Lost(server.Runs());
   record.Line("uploads answered: %d of %d; most memory: %.0f MB; killed: %d; "
               "lost from kept channels: %d",
--- a/review/channels.cpp
+++ b/review/channels.cpp
@@ -40,13 +40,18 @@
   int answered = 0;
   for (int i = 0; i < count && watch.Kills() == 0; ++i) {
     auto channel = std::make_unique<Channel>(entry, fleet.Front());
-    channel->Send(HeadOf("POST", "/f/one", 600) + std::string(600, 'x'));
-    if (!channel->ReadResponse(1000).empty()) ++answered;
+    const std::string id = RandomId();
+    record.Line("sent: POST /f/one id %s", id.c_str());
+    channel->Send(HeadOf("POST", "/f/one", id, 600) + std::string(600, 'x'));
+    const std::string answer = channel->ReadResponse(1000);
+    record.Line("answered: id %s: %s", id.c_str(), StatusOf(answer).c_str());
+    if (!answer.empty()) ++answered;
     kept.push_back(std::move(channel));
   }
   record.Line("answered: %d; memory: %.0f MB", answered, watch.Most());
   SleepMs(2000);
   callers.Stop();
+  RecordRuns(record, server.Runs());
   const int lost = callers.Lost(server.Runs());
   record.Line("channels: %zu; most memory: %.0f MB; killed: %d; lost from kept "
               "channels: %d", kept.size(), watch.Most(), watch.Kills(), lost);
--- a/review/forgotten.cpp
+++ b/review/forgotten.cpp
@@ -35,12 +35,15 @@
   for (size_t i = 0; i < fleet.Entries(); ++i) {
     callers.emplace_back([&, i] {
       while (!stop) {
+        const std::string id = RandomId();
+        record.Line("sent: GET /f/entry-%zu id %s", i, id.c_str());
         const Answer answer =
             Call(fleet.Entry(i), fleet.Front(), "GET",
                  "/f/entry-" + std::to_string(i), "",
-                 "Host: h.example\r\nX-Request-Id: " + RandomId() +
+                 "Host: h.example\r\nX-Request-Id: " + id +
                      "\r\nX-Deadline-Ms: 1000\r\nX-Api-Key: key-a\r\n",
                  1000);
+        record.Line("answered: id %s: %d", id.c_str(), answer.status);
         if (answer.status == 200) ++served;
         SleepMs(20);
       }
@@ -80,6 +83,10 @@
   stop = true;
   for (std::thread& caller : callers) caller.join();
 
+  record.Line("at i-staying:");
+  RecordRuns(record, staying.Runs());
+  record.Line("at i-leaving:");
+  RecordRuns(record, leaving.Runs());
   int late = 0;
   int64_t first = 0;
   int64_t last = 0;
--- a/review/memory.hpp
+++ b/review/memory.hpp
@@ -105,7 +105,10 @@
           "POST /u/small HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: " + id +
           "\r\nX-Deadline-Ms: 4000\r\nX-Api-Key: key-a\r\n"
           "Content-Length: 5\r\n\r\nsmall");
+      m_record.Line("sent: POST /u/small id %s", id.c_str());
       const std::string answer = sent ? channel->ReadResponse(5000) : "";
+      m_record.Line("answered: id %s: %s", id.c_str(),
+                    StatusOf(answer).c_str());
       if (answer.empty()) {
         if (kept && sent) {
           m_record.Line("closed without an answer: %s", id.c_str());
@@ -127,9 +130,9 @@
 };
 
 inline std::string HeadOf(const char* method, const std::string& path,
-                          size_t body) {
+                          const std::string& id, size_t body) {
   return std::string(method) + " " + path +
-         " HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: " + RandomId() +
+         " HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: " + id +
          "\r\nX-Deadline-Ms: 8000\r\nX-Api-Key: key-a\r\nContent-Length: " +
          std::to_string(body) + "\r\n\r\n";
 }
--- a/review/rig.hpp
+++ b/review/rig.hpp
@@ -597,18 +597,33 @@
          "\"prepaid\":" + total + "}]}";
 }
 
+// Everything that the server ran, in the order of arrival.
+inline void RecordRuns(Record& record, const std::vector<Arrived>& runs) {
+  for (const Arrived& run : runs) {
+    record.Line("ran, begun at %lld: %s %s id %s, %zu bytes of body",
+                static_cast<long long>(run.at), run.method.c_str(),
+                run.path.c_str(), run.Header("x-request-id").c_str(),
+                run.body.size());
+  }
+}
+
+// The status of a response; "none" if there is no whole one.
+inline std::string StatusOf(const std::string& response) {
+  return response.size() > 12 ? response.substr(9, 3) : "none";
+}
+
 inline bool HasTrouble() {
   const char* trouble = getenv("TROUBLE");
   return trouble == nullptr || strcmp(trouble, "0") != 0;
 }
 
-// Runs `test`, which returns whether the rule held. ARGV[1] is the folder of
-// the case. The process ends without waiting for its threads.
+// Runs `test`, which returns whether the rule held. ARGV[1] is the file for the
+// record. The process ends without waiting for its threads.
 inline int Main(int argc, char** argv,
                 const std::function<bool(Record&)>& test) {
   signal(SIGPIPE, SIG_IGN);
   if (argc != 2) return 2;
-  Record record(std::string(argv[1]) + "/record.txt");
+  Record record(argv[1]);
   int code = 2;
   try {
     record.Line("trouble: %s", HasTrouble() ? "yes" : "no");
