--- a/cmake/Libraries.cmake
+++ b/cmake/Libraries.cmake
@@ -5,7 +5,6 @@
 find_package(nlohmann_json REQUIRED)
 find_package(prometheus-cpp REQUIRED COMPONENTS core)
 pkg_check_modules(CURL REQUIRED IMPORTED_TARGET libcurl)
-pkg_check_modules(MICROHTTPD REQUIRED IMPORTED_TARGET libmicrohttpd)
 pkg_check_modules(SODIUM REQUIRED IMPORTED_TARGET libsodium)
 pkg_check_modules(ZSTD REQUIRED IMPORTED_TARGET libzstd)
 pkg_check_modules(SIMDJSON REQUIRED IMPORTED_TARGET simdjson)
@@ -17,6 +16,6 @@
 add_library(libraries INTERFACE)
 target_link_libraries(libraries INTERFACE
   Boost::log yaml-cpp nlohmann_json::nlohmann_json prometheus-cpp::core
-  PkgConfig::CURL PkgConfig::MICROHTTPD PkgConfig::SODIUM PkgConfig::XXHASH PkgConfig::ZSTD
+  PkgConfig::CURL PkgConfig::SODIUM PkgConfig::XXHASH PkgConfig::ZSTD
   PkgConfig::SIMDJSON
   ev flatbuffers)
--- a/include/dotterelshift/http/server.h
+++ b/include/dotterelshift/http/server.h
@@ -14,6 +14,9 @@
 namespace dotterelshift::loop {
 class Loop;
 }
+namespace dotterelshift::memory {
+class Account;
+}
 
 namespace dotterelshift::http {
 
@@ -77,6 +80,8 @@
   kTooManyConnections,
   kSlowCaller,
   kCallerClosed,  // its sending side, before the request was handed over
+  kMalformed,     // it could be read in several ways, or in none
+  kNoMemory,      // for the request, with what the process holds already
 };
 
 // Called for connections that have not delivered a request yet. The first
@@ -93,16 +98,14 @@
   kCallerClosedFirst,  // the same before the request was handed over
   kCallerStalled,      // the caller did not read its response
   kAborted,            // by the handler
-  kIdleClose,          // the server closed the connection as idle
-  kReceiveDeadline,    // the server closed it at its receive deadline
   kOwnShutdown,        // the server was destroyed
-  kLibrary,            // ended by the library for a reason of its own
+  kWriteFailed,        // not because of the caller
 };
-inline constexpr size_t kUnansweredCauses = 8;
+inline constexpr size_t kUnansweredCauses = 6;
 std::string_view NameOf(UnansweredCause cause);
 // Whether this server is to blame, and not the caller or the handler.
 constexpr bool IsOwnFault(UnansweredCause cause) {
-  return cause >= UnansweredCause::kIdleClose;
+  return cause >= UnansweredCause::kOwnShutdown;
 }
 
 // A request that ended without a complete response.
@@ -127,6 +130,11 @@
   // default status and no body.
   std::function<std::pair<int, std::string>(ServerRefusal)> refusal;
   ConnectionCallbacks connections;
+  // What the process may hold in memory; nullptr: no limit. Must outlive the
+  // server.
+  memory::Account* memory = nullptr;
+  // Called for each request that is rejected as malformed, with the reason.
+  std::function<void(std::string_view why)> on_malformed;
   // Called once for each request that was received in full and whose connection
   // ends without a complete response.
   std::function<void(const Unanswered&)> on_unanswered;
@@ -138,7 +146,9 @@
   Duration idle;  // between a response and the next request
 };
 
-// An HTTP/1.1 server on the event loop (libmicrohttpd without threads).
+// An HTTP/1.1 server on the event loop. A request that different readers could
+// take for different requests is rejected, and nothing behind it on its
+// connection is read.
 class Server {
  public:
   virtual ~Server() = default;
--- a/src/dotterelshift/callers/front.cc
+++ b/src/dotterelshift/callers/front.cc
@@ -42,6 +42,7 @@
 ErrorKind KindOf(http::ServerRefusal refusal) {
   switch (refusal) {
     case http::ServerRefusal::kHeadTooLarge:
+    case http::ServerRefusal::kMalformed:
       return ErrorKind::kBadHeader;
     case http::ServerRefusal::kBodyTooLarge:
       return ErrorKind::kBodyTooLarge;
@@ -50,6 +51,8 @@
     case http::ServerRefusal::kCallerClosed:
       // The status says that the request has not run and may be sent again.
       return ErrorKind::kNotReady;
+    case http::ServerRefusal::kNoMemory:
+      return ErrorKind::kOverloaded;
     case http::ServerRefusal::kSlowCaller:
       break;
   }
--- a/src/dotterelshift/http/connection.cc
+++ b/src/dotterelshift/http/connection.cc
@@ -19,24 +19,32 @@
 
 std::string_view NameOf(UnansweredCause cause) {
   constexpr std::array<std::string_view, kUnansweredCauses> kNames = {
-      "caller_closed", "caller_closed_first", "caller_stalled", "aborted",
-      "idle_close",    "receive_deadline",    "own_shutdown",   "library"};
+      "caller_closed", "caller_closed_first", "caller_stalled",
+      "aborted",       "own_shutdown",        "write_failed"};
   return kNames.at(static_cast<size_t>(cause));
 }
 
 int DefaultStatusOf(ServerRefusal refusal) {
+  constexpr int kBadRequest = 400;
+  constexpr int kRequestTimeout = 408;
+  constexpr int kContentTooLarge = 413;
+  constexpr int kFieldsTooLarge = 431;
+  constexpr int kServiceUnavailable = 503;
   switch (refusal) {
+    case ServerRefusal::kMalformed:
+      return kBadRequest;
     case ServerRefusal::kBodyTooLarge:
-      return MHD_HTTP_CONTENT_TOO_LARGE;
+      return kContentTooLarge;
     case ServerRefusal::kHeadTooLarge:
-      return MHD_HTTP_REQUEST_HEADER_FIELDS_TOO_LARGE;
+      return kFieldsTooLarge;
     case ServerRefusal::kSlowCaller:
-      return MHD_HTTP_REQUEST_TIMEOUT;
+      return kRequestTimeout;
     case ServerRefusal::kTooManyConnections:
     case ServerRefusal::kCallerClosed:
+    case ServerRefusal::kNoMemory:
       break;
   }
-  return MHD_HTTP_SERVICE_UNAVAILABLE;
+  return kServiceUnavailable;
 }
 
 bool HasUnread(const Connection& connection) {
@@ -44,33 +52,18 @@
   return ::recv(connection.descriptor, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
 }
 
-void WriteTimeoutRefusal(const Connection& connection, int status,
-                         const std::string& body) {
-  const std::string answer =
-      "HTTP/1.1 " + std::to_string(status) +
-      " Request Timeout\r\nConnection: close\r\nContent-Type: "
-      "application/json\r\nDotterelshift-Ran: no\r\nRetry-After: "
-      "1\r\nContent-Length: " +
-      std::to_string(body.size()) + "\r\n\r\n" + body;
-  [[maybe_unused]] const ssize_t sent =
-      ::send(connection.descriptor, answer.data(), answer.size(),
-             MSG_NOSIGNAL | MSG_DONTWAIT);
-}
-
-UnansweredCause CauseOf(const Connection& connection,
-                        MHD_RequestTerminationCode code, bool stopping) {
-  if (connection.own_close) return *connection.own_close;
+UnansweredCause CauseOf(const Connection& connection, bool stopping,
+                        bool stalled) {
   if (!connection.handed_over && connection.caller_closed)
     return UnansweredCause::kCallerClosedFirst;
   if (connection.exchange->IsCallerGone())
     return UnansweredCause::kCallerClosed;
   if (stopping) return UnansweredCause::kOwnShutdown;
   if (connection.exchange->IsAborted()) return UnansweredCause::kAborted;
-  if (code == MHD_REQUEST_TERMINATED_TIMEOUT_REACHED)
-    return UnansweredCause::kCallerStalled;
+  if (stalled) return UnansweredCause::kCallerStalled;
   if (HasCallerClosed(connection.descriptor))
     return UnansweredCause::kCallerClosed;
-  return UnansweredCause::kLibrary;
+  return UnansweredCause::kWriteFailed;
 }
 
 }  // namespace dotterelshift::http
--- a/src/dotterelshift/http/receive_deadlines.cc
+++ b/src/dotterelshift/http/deadlines.cc
@@ -1,21 +1,21 @@
-#include "dotterelshift/http/receive_deadlines.h"
+#include "dotterelshift/http/deadlines.h"
 
 namespace dotterelshift::http {
 
-void ReceiveDeadlines::Set(Connection& connection, Instant deadline) {
+void Deadlines::Set(Connection& connection, Instant deadline) {
   Remove(connection);
-  connection.receiving = true;
-  connection.receive_deadline = deadline;
+  connection.has_deadline = true;
+  connection.deadline = deadline;
   const auto [position, added] = m_waiting.emplace(deadline, &connection);
   if (position == m_waiting.begin()) m_timer.ArmAt(deadline);
 }
 
-void ReceiveDeadlines::Remove(Connection& connection) {
-  if (!std::exchange(connection.receiving, false)) return;
-  m_waiting.erase({connection.receive_deadline, &connection});
+void Deadlines::Remove(Connection& connection) {
+  if (!std::exchange(connection.has_deadline, false)) return;
+  m_waiting.erase({connection.deadline, &connection});
 }
 
-void ReceiveDeadlines::OnTimer() {
+void Deadlines::OnTimer() {
   const Instant now = m_loop.Now();
   while (!m_waiting.empty() && m_waiting.begin()->first <= now) {
     Connection& connection = *m_waiting.begin()->second;
--- a/src/dotterelshift/http/receive_deadlines.h
+++ b/src/dotterelshift/http/deadlines.h
@@ -1,23 +1,24 @@
-#ifndef DOTTERELSHIFT_SRC_HTTP_RECEIVE_DEADLINES_H_
-#define DOTTERELSHIFT_SRC_HTTP_RECEIVE_DEADLINES_H_
+#ifndef DOTTERELSHIFT_SRC_HTTP_DEADLINES_H_
+#define DOTTERELSHIFT_SRC_HTTP_DEADLINES_H_
 
 #include <functional>  // for function
 #include <set>         // for set
-#include <utility>     // for pair
+#include <utility>     // for move
 
 #include "dotterelshift/base/time.h"        // for Instant
 #include "dotterelshift/http/connection.h"  // for Connection
-#include "dotterelshift/loop/loop.h"        // for Timer
+#include "dotterelshift/loop/loop.h"        // for Loop
 
 namespace dotterelshift::http {
 
-// The connections that are idle or receive a request, by their deadlines.
-class ReceiveDeadlines {
+// The deadlines of connections: until when a caller is to send or to read. One
+// timer serves all of them.
+class Deadlines {
  public:
   using Callback = std::function<void(Connection&)>;
   // Calls back for each connection whose deadline has passed, after it was
   // taken out. The callback may set it again.
-  ReceiveDeadlines(loop::Loop& loop, Callback on_passed)
+  Deadlines(loop::Loop& loop, Callback on_passed)
       : m_loop(loop),
         m_on_passed(std::move(on_passed)),
         m_timer(loop, [this] { OnTimer(); }) {}
@@ -27,9 +28,6 @@
   // Takes a connection out, if it is in.
   void Remove(Connection& connection);
 
-  auto begin() const { return m_waiting.begin(); }
-  auto end() const { return m_waiting.end(); }
-
  private:
   void OnTimer();
 
@@ -41,4 +39,4 @@
 
 }  // namespace dotterelshift::http
 
-#endif  // DOTTERELSHIFT_SRC_HTTP_RECEIVE_DEADLINES_H_
+#endif  // DOTTERELSHIFT_SRC_HTTP_DEADLINES_H_
--- a/src/dotterelshift/http/exchange.cc
+++ b/src/dotterelshift/http/exchange.cc
@@ -1,7 +1,7 @@
 #include "dotterelshift/http/exchange.h"
 
 #include <algorithm>  // for min
-#include <cstring>    // for memcpy
+#include <optional>   // for optional
 #include <utility>    // for move
 
 namespace dotterelshift::http {
@@ -10,62 +10,53 @@
 // Memory of a drained buffer above this size is released.
 constexpr size_t kMaxRetainedBuffer = 32 << 10;
 
-// Size of the library's buffer for a streamed response to a caller without
-// chunked encoding, one per response. Chunks are read into the connection's own
-// memory instead.
-constexpr size_t kResponseBlockBytes = 1 << 10;
-
 }  // namespace
 
-void MhdExchange::Answer(int status, const Headers& headers, std::string body) {
+void ServerExchange::Answer(int status, const Headers& headers,
+                            std::string body) {
   if (!Open() || m_phase != Phase::kWaiting) return;
   SetHead(status, headers);
   m_out = std::move(body);
+  m_held.Set(m_out.size());
   m_phase = Phase::kWhole;
   Wake();
 }
 
-void MhdExchange::SendHead(int status, const Headers& headers) {
+void ServerExchange::SendHead(int status, const Headers& headers) {
   if (!Open() || m_phase != Phase::kWaiting) return;
   SetHead(status, headers);
   m_phase = Phase::kStreaming;
   Wake();
 }
 
-void MhdExchange::WriteChunk(std::string_view chunk) {
+void ServerExchange::WriteChunk(std::string_view chunk) {
   if (!Open() || m_phase != Phase::kStreaming || chunk.empty()) return;
   m_out.append(chunk);
+  m_held.Set(m_out.size());
   Wake();
 }
 
-void MhdExchange::Finish() {
+void ServerExchange::Finish() {
   if (!Open() || m_phase != Phase::kStreaming) return;
   m_phase = Phase::kFinished;
   Wake();
 }
 
-void MhdExchange::Abort() {
+void ServerExchange::Abort() {
   if (!Open()) return;
   m_phase = Phase::kAborted;
   Wake();
 }
 
-void MhdExchange::OnGone(std::function<void()> callback) {
+void ServerExchange::OnGone(std::function<void()> callback) {
   m_on_gone = std::move(callback);
 }
 
-void MhdExchange::OnDrained(std::function<void()> callback) {
+void ServerExchange::OnDrained(std::function<void()> callback) {
   m_on_drained = std::move(callback);
 }
 
-MHD_Result MhdExchange::Continue() {
-  if (m_gone || m_phase == Phase::kAborted) return MHD_NO;
-  if (m_phase != Phase::kWaiting) return Queue();
-  Suspend();
-  return MHD_YES;
-}
-
-void MhdExchange::CallerGone() {
+void ServerExchange::CallerGone() {
   if (!Open()) return;
   m_gone = true;
   Wake();
@@ -74,82 +65,65 @@
   if (callback) callback();
 }
 
-void MhdExchange::Detach(bool whole) {
+void ServerExchange::Detach(bool whole) {
   if (!whole) CallerGone();
-  m_connection = nullptr;
-  m_request_run = nullptr;
+  m_wake = nullptr;
   m_on_gone = nullptr;
   m_on_drained = nullptr;
+  m_held.Set(0);
 }
 
-ssize_t MhdExchange::Read(void* self, uint64_t, char* buffer, size_t room) {
-  return (*static_cast<std::shared_ptr<MhdExchange>*>(self))
-      ->Take(buffer, room);
+void ServerExchange::Produce(size_t room, std::string* out) {
+  if (m_gone || !m_head_given || m_ended) return;
+  if (!m_head_produced) ProduceHead(out);
+  if (Backlog() > 0) ProduceBody(room, out);
+  // An aborted response ends after the chunks that were written before.
+  if (Backlog() == 0 && IsWhole()) ProduceEnd(out);
 }
 
-void MhdExchange::Release(void* self) {
-  delete static_cast<std::shared_ptr<MhdExchange>*>(self);
+void ServerExchange::ProduceHead(std::string* out) {
+  const std::optional<size_t> length =
+      m_phase == Phase::kWhole ? std::optional(m_out.size()) : std::nullopt;
+  m_framing = FramingOf(m_status, length, m_terms);
+  m_close = m_close || !m_terms.keep_alive || AsksToClose(m_headers) ||
+            m_framing == ResponseFraming::kClose;
+  *out += MakeResponseHead(m_status, m_headers, m_framing, length, m_close,
+                           m_terms);
+  m_head_produced = true;
+  m_headers = {};
 }
 
-// An aborted response ends after the chunks that were written before.
-ssize_t MhdExchange::Take(char* buffer, size_t room) {
-  if (m_gone) return MHD_CONTENT_READER_END_WITH_ERROR;
+void ServerExchange::ProduceBody(size_t room, std::string* out) {
   const size_t size = std::min(room, Backlog());
-  if (size == 0) {
-    if (m_phase == Phase::kAborted) return MHD_CONTENT_READER_END_WITH_ERROR;
-    if (m_phase == Phase::kFinished) return MHD_CONTENT_READER_END_OF_STREAM;
-    Suspend();
-    return 0;
-  }
-  std::memcpy(buffer, m_out.data() + m_consumed_bytes, size);
+  const std::string_view data(m_out.data() + m_consumed_bytes, size);
+  if (m_framing == ResponseFraming::kChunked)
+    AppendChunk(data, out);
+  else if (m_framing != ResponseFraming::kNoBody)
+    out->append(data);
   m_consumed_bytes += size;
-  if (m_consumed_bytes == m_out.size()) {
-    m_consumed_bytes = 0;
-    m_out.clear();
-    if (m_out.capacity() > kMaxRetainedBuffer) m_out.shrink_to_fit();
-    if (m_on_drained) m_on_drained();
-  }
-  return static_cast<ssize_t>(size);
-}
-
-void MhdExchange::SetHead(int status, const Headers& headers) {
-  m_status = status;
-  m_headers = headers;
+  if (m_consumed_bytes < m_out.size()) return;
+  m_consumed_bytes = 0;
+  m_out.clear();
+  if (m_out.capacity() > kMaxRetainedBuffer) m_out.shrink_to_fit();
+  m_held.Set(0);
+  // The callback may replace itself.
+  const auto callback = m_on_drained;
+  if (callback) callback();
 }
 
-MHD_Result MhdExchange::Queue() {
-  auto* self = new std::shared_ptr<MhdExchange>(shared_from_this());
-  MHD_Response* response =
-      m_phase == Phase::kWhole
-          ? MHD_create_response_from_buffer_with_free_callback_cls(
-                m_out.size(), m_out.data(), Release, self)
-          : MHD_create_response_from_callback(
-                MHD_SIZE_UNKNOWN, kResponseBlockBytes, Read, self, Release);
-  if (response == nullptr) {
-    Release(self);
-    return MHD_NO;
-  }
-  for (const auto& [name, value] : m_headers)
-    MHD_add_response_header(response, name.c_str(), value.c_str());
-  const char* connection = MHD_get_response_header(response, "Connection");
-  if (m_close && connection == nullptr)
-    MHD_add_response_header(response, "Connection", "close");
-  const MHD_Result queued = MHD_queue_response(
-      m_connection, static_cast<unsigned>(m_status), response);
-  MHD_destroy_response(response);
-  return queued;
+void ServerExchange::ProduceEnd(std::string* out) {
+  if (m_framing == ResponseFraming::kChunked) out->append(kLastChunk);
+  m_ended = true;
 }
 
-void MhdExchange::Suspend() {
-  m_suspended = true;
-  MHD_suspend_connection(m_connection);
+void ServerExchange::SetHead(int status, const Headers& headers) {
+  m_status = status;
+  m_headers = headers;
+  m_head_given = true;
 }
 
-void MhdExchange::Wake() {
-  if (!m_suspended) return;
-  m_suspended = false;
-  MHD_resume_connection(m_connection);
-  m_request_run();
+void ServerExchange::Wake() {
+  if (m_wake) m_wake();
 }
 
 }  // namespace dotterelshift::http
