--- a/daemon/main.cc
+++ b/daemon/main.cc
@@ -139,11 +139,15 @@
     TCLAP::CmdLine line("One daemon of a dotterelshift fleet.", ' ', "0.1");
     TCLAP::ValueArg<std::string> settings_path(
         "s", "settings", "YAML settings file", true, "", "FILE", line);
+    TCLAP::ValueArg<uint32_t> memory_mb(
+        "m", "memory-mb", "memory of the process, instead of its setting",
+        false, 0, "MEGABYTES", line);
     line.parse(argc, argv);
     if (sodium_init() < 0)
       throw Error(ErrorKind::kInternal, "libsodium failed to initialize");
-    const settings::Settings settings =
+    settings::Settings settings =
         settings::ReadSettings(settings_path.getValue());
+    if (memory_mb.isSet()) settings.memory_mb = memory_mb.getValue();
     telemetry::StartLog(settings.host, ParseLogLevel(settings.log_level));
     Run(settings, settings_path.getValue());
     return 0;
--- a/include/dotterelshift/http/client.h
+++ b/include/dotterelshift/http/client.h
@@ -39,6 +39,8 @@
   std::string url;  // the host is an IP address; names are not resolved
   Headers headers;
   std::string body;
+  // Is sent instead of `body`, unless it is null.
+  std::shared_ptr<const std::string> shared_body;
   Duration connect_timeout = 1s;
   Duration total_timeout = 0s;  // 0: no limit
   std::optional<Relay> relay;   // nullopt: a direct connection
@@ -46,6 +48,8 @@
   // are never sent on the same connection: the response to the first, sent once
   // more, would be taken for that to the second. Empty: it has none.
   std::string id;
+
+  const std::string& Body() const { return shared_body ? *shared_body : body; }
 };
 
 // Describes how a request was handed over to its connection.
--- a/include/dotterelshift/settings/settings.h
+++ b/include/dotterelshift/settings/settings.h
@@ -71,6 +71,7 @@
   // Local IP address of connections to endpoints; empty: the system chooses.
   std::string source_address;
   uint32_t max_connections = 4096;
+  uint32_t memory_mb = 64;  // that the process may use; 0: the machine's
   Duration receive_timeout = 10s;
   Tokens default_output_limit = 1024;
   Tokens max_output_limit = 32768;
--- a/src/dotterelshift/app/control.cc
+++ b/src/dotterelshift/app/control.cc
@@ -16,6 +16,7 @@
 #include "dotterelshift/app/member_dials.h"        // for MemberDials
 #include "dotterelshift/app/operator_backend.h"    // for MakeControlBackend
 #include "dotterelshift/app/origin_store.h"        // for OriginStore
+#include "dotterelshift/app/process_memory.h"      // for ProcessMemory
 #include "dotterelshift/app/routes_control.h"      // for ControlAdapter
 #include "dotterelshift/app/routes_port.h"         // for MakeRoutesControl
 #include "dotterelshift/app/suspect_changes.h"     // for SuspectChangesIn
@@ -56,7 +57,7 @@
   void DialMemberAddress(const std::string& address);
   void HangUpOldMembers();
 
-  http::ServerOptions ServerOptions() const;
+  http::ServerOptions ServerOptions();
   peers::HubCallbacks HubCallbacks();
   ControlReplicaCallbacks ReplicaCallbacks();
   void LogLeadership() const;
@@ -82,6 +83,7 @@
 
   loop::Loop& m_loop;
   settings::Settings m_settings;
+  ProcessMemory m_memory;
   HostRun m_self;
   std::string m_secret;
   uint64_t m_sequence = 0;
@@ -112,6 +114,7 @@
                  std::unique_ptr<ControlAdapter> adapter)
     : m_loop(loop),
       m_settings(settings),
+      m_memory(settings),
       m_self{settings.host, incarnation},
       m_secret(settings::ReadSecret(settings.secret_file)),
       m_adapter(std::move(adapter)),
@@ -130,11 +133,11 @@
   if (settings.metrics_port != 0) {
     const std::string listen =
         settings.address + ":" + std::to_string(settings.metrics_port);
-    m_metrics_server =
-        http::MakeServer(loop, ListenOptionsAt(settings, listen),
-                         [this](std::shared_ptr<http::Exchange> exchange) {
-                           OnExchange(std::move(exchange));
-                         });
+    m_metrics_server = http::MakeServer(
+        loop, ListenOptionsAt(settings, listen, m_memory.Account()),
+        [this](std::shared_ptr<http::Exchange> exchange) {
+          OnExchange(std::move(exchange));
+        });
   }
   m_hub = peers::MakeHub(
       loop, MakeHubOptions(settings, m_secret, incarnation, m_server->Port()),
@@ -171,8 +174,8 @@
   m_tick.ArmIn(0ms);
 }
 
-http::ServerOptions Control::ServerOptions() const {
-  http::ServerOptions options = ListenOptions(m_settings);
+http::ServerOptions Control::ServerOptions() {
+  http::ServerOptions options = ListenOptions(m_settings, m_memory.Account());
   options.refusal = callers::ServerRefusalResponse;
   return options;
 }
@@ -434,6 +437,7 @@
 
 void Control::OnTick() {
   const Instant now = m_loop.Now();
+  m_memory.OnTick(*m_hub, now);
   SendOrders();
   // Retries pushes that were postponed because of an entry's backlog.
   SchedulePushes();
@@ -485,6 +489,7 @@
   SetRoutesSentCounters(*m_metrics, m_pushes->Sent());
   SetHubMetrics(*m_metrics, *m_hub);
   m_origins.SetMetrics(*m_metrics);
+  m_memory.SetMetrics(*m_metrics);
 }
 
 }  // namespace
--- a/src/dotterelshift/app/entry.cc
+++ b/src/dotterelshift/app/entry.cc
@@ -7,7 +7,9 @@
 #include "dotterelshift/app/dial_log.h"            // for LogDial
 #include "dotterelshift/app/directory_exchange.h"  // for DirectoryExchange
 #include "dotterelshift/app/hub_options.h"         // for MakeHubOptions
+#include "dotterelshift/app/listen_options.h"      // for SetAccount
 #include "dotterelshift/app/operator_backend.h"    // for OperatorBackend
+#include "dotterelshift/app/process_memory.h"      // for ProcessMemory
 #include "dotterelshift/app/registration.h"        // for Registration
 #include "dotterelshift/app/request_traffic.h"     // for RequestTraffic
 #include "dotterelshift/telemetry/log.h"           // for Log
@@ -45,7 +47,7 @@
   static routing::RouterOptions MakeRouterOptions(
       const settings::Settings& settings, Incarnation incarnation);
   callers::FrontOptions FrontOptions() const;
-  http::ServerOptions ServerOptions() const;
+  http::ServerOptions ServerOptions();
   peers::HubCallbacks HubCallbacks();
   void OnExchange(std::shared_ptr<http::Exchange> exchange);
   void AnswerReady(http::Exchange& exchange);
@@ -59,6 +61,7 @@
 
   loop::Loop& m_loop;
   settings::Settings m_settings;
+  ProcessMemory m_memory;
   HostRun m_self;
   std::optional<Registration> m_registration;  // once the peer port is known
   std::string m_secret;
@@ -89,6 +92,7 @@
              Incarnation incarnation)
     : m_loop(loop),
       m_settings(settings),
+      m_memory(settings),
       m_self{settings.host, incarnation},
       m_secret(settings::ReadSecret(settings.secret_file)),
       m_link([&] {
@@ -181,8 +185,9 @@
   return options;
 }
 
-http::ServerOptions Entry::ServerOptions() const {
+http::ServerOptions Entry::ServerOptions() {
   http::ServerOptions options;
+  SetAccount(options, m_memory.Account(), "http");
   options.address = m_settings.http_address;
   options.port = m_settings.http_port;
   options.max_body_bytes = m_settings.max_body_bytes;
@@ -284,6 +289,7 @@
 
 void Entry::OnTick() {
   const Instant now = m_loop.Now();
+  m_memory.OnTick(*m_hub, now);
   std::vector<wire::BudgetHoldingT> holdings;
   for (const budget::BudgetHandle budget : m_ledger->All()) {
     if (m_ledger->Held(budget) == 0) continue;
--- a/src/dotterelshift/app/gateway_entry.cc
+++ b/src/dotterelshift/app/gateway_entry.cc
@@ -18,6 +18,7 @@
 #include "dotterelshift/app/link_guard.h"             // for LinkGuard
 #include "dotterelshift/app/listen_options.h"         // for ListenOptions
 #include "dotterelshift/app/origin_exchange.h"        // for OriginExchange
+#include "dotterelshift/app/process_memory.h"         // for ProcessMemory
 #include "dotterelshift/app/registration.h"           // for Registration
 #include "dotterelshift/app/version_tracker.h"        // for VersionTracker
 #include "dotterelshift/callers/front.h"              // for SendErrorResponse
@@ -80,6 +81,7 @@
 
   loop::Loop& m_loop;
   settings::Settings m_settings;
+  ProcessMemory m_memory;
   uint64_t m_sequence = 0;
   Registration m_registration;
   std::unique_ptr<gateway::Dialect> m_dialect;
@@ -121,6 +123,7 @@
                            std::unique_ptr<gateway::Dialect> dialect)
     : m_loop(loop),
       m_settings(settings),
+      m_memory(settings),
       m_registration(RegistrationOptionsOf(settings, incarnation)),
       m_dialect(std::move(dialect)),
       m_link(ControlLinkOptionsOf(m_registration.Self())),
@@ -205,7 +208,8 @@
 }
 
 void GatewayEntry::StartServers() {
-  http::ServerOptions options = ListenOptions(m_settings);
+  http::ServerOptions options = ListenOptions(m_settings, m_memory.Account());
+  m_traffic->SetMemory(&m_memory.Account());
   m_link_guard.SetOptions(options);
   m_traffic->SetOptions(options);
   m_server = http::MakeServer(m_loop, options,
@@ -216,14 +220,18 @@
     OnHealth(*exchange);
   };
   if (!m_settings.health_listen.empty()) {
-    m_health = http::MakeServer(
-        m_loop, ListenOptionsAt(m_settings, m_settings.health_listen), health);
+    m_health =
+        http::MakeServer(m_loop,
+                         ListenOptionsAt(m_settings, m_settings.health_listen,
+                                         m_memory.Account()),
+                         health);
   }
   if (m_settings.metrics_port != 0) {
     const std::string listen =
         m_settings.address + ":" + std::to_string(m_settings.metrics_port);
-    m_metrics_server =
-        http::MakeServer(m_loop, ListenOptionsAt(m_settings, listen), health);
+    m_metrics_server = http::MakeServer(
+        m_loop, ListenOptionsAt(m_settings, listen, m_memory.Account()),
+        health);
   }
 }
 
@@ -376,6 +384,7 @@
 
 void GatewayEntry::OnTick() {
   const Instant now = m_loop.Now();
+  m_memory.OnTick(*m_hub, now);
   m_link_guard.OnControlRoundTrip(m_link.TakeMaxHeartbeatTime());
   m_link_guard.Watch(*m_server, m_hub->Counters(), now);
   m_link.SetHoldings(m_budgets.Holdings(now));
@@ -473,6 +482,7 @@
   m_versions.SetMetrics(*m_metrics, *m_core);
   m_origins.SetMetrics(*m_metrics);
   m_relays->SetMetrics(*m_metrics);
+  m_memory.SetMetrics(*m_metrics);
   SetSuspectMetrics(*m_metrics, m_suspects, *m_core, m_loop.Now());
 }
 
--- a/src/dotterelshift/app/gateway_traffic.cc
+++ b/src/dotterelshift/app/gateway_traffic.cc
@@ -43,6 +43,9 @@
 // Shorter waits for the outbound link are left out of a request's log lines.
 constexpr Duration kMinLoggedWait = 20ms;
 
+// Memory of a request that is sent on, without its body: mostly libcurl's.
+constexpr size_t kTransferBytes = 16 << 10;
+
 // A response of which no more is held does not matter for the sum.
 constexpr size_t kSmallResponseBytes = 16 << 10;
 
@@ -172,7 +175,8 @@
   onward.url = "http://" + start.endpoint.address + request.path;
   if (!request.query.empty()) onward.url += "?" + request.query;
   onward.headers = m_dialect.OnwardHeaders(request, start);
-  onward.body = request.body;
+  // Keeps the caller's exchange while the body is sent.
+  onward.shared_body = {open->second.exchange, &request.body};
   onward.id = open->second.caller_id;
   onward.connect_timeout = start.relay ? kRelayConnectTimeout : kConnectTimeout;
   if (start.relay)
@@ -197,6 +201,8 @@
   Transfer& transfer = m_transfers[attempt];
   transfer.request = start.request;
   transfer.relayed = start.relay.has_value();
+  transfer.held.emplace(m_memory, memory::Use::kTransfers);
+  transfer.held->Set(kTransferBytes);
   transfer.first = !std::exchange(open->second.attempted, true);
   transfer.id = m_client->Start(std::move(onward), std::move(callbacks));
 }
@@ -276,7 +282,11 @@
   m_response_bytes += piece.size() + gateway::kPacketHeaderBytes;
   const auto transfer = m_transfers.find(attempt);
   if (transfer == m_transfers.end()) return true;
-  if (!transfer->second.streamed) transfer->second.body.append(piece);
+  if (!transfer->second.streamed) {
+    std::string& body = transfer->second.body;
+    body.append(piece);
+    transfer->second.held->Set(kTransferBytes + body.capacity());
+  }
   const RequestId request = transfer->second.request;
   m_core.OnChunk(attempt, piece, m_loop.Now());
   Pump();
--- a/src/dotterelshift/app/gateway_traffic.h
+++ b/src/dotterelshift/app/gateway_traffic.h
@@ -19,6 +19,7 @@
 #include "dotterelshift/http/client.h"              // for Client
 #include "dotterelshift/http/server.h"              // for Exchange
 #include "dotterelshift/loop/loop.h"                // for Loop
+#include "dotterelshift/memory/account.h"           // for Account, Holding
 #include "dotterelshift/telemetry/metrics.h"        // for Metrics
 
 namespace dotterelshift::app {
@@ -57,6 +58,10 @@
   void SetIdleClosed(IdleClosed callback) {
     m_idle_closed = std::move(callback);
   }
+  // Counts requests that are sent on, and their responses, in the account.
+  // Without one they are not counted.
+  void SetMemory(memory::Account* memory) { m_memory = memory; }
+
   void SetMetrics() const;
   size_t OpenResponses() const { return m_open.size(); }
   // Reports attempts whose bytes stay unacknowledged. To be called regularly.
@@ -93,6 +98,7 @@
     bool relayed = false;
     bool checked = false;  // whether its bytes were acknowledged
     SendRecord send_record;
+    std::optional<memory::Holding> held;  // of the process's memory
   };
 
   http::ClientOptions MakeClientOptions(
@@ -151,6 +157,7 @@
   // executed.
   std::unordered_map<AttemptId, SendRecord> m_ended_sends;
   RequestId m_last_request = 0;
+  memory::Account* m_memory = nullptr;
   KeepPolicy m_may_keep;
   IdleClosed m_idle_closed;
   size_t m_kept_streams = 0;
--- a/src/dotterelshift/http/client.cc
+++ b/src/dotterelshift/http/client.cc
@@ -230,7 +230,7 @@
 
   HandOver RecordSent(const Transfer& transfer) {
     const ClientRequest& request = transfer.request;
-    const size_t bytes = BytesOf(request.headers) + request.body.size();
+    const size_t bytes = BytesOf(request.headers) + request.Body().size();
     m_bytes_sent += bytes;
     HandOver handed_over = HandOverOf(transfer.handle, bytes);
     const EarlierUse before =
--- a/src/dotterelshift/http/curl_request.cc
+++ b/src/dotterelshift/http/curl_request.cc
@@ -74,7 +74,7 @@
 }
 
 void SetMethod(CURL* handle, const ClientRequest& request) {
-  if (request.method == "GET" && request.body.empty()) {
+  if (request.method == "GET" && request.Body().empty()) {
     curl_easy_setopt(handle, CURLOPT_HTTPGET, 1L);
     return;
   }
@@ -83,9 +83,9 @@
     return;
   }
   curl_easy_setopt(handle, CURLOPT_POST, 1L);
-  curl_easy_setopt(handle, CURLOPT_POSTFIELDS, request.body.data());
+  curl_easy_setopt(handle, CURLOPT_POSTFIELDS, request.Body().data());
   curl_easy_setopt(handle, CURLOPT_POSTFIELDSIZE_LARGE,
-                   static_cast<curl_off_t>(request.body.size()));
+                   static_cast<curl_off_t>(request.Body().size()));
   if (request.method != "POST")
     curl_easy_setopt(handle, CURLOPT_CUSTOMREQUEST, request.method.c_str());
 }
--- a/src/dotterelshift/http/server.cc
+++ b/src/dotterelshift/http/server.cc
@@ -78,6 +78,9 @@
 constexpr Duration kStalledBody = 1s;
 constexpr Duration kStalledCheckInterval = 20ms;
 
+// Empties a text and returns its memory, which an assignment would keep.
+void Free(std::string& text) { std::string().swap(text); }
+
 // For all servers, as each read is handled before the next one.
 std::array<char, kBodyReadBytes>& ReadBuffer() {
   static std::array<char, kBodyReadBytes> buffer;
@@ -588,7 +591,7 @@
   void BeginDiscarding(Connection& connection) {
     connection.phase = Phase::kDiscarding;
     connection.discarded_bytes = 0;
-    connection.in = {};
+    Free(connection.in);
     ReleaseMemory(connection);
     connection.itself.Set(kConnectionBytes);
     m_deadlines.Set(connection, m_loop.Now() + kDiscardTime);
@@ -703,7 +706,7 @@
     connection.head_complete = false;
     connection.extended = false;
     connection.idle_since = m_loop.Now();
-    connection.out = {};
+    Free(connection.out);
     connection.in.shrink_to_fit();
     connection.head_bytes.Set(connection.in.capacity());
     connection.body_bytes.Set(0);
--- a/src/dotterelshift/memory/account.cc
+++ b/src/dotterelshift/memory/account.cc
@@ -8,7 +8,7 @@
 
 // Shares of the limit up to which memory is granted, by claim. The rest is for
 // requests that were sent on, and for what the allocator cannot use.
-constexpr std::array<double, kClaims> kShares = {0.45, 0.55, 0.60, 0.65};
+constexpr std::array<double, kClaims> kShares = {0.55, 0.62, 0.66, 0.70};
 
 // Callers may always use so much, by the same shares: where the rest of the
 // process needs more than its limit, closing their connections helps nobody.
--- a/src/dotterelshift/settings/settings.cc
+++ b/src/dotterelshift/settings/settings.cc
@@ -197,6 +197,11 @@
     Rule{"max_connections", "connections",
          CountRule{&S::max_connections, 1, 1'000'000}, false,
          "Most open HTTP connections."},
+    Rule{"memory_mb", "megabytes", CountRule{&S::memory_mb, 0, 1'000'000},
+         false,
+         "Memory that the process may use; 0, or more than the machine has: "
+         "all of it. Callers' connections and requests yield before it is "
+         "reached. The command line may replace it."},
     Rule{"receive_timeout", "time", TimeRule{&S::receive_timeout, 100ms, 600s},
          false,
          "Time for a head, once begun, for a body, and for idle connections; "
