DRAIN: a departure is on the disks of a majority before it is acknowledged

Cause: an acknowledged departure was held by a majority, in memory alone. Now a control daemon confirms or acknowledges a departure once it is durable in its data folder, and begins with what it finds there; entries get it with their first answer. One that cannot be stored is refused with 503.

Ruled out: an entry that asks the endpoint before it sends (one that leaves and serves on answers well); the replicated log, which takes a leader that departures do not need today.

--- a/include/dotterelshift/directory/departures.h
+++ b/include/dotterelshift/directory/departures.h
@@ -61,6 +61,8 @@
   // refused; at once if that is known. Returns true if it waits, so that the
   // others are to be asked for confirmation.
   bool Await(uint64_t key, size_t needed, Instant now, Callback callback);
+  // How many other daemons hold the departure, as far as this one knows.
+  size_t HoldersOf(uint64_t key) const;
   // A daemon confirms that it holds these departures.
   void OnConfirmed(const HostId& from, const std::vector<uint64_t>& keys,
                    Instant now);
@@ -81,7 +83,6 @@
   };
   enum class Decision : uint8_t { kWait, kAcknowledge, kRefuse };
 
-  size_t HoldersOf(uint64_t key) const;
   Decision Decide(const Waiting& waiting, Instant now) const;
   // Ends the waiting departures that can be decided now.
   void Settle(Instant now);
--- a/src/dotterelshift/app/control.cc
+++ b/src/dotterelshift/app/control.cc
@@ -89,6 +89,7 @@
   uint64_t m_sequence = 0;
   std::unique_ptr<ControlAdapter> m_adapter;
   DirectoryExchange m_directory;
+  DepartureLog m_departure_log;
   MemberDials m_member_dials;
   OriginStore m_origins;
   std::unique_ptr<telemetry::Metrics> m_metrics;
@@ -120,6 +121,7 @@
       m_adapter(std::move(adapter)),
       m_directory(loop, ControlSpreadOptionsOf(settings), {},
                   {[] {}, [](const std::vector<wire::CacheEventT>&) {}}),
+      m_departure_log(loop, settings.data_folder),
       m_origins(loop),
       m_metrics(telemetry::MakeMetrics()),
       m_client(http::MakeClient(loop)),
@@ -143,6 +145,7 @@
       loop, MakeHubOptions(settings, m_secret, incarnation, m_server->Port()),
       HubCallbacks());
   m_directory.SetHub(m_hub.get());
+  m_directory.SetDepartureLog(&m_departure_log);
   m_origins.Connect(m_hub.get());
   ControlReplicaOptions options;
   options.node.seed = incarnation;
--- a/src/dotterelshift/app/directory_exchange.cc
+++ b/src/dotterelshift/app/directory_exchange.cc
@@ -1,6 +1,6 @@
 #include "dotterelshift/app/directory_exchange.h"
 
-#include <memory>   // for make_unique
+#include <memory>   // for make_shared
 #include <string>   // for to_string
 #include <utility>  // for move, exchange
 #include <variant>  // for get_if
@@ -61,13 +61,51 @@
   const bool leaves = directory::IsDeparture(record) && known != nullptr &&
                       known->record.incarnation == record.incarnation;
   if (leaves) {
-    AwaitHolders(known->record, holders, std::move(callback));
+    // The others are asked while it is written here.
+    const uint64_t key = directory::DepartureKey(known->record);
+    if (m_departure_log != nullptr && m_departures.HoldersOf(key) < holders)
+      m_spread.RequestConfirmation(record.id, m_loop.Now());
+    Keep({known->record},
+         [this, departure = known->record, holders,
+          callback = std::move(callback)](ErrorKind error) mutable {
+           if (error != ErrorKind::kNone) return callback(error);
+           AwaitHolders(departure, holders, std::move(callback));
+         });
   } else {
     callback(ErrorKind::kNone);
   }
   OnTimer();
 }
 
+void DirectoryExchange::SetDepartureLog(DepartureLog* log) {
+  m_departure_log = log;
+  for (const wire::EndpointRecordT& departure : log->TakeRestored())
+    m_spread.OnAnnounced(departure, m_loop.Now());
+}
+
+void DirectoryExchange::Keep(
+    const std::vector<wire::EndpointRecordT>& departures,
+    std::function<void(ErrorKind)> callback) {
+  if (m_departure_log == nullptr || departures.empty())
+    return callback(ErrorKind::kNone);
+  m_departure_log->Keep(departures, std::move(callback));
+}
+
+// Confirms the departures that were received, if they are kept.
+void DirectoryExchange::Confirm(const wire::DirectoryDeltaT& delta) {
+  std::vector<directory::Outgoing> confirmations = m_spread.TakeConfirmations();
+  if (confirmations.empty()) return;
+  std::vector<wire::EndpointRecordT> departures;
+  for (const auto& record : delta.records)
+    if (record != nullptr && directory::IsDeparture(*record))
+      departures.push_back(*record);
+  const auto sent = std::make_shared<std::vector<directory::Outgoing>>(
+      std::move(confirmations));
+  Keep(departures, [this, sent](ErrorKind error) {
+    if (error == ErrorKind::kNone) Send(std::move(*sent));
+  });
+}
+
 void DirectoryExchange::AwaitHolders(const wire::EndpointRecordT& record,
                                      size_t holders,
                                      std::function<void(ErrorKind)> callback) {
@@ -85,9 +123,11 @@
     callback(result.error);
   };
   const Instant now = m_loop.Now();
-  if (m_departures.Await(directory::DepartureKey(record), holders, now,
-                         on_decided))
-    m_spread.RequestConfirmation(record.id, now);
+  if (!m_departures.Await(directory::DepartureKey(record), holders, now,
+                          on_decided))
+    return;
+  if (m_departure_log != nullptr) return;  // asked before
+  m_spread.RequestConfirmation(record.id, now);
 }
 
 bool DirectoryExchange::OnReplaced(const EndpointId& endpoint,
@@ -123,7 +163,7 @@
   if (delta == nullptr) return false;
   m_spread.OnDelta(from.run.host, *delta, m_loop.Now());
   m_departures.OnConfirmed(from.run.host, delta->confirmed, m_loop.Now());
-  Send(m_spread.TakeConfirmations());
+  Confirm(*delta);
   LogDepartures();
   OnTimer();
   return true;
--- a/src/dotterelshift/app/directory_exchange.h
+++ b/src/dotterelshift/app/directory_exchange.h
@@ -4,6 +4,7 @@
 #include <functional>  // for function
 #include <vector>      // for vector
 
+#include "dotterelshift/app/departure_log.h"     // for DepartureLog
 #include "dotterelshift/base/error.h"            // for ErrorKind
 #include "dotterelshift/directory/departures.h"  // for Departures
 #include "dotterelshift/directory/directory.h"   // for Directory
@@ -32,6 +33,10 @@
   // Set after construction: the hub's callbacks refer to this object, so that
   // the hub is created later.
   void SetHub(peers::Hub* hub) { m_hub = hub; }
+  // From now on departures are kept in this log before they are confirmed or
+  // acknowledged. Those that it has restored are taken over. It must outlive
+  // this object.
+  void SetDepartureLog(DepartureLog* log);
 
   // Handles POST /endpoint/v1/announce.
   void OnAnnounce(http::Exchange& exchange);
@@ -56,6 +61,10 @@
   const directory::Directory& GetDirectory() const { return m_directory; }
 
  private:
+  // Calls back once the departures are kept here; at once without a log.
+  void Keep(const std::vector<wire::EndpointRecordT>& departures,
+            std::function<void(ErrorKind)> callback);
+  void Confirm(const wire::DirectoryDeltaT& delta);
   void AwaitHolders(const wire::EndpointRecordT& record, size_t holders,
                     std::function<void(ErrorKind)> callback);
   void LogDepartures();
@@ -69,6 +78,7 @@
   directory::Directory m_directory;
   directory::Spread m_spread;
   directory::Departures m_departures;
+  DepartureLog* m_departure_log = nullptr;
   uint64_t m_generation = 0;  // as of the last call of on_offer_changed
   loop::Timer m_timer;
 };
--- a/src/dotterelshift/storage/format.h
+++ b/src/dotterelshift/storage/format.h
@@ -17,7 +17,8 @@
   kIdentity = 1,
   kLog = 2,
   kSnapshot = 3,
-  kSpool = 4
+  kSpool = 4,
+  kDepartures = 5
 };
 
 // Encodes the header at the start of every file.
