--- a/src/dotterelshift/http/response_head.h
+++ b/src/dotterelshift/http/response_head.h
@@ -18,6 +18,10 @@
 
 // The head of a response, as its lines arrive. Interim heads (status 1xx) are
 // skipped, and so are trailers.
+//
+// It alone decides what the status of a response is: a head that libcurl might
+// read in another way is refused, the connection is closed, and nothing of the
+// response is believed.
 class ResponseHead {
  public:
   // Lines end as they were received. Heads and trailers that are larger than 64
@@ -33,8 +37,12 @@
 
  private:
   bool TakeStatus(std::string_view line);
-  void TakeHeader(std::string_view line);
+  bool TakeHeader(std::string_view line);
+  HeadLine EndHead();
+  // Whether the end of the body is told in one way at the most.
+  bool HasOneFraming() const;
 
+  bool m_begun = false;  // the status line of the head was read
   int m_status = 0;
   Headers m_headers;
   bool m_received = false;
