--- a/src/dotterelshift/http/connection.h
+++ b/src/dotterelshift/http/connection.h
@@ -75,6 +75,9 @@
   memory::Holding unread_bytes;
 };
 
+// Empties a text and returns its memory, which an assignment would keep.
+inline void FreeText(std::string& text) { std::string().swap(text); }
+
 // Status of a refusal for which the server's options set none.
 int DefaultStatusOf(ServerRefusal refusal);
 
