Test: the log of DirectoryExchangeTest is captured while a test runs

The whole suite failed once, traced: CppUnit makes all fixtures before the first test, so that a fixture with a captured log as a member counted the lines of tests that ran before it, now those of DeparturesOutliveControlTest (6 departure_held lines, 1 expected). The log is captured from setUp() to tearDown(), as in RegistrationTest; what is asserted is the same.

--- a/src/dotterelshift/app/directory_exchange_test.cc
+++ b/src/dotterelshift/app/directory_exchange_test.cc
@@ -2,8 +2,9 @@
 
 #include <cppunit/extensions/HelperMacros.h>  // for CPPUNIT_TEST
 
-#include <string>  // for string
-#include <vector>  // for vector
+#include <optional>  // for optional
+#include <string>    // for string
+#include <vector>    // for vector
 
 #include "dotterelshift/app/recording_hub_testing.h"  // for RecordingHub
 #include "dotterelshift/telemetry/log_testing.h"      // for CapturedLog
@@ -23,7 +24,9 @@
   CPPUNIT_TEST_SUITE_END();
 
  public:
+  void tearDown() override { m_log.reset(); }
   void setUp() override {
+    m_log.emplace(telemetry::LogLevel::kInfo);
     m_exchange.SetHub(&m_hub);
     for (const char* host : {"control-2", "control-3", "control-4"})
       m_exchange.OnPeerUp(PeerOf(host, wire::HostRole::Control));
@@ -88,7 +91,7 @@
     Confirm("control-4", wire::HostRole::Control);
     CPPUNIT_ASSERT_EQUAL(size_t{2}, m_answers.size());
     CPPUNIT_ASSERT(m_answers.back() == ErrorKind::kNone);
-    CPPUNIT_ASSERT_EQUAL(size_t{1}, m_log.Count("departure_held"));
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, m_log->Count("departure_held"));
     Announce(Record(3, true));
     CPPUNIT_ASSERT_EQUAL(size_t{3}, m_answers.size());
     CPPUNIT_ASSERT(TakeAsked().empty());
@@ -108,7 +111,7 @@
       m_exchange.OnPeerDown(PeerOf(host, wire::HostRole::Control));
     CPPUNIT_ASSERT_EQUAL(size_t{2}, m_answers.size());
     CPPUNIT_ASSERT(m_answers.back() == ErrorKind::kNoQuorum);
-    CPPUNIT_ASSERT_EQUAL(size_t{1}, m_log.Count("departure_refused"));
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, m_log->Count("departure_refused"));
     CPPUNIT_ASSERT(m_exchange.GetDirectory().Find("e")->record.draining);
   }
 
@@ -135,7 +138,7 @@
     return options;
   }
 
-  telemetry::CapturedLog m_log{telemetry::LogLevel::kInfo};
+  std::optional<telemetry::CapturedLog> m_log;  // while a test runs
   loop::Loop m_loop;
   RecordingHub m_hub;
   DirectoryExchange m_exchange{
