Build: the sanitizers' build takes Boost.Beast's parser

With -fsanitize, -Wmaybe-uninitialized (an error here) takes boost::none, in an inlined function of the library's header, for a number that is read. It is off for these two headers alone. The code of the program does not change.

--- a/src/dotterelshift/http/request_head.cc
+++ b/src/dotterelshift/http/request_head.cc
@@ -1,12 +1,18 @@
 #include "dotterelshift/http/request_head.h"
 
-#include <algorithm>                        // for all_of, find
-#include <array>                            // for array
-#include <boost/asio/buffer.hpp>            // for buffer
+#include <algorithm>              // for all_of, find
+#include <array>                  // for array
+#include <boost/asio/buffer.hpp>  // for buffer
+#include <cctype>                 // for tolower
+#include <limits>                 // for numeric_limits
+
+// With sanitizers, the compiler takes an empty optional of the library for one
+// that is read.
+#pragma GCC diagnostic push
+#pragma GCC diagnostic ignored "-Wmaybe-uninitialized"
 #include <boost/beast/http/empty_body.hpp>  // for empty_body
 #include <boost/beast/http/parser.hpp>      // for request_parser
-#include <cctype>                           // for tolower
-#include <limits>                           // for numeric_limits
+#pragma GCC diagnostic pop
 
 #include "dotterelshift/http/field_rules.h"  // for IsToken
 
