--- a/src/dotterelshift/http/request_head.cc
+++ b/src/dotterelshift/http/request_head.cc
@@ -6,10 +6,12 @@
 #include <cctype>                 // for tolower
 #include <limits>                 // for numeric_limits
 
-// With sanitizers, the compiler takes an empty optional of the library for one
-// that is read.
+// With sanitizers, GCC takes an empty optional of the library for one that is
+// read. Clang does not know the warning.
 #pragma GCC diagnostic push
+#ifndef __clang__
 #pragma GCC diagnostic ignored "-Wmaybe-uninitialized"
+#endif
 #include <boost/beast/http/empty_body.hpp>  // for empty_body
 #include <boost/beast/http/parser.hpp>      // for request_parser
 #pragma GCC diagnostic pop
