Read-through: one copy of what fields, framing and test errors share; a flag that could be derived

Cause: the change had written again what stood beside it: digits of a chunk's size and of a length, names in lower case, whether a header is there, which statuses have no body, and a test's KindOf(). They are in field_rules.h and faulty_files_testing.h now. Connection::expects_more said what the head and the body say.

Conclusion: no behaviour changes but that a 1xx response that is skipped has no body, as it cannot have one.

--- a/src/dotterelshift/http/body_reader.cc
+++ b/src/dotterelshift/http/body_reader.cc
@@ -13,14 +13,6 @@
 // Extensions and trailers of one body together.
 constexpr size_t kMaxLineBytes = 8 << 10;
 
-// -1: not a hexadecimal digit.
-int HexDigit(char c) {
-  if (c >= '0' && c <= '9') return c - '0';
-  if (c >= 'a' && c <= 'f') return c - 'a' + 10;
-  if (c >= 'A' && c <= 'F') return c - 'A' + 10;
-  return -1;
-}
-
 bool IsTrailer(std::string_view line) {
   const size_t colon = line.find(':');
   return colon != std::string_view::npos && IsToken(line.substr(0, colon));
--- a/src/dotterelshift/http/body_skipper.cc
+++ b/src/dotterelshift/http/body_skipper.cc
@@ -1,38 +1,16 @@
 #include "dotterelshift/http/body_skipper.h"
 
 #include <algorithm>  // for min
-#include <charconv>   // for from_chars
 #include <cstdint>    // for uint64_t
 #include <utility>    // for exchange
 
+#include "dotterelshift/http/field_rules.h"  // for ReadDigits
+
 namespace dotterelshift::http {
 namespace {
 
 constexpr uint64_t kMaxChunkBytes = 1ULL << 40;
 
-bool HasNoBody(int status) {
-  constexpr int kNoContent = 204;
-  constexpr int kNotModified = 304;
-  return status == kNoContent || status == kNotModified;
-}
-
-// -1: not a hexadecimal digit.
-int HexDigit(char c) {
-  if (c >= '0' && c <= '9') return c - '0';
-  if (c >= 'a' && c <= 'f') return c - 'a' + 10;
-  if (c >= 'A' && c <= 'F') return c - 'A' + 10;
-  return -1;
-}
-
-std::optional<uint64_t> ReadLength(std::string_view text) {
-  uint64_t length = 0;
-  const auto read =
-      std::from_chars(text.data(), text.data() + text.size(), length);
-  const bool whole =
-      read.ec == std::errc() && read.ptr == text.data() + text.size();
-  return whole ? std::optional(length) : std::nullopt;
-}
-
 }  // namespace
 
 std::optional<BodySkipper> BodySkipper::For(int status,
@@ -42,7 +20,7 @@
   for (const auto& [name, value] : headers) {
     if (name == "transfer-encoding") skipper.m_chunked = true;
     if (name != "content-length") continue;
-    length = ReadLength(value);
+    length = ReadDigits(value);
     if (!length) return std::nullopt;
   }
   if (HasNoBody(status)) {
--- a/src/dotterelshift/http/connection.h
+++ b/src/dotterelshift/http/connection.h
@@ -44,7 +44,6 @@
   bool any_handed_over = false;  // this request or an earlier one
   bool close_after_response = false;
   bool awaits_continue = false;  // before it sends the body
-  bool expects_more = false;     // of a request that was refused
   bool write_ended = false;
 
   Phase phase = Phase::kHead;
--- a/src/dotterelshift/http/curl_request.cc
+++ b/src/dotterelshift/http/curl_request.cc
@@ -1,24 +1,17 @@
 #include "dotterelshift/http/curl_request.h"
 
-#include <algorithm>    // for any_of, equal, max
-#include <cctype>       // for tolower
+#include <algorithm>    // for max
 #include <string>       // for string
 #include <string_view>  // for string_view
 
+#include "dotterelshift/http/field_rules.h"  // for HasField
+
 namespace dotterelshift::http {
 namespace {
 
 // Size of the receive buffer, one per open transfer.
 constexpr long kReadBuffer = 4 << 10;  // NOLINT(google-runtime-int)
 
-bool HasHeader(const Headers& headers, std::string_view name) {
-  return std::ranges::any_of(headers, [name](const auto& header) {
-    return std::ranges::equal(header.first, name, [](char a, char b) {
-      return std::tolower(static_cast<unsigned char>(a)) == b;
-    });
-  });
-}
-
 }  // namespace
 
 curl_slist* MakeHeaderList(const Headers& headers) {
@@ -32,7 +25,7 @@
   list = curl_slist_append(list, "Expect:");
   // Suppress headers that curl would add by default.
   for (const char* own : {"accept", "content-type"}) {
-    if (HasHeader(headers, own)) continue;
+    if (HasField(headers, own)) continue;
     line.assign(own).append(":");
     list = curl_slist_append(list, line.c_str());
   }
--- a/src/dotterelshift/http/field_rules.h
+++ b/src/dotterelshift/http/field_rules.h
@@ -2,14 +2,19 @@
 #define DOTTERELSHIFT_SRC_HTTP_FIELD_RULES_H_
 
 #include <algorithm>    // for all_of, any_of, equal
+#include <cctype>       // for tolower
 #include <charconv>     // for from_chars
 #include <cstdint>      // for uint64_t
 #include <optional>     // for optional
+#include <string>       // for string
 #include <string_view>  // for string_view
 
+#include "dotterelshift/http/server.h"  // for Headers
+
 namespace dotterelshift::http {
 
-// What names and values of header fields may consist of (RFC 9110, 5).
+// What names, values and framing of messages may consist of (RFC 9110, 5 and
+// RFC 9112, 6).
 
 // Bytes below the space, except the tab, and DEL.
 constexpr bool IsControl(char byte) {
@@ -50,6 +55,36 @@
   return std::ranges::equal(a, b, {}, lower, lower);
 }
 
+inline std::string Lower(std::string_view text) {
+  std::string lower(text);
+  for (char& c : lower)
+    c = static_cast<char>(std::tolower(static_cast<unsigned char>(c)));
+  return lower;
+}
+
+inline bool HasField(const Headers& headers, std::string_view name) {
+  return std::ranges::any_of(headers, [name](const auto& header) {
+    return EqualsIgnoringCase(header.first, name);
+  });
+}
+
+// Whether no response with this status has a body.
+constexpr bool HasNoBody(int status) {
+  constexpr int kFirstFinalStatus = 200;
+  constexpr int kNoContent = 204;
+  constexpr int kNotModified = 304;
+  return status < kFirstFinalStatus || status == kNoContent ||
+         status == kNotModified;
+}
+
+// -1: not a hexadecimal digit.
+constexpr int HexDigit(char c) {
+  if (c >= '0' && c <= '9') return c - '0';
+  if (c >= 'a' && c <= 'f') return c - 'a' + 10;
+  if (c >= 'A' && c <= 'F') return c - 'A' + 10;
+  return -1;
+}
+
 // A number of digits alone, which fits.
 inline std::optional<uint64_t> ReadDigits(std::string_view text) {
   uint64_t number = 0;
--- a/src/dotterelshift/http/request_head.cc
+++ b/src/dotterelshift/http/request_head.cc
@@ -3,7 +3,6 @@
 #include <algorithm>              // for all_of, find
 #include <array>                  // for array
 #include <boost/asio/buffer.hpp>  // for buffer
-#include <cctype>                 // for tolower
 #include <limits>                 // for numeric_limits
 
 // With sanitizers, GCC takes an empty optional of the library for one that is
@@ -23,13 +22,6 @@
 
 namespace beast = boost::beast::http;
 
-std::string Lower(std::string_view text) {
-  std::string lower(text);
-  for (char& c : lower)
-    c = static_cast<char>(std::tolower(static_cast<unsigned char>(c)));
-  return lower;
-}
-
 std::string Text(boost::beast::string_view text) {
   return {text.data(), text.size()};
 }
--- a/src/dotterelshift/http/response_head.cc
+++ b/src/dotterelshift/http/response_head.cc
@@ -1,9 +1,7 @@
 #include "dotterelshift/http/response_head.h"
 
-#include <cctype>    // for tolower
 #include <optional>  // for optional
 #include <string>    // for string
-#include <utility>   // for move
 
 #include "dotterelshift/http/field_rules.h"  // for IsToken
 
@@ -79,10 +77,7 @@
   if (colon == std::string_view::npos || HasControl(line)) return false;
   const std::string_view name = line.substr(0, colon);
   if (!IsToken(name)) return false;
-  std::string lower(name);
-  for (char& c : lower)
-    c = static_cast<char>(std::tolower(static_cast<unsigned char>(c)));
-  m_headers.emplace_back(std::move(lower),
+  m_headers.emplace_back(Lower(name),
                          std::string(Trim(line.substr(colon + 1))));
   return true;
 }
--- a/src/dotterelshift/http/response_writer.cc
+++ b/src/dotterelshift/http/response_writer.cc
@@ -11,10 +11,6 @@
 namespace dotterelshift::http {
 namespace {
 
-constexpr int kFirstFinalStatus = 200;
-constexpr int kNoContent = 204;
-constexpr int kNotModified = 304;
-
 void AppendField(std::string_view name, std::string_view value,
                  std::string* head) {
   head->append(name).append(": ").append(value).append("\r\n");
@@ -36,12 +32,6 @@
   return {text.data(), size};
 }
 
-bool HasField(const Headers& headers, std::string_view name) {
-  return std::ranges::any_of(headers, [name](const auto& header) {
-    return EqualsIgnoringCase(header.first, name);
-  });
-}
-
 // The writer's own fields are not taken from a handler.
 bool IsOwnField(std::string_view name) {
   return EqualsIgnoringCase(name, "content-length") ||
@@ -53,9 +43,7 @@
 
 ResponseFraming FramingOf(int status, std::optional<size_t> length,
                           const ResponseTerms& terms) {
-  const bool has_none = status < kFirstFinalStatus || status == kNoContent ||
-                        status == kNotModified;
-  if (has_none || terms.head_only) return ResponseFraming::kNoBody;
+  if (HasNoBody(status) || terms.head_only) return ResponseFraming::kNoBody;
   if (length) return ResponseFraming::kLength;
   return terms.http_1_0 ? ResponseFraming::kClose : ResponseFraming::kChunked;
 }
--- a/src/dotterelshift/http/server_send.cc
+++ b/src/dotterelshift/http/server_send.cc
@@ -44,8 +44,6 @@
                           refusal != ServerRefusal::kHeadTooLarge &&
                           refusal != ServerRefusal::kBodyTooLarge;
   if (may_return) headers.emplace_back("Retry-After", "1");
-  connection.expects_more =
-      !connection.head_complete || !connection.body.IsComplete();
   EndExchange(connection, false, false);
   EndIdle(connection);
   std::erase(m_body_waits, &connection);
@@ -137,7 +135,9 @@
 void EpollServer::OnLastWritten(Connection& connection) {
   if (!std::exchange(connection.write_ended, true))
     ::shutdown(connection.descriptor, SHUT_WR);
-  const bool may_come = connection.expects_more && !connection.caller_closed;
+  const bool is_received =
+      connection.head_complete && connection.body.IsComplete();
+  const bool may_come = !is_received && !connection.caller_closed;
   if (!may_come && !HasUnread(connection)) Close(connection);
 }
 
--- a/src/dotterelshift/http/status_line_test.cc
+++ b/src/dotterelshift/http/status_line_test.cc
@@ -43,7 +43,7 @@
     for (const char* lines :
          {"Content-Length: 4\r\nContent-Length: 4\r\n",
           "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n",
-          "Content-Length : 4\r\n", "X-Not-Executed : 1\r\n",
+          "Content-Length : 4\r\n", "X-Id : 1\r\n",
           "X-A: b\r\n folded\r\nContent-Length: 4\r\n",
           "X-A: b\x01\r\nContent-Length: 4\r\n"})
       ExpectRefused("HTTP/1.1 200 OK", lines);
--- a/src/dotterelshift/storage/departure_store_test.cc
+++ b/src/dotterelshift/storage/departure_store_test.cc
@@ -19,15 +19,6 @@
 
 using Strings = std::vector<std::string>;
 
-ErrorKind KindOf(const std::function<void()>& action) {
-  try {
-    action();
-  } catch (const Error& error) {
-    return error.Kind();
-  }
-  return ErrorKind::kNone;
-}
-
 class DepartureStoreTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(DepartureStoreTest);
   CPPUNIT_TEST(RecordsOutliveTheProcess);
--- a/src/dotterelshift/storage/faulty_files_testing.h
+++ b/src/dotterelshift/storage/faulty_files_testing.h
@@ -1,9 +1,11 @@
 #ifndef DOTTERELSHIFT_SRC_STORAGE_FAULTY_FILES_TESTING_H_
 #define DOTTERELSHIFT_SRC_STORAGE_FAULTY_FILES_TESTING_H_
 
+#include <functional>   // for function
 #include <string>       // for string
 #include <string_view>  // for string_view
 
+#include "dotterelshift/base/error.h"           // for Error
 #include "dotterelshift/storage/file_system.h"  // for PosixFileSystem
 
 namespace dotterelshift::storage {
@@ -61,6 +63,16 @@
   Fault* m_fault;
 };
 
+// The kind of the error that the action throws; kNone: it throws none.
+inline ErrorKind KindOf(const std::function<void()>& action) {
+  try {
+    action();
+  } catch (const Error& error) {
+    return error.Kind();
+  }
+  return ErrorKind::kNone;
+}
+
 }  // namespace dotterelshift::storage
 
 #endif  // DOTTERELSHIFT_SRC_STORAGE_FAULTY_FILES_TESTING_H_
--- a/src/dotterelshift/storage/store_faults_test.cc
+++ b/src/dotterelshift/storage/store_faults_test.cc
@@ -24,15 +24,6 @@
   return ready;
 }
 
-ErrorKind KindOf(const std::function<void()>& action) {
-  try {
-    action();
-  } catch (const Error& error) {
-    return error.Kind();
-  }
-  return ErrorKind::kNone;
-}
-
 constexpr size_t kSegmentBytes = 512;  // two or three entries
 
 void Fill(const std::string& folder, uint64_t entries, uint64_t snapshot) {
