Departures: what was stored is remembered for five minutes, not for ever

Cause: DepartureLog kept the key of each departure until the process ended (found by reading; listed). Keys older than five minutes go when another departure is stored; endpoints announce theirs again within some heartbeats. Ruled out: no memory of keys, as each report of `draining` would be synced.

--- a/src/dotterelshift/app/departure_log.cc
+++ b/src/dotterelshift/app/departure_log.cc
@@ -17,6 +17,10 @@
 constexpr Duration kMinRestoredAge = 10s;
 constexpr Duration kMaxRestoredAge = 30s;
 
+// Endpoints that leave announce it again within some heartbeats. The store
+// keeps the records for longer.
+constexpr Duration kRemember = 300s;
+
 std::string Encode(const wire::EndpointRecordT& record) {
   flatbuffers::FlatBufferBuilder builder;
   builder.Finish(wire::EndpointRecord::Pack(builder, &record));
@@ -61,7 +65,7 @@
         std::clamp<WallMs>(now - departure.stored_at, ToMs(kMinRestoredAge),
                            ToMs(kMaxRestoredAge));
     record.age_ms = static_cast<uint32_t>(age);
-    m_durable.insert(directory::DepartureKey(record));
+    m_durable[directory::DepartureKey(record)] = departure.stored_at;
     m_restored.push_back(std::move(record));
   }
   if (kept.empty()) return;
@@ -90,10 +94,18 @@
   const std::vector<uint64_t> keys = std::exchange(m_waiting_keys, {});
   const auto callbacks = std::exchange(m_callbacks, {});
   const ErrorKind error = records.empty() ? ErrorKind::kNone : Store(records);
-  if (error == ErrorKind::kNone) m_durable.insert(keys.begin(), keys.end());
+  if (error == ErrorKind::kNone) Remember(keys);
   for (const auto& callback : callbacks) callback(error);
 }
 
+void DepartureLog::Remember(const std::vector<uint64_t>& keys) {
+  const WallMs now = m_loop.WallNow();
+  std::erase_if(m_durable, [now](const auto& item) {
+    return now - item.second >= ToMs(kRemember);
+  });
+  for (const uint64_t key : keys) m_durable[key] = now;
+}
+
 ErrorKind DepartureLog::Store(const std::vector<std::string>& records) {
   const Instant start = m_loop.Now();
   try {
--- a/src/dotterelshift/app/departure_log.h
+++ b/src/dotterelshift/app/departure_log.h
@@ -4,7 +4,7 @@
 #include <functional>     // for function
 #include <memory>         // for unique_ptr
 #include <string>         // for string
-#include <unordered_set>  // for unordered_set
+#include <unordered_map>  // for unordered_map
 #include <vector>         // for vector
 
 #include "dotterelshift/base/error.h"               // for ErrorKind
@@ -35,15 +35,20 @@
   void Keep(const std::vector<wire::EndpointRecordT>& records,
             std::function<void(ErrorKind)> callback);
 
+  // How many departures are not stored again if they are announced again.
+  size_t Remembered() const { return m_durable.size(); }
+
  private:
   void Restore(const std::vector<storage::StoredDeparture>& kept);
   void Write();
+  void Remember(const std::vector<uint64_t>& keys);
   ErrorKind Store(const std::vector<std::string>& records);
 
   loop::Loop& m_loop;
   std::unique_ptr<storage::DepartureStore> m_store;
   std::vector<wire::EndpointRecordT> m_restored;
-  std::unordered_set<uint64_t> m_durable;  // by DepartureKey()
+  // When those that are durable were stored, by DepartureKey().
+  std::unordered_map<uint64_t, WallMs> m_durable;
   std::vector<uint64_t> m_waiting_keys;
   std::vector<std::string> m_waiting;
   std::vector<std::function<void(ErrorKind)>> m_callbacks;
--- a/src/dotterelshift/app/departures_outlive_control_test.cc
+++ b/src/dotterelshift/app/departures_outlive_control_test.cc
@@ -57,6 +57,7 @@
   CPPUNIT_TEST(DrainingIsKeptLikeGone);
   CPPUNIT_TEST(LaterIncarnationIsUsedAtOnce);
   CPPUNIT_TEST(DepartureThatCannotBeStoredIsNotAcknowledged);
+  CPPUNIT_TEST(OldDeparturesAreForgotten);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -116,7 +117,34 @@
     CPPUNIT_ASSERT(Leave(Gone()) == ErrorKind::kStorageFull);
   }
 
+  // What was kept before a start, nine minutes ago, is no longer remembered
+  // once another departure is stored.
+  void OldDeparturesAreForgotten() {
+    const WallMs then = m_loop.WallNow() - ToMs(std::chrono::minutes(9));
+    TemporaryFolder folder;
+    {
+      DepartureLog log(m_loop, folder.Path());
+      Keep(log, Gone());
+    }
+    auto [store, kept] =
+        storage::OpenDepartureStore({.folder = folder.Path()}, then);
+    for (storage::StoredDeparture& departure : kept) departure.stored_at = then;
+    DepartureLog log(m_loop, std::move(store), kept);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, log.Remembered());
+    wire::EndpointRecordT later = Record(2, 1);
+    later.draining = true;
+    Keep(log, later);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, log.Remembered());
+  }
+
  private:
+  void Keep(DepartureLog& log, const wire::EndpointRecordT& record) {
+    std::optional<ErrorKind> error;
+    log.Keep({record}, [&error](ErrorKind kind) { error = kind; });
+    RunUntil(m_loop, "it is stored", [&error] { return error.has_value(); });
+    CPPUNIT_ASSERT(error == ErrorKind::kNone);
+  }
+
   static std::vector<HostId> Controls() {
     std::vector<HostId> hosts;
     for (size_t i = 0; i < kControls; ++i)
