--- a/src/dotterelshift/app/control.cc
+++ b/src/dotterelshift/app/control.cc
@@ -4,7 +4,7 @@
 #include <utility>  // for move
 
 #include "dotterelshift/app/command_id.h"          // for MakeCommandId
-#include "dotterelshift/app/control_options.h"     // for FirstMembersOf
+#include "dotterelshift/app/control_options.h"     // for ReplicaOptionsOf
 #include "dotterelshift/app/control_replica.h"     // for ControlReplica
 #include "dotterelshift/app/daemon.h"              // for Daemon
 #include "dotterelshift/app/dial_log.h"            // for LogDial
@@ -133,13 +133,13 @@
                                 OnExchange(std::move(exchange));
                               });
   if (settings.metrics_port != 0) {
-    const std::string listen =
-        settings.address + ":" + std::to_string(settings.metrics_port);
-    m_metrics_server = http::MakeServer(
-        loop, ListenOptionsAt(settings, listen, m_memory.Account()),
-        [this](std::shared_ptr<http::Exchange> exchange) {
-          OnExchange(std::move(exchange));
-        });
+    m_metrics_server =
+        http::MakeServer(loop,
+                         ListenOptionsAt(settings, MetricsListenOf(settings),
+                                         m_memory.Account()),
+                         [this](std::shared_ptr<http::Exchange> exchange) {
+                           OnExchange(std::move(exchange));
+                         });
   }
   m_hub = peers::MakeHub(
       loop, MakeHubOptions(settings, m_secret, incarnation, m_server->Port()),
@@ -147,17 +147,9 @@
   m_directory.SetHub(m_hub.get());
   m_directory.SetDepartureLog(&m_departure_log);
   m_origins.Connect(m_hub.get());
-  ControlReplicaOptions options;
-  options.node.seed = incarnation;
-  options.store.folder = settings.data_folder;
-  options.first_members = FirstMembersOf(settings);
-  options.self = settings.host;
-  options.self_address = settings.address + ":" + std::to_string(m_hub->Port());
-  options.self_healing = settings.self_healing;
-  options.node.heartbeat = settings.leader_heartbeat;
-  options.node.min_election_timeout = settings.election_timeout;
-  options.node.lease = LeaseOf(settings.election_timeout);
-  m_replica = MakeControlReplica(loop, options, ReplicaCallbacks());
+  m_replica = MakeControlReplica(
+      loop, ReplicaOptionsOf(settings, incarnation, m_hub->Port()),
+      ReplicaCallbacks());
   m_pushes =
       std::make_unique<EntryPushes>(*m_hub, *m_replica, settings.retry_window);
   const std::string http_address = HttpAddressOf(settings, m_server->Port());
--- a/src/dotterelshift/app/control_options.h
+++ b/src/dotterelshift/app/control_options.h
@@ -1,12 +1,14 @@
 #ifndef DOTTERELSHIFT_SRC_APP_CONTROL_OPTIONS_H_
 #define DOTTERELSHIFT_SRC_APP_CONTROL_OPTIONS_H_
 
-#include <vector>  // for vector
+#include <cstdint>  // for uint16_t
+#include <string>   // for string
+#include <vector>   // for vector
 
-#include "dotterelshift/base/ids.h"           // for HostId
-#include "dotterelshift/base/time.h"          // for Duration
-#include "dotterelshift/directory/spread.h"   // for SpreadOptions
-#include "dotterelshift/settings/settings.h"  // for Settings
+#include "dotterelshift/app/control_replica.h"  // for ControlReplicaOptions
+#include "dotterelshift/base/ids.h"             // for HostId
+#include "dotterelshift/directory/spread.h"     // for SpreadOptions
+#include "dotterelshift/settings/settings.h"    // for Settings
 
 namespace dotterelshift::app {
 
@@ -14,10 +16,10 @@
 
 // The hub addresses of the daemons on the seeds' hosts.
 std::vector<std::string> SeedPeersOf(const settings::Settings& settings);
-// The members that the group begins with; empty: this daemon founds none.
-std::vector<HostId> FirstMembersOf(const settings::Settings& settings);
-// A leader's lease ends before any replica may start an election.
-Duration LeaseOf(Duration election_timeout);
+// `peer_port`: of the daemon's hub.
+ControlReplicaOptions ReplicaOptionsOf(const settings::Settings& settings,
+                                       Incarnation incarnation,
+                                       uint16_t peer_port);
 // With published routes the entries only receive gossip, so control sends to
 // each of them.
 directory::SpreadOptions ControlSpreadOptionsOf(
--- a/src/dotterelshift/app/gateway_entry.cc
+++ b/src/dotterelshift/app/gateway_entry.cc
@@ -216,23 +216,17 @@
                               [this](std::shared_ptr<http::Exchange> exchange) {
                                 OnExchange(std::move(exchange));
                               });
-  const auto health = [this](const std::shared_ptr<http::Exchange>& exchange) {
-    OnHealth(*exchange);
-  };
-  if (!m_settings.health_listen.empty()) {
-    m_health =
-        http::MakeServer(m_loop,
-                         ListenOptionsAt(m_settings, m_settings.health_listen,
-                                         m_memory.Account()),
-                         health);
-  }
-  if (m_settings.metrics_port != 0) {
-    const std::string listen =
-        m_settings.address + ":" + std::to_string(m_settings.metrics_port);
-    m_metrics_server = http::MakeServer(
+  const auto serve_health = [this](const std::string& listen) {
+    return http::MakeServer(
         m_loop, ListenOptionsAt(m_settings, listen, m_memory.Account()),
-        health);
-  }
+        [this](const std::shared_ptr<http::Exchange>& exchange) {
+          OnHealth(*exchange);
+        });
+  };
+  if (!m_settings.health_listen.empty())
+    m_health = serve_health(m_settings.health_listen);
+  if (m_settings.metrics_port != 0)
+    m_metrics_server = serve_health(MetricsListenOf(m_settings));
 }
 
 void GatewayEntry::OnExchange(std::shared_ptr<http::Exchange> exchange) {
@@ -456,7 +450,6 @@
 }
 
 void GatewayEntry::UpdateGauges() {
-  const gateway::HeldGrants::Sums tokens = m_budgets.HeldSums();
   SetGauges(
       *m_metrics,
       {{"dotterelshift_open_requests", "Requests taken and not ended",
@@ -464,14 +457,10 @@
        {"dotterelshift_control_reach", "0 never, 1 connected, 2 cut off",
         Number(m_reach)},
        {"dotterelshift_routes_version", "Version in force", Number(m_version)},
-       {"dotterelshift_tokens_held", "Granted and not yet spent",
-        Number(tokens.held)},
-       {"dotterelshift_tokens_reserved",
-        "Of these, the most that open requests may spend",
-        Number(tokens.reserved)},
        {"dotterelshift_commands_unanswered",
         "Sent to control, or waiting for a leader",
         Number(m_link.Unanswered())}});
+  SetHeldTokenGauges(*m_metrics, m_budgets.HeldSums());
   SetHubMetrics(*m_metrics, *m_hub);
   m_link_guard.SetMetrics(*m_metrics);
   m_traffic->SetMetrics();
--- a/src/dotterelshift/app/gauges.cc
+++ b/src/dotterelshift/app/gauges.cc
@@ -210,6 +210,15 @@
         Number(load.snapshot_bytes)}});
 }
 
+void SetHeldTokenGauges(telemetry::Metrics& metrics,
+                        const gateway::HeldGrants::Sums& tokens) {
+  SetGauges(metrics, {{"dotterelshift_tokens_held", "Granted and not yet spent",
+                       Number(tokens.held)},
+                      {"dotterelshift_tokens_reserved",
+                       "Of these, the most that open requests may spend",
+                       Number(tokens.reserved)}});
+}
+
 void SetTokenGauges(telemetry::Metrics& metrics, const state::State& state) {
   const state::BudgetAccount sums = state.PublishedSums();
   SetGauges(metrics, {{"dotterelshift_tokens_total", "Of all published totals",
--- a/src/dotterelshift/app/gauges.h
+++ b/src/dotterelshift/app/gauges.h
@@ -10,6 +10,7 @@
 #include "dotterelshift/app/entry_pushes.h"          // for EntryPushes
 #include "dotterelshift/gateway/core.h"              // for LinkQueue
 #include "dotterelshift/gateway/fleet_load.h"        // for EndpointCounts
+#include "dotterelshift/gateway/held_grants.h"       // for HeldGrants
 #include "dotterelshift/gateway/retry_share.h"       // for RetryUse
 #include "dotterelshift/origins/service_versions.h"  // for VersionCount
 #include "dotterelshift/peers/hub.h"                 // for Hub
@@ -81,6 +82,10 @@
 void SetReplicaGauges(telemetry::Metrics& metrics,
                       const ControlReplica& replica, size_t entries);
 
+// Gauges of the tokens that an entry holds.
+void SetHeldTokenGauges(telemetry::Metrics& metrics,
+                        const gateway::HeldGrants::Sums& tokens);
+
 // Gauges that split the published totals: each token is counted in exactly one
 // of the categories.
 void SetTokenGauges(telemetry::Metrics& metrics, const state::State& state);
--- a/src/dotterelshift/app/listen_options.h
+++ b/src/dotterelshift/app/listen_options.h
@@ -1,7 +1,7 @@
 #ifndef DOTTERELSHIFT_SRC_APP_LISTEN_OPTIONS_H_
 #define DOTTERELSHIFT_SRC_APP_LISTEN_OPTIONS_H_
 
-#include <string>       // for stoi
+#include <string>       // for stoi, to_string
 #include <string_view>  // for string_view
 
 #include "dotterelshift/gateway/routes.h"     // for CallerLimits
@@ -40,6 +40,11 @@
   return options;
 }
 
+// The address that serves metrics alone.
+inline std::string MetricsListenOf(const settings::Settings& settings) {
+  return settings.address + ":" + std::to_string(settings.metrics_port);
+}
+
 // How long callers may take under published limits. Their bytes may wait for a
 // saturated link on the way here, and responses on the way back.
 inline http::CallerTimes CallerTimesOf(const gateway::CallerLimits& limits) {
